Lay the seams: settings, errors, clock, base classes, interfaces

Cause: everything else grows on the same few seams, so they come first. Conclusion: parts can be built apart and joined at these seams.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; ``python -m benchmarks`` runs them all."""
--- /dev/null
+++ b/mulberryway/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The programs; each is a thin layer over an object."""
--- /dev/null
+++ b/mulberryway/filters/__init__.py
@@ -0,0 +1,1 @@
+"""The chain that each request passes through."""
--- /dev/null
+++ b/mulberryway/peers/__init__.py
@@ -0,0 +1,1 @@
+"""How the processes of the system talk to one another."""
--- /dev/null
+++ b/mulberryway/platform/base.py
@@ -0,0 +1,183 @@
+"""The platform's object API as the rest of the program sees it."""
+
+import abc
+import collections.abc
+import enum
+import typing
+
+import expression
+
+from mulberryway import errors
+
+__all__ = [
+    "EventType",
+    "ListedVm",
+    "ObjectStore",
+    "StoredObject",
+    "WatchEvent",
+]
+
+
+class StoredObject:
+    """One object as the platform answered it.
+
+    :param kind: the plural kind, such as ``segments``
+    :param name: the name, unique within its kind
+    :param version: the platform's version; grows with each write
+    :param value: the JSON value, at most a megabyte when encoded
+    """
+
+    __slots__ = ("kind", "name", "version", "value")
+
+    def __init__(
+        self, kind: str, name: str, version: int, value: dict[str, typing.Any]
+    ) -> None:
+        self.kind = kind
+        self.name = name
+        self.version = version
+        self.value = value
+
+
+class EventType(enum.Enum):
+    """What a watch reports."""
+
+    ADDED = "ADDED"
+    MODIFIED = "MODIFIED"
+    DELETED = "DELETED"
+    BOOKMARK = "BOOKMARK"
+
+
+class WatchEvent:
+    """One line of a watch; a bookmark carries only the version."""
+
+    __slots__ = ("type", "object")
+
+    def __init__(self, type_: EventType, object_: StoredObject) -> None:
+        self.type = type_
+        self.object = object_
+
+
+class ListedVm:
+    """A VM as the platform's lagging list shows it.
+
+    :param name: the VM's name
+    :param address: its IP number
+    :param zone: its availability zone
+    :param leaving: whether the platform is about to take it away
+    """
+
+    __slots__ = ("name", "address", "zone", "leaving")
+
+    def __init__(
+        self, name: str, address: str, zone: str, leaving: bool
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.zone = zone
+        self.leaving = leaving
+
+
+class ObjectStore(abc.ABC):
+    """Versioned objects with conditional updates and watches.
+
+    Each call counts against the platform's rates, a waiting watch as one,
+    so every method takes the purpose under which metrics count it.
+
+    Faults: ``PLATFORM_UNAVAILABLE`` (``MAY_HAVE_RUN`` when the write may
+    have taken effect), ``CONFLICT``, ``NOT_FOUND``.
+    """
+
+    @abc.abstractmethod
+    def read(
+        self, kind: str, name: str, purpose: str
+    ) -> expression.Result[StoredObject, errors.Fault]:
+        """Return one object.
+
+        :param kind: the plural kind
+        :param name: the object's name
+        :param purpose: what the call is counted under
+        :returns: the object, or a fault
+        """
+
+    @abc.abstractmethod
+    def read_all(
+        self, kind: str, purpose: str
+    ) -> expression.Result[list[StoredObject], errors.Fault]:
+        """Return all objects of a kind.
+
+        :param kind: the plural kind
+        :param purpose: what the call is counted under
+        :returns: the objects, or a fault
+        """
+
+    @abc.abstractmethod
+    def create(
+        self, kind: str, name: str, value: dict[str, typing.Any], purpose: str
+    ) -> expression.Result[StoredObject, errors.Fault]:
+        """Create an object that must not exist yet.
+
+        :param kind: the plural kind
+        :param name: the object's name
+        :param value: its JSON value
+        :param purpose: what the call is counted under
+        :returns: the object as stored, or a fault; ``CONFLICT`` if it exists
+        """
+
+    @abc.abstractmethod
+    def update(
+        self,
+        kind: str,
+        name: str,
+        value: dict[str, typing.Any],
+        version: int,
+        purpose: str,
+    ) -> expression.Result[StoredObject, errors.Fault]:
+        """Replace an object that must still have the given version.
+
+        :param kind: the plural kind
+        :param name: the object's name
+        :param value: its new JSON value
+        :param version: the version that the change was made from
+        :param purpose: what the call is counted under
+        :returns: the object as stored, or a fault; ``CONFLICT`` if it moved
+        """
+
+    @abc.abstractmethod
+    def delete(
+        self, kind: str, name: str, version: int, purpose: str
+    ) -> expression.Result[None, errors.Fault]:
+        """Delete an object that must still have the given version.
+
+        :param kind: the plural kind
+        :param name: the object's name
+        :param version: the version that the decision was made from
+        :param purpose: what the call is counted under
+        :returns: nothing, or a fault
+        """
+
+    @abc.abstractmethod
+    def watch(
+        self, kind: str, from_version: int, silence_ms: int, purpose: str
+    ) -> collections.abc.Iterator[expression.Result[WatchEvent, errors.Fault]]:
+        """Yield changes of a kind until the watch ends or falls silent.
+
+        The platform sends bookmarks while nothing changes; a watch without
+        any line for ``silence_ms`` has lost its connection unnoticed and
+        ends with a fault, so that its user opens a new one.
+
+        :param kind: the plural kind
+        :param from_version: report what came after this version
+        :param silence_ms: the longest wait for a line, in milliseconds
+        :param purpose: what the call is counted under
+        :returns: events; a fault is the last item
+        """
+
+    @abc.abstractmethod
+    def list_vms(
+        self, purpose: str
+    ) -> expression.Result[list[ListedVm], errors.Fault]:
+        """Return the platform's lagging list of live and leaving VMs.
+
+        :param purpose: what the call is counted under
+        :returns: the list, or a fault
+        """
--- /dev/null
+++ b/mulberryway/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load, without I/O, threads or clock reads."""
--- /dev/null
+++ b/mulberryway/policy/base.py
@@ -0,0 +1,122 @@
+"""The seam between the decisions under load and the process around them."""
+
+import abc
+
+import expression
+
+from mulberryway import errors
+from mulberryway import tables
+from mulberryway.policy import messages
+from mulberryway.upstreams import base as upstreams
+
+__all__ = ["Scheduler"]
+
+
+class Scheduler(abc.ABC):
+    """Decides what is admitted, waits, is refused, and where it runs.
+
+    It has no I/O, threads or clock reads: whoever owns it holds a lock,
+    reports what happened and passes the time in milliseconds.  For every
+    assignment exactly one ``finish`` follows, on every path; that is what
+    gives the decode slot back.
+    """
+
+    @abc.abstractmethod
+    def submit(
+        self, job: messages.Job, now_ms: int
+    ) -> expression.Result[None, errors.Fault]:
+        """Take a job in, or refuse it at once.
+
+        :param job: the job
+        :param now_ms: the present
+        :returns: nothing, or a fault with run ``NOT_RUN``
+        """
+
+    @abc.abstractmethod
+    def dispatch(self, now_ms: int) -> messages.Dispatch:
+        """Decide which waiting jobs start now and which are given up.
+
+        :param now_ms: the present
+        :returns: the decisions
+        """
+
+    @abc.abstractmethod
+    def cancel(self, job_id: str, now_ms: int) -> bool:
+        """Forget a waiting job whose caller has gone.
+
+        :param job_id: the job
+        :param now_ms: the present
+        :returns: false if it was not waiting
+        """
+
+    @abc.abstractmethod
+    def note_prefilled(self, job_id: str, now_ms: int) -> None:
+        """Tell that a started job's prefill has ended well.
+
+        :param job_id: the job
+        :param now_ms: the present
+        """
+
+    @abc.abstractmethod
+    def note_first_token(self, job_id: str, now_ms: int) -> None:
+        """Tell that a started job's first token has come.
+
+        :param job_id: the job
+        :param now_ms: the present
+        """
+
+    @abc.abstractmethod
+    def finish(
+        self,
+        job_id: str,
+        end: messages.JobEnd,
+        upstream: str,
+        now_ms: int,
+    ) -> None:
+        """Let a started job's reservations go.
+
+        :param job_id: the job
+        :param end: how it ended
+        :param upstream: the upstream to blame; empty if none
+        :param now_ms: the present
+        """
+
+    @abc.abstractmethod
+    def note_load(
+        self,
+        pool: str,
+        upstream: str,
+        load: upstreams.EngineLoad,
+        now_ms: int,
+    ) -> None:
+        """Take in a load report, which is some time old.
+
+        :param pool: the pool's name
+        :param upstream: the upstream's name
+        :param load: the report
+        :param now_ms: the present
+        """
+
+    @abc.abstractmethod
+    def note_cache_events(
+        self,
+        pool: str,
+        upstream: str,
+        events: list[upstreams.CacheEvent],
+        now_ms: int,
+    ) -> None:
+        """Take in cache events, which are late and may have gaps.
+
+        :param pool: the pool's name
+        :param upstream: the upstream's name
+        :param events: the events in order
+        :param now_ms: the present
+        """
+
+    @abc.abstractmethod
+    def change_pools(self, pools: dict[str, tables.Pool], now_ms: int) -> None:
+        """Take over a new table of pools; leaving upstreams get no work.
+
+        :param pools: the pools by name
+        :param now_ms: the present
+        """
--- /dev/null
+++ b/mulberryway/policy/messages.py
@@ -0,0 +1,141 @@
+"""What the decisions under load are asked, and what they answer."""
+
+import enum
+
+from mulberryway import clock
+from mulberryway import errors
+
+__all__ = [
+    "Assignment",
+    "Dispatch",
+    "Job",
+    "JobEnd",
+    "Refusal",
+]
+
+
+class Job:
+    """One model request that wants a prefill and a decode.
+
+    :param job_id: unique in this process
+    :param account: the client account's name
+    :param weight: the account's part when not all can be served
+    :param pool: the pool's name
+    :param model: the model's name
+    :param prompt_tokens: an estimate of the prompt's length
+    :param max_tokens: the most that may be generated
+    :param prefix_hashes: hashes of the prompt's blocks, each over all that
+        precedes it as well
+    :param body_bytes: the body's size, for the limit on what waits
+    :param arrived_ms: when it came
+    :param deadline: when its first token is too late
+    :param attempt: 0 at first; counts up as it moves to other upstreams
+    :param avoid: names of upstreams that failed it
+    """
+
+    __slots__ = (
+        "job_id",
+        "account",
+        "weight",
+        "pool",
+        "model",
+        "prompt_tokens",
+        "max_tokens",
+        "prefix_hashes",
+        "body_bytes",
+        "arrived_ms",
+        "deadline",
+        "attempt",
+        "avoid",
+    )
+
+    def __init__(
+        self,
+        job_id: str,
+        account: str,
+        weight: int,
+        pool: str,
+        model: str,
+        prompt_tokens: int,
+        max_tokens: int,
+        prefix_hashes: tuple[str, ...],
+        body_bytes: int,
+        arrived_ms: int,
+        deadline: clock.Deadline,
+        attempt: int = 0,
+        avoid: frozenset[str] = frozenset(),
+    ) -> None:
+        self.job_id = job_id
+        self.account = account
+        self.weight = weight
+        self.pool = pool
+        self.model = model
+        self.prompt_tokens = prompt_tokens
+        self.max_tokens = max_tokens
+        self.prefix_hashes = prefix_hashes
+        self.body_bytes = body_bytes
+        self.arrived_ms = arrived_ms
+        self.deadline = deadline
+        self.attempt = attempt
+        self.avoid = avoid
+
+
+class Assignment:
+    """A job may start: its decode slot is reserved.
+
+    :param job_id: the job
+    :param prefill: the name of the upstream for the prefill
+    :param decode: the name of the upstream whose slot is reserved
+    """
+
+    __slots__ = ("job_id", "prefill", "decode")
+
+    def __init__(self, job_id: str, prefill: str, decode: str) -> None:
+        self.job_id = job_id
+        self.prefill = prefill
+        self.decode = decode
+
+
+class Refusal:
+    """A job that was given up before it ran.
+
+    :param job_id: the job
+    :param fault: always with run ``NOT_RUN``
+    """
+
+    __slots__ = ("job_id", "fault")
+
+    def __init__(self, job_id: str, fault: errors.Fault) -> None:
+        self.job_id = job_id
+        self.fault = fault
+
+
+class Dispatch:
+    """What has been decided for waiting jobs.
+
+    :param assignments: jobs that start now
+    :param refusals: jobs that are given up now
+    :param wake_ms: when to ask again at the latest; none if nothing waits
+    """
+
+    __slots__ = ("assignments", "refusals", "wake_ms")
+
+    def __init__(
+        self,
+        assignments: list[Assignment],
+        refusals: list[Refusal],
+        wake_ms: int | None,
+    ) -> None:
+        self.assignments = assignments
+        self.refusals = refusals
+        self.wake_ms = wake_ms
+
+
+class JobEnd(enum.Enum):
+    """How a job that had started came to its end."""
+
+    DONE = "done"
+    CANCELLED = "cancelled"
+    REFUSED_BY_ENGINE = "refused_by_engine"
+    FAILED = "failed"
+    TIMED_OUT = "timed_out"
--- /dev/null
+++ b/mulberryway/settings.py
@@ -0,0 +1,284 @@
+"""The settings of one process, read from a TOML file and checked."""
+
+import collections.abc
+import ipaddress
+import pathlib
+import tomllib
+import typing
+
+from mulberryway import errors
+
+__all__ = ["OPTIONS", "Option", "Settings", "read_settings"]
+
+MOST_PORT = 65_535
+
+
+class Option:
+    """How one option of the file becomes one attribute.
+
+    :param key: ``section.option`` in the file
+    :param attribute: the attribute of :class:`Settings`
+    :param expected: what is accepted, in words for the error
+    :param accepts: tells whether a value is accepted
+    """
+
+    __slots__ = ("key", "attribute", "expected", "accepts")
+
+    def __init__(
+        self,
+        key: str,
+        attribute: str,
+        expected: str,
+        accepts: collections.abc.Callable[[typing.Any], bool],
+    ) -> None:
+        self.key = key
+        self.attribute = attribute
+        self.expected = expected
+        self.accepts = accepts
+
+
+class Settings:
+    """Everything that a process is told, with the defaults in sight.
+
+    Durations are milliseconds, sizes are bytes.
+    """
+
+    def __init__(self) -> None:
+        # Who this process is.
+        self.vm_name: str = ""
+        self.vm_address: str = "127.0.0.1"
+        self.vm_zone: str = ""
+        self.vm_region: str = ""
+
+        # The callers' side.  The backlog takes in a burst of new callers:
+        # with cheroot's default of 5 a hundred callers at once lose two
+        # seconds to repeated SYNs.
+        self.router_port: int = 8080
+        self.router_threads: int = 160
+        self.router_backlog: int = 1024
+        self.router_keep_alive: int = 2048
+        self.router_idle_ms: int = 75_000
+        self.router_header_bytes: int = 32_768
+        self.router_body_bytes: int = 2_097_152
+        self.router_body_ms: int = 10_000
+        self.router_streams: int = 1024
+        # Callers keep an entry address for this long; a stopping VM serves
+        # for at least as long after it has left the answer.
+        self.router_entry_ttl_ms: int = 5_000
+        self.router_first_token_ms: int = 1_100
+        self.router_token_gap_ms: int = 10_000
+
+        # The other VMs.  All processes of a deployment share the secret.
+        self.peers_port: int = 8081
+        self.peers_secret: str = ""
+        self.peers_seeds: tuple[str, ...] = ()
+        self.peers_period_ms: int = 1_000
+        self.peers_timeout_ms: int = 500
+
+        # The platform's object API.
+        self.platform_url: str = "http://127.0.0.1:8001"
+        self.platform_timeout_ms: int = 2_000
+        self.platform_silence_ms: int = 3_000
+
+        # The administration API; digests of operators' credentials by name.
+        self.admin_port: int = 8082
+        self.admin_operators: dict[str, str] = {}
+
+        # What is reported, and where to; empty for no export.
+        self.telemetry_log_level: str = "INFO"
+        self.telemetry_debug: tuple[str, ...] = ()
+        self.telemetry_otlp_url: str = ""
+        self.telemetry_export_ms: int = 10_000
+
+        # What is weighed more when not everybody can be served well; see
+        # docs/operators/weighing.md.
+        self.policy_weighing: str = "worst_served"
+
+
+def _is_int(
+    low: int, high: int
+) -> collections.abc.Callable[[typing.Any], bool]:
+    def accepts(value: typing.Any) -> bool:
+        return type(value) is int and low <= value <= high
+
+    return accepts
+
+
+def _is_text(value: typing.Any) -> bool:
+    return isinstance(value, str) and bool(value)
+
+
+def _is_any_text(value: typing.Any) -> bool:
+    return isinstance(value, str)
+
+
+def _is_ip(value: typing.Any) -> bool:
+    try:
+        ipaddress.ip_address(value)
+    except ValueError:
+        return False
+    return isinstance(value, str)
+
+
+def _is_text_list(value: typing.Any) -> bool:
+    return isinstance(value, list) and all(map(_is_text, value))
+
+
+def _is_text_table(value: typing.Any) -> bool:
+    return isinstance(value, dict) and all(map(_is_text, value.values()))
+
+
+def _is_url(value: typing.Any) -> bool:
+    return isinstance(value, str) and value.startswith(("http://", "https://"))
+
+
+def _is_optional_url(value: typing.Any) -> bool:
+    return value == "" or _is_url(value)
+
+
+def _is_one_of(*choices: str) -> collections.abc.Callable[[typing.Any], bool]:
+    return lambda value: value in choices
+
+
+def _port(key: str, attribute: str) -> Option:
+    return Option(
+        key, attribute, "a port from 1 to 65535", _is_int(1, MOST_PORT)
+    )
+
+
+def _number(key: str, attribute: str, low: int, high: int) -> Option:
+    return Option(
+        key,
+        attribute,
+        f"a whole number from {low} to {high}",
+        _is_int(low, high),
+    )
+
+
+HOUR_MS = 3_600_000
+GIB = 1 << 30
+
+OPTIONS = (
+    Option("vm.name", "vm_name", "a name", _is_text),
+    Option("vm.address", "vm_address", "an IP number", _is_ip),
+    Option("vm.zone", "vm_zone", "an availability zone", _is_text),
+    Option("vm.region", "vm_region", "a region", _is_text),
+    _port("router.port", "router_port"),
+    _number("router.threads", "router_threads", 4, 1024),
+    _number("router.backlog", "router_backlog", 16, 65_535),
+    _number("router.keep_alive", "router_keep_alive", 0, 65_535),
+    _number("router.idle_ms", "router_idle_ms", 100, HOUR_MS),
+    _number("router.header_bytes", "router_header_bytes", 1_024, GIB),
+    _number("router.body_bytes", "router_body_bytes", 1_024, GIB),
+    _number("router.body_ms", "router_body_ms", 100, HOUR_MS),
+    _number("router.streams", "router_streams", 1, 65_535),
+    _number("router.entry_ttl_ms", "router_entry_ttl_ms", 100, HOUR_MS),
+    _number("router.first_token_ms", "router_first_token_ms", 1, HOUR_MS),
+    _number("router.token_gap_ms", "router_token_gap_ms", 10, HOUR_MS),
+    _port("peers.port", "peers_port"),
+    Option("peers.secret", "peers_secret", "a secret text", _is_text),
+    Option("peers.seeds", "peers_seeds", "a list of host:port", _is_text_list),
+    _number("peers.period_ms", "peers_period_ms", 10, 60_000),
+    _number("peers.timeout_ms", "peers_timeout_ms", 10, 60_000),
+    Option("platform.url", "platform_url", "an http address", _is_url),
+    _number("platform.timeout_ms", "platform_timeout_ms", 10, 60_000),
+    _number("platform.silence_ms", "platform_silence_ms", 100, 60_000),
+    _port("admin.port", "admin_port"),
+    Option(
+        "admin.operators",
+        "admin_operators",
+        "a table of names and credential digests",
+        _is_text_table,
+    ),
+    Option(
+        "telemetry.log_level",
+        "telemetry_log_level",
+        "DEBUG, INFO, WARNING or ERROR",
+        _is_one_of("DEBUG", "INFO", "WARNING", "ERROR"),
+    ),
+    Option(
+        "telemetry.debug",
+        "telemetry_debug",
+        "a list of report names",
+        _is_text_list,
+    ),
+    Option(
+        "telemetry.otlp_url",
+        "telemetry_otlp_url",
+        "an http address, or empty",
+        _is_optional_url,
+    ),
+    _number("telemetry.export_ms", "telemetry_export_ms", 100, HOUR_MS),
+    Option(
+        "policy.weighing",
+        "policy_weighing",
+        "worst_served or goodput",
+        _is_one_of("worst_served", "goodput"),
+    ),
+)
+
+REQUIRED = ("vm.name", "vm.zone", "vm.region", "peers.secret")
+
+
+def read_settings(file: str) -> Settings:
+    """Read and check a settings file; change nothing else.
+
+    :param file: the file's name
+    :returns: the settings
+    :raises SettingsError: with the file, the key and what was expected
+    """
+    values = _flatten(file, _load(file))
+    missing = next((key for key in REQUIRED if key not in values), None)
+    if missing is not None:
+        raise errors.SettingsError(file, missing, "a value; it is missing")
+    by_key = {option.key: option for option in OPTIONS}
+    settings = Settings()
+    for key, value in values.items():
+        if key not in by_key:
+            raise errors.SettingsError(file, key, "a known option")
+        _set(settings, file, by_key[key], value)
+    return settings
+
+
+def _load(file: str) -> dict[str, typing.Any]:
+    try:
+        text = pathlib.Path(file).read_text(encoding="utf-8")
+        return tomllib.loads(text)
+    except OSError as error:
+        raise errors.SettingsError(
+            file, "file", f"a readable file ({error.strerror})"
+        ) from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise errors.SettingsError(
+            file, "file", f"valid TOML ({error})"
+        ) from error
+
+
+def _flatten(
+    file: str, sections: dict[str, typing.Any]
+) -> dict[str, typing.Any]:
+    loose = next(
+        (
+            name
+            for name, section in sections.items()
+            if not isinstance(section, dict)
+        ),
+        None,
+    )
+    if loose is not None:
+        raise errors.SettingsError(file, loose, "a section, [name]")
+    return {
+        f"{name}.{key}": value
+        for name, section in sections.items()
+        for key, value in section.items()
+    }
+
+
+def _set(
+    settings: Settings, file: str, option: Option, value: typing.Any
+) -> None:
+    if not option.accepts(value):
+        raise errors.SettingsError(file, option.key, option.expected)
+    if isinstance(value, list):
+        value = tuple(value)
+    setattr(settings, option.attribute, value)
--- /dev/null
+++ b/mulberryway/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Model engines and plain services, behind abstract base classes."""
--- /dev/null
+++ b/mulberryway/upstreams/base.py
@@ -0,0 +1,289 @@
+"""Model engines and plain services as the rest of the program sees them."""
+
+import abc
+import socket
+import typing
+
+import expression
+
+from mulberryway import errors
+
+__all__ = [
+    "CacheEvent",
+    "Engine",
+    "EngineLoad",
+    "HeldRequest",
+    "Order",
+    "PlainService",
+    "PrefillResult",
+    "RunLabel",
+    "ServiceReply",
+    "TokenStream",
+]
+
+
+class RunLabel:
+    """Names one attempt, so that whoever holds its memory can be found.
+
+    :param request_id: unique for each attempt; the engine echoes it
+    :param vm: the VM that runs the request
+    :param incarnation: which life of that VM's router started it
+    """
+
+    __slots__ = ("request_id", "vm", "incarnation")
+
+    def __init__(self, request_id: str, vm: str, incarnation: int) -> None:
+        self.request_id = request_id
+        self.vm = vm
+        self.incarnation = incarnation
+
+
+class PrefillResult:
+    """What a prefill left behind; it lives for less than a second.
+
+    :param transfer: what the decode engine needs to import the KV cache,
+        passed on as it came
+    :param prompt_tokens: the prompt's length as the engine counted it
+    :param cached_tokens: how much of it came from the prefix cache
+    """
+
+    __slots__ = ("transfer", "prompt_tokens", "cached_tokens")
+
+    def __init__(
+        self,
+        transfer: dict[str, typing.Any],
+        prompt_tokens: int,
+        cached_tokens: int,
+    ) -> None:
+        self.transfer = transfer
+        self.prompt_tokens = prompt_tokens
+        self.cached_tokens = cached_tokens
+
+
+class TokenStream:
+    """A decode that has begun: the raw socket from which events come.
+
+    :param connection: the socket; belongs to the receiver from now on
+    :param buffered: bytes that were read along with the reply's head
+    :param chunked: whether the body uses chunked transfer coding
+    :param request_id: the id that the engine echoed
+    """
+
+    __slots__ = ("connection", "buffered", "chunked", "request_id")
+
+    def __init__(
+        self,
+        connection: socket.socket,
+        buffered: bytes,
+        chunked: bool,
+        request_id: str,
+    ) -> None:
+        self.connection = connection
+        self.buffered = buffered
+        self.chunked = chunked
+        self.request_id = request_id
+
+
+class EngineLoad:
+    """A load report; always some time old.
+
+    :param running: requests in the batch
+    :param waiting: requests that the engine queues
+    :param slots: how many requests the batch can hold
+    :param free_blocks: KV cache blocks that are free
+    :param total_blocks: KV cache blocks in all
+    :param models: names of the models that are loaded
+    """
+
+    __slots__ = (
+        "running",
+        "waiting",
+        "slots",
+        "free_blocks",
+        "total_blocks",
+        "models",
+    )
+
+    def __init__(
+        self,
+        running: int,
+        waiting: int,
+        slots: int,
+        free_blocks: int,
+        total_blocks: int,
+        models: tuple[str, ...],
+    ) -> None:
+        self.running = running
+        self.waiting = waiting
+        self.slots = slots
+        self.free_blocks = free_blocks
+        self.total_blocks = total_blocks
+        self.models = models
+
+
+class CacheEvent:
+    """KV cache blocks that an engine stored or removed.
+
+    :param sequence: counts up by one; a gap means that events were lost
+    :param stored: hashes of prefix blocks now in the cache
+    :param removed: hashes of prefix blocks evicted
+    """
+
+    __slots__ = ("sequence", "stored", "removed")
+
+    def __init__(
+        self,
+        sequence: int,
+        stored: tuple[str, ...],
+        removed: tuple[str, ...],
+    ) -> None:
+        self.sequence = sequence
+        self.stored = stored
+        self.removed = removed
+
+
+class HeldRequest:
+    """A request for which an engine holds memory.
+
+    :param label: who started it
+    :param phase: ``queued``, ``prefill``, ``transfer`` or ``decode``
+    :param blocks: KV cache blocks held
+    """
+
+    __slots__ = ("label", "phase", "blocks")
+
+    def __init__(self, label: RunLabel, phase: str, blocks: int) -> None:
+        self.label = label
+        self.phase = phase
+        self.blocks = blocks
+
+
+class Order:
+    """An order to an engine: load a model, or change role.
+
+    :param verb: ``load``, ``unload`` or ``role``
+    :param argument: the model's name, or the role
+    :param fencing: grows with each new issuer; some engines refuse an
+        older one, others ignore it
+    """
+
+    __slots__ = ("verb", "argument", "fencing")
+
+    def __init__(self, verb: str, argument: str, fencing: int) -> None:
+        self.verb = verb
+        self.argument = argument
+        self.fencing = fencing
+
+
+class Engine(abc.ABC):
+    """One model engine, in the role of prefill or decode."""
+
+    @abc.abstractmethod
+    def prefill(
+        self, label: RunLabel, body: dict[str, typing.Any], timeout_ms: int
+    ) -> expression.Result[PrefillResult, errors.Fault]:
+        """Compute a prompt's KV cache and keep it for export.
+
+        :param label: names the attempt
+        :param body: the caller's request, credentials removed
+        :param timeout_ms: the longest wait for the result
+        :returns: the result, or a fault that says whether it ran
+        """
+
+    @abc.abstractmethod
+    def decode(
+        self,
+        label: RunLabel,
+        body: dict[str, typing.Any],
+        transfer: dict[str, typing.Any],
+        offset: int,
+        timeout_ms: int,
+    ) -> expression.Result[TokenStream, errors.Fault]:
+        """Import a KV cache and begin to generate.
+
+        :param label: names the attempt
+        :param body: the caller's request, credentials removed
+        :param transfer: what the prefill returned
+        :param offset: how many tokens the caller has already; 0 at first
+        :param timeout_ms: the longest wait for the reply's head
+        :returns: the stream, or a fault that says whether it ran
+        """
+
+    @abc.abstractmethod
+    def cancel(self, label: RunLabel) -> expression.Result[bool, errors.Fault]:
+        """Free what the engine holds for an attempt; idempotent.
+
+        :param label: names the attempt
+        :returns: whether anything was held, or a fault
+        """
+
+    @abc.abstractmethod
+    def list_held(self) -> expression.Result[list[HeldRequest], errors.Fault]:
+        """Return every request for which the engine holds memory."""
+
+    @abc.abstractmethod
+    def report_load(self) -> expression.Result[EngineLoad, errors.Fault]:
+        """Return the engine's own, lagging, load report."""
+
+    @abc.abstractmethod
+    def read_cache_events(
+        self, after: int
+    ) -> expression.Result[list[CacheEvent], errors.Fault]:
+        """Return cache events with a sequence above the given one.
+
+        :param after: the last sequence seen
+        :returns: events in order, possibly with gaps, or a fault
+        """
+
+    @abc.abstractmethod
+    def give_order(
+        self, order: Order
+    ) -> expression.Result[None, errors.Fault]:
+        """Tell the engine to load a model or to change its role.
+
+        :param order: the order with its fencing number
+        :returns: nothing, or a fault; ``UPSTREAM_REFUSED`` if fenced off
+        """
+
+
+class ServiceReply:
+    """The whole reply of a plain service.
+
+    :param status: the HTTP status
+    :param headers: header pairs without hop-by-hop headers
+    :param body: the whole body
+    """
+
+    __slots__ = ("status", "headers", "body")
+
+    def __init__(
+        self, status: int, headers: list[tuple[str, str]], body: bytes
+    ) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+class PlainService(abc.ABC):
+    """One server of a plain service that stands beside the engines."""
+
+    @abc.abstractmethod
+    def call(
+        self,
+        request_id: str,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        timeout_ms: int,
+    ) -> expression.Result[ServiceReply, errors.Fault]:
+        """Pass one call on, exactly once.
+
+        :param request_id: the id that the reply must echo
+        :param method: the HTTP method
+        :param target: path and query, credentials removed
+        :param headers: headers, credentials and hop-by-hop ones removed
+        :param body: the whole body
+        :param timeout_ms: the longest wait for the whole reply
+        :returns: the reply, or a fault that says whether it ran
+        """
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems; none of them ships."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; one module for each module of the package."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Chores for developers; nothing here ships with the package."""
