--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,184 @@
+"""Starts real processes for tests, and ends exactly those."""
+
+import contextlib
+import json
+import pathlib
+import socket
+import subprocess
+import sys
+import time
+import typing
+import urllib.error
+import urllib.request
+
+ROOT = pathlib.Path(__file__).parent.parent
+HOST = "127.0.0.1"
+START_S = 30.0
+STOP_S = 10.0
+POLL_S = 0.02
+# Straight to loopback, whatever proxy the environment names.
+OPENER = urllib.request.build_opener(urllib.request.ProxyHandler({}))
+
+
+def pick_ports(count):
+    """Return ports that are free now, all held open until all are known."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in sockets:
+            sock.bind((HOST, 0))
+        return [sock.getsockname()[1] for sock in sockets]
+
+
+def wait_until(condition, timeout_s=START_S, poll_s=POLL_S):
+    """Wait for a condition; the time limit is only a guard.
+
+    :param condition: called until it returns something true
+    :returns: what it returned, or its last answer at the limit
+    """
+    end = time.monotonic() + timeout_s
+    while not (found := condition()) and time.monotonic() < end:
+        time.sleep(poll_s)
+    return found
+
+
+def is_open(port):
+    """Tell whether something listens on a port."""
+    try:
+        socket.create_connection((HOST, port), 1).close()
+    except OSError:
+        return False
+    return True
+
+
+class Reply:
+    """An HTTP reply."""
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    def json(self) -> typing.Any:
+        return json.loads(self.body)
+
+
+def call(port, method, path, body=None, headers=None, timeout_s=10):
+    """Make one HTTP call and return its reply, whatever its status."""
+    data = body
+    if body is not None and not isinstance(body, bytes):
+        data = json.dumps(body).encode()
+    request = urllib.request.Request(
+        f"http://{HOST}:{port}{path}", data, headers or {}, method=method
+    )
+    try:
+        with OPENER.open(request, timeout=timeout_s) as reply:
+            return Reply(reply.status, reply.headers, reply.read())
+    except urllib.error.HTTPError as error:
+        with error:
+            return Reply(error.code, error.headers, error.read())
+
+
+class Process:
+    """A running program of the project.
+
+    :param module: what follows ``python -m``
+    :param arguments: the command line
+    :param ports: where it listens once it is ready
+    """
+
+    def __init__(self, module, arguments=(), ports=()):
+        self.popen = subprocess.Popen(
+            [sys.executable, "-m", module, *map(str, arguments)],
+            cwd=ROOT,
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.DEVNULL,
+        )
+        self.ports = list(ports)
+
+    def wait_ready(self):
+        """Wait until it listens on all its ports."""
+        wait_until(
+            lambda: (
+                self.popen.poll() is not None or all(map(is_open, self.ports))
+            )
+        )
+        if not all(map(is_open, self.ports)):
+            self.stop()
+            raise RuntimeError(f"{self.popen.args} did not start")
+        return self
+
+    def stop(self):
+        """End it by SIGTERM, and by SIGKILL if that does not help."""
+        if self.popen.poll() is None:
+            self.popen.terminate()
+        try:
+            return self.popen.wait(STOP_S)
+        except subprocess.TimeoutExpired:
+            return self.kill()
+
+    def kill(self):
+        """End it at once, as a VM's failure does."""
+        self.popen.kill()
+        return self.popen.wait(STOP_S)
+
+    def send_signal(self, number):
+        """Send a signal, such as SIGSTOP and SIGCONT."""
+        self.popen.send_signal(number)
+
+
+class Group:
+    """Processes that end together; use it as a context manager."""
+
+    def __init__(self):
+        self.processes = []
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.stop()
+
+    def start(self, module, *arguments, ports=()):
+        """Start a program and wait until it listens.
+
+        :param module: what follows ``python -m``
+        :param arguments: its command line
+        :param ports: where it will listen
+        """
+        process = Process(module, arguments, ports)
+        self.processes.append(process)
+        return process.wait_ready()
+
+    def stop(self):
+        """End all, the last first."""
+        for process in reversed(self.processes):
+            process.stop()
+
+
+def start_engines(group, roles, *arguments):
+    """Start one process of several engines.
+
+    :param roles: each engine's role
+    :param arguments: further flags
+    :returns: the process and the engines' ports
+    """
+    ports = pick_ports(len(roles))
+    flags = [
+        flag
+        for port, role in zip(ports, roles, strict=True)
+        for flag in (f"--port={port}", f"--role={role}")
+    ]
+    process = group.start("standins.engine", *flags, *arguments, ports=ports)
+    return process, ports
+
+
+def start_standin(group, name, *arguments):
+    """Start ``standins.NAME`` on a free port.
+
+    :returns: the process and its port
+    """
+    (port,) = pick_ports(1)
+    process = group.start(
+        f"standins.{name}", f"--port={port}", *arguments, ports=[port]
+    )
+    return process, port
--- /dev/null
+++ b/tests/test_standin_engine.py
@@ -0,0 +1,175 @@
+"""The engine stand-in as a process, spoken to as routers do."""
+
+import json
+import socket
+import unittest
+
+from standins import answers
+from tests import processes
+
+PROMPT = "drifted fix " * 30
+
+
+def read_events(body):
+    lines = [line for line in body.split(b"\n\n") if line]
+    return [line.removeprefix(b"data: ") for line in lines]
+
+
+class EngineTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.group = processes.Group()
+        cls.addClassCleanup(cls.group.stop)
+        _, ports = processes.start_engines(
+            cls.group,
+            ("prefill", "decode"),
+            "--token_ms=5",
+            "--credential=pool-secret",
+            "--load_lag_ms=0",
+        )
+        cls.prefill_port, cls.decode_port = ports
+
+    def post(self, port, request_id, **values):
+        body = {"model": "m", "prompt": PROMPT, "max_tokens": 20} | values
+        headers = {
+            "Authorization": "Bearer pool-secret",
+            "X-Request-Id": request_id,
+            "X-Request-Owner": "a1/7",
+        }
+        return processes.call(port, "POST", "/v1/completions", body, headers)
+
+    def prefill(self, request_id):
+        reply = self.post(
+            self.prefill_port,
+            request_id,
+            kv_transfer_params={"do_remote_decode": True},
+        )
+        self.assertEqual(reply.status, 200, reply.body)
+        return reply.json()["kv_transfer_params"]
+
+    def decode(self, request_id, params, **values):
+        params = params | {"do_remote_prefill": True}
+        return self.post(
+            self.decode_port,
+            request_id,
+            kv_transfer_params=params,
+            stream=True,
+            **values,
+        )
+
+    def list_held(self, port):
+        return processes.call(port, "GET", "/v1/requests").json()["requests"]
+
+    def check_empty(self):
+        ports = (self.prefill_port, self.decode_port)
+        self.assertTrue(
+            processes.wait_until(lambda: not any(map(self.list_held, ports)))
+        )
+
+    def test_prefill_and_decode_give_the_known_bytes(self):
+        reply = self.decode("r1", self.prefill("r1"))
+        self.assertEqual(reply.headers["X-Request-Id"], "r1")
+        events = read_events(reply.body)
+        self.assertEqual(events.pop(), b"[DONE]")
+        events = [json.loads(event) for event in events]
+        self.assertEqual([event["index"] for event in events], [*range(20)])
+        text = "".join(event["choices"][0]["text"] for event in events)
+        self.assertEqual(text, answers.Answer("m", PROMPT, 20).text())
+        self.assertEqual(events[-1]["choices"][0]["finish_reason"], "length")
+        self.check_empty()
+
+    def test_resume_begins_at_the_offset(self):
+        reply = self.decode("r2", self.prefill("r2"), resume_offset=15)
+        events = [json.loads(event) for event in read_events(reply.body)[:-1]]
+        self.assertEqual(
+            [event["index"] for event in events], [*range(15, 20)]
+        )
+
+    def test_unknown_handle_is_gone(self):
+        """A transfer comes later than the prefill's result lives.  The
+        engine must say so, or the caller would wait for nothing.
+        """
+        params = self.prefill("r3") | {"remote_handle": "none"}
+        self.assertEqual(self.decode("r3", params).status, 410)
+        self.check_empty()
+
+    def test_full_engine_refuses(self):
+        """More streams come than the batch holds.  The next router learns
+        it from the refusal alone, since load reports lag.
+        """
+        faults = {"slots": 0}
+        processes.call(self.decode_port, "POST", "/standin/faults", faults)
+        self.assertEqual(self.decode("r4", self.prefill("r4")).status, 429)
+        faults = {"slots": 20}
+        processes.call(self.decode_port, "POST", "/standin/faults", faults)
+
+    def begin_stream(self, request_id):
+        body = {
+            "model": "m",
+            "prompt": PROMPT,
+            "max_tokens": 100_000,
+            "stream": True,
+            "kv_transfer_params": self.prefill(request_id)
+            | {"do_remote_prefill": True},
+        }
+        data = json.dumps(body).encode()
+        sock = socket.create_connection((processes.HOST, self.decode_port))
+        self.addCleanup(sock.close)
+        sock.settimeout(10)
+        sock.sendall(
+            b"POST /v1/completions HTTP/1.1\r\nHost: e\r\n"
+            b"Authorization: Bearer pool-secret\r\n"
+            b"X-Request-Id: %s\r\nContent-Length: %d\r\n\r\n%s"
+            % (request_id.encode(), len(data), data)
+        )
+        read = b""
+        while b"data: " not in read:
+            read += sock.recv(65_536)
+        return sock
+
+    def test_closed_connection_frees_memory(self):
+        """A caller goes and its router closes the engine's connection.
+        The slot must come back without any further order.
+        """
+        sock = self.begin_stream("r5")
+        self.assertEqual(len(self.list_held(self.decode_port)), 1)
+        sock.close()
+        self.check_empty()
+
+    def test_cancel_frees_memory_and_the_stream_looks_cut(self):
+        """A stream is cancelled from elsewhere.  Its reader must not take
+        what it has for a whole answer.
+        """
+        sock = self.begin_stream("r6")
+        path = "/v1/requests/r6"
+        for held in (True, False):
+            reply = processes.call(self.decode_port, "DELETE", path)
+            self.assertEqual(reply.json(), {"held": held})
+        read = b""
+        while data := sock.recv(65_536):
+            read += data
+        self.assertNotIn(b"[DONE]", read)
+        self.assertFalse(read.endswith(b"0\r\n\r\n"))
+        self.check_empty()
+
+    def test_checkers_can_see_what_was_sent(self):
+        self.prefill("needle-1")
+        for needle, count in (("needle-1", 1), ("needle-none", 0)):
+            path = f"/standin/seen?needle={needle}"
+            seen = processes.call(self.prefill_port, "GET", path).json()
+            self.assertEqual(seen["count"], count)
+        runs = processes.call(self.prefill_port, "GET", "/standin/runs")
+        run = next(
+            run for run in runs.json()["runs"] if run["id"] == "needle-1"
+        )
+        self.assertEqual((run["owner"], run["kind"]), ("a1/7", "prefill"))
+
+    def test_wrong_credential_is_refused(self):
+        reply = processes.call(
+            self.prefill_port, "POST", "/v1/completions", {"model": "m"}
+        )
+        self.assertEqual(reply.status, 401)
+
+
+if __name__ == "__main__":
+    unittest.main()
