Keep measured series and work out the capacity page from them

Cause: the capacity page must change when a measured slope changes. Conclusion: the parts can drop their measurements into one folder.

--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,133 @@
+"""Works out docs/CAPACITY.md's tables from the kept measurements."""
+
+import collections.abc
+import pathlib
+
+from benchmarks import series
+
+__all__ = ["Line", "Target", "render_page", "render_table"]
+
+PAGE = pathlib.Path(__file__).parent.parent / "docs" / "CAPACITY.md"
+BEGIN = "<!-- table {name}: written by python -m benchmarks.capacity -->"
+END = "<!-- end of table {name} -->"
+
+
+class Target:
+    """The size of two years on, from the users' letter."""
+
+    VMS = 410
+    SERVERS = 600
+    ENGINES = 4_800
+    REQUESTS_PER_S = 8_900
+    TOKENS_PER_S = 2_600_000
+    ACCOUNTS = 2_200
+    EDITS_PER_DAY = 1_800
+    RESTARTS_PER_DAY = 288
+    ZONE_VMS = 68
+    ZONE_SERVERS = 100
+    SECONDS_PER_DAY = 86_400
+
+    REQUESTS_PER_VM = REQUESTS_PER_S / VMS
+    TOKENS_PER_VM = TOKENS_PER_S / VMS
+    EDITS_PER_S = EDITS_PER_DAY / SECONDS_PER_DAY
+
+
+class Line:
+    """One row of a table: a quantity at the target's size.
+
+    :param role: which process or part
+    :param quantity: what is told, with its unit
+    :param names: the measurements behind it
+    :param size: the size, in the first measurement's unit, it is worked
+        out at
+    :param work_out: turns the fits into the figure
+    :param limit: what the letter or the platform allows, in words
+    :param mechanism: what carries it
+    """
+
+    __slots__ = (
+        "role",
+        "quantity",
+        "names",
+        "size",
+        "work_out",
+        "limit",
+        "mechanism",
+    )
+
+    def __init__(
+        self,
+        role: str,
+        quantity: str,
+        names: tuple[str, ...],
+        size: float,
+        work_out: collections.abc.Callable[..., float],
+        limit: str,
+        mechanism: str,
+    ) -> None:
+        self.role = role
+        self.quantity = quantity
+        self.names = names
+        self.size = size
+        self.work_out = work_out
+        self.limit = limit
+        self.mechanism = mechanism
+
+
+def render_table(
+    lines: list[Line], folder: pathlib.Path = series.FOLDER
+) -> str:
+    """Return a table in Markdown.
+
+    :param lines: its rows
+    :param folder: where the measurements are kept
+    :returns: the table's text
+    """
+    head = (
+        "| role | quantity | at the target | limit | measured | slope "
+        "| stretched | mechanism |\n|---|---|---|---|---|---|---|---|"
+    )
+    return "\n".join([head, *(_render_line(line, folder) for line in lines)])
+
+
+def _render_line(line: Line, folder: pathlib.Path) -> str:
+    measured = [series.read_series(name, folder) for name in line.names]
+    fits = [series.fit_line(one) for one in measured]
+    first = measured[0]
+    sizes = [x for x, _ in first.points]
+    return (
+        f"| {line.role} | {line.quantity} "
+        f"| {_round(line.work_out(*fits))} | {line.limit} "
+        f"| {', '.join(line.names)}: {_round(min(sizes))} to "
+        f"{_round(max(sizes))} {first.x_unit} "
+        f"| {_round(fits[0].slope)} ± {_round(fits[0].slope_error)} "
+        f"{first.y_unit} for each of {first.x_unit} "
+        f"| {_round(fits[0].stretch(line.size))} times "
+        f"| {line.mechanism} |"
+    )
+
+
+def _round(value: float) -> str:
+    return f"{value:,.3g}" if abs(value) < 1_000 else f"{value:,.0f}"
+
+
+def render_page(
+    page: str, tables: dict[str, list[Line]], folder: pathlib.Path
+) -> str:
+    """Put freshly worked out tables into the page's text.
+
+    :param page: the page's text with its marks
+    :param tables: rows by the table's name
+    :param folder: where the measurements are kept
+    :returns: the page's new text
+    :raises ValueError: if a table's marks are not in the page
+    """
+    for name, lines in tables.items():
+        begin, end = BEGIN.format(name=name), END.format(name=name)
+        if begin not in page or end not in page:
+            raise ValueError(f"no marks for the table {name}")
+        before, _, rest = page.partition(begin)
+        _, _, after = rest.partition(end)
+        table = render_table(lines, folder)
+        page = f"{before}{begin}\n{table}\n{end}{after}"
+    return page
