Add two baseline schedulers to measure against

Cause: the datapath needs a scheduler, and the real one needs something to be compared with in the same run. Change: first come first served with least connections, and random choice of two, both behind policy.base.Scheduler. Conclusion: they give slots back and honour leaving upstreams; they know nothing of accounts, prefixes or slow upstreams, on purpose.

--- /dev/null
+++ b/mulberryway/policy/baselines.py
@@ -0,0 +1,293 @@
+"""Two plain schedulers to measure against: simple, fair to nobody."""
+
+import abc
+import collections
+import random
+
+import expression
+
+from mulberryway import errors
+from mulberryway import tables
+from mulberryway.policy import base
+from mulberryway.policy import messages
+from mulberryway.upstreams import base as upstreams
+
+__all__ = ["FirstComeScheduler", "RandomOfTwoScheduler"]
+
+RETRY_AFTER_MS = 1_000
+PREFILL_ROLES = (tables.UpstreamRole.PREFILL, tables.UpstreamRole.BOTH)
+DECODE_ROLES = (tables.UpstreamRole.DECODE, tables.UpstreamRole.BOTH)
+
+
+class _Member:
+    """An upstream with the connections that this process has to it."""
+
+    __slots__ = ("upstream", "slots", "prefills", "decodes", "running")
+
+    def __init__(self, upstream: tables.Upstream, slots: int) -> None:
+        self.upstream = upstream
+        self.slots = slots
+        self.prefills = 0
+        self.decodes = 0
+        self.running = 0
+
+
+class _Running:
+    __slots__ = ("prefill", "decode", "prefilling")
+
+    def __init__(self, prefill: _Member, decode: _Member) -> None:
+        self.prefill = prefill
+        self.decode = decode
+        self.prefilling = True
+
+
+class _QueueScheduler(base.Scheduler):
+    """One queue in order of arrival; subclasses choose the upstreams.
+
+    It refuses only what has waited past its deadline, knows nothing of
+    accounts, prefixes or prefill queues, and never ejects an upstream.
+
+    :param seed: for choices that are random
+    """
+
+    def __init__(self, seed: int = 0) -> None:
+        self._random = random.Random(seed)
+        self._queue: collections.deque[messages.Job] = collections.deque()
+        self._waiting: dict[str, messages.Job] = {}
+        self._running: dict[str, _Running] = {}
+        self._members: dict[str, dict[str, _Member]] = {}
+
+    @abc.abstractmethod
+    def _choose_prefill(self, members: list[_Member]) -> _Member:
+        """Choose one of at least one member."""
+
+    @abc.abstractmethod
+    def _choose_decode(self, members: list[_Member]) -> _Member:
+        """Choose one of at least one member."""
+
+    def submit(
+        self, job: messages.Job, now_ms: int
+    ) -> expression.Result[None, errors.Fault]:
+        """Put a job at the queue's end.
+
+        :param job: the job
+        :param now_ms: the present
+        :returns: nothing, or ``NO_UPSTREAM`` for an unknown pool
+        """
+        if job.pool not in self._members:
+            return expression.Error(
+                errors.Fault(
+                    errors.Code.NO_UPSTREAM, errors.Step.ADMISSION, job.pool
+                )
+            )
+        self._queue.append(job)
+        self._waiting[job.job_id] = job
+        return expression.Ok(None)
+
+    def dispatch(self, now_ms: int) -> messages.Dispatch:
+        """Start jobs from the queue's head while upstreams have room.
+
+        :param now_ms: the present
+        :returns: the decisions
+        """
+        refusals = self._give_up_late(now_ms)
+        assignments = []
+        blocked: set[str] = set()
+        kept: collections.deque[messages.Job] = collections.deque()
+        while self._queue:
+            job = self._queue.popleft()
+            if job.job_id not in self._waiting:
+                continue
+            assignment = None if job.pool in blocked else self._assign(job)
+            if assignment is None:
+                blocked.add(job.pool)
+                kept.append(job)
+            else:
+                assignments.append(assignment)
+        self._queue = kept
+        wake_ms = min((job.deadline.at_ms for job in kept), default=None)
+        return messages.Dispatch(assignments, refusals, wake_ms)
+
+    def cancel(self, job_id: str, now_ms: int) -> bool:
+        """Forget a waiting job.
+
+        :param job_id: the job
+        :param now_ms: the present
+        :returns: false if it was not waiting
+        """
+        return self._waiting.pop(job_id, None) is not None
+
+    def note_prefilled(self, job_id: str, now_ms: int) -> None:
+        """Count the job's prefill as ended.
+
+        :param job_id: the job
+        :param now_ms: the present
+        """
+        running = self._running.get(job_id)
+        if running is not None and running.prefilling:
+            running.prefilling = False
+            running.prefill.prefills -= 1
+
+    def note_first_token(self, job_id: str, now_ms: int) -> None:
+        """Take no notice.
+
+        :param job_id: the job
+        :param now_ms: the present
+        """
+
+    def finish(
+        self,
+        job_id: str,
+        end: messages.JobEnd,
+        upstream: str,
+        now_ms: int,
+    ) -> None:
+        """Give back what the job held.
+
+        :param job_id: the job
+        :param end: how it ended
+        :param upstream: the upstream to blame
+        :param now_ms: the present
+        """
+        self.note_prefilled(job_id, now_ms)
+        running = self._running.pop(job_id, None)
+        if running is not None:
+            running.decode.decodes -= 1
+
+    def note_load(
+        self,
+        pool: str,
+        upstream: str,
+        load: upstreams.EngineLoad,
+        now_ms: int,
+    ) -> None:
+        """Keep the reported number of requests.
+
+        :param pool: the pool's name
+        :param upstream: the upstream's name
+        :param load: the report
+        :param now_ms: the present
+        """
+        member = self._members.get(pool, {}).get(upstream)
+        if member is not None:
+            member.running = load.running + load.waiting
+
+    def note_cache_events(
+        self,
+        pool: str,
+        upstream: str,
+        events: list[upstreams.CacheEvent],
+        now_ms: int,
+    ) -> None:
+        """Take no notice.
+
+        :param pool: the pool's name
+        :param upstream: the upstream's name
+        :param events: the events in order
+        :param now_ms: the present
+        """
+
+    def change_pools(self, pools: dict[str, tables.Pool], now_ms: int) -> None:
+        """Take over a new table of pools, keeping counts of who stays.
+
+        :param pools: the pools by name
+        :param now_ms: the present
+        """
+        before = self._members
+        self._members = {
+            name: {
+                upstream.name: self._keep(
+                    before.get(name, {}).get(upstream.name),
+                    upstream,
+                    pool.slots,
+                )
+                for upstream in pool.upstreams
+            }
+            for name, pool in pools.items()
+            if pool.kind is tables.PoolKind.MODEL
+        }
+
+    @staticmethod
+    def _keep(
+        member: _Member | None, upstream: tables.Upstream, slots: int
+    ) -> _Member:
+        member = member or _Member(upstream, slots)
+        member.upstream = upstream
+        member.slots = slots
+        return member
+
+    def _give_up_late(self, now_ms: int) -> list[messages.Refusal]:
+        late = [
+            job
+            for job in self._waiting.values()
+            if job.deadline.has_passed(now_ms)
+        ]
+        for job in late:
+            del self._waiting[job.job_id]
+        return [
+            messages.Refusal(
+                job.job_id,
+                errors.Fault(
+                    errors.Code.DEADLINE_EXCEEDED,
+                    errors.Step.QUEUE,
+                    job.pool,
+                    retry_after_ms=RETRY_AFTER_MS,
+                ),
+            )
+            for job in late
+        ]
+
+    def _assign(self, job: messages.Job) -> messages.Assignment | None:
+        usable = [
+            member
+            for member in self._members.get(job.pool, {}).values()
+            if not member.upstream.leaving
+            and member.upstream.name not in job.avoid
+        ]
+        prefills = [m for m in usable if m.upstream.role in PREFILL_ROLES]
+        decodes = [
+            member
+            for member in usable
+            if member.upstream.role in DECODE_ROLES
+            and member.decodes < member.slots
+        ]
+        if not prefills or not decodes:
+            return None
+        prefill = self._choose_prefill(prefills)
+        decode = self._choose_decode(decodes)
+        prefill.prefills += 1
+        decode.decodes += 1
+        del self._waiting[job.job_id]
+        self._running[job.job_id] = _Running(prefill, decode)
+        return messages.Assignment(
+            job.job_id, prefill.upstream.name, decode.upstream.name
+        )
+
+
+class FirstComeScheduler(_QueueScheduler):
+    """First come first served; the upstream with the least connections."""
+
+    def _choose_prefill(self, members: list[_Member]) -> _Member:
+        return min(members, key=lambda member: member.prefills)
+
+    def _choose_decode(self, members: list[_Member]) -> _Member:
+        return min(members, key=lambda member: member.decodes)
+
+
+class RandomOfTwoScheduler(_QueueScheduler):
+    """First come first served; the better of two upstreams at random."""
+
+    def _choose_prefill(self, members: list[_Member]) -> _Member:
+        return min(
+            self._sample(members),
+            key=lambda member: max(member.running, member.prefills),
+        )
+
+    def _choose_decode(self, members: list[_Member]) -> _Member:
+        return min(
+            self._sample(members),
+            key=lambda member: max(member.running, member.decodes),
+        )
+
+    def _sample(self, members: list[_Member]) -> list[_Member]:
+        return self._random.sample(members, min(2, len(members)))
