Let a job carry the digest that recognises its repeats

Cause: a request that crashes upstreams comes back with another id, so the decisions need a name for what it asks. Change: messages.Job gets a digest, empty by default. Conclusion: additive; nobody has to change.

--- a/mulberryway/policy/messages.py
+++ b/mulberryway/policy/messages.py
@@ -31,6 +31,8 @@
     :param deadline: when its first token is too late
     :param attempt: 0 at first; counts up as it moves to other upstreams
     :param avoid: names of upstreams that failed it
+    :param digest: names account, model and body, see ``policy.poison``;
+        empty where repeats need not be recognised
     """
 
     __slots__ = (
@@ -47,6 +49,7 @@
         "deadline",
         "attempt",
         "avoid",
+        "digest",
     )
 
     def __init__(
@@ -64,6 +67,7 @@
         deadline: clock.Deadline,
         attempt: int = 0,
         avoid: frozenset[str] = frozenset(),
+        digest: str = "",
     ) -> None:
         self.job_id = job_id
         self.account = account
@@ -78,6 +82,7 @@
         self.deadline = deadline
         self.attempt = attempt
         self.avoid = avoid
+        self.digest = digest
 
 
 class Assignment:
