Read and check the tables of routes, pools and accounts

Cause: operators edit tables as text, and a wrong value or a broken join must be refused with its place before it reaches any VM. Conclusion: every refusal names table, row, key and what was expected.

--- /dev/null
+++ b/mulberryway/tables/columns.py
@@ -0,0 +1,314 @@
+"""The columns of each table: what is accepted, and its plain form."""
+
+import collections.abc
+import enum
+import functools
+import re
+import typing
+
+from mulberryway import errors
+from mulberryway.tables import model
+
+__all__ = [
+    "ACCOUNT",
+    "POOL",
+    "ROUTE",
+    "UPSTREAM",
+    "Column",
+    "RowType",
+    "is_name",
+    "make_fault",
+]
+
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+ADDRESS = re.compile(r"[^\s/:]+:[0-9]{1,5}|\[[0-9a-fA-F:]+\]:[0-9]{1,5}")
+DIGEST = re.compile(r"[0-9a-f]{64}")
+MOST_COUNT = 1 << 53
+MOST_PORT = 65_535
+MOST_TIMEOUT_MS = 3_600_000
+EXPECTED_NAME = "a name of letters, digits, '.', '_' and '-', at most 63"
+
+
+def make_fault(
+    table: str, row: str, key: str, expected: str
+) -> errors.TablesError:
+    """Return the error for one value that cannot be accepted.
+
+    :param table: the table's name
+    :param row: the row's name; empty for the table itself
+    :param key: the column; empty for the row itself
+    :param expected: what would have been accepted, in words
+    :returns: an error that names all of them
+    """
+    place = ".".join(part for part in (table, row, key) if part)
+    return errors.TablesError(
+        errors.Fault(
+            errors.Code.INVALID_TABLES,
+            errors.Step.TABLES,
+            place,
+            message=f"{place}: expected {expected}",
+        )
+    )
+
+
+def is_name(value: typing.Any) -> bool:
+    """Tell whether a value can name a row.
+
+    :param value: anything
+    """
+    return isinstance(value, str) and NAME.fullmatch(value) is not None
+
+
+class Column:
+    """One column of a table.
+
+    :param key: its name in the text and in the row's class
+    :param expected: what is accepted, in words for the error
+    :param accepts: tells whether a plain value is accepted
+    :param decode: makes the row's value from the plain one
+    :param encode: makes the plain value from the row's
+    :param required: whether a row may leave it out
+    """
+
+    __slots__ = ("key", "expected", "accepts", "decode", "encode", "required")
+
+    def __init__(
+        self,
+        key: str,
+        expected: str,
+        accepts: collections.abc.Callable[[typing.Any], bool],
+        decode: collections.abc.Callable[[typing.Any], typing.Any] = (
+            lambda value: value
+        ),
+        encode: collections.abc.Callable[[typing.Any], typing.Any] = (
+            lambda value: value
+        ),
+        required: bool = False,
+    ) -> None:
+        self.key = key
+        self.expected = expected
+        self.accepts = accepts
+        self.decode = decode
+        self.encode = encode
+        self.required = required
+
+
+class RowType:
+    """How rows of one class are read and written.
+
+    :param make: the row's class
+    :param columns: its columns without the name
+    """
+
+    __slots__ = ("make", "columns", "_by_key")
+
+    def __init__(
+        self,
+        make: collections.abc.Callable[..., typing.Any],
+        columns: tuple[Column, ...],
+    ) -> None:
+        self.make = make
+        self.columns = columns
+        self._by_key = {column.key: column for column in columns}
+
+    def decode(self, table: str, name: str, values: typing.Any) -> typing.Any:
+        """Make a row from plain values.
+
+        :param table: the table's name, for errors
+        :param name: the row's name
+        :param values: plain values by column
+        :returns: the row
+        :raises TablesError: with table, row, key and what was expected
+        """
+        if not is_name(name):
+            raise make_fault(table, str(name), "", EXPECTED_NAME)
+        if not isinstance(values, dict):
+            raise make_fault(table, name, "", "a row, [table.name]")
+        self._check_keys(table, name, values)
+        decoded = {
+            key: self._decode_value(table, name, self._by_key[key], value)
+            for key, value in values.items()
+        }
+        return self.make(name=name, **decoded)
+
+    def encode(self, row: typing.Any) -> dict[str, typing.Any]:
+        """Return a row's plain values without its name.
+
+        :param row: an instance of the row's class
+        :returns: plain values by column
+        """
+        return {
+            column.key: column.encode(getattr(row, column.key))
+            for column in self.columns
+        }
+
+    def _check_keys(
+        self, table: str, name: str, values: dict[str, typing.Any]
+    ) -> None:
+        for key in values:
+            if key not in self._by_key:
+                known = ", ".join(self._by_key)
+                raise make_fault(table, name, key, f"one of {known}")
+        for column in self.columns:
+            if column.required and column.key not in values:
+                raise make_fault(
+                    table, name, column.key, f"{column.expected}; missing"
+                )
+
+    def _decode_value(
+        self, table: str, name: str, column: Column, value: typing.Any
+    ) -> typing.Any:
+        if not column.accepts(value):
+            raise make_fault(table, name, column.key, column.expected)
+        return column.decode(value)
+
+
+def _is_int(low: int, high: int, value: typing.Any) -> bool:
+    return type(value) is int and low <= value <= high
+
+
+def _is_bool(value: typing.Any) -> bool:
+    return isinstance(value, bool)
+
+
+def _is_text(value: typing.Any) -> bool:
+    # A credential with a line end would add a header to each request.
+    return isinstance(value, str) and value.isprintable()
+
+
+def _is_path(value: typing.Any) -> bool:
+    return _is_text(value) and value.startswith("/") and " " not in value
+
+
+def _is_address(value: typing.Any) -> bool:
+    return (
+        isinstance(value, str)
+        and ADDRESS.fullmatch(value) is not None
+        and 1 <= int(value.rpartition(":")[2]) <= MOST_PORT
+    )
+
+
+def _is_set_of(
+    accepts: collections.abc.Callable[[typing.Any], bool], value: typing.Any
+) -> bool:
+    return (
+        isinstance(value, list)
+        and all(map(accepts, value))
+        and len(set(value)) == len(value)
+    )
+
+
+def _is_digest(value: typing.Any) -> bool:
+    return isinstance(value, str) and DIGEST.fullmatch(value) is not None
+
+
+def _number(key: str, low: int, high: int, required: bool = False) -> Column:
+    return Column(
+        key,
+        f"a whole number from {low} to {high}",
+        functools.partial(_is_int, low, high),
+        required=required,
+    )
+
+
+def _flag(key: str) -> Column:
+    return Column(key, "true or false", _is_bool)
+
+
+def _names(key: str) -> Column:
+    return Column(
+        key,
+        "a list of different names",
+        functools.partial(_is_set_of, is_name),
+        decode=tuple,
+        encode=list,
+    )
+
+
+def _choice(key: str, choices: type[enum.Enum]) -> Column:
+    values = [choice.value for choice in choices]
+    return Column(
+        key,
+        "one of " + ", ".join(values),
+        lambda value: value in values,
+        decode=choices,
+        encode=lambda choice: choice.value,
+        required=True,
+    )
+
+
+UPSTREAM = RowType(
+    model.Upstream,
+    (
+        Column("address", "host:port", _is_address, required=True),
+        Column("zone", EXPECTED_NAME, is_name, required=True),
+        _choice("role", model.UpstreamRole),
+        _flag("leaving"),
+        _flag("checks_fencing"),
+    ),
+)
+
+
+def _decode_upstreams(
+    values: dict[str, typing.Any],
+) -> tuple[model.Upstream, ...]:
+    return tuple(
+        UPSTREAM.decode("upstreams", name, row) for name, row in values.items()
+    )
+
+
+def _encode_upstreams(
+    upstreams: tuple[model.Upstream, ...],
+) -> dict[str, typing.Any]:
+    return {row.name: UPSTREAM.encode(row) for row in upstreams}
+
+
+POOL = RowType(
+    model.Pool,
+    (
+        _choice("kind", model.PoolKind),
+        _names("models"),
+        Column("credential", "a text of printable characters", _is_text),
+        _number("slots", 1, 10_000),
+        _number("block_tokens", 1, 1 << 20),
+        _number("link_bytes_per_s", 1, MOST_COUNT),
+        _number("kv_bytes_per_token", 1, MOST_COUNT),
+        Column(
+            "upstreams",
+            "upstreams, [pools.NAME.upstreams.NAME]",
+            lambda value: isinstance(value, dict),
+            decode=_decode_upstreams,
+            encode=_encode_upstreams,
+            required=True,
+        ),
+    ),
+)
+
+ROUTE = RowType(
+    model.Route,
+    (
+        Column("path_prefix", "a path from /", _is_path, required=True),
+        Column("pool", EXPECTED_NAME, is_name, required=True),
+        _names("models"),
+        _flag("idempotent"),
+        _number("timeout_ms", 1, MOST_TIMEOUT_MS),
+        _names("accounts"),
+    ),
+)
+
+ACCOUNT = RowType(
+    model.ClientAccount,
+    (
+        Column(
+            "key_digests",
+            "a list of different SHA-256 digests, 64 hexadecimal digits each",
+            functools.partial(_is_set_of, _is_digest),
+            decode=tuple,
+            encode=list,
+            required=True,
+        ),
+        _number("rate", 1, MOST_COUNT, required=True),
+        _number("burst", 1, MOST_COUNT, required=True),
+        _number("weight", 1, 1_000),
+    ),
+)
--- /dev/null
+++ b/mulberryway/tables/parse.py
@@ -0,0 +1,107 @@
+"""Tables as TOML text, and as plain values by table and row."""
+
+import tomllib
+import typing
+
+import expression
+import tomli_w
+
+from mulberryway import errors
+from mulberryway.tables import columns
+from mulberryway.tables import model
+
+__all__ = [
+    "ROW_TYPES",
+    "decode_tables",
+    "encode_tables",
+    "format_tables",
+    "parse_tables",
+]
+
+ROW_TYPES: dict[str, columns.RowType] = {
+    "routes": columns.ROUTE,
+    "pools": columns.POOL,
+    "accounts": columns.ACCOUNT,
+}
+
+PlainTables = dict[str, dict[str, dict[str, typing.Any]]]
+
+
+def parse_tables(
+    text: str, revision: int = 0
+) -> expression.Result[model.Tables, errors.Fault]:
+    """Read tables from TOML text; their join is not looked at.
+
+    :param text: sections ``routes.NAME``, ``pools.NAME``,
+        ``pools.NAME.upstreams.NAME`` and ``accounts.NAME``
+    :param revision: the revision to give them
+    :returns: the tables, or ``INVALID_TABLES`` with table, row and key
+    """
+    try:
+        values = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        return expression.Error(
+            columns.make_fault("text", "", "", f"valid TOML ({error})").fault
+        )
+    return decode_tables(values, revision)
+
+
+def decode_tables(
+    values: dict[str, typing.Any], revision: int
+) -> expression.Result[model.Tables, errors.Fault]:
+    """Make tables from plain values; their join is not looked at.
+
+    :param values: rows as plain values, by table and name
+    :param revision: the revision to give them
+    :returns: the tables, or ``INVALID_TABLES`` with table, row and key
+    """
+    try:
+        _check_tables(values)
+        rows = {
+            table: tuple(
+                row_type.decode(table, name, row)
+                for name, row in values.get(table, {}).items()
+            )
+            for table, row_type in ROW_TYPES.items()
+        }
+    except errors.TablesError as error:
+        return expression.Error(error.fault)
+    return expression.Ok(model.Tables(revision, **rows))
+
+
+def encode_tables(tables: model.Tables) -> PlainTables:
+    """Return all rows as plain values, sorted by name.
+
+    :param tables: the tables
+    :returns: plain values by table and row
+    """
+    rows_by_table = {
+        "routes": tables.routes,
+        "pools": tables.pools,
+        "accounts": tables.accounts,
+    }
+    return {
+        table: {
+            name: ROW_TYPES[table].encode(row)
+            for name, row in sorted(rows.items())
+        }
+        for table, rows in rows_by_table.items()
+    }
+
+
+def format_tables(tables: model.Tables) -> str:
+    """Return tables as TOML text that ``parse_tables`` reads back.
+
+    :param tables: the tables
+    :returns: the text
+    """
+    return tomli_w.dumps(encode_tables(tables))
+
+
+def _check_tables(values: dict[str, typing.Any]) -> None:
+    for table, rows in values.items():
+        if table not in ROW_TYPES:
+            known = ", ".join(ROW_TYPES)
+            raise columns.make_fault(table, "", "", f"one of {known}")
+        if not isinstance(rows, dict):
+            raise columns.make_fault(table, "", "", "rows, [table.name]")
--- /dev/null
+++ b/tests/test_tables.py
@@ -0,0 +1,61 @@
+"""Tables as text, and the join between them."""
+
+import unittest
+
+from mulberryway.tables import parse
+from mulberryway.tables import validate
+from tests import samples
+
+
+class ParseTest(unittest.TestCase):
+    def test_text_reads_back(self):
+        tables = parse.parse_tables(samples.TABLES).ok
+        again = parse.parse_tables(parse.format_tables(tables)).ok
+        self.assertEqual(
+            parse.encode_tables(tables), parse.encode_tables(again)
+        )
+        self.assertTrue(validate.validate_tables(tables).is_ok())
+
+    def test_bad_values_name_their_place(self):
+        for old, new, place in (
+            ("rate = 900", "rate = 0", "accounts.tea.rate"),
+            ("rate = 900", "rate = true", "accounts.tea.rate"),
+            ("rate = 900", "rat = 900", "accounts.tea.rat"),
+            ("rate = 900\n", "", "accounts.tea.rate"),
+            ('pool = "lm-pool"', "pool = 3", "routes.lm.pool"),
+            ('kind = "model"', 'kind = "modal"', "pools.lm-pool.kind"),
+            ("127.0.0.1:9", "127.0.0.1", "upstreams.p1.address"),
+            ("127.0.0.1:9", "127.0.0.1:99999", "upstreams.p1.address"),
+            ('"upstream-secret"', '"a\\nb"', "pools.lm-pool.credential"),
+            ("[routes.lm]", "[rutes.lm]", "rutes"),
+            ("[routes.lm]", "[routes.'l m']", "routes.l m"),
+            ("[routes.lm]", "[routes.lm", "text"),
+        ):
+            with self.subTest(place=place, new=new):
+                text = samples.TABLES.replace(old, new, 1)
+                fault = parse.parse_tables(text).error
+                self.assertEqual(fault.peer, place)
+                self.assertIn("expected", fault.message)
+
+
+class JoinTest(unittest.TestCase):
+    def test_broken_joins_name_their_place(self):
+        other = f'key_digests = ["{samples.digest("other-key")}"]'
+        twice = f'key_digests = ["{samples.digest("tea-key")}"]'
+        for old, new, place in (
+            ('pool = "lm-pool"', 'pool = "none"', "routes.lm.pool"),
+            ('models = ["m1"]\nidem', 'models = ["m9"]\nidem', "lm.models"),
+            ('accounts = ["tea"]', 'accounts = ["no"]', "member.accounts"),
+            ('"/v1/completions"', '"/member/"', "member.path_prefix"),
+            ('role = "prefill"', 'role = "decode"', "lm-pool.upstreams"),
+            ('role = "decode"', 'role = "service"', "lm-pool.upstreams"),
+            ('role = "service"', 'role = "both"', "member-api.upstreams"),
+            ("127.0.0.1:10", "127.0.0.1:9", "upstreams.d1.address"),
+            (other, twice, "accounts.other.key_digests"),
+        ):
+            with self.subTest(place=place, new=new):
+                self.assertIn(old, samples.TABLES)
+                text = samples.TABLES.replace(old, new, 1)
+                tables = parse.parse_tables(text).ok
+                fault = validate.validate_tables(tables).error
+                self.assertTrue(fault.peer.endswith(place), fault.peer)
