Let a run's label carry the trace context of its hop

Cause: upstreams are to see the trace that a hop belongs to. Change: upstreams.base.RunLabel gets traceparent, empty by default. Conclusion: additive; nobody has to change.

--- a/mulberryway/upstreams/base.py
+++ b/mulberryway/upstreams/base.py
@@ -28,14 +28,22 @@
     :param request_id: unique for each attempt; the engine echoes it
     :param vm: the VM that runs the request
     :param incarnation: which life of that VM's router started it
+    :param traceparent: the W3C trace context of the hop; empty for none
     """
 
-    __slots__ = ("request_id", "vm", "incarnation")
+    __slots__ = ("request_id", "vm", "incarnation", "traceparent")
 
-    def __init__(self, request_id: str, vm: str, incarnation: int) -> None:
+    def __init__(
+        self,
+        request_id: str,
+        vm: str,
+        incarnation: int,
+        traceparent: str = "",
+    ) -> None:
         self.request_id = request_id
         self.vm = vm
         self.incarnation = incarnation
+        self.traceparent = traceparent
 
 
 class PrefillResult:
