Speak the platform's object API over HTTP

Cause: configuration, shares and claims all live in the platform, whose replies get lost and whose connections go silent. Change: HttpObjectStore with every wait limited, faults that tell writes which may have taken effect from those which cannot, calls counted by purpose; MemoryStore for tests with outage, lost replies, lost writes and stale reads. Conclusion: a user of the platform always learns whether a write may stand.

--- /dev/null
+++ b/mulberryway/platform/counts.py
@@ -0,0 +1,79 @@
+"""Counts of calls to the platform, by purpose, for metrics and tests."""
+
+import abc
+import threading
+
+__all__ = ["CallCounter", "CallCounts", "Count"]
+
+
+class CallCounter(abc.ABC):
+    """Is told of every call to the platform.
+
+    The platform's rates grow more slowly than the fleet, so whoever sees
+    them run out has to find the purpose that takes them.
+    """
+
+    @abc.abstractmethod
+    def count_call(
+        self, purpose: str, outcome: str, sent: int, received: int
+    ) -> None:
+        """Note one call when it has ended; a watch counts when it opens.
+
+        :param purpose: what the call was made for
+        :param outcome: ``ok`` or the fault's code
+        :param sent: bytes of the request's body
+        :param received: bytes of the reply's body
+        """
+
+
+class Count:
+    """How often one purpose ended in one way.
+
+    :param calls: the number of calls
+    :param sent: bytes of request bodies
+    :param received: bytes of reply bodies
+    """
+
+    __slots__ = ("calls", "sent", "received")
+
+    def __init__(
+        self, calls: int = 0, sent: int = 0, received: int = 0
+    ) -> None:
+        self.calls = calls
+        self.sent = sent
+        self.received = received
+
+
+class CallCounts(CallCounter):
+    """Keeps the counts in memory."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._counts: dict[tuple[str, str], Count] = {}
+
+    def count_call(
+        self, purpose: str, outcome: str, sent: int, received: int
+    ) -> None:
+        """Note one call.
+
+        :param purpose: what the call was made for
+        :param outcome: ``ok`` or the fault's code
+        :param sent: bytes of the request's body
+        :param received: bytes of the reply's body
+        """
+        with self._lock:
+            count = self._counts.setdefault((purpose, outcome), Count())
+            count.calls += 1
+            count.sent += sent
+            count.received += received
+
+    def read_counts(self) -> dict[tuple[str, str], Count]:
+        """Return the counts so far.
+
+        :returns: a copy, by purpose and outcome
+        """
+        with self._lock:
+            return {
+                key: Count(count.calls, count.sent, count.received)
+                for key, count in self._counts.items()
+            }
--- /dev/null
+++ b/mulberryway/platform/http.py
@@ -0,0 +1,388 @@
+"""The platform's object API over HTTP."""
+
+import collections.abc
+import json
+import typing
+import urllib.parse
+
+import expression
+from opentelemetry import trace
+import urllib3
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway.platform import base
+from mulberryway.platform import counts
+
+__all__ = ["HttpObjectStore"]
+
+ROOT = "/apis/mulberryway.dev/v1"
+NODES = "/api/v1/nodes"
+READ_BYTES = 65_536
+# All segments of 2,200 accounts take about a megabyte; a reply far beyond
+# that is a mistake that must not take the VM's memory.
+MOST_REPLY_BYTES = 32 << 20
+MOST_LINE_BYTES = 2 << 20
+WATCH_CONNECTIONS = 8
+MOST_RETRY_AFTER_S = 60
+
+CODES = {
+    404: errors.Code.NOT_FOUND,
+    409: errors.Code.CONFLICT,
+    410: errors.Code.NOT_FOUND,
+    413: errors.Code.BODY_TOO_LARGE,
+}
+TOO_MANY_REQUESTS = 429
+SERVER_ERRORS = 500
+# The platform answered before it did anything: the write has no effect.
+NOT_SENT = (
+    urllib3.exceptions.ConnectTimeoutError,
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.NameResolutionError,
+)
+
+TRACER = trace.get_tracer(__name__)
+
+
+class HttpObjectStore(base.ObjectStore):
+    """Speaks the platform's API through one pool of connections.
+
+    :param url: the platform's address, as ``http://host:port``
+    :param timeout_ms: the longest wait for a whole reply
+    :param clock_: where the time comes from
+    :param counter: is told of every call
+    """
+
+    def __init__(
+        self,
+        url: str,
+        timeout_ms: int,
+        clock_: clock.Clock,
+        counter: counts.CallCounter,
+    ) -> None:
+        self._url = url.rstrip("/")
+        self._peer = urllib.parse.urlsplit(url).netloc
+        self._timeout_ms = timeout_ms
+        self._clock = clock_
+        self._counter = counter
+        self._pool = urllib3.PoolManager(maxsize=WATCH_CONNECTIONS)
+
+    def read(
+        self, kind: str, name: str, purpose: str
+    ) -> expression.Result[base.StoredObject, errors.Fault]:
+        """Return one object; see the base class."""
+        reply = self._exchange("GET", _path(kind, name), None, purpose)
+        return reply.bind(lambda body: self._read_object(kind, body, "GET"))
+
+    def read_all(
+        self, kind: str, purpose: str
+    ) -> expression.Result[list[base.StoredObject], errors.Fault]:
+        """Return all objects of a kind; see the base class."""
+        reply = self._exchange("GET", _path(kind), None, purpose)
+        return reply.bind(lambda body: self._read_list(kind, body))
+
+    def create(
+        self, kind: str, name: str, value: dict[str, typing.Any], purpose: str
+    ) -> expression.Result[base.StoredObject, errors.Fault]:
+        """Create an object; see the base class."""
+        body = {"metadata": {"name": name}, "value": value}
+        reply = self._exchange("POST", _path(kind), body, purpose)
+        return reply.bind(lambda body: self._read_object(kind, body, "POST"))
+
+    def update(
+        self,
+        kind: str,
+        name: str,
+        value: dict[str, typing.Any],
+        version: int,
+        purpose: str,
+    ) -> expression.Result[base.StoredObject, errors.Fault]:
+        """Replace an object of a known version; see the base class."""
+        metadata = {"name": name, "resourceVersion": str(version)}
+        body = {"metadata": metadata, "value": value}
+        reply = self._exchange("PUT", _path(kind, name), body, purpose)
+        return reply.bind(lambda body: self._read_object(kind, body, "PUT"))
+
+    def delete(
+        self, kind: str, name: str, version: int, purpose: str
+    ) -> expression.Result[None, errors.Fault]:
+        """Delete an object of a known version; see the base class."""
+        target = f"{_path(kind, name)}?resourceVersion={version}"
+        reply = self._exchange("DELETE", target, None, purpose)
+        return reply.map(lambda body: None)
+
+    def watch(
+        self, kind: str, from_version: int, silence_ms: int, purpose: str
+    ) -> collections.abc.Iterator[
+        expression.Result[base.WatchEvent, errors.Fault]
+    ]:
+        """Yield changes until the watch ends; see the base class."""
+        query = urllib.parse.urlencode(
+            {
+                "watch": "true",
+                "resourceVersion": from_version,
+                "allowWatchBookmarks": "true",
+            }
+        )
+        opened = self._send(
+            "GET", f"{_path(kind)}?{query}", None, silence_ms, purpose
+        )
+        if opened.is_error():
+            yield expression.Error(opened.error)
+            return
+        self._counter.count_call(purpose, "ok", 0, 0)
+        response = opened.ok
+        try:
+            for line in self._read_lines(response, silence_ms):
+                event = line.bind(lambda text: self._read_event(kind, text))
+                yield event
+                if event.is_error():
+                    return
+        finally:
+            # A watch that was left in the middle must not be reused: the
+            # next reply on it would be an event that nobody asked for.
+            response.close()
+
+    def list_vms(
+        self, purpose: str
+    ) -> expression.Result[list[base.ListedVm], errors.Fault]:
+        """Return the platform's list of VMs; see the base class."""
+        reply = self._exchange("GET", NODES, None, purpose)
+        return reply.bind(self._read_vms)
+
+    def _exchange(
+        self,
+        verb: str,
+        target: str,
+        body: dict[str, typing.Any] | None,
+        purpose: str,
+    ) -> expression.Result[typing.Any, errors.Fault]:
+        with TRACER.start_as_current_span("platform") as span:
+            span.set_attribute("purpose", purpose)
+            deadline = clock.Deadline(self._clock.now_ms() + self._timeout_ms)
+            data = None if body is None else _encode(body)
+            opened = self._send(verb, target, data, self._timeout_ms, purpose)
+            reply = opened.bind(
+                lambda response: self._read_body(verb, response, deadline)
+            )
+            if opened.is_ok():
+                self._count(purpose, data, reply)
+            return reply.bind(lambda raw: self._decode(verb, raw))
+
+    def _send(
+        self,
+        verb: str,
+        target: str,
+        data: bytes | None,
+        timeout_ms: int,
+        purpose: str,
+    ) -> expression.Result[urllib3.BaseHTTPResponse, errors.Fault]:
+        wait_s = timeout_ms / 1000
+        try:
+            response = self._pool.request(
+                verb,
+                self._url + target,
+                body=data,
+                headers={"Content-Type": "application/json"},
+                timeout=urllib3.Timeout(connect=wait_s, read=wait_s),
+                retries=False,
+                redirect=False,
+                preload_content=False,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            result = expression.Error(self._fault_of(verb, error))
+        else:
+            if response.status < 300:
+                return expression.Ok(response)
+            result = expression.Error(self._refusal_of(verb, response))
+            response.close()
+        sent = 0 if data is None else len(data)
+        self._counter.count_call(purpose, result.error.code.value, sent, 0)
+        return result
+
+    def _read_body(
+        self,
+        verb: str,
+        response: urllib3.BaseHTTPResponse,
+        deadline: clock.Deadline,
+    ) -> expression.Result[bytes, errors.Fault]:
+        parts: list[bytes] = []
+        size = 0
+        try:
+            while part := response.read1(READ_BYTES):
+                parts.append(part)
+                size += len(part)
+                # A reply that trickles would pass every socket timeout.
+                if deadline.has_passed(self._clock.now_ms()):
+                    response.close()
+                    return self._error(verb, "the reply took too long")
+                if size > MOST_REPLY_BYTES:
+                    response.close()
+                    return self._error(verb, "the reply is too large")
+        except urllib3.exceptions.HTTPError as error:
+            response.close()
+            return expression.Error(self._fault_of(verb, error))
+        response.release_conn()
+        return expression.Ok(b"".join(parts))
+
+    def _read_lines(
+        self, response: urllib3.BaseHTTPResponse, silence_ms: int
+    ) -> collections.abc.Iterator[expression.Result[bytes, errors.Fault]]:
+        buffered = b""
+        last_ms = self._clock.now_ms()
+        while True:
+            try:
+                part = response.read1(READ_BYTES)
+            except urllib3.exceptions.HTTPError as error:
+                yield expression.Error(self._fault_of("GET", error))
+                return
+            *lines, buffered = (buffered + part).split(b"\n")
+            if lines:
+                last_ms = self._clock.now_ms()
+            yield from map(expression.Ok, filter(None, lines))
+            silent = self._clock.now_ms() - last_ms > silence_ms
+            if not part or silent or len(buffered) > MOST_LINE_BYTES:
+                yield self._error("GET", "the watch ended")
+                return
+
+    def _read_event(
+        self, kind: str, line: bytes
+    ) -> expression.Result[base.WatchEvent, errors.Fault]:
+        try:
+            body = json.loads(line)
+            if body["type"] == "ERROR":
+                return self._error("GET", "the watch's version is too old")
+            event = base.WatchEvent(
+                base.EventType(body["type"]),
+                _make_object(kind, body["object"]),
+            )
+        except (ValueError, KeyError, TypeError):
+            return self._error("GET", "the watch sent a malformed line")
+        return expression.Ok(event)
+
+    def _read_object(
+        self, kind: str, body: typing.Any, verb: str
+    ) -> expression.Result[base.StoredObject, errors.Fault]:
+        try:
+            return expression.Ok(_make_object(kind, body))
+        except (ValueError, KeyError, TypeError):
+            return self._error(verb, "the reply is malformed")
+
+    def _read_list(
+        self, kind: str, body: typing.Any
+    ) -> expression.Result[list[base.StoredObject], errors.Fault]:
+        try:
+            items = [_make_object(kind, item) for item in body["items"]]
+        except (ValueError, KeyError, TypeError):
+            return self._error("GET", "the list is malformed")
+        return expression.Ok(items)
+
+    def _read_vms(
+        self, body: typing.Any
+    ) -> expression.Result[list[base.ListedVm], errors.Fault]:
+        try:
+            vms = [
+                base.ListedVm(
+                    item["name"],
+                    item["address"],
+                    item["zone"],
+                    bool(item["leaving"]),
+                )
+                for item in body["items"]
+            ]
+        except (KeyError, TypeError):
+            return self._error("GET", "the list of VMs is malformed")
+        return expression.Ok(vms)
+
+    def _decode(
+        self, verb: str, raw: bytes
+    ) -> expression.Result[typing.Any, errors.Fault]:
+        try:
+            return expression.Ok(json.loads(raw) if raw else None)
+        except ValueError:
+            return self._error(verb, "the reply is not JSON")
+
+    def _count(
+        self,
+        purpose: str,
+        data: bytes | None,
+        reply: expression.Result[bytes, errors.Fault],
+    ) -> None:
+        sent = 0 if data is None else len(data)
+        if reply.is_ok():
+            self._counter.count_call(purpose, "ok", sent, len(reply.ok))
+        else:
+            code = reply.error.code.value
+            self._counter.count_call(purpose, code, sent, 0)
+
+    def _fault_of(
+        self, verb: str, error: urllib3.exceptions.HTTPError
+    ) -> errors.Fault:
+        """Sort a transport error into not run and may have run.
+
+        A reply can be lost after the write took effect; who repeated such
+        a write blindly, or told the operator that it failed, would be
+        wrong.  The connections of the same age may have gone silent too,
+        so all idle ones are dropped.
+        """
+        self._pool.clear()
+        sent = not isinstance(error, NOT_SENT)
+        return self._fault(verb, sent, type(error).__name__)
+
+    def _refusal_of(
+        self, verb: str, response: urllib3.BaseHTTPResponse
+    ) -> errors.Fault:
+        status = response.status
+        if status in CODES:
+            return errors.Fault(
+                CODES[status],
+                errors.Step.PLATFORM,
+                self._peer,
+                message=f"the platform answered {status}",
+            )
+        fault = self._fault(
+            verb, status >= SERVER_ERRORS, f"the platform answered {status}"
+        )
+        if status == TOO_MANY_REQUESTS:
+            fault.retry_after_ms = _read_retry_after(response)
+        return fault
+
+    def _error(
+        self, verb: str, message: str
+    ) -> expression.Result[typing.Any, errors.Fault]:
+        return expression.Error(self._fault(verb, True, message))
+
+    def _fault(self, verb: str, sent: bool, message: str) -> errors.Fault:
+        may_have_run = sent and verb != "GET"
+        return errors.Fault(
+            errors.Code.PLATFORM_UNAVAILABLE,
+            errors.Step.PLATFORM,
+            self._peer,
+            errors.Run.MAY_HAVE_RUN if may_have_run else errors.Run.NOT_RUN,
+            message,
+        )
+
+
+def _path(kind: str, name: str = "") -> str:
+    parts = [ROOT, kind, urllib.parse.quote(name, safe="")]
+    return "/".join(filter(None, parts))
+
+
+def _encode(body: dict[str, typing.Any]) -> bytes:
+    return json.dumps(body, separators=(",", ":")).encode()
+
+
+def _make_object(kind: str, body: dict[str, typing.Any]) -> base.StoredObject:
+    metadata = body["metadata"]
+    return base.StoredObject(
+        kind,
+        metadata.get("name", ""),
+        int(metadata["resourceVersion"]),
+        body.get("value") or {},
+    )
+
+
+def _read_retry_after(response: urllib3.BaseHTTPResponse) -> int:
+    text = response.headers.get("Retry-After", "1")
+    seconds = int(text) if text.isdecimal() else 1
+    return min(seconds, MOST_RETRY_AFTER_S) * 1000
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,161 @@
+"""An object store in memory whose faults a test switches on and off."""
+
+import collections
+import copy
+import json
+import random
+import threading
+
+import expression
+
+from mulberryway import errors
+from mulberryway.platform import base
+
+VALUE_BYTES = 1 << 20
+
+
+def make_fault(code, run=errors.Run.NOT_RUN):
+    return errors.Fault(code, errors.Step.PLATFORM, "memory", run)
+
+
+class MemoryStore(base.ObjectStore):
+    """Keeps every version of every object, so that reads can be stale.
+
+    ``outage`` refuses all calls.  ``lose_reply`` is the part of writes that
+    take effect but whose reply is lost; ``lose_write`` the part that is
+    lost on its way; ``stale`` the part of reads that are answered from an
+    old version.  ``counts`` holds calls by purpose.
+    """
+
+    def __init__(self, seed=0):
+        self.random = random.Random(seed)
+        self.lock = threading.Condition()
+        self.version = 0
+        self.history = {}
+        self.events = []
+        self.vms = []
+        self.counts = collections.Counter()
+        self.bytes_written = 0
+        self.outage = False
+        self.lose_reply = 0.0
+        self.lose_write = 0.0
+        self.stale = 0.0
+
+    def read(self, kind, name, purpose):
+        with self.lock:
+            if self._refuses(purpose):
+                return self._unavailable()
+            versions = self.history.get((kind, name), [])
+            if versions and self.random.random() < self.stale:
+                versions = versions[: self.random.randint(1, len(versions))]
+            if not versions or versions[-1].value is None:
+                return expression.Error(make_fault(errors.Code.NOT_FOUND))
+            return expression.Ok(copy.deepcopy(versions[-1]))
+
+    def read_all(self, kind, purpose):
+        with self.lock:
+            if self._refuses(purpose):
+                return self._unavailable()
+            return expression.Ok(
+                [
+                    copy.deepcopy(versions[-1])
+                    for key, versions in self.history.items()
+                    if key[0] == kind and versions[-1].value is not None
+                ]
+            )
+
+    def create(self, kind, name, value, purpose):
+        return self._write(kind, name, value, None, purpose)
+
+    def update(self, kind, name, value, version, purpose):
+        return self._write(kind, name, value, version, purpose)
+
+    def delete(self, kind, name, version, purpose):
+        result = self._write(kind, name, None, version, purpose)
+        return result.map(lambda stored: None)
+
+    def watch(self, kind, from_version, silence_ms, purpose):
+        self.counts[purpose] += 1
+        seen = from_version
+        while True:
+            with self.lock:
+                if self.outage:
+                    yield self._unavailable()
+                    return
+                events = [
+                    event
+                    for event in self.events
+                    if event.object.kind == kind
+                    and event.object.version > seen
+                ]
+                if not events:
+                    self.lock.wait(0.05)
+            for event in events:
+                seen = event.object.version
+                yield expression.Ok(event)
+            if not events:
+                mark = base.StoredObject(kind, "", self.version, {})
+                yield expression.Ok(
+                    base.WatchEvent(base.EventType.BOOKMARK, mark)
+                )
+
+    def list_vms(self, purpose):
+        if self._refuses(purpose):
+            return self._unavailable()
+        return expression.Ok(list(self.vms))
+
+    def names(self, kind):
+        """Return the names of all objects of a kind that exist."""
+        return {
+            name
+            for (of_kind, name), versions in self.history.items()
+            if of_kind == kind and versions[-1].value is not None
+        }
+
+    def _refuses(self, purpose):
+        self.counts[purpose] += 1
+        return self.outage
+
+    def _unavailable(self, run=errors.Run.NOT_RUN):
+        code = errors.Code.PLATFORM_UNAVAILABLE
+        return expression.Error(make_fault(code, run))
+
+    def _write(self, kind, name, value, version, purpose):
+        with self.lock:
+            if self._refuses(purpose):
+                return self._unavailable()
+            if self.random.random() < self.lose_write:
+                return self._unavailable(errors.Run.MAY_HAVE_RUN)
+            result = self._apply(kind, name, value, version)
+            if self.random.random() < self.lose_reply:
+                return self._unavailable(errors.Run.MAY_HAVE_RUN)
+            return result
+
+    def _apply(self, kind, name, value, version):
+        size = len(json.dumps(value))
+        if size > VALUE_BYTES:
+            return expression.Error(make_fault(errors.Code.BODY_TOO_LARGE))
+        versions = self.history.setdefault((kind, name), [])
+        exists = bool(versions) and versions[-1].value is not None
+        if version is None and exists:
+            return expression.Error(make_fault(errors.Code.CONFLICT))
+        if version is not None and not exists:
+            return expression.Error(make_fault(errors.Code.NOT_FOUND))
+        if version is not None and versions[-1].version != version:
+            return expression.Error(make_fault(errors.Code.CONFLICT))
+        return expression.Ok(self._store(kind, name, value, size))
+
+    def _store(self, kind, name, value, size):
+        self.version += 1
+        self.bytes_written += size
+        stored = base.StoredObject(
+            kind, name, self.version, copy.deepcopy(value)
+        )
+        versions = self.history[(kind, name)]
+        type_ = base.EventType.MODIFIED if versions else base.EventType.ADDED
+        if value is None:
+            type_ = base.EventType.DELETED
+        versions.append(stored)
+        self.events.append(base.WatchEvent(type_, stored))
+        self.lock.notify_all()
+        return copy.deepcopy(stored)
--- /dev/null
+++ b/tests/test_platform_http.py
@@ -0,0 +1,165 @@
+"""The platform's API over HTTP, against a small server of scripted replies."""
+
+import http.server
+import json
+import threading
+import unittest
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway.platform import base
+from mulberryway.platform import counts
+from mulberryway.platform import http as platform
+
+ITEM = {"metadata": {"name": "a", "resourceVersion": "7"}, "value": {"x": 1}}
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    """Answers with what the test put into the server's script."""
+
+    protocol_version = "HTTP/1.1"
+
+    def answer(self):
+        length = int(self.headers.get("Content-Length", 0))
+        body = self.rfile.read(length)
+        self.server.seen.append((self.command, self.path, body))
+        self.server.script.pop(0)(self)
+
+    do_GET = do_POST = do_PUT = do_DELETE = answer
+
+    def log_message(self, *args):
+        pass
+
+
+def reply(status, body, headers=()):
+    def act(handler):
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        handler.send_response(status)
+        for name, value in headers:
+            handler.send_header(name, value)
+        handler.send_header("Content-Length", str(len(data)))
+        handler.end_headers()
+        handler.wfile.write(data)
+
+    return act
+
+
+def cut(handler):
+    handler.close_connection = True
+
+
+class HttpTest(unittest.TestCase):
+    def setUp(self):
+        self.server = http.server.ThreadingHTTPServer(
+            ("127.0.0.1", 0), Handler
+        )
+        self.server.daemon_threads = True
+        self.server.seen, self.server.script = [], []
+        self.released = threading.Event()
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        self.addCleanup(self.server.server_close)
+        self.addCleanup(self.server.shutdown)
+        self.addCleanup(self.released.set)
+        self.counts = counts.CallCounts()
+        self.store = platform.HttpObjectStore(
+            f"http://127.0.0.1:{self.server.server_port}",
+            300,
+            clock.SystemClock(),
+            self.counts,
+        )
+
+    def script(self, *acts):
+        self.server.script[:] = acts
+
+    def stall(self, handler):
+        self.released.wait(20)
+        handler.close_connection = True
+
+    def check_fault(self, result, code, run):
+        self.assertTrue(result.is_error())
+        self.assertEqual(result.error.code, code)
+        self.assertEqual(result.error.run, run)
+
+    def test_calls_take_the_documented_form(self):
+        self.script(*[reply(200, ITEM)] * 3, reply(200, {"items": [ITEM]}))
+        self.assertEqual(self.store.read("k", "a", "p").ok.version, 7)
+        self.store.create("k", "a", {"x": 1}, "p")
+        self.store.update("k", "a", {"x": 1}, 6, "p")
+        self.assertEqual(len(self.store.read_all("k", "p").ok), 1)
+        verbs = [(verb, path) for verb, path, _ in self.server.seen]
+        prefix = "/apis/mulberryway.dev/v1/k"
+        self.assertEqual(
+            verbs,
+            [
+                ("GET", prefix + "/a"),
+                ("POST", prefix),
+                ("PUT", prefix + "/a"),
+                ("GET", prefix),
+            ],
+        )
+        sent = json.loads(self.server.seen[2][2])
+        self.assertEqual(sent["metadata"]["resourceVersion"], "6")
+        self.assertEqual(self.counts.read_counts()[("p", "ok")].calls, 4)
+
+    def test_refusals(self):
+        code, run = errors.Code, errors.Run
+        for status, expected, expected_run in (
+            (404, code.NOT_FOUND, run.NOT_RUN),
+            (409, code.CONFLICT, run.NOT_RUN),
+            (413, code.BODY_TOO_LARGE, run.NOT_RUN),
+            (429, code.PLATFORM_UNAVAILABLE, run.NOT_RUN),
+            (503, code.PLATFORM_UNAVAILABLE, run.MAY_HAVE_RUN),
+        ):
+            with self.subTest(status=status):
+                self.script(reply(status, {}))
+                result = self.store.update("k", "a", {}, 1, "p")
+                self.check_fault(result, expected, expected_run)
+
+    def test_lost_reply_may_have_run(self):
+        """The platform takes a write and the connection dies before the
+        reply.  An operator who were told that the edit failed would make
+        it twice, or believe that a withdrawn key still works.
+        """
+        for act in (cut, self.stall, reply(200, b"not json")):
+            self.script(act)
+            result = self.store.create("k", "a", {}, "p")
+            self.check_fault(
+                result,
+                errors.Code.PLATFORM_UNAVAILABLE,
+                errors.Run.MAY_HAVE_RUN,
+            )
+
+    def test_unreachable_is_not_run(self):
+        """Nothing listens at the platform's address, so that no write can
+        have taken effect, and an operator may be told so.
+        """
+        self.server.shutdown()
+        self.server.server_close()
+        result = self.store.create("k", "a", {}, "p")
+        self.check_fault(
+            result, errors.Code.PLATFORM_UNAVAILABLE, errors.Run.NOT_RUN
+        )
+
+    def test_silent_watch_ends(self):
+        """Something between the two ends forgets the connection, and the
+        watch waits for events that never come.  Edits would take hold on
+        this VM only after a restart.
+        """
+
+        def act(handler):
+            handler.send_response(200)
+            handler.send_header("Transfer-Encoding", "chunked")
+            handler.end_headers()
+            line = json.dumps({"type": "MODIFIED", "object": ITEM}).encode()
+            line += b"\n"
+            for part in (line[:10], line[10:]):
+                handler.wfile.write(b"%x\r\n%b\r\n" % (len(part), part))
+                handler.wfile.flush()
+            self.stall(handler)
+
+        self.script(act)
+        events = list(self.store.watch("k", 6, 300, "w"))
+        self.assertEqual(events[0].ok.type, base.EventType.MODIFIED)
+        self.assertEqual(events[0].ok.object.value, {"x": 1})
+        self.assertEqual(len(events), 2)
+        self.assertTrue(events[1].is_error())
