Accept edits of the tables by one conditional update

Cause: two operators' edits may break the join together, and a lost reply must not make an edit count twice or seem to have failed. Change: tables are cut into immutable segments that one root names; the editor checks an edit against the newest root, writes segments, then the root; unanswered updates are repeated unchanged and settled by the edit's id; segments that no root can name any more are collected by their base. Conclusion: the answer to an operator is accepted, not run, or honestly unknown.

--- /dev/null
+++ b/mulberryway/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API: edits, history, status; one on every VM."""
--- /dev/null
+++ b/mulberryway/admin/editor.py
@@ -0,0 +1,315 @@
+"""Makes operators' edits take effect, whatever happens to the replies."""
+
+import collections.abc
+import logging
+import random
+import typing
+
+import expression
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway.admin import history
+from mulberryway.admin import roots as root_store
+from mulberryway.admin import segments as segment_store
+from mulberryway.platform import base
+from mulberryway.tables import edits
+from mulberryway.tables import root as roots
+from mulberryway.tables import segments
+
+__all__ = ["Accepted", "Editor"]
+
+LOG = logging.getLogger(__name__)
+
+PAUSE_MS = 20
+MOST_PAUSE_MS = 500
+
+
+class Accepted:
+    """The platform holds an edit; it need not be in force yet.
+
+    :param edit_id: the edit's own id
+    :param revision: the revision that it made
+    """
+
+    __slots__ = ("edit_id", "revision")
+
+    def __init__(self, edit_id: str, revision: int) -> None:
+        self.edit_id = edit_id
+        self.revision = revision
+
+
+class Submission:
+    """How far one edit has come.
+
+    :param edit: the edit
+    :param deadline: when to give up
+    """
+
+    __slots__ = ("edit", "deadline", "newer_than", "unknown_from", "pause_ms")
+
+    def __init__(self, edit: edits.Edit, deadline: clock.Deadline) -> None:
+        self.edit = edit
+        self.deadline = deadline
+        # The platform's version that is known to be outdated.
+        self.newer_than = -1
+        # The revision from which an update was sent whose end is unknown.
+        self.unknown_from: int | None = None
+        self.pause_ms = PAUSE_MS
+
+    def end(self, fault: errors.Fault) -> errors.Fault:
+        """Return a fault that tells truly whether the edit may stand.
+
+        :param fault: why it goes no further
+        """
+        unknown = self.unknown_from is not None
+        fault.run = errors.Run.MAY_HAVE_RUN if unknown else errors.Run.NOT_RUN
+        return fault
+
+
+class Editor:
+    """Writes segments, then changes the root by conditional update.
+
+    The root's update is the only moment at which anything is accepted.  It
+    names the version that it was made from, so of two operators who race
+    the second meets a conflict and is checked anew against what the first
+    has made.  An update without an answer is sent again unchanged: it can
+    take effect once only, and a conflict then proves that the root has
+    moved, so that a root newer than the one edited says truly whether the
+    edit is in.
+
+    :param store: the platform
+    :param clock_: where the time comes from
+    :param rng: for the pauses between tries
+    :param read_revision: the revision that this VM has in force; an older
+        root is a stale answer of the platform and never edited
+    """
+
+    def __init__(
+        self,
+        store: base.ObjectStore,
+        clock_: clock.Clock,
+        rng: random.Random,
+        read_revision: collections.abc.Callable[[], int] = lambda: 0,
+    ) -> None:
+        self._segments = segment_store.SegmentStore(store)
+        self._roots = root_store.RootStore(store, self._segments)
+        self._clock = clock_
+        self._random = rng
+        self._read_revision = read_revision
+
+    @property
+    def roots(self) -> root_store.RootStore:
+        """What reads the accepted state."""
+        return self._roots
+
+    def submit(
+        self, edit: edits.Edit, timeout_ms: int
+    ) -> expression.Result[Accepted, errors.Fault]:
+        """Make an edit take effect, or say truly that it did not.
+
+        :param edit: the edit; sent again with the same id it counts once
+        :param timeout_ms: how long to try
+        :returns: the acceptance, or a fault: ``NOT_RUN`` if the edit has
+            no effect and never will, ``MAY_HAVE_RUN`` if that is unknown
+        """
+        deadline = clock.Deadline(self._clock.now_ms() + timeout_ms)
+        submission = Submission(edit, deadline)
+        while True:
+            tried = self._try(submission)
+            if tried.is_ok():
+                self._log(submission, tried.ok)
+                return tried
+            over = deadline.has_passed(self._clock.now_ms())
+            if over or not _may_try_again(tried.error):
+                return expression.Error(submission.end(tried.error))
+            self._pause(submission)
+
+    def collect(self) -> expression.Result[int, errors.Fault]:
+        """Delete segments that are no longer needed.
+
+        :returns: how many, or a fault
+        """
+        held = self._roots.read_root()
+        if held.is_error():
+            return expression.Error(held.error)
+        root = held.ok.root
+        past = self._roots.read_history(root)
+        return past.bind(
+            lambda entries: self._segments.collect(
+                root, history.list_retired(entries)
+            )
+        )
+
+    def _try(
+        self, submission: Submission
+    ) -> expression.Result[Accepted, errors.Fault]:
+        read = self._roots.read_root()
+        if read.is_error():
+            return expression.Error(read.error)
+        held = read.ok
+        if not self._is_current(held, submission):
+            return _refuse_stale()
+        found = self._find(held.root, submission)
+        if found.is_error() or found.ok is not None:
+            return found
+        # A newer root without the edit: the unanswered update had no
+        # effect, and its version is gone for good.
+        submission.unknown_from = None
+        made = self._make_root(submission, held)
+        return made.bind(lambda root: self._write(submission, held, root))
+
+    def _is_current(
+        self, held: root_store.HeldRoot, submission: Submission
+    ) -> bool:
+        return (
+            held.version > submission.newer_than
+            and held.root.revision >= self._read_revision()
+        )
+
+    def _find(
+        self, root: roots.Root, submission: Submission
+    ) -> expression.Result[Accepted | None, errors.Fault]:
+        """Look for the edit among those that were accepted."""
+        edit_id = submission.edit.edit_id
+        mark = root.find_edit(edit_id)
+        if mark is not None:
+            return expression.Ok(Accepted(edit_id, mark.revision))
+        if len(root.marks) < roots.MOST_MARKS:
+            return expression.Ok(None)
+        past = self._roots.read_history(root)
+        if past.is_error():
+            return expression.Error(past.error)
+        revision = history.find_edit(past.ok, edit_id)
+        if revision is not None:
+            return expression.Ok(Accepted(edit_id, revision))
+        unknown = submission.unknown_from
+        if unknown is not None and past.ok[0]["revision"] > unknown + 1:
+            return _refuse_forgotten(edit_id)
+        return expression.Ok(None)
+
+    def _make_root(
+        self, submission: Submission, held: root_store.HeldRoot
+    ) -> expression.Result[roots.Root, errors.Fault]:
+        """Write what the new root needs; that alone changes nothing."""
+        edit = submission.edit
+        made = self._roots.read_tables(held.root).bind(edit.apply)
+        past = self._roots.read_history(held.root)
+        if made.is_error() or past.is_error():
+            return made if made.is_error() else past
+        split = segments.split_tables(made.ok)
+        old = held.root.list_rows()
+        retired = old - split.segments.keys()
+        entries = history.add_edit(
+            past.ok, edit, held.root, retired, self._clock.wall_ms()
+        )
+        log = segments.make_segment({"history": entries})
+        new = [split.segments[name] for name in split.segments.keys() - old]
+        written = self._write_segments([*new, log], held.root.revision)
+        return written.map(
+            lambda _: roots.Root(
+                held.root.revision + 1,
+                split.shards,
+                log.digest,
+                held.root.add_mark(edit.edit_id),
+            )
+        )
+
+    def _write_segments(
+        self, new: list[segments.Segment], revision: int
+    ) -> expression.Result[None, errors.Fault]:
+        for segment in new:
+            if len(segment.content) > segments.MOST_SEGMENT_BYTES:
+                return _refuse_large(segment)
+            written = self._segments.write(segment, revision)
+            if written.is_error():
+                return written
+        return expression.Ok(None)
+
+    def _write(
+        self,
+        submission: Submission,
+        held: root_store.HeldRoot,
+        root: roots.Root,
+    ) -> expression.Result[Accepted, errors.Fault]:
+        """Send the same update until there is a definite answer."""
+        while True:
+            written = self._roots.write_root(held, root)
+            if written.is_ok():
+                return expression.Ok(
+                    Accepted(submission.edit.edit_id, root.revision)
+                )
+            fault = written.error
+            if fault.code is not errors.Code.PLATFORM_UNAVAILABLE:
+                submission.newer_than = held.version
+                return expression.Error(fault)
+            if fault.run is not errors.Run.NOT_RUN:
+                submission.unknown_from = held.root.revision
+            if submission.deadline.has_passed(self._clock.now_ms()):
+                return expression.Error(fault)
+            self._pause(submission)
+
+    def _pause(self, submission: Submission) -> None:
+        pause_ms = submission.pause_ms
+        self._clock.sleep_ms(self._random.randint(pause_ms // 2, pause_ms))
+        submission.pause_ms = min(pause_ms * 2, MOST_PAUSE_MS)
+
+    def _log(self, submission: Submission, accepted: Accepted) -> None:
+        LOG.info(
+            "edit accepted: revision %d, id %s, operator %s: %s",
+            accepted.revision,
+            accepted.edit_id,
+            submission.edit.operator,
+            submission.edit.describe(),
+        )
+
+
+def _may_try_again(fault: errors.Fault) -> bool:
+    """Tell faults of the platform from refusals of the edit itself.
+
+    A conflict or a missing segment at the platform means that the root has
+    moved on, which the next try sees.
+    """
+    return fault.step is errors.Step.PLATFORM and fault.code in (
+        errors.Code.PLATFORM_UNAVAILABLE,
+        errors.Code.CONFLICT,
+        errors.Code.NOT_FOUND,
+    )
+
+
+def _refuse_stale() -> expression.Result[typing.Any, errors.Fault]:
+    return expression.Error(
+        errors.Fault(
+            errors.Code.PLATFORM_UNAVAILABLE,
+            errors.Step.PLATFORM,
+            root_store.KIND,
+            message="the platform answers with an older root than is known",
+        )
+    )
+
+
+def _refuse_forgotten(
+    edit_id: str,
+) -> expression.Result[typing.Any, errors.Fault]:
+    return expression.Error(
+        errors.Fault(
+            errors.Code.CONFLICT,
+            errors.Step.ADMIN,
+            edit_id,
+            message="the history no longer tells whether the edit stands",
+        )
+    )
+
+
+def _refuse_large(
+    segment: segments.Segment,
+) -> expression.Result[None, errors.Fault]:
+    return expression.Error(
+        errors.Fault(
+            errors.Code.INVALID_TABLES,
+            errors.Step.TABLES,
+            "segment",
+            message=f"rows of one segment take {len(segment.content)} bytes; "
+            f"expected at most {segments.MOST_SEGMENT_BYTES}",
+        )
+    )
--- /dev/null
+++ b/mulberryway/admin/roots.py
@@ -0,0 +1,113 @@
+"""Reads the accepted state of the tables from the platform."""
+
+import json
+import threading
+import typing
+
+import expression
+
+from mulberryway import errors
+from mulberryway import tables
+from mulberryway.admin import segments as segment_store
+from mulberryway.platform import base
+from mulberryway.tables import root as roots
+from mulberryway.tables import segments
+
+__all__ = ["KIND", "NAME", "HeldRoot", "RootStore"]
+
+KIND = "roots"
+NAME = "root"
+PURPOSE = "configuration_edit"
+
+
+class HeldRoot:
+    """A root and the platform's version of it.
+
+    :param version: the platform's version; 0 if there is none yet
+    :param root: the root
+    """
+
+    __slots__ = ("version", "root")
+
+    def __init__(self, version: int, root: roots.Root) -> None:
+        self.version = version
+        self.root = root
+
+
+class RootStore:
+    """The platform's root and what it names.
+
+    :param store: the platform
+    :param segments_: the platform's segments
+    """
+
+    def __init__(
+        self,
+        store: base.ObjectStore,
+        segments_: segment_store.SegmentStore,
+    ) -> None:
+        self._store = store
+        self._segments = segments_
+        self._lock = threading.Lock()
+        self._cache = segments.SegmentCache()
+
+    def read_root(self) -> expression.Result[HeldRoot, errors.Fault]:
+        """Return the platform's root, or the empty one before the first."""
+        found = self._store.read(KIND, NAME, PURPOSE)
+        if found.is_ok():
+            return _decode_root(found.ok)
+        if found.error.code is errors.Code.NOT_FOUND:
+            return expression.Ok(HeldRoot(0, roots.Root.make_empty()))
+        return expression.Error(found.error)
+
+    def write_root(
+        self, held: HeldRoot, root: roots.Root
+    ) -> expression.Result[base.StoredObject, errors.Fault]:
+        """Put a root in the place of exactly the one that is held.
+
+        :param held: what the new root was made from
+        :param root: the new root
+        :returns: the object as stored, or a fault
+        """
+        value = root.encode()
+        if held.version == 0:
+            return self._store.create(KIND, NAME, value, PURPOSE)
+        return self._store.update(KIND, NAME, value, held.version, PURPOSE)
+
+    def read_tables(
+        self, root: roots.Root
+    ) -> expression.Result[tables.Tables, errors.Fault]:
+        """Return the tables of a root; reads only what is not kept yet.
+
+        :param root: the root
+        """
+        with self._lock:
+            for digest in self._cache.list_missing(root):
+                content = self._segments.read(digest)
+                if content.is_error():
+                    return expression.Error(content.error)
+                self._cache.add(digest, content.ok)
+            self._cache.keep_only(root.list_rows())
+            return expression.Ok(self._cache.join(root))
+
+    def read_history(
+        self, root: roots.Root
+    ) -> expression.Result[list[dict[str, typing.Any]], errors.Fault]:
+        """Return past edits, the newest last.
+
+        :param root: the root whose history is wanted
+        """
+        if root.history == roots.EMPTY:
+            return expression.Ok([])
+        content = self._segments.read(root.history)
+        return content.map(lambda text: json.loads(text)["history"])
+
+
+def _decode_root(
+    stored: base.StoredObject,
+) -> expression.Result[HeldRoot, errors.Fault]:
+    try:
+        root = roots.Root.decode(stored.value)
+    except errors.TablesError as error:
+        return expression.Error(error.fault)
+    return expression.Ok(HeldRoot(stored.version, root))
--- /dev/null
+++ b/mulberryway/tables/edits.py
@@ -0,0 +1,357 @@
+"""Edits of the tables: what an operator wants changed, and on what terms."""
+
+import abc
+import typing
+
+import expression
+
+from mulberryway import errors
+from mulberryway.tables import columns
+from mulberryway.tables import model
+from mulberryway.tables import parse
+from mulberryway.tables import root as roots
+from mulberryway.tables import validate
+
+__all__ = [
+    "ABSENT",
+    "Change",
+    "DeleteRow",
+    "Edit",
+    "GiveKey",
+    "PutRow",
+    "ReplaceAll",
+    "WithdrawKey",
+    "diff_tables",
+    "digest_row",
+]
+
+# As a precondition: the row must not exist yet.
+ABSENT = "absent"
+MOST_SUMMARY = 300
+
+
+def digest_row(row: dict[str, typing.Any] | None) -> str:
+    """Return the digest that preconditions on a row name.
+
+    :param row: plain values, or none for a row that does not exist
+    :returns: the digest, or ``ABSENT``
+    """
+    if row is None:
+        return ABSENT
+    return roots.digest_content(roots.encode_content(row))
+
+
+class Change(abc.ABC):
+    """One part of an edit."""
+
+    @abc.abstractmethod
+    def describe(self) -> str:
+        """Return what it does, for the history; never holds a key."""
+
+    @abc.abstractmethod
+    def apply(
+        self, rows: parse.PlainTables
+    ) -> expression.Result[None, errors.Fault]:
+        """Make the change.
+
+        :param rows: plain rows by table and name; changed in place
+        :returns: nothing, or a fault if the terms do not hold
+        """
+
+
+class PutRow(Change):
+    """Adds or replaces a row.
+
+    :param table: the table's name
+    :param name: the row's name
+    :param values: the row's plain values
+    :param expected: the digest of the row that it replaces; none for any
+    """
+
+    __slots__ = ("table", "name", "values", "expected")
+
+    def __init__(
+        self,
+        table: str,
+        name: str,
+        values: dict[str, typing.Any],
+        expected: str | None = None,
+    ) -> None:
+        self.table = table
+        self.name = name
+        self.values = values
+        self.expected = expected
+
+    def describe(self) -> str:
+        """Return what it does."""
+        return f"put {self.table}.{self.name}"
+
+    def apply(
+        self, rows: parse.PlainTables
+    ) -> expression.Result[None, errors.Fault]:
+        """Add or replace the row; see the base class."""
+        checked = _check_row(rows, self.table, self.name, self.expected)
+        if checked.is_ok():
+            rows[self.table][self.name] = self.values
+        return checked
+
+
+class DeleteRow(Change):
+    """Deletes a row.
+
+    :param table: the table's name
+    :param name: the row's name
+    :param expected: the digest of the row as it must be; none for any
+    """
+
+    __slots__ = ("table", "name", "expected")
+
+    def __init__(
+        self, table: str, name: str, expected: str | None = None
+    ) -> None:
+        self.table = table
+        self.name = name
+        self.expected = expected
+
+    def describe(self) -> str:
+        """Return what it does."""
+        return f"delete {self.table}.{self.name}"
+
+    def apply(
+        self, rows: parse.PlainTables
+    ) -> expression.Result[None, errors.Fault]:
+        """Delete the row; see the base class."""
+        checked = _check_row(rows, self.table, self.name, self.expected)
+        if checked.is_error():
+            return checked
+        if rows[self.table].pop(self.name, None) is None:
+            return _refuse(
+                errors.Code.NOT_FOUND,
+                f"{self.table}.{self.name}",
+                "there is no such row",
+            )
+        return checked
+
+
+class ReplaceAll(Change):
+    """Replaces all rows of all tables, as a whole text of tables does.
+
+    :param rows: plain rows by table and name
+    """
+
+    __slots__ = ("rows",)
+
+    def __init__(self, rows: parse.PlainTables) -> None:
+        self.rows = rows
+
+    def describe(self) -> str:
+        """Return what it does."""
+        return "replace all tables"
+
+    def apply(
+        self, rows: parse.PlainTables
+    ) -> expression.Result[None, errors.Fault]:
+        """Replace all rows; see the base class."""
+        for table in rows:
+            rows[table] = dict(self.rows.get(table, {}))
+        return expression.Ok(None)
+
+
+class GiveKey(Change):
+    """Adds a key to a client account.
+
+    :param account: the client account's name
+    :param digest: the key's digest
+    """
+
+    __slots__ = ("account", "digest")
+
+    def __init__(self, account: str, digest: str) -> None:
+        self.account = account
+        self.digest = digest
+
+    def describe(self) -> str:
+        """Return what it does; eight digits of a digest tell keys apart."""
+        return f"give key {self.digest[:8]} to accounts.{self.account}"
+
+    def apply(
+        self, rows: parse.PlainTables
+    ) -> expression.Result[None, errors.Fault]:
+        """Add the digest; see the base class."""
+        row = rows["accounts"].get(self.account)
+        if row is None:
+            return _refuse_account(self.account)
+        digests = sorted({*row["key_digests"], self.digest})
+        rows["accounts"][self.account] = {**row, "key_digests": digests}
+        return expression.Ok(None)
+
+
+class WithdrawKey(Change):
+    """Takes a key from a client account.
+
+    :param account: the client account's name
+    :param prefix: the first digits of the key's digest, eight at least
+    """
+
+    __slots__ = ("account", "prefix")
+
+    def __init__(self, account: str, prefix: str) -> None:
+        self.account = account
+        self.prefix = prefix
+
+    def describe(self) -> str:
+        """Return what it does."""
+        return f"withdraw key {self.prefix[:8]} of accounts.{self.account}"
+
+    def apply(
+        self, rows: parse.PlainTables
+    ) -> expression.Result[None, errors.Fault]:
+        """Take the digest out; see the base class."""
+        row = rows["accounts"].get(self.account)
+        if row is None:
+            return _refuse_account(self.account)
+        found = [
+            digest
+            for digest in row["key_digests"]
+            if digest.startswith(self.prefix)
+        ]
+        if len(found) != 1:
+            return _refuse(
+                errors.Code.NOT_FOUND,
+                f"accounts.{self.account}",
+                f"{len(found)} keys begin with {self.prefix[:8]}",
+            )
+        left = [digest for digest in row["key_digests"] if digest != found[0]]
+        rows["accounts"][self.account] = {**row, "key_digests": left}
+        return expression.Ok(None)
+
+
+class Edit:
+    """What one operator wants changed at once.
+
+    :param edit_id: unique; the same edit sent again has the same id
+    :param operator: who wants it
+    :param changes: its parts, in order
+    :param revision: the revision that it must be made from; none for any
+    """
+
+    __slots__ = ("edit_id", "operator", "changes", "revision")
+
+    def __init__(
+        self,
+        edit_id: str,
+        operator: str,
+        changes: tuple[Change, ...],
+        revision: int | None = None,
+    ) -> None:
+        self.edit_id = edit_id
+        self.operator = operator
+        self.changes = changes
+        self.revision = revision
+
+    def describe(self) -> str:
+        """Return what it does, for the history and the log."""
+        text = "; ".join(change.describe() for change in self.changes)
+        return text[:MOST_SUMMARY]
+
+    def apply(
+        self, tables: model.Tables
+    ) -> expression.Result[model.Tables, errors.Fault]:
+        """Return the tables that the edit makes, checked with their join.
+
+        :param tables: the tables that it is made from
+        :returns: the next revision's tables, or a fault with the reason
+        """
+        if self.revision is not None and self.revision != tables.revision:
+            return _refuse(
+                errors.Code.CONFLICT,
+                "tables",
+                f"the edit was made from revision {self.revision}, "
+                f"but revision {tables.revision} has been accepted",
+            )
+        rows = parse.encode_tables(tables)
+        for change in self.changes:
+            changed = change.apply(rows)
+            if changed.is_error():
+                return changed
+        made = parse.decode_tables(rows, tables.revision + 1)
+        return made.bind(
+            lambda new: validate.validate_tables(new).map(lambda _: new)
+        )
+
+
+def diff_tables(old: model.Tables, new: model.Tables) -> list[str]:
+    """Return what differs, one line for each value.
+
+    :param old: the tables before
+    :param new: the tables after
+    :returns: lines that begin with ``+``, ``-`` or ``~``
+    """
+    before, after = parse.encode_tables(old), parse.encode_tables(new)
+    return [
+        line
+        for table in parse.ROW_TYPES
+        for name in sorted(before[table].keys() | after[table].keys())
+        for line in _diff_row(
+            f"{table}.{name}",
+            before[table].get(name),
+            after[table].get(name),
+        )
+    ]
+
+
+def _diff_row(
+    place: str,
+    old: dict[str, typing.Any] | None,
+    new: dict[str, typing.Any] | None,
+) -> list[str]:
+    if old is None:
+        return [f"+ {place}"]
+    if new is None:
+        return [f"- {place}"]
+    return [
+        f"~ {place}.{key}"
+        if key in ("credential", "upstreams")
+        else f"~ {place}.{key}: {old[key]} -> {new[key]}"
+        for key in new
+        if old[key] != new[key]
+    ]
+
+
+def _check_row(
+    rows: parse.PlainTables, table: str, name: str, expected: str | None
+) -> expression.Result[None, errors.Fault]:
+    if table not in rows:
+        known = ", ".join(parse.ROW_TYPES)
+        return expression.Error(
+            columns.make_fault(table, "", "", f"one of {known}").fault
+        )
+    actual = digest_row(rows[table].get(name))
+    if expected is not None and actual != expected:
+        return _refuse(
+            errors.Code.CONFLICT,
+            f"{table}.{name}",
+            f"the row's digest is {actual}, not {expected}",
+        )
+    return expression.Ok(None)
+
+
+def _refuse_account(
+    account: str,
+) -> expression.Result[typing.Any, errors.Fault]:
+    return _refuse(
+        errors.Code.NOT_FOUND, f"accounts.{account}", "there is no such row"
+    )
+
+
+def _refuse(
+    code: errors.Code, place: str, message: str
+) -> expression.Result[typing.Any, errors.Fault]:
+    return expression.Error(
+        errors.Fault(
+            code,
+            errors.Step.TABLES,
+            place,
+            message=f"{place}: {message}",
+        )
+    )
--- /dev/null
+++ b/mulberryway/tables/root.py
@@ -0,0 +1,173 @@
+"""The root: the one object that names every segment of the tables."""
+
+import hashlib
+import itertools
+import json
+import typing
+
+from mulberryway import errors
+
+__all__ = [
+    "DIGEST_DIGITS",
+    "EMPTY",
+    "SHARDS",
+    "EditMark",
+    "Root",
+    "digest_content",
+    "encode_content",
+]
+
+# 128 bits of SHA-256: two segments of one digest will not be met, and the
+# root, which every VM receives with every edit, stays near four kilobytes.
+DIGEST_DIGITS = 32
+# An edit moves the root and one shard.  With 2,200 client accounts a shard
+# of accounts holds about 35; more shards would make the root the larger
+# part, fewer would make it the smaller one.
+SHARDS = {"routes": 4, "pools": 16, "accounts": 64}
+# The root keeps the ids of the last edits, so that a lost reply can be
+# settled with one read.
+MOST_MARKS = 16
+EMPTY = ""
+
+
+def encode_content(value: typing.Any) -> bytes:
+    """Return the one JSON text of a plain value.
+
+    :param value: plain values
+    :returns: bytes that are equal for equal values
+    """
+    return json.dumps(
+        value, sort_keys=True, separators=(",", ":"), ensure_ascii=True
+    ).encode()
+
+
+def digest_content(content: bytes) -> str:
+    """Return the name of a content.
+
+    :param content: the bytes
+    :returns: hexadecimal digits
+    """
+    return hashlib.sha256(content).hexdigest()[:DIGEST_DIGITS]
+
+
+class EditMark:
+    """Says that an edit was accepted, and as which revision.
+
+    :param revision: the revision that it made
+    :param edit_id: the edit's own id
+    """
+
+    __slots__ = ("revision", "edit_id")
+
+    def __init__(self, revision: int, edit_id: str) -> None:
+        self.revision = revision
+        self.edit_id = edit_id
+
+
+class Root:
+    """One accepted state of the tables, by the digests of its segments.
+
+    :param revision: grows by one with each accepted edit
+    :param shards: digests by table; ``EMPTY`` for a shard without rows
+    :param history: the digest of the segment with past edits
+    :param marks: the last edits, the newest last
+    """
+
+    __slots__ = ("revision", "shards", "history", "marks")
+
+    def __init__(
+        self,
+        revision: int,
+        shards: dict[str, tuple[str, ...]],
+        history: str,
+        marks: tuple[EditMark, ...],
+    ) -> None:
+        self.revision = revision
+        self.shards = shards
+        self.history = history
+        self.marks = marks
+
+    def encode(self) -> dict[str, typing.Any]:
+        """Return the root's plain values."""
+        return {
+            "revision": self.revision,
+            "shards": {
+                table: list(names) for table, names in self.shards.items()
+            },
+            "history": self.history,
+            "marks": [[mark.revision, mark.edit_id] for mark in self.marks],
+        }
+
+    def digest(self) -> str:
+        """Return the digest over everything that the root says."""
+        return digest_content(encode_content(self.encode()))
+
+    def list_rows(self) -> set[str]:
+        """Return the digests of all segments that hold rows."""
+        names = itertools.chain.from_iterable(self.shards.values())
+        return set(names) - {EMPTY}
+
+    def list_segments(self) -> set[str]:
+        """Return the digests of all segments, the history included."""
+        return (self.list_rows() | {self.history}) - {EMPTY}
+
+    def find_edit(self, edit_id: str) -> EditMark | None:
+        """Return the mark of an edit, if it is one of the last.
+
+        :param edit_id: the edit's own id
+        """
+        return next(
+            (mark for mark in self.marks if mark.edit_id == edit_id), None
+        )
+
+    def add_mark(self, edit_id: str) -> tuple[EditMark, ...]:
+        """Return the marks of the root that an edit makes from this one.
+
+        :param edit_id: the edit's own id
+        """
+        mark = EditMark(self.revision + 1, edit_id)
+        return (*self.marks, mark)[-MOST_MARKS:]
+
+    @classmethod
+    def decode(cls, value: typing.Any) -> "Root":
+        """Make a root from its plain values.
+
+        :param value: what ``encode`` returned
+        :raises TablesError: if it is not a root that this version knows
+        """
+        try:
+            shards = {
+                table: tuple(map(_check_digest, value["shards"][table]))
+                for table in SHARDS
+            }
+            marks = tuple(
+                EditMark(int(revision), str(edit_id))
+                for revision, edit_id in value["marks"]
+            )
+            return cls(
+                int(value["revision"]),
+                shards,
+                _check_digest(value["history"]),
+                marks,
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            raise errors.TablesError(
+                errors.Fault(
+                    errors.Code.INVALID_TABLES,
+                    errors.Step.TABLES,
+                    "root",
+                    message=f"root: malformed ({type(error).__name__})",
+                )
+            ) from error
+
+    @classmethod
+    def make_empty(cls) -> "Root":
+        """Return the root before the first edit, of revision 0."""
+        shards = {table: (EMPTY,) * count for table, count in SHARDS.items()}
+        return cls(0, shards, EMPTY, ())
+
+
+def _check_digest(name: typing.Any) -> str:
+    if not isinstance(name, str) or len(name) not in (0, DIGEST_DIGITS):
+        raise ValueError("not a digest")
+    return name
--- /dev/null
+++ b/mulberryway/tables/segments.py
@@ -0,0 +1,194 @@
+"""Tables cut into immutable segments, and put together again."""
+
+import collections.abc
+import hashlib
+import itertools
+import json
+import typing
+
+from mulberryway import errors
+from mulberryway.tables import model
+from mulberryway.tables import parse
+from mulberryway.tables import root as roots
+
+__all__ = [
+    "MOST_SEGMENT_BYTES",
+    "Segment",
+    "SegmentCache",
+    "make_segment",
+    "split_tables",
+]
+
+# The platform holds values up to a megabyte, its own envelope included.
+MOST_SEGMENT_BYTES = 1_000_000
+
+
+class Segment:
+    """Some rows under the digest of their content.
+
+    :param digest: see :func:`roots.digest_content`
+    :param content: canonical JSON
+    """
+
+    __slots__ = ("digest", "content")
+
+    def __init__(self, digest: str, content: bytes) -> None:
+        self.digest = digest
+        self.content = content
+
+
+def make_segment(value: typing.Any) -> Segment:
+    """Return the segment of a plain value.
+
+    :param value: plain values
+    """
+    content = roots.encode_content(value)
+    return Segment(roots.digest_content(content), content)
+
+
+class SplitTables:
+    """What an accepted state consists of.
+
+    :param shards: digests by table, for the root
+    :param segments: the segments by digest
+    """
+
+    __slots__ = ("shards", "segments")
+
+    def __init__(
+        self,
+        shards: dict[str, tuple[str, ...]],
+        segments: dict[str, Segment],
+    ) -> None:
+        self.shards = shards
+        self.segments = segments
+
+
+def split_tables(tables: model.Tables) -> SplitTables:
+    """Cut tables into segments.
+
+    A row's place depends on its name alone, so that an edit of one row
+    changes one segment, whatever else the tables hold.
+
+    :param tables: the tables
+    :returns: digests for the root, and the segments
+    """
+    segments: dict[str, Segment] = {}
+    shards = {
+        table: _split_rows(table, rows, segments)
+        for table, rows in parse.encode_tables(tables).items()
+    }
+    return SplitTables(shards, segments)
+
+
+def _split_rows(
+    table: str,
+    rows: dict[str, dict[str, typing.Any]],
+    segments: dict[str, Segment],
+) -> tuple[str, ...]:
+    count = roots.SHARDS[table]
+    parts: list[dict[str, typing.Any]] = [{} for _ in range(count)]
+    for name, row in rows.items():
+        parts[_choose_shard(name, count)][name] = row
+    return tuple(
+        _add_segment(table, part, segments) if part else roots.EMPTY
+        for part in parts
+    )
+
+
+def _choose_shard(name: str, count: int) -> int:
+    digest = hashlib.sha256(name.encode()).digest()
+    return int.from_bytes(digest[:8], "big") % count
+
+
+def _add_segment(
+    table: str,
+    part: dict[str, typing.Any],
+    segments: dict[str, Segment],
+) -> str:
+    segment = make_segment({table: part})
+    segments[segment.digest] = segment
+    return segment.digest
+
+
+class SegmentCache:
+    """Segments that were checked and read, by digest.
+
+    An edit changes one segment; only that one is decoded again.
+    """
+
+    __slots__ = ("_contents", "_rows")
+
+    def __init__(self) -> None:
+        self._contents: dict[str, bytes] = {}
+        self._rows: dict[str, model.Tables] = {}
+
+    def add(self, digest: str, content: bytes) -> bool:
+        """Keep a segment if it is what its digest says.
+
+        A segment may come from a stale peer or a damaged reply; its digest
+        alone decides, so it does not matter who sent it.
+
+        :param digest: the name under which it was asked for
+        :param content: what came
+        :returns: false if the content has another digest
+        :raises TablesError: if the rows are malformed
+        """
+        if roots.digest_content(content) != digest:
+            return False
+        if digest not in self._rows:
+            decoded = parse.decode_tables(json.loads(content), 0)
+            if decoded.is_error():
+                raise errors.TablesError(decoded.error)
+            self._rows[digest] = decoded.ok
+            self._contents[digest] = content
+        return True
+
+    def find(self, digest: str) -> bytes | None:
+        """Return a segment's content, or none.
+
+        :param digest: the segment's digest
+        """
+        return self._contents.get(digest)
+
+    def list_missing(self, root: roots.Root) -> list[str]:
+        """Return the digests that a root needs and that are not here.
+
+        :param root: the root
+        """
+        return sorted(root.list_rows() - self._rows.keys())
+
+    def join(self, root: roots.Root) -> model.Tables:
+        """Put the tables of a root together; none may be missing.
+
+        :param root: the root
+        :returns: the tables with the root's revision
+        """
+        parts = [self._rows[digest] for digest in sorted(root.list_rows())]
+        return model.Tables(
+            root.revision,
+            _chain(part.routes for part in parts),
+            _chain(part.pools for part in parts),
+            _chain(part.accounts for part in parts),
+        )
+
+    def keep_only(self, digests: collections.abc.Collection[str]) -> None:
+        """Forget all other segments.
+
+        :param digests: the digests to keep
+        """
+        kept = set(digests)
+        self._rows = {
+            key: rows for key, rows in self._rows.items() if key in kept
+        }
+        self._contents = {
+            key: text for key, text in self._contents.items() if key in kept
+        }
+
+
+def _chain(
+    parts: collections.abc.Iterable[dict[str, typing.Any]],
+) -> tuple[typing.Any, ...]:
+    return tuple(
+        itertools.chain.from_iterable(rows.values() for rows in parts)
+    )
