--- /dev/null
+++ b/mulberryway/policy/allowance_split.py
@@ -0,0 +1,119 @@
+"""The baseline: each VM has a fixed part of every rate and burst.
+
+It needs no message and never overruns while the number of VMs is right, but
+it refuses an account whose callers meet few of the VMs.
+"""
+
+import threading
+
+import expression
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway import tables
+from mulberryway.policy import allowance
+from mulberryway.policy import token_bucket
+
+__all__ = ["SplitAllowances"]
+
+
+class _SplitReservation(allowance.Reservation):
+    """Remembers the bucket, and when the tokens were taken from it."""
+
+    __slots__ = ("bucket", "stamp")
+
+    def __init__(
+        self,
+        account: str,
+        tokens: int,
+        bucket: token_bucket.TokenBucket,
+        stamp: int,
+    ) -> None:
+        super().__init__(account, tokens)
+        self.bucket = bucket
+        self.stamp = stamp
+
+
+class SplitAllowances(allowance.Allowances):
+    """Divides each account's rate and burst evenly over a number of VMs.
+
+    Buckets begin empty, so that a VM which restarts brings no second burst.
+
+    :param source: the tables in force
+    :param clock_: where the time comes from
+    :param vms: over how many VMs
+    """
+
+    def __init__(
+        self, source: tables.TableSource, clock_: clock.Clock, vms: int
+    ) -> None:
+        self._source = source
+        self._clock = clock_
+        self._vms = vms
+        self._lock = threading.Lock()
+        self._buckets: dict[str, token_bucket.TokenBucket] = {}
+        source.subscribe(self._take_tables)
+        current = source.read_tables()
+        if current is not None:
+            self._take_tables(current)
+
+    def reserve(
+        self, account: str, tokens: int
+    ) -> expression.Result[allowance.Reservation, errors.Fault]:
+        """Take tokens for a request before it runs.
+
+        :param account: the client account
+        :param tokens: the prompt and the most that can be generated
+        :returns: the reservation, or ``OVER_ALLOWANCE`` with a retry hint
+        """
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            bucket = self._buckets.get(account)
+            if bucket is None or not bucket.take(tokens, now_ms):
+                return expression.Error(_refuse(bucket, tokens, now_ms))
+            stamp = bucket.stamp(now_ms)
+        return expression.Ok(_SplitReservation(account, tokens, bucket, stamp))
+
+    def settle(self, reservation: allowance.Reservation, used: int) -> None:
+        """Give back what a request did not use; called exactly once.
+
+        :param reservation: what was taken
+        :param used: tokens that the caller received or that were computed
+        """
+        if not isinstance(reservation, _SplitReservation):
+            return
+        unused = max(reservation.tokens - used, 0)
+        with self._lock:
+            reservation.bucket.refund(
+                unused, reservation.stamp, self._clock.now_ms()
+            )
+
+    def _take_tables(self, current: tables.Tables) -> None:
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            gone = self._buckets.keys() - current.accounts.keys()
+            for name in gone:
+                del self._buckets[name]
+            for account in current.accounts.values():
+                self._change(account, now_ms)
+
+    def _change(self, account: tables.ClientAccount, now_ms: int) -> None:
+        bucket = self._buckets.get(account.name)
+        if bucket is None:
+            self._buckets[account.name] = token_bucket.TokenBucket(
+                account.rate, account.burst, self._vms, now_ms
+            )
+        else:
+            bucket.change(account.rate, account.burst, now_ms)
+
+
+def _refuse(
+    bucket: token_bucket.TokenBucket | None, tokens: int, now_ms: int
+) -> errors.Fault:
+    wait_ms = None if bucket is None else bucket.time_until(tokens, now_ms)
+    return errors.Fault(
+        errors.Code.OVER_ALLOWANCE,
+        errors.Step.ADMISSION,
+        message="the client account's allowance is used up",
+        retry_after_ms=wait_ms,
+    )
