--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,11 @@
 	$(BIN)/python -m benchmarks
 
 thrift:
-	thrift --gen py:slots,package_prefix=mulberryway.peers. -out mulberryway/peers mulberryway/peers/idl/*.thrift
+	for file in mulberryway/peers/idl/*.thrift; do \
+		thrift --gen py:slots,package_prefix=mulberryway.peers.gen. \
+			-out mulberryway/peers/gen $$file || exit 1; \
+	done
+	rm -f mulberryway/peers/gen/*/*-remote
 
 clean:
 	rm -rf build out $(VENV)
--- /dev/null
+++ b/mulberryway/peers/traffic.py
@@ -0,0 +1,62 @@
+"""Counts the messages and bytes that go between peers, by kind."""
+
+import threading
+
+__all__ = ["Traffic", "TrafficCount"]
+
+
+class TrafficCount:
+    """What went one way under one kind.
+
+    :param kind: ``Service:method``
+    :param is_sent: true for what left this process
+    :param messages: how many
+    :param payload_bytes: their bytes, frames included, TCP excluded
+    """
+
+    __slots__ = ("kind", "is_sent", "messages", "payload_bytes")
+
+    def __init__(
+        self, kind: str, is_sent: bool, messages: int, payload_bytes: int
+    ) -> None:
+        self.kind = kind
+        self.is_sent = is_sent
+        self.messages = messages
+        self.payload_bytes = payload_bytes
+
+
+class Traffic:
+    """Counters for metrics; safe to use from many threads."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._counts: dict[tuple[str, bool], TrafficCount] = {}
+
+    def count(self, kind: str, is_sent: bool, payload_bytes: int) -> None:
+        """Add one message.
+
+        :param kind: ``Service:method``
+        :param is_sent: true for what leaves this process
+        :param payload_bytes: its bytes
+        """
+        with self._lock:
+            key = (kind, is_sent)
+            count = self._counts.get(key)
+            if count is None:
+                count = TrafficCount(kind, is_sent, 0, 0)
+                self._counts[key] = count
+            count.messages += 1
+            count.payload_bytes += payload_bytes
+
+    def read_counts(self) -> list[TrafficCount]:
+        """Return a copy of all counters."""
+        with self._lock:
+            return [
+                TrafficCount(
+                    count.kind,
+                    count.is_sent,
+                    count.messages,
+                    count.payload_bytes,
+                )
+                for count in self._counts.values()
+            ]
