Keep a view of all VMs by probes and hearsay, and answer entry queries

Cause: callers, configuration and allowances need to know which VMs live, without asking the platform. Change: SWIM-style membership with incarnations, denial, anti-entropy and probes of the dead; urgent news and small hints fan out at once; the entry answer leaves out stopping and suspected VMs and prefers the caller's zone.

--- /dev/null
+++ b/mulberryway/controllers/membership_exchange.py
@@ -0,0 +1,172 @@
+"""What VMs tell one another on each probe and its answer; hints only."""
+
+import collections.abc
+import threading
+import typing
+
+import expression
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway.peers import client
+from mulberryway.peers import membership_messages
+from mulberryway.peers.gen.membership import Membership as service
+from mulberryway.peers.gen.membership import ttypes
+from mulberryway.policy import hints
+from mulberryway.policy import member
+from mulberryway.policy import membership
+
+__all__ = ["MembershipExchange", "OnHint", "OnNewerTables"]
+
+OnHint = collections.abc.Callable[[hints.Hint], None]
+OnNewerTables = collections.abc.Callable[[member.Member], None]
+
+
+class MembershipExchange(service.Iface):
+    """Sends and answers probes, and keeps the view and the notes.
+
+    :param view: this VM's view of all VMs
+    :param peers: calls other VMs
+    :param clock_: where the time comes from
+    :param on_urgent: called when something is to be passed on at once
+    """
+
+    def __init__(
+        self,
+        view: membership.Membership,
+        peers: client.PeerClient,
+        clock_: clock.Clock,
+        on_urgent: collections.abc.Callable[[], None],
+    ) -> None:
+        self.lock = threading.RLock()
+        self.view = view
+        self.board = hints.HintBoard()
+        self.revision = 0
+        self.streams = 0
+        self.on_hint: dict[str, list[OnHint]] = {}
+        self.on_newer: list[OnNewerTables] = []
+        self._peers = peers
+        self._clock = clock_
+        self._on_urgent = on_urgent
+
+    def probe(self, news: ttypes.News) -> ttypes.News:
+        """Answer that this VM lives; news go both ways.
+
+        :param news: the caller's news
+        :returns: this VM's news
+        """
+        self._take(news)
+        return self._make_news(news.sender.name)
+
+    def probe_for(self, peer: str, name: str) -> bool:
+        """Probe another VM on behalf of one that cannot reach it.
+
+        :param peer: its ``host:port``
+        :param name: its name
+        :returns: whether it answered
+        """
+        return self.probe_peer(peer, name)
+
+    def list_all(self) -> list[ttypes.Member]:
+        """Return messages of all that this VM knows."""
+        with self.lock:
+            known = self.view.list_members()
+            return list(map(membership_messages.pack_member, known))
+
+    def probe_peer(self, peer: str, name: str) -> bool:
+        """Probe a VM; an answer of another VM at its address is no answer.
+
+        :param peer: its ``host:port``
+        :param name: its name; empty to take whoever answers
+        :returns: whether it answered
+        """
+        answer = self.call(peer, "probe", self._make_news(name))
+        if not answer.is_ok():
+            return False
+        self._take(answer.ok, peer)
+        return name in ("", answer.ok.sender.name)
+
+    def call(
+        self, peer: str, method: str, *arguments: typing.Any
+    ) -> expression.Result[typing.Any, errors.Fault]:
+        """Call a peer's membership service.
+
+        :param peer: its ``host:port``
+        :param method: the method
+        :param arguments: its arguments
+        :returns: the answer, or a fault
+        """
+        return self._peers.call(
+            peer, service.Client, method, *arguments, is_idempotent=True
+        )
+
+    def _make_news(self, receiver: str) -> ttypes.News:
+        pack_member = membership_messages.pack_member
+        with self.lock:
+            now_ms = self._clock.now_ms()
+            notes = self.board.take(self.view.count_sends(), now_ms)
+            return ttypes.News(
+                pack_member(self.view.own),
+                self.revision,
+                self.streams,
+                self.view.digest(),
+                list(map(pack_member, self._choose_members(receiver))),
+                [
+                    membership_messages.pack_hint(note, now_ms)
+                    for note in notes
+                ],
+            )
+
+    def _choose_members(self, receiver: str) -> list[member.Member]:
+        news = self.view.take_news()
+        known = self.view.find(receiver)
+        if known is None or known.health is member.Health.ALIVE:
+            return news
+        # A VM that is wrongly thought dead has to hear so, else it cannot
+        # deny it: after a lost link nobody passes that old news on.
+        return [known, *news]
+
+    def _take(self, news: ttypes.News, peer: str = "") -> None:
+        self._apply([news.sender, *news.members])
+        now_ms = self._clock.now_ms()
+        with self.lock:
+            self.view.note_heard(
+                news.sender.name, news.streams, news.revision, now_ms
+            )
+            sender = self.view.find(news.sender.name)
+            is_behind = news.revision > self.revision
+            # Only the one who probes fetches, off the server's threads.
+            needs_sync = bool(peer) and self.view.needs_sync(
+                news.digest, now_ms
+            )
+        self._take_hints(news.hints, now_ms)
+        if is_behind and sender is not None:
+            for tell in self.on_newer:
+                tell(sender.copy())
+        if needs_sync:
+            self._sync(peer)
+
+    def _sync(self, peer: str) -> None:
+        answer = self.call(peer, "list_all")
+        if answer.is_ok():
+            self._apply(answer.ok)
+
+    def _apply(self, messages: list[ttypes.Member]) -> None:
+        now_ms = self._clock.now_ms()
+        with self.lock:
+            for message in messages:
+                news = membership_messages.unpack_member(message)
+                self.view.apply(news, now_ms)
+
+    def _take_hints(self, messages: list[ttypes.Hint], now_ms: int) -> None:
+        unpacked = (
+            membership_messages.unpack_hint(message, now_ms)
+            for message in messages
+        )
+        with self.lock:
+            new = [hint for hint in unpacked if self.board.add(hint, now_ms)]
+        for hint in new:
+            for tell in self.on_hint.get(hint.kind, ()):
+                tell(hint)
+        if new:
+            self._on_urgent()
--- a/mulberryway/policy/entry.py
+++ b/mulberryway/policy/entry.py
@@ -1,8 +1,11 @@
 """Which VMs a caller is told to connect to; a hint, never a promise."""
 
 import abc
+import random
 
-__all__ = ["EntryAddress", "EntryDirectory"]
+from mulberryway.policy import member
+
+__all__ = ["EntryAddress", "EntryDirectory", "choose_addresses"]
 
 
 class EntryAddress:
@@ -29,3 +32,71 @@
         :param caller_zone: the caller's zone; empty if not known
         :returns: a few addresses; never empty while any VM is known
         """
+
+
+# A caller tries the next address when one fails, so a few are enough; more
+# would only let callers drift out of their zone.
+MOST_ADDRESSES = 3
+# A count of running requests that is older says little of the present.
+FRESH_MS = 10_000
+
+
+def choose_addresses(
+    members: list[member.Member],
+    caller_zone: str,
+    chance: random.Random,
+    now_ms: int,
+) -> list[EntryAddress]:
+    """Choose the addresses that a caller is told.
+
+    The load that this is made for: thousands of callers keep an answer for
+    some seconds each, and all VMs answer.  Choosing the least loaded VM
+    would send all of them to the same one, and its count would tell so only
+    later; so the less loaded of two random VMs is chosen each time, in the
+    caller's zone while it has one that takes callers.  The last address is
+    in another zone if there is one, for the case that the whole zone fails.
+
+    VMs that stop or are suspected are left out while others are there; with
+    none left, wrong suspicion is likelier than the death of all.
+
+    :param members: all VMs that are known
+    :param caller_zone: the caller's zone; empty if not known
+    :param chance: where the choice comes from
+    :param now_ms: the present
+    :returns: addresses in the order of trying; empty only without members
+    """
+    ranks = sorted({_rank(one) for one in members})
+    usable = [one for one in members if _rank(one) == ranks[0]]
+    near = [one for one in usable if one.zone == caller_zone]
+    far = [one for one in usable if one.zone != caller_zone]
+    chosen = _pick(near, MOST_ADDRESSES, chance, now_ms)
+    if near and far:
+        chosen = chosen[: MOST_ADDRESSES - 1]
+    missing = MOST_ADDRESSES - len(chosen)
+    chosen += _pick(far, missing, chance, now_ms)
+    return [EntryAddress(one.entry, one.zone) for one in chosen]
+
+
+def _rank(one: member.Member) -> tuple[int, bool]:
+    return (int(one.health), one.is_stopping)
+
+
+def _pick(
+    members: list[member.Member],
+    count: int,
+    chance: random.Random,
+    now_ms: int,
+) -> list[member.Member]:
+    left = list(members)
+    chosen: list[member.Member] = []
+    while left and len(chosen) < count:
+        pair = chance.sample(left, min(2, len(left)))
+        best = min(pair, key=lambda one: _read_streams(one, now_ms))
+        left.remove(best)
+        chosen.append(best)
+    return chosen
+
+
+def _read_streams(one: member.Member, now_ms: int) -> int:
+    is_fresh = one.heard_ms is not None and now_ms - one.heard_ms < FRESH_MS
+    return one.streams if is_fresh else 0
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,177 @@
+"""VMs that find, suspect, lose and find one another again."""
+
+import unittest
+
+from mulberryway import clock
+from mulberryway.controllers import membership as controllers
+from mulberryway.peers.gen.membership import Membership as service
+from mulberryway.policy import member
+from tests import peer_network
+
+PERIOD_MS = 1_000
+
+
+class Fleet:
+    """VMs that are stepped in turn, one period at a time."""
+
+    def __init__(self, count, zones=3):
+        self.clock = clock.ManualClock(1_000)
+        self.network = peer_network.Network()
+        self.vms = [self.make(f"vm{n}", n % zones) for n in range(count)]
+
+    def make(self, name, zone, incarnation=1):
+        own = member.Member(
+            name, name, 1, 2, f"zone{zone}", "region", incarnation
+        )
+        vm = controllers.MembershipController(
+            own,
+            ("vm0:1",) if name != "vm0" else (),
+            peer_network.FakePeers(self.network, own.peer),
+            None,
+            self.clock,
+            PERIOD_MS,
+        )
+        self.network.attach(own.peer, service.Processor(vm.exchange))
+        return vm
+
+    def run(self, periods, stopped=()):
+        for _ in range(periods):
+            self.clock.advance_ms(PERIOD_MS)
+            for vm in self.vms:
+                if vm.own.peer not in self.network.down:
+                    vm.step()
+
+    def see(self, vm, name):
+        found = [one for one in vm.list_members() if one.name == name]
+        return found[0] if found else None
+
+
+class MembershipTest(unittest.TestCase):
+    def check_all_see(self, fleet, name, health, besides=()):
+        for vm in fleet.vms:
+            if vm.own.name != name and vm.own.name not in besides:
+                seen = fleet.see(vm, name)
+                self.assertIs(seen.health, health, vm.own.name)
+
+    def test_all_find_one_another_through_one_seed(self):
+        fleet = Fleet(27)
+        fleet.run(20)
+        for vm in fleet.vms:
+            self.assertEqual(len(vm.list_members()), 27)
+        digests = {vm.exchange.view.digest() for vm in fleet.vms}
+        self.assertEqual(len(digests), 1)
+
+    def test_a_dead_vm_is_left_out_of_entry_answers(self):
+        """A VM dies without a word; callers were sent to it before.
+
+        An entry answer that still names it costs callers a failed try.
+        """
+        fleet = Fleet(9)
+        fleet.run(20)
+        fleet.network.down.add("vm4:1")
+        fleet.run(4)
+        answers = [vm.list_addresses("zone1") for vm in fleet.vms]
+        named = {one.address for answer in answers[:4] for one in answer}
+        self.assertNotIn("vm4:2", named)
+        fleet.run(20)
+        self.check_all_see(fleet, "vm4", member.Health.DEAD)
+
+    def test_one_lost_link_kills_nobody(self):
+        """Two VMs cannot reach each other, though all others reach both.
+
+        Were one probe enough, both would be thrown out again and again.
+        """
+        fleet = Fleet(9)
+        fleet.run(20)
+        fleet.network.cut.add(("vm3:1", "vm5:1"))
+        fleet.run(40)
+        self.check_all_see(fleet, "vm3", member.Health.ALIVE)
+        self.check_all_see(fleet, "vm5", member.Health.ALIVE)
+
+    def test_regions_that_lost_each_other_join_again(self):
+        """Two halves are cut apart until each takes the other for dead."""
+        fleet = Fleet(8)
+        fleet.run(20)
+        halves = [
+            (near.own.peer, far.own.peer)
+            for near in fleet.vms[:4]
+            for far in fleet.vms[4:]
+        ]
+        fleet.network.cut.update(halves)
+        fleet.run(40)
+        dead = fleet.see(fleet.vms[0], "vm7")
+        self.assertIs(dead.health, member.Health.DEAD)
+        fleet.network.cut.clear()
+        fleet.run(60)
+        for vm in fleet.vms:
+            self.check_all_see(fleet, vm.own.name, member.Health.ALIVE)
+
+    def test_a_new_vm_at_an_old_address_is_not_the_old_one(self):
+        """A VM is replaced; the new one has its name and IP number.
+
+        Late news of the old one's death must not count against it.
+        """
+        fleet = Fleet(9)
+        fleet.run(20)
+        fleet.network.down.add("vm4:1")
+        fleet.run(30)
+        fleet.network.down.clear()
+        fleet.vms[4] = fleet.make("vm4", 1, incarnation=2)
+        fleet.run(20)
+        self.check_all_see(fleet, "vm4", member.Health.ALIVE)
+        self.assertEqual(fleet.see(fleet.vms[0], "vm4").incarnation, 2)
+
+    def test_a_vm_whose_clock_went_back_gets_a_larger_incarnation(self):
+        """A restarted VM has a smaller incarnation than its old life.
+
+        Taken for the old one, it would be ignored until that is forgotten.
+        """
+        fleet = Fleet(9)
+        fleet.run(20)
+        fleet.vms[4] = fleet.make("vm4", 1, incarnation=0)
+        fleet.run(20)
+        self.check_all_see(fleet, "vm4", member.Health.ALIVE)
+        self.assertEqual(
+            fleet.see(fleet.vms[0], "vm4").incarnation,
+            fleet.vms[4].own.incarnation,
+        )
+
+    def test_a_stopping_vm_is_left_out_within_a_few_periods(self):
+        fleet = Fleet(27)
+        fleet.run(30)
+        fleet.vms[5].change_own(is_stopping=True)
+        fleet.run(4)
+        for vm in fleet.vms:
+            self.assertTrue(fleet.see(vm, "vm5").is_stopping)
+            named = [one.address for one in vm.list_addresses("zone2")]
+            self.assertNotIn("vm5:2", named)
+
+    def test_hints_reach_everybody_once(self):
+        fleet = Fleet(27)
+        fleet.run(30)
+        got = []
+        for vm in fleet.vms:
+            vm.subscribe(
+                "poison",
+                lambda hint, name=vm.own.name: got.append((name, hint.key)),
+            )
+        fleet.vms[3].publish("poison", "digest", b"x", 60_000)
+        fleet.run(6)
+        names = {vm.own.name for vm in fleet.vms} - {"vm3"}
+        self.assertEqual(sorted(got), sorted((n, "digest") for n in names))
+
+    def test_newer_tables_are_noticed(self):
+        """An edit has reached one VM only; the others must hear of it."""
+        fleet = Fleet(9)
+        fleet.run(20)
+        heard = set()
+        for vm in fleet.vms:
+
+            def take(teller, vm=vm):
+                heard.add(vm.own.name)
+                vm.note_revision(teller.revision)
+
+            vm.subscribe_newer(take)
+        fleet.vms[2].note_revision(7)
+        fleet.run(4)
+        self.assertEqual(len(heard), 8)
