--- a/standins/engine.py
+++ b/standins/engine.py
@@ -28,6 +28,9 @@
 flags.DEFINE_string(
     "crash_marker", "", "end the process soon after a prompt with this text"
 )
+flags.DEFINE_boolean(
+    "stamps", False, "put the time of sending, in ms, into each event"
+)
 
 DEFINE = {
     bool: flags.DEFINE_boolean,
@@ -61,6 +64,7 @@
             FLAGS.seed + number,
             FLAGS.credential,
             FLAGS.crash_marker,
+            FLAGS.stamps,
         )
         for number, (port, role) in enumerate(
             zip(FLAGS.port, roles, strict=True)
--- a/standins/engine_exchange.py
+++ b/standins/engine_exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 import typing
 
 from aiohttp import web
@@ -57,6 +58,8 @@
 
     :param call: the call
     :param run: the run
+    :param record: the run's record for checkers
+    :param stamps: whether each event tells when it was sent
     """
 
     __slots__ = (
@@ -67,6 +70,7 @@
         "transport",
         "record",
         "imported",
+        "stamps",
         "_call",
         "_head",
         "_texts",
@@ -77,11 +81,13 @@
         call: Call,
         run: engine_shape.Run,
         record: dict[str, typing.Any],
+        stamps: bool = False,
     ) -> None:
         loop = asyncio.get_running_loop()
         self.answer = answers.Answer(call.model, call.prompt, call.max_tokens)
         self.run = run
         self.record = record
+        self.stamps = stamps
         self.prefilled: asyncio.Future[None] = loop.create_future()
         self.imported: asyncio.Future[None] = loop.create_future()
         self.finished: asyncio.Future[bool] = loop.create_future()
@@ -107,7 +113,10 @@
                 f'"usage": {json.dumps(self.make_usage())}}}\n\n'
             )
         choice = f'{{"index": 0, "text": "{text}"{end}'
-        event = f'{self._head}{index}, "choices": [{choice}'
+        stamp = ""
+        if self.stamps:
+            stamp = f'"sent_ms": {time.monotonic() * 1000:.3f}, '
+        event = f'{self._head}{index}, {stamp}"choices": [{choice}'
         self._write(event.encode())
 
     def finish(self) -> None:
--- a/standins/engine_server.py
+++ b/standins/engine_server.py
@@ -37,6 +37,7 @@
     :param seed: for the model
     :param credential: the bearer token to ask for; empty for none
     :param crash_marker: a prompt's text that ends the process
+    :param stamps: whether each token's event tells when it was sent
     """
 
     def __init__(
@@ -48,12 +49,14 @@
         seed: int,
         credential: str = "",
         crash_marker: str = "",
+        stamps: bool = False,
     ) -> None:
         self.address = address
         self.model = engine_model.EngineModel(shape, role, models, seed)
         self.recorder = recorder.Recorder()
         self._credential = credential
         self._crash_marker = crash_marker
+        self._stamps = stamps
         self._refuse_status = 0
         self._numbers = itertools.count(1)
         self._timer: asyncio.TimerHandle | None = None
@@ -174,7 +177,7 @@
             "tokens": 0,
         }
         self.recorder.runs.append(record)
-        run.context = Exchange(call, run, record)
+        run.context = Exchange(call, run, record, self._stamps)
         return run.context
 
     def _refuse(
