Keep the engine stand-in's first tokens until its reply has begun

Cause: under load an import could end, and a batch step pass, while the reply's head was still being written; tokens made then went nowhere, and the router rightly refused the stream as "a token is missing". Ruled out: the router's takeover of the engine's socket, which keeps buffered bytes. Change: events wait in the exchange until the head is out. Conclusion: the stand-in's fault; the router's check stays as strict.

--- a/standins/engine_exchange.py
+++ b/standins/engine_exchange.py
@@ -74,6 +74,7 @@
         "_call",
         "_head",
         "_texts",
+        "_unsent",
     )
 
     def __init__(
@@ -95,6 +96,7 @@
         self._call = call
         self._head = f'data: {{"id": {json.dumps(run.request_id)}, "index": '
         self._texts: list[str] = []
+        self._unsent: list[bytes] = []
 
     def send_token(self, index: int) -> None:
         """Send or keep one token.
@@ -103,7 +105,7 @@
         """
         self.record["tokens"] += 1
         text = self.answer.text_at(index)
-        if self.transport is None:
+        if not self._call.stream:
             self._texts.append(text)
             return
         end = "}]}\n\n"
@@ -121,7 +123,7 @@
 
     def finish(self) -> None:
         """Send the closing event."""
-        if self.transport is not None:
+        if self._call.stream:
             self._write(DONE)
         set_result(self.finished, True)
 
@@ -153,7 +155,23 @@
             "usage": self.make_usage(),
         }
 
+    def attach(self, transport: asyncio.Transport) -> None:
+        """Send from now on, beginning with what came before the head.
+
+        A busy engine may make the first token while the reply's head is
+        still being written; left out, the caller would miss it.
+
+        :param transport: where the reply's head went to
+        """
+        self.transport = transport
+        unsent, self._unsent = self._unsent, []
+        for event in unsent:
+            self._write(event)
+
     def _write(self, event: bytes) -> None:
+        if self.transport is None:
+            self._unsent.append(event)
+            return
         if self.transport.is_closing():
             return
         if self.transport.get_write_buffer_size() > MOST_UNSENT_BYTES:
--- a/standins/engine_server.py
+++ b/standins/engine_server.py
@@ -285,7 +285,8 @@
         response.enable_chunked_encoding()
         writer = await response.prepare(request)
         writer.send_headers()
-        exchange.transport = request.transport
+        if request.transport is not None:
+            exchange.attach(request.transport)
         if not await exchange.finished and request.transport is not None:
             # A cancelled stream has to look cut: no final chunk follows.
             request.transport.close()
--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -1,10 +1,13 @@
 """The engine stand-in as a process, spoken to as routers do."""
 
+import asyncio
 import json
 import socket
 import unittest
 
 from standins import answers
+from standins import engine_exchange
+from standins import engine_shape
 from tests import processes
 
 PROMPT = "drifted fix " * 30
@@ -173,3 +176,39 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class FakeTransport:
+    def __init__(self):
+        self.written = b""
+
+    def is_closing(self):
+        return False
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def write(self, data):
+        self.written += data
+
+
+class ExchangeTest(unittest.IsolatedAsyncioTestCase):
+    async def test_tokens_before_the_head_are_not_lost(self):
+        """The machine is busy, and the engine's first tokens come while the
+        reply's head is still being written.  The caller saw its answer begin
+        with a later token, and a checker blamed the router for it.
+        """
+        await asyncio.sleep(0)
+        call = engine_exchange.read_call(
+            {"model": "m", "prompt": PROMPT, "max_tokens": 3, "stream": True}
+        )
+        run = engine_shape.Run("r-1", "a1/7", "m", (), 90, 3)
+        exchange = engine_exchange.Exchange(call, run, {"tokens": 0})
+        exchange.send_token(0)
+        transport = FakeTransport()
+        exchange.attach(transport)
+        exchange.send_token(1)
+        self.assertEqual(
+            [transport.written.count(b'"index": %d, "ch' % n) for n in (0, 1)],
+            [1, 1],
+        )
