--- /dev/null
+++ b/mulberryway/controllers/scheduling.py
@@ -0,0 +1,215 @@
+"""Runs the scheduler for the worker threads and wakes those that may go."""
+
+import threading
+
+import expression
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway import tables
+from mulberryway.controllers import base
+from mulberryway.policy import base as policy
+from mulberryway.policy import messages
+from mulberryway.upstreams import base as upstreams
+
+__all__ = ["Scheduling", "Ticket"]
+
+IDLE_MS = 1_000
+MS_IN_S = 1_000
+# A decision that is this late has been lost; the guard keeps a worker from
+# waiting for ever for what will not come.
+OVERDUE_MS = 2_000
+
+Decision = expression.Result[messages.Assignment, errors.Fault]
+
+
+class Ticket:
+    """A worker thread's place in the queue.
+
+    :param job: what it waits for
+    """
+
+    __slots__ = ("job", "decided", "decision")
+
+    def __init__(self, job: messages.Job) -> None:
+        self.job = job
+        self.decided = threading.Event()
+        self.decision: Decision | None = None
+
+
+class Scheduling(base.Controller):
+    """Holds the lock around a scheduler, which has none of its own.
+
+    Every change that may let a job start is followed at once by a dispatch
+    on the changing thread; the controller's thread only serves deadlines.
+
+    :param scheduler: makes the decisions
+    :param clock_: where the time comes from
+    """
+
+    def __init__(
+        self, scheduler: policy.Scheduler, clock_: clock.Clock
+    ) -> None:
+        super().__init__("scheduling", clock_, IDLE_MS)
+        self._scheduler = scheduler
+        self._lock = threading.Lock()
+        self._tickets: dict[str, Ticket] = {}
+        self._started: set[str] = set()
+
+    @property
+    def waiting(self) -> int:
+        """How many jobs wait."""
+        return len(self._tickets)
+
+    @property
+    def started(self) -> int:
+        """How many jobs have started and not ended."""
+        return len(self._started)
+
+    def step(self) -> None:
+        """Dispatch, and sleep until the scheduler wants to be asked again."""
+        with self._lock:
+            wake_ms = self._dispatch()
+        now_ms = self.clock.now_ms()
+        self.period_ms = (
+            IDLE_MS
+            if wake_ms is None
+            else min(max(wake_ms - now_ms, 1), IDLE_MS)
+        )
+
+    def submit(
+        self, job: messages.Job
+    ) -> expression.Result[Ticket, errors.Fault]:
+        """Take a job in, or refuse it at once.
+
+        :param job: the job
+        :returns: its ticket, or a fault with run ``NOT_RUN``
+        """
+        ticket = Ticket(job)
+        with self._lock:
+            taken = self._scheduler.submit(job, self.clock.now_ms())
+            if taken.is_error():
+                return expression.Error(taken.error)
+            self._tickets[job.job_id] = ticket
+            wake_ms = self._dispatch()
+        if wake_ms is not None and not ticket.decided.is_set():
+            self.wake()
+        return expression.Ok(ticket)
+
+    def wait(self, ticket: Ticket) -> Decision:
+        """Wait until a job may start, is refused, or is given up.
+
+        :param ticket: what ``submit`` returned
+        :returns: where it runs, or why not
+        """
+        job = ticket.job
+        left_ms = job.deadline.left_ms(self.clock.now_ms()) + OVERDUE_MS
+        if not ticket.decided.wait(left_ms / MS_IN_S):
+            self.give_up(
+                ticket,
+                errors.Fault(errors.Code.DEADLINE_EXCEEDED, errors.Step.QUEUE),
+            )
+        assert ticket.decision is not None
+        return ticket.decision
+
+    def give_up(self, ticket: Ticket, fault: errors.Fault) -> None:
+        """Let a job go that still waits; nothing if it is decided.
+
+        :param ticket: what ``submit`` returned
+        :param fault: what its worker is told
+        """
+        with self._lock:
+            job_id = ticket.job.job_id
+            if ticket.decision is not None:
+                return
+            self._scheduler.cancel(job_id, self.clock.now_ms())
+            self._tickets.pop(job_id, None)
+            ticket.decision = expression.Error(fault)
+            ticket.decided.set()
+            self._dispatch()
+
+    def note_prefilled(self, job_id: str) -> None:
+        """Tell that a started job's prefill has ended well.
+
+        :param job_id: the job
+        """
+        with self._lock:
+            self._scheduler.note_prefilled(job_id, self.clock.now_ms())
+            self._dispatch()
+
+    def note_first_token(self, job_id: str) -> None:
+        """Tell that a started job's first token has come.
+
+        :param job_id: the job
+        """
+        with self._lock:
+            self._scheduler.note_first_token(job_id, self.clock.now_ms())
+
+    def finish(
+        self, job_id: str, end: messages.JobEnd, upstream: str = ""
+    ) -> None:
+        """Let a started job's reservations go; further calls do nothing.
+
+        :param job_id: the job
+        :param end: how it ended
+        :param upstream: the upstream to blame; empty if none
+        """
+        with self._lock:
+            if job_id not in self._started:
+                return
+            self._started.discard(job_id)
+            self._scheduler.finish(job_id, end, upstream, self.clock.now_ms())
+            self._dispatch()
+
+    def note_load(
+        self, pool: str, upstream: str, load: upstreams.EngineLoad
+    ) -> None:
+        """Take in a load report.
+
+        :param pool: the pool's name
+        :param upstream: the upstream's name
+        :param load: the report
+        """
+        with self._lock:
+            self._scheduler.note_load(
+                pool, upstream, load, self.clock.now_ms()
+            )
+            self._dispatch()
+
+    def note_cache_events(
+        self, pool: str, upstream: str, events: list[upstreams.CacheEvent]
+    ) -> None:
+        """Take in cache events.
+
+        :param pool: the pool's name
+        :param upstream: the upstream's name
+        :param events: the events in order
+        """
+        with self._lock:
+            self._scheduler.note_cache_events(
+                pool, upstream, events, self.clock.now_ms()
+            )
+
+    def change_tables(self, changed: tables.Tables) -> None:
+        """Take over new tables.
+
+        :param changed: the tables
+        """
+        with self._lock:
+            self._scheduler.change_pools(changed.pools, self.clock.now_ms())
+            self._dispatch()
+
+    def _dispatch(self) -> int | None:
+        dispatch = self._scheduler.dispatch(self.clock.now_ms())
+        for assignment in dispatch.assignments:
+            self._started.add(assignment.job_id)
+            self._decide(assignment.job_id, expression.Ok(assignment))
+        for refusal in dispatch.refusals:
+            self._decide(refusal.job_id, expression.Error(refusal.fault))
+        return dispatch.wake_ms
+
+    def _decide(self, job_id: str, decision: Decision) -> None:
+        ticket = self._tickets.pop(job_id, None)
+        if ticket is not None:
+            ticket.decision = decision
+            ticket.decided.set()
--- /dev/null
+++ b/mulberryway/filters/attempt.py
@@ -0,0 +1,90 @@
+"""One try of a model request at a prefill and a decode engine."""
+
+import threading
+
+from mulberryway.controllers import cancelling
+from mulberryway.controllers import scheduling
+from mulberryway.policy import messages
+from mulberryway.upstreams import base as upstreams
+
+__all__ = ["Attempt"]
+
+
+class Attempt:
+    """Holds a decode slot, and engine memory, until it is ended.
+
+    The end comes from whichever notices first: the worker thread, the
+    relay's loop or the caller's going.  Only the first counts, so a slot is
+    given back once.
+
+    :param label: names it at the engines
+    :param job_id: names it at the scheduler
+    :param prefill: the engine for the prefill
+    :param decode: the engine whose slot is reserved
+    :param prefill_name: the prefill engine's name in its pool
+    :param decode_name: the decode engine's name in its pool
+    """
+
+    __slots__ = (
+        "label",
+        "job_id",
+        "prefill",
+        "decode",
+        "prefill_name",
+        "decode_name",
+        "_scheduling",
+        "_cancelling",
+        "_lock",
+        "_is_over",
+        "_is_cancelled",
+    )
+
+    def __init__(
+        self,
+        label: upstreams.RunLabel,
+        job_id: str,
+        prefill: upstreams.Engine,
+        decode: upstreams.Engine,
+        assignment: messages.Assignment,
+        scheduling_: scheduling.Scheduling,
+        cancelling_: cancelling.Cancelling,
+    ) -> None:
+        self.label = label
+        self.job_id = job_id
+        self.prefill = prefill
+        self.decode = decode
+        self.prefill_name = assignment.prefill
+        self.decode_name = assignment.decode
+        self._scheduling = scheduling_
+        self._cancelling = cancelling_
+        self._lock = threading.Lock()
+        self._is_over = False
+        self._is_cancelled = False
+
+    def end(self, how: messages.JobEnd, blame: str = "") -> None:
+        """Give the slot back, and free engine memory unless all went well.
+
+        :param how: how it ended
+        :param blame: the name of the upstream that failed, if any
+        """
+        with self._lock:
+            if self._is_over:
+                return
+            self._is_over = True
+        self._scheduling.finish(self.job_id, how, blame)
+        if how is not messages.JobEnd.DONE:
+            self.free()
+
+    def free(self) -> None:
+        """Let both engines free what they hold; the slot is kept.
+
+        While a worker still waits for an engine, its answer to this cancel
+        is what wakes the worker up.
+        """
+        with self._lock:
+            if self._is_cancelled:
+                return
+            self._is_cancelled = True
+        self._cancelling.cancel(self.prefill, self.label)
+        if self.decode is not self.prefill:
+            self._cancelling.cancel(self.decode, self.label)
--- /dev/null
+++ b/mulberryway/filters/authenticate.py
@@ -0,0 +1,93 @@
+"""Finds the client account to which a request's key belongs."""
+
+import expression
+
+from mulberryway import errors
+from mulberryway import tables
+from mulberryway.filters import base
+from mulberryway.filters import credentials
+
+__all__ = ["Authenticate", "check_key"]
+
+SCHEME = "bearer "
+RETRY_AFTER_MS = 1_000
+
+
+class Authenticate(base.Filter):
+    """Checks the key of every request and takes it out of the request.
+
+    A connection says nothing about its next request: keys are withdrawn
+    while connections stay open.
+
+    :param source: the tables in force
+    """
+
+    def __init__(self, source: tables.TableSource) -> None:
+        self._source = source
+
+    def handle(
+        self, exchange: base.Exchange, proceed: base.Proceed
+    ) -> base.Answer:
+        """Let a request with a known key go on, without the key.
+
+        :param exchange: the request
+        :param proceed: the rest of the chain
+        :returns: what the chain answers, or a fault
+        """
+        found = self._source.read_tables()
+        if found is None:
+            return expression.Error(
+                errors.Fault(
+                    errors.Code.NO_CONFIGURATION,
+                    errors.Step.TABLES,
+                    message="no tables are known yet",
+                    retry_after_ms=RETRY_AFTER_MS,
+                )
+            )
+        key = _read_key(exchange)
+        digest = tables.digest_key(key)
+        account = found.find_account(digest) if key else None
+        if account is None:
+            return expression.Error(_refuse())
+        exchange.tables = found
+        exchange.key_digest = digest
+        exchange.account = account
+        cleaned = credentials.Cleaner(key).clean(exchange)
+        if cleaned.is_error():
+            return expression.Error(cleaned.error)
+        return proceed(exchange)
+
+
+def check_key(
+    source: tables.TableSource, exchange: base.Exchange, step: errors.Step
+) -> expression.Result[None, errors.Fault]:
+    """Check again that a request's key still belongs to its account.
+
+    A request may have waited for seconds; in that time its key may have
+    been withdrawn, and nothing may run on it any more.
+
+    :param source: the tables in force
+    :param exchange: the request
+    :param step: where it stands now
+    :returns: nothing, or ``UNAUTHENTICATED``
+    """
+    found = source.read_tables()
+    account = (
+        None if found is None else found.find_account(exchange.key_digest)
+    )
+    if account is None or account.name != exchange.account.name:
+        return expression.Error(_refuse(step))
+    return expression.Ok(None)
+
+
+def _read_key(exchange: base.Exchange) -> str:
+    value = exchange.find_header("authorization") or ""
+    if not value.lower().startswith(SCHEME):
+        return ""
+    return value[len(SCHEME) :].strip()
+
+
+def _refuse(step: errors.Step = errors.Step.CALLER) -> errors.Fault:
+    return errors.Fault(
+        errors.Code.UNAUTHENTICATED, step, message="no valid key"
+    )
--- /dev/null
+++ b/mulberryway/filters/base.py
@@ -0,0 +1,185 @@
+"""What passes through the filter chain, and what a filter is."""
+
+import abc
+import collections.abc
+import socket
+import threading
+import typing
+
+import expression
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway import replies
+from mulberryway import tables
+from mulberryway import traces
+from mulberryway.relay import stream as streams
+from mulberryway.relay import writers
+
+__all__ = ["Exchange", "Filter", "Lent", "Outcome", "Proceed"]
+
+
+class Lent:
+    """An answer that goes on after the chain has ended.
+
+    :param stream: what the relay carries to the caller
+    """
+
+    __slots__ = ("stream",)
+
+    def __init__(self, stream: streams.Stream) -> None:
+        self.stream = stream
+
+
+class Outcome:
+    """How a request came to its end.
+
+    :param fault: why the caller got no whole answer; none if it did
+    :param used_tokens: what an allowance is charged
+    :param tokens: how many tokens were generated
+    """
+
+    __slots__ = ("fault", "used_tokens", "tokens")
+
+    def __init__(
+        self, fault: errors.Fault | None, used_tokens: int, tokens: int
+    ) -> None:
+        self.fault = fault
+        self.used_tokens = used_tokens
+        self.tokens = tokens
+
+
+Finisher = collections.abc.Callable[[Outcome], None]
+Answer = expression.Result[replies.Reply | Lent, errors.Fault]
+
+
+class Exchange:
+    """One request and what the filters have found out about it.
+
+    :param request_id: unique in the fleet; also in the reply
+    :param method: the HTTP method
+    :param path: the path, percent-decoded
+    :param target: path and query as they came
+    :param headers: pairs as they came; filters take credentials out
+    :param body: the whole body
+    :param connection: the caller's socket
+    :param head: writes the reply's head
+    :param release: takes the connection back after it was lent
+    :param arrived_ms: when the request came
+    """
+
+    __slots__ = (
+        "request_id",
+        "method",
+        "path",
+        "target",
+        "headers",
+        "body",
+        "connection",
+        "head",
+        "release",
+        "arrived_ms",
+        "deadline",
+        "tables",
+        "key_digest",
+        "account",
+        "route",
+        "pool",
+        "call",
+        "estimate",
+        "max_tokens",
+        "digest",
+        "span",
+        "has_gone",
+        "prompt_used",
+        "_finishers",
+        "_lock",
+    )
+
+    def __init__(
+        self,
+        request_id: str,
+        method: str,
+        path: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        connection: socket.socket,
+        head: writers.ReplyHead,
+        release: collections.abc.Callable[[bool], None],
+        arrived_ms: int,
+    ) -> None:
+        self.request_id = request_id
+        self.method = method
+        self.path = path
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.connection = connection
+        self.head = head
+        self.release = release
+        self.arrived_ms = arrived_ms
+        self.deadline = clock.Deadline(arrived_ms)
+        self.tables: tables.Tables
+        self.key_digest = ""
+        self.account: tables.ClientAccount
+        self.route: tables.Route
+        self.pool: tables.Pool
+        # A model request's body, parsed and without credentials.
+        self.call: dict[str, typing.Any] = {}
+        self.estimate = 0
+        self.max_tokens = 0
+        self.digest = ""
+        self.span: traces.Span = traces.NO_SPAN
+        self.has_gone = threading.Event()
+        # Prompt tokens that engines have computed for this request.
+        self.prompt_used = 0
+        self._finishers: list[Finisher] = []
+        self._lock = threading.Lock()
+
+    def find_header(self, name: str) -> str | None:
+        """Return a header's value.
+
+        :param name: the name in lower case
+        :returns: the value, or none
+        """
+        return next(
+            (v for k, v in self.headers if k.lower() == name),
+            None,
+        )
+
+    def add_finisher(self, finisher: Finisher) -> None:
+        """Have something done when the request has ended, on every path.
+
+        :param finisher: gets the outcome, on whatever thread it comes
+        """
+        self._finishers.append(finisher)
+
+    def finish(self, outcome: Outcome) -> None:
+        """Do what has to be done at the end; further calls do nothing.
+
+        The chain's end and a lent stream's end may both come here; what
+        was reserved must be given back once and not twice.
+
+        :param outcome: how it ended
+        """
+        with self._lock:
+            finishers, self._finishers = self._finishers, []
+        for finisher in reversed(finishers):
+            finisher(outcome)
+
+
+Proceed = collections.abc.Callable[[Exchange], Answer]
+
+
+class Filter(abc.ABC):
+    """One step of the chain."""
+
+    @abc.abstractmethod
+    def handle(self, exchange: Exchange, proceed: Proceed) -> Answer:
+        """Answer a request, refuse it, or let the rest of the chain do so.
+
+        :param exchange: the request
+        :param proceed: the rest of the chain
+        :returns: a reply, a lent stream, or a fault
+        """
--- /dev/null
+++ b/mulberryway/filters/model_run.py
@@ -0,0 +1,477 @@
+"""Runs one model request: queue, prefill, decode, and a second try."""
+
+import collections.abc
+import logging
+import threading
+
+import expression
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway import logs
+from mulberryway import metrics
+from mulberryway import tables
+from mulberryway import traces
+from mulberryway.controllers import cancelling
+from mulberryway.controllers import scheduling
+from mulberryway.filters import attempt as attempts
+from mulberryway.filters import authenticate
+from mulberryway.filters import base
+from mulberryway.filters import prefix
+from mulberryway.filters import route
+from mulberryway.policy import messages
+from mulberryway.relay import pump
+from mulberryway.relay import stream as streams
+from mulberryway.relay import watch
+from mulberryway.upstreams import base as upstreams
+from mulberryway.upstreams import directory
+
+__all__ = ["ModelRun", "Parts"]
+
+LOG = logging.getLogger(__name__)
+
+MOST_ATTEMPTS = 4
+# An engine that fell silent must leave time for another one.
+PART_OF_LEFT = 2
+LEAST_WAIT_MS = 200
+# How long a stream that has lost its engine may seek another.
+RESUME_MS = 5_000
+MOVABLE = frozenset(
+    (
+        errors.Code.UPSTREAM_UNREACHABLE,
+        errors.Code.UPSTREAM_TIMEOUT,
+        errors.Code.UPSTREAM_FAILED,
+        errors.Code.UPSTREAM_REFUSED,
+    )
+)
+ENDS = {
+    errors.Code.UPSTREAM_TIMEOUT: messages.JobEnd.TIMED_OUT,
+    errors.Code.UPSTREAM_REFUSED: messages.JobEnd.REFUSED_BY_ENGINE,
+}
+
+Source = expression.Result[upstreams.TokenStream, errors.Fault]
+
+
+class Parts:
+    """What all model requests share.
+
+    :param vm: the VM's name
+    :param incarnation: which life of the VM's router this is
+    :param gap_ms: the longest wait for a further token
+    """
+
+    __slots__ = (
+        "vm",
+        "incarnation",
+        "gap_ms",
+        "clock",
+        "source",
+        "scheduling",
+        "cancelling",
+        "directory",
+        "relay",
+        "callers",
+        "tracer",
+        "metrics",
+        "may_repeat",
+    )
+
+    def __init__(
+        self,
+        vm: str,
+        incarnation: int,
+        gap_ms: int,
+        clock_: clock.Clock,
+        source: tables.TableSource,
+        scheduling_: scheduling.Scheduling,
+        cancelling_: cancelling.Cancelling,
+        directory_: directory.UpstreamDirectory,
+        relay: pump.Relay,
+        callers: watch.CallerWatch,
+        tracer: traces.Tracer,
+        metrics_: metrics.Metrics,
+        may_repeat: collections.abc.Callable[[], bool],
+    ) -> None:
+        self.vm = vm
+        self.incarnation = incarnation
+        self.gap_ms = gap_ms
+        self.clock = clock_
+        self.source = source
+        self.scheduling = scheduling_
+        self.cancelling = cancelling_
+        self.directory = directory_
+        self.relay = relay
+        self.callers = callers
+        self.tracer = tracer
+        self.metrics = metrics_
+        self.may_repeat = may_repeat
+
+
+class ModelRun(streams.StreamOwner):
+    """One model request from its admission to its end.
+
+    :param exchange: the request
+    :param parts: what all model requests share
+    """
+
+    def __init__(self, exchange: base.Exchange, parts: Parts) -> None:
+        self._exchange = exchange
+        self._parts = parts
+        self._number = 0
+        self._avoid: frozenset[str] = frozenset()
+        self._ticket: scheduling.Ticket | None = None
+        self._attempt: attempts.Attempt | None = None
+        self._decode_span = traces.NO_SPAN
+        self._has_run = False
+        self._lock = threading.Lock()
+
+    def begin(self) -> Source:
+        """Find engines for the request and begin its decode.
+
+        The caller is watched meanwhile.
+
+        :returns: the stream, or a fault
+        """
+        watch_ = self._parts.callers.begin(
+            self._exchange.connection, self.drop_source
+        )
+        try:
+            return self._find_source(0, self._exchange.deadline)
+        finally:
+            self._parts.callers.end(watch_)
+
+    def note_first_token(self) -> None:
+        """Tell the scheduler and the metrics."""
+        parts = self._parts
+        if self._attempt is not None:
+            parts.scheduling.note_first_token(self._attempt.job_id)
+        took_ms = parts.clock.now_ms() - self._exchange.arrived_ms
+        parts.metrics.first_token.record(took_ms)
+
+    def note_source_end(self) -> None:
+        """Give the decode slot back."""
+        self._end_attempt(messages.JobEnd.DONE)
+
+    def drop_source(self) -> None:
+        """Let everything go, because the caller has gone or was cut off."""
+        self._exchange.has_gone.set()
+        with self._lock:
+            ticket, attempt = self._ticket, self._attempt
+        if ticket is not None:
+            self._parts.scheduling.give_up(ticket, _gone())
+        if attempt is not None:
+            attempt.free()
+
+    def recover(self, stream: streams.Stream, fault: errors.Fault) -> None:
+        """Go on at another engine where the last one failed, or give up.
+
+        :param stream: the stream
+        :param fault: what befell the engine
+        """
+        fault.peer = fault.peer or self._name_decode()
+        self._note_failure(fault)
+        self._end_attempt(
+            ENDS.get(fault.code, messages.JobEnd.FAILED), self._name_decode()
+        )
+        result: Source = expression.Error(fault)
+        if self._may_move(fault):
+            now_ms = self._parts.clock.now_ms()
+            limit = clock.Deadline(
+                max(self._exchange.deadline.at_ms, now_ms + RESUME_MS)
+            )
+            result = self._find_source(stream.expected, limit)
+        if result.is_ok():
+            self._parts.relay.resume(stream, result.ok)
+        else:
+            self._parts.relay.fail(stream, self._word_last(result.error))
+
+    def close(self, tokens: int, fault: errors.Fault | None) -> None:
+        """Settle what is still open.
+
+        :param tokens: how many tokens were taken from engines
+        :param fault: why the answer is not whole; none if it is
+        """
+        how = messages.JobEnd.DONE
+        if fault is not None:
+            how = messages.JobEnd.CANCELLED
+        self._end_attempt(how)
+        exchange = self._exchange
+        exchange.finish(
+            base.Outcome(fault, exchange.prompt_used + tokens, tokens)
+        )
+
+    def limit_first_ms(self) -> int:
+        """Return how long the first token may take from now on."""
+        left_ms = self._exchange.deadline.left_ms(self._parts.clock.now_ms())
+        return max(left_ms // PART_OF_LEFT, LEAST_WAIT_MS)
+
+    def _find_source(self, offset: int, limit: clock.Deadline) -> Source:
+        while True:
+            result = self._try_once(offset, limit)
+            if self._exchange.has_gone.is_set():
+                return self._drop_result(result)
+            if result.is_ok():
+                return result
+            self._note_failure(result.error)
+            if not self._may_move(result.error) or limit.has_passed(
+                self._parts.clock.now_ms()
+            ):
+                return expression.Error(self._word_last(result.error))
+
+    def _try_once(self, offset: int, limit: clock.Deadline) -> Source:
+        return self._queue(limit).bind(
+            lambda attempt: self._run_attempt(attempt, offset, limit)
+        )
+
+    def _queue(
+        self, limit: clock.Deadline
+    ) -> expression.Result[attempts.Attempt, errors.Fault]:
+        parts = self._parts
+        began_ms = parts.clock.now_ms()
+        job = self._make_job(limit)
+        with self._exchange.span.begin(parts.tracer, errors.Step.QUEUE):
+            submitted = parts.scheduling.submit(job)
+            if submitted.is_error():
+                return expression.Error(submitted.error)
+            with self._lock:
+                self._ticket = submitted.ok
+            if self._exchange.has_gone.is_set():
+                parts.scheduling.give_up(submitted.ok, _gone())
+            decision = parts.scheduling.wait(submitted.ok)
+        parts.metrics.queue_wait.record(parts.clock.now_ms() - began_ms)
+        return decision.bind(lambda found: self._take(job, found))
+
+    def _take(
+        self, job: messages.Job, assignment: messages.Assignment
+    ) -> expression.Result[attempts.Attempt, errors.Fault]:
+        """Turn a decision into an attempt, if the key still holds."""
+        parts = self._parts
+        held = authenticate.check_key(
+            parts.source, self._exchange, errors.Step.QUEUE
+        )
+        engines = [
+            self._find_engine(name)
+            for name in (assignment.prefill, assignment.decode)
+        ]
+        if held.is_error() or None in engines:
+            parts.scheduling.finish(job.job_id, messages.JobEnd.CANCELLED)
+            if held.is_error():
+                return expression.Error(held.error)
+            return expression.Error(
+                errors.Fault(
+                    errors.Code.UPSTREAM_UNREACHABLE,
+                    errors.Step.QUEUE,
+                    job.pool,
+                    message="the chosen upstream has left the tables",
+                )
+            )
+        attempt = attempts.Attempt(
+            upstreams.RunLabel(job.job_id, parts.vm, parts.incarnation),
+            job.job_id,
+            engines[0],
+            engines[1],
+            assignment,
+            parts.scheduling,
+            parts.cancelling,
+        )
+        with self._lock:
+            self._attempt = attempt
+        return expression.Ok(attempt)
+
+    def _run_attempt(
+        self, attempt: attempts.Attempt, offset: int, limit: clock.Deadline
+    ) -> Source:
+        if self._exchange.has_gone.is_set():
+            attempt.end(messages.JobEnd.CANCELLED)
+            return expression.Error(_gone())
+        result = self._prefill(attempt, limit).bind(
+            lambda found: self._decode(attempt, found, offset, limit)
+        )
+        if result.is_error():
+            fault = result.error
+            blame = attempt.decode_name
+            if fault.step is errors.Step.PREFILL:
+                blame = attempt.prefill_name
+            self._avoid = self._avoid | {blame}
+            attempt.end(ENDS.get(fault.code, messages.JobEnd.FAILED), blame)
+        return result
+
+    def _prefill(
+        self, attempt: attempts.Attempt, limit: clock.Deadline
+    ) -> expression.Result[upstreams.PrefillResult, errors.Fault]:
+        parts = self._parts
+        with self._begin_hop(attempt, errors.Step.PREFILL) as span:
+            result = attempt.prefill.prefill(
+                attempt.label, self._exchange.call, self._share(limit)
+            )
+            if result.is_error():
+                span.fail(result.error)
+                return result
+        self._exchange.prompt_used += result.ok.prompt_tokens
+        self._has_run = True
+        parts.scheduling.note_prefilled(attempt.job_id)
+        return result
+
+    def _decode(
+        self,
+        attempt: attempts.Attempt,
+        found: upstreams.PrefillResult,
+        offset: int,
+        limit: clock.Deadline,
+    ) -> Source:
+        with self._begin_hop(attempt, errors.Step.TRANSFER) as span:
+            result = attempt.decode.decode(
+                attempt.label,
+                self._exchange.call,
+                found.transfer,
+                offset,
+                self._share(limit),
+            )
+            if result.is_error():
+                span.fail(result.error)
+        return result
+
+    def _begin_hop(
+        self, attempt: attempts.Attempt, step: errors.Step
+    ) -> traces.Span:
+        span = self._exchange.span.begin(self._parts.tracer, step)
+        attempt.label.traceparent = span.traceparent
+        return span
+
+    def _share(self, limit: clock.Deadline) -> int:
+        left_ms = limit.left_ms(self._parts.clock.now_ms())
+        return max(left_ms // PART_OF_LEFT, LEAST_WAIT_MS)
+
+    def _make_job(self, limit: clock.Deadline) -> messages.Job:
+        exchange = self._exchange
+        number = self._number
+        self._number += 1
+        return messages.Job(
+            f"{exchange.request_id}-{number}",
+            exchange.account.name,
+            exchange.account.weight,
+            exchange.pool.name,
+            exchange.call["model"],
+            exchange.estimate,
+            exchange.max_tokens,
+            prefix.hash_blocks(
+                exchange.call["model"],
+                exchange.call["prompt"],
+                exchange.pool.block_tokens,
+            ),
+            len(exchange.body),
+            self._parts.clock.now_ms(),
+            limit,
+            number,
+            self._choose_avoided(),
+            exchange.digest,
+        )
+
+    def _choose_avoided(self) -> frozenset[str]:
+        """Return the upstreams to avoid, unless none would be left.
+
+        A pool whose every upstream has failed once is better tried again
+        than given up: a restarted engine serves within seconds.
+        """
+        usable = {
+            role: {
+                upstream.name
+                for upstream in self._exchange.pool.upstreams
+                if upstream.role in (role, tables.UpstreamRole.BOTH)
+            }
+            for role in (
+                tables.UpstreamRole.PREFILL,
+                tables.UpstreamRole.DECODE,
+            )
+        }
+        if all(names - self._avoid for names in usable.values()):
+            return self._avoid
+        return frozenset()
+
+    def _find_engine(self, name: str) -> upstreams.Engine | None:
+        """Return an engine by the newest tables.
+
+        The scheduler has the newest pools, and the request may have come
+        under older ones.
+        """
+        newest = self._parts.source.read_tables() or self._exchange.tables
+        pool = newest.pools.get(self._exchange.pool.name)
+        if pool is None:
+            return None
+        return next(
+            (
+                self._parts.directory.find_engine(pool, upstream)
+                for upstream in pool.upstreams
+                if upstream.name == name
+            ),
+            None,
+        )
+
+    def _may_move(self, fault: errors.Fault) -> bool:
+        """Tell whether another upstream may be tried.
+
+        Repeats cost a prefill each, and come just when upstreams fail; the
+        budget keeps them a small part of all work.
+        """
+        exchange = self._exchange
+        return (
+            fault.code in MOVABLE
+            and (
+                fault.run is errors.Run.NOT_RUN
+                or route.is_repeatable(exchange)
+            )
+            and self._number < MOST_ATTEMPTS
+            and not exchange.has_gone.is_set()
+            and self._parts.may_repeat()
+        )
+
+    def _note_failure(self, fault: errors.Fault) -> None:
+        if fault.run is not errors.Run.NOT_RUN:
+            self._has_run = True
+        self._parts.metrics.attempts.add(
+            1,
+            {
+                "step": fault.step.value,
+                "code": fault.code.value,
+                "run": fault.run.value,
+            },
+        )
+        LOG.info(
+            "an attempt failed",
+            extra=logs.describe(fault, request_id=self._exchange.request_id),
+        )
+
+    def _word_last(self, fault: errors.Fault) -> errors.Fault:
+        """Return what the caller is told, true for all attempts together.
+
+        The last attempt may have been refused before it ran, but an earlier
+        one may have run.
+        """
+        if self._has_run and fault.run is errors.Run.NOT_RUN:
+            fault.run = errors.Run.MAY_HAVE_RUN
+        return fault
+
+    def _drop_result(self, result: Source) -> Source:
+        if result.is_ok():
+            result.ok.connection.close()
+        self._end_attempt(messages.JobEnd.CANCELLED)
+        return expression.Error(self._word_last(_gone()))
+
+    def _end_attempt(self, how: messages.JobEnd, blame: str = "") -> None:
+        with self._lock:
+            attempt = self._attempt
+        if blame:
+            self._avoid = self._avoid | {blame}
+        if attempt is not None:
+            attempt.end(how, blame)
+
+    def _name_decode(self) -> str:
+        return "" if self._attempt is None else self._attempt.decode_name
+
+
+def _gone() -> errors.Fault:
+    return errors.Fault(
+        errors.Code.CANCELLED,
+        errors.Step.CALLER,
+        message="the caller has gone",
+    )
--- /dev/null
+++ b/mulberryway/filters/observe.py
@@ -0,0 +1,75 @@
+"""Traces, counts and logs each request."""
+
+import logging
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway import logs
+from mulberryway import metrics
+from mulberryway import traces
+from mulberryway.filters import base
+
+__all__ = ["Observe"]
+
+LOG = logging.getLogger(__name__)
+
+
+class Observe(base.Filter):
+    """Begins a request's span and tells how the request ended.
+
+    :param tracer: makes spans
+    :param metrics_: counts
+    :param clock_: where the time comes from
+    """
+
+    def __init__(
+        self,
+        tracer: traces.Tracer,
+        metrics_: metrics.Metrics,
+        clock_: clock.Clock,
+    ) -> None:
+        self._tracer = tracer
+        self._metrics = metrics_
+        self._clock = clock_
+
+    def handle(
+        self, exchange: base.Exchange, proceed: base.Proceed
+    ) -> base.Answer:
+        """Begin the span; it ends with the request.
+
+        :param exchange: the request
+        :param proceed: the rest of the chain
+        :returns: what the chain answers
+        """
+        exchange.span = self._tracer.begin_from(
+            errors.Step.CALLER, exchange.find_header("traceparent")
+        )
+        exchange.span.note("request_id", exchange.request_id)
+        exchange.add_finisher(lambda outcome: self._end(exchange, outcome))
+        return proceed(exchange)
+
+    def _end(self, exchange: base.Exchange, outcome: base.Outcome) -> None:
+        fault = outcome.fault
+        account = getattr(exchange, "account", None)
+        labels = {
+            "account": "" if account is None else account.name,
+            "code": "ok" if fault is None else fault.code.value,
+        }
+        self._metrics.requests.add(1, labels)
+        if outcome.used_tokens:
+            self._metrics.tokens.add(
+                outcome.used_tokens, {"account": labels["account"]}
+            )
+        if fault is not None:
+            exchange.span.fail(fault)
+        exchange.span.end()
+        LOG.debug(
+            "a request ended",
+            extra=logs.describe(
+                fault,
+                request_id=exchange.request_id,
+                account=labels["account"],
+                tokens=outcome.tokens,
+                took_ms=self._clock.now_ms() - exchange.arrived_ms,
+            ),
+        )
--- /dev/null
+++ b/mulberryway/filters/status.py
@@ -0,0 +1,128 @@
+"""Answers for load checks, callers that look for an entry, and stops."""
+
+import abc
+import json
+
+import expression
+
+from mulberryway import errors
+from mulberryway import replies
+from mulberryway.filters import base
+from mulberryway.policy import entry
+
+__all__ = ["Entry", "Health", "Lifecycle", "RefuseWhenStopping"]
+
+JSON_HEADERS = [("Content-Type", replies.JSON_TYPE)]
+STOPPING_RETRY_MS = 100
+
+
+class Lifecycle(abc.ABC):
+    """How far a process's start or stop has come."""
+
+    @property
+    @abc.abstractmethod
+    def is_ready(self) -> bool:
+        """Whether new callers should come here."""
+
+    @property
+    @abc.abstractmethod
+    def is_refusing(self) -> bool:
+        """Whether new requests are refused."""
+
+
+class Health(base.Filter):
+    """Answers ``/healthz`` and ``/readyz``; needs no key.
+
+    :param lifecycle: tells whether new callers should come
+    """
+
+    def __init__(self, lifecycle: Lifecycle) -> None:
+        self._lifecycle = lifecycle
+
+    def handle(
+        self, exchange: base.Exchange, proceed: base.Proceed
+    ) -> base.Answer:
+        """Answer checks, and let all else go on.
+
+        :param exchange: the request
+        :param proceed: the rest of the chain
+        :returns: a reply, or what the chain answers
+        """
+        if exchange.path == "/healthz":
+            return _reply(200, {"alive": True})
+        if exchange.path == "/readyz":
+            ready = self._lifecycle.is_ready
+            return _reply(200 if ready else 503, {"ready": ready})
+        return proceed(exchange)
+
+
+class RefuseWhenStopping(base.Filter):
+    """Refuses new requests truthfully once callers have had time to go.
+
+    :param lifecycle: tells how far a stop has come
+    """
+
+    def __init__(self, lifecycle: Lifecycle) -> None:
+        self._lifecycle = lifecycle
+
+    def handle(
+        self, exchange: base.Exchange, proceed: base.Proceed
+    ) -> base.Answer:
+        """Refuse or go on.
+
+        :param exchange: the request
+        :param proceed: the rest of the chain
+        :returns: what the chain answers, or ``STOPPING``
+        """
+        if not self._lifecycle.is_refusing:
+            return proceed(exchange)
+        # The caller's next request has to go to another VM, and with an
+        # open connection it would come here.
+        exchange.head.keep = False
+        return expression.Error(
+            errors.Fault(
+                errors.Code.STOPPING,
+                errors.Step.ADMISSION,
+                message="this VM is stopping; use another entry address",
+                retry_after_ms=STOPPING_RETRY_MS,
+            )
+        )
+
+
+class Entry(base.Filter):
+    """Answers ``GET /v1/entry`` with the addresses to use; needs no key.
+
+    :param directory: knows the VMs that take new callers
+    :param zone: the zone of this VM, for callers that name none
+    :param ttl_ms: how long callers may keep the answer
+    """
+
+    def __init__(
+        self, directory: entry.EntryDirectory, zone: str, ttl_ms: int
+    ) -> None:
+        self._directory = directory
+        self._zone = zone
+        self._ttl_ms = ttl_ms
+
+    def handle(
+        self, exchange: base.Exchange, proceed: base.Proceed
+    ) -> base.Answer:
+        """Answer a question for addresses, and let all else go on.
+
+        :param exchange: the request
+        :param proceed: the rest of the chain
+        :returns: a reply, or what the chain answers
+        """
+        if exchange.path != "/v1/entry" or exchange.method != "GET":
+            return proceed(exchange)
+        zone = exchange.find_header("x-zone") or self._zone
+        addresses = [
+            {"address": found.address, "zone": found.zone}
+            for found in self._directory.list_addresses(zone)
+        ]
+        return _reply(200, {"addresses": addresses, "ttl_ms": self._ttl_ms})
+
+
+def _reply(status: int, value: dict[str, object]) -> base.Answer:
+    body = json.dumps(value).encode()
+    return expression.Ok(replies.Reply(status, list(JSON_HEADERS), body))
--- /dev/null
+++ b/mulberryway/metrics.py
@@ -0,0 +1,119 @@
+"""The instruments of a router; docs/operators/metrics.md lists them."""
+
+import collections.abc
+import typing
+
+from opentelemetry import metrics
+from opentelemetry.exporter.otlp.proto.http import metric_exporter
+from opentelemetry.sdk import metrics as sdk
+from opentelemetry.sdk import resources
+from opentelemetry.sdk.metrics import export
+
+__all__ = ["Metrics"]
+
+Labels = dict[str, str | int | float | bool]
+Gauge = collections.abc.Callable[[], int]
+
+
+class Metrics:
+    """All instruments, readable in the process and exported if asked.
+
+    Nothing here is counted for each token: a count costs microseconds, and
+    a stream's tokens are added up at its end.
+
+    :param vm: the VM's name
+    :param otlp_url: where metrics are sent; empty for nowhere
+    :param export_ms: how often
+    """
+
+    def __init__(
+        self, vm: str, otlp_url: str = "", export_ms: int = 10_000
+    ) -> None:
+        self._memory = export.InMemoryMetricReader()
+        readers: list[export.MetricReader] = [self._memory]
+        if otlp_url:
+            exporter = metric_exporter.OTLPMetricExporter(
+                endpoint=otlp_url.rstrip("/") + "/v1/metrics"
+            )
+            readers.append(
+                export.PeriodicExportingMetricReader(exporter, export_ms)
+            )
+        self._provider = sdk.MeterProvider(
+            readers,
+            resources.Resource(
+                {"service.name": "mulberryway", "host.name": vm}
+            ),
+            shutdown_on_exit=False,
+        )
+        meter = self._provider.get_meter("mulberryway")
+        self._meter = meter
+        self.requests = meter.create_counter(
+            "mulberryway.requests",
+            description="requests that ended, by account and code",
+        )
+        self.tokens = meter.create_counter(
+            "mulberryway.tokens",
+            description="tokens used, by account and kind",
+        )
+        self.first_token = meter.create_histogram(
+            "mulberryway.first_token",
+            "ms",
+            "time from a request's arrival to its first token",
+        )
+        self.queue_wait = meter.create_histogram(
+            "mulberryway.queue_wait",
+            "ms",
+            "time that a request waited for a decode slot",
+        )
+        self.attempts = meter.create_counter(
+            "mulberryway.attempts",
+            description="attempts that failed, by step, code and run",
+        )
+        self.cancels = meter.create_counter(
+            "mulberryway.cancels",
+            description="cancels sent to engines, by result",
+        )
+        self.reconciled = meter.create_counter(
+            "mulberryway.reconciled",
+            description="requests freed that dead owners had left behind",
+        )
+
+    def observe(self, name: str, description: str, read: Gauge) -> None:
+        """Report a value that somebody else keeps.
+
+        :param name: the instrument's name, without the common prefix
+        :param description: what it tells
+        :param read: returns the value now
+        """
+        self._meter.create_observable_gauge(
+            f"mulberryway.{name}",
+            [lambda options: [metrics.Observation(read())]],
+            description=description,
+        )
+
+    def read(self) -> dict[str, list[dict[str, typing.Any]]]:
+        """Return all values now, for status pages and tests.
+
+        :returns: by instrument's name, its points: attributes and a value,
+            or a count and a sum
+        """
+        data = self._memory.get_metrics_data()
+        if data is None:
+            return {}
+        return {
+            metric.name: [_read_point(p) for p in metric.data.data_points]
+            for resource in data.resource_metrics
+            for scope in resource.scope_metrics
+            for metric in scope.metrics
+        }
+
+    def stop(self) -> None:
+        """Send what is still to be sent."""
+        self._provider.shutdown()
+
+
+def _read_point(point: typing.Any) -> dict[str, typing.Any]:
+    labels = dict(point.attributes or {})
+    if hasattr(point, "value"):
+        return {"labels": labels, "value": point.value}
+    return {"labels": labels, "count": point.count, "sum": point.sum}
--- /dev/null
+++ b/mulberryway/relay/pump.py
@@ -0,0 +1,345 @@
+"""Moves tokens from engines to callers, all streams on one event loop."""
+
+import collections.abc
+import concurrent.futures
+import select
+import socket
+
+from mulberryway import errors
+from mulberryway.relay import events
+from mulberryway.relay import loop
+from mulberryway.relay import stream as streams
+from mulberryway.upstreams import base as upstreams
+
+__all__ = ["Relay"]
+
+RECEIVE_BYTES = 65_536
+# What one slow caller may keep in memory: about five thousand tokens.  Above
+# it the engine is not read from, so that it notices and slows down.
+MOST_PENDING_BYTES = 262_144
+# A caller that takes nothing for so long has gone without a word, or holds
+# a decode slot that others wait for.
+CALLER_STALL_MS = 20_000
+# An engine's last chunk usually comes with its last event; the connection is
+# not kept longer than this for it.
+FAREWELL_MS = 1_000
+RECOVERERS = 16
+
+GONE = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
+READ = select.EPOLLIN
+WRITE = select.EPOLLOUT
+
+Stream = streams.Stream
+
+
+class Relay:
+    """Carries lent connections until their answers end.
+
+    ``lend``, ``resume``, ``fail`` and ``cut`` may be called on any thread;
+    all else happens on the loop's.
+
+    :param loop_: the event loop
+    """
+
+    def __init__(self, loop_: loop.EventLoop) -> None:
+        self._loop = loop_
+        self._streams: set[Stream] = set()
+        self._farewells: dict[socket.socket, int] = {}
+        self._recoverers = concurrent.futures.ThreadPoolExecutor(
+            RECOVERERS, "recover"
+        )
+        loop_.add_tick(self._check_limits)
+
+    @property
+    def count(self) -> int:
+        """How many streams are on their way."""
+        return len(self._streams)
+
+    def stop(self) -> None:
+        """End the helper threads; the loop is its owner's to stop."""
+        self._recoverers.shutdown(wait=False, cancel_futures=True)
+
+    def lend(self, stream: Stream) -> None:
+        """Carry a stream from now on.
+
+        :param stream: the stream, with its caller's and engine's sockets
+        """
+        self._loop.post(lambda: self._begin(stream))
+
+    def resume(self, stream: Stream, source: upstreams.TokenStream) -> None:
+        """Go on with a stream from another engine.
+
+        :param stream: the stream that ``recover`` was called for
+        :param source: the new engine's stream
+        """
+        self._loop.post(lambda: self._resume(stream, source))
+
+    def fail(self, stream: Stream, fault: errors.Fault) -> None:
+        """Tell a caller that no engine can go on.
+
+        :param stream: the stream
+        :param fault: what to tell
+        """
+        self._loop.post(lambda: self._end_with(stream, fault))
+
+    def cut(
+        self,
+        chooses: collections.abc.Callable[[Stream], bool],
+        fault: errors.Fault,
+    ) -> None:
+        """End streams at once, visibly.
+
+        :param chooses: tells which streams
+        :param fault: what their callers are told
+        """
+        self._loop.post(lambda: self._cut(chooses, fault))
+
+    def _begin(self, stream: Stream) -> None:
+        self._streams.add(stream)
+        stream.caller.setblocking(False)
+        self._loop.register(
+            stream.caller.fileno(),
+            GONE,
+            lambda events_: self._on_caller(stream, events_),
+        )
+        self._read_from(stream)
+
+    def _read_from(self, stream: Stream) -> None:
+        source = stream.source
+        if source is None:
+            return
+        stream.limit_at_ms = self._loop.now_ms + stream.first_limit_ms
+        source.connection.setblocking(False)
+        self._loop.register(
+            source.connection.fileno(),
+            READ,
+            lambda events_: self._on_source(stream),
+        )
+        if source.buffered:
+            self._take(stream, source.buffered)
+
+    def _on_source(self, stream: Stream) -> None:
+        if stream.source is None or stream.is_closed:
+            return
+        try:
+            data = stream.source.connection.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._lose_source(stream, f"the connection failed: {error}")
+            return
+        if data:
+            self._take(stream, data)
+        else:
+            self._lose_source(stream, "the engine ended in mid-answer")
+
+    def _take(self, stream: Stream, data: bytes) -> None:
+        before = stream.expected
+        try:
+            out = stream.take(data)
+        except events.BrokenStream as error:
+            self._lose_source(stream, str(error))
+            return
+        if stream.expected > before:
+            stream.limit_at_ms = self._loop.now_ms + stream.gap_limit_ms
+            if not before:
+                stream.owner.note_first_token()
+        if stream.is_ended:
+            stream.owner.note_source_end()
+            self._part(stream)
+            out += stream.writer.end()
+        if out:
+            self._send(stream, out)
+        elif stream.is_ended:
+            self._close(stream, None)
+
+    def _send(self, stream: Stream, out: bytes) -> None:
+        if stream.pending:
+            stream.pending += out
+        else:
+            try:
+                sent = stream.caller.send(out)
+            except BlockingIOError:
+                sent = 0
+            except OSError:
+                self._lose_caller(stream)
+                return
+            if sent == len(out):
+                if stream.is_ended:
+                    self._close(stream, None)
+                return
+            stream.pending += out[sent:]
+            stream.stalled_at_ms = self._loop.now_ms
+            self._loop.modify(stream.caller.fileno(), GONE | WRITE)
+        if len(stream.pending) > MOST_PENDING_BYTES:
+            self._pause(stream)
+
+    def _on_caller(self, stream: Stream, events_: int) -> None:
+        if stream.is_closed:
+            return
+        if events_ & GONE:
+            self._lose_caller(stream)
+        elif stream.pending:
+            self._flush(stream)
+
+    def _flush(self, stream: Stream) -> None:
+        try:
+            sent = stream.caller.send(stream.pending)
+        except BlockingIOError:
+            return
+        except OSError:
+            self._lose_caller(stream)
+            return
+        del stream.pending[:sent]
+        stream.stalled_at_ms = self._loop.now_ms
+        if stream.pending:
+            return
+        if stream.is_ended:
+            self._close(stream, None)
+            return
+        self._loop.modify(stream.caller.fileno(), GONE)
+        if stream.is_paused:
+            self._unpause(stream)
+
+    def _pause(self, stream: Stream) -> None:
+        if stream.source is not None and not stream.is_paused:
+            stream.is_paused = True
+            self._loop.modify(stream.source.connection.fileno(), 0)
+
+    def _unpause(self, stream: Stream) -> None:
+        stream.is_paused = False
+        stream.limit_at_ms = self._loop.now_ms + stream.gap_limit_ms
+        if stream.source is not None:
+            self._loop.modify(stream.source.connection.fileno(), READ)
+
+    def _check_limits(self) -> None:
+        now_ms = self._loop.now_ms
+        stall_ms = now_ms - CALLER_STALL_MS
+        for stream in [
+            stream
+            for stream in self._streams
+            if stream.limit_at_ms <= now_ms or stream.pending
+        ]:
+            if stream.pending and stream.stalled_at_ms <= stall_ms:
+                self._lose_caller(stream)
+            elif (
+                stream.limit_at_ms <= now_ms
+                and stream.source is not None
+                and not stream.is_paused
+            ):
+                # The connection is open and silent: new ones may work, so
+                # this is the engine's failure and not the caller's.
+                self._lose_source(
+                    stream, "no token in time", errors.Code.UPSTREAM_TIMEOUT
+                )
+        for connection in [
+            connection
+            for connection, at_ms in self._farewells.items()
+            if at_ms <= now_ms
+        ]:
+            self._end_farewell(connection)
+
+    def _lose_source(
+        self,
+        stream: Stream,
+        message: str,
+        code: errors.Code = errors.Code.UPSTREAM_FAILED,
+    ) -> None:
+        self._close_source(stream)
+        stream.is_paused = False
+        fault = errors.Fault(
+            code,
+            errors.Step.DECODE,
+            run=errors.Run.MAY_HAVE_RUN,
+            message=message,
+        )
+        try:
+            self._recoverers.submit(stream.owner.recover, stream, fault)
+        except RuntimeError:
+            self._end_with(stream, fault)
+
+    def _resume(self, stream: Stream, source: upstreams.TokenStream) -> None:
+        if stream.is_closed:
+            # The caller went while another engine was sought.
+            source.connection.close()
+            stream.owner.drop_source()
+            return
+        stream.change_source(source)
+        self._read_from(stream)
+
+    def _lose_caller(self, stream: Stream) -> None:
+        self._close(
+            stream,
+            errors.Fault(
+                errors.Code.CANCELLED,
+                errors.Step.CALLER,
+                run=errors.Run.MAY_HAVE_RUN,
+                message="the caller has gone",
+            ),
+        )
+
+    def _cut(
+        self,
+        chooses: collections.abc.Callable[[Stream], bool],
+        fault: errors.Fault,
+    ) -> None:
+        for stream in [s for s in self._streams if chooses(s)]:
+            self._end_with(stream, fault)
+
+    def _end_with(self, stream: Stream, fault: errors.Fault) -> None:
+        """Tell the caller, as far as its connection takes it, and close."""
+        if stream.is_closed or stream.is_ended:
+            return
+        has_begun = stream.writer.begun
+        out = stream.writer.fail(fault)
+        try:
+            if stream.pending:
+                stream.pending += out
+                stream.caller.send(stream.pending)
+            else:
+                stream.caller.send(out)
+        except OSError:
+            has_begun = True
+        if has_begun:
+            stream.writer.head.keep = False
+        self._close(stream, fault)
+
+    def _close(self, stream: Stream, fault: errors.Fault | None) -> None:
+        if stream.is_closed:
+            return
+        stream.is_closed = True
+        self._streams.discard(stream)
+        self._loop.unregister(stream.caller.fileno())
+        self._close_source(stream)
+        if fault is not None:
+            stream.owner.drop_source()
+        is_lost = fault is not None and fault.step is errors.Step.CALLER
+        stream.release(stream.writer.head.keep and not is_lost)
+        stream.owner.close(stream.expected, fault)
+
+    def _close_source(self, stream: Stream) -> None:
+        if stream.source is not None:
+            self._loop.unregister(stream.source.connection.fileno())
+            stream.source.connection.close()
+            stream.source = None
+
+    def _part(self, stream: Stream) -> None:
+        """Let an engine write its last chunk, so that it sees no reset."""
+        source = stream.source
+        if source is None or not source.chunked or stream.decoder.ended:
+            self._close_source(stream)
+            return
+        stream.source = None
+        connection = source.connection
+        self._loop.unregister(connection.fileno())
+        self._farewells[connection] = self._loop.now_ms + FAREWELL_MS
+        self._loop.register(
+            connection.fileno(),
+            READ,
+            lambda events_: self._end_farewell(connection),
+        )
+
+    def _end_farewell(self, connection: socket.socket) -> None:
+        if self._farewells.pop(connection, None) is not None:
+            self._loop.unregister(connection.fileno())
+            connection.close()
--- /dev/null
+++ b/mulberryway/relay/stream.py
@@ -0,0 +1,188 @@
+"""The state of one answer on its way from an engine to a caller."""
+
+import abc
+import collections.abc
+import socket
+
+from mulberryway import errors
+from mulberryway.relay import events
+from mulberryway.relay import writers
+from mulberryway.upstreams import base as upstreams
+
+__all__ = ["Stream", "StreamOwner"]
+
+DONE_EVENT = b"data: [DONE]"
+FINISH_MEMBER = b'"finish_reason"'
+
+
+class StreamOwner(abc.ABC):
+    """The request to which a stream belongs; called on the loop's thread.
+
+    All methods but ``recover`` must return at once.
+    """
+
+    @abc.abstractmethod
+    def note_first_token(self) -> None:
+        """Take notice that the engine's first token has come."""
+
+    @abc.abstractmethod
+    def note_source_end(self) -> None:
+        """Take notice that the engine has finished; its slot is free."""
+
+    @abc.abstractmethod
+    def drop_source(self) -> None:
+        """Free what the engine holds, because nobody wants the rest.
+
+        May be called more than once, also after ``recover`` has found
+        another engine for a caller that has gone meanwhile.
+        """
+
+    @abc.abstractmethod
+    def recover(self, stream: "Stream", fault: errors.Fault) -> None:
+        """Find another engine; on a thread of its own, may block.
+
+        Ends in ``Relay.resume`` or ``Relay.fail`` for the stream.
+
+        :param stream: the stream; ``expected`` is the offset to resume at
+        :param fault: what befell the engine
+        """
+
+    @abc.abstractmethod
+    def close(self, tokens: int, fault: errors.Fault | None) -> None:
+        """Take notice of the end; called exactly once.
+
+        :param tokens: how many tokens were taken from engines
+        :param fault: why the answer is not whole; none if it is
+        """
+
+
+class Stream:
+    """One answer on its way.
+
+    :param owner: the request
+    :param writer: makes the reply
+    :param source: the engine's stream
+    :param caller: the caller's socket
+    :param release: gets whether the caller's connection can be used again
+    :param first_limit_ms: how long the first token may take from now on
+    :param gap_limit_ms: how long each further token may take
+    :param key_digest: names the key that the request came with
+    :param account: the client account
+    """
+
+    __slots__ = (
+        "owner",
+        "writer",
+        "source",
+        "caller",
+        "release",
+        "first_limit_ms",
+        "gap_limit_ms",
+        "key_digest",
+        "account",
+        "expected",
+        "pending",
+        "limit_at_ms",
+        "stalled_at_ms",
+        "is_paused",
+        "is_ended",
+        "is_closed",
+        "decoder",
+        "_splitter",
+        "_has_finish",
+        "_first_id",
+        "_source_id",
+    )
+
+    def __init__(
+        self,
+        owner: StreamOwner,
+        writer: writers.Writer,
+        source: upstreams.TokenStream,
+        caller: socket.socket,
+        release: collections.abc.Callable[[bool], None],
+        first_limit_ms: int,
+        gap_limit_ms: int,
+        key_digest: str = "",
+        account: str = "",
+    ) -> None:
+        self.owner = owner
+        self.writer = writer
+        self.caller = caller
+        self.release = release
+        self.first_limit_ms = first_limit_ms
+        self.gap_limit_ms = gap_limit_ms
+        self.key_digest = key_digest
+        self.account = account
+        self.expected = 0
+        self.pending = bytearray()
+        self.limit_at_ms = 0
+        self.stalled_at_ms = 0
+        self.is_paused = False
+        self.is_ended = False
+        self.is_closed = False
+        self._first_id = b""
+        self.change_source(source)
+
+    def change_source(self, source: upstreams.TokenStream) -> None:
+        """Begin to read from an engine.
+
+        :param source: the engine's stream
+        """
+        self.source: upstreams.TokenStream | None = source
+        self.decoder = events.ChunkDecoder()
+        self._splitter = events.EventSplitter()
+        self._source_id = b""
+        self._has_finish = False
+
+    def take(self, data: bytes) -> bytes:
+        """Take in what an engine sent and return what to send on.
+
+        Tokens that the caller has already are left out; a token that is
+        missing breaks the stream, so that nobody takes the rest for whole.
+
+        :param data: bytes from the engine
+        :returns: bytes for the caller, possibly none
+        :raises BrokenStream: if the stream cannot be used any more
+        """
+        if self.source is not None and self.source.chunked:
+            data = self.decoder.feed(data)
+        tokens: list[bytes] = []
+        for event in self._splitter.feed(data):
+            if event == DONE_EVENT:
+                self._check_whole()
+                self.is_ended = True
+                break
+            if self._accept(event):
+                tokens.append(self._rename(event))
+        return self.writer.add(tokens) if tokens else b""
+
+    def _accept(self, event: bytes) -> bool:
+        token = events.TokenEvent.read(event)
+        if not self._source_id:
+            self._source_id = token.id
+            self._first_id = self._first_id or token.id
+        elif token.id != self._source_id:
+            # An event of somebody else's answer: an engine that crosses
+            # two streams shows itself here, before a foreign byte goes on.
+            raise events.BrokenStream("an event of another answer")
+        if token.index is None:
+            return True
+        if token.index > self.expected:
+            raise events.BrokenStream("a token is missing")
+        if token.index < self.expected:
+            return False
+        self.expected += 1
+        self._has_finish = FINISH_MEMBER in event
+        return True
+
+    def _rename(self, event: bytes) -> bytes:
+        if self._source_id == self._first_id:
+            return event
+        return event.replace(self._source_id, self._first_id, 1)
+
+    def _check_whole(self) -> None:
+        # An engine that gives a run up may close its stream in good form;
+        # only a reason to finish shows that the answer is whole.
+        if not self._has_finish:
+            raise events.BrokenStream("the answer ends without a reason")
--- /dev/null
+++ b/mulberryway/relay/writers.py
@@ -0,0 +1,219 @@
+"""What callers get of a token stream: events, or one whole completion."""
+
+import abc
+import json
+import typing
+
+from mulberryway import errors
+from mulberryway import replies
+from mulberryway.relay import events
+
+__all__ = ["CompletionWriter", "EventWriter", "ReplyHead", "Writer"]
+
+EVENT_END = b"\n\n"
+DONE = b"data: [DONE]\n\n"
+LAST_CHUNK = b"0\r\n\r\n"
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    401: "Unauthorized",
+    403: "Forbidden",
+    404: "Not Found",
+    408: "Request Timeout",
+    409: "Conflict",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    429: "Too Many Requests",
+    499: "Client Closed Request",
+    500: "Internal Server Error",
+    501: "Not Implemented",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+    505: "HTTP Version Not Supported",
+}
+
+
+class ReplyHead:
+    """Writes the heads of HTTP replies for one request.
+
+    :param http_11: whether the caller speaks HTTP/1.1
+    :param keep: whether the connection stays open after a whole reply
+    :param headers: pairs that every reply to this request carries
+    """
+
+    __slots__ = ("http_11", "keep", "headers")
+
+    def __init__(
+        self, http_11: bool, keep: bool, headers: list[tuple[str, str]]
+    ) -> None:
+        self.http_11 = http_11
+        self.keep = keep
+        self.headers = headers
+
+    def write(self, status: int, headers: list[tuple[str, str]]) -> bytes:
+        """Return a reply's head.
+
+        :param status: the HTTP status
+        :param headers: pairs of this reply
+        :returns: the bytes up to the body
+        """
+        lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}"]
+        lines += [f"{k}: {v}" for k, v in headers + self.headers]
+        if not self.keep:
+            lines.append("Connection: close")
+        elif not self.http_11:
+            lines.append("Connection: Keep-Alive")
+        return "\r\n".join([*lines, "", ""]).encode("latin-1")
+
+    def write_whole(self, reply: replies.Reply) -> bytes:
+        """Return a whole reply.
+
+        :param reply: the reply
+        :returns: head and body
+        """
+        if reply.close:
+            self.keep = False
+        length = ("Content-Length", str(len(reply.body)))
+        head = self.write(reply.status, [*reply.headers, length])
+        return head + reply.body
+
+
+class Writer(abc.ABC):
+    """Turns the events of one answer into the bytes of a reply.
+
+    ``begun`` tells whether the caller has seen a head; before that a fault
+    can still become an ordinary error reply.
+
+    :param head: writes the reply's head
+    """
+
+    def __init__(self, head: ReplyHead) -> None:
+        self.head = head
+        self.begun = False
+
+    @abc.abstractmethod
+    def add(self, tokens: list[bytes]) -> bytes:
+        """Return what to send for some events.
+
+        :param tokens: whole events in order
+        :returns: bytes, possibly none
+        """
+
+    @abc.abstractmethod
+    def end(self) -> bytes:
+        """Return what closes a whole answer."""
+
+    def fail(self, fault: errors.Fault) -> bytes:
+        """Return what tells a caller that the answer is not whole.
+
+        :param fault: what went wrong
+        :returns: bytes; the connection has to be closed after them if
+            ``begun`` was true
+        """
+        return self.head.write_whole(replies.reply_fault(fault))
+
+
+class EventWriter(Writer):
+    """Passes events on as they are, in the caller's own transfer coding."""
+
+    def add(self, tokens: list[bytes]) -> bytes:
+        """Return the events as one chunk, after the head at first.
+
+        :param tokens: whole events in order
+        :returns: the bytes
+        """
+        body = EVENT_END.join(tokens) + EVENT_END
+        return self._frame(body)
+
+    def end(self) -> bytes:
+        """Return the closing event and the last chunk."""
+        closing = self._frame(DONE)
+        return closing + LAST_CHUNK if self.head.http_11 else closing
+
+    def fail(self, fault: errors.Fault) -> bytes:
+        """Return an error event, or an error reply before the head.
+
+        Neither the closing event nor the last chunk follows an error event:
+        a cut answer must look cut even to a caller that reads no events.
+
+        :param fault: what went wrong
+        :returns: the bytes
+        """
+        if not self.begun:
+            return super().fail(fault)
+        event = b"data: " + replies.describe_fault(fault) + EVENT_END
+        return self._frame(event)
+
+    def _frame(self, body: bytes) -> bytes:
+        if self.head.http_11:
+            body = b"%x\r\n%b\r\n" % (len(body), body)
+        if self.begun:
+            return body
+        self.begun = True
+        return self._write_head() + body
+
+    def _write_head(self) -> bytes:
+        headers = [
+            ("Content-Type", "text/event-stream"),
+            ("Cache-Control", "no-store"),
+        ]
+        if self.head.http_11:
+            headers.append(("Transfer-Encoding", "chunked"))
+        else:
+            # An older caller knows the end of a body of unknown length only
+            # by the connection's end.
+            self.head.keep = False
+        return self.head.write(200, headers)
+
+
+class CompletionWriter(Writer):
+    """Gathers an answer and replies with it as one JSON object.
+
+    :param head: writes the reply's head
+    :param model: the model's name, for the reply
+    """
+
+    def __init__(self, head: ReplyHead, model: str) -> None:
+        super().__init__(head)
+        self._model = model
+        self._events: list[bytes] = []
+
+    def add(self, tokens: list[bytes]) -> bytes:
+        """Keep the events.
+
+        :param tokens: whole events in order
+        :returns: nothing
+        """
+        self._events += tokens
+        return b""
+
+    def end(self) -> bytes:
+        """Return the whole reply."""
+        values = [events.read_object(event) for event in self._events]
+        self.begun = True
+        reply = replies.Reply(
+            200,
+            [("Content-Type", replies.JSON_TYPE)],
+            json.dumps(self._assemble(values)).encode(),
+        )
+        return self.head.write_whole(reply)
+
+    def _assemble(
+        self, values: list[dict[str, typing.Any]]
+    ) -> dict[str, typing.Any]:
+        choices = [value["choices"][0] for value in values]
+        last = values[-1] if values else {}
+        return {
+            "id": values[0].get("id") if values else None,
+            "object": "text_completion",
+            "model": self._model,
+            "choices": [
+                {
+                    "index": 0,
+                    "text": "".join(choice["text"] for choice in choices),
+                    "finish_reason": choices[-1].get("finish_reason"),
+                }
+            ],
+            "usage": last.get("usage", {}),
+        }
--- /dev/null
+++ b/mulberryway/router.py
@@ -0,0 +1,267 @@
+"""The router of one VM: the object that runs the show."""
+
+import collections.abc
+import logging
+import sys
+import threading
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway import metrics
+from mulberryway import settings
+from mulberryway import tables
+from mulberryway import traces
+from mulberryway.controllers import cancelling
+from mulberryway.controllers import scheduling
+from mulberryway.filters import admission
+from mulberryway.filters import authenticate
+from mulberryway.filters import base as filters
+from mulberryway.filters import chain
+from mulberryway.filters import choosing
+from mulberryway.filters import model_forward
+from mulberryway.filters import model_run
+from mulberryway.filters import observe
+from mulberryway.filters import route
+from mulberryway.filters import service_forward
+from mulberryway.filters import status
+from mulberryway.policy import allowance
+from mulberryway.policy import base as policy
+from mulberryway.policy import entry
+from mulberryway.relay import loop
+from mulberryway.relay import pump
+from mulberryway.relay import stream as streams
+from mulberryway.relay import watch
+from mulberryway.server import gateway
+from mulberryway.server import http_server
+from mulberryway.upstreams import directory
+
+__all__ = ["Router"]
+
+LOG = logging.getLogger(__name__)
+
+# Python lets a thread compute for this long before another one may.  With
+# the default of 5 ms, one worker that reads a long prompt holds the relay's
+# loop up for 5 ms, which is all that a stream's pause may grow by.
+SWITCH_S = 0.000_5
+# Entry answers are a little older than their lifetime says when they come
+# over a peer or a slow caller.
+ENTRY_MARGIN_MS = 1_000
+POLL_MS = 20
+# What was sent to this VM before the refusals began is on its way at most
+# for so long.
+LAST_CALLS_MS = 200
+
+
+class Router(status.Lifecycle):
+    """Serves callers; everything it decides with is handed to it.
+
+    :param settings_: the settings of the process
+    :param clock_: where the time comes from
+    :param incarnation: which life of this VM's router this is
+    :param source: the tables in force
+    :param scheduler: decides about model requests
+    :param allowances: the accounts' tokens
+    :param entries: knows the VMs that take callers
+    :param may_repeat: takes one repeat out of the budget for them
+    :param on_withdraw: called when new callers should no longer come
+    :param directory_: finds upstreams; by HTTP if none is given
+    """
+
+    def __init__(
+        self,
+        settings_: settings.Settings,
+        clock_: clock.Clock,
+        incarnation: int,
+        source: tables.TableSource,
+        scheduler: policy.Scheduler,
+        allowances: allowance.Allowances,
+        entries: entry.EntryDirectory,
+        may_repeat: collections.abc.Callable[[], bool] = lambda: True,
+        on_withdraw: collections.abc.Callable[[], None] = lambda: None,
+        directory_: directory.UpstreamDirectory | None = None,
+    ) -> None:
+        self.settings = settings_
+        self.clock = clock_
+        self.metrics = metrics.Metrics(
+            settings_.vm_name,
+            settings_.telemetry_otlp_url,
+            settings_.telemetry_export_ms,
+        )
+        self.tracer = traces.Tracer(
+            settings_.vm_name, settings_.telemetry_otlp_url
+        )
+        self.loop = loop.EventLoop("relay", clock_)
+        self.relay = pump.Relay(self.loop)
+        self.scheduling = scheduling.Scheduling(scheduler, clock_)
+        self.cancelling = cancelling.Cancelling(clock_, self.metrics)
+        self.directory = directory_ or directory.HttpDirectory(clock_)
+        self._source = source
+        self._allowances = allowances
+        self._entries = entries
+        self._may_repeat = may_repeat
+        self._on_withdraw = on_withdraw
+        self._incarnation = incarnation
+        self._has_begun = False
+        self._is_withdrawn = False
+        self._is_refusing = False
+        self._stop_lock = threading.Lock()
+        self.gateway = gateway.GatewayFactory(
+            chain.Chain(self._make_filters()),
+            clock_,
+            f"{settings_.vm_name}.{incarnation}",
+        )
+        self.server = http_server.HttpServer(
+            settings_, self.gateway, self.relay
+        )
+        self._observe()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new callers should come here."""
+        return (
+            self._has_begun
+            and not self._is_withdrawn
+            and self._source.read_tables() is not None
+        )
+
+    @property
+    def is_refusing(self) -> bool:
+        """Whether new requests are refused."""
+        return self._is_refusing
+
+    @property
+    def running(self) -> int:
+        """How many requests are in the router, streams included."""
+        return self.gateway.running
+
+    @property
+    def port(self) -> int:
+        """The port that callers connect to."""
+        return int(self.server.bind_addr[1])
+
+    def start(self) -> None:
+        """Begin to serve; returns at once."""
+        sys.setswitchinterval(SWITCH_S)
+        self._source.subscribe(self._change_tables)
+        found = self._source.read_tables()
+        if found is not None:
+            self._change_tables(found)
+        self.loop.start()
+        self.scheduling.start()
+        self.cancelling.start()
+        self.server.start()
+        self._has_begun = True
+        LOG.info("the router serves on port %d", self.port)
+
+    def withdraw(self) -> None:
+        """Tell new callers to go elsewhere; keep serving all who come."""
+        self._is_withdrawn = True
+        self._on_withdraw()
+
+    def stop(self, graceful: bool = True) -> None:
+        """Stop; if gracefully, without cutting any request.
+
+        Callers keep an entry answer for its lifetime, so this VM serves on
+        for that long after it has left the answer.  Then it refuses what is
+        new, truthfully, and ends what runs.
+
+        :param graceful: whether to wait for all of that
+        """
+        with self._stop_lock:
+            if graceful and self._has_begun:
+                self.withdraw()
+                self.clock.sleep_ms(
+                    self.settings.router_entry_ttl_ms + ENTRY_MARGIN_MS
+                )
+                self._is_refusing = True
+                self._drain()
+            self._is_refusing = True
+            self._shut_down()
+
+    def _drain(self) -> None:
+        # cheroot's own stop would cut requests that take longer than its
+        # five seconds, so it is called only when nothing runs.
+        while True:
+            while self.running:
+                self.clock.sleep_ms(POLL_MS)
+            self.clock.sleep_ms(LAST_CALLS_MS)
+            if not self.running:
+                break
+        while self.cancelling.open and self.cancelling.is_fresh:
+            self.clock.sleep_ms(POLL_MS)
+
+    def _shut_down(self) -> None:
+        self.server.stop()
+        self.scheduling.stop()
+        self.cancelling.stop()
+        self.relay.stop()
+        self.loop.stop()
+        self.tracer.stop()
+        self.metrics.stop()
+
+    def _change_tables(self, changed: tables.Tables) -> None:
+        self.scheduling.change_tables(changed)
+        self.directory.change_tables(changed)
+        self.relay.cut(
+            lambda stream: _is_withdrawn(changed, stream),
+            errors.Fault(
+                errors.Code.UNAUTHENTICATED,
+                errors.Step.DECODE,
+                run=errors.Run.RAN,
+                message="the key was withdrawn",
+            ),
+        )
+
+    def _make_filters(self) -> list[filters.Filter]:
+        settings_ = self.settings
+        parts = model_run.Parts(
+            settings_.vm_name,
+            self._incarnation,
+            settings_.router_token_gap_ms,
+            self.clock,
+            self._source,
+            self.scheduling,
+            self.cancelling,
+            self.directory,
+            self.relay,
+            watch.CallerWatch(self.loop),
+            self.tracer,
+            self.metrics,
+            self._may_repeat,
+        )
+        return [
+            status.Health(self),
+            status.Entry(
+                self._entries,
+                settings_.vm_zone,
+                settings_.router_entry_ttl_ms,
+            ),
+            observe.Observe(self.tracer, self.metrics, self.clock),
+            status.RefuseWhenStopping(self),
+            authenticate.Authenticate(self._source),
+            route.FindRoute(),
+            admission.ReadCall(),
+            admission.Admission(self._allowances),
+            model_forward.ModelForward(parts),
+            service_forward.ServiceForward(
+                self.directory,
+                choosing.ServerChooser(settings_.vm_zone),
+                self.tracer,
+                self.clock,
+            ),
+        ]
+
+    def _observe(self) -> None:
+        for name, description, read in (
+            ("streams", "streams on their way", lambda: self.relay.count),
+            ("running", "requests in the router", lambda: self.running),
+            ("waiting", "jobs queued", lambda: self.scheduling.waiting),
+            ("started", "jobs on engines", lambda: self.scheduling.started),
+            ("cancels_open", "cancels sent", lambda: self.cancelling.open),
+        ):
+            self.metrics.observe(name, description, read)
+
+
+def _is_withdrawn(changed: tables.Tables, stream: streams.Stream) -> bool:
+    account = changed.find_account(stream.key_digest)
+    return account is None or account.name != stream.account
--- /dev/null
+++ b/mulberryway/server/__init__.py
@@ -0,0 +1,9 @@
+"""The callers' HTTP server, built on cheroot."""
+
+from mulberryway.server import gateway
+from mulberryway.server import http_server
+
+__all__ = ["GatewayFactory", "HttpServer"]
+
+GatewayFactory = gateway.GatewayFactory
+HttpServer = http_server.HttpServer
--- /dev/null
+++ b/mulberryway/server/gateway.py
@@ -0,0 +1,163 @@
+"""Between cheroot and the filter chain."""
+
+import collections.abc
+import itertools
+import logging
+import threading
+
+from cheroot import errors as cheroot_errors
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway import logs
+from mulberryway import replies
+from mulberryway.filters import base
+from mulberryway.filters import chain
+from mulberryway.relay import writers
+from mulberryway.server import request
+
+__all__ = ["Gateway", "GatewayFactory"]
+
+LOG = logging.getLogger(__name__)
+
+
+class GatewayFactory:
+    """Makes a gateway for each request.
+
+    :param chain_: answers requests
+    :param clock_: where the time comes from
+    :param owner: names this VM and incarnation, the first part of each
+        request's id
+    """
+
+    def __init__(
+        self, chain_: chain.Chain, clock_: clock.Clock, owner: str
+    ) -> None:
+        self.chain = chain_
+        self.clock = clock_
+        self._owner = owner
+        self._numbers = itertools.count(1)
+        self._lock = threading.Lock()
+        self._running = 0
+
+    @property
+    def running(self) -> int:
+        """How many requests have begun and not ended."""
+        return self._running
+
+    def note_begin(self) -> None:
+        """Count a request that has begun."""
+        with self._lock:
+            self._running += 1
+
+    def note_end(self) -> None:
+        """Count a request that has ended, its stream included."""
+        with self._lock:
+            self._running -= 1
+
+    def make_id(self) -> str:
+        """Return an id that no other request in the fleet has."""
+        return f"{self._owner}-{next(self._numbers)}"
+
+    def __call__(self, request_: request.Request) -> "Gateway":
+        """Make a gateway.
+
+        :param request_: the request
+        :returns: what answers it
+        """
+        return Gateway(request_, self)
+
+
+class Gateway:
+    """Answers one request.
+
+    :param request_: the request
+    :param factory: what all gateways share
+    """
+
+    __slots__ = ("_request", "_factory", "_id", "_head")
+
+    def __init__(
+        self, request_: request.Request, factory: GatewayFactory
+    ) -> None:
+        self._request = request_
+        self._factory = factory
+        self._id = factory.make_id()
+        can_keep = request_.server.can_add_keepalive_connection
+        self._head = writers.ReplyHead(
+            request_.response_protocol == "HTTP/1.1",
+            can_keep and not request_.close_connection,
+            [("X-Request-Id", self._id)],
+        )
+
+    def respond(self) -> None:
+        """Read the body, run the chain, and write or lend the answer."""
+        try:
+            body = self._request.read_body()
+        except cheroot_errors.MaxSizeExceeded:
+            self._refuse(errors.Code.BODY_TOO_LARGE, "the body is too large")
+        except ValueError as error:
+            self._refuse(errors.Code.BAD_REQUEST, str(error))
+        else:
+            self._answer(self._make_exchange(body))
+
+    def _refuse(self, code: errors.Code, message: str) -> None:
+        fault = errors.Fault(code, errors.Step.CALLER, message=message)
+        self._write(replies.reply_fault(fault, close=True))
+
+    def _answer(self, exchange: base.Exchange) -> None:
+        self._factory.note_begin()
+        exchange.add_finisher(lambda outcome: self._factory.note_end())
+        answer = self._factory.chain.handle(exchange)
+        if answer.is_ok() and isinstance(answer.ok, base.Lent):
+            self._request.conn.lent_stream = answer.ok.stream
+            self._request.close_connection = False
+            return
+        fault = None if answer.is_ok() else answer.error
+        try:
+            if fault is None:
+                self._write(answer.ok)
+            else:
+                LOG.info(
+                    "a request was answered with a fault",
+                    extra=logs.describe(fault, request_id=self._id),
+                )
+                self._write(replies.reply_fault(fault))
+        finally:
+            exchange.finish(base.Outcome(fault, exchange.prompt_used, 0))
+
+    def _write(self, reply: replies.Reply) -> None:
+        request_ = self._request
+        request_.sent_headers = True
+        connection = request_.conn
+        connection.socket.settimeout(request_.server.request_limit_s)
+        data = self._head.write_whole(reply)
+        if request_.method == b"HEAD":
+            data = data.removesuffix(reply.body)
+        connection.wfile.write(data)
+        request_.close_connection = not self._head.keep
+
+    def _make_exchange(self, body: bytes) -> base.Exchange:
+        request_ = self._request
+        connection = request_.conn
+        return base.Exchange(
+            self._id,
+            request_.method.decode("latin-1"),
+            request_.path.decode("latin-1"),
+            request_.uri.decode("latin-1"),
+            [
+                (name.decode("latin-1"), value.decode("latin-1"))
+                for name, value in request_.inheaders.items()
+            ],
+            body,
+            connection.socket,
+            self._head,
+            _make_release(connection),
+            self._factory.clock.now_ms(),
+        )
+
+
+def _make_release(
+    connection: request.Connection,
+) -> collections.abc.Callable[[bool], None]:
+    return lambda keep: connection.server.release(connection, keep)
--- /dev/null
+++ b/mulberryway/upstreams/connections.py
@@ -0,0 +1,240 @@
+"""Calls to one upstream over kept connections, and what their failure means.
+
+No call is repeated here and no redirect is followed: whether a request may
+go to another upstream is decided where its whole history is known.
+"""
+
+import http.client
+import threading
+import time
+
+import expression
+import urllib3
+import urllib3.exceptions
+
+from mulberryway import clock
+from mulberryway import errors
+
+__all__ = ["Caller", "Response", "sort_failure"]
+
+MS_IN_S = 1_000
+CONNECT_MS = 1_000
+# Something between the two ends may lose track of a connection; the longer
+# it lives the likelier that is, and a fresh one costs a millisecond.
+MOST_AGE_MS = 60_000
+KEPT_CONNECTIONS = 32
+READ_BYTES = 65_536
+MOST_REPLY_BYTES = 16_777_216
+REQUEST_ID = "X-Request-Id"
+
+NOT_CONNECTED = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+    ConnectionRefusedError,
+)
+TIMED_OUT = (urllib3.exceptions.TimeoutError, TimeoutError)
+FAILURES = (
+    urllib3.exceptions.HTTPError,
+    http.client.HTTPException,
+    OSError,
+)
+
+
+class Response:
+    """A whole reply.
+
+    :param status: the HTTP status
+    :param headers: header pairs
+    :param body: the whole body
+    """
+
+    __slots__ = ("status", "headers", "body")
+
+    def __init__(
+        self, status: int, headers: list[tuple[str, str]], body: bytes
+    ) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+def sort_failure(
+    error: Exception, step: errors.Step, peer: str
+) -> errors.Fault:
+    """Tell whether a request may have run, by where its call failed.
+
+    A connection that was never made carried nothing.  After that the
+    upstream may have had all of the request: what was written is in no
+    way known to have been read, or not read.
+
+    :param error: what the library raised
+    :param step: the hop
+    :param peer: the upstream's address
+    :returns: the fault
+    """
+    if isinstance(error, NOT_CONNECTED):
+        return errors.Fault(
+            errors.Code.UPSTREAM_UNREACHABLE, step, peer, errors.Run.NOT_RUN
+        )
+    code = errors.Code.UPSTREAM_FAILED
+    if isinstance(error, TIMED_OUT):
+        code = errors.Code.UPSTREAM_TIMEOUT
+    return errors.Fault(
+        code,
+        step,
+        peer,
+        errors.Run.MAY_HAVE_RUN,
+        f"the call failed: {type(error).__name__}",
+    )
+
+
+class Caller:
+    """Calls one upstream.
+
+    All connections that are kept for it belong to one generation.  A
+    generation ends by age, and at once when one of its connections fell
+    silent or crossed two answers: its siblings went the same way through
+    the same things in between, so they are suspects.
+
+    :param address: ``host:port``
+    :param clock_: where the time comes from
+    """
+
+    def __init__(self, address: str, clock_: clock.Clock) -> None:
+        self.address = address
+        self._clock = clock_
+        self._lock = threading.Lock()
+        self._pool = self._make_pool()
+        self._made_ms = clock_.now_ms()
+
+    def call(
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes | None,
+        timeout_ms: int,
+        step: errors.Step,
+    ) -> expression.Result[Response, errors.Fault]:
+        """Make one call, exactly once.
+
+        :param method: the HTTP method
+        :param target: path and query
+        :param headers: what to send; the reply must echo a request id
+        :param body: the body, if any
+        :param timeout_ms: the longest wait for the whole reply
+        :param step: the hop, for faults
+        :returns: the reply, or a fault that says whether it ran
+        """
+        deadline_s = time.monotonic() + timeout_ms / MS_IN_S
+        pool = self._find_pool()
+        response: urllib3.BaseHTTPResponse | None = None
+        try:
+            response = pool.urlopen(
+                method,
+                target,
+                body,
+                headers,
+                retries=False,
+                redirect=False,
+                assert_same_host=False,
+                preload_content=False,
+                decode_content=False,
+                timeout=_make_timeout(timeout_ms),
+            )
+            whole = _read_whole(response, deadline_s)
+        except FAILURES as error:
+            self._abandon(response)
+            return expression.Error(self._note_failure(error, step))
+        return self._check_echo(headers, whole, response, step)
+
+    def close(self) -> None:
+        """Close the connections that are kept."""
+        self._pool.close()
+
+    def retire(self) -> None:
+        """Use none of the kept connections again."""
+        with self._lock:
+            before, self._pool = self._pool, self._make_pool()
+            self._made_ms = self._clock.now_ms()
+        # Calls under way end on their own connections, which are closed
+        # instead of kept, because their pool is.
+        before.close()
+
+    def _check_echo(
+        self,
+        headers: dict[str, str],
+        whole: Response,
+        response: urllib3.BaseHTTPResponse,
+        step: errors.Step,
+    ) -> expression.Result[Response, errors.Fault]:
+        sent = headers.get(REQUEST_ID)
+        echoed = response.headers.get(REQUEST_ID)
+        if sent is None or echoed == sent:
+            response.release_conn()
+            return expression.Ok(whole)
+        # Somebody else's answer, left on the connection or crossed in
+        # between.  Nobody may get it, and this call's own is lost.
+        self._abandon(response)
+        self.retire()
+        return expression.Error(
+            errors.Fault(
+                errors.Code.UPSTREAM_FAILED,
+                step,
+                self.address,
+                errors.Run.MAY_HAVE_RUN,
+                "the reply belongs to another request",
+            )
+        )
+
+    def _note_failure(
+        self, error: Exception, step: errors.Step
+    ) -> errors.Fault:
+        fault = sort_failure(error, step, self.address)
+        if fault.code is errors.Code.UPSTREAM_TIMEOUT:
+            self.retire()
+        return fault
+
+    @staticmethod
+    def _abandon(response: urllib3.BaseHTTPResponse | None) -> None:
+        # A connection whose reply was not read to its end would give the
+        # rest of it to the next request.
+        if response is not None:
+            response.close()
+
+    def _find_pool(self) -> urllib3.HTTPConnectionPool:
+        if self._clock.now_ms() - self._made_ms > MOST_AGE_MS:
+            self.retire()
+        return self._pool
+
+    def _make_pool(self) -> urllib3.HTTPConnectionPool:
+        host, _, port = self.address.rpartition(":")
+        return urllib3.HTTPConnectionPool(
+            host, int(port), maxsize=KEPT_CONNECTIONS, retries=False
+        )
+
+
+def _make_timeout(timeout_ms: int) -> urllib3.Timeout:
+    return urllib3.Timeout(
+        connect=min(CONNECT_MS, timeout_ms) / MS_IN_S,
+        read=timeout_ms / MS_IN_S,
+    )
+
+
+def _read_whole(
+    response: urllib3.BaseHTTPResponse, deadline_s: float
+) -> Response:
+    pieces = []
+    total = 0
+    for piece in response.stream(READ_BYTES, decode_content=False):
+        pieces.append(piece)
+        total += len(piece)
+        if total > MOST_REPLY_BYTES:
+            raise urllib3.exceptions.ProtocolError("the reply is too large")
+        if time.monotonic() > deadline_s:
+            raise urllib3.exceptions.ReadTimeoutError(
+                None, "", "the reply takes too long"
+            )
+    return Response(
+        response.status, list(response.headers.items()), b"".join(pieces)
+    )
--- /dev/null
+++ b/mulberryway/upstreams/directory.py
@@ -0,0 +1,114 @@
+"""Finds the object that stands for an upstream of the tables."""
+
+import abc
+import threading
+import typing
+
+from mulberryway import clock
+from mulberryway import tables
+from mulberryway.upstreams import base
+from mulberryway.upstreams import http_engine
+from mulberryway.upstreams import http_service
+
+__all__ = ["HttpDirectory", "UpstreamDirectory"]
+
+Found = http_engine.HttpEngine | http_service.HttpService
+
+
+class UpstreamDirectory(abc.ABC):
+    """Where engines and services are found; another protocol fits in here."""
+
+    @abc.abstractmethod
+    def find_engine(
+        self, pool: tables.Pool, upstream: tables.Upstream
+    ) -> base.Engine:
+        """Return the engine at an upstream's address.
+
+        :param pool: the pool, whose credential is used
+        :param upstream: the upstream
+        :returns: the engine
+        """
+
+    @abc.abstractmethod
+    def find_service(
+        self, pool: tables.Pool, upstream: tables.Upstream
+    ) -> base.PlainService:
+        """Return the plain service at an upstream's address.
+
+        :param pool: the pool, whose credential is used
+        :param upstream: the upstream
+        :returns: the service
+        """
+
+    @abc.abstractmethod
+    def change_tables(self, changed: tables.Tables) -> None:
+        """Forget upstreams that the tables no longer hold.
+
+        :param changed: the new tables
+        """
+
+
+class HttpDirectory(UpstreamDirectory):
+    """Keeps one object, with its connections, for each address.
+
+    :param clock_: where the time comes from
+    """
+
+    def __init__(self, clock_: clock.Clock) -> None:
+        self._clock = clock_
+        self._lock = threading.Lock()
+        self._found: dict[tuple[str, str, type], Found] = {}
+
+    def find_engine(
+        self, pool: tables.Pool, upstream: tables.Upstream
+    ) -> base.Engine:
+        """Return the engine at an upstream's address.
+
+        :param pool: the pool, whose credential is used
+        :param upstream: the upstream
+        :returns: the engine
+        """
+        return typing.cast(
+            base.Engine, self._find(pool, upstream, http_engine.HttpEngine)
+        )
+
+    def find_service(
+        self, pool: tables.Pool, upstream: tables.Upstream
+    ) -> base.PlainService:
+        """Return the plain service at an upstream's address.
+
+        :param pool: the pool, whose credential is used
+        :param upstream: the upstream
+        :returns: the service
+        """
+        return typing.cast(
+            base.PlainService,
+            self._find(pool, upstream, http_service.HttpService),
+        )
+
+    def change_tables(self, changed: tables.Tables) -> None:
+        """Forget upstreams that the tables no longer hold.
+
+        :param changed: the new tables
+        """
+        wanted = {
+            (upstream.address, pool.credential)
+            for pool in changed.pools.values()
+            for upstream in pool.upstreams
+        }
+        with self._lock:
+            gone = [key for key in self._found if key[:2] not in wanted]
+            closing = [self._found.pop(key) for key in gone]
+        for found in closing:
+            found.close()
+
+    def _find(
+        self, pool: tables.Pool, upstream: tables.Upstream, kind: type[Found]
+    ) -> Found:
+        key = (upstream.address, pool.credential, kind)
+        with self._lock:
+            found = self._found.get(key)
+            if found is None:
+                found = kind(upstream.address, pool.credential, self._clock)
+                self._found[key] = found
+            return found
--- /dev/null
+++ b/mulberryway/upstreams/http_engine.py
@@ -0,0 +1,293 @@
+"""A model engine over HTTP, as docs/design/interfaces.md describes it."""
+
+import http
+import json
+import typing
+import urllib.parse
+
+import expression
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway.upstreams import base
+from mulberryway.upstreams import connections
+from mulberryway.upstreams import decode_call
+
+__all__ = ["HttpEngine"]
+
+CONTROL_MS = 1_000
+NOT_RUN = (
+    http.HTTPStatus.TOO_MANY_REQUESTS,
+    http.HTTPStatus.SERVICE_UNAVAILABLE,
+)
+# Members of a body that the router sets itself; a caller's own would let it
+# import another account's KV cache.
+OWN_MEMBERS = ("kv_transfer_params", "resume_offset", "stream")
+
+Body = dict[str, typing.Any]
+
+
+class HttpEngine(base.Engine):
+    """One engine at one address.
+
+    :param address: ``host:port``
+    :param credential: the pool's own credential; empty for none
+    :param clock_: where the time comes from
+    """
+
+    def __init__(
+        self, address: str, credential: str, clock_: clock.Clock
+    ) -> None:
+        self.address = address
+        self._credential = credential
+        self._caller = connections.Caller(address, clock_)
+
+    def prefill(
+        self,
+        label: base.RunLabel,
+        body: Body,
+        timeout_ms: int,
+    ) -> expression.Result[base.PrefillResult, errors.Fault]:
+        """Compute a prompt's KV cache and keep it for export.
+
+        :param label: names the attempt
+        :param body: the caller's request, credentials removed
+        :param timeout_ms: the longest wait for the result
+        :returns: the result, or a fault that says whether it ran
+        """
+        step = errors.Step.PREFILL
+        call = _strip(body) | {
+            "stream": False,
+            "kv_transfer_params": {"do_remote_decode": True},
+        }
+        return self._call(
+            "POST",
+            "/v1/completions",
+            self._make_headers(label),
+            call,
+            timeout_ms,
+            step,
+        ).bind(lambda value: self._read(value, _read_prefill, step))
+
+    def decode(
+        self,
+        label: base.RunLabel,
+        body: Body,
+        transfer: Body,
+        offset: int,
+        timeout_ms: int,
+    ) -> expression.Result[base.TokenStream, errors.Fault]:
+        """Import a KV cache and begin to generate.
+
+        :param label: names the attempt
+        :param body: the caller's request, credentials removed
+        :param transfer: what the prefill returned
+        :param offset: how many tokens the caller has already; 0 at first
+        :param timeout_ms: the longest wait for the reply's head
+        :returns: the stream, or a fault that says whether it ran
+        """
+        call = _strip(body) | {
+            "stream": True,
+            "kv_transfer_params": transfer | {"do_remote_prefill": True},
+        }
+        if offset:
+            call["resume_offset"] = offset
+        return decode_call.begin_decode(
+            self.address,
+            self._make_headers(label),
+            call,
+            timeout_ms,
+        )
+
+    def cancel(
+        self, label: base.RunLabel
+    ) -> expression.Result[bool, errors.Fault]:
+        """Free what the engine holds for an attempt; idempotent.
+
+        :param label: names the attempt
+        :returns: whether anything was held, or a fault
+        """
+        name = urllib.parse.quote(label.request_id, safe="")
+        return self._control("DELETE", f"/v1/requests/{name}").bind(
+            lambda value: self._read(
+                value, lambda read: bool(read["held"]), errors.Step.DECODE
+            )
+        )
+
+    def list_held(
+        self,
+    ) -> expression.Result[list[base.HeldRequest], errors.Fault]:
+        """Return every request for which the engine holds memory."""
+        return self._control("GET", "/v1/requests").bind(
+            lambda value: self._read(value, _read_held, errors.Step.DECODE)
+        )
+
+    def report_load(self) -> expression.Result[base.EngineLoad, errors.Fault]:
+        """Return the engine's own, lagging, load report."""
+        return self._control("GET", "/v1/load").bind(
+            lambda value: self._read(value, _read_load, errors.Step.DECODE)
+        )
+
+    def read_cache_events(
+        self, after: int
+    ) -> expression.Result[list[base.CacheEvent], errors.Fault]:
+        """Return cache events with a sequence above the given one.
+
+        :param after: the last sequence seen
+        :returns: events in order, possibly with gaps, or a fault
+        """
+        return self._control("GET", f"/v1/cache_events?after={after}").bind(
+            lambda value: self._read(value, _read_events, errors.Step.DECODE)
+        )
+
+    def give_order(
+        self, order: base.Order
+    ) -> expression.Result[None, errors.Fault]:
+        """Tell the engine to load a model or to change its role.
+
+        :param order: the order with its fencing number
+        :returns: nothing, or a fault; ``UPSTREAM_REFUSED`` if fenced off
+        """
+        body = {
+            "verb": order.verb,
+            "argument": order.argument,
+            "fencing": order.fencing,
+        }
+        return self._control("POST", "/v1/orders", body).map(lambda _: None)
+
+    def close(self) -> None:
+        """Close the connections that are kept."""
+        self._caller.close()
+
+    def _control(
+        self, method: str, target: str, body: Body | None = None
+    ) -> expression.Result[typing.Any, errors.Fault]:
+        return self._call(
+            method,
+            target,
+            self._make_headers(),
+            body,
+            CONTROL_MS,
+            errors.Step.DECODE,
+        )
+
+    def _call(
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: Body | None,
+        timeout_ms: int,
+        step: errors.Step,
+    ) -> expression.Result[typing.Any, errors.Fault]:
+        data = None if body is None else json.dumps(body).encode()
+        return self._caller.call(
+            method, target, headers, data, timeout_ms, step
+        ).bind(lambda response: self._check(response, step))
+
+    def _check(
+        self, response: connections.Response, step: errors.Step
+    ) -> expression.Result[typing.Any, errors.Fault]:
+        if response.status != http.HTTPStatus.OK:
+            return expression.Error(self._sort_status(response.status, step))
+        try:
+            return expression.Ok(json.loads(response.body))
+        except ValueError:
+            return expression.Error(self._malformed(step))
+
+    def _sort_status(self, status: int, step: errors.Step) -> errors.Fault:
+        code, run = errors.Code.UPSTREAM_FAILED, errors.Run.MAY_HAVE_RUN
+        if status in NOT_RUN or status == http.HTTPStatus.CONFLICT:
+            code, run = errors.Code.UPSTREAM_REFUSED, errors.Run.NOT_RUN
+        return errors.Fault(
+            code,
+            step,
+            self.address,
+            run,
+            f"the engine answered with status {status}",
+        )
+
+    def _read(
+        self,
+        value: typing.Any,
+        read: typing.Callable[[typing.Any], typing.Any],
+        step: errors.Step,
+    ) -> expression.Result[typing.Any, errors.Fault]:
+        try:
+            return expression.Ok(read(value))
+        except (KeyError, TypeError, ValueError):
+            return expression.Error(self._malformed(step))
+
+    def _malformed(self, step: errors.Step) -> errors.Fault:
+        return errors.Fault(
+            errors.Code.UPSTREAM_FAILED,
+            step,
+            self.address,
+            errors.Run.RAN,
+            "the engine's reply cannot be read",
+        )
+
+    def _make_headers(
+        self, label: base.RunLabel | None = None
+    ) -> dict[str, str]:
+        headers = {"Content-Type": "application/json"}
+        if label is not None:
+            headers[connections.REQUEST_ID] = label.request_id
+            headers["X-Request-Owner"] = f"{label.vm}/{label.incarnation}"
+            if label.traceparent:
+                headers["traceparent"] = label.traceparent
+        if self._credential:
+            headers["Authorization"] = f"Bearer {self._credential}"
+        return headers
+
+
+def _strip(body: Body) -> Body:
+    return {k: v for k, v in body.items() if k not in OWN_MEMBERS}
+
+
+def _read_prefill(value: Body) -> base.PrefillResult:
+    usage = value["usage"]
+    return base.PrefillResult(
+        dict(value["kv_transfer_params"]),
+        int(usage["prompt_tokens"]),
+        int(usage.get("cached_tokens", 0)),
+    )
+
+
+def _read_held(value: Body) -> list[base.HeldRequest]:
+    return [
+        base.HeldRequest(
+            _read_label(held), str(held["phase"]), int(held["blocks"])
+        )
+        for held in value["requests"]
+    ]
+
+
+def _read_label(held: Body) -> base.RunLabel:
+    vm, _, incarnation = str(held["owner"]).rpartition("/")
+    # An owner in another form is not one of ours; no incarnation is below
+    # zero, so nothing here ever claims to know it.
+    number = int(incarnation) if vm and incarnation.isdigit() else -1
+    return base.RunLabel(str(held["id"]), vm, number)
+
+
+def _read_load(value: Body) -> base.EngineLoad:
+    return base.EngineLoad(
+        int(value["running"]),
+        int(value["waiting"]),
+        int(value["slots"]),
+        int(value["free_blocks"]),
+        int(value["total_blocks"]),
+        tuple(map(str, value["models"])),
+    )
+
+
+def _read_events(value: Body) -> list[base.CacheEvent]:
+    return [
+        base.CacheEvent(
+            int(event["sequence"]),
+            tuple(event["stored"]),
+            tuple(event["removed"]),
+        )
+        for event in value["events"]
+    ]
--- /dev/null
+++ b/tests/router_rig.py
@@ -0,0 +1,252 @@
+"""A router in the test's own process, before real stand-in processes."""
+
+import http.client
+import json
+import time
+
+import expression
+
+from mulberryway import clock
+from mulberryway import router
+from mulberryway import settings
+from mulberryway import tables
+from mulberryway.policy import allowance
+from mulberryway.policy import baselines
+from mulberryway.policy import entry
+from standins import answers
+from tests import processes
+
+KEY = "key-of-tea-estate-1"
+OTHER_KEY = "key-of-surveyors-2"
+CREDENTIAL = "pool-credential"
+GUARD_S = 30
+ROLES = {
+    "prefill": tables.UpstreamRole.PREFILL,
+    "decode": tables.UpstreamRole.DECODE,
+    "both": tables.UpstreamRole.BOTH,
+    "service": tables.UpstreamRole.SERVICE,
+}
+
+
+class StaticTables(tables.TableSource):
+    """Tables that a test sets."""
+
+    def __init__(self, current=None):
+        self.current = current
+        self.subscribers = []
+
+    def read_tables(self):
+        return self.current
+
+    def subscribe(self, on_change):
+        self.subscribers.append(on_change)
+
+    def change(self, changed):
+        self.current = changed
+        for subscriber in self.subscribers:
+            subscriber(changed)
+
+
+class CountingAllowances(allowance.Allowances):
+    """Grants all, and keeps what was reserved and settled."""
+
+    def __init__(self):
+        self.open = []
+        self.settled = []
+        self.fault = None
+
+    def reserve(self, account, tokens):
+        if self.fault is not None:
+            return expression.Error(self.fault)
+        reservation = allowance.Reservation(account, tokens)
+        self.open.append(reservation)
+        return expression.Ok(reservation)
+
+    def settle(self, reservation, used):
+        self.open.remove(reservation)
+        self.settled.append((reservation.account, reservation.tokens, used))
+
+
+class OneEntry(entry.EntryDirectory):
+    def __init__(self, address):
+        self.address = address
+
+    def list_addresses(self, caller_zone):
+        return [entry.EntryAddress(self.address, "kandy-a")]
+
+
+def make_account(name, key, *further):
+    digests = tuple(map(tables.digest_key, (key, *further)))
+    return tables.ClientAccount(name, digests, 1000, 1000)
+
+
+def make_upstream(role, port, name=None):
+    return tables.Upstream(
+        name or f"{role}-{port}", f"127.0.0.1:{port}", "kandy-a", ROLES[role]
+    )
+
+
+def make_tables(engines=(), services=(), accounts=None, revision=1, **route):
+    """Return tables with a model route and two plain ones."""
+    accounts = accounts or (
+        make_account("tea-estate", KEY),
+        make_account("surveyors", OTHER_KEY),
+    )
+    pools = (
+        tables.Pool(
+            "lm-pool",
+            tables.PoolKind.MODEL,
+            tuple(engines),
+            ("m",),
+            CREDENTIAL,
+        ),
+        tables.Pool(
+            "member-api",
+            tables.PoolKind.PLAIN,
+            tuple(services),
+            credential=CREDENTIAL,
+        ),
+    )
+    routes = (
+        tables.Route("lm", "/v1/completions", "lm-pool", ("m",), **route),
+        tables.Route("member", "/member", "member-api"),
+        tables.Route(
+            "book", "/bookings", "member-api", idempotent=False, **route
+        ),
+    )
+    return tables.Tables(revision, routes, pools, accounts)
+
+
+def make_settings():
+    made = settings.Settings()
+    made.vm_name = "a1"
+    made.vm_zone = "kandy-a"
+    (made.router_port,) = processes.pick_ports(1)
+    made.router_threads = 32
+    made.router_entry_ttl_ms = 100
+    return made
+
+
+class Rig:
+    """One router; use it as a context manager."""
+
+    def __init__(self, current=None, settings_=None, scheduler=None):
+        self.settings = settings_ or make_settings()
+        self.source = StaticTables(current)
+        self.allowances = CountingAllowances()
+        self.scheduler = scheduler or baselines.FirstComeScheduler()
+        self.withdrawn = []
+        self.router = router.Router(
+            self.settings,
+            clock.SystemClock(),
+            7,
+            self.source,
+            self.scheduler,
+            self.allowances,
+            OneEntry(f"127.0.0.1:{self.settings.router_port}"),
+            on_withdraw=lambda: self.withdrawn.append(True),
+        )
+        self.port = self.settings.router_port
+
+    def __enter__(self):
+        self.router.start()
+        return self
+
+    def __exit__(self, *_):
+        self.router.stop(graceful=False)
+
+    def connect(self):
+        return http.client.HTTPConnection("127.0.0.1", self.port, GUARD_S)
+
+    def call(self, method, path, body=None, key=KEY, **headers):
+        """Make one call on a connection of its own."""
+        headers = {k.replace("_", "-"): v for k, v in headers.items()}
+        if key:
+            headers["Authorization"] = f"Bearer {key}"
+        return processes.call(self.port, method, path, body, headers, GUARD_S)
+
+    def complete(self, prompt="why did my fix drift", key=KEY, **body):
+        body = {"model": "m", "prompt": prompt, "max_tokens": 8} | body
+        return self.call("POST", "/v1/completions", body, key)
+
+    def is_idle(self):
+        """Tell whether nothing is held for any request."""
+        return (
+            not self.router.running
+            and not self.router.relay.count
+            and not self.router.scheduling.waiting
+            and not self.router.scheduling.started
+            and not self.router.cancelling.open
+            and not self.allowances.open
+        )
+
+    def wait_idle(self):
+        return processes.wait_until(self.is_idle)
+
+
+class OpenStream:
+    """A caller that reads a stream as it comes."""
+
+    def __init__(self, rig, prompt, max_tokens, key=KEY, model="m"):
+        self.connection = rig.connect()
+        body = {
+            "model": model,
+            "prompt": prompt,
+            "max_tokens": max_tokens,
+            "stream": True,
+        }
+        self.connection.request(
+            "POST",
+            "/v1/completions",
+            json.dumps(body),
+            {"Authorization": f"Bearer {key}"},
+        )
+        self.reply = None
+
+    def read_event(self):
+        """Return the next event's JSON, ``[DONE]``, or none at the end."""
+        if self.reply is None:
+            self.reply = self.connection.getresponse()
+        while line := self.reply.readline():
+            if line.strip():
+                text = line.decode().removeprefix("data: ").strip()
+                return text if text == "[DONE]" else json.loads(text)
+        return None
+
+    def read_all(self):
+        """Return all events up to the end of the stream."""
+        events = []
+        while (event := self.read_event()) is not None:
+            events.append(event)
+            if event == "[DONE]":
+                break
+        return events
+
+    def close(self):
+        self.connection.close()
+
+
+def join_text(events):
+    """Return the text that a stream's events carry."""
+    return "".join(
+        event["choices"][0]["text"]
+        for event in events
+        if event != "[DONE]" and "choices" in event
+    )
+
+
+def expect_text(prompt, max_tokens, model="m"):
+    return answers.Answer(model, prompt, max_tokens).text()
+
+
+def list_held(port):
+    """Return what an engine stand-in holds memory for."""
+    return processes.call(port, "GET", "/v1/requests").json()["requests"]
+
+
+def list_runs(port):
+    return processes.call(port, "GET", "/standin/runs").json()["runs"]
+
+
+def pause(seconds):
+    time.sleep(seconds)
