--- /dev/null
+++ b/benchmarks/usage.py
@@ -0,0 +1,33 @@
+"""Processor time and memory of other processes, read from /proc."""
+
+import os
+import pathlib
+
+__all__ = ["read_cpu_s", "read_resident_bytes"]
+
+PROC = pathlib.Path("/proc")
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+# Places in /proc/PID/stat counted from the state, which follows the name.
+USER_TICKS = 11
+SYSTEM_TICKS = 12
+
+
+def read_cpu_s(pid: int) -> float:
+    """Return the processor time that a process has used, in seconds.
+
+    :param pid: the process
+    :returns: user and system time of all its threads
+    """
+    text = (PROC / str(pid) / "stat").read_text(encoding="utf-8")
+    fields = text.rpartition(")")[2].split()
+    return (int(fields[USER_TICKS]) + int(fields[SYSTEM_TICKS])) / TICKS_PER_S
+
+
+def read_resident_bytes(pid: int) -> int:
+    """Return a process's resident memory, in bytes.
+
+    :param pid: the process
+    """
+    text = (PROC / str(pid) / "statm").read_text(encoding="utf-8")
+    return int(text.split()[1]) * PAGE_BYTES
--- a/mulberryway/load/caller.py
+++ b/mulberryway/load/caller.py
@@ -14,6 +14,9 @@
 __all__ = ["run_plan"]
 
 ENTRY_TIMEOUT = aiohttp.ClientTimeout(total=2.0)
+# Without an answer the named addresses are used, and it is asked again only
+# after a while: asking before each call would take longer than the call.
+ASK_AGAIN_MS = 1_000
 DONE = b"data: [DONE]"
 EVENT_END = b"\n\n"
 # What a caller may do again: the answer says that nothing ran.
@@ -73,6 +76,7 @@
                     return
             except (aiohttp.ClientError, TimeoutError, KeyError, ValueError):
                 continue
+        self._until_ms = read_ms() + ASK_AGAIN_MS
 
 
 class Caller:
--- a/mulberryway/load/plan.py
+++ b/mulberryway/load/plan.py
@@ -22,6 +22,7 @@
     :param kind: ``stream``, ``whole`` or ``plain``
     :param rate: calls a second, on average
     :param burst: calls that come all at once at the start
+    :param burst_ms: over how long the burst is spread, in milliseconds
     :param model: the model, for prompts
     :param prompt_tokens: the least and the most of a prompt
     :param prefix_tokens: what the account's prompts have in common
@@ -38,6 +39,7 @@
         "kind",
         "rate",
         "burst",
+        "burst_ms",
         "model",
         "prompt_tokens",
         "prefix_tokens",
@@ -55,6 +57,7 @@
         kind: str = "stream",
         rate: float = 0.0,
         burst: int = 0,
+        burst_ms: int = 0,
         model: str = "m",
         prompt_tokens: tuple[int, int] = (20, 2_000),
         prefix_tokens: int = 0,
@@ -69,6 +72,7 @@
         self.kind = kind
         self.rate = rate
         self.burst = burst
+        self.burst_ms = burst_ms
         self.model = model
         self.prompt_tokens = prompt_tokens
         self.prefix_tokens = prefix_tokens
@@ -162,7 +166,9 @@
 def _plan_times(
     caller: CallerPlan, duration_ms: int, random_: random.Random
 ) -> list[float]:
-    times = [0.0] * caller.burst
+    times = [
+        caller.burst_ms * index / caller.burst for index in range(caller.burst)
+    ]
     at_ms = 0.0
     while caller.rate > 0:
         at_ms += random_.expovariate(caller.rate) * 1000
