Name the board of hints apart from the scheduler's hints

Cause: two modules of different matters were both called hints. Change: the generic board is hint_board; the notes between schedulers keep the name. Conclusion: each module's name tells its one job.

--- a/mulberryway/controllers/membership.py
+++ b/mulberryway/controllers/membership.py
@@ -9,7 +9,7 @@
 from mulberryway.peers import client
 from mulberryway.platform import base as platform
 from mulberryway.policy import entry
-from mulberryway.policy import hints
+from mulberryway.policy import hint_board
 from mulberryway.policy import member
 from mulberryway.policy import membership
 
@@ -146,7 +146,7 @@
         :param ttl_ms: how long it matters, in milliseconds
         """
         now_ms = self.clock.now_ms()
-        hint = hints.Hint(
+        hint = hint_board.Hint(
             kind, key, payload, self.clock.wall_ms(), now_ms + ttl_ms
         )
         with self._lock:
