--- /dev/null
+++ b/benchmarks/workloads.py
@@ -0,0 +1,265 @@
+"""Seeded arrivals for the decisions' benchmark, the same for every rival."""
+
+import bisect
+import itertools
+import math
+import random
+
+__all__ = ["DEPLOYMENTS", "LOADS", "Arrival", "Deployment", "Load", "arrive"]
+
+TOKEN_MS = 37.0
+OUTPUT_MEDIAN = 220
+OUTPUT_SIGMA = 0.75
+OUTPUT_LIMITS = (10, 1_500)
+PROMPT_MEDIAN = 450
+PROMPT_SIGMA = 1.25
+PROMPT_LIMITS = (30, 9_000)
+MAX_TOKENS = 2_048
+BLOCK_TOKENS = 1_024
+BYTES_PER_TOKEN = 4
+# Part of the requests that go on with a session: a station's or crew's log
+# which grows from question to question.
+SESSION_PART = 0.3
+SESSIONS = 12
+SESSION_LIMIT = 24_000
+WINDOW_MS = 30_000
+
+
+class Deployment:
+    """How large a firm's model pool is.
+
+    :param name: the firm's name
+    :param prefills: servers that prefill
+    :param decodes: servers that decode
+    :param zones: its availability zones
+    :param weighing: what it weighs more
+    """
+
+    __slots__ = ("name", "prefills", "decodes", "zones", "weighing")
+
+    def __init__(
+        self,
+        name: str,
+        prefills: int,
+        decodes: int,
+        zones: tuple[str, ...],
+        weighing: str,
+    ) -> None:
+        self.name = name
+        self.prefills = prefills
+        self.decodes = decodes
+        self.zones = zones
+        self.weighing = weighing
+
+    def read_request_rate(self) -> float:
+        """Return the requests a second that full decode slots can take."""
+        mean = OUTPUT_MEDIAN * math.exp(OUTPUT_SIGMA**2 / 2)
+        return self.decodes * 20 * 1_000 / TOKEN_MS / mean
+
+
+DEPLOYMENTS = (
+    Deployment(
+        "kandurata", 2, 4, ("kandy-a", "matale-b", "nuwara-c"), "worst_served"
+    ),
+    Deployment("phewa", 2, 5, ("pokhara", "begnas", "rupa"), "goodput"),
+)
+
+
+class Load:
+    """One kind of demand.
+
+    :param name: what it is called in the table
+    :param factor: mean demand against what the decode slots can take
+    :param shares: how the demand is divided among the accounts
+    :param bursts: five seconds of each twenty have 2.8 times the demand of
+        the others
+    :param slow: one decode engine works at less than half its speed
+    :param long_part: part of the prompts that have 4,000 to 9,000 tokens
+    :param sticky: an account's callers all use one VM for a while
+    """
+
+    __slots__ = (
+        "name",
+        "factor",
+        "shares",
+        "bursts",
+        "slow",
+        "long_part",
+        "sticky",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        factor: float,
+        shares: tuple[float, ...] = (0.4, 0.3, 0.2, 0.06, 0.04),
+        bursts: bool = False,
+        slow: bool = False,
+        long_part: float = 0.0,
+        sticky: bool = False,
+    ) -> None:
+        self.name = name
+        self.factor = factor
+        self.shares = shares
+        self.bursts = bursts
+        self.slow = slow
+        self.long_part = long_part
+        self.sticky = sticky
+
+
+LOADS = (
+    Load("below", 0.7),
+    Load("saturation", 1.0),
+    Load("bursts", 0.75, bursts=True),
+    Load("skewed", 1.3, (0.7, 0.12, 0.1, 0.05, 0.03), sticky=True),
+    Load("slow upstream", 0.6, slow=True),
+    Load("long and short", 0.75, long_part=0.15),
+    Load("1.5 saturation", 1.5),
+)
+
+
+class Arrival:
+    """One request as a caller sends it.
+
+    :param number: unique, in order of arrival
+    :param at_ms: when
+    :param account: the client account
+    :param router: which VM the caller uses, as a number from 0 to 1
+    :param prompt_tokens: the prompt's length
+    :param output_tokens: the answer's length, unknown to the router
+    :param hashes: the prompt's blocks
+    """
+
+    __slots__ = (
+        "number",
+        "at_ms",
+        "account",
+        "router",
+        "prompt_tokens",
+        "output_tokens",
+        "hashes",
+    )
+
+    def __init__(
+        self,
+        number: int,
+        at_ms: float,
+        account: str,
+        router: float,
+        prompt_tokens: int,
+        output_tokens: int,
+        hashes: tuple[str, ...],
+    ) -> None:
+        self.number = number
+        self.at_ms = at_ms
+        self.account = account
+        self.router = router
+        self.prompt_tokens = prompt_tokens
+        self.output_tokens = output_tokens
+        self.hashes = hashes
+
+
+class _Session:
+    __slots__ = ("name", "tokens")
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.tokens = 0
+
+
+def arrive(
+    deployment: Deployment, load: Load, length_ms: int, seed: int
+) -> list[Arrival]:
+    """Return all arrivals of one load.
+
+    :param deployment: the firm
+    :param load: the kind of demand
+    :param length_ms: for how long requests come
+    :param seed: the seed
+    :returns: arrivals in order
+    """
+    random_ = random.Random(f"{deployment.name}/{load.name}/{seed}")
+    rate = deployment.read_request_rate() * load.factor / 1_000
+    maker = _Maker(load, random_)
+    found = []
+    at_ms = 0.0
+    while True:
+        at_ms += random_.expovariate(rate * _read_burst(load, at_ms))
+        if at_ms >= length_ms:
+            return found
+        found.append(maker.make(len(found), at_ms))
+
+
+def _read_burst(load: Load, at_ms: float) -> float:
+    if not load.bursts:
+        return 1.0
+    # 5 s of 20 at 2.8 times the rest keep the mean at one.
+    base = 20 / (5 * 2.8 + 15)
+    return base * 2.8 if at_ms % 20_000 < 5_000 else base
+
+
+def _clip_lognormal(
+    random_: random.Random,
+    median: float,
+    sigma: float,
+    limits: tuple[int, int],
+) -> int:
+    drawn = median * math.exp(random_.gauss(0, sigma))
+    return int(min(max(drawn, limits[0]), limits[1]))
+
+
+class _Maker:
+    def __init__(self, load: Load, random_: random.Random) -> None:
+        self._load = load
+        self._random = random_
+        self._bounds = list(itertools.accumulate(load.shares))
+        self._sessions: dict[str, list[_Session]] = {}
+        self._numbers = itertools.count()
+
+    def make(self, number: int, at_ms: float) -> Arrival:
+        """Draw one request."""
+        random_ = self._random
+        index = bisect.bisect(self._bounds, random_.random())
+        account = f"account{min(index, len(self._bounds) - 1)}"
+        router = random_.random()
+        if self._load.sticky:
+            window = int(at_ms // WINDOW_MS)
+            router = random.Random(f"{account}/{window}").random()
+        output = _clip_lognormal(
+            random_, OUTPUT_MEDIAN, OUTPUT_SIGMA, OUTPUT_LIMITS
+        )
+        prompt, hashes = self._draw_prompt(account)
+        return Arrival(number, at_ms, account, router, prompt, output, hashes)
+
+    def _draw_prompt(self, account: str) -> tuple[int, tuple[str, ...]]:
+        random_ = self._random
+        if random_.random() < self._load.long_part:
+            return self._name_blocks(
+                random_.randint(4_000, 9_000), self._new_name()
+            )
+        if random_.random() < SESSION_PART:
+            return self._grow_session(account)
+        tokens = _clip_lognormal(
+            random_, PROMPT_MEDIAN, PROMPT_SIGMA, PROMPT_LIMITS
+        )
+        return self._name_blocks(tokens, self._new_name())
+
+    def _grow_session(self, account: str) -> tuple[int, tuple[str, ...]]:
+        sessions = self._sessions.setdefault(
+            account, [_Session(self._new_name()) for _ in range(SESSIONS)]
+        )
+        index = self._random.randrange(len(sessions))
+        session = sessions[index]
+        session.tokens += self._random.randint(300, 2_500)
+        if session.tokens > SESSION_LIMIT:
+            session = sessions[index] = _Session(self._new_name())
+            session.tokens = self._random.randint(300, 2_500)
+        return self._name_blocks(session.tokens, session.name)
+
+    def _new_name(self) -> str:
+        return f"s{next(self._numbers)}"
+
+    @staticmethod
+    def _name_blocks(tokens: int, name: str) -> tuple[int, tuple[str, ...]]:
+        blocks = tokens // BLOCK_TOKENS
+        return tokens, tuple(f"{name}.{block}" for block in range(blocks))
