Carry schedulers' notes and engines' reports between routers

Cause: schedulers make notes for one another and want load reports, but nothing carried either; asking each engine from each router would cost 30 KB/s a VM at the target, twice control's whole share. Change: signed datagrams (Thrift, compact) to the routers that share engines, one reporter for each engine by rendezvous hashing, deaths under requests to all VMs by the membership's hints. Weighed: a call for each note, at about 0.2 ms on each side several times the cost, for hints that may be lost anyway. Conclusion: hints travel apart from promises and never wait for an answer.

--- /dev/null
+++ b/mulberryway/controllers/engine_reports.py
@@ -0,0 +1,128 @@
+"""Asks engines for their load and cache events on behalf of a cell."""
+
+import concurrent.futures
+
+from mulberryway import clock
+from mulberryway import tables
+from mulberryway.controllers import base
+from mulberryway.controllers import notes
+from mulberryway.controllers import scheduling
+from mulberryway.peers import note_messages
+from mulberryway.policy import sharing
+from mulberryway.upstreams import base as upstreams
+from mulberryway.upstreams import directory
+
+__all__ = ["EngineReports"]
+
+# An engine's report lags by some hundred milliseconds itself, so asking more
+# often than this tells nothing new.
+LEAST_PERIOD_MS = 500
+# Load: at the target 12 engines fall to one router.  A call costs about
+# 0.4 ms, and this many a second take 5 ms of the 13 that control may have;
+# with more engines each is asked more seldom.
+MOST_CALLS_PER_S = 12
+CALLS_PER_ENGINE = 2
+MS_IN_S = 1_000
+# One engine that does not answer must not hold the others' reports up.
+WORKERS = 4
+
+
+class EngineReports(base.Controller):
+    """Asks the engines that fall to this router, and tells its cell.
+
+    :param notes_: knows the cell, and carries what was learnt to it
+    :param scheduling_: takes it in here
+    :param directory_: finds engines
+    :param source: the tables in force
+    :param vm: this VM's name
+    :param clock_: where the time comes from
+    """
+
+    def __init__(
+        self,
+        notes_: notes.NotesController,
+        scheduling_: scheduling.Scheduling,
+        directory_: directory.UpstreamDirectory,
+        source: tables.TableSource,
+        vm: str,
+        clock_: clock.Clock,
+    ) -> None:
+        super().__init__("engine-reports", clock_, LEAST_PERIOD_MS)
+        self._notes = notes_
+        self._scheduling = scheduling_
+        self._directory = directory_
+        self._source = source
+        self._vm = vm
+        self._sequences: dict[tuple[str, str], int] = {}
+        self._workers = concurrent.futures.ThreadPoolExecutor(
+            WORKERS, "engine-reports"
+        )
+
+    def step(self) -> None:
+        """Ask each engine that falls to this router once."""
+        found = self._source.read_tables()
+        if found is None:
+            return
+        asked = [
+            (share, found.pools[share.pool], upstream)
+            for share in self._notes.shares
+            if share.pool in found.pools
+            for upstream in self._list_own(share, found.pools[share.pool])
+        ]
+        calls = len(asked) * CALLS_PER_ENGINE
+        self.period_ms = max(
+            LEAST_PERIOD_MS, calls * MS_IN_S // MOST_CALLS_PER_S
+        )
+        list(self._workers.map(lambda one: self._ask(*one), asked))
+
+    def stop(self, wait_ms: int = 2_000) -> None:
+        """End the thread and its helpers.
+
+        :param wait_ms: the longest wait for the current step
+        """
+        super().stop(wait_ms)
+        self._workers.shutdown(wait=False, cancel_futures=True)
+
+    def _list_own(
+        self, share: sharing.Share, pool: tables.Pool
+    ) -> list[tables.Upstream]:
+        vms = [*share.peers, self._vm]
+        considered = set(share.upstreams)
+        return [
+            upstream
+            for upstream in pool.upstreams
+            if upstream.name in considered
+            and sharing.choose_reporter(upstream.name, vms) == self._vm
+        ]
+
+    def _ask(
+        self,
+        share: sharing.Share,
+        pool: tables.Pool,
+        upstream: tables.Upstream,
+    ) -> None:
+        engine = self._directory.find_engine(pool, upstream)
+        load = engine.report_load()
+        if load.is_error():
+            return
+        events = self._read_events(engine, (pool.name, upstream.name))
+        self._scheduling.note_load(pool.name, upstream.name, load.ok)
+        self._scheduling.note_cache_events(pool.name, upstream.name, events)
+        news = note_messages.EngineNews(
+            pool.name, upstream.name, load.ok, events
+        )
+        self._notes.send(note_messages.write_news(news), share.peers)
+
+    def _read_events(
+        self, engine: upstreams.Engine, key: tuple[str, str]
+    ) -> list[upstreams.CacheEvent]:
+        after = self._sequences.get(key, 0)
+        found = engine.read_cache_events(after)
+        if found.is_error():
+            # A restarted engine counts anew; its events are asked for from
+            # the start, else none would ever come again.
+            self._sequences.pop(key, None)
+            return []
+        if found.ok:
+            self._sequences[key] = found.ok[-1].sequence
+        return found.ok
--- /dev/null
+++ b/mulberryway/controllers/notes.py
@@ -0,0 +1,136 @@
+"""Exchanges hints with the routers that share upstreams with this one."""
+
+import collections.abc
+
+from mulberryway import clock
+from mulberryway import tables
+from mulberryway.controllers import base
+from mulberryway.controllers import membership
+from mulberryway.controllers import scheduling
+from mulberryway.peers import datagrams
+from mulberryway.peers import note_messages
+from mulberryway.policy import hint_board
+from mulberryway.policy import hints
+from mulberryway.policy import member
+from mulberryway.policy import poison
+from mulberryway.policy import sharing
+
+__all__ = ["NotesController"]
+
+# The scheduler itself keeps notes this far apart.
+PERIOD_MS = 20
+# Dividing 4,800 engines among 410 VMs takes some 70 ms, five times what
+# control may take in a second, so it is done only when either has changed.
+LOOK_MS = 1_000
+DEATH = "death"
+
+
+class NotesController(base.Controller):
+    """Sends this router's notes to its cell, and takes in the cell's.
+
+    Notes go only to routers that share upstreams.  A death under a request
+    goes to all VMs besides, since its caller may repeat it anywhere.
+
+    ``datagrams`` is set by whoever opens the port with ``take`` as receiver.
+
+    :param scheduling_: whose notes these are
+    :param members: the VMs
+    :param source: the tables in force
+    :param clock_: where the time comes from
+    """
+
+    def __init__(
+        self,
+        scheduling_: scheduling.Scheduling,
+        members: membership.MembershipController,
+        source: tables.TableSource,
+        clock_: clock.Clock,
+    ) -> None:
+        super().__init__("notes", clock_, PERIOD_MS)
+        self.shares: tuple[sharing.Share, ...] = ()
+        self.datagrams: datagrams.Datagrams | None = None
+        self._scheduling = scheduling_
+        self._members = members
+        self._source = source
+        self._addresses: dict[str, str] = {}
+        self._look_ms = 0
+        self._divided: tuple[int, tuple[str, ...]] | None = None
+        members.subscribe(DEATH, self._take_death)
+
+    def step(self) -> None:
+        """Send a note if one is due."""
+        now_ms = self.clock.now_ms()
+        if now_ms >= self._look_ms:
+            self._look_ms = now_ms + LOOK_MS
+            self._look()
+        note = self._scheduling.take_hints()
+        if note is None:
+            return
+        self.send(note_messages.write_note(note), self._list_peers())
+        for death in note.deaths:
+            self._publish(death)
+
+    def send(self, payload: bytes, vms: collections.abc.Iterable[str]) -> None:
+        """Send a payload to some VMs.
+
+        :param payload: a datagram's payload
+        :param vms: names of VMs; unknown ones are passed over
+        """
+        if self.datagrams is None:
+            return
+        for address in filter(None, map(self._addresses.get, vms)):
+            self.datagrams.send(address, payload)
+
+    def take(self, payload: bytes) -> None:
+        """Take in what another router sent.
+
+        :param payload: a datagram's payload
+        """
+        received = note_messages.read_datagram(payload)
+        if received.note is not None:
+            self._scheduling.note_hints(received.note)
+        for news in received.news:
+            self._scheduling.note_load(news.pool, news.upstream, news.load)
+            self._scheduling.note_cache_events(
+                news.pool, news.upstream, news.events
+            )
+
+    def _look(self) -> None:
+        alive = [
+            one
+            for one in self._members.list_members()
+            if one.health is not member.Health.DEAD
+        ]
+        own = self._members.own.name
+        self._addresses = {
+            one.name: one.peer for one in alive if one.name != own
+        }
+        vms = tuple(sorted(one.name for one in alive))
+        found = self._source.read_tables()
+        state = (found.revision if found else 0, vms)
+        if found is not None and state != self._divided:
+            self._divided = state
+            self._scheduling.change_vms(vms)
+            self.shares = tuple(
+                sharing.divide_pool(pool, own, vms)
+                for pool in found.pools.values()
+                if pool.kind is tables.PoolKind.MODEL
+            )
+
+    def _list_peers(self) -> set[str]:
+        return {name for share in self.shares for name in share.peers}
+
+    def _publish(self, death: hints.Death) -> None:
+        self._members.publish(
+            DEATH,
+            f"{death.digest}/{death.upstream}",
+            note_messages.write_death(death),
+            poison.KEPT_MS,
+        )
+
+    def _take_death(self, hint: hint_board.Hint) -> None:
+        death = note_messages.read_death(hint.payload)
+        # The hint may have gone from VM to VM for a while.
+        left_ms = max(hint.until_ms - self.clock.now_ms(), 0)
+        death.age_ms = max(poison.KEPT_MS - left_ms, 0)
+        self._scheduling.note_deaths([death])
--- a/mulberryway/controllers/scheduling.py
+++ b/mulberryway/controllers/scheduling.py
@@ -9,6 +9,7 @@
 from mulberryway import tables
 from mulberryway.controllers import base
 from mulberryway.policy import base as policy
+from mulberryway.policy import hints
 from mulberryway.policy import messages
 from mulberryway.upstreams import base as upstreams
 
@@ -190,6 +191,45 @@
                 pool, upstream, events, self.clock.now_ms()
             )
 
+    def note_tokens(self, job_id: str, tokens: int) -> None:
+        """Tell how many tokens of a running job have come so far.
+
+        :param job_id: the job
+        :param tokens: all tokens so far
+        """
+        with self._lock:
+            self._scheduler.note_tokens(job_id, tokens, self.clock.now_ms())
+
+    def take_hints(self) -> hints.Note | None:
+        """Return what the routers that share upstreams should hear now."""
+        with self._lock:
+            return self._scheduler.take_hints(self.clock.now_ms())
+
+    def note_hints(self, note: hints.Note) -> None:
+        """Take in what another router told.
+
+        :param note: its note
+        """
+        with self._lock:
+            self._scheduler.note_hints(note, self.clock.now_ms())
+            self._dispatch()
+
+    def note_deaths(self, deaths: list[hints.Death]) -> None:
+        """Take in deaths under requests that any VM told of.
+
+        :param deaths: the deaths
+        """
+        with self._lock:
+            self._scheduler.note_deaths(deaths, self.clock.now_ms())
+
+    def change_vms(self, vms: tuple[str, ...]) -> None:
+        """Take over the list of VMs that run a router.
+
+        :param vms: their names, this VM's among them
+        """
+        with self._lock:
+            self._scheduler.change_vms(vms, self.clock.now_ms())
+
     def change_tables(self, changed: tables.Tables) -> None:
         """Take over new tables.
 
--- /dev/null
+++ b/mulberryway/peers/idl/notes.thrift
@@ -0,0 +1,61 @@
+// What routers that share upstreams tell one another; hints only.
+namespace py notes
+
+struct Holding {
+  1: required string pool,
+  2: required string upstream,
+  3: required i32 decodes,
+  4: required i64 prefill_ms,
+  5: required i32 suspects,
+  6: required i32 blocks,
+}
+
+struct AccountNote {
+  1: required string pool,
+  2: required string account,
+  3: required i32 weight,
+  4: required i64 charged,
+  5: required i32 waiting,
+  6: required i32 oldest_ms,
+}
+
+struct Death {
+  1: required string digest,
+  2: required string upstream,
+  3: required i32 age_ms,
+  4: required bool proven,
+}
+
+struct Note {
+  1: required string vm,
+  2: required i64 incarnation,
+  3: required i64 sequence,
+  4: required list<Holding> holdings,
+  5: required list<AccountNote> accounts,
+  6: required list<Death> deaths,
+}
+
+// One engine's events; hashes are 8 bytes each, one after another.
+struct CacheEvent {
+  1: required i64 sequence,
+  2: required binary stored,
+  3: required binary removed,
+}
+
+// What one router learnt from an engine on behalf of those that share it.
+struct EngineReport {
+  1: required string pool,
+  2: required string upstream,
+  3: required i32 running,
+  4: required i32 waiting,
+  5: required i32 slots,
+  6: required i64 free_blocks,
+  7: required i64 total_blocks,
+  8: required list<string> models,
+  9: required list<CacheEvent> events,
+}
+
+struct Datagram {
+  1: optional Note note,
+  2: optional list<EngineReport> reports,
+}
--- /dev/null
+++ b/mulberryway/peers/note_messages.py
@@ -0,0 +1,258 @@
+"""Turns routers' hints and engines' reports into datagrams, and back."""
+
+import itertools
+
+from thrift import TSerialization
+from thrift.protocol import TCompactProtocol
+
+from mulberryway.peers.gen.notes import ttypes
+from mulberryway.policy import hints
+from mulberryway.upstreams import base as upstreams
+
+__all__ = [
+    "EngineNews",
+    "Received",
+    "read_datagram",
+    "read_death",
+    "write_death",
+    "write_news",
+    "write_note",
+]
+
+FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory()
+HASH_BYTES = 8
+# A note with more upstreams goes out as several.
+MOST_HOLDINGS = 64
+MOST_ACCOUNTS = 32
+# Hashes of one engine in one datagram: 4 KB of its 8.
+MOST_HASHES = 512
+
+
+class EngineNews:
+    """What one router learnt from an engine for all that share it.
+
+    :param pool: the pool's name
+    :param upstream: the engine's name
+    :param load: its load report
+    :param events: its cache events since the last news
+    """
+
+    __slots__ = ("pool", "upstream", "load", "events")
+
+    def __init__(
+        self,
+        pool: str,
+        upstream: str,
+        load: upstreams.EngineLoad,
+        events: list[upstreams.CacheEvent],
+    ) -> None:
+        self.pool = pool
+        self.upstream = upstream
+        self.load = load
+        self.events = events
+
+
+class Received:
+    """What a datagram held.
+
+    :param note: a router's hints, or none
+    :param news: engines' reports
+    """
+
+    __slots__ = ("note", "news")
+
+    def __init__(
+        self, note: hints.Note | None, news: list[EngineNews]
+    ) -> None:
+        self.note = note
+        self.news = news
+
+
+def write_note(note: hints.Note) -> bytes:
+    """Return the payload for a note.
+
+    What is beyond the limits is left out; it comes again with the next
+    whole note.
+
+    :param note: the note
+    :returns: the payload
+    """
+    message = ttypes.Note(
+        note.vm,
+        note.incarnation,
+        note.sequence,
+        [
+            ttypes.Holding(
+                one.pool,
+                one.upstream,
+                one.decodes,
+                one.prefill_ms,
+                one.suspects,
+                one.blocks,
+            )
+            for one in note.holdings[:MOST_HOLDINGS]
+        ],
+        [
+            ttypes.AccountNote(
+                one.pool,
+                one.account,
+                one.weight,
+                one.charged,
+                one.waiting,
+                one.oldest_ms,
+            )
+            for one in note.accounts[:MOST_ACCOUNTS]
+        ],
+        [_pack_death(one) for one in note.deaths],
+    )
+    return TSerialization.serialize(ttypes.Datagram(note=message), FACTORY)
+
+
+def write_news(news: EngineNews) -> bytes:
+    """Return the payload for an engine's news.
+
+    :param news: the news
+    :returns: the payload
+    """
+    load = news.load
+    message = ttypes.EngineReport(
+        news.pool,
+        news.upstream,
+        load.running,
+        load.waiting,
+        load.slots,
+        load.free_blocks,
+        load.total_blocks,
+        list(load.models),
+        _pack_events(news.events),
+    )
+    return TSerialization.serialize(
+        ttypes.Datagram(reports=[message]), FACTORY
+    )
+
+
+def read_datagram(payload: bytes) -> Received:
+    """Return what a datagram holds.
+
+    :param payload: the payload
+    :returns: what it holds
+    """
+    message = TSerialization.deserialize(ttypes.Datagram(), payload, FACTORY)
+    note = None if message.note is None else _unpack_note(message.note)
+    return Received(
+        note, [_unpack_report(one) for one in message.reports or ()]
+    )
+
+
+def write_death(death: hints.Death) -> bytes:
+    """Return the payload for a death that all VMs are told of.
+
+    :param death: the death
+    :returns: the payload
+    """
+    return TSerialization.serialize(_pack_death(death), FACTORY)
+
+
+def read_death(payload: bytes) -> hints.Death:
+    """Return the death of a payload.
+
+    :param payload: the payload
+    :returns: the death
+    """
+    return _unpack_death(
+        TSerialization.deserialize(ttypes.Death(), payload, FACTORY)
+    )
+
+
+def _pack_death(death: hints.Death) -> ttypes.Death:
+    return ttypes.Death(
+        death.digest, death.upstream, death.age_ms, death.proven
+    )
+
+
+def _unpack_death(message: ttypes.Death) -> hints.Death:
+    return hints.Death(
+        message.digest, message.upstream, message.age_ms, message.proven
+    )
+
+
+def _pack_events(
+    events: list[upstreams.CacheEvent],
+) -> list[ttypes.CacheEvent]:
+    # The newest matter most; the gap in the numbers shows that some are
+    # missing, just as one in the engine's own events does.
+    sizes = itertools.accumulate(
+        len(one.stored) + len(one.removed) for one in reversed(events)
+    )
+    fitting = sum(size <= MOST_HASHES for size in sizes)
+    return [
+        ttypes.CacheEvent(
+            one.sequence, _pack_hashes(one.stored), _pack_hashes(one.removed)
+        )
+        for one in events[len(events) - fitting :]
+    ]
+
+
+def _pack_hashes(hashes: tuple[str, ...]) -> bytes:
+    return bytes.fromhex("".join(hashes))
+
+
+def _unpack_hashes(packed: bytes) -> tuple[str, ...]:
+    return tuple(
+        packed[at : at + HASH_BYTES].hex()
+        for at in range(0, len(packed), HASH_BYTES)
+    )
+
+
+def _unpack_note(message: ttypes.Note) -> hints.Note:
+    return hints.Note(
+        message.vm,
+        message.incarnation,
+        message.sequence,
+        [
+            hints.Holding(
+                one.pool,
+                one.upstream,
+                one.decodes,
+                one.prefill_ms,
+                one.suspects,
+                one.blocks,
+            )
+            for one in message.holdings
+        ],
+        [
+            hints.AccountNote(
+                one.pool,
+                one.account,
+                one.weight,
+                one.charged,
+                one.waiting,
+                one.oldest_ms,
+            )
+            for one in message.accounts
+        ],
+        [_unpack_death(one) for one in message.deaths],
+    )
+
+
+def _unpack_report(message: ttypes.EngineReport) -> EngineNews:
+    return EngineNews(
+        message.pool,
+        message.upstream,
+        upstreams.EngineLoad(
+            message.running,
+            message.waiting,
+            message.slots,
+            message.free_blocks,
+            message.total_blocks,
+            tuple(message.models),
+        ),
+        [
+            upstreams.CacheEvent(
+                one.sequence,
+                _unpack_hashes(one.stored),
+                _unpack_hashes(one.removed),
+            )
+            for one in message.events
+        ],
+    )
--- a/mulberryway/policy/base.py
+++ b/mulberryway/policy/base.py
@@ -94,6 +94,22 @@
         """
         return None
 
+    def note_deaths(self, deaths: list[hints.Death], now_ms: int) -> None:
+        """Take in deaths of upstreams under requests, told by any VM.
+
+        :param deaths: the deaths; repeated ones do no harm
+        :param now_ms: the present
+        """
+        return None
+
+    def change_vms(self, vms: tuple[str, ...], now_ms: int) -> None:
+        """Take over the list of VMs that run a router.
+
+        :param vms: their names, this VM's among them
+        :param now_ms: the present
+        """
+        return None
+
     @abc.abstractmethod
     def finish(
         self,
--- a/mulberryway/policy/poison.py
+++ b/mulberryway/policy/poison.py
@@ -11,7 +11,7 @@
 
 from mulberryway.policy import hints
 
-__all__ = ["Register", "Standing", "digest_request"]
+__all__ = ["KEPT_MS", "Register", "Standing", "digest_request"]
 
 # Load: an upstream with twenty requests dies; every one is a suspect.  Harm:
 # without a limit a zone's loss (100 servers at once) or a caller that makes
--- a/mulberryway/policy/scheduler.py
+++ b/mulberryway/policy/scheduler.py
@@ -243,6 +243,14 @@
         """
         self._hearer.note(note, self._pools, now_ms)
 
+    def note_deaths(self, deaths: list[hints.Death], now_ms: int) -> None:
+        """Take in deaths of upstreams under requests, told by any VM.
+
+        :param deaths: the deaths; repeated ones do no harm
+        :param now_ms: the present
+        """
+        self.register.note_news(deaths, now_ms)
+
     def change_vms(self, vms: tuple[str, ...], now_ms: int) -> None:
         """Take over the list of VMs that run a router.
 
--- /dev/null
+++ b/mulberryway/policy/sharing.py
@@ -0,0 +1,68 @@
+"""Which routers share which engines, and who asks an engine for its load.
+
+Load: 410 routers before 4,800 engines.  Harm: were each router to ask each
+engine of its cell, an engine would answer six times as often and a router
+would spend 30 KB a second on it, twice its whole share for control.  So one
+router of a cell asks, and tells the others.
+"""
+
+import collections.abc
+import hashlib
+
+from mulberryway import tables
+from mulberryway.policy import cells
+
+__all__ = ["Share", "choose_reporter", "divide_pool"]
+
+
+class Share:
+    """What one router has to do with one pool.
+
+    :param pool: the pool's name
+    :param upstreams: names of the upstreams that it considers
+    :param peers: names of the other VMs whose routers consider them too
+    """
+
+    __slots__ = ("pool", "upstreams", "peers")
+
+    def __init__(
+        self, pool: str, upstreams: list[str], peers: list[str]
+    ) -> None:
+        self.pool = pool
+        self.upstreams = upstreams
+        self.peers = peers
+
+
+def divide_pool(
+    pool: tables.Pool, vm: str, vms: collections.abc.Iterable[str]
+) -> Share:
+    """Return one router's share of a pool.
+
+    :param pool: the pool's row
+    :param vm: the router's VM
+    :param vms: all VMs that run a router, this one among them
+    :returns: its share; by the same rule as the scheduler's
+    """
+    names = [upstream.name for upstream in pool.upstreams]
+    division = cells.Cells(round(len(names) / cells.CELL_ENGINES), vms)
+    return Share(
+        pool.name, division.choose(vm, names), division.list_peers(vm)
+    )
+
+
+def choose_reporter(upstream: str, vms: collections.abc.Iterable[str]) -> str:
+    """Return the VM that asks an engine for its load and tells the others.
+
+    By rendezvous hashing, so that a VM's going moves only its own engines.
+    Two VMs that see different lists may both ask, or for a moment none
+    does; an engine's report is then sent twice, or is a little older.
+
+    :param upstream: the engine's name
+    :param vms: the VMs that share it
+    :returns: one of them
+    """
+    return max(vms, key=lambda vm: (_weigh(upstream, vm), vm))
+
+
+def _weigh(upstream: str, vm: str) -> bytes:
+    return hashlib.blake2b(f"{upstream}/{vm}".encode(), digest_size=8).digest()
