Bring accepted tables to every VM and say when they are too old

Change: a controller that asks one random VM a second, a watch on a few VMs of each region, confirmations that carry their age, and a rule for unconfirmed tables: most VMs must have said that they know no newer root. The editor hands an accepted root to some VMs itself. Conclusion: withdrawn keys stop within the freshness limit on every side of a cut, and an outage of the platform stops nobody.

--- a/mulberryway/admin/editor.py
+++ b/mulberryway/admin/editor.py
@@ -10,9 +10,9 @@
 from mulberryway import clock
 from mulberryway import errors
 from mulberryway.admin import history
-from mulberryway.admin import roots as root_store
-from mulberryway.admin import segments as segment_store
 from mulberryway.platform import base
+from mulberryway.platform import roots as root_store
+from mulberryway.platform import segments as segment_store
 from mulberryway.tables import edits
 from mulberryway.tables import root as roots
 from mulberryway.tables import segments
@@ -21,6 +21,8 @@
 
 LOG = logging.getLogger(__name__)
 
+Announce = collections.abc.Callable[[roots.Root, list[segments.Segment]], None]
+
 PAUSE_MS = 20
 MOST_PAUSE_MS = 500
 
@@ -67,6 +69,22 @@
         return fault
 
 
+class NewState:
+    """What an edit makes.
+
+    :param root: the new root
+    :param segments: segments that the root before does not name
+    """
+
+    __slots__ = ("root", "segments")
+
+    def __init__(
+        self, root: roots.Root, new_segments: list[segments.Segment]
+    ) -> None:
+        self.root = root
+        self.segments = new_segments
+
+
 class Editor:
     """Writes segments, then changes the root by conditional update.
 
@@ -83,6 +101,10 @@
     :param rng: for the pauses between tries
     :param read_revision: the revision that this VM has in force; an older
         root is a stale answer of the platform and never edited
+    :param announce: hands an accepted root and its new segments to some
+        VMs, before the operator is told that it is accepted
+
+    ``accepted`` reads the accepted state.
     """
 
     def __init__(
@@ -91,17 +113,14 @@
         clock_: clock.Clock,
         rng: random.Random,
         read_revision: collections.abc.Callable[[], int] = lambda: 0,
+        announce: Announce = lambda root, new: None,
     ) -> None:
         self._segments = segment_store.SegmentStore(store)
-        self._roots = root_store.RootStore(store, self._segments)
+        self.accepted = root_store.RootStore(store, self._segments)
         self._clock = clock_
         self._random = rng
         self._read_revision = read_revision
-
-    @property
-    def roots(self) -> root_store.RootStore:
-        """What reads the accepted state."""
-        return self._roots
+        self._announce = announce
 
     def submit(
         self, edit: edits.Edit, timeout_ms: int
@@ -130,11 +149,11 @@
 
         :returns: how many, or a fault
         """
-        held = self._roots.read_root()
+        held = self.accepted.read_root()
         if held.is_error():
             return expression.Error(held.error)
         root = held.ok.root
-        past = self._roots.read_history(root)
+        past = self.accepted.read_history(root)
         return past.bind(
             lambda entries: self._segments.collect(
                 root, history.list_retired(entries)
@@ -144,20 +163,36 @@
     def _try(
         self, submission: Submission
     ) -> expression.Result[Accepted, errors.Fault]:
-        read = self._roots.read_root()
+        read = self.accepted.read_root()
         if read.is_error():
             return expression.Error(read.error)
         held = read.ok
         if not self._is_current(held, submission):
             return _refuse_stale()
         found = self._find(held.root, submission)
-        if found.is_error() or found.ok is not None:
+        if found.is_error():
+            return found
+        if found.ok is not None:
+            # Whoever tried before may have died before it told any VM.
+            rows = self.accepted.read_segments(held.root)
+            self._announce(held.root, rows.default_value([]))
             return found
         # A newer root without the edit: the unanswered update had no
         # effect, and its version is gone for good.
         submission.unknown_from = None
         made = self._make_root(submission, held)
-        return made.bind(lambda root: self._write(submission, held, root))
+        return made.bind(lambda new: self._accept(submission, held, new))
+
+    def _accept(
+        self,
+        submission: Submission,
+        held: root_store.HeldRoot,
+        new: NewState,
+    ) -> expression.Result[Accepted, errors.Fault]:
+        written = self._write(submission, held, new.root)
+        if written.is_ok():
+            self._announce(new.root, new.segments)
+        return written
 
     def _is_current(
         self, held: root_store.HeldRoot, submission: Submission
@@ -177,7 +212,7 @@
             return expression.Ok(Accepted(edit_id, mark.revision))
         if len(root.marks) < roots.MOST_MARKS:
             return expression.Ok(None)
-        past = self._roots.read_history(root)
+        past = self.accepted.read_history(root)
         if past.is_error():
             return expression.Error(past.error)
         revision = history.find_edit(past.ok, edit_id)
@@ -190,11 +225,11 @@
 
     def _make_root(
         self, submission: Submission, held: root_store.HeldRoot
-    ) -> expression.Result[roots.Root, errors.Fault]:
+    ) -> expression.Result[NewState, errors.Fault]:
         """Write what the new root needs; that alone changes nothing."""
         edit = submission.edit
-        made = self._roots.read_tables(held.root).bind(edit.apply)
-        past = self._roots.read_history(held.root)
+        made = self.accepted.read_tables(held.root).bind(edit.apply)
+        past = self.accepted.read_history(held.root)
         if made.is_error() or past.is_error():
             return made if made.is_error() else past
         split = segments.split_tables(made.ok)
@@ -206,14 +241,13 @@
         log = segments.make_segment({"history": entries})
         new = [split.segments[name] for name in split.segments.keys() - old]
         written = self._write_segments([*new, log], held.root.revision)
-        return written.map(
-            lambda _: roots.Root(
-                held.root.revision + 1,
-                split.shards,
-                log.digest,
-                held.root.add_mark(edit.edit_id),
-            )
+        root = roots.Root(
+            held.root.revision + 1,
+            split.shards,
+            log.digest,
+            held.root.add_mark(edit.edit_id),
         )
+        return written.map(lambda _: NewState(root, new))
 
     def _write_segments(
         self, new: list[segments.Segment], revision: int
@@ -234,7 +268,7 @@
     ) -> expression.Result[Accepted, errors.Fault]:
         """Send the same update until there is a definite answer."""
         while True:
-            written = self._roots.write_root(held, root)
+            written = self.accepted.write_root(held, root)
             if written.is_ok():
                 return expression.Ok(
                     Accepted(submission.edit.edit_id, root.revision)
--- /dev/null
+++ b/mulberryway/controllers/configuration.py
@@ -0,0 +1,348 @@
+"""Brings the newest accepted tables to this VM, and passes them on."""
+
+import json
+import logging
+import random
+import threading
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway import settings
+from mulberryway.controllers import base
+from mulberryway.controllers import configuration_peers
+from mulberryway.controllers import configuration_watch
+from mulberryway.controllers import tables_in_force
+from mulberryway.platform import base as platform
+from mulberryway.platform import roots as root_store
+from mulberryway.platform import segments as segment_store
+from mulberryway.tables import freshness
+from mulberryway.tables import root as roots
+
+__all__ = ["Configuration"]
+
+LOG = logging.getLogger(__name__)
+
+READ = "configuration_read"
+PERIOD_MS = 1_000
+# The chosen VMs ask the platform this often, so that confirmations spread.
+CONFIRM_MS = 2_000
+# A VM whose confirmation is older than passing on explains asks the
+# platform itself.  Each waits longer the more VMs there are, so that a cut
+# between VMs costs the platform at most some twenty reads a second.
+OLD_MS = 8_000
+READ_SPACING_MS = 50
+# Each VM that takes a root tells this many others: six rounds reach 410 VMs,
+# and what they miss the next question to a random VM finds.
+FANOUT = 3
+ASKED_PEERS = 3
+# With an old confirmation, most VMs are asked within this many steps; with
+# 410 VMs that is 41 questions a second until the platform answers again.
+QUORUM_STEPS = 5
+# A cut makes the fleet look small.  The most VMs of the last minutes count,
+# so that both sides of a cut know that they are a part.
+PEAK_MS = 600_000
+
+
+class FleetPeak:
+    """The most VMs that were alive at once in the last minutes."""
+
+    __slots__ = ("_now", "_before", "_until_ms")
+
+    def __init__(self) -> None:
+        self._now = 1
+        self._before = 1
+        self._until_ms = 0
+
+    @property
+    def most(self) -> int:
+        """The number, this VM included."""
+        return max(self._now, self._before)
+
+    def note(self, count: int, now_ms: int) -> None:
+        """Take in how many are alive now.
+
+        :param count: the number, this VM included
+        :param now_ms: the present
+        """
+        if now_ms >= self._until_ms:
+            self._until_ms = now_ms + PEAK_MS
+            self._before, self._now = self._now, 1
+        self._now = max(self._now, count)
+
+
+class Configuration(base.Controller):
+    """Asks one random VM a second, the platform where it has to.
+
+    :param settings_: this VM's settings
+    :param store: the platform
+    :param peers: other VMs
+    :param clock_: where the time comes from
+    :param rng: for the choice of VMs
+    """
+
+    def __init__(
+        self,
+        settings_: settings.Settings,
+        store: platform.ObjectStore,
+        peers: configuration_peers.PeerSource,
+        clock_: clock.Clock,
+        rng: random.Random,
+    ) -> None:
+        super().__init__("configuration", clock_, PERIOD_MS)
+        self.in_force = tables_in_force.TablesInForce(
+            clock_,
+            settings_.configuration_fresh_ms,
+            settings_.configuration_outage_ms,
+        )
+        self._settings = settings_
+        self._store = store
+        self._segments = segment_store.SegmentStore(store)
+        self._peers = peers
+        self._random = rng
+        self._lock = threading.Lock()
+        self._news: set[str] = set()
+        self._told_revision = 0
+        self._next_read_ms = 0
+        self._last_judged: freshness.Freshness | None = None
+        self._heard_ms: dict[str, int] = {}
+        self._fleet = FleetPeak()
+
+    def step(self) -> None:
+        """Follow news, ask a peer or the platform, and judge freshness."""
+        peers = self._peers.list_peers()
+        self._fleet.note(1 + len(peers), self.clock.now_ms())
+        for address in self._take_news():
+            self.pull(address)
+        if self._must_read_platform(peers):
+            self.read_platform()
+        self._ask_peers(peers)
+        self.in_force.note_quorum(self._find_quorum())
+        self._tell(peers)
+        self._report()
+
+    def note_news(self, address: str, revision: int) -> None:
+        """Hear of another VM's root; the next step asks for it.
+
+        :param address: the VM's ``host:port``
+        :param revision: its root's revision
+        """
+        if revision <= self.in_force.root.revision:
+            return
+        with self._lock:
+            self._news.add(address)
+        self.wake()
+
+    def take_accepted(
+        self, content: bytes, new_segments: dict[str, bytes]
+    ) -> bool:
+        """Take over a root that the administration API hands over.
+
+        The platform may go down in the moment after it has accepted an
+        edit, before any VM has read it.  All VMs would then go on without
+        the edit for as long as the outage lasts, with nothing to see but
+        an age; so whoever made it hands it over itself.
+
+        :param content: the root as canonical JSON
+        :param new_segments: contents by digest
+        :returns: whether it, or a newer one, is in force now
+        """
+        root = self._read_content(content, "the administration API")
+        if root is None:
+            return False
+
+        def fetch(missing: list[str]) -> dict[str, bytes]:
+            known = [one for one in missing if one in new_segments]
+            rest = [one for one in missing if one not in new_segments]
+            found = {digest: new_segments[digest] for digest in known}
+            return found | self._fetch(rest, "")
+
+        self.in_force.offer(root, fetch)
+        self.wake()
+        return self.in_force.root.revision >= root.revision
+
+    def list_members(self) -> list[configuration_peers.PeerVm]:
+        """Return the VMs believed to be alive, this one first."""
+        own = configuration_peers.PeerVm(
+            self._settings.vm_name,
+            self._settings.vm_zone,
+            self._settings.vm_region,
+            f"{self._settings.vm_address}:{self._settings.peers_port}",
+        )
+        return [own, *self._peers.list_peers()]
+
+    def is_watcher(self) -> bool:
+        """Tell whether this VM is one of those that watch the platform."""
+        region = self._settings.vm_region
+        names = [
+            peer.name
+            for peer in self._peers.list_peers()
+            if peer.region == region
+        ]
+        return configuration_watch.is_chosen(
+            self._settings.vm_name,
+            names,
+            self._settings.configuration_watchers,
+        )
+
+    def read_platform(self) -> bool:
+        """Ask the platform for the root.
+
+        :returns: whether it confirmed or brought a root
+        """
+        asked_ms = self.clock.now_ms()
+        found = self._store.read(root_store.KIND, root_store.NAME, READ)
+        if found.is_error():
+            return False
+        revision = self.offer_value(found.ok.value)
+        if revision is None:
+            return False
+        return self.in_force.confirm(revision, asked_ms, self._fleet.most)
+
+    def offer_value(self, value: dict[str, object]) -> int | None:
+        """Offer a root as the platform holds it.
+
+        :param value: the root's plain values
+        :returns: its revision if it is in force now
+        """
+        try:
+            root = roots.Root.decode(value)
+        except errors.TablesError as error:
+            LOG.error("the platform's root is malformed: %s", error)
+            return None
+        return self._offer(root, "")
+
+    def pull(self, address: str) -> bool:
+        """Ask a VM for its root, and take it and its confirmation over.
+
+        :param address: the VM's ``host:port``
+        :returns: whether it answered
+        """
+        asked_ms = self.clock.now_ms()
+        known = self.in_force.root.revision
+        answer = self._peers.read_root(address, known)
+        if answer.is_error():
+            return False
+        reply = answer.ok
+        revision: int | None = reply.revision
+        if reply.content:
+            revision = self._offer_content(reply.content, address)
+        if revision is not None and reply.age_ms >= 0:
+            self.in_force.confirm(
+                revision,
+                asked_ms - reply.age_ms,
+                max(reply.fleet_size, self._fleet.most),
+            )
+        if 0 < reply.revision <= self.in_force.root.revision:
+            self._heard_ms[address] = asked_ms
+        return True
+
+    def _offer_content(self, content: bytes, address: str) -> int | None:
+        root = self._read_content(content, address)
+        return None if root is None else self._offer(root, address)
+
+    def _read_content(self, content: bytes, sender: str) -> roots.Root | None:
+        try:
+            return roots.Root.decode(json.loads(content))
+        except (ValueError, errors.TablesError) as error:
+            LOG.error("%s sent a malformed root: %s", sender, error)
+            return None
+
+    def _offer(self, root: roots.Root, address: str) -> int | None:
+        offer = self.in_force.offer(
+            root, lambda missing: self._fetch(missing, address)
+        )
+        good = (tables_in_force.Offer.TAKEN, tables_in_force.Offer.KNOWN)
+        return root.revision if offer in good else None
+
+    def _fetch(self, missing: list[str], address: str) -> dict[str, bytes]:
+        """Get segments from the VM that has the root, else the platform."""
+        found: dict[str, bytes] = {}
+        while address and len(found) < len(missing):
+            wanted = [digest for digest in missing if digest not in found]
+            got = self._peers.read_segments(address, wanted)
+            if got.is_error() or not got.ok:
+                break
+            found.update(got.ok)
+        for digest in missing:
+            if digest not in found:
+                read = self._segments.read(digest)
+                if read.is_error():
+                    break
+                found[digest] = read.ok
+        return found
+
+    def _must_read_platform(
+        self, peers: list[configuration_peers.PeerVm]
+    ) -> bool:
+        now_ms = self.clock.now_ms()
+        if now_ms < self._next_read_ms:
+            return False
+        age_ms = self.in_force.age_ms()
+        is_old = age_ms is None or age_ms > OLD_MS
+        if self.is_watcher():
+            self._next_read_ms = now_ms + CONFIRM_MS
+            return True
+        if is_old:
+            spacing_ms = max(CONFIRM_MS, READ_SPACING_MS * len(peers))
+            self._next_read_ms = now_ms + self._random.randint(
+                spacing_ms // 2, spacing_ms * 3 // 2
+            )
+        return is_old
+
+    def _ask_peers(self, peers: list[configuration_peers.PeerVm]) -> None:
+        age_ms = self.in_force.age_ms()
+        if age_ms is not None and age_ms <= OLD_MS:
+            asked = self._random.sample(peers, min(ASKED_PEERS, len(peers)))
+            any(self.pull(peer.address) for peer in asked)
+            return
+        shuffled = self._random.sample(peers, len(peers))
+        longest_ago = sorted(
+            shuffled, key=lambda peer: self._heard_ms.get(peer.address, 0)
+        )
+        needed = freshness.count_needed(self._fleet.most)
+        count = ASKED_PEERS + needed // QUORUM_STEPS
+        for peer in longest_ago[:count]:
+            self.pull(peer.address)
+
+    def _find_quorum(self) -> int | None:
+        """Return since when most VMs have told what they know, or none."""
+        now_ms = self.clock.now_ms()
+        limit_ms = now_ms - self._settings.configuration_fresh_ms
+        self._heard_ms = {
+            address: at_ms
+            for address, at_ms in self._heard_ms.items()
+            if at_ms >= limit_ms
+        }
+        confirmation = self.in_force.confirmation
+        if confirmation is None:
+            return None
+        needed = freshness.count_needed(confirmation.fleet_size)
+        times = sorted(self._heard_ms.values(), reverse=True)
+        if needed == 0:
+            return now_ms
+        return times[needed - 1] if len(times) >= needed else None
+
+    def _take_news(self) -> set[str]:
+        with self._lock:
+            news, self._news = self._news, set()
+        return news
+
+    def _tell(self, peers: list[configuration_peers.PeerVm]) -> None:
+        revision = self.in_force.root.revision
+        if revision <= self._told_revision:
+            return
+        self._told_revision = revision
+        told = self._random.sample(peers, min(FANOUT, len(peers)))
+        for peer in told:
+            self._peers.note_root(peer.address, revision)
+
+    def _report(self) -> None:
+        judged = self.in_force.judge()
+        if judged is not self._last_judged:
+            LOG.warning(
+                "tables are %s: revision %d, confirmed %s ms ago",
+                judged.value,
+                self.in_force.root.revision,
+                self.in_force.age_ms(),
+            )
+        self._last_judged = judged
--- /dev/null
+++ b/mulberryway/controllers/configuration_peers.py
@@ -0,0 +1,95 @@
+"""What the configuration controller asks of other VMs."""
+
+import abc
+
+import expression
+
+from mulberryway import errors
+
+__all__ = ["PeerSource", "PeerVm", "RootReply"]
+
+
+class PeerVm:
+    """Another VM that is believed to be alive.
+
+    :param name: the VM's name
+    :param zone: its availability zone
+    :param region: its region
+    :param address: where its peers' side listens, ``host:port``
+    """
+
+    __slots__ = ("name", "zone", "region", "address")
+
+    def __init__(
+        self, name: str, zone: str, region: str, address: str
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self.region = region
+        self.address = address
+
+
+class RootReply:
+    """The root that another VM holds.
+
+    :param revision: its revision; 0 if it holds none
+    :param content: canonical JSON; empty if not newer than what was asked
+    :param age_ms: milliseconds since the platform confirmed it, by that
+        VM's clock; -1 for never
+    :param fleet_size: how many VMs were alive at that confirmation
+    :param is_serving: whether that VM serves with it
+    """
+
+    __slots__ = ("revision", "content", "age_ms", "fleet_size", "is_serving")
+
+    def __init__(
+        self,
+        revision: int,
+        content: bytes,
+        age_ms: int,
+        fleet_size: int,
+        is_serving: bool,
+    ) -> None:
+        self.revision = revision
+        self.content = content
+        self.age_ms = age_ms
+        self.fleet_size = fleet_size
+        self.is_serving = is_serving
+
+
+class PeerSource(abc.ABC):
+    """Other VMs, as far as the tables are concerned."""
+
+    @abc.abstractmethod
+    def list_peers(self) -> list[PeerVm]:
+        """Return the VMs believed to be alive, without this one."""
+
+    @abc.abstractmethod
+    def read_root(
+        self, address: str, known_revision: int
+    ) -> expression.Result[RootReply, errors.Fault]:
+        """Ask a VM for its root.
+
+        :param address: the peer's ``host:port``
+        :param known_revision: the content is sent only if it is newer
+        :returns: the reply, or a fault
+        """
+
+    @abc.abstractmethod
+    def read_segments(
+        self, address: str, digests: list[str]
+    ) -> expression.Result[dict[str, bytes], errors.Fault]:
+        """Ask a VM for segments.
+
+        :param address: the peer's ``host:port``
+        :param digests: what is wanted
+        :returns: contents by digest, perhaps not all, or a fault
+        """
+
+    @abc.abstractmethod
+    def note_root(self, address: str, revision: int) -> None:
+        """Tell a VM that this one holds a root; may get lost.
+
+        :param address: the peer's ``host:port``
+        :param revision: the root's revision
+        """
--- a/mulberryway/admin/roots.py
+++ b/mulberryway/platform/roots.py
@@ -8,8 +8,8 @@
 
 from mulberryway import errors
 from mulberryway import tables
-from mulberryway.admin import segments as segment_store
 from mulberryway.platform import base
+from mulberryway.platform import segments as segment_store
 from mulberryway.tables import root as roots
 from mulberryway.tables import segments
 
@@ -82,13 +82,33 @@
         :param root: the root
         """
         with self._lock:
-            for digest in self._cache.list_missing(root):
-                content = self._segments.read(digest)
-                if content.is_error():
-                    return expression.Error(content.error)
-                self._cache.add(digest, content.ok)
-            self._cache.keep_only(root.list_rows())
-            return expression.Ok(self._cache.join(root))
+            return self._fill(root).map(lambda cache: cache.join(root))
+
+    def read_segments(
+        self, root: roots.Root
+    ) -> expression.Result[list[segments.Segment], errors.Fault]:
+        """Return all segments with rows of a root.
+
+        :param root: the root
+        """
+        with self._lock:
+            return self._fill(root).map(
+                lambda cache: [
+                    segments.Segment(digest, cache.find(digest))
+                    for digest in sorted(root.list_rows())
+                ]
+            )
+
+    def _fill(
+        self, root: roots.Root
+    ) -> expression.Result[segments.SegmentCache, errors.Fault]:
+        for digest in self._cache.list_missing(root):
+            content = self._segments.read(digest)
+            if content.is_error():
+                return expression.Error(content.error)
+            self._cache.add(digest, content.ok)
+        self._cache.keep_only(root.list_rows())
+        return expression.Ok(self._cache)
 
     def read_history(
         self, root: roots.Root
--- a/mulberryway/settings.py
+++ b/mulberryway/settings.py
@@ -11,6 +11,7 @@
 __all__ = ["OPTIONS", "Option", "Settings", "read_settings"]
 
 MOST_PORT = 65_535
+HOUR_MS = 3_600_000
 
 
 class Option:
@@ -80,6 +81,13 @@
         self.platform_timeout_ms: int = 2_000
         self.platform_silence_ms: int = 3_000
 
+        # The tables.  A confirmation by the platform is enough for
+        # ``fresh_ms``; then a VM goes on only while it reaches most VMs, for
+        # ``outage_ms`` at most.  ``watchers`` VMs of each region watch.
+        self.configuration_fresh_ms: int = 15_000
+        self.configuration_outage_ms: int = 4 * HOUR_MS
+        self.configuration_watchers: int = 3
+
         # The administration API; digests of operators' credentials by name.
         self.admin_port: int = 8082
         self.admin_operators: dict[str, str] = {}
@@ -155,7 +163,6 @@
     )
 
 
-HOUR_MS = 3_600_000
 GIB = 1 << 30
 
 OPTIONS = (
@@ -183,6 +190,16 @@
     Option("platform.url", "platform_url", "an http address", _is_url),
     _number("platform.timeout_ms", "platform_timeout_ms", 10, 60_000),
     _number("platform.silence_ms", "platform_silence_ms", 100, 60_000),
+    _number(
+        "configuration.fresh_ms", "configuration_fresh_ms", 1_000, HOUR_MS
+    ),
+    _number(
+        "configuration.outage_ms",
+        "configuration_outage_ms",
+        1_000,
+        168 * HOUR_MS,
+    ),
+    _number("configuration.watchers", "configuration_watchers", 1, 100),
     _port("admin.port", "admin_port"),
     Option(
         "admin.operators",
--- a/mulberryway/tables/freshness.py
+++ b/mulberryway/tables/freshness.py
@@ -2,7 +2,7 @@
 
 import enum
 
-__all__ = ["Confirmation", "Freshness", "judge_freshness"]
+__all__ = ["Confirmation", "Freshness", "count_needed", "judge_freshness"]
 
 
 class Freshness(enum.Enum):
@@ -31,9 +31,19 @@
         self.fleet_size = fleet_size
 
 
+def count_needed(fleet_size: int) -> int:
+    """Return how many other VMs make most of a fleet with this one.
+
+    Exactly half is not most: both halves of a cut would go on.
+
+    :param fleet_size: how many VMs there are
+    """
+    return fleet_size // 2
+
+
 def judge_freshness(
     confirmation: Confirmation,
-    reachable: int,
+    quorum_ms: int | None,
     now_ms: int,
     fresh_ms: int,
     outage_ms: int,
@@ -43,22 +53,27 @@
     Made for two loads that look alike from one VM: the platform is down
     for all, so that no edit can be accepted and all VMs must go on; or
     this VM's side is cut off, while elsewhere an operator withdraws a key.
-    Whoever reaches most of the VMs that were there at the last
-    confirmation would hear of an edit from one of them, so it goes on for
-    ``outage_ms``.  Whoever reaches fewer stops after ``fresh_ms``: serving
-    a withdrawn key breaks a promise, a refusal that says "not run" does
-    not.  Exactly half is not most: both halves would go on.
+    Whoever has just heard from most of the VMs, as many as there were at
+    the last confirmation, that they know no newer root would have heard of
+    an edit from one of them, so it goes on for ``outage_ms``.  Whoever
+    hears from fewer stops after ``fresh_ms``: serving a withdrawn key
+    breaks a promise, a refusal that says "not run" does not.
+
+    That other VMs are believed alive is not enough: after a cut has healed
+    the first to answer may be one that was cut off as well.
 
     :param confirmation: the last one
-    :param reachable: VMs that answer now, this one included
+    :param quorum_ms: since when most VMs have answered; none if they
+        have not
     :param now_ms: the present
-    :param fresh_ms: how long a confirmation is enough by itself
+    :param fresh_ms: how long a confirmation, or an answer, is enough
     :param outage_ms: the longest use in an outage of the platform
     :returns: the decision
     """
     age_ms = now_ms - confirmation.at_ms
     if age_ms <= fresh_ms:
         return Freshness.CONFIRMED
-    if age_ms <= outage_ms and reachable * 2 > confirmation.fleet_size:
+    has_quorum = quorum_ms is not None and now_ms - quorum_ms <= fresh_ms
+    if has_quorum and age_ms <= outage_ms:
         return Freshness.OUTAGE
     return Freshness.CUT_OFF
--- /dev/null
+++ b/tests/configuration_history.py
@@ -0,0 +1,117 @@
+"""Judges what operators were told and what VMs held in one schedule."""
+
+import collections
+
+from mulberryway import errors
+from mulberryway.tables import model
+from mulberryway.tables import parse
+from mulberryway.tables import root as roots
+from mulberryway.tables import segments
+from mulberryway.tables import validate
+
+FRESH_MS = 15_000
+# A step may run late, and a lost message costs another.
+SLACK_MS = 3_000
+
+
+def check(world):
+    """Return the broken rules by name, with what was seen."""
+    chain = read_chain(world)
+    return [
+        *check_answers(world, chain),
+        *check_chain(world, chain),
+        *check_installs(world, chain),
+        *check_serving(world, chain),
+        *(("segment lost", name) for name in world.lost_segments),
+    ]
+
+
+def read_chain(world):
+    versions = world.store.history.get(("roots", "root"), [])
+    return [
+        (world.store.written_ms[stored.version], decode(stored.value))
+        for stored in versions
+    ]
+
+
+def decode(value):
+    return roots.Root.decode(value)
+
+
+def check_answers(world, chain):
+    made = collections.Counter(
+        root.marks[-1].edit_id for _, root in chain if root.marks
+    )
+    revisions = {root.marks[-1].edit_id: root.revision for _, root in chain}
+    for edit_id, count in made.items():
+        if count > 1:
+            yield "counted twice", edit_id
+    for answer in world.answers:
+        edit_id = answer.edit.edit_id
+        if answer.result.is_ok():
+            if revisions.get(edit_id) != answer.result.ok.revision:
+                yield "accepted but not there", edit_id
+        elif answer.result.error.run is errors.Run.NOT_RUN:
+            earlier = [
+                one
+                for one in world.answers
+                if one.edit is answer.edit and one is not answer
+            ]
+            if edit_id in made and not earlier:
+                yield "refused but there", edit_id
+
+
+def check_chain(world, chain):
+    """Each root holds what the edits before it make, and its join holds."""
+    tables = model.Tables(0, (), (), ())
+    for _, root in chain:
+        if root.revision != tables.revision + 1:
+            yield "revision skipped or reverted", root.revision
+            return
+        edit = world.edits[root.marks[-1].edit_id]
+        held = read_tables(world, root)
+        made = edit.apply(tables)
+        if validate.validate_tables(held).is_error():
+            yield "join broken", root.revision
+            return
+        if made.is_error() or parse.encode_tables(
+            made.ok
+        ) != parse.encode_tables(held):
+            yield "edit lost or reverted", root.revision
+            return
+        tables = held
+
+
+def read_tables(world, root):
+    cache = segments.SegmentCache()
+    for digest in root.list_rows():
+        versions = world.store.history[("segments", digest)]
+        value = next(one.value for one in versions if one.value)
+        assert cache.add(digest, roots.encode_content(value["rows"]))
+    return cache.join(root)
+
+
+def check_installs(world, chain):
+    digests = {root.revision: root.digest() for _, root in chain}
+    for vm in world.lives:
+        last = 0
+        for revision, digest in vm.installs:
+            if revision <= last:
+                yield "revision fell on a VM", (vm.name, last, revision)
+            if digests.get(revision) != digest:
+                yield "never accepted", (vm.name, revision)
+            last = revision
+
+
+def check_serving(world, chain):
+    """An edit of which the operator knows must be in force, or refused."""
+    accepted = [
+        (answer.at_ms, answer.result.ok.revision)
+        for answer in world.answers
+        if answer.result.is_ok()
+    ]
+    for now_ms, name, revision in world.serving:
+        limit_ms = now_ms - FRESH_MS - SLACK_MS
+        due = [known for at_ms, known in accepted if at_ms < limit_ms]
+        if due and max(due) > revision:
+            yield "outdated tables used", (now_ms, name, revision, max(due))
--- /dev/null
+++ b/tests/configuration_world.py
@@ -0,0 +1,330 @@
+"""Operators, VMs and the platform under seeded schedules of faults."""
+
+import functools
+import random
+
+import expression
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway import settings
+from mulberryway.admin import editor
+from mulberryway.controllers import configuration
+from mulberryway.controllers import configuration_handler
+from mulberryway.controllers import configuration_peers
+from mulberryway.tables import edits
+from mulberryway.tables import parse
+from mulberryway.tables import root as roots
+from tests import fakes
+from tests import samples
+
+VMS = 5
+EDITORS = 3
+ACTIONS = 60
+# Membership leaves out a VM that does not answer after about this long.
+NOTICED_MS = 4_000
+SPARE = {
+    "kind": "plain",
+    "upstreams": {
+        "s": {"address": "h:1", "zone": "kandy-a", "role": "service"}
+    },
+}
+SPARE_ROUTE = {"path_prefix": "/spare", "pool": "spare"}
+
+
+class Answer:
+    """What an operator was told about an edit."""
+
+    def __init__(self, edit, result, at_ms):
+        self.edit = edit
+        self.result = result
+        self.at_ms = at_ms
+
+
+class Vm:
+    """One life of one VM's router, as far as the tables are concerned."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+        self.installs = []
+        settings_ = settings.Settings()
+        settings_.vm_name = name
+        settings_.vm_region = "lk-central"
+        make = world.variant.get("configuration", configuration.Configuration)
+        self.controller = make(
+            settings_,
+            CutStore(world, name),
+            WorldPeers(world, name),
+            world.clock,
+            world.random,
+        )
+        self.in_force = self.controller.in_force
+        self.in_force.subscribe(self.record)
+        self.handler = configuration_handler.ConfigurationHandler(
+            self.controller, world.clock
+        )
+
+    def record(self, tables):
+        self.installs.append((tables.revision, self.in_force.root.digest()))
+
+
+class CutStore:
+    """The platform as one VM reaches it, which may be not at all."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+
+    def __getattr__(self, method):
+        if self.name in self.world.cut:
+            fault = fakes.make_fault(errors.Code.PLATFORM_UNAVAILABLE)
+            return lambda *arguments: expression.Error(fault)
+        return getattr(self.world.store, method)
+
+
+class WorldPeers(configuration_peers.PeerSource):
+    """Other VMs, of which messages get lost and some are cut off."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+
+    def list_peers(self):
+        now_ms = self.world.clock.now_ms()
+        is_noticed = now_ms - self.world.cut_ms > NOTICED_MS
+        return [
+            configuration_peers.PeerVm(name, "z", "lk-central", name)
+            for name in sorted(self.world.vms)
+            if name != self.name and not (is_noticed and self.is_apart(name))
+        ]
+
+    def is_apart(self, name):
+        return (name in self.world.cut) != (self.name in self.world.cut)
+
+    def call(self, address, act):
+        lost = self.world.random.random() < 0.1
+        if lost or self.is_apart(address) or address not in self.world.vms:
+            return expression.Error(
+                errors.Fault(
+                    errors.Code.PEER_UNREACHABLE, errors.Step.PEER, address
+                )
+            )
+        answer = act(self.world.vms[address].handler)
+        # A slow answer: the time between question and answer passes.
+        self.world.clock.advance_ms(self.world.random.choice((0, 1, 1, 300)))
+        return expression.Ok(answer)
+
+    def read_root(self, address, known_revision):
+        return self.call(address, lambda peer: peer.read_root(known_revision))
+
+    def read_segments(self, address, digests):
+        answer = self.call(address, lambda peer: peer.read_segments(digests))
+        return answer.map(
+            lambda found: {one.digest: one.content for one in found}
+        )
+
+    def note_root(self, address, revision):
+        self.call(address, lambda peer: peer.note_root(revision, self.name))
+
+
+class World:
+    """Runs one schedule; ``variant`` may name broken parts."""
+
+    def __init__(self, seed, variant=None):
+        self.variant = variant or {}
+        self.random = random.Random(seed)
+        self.clock = clock.ManualClock(1_000_000)
+        self.store = fakes.MemoryStore(seed)
+        self.store.now_ms = self.clock.now_ms
+        self.cut, self.cut_ms = frozenset(), 0
+        self.answers, self.edits, self.serving = [], {}, []
+        self.lost_segments, self.lives = [], []
+        self.busy = set()
+        self.depth = 0
+        make = self.variant.get("editor", editor.Editor)
+        self.vms = {}
+        for number in range(VMS):
+            self.start_vm(f"vm{number}")
+        self.editors = [
+            make(
+                CutStore(self, f"vm{number}"),
+                self.clock,
+                self.random,
+                announce=functools.partial(self.announce, f"vm{number}"),
+            )
+            for number in range(EDITORS)
+        ]
+        values = parse.encode_tables(samples.make_tables())
+        values["pools"]["spare"] = SPARE
+        self.submit(self.editors[0], [edits.ReplaceAll(values)])
+
+    def run(self):
+        self.store.on_call = self.interleave
+        self.store.lose_reply = self.random.choice((0, 0.1, 0.3))
+        self.store.lose_write = self.random.choice((0, 0.1))
+        for _ in range(ACTIONS):
+            self.act()
+            self.observe()
+        return self
+
+    def act(self):
+        self.random.choices(
+            (
+                self.pass_time,
+                self.edit,
+                self.repeat_edit,
+                self.deliver_old_root,
+                self.restart_vm,
+                self.switch_outage,
+                self.switch_cut,
+                self.collect,
+                self.pause,
+                self.switch_stale,
+            ),
+            (40, 18, 6, 8, 3, 3, 4, 5, 2, 4),
+        )[0]()
+
+    def interleave(self):
+        """Let somebody else act before a call reaches the platform."""
+        if self.depth < 2 and self.random.random() < 0.08:
+            self.depth += 1
+            self.random.choice(
+                (self.edit, self.edit, self.step_some, self.collect)
+            )()
+            self.depth -= 1
+
+    def announce(self, name, root, new):
+        """Hand an accepted root to the editor's VM and two others."""
+        if "silent" in self.variant:
+            return
+        content = roots.encode_content(root.encode())
+        others = [
+            other
+            for other in sorted(self.vms)
+            if other != name and (other in self.cut) == (name in self.cut)
+        ]
+        for told in [name, *others][:3]:
+            if told not in self.busy:
+                self.vms[told].handler.offer_root(content, new)
+
+    def start_vm(self, name):
+        self.vms[name] = Vm(self, name)
+        self.lives.append(self.vms[name])
+
+    def restart_vm(self):
+        name = self.random.choice(sorted(self.vms))
+        if name not in self.busy:
+            self.start_vm(name)
+
+    def pass_time(self):
+        self.clock.advance_ms(self.random.choice((50, 300, 1_000, 1_000)))
+        self.step_some()
+
+    def pause(self):
+        """Everybody's clock goes on while one VM, or none, acts."""
+        self.clock.advance_ms(self.random.choice((5_000, 20_000, 60_000)))
+
+    def step_some(self):
+        for name in sorted(self.vms):
+            if name not in self.busy and self.random.random() < 0.7:
+                self.busy.add(name)
+                self.vms[name].controller.step()
+                self.busy.discard(name)
+
+    def switch_outage(self):
+        self.store.outage = not self.store.outage
+
+    def switch_cut(self):
+        names = sorted(self.vms)
+        self.cut = (
+            frozenset()
+            if self.cut
+            else frozenset(self.random.sample(names, VMS // 2))
+        )
+        self.cut_ms = self.clock.now_ms()
+
+    def switch_stale(self):
+        """Replicas lag for moments only: what they hold is confirmed."""
+        self.store.stale = 0.5
+        for _ in range(3):
+            self.edit()
+        self.store.stale = 0.0
+
+    def deliver_old_root(self):
+        versions = self.store.history.get(("roots", "root"), [])
+        vm = self.vms[self.random.choice(sorted(self.vms))]
+        if versions and vm.name not in self.busy:
+            vm.controller.offer_value(self.random.choice(versions).value)
+
+    def collect(self):
+        self.random.choice(self.editors).collect()
+
+    def edit(self):
+        free = [one for one in self.editors if id(one) not in self.busy]
+        if free:
+            changes = [self.choose_change()]
+            self.submit(self.random.choice(free), changes)
+
+    def repeat_edit(self):
+        """An operator who was told 'perhaps' sends the same edit again."""
+        unknown = [
+            answer.edit
+            for answer in self.answers
+            if answer.result.is_error()
+            and answer.result.error.run is errors.Run.MAY_HAVE_RUN
+        ]
+        if unknown:
+            edit = self.random.choice(unknown)
+            self.send(self.random.choice(self.editors), edit)
+
+    def submit(self, editor_, changes):
+        edit_id = f"edit{len(self.edits)}"
+        edit = edits.Edit(edit_id, "operator", tuple(changes))
+        self.edits[edit_id] = edit
+        self.send(editor_, edit)
+
+    def send(self, editor_, edit):
+        self.busy.add(id(editor_))
+        timeout_ms = self.random.choice((100, 2_000))
+        result = editor_.submit(edit, timeout_ms)
+        self.busy.discard(id(editor_))
+        self.answers.append(Answer(edit, result, self.clock.now_ms()))
+
+    def choose_change(self):
+        number = len(self.edits)
+        rate = {"key_digests": [], "rate": 100 + number, "burst": 1}
+        digest = samples.digest(f"key{self.random.randint(0, 3)}")
+        return self.random.choice(
+            (
+                edits.PutRow("accounts", f"a{number % 7}", rate),
+                edits.PutRow("routes", "spare", SPARE_ROUTE),
+                edits.DeleteRow("routes", "spare"),
+                edits.PutRow("pools", "spare", SPARE),
+                edits.DeleteRow("pools", "spare"),
+                edits.GiveKey("tea", digest),
+                edits.WithdrawKey("tea", digest),
+            )
+        )
+
+    def observe(self):
+        """Note what each VM would do with a request now."""
+        now_ms = self.clock.now_ms()
+        for name, vm in self.vms.items():
+            tables = vm.in_force.read_tables()
+            if tables is not None:
+                self.serving.append((now_ms, name, tables.revision))
+        self.check_segments()
+
+    def check_segments(self):
+        versions = self.store.history.get(("roots", "root"), [])
+        if versions:
+            value = versions[-1].value
+            wanted = {
+                name
+                for shard in value["shards"].values()
+                for name in shard
+                if name
+            } | {value["history"]}
+            missing = wanted - self.store.names("segments")
+            self.lost_segments += sorted(missing)
