Exchange tables between VMs over the peers' transport

Cause: VMs that do not watch the platform, or start in its outage, take the tables from others. Change: Thrift service Configuration, its handler, and the service that puts controller, watch and membership together; news travel with membership's own urgent probes. Conclusion: a VM that starts while the platform is down serves with another VM's tables and their age; one that reaches nobody says so.

--- a/mulberryway/controllers/configuration.py
+++ b/mulberryway/controllers/configuration.py
@@ -31,9 +31,6 @@
 # between VMs costs the platform at most some twenty reads a second.
 OLD_MS = 8_000
 READ_SPACING_MS = 50
-# Each VM that takes a root tells this many others: six rounds reach 410 VMs,
-# and what they miss the next question to a random VM finds.
-FANOUT = 3
 ASKED_PEERS = 3
 # With an old confirmation, most VMs are asked within this many steps; with
 # 410 VMs that is 41 questions a second until the platform answers again.
@@ -101,7 +98,6 @@
         self._random = rng
         self._lock = threading.Lock()
         self._news: set[str] = set()
-        self._told_revision = 0
         self._next_read_ms = 0
         self._last_judged: freshness.Freshness | None = None
         self._heard_ms: dict[str, int] = {}
@@ -117,7 +113,6 @@
             self.read_platform()
         self._ask_peers(peers)
         self.in_force.note_quorum(self._find_quorum())
-        self._tell(peers)
         self._report()
 
     def note_news(self, address: str, revision: int) -> None:
@@ -327,15 +322,6 @@
             news, self._news = self._news, set()
         return news
 
-    def _tell(self, peers: list[configuration_peers.PeerVm]) -> None:
-        revision = self.in_force.root.revision
-        if revision <= self._told_revision:
-            return
-        self._told_revision = revision
-        told = self._random.sample(peers, min(FANOUT, len(peers)))
-        for peer in told:
-            self._peers.note_root(peer.address, revision)
-
     def _report(self) -> None:
         judged = self.in_force.judge()
         if judged is not self._last_judged:
--- a/mulberryway/controllers/configuration_handler.py
+++ b/mulberryway/controllers/configuration_handler.py
@@ -67,14 +67,6 @@
             found.append(ttypes.Segment(digest, content))
         return found
 
-    def note_root(self, revision: int, address: str) -> None:
-        """Hear of a newer root.
-
-        :param revision: its revision
-        :param address: who has it
-        """
-        self._controller.note_news(address, revision)
-
     def offer_root(
         self, content: bytes, segments: list[ttypes.Segment]
     ) -> bool:
--- a/mulberryway/controllers/configuration_peers.py
+++ b/mulberryway/controllers/configuration_peers.py
@@ -85,11 +85,3 @@
         :param digests: what is wanted
         :returns: contents by digest, perhaps not all, or a fault
         """
-
-    @abc.abstractmethod
-    def note_root(self, address: str, revision: int) -> None:
-        """Tell a VM that this one holds a root; may get lost.
-
-        :param address: the peer's ``host:port``
-        :param revision: the root's revision
-        """
--- /dev/null
+++ b/mulberryway/controllers/configuration_rpc.py
@@ -0,0 +1,75 @@
+"""Other VMs as a source of tables, over the peers' transport."""
+
+import collections.abc
+
+import expression
+
+from mulberryway import errors
+from mulberryway import peers
+from mulberryway.controllers import configuration_peers
+from mulberryway.peers.gen.configuration import Configuration
+from mulberryway.peers.gen.configuration import ttypes
+
+__all__ = ["RpcPeerSource"]
+
+
+class RpcPeerSource(configuration_peers.PeerSource):
+    """Other VMs over the peers' transport.
+
+    :param client: the transport
+    :param list_peers: returns the VMs believed to be alive
+    """
+
+    def __init__(
+        self,
+        client: peers.PeerClient,
+        list_peers: collections.abc.Callable[
+            [], list[configuration_peers.PeerVm]
+        ],
+    ) -> None:
+        self._client = client
+        self._list_peers = list_peers
+
+    def list_peers(self) -> list[configuration_peers.PeerVm]:
+        """Return the VMs believed to be alive; see the base class."""
+        return self._list_peers()
+
+    def read_root(
+        self, address: str, known_revision: int
+    ) -> expression.Result[configuration_peers.RootReply, errors.Fault]:
+        """Ask a VM for its root; see the base class."""
+        answer = self._client.call(
+            address,
+            Configuration.Client,
+            "read_root",
+            known_revision,
+            is_idempotent=True,
+        )
+        return answer.map(_read_reply)
+
+    def read_segments(
+        self, address: str, digests: list[str]
+    ) -> expression.Result[dict[str, bytes], errors.Fault]:
+        """Ask a VM for segments; see the base class."""
+        answer = self._client.call(
+            address,
+            Configuration.Client,
+            "read_segments",
+            digests,
+            is_idempotent=True,
+        )
+        return answer.map(
+            lambda found: {
+                segment.digest: segment.content for segment in found
+            }
+        )
+
+
+def _read_reply(reply: ttypes.RootReply) -> configuration_peers.RootReply:
+    return configuration_peers.RootReply(
+        reply.revision,
+        reply.content,
+        reply.age_ms,
+        reply.fleet_size,
+        reply.is_serving,
+    )
--- /dev/null
+++ b/mulberryway/controllers/configuration_service.py
@@ -0,0 +1,99 @@
+"""All that one VM needs to hold the tables, put together."""
+
+import random
+
+from thrift import Thrift
+
+from mulberryway import clock
+from mulberryway import peers
+from mulberryway import settings
+from mulberryway import tables
+from mulberryway.controllers import configuration
+from mulberryway.controllers import configuration_handler
+from mulberryway.controllers import configuration_peers
+from mulberryway.controllers import configuration_rpc
+from mulberryway.controllers import configuration_watch
+from mulberryway.controllers import membership
+from mulberryway.peers.gen.configuration import Configuration
+from mulberryway.platform import base as platform
+from mulberryway.policy import member
+
+__all__ = ["SERVICE", "ConfigurationService", "list_live"]
+
+SERVICE = "Configuration"
+
+
+class ConfigurationService:
+    """The tables in force, and the threads that keep them so.
+
+    ``source`` is what the rest of the router reads the tables from;
+    ``processor`` belongs to the peers' server under the name ``SERVICE``.
+
+    :param settings_: this VM's settings
+    :param store: the platform
+    :param client: calls other VMs
+    :param members: knows the other VMs, and spreads revisions
+    :param clock_: where the time comes from
+    """
+
+    def __init__(
+        self,
+        settings_: settings.Settings,
+        store: platform.ObjectStore,
+        client: peers.PeerClient,
+        members: membership.MembershipController,
+        clock_: clock.Clock,
+    ) -> None:
+        self._controller = configuration.Configuration(
+            settings_,
+            store,
+            configuration_rpc.RpcPeerSource(
+                client, lambda: list_live(members)
+            ),
+            clock_,
+            random.Random(),
+        )
+        self._watch = configuration_watch.RootWatch(
+            self._controller, store, clock_, settings_.platform_silence_ms
+        )
+        self.source: tables.TableSource = self._controller.in_force
+        self.processor: Thrift.TProcessor = Configuration.Processor(
+            configuration_handler.ConfigurationHandler(
+                self._controller, clock_
+            )
+        )
+        self.source.subscribe(
+            lambda taken: members.note_revision(taken.revision)
+        )
+        members.subscribe_newer(self._note_newer)
+
+    def start(self) -> None:
+        """Begin to follow the platform and the other VMs."""
+        self._controller.start()
+        self._watch.start()
+
+    def stop(self) -> None:
+        """End the threads."""
+        self._controller.stop()
+        self._watch.stop()
+
+    def _note_newer(self, newer: member.Member) -> None:
+        self._controller.note_news(newer.peer, newer.revision)
+
+
+def list_live(
+    members: membership.MembershipController,
+) -> list[configuration_peers.PeerVm]:
+    """Return the other VMs that may be asked.
+
+    Stopping VMs answer questions still, and suspects may; a suspect that
+    is asked in vain costs one timeout.
+
+    :param members: what this VM knows of the others
+    """
+    return [
+        configuration_peers.PeerVm(one.name, one.zone, one.region, one.peer)
+        for one in members.list_members()
+        if one.name != members.own.name
+        and one.health is not member.Health.DEAD
+    ]
--- a/mulberryway/peers/gen/configuration/Configuration.py
+++ b/mulberryway/peers/gen/configuration/Configuration.py
@@ -35,15 +35,6 @@
         """
         pass
 
-    def note_root(self, revision, address):
-        """
-        Parameters:
-         - revision
-         - address
-
-        """
-        pass
-
     def offer_root(self, content, segments):
         """
         Parameters:
@@ -128,38 +119,6 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "read_segments failed: unknown result")
 
-    def note_root(self, revision, address):
-        """
-        Parameters:
-         - revision
-         - address
-
-        """
-        self.send_note_root(revision, address)
-        self.recv_note_root()
-
-    def send_note_root(self, revision, address):
-        self._oprot.writeMessageBegin('note_root', TMessageType.CALL, self._seqid)
-        args = note_root_args()
-        args.revision = revision
-        args.address = address
-        args.write(self._oprot)
-        self._oprot.writeMessageEnd()
-        self._oprot.trans.flush()
-
-    def recv_note_root(self):
-        iprot = self._iprot
-        (fname, mtype, rseqid) = iprot.readMessageBegin()
-        if mtype == TMessageType.EXCEPTION:
-            x = TApplicationException()
-            x.read(iprot)
-            iprot.readMessageEnd()
-            raise x
-        result = note_root_result()
-        result.read(iprot)
-        iprot.readMessageEnd()
-        return
-
     def offer_root(self, content, segments):
         """
         Parameters:
@@ -227,7 +186,6 @@
         self._processMap = {}
         self._processMap["read_root"] = Processor.process_read_root
         self._processMap["read_segments"] = Processor.process_read_segments
-        self._processMap["note_root"] = Processor.process_note_root
         self._processMap["offer_root"] = Processor.process_offer_root
         self._processMap["list_members"] = Processor.process_list_members
         self._on_message_begin = None
@@ -298,29 +256,6 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
-    def process_note_root(self, seqid, iprot, oprot):
-        args = note_root_args()
-        args.read(iprot)
-        iprot.readMessageEnd()
-        result = note_root_result()
-        try:
-            self._handler.note_root(args.revision, args.address)
-            msg_type = TMessageType.REPLY
-        except TTransport.TTransportException:
-            raise
-        except TApplicationException as ex:
-            logging.exception('TApplication exception in handler')
-            msg_type = TMessageType.EXCEPTION
-            result = ex
-        except Exception:
-            logging.exception('Unexpected exception in handler')
-            msg_type = TMessageType.EXCEPTION
-            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
-        oprot.writeMessageBegin("note_root", msg_type, seqid)
-        result.write(oprot)
-        oprot.writeMessageEnd()
-        oprot.trans.flush()
-
     def process_offer_root(self, seqid, iprot, oprot):
         args = offer_root_args()
         args.read(iprot)
@@ -678,145 +613,6 @@
 )
 
 
-class note_root_args(object):
-    """
-    Attributes:
-     - revision
-     - address
-
-    """
-
-    __slots__ = (
-        'revision',
-        'address',
-    )
-
-
-    def __init__(self, revision=None, address=None,):
-        self.revision = revision
-        self.address = address
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.I64:
-                    self.revision = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('note_root_args')
-        if self.revision is not None:
-            oprot.writeFieldBegin('revision', TType.I64, 1)
-            oprot.writeI64(self.revision)
-            oprot.writeFieldEnd()
-        if self.address is not None:
-            oprot.writeFieldBegin('address', TType.STRING, 2)
-            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-all_structs.append(note_root_args)
-note_root_args.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'revision', None, None, ),  # 1
-    (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
-)
-
-
-class note_root_result(object):
-
-    __slots__ = (
-    )
-
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('note_root_result')
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-all_structs.append(note_root_result)
-note_root_result.thrift_spec = (
-)
-
-
 class offer_root_args(object):
     """
     Attributes:
--- a/mulberryway/peers/idl/configuration.thrift
+++ b/mulberryway/peers/idl/configuration.thrift
@@ -31,8 +31,6 @@
   RootReply read_root(1: i64 known_revision),
   // Answers those that it holds, as many as fit one message.
   list<Segment> read_segments(1: list<string> digests),
-  // Tells of a newer root; the receiver then asks the given address.
-  void note_root(1: i64 revision, 2: string address),
   // Hands over a root that has just been accepted, with its new segments;
   // answers whether it is in force now.
   bool offer_root(1: binary content, 2: list<Segment> segments),
--- a/tests/configuration_world.py
+++ b/tests/configuration_world.py
@@ -124,9 +124,6 @@
             lambda found: {one.digest: one.content for one in found}
         )
 
-    def note_root(self, address, revision):
-        self.call(address, lambda peer: peer.note_root(revision, self.name))
-
 
 class World:
     """Runs one schedule; ``variant`` may name broken parts."""
--- /dev/null
+++ b/tests/test_configuration_rpc.py
@@ -0,0 +1,106 @@
+"""The exchange of tables over real connections, the platform in memory."""
+
+import random
+import unittest
+
+import expression
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway import peers
+from mulberryway import settings
+from mulberryway.admin import editor
+from mulberryway.controllers import configuration
+from mulberryway.controllers import configuration_handler
+from mulberryway.controllers import configuration_peers
+from mulberryway.controllers import configuration_rpc
+from mulberryway.peers.gen.configuration import Configuration
+from mulberryway.tables import edits
+from mulberryway.tables import parse
+from tests import fakes
+from tests import samples
+
+SECRET = "fleet secret"
+TIMEOUT_MS = 10_000
+
+
+class RpcTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = clock.SystemClock()
+        self.store = fakes.MemoryStore()
+        self.client = peers.PeerClient(SECRET, self.clock, TIMEOUT_MS)
+        self.addCleanup(self.client.close)
+        self.others = []
+        self.first = self.make_vm("a", self.store)
+        handler = configuration_handler.ConfigurationHandler(
+            self.first, self.clock
+        )
+        server = peers.PeerServer(
+            "127.0.0.1",
+            0,
+            SECRET,
+            {"Configuration": Configuration.Processor(handler)},
+            self.clock,
+        )
+        server.start()
+        self.addCleanup(server.stop)
+        self.address = f"127.0.0.1:{server.port}"
+
+    def make_vm(self, name, store):
+        settings_ = settings.Settings()
+        settings_.vm_name = name
+        source = configuration_rpc.RpcPeerSource(
+            self.client, lambda: self.others
+        )
+        return configuration.Configuration(
+            settings_, store, source, self.clock, random.Random(1)
+        )
+
+    def apply(self):
+        rows = parse.encode_tables(samples.make_tables())
+        edit = edits.Edit("e1", "op", (edits.ReplaceAll(rows),))
+        accepted = editor.Editor(self.store, self.clock, random.Random(1))
+        self.assertTrue(accepted.submit(edit, TIMEOUT_MS).is_ok())
+
+    def test_start_in_an_outage(self):
+        """A VM is replaced while the platform is down.  It takes the tables
+        from another VM, with the age of that VM's confirmation; else it
+        would refuse its callers for as long as the outage lasts.
+        """
+        self.apply()
+        self.assertTrue(self.first.read_platform())
+        down = fakes.MemoryStore()
+        down.outage = True
+        second = self.make_vm("b", down)
+        self.others = [configuration_peers.PeerVm("a", "z", "r", self.address)]
+        second.step()
+        tables = second.in_force.read_tables()
+        self.assertEqual(tables.revision, 1)
+        self.assertEqual(
+            parse.encode_tables(tables),
+            parse.encode_tables(samples.make_tables()),
+        )
+        self.assertLessEqual(
+            second.in_force.confirmation.at_ms,
+            self.first.in_force.confirmation.at_ms,
+        )
+
+    def test_start_alone_in_an_outage(self):
+        """A VM starts and reaches nobody.  It has no tables and says so,
+        rather than guessing which keys are good.
+        """
+        self.store.outage = True
+        self.first.step()
+        self.assertIsNone(self.first.in_force.read_tables())
+
+    def test_wrong_secret(self):
+        """A stranger asks for the tables, in which upstreams' credentials
+        stand, and gets nothing.
+        """
+        stranger = peers.PeerClient("guess", self.clock, TIMEOUT_MS)
+        self.addCleanup(stranger.close)
+        answer = configuration_rpc.RpcPeerSource(stranger, list).read_root(
+            self.address, 0
+        )
+        self.assertIsInstance(answer, expression.Result)
+        self.assertEqual(answer.error.code, errors.Code.PEER_UNREACHABLE)
