Let operators edit, wait and look through one object

Cause: whatever a command does a program must be able to do, and "accepted" and "in force" are two things. Change: Administration with show, diff, apply, single rows with a precondition, keys, history, waiting and status; Fleet asks every VM and hands accepted roots over; credentials are hidden where tables are shown. Conclusion: an operator can tell when no VM serves with older tables.

--- /dev/null
+++ b/mulberryway/admin/administration.py
@@ -0,0 +1,312 @@
+"""Everything that an operator can do, as one object."""
+
+import collections
+import logging
+import secrets
+import threading
+import typing
+
+import expression
+
+from mulberryway import errors
+from mulberryway import tables
+from mulberryway.admin import editor
+from mulberryway.admin import fleet
+from mulberryway.admin import messages
+from mulberryway.tables import edits
+from mulberryway.tables import parse
+
+__all__ = ["Administration"]
+
+LOG = logging.getLogger(__name__)
+
+KEY_PREFIX = "mw_"
+KEY_BYTES = 32
+LEAST_PREFIX = 8
+EDIT_MS = 10_000
+MOST_WAIT_MS = 60_000
+# Garbage is looked for after so many revisions, by whoever makes the edit,
+# so that no VM has to be chosen for it.
+COLLECT_EVERY = 64
+
+T = typing.TypeVar("T", bound=messages.Answer)
+Outcome = expression.Result[T, errors.Fault]
+
+
+class Administration:
+    """What the administration API and programs do for operators.
+
+    :param editor_: makes edits take effect
+    :param fleet_: asks and tells the VMs
+    """
+
+    def __init__(self, editor_: editor.Editor, fleet_: fleet.Fleet) -> None:
+        self._editor = editor_
+        self._fleet = fleet_
+
+    def show(self) -> Outcome[messages.TablesAnswer]:
+        """Return the accepted tables."""
+        return self._read_tables().map(_show)
+
+    def diff(self, text: str) -> Outcome[messages.LinesAnswer]:
+        """Return what a text of tables would change; change nothing.
+
+        :param text: the tables as TOML
+        """
+        return parse.read_rows(text).bind(
+            lambda rows: self._read_tables().bind(
+                lambda current: _diff(current, rows)
+            )
+        )
+
+    def apply(
+        self, operator: str, text: str, revision: int, edit_id: str
+    ) -> Outcome[messages.EditAnswer]:
+        """Replace all tables.
+
+        :param operator: who wants it
+        :param text: the tables as TOML
+        :param revision: the revision that the text was made from; without
+            it a colleague's edit in between would be reverted unseen
+        :param edit_id: the edit's own id
+        """
+        return parse.read_rows(text).bind(
+            lambda rows: self._submit(
+                operator, edits.ReplaceAll(rows), edit_id, revision
+            )
+        )
+
+    def put_row(
+        self,
+        operator: str,
+        table: str,
+        name: str,
+        values: dict[str, typing.Any],
+        expected: str | None,
+        edit_id: str,
+    ) -> Outcome[messages.EditAnswer]:
+        """Add or replace a row.
+
+        :param operator: who wants it
+        :param table: the table's name
+        :param name: the row's name
+        :param values: the row's values by column
+        :param expected: the digest of the row that it replaces
+        :param edit_id: the edit's own id
+        """
+        change = edits.PutRow(table, name, values, expected)
+        return self._submit(operator, change, edit_id)
+
+    def delete_row(
+        self,
+        operator: str,
+        table: str,
+        name: str,
+        expected: str | None,
+        edit_id: str,
+    ) -> Outcome[messages.EditAnswer]:
+        """Delete a row.
+
+        :param operator: who wants it
+        :param table: the table's name
+        :param name: the row's name
+        :param expected: the row's digest
+        :param edit_id: the edit's own id
+        """
+        change = edits.DeleteRow(table, name, expected)
+        return self._submit(operator, change, edit_id)
+
+    def give_key(
+        self, operator: str, account: str, edit_id: str
+    ) -> Outcome[messages.KeyAnswer]:
+        """Make a key for a client account; it is shown this once.
+
+        :param operator: who wants it
+        :param account: the client account's name
+        :param edit_id: the edit's own id
+        """
+        key = KEY_PREFIX + secrets.token_urlsafe(KEY_BYTES)
+        digest = tables.digest_key(key)
+        given = self._submit(operator, edits.GiveKey(account, digest), edit_id)
+        return given.bind(
+            lambda answer: self._check_given(answer, account, key, digest)
+        )
+
+    def withdraw_key(
+        self, operator: str, account: str, prefix: str, edit_id: str
+    ) -> Outcome[messages.EditAnswer]:
+        """Take a key from a client account.
+
+        :param operator: who wants it
+        :param account: the client account's name
+        :param prefix: the first digits of the key's digest
+        :param edit_id: the edit's own id
+        """
+        if len(prefix) < LEAST_PREFIX:
+            return _refuse(
+                errors.Code.BAD_REQUEST,
+                f"expected at least {LEAST_PREFIX} digits of the digest",
+            )
+        change = edits.WithdrawKey(account, prefix)
+        return self._submit(operator, change, edit_id)
+
+    def read_history(self) -> Outcome[messages.HistoryAnswer]:
+        """Return past edits."""
+        held = self._editor.accepted.read_root()
+        return held.bind(
+            lambda found: self._editor.accepted.read_history(found.root)
+        ).map(_make_history)
+
+    def wait(
+        self, revision: int | None, timeout_ms: int
+    ) -> Outcome[messages.FleetAnswer]:
+        """Wait until a revision is in force on all VMs.
+
+        :param revision: the revision; none for the accepted one
+        :param timeout_ms: the longest wait; 0 to look once
+        """
+        limit_ms = min(timeout_ms, MOST_WAIT_MS)
+        if revision is not None:
+            return expression.Ok(self._fleet.wait_in_force(revision, limit_ms))
+        held = self._editor.accepted.read_root()
+        return held.map(
+            lambda found: self._fleet.wait_in_force(
+                found.root.revision, limit_ms
+            )
+        )
+
+    def read_status(self) -> Outcome[messages.StatusAnswer]:
+        """Return the state of VMs, pools and client accounts."""
+        states = self._fleet.read_states()
+        return self._read_tables().map(
+            lambda current: _make_status(current, states)
+        )
+
+    def _read_tables(
+        self,
+    ) -> expression.Result[tables.Tables, errors.Fault]:
+        held = self._editor.accepted.read_root()
+        return held.bind(
+            lambda found: self._editor.accepted.read_tables(found.root)
+        )
+
+    def _submit(
+        self,
+        operator: str,
+        change: edits.Change,
+        edit_id: str,
+        revision: int | None = None,
+    ) -> Outcome[messages.EditAnswer]:
+        edit = edits.Edit(edit_id, operator, (change,), revision)
+        submitted = self._editor.submit(edit, EDIT_MS)
+        if submitted.is_error():
+            LOG.warning(
+                "edit %s of operator %s refused: %s: %s",
+                edit_id,
+                operator,
+                edit.describe(),
+                submitted.error.message,
+            )
+            return expression.Error(submitted.error)
+        accepted = submitted.ok
+        if accepted.revision % COLLECT_EVERY == 0:
+            threading.Thread(target=self._editor.collect, daemon=True).start()
+        return expression.Ok(messages.EditAnswer(edit_id, accepted.revision))
+
+    def _check_given(
+        self,
+        answer: messages.EditAnswer,
+        account: str,
+        key: str,
+        digest: str,
+    ) -> Outcome[messages.KeyAnswer]:
+        """Show a key only if it is the one that the edit gave.
+
+        An operator whose answer was lost sends the edit again.  It counts
+        once, with the first try's key, which nobody has seen; the key made
+        for the second try would be refused by every VM.
+        """
+        current = self._read_tables()
+        if current.is_error():
+            return expression.Error(current.error)
+        row = current.ok.accounts.get(account)
+        if row is None or digest not in row.key_digests:
+            return _refuse(
+                errors.Code.CONFLICT,
+                f"edit {answer.edit_id} has given a key already, or it has "
+                "been withdrawn; a key is shown once, so withdraw it and "
+                "give another",
+                errors.Run.RAN,
+            )
+        return expression.Ok(
+            messages.KeyAnswer(
+                answer.edit_id, answer.revision, account, key, digest
+            )
+        )
+
+
+def _show(current: tables.Tables) -> messages.TablesAnswer:
+    rows = parse.encode_tables(current)
+    digests = {
+        f"{table}.{name}": edits.digest_row(row)
+        for table, by_name in rows.items()
+        for name, row in by_name.items()
+    }
+    text = parse.format_rows(edits.hide_credentials(rows))
+    return messages.TablesAnswer(current.revision, text, digests)
+
+
+def _diff(
+    current: tables.Tables, rows: parse.PlainTables
+) -> Outcome[messages.LinesAnswer]:
+    edit = edits.Edit("diff", "", (edits.ReplaceAll(rows),))
+    return edit.apply(current).map(
+        lambda made: messages.LinesAnswer(
+            current.revision, edits.diff_tables(current, made)
+        )
+    )
+
+
+def _make_history(
+    past: list[dict[str, typing.Any]],
+) -> messages.HistoryAnswer:
+    shown = ("revision", "edit_id", "operator", "wall_ms", "summary")
+    return messages.HistoryAnswer(
+        [{key: entry[key] for key in shown} for entry in past]
+    )
+
+
+def _make_status(
+    current: tables.Tables, states: list[messages.VmState]
+) -> messages.StatusAnswer:
+    pools = {
+        name: {
+            "kind": pool.kind.value,
+            "models": list(pool.models),
+            "upstreams": dict(
+                collections.Counter(one.role.value for one in pool.upstreams)
+            ),
+            "leaving": [one.name for one in pool.upstreams if one.leaving],
+        }
+        for name, pool in current.pools.items()
+    }
+    accounts = {
+        name: {
+            "keys": [digest[:LEAST_PREFIX] for digest in row.key_digests],
+            "rate": row.rate,
+            "burst": row.burst,
+            "weight": row.weight,
+        }
+        for name, row in current.accounts.items()
+    }
+    return messages.StatusAnswer(current.revision, states, pools, accounts)
+
+
+def _refuse(
+    code: errors.Code,
+    message: str,
+    run: errors.Run = errors.Run.NOT_RUN,
+) -> expression.Result[typing.Any, errors.Fault]:
+    return expression.Error(
+        errors.Fault(code, errors.Step.ADMIN, "", run, message)
+    )
--- /dev/null
+++ b/mulberryway/admin/fleet.py
@@ -0,0 +1,202 @@
+"""The VMs as the administration API reaches them."""
+
+import concurrent.futures
+import logging
+import random
+
+import expression
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway import peers
+from mulberryway.admin import messages
+from mulberryway.peers.gen.configuration import Configuration
+from mulberryway.peers.gen.configuration import ttypes
+from mulberryway.tables import root as roots
+from mulberryway.tables import segments
+
+__all__ = ["Fleet"]
+
+LOG = logging.getLogger(__name__)
+
+THREADS = 16
+# Two more VMs than the own one hear of an edit before the operator does, so
+# that neither one VM's death nor an outage keeps it from the others.
+TOLD_OTHERS = 2
+POLL_MS = 100
+
+
+class Fleet:
+    """Asks and tells the routers, beginning with the one on this VM.
+
+    :param client: calls the routers
+    :param own_address: the peers' side of this VM's router
+    :param clock_: where the time comes from
+    :param fresh_ms: after how long a VM that nobody reaches refuses
+    :param rng: for the choice of VMs
+    """
+
+    def __init__(
+        self,
+        client: peers.PeerClient,
+        own_address: str,
+        clock_: clock.Clock,
+        fresh_ms: int,
+        rng: random.Random,
+    ) -> None:
+        self._client = client
+        self._own_address = own_address
+        self._clock = clock_
+        self._fresh_ms = fresh_ms
+        self._random = rng
+        self._pool = concurrent.futures.ThreadPoolExecutor(THREADS, "fleet")
+        self._known: list[ttypes.Member] = []
+
+    def close(self) -> None:
+        """End the threads."""
+        self._pool.shutdown(cancel_futures=True)
+
+    def read_revision(self) -> int:
+        """Return the revision that this VM's router has; 0 if unknown."""
+        state = self._read_state(self._own_address)
+        return state.ok.revision if state.is_ok() else 0
+
+    def announce(
+        self, root: roots.Root, new_segments: list[segments.Segment]
+    ) -> None:
+        """Hand an accepted root to this VM's router and to some others.
+
+        :param root: the root
+        :param new_segments: what is new in it
+        """
+        content = roots.encode_content(root.encode())
+        parts = [
+            ttypes.Segment(one.digest, one.content) for one in new_segments
+        ]
+        own_zone, others = self._list_others()
+        self._random.shuffle(others)
+        # Other zones first: a zone may be lost in this very moment.
+        others.sort(key=lambda member: member.zone == own_zone)
+        told = [self._own_address]
+        told += [member.address for member in others[:TOLD_OTHERS]]
+        calls = [
+            self._pool.submit(
+                self._client.call,
+                address,
+                Configuration.Client,
+                "offer_root",
+                content,
+                parts,
+                is_idempotent=True,
+            )
+            for address in told
+        ]
+        results = [call.result() for call in calls]
+        count = sum(result.is_ok() and result.ok for result in results)
+        if count == 0:
+            LOG.error(
+                "no VM could be told of revision %d; if the platform goes "
+                "down now, it comes into force only afterwards",
+                root.revision,
+            )
+
+    def read_states(self) -> list[messages.VmState]:
+        """Ask each VM that this VM's router knows for its tables."""
+        members = self._list_members()
+        replies = self._pool.map(
+            lambda member: self._read_state(member.address), members
+        )
+        return [
+            _make_state(member, reply)
+            for member, reply in zip(members, replies, strict=True)
+        ]
+
+    def wait_in_force(
+        self, revision: int, timeout_ms: int
+    ) -> messages.FleetAnswer:
+        """Wait until no VM serves with tables older than a revision.
+
+        A VM that cannot be reached counts as refusing when it has been out
+        of reach for so long that its last confirmation has run out, unless
+        it hears from most VMs; then it hears of the revision as well.
+
+        :param revision: an accepted revision
+        :param timeout_ms: the longest wait
+        :returns: how far it has come
+        """
+        began_ms = self._clock.now_ms()
+        deadline = clock.Deadline(began_ms + timeout_ms)
+        reached_ms: dict[str, int] = {}
+        while True:
+            states = self.read_states()
+            now_ms = self._clock.now_ms()
+            reached_ms |= {
+                state.name: now_ms for state in states if state.is_reached
+            }
+            waiting = [
+                state.name
+                for state in states
+                if not self._is_settled(
+                    state, revision, reached_ms.get(state.name, began_ms)
+                )
+            ]
+            is_done = bool(states) and not waiting
+            if is_done or deadline.has_passed(now_ms):
+                return messages.FleetAnswer(revision, is_done, waiting, states)
+            self._clock.sleep_ms(POLL_MS)
+
+    def _is_settled(
+        self, state: messages.VmState, revision: int, reached_ms: int
+    ) -> bool:
+        if state.is_reached:
+            return state.revision >= revision or not state.is_serving
+        return self._clock.now_ms() - reached_ms > self._fresh_ms
+
+    def _list_members(self) -> list[ttypes.Member]:
+        listed = self._client.call(
+            self._own_address,
+            Configuration.Client,
+            "list_members",
+            is_idempotent=True,
+        )
+        if listed.is_ok():
+            self._known = listed.ok
+        return list(self._known)
+
+    def _list_others(self) -> tuple[str, list[ttypes.Member]]:
+        members = self._list_members()
+        own = [one for one in members if one.address == self._own_address]
+        others = [
+            one
+            for one in members
+            if one.is_alive and one.address != self._own_address
+        ]
+        return (own[0].zone if own else ""), others
+
+    def _read_state(
+        self, address: str
+    ) -> expression.Result[ttypes.RootReply, errors.Fault]:
+        # A revision that no root has: the content is not wanted.
+        return self._client.call(
+            address,
+            Configuration.Client,
+            "read_root",
+            (1 << 62),
+            is_idempotent=True,
+        )
+
+
+def _make_state(
+    member: ttypes.Member,
+    reply: expression.Result[ttypes.RootReply, errors.Fault],
+) -> messages.VmState:
+    if reply.is_error():
+        return messages.VmState(member.name, member.zone, False)
+    return messages.VmState(
+        member.name,
+        member.zone,
+        True,
+        reply.ok.revision,
+        reply.ok.age_ms,
+        reply.ok.is_serving,
+    )
--- a/mulberryway/controllers/configuration.py
+++ b/mulberryway/controllers/configuration.py
@@ -156,14 +156,14 @@
         return self.in_force.root.revision >= root.revision
 
     def list_members(self) -> list[configuration_peers.PeerVm]:
-        """Return the VMs believed to be alive, this one first."""
+        """Return the VMs that are known, this one first."""
         own = configuration_peers.PeerVm(
             self._settings.vm_name,
             self._settings.vm_zone,
             self._settings.vm_region,
             f"{self._settings.vm_address}:{self._settings.peers_port}",
         )
-        return [own, *self._peers.list_peers()]
+        return [own, *self._peers.list_known()]
 
     def is_watcher(self) -> bool:
         """Tell whether this VM is one of those that watch the platform."""
--- a/mulberryway/controllers/configuration_handler.py
+++ b/mulberryway/controllers/configuration_handler.py
@@ -80,8 +80,8 @@
         )
 
     def list_members(self) -> list[ttypes.Member]:
-        """Return the VMs believed to be alive, this one included."""
+        """Return the VMs that this one knows, itself included."""
         return [
-            ttypes.Member(vm.name, vm.zone, vm.region, vm.address)
+            ttypes.Member(vm.name, vm.zone, vm.region, vm.address, vm.is_alive)
             for vm in self._controller.list_members()
         ]
--- a/mulberryway/controllers/configuration_peers.py
+++ b/mulberryway/controllers/configuration_peers.py
@@ -10,23 +10,30 @@
 
 
 class PeerVm:
-    """Another VM that is believed to be alive.
+    """A VM as this one knows it.
 
     :param name: the VM's name
     :param zone: its availability zone
     :param region: its region
     :param address: where its peers' side listens, ``host:port``
+    :param is_alive: whether it is believed to be alive
     """
 
-    __slots__ = ("name", "zone", "region", "address")
+    __slots__ = ("name", "zone", "region", "address", "is_alive")
 
     def __init__(
-        self, name: str, zone: str, region: str, address: str
+        self,
+        name: str,
+        zone: str,
+        region: str,
+        address: str,
+        is_alive: bool = True,
     ) -> None:
         self.name = name
         self.zone = zone
         self.region = region
         self.address = address
+        self.is_alive = is_alive
 
 
 class RootReply:
@@ -64,6 +71,10 @@
     def list_peers(self) -> list[PeerVm]:
         """Return the VMs believed to be alive, without this one."""
 
+    def list_known(self) -> list[PeerVm]:
+        """Return all VMs known, dead ones included, without this one."""
+        return self.list_peers()
+
     @abc.abstractmethod
     def read_root(
         self, address: str, known_revision: int
--- a/mulberryway/controllers/configuration_rpc.py
+++ b/mulberryway/controllers/configuration_rpc.py
@@ -17,22 +17,26 @@
     """Other VMs over the peers' transport.
 
     :param client: the transport
-    :param list_peers: returns the VMs believed to be alive
+    :param list_known: returns all VMs known, without this one
     """
 
     def __init__(
         self,
         client: peers.PeerClient,
-        list_peers: collections.abc.Callable[
+        list_known: collections.abc.Callable[
             [], list[configuration_peers.PeerVm]
         ],
     ) -> None:
         self._client = client
-        self._list_peers = list_peers
+        self._list_known = list_known
 
     def list_peers(self) -> list[configuration_peers.PeerVm]:
         """Return the VMs believed to be alive; see the base class."""
-        return self._list_peers()
+        return [peer for peer in self._list_known() if peer.is_alive]
+
+    def list_known(self) -> list[configuration_peers.PeerVm]:
+        """Return all VMs known; see the base class."""
+        return self._list_known()
 
     def read_root(
         self, address: str, known_revision: int
--- a/mulberryway/controllers/configuration_service.py
+++ b/mulberryway/controllers/configuration_service.py
@@ -18,7 +18,7 @@
 from mulberryway.platform import base as platform
 from mulberryway.policy import member
 
-__all__ = ["SERVICE", "ConfigurationService", "list_live"]
+__all__ = ["SERVICE", "ConfigurationService", "list_known"]
 
 SERVICE = "Configuration"
 
@@ -48,7 +48,7 @@
             settings_,
             store,
             configuration_rpc.RpcPeerSource(
-                client, lambda: list_live(members)
+                client, lambda: list_known(members)
             ),
             clock_,
             random.Random(),
@@ -81,19 +81,21 @@
         self._controller.note_news(newer.peer, newer.revision)
 
 
-def list_live(
+def list_known(
     members: membership.MembershipController,
 ) -> list[configuration_peers.PeerVm]:
-    """Return the other VMs that may be asked.
-
-    Stopping VMs answer questions still, and suspects may; a suspect that
-    is asked in vain costs one timeout.
+    """Return the other VMs; suspects count as alive, as most are.
 
     :param members: what this VM knows of the others
     """
     return [
-        configuration_peers.PeerVm(one.name, one.zone, one.region, one.peer)
+        configuration_peers.PeerVm(
+            one.name,
+            one.zone,
+            one.region,
+            one.peer,
+            one.health is not member.Health.DEAD,
+        )
         for one in members.list_members()
         if one.name != members.own.name
-        and one.health is not member.Health.DEAD
     ]
--- a/mulberryway/peers/gen/configuration/ttypes.py
+++ b/mulberryway/peers/gen/configuration/ttypes.py
@@ -219,6 +219,7 @@
      - zone
      - region
      - address
+     - is_alive
 
     """
 
@@ -227,14 +228,16 @@
         'zone',
         'region',
         'address',
+        'is_alive',
     )
 
 
-    def __init__(self, name=None, zone=None, region=None, address=None,):
+    def __init__(self, name=None, zone=None, region=None, address=None, is_alive=None,):
         self.name = name
         self.zone = zone
         self.region = region
         self.address = address
+        self.is_alive = is_alive
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -265,6 +268,11 @@
                     self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.is_alive = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -291,6 +299,10 @@
             oprot.writeFieldBegin('address', TType.STRING, 4)
             oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
             oprot.writeFieldEnd()
+        if self.is_alive is not None:
+            oprot.writeFieldBegin('is_alive', TType.BOOL, 5)
+            oprot.writeBool(self.is_alive)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -336,6 +348,7 @@
     (2, TType.STRING, 'zone', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'region', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'address', 'UTF8', None, ),  # 4
+    (5, TType.BOOL, 'is_alive', None, None, ),  # 5
 )
 fix_spec(all_structs)
 del all_structs
--- a/mulberryway/peers/idl/configuration.thrift
+++ b/mulberryway/peers/idl/configuration.thrift
@@ -19,12 +19,13 @@
   2: binary content,
 }
 
-// A VM that is believed to be alive, the answering one included.
+// A VM that the answering one knows, itself included.
 struct Member {
   1: string name,
   2: string zone,
   3: string region,
   4: string address,
+  5: bool is_alive,
 }
 
 service Configuration {
--- a/mulberryway/tables/edits.py
+++ b/mulberryway/tables/edits.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     "ABSENT",
+    "KEPT",
     "Change",
     "DeleteRow",
     "Edit",
@@ -23,10 +24,14 @@
     "WithdrawKey",
     "diff_tables",
     "digest_row",
+    "hide_credentials",
 ]
 
 # As a precondition: the row must not exist yet.
 ABSENT = "absent"
+# Stands for a pool's credential wherever tables are shown; in a row that is
+# put it means the credential that the pool has.
+KEPT = "(kept)"
 MOST_SUMMARY = 300
 
 
@@ -41,6 +46,26 @@
     return roots.digest_content(roots.encode_content(row))
 
 
+def hide_credentials(rows: parse.PlainTables) -> parse.PlainTables:
+    """Return rows as they may be shown and put back again.
+
+    :param rows: plain rows by table and name
+    """
+    pools = {
+        name: {**row, "credential": KEPT} if row.get("credential") else row
+        for name, row in rows["pools"].items()
+    }
+    return {**rows, "pools": pools}
+
+
+def _keep_credential(
+    row: dict[str, typing.Any], old: dict[str, typing.Any] | None
+) -> dict[str, typing.Any]:
+    if not isinstance(row, dict) or row.get("credential") != KEPT:
+        return row
+    return {**row, "credential": (old or {}).get("credential", "")}
+
+
 class Change(abc.ABC):
     """One part of an edit."""
 
@@ -92,7 +117,8 @@
         """Add or replace the row; see the base class."""
         checked = _check_row(rows, self.table, self.name, self.expected)
         if checked.is_ok():
-            rows[self.table][self.name] = self.values
+            old = rows[self.table].get(self.name)
+            rows[self.table][self.name] = _keep_credential(self.values, old)
         return checked
 
 
@@ -152,8 +178,11 @@
         self, rows: parse.PlainTables
     ) -> expression.Result[None, errors.Fault]:
         """Replace all rows; see the base class."""
-        for table in rows:
-            rows[table] = dict(self.rows.get(table, {}))
+        for table, old in rows.items():
+            rows[table] = {
+                name: _keep_credential(row, old.get(name))
+                for name, row in self.rows.get(table, {}).items()
+            }
         return expression.Ok(None)
 
 
--- a/mulberryway/tables/parse.py
+++ b/mulberryway/tables/parse.py
@@ -14,8 +14,9 @@
     "ROW_TYPES",
     "decode_tables",
     "encode_tables",
-    "format_tables",
+    "format_rows",
     "parse_tables",
+    "read_rows",
 ]
 
 ROW_TYPES: dict[str, columns.RowType] = {
@@ -89,13 +90,22 @@
     }
 
 
-def format_tables(tables: model.Tables) -> str:
-    """Return tables as TOML text that ``parse_tables`` reads back.
+def format_rows(rows: PlainTables) -> str:
+    """Return plain rows as TOML text that ``read_rows`` reads back.
 
-    :param tables: the tables
+    :param rows: plain rows by table and name
     :returns: the text
     """
-    return tomli_w.dumps(encode_tables(tables))
+    return tomli_w.dumps(rows)
+
+
+def read_rows(text: str) -> expression.Result[PlainTables, errors.Fault]:
+    """Read plain rows from TOML text and check each; not their join.
+
+    :param text: see :func:`parse_tables`
+    :returns: rows as they stand in the text, or ``INVALID_TABLES``
+    """
+    return parse_tables(text).map(lambda _: tomllib.loads(text))
 
 
 def _check_tables(values: dict[str, typing.Any]) -> None:
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -10,10 +10,9 @@
 class ParseTest(unittest.TestCase):
     def test_text_reads_back(self):
         tables = parse.parse_tables(samples.TABLES).ok
-        again = parse.parse_tables(parse.format_tables(tables)).ok
-        self.assertEqual(
-            parse.encode_tables(tables), parse.encode_tables(again)
-        )
+        rows = parse.encode_tables(tables)
+        again = parse.parse_tables(parse.format_rows(rows)).ok
+        self.assertEqual(rows, parse.encode_tables(again))
         self.assertTrue(validate.validate_tables(tables).is_ok())
 
     def test_bad_values_name_their_place(self):
