Move a refused decode to another slot while its prefill lives

Cause: two routers that take the same slot before the other's note comes cost one of them its prefill. Change: Scheduler.move_decode (none by default), yields in order of how many are ahead, quicker notes, long prompts leave one upstream within 400 ms.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -27,6 +27,10 @@
 REPORT_MS = 500
 COUNT_MS = 1_000
 MOST_ATTEMPTS = 3
+# A refused decode may look for another slot while the prefill's result
+# lives (800 ms).
+MOVE_WITHIN_MS = 500
+MOVE_PAUSE_MS = 30
 FIRST_TOKEN_MS = 1_100
 SLOW_FACTOR = 2.2
 SLOW_FROM_MS = 20_000
@@ -83,7 +87,16 @@
 class _Flight:
     """One attempt of a request at one router."""
 
-    __slots__ = ("router", "job", "outcome", "assignment", "handle", "told")
+    __slots__ = (
+        "router",
+        "job",
+        "outcome",
+        "assignment",
+        "handle",
+        "told",
+        "prefilled_ms",
+        "is_prefilled",
+    )
 
     def __init__(
         self, router: int, job: messages.Job, outcome: Outcome
@@ -94,6 +107,8 @@
         self.assignment: messages.Assignment | None = None
         self.handle = ""
         self.told = 0.0
+        self.prefilled_ms = 0.0
+        self.is_prefilled = False
 
 
 class Fleet:
@@ -305,7 +320,9 @@
         assert flight.assignment is not None
         name = flight.assignment.decode
         scheduler = self._schedulers[flight.router]
-        scheduler.note_prefilled(flight.job.job_id, int(self.now_ms))
+        if not flight.is_prefilled:
+            flight.is_prefilled = True
+            scheduler.note_prefilled(flight.job.job_id, int(self.now_ms))
         source = self._advance(prefill)
         if source.claim_handle(flight.handle, self.now_ms) is None:
             self._waste(flight)
@@ -315,11 +332,33 @@
         run = self._make_run(flight, flight.job.job_id)
         refused = engine.submit_decode(run, self.now_ms)
         self._follow(name)
-        if refused is not None:
-            source.release_handle(flight.handle, self.now_ms)
-            self._follow(prefill)
-            self._waste(flight)
-            self._retry(flight, name)
+        if refused is None:
+            return
+        if self.now_ms - flight.prefilled_ms < MOVE_WITHIN_MS:
+            self._move_decode(flight, prefill, name)
+            return
+        source.release_handle(flight.handle, self.now_ms)
+        self._follow(prefill)
+        self._waste(flight)
+        self._retry(flight, name)
+
+    def _move_decode(
+        self, flight: _Flight, prefill: str, refused: str
+    ) -> None:
+        assert flight.assignment is not None
+        scheduler = self._schedulers[flight.router]
+        other = scheduler.move_decode(
+            flight.job.job_id, refused, int(self.now_ms)
+        )
+        pause_ms = MOVE_PAUSE_MS
+        if other is not None:
+            flight.assignment.decode = other
+            pause_ms = HOP_MS
+        self._tell(flight.router)
+        self._at(
+            self.now_ms + pause_ms,
+            lambda: self._start_decode(flight, prefill),
+        )
 
     def _waste(self, flight: _Flight) -> None:
         flight.outcome.wasted += int(flight.told)
@@ -379,6 +418,7 @@
             self._take_token(flight, event)
         elif event.kind is Kind.PREFILLED:
             flight.handle = event.run.handle
+            flight.prefilled_ms = event.at_ms
             computed = event.run.prompt_tokens - event.run.cached_tokens
             flight.told = computed
             flight.outcome.prefilled += computed
--- a/mulberryway/policy/base.py
+++ b/mulberryway/policy/base.py
@@ -78,6 +78,23 @@
         """
         return None
 
+    def move_decode(
+        self, job_id: str, refused: str, now_ms: int
+    ) -> str | None:
+        """Find another slot for a job whose prefill has ended.
+
+        Called when the decode upstream refuses because it is full, while
+        the prefill's result still lives: another slot saves the prefill.
+
+        :param job_id: the job
+        :param refused: the upstream that refused
+        :param now_ms: the present
+        :returns: the upstream to try, its slot reserved; none if there is
+            no other now, and it makes sense to ask again in some tens of
+            milliseconds until the prefill's result expires
+        """
+        return None
+
     def take_hints(self, now_ms: int) -> hints.Note | None:
         """Return what the other routers should hear now, if anything.
 
--- a/mulberryway/policy/placing.py
+++ b/mulberryway/policy/placing.py
@@ -24,7 +24,7 @@
 SAFETY_MS = 30.0
 # A short prompt must find a prefill upstream which begins it within this
 # time, so a long one is not started on the last such upstream.
-SHORT_WAIT_MS = 150.0
+SHORT_WAIT_MS = 400.0
 # Choices within this time are equal; chance decides, so that routers which
 # see the same do not all go to the same upstream.
 EQUAL_MS = 3.0
@@ -169,6 +169,23 @@
             placement.ready_ms,
         )
 
+    def choose_other(
+        self,
+        entry: queue.Entry,
+        placement: Placement,
+        pool: tables.Pool,
+        now_ms: int,
+    ) -> views.UpstreamView | None:
+        """Return where a job whose prefill has ended can decode instead.
+
+        :param entry: the job's entry
+        :param placement: where it runs
+        :param pool: the pool's row
+        :param now_ms: the present
+        :returns: an upstream with a free slot, or none
+        """
+        return self._choose_decode(entry, placement, pool, now_ms)
+
     def count_free(self, now_ms: int) -> int:
         """Return how many decode slots are probably free.
 
--- a/mulberryway/policy/pools.py
+++ b/mulberryway/policy/pools.py
@@ -14,6 +14,7 @@
 from mulberryway.policy import retries
 from mulberryway.policy import running
 from mulberryway.policy import shifting
+from mulberryway.policy import views
 from mulberryway.policy import weighing
 
 __all__ = ["PoolScheduler"]
@@ -24,10 +25,13 @@
 # or the next job asks again, so what is passed over now has its turn soon.
 ACCOUNTS_TRIED = 8
 PLACEMENTS_TRIED = 4
-# A slot is left free for a peer's job at most this long: a note takes some
-# milliseconds, and a slot that nobody takes is wasted.
-YIELD_MS = 60
-RETRY_PAUSE_MS = 20
+# A free slot is left this long for each peer's job that should go before: a
+# note takes some milliseconds.  Who has more before it waits longer, so that
+# routers do not all take the same slot when nobody comes for it; and a slot
+# that nobody takes is wasted, hence the limit.
+YIELD_EACH_MS = 12
+MOST_YIELD_MS = 90
+RETRY_PAUSE_MS = 10
 
 
 class PoolScheduler:
@@ -66,6 +70,7 @@
         )
         self._register = register
         self._weighed = weighed
+        self._free = 0
         self._free_since_ms: int | None = None
 
     def submit(self, job: messages.Job, now_ms: int) -> errors.Fault | None:
@@ -192,10 +197,9 @@
         return queue.Lane.LONG if is_long else queue.Lane.SHORT
 
     def _note_free(self, free: int, now_ms: int) -> None:
-        if not free:
-            self._free_since_ms = None
-        elif self._free_since_ms is None:
-            self._free_since_ms = now_ms
+        if free != self._free:
+            self._free = free
+            self._free_since_ms = now_ms if free else None
 
     def _list_candidates(
         self, now_ms: int, refusals: list[messages.Refusal]
@@ -244,13 +248,43 @@
         since_ms = self._free_since_ms
         if not self._weighed.yields or since_ms is None:
             return False
-        if now_ms - since_ms >= YIELD_MS:
+        waited_ms = now_ms - since_ms
+        if waited_ms >= MOST_YIELD_MS:
             return False
         job = entry.job
         state = self.fair.find_account(job.account, job.weight)
-        return free <= self.neighbours.count_ahead(
-            state, job.arrived_ms, now_ms
+        ahead = self.neighbours.count_ahead(state, job.arrived_ms, now_ms)
+        return free <= ahead and waited_ms < ahead * YIELD_EACH_MS
+
+    def move_decode(
+        self, job: running.Running, refused: str, now_ms: int
+    ) -> views.UpstreamView | None:
+        """Move a started job's reservation to another upstream.
+
+        Load: decode near full, and two routers that took the same slot
+        before the other's note came.  Harm: the prefill of the one that
+        comes second is lost, although a slot elsewhere may be free before
+        its result expires.
+
+        :param job: the job
+        :param refused: the upstream that refused
+        :param now_ms: the present
+        :returns: the upstream to try, or none
+        """
+        before = job.placement.decode
+        view = self.members.find(refused)
+        if view is not None:
+            view.note_full(now_ms)
+        decode = self.placer.choose_other(
+            job.entry, job.placement, self.row, now_ms
         )
+        if decode is None or before is None or decode is before:
+            return None
+        before.move_decode_to(decode, job.placement.blocks, now_ms)
+        decode.own_suspects += job.is_suspect()
+        before.own_suspects -= job.is_suspect()
+        job.placement.decode = decode
+        return decode
 
     def _start(
         self, entry: queue.Entry, placement: placing.Placement, now_ms: int
--- a/mulberryway/policy/scheduler.py
+++ b/mulberryway/policy/scheduler.py
@@ -165,6 +165,28 @@
             if decode is not None:
                 decode.note_step(gap_ms, now_ms)
 
+    def move_decode(
+        self, job_id: str, refused: str, now_ms: int
+    ) -> str | None:
+        """Find another slot for a job whose prefill has ended.
+
+        :param job_id: the job
+        :param refused: the upstream that refused
+        :param now_ms: the present
+        :returns: the upstream to try, its slot reserved; or none
+        """
+        job = self._running.get(job_id)
+        if job is None or job.placement.decode is None:
+            return None
+        pool = self._find_any(job.entry.job.pool)
+        before = job.placement.decode
+        after = pool.move_decode(job, refused, now_ms)
+        if after is None:
+            return None
+        for view in (before, after):
+            self._teller.note_view(pool.row.name, view.row.name)
+        return after.row.name
+
     def finish(
         self,
         job_id: str,
--- a/mulberryway/policy/telling.py
+++ b/mulberryway/policy/telling.py
@@ -12,7 +12,7 @@
 # A note for each change would cost a busy router (22 requests a second, each
 # with three changes) more than its 15 KB a second; within this time changes
 # go together, and a peer's view is that much late.
-LEAST_PAUSE_MS = 20
+LEAST_PAUSE_MS = 5
 # An empty note tells that the router lives; what it holds counts until it
 # has been silent for three of these.
 HEARTBEAT_MS = 1_000
@@ -43,7 +43,7 @@
         self._accounts: set[tuple[str, str]] = set()
         self._charged: dict[tuple[str, str], float] = {}
         self._weights: dict[tuple[str, str], int] = {}
-        self._told_waiting: set[tuple[str, str]] = set()
+        self._told_waiting: dict[tuple[str, str], tuple[int, int]] = {}
         self._at_ms: int | None = None
         self._whole_ms: int | None = None
 
@@ -89,7 +89,7 @@
         is_waiting = bool(waiting) and (
             waiting != self._told_waiting or (pause_ms or 0) >= WAITING_MS
         )
-        has_gone = bool(self._told_waiting - waiting)
+        has_gone = bool(self._told_waiting.keys() - waiting.keys())
         deaths = self._register.take_news(now_ms)
         changed = self._views or self._accounts or deaths
         if not (changed or is_waiting or has_gone or is_beating):
@@ -100,11 +100,11 @@
     def _build(
         self,
         pools_: collections.abc.Mapping[str, pools.PoolScheduler],
-        waiting: set[tuple[str, str]],
+        waiting: dict[tuple[str, str], tuple[int, int]],
         deaths: list[hints.Death],
         now_ms: int,
     ) -> hints.Note:
-        accounts = self._accounts | waiting | self._told_waiting
+        accounts = self._accounts | waiting.keys() | self._told_waiting.keys()
         note = hints.Note(
             self._vm,
             self._incarnation,
@@ -144,9 +144,12 @@
     @staticmethod
     def _list_waiting(
         pools_: collections.abc.Mapping[str, pools.PoolScheduler],
-    ) -> set[tuple[str, str]]:
+    ) -> dict[tuple[str, str], tuple[int, int]]:
         return {
-            (name, state.name)
+            (name, state.name): (
+                state.waiting,
+                state.list_heads()[0].job.arrived_ms,
+            )
             for name, pool in pools_.items()
             for state in pool.fair.list_next(MOST_ACCOUNTS)
         }
--- a/mulberryway/policy/views.py
+++ b/mulberryway/policy/views.py
@@ -208,6 +208,19 @@
         self.own_blocks -= blocks
         self.full_until_ms = 0
 
+    def move_decode_to(
+        self, other: "UpstreamView", blocks: int, now_ms: int
+    ) -> None:
+        """Give a slot back here and reserve one there.
+
+        :param other: the other upstream
+        :param blocks: what was reserved with the slot
+        :param now_ms: the present
+        """
+        self.own -= 1
+        self.own_blocks -= blocks
+        other.start_decode(blocks, now_ms)
+
     def note_full(self, now_ms: int) -> None:
         """Take in the engine's own refusal.
 
