Let the store in memory survive an update of nothing

Cause: an update of an object that never existed left an empty history, and the next list failed with an IndexError. Change: a history begins with the first write that takes effect.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -135,7 +135,7 @@
         size = len(json.dumps(value))
         if size > VALUE_BYTES:
             return expression.Error(make_fault(errors.Code.BODY_TOO_LARGE))
-        versions = self.history.setdefault((kind, name), [])
+        versions = self.history.get((kind, name), [])
         exists = bool(versions) and versions[-1].value is not None
         if version is None and exists:
             return expression.Error(make_fault(errors.Code.CONFLICT))
@@ -151,7 +151,7 @@
         stored = base.StoredObject(
             kind, name, self.version, copy.deepcopy(value)
         )
-        versions = self.history[(kind, name)]
+        versions = self.history.setdefault((kind, name), [])
         type_ = base.EventType.MODIFIED if versions else base.EventType.ADDED
         if value is None:
             type_ = base.EventType.DELETED
