Grant calls that must run at most once through claims in the platform

Cause: a repeat of a booking at another VM, after a lost reply or a crash, ran it again. Change: claims are appended to logs on rings of platform objects by conditional updates, many in one write; ends are written along with later claims; an id carries its time (UUIDv7) and a floor refuses ids whose claims may be overwritten. A history checker runs seeded schedules with lost, late and doubled writes, stale and torn reads, crashes, outages.

--- /dev/null
+++ b/mulberryway/controllers/claims.py
@@ -0,0 +1,244 @@
+"""Claims for calls that must run at most once: a promise.
+
+A claim never lapses, so a VM that was paused after it got one may still run
+its call: nobody else ever may.
+"""
+
+import collections.abc
+import itertools
+import threading
+
+import expression
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway.controllers import base
+from mulberryway.controllers import claim_writer
+from mulberryway.platform import base as platform
+from mulberryway.policy import claim_records
+from mulberryway.policy import claims
+
+__all__ = ["ClaimStore", "Grant"]
+
+FLUSH_MS = 500
+FLUSH_LIMIT_MS = 1_000
+RELEASE_LIMIT_MS = 200
+# A repeat that waits for the first attempt holds a worker thread; a caller
+# that repeats a slow call in a loop must not take all of them.
+MOST_FOLLOWERS = 8
+RETRY_AFTER_MS = 1_000
+
+Began = expression.Result["Grant | claim_records.KeptReply", errors.Fault]
+Verdict = claims.Verdict
+ClaimState = claim_records.ClaimState
+
+
+class Grant:
+    """The right to run a call, once.
+
+    :param claim: the record that gives it
+    :param ended: set when the call has come to its end here
+    """
+
+    __slots__ = ("claim", "ended")
+
+    def __init__(self, claim: claim_records.Record) -> None:
+        self.claim = claim
+        self.ended = threading.Event()
+
+
+class ClaimStore(base.Controller):
+    """Grants calls through the platform and writes down how they ended.
+
+    :param store: the platform
+    :param clock_: where the time comes from
+    :param vm: this VM's name
+    :param incarnation: which life of this VM's router this is
+    :param shards: how many shards there are; the same on all VMs
+    :param make_shard: makes an empty view of one shard's log
+    """
+
+    def __init__(
+        self,
+        store: platform.ObjectStore,
+        clock_: clock.Clock,
+        vm: str,
+        incarnation: int,
+        shards: int = claims.SHARDS,
+        make_shard: collections.abc.Callable[[], claims.Shard] = claims.Shard,
+    ) -> None:
+        super().__init__("claims", clock_, FLUSH_MS)
+        self._prefix = f"{vm}/{incarnation}/"
+        self._numbers = itertools.count(1)
+        self._writers = [
+            claim_writer.ClaimWriter(
+                f"claims-{number:02}", store, clock_, make_shard
+            )
+            for number in range(shards)
+        ]
+        self._lock = threading.Lock()
+        self._running: dict[str, Grant] = {}
+        self._followers = 0
+
+    def step(self) -> None:
+        """Write the ends of calls that no later claim took along."""
+        for writer in self._writers:
+            if self.is_stopping():
+                return
+            writer.flush(self._limit(FLUSH_LIMIT_MS))
+
+    def stop(self, wait_ms: int = 2_000) -> None:
+        """Write what is left, then end the thread.
+
+        :param wait_ms: the longest wait for both
+        """
+        limit = self._limit(wait_ms)
+        super().stop(wait_ms)
+        for writer in self._writers:
+            writer.flush(limit)
+
+    def begin(
+        self, account: str, key: str, call: str, deadline: clock.Deadline
+    ) -> Began:
+        """Ask to run a call.
+
+        :param account: the client account
+        :param key: its ``Idempotency-Key``
+        :param call: see :func:`claim_records.digest_call`
+        :param deadline: when the attempt gives up
+        :returns: the right to run it, or the reply that it had before, or
+            why neither
+        """
+        id_ = claim_records.read_id(account, key)
+        if id_ is None:
+            return _refuse(
+                errors.Code.REQUEST_ID_REQUIRED,
+                "the Idempotency-Key has to be a UUID of version 7",
+            )
+        while True:
+            decided = self._decide(id_, call, deadline)
+            if decided.is_error():
+                return expression.Error(decided.error)
+            if not self._follow(decided.ok, deadline):
+                return self._answer(decided.ok)
+
+    def end(
+        self,
+        grant: Grant,
+        run: errors.Run,
+        reply: claim_records.KeptReply | None = None,
+    ) -> None:
+        """Note how a granted call came to its end; called once.
+
+        The caller gets its answer without waiting for the write: a VM that
+        dies before it leaves a claim without an end, which answers repeats
+        with "may have run".  A call that did not run is released first, so
+        that a caller who was told so can repeat it at once.
+
+        :param grant: the right that was used
+        :param run: whether the call was run
+        :param reply: what the service replied
+        """
+        writer = self._find_writer(grant.claim.digest)
+        if run is errors.Run.RAN:
+            kept = reply if reply is not None and reply.fits() else None
+            writer.note_end(grant.claim.end(ClaimState.DONE, kept))
+        elif run is errors.Run.NOT_RUN:
+            writer.note_end(grant.claim.end(ClaimState.RELEASED, None))
+            writer.flush(self._limit(RELEASE_LIMIT_MS))
+        with self._lock:
+            self._running.pop(grant.claim.owner, None)
+        grant.ended.set()
+
+    def _decide(
+        self, id_: claim_records.ClaimId, call: str, deadline: clock.Deadline
+    ) -> claim_writer.Decided:
+        owner = f"{self._prefix}{next(self._numbers)}"
+        request = claims.ClaimRequest(id_, call, owner)
+        return self._find_writer(id_.digest).decide(request, deadline)
+
+    def _answer(self, decision: claims.Decision) -> Began:
+        if decision.verdict is Verdict.OWNED:
+            grant = Grant(decision.record)
+            with self._lock:
+                self._running[decision.record.owner] = grant
+            return expression.Ok(grant)
+        if decision.verdict is Verdict.RAN:
+            if decision.record.reply is not None:
+                return expression.Ok(decision.record.reply)
+            return _refuse_repeat(
+                errors.Run.RAN, "the call ran; its reply was too large to keep"
+            )
+        return _explain(decision)
+
+    def _follow(
+        self, decision: claims.Decision, deadline: clock.Deadline
+    ) -> bool:
+        """Wait for the same call if it runs on this VM.
+
+        :param decision: the verdict on the repeat
+        :param deadline: when the repeat gives up
+        :returns: whether it has ended, so that the log tells how
+        """
+        if decision.verdict is not Verdict.UNFINISHED:
+            return False
+        with self._lock:
+            grant = self._running.get(decision.record.owner)
+            if grant is None or self._followers >= MOST_FOLLOWERS:
+                return False
+            self._followers += 1
+        try:
+            left_ms = deadline.left_ms(self.clock.now_ms())
+            return grant.ended.wait(left_ms / 1000)
+        finally:
+            with self._lock:
+                self._followers -= 1
+
+    def _find_writer(self, digest: str) -> claim_writer.ClaimWriter:
+        return self._writers[claims.pick_shard(digest, len(self._writers))]
+
+    def _limit(self, limit_ms: int) -> clock.Deadline:
+        return clock.Deadline(self.clock.now_ms() + limit_ms)
+
+
+def _explain(decision: claims.Decision) -> Began:
+    if decision.verdict is Verdict.REUSED:
+        return _refuse(
+            errors.Code.REQUEST_ID_REUSED,
+            "the Idempotency-Key was used for another call",
+        )
+    if decision.verdict is Verdict.AHEAD:
+        return _refuse(
+            errors.Code.BAD_REQUEST,
+            "the Idempotency-Key's time lies in the future",
+        )
+    if decision.verdict is Verdict.FORGOTTEN:
+        return _refuse_repeat(
+            errors.Run.MAY_HAVE_RUN,
+            "the Idempotency-Key is too old to tell whether the call ran",
+        )
+    return _refuse_repeat(
+        errors.Run.MAY_HAVE_RUN,
+        "the same call was begun before and its end is not known",
+        RETRY_AFTER_MS,
+    )
+
+
+def _refuse(code: errors.Code, message: str) -> Began:
+    return expression.Error(
+        errors.Fault(code, errors.Step.ADMISSION, message=message)
+    )
+
+
+def _refuse_repeat(
+    run: errors.Run, message: str, retry_after_ms: int | None = None
+) -> Began:
+    return expression.Error(
+        errors.Fault(
+            errors.Code.DUPLICATE,
+            errors.Step.ADMISSION,
+            run=run,
+            message=message,
+            retry_after_ms=retry_after_ms,
+        )
+    )
--- /dev/null
+++ b/tests/claim_history.py
@@ -0,0 +1,204 @@
+"""Seeded schedules of calls that must run at most once, and their checker."""
+
+import collections
+import random
+
+import expression
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway.controllers import claims as controller
+from mulberryway.policy import claim_records
+from mulberryway.policy import claims
+from tests import fakes
+
+VMS = ("a1", "b1", "c1")
+ACCOUNTS = ("tea", "pens")
+CALL_MS = 5
+LIMIT_MS = 200
+ONE_HOUR_MS = 3_600_000
+
+
+class RoughStore(fakes.MemoryStore):
+    """A platform whose writes may also arrive late, and lists be torn.
+
+    :param clock_: moves on with each call, so that retries end
+    """
+
+    def __init__(self, seed, clock_):
+        super().__init__(seed)
+        self.clock = clock_
+        self.late = 0.0
+        self.torn = 0.0
+        self._on_their_way = []
+
+    def read(self, *arguments):
+        self._pass_time()
+        return super().read(*arguments)
+
+    def read_all(self, kind, purpose):
+        self._pass_time()
+        found = super().read_all(kind, purpose)
+        if found.is_error() or self.random.random() >= self.torn:
+            return found
+        return expression.Ok([self._pick_old(item) for item in found.ok])
+
+    def _pick_old(self, item):
+        return self.random.choice(self.history[(item.kind, item.name)])
+
+    def _write(self, kind, name, value, version, purpose):
+        self._pass_time()
+        if not self.outage and self.random.random() < self.late:
+            self._on_their_way.append((kind, name, value, version))
+            return self._unavailable(errors.Run.MAY_HAVE_RUN)
+        return super()._write(kind, name, value, version, purpose)
+
+    def _pass_time(self):
+        self.clock.advance_ms(CALL_MS)
+        if self._on_their_way and self.random.random() < 0.5:
+            with self.lock:
+                self._apply(*self._on_their_way.pop(0))
+
+
+class Call:
+    """A call that callers send, perhaps several times."""
+
+    def __init__(self, account, key, call):
+        self.account = account
+        self.key = key
+        self.call = call
+
+
+class History:
+    """Runs a schedule and checks each promise at each step.
+
+    :param seed: decides the whole schedule
+    :param make_shard: the view to use, perhaps a broken one
+    :param adapt: changes each new claim store, to break it on purpose
+    """
+
+    def __init__(self, seed, make_shard=None, adapt=None, faults=True):
+        self.random = random.Random(seed)
+        self.clock = clock.ManualClock(ONE_HOUR_MS)
+        self.store = RoughStore(seed, self.clock)
+        self.make_shard = make_shard or self.make_small_shard
+        self.adapt = adapt or (lambda store: None)
+        self.faults = faults
+        self.lives = collections.Counter()
+        self.vms = {name: self.start(name) for name in VMS}
+        self.calls = []
+        self.open = []
+        self.runs = collections.Counter()
+        self.replies = {}
+        self.used = collections.defaultdict(set)
+        self.ends = collections.Counter()
+        self.violations = []
+
+    @staticmethod
+    def make_small_shard():
+        return claims.Shard(slots=3, slot_bytes=300)
+
+    def start(self, name):
+        self.lives[name] += 1
+        store = controller.ClaimStore(
+            self.store, self.clock, name, self.lives[name], 1, self.make_shard
+        )
+        self.adapt(store)
+        return store
+
+    def run(self, steps):
+        actions = (
+            [self.send] * 8
+            + [self.end] * 5
+            + [self.flush] * 2
+            + [self.crash, self.change_faults, self.wait]
+        )
+        for _ in range(steps):
+            self.random.choice(actions)()
+        return self.violations
+
+    def pick_call(self):
+        roll = self.random.random()
+        if self.calls and roll < 0.4:
+            return self.random.choice(self.calls[-6:])
+        if self.calls and roll < 0.6:
+            return self.random.choice(self.calls)
+        if self.calls and roll < 0.65:
+            old = self.random.choice(self.calls[-6:])
+            return Call(old.account, old.key, "other")
+        if self.calls and roll < 0.7:
+            old = self.random.choice(self.calls[-6:])
+            return Call(self.random.choice(ACCOUNTS), old.key, old.call)
+        number = self.random.getrandbits(70)
+        key = claim_records.make_key(self.clock.wall_ms(), number)
+        call = Call(self.random.choice(ACCOUNTS), key, f"call-{number}")
+        self.calls.append(call)
+        return call
+
+    def send(self):
+        call = self.pick_call()
+        name = self.random.choice(VMS)
+        deadline = clock.Deadline(self.clock.now_ms() + LIMIT_MS)
+        vm = self.vms[name]
+        # Nobody else can end a call on this one thread: do not wait.
+        vm._follow = lambda decision, deadline: False
+        began = vm.begin(call.account, call.key, call.call, deadline)
+        id_ = (call.account, call.key)
+        if began.is_error():
+            self.check_refusal(id_, call, began.error)
+        elif isinstance(began.ok, controller.Grant):
+            self.ends["granted"] += 1
+            self.runs[id_] += 1
+            self.open.append((name, began.ok, id_, call))
+            self.check(self.runs[id_] <= 1, f"two runs of {id_}")
+        else:
+            self.ends["replayed"] += 1
+            known = self.replies.get((*id_, call.call))
+            self.check(known == began.ok.body, f"a foreign reply to {id_}")
+        self.used[id_].add(call.call)
+
+    def check_refusal(self, id_, call, fault):
+        self.ends[f"{fault.code.value} {fault.run.value}"] += 1
+        if fault.code is errors.Code.REQUEST_ID_REUSED:
+            self.check(self.used[id_] - {call.call}, f"{id_} was not reused")
+        if fault.run is errors.Run.RAN:
+            self.check(self.runs[id_], f"{id_} never ran")
+
+    def end(self):
+        if not self.open:
+            return
+        place = self.random.randrange(len(self.open))
+        name, grant, id_, call = self.open.pop(place)
+        run = self.random.choice((*errors.Run, errors.Run.RAN))
+        if run is errors.Run.RAN:
+            body = b"%d" % self.random.getrandbits(32)
+            self.replies[(*id_, call.call)] = body
+            reply = claim_records.KeptReply(201, [("A", "b")], body)
+            self.vms[name].end(grant, run, reply)
+            return
+        if run is errors.Run.NOT_RUN:
+            self.runs[id_] -= 1
+        self.vms[name].end(grant, run)
+
+    def flush(self):
+        self.vms[self.random.choice(VMS)].step()
+
+    def crash(self):
+        """A VM dies; what it ran has run, whoever knows of it."""
+        name = self.random.choice(VMS)
+        self.open = [item for item in self.open if item[0] != name]
+        self.vms[name] = self.start(name)
+
+    def change_faults(self):
+        if not self.faults:
+            return
+        for fault in ("lose_reply", "lose_write", "stale", "late", "torn"):
+            setattr(self.store, fault, self.random.choice((0, 0, 0.1, 0.4)))
+        self.store.outage = self.random.random() < 0.15
+
+    def wait(self):
+        self.clock.advance_ms(self.random.choice((1, 1_000, 30_000)))
+
+    def check(self, holds, message):
+        if not holds:
+            self.violations.append(message)
