--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,6 +1,7 @@
 """An object store in memory whose faults a test switches on and off."""
 
 import collections
+import copy
 import json
 import random
 import threading
@@ -142,7 +143,7 @@
         size = len(json.dumps(value))
         if size > VALUE_BYTES:
             return expression.Error(make_fault(errors.Code.BODY_TOO_LARGE))
-        versions = self.history.setdefault((kind, name), [])
+        versions = self.history.get((kind, name), [])
         exists = bool(versions) and versions[-1].value is not None
         if version is None and exists:
             return expression.Error(make_fault(errors.Code.CONFLICT))
@@ -156,8 +157,10 @@
         self.version += 1
         self.written_ms[self.version] = self.now_ms()
         self.bytes_written += size
-        stored = base.StoredObject(kind, name, self.version, value)
-        versions = self.history[(kind, name)]
+        stored = base.StoredObject(
+            kind, name, self.version, copy.deepcopy(value)
+        )
+        versions = self.history.setdefault((kind, name), [])
         type_ = base.EventType.MODIFIED if versions else base.EventType.ADDED
         if value is None:
             type_ = base.EventType.DELETED
