Serve operators over HTTP, and from a command line

Cause: operators drive the system by its tables from wherever they are. A VM that was started during a cut counts the VMs it has seen since, so that it knows itself in the smaller part. Conclusion: an edit's id makes a repeat over any VM's API count once.

--- /dev/null
+++ b/mulberryway/admin/display.py
@@ -0,0 +1,166 @@
+"""Answers of the administration API as text for people."""
+
+import collections.abc
+import datetime
+import typing
+
+__all__ = [
+    "show_edit",
+    "show_fleet",
+    "show_history",
+    "show_key",
+    "show_lines",
+    "show_status",
+    "show_tables",
+]
+
+Answer = dict[str, typing.Any]
+MS_IN_S = 1000
+
+
+def show_tables(answer: Answer) -> str:
+    """Return the tables; the first line lets ``apply`` find the revision.
+
+    :param answer: the answer's object
+    """
+    return f"# revision {answer['revision']}\n{answer['text']}"
+
+
+def show_lines(answer: Answer) -> str:
+    """Return what would change.
+
+    :param answer: the answer's object
+    """
+    return "\n".join(answer["lines"] or ["no difference"])
+
+
+def show_edit(answer: Answer) -> str:
+    """Return what became of an edit.
+
+    :param answer: the answer's object
+    """
+    return (
+        f"accepted as revision {answer['revision']}, edit {answer['edit_id']}"
+    )
+
+
+def show_key(answer: Answer) -> str:
+    """Return a new key.
+
+    :param answer: the answer's object
+    """
+    return (
+        f"{answer['key']}\n"
+        f"shown this once; works for {answer['account']} from revision "
+        f"{answer['revision']} on; withdraw it as {answer['digest'][:8]}"
+    )
+
+
+def show_history(answer: Answer) -> str:
+    """Return past edits, one a line.
+
+    :param answer: the answer's object
+    """
+    return _align(
+        [
+            (
+                str(edit["revision"]),
+                _show_time(edit["wall_ms"]),
+                edit["operator"],
+                edit["edit_id"],
+                edit["summary"],
+            )
+            for edit in answer["edits"]
+        ]
+    )
+
+
+def show_fleet(answer: Answer) -> str:
+    """Return how far a revision has come.
+
+    :param answer: the answer's object
+    """
+    state = "in force" if answer["is_in_force"] else "not yet in force"
+    waiting = ", ".join(answer["waiting_for"])
+    head = f"revision {answer['revision']}: {state}"
+    if waiting:
+        head += f"; waiting for {waiting}"
+    return f"{head}\n{_show_vms(answer['vms'])}"
+
+
+def show_status(answer: Answer) -> str:
+    """Return VMs, pools and client accounts.
+
+    :param answer: the answer's object
+    """
+    pools = [
+        (
+            name,
+            pool["kind"],
+            " ".join(pool["models"]) or "-",
+            " ".join(f"{k}={v}" for k, v in pool["upstreams"].items()),
+            "leaving: " + (" ".join(pool["leaving"]) or "-"),
+        )
+        for name, pool in answer["pools"].items()
+    ]
+    accounts = [
+        (
+            name,
+            f"rate={row['rate']}",
+            f"burst={row['burst']}",
+            f"weight={row['weight']}",
+            "keys: " + (" ".join(row["keys"]) or "-"),
+        )
+        for name, row in answer["accounts"].items()
+    ]
+    return "\n".join(
+        (
+            f"accepted revision {answer['revision']}",
+            "\nVMs",
+            _show_vms(answer["vms"]),
+            "\npools",
+            _align(pools),
+            "\nclient accounts",
+            _align(accounts),
+        )
+    )
+
+
+def _show_vms(vms: list[Answer]) -> str:
+    return _align(
+        [
+            (
+                vm["name"],
+                vm["zone"],
+                f"revision {vm['revision']}" if vm["is_reached"] else "-",
+                f"confirmed {vm['age_ms']} ms ago"
+                if vm["age_ms"] >= 0
+                else "-",
+                _show_vm_state(vm),
+            )
+            for vm in vms
+        ]
+    )
+
+
+def _show_vm_state(vm: Answer) -> str:
+    if not vm["is_reached"]:
+        return "out of reach"
+    return "serving" if vm["is_serving"] else "refusing"
+
+
+def _show_time(wall_ms: int) -> str:
+    moment = datetime.datetime.fromtimestamp(
+        wall_ms / MS_IN_S, datetime.timezone.utc
+    )
+    return moment.strftime("%Y-%m-%dT%H:%M:%SZ")
+
+
+def _align(rows: collections.abc.Sequence[tuple[str, ...]]) -> str:
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    return "\n".join(
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+        for row in rows
+    )
--- /dev/null
+++ b/mulberryway/admin/server.py
@@ -0,0 +1,111 @@
+"""The administration API's process on one VM."""
+
+import logging
+import random
+import threading
+
+from cheroot import wsgi
+
+from mulberryway import clock
+from mulberryway import peers
+from mulberryway import settings
+from mulberryway.admin import administration
+from mulberryway.admin import api
+from mulberryway.admin import editor
+from mulberryway.admin import fleet
+from mulberryway.platform import counts
+from mulberryway.platform import http
+
+__all__ = ["AdminServer"]
+
+LOG = logging.getLogger(__name__)
+
+MS_IN_S = 1_000
+# Operators are few; a wait for "in force" holds a thread for a minute.
+THREADS = 16
+BACKLOG = 64
+HEADER_BYTES = 16_384
+IDLE_S = 30
+STOP_S = 15
+POLL_S = 0.01
+# An offer of whole tables is a megabyte, which a VM takes some time to read.
+PEER_TIMEOUT_MS = 2_000
+
+
+class AdminServer:
+    """Serves operators; holds nothing that another VM's does not have.
+
+    :param settings_: the settings of the VM
+    :param clock_: where the time comes from
+    """
+
+    def __init__(
+        self, settings_: settings.Settings, clock_: clock.Clock
+    ) -> None:
+        self.counts = counts.CallCounts()
+        store = http.HttpObjectStore(
+            settings_.platform_url,
+            settings_.platform_timeout_ms,
+            clock_,
+            self.counts,
+        )
+        self._client = peers.PeerClient(
+            settings_.peers_secret, clock_, PEER_TIMEOUT_MS
+        )
+        self._fleet = fleet.Fleet(
+            self._client,
+            f"{settings_.vm_address}:{settings_.peers_port}",
+            clock_,
+            settings_.configuration_fresh_ms,
+            random.Random(),
+        )
+        editor_ = editor.Editor(
+            store,
+            clock_,
+            random.Random(),
+            self._fleet.read_revision,
+            self._fleet.announce,
+        )
+        self.administration = administration.Administration(
+            editor_, self._fleet
+        )
+        self._server = self._make_server(settings_)
+        self._thread = threading.Thread(
+            target=self._server.serve, name="admin", daemon=True
+        )
+
+    @property
+    def port(self) -> int:
+        """The port that operators connect to."""
+        return int(self._server.bind_addr[1])
+
+    def start(self) -> None:
+        """Begin to serve on threads of the server's own."""
+        self._server.prepare()
+        self._thread.start()
+        LOG.info("the administration API serves on port %d", self.port)
+
+    def stop(self) -> None:
+        """Finish the calls that run, then stop."""
+        self._server.stop()
+        self._thread.join(STOP_S)
+        self._fleet.close()
+        self._client.close()
+
+    def _make_server(self, settings_: settings.Settings) -> wsgi.Server:
+        operators = api.Operators(settings_.admin_operators)
+        server = wsgi.Server(
+            (settings_.vm_address, settings_.admin_port),
+            api.AdminApi(self.administration, operators),
+            numthreads=THREADS,
+            server_name="mulberryway-admin",
+            max=THREADS,
+            request_queue_size=BACKLOG,
+            timeout=IDLE_S,
+            shutdown_timeout=STOP_S,
+            accepted_queue_size=BACKLOG,
+            accepted_queue_timeout=0,
+        )
+        server.max_request_header_size = HEADER_BYTES
+        server.max_request_body_size = api.MOST_BODY_BYTES
+        return server
--- /dev/null
+++ b/mulberryway/commands/operate.py
@@ -0,0 +1,268 @@
+"""The operators' command line."""
+
+import collections.abc
+import json
+import os
+import pathlib
+import re
+import secrets
+import sys
+import tomllib
+import typing
+import urllib.parse
+
+from absl import app
+from absl import flags
+import expression
+
+from mulberryway import errors
+from mulberryway.admin import client
+from mulberryway.admin import display
+
+__all__ = ["main", "run"]
+
+FLAGS = flags.FLAGS
+CREDENTIAL_VARIABLE = "MULBERRYWAY_CREDENTIAL"
+URL_VARIABLE = "MULBERRYWAY_URL"
+REVISION_LINE = re.compile(r"# revision ([0-9]+)$", re.MULTILINE)
+EDIT_ID_BYTES = 8
+FAILED_STATUS = 1
+USAGE_STATUS = 2
+NOT_IN_FORCE_STATUS = 3
+USAGE = """mulberryway COMMAND ...
+
+  show                        the accepted tables
+  diff FILE                   what a file of tables would change
+  apply FILE                  replace all tables by a file's
+  put TABLE.NAME FILE         add or replace one row
+  delete TABLE.NAME           delete one row
+  give-key ACCOUNT            make a key; it is shown this once
+  withdraw-key ACCOUNT DIGITS withdraw the key whose digest begins so
+  history                     past edits
+  wait [REVISION]             until a revision is in force on all VMs
+  status                      VMs, pools and client accounts
+
+The credential comes from --credential_file or MULBERRYWAY_CREDENTIAL, the
+addresses of administration APIs from --url or MULBERRYWAY_URL."""
+
+flags.DEFINE_list("url", [], "administration APIs, the first is asked first")
+flags.DEFINE_string("credential_file", "", "a file with your credential")
+flags.DEFINE_boolean("json", False, "print answers as JSON")
+flags.DEFINE_string("edit_id", "", "repeat the edit of this id")
+flags.DEFINE_string("digest", None, "the row's digest as you know it")
+flags.DEFINE_integer("revision", None, "the revision a file was made from")
+flags.DEFINE_integer("wait_ms", 30_000, "the longest wait for wait")
+
+Answer = dict[str, typing.Any]
+Result = expression.Result[Answer, errors.Fault]
+Arguments = collections.abc.Sequence[str]
+
+
+class UsageError(Exception):
+    """A command line that cannot be carried out."""
+
+
+class Command:
+    """One command.
+
+    :param arguments: how many arguments it may take
+    :param run: calls the administration API
+    :param show: makes text of the answer
+    :param is_edit: whether a repeat needs the edit's id
+    """
+
+    __slots__ = ("arguments", "run", "show", "is_edit")
+
+    def __init__(
+        self,
+        arguments: tuple[int, ...],
+        run: collections.abc.Callable[
+            [client.AdminClient, Arguments, str], Result
+        ],
+        show: collections.abc.Callable[[Answer], str],
+        is_edit: bool = False,
+    ) -> None:
+        self.arguments = arguments
+        self.run = run
+        self.show = show
+        self.is_edit = is_edit
+
+
+def _show(api: client.AdminClient, words: Arguments, edit_id: str) -> Result:
+    return api.call("GET", "/v1/tables")
+
+
+def _diff(api: client.AdminClient, words: Arguments, edit_id: str) -> Result:
+    return api.call("POST", "/v1/diff", {"text": _read_file(words[0])})
+
+
+def _apply(api: client.AdminClient, words: Arguments, edit_id: str) -> Result:
+    text = _read_file(words[0])
+    found = REVISION_LINE.search(text)
+    revision = FLAGS.revision
+    if revision is None and found is not None:
+        revision = int(found[1])
+    if revision is None:
+        raise UsageError(
+            "expected --revision N or a line '# revision N' as show prints "
+            "it: the revision that the file was made from, 0 for the first"
+        )
+    body = {"text": text, "revision": revision}
+    return api.edit("PUT", "/v1/tables", body, edit_id)
+
+
+def _put(api: client.AdminClient, words: Arguments, edit_id: str) -> Result:
+    try:
+        values = tomllib.loads(_read_file(words[1]))
+    except tomllib.TOMLDecodeError as error:
+        raise UsageError(
+            f"{words[1]}: expected valid TOML ({error})"
+        ) from error
+    body = {"values": values, "digest": FLAGS.digest}
+    return api.edit("PUT", _row_path(words[0]), body, edit_id)
+
+
+def _delete(api: client.AdminClient, words: Arguments, edit_id: str) -> Result:
+    body = {"digest": FLAGS.digest}
+    return api.edit("DELETE", _row_path(words[0]), body, edit_id)
+
+
+def _give_key(
+    api: client.AdminClient, words: Arguments, edit_id: str
+) -> Result:
+    return api.edit("POST", f"{_account_path(words[0])}/keys", {}, edit_id)
+
+
+def _withdraw_key(
+    api: client.AdminClient, words: Arguments, edit_id: str
+) -> Result:
+    digits = urllib.parse.quote(words[1].lower(), safe="")
+    path = f"{_account_path(words[0])}/keys/{digits}"
+    return api.edit("DELETE", path, {}, edit_id)
+
+
+def _read_history(
+    api: client.AdminClient, words: Arguments, edit_id: str
+) -> Result:
+    return api.call("GET", "/v1/history")
+
+
+def _wait(api: client.AdminClient, words: Arguments, edit_id: str) -> Result:
+    query = {"wait_ms": str(FLAGS.wait_ms)}
+    if words:
+        query["revision"] = words[0]
+    return api.call("GET", f"/v1/in_force?{urllib.parse.urlencode(query)}")
+
+
+def _read_status(
+    api: client.AdminClient, words: Arguments, edit_id: str
+) -> Result:
+    return api.call("GET", "/v1/status")
+
+
+COMMANDS = {
+    "show": Command((0,), _show, display.show_tables),
+    "diff": Command((1,), _diff, display.show_lines),
+    "apply": Command((1,), _apply, display.show_edit, True),
+    "put": Command((2,), _put, display.show_edit, True),
+    "delete": Command((1,), _delete, display.show_edit, True),
+    "give-key": Command((1,), _give_key, display.show_key, True),
+    "withdraw-key": Command((2,), _withdraw_key, display.show_edit, True),
+    "history": Command((0,), _read_history, display.show_history),
+    "wait": Command((0, 1), _wait, display.show_fleet),
+    "status": Command((0,), _read_status, display.show_status),
+}
+
+
+def main(arguments: Arguments) -> int:
+    """Carry out one command.
+
+    :param arguments: program, command and what follows
+    :returns: 0; 1 for a fault, 2 for a command line that cannot be carried
+        out, 3 if ``wait`` ended before the revision was in force
+    """
+    command = COMMANDS.get(arguments[1]) if len(arguments) > 1 else None
+    words = arguments[2:]
+    if command is None or len(words) not in command.arguments:
+        print(USAGE, file=sys.stderr)
+        return USAGE_STATUS
+    edit_id = FLAGS.edit_id or secrets.token_hex(EDIT_ID_BYTES)
+    try:
+        result = command.run(_make_client(), words, edit_id)
+    except UsageError as error:
+        print(error, file=sys.stderr)
+        return USAGE_STATUS
+    if result.is_error():
+        _print_fault(result.error, edit_id if command.is_edit else "")
+        return FAILED_STATUS
+    answer = result.ok
+    print(json.dumps(answer) if FLAGS.json else command.show(answer))
+    return 0 if answer.get("is_in_force", True) else NOT_IN_FORCE_STATUS
+
+
+def _make_client() -> client.AdminClient:
+    urls = FLAGS.url or os.environ.get(URL_VARIABLE, "").split(",")
+    urls = tuple(filter(None, urls))
+    if not urls:
+        raise UsageError(f"expected --url or {URL_VARIABLE}")
+    if FLAGS.credential_file:
+        credential = _read_file(FLAGS.credential_file).strip()
+    else:
+        credential = os.environ.get(CREDENTIAL_VARIABLE, "").strip()
+    if not credential:
+        # Never an argument: all users of a machine can read those.
+        raise UsageError(
+            f"expected --credential_file or {CREDENTIAL_VARIABLE}"
+        )
+    return client.AdminClient(urls, credential)
+
+
+def _print_fault(fault: errors.Fault, edit_id: str) -> None:
+    body = {
+        "code": fault.code.value,
+        "message": fault.message,
+        "step": fault.step.value,
+        "peer": fault.peer,
+        "run": fault.run.value,
+        "retry_after_ms": fault.retry_after_ms,
+    }
+    if edit_id:
+        body["edit_id"] = edit_id
+    if FLAGS.json:
+        print(json.dumps({"error": body}))
+        return
+    print(f"{fault.code.value}: {fault.message}", file=sys.stderr)
+    if edit_id and fault.run is errors.Run.MAY_HAVE_RUN:
+        print(
+            "the edit may have been accepted; the same command with "
+            f"--edit_id {edit_id} settles it and counts once",
+            file=sys.stderr,
+        )
+
+
+def _read_file(name: str) -> str:
+    try:
+        return pathlib.Path(name).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise UsageError(f"{name}: expected a readable text") from error
+
+
+def _row_path(place: str) -> str:
+    table, dot, name = place.partition(".")
+    if not dot:
+        raise UsageError(f"{place}: expected TABLE.NAME")
+    parts = (urllib.parse.quote(part, safe="") for part in (table, name))
+    return "/v1/tables/" + "/".join(parts)
+
+
+def _account_path(account: str) -> str:
+    return f"/v1/accounts/{urllib.parse.quote(account, safe='')}"
+
+
+def run() -> None:
+    """Parse the command line and run."""
+    app.run(main)
+
+
+if __name__ == "__main__":
+    run()
--- a/mulberryway/controllers/configuration.py
+++ b/mulberryway/controllers/configuration.py
@@ -311,7 +311,10 @@
         confirmation = self.in_force.confirmation
         if confirmation is None:
             return None
-        needed = freshness.count_needed(confirmation.fleet_size)
+        # A VM that was started during a cut has a small fleet confirmed;
+        # what it has seen alive since counts too.
+        fleet_size = max(confirmation.fleet_size, self._fleet.most)
+        needed = freshness.count_needed(fleet_size)
         times = sorted(self._heard_ms.values(), reverse=True)
         if needed == 0:
             return now_ms
--- a/mulberryway/settings.py
+++ b/mulberryway/settings.py
@@ -3,6 +3,7 @@
 import collections.abc
 import ipaddress
 import pathlib
+import re
 import tomllib
 import typing
 
@@ -11,6 +12,7 @@
 __all__ = ["OPTIONS", "Option", "Settings", "read_settings"]
 
 MOST_PORT = 65_535
+DIGEST = re.compile(r"[0-9a-f]{64}")
 HOUR_MS = 3_600_000
 
 
@@ -132,8 +134,11 @@
     return isinstance(value, list) and all(map(_is_text, value))
 
 
-def _is_text_table(value: typing.Any) -> bool:
-    return isinstance(value, dict) and all(map(_is_text, value.values()))
+def _is_digest_table(value: typing.Any) -> bool:
+    return isinstance(value, dict) and all(
+        isinstance(digest, str) and DIGEST.fullmatch(digest) is not None
+        for digest in value.values()
+    )
 
 
 def _is_url(value: typing.Any) -> bool:
@@ -204,8 +209,8 @@
     Option(
         "admin.operators",
         "admin_operators",
-        "a table of names and credential digests",
-        _is_text_table,
+        "a table of names and SHA-256 digests of credentials",
+        _is_digest_table,
     ),
     Option(
         "telemetry.log_level",
