Share the pace of upstreams, and yield under both weighings

Cause: with nine routers each alone needs seconds to see a slow upstream, and routers that never yield take the same slot. Change: holdings carry the pace seen; yields no longer depend on the weighing; a long prompt about to be refused is started all the same.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -34,9 +34,10 @@
 FIRST_TOKEN_MS = 1_100
 SLOW_FACTOR = 2.2
 SLOW_FROM_MS = 20_000
-# A prompt that cannot make the target even alone has more time; its caller
-# knows that it is long.
 PREFILL_MS_PER_TOKEN = 0.08
+# A prompt that cannot make the target even alone, if nothing of it is in a
+# prefix cache, has more time; its caller knows that it is long.
+LONG_TOKENS = 11_000
 
 Kind = engine_shape.EventKind
 
@@ -224,10 +225,9 @@
     def _arrive(self, outcome: Outcome) -> None:
         arrival = outcome.arrival
         router = int(arrival.router * len(self._schedulers))
-        within_ms = max(
-            FIRST_TOKEN_MS,
-            int(2 * arrival.prompt_tokens * PREFILL_MS_PER_TOKEN),
-        )
+        within_ms = FIRST_TOKEN_MS
+        if arrival.prompt_tokens > LONG_TOKENS:
+            within_ms = int(2 * arrival.prompt_tokens * PREFILL_MS_PER_TOKEN)
         job = messages.Job(
             str(arrival.number),
             arrival.account,
--- a/mulberryway/policy/hints.py
+++ b/mulberryway/policy/hints.py
@@ -17,6 +17,8 @@
         estimated milliseconds; a counter
     :param suspects: suspects of a crash that run there now
     :param blocks: KV cache blocks that its decodes take
+    :param step_ms: the mean time between tokens that its streams see there;
+        0 if it has seen none of late
     """
 
     __slots__ = (
@@ -26,6 +28,7 @@
         "prefill_ms",
         "suspects",
         "blocks",
+        "step_ms",
     )
 
     def __init__(
@@ -36,6 +39,7 @@
         prefill_ms: int,
         suspects: int = 0,
         blocks: int = 0,
+        step_ms: int = 0,
     ) -> None:
         self.pool = pool
         self.upstream = upstream
@@ -43,6 +47,7 @@
         self.prefill_ms = prefill_ms
         self.suspects = suspects
         self.blocks = blocks
+        self.step_ms = step_ms
 
 
 class AccountNote:
--- a/mulberryway/policy/neighbours.py
+++ b/mulberryway/policy/neighbours.py
@@ -62,7 +62,11 @@
         self._waiting.pop(vm, None)
 
     def count_ahead(
-        self, state: queue.AccountState, since_ms: int, now_ms: int
+        self,
+        state: queue.AccountState,
+        slack_tokens: int,
+        since_ms: int,
+        now_ms: int,
     ) -> int:
         """Return how many of the peers' jobs should go before one of ours.
 
@@ -73,12 +77,14 @@
         of at most sixteen accounts, so the cost is bounded by the cell.
 
         :param state: our job's account
+        :param slack_tokens: accounts whose starts differ by no more count
+            as one; the older job goes first
         :param since_ms: since when our job has waited
         :param now_ms: the present
         :returns: a number of jobs
         """
         return sum(
-            self._count_of(account, waiting, state, since_ms)
+            self._count_of(account, waiting, state, slack_tokens, since_ms)
             for accounts in self._waiting.values()
             for account, waiting in accounts.items()
             if now_ms - waiting.told_ms <= WAITING_FRESH_MS
@@ -89,12 +95,13 @@
         account: str,
         waiting: _Waiting,
         state: queue.AccountState,
+        slack_tokens: int,
         since_ms: int,
     ) -> int:
-        if account == state.name:
+        lead = state.start - self._fair.read_start(account)
+        if account == state.name or abs(lead) < slack_tokens:
             return 1 if waiting.since_ms < since_ms else 0
-        is_behind = self._fair.read_start(account) >= state.start
-        return 0 if is_behind else waiting.jobs
+        return waiting.jobs if lead > 0 else 0
 
     def read_weight_waiting(self, now_ms: int) -> int:
         """Return the weights of accounts that wait only at peers.
--- a/mulberryway/policy/placing.py
+++ b/mulberryway/policy/placing.py
@@ -25,6 +25,9 @@
 # A short prompt must find a prefill upstream which begins it within this
 # time, so a long one is not started on the last such upstream.
 SHORT_WAIT_MS = 400.0
+# A long prompt about to be refused is started all the same: its refusal would
+# be certain, the short ones' delay is not.
+LAST_CHANCE_MS = 100
 # Choices within this time are equal; chance decides, so that routers which
 # see the same do not all go to the same upstream.
 EQUAL_MS = 3.0
@@ -220,7 +223,8 @@
         if entry.lane is queue.Lane.SUSPECT:
             usable = [view for view in usable if not view.count_suspects()]
         elif entry.lane is queue.Lane.LONG:
-            usable = self._leave_room_for_short(usable, now_ms)
+            if now_ms < entry.latest_ms - LAST_CHANCE_MS:
+                usable = self._leave_room_for_short(usable, now_ms)
         if self.is_blind and len(usable) > BLIND_CHOICES:
             usable = self._random.sample(usable, BLIND_CHOICES)
         return [self._plan_prefill(view, job, pool, now_ms) for view in usable]
--- a/mulberryway/policy/pools.py
+++ b/mulberryway/policy/pools.py
@@ -246,14 +246,17 @@
         self, entry: queue.Entry, free: int, now_ms: int
     ) -> bool:
         since_ms = self._free_since_ms
-        if not self._weighed.yields or since_ms is None:
+        if since_ms is None:
             return False
         waited_ms = now_ms - since_ms
         if waited_ms >= MOST_YIELD_MS:
             return False
         job = entry.job
         state = self.fair.find_account(job.account, job.weight)
-        ahead = self.neighbours.count_ahead(state, job.arrived_ms, now_ms)
+        # What goes out of the fair order by the slack does so at peers too.
+        ahead = self.neighbours.count_ahead(
+            state, self._weighed.slack_tokens, job.arrived_ms, now_ms
+        )
         return free <= ahead and waited_ms < ahead * YIELD_EACH_MS
 
     def move_decode(
--- a/mulberryway/policy/queue.py
+++ b/mulberryway/policy/queue.py
@@ -21,6 +21,13 @@
 # An account that has nothing waiting and no debt needs no state.  The limit
 # is above twice the accounts of the target (2,200), so that a sweep is rare.
 MOST_IDLE_ACCOUNTS = 5_000
+# How far behind the present an account may start that was given little.  All
+# routers of a cell have to come to the same order, so the start is not moved
+# up to the very present when an account begins to wait, as textbooks do: only
+# one router would know of it.  The harm of a claim is that an account which
+# comes back after a pause goes first until it has caught up; five ordinary
+# requests do not keep the others waiting noticeably.
+CLAIM_TOKENS = 2_000.0
 
 
 class Lane(enum.IntEnum):
@@ -110,7 +117,8 @@
         state = self._accounts.get(name)
         if state is None:
             self._forget_idle()
-            state = AccountState(name, weight, self.now_virtual)
+            start = max(self.now_virtual - CLAIM_TOKENS, 0.0)
+            state = AccountState(name, weight, start)
             self._accounts[name] = state
         elif state.weight != max(weight, 1):
             if state.waiting:
@@ -135,7 +143,7 @@
         """
         state = self._accounts.get(name)
         if state is None:
-            return self.now_virtual
+            return max(self.now_virtual - CLAIM_TOKENS, 0.0)
         return state.start if state.waiting else self._start_of_idle(state)
 
     def read_weight(self, name: str) -> int:
@@ -175,8 +183,6 @@
         job = entry.job
         state = self.find_account(job.account, job.weight)
         if not state.waiting:
-            # An account that comes back starts at the present: it has no
-            # claim for the time in which it asked for nothing.
             state.start = self._start_of_idle(state)
             self._order.add((state.start, state.name))
             self.weight_waiting += state.weight
@@ -278,7 +284,7 @@
         state.start = start
 
     def _start_of_idle(self, state: AccountState) -> float:
-        return max(state.start, self.now_virtual)
+        return max(state.start, self.now_virtual - CLAIM_TOKENS)
 
     def _forget_idle(self) -> None:
         if len(self._accounts) < MOST_IDLE_ACCOUNTS:
@@ -286,5 +292,5 @@
         self._accounts = {
             name: state
             for name, state in self._accounts.items()
-            if state.waiting or state.start > self.now_virtual
+            if state.waiting or state.start > self.now_virtual - CLAIM_TOKENS
         }
--- a/mulberryway/policy/scheduler.py
+++ b/mulberryway/policy/scheduler.py
@@ -28,6 +28,9 @@
 MOST_ENTRIES = 2_048
 MOST_BYTES = 64 << 20
 TOKEN_GAP_MS = 63
+# Peers hear of a change in an upstream's pace at once; the rest goes along
+# with the next note.
+NEWS_PART = 0.2
 # Starts in one call, so that a call's time has a limit.
 MOST_STARTS = 64
 
@@ -163,7 +166,10 @@
         if job is not None and gap_ms is not None:
             decode = job.placement.decode
             if decode is not None:
+                before_ms = decode.step.value
                 decode.note_step(gap_ms, now_ms)
+                if abs(gap_ms - before_ms) > NEWS_PART * before_ms:
+                    self._teller.note_view(job.entry.job.pool, decode.row.name)
 
     def move_decode(
         self, job_id: str, refused: str, now_ms: int
--- a/mulberryway/policy/telling.py
+++ b/mulberryway/policy/telling.py
@@ -186,5 +186,6 @@
             int(view.own_prefill_ms),
             view.own_suspects,
             view.own_blocks,
+            view.take_step_ms(),
         )
     ]
--- a/mulberryway/policy/views.py
+++ b/mulberryway/policy/views.py
@@ -25,6 +25,7 @@
 FULL_MS = 250
 PREFILL_MS_PER_TOKEN = 0.1
 STEP_MS = 40.0
+STEP_PART = 0.3
 # A single observation may be off by what others did to the same engine.
 MOST_DEVIATION = 8.0
 LEAST_TOKENS_TO_LEARN = 200
@@ -59,6 +60,7 @@
         "prefill_rate",
         "step",
         "step_seen_ms",
+        "_own_step_ms",
         "health",
         "prefixes",
         "_by_peer",
@@ -88,8 +90,9 @@
         self.busy_until_ms = 0.0
         self.full_until_ms = 0
         self.prefill_rate = health.Average(PREFILL_MS_PER_TOKEN)
-        self.step = health.Average(STEP_MS)
+        self.step = health.Average(STEP_MS, STEP_PART)
         self.step_seen_ms = 0
+        self._own_step_ms = 0.0
         self.health = health.Health(random_)
         self.prefixes = prefixes.PrefixIndex()
         self._by_peer: dict[str, hints.Holding] = {}
@@ -188,6 +191,16 @@
         """
         self.step.note(step_ms)
         self.step_seen_ms = now_ms
+        self._own_step_ms = step_ms
+
+    def take_step_ms(self) -> int:
+        """Return the last gap that our own streams saw here, once.
+
+        :returns: milliseconds; 0 if there was none since the last call
+        """
+        step_ms = int(self._own_step_ms)
+        self._own_step_ms = 0.0
+        return step_ms
 
     def start_decode(self, blocks: int, now_ms: int) -> None:
         """Reserve a slot.
@@ -263,6 +276,11 @@
         self.peers += holding.decodes - before.decodes
         self.peer_suspects += holding.suspects - before.suspects
         self.peer_blocks += holding.blocks - before.blocks
+        if holding.step_ms:
+            # A peer's streams are as good as ours: with nine routers each
+            # has two streams on an engine and alone would need seconds.
+            self.step.note(holding.step_ms)
+            self.step_seen_ms = now_ms
         self._by_peer[vm] = holding
         self._raise_high(now_ms)
 
