--- /dev/null
+++ b/mulberryway/assembly.py
@@ -0,0 +1,163 @@
+"""Puts the parts of one VM's router together, in one place."""
+
+import random
+
+from mulberryway import clock
+from mulberryway import peers
+from mulberryway import router
+from mulberryway import settings
+from mulberryway.controllers import claims
+from mulberryway.controllers import configuration_service
+from mulberryway.controllers import engine_reports
+from mulberryway.controllers import membership
+from mulberryway.controllers import notes
+from mulberryway.peers import datagrams
+from mulberryway.peers import server as peer_server
+from mulberryway.peers.gen.membership import Membership
+from mulberryway.platform import counts
+from mulberryway.platform import http as platform_http
+from mulberryway.policy import allowance_split
+from mulberryway.policy import member
+from mulberryway.policy import scheduler
+from mulberryway.policy import weighing
+from mulberryway.upstreams import directory
+
+__all__ = ["Assembly"]
+
+MEMBERSHIP = "Membership"
+
+
+class Assembly:
+    """All controllers and the router of one process.
+
+    :param settings_: the settings of the process
+    :param clock_: where the time comes from
+    """
+
+    def __init__(
+        self,
+        settings_: settings.Settings,
+        clock_: clock.Clock | None = None,
+    ) -> None:
+        self.settings = settings_
+        self.clock = clock_ or clock.SystemClock()
+        # Later lives of a VM's router must have greater numbers, though a
+        # VM keeps nothing; its wall clock is all that it has.
+        self.incarnation = self.clock.wall_ms()
+        self.platform_counts = counts.CallCounts()
+        self.store = platform_http.HttpObjectStore(
+            settings_.platform_url,
+            settings_.platform_timeout_ms,
+            self.clock,
+            self.platform_counts,
+        )
+        self.client = peers.PeerClient(
+            settings_.peers_secret, self.clock, settings_.peers_timeout_ms
+        )
+        self.members = self._make_members()
+        self.configuration = configuration_service.ConfigurationService(
+            settings_, self.store, self.client, self.members, self.clock
+        )
+        self.claims = claims.ClaimStore(
+            self.store, self.clock, settings_.vm_name, self.incarnation
+        )
+        self.directory = directory.HttpDirectory(self.clock)
+        self.router = self._make_router()
+        self.notes = notes.NotesController(
+            self.router.scheduling,
+            self.members,
+            self.configuration.source,
+            self.clock,
+        )
+        self.reports = engine_reports.EngineReports(
+            self.notes,
+            self.router.scheduling,
+            self.directory,
+            self.configuration.source,
+            settings_.vm_name,
+            self.clock,
+        )
+        self.peer_server = peer_server.PeerServer(
+            settings_.vm_address,
+            settings_.peers_port,
+            settings_.peers_secret,
+            {
+                MEMBERSHIP: Membership.Processor(self.members.exchange),
+                configuration_service.SERVICE: self.configuration.processor,
+            },
+            self.clock,
+        )
+        self.datagrams = datagrams.Datagrams(
+            settings_.vm_address,
+            settings_.peers_port,
+            settings_.peers_secret,
+            self.notes.take,
+        )
+        self.notes.datagrams = self.datagrams
+
+    def start(self) -> None:
+        """Begin to serve peers, then callers; returns at once."""
+        self.peer_server.start()
+        self.datagrams.start()
+        self.members.start()
+        self.configuration.start()
+        self.claims.start()
+        self.router.start()
+        self.notes.start()
+        self.reports.start()
+
+    def stop(self, graceful: bool = True) -> None:
+        """Stop serving callers, then everything else.
+
+        :param graceful: whether running requests may end first
+        """
+        self.router.stop(graceful)
+        for controller in (self.reports, self.notes, self.claims):
+            controller.stop()
+        self.configuration.stop()
+        self.members.stop()
+        self.datagrams.stop()
+        self.peer_server.stop()
+
+    def _make_members(self) -> membership.MembershipController:
+        settings_ = self.settings
+        own = member.Member(
+            settings_.vm_name,
+            settings_.vm_address,
+            settings_.peers_port,
+            settings_.router_port,
+            settings_.vm_zone,
+            settings_.vm_region,
+            self.incarnation,
+        )
+        return membership.MembershipController(
+            own,
+            settings_.peers_seeds,
+            self.client,
+            self.store,
+            self.clock,
+            settings_.peers_period_ms,
+        )
+
+    def _make_router(self) -> router.Router:
+        settings_ = self.settings
+        source = self.configuration.source
+        return router.Router(
+            settings_,
+            self.clock,
+            self.incarnation,
+            source,
+            scheduler.FairScheduler(
+                settings_.vm_name,
+                self.incarnation,
+                weighing.find_weighing(settings_.policy_weighing),
+                seed=random.SystemRandom().getrandbits(32),
+            ),
+            allowance_split.SplitAllowances(
+                source, self.clock, 1 + len(settings_.peers_seeds)
+            ),
+            self.members,
+            on_withdraw=lambda: self.members.change_own(is_stopping=True),
+            directory_=self.directory,
+            claim_store=self.claims,
+        )
--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -148,8 +148,20 @@
         took_ms = parts.clock.now_ms() - self._exchange.arrived_ms
         parts.metrics.first_token.record(took_ms)
 
-    def note_source_end(self) -> None:
-        """Give the decode slot back."""
+    def note_tokens(self, tokens: int) -> None:
+        """Tell the scheduler how far the answer is.
+
+        :param tokens: how many tokens have come so far
+        """
+        if self._attempt is not None:
+            self._parts.scheduling.note_tokens(self._attempt.job_id, tokens)
+
+    def note_source_end(self, tokens: int) -> None:
+        """Give the decode slot back.
+
+        :param tokens: how many tokens have come in all
+        """
+        self.note_tokens(tokens)
         self._end_attempt(messages.JobEnd.DONE)
 
     def drop_source(self) -> None:
--- a/mulberryway/relay/pump.py
+++ b/mulberryway/relay/pump.py
@@ -24,6 +24,7 @@
 # not kept longer than this for it.
 FAREWELL_MS = 1_000
 RECOVERERS = 16
+TELL_MS = 1_000
 
 GONE = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 READ = select.EPOLLIN
@@ -45,10 +46,12 @@
         self._loop = loop_
         self._streams: set[Stream] = set()
         self._farewells: dict[socket.socket, int] = {}
+        self._told_ms = loop_.now_ms
         self._recoverers = concurrent.futures.ThreadPoolExecutor(
             RECOVERERS, "recover"
         )
         loop_.add_tick(self._check_limits)
+        loop_.add_tick(self._tell_tokens)
 
     @property
     def count(self) -> int:
@@ -145,7 +148,7 @@
             if not before:
                 stream.owner.note_first_token()
         if stream.is_ended:
-            stream.owner.note_source_end()
+            stream.owner.note_source_end(stream.expected)
             self._part(stream)
             out += stream.writer.end()
         if out:
@@ -239,6 +242,14 @@
         ]:
             self._end_farewell(connection)
 
+    def _tell_tokens(self) -> None:
+        if self._loop.now_ms - self._told_ms < TELL_MS:
+            return
+        self._told_ms = self._loop.now_ms
+        for stream in self._streams:
+            if stream.source is not None and stream.expected:
+                stream.owner.note_tokens(stream.expected)
+
     def _lose_source(
         self,
         stream: Stream,
--- a/mulberryway/relay/stream.py
+++ b/mulberryway/relay/stream.py
@@ -26,8 +26,18 @@
         """Take notice that the engine's first token has come."""
 
     @abc.abstractmethod
-    def note_source_end(self) -> None:
-        """Take notice that the engine has finished; its slot is free."""
+    def note_tokens(self, tokens: int) -> None:
+        """Take notice, about once a second, of how far the answer is.
+
+        :param tokens: how many tokens have come so far
+        """
+
+    @abc.abstractmethod
+    def note_source_end(self, tokens: int) -> None:
+        """Take notice that the engine has finished; its slot is free.
+
+        :param tokens: how many tokens have come in all
+        """
 
     @abc.abstractmethod
     def drop_source(self) -> None:
--- a/mulberryway/router.py
+++ b/mulberryway/router.py
@@ -12,6 +12,7 @@
 from mulberryway import tables
 from mulberryway import traces
 from mulberryway.controllers import cancelling
+from mulberryway.controllers import claims
 from mulberryway.controllers import scheduling
 from mulberryway.filters import admission
 from mulberryway.filters import authenticate
@@ -21,6 +22,7 @@
 from mulberryway.filters import model_forward
 from mulberryway.filters import model_run
 from mulberryway.filters import observe
+from mulberryway.filters import once
 from mulberryway.filters import route
 from mulberryway.filters import service_forward
 from mulberryway.filters import status
@@ -65,6 +67,8 @@
     :param may_repeat: takes one repeat out of the budget for them
     :param on_withdraw: called when new callers should no longer come
     :param directory_: finds upstreams; by HTTP if none is given
+    :param claim_store: grants calls that must run at most once; without
+        one such calls are refused
     """
 
     def __init__(
@@ -79,6 +83,7 @@
         may_repeat: collections.abc.Callable[[], bool] = lambda: True,
         on_withdraw: collections.abc.Callable[[], None] = lambda: None,
         directory_: directory.UpstreamDirectory | None = None,
+        claim_store: claims.ClaimStore | None = None,
     ) -> None:
         self.settings = settings_
         self.clock = clock_
@@ -100,6 +105,7 @@
         self._entries = entries
         self._may_repeat = may_repeat
         self._on_withdraw = on_withdraw
+        self._claim_store = claim_store
         self._incarnation = incarnation
         self._has_begun = False
         self._is_withdrawn = False
@@ -243,6 +249,7 @@
             admission.ReadCall(),
             admission.Admission(self._allowances),
             model_forward.ModelForward(parts),
+            once.RunOnce(self._claim_store),
             service_forward.ServiceForward(
                 self.directory,
                 choosing.ServerChooser(settings_.vm_zone),
--- a/mulberryway/server/gateway.py
+++ b/mulberryway/server/gateway.py
@@ -103,6 +103,7 @@
 
     def _refuse(self, code: errors.Code, message: str) -> None:
         fault = errors.Fault(code, errors.Step.CALLER, message=message)
+        self._request.conn.has_unread = True
         self._write(replies.reply_fault(fault, close=True))
 
     def _answer(self, exchange: base.Exchange) -> None:
--- a/mulberryway/server/http_server.py
+++ b/mulberryway/server/http_server.py
@@ -27,6 +27,7 @@
 # A queue for a worker thread that is longer than this many per thread only
 # makes callers wait for an answer that comes too late.
 QUEUE_PER_THREAD = 4
+REFUSE_BYTES = 262_144
 
 
 class HttpServer(server.HTTPServer):
@@ -108,7 +109,25 @@
         try:
             self.requests.put(conn)
         except queue.Full:
-            self._unservicable_conns.put(conn)
+            self._refuse(conn)
+
+    def _refuse(self, conn: request.Connection) -> None:
+        """Answer for a worker that is not there; on the accepting thread.
+
+        cheroot's own way leaves the connection open until Python collects
+        it, so that a caller waits on it for nothing.  What has come of the
+        request is read first, for a reset would overtake the answer.
+
+        :param conn: the connection
+        """
+        conn.socket.setblocking(False)
+        try:
+            conn.socket.recv(REFUSE_BYTES)
+        except OSError:
+            LOG.debug("a refused connection had nothing to read")
+        request.Request(self, conn).simple_response("503 Service Unavailable")
+        conn.has_unread = False
+        conn.close()
 
     def put_conn(self, conn: request.Connection) -> None:
         """Take a connection back from a worker, or from the relay.
--- a/mulberryway/server/request.py
+++ b/mulberryway/server/request.py
@@ -18,6 +18,7 @@
 __all__ = ["Connection", "HeaderReader", "Request"]
 
 READ_BYTES = 65_536
+DISCARD_S = 0.5
 CONTENT_LENGTH = b"Content-Length"
 TRANSFER_ENCODING = b"Transfer-Encoding"
 FOLDING = (b" ", b"\t")
@@ -202,6 +203,7 @@
         """
         number = int(str(status)[:3])
         self.close_connection = True
+        self.conn.has_unread = True
         self.sent_headers = True
         fault = errors.Fault(
             STATUS_CODES.get(number, errors.Code.BAD_REQUEST),
@@ -237,6 +239,8 @@
     ) -> None:
         super().__init__(server_, sock, _make_file)
         self.lent_stream: typing.Any = None
+        # Set when a request was answered before all of it was read.
+        self.has_unread = False
 
     def communicate(self) -> bool:
         """Read one request and answer it.
@@ -246,3 +250,25 @@
         limit_s = time.monotonic() + self.server.request_limit_s
         self.rfile._raw.limit_s = limit_s
         return super().communicate()
+
+    def close(self) -> None:
+        """Close the connection, after what the caller is still sending.
+
+        A socket that is closed with unread bytes resets the connection,
+        and the reset overtakes the answer: the caller of an oversized
+        request would see a broken connection instead of the reason.
+        """
+        if self.has_unread:
+            self._discard_rest()
+        super().close()
+
+    def _discard_rest(self) -> None:
+        until_s = time.monotonic() + DISCARD_S
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+            while (left_s := until_s - time.monotonic()) > 0:
+                self.socket.settimeout(left_s)
+                if not self.socket.recv(READ_BYTES):
+                    return
+        except OSError:
+            return
--- a/mulberryway/traces.py
+++ b/mulberryway/traces.py
@@ -120,6 +120,8 @@
                 shutdown_on_exit=False,
             )
             self._provider.add_span_processor(processor)
+            # Calls to peers and to the platform begin their own spans.
+            trace.set_tracer_provider(self._provider)
             self._tracer = self._provider.get_tracer("mulberryway")
 
     def begin(self, step: errors.Step, parent: trace.Span) -> Span:
