Let only claimed calls through to services that must run once

Cause: a booking repeated at another VM ran again. Change: the filter Once claims a call before it goes out, replays its kept reply, and says may_have_run where nothing better is known; the router takes a claim store, and without one refuses such calls. Slots are 4 KB, and a VM takes in its own append without decoding it.

--- /dev/null
+++ b/benchmarks/claims.py
@@ -0,0 +1,160 @@
+"""What at-most-once costs: platform calls a booking, and added latency.
+
+``python -m benchmarks.claims`` lets VMs claim calls through a real platform
+stand-in and compares the batched log with the simplest version, one object
+for each call: a conditional create before the run, an update after it.
+"""
+
+import concurrent.futures
+import itertools
+import json
+import typing
+
+from benchmarks import usage
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway.controllers import claims
+from mulberryway.load import outcome
+from mulberryway.platform import counts
+from mulberryway.platform import http
+from mulberryway.policy import claim_records
+from tests import processes
+
+__all__ = ["measure"]
+
+RUN_MS = 3_000
+SERVICE_MS = 5
+TIMEOUT_MS = 2_000
+# VMs, and callers at each of them who book without a pause.
+CASES = ((1, 1), (1, 8), (1, 32), (3, 8), (9, 8))
+CLOCK = clock.SystemClock()
+REPLY = claim_records.KeptReply(
+    201, [("Content-Type", "application/json")], b'{"booking": 123456}'
+)
+
+
+class Vm:
+    """One VM's way to make calls run at most once."""
+
+    def __init__(self, name: str, port: int) -> None:
+        self.name = name
+        self.refused: list[str] = []
+        self.store = http.HttpObjectStore(
+            f"http://{processes.HOST}:{port}",
+            TIMEOUT_MS,
+            CLOCK,
+            counts.CallCounts(),
+        )
+
+    def book(self, key: str) -> float:
+        """Claim, run and end one call; return what was added, in ms."""
+        raise NotImplementedError
+
+    def stop(self) -> None:
+        """Write what is left."""
+
+
+class LogVm(Vm):
+    """The batched log."""
+
+    def __init__(self, name: str, port: int) -> None:
+        super().__init__(name, port)
+        self.claims = claims.ClaimStore(self.store, CLOCK, name, 1)
+        self.claims.start()
+
+    def book(self, key: str) -> float:
+        began_ms = CLOCK.now_ms()
+        deadline = clock.Deadline(began_ms + TIMEOUT_MS)
+        began = self.claims.begin("bench", key, "c", deadline)
+        added_ms = CLOCK.now_ms() - began_ms
+        if began.is_error():
+            self.refused.append(began.error.message)
+            return added_ms
+        CLOCK.sleep_ms(SERVICE_MS)
+        self.claims.end(began.ok, errors.Run.RAN, REPLY)
+        return added_ms
+
+    def stop(self) -> None:
+        self.claims.stop()
+
+
+class ObjectVm(Vm):
+    """One object for each call."""
+
+    def book(self, key: str) -> float:
+        began_ms = CLOCK.now_ms()
+        value = {"call": "c", "vm": self.name}
+        made = self.store.create("calls", key, value, "claims").ok
+        added_ms = CLOCK.now_ms() - began_ms
+        CLOCK.sleep_ms(SERVICE_MS)
+        value |= {"reply": REPLY.encode()}
+        self.store.update("calls", key, value, made.version, "claims")
+        return added_ms
+
+
+def run_callers(vms: list[Vm], callers: int) -> list[float]:
+    """Book without a pause for a while; return each call's added time."""
+    end_ms = CLOCK.now_ms() + RUN_MS
+    numbers = itertools.count(CLOCK.wall_ms())
+
+    def book(vm: Vm) -> list[float]:
+        added = []
+        while CLOCK.now_ms() < end_ms:
+            key = claim_records.make_key(CLOCK.wall_ms(), next(numbers))
+            added.append(vm.book(key))
+        return added
+
+    with concurrent.futures.ThreadPoolExecutor(len(vms) * callers) as pool:
+        found = pool.map(book, vms * callers)
+        return [*itertools.chain.from_iterable(found)]
+
+
+def measure_case(
+    make_vm: typing.Callable[[str, int], Vm], vms: int, callers: int
+) -> dict[str, float]:
+    """Return the figures of one case, on a platform of its own.
+
+    :param make_vm: makes a VM of a name for the platform's port
+    :param vms: how many VMs
+    :param callers: callers at each
+    """
+    with processes.Group() as group:
+        platform, port = processes.start_standin(
+            group, "platform", "--writes_per_s=0", "--reads_per_s=0"
+        )
+        made = [make_vm(f"vm{number}", port) for number in range(vms)]
+        added = run_callers(made, callers)
+        for vm in made:
+            vm.stop()
+        seen = processes.call(port, "GET", "/standin/calls").json()
+        cpu_s = usage.read_cpu_s(platform.popen.pid)
+    writes = sum(
+        count
+        for name, count in seen["calls"].items()
+        if name.startswith(("create", "update"))
+    )
+    return {
+        "refused": sum(len(vm.refused) for vm in made),
+        "bookings_per_s": len(added) / RUN_MS * 1000,
+        "writes_per_booking": writes / len(added),
+        "reads_per_booking": (seen["total"] - writes) / len(added),
+        "sent_bytes_per_booking": sum(seen["bytes"].values()) / len(added),
+        "added_p50_ms": outcome.pick_percentile(added, 0.5),
+        "added_p95_ms": outcome.pick_percentile(added, 0.95),
+        "platform_cpu_ms_per_booking": cpu_s / len(added) * 1000,
+    }
+
+
+def measure() -> dict[str, typing.Any]:
+    """Return the figures of all cases of both ways."""
+    return {
+        f"{name}_{vms}_vms_{callers}_callers": measure_case(
+            make_vm, vms, callers
+        )
+        for vms, callers in CASES
+        for name, make_vm in (("log", LogVm), ("objects", ObjectVm))
+    }
+
+
+if __name__ == "__main__":
+    print(json.dumps(measure(), indent=2))
--- a/mulberryway/controllers/claim_writer.py
+++ b/mulberryway/controllers/claim_writer.py
@@ -197,7 +197,9 @@
             # Whether it was refused or its reply was lost, the log tells.
             self._is_known = False
             return written.error
-        self._take_slot(append.place, append.value, written.ok.version)
+        self._release_abandoned(
+            self._shard.take_append(append, written.ok.version)
+        )
         self._settle_written(free, ends)
         return None
 
@@ -288,10 +290,11 @@
         self, append: claims.Append
     ) -> expression.Result[base.StoredObject, errors.Fault]:
         name = str(append.place)
+        value = append.make_value()
         if append.version is None:
-            return self._store.create(self._kind, name, append.value, PURPOSE)
+            return self._store.create(self._kind, name, value, PURPOSE)
         return self._store.update(
-            self._kind, name, append.value, append.version, PURPOSE
+            self._kind, name, value, append.version, PURPOSE
         )
 
     def _read_news(self) -> errors.Fault | None:
--- a/mulberryway/controllers/claims.py
+++ b/mulberryway/controllers/claims.py
@@ -23,6 +23,9 @@
 FLUSH_MS = 500
 FLUSH_LIMIT_MS = 1_000
 RELEASE_LIMIT_MS = 200
+# A claim takes some milliseconds.  A platform that takes calls and does not
+# answer is told from that long before a caller's own patience ends.
+DECIDE_LIMIT_MS = 3_000
 # A repeat that waits for the first attempt holds a worker thread; a caller
 # that repeats a slow call in a loop must not take all of them.
 MOST_FOLLOWERS = 8
@@ -155,7 +158,9 @@
     ) -> claim_writer.Decided:
         owner = f"{self._prefix}{next(self._numbers)}"
         request = claims.ClaimRequest(id_, call, owner)
-        return self._find_writer(id_.digest).decide(request, deadline)
+        limit = self._limit(DECIDE_LIMIT_MS)
+        limit.at_ms = min(limit.at_ms, deadline.at_ms)
+        return self._find_writer(id_.digest).decide(request, limit)
 
     def _answer(self, decision: claims.Decision) -> Began:
         if decision.verdict is Verdict.OWNED:
--- a/mulberryway/policy/claims.py
+++ b/mulberryway/policy/claims.py
@@ -38,10 +38,11 @@
 ClaimState = claim_records.ClaimState
 
 # Fixed for a deployment's life: two VMs that disagreed would claim one call
-# in two shards.  16 shards of 32 slots hold some 40,000 calls in 8 MB.
+# in two shards.  16 shards of 128 slots hold some 40,000 calls in 8 MB.
 SHARDS = 16
-SLOTS = 32
-SLOT_BYTES = 16_384
+SLOTS = 128
+# An append sends the whole slot again, so small slots keep appends cheap.
+SLOT_BYTES = 4_096
 # An id whose time lies ahead would, once forgotten, raise the floor above
 # the ids of honest callers and have them refused.
 MOST_AHEAD_MS = 60_000
@@ -149,17 +150,47 @@
 
     :param place: the slot's place in the ring; the object's name
     :param version: the version to update; none to create the object
-    :param value: the object's whole new value
+    :param sequence: the slot's place in the log
+    :param floor_ms: the shard's floor from now on
+    :param records: all records of the slot
+    :param slot_bytes: a slot with so many bytes is full
     """
 
-    __slots__ = ("place", "version", "value")
+    __slots__ = (
+        "place",
+        "version",
+        "sequence",
+        "floor_ms",
+        "records",
+        "is_full",
+        "_encoded",
+    )
 
     def __init__(
-        self, place: int, version: int | None, value: dict[str, typing.Any]
+        self,
+        place: int,
+        version: int | None,
+        sequence: int,
+        floor_ms: int,
+        records: list[Record],
+        slot_bytes: int,
     ) -> None:
         self.place = place
         self.version = version
-        self.value = value
+        self.sequence = sequence
+        self.floor_ms = floor_ms
+        self.records = records
+        self._encoded = [record.encode() for record in records]
+        self.is_full = len(json.dumps(self._encoded)) >= slot_bytes
+
+    def make_value(self) -> dict[str, typing.Any]:
+        """Return the object's whole new value."""
+        return {
+            "sequence": self.sequence,
+            "floor_ms": self.floor_ms,
+            "is_full": self.is_full,
+            "records": self._encoded,
+        }
 
 
 class Shard:
@@ -226,15 +257,14 @@
         else:
             old, sequence = [], self._newest + 1
             slot = self._slots.get(self.next_place())
-        encoded = [record.encode() for record in [*old, *records]]
-        value = {
-            "sequence": sequence,
-            "floor_ms": self.next_floor_ms(),
-            "is_full": len(json.dumps(encoded)) >= self._slot_bytes,
-            "records": encoded,
-        }
-        version = slot.version if slot is not None else None
-        return Append(sequence % self._ring, version, value)
+        return Append(
+            sequence % self._ring,
+            slot.version if slot is not None else None,
+            sequence,
+            self.next_floor_ms(),
+            [*old, *records],
+            self._slot_bytes,
+        )
 
     def has_slots(self) -> bool:
         """Tell whether any slot is known."""
@@ -271,7 +301,25 @@
         known = self._slots.get(place)
         if known is not None and version <= known.version:
             return []
-        slot = _decode_slot(value, version)
+        return self._put(place, known, _decode_slot(value, version))
+
+    def take_append(self, append: "Append", version: int) -> list[Record]:
+        """Take in what this VM has appended itself.
+
+        :param append: the append, which the platform has taken
+        :param version: the object's new version
+        :returns: records that were not known before
+        """
+        slot = Slot(
+            append.sequence,
+            version,
+            append.is_full,
+            append.floor_ms,
+            append.records,
+        )
+        return self._put(append.place, self._slots.get(append.place), slot)
+
+    def _put(self, place: int, known: Slot | None, slot: Slot) -> list[Record]:
         self._slots[place] = slot
         self._newest = max(self._newest, slot.sequence)
         same = known is not None and known.sequence == slot.sequence
--- a/mulberryway/router.py
+++ b/mulberryway/router.py
@@ -12,6 +12,7 @@
 from mulberryway import tables
 from mulberryway import traces
 from mulberryway.controllers import cancelling
+from mulberryway.controllers import claims
 from mulberryway.controllers import scheduling
 from mulberryway.filters import admission
 from mulberryway.filters import authenticate
@@ -21,6 +22,7 @@
 from mulberryway.filters import model_forward
 from mulberryway.filters import model_run
 from mulberryway.filters import observe
+from mulberryway.filters import once
 from mulberryway.filters import route
 from mulberryway.filters import service_forward
 from mulberryway.filters import status
@@ -65,6 +67,8 @@
     :param may_repeat: takes one repeat out of the budget for them
     :param on_withdraw: called when new callers should no longer come
     :param directory_: finds upstreams; by HTTP if none is given
+    :param claims_: grants calls that must run at most once; without it
+        such calls are refused
     """
 
     def __init__(
@@ -79,6 +83,7 @@
         may_repeat: collections.abc.Callable[[], bool] = lambda: True,
         on_withdraw: collections.abc.Callable[[], None] = lambda: None,
         directory_: directory.UpstreamDirectory | None = None,
+        claims_: claims.ClaimStore | None = None,
     ) -> None:
         self.settings = settings_
         self.clock = clock_
@@ -101,6 +106,7 @@
         self._may_repeat = may_repeat
         self._on_withdraw = on_withdraw
         self._incarnation = incarnation
+        self._claims = claims_
         self._has_begun = False
         self._is_withdrawn = False
         self._is_refusing = False
@@ -149,6 +155,8 @@
         self.loop.start()
         self.scheduling.start()
         self.cancelling.start()
+        if self._claims is not None:
+            self._claims.start()
         self.server.start()
         self._has_begun = True
         LOG.info("the router serves on port %d", self.port)
@@ -194,6 +202,8 @@
         self.server.stop()
         self.scheduling.stop()
         self.cancelling.stop()
+        if self._claims is not None:
+            self._claims.stop()
         self.relay.stop()
         self.loop.stop()
         self.tracer.stop()
@@ -242,6 +252,7 @@
             route.FindRoute(),
             admission.ReadCall(),
             admission.Admission(self._allowances),
+            once.Once(self._claims),
             model_forward.ModelForward(parts),
             service_forward.ServiceForward(
                 self.directory,
--- a/tests/router_rig.py
+++ b/tests/router_rig.py
@@ -130,7 +130,9 @@
 class Rig:
     """One router; use it as a context manager."""
 
-    def __init__(self, current=None, settings_=None, scheduler=None):
+    def __init__(
+        self, current=None, settings_=None, scheduler=None, claims=None
+    ):
         self.settings = settings_ or make_settings()
         self.source = StaticTables(current)
         self.allowances = CountingAllowances()
@@ -145,6 +147,7 @@
             self.allowances,
             OneEntry(f"127.0.0.1:{self.settings.router_port}"),
             on_withdraw=lambda: self.withdrawn.append(True),
+            claims_=claims,
         )
         self.port = self.settings.router_port
 
