Join standins: calls that must run once, as a filter

Cause: two filters for the same promise had been built on the two sides. Change: the one that also covers model routes stays; the router starts and stops the claims. Conclusion: one filter, one owner.

--- a/mulberryway/assembly.py
+++ b/mulberryway/assembly.py
@@ -101,7 +101,6 @@
         self.datagrams.start()
         self.members.start()
         self.configuration.start()
-        self.claims.start()
         self.router.start()
         self.notes.start()
         self.reports.start()
@@ -112,7 +111,7 @@
         :param graceful: whether running requests may end first
         """
         self.router.stop(graceful)
-        for controller in (self.reports, self.notes, self.claims):
+        for controller in (self.reports, self.notes):
             controller.stop()
         self.configuration.stop()
         self.members.stop()
@@ -159,5 +158,5 @@
             self.members,
             on_withdraw=lambda: self.members.change_own(is_stopping=True),
             directory_=self.directory,
-            claim_store=self.claims,
+            claims_=self.claims,
         )
--- a/mulberryway/router.py
+++ b/mulberryway/router.py
@@ -67,8 +67,8 @@
     :param may_repeat: takes one repeat out of the budget for them
     :param on_withdraw: called when new callers should no longer come
     :param directory_: finds upstreams; by HTTP if none is given
-    :param claim_store: grants calls that must run at most once; without
-        one such calls are refused
+    :param claims_: grants calls that must run at most once; without it
+        such calls are refused
     """
 
     def __init__(
@@ -83,7 +83,7 @@
         may_repeat: collections.abc.Callable[[], bool] = lambda: True,
         on_withdraw: collections.abc.Callable[[], None] = lambda: None,
         directory_: directory.UpstreamDirectory | None = None,
-        claim_store: claims.ClaimStore | None = None,
+        claims_: claims.ClaimStore | None = None,
     ) -> None:
         self.settings = settings_
         self.clock = clock_
@@ -105,8 +105,8 @@
         self._entries = entries
         self._may_repeat = may_repeat
         self._on_withdraw = on_withdraw
-        self._claim_store = claim_store
         self._incarnation = incarnation
+        self._claims = claims_
         self._has_begun = False
         self._is_withdrawn = False
         self._is_refusing = False
@@ -155,6 +155,8 @@
         self.loop.start()
         self.scheduling.start()
         self.cancelling.start()
+        if self._claims is not None:
+            self._claims.start()
         self.server.start()
         self._has_begun = True
         LOG.info("the router serves on port %d", self.port)
@@ -200,6 +202,8 @@
         self.server.stop()
         self.scheduling.stop()
         self.cancelling.stop()
+        if self._claims is not None:
+            self._claims.stop()
         self.relay.stop()
         self.loop.stop()
         self.tracer.stop()
@@ -248,8 +252,8 @@
             route.FindRoute(),
             admission.ReadCall(),
             admission.Admission(self._allowances),
+            once.Once(self._claims),
             model_forward.ModelForward(parts),
-            once.RunOnce(self._claim_store),
             service_forward.ServiceForward(
                 self.directory,
                 choosing.ServerChooser(settings_.vm_zone),
