--- a/mulberryway/controllers/configuration.py
+++ b/mulberryway/controllers/configuration.py
@@ -227,7 +227,8 @@
                 asked_ms - reply.age_ms,
                 max(reply.fleet_size, self._fleet.most),
             )
-        if 0 < reply.revision <= self.in_force.root.revision:
+        is_known = 0 < reply.revision <= self.in_force.root.revision
+        if is_known and reply.is_witness:
             self._heard_ms[address] = asked_ms
         return True
 
@@ -315,6 +316,8 @@
         # what it has seen alive since counts too.
         fleet_size = max(confirmation.fleet_size, self._fleet.most)
         needed = freshness.count_needed(fleet_size)
+        if not self.in_force.is_witness():
+            needed += 1
         times = sorted(self._heard_ms.values(), reverse=True)
         if needed == 0:
             return now_ms
--- a/mulberryway/controllers/configuration_handler.py
+++ b/mulberryway/controllers/configuration_handler.py
@@ -48,6 +48,7 @@
             age_ms,
             fleet_size,
             judged is not freshness.Freshness.CUT_OFF,
+            in_force.is_witness(),
         )
 
     def read_segments(self, digests: list[str]) -> list[ttypes.Segment]:
--- a/mulberryway/controllers/configuration_peers.py
+++ b/mulberryway/controllers/configuration_peers.py
@@ -45,9 +45,18 @@
         VM's clock; -1 for never
     :param fleet_size: how many VMs were alive at that confirmation
     :param is_serving: whether that VM serves with it
+    :param is_witness: whether the platform has confirmed that VM's root
+        since the VM was started
     """
 
-    __slots__ = ("revision", "content", "age_ms", "fleet_size", "is_serving")
+    __slots__ = (
+        "revision",
+        "content",
+        "age_ms",
+        "fleet_size",
+        "is_serving",
+        "is_witness",
+    )
 
     def __init__(
         self,
@@ -56,12 +65,14 @@
         age_ms: int,
         fleet_size: int,
         is_serving: bool,
+        is_witness: bool,
     ) -> None:
         self.revision = revision
         self.content = content
         self.age_ms = age_ms
         self.fleet_size = fleet_size
         self.is_serving = is_serving
+        self.is_witness = is_witness
 
 
 class PeerSource(abc.ABC):
--- a/mulberryway/controllers/configuration_rpc.py
+++ b/mulberryway/controllers/configuration_rpc.py
@@ -76,4 +76,5 @@
         reply.age_ms,
         reply.fleet_size,
         reply.is_serving,
+        reply.is_witness,
     )
--- a/mulberryway/controllers/tables_in_force.py
+++ b/mulberryway/controllers/tables_in_force.py
@@ -45,6 +45,7 @@
         self._clock = clock_
         self._fresh_ms = fresh_ms
         self._outage_ms = outage_ms
+        self._started_ms = clock_.now_ms()
         self._lock = threading.RLock()
         self._cache = segments.SegmentCache()
         self._root = roots.Root.make_empty()
@@ -85,6 +86,21 @@
             return None
         return self._clock.now_ms() - confirmation.at_ms
 
+    def is_witness(self) -> bool:
+        """Tell whether this VM's word counts towards a majority.
+
+        A VM that was started in an outage has forgotten what the one
+        before it knew.  With its word, VMs that were cut off could make a
+        majority that has never heard of an edit.
+
+        :returns: whether the platform has confirmed a root since this
+            process was started
+        """
+        confirmation = self._confirmation
+        return (
+            confirmation is not None and confirmation.at_ms >= self._started_ms
+        )
+
     def judge(self) -> freshness.Freshness:
         """Decide whether the tables may be used now."""
         confirmation = self._confirmation
--- a/mulberryway/peers/gen/configuration/ttypes.py
+++ b/mulberryway/peers/gen/configuration/ttypes.py
@@ -24,6 +24,7 @@
      - age_ms
      - fleet_size
      - is_serving
+     - is_witness
 
     """
 
@@ -33,15 +34,17 @@
         'age_ms',
         'fleet_size',
         'is_serving',
+        'is_witness',
     )
 
 
-    def __init__(self, revision=None, content=None, age_ms=None, fleet_size=None, is_serving=None,):
+    def __init__(self, revision=None, content=None, age_ms=None, fleet_size=None, is_serving=None, is_witness=None,):
         self.revision = revision
         self.content = content
         self.age_ms = age_ms
         self.fleet_size = fleet_size
         self.is_serving = is_serving
+        self.is_witness = is_witness
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -77,6 +80,11 @@
                     self.is_serving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.is_witness = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -107,6 +115,10 @@
             oprot.writeFieldBegin('is_serving', TType.BOOL, 5)
             oprot.writeBool(self.is_serving)
             oprot.writeFieldEnd()
+        if self.is_witness is not None:
+            oprot.writeFieldBegin('is_witness', TType.BOOL, 6)
+            oprot.writeBool(self.is_witness)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -334,6 +346,7 @@
     (3, TType.I64, 'age_ms', None, None, ),  # 3
     (4, TType.I32, 'fleet_size', None, None, ),  # 4
     (5, TType.BOOL, 'is_serving', None, None, ),  # 5
+    (6, TType.BOOL, 'is_witness', None, None, ),  # 6
 )
 all_structs.append(Segment)
 Segment.thrift_spec = (
--- a/mulberryway/peers/idl/configuration.thrift
+++ b/mulberryway/peers/idl/configuration.thrift
@@ -12,6 +12,8 @@
   4: i32 fleet_size,
   // Whether the answering VM serves with it.
   5: bool is_serving,
+  // Whether the platform has confirmed its root since it was started.
+  6: bool is_witness,
 }
 
 struct Segment {
--- a/tests/test_configuration_history.py
+++ b/tests/test_configuration_history.py
@@ -28,6 +28,8 @@
 
 SEEDS = 300
 BROKEN_SEEDS = 150
+# It takes an outage, two cuts and a restart, so it is rare.
+FORGETFUL_SEED = 1900
 
 
 def setUpModule():
@@ -115,8 +117,8 @@
 class BrokenVariantTest(unittest.TestCase):
     """The checker finds each rule broken that the code keeps."""
 
-    def check_found(self, rules, variant=None):
-        for seed in range(BROKEN_SEEDS):
+    def check_found(self, rules, variant=None, first=0):
+        for seed in range(first, first + BROKEN_SEEDS):
             world = configuration_world.World(seed, variant).run()
             if rules & {name for name, _ in history.check(world)}:
                 return
@@ -222,6 +224,15 @@
         ):
             self.check_found({"outdated tables used"})
 
+    def test_forgetful_vm_counted(self):
+        """VMs that were cut off and one that was started anew in an outage
+        make a majority that has never heard of a withdrawn key.
+        """
+        with mock.patch.object(
+            tables_in_force.TablesInForce, "is_witness", lambda self: True
+        ):
+            self.check_found({"outdated tables used"}, first=FORGETFUL_SEED)
+
     def test_time_of_answers_not_kept(self):
         """A VM is paused for a minute and goes on by what others told it
         before the pause.
