--- a/mulberryway/admin/editor.py
+++ b/mulberryway/admin/editor.py
@@ -241,6 +241,7 @@
         log = segments.make_segment({"history": entries})
         new = [split.segments[name] for name in split.segments.keys() - old]
         written = self._write_segments([*new, log], held.root.revision)
+        self.accepted.keep_history(log)
         root = roots.Root(
             held.root.revision + 1,
             split.shards,
--- a/mulberryway/platform/roots.py
+++ b/mulberryway/platform/roots.py
@@ -50,6 +50,7 @@
         self._segments = segments_
         self._lock = threading.Lock()
         self._cache = segments.SegmentCache()
+        self._history: segments.Segment | None = None
 
     def read_root(self) -> expression.Result[HeldRoot, errors.Fault]:
         """Return the platform's root, or the empty one before the first."""
@@ -119,8 +120,30 @@
         """
         if root.history == roots.EMPTY:
             return expression.Ok([])
+        kept = self._history
+        if kept is not None and kept.digest == root.history:
+            return expression.Ok(_read_entries(kept.content))
         content = self._segments.read(root.history)
-        return content.map(lambda text: json.loads(text)["history"])
+        return content.map(
+            lambda text: self.keep_history(
+                segments.Segment(root.history, text)
+            )
+        )
+
+    def keep_history(
+        self, segment: segments.Segment
+    ) -> list[dict[str, typing.Any]]:
+        """Remember a history, so that the next edit need not read it.
+
+        :param segment: the segment that was read or written
+        :returns: its entries
+        """
+        self._history = segment
+        return _read_entries(segment.content)
+
+
+def _read_entries(content: bytes) -> list[dict[str, typing.Any]]:
+    return json.loads(content)["history"]
 
 
 def _decode_root(
