--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -4,8 +4,6 @@
 platform stand-in, one administration API and 3, 9 and 27 VMs without routers.
 """
 
-import collections
-import collections.abc
 import json
 import pathlib
 import random
@@ -43,7 +41,36 @@
 SECRET = "fleet secret"
 ZONES = ("kandy-a", "matale-b", "nuwara-c")
 START_S = 60
+MS_IN_S = 1_000
+KB_IN_MB = 1_024
 COMMAND = "python -m benchmarks.configuration"
+SERIES = (
+    (
+        "configuration-in-force",
+        "ms until an edit is in force everywhere, most",
+        "edit_in_force_ms",
+    ),
+    (
+        "configuration-platform-calls",
+        "calls to the platform a second at rest, all VMs",
+        "rest_platform_calls_per_s",
+    ),
+    (
+        "configuration-rest-bytes",
+        "bytes a second at rest, each VM",
+        "rest_configuration_bytes_per_s_per_vm",
+    ),
+    (
+        "configuration-rest-cpu",
+        "ms of processor time a second at rest, each VM, membership included",
+        "rest_cpu_ms_per_s_per_vm",
+    ),
+    (
+        "configuration-edit-bytes",
+        "bytes an edit, each VM",
+        "edit_configuration_bytes_per_vm",
+    ),
+)
 BASE = """
 [pools.lm]
 kind = "model"
@@ -77,7 +104,7 @@
             text=True,
         )
         self.in_force_ms: dict[int, int] = {}
-        self.usage: Report = {}
+        self.usages: list[Report] = []
 
     def stop(self) -> None:
         """End it and read what it has printed."""
@@ -88,7 +115,7 @@
             if words[0].isdecimal():
                 self.in_force_ms[int(words[0])] = int(words[1])
             elif line.startswith("{"):
-                self.usage = json.loads(line)
+                self.usages.append(json.loads(line))
 
 
 class Run:
@@ -182,6 +209,11 @@
             time.sleep(0.2)
         raise RuntimeError("the VMs did not find one another")
 
+    def print_usage(self) -> None:
+        """Let each VM print what it has used so far."""
+        for vm in self.vms:
+            vm.popen.send_signal(signal.SIGUSR1)
+
     def read_platform_calls(self) -> int:
         """Return how many calls the platform has had."""
         url = f"http://127.0.0.1:{FIRST_PORT}/standin/calls"
@@ -233,10 +265,14 @@
         raise RuntimeError(applied.error.message)
     run.admin.wait(1, 30_000)
     time.sleep(2)
+    run.print_usage()
     at_rest = _measure_rest(run)
+    run.print_usage()
     written = sum(c.sent for c in run.counts.read_counts().values())
     calls = sum(c.calls for c in run.counts.read_counts().values())
     sent, accepted = _make_edits(run)
+    run.print_usage()
+    time.sleep(1)
     report = {
         "vms": run.count,
         **at_rest,
@@ -301,30 +337,37 @@
         for revision in sent
     }
     times = [everywhere[one] - sent[one] for one in sorted(sent)]
-    usages = [vm.usage for vm in run.vms]
     return {
         "edit_in_force_ms": _describe(times),
         "key_withdrawn_ms": _describe(times[::3]),
         "accepted_ms": _describe([accepted[one] - sent[one] for one in sent]),
-        "platform_calls": dict(
-            sum(
-                (
-                    collections.Counter(usage["platform_calls"])
-                    for usage in usages
-                ),
-                collections.Counter(),
-            )
-        ),
-        "cpu_s_per_vm": _mean(usage["cpu_s"] for usage in usages),
-        "memory_mb_per_vm": _mean(
-            usage["memory_kb"] / 1024 for usage in usages
-        ),
-        "configuration_bytes_per_vm": _mean(
-            usage["configuration_bytes"] for usage in usages
-        ),
-        "membership_bytes_per_vm": _mean(
-            usage["membership_bytes"] for usage in usages
-        ),
+        **_read_usages([vm.usages for vm in run.vms]),
+    }
+
+
+def _read_usages(usages: list[list[Report]]) -> Report:
+    """Each VM printed before and after the rest, and after the edits."""
+
+    def grow(key: str, first: int) -> float:
+        return statistics.mean(
+            one[first + 1][key] - one[first][key] for one in usages
+        )
+
+    return {
+        "rest_cpu_ms_per_s_per_vm": grow("cpu_s", 0) * MS_IN_S / REST_S,
+        "rest_configuration_bytes_per_s_per_vm": grow("configuration_bytes", 0)
+        / REST_S,
+        "rest_membership_bytes_per_s_per_vm": grow("membership_bytes", 0)
+        / REST_S,
+        "rest_platform_bytes_per_s_per_vm": grow("platform_bytes", 0) / REST_S,
+        "edit_cpu_ms_per_vm": grow("cpu_s", 1) * MS_IN_S / EDITS,
+        "edit_configuration_bytes_per_vm": grow("configuration_bytes", 1)
+        / EDITS,
+        "edit_platform_bytes_per_vm": grow("platform_bytes", 1) / EDITS,
+        "memory_mb_per_vm": statistics.mean(
+            one[-1]["memory_kb"] for one in usages
+        )
+        / KB_IN_MB,
     }
 
 
@@ -332,8 +375,9 @@
     return {"median": statistics.median(times), "max": max(times)}
 
 
-def _mean(values: collections.abc.Iterable[float]) -> float:
-    return statistics.mean(values)
+def _find(report: Report, key: str) -> float:
+    value = report[key]
+    return value["max"] if isinstance(value, dict) else value
 
 
 def measure() -> Report:
@@ -342,19 +386,10 @@
     :returns: reports by size
     """
     reports = {str(count): measure_size(count) for count in SIZES}
-    for name, unit, read in (
-        (
-            "configuration-in-force",
-            "ms until an edit is in force everywhere, most",
-            lambda report: report["edit_in_force_ms"]["max"],
-        ),
-        (
-            "configuration-platform-calls",
-            "calls to the platform a second at rest, all VMs",
-            lambda report: report["rest_platform_calls_per_s"],
-        ),
-    ):
-        points = [(int(size), read(one)) for size, one in reports.items()]
+    for name, unit, key in SERIES:
+        points = [
+            (int(size), _find(one, key)) for size, one in reports.items()
+        ]
         series.write_series(series.Series(name, COMMAND, "VMs", unit, points))
     return reports
 
--- a/benchmarks/configuration_vm.py
+++ b/benchmarks/configuration_vm.py
@@ -1,7 +1,7 @@
 """One VM's share of the tables without a router, for measurements.
 
 It prints a line ``REVISION WALL_MS`` for each revision that comes into force
-and, on SIGTERM, one JSON line with what it has used.
+and, on SIGUSR1 and SIGTERM, one JSON line with what it has used so far.
 """
 
 import collections.abc
@@ -9,7 +9,6 @@
 import random
 import resource
 import signal
-import sys
 import threading
 import typing
 
@@ -134,14 +133,18 @@
     )
     stopping = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stopping.set())
+    signal.signal(signal.SIGUSR1, lambda *_: print_usage(vm))
     vm.start()
     print("ready", vm.server.port, flush=True)
     stopping.wait()
-    print(json.dumps(vm.read_usage()), flush=True)
-    sys.stdout.flush()
+    print_usage(vm)
     vm.stop()
 
 
+def print_usage(vm: ConfigurationVm) -> None:
+    print(json.dumps(vm.read_usage()), flush=True)
+
+
 if __name__ == "__main__":
     flags.mark_flag_as_required("settings")
     app.run(main)
--- a/mulberryway/admin/administration.py
+++ b/mulberryway/admin/administration.py
@@ -1,6 +1,5 @@
 """Everything that an operator can do, as one object."""
 
-import collections
 import logging
 import secrets
 import threading
@@ -13,6 +12,8 @@
 from mulberryway.admin import editor
 from mulberryway.admin import fleet
 from mulberryway.admin import messages
+from mulberryway.admin import views
+from mulberryway.tables import changes
 from mulberryway.tables import edits
 from mulberryway.tables import parse
 
@@ -22,7 +23,6 @@
 
 KEY_PREFIX = "mw_"
 KEY_BYTES = 32
-LEAST_PREFIX = 8
 EDIT_MS = 10_000
 MOST_WAIT_MS = 60_000
 # Garbage is looked for after so many revisions, by whoever makes the edit,
@@ -46,7 +46,7 @@
 
     def show(self) -> Outcome[messages.TablesAnswer]:
         """Return the accepted tables."""
-        return self._read_tables().map(_show)
+        return self._read_tables().map(views.make_tables)
 
     def diff(self, text: str) -> Outcome[messages.LinesAnswer]:
         """Return what a text of tables would change; change nothing.
@@ -72,7 +72,7 @@
         """
         return parse.read_rows(text).bind(
             lambda rows: self._submit(
-                operator, edits.ReplaceAll(rows), edit_id, revision
+                operator, changes.ReplaceAll(rows), edit_id, revision
             )
         )
 
@@ -94,7 +94,7 @@
         :param expected: the digest of the row that it replaces
         :param edit_id: the edit's own id
         """
-        change = edits.PutRow(table, name, values, expected)
+        change = changes.PutRow(table, name, values, expected)
         return self._submit(operator, change, edit_id)
 
     def delete_row(
@@ -113,7 +113,7 @@
         :param expected: the row's digest
         :param edit_id: the edit's own id
         """
-        change = edits.DeleteRow(table, name, expected)
+        change = changes.DeleteRow(table, name, expected)
         return self._submit(operator, change, edit_id)
 
     def give_key(
@@ -127,7 +127,9 @@
         """
         key = KEY_PREFIX + secrets.token_urlsafe(KEY_BYTES)
         digest = tables.digest_key(key)
-        given = self._submit(operator, edits.GiveKey(account, digest), edit_id)
+        given = self._submit(
+            operator, changes.GiveKey(account, digest), edit_id
+        )
         return given.bind(
             lambda answer: self._check_given(answer, account, key, digest)
         )
@@ -142,12 +144,12 @@
         :param prefix: the first digits of the key's digest
         :param edit_id: the edit's own id
         """
-        if len(prefix) < LEAST_PREFIX:
+        if len(prefix) < views.KEY_DIGITS:
             return _refuse(
                 errors.Code.BAD_REQUEST,
-                f"expected at least {LEAST_PREFIX} digits of the digest",
+                f"expected at least {views.KEY_DIGITS} digits of the digest",
             )
-        change = edits.WithdrawKey(account, prefix)
+        change = changes.WithdrawKey(account, prefix)
         return self._submit(operator, change, edit_id)
 
     def read_history(self) -> Outcome[messages.HistoryAnswer]:
@@ -155,7 +157,7 @@
         held = self._editor.accepted.read_root()
         return held.bind(
             lambda found: self._editor.accepted.read_history(found.root)
-        ).map(_make_history)
+        ).map(views.make_history)
 
     def wait(
         self, revision: int | None, timeout_ms: int
@@ -179,7 +181,7 @@
         """Return the state of VMs, pools and client accounts."""
         states = self._fleet.read_states()
         return self._read_tables().map(
-            lambda current: _make_status(current, states)
+            lambda current: views.make_status(current, states)
         )
 
     def _read_tables(
@@ -193,7 +195,7 @@
     def _submit(
         self,
         operator: str,
-        change: edits.Change,
+        change: changes.Change,
         edit_id: str,
         revision: int | None = None,
     ) -> Outcome[messages.EditAnswer]:
@@ -245,21 +247,10 @@
         )
 
 
-def _show(current: tables.Tables) -> messages.TablesAnswer:
-    rows = parse.encode_tables(current)
-    digests = {
-        f"{table}.{name}": edits.digest_row(row)
-        for table, by_name in rows.items()
-        for name, row in by_name.items()
-    }
-    text = parse.format_rows(edits.hide_credentials(rows))
-    return messages.TablesAnswer(current.revision, text, digests)
-
-
 def _diff(
     current: tables.Tables, rows: parse.PlainTables
 ) -> Outcome[messages.LinesAnswer]:
-    edit = edits.Edit("diff", "", (edits.ReplaceAll(rows),))
+    edit = edits.Edit("diff", "", (changes.ReplaceAll(rows),))
     return edit.apply(current).map(
         lambda made: messages.LinesAnswer(
             current.revision, edits.diff_tables(current, made)
@@ -267,41 +258,6 @@
     )
 
 
-def _make_history(
-    past: list[dict[str, typing.Any]],
-) -> messages.HistoryAnswer:
-    shown = ("revision", "edit_id", "operator", "wall_ms", "summary")
-    return messages.HistoryAnswer(
-        [{key: entry[key] for key in shown} for entry in past]
-    )
-
-
-def _make_status(
-    current: tables.Tables, states: list[messages.VmState]
-) -> messages.StatusAnswer:
-    pools = {
-        name: {
-            "kind": pool.kind.value,
-            "models": list(pool.models),
-            "upstreams": dict(
-                collections.Counter(one.role.value for one in pool.upstreams)
-            ),
-            "leaving": [one.name for one in pool.upstreams if one.leaving],
-        }
-        for name, pool in current.pools.items()
-    }
-    accounts = {
-        name: {
-            "keys": [digest[:LEAST_PREFIX] for digest in row.key_digests],
-            "rate": row.rate,
-            "burst": row.burst,
-            "weight": row.weight,
-        }
-        for name, row in current.accounts.items()
-    }
-    return messages.StatusAnswer(current.revision, states, pools, accounts)
-
-
 def _refuse(
     code: errors.Code,
     message: str,
--- a/mulberryway/admin/server.py
+++ b/mulberryway/admin/server.py
@@ -11,6 +11,7 @@
 from mulberryway import settings
 from mulberryway.admin import administration
 from mulberryway.admin import api
+from mulberryway.admin import calls
 from mulberryway.admin import editor
 from mulberryway.admin import fleet
 from mulberryway.platform import counts
@@ -93,7 +94,7 @@
         self._client.close()
 
     def _make_server(self, settings_: settings.Settings) -> wsgi.Server:
-        operators = api.Operators(settings_.admin_operators)
+        operators = calls.Operators(settings_.admin_operators)
         server = wsgi.Server(
             (settings_.vm_address, settings_.admin_port),
             api.AdminApi(self.administration, operators),
@@ -107,5 +108,5 @@
             accepted_queue_timeout=0,
         )
         server.max_request_header_size = HEADER_BYTES
-        server.max_request_body_size = api.MOST_BODY_BYTES
+        server.max_request_body_size = calls.MOST_BODY_BYTES
         return server
--- /dev/null
+++ b/mulberryway/admin/views.py
@@ -0,0 +1,73 @@
+"""Makes operators' answers from the accepted state."""
+
+import collections
+import typing
+
+from mulberryway import tables
+from mulberryway.admin import messages
+from mulberryway.tables import changes
+from mulberryway.tables import parse
+
+__all__ = ["KEY_DIGITS", "make_history", "make_status", "make_tables"]
+
+# So many digits of a key's digest name it.
+KEY_DIGITS = 8
+
+
+def make_tables(current: tables.Tables) -> messages.TablesAnswer:
+    """Return tables as they may be shown.
+
+    :param current: the tables
+    """
+    rows = parse.encode_tables(current)
+    digests = {
+        f"{table}.{name}": changes.digest_row(row)
+        for table, by_name in rows.items()
+        for name, row in by_name.items()
+    }
+    text = parse.format_rows(changes.hide_credentials(rows))
+    return messages.TablesAnswer(current.revision, text, digests)
+
+
+def make_history(
+    past: list[dict[str, typing.Any]],
+) -> messages.HistoryAnswer:
+    """Return past edits as operators see them.
+
+    :param past: entries of the history, the newest last
+    """
+    shown = ("revision", "edit_id", "operator", "wall_ms", "summary")
+    return messages.HistoryAnswer(
+        [{key: entry[key] for key in shown} for entry in past]
+    )
+
+
+def make_status(
+    current: tables.Tables, states: list[messages.VmState]
+) -> messages.StatusAnswer:
+    """Return the state of VMs, pools and client accounts.
+
+    :param current: the accepted tables
+    :param states: each VM's state
+    """
+    pools = {
+        name: {
+            "kind": pool.kind.value,
+            "models": list(pool.models),
+            "upstreams": dict(
+                collections.Counter(one.role.value for one in pool.upstreams)
+            ),
+            "leaving": [one.name for one in pool.upstreams if one.leaving],
+        }
+        for name, pool in current.pools.items()
+    }
+    accounts = {
+        name: {
+            "keys": [digest[:KEY_DIGITS] for digest in row.key_digests],
+            "rate": row.rate,
+            "burst": row.burst,
+            "weight": row.weight,
+        }
+        for name, row in current.accounts.items()
+    }
+    return messages.StatusAnswer(current.revision, states, pools, accounts)
--- /dev/null
+++ b/mulberryway/tables/changes.py
@@ -0,0 +1,296 @@
+"""The parts of an edit: rows put and deleted, keys given and withdrawn."""
+
+import abc
+import typing
+
+import expression
+
+from mulberryway import errors
+from mulberryway.tables import columns
+from mulberryway.tables import parse
+from mulberryway.tables import root as roots
+
+__all__ = [
+    "ABSENT",
+    "KEPT",
+    "Change",
+    "DeleteRow",
+    "GiveKey",
+    "PutRow",
+    "ReplaceAll",
+    "WithdrawKey",
+    "digest_row",
+    "hide_credentials",
+    "refuse",
+]
+
+# As a precondition: the row must not exist yet.
+ABSENT = "absent"
+# Stands for a pool's credential wherever tables are shown; in a row that is
+# put it means the credential that the pool has.
+KEPT = "(kept)"
+
+
+def digest_row(row: dict[str, typing.Any] | None) -> str:
+    """Return the digest that preconditions on a row name.
+
+    :param row: plain values, or none for a row that does not exist
+    :returns: the digest, or ``ABSENT``
+    """
+    if row is None:
+        return ABSENT
+    return roots.digest_content(roots.encode_content(row))
+
+
+def hide_credentials(rows: parse.PlainTables) -> parse.PlainTables:
+    """Return rows as they may be shown and put back again.
+
+    :param rows: plain rows by table and name
+    """
+    pools = {
+        name: {**row, "credential": KEPT} if row.get("credential") else row
+        for name, row in rows["pools"].items()
+    }
+    return {**rows, "pools": pools}
+
+
+def _keep_credential(
+    row: dict[str, typing.Any], old: dict[str, typing.Any] | None
+) -> dict[str, typing.Any]:
+    if not isinstance(row, dict) or row.get("credential") != KEPT:
+        return row
+    return {**row, "credential": (old or {}).get("credential", "")}
+
+
+class Change(abc.ABC):
+    """One part of an edit."""
+
+    @abc.abstractmethod
+    def describe(self) -> str:
+        """Return what it does, for the history; never holds a key."""
+
+    @abc.abstractmethod
+    def apply(
+        self, rows: parse.PlainTables
+    ) -> expression.Result[None, errors.Fault]:
+        """Make the change.
+
+        :param rows: plain rows by table and name; changed in place
+        :returns: nothing, or a fault if the terms do not hold
+        """
+
+
+class PutRow(Change):
+    """Adds or replaces a row.
+
+    :param table: the table's name
+    :param name: the row's name
+    :param values: the row's plain values
+    :param expected: the digest of the row that it replaces; none for any
+    """
+
+    __slots__ = ("table", "name", "values", "expected")
+
+    def __init__(
+        self,
+        table: str,
+        name: str,
+        values: dict[str, typing.Any],
+        expected: str | None = None,
+    ) -> None:
+        self.table = table
+        self.name = name
+        self.values = values
+        self.expected = expected
+
+    def describe(self) -> str:
+        """Return what it does."""
+        return f"put {self.table}.{self.name}"
+
+    def apply(
+        self, rows: parse.PlainTables
+    ) -> expression.Result[None, errors.Fault]:
+        """Add or replace the row; see the base class."""
+        checked = _check_row(rows, self.table, self.name, self.expected)
+        if checked.is_ok():
+            old = rows[self.table].get(self.name)
+            rows[self.table][self.name] = _keep_credential(self.values, old)
+        return checked
+
+
+class DeleteRow(Change):
+    """Deletes a row.
+
+    :param table: the table's name
+    :param name: the row's name
+    :param expected: the digest of the row as it must be; none for any
+    """
+
+    __slots__ = ("table", "name", "expected")
+
+    def __init__(
+        self, table: str, name: str, expected: str | None = None
+    ) -> None:
+        self.table = table
+        self.name = name
+        self.expected = expected
+
+    def describe(self) -> str:
+        """Return what it does."""
+        return f"delete {self.table}.{self.name}"
+
+    def apply(
+        self, rows: parse.PlainTables
+    ) -> expression.Result[None, errors.Fault]:
+        """Delete the row; see the base class."""
+        checked = _check_row(rows, self.table, self.name, self.expected)
+        if checked.is_error():
+            return checked
+        if rows[self.table].pop(self.name, None) is None:
+            return refuse(
+                errors.Code.NOT_FOUND,
+                f"{self.table}.{self.name}",
+                "there is no such row",
+            )
+        return checked
+
+
+class ReplaceAll(Change):
+    """Replaces all rows of all tables, as a whole text of tables does.
+
+    :param rows: plain rows by table and name
+    """
+
+    __slots__ = ("rows",)
+
+    def __init__(self, rows: parse.PlainTables) -> None:
+        self.rows = rows
+
+    def describe(self) -> str:
+        """Return what it does."""
+        return "replace all tables"
+
+    def apply(
+        self, rows: parse.PlainTables
+    ) -> expression.Result[None, errors.Fault]:
+        """Replace all rows; see the base class."""
+        for table, old in rows.items():
+            rows[table] = {
+                name: _keep_credential(row, old.get(name))
+                for name, row in self.rows.get(table, {}).items()
+            }
+        return expression.Ok(None)
+
+
+class GiveKey(Change):
+    """Adds a key to a client account.
+
+    :param account: the client account's name
+    :param digest: the key's digest
+    """
+
+    __slots__ = ("account", "digest")
+
+    def __init__(self, account: str, digest: str) -> None:
+        self.account = account
+        self.digest = digest
+
+    def describe(self) -> str:
+        """Return what it does; eight digits of a digest tell keys apart."""
+        return f"give key {self.digest[:8]} to accounts.{self.account}"
+
+    def apply(
+        self, rows: parse.PlainTables
+    ) -> expression.Result[None, errors.Fault]:
+        """Add the digest; see the base class."""
+        row = rows["accounts"].get(self.account)
+        if row is None:
+            return _refuse_account(self.account)
+        digests = sorted({*row["key_digests"], self.digest})
+        rows["accounts"][self.account] = {**row, "key_digests": digests}
+        return expression.Ok(None)
+
+
+class WithdrawKey(Change):
+    """Takes a key from a client account.
+
+    :param account: the client account's name
+    :param prefix: the first digits of the key's digest, eight at least
+    """
+
+    __slots__ = ("account", "prefix")
+
+    def __init__(self, account: str, prefix: str) -> None:
+        self.account = account
+        self.prefix = prefix
+
+    def describe(self) -> str:
+        """Return what it does."""
+        return f"withdraw key {self.prefix[:8]} of accounts.{self.account}"
+
+    def apply(
+        self, rows: parse.PlainTables
+    ) -> expression.Result[None, errors.Fault]:
+        """Take the digest out; see the base class."""
+        row = rows["accounts"].get(self.account)
+        if row is None:
+            return _refuse_account(self.account)
+        found = [
+            digest
+            for digest in row["key_digests"]
+            if digest.startswith(self.prefix)
+        ]
+        if len(found) != 1:
+            return refuse(
+                errors.Code.NOT_FOUND,
+                f"accounts.{self.account}",
+                f"{len(found)} keys begin with {self.prefix[:8]}",
+            )
+        left = [digest for digest in row["key_digests"] if digest != found[0]]
+        rows["accounts"][self.account] = {**row, "key_digests": left}
+        return expression.Ok(None)
+
+
+def _check_row(
+    rows: parse.PlainTables, table: str, name: str, expected: str | None
+) -> expression.Result[None, errors.Fault]:
+    if table not in rows:
+        known = ", ".join(parse.ROW_TYPES)
+        return expression.Error(
+            columns.make_fault(table, "", "", f"one of {known}").fault
+        )
+    actual = digest_row(rows[table].get(name))
+    if expected is not None and actual != expected:
+        return refuse(
+            errors.Code.CONFLICT,
+            f"{table}.{name}",
+            f"the row's digest is {actual}, not {expected}",
+        )
+    return expression.Ok(None)
+
+
+def _refuse_account(
+    account: str,
+) -> expression.Result[typing.Any, errors.Fault]:
+    return refuse(
+        errors.Code.NOT_FOUND, f"accounts.{account}", "there is no such row"
+    )
+
+
+def refuse(
+    code: errors.Code, place: str, message: str
+) -> expression.Result[typing.Any, errors.Fault]:
+    """Return a refusal that names its place in the tables.
+
+    :param code: the fault's code
+    :param place: table and row
+    :param message: why
+    """
+    return expression.Error(
+        errors.Fault(
+            code,
+            errors.Step.TABLES,
+            place,
+            message=f"{place}: {message}",
+        )
+    )
--- a/tests/configuration_world.py
+++ b/tests/configuration_world.py
@@ -12,6 +12,7 @@
 from mulberryway.controllers import configuration
 from mulberryway.controllers import configuration_handler
 from mulberryway.controllers import configuration_peers
+from mulberryway.tables import changes
 from mulberryway.tables import edits
 from mulberryway.tables import parse
 from mulberryway.tables import root as roots
@@ -167,7 +168,7 @@
         ]
         values = parse.encode_tables(samples.make_tables())
         values["pools"]["spare"] = SPARE
-        self.submit(self.editors[0], [edits.ReplaceAll(values)])
+        self.submit(self.editors[0], [changes.ReplaceAll(values)])
 
     def run(self):
         self.store.on_call = self.interleave
@@ -329,13 +330,13 @@
         digest = samples.digest(f"key{self.random.randint(0, 3)}")
         return self.random.choice(
             (
-                edits.PutRow("accounts", f"a{number % 7}", rate),
-                edits.PutRow("routes", "spare", SPARE_ROUTE),
-                edits.DeleteRow("routes", "spare"),
-                edits.PutRow("pools", "spare", SPARE),
-                edits.DeleteRow("pools", "spare"),
-                edits.GiveKey("tea", digest),
-                edits.WithdrawKey("tea", digest),
+                changes.PutRow("accounts", f"a{number % 7}", rate),
+                changes.PutRow("routes", "spare", SPARE_ROUTE),
+                changes.DeleteRow("routes", "spare"),
+                changes.PutRow("pools", "spare", SPARE),
+                changes.DeleteRow("pools", "spare"),
+                changes.GiveKey("tea", digest),
+                changes.WithdrawKey("tea", digest),
             )
         )
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -9,6 +9,7 @@
 from mulberryway.admin import editor
 from mulberryway.controllers import configuration_watch
 from mulberryway.controllers import tables_in_force
+from mulberryway.tables import changes
 from mulberryway.tables import edits
 from mulberryway.tables import parse
 from mulberryway.tables import root as roots
@@ -47,7 +48,7 @@
         self.assertLess(max(sizes), 30_000)
         self.assertGreater(sum(sizes), 400_000)
         edit = edits.Edit(
-            "e", "op", (edits.WithdrawKey("account-7", digest(7)),)
+            "e", "op", (changes.WithdrawKey("account-7", digest(7)),)
         )
         after = segments.split_tables(edit.apply(made).ok)
         moved = after.segments.keys() - split.segments.keys()
@@ -107,7 +108,7 @@
 class WatchTest(unittest.TestCase):
     def make_edit(self, store, number):
         rows = make_rows(number)
-        edit = edits.Edit(f"e{number}", "op", (edits.ReplaceAll(rows),))
+        edit = edits.Edit(f"e{number}", "op", (changes.ReplaceAll(rows),))
         editor_ = editor.Editor(store, clock.SystemClock(), random.Random(1))
         self.assertTrue(editor_.submit(edit, GUARD_S * 1000).is_ok())
 
--- a/tests/test_configuration_rpc.py
+++ b/tests/test_configuration_rpc.py
@@ -15,6 +15,7 @@
 from mulberryway.controllers import configuration_peers
 from mulberryway.controllers import configuration_rpc
 from mulberryway.peers.gen.configuration import Configuration
+from mulberryway.tables import changes
 from mulberryway.tables import edits
 from mulberryway.tables import parse
 from tests import fakes
@@ -58,7 +59,7 @@
 
     def apply(self):
         rows = parse.encode_tables(samples.make_tables())
-        edit = edits.Edit("e1", "op", (edits.ReplaceAll(rows),))
+        edit = edits.Edit("e1", "op", (changes.ReplaceAll(rows),))
         accepted = editor.Editor(self.store, self.clock, random.Random(1))
         self.assertTrue(accepted.submit(edit, TIMEOUT_MS).is_ok())
 
