Let a schedule's seed alone decide it

Cause: the editor wrote new segments in a set's order, which each process sorts in its own way; so one seed gave different schedules, and the test of the variant that counts forgetful VMs failed in one run of several. Conclusion: the failing test was right, its seed was not stable.

--- a/mulberryway/admin/editor.py
+++ b/mulberryway/admin/editor.py
@@ -3,13 +3,13 @@
 import collections.abc
 import logging
 import random
-import typing
 
 import expression
 
 from mulberryway import clock
 from mulberryway import errors
 from mulberryway.admin import history
+from mulberryway.admin import submission as submissions
 from mulberryway.platform import base
 from mulberryway.platform import roots as root_store
 from mulberryway.platform import segments as segment_store
@@ -17,74 +17,15 @@
 from mulberryway.tables import root as roots
 from mulberryway.tables import segments
 
-__all__ = ["Accepted", "Editor"]
+__all__ = ["Editor"]
 
 LOG = logging.getLogger(__name__)
 
 Announce = collections.abc.Callable[[roots.Root, list[segments.Segment]], None]
 
-PAUSE_MS = 20
 MOST_PAUSE_MS = 500
 
 
-class Accepted:
-    """The platform holds an edit; it need not be in force yet.
-
-    :param edit_id: the edit's own id
-    :param revision: the revision that it made
-    """
-
-    __slots__ = ("edit_id", "revision")
-
-    def __init__(self, edit_id: str, revision: int) -> None:
-        self.edit_id = edit_id
-        self.revision = revision
-
-
-class Submission:
-    """How far one edit has come.
-
-    :param edit: the edit
-    :param deadline: when to give up
-    """
-
-    __slots__ = ("edit", "deadline", "newer_than", "unknown_from", "pause_ms")
-
-    def __init__(self, edit: edits.Edit, deadline: clock.Deadline) -> None:
-        self.edit = edit
-        self.deadline = deadline
-        # The platform's version that is known to be outdated.
-        self.newer_than = -1
-        # The revision from which an update was sent whose end is unknown.
-        self.unknown_from: int | None = None
-        self.pause_ms = PAUSE_MS
-
-    def end(self, fault: errors.Fault) -> errors.Fault:
-        """Return a fault that tells truly whether the edit may stand.
-
-        :param fault: why it goes no further
-        """
-        unknown = self.unknown_from is not None
-        fault.run = errors.Run.MAY_HAVE_RUN if unknown else errors.Run.NOT_RUN
-        return fault
-
-
-class NewState:
-    """What an edit makes.
-
-    :param root: the new root
-    :param segments: segments that the root before does not name
-    """
-
-    __slots__ = ("root", "segments")
-
-    def __init__(
-        self, root: roots.Root, new_segments: list[segments.Segment]
-    ) -> None:
-        self.root = root
-        self.segments = new_segments
-
-
 class Editor:
     """Writes segments, then changes the root by conditional update.
 
@@ -124,7 +65,7 @@
 
     def submit(
         self, edit: edits.Edit, timeout_ms: int
-    ) -> expression.Result[Accepted, errors.Fault]:
+    ) -> expression.Result[submissions.Accepted, errors.Fault]:
         """Make an edit take effect, or say truly that it did not.
 
         :param edit: the edit; sent again with the same id it counts once
@@ -133,14 +74,14 @@
             no effect and never will, ``MAY_HAVE_RUN`` if that is unknown
         """
         deadline = clock.Deadline(self._clock.now_ms() + timeout_ms)
-        submission = Submission(edit, deadline)
+        submission = submissions.Submission(edit, deadline)
         while True:
             tried = self._try(submission)
             if tried.is_ok():
                 self._log(submission, tried.ok)
                 return tried
             over = deadline.has_passed(self._clock.now_ms())
-            if over or not _may_try_again(tried.error):
+            if over or not submissions.may_try_again(tried.error):
                 return expression.Error(submission.end(tried.error))
             self._pause(submission)
 
@@ -161,14 +102,14 @@
         )
 
     def _try(
-        self, submission: Submission
-    ) -> expression.Result[Accepted, errors.Fault]:
+        self, submission: submissions.Submission
+    ) -> expression.Result[submissions.Accepted, errors.Fault]:
         read = self.accepted.read_root()
         if read.is_error():
             return expression.Error(read.error)
         held = read.ok
         if not self._is_current(held, submission):
-            return _refuse_stale()
+            return submissions.refuse_stale()
         found = self._find(held.root, submission)
         if found.is_error():
             return found
@@ -185,17 +126,17 @@
 
     def _accept(
         self,
-        submission: Submission,
+        submission: submissions.Submission,
         held: root_store.HeldRoot,
-        new: NewState,
-    ) -> expression.Result[Accepted, errors.Fault]:
+        new: submissions.NewState,
+    ) -> expression.Result[submissions.Accepted, errors.Fault]:
         written = self._write(submission, held, new.root)
         if written.is_ok():
             self._announce(new.root, new.segments)
         return written
 
     def _is_current(
-        self, held: root_store.HeldRoot, submission: Submission
+        self, held: root_store.HeldRoot, submission: submissions.Submission
     ) -> bool:
         return (
             held.version > submission.newer_than
@@ -203,13 +144,13 @@
         )
 
     def _find(
-        self, root: roots.Root, submission: Submission
-    ) -> expression.Result[Accepted | None, errors.Fault]:
+        self, root: roots.Root, submission: submissions.Submission
+    ) -> expression.Result[submissions.Accepted | None, errors.Fault]:
         """Look for the edit among those that were accepted."""
         edit_id = submission.edit.edit_id
         mark = root.find_edit(edit_id)
         if mark is not None:
-            return expression.Ok(Accepted(edit_id, mark.revision))
+            return expression.Ok(submissions.Accepted(edit_id, mark.revision))
         if len(root.marks) < roots.MOST_MARKS:
             return expression.Ok(None)
         past = self.accepted.read_history(root)
@@ -217,15 +158,15 @@
             return expression.Error(past.error)
         revision = history.find_edit(past.ok, edit_id)
         if revision is not None:
-            return expression.Ok(Accepted(edit_id, revision))
+            return expression.Ok(submissions.Accepted(edit_id, revision))
         unknown = submission.unknown_from
         if unknown is not None and past.ok[0]["revision"] > unknown + 1:
-            return _refuse_forgotten(edit_id)
+            return submissions.refuse_forgotten(edit_id)
         return expression.Ok(None)
 
     def _make_root(
-        self, submission: Submission, held: root_store.HeldRoot
-    ) -> expression.Result[NewState, errors.Fault]:
+        self, submission: submissions.Submission, held: root_store.HeldRoot
+    ) -> expression.Result[submissions.NewState, errors.Fault]:
         """Write what the new root needs; that alone changes nothing."""
         edit = submission.edit
         made = self.accepted.read_tables(held.root).bind(edit.apply)
@@ -239,7 +180,8 @@
             past.ok, edit, held.root, retired, self._clock.wall_ms()
         )
         log = segments.make_segment({"history": entries})
-        new = [split.segments[name] for name in split.segments.keys() - old]
+        added = sorted(split.segments.keys() - old)
+        new = [split.segments[name] for name in added]
         written = self._write_segments([*new, log], held.root.revision)
         self.accepted.keep_history(log)
         root = roots.Root(
@@ -248,14 +190,14 @@
             log.digest,
             held.root.add_mark(edit.edit_id),
         )
-        return written.map(lambda _: NewState(root, new))
+        return written.map(lambda _: submissions.NewState(root, new))
 
     def _write_segments(
         self, new: list[segments.Segment], revision: int
     ) -> expression.Result[None, errors.Fault]:
         for segment in new:
             if len(segment.content) > segments.MOST_SEGMENT_BYTES:
-                return _refuse_large(segment)
+                return submissions.refuse_large(segment)
             written = self._segments.write(segment, revision)
             if written.is_error():
                 return written
@@ -263,16 +205,18 @@
 
     def _write(
         self,
-        submission: Submission,
+        submission: submissions.Submission,
         held: root_store.HeldRoot,
         root: roots.Root,
-    ) -> expression.Result[Accepted, errors.Fault]:
+    ) -> expression.Result[submissions.Accepted, errors.Fault]:
         """Send the same update until there is a definite answer."""
         while True:
             written = self.accepted.write_root(held, root)
             if written.is_ok():
                 return expression.Ok(
-                    Accepted(submission.edit.edit_id, root.revision)
+                    submissions.Accepted(
+                        submission.edit.edit_id, root.revision
+                    )
                 )
             fault = written.error
             if fault.code is not errors.Code.PLATFORM_UNAVAILABLE:
@@ -284,12 +228,16 @@
                 return expression.Error(fault)
             self._pause(submission)
 
-    def _pause(self, submission: Submission) -> None:
+    def _pause(self, submission: submissions.Submission) -> None:
         pause_ms = submission.pause_ms
         self._clock.sleep_ms(self._random.randint(pause_ms // 2, pause_ms))
         submission.pause_ms = min(pause_ms * 2, MOST_PAUSE_MS)
 
-    def _log(self, submission: Submission, accepted: Accepted) -> None:
+    def _log(
+        self,
+        submission: submissions.Submission,
+        accepted: submissions.Accepted,
+    ) -> None:
         LOG.info(
             "edit accepted: revision %d, id %s, operator %s: %s",
             accepted.revision,
@@ -297,54 +245,3 @@
             submission.edit.operator,
             submission.edit.describe(),
         )
-
-
-def _may_try_again(fault: errors.Fault) -> bool:
-    """Tell faults of the platform from refusals of the edit itself.
-
-    A conflict or a missing segment at the platform means that the root has
-    moved on, which the next try sees.
-    """
-    return fault.step is errors.Step.PLATFORM and fault.code in (
-        errors.Code.PLATFORM_UNAVAILABLE,
-        errors.Code.CONFLICT,
-        errors.Code.NOT_FOUND,
-    )
-
-
-def _refuse_stale() -> expression.Result[typing.Any, errors.Fault]:
-    return expression.Error(
-        errors.Fault(
-            errors.Code.PLATFORM_UNAVAILABLE,
-            errors.Step.PLATFORM,
-            root_store.KIND,
-            message="the platform answers with an older root than is known",
-        )
-    )
-
-
-def _refuse_forgotten(
-    edit_id: str,
-) -> expression.Result[typing.Any, errors.Fault]:
-    return expression.Error(
-        errors.Fault(
-            errors.Code.CONFLICT,
-            errors.Step.ADMIN,
-            edit_id,
-            message="the history no longer tells whether the edit stands",
-        )
-    )
-
-
-def _refuse_large(
-    segment: segments.Segment,
-) -> expression.Result[None, errors.Fault]:
-    return expression.Error(
-        errors.Fault(
-            errors.Code.INVALID_TABLES,
-            errors.Step.TABLES,
-            "segment",
-            message=f"rows of one segment take {len(segment.content)} bytes; "
-            f"expected at most {segments.MOST_SEGMENT_BYTES}",
-        )
-    )
--- a/mulberryway/controllers/configuration.py
+++ b/mulberryway/controllers/configuration.py
@@ -11,6 +11,7 @@
 from mulberryway.controllers import base
 from mulberryway.controllers import configuration_peers
 from mulberryway.controllers import configuration_watch
+from mulberryway.controllers import fleet_peak
 from mulberryway.controllers import tables_in_force
 from mulberryway.platform import base as platform
 from mulberryway.platform import roots as root_store
@@ -35,36 +36,6 @@
 # With an old confirmation, most VMs are asked within this many steps; with
 # 410 VMs that is 41 questions a second until the platform answers again.
 QUORUM_STEPS = 5
-# A cut makes the fleet look small.  The most VMs of the last minutes count,
-# so that both sides of a cut know that they are a part.
-PEAK_MS = 600_000
-
-
-class FleetPeak:
-    """The most VMs that were alive at once in the last minutes."""
-
-    __slots__ = ("_now", "_before", "_until_ms")
-
-    def __init__(self) -> None:
-        self._now = 1
-        self._before = 1
-        self._until_ms = 0
-
-    @property
-    def most(self) -> int:
-        """The number, this VM included."""
-        return max(self._now, self._before)
-
-    def note(self, count: int, now_ms: int) -> None:
-        """Take in how many are alive now.
-
-        :param count: the number, this VM included
-        :param now_ms: the present
-        """
-        if now_ms >= self._until_ms:
-            self._until_ms = now_ms + PEAK_MS
-            self._before, self._now = self._now, 1
-        self._now = max(self._now, count)
 
 
 class Configuration(base.Controller):
@@ -101,7 +72,7 @@
         self._next_read_ms = 0
         self._last_judged: freshness.Freshness | None = None
         self._heard_ms: dict[str, int] = {}
-        self._fleet = FleetPeak()
+        self._fleet = fleet_peak.FleetPeak()
 
     def step(self) -> None:
         """Follow news, ask a peer or the platform, and judge freshness."""
@@ -323,10 +294,10 @@
             return now_ms
         return times[needed - 1] if len(times) >= needed else None
 
-    def _take_news(self) -> set[str]:
+    def _take_news(self) -> list[str]:
         with self._lock:
             news, self._news = self._news, set()
-        return news
+        return sorted(news)
 
     def _report(self) -> None:
         judged = self.in_force.judge()
--- /dev/null
+++ b/mulberryway/platform/decoding.py
@@ -0,0 +1,70 @@
+"""The platform's JSON, read into objects."""
+
+import json
+import typing
+
+from mulberryway.platform import base
+
+__all__ = ["encode", "read_event", "read_list", "read_object", "read_vms"]
+
+
+def encode(body: dict[str, typing.Any]) -> bytes:
+    """Return a body as it is sent.
+
+    :param body: plain values
+    """
+    return json.dumps(body, separators=(",", ":")).encode()
+
+
+def read_object(kind: str, body: typing.Any) -> base.StoredObject:
+    """Read one object.
+
+    :param kind: the plural kind
+    :param body: plain values
+    :raises ValueError: if it is malformed; ``KeyError`` and ``TypeError``
+        as well
+    """
+    metadata = body["metadata"]
+    return base.StoredObject(
+        kind,
+        metadata.get("name", ""),
+        int(metadata["resourceVersion"]),
+        body.get("value") or {},
+    )
+
+
+def read_list(kind: str, body: typing.Any) -> list[base.StoredObject]:
+    """Read a list of objects.
+
+    :param kind: the plural kind
+    :param body: plain values
+    """
+    return [read_object(kind, item) for item in body["items"]]
+
+
+def read_event(kind: str, line: bytes) -> base.WatchEvent:
+    """Read one line of a watch.
+
+    :param kind: the plural kind
+    :param line: JSON
+    """
+    body = json.loads(line)
+    return base.WatchEvent(
+        base.EventType(body["type"]), read_object(kind, body["object"])
+    )
+
+
+def read_vms(body: typing.Any) -> list[base.ListedVm]:
+    """Read the list of VMs.
+
+    :param body: plain values
+    """
+    return [
+        base.ListedVm(
+            item["name"],
+            item["address"],
+            item["zone"],
+            bool(item["leaving"]),
+        )
+        for item in body["items"]
+    ]
--- a/mulberryway/platform/http.py
+++ b/mulberryway/platform/http.py
@@ -13,6 +13,7 @@
 from mulberryway import errors
 from mulberryway.platform import base
 from mulberryway.platform import counts
+from mulberryway.platform import decoding
 
 __all__ = ["HttpObjectStore"]
 
@@ -41,6 +42,8 @@
     urllib3.exceptions.NameResolutionError,
 )
 
+T = typing.TypeVar("T")
+
 TRACER = trace.get_tracer(__name__)
 
 
@@ -72,14 +75,22 @@
     ) -> expression.Result[base.StoredObject, errors.Fault]:
         """Return one object; see the base class."""
         reply = self._exchange("GET", _path(kind, name), None, purpose)
-        return reply.bind(lambda body: self._read_object(kind, body, "GET"))
+        return reply.bind(
+            lambda body: self._read(
+                "GET", lambda: decoding.read_object(kind, body)
+            )
+        )
 
     def read_all(
         self, kind: str, purpose: str
     ) -> expression.Result[list[base.StoredObject], errors.Fault]:
         """Return all objects of a kind; see the base class."""
         reply = self._exchange("GET", _path(kind), None, purpose)
-        return reply.bind(lambda body: self._read_list(kind, body))
+        return reply.bind(
+            lambda body: self._read(
+                "GET", lambda: decoding.read_list(kind, body)
+            )
+        )
 
     def create(
         self, kind: str, name: str, value: dict[str, typing.Any], purpose: str
@@ -87,7 +98,11 @@
         """Create an object; see the base class."""
         body = {"metadata": {"name": name}, "value": value}
         reply = self._exchange("POST", _path(kind), body, purpose)
-        return reply.bind(lambda body: self._read_object(kind, body, "POST"))
+        return reply.bind(
+            lambda body: self._read(
+                "POST", lambda: decoding.read_object(kind, body)
+            )
+        )
 
     def update(
         self,
@@ -101,7 +116,11 @@
         metadata = {"name": name, "resourceVersion": str(version)}
         body = {"metadata": metadata, "value": value}
         reply = self._exchange("PUT", _path(kind, name), body, purpose)
-        return reply.bind(lambda body: self._read_object(kind, body, "PUT"))
+        return reply.bind(
+            lambda body: self._read(
+                "PUT", lambda: decoding.read_object(kind, body)
+            )
+        )
 
     def delete(
         self, kind: str, name: str, version: int, purpose: str
@@ -134,7 +153,11 @@
         response = opened.ok
         try:
             for line in self._read_lines(response, silence_ms):
-                event = line.bind(lambda text: self._read_event(kind, text))
+                event = line.bind(
+                    lambda text: self._read(
+                        "GET", lambda: decoding.read_event(kind, text)
+                    )
+                )
                 yield event
                 if event.is_error():
                     return
@@ -148,7 +171,9 @@
     ) -> expression.Result[list[base.ListedVm], errors.Fault]:
         """Return the platform's list of VMs; see the base class."""
         reply = self._exchange("GET", NODES, None, purpose)
-        return reply.bind(self._read_vms)
+        return reply.bind(
+            lambda body: self._read("GET", lambda: decoding.read_vms(body))
+        )
 
     def _exchange(
         self,
@@ -160,14 +185,18 @@
         with TRACER.start_as_current_span("platform") as span:
             span.set_attribute("purpose", purpose)
             deadline = clock.Deadline(self._clock.now_ms() + self._timeout_ms)
-            data = None if body is None else _encode(body)
+            data = None if body is None else decoding.encode(body)
             opened = self._send(verb, target, data, self._timeout_ms, purpose)
             reply = opened.bind(
                 lambda response: self._read_body(verb, response, deadline)
             )
             if opened.is_ok():
                 self._count(purpose, data, reply)
-            return reply.bind(lambda raw: self._decode(verb, raw))
+            return reply.bind(
+                lambda raw: self._read(
+                    verb, lambda: json.loads(raw) if raw else None
+                )
+            )
 
     def _send(
         self,
@@ -245,62 +274,14 @@
                 yield self._error("GET", "the watch ended")
                 return
 
-    def _read_event(
-        self, kind: str, line: bytes
-    ) -> expression.Result[base.WatchEvent, errors.Fault]:
-        try:
-            body = json.loads(line)
-            if body["type"] == "ERROR":
-                return self._error("GET", "the watch's version is too old")
-            event = base.WatchEvent(
-                base.EventType(body["type"]),
-                _make_object(kind, body["object"]),
-            )
-        except (ValueError, KeyError, TypeError):
-            return self._error("GET", "the watch sent a malformed line")
-        return expression.Ok(event)
-
-    def _read_object(
-        self, kind: str, body: typing.Any, verb: str
-    ) -> expression.Result[base.StoredObject, errors.Fault]:
-        try:
-            return expression.Ok(_make_object(kind, body))
-        except (ValueError, KeyError, TypeError):
-            return self._error(verb, "the reply is malformed")
-
-    def _read_list(
-        self, kind: str, body: typing.Any
-    ) -> expression.Result[list[base.StoredObject], errors.Fault]:
+    def _read(
+        self, verb: str, read: collections.abc.Callable[[], T]
+    ) -> expression.Result[T, errors.Fault]:
+        """Turn a malformed answer into a fault."""
         try:
-            items = [_make_object(kind, item) for item in body["items"]]
-        except (ValueError, KeyError, TypeError):
-            return self._error("GET", "the list is malformed")
-        return expression.Ok(items)
-
-    def _read_vms(
-        self, body: typing.Any
-    ) -> expression.Result[list[base.ListedVm], errors.Fault]:
-        try:
-            vms = [
-                base.ListedVm(
-                    item["name"],
-                    item["address"],
-                    item["zone"],
-                    bool(item["leaving"]),
-                )
-                for item in body["items"]
-            ]
-        except (KeyError, TypeError):
-            return self._error("GET", "the list of VMs is malformed")
-        return expression.Ok(vms)
-
-    def _decode(
-        self, verb: str, raw: bytes
-    ) -> expression.Result[typing.Any, errors.Fault]:
-        try:
-            return expression.Ok(json.loads(raw) if raw else None)
-        except ValueError:
-            return self._error(verb, "the reply is not JSON")
+            return expression.Ok(read())
+        except (ValueError, KeyError, TypeError, AttributeError):
+            return self._error(verb, "the answer is malformed")
 
     def _count(
         self,
@@ -368,20 +349,6 @@
     return "/".join(filter(None, parts))
 
 
-def _encode(body: dict[str, typing.Any]) -> bytes:
-    return json.dumps(body, separators=(",", ":")).encode()
-
-
-def _make_object(kind: str, body: dict[str, typing.Any]) -> base.StoredObject:
-    metadata = body["metadata"]
-    return base.StoredObject(
-        kind,
-        metadata.get("name", ""),
-        int(metadata["resourceVersion"]),
-        body.get("value") or {},
-    )
-
-
 def _read_retry_after(response: urllib3.BaseHTTPResponse) -> int:
     text = response.headers.get("Retry-After", "1")
     seconds = int(text) if text.isdecimal() else 1
