Ask only the VMs that a wait still waits for

Cause: a wait asked every VM ten times a second, 4,100 calls at the target. Change: VMs that have the revision are not asked again; the limit for VMs out of reach includes the time in which news spread. Figures: none measured. Conclusion: a wait costs each VM one answer, the late ones some more.

--- a/mulberryway/admin/fleet.py
+++ b/mulberryway/admin/fleet.py
@@ -24,6 +24,8 @@
 # that neither one VM's death nor an outage keeps it from the others.
 TOLD_OTHERS = 2
 POLL_MS = 100
+# A VM may have the word of others that had not heard of an edit yet.
+SPREAD_MS = 3_000
 
 
 class Fleet:
@@ -102,14 +104,7 @@
 
     def read_states(self) -> list[messages.VmState]:
         """Ask each VM that this VM's router knows for its tables."""
-        members = self._list_members()
-        replies = self._pool.map(
-            lambda member: self._read_state(member.address), members
-        )
-        return [
-            _make_state(member, reply)
-            for member, reply in zip(members, replies, strict=True)
-        ]
+        return self._ask(self._list_members())
 
     def wait_in_force(
         self, revision: int, timeout_ms: int
@@ -117,32 +112,38 @@
         """Wait until no VM serves with tables older than a revision.
 
         A VM that cannot be reached counts as refusing when it has been out
-        of reach for so long that its last confirmation has run out, unless
-        it hears from most VMs; then it hears of the revision as well.
+        of reach for so long that its last confirmation, and the word of
+        other VMs, have run out.
 
         :param revision: an accepted revision
         :param timeout_ms: the longest wait
         :returns: how far it has come
         """
-        began_ms = self._clock.now_ms()
-        deadline = clock.Deadline(began_ms + timeout_ms)
-        reached_ms: dict[str, int] = {}
+        deadline = clock.Deadline(self._clock.now_ms() + timeout_ms)
+        members = {one.name: one for one in self._list_members()}
+        reached_ms = dict.fromkeys(members, self._clock.now_ms())
+        states: dict[str, messages.VmState] = {}
+        waiting = list(members)
         while True:
-            states = self.read_states()
+            # Of 410 VMs, those that have it need not be asked again.
+            asked = self._ask([members[name] for name in waiting])
             now_ms = self._clock.now_ms()
-            reached_ms |= {
-                state.name: now_ms for state in states if state.is_reached
-            }
+            for state in asked:
+                states[state.name] = state
+                if state.is_reached:
+                    reached_ms[state.name] = now_ms
             waiting = [
                 state.name
-                for state in states
+                for state in asked
                 if not self._is_settled(
-                    state, revision, reached_ms.get(state.name, began_ms)
+                    state, revision, reached_ms[state.name]
                 )
             ]
-            is_done = bool(states) and not waiting
+            is_done = bool(members) and not waiting
             if is_done or deadline.has_passed(now_ms):
-                return messages.FleetAnswer(revision, is_done, waiting, states)
+                return messages.FleetAnswer(
+                    revision, is_done, waiting, list(states.values())
+                )
             self._clock.sleep_ms(POLL_MS)
 
     def _is_settled(
@@ -150,7 +151,17 @@
     ) -> bool:
         if state.is_reached:
             return state.revision >= revision or not state.is_serving
-        return self._clock.now_ms() - reached_ms > self._fresh_ms
+        silent_ms = self._clock.now_ms() - reached_ms
+        return silent_ms > self._fresh_ms + SPREAD_MS
+
+    def _ask(self, members: list[ttypes.Member]) -> list[messages.VmState]:
+        replies = self._pool.map(
+            lambda member: self._read_state(member.address), members
+        )
+        return [
+            _make_state(member, reply)
+            for member, reply in zip(members, replies, strict=True)
+        ]
 
     def _list_members(self) -> list[ttypes.Member]:
         listed = self._client.call(
