--- a/mulberryway/controllers/configuration.py
+++ b/mulberryway/controllers/configuration.py
@@ -11,6 +11,7 @@
 from mulberryway.controllers import base
 from mulberryway.controllers import configuration_peers
 from mulberryway.controllers import configuration_watch
+from mulberryway.controllers import fleet_peak
 from mulberryway.controllers import tables_in_force
 from mulberryway.platform import base as platform
 from mulberryway.platform import roots as root_store
@@ -35,36 +36,6 @@
 # With an old confirmation, most VMs are asked within this many steps; with
 # 410 VMs that is 41 questions a second until the platform answers again.
 QUORUM_STEPS = 5
-# A cut makes the fleet look small.  The most VMs of the last minutes count,
-# so that both sides of a cut know that they are a part.
-PEAK_MS = 600_000
-
-
-class FleetPeak:
-    """The most VMs that were alive at once in the last minutes."""
-
-    __slots__ = ("_now", "_before", "_until_ms")
-
-    def __init__(self) -> None:
-        self._now = 1
-        self._before = 1
-        self._until_ms = 0
-
-    @property
-    def most(self) -> int:
-        """The number, this VM included."""
-        return max(self._now, self._before)
-
-    def note(self, count: int, now_ms: int) -> None:
-        """Take in how many are alive now.
-
-        :param count: the number, this VM included
-        :param now_ms: the present
-        """
-        if now_ms >= self._until_ms:
-            self._until_ms = now_ms + PEAK_MS
-            self._before, self._now = self._now, 1
-        self._now = max(self._now, count)
 
 
 class Configuration(base.Controller):
@@ -101,7 +72,7 @@
         self._next_read_ms = 0
         self._last_judged: freshness.Freshness | None = None
         self._heard_ms: dict[str, int] = {}
-        self._fleet = FleetPeak()
+        self._fleet = fleet_peak.FleetPeak()
 
     def step(self) -> None:
         """Follow news, ask a peer or the platform, and judge freshness."""
@@ -227,7 +198,8 @@
                 asked_ms - reply.age_ms,
                 max(reply.fleet_size, self._fleet.most),
             )
-        if 0 < reply.revision <= self.in_force.root.revision:
+        is_known = 0 < reply.revision <= self.in_force.root.revision
+        if is_known and reply.is_witness:
             self._heard_ms[address] = asked_ms
         return True
 
@@ -315,15 +287,17 @@
         # what it has seen alive since counts too.
         fleet_size = max(confirmation.fleet_size, self._fleet.most)
         needed = freshness.count_needed(fleet_size)
+        if not self.in_force.is_witness():
+            needed += 1
         times = sorted(self._heard_ms.values(), reverse=True)
         if needed == 0:
             return now_ms
         return times[needed - 1] if len(times) >= needed else None
 
-    def _take_news(self) -> set[str]:
+    def _take_news(self) -> list[str]:
         with self._lock:
             news, self._news = self._news, set()
-        return news
+        return sorted(news)
 
     def _report(self) -> None:
         judged = self.in_force.judge()
