Measure the decisions against both baselines

Change: benchmarks.decisions with its workloads, fleet and limits; the deadline is 1.1 s for all; an account may claim fifteen requests.

--- /dev/null
+++ b/benchmarks/decisions.py
@@ -0,0 +1,268 @@
+"""Goodput, waste, fairness and refusals of the decisions under load.
+
+Both deployments, 3 and 9 routers, seven loads; the scheduler with either
+weighing against two baselines, all on the same arrivals.
+"""
+
+import concurrent.futures
+import functools
+import itertools
+import json
+import pathlib
+import typing
+
+from benchmarks import decisions_fleet as fleet
+from benchmarks import decisions_limits as limits
+from benchmarks import decisions_workloads as workloads
+from mulberryway.policy import base
+from mulberryway.policy import baselines
+from mulberryway.policy import scheduler
+from mulberryway.policy import weighing
+
+__all__ = ["measure"]
+
+LENGTH_MS = 140_000
+WARM_MS = 20_000
+FIRST_TOKEN_MS = 1_100
+GAP_MS = 63
+SEED = 1
+ROUTERS = (3, 9)
+RIVALS = ("worst_served", "goodput", "first_come", "random_of_two")
+BASELINES = RIVALS[2:]
+# Others may use the machine, so only some of its cores are taken.
+WORKERS = 4
+OUT = pathlib.Path("out/decisions.json")
+AIMS = {
+    "goodput_part": 0.9,
+    "wasted_part": 0.01,
+    "worst_served_part": 0.95,
+    "refused_within_rate": 0,
+}
+
+
+class Case(typing.NamedTuple):
+    """One run: a rival, a load, a deployment and a number of routers."""
+
+    deployment: str
+    routers: int
+    load: str
+    rival: str
+
+
+def measure() -> dict[str, typing.Any]:
+    """Run every case.
+
+    :returns: rows, and what each weighing costs
+    """
+    cases = [
+        Case(deployment.name, routers, load.name, rival)
+        for deployment, routers, load, rival in itertools.product(
+            workloads.DEPLOYMENTS, ROUTERS, workloads.LOADS, RIVALS
+        )
+    ]
+    with concurrent.futures.ProcessPoolExecutor(WORKERS) as executor:
+        rows = list(executor.map(run_case, cases, chunksize=4))
+    return {
+        "length_ms": LENGTH_MS,
+        "seed": SEED,
+        "aims": AIMS,
+        "rows": rows,
+        "behind": list_behind(rows),
+        "short_of_aim": list_short(rows),
+    }
+
+
+def run_case(case: Case) -> dict[str, typing.Any]:
+    """Run one case.
+
+    :param case: the case
+    :returns: its row
+    """
+    deployment = next(
+        one for one in workloads.DEPLOYMENTS if one.name == case.deployment
+    )
+    load = next(one for one in workloads.LOADS if one.name == case.load)
+    arrivals = workloads.arrive(deployment, load, LENGTH_MS, SEED)
+    schedulers = [
+        make_scheduler(case.rival, number) for number in range(case.routers)
+    ]
+    run = fleet.Fleet(deployment, schedulers, load.slow)
+    outcomes = [
+        outcome
+        for outcome in run.run(arrivals, LENGTH_MS)
+        if outcome.arrival.at_ms >= WARM_MS
+    ]
+    return case._asdict() | judge(deployment, load, outcomes)
+
+
+def make_scheduler(rival: str, number: int) -> base.Scheduler:
+    """Return one router's scheduler.
+
+    :param rival: one of ``RIVALS``
+    :param number: which router
+    :returns: the scheduler
+    """
+    if rival == "first_come":
+        return baselines.FirstComeScheduler(number)
+    if rival == "random_of_two":
+        return baselines.RandomOfTwoScheduler(number)
+    return scheduler.FairScheduler(
+        f"vm{number}", weighed=weighing.find_weighing(rival), seed=number
+    )
+
+
+@functools.cache
+def _read_capacity(deployment: str, load: str) -> float:
+    owner = next(o for o in workloads.DEPLOYMENTS if o.name == deployment)
+    kind = next(o for o in workloads.LOADS if o.name == load)
+    arrivals = workloads.arrive(owner, kind, LENGTH_MS, SEED)
+    engine = limits.measure_decode_limit(arrivals, False, LENGTH_MS)
+    # No token of the slow engine meets the target between tokens.
+    return engine * (owner.decodes - kind.slow)
+
+
+def judge(
+    deployment: workloads.Deployment,
+    load: workloads.Load,
+    outcomes: list[fleet.Outcome],
+) -> dict[str, typing.Any]:
+    """Work out the measures of one run.
+
+    :param deployment: the firm
+    :param load: the kind of demand
+    :param outcomes: what each caller got
+    :returns: the measures
+    """
+    seconds = (LENGTH_MS - WARM_MS) / 1_000
+    demands: dict[str, float] = {}
+    served: dict[str, float] = {}
+    for outcome in outcomes:
+        account = outcome.arrival.account
+        demands[account] = demands.get(account, 0.0) + (
+            outcome.arrival.output_tokens / seconds
+        )
+        served.setdefault(account, 0.0)
+        if outcome.is_good(FIRST_TOKEN_MS, GAP_MS):
+            served[account] += outcome.tokens / seconds
+    capacity = _read_capacity(deployment.name, load.name)
+    limit = min(capacity, sum(demands.values()))
+    dues = limits.share_out(demands, capacity)
+    within = {a for a in demands if demands[a] <= dues[a] + 1e-6}
+    good = [o for o in outcomes if o.is_good(FIRST_TOKEN_MS, GAP_MS)]
+    prefilled = sum(outcome.prefilled for outcome in outcomes)
+    return {
+        "requests": len(outcomes),
+        "good_requests": len(good),
+        "goodput_tokens_per_s": round(sum(served.values()), 1),
+        "limit_tokens_per_s": round(limit, 1),
+        "goodput_part": round(sum(served.values()) / limit, 4),
+        "wasted_part": round(
+            sum(o.wasted for o in outcomes) / max(prefilled, 1), 5
+        ),
+        "worst_served_part": round(min(served[a] / dues[a] for a in dues), 4),
+        "late": sum(
+            o.first_ms is not None
+            and o.first_ms - o.arrival.at_ms > FIRST_TOKEN_MS
+            for o in outcomes
+        ),
+        "refused": sum(o.refused_ms is not None for o in outcomes),
+        "refused_within_rate": sum(
+            o.refused_ms is not None and o.arrival.account in within
+            for o in outcomes
+        ),
+    }
+
+
+def _is_own(row: dict[str, typing.Any]) -> bool:
+    owner = next(
+        o for o in workloads.DEPLOYMENTS if o.name == row["deployment"]
+    )
+    return row["rival"] == owner.weighing
+
+
+def _find_baselines(
+    rows: list[dict[str, typing.Any]], own: dict[str, typing.Any]
+) -> list[dict[str, typing.Any]]:
+    keys = ("deployment", "routers", "load")
+    return [
+        row
+        for row in rows
+        if row["rival"] in BASELINES and all(row[k] == own[k] for k in keys)
+    ]
+
+
+def list_behind(rows: list[dict[str, typing.Any]]) -> list[str]:
+    """Return where a baseline does better than the deployment's scheduler.
+
+    :param rows: all rows
+    :returns: one line for each measure that is behind
+    """
+    higher = {"goodput_part", "worst_served_part"}
+    return [
+        f"{own['deployment']} r{own['routers']} {own['load']}: {measure}"
+        f" {own[measure]} against {row[measure]} ({row['rival']})"
+        for own in filter(_is_own, rows)
+        for row in _find_baselines(rows, own)
+        for measure in AIMS
+        if (
+            own[measure] < row[measure]
+            if measure in higher
+            else own[measure] > row[measure]
+        )
+    ]
+
+
+def list_short(rows: list[dict[str, typing.Any]]) -> list[str]:
+    """Return where the deployment's scheduler falls short of an aim.
+
+    :param rows: all rows
+    :returns: one line for each aim missed
+    """
+    found = []
+    for own in filter(_is_own, rows):
+        name = f"{own['deployment']} r{own['routers']} {own['load']}"
+        if own["goodput_part"] < AIMS["goodput_part"]:
+            found.append(f"{name}: goodput {own['goodput_part']}")
+        if own["wasted_part"] >= AIMS["wasted_part"]:
+            found.append(f"{name}: wasted prefill {own['wasted_part']}")
+        if own["worst_served_part"] < AIMS["worst_served_part"]:
+            found.append(f"{name}: worst served {own['worst_served_part']}")
+        if own["load"] == "below" and own["refused_within_rate"]:
+            found.append(f"{name}: refused {own['refused_within_rate']}")
+    return found
+
+
+def print_table(found: dict[str, typing.Any]) -> None:
+    """Print the rows, and where they fall short.
+
+    :param found: what :func:`measure` returned
+    """
+    print(
+        f"{'deployment':10} {'vms':>3} {'load':15} {'scheduler':14}"
+        f" {'goodput':>8} {'wasted':>7} {'worst':>6} {'late':>5}"
+        f" {'refused':>8} {'within':>7}"
+    )
+    for row in found["rows"]:
+        mark = "*" if _is_own(row) else " "
+        print(
+            f"{row['deployment']:10} {row['routers']:3} {row['load']:15}"
+            f" {row['rival']:13}{mark} {row['goodput_part']:8.3f}"
+            f" {row['wasted_part']:7.4f} {row['worst_served_part']:6.3f}"
+            f" {row['late']:5} {row['refused']:8}"
+            f" {row['refused_within_rate']:7}"
+        )
+    for title in ("short_of_aim", "behind"):
+        print(f"{title.replace('_', ' ')}: {len(found[title])}")
+        for line in found[title]:
+            print("  " + line)
+
+
+def main() -> None:
+    found = measure()
+    print_table(found)
+    OUT.parent.mkdir(exist_ok=True)
+    OUT.write_text(json.dumps(found, indent=1), encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/fleet.py
+++ b/benchmarks/decisions_fleet.py
@@ -10,7 +10,7 @@
 import itertools
 import random
 
-from benchmarks import workloads
+from benchmarks import decisions_workloads as workloads
 from mulberryway import clock
 from mulberryway import tables
 from mulberryway.policy import base
@@ -35,9 +35,6 @@
 SLOW_FACTOR = 2.2
 SLOW_FROM_MS = 20_000
 PREFILL_MS_PER_TOKEN = 0.08
-# A prompt that cannot make the target even alone, if nothing of it is in a
-# prefix cache, has more time; its caller knows that it is long.
-LONG_TOKENS = 11_000
 
 Kind = engine_shape.EventKind
 
@@ -225,9 +222,6 @@
     def _arrive(self, outcome: Outcome) -> None:
         arrival = outcome.arrival
         router = int(arrival.router * len(self._schedulers))
-        within_ms = FIRST_TOKEN_MS
-        if arrival.prompt_tokens > LONG_TOKENS:
-            within_ms = int(2 * arrival.prompt_tokens * PREFILL_MS_PER_TOKEN)
         job = messages.Job(
             str(arrival.number),
             arrival.account,
@@ -239,7 +233,7 @@
             arrival.hashes,
             arrival.prompt_tokens * workloads.BYTES_PER_TOKEN,
             int(arrival.at_ms),
-            clock.Deadline(int(arrival.at_ms) + within_ms),
+            clock.Deadline(int(arrival.at_ms) + FIRST_TOKEN_MS),
         )
         self._submit(_Flight(router, job, outcome))
 
--- a/mulberryway/policy/hints.py
+++ b/mulberryway/policy/hints.py
@@ -60,6 +60,7 @@
         given back; a running sum
     :param waiting: jobs that wait now
     :param oldest_ms: for how long the oldest of them has waited
+    :param prefill_ms: how long the prefill of that one takes by itself
     """
 
     __slots__ = (
@@ -69,6 +70,7 @@
         "charged",
         "waiting",
         "oldest_ms",
+        "prefill_ms",
     )
 
     def __init__(
@@ -79,6 +81,7 @@
         charged: int,
         waiting: int,
         oldest_ms: int = 0,
+        prefill_ms: int = 0,
     ) -> None:
         self.pool = pool
         self.account = account
@@ -86,6 +89,7 @@
         self.charged = charged
         self.waiting = waiting
         self.oldest_ms = oldest_ms
+        self.prefill_ms = prefill_ms
 
 
 class Death:
--- a/mulberryway/policy/neighbours.py
+++ b/mulberryway/policy/neighbours.py
@@ -11,11 +11,12 @@
 
 
 class _Waiting:
-    __slots__ = ("jobs", "since_ms", "told_ms")
+    __slots__ = ("jobs", "since_ms", "prefill_ms", "told_ms")
 
-    def __init__(self, jobs: int, since_ms: int, told_ms: int) -> None:
-        self.jobs = jobs
-        self.since_ms = since_ms
+    def __init__(self, note: hints.AccountNote, told_ms: int) -> None:
+        self.jobs = note.waiting
+        self.since_ms = told_ms - note.oldest_ms
+        self.prefill_ms = note.prefill_ms
         self.told_ms = told_ms
 
 
@@ -48,8 +49,7 @@
             self._fair.correct(note.account, note.weight, more)
         waiting = self._waiting.setdefault(vm, {})
         if note.waiting:
-            since_ms = now_ms - note.oldest_ms
-            waiting[note.account] = _Waiting(note.waiting, since_ms, now_ms)
+            waiting[note.account] = _Waiting(note, now_ms)
         else:
             waiting.pop(note.account, None)
 
@@ -64,8 +64,8 @@
     def count_ahead(
         self,
         state: queue.AccountState,
+        entry: queue.Entry,
         slack_tokens: int,
-        since_ms: int,
         now_ms: int,
     ) -> int:
         """Return how many of the peers' jobs should go before one of ours.
@@ -77,14 +77,14 @@
         of at most sixteen accounts, so the cost is bounded by the cell.
 
         :param state: our job's account
-        :param slack_tokens: accounts whose starts differ by no more count
-            as one; the older job goes first
-        :param since_ms: since when our job has waited
+        :param entry: our job
+        :param slack_tokens: among accounts whose starts differ by no more,
+            the cheaper prompt goes first, as in our own queue
         :param now_ms: the present
         :returns: a number of jobs
         """
         return sum(
-            self._count_of(account, waiting, state, slack_tokens, since_ms)
+            self._count_of(account, waiting, state, entry, slack_tokens)
             for accounts in self._waiting.values()
             for account, waiting in accounts.items()
             if now_ms - waiting.told_ms <= WAITING_FRESH_MS
@@ -95,12 +95,14 @@
         account: str,
         waiting: _Waiting,
         state: queue.AccountState,
+        entry: queue.Entry,
         slack_tokens: int,
-        since_ms: int,
     ) -> int:
         lead = state.start - self._fair.read_start(account)
-        if account == state.name or abs(lead) < slack_tokens:
-            return 1 if waiting.since_ms < since_ms else 0
+        if abs(lead) < slack_tokens:
+            return 1 if waiting.prefill_ms < entry.prefill_ms else 0
+        if account == state.name:
+            return 1 if waiting.since_ms < entry.job.arrived_ms else 0
         return waiting.jobs if lead > 0 else 0
 
     def read_weight_waiting(self, now_ms: int) -> int:
--- a/mulberryway/policy/pools.py
+++ b/mulberryway/policy/pools.py
@@ -101,7 +101,9 @@
             return fault
         cost = self.meters.estimate_cost(job, best.tokens)
         lane = self._choose_lane(job, best.prefill_ms, now_ms)
-        self.fair.push(queue.Entry(job, lane, cost, latest_ms))
+        self.fair.push(
+            queue.Entry(job, lane, cost, latest_ms, best.prefill_ms)
+        )
         return None
 
     def give_up_late(self, now_ms: int) -> list[messages.Refusal]:
@@ -218,7 +220,7 @@
             entries.sort(
                 key=lambda pair: (
                     pair[0] > limit,
-                    pair[1].cost if pair[0] <= limit else pair[0],
+                    pair[1].prefill_ms if pair[0] <= limit else pair[0],
                 )
             )
         return [entry for _, entry in entries]
@@ -255,7 +257,7 @@
         state = self.fair.find_account(job.account, job.weight)
         # What goes out of the fair order by the slack does so at peers too.
         ahead = self.neighbours.count_ahead(
-            state, self._weighed.slack_tokens, job.arrived_ms, now_ms
+            state, entry, self._weighed.slack_tokens, now_ms
         )
         return free <= ahead and waited_ms < ahead * YIELD_EACH_MS
 
--- a/mulberryway/policy/queue.py
+++ b/mulberryway/policy/queue.py
@@ -24,10 +24,12 @@
 # How far behind the present an account may start that was given little.  All
 # routers of a cell have to come to the same order, so the start is not moved
 # up to the very present when an account begins to wait, as textbooks do: only
-# one router would know of it.  The harm of a claim is that an account which
-# comes back after a pause goes first until it has caught up; five ordinary
-# requests do not keep the others waiting noticeably.
-CLAIM_TOKENS = 2_000.0
+# one router would know of it.  And an account whose demand is about its due
+# sends nothing for a moment now and then, which a claim lets it make up.  The
+# harm of a claim is that an account which comes back after a pause goes first
+# until it has caught up: with fifteen ordinary requests, for two to three
+# seconds of a small pool.
+CLAIM_TOKENS = 6_000.0
 
 
 class Lane(enum.IntEnum):
@@ -50,17 +52,24 @@
     :param lane: which others of its account it may not overtake
     :param cost: what it is charged, in tokens
     :param latest_ms: when it has to start so as to be in time
+    :param prefill_ms: how long its prefill takes by itself
     """
 
-    __slots__ = ("job", "lane", "cost", "latest_ms")
+    __slots__ = ("job", "lane", "cost", "latest_ms", "prefill_ms")
 
     def __init__(
-        self, job: messages.Job, lane: Lane, cost: float, latest_ms: int
+        self,
+        job: messages.Job,
+        lane: Lane,
+        cost: float,
+        latest_ms: int,
+        prefill_ms: float = 0.0,
     ) -> None:
         self.job = job
         self.lane = lane
         self.cost = cost
         self.latest_ms = latest_ms
+        self.prefill_ms = prefill_ms
 
 
 class AccountState:
--- a/mulberryway/policy/telling.py
+++ b/mulberryway/policy/telling.py
@@ -162,6 +162,7 @@
         self._weights[key] = state.weight
         heads = state.list_heads()
         oldest_ms = now_ms - heads[0].job.arrived_ms if heads else 0
+        prefill_ms = int(heads[0].prefill_ms) if heads else 0
         return hints.AccountNote(
             pool.row.name,
             account,
@@ -169,6 +170,7 @@
             int(self._charged.get(key, 0.0)),
             state.waiting,
             oldest_ms,
+            prefill_ms,
         )
 
 
