--- a/standins/engine_exchange.py
+++ b/standins/engine_exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 import typing
 
 from aiohttp import web
@@ -57,6 +58,8 @@
 
     :param call: the call
     :param run: the run
+    :param record: the run's record for checkers
+    :param stamps: whether each event tells when it was sent
     """
 
     __slots__ = (
@@ -67,9 +70,11 @@
         "transport",
         "record",
         "imported",
+        "stamps",
         "_call",
         "_head",
         "_texts",
+        "_unsent",
     )
 
     def __init__(
@@ -77,11 +82,13 @@
         call: Call,
         run: engine_shape.Run,
         record: dict[str, typing.Any],
+        stamps: bool = False,
     ) -> None:
         loop = asyncio.get_running_loop()
         self.answer = answers.Answer(call.model, call.prompt, call.max_tokens)
         self.run = run
         self.record = record
+        self.stamps = stamps
         self.prefilled: asyncio.Future[None] = loop.create_future()
         self.imported: asyncio.Future[None] = loop.create_future()
         self.finished: asyncio.Future[bool] = loop.create_future()
@@ -89,6 +96,7 @@
         self._call = call
         self._head = f'data: {{"id": {json.dumps(run.request_id)}, "index": '
         self._texts: list[str] = []
+        self._unsent: list[bytes] = []
 
     def send_token(self, index: int) -> None:
         """Send or keep one token.
@@ -97,7 +105,7 @@
         """
         self.record["tokens"] += 1
         text = self.answer.text_at(index)
-        if self.transport is None:
+        if not self._call.stream:
             self._texts.append(text)
             return
         end = "}]}\n\n"
@@ -107,12 +115,15 @@
                 f'"usage": {json.dumps(self.make_usage())}}}\n\n'
             )
         choice = f'{{"index": 0, "text": "{text}"{end}'
-        event = f'{self._head}{index}, "choices": [{choice}'
+        stamp = ""
+        if self.stamps:
+            stamp = f'"sent_ms": {time.monotonic() * 1000:.3f}, '
+        event = f'{self._head}{index}, {stamp}"choices": [{choice}'
         self._write(event.encode())
 
     def finish(self) -> None:
         """Send the closing event."""
-        if self.transport is not None:
+        if self._call.stream:
             self._write(DONE)
         set_result(self.finished, True)
 
@@ -144,7 +155,23 @@
             "usage": self.make_usage(),
         }
 
+    def attach(self, transport: asyncio.Transport) -> None:
+        """Send from now on, beginning with what came before the head.
+
+        A busy engine may make the first token while the reply's head is
+        still being written; left out, the caller would miss it.
+
+        :param transport: where the reply's head went to
+        """
+        self.transport = transport
+        unsent, self._unsent = self._unsent, []
+        for event in unsent:
+            self._write(event)
+
     def _write(self, event: bytes) -> None:
+        if self.transport is None:
+            self._unsent.append(event)
+            return
         if self.transport.is_closing():
             return
         if self.transport.get_write_buffer_size() > MOST_UNSENT_BYTES:
