--- a/mulberryway/policy/poison.py
+++ b/mulberryway/policy/poison.py
@@ -29,8 +29,10 @@
 PAROLE_MS = 60_000
 DEATHS_TO_QUARANTINE = 2
 # Several requests with one digest may die with the same upstream, and each
-# router tells of its own; all that within this time is one death.
-SAME_DEATH_MS = 5_000
+# router tells of its own; all that within this time is one death.  It is less
+# than an upstream's first ejection, so a repeat on the same upstream, started
+# again meanwhile, counts as another.
+SAME_DEATH_MS = 900
 MOST_DEATHS_KEPT = 4
 
 
--- a/mulberryway/policy/queue.py
+++ b/mulberryway/policy/queue.py
@@ -126,8 +126,7 @@
         state = self._accounts.get(name)
         if state is None:
             self._forget_idle()
-            start = max(self.now_virtual - CLAIM_TOKENS, 0.0)
-            state = AccountState(name, weight, start)
+            state = AccountState(name, weight, self._read_least_start())
             self._accounts[name] = state
         elif state.weight != max(weight, 1):
             if state.waiting:
@@ -152,7 +151,7 @@
         """
         state = self._accounts.get(name)
         if state is None:
-            return max(self.now_virtual - CLAIM_TOKENS, 0.0)
+            return self._read_least_start()
         return state.start if state.waiting else self._start_of_idle(state)
 
     def read_weight(self, name: str) -> int:
@@ -284,7 +283,12 @@
         :param tokens: what is to be added; below zero to give back
         """
         state = self.find_account(name, weight)
-        self._move_start(state, state.start + tokens / state.weight)
+        start = state.start + tokens / state.weight
+        # A peer may give back what it charged before we heard of it.
+        self._move_start(state, max(start, self._read_least_start()))
+
+    def _read_least_start(self) -> float:
+        return max(self.now_virtual - CLAIM_TOKENS, 0.0)
 
     def _move_start(self, state: AccountState, start: float) -> None:
         if state.waiting:
@@ -293,7 +297,7 @@
         state.start = start
 
     def _start_of_idle(self, state: AccountState) -> float:
-        return max(state.start, self.now_virtual - CLAIM_TOKENS)
+        return max(state.start, self._read_least_start())
 
     def _forget_idle(self) -> None:
         if len(self._accounts) < MOST_IDLE_ACCOUNTS:
--- /dev/null
+++ b/tests/test_queue.py
@@ -0,0 +1,101 @@
+"""The fair queue: order, limits, lateness."""
+
+import unittest
+
+from mulberryway.policy import queue
+from tests import policy_cases as cases
+
+
+def push(fair, job_id, account, cost=100.0, latest_ms=1_000, **values):
+    job = cases.make_job(job_id, account, **values)
+    fair.push(queue.Entry(job, queue.Lane.SHORT, cost, latest_ms))
+
+
+def serve(fair):
+    """Take the next job out, charged, and return its account."""
+    state = fair.list_next(1)[0]
+    entry = state.list_heads()[0]
+    fair.remove(entry.job.job_id)
+    fair.charge(state.name, state.weight, entry.cost)
+    return state.name
+
+
+class QueueTest(unittest.TestCase):
+    def setUp(self):
+        self.fair = queue.FairQueue(100, 1_000_000)
+
+    def test_tokens_count_not_requests(self):
+        """One account sends few dear requests and another many cheap ones.
+        If requests were counted, the dear ones would get ten times the
+        tokens, and the cheap ones' callers would wait for it.
+        """
+        for number in range(4):
+            push(self.fair, f"d{number}", "dear", cost=1_000)
+        for number in range(40):
+            push(self.fair, f"c{number}", "cheap", cost=100)
+        served = [serve(self.fair) for _ in range(22)]
+        self.assertAlmostEqual(served.count("cheap"), 20, delta=1)
+
+    def test_weights(self):
+        for number in range(30):
+            push(self.fair, f"a{number}", "a", weight=2)
+            push(self.fair, f"b{number}", "b", weight=1)
+        served = [serve(self.fair) for _ in range(30)]
+        self.assertAlmostEqual(served.count("a"), 20, delta=1)
+
+    def test_a_pause_earns_only_a_bounded_claim(self):
+        """An account that was silent for an hour comes back with a flood.
+        Were its silence counted in full, it would shut all others out for
+        as long as it was silent.
+        """
+        for number in range(300):
+            push(self.fair, f"a{number}", "a", cost=1_000)
+            serve(self.fair)
+        for number in range(50):
+            push(self.fair, f"b{number}", "b", cost=1_000)
+            push(self.fair, f"c{number}", "a", cost=1_000)
+        served = [serve(self.fair) for _ in range(40)]
+        claim = queue.CLAIM_TOKENS / 1_000
+        self.assertGreaterEqual(served.count("a"), (40 - claim) / 2 - 1)
+
+    def test_one_account_cannot_fill_the_room(self):
+        """One account sends many times its rate while all slots are taken.
+        If it could fill the waiting room, the others would be refused for
+        want of room although they keep to their rates.
+        """
+        for number in range(50):
+            self.assertTrue(
+                self.fair.has_room(cases.make_job(f"a{number}", "a"))
+            )
+            push(self.fair, f"a{number}", "a")
+        self.assertFalse(self.fair.has_room(cases.make_job("x", "a")))
+        self.assertTrue(self.fair.has_room(cases.make_job("y", "b")))
+
+    def test_bytes_are_limited_and_given_back(self):
+        push(self.fair, "a", "a", body_bytes=400_000)
+        big = cases.make_job("b", "a", body_bytes=200_000)
+        self.assertFalse(self.fair.has_room(big))
+        self.assertIsNotNone(self.fair.remove("a"))
+        self.assertTrue(self.fair.has_room(big))
+        self.assertEqual((self.fair.bytes, self.fair.weight_waiting), (0, 0))
+
+    def test_late_jobs_come_out_once(self):
+        push(self.fair, "a", "a", latest_ms=10)
+        push(self.fair, "b", "a", latest_ms=20)
+        push(self.fair, "c", "b", latest_ms=30)
+        self.fair.remove("b")
+        self.assertEqual(self.fair.next_latest_ms(), 10)
+        late = [entry.job.job_id for entry in self.fair.pop_late(25)]
+        self.assertEqual(late, ["a"])
+        self.assertEqual(self.fair.next_latest_ms(), 30)
+
+    def test_lanes_overtake(self):
+        job = cases.make_job("long", "a")
+        self.fair.push(queue.Entry(job, queue.Lane.LONG, 1, 1_000))
+        push(self.fair, "short", "a", now_ms=5)
+        heads = self.fair.list_next(1)[0].list_heads()
+        self.assertEqual([e.job.job_id for e in heads], ["long", "short"])
+        self.fair.move("short", queue.Lane.SUSPECT)
+        self.fair.remove("long")
+        heads = self.fair.list_next(1)[0].list_heads()
+        self.assertEqual([e.job.job_id for e in heads], ["short"])
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,338 @@
+"""The scheduler's decisions, one situation at a time."""
+
+import unittest
+
+from mulberryway import errors
+from mulberryway import tables
+from mulberryway.policy import messages
+from mulberryway.policy import queue
+from mulberryway.policy import retries
+from mulberryway.policy import scheduler
+from mulberryway.upstreams import base as upstreams
+from tests import policy_cases as cases
+
+End = messages.JobEnd
+
+
+class SchedulerCase(unittest.TestCase):
+    def make(self, vm="vm1", **pool):
+        made = scheduler.FairScheduler(vm, seed=2)
+        made.change_pools({"lm": cases.make_pool(**pool)}, 0)
+        return made
+
+    def submit(self, router, job_id, now_ms=0, **values):
+        job = cases.make_job(job_id, now_ms=now_ms, **values)
+        return router.submit(job, now_ms)
+
+    def start(self, router, now_ms=0):
+        found = router.dispatch(now_ms).assignments
+        return {one.job_id: one for one in found}
+
+
+class AdmissionTest(SchedulerCase):
+    def test_a_hopeless_prompt_is_refused_at_once(self):
+        """A prompt takes four seconds to prefill and its first token is due
+        in one.  Started all the same, it would hold up every short prompt
+        behind it and its caller would get nothing in time.
+        """
+        router = self.make()
+        refused = self.submit(router, "j", prompt_tokens=40_000).error
+        self.assertIs(refused.code, errors.Code.DEADLINE_EXCEEDED)
+        self.assertIs(refused.run, errors.Run.NOT_RUN)
+        self.assertIsNone(refused.retry_after_ms)
+
+    def test_given_up_before_the_deadline(self):
+        """All slots are taken for longer than the first token may take.  A
+        caller who is told so only at the deadline has lost the time in
+        which another VM could have served it.
+        """
+        router = self.make(decodes=1, slots=20)
+        for n in range(20):
+            self.submit(router, f"runs{n}", prompt_tokens=60)
+        self.assertEqual(len(self.start(router)), 20)
+        self.assertTrue(self.submit(router, "waits", 10).is_ok())
+        wake_ms = router.dispatch(20).wake_ms
+        while not (found := router.dispatch(wake_ms)).refusals:
+            wake_ms = found.wake_ms
+        self.assertLess(wake_ms, 1_110)
+        fault = found.refusals[0].fault
+        self.assertIs(fault.run, errors.Run.NOT_RUN)
+        self.assertGreater(fault.retry_after_ms, 0)
+
+    def test_a_long_queue_refuses_early(self):
+        router = self.make(decodes=1, slots=1)
+        self.submit(router, "runs")
+        self.start(router)
+        results = [
+            self.submit(router, f"j{n}", 10, within_ms=9_000) for n in range(9)
+        ]
+        refused = [one.error for one in results if one.is_error()]
+        self.assertTrue(refused)
+        self.assertTrue(results[0].is_ok())
+        self.assertGreater(refused[-1].retry_after_ms, 500)
+
+    def test_no_upstream(self):
+        router = self.make(decodes=0)
+        refused = self.submit(router, "j").error
+        self.assertIs(refused.code, errors.Code.NO_UPSTREAM)
+
+    def test_repeats_are_limited(self):
+        """Every engine refuses for a while, and each refused request comes
+        again.  Without a limit the repeats alone keep the engines full.
+        """
+        router = self.make()
+        taken = sum(
+            self.submit(router, f"j{n}", attempt=1, within_ms=60_000).is_ok()
+            for n in range(200)
+        )
+        self.assertLessEqual(taken, retries.MOST_SAVED)
+
+
+class PlacingTest(SchedulerCase):
+    def test_the_slot_is_reserved_before_the_prefill(self):
+        router = self.make(decodes=2, slots=2)
+        for n in range(6):
+            self.submit(router, f"j{n}", prompt_tokens=100, within_ms=30_000)
+        started = self.start(router)
+        decodes = [one.decode for one in started.values()]
+        self.assertEqual(sorted(decodes), ["d0", "d0", "d1", "d1"])
+        router.finish("j0", End.CANCELLED, "", 5)
+        self.assertEqual(len(self.start(router, 5)), 1)
+
+    def test_short_prompts_keep_one_prefill_upstream(self):
+        """Several logs of nine thousand tokens come at once.  If each
+        prefill upstream gets one, every short question waits behind them
+        and misses its first token.
+        """
+        router = self.make(decodes=2, slots=8)
+        for n in range(4):
+            self.submit(router, f"long{n}", prompt_tokens=8_000)
+        started = self.start(router)
+        used = {one.prefill for one in started.values()}
+        self.assertEqual(len(used), 1)
+        self.assertTrue(all(one.priority for one in started.values()))
+        self.submit(router, "short", 5, prompt_tokens=100)
+        self.assertNotIn(self.start(router, 5)["short"].prefill, used)
+
+    def test_prefix_hits_draw_a_prompt(self):
+        router = self.make(prefills=3)
+        hashes = tuple(f"h{n}" for n in range(6))
+        event = upstreams.CacheEvent(1, hashes, ())
+        router.note_cache_events("lm", "p2", [event], 0)
+        self.submit(router, "j", prompt_tokens=6 * 1_024, prefix_hashes=hashes)
+        self.assertEqual(self.start(router)["j"].prefill, "p2")
+
+    def test_a_report_counts_beyond_own_work(self):
+        router = self.make(decodes=2, slots=4)
+        router.note_load("lm", "d0", cases.make_load(running=4), 0)
+        for n in range(6):
+            self.submit(router, f"j{n}", prompt_tokens=100, within_ms=30_000)
+        started = self.start(router)
+        self.assertEqual({one.decode for one in started.values()}, {"d1"})
+        # The next report shows our own four; they are not others' work.
+        router.note_load("lm", "d1", cases.make_load(running=4), 300)
+        router.finish(next(iter(started)), End.DONE, "", 310)
+        self.assertEqual(len(self.start(router, 310)), 1)
+
+    def test_a_full_engine_gets_nothing_for_a_while(self):
+        router = self.make(decodes=2, slots=4)
+        self.submit(router, "j0")
+        full = self.start(router)["j0"].decode
+        router.finish("j0", End.REFUSED_BY_ENGINE, full, 5)
+        for n in range(1, 4):
+            self.submit(router, f"j{n}", 10)
+        started = self.start(router, 10)
+        self.assertNotIn(full, {one.decode for one in started.values()})
+
+    def test_a_refused_decode_moves(self):
+        router = self.make(decodes=2, slots=1)
+        self.submit(router, "j")
+        first = self.start(router)["j"].decode
+        second = router.move_decode("j", first, 100)
+        self.assertNotIn(second, (None, first))
+        self.assertIsNone(router.move_decode("j", second, 110))
+        router.finish("j", End.DONE, "", 500)
+        views = router._pools["lm"].members.list_all()
+        self.assertEqual([view.own for view in views], [0] * 4)
+
+    def test_a_failing_upstream_is_ejected_and_probed(self):
+        """An engine breaks each connection and so always looks idle.  It
+        would draw all new work and fail it; and once mended it must get
+        work again, by one probe at first.
+        """
+        router = self.make(decodes=2, slots=8)
+        self.submit(router, "j")
+        bad = self.start(router)["j"].decode
+        router.finish("j", End.DIED, bad, 10)
+        for n in range(3):
+            self.submit(router, f"a{n}", 20)
+        used = {one.decode for one in self.start(router, 20).values()}
+        self.assertNotIn(bad, used)
+        for n in range(6):
+            self.submit(router, f"b{n}", 2_000)
+        used = [one.decode for one in self.start(router, 2_000).values()]
+        self.assertEqual(used.count(bad), 1)
+
+
+class ShiftingTest(SchedulerCase):
+    def test_a_leaving_upstream_gets_nothing_more(self):
+        """Operators take an engine out while requests wait.  Whatever is
+        sent there after the change is cut when the engine stops.
+        """
+        router = self.make(decodes=2, slots=8)
+        for n in range(4):
+            self.submit(router, f"j{n}")
+        before = self.start(router)
+        self.submit(router, "late", 10)
+        leaving = cases.make_pool(decodes=2, slots=8, leaving=("d0", "p1"))
+        router.change_pools({"lm": leaving}, 10)
+        one = self.start(router, 10)["late"]
+        self.assertEqual((one.prefill, one.decode), ("p0", "d1"))
+        for job_id in before:
+            router.finish(job_id, End.DONE, "", 20)
+
+    def test_counts_survive_a_row_that_goes_and_comes(self):
+        router = self.make(decodes=1, slots=2)
+        self.submit(router, "j")
+        self.start(router)
+        router.change_pools({"lm": cases.make_pool(decodes=0)}, 10)
+        router.change_pools({"lm": cases.make_pool(decodes=1, slots=2)}, 20)
+        for n in range(3):
+            self.submit(router, f"k{n}", 30)
+        self.assertEqual(len(self.start(router, 30)), 1)
+
+    def test_a_changed_role_takes_hold(self):
+        router = self.make(prefills=2, decodes=1)
+        pool = cases.make_pool(prefills=2, decodes=1)
+        rows = [
+            tables.Upstream(
+                row.name,
+                row.address,
+                row.zone,
+                cases.ROLES.DECODE if row.name == "p1" else row.role,
+            )
+            for row in pool.upstreams
+        ]
+        changed = tables.Pool("lm", pool.kind, tuple(rows), slots=4)
+        router.change_pools({"lm": changed}, 10)
+        for n in range(8):
+            self.submit(router, f"j{n}", 20, prompt_tokens=100)
+        started = self.start(router, 20).values()
+        self.assertEqual({one.prefill for one in started}, {"p0"})
+        self.assertEqual({one.decode for one in started}, {"p1", "d0"})
+
+    def test_jobs_of_a_dropped_pool_are_answered(self):
+        router = self.make(decodes=1, slots=1)
+        self.submit(router, "a")
+        self.start(router)
+        self.submit(router, "b", 5, within_ms=30_000)
+        router.change_pools({}, 10)
+        refusals = router.dispatch(10).refusals
+        self.assertEqual([one.job_id for one in refusals], ["b"])
+        router.finish("a", End.DONE, "", 20)
+
+
+class PeersTest(SchedulerCase):
+    def exchange(self, sender, receiver, now_ms):
+        note = sender.take_hints(now_ms)
+        if note is not None:
+            receiver.note_hints(note, now_ms)
+        return note
+
+    def test_a_peers_slots_count_until_it_is_silent(self):
+        """A router dies while it holds all slots.  If its holdings counted
+        for ever, the engines would look full to the others from then on.
+        """
+        one = self.make("vm1", decodes=1, slots=2)
+        two = self.make("vm2", decodes=1, slots=2)
+        for n in range(2):
+            self.submit(one, f"a{n}")
+        self.start(one)
+        self.exchange(one, two, 1)
+        self.submit(two, "b", 5)
+        self.assertEqual(self.start(two, 5), {})
+        two.cancel("b", 6)
+        self.submit(two, "c", 4_000)
+        self.assertEqual(list(self.start(two, 4_000)), ["c"])
+
+    def test_a_free_slot_is_left_to_the_account_with_less(self):
+        """A small account's callers all use one VM and a large account's
+        another.  When a slot comes free at the large one's VM and is taken
+        there at once, the small account never gets any.
+        """
+        large = self.make("vm1", decodes=1, slots=1)
+        small = self.make("vm2", decodes=1, slots=1)
+        for n in range(30):
+            self.submit(large, f"l{n}", 0, account="large")
+            for job_id in self.start(large, n):
+                large.finish(job_id, End.DONE, "", n)
+        self.submit(large, "runs", 40, account="large")
+        self.assertEqual(list(self.start(large, 40)), ["runs"])
+        self.exchange(large, small, 45)
+        waits = {"now_ms": 50, "within_ms": 30_000}
+        self.submit(small, "s", account="small", **waits)
+        self.submit(large, "l", account="large", **waits)
+        self.assertEqual(self.start(small, 50), {})
+        self.exchange(small, large, 52)
+        large.finish("runs", End.DONE, "", 60)
+        self.assertEqual(self.start(large, 60), {})
+        self.exchange(large, small, 62)
+        self.assertEqual(list(self.start(small, 62)), ["s"])
+
+    def test_a_slot_that_nobody_takes_is_used(self):
+        one = self.make("vm1", decodes=1, slots=1)
+        two = self.make("vm2", decodes=1, slots=1)
+        self.submit(one, "runs", account="big")
+        self.start(one)
+        self.exchange(one, two, 10)
+        self.submit(two, "w", 20, account="small", within_ms=30_000)
+        self.assertEqual(self.start(two, 20), {})
+        self.submit(one, "l", 25, account="big", within_ms=30_000)
+        self.exchange(two, one, 30)
+        one.finish("runs", End.DONE, "", 50)
+        started = [self.start(one, at) for at in range(50, 250, 10)]
+        self.assertIn("l", {job for found in started for job in found})
+
+    def test_an_old_note_is_dropped(self):
+        one = self.make("vm1", decodes=1, slots=2)
+        two = self.make("vm2", decodes=1, slots=2)
+        self.submit(one, "a")
+        self.start(one)
+        old = one.take_hints(1)
+        one.finish("a", End.DONE, "", 10)
+        self.exchange(one, two, 20)
+        two.note_hints(old, 30)
+        view = two._pools["lm"].members.find("d0")
+        self.assertEqual(view.peers, 0)
+
+    def test_quiet_routers_say_little(self):
+        router = self.make()
+        notes = [router.take_hints(at) for at in range(0, 10_000, 10)]
+        self.assertLessEqual(sum(note is not None for note in notes), 11)
+
+
+class OrderTest(SchedulerCase):
+    def test_goodput_puts_cheap_prompts_first_and_worst_served_does_not(self):
+        for name, expected in (("worst_served", "dear"), ("goodput", "cheap")):
+            weighed = scheduler.weighing.find_weighing(name)
+            router = scheduler.FairScheduler("vm1", weighed=weighed)
+            pool = cases.make_pool(decodes=1, slots=1)
+            router.change_pools({"lm": pool}, 0)
+            self.submit(router, "runs", account="c")
+            self.start(router)
+            self.submit(router, "dear", 5, account="a", prompt_tokens=2_000)
+            self.submit(router, "cheap", 6, account="b", prompt_tokens=50)
+            router.finish("runs", End.DONE, "", 10)
+            with self.subTest(name):
+                self.assertEqual(list(self.start(router, 10)), [expected])
+
+    def test_a_blocked_long_job_lets_its_accounts_short_ones_pass(self):
+        router = self.make(prefills=2, decodes=1, slots=8)
+        for n in range(3):
+            self.submit(router, f"long{n}", prompt_tokens=8_500)
+        self.submit(router, "short", 5, prompt_tokens=60)
+        started = self.start(router, 5)
+        self.assertIn("short", started)
+        fair = router._pools["lm"].fair
+        lanes = fair.list_next(1)[0].lanes
+        self.assertTrue(lanes[queue.Lane.LONG])
