Give orders to engines from one issuer at a time

Cause: orders change what an engine serves; some engines ignore fencing numbers, and the weight store is rate-limited. The goodput weighing's slack is 3,000 tokens. Conclusion: a pause between the check and the sending that is longer than the flight remains for engines that ignore fencing.

--- /dev/null
+++ b/mulberryway/controllers/orders.py
@@ -0,0 +1,177 @@
+"""Gives orders to engines while this VM holds the issuer's lease."""
+
+import collections.abc
+import logging
+import typing
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway import tables
+from mulberryway.controllers import base
+from mulberryway.platform import base as platform
+from mulberryway.policy import issuer
+from mulberryway.policy import orders
+from mulberryway.upstreams import base as upstreams
+
+__all__ = ["OrdersController"]
+
+LOG = logging.getLogger(__name__)
+
+KIND = "leases"
+NAME = "orders"
+PURPOSE = "orders"
+PERIOD_MS = 1_000
+# Orders in one step.  Load: a new issuer tells all of 4,800 engines their
+# role.  Harm: the lease is renewed between steps, so a step that lasts for
+# minutes loses it.
+MOST_ORDERS = 50
+
+EngineFinder = collections.abc.Callable[[str, str], upstreams.Engine | None]
+LoadReader = collections.abc.Callable[
+    [], collections.abc.Mapping[tuple[str, str], upstreams.EngineLoad]
+]
+
+
+class OrdersController(base.Controller):
+    """Keeps the lease, and gives the orders that engines need.
+
+    :param vm: this VM's name
+    :param incarnation: which life of its process
+    :param store: the platform
+    :param source: the tables in force
+    :param find_engine: finds an engine by pool and upstream
+    :param read_loads: returns the newest load reports
+    :param is_candidate: tells whether this VM may become the issuer
+    :param clock_: where the time comes from
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        incarnation: int,
+        store: platform.ObjectStore,
+        source: tables.TableSource,
+        find_engine: EngineFinder,
+        read_loads: LoadReader,
+        is_candidate: collections.abc.Callable[[], bool],
+        clock_: clock.Clock,
+    ) -> None:
+        super().__init__("orders", clock_, PERIOD_MS)
+        self._store = store
+        self._source = source
+        self._find_engine = find_engine
+        self._read_loads = read_loads
+        self._is_candidate = is_candidate
+        self._lease = issuer.IssuerLease(vm, incarnation)
+        self._planner = orders.OrderPlanner()
+        self._fencing = 0
+
+    def step(self) -> None:
+        """Keep the lease, then give what orders are due."""
+        self._keep_lease()
+        tables_ = self._source.read_tables()
+        now_ms = self.clock.now_ms()
+        if tables_ is None or not self._lease.may_send(True, now_ms):
+            return
+        if self._lease.fencing != self._fencing:
+            self._fencing = self._lease.fencing
+            self._planner.forget()
+        planned = self._planner.plan(tables_.pools, self._read_loads(), now_ms)
+        for order in planned[:MOST_ORDERS]:
+            self._give(order)
+
+    def _keep_lease(self) -> None:
+        act = self._lease.decide(self._is_candidate(), self.clock.now_ms())
+        if act is issuer.LeaseAct.READ:
+            self._read()
+            act = self._lease.decide(True, self.clock.now_ms())
+        if act is issuer.LeaseAct.WRITE:
+            self._write()
+
+    def _read(self) -> None:
+        result = self._store.read(KIND, NAME, PURPOSE)
+        now_ms = self.clock.now_ms()
+        if result.is_ok():
+            record = _unpack(result.ok.value)
+            self._lease.note_read(record, result.ok.version, now_ms)
+        elif result.error.code is errors.Code.NOT_FOUND:
+            self._lease.note_read(None, 0, now_ms)
+
+    def _write(self) -> None:
+        sent_ms = self.clock.now_ms()
+        record = self._lease.make_record(sent_ms)
+        value, version = _pack(record), self._lease.version
+        if version:
+            result = self._store.update(KIND, NAME, value, version, PURPOSE)
+        else:
+            result = self._store.create(KIND, NAME, value, PURPOSE)
+        if result.is_ok():
+            self._note_written(record, result.ok.version, sent_ms)
+        elif result.error.run is errors.Run.MAY_HAVE_RUN:
+            self._read_back(record, sent_ms)
+        elif result.error.code is errors.Code.CONFLICT:
+            # Somebody else wrote: whatever we held, it is theirs now.
+            self._lease.lose()
+        elif result.error.code is errors.Code.NOT_FOUND:
+            self._lease.note_gone()
+
+    def _read_back(self, record: issuer.LeaseRecord, sent_ms: int) -> None:
+        # The write may have taken effect although its reply was lost.  The
+        # object tells, for each write differs from all others.
+        result = self._store.read(KIND, NAME, PURPOSE)
+        if result.is_error():
+            return
+        found = _unpack(result.ok.value)
+        if _pack(found) == _pack(record):
+            self._note_written(record, result.ok.version, sent_ms)
+        else:
+            now_ms = self.clock.now_ms()
+            self._lease.note_read(found, result.ok.version, now_ms)
+
+    def _note_written(
+        self, record: issuer.LeaseRecord, version: int, sent_ms: int
+    ) -> None:
+        now_ms = self.clock.now_ms()
+        if record.fencing != self._fencing:
+            LOG.info("this VM gives orders now, fencing %d", record.fencing)
+        self._lease.note_written(record, version, sent_ms, now_ms)
+
+    def _give(self, order: orders.PlannedOrder) -> None:
+        engine = self._find_engine(order.pool, order.row.name)
+        if engine is None:
+            return
+        sent = upstreams.Order(order.verb, order.argument, self._lease.fencing)
+        # What goes wrong here is a pause between taking the lease and this
+        # order: the lease has passed on, and the order would undo the new
+        # issuer's.  The clock counts the pause, so asking now shows it.
+        if not self._lease.may_send(
+            order.row.checks_fencing, self.clock.now_ms()
+        ):
+            return
+        result = engine.give_order(sent)
+        now_ms = self.clock.now_ms()
+        if result.is_ok():
+            self._planner.note_given(order, now_ms)
+            return
+        self._planner.note_failed(order, now_ms)
+        if result.error.code is errors.Code.UPSTREAM_REFUSED:
+            LOG.warning("an order was fenced off: %r", result.error)
+            self._lease.lose()
+
+
+def _pack(record: issuer.LeaseRecord) -> dict[str, typing.Any]:
+    return {
+        "holder": record.holder,
+        "incarnation": record.incarnation,
+        "fencing": record.fencing,
+        "renewal": record.renewal,
+    }
+
+
+def _unpack(value: dict[str, typing.Any]) -> issuer.LeaseRecord:
+    return issuer.LeaseRecord(
+        str(value["holder"]),
+        int(value["incarnation"]),
+        int(value["fencing"]),
+        int(value["renewal"]),
+    )
--- a/mulberryway/policy/weighing.py
+++ b/mulberryway/policy/weighing.py
@@ -25,7 +25,7 @@
 # routers, even when its prompt is the dearest.
 WORST_SERVED: typing.Final = Weighing("worst_served", 0)
 # Cheaper prompts first within about twenty ordinary requests of 400 tokens.
-GOODPUT: typing.Final = Weighing("goodput", 8_000)
+GOODPUT: typing.Final = Weighing("goodput", 3_000)
 WEIGHINGS = (WORST_SERVED, GOODPUT)
 
 
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,236 @@
+"""Orders to engines: one issuer at a time, and no more loads than allowed."""
+
+import random
+import unittest
+import unittest.mock
+
+import expression
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway import tables
+from mulberryway.controllers import orders as controllers
+from mulberryway.policy import issuer
+from mulberryway.policy import orders
+from mulberryway.upstreams import base as upstreams
+from tests import fakes
+
+ROLES = tables.UpstreamRole
+VMS = ["vm0", "vm1", "vm2"]
+
+
+def make_pool(count=4, models=("m",), checks=(True, False)):
+    rows = tuple(
+        tables.Upstream(
+            f"e{n}",
+            f"10.0.0.{n}:1",
+            "a",
+            ROLES.BOTH,
+            checks_fencing=checks[n % len(checks)],
+        )
+        for n in range(count)
+    )
+    return tables.Pool("lm", tables.PoolKind.MODEL, rows, models)
+
+
+def make_load(*models):
+    return upstreams.EngineLoad(0, 0, 20, 9, 9, models)
+
+
+class PlannerTest(unittest.TestCase):
+    def setUp(self):
+        self.planner = orders.OrderPlanner(most_loads=2)
+        self.loads = {("lm", f"e{n}"): make_load() for n in range(4)}
+
+    def plan(self, now_ms, verb, models=("m",)):
+        pools = {"lm": make_pool(models=models)}
+        found = self.planner.plan(pools, self.loads, now_ms)
+        return [order for order in found if order.verb == verb]
+
+    def test_the_weight_store_sees_few_loads_at_once(self):
+        """A new model is wanted on every engine.  If all load it at once
+        from a store of limited rate, all are late and nobody serves.
+        """
+        first = self.plan(0, "load")
+        self.assertEqual(len(first), 2)
+        for order in first:
+            self.planner.note_given(order, 0)
+        self.assertEqual(self.plan(1_000, "load"), [])
+        done = first[0].row.name
+        self.loads["lm", done] = make_load("m")
+        third = self.plan(2_000, "load")
+        self.assertEqual(len(third), 1)
+        self.assertNotIn(third[0].row.name, {o.row.name for o in first})
+        again = self.plan(orders.LOAD_TIMEOUT_MS, "load")
+        self.assertEqual(len(again), 2)
+
+    def test_an_old_model_goes_when_the_new_one_is_there(self):
+        self.loads["lm", "e0"] = make_load("old")
+        self.assertEqual(self.plan(0, "unload"), [])
+        self.loads["lm", "e0"] = make_load("old", "m")
+        self.assertEqual(
+            [(o.row.name, o.argument) for o in self.plan(0, "unload")],
+            [("e0", "old")],
+        )
+
+    def test_unknown_and_leaving_engines_get_no_load(self):
+        self.loads = {}
+        self.assertEqual(self.plan(0, "load"), [])
+        row = tables.Upstream("x", "10.0.0.9:1", "a", ROLES.BOTH, True)
+        pool = tables.Pool("lm", tables.PoolKind.MODEL, (row,), ("m",))
+        loads = {("lm", "x"): make_load()}
+        self.assertEqual(self.planner.plan({"lm": pool}, loads, 0), [])
+
+    def test_roles_once_and_failures_later(self):
+        first = self.plan(0, "role")
+        self.assertEqual(len(first), 4)
+        self.planner.note_given(first[0], 0)
+        self.planner.note_failed(first[1], 0)
+        self.assertEqual(len(self.plan(1_000, "role")), 2)
+        self.assertEqual(len(self.plan(orders.RETRY_MS, "role")), 3)
+
+
+class LeaseTest(unittest.TestCase):
+    def test_candidates_are_few_and_the_same_for_all(self):
+        vms = [f"vm{n}" for n in range(410)]
+        chosen = issuer.choose_candidates(vms)
+        self.assertEqual(len(chosen), issuer.CANDIDATES)
+        self.assertEqual(chosen, issuer.choose_candidates(reversed(vms)))
+
+    def test_a_stale_read_brings_no_old_holder_back(self):
+        lease = issuer.IssuerLease("a", 1)
+        lease.note_read(issuer.LeaseRecord("b", 1, 5, 0), 50, 0)
+        lease.note_read(issuer.LeaseRecord("c", 1, 4, 9), 40, 10)
+        self.assertEqual((lease.fencing, lease.version), (5, 50))
+
+
+class CutStore:
+    """The platform as one VM reaches it, or not."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+
+    def __getattr__(self, method):
+        if self.name in self.world.cut:
+            return lambda *arguments: expression.Error(
+                fakes.make_fault(errors.Code.PLATFORM_UNAVAILABLE)
+            )
+        return getattr(self.world.store, method)
+
+
+class World:
+    """Several VMs before one platform and some engines; time by hand."""
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.clock = clock.ManualClock(1_000)
+        self.store = fakes.MemoryStore(seed)
+        self.pool = make_pool()
+        self.tables = tables.Tables(1, (), (self.pool,), ())
+        self.arrivals = {row.name: [] for row in self.pool.upstreams}
+        self.cut = set()
+        self.vms = [self.make_vm(name) for name in VMS]
+        # A process may be paused just before any call.
+        self.store.on_call = self.pause
+
+    def read_tables(self):
+        return self.tables
+
+    def subscribe(self, on_change):
+        raise NotImplementedError
+
+    def make_vm(self, name):
+        return controllers.OrdersController(
+            name,
+            1,
+            CutStore(self, name),
+            self,
+            lambda pool, upstream: WorldEngine(self, upstream),
+            dict,
+            lambda: True,
+            self.clock,
+        )
+
+    def pause(self):
+        if self.random.random() < 0.02:
+            self.clock.advance_ms(self.random.randint(0, 70_000))
+
+    def run(self, steps):
+        for _ in range(steps):
+            self.clock.advance_ms(self.random.randint(1, 700))
+            if self.random.random() < 0.03:
+                self.cut = set(self.random.sample(VMS, 1))
+            if self.random.random() < 0.03:
+                self.cut = set()
+            if self.random.random() < 0.01:
+                self.store.outage = not self.store.outage
+            if self.random.random() < 0.3:
+                self.store.lose_reply = self.random.choice((0, 0.3))
+                self.store.lose_write = self.random.choice((0, 0.3))
+                self.store.stale = self.random.choice((0, 0.3))
+            self.random.choice(self.vms).step()
+
+
+class WorldEngine:
+    """Takes orders after a flight of up to the longest."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+
+    def give_order(self, order):
+        world = self.world
+        flight_ms = world.random.randint(0, issuer.FLIGHT_MS)
+        at_ms = world.clock.now_ms() + flight_ms
+        world.arrivals[self.name].append((at_ms, order.fencing))
+        # Most answers are lost, so that orders are given all the time.
+        if world.random.random() < 0.9:
+            return expression.Error(
+                errors.Fault(errors.Code.UPSTREAM_TIMEOUT, errors.Step.ADMIN)
+            )
+        return expression.Ok(None)
+
+
+class IssuersTest(unittest.TestCase):
+    def test_no_old_order_arrives_after_a_new_one(self):
+        """Issuers are paused for a minute or cut off from the platform, the
+        platform is down, its replies are lost and its reads are stale, while
+        orders take seconds to arrive.  An engine that ignores fencing
+        numbers would take an old issuer's order after the new one's, and
+        serve the wrong model.
+        """
+        issuers = 0
+        for seed in range(40):
+            world = World(seed)
+            world.run(1_500)
+            for row in world.pool.upstreams:
+                if row.checks_fencing:
+                    continue
+                arrived = [f for _, f in sorted(world.arrivals[row.name])]
+                self.assertEqual(arrived, sorted(arrived), seed)
+                issuers += len(set(arrived))
+        # Many issuers followed one another, or nothing was shown.
+        self.assertGreater(issuers, 120)
+
+    def test_few_calls_to_the_platform(self):
+        world = World(0)
+        world.store.on_call = lambda: None
+        for _ in range(600):
+            world.clock.advance_ms(1_000)
+            for vm in world.vms:
+                vm.step()
+        calls = world.store.counts["orders"]
+        self.assertLess(calls, 600)
+        self.assertTrue(all(world.arrivals.values()))
+
+    def test_an_order_that_is_fenced_off_ends_the_lease(self):
+        world = World(1)
+        world.store.on_call = lambda: None
+        refused = errors.Fault(errors.Code.UPSTREAM_REFUSED, errors.Step.ADMIN)
+        engine = unittest.mock.Mock()
+        engine.give_order.return_value = expression.Error(refused)
+        vm = world.vms[0]
+        vm._find_engine = lambda pool, upstream: engine
+        vm.step()
+        self.assertEqual(engine.give_order.call_count, 1)
