--- a/mulberryway/policy/admission.py
+++ b/mulberryway/policy/admission.py
@@ -5,6 +5,7 @@
 from mulberryway.policy import messages
 from mulberryway.policy import meters
 from mulberryway.policy import neighbours
+from mulberryway.policy import placements
 from mulberryway.policy import placing
 from mulberryway.policy import queue
 
@@ -61,7 +62,7 @@
     def read_latest_ms(
         self,
         job: messages.Job,
-        best: placing.Placement,
+        best: placements.Placement,
         pool: tables.Pool,
     ) -> int:
         """Return when a job has to start so as to be in time.
@@ -89,7 +90,7 @@
     def check_time(
         self,
         job: messages.Job,
-        best: placing.Placement,
+        best: placements.Placement,
         latest_ms: int,
         now_ms: int,
     ) -> errors.Fault | None:
@@ -125,7 +126,7 @@
         if self._placer.count_free(now_ms) > len(self._fair):
             return 0.0
         state = self._fair.find_account(job.account, job.weight)
-        own = sum(lane_cost(lane) for lane in state.lanes)
+        own = sum(estimate_lane_cost(lane) for lane in state.lanes)
         start = self._fair.read_start(job.account) + own / state.weight
         ahead = max(start - self._fair.now_virtual, 0.0)
         weights = self._fair.weight_waiting + self._peers.read_weight_waiting(
@@ -135,7 +136,7 @@
         return ahead * max(weights, state.weight) / speed / CLEARLY
 
 
-def lane_cost(lane: dict[str, queue.Entry]) -> float:
+def estimate_lane_cost(lane: dict[str, queue.Entry]) -> float:
     """Return about what the jobs of a lane cost together.
 
     :param lane: the lane
--- /dev/null
+++ b/mulberryway/policy/placements.py
@@ -0,0 +1,81 @@
+"""A possible start of a job: where it runs, and when what comes."""
+
+from mulberryway import tables
+from mulberryway.policy import messages
+from mulberryway.policy import views
+
+__all__ = ["Placement", "count_blocks", "count_bytes", "read_zones"]
+
+
+class Placement:
+    """A possible start of a job.
+
+    :param prefill: the upstream for the prefill
+    :param decode: the upstream for the decode; none while only estimated
+    :param tokens: prompt tokens that are not in the prefix cache
+    :param prefill_ms: how long the prefill takes by itself
+    :param ready_ms: when the prefill probably ends
+    :param transfer_ms: how long the KV cache takes over the link
+    :param first_token_ms: when the first token probably comes
+    :param blocks: KV cache blocks that the decode takes
+    """
+
+    __slots__ = (
+        "prefill",
+        "decode",
+        "tokens",
+        "prefill_ms",
+        "ready_ms",
+        "transfer_ms",
+        "first_token_ms",
+        "blocks",
+    )
+
+    def __init__(
+        self,
+        prefill: views.UpstreamView,
+        tokens: float,
+        prefill_ms: float,
+        ready_ms: float,
+    ) -> None:
+        self.prefill = prefill
+        self.decode: views.UpstreamView | None = None
+        self.tokens = tokens
+        self.prefill_ms = prefill_ms
+        self.ready_ms = ready_ms
+        self.transfer_ms = 0.0
+        self.first_token_ms = ready_ms
+        self.blocks = 0
+
+
+def count_bytes(job: messages.Job, pool: tables.Pool) -> int:
+    """Return the size of a job's KV cache.
+
+    :param job: the job
+    :param pool: the pool's row
+    :returns: bytes
+    """
+    return job.prompt_tokens * pool.kv_bytes_per_token
+
+
+def count_blocks(job: messages.Job, pool: tables.Pool) -> int:
+    """Return how much of a decode engine's memory a job may take.
+
+    :param job: the job
+    :param pool: the pool's row
+    :returns: KV cache blocks, for the prompt and the longest answer
+    """
+    tokens = job.prompt_tokens + job.max_tokens
+    return -(-tokens // max(pool.block_tokens, 1))
+
+
+def read_zones(
+    prefill: views.UpstreamView, decode: views.UpstreamView
+) -> tuple[str, str]:
+    """Return the zones between which a KV cache travels.
+
+    :param prefill: where it is made
+    :param decode: where it goes
+    :returns: the zones' names
+    """
+    return prefill.row.zone, decode.row.zone
--- a/mulberryway/policy/placing.py
+++ b/mulberryway/policy/placing.py
@@ -8,13 +8,14 @@
 
 from mulberryway import tables
 from mulberryway.policy import messages
+from mulberryway.policy import placements
 from mulberryway.policy import queue
 from mulberryway.policy import shifting
 from mulberryway.policy import slowness
 from mulberryway.policy import transfers
 from mulberryway.policy import views
 
-__all__ = ["Placement", "Placer"]
+__all__ = ["Placer"]
 
 # What a prefill costs however short it is, and what the hops cost.
 PREFILL_BASE_MS = 5.0
@@ -36,47 +37,6 @@
 BLIND_CHOICES = 2
 
 
-class Placement:
-    """A possible start of a job.
-
-    :param prefill: the upstream for the prefill
-    :param decode: the upstream for the decode; none while only estimated
-    :param tokens: prompt tokens that are not in the prefix cache
-    :param prefill_ms: how long the prefill takes by itself
-    :param ready_ms: when the prefill probably ends
-    :param transfer_ms: how long the KV cache takes over the link
-    :param first_token_ms: when the first token probably comes
-    :param blocks: KV cache blocks that the decode takes
-    """
-
-    __slots__ = (
-        "prefill",
-        "decode",
-        "tokens",
-        "prefill_ms",
-        "ready_ms",
-        "transfer_ms",
-        "first_token_ms",
-        "blocks",
-    )
-
-    def __init__(
-        self,
-        prefill: views.UpstreamView,
-        tokens: float,
-        prefill_ms: float,
-        ready_ms: float,
-    ) -> None:
-        self.prefill = prefill
-        self.decode: views.UpstreamView | None = None
-        self.tokens = tokens
-        self.prefill_ms = prefill_ms
-        self.ready_ms = ready_ms
-        self.transfer_ms = 0.0
-        self.first_token_ms = ready_ms
-        self.blocks = 0
-
-
 class Placer:
     """Chooses upstreams for the jobs of one pool.
 
@@ -99,7 +59,7 @@
 
     def estimate(
         self, job: messages.Job, pool: tables.Pool, now_ms: int
-    ) -> Placement | None:
+    ) -> placements.Placement | None:
         """Return the best prefill that a job could get now.
 
         :param job: the job
@@ -116,7 +76,7 @@
 
     def choose(
         self, entry: queue.Entry, pool: tables.Pool, now_ms: int
-    ) -> Placement | None:
+    ) -> placements.Placement | None:
         """Return where a job can start now so as to be in time.
 
         :param entry: the waiting job
@@ -144,7 +104,7 @@
 
     def commit(
         self,
-        placement: Placement,
+        placement: placements.Placement,
         job: messages.Job,
         pool: tables.Pool,
         now_ms: int,
@@ -166,8 +126,8 @@
         placement.prefill.add_prefill(placement.prefill_ms, now_ms)
         placement.prefill.prefixes.note_own(job.prefix_hashes)
         self._links.reserve(
-            _read_zones(placement.prefill, placement.decode),
-            _count_bytes(job, pool),
+            placements.read_zones(placement.prefill, placement.decode),
+            placements.count_bytes(job, pool),
             pool.link_bytes_per_s,
             placement.ready_ms,
         )
@@ -175,7 +135,7 @@
     def choose_other(
         self,
         entry: queue.Entry,
-        placement: Placement,
+        placement: placements.Placement,
         pool: tables.Pool,
         now_ms: int,
     ) -> views.UpstreamView | None:
@@ -217,7 +177,7 @@
 
     def _list_prefills(
         self, entry: queue.Entry, pool: tables.Pool, now_ms: int
-    ) -> list[Placement]:
+    ) -> list[placements.Placement]:
         job = entry.job
         usable = self._list_usable(self._members.prefills, job, now_ms)
         if entry.lane is queue.Lane.SUSPECT:
@@ -251,7 +211,7 @@
         job: messages.Job,
         pool: tables.Pool,
         now_ms: int,
-    ) -> Placement:
+    ) -> placements.Placement:
         hits = view.prefixes.count_hits(job.prefix_hashes)
         tokens = max(job.prompt_tokens - hits * pool.block_tokens, 0.0)
         prefill_ms = PREFILL_BASE_MS + tokens * view.prefill_rate.value
@@ -260,16 +220,16 @@
             # Nobody tells what the others sent, so the report has to do.
             wait_ms += view.excess_prefills * prefill_ms
         ready_ms = now_ms + wait_ms + prefill_ms
-        return Placement(view, tokens, prefill_ms, ready_ms)
+        return placements.Placement(view, tokens, prefill_ms, ready_ms)
 
     def _choose_decode(
         self,
         entry: queue.Entry,
-        placement: Placement,
+        placement: placements.Placement,
         pool: tables.Pool,
         now_ms: int,
     ) -> views.UpstreamView | None:
-        blocks = _count_blocks(entry.job, pool)
+        blocks = placements.count_blocks(entry.job, pool)
         usable = [
             view
             for view in self._list_usable(
@@ -293,14 +253,14 @@
     def _rate_decode(
         self,
         view: views.UpstreamView,
-        placement: Placement,
+        placement: placements.Placement,
         job: messages.Job,
         pool: tables.Pool,
         now_ms: int,
     ) -> float:
         transfer_ms = self._links.estimate_ms(
-            _read_zones(placement.prefill, view),
-            _count_bytes(job, pool),
+            placements.read_zones(placement.prefill, view),
+            placements.count_bytes(job, pool),
             pool.link_bytes_per_s,
             placement.ready_ms,
         )
@@ -311,16 +271,16 @@
 
     def _plan_decode(
         self,
-        placement: Placement,
+        placement: placements.Placement,
         decode: views.UpstreamView,
         job: messages.Job,
         pool: tables.Pool,
     ) -> None:
         placement.decode = decode
-        placement.blocks = _count_blocks(job, pool)
+        placement.blocks = placements.count_blocks(job, pool)
         placement.transfer_ms = self._links.estimate_ms(
-            _read_zones(placement.prefill, decode),
-            _count_bytes(job, pool),
+            placements.read_zones(placement.prefill, decode),
+            placements.count_bytes(job, pool),
             pool.link_bytes_per_s,
             placement.ready_ms,
         )
@@ -332,20 +292,5 @@
         )
 
 
-def _read_ready(placement: Placement) -> float:
+def _read_ready(placement: placements.Placement) -> float:
     return placement.ready_ms
-
-
-def _count_bytes(job: messages.Job, pool: tables.Pool) -> int:
-    return job.prompt_tokens * pool.kv_bytes_per_token
-
-
-def _count_blocks(job: messages.Job, pool: tables.Pool) -> int:
-    tokens = job.prompt_tokens + job.max_tokens
-    return -(-tokens // max(pool.block_tokens, 1))
-
-
-def _read_zones(
-    prefill: views.UpstreamView, decode: views.UpstreamView
-) -> tuple[str, str]:
-    return prefill.row.zone, decode.row.zone
--- /dev/null
+++ b/mulberryway/policy/pool_set.py
@@ -0,0 +1,120 @@
+"""The pools of models that a router knows, as the tables change."""
+
+import collections.abc
+import random
+
+from mulberryway import tables
+from mulberryway.policy import endings
+from mulberryway.policy import poison
+from mulberryway.policy import pools
+from mulberryway.policy import shifting
+from mulberryway.policy import weighing
+
+__all__ = ["PoolSet"]
+
+
+class PoolSet:
+    """Makes, changes and retires the schedulers of pools.
+
+    :param vm: this VM's name
+    :param weighed: what the deployment weighs more
+    :param register: requests that may be poison
+    :param random_: a seeded source of chance
+    :param token_gap_ms: the most time between tokens that is still good
+    :param most_entries: limit on what waits in each pool
+    :param most_bytes: limit on the bodies of what waits in each pool
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        weighed: weighing.Weighing,
+        register: poison.Register,
+        random_: random.Random,
+        token_gap_ms: int,
+        most_entries: int,
+        most_bytes: int,
+    ) -> None:
+        self.pools: dict[str, pools.PoolScheduler] = {}
+        self._vm = vm
+        self._weighed = weighed
+        self._register = register
+        self._random = random_
+        self._token_gap_ms = token_gap_ms
+        self._most_entries = most_entries
+        self._most_bytes = most_bytes
+        self._vms: tuple[str, ...] = (vm,)
+        self._endings: dict[str, endings.Endings] = {}
+        self._retired: dict[str, pools.PoolScheduler] = {}
+
+    def find_any(self, name: str) -> pools.PoolScheduler:
+        """Return a pool's scheduler, also of a pool that is gone.
+
+        Jobs that had started when the pool went still end there.
+
+        :param name: the pool's name, which must have been known
+        :returns: its scheduler
+        """
+        return self.pools.get(name) or self._retired[name]
+
+    def find_endings(self, name: str) -> endings.Endings:
+        """Return what ends the jobs of a pool, also of one that is gone.
+
+        :param name: the pool's name, which must have been known
+        :returns: its endings
+        """
+        return self._endings[name]
+
+    def change_vms(self, vms: tuple[str, ...]) -> None:
+        """Take over the list of VMs that run a router.
+
+        :param vms: their names
+        """
+        if set(vms) == set(self._vms):
+            return
+        self._vms = tuple(sorted(vms))
+        for pool in self.pools.values():
+            pool.members.forget_division()
+            pool.members.change(pool.row, self._vms)
+
+    def change(
+        self, rows: collections.abc.Mapping[str, tables.Pool]
+    ) -> list[str]:
+        """Take over a new table of pools.
+
+        :param rows: the rows by name
+        :returns: names of pools that are gone
+        """
+        models = {
+            name: row
+            for name, row in rows.items()
+            if row.kind is tables.PoolKind.MODEL
+        }
+        gone = [name for name in self.pools if name not in models]
+        for name in gone:
+            self._retired[name] = self.pools.pop(name)
+        for name, row in models.items():
+            if name not in self.pools:
+                self._add(name, row)
+            self.pools[name].row = row
+            self.pools[name].members.change(row, self._vms)
+        return gone
+
+    def _add(self, name: str, row: tables.Pool) -> None:
+        pool = self._retired.pop(name, None)
+        if pool is None:
+            pool = self._make(row)
+            self._endings[name] = endings.Endings(pool, self._register)
+        self.pools[name] = pool
+
+    def _make(self, row: tables.Pool) -> pools.PoolScheduler:
+        return pools.PoolScheduler(
+            row,
+            shifting.Members(self._vm, self._random),
+            self._register,
+            self._weighed,
+            self._random,
+            self._token_gap_ms,
+            self._most_entries,
+            self._most_bytes,
+        )
--- a/mulberryway/policy/pools.py
+++ b/mulberryway/policy/pools.py
@@ -8,6 +8,7 @@
 from mulberryway.policy import messages
 from mulberryway.policy import meters
 from mulberryway.policy import neighbours
+from mulberryway.policy import placements
 from mulberryway.policy import placing
 from mulberryway.policy import poison
 from mulberryway.policy import queue
@@ -292,7 +293,7 @@
         return decode
 
     def _start(
-        self, entry: queue.Entry, placement: placing.Placement, now_ms: int
+        self, entry: queue.Entry, placement: placements.Placement, now_ms: int
     ) -> running.Running:
         job = entry.job
         self.fair.remove(job.job_id)
--- a/mulberryway/policy/running.py
+++ b/mulberryway/policy/running.py
@@ -1,6 +1,6 @@
 """A job that has started, with everything it holds."""
 
-from mulberryway.policy import placing
+from mulberryway.policy import placements
 from mulberryway.policy import queue
 
 __all__ = ["Running"]
@@ -29,7 +29,7 @@
     )
 
     def __init__(
-        self, entry: queue.Entry, placement: placing.Placement, now_ms: int
+        self, entry: queue.Entry, placement: placements.Placement, now_ms: int
     ) -> None:
         self.entry = entry
         self.placement = placement
--- a/mulberryway/policy/scheduler.py
+++ b/mulberryway/policy/scheduler.py
@@ -8,14 +8,12 @@
 from mulberryway import tables
 from mulberryway.policy import admission
 from mulberryway.policy import base
-from mulberryway.policy import endings
 from mulberryway.policy import hearing
 from mulberryway.policy import hints
 from mulberryway.policy import messages
 from mulberryway.policy import poison
-from mulberryway.policy import pools
+from mulberryway.policy import pool_set
 from mulberryway.policy import running
-from mulberryway.policy import shifting
 from mulberryway.policy import telling
 from mulberryway.policy import weighing
 from mulberryway.upstreams import base as upstreams
@@ -59,20 +57,20 @@
         most_entries: int = MOST_ENTRIES,
         most_bytes: int = MOST_BYTES,
     ) -> None:
-        self._vm = vm
-        self._weighed = weighed
         self.register = register or poison.Register()
-        self._random = random.Random(seed)
-        self._token_gap_ms = token_gap_ms
-        self._most_entries = most_entries
-        self._most_bytes = most_bytes
-        self._pools: dict[str, pools.PoolScheduler] = {}
-        self._endings: dict[str, endings.Endings] = {}
-        self._retired: dict[str, pools.PoolScheduler] = {}
+        self._set = pool_set.PoolSet(
+            vm,
+            weighed,
+            self.register,
+            random.Random(seed),
+            token_gap_ms,
+            most_entries,
+            most_bytes,
+        )
+        self._pools = self._set.pools
         self._waiting: dict[str, str] = {}
         self._running: dict[str, running.Running] = {}
         self._dropped: list[messages.Refusal] = []
-        self._vms: tuple[str, ...] = (vm,)
         self._teller = telling.Teller(vm, incarnation, self.register)
         self._hearer = hearing.Hearer(vm, self.register)
 
@@ -131,7 +129,7 @@
         if name is None:
             return False
         self._dropped = [one for one in self._dropped if one.job_id != job_id]
-        self._find_any(name).fair.remove(job_id)
+        self._set.find_any(name).fair.remove(job_id)
         return True
 
     def note_prefilled(self, job_id: str, now_ms: int) -> None:
@@ -142,7 +140,9 @@
         """
         job = self._running.get(job_id)
         if job is not None:
-            self._endings[job.entry.job.pool].note_prefilled(job, now_ms)
+            self._set.find_endings(job.entry.job.pool).note_prefilled(
+                job, now_ms
+            )
 
     def note_first_token(self, job_id: str, now_ms: int) -> None:
         """Tell that a started job's first token has come.
@@ -184,7 +184,7 @@
         job = self._running.get(job_id)
         if job is None or job.placement.decode is None:
             return None
-        pool = self._find_any(job.entry.job.pool)
+        pool = self._set.find_any(job.entry.job.pool)
         before = job.placement.decode
         after = pool.move_decode(job, refused, now_ms)
         if after is None:
@@ -211,8 +211,10 @@
         if started is None:
             return
         job = started.entry.job
-        tokens = self._endings[job.pool].finish(started, end, upstream, now_ms)
-        pool = self._find_any(job.pool)
+        tokens = self._set.find_endings(job.pool).finish(
+            started, end, upstream, now_ms
+        )
+        pool = self._set.find_any(job.pool)
         pool.fair.correct(job.account, job.weight, tokens)
         self._teller.note_charge(job.pool, job.account, job.weight, tokens)
         self._tell_views(job.pool, started)
@@ -287,12 +289,7 @@
         :param vms: their names, this VM's among them
         :param now_ms: the present
         """
-        if set(vms) == set(self._vms):
-            return
-        self._vms = tuple(sorted(vms))
-        for pool in self._pools.values():
-            pool.members.forget_division()
-            pool.members.change(pool.row, self._vms)
+        self._set.change_vms(vms)
 
     def change_pools(self, pools: dict[str, tables.Pool], now_ms: int) -> None:
         """Take over a new table of pools; leaving upstreams get no work.
@@ -300,43 +297,13 @@
         :param pools: the pools by name
         :param now_ms: the present
         """
-        models = {
-            name: row
-            for name, row in pools.items()
-            if row.kind is tables.PoolKind.MODEL
-        }
-        for name in self._pools.keys() - models.keys():
-            self._drop_pool(name)
-        for name, row in models.items():
-            if name not in self._pools:
-                self._add_pool(name, row)
-            self._pools[name].row = row
-            self._pools[name].members.change(row, self._vms)
-
-    def _add_pool(self, name: str, row: tables.Pool) -> None:
-        pool = self._retired.pop(name, None)
-        if pool is None:
-            pool = self._make_pool(row)
-            self._endings[name] = endings.Endings(pool, self.register)
-        self._pools[name] = pool
-
-    def _make_pool(self, row: tables.Pool) -> pools.PoolScheduler:
-        return pools.PoolScheduler(
-            row,
-            shifting.Members(self._vm, self._random),
-            self.register,
-            self._weighed,
-            self._random,
-            self._token_gap_ms,
-            self._most_entries,
-            self._most_bytes,
-        )
+        for name in self._set.change(pools):
+            self._drop_waiting(name)
 
-    def _drop_pool(self, name: str) -> None:
+    def _drop_waiting(self, name: str) -> None:
         # What waits for a pool that is gone would wait for its deadline, so
         # it gets its final answer with the next dispatch.
-        pool = self._pools.pop(name)
-        self._retired[name] = pool
+        pool = self._set.find_any(name)
         for job_id in [i for i, p in self._waiting.items() if p == name]:
             entry = pool.fair.remove(job_id)
             if entry is not None:
@@ -345,16 +312,13 @@
                 )
                 self._dropped.append(messages.Refusal(job_id, fault))
 
-    def _find_any(self, name: str) -> pools.PoolScheduler:
-        return self._pools.get(name) or self._retired[name]
-
     def _note_start(
         self, pool: str, started: running.Running, now_ms: int
     ) -> messages.Assignment:
         job = started.entry.job
         del self._waiting[job.job_id]
         self._running[job.job_id] = started
-        self._endings[pool].note_start(started, now_ms)
+        self._set.find_endings(pool).note_start(started, now_ms)
         self._teller.note_charge(
             pool, job.account, job.weight, started.entry.cost
         )
