Let one VM write each shard of claims for all

Cause: VMs that each append to a shard refuse each other's updates: three VMs of eight callers needed 1.85 writes and 1.04 reads a booking, nine 2.93 and 2.30. Change: attempts go in batches to the shard's keeper, chosen by rendezvous hashing over the members; whoever gets no good answer writes for itself under the same attempt's name. Writes of a shard are paced at 100 ms, so 16 shards write at most 160 times a second plus ends. Schedules with keepers that VMs disagree on join the history test, and a keeper that releases others' claims joins the broken variants. Conclusion: the platform's writes no longer grow with the calls; a claim costs up to the pace in time.

--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -13,30 +13,42 @@
 from benchmarks import usage
 from mulberryway import clock
 from mulberryway import errors
+from mulberryway import peers
+from mulberryway.controllers import claim_keeping
 from mulberryway.controllers import claims
 from mulberryway.load import outcome
+from mulberryway.peers.gen.claims import Claims
 from mulberryway.platform import counts
 from mulberryway.platform import http
 from mulberryway.policy import claim_records
+from mulberryway.policy import member
 from tests import processes
 
 __all__ = ["measure"]
 
 RUN_MS = 3_000
 SERVICE_MS = 5
+SECRET = "bench"
 TIMEOUT_MS = 2_000
 # VMs, and callers at each of them who book without a pause.
-CASES = ((1, 1), (1, 8), (1, 32), (3, 8), (9, 8))
+CASES = ((1, 1), (1, 8), (1, 32), (3, 8), (9, 1), (9, 8))
 CLOCK = clock.SystemClock()
 REPLY = claim_records.KeptReply(
     201, [("Content-Type", "application/json")], b'{"booking": 123456}'
 )
 
 
+class Fleet:
+    """The VMs of one case."""
+
+    def __init__(self) -> None:
+        self.members: list[member.Member] = []
+
+
 class Vm:
     """One VM's way to make calls run at most once."""
 
-    def __init__(self, name: str, port: int) -> None:
+    def __init__(self, name: str, port: int, fleet: Fleet) -> None:
         self.name = name
         self.refused: list[str] = []
         self.store = http.HttpObjectStore(
@@ -57,11 +69,37 @@
 class LogVm(Vm):
     """The batched log."""
 
-    def __init__(self, name: str, port: int) -> None:
-        super().__init__(name, port)
-        self.claims = claims.ClaimStore(self.store, CLOCK, name, 1)
+    def __init__(self, name: str, port: int, fleet: "Fleet") -> None:
+        super().__init__(name, port, fleet)
+        peers_ = peers.PeerClient(SECRET, CLOCK)
+        self.claims = claims.ClaimStore(
+            self.store,
+            CLOCK,
+            name,
+            1,
+            peers=peers_,
+            find_keeper=claim_keeping.make_finder(name, self.list_keepers),
+        )
+        self.server = peers.PeerServer(
+            processes.HOST,
+            0,
+            SECRET,
+            {"Claims": Claims.Processor(self.claims.handler)},
+            CLOCK,
+        )
+        self.server.start()
+        own = member.Member(
+            name, processes.HOST, self.server.port, 0, "z", "r", 1
+        )
+        fleet.members.append(own)
+        self.own = own
+        self.fleet = fleet
         self.claims.start()
 
+    def list_keepers(self) -> list[member.Member]:
+        """Return the VMs that may be keepers."""
+        return self.fleet.members
+
     def book(self, key: str) -> float:
         began_ms = CLOCK.now_ms()
         deadline = clock.Deadline(began_ms + TIMEOUT_MS)
@@ -76,6 +114,14 @@
 
     def stop(self) -> None:
         self.claims.stop()
+        self.server.stop()
+
+
+class LonelyVm(LogVm):
+    """The batched log, each VM writing for itself."""
+
+    def list_keepers(self) -> list[member.Member]:
+        return [self.own]
 
 
 class ObjectVm(Vm):
@@ -110,7 +156,7 @@
 
 
 def measure_case(
-    make_vm: typing.Callable[[str, int], Vm], vms: int, callers: int
+    make_vm: typing.Callable[[str, int, Fleet], Vm], vms: int, callers: int
 ) -> dict[str, float]:
     """Return the figures of one case, on a platform of its own.
 
@@ -122,7 +168,8 @@
         platform, port = processes.start_standin(
             group, "platform", "--writes_per_s=0", "--reads_per_s=0"
         )
-        made = [make_vm(f"vm{number}", port) for number in range(vms)]
+        fleet = Fleet()
+        made = [make_vm(f"vm{number}", port, fleet) for number in range(vms)]
         added = run_callers(made, callers)
         for vm in made:
             vm.stop()
@@ -152,7 +199,12 @@
             make_vm, vms, callers
         )
         for vms, callers in CASES
-        for name, make_vm in (("log", LogVm), ("objects", ObjectVm))
+        for name, make_vm in (
+            ("log", LogVm),
+            ("lonely", LonelyVm),
+            ("objects", ObjectVm),
+        )
+        if vms > 1 or make_vm is not LonelyVm
     }
 
 
--- a/mulberryway/controllers/claim_writer.py
+++ b/mulberryway/controllers/claim_writer.py
@@ -9,49 +9,38 @@
 
 from mulberryway import clock
 from mulberryway import errors
+from mulberryway.controllers import claim_queue
 from mulberryway.platform import base
 from mulberryway.policy import claim_records
 from mulberryway.policy import claims
 
-__all__ = ["ClaimWriter", "Waiter"]
+__all__ = ["ClaimWriter"]
 
 LOG = logging.getLogger(__name__)
 
+Record = claim_records.Record
+ClaimState = claim_records.ClaimState
+Waiter = claim_queue.Waiter
+
 PURPOSE = "claims"
-# A batch is bounded so that a slot stays far below the platform's megabyte
-# and one caller's wait does not grow with everybody's.
-MOST_BATCH = 256
 # Ends of calls that are not written yet, as in an outage.  What is dropped
 # beyond this answers repeats with "may have run" instead of the reply.
 MOST_ENDS = 4_096
 MOST_END_BYTES = 65_536
 MOST_ABANDONED = 16_384
-RETRY_AFTER_MS = 1_000
-
-Decided = expression.Result[claims.Decision, errors.Fault]
-
-
-class Waiter:
-    """One attempt that waits for its verdict.
-
-    :param request: its wish
-    """
-
-    __slots__ = ("request", "result", "may_be_written")
-
-    def __init__(self, request: claims.ClaimRequest) -> None:
-        self.request = request
-        self.result: Decided | None = None
-        # An append that holds its claim was sent.
-        self.may_be_written = False
+# The least time between two writes of claims to one shard.  With one writer
+# a shard, all shards together write at most 160 times a second, however many
+# calls there are, and twice a second each for ends that no claim took along;
+# a call that comes after a quiet time does not wait.
+PACE_MS = 100
+# A VM that no longer writes a shard need not keep its megabyte in memory.
+FORGET_MS = 60_000
 
 
 class ClaimWriter:
-    """One shard's end of this VM.
+    """Writes one shard's log.
 
-    Whoever comes while no write is under way writes for all that wait; the
-    others wait for it.  So a write takes along all that came during the
-    one before, and no timer delays a single caller.
+    Every VM may do so; it is cheap while only one does.
 
     :param kind: the shard's kind in the platform
     :param store: the platform
@@ -75,37 +64,42 @@
         self._is_known = False
         # Whether it was read during this round of writing.
         self._is_fresh = False
+        self._used_ms = clock_.now_ms()
         self._lock = threading.Lock()
-        self._writing = threading.Lock()
-        self._waiters: list[Waiter] = []
-        self._ends: dict[str, claim_records.Record] = {}
+        self._queue = claim_queue.ClaimQueue(clock_, self._write, PACE_MS)
+        self._ends: dict[str, Record] = {}
         self._abandoned: dict[str, None] = {}
 
-    def decide(
-        self, request: claims.ClaimRequest, deadline: clock.Deadline
-    ) -> Decided:
-        """Return what an attempt may do; ``OWNED`` means: run it.
+    def submit(self, waiters: list[Waiter], deadline: clock.Deadline) -> None:
+        """Find out what attempts may do; ``OWNED`` means: run the call.
+
+        :param waiters: the attempts; afterwards each has a verdict other
+            than ``FREE``, or a fault that says that it was not run
+        :param deadline: when those that still wait are refused
+        """
+        self._queue.submit(waiters, deadline)
+        for waiter in waiters:
+            self.abandon(waiter)
+
+    def abandon(self, waiter: Waiter) -> None:
+        """Remember that an attempt will not run though its claim may stand.
+
+        Its caller was told "not run" and may repeat the call; the claim
+        that arrives late would answer "may have run" for ever.  It is
+        released as soon as it is seen.
 
-        :param request: the wish
-        :param deadline: when the attempt gives up
-        :returns: a verdict other than ``FREE``, or a fault that says that
-            the call was not run
+        :param waiter: an attempt that has its result
         """
-        waiter = Waiter(request)
+        if waiter.result is None or waiter.result.is_ok():
+            return
+        if not waiter.may_be_written or not waiter.is_own:
+            return
         with self._lock:
-            self._waiters.append(waiter)
-        while waiter.result is None:
-            left_s = deadline.left_ms(self._clock.now_ms()) / 1000
-            if not self._writing.acquire(timeout=left_s):
-                return self._give_up(waiter)
-            try:
-                if waiter.result is None:
-                    self._write_waiting(deadline)
-            finally:
-                self._writing.release()
-        return waiter.result
-
-    def note_end(self, record: claim_records.Record) -> None:
+            self._abandoned[waiter.request.owner] = None
+            while len(self._abandoned) > MOST_ABANDONED:
+                self._abandoned.pop(next(iter(self._abandoned)))
+
+    def note_end(self, record: Record) -> None:
         """Have the end of a call written along with the next append.
 
         :param record: ``DONE`` or ``RELEASED``
@@ -122,50 +116,27 @@
         :returns: whether nothing is left to be written
         """
         with self._lock:
-            if not self._ends:
-                return True
-        left_s = deadline.left_ms(self._clock.now_ms()) / 1000
-        if not self._writing.acquire(timeout=left_s):
-            return False
-        try:
-            self._write_waiting(deadline)
-        finally:
-            self._writing.release()
+            has_ends = bool(self._ends)
+        if has_ends or self._is_unused():
+            self._queue.serve_now(deadline)
         with self._lock:
             return not self._ends
 
-    def _give_up(self, waiter: Waiter) -> Decided:
-        with self._lock:
-            if waiter in self._waiters:
-                self._waiters.remove(waiter)
-            if waiter.result is not None:
-                return waiter.result
-            self._abandon(waiter)
-            waiter.result = expression.Error(
-                _not_run("the claim was not written in time")
-            )
-            return waiter.result
-
-    def _abandon(self, waiter: Waiter) -> None:
-        """Remember that an attempt will not run though its claim may stand.
+    def _is_unused(self) -> bool:
+        return (
+            self._shard.has_slots()
+            and self._clock.now_ms() - self._used_ms > FORGET_MS
+        )
 
-        Its caller was told "not run" and may repeat the call; the claim
-        that arrives late would answer "may have run" for ever.  It is
-        released as soon as it is seen.
-        """
-        if not waiter.may_be_written:
+    def _write(self, batch: list[Waiter], deadline: clock.Deadline) -> None:
+        """Write for a batch; only one thread at a time does."""
+        if not batch and not self._ends and self._is_unused():
+            self._shard = self._make_shard()
+            self._is_known = False
             return
-        self._abandoned[waiter.request.owner] = None
-        while len(self._abandoned) > MOST_ABANDONED:
-            self._abandoned.pop(next(iter(self._abandoned)))
-
-    def _write_waiting(self, deadline: clock.Deadline) -> None:
-        """Write for all that wait now; the caller holds ``_writing``."""
-        with self._lock:
-            batch = self._waiters[:MOST_BATCH]
-            del self._waiters[:MOST_BATCH]
-        fault = _not_run("the log moved too often")
+        fault = claim_queue.refuse("the log moved too often")
         self._is_fresh = False
+        self._used_ms = self._clock.now_ms()
         while not deadline.has_passed(self._clock.now_ms()):
             found = self._try_once(batch)
             if found is None:
@@ -173,11 +144,9 @@
             fault = found
             if fault.code is not errors.Code.CONFLICT and not _is_lost(fault):
                 break
-        with self._lock:
-            for waiter in batch:
-                if waiter.result is None:
-                    self._abandon(waiter)
-                    waiter.result = expression.Error(_not_run(fault.message))
+        refusal = claim_queue.refuse(fault.message)
+        for waiter in batch:
+            waiter.settle(expression.Error(refusal))
 
     def _try_once(self, batch: list[Waiter]) -> errors.Fault | None:
         """Decide and append once; return why it has to be done again."""
@@ -205,7 +174,7 @@
 
     def _sort_out(
         self, batch: list[Waiter]
-    ) -> tuple[list[Waiter], list[claim_records.Record]]:
+    ) -> tuple[list[Waiter], list[Record]]:
         """Settle whom the log answers; return who needs an append.
 
         :returns: attempts to grant, at most one for each call, and ends of
@@ -231,56 +200,47 @@
                 self._settle(waiter, _follow(waiter.request, first))
             else:
                 claimed[digest] = waiter
-        with self._lock:
-            free = [
-                waiter for waiter in claimed.values() if waiter.result is None
-            ]
-            for waiter in free:
-                waiter.may_be_written = True
+        free = [one for one in claimed.values() if one.mark_sent()]
         return free, ends
 
-    def _pick_ends(self) -> list[claim_records.Record]:
+    def _pick_ends(self) -> list[Record]:
         """Return the ends that the next append takes along."""
         picked = []
         size = 0
         with self._lock:
             for record in self._ends.values():
                 size += len(record.reply.body) if record.reply else 0
-                if size > MOST_END_BYTES or len(picked) >= MOST_BATCH:
+                if (
+                    size > MOST_END_BYTES
+                    or len(picked) >= claim_queue.MOST_BATCH
+                ):
                     break
                 picked.append(record)
         return picked
 
-    def _decide(
-        self, waiter: Waiter, end: claim_records.Record | None
-    ) -> claims.Decision:
+    def _decide(self, waiter: Waiter, end: Record | None) -> claims.Decision:
         decision = self._shard.decide(waiter.request, self._clock.wall_ms())
         unfinished = decision.verdict is claims.Verdict.UNFINISHED
         if end is None or not unfinished or decision.record.owner != end.owner:
             return decision
-        if end.state is claim_records.ClaimState.DONE:
+        if end.state is ClaimState.DONE:
             return claims.Decision(claims.Verdict.RAN, end)
         # The release is appended in the same write, before this claim.
         return claims.Decision(claims.Verdict.FREE)
 
     def _settle(self, waiter: Waiter, decision: claims.Decision) -> None:
-        with self._lock:
-            if waiter.result is None:
-                waiter.result = expression.Ok(decision)
+        waiter.settle(expression.Ok(decision))
 
-    def _settle_written(
-        self, free: list[Waiter], ends: list[claim_records.Record]
-    ) -> None:
+    def _settle_written(self, free: list[Waiter], ends: list[Record]) -> None:
         for waiter in free:
             decision = self._shard.decide(
                 waiter.request, self._clock.wall_ms()
             )
-            with self._lock:
-                if waiter.result is None:
-                    waiter.result = expression.Ok(decision)
-                    continue
-            # It gave up while its claim was being written.
-            self._release_abandoned([waiter.request.make_record()])
+            is_heard = waiter.settle(expression.Ok(decision))
+            if not is_heard and waiter.is_own and waiter.result.is_error():
+                # It gave up while its claim was being written.
+                claim = waiter.request.make_record()
+                self.note_end(claim.end(ClaimState.RELEASED, None))
         with self._lock:
             for record in ends:
                 if self._ends.get(record.digest) is record:
@@ -308,7 +268,7 @@
             fault = self._follow_log() or self._read_whole_log()
         except ValueError:
             LOG.exception("a malformed slot in %s", self._kind)
-            return _not_run("a malformed slot")
+            return claim_queue.refuse("a malformed slot")
         self._is_known = self._is_fresh = fault is None
         return fault
 
@@ -348,7 +308,7 @@
         for item in sorted(listed.ok, key=_sequence_of):
             self._take_slot(int(item.name), item.value, item.version)
         if not self._shard.is_whole():
-            return _not_run("the log is known in part only")
+            return claim_queue.refuse("the log is known in part only")
         return None
 
     def _take_slot(
@@ -357,16 +317,16 @@
         fresh = self._shard.take_slot(place, value, version)
         self._release_abandoned(fresh)
 
-    def _release_abandoned(self, fresh: list[claim_records.Record]) -> None:
+    def _release_abandoned(self, fresh: list[Record]) -> None:
         found = [
             record
             for record in fresh
-            if record.state is claim_records.ClaimState.CLAIMED
+            if record.state is ClaimState.CLAIMED
             and record.owner in self._abandoned
         ]
         for record in found:
             self._abandoned.pop(record.owner, None)
-            self.note_end(record.end(claim_records.ClaimState.RELEASED, None))
+            self.note_end(record.end(ClaimState.RELEASED, None))
 
 
 def _sequence_of(item: base.StoredObject) -> int:
@@ -388,12 +348,3 @@
 
 def _moved() -> errors.Fault:
     return errors.Fault(errors.Code.CONFLICT, errors.Step.PLATFORM)
-
-
-def _not_run(message: str) -> errors.Fault:
-    return errors.Fault(
-        errors.Code.PLATFORM_UNAVAILABLE,
-        errors.Step.PLATFORM,
-        message=message,
-        retry_after_ms=RETRY_AFTER_MS,
-    )
--- a/mulberryway/controllers/claims.py
+++ b/mulberryway/controllers/claims.py
@@ -13,7 +13,10 @@
 from mulberryway import clock
 from mulberryway import errors
 from mulberryway.controllers import base
+from mulberryway.controllers import claim_keeping
+from mulberryway.controllers import claim_queue
 from mulberryway.controllers import claim_writer
+from mulberryway.peers import client
 from mulberryway.platform import base as platform
 from mulberryway.policy import claim_records
 from mulberryway.policy import claims
@@ -59,6 +62,9 @@
     :param incarnation: which life of this VM's router this is
     :param shards: how many shards there are; the same on all VMs
     :param make_shard: makes an empty view of one shard's log
+    :param peers: calls other VMs
+    :param find_keeper: finds the VM that writes a shard; without it this
+        VM writes all of them
     """
 
     def __init__(
@@ -69,26 +75,33 @@
         incarnation: int,
         shards: int = claims.SHARDS,
         make_shard: collections.abc.Callable[[], claims.Shard] = claims.Shard,
+        peers: client.PeerClient | None = None,
+        find_keeper: claim_keeping.FindKeeper = lambda shard: None,
     ) -> None:
         super().__init__("claims", clock_, FLUSH_MS)
         self._prefix = f"{vm}/{incarnation}/"
         self._numbers = itertools.count(1)
-        self._writers = [
+        writers = [
             claim_writer.ClaimWriter(
                 f"claims-{number:02}", store, clock_, make_shard
             )
             for number in range(shards)
         ]
+        self.handler = claim_keeping.ClaimHandler(writers, clock_)
+        self._shards = [
+            claim_keeping.KeptShard(number, writer, peers, find_keeper, clock_)
+            for number, writer in enumerate(writers)
+        ]
         self._lock = threading.Lock()
         self._running: dict[str, Grant] = {}
         self._followers = 0
 
     def step(self) -> None:
         """Write the ends of calls that no later claim took along."""
-        for writer in self._writers:
+        for shard in self._shards:
             if self.is_stopping():
                 return
-            writer.flush(self._limit(FLUSH_LIMIT_MS))
+            shard.flush(self._limit(FLUSH_LIMIT_MS))
 
     def stop(self, wait_ms: int = 2_000) -> None:
         """Write what is left, then end the thread.
@@ -97,8 +110,8 @@
         """
         limit = self._limit(wait_ms)
         super().stop(wait_ms)
-        for writer in self._writers:
-            writer.flush(limit)
+        for shard in self._shards:
+            shard.flush(limit, at_once=True)
 
     def begin(
         self, account: str, key: str, call: str, deadline: clock.Deadline
@@ -142,25 +155,27 @@
         :param run: whether the call was run
         :param reply: what the service replied
         """
-        writer = self._find_writer(grant.claim.digest)
+        shard = self._find_shard(grant.claim.digest)
         if run is errors.Run.RAN:
             kept = reply if reply is not None and reply.fits() else None
-            writer.note_end(grant.claim.end(ClaimState.DONE, kept))
+            shard.note_end(grant.claim.end(ClaimState.DONE, kept))
         elif run is errors.Run.NOT_RUN:
-            writer.note_end(grant.claim.end(ClaimState.RELEASED, None))
-            writer.flush(self._limit(RELEASE_LIMIT_MS))
+            shard.note_end(grant.claim.end(ClaimState.RELEASED, None))
+            shard.flush(self._limit(RELEASE_LIMIT_MS), at_once=True)
         with self._lock:
             self._running.pop(grant.claim.owner, None)
         grant.ended.set()
 
     def _decide(
         self, id_: claim_records.ClaimId, call: str, deadline: clock.Deadline
-    ) -> claim_writer.Decided:
+    ) -> claim_queue.Decided:
         owner = f"{self._prefix}{next(self._numbers)}"
         request = claims.ClaimRequest(id_, call, owner)
         limit = self._limit(DECIDE_LIMIT_MS)
         limit.at_ms = min(limit.at_ms, deadline.at_ms)
-        return self._find_writer(id_.digest).decide(request, limit)
+        waiter = claim_queue.Waiter(request)
+        self._find_shard(id_.digest).submit([waiter], limit)
+        return waiter.result
 
     def _answer(self, decision: claims.Decision) -> Began:
         if decision.verdict is Verdict.OWNED:
@@ -199,8 +214,8 @@
             with self._lock:
                 self._followers -= 1
 
-    def _find_writer(self, digest: str) -> claim_writer.ClaimWriter:
-        return self._writers[claims.pick_shard(digest, len(self._writers))]
+    def _find_shard(self, digest: str) -> claim_keeping.KeptShard:
+        return self._shards[claims.pick_shard(digest, len(self._shards))]
 
     def _limit(self, limit_ms: int) -> clock.Deadline:
         return clock.Deadline(self.clock.now_ms() + limit_ms)
--- a/mulberryway/policy/claims.py
+++ b/mulberryway/policy/claims.py
@@ -38,9 +38,9 @@
 ClaimState = claim_records.ClaimState
 
 # Fixed for a deployment's life: two VMs that disagreed would claim one call
-# in two shards.  16 shards of 128 slots hold some 40,000 calls in 8 MB.
+# in two shards.  16 shards of 256 slots hold some 80,000 calls in 16 MB.
 SHARDS = 16
-SLOTS = 128
+SLOTS = 256
 # An append sends the whole slot again, so small slots keep appends cheap.
 SLOT_BYTES = 4_096
 # An id whose time lies ahead would, once forgotten, raise the floor above
--- a/tests/claim_history.py
+++ b/tests/claim_history.py
@@ -8,9 +8,11 @@
 from mulberryway import clock
 from mulberryway import errors
 from mulberryway.controllers import claims as controller
+from mulberryway.peers.gen.claims import Claims
 from mulberryway.policy import claim_records
 from mulberryway.policy import claims
 from tests import fakes
+from tests import peer_network
 
 VMS = ("a1", "b1", "c1")
 ACCOUNTS = ("tea", "pens")
@@ -60,6 +62,33 @@
                 self._apply(*self._on_their_way.pop(0))
 
 
+class RoughPeers(peer_network.FakePeers):
+    """Calls between VMs that are lost, or whose replies are.
+
+    :param history: decides which
+    :param address: the caller's
+    """
+
+    def __init__(self, history, address):
+        super().__init__(history.network, address)
+        self.history = history
+
+    def call(self, *arguments, **options):
+        roll = self.history.random.random()
+        if roll < 0.1:
+            return self.lose(errors.Run.NOT_RUN)
+        answer = super().call(*arguments, **options)
+        return self.lose(errors.Run.MAY_HAVE_RUN) if roll < 0.3 else answer
+
+    def lose(self, run):
+        self.history.clock.advance_ms(CALL_MS)
+        return expression.Error(
+            errors.Fault(
+                errors.Code.PEER_UNREACHABLE, errors.Step.PEER, "", run
+            )
+        )
+
+
 class Call:
     """A call that callers send, perhaps several times."""
 
@@ -77,13 +106,14 @@
     :param adapt: changes each new claim store, to break it on purpose
     """
 
-    def __init__(self, seed, make_shard=None, adapt=None, faults=True):
+    def __init__(self, seed, make_shard=None, adapt=None, keepers=False):
         self.random = random.Random(seed)
         self.clock = clock.ManualClock(ONE_HOUR_MS)
         self.store = RoughStore(seed, self.clock)
         self.make_shard = make_shard or self.make_small_shard
         self.adapt = adapt or (lambda store: None)
-        self.faults = faults
+        self.keepers = keepers
+        self.network = peer_network.Network()
         self.lives = collections.Counter()
         self.vms = {name: self.start(name) for name in VMS}
         self.calls = []
@@ -101,11 +131,25 @@
     def start(self, name):
         self.lives[name] += 1
         store = controller.ClaimStore(
-            self.store, self.clock, name, self.lives[name], 1, self.make_shard
+            self.store,
+            self.clock,
+            name,
+            self.lives[name],
+            1,
+            self.make_shard,
+            RoughPeers(self, name),
+            lambda shard: self.find_keeper(name),
         )
+        self.network.attach(name, Claims.Processor(store.handler))
         self.adapt(store)
         return store
 
+    def find_keeper(self, name):
+        """Return any VM, as one whose view of the members is wrong does."""
+        if not self.keepers:
+            return None
+        return self.random.choice([vm for vm in VMS if vm != name] + [None])
+
     def run(self, steps):
         actions = (
             [self.send] * 8
@@ -190,8 +234,6 @@
         self.vms[name] = self.start(name)
 
     def change_faults(self):
-        if not self.faults:
-            return
         for fault in ("lose_reply", "lose_write", "stale", "late", "torn"):
             setattr(self.store, fault, self.random.choice((0, 0, 0.1, 0.4)))
         self.store.outage = self.random.random() < 0.15
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -3,17 +3,25 @@
 import collections
 import threading
 import unittest
+import unittest.mock
 
 import expression
 
 from mulberryway import clock
 from mulberryway import errors
+from mulberryway import peers
+from mulberryway.controllers import claim_keeping
+from mulberryway.controllers import claim_queue
 from mulberryway.controllers import claim_writer
 from mulberryway.controllers import claims as controller
+from mulberryway.peers.gen.claims import Claims
+from mulberryway.policy import claim_keepers
 from mulberryway.policy import claim_records
 from mulberryway.policy import claims
+from mulberryway.policy import member
 from tests import claim_history
 from tests import fakes
+from tests import processes
 
 SCHEDULES = 250
 STEPS = 80
@@ -72,8 +80,30 @@
         ):
             self.assertGreater(ends[end], SCHEDULES / 10, ends)
 
-    def check_broken(self, message, **kwargs):
-        found, _ = self.run_all(60, **kwargs)
+    def test_no_call_runs_twice_with_keepers(self):
+        """VMs disagree on who writes a shard, calls between them get lost,
+        and replies to such calls as well.  An attempt may then be written
+        by two VMs, and must still run once.
+        """
+        found, ends = self.run_all(100, keepers=True)
+        self.assertEqual(found, [])
+        for end in ("granted", "replayed", "duplicate may_have_run"):
+            self.assertGreater(ends[end], 100, ends)
+
+    def test_checker_finds_a_keeper_that_releases_for_others(self):
+        """A keeper gives up on another VM's attempt and releases its claim.
+        The attempt went on by itself and runs; so does the next one.
+        """
+
+        class Meddling(claim_queue.Waiter):
+            def __init__(self, request, is_own=True):
+                super().__init__(request)
+
+        with unittest.mock.patch.object(claim_keeping, "Waiter", Meddling):
+            self.check_broken("two runs", 200, keepers=True)
+
+    def check_broken(self, message, count=60, **kwargs):
+        found, _ = self.run_all(count, **kwargs)
         self.assertTrue(
             [violation for violation in found if message in violation]
         )
@@ -95,7 +125,7 @@
         """
 
         def adapt(store):
-            for writer in store._writers:
+            for writer in (shard.writer for shard in store._shards):
                 writer._append = lambda append, writer=writer: force(
                     writer, append
                 )
@@ -118,7 +148,7 @@
         """
 
         def adapt(store):
-            for writer in store._writers:
+            for writer in (shard.writer for shard in store._shards):
                 writer._append = lambda append, writer=writer: hope(
                     writer, append
                 )
@@ -201,6 +231,80 @@
         )
 
 
+class KeeperTest(unittest.TestCase):
+    """Two VMs that speak over real connections; one writes for both."""
+
+    def setUp(self):
+        self.clock = clock.SystemClock()
+        self.store = fakes.MemoryStore()
+        self.members = []
+        self.numbers = iter(range(1, 10**6))
+        self.servers = {}
+        self.vms = {name: self.start(name) for name in ("a1", "b1")}
+
+    def start(self, name):
+        vm = controller.ClaimStore(
+            self.store,
+            self.clock,
+            name,
+            1,
+            peers=peers.PeerClient("s", self.clock),
+            find_keeper=claim_keeping.make_finder(name, lambda: self.members),
+        )
+        server = peers.PeerServer(
+            processes.HOST,
+            0,
+            "s",
+            {"Claims": Claims.Processor(vm.handler)},
+            self.clock,
+        )
+        server.start()
+        self.addCleanup(server.stop)
+        self.servers[name] = server
+        self.members.append(
+            member.Member(name, processes.HOST, server.port, 0, "z", "r", 1)
+        )
+        return vm
+
+    def begin(self, name, key, call="c"):
+        deadline = clock.Deadline(self.clock.now_ms() + 5_000)
+        return self.vms[name].begin("a", key, call, deadline)
+
+    def make_key(self, keeper):
+        """Return a key in a shard that a VM keeps."""
+        while True:
+            key = claim_records.make_key(
+                self.clock.wall_ms(), next(self.numbers)
+            )
+            digest = claim_records.read_id("a", key).digest
+            shard = claims.pick_shard(digest)
+            chosen = claim_keepers.choose_keeper(shard, self.members)
+            if chosen.name == keeper:
+                return key
+
+    def test_keeper_writes_for_both(self):
+        key = self.make_key("b1")
+        grant = self.begin("a1", key).ok
+        reads = self.store.counts["claims"]
+        reply = claim_records.KeptReply(201, [], b"booked")
+        self.vms["a1"].end(grant, errors.Run.RAN, reply)
+        # The end reaches the keeper with the repeat, before any write.
+        self.assertEqual(self.begin("a1", key).ok.body, b"booked")
+        self.assertEqual(self.begin("b1", key).ok.body, b"booked")
+        self.assertLessEqual(self.store.counts["claims"], reads + 2)
+
+    def test_lost_keeper_costs_no_booking(self):
+        """The VM that writes a shard dies and membership has not noticed.
+        Callers of other VMs still get their bookings made, once.
+        """
+        old, fresh = self.make_key("b1"), self.make_key("b1")
+        self.assertTrue(self.begin("a1", old).is_ok())
+        self.servers["b1"].stop()
+        self.assertIsInstance(self.begin("a1", fresh).ok, controller.Grant)
+        again = self.begin("a1", old)
+        self.assertEqual(again.error.run, errors.Run.MAY_HAVE_RUN)
+
+
 class ClaimStoreTest(unittest.TestCase):
     def setUp(self):
         self.clock = clock.SystemClock()
@@ -316,7 +420,8 @@
         When it turns up after all it must not block the caller's repeat.
         """
         key = self.make_key()
-        writer = self.a1._find_writer(claim_records.read_id("a", key).digest)
+        digest = claim_records.read_id("a", key).digest
+        writer = self.a1._find_shard(digest).writer
         real = writer._append
         sent = []
 
@@ -345,7 +450,7 @@
         while True:
             key = self.make_key()
             digest = claim_records.read_id("a", key).digest
-            if self.a1._find_writer(digest) is writer:
+            if self.a1._find_shard(digest).writer is writer:
                 return key
 
     def test_ids_of_other_times_or_forms_are_refused(self):
