Have claims written by their keepers in the assembled router

Cause: each VM wrote its own claims. Change: the claim store finds keepers among the members, and the peers' server answers as one.

--- a/mulberryway/assembly.py
+++ b/mulberryway/assembly.py
@@ -6,6 +6,7 @@
 from mulberryway import peers
 from mulberryway import router
 from mulberryway import settings
+from mulberryway.controllers import claim_keeping
 from mulberryway.controllers import claims
 from mulberryway.controllers import configuration_service
 from mulberryway.controllers import engine_reports
@@ -13,6 +14,7 @@
 from mulberryway.controllers import notes
 from mulberryway.peers import datagrams
 from mulberryway.peers import server as peer_server
+from mulberryway.peers.gen.claims import Claims
 from mulberryway.peers.gen.membership import Membership
 from mulberryway.platform import counts
 from mulberryway.platform import http as platform_http
@@ -25,6 +27,7 @@
 __all__ = ["Assembly"]
 
 MEMBERSHIP = "Membership"
+CLAIMS = "Claims"
 
 
 class Assembly:
@@ -59,7 +62,14 @@
             settings_, self.store, self.client, self.members, self.clock
         )
         self.claims = claims.ClaimStore(
-            self.store, self.clock, settings_.vm_name, self.incarnation
+            self.store,
+            self.clock,
+            settings_.vm_name,
+            self.incarnation,
+            peers=self.client,
+            find_keeper=claim_keeping.make_finder(
+                settings_.vm_name, self.members.list_members
+            ),
         )
         self.directory = directory.HttpDirectory(self.clock)
         self.router = self._make_router()
@@ -83,6 +93,7 @@
             settings_.peers_secret,
             {
                 MEMBERSHIP: Membership.Processor(self.members.exchange),
+                CLAIMS: Claims.Processor(self.claims.handler),
                 configuration_service.SERVICE: self.configuration.processor,
             },
             self.clock,
