--- a/mulberryway/controllers/claim_writer.py
+++ b/mulberryway/controllers/claim_writer.py
@@ -1,14 +1,13 @@
 """Appends to one shard's log of claims, many attempts in one write."""
 
 import collections.abc
-import logging
 import threading
-import typing
 
 import expression
 
 from mulberryway import clock
 from mulberryway import errors
+from mulberryway.controllers import claim_log
 from mulberryway.controllers import claim_queue
 from mulberryway.platform import base
 from mulberryway.policy import claim_records
@@ -16,13 +15,10 @@
 
 __all__ = ["ClaimWriter"]
 
-LOG = logging.getLogger(__name__)
-
 Record = claim_records.Record
 ClaimState = claim_records.ClaimState
 Waiter = claim_queue.Waiter
 
-PURPOSE = "claims"
 # Ends of calls that are not written yet, as in an outage.  What is dropped
 # beyond this answers repeats with "may have run" instead of the reply.
 MOST_ENDS = 4_096
@@ -55,15 +51,10 @@
         clock_: clock.Clock,
         make_shard: collections.abc.Callable[[], claims.Shard] = claims.Shard,
     ) -> None:
-        self._kind = kind
-        self._store = store
+        self.log = claim_log.ClaimLog(
+            kind, store, make_shard, self._release_abandoned
+        )
         self._clock = clock_
-        self._make_shard = make_shard
-        self._shard = make_shard()
-        # Whether there is no reason to think that the log has moved on.
-        self._is_known = False
-        # Whether it was read during this round of writing.
-        self._is_fresh = False
         self._used_ms = clock_.now_ms()
         self._lock = threading.Lock()
         self._queue = claim_queue.ClaimQueue(clock_, self._write, PACE_MS)
@@ -124,18 +115,17 @@
 
     def _is_unused(self) -> bool:
         return (
-            self._shard.has_slots()
+            self.log.shard.has_slots()
             and self._clock.now_ms() - self._used_ms > FORGET_MS
         )
 
     def _write(self, batch: list[Waiter], deadline: clock.Deadline) -> None:
         """Write for a batch; only one thread at a time does."""
         if not batch and not self._ends and self._is_unused():
-            self._shard = self._make_shard()
-            self._is_known = False
+            self.log.forget()
             return
         fault = claim_queue.refuse("the log moved too often")
-        self._is_fresh = False
+        self.log.is_fresh = False
         self._used_ms = self._clock.now_ms()
         while not deadline.has_passed(self._clock.now_ms()):
             found = self._try_once(batch)
@@ -150,27 +140,19 @@
 
     def _try_once(self, batch: list[Waiter]) -> errors.Fault | None:
         """Decide and append once; return why it has to be done again."""
-        fault = self._read_news()
+        fault = self.log.read_news()
         if fault is not None:
             return fault
         free, ends = self._sort_out(batch)
-        if not self._is_known and not self._is_fresh:
+        if not self.log.is_known:
             return _moved()
         if not free and not ends:
             return None
-        append = self._shard.plan_append(
-            [*ends, *(waiter.request.make_record() for waiter in free)]
-        )
-        written = self._append(append)
-        if written.is_error():
-            # Whether it was refused or its reply was lost, the log tells.
-            self._is_known = False
-            return written.error
-        self._release_abandoned(
-            self._shard.take_append(append, written.ok.version)
-        )
-        self._settle_written(free, ends)
-        return None
+        records = [waiter.request.make_record() for waiter in free]
+        fault = self.log.append([*ends, *records])
+        if fault is None:
+            self._settle_written(free, ends)
+        return fault
 
     def _sort_out(
         self, batch: list[Waiter]
@@ -189,10 +171,10 @@
             digest = waiter.request.id.digest
             decision = self._decide(waiter, known.get(digest))
             unfinished = decision.verdict is claims.Verdict.UNFINISHED
-            if unfinished and not self._is_fresh:
+            if unfinished and not self.log.is_fresh:
                 # The other attempt may have ended since the log was read;
                 # a repeat would be told "may have run" again and again.
-                self._is_known = False
+                self.log.is_known = False
             elif decision.verdict is not claims.Verdict.FREE:
                 self._settle(waiter, decision)
             elif digest in claimed:
@@ -219,7 +201,7 @@
         return picked
 
     def _decide(self, waiter: Waiter, end: Record | None) -> claims.Decision:
-        decision = self._shard.decide(waiter.request, self._clock.wall_ms())
+        decision = self.log.shard.decide(waiter.request, self._clock.wall_ms())
         unfinished = decision.verdict is claims.Verdict.UNFINISHED
         if end is None or not unfinished or decision.record.owner != end.owner:
             return decision
@@ -233,7 +215,7 @@
 
     def _settle_written(self, free: list[Waiter], ends: list[Record]) -> None:
         for waiter in free:
-            decision = self._shard.decide(
+            decision = self.log.shard.decide(
                 waiter.request, self._clock.wall_ms()
             )
             is_heard = waiter.settle(expression.Ok(decision))
@@ -246,77 +228,6 @@
                 if self._ends.get(record.digest) is record:
                     del self._ends[record.digest]
 
-    def _append(
-        self, append: claims.Append
-    ) -> expression.Result[base.StoredObject, errors.Fault]:
-        name = str(append.place)
-        value = append.make_value()
-        if append.version is None:
-            return self._store.create(self._kind, name, value, PURPOSE)
-        return self._store.update(
-            self._kind, name, value, append.version, PURPOSE
-        )
-
-    def _read_news(self) -> errors.Fault | None:
-        """Bring the view up to date if there is reason to.
-
-        :returns: why the view cannot be trusted, or none
-        """
-        if self._is_known:
-            return None
-        try:
-            fault = self._follow_log() or self._read_whole_log()
-        except ValueError:
-            LOG.exception("a malformed slot in %s", self._kind)
-            return claim_queue.refuse("a malformed slot")
-        self._is_known = self._is_fresh = fault is None
-        return fault
-
-    def _follow_log(self) -> errors.Fault | None:
-        """Read the newest slot and those after it."""
-        while self._shard.has_slots():
-            place = self._shard.newest_place()
-            fault = self._read_slot(place)
-            if fault is not None:
-                return fault
-            if not self._shard.is_newest_full():
-                break
-            fault = self._read_slot(self._shard.next_place())
-            if fault is not None:
-                return fault
-            if self._shard.newest_place() == place:
-                break
-        return None
-
-    def _read_slot(self, place: int) -> errors.Fault | None:
-        found = self._store.read(self._kind, str(place), PURPOSE)
-        if found.is_ok():
-            self._take_slot(place, found.ok.value, found.ok.version)
-            return None
-        if found.error.code is errors.Code.NOT_FOUND:
-            return None
-        return found.error
-
-    def _read_whole_log(self) -> errors.Fault | None:
-        """Read all slots at first, or if the log went round unseen."""
-        if self._shard.has_slots() and self._shard.is_whole():
-            return None
-        listed = self._store.read_all(self._kind, PURPOSE)
-        if listed.is_error():
-            return listed.error
-        self._shard = self._make_shard()
-        for item in sorted(listed.ok, key=_sequence_of):
-            self._take_slot(int(item.name), item.value, item.version)
-        if not self._shard.is_whole():
-            return claim_queue.refuse("the log is known in part only")
-        return None
-
-    def _take_slot(
-        self, place: int, value: dict[str, typing.Any], version: int
-    ) -> None:
-        fresh = self._shard.take_slot(place, value, version)
-        self._release_abandoned(fresh)
-
     def _release_abandoned(self, fresh: list[Record]) -> None:
         found = [
             record
@@ -329,10 +240,6 @@
             self.note_end(record.end(ClaimState.RELEASED, None))
 
 
-def _sequence_of(item: base.StoredObject) -> int:
-    return int(item.value.get("sequence", -1))
-
-
 def _follow(
     request: claims.ClaimRequest, first: claims.ClaimRequest
 ) -> claims.Decision:
--- a/mulberryway/policy/claims.py
+++ b/mulberryway/policy/claims.py
@@ -20,13 +20,12 @@
 """
 
 import enum
-import json
 import typing
 
 from mulberryway.policy import claim_records
+from mulberryway.policy import claim_slots
 
 __all__ = [
-    "Append",
     "ClaimRequest",
     "Decision",
     "Shard",
@@ -118,81 +117,6 @@
         self.record = record
 
 
-class Slot:
-    """One platform object of the ring, as last seen.
-
-    :param sequence: the slot's place in the log, not in the ring
-    :param version: the platform's version of the object
-    :param is_full: whether the log goes on in the next slot
-    :param floor_ms: the shard's floor when it was written
-    :param records: its records in order
-    """
-
-    __slots__ = ("sequence", "version", "is_full", "floor_ms", "records")
-
-    def __init__(
-        self,
-        sequence: int,
-        version: int,
-        is_full: bool,
-        floor_ms: int,
-        records: list[Record],
-    ) -> None:
-        self.sequence = sequence
-        self.version = version
-        self.is_full = is_full
-        self.floor_ms = floor_ms
-        self.records = records
-
-
-class Append:
-    """An append to be made.
-
-    :param place: the slot's place in the ring; the object's name
-    :param version: the version to update; none to create the object
-    :param sequence: the slot's place in the log
-    :param floor_ms: the shard's floor from now on
-    :param records: all records of the slot
-    :param slot_bytes: a slot with so many bytes is full
-    """
-
-    __slots__ = (
-        "place",
-        "version",
-        "sequence",
-        "floor_ms",
-        "records",
-        "is_full",
-        "_encoded",
-    )
-
-    def __init__(
-        self,
-        place: int,
-        version: int | None,
-        sequence: int,
-        floor_ms: int,
-        records: list[Record],
-        slot_bytes: int,
-    ) -> None:
-        self.place = place
-        self.version = version
-        self.sequence = sequence
-        self.floor_ms = floor_ms
-        self.records = records
-        self._encoded = [record.encode() for record in records]
-        self.is_full = len(json.dumps(self._encoded)) >= slot_bytes
-
-    def make_value(self) -> dict[str, typing.Any]:
-        """Return the object's whole new value."""
-        return {
-            "sequence": self.sequence,
-            "floor_ms": self.floor_ms,
-            "is_full": self.is_full,
-            "records": self._encoded,
-        }
-
-
 class Shard:
     """What one VM knows of one shard's log.
 
@@ -205,7 +129,7 @@
     ) -> None:
         self._ring = slots
         self._slot_bytes = slot_bytes
-        self._slots: dict[int, Slot] = {}
+        self._slots: dict[int, claim_slots.Slot] = {}
         self._newest = -1
         self._records: dict[str, Record] = {}
         self.floor_ms = 0
@@ -245,7 +169,7 @@
         )
         return max(self.floor_ms, lost_ms)
 
-    def plan_append(self, records: list[Record]) -> Append:
+    def plan_append(self, records: list[Record]) -> claim_slots.Append:
         """Return the update that appends records.
 
         :param records: what to append
@@ -257,7 +181,7 @@
         else:
             old, sequence = [], self._newest + 1
             slot = self._slots.get(self.next_place())
-        return Append(
+        return claim_slots.Append(
             sequence % self._ring,
             slot.version if slot is not None else None,
             sequence,
@@ -301,16 +225,18 @@
         known = self._slots.get(place)
         if known is not None and version <= known.version:
             return []
-        return self._put(place, known, _decode_slot(value, version))
+        return self._put(place, known, claim_slots.decode_slot(value, version))
 
-    def take_append(self, append: "Append", version: int) -> list[Record]:
+    def take_append(
+        self, append: claim_slots.Append, version: int
+    ) -> list[Record]:
         """Take in what this VM has appended itself.
 
         :param append: the append, which the platform has taken
         :param version: the object's new version
         :returns: records that were not known before
         """
-        slot = Slot(
+        slot = claim_slots.Slot(
             append.sequence,
             version,
             append.is_full,
@@ -319,7 +245,12 @@
         )
         return self._put(append.place, self._slots.get(append.place), slot)
 
-    def _put(self, place: int, known: Slot | None, slot: Slot) -> list[Record]:
+    def _put(
+        self,
+        place: int,
+        known: claim_slots.Slot | None,
+        slot: claim_slots.Slot,
+    ) -> list[Record]:
         self._slots[place] = slot
         self._newest = max(self._newest, slot.sequence)
         same = known is not None and known.sequence == slot.sequence
@@ -362,17 +293,3 @@
             for digest, record in self._records.items()
             if record.time_ms > floor_ms
         }
-
-
-def _decode_slot(value: dict[str, typing.Any], version: int) -> Slot:
-    try:
-        records = [Record.decode(item) for item in value["records"]]
-        return Slot(
-            int(value["sequence"]),
-            version,
-            bool(value["is_full"]),
-            int(value["floor_ms"]),
-            records,
-        )
-    except (KeyError, TypeError) as error:
-        raise ValueError(f"a malformed slot: {error}") from error
--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -6,7 +6,6 @@
 that joins during a step gets its first token at that step's end.
 """
 
-import heapq
 import itertools
 import math
 import random
@@ -14,6 +13,7 @@
 from standins import engine_shape
 from standins import link
 from standins import load_history
+from standins import prefill_queue
 from standins import prefixes
 
 __all__ = ["EngineModel"]
@@ -61,8 +61,7 @@
         self.held: dict[Run, None] = {}
         self.free_blocks = shape.total_blocks
         self._numbers = itertools.count(1)
-        self._queue: list[tuple[int, int, Run]] = []
-        self._prefilling: Run | None = None
+        self._prefills = prefill_queue.PrefillQueue(shape, self.cache)
         self._link = link.Link(shape)
         self._batch: list[Run] = []
         self._reserved = 0
@@ -85,13 +84,12 @@
             return Refused.WRONG_ROLE
         if run.model not in self.models:
             return Refused.NOT_READY
-        if len(self._queue) >= self.shape.most_prefills:
+        if self._prefills.is_full():
             return Refused.FULL
         if not self._take(run, decodes):
             return Refused.FULL
         run.decodes = decodes
-        heapq.heappush(self._queue, (run.priority, next(self._numbers), run))
-        self._start_prefill(now_ms)
+        self._prefills.add(run, now_ms)
         self._snapshot(now_ms)
         return None
 
@@ -124,15 +122,11 @@
         if run not in self.held:
             return False
         self._link.remove(run, now_ms)
-        self._queue = [entry for entry in self._queue if entry[2] is not run]
-        heapq.heapify(self._queue)
+        self._prefills.remove(run, now_ms)
         if run in self._batch:
             self._batch.remove(run)
         if not self._batch:
             self._step_ms = NEVER
-        if self._prefilling is run:
-            self._prefilling = None
-            self._start_prefill(now_ms)
         self._let_go(run, now_ms)
         return True
 
@@ -202,7 +196,7 @@
     def next_ms(self) -> float:
         """Return when something happens next; infinite if nothing will."""
         return min(
-            self._prefilling.ends_ms if self._prefilling else NEVER,
+            self._prefills.next_ms(),
             self._link.next_ms(),
             self._step_ms,
             min(
@@ -248,32 +242,19 @@
         self._snapshot(now_ms)
 
     def _snapshot(self, now_ms: float) -> None:
-        waiting = len(self._queue) + (self._prefilling is not None)
         self._history.add(
             load_history.LoadSnapshot(
-                now_ms, self._reserved, waiting, self.free_blocks
+                now_ms,
+                self._reserved,
+                len(self._prefills),
+                self.free_blocks,
             )
         )
 
-    def _start_prefill(self, now_ms: float) -> None:
-        if self._prefilling is not None or not self._queue:
-            return
-        run = heapq.heappop(self._queue)[2]
-        hits = self.cache.count_hits(run.hashes)
-        run.cached_tokens = hits * self.shape.block_tokens
-        run.phase = Phase.PREFILL
-        uncached = max(run.prompt_tokens - run.cached_tokens, 1)
-        work_ms = uncached * self.shape.prefill_token_ms
-        work_ms += self.shape.prefill_base_ms
-        run.ends_ms = now_ms + work_ms * self.shape.slow_factor
-        self._prefilling = run
-
     def _end_prefill(self, at_ms: float, found: list[ModelEvent]) -> None:
-        run = self._prefilling
-        if run is None or run.ends_ms > at_ms:
+        run = self._prefills.end(at_ms)
+        if run is None:
             return
-        self._prefilling = None
-        self.cache.store(run.hashes, at_ms)
         if run.decodes:
             self._join_batch(run, at_ms)
         else:
@@ -282,7 +263,6 @@
             run.ends_ms = at_ms + self.shape.handle_ms
             self._handles[run.handle] = run
         found.append(ModelEvent(EventKind.PREFILLED, run, at_ms))
-        self._start_prefill(at_ms)
         self._snapshot(at_ms)
 
     def _end_imports(self, at_ms: float, found: list[ModelEvent]) -> None:
--- a/standins/engine_server.py
+++ b/standins/engine_server.py
@@ -7,11 +7,11 @@
 import os
 import typing
 
-import aiohttp
 from aiohttp import web
 
 from standins import answers
 from standins import engine_exchange
+from standins import engine_handles
 from standins import engine_model
 from standins import engine_reports
 from standins import engine_shape
@@ -22,7 +22,6 @@
 
 CRASH_AFTER_S = 0.02
 CRASH_STATUS = 70
-CLAIM_TIMEOUT = aiohttp.ClientTimeout(total=2.0)
 Exchange = engine_exchange.Exchange
 EventKind = engine_shape.EventKind
 
@@ -60,32 +59,21 @@
         self._refuse_status = 0
         self._numbers = itertools.count(1)
         self._timer: asyncio.TimerHandle | None = None
-        self._client: aiohttp.ClientSession | None = None
+        self._handles = engine_handles.EngineHandles(self.model, self._pump)
 
     def make_app(self) -> web.Application:
         """Return the application to serve."""
         app = serving.make_app()
         app.router.add_post("/v1/completions", self._complete)
         app.router.add_delete("/v1/requests/{id}", self._cancel)
-        app.router.add_post("/standin/handles/{handle}", self._claim_handle)
-        app.router.add_delete(
-            "/standin/handles/{handle}", self._release_handle
-        )
         app.router.add_post("/standin/faults", self._set_faults)
         engine_reports.EngineReports(
             self.model, self.recorder, self._pump
         ).add_routes(app)
         self.recorder.add_routes(app)
-        app.cleanup_ctx.append(self._open_client)
+        self._handles.add_routes(app)
         return app
 
-    async def _open_client(
-        self, app: web.Application
-    ) -> typing.AsyncIterator[None]:
-        self._client = aiohttp.ClientSession(timeout=CLAIM_TIMEOUT)
-        yield
-        await self._client.close()
-
     def _now_ms(self) -> float:
         return asyncio.get_running_loop().time() * 1000
 
@@ -236,13 +224,13 @@
         if refused is not None:
             return self._refuse(exchange, refused)
         try:
-            if not await self._ask_handle("POST", call.params):
+            if not await self._handles.claim(call.params):
                 self._drop(exchange)
                 return self._refuse(
                     exchange, engine_shape.Refused.HANDLE_EXPIRED
                 )
             exchange.imported.add_done_callback(
-                lambda _: self._release_later(call.params)
+                lambda _: self._handles.release_later(call.params)
             )
             self._pump()
             return await self._reply(request, call, exchange)
@@ -298,39 +286,6 @@
             exchange.abandon()
             self._pump()
 
-    async def _ask_handle(
-        self, method: str, params: dict[str, typing.Any]
-    ) -> bool:
-        url = (
-            f"http://{params.get('remote_address')}"
-            f"/standin/handles/{params.get('remote_handle')}"
-        )
-        try:
-            async with self._client.request(method, url) as reply:
-                return reply.status == 200
-        except (aiohttp.ClientError, TimeoutError):
-            return False
-
-    def _release_later(self, params: dict[str, typing.Any]) -> None:
-        task = asyncio.ensure_future(self._ask_handle("DELETE", params))
-        task.add_done_callback(lambda _: None)
-
-    async def _claim_handle(self, request: web.Request) -> web.Response:
-        self._pump()
-        run = self.model.claim_handle(
-            request.match_info["handle"], self._now_ms()
-        )
-        if run is None:
-            return serving.answer_error(410, "expired")
-        self._pump()
-        return serving.answer({"prompt_tokens": run.prompt_tokens})
-
-    async def _release_handle(self, request: web.Request) -> web.Response:
-        self._pump()
-        self.model.release_handle(request.match_info["handle"], self._now_ms())
-        self._pump()
-        return serving.answer({})
-
     async def _cancel(self, request: web.Request) -> web.Response:
         self._pump()
         request_id = request.match_info["id"]
