--- /dev/null
+++ b/tests/deployment.py
@@ -0,0 +1,190 @@
+"""A whole deployment of real processes on loopback, for tests."""
+
+import hashlib
+import pathlib
+import tempfile
+
+import tomli_w
+
+from mulberryway import tables
+from tests import processes
+from tests import router_rig
+
+OPERATOR = "operator-credential"
+SECRET = "fleet-secret"
+ZONES = ("kandy-a", "matale-b", "nuwara-c")
+ROLES = ("prefill", "prefill", "decode", "decode")
+RATE = 1_000_000
+
+
+class Deployment:
+    """A platform, engines, a service, routers and an administration API.
+
+    Use it as a context manager; ``ports`` are the routers' ports.
+    """
+
+    def __init__(self, vms=3, router=None, engine_flags=("--token_ms=5",)):
+        self.group = processes.Group()
+        self.folder = tempfile.TemporaryDirectory()
+        self.platform, platform_port = processes.start_standin(
+            self.group, "platform"
+        )
+        credential = f"--credential={router_rig.CREDENTIAL}"
+        self.engines, self.engine_ports = processes.start_engines(
+            self.group, ROLES, credential, *engine_flags
+        )
+        self.service, self.service_port = processes.start_standin(
+            self.group, "service", credential
+        )
+        self.platform_url = f"http://127.0.0.1:{platform_port}"
+        self.ports = processes.pick_ports(vms)
+        self.peer_ports = processes.pick_ports(vms)
+        (self.admin_port,) = processes.pick_ports(1)
+        self.files = [
+            self._write(number, router or {}) for number in range(vms)
+        ]
+        self.routers = [None] * vms
+
+    def __enter__(self):
+        self.group.start(
+            "mulberryway.commands.admin",
+            f"--settings={self.files[0]}",
+            ports=[self.admin_port],
+        )
+        self.apply(self.make_rows())
+        for number in range(len(self.files)):
+            self.start_router(number)
+        processes.wait_until(
+            lambda: all(self.is_ready(port) for port in self.ports)
+        )
+        return self
+
+    def __exit__(self, *_):
+        self.group.stop()
+        self.folder.cleanup()
+
+    def start_router(self, number):
+        self.routers[number] = self.group.start(
+            "mulberryway.commands.router",
+            f"--settings={self.files[number]}",
+            ports=[self.ports[number]],
+        )
+
+    def is_ready(self, port):
+        return processes.call(port, "GET", "/readyz").status == 200
+
+    def make_rows(self):
+        """Return the tables as plain values."""
+        engines = {
+            f"e{number}": {
+                "address": f"127.0.0.1:{port}",
+                "zone": ZONES[number % 3],
+                "role": role,
+            }
+            for number, (role, port) in enumerate(
+                zip(ROLES, self.engine_ports, strict=True)
+            )
+        }
+        service = {
+            "s0": {
+                "address": f"127.0.0.1:{self.service_port}",
+                "zone": ZONES[0],
+                "role": "service",
+            }
+        }
+        return {
+            "routes": {
+                "lm": {"path_prefix": "/v1/completions", "pool": "lm-pool"},
+                "member": {"path_prefix": "/member", "pool": "member-api"},
+                "book": {
+                    "path_prefix": "/bookings",
+                    "pool": "member-api",
+                    "idempotent": False,
+                },
+            },
+            "pools": {
+                "lm-pool": {
+                    "kind": "model",
+                    "models": ["m"],
+                    "credential": router_rig.CREDENTIAL,
+                    "upstreams": engines,
+                },
+                "member-api": {
+                    "kind": "plain",
+                    "credential": router_rig.CREDENTIAL,
+                    "upstreams": service,
+                },
+            },
+            "accounts": {
+                name: {
+                    "key_digests": [tables.digest_key(key)],
+                    "rate": RATE,
+                    "burst": RATE,
+                }
+                for name, key in (
+                    ("tea-estate", router_rig.KEY),
+                    ("surveyors", router_rig.OTHER_KEY),
+                )
+            },
+        }
+
+    def apply(self, rows):
+        """Replace all tables, as an operator does."""
+        headers = {
+            "Authorization": f"Bearer {OPERATOR}",
+            "Content-Type": "application/json",
+        }
+        shown = processes.call(
+            self.admin_port, "GET", "/v1/tables", None, headers
+        )
+        body = {
+            "text": tomli_w.dumps(rows),
+            "revision": shown.json()["revision"],
+        }
+        reply = processes.call(
+            self.admin_port, "PUT", "/v1/tables", body, headers
+        )
+        if reply.status != 200:
+            raise RuntimeError(reply.body)
+        return reply.json()
+
+    def _write(self, number, router):
+        file = pathlib.Path(self.folder.name) / f"vm{number}.toml"
+        digest = hashlib.sha256(OPERATOR.encode()).hexdigest()
+        values = {
+            "vm": {
+                "name": f"vm{number}",
+                "zone": ZONES[number % 3],
+                "region": "lk-central",
+            },
+            "router": {
+                "port": self.ports[number],
+                "threads": 32,
+                "entry_ttl_ms": 500,
+                **router,
+            },
+            "peers": {
+                "port": self.peer_ports[number],
+                "secret": SECRET,
+                "period_ms": 200,
+                "seeds": [f"127.0.0.1:{port}" for port in self.peer_ports],
+            },
+            "platform": {"url": self.platform_url},
+            "admin": {
+                "port": self.admin_port,
+                "operators": {"op": digest},
+            },
+        }
+        file.write_text(tomli_w.dumps(values), encoding="utf-8")
+        return file
+
+
+class PortRig:
+    """What :class:`router_rig.OpenStream` needs of a router elsewhere."""
+
+    def __init__(self, port):
+        self.port = port
+
+    connect = router_rig.Rig.connect
+    call = router_rig.Rig.call
+    complete = router_rig.Rig.complete
