Try bad HTTP, silent callers and a full pool of workers

Cause: callers send what no library of theirs would. Change: tests/test_server.py. Conclusion: each gets a JSON error, and the connection is closed or clean.

--- /dev/null
+++ b/tests/test_server.py
@@ -0,0 +1,175 @@
+"""Bad HTTP: a clear answer, and a connection in a known state."""
+
+import json
+import socket
+import unittest
+
+from tests import processes
+from tests import router_rig
+
+KEY_LINE = f"Authorization: Bearer {router_rig.KEY}\r\n"
+
+
+class ServerTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        settings_ = router_rig.make_settings()
+        settings_.router_body_bytes = 10_000
+        settings_.router_header_bytes = 2_000
+        settings_.router_body_ms = 600
+        settings_.router_threads = 4
+        cls.rig = router_rig.Rig(router_rig.make_tables(), settings_)
+        cls.rig.__enter__()
+        cls.addClassCleanup(cls.rig.__exit__)
+
+    def exchange(self, *pieces):
+        """Send raw bytes and return all that comes until the close."""
+        with socket.create_connection(
+            ("127.0.0.1", self.rig.port), router_rig.GUARD_S
+        ) as connection:
+            for piece in pieces:
+                connection.sendall(piece.encode())
+            return b"".join(iter(lambda: connection.recv(65_536), b""))
+
+    def check_error(self, status, code, *pieces):
+        answer = self.exchange(*pieces)
+        head, _, body = answer.partition(b"\r\n\r\n")
+        self.assertIn(f"HTTP/1.1 {status} ".encode(), head)
+        self.assertIn(b"Connection: close", head)
+        error = json.loads(body)["error"]
+        self.assertEqual(error["code"], code)
+        self.assertEqual(error["run"], "not_run")
+        return error
+
+    def post(self, *lines, body="", path="/v1/completions"):
+        head = f"POST {path} HTTP/1.1\r\nHost: x\r\n{KEY_LINE}"
+        return head + "".join(f"{line}\r\n" for line in lines) + "\r\n" + body
+
+    def test_ambiguous_bodies(self):
+        """Two programs that read a body's end differently take the rest for
+        another request; that one would run without any check of its key.
+        """
+        for lines in (
+            ("Content-Length: 4", "Transfer-Encoding: chunked"),
+            ("Content-Length: 4", "Content-Length: 5"),
+            ("Content-Length: +4",),
+            ("Content-Length: 4 4",),
+            ("Content-Length : 4",),
+            ("Transfer-Encoding: gzip, chunked",),
+            ("Transfer-Encoding: xchunked",),
+            ("X-A: 1", " folded: 2"),
+        ):
+            with self.subTest(lines=lines):
+                self.check_error(400, "bad_request", self.post(*lines))
+
+    def test_bad_chunks(self):
+        coding = "Transfer-Encoding: chunked"
+        for body in ("zz\r\n", "4\r\nabcdef\r\n", "-1\r\n\r\n", "\r\n"):
+            with self.subTest(body=body):
+                self.check_error(
+                    400, "bad_request", self.post(coding, body=body)
+                )
+        self.check_error(
+            413, "body_too_large", self.post(coding, body="ffffff\r\n")
+        )
+
+    def test_chunked_body_is_read(self):
+        body = json.dumps({"model": "x", "prompt": "p"})
+        coded = f"{len(body):x}\r\n{body}\r\n0\r\nTrailer: 1\r\n\r\n"
+        raw = self.post(
+            "Transfer-Encoding: chunked", "Connection: close", body=coded
+        )
+        self.assertIn(b"unknown_model", self.exchange(raw))
+
+    def test_oversized(self):
+        """A caller sends more than is taken.  It must get the reason and
+        not a reset, which would overtake the answer.
+        """
+        self.check_error(
+            413,
+            "body_too_large",
+            self.post("Content-Length: 200000", body="x" * 200_000),
+        )
+        self.check_error(
+            413, "body_too_large", self.post("X-Long: " + "x" * 5_000)
+        )
+
+    def test_slow_body(self):
+        """A caller sends a byte now and then; it must not hold a worker
+        thread for longer than the limit on the whole request.
+        """
+        error = self.check_error(
+            408, "bad_request", self.post("Content-Length: 100", body="{")
+        )
+        self.assertEqual(error["step"], "caller")
+
+    def test_malformed_json_keeps_the_connection(self):
+        body = '{"model": '
+        raw = self.post(f"Content-Length: {len(body)}", body=body)
+        second = "GET /healthz HTTP/1.1\r\nConnection: close\r\n\r\n"
+        answers = self.exchange(raw, second)
+        self.assertIn(b"400 Bad Request", answers)
+        self.assertIn(b'{"alive": true}', answers)
+
+    def test_deep_json(self):
+        body = "[" * 9_000
+        reply = self.rig.call("POST", "/v1/completions", body.encode())
+        self.assertEqual(reply.status, 400)
+
+    def test_silent_connections_hold_no_thread(self):
+        """Callers connect and send nothing, more of them than there are
+        threads.  Everybody else must be served all the same.
+        """
+        silent = [
+            socket.create_connection(("127.0.0.1", self.rig.port))
+            for _ in range(12)
+        ]
+        try:
+            for _ in range(8):
+                reply = self.rig.call("GET", "/healthz", key="")
+                self.assertEqual(reply.status, 200)
+        finally:
+            for connection in silent:
+                connection.close()
+
+
+class NoTablesTest(unittest.TestCase):
+    def test_says_so(self):
+        """A VM starts while the platform is down and has met no other VM.
+        It must say that it knows nothing and not guess.
+        """
+        with router_rig.Rig() as rig:
+            self.assertEqual(rig.call("GET", "/readyz", key="").status, 503)
+            reply = rig.complete()
+            self.assertEqual(reply.status, 503)
+            self.assertEqual(reply.json()["error"]["code"], "no_configuration")
+            self.assertIsNotNone(reply.headers["Retry-After"])
+
+
+class FullTest(unittest.TestCase):
+    def test_more_callers_than_workers(self):
+        """Many callers send at once while all workers wait on a slow
+        service.  Those that cannot be queued must be refused at once.
+        """
+        settings_ = router_rig.make_settings()
+        settings_.router_threads = 1
+        with processes.Group() as group:
+            _, port = processes.start_standin(
+                group, "service", "--delay_ms=1500"
+            )
+            service = router_rig.make_upstream("service", port)
+            with router_rig.Rig(
+                router_rig.make_tables((), [service]), settings_
+            ) as rig:
+                callers = [rig.connect() for _ in range(8)]
+                for caller in callers:
+                    caller.request(
+                        "GET",
+                        "/member/x",
+                        headers={"Authorization": f"Bearer {router_rig.KEY}"},
+                    )
+                statuses = [caller.getresponse().status for caller in callers]
+                self.assertIn(503, statuses)
+                self.assertIn(200, statuses)
+                for caller in callers:
+                    caller.close()
