Try engines that die or fall silent, and callers that go

Cause: these are the failures that the request path was written for. Change: tests/test_model_run.py, against engine processes. Conclusion: answers are resumed whole, cut ones look cut, engine memory is freed at each phase.

--- /dev/null
+++ b/tests/test_model_run.py
@@ -0,0 +1,265 @@
+"""Model requests whose engines, connections or callers fail."""
+
+import json
+import socket
+import unittest
+
+from mulberryway import errors
+from tests import processes
+from tests import router_rig
+
+LONG = 400
+
+
+def send_raw(port, prompt, max_tokens, buffer_bytes=1 << 20):
+    """Ask for a stream and return the socket, its reply unread."""
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+    connection.connect(("127.0.0.1", port))
+    body = json.dumps(
+        {
+            "model": "m",
+            "prompt": prompt,
+            "max_tokens": max_tokens,
+            "stream": True,
+        }
+    )
+    connection.sendall(
+        (
+            "POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+            f"Authorization: Bearer {router_rig.KEY}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n{body}"
+        ).encode()
+    )
+    return connection
+
+
+class EnginesTest(unittest.TestCase):
+    """One router before engines that are processes of their own."""
+
+    roles = ("prefill", "decode", "decode")
+    flags = ("--token_ms=10",)
+
+    def setUp(self):
+        self.group = processes.Group()
+        self.addCleanup(self.group.stop)
+        self.processes = {}
+        self.ports = []
+        for number, role in enumerate(self.roles):
+            process, (port,) = processes.start_engines(
+                self.group, [role], f"--seed={number}", *self.flags
+            )
+            self.processes[port] = process
+            self.ports.append(port)
+        self.rig = router_rig.Rig(self.make_tables(), self.make_settings())
+        self.rig.__enter__()
+        self.addCleanup(self.rig.__exit__)
+
+    def make_settings(self):
+        settings_ = router_rig.make_settings()
+        settings_.router_token_gap_ms = 1_000
+        return settings_
+
+    def make_tables(self, ports=None):
+        return router_rig.make_tables(
+            map(router_rig.make_upstream, self.roles, ports or self.ports),
+            timeout_ms=3_000,
+        )
+
+    def find_decoding(self):
+        """Return the port of the engine that decodes, once one does."""
+
+        def find():
+            return [
+                port
+                for port in self.ports
+                if self.processes[port].popen.poll() is None
+                and any(
+                    held["phase"] == "decode"
+                    for held in router_rig.list_held(port)
+                )
+            ]
+
+        return processes.wait_until(find)[0]
+
+    def check_free(self, *without):
+        """Check that no engine holds anything, nor the router."""
+        ports = [port for port in self.ports if port not in without]
+        self.assertTrue(
+            processes.wait_until(
+                lambda: not any(map(router_rig.list_held, ports))
+            )
+        )
+        # A dead engine confirms no cancel, and holds nothing either.
+        self.assertTrue(self.rig.wait_idle(cancels=not without))
+        self.assertEqual(
+            len({id(one) for one in self.rig.allowances.settled}),
+            len(self.rig.allowances.settled),
+        )
+
+
+class FailingEngineTest(EnginesTest):
+    def test_resumed_after_a_kill(self):
+        """The engine that decodes dies.  The caller must get the rest from
+        another engine, no token twice and none missing.
+        """
+        stream = router_rig.OpenStream(self.rig, "killed", LONG)
+        first = stream.read_event()
+        killed = self.find_decoding()
+        self.processes[killed].kill()
+        events = [first, *stream.read_all()]
+        self.assertEqual(events[-1], "[DONE]")
+        self.assertEqual(
+            router_rig.join_text(events),
+            router_rig.expect_text("killed", LONG),
+        )
+        self.assertEqual(len({event["id"] for event in events[:-1]}), 1)
+        stream.close()
+        self.check_free(killed)
+
+    def test_resumed_after_silence(self):
+        """The engine that decodes stops without closing its connections.
+        After the limit on a gap the answer must go on elsewhere.
+        """
+        stream = router_rig.OpenStream(self.rig, "paused", LONG)
+        first = stream.read_event()
+        paused = self.find_decoding()
+        self.processes[paused].send_signal(19)
+        try:
+            events = [first, *stream.read_all()]
+        finally:
+            self.processes[paused].send_signal(18)
+        self.assertEqual(
+            router_rig.join_text(events),
+            router_rig.expect_text("paused", LONG),
+        )
+        stream.close()
+        self.check_free()
+
+    def test_cut_answer_looks_cut(self):
+        """Every engine that could go on dies.  The caller must see an error
+        event, no closing event, and a body without its last chunk.
+        """
+        connection = send_raw(self.rig.port, "cut", LONG)
+        data = connection.recv(65_536)
+        for port in self.ports[1:]:
+            self.processes[port].kill()
+        while piece := connection.recv(65_536):
+            data += piece
+        connection.close()
+        last = data.rpartition(b"data: ")[2].partition(b"\n")[0]
+        self.assertNotEqual(json.loads(last)["error"]["run"], "not_run")
+        self.assertNotIn(b"[DONE]", data)
+        self.assertFalse(data.endswith(b"0\r\n\r\n"))
+        self.check_free(*self.ports[1:])
+
+    def test_dead_prefill(self):
+        """The only prefill engine is down: nothing can have run, and the
+        refusal must say so.
+        """
+        self.processes[self.ports[0]].kill()
+        reply = self.rig.complete()
+        self.assertEqual(reply.status, 502)
+        error = reply.json()["error"]
+        self.assertEqual(error["run"], errors.Run.NOT_RUN.value)
+        self.assertEqual(error["step"], "prefill")
+        self.assertEqual(error["peer"], f"127.0.0.1:{self.ports[0]}")
+        self.check_free(self.ports[0])
+
+
+class GoingCallerTest(EnginesTest):
+    """Callers go; engine memory must be free soon after."""
+
+    roles = ("prefill", "decode")
+
+    def test_between_tokens(self):
+        """A caller closes its connection in mid-answer.  The engine would
+        generate to the end for nobody.
+        """
+        stream = router_rig.OpenStream(self.rig, "gone", 5_000)
+        stream.read_event()
+        stream.reply.close()
+        stream.close()
+        self.check_free()
+
+    def test_in_prefill(self):
+        """A caller goes while a long prompt is computed."""
+        prompt = "x" * 100_000
+        stream = router_rig.OpenStream(self.rig, prompt, 50)
+        self.assertTrue(
+            processes.wait_until(lambda: router_rig.list_held(self.ports[0]))
+        )
+        stream.close()
+        self.check_free()
+        runs = router_rig.list_runs(self.ports[0])
+        self.assertEqual(runs[-1]["outcome"], "cancelled")
+
+    def test_while_queued(self):
+        """All decode slots are taken, and a caller who waits for one goes.
+        Its request must never reach an engine.
+        """
+        self.rig.source.change(self.make_tables())
+        pool = self.rig.source.current.pools["lm-pool"]
+        pool.slots = 1
+        self.rig.router.scheduling.change_tables(self.rig.source.current)
+        first = router_rig.OpenStream(self.rig, "first", 200)
+        first.read_event()
+        second = router_rig.OpenStream(self.rig, "second", 5)
+        self.assertTrue(
+            processes.wait_until(
+                lambda: self.rig.router.scheduling.waiting == 1
+            )
+        )
+        second.close()
+        self.assertTrue(
+            processes.wait_until(
+                lambda: not self.rig.router.scheduling.waiting
+            )
+        )
+        first.read_all()
+        first.close()
+        self.check_free()
+        self.assertEqual(len(router_rig.list_runs(self.ports[0])), 1)
+
+    def test_key_withdrawn_while_queued(self):
+        """A key is withdrawn while its request waits for a slot.  When the
+        slot comes the request must not run.
+        """
+        pool = self.rig.source.current.pools["lm-pool"]
+        pool.slots = 1
+        self.rig.router.scheduling.change_tables(self.rig.source.current)
+        first = router_rig.OpenStream(self.rig, "first", 200)
+        first.read_event()
+        second = router_rig.OpenStream(
+            self.rig, "second", 5, router_rig.OTHER_KEY
+        )
+        self.assertTrue(
+            processes.wait_until(
+                lambda: self.rig.router.scheduling.waiting == 1
+            )
+        )
+        accounts = (router_rig.make_account("tea-estate", router_rig.KEY),)
+        changed = router_rig.make_tables(
+            self.rig.source.current.pools["lm-pool"].upstreams,
+            accounts=accounts,
+        )
+        changed.pools["lm-pool"].slots = 1
+        self.rig.source.change(changed)
+        reply = second.connection.getresponse()
+        self.assertEqual(reply.status, 401)
+        self.assertEqual(json.loads(reply.read())["error"]["run"], "not_run")
+        self.assertEqual(first.read_all()[-1], "[DONE]")
+        self.assertEqual(len(router_rig.list_runs(self.ports[0])), 1)
+
+    def test_slow_caller(self):
+        """A caller reads slowly.  It must still get every token, and the
+        router must not keep the whole answer in its memory for it.
+        """
+        connection = send_raw(self.rig.port, "slow", 300, 4_096)
+        router_rig.pause(0.5)
+        data = b""
+        while b"[DONE]" not in data:
+            data += connection.recv(256)
+        connection.close()
+        self.assertEqual(data.count(b'"text"'), 300)
+        self.check_free()
