Measure the router against the bare relay

Cause: the relay's cost had no figure, and the measurement's one-letter key showed that cleaning by value took the letter out of every body. Change: benchmarks.static_router serves benchmarks.relay; keys shorter than eight characters are looked for as whole values only.

--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -142,22 +142,26 @@
     return figures
 
 
-def start_baseline(group: processes.Group, engines: tuple[str, ...]) -> Target:
-    """Start the bare relay.
+def start_relay(
+    group: processes.Group, name: str, module: str, engines: tuple[str, ...]
+) -> Target:
+    """Start a relay.
 
     :param group: the processes to add it to
+    :param name: for the report
+    :param module: the program
     :param engines: each engine's ``host:port``
     :returns: it, as a target
     """
     (port,) = processes.pick_ports(1)
     process = group.start(
-        "benchmarks.baseline_relay",
+        module,
         f"--port={port}",
         f"--upstream={','.join(engines)}",
         ports=[port],
     )
     address = f"{processes.HOST}:{port}"
-    return Target("baseline", (address,), process.popen.pid)
+    return Target(name, (address,), process.popen.pid)
 
 
 def measure() -> dict[str, typing.Any]:
@@ -169,7 +173,10 @@
         engines = tuple(f"{processes.HOST}:{port}" for port in ports)
         targets = [
             Target("straight", engines, None),
-            start_baseline(group, engines),
+            start_relay(
+                group, "baseline", "benchmarks.baseline_relay", engines
+            ),
+            start_relay(group, "router", "benchmarks.static_router", engines),
         ]
         return {target.name: measure_target(target) for target in targets}
 
--- a/mulberryway/filters/credentials.py
+++ b/mulberryway/filters/credentials.py
@@ -56,6 +56,9 @@
 )
 FORM_TYPE = "application/x-www-form-urlencoded"
 REPLACEMENT = "[removed]"
+# A key this short, as people give in trials, may be part of any word, so it
+# is looked for as a whole value only.  Keys that are given out are longer.
+SHORT_KEY = 8
 
 Json = typing.Any
 
@@ -69,11 +72,12 @@
     :param key: the key as the caller presented it
     """
 
-    __slots__ = ("_key", "_raw", "_has_changed")
+    __slots__ = ("_key", "_raw", "_is_short", "_has_changed")
 
     def __init__(self, key: str) -> None:
         self._key = key
         self._raw = key.encode()
+        self._is_short = len(key) < SHORT_KEY
         self._has_changed = False
 
     def clean(
@@ -85,7 +89,7 @@
         :returns: nothing, or ``BAD_REQUEST`` if the key stands where it
             cannot be taken out without changing what is asked
         """
-        if self._key in exchange.path:
+        if self._holds(exchange.path):
             return expression.Error(_refuse("the path holds the key"))
         exchange.headers = [
             (name, value)
@@ -102,11 +106,17 @@
         return (
             name in SECRET_HEADERS
             or name in OWN_HEADERS
-            or self._key in value
-            or self._key in urllib.parse.unquote_plus(value)
-            or self._key in name
+            or self._holds(value)
+            or self._holds(urllib.parse.unquote_plus(value))
+            or self._holds(name)
         )
 
+    def _holds(self, text: str) -> bool:
+        return self._key == text if self._is_short else self._key in text
+
+    def _remains(self, body: bytes) -> bool:
+        return not self._is_short and self._raw in body
+
     def _clean_query(self, query: str) -> str:
         return "&".join(
             part
@@ -115,10 +125,12 @@
         )
 
     def _is_secret_parameter(self, part: str) -> bool:
-        name = urllib.parse.unquote_plus(part.partition("=")[0])
+        whole = urllib.parse.unquote_plus(part)
+        name, _, value = whole.partition("=")
         return (
             name.lower() in SECRET_PARAMETERS
-            or self._key in urllib.parse.unquote_plus(part)
+            or self._holds(value)
+            or self._holds(whole)
         )
 
     def _clean_body(
@@ -130,7 +142,7 @@
         elif kind.startswith(FORM_TYPE):
             form = exchange.body.decode("latin-1")
             exchange.body = self._clean_query(form).encode("latin-1")
-        if self._raw in exchange.body:
+        if self._remains(exchange.body):
             return expression.Error(_refuse("the body holds the key"))
         return expression.Ok(None)
 
@@ -140,7 +152,7 @@
         except (ValueError, RecursionError):
             # Not JSON after all; whoever needs JSON will say so.
             return
-        if self._has_changed or self._raw in exchange.body:
+        if self._has_changed or self._remains(exchange.body):
             exchange.body = json.dumps(value).encode()
         if isinstance(value, dict):
             exchange.call = value
@@ -163,7 +175,7 @@
         return value
 
     def _clean_text(self, text: str) -> str:
-        if self._key not in text:
+        if not self._holds(text):
             return text
         self._has_changed = True
         return text.replace(self._key, REPLACEMENT)
