Free what dead owners have left at engines

Cause: a VM that vanishes with its connections open leaves requests that hold engine memory, and nobody else would ever cancel them. Change: controllers.reconciling compares what engines hold with which owners live; controllers.owners calls an owner dead only if that is certain (a newer life on its VM, or unreachable and off the platform's list). Conclusion: live, unreachable and unknown owners keep their work.

--- a/mulberryway/assembly.py
+++ b/mulberryway/assembly.py
@@ -11,6 +11,8 @@
 from mulberryway.controllers import engine_reports
 from mulberryway.controllers import membership
 from mulberryway.controllers import notes
+from mulberryway.controllers import owners
+from mulberryway.controllers import reconciling
 from mulberryway.peers import datagrams
 from mulberryway.peers import server as peer_server
 from mulberryway.peers.gen.membership import Membership
@@ -77,6 +79,17 @@
             settings_.vm_name,
             self.clock,
         )
+        self.reconciling = reconciling.Reconciling(
+            settings_.vm_name,
+            self.incarnation,
+            self.reports.list_engines,
+            self.router.scheduling.is_running,
+            owners.MemberOwners(
+                self.members.list_members, self.store, self.clock
+            ),
+            self.router.metrics,
+            self.clock,
+        )
         self.peer_server = peer_server.PeerServer(
             settings_.vm_address,
             settings_.peers_port,
@@ -105,6 +118,7 @@
         self.router.start()
         self.notes.start()
         self.reports.start()
+        self.reconciling.start()
 
     def stop(self, graceful: bool = True) -> None:
         """Stop serving callers, then everything else.
@@ -112,7 +126,12 @@
         :param graceful: whether running requests may end first
         """
         self.router.stop(graceful)
-        for controller in (self.reports, self.notes, self.claims):
+        for controller in (
+            self.reconciling,
+            self.reports,
+            self.notes,
+            self.claims,
+        ):
             controller.stop()
         self.configuration.stop()
         self.members.stop()
--- a/mulberryway/controllers/engine_reports.py
+++ b/mulberryway/controllers/engine_reports.py
@@ -63,12 +63,7 @@
         found = self._source.read_tables()
         if found is None:
             return
-        asked = [
-            (share, found.pools[share.pool], upstream)
-            for share in self._notes.shares
-            if share.pool in found.pools
-            for upstream in self._list_own(share, found.pools[share.pool])
-        ]
+        asked = self._list_asked(found)
         calls = len(asked) * CALLS_PER_ENGINE
         self.period_ms = max(
             LEAST_PERIOD_MS, calls * MS_IN_S // MOST_CALLS_PER_S
@@ -83,6 +78,26 @@
         super().stop(wait_ms)
         self._workers.shutdown(wait=False, cancel_futures=True)
 
+    def list_engines(self) -> list[upstreams.Engine]:
+        """Return the engines that fall to this router."""
+        found = self._source.read_tables()
+        if found is None:
+            return []
+        return [
+            self._directory.find_engine(pool, upstream)
+            for _, pool, upstream in self._list_asked(found)
+        ]
+
+    def _list_asked(
+        self, found: tables.Tables
+    ) -> list[tuple[sharing.Share, tables.Pool, tables.Upstream]]:
+        return [
+            (share, found.pools[share.pool], upstream)
+            for share in self._notes.shares
+            if share.pool in found.pools
+            for upstream in self._list_own(share, found.pools[share.pool])
+        ]
+
     def _list_own(
         self, share: sharing.Share, pool: tables.Pool
     ) -> list[tables.Upstream]:
--- a/mulberryway/controllers/scheduling.py
+++ b/mulberryway/controllers/scheduling.py
@@ -67,6 +67,15 @@
         """How many jobs have started and not ended."""
         return len(self._started)
 
+    def is_running(self, job_id: str) -> bool:
+        """Tell whether a job has started and not ended.
+
+        :param job_id: the job
+        :returns: whether its attempt goes on
+        """
+        with self._lock:
+            return job_id in self._started
+
     def step(self) -> None:
         """Dispatch, and sleep until the scheduler wants to be asked again."""
         with self._lock:
--- /dev/null
+++ b/tests/test_reconciling.py
@@ -0,0 +1,122 @@
+"""Which work of other owners is cancelled, and which never."""
+
+import unittest
+
+import expression
+
+from mulberryway import clock
+from mulberryway import metrics
+from mulberryway.controllers import owners
+from mulberryway.controllers import reconciling
+from mulberryway.platform import base as platform
+from mulberryway.policy import member
+from mulberryway.upstreams import base as upstreams
+from tests import fakes
+
+
+class HoldingEngine:
+    """Holds what a test says, and notes what is cancelled."""
+
+    def __init__(self, *labels):
+        self.held = list(labels)
+        self.cancelled = []
+
+    def list_held(self):
+        return expression.Ok(
+            [upstreams.HeldRequest(one, "decode", 1) for one in self.held]
+        )
+
+    def cancel(self, label):
+        self.cancelled.append(label.request_id)
+        self.held.remove(label)
+        return expression.Ok(True)
+
+
+def make_member(name, incarnation, health=member.Health.ALIVE):
+    return member.Member(
+        name, "127.0.0.1", 1, 2, "z", "r", incarnation, health=health
+    )
+
+
+class ReconcilingTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = clock.ManualClock(1_000)
+        self.store = fakes.MemoryStore()
+        self.store.vms = [platform.ListedVm("a", "", "z", False)]
+        self.members = [make_member("a", 5)]
+        self.running = set()
+
+    def reconcile(self, engine, rounds=6):
+        controller = reconciling.Reconciling(
+            "a",
+            5,
+            lambda: [engine],
+            self.running.__contains__,
+            owners.MemberOwners(lambda: self.members, self.store, self.clock),
+            metrics.Metrics("a"),
+            self.clock,
+        )
+        for _ in range(rounds):
+            controller.step()
+            self.clock.advance_ms(1_000)
+        return engine.cancelled
+
+    def label(self, request_id, vm, incarnation):
+        return upstreams.RunLabel(request_id, vm, incarnation)
+
+    def test_older_life(self):
+        """A VM's router was killed and started again.  What its older life
+        left at an engine must be freed, by that VM or by any other.
+        """
+        self.members.append(make_member("b", 9))
+        engine = HoldingEngine(
+            self.label("own-old", "a", 4),
+            self.label("b-old", "b", 8),
+            self.label("b-new", "b", 9),
+        )
+        self.assertEqual(self.reconcile(engine), ["own-old", "b-old"])
+
+    def test_vanished_vm(self):
+        """A VM vanishes: it answers nobody and the platform's list has
+        dropped it.  Its requests would hold slots for ever.
+        """
+        self.members.append(make_member("b", 9, member.Health.DEAD))
+        engine = HoldingEngine(self.label("left", "b", 9))
+        self.assertEqual(self.reconcile(engine), ["left"])
+
+    def test_unreachable_is_not_dead(self):
+        """The other VMs cannot reach a VM, but its callers and engines can.
+        Its live answers must not be cut by a wrong suspicion.
+        """
+        self.members.append(make_member("b", 9, member.Health.DEAD))
+        self.store.vms.append(platform.ListedVm("b", "", "z", False))
+        engine = HoldingEngine(self.label("live", "b", 9))
+        self.assertEqual(self.reconcile(engine, 30), [])
+
+    def test_platform_down(self):
+        self.members.append(make_member("b", 9, member.Health.DEAD))
+        self.store.outage = True
+        engine = HoldingEngine(self.label("live", "b", 9))
+        self.assertEqual(self.reconcile(engine, 30), [])
+
+    def test_unknown_owners(self):
+        """This VM has just started and knows hardly anybody, or an owner
+        is newer than what is known of it.  Neither says that it is dead.
+        """
+        engine = HoldingEngine(
+            self.label("stranger", "c", 1),
+            self.label("newer", "a", 6),
+            self.label("odd", "", -1),
+        )
+        self.assertEqual(self.reconcile(engine, 30), [])
+
+    def test_own_orphan_after_grace(self):
+        """A cancel of this router was never confirmed.  Its attempt must be
+        freed, but one that has only just begun must not.
+        """
+        engine = HoldingEngine(
+            self.label("orphan", "a", 5), self.label("live", "a", 5)
+        )
+        self.running.add("live")
+        self.assertEqual(self.reconcile(engine, 3), [])
+        self.assertEqual(self.reconcile(engine, 5), ["orphan"])
