Send the platform stand-in's bookmarks on time

Cause: each write of any kind woke all watches, and their bookmarks were due a second after the last wake; while claims were written the watch of the tables got no line, and routers took it for silent after 3 s. Change: bookmarks come each second whatever else happens. Conclusion: watches stay open while other kinds are written.

--- a/standins/watches.py
+++ b/standins/watches.py
@@ -1,6 +1,7 @@
 """The platform stand-in's watches."""
 
 import asyncio
+import contextlib
 import json
 import typing
 
@@ -83,6 +84,8 @@
     async def _send(
         self, response: web.StreamResponse, watch: Watch, after: int
     ) -> None:
+        loop = asyncio.get_running_loop()
+        bookmark_s = loop.time() + BOOKMARK_S
         while not (self._faults.outage and self._faults.hits(watch.kind)):
             watch.wake.clear()
             if not watch.is_silent:
@@ -90,11 +93,16 @@
                     after = await self._send_fresh(response, watch, after)
                 except store.TooOld:
                     return
-            try:
-                await asyncio.wait_for(watch.wake.wait(), BOOKMARK_S)
-            except TimeoutError:
+            # Writes of other kinds wake this watch too, again and again;
+            # its bookmarks are due all the same.
+            if loop.time() >= bookmark_s:
+                bookmark_s = loop.time() + BOOKMARK_S
                 if not watch.is_silent:
                     await response.write(_encode_bookmark(after))
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(
+                    watch.wake.wait(), bookmark_s - loop.time()
+                )
 
     async def _send_fresh(
         self, response: web.StreamResponse, watch: Watch, after: int
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.client
 import json
+import time
 import unittest
 
 from tests import processes
@@ -85,6 +86,22 @@
             bookmark["object"]["metadata"]["resourceVersion"], "4"
         )
 
+    def test_bookmarks_come_while_other_kinds_are_written(self):
+        """Claims are written all the time and no table changes.  Without
+        bookmarks the tables' watchers would take their watch for silent
+        and open it again and again.
+        """
+        self.start()
+        lines = self.open_watch(0)
+        end_s = time.monotonic() + 1.5
+        while time.monotonic() < end_s:
+            body = {"metadata": {"name": str(time.monotonic())}, "value": 1}
+            path = ROOT.replace("things", "others")
+            self.assertEqual(self.call("POST", path, body).status, 201)
+        # Less than the second after which a quiet platform would send one.
+        lines.fp.raw._sock.settimeout(0.3)
+        self.assertEqual(json.loads(lines.readline())["type"], "BOOKMARK")
+
     def test_rates_are_held(self):
         self.start("--writes_per_s=5", "--reads_per_s=5")
         written = [self.create(str(n), n).status for n in range(30)]
