--- a/mulberryway/assembly.py
+++ b/mulberryway/assembly.py
@@ -6,13 +6,17 @@
 from mulberryway import peers
 from mulberryway import router
 from mulberryway import settings
+from mulberryway.controllers import claim_keeping
 from mulberryway.controllers import claims
 from mulberryway.controllers import configuration_service
 from mulberryway.controllers import engine_reports
 from mulberryway.controllers import membership
 from mulberryway.controllers import notes
+from mulberryway.controllers import owners
+from mulberryway.controllers import reconciling
 from mulberryway.peers import datagrams
 from mulberryway.peers import server as peer_server
+from mulberryway.peers.gen.claims import Claims
 from mulberryway.peers.gen.membership import Membership
 from mulberryway.platform import counts
 from mulberryway.platform import http as platform_http
@@ -25,6 +29,7 @@
 __all__ = ["Assembly"]
 
 MEMBERSHIP = "Membership"
+CLAIMS = "Claims"
 
 
 class Assembly:
@@ -59,7 +64,14 @@
             settings_, self.store, self.client, self.members, self.clock
         )
         self.claims = claims.ClaimStore(
-            self.store, self.clock, settings_.vm_name, self.incarnation
+            self.store,
+            self.clock,
+            settings_.vm_name,
+            self.incarnation,
+            peers=self.client,
+            find_keeper=claim_keeping.make_finder(
+                settings_.vm_name, self.members.list_members
+            ),
         )
         self.directory = directory.HttpDirectory(self.clock)
         self.router = self._make_router()
@@ -77,12 +89,24 @@
             settings_.vm_name,
             self.clock,
         )
+        self.reconciling = reconciling.Reconciling(
+            settings_.vm_name,
+            self.incarnation,
+            self.reports.list_engines,
+            self.router.scheduling.is_running,
+            owners.MemberOwners(
+                self.members.list_members, self.store, self.clock
+            ),
+            self.router.metrics,
+            self.clock,
+        )
         self.peer_server = peer_server.PeerServer(
             settings_.vm_address,
             settings_.peers_port,
             settings_.peers_secret,
             {
                 MEMBERSHIP: Membership.Processor(self.members.exchange),
+                CLAIMS: Claims.Processor(self.claims.handler),
                 configuration_service.SERVICE: self.configuration.processor,
             },
             self.clock,
@@ -101,9 +125,11 @@
         self.datagrams.start()
         self.members.start()
         self.configuration.start()
+        self.claims.start()
         self.router.start()
         self.notes.start()
         self.reports.start()
+        self.reconciling.start()
 
     def stop(self, graceful: bool = True) -> None:
         """Stop serving callers, then everything else.
@@ -111,7 +137,12 @@
         :param graceful: whether running requests may end first
         """
         self.router.stop(graceful)
-        for controller in (self.reports, self.notes):
+        for controller in (
+            self.reconciling,
+            self.reports,
+            self.notes,
+            self.claims,
+        ):
             controller.stop()
         self.configuration.stop()
         self.members.stop()
@@ -158,5 +189,5 @@
             self.members,
             on_withdraw=lambda: self.members.change_own(is_stopping=True),
             directory_=self.directory,
-            claims_=self.claims,
+            claim_store=self.claims,
         )
