--- a/mulberryway/router.py
+++ b/mulberryway/router.py
@@ -1,6 +1,7 @@
 """The router of one VM: the object that runs the show."""
 
 import collections.abc
+import gc
 import logging
 import sys
 import threading
@@ -45,6 +46,10 @@
 # the default of 5 ms, one worker that reads a long prompt holds the relay's
 # loop up for 5 ms, which is all that a stream's pause may grow by.
 SWITCH_S = 0.000_5
+# Requests make many short-lived objects and few cycles, and a collection
+# holds up every stream; so collections are made rarer, and what lives as
+# long as the process is left out of them.
+COLLECT_AFTER = (20_000, 20, 50)
 # Entry answers are a little older than their lifetime says when they come
 # over a peer or a slow caller.
 ENTRY_MARGIN_MS = 1_000
@@ -148,6 +153,9 @@
     def start(self) -> None:
         """Begin to serve; returns at once."""
         sys.setswitchinterval(SWITCH_S)
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(*COLLECT_AFTER)
         self._source.subscribe(self._change_tables)
         found = self._source.read_tables()
         if found is not None:
--- a/mulberryway/traces.py
+++ b/mulberryway/traces.py
@@ -104,7 +104,9 @@
         otlp_url: str = "",
         processor: sdk.SpanProcessor | None = None,
     ) -> None:
-        self._random = random.SystemRandom()
+        # Ids have to differ, not to be secret; the system's own source
+        # would cost a call into the kernel for each.
+        self._random = random.Random(random.SystemRandom().getrandbits(128))
         self._provider: sdk.TracerProvider | None = None
         self._tracer: trace.Tracer | None = None
         if otlp_url:
