Try upstreams behind the fault-injecting proxy

Cause: lost replies, silent connections and crossed answers are the traps that this path was written around. Change: tests/test_upstream_faults.py. Conclusion: one booking at most, no foreign answer, reads move on.

--- a/tests/router_rig.py
+++ b/tests/router_rig.py
@@ -10,6 +10,7 @@
 from mulberryway import router
 from mulberryway import settings
 from mulberryway import tables
+from mulberryway.controllers import claims
 from mulberryway.policy import allowance
 from mulberryway.policy import baselines
 from mulberryway.policy import entry
@@ -130,7 +131,9 @@
 class Rig:
     """One router; use it as a context manager."""
 
-    def __init__(self, current=None, settings_=None, scheduler=None):
+    def __init__(
+        self, current=None, settings_=None, scheduler=None, store=None
+    ):
         self.settings = settings_ or make_settings()
         self.source = StaticTables(current)
         self.allowances = CountingAllowances()
@@ -145,6 +148,8 @@
             self.allowances,
             OneEntry(f"127.0.0.1:{self.settings.router_port}"),
             on_withdraw=lambda: self.withdrawn.append(True),
+            claim_store=store
+            and claims.ClaimStore(store, clock.SystemClock(), "a1", 7),
         )
         self.port = self.settings.router_port
 
--- /dev/null
+++ b/tests/test_upstream_faults.py
@@ -0,0 +1,194 @@
+"""Upstreams behind a proxy that loses, holds and refuses."""
+
+import http.server
+import threading
+import time
+import unittest
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway.policy import claim_records
+from mulberryway.upstreams import http_service
+from tests import fakes
+from tests import processes
+from tests import router_rig
+
+
+class ProxiedServiceTest(unittest.TestCase):
+    """Two plain services, the first of them behind a proxy."""
+
+    def setUp(self):
+        self.group = processes.Group()
+        self.addCleanup(self.group.stop)
+        self.services = [
+            processes.start_standin(self.group, "service")[1] for _ in range(2)
+        ]
+        control, front = processes.pick_ports(2)
+        self.group.start(
+            "standins.faultproxy",
+            f"--port={control}",
+            f"--pair=s=127.0.0.1:{front}=127.0.0.1:{self.services[0]}",
+            ports=[control, front],
+        )
+        self.control = control
+        # By its name the proxied one is chosen first.
+        servers = [
+            router_rig.make_upstream("service", front, "a"),
+            router_rig.make_upstream("service", self.services[1], "b"),
+        ]
+        self.rig = router_rig.Rig(
+            router_rig.make_tables((), servers, timeout_ms=1_500),
+            store=fakes.MemoryStore(),
+        )
+        self.rig.__enter__()
+        self.addCleanup(self.rig.__exit__)
+        self.numbers = iter(range(100))
+
+    def switch(self, **faults):
+        processes.call(self.control, "POST", "/standin/pairs/s", faults)
+
+    def make_key(self):
+        now_ms = int(time.time() * 1000)
+        return claim_records.make_key(now_ms, next(self.numbers))
+
+    def book(self, key, body=b'{"pen": 4}'):
+        return self.rig.call("POST", "/bookings", body, Idempotency_Key=key)
+
+    def count_bookings(self):
+        return sum(len(router_rig.list_runs(port)) for port in self.services)
+
+    def test_reply_lost_after_the_effect(self):
+        """A booking takes effect and its reply is lost.  The caller must
+        not be told that it did not run, and its repeat must not book again.
+        """
+        key = self.make_key()
+        self.switch(drop_replies=1)
+        first = self.book(key)
+        self.assertEqual(first.json()["error"]["run"], "may_have_run")
+        again = self.book(key)
+        self.assertEqual(again.status, 409)
+        self.assertEqual(again.json()["error"]["run"], "may_have_run")
+        self.assertEqual(self.count_bookings(), 1)
+
+    def test_repeat_gets_the_recorded_reply(self):
+        key = self.make_key()
+        first = self.book(key)
+        self.assertEqual(first.status, 201)
+        again = self.book(key)
+        self.assertEqual(again.body, first.body)
+        self.assertEqual(again.headers["Idempotency-Replayed"], "true")
+        self.assertEqual(self.book(key, b"other").status, 422)
+        self.assertEqual(self.count_bookings(), 1)
+
+    def test_refused_connection_moves_a_booking(self):
+        """A server is down: nothing has run there, so that even a booking
+        may go to the next server.
+        """
+        (unused,) = processes.pick_ports(1)
+        servers = [
+            router_rig.make_upstream("service", port, name)
+            for port, name in ((unused, "a"), (self.services[1], "b"))
+        ]
+        self.rig.source.change(router_rig.make_tables((), servers))
+        self.assertEqual(self.book(self.make_key()).status, 201)
+        self.assertEqual(self.count_bookings(), 1)
+
+    def test_lost_reply_moves_a_read(self):
+        """The reply to a read is lost.  A read may run again elsewhere, and
+        the caller notices nothing.
+        """
+        self.switch(drop_replies=1)
+        reply = self.rig.call("GET", "/member/1")
+        self.assertEqual(reply.json()["target"], "/member/1")
+
+    def test_silent_connections_are_not_used_again(self):
+        """Something between router and service loses track of the kept
+        connections.  One call finds out; later ones must not wait for it.
+        """
+        for _ in range(3):
+            self.rig.call("GET", "/member/warm")
+        self.switch(stall_down=True)
+        late = self.book(self.make_key())
+        self.assertEqual(late.json()["error"]["code"], "upstream_timeout")
+        self.assertEqual(late.json()["error"]["run"], "may_have_run")
+        self.switch(stall_down=False)
+        for number in range(6):
+            path = f"/member/after-{number}"
+            reply = self.rig.call("GET", path)
+            self.assertEqual(reply.json()["target"], path)
+
+
+class CrossedHandler(http.server.BaseHTTPRequestHandler):
+    """Answers each call with the answer to another one."""
+
+    protocol_version = "HTTP/1.1"
+
+    def do_GET(self):
+        self.server.connections.add(self.client_address)
+        self.send_response(200)
+        self.send_header("X-Request-Id", "another")
+        self.send_header("Content-Length", "7")
+        self.end_headers()
+        self.wfile.write(b"foreign")
+
+    def log_message(self, *_):
+        pass
+
+
+class CrossedAnswerTest(unittest.TestCase):
+    def test_is_given_to_nobody(self):
+        """A reply that was left on a connection, or was crossed on the way,
+        comes to the wrong call.  Its caller would read another's booking.
+        """
+        server = http.server.ThreadingHTTPServer(
+            ("127.0.0.1", 0), CrossedHandler
+        )
+        server.daemon_threads = True
+        server.connections = set()
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        address = f"127.0.0.1:{server.server_address[1]}"
+        service = http_service.HttpService(address, "", clock.SystemClock())
+        for number in range(2):
+            result = service.call(f"r{number}", "GET", "/x", [], b"", 5_000)
+            self.assertTrue(result.is_error())
+            self.assertIs(result.error.run, errors.Run.MAY_HAVE_RUN)
+        self.assertEqual(len(server.connections), 2)
+        service.close()
+        server.shutdown()
+        server.server_close()
+
+
+class ProxiedEnginesTest(unittest.TestCase):
+    def test_silent_prefill_moves_on(self):
+        """Connections to one prefill engine hold and never answer.  The
+        request must get its answer by way of the other engine in time.
+        """
+        with processes.Group() as group:
+            roles = ["prefill", "prefill", "decode"]
+            _, ports = processes.start_engines(group, roles)
+            control, front = processes.pick_ports(2)
+            group.start(
+                "standins.faultproxy",
+                f"--port={control}",
+                f"--pair=p=127.0.0.1:{front}=127.0.0.1:{ports[0]}",
+                ports=[control, front],
+            )
+            processes.call(
+                control, "POST", "/standin/pairs/p", {"stall_down": True}
+            )
+            current = router_rig.make_tables(
+                map(router_rig.make_upstream, roles, [front, *ports[1:]]),
+                timeout_ms=2_000,
+            )
+            with router_rig.Rig(current) as rig:
+                reply = rig.complete("silent", max_tokens=5)
+                self.assertEqual(reply.status, 200)
+                self.assertEqual(
+                    reply.json()["choices"][0]["text"],
+                    router_rig.expect_text("silent", 5),
+                )
+                self.assertTrue(
+                    processes.wait_until(
+                        lambda: not any(map(router_rig.list_held, ports))
+                    )
+                )
