Test the administration API against real routers

Cause: that a withdrawn key is refused has to be seen at the callers' side. Change: the fleet of processes runs the router's program; the test of keys calls every VM with the key before and after it is withdrawn. Conclusion: once wait says in force, all three VMs answer 401.

--- a/tests/configuration_fleet.py
+++ b/tests/configuration_fleet.py
@@ -1,4 +1,4 @@
-"""Processes: a platform stand-in, VMs that hold tables, and their APIs."""
+"""Processes: a platform stand-in, routers and administration APIs."""
 
 import json
 import os
@@ -29,8 +29,9 @@
         super().__init__()
         self.folder = tempfile.TemporaryDirectory()
         self.options = options
-        ports = processes.pick_ports(2 * vms)
-        self.peer_ports, self.admin_ports = ports[:vms], ports[vms:]
+        ports = processes.pick_ports(3 * vms)
+        self.peer_ports, self.admin_ports = ports[:vms], ports[vms : 2 * vms]
+        self.router_ports = ports[2 * vms :]
         self.platform_port = None
         self.count, self.admins = vms, admins
         self.vms = []
@@ -43,14 +44,16 @@
         return self
 
     def __exit__(self, *_):
-        self.stop()
+        # A graceful shutdown is not what these tests are about.
+        for process in self.processes:
+            process.kill()
         self.folder.cleanup()
 
     def start_vm(self, number):
         return self.start(
-            "benchmarks.configuration_vm",
+            "mulberryway.commands.router",
             f"--settings={self.write_settings(number)}",
-            ports=[self.peer_ports[number]],
+            ports=[self.peer_ports[number], self.router_ports[number]],
         )
 
     def start_admin(self, number):
@@ -67,6 +70,7 @@
                 "zone": ZONES[number % len(ZONES)],
                 "region": "lk-central",
             },
+            "router": {"port": self.router_ports[number], "threads": 4},
             "peers": {
                 "port": self.peer_ports[number],
                 "secret": "fleet secret",
@@ -121,6 +125,16 @@
             timeout_s=GUARD_S,
         )
 
+    def call_router(self, number, key):
+        """Make a plain call with a key at one VM; return its status."""
+        return processes.call(
+            self.router_ports[number],
+            "GET",
+            "/member/renewals",
+            headers={"Authorization": f"Bearer {key}"},
+            timeout_s=GUARD_S,
+        ).status
+
     def fault(self, **faults):
         """Switch the platform stand-in's faults."""
         processes.call(self.platform_port, "POST", "/standin/faults", faults)
--- a/tests/test_admin_processes.py
+++ b/tests/test_admin_processes.py
@@ -84,10 +84,21 @@
         given = fleet.operate("give-key", "tea", "--edit_id=k1")[1]
         digest = samples.digest(given["key"])
         self.assertIn(digest, self.read_tables()["text"])
+        self.check_in_force(str(given["revision"]))
+        refused = 401
+        for number in range(fleet.count):
+            # No upstream runs; only the key's own refusal matters here.
+            status = fleet.call_router(number, given["key"])
+            self.assertNotEqual(status, refused)
         status, repeated = fleet.operate("give-key", "tea", "--edit_id=k1")
         self.assertEqual(repeated["error"]["run"], "ran")
         taken = fleet.operate("withdraw-key", "tea", digest[:8], admin=1)[1]
         self.check_in_force(str(taken["revision"]))
+        for number in range(fleet.count):
+            status = fleet.call_router(number, given["key"])
+            self.assertEqual(status, refused)
+            status = fleet.call_router(number, "tea-key")
+            self.assertNotEqual(status, refused)
         text = self.read_tables()["text"]
         self.assertNotIn(digest, text)
         self.assertIn(samples.digest("tea-key"), text)
