--- a/mulberryway/policy/placing.py
+++ b/mulberryway/policy/placing.py
@@ -155,10 +155,13 @@
         :param now_ms: the present
         :returns: the sum over the cell
         """
+        frees = [
+            (view, view.read_free(now_ms)) for view in self._members.decodes
+        ]
         return sum(
-            view.read_free(now_ms)
-            for view in self._members.decodes
-            if not view.health.is_ejected(now_ms)
+            free
+            for view, free in frees
+            if free and not view.health.is_ejected(now_ms)
         )
 
     def count_slots(self) -> int:
--- a/mulberryway/policy/views.py
+++ b/mulberryway/policy/views.py
@@ -108,7 +108,8 @@
         """
         if now_ms < self.full_until_ms:
             return 0
-        return max(self.slots - self.own - self.peers - self.excess, 0)
+        free = self.slots - self.own - self.peers - self.excess
+        return free if free > 0 else 0
 
     def has_blocks(self, blocks: int) -> bool:
         """Tell whether a decode's KV cache probably fits.
