--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,97 @@
+"""Runs the measurements, prints them beside the last run, and keeps them."""
+
+import collections.abc
+import importlib
+import json
+import pathlib
+import typing
+
+from absl import app
+from absl import flags
+
+from benchmarks import plots
+from benchmarks import report
+from mulberryway import clock
+
+__all__ = ["main"]
+
+FLAGS = flags.FLAGS
+OUT = pathlib.Path("out")
+# The decisions give the brief's four measures; the others take processes,
+# minutes, and a machine that does nothing else.
+USUAL = ("decisions",)
+EVERY = (
+    *USUAL,
+    "decisions_cost",
+    "relay",
+    "configuration",
+    "claims",
+    "allowances",
+    "membership",
+)
+MEASURES = (
+    "goodput_part",
+    "wasted_part",
+    "worst_served_part",
+    "refused_within_rate",
+)
+ROW_KEYS = ("deployment", "routers", "load", "rival")
+
+flags.DEFINE_list("only", list(USUAL), "measurements to run; or: every")
+flags.DEFINE_boolean("plots", True, "draw the four measures as a picture")
+
+
+def main(arguments: collections.abc.Sequence[str]) -> None:
+    """Run what the flags name.
+
+    :param arguments: what is left of the command line
+    """
+    names = EVERY if FLAGS.only == ["every"] else FLAGS.only
+    results = {
+        name: _name_rows(
+            importlib.import_module(f"benchmarks.{name}").measure()
+        )
+        for name in names
+    }
+    kept = report.read_runs()
+    before = kept[-1] if kept else None
+    after = report.keep_run(results, clock.SystemClock())
+    OUT.mkdir(exist_ok=True)
+    (OUT / "bench.json").write_text(json.dumps(results, indent=1))
+    print(*_format_measures(results.get("decisions", {})), sep="\n")
+    print("\nevery figure, of the run before and of this one")
+    print(*report.compare_runs(before, after), sep="\n")
+    if FLAGS.plots and "decisions" in results:
+        plots.draw_runs(before, after, OUT / "bench.png")
+        print(f"\nfigures: {OUT / 'bench.json'}, plot: {OUT / 'bench.png'}")
+
+
+def _name_rows(result: typing.Any) -> typing.Any:
+    """Turn a list of rows into a dictionary, so that figures have names."""
+    if not isinstance(result, dict) or "rows" not in result:
+        return result
+    rows = {
+        ".".join(str(row[key]) for key in ROW_KEYS if key in row): row
+        for row in result["rows"]
+    }
+    return {**result, "rows": rows}
+
+
+def _format_measures(
+    decisions: dict[str, typing.Any],
+) -> collections.abc.Iterator[str]:
+    rows = decisions.get("rows", {})
+    if not rows:
+        return
+    width = max(map(len, rows))
+    yield f"{'':{width}}  " + "  ".join(f"{one:>20}" for one in MEASURES)
+    for name, row in rows.items():
+        values = "  ".join(f"{row[one]:>20}" for one in MEASURES)
+        yield f"{name:{width}}  {values}"
+    for title in ("behind", "short_of_aim"):
+        yield f"\n{title.replace('_', ' ')}:"
+        yield from decisions.get(title) or ["nothing"]
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/benchmarks/plots.py
@@ -0,0 +1,65 @@
+"""Draws the brief's four measures, before and after, as one picture."""
+
+import pathlib
+
+from matplotlib import pyplot
+
+from benchmarks import report
+
+__all__ = ["draw_runs"]
+
+# How each measure's figures end, and which way is better.
+MEASURES = {
+    "goodput_part": "goodput, part of the limit (more is better)",
+    "wasted_part": "wasted prefill, part of all (less is better)",
+    "worst_served_part": "worst-served account's part (more is better)",
+    "refused_within_rate": "refused within the rate (less is better)",
+}
+COLUMNS = 2
+SIZE_INCHES = (14, 9)
+BAR_HEIGHT = 0.4
+
+
+def draw_runs(
+    before: report.Run | None, after: report.Run, file: pathlib.Path
+) -> None:
+    """Write a picture with one panel for each measure.
+
+    :param before: the earlier run, if there is one
+    :param after: the later run
+    :param file: where the PNG goes
+    """
+    figure, panels = pyplot.subplots(
+        len(MEASURES) // COLUMNS, COLUMNS, figsize=SIZE_INCHES
+    )
+    for panel, (ending, title) in zip(
+        panels.flat, MEASURES.items(), strict=True
+    ):
+        names = sorted(
+            name for name in after.figures if name.endswith(f".{ending}")
+        )
+        rows = range(len(names))
+        if before is not None:
+            panel.barh(
+                [row + BAR_HEIGHT for row in rows],
+                [before.figures.get(name, 0.0) for name in names],
+                BAR_HEIGHT,
+                label="before",
+                color="lightgrey",
+            )
+        panel.barh(
+            list(rows),
+            [after.figures[name] for name in names],
+            BAR_HEIGHT,
+            label="after",
+        )
+        panel.set_yticks(
+            list(rows),
+            [name.removesuffix(f".{ending}") for name in names],
+            fontsize=6,
+        )
+        panel.set_title(title, fontsize=9)
+        panel.legend(fontsize=7)
+    figure.tight_layout()
+    figure.savefig(file)
+    pyplot.close(figure)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -1,6 +1,7 @@
 """Starts real processes for tests, and ends exactly those."""
 
 import contextlib
+import http.client
 import json
 import pathlib
 import socket
@@ -51,12 +52,13 @@
 
 
 class Reply:
-    """An HTTP reply."""
+    """An HTTP reply; a cut one has less body than its head announced."""
 
-    def __init__(self, status, headers, body):
+    def __init__(self, status, headers, body, is_cut=False):
         self.status = status
         self.headers = headers
         self.body = body
+        self.is_cut = is_cut
 
     def json(self) -> typing.Any:
         return json.loads(self.body)
@@ -72,7 +74,10 @@
     )
     try:
         with OPENER.open(request, timeout=timeout_s) as reply:
-            return Reply(reply.status, reply.headers, reply.read())
+            try:
+                return Reply(reply.status, reply.headers, reply.read())
+            except http.client.IncompleteRead as cut:
+                return Reply(reply.status, reply.headers, cut.partial, True)
     except urllib.error.HTTPError as error:
         with error:
             return Reply(error.code, error.headers, error.read())
