--- /dev/null
+++ b/benchmarks/allowances.py
@@ -0,0 +1,186 @@
+"""Refusals within the rate, messages and platform calls of allowances.
+
+``python -m benchmarks.allowances`` runs the real controllers in one process
+on a turned clock, against a platform and a network that work.  Each request
+is also put to one bucket for the whole fleet: what that grants and the VMs
+refuse is a wrongful refusal.
+"""
+
+import collections
+import heapq
+import json
+import random
+import time
+import typing
+
+from mulberryway import tables
+from mulberryway.policy import allowance
+from tests import allowance_fleet
+from tests import allowance_history
+
+__all__ = ["measure"]
+
+RATE = 4_000
+BURST = 40_000
+PROMPT = 200
+MOST_TOKENS = 1_024
+MEAN_TOKENS = 292
+TOKEN_MS = 37
+# Callers ask for this part of the rate on average.
+LOAD = 0.85
+WARM_MS = 40_000
+RUN_MS = 120_000
+STEP_MS = 250
+
+
+class Run:
+    """One run of callers against one way of counting."""
+
+    def __init__(
+        self,
+        vms: int,
+        accounts: int,
+        skew: float,
+        seed: int = 1,
+        is_split: bool = False,
+    ) -> None:
+        self.random = random.Random(seed)
+        self.accounts = [
+            tables.ClientAccount(f"account{n}", (), RATE, BURST)
+            for n in range(accounts)
+        ]
+        current = tables.Tables(1, (), (), tuple(self.accounts))
+        self.fleet = allowance_fleet.Fleet(
+            vms, allowance_history.SimSource(current), is_split
+        )
+        self.ideal = allowance_fleet.IdealAllowances(
+            self.accounts, self.fleet.clock
+        )
+        self.vms = vms
+        self.skew = skew
+        self.ends: list[typing.Any] = []
+        self.grants: list[tuple[int, str, int]] = []
+        self.counts: collections.Counter[str] = collections.Counter()
+
+    def run(self) -> dict[str, typing.Any]:
+        arrivals = [(WARM_MS, n) for n in range(len(self.accounts))]
+        heapq.heapify(arrivals)
+        self.warm_up()
+        calls = collections.Counter(self.fleet.store.calls)
+        start = (self.fleet.count_messages(), time.process_time())
+        for now_ms in range(WARM_MS, WARM_MS + RUN_MS, STEP_MS):
+            self.fleet.step(now_ms)
+            while arrivals[0][0] < now_ms + STEP_MS:
+                at_ms, number = heapq.heappop(arrivals)
+                self.finish(at_ms)
+                self.ask(at_ms, number)
+                heapq.heappush(arrivals, (at_ms + self.wait(), number))
+        return self.report(calls, start)
+
+    def warm_up(self) -> None:
+        for now_ms in range(1_000, WARM_MS, STEP_MS):
+            self.fleet.step(now_ms)
+
+    def wait(self) -> int:
+        tokens_per_request = PROMPT + MEAN_TOKENS
+        mean_ms = 1_000 * tokens_per_request / (RATE * LOAD)
+        return max(round(self.random.expovariate(1 / mean_ms)), 1)
+
+    def ask(self, at_ms: int, number: int) -> None:
+        self.set_clock(at_ms)
+        account = self.accounts[number].name
+        is_home = self.random.random() < self.skew
+        vm = number if is_home else self.random.randrange(self.vms)
+        drawn = round(self.random.expovariate(1 / MEAN_TOKENS))
+        generated = min(max(drawn, 1), MOST_TOKENS)
+        wanted, used = PROMPT + MOST_TOKENS, PROMPT + generated
+        end_ms = at_ms + generated * TOKEN_MS
+        ideal = self.ideal.reserve(account, wanted)
+        if ideal.is_ok():
+            self.push(end_ms, self.ideal, ideal.ok, used)
+        book = self.fleet.books[vm % self.vms]
+        result = book.reserve(account, wanted)
+        self.counts["asked"] += 1
+        self.counts["ideal refused"] += not ideal.is_ok()
+        if result.is_ok():
+            book.is_usable(result.ok)
+            self.grants.append((at_ms, account, used))
+            self.push(end_ms, book, result.ok, used)
+        else:
+            self.counts["refused"] += 1
+            self.counts["wrongly refused"] += ideal.is_ok()
+
+    def push(
+        self,
+        end_ms: int,
+        book: allowance.Allowances,
+        reservation: typing.Any,
+        used: int,
+    ) -> None:
+        entry = (end_ms, len(self.grants), self.random.random())
+        heapq.heappush(self.ends, (*entry, book, reservation, used))
+
+    def finish(self, now_ms: int) -> None:
+        while self.ends and self.ends[0][0] <= now_ms:
+            end_ms, _, _, book, reservation, used = heapq.heappop(self.ends)
+            self.set_clock(end_ms)
+            book.settle(reservation, used)
+
+    def set_clock(self, at_ms: int) -> None:
+        self.fleet.clock.advance_ms(max(at_ms - self.fleet.clock.now_ms(), 0))
+
+    def report(
+        self, calls: collections.Counter[str], start: typing.Any
+    ) -> dict[str, typing.Any]:
+        (messages, sent_bytes), cpu_s = start
+        now_messages, now_bytes = self.fleet.count_messages()
+        limits = {one.name: (RATE, BURST) for one in self.accounts}
+        asked = self.counts["asked"]
+        per_vm_s = self.vms * RUN_MS / 1_000
+        return {
+            "vms": self.vms,
+            "accounts": len(self.accounts),
+            "skew": self.skew,
+            "asked": asked,
+            "refused_wrongly_percent": round(
+                100 * self.counts["wrongly refused"] / asked, 3
+            ),
+            "one_bucket_refused_percent": round(
+                100 * self.counts["ideal refused"] / asked, 3
+            ),
+            "overrun_tokens": max(
+                allowance_history.find_overrun(self.grants, limits) / 1_000, 0
+            ),
+            "peer_calls_per_request": round(
+                (now_messages - messages) / asked, 3
+            ),
+            "bytes_per_vm_s": round((now_bytes - sent_bytes) / per_vm_s),
+            "cpu_ms_per_vm_s": round(
+                1_000 * (time.process_time() - cpu_s) / per_vm_s, 3
+            ),
+            "platform_calls_per_s": round(
+                sum((self.fleet.store.calls - calls).values())
+                / (RUN_MS / 1_000),
+                3,
+            ),
+        }
+
+
+def measure() -> dict[str, typing.Any]:
+    """Return the runs by name."""
+    runs = {
+        "split, even, 9 VMs": Run(9, 5, 0.0, is_split=True),
+        "shares, even, 9 VMs": Run(9, 5, 0.0),
+        "split, skewed, 9 VMs": Run(9, 5, 0.9, is_split=True),
+        "shares, skewed, 9 VMs": Run(9, 5, 0.9),
+        "shares, even, 3 VMs": Run(3, 5, 0.0),
+        "shares, even, 27 VMs, 15 accounts": Run(27, 15, 0.0),
+        "shares, even, 81 VMs, 45 accounts": Run(81, 45, 0.0),
+        "shares, skewed, 81 VMs, 45 accounts": Run(81, 45, 0.9),
+    }
+    return {name: run.run() for name, run in runs.items()}
+
+
+if __name__ == "__main__":
+    for label, result in measure().items():
+        print(label, json.dumps(result), flush=True)
--- /dev/null
+++ b/benchmarks/membership.py
@@ -0,0 +1,67 @@
+"""What knowing the other VMs costs a VM, by the number of VMs.
+
+``python -m benchmarks.membership`` steps the real controllers in one process
+on a turned clock; messages are encoded and counted, sockets are left out.
+"""
+
+import json
+import time
+import typing
+
+from tests import membership_fleet
+
+__all__ = ["measure"]
+
+SIZES = (3, 9, 27, 81, 243)
+# The news of all joins have to run out first.
+SETTLE_PERIODS = 240
+PERIODS = 30
+MOST_PERIODS = 60
+
+
+def measure() -> dict[str, typing.Any]:
+    """Return bytes, processor time and spreading times by fleet size."""
+    return {str(size): _measure_size(size) for size in SIZES}
+
+
+def _measure_size(size: int) -> dict[str, typing.Any]:
+    fleet = membership_fleet.Fleet(size)
+    fleet.run(SETTLE_PERIODS)
+    sent_bytes = _count_bytes(fleet)
+    cpu_s = time.process_time()
+    fleet.run(PERIODS)
+    per_vm_s = size * PERIODS
+    return {
+        "known_by_all": all(
+            len(vm.list_members()) == size for vm in fleet.vms
+        ),
+        "bytes_per_vm_s": round((_count_bytes(fleet) - sent_bytes) / per_vm_s),
+        "cpu_ms_per_vm_s": round(
+            1_000 * (time.process_time() - cpu_s) / per_vm_s, 3
+        ),
+        "stop_seen_by_all_periods": _count_spread(fleet),
+    }
+
+
+def _count_bytes(fleet: membership_fleet.Fleet) -> int:
+    return sum(
+        one.payload_bytes
+        for traffic in fleet.network.traffic.values()
+        for one in traffic.read_counts()
+    )
+
+
+def _count_spread(fleet: membership_fleet.Fleet) -> int | None:
+    """Return the periods until all VMs know that one is stopping."""
+    fleet.vms[1].change_own(is_stopping=True)
+    for period in range(1, MOST_PERIODS):
+        fleet.run(1)
+        seen = (fleet.see(vm, "vm1") for vm in fleet.vms)
+        if all(one is not None and one.is_stopping for one in seen):
+            return period
+    return None
+
+
+if __name__ == "__main__":
+    for count, result in measure().items():
+        print(count, "VMs", json.dumps(result), flush=True)
--- /dev/null
+++ b/mulberryway/controllers/allowance_slots.py
@@ -0,0 +1,334 @@
+"""Takes, renews and gives up slots of allowances in the platform."""
+
+import collections.abc
+import random
+import typing
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway.controllers import allowance_state
+from mulberryway.controllers import base
+from mulberryway.platform import base as platform
+from mulberryway.policy import allowance_keeper
+from mulberryway.policy import allowance_slots
+from mulberryway.policy import member
+
+__all__ = ["AllowanceSlotsController", "KIND", "MemberSource"]
+
+KIND = "allowances"
+PURPOSE = "allowances"
+PREFIX = "group-"
+STEP_MS = 1_000
+# Bounds what one VM asks of the platform: a few objects in each step.
+MOST_GROUPS_PER_STEP = 16
+
+
+class MemberSource(typing.Protocol):
+    """What is used of the membership controller."""
+
+    def list_members(self) -> list[member.Member]:
+        """Return copies of all known VMs, this one included."""
+
+    def change_own(
+        self, is_stopping: bool | None = None, holdings: bytes | None = None
+    ) -> None:
+        """Change what this VM tells of itself."""
+
+
+class AllowanceSlotsController(base.Controller):
+    """Keeps this VM's slots as they should be.
+
+    :param state: this VM's part in all allowances
+    :param store: the platform
+    :param membership: knows the other VMs
+    :param clock_: where the time comes from
+    """
+
+    def __init__(
+        self,
+        state: allowance_state.AllowanceState,
+        store: platform.ObjectStore,
+        membership: MemberSource,
+        clock_: clock.Clock,
+    ) -> None:
+        super().__init__("allowance-slots", clock_, STEP_MS)
+        self._state = state
+        self._store = store
+        self._membership = membership
+        self._times = state.times
+        self._random = random.Random(state.borrower_name)
+        self._start_ms = clock_.now_ms()
+        self._next_try_ms: dict[int, int] = {}
+        self._alive_since: dict[tuple[str, int], int] = {}
+        self._candidates: list[str] = []
+        self._next_list_ms = 0
+        self._next_move_ms = 0
+        self._listed: set[tuple[str, str]] = set()
+        self._listed_ms: int | None = None
+        self._told: bytes | None = None
+        self._is_leaving = False
+        # Groups whose record may not be what this process wants it to be.
+        self._unsure: set[int] = set()
+        self._has_read_own = False
+
+    def step(self) -> None:
+        """Look at the slots that need something, a few groups at a time."""
+        now_ms = self.clock.now_ms()
+        members = self._membership.list_members()
+        self._note_members(members, now_ms)
+        if now_ms - self._start_ms >= self._times.settle_ms:
+            self._read_own_records()
+            due = self._list_due(now_ms)
+            for group in due[:MOST_GROUPS_PER_STEP]:
+                self._settle(group)
+        self._tell_holdings()
+
+    def release_all(self) -> None:
+        """Give all slots up, as the last part of a planned stop."""
+        self._is_leaving = True
+        with self._state.lock:
+            slots = list(self._state.keeper.holdings)
+            for slot in slots:
+                self._state.keeper.give_up(slot)
+        for group in {slot // self._state.parts for slot in slots}:
+            self._settle(group)
+        self._tell_holdings()
+
+    def _note_members(self, members: list[member.Member], now_ms: int) -> None:
+        able = [one for one in members if one.takes_callers]
+        since = self._alive_since
+        self._alive_since = {
+            (one.name, one.incarnation): since.get(
+                (one.name, one.incarnation), now_ms
+            )
+            for one in able
+        }
+        self._candidates = [one.name for one in able]
+        holders = {
+            slot: one.peer
+            for one in members
+            if one.health is not member.Health.DEAD
+            and one.name != self._state.keeper.vm
+            for slot in allowance_state.unpack_holdings(one.holdings)
+        }
+        with self._state.lock:
+            self._state.holders = holders
+
+    def _read_own_records(self) -> None:
+        """Find what this VM's last process still holds by the records.
+
+        Nobody else may take that while the platform lists the VM, and this
+        process may not be the one that should hold it: it would stay
+        blocked until its lease ends.
+        """
+        if self._has_read_own:
+            return
+        found = self._store.read_all(KIND, PURPOSE)
+        if not found.is_ok():
+            return
+        self._has_read_own = True
+        own = self._state.keeper.vm
+        self._unsure |= {
+            int(one.name.removeprefix(PREFIX))
+            for one in found.ok
+            if any(
+                record.vm == own and not record.is_released
+                for record in _read_records(one.value).values()
+            )
+        }
+
+    def _list_due(self, now_ms: int) -> list[int]:
+        parts = self._state.parts
+        with self._state.lock:
+            holders = self._state.holders
+            due = {
+                slot // parts
+                for slot in range(self._state.groups * parts)
+                if slot not in holders and self._is_due(slot, now_ms)
+            }
+            due |= {
+                slot // parts
+                for slot in self._state.keeper.holdings
+                if self._is_due(slot, now_ms)
+            }
+        due |= self._unsure
+        ready = [g for g in due if self._next_try_ms.get(g, 0) <= now_ms]
+        self._random.shuffle(ready)
+        return ready
+
+    def _is_due(self, slot: int, now_ms: int) -> bool:
+        holding = self._state.keeper.holdings.get(slot)
+        if holding is None:
+            return self._is_wanted(slot, now_ms)
+        left_ms = holding.until_ms - now_ms
+        is_old = left_ms <= self._times.renew_ms
+        return is_old or not self._is_wanted(slot, now_ms)
+
+    def _is_wanted(self, slot: int, now_ms: int) -> bool:
+        """Tell whether this VM should hold a slot."""
+        if self._is_leaving:
+            return False
+        own = self._state.keeper.vm
+        best = allowance_slots.choose_holder(slot, self._candidates)
+        if best == own:
+            return True
+        if slot not in self._state.keeper.holdings or best is None:
+            return False
+        # Moving a slot costs its tokens, so it goes only to a VM that has
+        # lived for a while, and one group after the other.
+        lived_ms = max(
+            now_ms - since_ms
+            for (name, _), since_ms in self._alive_since.items()
+            if name == best
+        )
+        is_settled = lived_ms >= self._times.rebalance_ms
+        return not (is_settled and now_ms >= self._next_move_ms)
+
+    def _settle(self, group: int) -> None:
+        now_ms = self.clock.now_ms()
+        retry_ms = self._times.retry_ms
+        pause_ms = self._random.randint(retry_ms // 2, retry_ms * 3 // 2)
+        self._next_try_ms[group] = now_ms + pause_ms
+        name = f"{PREFIX}{group}"
+        found = self._store.read(KIND, name, PURPOSE)
+        is_new = (
+            not found.is_ok() and found.error.code is errors.Code.NOT_FOUND
+        )
+        if not (found.is_ok() or is_new):
+            return
+        records = _read_records({} if is_new else found.ok.value)
+        self._read_list(group, records)
+        decisions = self._decide(group, records)
+        self._unsure.discard(group)
+        if not decisions:
+            return
+        self._unsure.add(group)
+        written = self._write(group, records, decisions)
+        value = {"parts": {str(k): _make_value(r) for k, r in written.items()}}
+        sent_ms = self.clock.now_ms()
+        if is_new:
+            answer = self._store.create(KIND, name, value, PURPOSE)
+        else:
+            answer = self._store.update(
+                KIND, name, value, found.ok.version, PURPOSE
+            )
+        # Without an accepting answer nothing is held; whether the write
+        # took effect shows when the object is read again.
+        self._next_try_ms[group] = now_ms
+        if answer.is_ok():
+            self._unsure.discard(group)
+            self._note_written(group, written, decisions, sent_ms)
+
+    def _decide(
+        self, group: int, records: dict[int, allowance_slots.SlotRecord]
+    ) -> dict[int, allowance_keeper.Decision]:
+        first = group * self._state.parts
+        decisions = {}
+        with self._state.lock:
+            now_ms = self.clock.now_ms()
+            for part in range(self._state.parts):
+                slot = first + part
+                decision = self._state.keeper.decide(
+                    slot,
+                    records.get(part),
+                    self._is_wanted(slot, now_ms),
+                    now_ms,
+                )
+                if decision is allowance_keeper.Decision.RELEASE:
+                    # Never spend from a slot that others may have already.
+                    self._state.keeper.give_up(slot)
+                    self._next_move_ms = now_ms + self._times.retry_ms
+                if decision is not allowance_keeper.Decision.NONE:
+                    decisions[part] = decision
+        return decisions
+
+    def _write(
+        self,
+        group: int,
+        records: dict[int, allowance_slots.SlotRecord],
+        decisions: dict[int, allowance_keeper.Decision],
+    ) -> dict[int, allowance_slots.SlotRecord]:
+        with self._state.lock:
+            made = {
+                part: self._state.keeper.make_record(
+                    decision, records.get(part)
+                )
+                for part, decision in decisions.items()
+            }
+        return {**records, **made}
+
+    def _note_written(
+        self,
+        group: int,
+        written: dict[int, allowance_slots.SlotRecord],
+        decisions: dict[int, allowance_keeper.Decision],
+        sent_ms: int,
+    ) -> None:
+        with self._state.lock:
+            now_ms = self.clock.now_ms()
+            for part, decision in decisions.items():
+                self._state.keeper.note_written(
+                    group * self._state.parts + part,
+                    decision,
+                    written[part],
+                    sent_ms,
+                    now_ms,
+                )
+
+    def _read_list(
+        self,
+        group: int,
+        records: dict[int, allowance_slots.SlotRecord],
+    ) -> None:
+        """Read the platform's list, if it can matter and not too often."""
+        asked_ms = self.clock.now_ms()
+        others = any(
+            record.vm not in self._candidates for record in records.values()
+        )
+        is_needed = others or not self._state.keeper.is_listed
+        if is_needed and asked_ms >= self._next_list_ms:
+            self._next_list_ms = asked_ms + self._times.retry_ms
+            answer = self._store.list_vms(PURPOSE)
+            if answer.is_ok():
+                self._listed = {(vm.name, vm.address) for vm in answer.ok}
+                self._listed_ms = asked_ms
+        if self._listed_ms is None:
+            return
+        with self._state.lock:
+            keeper = self._state.keeper
+            keeper.note_list(self._listed, self._listed_ms)
+            for part, record in records.items():
+                slot = group * self._state.parts + part
+                keeper.note_absent(slot, record, self._listed, self._listed_ms)
+
+    def _tell_holdings(self) -> None:
+        with self._state.lock:
+            slots = list(self._state.keeper.holdings)
+        holdings = allowance_state.pack_holdings(slots)
+        if holdings != self._told:
+            self._told = holdings
+            self._membership.change_own(holdings=holdings)
+
+
+def _read_records(
+    value: collections.abc.Mapping[str, typing.Any],
+) -> dict[int, allowance_slots.SlotRecord]:
+    return {
+        int(part): allowance_slots.SlotRecord(
+            row["vm"],
+            row["address"],
+            row["incarnation"],
+            row["term"],
+            row["renewals"],
+            row["is_listed"],
+            row["is_released"],
+        )
+        for part, row in value.get("parts", {}).items()
+    }
+
+
+def _make_value(record: allowance_slots.SlotRecord) -> dict[str, typing.Any]:
+    return {
+        attribute: getattr(record, attribute)
+        for attribute in allowance_slots.SlotRecord.__slots__
+    }
--- /dev/null
+++ b/mulberryway/controllers/allowances.py
@@ -0,0 +1,322 @@
+"""Takes tokens for requests from this VM's shares and from other VMs."""
+
+import collections.abc
+import contextlib
+import random
+import threading
+import typing
+
+import expression
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway import tables
+from mulberryway.controllers import allowance_state
+from mulberryway.controllers import base
+from mulberryway.peers import client
+from mulberryway.peers.gen.allowances import Allowances as service
+from mulberryway.peers.gen.allowances import ttypes
+from mulberryway.policy import allowance
+from mulberryway.policy import allowance_borrower
+from mulberryway.policy import allowance_shares
+from mulberryway.policy import allowance_slots
+
+__all__ = ["AllowancesController", "AllowanceService"]
+
+STEP_MS = 250
+# A request waits at most this long for tokens from other VMs: a small part
+# of the 1.1 s in which its first token is due.
+BORROW_MS = 100
+CALL_MS = 50
+CLOSE_MS = 200
+# A holder that did not answer is not asked again for a while: each request
+# would wait for it in turn.
+SILENT_MS = 2_000
+
+
+class AllowanceService(service.Iface):
+    """Lends tokens to other VMs.
+
+    :param state: this VM's part in all allowances
+    :param clock_: where the time comes from
+    """
+
+    def __init__(
+        self, state: allowance_state.AllowanceState, clock_: clock.Clock
+    ) -> None:
+        self._state = state
+        self._clock = clock_
+
+    def borrow(self, request: ttypes.LoanRequest) -> ttypes.Loan:
+        """Lend tokens from this VM's shares.
+
+        :param request: who wants how many, and for whom
+        :returns: the loan, perhaps of no tokens
+        """
+        loan_id = (request.borrower, request.number)
+        lender = self._state.lender
+        with self._state.lock:
+            now_ms = self._clock.now_ms()
+            loan = lender.lend(
+                loan_id, request.account, request.need, request.wish, now_ms
+            )
+            left = lender.read_left(request.account, now_ms)
+        return ttypes.Loan(loan.tokens, loan.length_ms, left)
+
+    def close(self, borrower: str, closings: list[ttypes.Closing]) -> None:
+        """Take back what other VMs did not use.
+
+        :param borrower: who had the loans
+        :param closings: which loans, and what came back
+        """
+        with self._state.lock:
+            now_ms = self._clock.now_ms()
+            for one in closings:
+                self._state.lender.close(
+                    (borrower, one.number), one.returned, now_ms
+                )
+
+
+class AllowancesController(base.Controller, allowance.Allowances):
+    """Reserves tokens, and gives back in time what was borrowed.
+
+    :param state: this VM's part in all allowances
+    :param source: the tables in force
+    :param peers: calls other VMs
+    :param clock_: where the time comes from
+    """
+
+    def __init__(
+        self,
+        state: allowance_state.AllowanceState,
+        source: tables.TableSource,
+        peers: client.PeerClient,
+        clock_: clock.Clock,
+    ) -> None:
+        super().__init__("allowances", clock_, STEP_MS)
+        self._state = state
+        self._peers = peers
+        self._random = random.Random(state.borrower_name)
+        self._silent: dict[str, int] = {}
+        self._left: dict[tuple[str, str], int] = {}
+        self._asking: dict[str, threading.RLock] = {}
+        source.subscribe(self._take_tables)
+        current = source.read_tables()
+        if current is not None:
+            self._take_tables(current)
+
+    def reserve(
+        self, account: str, tokens: int
+    ) -> expression.Result[allowance.Reservation, errors.Fault]:
+        """Take tokens for a request before it runs.
+
+        :param account: the client account
+        :param tokens: the prompt and the most that can be generated
+        :returns: the reservation, or ``OVER_ALLOWANCE`` with a retry hint
+        """
+        with self._state.lock:
+            now_ms = self.clock.now_ms()
+            self._state.book.note_demand(account, tokens, now_ms)
+            reservation = self._state.book.reserve(account, tokens, now_ms)
+        if reservation is None:
+            reservation = self._reserve_borrowed(account, tokens)
+        if reservation is None:
+            return expression.Error(self._refuse(account, tokens))
+        return expression.Ok(reservation)
+
+    def is_usable(self, reservation: allowance.Reservation) -> bool:
+        """Tell whether a reservation still stands.
+
+        :param reservation: what was taken
+        :returns: whether its tokens may be used now
+        """
+        with self._state.lock:
+            now_ms = self.clock.now_ms()
+            return isinstance(
+                reservation, allowance_shares.ShareReservation
+            ) and self._state.book.is_usable(reservation, now_ms)
+
+    def settle(self, reservation: allowance.Reservation, used: int) -> None:
+        """Give back what a request did not use; called exactly once.
+
+        :param reservation: what was taken
+        :param used: tokens that the caller received or that were computed
+        """
+        if isinstance(reservation, allowance_shares.ShareReservation):
+            with self._state.lock:
+                now_ms = self.clock.now_ms()
+                self._state.book.settle(reservation, used, now_ms)
+
+    def step(self) -> None:
+        """Give back what is not used, and end loans that have lapsed."""
+        with self._state.lock:
+            now_ms = self.clock.now_ms()
+            self._state.lender.expire(now_ms)
+        self._send_closings(is_all=False)
+
+    def return_loans(self) -> None:
+        """Give all loans back, as a part of a planned stop."""
+        self._send_closings(is_all=True)
+
+    def _reserve_borrowed(
+        self, account: str, tokens: int
+    ) -> allowance_shares.ShareReservation | None:
+        # One thread asks for an account at a time.  Many that ask at once
+        # would each get a part of what one of them needs.
+        end = clock.Deadline(self.clock.now_ms() + BORROW_MS)
+        with self._lock_account(account) as is_locked:
+            if not is_locked:
+                return None
+            with self._state.lock:
+                now_ms = self.clock.now_ms()
+                ask = self._state.book.plan(account, tokens, now_ms)
+                reservation = self._state.book.reserve(account, tokens, now_ms)
+            if reservation is not None or ask is None:
+                return reservation
+            return self._ask_holders(account, tokens, end)
+
+    def _ask_holders(
+        self, account: str, tokens: int, end: clock.Deadline
+    ) -> allowance_shares.ShareReservation | None:
+        for peer in self._list_holders(account):
+            is_more = True
+            while is_more and not end.has_passed(self.clock.now_ms()):
+                with self._state.lock:
+                    now_ms = self.clock.now_ms()
+                    ask = self._state.book.plan(account, tokens, now_ms)
+                if ask is None:
+                    return None
+                # One loan is of one share, and a VM may hold several.
+                is_more = self._borrow(peer, account, ask, end)
+                with self._state.lock:
+                    reservation = self._state.book.reserve(
+                        account, tokens, self.clock.now_ms()
+                    )
+                if reservation is not None:
+                    return reservation
+        return None
+
+    def _list_holders(self, account: str) -> list[str]:
+        """Return whom to ask, those who had most left before the others."""
+        parts = self._state.parts
+        group = allowance_slots.find_group(account, self._state.groups)
+        now_ms = self.clock.now_ms()
+        with self._state.lock:
+            holders = {
+                self._state.holders[slot]
+                for slot in range(group * parts, (group + 1) * parts)
+                if slot in self._state.holders
+            }
+        asked = [
+            peer for peer in holders if self._silent.get(peer, 0) <= now_ms
+        ]
+        asked.sort()
+        self._random.shuffle(asked)
+        asked.sort(key=lambda peer: -self._left.get((account, peer), 0))
+        return asked
+
+    def _borrow(
+        self,
+        peer: str,
+        account: str,
+        ask: allowance_shares.Ask,
+        end: clock.Deadline,
+    ) -> bool:
+        """Ask a VM for a loan; tell whether it has more to lend."""
+        borrower = self._state.borrower
+        with self._state.lock:
+            number = borrower.begin()
+        request = ttypes.LoanRequest(
+            self._state.borrower_name, number, account, ask.need, ask.wish
+        )
+        # The loan's end counts from here: however long the request takes,
+        # the lender counts from later and so waits longer.
+        sent_ms = self.clock.now_ms()
+        answer = self._call(
+            peer, "borrow", request, min(CALL_MS, end.left_ms(sent_ms))
+        )
+        with self._state.lock:
+            if not answer.is_ok():
+                self._silent[peer] = self.clock.now_ms() + SILENT_MS
+                borrower.cancel(number, peer)
+                return False
+            loan = answer.ok
+            self._left[(account, peer)] = loan.left
+            borrower.add(
+                number,
+                allowance_borrower.Borrowed(
+                    number,
+                    peer,
+                    account,
+                    loan.tokens,
+                    sent_ms + loan.length_ms,
+                    self.clock.now_ms(),
+                ),
+            )
+            return loan.tokens > 0 and loan.left > 0
+
+    def _send_closings(self, is_all: bool) -> None:
+        with self._state.lock:
+            now_ms = self.clock.now_ms()
+            closings = self._state.borrower.take_closings(now_ms, is_all)
+        by_peer: dict[str, list[ttypes.Closing]] = {}
+        for one in closings:
+            message = ttypes.Closing(one.number, one.returned)
+            by_peer.setdefault(one.peer, []).append(message)
+        for peer, messages in by_peer.items():
+            self._call(peer, "close", messages, CLOSE_MS)
+
+    def _call(
+        self, peer: str, method: str, argument: typing.Any, timeout_ms: int
+    ) -> expression.Result[typing.Any, errors.Fault]:
+        arguments = [argument]
+        if method == "close":
+            arguments.insert(0, self._state.borrower_name)
+        return self._peers.call(
+            peer,
+            service.Client,
+            method,
+            *arguments,
+            timeout_ms=timeout_ms,
+            is_idempotent=True,
+        )
+
+    @contextlib.contextmanager
+    def _lock_account(self, account: str) -> collections.abc.Iterator[bool]:
+        with self._state.lock:
+            lock = self._asking.setdefault(account, threading.RLock())
+        is_locked = lock.acquire(timeout=BORROW_MS / 1000)
+        try:
+            yield is_locked
+        finally:
+            if is_locked:
+                lock.release()
+
+    def _refuse(self, account: str, tokens: int) -> errors.Fault:
+        with self._state.lock:
+            now_ms = self.clock.now_ms()
+            wait_ms = self._state.book.note_refused(account, tokens, now_ms)
+        return errors.Fault(
+            errors.Code.OVER_ALLOWANCE,
+            errors.Step.ADMISSION,
+            message="the client account's allowance is used up",
+            retry_after_ms=wait_ms,
+        )
+
+    def _take_tables(self, current: tables.Tables) -> None:
+        with self._state.lock:
+            now_ms = self.clock.now_ms()
+            self._state.lender.change_accounts(current.accounts, now_ms)
+            self._state.book.forget_accounts()
+            for memory in (self._asking, self._left):
+                gone = [
+                    key
+                    for key in memory
+                    if _read_account(key) not in current.accounts
+                ]
+                for key in gone:
+                    del memory[key]
+
+
+def _read_account(key: str | tuple[str, str]) -> str:
+    return key if isinstance(key, str) else key[0]
--- a/mulberryway/policy/allowance.py
+++ b/mulberryway/policy/allowance.py
@@ -37,6 +37,19 @@
         :returns: the reservation, or ``OVER_ALLOWANCE`` with a retry hint
         """
 
+    def is_usable(self, reservation: Reservation) -> bool:
+        """Tell whether a reservation still stands, and count it as used.
+
+        A process that was paused since it reserved may hold tokens that
+        have passed on to another VM; ask right before the upstream is
+        called, and settle with 0 if not.  A reservation that is not asked
+        about within two seconds does not stand any more.
+
+        :param reservation: what was taken
+        :returns: whether its tokens may be used now
+        """
+        return True
+
     @abc.abstractmethod
     def settle(self, reservation: Reservation, used: int) -> None:
         """Give back what a request did not use; called exactly once.
--- /dev/null
+++ b/mulberryway/policy/allowance_keeper.py
@@ -0,0 +1,252 @@
+"""Decides which slots this process takes, renews and gives up; a promise."""
+
+import enum
+
+from mulberryway.policy import allowance_slots
+from mulberryway.policy import allowance_times
+
+__all__ = ["Decision", "SlotKeeper"]
+
+
+class Decision(enum.Enum):
+    """What to do about a slot."""
+
+    NONE = "none"
+    TAKE = "take"
+    RENEW = "renew"
+    RELEASE = "release"
+
+
+class SlotKeeper:
+    """Decides which slots this process takes, renews and gives up.
+
+    A slot passes on only when its holder has given it up, when a newer
+    incarnation runs at the same VM and address (the port is bound, so the
+    older process has ended), when the platform's list has shown the VM and
+    has since left it out for a margin, or when its lease has ended.  Were
+    it taken from a holder that only seems dead, two would spend the same
+    tokens.
+
+    :param vm: this VM
+    :param address: its IP number
+    :param incarnation: this life of its process
+    :param times: durations
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        address: str,
+        incarnation: int,
+        times: allowance_times.AllowanceTimes,
+    ) -> None:
+        self.vm = vm
+        self.address = address
+        self.incarnation = incarnation
+        self.holdings: dict[int, allowance_slots.Holding] = {}
+        self.is_listed = False
+        self._times = times
+        self._leases: dict[int, tuple[tuple[int, int], int]] = {}
+        self._absent: dict[tuple[str, str], tuple[int, int]] = {}
+
+    def find(self, slot: int, now_ms: int) -> allowance_slots.Holding | None:
+        """Return a holding whose lease runs; asked right before each act.
+
+        :param slot: the slot
+        :param now_ms: the present, read just now
+        :returns: the holding, or none
+        """
+        holding = self.holdings.get(slot)
+        if holding is None or holding.until_ms <= now_ms:
+            return None
+        return holding
+
+    def note_list(self, listed: set[tuple[str, str]], now_ms: int) -> None:
+        """Take in the platform's list of VMs.
+
+        :param listed: names and addresses
+        :param now_ms: when the list was asked for
+        """
+        self.is_listed = (self.vm, self.address) in listed
+        kept = {
+            vm: times for vm, times in self._absent.items() if vm not in listed
+        }
+        self._absent = {vm: (first, now_ms) for vm, (first, _) in kept.items()}
+
+    def note_absent(
+        self,
+        slot: int,
+        record: allowance_slots.SlotRecord,
+        listed: set[tuple[str, str]],
+        listed_ms: int,
+    ) -> None:
+        """Begin to count for how long the list leaves a holder out.
+
+        Only a list that was asked for after the record was seen counts, and
+        only if the holder has seen itself in the list: a new VM is not in
+        the list yet, and must not be taken for one that has gone.
+
+        :param slot: the slot
+        :param record: names the holder
+        :param listed: names and addresses
+        :param listed_ms: when the list was asked for
+        """
+        lease, seen_ms = self._leases.get(slot, (None, 0))
+        is_seen = lease == record.lease() and seen_ms <= listed_ms
+        key = (record.vm, record.address)
+        if is_seen and record.is_listed and key not in listed:
+            self._absent.setdefault(key, (listed_ms, listed_ms))
+
+    def decide(
+        self,
+        slot: int,
+        record: allowance_slots.SlotRecord | None,
+        is_wanted: bool,
+        now_ms: int,
+    ) -> Decision:
+        """Decide about a slot, as the platform records it now.
+
+        :param slot: the slot
+        :param record: its record; none if it was never taken
+        :param is_wanted: whether this VM is the one to hold it
+        :param now_ms: the present
+        :returns: what to write
+        """
+        self._note_lease(slot, record, now_ms)
+        holding = self.holdings.get(slot)
+        if holding is not None and not self._is_own(holding, record, now_ms):
+            del self.holdings[slot]
+            holding = None
+        if holding is not None:
+            if not is_wanted:
+                return Decision.RELEASE
+            is_due = holding.until_ms - now_ms <= self._times.renew_ms
+            return Decision.RENEW if is_due else Decision.NONE
+        if is_wanted:
+            is_free = self._may_take(slot, record, now_ms)
+            return Decision.TAKE if is_free else Decision.NONE
+        # A lost release, or what this VM's last process held: nobody else
+        # could take it while the platform lists this VM.
+        is_left = record is not None and not record.is_released
+        if is_left and self._is_here(record):
+            return Decision.RELEASE
+        return Decision.NONE
+
+    def make_record(
+        self, decision: Decision, record: allowance_slots.SlotRecord | None
+    ) -> allowance_slots.SlotRecord:
+        """Return the record that a decision writes.
+
+        :param decision: what was decided
+        :param record: the record that it was decided on
+        :returns: the new record
+        """
+        term = 0 if record is None else record.term
+        renewals = 0 if record is None else record.renewals
+        if decision is Decision.TAKE:
+            term, renewals = term + 1, 0
+        elif decision is Decision.RENEW:
+            renewals += 1
+        return allowance_slots.SlotRecord(
+            self.vm,
+            self.address,
+            self.incarnation,
+            term,
+            renewals,
+            self.is_listed,
+            decision is Decision.RELEASE,
+        )
+
+    def note_written(
+        self,
+        slot: int,
+        decision: Decision,
+        record: allowance_slots.SlotRecord,
+        sent_ms: int,
+        now_ms: int,
+    ) -> None:
+        """Take in that the platform has accepted a record.
+
+        The lease is counted from before the write was sent, while others
+        count from when they see it.  A slot that was taken fills from empty
+        and only after all loans of its last holder have ended: what the
+        last holder and its borrowers spent is not known.
+
+        :param slot: the slot
+        :param decision: what was decided
+        :param record: what was written
+        :param sent_ms: right before the write was sent
+        :param now_ms: the present
+        """
+        until_ms = sent_ms + self._times.lease_ms
+        if decision is Decision.TAKE:
+            self.holdings[slot] = allowance_slots.Holding(
+                slot, record.term, until_ms, now_ms + self._times.lapse_ms
+            )
+        elif decision is Decision.RENEW and slot in self.holdings:
+            self.holdings[slot].until_ms = until_ms
+
+    def give_up(self, slot: int) -> None:
+        """Stop using a slot, before its release is written.
+
+        :param slot: the slot
+        """
+        self.holdings.pop(slot, None)
+
+    def _is_own(
+        self,
+        holding: allowance_slots.Holding,
+        record: allowance_slots.SlotRecord | None,
+        now_ms: int,
+    ) -> bool:
+        is_current = record is not None and record.term == holding.term
+        has_time = holding.until_ms > now_ms
+        return has_time and is_current and self._is_recorded(record)
+
+    def _is_recorded(self, record: allowance_slots.SlotRecord | None) -> bool:
+        return (
+            record is not None
+            and not record.is_released
+            and record.vm == self.vm
+            and record.incarnation == self.incarnation
+        )
+
+    def _note_lease(
+        self, slot: int, record: allowance_slots.SlotRecord | None, now_ms: int
+    ) -> None:
+        if record is None:
+            self._leases.pop(slot, None)
+            return
+        known = self._leases.get(slot)
+        if known is None or known[0] != record.lease():
+            self._leases[slot] = (record.lease(), now_ms)
+
+    def _may_take(
+        self, slot: int, record: allowance_slots.SlotRecord | None, now_ms: int
+    ) -> bool:
+        if record is None or record.is_released:
+            return True
+        if self._is_here(record):
+            return True
+        return self._is_gone(slot, record) or self._has_lapsed(slot, now_ms)
+
+    def _is_here(self, record: allowance_slots.SlotRecord) -> bool:
+        """Tell whether a record is of this process or an earlier one here."""
+        is_vm = (record.vm, record.address) == (self.vm, self.address)
+        return is_vm and record.incarnation <= self.incarnation
+
+    def _is_gone(self, slot: int, record: allowance_slots.SlotRecord) -> bool:
+        absent = self._absent.get((record.vm, record.address))
+        if absent is None or not record.is_listed:
+            return False
+        # The VM may have come back since, and have taken the slot anew:
+        # only absence after this very record was seen counts.
+        _, seen_ms = self._leases[slot]
+        first_ms, last_ms = absent
+        absent_ms = last_ms - max(first_ms, seen_ms)
+        return absent_ms >= self._times.list_margin_ms
+
+    def _has_lapsed(self, slot: int, now_ms: int) -> bool:
+        _, seen_ms = self._leases[slot]
+        lease_ms = self._times.lease_ms + self._times.lease_margin_ms
+        return now_ms - seen_ms >= lease_ms
--- a/mulberryway/policy/token_bucket.py
+++ b/mulberryway/policy/token_bucket.py
@@ -6,6 +6,11 @@
 __all__ = ["TokenBucket"]
 
 MS_IN_S = 1_000
+# Clocks of VMs run apart by some hundred millionths.  A bucket fills a
+# thousandth slower than its rate, so that by no clock an account gets more.
+DRIFT_PER_MILLE = 1
+REFILL_PER_MILLE = 1_000 - DRIFT_PER_MILLE
+PER_TOKEN = MS_IN_S * 1_000
 # Bounds the memory of one bucket; fewer marks only make refunds smaller.
 MOST_MARKS = 256
 
@@ -23,8 +28,8 @@
 class TokenBucket:
     """One of several equal parts of a rate and a burst.
 
-    The level is kept in whole units of a token / (1,000 x parts), so that no
-    rounding ever adds up to a token too many.
+    The level is kept in whole units of a token / (1,000,000 x parts), so
+    that no rounding ever adds up to a token too many.
 
     What was lent and what is left never exceed the capacity together: a
     bucket that refilled while a borrower still holds its tokens would let
@@ -60,8 +65,8 @@
         self.rate = rate
         self.burst = burst
         self.parts = parts
-        self._scale = MS_IN_S * parts
-        self._level = burst * MS_IN_S if is_full else 0
+        self._scale = PER_TOKEN * parts
+        self._level = burst * PER_TOKEN if is_full else 0
         self._on_loan = 0
         self._updated_ms = now_ms
         # Ordered by stamp, with strictly falling ``highest``.
@@ -181,17 +186,21 @@
         lacking = max(wanted - self._level, 0)
         if lacking == 0:
             return 0
-        return -(-lacking // self.rate) if self.rate else None
+        return -(-lacking // self._count_refill()) if self.rate else None
 
     def _capacity(self) -> int:
-        return self.burst * MS_IN_S
+        return self.burst * PER_TOKEN
+
+    def _count_refill(self) -> int:
+        """Return the units that come in one millisecond."""
+        return self.rate * REFILL_PER_MILLE
 
     def _refill(self, now_ms: int) -> None:
         # A clock that seems to run backwards must not take or give tokens.
         elapsed_ms = max(now_ms - self._updated_ms, 0)
         self._updated_ms += elapsed_ms
         room = max(self._capacity() - self._on_loan - self._level, 0)
-        self._level += min(self.rate * elapsed_ms, room)
+        self._level += min(self._count_refill() * elapsed_ms, room)
         self._note_level()
 
     def _note_level(self) -> None:
--- /dev/null
+++ b/tests/allowance_history.py
@@ -0,0 +1,508 @@
+"""Runs allowances under seeded faults and checks what accounts received.
+
+The real controllers run against a platform, a network and clocks that fail
+as a seed says.  Whenever a VM reads its clock it may be paused, and the
+other VMs go on meanwhile: so a pause can fall between any check and act.
+"""
+
+import random
+
+import expression
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway import tables
+from mulberryway.controllers import allowance_slots
+from mulberryway.controllers import allowance_state
+from mulberryway.controllers import allowances
+from mulberryway.platform import base as platform
+from mulberryway.policy import allowance_times
+from mulberryway.policy import member
+
+GROUPS = 2
+PARTS = 4
+VMS = 4
+TICKS = 110
+ACCOUNTS = {"tea": (400, 600), "carp": (250, 400)}
+PAUSES_MS = (300, 900, 900, 1_500, 1_500, 13_000)
+LIST_LAG_MS = 700
+
+
+class Mode:
+    """What fails most in a schedule.
+
+    :param lost: part of the messages of which request or answer is lost
+    :param doubled: part of the messages that come twice, at once or later
+    :param crash: how often a process dies in a tick
+    :param pause: how often a VM is paused at a look at its clock
+    :param platform: how often the platform goes down or up in a tick
+    :param rates: how often rates and bursts change in a tick
+    :param wish: the most that borrowers ask for beyond their need; leaves
+        unused tokens on loan
+    """
+
+    def __init__(
+        self,
+        lost=0.01,
+        doubled=0.01,
+        crash=0.002,
+        pause=0.0003,
+        platform=0.004,
+        rates=0.0,
+        wish=0,
+    ):
+        self.lost = lost
+        self.doubled = doubled
+        self.crash = crash
+        self.pause = pause
+        self.platform = platform
+        self.rates = rates
+        self.wish = wish
+
+
+MODES = {
+    "calm": Mode(wish=400),
+    "doubled": Mode(doubled=0.4, wish=400),
+    "lost": Mode(lost=0.2, doubled=0.05, wish=100),
+    "crash": Mode(crash=0.02),
+    "pause": Mode(pause=0.002, wish=150),
+    "platform": Mode(platform=0.04, crash=0.005, pause=0.001),
+    "rates": Mode(rates=0.02),
+    "everything": Mode(0.1, 0.1, 0.01, 0.002, 0.02, 0.01),
+}
+
+
+def make_times():
+    return allowance_times.AllowanceTimes(
+        lease_ms=8_000,
+        lease_margin_ms=100,
+        list_margin_ms=1_500,
+        loan_ms=800,
+        loan_margin_ms=20,
+        idle_ms=150,
+        use_ms=1_000,
+        refund_ms=3_000,
+        rebalance_ms=1_000,
+        settle_ms=20,
+        retry_ms=100,
+    )
+
+
+class SimClock(clock.Clock):
+    """A VM's clock: off, running apart, and a place to be paused at."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+        self.offset_ms = world.random.randint(0, 10**9)
+        self.drift = world.random.uniform(-0.0004, 0.0004)
+        self.read_ms = world.now_ms
+        self.last_ms = 0
+
+    def now_ms(self):
+        self.read_ms = self.world.now_ms
+        value = self.last_ms = self.offset_ms + int(
+            self.world.now_ms * (1 + self.drift)
+        )
+        self.world.perhaps_pause(self.name)
+        return value
+
+    def wall_ms(self):
+        return self.world.now_ms
+
+    def sleep_ms(self, duration_ms):
+        raise AssertionError("nothing may sleep here")
+
+
+class SimStore(platform.ObjectStore):
+    """The platform, as one VM meets it."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+
+    def fail(self, run=errors.Run.NOT_RUN):
+        return expression.Error(
+            errors.Fault(
+                errors.Code.PLATFORM_UNAVAILABLE,
+                errors.Step.PLATFORM,
+                run=run,
+            )
+        )
+
+    def conflict(self, code=errors.Code.CONFLICT):
+        return expression.Error(errors.Fault(code, errors.Step.PLATFORM))
+
+    def is_down(self):
+        self.world.take_time(5)
+        return self.world.is_platform_down or self.world.chance(0.05)
+
+    def read(self, kind, name, purpose):
+        if self.is_down():
+            return self.fail()
+        versions = self.world.objects.get(name)
+        if not versions:
+            return self.conflict(errors.Code.NOT_FOUND)
+        # Now and then a replica answers with an old version.
+        back = 2 if self.world.chance(0.05) else 1
+        return expression.Ok(versions[-min(back, len(versions))])
+
+    def read_all(self, kind, purpose):
+        if self.is_down():
+            return self.fail()
+        return expression.Ok([one[-1] for one in self.world.objects.values()])
+
+    def create(self, kind, name, value, purpose):
+        return self.update(kind, name, value, 0, purpose)
+
+    def update(self, kind, name, value, version, purpose):
+        if self.is_down():
+            return self.fail()
+        versions = self.world.objects.setdefault(name, [])
+        if (versions[-1].version if versions else 0) != version:
+            return self.conflict()
+        stored = platform.StoredObject(kind, name, version + 1, value)
+        versions.append(stored)
+        self.world.take_time(30)
+        if self.world.chance(0.1):
+            return self.fail(errors.Run.MAY_HAVE_RUN)
+        return expression.Ok(stored)
+
+    def delete(self, kind, name, version, purpose):
+        raise AssertionError("nothing is deleted")
+
+    def watch(self, kind, from_version, silence_ms, purpose):
+        raise AssertionError("nothing is watched")
+
+    def list_vms(self, purpose):
+        if self.is_down():
+            return self.fail()
+        lag_ms = self.world.random.randint(0, LIST_LAG_MS)
+        return expression.Ok(self.world.list_at(self.world.now_ms - lag_ms))
+
+
+class SimPeers:
+    """The network, as one VM meets it."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+
+    def call(self, peer, client_class, method, *arguments, **options):
+        world = self.world
+        lost, doubled = world.mode.lost / 3, world.mode.doubled / 2
+        fault = world.random.choices(
+            ("none", "lost", "lost reply", "late", "doubled", "copy late"),
+            (1 - 3 * lost - 2 * doubled, lost, lost, lost, doubled, doubled),
+        )[0]
+        if method == "borrow":
+            # Any wish is allowed; a large one leaves more unused on loan.
+            arguments[0].wish += world.random.randint(0, world.mode.wish)
+        world.take_time(2)
+        send = (peer, method, arguments)
+        if fault == "late":
+            world.send_later(*send)
+        if fault in ("lost", "late") or not world.is_reachable(peer):
+            world.take_time(50)
+            return self.fail(peer)
+        answer = world.deliver(*send)
+        if fault == "doubled":
+            answer = world.deliver(*send)
+        if fault == "copy late":
+            world.send_later(*send)
+        world.take_time(2)
+        if fault == "lost reply":
+            return self.fail(peer)
+        return expression.Ok(answer)
+
+    def fail(self, peer):
+        return expression.Error(
+            errors.Fault(errors.Code.PEER_UNREACHABLE, errors.Step.PEER, peer)
+        )
+
+
+class SimSource(tables.TableSource):
+    def __init__(self, current):
+        self.current = current
+        self.on_change = []
+
+    def read_tables(self):
+        return self.current
+
+    def subscribe(self, on_change):
+        self.on_change.append(on_change)
+
+    def put(self, current):
+        self.current = current
+        for tell in self.on_change:
+            tell(current)
+
+
+class SimVm:
+    """One life of one VM's process, and its view of the other VMs."""
+
+    def __init__(self, world, name, incarnation):
+        self.world = world
+        self.name = name
+        self.own = member.Member(name, name, 1, 2, "z", "r", incarnation)
+        self.clock = SimClock(world, name)
+        self.state = allowance_state.AllowanceState(
+            self.own, make_times(), GROUPS, PARTS
+        )
+        self.source = SimSource(world.tables)
+        self.service = allowances.AllowanceService(self.state, self.clock)
+        self.allowances = allowances.AllowancesController(
+            self.state, self.source, SimPeers(world, name), self.clock
+        )
+        self.slots = allowance_slots.AllowanceSlotsController(
+            self.state, SimStore(world, name), self, self.clock
+        )
+        self.running = []
+        self.is_reserving = False
+
+    def list_members(self):
+        """Return what membership tells; now and then it is wrong."""
+        members = [vm.own.copy() for vm in self.world.vms.values()]
+        for one in members:
+            is_paused = one.name in self.world.paused
+            if one.name != self.name and (
+                is_paused or self.world.chance(0.02)
+            ):
+                one.health = member.Health.DEAD
+        return members
+
+    def change_own(self, is_stopping=None, holdings=None):
+        self.own.holdings = holdings
+
+    def reserve(self):
+        account = self.world.random.choice(list(ACCOUNTS))
+        choices = (5, 10, 40, 200) if self.world.is_rush else (1, 2, 3)
+        tokens = self.world.random.choice(choices)
+        is_greedy = self.world.is_rush and self.world.chance(0.3)
+        if is_greedy:
+            # All that is at hand, so that a token too many shows.
+            tokens = max(
+                self.state.book.read_available(account, self.clock.last_ms), 1
+            )
+        self.is_reserving = True
+        result = self.allowances.reserve(account, tokens)
+        self.is_reserving = False
+        after_ms = self.world.now_ms
+        if not result.is_ok():
+            return
+        if not self.allowances.is_usable(result.ok):
+            self.allowances.settle(result.ok, 0)
+            return
+        # The act follows the last check, however long the pause after it.
+        at_ms = max(after_ms, self.clock.read_ms)
+        used = tokens if is_greedy or self.world.chance(0.75) else 0
+        self.world.grants.append((at_ms, account, used))
+        self.running.append((result.ok, used))
+
+    def settle(self):
+        if self.running:
+            index = self.world.random.randrange(len(self.running))
+            self.allowances.settle(*self.running.pop(index))
+
+    def stop(self):
+        self.allowances.return_loans()
+        self.slots.release_all()
+
+
+class World:
+    """All VMs, the platform and the network, driven by one seed."""
+
+    def __init__(self, seed, mode):
+        self.random = random.Random(seed)
+        self.mode = MODES[mode]
+        self.now_ms = 1_000
+        self.objects = {}
+        self.grants = []
+        self.late = []
+        self.is_platform_down = False
+        self.paused = {}
+        self.depth = 0
+        self.is_rush = False
+        self.revision = 0
+        self.rates = dict(ACCOUNTS)
+        self.most = dict(ACCOUNTS)
+        self.put_tables()
+        self.vms = {}
+        self.lists = []
+        self.skew = self.random.choice((0, 1, 4))
+        self.is_quiet = True
+        for number in range(VMS):
+            self.start(f"vm{number}", 1)
+        self.warm_up()
+        self.is_quiet = False
+
+    def warm_up(self):
+        """Let the VMs take all shares, and fill them."""
+        for _ in range(8):
+            self.now_ms += 400
+            for vm in self.vms.values():
+                vm.slots.step()
+
+    def chance(self, probability):
+        return self.random.random() < probability
+
+    def put_tables(self, besides=()):
+        self.revision += 1
+        accounts = tuple(
+            tables.ClientAccount(name, (), rate, burst)
+            for name, (rate, burst) in self.rates.items()
+            if name not in besides
+        )
+        self.tables = tables.Tables(self.revision, (), (), accounts)
+
+    def start(self, name, incarnation):
+        self.vms[name] = SimVm(self, name, incarnation)
+        self.note_list()
+
+    def note_list(self, gone=()):
+        listed = {vm for vm in self.vms if vm not in gone}
+        self.lists.append((self.now_ms, listed))
+
+    def list_at(self, at_ms):
+        listed = max(
+            (one for one in self.lists if one[0] <= at_ms),
+            key=lambda one: one[0],
+            default=self.lists[0],
+        )[1]
+        return [platform.ListedVm(n, n, "z", False) for n in sorted(listed)]
+
+    def take_time(self, most_ms):
+        slow = 20 if self.chance(0.02) else 1
+        self.now_ms += self.random.randint(0, most_ms * slow)
+
+    def is_reachable(self, peer):
+        name = peer.partition(":")[0]
+        return name in self.vms and name not in self.paused
+
+    def deliver(self, peer, method, arguments):
+        vm = self.vms[peer.partition(":")[0]]
+        return getattr(vm.service, method)(*arguments)
+
+    def send_later(self, *message):
+        delay_ms = self.random.choice((50, 400, 2_000))
+        self.late.append((self.now_ms + delay_ms, message))
+
+    def perhaps_pause(self, name):
+        if self.depth or self.is_quiet:
+            return
+        # Between a check and its act a pause does the most harm.
+        vm = self.vms.get(name)
+        factor = 3 if vm is not None and vm.is_reserving else 0.3
+        if not self.chance(self.mode.pause * factor):
+            return
+        self.depth += 1
+        self.paused[name] = True
+        end_ms = self.now_ms + self.random.choice(PAUSES_MS)
+        while self.now_ms < end_ms:
+            self.tick()
+        del self.paused[name]
+        self.depth -= 1
+
+    def run(self, ticks=TICKS):
+        for _ in range(ticks):
+            self.tick()
+        return self
+
+    def tick(self):
+        # Callers pause, and then come all at once: most can go wrong when
+        # full buckets are emptied.
+        if self.chance(0.06 if self.is_rush else 0.15):
+            self.is_rush = not self.is_rush
+        most_ms = 10 + 20 * self.depth if self.is_rush else 300
+        self.now_ms += self.random.randint(0, most_ms)
+        self.deliver_late()
+        awake = [vm for n, vm in self.vms.items() if n not in self.paused]
+        if not awake:
+            return
+        vm = self.random.choice(awake)
+        for one in awake:
+            if self.chance(0.1 if self.is_rush else 0.5):
+                self.act(one, lambda vm: vm.allowances.step())
+            if self.chance(0.1 if self.is_rush else 0.2):
+                self.act(one, lambda vm: vm.slots.step())
+        for one in self.random.choices(awake, k=6 if self.is_rush else 1):
+            is_skewed = self.skew and self.chance(self.skew / 5)
+            self.act(awake[0] if is_skewed else one, SimVm.reserve)
+        for one in awake:
+            self.act(one, SimVm.settle)
+        if not self.is_quiet:
+            self.perhaps_change(vm)
+
+    def act(self, vm, do):
+        """Let a VM do something, unless it has died or is paused."""
+        if self.vms.get(vm.name) is vm and vm.name not in self.paused:
+            do(vm)
+
+    def deliver_late(self):
+        due = [one for one in self.late if one[0] <= self.now_ms]
+        self.late = [one for one in self.late if one[0] > self.now_ms]
+        for _, message in due:
+            if self.is_reachable(message[0]):
+                self.deliver(*message)
+
+    def perhaps_change(self, vm):
+        mode = self.mode
+        if self.vms.get(vm.name) is not vm or vm.name in self.paused:
+            return
+        if self.chance(mode.crash):
+            # The process dies and starts again on its VM at once.
+            self.start(vm.name, vm.own.incarnation + 1)
+        elif self.chance(mode.crash / 2) and len(self.vms) > 2:
+            # The VM dies; the platform drops it from its list.
+            del self.vms[vm.name]
+            self.note_list()
+        elif self.chance(mode.crash) and len(self.vms) < VMS:
+            name = next(
+                n for n in map("vm{}".format, range(VMS)) if n not in self.vms
+            )
+            self.start(name, self.now_ms)
+        elif self.chance(mode.crash / 2) and len(self.vms) > 2:
+            vm.stop()
+            del self.vms[vm.name]
+            self.note_list()
+        if self.chance(mode.platform):
+            self.is_platform_down = not self.is_platform_down
+        if self.chance(mode.rates):
+            self.change_rates()
+        if self.chance(mode.rates * 4):
+            vm.source.put(self.tables)
+
+    def change_rates(self):
+        name = self.random.choice(list(ACCOUNTS))
+        rate, burst = ACCOUNTS[name]
+        factor = self.random.choice((1, 2))
+        self.rates[name] = (rate * factor, burst * factor)
+        most_rate, most_burst = self.most[name]
+        self.most[name] = (
+            max(most_rate, rate * factor),
+            max(most_burst, burst * factor),
+        )
+        self.put_tables(besides=(name,) if self.chance(0.3) else ())
+
+
+def find_overrun(grants, limits):
+    """Return the most tokens that any account got beyond its allowance.
+
+    In any window an account may receive its rate times the window's length
+    and its burst.  That holds if and only if a queue that gets the grants
+    and drains at the rate never holds more than the burst; so one pass over
+    the grants judges all windows exactly, in thousandths of tokens.
+
+    :param grants: time in milliseconds, account, tokens
+    :param limits: rate and burst by account
+    :returns: thousandths of tokens; at most 0 if the promise was kept
+    """
+    worst = -(10**9)
+    for name, (rate, burst) in limits.items():
+        held, last_ms = 0, 0
+        own = sorted((at, n) for at, account, n in grants if account == name)
+        for at_ms, tokens in own:
+            held = max(held - rate * (at_ms - last_ms), 0) + tokens * 1_000
+            last_ms = at_ms
+            worst = max(worst, held - burst * 1_000)
+    return worst
--- /dev/null
+++ b/tests/test_shared_allowances.py
@@ -0,0 +1,102 @@
+"""Three VMs in one process that lend one another tokens over sockets."""
+
+import time
+import unittest
+
+from mulberryway import clock
+from mulberryway import peers
+from mulberryway import tables
+from mulberryway.controllers import shared_allowances
+from mulberryway.policy import allowance_times
+from mulberryway.policy import member
+from tests import allowance_fleet
+from tests import allowance_history
+
+SECRET = "fleet secret"
+GUARD_S = 20
+RATE, BURST = 10_000, 8_000
+
+
+class Vm:
+    """One VM's allowances; membership is shared in memory."""
+
+    def __init__(self, name, store, source, members):
+        clock_ = clock.SystemClock()
+        self.members = members
+        self.own = member.Member(name, "127.0.0.1", 1, 2, "z", "r", 1)
+        self.client = peers.PeerClient(SECRET, clock_)
+        self.parts = shared_allowances.SharedAllowances(
+            self.own,
+            source,
+            self,
+            store,
+            self.client,
+            clock_,
+            allowance_times.AllowanceTimes(settle_ms=0, loan_ms=500),
+        )
+        self.server = peers.PeerServer(
+            "127.0.0.1",
+            0,
+            SECRET,
+            {shared_allowances.SERVICE: self.parts.make_processor()},
+            clock_,
+        )
+        self.own.peer_port = self.server.port
+        members.append(self.own)
+
+    def list_members(self):
+        return [one.copy() for one in self.members]
+
+    def change_own(self, is_stopping=None, holdings=None):
+        self.own.holdings = holdings
+
+    def start(self):
+        self.server.start()
+        self.parts.start()
+
+    def close(self):
+        self.server.stop()
+        self.client.close()
+
+    def take(self, tokens):
+        result = self.parts.allowances.reserve("tea", tokens)
+        if not result.is_ok():
+            return 0
+        return tokens * self.parts.allowances.is_usable(result.ok)
+
+
+class SharedAllowancesTest(unittest.TestCase):
+    def setUp(self):
+        account = tables.ClientAccount("tea", (), RATE, BURST)
+        source = allowance_history.SimSource(
+            tables.Tables(1, (), (), (account,))
+        )
+        names = [f"vm{n}" for n in range(3)]
+        self.store = allowance_fleet.Store(names)
+        members = []
+        self.vms = [Vm(n, self.store, source, members) for n in names]
+        for vm in self.vms:
+            self.addCleanup(vm.close)
+            vm.start()
+
+    def wait_for(self, is_met):
+        end_s = time.monotonic() + GUARD_S
+        while not is_met():
+            self.assertLess(time.monotonic(), end_s, "nothing happened")
+            time.sleep(0.05)
+
+    def count_held(self, vms):
+        return sum(len(vm.parts.state.keeper.holdings) for vm in vms)
+
+    def test_one_vm_uses_what_all_hold_and_a_stop_hands_over(self):
+        """All callers meet one VM, and later another VM is stopped."""
+        self.wait_for(lambda: self.count_held(self.vms) == 512)
+        self.wait_for(lambda: self.vms[0].take(BURST * 3 // 4) > 0)
+        self.vms[1].parts.stop()
+        self.assertEqual(self.count_held(self.vms[1:2]), 0)
+        rest = [self.vms[0], self.vms[2]]
+        del self.vms[0].members[1]
+        self.wait_for(lambda: self.count_held(rest) == 512)
+        self.wait_for(lambda: self.vms[2].take(BURST * 3 // 4) > 0)
+        for vm in rest:
+            vm.parts.stop()
