--- a/mulberryway/policy/base.py
+++ b/mulberryway/policy/base.py
@@ -6,6 +6,7 @@
 
 from mulberryway import errors
 from mulberryway import tables
+from mulberryway.policy import hints
 from mulberryway.policy import messages
 from mulberryway.upstreams import base as upstreams
 
@@ -65,6 +66,67 @@
         :param now_ms: the present
         """
 
+    def note_tokens(self, job_id: str, tokens: int, now_ms: int) -> None:
+        """Tell how many tokens of a running job have come so far.
+
+        Called now and then while a stream runs, and before ``finish``; a
+        slow upstream shows in it, whatever it reports itself.
+
+        :param job_id: the job
+        :param tokens: all tokens so far
+        :param now_ms: the present
+        """
+        return None
+
+    def move_decode(
+        self, job_id: str, refused: str, now_ms: int
+    ) -> str | None:
+        """Find another slot for a job whose prefill has ended.
+
+        Called when the decode upstream refuses because it is full, while
+        the prefill's result still lives: another slot saves the prefill.
+
+        :param job_id: the job
+        :param refused: the upstream that refused
+        :param now_ms: the present
+        :returns: the upstream to try, its slot reserved; none if there is
+            no other now, and it makes sense to ask again in some tens of
+            milliseconds until the prefill's result expires
+        """
+        return None
+
+    def take_hints(self, now_ms: int) -> hints.Note | None:
+        """Return what the other routers should hear now, if anything.
+
+        :param now_ms: the present
+        :returns: a note to send to each peer that shares upstreams, or none
+        """
+        return None
+
+    def note_hints(self, note: hints.Note, now_ms: int) -> None:
+        """Take in what another router told.
+
+        :param note: its note; late, lost and repeated ones do no harm
+        :param now_ms: the present
+        """
+        return None
+
+    def note_deaths(self, deaths: list[hints.Death], now_ms: int) -> None:
+        """Take in deaths of upstreams under requests, told by any VM.
+
+        :param deaths: the deaths; repeated ones do no harm
+        :param now_ms: the present
+        """
+        return None
+
+    def change_vms(self, vms: tuple[str, ...], now_ms: int) -> None:
+        """Take over the list of VMs that run a router.
+
+        :param vms: their names, this VM's among them
+        :param now_ms: the present
+        """
+        return None
+
     @abc.abstractmethod
     def finish(
         self,
--- a/mulberryway/policy/hints.py
+++ b/mulberryway/policy/hints.py
@@ -1,99 +1,150 @@
-"""Small notes that reach all VMs within seconds; hints, never promises."""
+"""Hints that routers tell one another so as not to choose the same slot.
 
-import itertools
+A note may be late, lost or repeated: gauges replace older ones and counters
+only grow, so the newest note alone is enough.
+"""
 
-__all__ = ["Hint", "HintBoard"]
+__all__ = ["AccountNote", "Death", "Holding", "Note"]
 
-# A board is bounded in number and size, so that no flood of notes eats a
-# VM's 15 KB/s or its memory: the oldest are forgotten first.
-MOST_HINTS = 256
-MOST_PAYLOAD_BYTES = 512
-MOST_TTL_MS = 600_000
-MOST_IN_MESSAGE = 4
 
+class Holding:
+    """What one router has on one upstream.
 
-class Hint:
-    """One note.
+    :param pool: the pool's name
+    :param upstream: the upstream's name
+    :param decodes: decode slots that it holds now
+    :param prefill_ms: prefill work given to it since the router began, in
+        estimated milliseconds; a counter
+    :param suspects: suspects of a crash that run there now
+    :param blocks: KV cache blocks that its decodes take
+    :param step_ms: the mean time between tokens that its streams see there;
+        0 if it has seen none of late
+    """
+
+    __slots__ = (
+        "pool",
+        "upstream",
+        "decodes",
+        "prefill_ms",
+        "suspects",
+        "blocks",
+        "step_ms",
+    )
+
+    def __init__(
+        self,
+        pool: str,
+        upstream: str,
+        decodes: int,
+        prefill_ms: int,
+        suspects: int = 0,
+        blocks: int = 0,
+        step_ms: int = 0,
+    ) -> None:
+        self.pool = pool
+        self.upstream = upstream
+        self.decodes = decodes
+        self.prefill_ms = prefill_ms
+        self.suspects = suspects
+        self.blocks = blocks
+        self.step_ms = step_ms
+
+
+class AccountNote:
+    """What one router did, and has waiting, for one client account.
+
+    :param pool: the pool's name
+    :param account: the client account's name
+    :param weight: the account's weight
+    :param charged: tokens charged since the router began, less what was
+        given back; a running sum
+    :param waiting: jobs that wait now
+    :param oldest_ms: for how long the oldest of them has waited
+    :param prefill_ms: how long the prefill of that one takes by itself
+    """
+
+    __slots__ = (
+        "pool",
+        "account",
+        "weight",
+        "charged",
+        "waiting",
+        "oldest_ms",
+        "prefill_ms",
+    )
+
+    def __init__(
+        self,
+        pool: str,
+        account: str,
+        weight: int,
+        charged: int,
+        waiting: int,
+        oldest_ms: int = 0,
+        prefill_ms: int = 0,
+    ) -> None:
+        self.pool = pool
+        self.account = account
+        self.weight = weight
+        self.charged = charged
+        self.waiting = waiting
+        self.oldest_ms = oldest_ms
+        self.prefill_ms = prefill_ms
+
+
+class Death:
+    """An upstream died under a request, or the request was cleared.
+
+    :param digest: names account, model and body
+    :param upstream: ``pool/name`` of the upstream; empty if cleared
+    :param age_ms: how long ago, by the sender's clock
+    :param proven: the request ran as a suspect, and no other suspect was
+        known to run there
+    """
+
+    __slots__ = ("digest", "upstream", "age_ms", "proven")
+
+    def __init__(
+        self, digest: str, upstream: str, age_ms: int, proven: bool
+    ) -> None:
+        self.digest = digest
+        self.upstream = upstream
+        self.age_ms = age_ms
+        self.proven = proven
+
+
+class Note:
+    """One router's hints to another.
 
-    :param kind: who it is for
-    :param key: what it is about; a newer note replaces an older one
-    :param payload: at most 512 bytes
-    :param number: tells newer from older; a wall time in milliseconds
-    :param until_ms: when it is forgotten, by this VM's clock
+    :param vm: the sender's VM
+    :param incarnation: which life of it; counters begin anew with each
+    :param sequence: grows with each note; an older one is dropped
+    :param holdings: upstreams where something changed
+    :param accounts: accounts where something changed or something waits
+    :param deaths: news about requests that may be poison
     """
 
-    __slots__ = ("kind", "key", "payload", "number", "until_ms", "sends")
+    __slots__ = (
+        "vm",
+        "incarnation",
+        "sequence",
+        "holdings",
+        "accounts",
+        "deaths",
+    )
 
     def __init__(
-        self, kind: str, key: str, payload: bytes, number: int, until_ms: int
+        self,
+        vm: str,
+        incarnation: int,
+        sequence: int,
+        holdings: list[Holding],
+        accounts: list[AccountNote],
+        deaths: list[Death],
     ) -> None:
-        self.kind = kind
-        self.key = key
-        self.payload = payload
-        self.number = number
-        self.until_ms = until_ms
-        self.sends = 0
-
-
-class HintBoard:
-    """The notes that this VM knows, and how often it passed each on."""
-
-    def __init__(self) -> None:
-        self._hints: dict[tuple[str, str], Hint] = {}
-
-    def add(self, hint: Hint, now_ms: int) -> bool:
-        """Take a note in.
-
-        :param hint: the note
-        :param now_ms: the present
-        :returns: whether it is news
-        """
-        known = self._hints.get((hint.kind, hint.key))
-        is_known = known is not None and known.number >= hint.number
-        is_bad = len(hint.payload) > MOST_PAYLOAD_BYTES
-        if is_known or is_bad or hint.until_ms <= now_ms:
-            return False
-        hint.until_ms = min(hint.until_ms, now_ms + MOST_TTL_MS)
-        self._hints.pop((hint.kind, hint.key), None)
-        self._hints[(hint.kind, hint.key)] = hint
-        self._trim(now_ms)
-        return True
-
-    def take(self, most_sends: int, now_ms: int) -> list[Hint]:
-        """Choose notes to pass on with the next message.
-
-        :param most_sends: how often one VM passes a note on
-        :param now_ms: the present
-        :returns: a few notes, the least often sent first
-        """
-        live = (
-            hint
-            for hint in self._hints.values()
-            if hint.sends < most_sends and hint.until_ms > now_ms
-        )
-        chosen = sorted(live, key=lambda hint: hint.sends)[:MOST_IN_MESSAGE]
-        for hint in chosen:
-            hint.sends += 1
-        return chosen
-
-    def list_kind(self, kind: str, now_ms: int) -> list[Hint]:
-        """Return the live notes of a kind.
-
-        :param kind: the kind
-        :param now_ms: the present
-        :returns: notes
-        """
-        return [
-            hint
-            for hint in self._hints.values()
-            if hint.kind == kind and hint.until_ms > now_ms
-        ]
-
-    def _trim(self, now_ms: int) -> None:
-        late = [
-            key for key, hint in self._hints.items() if hint.until_ms <= now_ms
-        ]
-        surplus = len(self._hints) - len(late) - MOST_HINTS
-        oldest = itertools.islice(self._hints, max(surplus, 0))
-        for key in [*late, *oldest]:
-            self._hints.pop(key, None)
+        self.vm = vm
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.holdings = holdings
+        self.accounts = accounts
+        self.deaths = deaths
--- /dev/null
+++ b/mulberryway/policy/weighing.py
@@ -0,0 +1,42 @@
+"""What a deployment weighs more when not everybody can be served well."""
+
+import typing
+
+__all__ = ["GOODPUT", "WEIGHINGS", "WORST_SERVED", "Weighing", "find_weighing"]
+
+
+class Weighing:
+    """How the decisions differ by deployment.
+
+    :param name: the value of the setting ``policy.weighing``
+    :param slack_tokens: how far, in tokens by weight, an account may be
+        served ahead of the fairest order so that a cheaper prompt goes
+        first; it also bounds how far an account can fall behind
+    """
+
+    __slots__ = ("name", "slack_tokens")
+
+    def __init__(self, name: str, slack_tokens: int) -> None:
+        self.name = name
+        self.slack_tokens = slack_tokens
+
+
+# The strict order: the account that was given least goes next, over all
+# routers, even when its prompt is the dearest.
+WORST_SERVED: typing.Final = Weighing("worst_served", 0)
+# Cheaper prompts first within about twenty ordinary requests of 400 tokens.
+GOODPUT: typing.Final = Weighing("goodput", 3_000)
+WEIGHINGS = (WORST_SERVED, GOODPUT)
+
+
+def find_weighing(name: str) -> Weighing:
+    """Return the weighing that a settings file names.
+
+    :param name: ``worst_served`` or ``goodput``
+    :returns: the weighing
+    :raises ValueError: for another name
+    """
+    found = next((one for one in WEIGHINGS if one.name == name), None)
+    if found is None:
+        raise ValueError(f"unknown weighing: {name}")
+    return found
--- a/mulberryway/settings.py
+++ b/mulberryway/settings.py
@@ -3,6 +3,7 @@
 import collections.abc
 import ipaddress
 import pathlib
+import re
 import tomllib
 import typing
 
@@ -11,6 +12,8 @@
 __all__ = ["OPTIONS", "Option", "Settings", "read_settings"]
 
 MOST_PORT = 65_535
+DIGEST = re.compile(r"[0-9a-f]{64}")
+HOUR_MS = 3_600_000
 
 
 class Option:
@@ -80,6 +83,13 @@
         self.platform_timeout_ms: int = 2_000
         self.platform_silence_ms: int = 3_000
 
+        # The tables.  A confirmation by the platform is enough for
+        # ``fresh_ms``; then a VM goes on only while it reaches most VMs, for
+        # ``outage_ms`` at most.  ``watchers`` VMs of each region watch.
+        self.configuration_fresh_ms: int = 15_000
+        self.configuration_outage_ms: int = 4 * HOUR_MS
+        self.configuration_watchers: int = 3
+
         # The administration API; digests of operators' credentials by name.
         self.admin_port: int = 8082
         self.admin_operators: dict[str, str] = {}
@@ -124,8 +134,11 @@
     return isinstance(value, list) and all(map(_is_text, value))
 
 
-def _is_text_table(value: typing.Any) -> bool:
-    return isinstance(value, dict) and all(map(_is_text, value.values()))
+def _is_digest_table(value: typing.Any) -> bool:
+    return isinstance(value, dict) and all(
+        isinstance(digest, str) and DIGEST.fullmatch(digest) is not None
+        for digest in value.values()
+    )
 
 
 def _is_url(value: typing.Any) -> bool:
@@ -155,7 +168,6 @@
     )
 
 
-HOUR_MS = 3_600_000
 GIB = 1 << 30
 
 OPTIONS = (
@@ -183,12 +195,22 @@
     Option("platform.url", "platform_url", "an http address", _is_url),
     _number("platform.timeout_ms", "platform_timeout_ms", 10, 60_000),
     _number("platform.silence_ms", "platform_silence_ms", 100, 60_000),
+    _number(
+        "configuration.fresh_ms", "configuration_fresh_ms", 1_000, HOUR_MS
+    ),
+    _number(
+        "configuration.outage_ms",
+        "configuration_outage_ms",
+        1_000,
+        168 * HOUR_MS,
+    ),
+    _number("configuration.watchers", "configuration_watchers", 1, 100),
     _port("admin.port", "admin_port"),
     Option(
         "admin.operators",
         "admin_operators",
-        "a table of names and credential digests",
-        _is_text_table,
+        "a table of names and SHA-256 digests of credentials",
+        _is_digest_table,
     ),
     Option(
         "telemetry.log_level",
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,221 @@
+"""Calls that must run at most once: the log, its faults, and its checker."""
+
+import collections
+import unittest
+import unittest.mock
+
+import expression
+
+from mulberryway import errors
+from mulberryway.controllers import claim_keeping
+from mulberryway.controllers import claim_log
+from mulberryway.controllers import claim_queue
+from mulberryway.controllers import claim_writer
+from mulberryway.platform import base
+from mulberryway.policy import claim_records
+from mulberryway.policy import claims
+from tests import claim_history
+
+SCHEDULES = 250
+STEPS = 80
+
+
+class RecordsTest(unittest.TestCase):
+    def test_id_binds_account_and_key(self):
+        key = claim_records.make_key(1_700_000_000_123, 42)
+        found = claim_records.read_id("a", key)
+        self.assertEqual(found.time_ms, 1_700_000_000_123)
+        same = claim_records.read_id("a", key.upper().replace("-", ""))
+        self.assertEqual(same.digest, found.digest)
+        other = claim_records.read_id("b", key)
+        self.assertNotEqual(other.digest, found.digest)
+
+    def test_other_ids_carry_no_time(self):
+        for key in (
+            "",
+            "booking-7",
+            "8c5b5b0e-54c1-4d0e-9d7b-6f0a1d3d7f10",
+        ):
+            self.assertIsNone(claim_records.read_id("a", key))
+
+    def test_record_is_read_as_written(self):
+        reply = claim_records.KeptReply(201, [("A", "b")], b"\xff")
+        record = claim_records.Record(
+            "d", 7, "c", "a1/1/1", claim_records.ClaimState.DONE, reply
+        )
+        read = claim_records.Record.decode(record.encode())
+        self.assertEqual(read.encode(), record.encode())
+
+
+class HistoryTest(unittest.TestCase):
+    def run_all(self, count=SCHEDULES, **kwargs):
+        ends = collections.Counter()
+        found = []
+        for seed in range(count):
+            history = claim_history.History(seed, **kwargs)
+            found += history.run(STEPS)
+            ends += history.ends
+        return found, ends
+
+    def test_no_call_runs_twice(self):
+        """VMs crash, writes get lost or arrive late, replies get lost, reads
+        are old, and the caller repeats at any VM.  A booking that ran twice
+        sends two boats and bills the farmer twice.
+        """
+        found, ends = self.run_all()
+        self.assertEqual(found, [])
+        for end in (
+            "granted",
+            "replayed",
+            "duplicate may_have_run",
+            "request_id_reused not_run",
+            "platform_unavailable not_run",
+        ):
+            self.assertGreater(ends[end], SCHEDULES / 10, ends)
+
+    def test_no_call_runs_twice_with_keepers(self):
+        """VMs disagree on who writes a shard, calls between them get lost,
+        and replies to such calls as well.  An attempt may then be written
+        by two VMs, and must still run once.
+        """
+        found, ends = self.run_all(100, keepers=True)
+        self.assertEqual(found, [])
+        for end in ("granted", "replayed", "duplicate may_have_run"):
+            self.assertGreater(ends[end], 100, ends)
+
+    def test_checker_finds_a_keeper_that_releases_for_others(self):
+        """A keeper gives up on another VM's attempt and releases its claim.
+        The attempt went on by itself and runs; so does the next one.
+        """
+
+        class Meddling(claim_queue.Waiter):
+            def __init__(self, request, is_own=True):
+                super().__init__(request)
+
+        with unittest.mock.patch.object(claim_keeping, "Waiter", Meddling):
+            self.check_broken("two runs", 200, keepers=True)
+
+    def check_broken(self, message, count=60, **kwargs):
+        found, _ = self.run_all(count, **kwargs)
+        self.assertTrue(
+            [violation for violation in found if message in violation]
+        )
+
+    def test_checker_finds_a_floor_that_does_not_rise(self):
+        """Old claims are overwritten and nothing remembers that there were
+        some.  A late repeat would run again.
+        """
+
+        class Forgetful(claims.Shard):
+            def next_floor_ms(self):
+                return self.floor_ms
+
+        self.check_broken("two runs", make_shard=lambda: Forgetful(3, 300))
+
+    def test_checker_finds_a_write_that_is_not_conditional(self):
+        """A VM whose write is refused sends the same records again with the
+        new version.  It overwrites the other VM's claim.
+        """
+
+        def adapt(store):
+            for log in (shard.writer.log for shard in store._shards):
+                log._send = lambda append, log=log: force(log, append)
+
+        def force(log, append):
+            result = claim_log.ClaimLog._send(log, append)
+            if result.is_ok() or result.error.code is not errors.Code.CONFLICT:
+                return result
+            read = log._store.read(log._kind, str(append.place), "x")
+            if read.is_ok():
+                append.version = read.ok.version
+            return claim_log.ClaimLog._send(log, append)
+
+        self.check_broken("two runs", adapt=adapt)
+
+    def test_checker_finds_a_lost_write_taken_for_done(self):
+        """A write's reply does not come and the VM assumes the best.  The
+        write never arrived, and another VM grants the same call.
+        """
+
+        def adapt(store):
+            for log in (shard.writer.log for shard in store._shards):
+                log._send = lambda append, log=log: hope(log, append)
+
+        def hope(log, append):
+            result = claim_log.ClaimLog._send(log, append)
+            if result.is_error() and claim_writer._is_lost(result.error):
+                version = (append.version or 0) + 1
+                return expression.Ok(base.StoredObject("", "", version, {}))
+            return result
+
+        self.check_broken("two runs", adapt=adapt)
+
+    def test_checker_finds_slots_that_are_full_for_some(self):
+        """Two releases disagree on when a slot is full.  Their VMs append
+        to two slots at once, and neither sees the other's claims.
+        """
+        limits = iter(range(10**6))
+
+        class Opinionated(claims.Shard):
+            def __init__(self):
+                super().__init__(3, 300)
+                self.limit = 150 + 150 * (next(limits) % 3)
+
+            def is_newest_full(self):
+                newest = self._slots.get(self.newest_place())
+                if newest is None:
+                    return False
+                size = sum(len(str(r.encode())) for r in newest.records)
+                return size >= self.limit
+
+            def plan_append(self, records):
+                newest = self._slots.get(self.newest_place())
+                if newest is not None:
+                    newest.is_full = self.is_newest_full()
+                return super().plan_append(records)
+
+            def is_whole(self):
+                return True
+
+        self.check_broken("two runs", make_shard=Opinionated)
+
+    def test_checker_finds_torn_lists(self):
+        """A list's parts are of different ages, and the VM decides from it.
+        It misses claims in a slot that is older than the others.
+        """
+
+        class Trusting(claims.Shard):
+            def is_whole(self):
+                return True
+
+        self.check_broken("two runs", make_shard=lambda: Trusting(3, 300))
+
+    def test_checker_finds_a_reused_incarnation(self):
+        """A restarted router takes its old name and counts from one again.
+        It takes its predecessor's claim for its own and runs the call.
+        """
+
+        def adapt(store):
+            store._prefix = store._prefix.partition("/")[0] + "/1/"
+
+        self.check_broken("two runs", adapt=adapt)
+
+    def test_checker_finds_replies_to_another_body(self):
+        """A caller sends another booking under an old id.  It would be told
+        that this one is booked.
+        """
+
+        class Careless(claims.Shard):
+            def decide(self, request, now_ms):
+                record = self._records.get(request.id.digest)
+                if record is not None:
+                    request.call = record.call
+                return super().decide(request, now_ms)
+
+        self.check_broken(
+            "a foreign reply", make_shard=lambda: Careless(3, 300)
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
