Charge requests against the shares that VMs hold and lend

Cause: routers still counted allowances by the fixed split, and nothing asked again for tokens after a request had waited. Change: shares, loans and slots are part of every router; a request's tokens are confirmed right before its prefill, and taken anew if they lapsed; a new router is ready only when every part of the allowances can be found; a planned stop hands its parts over.

--- a/mulberryway/assembly.py
+++ b/mulberryway/assembly.py
@@ -6,6 +6,9 @@
 from mulberryway import peers
 from mulberryway import router
 from mulberryway import settings
+from mulberryway.controllers import allowance_slots
+from mulberryway.controllers import allowance_state
+from mulberryway.controllers import allowances
 from mulberryway.controllers import claim_keeping
 from mulberryway.controllers import claims
 from mulberryway.controllers import configuration_service
@@ -16,11 +19,11 @@
 from mulberryway.controllers import reconciling
 from mulberryway.peers import datagrams
 from mulberryway.peers import server as peer_server
+from mulberryway.peers.gen.allowances import Allowances
 from mulberryway.peers.gen.claims import Claims
 from mulberryway.peers.gen.membership import Membership
 from mulberryway.platform import counts
 from mulberryway.platform import http as platform_http
-from mulberryway.policy import allowance_split
 from mulberryway.policy import member
 from mulberryway.policy import scheduler
 from mulberryway.policy import weighing
@@ -28,6 +31,7 @@
 
 __all__ = ["Assembly"]
 
+ALLOWANCES = "Allowances"
 MEMBERSHIP = "Membership"
 CLAIMS = "Claims"
 
@@ -73,6 +77,13 @@
                 settings_.vm_name, self.members.list_members
             ),
         )
+        self.shares = allowance_state.AllowanceState(self.members.own)
+        self.allowances = allowances.AllowancesController(
+            self.shares, self.configuration.source, self.client, self.clock
+        )
+        self.slots = allowance_slots.AllowanceSlotsController(
+            self.shares, self.store, self.members, self.clock
+        )
         self.directory = directory.HttpDirectory(self.clock)
         self.router = self._make_router()
         self.notes = notes.NotesController(
@@ -106,6 +117,9 @@
             settings_.peers_secret,
             {
                 MEMBERSHIP: Membership.Processor(self.members.exchange),
+                ALLOWANCES: Allowances.Processor(
+                    allowances.AllowanceService(self.shares, self.clock)
+                ),
                 CLAIMS: Claims.Processor(self.claims.handler),
                 configuration_service.SERVICE: self.configuration.processor,
             },
@@ -126,6 +140,8 @@
         self.members.start()
         self.configuration.start()
         self.claims.start()
+        self.slots.start()
+        self.allowances.start()
         self.router.start()
         self.notes.start()
         self.reports.start()
@@ -137,6 +153,12 @@
         :param graceful: whether running requests may end first
         """
         self.router.stop(graceful)
+        self.allowances.stop()
+        self.slots.stop()
+        if graceful:
+            # Else this VM's parts of all allowances would wait for its
+            # successor, and accounts would be refused within their rate.
+            self.slots.release_all()
         for controller in (
             self.reconciling,
             self.reports,
@@ -183,11 +205,10 @@
                 weighing.find_weighing(settings_.policy_weighing),
                 seed=random.SystemRandom().getrandbits(32),
             ),
-            allowance_split.SplitAllowances(
-                source, self.clock, 1 + len(settings_.peers_seeds)
-            ),
+            self.allowances,
             self.members,
             on_withdraw=lambda: self.members.change_own(is_stopping=True),
             directory_=self.directory,
             claim_store=self.claims,
+            has_settled=self.shares.is_complete,
         )
--- a/mulberryway/controllers/allowance_state.py
+++ b/mulberryway/controllers/allowance_state.py
@@ -52,6 +52,16 @@
         # Whom to ask, by slot: ``host:port`` of holders; only a hint.
         self.holders: dict[int, str] = {}
 
+    def is_complete(self) -> bool:
+        """Tell whether a holder of every slot is known.
+
+        In a fleet that has just begun, or on a VM that has, an account's
+        tokens cannot be found yet, and requests would be refused wrongly.
+        """
+        with self.lock:
+            known = self.holders.keys() | self.keeper.holdings.keys()
+            return len(known) >= self.groups * self.parts
+
     @property
     def borrower_name(self) -> str:
         """What names this process to lenders."""
--- a/mulberryway/filters/admission.py
+++ b/mulberryway/filters/admission.py
@@ -95,15 +95,17 @@
         """
         if exchange.pool.kind is tables.PoolKind.PLAIN:
             return proceed(exchange)
-        reserved = self._allowances.reserve(
-            exchange.account.name, exchange.estimate + exchange.max_tokens
+        charge = base.Charge(
+            self._allowances,
+            exchange.account.name,
+            exchange.estimate + exchange.max_tokens,
         )
+        reserved = charge.reserve()
         if reserved.is_error():
             return expression.Error(reserved.error)
+        exchange.charge = charge
         exchange.add_finisher(
-            lambda outcome: self._allowances.settle(
-                reserved.ok, outcome.used_tokens
-            )
+            lambda outcome: charge.settle(outcome.used_tokens)
         )
         return proceed(exchange)
 
--- a/mulberryway/filters/base.py
+++ b/mulberryway/filters/base.py
@@ -13,6 +13,7 @@
 from mulberryway import replies
 from mulberryway import tables
 from mulberryway import traces
+from mulberryway.policy import allowance
 from mulberryway.relay import stream as streams
 from mulberryway.relay import writers
 
@@ -53,6 +54,74 @@
 Answer = expression.Result[replies.Reply | Lent, errors.Fault]
 
 
+class Charge:
+    """The tokens of one request, from its admission to its end.
+
+    :param allowances: the accounts' tokens
+    :param account: the client account
+    :param tokens: the prompt and the most that may be generated
+    """
+
+    __slots__ = ("_allowances", "_account", "_tokens", "_reservation")
+
+    def __init__(
+        self, allowances: allowance.Allowances, account: str, tokens: int
+    ) -> None:
+        self._allowances = allowances
+        self._account = account
+        self._tokens = tokens
+        self._reservation: allowance.Reservation | None = None
+
+    def reserve(self) -> expression.Result[None, errors.Fault]:
+        """Take the tokens.
+
+        :returns: nothing, or ``OVER_ALLOWANCE``
+        """
+        reserved = self._allowances.reserve(self._account, self._tokens)
+        if reserved.is_error():
+            return expression.Error(reserved.error)
+        self._reservation = reserved.ok
+        return expression.Ok(None)
+
+    def confirm(self) -> expression.Result[None, errors.Fault]:
+        """Make sure of the tokens, right before an upstream is called.
+
+        A request that waited for long, or a process that was paused, may
+        hold tokens that have passed on meanwhile; were they used all the
+        same, the account would get more than its rate.  They are taken anew
+        then, once: what lapses at once again is a sign of another pause.
+
+        :returns: nothing, or ``OVER_ALLOWANCE``
+        """
+        if self._is_usable():
+            return expression.Ok(None)
+        self.settle(0)
+        reserved = self.reserve()
+        if reserved.is_error() or self._is_usable():
+            return reserved
+        return expression.Error(
+            errors.Fault(
+                errors.Code.OVER_ALLOWANCE,
+                errors.Step.QUEUE,
+                message="the tokens lapsed while the request waited",
+                retry_after_ms=0,
+            )
+        )
+
+    def settle(self, used: int) -> None:
+        """Give back what was not used; nothing if nothing is held.
+
+        :param used: tokens
+        """
+        held, self._reservation = self._reservation, None
+        if held is not None:
+            self._allowances.settle(held, used)
+
+    def _is_usable(self) -> bool:
+        held = self._reservation
+        return held is not None and self._allowances.is_usable(held)
+
+
 class Exchange:
     """One request and what the filters have found out about it.
 
@@ -86,6 +155,7 @@
         "route",
         "pool",
         "call",
+        "charge",
         "estimate",
         "max_tokens",
         "digest",
@@ -127,6 +197,7 @@
         self.pool: tables.Pool
         # A model request's body, parsed and without credentials.
         self.call: dict[str, typing.Any] = {}
+        self.charge: Charge | None = None
         self.estimate = 0
         self.max_tokens = 0
         self.digest = ""
--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -261,6 +261,8 @@
         held = authenticate.check_key(
             parts.source, self._exchange, errors.Step.QUEUE
         )
+        if held.is_ok() and self._exchange.charge is not None:
+            held = self._exchange.charge.confirm()
         engines = [
             self._find_engine(name)
             for name in (assignment.prefill, assignment.decode)
--- a/mulberryway/router.py
+++ b/mulberryway/router.py
@@ -74,6 +74,8 @@
     :param directory_: finds upstreams; by HTTP if none is given
     :param claim_store: grants calls that must run at most once; without
         one such calls are refused
+    :param has_settled: whether accounts' tokens can be found from here; once
+        true, it is not asked again
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         on_withdraw: collections.abc.Callable[[], None] = lambda: None,
         directory_: directory.UpstreamDirectory | None = None,
         claim_store: claims.ClaimStore | None = None,
+        has_settled: collections.abc.Callable[[], bool] = lambda: True,
     ) -> None:
         self.settings = settings_
         self.clock = clock_
@@ -112,6 +115,8 @@
         self._on_withdraw = on_withdraw
         self._claim_store = claim_store
         self._incarnation = incarnation
+        self._has_settled = has_settled
+        self._was_settled = False
         self._has_begun = False
         self._is_withdrawn = False
         self._is_refusing = False
@@ -129,8 +134,12 @@
     @property
     def is_ready(self) -> bool:
         """Whether new callers should come here."""
+        # A dead VM's parts of allowances are missing for a while; that must
+        # not take all the others out of the answers.
+        self._was_settled = self._was_settled or self._has_settled()
         return (
             self._has_begun
+            and self._was_settled
             and not self._is_withdrawn
             and self._source.read_tables() is not None
         )
