Bring a platform forward that was restored from an old copy

Cause: VMs keep what was accepted and editors refuse an older root, so a platform restored from yesterday's copy left operators with no way to edit. Conclusion: nothing that was accepted is lost but its history.

--- a/mulberryway/admin/administration.py
+++ b/mulberryway/admin/administration.py
@@ -152,6 +152,25 @@
         change = changes.WithdrawKey(account, prefix)
         return self._submit(operator, change, edit_id)
 
+    def restore(
+        self, operator: str, edit_id: str
+    ) -> Outcome[messages.EditAnswer]:
+        """Bring a platform forward that was restored from an old copy.
+
+        :param operator: who wants it
+        :param edit_id: the edit's own id
+        """
+        edit = edits.Edit(edit_id, operator, ())
+        newest = self._fleet.read_newest()
+        restored = newest.bind(
+            lambda found: self._editor.restore(
+                edit, found.root, found.segments, EDIT_MS
+            )
+        )
+        return restored.map(
+            lambda accepted: messages.EditAnswer(edit_id, accepted.revision)
+        )
+
     def read_history(self) -> Outcome[messages.HistoryAnswer]:
         """Return past edits."""
         held = self._editor.accepted.read_root()
--- a/mulberryway/admin/api.py
+++ b/mulberryway/admin/api.py
@@ -63,6 +63,7 @@
             Operation("GET", r"/v1/tables", lambda call: admin.show()),
             Operation("PUT", r"/v1/tables", self._apply),
             Operation("POST", r"/v1/diff", self._diff),
+            Operation("POST", r"/v1/restore", self._restore),
             Operation("PUT", row, self._put_row),
             Operation("DELETE", row, self._delete_row),
             Operation("POST", keys, self._give_key),
@@ -144,6 +145,9 @@
     def _diff(self, call: calls.Call) -> Result:
         return self._admin.diff(call.read_text("text"))
 
+    def _restore(self, call: calls.Call) -> Result:
+        return self._admin.restore(call.operator, call.read_edit_id())
+
     def _put_row(self, call: calls.Call) -> Result:
         values = call.body.get("values")
         if not isinstance(values, dict):
--- a/mulberryway/admin/editor.py
+++ b/mulberryway/admin/editor.py
@@ -85,6 +85,39 @@
                 return expression.Error(submission.end(tried.error))
             self._pause(submission)
 
+    def restore(
+        self,
+        edit: edits.Edit,
+        root: roots.Root,
+        rows: list[segments.Segment],
+        timeout_ms: int,
+    ) -> expression.Result[submissions.Accepted, errors.Fault]:
+        """Bring a platform forward that was restored from an old copy.
+
+        VMs keep what was accepted and refuse the old root, and edits are
+        refused as long as the platform is behind.  What is in force becomes
+        the platform's again, under a revision of its own.
+
+        :param edit: carries id and operator; it has no changes
+        :param root: the newest root that a VM has in force
+        :param rows: all its segments with rows
+        :param timeout_ms: how long to try
+        :returns: the acceptance; ``CONFLICT`` if the platform is not behind
+        """
+        deadline = clock.Deadline(self._clock.now_ms() + timeout_ms)
+        submission = submissions.Submission(edit, deadline)
+        held = self.accepted.read_root()
+        if held.is_error():
+            return expression.Error(submission.end(held.error))
+        if held.ok.root.revision >= root.revision:
+            return submissions.refuse_restoring(held.ok.root.revision)
+        made = self._make_restored(edit, held.ok.root, root, rows)
+        done = made.bind(lambda new: self._accept(submission, held.ok, new))
+        if done.is_error():
+            return expression.Error(submission.end(done.error))
+        self._log(submission, done.ok)
+        return done
+
     def collect(self) -> expression.Result[int, errors.Fault]:
         """Delete segments that are no longer needed.
 
@@ -192,6 +225,27 @@
         )
         return written.map(lambda _: submissions.NewState(root, new))
 
+    def _make_restored(
+        self,
+        edit: edits.Edit,
+        old: roots.Root,
+        root: roots.Root,
+        rows: list[segments.Segment],
+    ) -> expression.Result[submissions.NewState, errors.Fault]:
+        past = self.accepted.read_history(old).default_value([])
+        entries = history.add_edit(
+            past, edit, root, set(), self._clock.wall_ms()
+        )
+        log = segments.make_segment({"history": entries})
+        new_root = roots.Root(
+            root.revision + 1,
+            root.shards,
+            log.digest,
+            root.add_mark(edit.edit_id),
+        )
+        written = self._write_segments([*rows, log], old.revision)
+        return written.map(lambda _: submissions.NewState(new_root, rows))
+
     def _write_segments(
         self, new: list[segments.Segment], revision: int
     ) -> expression.Result[None, errors.Fault]:
--- a/mulberryway/admin/fleet.py
+++ b/mulberryway/admin/fleet.py
@@ -1,6 +1,7 @@
 """The VMs as the administration API reaches them."""
 
 import concurrent.futures
+import json
 import logging
 import random
 
@@ -10,6 +11,7 @@
 from mulberryway import errors
 from mulberryway import peers
 from mulberryway.admin import messages
+from mulberryway.admin import submission as submissions
 from mulberryway.peers.gen.configuration import Configuration
 from mulberryway.peers.gen.configuration import ttypes
 from mulberryway.tables import root as roots
@@ -106,6 +108,50 @@
         """Ask each VM that this VM's router knows for its tables."""
         return self._ask(self._list_members())
 
+    def read_newest(
+        self,
+    ) -> expression.Result[submissions.NewState, errors.Fault]:
+        """Return the newest root that a VM has in force, with its rows."""
+        members = self._list_members()
+        states = {state.name: state.revision for state in self._ask(members)}
+        if not states:
+            return expression.Error(_no_vm())
+        newest = max(members, key=lambda member: states[member.name])
+        reply = self._client.call(
+            newest.address,
+            Configuration.Client,
+            "read_root",
+            0,
+            is_idempotent=True,
+        )
+        return reply.bind(
+            lambda found: self._read_rows(newest.address, found.content)
+        )
+
+    def _read_rows(
+        self, address: str, content: bytes
+    ) -> expression.Result[submissions.NewState, errors.Fault]:
+        if not content:
+            return expression.Error(_no_vm())
+        root = roots.Root.decode(json.loads(content))
+        missing = root.list_rows()
+        rows: list[segments.Segment] = []
+        while missing:
+            reply = self._client.call(
+                address,
+                Configuration.Client,
+                "read_segments",
+                sorted(missing),
+                is_idempotent=True,
+            )
+            if reply.is_error() or not reply.ok:
+                return expression.Error(_no_vm())
+            rows += [
+                segments.Segment(one.digest, one.content) for one in reply.ok
+            ]
+            missing -= {one.digest for one in reply.ok}
+        return expression.Ok(submissions.NewState(root, rows))
+
     def wait_in_force(
         self, revision: int, timeout_ms: int
     ) -> messages.FleetAnswer:
@@ -211,3 +257,11 @@
         reply.ok.age_ms,
         reply.ok.is_serving,
     )
+
+
+def _no_vm() -> errors.Fault:
+    return errors.Fault(
+        errors.Code.PEER_UNREACHABLE,
+        errors.Step.ADMIN,
+        message="no VM with tables could be asked",
+    )
--- a/mulberryway/admin/submission.py
+++ b/mulberryway/admin/submission.py
@@ -18,6 +18,7 @@
     "may_try_again",
     "refuse_forgotten",
     "refuse_large",
+    "refuse_restoring",
     "refuse_stale",
 ]
 
@@ -140,3 +141,21 @@
             f"expected at most {segments.MOST_SEGMENT_BYTES}",
         )
     )
+
+
+def refuse_restoring(
+    revision: int,
+) -> expression.Result[typing.Any, errors.Fault]:
+    """Return the fault for a platform that need not be brought forward.
+
+    :param revision: the platform's
+    """
+    return expression.Error(
+        errors.Fault(
+            errors.Code.CONFLICT,
+            errors.Step.ADMIN,
+            root_store.KIND,
+            message=f"the platform has revision {revision}, which is not "
+            "older than what the VMs have in force",
+        )
+    )
--- a/mulberryway/commands/operate.py
+++ b/mulberryway/commands/operate.py
@@ -40,6 +40,7 @@
   withdraw-key ACCOUNT DIGITS withdraw the key whose digest begins so
   history                     past edits
   wait [REVISION]             until a revision is in force on all VMs
+  restore                     bring a platform forward that is behind the VMs
   status                      VMs, pools and client accounts
 
 The credential comes from --credential_file or MULBERRYWAY_CREDENTIAL, the
@@ -141,6 +142,12 @@
     return api.edit("DELETE", path, {}, edit_id)
 
 
+def _restore(
+    api: client.AdminClient, words: Arguments, edit_id: str
+) -> Result:
+    return api.edit("POST", "/v1/restore", {}, edit_id)
+
+
 def _read_history(
     api: client.AdminClient, words: Arguments, edit_id: str
 ) -> Result:
@@ -170,6 +177,7 @@
     "withdraw-key": Command((2,), _withdraw_key, display.show_edit, True),
     "history": Command((0,), _read_history, display.show_history),
     "wait": Command((0, 1), _wait, display.show_fleet),
+    "restore": Command((0,), _restore, display.show_edit, True),
     "status": Command((0,), _read_status, display.show_status),
 }
 
--- a/mulberryway/tables/edits.py
+++ b/mulberryway/tables/edits.py
@@ -13,6 +13,8 @@
 __all__ = ["Edit", "diff_tables"]
 
 MOST_SUMMARY = 300
+# An edit without changes brings an old platform forward.
+RESTORED = "restore what is in force"
 
 
 class Edit:
@@ -41,7 +43,7 @@
     def describe(self) -> str:
         """Return what it does, for the history and the log."""
         text = "; ".join(change.describe() for change in self.changes)
-        return text[:MOST_SUMMARY]
+        return (text or RESTORED)[:MOST_SUMMARY]
 
     def apply(
         self, tables: model.Tables
--- a/tests/configuration_fleet.py
+++ b/tests/configuration_fleet.py
@@ -135,6 +135,10 @@
             timeout_s=GUARD_S,
         ).status
 
+    def call_platform(self, method, path, body=None):
+        """Call the platform stand-in as its operators do."""
+        return processes.call(self.platform_port, method, path, body)
+
     def fault(self, **faults):
         """Switch the platform stand-in's faults."""
         processes.call(self.platform_port, "POST", "/standin/faults", faults)
--- a/tests/test_admin_processes.py
+++ b/tests/test_admin_processes.py
@@ -170,6 +170,34 @@
         self.assertEqual(reply.status, 200, reply.body)
         self.check_in_force(str(self.first + 1))
 
+    def test_platform_from_an_old_copy(self):
+        """The platform's operators restore it from yesterday's copy.  The
+        VMs keep what was accepted since; edits are refused until the
+        platform is brought forward, and nothing that was accepted is lost.
+        """
+        root = "/apis/mulberryway.dev/v1/roots/root"
+        old = self.fleet.call_platform("GET", root).json()["value"]
+        reply = self.fleet.call_admin("DELETE", "/v1/tables/routes/member")
+        accepted = reply.json()["revision"]
+        self.check_in_force()
+        now = self.fleet.call_platform("GET", root).json()
+        version = now["metadata"]["resourceVersion"]
+        metadata = {"name": "root", "resourceVersion": version}
+        body = {"metadata": metadata, "value": old}
+        reply = self.fleet.call_platform("PUT", root, body)
+        self.assertEqual(reply.status, 200, reply.body)
+        refused = self.fleet.call_admin("DELETE", "/v1/tables/routes/lm")
+        self.assertEqual(refused.json()["error"]["run"], "not_run")
+        self.check_in_force(str(accepted))
+        status, answer = self.fleet.operate("restore")
+        self.assertEqual((status, answer["revision"]), (0, accepted + 1))
+        self.check_in_force(str(accepted + 1))
+        self.assertNotIn("[routes.member]", self.read_tables()["text"])
+        status, answer = self.fleet.operate("restore")
+        self.assertEqual(answer["error"]["code"], "conflict")
+        reply = self.fleet.call_admin("DELETE", "/v1/tables/routes/lm")
+        self.assertEqual(reply.json()["revision"], accepted + 2)
+
     def test_bad_requests(self):
         """Bodies that cannot be read leave the connection in a known state
         and change nothing.
