--- a/mulberryway/policy/queue.py
+++ b/mulberryway/policy/queue.py
@@ -6,14 +6,13 @@
 waiting accounts and entries.
 """
 
-import collections
 import collections.abc
-import enum
 import heapq
 import itertools
 
 import sortedcontainers
 
+from mulberryway.policy import entries
 from mulberryway.policy import messages
 
 __all__ = ["AccountState", "Entry", "FairQueue", "Lane"]
@@ -24,65 +23,17 @@
 # How far behind the present an account may start that was given little.  All
 # routers of a cell have to come to the same order, so the start is not moved
 # up to the very present when an account begins to wait, as textbooks do: only
-# one router would know of it.  The harm of a claim is that an account which
-# comes back after a pause goes first until it has caught up; five ordinary
-# requests do not keep the others waiting noticeably.
-CLAIM_TOKENS = 2_000.0
+# one router would know of it.  And an account whose demand is about its due
+# sends nothing for a moment now and then, which a claim lets it make up.  The
+# harm of a claim is that an account which comes back after a pause goes first
+# until it has caught up: with fifteen ordinary requests, for two to three
+# seconds of a small pool.
+CLAIM_TOKENS = 6_000.0
 
 
-class Lane(enum.IntEnum):
-    """Jobs of an account that may overtake one another.
-
-    A long prompt which has to wait for room in the prefill engines must not
-    hold up the account's short ones, and a suspect of a crash waits for an
-    engine without another suspect.
-    """
-
-    SHORT = 0
-    LONG = 1
-    SUSPECT = 2
-
-
-class Entry:
-    """A waiting job.
-
-    :param job: the job
-    :param lane: which others of its account it may not overtake
-    :param cost: what it is charged, in tokens
-    :param latest_ms: when it has to start so as to be in time
-    """
-
-    __slots__ = ("job", "lane", "cost", "latest_ms")
-
-    def __init__(
-        self, job: messages.Job, lane: Lane, cost: float, latest_ms: int
-    ) -> None:
-        self.job = job
-        self.lane = lane
-        self.cost = cost
-        self.latest_ms = latest_ms
-
-
-class AccountState:
-    """What one client account was given, and what of it waits."""
-
-    __slots__ = ("name", "weight", "start", "lanes", "waiting", "bytes")
-
-    def __init__(self, name: str, weight: int, start: float) -> None:
-        self.name = name
-        self.weight = max(weight, 1)
-        self.start = start
-        self.lanes: tuple[collections.OrderedDict[str, Entry], ...] = tuple(
-            collections.OrderedDict() for _ in Lane
-        )
-        self.waiting = 0
-        self.bytes = 0
-
-    def list_heads(self) -> list[Entry]:
-        """Return the oldest entry of each lane, oldest first."""
-        heads = [next(iter(lane.values())) for lane in self.lanes if lane]
-        heads.sort(key=lambda entry: entry.job.arrived_ms)
-        return heads
+AccountState = entries.AccountState
+Entry = entries.Entry
+Lane = entries.Lane
 
 
 class FairQueue:
@@ -117,8 +68,7 @@
         state = self._accounts.get(name)
         if state is None:
             self._forget_idle()
-            start = max(self.now_virtual - CLAIM_TOKENS, 0.0)
-            state = AccountState(name, weight, start)
+            state = AccountState(name, weight, self._read_least_start())
             self._accounts[name] = state
         elif state.weight != max(weight, 1):
             if state.waiting:
@@ -143,7 +93,7 @@
         """
         state = self._accounts.get(name)
         if state is None:
-            return max(self.now_virtual - CLAIM_TOKENS, 0.0)
+            return self._read_least_start()
         return state.start if state.waiting else self._start_of_idle(state)
 
     def read_weight(self, name: str) -> int:
@@ -275,7 +225,12 @@
         :param tokens: what is to be added; below zero to give back
         """
         state = self.find_account(name, weight)
-        self._move_start(state, state.start + tokens / state.weight)
+        start = state.start + tokens / state.weight
+        # A peer may give back what it charged before we heard of it.
+        self._move_start(state, max(start, self._read_least_start()))
+
+    def _read_least_start(self) -> float:
+        return max(self.now_virtual - CLAIM_TOKENS, 0.0)
 
     def _move_start(self, state: AccountState, start: float) -> None:
         if state.waiting:
@@ -284,7 +239,7 @@
         state.start = start
 
     def _start_of_idle(self, state: AccountState) -> float:
-        return max(state.start, self.now_virtual - CLAIM_TOKENS)
+        return max(state.start, self._read_least_start())
 
     def _forget_idle(self) -> None:
         if len(self._accounts) < MOST_IDLE_ACCOUNTS:
