Report platform calls by purpose, and the tables' age, as metrics

Cause: whoever sees the platform's rates run out has to find the purpose that takes them, and whoever is on call the VM whose tables grow old. Change: counters with labels that somebody else keeps; the platform's calls and bytes; revision, age and use of the tables; the benchmark takes 81 VMs. Conclusion: the counts that were kept are now seen.

--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -1,7 +1,8 @@
 """How long edits take until they are in force, and what the tables cost.
 
 ``python -m benchmarks.configuration`` starts real processes on loopback: the
-platform stand-in, one administration API and 3, 9 and 27 VMs without routers.
+platform stand-in and 3, 9, 27 and 81 VMs without routers.  The administration
+runs in the measuring process.
 """
 
 import json
@@ -33,7 +34,7 @@
 __all__ = ["measure"]
 
 ROOT = pathlib.Path(__file__).parent.parent
-SIZES = (3, 9, 27)
+SIZES = (3, 9, 27, 81)
 ACCOUNTS = 2_200
 EDITS = 15
 REST_S = 20
--- a/mulberryway/assembly.py
+++ b/mulberryway/assembly.py
@@ -75,6 +75,8 @@
         )
         self.directory = directory.HttpDirectory(self.clock)
         self.router = self._make_router()
+        self.platform_counts.report(self.router.metrics)
+        self.configuration.report(self.router.metrics)
         self.notes = notes.NotesController(
             self.router.scheduling,
             self.members,
--- a/mulberryway/controllers/configuration_service.py
+++ b/mulberryway/controllers/configuration_service.py
@@ -5,6 +5,7 @@
 from thrift import Thrift
 
 from mulberryway import clock
+from mulberryway import metrics
 from mulberryway import peers
 from mulberryway import settings
 from mulberryway import tables
@@ -77,6 +78,28 @@
         self._controller.stop()
         self._watch.stop()
 
+    def report(self, metrics_: metrics.Metrics) -> None:
+        """Let revision and age appear among the process's metrics.
+
+        :param metrics_: the process's instruments
+        """
+        in_force = self._controller.in_force
+        metrics_.observe(
+            "tables.revision",
+            "revision of the tables in force",
+            lambda: in_force.root.revision,
+        )
+        metrics_.observe(
+            "tables.age_ms",
+            "milliseconds since the platform confirmed them; -1: never",
+            lambda: _known(in_force.age_ms()),
+        )
+        metrics_.observe(
+            "tables.is_serving",
+            "1 if requests are served with them",
+            lambda: int(in_force.read_tables() is not None),
+        )
+
     def _note_newer(self, newer: member.Member) -> None:
         self._controller.note_news(newer.peer, newer.revision)
 
@@ -99,3 +122,7 @@
         for one in members.list_members()
         if one.name != members.own.name
     ]
+
+
+def _known(age_ms: int | None) -> int:
+    return -1 if age_ms is None else age_ms
--- a/mulberryway/metrics.py
+++ b/mulberryway/metrics.py
@@ -13,6 +13,7 @@
 
 Labels = dict[str, str | int | float | bool]
 Gauge = collections.abc.Callable[[], int]
+Points = collections.abc.Callable[[], list[tuple[Labels, int]]]
 
 
 class Metrics:
@@ -91,6 +92,24 @@
             description=description,
         )
 
+    def observe_many(self, name: str, description: str, read: Points) -> None:
+        """Report totals that somebody else keeps, by labels.
+
+        :param name: the instrument's name, without the common prefix
+        :param description: what it tells
+        :param read: returns pairs of labels and total
+        """
+        self._meter.create_observable_counter(
+            f"mulberryway.{name}",
+            [
+                lambda options: [
+                    metrics.Observation(total, labels)
+                    for labels, total in read()
+                ]
+            ],
+            description=description,
+        )
+
     def read(self) -> dict[str, list[dict[str, typing.Any]]]:
         """Return all values now, for status pages and tests.
 
--- a/mulberryway/platform/counts.py
+++ b/mulberryway/platform/counts.py
@@ -3,6 +3,8 @@
 import abc
 import threading
 
+from mulberryway import metrics
+
 __all__ = ["CallCounter", "CallCounts", "Count"]
 
 
@@ -77,3 +79,28 @@
                 key: Count(count.calls, count.sent, count.received)
                 for key, count in self._counts.items()
             }
+
+    def report(self, metrics_: metrics.Metrics) -> None:
+        """Let the counts appear among a process's metrics.
+
+        :param metrics_: the process's instruments
+        """
+        metrics_.observe_many(
+            "platform.calls",
+            "calls to the platform, by purpose and outcome",
+            lambda: self._list_totals("calls"),
+        )
+        metrics_.observe_many(
+            "platform.received",
+            "bytes received from the platform, by purpose and outcome",
+            lambda: self._list_totals("received"),
+        )
+
+    def _list_totals(self, attribute: str) -> list[tuple[metrics.Labels, int]]:
+        return [
+            (
+                {"purpose": purpose, "outcome": outcome},
+                getattr(count, attribute),
+            )
+            for (purpose, outcome), count in self.read_counts().items()
+        ]
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -5,10 +5,12 @@
 import unittest
 
 from mulberryway import clock
+from mulberryway import metrics
 from mulberryway import tables
 from mulberryway.admin import editor
 from mulberryway.controllers import configuration_watch
 from mulberryway.controllers import tables_in_force
+from mulberryway.platform import counts
 from mulberryway.tables import changes
 from mulberryway.tables import edits
 from mulberryway.tables import parse
@@ -81,6 +83,24 @@
     return tables.digest_key(f"{number}-0")
 
 
+class ReportTest(unittest.TestCase):
+    def test_calls_by_purpose(self):
+        """The platform refuses calls over its rates, and an operator has to
+        find out what they were made for.
+        """
+        kept = counts.CallCounts()
+        instruments = metrics.Metrics("vm")
+        self.addCleanup(instruments.stop)
+        kept.report(instruments)
+        kept.count_call("claims", "ok", 10, 20)
+        kept.count_call("claims", "ok", 10, 20)
+        points = instruments.read()["mulberryway.platform.calls"]
+        self.assertEqual(
+            points,
+            [{"labels": {"purpose": "claims", "outcome": "ok"}, "value": 2}],
+        )
+
+
 class Target:
     """What a watch reports to, as the configuration controller is."""
 
