--- a/mulberryway/filters/once.py
+++ b/mulberryway/filters/once.py
@@ -1,29 +1,26 @@
-"""Lets calls that must not be repeated run at most once."""
+"""Runs calls that may not be repeated at most once: a promise."""
 
 import expression
 
 from mulberryway import errors
 from mulberryway import replies
-from mulberryway import tables
 from mulberryway.controllers import claims
 from mulberryway.filters import base
 from mulberryway.filters import route
 from mulberryway.policy import claim_records
 
-__all__ = ["RunOnce"]
+__all__ = ["Once"]
 
-REPLAYED = ("Idempotency-Replayed", "true")
+REPLAYED = ("Idempotent-Replayed", "true")
 
 
-class RunOnce(base.Filter):
-    """Claims a call that must not be repeated before it runs.
+class Once(base.Filter):
+    """Lets a call on only with a claim, and answers its repeats.
 
-    A caller that lost the reply to a booking sends it again, perhaps to
-    another VM; without the claim a pen would be cleaned, and paid for,
-    twice.  A repeat gets the first run's reply.
+    It stands before whatever speaks to upstreams: a call that goes out
+    without a claim could run on two VMs when its caller repeats it.
 
-    :param store: keeps the claims; without one nothing is let through,
-        since no promise could be kept
+    :param store: grants claims; without one all such calls are refused
     """
 
     def __init__(self, store: claims.ClaimStore | None) -> None:
@@ -32,24 +29,16 @@
     def handle(
         self, exchange: base.Exchange, proceed: base.Proceed
     ) -> base.Answer:
-        """Run a call, or answer from what it answered before.
+        """Run a call, replay its reply, or say why neither.
 
         :param exchange: the request
         :param proceed: the rest of the chain
-        :returns: what the chain answers, a replay, or a fault
+        :returns: what the chain answers, a kept reply, or a fault
         """
-        if exchange.pool.kind is tables.PoolKind.MODEL or route.is_repeatable(
-            exchange
-        ):
+        if route.is_repeatable(exchange):
             return proceed(exchange)
         if self._store is None:
-            return expression.Error(
-                errors.Fault(
-                    errors.Code.PLATFORM_UNAVAILABLE,
-                    errors.Step.ADMISSION,
-                    message="no claims can be kept here",
-                )
-            )
+            return _refuse()
         began = self._store.begin(
             exchange.account.name,
             exchange.find_header(route.ONCE_HEADER) or "",
@@ -62,36 +51,46 @@
             return expression.Error(began.error)
         if isinstance(began.ok, claim_records.KeptReply):
             return expression.Ok(_replay(began.ok))
-        return self._run(self._store, exchange, proceed, began.ok)
+        return self._run(self._store, began.ok, exchange, proceed)
 
-    @staticmethod
     def _run(
+        self,
         store: claims.ClaimStore,
+        grant: claims.Grant,
         exchange: base.Exchange,
         proceed: base.Proceed,
-        grant: claims.Grant,
     ) -> base.Answer:
         run = errors.Run.MAY_HAVE_RUN
-        kept = None
+        reply = None
         try:
             answer = proceed(exchange)
-            if answer.is_error():
-                run = answer.error.run
-            elif isinstance(answer.ok, replies.Reply):
-                run = errors.Run.RAN
-                kept = _keep(answer.ok)
+            run = _read_run(answer)
+            if answer.is_ok() and isinstance(answer.ok, replies.Reply):
+                reply = claim_records.KeptReply(
+                    answer.ok.status, answer.ok.headers, answer.ok.body
+                )
             return answer
         finally:
-            # Also after an exception: an end that is never noted would let
-            # every repeat wait for it.
-            store.end(grant, run, kept)
+            # An exception may come from anywhere, also from behind the
+            # call: the claim then stays, and repeats hear "may have run".
+            store.end(grant, run, reply)
 
 
-def _keep(reply: replies.Reply) -> claim_records.KeptReply:
-    return claim_records.KeptReply(
-        reply.status, list(reply.headers), reply.body
-    )
+def _read_run(answer: base.Answer) -> errors.Run:
+    if answer.is_ok():
+        return errors.Run.RAN
+    return answer.error.run
 
 
 def _replay(kept: claim_records.KeptReply) -> replies.Reply:
     return replies.Reply(kept.status, [*kept.headers, REPLAYED], kept.body)
+
+
+def _refuse() -> base.Answer:
+    return expression.Error(
+        errors.Fault(
+            errors.Code.PLATFORM_UNAVAILABLE,
+            errors.Step.ADMISSION,
+            message="this VM can make no claims",
+        )
+    )
--- a/tests/router_rig.py
+++ b/tests/router_rig.py
@@ -10,7 +10,6 @@
 from mulberryway import router
 from mulberryway import settings
 from mulberryway import tables
-from mulberryway.controllers import claims
 from mulberryway.policy import allowance
 from mulberryway.policy import baselines
 from mulberryway.policy import entry
@@ -132,7 +131,7 @@
     """One router; use it as a context manager."""
 
     def __init__(
-        self, current=None, settings_=None, scheduler=None, store=None
+        self, current=None, settings_=None, scheduler=None, claims=None
     ):
         self.settings = settings_ or make_settings()
         self.source = StaticTables(current)
@@ -148,8 +147,7 @@
             self.allowances,
             OneEntry(f"127.0.0.1:{self.settings.router_port}"),
             on_withdraw=lambda: self.withdrawn.append(True),
-            claim_store=store
-            and claims.ClaimStore(store, clock.SystemClock(), "a1", 7),
+            claims_=claims,
         )
         self.port = self.settings.router_port
 
--- a/tests/test_upstream_faults.py
+++ b/tests/test_upstream_faults.py
@@ -7,6 +7,7 @@
 
 from mulberryway import clock
 from mulberryway import errors
+from mulberryway.controllers import claims
 from mulberryway.policy import claim_records
 from mulberryway.upstreams import http_service
 from tests import fakes
@@ -38,7 +39,9 @@
         ]
         self.rig = router_rig.Rig(
             router_rig.make_tables((), servers, timeout_ms=1_500),
-            store=fakes.MemoryStore(),
+            claims=claims.ClaimStore(
+                fakes.MemoryStore(), clock.SystemClock(), "a1", 7
+            ),
         )
         self.rig.__enter__()
         self.addCleanup(self.rig.__exit__)
@@ -76,7 +79,7 @@
         self.assertEqual(first.status, 201)
         again = self.book(key)
         self.assertEqual(again.body, first.body)
-        self.assertEqual(again.headers["Idempotency-Replayed"], "true")
+        self.assertEqual(again.headers["Idempotent-Replayed"], "true")
         self.assertEqual(self.book(key, b"other").status, 422)
         self.assertEqual(self.count_bookings(), 1)
 
