--- a/mulberryway/assembly.py
+++ b/mulberryway/assembly.py
@@ -1,5 +1,6 @@
 """Puts the parts of one VM's router together, in one place."""
 
+import concurrent.futures
 import random
 
 from mulberryway import clock
@@ -161,15 +162,17 @@
             # Else this VM's parts of all allowances would wait for its
             # successor, and accounts would be refused within their rate.
             self.slots.release_all()
-        for controller in (
+        # Together: each waits for a step that may wait for somebody else.
+        controllers = (
             self.reconciling,
             self.reports,
             self.notes,
+            self.configuration,
+            self.members,
             self.claims,
-        ):
-            controller.stop()
-        self.configuration.stop()
-        self.members.stop()
+        )
+        with concurrent.futures.ThreadPoolExecutor() as stops:
+            list(stops.map(lambda one: one.stop(), controllers))
         self.datagrams.stop()
         self.peer_server.stop()
 
