--- a/mulberryway/policy/allowance_keeper.py
+++ b/mulberryway/policy/allowance_keeper.py
@@ -7,6 +7,8 @@
 
 __all__ = ["Decision", "SlotKeeper"]
 
+FIRST_TERM = 1
+
 
 class Decision(enum.Enum):
     """What to do about a slot."""
@@ -170,7 +172,8 @@
         The lease is counted from before the write was sent, while others
         count from when they see it.  A slot that was taken fills from empty
         and only after all loans of its last holder have ended: what the
-        last holder and its borrowers spent is not known.
+        last holder and its borrowers spent is not known.  The first holder
+        ever needs not wait.
 
         :param slot: the slot
         :param decision: what was decided
@@ -180,8 +183,10 @@
         """
         until_ms = sent_ms + self._times.lease_ms
         if decision is Decision.TAKE:
+            is_first = record.term == FIRST_TERM
+            wait_ms = 0 if is_first else self._times.lapse_ms
             self.holdings[slot] = allowance_slots.Holding(
-                slot, record.term, until_ms, now_ms + self._times.lapse_ms
+                slot, record.term, until_ms, now_ms + wait_ms
             )
         elif decision is Decision.RENEW and slot in self.holdings:
             self.holdings[slot].until_ms = until_ms
--- a/mulberryway/policy/allowance_lender.py
+++ b/mulberryway/policy/allowance_lender.py
@@ -100,6 +100,7 @@
         self._parts = parts
         self._accounts: dict[str, tables.ClientAccount] = {}
         self._since_ms: dict[str, int] = {}
+        self._gone_ms: dict[str, int] = {}
         self._shares: dict[tuple[str, int], Share] = {}
         self._loans: dict[LoanId, Loan] = {}
         self._numbers = itertools.count(1)
@@ -121,11 +122,18 @@
         """
         for name in self._accounts.keys() - accounts.keys():
             del self._since_ms[name]
+            self._gone_ms[name] = now_ms
+        self._gone_ms = {
+            name: gone_ms
+            for name, gone_ms in self._gone_ms.items()
+            if now_ms - gone_ms < self._times.lapse_ms
+        }
         gone = [key for key in self._shares if key[0] not in accounts]
         for key in gone:
             del self._shares[key]
         for name in accounts.keys() - self._accounts.keys():
-            self._since_ms[name] = now_ms + self._times.lapse_ms
+            lapsed_ms = self._gone_ms.pop(name, 0) + self._times.lapse_ms
+            self._since_ms[name] = max(now_ms, lapsed_ms)
         self._accounts = dict(accounts)
         for (name, _), share in self._shares.items():
             account = accounts[name]
--- a/mulberryway/policy/allowance_times.py
+++ b/mulberryway/policy/allowance_times.py
@@ -53,7 +53,7 @@
         use_ms: int = 2_000,
         refund_ms: int = 180_000,
         rebalance_ms: int = 60_000,
-        settle_ms: int = 3_000,
+        settle_ms: int = 2_000,
         retry_ms: int = 4_000,
     ) -> None:
         self.lease_ms = lease_ms
