Return loans and bound the release of shares at a planned stop

Cause: a stop left loans to lapse, and waited for a platform that is down as often as the VM held groups of shares. Change: the assembly returns loans before it releases shares; the release ends after five seconds; the allowances of three VMs are tested over sockets. Conclusion: what could not be released passes on by the platform's list.

--- a/mulberryway/assembly.py
+++ b/mulberryway/assembly.py
@@ -161,6 +161,7 @@
         if graceful:
             # Else this VM's parts of all allowances would wait for its
             # successor, and accounts would be refused within their rate.
+            self.allowances.return_loans()
             self.slots.release_all()
         # Together: each waits for a step that may wait for somebody else.
         controllers = (
--- a/mulberryway/controllers/allowance_slots.py
+++ b/mulberryway/controllers/allowance_slots.py
@@ -21,6 +21,9 @@
 STEP_MS = 1_000
 # Bounds what one VM asks of the platform: a few objects in each step.
 MOST_GROUPS_PER_STEP = 16
+# A stop does not wait longer for a platform that is down.  What could not be
+# released passes on when the platform's list drops the VM.
+RELEASE_MS = 5_000
 
 
 class MemberSource(typing.Protocol):
@@ -90,8 +93,10 @@
             slots = list(self._state.keeper.holdings)
             for slot in slots:
                 self._state.keeper.give_up(slot)
+        end = clock.Deadline(self.clock.now_ms() + RELEASE_MS)
         for group in {slot // self._state.parts for slot in slots}:
-            self._settle(group)
+            if not end.has_passed(self.clock.now_ms()):
+                self._settle(group)
         self._tell_holdings()
 
     def _note_members(self, members: list[member.Member], now_ms: int) -> None:
--- a/tests/test_shared_allowances.py
+++ b/tests/test_allowance_sockets.py
@@ -6,7 +6,10 @@
 from mulberryway import clock
 from mulberryway import peers
 from mulberryway import tables
-from mulberryway.controllers import shared_allowances
+from mulberryway.controllers import allowance_slots
+from mulberryway.controllers import allowance_state
+from mulberryway.controllers import allowances
+from mulberryway.peers.gen.allowances import Allowances as service
 from mulberryway.policy import allowance_times
 from mulberryway.policy import member
 from tests import allowance_fleet
@@ -25,20 +28,22 @@
         self.members = members
         self.own = member.Member(name, "127.0.0.1", 1, 2, "z", "r", 1)
         self.client = peers.PeerClient(SECRET, clock_)
-        self.parts = shared_allowances.SharedAllowances(
+        self.state = allowance_state.AllowanceState(
             self.own,
-            source,
-            self,
-            store,
-            self.client,
-            clock_,
             allowance_times.AllowanceTimes(settle_ms=0, loan_ms=500),
         )
+        self.allowances = allowances.AllowancesController(
+            self.state, source, self.client, clock_
+        )
+        self.slots = allowance_slots.AllowanceSlotsController(
+            self.state, store, self, clock_
+        )
+        handler = allowances.AllowanceService(self.state, clock_)
         self.server = peers.PeerServer(
             "127.0.0.1",
             0,
             SECRET,
-            {shared_allowances.SERVICE: self.parts.make_processor()},
+            {"Allowances": service.Processor(handler)},
             clock_,
         )
         self.own.peer_port = self.server.port
@@ -52,20 +57,27 @@
 
     def start(self):
         self.server.start()
-        self.parts.start()
+        self.allowances.start()
+        self.slots.start()
+
+    def stop(self):
+        self.allowances.stop()
+        self.slots.stop()
+        self.allowances.return_loans()
+        self.slots.release_all()
 
     def close(self):
         self.server.stop()
         self.client.close()
 
     def take(self, tokens):
-        result = self.parts.allowances.reserve("tea", tokens)
+        result = self.allowances.reserve("tea", tokens)
         if not result.is_ok():
             return 0
-        return tokens * self.parts.allowances.is_usable(result.ok)
+        return tokens * self.allowances.is_usable(result.ok)
 
 
-class SharedAllowancesTest(unittest.TestCase):
+class AllowanceSocketsTest(unittest.TestCase):
     def setUp(self):
         account = tables.ClientAccount("tea", (), RATE, BURST)
         source = allowance_history.SimSource(
@@ -86,17 +98,17 @@
             time.sleep(0.05)
 
     def count_held(self, vms):
-        return sum(len(vm.parts.state.keeper.holdings) for vm in vms)
+        return sum(len(vm.state.keeper.holdings) for vm in vms)
 
     def test_one_vm_uses_what_all_hold_and_a_stop_hands_over(self):
         """All callers meet one VM, and later another VM is stopped."""
         self.wait_for(lambda: self.count_held(self.vms) == 512)
         self.wait_for(lambda: self.vms[0].take(BURST * 3 // 4) > 0)
-        self.vms[1].parts.stop()
+        self.vms[1].stop()
         self.assertEqual(self.count_held(self.vms[1:2]), 0)
         rest = [self.vms[0], self.vms[2]]
         del self.vms[0].members[1]
         self.wait_for(lambda: self.count_held(rest) == 512)
         self.wait_for(lambda: self.vms[2].take(BURST * 3 // 4) > 0)
         for vm in rest:
-            vm.parts.stop()
+            vm.stop()
