--- a/benchmarks/allowances.py
+++ b/benchmarks/allowances.py
@@ -13,6 +13,7 @@
 import time
 import typing
 
+from benchmarks import series
 from mulberryway import tables
 from mulberryway.policy import allowance
 from tests import allowance_fleet
@@ -29,6 +30,7 @@
 # Callers ask for this part of the rate on average.
 LOAD = 0.85
 WARM_MS = 40_000
+COMMAND = "python -m benchmarks.allowances"
 RUN_MS = 120_000
 STEP_MS = 250
 
@@ -178,7 +180,23 @@
         "shares, even, 81 VMs, 45 accounts": Run(81, 45, 0.0),
         "shares, skewed, 81 VMs, 45 accounts": Run(81, 45, 0.9),
     }
-    return {name: run.run() for name, run in runs.items()}
+    found = {name: run.run() for name, run in runs.items()}
+    _keep(found)
+    return found
+
+
+def _keep(found: dict[str, typing.Any]) -> None:
+    """Keep what grows with the fleet, for even callers."""
+    rows = [
+        row for name, row in found.items() if name.startswith("shares, even")
+    ]
+    for name, key, unit in (
+        ("allowances-bytes", "bytes_per_vm_s", "bytes a second, each VM"),
+        ("allowances-cpu", "cpu_ms_per_vm_s", "ms of processor a second"),
+        ("allowances-calls", "peer_calls_per_request", "peer calls a request"),
+    ):
+        points = sorted((row["vms"], row[key]) for row in rows)
+        series.write_series(series.Series(name, COMMAND, "VMs", unit, points))
 
 
 if __name__ == "__main__":
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import pathlib
+import sys
 
 from benchmarks import series
 
@@ -131,3 +132,23 @@
         table = render_table(lines, folder)
         page = f"{before}{begin}\n{table}\n{end}{after}"
     return page
+
+
+def main(write: bool) -> int:
+    """Work the page's tables out anew.
+
+    :param write: put them into the page; otherwise only compare
+    :returns: 0 if the page was already as the measurements say, else 1
+    """
+    # Imported here: the rows are made of this module's classes.
+    from benchmarks import capacity_tables
+
+    old = PAGE.read_text(encoding="utf-8")
+    new = render_page(old, capacity_tables.TABLES, series.FOLDER)
+    if write:
+        PAGE.write_text(new, encoding="utf-8")
+    return int(new != old)
+
+
+if __name__ == "__main__":
+    main(write="--check" not in sys.argv)
--- a/benchmarks/decisions_cost.py
+++ b/benchmarks/decisions_cost.py
@@ -10,6 +10,7 @@
 import time
 import typing
 
+from benchmarks import series
 from mulberryway import clock
 from mulberryway import tables
 from mulberryway.policy import messages
@@ -17,6 +18,7 @@
 
 __all__ = ["measure"]
 
+COMMAND = "python -m benchmarks.decisions_cost"
 QUEUE_LENGTHS = (16, 64, 256, 1_000)
 ENGINES = (6, 64, 640, 4_800)
 ACCOUNTS = (5, 50, 500, 2_200)
@@ -30,7 +32,7 @@
 
     :returns: microseconds of processor time for each size, and the power
     """
-    return {
+    found = {
         "queue_length": _read_growth(
             QUEUE_LENGTHS, lambda size: measure_one(size, 64, 50)
         ),
@@ -41,6 +43,21 @@
             ACCOUNTS, lambda size: measure_one(900, 64, size)
         ),
     }
+    for name, growth in found.items():
+        points = [
+            (math.log10(int(size)), sum(row.values()) - row["idle"])
+            for size, row in growth["us"].items()
+        ]
+        series.write_series(
+            series.Series(
+                f"decision-cpu-{name.replace('_', '-')}",
+                COMMAND,
+                f"powers of ten of {name.replace('_', ' ')}",
+                "us of processor, a request's submit and start",
+                points,
+            )
+        )
+    return found
 
 
 def _read_growth(
--- a/benchmarks/deployment.py
+++ b/benchmarks/deployment.py
@@ -27,6 +27,7 @@
 COMMAND_S = 60
 ROLES = ("prefill", "prefill", "decode", "decode", "decode", "decode")
 SERVICES = 3
+SEEDS = 3
 RATE = 40_000
 BURST = 80_000
 
@@ -35,6 +36,7 @@
     """Starts everything; use it as a context manager.
 
     :param vms: how many entry VMs
+    :param admins: on how many of them an administration API runs
     :param roles: each model engine's role
     :param accounts: each client account's keys
     :param engine_flags: further flags of the engine stand-in
@@ -44,6 +46,7 @@
     def __init__(
         self,
         vms: int = 3,
+        admins: int = 3,
         roles: collections.abc.Sequence[str] = ROLES,
         accounts: dict[str, tuple[str, ...]] | None = None,
         engine_flags: collections.abc.Sequence[str] = (),
@@ -55,6 +58,8 @@
         self.routers: list[processes.Process] = []
         self.admins: list[processes.Process] = []
         self._folder = tempfile.TemporaryDirectory()
+        self._vms = vms
+        self._admins = admins
         self._roles = roles
         self._engine_flags = engine_flags
         ports = processes.pick_ports(3 * vms)
@@ -84,9 +89,8 @@
             processes.start_standin(self, "service", credential)[1]
             for _ in range(SERVICES)
         ]
-        for number in range(len(self.router_ports)):
-            self.routers.append(self.start_router(number))
-            self.admins.append(self.start_admin(number))
+        self.routers = list(map(self.start_router, range(self._vms)))
+        self.admins = list(map(self.start_admin, range(self._admins)))
         self.apply(self.make_tables(), 0)
 
     def __exit__(self, *_: object) -> None:
@@ -179,7 +183,8 @@
         :returns: its answer
         :raises RuntimeError: if it fails
         """
-        urls = ",".join(f"http://{HOST}:{port}" for port in self.admin_ports)
+        ports = self.admin_ports[: self._admins]
+        urls = ",".join(f"http://{HOST}:{port}" for port in ports)
         done = subprocess.run(
             [
                 sys.executable,
@@ -210,7 +215,9 @@
             "peers": {
                 "port": self.peer_ports[number],
                 "secret": SECRET,
-                "seeds": [f"{HOST}:{port}" for port in self.peer_ports],
+                "seeds": [
+                    f"{HOST}:{port}" for port in self.peer_ports[:SEEDS]
+                ],
             },
             "platform": {"url": f"http://{HOST}:{self.platform_port}"},
             "telemetry": {"log_level": "ERROR"},
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -8,10 +8,12 @@
 import time
 import typing
 
+from benchmarks import series
 from tests import membership_fleet
 
 __all__ = ["measure"]
 
+COMMAND = "python -m benchmarks.membership"
 SIZES = (3, 9, 27, 81, 243)
 # The news of all joins have to run out first.
 SETTLE_PERIODS = 240
@@ -21,7 +23,14 @@
 
 def measure() -> dict[str, typing.Any]:
     """Return bytes, processor time and spreading times by fleet size."""
-    return {str(size): _measure_size(size) for size in SIZES}
+    found = {str(size): _measure_size(size) for size in SIZES}
+    for name, key, unit in (
+        ("membership-bytes", "bytes_per_vm_s", "bytes a second, each VM"),
+        ("membership-cpu", "cpu_ms_per_vm_s", "ms of processor a second"),
+    ):
+        points = [(int(size), row[key]) for size, row in found.items()]
+        series.write_series(series.Series(name, COMMAND, "VMs", unit, points))
+    return found
 
 
 def _measure_size(size: int) -> dict[str, typing.Any]:
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -11,6 +11,7 @@
 import json
 import typing
 
+from benchmarks import series
 from benchmarks import usage
 from mulberryway.load import caller
 from mulberryway.load import outcome
@@ -19,7 +20,8 @@
 
 __all__ = ["measure"]
 
-STREAMS = (100, 240)
+COMMAND = "python -m benchmarks.relay"
+STREAMS = (60, 100, 240)
 TOKENS = 220
 SPREAD_MS = 1_000
 BURST_CALLERS = 100
@@ -178,7 +180,26 @@
             ),
             start_relay(group, "router", "benchmarks.static_router", engines),
         ]
-        return {target.name: measure_target(target) for target in targets}
+        found = {target.name: measure_target(target) for target in targets}
+    _keep(found["router"])
+    return found
+
+
+def _keep(router: dict[str, typing.Any]) -> None:
+    """Keep the router's growth with its load."""
+    rows = [router[f"streams_{count}"] for count in STREAMS]
+    tokens = [(row["tokens_per_s"], row["cores"] * 1_000) for row in rows]
+    memory = [
+        (count, row["resident_mb"])
+        for count, row in zip(STREAMS, rows, strict=True)
+    ]
+    for name, x_unit, y_unit, points in (
+        ("relay-cpu", "tokens a second", "ms of processor a second", tokens),
+        ("relay-memory", "streams", "MB resident", memory),
+    ):
+        series.write_series(
+            series.Series(name, COMMAND, x_unit, y_unit, points)
+        )
 
 
 if __name__ == "__main__":
--- a/mulberryway/assembly.py
+++ b/mulberryway/assembly.py
@@ -51,9 +51,6 @@
     ) -> None:
         self.settings = settings_
         self.clock = clock_ or clock.SystemClock()
-        # Later lives of a VM's router must have greater numbers, though a
-        # VM keeps nothing; its wall clock is all that it has.
-        self.incarnation = self.clock.wall_ms()
         self.platform_counts = counts.CallCounts()
         self.store = platform_http.HttpObjectStore(
             settings_.platform_url,
@@ -64,6 +61,13 @@
         self.client = peers.PeerClient(
             settings_.peers_secret, self.clock, settings_.peers_timeout_ms
         )
+        own = f"{settings_.vm_address}:{settings_.peers_port}"
+        self.incarnation = membership.find_incarnation(
+            settings_.vm_name,
+            [seed for seed in settings_.peers_seeds if seed != own],
+            self.client,
+            self.clock,
+        )
         self.members = self._make_members()
         self.configuration = configuration_service.ConfigurationService(
             settings_, self.store, self.client, self.members, self.clock
@@ -187,6 +191,7 @@
             settings_.vm_zone,
             settings_.vm_region,
             self.incarnation,
+            is_starting=True,
         )
         return membership.MembershipController(
             own,
@@ -217,4 +222,5 @@
             directory_=self.directory,
             claim_store=self.claims,
             has_settled=self.shares.is_complete,
+            on_ready=lambda: self.members.change_own(is_starting=False),
         )
--- a/mulberryway/controllers/membership.py
+++ b/mulberryway/controllers/membership.py
@@ -1,19 +1,21 @@
 """Keeps this VM's view of all VMs up to date; hints, no promises."""
 
 import collections
+import collections.abc
 import random
 
 from mulberryway import clock
 from mulberryway.controllers import base
 from mulberryway.controllers import membership_exchange
 from mulberryway.peers import client
+from mulberryway.peers.gen.membership import Membership as service
 from mulberryway.platform import base as platform
 from mulberryway.policy import entry
 from mulberryway.policy import hint_board
 from mulberryway.policy import member
 from mulberryway.policy import membership
 
-__all__ = ["MembershipController"]
+__all__ = ["MembershipController", "find_incarnation"]
 
 # A new piece of urgent news goes to this many VMs at once, and each of them
 # does the same: with 410 VMs everybody has it after about five hops.
@@ -29,6 +31,39 @@
 DEAD_PROBE_PERIODS = 10
 
 
+def find_incarnation(
+    name: str,
+    seeds: collections.abc.Iterable[str],
+    peers: client.PeerClient,
+    clock_: clock.Clock,
+) -> int:
+    """Return a number that is greater than those of a VM's earlier lives.
+
+    A VM keeps nothing, so its wall clock counts its lives.  Should the clock
+    have gone back, others would take the new life for an old one, believe
+    its requests to be those of a dead owner, and cancel them at the engines.
+    So those that may know an earlier life are asked before anything begins.
+
+    :param name: the VM's name
+    :param seeds: addresses ``host:port`` of peers
+    :param peers: calls other VMs
+    :param clock_: where the time comes from
+    :returns: the incarnation
+    """
+    answers = (
+        peers.call(seed, service.Client, "list_all", is_idempotent=True)
+        for seed in seeds
+    )
+    known = [
+        one.incarnation
+        for answer in answers
+        if answer.is_ok()
+        for one in answer.ok
+        if one.name == name
+    ]
+    return max([clock_.wall_ms(), *(number + 1 for number in known)])
+
+
 class MembershipController(base.Controller, entry.EntryDirectory):
     """Probes other VMs, answers their probes, and spreads hints.
 
@@ -125,14 +160,16 @@
         self,
         is_stopping: bool | None = None,
         holdings: bytes | None = None,
+        is_starting: bool | None = None,
     ) -> None:
         """Change what this VM tells of itself, and tell it at once.
 
         :param is_stopping: whether it wants no new callers
         :param holdings: what it holds of the fleet's state
+        :param is_starting: whether it cannot serve callers yet
         """
         with self._lock:
-            self._view.change_own(is_stopping, holdings)
+            self._view.change_own(is_stopping, holdings, is_starting)
         self._hurry()
 
     def publish(
--- a/mulberryway/peers/gen/membership/ttypes.py
+++ b/mulberryway/peers/gen/membership/ttypes.py
@@ -30,6 +30,7 @@
      - health
      - is_stopping
      - holdings
+     - is_starting
 
     """
 
@@ -45,10 +46,11 @@
         'health',
         'is_stopping',
         'holdings',
+        'is_starting',
     )
 
 
-    def __init__(self, name=None, address=None, peer_port=None, router_port=None, zone=None, region=None, incarnation=None, version=None, health=None, is_stopping=None, holdings=None,):
+    def __init__(self, name=None, address=None, peer_port=None, router_port=None, zone=None, region=None, incarnation=None, version=None, health=None, is_stopping=None, holdings=None, is_starting=None,):
         self.name = name
         self.address = address
         self.peer_port = peer_port
@@ -60,6 +62,7 @@
         self.health = health
         self.is_stopping = is_stopping
         self.holdings = holdings
+        self.is_starting = is_starting
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -125,6 +128,11 @@
                     self.holdings = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.is_starting = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -179,6 +187,10 @@
             oprot.writeFieldBegin('holdings', TType.STRING, 11)
             oprot.writeBinary(self.holdings)
             oprot.writeFieldEnd()
+        if self.is_starting is not None:
+            oprot.writeFieldBegin('is_starting', TType.BOOL, 12)
+            oprot.writeBool(self.is_starting)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -521,6 +533,7 @@
     (9, TType.BYTE, 'health', None, None, ),  # 9
     (10, TType.BOOL, 'is_stopping', None, None, ),  # 10
     (11, TType.STRING, 'holdings', 'BINARY', None, ),  # 11
+    (12, TType.BOOL, 'is_starting', None, None, ),  # 12
 )
 all_structs.append(Hint)
 Hint.thrift_spec = (
--- a/mulberryway/peers/idl/membership.thrift
+++ b/mulberryway/peers/idl/membership.thrift
@@ -13,6 +13,7 @@
   9: required i8 health,
   10: required bool is_stopping,
   11: optional binary holdings,
+  12: optional bool is_starting,
 }
 
 struct Hint {
--- a/mulberryway/peers/membership_messages.py
+++ b/mulberryway/peers/membership_messages.py
@@ -25,6 +25,7 @@
         int(one.health),
         one.is_stopping,
         one.holdings,
+        one.is_starting,
     )
 
 
@@ -46,6 +47,7 @@
         member.Health(message.health),
         message.is_stopping,
         message.holdings or b"",
+        bool(message.is_starting),
     )
 
 
--- a/mulberryway/peers/server.py
+++ b/mulberryway/peers/server.py
@@ -113,6 +113,10 @@
         swept_ms = self._clock.now_ms()
         while not self._is_stopping:
             for key, _ in self._selector.select(SWEEP_MS / 1000):
+                if self._is_stopping:
+                    # On a busy machine the stop may have waited in vain for
+                    # this thread; nothing can be handed out any more.
+                    return
                 self._serve_ready(key)
             now_ms = self._clock.now_ms()
             if now_ms - swept_ms >= SWEEP_MS:
--- a/mulberryway/policy/entry.py
+++ b/mulberryway/policy/entry.py
@@ -56,8 +56,9 @@
     caller's zone while it has one that takes callers.  The last address is
     in another zone if there is one, for the case that the whole zone fails.
 
-    VMs that stop or are suspected are left out while others are there; with
-    none left, wrong suspicion is likelier than the death of all.
+    VMs that stop, are suspected or cannot serve yet are left out while
+    others are there; with none left, wrong suspicion is likelier than the
+    death of all.
 
     :param members: all VMs that are known
     :param caller_zone: the caller's zone; empty if not known
@@ -78,7 +79,7 @@
 
 
 def _rank(one: member.Member) -> tuple[int, bool]:
-    return (int(one.health), one.is_stopping)
+    return (int(one.health), one.is_stopping or one.is_starting)
 
 
 def _pick(
--- a/mulberryway/policy/member.py
+++ b/mulberryway/policy/member.py
@@ -31,6 +31,7 @@
     :param is_stopping: it wants no new callers
     :param holdings: what it holds of the fleet's state, in a form that is
         private to those who put it there; bounded
+    :param is_starting: it cannot serve callers yet
     """
 
     __slots__ = (
@@ -44,6 +45,7 @@
         "version",
         "health",
         "is_stopping",
+        "is_starting",
         "holdings",
         "streams",
         "heard_ms",
@@ -63,6 +65,7 @@
         health: Health = Health.ALIVE,
         is_stopping: bool = False,
         holdings: bytes = b"",
+        is_starting: bool = False,
     ) -> None:
         self.name = name
         self.address = address
@@ -75,6 +78,7 @@
         self.health = health
         self.is_stopping = is_stopping
         self.holdings = holdings
+        self.is_starting = is_starting
         # What only the VM itself tells, in each message; too lively to be
         # passed on: running streams, when that was heard, its tables.
         self.streams = 0
--- a/mulberryway/policy/membership.py
+++ b/mulberryway/policy/membership.py
@@ -226,12 +226,16 @@
         self,
         is_stopping: bool | None = None,
         holdings: bytes | None = None,
+        is_starting: bool | None = None,
     ) -> None:
         """Change what this VM tells of itself.
 
         :param is_stopping: whether it wants no new callers
         :param holdings: what it holds of the fleet's state
+        :param is_starting: whether it cannot serve callers yet
         """
+        if is_starting is not None:
+            self.own.is_starting = is_starting
         if is_stopping is not None:
             self.own.is_stopping = is_stopping
         if holdings is not None:
--- a/mulberryway/router.py
+++ b/mulberryway/router.py
@@ -54,6 +54,7 @@
 # over a peer or a slow caller.
 ENTRY_MARGIN_MS = 1_000
 POLL_MS = 20
+READY_POLL_MS = 100
 # What was sent to this VM before the refusals began is on its way at most
 # for so long.
 LAST_CALLS_MS = 200
@@ -76,6 +77,7 @@
         one such calls are refused
     :param has_settled: whether accounts' tokens can be found from here; once
         true, it is not asked again
+    :param on_ready: called once, when callers may come for the first time
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         directory_: directory.UpstreamDirectory | None = None,
         claim_store: claims.ClaimStore | None = None,
         has_settled: collections.abc.Callable[[], bool] = lambda: True,
+        on_ready: collections.abc.Callable[[], None] = lambda: None,
     ) -> None:
         self.settings = settings_
         self.clock = clock_
@@ -117,6 +120,7 @@
         self._incarnation = incarnation
         self._has_settled = has_settled
         self._was_settled = False
+        self._on_ready = on_ready
         self._has_begun = False
         self._is_withdrawn = False
         self._is_refusing = False
@@ -174,8 +178,16 @@
         self.cancelling.start()
         self.server.start()
         self._has_begun = True
+        threading.Thread(
+            target=self._await_ready, name="ready", daemon=True
+        ).start()
         LOG.info("the router serves on port %d", self.port)
 
+    def _await_ready(self) -> None:
+        while not self.is_ready and not self._is_refusing:
+            self.clock.sleep_ms(READY_POLL_MS)
+        self._on_ready()
+
     def withdraw(self) -> None:
         """Tell new callers to go elsewhere; keep serving all who come."""
         self._is_withdrawn = True
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,8 +2,11 @@
 
 import unittest
 
+from mulberryway import clock
+from mulberryway.controllers import membership as controllers
 from mulberryway.policy import member
 from tests import membership_fleet
+from tests import peer_network
 
 
 class MembershipTest(unittest.TestCase):
@@ -106,6 +109,21 @@
             named = [one.address for one in vm.list_addresses("zone2")]
             self.assertNotIn("vm5:2", named)
 
+    def test_a_vm_that_cannot_serve_yet_is_left_out(self):
+        """A VM has just begun and does not know where tokens are yet.
+        Callers sent there would be refused within their rate.
+        """
+        fleet = membership_fleet.Fleet(9)
+        fleet.run(20)
+        fleet.vms[5].change_own(is_starting=True)
+        fleet.run(4)
+        for vm in fleet.vms[:5]:
+            named = [one.address for one in vm.list_addresses("zone2")]
+            self.assertNotIn("vm5:2", named)
+        fleet.vms[5].change_own(is_starting=False)
+        fleet.run(4)
+        self.assertFalse(fleet.see(fleet.vms[0], "vm5").is_starting)
+
     def test_hints_reach_everybody_once(self):
         fleet = membership_fleet.Fleet(27)
         fleet.run(30)
@@ -135,3 +153,20 @@
         fleet.vms[2].note_revision(7)
         fleet.run(4)
         self.assertEqual(len(heard), 8)
+
+    def test_a_new_life_counts_on_from_what_peers_know(self):
+        """A VM's clock went back while it was down.  Its new life would
+        bear a smaller number, and others would cancel its running requests
+        as those of a dead owner.
+        """
+        fleet = membership_fleet.Fleet(3)
+        fleet.run(20)
+        peers = peer_network.FakePeers(fleet.network, "vm2:1")
+        old = fleet.vms[2].own.incarnation
+        fleet.network.down.add("vm0:1")
+        seeds = ("vm0:1", "vm1:1")
+        behind = clock.ManualClock(old - 1)
+        ahead = clock.ManualClock(old + 500)
+        for clock_, expected in ((behind, old + 1), (ahead, old + 500)):
+            found = controllers.find_incarnation("vm2", seeds, peers, clock_)
+            self.assertEqual(found, expected)
