--- a/benchmarks/deployment.py
+++ b/benchmarks/deployment.py
@@ -89,11 +89,17 @@
             processes.start_standin(self, "service", credential)[1]
             for _ in range(SERVICES)
         ]
+        # All at once: each takes a second or two to start.
         self.routers = list(map(self.start_router, range(self._vms)))
         self.admins = list(map(self.start_admin, range(self._admins)))
+        for process in self.routers + self.admins:
+            process.wait_ready()
         self.apply(self.make_tables(), 0)
 
     def __exit__(self, *_: object) -> None:
+        # A planned stop takes seconds; nobody calls any more.
+        for router in self.routers:
+            router.kill()
         self.stop()
         self._folder.cleanup()
 
@@ -101,25 +107,27 @@
         """Start one VM's router.
 
         :param number: which VM
-        :returns: the process
+        :returns: the process, which may not listen yet
         """
-        return self.start(
-            "mulberryway.commands.router",
-            f"--settings={self._write_settings(number)}",
-            ports=[self.router_ports[number], self.peer_ports[number]],
-        )
+        ports = [self.router_ports[number], self.peer_ports[number]]
+        return self._start("mulberryway.commands.router", number, ports)
 
     def start_admin(self, number: int) -> processes.Process:
         """Start one VM's administration API.
 
         :param number: which VM
-        :returns: the process
+        :returns: the process, which may not listen yet
         """
-        return self.start(
-            "mulberryway.commands.admin",
-            f"--settings={self._write_settings(number)}",
-            ports=[self.admin_ports[number]],
-        )
+        ports = [self.admin_ports[number]]
+        return self._start("mulberryway.commands.admin", number, ports)
+
+    def _start(
+        self, module: str, number: int, ports: list[int]
+    ) -> processes.Process:
+        flag = f"--settings={self._write_settings(number)}"
+        process = processes.Process(module, [flag], ports)
+        self.processes.append(process)
+        return process
 
     def make_tables(self) -> dict[str, typing.Any]:
         """Return the tables that are applied at the start."""
