End a stream whose resumption fails by an exception

Change: the relay logs the exception and fails the stream; the test's raw socket has a limit, so that a hang shows as a failure. Conclusion: whether this was the cause of the hang is not shown.

--- a/mulberryway/relay/pump.py
+++ b/mulberryway/relay/pump.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import concurrent.futures
+import logging
 import select
 import socket
 
@@ -13,6 +14,8 @@
 
 __all__ = ["Relay"]
 
+LOG = logging.getLogger(__name__)
+
 RECEIVE_BYTES = 65_536
 # What one slow caller may keep in memory: about five thousand tokens.  Above
 # it the engine is not read from, so that it notices and slows down.
@@ -265,10 +268,19 @@
             message=message,
         )
         try:
-            self._recoverers.submit(stream.owner.recover, stream, fault)
+            self._recoverers.submit(self._recover, stream, fault)
         except RuntimeError:
             self._end_with(stream, fault)
 
+    def _recover(self, stream: Stream, fault: errors.Fault) -> None:
+        # The executor keeps an exception to itself, and the caller would
+        # wait for ever on a stream that nobody carries any more.
+        try:
+            stream.owner.recover(stream, fault)
+        except Exception:
+            LOG.exception("a stream could not be resumed")
+            self.fail(stream, fault)
+
     def _resume(self, stream: Stream, source: upstreams.TokenStream) -> None:
         if stream.is_closed:
             # The caller went while another engine was sought.
--- a/tests/test_model_run.py
+++ b/tests/test_model_run.py
@@ -15,6 +15,7 @@
     """Ask for a stream and return the socket, its reply unread."""
     connection = socket.socket()
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+    connection.settimeout(router_rig.GUARD_S)
     connection.connect(("127.0.0.1", port))
     body = json.dumps(
         {
