Tell the scheduler of engines that died, of a peer's pace, and move decodes

Cause: the router reported a broken connection as a failure, so no request was ever a suspect; notes left out two fields; a refused decode lost its prefill. Change: Fault.has_died, set where a connection breaks in the middle, becomes JobEnd.DIED; a caller's going is no engine's failure; Holding.step_ms and AccountNote.prefill_ms in notes.thrift; a decode refused as full asks Scheduler.move_decode for 0.5 s.

--- a/mulberryway/controllers/scheduling.py
+++ b/mulberryway/controllers/scheduling.py
@@ -209,6 +209,18 @@
         with self._lock:
             self._scheduler.note_tokens(job_id, tokens, self.clock.now_ms())
 
+    def move_decode(self, job_id: str, refused: str) -> str | None:
+        """Find another slot for a job whose prefill has ended.
+
+        :param job_id: the job
+        :param refused: the upstream that refused because it is full
+        :returns: the upstream to try, its slot reserved; or none
+        """
+        with self._lock:
+            return self._scheduler.move_decode(
+                job_id, refused, self.clock.now_ms()
+            )
+
     def take_hints(self) -> hints.Note | None:
         """Return what the routers that share upstreams should hear now."""
         with self._lock:
--- a/mulberryway/errors.py
+++ b/mulberryway/errors.py
@@ -96,9 +96,19 @@
     :param message: one sentence for people; never holds a key
     :param retry_after_ms: when another try makes sense, in milliseconds;
         none where a repeat cannot help
+    :param has_died: the connection broke in the middle, so that the other
+        end may have died of this very request
     """
 
-    __slots__ = ("code", "step", "peer", "run", "message", "retry_after_ms")
+    __slots__ = (
+        "code",
+        "step",
+        "peer",
+        "run",
+        "message",
+        "retry_after_ms",
+        "has_died",
+    )
 
     def __init__(
         self,
@@ -108,6 +118,7 @@
         run: Run = Run.NOT_RUN,
         message: str = "",
         retry_after_ms: int | None = None,
+        has_died: bool = False,
     ) -> None:
         self.code = code
         self.step = step
@@ -115,6 +126,7 @@
         self.run = run
         self.message = message or code.value.replace("_", " ")
         self.retry_after_ms = retry_after_ms
+        self.has_died = has_died
 
     def __repr__(self) -> str:
         return (
--- a/mulberryway/filters/attempt.py
+++ b/mulberryway/filters/attempt.py
@@ -75,6 +75,16 @@
         if how is not messages.JobEnd.DONE:
             self.free()
 
+    def change_decode(self, name: str, engine: upstreams.Engine) -> None:
+        """Decode elsewhere, for the engine chosen first has refused.
+
+        :param name: the other upstream's name
+        :param engine: the other upstream
+        """
+        with self._lock:
+            self.decode_name = name
+            self.decode = engine
+
     def free(self) -> None:
         """Let both engines free what they hold; the slot is kept.
 
--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -34,6 +34,10 @@
 # An engine that fell silent must leave time for another one.
 PART_OF_LEFT = 2
 LEAST_WAIT_MS = 200
+# A prefill's result lives for less than a second; some of it is needed for
+# the transfer.
+MOVE_WITHIN_MS = 500
+MOVE_PAUSE_MS = 30
 # How long a stream that has lost its engine may seek another.
 RESUME_MS = 5_000
 MOVABLE = frozenset(
@@ -52,6 +56,18 @@
 Source = expression.Result[upstreams.TokenStream, errors.Fault]
 
 
+def sort_end(fault: errors.Fault) -> messages.JobEnd:
+    """Return how an attempt ended that an upstream did not answer whole.
+
+    :param fault: what befell it
+    :returns: the end; an upstream that may have died of the request is told
+        from one that answered with an error
+    """
+    if fault.has_died:
+        return messages.JobEnd.DIED
+    return ENDS.get(fault.code, messages.JobEnd.FAILED)
+
+
 class Parts:
     """What all model requests share.
 
@@ -182,9 +198,7 @@
         """
         fault.peer = fault.peer or self._name_decode()
         self._note_failure(fault)
-        self._end_attempt(
-            ENDS.get(fault.code, messages.JobEnd.FAILED), self._name_decode()
-        )
+        self._end_attempt(sort_end(fault), self._name_decode())
         result: Source = expression.Error(fault)
         if self._may_move(fault):
             now_ms = self._parts.clock.now_ms()
@@ -305,7 +319,11 @@
             if fault.step is errors.Step.PREFILL:
                 blame = attempt.prefill_name
             self._avoid = self._avoid | {blame}
-            attempt.end(ENDS.get(fault.code, messages.JobEnd.FAILED), blame)
+            # An engine that is told to cancel may close the connection; it
+            # has not died, and is not to blame.
+            has_gone = self._exchange.has_gone.is_set()
+            end = messages.JobEnd.CANCELLED if has_gone else sort_end(fault)
+            attempt.end(end, blame)
         return result
 
     def _prefill(
@@ -330,6 +348,44 @@
         found: upstreams.PrefillResult,
         offset: int,
         limit: clock.Deadline,
+    ) -> Source:
+        """Decode where a slot is reserved, or where one comes free.
+
+        Another router may have taken the slot before its note came.  The
+        prefill would be lost with it, and its result lives long enough to
+        look for another slot.
+        """
+        clock_ = self._parts.clock
+        until = clock.Deadline(clock_.now_ms() + MOVE_WITHIN_MS)
+        result = self._decode_once(attempt, found, offset, limit)
+        while (
+            result.is_error()
+            and result.error.code is errors.Code.UPSTREAM_REFUSED
+            and result.error.step is errors.Step.DECODE
+            and not until.has_passed(clock_.now_ms())
+            and not self._exchange.has_gone.is_set()
+        ):
+            if not self._move_decode(attempt):
+                clock_.sleep_ms(MOVE_PAUSE_MS)
+            result = self._decode_once(attempt, found, offset, limit)
+        return result
+
+    def _move_decode(self, attempt: attempts.Attempt) -> bool:
+        name = self._parts.scheduling.move_decode(
+            attempt.job_id, attempt.decode_name
+        )
+        engine = self._find_engine(name) if name is not None else None
+        if name is None or engine is None:
+            return False
+        attempt.change_decode(name, engine)
+        return True
+
+    def _decode_once(
+        self,
+        attempt: attempts.Attempt,
+        found: upstreams.PrefillResult,
+        offset: int,
+        limit: clock.Deadline,
     ) -> Source:
         with self._begin_hop(attempt, errors.Step.TRANSFER) as span:
             result = attempt.decode.decode(
--- a/mulberryway/peers/gen/notes/ttypes.py
+++ b/mulberryway/peers/gen/notes/ttypes.py
@@ -25,6 +25,7 @@
      - prefill_ms
      - suspects
      - blocks
+     - step_ms
 
     """
 
@@ -35,16 +36,18 @@
         'prefill_ms',
         'suspects',
         'blocks',
+        'step_ms',
     )
 
 
-    def __init__(self, pool=None, upstream=None, decodes=None, prefill_ms=None, suspects=None, blocks=None,):
+    def __init__(self, pool=None, upstream=None, decodes=None, prefill_ms=None, suspects=None, blocks=None, step_ms=None,):
         self.pool = pool
         self.upstream = upstream
         self.decodes = decodes
         self.prefill_ms = prefill_ms
         self.suspects = suspects
         self.blocks = blocks
+        self.step_ms = step_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -85,6 +88,11 @@
                     self.blocks = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.step_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -119,6 +127,10 @@
             oprot.writeFieldBegin('blocks', TType.I32, 6)
             oprot.writeI32(self.blocks)
             oprot.writeFieldEnd()
+        if self.step_ms is not None:
+            oprot.writeFieldBegin('step_ms', TType.I32, 7)
+            oprot.writeI32(self.step_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -165,6 +177,7 @@
      - charged
      - waiting
      - oldest_ms
+     - prefill_ms
 
     """
 
@@ -175,16 +188,18 @@
         'charged',
         'waiting',
         'oldest_ms',
+        'prefill_ms',
     )
 
 
-    def __init__(self, pool=None, account=None, weight=None, charged=None, waiting=None, oldest_ms=None,):
+    def __init__(self, pool=None, account=None, weight=None, charged=None, waiting=None, oldest_ms=None, prefill_ms=None,):
         self.pool = pool
         self.account = account
         self.weight = weight
         self.charged = charged
         self.waiting = waiting
         self.oldest_ms = oldest_ms
+        self.prefill_ms = prefill_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -225,6 +240,11 @@
                     self.oldest_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.prefill_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -259,6 +279,10 @@
             oprot.writeFieldBegin('oldest_ms', TType.I32, 6)
             oprot.writeI32(self.oldest_ms)
             oprot.writeFieldEnd()
+        if self.prefill_ms is not None:
+            oprot.writeFieldBegin('prefill_ms', TType.I32, 7)
+            oprot.writeI32(self.prefill_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -969,6 +993,7 @@
     (4, TType.I64, 'prefill_ms', None, None, ),  # 4
     (5, TType.I32, 'suspects', None, None, ),  # 5
     (6, TType.I32, 'blocks', None, None, ),  # 6
+    (7, TType.I32, 'step_ms', None, None, ),  # 7
 )
 all_structs.append(AccountNote)
 AccountNote.thrift_spec = (
@@ -979,6 +1004,7 @@
     (4, TType.I64, 'charged', None, None, ),  # 4
     (5, TType.I32, 'waiting', None, None, ),  # 5
     (6, TType.I32, 'oldest_ms', None, None, ),  # 6
+    (7, TType.I32, 'prefill_ms', None, None, ),  # 7
 )
 all_structs.append(Death)
 Death.thrift_spec = (
--- a/mulberryway/peers/idl/notes.thrift
+++ b/mulberryway/peers/idl/notes.thrift
@@ -8,6 +8,7 @@
   4: required i64 prefill_ms,
   5: required i32 suspects,
   6: required i32 blocks,
+  7: optional i32 step_ms,
 }
 
 struct AccountNote {
@@ -17,6 +18,7 @@
   4: required i64 charged,
   5: required i32 waiting,
   6: required i32 oldest_ms,
+  7: optional i32 prefill_ms,
 }
 
 struct Death {
--- a/mulberryway/peers/note_messages.py
+++ b/mulberryway/peers/note_messages.py
@@ -89,6 +89,7 @@
                 one.prefill_ms,
                 one.suspects,
                 one.blocks,
+                one.step_ms,
             )
             for one in note.holdings[:MOST_HOLDINGS]
         ],
@@ -100,6 +101,7 @@
                 one.charged,
                 one.waiting,
                 one.oldest_ms,
+                one.prefill_ms,
             )
             for one in note.accounts[:MOST_ACCOUNTS]
         ],
@@ -217,6 +219,7 @@
                 one.prefill_ms,
                 one.suspects,
                 one.blocks,
+                one.step_ms or 0,
             )
             for one in message.holdings
         ],
@@ -228,6 +231,7 @@
                 one.charged,
                 one.waiting,
                 one.oldest_ms,
+                one.prefill_ms or 0,
             )
             for one in message.accounts
         ],
--- a/mulberryway/relay/pump.py
+++ b/mulberryway/relay/pump.py
@@ -129,12 +129,16 @@
         except BlockingIOError:
             return
         except OSError as error:
-            self._lose_source(stream, f"the connection failed: {error}")
+            self._lose_source(
+                stream, f"the connection failed: {error}", has_died=True
+            )
             return
         if data:
             self._take(stream, data)
         else:
-            self._lose_source(stream, "the engine ended in mid-answer")
+            self._lose_source(
+                stream, "the engine ended in mid-answer", has_died=True
+            )
 
     def _take(self, stream: Stream, data: bytes) -> None:
         before = stream.expected
@@ -255,6 +259,7 @@
         stream: Stream,
         message: str,
         code: errors.Code = errors.Code.UPSTREAM_FAILED,
+        has_died: bool = False,
     ) -> None:
         self._close_source(stream)
         stream.is_paused = False
@@ -263,6 +268,7 @@
             errors.Step.DECODE,
             run=errors.Run.MAY_HAVE_RUN,
             message=message,
+            has_died=has_died,
         )
         try:
             self._recoverers.submit(stream.owner.recover, stream, fault)
--- a/mulberryway/upstreams/connections.py
+++ b/mulberryway/upstreams/connections.py
@@ -85,6 +85,7 @@
         peer,
         errors.Run.MAY_HAVE_RUN,
         f"the call failed: {type(error).__name__}",
+        has_died=code is errors.Code.UPSTREAM_FAILED,
     )
 
 
--- a/tests/test_notes.py
+++ b/tests/test_notes.py
@@ -58,8 +58,8 @@
             "a",
             7,
             3,
-            [hints.Holding("lm", "d0", 4, 900, 1, 12)],
-            [hints.AccountNote("lm", "tea", 2, 5_000, 3, 250)],
+            [hints.Holding("lm", "d0", 4, 900, 1, 12, 41)],
+            [hints.AccountNote("lm", "tea", 2, 5_000, 3, 250, 77)],
             [hints.Death("ab" * 16, "lm/d0", 40, True)],
         )
         payload = note_messages.write_note(note)
@@ -68,6 +68,8 @@
         back = note_messages.read_datagram(self.got[-1]).note
         self.assertEqual(note_messages.write_note(back), payload)
         self.assertEqual(back.holdings[0].blocks, 12)
+        self.assertEqual(back.holdings[0].step_ms, 41)
+        self.assertEqual(back.accounts[0].prefill_ms, 77)
         self.assertTrue(back.deaths[0].proven)
 
     def test_a_long_list_of_events_keeps_the_newest(self):
