--- a/mulberryway/assembly.py
+++ b/mulberryway/assembly.py
@@ -16,6 +16,7 @@
 from mulberryway.controllers import engine_reports
 from mulberryway.controllers import membership
 from mulberryway.controllers import notes
+from mulberryway.controllers import orders
 from mulberryway.controllers import owners
 from mulberryway.controllers import reconciling
 from mulberryway.peers import datagrams
@@ -25,9 +26,11 @@
 from mulberryway.peers.gen.membership import Membership
 from mulberryway.platform import counts
 from mulberryway.platform import http as platform_http
+from mulberryway.policy import issuer
 from mulberryway.policy import member
 from mulberryway.policy import scheduler
 from mulberryway.policy import weighing
+from mulberryway.upstreams import base as upstreams
 from mulberryway.upstreams import directory
 
 __all__ = ["Assembly"]
@@ -118,6 +121,16 @@
             self.router.metrics,
             self.clock,
         )
+        self.orders = orders.OrdersController(
+            settings_.vm_name,
+            self.incarnation,
+            self.store,
+            self.configuration.source,
+            self._find_engine,
+            self.router.scheduling.read_loads,
+            self._may_issue_orders,
+            self.clock,
+        )
         self.peer_server = peer_server.PeerServer(
             settings_.vm_address,
             settings_.peers_port,
@@ -153,6 +166,7 @@
         self.notes.start()
         self.reports.start()
         self.reconciling.start()
+        self.orders.start()
 
     def stop(self, graceful: bool = True) -> None:
         """Stop serving callers, then everything else.
@@ -169,6 +183,7 @@
             self.slots.release_all()
         # Together: each waits for a step that may wait for somebody else.
         controllers = (
+            self.orders,
             self.reconciling,
             self.reports,
             self.notes,
@@ -181,6 +196,28 @@
         self.datagrams.stop()
         self.peer_server.stop()
 
+    def _find_engine(
+        self, pool: str, upstream: str
+    ) -> upstreams.Engine | None:
+        found = self.configuration.source.read_tables()
+        row = found.pools.get(pool) if found is not None else None
+        return next(
+            (
+                self.directory.find_engine(row, one)
+                for one in (row.upstreams if row is not None else ())
+                if one.name == upstream
+            ),
+            None,
+        )
+
+    def _may_issue_orders(self) -> bool:
+        alive = [
+            one.name
+            for one in self.members.list_members()
+            if one.health is not member.Health.DEAD
+        ]
+        return self.settings.vm_name in issuer.choose_candidates(alive)
+
     def _make_members(self) -> membership.MembershipController:
         settings_ = self.settings
         own = member.Member(
--- a/mulberryway/controllers/notes.py
+++ b/mulberryway/controllers/notes.py
@@ -101,6 +101,8 @@
             for one in self._members.list_members()
             if one.health is not member.Health.DEAD
         ]
+        # Other VMs' entry answers go by it.
+        self._members.note_streams(self._scheduling.started)
         own = self._members.own.name
         self._addresses = {
             one.name: one.peer for one in alive if one.name != own
--- a/mulberryway/controllers/scheduling.py
+++ b/mulberryway/controllers/scheduling.py
@@ -56,6 +56,7 @@
         self._lock = threading.Lock()
         self._tickets: dict[str, Ticket] = {}
         self._started: set[str] = set()
+        self._loads: dict[tuple[str, str], upstreams.EngineLoad] = {}
 
     @property
     def waiting(self) -> int:
@@ -181,11 +182,17 @@
         :param load: the report
         """
         with self._lock:
+            self._loads[pool, upstream] = load
             self._scheduler.note_load(
                 pool, upstream, load, self.clock.now_ms()
             )
             self._dispatch()
 
+    def read_loads(self) -> dict[tuple[str, str], upstreams.EngineLoad]:
+        """Return the newest load reports by pool and upstream."""
+        with self._lock:
+            return dict(self._loads)
+
     def note_cache_events(
         self, pool: str, upstream: str, events: list[upstreams.CacheEvent]
     ) -> None:
@@ -209,6 +216,18 @@
         with self._lock:
             self._scheduler.note_tokens(job_id, tokens, self.clock.now_ms())
 
+    def move_decode(self, job_id: str, refused: str) -> str | None:
+        """Find another slot for a job whose prefill has ended.
+
+        :param job_id: the job
+        :param refused: the upstream that refused because it is full
+        :returns: the upstream to try, its slot reserved; or none
+        """
+        with self._lock:
+            return self._scheduler.move_decode(
+                job_id, refused, self.clock.now_ms()
+            )
+
     def take_hints(self) -> hints.Note | None:
         """Return what the routers that share upstreams should hear now."""
         with self._lock:
@@ -245,6 +264,14 @@
         :param changed: the tables
         """
         with self._lock:
+            known = {
+                (pool.name, upstream.name)
+                for pool in changed.pools.values()
+                for upstream in pool.upstreams
+            }
+            self._loads = {
+                key: load for key, load in self._loads.items() if key in known
+            }
             self._scheduler.change_pools(changed.pools, self.clock.now_ms())
             self._dispatch()
 
