--- a/mulberryway/settings.py
+++ b/mulberryway/settings.py
@@ -64,11 +64,9 @@
         self.router_header_bytes: int = 32_768
         self.router_body_bytes: int = 2_097_152
         self.router_body_ms: int = 10_000
-        self.router_streams: int = 1024
         # Callers keep an entry address for this long; a stopping VM serves
         # for at least as long after it has left the answer.
         self.router_entry_ttl_ms: int = 5_000
-        self.router_first_token_ms: int = 1_100
         self.router_token_gap_ms: int = 10_000
 
         # The other VMs.  All processes of a deployment share the secret.
@@ -183,9 +181,7 @@
     _number("router.header_bytes", "router_header_bytes", 1_024, GIB),
     _number("router.body_bytes", "router_body_bytes", 1_024, GIB),
     _number("router.body_ms", "router_body_ms", 100, HOUR_MS),
-    _number("router.streams", "router_streams", 1, 65_535),
     _number("router.entry_ttl_ms", "router_entry_ttl_ms", 100, HOUR_MS),
-    _number("router.first_token_ms", "router_first_token_ms", 1, HOUR_MS),
     _number("router.token_gap_ms", "router_token_gap_ms", 10, HOUR_MS),
     _port("peers.port", "peers_port"),
     Option("peers.secret", "peers_secret", "a secret text", _is_text),
