Make the plot of the four measures readable

Cause: a hundred rows shared a hand's height, and their names lay over one another. Change: a taller picture, shorter names, and the aims left out. Figures: none measured; looked at by eye. Conclusion: each row can be read.

--- a/benchmarks/plots.py
+++ b/benchmarks/plots.py
@@ -16,7 +16,9 @@
     "refused_within_rate": "refused within the rate (less is better)",
 }
 COLUMNS = 2
-SIZE_INCHES = (14, 9)
+# Tall enough that each of some hundred rows has a readable name.
+SIZE_INCHES = (16, 44)
+PREFIX = "decisions.rows."
 BAR_HEIGHT = 0.4
 
 
@@ -36,7 +38,9 @@
         panels.flat, MEASURES.items(), strict=True
     ):
         names = sorted(
-            name for name in after.figures if name.endswith(f".{ending}")
+            name
+            for name in after.figures
+            if name.startswith(PREFIX) and name.endswith(f".{ending}")
         )
         rows = range(len(names))
         if before is not None:
@@ -55,7 +59,10 @@
         )
         panel.set_yticks(
             list(rows),
-            [name.removesuffix(f".{ending}") for name in names],
+            [
+                name.removeprefix(PREFIX).removesuffix(f".{ending}")
+                for name in names
+            ],
             fontsize=6,
         )
         panel.set_title(title, fontsize=9)
