Recognise repeats by the one digest that the poison register has

Cause: the digest of account, model and body was made in two places in two ways. Change: admission uses the register's. Conclusion: one rule tells what counts as the same request.

--- a/mulberryway/filters/admission.py
+++ b/mulberryway/filters/admission.py
@@ -1,6 +1,5 @@
 """Reads model requests and takes their tokens from the allowance."""
 
-import hashlib
 import json
 
 import expression
@@ -9,6 +8,7 @@
 from mulberryway import tables
 from mulberryway.filters import base
 from mulberryway.policy import allowance
+from mulberryway.policy import poison
 
 __all__ = ["Admission", "ReadCall", "estimate_tokens"]
 
@@ -112,9 +112,10 @@
 
 def _digest(exchange: base.Exchange) -> str:
     """Name what is asked, so that a repeat is recognised."""
-    asked = json.dumps(exchange.call, sort_keys=True)
-    name = f"{exchange.account.name}\0{asked}"
-    return hashlib.sha256(name.encode()).hexdigest()
+    asked = json.dumps(exchange.call, sort_keys=True).encode()
+    return poison.digest_request(
+        exchange.account.name, exchange.call["model"], asked
+    )
 
 
 def _refuse(message: str) -> errors.Fault:
