--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -18,8 +18,8 @@
 from mulberryway.controllers import claims
 from mulberryway.load import outcome
 from mulberryway.peers.gen.claims import Claims
-from mulberryway.platform import counts
-from mulberryway.platform import http
+from mulberryway.objects import counts
+from mulberryway.objects import http
 from mulberryway.policy import claim_records
 from mulberryway.policy import member
 from tests import processes
--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -27,8 +27,8 @@
 from mulberryway.admin import administration
 from mulberryway.admin import editor
 from mulberryway.admin import fleet
-from mulberryway.platform import counts
-from mulberryway.platform import http
+from mulberryway.objects import counts
+from mulberryway.objects import http
 from mulberryway.tables import parse
 
 __all__ = ["measure"]
--- a/benchmarks/configuration_vm.py
+++ b/benchmarks/configuration_vm.py
@@ -22,8 +22,8 @@
 from mulberryway.controllers import configuration_service
 from mulberryway.controllers import membership
 from mulberryway.peers.gen.membership import Membership
-from mulberryway.platform import counts
-from mulberryway.platform import http
+from mulberryway.objects import counts
+from mulberryway.objects import http
 from mulberryway.policy import member
 
 FLAGS = flags.FLAGS
--- a/mulberryway/admin/editor.py
+++ b/mulberryway/admin/editor.py
@@ -10,9 +10,9 @@
 from mulberryway import errors
 from mulberryway.admin import history
 from mulberryway.admin import submission as submissions
-from mulberryway.platform import base
-from mulberryway.platform import roots as root_store
-from mulberryway.platform import segments as segment_store
+from mulberryway.objects import base
+from mulberryway.objects import roots as root_store
+from mulberryway.objects import segments as segment_store
 from mulberryway.tables import edits
 from mulberryway.tables import root as roots
 from mulberryway.tables import segments
--- a/mulberryway/admin/server.py
+++ b/mulberryway/admin/server.py
@@ -14,8 +14,8 @@
 from mulberryway.admin import calls
 from mulberryway.admin import editor
 from mulberryway.admin import fleet
-from mulberryway.platform import counts
-from mulberryway.platform import http
+from mulberryway.objects import counts
+from mulberryway.objects import http
 
 __all__ = ["AdminServer"]
 
--- a/mulberryway/admin/submission.py
+++ b/mulberryway/admin/submission.py
@@ -6,7 +6,7 @@
 
 from mulberryway import clock
 from mulberryway import errors
-from mulberryway.platform import roots as root_store
+from mulberryway.objects import roots as root_store
 from mulberryway.tables import edits
 from mulberryway.tables import root as roots
 from mulberryway.tables import segments
--- a/mulberryway/assembly.py
+++ b/mulberryway/assembly.py
@@ -24,8 +24,8 @@
 from mulberryway.peers.gen.allowances import Allowances
 from mulberryway.peers.gen.claims import Claims
 from mulberryway.peers.gen.membership import Membership
-from mulberryway.platform import counts
-from mulberryway.platform import http as platform_http
+from mulberryway.objects import counts
+from mulberryway.objects import http as platform_http
 from mulberryway.policy import issuer
 from mulberryway.policy import member
 from mulberryway.policy import scheduler
--- a/mulberryway/controllers/allowance_slots.py
+++ b/mulberryway/controllers/allowance_slots.py
@@ -8,7 +8,7 @@
 from mulberryway import errors
 from mulberryway.controllers import allowance_state
 from mulberryway.controllers import base
-from mulberryway.platform import base as platform
+from mulberryway.objects import base as platform
 from mulberryway.policy import allowance_keeper
 from mulberryway.policy import allowance_slots
 from mulberryway.policy import member
--- a/mulberryway/controllers/claim_log.py
+++ b/mulberryway/controllers/claim_log.py
@@ -7,7 +7,7 @@
 import expression
 
 from mulberryway import errors
-from mulberryway.platform import base
+from mulberryway.objects import base
 from mulberryway.policy import claim_records
 from mulberryway.policy import claim_slots
 from mulberryway.policy import claims
--- a/mulberryway/controllers/claim_writer.py
+++ b/mulberryway/controllers/claim_writer.py
@@ -9,7 +9,7 @@
 from mulberryway import errors
 from mulberryway.controllers import claim_log
 from mulberryway.controllers import claim_queue
-from mulberryway.platform import base
+from mulberryway.objects import base
 from mulberryway.policy import claim_records
 from mulberryway.policy import claims
 
--- a/mulberryway/controllers/claims.py
+++ b/mulberryway/controllers/claims.py
@@ -17,7 +17,7 @@
 from mulberryway.controllers import claim_queue
 from mulberryway.controllers import claim_writer
 from mulberryway.peers import client
-from mulberryway.platform import base as platform
+from mulberryway.objects import base as platform
 from mulberryway.policy import claim_records
 from mulberryway.policy import claims
 
--- a/mulberryway/controllers/configuration.py
+++ b/mulberryway/controllers/configuration.py
@@ -13,9 +13,9 @@
 from mulberryway.controllers import configuration_watch
 from mulberryway.controllers import fleet_peak
 from mulberryway.controllers import tables_in_force
-from mulberryway.platform import base as platform
-from mulberryway.platform import roots as root_store
-from mulberryway.platform import segments as segment_store
+from mulberryway.objects import base as platform
+from mulberryway.objects import roots as root_store
+from mulberryway.objects import segments as segment_store
 from mulberryway.tables import freshness
 from mulberryway.tables import root as roots
 
--- a/mulberryway/controllers/configuration_service.py
+++ b/mulberryway/controllers/configuration_service.py
@@ -16,7 +16,7 @@
 from mulberryway.controllers import configuration_watch
 from mulberryway.controllers import membership
 from mulberryway.peers.gen.configuration import Configuration
-from mulberryway.platform import base as platform
+from mulberryway.objects import base as platform
 from mulberryway.policy import member
 
 __all__ = ["SERVICE", "ConfigurationService", "list_known"]
--- a/mulberryway/controllers/configuration_watch.py
+++ b/mulberryway/controllers/configuration_watch.py
@@ -8,8 +8,8 @@
 
 from mulberryway import clock
 from mulberryway.controllers import base
-from mulberryway.platform import base as platform
-from mulberryway.platform import roots
+from mulberryway.objects import base as platform
+from mulberryway.objects import roots
 
 __all__ = ["RootWatch", "WatchTarget", "is_chosen"]
 
--- /dev/null
+++ b/mulberryway/controllers/fleet_allowances.py
@@ -0,0 +1,140 @@
+"""Accounts' tokens over all VMs, by counters that VMs tell one another."""
+
+import collections.abc
+import threading
+
+import expression
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway import tables
+from mulberryway.controllers import base
+from mulberryway.controllers import notes
+from mulberryway.peers import note_messages
+from mulberryway.policy import allowance
+from mulberryway.policy import usage
+
+__all__ = ["FleetAllowances", "LateAllowances"]
+
+# A request's tokens are told to the other VMs this late at most.
+PERIOD_MS = 60
+# A refusal tells when to come back; within it the others' counts arrive too.
+LEAST_RETRY_MS = 200
+MOST_RETRY_MS = 5_000
+
+
+class FleetAllowances(base.Controller, allowance.Allowances):
+    """Holds the lock around the book of usage, and tells the other VMs.
+
+    :param book: what was given and what is left
+    :param notes_: sends datagrams to the other VMs
+    :param read_mirrors: returns the revisions of mirrors by kind
+    :param clock_: where the time comes from
+    """
+
+    def __init__(
+        self,
+        book: usage.UsageBook,
+        notes_: notes.NotesController,
+        read_mirrors: collections.abc.Callable[[], dict[str, int]],
+        clock_: clock.Clock,
+    ) -> None:
+        super().__init__("fleet-allowances", clock_, PERIOD_MS)
+        self._book = book
+        self._notes = notes_
+        self._read_mirrors = read_mirrors
+        self._lock = threading.Lock()
+        self._told: dict[str, int] = {}
+
+    def step(self) -> None:
+        """Tell the other VMs what has changed."""
+        mirrors = self._read_mirrors()
+        is_news = mirrors != self._told
+        self._told = mirrors
+        with self._lock:
+            message = self._book.make_usage(
+                mirrors, self.clock.now_ms(), is_news
+            )
+        if message is not None:
+            self._notes.send_all(note_messages.write_usage(message))
+
+    def take(self, told: usage.Usage) -> None:
+        """Take in another VM's counts.
+
+        :param told: its counts
+        """
+        with self._lock:
+            self._book.note_usage(told, self.clock.now_ms())
+
+    def list_silent(self) -> frozenset[str]:
+        """Return the VMs that were heard before and are silent now."""
+        with self._lock:
+            return self._book.list_silent(self.clock.now_ms())
+
+    def change_tables(self, changed: tables.Tables) -> None:
+        """Take over rates and bursts.
+
+        :param changed: the new tables
+        """
+        with self._lock:
+            self._book.change_accounts(
+                changed.accounts.values(), self.clock.now_ms()
+            )
+
+    def reserve(
+        self, account: str, tokens: int
+    ) -> expression.Result[allowance.Reservation, errors.Fault]:
+        """Take tokens for a request before it runs.
+
+        :param account: the client account
+        :param tokens: what it may use
+        :returns: the reservation, or ``OVER_ALLOWANCE`` with a retry hint
+        """
+        with self._lock:
+            wait_ms = self._book.take(account, tokens, self.clock.now_ms())
+        if wait_ms is None:
+            return expression.Ok(allowance.Reservation(account, tokens))
+        return expression.Error(
+            errors.Fault(
+                errors.Code.OVER_ALLOWANCE,
+                errors.Step.ADMISSION,
+                account,
+                message="the account has used its rate and burst",
+                retry_after_ms=min(
+                    max(wait_ms, LEAST_RETRY_MS), MOST_RETRY_MS
+                ),
+            )
+        )
+
+    def settle(self, reservation: allowance.Reservation, used: int) -> None:
+        """Give back what a request did not use.
+
+        :param reservation: what was taken
+        :param used: tokens that count
+        """
+        unused = reservation.tokens - used
+        if unused <= 0:
+            return
+        with self._lock:
+            self._book.give_back(
+                reservation.account, unused, self.clock.now_ms()
+            )
+
+
+class LateAllowances(allowance.Allowances):
+    """Stands for allowances that are made after those who use them."""
+
+    def __init__(self) -> None:
+        self.target: allowance.Allowances | None = None
+
+    def reserve(
+        self, account: str, tokens: int
+    ) -> expression.Result[allowance.Reservation, errors.Fault]:
+        """Take tokens for a request; see the base class."""
+        assert self.target is not None
+        return self.target.reserve(account, tokens)
+
+    def settle(self, reservation: allowance.Reservation, used: int) -> None:
+        """Give back what was not used; see the base class."""
+        assert self.target is not None
+        self.target.settle(reservation, used)
--- /dev/null
+++ b/mulberryway/controllers/mirrored_tables.py
@@ -0,0 +1,105 @@
+"""The tables in force where the platform's store holds them in one object."""
+
+import abc
+import collections.abc
+import logging
+import threading
+
+from mulberryway import logs
+from mulberryway import tables
+from mulberryway.controllers import mirrors
+from mulberryway.objects import base as objects
+
+__all__ = ["MirroredTables", "Reader"]
+
+LOG = logging.getLogger(__name__)
+
+OnChange = collections.abc.Callable[[tables.Tables], None]
+
+
+class Reader(abc.ABC):
+    """Reads the store's objects into tables."""
+
+    @abc.abstractmethod
+    def read(
+        self,
+        configuration: collections.abc.Mapping[str, objects.StoredObject],
+        servers: collections.abc.Iterable[objects.StoredObject],
+        revision: int,
+    ) -> tables.Tables | None:
+        """Return the tables.
+
+        :param configuration: the configuration's objects by name
+        :param servers: the entries of upstreams
+        :param revision: the revision that the tables get
+        :returns: the tables, or none while there is no configuration
+        :raises ValueError: if the configuration is malformed
+        """
+
+
+class MirroredTables(tables.TableSource):
+    """Makes new tables whenever one of two mirrors has changed.
+
+    Both keepers' ``on_change`` lead to :meth:`refresh`.
+
+    :param reader: reads the store's objects
+    """
+
+    def __init__(self, reader: Reader) -> None:
+        self._reader = reader
+        self._lock = threading.Lock()
+        self._tables: tables.Tables | None = None
+        self._subscribers: list[OnChange] = []
+        self._revision = 0
+        self.configuration: mirrors.MirrorKeeper | None = None
+        self.servers: mirrors.MirrorKeeper | None = None
+
+    def read_tables(self) -> tables.Tables | None:
+        """Return the tables in force, or none before the first are known."""
+        return self._tables
+
+    def subscribe(self, on_change: OnChange) -> None:
+        """Call a function after each change, on the changing thread.
+
+        :param on_change: gets the new tables; must return quickly
+        """
+        self._subscribers.append(on_change)
+
+    def refresh(self) -> None:
+        """Read the mirrors anew and tell the subscribers."""
+        with self._lock:
+            if self.configuration is None or self.servers is None:
+                return
+            self._revision += 1
+            rows = {
+                one.name: one for one in self.configuration.list_objects()
+            }
+            try:
+                found = self._reader.read(
+                    rows, self.servers.list_objects(), self._revision
+                )
+            except (ValueError, KeyError, TypeError) as error:
+                # The tables before go on to hold: a wrong guess could send
+                # requests where none may go.
+                LOG.error(
+                    "the configuration cannot be read",
+                    extra=logs.describe(reason=repr(error)),
+                )
+                return
+            if found is None:
+                return
+            self._tables = found
+            for on_change in self._subscribers:
+                on_change(found)
+        LOG.info(
+            "tables are in force",
+            extra=logs.describe(
+                revision=found.revision,
+                configuration=self.configuration.revision,
+                servers=self.servers.revision,
+                routes=len(found.routes),
+                upstreams=sum(
+                    len(pool.upstreams) for pool in found.pools.values()
+                ),
+            ),
+        )
--- /dev/null
+++ b/mulberryway/controllers/mirrors.py
@@ -0,0 +1,284 @@
+"""Keeps copies of the store's objects, with the other VMs' help."""
+
+import collections.abc
+import json
+import logging
+import random
+import threading
+import zlib
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway import logs
+from mulberryway import peers
+from mulberryway.controllers import base
+from mulberryway.objects import base as objects
+from mulberryway.peers.gen.mirrors import Mirrors
+from mulberryway.peers.gen.mirrors import ttypes
+from mulberryway.policy import mirrors
+
+__all__ = ["MirrorExchange", "MirrorHandler", "MirrorKeeper"]
+
+LOG = logging.getLogger(__name__)
+
+# A watch that waits longer costs fewer calls, and shows later that its
+# connection has fallen silent; news come through other VMs meanwhile.
+WAIT_MS = 4_000
+# Load: the store comes back and all VMs ask at once.  Harm: its rates run
+# out, and everybody waits.  Pauses grow to the longest, and are spread.
+LEAST_PAUSE_MS = 100
+MOST_PAUSE_MS = 1_000
+NO_PAUSE_MS = 1
+# A VM that hears of a newer revision leaves its own watch so long to bring
+# it before it asks the other VM.
+PATIENCE_MS = 60
+PACK_LEVEL = 1
+
+
+class MirrorKeeper(base.Controller):
+    """Watches one kind and keeps its mirror.
+
+    :param kind: the plural kind
+    :param store: the platform's store
+    :param clock_: where the time comes from
+    :param on_change: called after each change; must not raise
+    :param keeps_missing: see :class:`mirrors.Mirror`
+    """
+
+    def __init__(
+        self,
+        kind: str,
+        store: objects.RevisionedStore,
+        clock_: clock.Clock,
+        on_change: collections.abc.Callable[[], None],
+        keeps_missing: bool = False,
+    ) -> None:
+        super().__init__(f"mirror-{kind}", clock_, LEAST_PAUSE_MS)
+        self.kind = kind
+        self._store = store
+        self._on_change = on_change
+        self._mirror = mirrors.Mirror(kind, keeps_missing)
+        self._lock = threading.Lock()
+        self._needs_listing = True
+        self._was_reached = True
+        self._random = random.Random()
+
+    @property
+    def revision(self) -> int:
+        """The revision of the kind's last change that is known."""
+        return self._mirror.changed
+
+    def list_objects(self) -> list[objects.StoredObject]:
+        """Return the objects that count."""
+        with self._lock:
+            return self._mirror.list_objects()
+
+    def step(self) -> None:
+        """Ask the store once; a watch waits for changes."""
+        asked = self._list if self._needs_listing else self._poll
+        fault = asked()
+        now_ms = self.clock.now_ms()
+        if fault is None:
+            self._note_reached(True, now_ms)
+            self.period_ms = NO_PAUSE_MS
+        elif fault.code is errors.Code.HISTORY_GONE:
+            self._needs_listing = True
+            self.period_ms = NO_PAUSE_MS
+        else:
+            self._note_reached(False, now_ms, fault)
+            self.period_ms = min(
+                max(self.period_ms * 2, LEAST_PAUSE_MS), MOST_PAUSE_MS
+            )
+            self.period_ms = int(
+                self.period_ms * (0.75 + self._random.random() / 2)
+            )
+        with self._lock:
+            has_changed = self._mirror.purge(now_ms)
+        if has_changed:
+            self._on_change()
+
+    def pack(self, known_revision: int) -> tuple[int, bytes]:
+        """Return the mirror for another VM.
+
+        :param known_revision: what the other VM knows already
+        :returns: the revision and the packed objects; empty if not newer
+        """
+        with self._lock:
+            revision = self._mirror.changed
+            found = self._mirror.list_objects()
+        if revision <= known_revision:
+            return revision, b""
+        rows = [[one.name, one.version, one.value] for one in found]
+        return revision, zlib.compress(json.dumps(rows).encode(), PACK_LEVEL)
+
+    def unpack(self, revision: int, content: bytes) -> None:
+        """Take over another VM's mirror if it is newer.
+
+        :param revision: its revision
+        :param content: the packed objects
+        """
+        rows = json.loads(zlib.decompress(content))
+        found = [
+            objects.StoredObject(self.kind, name, version, value)
+            for name, version, value in rows
+        ]
+        with self._lock:
+            has_changed = self._mirror.adopt(
+                found, revision, self.clock.now_ms()
+            )
+        if has_changed:
+            LOG.info(
+                "a newer copy came from another VM",
+                extra=logs.describe(kind=self.kind, revision=revision),
+            )
+            self._on_change()
+
+    def _list(self) -> errors.Fault | None:
+        result = self._store.read_listing(self.kind, "mirror")
+        if result.is_error():
+            return result.error
+        self._needs_listing = False
+        now_ms = self.clock.now_ms()
+        with self._lock:
+            self._mirror.note_answer(now_ms)
+            has_changed = self._mirror.replace(
+                result.ok.objects, result.ok.revision, now_ms
+            )
+        if has_changed:
+            self._log_change()
+            self._on_change()
+        return None
+
+    def _poll(self) -> errors.Fault | None:
+        result = self._store.poll(
+            self.kind, self._mirror.revision, WAIT_MS, "mirror"
+        )
+        if result.is_error():
+            return result.error
+        now_ms = self.clock.now_ms()
+        with self._lock:
+            self._mirror.note_answer(now_ms)
+            has_changed = self._mirror.apply(
+                result.ok.events, result.ok.revision, now_ms
+            )
+        if has_changed:
+            self._log_change()
+            self._on_change()
+        return None
+
+    def _log_change(self) -> None:
+        LOG.info(
+            "the store's objects have changed",
+            extra=logs.describe(
+                kind=self.kind,
+                revision=self.revision,
+                count=len(self._mirror.objects),
+            ),
+        )
+
+    def _note_reached(
+        self, is_reached: bool, now_ms: int, fault: errors.Fault | None = None
+    ) -> None:
+        if not is_reached:
+            with self._lock:
+                self._mirror.note_failure(now_ms)
+        if is_reached != self._was_reached:
+            self._was_reached = is_reached
+            LOG.warning(
+                "the store is back" if is_reached else "the store is away",
+                extra=logs.describe(
+                    fault, kind=self.kind, revision=self.revision
+                ),
+            )
+
+
+class MirrorHandler:
+    """Answers other VMs that ask for a mirror.
+
+    :param keepers: the keepers by kind
+    """
+
+    def __init__(
+        self, keepers: collections.abc.Mapping[str, MirrorKeeper]
+    ) -> None:
+        self._keepers = keepers
+
+    def read(self, kind: str, known_revision: int) -> ttypes.Mirror:
+        """Return a mirror, packed if it is newer than what is known.
+
+        :param kind: the plural kind
+        :param known_revision: what the asking VM knows
+        """
+        keeper = self._keepers.get(kind)
+        if keeper is None:
+            return ttypes.Mirror(0, b"")
+        return ttypes.Mirror(*keeper.pack(known_revision))
+
+
+class MirrorExchange(base.Controller):
+    """Asks other VMs for mirrors that are newer than this VM's.
+
+    Load: a store that turns some VMs away, or is away altogether while a VM
+    starts.  Harm: that VM would go on with old tables, or serve nobody,
+    although others know better.
+
+    :param keepers: the keepers by kind
+    :param client: calls other VMs
+    :param clock_: where the time comes from
+    """
+
+    def __init__(
+        self,
+        keepers: collections.abc.Mapping[str, MirrorKeeper],
+        client: peers.PeerClient,
+        clock_: clock.Clock,
+    ) -> None:
+        super().__init__("mirror-exchange", clock_, MOST_PAUSE_MS)
+        self._keepers = keepers
+        self._client = client
+        self._lock = threading.Lock()
+        self._newer: dict[str, tuple[int, str]] = {}
+
+    def note_peer(
+        self, address: str, revisions: collections.abc.Mapping[str, int]
+    ) -> None:
+        """Take in what another VM knows.
+
+        :param address: its ``host:port`` for peers
+        :param revisions: its revisions by kind
+        """
+        newer = {
+            kind: (revision, address)
+            for kind, revision in revisions.items()
+            if kind in self._keepers
+            and revision > self._keepers[kind].revision
+        }
+        if not newer:
+            return
+        with self._lock:
+            for kind, found in newer.items():
+                if found[0] > self._newer.get(kind, (0, ""))[0]:
+                    self._newer[kind] = found
+        self.wake()
+
+    def step(self) -> None:
+        """Ask for what is newer, unless it has come meanwhile."""
+        with self._lock:
+            newer, self._newer = self._newer, {}
+        if not newer:
+            return
+        self.clock.sleep_ms(PATIENCE_MS)
+        for kind, (revision, address) in newer.items():
+            keeper = self._keepers[kind]
+            if keeper.revision >= revision:
+                continue
+            answer = self._client.call(
+                address,
+                Mirrors.Client,
+                "read",
+                kind,
+                keeper.revision,
+                is_idempotent=True,
+            )
+            if answer.is_ok() and answer.ok.content:
+                keeper.unpack(answer.ok.revision, answer.ok.content)
--- a/mulberryway/controllers/notes.py
+++ b/mulberryway/controllers/notes.py
@@ -14,6 +14,7 @@
 from mulberryway.policy import member
 from mulberryway.policy import poison
 from mulberryway.policy import sharing
+from mulberryway.policy import usage as usages
 
 __all__ = ["NotesController"]
 
@@ -62,6 +63,11 @@
         self._divided: tuple[int, tuple[str, ...]] | None = None
         self._changed_ms = 0
         self._is_idle = False
+        # Gets each VM's counts with the address of its peers' port; must
+        # return quickly.
+        self.on_usage: collections.abc.Callable[
+            [usages.Usage, str], None
+        ] = lambda usage, address: None
         scheduling_.on_change = self._note_change
         members.subscribe(DEATH, self._take_death)
 
@@ -91,6 +97,13 @@
         for address in filter(None, map(self._addresses.get, vms)):
             self.datagrams.send(address, payload)
 
+    def send_all(self, payload: bytes) -> None:
+        """Send a payload to all VMs that are thought to be alive.
+
+        :param payload: a datagram's payload
+        """
+        self.send(payload, list(self._addresses))
+
     def take(self, payload: bytes) -> None:
         """Take in what another router sent.
 
@@ -99,6 +112,10 @@
         received = note_messages.read_datagram(payload)
         if received.note is not None:
             self._scheduling.note_hints(received.note)
+        if received.usage is not None:
+            self.on_usage(
+                received.usage, self._addresses.get(received.usage.vm, "")
+            )
         for news in received.news:
             self._scheduling.note_load(news.pool, news.upstream, news.load)
             self._scheduling.note_cache_events(
--- a/mulberryway/controllers/orders.py
+++ b/mulberryway/controllers/orders.py
@@ -8,7 +8,7 @@
 from mulberryway import errors
 from mulberryway import tables
 from mulberryway.controllers import base
-from mulberryway.platform import base as platform
+from mulberryway.objects import base as platform
 from mulberryway.policy import issuer
 from mulberryway.policy import orders
 from mulberryway.upstreams import base as upstreams
--- a/mulberryway/controllers/owners.py
+++ b/mulberryway/controllers/owners.py
@@ -6,7 +6,7 @@
 import threading
 
 from mulberryway import clock
-from mulberryway.platform import base as platform
+from mulberryway.objects import base as platform
 from mulberryway.policy import member
 
 __all__ = ["Liveness", "MemberOwners", "OwnerView"]
--- a/mulberryway/errors.py
+++ b/mulberryway/errors.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import typing
 
 __all__ = [
     "Code",
@@ -82,6 +83,7 @@
     PLATFORM_UNAVAILABLE = "platform_unavailable"
     CONFLICT = "conflict"
     NOT_FOUND = "not_found"
+    HISTORY_GONE = "history_gone"
     INVALID_TABLES = "invalid_tables"
     INTERNAL = "internal"
 
@@ -98,6 +100,8 @@
         none where a repeat cannot help
     :param has_died: the connection broke in the middle, so that the other
         end may have died of this very request
+    :param answer: what the upstream itself answered, where a caller may see
+        it: a reply of ``upstreams.base``; none where it answered nothing
     """
 
     __slots__ = (
@@ -108,6 +112,7 @@
         "message",
         "retry_after_ms",
         "has_died",
+        "answer",
     )
 
     def __init__(
@@ -119,6 +124,7 @@
         message: str = "",
         retry_after_ms: int | None = None,
         has_died: bool = False,
+        answer: typing.Any = None,
     ) -> None:
         self.code = code
         self.step = step
@@ -127,6 +133,7 @@
         self.message = message or code.value.replace("_", " ")
         self.retry_after_ms = retry_after_ms
         self.has_died = has_died
+        self.answer = answer
 
     def __repr__(self) -> str:
         return (
--- a/mulberryway/filters/admission.py
+++ b/mulberryway/filters/admission.py
@@ -7,6 +7,7 @@
 from mulberryway import errors
 from mulberryway import tables
 from mulberryway.filters import base
+from mulberryway.filters import prefix
 from mulberryway.policy import allowance
 from mulberryway.policy import poison
 
@@ -66,6 +67,10 @@
                 errors.Step.CALLER,
                 message="the route serves no such model",
             )
+        exchange.model = model
+        exchange.prefix_hashes = prefix.hash_blocks(
+            model, call["prompt"], exchange.pool.block_tokens
+        )
         exchange.max_tokens = most
         exchange.estimate = estimate_tokens(call["prompt"])
         exchange.digest = _digest(exchange)
@@ -79,10 +84,16 @@
     caller's own count is never asked for.
 
     :param allowances: the accounts' tokens
+    :param charges_whole: whether a request is charged what it may use, and
+        plain calls are charged as well; nothing goes back then unless the
+        request has not run
     """
 
-    def __init__(self, allowances: allowance.Allowances) -> None:
+    def __init__(
+        self, allowances: allowance.Allowances, charges_whole: bool = False
+    ) -> None:
         self._allowances = allowances
+        self._charges_whole = charges_whole
 
     def handle(
         self, exchange: base.Exchange, proceed: base.Proceed
@@ -93,7 +104,8 @@
         :param proceed: the rest of the chain
         :returns: what the chain answers, or a fault
         """
-        if exchange.pool.kind is tables.PoolKind.PLAIN:
+        is_plain = exchange.pool.kind is tables.PoolKind.PLAIN
+        if (is_plain and not self._charges_whole) or not exchange.account.name:
             return proceed(exchange)
         charge = base.Charge(
             self._allowances,
@@ -105,10 +117,19 @@
             return expression.Error(reserved.error)
         exchange.charge = charge
         exchange.add_finisher(
-            lambda outcome: charge.settle(outcome.used_tokens)
+            lambda outcome: charge.settle(self._read_used(exchange, outcome))
         )
         return proceed(exchange)
 
+    def _read_used(
+        self, exchange: base.Exchange, outcome: base.Outcome
+    ) -> int:
+        if not self._charges_whole:
+            return outcome.used_tokens
+        fault = outcome.fault
+        has_run = fault is None or fault.run is not errors.Run.NOT_RUN
+        return exchange.estimate + exchange.max_tokens if has_run else 0
+
 
 def _digest(exchange: base.Exchange) -> str:
     """Name what is asked, so that a repeat is recognised."""
--- a/mulberryway/filters/authenticate.py
+++ b/mulberryway/filters/authenticate.py
@@ -20,10 +20,20 @@
     while connections stay open.
 
     :param source: the tables in force
+    :param scheme: the word before the key in ``Authorization``
+    :param cleans_whole: whether the key is sought in all of the request; if
+        not, the body goes on unchanged and only headers are looked at
     """
 
-    def __init__(self, source: tables.TableSource) -> None:
+    def __init__(
+        self,
+        source: tables.TableSource,
+        scheme: str = SCHEME,
+        cleans_whole: bool = True,
+    ) -> None:
         self._source = source
+        self._scheme = scheme
+        self._cleans_whole = cleans_whole
 
     def handle(
         self, exchange: base.Exchange, proceed: base.Proceed
@@ -44,14 +54,19 @@
                     retry_after_ms=RETRY_AFTER_MS,
                 )
             )
-        key = _read_key(exchange)
+        key = _read_key(exchange, self._scheme)
         digest = tables.digest_key(key)
         account = found.find_account(digest) if key else None
+        if account is None and is_open(found, exchange):
+            account = tables.ANYBODY
         if account is None:
             return expression.Error(_refuse())
         exchange.tables = found
         exchange.key_digest = digest
         exchange.account = account
+        if not self._cleans_whole:
+            credentials.drop_headers(exchange, key)
+            return proceed(exchange)
         cleaned = credentials.Cleaner(key).clean(exchange)
         if cleaned.is_error():
             return expression.Error(cleaned.error)
@@ -72,6 +87,8 @@
     :returns: nothing, or ``UNAUTHENTICATED``
     """
     found = source.read_tables()
+    if found is not None and is_open(found, exchange):
+        return expression.Ok(None)
     account = (
         None if found is None else found.find_account(exchange.key_digest)
     )
@@ -80,11 +97,23 @@
     return expression.Ok(None)
 
 
-def _read_key(exchange: base.Exchange) -> str:
+def is_open(found: tables.Tables, exchange: base.Exchange) -> bool:
+    """Tell whether a request needs no key.
+
+    :param found: the tables in force
+    :param exchange: the request
+    :returns: whether its route is public
+    """
+    host = (exchange.find_header("host") or "").partition(":")[0]
+    route = found.find_route(exchange.path, host.lower())
+    return route is not None and route.is_public
+
+
+def _read_key(exchange: base.Exchange, scheme: str) -> str:
     value = exchange.find_header("authorization") or ""
-    if not value.lower().startswith(SCHEME):
+    if not value.lower().startswith(scheme):
         return ""
-    return value[len(SCHEME) :].strip()
+    return value[len(scheme) :].strip()
 
 
 def _refuse(step: errors.Step = errors.Step.CALLER) -> errors.Fault:
--- a/mulberryway/filters/base.py
+++ b/mulberryway/filters/base.py
@@ -155,6 +155,9 @@
         "route",
         "pool",
         "call",
+        "model",
+        "expected_tokens",
+        "prefix_hashes",
         "charge",
         "estimate",
         "max_tokens",
@@ -196,10 +199,15 @@
         self.route: tables.Route
         self.pool: tables.Pool
         # A model request's body, parsed and without credentials.
-        self.call: dict[str, typing.Any] = {}
+        # Where upstreams take requests as they came it is a ``RawCall``.
+        self.call: typing.Any = {}
+        self.model = ""
+        self.prefix_hashes: tuple[str, ...] = ()
         self.charge: Charge | None = None
         self.estimate = 0
         self.max_tokens = 0
+        # How many tokens the answer probably has; 0 for as many as it may.
+        self.expected_tokens = 0
         self.digest = ""
         self.span: traces.Span = traces.NO_SPAN
         self.has_gone = threading.Event()
--- a/mulberryway/filters/choosing.py
+++ b/mulberryway/filters/choosing.py
@@ -1,38 +1,73 @@
 """Decides which server of a plain service gets a call; without I/O."""
 
-import collections
+import enum
+import statistics
 
 from mulberryway import tables
+from mulberryway.policy import health
 
-__all__ = ["ServerChooser"]
+__all__ = ["CallEnd", "ServerChooser"]
 
 # The load this is made for: some hundred short calls a second to three to
 # seven servers.  A server that refused a connection is passed over for so
 # long: without it every call would pay the failed connection first, and a
 # longer time would leave a restarted server idle.
 PASS_OVER_MS = 2_000
-# A call to another zone costs about two milliseconds more there and back,
-# as much as waiting behind one short call; so a server elsewhere is chosen
-# when those nearby have two more calls under way.
-ZONE_PENALTY = 2
+# A call to another zone takes about two milliseconds more there and back.
+OTHER_ZONE_MS = 2.0
+# What a call is thought to take before any has ended.
+CALL_MS = 60.0
+# Load: a server that fails a part of its calls at once looks idle.  Harm:
+# it draws the calls of all, and fails more of them than before.  A server
+# that fails clearly oftener than the pool's median counts as that much
+# slower; the margin is what chance alone does to the mean of some ten calls.
+FAILURE_MARGIN = 0.15
+FAILURE_MS = 1_000.0
+FAILURE_PART = 0.1
+# A server that was passed by gets better by itself, so that a mended one is
+# tried again after some seconds.
+FORGIVE_MS = 10_000
+
+
+class CallEnd(enum.Enum):
+    """How a call to a server ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    UNREACHED = "unreached"
+    NO_VERDICT = "no_verdict"
+
+
+class _Server:
+    """What this VM has seen of one server."""
+
+    __slots__ = ("under_way", "took", "failures", "judged_ms", "avoid_until_ms")
+
+    def __init__(self) -> None:
+        self.under_way = 0
+        self.took = health.Average(CALL_MS)
+        self.failures = health.Average(0.0, FAILURE_PART)
+        self.judged_ms = 0
+        self.avoid_until_ms = 0
+
+    def read_failures(self, now_ms: int) -> float:
+        age_ms = max(now_ms - self.judged_ms, 0)
+        return self.failures.value * max(1.0 - age_ms / FORGIVE_MS, 0.0)
 
 
 class ServerChooser:
-    """Counts calls under way and chooses the least loaded server.
+    """Chooses the server that will probably answer first.
 
     It has no lock of its own.
 
     :param zone: the zone of this VM
     """
 
-    __slots__ = ("_zone", "_under_way", "_passed_over")
+    __slots__ = ("_zone", "_servers")
 
     def __init__(self, zone: str) -> None:
         self._zone = zone
-        self._under_way: collections.Counter[tuple[str, str]] = (
-            collections.Counter()
-        )
-        self._passed_over: dict[tuple[str, str], int] = {}
+        self._servers: dict[tuple[str, str], _Server] = {}
 
     def choose(
         self, pool: tables.Pool, avoid: frozenset[str], now_ms: int
@@ -51,39 +86,73 @@
         ]
         if not usable:
             return None
+        self._forget_gone(pool)
+        usual = statistics.median(
+            self._find(pool, upstream).read_failures(now_ms)
+            for upstream in usable
+        )
         chosen = min(
-            usable, key=lambda upstream: self._weigh(pool, upstream, now_ms)
+            usable,
+            key=lambda upstream: self._weigh(pool, upstream, usual, now_ms),
         )
-        self._under_way[pool.name, chosen.name] += 1
+        self._find(pool, chosen).under_way += 1
         return chosen
 
     def finish(
         self,
         pool: tables.Pool,
         upstream: tables.Upstream,
-        was_reached: bool,
+        end: CallEnd,
+        took_ms: int,
         now_ms: int,
     ) -> None:
         """Count a call's end.
 
         :param pool: the pool
         :param upstream: the server
-        :param was_reached: false if no connection could be made
+        :param end: how it ended
+        :param took_ms: how long it took
         :param now_ms: the present
         """
-        key = (pool.name, upstream.name)
-        self._under_way[key] -= 1
-        if self._under_way[key] <= 0:
-            del self._under_way[key]
-        if was_reached:
-            self._passed_over.pop(key, None)
-        else:
-            self._passed_over[key] = now_ms + PASS_OVER_MS
+        server = self._find(pool, upstream)
+        server.under_way = max(server.under_way - 1, 0)
+        if end is CallEnd.NO_VERDICT:
+            return
+        if end is CallEnd.UNREACHED:
+            server.avoid_until_ms = now_ms + PASS_OVER_MS
+            return
+        server.avoid_until_ms = 0
+        server.judged_ms = now_ms
+        server.failures.note(1.0 if end is CallEnd.FAILED else 0.0)
+        if end is CallEnd.DONE:
+            server.took.note(took_ms)
+
+    def _find(self, pool: tables.Pool, upstream: tables.Upstream) -> _Server:
+        return self._servers.setdefault((pool.name, upstream.name), _Server())
+
+    def _forget_gone(self, pool: tables.Pool) -> None:
+        names = {upstream.name for upstream in pool.upstreams}
+        gone = [
+            key
+            for key, server in self._servers.items()
+            if key[0] == pool.name
+            and key[1] not in names
+            and not server.under_way
+        ]
+        for key in gone:
+            del self._servers[key]
 
     def _weigh(
-        self, pool: tables.Pool, upstream: tables.Upstream, now_ms: int
-    ) -> tuple[bool, int, str]:
-        key = (pool.name, upstream.name)
-        is_suspect = self._passed_over.get(key, 0) > now_ms
-        penalty = 0 if upstream.zone == self._zone else ZONE_PENALTY
-        return (is_suspect, self._under_way[key] + penalty, upstream.name)
+        self,
+        pool: tables.Pool,
+        upstream: tables.Upstream,
+        usual: float,
+        now_ms: int,
+    ) -> tuple[bool, float, str]:
+        server = self._find(pool, upstream)
+        worse = server.read_failures(now_ms) - usual - FAILURE_MARGIN
+        wait_ms = (server.under_way + 1) * server.took.value
+        if upstream.zone != self._zone:
+            wait_ms += OTHER_ZONE_MS
+        wait_ms += max(worse, 0.0) * FAILURE_MS
+        return (server.avoid_until_ms > now_ms, wait_ms, upstream.name)
--- a/mulberryway/filters/credentials.py
+++ b/mulberryway/filters/credentials.py
@@ -9,7 +9,7 @@
 from mulberryway import errors
 from mulberryway.filters import base
 
-__all__ = ["Cleaner"]
+__all__ = ["Cleaner", "drop_headers"]
 
 # Headers that carry credentials by their purpose, whatever their value.
 SECRET_HEADERS = frozenset(
@@ -63,6 +63,19 @@
 Json = typing.Any
 
 
+def drop_headers(exchange: base.Exchange, key: str) -> None:
+    """Take the headers out that carry a key, and leave the rest as it is.
+
+    :param exchange: the request
+    :param key: the key; empty for none
+    """
+    exchange.headers = [
+        (name, value)
+        for name, value in exchange.headers
+        if name.lower() != "authorization" and not (key and key in value)
+    ]
+
+
 class Cleaner:
     """Removes one key from one request.
 
--- /dev/null
+++ b/mulberryway/filters/interface.py
@@ -0,0 +1,112 @@
+"""The callers' interface: which filters see a request, in which order."""
+
+import abc
+import collections.abc
+
+from mulberryway import settings
+from mulberryway import tables
+from mulberryway.controllers import claims
+from mulberryway.filters import admission
+from mulberryway.filters import authenticate
+from mulberryway.filters import base
+from mulberryway.filters import choosing
+from mulberryway.filters import model_forward
+from mulberryway.filters import model_run
+from mulberryway.filters import observe
+from mulberryway.filters import once
+from mulberryway.filters import route
+from mulberryway.filters import service_forward
+from mulberryway.filters import status
+from mulberryway.policy import allowance
+from mulberryway.policy import entry
+
+__all__ = ["Context", "Interface", "OwnInterface"]
+
+
+class Context:
+    """What the filters of a router are made from.
+
+    :param settings_: the settings of the process
+    :param lifecycle: tells whether callers should come
+    :param source: the tables in force
+    :param entries: knows the VMs that take callers
+    :param allowances: the accounts' tokens
+    :param claim_store: grants calls that must run at most once, or none
+    :param parts: what all model requests share
+    """
+
+    __slots__ = (
+        "settings",
+        "lifecycle",
+        "source",
+        "entries",
+        "allowances",
+        "claim_store",
+        "parts",
+    )
+
+    def __init__(
+        self,
+        settings_: settings.Settings,
+        lifecycle: status.Lifecycle,
+        source: tables.TableSource,
+        entries: entry.EntryDirectory,
+        allowances: allowance.Allowances,
+        claim_store: claims.ClaimStore | None,
+        parts: model_run.Parts,
+    ) -> None:
+        self.settings = settings_
+        self.lifecycle = lifecycle
+        self.source = source
+        self.entries = entries
+        self.allowances = allowances
+        self.claim_store = claim_store
+        self.parts = parts
+
+
+class Interface(abc.ABC):
+    """Another interface for callers fits in here."""
+
+    @abc.abstractmethod
+    def make_filters(
+        self, context: Context
+    ) -> collections.abc.Sequence[base.Filter]:
+        """Return the filters for requests, in order.
+
+        :param context: what they are made from
+        """
+
+
+class OwnInterface(Interface):
+    """The project's own interface, as docs/design/interfaces.md tells it."""
+
+    def make_filters(
+        self, context: Context
+    ) -> collections.abc.Sequence[base.Filter]:
+        """Return the filters for requests, in order.
+
+        :param context: what they are made from
+        """
+        settings_, parts = context.settings, context.parts
+        return [
+            status.Health(context.lifecycle),
+            status.Entry(
+                context.entries,
+                settings_.vm_zone,
+                settings_.router_entry_ttl_ms,
+            ),
+            observe.Observe(parts.tracer, parts.metrics, parts.clock),
+            status.RefuseWhenStopping(context.lifecycle),
+            authenticate.Authenticate(context.source),
+            route.FindRoute(),
+            admission.ReadCall(),
+            admission.Admission(context.allowances),
+            model_forward.ModelForward(parts),
+            once.RunOnce(context.claim_store),
+            service_forward.ServiceForward(
+                parts.directory,
+                choosing.ServerChooser(settings_.vm_zone),
+                parts.tracer,
+                parts.clock,
+            ),
+        ]
--- a/mulberryway/filters/model_forward.py
+++ b/mulberryway/filters/model_forward.py
@@ -1,24 +1,41 @@
 """Sends model requests to engines and lends their answers to the relay."""
 
+import collections.abc
+
 import expression
 
 from mulberryway import tables
 from mulberryway.filters import base
 from mulberryway.filters import model_run
+from mulberryway.relay import raw_stream
 from mulberryway.relay import stream as streams
 from mulberryway.relay import writers
+from mulberryway.upstreams import base as upstreams
+
+__all__ = ["ModelForward", "make_raw_stream", "make_stream_of_events"]
+
 
-__all__ = ["ModelForward"]
+StreamMaker = collections.abc.Callable[
+    [base.Exchange, model_run.ModelRun, upstreams.TokenStream, int],
+    streams.Stream,
+]
 
 
 class ModelForward(base.Filter):
     """Serves requests whose pool holds model engines.
 
     :param parts: what all model requests share
+    :param make_stream: puts an answer's state together; one that reads the
+        events of the project's own engines if none is given
     """
 
-    def __init__(self, parts: model_run.Parts) -> None:
+    def __init__(
+        self,
+        parts: model_run.Parts,
+        make_stream: StreamMaker | None = None,
+    ) -> None:
         self._parts = parts
+        self._make_stream = make_stream or make_stream_of_events
 
     def handle(
         self, exchange: base.Exchange, proceed: base.Proceed
@@ -35,20 +52,66 @@
         found = run.begin()
         if found.is_error():
             return expression.Error(found.error)
-        stream = streams.Stream(
-            run,
-            _choose_writer(exchange),
-            found.ok,
-            exchange.connection,
-            exchange.release,
-            run.limit_first_ms(),
-            self._parts.gap_ms,
-            exchange.key_digest,
-            exchange.account.name,
+        stream = self._make_stream(
+            exchange, run, found.ok, run.read_gap_limit_ms()
         )
         return expression.Ok(base.Lent(stream))
 
 
+def make_stream_of_events(
+    exchange: base.Exchange,
+    run: model_run.ModelRun,
+    source: upstreams.TokenStream,
+    gap_limit_ms: int,
+) -> streams.Stream:
+    """Return the state of an answer whose events are read.
+
+    :param exchange: the request
+    :param run: its run
+    :param source: the engine's stream
+    :param gap_limit_ms: the longest wait for a further event
+    """
+    return streams.Stream(
+        run,
+        _choose_writer(exchange),
+        source,
+        exchange.connection,
+        exchange.release,
+        run.limit_first_ms(),
+        gap_limit_ms,
+        exchange.key_digest,
+        exchange.account.name,
+    )
+
+
+def make_raw_stream(
+    exchange: base.Exchange,
+    run: model_run.ModelRun,
+    source: upstreams.TokenStream,
+    gap_limit_ms: int,
+) -> streams.Stream:
+    """Return the state of an answer that passes as it came.
+
+    :param exchange: the request
+    :param run: its run
+    :param source: the engine's stream
+    :param gap_limit_ms: the longest wait for a further event
+    """
+    stream = raw_stream.RawStream(
+        run,
+        raw_stream.RawWriter(exchange.head),
+        source,
+        exchange.connection,
+        exchange.release,
+        run.limit_first_ms(),
+        gap_limit_ms,
+        exchange.key_digest,
+        exchange.account.name,
+    )
+    stream.ends_at_ms = exchange.deadline.at_ms
+    return stream
+
+
 def _choose_writer(exchange: base.Exchange) -> writers.Writer:
     if exchange.call.get("stream", False):
         return writers.EventWriter(exchange.head)
--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -17,7 +17,6 @@
 from mulberryway.filters import attempt as attempts
 from mulberryway.filters import authenticate
 from mulberryway.filters import base
-from mulberryway.filters import prefix
 from mulberryway.filters import route
 from mulberryway.policy import messages
 from mulberryway.relay import pump
@@ -30,7 +29,6 @@
 
 LOG = logging.getLogger(__name__)
 
-MOST_ATTEMPTS = 4
 # An engine that fell silent must leave time for another one.
 PART_OF_LEFT = 2
 LEAST_WAIT_MS = 200
@@ -40,6 +38,14 @@
 MOVE_PAUSE_MS = 30
 # How long a stream that has lost its engine may seek another.
 RESUME_MS = 5_000
+# An engine that makes no token for so many times the pause that is on time
+# has probably fallen silent; callers leave after eight of them or two
+# seconds, so there is time for another engine.
+GAPS_TO_LEAVE = 4
+# Of a stream's whole time so much may go by before its first token; the rest
+# is for the stream itself, which lasts for 2 to 8 of 14 seconds.
+WAIT_PART = 0.35
+LEAST_GAP_MS = 1_000
 MOVABLE = frozenset(
     (
         errors.Code.UPSTREAM_UNREACHABLE,
@@ -74,6 +80,7 @@
     :param vm: the VM's name
     :param incarnation: which life of the VM's router this is
     :param gap_ms: the longest wait for a further token
+    :param may_repeat: takes a repeat out of a pool's budget for them
     """
 
     __slots__ = (
@@ -106,7 +113,7 @@
         callers: watch.CallerWatch,
         tracer: traces.Tracer,
         metrics_: metrics.Metrics,
-        may_repeat: collections.abc.Callable[[], bool],
+        may_repeat: collections.abc.Callable[[str], bool],
     ) -> None:
         self.vm = vm
         self.incarnation = incarnation
@@ -231,6 +238,19 @@
         left_ms = self._exchange.deadline.left_ms(self._parts.clock.now_ms())
         return max(left_ms // PART_OF_LEFT, LEAST_WAIT_MS)
 
+    def read_gap_limit_ms(self) -> int:
+        """Return how long a further token may take.
+
+        Where another engine can go on, a silent one is left soon enough for
+        the caller to wait for the other; where none can, nothing is gained
+        by giving it up.
+        """
+        exchange = self._exchange
+        target_ms = exchange.route.target_gap_ms
+        if not target_ms or not route.is_repeatable(exchange):
+            return self._parts.gap_ms
+        return max(target_ms * GAPS_TO_LEAVE, LEAST_GAP_MS)
+
     def _find_source(self, offset: int, limit: clock.Deadline) -> Source:
         while True:
             result = self._try_once(offset, limit)
@@ -421,22 +441,32 @@
             exchange.account.name,
             exchange.account.weight,
             exchange.pool.name,
-            exchange.call["model"],
+            exchange.model,
             exchange.estimate,
             exchange.max_tokens,
-            prefix.hash_blocks(
-                exchange.call["model"],
-                exchange.call["prompt"],
-                exchange.pool.block_tokens,
-            ),
+            exchange.prefix_hashes,
             len(exchange.body),
             self._parts.clock.now_ms(),
-            limit,
+            self._limit_start(limit),
             number,
             self._choose_avoided(),
             exchange.digest,
+            exchange.expected_tokens,
         )
 
+    def _limit_start(self, limit: clock.Deadline) -> clock.Deadline:
+        """Return when a first token is too late to be of use.
+
+        A whole answer has to end within the route's time, and takes seconds
+        itself, so a job that begins near its end is computed for nobody.
+        """
+        exchange = self._exchange
+        row = exchange.route
+        if not row.is_streaming or self._number > 1:
+            return limit
+        start_ms = exchange.arrived_ms + int(row.timeout_ms * WAIT_PART)
+        return clock.Deadline(min(limit.at_ms, start_ms))
+
     def _choose_avoided(self) -> frozenset[str]:
         """Return the upstreams to avoid, unless none would be left.
 
@@ -490,9 +520,9 @@
                 fault.run is errors.Run.NOT_RUN
                 or route.is_repeatable(exchange)
             )
-            and self._number < MOST_ATTEMPTS
+            and self._number < exchange.route.most_attempts
             and not exchange.has_gone.is_set()
-            and self._parts.may_repeat()
+            and self._parts.may_repeat(exchange.pool.name)
         )
 
     def _note_failure(self, fault: errors.Fault) -> None:
--- a/mulberryway/filters/route.py
+++ b/mulberryway/filters/route.py
@@ -1,8 +1,11 @@
 """Finds the route and the pool of a request."""
 
+import random
+
 import expression
 
 from mulberryway import errors
+from mulberryway import tables
 from mulberryway.filters import base
 
 __all__ = ["FindRoute", "is_repeatable"]
@@ -12,7 +15,18 @@
 
 
 class FindRoute(base.Filter):
-    """Joins a request with the tables by its path and its account."""
+    """Joins a request with the tables by its path and its account.
+
+    :param needs_id: whether calls that may run only once must bring an id
+        by which a repeat at another VM is recognised
+    :param random_: chooses among the pools of a divided route
+    """
+
+    def __init__(
+        self, needs_id: bool = True, random_: random.Random | None = None
+    ) -> None:
+        self._needs_id = needs_id
+        self._random = random_ or random.Random()
 
     def handle(
         self, exchange: base.Exchange, proceed: base.Proceed
@@ -23,7 +37,8 @@
         :param proceed: the rest of the chain
         :returns: what the chain answers, or a fault
         """
-        route = exchange.tables.find_route(exchange.path)
+        host = (exchange.find_header("host") or "").partition(":")[0]
+        route = exchange.tables.find_route(exchange.path, host.lower())
         if route is None:
             return _refuse(errors.Code.UNKNOWN_ROUTE, "no route has this path")
         if route.accounts and exchange.account.name not in route.accounts:
@@ -31,10 +46,12 @@
                 errors.Code.FORBIDDEN, "the route is for other accounts"
             )
         exchange.route = route
-        exchange.pool = exchange.tables.pools[route.pool]
+        exchange.pool = exchange.tables.pools[self._choose_pool(route)]
         exchange.deadline.at_ms = exchange.arrived_ms + route.timeout_ms
-        if not is_repeatable(exchange) and not exchange.find_header(
-            ONCE_HEADER
+        if (
+            self._needs_id
+            and not is_repeatable(exchange)
+            and not exchange.find_header(ONCE_HEADER)
         ):
             return _refuse(
                 errors.Code.REQUEST_ID_REQUIRED,
@@ -43,13 +60,25 @@
         return proceed(exchange)
 
 
+    def _choose_pool(self, route: tables.Route) -> str:
+        if not route.shares:
+            return route.pool
+        return self._random.choices(
+            [share.pool for share in route.shares],
+            [share.weight for share in route.shares],
+        )[0]
+
+
 def is_repeatable(exchange: base.Exchange) -> bool:
     """Tell whether a request may run more than once.
 
     :param exchange: the request, its route known
     :returns: whether a repeat does no harm
     """
-    return exchange.route.idempotent or exchange.method in SAFE_METHODS
+    row = exchange.route
+    return row.idempotent or (
+        row.trusts_methods and exchange.method in SAFE_METHODS
+    )
 
 
 def _refuse(code: errors.Code, message: str) -> base.Answer:
--- a/mulberryway/filters/service_forward.py
+++ b/mulberryway/filters/service_forward.py
@@ -1,25 +1,36 @@
 """Passes calls on to plain services."""
 
+import collections.abc
+import logging
 import threading
 
 import expression
 
 from mulberryway import clock
 from mulberryway import errors
+from mulberryway import logs
 from mulberryway import replies
 from mulberryway import tables
 from mulberryway import traces
 from mulberryway.filters import base
 from mulberryway.filters import choosing
 from mulberryway.filters import route
+from mulberryway.relay import watch
 from mulberryway.upstreams import base as upstreams
+from mulberryway.upstreams import connections
 from mulberryway.upstreams import directory
 from mulberryway.upstreams import http_service
 
 __all__ = ["ServiceForward"]
 
-MOST_TRIES = 3
+LOG = logging.getLogger(__name__)
+
 RETRY_AFTER_MS = 1_000
+# A server that has fallen silent must leave an idempotent call time for
+# another one: it gets half of what is left, and at least so much, which is
+# several times what calls usually take.
+PART_OF_LEFT = 2
+LEAST_TRY_MS = 500
 
 
 class ServiceForward(base.Filter):
@@ -29,6 +40,8 @@
     :param chooser: chooses among them
     :param tracer: makes spans
     :param clock_: where the time comes from
+    :param callers: notices callers that go while a server works for them
+    :param may_repeat: takes one repeat out of a pool's budget for them
     """
 
     def __init__(
@@ -37,11 +50,15 @@
         chooser: choosing.ServerChooser,
         tracer: traces.Tracer,
         clock_: clock.Clock,
+        callers: watch.CallerWatch | None = None,
+        may_repeat: collections.abc.Callable[[str], bool] = lambda pool: True,
     ) -> None:
         self._directory = directory_
         self._chooser = chooser
         self._tracer = tracer
         self._clock = clock_
+        self._callers = callers
+        self._may_repeat = may_repeat
         self._lock = threading.Lock()
 
     def handle(
@@ -53,29 +70,59 @@
         :param proceed: the rest of the chain
         :returns: the service's reply, or a fault
         """
+        interrupt = connections.Interrupt()
+        if self._callers is None:
+            return self._forward(exchange, interrupt)
+
+        def give_up() -> None:
+            exchange.has_gone.set()
+            interrupt.set()
+
+        watched = self._callers.begin(exchange.connection, give_up)
+        try:
+            return self._forward(exchange, interrupt)
+        finally:
+            self._callers.end(watched)
+
+    def _forward(
+        self, exchange: base.Exchange, interrupt: connections.Interrupt
+    ) -> base.Answer:
         avoid: frozenset[str] = frozenset()
         has_run = False
         fault = _no_server(exchange)
-        for number in range(MOST_TRIES):
+        for number in range(exchange.route.most_attempts):
+            if number and not self._may_go_on(exchange, has_run):
+                break
             upstream = self._choose(exchange, avoid)
             if upstream is None:
                 break
-            result = self._call_once(exchange, upstream, number)
+            result = self._call_once(exchange, upstream, number, interrupt)
             if result.is_ok():
                 return expression.Ok(_make_reply(result.ok))
             fault = result.error
             has_run = has_run or fault.run is not errors.Run.NOT_RUN
             avoid = avoid | {upstream.name}
-            # A call that may have run must not run again elsewhere, unless
-            # its route says that this does no harm.
-            if has_run and not route.is_repeatable(exchange):
-                break
-            if exchange.deadline.has_passed(self._clock.now_ms()):
-                break
+        if fault.answer is not None and fault.run is errors.Run.RAN:
+            return expression.Ok(_make_reply(fault.answer))
         if has_run and fault.run is errors.Run.NOT_RUN:
             fault.run = errors.Run.MAY_HAVE_RUN
+        if fault.run is errors.Run.NOT_RUN and fault.retry_after_ms is None:
+            fault.retry_after_ms = RETRY_AFTER_MS
         return expression.Error(fault)
 
+    def _may_go_on(self, exchange: base.Exchange, has_run: bool) -> bool:
+        """Tell whether another server may be tried.
+
+        A call that may have run must not run again elsewhere, unless its
+        route says that this does no harm.
+        """
+        return (
+            (not has_run or route.is_repeatable(exchange))
+            and not exchange.has_gone.is_set()
+            and not exchange.deadline.has_passed(self._clock.now_ms())
+            and self._may_repeat(exchange.pool.name)
+        )
+
     def _choose(
         self, exchange: base.Exchange, avoid: frozenset[str]
     ) -> tables.Upstream | None:
@@ -85,10 +132,15 @@
             )
 
     def _call_once(
-        self, exchange: base.Exchange, upstream: tables.Upstream, number: int
+        self,
+        exchange: base.Exchange,
+        upstream: tables.Upstream,
+        number: int,
+        interrupt: connections.Interrupt,
     ) -> expression.Result[upstreams.ServiceReply, errors.Fault]:
         service = self._directory.find_service(exchange.pool, upstream)
         step = errors.Step.SERVICE
+        began_ms = self._clock.now_ms()
         with exchange.span.begin(self._tracer, step) as span:
             headers = http_service.strip_hop_headers(exchange.headers)
             headers.append(("traceparent", span.traceparent))
@@ -98,25 +150,55 @@
                 exchange.target,
                 headers,
                 exchange.body,
-                max(exchange.deadline.left_ms(self._clock.now_ms()), 1),
+                self._limit_ms(exchange, number, began_ms),
+                route.is_repeatable(exchange),
+                interrupt,
             )
             if result.is_error():
                 span.fail(result.error)
-        self._note_end(exchange, upstream, result)
+        self._note_end(exchange, upstream, result, began_ms)
         return result
 
+    def _limit_ms(
+        self, exchange: base.Exchange, number: int, now_ms: int
+    ) -> int:
+        left_ms = max(exchange.deadline.left_ms(now_ms), 1)
+        is_last = number + 1 >= exchange.route.most_attempts
+        if is_last or not route.is_repeatable(exchange):
+            return left_ms
+        return min(max(left_ms // PART_OF_LEFT, LEAST_TRY_MS), left_ms)
+
     def _note_end(
         self,
         exchange: base.Exchange,
         upstream: tables.Upstream,
         result: expression.Result[upstreams.ServiceReply, errors.Fault],
+        began_ms: int,
     ) -> None:
-        was_reached = (
-            result.is_ok() or result.error.run is not errors.Run.NOT_RUN
-        )
+        now_ms = self._clock.now_ms()
+        fault = None if result.is_ok() else result.error
+        if exchange.has_gone.is_set():
+            # A call that was ended for its caller says nothing of the server.
+            end = choosing.CallEnd.NO_VERDICT
+        elif fault is None:
+            end = choosing.CallEnd.DONE
+        elif fault.code is errors.Code.UPSTREAM_UNREACHABLE:
+            end = choosing.CallEnd.UNREACHED
+        else:
+            end = choosing.CallEnd.FAILED
         with self._lock:
             self._chooser.finish(
-                exchange.pool, upstream, was_reached, self._clock.now_ms()
+                exchange.pool, upstream, end, now_ms - began_ms, now_ms
+            )
+        if fault is not None:
+            LOG.info(
+                "a call to a server failed",
+                extra=logs.describe(
+                    fault,
+                    request_id=exchange.request_id,
+                    upstream=upstream.name,
+                    took_ms=now_ms - began_ms,
+                ),
             )
 
 
--- a/mulberryway/filters/status.py
+++ b/mulberryway/filters/status.py
@@ -10,7 +10,13 @@
 from mulberryway.filters import base
 from mulberryway.policy import entry
 
-__all__ = ["Entry", "Health", "Lifecycle", "RefuseWhenStopping"]
+__all__ = [
+    "Entry",
+    "Health",
+    "Lifecycle",
+    "RefuseLongWork",
+    "RefuseWhenStopping",
+]
 
 JSON_HEADERS = [("Content-Type", replies.JSON_TYPE)]
 STOPPING_RETRY_MS = 100
@@ -29,6 +35,16 @@
     def is_refusing(self) -> bool:
         """Whether new requests are refused."""
 
+    @property
+    @abc.abstractmethod
+    def is_leaving(self) -> bool:
+        """Whether callers should use another VM for their next request."""
+
+    @property
+    @abc.abstractmethod
+    def is_ending(self) -> bool:
+        """Whether work that takes seconds could not end in time any more."""
+
 
 class Health(base.Filter):
     """Answers ``/healthz`` and ``/readyz``; needs no key.
@@ -89,6 +105,43 @@
         )
 
 
+class RefuseLongWork(base.Filter):
+    """Keeps a stopping VM's last seconds for work that ends within them.
+
+    Load: a stop with a fixed end, and streams that last for seconds.  Harm:
+    a stream that begins late in the stop is cut in the middle, while another
+    VM could have carried it whole.  Every answer of a VM that leaves also
+    closes its connection, so that the next request goes elsewhere.
+
+    :param lifecycle: tells how far a stop has come
+    """
+
+    def __init__(self, lifecycle: Lifecycle) -> None:
+        self._lifecycle = lifecycle
+
+    def handle(
+        self, exchange: base.Exchange, proceed: base.Proceed
+    ) -> base.Answer:
+        """Refuse streams near the end of a stop, and let all else go on.
+
+        :param exchange: the request
+        :param proceed: the rest of the chain
+        :returns: what the chain answers, or ``STOPPING``
+        """
+        if self._lifecycle.is_leaving:
+            exchange.head.keep = False
+        if not (self._lifecycle.is_ending and exchange.route.is_streaming):
+            return proceed(exchange)
+        return expression.Error(
+            errors.Fault(
+                errors.Code.STOPPING,
+                errors.Step.ADMISSION,
+                message="this VM is stopping; use another entry address",
+                retry_after_ms=STOPPING_RETRY_MS,
+            )
+        )
+
+
 class Entry(base.Filter):
     """Answers ``GET /v1/entry`` with the addresses to use; needs no key.
 
--- /dev/null
+++ b/mulberryway/hosted.py
@@ -0,0 +1,288 @@
+"""Puts the parts of an entry VM together that runs on the operators' platform.
+
+What the project's own assembly keeps for itself (claims, shares of
+allowances, segments, the editor) is not needed there: the store holds the
+configuration whole, and each attempt of a caller has an id of its own.
+"""
+
+import concurrent.futures
+import random
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway import peers
+from mulberryway import replies
+from mulberryway import router
+from mulberryway import settings
+from mulberryway import tables
+from mulberryway.controllers import fleet_allowances
+from mulberryway.controllers import membership
+from mulberryway.controllers import mirrored_tables
+from mulberryway.controllers import mirrors
+from mulberryway.controllers import notes
+from mulberryway.controllers import registration
+from mulberryway.filters import repeats
+from mulberryway.objects import counts
+from mulberryway.peers import datagrams
+from mulberryway.peers import server as peer_server
+from mulberryway.peers.gen.membership import Membership
+from mulberryway.peers.gen.mirrors import Mirrors
+from mulberryway.platform import directory
+from mulberryway.platform import interface
+from mulberryway.platform import store
+from mulberryway.platform import tables as platform_tables
+from mulberryway.policy import entry
+from mulberryway.policy import member
+from mulberryway.policy import retries
+from mulberryway.policy import scheduler
+from mulberryway.policy import usage
+from mulberryway.policy import weighing
+
+__all__ = ["HostedAssembly"]
+
+MEMBERSHIP = "Membership"
+MIRRORS = "Mirrors"
+# The longest pause between a stream's pieces that is still on time.
+TOKEN_GAP_MS = 300
+STYLE = replies.Style(
+    has_fractions=True,
+    statuses={
+        # Callers take other refusals of this sort for the end of the matter,
+        # though a request that only ran beside a poisonous one may run later.
+        errors.Code.QUARANTINED: 503,
+    },
+)
+
+
+class _AllEntries(entry.EntryDirectory):
+    """Tells callers of all VMs that take callers."""
+
+    def __init__(self, assembly: "HostedAssembly") -> None:
+        self._assembly = assembly
+
+    def list_addresses(self, caller_zone: str) -> list[entry.EntryAddress]:
+        """Return the addresses of all VMs that take callers.
+
+        :param caller_zone: not looked at: callers choose by chance
+        """
+        return entry.list_entries(
+            self._assembly.members.list_members(),
+            self._assembly.allowances.list_silent(),
+        )
+
+
+class HostedAssembly:
+    """All controllers and the router of one entry VM.
+
+    :param settings_: the settings of the process
+    :param clock_: where the time comes from
+    """
+
+    def __init__(
+        self,
+        settings_: settings.Settings,
+        clock_: clock.Clock | None = None,
+    ) -> None:
+        self.settings = settings_
+        self.clock = clock_ or clock.SystemClock()
+        self.incarnation = self.clock.wall_ms()
+        self.counts = counts.CallCounts()
+        self.store = store.PlatformStore(
+            settings_.platform_url,
+            settings_.platform_timeout_ms,
+            self.clock,
+            self.counts,
+        )
+        self.client = peers.PeerClient(
+            settings_.peers_secret, self.clock, settings_.peers_timeout_ms
+        )
+        self.members = self._make_members()
+        self.source = mirrored_tables.MirroredTables(
+            platform_tables.TablesReader()
+        )
+        self.keepers = self._make_keepers()
+        self.exchange = mirrors.MirrorExchange(
+            self.keepers, self.client, self.clock
+        )
+        self.directory = directory.PlatformDirectory(self.clock)
+        self.budget = repeats.Budget(
+            retries.FleetBudget(
+                settings_.retries_part,
+                settings_.retries_window_ms,
+                settings_.retries_slack,
+            ),
+            self.clock,
+        )
+        self.book = usage.UsageBook(
+            settings_.vm_name,
+            self.incarnation,
+            usage.Margin(
+                settings_.allowances_window_ms,
+                settings_.allowances_over_part,
+                settings_.allowances_over_tokens,
+            ),
+            self.clock.now_ms(),
+        )
+        self.scheduler = self._make_scheduler()
+        self._wire_router()
+        self._wire_peers()
+
+    def start(self) -> None:
+        """Begin to serve peers, then callers; returns at once."""
+        self.peer_server.start()
+        self.datagrams.start()
+        for keeper in self.keepers.values():
+            keeper.start()
+        self.exchange.start()
+        self.members.start()
+        self.router.start()
+        self.notes.start()
+        self.allowances.start()
+        self.registration.start()
+
+    def stop(self, graceful: bool = True) -> None:
+        """Stop serving callers, then everything else.
+
+        :param graceful: whether running requests may end first
+        """
+        self.router.stop(graceful)
+        controllers = (
+            self.registration,
+            self.allowances,
+            self.notes,
+            self.exchange,
+            self.members,
+        )
+        with concurrent.futures.ThreadPoolExecutor() as stops:
+            list(stops.map(lambda one: one.stop(), controllers))
+        self.datagrams.stop()
+        self.peer_server.stop()
+
+    def _make_members(self) -> membership.MembershipController:
+        settings_ = self.settings
+        own = member.Member(
+            settings_.vm_name,
+            settings_.vm_address,
+            settings_.peers_port,
+            settings_.router_port,
+            settings_.vm_zone,
+            settings_.vm_region,
+            self.incarnation,
+            is_starting=True,
+        )
+        seeds = [
+            f"{seed.rpartition(':')[0]}:{settings_.peers_seeds_port}"
+            if settings_.peers_seeds_port
+            else seed
+            for seed in settings_.peers_seeds
+        ]
+        return membership.MembershipController(
+            own,
+            tuple(seed for seed in seeds if seed != own.peer),
+            self.client,
+            self.store,
+            self.clock,
+            settings_.peers_period_ms,
+        )
+
+    def _make_keepers(self) -> dict[str, mirrors.MirrorKeeper]:
+        source = self.source
+        source.configuration = mirrors.MirrorKeeper(
+            platform_tables.CONFIGURATION,
+            self.store,
+            self.clock,
+            source.refresh,
+        )
+        source.servers = mirrors.MirrorKeeper(
+            platform_tables.SERVERS,
+            self.store,
+            self.clock,
+            source.refresh,
+            keeps_missing=True,
+        )
+        return {
+            keeper.kind: keeper
+            for keeper in (source.configuration, source.servers)
+        }
+
+    def _make_scheduler(self) -> scheduler.FairScheduler:
+        settings_ = self.settings
+        return scheduler.FairScheduler(
+            settings_.vm_name,
+            self.incarnation,
+            weighing.find_weighing(settings_.policy_weighing),
+            seed=random.SystemRandom().getrandbits(32),
+            token_gap_ms=TOKEN_GAP_MS,
+            budget=retries.NoBudget,
+        )
+
+    def _wire_router(self) -> None:
+        self.router = router.Router(
+            self.settings,
+            self.clock,
+            self.incarnation,
+            self.source,
+            self.scheduler,
+            allowances := fleet_allowances.LateAllowances(),
+            _AllEntries(self),
+            self.budget.spend,
+            on_withdraw=lambda: self.members.change_own(is_stopping=True),
+            directory_=self.directory,
+            on_ready=lambda: self.members.change_own(is_starting=False),
+            interface_=interface.PlatformInterface(self.budget),
+            style=STYLE,
+        )
+        self.counts.report(self.router.metrics)
+        self.notes = notes.NotesController(
+            self.router.scheduling, self.members, self.source, self.clock
+        )
+        self.allowances = fleet_allowances.FleetAllowances(
+            self.book, self.notes, self._read_mirrors, self.clock
+        )
+        allowances.target = self.allowances
+        self.notes.on_usage = self._take_usage
+        self.source.subscribe(self._change_tables)
+
+    def _wire_peers(self) -> None:
+        settings_ = self.settings
+        self.peer_server = peer_server.PeerServer(
+            settings_.vm_address,
+            settings_.peers_port,
+            settings_.peers_secret,
+            {
+                MEMBERSHIP: Membership.Processor(self.members.exchange),
+                MIRRORS: Mirrors.Processor(
+                    mirrors.MirrorHandler(self.keepers)
+                ),
+            },
+            self.clock,
+        )
+        self.datagrams = datagrams.Datagrams(
+            settings_.vm_address,
+            settings_.peers_port,
+            settings_.peers_secret,
+            self.notes.take,
+        )
+        self.notes.datagrams = self.datagrams
+        self.registration = registration.Registration(
+            self.members.own, self.store, self.clock
+        )
+
+    def _read_mirrors(self) -> dict[str, int]:
+        return {
+            kind: keeper.revision for kind, keeper in self.keepers.items()
+        }
+
+    def _take_usage(self, told: usage.Usage, address: str) -> None:
+        self.allowances.take(told)
+        if address:
+            self.exchange.note_peer(address, told.mirrors)
+
+    def _change_tables(self, changed: tables.Tables) -> None:
+        self.allowances.change_tables(changed)
+        self.budget.change_vms(
+            sum(
+                one.health is not member.Health.DEAD
+                for one in self.members.list_members()
+            )
+        )
--- a/mulberryway/metrics.py
+++ b/mulberryway/metrics.py
@@ -1,10 +1,10 @@
 """The instruments of a router; docs/operators/metrics.md lists them."""
 
 import collections.abc
+import importlib
 import typing
 
 from opentelemetry import metrics
-from opentelemetry.exporter.otlp.proto.http import metric_exporter
 from opentelemetry.sdk import metrics as sdk
 from opentelemetry.sdk import resources
 from opentelemetry.sdk.metrics import export
@@ -33,7 +33,12 @@
         self._memory = export.InMemoryMetricReader()
         readers: list[export.MetricReader] = [self._memory]
         if otlp_url:
-            exporter = metric_exporter.OTLPMetricExporter(
+            # Loaded only where it is used: it takes a third of the time in
+            # which a process starts, and a restarted VM is waited for.
+            exporters = importlib.import_module(
+                "opentelemetry.exporter.otlp.proto.http.metric_exporter"
+            )
+            exporter = exporters.OTLPMetricExporter(
                 endpoint=otlp_url.rstrip("/") + "/v1/metrics"
             )
             readers.append(
--- /dev/null
+++ b/mulberryway/objects/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's object API, behind one abstract base class."""
--- a/mulberryway/platform/base.py
+++ b/mulberryway/objects/base.py
@@ -10,9 +10,12 @@
 from mulberryway import errors
 
 __all__ = [
+    "Changes",
     "EventType",
     "ListedVm",
+    "Listing",
     "ObjectStore",
+    "RevisionedStore",
     "StoredObject",
     "WatchEvent",
 ]
@@ -77,6 +80,66 @@
         self.leaving = leaving
 
 
+class Listing:
+    """All objects of a kind at one moment.
+
+    :param objects: the objects
+    :param revision: the store's revision then; watches go on from it
+    """
+
+    __slots__ = ("objects", "revision")
+
+    def __init__(self, objects: list[StoredObject], revision: int) -> None:
+        self.objects = objects
+        self.revision = revision
+
+
+class Changes:
+    """What has changed in a kind since a revision.
+
+    :param events: the changes in order
+    :param revision: the store's revision up to which they reach
+    """
+
+    __slots__ = ("events", "revision")
+
+    def __init__(self, events: list[WatchEvent], revision: int) -> None:
+        self.events = events
+        self.revision = revision
+
+
+class RevisionedStore(abc.ABC):
+    """A store whose one counter orders the changes of all its objects.
+
+    Faults: ``PLATFORM_UNAVAILABLE``, and ``HISTORY_GONE`` where changes
+    since a revision are known no longer.
+    """
+
+    @abc.abstractmethod
+    def read_listing(
+        self, kind: str, purpose: str
+    ) -> expression.Result[Listing, errors.Fault]:
+        """Return all objects of a kind, and from where to watch.
+
+        :param kind: the plural kind
+        :param purpose: what the call is counted under
+        :returns: the listing, or a fault
+        """
+
+    @abc.abstractmethod
+    def poll(
+        self, kind: str, revision: int, wait_ms: int, purpose: str
+    ) -> expression.Result[Changes, errors.Fault]:
+        """Wait for changes of a kind after a revision.
+
+        :param kind: the plural kind
+        :param revision: the revision up to which all is known
+        :param wait_ms: the longest wait for a change
+        :param purpose: what the call is counted under
+        :returns: the changes, possibly none; or a fault
+        """
+
+
 class ObjectStore(abc.ABC):
     """Versioned objects with conditional updates and watches.
 
--- a/mulberryway/platform/decoding.py
+++ b/mulberryway/objects/decoding.py
@@ -3,7 +3,7 @@
 import json
 import typing
 
-from mulberryway.platform import base
+from mulberryway.objects import base
 
 __all__ = ["encode", "read_event", "read_list", "read_object", "read_vms"]
 
--- a/mulberryway/platform/http.py
+++ b/mulberryway/objects/http.py
@@ -11,9 +11,9 @@
 
 from mulberryway import clock
 from mulberryway import errors
-from mulberryway.platform import base
-from mulberryway.platform import counts
-from mulberryway.platform import decoding
+from mulberryway.objects import base
+from mulberryway.objects import counts
+from mulberryway.objects import decoding
 
 __all__ = ["HttpObjectStore"]
 
--- a/mulberryway/platform/roots.py
+++ b/mulberryway/objects/roots.py
@@ -8,8 +8,8 @@
 
 from mulberryway import errors
 from mulberryway import tables
-from mulberryway.platform import base
-from mulberryway.platform import segments as segment_store
+from mulberryway.objects import base
+from mulberryway.objects import segments as segment_store
 from mulberryway.tables import root as roots
 from mulberryway.tables import segments
 
--- a/mulberryway/platform/segments.py
+++ b/mulberryway/objects/segments.py
@@ -15,7 +15,7 @@
 import expression
 
 from mulberryway import errors
-from mulberryway.platform import base
+from mulberryway.objects import base
 from mulberryway.tables import root as roots
 from mulberryway.tables import segments
 
--- a/mulberryway/peers/gen/notes/ttypes.py
+++ b/mulberryway/peers/gen/notes/ttypes.py
@@ -896,23 +896,366 @@
         return not (self == other)
 
 
+class AccountUsage(object):
+    """
+    Attributes:
+     - account
+     - spent
+     - left
+
+    """
+
+    __slots__ = (
+        'account',
+        'spent',
+        'left',
+    )
+
+
+    def __init__(self, account=None, spent=None, left=None,):
+        self.account = account
+        self.spent = spent
+        self.left = left
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.spent = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.left = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AccountUsage')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 1)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
+        if self.spent is not None:
+            oprot.writeFieldBegin('spent', TType.I64, 2)
+            oprot.writeI64(self.spent)
+            oprot.writeFieldEnd()
+        if self.left is not None:
+            oprot.writeFieldBegin('left', TType.I64, 3)
+            oprot.writeI64(self.left)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.account is None:
+            raise TProtocolException(message='Required field account is unset!')
+        if self.spent is None:
+            raise TProtocolException(message='Required field spent is unset!')
+        if self.left is None:
+            raise TProtocolException(message='Required field left is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class MirrorState(object):
+    """
+    Attributes:
+     - kind
+     - revision
+
+    """
+
+    __slots__ = (
+        'kind',
+        'revision',
+    )
+
+
+    def __init__(self, kind=None, revision=None,):
+        self.kind = kind
+        self.revision = revision
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MirrorState')
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 1)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.kind is None:
+            raise TProtocolException(message='Required field kind is unset!')
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Usage(object):
+    """
+    Attributes:
+     - vm
+     - incarnation
+     - sequence
+     - accounts
+     - mirrors
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'vm',
+        'incarnation',
+        'sequence',
+        'accounts',
+        'mirrors',
+        'age_ms',
+    )
+
+
+    def __init__(self, vm=None, incarnation=None, sequence=None, accounts=None, mirrors=None, age_ms=None,):
+        self.vm = vm
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.accounts = accounts
+        self.mirrors = mirrors
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.vm = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.accounts = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = AccountUsage()
+                        _elem40.read(iprot)
+                        self.accounts.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.mirrors = []
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = MirrorState()
+                        _elem46.read(iprot)
+                        self.mirrors.append(_elem46)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Usage')
+        if self.vm is not None:
+            oprot.writeFieldBegin('vm', TType.STRING, 1)
+            oprot.writeString(self.vm.encode('utf-8') if sys.version_info[0] == 2 else self.vm)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 3)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.accounts is not None:
+            oprot.writeFieldBegin('accounts', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.accounts))
+            for iter47 in self.accounts:
+                iter47.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.mirrors is not None:
+            oprot.writeFieldBegin('mirrors', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.mirrors))
+            for iter48 in self.mirrors:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 6)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.vm is None:
+            raise TProtocolException(message='Required field vm is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.sequence is None:
+            raise TProtocolException(message='Required field sequence is unset!')
+        if self.accounts is None:
+            raise TProtocolException(message='Required field accounts is unset!')
+        if self.mirrors is None:
+            raise TProtocolException(message='Required field mirrors is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
      - note
      - reports
+     - usage
 
     """
 
     __slots__ = (
         'note',
         'reports',
+        'usage',
     )
 
 
-    def __init__(self, note=None, reports=None,):
+    def __init__(self, note=None, reports=None, usage=None,):
         self.note = note
         self.reports = reports
+        self.usage = usage
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -932,14 +1275,20 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = EngineReport()
-                        _elem40.read(iprot)
-                        self.reports.append(_elem40)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = EngineReport()
+                        _elem54.read(iprot)
+                        self.reports.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.usage = Usage()
+                    self.usage.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -957,10 +1306,14 @@
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter41 in self.reports:
-                iter41.write(oprot)
+            for iter55 in self.reports:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.usage is not None:
+            oprot.writeFieldBegin('usage', TType.STRUCT, 3)
+            self.usage.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1044,11 +1397,35 @@
     (8, TType.LIST, 'models', (TType.STRING, 'UTF8', False), None, ),  # 8
     (9, TType.LIST, 'events', (TType.STRUCT, [CacheEvent, None], False), None, ),  # 9
 )
+all_structs.append(AccountUsage)
+AccountUsage.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'spent', None, None, ),  # 2
+    (3, TType.I64, 'left', None, None, ),  # 3
+)
+all_structs.append(MirrorState)
+MirrorState.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'kind', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+)
+all_structs.append(Usage)
+Usage.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'vm', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I64, 'sequence', None, None, ),  # 3
+    (4, TType.LIST, 'accounts', (TType.STRUCT, [AccountUsage, None], False), None, ),  # 4
+    (5, TType.LIST, 'mirrors', (TType.STRUCT, [MirrorState, None], False), None, ),  # 5
+    (6, TType.I32, 'age_ms', None, None, ),  # 6
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'note', [Note, None], None, ),  # 1
     (2, TType.LIST, 'reports', (TType.STRUCT, [EngineReport, None], False), None, ),  # 2
+    (3, TType.STRUCT, 'usage', [Usage, None], None, ),  # 3
 )
 fix_spec(all_structs)
 del all_structs
--- a/mulberryway/peers/idl/notes.thrift
+++ b/mulberryway/peers/idl/notes.thrift
@@ -57,7 +57,32 @@
   9: required list<CacheEvent> events,
 }
 
+// What one VM has given an account since it began, and what it believes is
+// left for all VMs together.
+struct AccountUsage {
+  1: required string account,
+  2: required i64 spent,
+  3: required i64 left,
+}
+
+struct MirrorState {
+  1: required string kind,
+  2: required i64 revision,
+}
+
+// A VM's own counts; each replaces the ones before.
+struct Usage {
+  1: required string vm,
+  2: required i64 incarnation,
+  3: required i64 sequence,
+  4: required list<AccountUsage> accounts,
+  5: required list<MirrorState> mirrors,
+  // How long the VM has counted.
+  6: required i32 age_ms,
+}
+
 struct Datagram {
   1: optional Note note,
   2: optional list<EngineReport> reports,
+  3: optional Usage usage,
 }
--- a/mulberryway/peers/note_messages.py
+++ b/mulberryway/peers/note_messages.py
@@ -7,6 +7,7 @@
 
 from mulberryway.peers.gen.notes import ttypes
 from mulberryway.policy import hints
+from mulberryway.policy import usage as usages
 from mulberryway.upstreams import base as upstreams
 
 __all__ = [
@@ -17,6 +18,7 @@
     "write_death",
     "write_news",
     "write_note",
+    "write_usage",
 ]
 
 FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory()
@@ -26,6 +28,8 @@
 MOST_ACCOUNTS = 32
 # Hashes of one engine in one datagram: 4 KB of its 8.
 MOST_HASHES = 512
+# The longest age that fits the message.
+MOST_AGE_MS = (1 << 31) - 1
 
 
 class EngineNews:
@@ -57,15 +61,20 @@
 
     :param note: a router's hints, or none
     :param news: engines' reports
+    :param usage: what the sender gave accounts, or none
     """
 
-    __slots__ = ("note", "news")
+    __slots__ = ("note", "news", "usage")
 
     def __init__(
-        self, note: hints.Note | None, news: list[EngineNews]
+        self,
+        note: hints.Note | None,
+        news: list[EngineNews],
+        usage: usages.Usage | None = None,
     ) -> None:
         self.note = note
         self.news = news
+        self.usage = usage
 
 
 def write_note(note: hints.Note) -> bytes:
@@ -141,8 +150,46 @@
     """
     message = TSerialization.deserialize(ttypes.Datagram(), payload, FACTORY)
     note = None if message.note is None else _unpack_note(message.note)
+    usage = None if message.usage is None else _unpack_usage(message.usage)
     return Received(
-        note, [_unpack_report(one) for one in message.reports or ()]
+        note, [_unpack_report(one) for one in message.reports or ()], usage
+    )
+
+
+def write_usage(usage: usages.Usage) -> bytes:
+    """Return the payload for a VM's counts.
+
+    :param usage: the counts
+    :returns: the payload
+    """
+    message = ttypes.Usage(
+        usage.vm,
+        usage.incarnation,
+        usage.sequence,
+        [
+            ttypes.AccountUsage(one.account, one.spent, one.left)
+            for one in usage.accounts
+        ],
+        [
+            ttypes.MirrorState(kind, revision)
+            for kind, revision in usage.mirrors.items()
+        ],
+        min(usage.age_ms, MOST_AGE_MS),
+    )
+    return TSerialization.serialize(ttypes.Datagram(usage=message), FACTORY)
+
+
+def _unpack_usage(message: ttypes.Usage) -> usages.Usage:
+    return usages.Usage(
+        message.vm,
+        message.incarnation,
+        message.sequence,
+        [
+            usages.AccountUsage(one.account, one.spent, one.left)
+            for one in message.accounts
+        ],
+        {one.kind: one.revision for one in message.mirrors},
+        message.age_ms,
     )
 
 
--- /dev/null
+++ b/mulberryway/platform/callers.py
@@ -0,0 +1,157 @@
+"""Reads callers' requests and answers the platform's own questions."""
+
+import json
+import urllib.parse
+
+import expression
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway import replies
+from mulberryway import tables
+from mulberryway.filters import base
+from mulberryway.filters import status
+from mulberryway.platform import wire
+from mulberryway.policy import entry
+from mulberryway.policy import poison
+from mulberryway.upstreams import base as upstreams
+
+__all__ = ["AnswerPlatform", "ReadRequest"]
+
+MS_IN_S = 1_000
+# Of a longer id only its beginning is of use in logs.
+MOST_ID = 64
+
+
+class AnswerPlatform(base.Filter):
+    """Answers whether callers may come here, and which VMs they may use.
+
+    :param lifecycle: tells whether callers should come
+    :param entries: knows the VMs that take callers
+    :param ttl_ms: how long callers may keep the addresses
+    """
+
+    def __init__(
+        self,
+        lifecycle: status.Lifecycle,
+        entries: entry.EntryDirectory,
+        ttl_ms: int,
+    ) -> None:
+        self._lifecycle = lifecycle
+        self._entries = entries
+        self._ttl_ms = ttl_ms
+
+    def handle(
+        self, exchange: base.Exchange, proceed: base.Proceed
+    ) -> base.Answer:
+        """Answer the platform's questions, and let all else go on.
+
+        :param exchange: the request
+        :param proceed: the rest of the chain
+        :returns: a reply, or what the chain answers
+        """
+        if exchange.path == wire.READY:
+            is_ready = self._lifecycle.is_ready
+            return expression.Ok(
+                replies.Reply(200 if is_ready else 503, [], b"")
+            )
+        if exchange.path == wire.RESOLVE:
+            return expression.Ok(self._resolve(exchange))
+        return proceed(exchange)
+
+    def _resolve(self, exchange: base.Exchange) -> replies.Reply:
+        query = urllib.parse.parse_qs(
+            urllib.parse.urlsplit(exchange.target).query
+        )
+        zone = next(iter(query.get("zone", [])), "")
+        addresses = [
+            found.address for found in self._entries.list_addresses(zone)
+        ]
+        value = {"addrs": addresses, "ttl_s": self._ttl_ms / MS_IN_S}
+        return replies.Reply(
+            200,
+            [("Content-Type", replies.JSON_TYPE)],
+            json.dumps(value).encode(),
+        )
+
+
+class ReadRequest(base.Filter):
+    """Reads what a caller's headers say of its request."""
+
+    def handle(
+        self, exchange: base.Exchange, proceed: base.Proceed
+    ) -> base.Answer:
+        """Let a well-formed request go on.
+
+        :param exchange: the request
+        :param proceed: the rest of the chain
+        :returns: what the chain answers, or a fault
+        """
+        attempt_id = exchange.find_header(wire.ATTEMPT_ID.lower())
+        if not attempt_id:
+            return _refuse(f"{wire.ATTEMPT_ID}: expected an id")
+        # Callers may give one id to two requests, so the own id stays in.
+        own = exchange.request_id.rpartition("-")[2]
+        exchange.request_id = f"{attempt_id[:MOST_ID]}.{own}"
+        exchange.headers = [
+            (name, value)
+            for name, value in exchange.headers
+            if name.lower() not in wire.OWN_HEADERS
+        ]
+        if exchange.account.name:
+            exchange.headers.append((wire.TENANT, exchange.account.name))
+        try:
+            self._read_deadline(exchange)
+            self._read_tokens(exchange)
+        except ValueError as error:
+            return _refuse(str(error))
+        exchange.call = upstreams.RawCall(
+            exchange.method,
+            exchange.target,
+            exchange.headers,
+            exchange.body,
+            attempt_id,
+            exchange.account.name,
+            exchange.deadline,
+        )
+        return proceed(exchange)
+
+    @staticmethod
+    def _read_deadline(exchange: base.Exchange) -> None:
+        text = exchange.find_header(wire.DEADLINE.lower())
+        if text is None:
+            return
+        if not text.isdecimal():
+            raise ValueError(f"{wire.DEADLINE}: expected milliseconds")
+        own = clock.Deadline(exchange.arrived_ms + int(text))
+        exchange.deadline.at_ms = min(exchange.deadline.at_ms, own.at_ms)
+
+    @staticmethod
+    def _read_tokens(exchange: base.Exchange) -> None:
+        text = exchange.find_header(wire.TOKENS.lower())
+        exchange.model = exchange.find_header(wire.MODEL.lower()) or ""
+        if text is None:
+            exchange.max_tokens = exchange.account.plain_tokens
+            return
+        prompt, comma, most = text.partition(",")
+        if not comma or not (prompt + most).isdecimal():
+            raise ValueError(f"{wire.TOKENS}: expected two numbers")
+        exchange.estimate = int(prompt)
+        exchange.max_tokens = int(most)
+        hint = exchange.find_header(wire.LENGTH_HINT.lower()) or ""
+        if hint.isdecimal():
+            exchange.expected_tokens = int(hint)
+        if exchange.pool.kind is tables.PoolKind.MODEL:
+            exchange.digest = poison.digest_request(
+                exchange.account.name,
+                exchange.model,
+                exchange.target.encode() + b"\0" + exchange.body,
+            )
+
+
+def _refuse(message: str) -> base.Answer:
+    return expression.Error(
+        errors.Fault(
+            errors.Code.BAD_REQUEST, errors.Step.CALLER, message=message
+        )
+    )
--- /dev/null
+++ b/mulberryway/platform/engine.py
@@ -0,0 +1,386 @@
+"""Model engines as the platform's upstreams speak."""
+
+import http
+import json
+import threading
+import typing
+
+import expression
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway.platform import wire
+from mulberryway.upstreams import base
+from mulberryway.upstreams import connections
+from mulberryway.upstreams import decode_call
+from mulberryway.upstreams import http_service
+
+__all__ = ["PlatformEngine", "make_headers", "read_answer"]
+
+CONTROL_MS = 1_000
+BLOCK_TOKENS = 16
+REFUSALS = (
+    http.HTTPStatus.SERVICE_UNAVAILABLE,
+    http.HTTPStatus.TOO_MANY_REQUESTS,
+    http.HTTPStatus.BAD_REQUEST,
+)
+
+
+class _Handle:
+    """A KV cache that waits at the engine which read the prompt.
+
+    :param name: the handle's name; it is good for one use
+    """
+
+    __slots__ = ("name", "is_spent")
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.is_spent = False
+
+
+class PlatformEngine(base.Engine):
+    """One engine at one address.
+
+    :param instance: the incarnation that is expected there
+    :param address: ``host:port``
+    :param clock_: where the time comes from
+    """
+
+    def __init__(
+        self, instance: str, address: str, clock_: clock.Clock
+    ) -> None:
+        self.instance = instance
+        self.address = address
+        self._clock = clock_
+        self._caller = connections.Caller(address, clock_, wire.ATTEMPT_ID)
+        self._lock = threading.Lock()
+        self._calls: dict[str, connections.Interrupt] = {}
+        self._handles: dict[str, _Handle] = {}
+
+    def prefill(
+        self, label: base.RunLabel, body: base.RawCall, timeout_ms: int
+    ) -> expression.Result[base.PrefillResult, errors.Fault]:
+        """Read a prompt and keep its KV cache for another engine.
+
+        :param label: names the attempt
+        :param body: the caller's request
+        :param timeout_ms: the longest wait for the result
+        :returns: the result, or a fault; nothing of the request itself runs
+        """
+        headers = self._make_headers(body)
+        headers[wire.PHASE] = "prefill"
+        interrupt = self._begin(label)
+        try:
+            result = self._caller.call(
+                body.method,
+                body.target,
+                headers,
+                body.body,
+                timeout_ms,
+                errors.Step.PREFILL,
+                interrupt=interrupt,
+            ).bind(lambda found: self._read_prefill(label, found))
+        finally:
+            self._end(label)
+        if result.is_error():
+            # Reading a prompt runs nothing, whatever became of the call.
+            result.error.run = errors.Run.NOT_RUN
+        return result
+
+    def decode(
+        self,
+        label: base.RunLabel,
+        body: base.RawCall,
+        transfer: dict[str, typing.Any],
+        offset: int,
+        timeout_ms: int,
+    ) -> expression.Result[base.TokenStream, errors.Fault]:
+        """Fetch a KV cache and begin to generate.
+
+        :param label: names the attempt
+        :param body: the caller's request
+        :param transfer: what the prefill returned; empty where this engine
+            is to read the prompt itself
+        :param offset: the last event that the caller has; 0 at first
+        :param timeout_ms: the longest wait for the reply's head
+        :returns: the stream, or a fault that says whether it ran
+        """
+        headers = self._make_headers(body)
+        if transfer:
+            headers[wire.HANDLE_SOURCE] = (
+                f"{transfer['address']}/{transfer['handle'].name}"
+            )
+        if offset:
+            headers[wire.LAST_EVENT] = str(offset)
+        request = decode_call.DecodeRequest(
+            body.method, body.target, headers, body.body, wire.ATTEMPT_ID
+        )
+        interrupt = self._begin(label)
+        try:
+            result = decode_call.begin_decode(
+                self.address,
+                request,
+                timeout_ms,
+                _read_decode_refusal,
+                interrupt,
+            )
+        finally:
+            self._end(label)
+        if result.is_ok() and transfer:
+            transfer["handle"].is_spent = True
+        return result
+
+    def cancel(
+        self, label: base.RunLabel
+    ) -> expression.Result[bool, errors.Fault]:
+        """Free what the engine holds for an attempt; idempotent.
+
+        A running call ends with its connection; a KV cache that nobody has
+        fetched would fill the engine until it lapses.
+
+        :param label: names the attempt
+        :returns: whether anything was held, or a fault
+        """
+        with self._lock:
+            call = self._calls.get(label.request_id)
+            handle = self._handles.pop(label.request_id, None)
+        if call is not None:
+            call.set()
+        if handle is None or handle.is_spent:
+            return expression.Ok(call is not None)
+        return self._control("DELETE", f"{wire.HANDLE}/{handle.name}").map(
+            lambda found: True
+        )
+
+    def forget(self, label: base.RunLabel) -> None:
+        """Drop what is remembered of an attempt that went well.
+
+        :param label: names the attempt
+        """
+        with self._lock:
+            self._handles.pop(label.request_id, None)
+
+    def list_held(
+        self,
+    ) -> expression.Result[list[base.HeldRequest], errors.Fault]:
+        """Return nothing: an engine drops a run with its connection."""
+        return expression.Ok([])
+
+    def report_load(self) -> expression.Result[base.EngineLoad, errors.Fault]:
+        """Return the engine's own, lagging, load report."""
+        return self._control("GET", wire.REPORT).bind(self._read_load)
+
+    def read_cache_events(
+        self, after: int
+    ) -> expression.Result[list[base.CacheEvent], errors.Fault]:
+        """Return nothing: cache events are not asked for.
+
+        :param after: the last sequence seen
+        """
+        return expression.Ok([])
+
+    def give_order(
+        self, order: base.Order
+    ) -> expression.Result[None, errors.Fault]:
+        """Tell the engine to change its role.
+
+        :param order: the order with its fencing number
+        :returns: nothing, or a fault; ``UPSTREAM_REFUSED`` if fenced off
+        """
+        body = {
+            "op_type": "phase",
+            "phase": order.argument,
+            "holder": order.holder,
+            "fence": order.fencing,
+        }
+        if order.expected is not None:
+            body["expect"] = order.expected
+        return self._control("POST", wire.ORDER, body).map(lambda found: None)
+
+    def close(self) -> None:
+        """Close the connections that are kept."""
+        self._caller.close()
+
+    def _make_headers(self, call: base.RawCall) -> dict[str, str]:
+        left_ms = call.deadline.left_ms(self._clock.now_ms())
+        return make_headers(call.headers, self.instance, max(left_ms, 1))
+
+    def _begin(self, label: base.RunLabel) -> connections.Interrupt:
+        interrupt = connections.Interrupt()
+        with self._lock:
+            self._calls[label.request_id] = interrupt
+        return interrupt
+
+    def _end(self, label: base.RunLabel) -> None:
+        with self._lock:
+            self._calls.pop(label.request_id, None)
+
+    def _read_prefill(
+        self, label: base.RunLabel, found: connections.Response
+    ) -> expression.Result[base.PrefillResult, errors.Fault]:
+        if found.status != http.HTTPStatus.OK:
+            fault = read_answer(
+                found.status,
+                found.headers,
+                found.body,
+                self.address,
+                errors.Step.PREFILL,
+            )
+            fault.answer = None
+            return expression.Error(fault)
+        try:
+            value = json.loads(found.body)
+            handle = _Handle(wire.read_text(value["cache_handle"]))
+            tokens = wire.read_whole(value["tokens"])
+        except (ValueError, KeyError, TypeError):
+            return expression.Error(
+                _fail(self.address, "the prefill's result is malformed")
+            )
+        with self._lock:
+            self._handles[label.request_id] = handle
+        transfer = {"address": self.address, "handle": handle}
+        return expression.Ok(base.PrefillResult(transfer, tokens, 0))
+
+    def _control(
+        self,
+        method: str,
+        target: str,
+        body: dict[str, typing.Any] | None = None,
+    ) -> expression.Result[connections.Response, errors.Fault]:
+        headers = {wire.EXPECTED_INSTANCE: self.instance}
+        data = None
+        if body is not None:
+            headers["Content-Type"] = "application/json"
+            data = json.dumps(body).encode()
+        return self._caller.call(
+            method,
+            target,
+            headers,
+            data,
+            CONTROL_MS,
+            errors.Step.DECODE,
+        ).bind(self._check_control)
+
+    def _check_control(
+        self, found: connections.Response
+    ) -> expression.Result[connections.Response, errors.Fault]:
+        if found.status in (http.HTTPStatus.OK, http.HTTPStatus.ACCEPTED):
+            return expression.Ok(found)
+        return expression.Error(
+            errors.Fault(
+                errors.Code.UPSTREAM_REFUSED,
+                errors.Step.DECODE,
+                self.address,
+                message=f"the engine answered with status {found.status}",
+            )
+        )
+
+    def _read_load(
+        self, found: connections.Response
+    ) -> expression.Result[base.EngineLoad, errors.Fault]:
+        try:
+            value = json.loads(found.body)
+            total = wire.read_whole(value["kv_total"]) // BLOCK_TOKENS
+            used = wire.read_whole(value["kv_used"]) // BLOCK_TOKENS
+            load = base.EngineLoad(
+                wire.read_whole(value["running"]),
+                wire.read_whole(value["queued"]),
+                0,
+                max(total - used, 0),
+                total,
+                tuple(one["name"] for one in value["models"]),
+                # Here a "sequence" counts the orders that were accepted.
+                wire.read_whole(value["sequence"]),
+                bool(value["busy"]),
+                wire.read_text(value["phase"]),
+            )
+        except (ValueError, KeyError, TypeError):
+            return expression.Error(
+                _fail(self.address, "the report is malformed")
+            )
+        return expression.Ok(load)
+
+
+def make_headers(
+    headers: list[tuple[str, str]], instance: str, left_ms: int
+) -> dict[str, str]:
+    """Return what goes to an upstream with a request.
+
+    :param headers: pairs of the caller's request
+    :param instance: the incarnation that may run it
+    :param left_ms: how long the caller will still wait
+    :returns: headers by name
+    """
+    passed = {
+        name: value
+        for name, value in http_service.strip_hop_headers(headers)
+        if name.lower() not in ("content-length", "deadline-ms", "expect")
+    }
+    passed[wire.DEADLINE] = str(left_ms)
+    passed[wire.EXPECTED_INSTANCE] = instance
+    return passed
+
+
+def read_answer(
+    status: int,
+    headers: list[tuple[str, str]],
+    body: bytes,
+    address: str,
+    step: errors.Step,
+) -> errors.Fault:
+    """Return what an upstream's answer other than a success means.
+
+    :param status: the HTTP status
+    :param headers: pairs of the answer; none if it is another request's
+    :param body: the answer's body
+    :param address: the upstream's address
+    :param step: the hop
+    :returns: the fault, with the answer that the caller may see
+    """
+    names = {name.lower() for name, _ in headers}
+    is_refusal = status == http.HTTPStatus.MISDIRECTED_REQUEST or (
+        status in REFUSALS and wire.NOT_EXECUTED.lower() in names
+    )
+    if is_refusal:
+        return errors.Fault(
+            errors.Code.UPSTREAM_REFUSED,
+            step,
+            address,
+            errors.Run.NOT_RUN,
+            f"the upstream refused with status {status}",
+        )
+    if not headers:
+        return errors.Fault(
+            errors.Code.UPSTREAM_FAILED,
+            step,
+            address,
+            errors.Run.MAY_HAVE_RUN,
+            "the reply belongs to another request",
+        )
+    return errors.Fault(
+        errors.Code.UPSTREAM_FAILED,
+        step,
+        address,
+        errors.Run.RAN,
+        f"the upstream answered with status {status}",
+        answer=base.ServiceReply(
+            status, http_service.drop_framing(headers), body
+        ),
+    )
+
+
+def _read_decode_refusal(
+    status: int, headers: list[tuple[str, str]], body: bytes, address: str
+) -> errors.Fault:
+    return read_answer(status, headers, body, address, errors.Step.DECODE)
+
+
+def _fail(address: str, message: str) -> errors.Fault:
+    return errors.Fault(
+        errors.Code.UPSTREAM_FAILED,
+        errors.Step.PREFILL,
+        address,
+        errors.Run.MAY_HAVE_RUN,
+        message,
+    )
--- /dev/null
+++ b/mulberryway/platform/interface.py
@@ -0,0 +1,64 @@
+"""The platform's interface for callers: its codec in the one filter chain."""
+
+import collections.abc
+
+from mulberryway.filters import admission
+from mulberryway.filters import authenticate
+from mulberryway.filters import base
+from mulberryway.filters import choosing
+from mulberryway.filters import interface
+from mulberryway.filters import model_forward
+from mulberryway.filters import observe
+from mulberryway.filters import repeats
+from mulberryway.filters import route
+from mulberryway.filters import service_forward
+from mulberryway.filters import status
+from mulberryway.platform import callers
+from mulberryway.platform import wire
+
+__all__ = ["PlatformInterface"]
+
+
+class PlatformInterface(interface.Interface):
+    """Requests that pass as they came, told apart by their headers.
+
+    :param budget: counts requests, and repeats against them
+    """
+
+    def __init__(self, budget: repeats.Budget) -> None:
+        self._budget = budget
+
+    def make_filters(
+        self, context: interface.Context
+    ) -> collections.abc.Sequence[base.Filter]:
+        """Return the filters for requests, in order.
+
+        :param context: what they are made from
+        """
+        settings_, parts = context.settings, context.parts
+        return [
+            callers.AnswerPlatform(
+                context.lifecycle,
+                context.entries,
+                settings_.router_entry_ttl_ms,
+            ),
+            observe.Observe(parts.tracer, parts.metrics, parts.clock),
+            status.RefuseWhenStopping(context.lifecycle),
+            authenticate.Authenticate(
+                context.source, wire.SCHEME, cleans_whole=False
+            ),
+            route.FindRoute(needs_id=False),
+            callers.ReadRequest(),
+            repeats.CountRequests(self._budget),
+            status.RefuseLongWork(context.lifecycle),
+            admission.Admission(context.allowances, charges_whole=True),
+            model_forward.ModelForward(parts, model_forward.make_raw_stream),
+            service_forward.ServiceForward(
+                parts.directory,
+                choosing.ServerChooser(settings_.vm_zone),
+                parts.tracer,
+                parts.clock,
+                parts.callers,
+                parts.may_repeat,
+            ),
+        ]
--- /dev/null
+++ b/mulberryway/platform/store.py
@@ -0,0 +1,373 @@
+"""The platform's store of objects over HTTP."""
+
+import collections.abc
+import json
+import typing
+import urllib.parse
+
+import expression
+import urllib3
+import urllib3.exceptions
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway.objects import base
+from mulberryway.objects import counts
+from mulberryway.platform import wire
+
+__all__ = ["PlatformStore"]
+
+MS_IN_S = 1_000
+# A store that has fallen silent shows when a watch is this late: the answer
+# itself takes milliseconds.
+WATCH_GRACE_MS = 500
+CONNECTIONS = 4
+VMS = "vms"
+CODES = {
+    404: errors.Code.NOT_FOUND,
+    409: errors.Code.CONFLICT,
+    410: errors.Code.HISTORY_GONE,
+}
+NOT_SENT = (
+    urllib3.exceptions.ConnectTimeoutError,
+    urllib3.exceptions.NewConnectionError,
+)
+FAILURES = (urllib3.exceptions.HTTPError, OSError)
+MALFORMED = (ValueError, KeyError, TypeError, AttributeError)
+
+T = typing.TypeVar("T")
+
+
+class PlatformStore(base.ObjectStore, base.RevisionedStore):
+    """Speaks to the store over kept connections.
+
+    :param url: the store's address, as ``http://host:port``
+    :param timeout_ms: the longest wait for a reply
+    :param clock_: where the time comes from
+    :param counter: is told of every call
+    """
+
+    def __init__(
+        self,
+        url: str,
+        timeout_ms: int,
+        clock_: clock.Clock,
+        counter: counts.CallCounter,
+    ) -> None:
+        self._clock = clock_
+        self._timeout_ms = timeout_ms
+        self._counter = counter
+        self._peer = url.removeprefix("http://")
+        host, _, port = self._peer.rpartition(":")
+        self._pool = urllib3.HTTPConnectionPool(
+            host, int(port), maxsize=CONNECTIONS, retries=False
+        )
+
+    def read(
+        self, kind: str, name: str, purpose: str
+    ) -> expression.Result[base.StoredObject, errors.Fault]:
+        """Return one object.
+
+        :param kind: the kind
+        :param name: the object's name
+        :param purpose: what the call is counted under
+        :returns: the object, or a fault
+        """
+        return self._call("GET", _path(kind, name), purpose).bind(
+            lambda value: self._read(lambda: _read_object(kind, value))
+        )
+
+    def read_all(
+        self, kind: str, purpose: str
+    ) -> expression.Result[list[base.StoredObject], errors.Fault]:
+        """Return all objects of a kind.
+
+        :param kind: the kind
+        :param purpose: what the call is counted under
+        :returns: the objects, or a fault
+        """
+        return self.read_listing(kind, purpose).map(
+            lambda listing: listing.objects
+        )
+
+    def read_listing(
+        self, kind: str, purpose: str
+    ) -> expression.Result[base.Listing, errors.Fault]:
+        """Return all objects of a kind, and from where to watch.
+
+        Pages are read one after another, so the first page's revision is
+        the one from which on nothing is missed.
+
+        :param kind: the kind
+        :param purpose: what the call is counted under
+        :returns: the listing, or a fault
+        """
+        objects: list[base.StoredObject] = []
+        revision: int | None = None
+        after = ""
+        while True:
+            target = _path(kind)
+            if after:
+                target += "?" + urllib.parse.urlencode({"after": after})
+            page = self._call("GET", target, purpose).bind(
+                lambda value: self._read(lambda: _read_page(kind, value))
+            )
+            if page.is_error():
+                return expression.Error(page.error)
+            found, page_revision, has_more = page.ok
+            objects += found
+            revision = page_revision if revision is None else revision
+            if not has_more or not found:
+                return expression.Ok(base.Listing(objects, revision))
+            after = found[-1].name
+
+    def poll(
+        self, kind: str, revision: int, wait_ms: int, purpose: str
+    ) -> expression.Result[base.Changes, errors.Fault]:
+        """Wait for changes of a kind after a revision.
+
+        :param kind: the kind
+        :param revision: the store's revision up to which all is known
+        :param wait_ms: the longest wait for a change
+        :param purpose: what the call is counted under
+        :returns: the changes, possibly none; or a fault, ``HISTORY_GONE``
+            where only a new listing helps
+        """
+        query = urllib.parse.urlencode({"watch": revision, "wait_ms": wait_ms})
+        return self._call(
+            "GET",
+            f"{_path(kind)}?{query}",
+            purpose,
+            timeout_ms=wait_ms + WATCH_GRACE_MS,
+        ).bind(lambda value: self._read(lambda: _read_changes(kind, value)))
+
+    def create(
+        self, kind: str, name: str, value: dict[str, typing.Any], purpose: str
+    ) -> expression.Result[base.StoredObject, errors.Fault]:
+        """Create an object that must not exist yet.
+
+        :param kind: the kind
+        :param name: the object's name
+        :param value: its value
+        :param purpose: what the call is counted under
+        :returns: the object as stored, or a fault; ``CONFLICT`` if it exists
+        """
+        body = {"metadata": {"name": name}, "spec": value}
+        return self._write("POST", kind, _path(kind), body, purpose)
+
+    def update(
+        self,
+        kind: str,
+        name: str,
+        value: dict[str, typing.Any],
+        version: int,
+        purpose: str,
+    ) -> expression.Result[base.StoredObject, errors.Fault]:
+        """Replace an object that must still have the given version.
+
+        :param kind: the kind
+        :param name: the object's name
+        :param value: its new value
+        :param version: the version that the change was made from
+        :param purpose: what the call is counted under
+        :returns: the object as stored, or a fault; ``CONFLICT`` if it moved
+        """
+        body = {
+            "metadata": {"name": name, "revision": version, "finalizers": []},
+            "spec": value,
+        }
+        return self._write("PUT", kind, _path(kind, name), body, purpose)
+
+    def delete(
+        self, kind: str, name: str, version: int, purpose: str
+    ) -> expression.Result[None, errors.Fault]:
+        """Delete an object that must still have the given version.
+
+        :param kind: the kind
+        :param name: the object's name
+        :param version: the version that the decision was made from
+        :param purpose: what the call is counted under
+        :returns: nothing, or a fault
+        """
+        target = f"{_path(kind, name)}?revision={version}"
+        return self._call("DELETE", target, purpose).map(lambda value: None)
+
+    def watch(
+        self, kind: str, from_version: int, silence_ms: int, purpose: str
+    ) -> collections.abc.Iterator[
+        expression.Result[base.WatchEvent, errors.Fault]
+    ]:
+        """Yield changes of a kind until the watch ends or falls silent.
+
+        :param kind: the kind
+        :param from_version: report what came after this version
+        :param silence_ms: the longest wait for a change or a bookmark
+        :param purpose: what the call is counted under
+        :returns: events; a fault is the last item
+        """
+        revision = from_version
+        while True:
+            found = self.poll(kind, revision, silence_ms // 2, purpose)
+            if found.is_error():
+                yield expression.Error(found.error)
+                return
+            revision = found.ok.revision
+            for event in found.ok.events:
+                yield expression.Ok(event)
+            mark = base.StoredObject(kind, "", revision, {})
+            yield expression.Ok(
+                base.WatchEvent(base.EventType.BOOKMARK, mark)
+            )
+
+    def list_vms(
+        self, purpose: str
+    ) -> expression.Result[list[base.ListedVm], errors.Fault]:
+        """Return the VMs that have told the store of themselves.
+
+        :param purpose: what the call is counted under
+        :returns: the list, or a fault
+        """
+        return self.read_all(VMS, purpose).map(
+            lambda found: [
+                base.ListedVm(
+                    one.name,
+                    str(one.value.get("address", "")),
+                    str(one.value.get("zone", "")),
+                    False,
+                )
+                for one in found
+            ]
+        )
+
+    def _write(
+        self,
+        method: str,
+        kind: str,
+        target: str,
+        body: dict[str, typing.Any],
+        purpose: str,
+    ) -> expression.Result[base.StoredObject, errors.Fault]:
+        return self._call(method, target, purpose, body).bind(
+            lambda value: self._read(lambda: _read_object(kind, value))
+        )
+
+    def _call(
+        self,
+        method: str,
+        target: str,
+        purpose: str,
+        body: dict[str, typing.Any] | None = None,
+        timeout_ms: int | None = None,
+    ) -> expression.Result[typing.Any, errors.Fault]:
+        data = None if body is None else json.dumps(body).encode()
+        limit_ms = self._timeout_ms if timeout_ms is None else timeout_ms
+        try:
+            response = self._pool.request(
+                method,
+                target,
+                body=data,
+                headers={"Content-Type": "application/json"} if data else {},
+                timeout=urllib3.Timeout(
+                    connect=self._timeout_ms / MS_IN_S,
+                    read=limit_ms / MS_IN_S,
+                ),
+                retries=False,
+                redirect=False,
+            )
+        except FAILURES as error:
+            # What lost track of one connection may have lost the others.
+            self._pool.close()
+            self._pool = urllib3.HTTPConnectionPool(
+                self._pool.host,
+                self._pool.port,
+                maxsize=CONNECTIONS,
+                retries=False,
+            )
+            was_sent = not isinstance(error, NOT_SENT)
+            fault = self._fault(method, was_sent, type(error).__name__)
+        else:
+            if response.status < 300:
+                self._count(purpose, "ok", data, response.data)
+                return self._read(lambda: json.loads(response.data or b"{}"))
+            fault = self._refuse(method, response.status)
+        self._count(purpose, fault.code.value, data, b"")
+        return expression.Error(fault)
+
+    def _refuse(self, method: str, status: int) -> errors.Fault:
+        message = f"the store answered {status}"
+        if status in CODES:
+            return errors.Fault(
+                CODES[status],
+                errors.Step.PLATFORM,
+                self._peer,
+                message=message,
+            )
+        return self._fault(method, False, message)
+
+    def _fault(self, method: str, was_sent: bool, message: str) -> errors.Fault:
+        may_have_run = was_sent and method != "GET"
+        return errors.Fault(
+            errors.Code.PLATFORM_UNAVAILABLE,
+            errors.Step.PLATFORM,
+            self._peer,
+            errors.Run.MAY_HAVE_RUN if may_have_run else errors.Run.NOT_RUN,
+            message,
+        )
+
+    def _read(
+        self, read: collections.abc.Callable[[], T]
+    ) -> expression.Result[T, errors.Fault]:
+        try:
+            return expression.Ok(read())
+        except MALFORMED as error:
+            return expression.Error(
+                self._fault("PUT", True, f"a malformed answer: {error!r}")
+            )
+
+    def _count(
+        self, purpose: str, outcome: str, sent: bytes | None, received: bytes
+    ) -> None:
+        self._counter.count_call(
+            purpose, outcome, len(sent or b""), len(received)
+        )
+
+
+def _path(kind: str, name: str = "") -> str:
+    parts = [wire.OBJECTS, kind, urllib.parse.quote(name, safe="")]
+    return "/".join(filter(None, parts))
+
+
+def _read_object(kind: str, value: typing.Any) -> base.StoredObject:
+    metadata = value["metadata"]
+    content = value.get("spec")
+    return base.StoredObject(
+        kind,
+        wire.read_text(metadata["name"]),
+        wire.read_whole(metadata["revision"]),
+        content if isinstance(content, dict) else {},
+    )
+
+
+def _read_page(
+    kind: str, value: typing.Any
+) -> tuple[list[base.StoredObject], int, bool]:
+    return (
+        [_read_object(kind, item) for item in value["items"]],
+        wire.read_whole(value["store_revision"]),
+        bool(value.get("has_more")),
+    )
+
+
+def _read_changes(kind: str, value: typing.Any) -> base.Changes:
+    return base.Changes(
+        [
+            base.WatchEvent(
+                base.EventType.DELETED
+                if event.get("deleted")
+                else base.EventType.MODIFIED,
+                _read_object(kind, event["object"]),
+            )
+            for event in value["events"]
+        ],
+        wire.read_whole(value["store_revision"]),
+    )
--- /dev/null
+++ b/mulberryway/platform/tables.py
@@ -0,0 +1,208 @@
+"""Reads the platform's configuration and servers into the tables."""
+
+import collections.abc
+import logging
+import typing
+
+from mulberryway import tables
+from mulberryway.controllers import mirrored_tables
+from mulberryway.objects import base
+from mulberryway.platform import wire
+
+__all__ = ["CONFIGURATION", "SERVERS", "TablesReader"]
+
+LOG = logging.getLogger(__name__)
+
+CONFIGURATION = "config"
+SERVERS = "servers"
+MAIN = "main"
+BLOCK_TOKENS = 16
+BITS_IN_MBIT = 1_000_000
+BITS_IN_BYTE = 8
+MS_IN_S = 1_000
+STREAMING = "streaming"
+IDEMPOTENT = "idempotent"
+READY_STATE = "ready"
+LEAVING_STATE = "draining"
+ROLES = {
+    "prefill": tables.UpstreamRole.PREFILL,
+    "decode": tables.UpstreamRole.DECODE,
+}
+MALFORMED = (ValueError, KeyError, TypeError, AttributeError)
+
+Value = dict[str, typing.Any]
+
+
+class TablesReader(mirrored_tables.Reader):
+    """Joins the one configuration object with the servers' own entries.
+
+    The configuration is read anew only when it has changed: it may be large,
+    and servers change far more often.
+    """
+
+    def __init__(self) -> None:
+        self._version = 0
+        self._routes: tuple[tables.Route, ...] = ()
+        self._pools: tuple[tables.Pool, ...] = ()
+        self._accounts: tuple[tables.ClientAccount, ...] = ()
+
+    def read(
+        self,
+        configuration: collections.abc.Mapping[str, base.StoredObject],
+        servers: collections.abc.Iterable[base.StoredObject],
+        revision: int,
+    ) -> tables.Tables | None:
+        """Return the tables.
+
+        :param configuration: the configuration's objects by name
+        :param servers: the servers' entries; those that name no server to
+            use are passed over
+        :param revision: the revision that the tables get
+        :returns: the tables, or none while there is no configuration
+        :raises ValueError: if the configuration is malformed
+        """
+        main = configuration.get(MAIN)
+        if main is None:
+            return None
+        if main.version != self._version:
+            self._read_configuration(main.value)
+            self._version = main.version
+        found: dict[str, list[tables.Upstream]] = {}
+        kinds = {pool.name: pool.kind for pool in self._pools}
+        for entry in servers:
+            pool, upstream = _read_server(entry, kinds)
+            if upstream is not None:
+                found.setdefault(pool, []).append(upstream)
+        return tables.Tables(
+            revision,
+            self._routes,
+            tuple(
+                _fill(pool, tuple(found.get(pool.name, ())))
+                for pool in self._pools
+            ),
+            self._accounts,
+        )
+
+    def _read_configuration(self, value: Value) -> None:
+        accounts = tuple(map(_read_account, value.get("tenants") or ()))
+        pools = tuple(map(_read_pool, value["services"]))
+        routes = tuple(
+            _read_route(row, not accounts) for row in value["routes"]
+        )
+        self._routes, self._pools = routes, pools
+        self._accounts = accounts
+
+
+def _read_route(row: Value, is_open: bool) -> tables.Route:
+    kind = wire.read_text(row["kind"])
+    is_streaming = kind == STREAMING
+    shares = tuple(
+        tables.PoolShare(
+            wire.read_text(part["service"]), wire.read_whole(part["weight"])
+        )
+        for part in row.get("traffic_split") or ()
+    )
+    shares = tuple(share for share in shares if share.weight)
+    pool = shares[0].pool if shares else wire.read_text(row["service"])
+    return tables.Route(
+        wire.read_text(row["name"]),
+        wire.read_text(row["path_prefix"]),
+        pool,
+        idempotent=(
+            bool(row.get("resumable")) if is_streaming else kind == IDEMPOTENT
+        ),
+        timeout_ms=wire.read_whole(row["timeout_ms"], 1),
+        host=wire.read_text(row["host"]).lower(),
+        shares=shares if len(shares) > 1 else (),
+        trusts_methods=False,
+        is_public=is_open or bool(row.get("public")),
+        is_streaming=is_streaming,
+        most_attempts=wire.read_whole(row.get("max_attempts", 1), 1),
+        target_ms=wire.read_whole(row.get("target_latency_ms", 0)),
+        target_gap_ms=wire.read_whole(row.get("target_gap_ms") or 0),
+        rank=wire.read_whole(row.get("priority", 0)),
+    )
+
+
+def _read_pool(row: Value) -> tables.Pool:
+    name = wire.read_text(row["name"])
+    connections = wire.read_whole(row.get("max_conns", 0))
+    shape = row.get("engine")
+    if not shape:
+        return tables.Pool(
+            name, tables.PoolKind.PLAIN, (), most_connections=connections
+        )
+    # A link's rate is in megabits a second, and "swap_s" is how long an
+    # engine is away that changes its role.
+    return tables.Pool(
+        name,
+        tables.PoolKind.MODEL,
+        (),
+        tuple(wire.read_text(model["name"]) for model in shape["models"]),
+        slots=wire.read_whole(shape["slots"], 1),
+        block_tokens=BLOCK_TOKENS,
+        link_bytes_per_s=int(
+            float(shape["link_mbps"]) * BITS_IN_MBIT / BITS_IN_BYTE
+        ),
+        kv_bytes_per_token=wire.read_whole(shape["kv_bytes"]),
+        engine_tokens=wire.read_whole(shape["kv_capacity"], 1),
+        most_connections=connections,
+        switch_ms=int(float(shape.get("swap_s", 0)) * MS_IN_S),
+    )
+
+
+def _read_account(row: Value) -> tables.ClientAccount:
+    # No rate, or a rate of 0, stands for no limit.
+    return tables.ClientAccount(
+        wire.read_text(row["name"]),
+        tuple(map(tables.digest_key, row["api_keys"])),
+        wire.read_whole(row.get("rate_per_s") or 0),
+        wire.read_whole(row.get("burst") or 0),
+        plain_tokens=wire.read_whole(row.get("plain_tokens") or 0),
+        rank=row.get("priority"),
+    )
+
+
+def _read_server(
+    entry: base.StoredObject,
+    kinds: collections.abc.Mapping[str, tables.PoolKind],
+) -> tuple[str, tables.Upstream | None]:
+    """Read one entry; whoever wrote a malformed one, it names no server."""
+    try:
+        value = entry.value
+        pool = wire.read_text(value["service"])
+        address = wire.read_text(value["address"])
+        host, _, port = address.rpartition(":")
+        if not host or not port.isdecimal():
+            raise ValueError("expected host:port")
+        zone = wire.read_text(value["zone"])
+        state = wire.read_text(value["state"])
+        if state not in (READY_STATE, LEAVING_STATE):
+            raise ValueError("an unknown state")
+        role = tables.UpstreamRole.SERVICE
+        if kinds.get(pool) is tables.PoolKind.MODEL:
+            role = ROLES[value["phase"]]
+    except MALFORMED as error:
+        LOG.debug("entry %s names no server: %r", entry.name, error)
+        return "", None
+    return pool, tables.Upstream(
+        entry.name, address, zone, role, state == LEAVING_STATE
+    )
+
+
+def _fill(
+    pool: tables.Pool, found: tuple[tables.Upstream, ...]
+) -> tables.Pool:
+    return tables.Pool(
+        pool.name,
+        pool.kind,
+        found,
+        pool.models,
+        slots=pool.slots,
+        block_tokens=pool.block_tokens,
+        link_bytes_per_s=pool.link_bytes_per_s,
+        kv_bytes_per_token=pool.kv_bytes_per_token,
+        engine_tokens=pool.engine_tokens,
+        most_connections=pool.most_connections,
+        switch_ms=pool.switch_ms,
+    )
--- a/mulberryway/policy/entry.py
+++ b/mulberryway/policy/entry.py
@@ -5,7 +5,12 @@
 
 from mulberryway.policy import member
 
-__all__ = ["EntryAddress", "EntryDirectory", "choose_addresses"]
+__all__ = [
+    "EntryAddress",
+    "EntryDirectory",
+    "choose_addresses",
+    "list_entries",
+]
 
 
 class EntryAddress:
@@ -39,6 +44,8 @@
 MOST_ADDRESSES = 3
 # A count of running requests that is older says little of the present.
 FRESH_MS = 10_000
+# Callers that choose among all VMs take no more than these.
+MOST_ENTRIES = 64
 
 
 def choose_addresses(
@@ -78,6 +85,35 @@
     return [EntryAddress(one.entry, one.zone) for one in chosen]
 
 
+def list_entries(
+    members: list[member.Member], silent: frozenset[str]
+) -> list[EntryAddress]:
+    """Return all VMs that take callers, for callers that choose themselves.
+
+    Load: a VM dies or is cut off, and thousands of callers choose among the
+    addresses by chance.  Harm: each choice of that VM costs a caller its
+    patience for a connection.  VMs tell something of themselves several
+    times a second, so one that does not is left out long before its death is
+    certain; unless all seem silent, for then it is this VM that is cut off.
+
+    :param members: all VMs that are known
+    :param silent: names of VMs that have fallen silent
+    :returns: their addresses, at most as many as fit an answer
+    """
+    usable = [
+        one
+        for one in members
+        if one.takes_callers
+        and not one.is_starting
+        and one.name not in silent
+    ]
+    chosen = usable or [one for one in members if not one.is_stopping]
+    return [
+        EntryAddress(one.entry, one.zone)
+        for one in (chosen or members)[:MOST_ENTRIES]
+    ]
+
+
 def _rank(one: member.Member) -> tuple[int, bool]:
     return (int(one.health), one.is_stopping or one.is_starting)
 
--- a/mulberryway/policy/messages.py
+++ b/mulberryway/policy/messages.py
@@ -33,6 +33,8 @@
     :param avoid: names of upstreams that failed it
     :param digest: names account, model and body, see ``policy.poison``;
         empty where repeats need not be recognised
+    :param expected_tokens: how many tokens the answer probably has; 0 where
+        the most that may be generated is all that is known
     """
 
     __slots__ = (
@@ -50,6 +52,7 @@
         "attempt",
         "avoid",
         "digest",
+        "expected_tokens",
     )
 
     def __init__(
@@ -68,6 +71,7 @@
         attempt: int = 0,
         avoid: frozenset[str] = frozenset(),
         digest: str = "",
+        expected_tokens: int = 0,
     ) -> None:
         self.job_id = job_id
         self.account = account
@@ -83,6 +87,7 @@
         self.attempt = attempt
         self.avoid = avoid
         self.digest = digest
+        self.expected_tokens = expected_tokens
 
 
 class Assignment:
--- /dev/null
+++ b/mulberryway/policy/mirrors.py
@@ -0,0 +1,188 @@
+"""Copies of what the platform's store holds, never older than before.
+
+A copy comes from the store or from another VM; which of two is newer is
+told by the store's own revision alone, never by the time of arrival.
+"""
+
+import collections.abc
+
+from mulberryway.objects import base
+
+__all__ = ["Mirror"]
+
+# Load: the store comes back after an outage, and the entries of servers that
+# could not renew them have lapsed.  Harm: every server would be taken for
+# gone at once.  Those that live are back within about two seconds, so that
+# for so long a missing entry still counts.
+RETURN_MS = 2_100
+# Without any answer for so long the store counts as having been away: a
+# waiting watch is answered or cut well within it.
+AWAY_MS = 1_500
+
+
+class Mirror:
+    """One kind of objects as far as it is known.
+
+    :param kind: the plural kind
+    :param keeps_missing: whether an object that was missing after an outage
+        still counts for a while
+
+    ``revision`` grows with any change in the store, and a watch goes on from
+    it; ``changed`` only with changes of this kind, so that two VMs which
+    know the same tell the same.
+    """
+
+    __slots__ = (
+        "kind",
+        "objects",
+        "revision",
+        "changed",
+        "_keeps_missing",
+        "_failed_ms",
+        "_returned_ms",
+        "_missing",
+    )
+
+    def __init__(self, kind: str, keeps_missing: bool = False) -> None:
+        self.kind = kind
+        self.objects: dict[str, base.StoredObject] = {}
+        self.revision = 0
+        self.changed = 0
+        self._keeps_missing = keeps_missing
+        self._failed_ms: int | None = None
+        self._returned_ms: int | None = None
+        self._missing: set[str] = set()
+
+    def note_failure(self, now_ms: int) -> None:
+        """Tell that the store could not be asked.
+
+        :param now_ms: the present
+        """
+        if self._failed_ms is None:
+            self._failed_ms = now_ms
+
+    def note_answer(self, now_ms: int) -> None:
+        """Tell that the store has answered.
+
+        :param now_ms: the present
+        """
+        failed_ms, self._failed_ms = self._failed_ms, None
+        if failed_ms is not None and now_ms - failed_ms >= AWAY_MS:
+            self._returned_ms = now_ms
+
+    def replace(
+        self,
+        objects: collections.abc.Iterable[base.StoredObject],
+        revision: int,
+        now_ms: int,
+    ) -> bool:
+        """Take over a whole copy.
+
+        :param objects: all objects of the kind
+        :param revision: the store's revision of the copy
+        :param now_ms: the present
+        :returns: whether it was newer
+        """
+        if revision <= self.revision:
+            return False
+        self.revision = revision
+        found = {one.name: one for one in objects}
+        newest = max((one.version for one in found.values()), default=0)
+        self.changed = max(self.changed, newest)
+        lost = self.objects.keys() - found.keys()
+        for name in lost:
+            self._drop(name, now_ms)
+        for one in found.values():
+            self._put(one)
+        return True
+
+    def adopt(
+        self,
+        objects: collections.abc.Iterable[base.StoredObject],
+        changed: int,
+        now_ms: int,
+    ) -> bool:
+        """Take over another VM's copy.
+
+        It holds every change up to the one that it tells, so it is newer
+        exactly if it tells a later one.
+
+        :param objects: all objects of the kind
+        :param changed: the revision of the last change that is in it
+        :param now_ms: the present
+        :returns: whether it was newer
+        """
+        if changed <= self.changed:
+            return False
+        self.changed = changed
+        known, self.revision = self.revision, 0
+        self.replace(objects, changed, now_ms)
+        self.revision = max(known, changed)
+        return True
+
+    def apply(
+        self,
+        events: collections.abc.Iterable[base.WatchEvent],
+        revision: int,
+        now_ms: int,
+    ) -> bool:
+        """Take in changes.
+
+        :param events: the changes in order
+        :param revision: the store's revision up to which they reach
+        :param now_ms: the present
+        :returns: whether anything has changed
+        """
+        if revision <= self.revision:
+            return False
+        self.revision = revision
+        has_changed = False
+        for event in events:
+            has_changed = True
+            self.changed = max(self.changed, event.object.version)
+            if event.type is base.EventType.DELETED:
+                # The version is that of the object's last content, which
+                # says nothing of when it went.
+                self.changed = revision
+                self._drop(event.object.name, now_ms)
+            else:
+                self._put(event.object)
+        return has_changed
+
+    def purge(self, now_ms: int) -> bool:
+        """Give up what is still missing some time after an outage.
+
+        :param now_ms: the present
+        :returns: whether anything has changed
+        """
+        if not self._missing or self._is_returning(now_ms):
+            return False
+        for name in self._missing:
+            self.objects.pop(name, None)
+        self._missing.clear()
+        return True
+
+    def list_objects(self) -> list[base.StoredObject]:
+        """Return the objects that count."""
+        return list(self.objects.values())
+
+    def _put(self, one: base.StoredObject) -> None:
+        self._missing.discard(one.name)
+        before = self.objects.get(one.name)
+        if before is None or one.version >= before.version:
+            self.objects[one.name] = one
+
+    def _drop(self, name: str, now_ms: int) -> None:
+        if self._keeps_missing and self._is_returning(now_ms):
+            self._missing.add(name)
+        else:
+            self.objects.pop(name, None)
+
+    def _is_returning(self, now_ms: int) -> bool:
+        # While the store is away nothing is known either.
+        if self._failed_ms is not None:
+            return True
+        return (
+            self._returned_ms is not None
+            and now_ms - self._returned_ms < RETURN_MS
+        )
--- a/mulberryway/policy/placements.py
+++ b/mulberryway/policy/placements.py
@@ -7,6 +7,12 @@
 __all__ = ["Placement", "count_blocks", "count_bytes", "read_zones"]
 
 
+# Answers on one engine are at all points between their first and their last
+# token, so on average half of the length is in memory; the rest is for the
+# estimates' error and for answers that end together.
+GROWN_PART = 0.7
+
+
 class Placement:
     """A possible start of a job.
 
@@ -65,7 +71,13 @@
     :param pool: the pool's row
     :returns: KV cache blocks, for the prompt and the longest answer
     """
-    tokens = job.prompt_tokens + job.max_tokens
+    expected = job.max_tokens
+    if job.expected_tokens:
+        # Memory fills as the answer grows, and answers on one engine stand
+        # at different points: all at their end at once is never seen, so a
+        # part of the expected length covers them together.
+        expected = min(expected, int(job.expected_tokens * GROWN_PART))
+    tokens = job.prompt_tokens + expected
     return -(-tokens // max(pool.block_tokens, 1))
 
 
--- a/mulberryway/policy/pool_set.py
+++ b/mulberryway/policy/pool_set.py
@@ -7,6 +7,7 @@
 from mulberryway.policy import endings
 from mulberryway.policy import poison
 from mulberryway.policy import pools
+from mulberryway.policy import retries
 from mulberryway.policy import shifting
 from mulberryway.policy import weighing
 
@@ -23,6 +24,7 @@
     :param token_gap_ms: the most time between tokens that is still good
     :param most_entries: limit on what waits in each pool
     :param most_bytes: limit on the bodies of what waits in each pool
+    :param budget: what repeats are taken out of
     """
 
     def __init__(
@@ -34,6 +36,7 @@
         token_gap_ms: int,
         most_entries: int,
         most_bytes: int,
+        budget: type[retries.RetryBudget] = retries.RetryBudget,
     ) -> None:
         self.pools: dict[str, pools.PoolScheduler] = {}
         self._vm = vm
@@ -43,6 +46,7 @@
         self._token_gap_ms = token_gap_ms
         self._most_entries = most_entries
         self._most_bytes = most_bytes
+        self._budget = budget
         self._vms: tuple[str, ...] = (vm,)
         self._endings: dict[str, endings.Endings] = {}
         self._retired: dict[str, pools.PoolScheduler] = {}
@@ -117,4 +121,5 @@
             self._token_gap_ms,
             self._most_entries,
             self._most_bytes,
+            self._budget(),
         )
--- a/mulberryway/policy/pools.py
+++ b/mulberryway/policy/pools.py
@@ -46,6 +46,7 @@
     :param token_gap_ms: the most time between tokens that is still good
     :param most_entries: limit on what waits
     :param most_bytes: limit on the bodies of what waits
+    :param budget: what repeats are taken out of
     """
 
     def __init__(
@@ -58,6 +59,7 @@
         token_gap_ms: int,
         most_entries: int,
         most_bytes: int,
+        budget: retries.RetryBudget | None = None,
     ) -> None:
         self.row = row
         self.members = members
@@ -65,7 +67,7 @@
         self.placer = placing.Placer(members, random_, token_gap_ms)
         self.neighbours = neighbours.Neighbours(self.fair)
         self.meters = meters.Meters()
-        self.budget = retries.RetryBudget()
+        self.budget = budget or retries.RetryBudget()
         self._admission = admission.Admission(
             self.fair, self.placer, self.neighbours, self.meters
         )
--- a/mulberryway/policy/retries.py
+++ b/mulberryway/policy/retries.py
@@ -1,6 +1,8 @@
 """A budget for repeats, so that they do not multiply load."""
 
-__all__ = ["RetryBudget"]
+import collections
+
+__all__ = ["FleetBudget", "NoBudget", "RetryBudget"]
 
 # Load: saturation, or an upstream that dies with about twenty requests.
 # Harm: each refused or failed request comes again and costs another prefill,
@@ -32,3 +34,82 @@
             return False
         self._saved -= 1.0
         return True
+
+
+class NoBudget(RetryBudget):
+    """Lets every repeat through, where another budget counts them."""
+
+    __slots__ = ()
+
+    def spend(self) -> bool:
+        """Let a repeat through."""
+        return True
+
+
+class FleetBudget:
+    """One VM's part of a budget that all VMs share, by pool.
+
+    Operators allow, in any window, a part of the pool's requests and a
+    number on top, over all VMs.  A VM takes the part of its own requests and
+    its share of the number, so that nobody has to be asked; with the VMs
+    that are known to live, shares add up to less than the number.
+
+    :param part: repeats for each request
+    :param window_ms: the window's length
+    :param slack: repeats on top, over all VMs
+    """
+
+    # What the shares may add up to; the rest covers a VM that others do not
+    # know of yet.
+    SHARED_PART = 0.8
+
+    __slots__ = ("_part", "_window_ms", "_slack", "_vms", "_firsts", "_spent")
+
+    def __init__(self, part: float, window_ms: int, slack: int) -> None:
+        self._part = part
+        self._window_ms = window_ms
+        self._slack = slack
+        self._vms = 1
+        self._firsts: dict[str, collections.deque[int]] = {}
+        self._spent: dict[str, collections.deque[int]] = {}
+
+    def change_vms(self, count: int) -> None:
+        """Take over how many VMs share the budget.
+
+        :param count: the VMs that live, this one among them
+        """
+        self._vms = max(count, 1)
+
+    def earn(self, pool: str, now_ms: int) -> None:
+        """Count a request.
+
+        :param pool: the pool that it is for
+        :param now_ms: the present
+        """
+        self._read(self._firsts, pool, now_ms).append(now_ms)
+
+    def spend(self, pool: str, now_ms: int) -> bool:
+        """Take one repeat out.
+
+        :param pool: the pool that it is for
+        :param now_ms: the present
+        :returns: false if none is left; the repeat must not be sent
+        """
+        spent = self._read(self._spent, pool, now_ms)
+        firsts = len(self._read(self._firsts, pool, now_ms))
+        slack = self._slack * self.SHARED_PART / self._vms
+        if len(spent) + 1 > self._part * firsts + slack:
+            return False
+        spent.append(now_ms)
+        return True
+
+    def _read(
+        self,
+        counts: dict[str, collections.deque[int]],
+        pool: str,
+        now_ms: int,
+    ) -> collections.deque[int]:
+        found = counts.setdefault(pool, collections.deque())
+        while found and now_ms - found[0] >= self._window_ms:
+            found.popleft()
+        return found
--- a/mulberryway/policy/scheduler.py
+++ b/mulberryway/policy/scheduler.py
@@ -13,6 +13,7 @@
 from mulberryway.policy import messages
 from mulberryway.policy import poison
 from mulberryway.policy import pool_set
+from mulberryway.policy import retries
 from mulberryway.policy import running
 from mulberryway.policy import telling
 from mulberryway.policy import weighing
@@ -44,6 +45,7 @@
     :param token_gap_ms: the most time between tokens that is still good
     :param most_entries: limit on what waits in each pool
     :param most_bytes: limit on the bodies of what waits in each pool
+    :param budget: what repeats are taken out of
     """
 
     def __init__(
@@ -56,6 +58,7 @@
         token_gap_ms: int = TOKEN_GAP_MS,
         most_entries: int = MOST_ENTRIES,
         most_bytes: int = MOST_BYTES,
+        budget: type[retries.RetryBudget] = retries.RetryBudget,
     ) -> None:
         self.register = register or poison.Register()
         self._set = pool_set.PoolSet(
@@ -66,6 +69,7 @@
             token_gap_ms,
             most_entries,
             most_bytes,
+            budget,
         )
         self._pools = self._set.pools
         self._waiting: dict[str, str] = {}
--- a/mulberryway/policy/shifting.py
+++ b/mulberryway/policy/shifting.py
@@ -67,7 +67,7 @@
         rows = self._choose_rows(pool, vms)
         known = self._retired | self._views
         self._views = {
-            row.name: self._keep(known.get(row.name), row, pool.slots)
+            row.name: self._keep(known.get(row.name), row, pool)
             for row in rows
         }
         self._retired = {
@@ -102,12 +102,13 @@
         self,
         view: views.UpstreamView | None,
         row: tables.Upstream,
-        slots: int,
+        pool: tables.Pool,
     ) -> views.UpstreamView:
+        blocks = pool.engine_tokens // max(pool.block_tokens, 1) or None
         if view is None:
-            return views.UpstreamView(row, slots, self._random)
+            return views.UpstreamView(row, pool.slots, self._random, blocks)
         if row.role not in PREFILL_ROLES:
             view.prefixes.clear()
         view.row = row
-        view.slots = slots
+        view.slots = pool.slots
         return view
--- /dev/null
+++ b/mulberryway/policy/usage.py
@@ -0,0 +1,366 @@
+"""What all VMs together have given each account: one bucket, many counters.
+
+A promise, kept within the margin that operators allow for it.  Each VM
+counts up what it gave and tells the others; all subtract one another's
+counts from the same bucket.  What a VM has not heard yet is what may be
+given too much, so the margin has to cover one delay between VMs.
+"""
+
+import collections.abc
+import itertools
+
+from mulberryway import tables
+
+__all__ = ["AccountUsage", "Margin", "Usage", "UsageBook"]
+
+MS_IN_S = 1_000
+# A VM tells its counts at least this often; see ``SILENT_MS``.
+HEARTBEAT_MS = 400
+# Load: a VM that is cut off, frozen or dead, and callers who go on asking it
+# or the others.  Harm: both sides would give the whole rate.  After missing
+# three heartbeats the silent VM's part of rate and burst is left to it.
+SILENT_MS = 1_300
+# A VM that was silent for so long has either gone for good or holds nothing
+# that still counts: it is longer than the window in which usage counts.
+GONE_MS = 12_000
+# Part of the operators' margin that is given away in advance, so that delays
+# and rounding refuse nobody within the rate; the rest covers what has not
+# been heard yet.  At the peak a hot account asks for some 300,000 tokens a
+# second, so one delay of 100 ms is worth 30,000.
+FREE_PART = 0.25
+# A VM that begins alone, after all were killed, may give so much of the
+# margin before it has heard of the others.
+START_PART = 0.125
+# A VM that has counted for so long knows what was given before.
+SETTLED_MS = 3_000
+
+
+class Margin:
+    """What an account may get beyond its rate and burst in one window.
+
+    :param window_ms: the window's length
+    :param over_part: part of what rate and burst allow in it
+    :param over_tokens: tokens on top
+    """
+
+    __slots__ = ("window_ms", "over_part", "over_tokens")
+
+    def __init__(
+        self, window_ms: int, over_part: float, over_tokens: int
+    ) -> None:
+        self.window_ms = window_ms
+        self.over_part = over_part
+        self.over_tokens = over_tokens
+
+
+class AccountUsage:
+    """One VM's count for one account.
+
+    :param account: the account's name
+    :param spent: tokens given since the VM began
+    :param left: tokens that the VM believes are left for all
+    """
+
+    __slots__ = ("account", "spent", "left")
+
+    def __init__(self, account: str, spent: int, left: int) -> None:
+        self.account = account
+        self.spent = spent
+        self.left = left
+
+
+class Usage:
+    """What one VM tells of its counts; a later one replaces it.
+
+    :param vm: the VM's name
+    :param incarnation: which life of it; counts begin anew with each
+    :param sequence: grows with each message of a life
+    :param accounts: accounts whose counts have changed, or all
+    :param mirrors: by kind, the revision up to which the VM knows the store
+    :param age_ms: for how long the VM has counted
+    """
+
+    __slots__ = (
+        "vm",
+        "incarnation",
+        "sequence",
+        "accounts",
+        "mirrors",
+        "age_ms",
+    )
+
+    def __init__(
+        self,
+        vm: str,
+        incarnation: int,
+        sequence: int,
+        accounts: list[AccountUsage],
+        mirrors: dict[str, int],
+        age_ms: int,
+    ) -> None:
+        self.vm = vm
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.accounts = accounts
+        self.mirrors = mirrors
+        self.age_ms = age_ms
+
+
+class _Bucket:
+    """What is left of one account's rate and burst for all VMs."""
+
+    __slots__ = ("rate", "burst", "level", "spent", "updated_ms", "is_told")
+
+    def __init__(self, level: float, now_ms: int) -> None:
+        self.rate = 0.0
+        self.burst = 0.0
+        self.level = level
+        self.spent = 0
+        self.updated_ms = now_ms
+        self.is_told = True
+
+    def refill(self, part: float, now_ms: int) -> None:
+        """Add what has come in since the last time.
+
+        :param part: the part of the rate that may be given here
+        :param now_ms: the present
+        """
+        passed_ms = max(now_ms - self.updated_ms, 0)
+        self.updated_ms = now_ms
+        self.level = min(
+            self.level + self.rate * part * passed_ms / MS_IN_S, self.burst
+        )
+
+
+class _Peer:
+    """What one other VM has told."""
+
+    __slots__ = ("incarnation", "sequence", "heard_ms", "spent", "silent_ms")
+
+    def __init__(self, incarnation: int, now_ms: int) -> None:
+        self.incarnation = incarnation
+        self.sequence = 0
+        self.heard_ms = now_ms
+        self.spent: dict[str, int] = {}
+        # Since when its part has been left to it; none while it is heard.
+        self.silent_ms: int | None = None
+
+
+class UsageBook:
+    """One VM's view of what all have given.
+
+    :param vm: this VM's name
+    :param incarnation: which life of it
+    :param margin: what accounts may get beyond rate and burst
+    :param now_ms: the present
+    """
+
+    def __init__(
+        self, vm: str, incarnation: int, margin: Margin, now_ms: int
+    ) -> None:
+        self._vm = vm
+        self._incarnation = incarnation
+        self._margin = margin
+        self._began_ms = now_ms
+        self._told_ms: int | None = None
+        self._numbers = itertools.count(1)
+        self._buckets: dict[str, _Bucket] = {}
+        self._peers: dict[str, _Peer] = {}
+        self._has_adopted = False
+
+    def change_accounts(
+        self,
+        accounts: collections.abc.Iterable[tables.ClientAccount],
+        now_ms: int,
+    ) -> None:
+        """Take over rates and bursts; counts stay.
+
+        :param accounts: the accounts in force
+        :param now_ms: the present
+        """
+        for account in accounts:
+            bucket = self._find(account.name, now_ms)
+            bucket.refill(self._read_part(now_ms), now_ms)
+            free = 1 + self._margin.over_part / 2
+            bucket.rate = account.rate * free
+            bucket.burst = (
+                account.burst * free + self._margin.over_tokens * FREE_PART
+                if account.rate
+                else 0.0
+            )
+            bucket.level = min(bucket.level, bucket.burst)
+
+    def take(self, account: str, tokens: int, now_ms: int) -> int | None:
+        """Take tokens for a request.
+
+        :param account: the account's name
+        :param tokens: what the request may use
+        :param now_ms: the present
+        :returns: none if they were taken; else after how many milliseconds
+            they will be there
+        """
+        bucket = self._find(account, now_ms)
+        if not bucket.rate:
+            return None
+        part = self._read_part(now_ms)
+        bucket.refill(part, now_ms)
+        usable = bucket.level - bucket.burst * (1.0 - part)
+        # What never fits is let through when all is there, as a debt.
+        needed = min(tokens, bucket.burst * part)
+        if usable < needed:
+            rate = max(bucket.rate * part, 1.0)
+            return int((needed - usable) * MS_IN_S / rate) + 1
+        self._spend(bucket, tokens)
+        return None
+
+    def give_back(self, account: str, tokens: int, now_ms: int) -> None:
+        """Give back tokens of a request that has not run.
+
+        :param account: the account's name
+        :param tokens: what was taken
+        :param now_ms: the present
+        """
+        self._spend(self._find(account, now_ms), -tokens)
+
+    def list_silent(self, now_ms: int) -> frozenset[str]:
+        """Return the VMs that were heard before and are silent now.
+
+        :param now_ms: the present
+        :returns: their names
+        """
+        return frozenset(
+            name
+            for name, peer in self._peers.items()
+            if now_ms - peer.heard_ms >= SILENT_MS
+        )
+
+    def make_usage(
+        self, mirrors: dict[str, int], now_ms: int, is_whole: bool = False
+    ) -> Usage | None:
+        """Return what the other VMs should hear now.
+
+        :param mirrors: by kind, the revision up to which the store is known
+        :param now_ms: the present
+        :param is_whole: whether all counts are told, changed or not
+        :returns: a message, or none while nothing is due
+        """
+        is_due = (
+            self._told_ms is None or now_ms - self._told_ms >= HEARTBEAT_MS
+        )
+        told = {
+            name: bucket
+            for name, bucket in self._buckets.items()
+            if not bucket.is_told or is_whole or is_due
+        }
+        if not told and not is_due and not is_whole:
+            return None
+        for bucket in told.values():
+            bucket.is_told = True
+        self._told_ms = now_ms
+        return Usage(
+            self._vm,
+            self._incarnation,
+            next(self._numbers),
+            [
+                AccountUsage(name, bucket.spent, int(bucket.level))
+                for name, bucket in told.items()
+                if bucket.spent or bucket.rate
+            ],
+            mirrors,
+            now_ms - self._began_ms,
+        )
+
+    def note_usage(self, usage: Usage, now_ms: int) -> None:
+        """Take in another VM's counts.
+
+        :param usage: what it told; late and repeated ones do no harm
+        :param now_ms: the present
+        """
+        if usage.vm == self._vm:
+            return
+        peer = self._peers.get(usage.vm)
+        is_new = peer is None or peer.incarnation != usage.incarnation
+        if peer is None or is_new:
+            self._return_part(peer, now_ms)
+            peer = _Peer(usage.incarnation, now_ms)
+            self._peers[usage.vm] = peer
+        elif usage.sequence <= peer.sequence:
+            return
+        self._return_part(peer, now_ms)
+        peer.sequence = usage.sequence
+        peer.heard_ms = now_ms
+        self._adopt(usage, now_ms)
+        for told in usage.accounts:
+            self._subtract(peer, told, is_new, now_ms)
+
+    def _adopt(self, usage: Usage, now_ms: int) -> None:
+        # A VM that has just begun knows nothing of what was given before;
+        # one that counted on does.
+        if self._has_adopted or usage.age_ms < SETTLED_MS:
+            return
+        if now_ms - self._began_ms > SETTLED_MS:
+            self._has_adopted = True
+            return
+        self._has_adopted = bool(usage.accounts)
+        for told in usage.accounts:
+            bucket = self._find(told.account, now_ms)
+            bucket.level = max(bucket.level, float(told.left))
+
+    def _subtract(
+        self, peer: _Peer, told: AccountUsage, is_new: bool, now_ms: int
+    ) -> None:
+        before = peer.spent.get(told.account)
+        peer.spent[told.account] = told.spent
+        if before is None:
+            # Of a VM that is heard for the first time it is not known when
+            # it gave what it tells; a fresh life has given it just now.
+            before = 0 if is_new or peer.spent else told.spent
+            age_ms = now_ms - self._began_ms
+            if age_ms < SETTLED_MS:
+                before = told.spent
+        self._find(told.account, now_ms).level -= told.spent - before
+
+    def _return_part(self, peer: _Peer | None, now_ms: int) -> None:
+        """Count the refill that was left to a VM while it was silent."""
+        if peer is None or peer.silent_ms is None:
+            return
+        passed_ms = min(now_ms - peer.silent_ms, GONE_MS)
+        peer.silent_ms = None
+        part = 1.0 / (len(self._peers) + 1)
+        for bucket in self._buckets.values():
+            bucket.level = min(
+                bucket.level + bucket.rate * part * passed_ms / MS_IN_S,
+                bucket.burst,
+            )
+
+    def _read_part(self, now_ms: int) -> float:
+        """Return the part of all rates that those heard may give."""
+        gone = [
+            name
+            for name, peer in self._peers.items()
+            if now_ms - peer.heard_ms >= GONE_MS
+        ]
+        for name in gone:
+            del self._peers[name]
+        silent = [
+            peer
+            for peer in self._peers.values()
+            if now_ms - peer.heard_ms >= SILENT_MS
+        ]
+        for peer in silent:
+            if peer.silent_ms is None:
+                peer.silent_ms = now_ms
+        return 1.0 - len(silent) / (len(self._peers) + 1)
+
+    def _find(self, account: str, now_ms: int) -> _Bucket:
+        bucket = self._buckets.get(account)
+        if bucket is None:
+            level = self._margin.over_tokens * START_PART
+            bucket = self._buckets[account] = _Bucket(level, now_ms)
+        return bucket
+
+    @staticmethod
+    def _spend(bucket: _Bucket, tokens: int) -> None:
+        bucket.level -= tokens
+        bucket.spent += tokens
+        bucket.is_told = False
--- a/mulberryway/policy/views.py
+++ b/mulberryway/policy/views.py
@@ -37,6 +37,7 @@
     :param row: the upstream's row in the table of pools
     :param slots: how many requests it can decode at once
     :param random_: a seeded source of chance
+    :param total_blocks: the size of its memory, where the tables tell it
     """
 
     __slots__ = (
@@ -70,7 +71,11 @@
     )
 
     def __init__(
-        self, row: tables.Upstream, slots: int, random_: random.Random
+        self,
+        row: tables.Upstream,
+        slots: int,
+        random_: random.Random,
+        total_blocks: int | None = None,
     ) -> None:
         self.row = row
         self.slots = slots
@@ -80,7 +85,7 @@
         self.own_blocks = 0
         self.peer_blocks = 0
         self.excess_blocks = 0
-        self.total_blocks: int | None = None
+        self.total_blocks = total_blocks
         self.own_prefills = 0
         self.excess_prefills = 0
         self.own_suspects = 0
--- a/mulberryway/relay/pump.py
+++ b/mulberryway/relay/pump.py
@@ -138,6 +138,8 @@
             return
         if data:
             self._take(stream, data)
+        elif stream.ends_here():
+            self._end_source(stream, b"")
         else:
             self._lose_source(
                 stream, "the engine ended in mid-answer", has_died=True
@@ -155,12 +157,18 @@
             if not before:
                 stream.owner.note_first_token()
         if stream.is_ended:
-            stream.owner.note_source_end(stream.expected)
-            self._part(stream)
-            out += stream.writer.end()
+            self._end_source(stream, out)
+        elif out:
+            self._send(stream, out)
+
+    def _end_source(self, stream: Stream, out: bytes) -> None:
+        stream.is_ended = True
+        stream.owner.note_source_end(stream.expected)
+        self._part(stream)
+        out += stream.writer.end()
         if out:
             self._send(stream, out)
-        elif stream.is_ended:
+        else:
             self._close(stream, None)
 
     def _send(self, stream: Stream, out: bytes) -> None:
@@ -228,9 +236,13 @@
         for stream in [
             stream
             for stream in self._streams
-            if stream.limit_at_ms <= now_ms or stream.pending
+            if stream.limit_at_ms <= now_ms
+            or stream.pending
+            or 0 < stream.ends_at_ms <= now_ms
         ]:
-            if stream.pending and stream.stalled_at_ms <= stall_ms:
+            if 0 < stream.ends_at_ms <= now_ms:
+                self._end_with(stream, _make_late())
+            elif stream.pending and stream.stalled_at_ms <= stall_ms:
                 self._lose_caller(stream)
             elif (
                 stream.limit_at_ms <= now_ms
@@ -375,3 +387,12 @@
         if self._farewells.pop(connection, None) is not None:
             self._loop.unregister(connection.fileno())
             connection.close()
+
+
+def _make_late() -> errors.Fault:
+    return errors.Fault(
+        errors.Code.DEADLINE_EXCEEDED,
+        errors.Step.DECODE,
+        run=errors.Run.MAY_HAVE_RUN,
+        message="the answer took longer than its route allows",
+    )
--- a/mulberryway/relay/stream.py
+++ b/mulberryway/relay/stream.py
@@ -93,6 +93,7 @@
         "expected",
         "pending",
         "limit_at_ms",
+        "ends_at_ms",
         "stalled_at_ms",
         "is_paused",
         "is_ended",
@@ -127,6 +128,8 @@
         self.expected = 0
         self.pending = bytearray()
         self.limit_at_ms = 0
+        # When the whole answer is over at the latest; 0 for no end.
+        self.ends_at_ms = 0
         self.stalled_at_ms = 0
         self.is_paused = False
         self.is_ended = False
@@ -145,6 +148,10 @@
         self._source_id = b""
         self._has_finish = False
 
+    def ends_here(self) -> bool:
+        """Tell whether an answer may end with its engine's connection."""
+        return False
+
     def take(self, data: bytes) -> bytes:
         """Take in what an engine sent and return what to send on.
 
--- a/mulberryway/relay/writers.py
+++ b/mulberryway/relay/writers.py
@@ -7,6 +7,7 @@
 from mulberryway import errors
 from mulberryway import replies
 from mulberryway.relay import events
+from mulberryway.upstreams import base as upstreams
 
 __all__ = ["CompletionWriter", "EventWriter", "ReplyHead", "Writer"]
 
@@ -40,16 +41,22 @@
     :param http_11: whether the caller speaks HTTP/1.1
     :param keep: whether the connection stays open after a whole reply
     :param headers: pairs that every reply to this request carries
+    :param style: how faults are told
     """
 
-    __slots__ = ("http_11", "keep", "headers")
+    __slots__ = ("http_11", "keep", "headers", "style")
 
     def __init__(
-        self, http_11: bool, keep: bool, headers: list[tuple[str, str]]
+        self,
+        http_11: bool,
+        keep: bool,
+        headers: list[tuple[str, str]],
+        style: replies.Style = replies.OWN_STYLE,
     ) -> None:
         self.http_11 = http_11
         self.keep = keep
         self.headers = headers
+        self.style = style
 
     def write(self, status: int, headers: list[tuple[str, str]]) -> bytes:
         """Return a reply's head.
@@ -92,6 +99,13 @@
         self.head = head
         self.begun = False
 
+    def note_source(self, source: upstreams.TokenStream) -> None:
+        """Take notice of the engine whose answer comes next.
+
+        :param source: the engine's stream
+        """
+        return None
+
     @abc.abstractmethod
     def add(self, tokens: list[bytes]) -> bytes:
         """Return what to send for some events.
@@ -111,7 +125,9 @@
         :returns: bytes; the connection has to be closed after them if
             ``begun`` was true
         """
-        return self.head.write_whole(replies.reply_fault(fault))
+        return self.head.write_whole(
+            replies.reply_fault(fault, style=self.head.style)
+        )
 
 
 class EventWriter(Writer):
--- a/mulberryway/replies.py
+++ b/mulberryway/replies.py
@@ -4,7 +4,15 @@
 
 from mulberryway import errors
 
-__all__ = ["Reply", "STATUS", "describe_fault", "reply_fault"]
+__all__ = [
+    "OWN_STYLE",
+    "Reply",
+    "STATUS",
+    "Style",
+    "choose_status",
+    "describe_fault",
+    "reply_fault",
+]
 
 JSON_TYPE = "application/json"
 MS_IN_S = 1_000
@@ -36,11 +44,42 @@
     errors.Code.PLATFORM_UNAVAILABLE: 503,
     errors.Code.CONFLICT: 409,
     errors.Code.NOT_FOUND: 404,
+    errors.Code.HISTORY_GONE: 410,
     errors.Code.INVALID_TABLES: 422,
     errors.Code.INTERNAL: 500,
 }
 
 
+# By these a caller knows that its request has not run and never will, and
+# so repeats even a booking.
+PROMISES_NOT_RUN = frozenset((408, 421, 429, 503))
+MAY_HAVE_RUN_STATUS = 502
+PROMISES_NOTHING = frozenset((502, 504))
+NOT_RUN_STATUS = 503
+
+
+class Style:
+    """How faults are told to callers.
+
+    :param has_fractions: whether callers read fractions of a second in
+        ``Retry-After``; by RFC 9110 they need not
+    :param statuses: statuses that differ from :data:`STATUS`
+    """
+
+    __slots__ = ("has_fractions", "statuses")
+
+    def __init__(
+        self,
+        has_fractions: bool = False,
+        statuses: dict[errors.Code, int] | None = None,
+    ) -> None:
+        self.has_fractions = has_fractions
+        self.statuses = STATUS | (statuses or {})
+
+
+OWN_STYLE = Style()
+
+
 class Reply:
     """A whole answer for a caller.
 
@@ -65,6 +104,28 @@
         self.close = close
 
 
+def choose_status(fault: errors.Fault, style: Style = OWN_STYLE) -> int:
+    """Return the status that a fault is told by.
+
+    An upstream may refuse the last of several attempts after an earlier one
+    had begun; told by the refusal's own status, the caller would repeat what
+    may have run.
+
+    The other way round, a fault that is known not to have run is told so,
+    since a caller repeats only that without harm.
+
+    :param fault: the fault
+    :param style: how faults are told
+    :returns: the HTTP status
+    """
+    status = style.statuses[fault.code]
+    if fault.run is not errors.Run.NOT_RUN and status in PROMISES_NOT_RUN:
+        return MAY_HAVE_RUN_STATUS
+    if fault.run is errors.Run.NOT_RUN and status in PROMISES_NOTHING:
+        return NOT_RUN_STATUS
+    return status
+
+
 def describe_fault(fault: errors.Fault) -> bytes:
     """Return a fault as the JSON that callers get.
 
@@ -85,17 +146,32 @@
     ).encode()
 
 
-def reply_fault(fault: errors.Fault, close: bool = False) -> Reply:
+def reply_fault(
+    fault: errors.Fault, close: bool = False, style: Style = OWN_STYLE
+) -> Reply:
     """Return a fault as a whole answer.
 
+    Where an upstream has answered itself, its answer goes on unchanged.
+
     :param fault: the fault
     :param close: whether the connection must not be used again
+    :param style: how faults are told
     :returns: the answer
     """
+    answer = fault.answer
+    if answer is not None:
+        return Reply(answer.status, answer.headers, answer.body, close)
     headers = [("Content-Type", JSON_TYPE)]
     if fault.retry_after_ms is not None:
-        seconds = -(-fault.retry_after_ms // MS_IN_S)
-        headers.append(("Retry-After", str(seconds)))
+        wait = _write_seconds(fault.retry_after_ms, style.has_fractions)
+        headers.append(("Retry-After", wait))
     if fault.code is errors.Code.UNAUTHENTICATED:
         headers.append(("WWW-Authenticate", "Bearer"))
-    return Reply(STATUS[fault.code], headers, describe_fault(fault), close)
+    status = choose_status(fault, style)
+    return Reply(status, headers, describe_fault(fault), close)
+
+
+def _write_seconds(duration_ms: int, has_fractions: bool) -> str:
+    if has_fractions:
+        return f"{duration_ms / MS_IN_S:.3f}"
+    return str(-(-duration_ms // MS_IN_S))
--- a/mulberryway/router.py
+++ b/mulberryway/router.py
@@ -9,23 +9,17 @@
 from mulberryway import clock
 from mulberryway import errors
 from mulberryway import metrics
+from mulberryway import replies
 from mulberryway import settings
 from mulberryway import tables
 from mulberryway import traces
 from mulberryway.controllers import cancelling
 from mulberryway.controllers import claims
 from mulberryway.controllers import scheduling
-from mulberryway.filters import admission
-from mulberryway.filters import authenticate
 from mulberryway.filters import base as filters
 from mulberryway.filters import chain
-from mulberryway.filters import choosing
-from mulberryway.filters import model_forward
+from mulberryway.filters import interface
 from mulberryway.filters import model_run
-from mulberryway.filters import observe
-from mulberryway.filters import once
-from mulberryway.filters import route
-from mulberryway.filters import service_forward
 from mulberryway.filters import status
 from mulberryway.policy import allowance
 from mulberryway.policy import base as policy
@@ -53,8 +47,19 @@
 # Entry answers are a little older than their lifetime says when they come
 # over a peer or a slow caller.
 ENTRY_MARGIN_MS = 1_000
+# So long before the end of a stop the last new calls are taken; it is more
+# than a plain call usually takes.
+LAST_CALLS_END_MS = 1_000
 POLL_MS = 20
 READY_POLL_MS = 100
+# What a stopping VM keeps of its time for what already runs: most streams
+# end within it.
+LONG_WORK_MS = 5_000
+# The end of a stop is not reached to the last moment, because what is not
+# over then is killed in the middle of a write.
+LAST_MS = 400
+# Questions from the platform and for addresses are few and quick.
+SIDE_THREADS = 4
 # What was sent to this VM before the refusals began is on its way at most
 # for so long.
 LAST_CALLS_MS = 200
@@ -70,7 +75,7 @@
     :param scheduler: decides about model requests
     :param allowances: the accounts' tokens
     :param entries: knows the VMs that take callers
-    :param may_repeat: takes one repeat out of the budget for them
+    :param may_repeat: takes one repeat out of a pool's budget for them
     :param on_withdraw: called when new callers should no longer come
     :param directory_: finds upstreams; by HTTP if none is given
     :param claim_store: grants calls that must run at most once; without
@@ -78,6 +83,9 @@
     :param has_settled: whether accounts' tokens can be found from here; once
         true, it is not asked again
     :param on_ready: called once, when callers may come for the first time
+    :param interface_: how callers speak; the project's own way if none is
+        given
+    :param style: how faults are told to callers
     """
 
     def __init__(
@@ -89,12 +97,14 @@
         scheduler: policy.Scheduler,
         allowances: allowance.Allowances,
         entries: entry.EntryDirectory,
-        may_repeat: collections.abc.Callable[[], bool] = lambda: True,
+        may_repeat: collections.abc.Callable[[str], bool] = lambda pool: True,
         on_withdraw: collections.abc.Callable[[], None] = lambda: None,
         directory_: directory.UpstreamDirectory | None = None,
         claim_store: claims.ClaimStore | None = None,
         has_settled: collections.abc.Callable[[], bool] = lambda: True,
         on_ready: collections.abc.Callable[[], None] = lambda: None,
+        interface_: interface.Interface | None = None,
+        style: replies.Style = replies.OWN_STYLE,
     ) -> None:
         self.settings = settings_
         self.clock = clock_
@@ -121,6 +131,8 @@
         self._has_settled = has_settled
         self._was_settled = False
         self._on_ready = on_ready
+        self._interface = interface_ or interface.OwnInterface()
+        self._stop_at_ms: int | None = None
         self._has_begun = False
         self._is_withdrawn = False
         self._is_refusing = False
@@ -129,10 +141,25 @@
             chain.Chain(self._make_filters()),
             clock_,
             f"{settings_.vm_name}.{incarnation}",
+            style,
         )
         self.server = http_server.HttpServer(
             settings_, self.gateway, self.relay
         )
+        self._side_servers = [
+            http_server.HttpServer(
+                settings_,
+                self.gateway,
+                self.relay,
+                settings.read_port(address),
+                SIDE_THREADS,
+            )
+            for address in (
+                settings_.router_ready_address,
+                settings_.router_directory_address,
+            )
+            if address
+        ]
         self._observe()
 
     @property
@@ -153,6 +180,17 @@
         """Whether new requests are refused."""
         return self._is_refusing
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether callers should use another VM for their next request."""
+        return self._is_withdrawn
+
+    @property
+    def is_ending(self) -> bool:
+        """Whether work that takes seconds could not end in time any more."""
+        end = self._stop_at_ms
+        return end is not None and end - self.clock.now_ms() < LONG_WORK_MS
+
     @property
     def running(self) -> int:
         """How many requests are in the router, streams included."""
@@ -177,6 +215,8 @@
         self.scheduling.start()
         self.cancelling.start()
         self.server.start()
+        for server in self._side_servers:
+            server.start()
         self._has_begun = True
         threading.Thread(
             target=self._await_ready, name="ready", daemon=True
@@ -204,29 +244,45 @@
         """
         with self._stop_lock:
             if graceful and self._has_begun:
+                settings_ = self.settings
+                now_ms = self.clock.now_ms()
+                end = clock.Deadline(
+                    now_ms + settings_.router_grace_ms - LAST_MS
+                )
+                self._stop_at_ms = end.at_ms
                 self.withdraw()
                 self.clock.sleep_ms(
-                    self.settings.router_entry_ttl_ms + ENTRY_MARGIN_MS
+                    min(
+                        settings_.router_entry_ttl_ms
+                        * settings_.router_entry_lives
+                        + ENTRY_MARGIN_MS,
+                        max(settings_.router_grace_ms - LAST_CALLS_END_MS, 0),
+                    )
                 )
                 self._is_refusing = True
-                self._drain()
+                self._drain(end)
             self._is_refusing = True
             self._shut_down()
 
-    def _drain(self) -> None:
+    def _drain(self, end: clock.Deadline) -> None:
         # cheroot's own stop would cut requests that take longer than its
         # five seconds, so it is called only when nothing runs.
-        while True:
-            while self.running:
+        while not end.has_passed(self.clock.now_ms()):
+            while self.running and not end.has_passed(self.clock.now_ms()):
                 self.clock.sleep_ms(POLL_MS)
             self.clock.sleep_ms(LAST_CALLS_MS)
             if not self.running:
                 break
-        while self.cancelling.open and self.cancelling.is_fresh:
+        while (
+            self.cancelling.open
+            and self.cancelling.is_fresh
+            and not end.has_passed(self.clock.now_ms())
+        ):
             self.clock.sleep_ms(POLL_MS)
 
     def _shut_down(self) -> None:
-        self.server.stop()
+        for server in (*self._side_servers, self.server):
+            server.stop()
         self.scheduling.stop()
         self.cancelling.stop()
         self.relay.stop()
@@ -247,7 +303,9 @@
             ),
         )
 
-    def _make_filters(self) -> list[filters.Filter]:
+    def _make_filters(
+        self,
+    ) -> collections.abc.Sequence[filters.Filter]:
         settings_ = self.settings
         parts = model_run.Parts(
             settings_.vm_name,
@@ -264,28 +322,17 @@
             self.metrics,
             self._may_repeat,
         )
-        return [
-            status.Health(self),
-            status.Entry(
+        return self._interface.make_filters(
+            interface.Context(
+                settings_,
+                self,
+                self._source,
                 self._entries,
-                settings_.vm_zone,
-                settings_.router_entry_ttl_ms,
-            ),
-            observe.Observe(self.tracer, self.metrics, self.clock),
-            status.RefuseWhenStopping(self),
-            authenticate.Authenticate(self._source),
-            route.FindRoute(),
-            admission.ReadCall(),
-            admission.Admission(self._allowances),
-            model_forward.ModelForward(parts),
-            once.RunOnce(self._claim_store),
-            service_forward.ServiceForward(
-                self.directory,
-                choosing.ServerChooser(settings_.vm_zone),
-                self.tracer,
-                self.clock,
-            ),
-        ]
+                self._allowances,
+                self._claim_store,
+                parts,
+            )
+        )
 
     def _observe(self) -> None:
         for name, description, read in (
--- a/mulberryway/server/gateway.py
+++ b/mulberryway/server/gateway.py
@@ -28,13 +28,19 @@
     :param clock_: where the time comes from
     :param owner: names this VM and incarnation, the first part of each
         request's id
+    :param style: how faults are told
     """
 
     def __init__(
-        self, chain_: chain.Chain, clock_: clock.Clock, owner: str
+        self,
+        chain_: chain.Chain,
+        clock_: clock.Clock,
+        owner: str,
+        style: replies.Style = replies.OWN_STYLE,
     ) -> None:
         self.chain = chain_
         self.clock = clock_
+        self.style = style
         self._owner = owner
         self._numbers = itertools.count(1)
         self._lock = threading.Lock()
@@ -88,6 +94,7 @@
             request_.response_protocol == "HTTP/1.1",
             can_keep and not request_.close_connection,
             [("X-Request-Id", self._id)],
+            factory.style,
         )
 
     def respond(self) -> None:
@@ -123,7 +130,9 @@
                     "a request was answered with a fault",
                     extra=logs.describe(fault, request_id=self._id),
                 )
-                self._write(replies.reply_fault(fault))
+                self._write(
+                    replies.reply_fault(fault, style=self._factory.style)
+                )
         finally:
             exchange.finish(base.Outcome(fault, exchange.prompt_used, 0))
 
--- a/mulberryway/server/http_server.py
+++ b/mulberryway/server/http_server.py
@@ -36,6 +36,8 @@
     :param settings_: limits and the address
     :param gateway: makes an object that answers a request
     :param relay: carries what the gateway lends
+    :param port: another port than the settings'
+    :param threads: another number of worker threads than the settings'
     """
 
     ConnectionClass = request.Connection
@@ -46,17 +48,23 @@
         settings_: settings.Settings,
         gateway: collections.abc.Callable[[request.Request], typing.Any],
         relay: pump.Relay,
+        port: int | None = None,
+        threads: int | None = None,
     ) -> None:
         super().__init__(
-            (settings_.vm_address, settings_.router_port),
+            (
+                settings_.vm_address,
+                settings_.router_port if port is None else port,
+            ),
             gateway,
             server_name="mulberryway",
         )
+        threads = settings_.router_threads if threads is None else threads
         self.requests = threadpool.ThreadPool(
             self,
-            min=settings_.router_threads,
-            max=settings_.router_threads,
-            accepted_queue_size=settings_.router_threads * QUEUE_PER_THREAD,
+            min=threads,
+            max=threads,
+            accepted_queue_size=threads * QUEUE_PER_THREAD,
             # The accepting thread must not wait for a worker: every other
             # caller would wait behind it.
             accepted_queue_timeout=0,
