--- a/mulberryway/settings.py
+++ b/mulberryway/settings.py
@@ -9,7 +9,7 @@
 
 from mulberryway import errors
 
-__all__ = ["OPTIONS", "Option", "Settings", "read_settings"]
+__all__ = ["OPTIONS", "Option", "Settings", "read_port", "read_settings"]
 
 MOST_PORT = 65_535
 DIGEST = re.compile(r"[0-9a-f]{64}")
@@ -67,7 +67,19 @@
         # Callers keep an entry address for this long; a stopping VM serves
         # for at least as long after it has left the answer.
         self.router_entry_ttl_ms: int = 5_000
+        # So many of these lifetimes callers may keep an address.
+        self.router_entry_lives: int = 1
         self.router_token_gap_ms: int = 10_000
+        # ``host:port`` of the callers' side where it is told as one, of
+        # where the platform looks whether callers may come, and of where
+        # callers ask which VMs to use; empty where ``vm.address`` and
+        # ``router.port`` serve all of that.
+        self.router_address: str = ""
+        self.router_ready_address: str = ""
+        self.router_directory_address: str = ""
+        # A planned stop has this long from the signal on; a request that
+        # is still running shortly before is told so instead of being cut.
+        self.router_grace_ms: int = 60_000
 
         # The other VMs.  All processes of a deployment share the secret.
         self.peers_port: int = 8081
@@ -75,11 +87,33 @@
         self.peers_seeds: tuple[str, ...] = ()
         self.peers_period_ms: int = 1_000
         self.peers_timeout_ms: int = 500
+        # The seeds' peers port, where the list of seeds names another
+        # port of theirs; 0 where it names the right one.
+        self.peers_seeds_port: int = 0
 
         # The platform's object API.
         self.platform_url: str = "http://127.0.0.1:8001"
         self.platform_timeout_ms: int = 2_000
         self.platform_silence_ms: int = 3_000
+        # Within this time of the store's acknowledgement every VM works by
+        # a new configuration, and sends nothing to a server that leaves.
+        self.platform_apply_ms: int = 2_000
+        self.platform_drain_ms: int = 2_000
+
+        # What a client account may get beyond its rate and burst in one
+        # window, over all VMs; it covers what VMs have not told yet.
+        self.allowances_window_ms: int = 8_000
+        self.allowances_over_part: float = 0.0
+        self.allowances_over_tokens: int = 0
+
+        # Repeats at other upstreams, over all VMs: in each window at most
+        # the part of the requests and the tokens' number together.
+        self.retries_part: float = 0.1
+        self.retries_window_ms: int = 10_000
+        self.retries_slack: int = 40
+
+        # Orders to engines: how long one issuer's turn lasts for engines.
+        self.orders_lease_ms: int = 3_000
 
         # The tables.  A confirmation by the platform is enough for
         # ``fresh_ms``; then a VM goes on only while it reaches most VMs, for
@@ -112,6 +146,10 @@
     return accepts
 
 
+def _is_part(value: typing.Any) -> bool:
+    return type(value) in (int, float) and 0 <= value <= 1
+
+
 def _is_text(value: typing.Any) -> bool:
     return isinstance(value, str) and bool(value)
 
@@ -157,6 +195,22 @@
     )
 
 
+def _is_address(value: typing.Any) -> bool:
+    if not isinstance(value, str):
+        return False
+    host, _, port = value.rpartition(":")
+    return _is_ip(host) and port.isdecimal() and 0 < int(port) <= MOST_PORT
+
+
+def _address(key: str, attribute: str) -> Option:
+    return Option(
+        key,
+        attribute,
+        "host:port, or empty",
+        lambda value: value == "" or _is_address(value),
+    )
+
+
 def _number(key: str, attribute: str, low: int, high: int) -> Option:
     return Option(
         key,
@@ -182,8 +236,14 @@
     _number("router.body_bytes", "router_body_bytes", 1_024, GIB),
     _number("router.body_ms", "router_body_ms", 100, HOUR_MS),
     _number("router.entry_ttl_ms", "router_entry_ttl_ms", 100, HOUR_MS),
+    _number("router.entry_lives", "router_entry_lives", 1, 10),
     _number("router.token_gap_ms", "router_token_gap_ms", 10, HOUR_MS),
+    _address("router.address", "router_address"),
+    _address("router.ready_address", "router_ready_address"),
+    _address("router.directory_address", "router_directory_address"),
+    _number("router.grace_ms", "router_grace_ms", 100, HOUR_MS),
     _port("peers.port", "peers_port"),
+    _number("peers.seeds_port", "peers_seeds_port", 0, MOST_PORT),
     Option("peers.secret", "peers_secret", "a secret text", _is_text),
     Option("peers.seeds", "peers_seeds", "a list of host:port", _is_text_list),
     _number("peers.period_ms", "peers_period_ms", 10, 60_000),
@@ -191,6 +251,20 @@
     Option("platform.url", "platform_url", "an http address", _is_url),
     _number("platform.timeout_ms", "platform_timeout_ms", 10, 60_000),
     _number("platform.silence_ms", "platform_silence_ms", 100, 60_000),
+    _number("platform.apply_ms", "platform_apply_ms", 100, HOUR_MS),
+    _number("platform.drain_ms", "platform_drain_ms", 100, HOUR_MS),
+    _number("allowances.window_ms", "allowances_window_ms", 100, HOUR_MS),
+    Option(
+        "allowances.over_part",
+        "allowances_over_part",
+        "a number from 0 to 1",
+        _is_part,
+    ),
+    _number("allowances.over_tokens", "allowances_over_tokens", 0, GIB),
+    Option("retries.part", "retries_part", "a number from 0 to 1", _is_part),
+    _number("retries.window_ms", "retries_window_ms", 100, HOUR_MS),
+    _number("retries.slack", "retries_slack", 0, 1_000_000),
+    _number("orders.lease_ms", "orders_lease_ms", 100, HOUR_MS),
     _number(
         "configuration.fresh_ms", "configuration_fresh_ms", 1_000, HOUR_MS
     ),
@@ -255,9 +329,20 @@
         if key not in by_key:
             raise errors.SettingsError(file, key, "a known option")
         _set(settings, file, by_key[key], value)
+    if settings.router_address:
+        settings.router_port = read_port(settings.router_address)
     return settings
 
 
+def read_port(address: str) -> int:
+    """Return the port of an address.
+
+    :param address: ``host:port``
+    :returns: the port
+    """
+    return int(address.rpartition(":")[2])
+
+
 def _load(file: str) -> dict[str, typing.Any]:
     try:
         text = pathlib.Path(file).read_text(encoding="utf-8")
--- a/mulberryway/tables/__init__.py
+++ b/mulberryway/tables/__init__.py
@@ -4,9 +4,11 @@
 from mulberryway.tables import source
 
 __all__ = [
+    "ANYBODY",
     "ClientAccount",
     "Pool",
     "PoolKind",
+    "PoolShare",
     "Route",
     "TableSource",
     "Tables",
@@ -15,9 +17,11 @@
     "digest_key",
 ]
 
+ANYBODY = model.ANYBODY
 ClientAccount = model.ClientAccount
 Pool = model.Pool
 PoolKind = model.PoolKind
+PoolShare = model.PoolShare
 Route = model.Route
 TableSource = source.TableSource
 Tables = model.Tables
--- a/mulberryway/tables/model.py
+++ b/mulberryway/tables/model.py
@@ -4,9 +4,11 @@
 import hashlib
 
 __all__ = [
+    "ANYBODY",
     "ClientAccount",
     "Pool",
     "PoolKind",
+    "PoolShare",
     "Route",
     "Tables",
     "Upstream",
@@ -27,6 +29,10 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
+# To how many upstreams one request may go where its route does not say.
+MOST_ATTEMPTS = 4
+
+
 class PoolKind(enum.Enum):
     """What stands behind a pool's addresses."""
 
@@ -93,12 +99,20 @@
     :param block_tokens: tokens in one KV cache block
     :param link_bytes_per_s: rate of the link that KV caches cross
     :param kv_bytes_per_token: KV cache made for one prompt token
+    :param engine_tokens: tokens that one engine's memory holds; 0 where
+        only its reports tell
+    :param most_connections: what one upstream accepts from all VMs
+        together; 0 where nothing is known
+    :param switch_ms: how long an engine that changes its role is away
     """
 
     __slots__ = (
         "name",
         "kind",
         "upstreams",
+        "engine_tokens",
+        "most_connections",
+        "switch_ms",
         "models",
         "credential",
         "slots",
@@ -118,6 +132,9 @@
         block_tokens: int = 1024,
         link_bytes_per_s: int = 25_000_000_000,
         kv_bytes_per_token: int = 131_072,
+        engine_tokens: int = 0,
+        most_connections: int = 0,
+        switch_ms: int = 0,
     ) -> None:
         self.name = name
         self.kind = kind
@@ -128,6 +145,23 @@
         self.block_tokens = block_tokens
         self.link_bytes_per_s = link_bytes_per_s
         self.kv_bytes_per_token = kv_bytes_per_token
+        self.engine_tokens = engine_tokens
+        self.most_connections = most_connections
+        self.switch_ms = switch_ms
+
+
+class PoolShare:
+    """One of the pools among which a route's requests are divided.
+
+    :param pool: the pool's name
+    :param weight: its part of the requests, against the other weights
+    """
+
+    __slots__ = ("pool", "weight")
+
+    def __init__(self, pool: str, weight: int) -> None:
+        self.pool = pool
+        self.weight = weight
 
 
 class Route:
@@ -143,11 +177,33 @@
     :param timeout_ms: the longest that a caller waits for a plain answer
         or for the first token
     :param accounts: client accounts that may use it; empty for all
+    :param host: the host name that it serves; empty for any
+    :param shares: the pools among which its requests are divided; empty
+        where all go to ``pool``
+    :param trusts_methods: whether a method that is safe by HTTP makes a
+        call idempotent, whatever ``idempotent`` says
+    :param is_public: whether it is open to callers without a key
+    :param is_streaming: whether answers are streams of events
+    :param most_attempts: to how many upstreams one request may be sent
+    :param target_ms: the answer, or a stream's first event, is on time
+        within it; 0 where only ``timeout_ms`` counts
+    :param target_gap_ms: the longest pause between a stream's events that
+        is still on time; 0 for no target
+    :param rank: where not all can be served, lower ranks go first
     """
 
     __slots__ = (
         "name",
         "path_prefix",
+        "host",
+        "shares",
+        "trusts_methods",
+        "is_public",
+        "is_streaming",
+        "most_attempts",
+        "target_ms",
+        "target_gap_ms",
+        "rank",
         "pool",
         "models",
         "idempotent",
@@ -164,9 +220,27 @@
         idempotent: bool = True,
         timeout_ms: int = 10_000,
         accounts: tuple[str, ...] = (),
+        host: str = "",
+        shares: tuple[PoolShare, ...] = (),
+        trusts_methods: bool = True,
+        is_public: bool = False,
+        is_streaming: bool = False,
+        most_attempts: int = MOST_ATTEMPTS,
+        target_ms: int = 0,
+        target_gap_ms: int = 0,
+        rank: int = 0,
     ) -> None:
         self.name = name
         self.path_prefix = path_prefix
+        self.host = host
+        self.shares = shares
+        self.trusts_methods = trusts_methods
+        self.is_public = is_public
+        self.is_streaming = is_streaming
+        self.most_attempts = most_attempts
+        self.target_ms = target_ms
+        self.target_gap_ms = target_gap_ms
+        self.rank = rank
         self.pool = pool
         self.models = models
         self.idempotent = idempotent
@@ -182,9 +256,19 @@
     :param rate: tokens a second, counted over all VMs together
     :param burst: tokens that may be used at once after a pause
     :param weight: its part of what is there when not all can be served
+    :param plain_tokens: what a call is charged that names no tokens
+    :param rank: goes before the route's rank; none where that holds
     """
 
-    __slots__ = ("name", "key_digests", "rate", "burst", "weight")
+    __slots__ = (
+        "name",
+        "key_digests",
+        "rate",
+        "burst",
+        "weight",
+        "plain_tokens",
+        "rank",
+    )
 
     def __init__(
         self,
@@ -193,12 +277,20 @@
         rate: int,
         burst: int,
         weight: int = 1,
+        plain_tokens: int = 0,
+        rank: int | None = None,
     ) -> None:
         self.name = name
         self.key_digests = key_digests
         self.rate = rate
         self.burst = burst
         self.weight = weight
+        self.plain_tokens = plain_tokens
+        self.rank = rank
+
+
+# For callers of public routes: no key, and nothing is charged.
+ANYBODY = ClientAccount("", (), 0, 0)
 
 
 class Tables:
@@ -239,21 +331,25 @@
             for digest in account.key_digests
         }
 
-    def find_route(self, path: str) -> Route | None:
+    def find_route(self, path: str, host: str = "") -> Route | None:
         """Return the route with the longest prefix of a path.
 
         A prefix matches whole segments only: ``/v1`` serves ``/v1/x`` but
         not ``/v1x``.
 
         :param path: the path without its query
+        :param host: the host that the caller named, without a port
         :returns: the route, or none
         """
         return next(
             (
                 route
                 for route in self._by_prefix
-                if path == route.path_prefix
-                or path.startswith(route.path_prefix.rstrip("/") + "/")
+                if (not route.host or route.host == host)
+                and (
+                    path == route.path_prefix
+                    or path.startswith(route.path_prefix.rstrip("/") + "/")
+                )
             ),
             None,
         )
--- a/mulberryway/traces.py
+++ b/mulberryway/traces.py
@@ -1,11 +1,11 @@
 """Spans for each hop, and the trace context in and out of the process."""
 
+import importlib
 import random
 import types
 
 from opentelemetry import context
 from opentelemetry import trace
-from opentelemetry.exporter.otlp.proto.http import trace_exporter
 from opentelemetry.sdk import resources
 from opentelemetry.sdk import trace as sdk
 from opentelemetry.sdk.trace import export
@@ -110,7 +110,11 @@
         self._provider: sdk.TracerProvider | None = None
         self._tracer: trace.Tracer | None = None
         if otlp_url:
-            exporter = trace_exporter.OTLPSpanExporter(
+            # Loaded only where it is used, like that of metrics.
+            exporters = importlib.import_module(
+                "opentelemetry.exporter.otlp.proto.http.trace_exporter"
+            )
+            exporter = exporters.OTLPSpanExporter(
                 endpoint=otlp_url.rstrip("/") + "/v1/traces"
             )
             processor = processor or export.BatchSpanProcessor(exporter)
--- a/mulberryway/upstreams/base.py
+++ b/mulberryway/upstreams/base.py
@@ -1,12 +1,15 @@
 """Model engines and plain services as the rest of the program sees them."""
 
 import abc
+import collections.abc
 import socket
 import typing
 
 import expression
 
+from mulberryway import clock
 from mulberryway import errors
+from mulberryway.upstreams import connections
 
 __all__ = [
     "CacheEvent",
@@ -16,6 +19,7 @@
     "Order",
     "PlainService",
     "PrefillResult",
+    "RawCall",
     "RunLabel",
     "ServiceReply",
     "TokenStream",
@@ -46,6 +50,47 @@
         self.traceparent = traceparent
 
 
+class RawCall:
+    """A caller's request that goes to upstreams as it came.
+
+    :param method: the HTTP method
+    :param target: path and query
+    :param headers: pairs, without credentials and hop-by-hop ones
+    :param body: the whole body
+    :param attempt_id: the caller's own id of this attempt; upstreams echo it
+    :param account: the client account's name; empty for anybody
+    :param deadline: when the caller stops waiting
+    """
+
+    __slots__ = (
+        "method",
+        "target",
+        "headers",
+        "body",
+        "attempt_id",
+        "account",
+        "deadline",
+    )
+
+    def __init__(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        attempt_id: str,
+        account: str,
+        deadline: clock.Deadline,
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.attempt_id = attempt_id
+        self.account = account
+        self.deadline = deadline
+
+
 class PrefillResult:
     """What a prefill left behind; it lives for less than a second.
 
@@ -75,9 +120,18 @@
     :param buffered: bytes that were read along with the reply's head
     :param chunked: whether the body uses chunked transfer coding
     :param request_id: the id that the engine echoed
+    :param length: the body's length, where the engine told it
+    :param headers: pairs of the reply's head that go to the caller
     """
 
-    __slots__ = ("connection", "buffered", "chunked", "request_id")
+    __slots__ = (
+        "connection",
+        "buffered",
+        "chunked",
+        "request_id",
+        "length",
+        "headers",
+    )
 
     def __init__(
         self,
@@ -85,11 +139,15 @@
         buffered: bytes,
         chunked: bool,
         request_id: str,
+        length: int | None = None,
+        headers: collections.abc.Sequence[tuple[str, str]] = (),
     ) -> None:
         self.connection = connection
         self.buffered = buffered
         self.chunked = chunked
         self.request_id = request_id
+        self.length = length
+        self.headers = headers
 
 
 class EngineLoad:
@@ -101,6 +159,10 @@
     :param free_blocks: KV cache blocks that are free
     :param total_blocks: KV cache blocks in all
     :param models: names of the models that are loaded
+    :param orders: how many orders it has accepted since its start; none
+        where it does not tell
+    :param is_changing: whether it carries out an order now
+    :param role: the role that it has; empty where it does not tell
     """
 
     __slots__ = (
@@ -110,6 +172,9 @@
         "free_blocks",
         "total_blocks",
         "models",
+        "orders",
+        "is_changing",
+        "role",
     )
 
     def __init__(
@@ -120,6 +185,9 @@
         free_blocks: int,
         total_blocks: int,
         models: tuple[str, ...],
+        orders: int | None = None,
+        is_changing: bool = False,
+        role: str = "",
     ) -> None:
         self.running = running
         self.waiting = waiting
@@ -127,6 +195,9 @@
         self.free_blocks = free_blocks
         self.total_blocks = total_blocks
         self.models = models
+        self.orders = orders
+        self.is_changing = is_changing
+        self.role = role
 
 
 class CacheEvent:
@@ -173,14 +244,26 @@
     :param argument: the model's name, or the role
     :param fencing: grows with each new issuer; some engines refuse an
         older one, others ignore it
+    :param holder: the VM that gives it
+    :param expected: how many orders the engine must have accepted before;
+        none where it does not matter
     """
 
-    __slots__ = ("verb", "argument", "fencing")
+    __slots__ = ("verb", "argument", "fencing", "holder", "expected")
 
-    def __init__(self, verb: str, argument: str, fencing: int) -> None:
+    def __init__(
+        self,
+        verb: str,
+        argument: str,
+        fencing: int,
+        holder: str = "",
+        expected: int | None = None,
+    ) -> None:
         self.verb = verb
         self.argument = argument
         self.fencing = fencing
+        self.holder = holder
+        self.expected = expected
 
 
 class Engine(abc.ABC):
@@ -188,12 +271,13 @@
 
     @abc.abstractmethod
     def prefill(
-        self, label: RunLabel, body: dict[str, typing.Any], timeout_ms: int
+        self, label: RunLabel, body: typing.Any, timeout_ms: int
     ) -> expression.Result[PrefillResult, errors.Fault]:
         """Compute a prompt's KV cache and keep it for export.
 
         :param label: names the attempt
-        :param body: the caller's request, credentials removed
+        :param body: the caller's request, credentials removed: a JSON object,
+            or a :class:`RawCall` where engines take requests as they came
         :param timeout_ms: the longest wait for the result
         :returns: the result, or a fault that says whether it ran
         """
@@ -202,7 +286,7 @@
     def decode(
         self,
         label: RunLabel,
-        body: dict[str, typing.Any],
+        body: typing.Any,
         transfer: dict[str, typing.Any],
         offset: int,
         timeout_ms: int,
@@ -210,7 +294,8 @@
         """Import a KV cache and begin to generate.
 
         :param label: names the attempt
-        :param body: the caller's request, credentials removed
+        :param body: the caller's request, credentials removed: a JSON object,
+            or a :class:`RawCall` where engines take requests as they came
         :param transfer: what the prefill returned
         :param offset: how many tokens the caller has already; 0 at first
         :param timeout_ms: the longest wait for the reply's head
@@ -284,6 +369,8 @@
         headers: list[tuple[str, str]],
         body: bytes,
         timeout_ms: int,
+        is_idempotent: bool = False,
+        interrupt: connections.Interrupt | None = None,
     ) -> expression.Result[ServiceReply, errors.Fault]:
         """Pass one call on, exactly once.
 
@@ -293,5 +380,8 @@
         :param headers: headers, credentials and hop-by-hop ones removed
         :param body: the whole body
         :param timeout_ms: the longest wait for the whole reply
+        :param is_idempotent: whether it may run a second time, should this
+            call's outcome stay unknown
+        :param interrupt: ends the call from another thread
         :returns: the reply, or a fault that says whether it ran
         """
--- a/mulberryway/upstreams/connections.py
+++ b/mulberryway/upstreams/connections.py
@@ -5,17 +5,23 @@
 """
 
 import http.client
+import logging
+import socket
 import threading
 import time
+import typing
 
 import expression
 import urllib3
+import urllib3.connection
 import urllib3.exceptions
 
 from mulberryway import clock
 from mulberryway import errors
 
-__all__ = ["Caller", "Response", "sort_failure"]
+__all__ = ["Caller", "Interrupt", "Response", "sort_failure"]
+
+LOG = logging.getLogger(__name__)
 
 MS_IN_S = 1_000
 CONNECT_MS = 1_000
@@ -89,6 +95,69 @@
     )
 
 
+class Interrupt:
+    """Ends a call that runs on another thread.
+
+    Without it an upstream would go on working for a caller that has gone,
+    until its answer finds nobody.
+    """
+
+    __slots__ = ("_lock", "_socket", "_is_set")
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._socket: socket.socket | None = None
+        self._is_set = False
+
+    def attach(self, connection: socket.socket) -> None:
+        """Take the socket over which the call goes.
+
+        :param connection: the socket
+        """
+        with self._lock:
+            self._socket = connection
+            is_set = self._is_set
+        if is_set:
+            self.set()
+
+    def detach(self) -> None:
+        """Let go of the socket: the call has ended."""
+        with self._lock:
+            self._socket = None
+
+    def set(self) -> None:
+        """End the call now, or as soon as it begins."""
+        with self._lock:
+            self._is_set = True
+            if self._socket is None:
+                return
+            try:
+                self._socket.shutdown(socket.SHUT_RDWR)
+            except OSError as error:
+                LOG.debug("an interrupted call had ended: %s", error)
+
+
+class _Current(threading.local):
+    """The interrupt of the call that runs on this thread."""
+
+    interrupt: Interrupt | None = None
+
+
+_CURRENT = _Current()
+
+
+class _Connection(urllib3.connection.HTTPConnection):
+    """Hands its socket to the interrupt of the call that it carries."""
+
+    def request(self, *arguments: typing.Any, **named: typing.Any) -> None:
+        """Send a request, connecting first if need be."""
+        if self.sock is None:
+            self.connect()
+        if _CURRENT.interrupt is not None:
+            _CURRENT.interrupt.attach(self.sock)
+        super().request(*arguments, **named)
+
+
 class Caller:
     """Calls one upstream.
 
@@ -99,11 +168,18 @@
 
     :param address: ``host:port``
     :param clock_: where the time comes from
+    :param echo_header: the header whose value the upstream sends back
     """
 
-    def __init__(self, address: str, clock_: clock.Clock) -> None:
+    def __init__(
+        self,
+        address: str,
+        clock_: clock.Clock,
+        echo_header: str = REQUEST_ID,
+    ) -> None:
         self.address = address
         self._clock = clock_
+        self._echo_header = echo_header
         self._lock = threading.Lock()
         self._pool = self._make_pool()
         self._made_ms = clock_.now_ms()
@@ -116,6 +192,8 @@
         body: bytes | None,
         timeout_ms: int,
         step: errors.Step,
+        is_fresh: bool = False,
+        interrupt: "Interrupt | None" = None,
     ) -> expression.Result[Response, errors.Fault]:
         """Make one call, exactly once.
 
@@ -125,11 +203,16 @@
         :param body: the body, if any
         :param timeout_ms: the longest wait for the whole reply
         :param step: the hop, for faults
+        :param is_fresh: whether the call needs a connection of its own: one
+            that was kept may be closed by the other end at this moment, and
+            then nobody knows whether the call ran
+        :param interrupt: ends the call from another thread
         :returns: the reply, or a fault that says whether it ran
         """
         deadline_s = time.monotonic() + timeout_ms / MS_IN_S
-        pool = self._find_pool()
+        pool = self._make_pool() if is_fresh else self._find_pool()
         response: urllib3.BaseHTTPResponse | None = None
+        _CURRENT.interrupt = interrupt
         try:
             response = pool.urlopen(
                 method,
@@ -147,7 +230,14 @@
         except FAILURES as error:
             self._abandon(response)
             return expression.Error(self._note_failure(error, step))
-        return self._check_echo(headers, whole, response, step)
+        finally:
+            _CURRENT.interrupt = None
+            if interrupt is not None:
+                interrupt.detach()
+        checked = self._check_echo(headers, whole, response, step)
+        if is_fresh:
+            pool.close()
+        return checked
 
     def close(self) -> None:
         """Close the connections that are kept."""
@@ -169,8 +259,8 @@
         response: urllib3.BaseHTTPResponse,
         step: errors.Step,
     ) -> expression.Result[Response, errors.Fault]:
-        sent = headers.get(REQUEST_ID)
-        echoed = response.headers.get(REQUEST_ID)
+        sent = headers.get(self._echo_header)
+        echoed = response.headers.get(self._echo_header)
         if sent is None or echoed == sent:
             response.release_conn()
             return expression.Ok(whole)
@@ -210,9 +300,11 @@
 
     def _make_pool(self) -> urllib3.HTTPConnectionPool:
         host, _, port = self.address.rpartition(":")
-        return urllib3.HTTPConnectionPool(
+        pool = urllib3.HTTPConnectionPool(
             host, int(port), maxsize=KEPT_CONNECTIONS, retries=False
         )
+        pool.ConnectionCls = _Connection
+        return pool
 
 
 def _make_timeout(timeout_ms: int) -> urllib3.Timeout:
--- a/mulberryway/upstreams/decode_call.py
+++ b/mulberryway/upstreams/decode_call.py
@@ -1,9 +1,8 @@
 """Begins a decode and takes its socket for the relay."""
 
+import collections.abc
 import http.client
-import json
 import socket
-import typing
 
 import expression
 
@@ -11,12 +10,39 @@
 from mulberryway.upstreams import base
 from mulberryway.upstreams import connections
 
-__all__ = ["begin_decode"]
+__all__ = ["DecodeRequest", "begin_decode", "read_refusal"]
 
 MS_IN_S = 1_000
 MOST_ERROR_BYTES = 65_536
 
 
+class DecodeRequest:
+    """What is sent to begin a decode.
+
+    :param method: the HTTP method
+    :param target: path and query
+    :param headers: what to send
+    :param body: the whole body
+    :param echo_header: the header whose value the engine sends back
+    """
+
+    __slots__ = ("method", "target", "headers", "body", "echo_header")
+
+    def __init__(
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes,
+        echo_header: str = connections.REQUEST_ID,
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.echo_header = echo_header
+
+
 class _Connection(http.client.HTTPConnection):
     """A connection that tells whether it was ever made."""
 
@@ -29,11 +55,19 @@
         self.is_made = True
 
 
+# Turns a reply whose status is not 200 into a fault: gets the status, the
+# headers, the body and the engine's address.
+RefusalReader = collections.abc.Callable[
+    [int, list[tuple[str, str]], bytes, str], errors.Fault
+]
+
+
 def begin_decode(
     address: str,
-    headers: dict[str, str],
-    body: dict[str, typing.Any],
+    request: DecodeRequest,
     timeout_ms: int,
+    read_refusal: RefusalReader,
+    interrupt: connections.Interrupt | None = None,
 ) -> expression.Result[base.TokenStream, errors.Fault]:
     """Send a decode call and return its stream once the head has come.
 
@@ -44,41 +78,53 @@
     with the rest of an abandoned one.
 
     :param address: the engine's ``host:port``
-    :param headers: what to send
-    :param body: the JSON body
+    :param request: what to send
     :param timeout_ms: the longest wait for the reply's head
+    :param read_refusal: tells what another status than 200 means
+    :param interrupt: ends the call from another thread
     :returns: the stream, or a fault that says whether it ran
     """
     host, _, port = address.rpartition(":")
     connection = _Connection(host, int(port), timeout_ms / MS_IN_S)
     try:
-        return _exchange(connection, address, headers, body)
+        return _exchange(connection, address, request, read_refusal, interrupt)
     except (OSError, http.client.HTTPException) as failure:
         connection.close()
         cause = failure if connection.is_made else ConnectionRefusedError()
         return expression.Error(
             connections.sort_failure(cause, errors.Step.DECODE, address)
         )
+    finally:
+        if interrupt is not None:
+            interrupt.detach()
 
 
 def _exchange(
     connection: _Connection,
     address: str,
-    headers: dict[str, str],
-    body: dict[str, typing.Any],
+    request: DecodeRequest,
+    read_refusal: RefusalReader,
+    interrupt: connections.Interrupt | None,
 ) -> expression.Result[base.TokenStream, errors.Fault]:
-    connection.request(
-        "POST", "/v1/completions", json.dumps(body).encode(), headers
-    )
+    connection.connect()
     raw = connection.sock
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    if interrupt is not None:
+        interrupt.attach(raw)
+    connection.request(
+        request.method, request.target, request.body, request.headers
+    )
     response = connection.getresponse()
+    echoed = response.getheader(request.echo_header, "")
+    is_own = echoed == request.headers[request.echo_header]
     if response.status != http.client.OK:
-        response.read(MOST_ERROR_BYTES)
+        body = response.read(MOST_ERROR_BYTES)
         connection.close()
-        return expression.Error(read_refusal(response.status, address))
-    echoed = response.getheader(connections.REQUEST_ID, "")
-    if echoed != headers[connections.REQUEST_ID]:
+        headers = response.getheaders() if is_own else []
+        return expression.Error(
+            read_refusal(response.status, headers, body, address)
+        )
+    if not is_own:
         response.close()
         connection.close()
         return expression.Error(
@@ -101,17 +147,25 @@
     raw.setblocking(False)
     buffered = bytes(response.fp.peek())
     chunked = bool(response.chunked)
+    length = response.length
     # The library's file object keeps a reference that would hold the
     # descriptor open; only the descriptor itself is taken along.
     taken = socket.socket(fileno=raw.detach())
+    headers = response.getheaders()
     response.close()
-    return base.TokenStream(taken, buffered, chunked, echoed)
+    return base.TokenStream(
+        taken, buffered, chunked, echoed, length, headers
+    )
 
 
-def read_refusal(status: int, address: str) -> errors.Fault:
+def read_refusal(
+    status: int, headers: list[tuple[str, str]], body: bytes, address: str
+) -> errors.Fault:
     """Return what a decode engine's status means.
 
     :param status: the HTTP status
+    :param headers: pairs of the reply
+    :param body: the reply's body
     :param address: the engine's address
     :returns: the fault
     """
--- a/mulberryway/upstreams/http_engine.py
+++ b/mulberryway/upstreams/http_engine.py
@@ -92,11 +92,14 @@
         }
         if offset:
             call["resume_offset"] = offset
-        return decode_call.begin_decode(
-            self.address,
+        request = decode_call.DecodeRequest(
+            "POST",
+            "/v1/completions",
             self._make_headers(label),
-            call,
-            timeout_ms,
+            json.dumps(call).encode(),
+        )
+        return decode_call.begin_decode(
+            self.address, request, timeout_ms, decode_call.read_refusal
         )
 
     def cancel(
--- a/mulberryway/upstreams/http_service.py
+++ b/mulberryway/upstreams/http_service.py
@@ -7,7 +7,7 @@
 from mulberryway.upstreams import base
 from mulberryway.upstreams import connections
 
-__all__ = ["HttpService", "strip_hop_headers"]
+__all__ = ["HttpService", "drop_framing", "strip_hop_headers"]
 
 # Headers that speak of one connection only (RFC 9110, 7.6.1).
 HOP_HEADERS = frozenset(
@@ -47,6 +47,23 @@
     ]
 
 
+def drop_framing(
+    headers: list[tuple[str, str]],
+) -> list[tuple[str, str]]:
+    """Return a reply's headers without those that tell its body's length.
+
+    The reply is written anew for the caller, and gets its own.
+
+    :param headers: pairs
+    :returns: what goes to the caller
+    """
+    return [
+        (name, value)
+        for name, value in strip_hop_headers(headers)
+        if name.lower() != "content-length"
+    ]
+
+
 class HttpService(base.PlainService):
     """One server at one address.
 
@@ -70,6 +87,8 @@
         headers: list[tuple[str, str]],
         body: bytes,
         timeout_ms: int,
+        is_idempotent: bool = False,
+        interrupt: connections.Interrupt | None = None,
     ) -> expression.Result[base.ServiceReply, errors.Fault]:
         """Pass one call on, exactly once.
 
@@ -79,6 +98,8 @@
         :param headers: headers, credentials and hop-by-hop ones removed
         :param body: the whole body
         :param timeout_ms: the longest wait for the whole reply
+        :param is_idempotent: whether it may run a second time
+        :param interrupt: ends the call from another thread
         :returns: the reply, or a fault that says whether it ran
         """
         sent = {
@@ -92,7 +113,13 @@
         # The default would name the library to the service.
         sent.setdefault("User-Agent", "mulberryway")
         return self._caller.call(
-            method, target, sent, body or None, timeout_ms, errors.Step.SERVICE
+            method,
+            target,
+            sent,
+            body or None,
+            timeout_ms,
+            errors.Step.SERVICE,
+            interrupt=interrupt,
         ).map(_make_reply)
 
     def close(self) -> None:
--- a/tests/allowance_fleet.py
+++ b/tests/allowance_fleet.py
@@ -13,7 +13,7 @@
 from mulberryway.controllers import allowance_state
 from mulberryway.controllers import allowances
 from mulberryway.peers.gen.allowances import Allowances as service
-from mulberryway.platform import base as platform
+from mulberryway.objects import base as platform
 from mulberryway.policy import allowance
 from mulberryway.policy import allowance_split
 from mulberryway.policy import member
--- a/tests/allowance_history.py
+++ b/tests/allowance_history.py
@@ -15,7 +15,7 @@
 from mulberryway.controllers import allowance_slots
 from mulberryway.controllers import allowance_state
 from mulberryway.controllers import allowances
-from mulberryway.platform import base as platform
+from mulberryway.objects import base as platform
 from mulberryway.policy import allowance_times
 from mulberryway.policy import member
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -9,7 +9,7 @@
 import expression
 
 from mulberryway import errors
-from mulberryway.platform import base
+from mulberryway.objects import base
 
 VALUE_BYTES = 1 << 20
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -11,7 +11,7 @@
 from mulberryway.controllers import claim_log
 from mulberryway.controllers import claim_queue
 from mulberryway.controllers import claim_writer
-from mulberryway.platform import base
+from mulberryway.objects import base
 from mulberryway.policy import claim_records
 from mulberryway.policy import claims
 from tests import claim_history
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -10,7 +10,7 @@
 from mulberryway.admin import editor
 from mulberryway.controllers import configuration_watch
 from mulberryway.controllers import tables_in_force
-from mulberryway.platform import counts
+from mulberryway.objects import counts
 from mulberryway.tables import changes
 from mulberryway.tables import edits
 from mulberryway.tables import parse
@@ -94,7 +94,7 @@
         kept.report(instruments)
         kept.count_call("claims", "ok", 10, 20)
         kept.count_call("claims", "ok", 10, 20)
-        points = instruments.read()["mulberryway.platform.calls"]
+        points = instruments.read()["mulberryway.objects.calls"]
         self.assertEqual(
             points,
             [{"labels": {"purpose": "claims", "outcome": "ok"}, "value": 2}],
--- a/tests/test_configuration_history.py
+++ b/tests/test_configuration_history.py
@@ -13,8 +13,8 @@
 from mulberryway.admin import editor
 from mulberryway.controllers import configuration
 from mulberryway.controllers import tables_in_force
-from mulberryway.platform import roots as root_store
-from mulberryway.platform import segments
+from mulberryway.objects import roots as root_store
+from mulberryway.objects import segments
 from mulberryway.tables import edits
 from mulberryway.tables import freshness
 from mulberryway.tables import model
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -8,8 +8,8 @@
 
 from mulberryway import clock
 from mulberryway.controllers import claims
-from mulberryway.platform import counts
-from mulberryway.platform import http
+from mulberryway.objects import counts
+from mulberryway.objects import http
 from mulberryway.policy import claim_records
 from tests import processes
 from tests import router_rig
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -7,9 +7,9 @@
 
 from mulberryway import clock
 from mulberryway import errors
-from mulberryway.platform import base
-from mulberryway.platform import counts
-from mulberryway.platform import http as platform
+from mulberryway.objects import base
+from mulberryway.objects import counts
+from mulberryway.objects import http as platform
 
 ITEM = {"metadata": {"name": "a", "resourceVersion": "7"}, "value": {"x": 1}}
 
--- a/tests/test_reconciling.py
+++ b/tests/test_reconciling.py
@@ -8,7 +8,7 @@
 from mulberryway import metrics
 from mulberryway.controllers import owners
 from mulberryway.controllers import reconciling
-from mulberryway.platform import base as platform
+from mulberryway.objects import base as platform
 from mulberryway.policy import member
 from mulberryway.upstreams import base as upstreams
 from tests import fakes
