--- a/mulberryway/assembly.py
+++ b/mulberryway/assembly.py
@@ -7,6 +7,7 @@
 from mulberryway import peers
 from mulberryway import router
 from mulberryway import settings
+from mulberryway.commands import process
 from mulberryway.controllers import allowance_slots
 from mulberryway.controllers import allowance_state
 from mulberryway.controllers import allowances
@@ -40,7 +41,7 @@
 CLAIMS = "Claims"
 
 
-class Assembly:
+class Assembly(process.Service):
     """All controllers and the router of one process.
 
     :param settings_: the settings of the process
--- a/mulberryway/commands/entry.py
+++ b/mulberryway/commands/entry.py
@@ -1,9 +1,6 @@
 """The program of an entry VM on the operators' platform."""
 
-import signal
 import sys
-import threading
-import types
 
 from absl import app
 from absl import flags
@@ -12,6 +9,7 @@
 from mulberryway import hosted
 from mulberryway import logs
 from mulberryway import settings
+from mulberryway.commands import process
 
 __all__ = ["main", "run"]
 
@@ -33,15 +31,8 @@
         print(error.fault.message, file=sys.stderr)
         return BAD_SETTINGS
     logs.set_up(read.vm_name, read.telemetry_log_level, read.telemetry_debug)
-    assembled = hosted.HostedAssembly(read)
-    stops = _catch_signals()
-    assembled.start()
-    stops.acquire()
-    worker = threading.Thread(target=assembled.stop, name="stop", daemon=True)
-    worker.start()
-    # A second signal ends the wait for what runs.
-    while worker.is_alive() and not stops.acquire(timeout=0.1):
-        continue
+    assembled = hosted.HostedAssembly(read, file=FLAGS.settings)
+    process.run_until_stopped(assembled, assembled.reloading.wake)
     return 0
 
 
@@ -51,16 +42,5 @@
     app.run(main)
 
 
-def _catch_signals() -> threading.Semaphore:
-    stops = threading.Semaphore(0)
-
-    def note(number: int, frame: types.FrameType | None) -> None:
-        stops.release()
-
-    signal.signal(signal.SIGTERM, note)
-    signal.signal(signal.SIGINT, note)
-    return stops
-
-
 if __name__ == "__main__":
     run()
--- a/mulberryway/controllers/membership.py
+++ b/mulberryway/controllers/membership.py
@@ -201,6 +201,13 @@
         """
         self.exchange.on_hint.setdefault(kind, []).append(on_hint)
 
+    def change_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take over other addresses to begin with.
+
+        :param seeds: addresses ``host:port`` of peers
+        """
+        self._seeds = collections.deque(seeds)
+
     def step(self) -> None:
         """Probe one VM, and more when there is urgent news."""
         self._steps += 1
--- /dev/null
+++ b/mulberryway/controllers/reloading.py
@@ -0,0 +1,58 @@
+"""Takes over settings that change while the process runs."""
+
+import collections.abc
+import logging
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway import logs
+from mulberryway import settings
+from mulberryway.controllers import base
+
+__all__ = ["Reloading"]
+
+LOG = logging.getLogger(__name__)
+
+# The file may change without a signal; a stale seed costs nothing at once.
+PERIOD_MS = 2_000
+
+OnChange = collections.abc.Callable[[settings.Settings], None]
+
+
+class Reloading(base.Controller):
+    """Reads the settings file again and again.
+
+    A file that cannot be used changes nothing: what a process began with
+    goes on to hold, and the log says why.
+
+    :param file: the file's name; empty for none
+    :param on_change: gets the new settings
+    :param clock_: where the time comes from
+    """
+
+    def __init__(
+        self, file: str, on_change: OnChange, clock_: clock.Clock
+    ) -> None:
+        super().__init__("reloading", clock_, PERIOD_MS)
+        self._file = file
+        self._on_change = on_change
+        self._known = settings.read_bytes(file) if file else b""
+
+    def step(self) -> None:
+        """Read the file if it has changed."""
+        if not self._file:
+            return
+        found = settings.read_bytes(self._file)
+        if found == self._known:
+            return
+        self._known = found
+        try:
+            read = settings.read_settings(self._file)
+        except errors.SettingsError as error:
+            LOG.error(
+                "the changed settings cannot be used",
+                extra=logs.describe(error.fault),
+            )
+            return
+        LOG.info("the settings have changed and are in force")
+        self._on_change(read)
--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -38,6 +38,12 @@
 MOVE_PAUSE_MS = 30
 # How long a stream that has lost its engine may seek another.
 RESUME_MS = 5_000
+# Tries in all, also those that reached nobody: dead engines are ejected by
+# the first of them.
+MOST_TRIES = 4
+# When a caller should come again whose request no engine took: by then a
+# stream or two has ended on each engine.
+RETRY_AFTER_MS = 1_000
 # An engine that makes no token for so many times the pause that is on time
 # has probably fallen silent; callers leave after eight of them or two
 # seconds, so there is time for another engine.
@@ -146,6 +152,10 @@
         self._attempt: attempts.Attempt | None = None
         self._decode_span = traces.NO_SPAN
         self._has_run = False
+        # The engines to which the request itself was sent, refused or not.
+        self._sent_to: set[str] = set()
+        # Tries that found nobody to take the request.
+        self._unsent = 0
         self._lock = threading.Lock()
 
     def begin(self) -> Source:
@@ -360,7 +370,7 @@
                 span.fail(result.error)
                 return result
         self._exchange.prompt_used += result.ok.prompt_tokens
-        self._has_run = True
+        self._has_run = self._has_run or attempt.prefill.prefill_runs
         parts.scheduling.note_prefilled(attempt.job_id)
         return result
 
@@ -387,12 +397,38 @@
             and not until.has_passed(clock_.now_ms())
             and not self._exchange.has_gone.is_set()
         ):
-            if not self._move_decode(attempt):
-                clock_.sleep_ms(MOVE_PAUSE_MS)
+            found_again = self._prepare_again(attempt, found)
+            if found_again is None:
+                break
+            found = found_again
+            if not self._parts.may_repeat(self._exchange.pool.name):
+                break
             result = self._decode_once(attempt, found, offset, limit)
         return result
 
+    def _prepare_again(
+        self, attempt: attempts.Attempt, found: upstreams.PrefillResult
+    ) -> upstreams.PrefillResult | None:
+        """Return with what a refused decode is sent once more, if at all.
+
+        An engine refuses when it is full, and also when the KV cache cannot
+        be had any more.  Where it can read the prompt itself, it is asked
+        to, once: that serves the caller in either case if there is room by
+        now, and needs no third engine.
+        """
+        if self._move_decode(attempt):
+            return found
+        if not attempt.decode.reads_prompts:
+            self._parts.clock.sleep_ms(MOVE_PAUSE_MS)
+            return found
+        if not found.transfer:
+            return None
+        self._parts.cancelling.cancel(attempt.prefill, attempt.label)
+        return upstreams.PrefillResult({}, found.prompt_tokens, 0)
+
     def _move_decode(self, attempt: attempts.Attempt) -> bool:
+        if len(self._sent_to) >= self._exchange.route.most_attempts:
+            return False
         name = self._parts.scheduling.move_decode(
             attempt.job_id, attempt.decode_name
         )
@@ -409,6 +445,7 @@
         offset: int,
         limit: clock.Deadline,
     ) -> Source:
+        self._sent_to.add(attempt.decode_name)
         with self._begin_hop(attempt, errors.Step.TRANSFER) as span:
             result = attempt.decode.decode(
                 attempt.label,
@@ -520,7 +557,9 @@
                 fault.run is errors.Run.NOT_RUN
                 or route.is_repeatable(exchange)
             )
-            and self._number < exchange.route.most_attempts
+            and max(self._number - self._unsent, len(self._sent_to))
+            < exchange.route.most_attempts
+            and self._number < MOST_TRIES
             and not exchange.has_gone.is_set()
             and self._parts.may_repeat(exchange.pool.name)
         )
@@ -528,6 +567,8 @@
     def _note_failure(self, fault: errors.Fault) -> None:
         if fault.run is not errors.Run.NOT_RUN:
             self._has_run = True
+        if fault.code is errors.Code.UPSTREAM_UNREACHABLE:
+            self._unsent += 1
         self._parts.metrics.attempts.add(
             1,
             {
@@ -549,6 +590,8 @@
         """
         if self._has_run and fault.run is errors.Run.NOT_RUN:
             fault.run = errors.Run.MAY_HAVE_RUN
+        if fault.run is errors.Run.NOT_RUN and fault.retry_after_ms is None:
+            fault.retry_after_ms = RETRY_AFTER_MS
         return fault
 
     def _drop_result(self, result: Source) -> Source:
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -15,12 +15,14 @@
 from mulberryway import router
 from mulberryway import settings
 from mulberryway import tables
+from mulberryway.commands import process
 from mulberryway.controllers import fleet_allowances
 from mulberryway.controllers import membership
 from mulberryway.controllers import mirrored_tables
 from mulberryway.controllers import mirrors
 from mulberryway.controllers import notes
 from mulberryway.controllers import registration
+from mulberryway.controllers import reloading
 from mulberryway.filters import repeats
 from mulberryway.objects import counts
 from mulberryway.peers import datagrams
@@ -71,17 +73,19 @@
         )
 
 
-class HostedAssembly:
+class HostedAssembly(process.Service):
     """All controllers and the router of one entry VM.
 
     :param settings_: the settings of the process
     :param clock_: where the time comes from
+    :param file: the settings file, read again when it changes
     """
 
     def __init__(
         self,
         settings_: settings.Settings,
         clock_: clock.Clock | None = None,
+        file: str = "",
     ) -> None:
         self.settings = settings_
         self.clock = clock_ or clock.SystemClock()
@@ -126,6 +130,9 @@
         self.scheduler = self._make_scheduler()
         self._wire_router()
         self._wire_peers()
+        self.reloading = reloading.Reloading(
+            file, self._change_settings, self.clock
+        )
 
     def start(self) -> None:
         """Begin to serve peers, then callers; returns at once."""
@@ -139,6 +146,7 @@
         self.notes.start()
         self.allowances.start()
         self.registration.start()
+        self.reloading.start()
 
     def stop(self, graceful: bool = True) -> None:
         """Stop serving callers, then everything else.
@@ -147,6 +155,7 @@
         """
         self.router.stop(graceful)
         controllers = (
+            self.reloading,
             self.registration,
             self.allowances,
             self.notes,
@@ -170,15 +179,9 @@
             self.incarnation,
             is_starting=True,
         )
-        seeds = [
-            f"{seed.rpartition(':')[0]}:{settings_.peers_seeds_port}"
-            if settings_.peers_seeds_port
-            else seed
-            for seed in settings_.peers_seeds
-        ]
         return membership.MembershipController(
             own,
-            tuple(seed for seed in seeds if seed != own.peer),
+            _list_seeds(settings_),
             self.client,
             self.store,
             self.clock,
@@ -268,6 +271,9 @@
             self.members.own, self.store, self.clock
         )
 
+    def _change_settings(self, changed: settings.Settings) -> None:
+        self.members.change_seeds(_list_seeds(changed))
+
     def _read_mirrors(self) -> dict[str, int]:
         return {
             kind: keeper.revision for kind, keeper in self.keepers.items()
@@ -286,3 +292,14 @@
                 for one in self.members.list_members()
             )
         )
+
+
+def _list_seeds(settings_: settings.Settings) -> tuple[str, ...]:
+    """Return the seeds' addresses for peers, without this VM's own."""
+    port = settings_.peers_seeds_port
+    seeds = [
+        f"{seed.rpartition(':')[0]}:{port}" if port else seed
+        for seed in settings_.peers_seeds
+    ]
+    own = f"{settings_.vm_address}:{settings_.peers_port}"
+    return tuple(seed for seed in seeds if seed != own)
--- a/mulberryway/platform/engine.py
+++ b/mulberryway/platform/engine.py
@@ -47,6 +47,9 @@
     :param clock_: where the time comes from
     """
 
+    reads_prompts = True
+    prefill_runs = False
+
     def __init__(
         self, instance: str, address: str, clock_: clock.Clock
     ) -> None:
--- a/mulberryway/settings.py
+++ b/mulberryway/settings.py
@@ -9,7 +9,14 @@
 
 from mulberryway import errors
 
-__all__ = ["OPTIONS", "Option", "Settings", "read_port", "read_settings"]
+__all__ = [
+    "OPTIONS",
+    "Option",
+    "Settings",
+    "read_bytes",
+    "read_port",
+    "read_settings",
+]
 
 MOST_PORT = 65_535
 DIGEST = re.compile(r"[0-9a-f]{64}")
@@ -334,6 +341,19 @@
     return settings
 
 
+def read_bytes(file: str) -> bytes:
+    """Return a file's content, to tell whether it has changed.
+
+    :param file: the file's name
+    :returns: its bytes; none of them where it cannot be read now, as while
+        it is being replaced
+    """
+    try:
+        return pathlib.Path(file).read_bytes()
+    except OSError:
+        return b""
+
+
 def read_port(address: str) -> int:
     """Return the port of an address.
 
--- a/mulberryway/upstreams/base.py
+++ b/mulberryway/upstreams/base.py
@@ -269,6 +269,12 @@
 class Engine(abc.ABC):
     """One model engine, in the role of prefill or decode."""
 
+    # Whether a decode without a prefill's result makes the engine read the
+    # prompt itself, more slowly.
+    reads_prompts: bool = False
+    # Whether a caller's request counts as run once its prompt was read.
+    prefill_runs: bool = True
+
     @abc.abstractmethod
     def prefill(
         self, label: RunLabel, body: typing.Any, timeout_ms: int
