Keep lapsed entries only after an outage that every VM saw

Ruled out: the exchange between VMs (the copy came within 15 ms). VMs now tell one another whether the store answers them.

--- a/mulberryway/controllers/fleet_allowances.py
+++ b/mulberryway/controllers/fleet_allowances.py
@@ -29,6 +29,7 @@
     :param book: what was given and what is left
     :param notes_: sends datagrams to the other VMs
     :param read_mirrors: returns the revisions of mirrors by kind
+    :param is_store_reached: tells whether the platform's store answers
     :param clock_: where the time comes from
     """
 
@@ -37,6 +38,7 @@
         book: usage.UsageBook,
         notes_: notes.NotesController,
         read_mirrors: collections.abc.Callable[[], dict[str, int]],
+        is_store_reached: collections.abc.Callable[[], bool],
         clock_: clock.Clock,
     ) -> None:
         super().__init__("fleet-allowances", clock_, PERIOD_MS)
@@ -44,18 +46,20 @@
         self._notes = notes_
         self._read_mirrors = read_mirrors
         self._lock = threading.Lock()
-        self._told: dict[str, int] = {}
+        self._is_store_reached = is_store_reached
+        self._told: tuple[dict[str, int], bool] | None = None
 
     def step(self) -> None:
         """Tell the other VMs what has changed."""
-        mirrors = self._read_mirrors()
-        is_news = mirrors != self._told
-        self._told = mirrors
+        mirrors, is_reached = self._read_mirrors(), self._is_store_reached()
+        is_news = (mirrors, is_reached) != self._told
+        self._told = mirrors, is_reached
         with self._lock:
             message = self._book.make_usage(
                 mirrors, self.clock.now_ms(), is_news
             )
         if message is not None:
+            message.is_store_reached = is_reached
             self._notes.send_all(note_messages.write_usage(message))
 
     def take(self, told: usage.Usage) -> None:
--- a/mulberryway/controllers/mirrors.py
+++ b/mulberryway/controllers/mirrors.py
@@ -23,7 +23,7 @@
 
 # A watch that waits longer costs fewer calls, and shows later that its
 # connection has fallen silent; news come through other VMs meanwhile.
-WAIT_MS = 4_000
+WAIT_MS = 2_500
 # Load: the store comes back and all VMs ask at once.  Harm: its rates run
 # out, and everybody waits.  Pauses grow to the longest, and are spread.
 LEAST_PAUSE_MS = 100
@@ -43,6 +43,7 @@
     :param clock_: where the time comes from
     :param on_change: called after each change; must not raise
     :param keeps_missing: see :class:`mirrors.Mirror`
+    :param is_outage_shared: tells whether other VMs missed the store too
     """
 
     def __init__(
@@ -52,6 +53,7 @@
         clock_: clock.Clock,
         on_change: collections.abc.Callable[[], None],
         keeps_missing: bool = False,
+        is_outage_shared: collections.abc.Callable[[], bool] = lambda: True,
     ) -> None:
         super().__init__(f"mirror-{kind}", clock_, LEAST_PAUSE_MS)
         self.kind = kind
@@ -60,6 +62,7 @@
         self._mirror = mirrors.Mirror(kind, keeps_missing)
         self._lock = threading.Lock()
         self._needs_listing = True
+        self._is_outage_shared = is_outage_shared
         self._was_reached = True
         self._random = random.Random()
 
@@ -68,6 +71,11 @@
         """The revision of the kind's last change that is known."""
         return self._mirror.changed
 
+    @property
+    def is_reached(self) -> bool:
+        """Whether the store answered the last time that it was asked."""
+        return self._was_reached
+
     def list_objects(self) -> list[objects.StoredObject]:
         """Return the objects that count."""
         with self._lock:
@@ -140,7 +148,7 @@
         self._needs_listing = False
         now_ms = self.clock.now_ms()
         with self._lock:
-            self._mirror.note_answer(now_ms)
+            self._mirror.note_answer(self._is_outage_shared(), now_ms)
             has_changed = self._mirror.replace(
                 result.ok.objects, result.ok.revision, now_ms
             )
@@ -150,14 +158,16 @@
         return None
 
     def _poll(self) -> errors.Fault | None:
+        # After an outage it matters that the store is back.
+        wait_ms = WAIT_MS if self._was_reached else 0
         result = self._store.poll(
-            self.kind, self._mirror.revision, WAIT_MS, "mirror"
+            self.kind, self._mirror.revision, wait_ms, "mirror"
         )
         if result.is_error():
             return result.error
         now_ms = self.clock.now_ms()
         with self._lock:
-            self._mirror.note_answer(now_ms)
+            self._mirror.note_answer(self._is_outage_shared(), now_ms)
             has_changed = self._mirror.apply(
                 result.ok.events, result.ok.revision, now_ms
             )
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -35,6 +35,7 @@
 from mulberryway.platform import tables as platform_tables
 from mulberryway.policy import entry
 from mulberryway.policy import member
+from mulberryway.policy import outages
 from mulberryway.policy import retries
 from mulberryway.policy import scheduler
 from mulberryway.policy import usage
@@ -104,6 +105,7 @@
         self.source = mirrored_tables.MirroredTables(
             platform_tables.TablesReader()
         )
+        self.outages = outages.Outages()
         self.keepers = self._make_keepers()
         self.exchange = mirrors.MirrorExchange(
             self.keepers, self.client, self.clock
@@ -202,6 +204,9 @@
             self.clock,
             source.refresh,
             keeps_missing=True,
+            is_outage_shared=lambda: self.outages.is_shared(
+                self.clock.now_ms()
+            ),
         )
         return {
             keeper.kind: keeper
@@ -240,7 +245,11 @@
             self.router.scheduling, self.members, self.source, self.clock
         )
         self.allowances = fleet_allowances.FleetAllowances(
-            self.book, self.notes, self._read_mirrors, self.clock
+            self.book,
+            self.notes,
+            self._read_mirrors,
+            lambda: all(one.is_reached for one in self.keepers.values()),
+            self.clock,
         )
         allowances.target = self.allowances
         self.notes.on_usage = self._take_usage
@@ -281,6 +290,9 @@
 
     def _take_usage(self, told: usage.Usage, address: str) -> None:
         self.allowances.take(told)
+        self.outages.note_peer(
+            told.vm, told.is_store_reached, self.clock.now_ms()
+        )
         if address:
             self.exchange.note_peer(address, told.mirrors)
 
--- a/mulberryway/peers/gen/notes/ttypes.py
+++ b/mulberryway/peers/gen/notes/ttypes.py
@@ -1087,6 +1087,7 @@
      - accounts
      - mirrors
      - age_ms
+     - is_store_reached
 
     """
 
@@ -1097,16 +1098,18 @@
         'accounts',
         'mirrors',
         'age_ms',
+        'is_store_reached',
     )
 
 
-    def __init__(self, vm=None, incarnation=None, sequence=None, accounts=None, mirrors=None, age_ms=None,):
+    def __init__(self, vm=None, incarnation=None, sequence=None, accounts=None, mirrors=None, age_ms=None, is_store_reached=None,):
         self.vm = vm
         self.incarnation = incarnation
         self.sequence = sequence
         self.accounts = accounts
         self.mirrors = mirrors
         self.age_ms = age_ms
+        self.is_store_reached = is_store_reached
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1159,6 +1162,11 @@
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.is_store_reached = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1199,6 +1207,10 @@
             oprot.writeFieldBegin('age_ms', TType.I32, 6)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
+        if self.is_store_reached is not None:
+            oprot.writeFieldBegin('is_store_reached', TType.BOOL, 7)
+            oprot.writeBool(self.is_store_reached)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1419,6 +1431,7 @@
     (4, TType.LIST, 'accounts', (TType.STRUCT, [AccountUsage, None], False), None, ),  # 4
     (5, TType.LIST, 'mirrors', (TType.STRUCT, [MirrorState, None], False), None, ),  # 5
     (6, TType.I32, 'age_ms', None, None, ),  # 6
+    (7, TType.BOOL, 'is_store_reached', None, None, ),  # 7
 )
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
--- a/mulberryway/peers/idl/notes.thrift
+++ b/mulberryway/peers/idl/notes.thrift
@@ -79,6 +79,8 @@
   5: required list<MirrorState> mirrors,
   // How long the VM has counted.
   6: required i32 age_ms,
+  // Whether the platform's store answers it.
+  7: optional bool is_store_reached,
 }
 
 struct Datagram {
--- a/mulberryway/peers/note_messages.py
+++ b/mulberryway/peers/note_messages.py
@@ -175,6 +175,7 @@
             for kind, revision in usage.mirrors.items()
         ],
         min(usage.age_ms, MOST_AGE_MS),
+        usage.is_store_reached,
     )
     return TSerialization.serialize(ttypes.Datagram(usage=message), FACTORY)
 
@@ -190,6 +191,7 @@
         ],
         {one.kind: one.revision for one in message.mirrors},
         message.age_ms,
+        message.is_store_reached is not False,
     )
 
 
--- a/mulberryway/policy/mirrors.py
+++ b/mulberryway/policy/mirrors.py
@@ -15,9 +15,10 @@
 # gone at once.  Those that live are back within about two seconds, so that
 # for so long a missing entry still counts.
 RETURN_MS = 2_100
-# Without any answer for so long the store counts as having been away: a
-# waiting watch is answered or cut well within it.
-AWAY_MS = 1_500
+# Where so large a part of all entries goes at once they have lapsed: servers
+# that leave do so one after another.
+LAPSE_PART = 0.5
+LEAST_LAPSE = 3
 
 
 class Mirror:
@@ -61,13 +62,14 @@
         if self._failed_ms is None:
             self._failed_ms = now_ms
 
-    def note_answer(self, now_ms: int) -> None:
+    def note_answer(self, is_shared: bool, now_ms: int) -> None:
         """Tell that the store has answered.
 
+        :param is_shared: whether the store was away for all VMs
         :param now_ms: the present
         """
         failed_ms, self._failed_ms = self._failed_ms, None
-        if failed_ms is not None and now_ms - failed_ms >= AWAY_MS:
+        if failed_ms is not None and is_shared:
             self._returned_ms = now_ms
 
     def replace(
@@ -90,6 +92,7 @@
         newest = max((one.version for one in found.values()), default=0)
         self.changed = max(self.changed, newest)
         lost = self.objects.keys() - found.keys()
+        self._look_for_lapse(len(lost), now_ms)
         for name in lost:
             self._drop(name, now_ms)
         for one in found.values():
@@ -137,6 +140,9 @@
             return False
         self.revision = revision
         has_changed = False
+        events = list(events)
+        lost = sum(one.type is base.EventType.DELETED for one in events)
+        self._look_for_lapse(lost, now_ms)
         for event in events:
             has_changed = True
             self.changed = max(self.changed, event.object.version)
@@ -166,6 +172,11 @@
         """Return the objects that count."""
         return list(self.objects.values())
 
+    def _look_for_lapse(self, lost: int, now_ms: int) -> None:
+        most = max(len(self.objects) * LAPSE_PART, LEAST_LAPSE)
+        if lost >= most:
+            self._returned_ms = now_ms
+
     def _put(self, one: base.StoredObject) -> None:
         self._missing.discard(one.name)
         before = self.objects.get(one.name)
@@ -179,9 +190,6 @@
             self.objects.pop(name, None)
 
     def _is_returning(self, now_ms: int) -> bool:
-        # While the store is away nothing is known either.
-        if self._failed_ms is not None:
-            return True
         return (
             self._returned_ms is not None
             and now_ms - self._returned_ms < RETURN_MS
--- a/mulberryway/policy/usage.py
+++ b/mulberryway/policy/usage.py
@@ -78,6 +78,7 @@
     :param accounts: accounts whose counts have changed, or all
     :param mirrors: by kind, the revision up to which the VM knows the store
     :param age_ms: for how long the VM has counted
+    :param is_store_reached: whether the platform's store answers it
     """
 
     __slots__ = (
@@ -87,6 +88,7 @@
         "accounts",
         "mirrors",
         "age_ms",
+        "is_store_reached",
     )
 
     def __init__(
@@ -97,6 +99,7 @@
         accounts: list[AccountUsage],
         mirrors: dict[str, int],
         age_ms: int,
+        is_store_reached: bool = True,
     ) -> None:
         self.vm = vm
         self.incarnation = incarnation
@@ -104,6 +107,7 @@
         self.accounts = accounts
         self.mirrors = mirrors
         self.age_ms = age_ms
+        self.is_store_reached = is_store_reached
 
 
 class _Bucket:
