Wait no longer than callers do, and start first what can be on time

Cause: streams waited up to 4.9 s for room, though callers leave after 3.6; and in a burst each was started only when it was late already. A change of the tables cut streams of withdrawn keys and of public routes. Ruled out: the relay (events pass within milliseconds).

--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -48,9 +48,13 @@
 # has probably fallen silent; callers leave after eight of them or two
 # seconds, so there is time for another engine.
 GAPS_TO_LEAVE = 4
-# Of a stream's whole time so much may go by before its first token; the rest
-# is for the stream itself, which lasts for 2 to 8 of 14 seconds.
-WAIT_PART = 0.35
+# How long callers wait for a stream's next event, and for its first: the
+# longest of a time, of the target for the first, and of that for pauses.
+LEAST_PATIENCE_MS = 2_000
+PATIENCE_TARGETS = 4
+PATIENCE_GAPS = 8
+# Of it so much may go by in the queue and the prefill.
+WAIT_PART = 0.55
 LEAST_GAP_MS = 1_000
 MOVABLE = frozenset(
     (
@@ -489,19 +493,27 @@
             self._choose_avoided(),
             exchange.digest,
             exchange.expected_tokens,
+            exchange.arrived_ms + exchange.route.target_ms
+            if exchange.route.target_ms
+            else 0,
         )
 
     def _limit_start(self, limit: clock.Deadline) -> clock.Deadline:
         """Return when a first token is too late to be of use.
 
-        A whole answer has to end within the route's time, and takes seconds
-        itself, so a job that begins near its end is computed for nobody.
+        Callers leave a stream that does not begin within their patience, and
+        what is refused well before can still be served on its return.
         """
         exchange = self._exchange
         row = exchange.route
-        if not row.is_streaming or self._number > 1:
+        if not row.is_streaming or not row.target_ms:
             return limit
-        start_ms = exchange.arrived_ms + int(row.timeout_ms * WAIT_PART)
+        patience_ms = max(
+            LEAST_PATIENCE_MS,
+            row.target_ms * PATIENCE_TARGETS,
+            row.target_gap_ms * PATIENCE_GAPS,
+        )
+        start_ms = exchange.arrived_ms + int(patience_ms * WAIT_PART)
         return clock.Deadline(min(limit.at_ms, start_ms))
 
     def _choose_avoided(self) -> frozenset[str]:
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -239,6 +239,9 @@
             on_ready=lambda: self.members.change_own(is_starting=False),
             interface_=interface.PlatformInterface(self.budget),
             style=STYLE,
+            # Here a key that was taken away binds the requests that come
+            # after it; a stream that runs is owed to its caller.
+            cuts_withdrawn=False,
         )
         self.counts.report(self.router.metrics)
         self.notes = notes.NotesController(
--- a/mulberryway/policy/entries.py
+++ b/mulberryway/policy/entries.py
@@ -2,12 +2,18 @@
 
 import collections
 import enum
+import itertools
 
 from mulberryway.policy import messages
 
 __all__ = ["AccountState", "Entry", "Lane"]
 
 
+# Entries of a lane that are looked at for one that is on time: in one second,
+# which is more than targets are, an account brings no more to one router.
+MOST_LOOKS = 64
+
+
 class Lane(enum.IntEnum):
     """Jobs of an account that may overtake one another.
 
@@ -48,6 +54,16 @@
         self.prefill_ms = prefill_ms
 
 
+    def is_late(self, now_ms: int) -> bool:
+        """Tell whether a start now would bring the first token too late.
+
+        :param now_ms: the present
+        :returns: false also for jobs without a target
+        """
+        target_ms = self.job.target_at_ms
+        return bool(target_ms) and now_ms + self.prefill_ms > target_ms
+
+
 class AccountState:
     """What one client account was given, and what of it waits."""
 
@@ -63,8 +79,28 @@
         self.waiting = 0
         self.bytes = 0
 
-    def list_heads(self) -> list[Entry]:
-        """Return the oldest entry of each lane, oldest first."""
-        heads = [next(iter(lane.values())) for lane in self.lanes if lane]
+    def list_heads(self, now_ms: int | None = None) -> list[Entry]:
+        """Return the entry of each lane whose turn is next, oldest first.
+
+        Load: a burst that the pool cannot take in time.  Harm: by age alone
+        every answer comes late, for each waits until it is.  So the oldest
+        that can still be on time goes first, and those that cannot any more
+        have what is left.
+
+        :param now_ms: the present; none for the oldest of each lane
+        :returns: at most one entry of each lane
+        """
+        heads = [
+            next(
+                (
+                    entry
+                    for entry in itertools.islice(lane.values(), MOST_LOOKS)
+                    if now_ms is not None and not entry.is_late(now_ms)
+                ),
+                next(iter(lane.values())),
+            )
+            for lane in self.lanes
+            if lane
+        ]
         heads.sort(key=lambda entry: entry.job.arrived_ms)
         return heads
--- a/mulberryway/policy/messages.py
+++ b/mulberryway/policy/messages.py
@@ -35,6 +35,8 @@
         empty where repeats need not be recognised
     :param expected_tokens: how many tokens the answer probably has; 0 where
         the most that may be generated is all that is known
+    :param target_at_ms: until when the first token is on time; 0 where only
+        the deadline counts
     """
 
     __slots__ = (
@@ -53,6 +55,7 @@
         "avoid",
         "digest",
         "expected_tokens",
+        "target_at_ms",
     )
 
     def __init__(
@@ -72,6 +75,7 @@
         avoid: frozenset[str] = frozenset(),
         digest: str = "",
         expected_tokens: int = 0,
+        target_at_ms: int = 0,
     ) -> None:
         self.job_id = job_id
         self.account = account
@@ -88,6 +92,7 @@
         self.avoid = avoid
         self.digest = digest
         self.expected_tokens = expected_tokens
+        self.target_at_ms = target_at_ms
 
 
 class Assignment:
--- a/mulberryway/policy/pools.py
+++ b/mulberryway/policy/pools.py
@@ -214,14 +214,18 @@
         entries = [
             (state.start, entry)
             for state in states
-            for entry in state.list_heads()
+            for entry in state.list_heads(now_ms)
             if self._may_still_run(entry, now_ms, refusals)
         ]
+        # What can still be on time goes first; the sort is stable, so the
+        # fair order stays among both sorts.
+        entries.sort(key=lambda pair: pair[1].is_late(now_ms))
         # Within the slack the cheaper prompt goes first; the sort is stable,
         # so without a slack the fair order stays.
         if self._weighed.slack_tokens:
             entries.sort(
                 key=lambda pair: (
+                    pair[1].is_late(now_ms),
                     pair[0] > limit,
                     pair[1].prefill_ms if pair[0] <= limit else pair[0],
                 )
--- a/mulberryway/router.py
+++ b/mulberryway/router.py
@@ -86,6 +86,8 @@
     :param interface_: how callers speak; the project's own way if none is
         given
     :param style: how faults are told to callers
+    :param cuts_withdrawn: whether a withdrawn key ends running streams too,
+        or only stops new requests
     """
 
     def __init__(
@@ -105,6 +107,7 @@
         on_ready: collections.abc.Callable[[], None] = lambda: None,
         interface_: interface.Interface | None = None,
         style: replies.Style = replies.OWN_STYLE,
+        cuts_withdrawn: bool = True,
     ) -> None:
         self.settings = settings_
         self.clock = clock_
@@ -132,6 +135,7 @@
         self._was_settled = False
         self._on_ready = on_ready
         self._interface = interface_ or interface.OwnInterface()
+        self._cuts_withdrawn = cuts_withdrawn
         self._stop_at_ms: int | None = None
         self._has_begun = False
         self._is_withdrawn = False
@@ -293,6 +297,8 @@
     def _change_tables(self, changed: tables.Tables) -> None:
         self.scheduling.change_tables(changed)
         self.directory.change_tables(changed)
+        if not self._cuts_withdrawn:
+            return
         self.relay.cut(
             lambda stream: _is_withdrawn(changed, stream),
             errors.Fault(
