Turn surplus prefill engines into decode engines, and let those read prompts

One holder gives two orders at the start; a decode engine reads a prompt itself where that is clearly sooner.

--- a/mulberryway/assembly.py
+++ b/mulberryway/assembly.py
@@ -200,15 +200,11 @@
     def _find_engine(
         self, pool: str, upstream: str
     ) -> upstreams.Engine | None:
-        found = self.configuration.source.read_tables()
-        row = found.pools.get(pool) if found is not None else None
-        return next(
-            (
-                self.directory.find_engine(row, one)
-                for one in (row.upstreams if row is not None else ())
-                if one.name == upstream
-            ),
-            None,
+        return directory.find_by_name(
+            self.configuration.source.read_tables(),
+            self.directory,
+            pool,
+            upstream,
         )
 
     def _may_issue_orders(self) -> bool:
--- a/mulberryway/controllers/orders.py
+++ b/mulberryway/controllers/orders.py
@@ -6,6 +6,7 @@
 
 from mulberryway import clock
 from mulberryway import errors
+from mulberryway import logs
 from mulberryway import tables
 from mulberryway.controllers import base
 from mulberryway.objects import base as platform
@@ -43,6 +44,8 @@
     :param read_loads: returns the newest load reports
     :param is_candidate: tells whether this VM may become the issuer
     :param clock_: where the time comes from
+    :param planner: decides which orders are needed; one that compares the
+        tables with engines' reports if none is given
     """
 
     def __init__(
@@ -55,23 +58,27 @@
         read_loads: LoadReader,
         is_candidate: collections.abc.Callable[[], bool],
         clock_: clock.Clock,
+        planner: orders.Planner | None = None,
     ) -> None:
         super().__init__("orders", clock_, PERIOD_MS)
+        self._vm = vm
         self._store = store
         self._source = source
         self._find_engine = find_engine
         self._read_loads = read_loads
         self._is_candidate = is_candidate
         self._lease = issuer.IssuerLease(vm, incarnation)
-        self._planner = orders.OrderPlanner()
+        self._planner = planner or orders.OrderPlanner()
         self._fencing = 0
 
     def step(self) -> None:
         """Keep the lease, then give what orders are due."""
-        self._keep_lease()
         tables_ = self._source.read_tables()
+        if tables_ is None or self._is_idle(tables_):
+            return
+        self._keep_lease()
         now_ms = self.clock.now_ms()
-        if tables_ is None or not self._lease.may_send(True, now_ms):
+        if not self._lease.may_send(True, now_ms):
             return
         if self._lease.fencing != self._fencing:
             self._fencing = self._lease.fencing
@@ -80,6 +87,13 @@
         for order in planned[:MOST_ORDERS]:
             self._give(order)
 
+    def _is_idle(self, tables_: tables.Tables) -> bool:
+        # The store counts each call, so nobody holds a lease for nothing; an
+        # engine that needs no order now needs none from a holder either.
+        return self._planner.needs_state and not self._planner.plan(
+            tables_.pools, self._read_loads(), self.clock.now_ms()
+        )
+
     def _keep_lease(self) -> None:
         act = self._lease.decide(self._is_candidate(), self.clock.now_ms())
         if act is issuer.LeaseAct.READ:
@@ -140,7 +154,24 @@
         engine = self._find_engine(order.pool, order.row.name)
         if engine is None:
             return
-        sent = upstreams.Order(order.verb, order.argument, self._lease.fencing)
+        expected = None
+        if self._planner.needs_state:
+            state = engine.report_load()
+            if state.is_error() or state.ok.is_changing:
+                self._planner.note_failed(order, self.clock.now_ms())
+                return
+            expected = state.ok.orders
+            if state.ok.role == order.argument:
+                # The tables lag behind the engine.
+                self._planner.note_given(order, self.clock.now_ms())
+                return
+        sent = upstreams.Order(
+            order.verb,
+            order.argument,
+            self._lease.fencing,
+            self._vm,
+            expected,
+        )
         # What goes wrong here is a pause between taking the lease and this
         # order: the lease has passed on, and the order would undo the new
         # issuer's.  The clock counts the pause, so asking now shows it.
@@ -150,6 +181,18 @@
             return
         result = engine.give_order(sent)
         now_ms = self.clock.now_ms()
+        LOG.info(
+            "an order was given",
+            extra=logs.describe(
+                result.error if result.is_error() else None,
+                pool=order.pool,
+                upstream=order.row.name,
+                verb=order.verb,
+                argument=order.argument,
+                fencing=sent.fencing,
+                expected=expected,
+            ),
+        )
         if result.is_ok():
             self._planner.note_given(order, now_ms)
             return
--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -346,9 +346,18 @@
         if self._exchange.has_gone.is_set():
             attempt.end(messages.JobEnd.CANCELLED)
             return expression.Error(_gone())
-        result = self._prefill(attempt, limit).bind(
-            lambda found: self._decode(attempt, found, offset, limit)
+        is_alone = (
+            attempt.prefill is attempt.decode and attempt.decode.reads_prompts
         )
+        if is_alone:
+            nothing = upstreams.PrefillResult({}, 0, 0)
+            result = self._decode(attempt, nothing, offset, limit)
+            if result.is_ok():
+                self._parts.scheduling.note_prefilled(attempt.job_id)
+        else:
+            result = self._prefill(attempt, limit).bind(
+                lambda found: self._decode(attempt, found, offset, limit)
+            )
         if result.is_error():
             fault = result.error
             blame = attempt.decode_name
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -21,6 +21,7 @@
 from mulberryway.controllers import mirrored_tables
 from mulberryway.controllers import mirrors
 from mulberryway.controllers import notes
+from mulberryway.controllers import orders
 from mulberryway.controllers import registration
 from mulberryway.controllers import reloading
 from mulberryway.filters import repeats
@@ -34,12 +35,16 @@
 from mulberryway.platform import store
 from mulberryway.platform import tables as platform_tables
 from mulberryway.policy import entry
+from mulberryway.policy import issuer
 from mulberryway.policy import member
 from mulberryway.policy import outages
 from mulberryway.policy import retries
 from mulberryway.policy import scheduler
+from mulberryway.policy import shaping
 from mulberryway.policy import usage
 from mulberryway.policy import weighing
+from mulberryway.upstreams import base as upstreams
+from mulberryway.upstreams import directory as directory_
 
 __all__ = ["HostedAssembly"]
 
@@ -47,6 +52,7 @@
 MIRRORS = "Mirrors"
 # The longest pause between a stream's pieces that is still on time.
 TOKEN_GAP_MS = 300
+US_IN_MS = 1_000
 STYLE = replies.Style(
     has_fractions=True,
     statuses={
@@ -148,6 +154,7 @@
         self.notes.start()
         self.allowances.start()
         self.registration.start()
+        self.orders.start()
         self.reloading.start()
 
     def stop(self, graceful: bool = True) -> None:
@@ -157,6 +164,7 @@
         """
         self.router.stop(graceful)
         controllers = (
+            self.orders,
             self.reloading,
             self.registration,
             self.allowances,
@@ -222,6 +230,7 @@
             seed=random.SystemRandom().getrandbits(32),
             token_gap_ms=TOKEN_GAP_MS,
             budget=retries.NoBudget,
+            prefill_rate=settings_.policy_prefill_us / US_IN_MS,
         )
 
     def _wire_router(self) -> None:
@@ -282,6 +291,32 @@
         self.registration = registration.Registration(
             self.members.own, self.store, self.clock
         )
+        self.orders = orders.OrdersController(
+            settings_.vm_name,
+            self.incarnation,
+            self.store,
+            self.source,
+            self._find_engine,
+            dict,
+            self._may_issue_orders,
+            self.clock,
+            shaping.ShapePlanner(),
+        )
+
+    def _find_engine(
+        self, pool: str, upstream: str
+    ) -> upstreams.Engine | None:
+        return directory_.find_by_name(
+            self.source.read_tables(), self.directory, pool, upstream
+        )
+
+    def _may_issue_orders(self) -> bool:
+        alive = [
+            one.name
+            for one in self.members.list_members()
+            if one.health is not member.Health.DEAD
+        ]
+        return self.settings.vm_name in issuer.choose_candidates(alive)
 
     def _change_settings(self, changed: settings.Settings) -> None:
         self.members.change_seeds(_list_seeds(changed))
--- a/mulberryway/platform/tables.py
+++ b/mulberryway/platform/tables.py
@@ -148,6 +148,7 @@
         engine_tokens=wire.read_whole(shape["kv_capacity"], 1),
         most_connections=connections,
         switch_ms=int(float(shape.get("swap_s", 0)) * MS_IN_S),
+        self_reading=True,
     )
 
 
@@ -205,4 +206,5 @@
         engine_tokens=pool.engine_tokens,
         most_connections=pool.most_connections,
         switch_ms=pool.switch_ms,
+        self_reading=pool.self_reading,
     )
--- a/mulberryway/policy/issuer.py
+++ b/mulberryway/policy/issuer.py
@@ -149,7 +149,11 @@
         :param sent_ms: the time before the write was sent
         :param now_ms: the present
         """
-        if self._seen is None or record.fencing != self._seen.fencing:
+        # Nobody's orders can be under way before the first lease of all.
+        is_new = self._seen is not None or record.fencing > 1
+        if is_new and (
+            self._seen is None or record.fencing != self._seen.fencing
+        ):
             self._quiet_until_ms = now_ms + FLIGHT_MS
         self._seen, self._version = record, version
         self._changed_ms = now_ms
--- a/mulberryway/policy/orders.py
+++ b/mulberryway/policy/orders.py
@@ -1,11 +1,12 @@
 """Which orders engines need, and how many may run at once."""
 
+import abc
 import collections.abc
 
 from mulberryway import tables
 from mulberryway.upstreams import base as upstreams
 
-__all__ = ["OrderPlanner", "PlannedOrder"]
+__all__ = ["OrderPlanner", "PlannedOrder", "Planner"]
 
 # Load: a new model for a whole pool, or a zone that comes back.  Harm: the
 # weight store is rate-limited, and loads that share its rate all end late,
@@ -41,12 +42,57 @@
         return self.pool, self.row.name, self.verb, self.argument
 
 
-class OrderPlanner:
+class Planner(abc.ABC):
+    """Decides which orders engines need."""
+
+    # Whether an engine is asked for its state right before an order, which
+    # then holds only for that state.
+    needs_state: bool = True
+
+    @abc.abstractmethod
+    def plan(
+        self,
+        pools: collections.abc.Mapping[str, tables.Pool],
+        loads: collections.abc.Mapping[tuple[str, str], upstreams.EngineLoad],
+        now_ms: int,
+    ) -> list[PlannedOrder]:
+        """Return the orders that may be given now.
+
+        :param pools: the pools by name
+        :param loads: the newest reports by pool and upstream
+        :param now_ms: the present
+        :returns: orders
+        """
+
+    @abc.abstractmethod
+    def note_given(self, order: PlannedOrder, now_ms: int) -> None:
+        """Tell that an engine took an order.
+
+        :param order: the order
+        :param now_ms: the present
+        """
+
+    @abc.abstractmethod
+    def note_failed(self, order: PlannedOrder, now_ms: int) -> None:
+        """Tell that an order was refused or got no answer.
+
+        :param order: the order
+        :param now_ms: the present
+        """
+
+    @abc.abstractmethod
+    def forget(self) -> None:
+        """Forget all, for this VM is the issuer no longer."""
+
+
+class OrderPlanner(Planner):
     """Compares the table of pools with what engines report.
 
     :param most_loads: how many loads may run at once, over all pools
     """
 
+    needs_state = False
+
     def __init__(self, most_loads: int = MOST_LOADS) -> None:
         self._most_loads = most_loads
         self._loading: dict[tuple[str, str, str, str], int] = {}
--- a/mulberryway/policy/placements.py
+++ b/mulberryway/policy/placements.py
@@ -53,6 +53,10 @@
         self.first_token_ms = ready_ms
         self.blocks = 0
 
+    def is_alone(self) -> bool:
+        """Tell whether one upstream does the prefill and the decode."""
+        return self.decode is self.prefill
+
 
 def count_bytes(job: messages.Job, pool: tables.Pool) -> int:
     """Return the size of a job's KV cache.
--- a/mulberryway/policy/placing.py
+++ b/mulberryway/policy/placing.py
@@ -29,6 +29,9 @@
 # A long prompt about to be refused is started all the same: its refusal would
 # be certain, the short ones' delay is not.
 LAST_CHANCE_MS = 100
+# A decode engine that reads a prompt itself holds up the streams it runs, so
+# it does that only where it clearly saves the caller time.
+ALONE_MARGIN_MS = 150.0
 # Choices within this time are equal; chance decides, so that routers which
 # see the same do not all go to the same upstream.
 EQUAL_MS = 3.0
@@ -68,9 +71,12 @@
         :returns: the placement without a decode upstream; none if no
             upstream takes prefills
         """
+        views_ = list(self._members.prefills)
+        if pool.self_reading:
+            views_ += self._members.decodes
         options = [
             self._plan_prefill(view, job, pool, now_ms)
-            for view in self._list_usable(self._members.prefills, job, now_ms)
+            for view in self._list_usable(views_, job, now_ms)
         ]
         return min(options, key=_read_ready, default=None)
 
@@ -84,6 +90,23 @@
         :param now_ms: the present
         :returns: the placement; none if it has to go on waiting
         """
+        apart = self._choose_apart(entry, pool, now_ms)
+        alone = self._choose_alone(entry, pool, now_ms)
+        placement = apart
+        if alone is not None and (
+            apart is None
+            or alone.first_token_ms + ALONE_MARGIN_MS < apart.first_token_ms
+        ):
+            placement = alone
+        if placement is None:
+            return None
+        left_ms = entry.job.deadline.at_ms - placement.first_token_ms
+        return placement if left_ms >= SAFETY_MS else None
+
+    def _choose_apart(
+        self, entry: queue.Entry, pool: tables.Pool, now_ms: int
+    ) -> placements.Placement | None:
+        """Return the best prefill, with a decode elsewhere."""
         options = self._list_prefills(entry, pool, now_ms)
         if not options:
             return None
@@ -99,8 +122,32 @@
         if decode is None:
             return None
         self._plan_decode(placement, decode, entry.job, pool)
-        left_ms = entry.job.deadline.at_ms - placement.first_token_ms
-        return placement if left_ms >= SAFETY_MS else None
+        return placement
+
+    def _choose_alone(
+        self, entry: queue.Entry, pool: tables.Pool, now_ms: int
+    ) -> placements.Placement | None:
+        """Return a decode engine that reads the prompt itself.
+
+        Load: prefill engines that are down, or a burst of prompts that they
+        cannot read in time while decode engines have room.  Harm: requests
+        are late or refused though an engine could serve them whole.
+        """
+        if not pool.self_reading:
+            return None
+        blocks = placements.count_blocks(entry.job, pool)
+        options = [
+            self._plan_prefill(view, entry.job, pool, now_ms)
+            for view in self._list_open(entry, blocks, now_ms)
+        ]
+        placement = min(options, key=_read_ready, default=None)
+        if placement is not None:
+            placement.decode = placement.prefill
+            placement.blocks = blocks
+            placement.first_token_ms = (
+                placement.ready_ms + placement.prefill.step.value + HOPS_MS
+            )
+        return placement
 
     def commit(
         self,
@@ -125,6 +172,8 @@
         placement.decode.start_decode(placement.blocks, now_ms)
         placement.prefill.add_prefill(placement.prefill_ms, now_ms)
         placement.prefill.prefixes.note_own(job.prefix_hashes)
+        if placement.is_alone():
+            return
         self._links.reserve(
             placements.read_zones(placement.prefill, placement.decode),
             placements.count_bytes(job, pool),
@@ -233,16 +282,7 @@
         now_ms: int,
     ) -> views.UpstreamView | None:
         blocks = placements.count_blocks(entry.job, pool)
-        usable = [
-            view
-            for view in self._list_usable(
-                self._members.decodes, entry.job, now_ms
-            )
-            if view.read_free(now_ms) > 0 and view.has_blocks(blocks)
-        ]
-        if entry.lane is queue.Lane.SUSPECT:
-            usable = [view for view in usable if not view.count_suspects()]
-        usable = self.slowness.set_apart(usable, entry, now_ms)
+        usable = self._list_open(entry, blocks, now_ms)
         if self.is_blind and len(usable) > BLIND_CHOICES:
             usable = self._random.sample(usable, BLIND_CHOICES)
         return max(
@@ -253,6 +293,21 @@
             default=None,
         )
 
+    def _list_open(
+        self, entry: queue.Entry, blocks: int, now_ms: int
+    ) -> list[views.UpstreamView]:
+        """Return the decode upstreams that probably have room."""
+        usable = [
+            view
+            for view in self._list_usable(
+                self._members.decodes, entry.job, now_ms
+            )
+            if view.read_free(now_ms) > 0 and view.has_blocks(blocks)
+        ]
+        if entry.lane is queue.Lane.SUSPECT:
+            usable = [view for view in usable if not view.count_suspects()]
+        return self.slowness.set_apart(usable, entry, now_ms)
+
     def _rate_decode(
         self,
         view: views.UpstreamView,
--- a/mulberryway/policy/pool_set.py
+++ b/mulberryway/policy/pool_set.py
@@ -9,6 +9,7 @@
 from mulberryway.policy import pools
 from mulberryway.policy import retries
 from mulberryway.policy import shifting
+from mulberryway.policy import views
 from mulberryway.policy import weighing
 
 __all__ = ["PoolSet"]
@@ -25,6 +26,7 @@
     :param most_entries: limit on what waits in each pool
     :param most_bytes: limit on the bodies of what waits in each pool
     :param budget: what repeats are taken out of
+    :param prefill_rate: see :class:`shifting.Members`
     """
 
     def __init__(
@@ -37,6 +39,7 @@
         most_entries: int,
         most_bytes: int,
         budget: type[retries.RetryBudget] = retries.RetryBudget,
+        prefill_rate: float = views.PREFILL_MS_PER_TOKEN,
     ) -> None:
         self.pools: dict[str, pools.PoolScheduler] = {}
         self._vm = vm
@@ -47,6 +50,7 @@
         self._most_entries = most_entries
         self._most_bytes = most_bytes
         self._budget = budget
+        self._prefill_rate = prefill_rate
         self._vms: tuple[str, ...] = (vm,)
         self._endings: dict[str, endings.Endings] = {}
         self._retired: dict[str, pools.PoolScheduler] = {}
@@ -114,7 +118,7 @@
     def _make(self, row: tables.Pool) -> pools.PoolScheduler:
         return pools.PoolScheduler(
             row,
-            shifting.Members(self._vm, self._random),
+            shifting.Members(self._vm, self._random, self._prefill_rate),
             self._register,
             self._weighed,
             self._random,
--- a/mulberryway/policy/scheduler.py
+++ b/mulberryway/policy/scheduler.py
@@ -16,6 +16,7 @@
 from mulberryway.policy import retries
 from mulberryway.policy import running
 from mulberryway.policy import telling
+from mulberryway.policy import views
 from mulberryway.policy import weighing
 from mulberryway.upstreams import base as upstreams
 
@@ -46,6 +47,7 @@
     :param most_entries: limit on what waits in each pool
     :param most_bytes: limit on the bodies of what waits in each pool
     :param budget: what repeats are taken out of
+    :param prefill_rate: see :class:`shifting.Members`
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         most_entries: int = MOST_ENTRIES,
         most_bytes: int = MOST_BYTES,
         budget: type[retries.RetryBudget] = retries.RetryBudget,
+        prefill_rate: float = views.PREFILL_MS_PER_TOKEN,
     ) -> None:
         self.register = register or poison.Register()
         self._set = pool_set.PoolSet(
@@ -70,6 +73,7 @@
             most_entries,
             most_bytes,
             budget,
+            prefill_rate,
         )
         self._pools = self._set.pools
         self._waiting: dict[str, str] = {}
--- /dev/null
+++ b/mulberryway/policy/shaping.py
@@ -0,0 +1,102 @@
+"""How many engines of a pool read prompts, and which change their role."""
+
+import collections.abc
+
+from mulberryway import tables
+from mulberryway.policy import orders
+from mulberryway.upstreams import base as upstreams
+
+__all__ = ["ShapePlanner"]
+
+# Load: streams of thousands of tokens, whose KV caches fill decode engines
+# while prefill engines stand nearly idle: reading 5,000 tokens takes a tenth
+# of a second, and making the answer takes seconds of an engine's memory.
+# Harm: streams are refused for want of room.  One engine in so many reads
+# prompts; what it cannot take in a burst, decode engines read themselves.
+ENGINES_PER_PREFILL = 7
+# A smaller pool is left as its operators made it.
+LEAST_ENGINES = 3
+# What was ordered shows in the pool only when the engine has emptied itself
+# and is back, which takes several seconds; and an order whose answer was
+# lost may be carried out up to twelve seconds later.
+AGAIN_MS = 20_000
+# Engines that change their role serve nothing meanwhile, so not all at once.
+MOST_AT_ONCE = 2
+
+
+class ShapePlanner(orders.Planner):
+    """Turns surplus prefill engines into decode engines."""
+
+    def __init__(self) -> None:
+        self._ordered_ms: dict[tuple[str, str], int] = {}
+
+    def plan(
+        self,
+        pools: collections.abc.Mapping[str, tables.Pool],
+        loads: collections.abc.Mapping[tuple[str, str], upstreams.EngineLoad],
+        now_ms: int,
+    ) -> list[orders.PlannedOrder]:
+        """Return the orders that may be given now.
+
+        :param pools: the pools by name
+        :param loads: not looked at: a role stands in the tables
+        :param now_ms: the present
+        :returns: orders
+        """
+        self._ordered_ms = {
+            key: at_ms
+            for key, at_ms in self._ordered_ms.items()
+            if now_ms - at_ms < AGAIN_MS
+        }
+        return [
+            order
+            for name, pool in pools.items()
+            if pool.kind is tables.PoolKind.MODEL and pool.self_reading
+            for order in self._plan_pool(name, pool)
+        ]
+
+    def note_given(self, order: orders.PlannedOrder, now_ms: int) -> None:
+        """Tell that an engine took an order.
+
+        :param order: the order
+        :param now_ms: the present
+        """
+        self._ordered_ms[order.pool, order.row.name] = now_ms
+
+    def note_failed(self, order: orders.PlannedOrder, now_ms: int) -> None:
+        """Tell that an order was refused or got no answer.
+
+        :param order: the order
+        :param now_ms: the present
+        """
+        self._ordered_ms[order.pool, order.row.name] = now_ms
+
+    def forget(self) -> None:
+        """Forget all, for this VM is the issuer no longer."""
+        self._ordered_ms.clear()
+
+    def _plan_pool(
+        self, name: str, pool: tables.Pool
+    ) -> list[orders.PlannedOrder]:
+        live = [row for row in pool.upstreams if not row.leaving]
+        if len(live) < LEAST_ENGINES:
+            return []
+        changing = sum(key[0] == name for key in self._ordered_ms)
+        prefills = sorted(
+            (
+                row
+                for row in live
+                if row.role is tables.UpstreamRole.PREFILL
+                and (name, row.name) not in self._ordered_ms
+            ),
+            key=lambda row: row.name,
+        )
+        wanted = max(round(len(live) / ENGINES_PER_PREFILL), 1)
+        surplus = len(prefills) - wanted
+        room = max(MOST_AT_ONCE - changing, 0)
+        return [
+            orders.PlannedOrder(
+                name, row, "role", tables.UpstreamRole.DECODE.value
+            )
+            for row in prefills[: max(min(surplus, room), 0)]
+        ]
--- a/mulberryway/policy/shifting.py
+++ b/mulberryway/policy/shifting.py
@@ -4,10 +4,13 @@
 
 from mulberryway import tables
 from mulberryway.policy import cells
+from mulberryway.policy import health
 from mulberryway.policy import views
 
 __all__ = ["Members"]
 
+# A decode upstream that reads a prompt itself does so at half the speed.
+SELF_READING_COST = 2.0
 PREFILL_ROLES = (tables.UpstreamRole.PREFILL, tables.UpstreamRole.BOTH)
 DECODE_ROLES = (tables.UpstreamRole.DECODE, tables.UpstreamRole.BOTH)
 
@@ -17,10 +20,13 @@
 
     :param vm: this VM's name
     :param random_: a seeded source of chance
+    :param prefill_rate: milliseconds that a prefill upstream takes for a
+        prompt's token, until that was observed
     """
 
     __slots__ = (
         "_vm",
+        "_prefill_rate",
         "_random",
         "_views",
         "_retired",
@@ -29,8 +35,14 @@
         "decodes",
     )
 
-    def __init__(self, vm: str, random_: random.Random) -> None:
+    def __init__(
+        self,
+        vm: str,
+        random_: random.Random,
+        prefill_rate: float = views.PREFILL_MS_PER_TOKEN,
+    ) -> None:
         self._vm = vm
+        self._prefill_rate = prefill_rate
         self._random = random_
         self._views: dict[str, views.UpstreamView] = {}
         self._retired: dict[str, views.UpstreamView] = {}
@@ -105,8 +117,15 @@
         pool: tables.Pool,
     ) -> views.UpstreamView:
         blocks = pool.engine_tokens // max(pool.block_tokens, 1) or None
+        rate = self._prefill_rate
+        if row.role is tables.UpstreamRole.DECODE:
+            rate *= SELF_READING_COST
         if view is None:
-            return views.UpstreamView(row, pool.slots, self._random, blocks)
+            view = views.UpstreamView(row, pool.slots, self._random, blocks)
+            view.prefill_rate = health.Average(rate)
+            return view
+        if row.role is not view.row.role:
+            view.prefill_rate = health.Average(rate)
         if row.role not in PREFILL_ROLES:
             view.prefixes.clear()
         view.row = row
--- a/mulberryway/settings.py
+++ b/mulberryway/settings.py
@@ -142,6 +142,9 @@
         # What is weighed more when not everybody can be served well; see
         # docs/operators/weighing.md.
         self.policy_weighing: str = "worst_served"
+        # What a prefill engine takes for a prompt's token, until that was
+        # observed; see docs/operators/weighing.md.
+        self.policy_prefill_us: int = 100
 
 
 def _is_int(
@@ -308,6 +311,7 @@
         _is_optional_url,
     ),
     _number("telemetry.export_ms", "telemetry_export_ms", 100, HOUR_MS),
+    _number("policy.prefill_us", "policy_prefill_us", 1, 100_000),
     Option(
         "policy.weighing",
         "policy_weighing",
--- a/mulberryway/tables/model.py
+++ b/mulberryway/tables/model.py
@@ -104,6 +104,8 @@
     :param most_connections: what one upstream accepts from all VMs
         together; 0 where nothing is known
     :param switch_ms: how long an engine that changes its role is away
+    :param self_reading: whether its decode engines can read prompts
+        themselves, more slowly than prefill engines do
     """
 
     __slots__ = (
@@ -113,6 +115,7 @@
         "engine_tokens",
         "most_connections",
         "switch_ms",
+        "self_reading",
         "models",
         "credential",
         "slots",
@@ -135,6 +138,7 @@
         engine_tokens: int = 0,
         most_connections: int = 0,
         switch_ms: int = 0,
+        self_reading: bool = False,
     ) -> None:
         self.name = name
         self.kind = kind
@@ -148,6 +152,7 @@
         self.engine_tokens = engine_tokens
         self.most_connections = most_connections
         self.switch_ms = switch_ms
+        self.self_reading = self_reading
 
 
 class PoolShare:
--- a/mulberryway/upstreams/directory.py
+++ b/mulberryway/upstreams/directory.py
@@ -10,7 +10,7 @@
 from mulberryway.upstreams import http_engine
 from mulberryway.upstreams import http_service
 
-__all__ = ["HttpDirectory", "UpstreamDirectory"]
+__all__ = ["HttpDirectory", "UpstreamDirectory", "find_by_name"]
 
 Found = http_engine.HttpEngine | http_service.HttpService
 
@@ -48,6 +48,31 @@
         """
 
 
+def find_by_name(
+    found: tables.Tables | None,
+    directory: UpstreamDirectory,
+    pool: str,
+    upstream: str,
+) -> base.Engine | None:
+    """Return the engine that a pool and a name stand for.
+
+    :param found: the tables in force, or none
+    :param directory: finds the object for a row
+    :param pool: the pool's name
+    :param upstream: the upstream's name
+    :returns: the engine; none if the tables do not hold it
+    """
+    row = found.pools.get(pool) if found is not None else None
+    return next(
+        (
+            directory.find_engine(row, one)
+            for one in (row.upstreams if row is not None else ())
+            if one.name == upstream
+        ),
+        None,
+    )
+
+
 class HttpDirectory(UpstreamDirectory):
     """Keeps one object, with its connections, for each address.
 
