Let decode engines read only prompts that make no stream late

Ruled out: the relay and the first token. Two prefill engines of six or seven keep such reading rare.

--- a/mulberryway/policy/placements.py
+++ b/mulberryway/policy/placements.py
@@ -10,7 +10,7 @@
 # Answers on one engine are at all points between their first and their last
 # token, so on average half of the length is in memory; the rest is for the
 # estimates' error and for answers that end together.
-GROWN_PART = 0.7
+GROWN_PART = 0.5
 
 
 class Placement:
--- a/mulberryway/policy/placing.py
+++ b/mulberryway/policy/placing.py
@@ -32,6 +32,9 @@
 # A decode engine that reads a prompt itself holds up the streams it runs, so
 # it does that only where it clearly saves the caller time.
 ALONE_MARGIN_MS = 150.0
+# Of the longest pause that is on time so much may go to reading a prompt; the
+# rest is for the tokens that come between its pieces.
+ALONE_PART = 0.5
 # Choices within this time are equal; chance decides, so that routers which
 # see the same do not all go to the same upstream.
 EQUAL_MS = 3.0
@@ -56,6 +59,7 @@
     ) -> None:
         self._members = members
         self._random = random_
+        self._gap_ms = token_gap_ms
         self._links = transfers.Links()
         self.slowness = slowness.Slowness(members, token_gap_ms)
         self.is_blind = False
@@ -137,8 +141,10 @@
             return None
         blocks = placements.count_blocks(entry.job, pool)
         options = [
-            self._plan_prefill(view, entry.job, pool, now_ms)
+            option
             for view in self._list_open(entry, blocks, now_ms)
+            for option in [self._plan_prefill(view, entry.job, pool, now_ms)]
+            if self._is_harmless(option, now_ms)
         ]
         placement = min(options, key=_read_ready, default=None)
         if placement is not None:
@@ -257,6 +263,23 @@
         ]
         return quick if len(quick) > 1 else []
 
+    def _is_harmless(
+        self, option: placements.Placement, now_ms: int
+    ) -> bool:
+        """Tell whether a decode engine may read a prompt beside its streams.
+
+        Load: bursts, in which several prompts come at once.  Harm: each piece
+        of a prompt is read between two tokens of all running streams.  One
+        prompt of usual length makes a pause longer, two in a row or a long
+        one make it too long, for every stream of the engine.
+        """
+        view = option.prefill
+        if not view.count_running():
+            return not view.read_wait_ms(now_ms)
+        has_rested = now_ms - view.busy_until_ms >= self._gap_ms
+        is_short = option.prefill_ms <= self._gap_ms * ALONE_PART
+        return has_rested and (is_short or not self._members.prefills)
+
     def _plan_prefill(
         self,
         view: views.UpstreamView,
--- a/mulberryway/policy/shaping.py
+++ b/mulberryway/policy/shaping.py
@@ -13,7 +13,7 @@
 # of a second, and making the answer takes seconds of an engine's memory.
 # Harm: streams are refused for want of room.  One engine in so many reads
 # prompts; what it cannot take in a burst, decode engines read themselves.
-ENGINES_PER_PREFILL = 7
+ENGINES_PER_PREFILL = 3.5
 # A smaller pool is left as its operators made it.
 LEAST_ENGINES = 3
 # What was ordered shows in the pool only when the engine has emptied itself
--- a/mulberryway/policy/views.py
+++ b/mulberryway/policy/views.py
@@ -116,6 +116,10 @@
         free = self.slots - self.own - self.peers - self.excess
         return free if free > 0 else 0
 
+    def count_running(self) -> int:
+        """Return how many streams probably run here, all VMs together."""
+        return self.own + self.peers + self.excess
+
     def has_blocks(self, blocks: int) -> bool:
         """Tell whether a decode's KV cache probably fits.
 
