--- a/mulberryway/policy/placements.py
+++ b/mulberryway/policy/placements.py
@@ -7,10 +7,11 @@
 __all__ = ["Placement", "count_blocks", "count_bytes", "read_zones"]
 
 
-# Answers on one engine are at all points between their first and their last
-# token, so on average half of the length is in memory; the rest is for the
-# estimates' error and for answers that end together.
-GROWN_PART = 0.5
+# Answers that began together in a burst grow together, so nearly all of their
+# length is in memory at the same time.  Measured over two calm and two heavy
+# days: with 0.5 of it, 4 to 5 in 100 of all worth were lost by prompts read
+# in vain, with 0.7 2 to 3, with 0.9 under 1; what waits longer costs less.
+GROWN_PART = 0.9
 
 
 class Placement:
@@ -77,9 +78,6 @@
     """
     expected = job.max_tokens
     if job.expected_tokens:
-        # Memory fills as the answer grows, and answers on one engine stand
-        # at different points: all at their end at once is never seen, so a
-        # part of the expected length covers them together.
         expected = min(expected, int(job.expected_tokens * GROWN_PART))
     tokens = job.prompt_tokens + expected
     return -(-tokens // max(pool.block_tokens, 1))
