--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -17,9 +17,9 @@
 from mulberryway.controllers import claim_keeping
 from mulberryway.controllers import claims
 from mulberryway.load import outcome
-from mulberryway.peers.gen.claims import Claims
 from mulberryway.objects import counts
 from mulberryway.objects import http
+from mulberryway.peers.gen.claims import Claims
 from mulberryway.policy import claim_records
 from mulberryway.policy import member
 from tests import processes
--- a/benchmarks/configuration_vm.py
+++ b/benchmarks/configuration_vm.py
@@ -21,9 +21,9 @@
 from mulberryway import settings
 from mulberryway.controllers import configuration_service
 from mulberryway.controllers import membership
-from mulberryway.peers.gen.membership import Membership
 from mulberryway.objects import counts
 from mulberryway.objects import http
+from mulberryway.peers.gen.membership import Membership
 from mulberryway.policy import member
 
 FLAGS = flags.FLAGS
--- a/mulberryway/assembly.py
+++ b/mulberryway/assembly.py
@@ -20,13 +20,13 @@
 from mulberryway.controllers import orders
 from mulberryway.controllers import owners
 from mulberryway.controllers import reconciling
+from mulberryway.objects import counts
+from mulberryway.objects import http as platform_http
 from mulberryway.peers import datagrams
 from mulberryway.peers import server as peer_server
 from mulberryway.peers.gen.allowances import Allowances
 from mulberryway.peers.gen.claims import Claims
 from mulberryway.peers.gen.membership import Membership
-from mulberryway.objects import counts
-from mulberryway.objects import http as platform_http
 from mulberryway.policy import issuer
 from mulberryway.policy import member
 from mulberryway.policy import scheduler
--- a/mulberryway/controllers/claims.py
+++ b/mulberryway/controllers/claims.py
@@ -16,8 +16,8 @@
 from mulberryway.controllers import claim_keeping
 from mulberryway.controllers import claim_queue
 from mulberryway.controllers import claim_writer
-from mulberryway.peers import client
 from mulberryway.objects import base as platform
+from mulberryway.peers import client
 from mulberryway.policy import claim_records
 from mulberryway.policy import claims
 
--- a/mulberryway/controllers/configuration_service.py
+++ b/mulberryway/controllers/configuration_service.py
@@ -15,8 +15,8 @@
 from mulberryway.controllers import configuration_rpc
 from mulberryway.controllers import configuration_watch
 from mulberryway.controllers import membership
-from mulberryway.peers.gen.configuration import Configuration
 from mulberryway.objects import base as platform
+from mulberryway.peers.gen.configuration import Configuration
 from mulberryway.policy import member
 
 __all__ = ["SERVICE", "ConfigurationService", "list_known"]
--- a/mulberryway/controllers/fleet_allowances.py
+++ b/mulberryway/controllers/fleet_allowances.py
@@ -95,20 +95,20 @@
         :returns: the reservation, or ``OVER_ALLOWANCE`` with a retry hint
         """
         with self._lock:
-            wait_ms = self._book.take(account, tokens, self.clock.now_ms())
+            now_ms = self.clock.now_ms()
+            wait_ms = self._book.take(account, tokens, now_ms)
+            inputs = self._book.describe(account, now_ms)
         if wait_ms is None:
             return expression.Ok(allowance.Reservation(account, tokens))
-        return expression.Error(
-            errors.Fault(
-                errors.Code.OVER_ALLOWANCE,
-                errors.Step.ADMISSION,
-                account,
-                message="the account has used its rate and burst",
-                retry_after_ms=min(
-                    max(wait_ms, LEAST_RETRY_MS), MOST_RETRY_MS
-                ),
-            )
+        fault = errors.Fault(
+            errors.Code.OVER_ALLOWANCE,
+            errors.Step.ADMISSION,
+            account,
+            message="the account has used its rate and burst",
+            retry_after_ms=min(max(wait_ms, LEAST_RETRY_MS), MOST_RETRY_MS),
         )
+        fault.inputs = inputs | {"tokens": tokens}
+        return expression.Error(fault)
 
     def settle(self, reservation: allowance.Reservation, used: int) -> None:
         """Give back what a request did not use.
--- a/mulberryway/controllers/membership.py
+++ b/mulberryway/controllers/membership.py
@@ -7,9 +7,9 @@
 from mulberryway import clock
 from mulberryway.controllers import base
 from mulberryway.controllers import membership_exchange
+from mulberryway.objects import base as platform
 from mulberryway.peers import client
 from mulberryway.peers.gen.membership import Membership as service
-from mulberryway.objects import base as platform
 from mulberryway.policy import entry
 from mulberryway.policy import hint_board
 from mulberryway.policy import member
--- a/mulberryway/controllers/mirrored_tables.py
+++ b/mulberryway/controllers/mirrored_tables.py
@@ -71,9 +71,7 @@
             if self.configuration is None or self.servers is None:
                 return
             self._revision += 1
-            rows = {
-                one.name: one for one in self.configuration.list_objects()
-            }
+            rows = {one.name: one for one in self.configuration.list_objects()}
             try:
                 found = self._reader.read(
                     rows, self.servers.list_objects(), self._revision
--- a/mulberryway/controllers/notes.py
+++ b/mulberryway/controllers/notes.py
@@ -65,9 +65,9 @@
         self._is_idle = False
         # Gets each VM's counts with the address of its peers' port; must
         # return quickly.
-        self.on_usage: collections.abc.Callable[
-            [usages.Usage, str], None
-        ] = lambda usage, address: None
+        self.on_usage: collections.abc.Callable[[usages.Usage, str], None] = (
+            lambda usage, address: None
+        )
         scheduling_.on_change = self._note_change
         members.subscribe(DEATH, self._take_death)
 
--- a/mulberryway/errors.py
+++ b/mulberryway/errors.py
@@ -113,6 +113,7 @@
         "retry_after_ms",
         "has_died",
         "answer",
+        "inputs",
     )
 
     def __init__(
@@ -134,6 +135,8 @@
         self.retry_after_ms = retry_after_ms
         self.has_died = has_died
         self.answer = answer
+        # What decided, with its age where it has one; for logs only.
+        self.inputs: dict[str, int | float | str] = {}
 
     def __repr__(self) -> str:
         return (
--- a/mulberryway/filters/base.py
+++ b/mulberryway/filters/base.py
@@ -165,6 +165,7 @@
         "span",
         "has_gone",
         "prompt_used",
+        "tried",
         "_finishers",
         "_lock",
     )
@@ -213,6 +214,8 @@
         self.has_gone = threading.Event()
         # Prompt tokens that engines have computed for this request.
         self.prompt_used = 0
+        # Names of the upstreams that it was sent to, in order.
+        self.tried: list[str] = []
         self._finishers: list[Finisher] = []
         self._lock = threading.Lock()
 
--- a/mulberryway/filters/choosing.py
+++ b/mulberryway/filters/choosing.py
@@ -41,7 +41,13 @@
 class _Server:
     """What this VM has seen of one server."""
 
-    __slots__ = ("under_way", "took", "failures", "judged_ms", "avoid_until_ms")
+    __slots__ = (
+        "under_way",
+        "took",
+        "failures",
+        "judged_ms",
+        "avoid_until_ms",
+    )
 
     def __init__(self) -> None:
         self.under_way = 0
--- a/mulberryway/filters/interface.py
+++ b/mulberryway/filters/interface.py
@@ -76,6 +76,15 @@
         :param context: what they are made from
         """
 
+    def make_side_filters(
+        self, context: Context
+    ) -> collections.abc.Sequence[base.Filter]:
+        """Return the filters for what is asked on ports of its own.
+
+        :param context: what they are made from
+        """
+        return [status.ShowMetrics(context.parts.metrics)]
+
 
 class OwnInterface(Interface):
     """The project's own interface, as docs/design/interfaces.md tells it."""
--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -298,9 +298,44 @@
             if self._exchange.has_gone.is_set():
                 parts.scheduling.give_up(submitted.ok, _gone())
             decision = parts.scheduling.wait(submitted.ok)
-        parts.metrics.queue_wait.record(parts.clock.now_ms() - began_ms)
+        waited_ms = parts.clock.now_ms() - began_ms
+        parts.metrics.queue_wait.record(waited_ms)
+        self._log_decision(job, decision, waited_ms)
         return decision.bind(lambda found: self._take(job, found))
 
+    def _log_decision(
+        self,
+        job: messages.Job,
+        decision: expression.Result[messages.Assignment, errors.Fault],
+        waited_ms: int,
+    ) -> None:
+        exchange = self._exchange
+        fields = {
+            "request_id": exchange.request_id,
+            "job": job.job_id,
+            "pool": job.pool,
+            "prompt_tokens": job.prompt_tokens,
+            "expected_tokens": job.expected_tokens or job.max_tokens,
+            "waited_ms": waited_ms,
+            "tables": exchange.tables.revision,
+        }
+        if decision.is_error():
+            LOG.info(
+                "no engine was chosen",
+                extra=logs.describe(decision.error, **fields),
+            )
+            return
+        chosen = decision.ok
+        LOG.info(
+            "engines were chosen",
+            extra=logs.describe(
+                prefill=chosen.prefill,
+                decode=chosen.decode,
+                **fields,
+                **chosen.inputs,
+            ),
+        )
+
     def _take(
         self, job: messages.Job, assignment: messages.Assignment
     ) -> expression.Result[attempts.Attempt, errors.Fault]:
@@ -459,6 +494,7 @@
         limit: clock.Deadline,
     ) -> Source:
         self._sent_to.add(attempt.decode_name)
+        self._exchange.tried.append(attempt.decode_name)
         with self._begin_hop(attempt, errors.Step.TRANSFER) as span:
             result = attempt.decode.decode(
                 attempt.label,
--- a/mulberryway/filters/observe.py
+++ b/mulberryway/filters/observe.py
@@ -63,13 +63,24 @@
         if fault is not None:
             exchange.span.fail(fault)
         exchange.span.end()
-        LOG.debug(
+        took_ms = self._clock.now_ms() - exchange.arrived_ms
+        pool = getattr(exchange, "pool", None)
+        route = getattr(exchange, "route", None)
+        self._metrics.request_time.record(
+            took_ms, {"pool": "" if pool is None else pool.name}
+        )
+        found = getattr(exchange, "tables", None)
+        LOG.info(
             "a request ended",
             extra=logs.describe(
                 fault,
                 request_id=exchange.request_id,
                 account=labels["account"],
+                route="" if route is None else route.name,
+                pool="" if pool is None else pool.name,
+                tables=0 if found is None else found.revision,
+                tried=exchange.tried,
                 tokens=outcome.tokens,
-                took_ms=self._clock.now_ms() - exchange.arrived_ms,
+                took_ms=took_ms,
             ),
         )
--- a/mulberryway/filters/route.py
+++ b/mulberryway/filters/route.py
@@ -59,7 +59,6 @@
             )
         return proceed(exchange)
 
-
     def _choose_pool(self, route: tables.Route) -> str:
         if not route.shares:
             return route.pool
--- a/mulberryway/filters/status.py
+++ b/mulberryway/filters/status.py
@@ -6,6 +6,7 @@
 import expression
 
 from mulberryway import errors
+from mulberryway import metrics
 from mulberryway import replies
 from mulberryway.filters import base
 from mulberryway.policy import entry
@@ -16,10 +17,13 @@
     "Lifecycle",
     "RefuseLongWork",
     "RefuseWhenStopping",
+    "ShowMetrics",
 ]
 
 JSON_HEADERS = [("Content-Type", replies.JSON_TYPE)]
 STOPPING_RETRY_MS = 100
+METRICS_PATH = "/metrics"
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
 class Lifecycle(abc.ABC):
@@ -72,6 +76,32 @@
         return proceed(exchange)
 
 
+class ShowMetrics(base.Filter):
+    """Answers ``/metrics`` with counters and histograms as text.
+
+    :param metrics_: the process's instruments
+    """
+
+    def __init__(self, metrics_: metrics.Metrics) -> None:
+        self._metrics = metrics_
+
+    def handle(
+        self, exchange: base.Exchange, proceed: base.Proceed
+    ) -> base.Answer:
+        """Answer collectors, and let all else go on.
+
+        :param exchange: the request
+        :param proceed: the rest of the chain
+        :returns: a reply, or what the chain answers
+        """
+        if exchange.path != METRICS_PATH:
+            return proceed(exchange)
+        headers = [("Content-Type", METRICS_TYPE)]
+        return expression.Ok(
+            replies.Reply(200, headers, self._metrics.write_text())
+        )
+
+
 class RefuseWhenStopping(base.Filter):
     """Refuses new requests truthfully once callers have had time to go.
 
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -6,10 +6,12 @@
 """
 
 import concurrent.futures
+import logging
 import random
 
 from mulberryway import clock
 from mulberryway import errors
+from mulberryway import logs
 from mulberryway import peers
 from mulberryway import replies
 from mulberryway import router
@@ -48,6 +50,8 @@
 
 __all__ = ["HostedAssembly"]
 
+LOG = logging.getLogger(__name__)
+
 MEMBERSHIP = "Membership"
 MIRRORS = "Mirrors"
 # The longest pause between a stream's pieces that is still on time.
@@ -144,6 +148,14 @@
 
     def start(self) -> None:
         """Begin to serve peers, then callers; returns at once."""
+        LOG.info(
+            "the entry VM starts",
+            extra=logs.describe(
+                incarnation=self.incarnation,
+                address=self.settings.router_address,
+                peers=self.members.own.peer,
+            ),
+        )
         self.peer_server.start()
         self.datagrams.start()
         for keeper in self.keepers.values():
@@ -162,6 +174,13 @@
 
         :param graceful: whether running requests may end first
         """
+        LOG.info(
+            "the entry VM stops",
+            extra=logs.describe(
+                running=self.router.running,
+                grace_ms=self.settings.router_grace_ms,
+            ),
+        )
         self.router.stop(graceful)
         controllers = (
             self.orders,
@@ -176,6 +195,10 @@
             list(stops.map(lambda one: one.stop(), controllers))
         self.datagrams.stop()
         self.peer_server.stop()
+        LOG.info(
+            "the entry VM has stopped",
+            extra=logs.describe(cut=self.router.running),
+        )
 
     def _make_members(self) -> membership.MembershipController:
         settings_ = self.settings
@@ -322,9 +345,7 @@
         self.members.change_seeds(_list_seeds(changed))
 
     def _read_mirrors(self) -> dict[str, int]:
-        return {
-            kind: keeper.revision for kind, keeper in self.keepers.items()
-        }
+        return {kind: keeper.revision for kind, keeper in self.keepers.items()}
 
     def _take_usage(self, told: usage.Usage, address: str) -> None:
         self.allowances.take(told)
--- a/mulberryway/metrics.py
+++ b/mulberryway/metrics.py
@@ -25,10 +25,15 @@
     :param vm: the VM's name
     :param otlp_url: where metrics are sent; empty for nowhere
     :param export_ms: how often
+    :param serves_text: whether they can be read as text
     """
 
     def __init__(
-        self, vm: str, otlp_url: str = "", export_ms: int = 10_000
+        self,
+        vm: str,
+        otlp_url: str = "",
+        export_ms: int = 10_000,
+        serves_text: bool = False,
     ) -> None:
         self._memory = export.InMemoryMetricReader()
         readers: list[export.MetricReader] = [self._memory]
@@ -44,6 +49,14 @@
             readers.append(
                 export.PeriodicExportingMetricReader(exporter, export_ms)
             )
+        self._registry: typing.Any = None
+        if serves_text:
+            self._registry = importlib.import_module("prometheus_client")
+            readers.append(
+                importlib.import_module(
+                    "opentelemetry.exporter.prometheus"
+                ).PrometheusMetricReader()
+            )
         self._provider = sdk.MeterProvider(
             readers,
             resources.Resource(
@@ -66,6 +79,11 @@
             "ms",
             "time from a request's arrival to its first token",
         )
+        self.request_time = meter.create_histogram(
+            "mulberryway.request_time",
+            "ms",
+            "time from a request's arrival to its end, by pool",
+        )
         self.queue_wait = meter.create_histogram(
             "mulberryway.queue_wait",
             "ms",
@@ -131,6 +149,13 @@
             for metric in scope.metrics
         }
 
+    def write_text(self) -> bytes:
+        """Return all values as text, in the form that collectors read."""
+        if self._registry is None:
+            return b""
+        text: bytes = self._registry.generate_latest()
+        return text
+
     def stop(self) -> None:
         """Send what is still to be sent."""
         self._provider.shutdown()
--- a/mulberryway/platform/interface.py
+++ b/mulberryway/platform/interface.py
@@ -37,11 +37,6 @@
         """
         settings_, parts = context.settings, context.parts
         return [
-            callers.AnswerPlatform(
-                context.lifecycle,
-                context.entries,
-                settings_.router_entry_ttl_ms,
-            ),
             observe.Observe(parts.tracer, parts.metrics, parts.clock),
             status.RefuseWhenStopping(context.lifecycle),
             authenticate.Authenticate(
@@ -62,3 +57,19 @@
                 parts.may_repeat,
             ),
         ]
+
+    def make_side_filters(
+        self, context: interface.Context
+    ) -> collections.abc.Sequence[base.Filter]:
+        """Return the filters for what the platform and collectors ask.
+
+        :param context: what they are made from
+        """
+        return [
+            callers.AnswerPlatform(
+                context.lifecycle,
+                context.entries,
+                context.settings.router_entry_ttl_ms,
+            ),
+            *super().make_side_filters(context),
+        ]
--- a/mulberryway/platform/store.py
+++ b/mulberryway/platform/store.py
@@ -215,9 +215,7 @@
             for event in found.ok.events:
                 yield expression.Ok(event)
             mark = base.StoredObject(kind, "", revision, {})
-            yield expression.Ok(
-                base.WatchEvent(base.EventType.BOOKMARK, mark)
-            )
+            yield expression.Ok(base.WatchEvent(base.EventType.BOOKMARK, mark))
 
     def list_vms(
         self, purpose: str
@@ -304,7 +302,9 @@
             )
         return self._fault(method, False, message)
 
-    def _fault(self, method: str, was_sent: bool, message: str) -> errors.Fault:
+    def _fault(
+        self, method: str, was_sent: bool, message: str
+    ) -> errors.Fault:
         may_have_run = was_sent and method != "GET"
         return errors.Fault(
             errors.Code.PLATFORM_UNAVAILABLE,
--- a/mulberryway/policy/admission.py
+++ b/mulberryway/policy/admission.py
@@ -112,12 +112,19 @@
         wait_ms = max(queue_ms, self._estimate_slot_wait_ms(job, now_ms))
         if now_ms + wait_ms <= latest_ms:
             return None
-        return make_refusal(
+        fault = make_refusal(
             errors.Code.OVERLOADED,
             job,
             "the first token could not come in time",
             self._meters.hint_retry_ms(wait_ms),
         )
+        fault.inputs = {
+            "wait_ms": round(wait_ms),
+            "left_ms": latest_ms - now_ms,
+            "waiting": len(self._fair),
+            "free_slots": self._placer.count_free(now_ms),
+        }
+        return fault
 
     def _estimate_slot_wait_ms(self, job: messages.Job, now_ms: int) -> float:
         # In virtual time a job waits until the account's start is reached;
--- a/mulberryway/policy/entries.py
+++ b/mulberryway/policy/entries.py
@@ -53,7 +53,6 @@
         self.latest_ms = latest_ms
         self.prefill_ms = prefill_ms
 
-
     def is_late(self, now_ms: int) -> bool:
         """Tell whether a start now would bring the first token too late.
 
--- a/mulberryway/policy/entry.py
+++ b/mulberryway/policy/entry.py
@@ -103,9 +103,7 @@
     usable = [
         one
         for one in members
-        if one.takes_callers
-        and not one.is_starting
-        and one.name not in silent
+        if one.takes_callers and not one.is_starting and one.name not in silent
     ]
     chosen = usable or [one for one in members if not one.is_stopping]
     return [
--- a/mulberryway/policy/hearing.py
+++ b/mulberryway/policy/hearing.py
@@ -71,6 +71,17 @@
             if pool is not None:
                 pool.neighbours.note(note.vm, account, now_ms)
 
+    def read_age_ms(self, now_ms: int) -> int:
+        """Return how long ago the longest silent peer was heard.
+
+        :param now_ms: the present
+        :returns: milliseconds; 0 where no peer is known
+        """
+        return max(
+            (now_ms - heard.at_ms for heard in self._heard.values()),
+            default=0,
+        )
+
     def sweep(
         self,
         pools_: collections.abc.Mapping[str, pools.PoolScheduler],
--- a/mulberryway/policy/messages.py
+++ b/mulberryway/policy/messages.py
@@ -104,7 +104,7 @@
     :param priority: what the engines are told; 0 goes first
     """
 
-    __slots__ = ("job_id", "prefill", "decode", "priority")
+    __slots__ = ("job_id", "prefill", "decode", "priority", "inputs")
 
     def __init__(
         self, job_id: str, prefill: str, decode: str, priority: int = 0
@@ -113,6 +113,8 @@
         self.prefill = prefill
         self.decode = decode
         self.priority = priority
+        # What decided, with its age where it has one; for logs only.
+        self.inputs: dict[str, int | float | str] = {}
 
 
 class Refusal:
--- a/mulberryway/policy/placements.py
+++ b/mulberryway/policy/placements.py
@@ -54,6 +54,22 @@
         self.first_token_ms = ready_ms
         self.blocks = 0
 
+    def describe(self, now_ms: int) -> dict[str, int | float | str]:
+        """Return what decided, for logs.
+
+        :param now_ms: the present
+        :returns: free room after this start, waits and what they rest on
+        """
+        decode = self.decode or self.prefill
+        return {
+            "blocks": self.blocks,
+            "free_slots": decode.read_free(now_ms),
+            "free_blocks": decode.count_free_blocks(),
+            "prefill_ms": round(self.prefill_ms),
+            "ready_in_ms": round(self.ready_ms - now_ms),
+            "step_ms": round(decode.step.value, 1),
+        }
+
     def is_alone(self) -> bool:
         """Tell whether one upstream does the prefill and the decode."""
         return self.decode is self.prefill
--- a/mulberryway/policy/placing.py
+++ b/mulberryway/policy/placing.py
@@ -263,9 +263,7 @@
         ]
         return quick if len(quick) > 1 else []
 
-    def _is_harmless(
-        self, option: placements.Placement, now_ms: int
-    ) -> bool:
+    def _is_harmless(self, option: placements.Placement, now_ms: int) -> bool:
         """Tell whether a decode engine may read a prompt beside its streams.
 
         Load: bursts, in which several prompts come at once.  Harm: each piece
--- a/mulberryway/policy/scheduler.py
+++ b/mulberryway/policy/scheduler.py
@@ -333,12 +333,16 @@
         self._tell_views(pool, started)
         decode = started.placement.decode
         assert decode is not None
-        return messages.Assignment(
+        assignment = messages.Assignment(
             job.job_id,
             started.placement.prefill.row.name,
             decode.row.name,
             int(started.entry.lane),
         )
+        assignment.inputs = started.placement.describe(now_ms) | {
+            "heard_ms": self._hearer.read_age_ms(now_ms)
+        }
+        return assignment
 
     def _tell_views(self, pool: str, started: running.Running) -> None:
         for view in (started.placement.prefill, started.placement.decode):
--- a/mulberryway/policy/usage.py
+++ b/mulberryway/policy/usage.py
@@ -226,6 +226,26 @@
         """
         self._spend(self._find(account, now_ms), -tokens)
 
+    def describe(
+        self, account: str, now_ms: int
+    ) -> dict[str, int | float | str]:
+        """Return what decides about an account now, for logs.
+
+        :param account: the account's name
+        :param now_ms: the present
+        :returns: what is left, and what that rests on
+        """
+        bucket = self._find(account, now_ms)
+        return {
+            "left": int(bucket.level),
+            "rate": int(bucket.rate),
+            "part": round(self._read_part(now_ms), 2),
+            "heard_ms": max(
+                (now_ms - peer.heard_ms for peer in self._peers.values()),
+                default=0,
+            ),
+        }
+
     def list_silent(self, now_ms: int) -> frozenset[str]:
         """Return the VMs that were heard before and are silent now.
 
--- a/mulberryway/policy/views.py
+++ b/mulberryway/policy/views.py
@@ -116,6 +116,13 @@
         free = self.slots - self.own - self.peers - self.excess
         return free if free > 0 else 0
 
+    def count_free_blocks(self) -> int:
+        """Return how many KV cache blocks are probably free; -1 unknown."""
+        if self.total_blocks is None:
+            return -1
+        used = self.own_blocks + self.peer_blocks + self.excess_blocks
+        return self.total_blocks - used
+
     def count_running(self) -> int:
         """Return how many streams probably run here, all VMs together."""
         return self.own + self.peers + self.excess
@@ -128,8 +135,7 @@
         """
         if self.total_blocks is None:
             return True
-        used = self.own_blocks + self.peer_blocks + self.excess_blocks
-        return used + blocks <= self.total_blocks
+        return blocks <= self.count_free_blocks()
 
     def read_wait_ms(self, now_ms: int) -> float:
         """Return how long a prefill would wait before it begins.
--- a/mulberryway/router.py
+++ b/mulberryway/router.py
@@ -16,7 +16,6 @@
 from mulberryway.controllers import cancelling
 from mulberryway.controllers import claims
 from mulberryway.controllers import scheduling
-from mulberryway.filters import base as filters
 from mulberryway.filters import chain
 from mulberryway.filters import interface
 from mulberryway.filters import model_run
@@ -115,6 +114,7 @@
             settings_.vm_name,
             settings_.telemetry_otlp_url,
             settings_.telemetry_export_ms,
+            bool(settings_.telemetry_metrics_address),
         )
         self.tracer = traces.Tracer(
             settings_.vm_name, settings_.telemetry_otlp_url
@@ -141,8 +141,9 @@
         self._is_withdrawn = False
         self._is_refusing = False
         self._stop_lock = threading.Lock()
+        context = self._make_context()
         self.gateway = gateway.GatewayFactory(
-            chain.Chain(self._make_filters()),
+            chain.Chain(self._interface.make_filters(context)),
             clock_,
             f"{settings_.vm_name}.{incarnation}",
             style,
@@ -150,10 +151,15 @@
         self.server = http_server.HttpServer(
             settings_, self.gateway, self.relay
         )
+        side = gateway.GatewayFactory(
+            chain.Chain(self._interface.make_side_filters(context)),
+            clock_,
+            f"{settings_.vm_name}.{incarnation}.side",
+        )
         self._side_servers = [
             http_server.HttpServer(
                 settings_,
-                self.gateway,
+                side,
                 self.relay,
                 settings.read_port(address),
                 SIDE_THREADS,
@@ -161,6 +167,7 @@
             for address in (
                 settings_.router_ready_address,
                 settings_.router_directory_address,
+                settings_.telemetry_metrics_address,
             )
             if address
         ]
@@ -309,9 +316,7 @@
             ),
         )
 
-    def _make_filters(
-        self,
-    ) -> collections.abc.Sequence[filters.Filter]:
+    def _make_context(self) -> interface.Context:
         settings_ = self.settings
         parts = model_run.Parts(
             settings_.vm_name,
@@ -328,16 +333,14 @@
             self.metrics,
             self._may_repeat,
         )
-        return self._interface.make_filters(
-            interface.Context(
-                settings_,
-                self,
-                self._source,
-                self._entries,
-                self._allowances,
-                self._claim_store,
-                parts,
-            )
+        return interface.Context(
+            settings_,
+            self,
+            self._source,
+            self._entries,
+            self._allowances,
+            self._claim_store,
+            parts,
         )
 
     def _observe(self) -> None:
--- a/mulberryway/server/gateway.py
+++ b/mulberryway/server/gateway.py
@@ -9,7 +9,6 @@
 
 from mulberryway import clock
 from mulberryway import errors
-from mulberryway import logs
 from mulberryway import replies
 from mulberryway.filters import base
 from mulberryway.filters import chain
@@ -126,10 +125,6 @@
             if fault is None:
                 self._write(answer.ok)
             else:
-                LOG.info(
-                    "a request was answered with a fault",
-                    extra=logs.describe(fault, request_id=self._id),
-                )
                 self._write(
                     replies.reply_fault(fault, style=self._factory.style)
                 )
--- a/mulberryway/settings.py
+++ b/mulberryway/settings.py
@@ -138,6 +138,9 @@
         self.telemetry_debug: tuple[str, ...] = ()
         self.telemetry_otlp_url: str = ""
         self.telemetry_export_ms: int = 10_000
+        # Where metrics are served as text, as ``host:port``; empty for
+        # nowhere.
+        self.telemetry_metrics_address: str = ""
 
         # What is weighed more when not everybody can be served well; see
         # docs/operators/weighing.md.
@@ -310,6 +313,7 @@
         "an http address, or empty",
         _is_optional_url,
     ),
+    _address("telemetry.metrics_address", "telemetry_metrics_address"),
     _number("telemetry.export_ms", "telemetry_export_ms", 100, HOUR_MS),
     _number("policy.prefill_us", "policy_prefill_us", 1, 100_000),
     Option(
--- a/mulberryway/upstreams/decode_call.py
+++ b/mulberryway/upstreams/decode_call.py
@@ -153,9 +153,7 @@
     taken = socket.socket(fileno=raw.detach())
     headers = response.getheaders()
     response.close()
-    return base.TokenStream(
-        taken, buffered, chunked, echoed, length, headers
-    )
+    return base.TokenStream(taken, buffered, chunked, echoed, length, headers)
 
 
 def read_refusal(
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -5,9 +5,17 @@
 import signal
 import typing
 
+import aiohttp
 from aiohttp import web
 
-__all__ = ["answer", "answer_error", "make_app", "read_json", "serve"]
+__all__ = [
+    "answer",
+    "answer_error",
+    "make_app",
+    "make_session",
+    "read_json",
+    "serve",
+]
 
 BACKLOG = 1_024
 KEEP_ALIVE_S = 75.0
@@ -55,6 +63,11 @@
     return web.Application(client_max_size=MOST_BODY_BYTES)
 
 
+def make_session() -> aiohttp.ClientSession:
+    """Return a session for calls to other stand-ins."""
+    return aiohttp.ClientSession()
+
+
 async def serve(host: str, apps: dict[int, web.Application]) -> None:
     """Serve applications until SIGTERM or SIGINT.
 
--- a/tests/allowance_fleet.py
+++ b/tests/allowance_fleet.py
@@ -12,8 +12,8 @@
 from mulberryway.controllers import allowance_slots
 from mulberryway.controllers import allowance_state
 from mulberryway.controllers import allowances
-from mulberryway.peers.gen.allowances import Allowances as service
 from mulberryway.objects import base as platform
+from mulberryway.peers.gen.allowances import Allowances as service
 from mulberryway.policy import allowance
 from mulberryway.policy import allowance_split
 from mulberryway.policy import member
--- /dev/null
+++ b/tests/hosted_fleet.py
@@ -0,0 +1,297 @@
+"""Entry VMs as real processes before stand-ins of the operators' platform."""
+
+import http.client
+import json
+import pathlib
+import tempfile
+import urllib.parse
+
+import tomli_w
+
+from tests import processes
+
+HOST = "127.0.0.1"
+SITE = "site.example"
+KEYS = {"k-large": "large", "k-small": "small"}
+LIMITS = {
+    "header_bytes": 16384,
+    "body_bytes": 4194304,
+    "header_ms": 3000,
+    "idle_ms": 15000,
+}
+STREAM = {"Model": "m", "Token-Counts": "100,20", "Length-Hint": "20"}
+
+
+class Fleet:
+    """A store, engines, services and entry VMs; use as a context manager.
+
+    :param vms: how many entry VMs
+    :param rate: tokens a second of the account ``small``
+    :param phases: the engines' phases
+    """
+
+    def __init__(self, vms=2, rate=1_000_000, phases=("prefill", "decode")):
+        self.group = processes.Group()
+        self.folder = tempfile.TemporaryDirectory()
+        self.store, self.store_port = processes.start_standin(
+            self.group, "hosted_store"
+        )
+        self.rate = rate
+        self.version = 0
+        self.upstreams = {}
+        self.phases = phases
+        ports = processes.pick_ports(vms * 5)
+        self.ports = [ports[number::vms] for number in range(vms)]
+        self.vms = [None] * vms
+
+    def __enter__(self):
+        for number, phase in enumerate(self.phases):
+            self.start_upstream(f"e{number}", "llm", phase)
+        for name in ("s0", "s1"):
+            self.start_upstream(name, "app")
+        self.configure()
+        for number in range(len(self.vms)):
+            self.start_vm(number)
+        for vm in self.vms:
+            vm.wait_ready()
+        processes.wait_until(lambda: all(map(self.is_ready, self.ports)))
+        processes.wait_until(lambda: self.list_resolved() == self.fronts())
+        return self
+
+    def __exit__(self, *_):
+        for vm in filter(None, self.vms):
+            vm.kill()
+        self.group.stop()
+        self.folder.cleanup()
+
+    def start_upstream(self, name, service, phase=""):
+        """Start a server, and let it register itself."""
+        process, port = processes.start_standin(
+            self.group,
+            "hosted_upstreams",
+            f"--instance={name}",
+            f"--phase={phase}",
+        )
+        self.upstreams[name] = (process, port, service, phase)
+        self.register(name)
+
+    def register(self, name, state="ready"):
+        """Write a server's entry."""
+        _, port, service, phase = self.upstreams[name]
+        entry = {
+            "service": service,
+            "address": f"{HOST}:{port}",
+            "zone": "kandy-a",
+            "version": "v1",
+            "slots": 64,
+            "state": state,
+            "cold_left_ms": 0,
+            "sequence": 1,
+        }
+        if phase:
+            entry["phase"] = phase
+        self.put("servers", name, entry)
+
+    def put(self, kind, name, value):
+        path = f"/standin/put/{kind}/{name}"
+        processes.call(self.store_port, "POST", path, value)
+
+    def drop(self, kind, name):
+        path = f"/standin/drop/{kind}/{name}"
+        processes.call(self.store_port, "POST", path, {})
+
+    def set_store_fault(self, fault):
+        processes.call(
+            self.store_port, "POST", "/standin/fault", {"fault": fault}
+        )
+
+    def set_fault(self, upstream, **faults):
+        port = self.upstreams[upstream][1]
+        processes.call(port, "POST", "/standin/faults", faults)
+
+    def read_state(self, upstream):
+        port = self.upstreams[upstream][1]
+        return processes.call(port, "GET", "/standin/state").json()
+
+    def list_runs(self, upstream):
+        port = self.upstreams[upstream][1]
+        return processes.call(port, "GET", "/standin/runs").json()["runs"]
+
+    def count_seen(self, needle):
+        """Return how many requests at all servers held a text."""
+        query = urllib.parse.urlencode({"needle": needle})
+        return sum(
+            processes.call(port, "GET", f"/standin/seen?{query}").json()[
+                "count"
+            ]
+            for _, port, _, _ in self.upstreams.values()
+        )
+
+    def configure(self, keys=None, more=()):
+        """Write a new version of the configuration."""
+        self.version += 3
+        keys = KEYS if keys is None else keys
+        engine = {
+            "slots": 64,
+            "kv_capacity": 96693,
+            "kv_bytes": 163840,
+            "link_mbps": 5400000.0,
+            "handle_ttl_s": 0.5,
+            "swap_s": 6.0,
+            "models": [{"name": "m"}],
+        }
+        value = {
+            "version": self.version,
+            "routes": [
+                _make_route("r-plain", "/plain/", "app", "idempotent", 2),
+                _make_route("r-book", "/book/", "app", "non_idempotent", 1),
+                _make_route("r-talk", "/talk/", "llm", "streaming", 1),
+                _make_route(
+                    "r-digest", "/digest/", "llm", "streaming", 2, True
+                ),
+                *more,
+            ],
+            "services": [
+                {"name": "llm", "health_path": "/h", "engine": engine},
+                {"name": "app", "health_path": "/h"},
+            ],
+            "limits": LIMITS,
+            "tenants": [
+                {
+                    "name": name,
+                    "api_keys": [
+                        key for key, owner in keys.items() if owner == name
+                    ],
+                    "unit": "token_stream",
+                    "plain_tokens": 200,
+                    "rate_per_s": self.rate if name == "small" else 0,
+                    "burst": self.rate if name == "small" else 0,
+                }
+                for name in ("large", "small")
+            ],
+        }
+        self.put("config", "main", value)
+
+    def start_vm(self, number, store_port=None):
+        """Start an entry VM and return it; it may not listen yet."""
+        front, ready, directory, peers, metrics = self.ports[number]
+        value = {
+            "vm": {
+                "name": f"vm{number}",
+                "address": HOST,
+                "zone": "kandy-a",
+                "region": "lk",
+            },
+            "router": {
+                "address": f"{HOST}:{front}",
+                "ready_address": f"{HOST}:{ready}",
+                "directory_address": f"{HOST}:{directory}",
+                "threads": 32,
+                "entry_ttl_ms": 300,
+                "entry_lives": 3,
+                "grace_ms": 4000,
+            },
+            "peers": {
+                "port": peers,
+                "secret": "s",
+                "seeds": [f"{HOST}:{one[3]}" for one in self.ports],
+                "period_ms": 200,
+            },
+            "platform": {
+                "url": f"http://{HOST}:{store_port or self.store_port}",
+                "timeout_ms": 500,
+            },
+            "allowances": {"over_part": 0.1, "over_tokens": 2000},
+            "policy": {"prefill_us": 18},
+            "telemetry": {"metrics_address": f"{HOST}:{metrics}"},
+        }
+        file = pathlib.Path(self.folder.name) / f"vm{number}.toml"
+        file.write_text(tomli_w.dumps(value), encoding="utf-8")
+        self.vms[number] = processes.Process(
+            "mulberryway.commands.entry",
+            [f"--settings={file}"],
+            self.ports[number],
+        )
+        self.group.processes.append(self.vms[number])
+        return self.vms[number]
+
+    def fronts(self):
+        return {f"{HOST}:{one[0]}" for one in self.ports}
+
+    def is_ready(self, ports):
+        return processes.is_open(ports[1]) and (
+            processes.call(ports[1], "GET", "/mulberryway/ready").status == 200
+        )
+
+    def list_resolved(self, number=0):
+        """Ask a VM which addresses to use."""
+        path = f"/mulberryway/resolve?name={SITE}&region=lk&zone=kandy-a"
+        reply = processes.call(self.ports[number][2], "GET", path)
+        return set(reply.json()["addrs"])
+
+    def send(self, number, path, attempt, **options):
+        """Send one request to a VM's front and return its reply."""
+        return send(self.ports[number][0], path, attempt, **options)
+
+
+def _make_route(name, prefix, service, kind, attempts, resumable=False):
+    return {
+        "name": name,
+        "host": SITE,
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 4000,
+        "target_latency_ms": 900,
+        "priority": 1,
+        "service": service,
+        "max_attempts": attempts,
+        "public": False,
+        "resumable": resumable,
+        "target_gap_ms": 300 if kind == "streaming" else 0,
+    }
+
+
+def send(
+    port,
+    path,
+    attempt,
+    key="k-large",
+    method="POST",
+    body=b"{}",
+    headers=None,
+    deadline_ms=4000,
+):
+    """Send one request; a cut answer has ``is_cut`` set."""
+    sent = {
+        "Host": SITE,
+        "Attempt-Id": attempt,
+        "Deadline-Ms": str(deadline_ms),
+        "Authorization": f"Token {key}",
+        **(headers or {}),
+    }
+    connection = http.client.HTTPConnection(HOST, port, timeout=10)
+    try:
+        connection.request(method, path, body, sent)
+        reply = connection.getresponse()
+        try:
+            return processes.Reply(reply.status, reply.headers, reply.read())
+        except http.client.IncompleteRead as cut:
+            return processes.Reply(
+                reply.status, reply.headers, cut.partial, True
+            )
+    finally:
+        connection.close()
+
+
+def list_ids(body):
+    """Return the numbers of a stream's events."""
+    return [
+        int(line.partition(b":")[2])
+        for line in body.splitlines()
+        if line.startswith(b"id:")
+    ]
+
+
+def read_line(text):
+    """Return a log line as plain values."""
+    return json.loads(text)
--- a/tests/test_decode_call.py
+++ b/tests/test_decode_call.py
@@ -14,9 +14,11 @@
 
 class DecodeCallTest(unittest.TestCase):
     def call(self, port):
-        headers = {connections.REQUEST_ID: "r-1"}
+        request = decode_call.DecodeRequest(
+            "POST", "/v1/completions", {connections.REQUEST_ID: "r-1"}, b"{}"
+        )
         found = decode_call.begin_decode(
-            f"{HOST}:{port}", headers, {}, TIMEOUT_MS
+            f"{HOST}:{port}", request, TIMEOUT_MS, decode_call.read_refusal
         )
         return found.error
 
