--- a/standins/hosted_upstreams.py
+++ b/standins/hosted_upstreams.py
@@ -3,7 +3,8 @@
 ``python -m standins.hosted_upstreams --port 9001 --phase decode``; without a
 phase it is a plain service.  What it was sent is kept for checkers, and
 ``POST /standin/faults`` sets faults: ``cut_after`` events, ``fail_status``,
-``full`` (refuses what would run), ``lapse`` (handles are gone at once).
+``full`` (refuses what would run), ``lapse`` (handles are gone at once),
+``lose_answer`` (runs a plain call and closes the connection).
 """
 
 import asyncio
@@ -52,6 +53,7 @@
             "fail_status": 0,
             "full": 0,
             "lapse": 0,
+            "lose_answer": 0,
         }
         self._numbers = itertools.count(1)
 
@@ -93,6 +95,9 @@
     ) -> web.Response:
         self._note_run(request)
         await asyncio.sleep(WORK_S)
+        if self.faults["lose_answer"]:
+            assert request.transport is not None
+            request.transport.abort()
         content = f"{request.method} {request.path_qs} ".encode() + body
         return self._answer(request, 200, content)
 
--- a/tests/hosted_fleet.py
+++ b/tests/hosted_fleet.py
@@ -211,10 +211,15 @@
             "mulberryway.commands.entry",
             [f"--settings={file}"],
             self.ports[number],
+            self.find_log(number),
         )
         self.group.processes.append(self.vms[number])
         return self.vms[number]
 
+    def find_log(self, number):
+        """Return the file that holds a VM's log lines."""
+        return pathlib.Path(self.folder.name) / f"vm{number}.log"
+
     def fronts(self):
         return {f"{HOST}:{one[0]}" for one in self.ports}
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -104,16 +104,18 @@
     :param module: what follows ``python -m``
     :param arguments: the command line
     :param ports: where it listens once it is ready
+    :param log: a file that its standard output is added to
     """
 
-    def __init__(self, module, arguments=(), ports=()):
+    def __init__(self, module, arguments=(), ports=(), log=None):
         self.is_standin = module.startswith("standins.")
-        self.popen = subprocess.Popen(
-            [sys.executable, "-m", module, *map(str, arguments)],
-            cwd=ROOT,
-            stdin=subprocess.DEVNULL,
-            stdout=subprocess.DEVNULL,
-        )
+        with open(log or os.devnull, "ab") as output:
+            self.popen = subprocess.Popen(
+                [sys.executable, "-m", module, *map(str, arguments)],
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+            )
         self.ports = list(ports)
 
     def wait_ready(self):
