--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,202 @@
+"""What the adapter reads: configurations, entries, answers and callers."""
+
+import copy
+import unittest
+
+from mulberryway import errors
+from mulberryway import tables
+from mulberryway.objects import base
+from mulberryway.platform import engine
+from mulberryway.platform import tables as platform_tables
+from mulberryway.platform import wire
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "Site.Example",
+            "path_prefix": "/talk/",
+            "kind": "streaming",
+            "timeout_ms": 14000,
+            "target_latency_ms": 900,
+            "priority": 1,
+            "service": "llm",
+            "max_attempts": 2,
+            "resumable": True,
+            "target_gap_ms": 300,
+        },
+        {
+            "name": "r-2",
+            "host": "site.example",
+            "path_prefix": "/book/",
+            "kind": "non_idempotent",
+            "timeout_ms": 2000,
+            "traffic_split": [
+                {"service": "llm", "weight": 0},
+                {"service": "app", "weight": 90},
+            ],
+            "max_attempts": 1,
+        },
+    ],
+    "services": [
+        {
+            "name": "llm",
+            "max_conns": 360,
+            "engine": {
+                "slots": 64,
+                "kv_capacity": 96693,
+                "kv_bytes": 163840,
+                "link_mbps": 5400000.0,
+                "swap_s": 6.0,
+                "models": [{"name": "m"}],
+            },
+        },
+        {"name": "app", "max_conns": 96},
+    ],
+    "tenants": [
+        {
+            "name": "t-1",
+            "api_keys": ["key-1"],
+            "plain_tokens": 200,
+            "rate_per_s": 72504,
+            "burst": 72504,
+        }
+    ],
+}
+ENTRY = {
+    "service": "llm",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "state": "ready",
+    "phase": "decode",
+}
+
+
+def read(configuration=CONFIGURATION, *entries):
+    main = base.StoredObject("config", "main", 3, configuration)
+    rows = [
+        base.StoredObject("servers", f"i-{n}", 4 + n, entry)
+        for n, entry in enumerate(entries)
+    ]
+    reader = platform_tables.TablesReader()
+    return reader.read({"main": main}, rows, 5)
+
+
+class ConfigurationTest(unittest.TestCase):
+    def test_routes_say_what_may_be_repeated(self):
+        found = read()
+        talk, book = found.routes["r-1"], found.routes["r-2"]
+        self.assertTrue(talk.idempotent)
+        self.assertFalse(book.idempotent)
+        self.assertFalse(book.trusts_methods)
+        self.assertEqual(found.find_route("/talk/x", "site.example"), talk)
+        self.assertEqual((book.pool, book.shares), ("app", ()))
+        self.assertEqual(talk.most_attempts, 2)
+
+    def test_engine_shape(self):
+        pool = read().pools["llm"]
+        self.assertIs(pool.kind, tables.PoolKind.MODEL)
+        self.assertEqual(pool.engine_tokens, 96_693)
+        self.assertEqual(pool.link_bytes_per_s, 675_000_000_000)
+        self.assertEqual(pool.switch_ms, 6_000)
+
+    def test_accounts_by_the_digest_of_their_key(self):
+        found = read().find_account(tables.digest_key("key-1"))
+        self.assertEqual((found.name, found.rate), ("t-1", 72_504))
+
+    def test_without_accounts_everybody_may_come(self):
+        changed = copy.deepcopy(CONFIGURATION)
+        del changed["tenants"]
+        self.assertTrue(read(changed).routes["r-2"].is_public)
+
+    def test_nothing_is_known_before_the_first(self):
+        reader = platform_tables.TablesReader()
+        self.assertIsNone(reader.read({}, [], 1))
+
+
+class EntryTest(unittest.TestCase):
+    def test_entry_names_a_server(self):
+        (row,) = read(CONFIGURATION, ENTRY).pools["llm"].upstreams
+        self.assertEqual((row.name, row.address), ("i-0", "10.0.0.1:80"))
+        self.assertIs(row.role, tables.UpstreamRole.DECODE)
+        self.assertFalse(row.leaving)
+
+    def test_server_that_leaves(self):
+        entry = ENTRY | {"state": "draining"}
+        (row,) = read(CONFIGURATION, entry).pools["llm"].upstreams
+        self.assertTrue(row.leaving)
+
+    def test_entries_of_other_writers_are_passed_over(self):
+        """Somebody else writes entries with missing fields and other types.
+        A VM that stumbled over one would lose sight of all servers.
+        """
+        strange = [
+            {},
+            ENTRY | {"address": 7},
+            ENTRY | {"address": "nowhere"},
+            ENTRY | {"state": "odd"},
+            ENTRY | {"phase": None},
+            ENTRY | {"service": ["llm"]},
+            {name: value for name, value in ENTRY.items() if name != "zone"},
+        ]
+        found = read(CONFIGURATION, *strange, ENTRY).pools["llm"].upstreams
+        self.assertEqual([row.name for row in found], ["i-7"])
+
+
+class AnswerTest(unittest.TestCase):
+    def read(self, status, *headers):
+        return engine.read_answer(
+            status, list(headers), b"x", "10.0.0.1:80", errors.Step.DECODE
+        )
+
+    def test_refusal_is_not_run(self):
+        for status in (503, 429, 400):
+            fault = self.read(status, ("not-executed", "1"))
+            self.assertIs(fault.run, errors.Run.NOT_RUN)
+        self.assertIs(self.read(421).run, errors.Run.NOT_RUN)
+
+    def test_own_failure_has_run_and_goes_on(self):
+        fault = self.read(500, ("Server-Seal", "s"), ("Content-Length", "1"))
+        self.assertIs(fault.run, errors.Run.RAN)
+        self.assertEqual(fault.answer.status, 500)
+        self.assertEqual(fault.answer.headers, [("Server-Seal", "s")])
+
+    def test_503_without_a_promise_may_have_run(self):
+        fault = self.read(503, ("Server-Seal", "s"))
+        self.assertIs(fault.run, errors.Run.RAN)
+
+    def test_answer_to_another_request_is_nobodys(self):
+        fault = self.read(500)
+        self.assertIs(fault.run, errors.Run.MAY_HAVE_RUN)
+        self.assertIsNone(fault.answer)
+
+    def test_headers_for_an_upstream(self):
+        found = engine.make_headers(
+            [
+                ("Host", "site.example"),
+                ("Deadline-Ms", "9000"),
+                ("Connection", "close, X-Own"),
+                ("X-Own", "1"),
+                ("Attempt-Id", "a-1"),
+            ],
+            "i-1",
+            1_500,
+        )
+        self.assertEqual(
+            found,
+            {
+                "Host": "site.example",
+                "Attempt-Id": "a-1",
+                "Deadline-Ms": "1500",
+                "Expect-Instance": "i-1",
+            },
+        )
+
+
+class WireTest(unittest.TestCase):
+    def test_numbers(self):
+        self.assertEqual(wire.read_whole(3.0), 3)
+        for value in (True, "3", 2.5, None, -1):
+            with self.assertRaises(ValueError):
+                wire.read_whole(value)
