Take the operators' figures with fractions

Cause: the grown site gives a repeat slack with a fraction, and all 18 VMs of its small twin ended at once with a settings error (45 exits). Ruled out: memory and processor. Settings in seconds and amounts take fractions; three settings that nothing read are gone.

--- a/mulberryway/settings.py
+++ b/mulberryway/settings.py
@@ -20,7 +20,9 @@
 
 MOST_PORT = 65_535
 DIGEST = re.compile(r"[0-9a-f]{64}")
-HOUR_MS = 3_600_000
+MS_IN_S = 1_000
+HOUR_S = 3_600
+HOUR_MS = HOUR_S * MS_IN_S
 
 
 class Option:
@@ -30,9 +32,10 @@
     :param attribute: the attribute of :class:`Settings`
     :param expected: what is accepted, in words for the error
     :param accepts: tells whether a value is accepted
+    :param convert: makes the attribute's value of the file's
     """
 
-    __slots__ = ("key", "attribute", "expected", "accepts")
+    __slots__ = ("key", "attribute", "expected", "accepts", "convert")
 
     def __init__(
         self,
@@ -40,7 +43,11 @@
         attribute: str,
         expected: str,
         accepts: collections.abc.Callable[[typing.Any], bool],
+        convert: collections.abc.Callable[[typing.Any], typing.Any] = (
+            lambda value: value
+        ),
     ) -> None:
+        self.convert = convert
         self.key = key
         self.attribute = attribute
         self.expected = expected
@@ -102,10 +109,6 @@
         self.platform_url: str = "http://127.0.0.1:8001"
         self.platform_timeout_ms: int = 2_000
         self.platform_silence_ms: int = 3_000
-        # Within this time of the store's acknowledgement every VM works by
-        # a new configuration, and sends nothing to a server that leaves.
-        self.platform_apply_ms: int = 2_000
-        self.platform_drain_ms: int = 2_000
 
         # What a client account may get beyond its rate and burst in one
         # window, over all VMs; it covers what VMs have not told yet.
@@ -119,9 +122,6 @@
         self.retries_window_ms: int = 10_000
         self.retries_slack: int = 40
 
-        # Orders to engines: how long one issuer's turn lasts for engines.
-        self.orders_lease_ms: int = 3_000
-
         # The tables.  A confirmation by the platform is enough for
         # ``fresh_ms``; then a VM goes on only while it reaches most VMs, for
         # ``outage_ms`` at most.  ``watchers`` VMs of each region watch.
@@ -159,6 +159,12 @@
     return accepts
 
 
+def _is_amount(
+    low: float, high: float
+) -> collections.abc.Callable[[typing.Any], bool]:
+    return lambda value: type(value) in (int, float) and low <= value <= high
+
+
 def _is_part(value: typing.Any) -> bool:
     return type(value) in (int, float) and 0 <= value <= 1
 
@@ -233,6 +239,24 @@
     )
 
 
+def _seconds(key: str, attribute: str, low: float, high: float) -> Option:
+    """Return an option in seconds, with fractions, for one in ms."""
+    return Option(
+        key,
+        attribute,
+        f"seconds from {low} to {high}",
+        _is_amount(low, high),
+        lambda value: int(value * MS_IN_S),
+    )
+
+
+def _amount(key: str, attribute: str, high: float) -> Option:
+    """Return an option whose value may have a fraction, rounded down."""
+    return Option(
+        key, attribute, f"a number from 0 to {high}", _is_amount(0, high), int
+    )
+
+
 GIB = 1 << 30
 
 OPTIONS = (
@@ -254,7 +278,7 @@
     _address("router.address", "router_address"),
     _address("router.ready_address", "router_ready_address"),
     _address("router.directory_address", "router_directory_address"),
-    _number("router.grace_ms", "router_grace_ms", 100, HOUR_MS),
+    _seconds("router.grace_s", "router_grace_ms", 0.1, HOUR_S),
     _port("peers.port", "peers_port"),
     _number("peers.seeds_port", "peers_seeds_port", 0, MOST_PORT),
     Option("peers.secret", "peers_secret", "a secret text", _is_text),
@@ -264,20 +288,17 @@
     Option("platform.url", "platform_url", "an http address", _is_url),
     _number("platform.timeout_ms", "platform_timeout_ms", 10, 60_000),
     _number("platform.silence_ms", "platform_silence_ms", 100, 60_000),
-    _number("platform.apply_ms", "platform_apply_ms", 100, HOUR_MS),
-    _number("platform.drain_ms", "platform_drain_ms", 100, HOUR_MS),
-    _number("allowances.window_ms", "allowances_window_ms", 100, HOUR_MS),
+    _seconds("allowances.window_s", "allowances_window_ms", 0.1, HOUR_S),
     Option(
         "allowances.over_part",
         "allowances_over_part",
         "a number from 0 to 1",
         _is_part,
     ),
-    _number("allowances.over_tokens", "allowances_over_tokens", 0, GIB),
+    _amount("allowances.over_tokens", "allowances_over_tokens", GIB),
     Option("retries.part", "retries_part", "a number from 0 to 1", _is_part),
-    _number("retries.window_ms", "retries_window_ms", 100, HOUR_MS),
-    _number("retries.slack", "retries_slack", 0, 1_000_000),
-    _number("orders.lease_ms", "orders_lease_ms", 100, HOUR_MS),
+    _seconds("retries.window_s", "retries_window_ms", 0.1, HOUR_S),
+    _amount("retries.slack", "retries_slack", 1_000_000),
     _number(
         "configuration.fresh_ms", "configuration_fresh_ms", 1_000, HOUR_MS
     ),
@@ -412,4 +433,4 @@
         raise errors.SettingsError(file, option.key, option.expected)
     if isinstance(value, list):
         value = tuple(value)
-    setattr(settings, option.attribute, value)
+    setattr(settings, option.attribute, option.convert(value))
--- a/tests/hosted_fleet.py
+++ b/tests/hosted_fleet.py
@@ -189,7 +189,7 @@
                 "threads": 32,
                 "entry_ttl_ms": 300,
                 "entry_lives": 3,
-                "grace_ms": 4000,
+                "grace_s": 4,
             },
             "peers": {
                 "port": peers,
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -54,3 +54,17 @@
         defaults = settings.Settings()
         for option in settings.OPTIONS:
             self.assertTrue(hasattr(defaults, option.attribute), option.key)
+
+    def test_operators_figures_may_have_fractions(self):
+        """Operators give 221.5 repeats and 8.5 seconds.  A VM that took
+        whole numbers only would not start at all.
+        """
+        text = GOOD + (
+            "[retries]\nslack = 221.5\nwindow_s = 10\n[router]\n"
+            "grace_s = 8.5\n[allowances]\nover_tokens = 120000.0\n"
+        )
+        found = self.read(text)
+        self.assertEqual(found.retries_slack, 221)
+        self.assertEqual(found.router_grace_ms, 8_500)
+        self.assertEqual(found.retries_window_ms, 10_000)
+        self.assertEqual(found.allowances_over_tokens, 120_000)
