Let nine VMs watch the store for a larger fleet

VMs that do not watch go by those that do, and ask only while they hear none that the store answers. Ruled out: longer waits, which show a silent connection late.

--- a/mulberryway/controllers/fleet_allowances.py
+++ b/mulberryway/controllers/fleet_allowances.py
@@ -29,7 +29,8 @@
     :param book: what was given and what is left
     :param notes_: sends datagrams to the other VMs
     :param read_mirrors: returns the revisions of mirrors by kind
-    :param is_store_reached: tells whether the platform's store answers
+    :param is_store_reached: tells whether the platform's store answers; none
+        if it is not asked
     :param clock_: where the time comes from
     """
 
@@ -38,7 +39,7 @@
         book: usage.UsageBook,
         notes_: notes.NotesController,
         read_mirrors: collections.abc.Callable[[], dict[str, int]],
-        is_store_reached: collections.abc.Callable[[], bool],
+        is_store_reached: collections.abc.Callable[[], bool | None],
         clock_: clock.Clock,
     ) -> None:
         super().__init__("fleet-allowances", clock_, PERIOD_MS)
@@ -47,7 +48,7 @@
         self._read_mirrors = read_mirrors
         self._lock = threading.Lock()
         self._is_store_reached = is_store_reached
-        self._told: tuple[dict[str, int], bool] | None = None
+        self._told: tuple[dict[str, int], bool | None] | None = None
 
     def step(self) -> None:
         """Tell the other VMs what has changed."""
--- a/mulberryway/controllers/mirrors.py
+++ b/mulberryway/controllers/mirrors.py
@@ -29,6 +29,8 @@
 LEAST_PAUSE_MS = 100
 MOST_PAUSE_MS = 1_000
 NO_PAUSE_MS = 1
+# How soon a VM that does not watch notices that it has to.
+LOOK_MS = 200
 # A VM that hears of a newer revision leaves its own watch so long to bring
 # it before it asks the other VM.
 PATIENCE_MS = 60
@@ -44,6 +46,8 @@
     :param on_change: called after each change; must not raise
     :param keeps_missing: see :class:`mirrors.Mirror`
     :param is_outage_shared: tells whether other VMs missed the store too
+    :param is_watcher: tells whether this VM asks the store itself, or goes
+        by what other VMs tell
     """
 
     def __init__(
@@ -54,6 +58,7 @@
         on_change: collections.abc.Callable[[], None],
         keeps_missing: bool = False,
         is_outage_shared: collections.abc.Callable[[], bool] = lambda: True,
+        is_watcher: collections.abc.Callable[[], bool] = lambda: True,
     ) -> None:
         super().__init__(f"mirror-{kind}", clock_, LEAST_PAUSE_MS)
         self.kind = kind
@@ -63,6 +68,7 @@
         self._lock = threading.Lock()
         self._needs_listing = True
         self._is_outage_shared = is_outage_shared
+        self._is_watcher = is_watcher
         self._was_reached = True
         self._random = random.Random()
 
@@ -83,6 +89,10 @@
 
     def step(self) -> None:
         """Ask the store once; a watch waits for changes."""
+        if not self._needs_listing and not self._is_watcher():
+            self.period_ms = LOOK_MS
+            self._purge(self.clock.now_ms())
+            return
         asked = self._list if self._needs_listing else self._poll
         fault = asked()
         now_ms = self.clock.now_ms()
@@ -100,6 +110,9 @@
             self.period_ms = int(
                 self.period_ms * (0.75 + self._random.random() / 2)
             )
+        self._purge(now_ms)
+
+    def _purge(self, now_ms: int) -> None:
         with self._lock:
             has_changed = self._mirror.purge(now_ms)
         if has_changed:
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -230,6 +230,7 @@
             self.store,
             self.clock,
             source.refresh,
+            is_watcher=self._must_watch,
         )
         source.servers = mirrors.MirrorKeeper(
             platform_tables.SERVERS,
@@ -240,6 +241,7 @@
             is_outage_shared=lambda: self.outages.is_shared(
                 self.clock.now_ms()
             ),
+            is_watcher=self._must_watch,
         )
         return {
             keeper.kind: keeper
@@ -285,7 +287,7 @@
             self.book,
             self.notes,
             self._read_mirrors,
-            lambda: all(one.is_reached for one in self.keepers.values()),
+            self._is_store_reached,
             self.clock,
         )
         allowances.target = self.allowances
@@ -331,6 +333,23 @@
             shaping.ShapePlanner(),
         )
 
+    def _list_alive(self) -> list[str]:
+        return [
+            one.name
+            for one in self.members.list_members()
+            if one.health is not member.Health.DEAD
+        ]
+
+    def _must_watch(self) -> bool:
+        return self.outages.must_ask(
+            self.settings.vm_name, self._list_alive(), self.clock.now_ms()
+        )
+
+    def _is_store_reached(self) -> bool | None:
+        if not self._must_watch():
+            return None
+        return all(one.is_reached for one in self.keepers.values())
+
     def _find_engine(
         self, pool: str, upstream: str
     ) -> upstreams.Engine | None:
@@ -339,12 +358,8 @@
         )
 
     def _may_issue_orders(self) -> bool:
-        alive = [
-            one.name
-            for one in self.members.list_members()
-            if one.health is not member.Health.DEAD
-        ]
-        return self.settings.vm_name in issuer.choose_candidates(alive)
+        candidates = issuer.choose_candidates(self._list_alive())
+        return self.settings.vm_name in candidates
 
     def _change_settings(self, changed: settings.Settings) -> None:
         self.members.change_seeds(_list_seeds(changed))
@@ -362,12 +377,7 @@
 
     def _change_tables(self, changed: tables.Tables) -> None:
         self.allowances.change_tables(changed)
-        self.budget.change_vms(
-            sum(
-                one.health is not member.Health.DEAD
-                for one in self.members.list_members()
-            )
-        )
+        self.budget.change_vms(len(self._list_alive()))
 
 
 def _list_seeds(settings_: settings.Settings) -> tuple[str, ...]:
--- a/mulberryway/peers/idl/notes.thrift
+++ b/mulberryway/peers/idl/notes.thrift
@@ -79,7 +79,7 @@
   5: required list<MirrorState> mirrors,
   // How long the VM has counted.
   6: required i32 age_ms,
-  // Whether the platform's store answers it.
+  // Whether the platform's store answers it; none if it does not ask.
   7: optional bool is_store_reached,
 }
 
--- a/mulberryway/peers/note_messages.py
+++ b/mulberryway/peers/note_messages.py
@@ -191,7 +191,7 @@
         ],
         {one.kind: one.revision for one in message.mirrors},
         message.age_ms,
-        message.is_store_reached is not False,
+        message.is_store_reached,
     )
 
 
--- a/mulberryway/policy/outages.py
+++ b/mulberryway/policy/outages.py
@@ -1,19 +1,29 @@
 """Whether the platform's store is away for all VMs, or only for this one."""
 
-__all__ = ["Outages"]
+import collections.abc
+import hashlib
+
+__all__ = ["WATCHERS", "Outages", "choose_watchers"]
 
 # What a VM told of the store counts for so long after the store has
 # answered it again; entries that lapsed are back well before.
 REMEMBERED_MS = 6_000
-# A VM that has told nothing for so long is not asked for its opinion.
-HEARD_MS = 3_000
+# A VM that has told nothing for so long is not asked for its opinion; it is
+# two heartbeats of a fleet of ninety.
+HEARD_MS = 5_000
+# Load: a fleet that grows, and a store whose rates grow more slowly and which
+# counts each waiting watch as a call.  So many VMs watch, and tell the others
+# of changes at once; each other one asks the store only while it hears no VM
+# that the store answers.
+WATCHERS = 9
 
 
 class _Peer:
-    __slots__ = ("heard_ms", "away_ms")
+    __slots__ = ("heard_ms", "away_ms", "is_reached")
 
     def __init__(self) -> None:
         self.heard_ms = 0
+        self.is_reached = False
         self.away_ms: int | None = None
 
 
@@ -30,15 +40,20 @@
     def __init__(self) -> None:
         self._peers: dict[str, _Peer] = {}
 
-    def note_peer(self, vm: str, is_reached: bool, now_ms: int) -> None:
+    def note_peer(self, vm: str, is_reached: bool | None, now_ms: int) -> None:
         """Take in what another VM tells.
 
         :param vm: its name
-        :param is_reached: whether the store answers it
+        :param is_reached: whether the store answers it; none if it does not
+            ask
         :param now_ms: the present
         """
+        if is_reached is None:
+            self._peers.pop(vm, None)
+            return
         peer = self._peers.setdefault(vm, _Peer())
         peer.heard_ms = now_ms
+        peer.is_reached = is_reached
         if not is_reached:
             peer.away_ms = now_ms
 
@@ -48,12 +63,43 @@
         :param now_ms: the present
         :returns: true also where nobody is heard
         """
+        return all(
+            peer.away_ms is not None and now_ms - peer.away_ms < REMEMBERED_MS
+            for peer in self._list_heard(now_ms)
+        )
+
+    def must_ask(
+        self, vm: str, vms: collections.abc.Iterable[str], now_ms: int
+    ) -> bool:
+        """Tell whether a VM has to ask the store itself.
+
+        :param vm: the VM
+        :param vms: all VMs that are thought to live, this one among them
+        :param now_ms: the present
+        """
+        if vm in choose_watchers(vms):
+            return True
+        return not any(peer.is_reached for peer in self._list_heard(now_ms))
+
+    def _list_heard(self, now_ms: int) -> list[_Peer]:
         self._peers = {
             vm: peer
             for vm, peer in self._peers.items()
             if now_ms - peer.heard_ms < HEARD_MS
         }
-        return all(
-            peer.away_ms is not None and now_ms - peer.away_ms < REMEMBERED_MS
-            for peer in self._peers.values()
-        )
+        return list(self._peers.values())
+
+
+def choose_watchers(vms: collections.abc.Iterable[str]) -> list[str]:
+    """Return the VMs that watch the store for all.
+
+    By a hash of their names, so that a VM's going moves one watch only.
+
+    :param vms: all VMs that are thought to live
+    :returns: at most :data:`WATCHERS`
+    """
+    return sorted(vms, key=_hash)[:WATCHERS]
+
+
+def _hash(vm: str) -> bytes:
+    return hashlib.blake2b(f"watcher/{vm}".encode(), digest_size=8).digest()
--- a/mulberryway/policy/usage.py
+++ b/mulberryway/policy/usage.py
@@ -90,7 +90,8 @@
     :param accounts: accounts whose counts have changed, or all
     :param mirrors: by kind, the revision up to which the VM knows the store
     :param age_ms: for how long the VM has counted
-    :param is_store_reached: whether the platform's store answers it
+    :param is_store_reached: whether the platform's store answers it; none
+        if it does not ask
     """
 
     __slots__ = (
@@ -111,7 +112,7 @@
         accounts: list[AccountUsage],
         mirrors: dict[str, int],
         age_ms: int,
-        is_store_reached: bool = True,
+        is_store_reached: bool | None = True,
     ) -> None:
         self.vm = vm
         self.incarnation = incarnation
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -112,3 +112,30 @@
         found.note_peer("a2", False, 0)
         found.note_peer("a2", True, 7_000)
         self.assertFalse(found.is_shared(7_100))
+
+    def test_few_watch_in_a_large_fleet(self):
+        """Ninety VMs before a store whose rates are those of nine.  Were all
+        to watch, calls would grow with the fleet.
+        """
+        vms = [f"a{n}" for n in range(90)]
+        watchers = outages.choose_watchers(vms)
+        self.assertEqual(len(watchers), outages.WATCHERS)
+        other = next(vm for vm in vms if vm not in watchers)
+        found = outages.Outages()
+        found.note_peer(watchers[0], True, 0)
+        self.assertFalse(found.must_ask(other, vms, 100))
+        self.assertTrue(found.must_ask(watchers[0], vms, 100))
+
+    def test_vm_that_hears_no_watcher_asks_itself(self):
+        """Every watcher is cut off, dead, or turned away by the store.  The
+        others would never hear of a change again.
+        """
+        vms = [f"a{n}" for n in range(90)]
+        watchers = outages.choose_watchers(vms)
+        other = next(vm for vm in vms if vm not in watchers)
+        found = outages.Outages()
+        self.assertTrue(found.must_ask(other, vms, 0))
+        found.note_peer(watchers[0], True, 0)
+        self.assertTrue(found.must_ask(other, vms, outages.HEARD_MS))
+        found.note_peer(watchers[0], False, 6_000)
+        self.assertTrue(found.must_ask(other, vms, 6_100))
