Begin accounts' buckets with a part of the margin after a restart of all

Ruled out: a hot account, silent VMs, the configuration. A bucket begins with a quarter of the margin, each VM gives its part of that, and while VMs are silent their part of what was left then is kept for them.

--- a/mulberryway/policy/usage.py
+++ b/mulberryway/policy/usage.py
@@ -34,10 +34,13 @@
 # and rounding refuse nobody within the rate; the rest covers what has not
 # been heard yet.  At the peak a hot account asks for some 300,000 tokens a
 # second, so one delay of 100 ms is worth 30,000.
-FREE_PART = 0.2
-# A VM that begins alone, after all were killed, may give so much of the
-# margin before it has heard of the others.
-START_PART = 0.125
+FREE_PART = 0.1
+# Load: all VMs are killed at once and begin with nothing.  Harm: with empty
+# buckets accounts are refused within their rate for a second; with full ones
+# an account that had used all may get its burst twice in a window.  So they
+# begin with a part of the margin, and at most with the burst; each VM gives
+# its part of that until it has heard of the others.
+START_PART = 0.25
 # A VM that has heard nobody since it began, though there are others, is cut
 # off or the first of all; it does not know how many there are.
 LONE_PART = 0.25
@@ -64,6 +67,15 @@
         self.over_part = over_part
         self.over_tokens = over_tokens
 
+    def read_tokens(self, account: tables.ClientAccount) -> float:
+        """Return what an account may get beyond its due in one window.
+
+        :param account: the account
+        :returns: tokens
+        """
+        due = account.rate * self.window_ms / MS_IN_S + account.burst
+        return due * self.over_part + self.over_tokens
+
 
 class AccountUsage:
     """One VM's count for one account.
@@ -126,12 +138,23 @@
 class _Bucket:
     """What is left of one account's rate and burst for all VMs."""
 
-    __slots__ = ("rate", "burst", "level", "spent", "updated_ms", "is_told")
+    __slots__ = (
+        "rate",
+        "burst",
+        "level",
+        "ceiling",
+        "spent",
+        "updated_ms",
+        "is_told",
+    )
 
-    def __init__(self, level: float, now_ms: int) -> None:
+    def __init__(self, now_ms: int) -> None:
         self.rate = 0.0
         self.burst = 0.0
-        self.level = level
+        self.level = 0.0
+        # What was left when VMs fell silent, or more by now: their part of
+        # it is left to them.
+        self.ceiling = 0.0
         self.spent = 0
         self.updated_ms = now_ms
         self.is_told = True
@@ -147,6 +170,14 @@
         self.level = min(
             self.level + self.rate * part * passed_ms / MS_IN_S, self.burst
         )
+        self.ceiling = max(self.level, 0.0 if part >= 1 else self.ceiling)
+
+    def read_usable(self, part: float) -> float:
+        """Return how many tokens may be given here.
+
+        :param part: the part of all rates that may be given here
+        """
+        return self.level - self.ceiling * (1.0 - part)
 
 
 class _Peer:
@@ -226,12 +257,16 @@
             bucket.refill(self._read_part(now_ms), now_ms)
             free = 1 + self._margin.over_part / 2
             bucket.rate = account.rate * free
+            is_new = not bucket.burst
             bucket.burst = (
                 account.burst * free + self._margin.over_tokens * FREE_PART
                 if account.rate
                 else 0.0
             )
+            if is_new:
+                bucket.level += self._margin.read_tokens(account) * START_PART
             bucket.level = min(bucket.level, bucket.burst)
+            bucket.ceiling = max(bucket.level, 0.0)
 
     def take(self, account: str, tokens: int, now_ms: int) -> int | None:
         """Take tokens for a request.
@@ -247,7 +282,7 @@
             return None
         part = self._read_part(now_ms)
         bucket.refill(part, now_ms)
-        usable = bucket.level - bucket.burst * (1.0 - part)
+        usable = bucket.read_usable(part)
         # What never fits is let through when all is there, as a debt.
         needed = min(tokens, bucket.burst * part)
         if usable < needed:
@@ -369,7 +404,7 @@
         self._has_adopted = bool(usage.accounts)
         for told in usage.accounts:
             bucket = self._find(told.account, now_ms)
-            bucket.level = max(bucket.level, float(told.left))
+            bucket.level = float(told.left) - bucket.spent
 
     def _subtract(self, peer: _Peer, told: AccountUsage, now_ms: int) -> None:
         # What a VM gave before this one began is in what was adopted; what a
@@ -437,8 +472,7 @@
     def _find(self, account: str, now_ms: int) -> _Bucket:
         bucket = self._buckets.get(account)
         if bucket is None:
-            level = self._margin.over_tokens * START_PART
-            bucket = self._buckets[account] = _Bucket(level, now_ms)
+            bucket = self._buckets[account] = _Bucket(now_ms)
         return bucket
 
     @staticmethod
