--- a/mulberryway/router.py
+++ b/mulberryway/router.py
@@ -58,7 +58,7 @@
 # over then is killed in the middle of a write.
 LAST_MS = 400
 # Questions from the platform and for addresses are few and quick.
-SIDE_THREADS = 4
+SIDE_THREADS = 2
 # What was sent to this VM before the refusals began is on its way at most
 # for so long.
 LAST_CALLS_MS = 200
