Split the run of a model request, the book of usage and the settings

A model request's job, its steps at engines and what all share stand in modules of their own; so do what VMs tell of usage, one account's bucket, and how options are checked. Nothing decides otherwise.

--- a/mulberryway/filters/interface.py
+++ b/mulberryway/filters/interface.py
@@ -11,7 +11,7 @@
 from mulberryway.filters import base
 from mulberryway.filters import choosing
 from mulberryway.filters import model_forward
-from mulberryway.filters import model_run
+from mulberryway.filters import model_parts
 from mulberryway.filters import observe
 from mulberryway.filters import once
 from mulberryway.filters import route
@@ -53,7 +53,7 @@
         entries: entry.EntryDirectory,
         allowances: allowance.Allowances,
         claim_store: claims.ClaimStore | None,
-        parts: model_run.Parts,
+        parts: model_parts.Parts,
     ) -> None:
         self.settings = settings_
         self.lifecycle = lifecycle
--- /dev/null
+++ b/mulberryway/filters/model_engines.py
@@ -0,0 +1,208 @@
+"""Takes one model request through a prefill and a decode engine."""
+
+import expression
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway import traces
+from mulberryway.filters import attempt as attempts
+from mulberryway.filters import base
+from mulberryway.filters import model_parts
+from mulberryway.upstreams import base as upstreams
+
+__all__ = ["EngineSteps", "share_ms"]
+
+# An engine that fell silent must leave time for another one.
+PART_OF_LEFT = 2
+LEAST_WAIT_MS = 200
+# A prefill's result lives for less than a second; some of it is needed for
+# the transfer.
+MOVE_WITHIN_MS = 500
+MOVE_PAUSE_MS = 30
+
+
+def share_ms(limit: clock.Deadline, now_ms: int) -> int:
+    """Return how long one engine may take.
+
+    :param limit: when the caller stops waiting
+    :param now_ms: the present
+    """
+    return max(limit.left_ms(now_ms) // PART_OF_LEFT, LEAST_WAIT_MS)
+
+
+class EngineSteps:
+    """The calls of one request to engines, over all its attempts.
+
+    ``has_run`` tells whether the request may have run at any of them, and
+    ``sent_to`` names those that it was sent to, refused or not.
+
+    :param exchange: the request
+    :param parts: what all model requests share
+    """
+
+    __slots__ = ("has_run", "sent_to", "_exchange", "_parts")
+
+    def __init__(
+        self, exchange: base.Exchange, parts: model_parts.Parts
+    ) -> None:
+        self.has_run = False
+        self.sent_to: set[str] = set()
+        self._exchange = exchange
+        self._parts = parts
+
+    def run(
+        self, attempt: attempts.Attempt, offset: int, limit: clock.Deadline
+    ) -> model_parts.Source:
+        """Take an attempt to the beginning of its stream.
+
+        :param attempt: the attempt, its slot reserved
+        :param offset: how much of the answer the caller has already
+        :param limit: when the caller stops waiting
+        :returns: the stream, or a fault
+        """
+        is_alone = (
+            attempt.prefill is attempt.decode and attempt.decode.reads_prompts
+        )
+        if is_alone:
+            nothing = upstreams.PrefillResult({}, 0, 0)
+            result = self._decode(attempt, nothing, offset, limit)
+            if result.is_ok():
+                self._parts.scheduling.note_prefilled(attempt.job_id)
+        else:
+            result = self._prefill(attempt, limit).bind(
+                lambda found: self._decode(attempt, found, offset, limit)
+            )
+        return result
+
+    def _prefill(
+        self, attempt: attempts.Attempt, limit: clock.Deadline
+    ) -> expression.Result[upstreams.PrefillResult, errors.Fault]:
+        parts = self._parts
+        with self._begin_hop(attempt, errors.Step.PREFILL) as span:
+            result = attempt.prefill.prefill(
+                attempt.label, self._exchange.call, self._share(limit)
+            )
+            if result.is_error():
+                span.fail(result.error)
+                return result
+        self._exchange.prompt_used += result.ok.prompt_tokens
+        self.has_run = self.has_run or attempt.prefill.prefill_runs
+        parts.scheduling.note_prefilled(attempt.job_id)
+        return result
+
+    def _decode(
+        self,
+        attempt: attempts.Attempt,
+        found: upstreams.PrefillResult,
+        offset: int,
+        limit: clock.Deadline,
+    ) -> model_parts.Source:
+        """Decode where a slot is reserved, or where one comes free.
+
+        Another router may have taken the slot before its note came.  The
+        prefill would be lost with it, and its result lives long enough to
+        look for another slot.
+        """
+        clock_ = self._parts.clock
+        until = clock.Deadline(clock_.now_ms() + MOVE_WITHIN_MS)
+        result = self._decode_once(attempt, found, offset, limit)
+        while (
+            result.is_error()
+            and result.error.code is errors.Code.UPSTREAM_REFUSED
+            and result.error.step is errors.Step.DECODE
+            and not until.has_passed(clock_.now_ms())
+            and not self._exchange.has_gone.is_set()
+        ):
+            found_again = self._prepare_again(attempt, found)
+            if found_again is None:
+                break
+            found = found_again
+            if not self._parts.may_repeat(self._exchange.pool.name):
+                break
+            result = self._decode_once(attempt, found, offset, limit)
+        return result
+
+    def _prepare_again(
+        self, attempt: attempts.Attempt, found: upstreams.PrefillResult
+    ) -> upstreams.PrefillResult | None:
+        """Return with what a refused decode is sent once more, if at all.
+
+        An engine refuses when it is full, and also when the KV cache cannot
+        be had any more.  Where it can read the prompt itself, it is asked
+        to, once: that serves the caller in either case if there is room by
+        now, and needs no third engine.
+        """
+        if self._move_decode(attempt):
+            return found
+        if not attempt.decode.reads_prompts:
+            self._parts.clock.sleep_ms(MOVE_PAUSE_MS)
+            return found
+        if not found.transfer:
+            return None
+        self._parts.cancelling.cancel(attempt.prefill, attempt.label)
+        return upstreams.PrefillResult({}, found.prompt_tokens, 0)
+
+    def _move_decode(self, attempt: attempts.Attempt) -> bool:
+        if len(self.sent_to) >= self._exchange.route.most_attempts:
+            return False
+        name = self._parts.scheduling.move_decode(
+            attempt.job_id, attempt.decode_name
+        )
+        engine = self.find_engine(name) if name is not None else None
+        if name is None or engine is None:
+            return False
+        attempt.change_decode(name, engine)
+        return True
+
+    def _decode_once(
+        self,
+        attempt: attempts.Attempt,
+        found: upstreams.PrefillResult,
+        offset: int,
+        limit: clock.Deadline,
+    ) -> model_parts.Source:
+        self.sent_to.add(attempt.decode_name)
+        self._exchange.tried.append(attempt.decode_name)
+        with self._begin_hop(attempt, errors.Step.TRANSFER) as span:
+            result = attempt.decode.decode(
+                attempt.label,
+                self._exchange.call,
+                found.transfer,
+                offset,
+                self._share(limit),
+            )
+            if result.is_error():
+                span.fail(result.error)
+        return result
+
+    def _begin_hop(
+        self, attempt: attempts.Attempt, step: errors.Step
+    ) -> traces.Span:
+        span = self._exchange.span.begin(self._parts.tracer, step)
+        attempt.label.traceparent = span.traceparent
+        return span
+
+    def _share(self, limit: clock.Deadline) -> int:
+        return share_ms(limit, self._parts.clock.now_ms())
+
+    def find_engine(self, name: str) -> upstreams.Engine | None:
+        """Return an engine by the newest tables.
+
+        The scheduler has the newest pools, and the request may have come
+        under older ones.
+
+        :param name: the engine's name
+        :returns: the engine, or none if it has left the tables
+        """
+        newest = self._parts.source.read_tables() or self._exchange.tables
+        pool = newest.pools.get(self._exchange.pool.name)
+        if pool is None:
+            return None
+        return next(
+            (
+                self._parts.directory.find_engine(pool, upstream)
+                for upstream in pool.upstreams
+                if upstream.name == name
+            ),
+            None,
+        )
--- a/mulberryway/filters/model_forward.py
+++ b/mulberryway/filters/model_forward.py
@@ -6,6 +6,7 @@
 
 from mulberryway import tables
 from mulberryway.filters import base
+from mulberryway.filters import model_parts
 from mulberryway.filters import model_run
 from mulberryway.relay import raw_stream
 from mulberryway.relay import stream as streams
@@ -31,7 +32,7 @@
 
     def __init__(
         self,
-        parts: model_run.Parts,
+        parts: model_parts.Parts,
         make_stream: StreamMaker | None = None,
     ) -> None:
         self._parts = parts
--- /dev/null
+++ b/mulberryway/filters/model_parts.py
@@ -0,0 +1,103 @@
+"""What all model requests share."""
+
+import collections.abc
+
+import expression
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway import metrics
+from mulberryway import tables
+from mulberryway import traces
+from mulberryway.controllers import cancelling
+from mulberryway.controllers import scheduling
+from mulberryway.policy import messages
+from mulberryway.relay import pump
+from mulberryway.relay import watch
+from mulberryway.upstreams import base as upstreams
+from mulberryway.upstreams import directory
+
+__all__ = ["Parts", "Source", "make_gone", "sort_end"]
+
+Source = expression.Result[upstreams.TokenStream, errors.Fault]
+ENDS = {
+    errors.Code.UPSTREAM_TIMEOUT: messages.JobEnd.TIMED_OUT,
+    errors.Code.UPSTREAM_REFUSED: messages.JobEnd.REFUSED_BY_ENGINE,
+}
+
+
+def sort_end(fault: errors.Fault) -> messages.JobEnd:
+    """Return how an attempt ended that an upstream did not answer whole.
+
+    :param fault: what befell it
+    :returns: the end; an upstream that may have died of the request is told
+        from one that answered with an error
+    """
+    if fault.has_died:
+        return messages.JobEnd.DIED
+    return ENDS.get(fault.code, messages.JobEnd.FAILED)
+
+
+class Parts:
+    """What all model requests share.
+
+    :param vm: the VM's name
+    :param incarnation: which life of the VM's router this is
+    :param gap_ms: the longest wait for a further token
+    :param may_repeat: takes a repeat out of a pool's budget for them
+    """
+
+    __slots__ = (
+        "vm",
+        "incarnation",
+        "gap_ms",
+        "clock",
+        "source",
+        "scheduling",
+        "cancelling",
+        "directory",
+        "relay",
+        "callers",
+        "tracer",
+        "metrics",
+        "may_repeat",
+    )
+
+    def __init__(
+        self,
+        vm: str,
+        incarnation: int,
+        gap_ms: int,
+        clock_: clock.Clock,
+        source: tables.TableSource,
+        scheduling_: scheduling.Scheduling,
+        cancelling_: cancelling.Cancelling,
+        directory_: directory.UpstreamDirectory,
+        relay: pump.Relay,
+        callers: watch.CallerWatch,
+        tracer: traces.Tracer,
+        metrics_: metrics.Metrics,
+        may_repeat: collections.abc.Callable[[str], bool],
+    ) -> None:
+        self.vm = vm
+        self.incarnation = incarnation
+        self.gap_ms = gap_ms
+        self.clock = clock_
+        self.source = source
+        self.scheduling = scheduling_
+        self.cancelling = cancelling_
+        self.directory = directory_
+        self.relay = relay
+        self.callers = callers
+        self.tracer = tracer
+        self.metrics = metrics_
+        self.may_repeat = may_repeat
+
+
+def make_gone() -> errors.Fault:
+    """Return the fault of a request whose caller has gone."""
+    return errors.Fault(
+        errors.Code.CANCELLED,
+        errors.Step.CALLER,
+        message="the caller has gone",
+    )
--- a/mulberryway/policy/usage.py
+++ b/mulberryway/policy/usage.py
@@ -11,6 +11,8 @@
 import itertools
 
 from mulberryway import tables
+from mulberryway.policy import usage_bucket
+from mulberryway.policy import usage_messages
 
 __all__ = ["AccountUsage", "Margin", "Usage", "UsageBook"]
 
@@ -50,134 +52,9 @@
 SETTLED_MS = 3_000
 
 
-class Margin:
-    """What an account may get beyond its rate and burst in one window.
-
-    :param window_ms: the window's length
-    :param over_part: part of what rate and burst allow in it
-    :param over_tokens: tokens on top
-    """
-
-    __slots__ = ("window_ms", "over_part", "over_tokens")
-
-    def __init__(
-        self, window_ms: int, over_part: float, over_tokens: int
-    ) -> None:
-        self.window_ms = window_ms
-        self.over_part = over_part
-        self.over_tokens = over_tokens
-
-    def read_tokens(self, account: tables.ClientAccount) -> float:
-        """Return what an account may get beyond its due in one window.
-
-        :param account: the account
-        :returns: tokens
-        """
-        due = account.rate * self.window_ms / MS_IN_S + account.burst
-        return due * self.over_part + self.over_tokens
-
-
-class AccountUsage:
-    """One VM's count for one account.
-
-    :param account: the account's name
-    :param spent: tokens given since the VM began
-    :param left: tokens that the VM believes are left for all
-    """
-
-    __slots__ = ("account", "spent", "left")
-
-    def __init__(self, account: str, spent: int, left: int) -> None:
-        self.account = account
-        self.spent = spent
-        self.left = left
-
-
-class Usage:
-    """What one VM tells of its counts; a later one replaces it.
-
-    :param vm: the VM's name
-    :param incarnation: which life of it; counts begin anew with each
-    :param sequence: grows with each message of a life
-    :param accounts: accounts whose counts have changed, or all
-    :param mirrors: by kind, the revision up to which the VM knows the store
-    :param age_ms: for how long the VM has counted
-    :param is_store_reached: whether the platform's store answers it; none
-        if it does not ask
-    """
-
-    __slots__ = (
-        "vm",
-        "incarnation",
-        "sequence",
-        "accounts",
-        "mirrors",
-        "age_ms",
-        "is_store_reached",
-    )
-
-    def __init__(
-        self,
-        vm: str,
-        incarnation: int,
-        sequence: int,
-        accounts: list[AccountUsage],
-        mirrors: dict[str, int],
-        age_ms: int,
-        is_store_reached: bool | None = True,
-    ) -> None:
-        self.vm = vm
-        self.incarnation = incarnation
-        self.sequence = sequence
-        self.accounts = accounts
-        self.mirrors = mirrors
-        self.age_ms = age_ms
-        self.is_store_reached = is_store_reached
-
-
-class _Bucket:
-    """What is left of one account's rate and burst for all VMs."""
-
-    __slots__ = (
-        "rate",
-        "burst",
-        "level",
-        "ceiling",
-        "spent",
-        "updated_ms",
-        "is_told",
-    )
-
-    def __init__(self, now_ms: int) -> None:
-        self.rate = 0.0
-        self.burst = 0.0
-        self.level = 0.0
-        # What was left when VMs fell silent, or more by now: their part of
-        # it is left to them.
-        self.ceiling = 0.0
-        self.spent = 0
-        self.updated_ms = now_ms
-        self.is_told = True
-
-    def refill(self, part: float, now_ms: int) -> None:
-        """Add what has come in since the last time.
-
-        :param part: the part of the rate that may be given here
-        :param now_ms: the present
-        """
-        passed_ms = max(now_ms - self.updated_ms, 0)
-        self.updated_ms = now_ms
-        self.level = min(
-            self.level + self.rate * part * passed_ms / MS_IN_S, self.burst
-        )
-        self.ceiling = max(self.level, 0.0 if part >= 1 else self.ceiling)
-
-    def read_usable(self, part: float) -> float:
-        """Return how many tokens may be given here.
-
-        :param part: the part of all rates that may be given here
-        """
-        return self.level - self.ceiling * (1.0 - part)
+AccountUsage = usage_messages.AccountUsage
+Margin = usage_messages.Margin
+Usage = usage_messages.Usage
 
 
 class _Peer:
@@ -219,7 +96,7 @@
         self._began_ms = now_ms
         self._told_ms: int | None = None
         self._numbers = itertools.count(1)
-        self._buckets: dict[str, _Bucket] = {}
+        self._buckets: dict[str, usage_bucket.UsageBucket] = {}
         self._peers: dict[str, _Peer] = {}
         self._gone: collections.OrderedDict[str, _Peer] = (
             collections.OrderedDict()
@@ -469,14 +346,14 @@
         while len(self._gone) > MOST_GONE:
             self._gone.popitem(last=False)
 
-    def _find(self, account: str, now_ms: int) -> _Bucket:
+    def _find(self, account: str, now_ms: int) -> usage_bucket.UsageBucket:
         bucket = self._buckets.get(account)
         if bucket is None:
-            bucket = self._buckets[account] = _Bucket(now_ms)
+            bucket = self._buckets[account] = usage_bucket.UsageBucket(now_ms)
         return bucket
 
     @staticmethod
-    def _spend(bucket: _Bucket, tokens: int) -> None:
+    def _spend(bucket: usage_bucket.UsageBucket, tokens: int) -> None:
         bucket.level -= tokens
         bucket.spent += tokens
         bucket.is_told = False
--- /dev/null
+++ b/mulberryway/policy/usage_bucket.py
@@ -0,0 +1,53 @@
+"""What is left of an account's rate and burst for all VMs."""
+
+__all__ = ["UsageBucket"]
+
+MS_IN_S = 1_000
+
+
+class UsageBucket:
+    """One account's bucket, as one VM believes it to be.
+
+    :param now_ms: the present
+    """
+
+    __slots__ = (
+        "rate",
+        "burst",
+        "level",
+        "ceiling",
+        "spent",
+        "updated_ms",
+        "is_told",
+    )
+
+    def __init__(self, now_ms: int) -> None:
+        self.rate = 0.0
+        self.burst = 0.0
+        self.level = 0.0
+        # What was left when VMs fell silent, or more by now: their part of
+        # it is left to them.
+        self.ceiling = 0.0
+        self.spent = 0
+        self.updated_ms = now_ms
+        self.is_told = True
+
+    def refill(self, part: float, now_ms: int) -> None:
+        """Add what has come in since the last time.
+
+        :param part: the part of the rate that may be given here
+        :param now_ms: the present
+        """
+        passed_ms = max(now_ms - self.updated_ms, 0)
+        self.updated_ms = now_ms
+        self.level = min(
+            self.level + self.rate * part * passed_ms / MS_IN_S, self.burst
+        )
+        self.ceiling = max(self.level, 0.0 if part >= 1 else self.ceiling)
+
+    def read_usable(self, part: float) -> float:
+        """Return how many tokens may be given here.
+
+        :param part: the part of all rates that may be given here
+        """
+        return self.level - self.ceiling * (1.0 - part)
--- a/mulberryway/router.py
+++ b/mulberryway/router.py
@@ -18,7 +18,7 @@
 from mulberryway.controllers import scheduling
 from mulberryway.filters import chain
 from mulberryway.filters import interface
-from mulberryway.filters import model_run
+from mulberryway.filters import model_parts
 from mulberryway.filters import status
 from mulberryway.policy import allowance
 from mulberryway.policy import base as policy
@@ -318,7 +318,7 @@
 
     def _make_context(self) -> interface.Context:
         settings_ = self.settings
-        parts = model_run.Parts(
+        parts = model_parts.Parts(
             settings_.vm_name,
             self._incarnation,
             settings_.router_token_gap_ms,
--- a/mulberryway/settings.py
+++ b/mulberryway/settings.py
@@ -1,57 +1,22 @@
 """The settings of one process, read from a TOML file and checked."""
 
-import collections.abc
-import ipaddress
 import pathlib
-import re
 import tomllib
 import typing
 
 from mulberryway import errors
+from mulberryway import options
 
 __all__ = [
     "OPTIONS",
-    "Option",
     "Settings",
     "read_bytes",
     "read_port",
     "read_settings",
 ]
 
-MOST_PORT = 65_535
-DIGEST = re.compile(r"[0-9a-f]{64}")
-MS_IN_S = 1_000
 HOUR_S = 3_600
-HOUR_MS = HOUR_S * MS_IN_S
-
-
-class Option:
-    """How one option of the file becomes one attribute.
-
-    :param key: ``section.option`` in the file
-    :param attribute: the attribute of :class:`Settings`
-    :param expected: what is accepted, in words for the error
-    :param accepts: tells whether a value is accepted
-    :param convert: makes the attribute's value of the file's
-    """
-
-    __slots__ = ("key", "attribute", "expected", "accepts", "convert")
-
-    def __init__(
-        self,
-        key: str,
-        attribute: str,
-        expected: str,
-        accepts: collections.abc.Callable[[typing.Any], bool],
-        convert: collections.abc.Callable[[typing.Any], typing.Any] = (
-            lambda value: value
-        ),
-    ) -> None:
-        self.convert = convert
-        self.key = key
-        self.attribute = attribute
-        self.expected = expected
-        self.accepts = accepts
+HOUR_MS = HOUR_S * options.MS_IN_S
 
 
 class Settings:
@@ -150,198 +115,128 @@
         self.policy_prefill_us: int = 100
 
 
-def _is_int(
-    low: int, high: int
-) -> collections.abc.Callable[[typing.Any], bool]:
-    def accepts(value: typing.Any) -> bool:
-        return type(value) is int and low <= value <= high
-
-    return accepts
-
-
-def _is_amount(
-    low: float, high: float
-) -> collections.abc.Callable[[typing.Any], bool]:
-    return lambda value: type(value) in (int, float) and low <= value <= high
-
-
-def _is_part(value: typing.Any) -> bool:
-    return type(value) in (int, float) and 0 <= value <= 1
-
-
-def _is_text(value: typing.Any) -> bool:
-    return isinstance(value, str) and bool(value)
-
-
-def _is_any_text(value: typing.Any) -> bool:
-    return isinstance(value, str)
-
-
-def _is_ip(value: typing.Any) -> bool:
-    try:
-        ipaddress.ip_address(value)
-    except ValueError:
-        return False
-    return isinstance(value, str)
-
-
-def _is_text_list(value: typing.Any) -> bool:
-    return isinstance(value, list) and all(map(_is_text, value))
-
-
-def _is_digest_table(value: typing.Any) -> bool:
-    return isinstance(value, dict) and all(
-        isinstance(digest, str) and DIGEST.fullmatch(digest) is not None
-        for digest in value.values()
-    )
-
-
-def _is_url(value: typing.Any) -> bool:
-    return isinstance(value, str) and value.startswith(("http://", "https://"))
-
-
-def _is_optional_url(value: typing.Any) -> bool:
-    return value == "" or _is_url(value)
-
-
-def _is_one_of(*choices: str) -> collections.abc.Callable[[typing.Any], bool]:
-    return lambda value: value in choices
-
-
-def _port(key: str, attribute: str) -> Option:
-    return Option(
-        key, attribute, "a port from 1 to 65535", _is_int(1, MOST_PORT)
-    )
-
-
-def _is_address(value: typing.Any) -> bool:
-    if not isinstance(value, str):
-        return False
-    host, _, port = value.rpartition(":")
-    return _is_ip(host) and port.isdecimal() and 0 < int(port) <= MOST_PORT
-
-
-def _address(key: str, attribute: str) -> Option:
-    return Option(
-        key,
-        attribute,
-        "host:port, or empty",
-        lambda value: value == "" or _is_address(value),
-    )
-
-
-def _number(key: str, attribute: str, low: int, high: int) -> Option:
-    return Option(
-        key,
-        attribute,
-        f"a whole number from {low} to {high}",
-        _is_int(low, high),
-    )
-
-
-def _seconds(key: str, attribute: str, low: float, high: float) -> Option:
-    """Return an option in seconds, with fractions, for one in ms."""
-    return Option(
-        key,
-        attribute,
-        f"seconds from {low} to {high}",
-        _is_amount(low, high),
-        lambda value: int(value * MS_IN_S),
-    )
-
-
-def _amount(key: str, attribute: str, high: float) -> Option:
-    """Return an option whose value may have a fraction, rounded down."""
-    return Option(
-        key, attribute, f"a number from 0 to {high}", _is_amount(0, high), int
-    )
-
-
 GIB = 1 << 30
 
 OPTIONS = (
-    Option("vm.name", "vm_name", "a name", _is_text),
-    Option("vm.address", "vm_address", "an IP number", _is_ip),
-    Option("vm.zone", "vm_zone", "an availability zone", _is_text),
-    Option("vm.region", "vm_region", "a region", _is_text),
-    _port("router.port", "router_port"),
-    _number("router.threads", "router_threads", 4, 1024),
-    _number("router.backlog", "router_backlog", 16, 65_535),
-    _number("router.keep_alive", "router_keep_alive", 0, 65_535),
-    _number("router.idle_ms", "router_idle_ms", 100, HOUR_MS),
-    _number("router.header_bytes", "router_header_bytes", 1_024, GIB),
-    _number("router.body_bytes", "router_body_bytes", 1_024, GIB),
-    _number("router.body_ms", "router_body_ms", 100, HOUR_MS),
-    _number("router.entry_ttl_ms", "router_entry_ttl_ms", 100, HOUR_MS),
-    _number("router.entry_lives", "router_entry_lives", 1, 10),
-    _number("router.token_gap_ms", "router_token_gap_ms", 10, HOUR_MS),
-    _address("router.address", "router_address"),
-    _address("router.ready_address", "router_ready_address"),
-    _address("router.directory_address", "router_directory_address"),
-    _seconds("router.grace_s", "router_grace_ms", 0.1, HOUR_S),
-    _port("peers.port", "peers_port"),
-    _number("peers.seeds_port", "peers_seeds_port", 0, MOST_PORT),
-    Option("peers.secret", "peers_secret", "a secret text", _is_text),
-    Option("peers.seeds", "peers_seeds", "a list of host:port", _is_text_list),
-    _number("peers.period_ms", "peers_period_ms", 10, 60_000),
-    _number("peers.timeout_ms", "peers_timeout_ms", 10, 60_000),
-    Option("platform.url", "platform_url", "an http address", _is_url),
-    _number("platform.timeout_ms", "platform_timeout_ms", 10, 60_000),
-    _number("platform.silence_ms", "platform_silence_ms", 100, 60_000),
-    _seconds("allowances.window_s", "allowances_window_ms", 0.1, HOUR_S),
-    Option(
+    options.Option("vm.name", "vm_name", "a name", options.is_text),
+    options.Option("vm.address", "vm_address", "an IP number", options.is_ip),
+    options.Option(
+        "vm.zone", "vm_zone", "an availability zone", options.is_text
+    ),
+    options.Option("vm.region", "vm_region", "a region", options.is_text),
+    options.make_port("router.port", "router_port"),
+    options.make_number("router.threads", "router_threads", 4, 1024),
+    options.make_number("router.backlog", "router_backlog", 16, 65_535),
+    options.make_number("router.keep_alive", "router_keep_alive", 0, 65_535),
+    options.make_number("router.idle_ms", "router_idle_ms", 100, HOUR_MS),
+    options.make_number(
+        "router.header_bytes", "router_header_bytes", 1_024, GIB
+    ),
+    options.make_number("router.body_bytes", "router_body_bytes", 1_024, GIB),
+    options.make_number("router.body_ms", "router_body_ms", 100, HOUR_MS),
+    options.make_number(
+        "router.entry_ttl_ms", "router_entry_ttl_ms", 100, HOUR_MS
+    ),
+    options.make_number("router.entry_lives", "router_entry_lives", 1, 10),
+    options.make_number(
+        "router.token_gap_ms", "router_token_gap_ms", 10, HOUR_MS
+    ),
+    options.make_address("router.address", "router_address"),
+    options.make_address("router.ready_address", "router_ready_address"),
+    options.make_address(
+        "router.directory_address", "router_directory_address"
+    ),
+    options.make_seconds("router.grace_s", "router_grace_ms", 0.1, HOUR_S),
+    options.make_port("peers.port", "peers_port"),
+    options.make_number(
+        "peers.seeds_port", "peers_seeds_port", 0, options.MOST_PORT
+    ),
+    options.Option(
+        "peers.secret", "peers_secret", "a secret text", options.is_text
+    ),
+    options.Option(
+        "peers.seeds",
+        "peers_seeds",
+        "a list of host:port",
+        options.is_text_list,
+    ),
+    options.make_number("peers.period_ms", "peers_period_ms", 10, 60_000),
+    options.make_number("peers.timeout_ms", "peers_timeout_ms", 10, 60_000),
+    options.Option(
+        "platform.url", "platform_url", "an http address", options.is_url
+    ),
+    options.make_number(
+        "platform.timeout_ms", "platform_timeout_ms", 10, 60_000
+    ),
+    options.make_number(
+        "platform.silence_ms", "platform_silence_ms", 100, 60_000
+    ),
+    options.make_seconds(
+        "allowances.window_s", "allowances_window_ms", 0.1, HOUR_S
+    ),
+    options.Option(
         "allowances.over_part",
         "allowances_over_part",
         "a number from 0 to 1",
-        _is_part,
+        options.is_part,
+    ),
+    options.make_amount(
+        "allowances.over_tokens", "allowances_over_tokens", GIB
     ),
-    _amount("allowances.over_tokens", "allowances_over_tokens", GIB),
-    Option("retries.part", "retries_part", "a number from 0 to 1", _is_part),
-    _seconds("retries.window_s", "retries_window_ms", 0.1, HOUR_S),
-    _amount("retries.slack", "retries_slack", 1_000_000),
-    _number(
+    options.Option(
+        "retries.part", "retries_part", "a number from 0 to 1", options.is_part
+    ),
+    options.make_seconds("retries.window_s", "retries_window_ms", 0.1, HOUR_S),
+    options.make_amount("retries.slack", "retries_slack", 1_000_000),
+    options.make_number(
         "configuration.fresh_ms", "configuration_fresh_ms", 1_000, HOUR_MS
     ),
-    _number(
+    options.make_number(
         "configuration.outage_ms",
         "configuration_outage_ms",
         1_000,
         168 * HOUR_MS,
     ),
-    _number("configuration.watchers", "configuration_watchers", 1, 100),
-    _port("admin.port", "admin_port"),
-    Option(
+    options.make_number(
+        "configuration.watchers", "configuration_watchers", 1, 100
+    ),
+    options.make_port("admin.port", "admin_port"),
+    options.Option(
         "admin.operators",
         "admin_operators",
         "a table of names and SHA-256 digests of credentials",
-        _is_digest_table,
+        options.is_digest_table,
     ),
-    Option(
+    options.Option(
         "telemetry.log_level",
         "telemetry_log_level",
         "DEBUG, INFO, WARNING or ERROR",
-        _is_one_of("DEBUG", "INFO", "WARNING", "ERROR"),
+        options.is_one_of("DEBUG", "INFO", "WARNING", "ERROR"),
     ),
-    Option(
+    options.Option(
         "telemetry.debug",
         "telemetry_debug",
         "a list of report names",
-        _is_text_list,
+        options.is_text_list,
     ),
-    Option(
+    options.Option(
         "telemetry.otlp_url",
         "telemetry_otlp_url",
         "an http address, or empty",
-        _is_optional_url,
+        options.is_optional_url,
+    ),
+    options.make_address(
+        "telemetry.metrics_address", "telemetry_metrics_address"
+    ),
+    options.make_number(
+        "telemetry.export_ms", "telemetry_export_ms", 100, HOUR_MS
     ),
-    _address("telemetry.metrics_address", "telemetry_metrics_address"),
-    _number("telemetry.export_ms", "telemetry_export_ms", 100, HOUR_MS),
-    _number("policy.prefill_us", "policy_prefill_us", 1, 100_000),
-    Option(
+    options.make_number("policy.prefill_us", "policy_prefill_us", 1, 100_000),
+    options.Option(
         "policy.weighing",
         "policy_weighing",
         "worst_served or goodput",
-        _is_one_of("worst_served", "goodput"),
+        options.is_one_of("worst_served", "goodput"),
     ),
 )
 
@@ -427,7 +322,7 @@
 
 
 def _set(
-    settings: Settings, file: str, option: Option, value: typing.Any
+    settings: Settings, file: str, option: options.Option, value: typing.Any
 ) -> None:
     if not option.accepts(value):
         raise errors.SettingsError(file, option.key, option.expected)
