Forget KV caches that were taken, and make allowances before the router

Cause: a PlatformEngine remembered the handle of each stream for ever, some 300 bytes a stream; and a stand-in for allowances that came later was needed only by the order of making. Ruled out: a weak dictionary, which would drop what a cancel still needs. Test: nothing is left after a stream.

--- a/mulberryway/controllers/fleet_allowances.py
+++ b/mulberryway/controllers/fleet_allowances.py
@@ -9,12 +9,11 @@
 from mulberryway import errors
 from mulberryway import tables
 from mulberryway.controllers import base
-from mulberryway.controllers import notes
 from mulberryway.peers import note_messages
 from mulberryway.policy import allowance
 from mulberryway.policy import usage
 
-__all__ = ["FleetAllowances", "LateAllowances"]
+__all__ = ["FleetAllowances"]
 
 # A request's tokens are told to the other VMs this late at most.
 PERIOD_MS = 60
@@ -27,24 +26,26 @@
     """Holds the lock around the book of usage, and tells the other VMs.
 
     :param book: what was given and what is left
-    :param notes_: sends datagrams to the other VMs
     :param read_mirrors: returns the revisions of mirrors by kind
     :param is_store_reached: tells whether the platform's store answers; none
         if it is not asked
     :param clock_: where the time comes from
+
+    ``send_all`` is set by whoever can send to the other VMs.
     """
 
     def __init__(
         self,
         book: usage.UsageBook,
-        notes_: notes.NotesController,
         read_mirrors: collections.abc.Callable[[], dict[str, int]],
         is_store_reached: collections.abc.Callable[[], bool | None],
         clock_: clock.Clock,
     ) -> None:
         super().__init__("fleet-allowances", clock_, PERIOD_MS)
         self._book = book
-        self._notes = notes_
+        self.send_all: collections.abc.Callable[[bytes], None] = (
+            lambda payload: None
+        )
         self._read_mirrors = read_mirrors
         self._lock = threading.Lock()
         self._is_store_reached = is_store_reached
@@ -61,7 +62,7 @@
             )
         if message is not None:
             message.is_store_reached = is_reached
-            self._notes.send_all(note_messages.write_usage(message))
+            self.send_all(note_messages.write_usage(message))
 
     def take(self, told: usage.Usage) -> None:
         """Take in another VM's counts.
@@ -132,22 +133,3 @@
             self._book.give_back(
                 reservation.account, unused, self.clock.now_ms()
             )
-
-
-class LateAllowances(allowance.Allowances):
-    """Stands for allowances that are made after those who use them."""
-
-    def __init__(self) -> None:
-        self.target: allowance.Allowances | None = None
-
-    def reserve(
-        self, account: str, tokens: int
-    ) -> expression.Result[allowance.Reservation, errors.Fault]:
-        """Take tokens for a request; see the base class."""
-        assert self.target is not None
-        return self.target.reserve(account, tokens)
-
-    def settle(self, reservation: allowance.Reservation, used: int) -> None:
-        """Give back what was not used; see the base class."""
-        assert self.target is not None
-        self.target.settle(reservation, used)
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -141,6 +141,12 @@
             self.clock.now_ms(),
             bool(_list_seeds(settings_)),
         )
+        self.allowances = fleet_allowances.FleetAllowances(
+            self.book,
+            self._read_mirrors,
+            self._is_store_reached,
+            self.clock,
+        )
         self.scheduler = self._make_scheduler()
         self._wire_router()
         self._wire_peers()
@@ -267,7 +273,7 @@
             self.incarnation,
             self.source,
             self.scheduler,
-            allowances := fleet_allowances.LateAllowances(),
+            self.allowances,
             _AllEntries(self),
             self.budget.spend,
             on_withdraw=lambda: self.members.change_own(is_stopping=True),
@@ -283,14 +289,7 @@
         self.notes = notes.NotesController(
             self.router.scheduling, self.members, self.source, self.clock
         )
-        self.allowances = fleet_allowances.FleetAllowances(
-            self.book,
-            self.notes,
-            self._read_mirrors,
-            self._is_store_reached,
-            self.clock,
-        )
-        allowances.target = self.allowances
+        self.allowances.send_all = self.notes.send_all
         self.notes.on_usage = self._take_usage
         self.source.subscribe(self._change_tables)
 
--- a/mulberryway/platform/engine.py
+++ b/mulberryway/platform/engine.py
@@ -1,5 +1,6 @@
 """Model engines as the platform's upstreams speak."""
 
+import collections.abc
 import http
 import json
 import threading
@@ -30,13 +31,16 @@
     """A KV cache that waits at the engine which read the prompt.
 
     :param name: the handle's name; it is good for one use
+    :param on_spent: called when another engine has taken the KV cache
     """
 
-    __slots__ = ("name", "is_spent")
+    __slots__ = ("name", "spend")
 
-    def __init__(self, name: str) -> None:
+    def __init__(
+        self, name: str, on_spent: collections.abc.Callable[[], None]
+    ) -> None:
         self.name = name
-        self.is_spent = False
+        self.spend = on_spent
 
 
 class PlatformEngine(base.Engine):
@@ -131,7 +135,8 @@
         finally:
             self._end(label)
         if result.is_ok() and transfer:
-            transfer["handle"].is_spent = True
+            # There is nothing left to free at the other engine.
+            transfer["handle"].spend()
         return result
 
     def cancel(
@@ -150,20 +155,12 @@
             handle = self._handles.pop(label.request_id, None)
         if call is not None:
             call.set()
-        if handle is None or handle.is_spent:
+        if handle is None:
             return expression.Ok(call is not None)
         return self._control("DELETE", f"{wire.HANDLE}/{handle.name}").map(
             lambda found: True
         )
 
-    def forget(self, label: base.RunLabel) -> None:
-        """Drop what is remembered of an attempt that went well.
-
-        :param label: names the attempt
-        """
-        with self._lock:
-            self._handles.pop(label.request_id, None)
-
     def list_held(
         self,
     ) -> expression.Result[list[base.HeldRequest], errors.Fault]:
@@ -219,6 +216,10 @@
         with self._lock:
             self._calls.pop(label.request_id, None)
 
+    def _forget(self, label: base.RunLabel) -> None:
+        with self._lock:
+            self._handles.pop(label.request_id, None)
+
     def _read_prefill(
         self, label: base.RunLabel, found: connections.Response
     ) -> expression.Result[base.PrefillResult, errors.Fault]:
@@ -234,7 +235,10 @@
             return expression.Error(fault)
         try:
             value = json.loads(found.body)
-            handle = _Handle(wire.read_text(value["cache_handle"]))
+            handle = _Handle(
+                wire.read_text(value["cache_handle"]),
+                lambda: self._forget(label),
+            )
             tokens = wire.read_whole(value["tokens"])
         except (ValueError, KeyError, TypeError):
             return expression.Error(
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -3,12 +3,15 @@
 import copy
 import unittest
 
+from mulberryway import clock
 from mulberryway import errors
 from mulberryway import tables
 from mulberryway.objects import base
 from mulberryway.platform import engine
 from mulberryway.platform import tables as platform_tables
 from mulberryway.platform import wire
+from mulberryway.upstreams import base as upstreams
+from mulberryway.upstreams import connections
 
 CONFIGURATION = {
     "version": 7,
@@ -194,6 +197,23 @@
         )
 
 
+class HandleTest(unittest.TestCase):
+    def test_nothing_is_remembered_of_what_went_well(self):
+        """Each stream leaves the name of its KV cache behind.  Kept for
+        ever, they would fill a VM's memory in days.
+        """
+        one = engine.PlatformEngine("i-1", "10.0.0.1:80", clock.ManualClock())
+        label = upstreams.RunLabel("r-1", "vm1", 1)
+        body = b'{"cache_handle": "h-1", "tokens": 100, "version": 1}'
+        found = one._read_prefill(
+            label, connections.Response(200, [], body)
+        ).ok
+        self.assertEqual(len(one._handles), 1)
+        found.transfer["handle"].spend()
+        self.assertEqual(len(one._handles), 0)
+        self.assertFalse(one.cancel(label).ok)
+
+
 class WireTest(unittest.TestCase):
     def test_numbers(self):
         self.assertEqual(wire.read_whole(3.0), 3)
