Keep VMs' parts while rates change, and in fleets of ninety

Cause, both found by reading: a change of the rate reset what was left when VMs fell silent, so each configuration gave a cut VM its part anew (12,400 of 10,000 tokens in the test); and in a fleet of ninety, where silence shows later, VMs known by name only passed for heard, so that ninety VMs that begin together would have given 651,600 tokens where 7,250 are allowed.

--- a/mulberryway/policy/usage.py
+++ b/mulberryway/policy/usage.py
@@ -117,7 +117,7 @@
         """
         for name in vms:
             if name != self._vm and name not in self._peers:
-                self._peers[name] = _Peer(UNKNOWN, now_ms - GONE_MS // 2)
+                self._peers[name] = _Peer(UNKNOWN, now_ms)
 
     def change_accounts(
         self,
@@ -143,7 +143,7 @@
             if is_new:
                 bucket.level += self._margin.read_tokens(account) * START_PART
             bucket.level = min(bucket.level, bucket.burst)
-            bucket.ceiling = max(bucket.level, 0.0)
+            bucket.ceiling = max(bucket.level, bucket.ceiling)
 
     def take(self, account: str, tokens: int, now_ms: int) -> int | None:
         """Take tokens for a request.
@@ -330,6 +330,8 @@
         return 1.0 - len(silent) / (len(self._peers) + 1)
 
     def _is_silent(self, peer: _Peer, now_ms: int) -> bool:
+        if peer.incarnation == UNKNOWN:
+            return True
         return now_ms - peer.heard_ms >= SILENT_MS * self._read_scale()
 
     def _read_scale(self) -> float:
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -110,6 +110,36 @@
         self.assertLessEqual(given, margin * usage.START_PART)
         self.assertGreater(given, 5_000)
 
+    def test_large_fleet_that_begins_together(self):
+        """Ninety VMs are killed at once.  In so large a fleet heartbeats are
+        seldom, and VMs that have told nothing yet must not pass for heard:
+        each would give all that is there for all.
+        """
+        names = [f"a{n}" for n in range(90)]
+        given = 0
+        for name in names:
+            book = make_book(name, now_ms=50_000, has_others=True)
+            book.note_fleet(names, 50_000)
+            while book.take("a", 20, 50_000) is None:
+                given += 20
+        margin = MARGIN.read_tokens(ACCOUNT)
+        self.assertLessEqual(given, margin * usage.START_PART)
+
+    def test_change_of_the_rate_keeps_the_parts(self):
+        """Configurations come in quick succession while VMs are cut off.
+        Each would let a VM give its part of what is left anew.
+        """
+        books = {"a1": make_book("a1"), "a2": make_book("a2")}
+        for now_ms in range(0, 10_100, 100):
+            tell(books, now_ms)
+        cut_ms = 10_000 + usage.SILENT_MS + 100
+        given = 0
+        for _ in range(20):
+            while books["a1"].take("a", 100, cut_ms) is None:
+                given += 100
+            books["a1"].change_accounts([ACCOUNT], cut_ms)
+        self.assertLessEqual(given, BURST * 0.65)
+
     def test_vm_that_begins_cut_off_takes_a_part(self):
         """A VM is started while it reaches no other.  It cannot know what
         the others give, and must not give the whole rate.
