--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -371,6 +371,15 @@
         self.outages.note_peer(
             told.vm, told.is_store_reached, self.clock.now_ms()
         )
+        # A VM that has just begun has not looked at the others yet.
+        address = address or next(
+            (
+                one.peer
+                for one in self.members.list_members()
+                if one.name == told.vm
+            ),
+            "",
+        )
         if address:
             self.exchange.note_peer(address, told.mirrors)
 
--- a/mulberryway/upstreams/connections.py
+++ b/mulberryway/upstreams/connections.py
@@ -27,6 +27,7 @@
 CONNECT_MS = 1_000
 # Within a region a connection is made in a few milliseconds.
 LISTEN_S = 0.3
+LISTEN_PAUSES_S = (0.0, 0.05)
 # Something between the two ends may lose track of a connection; the longer
 # it lives the likelier that is, and a fresh one costs a millisecond.
 MOST_AGE_MS = 60_000
@@ -103,16 +104,20 @@
     Load: connections that break in the middle, because the other end died
     or because its answer was lost.  Harm: requests whose answers were lost
     would be taken for what kills upstreams.  What has died does not listen
-    for seconds; what has lost an answer goes on.
+    for seconds; what has lost an answer goes on.  A process that dies closes
+    its sockets one after another, so one look right after a broken
+    connection may still find the port open.
 
     :param address: ``host:port``
-    :returns: whether a connection could be made at once
+    :returns: whether connections can be made, now and a moment later
     """
     host, _, port = address.rpartition(":")
-    try:
-        socket.create_connection((host, int(port)), LISTEN_S).close()
-    except OSError:
-        return False
+    for pause_s in LISTEN_PAUSES_S:
+        time.sleep(pause_s)
+        try:
+            socket.create_connection((host, int(port)), LISTEN_S).close()
+        except OSError:
+            return False
     return True
 
 
--- a/tests/test_decode_call.py
+++ b/tests/test_decode_call.py
@@ -56,3 +56,27 @@
         fault = self.call(port)
         self.assertIs(fault.code, errors.Code.UPSTREAM_UNREACHABLE)
         self.assertIs(fault.run, errors.Run.NOT_RUN)
+
+
+class ListensTest(unittest.TestCase):
+    def test_port_that_closes_a_moment_later(self):
+        """A process dies, and closes its connection to a caller a moment
+        before the port on which it listens.  Taken for alive, it would not
+        be counted as killed by the request that it ran.
+        """
+        listener = socket.create_server((HOST, 0))
+        port = listener.getsockname()[1]
+
+        def die():
+            listener.accept()[0].close()
+            listener.close()
+
+        thread = threading.Thread(target=die)
+        thread.start()
+        self.assertFalse(connections.listens(f"{HOST}:{port}"))
+        thread.join()
+
+    def test_port_that_stays_open(self):
+        with socket.create_server((HOST, 0)) as listener:
+            port = listener.getsockname()[1]
+            self.assertTrue(connections.listens(f"{HOST}:{port}"))
