Let a VM that takes all others for dead go on

Cause: the choice of the next VM to probe went round and round when every other one was dead, and held the lock of the view meanwhile: the VM heard and told nothing any more, kept its old tables and never joined again.

--- a/mulberryway/policy/membership.py
+++ b/mulberryway/policy/membership.py
@@ -144,11 +144,16 @@
 
         Every VM is probed once in each shuffled round, so that the time
         until a death is noticed has a limit, which plain random choice has
-        not.  Suspects are probed as well: it lets them deny it.
+        not.  Suspects are probed as well: it lets them deny it.  A VM that
+        is cut off takes all others for dead; then there is none to probe.
         """
         while True:
             if not self._round:
-                self._round = [one.name for one in self._list_others()]
+                self._round = [
+                    one.name
+                    for one in self._list_others()
+                    if one.health is not member.Health.DEAD
+                ]
                 self._random.shuffle(self._round)
                 if not self._round:
                     return None
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -39,6 +39,22 @@
         fleet.run(20)
         self.check_all_see(fleet, "vm4", member.Health.DEAD)
 
+    def test_the_last_other_vm_dies_and_comes_back(self):
+        """A VM takes all others for dead, as one that is cut off does.  With
+        nobody left to probe it looked for one for ever, held its view's lock
+        meanwhile, and heard and told nothing any more, also afterwards.
+        """
+        fleet = membership_fleet.Fleet(2)
+        fleet.run(20)
+        fleet.network.down.add("vm1:1")
+        fleet.run(30)
+        first = fleet.vms[0]
+        self.assertIs(fleet.see(first, "vm1").health, member.Health.DEAD)
+        self.assertIsNone(first.exchange.view.choose_target())
+        fleet.network.down.discard("vm1:1")
+        fleet.run(40)
+        self.assertIs(fleet.see(first, "vm1").health, member.Health.ALIVE)
+
     def test_one_lost_link_kills_nobody(self):
         """Two VMs cannot reach each other, though all others reach both.
 
