Let a prefill engine that refuses rest, and begin a fault soak

Ruled out: the decode engine that fell silent (its streams were served), the store. Change: a refused prefill lets the engine rest for 250 ms, twice as long after each further one in a row; where all rest, one is better than none.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN := $(VENV)/bin
-SOURCES := mulberryway standins tests benchmarks tools
+SOURCES := mulberryway standins soak tests benchmarks tools
 
 .PHONY: help setup format lint test unit demo bench thrift clean
 
--- a/mulberryway/policy/endings.py
+++ b/mulberryway/policy/endings.py
@@ -106,7 +106,10 @@
         now_ms: int,
     ) -> None:
         if end is messages.JobEnd.REFUSED_BY_ENGINE:
-            view.note_full(now_ms)
+            if self._refused_prefill(job, view):
+                view.note_refused_prefill(now_ms)
+            else:
+                view.note_full(now_ms)
             view.health.note_no_verdict()
         elif end is messages.JobEnd.CANCELLED:
             view.health.note_no_verdict()
@@ -116,6 +119,17 @@
             if died:
                 self._suspect(job, view, now_ms)
 
+    @staticmethod
+    def _refused_prefill(
+        job: running.Running, view: views.UpstreamView
+    ) -> bool:
+        placement = job.placement
+        return (
+            view is placement.prefill
+            and not placement.is_alone()
+            and job.prefilled_ms is None
+        )
+
     def _suspect(
         self, job: running.Running, view: views.UpstreamView, now_ms: int
     ) -> None:
--- a/mulberryway/policy/placing.py
+++ b/mulberryway/policy/placing.py
@@ -238,6 +238,9 @@
     ) -> list[placements.Placement]:
         job = entry.job
         usable = self._list_usable(self._members.prefills, job, now_ms)
+        # Where all have refused of late, one of them is better than none.
+        willing = [view for view in usable if not view.is_resting(now_ms)]
+        usable = willing or usable
         if entry.lane is queue.Lane.SUSPECT:
             usable = [view for view in usable if not view.count_suspects()]
         elif entry.lane is queue.Lane.LONG:
--- a/mulberryway/policy/views.py
+++ b/mulberryway/policy/views.py
@@ -23,6 +23,12 @@
 # come free, or this time has gone: at 20 slots of about 11 s one comes free
 # in about half a second.
 FULL_MS = 250
+# Load: a prefill engine that changes its role, or sheds what it is sent.
+# Harm: it is idle, so it looks best, and each prompt that it draws is a caller
+# refused.  It rests for FULL_MS after a refusal, and for twice as long after
+# each further one in a row: an engine that changes its role takes some six
+# seconds and would refuse five prompts of each VM instead of all.
+MOST_RESTS = 7
 PREFILL_MS_PER_TOKEN = 0.1
 STEP_MS = 40.0
 STEP_PART = 0.3
@@ -58,6 +64,8 @@
         "own_prefill_ms",
         "busy_until_ms",
         "full_until_ms",
+        "resting_until_ms",
+        "rests",
         "prefill_rate",
         "step",
         "step_seen_ms",
@@ -94,6 +102,8 @@
         self.own_prefill_ms = 0.0
         self.busy_until_ms = 0.0
         self.full_until_ms = 0
+        self.resting_until_ms = 0
+        self.rests = 0
         self.prefill_rate = health.Average(PREFILL_MS_PER_TOKEN)
         self.step = health.Average(STEP_MS, STEP_PART)
         self.step_seen_ms = 0
@@ -188,6 +198,8 @@
         :param now_ms: the present
         """
         self.own_prefills -= 1
+        self.resting_until_ms = 0
+        self.rests = 0
         # The queue's end moves by as much as this prefill was late or early.
         drift_ms = now_ms - planned_ms
         self.busy_until_ms = max(self.busy_until_ms + drift_ms, 0.0)
@@ -257,6 +269,24 @@
         """
         self.full_until_ms = now_ms + FULL_MS
 
+    def note_refused_prefill(self, now_ms: int) -> None:
+        """Take in that the engine refused to read a prompt.
+
+        :param now_ms: the present
+        """
+        if now_ms < self.resting_until_ms:
+            # Prompts that were sent before the first refusal came.
+            return
+        self.resting_until_ms = now_ms + (FULL_MS << self.rests)
+        self.rests = min(self.rests + 1, MOST_RESTS)
+
+    def is_resting(self, now_ms: int) -> bool:
+        """Tell whether the engine refused to read a prompt just now.
+
+        :param now_ms: the present
+        """
+        return now_ms < self.resting_until_ms
+
     def note_report(self, load: upstreams.EngineLoad, now_ms: int) -> None:
         """Take in a lagging report.
 
--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,334 @@
+"""The promises that a history is held against.
+
+Each check returns sentences, one for each promise that it finds broken.
+"""
+
+import collections
+import collections.abc
+import itertools
+
+from soak import history
+
+__all__ = ["CHECKS", "check"]
+
+Found = collections.abc.Iterator[str]
+
+# What a fault does to a VM may show for so long after it.
+SETTLED_MS = 3_000
+# How soon an edit has to be in force, and how soon an upstream that leaves
+# gets nothing new; both are what the entry VMs' settings promise.
+IN_FORCE_MS = 2_000
+LEFT_MS = 2_000
+# A VM that has shown a route may not lose it again; requests that were
+# already on their way when it came may be answered by the tables before.
+REGRESS_MS = 250
+# An answer that comes so long after the deadline was forgotten, not late:
+# the machine itself is busy during a soak.
+LATE_MS = 1_500
+DEADLINE_MS = 4_000
+WINDOW_MS = 8_000
+EVENTS = 20
+REFUSALS = (408, 421, 429, 503)
+# Of the requests of the calm at the end so many have to be served.
+SERVED_PART = 0.95
+
+
+class Quota:
+    """What one account may use, in tokens.
+
+    :param account: its name
+    :param rate: tokens a second
+    :param burst: tokens at once
+    :param over_part: the part of both that may go beyond
+    :param over_tokens: what may go beyond besides
+    """
+
+    __slots__ = ("account", "rate", "burst", "over_part", "over_tokens")
+
+    def __init__(
+        self,
+        account: str,
+        rate: int,
+        burst: int,
+        over_part: float,
+        over_tokens: int,
+    ) -> None:
+        self.account = account
+        self.rate = rate
+        self.burst = burst
+        self.over_part = over_part
+        self.over_tokens = over_tokens
+
+    def read_most(self) -> float:
+        """Return the most that may run in one window."""
+        due = self.rate * WINDOW_MS / 1_000 + self.burst
+        return due * (1 + self.over_part) + self.over_tokens
+
+
+def check_runs(seen: history.History) -> Found:
+    """No attempt runs more often, elsewhere or for another than it may."""
+    sent = {one.name: one for one in seen.attempts}
+    for name, runs in _group_runs(seen).items():
+        attempt = sent.get(name)
+        if attempt is None:
+            yield f"{name} ran, and no caller sent it"
+            continue
+        if len(runs) > attempt.kind.most_runs:
+            yield f"{name} ran {len(runs)} times: {attempt.kind.value}"
+        for run in runs:
+            if run.account != seen.keys[attempt.key]:
+                yield f"{name} ran for {run.account}, not its key's account"
+            if seen.services.get(run.instance) != attempt.kind.service:
+                yield f"{name} ran at {run.instance}, where it must not"
+
+
+def check_keys(seen: history.History) -> Found:
+    """No upstream sees a caller's key."""
+    for run in seen.runs:
+        if any(key in run.text for key in seen.keys):
+            yield f"{run.attempt} showed its key to {run.instance}"
+
+
+def check_refusals(seen: history.History) -> Found:
+    """A refusal tells the truth, and when to come again."""
+    ran = _group_runs(seen)
+    for one in seen.attempts:
+        if one.status not in REFUSALS:
+            continue
+        if one.name in ran:
+            yield f"{one.name} was refused with {one.status}, and ran"
+        if one.status in (429, 503) and not one.retry_after:
+            yield f"{one.name} was refused without a time to come again"
+
+
+def check_answers(seen: history.History) -> Found:
+    """A success is its own upstream's whole answer; a cut one looks cut."""
+    seals = collections.defaultdict(set)
+    for run in seen.runs:
+        seals[run.attempt].add(run.seal)
+    for one in seen.attempts:
+        if one.status != 200:
+            continue
+        if one.seal not in seals[one.name] or one.echoed != one.name:
+            yield f"{one.name} got an answer that is not its own"
+        if one.kind.is_stream:
+            yield from _check_stream(one)
+        elif not one.is_cut and one.body != _expect_body(one):
+            yield f"{one.name} got {one.body[:60]!r}"
+
+
+def check_edits(seen: history.History) -> Found:
+    """An edit is in force on every sound VM in time, and stays so."""
+    for edit in seen.edits:
+        due_ms = edit.at_ms + IN_FORCE_MS
+        again = _find_opposite(seen, edit)
+        for one in seen.attempts:
+            if not due_ms <= one.began_ms or one.ended_ms >= again:
+                continue
+            if not seen.is_sound(one.vm, one.began_ms - SETTLED_MS, due_ms):
+                continue
+            if not seen.is_sound(
+                one.vm, one.began_ms - SETTLED_MS, one.ended_ms
+            ):
+                continue
+            if edit.what == "withdraw" and one.key == edit.name:
+                if one.status == 200:
+                    yield f"{one.name} was served with a withdrawn key"
+            if edit.what == "give" and one.key == edit.name:
+                if one.status == 401:
+                    yield f"{one.name} was denied with a key that holds"
+            if edit.what == "add" and one.kind is history.Kind.LATE:
+                if one.status == 404:
+                    yield f"{one.name} found no route after it was added"
+
+
+def check_regress(seen: history.History) -> Found:
+    """A VM that has shown a route goes on to have it."""
+    first: dict[int, int] = {}
+    late = [one for one in seen.attempts if one.kind is history.Kind.LATE]
+    for one in sorted(late, key=lambda one: one.ended_ms):
+        shown_ms = first.get(one.vm)
+        if one.status == 200 and shown_ms is None:
+            first[one.vm] = one.ended_ms
+        if one.status == 404 and shown_ms is not None:
+            since_ms = shown_ms + REGRESS_MS
+            if one.began_ms > since_ms and not _was_restarted(
+                seen, one.vm, shown_ms, one.ended_ms
+            ):
+                yield f"{one.name} found no route that vm-{one.vm} had shown"
+
+
+def check_leaving(seen: history.History) -> Found:
+    """An upstream that leaves gets no new work from sound VMs."""
+    sent = {one.name: one for one in seen.attempts}
+    left = {one.name: one.at_ms for one in seen.edits if one.what == "leave"}
+    for run in seen.runs:
+        attempt, left_ms = sent.get(run.attempt), left.get(run.instance)
+        if attempt is None or left_ms is None:
+            continue
+        if run.at_ms <= left_ms + LEFT_MS or attempt.began_ms < left_ms:
+            continue
+        if seen.is_sound(attempt.vm, left_ms - SETTLED_MS, run.at_ms):
+            yield f"{run.attempt} ran at {run.instance}, which had left"
+
+
+def check_stops(seen: history.History) -> Found:
+    """A planned stop of a VM cuts nothing that an upstream had begun."""
+    ran = _group_runs(seen)
+    for one in seen.attempts:
+        is_lost = one.status == 0 or one.is_cut
+        if not is_lost or one.has_left or one.name not in ran:
+            continue
+        span = (one.began_ms - SETTLED_MS, one.ended_ms)
+        if not seen.are_upstreams_sound(*span):
+            continue
+        kinds = {
+            window.kind
+            for window in seen.windows
+            if window.target in (f"vm-{one.vm}", f"front-{one.vm}", "store")
+            and window.touches(*span)
+        }
+        if kinds <= {"vm_term", "vm_reload"}:
+            yield f"{one.name} lost its answer, faults: {sorted(kinds)}"
+
+
+def check_deadlines(seen: history.History) -> Found:
+    """Nobody waits long after the deadline for a final answer."""
+    for one in seen.attempts:
+        took_ms = one.ended_ms - one.began_ms
+        if one.has_left or took_ms <= DEADLINE_MS + LATE_MS:
+            continue
+        if seen.is_sound(one.vm, one.began_ms - SETTLED_MS, one.ended_ms):
+            yield f"{one.name} was answered after {took_ms} ms"
+
+
+def check_end(seen: history.History) -> Found:
+    """Nothing ends by itself, nothing is held, and all is well again."""
+    for vm in seen.exits:
+        yield f"{vm} ended by itself"
+    if seen.held:
+        yield f"engines still hold {seen.held} runs or KV caches"
+    calm = [
+        one
+        for one in seen.attempts
+        if one.began_ms >= seen.calm_ms
+        and not one.has_left
+        and _is_owed(seen, one)
+    ]
+    served = sum(one.status == 200 and not one.is_cut for one in calm)
+    if served < len(calm) * SERVED_PART:
+        yield f"after all faults {served} of {len(calm)} were served"
+
+
+def check_quota(seen: history.History, quota: Quota) -> Found:
+    """An account gets no more than its rate and burst from all VMs."""
+    sent = {one.name: one for one in seen.attempts}
+    starts = sorted(
+        (min(run.at_ms for run in runs), _count_tokens(sent[name]))
+        for name, runs in _group_runs(seen).items()
+        if name in sent and seen.keys[sent[name].key] == quota.account
+    )
+    for first_ms, _ in starts:
+        used = sum(
+            tokens
+            for at_ms, tokens in starts
+            if first_ms <= at_ms < first_ms + WINDOW_MS
+        )
+        if used > quota.read_most():
+            yield f"{quota.account} used {used} of {quota.read_most():.0f}"
+            return
+
+
+CHECKS = (
+    check_runs,
+    check_keys,
+    check_refusals,
+    check_answers,
+    check_edits,
+    check_regress,
+    check_leaving,
+    check_stops,
+    check_deadlines,
+    check_end,
+)
+
+
+def check(seen: history.History, quota: Quota) -> list[str]:
+    """Hold a history against all promises.
+
+    :param seen: the history
+    :param quota: the account with a limit
+    :returns: one sentence for each broken promise
+    """
+    found = itertools.chain.from_iterable(one(seen) for one in CHECKS)
+    return [*found, *check_quota(seen, quota)]
+
+
+def list_events(body: bytes) -> list[int]:
+    """Return the numbers of a stream's whole events.
+
+    :param body: the stream as far as it came
+    :returns: numbers; an event that broke off in the middle is left out
+    """
+    events = body.split(b"\n\n")[:-1]
+    return [int(event.split(b"\n")[0].partition(b":")[2]) for event in events]
+
+
+def _check_stream(one: history.Attempt) -> Found:
+    numbers = list_events(one.body)
+    if numbers != list(range(1, len(numbers) + 1)):
+        yield f"{one.name} got events {numbers}"
+    if not one.is_cut and len(numbers) != EVENTS:
+        yield f"{one.name} ended as whole after {len(numbers)} events"
+
+
+def _expect_body(one: history.Attempt) -> bytes:
+    return f"POST {one.path} ".encode() + one.sent
+
+
+def _group_runs(seen: history.History) -> dict[str, list[history.Run]]:
+    runs = collections.defaultdict(list)
+    for run in seen.runs:
+        runs[run.attempt].append(run)
+    return runs
+
+
+def _find_opposite(seen: history.History, edit: history.Edit) -> float:
+    """Return when a key that was given or withdrawn changed again."""
+    return min(
+        (
+            one.at_ms
+            for one in seen.edits
+            if one.name == edit.name
+            and one.what != edit.what
+            and one.at_ms > edit.at_ms
+        ),
+        default=float("inf"),
+    )
+
+
+def _was_restarted(
+    seen: history.History, vm: int, from_ms: int, to_ms: int
+) -> bool:
+    return any(
+        window.target == f"vm-{vm}"
+        and window.kind in ("vm_kill", "vm_term")
+        and window.touches(from_ms, to_ms)
+        for window in seen.windows
+    )
+
+
+def _is_owed(seen: history.History, one: history.Attempt) -> bool:
+    """Tell whether a caller may expect to be served in the calm."""
+    if one.status == 429 or one.kind is history.Kind.LATE:
+        return False
+    withdrawn = [
+        edit.at_ms
+        for edit in seen.edits
+        if edit.name == one.key and edit.what == "withdraw"
+    ]
+    return not withdrawn
+
+
+def _count_tokens(one: history.Attempt) -> int:
+    return 120 if one.kind.is_stream else 200
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,109 @@
+"""Plays one seed: the world, its callers, its faults, and the checks."""
+
+import pathlib
+import shutil
+import time
+
+from soak import callers
+from soak import checks
+from soak import history
+from soak import injector
+from soak import plan
+from soak import world
+
+__all__ = ["Outcome", "play"]
+
+MS_IN_S = 1_000
+# What runs when the last caller has gone has to end within this time.
+FREED_S = 1.5
+QUOTA = checks.Quota(
+    "small",
+    world.RATE,
+    world.RATE * world.BURST_PART,
+    world.OVER_PART,
+    world.OVER_TOKENS,
+)
+
+
+class Outcome:
+    """What came of a seed.
+
+    :param seed: the seed
+    :param steps: its plan
+    :param seen: what was seen
+    :param broken: one sentence for each broken promise
+    """
+
+    __slots__ = ("seed", "steps", "seen", "broken")
+
+    def __init__(
+        self,
+        seed: int,
+        steps: list[plan.Step],
+        seen: history.History,
+        broken: list[str],
+    ) -> None:
+        self.seed = seed
+        self.steps = steps
+        self.seen = seen
+        self.broken = broken
+
+    def describe(self) -> str:
+        """Return one line for people."""
+        served = sum(one.status == 200 for one in self.seen.attempts)
+        faults = ", ".join(
+            f"{step.kind}({step.target}) {step.at_ms}+{step.for_ms}"
+            for step in self.steps
+        )
+        return (
+            f"seed {self.seed}: {len(self.broken)} broken, "
+            f"{served} of {len(self.seen.attempts)} served; {faults}"
+        )
+
+
+def play(
+    seed: int, shape: plan.Shape, keep: pathlib.Path | None = None
+) -> Outcome:
+    """Play one seed.
+
+    :param seed: decides the plan and the callers
+    :param shape: the size
+    :param keep: a folder that the logs of a failed seed are copied to
+    :returns: what came of it
+    """
+    steps = plan.make_plan(seed, shape)
+    with world.World(shape) as world_:
+        crowd = callers.Callers(seed, world_)
+        began_ms = world.now_ms()
+        crowd.start()
+        injector.Injector(world_, steps).play()
+        ended_ms = max(world.now_ms(), began_ms + shape.length_ms)
+        world_.seen.calm_ms = ended_ms + plan.RECOVER_MS
+        left_ms = ended_ms + plan.CALM_MS - world.now_ms()
+        time.sleep(left_ms / MS_IN_S)
+        world_.seen.attempts += crowd.stop()
+        time.sleep(FREED_S)
+        world_.seen.held = world_.count_held()
+        seen = world_.read_history()
+        broken = checks.check(seen, QUOTA)
+        if broken and keep is not None:
+            _keep_logs(world_, keep / f"seed-{seed}")
+    return Outcome(seed, steps, seen, broken)
+
+
+def _keep_logs(world_: world.World, folder: pathlib.Path) -> None:
+    folder.mkdir(parents=True, exist_ok=True)
+    for file in pathlib.Path(world_.folder.name).iterdir():
+        if file.suffix in (".log", ".jsonl"):
+            shutil.copy(file, folder)
+    windows = [
+        f"{window.from_ms} {window.to_ms} {window.kind} {window.target}"
+        for window in world_.seen.windows
+    ]
+    (folder / "windows.txt").write_text("\n".join(windows), encoding="utf-8")
+    attempts = [
+        f"{one.name} {one.kind.value} vm-{one.vm} {one.began_ms} "
+        f"{one.ended_ms} {one.status} cut={one.is_cut}"
+        for one in world_.seen.attempts
+    ]
+    (folder / "attempts.txt").write_text("\n".join(attempts), encoding="utf-8")
--- a/standins/hosted_upstreams.py
+++ b/standins/hosted_upstreams.py
@@ -4,7 +4,9 @@
 phase it is a plain service.  What it was sent is kept for checkers, and
 ``POST /standin/faults`` sets faults: ``cut_after`` events, ``fail_status``,
 ``full`` (refuses what would run), ``lapse`` (handles are gone at once),
-``lose_answer`` (runs a plain call and closes the connection).
+``lose_answer`` (runs a plain call and closes the connection).  With
+``--journal`` each run is added to a file as a line of JSON, which outlives
+the process.
 """
 
 import asyncio
@@ -12,6 +14,8 @@
 import itertools
 import json
 import os
+import pathlib
+import time
 import typing
 
 from absl import app as absl_app
@@ -33,6 +37,10 @@
 flags.DEFINE_integer("port", 9001, "the port")
 flags.DEFINE_string("instance", "i-1", "the incarnation that it is")
 flags.DEFINE_string("phase", "", "prefill or decode; a plain service if none")
+flags.DEFINE_string("journal", "", "a file that runs are written to")
+flags.DEFINE_integer(
+    "handle_ms", 0, "how long a KV cache waits to be taken; 0 for ever"
+)
 
 
 class HostedUpstream:
@@ -40,11 +48,21 @@
 
     :param instance: the incarnation that it is
     :param phase: ``prefill`` or ``decode``; empty for a plain service
+    :param journal: the file that runs are added to; none to do without
+    :param handle_ms: how long a KV cache waits to be taken; 0 for ever
     """
 
-    def __init__(self, instance: str, phase: str) -> None:
+    def __init__(
+        self,
+        instance: str,
+        phase: str,
+        journal: pathlib.Path | None = None,
+        handle_ms: int = 0,
+    ) -> None:
         self.instance = instance
         self.phase = phase
+        self.journal = journal
+        self.handle_ms = handle_ms
         self.recorder = recorder.Recorder()
         self.handles: set[str] = set()
         self.orders = 0
@@ -111,6 +129,10 @@
         name = f"{self.instance}-{next(self._numbers)}"
         if not self.faults["lapse"]:
             self.handles.add(name)
+            if self.handle_ms:
+                asyncio.get_running_loop().call_later(
+                    self.handle_ms / 1_000, self.handles.discard, name
+                )
         tokens = int(request.headers["Token-Counts"].partition(",")[0])
         value = {"cache_handle": name, "tokens": tokens, "version": 1}
         return self._answer(request, 200, json.dumps(value).encode())
@@ -203,6 +225,21 @@
                 "last": request.headers.get("Last-Event-Id", ""),
             }
         )
+        if self.journal is not None:
+            self._write_run(self.journal, request)
+
+    def _write_run(self, journal: pathlib.Path, request: web.Request) -> None:
+        """Add a run to the journal before it begins to work."""
+        row = {
+            "attempt": request.headers.get("Attempt-Id", ""),
+            "instance": self.instance,
+            "account": request.headers.get("Tenant", ""),
+            "at_ms": time.monotonic_ns() // 1_000_000,
+            "seal": self._make_headers(request)["Server-Seal"],
+            "text": f"{request.raw_path} {dict(request.headers)}",
+        }
+        with journal.open("a", encoding="utf-8") as output:
+            output.write(json.dumps(row) + "\n")
 
     def _answer(
         self,
@@ -232,7 +269,10 @@
 
     :param arguments: what is left of the command line
     """
-    server: typing.Final = HostedUpstream(FLAGS.instance, FLAGS.phase)
+    journal = pathlib.Path(FLAGS.journal) if FLAGS.journal else None
+    server: typing.Final = HostedUpstream(
+        FLAGS.instance, FLAGS.phase, journal, FLAGS.handle_ms
+    )
     asyncio.run(serving.serve(FLAGS.host, {FLAGS.port: server.make_app()}))
 
 
--- a/tests/hosted_fleet.py
+++ b/tests/hosted_fleet.py
@@ -174,6 +174,18 @@
 
     def start_vm(self, number, store_port=None):
         """Start an entry VM and return it; it may not listen yet."""
+        file = self.write_settings(number, store_port)
+        self.vms[number] = processes.Process(
+            "mulberryway.commands.entry",
+            [f"--settings={file}"],
+            self.ports[number],
+            self.find_log(number),
+        )
+        self.group.processes.append(self.vms[number])
+        return self.vms[number]
+
+    def write_settings(self, number, store_port=None):
+        """Write a VM's settings file and return its path."""
         front, ready, directory, peers, metrics = self.ports[number]
         value = {
             "vm": {
@@ -207,14 +219,7 @@
         }
         file = pathlib.Path(self.folder.name) / f"vm{number}.toml"
         file.write_text(tomli_w.dumps(value), encoding="utf-8")
-        self.vms[number] = processes.Process(
-            "mulberryway.commands.entry",
-            [f"--settings={file}"],
-            self.ports[number],
-            self.find_log(number),
-        )
-        self.group.processes.append(self.vms[number])
-        return self.vms[number]
+        return file
 
     def find_log(self, number):
         """Return the file that holds a VM's log lines."""
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -114,6 +114,41 @@
         self.submit(router, "short", 5, prompt_tokens=100)
         self.assertNotIn(self.start(router, 5)["short"].prefill, used)
 
+    def test_a_prefill_engine_that_refuses_draws_nothing_for_a_while(self):
+        """A prefill engine changes its role, or sheds what it is sent.  It
+        is idle, so it looks best of all: every prompt went there and every
+        caller was refused, though the other engine had room.
+        """
+        router = self.make(prefills=2, decodes=2, slots=8)
+        self.submit(router, "j0", prompt_tokens=60)
+        refusing = self.start(router)["j0"].prefill
+        router.finish("j0", End.REFUSED_BY_ENGINE, refusing, 2)
+        for n in range(1, 7):
+            self.submit(router, f"j{n}", 2 + n, prompt_tokens=60)
+            found = self.start(router, 2 + n)[f"j{n}"]
+            self.assertNotEqual(found.prefill, refusing)
+            router.note_prefilled(f"j{n}", 2 + n)
+
+    def test_a_prefill_engine_that_goes_on_refusing_is_ejected(self):
+        """An engine's entry says prefill, and it has become a decode engine.
+        Each quarter of a second one more caller would be refused there, for
+        as long as the entry is wrong.
+        """
+        router = self.make(prefills=2, decodes=2, slots=8)
+        refused, now_ms = 0, 0
+        for n in range(400):
+            now_ms += 10
+            self.submit(router, f"j{n}", now_ms, prompt_tokens=60)
+            found = self.start(router, now_ms)[f"j{n}"]
+            if found.prefill == "p0":
+                refused += 1
+                end, blame = End.REFUSED_BY_ENGINE, "p0"
+            else:
+                router.note_prefilled(f"j{n}", now_ms)
+                end, blame = End.DONE, ""
+            router.finish(f"j{n}", end, blame, now_ms)
+        self.assertLessEqual(refused, 5)
+
     def test_prefix_hits_draw_a_prompt(self):
         router = self.make(prefills=3)
         hashes = tuple(f"h{n}" for n in range(6))
