--- a/mulberryway/filters/base.py
+++ b/mulberryway/filters/base.py
@@ -166,6 +166,8 @@
         "has_gone",
         "prompt_used",
         "tried",
+        "first_ms",
+        "gap_ms",
         "_finishers",
         "_lock",
     )
@@ -216,6 +218,10 @@
         self.prompt_used = 0
         # Names of the upstreams that it was sent to, in order.
         self.tried: list[str] = []
+        # Of a stream: when its first piece came, counted from the request's
+        # arrival, and the longest time between two pieces; 0 for none yet.
+        self.first_ms = 0
+        self.gap_ms = 0
         self._finishers: list[Finisher] = []
         self._lock = threading.Lock()
 
--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -96,6 +96,7 @@
             parts.scheduling.note_first_token(self._attempt.job_id)
         took_ms = parts.clock.now_ms() - self._exchange.arrived_ms
         parts.metrics.first_token.record(took_ms)
+        self._exchange.first_ms = took_ms
 
     def note_tokens(self, tokens: int) -> None:
         """Tell the scheduler how far the answer is.
@@ -105,6 +106,13 @@
         if self._attempt is not None:
             self._parts.scheduling.note_tokens(self._attempt.job_id, tokens)
 
+    def note_longest_gap(self, gap_ms: int) -> None:
+        """Keep it for the request's log line.
+
+        :param gap_ms: the longest time between two pieces
+        """
+        self._exchange.gap_ms = gap_ms
+
     def note_source_end(self, tokens: int) -> None:
         """Give the decode slot back.
 
--- a/mulberryway/filters/observe.py
+++ b/mulberryway/filters/observe.py
@@ -81,6 +81,8 @@
                 tables=0 if found is None else found.revision,
                 tried=exchange.tried,
                 tokens=outcome.tokens,
+                first_ms=exchange.first_ms,
+                gap_ms=exchange.gap_ms,
                 took_ms=took_ms,
             ),
         )
--- a/mulberryway/relay/pump.py
+++ b/mulberryway/relay/pump.py
@@ -154,6 +154,7 @@
             return
         if stream.expected > before:
             stream.limit_at_ms = self._loop.now_ms + stream.gap_limit_ms
+            stream.note_moved(self._loop.now_ms)
             if not before:
                 stream.owner.note_first_token()
         if stream.is_ended:
@@ -359,6 +360,7 @@
             stream.owner.drop_source()
         is_lost = fault is not None and fault.step is errors.Step.CALLER
         stream.release(stream.writer.head.keep and not is_lost)
+        stream.owner.note_longest_gap(stream.longest_gap_ms)
         stream.owner.close(stream.expected, fault)
 
     def _close_source(self, stream: Stream) -> None:
--- a/mulberryway/relay/stream.py
+++ b/mulberryway/relay/stream.py
@@ -57,6 +57,13 @@
         :param fault: what befell the engine
         """
 
+    def note_longest_gap(self, gap_ms: int) -> None:
+        """Take notice of the longest pause, right before the end.
+
+        :param gap_ms: the longest time between two pieces
+        """
+        return
+
     @abc.abstractmethod
     def close(self, tokens: int, fault: errors.Fault | None) -> None:
         """Take notice of the end; called exactly once.
@@ -94,6 +101,8 @@
         "pending",
         "limit_at_ms",
         "ends_at_ms",
+        "moved_at_ms",
+        "longest_gap_ms",
         "stalled_at_ms",
         "is_paused",
         "is_ended",
@@ -130,6 +139,9 @@
         self.limit_at_ms = 0
         # When the whole answer is over at the latest; 0 for no end.
         self.ends_at_ms = 0
+        # When its last piece came, and the longest time between two.
+        self.moved_at_ms = 0
+        self.longest_gap_ms = 0
         self.stalled_at_ms = 0
         self.is_paused = False
         self.is_ended = False
@@ -148,6 +160,16 @@
         self._source_id = b""
         self._has_finish = False
 
+    def note_moved(self, now_ms: int) -> None:
+        """Take notice that the answer has grown.
+
+        :param now_ms: the present
+        """
+        if self.moved_at_ms:
+            gap_ms = now_ms - self.moved_at_ms
+            self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
+        self.moved_at_ms = now_ms
+
     def ends_here(self) -> bool:
         """Tell whether an answer may end with its engine's connection."""
         return False
