--- a/soak/injector.py
+++ b/soak/injector.py
@@ -228,7 +228,7 @@
 
     def _revive(self) -> None:
         for name in self._world.shape.list_upstreams():
-            if self._world.find_process(name).popen.poll() is not None:
+            if not self._world.is_alive(name):
                 ended = self._world.instances[name]
                 self._world.start_life(name)
                 self._world.drop("servers", ended)
--- a/soak/world.py
+++ b/soak/world.py
@@ -49,6 +49,10 @@
         self.journal = pathlib.Path(self.folder.name) / "runs.jsonl"
         self.lock = threading.RLock()
         self.vm_locks = [threading.Lock() for _ in self.vms]
+        # One fault may start an upstream while another one ends it.
+        self.life_locks = {
+            name: threading.RLock() for name in shape.list_upstreams()
+        }
         self.told_to_end: set[int] = set()
         self.routes: list[dict] = []
         self.instances: dict[str, str] = {}
@@ -100,13 +104,26 @@
         processes.call(self.control, "POST", f"/standin/pairs/{name}", faults)
 
     def start_life(self, name: str) -> None:
-        """Start an upstream's next life, and let it register itself."""
-        with self.lock:
-            number = self.lives[name] = self.lives.get(name, 0) + 1
-            instance = f"{name}-life{number}"
-            self.instances[name] = instance
-            service, phase = describe(name)
-            self.seen.services[instance] = service
+        """Start an upstream's next life, unless it lives, and register it."""
+        with self.life_locks[name]:
+            if self.is_alive(name):
+                return
+            self._start_life(name)
+
+    def is_alive(self, name: str) -> bool:
+        """Tell whether an upstream's process runs."""
+        with self.life_locks[name]:
+            instance = self.instances.get(name)
+            return (
+                instance is not None
+                and self.upstreams[instance][0].popen.poll() is None
+            )
+
+    def _start_life(self, name: str) -> None:
+        number = self.lives[name] = self.lives.get(name, 0) + 1
+        instance = f"{name}-life{number}"
+        service, phase = describe(name)
+        self.seen.services[instance] = service
         port = self.up_ports[name]
         process = self.group.start(
             "standins.hosted_upstreams",
@@ -119,6 +136,7 @@
         )
         front = self.up_fronts[name]
         self.upstreams[instance] = (process, front, service, phase)
+        self.instances[name] = instance
         self.register(instance)
 
     def end_life(self, name: str) -> str:
@@ -127,14 +145,14 @@
         :param name: the upstream
         :returns: the incarnation that has ended
         """
-        with self.lock:
+        with self.life_locks[name]:
             instance = self.instances[name]
-        self.upstreams[instance][0].kill()
+            self.upstreams[instance][0].kill()
         return instance
 
     def find_process(self, name: str) -> processes.Process:
         """Return the process of an upstream's present life."""
-        with self.lock:
+        with self.life_locks[name]:
             return self.upstreams[self.instances[name]][0]
 
     def set_upstream_fault(self, name: str, **faults: int) -> None:
@@ -241,7 +259,7 @@
         return vm
 
     def _watch(self) -> None:
-        """Note VMs that end by themselves, and revive dead upstreams."""
+        """Note VMs that end by themselves."""
         while not self._ending.wait(WATCH_S):
             for number, vm in enumerate(self.vms):
                 code = vm.popen.poll()
--- a/tests/hosted_fleet.py
+++ b/tests/hosted_fleet.py
@@ -225,6 +225,14 @@
         """Return the file that holds a VM's log lines."""
         return pathlib.Path(self.folder.name) / f"vm{number}.log"
 
+    def read_logs(self):
+        """Return the last lines of all VMs' logs, for a test that fails."""
+        return "\n".join(
+            line
+            for number in range(len(self.vms))
+            for line in self.find_log(number).read_text().splitlines()[-30:]
+        )
+
     def fronts(self):
         return {f"{HOST}:{one[0]}" for one in self.ports}
 
--- a/tools/suite.py
+++ b/tools/suite.py
@@ -24,7 +24,9 @@
 # A module that takes longer hangs; the whole suite takes four minutes.
 MODULE_S = 420.0
 LONGEST_FIRST = (
+    "test_soak",
     "test_hosted_processes",
+    "test_hosted_upstreams",
     "test_admin_processes",
     "test_once_deployment",
     "test_deployment",
