Claim a range of ports for each run of tests

Cause: a soak, a module run by hand and a run that still hung shared one range of ports; each looked at a port before the other had bound it. Ruled out: the register of requests that kill (21 repeats alone at load 11 held). Change: a process keeps the last port of a range bound and takes only that range's ports.

--- a/soak/world.py
+++ b/soak/world.py
@@ -64,13 +64,7 @@
     def __enter__(self) -> "World":
         for name in self.shape.list_upstreams():
             self.start_life(name)
-        self.configure()
-        for number in range(len(self.vms)):
-            self.start_vm(number)
-        for vm in self.vms:
-            vm.wait_ready()
-        processes.wait_until(lambda: all(map(self.is_ready, self.ports)))
-        processes.wait_until(lambda: self.list_resolved() == self.fronts())
+        self.start_vms()
         self._watcher.start()
         return self
 
--- a/tests/hosted_fleet.py
+++ b/tests/hosted_fleet.py
@@ -49,6 +49,11 @@
             self.start_upstream(f"e{number}", "llm", phase)
         for name in ("s0", "s1"):
             self.start_upstream(name, "app")
+        self.start_vms()
+        return self
+
+    def start_vms(self):
+        """Configure and start all VMs, and wait until callers find them."""
         self.configure()
         for number in range(len(self.vms)):
             self.start_vm(number)
@@ -56,7 +61,6 @@
             vm.wait_ready()
         processes.wait_until(lambda: all(map(self.is_ready, self.ports)))
         processes.wait_until(lambda: self.list_resolved() == self.fronts())
-        return self
 
     def __exit__(self, *_):
         for vm in filter(None, self.vms):
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -21,21 +21,47 @@
 POLL_S = 0.02
 WORKER = int(os.environ.get("MULBERRYWAY_TEST_WORKER", "0"))
 FIRST_PORT = 10_000
-PORTS = 4_000
+# Below the ports that the kernel picks for outgoing connections.
+PORTS = 2_000
+RANGES = 11
 NUMBERS = itertools.count()
 # Straight to loopback, whatever proxy the environment names.
 OPENER = urllib.request.build_opener(urllib.request.ProxyHandler({}))
 
 
+def claim_range():
+    """Return the first port of a range that no other process uses.
+
+    Two runs at once, such as a soak beside the tests, would else pick the
+    same ports, each between the other's look and its use; fleets then got
+    the other's servers or did not start.  The last port of a range is kept
+    bound for as long as the process lives, which claims the range.
+    """
+    others = [number for number in reversed(range(RANGES)) if number != WORKER]
+    for number in (WORKER, *others):
+        first = FIRST_PORT + number * PORTS
+        guard = socket.socket()
+        try:
+            guard.bind((HOST, first + PORTS - 1))
+        except OSError:
+            guard.close()
+            continue
+        return first, guard
+    raise RuntimeError("all ranges of ports are in use")
+
+
+FIRST_OWN_PORT, RANGE_GUARD = claim_range()
+
+
 def pick_ports(count):
-    """Return ports that are free now, from this worker's own range.
+    """Return ports that are free now, from this process's own range.
 
     Ports that the kernel picks lie above all ranges, so that neither another
-    worker nor an outgoing connection takes one between here and its use.
+    process nor an outgoing connection takes one between here and its use.
     """
     found = []
     while len(found) < count:
-        port = FIRST_PORT + WORKER * PORTS + next(NUMBERS) % PORTS
+        port = FIRST_OWN_PORT + next(NUMBERS) % (PORTS - 1)
         with contextlib.closing(socket.socket()) as sock:
             try:
                 sock.bind((HOST, port))
