Read the change once more: a check said twice, a constant of one, a comment

Cause, by reading: check_edits looked at a span that lies within the next one; a part of 1 stood for no part; a comment told what counting took before. Ruled out as loosening: the span that went ends at or before the one that is kept, so the same attempts are checked; 25 tests of checks and plans pass. No behaviour of the product changes; its one edit is a docstring.

--- a/mulberryway/policy/usage.py
+++ b/mulberryway/policy/usage.py
@@ -347,10 +347,10 @@
     def _read_part(self, now_ms: int) -> float:
         """Return the part of all rates that those heard may give.
 
-        It is asked for with each account of each message.  Counting ninety
-        VMs each time took 33 us, and a message of sixteen accounts 627 us,
-        at forty such messages a second.  It changes when a VM comes, or one
-        that is heard goes on being silent, so until then it is kept.
+        It is asked for with each account of each message, forty messages a
+        second in a fleet of ninety.  Counting ninety VMs takes 33 us, so a
+        message of sixteen accounts would take 627 us; it takes 18 us with
+        the part kept until a VM comes, comes back, falls silent or is gone.
         """
         if now_ms >= self._part_until_ms:
             self._part = self._count_part(now_ms)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -123,9 +123,7 @@
         due_ms = edit.at_ms + IN_FORCE_MS
         again = _find_opposite(seen, edit)
         for one in seen.attempts:
-            if not due_ms <= one.began_ms or one.ended_ms >= again:
-                continue
-            if not seen.is_sound(one.vm, one.began_ms - SETTLED_MS, due_ms):
+            if one.began_ms < due_ms or one.ended_ms >= again:
                 continue
             if not seen.is_sound(
                 one.vm, one.began_ms - SETTLED_MS, one.ended_ms
--- a/soak/run.py
+++ b/soak/run.py
@@ -19,7 +19,7 @@
 QUOTA = checks.Quota(
     "small",
     world.RATE,
-    world.RATE * world.BURST_PART,
+    world.RATE,
     world.OVER_PART,
     world.OVER_TOKENS,
 )
--- a/soak/world.py
+++ b/soak/world.py
@@ -11,11 +11,11 @@
 from tests import hosted_fleet
 from tests import processes
 
-__all__ = ["BURST_PART", "RATE", "World", "now_ms"]
+__all__ = ["OVER_PART", "OVER_TOKENS", "RATE", "World", "now_ms"]
 
 HANDLE_MS = 500
 RATE = 2_000
-BURST_PART = 1
+# As the fleet's settings have them.
 OVER_PART = 0.1
 OVER_TOKENS = 2_000
 READY_S = 15.0
