Pass over an earlier life of a server at the same address

Cause: a server that crashes starts again at its address under another name, while its old entry stands for three more heartbeats. Entries say when a life began, and the adapter now keeps the newest of an address, over all services. Ruled out: the order that is carried out late (the first order was given nine seconds before traffic and carried out), a lost prefill engine (it was back after two seconds).

--- a/mulberryway/platform/tables.py
+++ b/mulberryway/platform/tables.py
@@ -69,10 +69,13 @@
             self._version = main.version
         found: dict[str, list[tables.Upstream]] = {}
         kinds = {pool.name: pool.kind for pool in self._pools}
-        for entry in servers:
-            pool, upstream = _read_server(entry, kinds)
-            if upstream is not None:
-                found.setdefault(pool, []).append(upstream)
+        known = [
+            server
+            for entry in servers
+            if (server := _read_server(entry, kinds)) is not None
+        ]
+        for server in _list_newest(known):
+            found.setdefault(server.pool, []).append(server.row)
         return tables.Tables(
             revision,
             self._routes,
@@ -164,10 +167,48 @@
     )
 
 
+class _Server:
+    """What one entry says.
+
+    :param pool: the pool's name
+    :param row: the upstream
+    :param born_ms: when its life began, by its own clock; 0 if not told
+    """
+
+    __slots__ = ("pool", "row", "born_ms")
+
+    def __init__(self, pool: str, row: tables.Upstream, born_ms: int) -> None:
+        self.pool = pool
+        self.row = row
+        self.born_ms = born_ms
+
+
+def _list_newest(
+    servers: collections.abc.Iterable[_Server],
+) -> list[_Server]:
+    """Return the servers without earlier lives at the same addresses.
+
+    Load: a server crashes and starts again under another name, while its old
+    entry is there for three more heartbeats.  Harm: prompts go to a life that
+    has ended and are read in vain, and a pool seems to have one prefill
+    engine too many, so that its only one is told to decode.
+    """
+    newest: dict[str, int] = {}
+    known = list(servers)
+    for server in known:
+        address = server.row.address
+        newest[address] = max(newest.get(address, 0), server.born_ms)
+    return [
+        server
+        for server in known
+        if not server.born_ms or server.born_ms == newest[server.row.address]
+    ]
+
+
 def _read_server(
     entry: base.StoredObject,
     kinds: collections.abc.Mapping[str, tables.PoolKind],
-) -> tuple[str, tables.Upstream | None]:
+) -> _Server | None:
     """Read one entry; whoever wrote a malformed one, it names no server."""
     try:
         value = entry.value
@@ -183,12 +224,14 @@
         role = tables.UpstreamRole.SERVICE
         if kinds.get(pool) is tables.PoolKind.MODEL:
             role = ROLES[value["phase"]]
+        born_ms = wire.read_whole(value.get("born") or 0)
     except MALFORMED as error:
         LOG.debug("entry %s names no server: %r", entry.name, error)
-        return "", None
-    return pool, tables.Upstream(
+        return None
+    row = tables.Upstream(
         entry.name, address, zone, role, state == LEAVING_STATE
     )
+    return _Server(pool, row, born_ms)
 
 
 def _fill(
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -130,6 +130,36 @@
         (row,) = read(CONFIGURATION, entry).pools["llm"].upstreams
         self.assertTrue(row.leaving)
 
+    def test_earlier_life_at_an_address_is_passed_over(self):
+        """A prefill engine crashes and starts again under another name, while
+        its old entry has not lapsed yet.  Prompts would go to a life that has
+        ended, and the pool would seem to have an engine too many.
+        """
+        entries = [
+            ENTRY | {"born": 1_000},
+            ENTRY | {"born": 9_000, "phase": "prefill"},
+            ENTRY | {"born": 500, "address": "10.0.0.2:80"},
+        ]
+        rows = read(CONFIGURATION, *entries).pools["llm"].upstreams
+        self.assertEqual(["i-1", "i-2"], [row.name for row in rows])
+
+    def test_address_that_passed_on_to_another_service(self):
+        """An engine's address is used again by a plain service.  Requests for
+        the engine would reach a stranger.
+        """
+        found = read(
+            CONFIGURATION,
+            ENTRY | {"born": 1_000},
+            ENTRY | {"born": 9_000, "service": "app"},
+        )
+        self.assertEqual((), found.pools["llm"].upstreams)
+        self.assertEqual(1, len(found.pools["app"].upstreams))
+
+    def test_entry_that_does_not_say_when_it_began(self):
+        entries = [ENTRY | {"born": 1_000}, ENTRY]
+        rows = read(CONFIGURATION, *entries).pools["llm"].upstreams
+        self.assertEqual(["i-0", "i-1"], [row.name for row in rows])
+
     def test_entries_of_other_writers_are_passed_over(self):
         """Somebody else writes entries with missing fields and other types.
         A VM that stumbled over one would lose sight of all servers.
