Give each decode engine a budget for reading between its streams' tokens

Cause: streams paused over their target because an engine read two prompts or a long one within the time of one event. The guard took a fixed 0.3 s of rest and half of the target for one prompt, by a speed of another customer's engines, and knew nothing of prompts that other VMs or a lost prefill added. Now: reads of all VMs that follow one another are one run, a run takes what the route's target for pauses leaves beside an event's time; a prompt is read beside streams only if it is late at the prefill engines and on time here; too long ones keep to one engine; a resting prefill engine gets nothing; speeds beside streams are learned from the shortest reads, per engine and over the pool; free room counts by memory, so that VMs leave it to those whose turn it is; notes go at once. Own model: all bounds of test_decisions hold.

--- a/mulberryway/controllers/notes.py
+++ b/mulberryway/controllers/notes.py
@@ -123,9 +123,10 @@
             )
 
     def _note_change(self) -> None:
+        # Load: several VMs see the same engine free.  Harm: what one takes is
+        # taken by the others too until its note comes, so it goes at once.
         self._changed_ms = self.clock.now_ms()
-        if self._is_idle:
-            self.wake()
+        self.wake()
 
     def _look(self) -> None:
         alive = [
--- a/mulberryway/platform/tables.py
+++ b/mulberryway/platform/tables.py
@@ -88,10 +88,13 @@
 
     def _read_configuration(self, value: Value) -> None:
         accounts = tuple(map(_read_account, value.get("tenants") or ()))
-        pools = tuple(map(_read_pool, value["services"]))
         routes = tuple(
             _read_route(row, not accounts) for row in value["routes"]
         )
+        pools = tuple(
+            _read_pool(row, _find_pause(row, routes))
+            for row in value["services"]
+        )
         self._routes, self._pools = routes, pools
         self._accounts = accounts
 
@@ -127,7 +130,24 @@
     )
 
 
-def _read_pool(row: Value) -> tables.Pool:
+def _find_pause(row: Value, routes: tuple[tables.Route, ...]) -> int:
+    """Return the shortest target for a pause among a pool's routes."""
+    name = row["name"]
+    return min(
+        (
+            route.target_gap_ms
+            for route in routes
+            if route.target_gap_ms
+            and (
+                route.pool == name
+                or any(share.pool == name for share in route.shares)
+            )
+        ),
+        default=0,
+    )
+
+
+def _read_pool(row: Value, pause_ms: int) -> tables.Pool:
     name = wire.read_text(row["name"])
     connections = wire.read_whole(row.get("max_conns", 0))
     shape = row.get("engine")
@@ -152,6 +172,7 @@
         most_connections=connections,
         switch_ms=int(float(shape.get("swap_s", 0)) * MS_IN_S),
         self_reading=True,
+        pause_ms=pause_ms,
     )
 
 
@@ -250,4 +271,5 @@
         most_connections=pool.most_connections,
         switch_ms=pool.switch_ms,
         self_reading=pool.self_reading,
+        pause_ms=pool.pause_ms,
     )
--- a/mulberryway/policy/endings.py
+++ b/mulberryway/policy/endings.py
@@ -70,7 +70,8 @@
         failed.drop_prefill(placement.prefill_ms)
         failed.health.note_failure(False, now_ms)
         failed.own_suspects -= job.is_suspect()
-        placement.prefill = placement.decode
+        reader = placement.prefill = placement.decode
+        reader.count_read(reader.estimate_read_ms(placement.tokens), now_ms)
 
     def finish(
         self,
--- a/mulberryway/policy/health.py
+++ b/mulberryway/policy/health.py
@@ -2,7 +2,7 @@
 
 import random
 
-__all__ = ["Average", "Health"]
+__all__ = ["Average", "Floor", "Health"]
 
 # Load: an upstream that fails fast draws new work, since it always has room.
 # Harm: it fails all of it.  Three failures in a row are no longer chance when
@@ -40,6 +40,47 @@
         self.value += part * (observed - self.value)
 
 
+class Floor:
+    """An estimate of a time that others' work can only lengthen.
+
+    Load: several VMs at one engine.  Harm: a mean takes the waits behind the
+    others for the engine's own time: reads of 0.19 s were believed to take
+    0.35 s, and prompts were sent elsewhere or refused for nothing.  A shorter
+    time than was believed is nearly the truth; a longer one says little, but
+    many of them show that the engine has become slower.
+
+    :param value: what is assumed before the first observation
+    """
+
+    # A shorter time counts half.  A longer one counts for at most half as much
+    # again as was believed, and less once some have been seen: one read that
+    # got stuck must not make an engine look so slow that it is never asked.
+    DOWN_PART = 0.5
+    UP_PART = 0.1
+    FIRST_UP_PART = 0.5
+    FIRSTS = 5
+    MOST_GROWTH = 1.5
+
+    __slots__ = ("value", "count")
+
+    def __init__(self, value: float) -> None:
+        self.value = value
+        self.count = 0
+
+    def note(self, observed: float) -> None:
+        """Take in an observation.
+
+        :param observed: the observed value
+        """
+        self.count += 1
+        part = self.DOWN_PART
+        if observed > self.value:
+            observed = min(observed, self.value * self.MOST_GROWTH)
+            is_first = self.count <= self.FIRSTS
+            part = self.FIRST_UP_PART if is_first else self.UP_PART
+        self.value += part * (observed - self.value)
+
+
 class Health:
     """Failures in a row, ejection, and probes after it.
 
--- a/mulberryway/policy/placing.py
+++ b/mulberryway/policy/placing.py
@@ -7,6 +7,7 @@
 import random
 
 from mulberryway import tables
+from mulberryway.policy import health
 from mulberryway.policy import messages
 from mulberryway.policy import placements
 from mulberryway.policy import queue
@@ -17,8 +18,7 @@
 
 __all__ = ["Placer"]
 
-# What a prefill costs however short it is, and what the hops cost.
-PREFILL_BASE_MS = 5.0
+# What the hops of a request cost.
 HOPS_MS = 8.0
 # Estimates are off by some tens of milliseconds when other routers' work
 # comes in between; a start that has less to spare mostly comes too late.
@@ -30,11 +30,13 @@
 # be certain, the short ones' delay is not.
 LAST_CHANCE_MS = 100
 # A decode engine that reads a prompt itself holds up the streams it runs, so
-# it does that only where it clearly saves the caller time.
+# it does that only where it clearly saves a caller without a target time.
 ALONE_MARGIN_MS = 150.0
-# Of the longest pause that is on time so much may go to reading a prompt; the
-# rest is for the tokens that come between its pieces.
-ALONE_PART = 0.5
+# Engines whose streams differ by fewer than so many are equal for a prompt that
+# is read beside them.  Load: prompts that come to several VMs at the same
+# moment.  Harm: all choose the emptiest engine, whose streams then pause for
+# all of these prompts.
+FEW = 4
 # Choices within this time are equal; chance decides, so that routers which
 # see the same do not all go to the same upstream.
 EQUAL_MS = 3.0
@@ -62,6 +64,9 @@
         self._gap_ms = token_gap_ms
         self._links = transfers.Links()
         self.slowness = slowness.Slowness(members, token_gap_ms)
+        self._usual_blocks = health.Average(0.0)
+        # How long a stream usually holds its memory; set by the pool.
+        self.stream_ms = 0.0
         self.is_blind = False
 
     def estimate(
@@ -85,21 +90,26 @@
         return min(options, key=_read_ready, default=None)
 
     def choose(
-        self, entry: queue.Entry, pool: tables.Pool, now_ms: int
+        self,
+        entry: queue.Entry,
+        pool: tables.Pool,
+        now_ms: int,
+        yield_ms: int = 0,
     ) -> placements.Placement | None:
         """Return where a job can start now so as to be in time.
 
         :param entry: the waiting job
         :param pool: the pool's row
         :param now_ms: the present
+        :param yield_ms: for how long a decode engine that may read again is
+            left to peers' jobs that should go before
         :returns: the placement; none if it has to go on waiting
         """
         apart = self._choose_apart(entry, pool, now_ms)
-        alone = self._choose_alone(entry, pool, now_ms)
+        alone = self._choose_alone(entry, pool, apart, now_ms, yield_ms)
         placement = apart
         if alone is not None and (
-            apart is None
-            or alone.first_token_ms + ALONE_MARGIN_MS < apart.first_token_ms
+            apart is None or _saves_time(alone, apart, entry.job)
         ):
             placement = alone
         if placement is None:
@@ -129,7 +139,12 @@
         return placement
 
     def _choose_alone(
-        self, entry: queue.Entry, pool: tables.Pool, now_ms: int
+        self,
+        entry: queue.Entry,
+        pool: tables.Pool,
+        apart: placements.Placement | None,
+        now_ms: int,
+        yield_ms: int,
     ) -> placements.Placement | None:
         """Return a decode engine that reads the prompt itself.
 
@@ -141,12 +156,24 @@
             return None
         blocks = placements.count_blocks(entry.job, pool)
         options = [
-            option
+            self._plan_prefill(view, entry.job, pool, now_ms)
             for view in self._list_open(entry, blocks, now_ms)
-            for option in [self._plan_prefill(view, entry.job, pool, now_ms)]
-            if self._is_harmless(option, now_ms)
         ]
-        placement = min(options, key=_read_ready, default=None)
+        fitting = [
+            option
+            for option in options
+            if option.prefill.fits_read(option.prefill_ms, now_ms, yield_ms)
+        ]
+        if not fitting and apart is None and not self._reads_apart(now_ms):
+            fitting = self._list_least_harm(options)
+        placement = min(
+            fitting,
+            key=lambda option: (
+                option.prefill.reads.is_broken(self.stream_ms, now_ms),
+                option.prefill.count_running() + self._random.random() * FEW,
+            ),
+            default=None,
+        )
         if placement is not None:
             placement.decode = placement.prefill
             placement.blocks = blocks
@@ -155,6 +182,32 @@
             )
         return placement
 
+    def _reads_apart(self, now_ms: int) -> bool:
+        """Tell whether any prefill engine takes prompts."""
+        return any(
+            not view.is_resting(now_ms) and not view.health.is_ejected(now_ms)
+            for view in self._members.prefills
+        )
+
+    @staticmethod
+    def _list_least_harm(
+        options: list[placements.Placement],
+    ) -> list[placements.Placement]:
+        """Return where a prompt does least harm that is too long anywhere.
+
+        Load: no prefill engine, and prompts of all lengths.  Harm: if each
+        engine reads the long ones, all streams pause too long; if one does,
+        the streams of the others are on time.  So all VMs take the first
+        engine by name that has room, and short prompts keep away from it.
+        """
+        waits = any(
+            option.prefill.fits_alone(option.prefill_ms) for option in options
+        )
+        if waits or not options:
+            # An engine may read it as soon as it has rested.
+            return []
+        return [min(options, key=lambda option: option.prefill.row.name)]
+
     def commit(
         self,
         placement: placements.Placement,
@@ -176,6 +229,9 @@
         """
         assert placement.decode is not None
         placement.decode.start_decode(placement.blocks, now_ms)
+        if not self._usual_blocks.count:
+            self._usual_blocks.value = float(placement.blocks)
+        self._usual_blocks.note(placement.blocks)
         placement.prefill.add_prefill(placement.prefill_ms, now_ms)
         placement.prefill.prefixes.note_own(job.prefix_hashes)
         if placement.is_alone():
@@ -205,18 +261,21 @@
         return self._choose_decode(entry, placement, pool, now_ms)
 
     def count_free(self, now_ms: int) -> int:
-        """Return how many decode slots are probably free.
+        """Return how many decodes of usual size probably find room.
+
+        Load: streams that fill engines' memory long before their slots.
+        Harm: with slots counted, a hundred seem to be free where five streams
+        fit; no VM leaves room to those that came first at others, and all
+        take the same room at once.
 
         :param now_ms: the present
         :returns: the sum over the cell
         """
-        frees = [
-            (view, view.read_free(now_ms)) for view in self._members.decodes
-        ]
+        blocks = self._usual_blocks.value
         return sum(
-            free
-            for view, free in frees
-            if free and not view.health.is_ejected(now_ms)
+            view.count_room(blocks, now_ms)
+            for view in self._members.decodes
+            if not view.health.is_ejected(now_ms)
         )
 
     def count_slots(self) -> int:
@@ -238,9 +297,15 @@
     ) -> list[placements.Placement]:
         job = entry.job
         usable = self._list_usable(self._members.prefills, job, now_ms)
-        # Where all have refused of late, one of them is better than none.
         willing = [view for view in usable if not view.is_resting(now_ms)]
-        usable = willing or usable
+        # Where all have refused of late, one of them is better than none;
+        # but a decode engine that reads the prompt itself is better still.
+        # Load: the last prefill engine changes its role, which takes six
+        # seconds.  Harm: 81 of 336 streams were sent there and refused.
+        if willing or not pool.self_reading:
+            usable = willing or usable
+        else:
+            usable = []
         if entry.lane is queue.Lane.SUSPECT:
             usable = [view for view in usable if not view.count_suspects()]
         elif entry.lane is queue.Lane.LONG:
@@ -266,21 +331,6 @@
         ]
         return quick if len(quick) > 1 else []
 
-    def _is_harmless(self, option: placements.Placement, now_ms: int) -> bool:
-        """Tell whether a decode engine may read a prompt beside its streams.
-
-        Load: bursts, in which several prompts come at once.  Harm: each piece
-        of a prompt is read between two tokens of all running streams.  One
-        prompt of usual length makes a pause longer, two in a row or a long
-        one make it too long, for every stream of the engine.
-        """
-        view = option.prefill
-        if not view.count_running():
-            return not view.read_wait_ms(now_ms)
-        has_rested = now_ms - view.busy_until_ms >= self._gap_ms
-        is_short = option.prefill_ms <= self._gap_ms * ALONE_PART
-        return has_rested and (is_short or not self._members.prefills)
-
     def _plan_prefill(
         self,
         view: views.UpstreamView,
@@ -290,7 +340,7 @@
     ) -> placements.Placement:
         hits = view.prefixes.count_hits(job.prefix_hashes)
         tokens = max(job.prompt_tokens - hits * pool.block_tokens, 0.0)
-        prefill_ms = PREFILL_BASE_MS + tokens * view.prefill_rate.value
+        prefill_ms = view.estimate_read_ms(tokens)
         wait_ms = view.read_wait_ms(now_ms)
         if self.is_blind:
             # Nobody tells what the others sent, so the report has to do.
@@ -376,3 +426,21 @@
 
 def _read_ready(placement: placements.Placement) -> float:
     return placement.ready_ms
+
+
+def _saves_time(
+    alone: placements.Placement,
+    apart: placements.Placement,
+    job: messages.Job,
+) -> bool:
+    """Tell whether a decode engine should read a prompt itself.
+
+    It holds up all streams that it runs, so it does that where it makes a
+    first token on time that else would be late; without a target, where it
+    clearly saves time.
+    """
+    if not job.target_at_ms:
+        return alone.first_token_ms + ALONE_MARGIN_MS < apart.first_token_ms
+    # A prompt that came to another VM at the same moment may go before.
+    on_time_ms = job.target_at_ms - max(apart.prefill_ms, SAFETY_MS)
+    return alone.first_token_ms <= on_time_ms < apart.first_token_ms
--- a/mulberryway/policy/pools.py
+++ b/mulberryway/policy/pools.py
@@ -33,6 +33,8 @@
 YIELD_EACH_MS = 12
 MOST_YIELD_MS = 90
 RETRY_PAUSE_MS = 10
+# What ends is told at once; this is for what peers' notes did not tell.
+FULL_PAUSE_MS = 100
 
 
 class PoolScheduler:
@@ -74,7 +76,7 @@
         self._register = register
         self._weighed = weighed
         self._free = 0
-        self._free_since_ms: int | None = None
+        self._free_since_ms = 0
 
     def submit(self, job: messages.Job, now_ms: int) -> errors.Fault | None:
         """Let a job wait, or refuse it at once.
@@ -138,15 +140,19 @@
         :param refusals: gets the jobs that turn out to be quarantined
         :returns: the started job, or none if none can start now
         """
+        self.placer.stream_ms = self.meters.hold_ms.value
         free = self.placer.count_free(now_ms)
         self._note_free(free, now_ms)
-        if not free or not len(self.fair):
+        if not len(self.fair):
             return None
         tried = 0
         for entry in self._list_candidates(now_ms, refusals):
-            if self._has_to_yield(entry, free, now_ms):
+            ahead = self._count_ahead(entry, now_ms)
+            if self._has_to_yield(ahead, free, now_ms):
                 return None
-            placement = self.placer.choose(entry, self.row, now_ms)
+            placement = self.placer.choose(
+                entry, self.row, now_ms, _limit_yield(ahead)
+            )
             if placement is not None:
                 return self._start(entry, placement, now_ms)
             tried += 1
@@ -163,7 +169,7 @@
         latest_ms = self.fair.next_latest_ms()
         if latest_ms is None:
             return None
-        pause_ms = RETRY_PAUSE_MS if self._free_since_ms is not None else 100
+        pause_ms = RETRY_PAUSE_MS if self._free else FULL_PAUSE_MS
         return max(min(latest_ms, now_ms + pause_ms), now_ms + 1)
 
     def _check_standing(
@@ -204,7 +210,7 @@
     def _note_free(self, free: int, now_ms: int) -> None:
         if free != self._free:
             self._free = free
-            self._free_since_ms = now_ms if free else None
+            self._free_since_ms = now_ms
 
     def _list_candidates(
         self, now_ms: int, refusals: list[messages.Refusal]
@@ -251,22 +257,18 @@
             self.fair.move(entry.job.job_id, queue.Lane.SUSPECT)
         return True
 
-    def _has_to_yield(
-        self, entry: queue.Entry, free: int, now_ms: int
-    ) -> bool:
-        since_ms = self._free_since_ms
-        if since_ms is None:
-            return False
-        waited_ms = now_ms - since_ms
-        if waited_ms >= MOST_YIELD_MS:
-            return False
+    def _count_ahead(self, entry: queue.Entry, now_ms: int) -> int:
+        """Return how many of the peers' jobs should go before one of ours."""
         job = entry.job
         state = self.fair.find_account(job.account, job.weight)
         # What goes out of the fair order by the slack does so at peers too.
-        ahead = self.neighbours.count_ahead(
+        return self.neighbours.count_ahead(
             state, entry, self._weighed.slack_tokens, now_ms
         )
-        return free <= ahead and waited_ms < ahead * YIELD_EACH_MS
+
+    def _has_to_yield(self, ahead: int, free: int, now_ms: int) -> bool:
+        waited_ms = now_ms - self._free_since_ms
+        return free <= ahead and waited_ms < _limit_yield(ahead)
 
     def move_decode(
         self, job: running.Running, refused: str, now_ms: int
@@ -307,3 +309,8 @@
         self.fair.charge(job.account, job.weight, entry.cost)
         self.placer.commit(placement, job, self.row, now_ms)
         return running.Running(entry, placement, now_ms)
+
+
+def _limit_yield(ahead: int) -> int:
+    """Return how long room is left to jobs that should go before, in ms."""
+    return min(ahead * YIELD_EACH_MS, MOST_YIELD_MS)
--- a/mulberryway/policy/shifting.py
+++ b/mulberryway/policy/shifting.py
@@ -26,11 +26,11 @@
 
     __slots__ = (
         "_vm",
-        "_prefill_rate",
         "_random",
         "_views",
         "_retired",
         "_divisions",
+        "_usual_rate",
         "prefills",
         "decodes",
     )
@@ -42,7 +42,7 @@
         prefill_rate: float = views.PREFILL_MS_PER_TOKEN,
     ) -> None:
         self._vm = vm
-        self._prefill_rate = prefill_rate
+        self._usual_rate = health.Floor(prefill_rate)
         self._random = random_
         self._views: dict[str, views.UpstreamView] = {}
         self._retired: dict[str, views.UpstreamView] = {}
@@ -117,17 +117,16 @@
         pool: tables.Pool,
     ) -> views.UpstreamView:
         blocks = pool.engine_tokens // max(pool.block_tokens, 1) or None
-        rate = self._prefill_rate
-        if row.role is tables.UpstreamRole.DECODE:
-            rate *= SELF_READING_COST
+        is_new = view is None or row.role is not view.row.role
         if view is None:
             view = views.UpstreamView(row, pool.slots, self._random, blocks)
-            view.prefill_rate = health.Average(rate)
-            return view
-        if row.role is not view.row.role:
-            view.prefill_rate = health.Average(rate)
+            view.usual_rate = self._usual_rate
+        if is_new:
+            reads_beside = row.role is tables.UpstreamRole.DECODE
+            view.change_role(SELF_READING_COST if reads_beside else 1.0)
         if row.role not in PREFILL_ROLES:
             view.prefixes.clear()
         view.row = row
         view.slots = pool.slots
+        view.pause_ms = pool.pause_ms
         return view
--- a/mulberryway/policy/views.py
+++ b/mulberryway/policy/views.py
@@ -11,6 +11,7 @@
 from mulberryway.policy import health
 from mulberryway.policy import hints
 from mulberryway.policy import prefixes
+from mulberryway.policy import reading
 from mulberryway.upstreams import base as upstreams
 
 __all__ = ["UpstreamView"]
@@ -35,6 +36,13 @@
 # A single observation may be off by what others did to the same engine.
 MOST_DEVIATION = 8.0
 LEAST_TOKENS_TO_LEARN = 200
+# What a prefill costs however short it is; beside streams the first step of
+# its own decode is part of what is measured.
+PREFILL_BASE_MS = 5.0
+BESIDE_BASE_MS = 15.0
+# An engine is judged by its own reads from so many on; until then by those of
+# its siblings, which tells an empty VM the pool's speed after its first few.
+OWN_READS = 3
 
 
 class UpstreamView:
@@ -67,11 +75,16 @@
         "resting_until_ms",
         "rests",
         "prefill_rate",
+        "usual_rate",
+        "reading_cost",
         "step",
+        "event",
         "step_seen_ms",
         "_own_step_ms",
         "health",
         "prefixes",
+        "pause_ms",
+        "reads",
         "_by_peer",
         "_high",
         "_high_before",
@@ -104,12 +117,21 @@
         self.full_until_ms = 0
         self.resting_until_ms = 0
         self.rests = 0
-        self.prefill_rate = health.Average(PREFILL_MS_PER_TOKEN)
+        # Milliseconds a prompt's token, here and over the pool; there as a
+        # prefill engine takes them, which this one takes so many times.
+        self.prefill_rate: health.Average | health.Floor
+        self.usual_rate = health.Floor(PREFILL_MS_PER_TOKEN)
+        self.change_role(1.0)
         self.step = health.Average(STEP_MS, STEP_PART)
+        # The same where the engine reads nothing between its tokens.
+        self.event = health.Floor(STEP_MS)
         self.step_seen_ms = 0
         self._own_step_ms = 0.0
         self.health = health.Health(random_)
         self.prefixes = prefixes.PrefixIndex()
+        # The longest pause of a stream that is on time; 0 for no target.
+        self.pause_ms = 0
+        self.reads = reading.ReadingBudget()
         self._by_peer: dict[str, hints.Holding] = {}
         self._high = 0
         self._high_before = 0
@@ -133,6 +155,17 @@
         used = self.own_blocks + self.peer_blocks + self.excess_blocks
         return self.total_blocks - used
 
+    def count_room(self, blocks: float, now_ms: int) -> int:
+        """Return how many more decodes of usual size probably fit.
+
+        :param blocks: how many blocks one usually takes; 0 if not known
+        :param now_ms: the present
+        """
+        free = self.read_free(now_ms)
+        if self.total_blocks is None or not blocks:
+            return free
+        return min(free, max(int(self.count_free_blocks() / blocks), 0))
+
     def count_running(self) -> int:
         """Return how many streams probably run here, all VMs together."""
         return self.own + self.peers + self.excess
@@ -168,11 +201,18 @@
         """
         self.own_prefills += 1
         self.own_prefill_ms += estimate_ms
-        self.busy_until_ms = (
-            max(self.busy_until_ms, float(now_ms)) + estimate_ms
-        )
+        self._note_read(estimate_ms, now_ms)
         return self.busy_until_ms
 
+    def count_read(self, estimate_ms: float, now_ms: int) -> None:
+        """Count a prompt that this upstream reads for a decode of its own.
+
+        :param estimate_ms: how long it takes by itself
+        :param now_ms: the present
+        """
+        self.own_prefill_ms += estimate_ms
+        self._note_read(estimate_ms, now_ms)
+
     def drop_prefill(self, estimate_ms: float) -> None:
         """Take out a prefill that ended before its result.
 
@@ -181,6 +221,40 @@
         self.own_prefills -= 1
         self.busy_until_ms = max(self.busy_until_ms - estimate_ms, 0.0)
 
+    def change_role(self, reading_cost: float) -> None:
+        """Forget the speed of its reads, for it reads in another way now.
+
+        :param reading_cost: how many times as long as a prefill engine it
+            takes for a prompt; above 1 if it reads beside streams
+        """
+        self.reading_cost = reading_cost
+        rate = self.usual_rate.value * reading_cost
+        # How long prompts take at a prefill engine tells also how long its
+        # queue is that nobody knows of.  Beside streams a wait for another
+        # prompt is no part of the read: taken for it, reads of 0.19 s were
+        # believed to take 0.35 s, and none seemed to fit.
+        if reading_cost > 1.0:
+            self.prefill_rate = health.Floor(rate)
+        else:
+            self.prefill_rate = health.Average(rate)
+
+    def estimate_read_ms(self, tokens: float) -> float:
+        """Return how long a prompt takes here by itself.
+
+        :param tokens: its tokens that are not in the cache
+        """
+        return self._read_base_ms() + tokens * self.read_rate()
+
+    def _read_base_ms(self) -> float:
+        is_beside = self.reading_cost > 1.0
+        return BESIDE_BASE_MS if is_beside else PREFILL_BASE_MS
+
+    def read_rate(self) -> float:
+        """Return how long a prompt's token takes here, in milliseconds."""
+        if self.prefill_rate.count >= OWN_READS:
+            return self.prefill_rate.value
+        return self.usual_rate.value * self.reading_cost
+
     def note_prefilled(
         self,
         estimate_ms: float,
@@ -189,7 +263,7 @@
         started_ms: int,
         now_ms: int,
     ) -> None:
-        """Learn from a prefill that has ended.
+        """Learn from a prefill that has ended well.
 
         :param estimate_ms: how long it was thought to take by itself
         :param planned_ms: when it was thought to end
@@ -203,13 +277,16 @@
         # The queue's end moves by as much as this prefill was late or early.
         drift_ms = now_ms - planned_ms
         self.busy_until_ms = max(self.busy_until_ms + drift_ms, 0.0)
+        self.reads.shift(drift_ms)
         if tokens < LEAST_TOKENS_TO_LEARN:
             return
-        waited_ms = max(planned_ms - estimate_ms - started_ms, 0.0)
-        took_ms = (now_ms - started_ms) - waited_ms
-        took_ms = max(took_ms, estimate_ms / MOST_DEVIATION)
-        took_ms = min(took_ms, estimate_ms * MOST_DEVIATION)
-        self.prefill_rate.note(took_ms / tokens)
+        took_ms = now_ms - started_ms - self._read_base_ms()
+        self.usual_rate.note(max(took_ms, 1.0) / tokens / self.reading_cost)
+        if self.reading_cost == 1.0:
+            took_ms -= max(planned_ms - estimate_ms - started_ms, 0.0)
+            took_ms = max(took_ms, estimate_ms / MOST_DEVIATION)
+            took_ms = min(took_ms, estimate_ms * MOST_DEVIATION)
+        self.prefill_rate.note(max(took_ms, 1.0) / tokens)
 
     def note_step(self, step_ms: float, now_ms: int) -> None:
         """Learn from the gaps between tokens of a running stream.
@@ -218,6 +295,7 @@
         :param now_ms: the present
         """
         self.step.note(step_ms)
+        self.event.note(step_ms)
         self.step_seen_ms = now_ms
         self._own_step_ms = step_ms
 
@@ -314,9 +392,7 @@
             before = hints.Holding("", "", 0, holding.prefill_ms)
         more_ms = max(holding.prefill_ms - before.prefill_ms, 0)
         if more_ms:
-            self.busy_until_ms = (
-                max(self.busy_until_ms, float(now_ms)) + more_ms
-            )
+            self._note_read(more_ms, now_ms)
         if holding.decodes < before.decodes:
             self.full_until_ms = 0
         self.peers += holding.decodes - before.decodes
@@ -326,6 +402,7 @@
             # A peer's streams are as good as ours: with nine routers each
             # has two streams on an engine and alone would need seconds.
             self.step.note(holding.step_ms)
+            self.event.note(holding.step_ms)
             self.step_seen_ms = now_ms
         self._by_peer[vm] = holding
         self._raise_high(now_ms)
@@ -341,6 +418,40 @@
             self.peer_suspects -= holding.suspects
             self.peer_blocks -= holding.blocks
 
+    def fits_read(
+        self, read_ms: float, now_ms: int, yield_ms: int = 0
+    ) -> bool:
+        """Tell whether a read now keeps the pauses of all streams on time.
+
+        :param read_ms: how long the read takes by itself
+        :param now_ms: the present
+        :param yield_ms: for how long the engine must have been free to read
+        """
+        if not self.count_running():
+            return True
+        event_ms = self.event.value
+        free_ms = now_ms - self.reads.read_open_ms(event_ms, now_ms)
+        return free_ms >= yield_ms and self.reads.fits(
+            read_ms, self.pause_ms, event_ms, now_ms
+        )
+
+    def fits_alone(self, read_ms: float) -> bool:
+        """Tell whether a read keeps pauses on time if none is near it.
+
+        :param read_ms: how long the read takes by itself
+        """
+        return reading.fits_pause(read_ms, self.pause_ms, self.event.value)
+
+    def _note_read(self, read_ms: float, now_ms: int) -> None:
+        self.busy_until_ms = max(self.busy_until_ms, float(now_ms)) + read_ms
+        self.reads.note(
+            read_ms,
+            self.pause_ms,
+            self.event.value,
+            self.count_running(),
+            now_ms,
+        )
+
     def _raise_high(self, now_ms: int) -> None:
         if now_ms - self._high_since_ms >= REPORT_LAG_MS:
             self._high_before = self._high
--- a/mulberryway/tables/model.py
+++ b/mulberryway/tables/model.py
@@ -107,6 +107,8 @@
     :param switch_ms: how long an engine that changes its role is away
     :param self_reading: whether its decode engines can read prompts
         themselves, more slowly than prefill engines do
+    :param pause_ms: the longest pause between a stream's events that is on
+        time on every route to it; 0 where no route has a target
     """
 
     __slots__ = (
@@ -117,6 +119,7 @@
         "most_connections",
         "switch_ms",
         "self_reading",
+        "pause_ms",
         "models",
         "credential",
         "slots",
@@ -140,6 +143,7 @@
         most_connections: int = 0,
         switch_ms: int = 0,
         self_reading: bool = False,
+        pause_ms: int = 0,
     ) -> None:
         self.name = name
         self.kind = kind
@@ -154,6 +158,7 @@
         self.most_connections = most_connections
         self.switch_ms = switch_ms
         self.self_reading = self_reading
+        self.pause_ms = pause_ms
 
 
 class PoolShare:
--- a/tests/test_shaping.py
+++ b/tests/test_shaping.py
@@ -32,6 +32,7 @@
         link_bytes_per_s=675_000_000_000,
         engine_tokens=TOKENS,
         self_reading=self_reading,
+        pause_ms=GAP_MS,
     )
 
 
