Count one delay of a prefill queue once

Cause: each prompt of a queue moved the belief in the queue's end by its whole lateness, though all were late by the same cause: a wait of 0.3 s became one of 1.8 s, and prompts were read beside streams or came late for nothing. A prompt now moves it only by what was not known before it ended. Ruled out: wrong speeds (the plan of the first prompt was right to 10 ms).

--- a/mulberryway/policy/endings.py
+++ b/mulberryway/policy/endings.py
@@ -47,14 +47,19 @@
             return
         job.prefilled_ms = now_ms
         placement = job.placement
-        placement.prefill.note_prefilled(
+        reader = placement.prefill
+        # Load: a queue of prompts at an engine, all late by the same cause.
+        # Harm: counted for each of them anew, a wait of 0.3 s becomes one of
+        # 1.8 s, and prompts are read beside streams or wait for nothing.
+        later_ms = reader.shifted_ms - placement.shifted_ms
+        reader.note_prefilled(
             placement.prefill_ms,
-            placement.ready_ms,
+            placement.ready_ms + later_ms,
             placement.tokens,
             job.started_ms,
             now_ms,
         )
-        placement.prefill.health.note_success()
+        reader.health.note_success()
 
     def note_unread(self, job: running.Running, now_ms: int) -> None:
         """Take in that a prefill failed and the decode engine reads instead.
--- a/mulberryway/policy/placements.py
+++ b/mulberryway/policy/placements.py
@@ -25,6 +25,7 @@
     :param transfer_ms: how long the KV cache takes over the link
     :param first_token_ms: when the first token probably comes
     :param blocks: KV cache blocks that the decode takes
+    :param shifted_ms: see :class:`views.UpstreamView`, at the start
     """
 
     __slots__ = (
@@ -36,6 +37,7 @@
         "transfer_ms",
         "first_token_ms",
         "blocks",
+        "shifted_ms",
     )
 
     def __init__(
@@ -53,6 +55,7 @@
         self.transfer_ms = 0.0
         self.first_token_ms = ready_ms
         self.blocks = 0
+        self.shifted_ms = 0.0
 
     def describe(self, now_ms: int) -> dict[str, int | float | str]:
         """Return what decided, for logs.
--- a/mulberryway/policy/placing.py
+++ b/mulberryway/policy/placing.py
@@ -32,8 +32,8 @@
 # A decode engine that reads a prompt itself holds up the streams it runs, so
 # it does that only where it clearly saves a caller without a target time.
 ALONE_MARGIN_MS = 150.0
-# Engines whose streams differ by fewer than so many are equal for a prompt that
-# is read beside them.  Load: prompts that come to several VMs at the same
+# Engines whose streams differ by fewer than so many are equal for a prompt
+# that they read themselves.  Load: prompts that come to several VMs at the same
 # moment.  Harm: all choose the emptiest engine, whose streams then pause for
 # all of these prompts.
 FEW = 4
@@ -233,6 +233,7 @@
             self._usual_blocks.value = float(placement.blocks)
         self._usual_blocks.note(placement.blocks)
         placement.prefill.add_prefill(placement.prefill_ms, now_ms)
+        placement.shifted_ms = placement.prefill.shifted_ms
         placement.prefill.prefixes.note_own(job.prefix_hashes)
         if placement.is_alone():
             return
--- a/mulberryway/policy/views.py
+++ b/mulberryway/policy/views.py
@@ -71,6 +71,7 @@
         "suspect_died_ms",
         "own_prefill_ms",
         "busy_until_ms",
+        "shifted_ms",
         "full_until_ms",
         "resting_until_ms",
         "rests",
@@ -114,6 +115,8 @@
         self.suspect_died_ms: int | None = None
         self.own_prefill_ms = 0.0
         self.busy_until_ms = 0.0
+        # By how much reads were late, less by how much early, added up.
+        self.shifted_ms = 0.0
         self.full_until_ms = 0
         self.resting_until_ms = 0
         self.rests = 0
@@ -266,7 +269,8 @@
         """Learn from a prefill that has ended well.
 
         :param estimate_ms: how long it was thought to take by itself
-        :param planned_ms: when it was thought to end
+        :param planned_ms: when it was thought to end, by what was known
+            right before
         :param tokens: its tokens that were not in the cache
         :param started_ms: when it was sent
         :param now_ms: the present
@@ -276,6 +280,7 @@
         self.rests = 0
         # The queue's end moves by as much as this prefill was late or early.
         drift_ms = now_ms - planned_ms
+        self.shifted_ms += drift_ms
         self.busy_until_ms = max(self.busy_until_ms + drift_ms, 0.0)
         self.reads.shift(drift_ms)
         if tokens < LEAST_TOKENS_TO_LEARN:
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -234,6 +234,23 @@
         self.assertEqual(one.prefill, one.decode)
 
 
+class QueueTest(unittest.TestCase):
+    def test_one_delay_counts_once_for_a_queue(self):
+        """A prefill engine has a queue of prompts and stands still for 0.3 s.
+        All of them end later by that.  Were the delay counted for each, the
+        engine would seem to be busy for more than a second when it is idle.
+        """
+        rig = Rig(prefills=1)
+        jobs = [rig.submit(0) for _ in range(4)]
+        started = {one.job_id: one for one in rig.start(0)}
+        router = rig.routers[0]
+        for job_id in jobs:
+            end_ms = started[job_id].ready_in_ms + 300
+            router.note_prefilled(job_id, end_ms)
+        view = router._set.find_any("lm").members.find("p0")
+        self.assertLess(view.read_wait_ms(end_ms), 30)
+
+
 class RoomTest(unittest.TestCase):
     def test_room_counts_by_memory(self):
         """Each engine has 64 slots and memory for ten streams.  Where slots
