Judge engines by their pool's own target for pauses

Cause: which engine is too slow was decided by a pause of 0.3 s for all pools, which is one customer's target. A pool's tables now hold the shortest target of the routes that lead there; 0.3 s stays for pools whose routes have none. Ruled out as a change on today's sites: their routes all say 0.3 s. Tests: two pools' targets, and two routes' targets for one pool.

--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -54,7 +54,8 @@
 
 MEMBERSHIP = "Membership"
 MIRRORS = "Mirrors"
-# The longest pause between a stream's pieces that is still on time.
+# The longest pause between a stream's pieces that is still good where no route
+# of a pool has a target; at eight of these a caller leaves.
 TOKEN_GAP_MS = 300
 US_IN_MS = 1_000
 STYLE = replies.Style(
--- a/mulberryway/policy/slowness.py
+++ b/mulberryway/policy/slowness.py
@@ -25,7 +25,8 @@
     its siblings do not; when all are slow there is nothing to choose.
 
     :param members: the upstreams of this router's cell
-    :param token_gap_ms: the most time between tokens that is still good
+    :param token_gap_ms: the most time between tokens that is still good, for
+        pools whose routes have no target
     """
 
     __slots__ = ("_members", "_token_gap_ms", "_median_ms", "_median_at_ms")
@@ -49,7 +50,7 @@
         """
         self._refresh_median(now_ms)
         return view.step.value > max(
-            self._token_gap_ms * NEAR_TARGET,
+            (view.pause_ms or self._token_gap_ms) * NEAR_TARGET,
             self._median_ms * AGAINST_SIBLINGS,
         )
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -104,6 +104,21 @@
         self.assertEqual(pool.link_bytes_per_s, 675_000_000_000)
         self.assertEqual(pool.switch_ms, 6_000)
 
+    def test_shortest_target_for_pauses_of_a_pools_routes(self):
+        """Two routes lead to one pool, and one wants shorter pauses.  An
+        engine that reads prompts by the longer target keeps the callers of
+        the other waiting.
+        """
+        changed = copy.deepcopy(CONFIGURATION)
+        talk = changed["routes"][0]
+        brisk = talk | {"name": "r-3", "target_gap_ms": 200}
+        brisk["traffic_split"] = [{"service": "llm", "weight": 5}]
+        changed["routes"].append(brisk)
+        pools = read(changed).pools
+        self.assertEqual(pools["llm"].pause_ms, 200)
+        self.assertEqual(pools["app"].pause_ms, 0)
+        self.assertEqual(read().pools["llm"].pause_ms, 300)
+
     def test_accounts_by_the_digest_of_their_key(self):
         found = read().find_account(tables.digest_key("key-1"))
         self.assertEqual((found.name, found.rate), ("t-1", 72_504))
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -285,3 +285,19 @@
         rig.run_streams(9)
         pool = rig.routers[0]._set.find_any("lm")
         self.assertLessEqual(pool.placer.count_free(3_000), 2)
+
+
+class TargetTest(unittest.TestCase):
+    def test_each_pool_has_its_routes_target_for_pauses(self):
+        """Two customers' routes differ in how long a pause may be.  An engine
+        that is good enough for one would be passed over for both, or keep
+        every caller of the other waiting.
+        """
+        rig = Rig()
+        pool = rig.routers[0]._set.find_any("lm")
+        (view, *_) = pool.members.decodes
+        for _ in range(20):
+            view.note_step(200.0, 1_000)
+        self.assertFalse(pool.placer.slowness.is_slow(view, 1_000))
+        view.pause_ms = 150
+        self.assertTrue(pool.placer.slowness.is_slow(view, 1_000))
