End the circle among the capacity pages, and say what two programs share once

Cause: benchmarks/capacity.py and capacity_tables.py imported one another, the second by way of a late import; both log programs read their files by lines of their own; two tests made the same pool. benchmarks/capacity_lines.py holds what a row is, story.read_texts reads for both, policy_cases makes the pool.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,82 +1,21 @@
 """Works out docs/CAPACITY.md's tables from the kept measurements."""
 
-import collections.abc
 import pathlib
 import sys
 
+from benchmarks import capacity_lines
+from benchmarks import capacity_tables
 from benchmarks import series
 
-__all__ = ["Line", "Target", "render_page", "render_table"]
+__all__ = ["render_page", "render_table"]
 
 PAGE = pathlib.Path(__file__).parent.parent / "docs" / "CAPACITY.md"
 BEGIN = "<!-- table {name}: written by python -m benchmarks.capacity -->"
 END = "<!-- end of table {name} -->"
 
 
-class Target:
-    """The size of two years on, from the users' letter."""
-
-    VMS = 410
-    SERVERS = 600
-    ENGINES = 4_800
-    REQUESTS_PER_S = 8_900
-    TOKENS_PER_S = 2_600_000
-    ACCOUNTS = 2_200
-    EDITS_PER_DAY = 1_800
-    RESTARTS_PER_DAY = 288
-    ZONE_VMS = 68
-    ZONE_SERVERS = 100
-    SECONDS_PER_DAY = 86_400
-
-    REQUESTS_PER_VM = REQUESTS_PER_S / VMS
-    TOKENS_PER_VM = TOKENS_PER_S / VMS
-    EDITS_PER_S = EDITS_PER_DAY / SECONDS_PER_DAY
-
-
-class Line:
-    """One row of a table: a quantity at the target's size.
-
-    :param role: which process or part
-    :param quantity: what is told, with its unit
-    :param names: the measurements behind it
-    :param size: the size, in the first measurement's unit, it is worked
-        out at
-    :param work_out: turns the fits into the figure
-    :param limit: what the letter or the platform allows, in words
-    :param mechanism: what carries it
-    """
-
-    __slots__ = (
-        "role",
-        "quantity",
-        "names",
-        "size",
-        "work_out",
-        "limit",
-        "mechanism",
-    )
-
-    def __init__(
-        self,
-        role: str,
-        quantity: str,
-        names: tuple[str, ...],
-        size: float,
-        work_out: collections.abc.Callable[..., float],
-        limit: str,
-        mechanism: str,
-    ) -> None:
-        self.role = role
-        self.quantity = quantity
-        self.names = names
-        self.size = size
-        self.work_out = work_out
-        self.limit = limit
-        self.mechanism = mechanism
-
-
 def render_table(
-    lines: list[Line], folder: pathlib.Path = series.FOLDER
+    lines: list[capacity_lines.Line], folder: pathlib.Path = series.FOLDER
 ) -> str:
     """Return a table in Markdown.
 
@@ -91,7 +30,7 @@
     return "\n".join([head, *(_render_line(line, folder) for line in lines)])
 
 
-def _render_line(line: Line, folder: pathlib.Path) -> str:
+def _render_line(line: capacity_lines.Line, folder: pathlib.Path) -> str:
     measured = [series.read_series(name, folder) for name in line.names]
     fits = [series.fit_line(one) for one in measured]
     first = measured[0]
@@ -113,7 +52,9 @@
 
 
 def render_page(
-    page: str, tables: dict[str, list[Line]], folder: pathlib.Path
+    page: str,
+    tables: dict[str, list[capacity_lines.Line]],
+    folder: pathlib.Path,
 ) -> str:
     """Put freshly worked out tables into the page's text.
 
@@ -140,9 +81,6 @@
     :param write: put them into the page; otherwise only compare
     :returns: 0 if the page was already as the measurements say, else 1
     """
-    # Imported here: the rows are made of this module's classes.
-    from benchmarks import capacity_tables
-
     old = PAGE.read_text(encoding="utf-8")
     new = render_page(old, capacity_tables.TABLES, series.FOLDER)
     if write:
--- a/benchmarks/capacity_tables.py
+++ b/benchmarks/capacity_tables.py
@@ -2,12 +2,12 @@
 
 import math
 
-from benchmarks import capacity
+from benchmarks import capacity_lines
 
 __all__ = ["TABLES"]
 
-Line = capacity.Line
-Target = capacity.Target
+Line = capacity_lines.Line
+Target = capacity_lines.Target
 
 PER_VM = Target.REQUESTS_PER_VM
 ENGINE_DECADES = math.log10(Target.ENGINES)
--- a/mulberryway/commands/losses.py
+++ b/mulberryway/commands/losses.py
@@ -125,11 +125,8 @@
     :param arguments: the program's name, then files; none for standard input
     :returns: the exit status; 1 if the logs tell of no stream
     """
-    texts: list[str] = []
-    for name in arguments[1:]:
-        with open(name, encoding="utf-8", errors="replace") as file:
-            texts += file
-    losses = add_up(story.read_lines(texts or sys.stdin))
+    texts = story.read_texts(arguments[1:])
+    losses = add_up(story.read_lines(texts))
     if not losses.ends:
         print("the logs tell of no stream", file=sys.stderr)
         return NOTHING_FOUND
--- a/mulberryway/commands/story.py
+++ b/mulberryway/commands/story.py
@@ -1,14 +1,16 @@
 """Prints what the logs of several VMs say of one request, in order."""
 
 import collections.abc
+import itertools
 import json
+import pathlib
 import sys
 import typing
 
 from absl import app
 from absl import flags
 
-__all__ = ["find_lines", "main", "run", "write_line"]
+__all__ = ["find_lines", "main", "read_texts", "run", "write_line"]
 
 FLAGS = flags.FLAGS
 NOTHING_FOUND = 1
@@ -25,6 +27,21 @@
 Line = dict[str, typing.Any]
 
 
+def read_texts(names: list[str]) -> collections.abc.Iterable[str]:
+    """Return the lines of some files; of standard input if there is none.
+
+    :param names: the files' names
+    """
+    if not names:
+        return sys.stdin
+    return itertools.chain.from_iterable(
+        pathlib.Path(name)
+        .read_text(encoding="utf-8", errors="replace")
+        .splitlines()
+        for name in names
+    )
+
+
 def read_lines(
     texts: collections.abc.Iterable[str],
 ) -> collections.abc.Iterator[Line]:
@@ -95,13 +112,9 @@
     :param arguments: the program's name, then files; none for standard input
     :returns: the exit status; 1 if nothing is known of the request
     """
-    texts: list[str] = []
-    for name in arguments[1:]:
-        with open(name, encoding="utf-8", errors="replace") as file:
-            texts += file
-    if not arguments[1:]:
-        texts = list(sys.stdin)
-    found = find_lines(read_lines(texts), FLAGS.id, FLAGS.beliefs)
+    found = find_lines(
+        read_lines(read_texts(arguments[1:])), FLAGS.id, FLAGS.beliefs
+    )
     if not found:
         print(f"nothing was logged of {FLAGS.id}", file=sys.stderr)
         return NOTHING_FOUND
--- a/tests/policy_cases.py
+++ b/tests/policy_cases.py
@@ -25,6 +25,23 @@
     return tables.Pool(name, tables.PoolKind.MODEL, rows, ("m",), slots=slots)
 
 
+def make_reading_pool(prefills, decodes, **values):
+    """A pool of 64 slots whose decode engines can read prompts themselves.
+
+    Its memory, links and targets are a test's to tell.
+    """
+    plain = make_pool(prefills, decodes, 64, leaving=values.pop("leaving", ()))
+    given = {"block_tokens": 16, "self_reading": True, "pause_ms": 300}
+    return tables.Pool(
+        plain.name,
+        plain.kind,
+        plain.upstreams,
+        plain.models,
+        slots=64,
+        **(given | values),
+    )
+
+
 def make_job(job_id, account="a", now_ms=0, within_ms=1_100, **values):
     """A job with values that a test does not care for filled in."""
     given = {
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -2,7 +2,6 @@
 
 import unittest
 
-from mulberryway import tables
 from mulberryway.policy import health
 from mulberryway.policy import messages
 from mulberryway.policy import reading
@@ -25,18 +24,12 @@
     """Routers of several VMs, which hear of one another at once or never."""
 
     def __init__(self, vms=1, prefills=0, decodes=4):
-        plain = cases.make_pool(prefills, decodes, 64)
-        pool = tables.Pool(
-            plain.name,
-            plain.kind,
-            plain.upstreams,
-            plain.models,
-            slots=64,
-            block_tokens=16,
+        pool = cases.make_reading_pool(
+            prefills,
+            decodes,
             kv_bytes_per_token=18_432,
             link_bytes_per_s=18_750_000_000,
             engine_tokens=TOKENS,
-            self_reading=True,
             pause_ms=PAUSE_MS,
         )
         self.routers = [
--- a/tests/test_shaping.py
+++ b/tests/test_shaping.py
@@ -2,7 +2,6 @@
 
 import unittest
 
-from mulberryway import tables
 from mulberryway.policy import messages
 from mulberryway.policy import retries
 from mulberryway.policy import scheduler
@@ -20,14 +19,10 @@
 
 
 def make_pool(prefills=2, decodes=4, self_reading=True, leaving=()):
-    plain = cases.make_pool(prefills, decodes, 64, leaving=leaving)
-    return tables.Pool(
-        plain.name,
-        plain.kind,
-        plain.upstreams,
-        plain.models,
-        slots=64,
-        block_tokens=16,
+    return cases.make_reading_pool(
+        prefills,
+        decodes,
+        leaving=leaving,
         kv_bytes_per_token=163_840,
         link_bytes_per_s=675_000_000_000,
         engine_tokens=TOKENS,
