--- a/mulberryway/policy/pools.py
+++ b/mulberryway/policy/pools.py
@@ -33,6 +33,7 @@
 YIELD_EACH_MS = 12
 MOST_YIELD_MS = 90
 RETRY_PAUSE_MS = 10
+# Room that nobody has counted yet.
 UNKNOWN = -1
 # What ends is told at once; this is for what peers' notes did not tell.
 FULL_PAUSE_MS = 100
