Close a prepared connection that its cancel came too early for

Cause: a caller may go while the connection for its decode is being made; the one cancel of the attempt then finds nothing to close, and the VM keeps the connection for as long as it lives. A failed attempt now lets go of it as well. Ruled out: attempts that end well (the decode takes it), engines that refuse (the same). Before: no test; the new one needs the release.

--- a/mulberryway/filters/model_engines.py
+++ b/mulberryway/filters/model_engines.py
@@ -95,6 +95,10 @@
                     lambda found: self._decode(attempt, found, offset, limit)
                 )
             )
+            if result.is_error():
+                # A cancel that came before the connection was made has found
+                # nothing to close, and none comes again.
+                attempt.decode.release(attempt.label)
         return result
 
     def _note_vain(
--- a/mulberryway/platform/engine.py
+++ b/mulberryway/platform/engine.py
@@ -10,21 +10,16 @@
 
 from mulberryway import clock
 from mulberryway import errors
+from mulberryway.platform import answers
 from mulberryway.platform import wire
 from mulberryway.upstreams import base
 from mulberryway.upstreams import connections
 from mulberryway.upstreams import decode_call
-from mulberryway.upstreams import http_service
 
-__all__ = ["PlatformEngine", "make_headers", "read_answer"]
+__all__ = ["PlatformEngine"]
 
 CONTROL_MS = 1_000
 BLOCK_TOKENS = 16
-REFUSALS = (
-    http.HTTPStatus.SERVICE_UNAVAILABLE,
-    http.HTTPStatus.TOO_MANY_REQUESTS,
-    http.HTTPStatus.BAD_REQUEST,
-)
 
 
 class _Handle:
@@ -108,6 +103,15 @@
             lambda made: self._keep(label, made)
         )
 
+    def release(self, label: base.RunLabel) -> None:
+        """Close the connection that was made for a decode; idempotent.
+
+        :param label: names the attempt
+        """
+        made = self._take_made(label)
+        if made is not None:
+            made.close()
+
     def decode(
         self,
         label: base.RunLabel,
@@ -167,9 +171,7 @@
         with self._lock:
             call = self._calls.get(label.request_id)
             handle = self._handles.pop(label.request_id, None)
-        made = self._take_made(label)
-        if made is not None:
-            made.close()
+        self.release(label)
         if call is not None:
             call.set()
         if handle is None:
@@ -221,7 +223,9 @@
 
     def _make_headers(self, call: base.RawCall) -> dict[str, str]:
         left_ms = call.deadline.left_ms(self._clock.now_ms())
-        return make_headers(call.headers, self.instance, max(left_ms, 1))
+        return answers.make_headers(
+            call.headers, self.instance, max(left_ms, 1)
+        )
 
     def _begin(self, label: base.RunLabel) -> connections.Interrupt:
         interrupt = connections.Interrupt()
@@ -253,7 +257,7 @@
         self, label: base.RunLabel, found: connections.Response
     ) -> expression.Result[base.PrefillResult, errors.Fault]:
         if found.status != http.HTTPStatus.OK:
-            fault = read_answer(
+            fault = answers.read_answer(
                 found.status,
                 found.headers,
                 found.body,
@@ -338,78 +342,12 @@
         return expression.Ok(load)
 
 
-def make_headers(
-    headers: list[tuple[str, str]], instance: str, left_ms: int
-) -> dict[str, str]:
-    """Return what goes to an upstream with a request.
-
-    :param headers: pairs of the caller's request
-    :param instance: the incarnation that may run it
-    :param left_ms: how long the caller will still wait
-    :returns: headers by name
-    """
-    passed = {
-        name: value
-        for name, value in http_service.strip_hop_headers(headers)
-        if name.lower() not in ("content-length", "deadline-ms", "expect")
-    }
-    passed[wire.DEADLINE] = str(left_ms)
-    passed[wire.EXPECTED_INSTANCE] = instance
-    return passed
-
-
-def read_answer(
-    status: int,
-    headers: list[tuple[str, str]],
-    body: bytes,
-    address: str,
-    step: errors.Step,
-) -> errors.Fault:
-    """Return what an upstream's answer other than a success means.
-
-    :param status: the HTTP status
-    :param headers: pairs of the answer; none if it is another request's
-    :param body: the answer's body
-    :param address: the upstream's address
-    :param step: the hop
-    :returns: the fault, with the answer that the caller may see
-    """
-    names = {name.lower() for name, _ in headers}
-    is_refusal = status == http.HTTPStatus.MISDIRECTED_REQUEST or (
-        status in REFUSALS and wire.NOT_EXECUTED.lower() in names
-    )
-    if is_refusal:
-        return errors.Fault(
-            errors.Code.UPSTREAM_REFUSED,
-            step,
-            address,
-            errors.Run.NOT_RUN,
-            f"the upstream refused with status {status}",
-        )
-    if not headers:
-        return errors.Fault(
-            errors.Code.UPSTREAM_FAILED,
-            step,
-            address,
-            errors.Run.MAY_HAVE_RUN,
-            "the reply belongs to another request",
-        )
-    return errors.Fault(
-        errors.Code.UPSTREAM_FAILED,
-        step,
-        address,
-        errors.Run.RAN,
-        f"the upstream answered with status {status}",
-        answer=base.ServiceReply(
-            status, http_service.drop_framing(headers), body
-        ),
-    )
-
-
 def _read_decode_refusal(
     status: int, headers: list[tuple[str, str]], body: bytes, address: str
 ) -> errors.Fault:
-    return read_answer(status, headers, body, address, errors.Step.DECODE)
+    return answers.read_answer(
+        status, headers, body, address, errors.Step.DECODE
+    )
 
 
 def _fail(address: str, message: str) -> errors.Fault:
--- a/mulberryway/upstreams/base.py
+++ b/mulberryway/upstreams/base.py
@@ -302,6 +302,13 @@
         """
         return expression.Ok(None)
 
+    def release(self, label: RunLabel) -> None:
+        """Let go of what was prepared for a decode that does not come.
+
+        :param label: names the attempt
+        """
+        return
+
     @abc.abstractmethod
     def decode(
         self,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,12 +1,14 @@
 """What the adapter reads: configurations, entries, answers and callers."""
 
 import copy
+import socket
 import unittest
 
 from mulberryway import clock
 from mulberryway import errors
 from mulberryway import tables
 from mulberryway.objects import base
+from mulberryway.platform import answers
 from mulberryway.platform import engine
 from mulberryway.platform import tables as platform_tables
 from mulberryway.platform import wire
@@ -194,7 +196,7 @@
 
 class AnswerTest(unittest.TestCase):
     def read(self, status, *headers):
-        return engine.read_answer(
+        return answers.read_answer(
             status, list(headers), b"x", "10.0.0.1:80", errors.Step.DECODE
         )
 
@@ -220,7 +222,7 @@
         self.assertIsNone(fault.answer)
 
     def test_headers_for_an_upstream(self):
-        found = engine.make_headers(
+        found = answers.make_headers(
             [
                 ("Host", "site.example"),
                 ("Deadline-Ms", "9000"),
@@ -259,6 +261,27 @@
         self.assertFalse(one.cancel(label).ok)
 
 
+class PreparedTest(unittest.TestCase):
+    def test_connection_of_an_attempt_that_was_given_up(self):
+        """A caller goes while the connection for its decode is being made, so
+        the cancel comes before there is anything to close.  The VM would keep
+        one open connection for each such caller, until it may open no more.
+        """
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            host, port = listener.getsockname()
+            made = engine.PlatformEngine(
+                "i-1", f"{host}:{port}", clock.SystemClock()
+            )
+            label = upstreams.RunLabel("r-1", "vm0", 1)
+            made.cancel(label)
+            self.assertTrue(made.prepare(label).is_ok())
+            connection, _ = listener.accept()
+            self.addCleanup(connection.close)
+            connection.settimeout(1.0)
+            made.release(label)
+            self.assertEqual(connection.recv(1), b"")
+
+
 class WireTest(unittest.TestCase):
     def test_numbers(self):
         self.assertEqual(wire.read_whole(3.0), 3)
