Tell other VMs at once of a read that follows an unanswered prefill

Cause, by reading: only the engine that had read in vain was marked for the next note, not the one that reads now, so that other VMs heard of the read up to five seconds late and could add a second prompt. Ruled out: that its streams' end tells soon enough (they last 4 s, the read 0.2 s). Kept as a fault mended; its test fails before.

--- a/mulberryway/policy/scheduler.py
+++ b/mulberryway/policy/scheduler.py
@@ -161,7 +161,8 @@
         job = self._running.get(job_id)
         if job is not None:
             pool = job.entry.job.pool
-            self._teller.note_view(pool, job.placement.prefill.row.name)
+            # Both the engine that read in vain and the one that reads now.
+            self._tell_views(pool, job)
             self._set.find_endings(pool).note_unread(job, now_ms)
 
     def note_first_token(self, job_id: str, now_ms: int) -> None:
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -175,6 +175,21 @@
         self.assertEqual(rig.start(now_ms + 20, vm=1), [])
         self.assertEqual(len(rig.start(now_ms + 320, vm=1)), 1)
 
+    def test_read_after_a_prefill_without_an_answer(self):
+        """A prefill has no answer, and the decode engine that holds the slot
+        reads the prompt.  A VM that hears of it late adds a second prompt,
+        and every caller of that engine waits for both.
+        """
+        rig = Rig(vms=2, prefills=1, decodes=1)
+        rig.submit(0)
+        (one,) = rig.start(0)
+        rig.tell(10)
+        router = rig.routers[0]
+        router.note_unread(one.job_id, 400)
+        rig.tell(410)
+        reads = rig.routers[1]._set.find_any("lm").members.find("d0").reads
+        self.assertFalse(reads.fits(190.0, PAUSE_MS, EVENT_MS, 420))
+
     def test_long_prompts_keep_to_one_engine(self):
         """Prompts come that are too long to read beside any stream, and no
         prefill engine is there.  Spread over all engines they make every
