--- a/mulberryway/assembly.py
+++ b/mulberryway/assembly.py
@@ -14,11 +14,13 @@
 from mulberryway.controllers import claim_keeping
 from mulberryway.controllers import claims
 from mulberryway.controllers import configuration_service
+from mulberryway.controllers import dissemination
 from mulberryway.controllers import engine_reports
 from mulberryway.controllers import membership
 from mulberryway.controllers import notes
 from mulberryway.controllers import orders
 from mulberryway.controllers import owners
+from mulberryway.controllers import probing
 from mulberryway.controllers import reconciling
 from mulberryway.objects import counts
 from mulberryway.objects import http as platform_http
@@ -97,10 +99,22 @@
         self.router = self._make_router()
         self.platform_counts.report(self.router.metrics)
         self.configuration.report(self.router.metrics)
+        self.dissemination = dissemination.DisseminationController(
+            self.members.own, self.clock
+        )
+        self.dissemination.report(self.router.metrics)
         self.notes = notes.NotesController(
             self.router.scheduling,
             self.members,
             self.configuration.source,
+            self.dissemination,
+            self.clock,
+        )
+        self.probing = probing.ProbingController(
+            self.router.scheduling,
+            self.members,
+            self.configuration.source,
+            self.directory,
             self.clock,
         )
         self.reports = engine_reports.EngineReports(
@@ -150,9 +164,9 @@
             settings_.vm_address,
             settings_.peers_port,
             settings_.peers_secret,
-            self.notes.take,
+            self.dissemination.take,
         )
-        self.notes.datagrams = self.datagrams
+        self.dissemination.datagrams = self.datagrams
 
     def start(self) -> None:
         """Begin to serve peers, then callers; returns at once."""
@@ -164,7 +178,9 @@
         self.slots.start()
         self.allowances.start()
         self.router.start()
+        self.dissemination.start()
         self.notes.start()
+        self.probing.start()
         self.reports.start()
         self.reconciling.start()
         self.orders.start()
@@ -187,7 +203,9 @@
             self.orders,
             self.reconciling,
             self.reports,
+            self.probing,
             self.notes,
+            self.dissemination,
             self.configuration,
             self.members,
             self.claims,
@@ -208,11 +226,7 @@
         )
 
     def _may_issue_orders(self) -> bool:
-        alive = [
-            one.name
-            for one in self.members.list_members()
-            if one.health is not member.Health.DEAD
-        ]
+        alive = self.members.list_alive()
         return self.settings.vm_name in issuer.choose_candidates(alive)
 
     def _make_members(self) -> membership.MembershipController:
@@ -226,6 +240,7 @@
             settings_.vm_region,
             self.incarnation,
             is_starting=True,
+            link_mbps=settings_.vm_link_mbps,
         )
         return membership.MembershipController(
             own,
--- /dev/null
+++ b/mulberryway/controllers/dissemination.py
@@ -0,0 +1,183 @@
+"""Brings hints to the other VMs, and relays those of others."""
+
+import collections.abc
+import threading
+
+from mulberryway import clock
+from mulberryway import metrics
+from mulberryway.controllers import base
+from mulberryway.peers import datagrams
+from mulberryway.peers import envelopes
+from mulberryway.policy import dissemination
+from mulberryway.policy import member
+
+__all__ = ["DisseminationController"]
+
+# Nothing is due by itself while nothing pends.
+IDLE_MS = 1_000
+NUMBER = {True: "sent", False: "received"}
+
+
+class DisseminationController(base.Controller):
+    """Holds the lock around a disseminator, and sends what it decides.
+
+    ``datagrams`` is set by whoever opens the port with ``take`` as receiver,
+    ``on_items`` by whoever reads the items; it must return quickly.
+
+    :param own: this VM
+    :param clock_: where the time comes from
+    """
+
+    def __init__(self, own: member.Member, clock_: clock.Clock) -> None:
+        super().__init__("dissemination", clock_, IDLE_MS)
+        self.datagrams: datagrams.Datagrams | None = None
+        self.on_items: collections.abc.Callable[[list[bytes]], None] = (
+            lambda items: None
+        )
+        self._lock = threading.Lock()
+        self._addresses: dict[str, str] = {}
+        self._disseminator = dissemination.Disseminator(_describe(own))
+
+    def change_members(self, alive: list[member.Member]) -> None:
+        """Take over which VMs there are.
+
+        :param alive: those that are thought to be alive
+        """
+        receivers = list(map(_describe, alive))
+        with self._lock:
+            self._addresses = {one.name: one.address for one in receivers}
+            self._disseminator.change_receivers(receivers)
+
+    def find_address(self, name: str) -> str:
+        """Return where a VM answers peers; empty if it is not known.
+
+        :param name: the VM's name
+        """
+        return self._addresses.get(name, "")
+
+    def publish(self, item: bytes) -> None:
+        """Send an item to all VMs that are thought to be alive.
+
+        :param item: an encoded hint
+        """
+        with self._lock:
+            packets = self._disseminator.publish(item, self.clock.now_ms())
+            due_ms = self._disseminator.read_due_ms()
+        self._send(packets)
+        self._wake_by(due_ms)
+
+    def send(self, item: bytes, names: collections.abc.Iterable[str]) -> None:
+        """Send an item to some VMs, each by itself.
+
+        :param item: an encoded hint
+        :param names: names of VMs; unknown ones are passed over
+        """
+        addresses = filter(None, map(self._addresses.get, names))
+        envelope = dissemination.Envelope([item])
+        self._send(
+            [
+                dissemination.Packet(
+                    dissemination.Kind.DIRECT, address, "", envelope
+                )
+                for address in addresses
+            ]
+        )
+
+    def take(self, payload: bytes, sender: str) -> None:
+        """Take in a datagram.
+
+        :param payload: its payload
+        :param sender: ``host:port`` of the VM that sent it
+        """
+        envelope = envelopes.read_envelope(payload)
+        with self._lock:
+            packets = self._disseminator.take(
+                envelope, sender, self.clock.now_ms()
+            )
+            due_ms = self._disseminator.read_due_ms()
+        self._send(packets)
+        if envelope.items:
+            self.on_items(envelope.items)
+        if packets:
+            self._wake_by(due_ms)
+
+    def step(self) -> None:
+        """Send what is due by time alone."""
+        with self._lock:
+            packets = self._disseminator.poll(self.clock.now_ms())
+            due_ms = self._disseminator.read_due_ms()
+        self._send(packets)
+        self.period_ms = self._read_pause_ms(due_ms)
+
+    def report(self, metrics_: metrics.Metrics) -> None:
+        """Let traffic, resent and lost items appear among the metrics.
+
+        :param metrics_: the process's instruments
+        """
+        metrics_.observe_many(
+            "peers.datagrams",
+            "datagrams between VMs, by purpose, zone and direction",
+            lambda: self._list_traffic("messages"),
+        )
+        metrics_.observe_many(
+            "peers.datagram_bytes",
+            "bytes of datagrams between VMs, by purpose, zone and direction",
+            lambda: self._list_traffic("payload_bytes"),
+        )
+        metrics_.observe_many(
+            "dissemination.items",
+            "items that were relayed, sent to a second relay, or given up",
+            lambda: [
+                ({"outcome": "relayed"}, self._disseminator.relayed),
+                ({"outcome": "resent"}, self._disseminator.count_resent()),
+                ({"outcome": "lost"}, self._disseminator.count_given_up()),
+            ],
+        )
+
+    def _list_traffic(
+        self, attribute: str
+    ) -> list[tuple[metrics.Labels, int]]:
+        if self.datagrams is None:
+            return []
+        return [
+            (
+                {
+                    "purpose": one.kind.partition(":")[0],
+                    "zone": one.kind.partition(":")[2],
+                    "direction": NUMBER[one.is_sent],
+                },
+                getattr(one, attribute),
+            )
+            for one in self.datagrams.traffic.read_counts()
+        ]
+
+    def _send(self, packets: list[dissemination.Packet]) -> None:
+        if self.datagrams is None or not packets:
+            return
+        # The packets of a batch share their envelope.
+        payloads: dict[int, bytes] = {}
+        for packet in packets:
+            key = id(packet.envelope)
+            if key not in payloads:
+                payloads[key] = envelopes.write_envelope(packet.envelope)
+            self.datagrams.send(
+                packet.address,
+                payloads[key],
+                f"{packet.kind.value}:{packet.zone}",
+            )
+
+    def _wake_by(self, due_ms: int | None) -> None:
+        """Wake the thread if it would sleep beyond a time."""
+        pause_ms = self._read_pause_ms(due_ms)
+        if pause_ms < self.period_ms:
+            self.period_ms = pause_ms
+            self.wake()
+
+    def _read_pause_ms(self, due_ms: int | None) -> int:
+        if due_ms is None:
+            return IDLE_MS
+        return min(max(due_ms - self.clock.now_ms(), 1), IDLE_MS)
+
+
+def _describe(one: member.Member) -> dissemination.Receiver:
+    return dissemination.Receiver(one.name, one.peer, one.zone, one.link_mbps)
--- a/mulberryway/controllers/membership.py
+++ b/mulberryway/controllers/membership.py
@@ -99,6 +99,8 @@
         self._is_urgent = False
         self._steps = 0
         self._next_list_ms = 0
+        self._alive: tuple[str, ...] = ()
+        self._alive_digest: int | None = None
 
     @property
     def own(self) -> member.Member:
@@ -110,6 +112,25 @@
         with self._lock:
             return [one.copy() for one in self._view.list_members()]
 
+    def list_alive(self) -> tuple[str, ...]:
+        """Return the names of all VMs that are not thought to be dead.
+
+        :returns: sorted names; the same object until the view changes, so
+            that whoever derives something from it can keep that
+        """
+        with self._lock:
+            digest = self._view.digest()
+            if digest != self._alive_digest:
+                self._alive_digest = digest
+                self._alive = tuple(
+                    sorted(
+                        one.name
+                        for one in self._view.list_members()
+                        if one.health is not member.Health.DEAD
+                    )
+                )
+            return self._alive
+
     def list_addresses(self, caller_zone: str) -> list[entry.EntryAddress]:
         """Return addresses in the order in which a caller should try them.
 
--- a/mulberryway/controllers/notes.py
+++ b/mulberryway/controllers/notes.py
@@ -5,9 +5,9 @@
 from mulberryway import clock
 from mulberryway import tables
 from mulberryway.controllers import base
+from mulberryway.controllers import dissemination
 from mulberryway.controllers import membership
 from mulberryway.controllers import scheduling
-from mulberryway.peers import datagrams
 from mulberryway.peers import note_messages
 from mulberryway.policy import hint_board
 from mulberryway.policy import hints
@@ -37,11 +37,10 @@
     Notes go only to routers that share upstreams.  A death under a request
     goes to all VMs besides, since its caller may repeat it anywhere.
 
-    ``datagrams`` is set by whoever opens the port with ``take`` as receiver.
-
     :param scheduling_: whose notes these are
     :param members: the VMs
     :param source: the tables in force
+    :param dissemination_: brings them to the other VMs
     :param clock_: where the time comes from
     """
 
@@ -50,15 +49,17 @@
         scheduling_: scheduling.Scheduling,
         members: membership.MembershipController,
         source: tables.TableSource,
+        dissemination_: dissemination.DisseminationController,
         clock_: clock.Clock,
     ) -> None:
         super().__init__("notes", clock_, PERIOD_MS)
         self.shares: tuple[sharing.Share, ...] = ()
-        self.datagrams: datagrams.Datagrams | None = None
+        self._dissemination = dissemination_
+        self._others: frozenset[str] = frozenset()
+        self._vms: tuple[str, ...] = ()
         self._scheduling = scheduling_
         self._members = members
         self._source = source
-        self._addresses: dict[str, str] = {}
         self._look_ms = 0
         self._divided: tuple[int, tuple[str, ...]] | None = None
         self._changed_ms = 0
@@ -69,6 +70,7 @@
             lambda usage, address: None
         )
         scheduling_.on_change = self._note_change
+        dissemination_.on_items = self.take
         members.subscribe(DEATH, self._take_death)
 
     def step(self) -> None:
@@ -82,7 +84,12 @@
         note = self._scheduling.take_hints()
         if note is None:
             return
-        self.send(note_messages.write_note(note), self._list_peers())
+        payload = note_messages.write_note(note)
+        peers = self._list_peers()
+        if peers >= self._others:
+            self._dissemination.publish(payload)
+        else:
+            self.send(payload, peers)
         for death in note.deaths:
             self._publish(death)
 
@@ -92,35 +99,29 @@
         :param payload: a datagram's payload
         :param vms: names of VMs; unknown ones are passed over
         """
-        if self.datagrams is None:
-            return
-        for address in filter(None, map(self._addresses.get, vms)):
-            self.datagrams.send(address, payload)
-
-    def send_all(self, payload: bytes) -> None:
-        """Send a payload to all VMs that are thought to be alive.
-
-        :param payload: a datagram's payload
-        """
-        self.send(payload, list(self._addresses))
+        self._dissemination.send(payload, vms)
 
-    def take(self, payload: bytes) -> None:
-        """Take in what another router sent.
+    def take(self, items: list[bytes]) -> None:
+        """Take in what other routers sent.
 
-        :param payload: a datagram's payload
+        :param items: encoded notes, counts and reports
         """
-        received = note_messages.read_datagram(payload)
-        if received.note is not None:
-            self._scheduling.note_hints(received.note)
-        if received.usage is not None:
-            self.on_usage(
-                received.usage, self._addresses.get(received.usage.vm, "")
-            )
-        for news in received.news:
-            self._scheduling.note_load(news.pool, news.upstream, news.load)
-            self._scheduling.note_cache_events(
-                news.pool, news.upstream, news.events
-            )
+        received = [note_messages.read_datagram(item) for item in items]
+        notes = [one.note for one in received if one.note is not None]
+        if notes:
+            self._scheduling.note_hints(notes)
+        for one in received:
+            if one.usage is not None:
+                address = self._dissemination.find_address(one.usage.vm)
+                self.on_usage(one.usage, address)
+            for news in one.news:
+                self._take_news(news)
+
+    def _take_news(self, news: note_messages.EngineNews) -> None:
+        self._scheduling.note_load(news.pool, news.upstream, news.load)
+        self._scheduling.note_cache_events(
+            news.pool, news.upstream, news.events
+        )
 
     def _note_change(self) -> None:
         # Load: several VMs see the same engine free.  Harm: what one takes is
@@ -129,29 +130,34 @@
         self.wake()
 
     def _look(self) -> None:
-        alive = [
-            one
-            for one in self._members.list_members()
-            if one.health is not member.Health.DEAD
-        ]
         # Other VMs' entry answers go by it.
         self._members.note_streams(self._scheduling.started)
-        own = self._members.own.name
-        self._addresses = {
-            one.name: one.peer for one in alive if one.name != own
-        }
-        vms = tuple(sorted(one.name for one in alive))
+        vms = self._members.list_alive()
+        if vms != self._vms:
+            self._vms = vms
+            self._change_members()
         found = self._source.read_tables()
         state = (found.revision if found else 0, vms)
         if found is not None and state != self._divided:
             self._divided = state
             self._scheduling.change_vms(vms)
             self.shares = tuple(
-                sharing.divide_pool(pool, own, vms)
+                sharing.divide_pool(pool, self._members.own.name, vms)
                 for pool in found.pools.values()
                 if pool.kind is tables.PoolKind.MODEL
             )
 
+    def _change_members(self) -> None:
+        alive = [
+            one
+            for one in self._members.list_members()
+            if one.health is not member.Health.DEAD
+        ]
+        self._dissemination.change_members(alive)
+        self._others = frozenset(one.name for one in alive) - {
+            self._members.own.name
+        }
+
     def _list_peers(self) -> set[str]:
         return {name for share in self.shares for name in share.peers}
 
--- /dev/null
+++ b/mulberryway/controllers/probing.py
@@ -0,0 +1,84 @@
+"""Probes ejected engines, each by one VM for all."""
+
+import concurrent.futures
+
+from mulberryway import clock
+from mulberryway import tables
+from mulberryway.controllers import base
+from mulberryway.controllers import membership
+from mulberryway.controllers import scheduling
+from mulberryway.policy import probes
+from mulberryway.policy import sharing
+from mulberryway.upstreams import directory
+
+__all__ = ["ProbingController"]
+
+# How often to look while an engine is ejected, and while none is.
+PERIOD_MS = 100
+IDLE_MS = 1_000
+# One silent engine must not hold up the probes of others.
+WORKERS = 2
+MOST_PROBES = 16
+
+
+class ProbingController(base.Controller):
+    """Asks ejected engines for their load report, as the cheapest call.
+
+    Without it each VM learns with a whole request of its own that an engine
+    is still down.
+
+    :param scheduling_: knows which engines are ejected
+    :param members: the VMs
+    :param source: the tables in force
+    :param directory_: finds engines
+    :param clock_: where the time comes from
+    """
+
+    def __init__(
+        self,
+        scheduling_: scheduling.Scheduling,
+        members: membership.MembershipController,
+        source: tables.TableSource,
+        directory_: directory.UpstreamDirectory,
+        clock_: clock.Clock,
+    ) -> None:
+        super().__init__("probing", clock_, IDLE_MS)
+        self._scheduling = scheduling_
+        self._members = members
+        self._source = source
+        self._directory = directory_
+        self._workers = concurrent.futures.ThreadPoolExecutor(
+            WORKERS, "probing"
+        )
+
+    def step(self) -> None:
+        """Probe the engines that are due and fall to this VM."""
+        ejected = self._scheduling.list_ejected()
+        self.period_ms = PERIOD_MS if ejected else IDLE_MS
+        own, vms = self._members.own.name, self._members.list_alive()
+        due = [
+            one
+            for one in ejected
+            if one.is_due and sharing.choose_reporter(one.upstream, vms) == own
+        ]
+        list(self._workers.map(self._probe, due[:MOST_PROBES]))
+
+    def stop(self, wait_ms: int = 2_000) -> None:
+        """End the thread and its helpers.
+
+        :param wait_ms: the longest wait for the current step
+        """
+        super().stop(wait_ms)
+        self._workers.shutdown(wait=False, cancel_futures=True)
+
+    def _probe(self, ejected: probes.Ejected) -> None:
+        engine = directory.find_by_name(
+            self._source.read_tables(),
+            self._directory,
+            ejected.pool,
+            ejected.upstream,
+        )
+        if engine is not None:
+            self._scheduling.note_probe(
+                ejected.pool, ejected.upstream, engine.report_load().is_ok()
+            )
--- a/mulberryway/controllers/scheduling.py
+++ b/mulberryway/controllers/scheduling.py
@@ -12,6 +12,7 @@
 from mulberryway.policy import base as policy
 from mulberryway.policy import hints
 from mulberryway.policy import messages
+from mulberryway.policy import probes
 from mulberryway.upstreams import base as upstreams
 
 __all__ = ["Scheduling", "Ticket"]
@@ -230,30 +231,54 @@
         with self._lock:
             self._scheduler.note_tokens(job_id, tokens, self.clock.now_ms())
 
-    def move_decode(self, job_id: str, refused: str) -> str | None:
+    def move_decode(
+        self, job_id: str, refused: str, is_unreached: bool = False
+    ) -> str | None:
         """Find another slot for a job whose prefill has ended.
 
         :param job_id: the job
-        :param refused: the upstream that refused because it is full
+        :param refused: the upstream that did not take it
+        :param is_unreached: whether it could not be reached; else it is full
         :returns: the upstream to try, its slot reserved; or none
         """
         with self._lock:
             return self._scheduler.move_decode(
-                job_id, refused, self.clock.now_ms()
+                job_id, refused, self.clock.now_ms(), is_unreached
             )
 
+    def list_ejected(self) -> list[probes.Ejected]:
+        """Return the engines that get no requests, and which need a probe."""
+        with self._lock:
+            return self._scheduler.list_ejected(self.clock.now_ms())
+
+    def note_probe(self, pool: str, upstream: str, has_passed: bool) -> None:
+        """Take in what a probe of this VM found.
+
+        :param pool: the pool's name
+        :param upstream: the upstream's name
+        :param has_passed: whether the engine answered
+        """
+        with self._lock:
+            self._scheduler.note_probe(
+                pool, upstream, has_passed, self.clock.now_ms()
+            )
+            self._dispatch()
+        self.on_change()
+
     def take_hints(self) -> hints.Note | None:
         """Return what the routers that share upstreams should hear now."""
         with self._lock:
             return self._scheduler.take_hints(self.clock.now_ms())
 
-    def note_hints(self, note: hints.Note) -> None:
-        """Take in what another router told.
+    def note_hints(self, notes: list[hints.Note]) -> None:
+        """Take in what other routers told.
 
-        :param note: its note
+        :param notes: their notes in the order of arrival
         """
         with self._lock:
-            self._scheduler.note_hints(note, self.clock.now_ms())
+            now_ms = self.clock.now_ms()
+            for note in notes:
+                self._scheduler.note_hints(note, now_ms)
             self._dispatch()
 
     def note_deaths(self, deaths: list[hints.Death]) -> None:
--- a/mulberryway/filters/model_engines.py
+++ b/mulberryway/filters/model_engines.py
@@ -31,6 +31,10 @@
 # leaves a target of 900 ms time for the other way.
 PREFILL_PATIENCE = 3
 LEAST_PREFILL_MS = 400
+# After these a decode has not run, and the prefill's result is still there.
+NOT_TAKEN = frozenset(
+    (errors.Code.UPSTREAM_REFUSED, errors.Code.UPSTREAM_UNREACHABLE)
+)
 # After these the engine may have read the prompt, which runs nothing; a
 # refusal counts as an attempt of its own, and a connection that was never
 # made lets the whole request move.
@@ -172,27 +176,37 @@
     ) -> model_parts.Source:
         """Decode where a slot is reserved, or where one comes free.
 
-        Another router may have taken the slot before its note came.  The
-        prefill would be lost with it, and its result lives long enough to
-        look for another slot.
+        Another router may have taken the slot before its note came, or the
+        engine has died while the prompt was read.  The prefill would be lost
+        with it, and its result lives long enough to look for another slot.
         """
         clock_ = self._parts.clock
         until = clock.Deadline(clock_.now_ms() + MOVE_WITHIN_MS)
         result = self._decode_once(attempt, found, offset, limit)
         while (
             result.is_error()
-            and result.error.code is errors.Code.UPSTREAM_REFUSED
+            and result.error.code in NOT_TAKEN
             and result.error.step is errors.Step.DECODE
             and not until.has_passed(clock_.now_ms())
             and not self._exchange.has_gone.is_set()
         ):
-            found_again = self._prepare_again(attempt, found)
+            is_unreached = (
+                result.error.code is errors.Code.UPSTREAM_UNREACHABLE
+            )
+            found_again = (
+                self._leave_unreached(attempt, found, until)
+                if is_unreached
+                else self._prepare_again(attempt, found)
+            )
             if found_again is None:
                 break
             if found.transfer and not found_again.transfer:
                 self._note_vain(attempt, found, result.error)
             found = found_again
-            if not self._parts.may_repeat(self._exchange.pool.name):
+            # What did not reach an engine takes nothing from the budget.
+            if not is_unreached and not self._parts.may_repeat(
+                self._exchange.pool.name
+            ):
                 break
             result = self._decode_once(attempt, found, offset, limit)
         if result.is_error() and found.transfer:
@@ -219,11 +233,32 @@
         self._parts.cancelling.cancel(attempt.prefill, attempt.label)
         return upstreams.PrefillResult({}, found.prompt_tokens, 0)
 
-    def _move_decode(self, attempt: attempts.Attempt) -> bool:
+    def _leave_unreached(
+        self,
+        attempt: attempts.Attempt,
+        found: upstreams.PrefillResult,
+        until: clock.Deadline,
+    ) -> upstreams.PrefillResult | None:
+        """Find another engine for a decode that did not reach its own.
+
+        :returns: what it is sent with; none if no engine has room in time
+        """
+        clock_ = self._parts.clock
+        while not until.has_passed(clock_.now_ms()):
+            if self._exchange.has_gone.is_set():
+                break
+            if self._move_decode(attempt, is_unreached=True):
+                return found
+            clock_.sleep_ms(MOVE_PAUSE_MS)
+        return None
+
+    def _move_decode(
+        self, attempt: attempts.Attempt, is_unreached: bool = False
+    ) -> bool:
         if len(self.sent_to) >= self._exchange.route.most_attempts:
             return False
         name = self._parts.scheduling.move_decode(
-            attempt.job_id, attempt.decode_name
+            attempt.job_id, attempt.decode_name, is_unreached
         )
         engine = self.find_engine(name) if name is not None else None
         if name is None or engine is None:
@@ -238,7 +273,6 @@
         offset: int,
         limit: clock.Deadline,
     ) -> model_parts.Source:
-        self.sent_to.add(attempt.decode_name)
         self._exchange.tried.append(attempt.decode_name)
         began_ms = self._parts.clock.now_ms()
         with self._begin_hop(attempt, errors.Step.TRANSFER) as span:
@@ -251,6 +285,11 @@
             )
             begin_ms = self._parts.clock.now_ms() - began_ms
             self._exchange.stages.begin_ms += begin_ms
+            if (
+                result.is_ok()
+                or result.error.code is not errors.Code.UPSTREAM_UNREACHABLE
+            ):
+                self.sent_to.add(attempt.decode_name)
             if result.is_error():
                 span.fail(result.error)
         return result
--- a/mulberryway/filters/model_job.py
+++ b/mulberryway/filters/model_job.py
@@ -9,6 +9,7 @@
 from mulberryway import logs
 from mulberryway import tables
 from mulberryway.filters import base
+from mulberryway.filters import route
 from mulberryway.policy import messages
 
 __all__ = ["JobMaker"]
@@ -66,6 +67,8 @@
             exchange.arrived_ms + exchange.route.target_ms
             if exchange.route.target_ms
             else 0,
+            route.is_repeatable(exchange)
+            and number + 1 < exchange.route.most_attempts,
         )
 
     def _limit_start(self, limit: clock.Deadline) -> clock.Deadline:
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -18,12 +18,14 @@
 from mulberryway import settings
 from mulberryway import tables
 from mulberryway.commands import process
+from mulberryway.controllers import dissemination
 from mulberryway.controllers import fleet_allowances
 from mulberryway.controllers import membership
 from mulberryway.controllers import mirrored_tables
 from mulberryway.controllers import mirrors
 from mulberryway.controllers import notes
 from mulberryway.controllers import orders
+from mulberryway.controllers import probing
 from mulberryway.controllers import registration
 from mulberryway.controllers import reloading
 from mulberryway.filters import repeats
@@ -172,7 +174,9 @@
         self.exchange.start()
         self.members.start()
         self.router.start()
+        self.dissemination.start()
         self.notes.start()
+        self.probing.start()
         self.allowances.start()
         self.registration.start()
         self.orders.start()
@@ -196,7 +200,9 @@
             self.reloading,
             self.registration,
             self.allowances,
+            self.probing,
             self.notes,
+            self.dissemination,
             self.exchange,
             self.members,
         )
@@ -220,6 +226,7 @@
             settings_.vm_region,
             self.incarnation,
             is_starting=True,
+            link_mbps=settings_.vm_link_mbps,
         )
         return membership.MembershipController(
             own,
@@ -287,10 +294,25 @@
             cuts_withdrawn=False,
         )
         self.counts.report(self.router.metrics)
+        self.dissemination = dissemination.DisseminationController(
+            self.members.own, self.clock
+        )
+        self.dissemination.report(self.router.metrics)
         self.notes = notes.NotesController(
-            self.router.scheduling, self.members, self.source, self.clock
+            self.router.scheduling,
+            self.members,
+            self.source,
+            self.dissemination,
+            self.clock,
+        )
+        self.probing = probing.ProbingController(
+            self.router.scheduling,
+            self.members,
+            self.source,
+            self.directory,
+            self.clock,
         )
-        self.allowances.send_all = self.notes.send_all
+        self.allowances.send_all = self.dissemination.publish
         self.notes.on_usage = self._take_usage
         self.source.subscribe(self._change_tables)
 
@@ -312,9 +334,9 @@
             settings_.vm_address,
             settings_.peers_port,
             settings_.peers_secret,
-            self.notes.take,
+            self.dissemination.take,
         )
-        self.notes.datagrams = self.datagrams
+        self.dissemination.datagrams = self.datagrams
         self.registration = registration.Registration(
             self.members.own,
             self.store,
@@ -333,16 +355,11 @@
             shaping.ShapePlanner(),
         )
 
-    def _list_alive(self) -> list[str]:
-        return [
-            one.name
-            for one in self.members.list_members()
-            if one.health is not member.Health.DEAD
-        ]
-
     def _must_watch(self) -> bool:
         return self.outages.must_ask(
-            self.settings.vm_name, self._list_alive(), self.clock.now_ms()
+            self.settings.vm_name,
+            self.members.list_alive(),
+            self.clock.now_ms(),
         )
 
     def _is_store_reached(self) -> bool | None:
@@ -358,7 +375,7 @@
         )
 
     def _may_issue_orders(self) -> bool:
-        candidates = issuer.choose_candidates(self._list_alive())
+        candidates = issuer.choose_candidates(self.members.list_alive())
         return self.settings.vm_name in candidates
 
     def _change_settings(self, changed: settings.Settings) -> None:
@@ -386,7 +403,7 @@
 
     def _change_tables(self, changed: tables.Tables) -> None:
         self.allowances.change_tables(changed)
-        self.budget.change_vms(len(self._list_alive()))
+        self.budget.change_vms(len(self.members.list_alive()))
 
 
 def _list_seeds(settings_: settings.Settings) -> tuple[str, ...]:
--- a/mulberryway/peers/datagrams.py
+++ b/mulberryway/peers/datagrams.py
@@ -37,7 +37,8 @@
     :param host: the IP number to listen on
     :param port: the port; the same number as that of the peers' server
     :param secret: the fleet's secret
-    :param on_payload: gets each genuine payload, on a thread of its own
+    :param on_payload: gets each genuine payload and the ``host:port`` that
+        it came from, on a thread of its own
     """
 
     def __init__(
@@ -45,7 +46,7 @@
         host: str,
         port: int,
         secret: str,
-        on_payload: collections.abc.Callable[[bytes], None],
+        on_payload: collections.abc.Callable[[bytes, str], None],
     ) -> None:
         self.traffic = traffic.Traffic()
         self._key = hashlib.sha256(CONTEXT + secret.encode()).digest()
@@ -75,11 +76,12 @@
             self._thread.join()
         self._socket.close()
 
-    def send(self, peer: str, payload: bytes) -> bool:
+    def send(self, peer: str, payload: bytes, kind: str = KIND) -> bool:
         """Send a payload; whether it arrives is not known.
 
         :param peer: ``host:port``
         :param payload: at most ``MOST_PAYLOAD_BYTES``
+        :param kind: under which it is counted
         :returns: false if it could not even be sent
         """
         if len(payload) > MOST_PAYLOAD_BYTES:
@@ -90,7 +92,7 @@
             self._socket.sendto(datagram, (host, int(port)))
         except OSError:
             return False
-        self.traffic.count(KIND, True, len(datagram))
+        self.traffic.count(kind, True, len(datagram))
         return True
 
     def _sign(self, peer: str, payload: bytes) -> bytes:
@@ -101,18 +103,18 @@
     def _run(self) -> None:
         while not self._is_stopping:
             try:
-                datagram = self._socket.recv(MOST_DATAGRAM_BYTES)
+                datagram, source = self._socket.recvfrom(MOST_DATAGRAM_BYTES)
             except OSError:
                 # A peer that has gone shows as an error of the next call.
                 continue
-            self._take(datagram)
+            self._take(datagram, f"{source[0]}:{source[1]}")
 
-    def _take(self, datagram: bytes) -> None:
+    def _take(self, datagram: bytes, sender: str) -> None:
         signature, payload = datagram[:MAC_BYTES], datagram[MAC_BYTES:]
         if not hmac.compare_digest(signature, self._sign(self._own, payload)):
             return
         self.traffic.count(KIND, False, len(datagram))
         try:
-            self._on_payload(payload)
+            self._on_payload(payload, sender)
         except Exception:
             LOG.exception("a datagram was not understood")
--- /dev/null
+++ b/mulberryway/peers/envelopes.py
@@ -0,0 +1,37 @@
+"""Turns envelopes into the payloads of datagrams, and back."""
+
+from thrift import TSerialization
+from thrift.protocol import TCompactProtocol
+
+from mulberryway.peers.gen.notes import ttypes
+from mulberryway.policy import dissemination
+
+__all__ = ["read_envelope", "write_envelope"]
+
+FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory()
+
+
+def write_envelope(envelope: dissemination.Envelope) -> bytes:
+    """Return the payload for an envelope.
+
+    :param envelope: the envelope
+    """
+    message = ttypes.Envelope(
+        envelope.items,
+        envelope.relay_number or None,
+        envelope.acknowledged or None,
+    )
+    return TSerialization.serialize(message, FACTORY)
+
+
+def read_envelope(payload: bytes) -> dissemination.Envelope:
+    """Return the envelope of a payload.
+
+    :param payload: the payload
+    """
+    message = TSerialization.deserialize(ttypes.Envelope(), payload, FACTORY)
+    return dissemination.Envelope(
+        message.items,
+        message.relay_number or 0,
+        message.acknowledged or 0,
+    )
--- a/mulberryway/peers/gen/membership/ttypes.py
+++ b/mulberryway/peers/gen/membership/ttypes.py
@@ -31,6 +31,7 @@
      - is_stopping
      - holdings
      - is_starting
+     - link_mbps
 
     """
 
@@ -47,10 +48,11 @@
         'is_stopping',
         'holdings',
         'is_starting',
+        'link_mbps',
     )
 
 
-    def __init__(self, name=None, address=None, peer_port=None, router_port=None, zone=None, region=None, incarnation=None, version=None, health=None, is_stopping=None, holdings=None, is_starting=None,):
+    def __init__(self, name=None, address=None, peer_port=None, router_port=None, zone=None, region=None, incarnation=None, version=None, health=None, is_stopping=None, holdings=None, is_starting=None, link_mbps=None,):
         self.name = name
         self.address = address
         self.peer_port = peer_port
@@ -63,6 +65,7 @@
         self.is_stopping = is_stopping
         self.holdings = holdings
         self.is_starting = is_starting
+        self.link_mbps = link_mbps
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -133,6 +136,11 @@
                     self.is_starting = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.link_mbps = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -191,6 +199,10 @@
             oprot.writeFieldBegin('is_starting', TType.BOOL, 12)
             oprot.writeBool(self.is_starting)
             oprot.writeFieldEnd()
+        if self.link_mbps is not None:
+            oprot.writeFieldBegin('link_mbps', TType.I32, 13)
+            oprot.writeI32(self.link_mbps)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -534,6 +546,7 @@
     (10, TType.BOOL, 'is_stopping', None, None, ),  # 10
     (11, TType.STRING, 'holdings', 'BINARY', None, ),  # 11
     (12, TType.BOOL, 'is_starting', None, None, ),  # 12
+    (13, TType.I32, 'link_mbps', None, None, ),  # 13
 )
 all_structs.append(Hint)
 Hint.thrift_spec = (
--- a/mulberryway/peers/gen/notes/ttypes.py
+++ b/mulberryway/peers/gen/notes/ttypes.py
@@ -26,6 +26,11 @@
      - suspects
      - blocks
      - step_ms
+     - succeeded
+     - failed
+     - unreached
+     - probes_passed
+     - probes_failed
 
     """
 
@@ -37,10 +42,15 @@
         'suspects',
         'blocks',
         'step_ms',
+        'succeeded',
+        'failed',
+        'unreached',
+        'probes_passed',
+        'probes_failed',
     )
 
 
-    def __init__(self, pool=None, upstream=None, decodes=None, prefill_ms=None, suspects=None, blocks=None, step_ms=None,):
+    def __init__(self, pool=None, upstream=None, decodes=None, prefill_ms=None, suspects=None, blocks=None, step_ms=None, succeeded=None, failed=None, unreached=None, probes_passed=None, probes_failed=None,):
         self.pool = pool
         self.upstream = upstream
         self.decodes = decodes
@@ -48,6 +58,11 @@
         self.suspects = suspects
         self.blocks = blocks
         self.step_ms = step_ms
+        self.succeeded = succeeded
+        self.failed = failed
+        self.unreached = unreached
+        self.probes_passed = probes_passed
+        self.probes_failed = probes_failed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -93,6 +108,31 @@
                     self.step_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.succeeded = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.failed = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.unreached = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.probes_passed = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.probes_failed = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -131,6 +171,26 @@
             oprot.writeFieldBegin('step_ms', TType.I32, 7)
             oprot.writeI32(self.step_ms)
             oprot.writeFieldEnd()
+        if self.succeeded is not None:
+            oprot.writeFieldBegin('succeeded', TType.I32, 8)
+            oprot.writeI32(self.succeeded)
+            oprot.writeFieldEnd()
+        if self.failed is not None:
+            oprot.writeFieldBegin('failed', TType.I32, 9)
+            oprot.writeI32(self.failed)
+            oprot.writeFieldEnd()
+        if self.unreached is not None:
+            oprot.writeFieldBegin('unreached', TType.I32, 10)
+            oprot.writeI32(self.unreached)
+            oprot.writeFieldEnd()
+        if self.probes_passed is not None:
+            oprot.writeFieldBegin('probes_passed', TType.I32, 11)
+            oprot.writeI32(self.probes_passed)
+            oprot.writeFieldEnd()
+        if self.probes_failed is not None:
+            oprot.writeFieldBegin('probes_failed', TType.I32, 12)
+            oprot.writeI32(self.probes_failed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1349,6 +1409,108 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class Envelope(object):
+    """
+    Attributes:
+     - items
+     - relay_number
+     - acknowledged
+
+    """
+
+    __slots__ = (
+        'items',
+        'relay_number',
+        'acknowledged',
+    )
+
+
+    def __init__(self, items=None, relay_number=None, acknowledged=None,):
+        self.items = items
+        self.relay_number = relay_number
+        self.acknowledged = acknowledged
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.items = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readBinary()
+                        self.items.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.relay_number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.acknowledged = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Envelope')
+        if self.items is not None:
+            oprot.writeFieldBegin('items', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.items))
+            for iter62 in self.items:
+                oprot.writeBinary(iter62)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.relay_number is not None:
+            oprot.writeFieldBegin('relay_number', TType.I64, 2)
+            oprot.writeI64(self.relay_number)
+            oprot.writeFieldEnd()
+        if self.acknowledged is not None:
+            oprot.writeFieldBegin('acknowledged', TType.I64, 3)
+            oprot.writeI64(self.acknowledged)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.items is None:
+            raise TProtocolException(message='Required field items is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Holding)
 Holding.thrift_spec = (
     None,  # 0
@@ -1359,6 +1521,11 @@
     (5, TType.I32, 'suspects', None, None, ),  # 5
     (6, TType.I32, 'blocks', None, None, ),  # 6
     (7, TType.I32, 'step_ms', None, None, ),  # 7
+    (8, TType.I32, 'succeeded', None, None, ),  # 8
+    (9, TType.I32, 'failed', None, None, ),  # 9
+    (10, TType.I32, 'unreached', None, None, ),  # 10
+    (11, TType.I32, 'probes_passed', None, None, ),  # 11
+    (12, TType.I32, 'probes_failed', None, None, ),  # 12
 )
 all_structs.append(AccountNote)
 AccountNote.thrift_spec = (
@@ -1440,5 +1607,12 @@
     (2, TType.LIST, 'reports', (TType.STRUCT, [EngineReport, None], False), None, ),  # 2
     (3, TType.STRUCT, 'usage', [Usage, None], None, ),  # 3
 )
+all_structs.append(Envelope)
+Envelope.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'items', (TType.STRING, 'BINARY', False), None, ),  # 1
+    (2, TType.I64, 'relay_number', None, None, ),  # 2
+    (3, TType.I64, 'acknowledged', None, None, ),  # 3
+)
 fix_spec(all_structs)
 del all_structs
--- a/mulberryway/peers/idl/membership.thrift
+++ b/mulberryway/peers/idl/membership.thrift
@@ -14,6 +14,7 @@
   10: required bool is_stopping,
   11: optional binary holdings,
   12: optional bool is_starting,
+  13: optional i32 link_mbps,
 }
 
 struct Hint {
--- a/mulberryway/peers/idl/notes.thrift
+++ b/mulberryway/peers/idl/notes.thrift
@@ -5,10 +5,18 @@
   1: required string pool,
   2: required string upstream,
   3: required i32 decodes,
+  // Since the sender's last note about this upstream.
   4: required i64 prefill_ms,
   5: required i32 suspects,
   6: required i32 blocks,
   7: optional i32 step_ms,
+  // How the sender's requests and probes there ended since its last note
+  // about this upstream.
+  8: optional i32 succeeded,
+  9: optional i32 failed,
+  10: optional i32 unreached,
+  11: optional i32 probes_passed,
+  12: optional i32 probes_failed,
 }
 
 struct AccountNote {
@@ -88,3 +96,13 @@
   2: optional list<EngineReport> reports,
   3: optional Usage usage,
 }
+
+// What one UDP datagram carries between VMs.
+struct Envelope {
+  // Encoded Datagrams.
+  1: required list<binary> items,
+  // The receiver passes the items on to the VMs of its zone and acknowledges
+  // with this number.
+  2: optional i64 relay_number,
+  3: optional i64 acknowledged,
+}
--- a/mulberryway/peers/membership_messages.py
+++ b/mulberryway/peers/membership_messages.py
@@ -26,6 +26,7 @@
         one.is_stopping,
         one.holdings,
         one.is_starting,
+        one.link_mbps,
     )
 
 
@@ -48,6 +49,7 @@
         message.is_stopping,
         message.holdings or b"",
         bool(message.is_starting),
+        message.link_mbps or 0,
     )
 
 
--- a/mulberryway/peers/note_messages.py
+++ b/mulberryway/peers/note_messages.py
@@ -6,6 +6,7 @@
 from thrift.protocol import TCompactProtocol
 
 from mulberryway.peers.gen.notes import ttypes
+from mulberryway.policy import health
 from mulberryway.policy import hints
 from mulberryway.policy import usage as usages
 from mulberryway.upstreams import base as upstreams
@@ -90,18 +91,7 @@
         note.vm,
         note.incarnation,
         note.sequence,
-        [
-            ttypes.Holding(
-                one.pool,
-                one.upstream,
-                one.decodes,
-                one.prefill_ms,
-                one.suspects,
-                one.blocks,
-                one.step_ms,
-            )
-            for one in note.holdings[:MOST_HOLDINGS]
-        ],
+        [_pack_holding(one) for one in note.holdings[:MOST_HOLDINGS]],
         [
             ttypes.AccountNote(
                 one.pool,
@@ -255,23 +245,50 @@
     )
 
 
+def _pack_holding(one: hints.Holding) -> ttypes.Holding:
+    outcomes = one.outcomes
+    # Most counters are zero, and an absent field takes no bytes.
+    return ttypes.Holding(
+        one.pool,
+        one.upstream,
+        one.decodes,
+        one.prefill_ms,
+        one.suspects,
+        one.blocks,
+        one.step_ms or None,
+        outcomes.succeeded or None,
+        outcomes.failed or None,
+        outcomes.unreached or None,
+        outcomes.probes_passed or None,
+        outcomes.probes_failed or None,
+    )
+
+
+def _unpack_holding(message: ttypes.Holding) -> hints.Holding:
+    return hints.Holding(
+        message.pool,
+        message.upstream,
+        message.decodes,
+        message.prefill_ms,
+        message.suspects,
+        message.blocks,
+        message.step_ms or 0,
+        health.Outcomes(
+            message.succeeded or 0,
+            message.failed or 0,
+            message.unreached or 0,
+            message.probes_passed or 0,
+            message.probes_failed or 0,
+        ),
+    )
+
+
 def _unpack_note(message: ttypes.Note) -> hints.Note:
     return hints.Note(
         message.vm,
         message.incarnation,
         message.sequence,
-        [
-            hints.Holding(
-                one.pool,
-                one.upstream,
-                one.decodes,
-                one.prefill_ms,
-                one.suspects,
-                one.blocks,
-                one.step_ms or 0,
-            )
-            for one in message.holdings
-        ],
+        [_unpack_holding(one) for one in message.holdings],
         [
             hints.AccountNote(
                 one.pool,
--- a/mulberryway/policy/base.py
+++ b/mulberryway/policy/base.py
@@ -8,6 +8,7 @@
 from mulberryway import tables
 from mulberryway.policy import hints
 from mulberryway.policy import messages
+from mulberryway.policy import probes
 from mulberryway.upstreams import base as upstreams
 
 __all__ = ["Scheduler"]
@@ -87,7 +88,11 @@
         return None
 
     def move_decode(
-        self, job_id: str, refused: str, now_ms: int
+        self,
+        job_id: str,
+        refused: str,
+        now_ms: int,
+        is_unreached: bool = False,
     ) -> str | None:
         """Find another slot for a job whose prefill has ended.
 
@@ -95,14 +100,34 @@
         the prefill's result still lives: another slot saves the prefill.
 
         :param job_id: the job
-        :param refused: the upstream that refused
+        :param refused: the upstream that did not take it
         :param now_ms: the present
+        :param is_unreached: whether it could not be reached; else it is full
         :returns: the upstream to try, its slot reserved; none if there is
             no other now, and it makes sense to ask again in some tens of
             milliseconds until the prefill's result expires
         """
         return None
 
+    def list_ejected(self, now_ms: int) -> list[probes.Ejected]:
+        """Return the upstreams that get no requests for now.
+
+        :param now_ms: the present
+        """
+        return []
+
+    def note_probe(
+        self, pool: str, upstream: str, has_passed: bool, now_ms: int
+    ) -> None:
+        """Take in what a probe, which was no request, found.
+
+        :param pool: the pool's name
+        :param upstream: the upstream's name
+        :param has_passed: whether the upstream answered
+        :param now_ms: the present
+        """
+        return
+
     def take_hints(self, now_ms: int) -> hints.Note | None:
         """Return what the other routers should hear now, if anything.
 
--- /dev/null
+++ b/mulberryway/policy/dissemination/disseminator.py
@@ -0,0 +1,158 @@
+"""Sends items to all VMs by way of relays, and relays those of others."""
+
+import collections.abc
+import itertools
+
+from mulberryway.policy.dissemination import batch
+from mulberryway.policy.dissemination import messages
+from mulberryway.policy.dissemination import outbox
+
+__all__ = ["Disseminator"]
+
+# In a zone with no more receivers a relay saves little and costs a hop.
+MOST_DIRECT = 4
+
+
+class Disseminator:
+    """One VM's part in the dissemination; without I/O, threads or clock.
+
+    Items are hints: they may be lost, come twice or out of order.  An item
+    is sent again only where a relay did not acknowledge it.
+
+    :param own: this VM
+    """
+
+    def __init__(self, own: messages.Receiver) -> None:
+        self._own = own
+        self._zones: dict[str, list[messages.Receiver]] = {}
+        self._outboxes: dict[str, outbox.ZoneOutbox] = {}
+        self._batch = batch.RelayBatch()
+        self._numbers = itertools.count(1)
+        # Counters for metrics.
+        self.relayed = 0
+
+    def change_receivers(
+        self, receivers: collections.abc.Iterable[messages.Receiver]
+    ) -> None:
+        """Take over which other VMs there are.
+
+        :param receivers: all VMs that are thought to be alive
+        """
+        zones: dict[str, list[messages.Receiver]] = {}
+        for one in receivers:
+            if one.name != self._own.name:
+                zones.setdefault(one.zone, []).append(one)
+        self._zones = zones
+        self._outboxes = {
+            zone: self._outboxes.get(zone) or outbox.ZoneOutbox(zone)
+            for zone in zones
+        }
+        for zone, found in zones.items():
+            own = [self._own] if zone == self._own.zone else []
+            self._outboxes[zone].chooser.change(found + own)
+
+    def publish(self, item: bytes, now_ms: int) -> list[messages.Packet]:
+        """Return the packets that bring an item to all VMs.
+
+        :param item: the item
+        :param now_ms: the present
+        """
+        return [
+            packet
+            for zone in self._zones
+            for packet in self._publish_zone(zone, item, 0, now_ms)
+        ]
+
+    def take(
+        self, envelope: messages.Envelope, sender: str, now_ms: int
+    ) -> list[messages.Packet]:
+        """Take in an envelope; its items are the caller's to read.
+
+        :param envelope: the envelope
+        :param sender: ``host:port`` of the VM that sent it
+        :param now_ms: the present
+        :returns: what to send in turn
+        """
+        if envelope.acknowledged:
+            for one in self._outboxes.values():
+                if one.note_acknowledged(envelope.acknowledged):
+                    break
+        if not envelope.relay_number:
+            return []
+        self.relayed += len(envelope.items)
+        answer = messages.Packet(
+            messages.Kind.ACKNOWLEDGEMENT,
+            sender,
+            "",
+            messages.Envelope([], 0, envelope.relay_number),
+        )
+        return [answer, *self._relay(envelope.items, now_ms)]
+
+    def poll(self, now_ms: int) -> list[messages.Packet]:
+        """Return the packets that are due by time alone.
+
+        :param now_ms: the present
+        """
+        packets = [
+            packet
+            for items in self._batch.take_due(now_ms)
+            for packet in self._spread(items)
+        ]
+        for zone, box in self._outboxes.items():
+            for item, tries in box.take_overdue(now_ms):
+                packets += self._publish_zone(zone, item, tries, now_ms)
+        return packets
+
+    def read_due_ms(self) -> int | None:
+        """Return when to poll again; none while nothing is due."""
+        dues = [
+            self._batch.read_due_ms(),
+            *(box.read_due_ms() for box in self._outboxes.values()),
+        ]
+        return min((due for due in dues if due is not None), default=None)
+
+    def count_resent(self) -> int:
+        """Return how many items were sent to a second relay."""
+        return sum(box.resent for box in self._outboxes.values())
+
+    def count_given_up(self) -> int:
+        """Return how many items no relay has acknowledged."""
+        return sum(box.given_up for box in self._outboxes.values())
+
+    def _publish_zone(
+        self, zone: str, item: bytes, tries: int, now_ms: int
+    ) -> list[messages.Packet]:
+        receivers = self._zones[zone]
+        if len(receivers) <= MOST_DIRECT:
+            envelope = messages.Envelope([item])
+            return _address(messages.Kind.DIRECT, receivers, envelope)
+        box = self._outboxes[zone]
+        relay = box.chooser.choose(now_ms)
+        assert relay is not None
+        if relay.name == self._own.name:
+            return self._relay([item], now_ms)
+        number = next(self._numbers)
+        return [box.send(item, relay, number, now_ms, tries + 1)]
+
+    def _relay(self, items: list[bytes], now_ms: int) -> list[messages.Packet]:
+        return [
+            packet
+            for due in self._batch.add(items, now_ms)
+            for packet in self._spread(due)
+        ]
+
+    def _spread(self, items: list[bytes]) -> list[messages.Packet]:
+        receivers = self._zones.get(self._own.zone, [])
+        envelope = messages.Envelope(items)
+        return _address(messages.Kind.BATCH, receivers, envelope)
+
+
+def _address(
+    kind: messages.Kind,
+    receivers: list[messages.Receiver],
+    envelope: messages.Envelope,
+) -> list[messages.Packet]:
+    return [
+        messages.Packet(kind, one.address, one.zone, envelope)
+        for one in receivers
+    ]
--- /dev/null
+++ b/mulberryway/policy/dissemination/messages.py
@@ -0,0 +1,76 @@
+"""What the disseminators of two VMs exchange."""
+
+import enum
+
+__all__ = ["Envelope", "Kind", "Packet", "Receiver"]
+
+
+class Kind(enum.Enum):
+    """What a packet is for, as metrics name it."""
+
+    DIRECT = "direct"
+    RELAY = "relay"
+    BATCH = "batch"
+    ACKNOWLEDGEMENT = "acknowledgement"
+
+
+class Receiver:
+    """A VM that takes items.
+
+    :param name: the VM's name
+    :param address: ``host:port`` of its peers' port
+    :param zone: its availability zone
+    :param link_mbps: the rate of its network link; 0 if not known
+    """
+
+    __slots__ = ("name", "address", "zone", "link_mbps")
+
+    def __init__(
+        self, name: str, address: str, zone: str, link_mbps: int = 0
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.zone = zone
+        self.link_mbps = link_mbps
+
+
+class Envelope:
+    """The content of one datagram.
+
+    :param items: encoded hints
+    :param relay_number: the receiver passes the items on to its zone and
+        acknowledges with this number; 0 if they are for it alone
+    :param acknowledged: a relay number of the receiver; 0 for none
+    """
+
+    __slots__ = ("items", "relay_number", "acknowledged")
+
+    def __init__(
+        self,
+        items: list[bytes],
+        relay_number: int = 0,
+        acknowledged: int = 0,
+    ) -> None:
+        self.items = items
+        self.relay_number = relay_number
+        self.acknowledged = acknowledged
+
+
+class Packet:
+    """An envelope and where it goes.
+
+    :param kind: what it is for
+    :param address: ``host:port`` of the receiver
+    :param zone: the receiver's availability zone; empty if not known
+    :param envelope: the content; packets to several VMs may share one
+    """
+
+    __slots__ = ("kind", "address", "zone", "envelope")
+
+    def __init__(
+        self, kind: Kind, address: str, zone: str, envelope: Envelope
+    ) -> None:
+        self.kind = kind
+        self.address = address
+        self.zone = zone
+        self.envelope = envelope
--- /dev/null
+++ b/mulberryway/policy/dissemination/outbox.py
@@ -0,0 +1,119 @@
+"""What was sent to one zone's relay and not acknowledged yet."""
+
+import collections
+
+from mulberryway.policy.dissemination import messages
+from mulberryway.policy.dissemination import relays
+
+__all__ = ["ZoneOutbox"]
+
+# A relay acknowledges within a round trip and its own scheduling delay.
+ACKNOWLEDGE_MS = 150
+# Relays that one item is sent to; after that it is given up, as hints are
+# repeated in full from time to time anyway.
+MOST_RELAYS = 2
+# Items kept for a further relay; beyond that the oldest are given up.
+MOST_PENDING = 64
+
+
+class _Pending:
+    """An item that awaits its acknowledgement."""
+
+    __slots__ = ("item", "relay", "sent_ms", "relays")
+
+    def __init__(
+        self, item: bytes, relay: str, sent_ms: int, relays_: int
+    ) -> None:
+        self.item = item
+        self.relay = relay
+        self.sent_ms = sent_ms
+        self.relays = relays_
+
+
+class ZoneOutbox:
+    """Sends items to one zone's relay, and to another if that is silent.
+
+    :param zone: the zone's name
+    """
+
+    def __init__(self, zone: str) -> None:
+        self._zone = zone
+        self._pending: collections.OrderedDict[int, _Pending] = (
+            collections.OrderedDict()
+        )
+        self.chooser = relays.RelayChooser(zone)
+        # Counters for metrics.
+        self.resent = 0
+        self.given_up = 0
+
+    def send(
+        self,
+        item: bytes,
+        relay: messages.Receiver,
+        number: int,
+        now_ms: int,
+        tries: int = 1,
+    ) -> messages.Packet:
+        """Return the packet that brings an item to a relay.
+
+        :param item: the item
+        :param relay: the relay
+        :param number: names the packet in its acknowledgement
+        :param now_ms: the present
+        :param tries: how many relays have got the item, this one included
+        """
+        self._pending[number] = _Pending(item, relay.name, now_ms, tries)
+        while len(self._pending) > MOST_PENDING:
+            self._pending.popitem(last=False)
+            self.given_up += 1
+        return messages.Packet(
+            messages.Kind.RELAY,
+            relay.address,
+            self._zone,
+            messages.Envelope([item], number),
+        )
+
+    def note_acknowledged(self, number: int) -> bool:
+        """Forget an item that a relay has taken.
+
+        :param number: the packet's number
+        :returns: whether it was pending here
+        """
+        return self._pending.pop(number, None) is not None
+
+    def take_overdue(self, now_ms: int) -> list[tuple[bytes, int]]:
+        """Pass silent relays over, and return what has to be sent again.
+
+        :param now_ms: the present
+        :returns: items in the order of sending, with the number of relays
+            that have got them
+        """
+        if not self._is_overdue(now_ms):
+            return []
+        silent = {
+            one.relay
+            for one in self._pending.values()
+            if now_ms - one.sent_ms >= ACKNOWLEDGE_MS
+        }
+        for name in silent:
+            self.chooser.note_silent(name, now_ms)
+        # What was sent to a silent relay later goes along, in order.
+        numbers = [
+            number
+            for number, one in self._pending.items()
+            if one.relay in silent
+        ]
+        overdue = [self._pending.pop(number) for number in numbers]
+        again = [one for one in overdue if one.relays < MOST_RELAYS]
+        self.resent += len(again)
+        self.given_up += len(overdue) - len(again)
+        return [(one.item, one.relays) for one in again]
+
+    def read_due_ms(self) -> int | None:
+        """Return when to look for overdue items; none if nothing pends."""
+        oldest = next(iter(self._pending.values()), None)
+        return None if oldest is None else oldest.sent_ms + ACKNOWLEDGE_MS
+
+    def _is_overdue(self, now_ms: int) -> bool:
+        due_ms = self.read_due_ms()
+        return due_ms is not None and now_ms >= due_ms
--- a/mulberryway/policy/endings.py
+++ b/mulberryway/policy/endings.py
@@ -59,7 +59,19 @@
             job.started_ms,
             now_ms,
         )
-        reader.health.note_success()
+        reader.health.note_success(job.started_ms)
+
+    @staticmethod
+    def note_first_token(job: running.Running) -> bool:
+        """Learn that a decode engine works, before its stream ends.
+
+        :param job: the job
+        :returns: whether that is news to other VMs
+        """
+        decode = job.placement.decode
+        return decode is not None and decode.health.note_success(
+            job.started_ms
+        )
 
     def note_unread(self, job: running.Running, now_ms: int) -> None:
         """Take in that a prefill failed and the decode engine reads instead.
@@ -112,7 +124,7 @@
     ) -> None:
         for view in self._list_views(job):
             if end is messages.JobEnd.DONE:
-                view.health.note_success()
+                view.health.note_success(job.started_ms)
             elif view.row.name != upstream:
                 view.health.note_no_verdict()
             else:
--- a/mulberryway/policy/hearing.py
+++ b/mulberryway/policy/hearing.py
@@ -5,6 +5,7 @@
 from mulberryway.policy import hints
 from mulberryway.policy import poison
 from mulberryway.policy import pools
+from mulberryway.policy import trust
 
 __all__ = ["Hearer"]
 
@@ -12,17 +13,35 @@
 # still does.  Three missed heartbeats tell the two apart well enough, since
 # engines have the last word.
 SILENT_MS = 3_000
+# A peer that holds nothing may be silent for longer; after this what is known
+# of its notes' order is dropped.
+GONE_MS = 60_000
 SWEEP_MS = 500
 FRESH_MS = 1_500
+HOLDING = "holding"
+ACCOUNT = "account"
 
 
 class _Heard:
-    __slots__ = ("incarnation", "sequence", "at_ms")
+    """What was heard of one life of a peer."""
 
-    def __init__(self, note: hints.Note, at_ms: int) -> None:
-        self.incarnation = note.incarnation
-        self.sequence = note.sequence
+    __slots__ = ("incarnation", "sequence", "at_ms", "applied", "is_silent")
+
+    def __init__(self, incarnation: int, at_ms: int) -> None:
+        self.incarnation = incarnation
+        self.sequence = 0
         self.at_ms = at_ms
+        # The newest note by what it was about: notes may overtake each
+        # other, and each tells of what has changed only.
+        self.applied: dict[tuple[str, str, str], int] = {}
+        self.is_silent = False
+
+    def accepts(self, key: tuple[str, str, str], sequence: int) -> bool:
+        """Tell whether a note is the newest about something."""
+        if sequence <= self.applied.get(key, 0):
+            return False
+        self.applied[key] = sequence
+        return True
 
 
 class Hearer:
@@ -36,6 +55,7 @@
         self._vm = vm
         self._register = register
         self._heard: dict[str, _Heard] = {}
+        self._trust = trust.Trust()
         self._swept_ms = 0
 
     def note(
@@ -54,21 +74,21 @@
             return
         # News of crashes is true whatever the order in which it comes.
         self._register.note_news(note.deaths, now_ms)
-        heard = self._heard.get(note.vm)
-        if heard is not None:
-            if (note.incarnation, note.sequence) <= (
-                heard.incarnation,
-                heard.sequence,
-            ):
-                return
-            if note.incarnation != heard.incarnation:
-                _forget(note.vm, pools_)
-        self._heard[note.vm] = _Heard(note, now_ms)
+        heard = self._find(note, pools_, now_ms)
+        if heard is None:
+            return
+        if note.sequence > heard.sequence:
+            heard.sequence = note.sequence
+            heard.at_ms = now_ms
+            heard.is_silent = False
         for holding in note.holdings:
-            _take_holding(note.vm, holding, pools_, now_ms)
+            key = (HOLDING, holding.pool, holding.upstream)
+            if heard.accepts(key, note.sequence):
+                self._take_holding(note.vm, holding, pools_, now_ms)
         for account in note.accounts:
             pool = pools_.get(account.pool)
-            if pool is not None:
+            key = (ACCOUNT, account.pool, account.account)
+            if pool is not None and heard.accepts(key, note.sequence):
                 pool.neighbours.note(note.vm, account, now_ms)
 
     def read_age_ms(self, now_ms: int) -> int:
@@ -78,7 +98,11 @@
         :returns: milliseconds; 0 where no peer is known
         """
         return max(
-            (now_ms - heard.at_ms for heard in self._heard.values()),
+            (
+                now_ms - heard.at_ms
+                for heard in self._heard.values()
+                if not heard.is_silent
+            ),
             default=0,
         )
 
@@ -99,14 +123,13 @@
         if now_ms - self._swept_ms < SWEEP_MS:
             return
         self._swept_ms = now_ms
-        silent = [
-            vm
-            for vm, heard in self._heard.items()
-            if now_ms - heard.at_ms >= SILENT_MS
-        ]
-        for vm in silent:
-            del self._heard[vm]
-            _forget(vm, pools_)
+        for vm, heard in list(self._heard.items()):
+            silent_ms = now_ms - heard.at_ms
+            if silent_ms >= SILENT_MS and not heard.is_silent:
+                heard.is_silent = True
+                _forget(vm, pools_)
+            if silent_ms >= GONE_MS:
+                del self._heard[vm]
         hears = any(
             now_ms - heard.at_ms < FRESH_MS for heard in self._heard.values()
         )
@@ -115,17 +138,47 @@
                 view.excess for view in pool.members.list_all()
             )
 
+    def _find(
+        self,
+        note: hints.Note,
+        pools_: collections.abc.Mapping[str, pools.PoolScheduler],
+        now_ms: int,
+    ) -> _Heard | None:
+        """Return what was heard of the sender's life; none if it is over."""
+        heard = self._heard.get(note.vm)
+        if heard is not None and note.incarnation < heard.incarnation:
+            return None
+        if heard is None or note.incarnation > heard.incarnation:
+            if heard is not None:
+                _forget(note.vm, pools_)
+            heard = self._heard[note.vm] = _Heard(note.incarnation, now_ms)
+        return heard
 
-def _take_holding(
-    vm: str,
-    holding: hints.Holding,
-    pools_: collections.abc.Mapping[str, pools.PoolScheduler],
-    now_ms: int,
-) -> None:
-    pool = pools_.get(holding.pool)
-    view = pool.members.find(holding.upstream) if pool is not None else None
-    if view is not None:
+    def _take_holding(
+        self,
+        vm: str,
+        holding: hints.Holding,
+        pools_: collections.abc.Mapping[str, pools.PoolScheduler],
+        now_ms: int,
+    ) -> None:
+        pool = pools_.get(holding.pool)
+        view = (
+            pool.members.find(holding.upstream) if pool is not None else None
+        )
+        if pool is None or view is None:
+            return
         view.note_peer(vm, holding, now_ms)
+        outcomes = holding.outcomes
+        if outcomes.has_blame() and not self._trust.accepts(
+            vm,
+            (holding.pool, holding.upstream),
+            len(pool.members.list_all()),
+            now_ms,
+        ):
+            return
+        if outcomes.has_blame() and pool.members.has_few_left(view, now_ms):
+            return
+        view.health.note_peer(outcomes, now_ms)
 
 
 def _forget(
--- a/mulberryway/policy/hints.py
+++ b/mulberryway/policy/hints.py
@@ -1,9 +1,13 @@
 """Hints that routers tell one another so as not to choose the same slot.
 
-A note may be late, lost or repeated: gauges replace older ones and counters
-only grow, so the newest note alone is enough.
+A note may be late, lost or repeated.  Gauges replace older ones, and running
+sums only grow.  What matters for a second or so goes as the amount since the
+last note: in a large fleet a VM hears of most upstreams from most others for
+the first time, so a running sum would say nothing of what has come just now.
 """
 
+from mulberryway.policy import health
+
 __all__ = ["AccountNote", "Death", "Holding", "Note"]
 
 
@@ -13,12 +17,14 @@
     :param pool: the pool's name
     :param upstream: the upstream's name
     :param decodes: decode slots that it holds now
-    :param prefill_ms: prefill work given to it since the router began, in
-        estimated milliseconds; a counter
+    :param prefill_ms: prefill work given to it since the last note about the
+        upstream, in estimated milliseconds
     :param suspects: suspects of a crash that run there now
     :param blocks: KV cache blocks that its decodes take
     :param step_ms: the mean time between tokens that its streams see there;
         0 if it has seen none of late
+    :param outcomes: how its requests and probes there ended since its last
+        note about the upstream
     """
 
     __slots__ = (
@@ -29,6 +35,7 @@
         "suspects",
         "blocks",
         "step_ms",
+        "outcomes",
     )
 
     def __init__(
@@ -40,7 +47,9 @@
         suspects: int = 0,
         blocks: int = 0,
         step_ms: int = 0,
+        outcomes: health.Outcomes | None = None,
     ) -> None:
+        self.outcomes = outcomes or health.Outcomes()
         self.pool = pool
         self.upstream = upstream
         self.decodes = decodes
--- a/mulberryway/policy/member.py
+++ b/mulberryway/policy/member.py
@@ -32,6 +32,7 @@
     :param holdings: what it holds of the fleet's state, in a form that is
         private to those who put it there; bounded
     :param is_starting: it cannot serve callers yet
+    :param link_mbps: the rate of its network link; 0 if not known
     """
 
     __slots__ = (
@@ -47,6 +48,7 @@
         "is_stopping",
         "is_starting",
         "holdings",
+        "link_mbps",
         "streams",
         "heard_ms",
         "revision",
@@ -66,6 +68,7 @@
         is_stopping: bool = False,
         holdings: bytes = b"",
         is_starting: bool = False,
+        link_mbps: int = 0,
     ) -> None:
         self.name = name
         self.address = address
@@ -79,6 +82,7 @@
         self.is_stopping = is_stopping
         self.holdings = holdings
         self.is_starting = is_starting
+        self.link_mbps = link_mbps
         # What only the VM itself tells, in each message; too lively to be
         # passed on: running streams, when that was heard, its tables.
         self.streams = 0
--- a/mulberryway/policy/messages.py
+++ b/mulberryway/policy/messages.py
@@ -37,6 +37,8 @@
         the most that may be generated is all that is known
     :param target_at_ms: until when the first token is on time; 0 where only
         the deadline counts
+    :param may_move: whether it may go to another upstream even if it may
+        have run at the first
     """
 
     __slots__ = (
@@ -56,6 +58,7 @@
         "digest",
         "expected_tokens",
         "target_at_ms",
+        "may_move",
     )
 
     def __init__(
@@ -76,7 +79,9 @@
         digest: str = "",
         expected_tokens: int = 0,
         target_at_ms: int = 0,
+        may_move: bool = False,
     ) -> None:
+        self.may_move = may_move
         self.job_id = job_id
         self.account = account
         self.weight = weight
--- a/mulberryway/policy/outages.py
+++ b/mulberryway/policy/outages.py
@@ -35,10 +35,12 @@
     VM that took its own trouble for the store's would go on sending there.
     """
 
-    __slots__ = ("_peers",)
+    __slots__ = ("_peers", "_vms", "_watchers")
 
     def __init__(self) -> None:
         self._peers: dict[str, _Peer] = {}
+        self._vms: tuple[str, ...] = ()
+        self._watchers: list[str] = []
 
     def note_peer(self, vm: str, is_reached: bool | None, now_ms: int) -> None:
         """Take in what another VM tells.
@@ -68,16 +70,19 @@
             for peer in self._list_heard(now_ms)
         )
 
-    def must_ask(
-        self, vm: str, vms: collections.abc.Iterable[str], now_ms: int
-    ) -> bool:
+    def must_ask(self, vm: str, vms: tuple[str, ...], now_ms: int) -> bool:
         """Tell whether a VM has to ask the store itself.
 
         :param vm: the VM
         :param vms: all VMs that are thought to live, this one among them
         :param now_ms: the present
         """
-        if vm in choose_watchers(vms):
+        if vms != self._vms:
+            # Ranking all VMs for each of some thirty calls a second takes
+            # longer than anything else a VM of a large fleet does at rest.
+            self._vms = vms
+            self._watchers = choose_watchers(vms)
+        if vm in self._watchers:
             return True
         return not any(peer.is_reached for peer in self._list_heard(now_ms))
 
--- a/mulberryway/policy/placing.py
+++ b/mulberryway/policy/placing.py
@@ -247,7 +247,9 @@
     def _list_usable(
         all_: list[views.UpstreamView], job: messages.Job, now_ms: int
     ) -> list[views.UpstreamView]:
-        works = [view for view in all_ if not view.health.is_ejected(now_ms)]
+        works = [
+            view for view in all_ if view.health.admits(job.may_move, now_ms)
+        ]
         other = [view for view in works if view.row.name not in job.avoid]
         # With two upstreams left, the one that refused a moment ago is
         # better than none.
--- a/mulberryway/policy/pools.py
+++ b/mulberryway/policy/pools.py
@@ -279,23 +279,28 @@
         return free <= ahead and waited_ms < _limit_yield(ahead)
 
     def move_decode(
-        self, job: running.Running, refused: str, now_ms: int
+        self,
+        job: running.Running,
+        refused: str,
+        now_ms: int,
+        is_unreached: bool = False,
     ) -> views.UpstreamView | None:
         """Move a started job's reservation to another upstream.
 
-        Load: decode near full, and two routers that took the same slot
-        before the other's note came.  Harm: the prefill of the one that
-        comes second is lost, although a slot elsewhere may be free before
-        its result expires.
+        The prefill's result is lost unless a slot elsewhere takes it before
+        it expires.
 
         :param job: the job
-        :param refused: the upstream that refused
+        :param refused: the upstream that did not take it
         :param now_ms: the present
+        :param is_unreached: whether it could not be reached; else it is full
         :returns: the upstream to try, or none
         """
         before = job.placement.decode
         view = self.members.find(refused)
-        if view is not None:
+        if view is not None and is_unreached:
+            view.health.note_failure(True, now_ms)
+        elif view is not None:
             view.note_full(now_ms)
         decode = self.placer.choose_other(
             job.entry, job.placement, self.row, now_ms
--- /dev/null
+++ b/mulberryway/policy/probes.py
@@ -0,0 +1,19 @@
+"""Which ejected upstreams are to be probed."""
+
+__all__ = ["Ejected"]
+
+
+class Ejected:
+    """An ejected upstream.
+
+    :param pool: the pool's name
+    :param upstream: the upstream's name
+    :param is_due: whether a probe is due
+    """
+
+    __slots__ = ("pool", "upstream", "is_due")
+
+    def __init__(self, pool: str, upstream: str, is_due: bool) -> None:
+        self.pool = pool
+        self.upstream = upstream
+        self.is_due = is_due
--- a/mulberryway/policy/scheduler.py
+++ b/mulberryway/policy/scheduler.py
@@ -13,6 +13,7 @@
 from mulberryway.policy import messages
 from mulberryway.policy import poison
 from mulberryway.policy import pool_set
+from mulberryway.policy import probes
 from mulberryway.policy import retries
 from mulberryway.policy import running
 from mulberryway.policy import telling
@@ -174,6 +175,9 @@
         job = self._running.get(job_id)
         if job is not None:
             job.note_first_token(now_ms)
+            pool = job.entry.job.pool
+            if self._set.find_endings(pool).note_first_token(job):
+                self._tell_views(pool, job)
 
     def note_tokens(self, job_id: str, tokens: int, now_ms: int) -> None:
         """Tell how many tokens of a running job have come so far.
@@ -193,13 +197,18 @@
                     self._teller.note_view(job.entry.job.pool, decode.row.name)
 
     def move_decode(
-        self, job_id: str, refused: str, now_ms: int
+        self,
+        job_id: str,
+        refused: str,
+        now_ms: int,
+        is_unreached: bool = False,
     ) -> str | None:
         """Find another slot for a job whose prefill has ended.
 
         :param job_id: the job
-        :param refused: the upstream that refused
+        :param refused: the upstream that did not take it
         :param now_ms: the present
+        :param is_unreached: whether it could not be reached; else it is full
         :returns: the upstream to try, its slot reserved; or none
         """
         job = self._running.get(job_id)
@@ -207,7 +216,7 @@
             return None
         pool = self._set.find_any(job.entry.job.pool)
         before = job.placement.decode
-        after = pool.move_decode(job, refused, now_ms)
+        after = pool.move_decode(job, refused, now_ms, is_unreached)
         if after is None:
             return None
         for view in (before, after):
@@ -278,6 +287,36 @@
         if view is not None:
             view.prefixes.note_events(events)
 
+    def list_ejected(self, now_ms: int) -> list[probes.Ejected]:
+        """Return the upstreams that get no requests for now.
+
+        :param now_ms: the present
+        """
+        return [
+            probes.Ejected(
+                name, view.row.name, view.health.needs_probe(now_ms)
+            )
+            for name, pool in self._pools.items()
+            for view in pool.members.list_all()
+            if view.health.read_probe_ms() is not None
+        ]
+
+    def note_probe(
+        self, pool: str, upstream: str, has_passed: bool, now_ms: int
+    ) -> None:
+        """Take in what a probe, which was no request, found.
+
+        :param pool: the pool's name
+        :param upstream: the upstream's name
+        :param has_passed: whether the upstream answered
+        :param now_ms: the present
+        """
+        known = self._pools.get(pool)
+        view = known.members.find(upstream) if known is not None else None
+        if view is not None:
+            view.health.note_probe(has_passed, now_ms)
+            self._teller.note_view(pool, upstream)
+
     def take_hints(self, now_ms: int) -> hints.Note | None:
         """Return what the other routers should hear now, if anything.
 
@@ -327,11 +366,12 @@
     def change_vms(self, vms: tuple[str, ...], now_ms: int) -> None:
         """Take over the list of VMs that run a router.
 
-        It matters only for pools so large that they are cut into cells.
+        Pools so large that they are cut into cells are divided anew.
 
         :param vms: their names, this VM's among them
         :param now_ms: the present
         """
+        self._teller.vms = len(vms)
         self._set.change_vms(vms)
 
     def change_pools(self, pools: dict[str, tables.Pool], now_ms: int) -> None:
--- a/mulberryway/policy/shifting.py
+++ b/mulberryway/policy/shifting.py
@@ -63,6 +63,18 @@
         """Return every view, of either role."""
         return list(self._views.values())
 
+    def has_few_left(self, view: views.UpstreamView, now_ms: int) -> bool:
+        """Tell whether no more upstreams may be ejected on peers' word.
+
+        :param view: the upstream in question; others of its role count
+        :param now_ms: the present
+        :returns: true once half of them are ejected
+        """
+        siblings = self.prefills if view in self.prefills else self.decodes
+        ejected = sum(one.health.is_ejected(now_ms) for one in siblings)
+        is_new = not view.health.is_ejected(now_ms)
+        return is_new and (ejected + 1) * 2 > len(siblings)
+
     def change(self, pool: tables.Pool, vms: tuple[str, ...]) -> None:
         """Take over a pool's new row.
 
--- a/mulberryway/policy/telling.py
+++ b/mulberryway/policy/telling.py
@@ -16,6 +16,10 @@
 # An empty note tells that the router lives; what it holds counts until it
 # has been silent for three of these.
 HEARTBEAT_MS = 1_000
+# A router that holds nothing has nothing to lose by silence.  In a fleet of
+# more VMs than this it beats more seldom, in proportion, so that the notes
+# that a VM gets from idle ones stay the same in number.
+HEARTBEAT_VMS = 12
 # Everything is told anew now and then, which mends what a lost note spoilt.
 WHOLE_MS = 5_000
 WAITING_MS = 100
@@ -39,7 +43,11 @@
         self._incarnation = incarnation
         self._register = register
         self._numbers = itertools.count(1)
+        # How many VMs exchange notes.
+        self.vms = 1
         self._views: set[tuple[str, str]] = set()
+        # What was told since the last whole note, which repeats it.
+        self._recent: set[tuple[str, str]] = set()
         self._accounts: set[tuple[str, str]] = set()
         self._charged: dict[tuple[str, str], float] = {}
         self._weights: dict[tuple[str, str], int] = {}
@@ -85,7 +93,7 @@
         if pause_ms is not None and pause_ms < LEAST_PAUSE_MS:
             return None
         waiting = self._list_waiting(pools_)
-        is_beating = pause_ms is None or pause_ms >= HEARTBEAT_MS
+        is_beating = pause_ms is None or self._has_to_beat(pause_ms, pools_)
         is_waiting = bool(waiting) and (
             waiting != self._told_waiting or (pause_ms or 0) >= WAITING_MS
         )
@@ -94,7 +102,9 @@
         changed = self._views or self._accounts or deaths
         if not (changed or is_waiting or has_gone or is_beating):
             return None
+        changed_views = set(self._views)
         self._mark_whole(pools_, now_ms)
+        self._recent |= changed_views
         return self._build(pools_, waiting, deaths, now_ms)
 
     def _build(
@@ -112,7 +122,9 @@
             [
                 holding
                 for pool, upstream in sorted(self._views)
-                for holding in _read_holding(pools_.get(pool), upstream)
+                for holding in _read_holding(
+                    pools_.get(pool), upstream, now_ms
+                )
             ],
             [
                 self._read_account(pools_[pool], account, now_ms)
@@ -134,12 +146,28 @@
         if self._whole_ms is not None and now_ms - self._whole_ms < WHOLE_MS:
             return
         self._whole_ms = now_ms
-        self._views |= {
+        self._views |= self._recent | {
             (name, view.row.name)
             for name, pool in pools_.items()
             for view in pool.members.list_all()
-            if view.own or view.own_prefill_ms
+            if view.own
         }
+        self._recent = set()
+
+    def _has_to_beat(
+        self,
+        pause_ms: int,
+        pools_: collections.abc.Mapping[str, pools.PoolScheduler],
+    ) -> bool:
+        if pause_ms < HEARTBEAT_MS:
+            return False
+        holds = any(
+            view.own or view.own_prefills
+            for pool in pools_.values()
+            for view in pool.members.list_all()
+        )
+        scale = max(self.vms / HEARTBEAT_VMS, 1.0)
+        return holds or pause_ms >= HEARTBEAT_MS * scale
 
     @staticmethod
     def _list_waiting(
@@ -175,7 +203,7 @@
 
 
 def _read_holding(
-    pool: pools.PoolScheduler | None, upstream: str
+    pool: pools.PoolScheduler | None, upstream: str, now_ms: int
 ) -> list[hints.Holding]:
     view = pool.members.find(upstream) if pool is not None else None
     if pool is None or view is None:
@@ -185,9 +213,10 @@
             pool.row.name,
             upstream,
             view.own,
-            int(view.own_prefill_ms),
+            view.take_prefill_ms(now_ms),
             view.own_suspects,
             view.own_blocks,
             view.take_step_ms(),
+            view.health.take_news(),
         )
     ]
--- a/mulberryway/policy/views.py
+++ b/mulberryway/policy/views.py
@@ -61,6 +61,7 @@
         "peer_suspects",
         "suspect_died_ms",
         "own_prefill_ms",
+        "_told_prefill_ms",
         "busy_until_ms",
         "shifted_ms",
         "full_until_ms",
@@ -103,6 +104,7 @@
         self.peer_suspects = 0
         self.suspect_died_ms: int | None = None
         self.own_prefill_ms = 0.0
+        self._told_prefill_ms = 0
         self.busy_until_ms = 0.0
         # By how much reads were late, less by how much early, added up.
         self.shifted_ms = 0.0
@@ -261,6 +263,16 @@
         self._own_step_ms = 0.0
         return step_ms
 
+    def take_prefill_ms(self, now_ms: int) -> int:
+        """Return the prefill work given here since the last call.
+
+        :param now_ms: the present
+        :returns: estimated milliseconds, without what has probably ended
+        """
+        more_ms = int(self.own_prefill_ms) - self._told_prefill_ms
+        self._told_prefill_ms += more_ms
+        return min(more_ms, int(self.read_wait_ms(now_ms)))
+
     def start_decode(self, blocks: int, now_ms: int) -> None:
         """Reserve a slot.
 
@@ -340,12 +352,11 @@
         :param holding: its newest holding
         :param now_ms: the present
         """
-        before = self._by_peer.get(vm)
-        if before is None:
-            before = hints.Holding("", "", 0, holding.prefill_ms)
-        more_ms = max(holding.prefill_ms - before.prefill_ms, 0)
-        if more_ms:
-            self._note_read(more_ms, now_ms)
+        before = self._by_peer.get(vm) or hints.Holding("", "", 0, 0)
+        if holding.prefill_ms:
+            self._note_read(holding.prefill_ms, now_ms)
+        if holding.prefill_ms or holding.decodes > before.decodes:
+            self.health.note_peer_start(now_ms)
         if holding.decodes < before.decodes:
             self.full_until_ms = 0
         self.peers += holding.decodes - before.decodes
--- a/mulberryway/settings.py
+++ b/mulberryway/settings.py
@@ -31,6 +31,9 @@
         self.vm_address: str = "127.0.0.1"
         self.vm_zone: str = ""
         self.vm_region: str = ""
+        # The rate of its network link; 0 if not known.  VMs with faster
+        # links relay the hints of others.
+        self.vm_link_mbps: int = 0
 
         # The callers' side.  The backlog takes in a burst of new callers:
         # with cheroot's default of 5 a hundred callers at once lose two
@@ -124,6 +127,7 @@
         "vm.zone", "vm_zone", "an availability zone", options.is_text
     ),
     options.Option("vm.region", "vm_region", "a region", options.is_text),
+    options.make_amount("vm.link_mbps", "vm_link_mbps", 1_000_000),
     options.make_port("router.port", "router_port"),
     options.make_number("router.threads", "router_threads", 4, 1024),
     options.make_number("router.backlog", "router_backlog", 16, 65_535),
--- a/mulberryway/upstreams/connections.py
+++ b/mulberryway/upstreams/connections.py
@@ -68,7 +68,7 @@
 
 
 def sort_failure(
-    error: Exception, step: errors.Step, peer: str
+    error: Exception, step: errors.Step, peer: str, was_sent: bool = True
 ) -> errors.Fault:
     """Tell whether a request may have run, by where its call failed.
 
@@ -79,9 +79,10 @@
     :param error: what the library raised
     :param step: the hop
     :param peer: the upstream's address
+    :param was_sent: false if the failure came before anything was written
     :returns: the fault
     """
-    if isinstance(error, NOT_CONNECTED):
+    if not was_sent or isinstance(error, NOT_CONNECTED):
         return errors.Fault(
             errors.Code.UPSTREAM_UNREACHABLE, step, peer, errors.Run.NOT_RUN
         )
--- a/mulberryway/upstreams/decode_call.py
+++ b/mulberryway/upstreams/decode_call.py
@@ -82,6 +82,22 @@
         """Tell whether the engine has surely not dropped it as idle."""
         return time.monotonic() - self.made_s < FRESH_MS / MS_IN_S
 
+    def is_closed(self) -> bool:
+        """Tell whether the engine has closed it, or sent what nobody asked.
+
+        Nothing was sent yet, so a decode that finds it closed has not run.
+        """
+        self.sock.setblocking(False)
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError as failure:
+            LOG.debug("%s closed a connection: %r", self.host, failure)
+        finally:
+            self.sock.settimeout(self.timeout)
+        return True
+
 
 # Turns a reply whose status is not 200 into a fault: gets the status, the
 # headers, the body and the engine's address.
@@ -134,7 +150,8 @@
     :param read_refusal: tells what another status than 200 means
     :param interrupt: ends the call from another thread
     :param made: a connection that was made before; a new one if it is not
-        fresh any more, or if none is given
+        fresh any more, or if none is given.  An engine that has closed a
+        fresh one counts as not reached.
     :returns: the stream, or a fault that says whether it ran
     """
     if made is None or not made.is_fresh():
@@ -144,6 +161,13 @@
         if connected.is_error():
             return expression.Error(connected.error)
         made = connected.ok
+    elif made.is_closed():
+        made.close()
+        return expression.Error(
+            connections.sort_failure(
+                ConnectionResetError(), errors.Step.DECODE, address, False
+            )
+        )
     made.sock.settimeout(timeout_ms / MS_IN_S)
     try:
         return _exchange(made, address, request, read_refusal, interrupt)
--- a/standins/hosted_upstreams.py
+++ b/standins/hosted_upstreams.py
@@ -79,6 +79,7 @@
             "lapse": 0,
             "lose_answer": 0,
             "mute": 0,
+            "read_ms": 0,
         }
         self._numbers = itertools.count(1)
 
@@ -112,6 +113,7 @@
         if request.headers.get("Serving-Phase") == "prefill":
             if self.faults["mute"]:
                 await asyncio.sleep(MUTE_S)
+            await asyncio.sleep(self.faults["read_ms"] / 1_000)
             return self._read_prompt(request)
         if self.phase != "decode":
             return self._answer(request, 421, b"")
--- a/tests/test_decode_call.py
+++ b/tests/test_decode_call.py
@@ -97,6 +97,20 @@
             fault = self.call(port, TIMEOUT_MS, made)
             self.assertIs(fault.code, errors.Code.UPSTREAM_TIMEOUT)
 
+    def test_fresh_connection_that_the_engine_has_closed(self):
+        """Guards against a stream that fails as one that may have run, though
+        its engine died before anything was sent to it.
+        """
+        with socket.create_server((HOST, 0)) as listener:
+            host, port = listener.getsockname()
+            made = decode_call.connect(f"{host}:{port}").ok
+            self.assertFalse(made.is_closed())
+            listener.accept()[0].close()
+            time.sleep(0.05)
+            fault = self.call(port, TIMEOUT_MS, made)
+        self.assertIs(fault.code, errors.Code.UPSTREAM_UNREACHABLE)
+        self.assertIs(fault.run, errors.Run.NOT_RUN)
+
 
 class ListensTest(unittest.TestCase):
     def test_port_that_closes_a_moment_later(self):
--- a/tests/test_hosted_upstreams.py
+++ b/tests/test_hosted_upstreams.py
@@ -76,6 +76,29 @@
                 self.assertEqual(reply.status, 200)
             self.assertEqual(fleet.read_state("e0")["prompts"], 6)
 
+    def test_decode_engine_dies_while_the_prompt_is_read(self):
+        """Guards against streams that fail, and prompts that are read twice,
+        because an engine died before its decode was sent.
+        """
+        phases = ("prefill", "decode", "decode")
+        with (
+            hosted_fleet.Fleet(1, phases=phases) as fleet,
+            concurrent.futures.ThreadPoolExecutor() as pool,
+        ):
+            fleet.set_fault("e0", read_ms=300)
+            sent = [
+                pool.submit(
+                    fleet.send, 0, f"/talk/{n}", f"d-{n}", headers=STREAM
+                )
+                for n in range(6)
+            ]
+            time.sleep(0.15)
+            fleet.kill_upstream("e1")
+            for one in sent:
+                self.assertEqual(one.result().status, 200)
+                self.assertEqual(hosted_fleet.list_ids(one.result().body), ALL)
+            self.assertEqual(fleet.read_state("e0")["prompts"], 6)
+
     def test_refusal_by_all_engines_promises_truly(self):
         """Every engine is full.  The caller hears that its request has not
         run and when to come again, and nothing runs afterwards.
--- a/tests/test_notes.py
+++ b/tests/test_notes.py
@@ -45,7 +45,9 @@
         self.address = f"{HOST}:{self.receiver.port}"
 
     def open(self, secret):
-        opened = datagrams.Datagrams(HOST, 0, secret, self.got.append)
+        opened = datagrams.Datagrams(
+            HOST, 0, secret, lambda payload, sender: self.got.append(payload)
+        )
         opened.start()
         self.addCleanup(opened.stop)
         return opened
