--- a/mulberryway/controllers/fleet_allowances.py
+++ b/mulberryway/controllers/fleet_allowances.py
@@ -17,6 +17,9 @@
 
 # A request's tokens are told to the other VMs this late at most.
 PERIOD_MS = 60
+# A VM that asks the store tells at least this often that it is reached, or
+# all others would take it for away and ask themselves.
+WATCHER_MS = 1_500
 # A refusal tells when to come back; within it the others' counts arrive too.
 LEAST_RETRY_MS = 200
 MOST_RETRY_MS = 5_000
@@ -50,6 +53,7 @@
         self._lock = threading.Lock()
         self._is_store_reached = is_store_reached
         self._told: tuple[dict[str, int], bool | None] | None = None
+        self._told_ms = 0
 
     def step(self) -> None:
         """Tell the other VMs what has changed."""
@@ -58,14 +62,15 @@
         # told all others at once that it has the change as well, each change
         # made 8,000 datagrams.  VMs that ask the store tell it at once, the
         # others with their next heartbeat.
+        now_ms = self.clock.now_ms()
         has_changed = (mirrors, is_reached) != self._told
-        is_news = has_changed and is_reached is not None
+        is_due = now_ms - self._told_ms >= WATCHER_MS
+        is_news = (has_changed or is_due) and is_reached is not None
         self._told = mirrors, is_reached
         with self._lock:
-            message = self._book.make_usage(
-                mirrors, self.clock.now_ms(), is_news
-            )
+            message = self._book.make_usage(mirrors, now_ms, is_news)
         if message is not None:
+            self._told_ms = now_ms
             message.is_store_reached = is_reached
             self.send_all(note_messages.write_usage(message))
 
--- a/mulberryway/controllers/mirrors.py
+++ b/mulberryway/controllers/mirrors.py
@@ -29,6 +29,8 @@
 LEAST_PAUSE_MS = 100
 MOST_PAUSE_MS = 1_000
 NO_PAUSE_MS = 1
+# After a change, others that follow at once come with the same answer.
+CHANGE_PAUSE_MS = 50
 # How soon a VM that does not watch notices that it has to.
 LOOK_MS = 200
 # A VM that hears of a newer revision leaves its own watch so long to bring
@@ -93,12 +95,14 @@
             self.period_ms = LOOK_MS
             self._purge(self.clock.now_ms())
             return
+        before = self._mirror.revision
         asked = self._list if self._needs_listing else self._poll
         fault = asked()
         now_ms = self.clock.now_ms()
         if fault is None:
             self._note_reached(True, now_ms)
-            self.period_ms = NO_PAUSE_MS
+            has_changed = self._mirror.revision != before
+            self.period_ms = CHANGE_PAUSE_MS if has_changed else NO_PAUSE_MS
         elif fault.code is errors.Code.HISTORY_GONE:
             self._needs_listing = True
             self.period_ms = NO_PAUSE_MS
--- a/mulberryway/errors.py
+++ b/mulberryway/errors.py
@@ -43,6 +43,7 @@
     QUEUE = "queue"
     PREFILL = "prefill"
     TRANSFER = "transfer"
+    RESERVE = "reserve"
     DECODE = "decode"
     SERVICE = "service"
     PEER = "peer"
--- a/mulberryway/filters/attempt.py
+++ b/mulberryway/filters/attempt.py
@@ -33,6 +33,7 @@
         "prefill_name",
         "decode_name",
         "ready_in_ms",
+        "room_tokens",
         "_scheduling",
         "_cancelling",
         "_lock",
@@ -57,6 +58,7 @@
         self.prefill_name = assignment.prefill
         self.decode_name = assignment.decode
         self.ready_in_ms = assignment.ready_in_ms
+        self.room_tokens = assignment.room_tokens
         self._scheduling = scheduling_
         self._cancelling = cancelling_
         self._lock = threading.Lock()
--- a/mulberryway/filters/model_engines.py
+++ b/mulberryway/filters/model_engines.py
@@ -24,6 +24,8 @@
 # the transfer.
 MOVE_WITHIN_MS = 500
 MOVE_PAUSE_MS = 30
+# Engines that are asked for room in one try; each costs a round trip.
+MOST_RESERVES = 4
 # Load: the answer to a prefill is lost, or its engine falls silent.  Harm:
 # the caller waits for half of its time, and a stream that may be sent to one
 # engine only is refused then, though a decode engine holds a slot for it.  So
@@ -87,24 +89,52 @@
         )
         if is_alone:
             nothing = upstreams.PrefillResult({}, 0, 0)
-            result = self._decode(attempt, nothing, offset, limit)
+            result = attempt.decode.prepare(
+                attempt.label, self._read_room(attempt)
+            ).bind(lambda made: self._decode(attempt, nothing, offset, limit))
             if result.is_ok():
                 self._parts.scheduling.note_prefilled(attempt.job_id)
         else:
             result = (
-                attempt.decode.prepare(attempt.label)
-                .bind(lambda nothing: self._prefill(attempt, limit))
+                self._prepare(attempt)
+                .bind(lambda made: self._prefill(attempt, limit))
                 .or_else_with(lambda fault: self._skip_prefill(attempt, fault))
                 .bind(
                     lambda found: self._decode(attempt, found, offset, limit)
                 )
             )
-            if result.is_error():
-                # A cancel that came before the connection was made has found
-                # nothing to close, and none comes again.
-                attempt.decode.release(attempt.label)
+        if result.is_error():
+            # A cancel that came before the connection was made has found
+            # nothing to close, and none comes again.
+            attempt.decode.release(attempt.label)
+        return result
+
+    def _prepare(
+        self, attempt: attempts.Attempt
+    ) -> expression.Result[None, errors.Fault]:
+        """Reserve room at the decode engine, or at another one.
+
+        Many VMs choose among the same engines, and what each believes of
+        their memory is some time old.  A prompt that was read for an engine
+        without room is lost.
+        """
+        for _ in range(MOST_RESERVES):
+            result = attempt.decode.prepare(
+                attempt.label, self._read_room(attempt)
+            )
+            is_full = (
+                result.is_error() and result.error.step is errors.Step.RESERVE
+            )
+            if not is_full or not self._move_decode(attempt):
+                break
         return result
 
+    def _read_room(self, attempt: attempts.Attempt) -> upstreams.Room | None:
+        hold_ms = self._exchange.pool.hold_ms
+        if not hold_ms or not attempt.room_tokens:
+            return None
+        return upstreams.Room(attempt.room_tokens, hold_ms)
+
     def _note_vain(
         self,
         attempt: attempts.Attempt,
--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -31,6 +31,9 @@
 # Tries in all, also those that reached nobody: dead engines are ejected by
 # the first of them.
 MOST_TRIES = 4
+# Tries that found no room; the queue leaves a refusing engine alone for a
+# while in between, so this many take longer than callers wait.
+MOST_UNRESERVED = 16
 # When a caller should come again whose request no engine took: by then a
 # stream or two has ended on each engine.
 RETRY_AFTER_MS = 1_000
@@ -70,8 +73,10 @@
         self._decode_span = traces.NO_SPAN
         self._jobs = model_job.JobMaker(exchange, parts.clock)
         self._engines = model_engines.EngineSteps(exchange, parts)
-        # Tries that found nobody to take the request.
+        # Tries that found nobody to take the request, and those of them that
+        # found no room.
         self._unsent = 0
+        self._unreserved = 0
         self._lock = threading.Lock()
 
     def begin(self) -> Source:
@@ -307,16 +312,23 @@
             )
             and max(self._number - self._unsent, len(self._engines.sent_to))
             < exchange.route.most_attempts
-            and self._number < MOST_TRIES
+            and self._number - self._unreserved < MOST_TRIES
+            and self._unreserved < MOST_UNRESERVED
             and not exchange.has_gone.is_set()
-            and self._parts.may_repeat(exchange.pool.name)
+            and (
+                # Nothing of the request was sent, so nothing is repeated.
+                fault.step is errors.Step.RESERVE
+                or self._parts.may_repeat(exchange.pool.name)
+            )
         )
 
     def _note_failure(self, fault: errors.Fault) -> None:
         if fault.run is not errors.Run.NOT_RUN:
             self._engines.has_run = True
-        if fault.code is errors.Code.UPSTREAM_UNREACHABLE:
+        is_unreserved = fault.step is errors.Step.RESERVE
+        if is_unreserved or fault.code is errors.Code.UPSTREAM_UNREACHABLE:
             self._unsent += 1
+        self._unreserved += is_unreserved
         self._parts.metrics.attempts.add(
             1,
             {
--- a/mulberryway/platform/engine.py
+++ b/mulberryway/platform/engine.py
@@ -3,6 +3,7 @@
 import collections.abc
 import http
 import json
+import logging
 import threading
 import typing
 
@@ -10,6 +11,7 @@
 
 from mulberryway import clock
 from mulberryway import errors
+from mulberryway import logs
 from mulberryway.platform import answers
 from mulberryway.platform import wire
 from mulberryway.upstreams import base
@@ -18,8 +20,26 @@
 
 __all__ = ["PlatformEngine"]
 
+LOG = logging.getLogger(__name__)
+
 CONTROL_MS = 1_000
 BLOCK_TOKENS = 16
+# Within a region the answer takes a few milliseconds, and the request waits.
+RESERVE_MS = 100
+
+
+class _Hold:
+    """A reservation of a slot and memory for one decode.
+
+    :param name: its name at the engine
+    :param until_ms: when it lapses
+    """
+
+    __slots__ = ("name", "until_ms")
+
+    def __init__(self, name: str, until_ms: int) -> None:
+        self.name = name
+        self.until_ms = until_ms
 
 
 class _Handle:
@@ -60,6 +80,7 @@
         self._calls: dict[str, connections.Interrupt] = {}
         self._handles: dict[str, _Handle] = {}
         self._made: dict[str, decode_call.DecodeConnection] = {}
+        self._holds: dict[str, _Hold] = {}
 
     def prefill(
         self, label: base.RunLabel, body: base.RawCall, timeout_ms: int
@@ -92,15 +113,20 @@
         return result
 
     def prepare(
-        self, label: base.RunLabel
+        self, label: base.RunLabel, room: base.Room | None = None
     ) -> expression.Result[None, errors.Fault]:
-        """Make the connection for a decode that comes soon.
+        """Make the connection for a decode that comes soon, and reserve.
 
         :param label: names the attempt
-        :returns: nothing, or a fault: nothing was sent
+        :param room: what to reserve; none for nothing
+        :returns: nothing, or a fault: nothing of the request was sent
         """
-        return decode_call.connect(self.address).map(
-            lambda made: self._keep(label, made)
+        connected = decode_call.connect(self.address)
+        if connected.is_error():
+            return connected.map(lambda made: None)
+        self._keep(label, connected.ok)
+        return (
+            expression.Ok(None) if room is None else self._reserve(label, room)
         )
 
     def release(self, label: base.RunLabel) -> None:
@@ -111,6 +137,10 @@
         made = self._take_made(label)
         if made is not None:
             made.close()
+        hold = self._take_hold(label)
+        if hold is not None:
+            # Else the memory would stay reserved until the hold lapses.
+            self._control("DELETE", f"{wire.HOLD_DROP}/{hold.name}")
 
     def decode(
         self,
@@ -137,6 +167,9 @@
             )
         if offset:
             headers[wire.LAST_EVENT] = str(offset)
+        hold = self._take_hold(label)
+        if hold is not None and self._clock.now_ms() < hold.until_ms:
+            headers[wire.HOLD] = hold.name
         request = decode_call.DecodeRequest(
             body.method, body.target, headers, body.body, wire.ATTEMPT_ID
         )
@@ -243,6 +276,38 @@
         with self._lock:
             self._made[label.request_id] = made
 
+    def _reserve(
+        self, label: base.RunLabel, room: base.Room
+    ) -> expression.Result[None, errors.Fault]:
+        sent_ms = self._clock.now_ms()
+        body = {"tokens": room.tokens, "ttl_ms": room.hold_ms}
+        asked = self._control("POST", wire.HOLD_TAKE, body, RESERVE_MS)
+        if asked.is_error():
+            if asked.error.code is not errors.Code.UPSTREAM_REFUSED:
+                # Nothing is known of its room; the decode will show it.
+                LOG.info(
+                    "a reservation was not answered",
+                    extra=logs.describe(
+                        asked.error, request_id=label.request_id
+                    ),
+                )
+                return expression.Ok(None)
+            asked.error.step = errors.Step.RESERVE
+            asked.error.run = errors.Run.NOT_RUN
+            return expression.Error(asked.error)
+        try:
+            name = wire.read_text(json.loads(asked.ok.body)["hold"])
+        except (ValueError, KeyError, TypeError):
+            LOG.warning("%s: a reservation is malformed", self.address)
+            return expression.Ok(None)
+        with self._lock:
+            self._holds[label.request_id] = _Hold(name, sent_ms + room.hold_ms)
+        return expression.Ok(None)
+
+    def _take_hold(self, label: base.RunLabel) -> "_Hold | None":
+        with self._lock:
+            return self._holds.pop(label.request_id, None)
+
     def _take_made(
         self, label: base.RunLabel
     ) -> decode_call.DecodeConnection | None:
@@ -287,6 +352,7 @@
         method: str,
         target: str,
         body: dict[str, typing.Any] | None = None,
+        timeout_ms: int = CONTROL_MS,
     ) -> expression.Result[connections.Response, errors.Fault]:
         headers = {wire.EXPECTED_INSTANCE: self.instance}
         data = None
@@ -298,7 +364,7 @@
             target,
             headers,
             data,
-            CONTROL_MS,
+            timeout_ms,
             errors.Step.DECODE,
         ).bind(self._check_control)
 
--- a/mulberryway/platform/tables.py
+++ b/mulberryway/platform/tables.py
@@ -173,6 +173,7 @@
         switch_ms=int(float(shape.get("swap_s", 0)) * MS_IN_S),
         self_reading=True,
         pause_ms=pause_ms,
+        hold_ms=int(float(shape.get("hold_ms", 0))),
     )
 
 
@@ -272,4 +273,5 @@
         switch_ms=pool.switch_ms,
         self_reading=pool.self_reading,
         pause_ms=pool.pause_ms,
+        hold_ms=pool.hold_ms,
     )
--- a/mulberryway/platform/wire.py
+++ b/mulberryway/platform/wire.py
@@ -7,6 +7,9 @@
     "DEADLINE",
     "EXPECTED_INSTANCE",
     "HANDLE_SOURCE",
+    "HOLD",
+    "HOLD_DROP",
+    "HOLD_TAKE",
     "LAST_EVENT",
     "LENGTH_HINT",
     "MODEL",
@@ -34,6 +37,8 @@
 REPORT = f"{ROOT}/report"
 ORDER = f"{ROOT}/order"
 HANDLE = f"{ROOT}/kv-handle"
+HOLD_TAKE = f"{ROOT}/hold-take"
+HOLD_DROP = f"{ROOT}/hold-drop"
 
 SCHEME = "token "
 
@@ -57,6 +62,8 @@
 # ``IP:PORT/HANDLE`` of a KV cache that was read elsewhere.
 HANDLE_SOURCE = "Kv-Source"
 LAST_EVENT = "Last-Event-Id"
+# Names a reservation of a slot and memory, which can be used once.
+HOLD = "Kv-Hold"
 # On an answer: the upstream has not run the request and never will.
 NOT_EXECUTED = "Not-Executed"
 
--- a/mulberryway/policy/messages.py
+++ b/mulberryway/policy/messages.py
@@ -108,6 +108,7 @@
     :param decode: the name of the upstream whose slot is reserved
     :param priority: what the engines are told; 0 goes first
     :param ready_in_ms: after how long the prefill probably ends; 0 unknown
+    :param room_tokens: tokens of KV cache that the decode takes; 0 unknown
     """
 
     __slots__ = (
@@ -116,6 +117,7 @@
         "decode",
         "priority",
         "ready_in_ms",
+        "room_tokens",
         "inputs",
     )
 
@@ -126,7 +128,9 @@
         decode: str,
         priority: int = 0,
         ready_in_ms: int = 0,
+        room_tokens: int = 0,
     ) -> None:
+        self.room_tokens = room_tokens
         self.job_id = job_id
         self.prefill = prefill
         self.decode = decode
--- a/mulberryway/policy/placing.py
+++ b/mulberryway/policy/placing.py
@@ -28,6 +28,8 @@
 # Choices within this time are equal; chance decides, so that routers which
 # see the same do not all go to the same upstream.
 EQUAL_MS = 3.0
+# Streams that other VMs may have started at an engine unheard.
+UNSEEN_STREAMS = 2
 # How many are looked at when nothing is known of the others' choices since
 # the last report: with two, the best-looking one draws no crowd.
 BLIND_CHOICES = 2
@@ -239,6 +241,20 @@
             if not view.health.is_ejected(now_ms)
         )
 
+    def is_tight(self, view: views.UpstreamView) -> bool:
+        """Tell whether an engine may have less room than is believed.
+
+        Others may have chosen it since they were heard last.  Where so few
+        more streams fit, asking the engine costs less than a prompt that is
+        read in vain.
+
+        :param view: the engine, with the placement in question counted
+        """
+        if view.total_blocks is None:
+            return False
+        unseen = self._usual_blocks.value * UNSEEN_STREAMS
+        return view.count_free_blocks() < unseen
+
     def count_slots(self) -> int:
         """Return how many decode slots the cell has in all."""
         return sum(view.slots for view in self._members.decodes)
--- a/mulberryway/policy/scheduler.py
+++ b/mulberryway/policy/scheduler.py
@@ -414,12 +414,24 @@
             decode.row.name,
             int(started.entry.lane),
             max(round(started.placement.ready_ms - now_ms), 0),
+            self._read_room(pool, started),
         )
         assignment.inputs = started.placement.describe(now_ms) | {
             "heard_ms": self._hearer.read_age_ms(now_ms)
         }
         return assignment
 
+    def _read_room(self, pool: str, started: running.Running) -> int:
+        """Return the tokens to reserve for a decode; 0 for none.
+
+        An engine admits a request that has room for its prompt; more than
+        that, reserved, would keep others out that it could still run.
+        """
+        decode = started.placement.decode
+        assert decode is not None
+        is_tight = self._pools[pool].placer.is_tight(decode)
+        return started.entry.job.prompt_tokens if is_tight else 0
+
     def _tell_views(self, pool: str, started: running.Running) -> None:
         for view in (started.placement.prefill, started.placement.decode):
             if view is not None:
--- a/mulberryway/policy/usage.py
+++ b/mulberryway/policy/usage.py
@@ -19,9 +19,9 @@
 MS_IN_S = 1_000
 # A VM tells its counts at least this often; see ``SILENT_MS``.  In a fleet
 # of more than so many VMs it does so more seldom, in proportion, so that the
-# messages that a VM gets stay the same in number: about 40 a second.
+# messages that a VM gets stay the same in number.
 HEARTBEAT_MS = 300
-HEARTBEAT_VMS = 12
+HEARTBEAT_VMS = 40
 # Load: a VM that is cut off, frozen or dead, and callers who go on asking it
 # or the others.  Harm: both sides would give the whole rate.  After missing
 # three heartbeats the silent VM's part of rate and burst is left to it.
--- a/mulberryway/tables/model.py
+++ b/mulberryway/tables/model.py
@@ -109,6 +109,8 @@
         themselves, more slowly than prefill engines do
     :param pause_ms: the longest pause between a stream's events that is on
         time on every route to it; 0 where no route has a target
+    :param hold_ms: the longest time for which its decode engines reserve a
+        slot and memory; 0 where they do not
     """
 
     __slots__ = (
@@ -120,6 +122,7 @@
         "switch_ms",
         "self_reading",
         "pause_ms",
+        "hold_ms",
         "models",
         "credential",
         "slots",
@@ -144,7 +147,9 @@
         switch_ms: int = 0,
         self_reading: bool = False,
         pause_ms: int = 0,
+        hold_ms: int = 0,
     ) -> None:
+        self.hold_ms = hold_ms
         self.name = name
         self.kind = kind
         self.upstreams = upstreams
--- a/mulberryway/upstreams/base.py
+++ b/mulberryway/upstreams/base.py
@@ -266,6 +266,20 @@
         self.expected = expected
 
 
+class Room:
+    """What a decode needs at its engine.
+
+    :param tokens: tokens of KV cache, for the prompt and the answer
+    :param hold_ms: how long it is to be reserved
+    """
+
+    __slots__ = ("tokens", "hold_ms")
+
+    def __init__(self, tokens: int, hold_ms: int) -> None:
+        self.tokens = tokens
+        self.hold_ms = hold_ms
+
+
 class Engine(abc.ABC):
     """One model engine, in the role of prefill or decode."""
 
@@ -291,14 +305,16 @@
         """
 
     def prepare(
-        self, label: RunLabel
+        self, label: RunLabel, room: Room | None = None
     ) -> expression.Result[None, errors.Fault]:
         """Make sure that a decode which comes soon finds the engine there.
 
         It is cheaper to learn that before a prompt is read than after it.
 
         :param label: names the attempt
-        :returns: nothing, or a fault: nothing was sent
+        :param room: what to reserve; none for nothing
+        :returns: nothing, or a fault: nothing of the request was sent.  Its
+            step is ``RESERVE`` where the engine has no room.
         """
         return expression.Ok(None)
 
--- a/standins/hosted_upstreams.py
+++ b/standins/hosted_upstreams.py
@@ -68,6 +68,10 @@
         self.handle_ms = handle_ms
         self.recorder = recorder.Recorder()
         self.handles: set[str] = set()
+        self.holds: set[str] = set()
+        # Reservations that were refused, and decodes that came with one.
+        self.refused_holds = 0
+        self.held_decodes = 0
         self.orders = 0
         self.running = 0
         # How many prompts were read for other engines.
@@ -80,6 +84,7 @@
             "lose_answer": 0,
             "mute": 0,
             "read_ms": 0,
+            "no_room": 0,
         }
         self._numbers = itertools.count(1)
 
@@ -91,6 +96,8 @@
         app.router.add_get("/standin/state", self._show_state)
         app.router.add_get("/mulberryway/report", self._report)
         app.router.add_post("/mulberryway/order", self._order)
+        app.router.add_post("/mulberryway/hold-take", self._take_hold)
+        app.router.add_delete("/mulberryway/hold-drop/{name}", self._drop_hold)
         app.router.add_delete(
             "/mulberryway/kv-handle/{name}", self._free_handle
         )
@@ -149,6 +156,10 @@
         return self._answer(request, 200, json.dumps(value).encode())
 
     async def _stream(self, request: web.Request) -> web.StreamResponse:
+        hold = request.headers.get("Kv-Hold")
+        if hold in self.holds:
+            self.holds.discard(hold)
+            self.held_decodes += 1
         source = request.headers.get("Kv-Source")
         if source and not await self._fetch(source):
             return self._answer(request, 503, b"", NOT_EXECUTED)
@@ -190,6 +201,18 @@
         self.handles.discard(request.match_info["name"])
         return serving.answer({})
 
+    async def _take_hold(self, request: web.Request) -> web.Response:
+        if self.faults["no_room"] or self.faults["full"]:
+            self.refused_holds += 1
+            return self._answer(request, 503, b"")
+        name = f"h{next(self._numbers)}"
+        self.holds.add(name)
+        return serving.answer({"hold": name})
+
+    async def _drop_hold(self, request: web.Request) -> web.Response:
+        self.holds.discard(request.match_info["name"])
+        return serving.answer({})
+
     async def _report(self, request: web.Request) -> web.Response:
         return serving.answer(
             {
@@ -225,6 +248,9 @@
                 "phase": self.phase,
                 "orders": self.orders,
                 "prompts": self.prompts,
+                "holds": len(self.holds),
+                "refused_holds": self.refused_holds,
+                "held_decodes": self.held_decodes,
             }
         )
 
--- a/tests/hosted_fleet.py
+++ b/tests/hosted_fleet.py
@@ -28,9 +28,17 @@
     :param vms: how many entry VMs
     :param rate: tokens a second of the account ``small``
     :param phases: the engines' phases
+    :param engine_tokens: tokens that an engine's memory holds
     """
 
-    def __init__(self, vms=2, rate=1_000_000, phases=("prefill", "decode")):
+    def __init__(
+        self,
+        vms=2,
+        rate=1_000_000,
+        phases=("prefill", "decode"),
+        engine_tokens=96_693,
+    ):
+        self.engine_tokens = engine_tokens
         self.group = processes.Group()
         self.folder = tempfile.TemporaryDirectory()
         self.store, self.store_port = processes.start_standin(
@@ -141,11 +149,12 @@
         keys = KEYS if keys is None else keys
         engine = {
             "slots": 64,
-            "kv_capacity": 96693,
+            "kv_capacity": self.engine_tokens,
             "kv_bytes": 163840,
             "link_mbps": 5400000.0,
             "handle_ttl_s": 0.5,
             "swap_s": 6.0,
+            "hold_ms": 2000.0,
             "models": [{"name": "m"}],
         }
         value = {
--- a/tests/test_hosted_upstreams.py
+++ b/tests/test_hosted_upstreams.py
@@ -9,6 +9,8 @@
 
 ALL = list(range(1, 21))
 STREAM = hosted_fleet.STREAM
+# Tokens of an engine that holds two of these streams.
+TIGHT = 300
 
 
 class HostedUpstreamTest(unittest.TestCase):
@@ -99,6 +101,37 @@
                 self.assertEqual(hosted_fleet.list_ids(one.result().body), ALL)
             self.assertEqual(fleet.read_state("e0")["prompts"], 6)
 
+    def test_no_prompt_is_read_for_an_engine_without_room(self):
+        """Guards against prompts that are read in vain because several VMs
+        chose the same engine before they heard of each other.
+        """
+        phases = ("prefill", "decode", "decode")
+        with hosted_fleet.Fleet(
+            1, phases=phases, engine_tokens=TIGHT
+        ) as fleet:
+            fleet.set_fault("e1", no_room=1)
+            for number in range(6):
+                reply = fleet.send(
+                    0, f"/talk/{number}", f"n-{number}", headers=STREAM
+                )
+                self.assertEqual(reply.status, 200)
+                self.assertEqual(hosted_fleet.list_ids(reply.body), ALL)
+            self.assertEqual(fleet.read_state("e0")["prompts"], 6)
+            self.assertGreater(fleet.read_state("e1")["refused_holds"], 0)
+            self.assertEqual(fleet.read_state("e2")["held_decodes"], 6)
+
+    def test_room_is_given_back_when_the_prefill_is_refused(self):
+        """Guards engines against memory that stays reserved for nobody."""
+        with hosted_fleet.Fleet(1, engine_tokens=TIGHT) as fleet:
+            fleet.set_fault("e0", full=1)
+            reply = fleet.send(0, "/talk/a", "b-1", headers=STREAM)
+            self.assertEqual(reply.status, 503)
+            self.assertTrue(
+                processes.wait_until(
+                    lambda: not fleet.read_state("e1")["holds"], 1
+                )
+            )
+
     def test_refusal_by_all_engines_promises_truly(self):
         """Every engine is full.  The caller hears that its request has not
         run and when to come again, and nothing runs afterwards.
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -285,6 +285,23 @@
         router.finish("a", End.DONE, "", 20)
 
 
+class RoomTest(unittest.TestCase):
+    def start(self, engine_tokens):
+        router = scheduler.FairScheduler("vm1", seed=2)
+        pool = cases.make_reading_pool(1, 2, engine_tokens=engine_tokens)
+        router.change_pools({"lm": pool}, 0)
+        job = cases.make_job("j", prompt_tokens=500, max_tokens=100)
+        self.assertTrue(router.submit(job, 0).is_ok())
+        return router.dispatch(0).assignments[0]
+
+    def test_the_prompts_room_is_reserved_where_few_streams_fit(self):
+        """Guards against prompts read for engines that others have filled
+        since they were heard last.
+        """
+        self.assertEqual(self.start(1_500).room_tokens, 500)
+        self.assertEqual(self.start(90_000).room_tokens, 0)
+
+
 class PeersTest(SchedulerCase):
     def exchange(self, sender, receiver, now_ms):
         note = sender.take_hints(now_ms)
