--- a/mulberryway/assembly.py
+++ b/mulberryway/assembly.py
@@ -7,6 +7,7 @@
 from mulberryway import peers
 from mulberryway import router
 from mulberryway import settings
+from mulberryway import threads
 from mulberryway.commands import process
 from mulberryway.controllers import allowance_slots
 from mulberryway.controllers import allowance_state
@@ -103,6 +104,7 @@
             self.members.own, self.clock
         )
         self.dissemination.report(self.router.metrics)
+        threads.report(self.router.metrics)
         self.notes = notes.NotesController(
             self.router.scheduling,
             self.members,
--- a/mulberryway/controllers/scheduling.py
+++ b/mulberryway/controllers/scheduling.py
@@ -246,6 +246,15 @@
                 job_id, refused, self.clock.now_ms(), is_unreached
             )
 
+    def has_room(self, pool: str, besides: str) -> bool:
+        """Tell whether another engine probably has room for a decode.
+
+        :param pool: the pool's name
+        :param besides: the upstream that does not count
+        """
+        with self._lock:
+            return self._scheduler.has_room(pool, besides, self.clock.now_ms())
+
     def list_ejected(self) -> list[probes.Ejected]:
         """Return the engines that get no requests, and which need a probe."""
         with self._lock:
--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -160,6 +160,18 @@
         else:
             self._parts.relay.fail(stream, self._word_last(result.error))
 
+    def may_leave(self) -> bool:
+        """Tell whether another engine can probably take the stream."""
+        exchange = self._exchange
+        return (
+            route.is_repeatable(exchange)
+            and self._count_attempts() < exchange.route.most_attempts
+            and not exchange.has_gone.is_set()
+            and self._parts.scheduling.has_room(
+                exchange.pool.name, self._name_decode()
+            )
+        )
+
     def close(self, tokens: int, fault: errors.Fault | None) -> None:
         """Settle what is still open.
 
@@ -310,8 +322,7 @@
                 fault.run is errors.Run.NOT_RUN
                 or route.is_repeatable(exchange)
             )
-            and max(self._number - self._unsent, len(self._engines.sent_to))
-            < exchange.route.most_attempts
+            and self._count_attempts() < exchange.route.most_attempts
             and self._number - self._unreserved < MOST_TRIES
             and self._unreserved < MOST_UNRESERVED
             and not exchange.has_gone.is_set()
@@ -322,6 +333,9 @@
             )
         )
 
+    def _count_attempts(self) -> int:
+        return max(self._number - self._unsent, len(self._engines.sent_to))
+
     def _note_failure(self, fault: errors.Fault) -> None:
         if fault.run is not errors.Run.NOT_RUN:
             self._engines.has_run = True
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -17,6 +17,7 @@
 from mulberryway import router
 from mulberryway import settings
 from mulberryway import tables
+from mulberryway import threads
 from mulberryway.commands import process
 from mulberryway.controllers import dissemination
 from mulberryway.controllers import fleet_allowances
@@ -298,6 +299,7 @@
             self.members.own, self.clock
         )
         self.dissemination.report(self.router.metrics)
+        threads.report(self.router.metrics)
         self.notes = notes.NotesController(
             self.router.scheduling,
             self.members,
--- a/mulberryway/policy/base.py
+++ b/mulberryway/policy/base.py
@@ -109,6 +109,15 @@
         """
         return None
 
+    def has_room(self, pool: str, besides: str, now_ms: int) -> bool:
+        """Tell whether another upstream probably has room for a decode.
+
+        :param pool: the pool's name
+        :param besides: the upstream that does not count
+        :param now_ms: the present
+        """
+        return True
+
     def list_ejected(self, now_ms: int) -> list[probes.Ejected]:
         """Return the upstreams that get no requests for now.
 
--- a/mulberryway/policy/scheduler.py
+++ b/mulberryway/policy/scheduler.py
@@ -285,6 +285,21 @@
         if view is not None:
             view.prefixes.note_events(events)
 
+    def has_room(self, pool: str, besides: str, now_ms: int) -> bool:
+        """Tell whether another upstream probably has room for a decode.
+
+        :param pool: the pool's name
+        :param besides: the upstream that does not count
+        :param now_ms: the present
+        """
+        known = self._pools.get(pool)
+        return known is not None and any(
+            view.row.name != besides
+            and view.read_free(now_ms) > 0
+            and not view.health.is_ejected(now_ms)
+            for view in known.members.decodes
+        )
+
     def list_ejected(self, now_ms: int) -> list[probes.Ejected]:
         """Return the upstreams that get no requests for now.
 
--- a/mulberryway/relay/pump.py
+++ b/mulberryway/relay/pump.py
@@ -250,11 +250,7 @@
                 and stream.source is not None
                 and not stream.is_paused
             ):
-                # The connection is open and silent: new ones may work, so
-                # this is the engine's failure and not the caller's.
-                self._lose_source(
-                    stream, "no token in time", errors.Code.UPSTREAM_TIMEOUT
-                )
+                self._note_silence(stream)
         for connection in [
             connection
             for connection, at_ms in self._farewells.items()
@@ -262,6 +258,16 @@
         ]:
             self._end_farewell(connection)
 
+    def _note_silence(self, stream: Stream) -> None:
+        if not stream.owner.may_leave():
+            stream.limit_at_ms = self._loop.now_ms + stream.gap_limit_ms
+            return
+        # The connection is open and silent: new ones may work, so this is the
+        # engine's failure and not the caller's.
+        self._lose_source(
+            stream, "no token in time", errors.Code.UPSTREAM_TIMEOUT
+        )
+
     def _tell_tokens(self) -> None:
         if self._loop.now_ms - self._told_ms < TELL_MS:
             return
--- a/mulberryway/relay/stream.py
+++ b/mulberryway/relay/stream.py
@@ -57,6 +57,14 @@
         :param fault: what befell the engine
         """
 
+    def may_leave(self) -> bool:
+        """Tell whether a silent engine may be left for another one.
+
+        Where none can take the stream, the silent one is waited for: what it
+        still sends is better than an answer that is cut.
+        """
+        return True
+
     def note_longest_gap(self, gap_ms: int) -> None:
         """Take notice of the longest pause, right before the end.
 
--- a/tests/test_pump.py
+++ b/tests/test_pump.py
@@ -12,6 +12,7 @@
 from mulberryway.relay import stream as streams
 from mulberryway.relay import writers
 from mulberryway.upstreams import base as upstreams
+from tests import processes
 
 GUARD_S = 20
 GUARD_MS = 20_000
@@ -43,14 +44,21 @@
         self.closed.set()
 
 
+class StayingOwner(BrokenOwner):
+    """Knows of no other engine, and counts how often it is asked."""
+
+    def __init__(self):
+        super().__init__()
+        self.asked = 0
+
+    def may_leave(self):
+        self.asked += 1
+        return False
+
+
 class PumpTest(unittest.TestCase):
-    def test_a_search_that_fails_ends_the_answer(self):
-        """An engine dies in mid-answer, and the search for another one
-        raises.  The caller waited for ever on a connection that stayed
-        open, and its slot in the router was lost.
-        """
-        logging.disable(logging.CRITICAL)
-        self.addCleanup(logging.disable, logging.NOTSET)
+    def lend(self, owner, limit_ms):
+        """Begin a stream, and return the caller's and the engine's ends."""
         loop_ = loop.EventLoop("test", clock.SystemClock())
         relay = pump.Relay(loop_)
         loop_.start()
@@ -58,8 +66,9 @@
         self.addCleanup(relay.stop)
         caller, served = socket.socketpair()
         engine, source = socket.socketpair()
+        self.addCleanup(caller.close)
+        self.addCleanup(engine.close)
         caller.settimeout(GUARD_S)
-        owner = BrokenOwner()
         relay.lend(
             streams.Stream(
                 owner,
@@ -67,10 +76,35 @@
                 upstreams.TokenStream(source, b"", False, "x"),
                 served,
                 lambda keep: None if keep else served.close(),
-                GUARD_MS,
-                GUARD_MS,
+                limit_ms,
+                limit_ms,
             )
         )
+        return caller, engine
+
+    def test_a_silent_engine_is_kept_where_no_other_takes_the_stream(self):
+        """Guards against answers that are cut because their engine paused."""
+        owner = StayingOwner()
+        caller, engine = self.lend(owner, 50)
+        engine.sendall(EVENT)
+        data = caller.recv(65_536)
+        self.assertTrue(processes.wait_until(lambda: owner.asked >= 2))
+        engine.sendall(EVENT.replace(b'"index": 0', b'"index": 1'))
+        while data.count(b'"index"') < 2:
+            piece = caller.recv(65_536)
+            self.assertTrue(piece, "the answer was cut")
+            data += piece
+        self.assertFalse(owner.closed.is_set())
+
+    def test_a_search_that_fails_ends_the_answer(self):
+        """An engine dies in mid-answer, and the search for another one
+        raises.  The caller waited for ever on a connection that stayed
+        open, and its slot in the router was lost.
+        """
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        owner = BrokenOwner()
+        caller, engine = self.lend(owner, GUARD_MS)
         engine.sendall(EVENT)
         data = caller.recv(65_536)
         engine.close()
