--- a/mulberryway/controllers/dissemination.py
+++ b/mulberryway/controllers/dissemination.py
@@ -15,7 +15,7 @@
 
 # Nothing is due by itself while nothing pends.
 IDLE_MS = 1_000
-NUMBER = {True: "sent", False: "received"}
+DIRECTIONS = {True: "sent", False: "received"}
 
 
 class DisseminationController(base.Controller):
@@ -144,7 +144,7 @@
                 {
                     "purpose": one.kind.partition(":")[0],
                     "zone": one.kind.partition(":")[2],
-                    "direction": NUMBER[one.is_sent],
+                    "direction": DIRECTIONS[one.is_sent],
                 },
                 getattr(one, attribute),
             )
--- a/mulberryway/platform/engine.py
+++ b/mulberryway/platform/engine.py
@@ -292,6 +292,7 @@
                     ),
                 )
                 return expression.Ok(None)
+            self.release(label)
             asked.error.step = errors.Step.RESERVE
             asked.error.run = errors.Run.NOT_RUN
             return expression.Error(asked.error)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -2,6 +2,7 @@
 
 import copy
 import socket
+import threading
 import unittest
 
 from mulberryway import clock
@@ -282,6 +283,39 @@
             self.assertEqual(connection.recv(1), b"")
 
 
+class RefusedRoomTest(unittest.TestCase):
+    def test_connection_to_an_engine_without_room_is_closed(self):
+        """Guards a VM against one open connection for each refused
+        reservation, until it may open no more.
+        """
+        refusal = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            host, port = listener.getsockname()
+            made = engine.PlatformEngine(
+                "i-1", f"{host}:{port}", clock.SystemClock()
+            )
+            label = upstreams.RunLabel("r-1", "vm0", 1)
+            taken = []
+
+            def refuse():
+                taken.append(listener.accept()[0])
+                control, _ = listener.accept()
+                control.recv(65_536)
+                control.sendall(refusal)
+                taken.append(control)
+
+            thread = threading.Thread(target=refuse)
+            thread.start()
+            fault = made.prepare(label, upstreams.Room(100, 2_000)).error
+            thread.join()
+            for connection in taken:
+                self.addCleanup(connection.close)
+            self.assertIs(fault.step, errors.Step.RESERVE)
+            self.assertIs(fault.run, errors.Run.NOT_RUN)
+            taken[0].settimeout(1.0)
+            self.assertEqual(taken[0].recv(1), b"")
+
+
 class WireTest(unittest.TestCase):
     def test_numbers(self):
         self.assertEqual(wire.read_whole(3.0), 3)
