--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -21,6 +21,13 @@
 WIDE_ACCOUNT = tables.ClientAccount("a", (), 30_000, 30_000)
 WIDE_MOST = 30_000 * 9 * 1.1 + 120_000
 
+# A large account of a fleet of eighty VMs, and how late its counts come there.
+LARGE_VMS = 80
+LATE_MS = 40
+LARGE_MARGIN = usage.Margin(WINDOW_MS, 0.1, 140_000)
+LARGE_ACCOUNT = tables.ClientAccount("a", (), 94_000, 94_000)
+LARGE_MOST = 94_000 * 9 * 1.1 + 140_000
+
 
 def make_book(
     vm,
@@ -333,7 +340,69 @@
                 self.given.append((self.now_ms, tokens))
 
 
+class LargeWorld(World):
+    """A fleet of 80 VMs whose messages go by way of relays, and are late."""
+
+    def __init__(self, seed):
+        self.late = collections.deque()
+        super().__init__(seed, LARGE_VMS)
+
+    def make_book(self, name):
+        return make_book(
+            name,
+            self.now_ms,
+            1 + self.lives[name],
+            self.knows,
+            LARGE_MARGIN,
+            LARGE_ACCOUNT,
+        )
+
+    def ask(self):
+        # Some four times the account's rate, each request at a random VM.
+        for name in self.random.choices(list(self.books), k=2):
+            if name in self.down:
+                continue
+            tokens = self.random.randint(2_000, 6_000)
+            if self.books[name].take("a", tokens, self.now_ms) is None:
+                self.given.append((self.now_ms, tokens))
+
+    def run(self, steps=700):
+        for _ in range(steps):
+            self.now_ms += self.random.choice((10, 20, 40))
+            self.change_faults()
+            self.ask()
+            self.exchange()
+        return self.find_most()
+
+    def exchange(self):
+        for sender, book in self.books.items():
+            message = None
+            if sender not in self.down:
+                message = book.make_usage({}, self.now_ms)
+            if message is not None:
+                at_ms = self.now_ms + self.random.randint(1, LATE_MS)
+                self.late.append((at_ms, sender, message))
+        while self.late and self.late[0][0] <= self.now_ms:
+            _, sender, message = self.late.popleft()
+            for receiver, book in self.books.items():
+                if (
+                    receiver != sender
+                    and receiver not in self.down
+                    and not self.drops(sender, receiver)
+                ):
+                    book.note_usage(message, self.now_ms)
+
+
 class UsageHistoryTest(unittest.TestCase):
+    def test_eighty_vms_with_late_messages_keep_to_the_margin(self):
+        """Guards against an account that gets too much in a large fleet,
+        where counts come later and seldomer.
+        """
+        for seed in range(3):
+            self.assertLessEqual(
+                LargeWorld(seed).run(), LARGE_MOST, f"seed {seed}"
+            )
+
     def test_small_account_with_a_wide_margin_keeps_to_it(self):
         """The same faults befall an account whose margin is large beside
         its rate.  What VMs give of the margin in advance is missing where
