--- a/mulberryway/controllers/probing.py
+++ b/mulberryway/controllers/probing.py
@@ -1,8 +1,10 @@
 """Probes ejected engines, each by one VM for all."""
 
 import concurrent.futures
+import logging
 
 from mulberryway import clock
+from mulberryway import logs
 from mulberryway import tables
 from mulberryway.controllers import base
 from mulberryway.controllers import membership
@@ -13,6 +15,8 @@
 
 __all__ = ["ProbingController"]
 
+LOG = logging.getLogger(__name__)
+
 # How often to look while an engine is ejected, and while none is.
 PERIOD_MS = 100
 IDLE_MS = 1_000
@@ -47,6 +51,7 @@
         self._members = members
         self._source = source
         self._directory = directory_
+        self._ejected: frozenset[tuple[str, str]] = frozenset()
         self._workers = concurrent.futures.ThreadPoolExecutor(
             WORKERS, "probing"
         )
@@ -55,6 +60,7 @@
         """Probe the engines that are due and fall to this VM."""
         ejected = self._scheduling.list_ejected()
         self.period_ms = PERIOD_MS if ejected else IDLE_MS
+        self._log_changes(ejected)
         own, vms = self._members.own.name, self._members.list_alive()
         due = [
             one
@@ -71,6 +77,20 @@
         super().stop(wait_ms)
         self._workers.shutdown(wait=False, cancel_futures=True)
 
+    def _log_changes(self, ejected: list[probes.Ejected]) -> None:
+        names = frozenset((one.pool, one.upstream) for one in ejected)
+        if names == self._ejected:
+            return
+        LOG.info(
+            "other engines are ejected now",
+            extra=logs.describe(
+                added=sorted(map("/".join, names - self._ejected)),
+                ended=sorted(map("/".join, self._ejected - names)),
+                count=len(names),
+            ),
+        )
+        self._ejected = names
+
     def _probe(self, ejected: probes.Ejected) -> None:
         engine = directory.find_by_name(
             self._source.read_tables(),
@@ -78,7 +98,18 @@
             ejected.pool,
             ejected.upstream,
         )
-        if engine is not None:
-            self._scheduling.note_probe(
-                ejected.pool, ejected.upstream, engine.report_load().is_ok()
-            )
+        if engine is None:
+            return
+        answer = engine.report_load()
+        LOG.info(
+            "an ejected engine was probed",
+            extra=logs.describe(
+                answer.error if answer.is_error() else None,
+                pool=ejected.pool,
+                upstream=ejected.upstream,
+                has_passed=answer.is_ok(),
+            ),
+        )
+        self._scheduling.note_probe(
+            ejected.pool, ejected.upstream, answer.is_ok()
+        )
--- /dev/null
+++ b/tests/test_probing.py
@@ -0,0 +1,92 @@
+"""Probes of ejected engines, each by one VM."""
+
+import unittest
+
+import expression
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway.controllers import probing
+from mulberryway.policy import member
+from mulberryway.policy import probes
+from mulberryway.policy import sharing
+from tests import policy_cases as cases
+
+VMS = tuple(f"vm{n}" for n in range(40))
+
+
+class Tables:
+    pools = {"lm": cases.make_pool(prefills=2, decodes=6)}
+
+
+class Stub:
+    """Stands in for all that a probing controller talks to."""
+
+    def __init__(self, name, ejected, answers):
+        self.own = member.Member(name, "127.0.0.1", 1, 2, "z", "r", 1)
+        self.ejected = ejected
+        self.answers = answers
+        self.asked = []
+        self.noted = []
+
+    def list_alive(self):
+        return VMS
+
+    def read_tables(self):
+        return Tables
+
+    def list_ejected(self):
+        return self.ejected
+
+    def note_probe(self, pool, upstream, has_passed):
+        self.noted.append((upstream, has_passed))
+
+    def find_engine(self, pool, upstream):
+        self.asked.append(upstream.name)
+        return self
+
+    def report_load(self):
+        if self.answers:
+            return expression.Ok(cases.make_load())
+        return expression.Error(
+            errors.Fault(errors.Code.UPSTREAM_TIMEOUT, errors.Step.DECODE)
+        )
+
+
+class ProbingTest(unittest.TestCase):
+    def step(self, name, ejected, answers=True):
+        stub = Stub(name, ejected, answers)
+        made = probing.ProbingController(
+            stub, stub, stub, stub, clock.ManualClock(0)
+        )
+        self.addCleanup(made.stop)
+        made.step()
+        return stub, made
+
+    def test_one_vm_probes_for_all(self):
+        """Guards an engine that comes back against a probe of each VM."""
+        due = [probes.Ejected("lm", "d0", True)]
+        asked = [name for name in VMS if self.step(name, due)[0].asked]
+        self.assertEqual(asked, [sharing.choose_reporter("d0", VMS)])
+
+    def test_the_answer_is_taken_in(self):
+        prober = sharing.choose_reporter("d1", VMS)
+        due = [probes.Ejected("lm", "d1", True)]
+        self.assertEqual(self.step(prober, due)[0].noted, [("d1", True)])
+        failed, _ = self.step(prober, due, answers=False)
+        self.assertEqual(failed.noted, [("d1", False)])
+
+    def test_nothing_is_probed_before_it_is_due(self):
+        prober = sharing.choose_reporter("d1", VMS)
+        early = [probes.Ejected("lm", "d1", False)]
+        stub, made = self.step(prober, early)
+        self.assertEqual(stub.asked, [])
+        self.assertEqual(made.period_ms, probing.PERIOD_MS)
+        self.assertEqual(self.step(prober, [])[1].period_ms, probing.IDLE_MS)
+
+    def test_changes_are_logged_once(self):
+        ejected = [probes.Ejected("lm", "d1", False)]
+        with self.assertLogs("mulberryway.controllers.probing") as found:
+            _, made = self.step("vm0", ejected)
+            made.step()
+        self.assertEqual(len(found.records), 1)
