--- a/mulberryway/peers/server.py
+++ b/mulberryway/peers/server.py
@@ -132,8 +132,18 @@
             self._read_hello(key.data)
         else:
             self._selector.unregister(key.fileobj)
-            self._busy += 1
-            self._pool.submit(self._answer, key.data)
+            self._hand_out(key.data)
+
+    def _hand_out(self, one: channel.Channel) -> None:
+        try:
+            self._pool.submit(self._answer, one)
+        except RuntimeError as failure:
+            # The machine has no thread to spare, or the pool has just ended.
+            # The peer asks again; without this nobody would be answered.
+            LOG.warning("no thread for a peer's call: %s", failure)
+            one.close()
+            return
+        self._busy += 1
 
     def _accept(self) -> None:
         with contextlib.suppress(OSError):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -225,6 +225,22 @@
         result = self.call(b"fail")
         self.assertIs(result.error.code, errors.Code.PEER_REFUSED)
 
+    def test_a_thread_that_cannot_be_started(self):
+        """Guards a VM against answering no peer for the rest of its life
+        because its machine had no thread to spare for one call.
+        """
+        server = self.server
+        submit = server._pool.submit
+
+        def refuse(*arguments):
+            server._pool.submit = submit
+            raise RuntimeError("can't start new thread")
+
+        server._pool.submit = refuse
+        with self.assertLogs("mulberryway.peers.server"):
+            self.call(b"first")
+        self.assertEqual(self.call(b"second").ok, b"second")
+
     def test_many_connections_at_once(self):
         """Thirty calls wait in a VM with eight threads; all are answered."""
         results = []
