--- /dev/null
+++ b/tools/known_failures.py
@@ -0,0 +1,90 @@
+"""Reads KNOWN-RED.txt, the list of failures whose cause is not mended yet."""
+
+import importlib
+import itertools
+import pathlib
+
+__all__ = ["Entry", "ListError", "read_entries"]
+
+SEPARATOR = "|"
+TESTS = "tests."
+# A day that is played by hand is no test of the suite, so it is listed but
+# passes over nothing.
+PLAYED = ("hunt of ", "run of ")
+
+
+class ListError(Exception):
+    """An entry that does not say what it must."""
+
+
+class Entry:
+    """One known failure.
+
+    :param test: a test's id, or the hunt or run that showed the failure
+    :param command: how to repeat it, with its seed
+    :param seen: what was seen, and why as far as it is known
+    :param issue: the number of the open issue
+    """
+
+    __slots__ = ("test", "command", "seen", "issue")
+
+    def __init__(self, test: str, command: str, seen: str, issue: int) -> None:
+        self.test = test
+        self.command = command
+        self.seen = seen
+        self.issue = issue
+
+    @property
+    def is_of_suite(self) -> bool:
+        """Whether the suite runs it."""
+        return self.test.startswith(TESTS)
+
+    def __str__(self) -> str:
+        return f"{self.command}: {self.seen} (issue {self.issue})"
+
+
+def read_entries(path: pathlib.Path) -> dict[str, Entry]:
+    """Return the entries by test.
+
+    :param path: the list; none are known if it does not exist
+    :raises ListError: if an entry is malformed, stands twice, or names a
+        test that the suite does not have
+    """
+    if not path.exists():
+        return {}
+    entries = [
+        _parse(line)
+        for line in path.read_text(encoding="utf-8").splitlines()
+        if line.strip() and not line.startswith("#")
+    ]
+    tests = sorted(entry.test for entry in entries)
+    for one, other in itertools.pairwise(tests):
+        if one == other:
+            raise ListError(f"{one} is listed twice")
+    return {entry.test: entry for entry in entries}
+
+
+def _parse(line: str) -> Entry:
+    fields = [field.strip() for field in line.split(SEPARATOR)]
+    if len(fields) != 4 or not all(fields):
+        raise ListError(
+            f"an entry needs test, command, what was seen, issue: {line}"
+        )
+    test, command, seen, issue = fields
+    if not issue.isdecimal():
+        raise ListError(f"{test}: {issue!r} is not the number of an issue")
+    if test.startswith(TESTS):
+        _find_test(test)
+    elif not test.startswith(PLAYED):
+        raise ListError(f"{test}: neither a test nor a played day")
+    return Entry(test, command, seen, int(issue))
+
+
+def _find_test(name: str) -> None:
+    module, _, rest = name.rpartition(".")
+    module, _, case = module.rpartition(".")
+    try:
+        found = getattr(importlib.import_module(module), case)
+        getattr(found, rest)
+    except (ImportError, AttributeError, ValueError) as error:
+        raise ListError(f"{name}: the suite has no such test") from error
--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -10,7 +10,7 @@
 from nose2 import events
 from nose2 import result
 
-MOST_KNOWN_REDS = 3
+from tools import known_failures
 
 
 class Verdict(events.Plugin):
@@ -25,7 +25,7 @@
         self._skipped = 0
         self._seen_red: list[str] = []
         name = self.config.as_str("known-red", "KNOWN-RED.txt")
-        self._known = _read_known(pathlib.Path(name))
+        self._known = known_failures.read_entries(pathlib.Path(name))
 
     def testOutcome(self, event: events.TestOutcomeEvent) -> None:
         """Count one outcome, and set a known red apart from a failure.
@@ -65,16 +65,3 @@
         if self._skipped:
             line += f", {self._skipped} skipped"
         event.stream.writeln(line)
-
-
-def _read_known(path: pathlib.Path) -> dict[str, str]:
-    if not path.exists():
-        return {}
-    lines = [
-        line.partition("|")
-        for line in path.read_text(encoding="utf-8").splitlines()
-        if line.strip() and not line.startswith("#")
-    ]
-    if len(lines) > MOST_KNOWN_REDS:
-        raise ValueError(f"{path}: at most {MOST_KNOWN_REDS} known reds")
-    return {name.strip(): cause.strip() for name, _, cause in lines}
