--- a/mulberryway/peers/note_messages.py
+++ b/mulberryway/peers/note_messages.py
@@ -24,7 +24,7 @@
 
 FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory()
 HASH_BYTES = 8
-# A note with more upstreams goes out as several.
+# ``policy.telling`` puts no more upstreams into one note.
 MOST_HOLDINGS = 64
 MOST_ACCOUNTS = 32
 # Hashes of one engine in one datagram: 4 KB of its 8.
--- a/mulberryway/policy/telling.py
+++ b/mulberryway/policy/telling.py
@@ -26,6 +26,10 @@
 # Accounts told of at once: those that were given least and have jobs
 # waiting.  With more, a cell of six routers would exchange all 2,200.
 MOST_ACCOUNTS = 16
+# Upstreams in one note, so that it fits a datagram.  The others follow with
+# the next note: what they tell is the amount since their last one, so none of
+# it may be left out.
+MOST_HOLDINGS = 64
 
 
 class Teller:
@@ -115,13 +119,14 @@
         now_ms: int,
     ) -> hints.Note:
         accounts = self._accounts | waiting.keys() | self._told_waiting.keys()
+        views = sorted(self._views)
         note = hints.Note(
             self._vm,
             self._incarnation,
             next(self._numbers),
             [
                 holding
-                for pool, upstream in sorted(self._views)
+                for pool, upstream in views[:MOST_HOLDINGS]
                 for holding in _read_holding(
                     pools_.get(pool), upstream, now_ms
                 )
@@ -133,7 +138,7 @@
             ],
             deaths,
         )
-        self._views, self._accounts = set(), set()
+        self._views, self._accounts = set(views[MOST_HOLDINGS:]), set()
         self._told_waiting = waiting
         self._at_ms = now_ms
         return note
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -5,9 +5,12 @@
 import random
 import unittest
 
+from mulberryway.peers import datagrams
+from mulberryway.peers import note_messages
 from mulberryway.policy import health
 from mulberryway.policy import messages
 from mulberryway.policy import scheduler
+from mulberryway.policy import trust
 from tests import policy_cases as cases
 
 End = messages.JobEnd
@@ -15,6 +18,51 @@
 NEWS_MS = 30
 
 
+class TrustTest(unittest.TestCase):
+    def test_vms_that_are_gone_are_forgotten(self):
+        """Guards against a memory that grows with every VM that ever was."""
+        remembered = trust.Trust()
+        for number in range(1_000):
+            now_ms = number * 1_000
+            remembered.accepts(f"vm{number}", ("lm", "d0"), 8, now_ms)
+            remembered.accepts("steady", ("lm", "d1"), 8, now_ms)
+        self.assertLessEqual(remembered.size, 32)
+
+
+class TellingTest(unittest.TestCase):
+    names = tuple(f"d{number}" for number in range(60))
+
+    def setUp(self):
+        pools = {
+            name: cases.make_pool(1, len(self.names), name=name)
+            for name in ("lm", "lm-2")
+        }
+        self.router = scheduler.FairScheduler("vm1", seed=1)
+        self.router.change_pools(pools, 0)
+        self.router.take_hints(0)
+        for pool, name in itertools.product(pools, self.names):
+            self.router.note_probe(pool, name, True, 50)
+
+    def test_what_is_too_much_for_one_note_is_told_in_several(self):
+        """Guards against outcomes that are lost beyond a note's limit."""
+        received = [
+            note_messages.read_datagram(note_messages.write_note(note)).note
+            for now_ms in (100, 200, 300)
+            if (note := self.router.take_hints(now_ms)) is not None
+        ]
+        told = [
+            holding.outcomes.probes_passed
+            for note in received
+            for holding in note.holdings
+        ]
+        self.assertEqual(sum(told), 2 * len(self.names))
+
+    def test_a_note_fits_a_datagram(self):
+        """Guards against notes that are too large to be sent."""
+        payload = note_messages.write_note(self.router.take_hints(100))
+        self.assertLessEqual(len(payload), datagrams.MOST_PAYLOAD_BYTES)
+
+
 class HealthTest(unittest.TestCase):
     def setUp(self):
         self.health = health.Health(random.Random(1))
