Share one dispatch among the hints of 20 ms

Each datagram with a hint ran a dispatch, and with jobs waiting that costs more than reading the hint: 1.21 ms for a batch of four notes and three counts beside 400 waiting jobs, 0.39 ms beside none (one thread, real time).

Hints now share a dispatch; the controller's thread runs one every 20 ms while jobs wait, so that none waits for a further hint.

--- a/mulberryway/controllers/scheduling.py
+++ b/mulberryway/controllers/scheduling.py
@@ -22,6 +22,10 @@
 # A decision that is this late has been lost; the guard keeps a worker from
 # waiting for ever for what will not come.
 OVERDUE_MS = 2_000
+# Other routers' hints come by the hundred a second in a large fleet, and with
+# jobs waiting a dispatch takes longer than reading a hint.  Hints that come
+# within this time share one.
+HINTED_MS = 20
 
 Decision = expression.Result[messages.Assignment, errors.Fault]
 
@@ -58,6 +62,7 @@
         self._lock = threading.Lock()
         self._tickets: dict[str, Ticket] = {}
         self._started: set[str] = set()
+        self._dispatched_ms = 0
         self._loads: dict[tuple[str, str], upstreams.EngineLoad] = {}
         # Called after jobs have come, started or ended; must return at once.
         self.on_change: collections.abc.Callable[[], None] = lambda: None
@@ -85,11 +90,12 @@
         """Dispatch, and sleep until the scheduler wants to be asked again."""
         with self._lock:
             wake_ms = self._dispatch()
+            longest_ms = HINTED_MS if self._tickets else IDLE_MS
         now_ms = self.clock.now_ms()
         self.period_ms = (
-            IDLE_MS
+            longest_ms
             if wake_ms is None
-            else min(max(wake_ms - now_ms, 1), IDLE_MS)
+            else min(max(wake_ms - now_ms, 1), longest_ms)
         )
 
     def submit(
@@ -106,9 +112,9 @@
             if taken.is_error():
                 return expression.Error(taken.error)
             self._tickets[job.job_id] = ticket
-            wake_ms = self._dispatch()
+            self._dispatch()
         self.on_change()
-        if wake_ms is not None and not ticket.decided.is_set():
+        if not ticket.decided.is_set():
             self.wake()
         return expression.Ok(ticket)
 
@@ -280,7 +286,7 @@
             return self._scheduler.take_hints(self.clock.now_ms())
 
     def note_hints(self, notes: list[hints.Note]) -> None:
-        """Take in what other routers told.
+        """Take in what other routers told; what waits may start a bit later.
 
         :param notes: their notes in the order of arrival
         """
@@ -288,7 +294,8 @@
             now_ms = self.clock.now_ms()
             for note in notes:
                 self._scheduler.note_hints(note, now_ms)
-            self._dispatch()
+            if now_ms - self._dispatched_ms >= HINTED_MS:
+                self._dispatch()
 
     def note_deaths(self, deaths: list[hints.Death]) -> None:
         """Take in deaths under requests that any VM told of.
@@ -342,7 +349,8 @@
             self._dispatch()
 
     def _dispatch(self) -> int | None:
-        dispatch = self._scheduler.dispatch(self.clock.now_ms())
+        self._dispatched_ms = self.clock.now_ms()
+        dispatch = self._scheduler.dispatch(self._dispatched_ms)
         for assignment in dispatch.assignments:
             self._started.add(assignment.job_id)
             self._decide(assignment.job_id, expression.Ok(assignment))
