Count a lost stream's wait from the loss, not from its arrival

Cause: a stream that does not begin within 0.55 of its caller's patience is refused, so that the caller can come again in time. That limit counted from the request's arrival also for a stream that had begun and then lost its engine. With a target of 913 ms it is 2.0 s; from then on every search for another engine was refused at once, and the answer was cut.

Ruled out: the tables (the upstream was in them), the retry budget (it is asked before the queue), the engine (its connection was open).

The same limit cut every stream whose engine crashed later than 2 s after arrival. Both searches now count from the moment of the loss. The test kills an engine 2 s after a stream began; it failed with deadline_exceeded before.

--- a/mulberryway/filters/model_job.py
+++ b/mulberryway/filters/model_job.py
@@ -39,13 +39,19 @@
         self._clock = clock_
 
     def make(
-        self, number: int, avoid: frozenset[str], limit: clock.Deadline
+        self,
+        number: int,
+        avoid: frozenset[str],
+        limit: clock.Deadline,
+        since_ms: int,
     ) -> messages.Job:
         """Return the job of one try.
 
         :param number: 0 at first
         :param avoid: names of upstreams that failed the request
         :param limit: when the caller stops waiting
+        :param since_ms: since when the caller waits for the next event: the
+            arrival of the request, or when a begun stream lost its engine
         """
         exchange = self._exchange
         return messages.Job(
@@ -59,7 +65,7 @@
             exchange.prefix_hashes,
             len(exchange.body),
             self._clock.now_ms(),
-            self._limit_start(limit),
+            self._limit_start(limit, since_ms),
             number,
             self._choose_avoided(avoid),
             exchange.digest,
@@ -71,8 +77,10 @@
             and number + 1 < exchange.route.most_attempts,
         )
 
-    def _limit_start(self, limit: clock.Deadline) -> clock.Deadline:
-        """Return when a first token is too late to be of use.
+    def _limit_start(
+        self, limit: clock.Deadline, since_ms: int
+    ) -> clock.Deadline:
+        """Return when the next event is too late to be of use.
 
         Callers leave a stream that does not begin within their patience, and
         what is refused well before can still be served on its return.
@@ -86,7 +94,7 @@
             row.target_ms * PATIENCE_TARGETS,
             row.target_gap_ms * PATIENCE_GAPS,
         )
-        start_ms = exchange.arrived_ms + int(patience_ms * WAIT_PART)
+        start_ms = since_ms + int(patience_ms * WAIT_PART)
         return clock.Deadline(min(limit.at_ms, start_ms))
 
     def _choose_avoided(self, avoid: frozenset[str]) -> frozenset[str]:
--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -70,6 +70,7 @@
         self._avoid: frozenset[str] = frozenset()
         self._ticket: scheduling.Ticket | None = None
         self._attempt: attempts.Attempt | None = None
+        self._waits_since_ms = exchange.arrived_ms
         self._decode_span = traces.NO_SPAN
         self._jobs = model_job.JobMaker(exchange, parts.clock)
         self._engines = model_engines.EngineSteps(exchange, parts)
@@ -150,11 +151,7 @@
         self._end_attempt(model_parts.sort_end(fault), self._name_decode())
         result: Source = expression.Error(fault)
         if self._may_move(fault):
-            now_ms = self._parts.clock.now_ms()
-            limit = clock.Deadline(
-                max(self._exchange.deadline.at_ms, now_ms + RESUME_MS)
-            )
-            result = self._find_source(stream.expected, limit)
+            result = self._find_next_source(stream.expected)
         if result.is_ok():
             self._parts.relay.resume(stream, result.ok)
         else:
@@ -206,6 +203,19 @@
             return self._parts.gap_ms
         return max(target_ms * GAPS_TO_LEAVE, LEAST_GAP_MS)
 
+    def _find_next_source(self, offset: int) -> Source:
+        """Find engines for the rest of a stream.
+
+        :param offset: how much of it the caller has
+        """
+        now_ms = self._parts.clock.now_ms()
+        if offset:
+            self._waits_since_ms = now_ms
+        limit = clock.Deadline(
+            max(self._exchange.deadline.at_ms, now_ms + RESUME_MS)
+        )
+        return self._find_source(offset, limit)
+
     def _find_source(self, offset: int, limit: clock.Deadline) -> Source:
         while True:
             result = self._try_once(offset, limit)
@@ -229,7 +239,9 @@
     ) -> expression.Result[attempts.Attempt, errors.Fault]:
         parts = self._parts
         began_ms = parts.clock.now_ms()
-        job = self._jobs.make(self._number, self._avoid, limit)
+        job = self._jobs.make(
+            self._number, self._avoid, limit, self._waits_since_ms
+        )
         self._number += 1
         with self._exchange.span.begin(parts.tracer, errors.Step.QUEUE):
             submitted = parts.scheduling.submit(job)
--- a/tests/test_model_run.py
+++ b/tests/test_model_run.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+import time
 import unittest
 
 from mulberryway import errors
@@ -173,6 +174,36 @@
         self.check_free(self.ports[0])
 
 
+class LateRecoveryTest(EnginesTest):
+    """Streams with a target whose engine fails long after they began."""
+
+    def make_tables(self):
+        return router_rig.make_tables(
+            map(router_rig.make_upstream, self.roles, self.ports),
+            timeout_ms=8_000,
+            is_streaming=True,
+            target_ms=300,
+            target_gap_ms=100,
+        )
+
+    def test_resumed_after_the_time_in_which_streams_have_to_begin(self):
+        """Guards against a limit for first tokens that ends later ones."""
+        stream = router_rig.OpenStream(self.rig, "late", LONG)
+        events = [stream.read_event()]
+        killed = self.find_decoding()
+        began_s = time.monotonic()
+        while time.monotonic() - began_s < 2:
+            events.append(stream.read_event())
+        self.processes[killed].kill()
+        events += stream.read_all()
+        stream.close()
+        self.assertEqual(events[-1], "[DONE]")
+        self.assertEqual(
+            router_rig.join_text(events), router_rig.expect_text("late", LONG)
+        )
+        self.check_free(killed)
+
+
 class GoingCallerTest(EnginesTest):
     """Callers go; engine memory must be free soon after."""
 
