Leave a silent engine only when another one can take its stream

The silent engine is now read from while another is sought. Right before the decode is sent, the relay closes the old connection, unless the stream has moved or ended; then the new attempt is cancelled. So one request never runs at two engines, and a failed search costs the caller nothing. What stays a reason to end a begun answer: the engine breaks off (connection, garbled events) and no other can go on; the route's time; a caller that takes nothing for 20 s or has gone; a key withdrawn, on the project's own interface; the end of grace.

--- a/mulberryway/filters/model_engines.py
+++ b/mulberryway/filters/model_engines.py
@@ -1,5 +1,6 @@
 """Takes one model request through a prefill and a decode engine."""
 
+import collections.abc
 import logging
 
 import expression
@@ -61,7 +62,7 @@
     :param parts: what all model requests share
     """
 
-    __slots__ = ("has_run", "sent_to", "_exchange", "_parts")
+    __slots__ = ("has_run", "sent_to", "_exchange", "_parts", "_may_begin")
 
     def __init__(
         self, exchange: base.Exchange, parts: model_parts.Parts
@@ -70,17 +71,24 @@
         self.sent_to: set[str] = set()
         self._exchange = exchange
         self._parts = parts
+        self._may_begin: collections.abc.Callable[[], bool] = lambda: True
 
     def run(
-        self, attempt: attempts.Attempt, offset: int, limit: clock.Deadline
+        self,
+        attempt: attempts.Attempt,
+        offset: int,
+        limit: clock.Deadline,
+        may_begin: collections.abc.Callable[[], bool],
     ) -> model_parts.Source:
         """Take an attempt to the beginning of its stream.
 
         :param attempt: the attempt, its slot reserved
         :param offset: how much of the answer the caller has already
         :param limit: when the caller stops waiting
+        :param may_begin: asked right before a decode engine gets the request
         :returns: the stream, or a fault
         """
+        self._may_begin = may_begin
         is_alone = (
             attempt.prefill is attempt.decode and attempt.decode.reads_prompts
         )
@@ -300,6 +308,15 @@
         offset: int,
         limit: clock.Deadline,
     ) -> model_parts.Source:
+        if not self._may_begin():
+            return expression.Error(
+                errors.Fault(
+                    errors.Code.CANCELLED,
+                    errors.Step.DECODE,
+                    attempt.decode_name,
+                    message="the silent engine goes on",
+                )
+            )
         self._exchange.tried.append(attempt.decode_name)
         began_ms = self._parts.clock.now_ms()
         with self._begin_hop(attempt, errors.Step.TRANSFER) as span:
--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -54,6 +54,24 @@
 Source = model_parts.Source
 
 
+class _Replacement:
+    """A search for the engine that goes on with a silent one's stream.
+
+    :param stream: the stream
+    :param offset: how far it was when the search began
+    :param fault: what befell the silent engine
+    """
+
+    __slots__ = ("stream", "offset", "fault")
+
+    def __init__(
+        self, stream: streams.Stream, offset: int, fault: errors.Fault
+    ) -> None:
+        self.stream = stream
+        self.offset = offset
+        self.fault = fault
+
+
 class ModelRun(streams.StreamOwner):
     """One model request from its admission to its end.
 
@@ -70,6 +88,10 @@
         self._avoid: frozenset[str] = frozenset()
         self._ticket: scheduling.Ticket | None = None
         self._attempt: attempts.Attempt | None = None
+        # The attempt that is to take over from one whose engine is silent.
+        self._next: attempts.Attempt | None = None
+        self._replacement: _Replacement | None = None
+        self._is_closed = False
         self._waits_since_ms = exchange.arrived_ms
         self._decode_span = traces.NO_SPAN
         self._jobs = model_job.JobMaker(exchange, parts.clock)
@@ -131,10 +153,11 @@
         """Let everything go, because the caller has gone or was cut off."""
         self._exchange.has_gone.set()
         with self._lock:
-            ticket, attempt = self._ticket, self._attempt
+            ticket = self._ticket
+            held = [one for one in (self._attempt, self._next) if one]
         if ticket is not None:
             self._parts.scheduling.give_up(ticket, model_parts.make_gone())
-        if attempt is not None:
+        for attempt in held:
             attempt.free()
 
     def recover(self, stream: streams.Stream, fault: errors.Fault) -> None:
@@ -157,6 +180,31 @@
         else:
             self._parts.relay.fail(stream, self._word_last(result.error))
 
+    def replace(self, stream: streams.Stream, fault: errors.Fault) -> None:
+        """Go on at another engine where the last one is silent.
+
+        The silent one is left only when all that the other needs is there:
+        its slot and connection, and the prompt's KV cache.
+
+        :param stream: the stream
+        :param fault: what befell the engine
+        """
+        fault.peer = fault.peer or self._name_decode()
+        offset = stream.expected
+        if not self._may_move(fault):
+            self._log_stay(fault)
+            self._parts.relay.stay(stream, fault)
+            return
+        self._avoid = self._avoid | {self._name_decode()}
+        self._replacement = _Replacement(stream, offset, fault)
+        result = self._find_next_source(offset)
+        self._replacement = None
+        if result.is_ok():
+            self._parts.relay.resume(stream, result.ok)
+            return
+        self._log_stay(result.error)
+        self._parts.relay.stay(stream, self._word_last(result.error))
+
     def may_leave(self) -> bool:
         """Tell whether another engine can probably take the stream."""
         exchange = self._exchange
@@ -175,9 +223,11 @@
         :param tokens: how many tokens were taken from engines
         :param fault: why the answer is not whole; none if it is
         """
+        self._is_closed = True
         how = messages.JobEnd.DONE
         if fault is not None:
             how = messages.JobEnd.CANCELLED
+        self._end_search()
         self._end_attempt(how)
         exchange = self._exchange
         exchange.finish(
@@ -203,6 +253,43 @@
             return self._parts.gap_ms
         return max(target_ms * GAPS_TO_LEAVE, LEAST_GAP_MS)
 
+    def _leave_silent(self) -> bool:
+        """Leave a silent engine right before its stream begins elsewhere.
+
+        :returns: false if it has gone on meanwhile, so that the stream must
+            not begin a second time
+        """
+        replacement = self._replacement
+        if replacement is None:
+            return True
+        with self._lock:
+            before, chosen = self._attempt, self._next
+        if chosen is None or before is None:
+            return False
+        is_same = chosen.decode_name == before.decode_name
+        if is_same or not self._parts.relay.leave_source(
+            replacement.stream, replacement.offset
+        ):
+            return False
+        self._replacement = None
+        with self._lock:
+            self._attempt, self._next = chosen, None
+        self._note_failure(replacement.fault)
+        before.end(model_parts.sort_end(replacement.fault), before.decode_name)
+        return True
+
+    def _log_stay(self, fault: errors.Fault) -> None:
+        LOG.info(
+            "a silent engine is waited for",
+            extra=logs.describe(
+                fault,
+                request_id=self._exchange.request_id,
+                decode=self._name_decode(),
+                attempts=self._count_attempts(),
+                tries=self._number,
+            ),
+        )
+
     def _find_next_source(self, offset: int) -> Source:
         """Find engines for the rest of a stream.
 
@@ -294,7 +381,10 @@
             parts.cancelling,
         )
         with self._lock:
-            self._attempt = attempt
+            if self._replacement is None:
+                self._attempt = attempt
+            else:
+                self._next = attempt
         return expression.Ok(attempt)
 
     def _run_attempt(
@@ -303,7 +393,7 @@
         if self._exchange.has_gone.is_set():
             attempt.end(messages.JobEnd.CANCELLED)
             return expression.Error(model_parts.make_gone())
-        result = self._engines.run(attempt, offset, limit)
+        result = self._engines.run(attempt, offset, limit, self._leave_silent)
         if result.is_error():
             fault = result.error
             blame = attempt.decode_name
@@ -312,10 +402,12 @@
             self._avoid = self._avoid | {blame}
             # An engine that is told to cancel may close the connection; it
             # has not died, and is not to blame.
-            has_gone = self._exchange.has_gone.is_set()
+            is_cancelled = (
+                not self._is_wanted() or fault.code is errors.Code.CANCELLED
+            )
             end = (
                 messages.JobEnd.CANCELLED
-                if has_gone
+                if is_cancelled
                 else model_parts.sort_end(fault)
             )
             attempt.end(end, blame)
@@ -337,7 +429,7 @@
             and self._count_attempts() < exchange.route.most_attempts
             and self._number - self._unreserved < MOST_TRIES
             and self._unreserved < MOST_UNRESERVED
-            and not exchange.has_gone.is_set()
+            and self._is_wanted()
             and (
                 # Nothing of the request was sent, so nothing is repeated.
                 fault.step is errors.Step.RESERVE
@@ -345,6 +437,9 @@
             )
         )
 
+    def _is_wanted(self) -> bool:
+        return not (self._is_closed or self._exchange.has_gone.is_set())
+
     def _count_attempts(self) -> int:
         return max(self._number - self._unsent, len(self._engines.sent_to))
 
@@ -394,5 +489,17 @@
         if attempt is not None:
             attempt.end(how, blame)
 
+    def _end_search(self) -> None:
+        """End the search for another engine: the stream is over."""
+        with self._lock:
+            ticket, attempt = self._ticket, self._next
+        if self._replacement is None:
+            return
+        gone = model_parts.make_gone()
+        if ticket is not None:
+            self._parts.scheduling.give_up(ticket, gone)
+        if attempt is not None:
+            attempt.end(messages.JobEnd.CANCELLED)
+
     def _name_decode(self) -> str:
         return "" if self._attempt is None else self._attempt.decode_name
--- a/mulberryway/relay/pump.py
+++ b/mulberryway/relay/pump.py
@@ -27,6 +27,9 @@
 # not kept longer than this for it.
 FAREWELL_MS = 1_000
 RECOVERERS = 16
+# The loop is never busy for so long; a search must not wait for ever for one
+# that was stopped.
+LEAVE_S = 1.0
 TELL_MS = 1_000
 
 GONE = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
@@ -34,13 +37,14 @@
 WRITE = select.EPOLLOUT
 
 Stream = streams.Stream
+Search = collections.abc.Callable[[Stream, errors.Fault], None]
 
 
 class Relay:
     """Carries lent connections until their answers end.
 
-    ``lend``, ``resume``, ``fail`` and ``cut`` may be called on any thread;
-    all else happens on the loop's.
+    ``lend``, ``resume``, ``fail``, ``leave_source``, ``stay`` and ``cut`` may
+    be called on any thread; all else happens on the loop's.
 
     :param loop_: the event loop
     """
@@ -88,6 +92,31 @@
         """
         self._loop.post(lambda: self._end_with(stream, fault))
 
+    def leave_source(self, stream: Stream, offset: int) -> bool:
+        """Close a silent engine's connection unless it has gone on.
+
+        Waits for the loop, so it is not for the loop's own thread.
+
+        :param stream: the stream that ``replace`` was called for
+        :param offset: how far the stream was when the search began
+        :returns: whether the stream may begin elsewhere at this offset
+        """
+        left: concurrent.futures.Future[bool] = concurrent.futures.Future()
+        self._loop.post(lambda: self._leave_source(stream, offset, left))
+        try:
+            return left.result(LEAVE_S)
+        except concurrent.futures.TimeoutError:
+            # If the loop has taken it up, its result is what counts.
+            return not left.cancel() and left.result()
+
+    def stay(self, stream: Stream, fault: errors.Fault) -> None:
+        """Go on with a silent engine, because no other takes the stream.
+
+        :param stream: the stream that ``replace`` was called for
+        :param fault: what to tell the caller if the engine was left already
+        """
+        self._loop.post(lambda: self._stay(stream, fault))
+
     def cut(
         self,
         chooses: collections.abc.Callable[[Stream], bool],
@@ -249,6 +278,7 @@
                 stream.limit_at_ms <= now_ms
                 and stream.source is not None
                 and not stream.is_paused
+                and not stream.is_replacing
             ):
                 self._note_silence(stream)
         for connection in [
@@ -264,9 +294,39 @@
             return
         # The connection is open and silent: new ones may work, so this is the
         # engine's failure and not the caller's.
-        self._lose_source(
-            stream, "no token in time", errors.Code.UPSTREAM_TIMEOUT
+        fault = _make_lost("no token in time", errors.Code.UPSTREAM_TIMEOUT)
+        stream.is_replacing = True
+        self._submit(stream.owner.replace, stream, fault)
+
+    def _leave_source(
+        self,
+        stream: Stream,
+        offset: int,
+        left: concurrent.futures.Future[bool],
+    ) -> None:
+        if not left.set_running_or_notify_cancel():
+            return
+        may_leave = not (
+            stream.is_closed or stream.is_ended or stream.expected != offset
         )
+        if may_leave:
+            stream.is_replacing = False
+            stream.is_paused = False
+            stream.broken = None
+            self._close_source(stream)
+        left.set_result(may_leave)
+
+    def _stay(self, stream: Stream, fault: errors.Fault) -> None:
+        if stream.is_closed:
+            return
+        broken, stream.broken = stream.broken, None
+        stream.is_replacing = False
+        if stream.source is not None:
+            stream.limit_at_ms = self._loop.now_ms + stream.gap_limit_ms
+        elif broken is not None:
+            self._submit(stream.owner.recover, stream, broken)
+        else:
+            self._end_with(stream, fault)
 
     def _tell_tokens(self) -> None:
         if self._loop.now_ms - self._told_ms < TELL_MS:
@@ -277,37 +337,36 @@
                 stream.owner.note_tokens(stream.expected)
 
     def _lose_source(
-        self,
-        stream: Stream,
-        message: str,
-        code: errors.Code = errors.Code.UPSTREAM_FAILED,
-        has_died: bool = False,
+        self, stream: Stream, message: str, has_died: bool = False
     ) -> None:
         self._close_source(stream)
         stream.is_paused = False
-        fault = errors.Fault(
-            code,
-            errors.Step.DECODE,
-            run=errors.Run.MAY_HAVE_RUN,
-            message=message,
-            has_died=has_died,
-        )
+        fault = _make_lost(message, has_died=has_died)
+        if stream.is_replacing:
+            # The search for another engine is under way.
+            stream.broken = fault
+        else:
+            self._submit(stream.owner.recover, stream, fault)
+
+    def _submit(
+        self, seek: Search, stream: Stream, fault: errors.Fault
+    ) -> None:
         try:
-            self._recoverers.submit(self._recover, stream, fault)
+            self._recoverers.submit(self._seek, seek, stream, fault)
         except RuntimeError:
-            self._end_with(stream, fault)
+            self._stay(stream, fault)
 
-    def _recover(self, stream: Stream, fault: errors.Fault) -> None:
+    def _seek(self, seek: Search, stream: Stream, fault: errors.Fault) -> None:
         """Seek another engine; a failure of the search must show.
 
         An exception would be kept by the pool of threads and seen by nobody,
         while the caller waits on an open connection for ever.
         """
         try:
-            stream.owner.recover(stream, fault)
+            seek(stream, fault)
         except Exception:
             LOG.exception("no other engine could be sought")
-            self.fail(stream, fault)
+            self.stay(stream, fault)
 
     def _resume(self, stream: Stream, source: upstreams.TokenStream) -> None:
         if stream.is_closed:
@@ -397,6 +456,20 @@
             connection.close()
 
 
+def _make_lost(
+    message: str,
+    code: errors.Code = errors.Code.UPSTREAM_FAILED,
+    has_died: bool = False,
+) -> errors.Fault:
+    return errors.Fault(
+        code,
+        errors.Step.DECODE,
+        run=errors.Run.MAY_HAVE_RUN,
+        message=message,
+        has_died=has_died,
+    )
+
+
 def _make_late() -> errors.Fault:
     return errors.Fault(
         errors.Code.DEADLINE_EXCEEDED,
--- a/mulberryway/relay/stream.py
+++ b/mulberryway/relay/stream.py
@@ -65,6 +65,18 @@
         """
         return True
 
+    @abc.abstractmethod
+    def replace(self, stream: "Stream", fault: errors.Fault) -> None:
+        """Find another engine for a silent one; on a thread of its own.
+
+        The silent engine is read from meanwhile.  ``Relay.leave_source`` is
+        called right before the stream begins elsewhere.  Ends in
+        ``Relay.resume`` or ``Relay.stay`` for the stream.
+
+        :param stream: the stream; ``expected`` is the offset to resume at
+        :param fault: what befell the engine
+        """
+
     def note_longest_gap(self, gap_ms: int) -> None:
         """Take notice of the longest pause, right before the end.
 
@@ -115,6 +127,8 @@
         "is_paused",
         "is_ended",
         "is_closed",
+        "is_replacing",
+        "broken",
         "decoder",
         "_splitter",
         "_has_finish",
@@ -154,6 +168,10 @@
         self.is_paused = False
         self.is_ended = False
         self.is_closed = False
+        # Whether another engine is sought while the silent one is read
+        # from, and what broke that one off meanwhile.
+        self.is_replacing = False
+        self.broken: errors.Fault | None = None
         self._first_id = b""
         self.change_source(source)
 
--- a/tests/router_rig.py
+++ b/tests/router_rig.py
@@ -131,7 +131,12 @@
     """One router; use it as a context manager."""
 
     def __init__(
-        self, current=None, settings_=None, scheduler=None, claims=None
+        self,
+        current=None,
+        settings_=None,
+        scheduler=None,
+        claims=None,
+        may_repeat=lambda pool: True,
     ):
         self.settings = settings_ or make_settings()
         self.source = StaticTables(current)
@@ -146,6 +151,7 @@
             self.scheduler,
             self.allowances,
             OneEntry(f"127.0.0.1:{self.settings.router_port}"),
+            may_repeat,
             on_withdraw=lambda: self.withdrawn.append(True),
             claim_store=claims,
         )
--- a/tests/test_model_run.py
+++ b/tests/test_model_run.py
@@ -1,7 +1,9 @@
 """Model requests whose engines, connections or callers fail."""
 
 import json
+import signal
 import socket
+import threading
 import time
 import unittest
 
@@ -58,10 +60,17 @@
         self.group.processes += self.processes.values()
         for process in self.processes.values():
             process.wait_ready()
-        self.rig = router_rig.Rig(self.make_tables(), self.make_settings())
+        self.rig = router_rig.Rig(
+            self.make_tables(),
+            self.make_settings(),
+            may_repeat=self.may_repeat,
+        )
         self.rig.__enter__()
         self.addCleanup(self.rig.__exit__)
 
+    def may_repeat(self, pool):
+        return True
+
     def make_settings(self):
         settings_ = router_rig.make_settings()
         settings_.router_token_gap_ms = 1_000
@@ -204,6 +213,62 @@
         self.check_free(killed)
 
 
+class PausedEngineTest(EnginesTest):
+    """An engine that pauses for longer than the limit, and then goes on."""
+
+    pause_s = 2.5
+    is_budget_spent = False
+
+    def setUp(self):
+        super().setUp()
+        self.repeats = []
+
+    def may_repeat(self, pool):
+        self.repeats.append(pool)
+        return not self.is_budget_spent
+
+    def read_paused(self, prompt, *killed):
+        """Return a stream's events whose engine pauses after the first."""
+        stream = router_rig.OpenStream(self.rig, prompt, LONG)
+        first = stream.read_event()
+        paused = self.find_decoding()
+        for port in killed:
+            self.processes[port].kill()
+        self.processes[paused].send_signal(signal.SIGSTOP)
+        timer = threading.Timer(
+            self.pause_s,
+            self.processes[paused].send_signal,
+            (signal.SIGCONT,),
+        )
+        timer.start()
+        try:
+            return [first, *stream.read_all()]
+        finally:
+            timer.join()
+            stream.close()
+
+    def check_whole(self, events, prompt):
+        self.assertEqual(events[-1], "[DONE]")
+        self.assertEqual(
+            router_rig.join_text(events), router_rig.expect_text(prompt, LONG)
+        )
+
+    def test_kept_where_no_repeat_is_left(self):
+        """Guards against answers cut because the retry budget is spent."""
+        self.is_budget_spent = True
+        events = self.read_paused("no budget")
+        self.check_whole(events, "no budget")
+        self.assertTrue(self.repeats, "the engine was never silent enough")
+        self.check_free()
+
+    def test_kept_where_the_prompt_cannot_be_read_again(self):
+        """Guards against answers cut because the next attempt failed."""
+        events = self.read_paused("unread", self.ports[0])
+        self.check_whole(events, "unread")
+        self.assertTrue(self.repeats, "no other engine was sought")
+        self.check_free(self.ports[0])
+
+
 class GoingCallerTest(EnginesTest):
     """Callers go; engine memory must be free soon after."""
 
--- a/tests/test_pump.py
+++ b/tests/test_pump.py
@@ -2,8 +2,10 @@
 
 import json
 import logging
+import queue
 import socket
 import threading
+import time
 import unittest
 
 from mulberryway import clock
@@ -40,6 +42,9 @@
     def recover(self, stream, fault):
         raise ValueError("a broken search")
 
+    def replace(self, stream, fault):
+        raise ValueError("a broken search")
+
     def close(self, tokens, fault):
         self.closed.set()
 
@@ -56,11 +61,39 @@
         return False
 
 
+class SeekingOwner(BrokenOwner):
+    """Leaves a silent engine when the test says so.
+
+    :param relay: returns the relay
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.relay = None
+        self.begun = threading.Event()
+        self.may_go_on = threading.Event()
+        self.has_left = queue.Queue()
+        self.recovered = threading.Event()
+
+    def replace(self, stream, fault):
+        offset = stream.expected
+        self.begun.set()
+        self.may_go_on.wait(GUARD_S)
+        has_left = self.relay.leave_source(stream, offset)
+        self.has_left.put(has_left)
+        self.relay.stay(stream, fault)
+
+    def recover(self, stream, fault):
+        self.recovered.set()
+        self.relay.fail(stream, fault)
+
+
 class PumpTest(unittest.TestCase):
     def lend(self, owner, limit_ms):
         """Begin a stream, and return the caller's and the engine's ends."""
         loop_ = loop.EventLoop("test", clock.SystemClock())
         relay = pump.Relay(loop_)
+        owner.relay = relay
         loop_.start()
         self.addCleanup(loop_.stop)
         self.addCleanup(relay.stop)
@@ -96,6 +129,45 @@
             data += piece
         self.assertFalse(owner.closed.is_set())
 
+    def test_an_engine_that_goes_on_is_not_left(self):
+        """Guards against closing streams that move while others are sought."""
+        owner = SeekingOwner()
+        caller, engine = self.lend(owner, 50)
+        engine.sendall(EVENT)
+        caller.recv(65_536)
+        self.assertTrue(owner.begun.wait(GUARD_S))
+        engine.sendall(EVENT.replace(b'"index": 0', b'"index": 1'))
+        self.assertIn(b'"index": 1', caller.recv(65_536))
+        owner.may_go_on.set()
+        self.assertFalse(owner.has_left.get(timeout=GUARD_S))
+        engine.sendall(EVENT.replace(b'"index": 0', b'"index": 2'))
+        self.assertIn(b'"index": 2', caller.recv(65_536))
+
+    def test_a_silent_engine_is_closed_before_another_begins(self):
+        """Guards against one request running at two engines at once."""
+        owner = SeekingOwner()
+        caller, engine = self.lend(owner, 50)
+        engine.sendall(EVENT)
+        caller.recv(65_536)
+        owner.may_go_on.set()
+        self.assertTrue(owner.has_left.get(timeout=GUARD_S))
+        engine.settimeout(GUARD_S)
+        self.assertEqual(engine.recv(1), b"")
+
+    def test_an_engine_that_breaks_off_during_a_search_is_recovered(self):
+        """Guards against streams that nobody goes on with after a search."""
+        owner = SeekingOwner()
+        caller, engine = self.lend(owner, 50)
+        engine.sendall(EVENT)
+        caller.recv(65_536)
+        self.assertTrue(owner.begun.wait(GUARD_S))
+        owner.relay.leave_source = lambda stream, offset: False
+        engine.close()
+        time.sleep(0.1)
+        owner.may_go_on.set()
+        self.assertTrue(owner.recovered.wait(GUARD_S))
+        self.assertTrue(owner.closed.wait(GUARD_S))
+
     def test_a_search_that_fails_ends_the_answer(self):
         """An engine dies in mid-answer, and the search for another one
         raises.  The caller waited for ever on a connection that stayed
