Shorten heartbeats between VMs, and let relays merge them

A heartbeat now repeats only what was told since the one before the last, and all accounts with each fifth one and while any VM that is heard has counted for less than 4 s; a VM that has just begun takes levels over from whole messages only, since others name some accounts and not the rest. Heartbeats are marked as deferrable: a relay keeps them for up to 100 ms to send them along with others. News are as fast as before.

--- a/mulberryway/controllers/dissemination.py
+++ b/mulberryway/controllers/dissemination.py
@@ -55,13 +55,16 @@
         """
         return self._addresses.get(name, "")
 
-    def publish(self, item: bytes) -> None:
+    def publish(self, item: bytes, is_urgent: bool = True) -> None:
         """Send an item to all VMs that are thought to be alive.
 
         :param item: an encoded hint
+        :param is_urgent: whether it says anything new; heartbeats do not
         """
         with self._lock:
-            packets = self._disseminator.publish(item, self.clock.now_ms())
+            packets = self._disseminator.publish(
+                item, self.clock.now_ms(), not is_urgent
+            )
             due_ms = self._disseminator.read_due_ms()
         self._send(packets)
         self._wake_by(due_ms)
--- a/mulberryway/controllers/fleet_allowances.py
+++ b/mulberryway/controllers/fleet_allowances.py
@@ -46,8 +46,8 @@
     ) -> None:
         super().__init__("fleet-allowances", clock_, PERIOD_MS)
         self._book = book
-        self.send_all: collections.abc.Callable[[bytes], None] = (
-            lambda payload: None
+        self.send_all: collections.abc.Callable[[bytes, bool], None] = (
+            lambda payload, is_urgent: None
         )
         self._read_mirrors = read_mirrors
         self._lock = threading.Lock()
@@ -71,7 +71,9 @@
         if message is not None:
             self._told_ms = now_ms
             message.is_store_reached = is_reached
-            self.send_all(note_messages.write_usage(message))
+            self.send_all(
+                note_messages.write_usage(message), not message.is_heartbeat
+            )
 
     def take(self, told: usage.Usage) -> None:
         """Take in another VM's counts.
--- a/mulberryway/controllers/notes.py
+++ b/mulberryway/controllers/notes.py
@@ -86,7 +86,7 @@
         payload = note_messages.write_note(note)
         peers = self._list_peers()
         if peers >= self._others:
-            self._dissemination.publish(payload)
+            self._dissemination.publish(payload, not note.is_heartbeat)
         else:
             self.send(payload, peers)
         for death in note.deaths:
--- a/mulberryway/peers/envelopes.py
+++ b/mulberryway/peers/envelopes.py
@@ -20,6 +20,7 @@
         envelope.items,
         envelope.relay_number or None,
         envelope.acknowledged or None,
+        envelope.is_deferrable or None,
     )
     return TSerialization.serialize(message, FACTORY)
 
@@ -34,4 +35,5 @@
         message.items,
         message.relay_number or 0,
         message.acknowledged or 0,
+        bool(message.is_deferrable),
     )
--- a/mulberryway/peers/gen/notes/ttypes.py
+++ b/mulberryway/peers/gen/notes/ttypes.py
@@ -1148,6 +1148,7 @@
      - mirrors
      - age_ms
      - is_store_reached
+     - is_whole
 
     """
 
@@ -1159,10 +1160,11 @@
         'mirrors',
         'age_ms',
         'is_store_reached',
+        'is_whole',
     )
 
 
-    def __init__(self, vm=None, incarnation=None, sequence=None, accounts=None, mirrors=None, age_ms=None, is_store_reached=None,):
+    def __init__(self, vm=None, incarnation=None, sequence=None, accounts=None, mirrors=None, age_ms=None, is_store_reached=None, is_whole=None,):
         self.vm = vm
         self.incarnation = incarnation
         self.sequence = sequence
@@ -1170,6 +1172,7 @@
         self.mirrors = mirrors
         self.age_ms = age_ms
         self.is_store_reached = is_store_reached
+        self.is_whole = is_whole
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1227,6 +1230,11 @@
                     self.is_store_reached = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.is_whole = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1271,6 +1279,10 @@
             oprot.writeFieldBegin('is_store_reached', TType.BOOL, 7)
             oprot.writeBool(self.is_store_reached)
             oprot.writeFieldEnd()
+        if self.is_whole is not None:
+            oprot.writeFieldBegin('is_whole', TType.BOOL, 8)
+            oprot.writeBool(self.is_whole)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1417,6 +1429,7 @@
      - items
      - relay_number
      - acknowledged
+     - is_deferrable
 
     """
 
@@ -1424,13 +1437,15 @@
         'items',
         'relay_number',
         'acknowledged',
+        'is_deferrable',
     )
 
 
-    def __init__(self, items=None, relay_number=None, acknowledged=None,):
+    def __init__(self, items=None, relay_number=None, acknowledged=None, is_deferrable=None,):
         self.items = items
         self.relay_number = relay_number
         self.acknowledged = acknowledged
+        self.is_deferrable = is_deferrable
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1461,6 +1476,11 @@
                     self.acknowledged = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.is_deferrable = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1486,6 +1506,10 @@
             oprot.writeFieldBegin('acknowledged', TType.I64, 3)
             oprot.writeI64(self.acknowledged)
             oprot.writeFieldEnd()
+        if self.is_deferrable is not None:
+            oprot.writeFieldBegin('is_deferrable', TType.BOOL, 4)
+            oprot.writeBool(self.is_deferrable)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1599,6 +1623,7 @@
     (5, TType.LIST, 'mirrors', (TType.STRUCT, [MirrorState, None], False), None, ),  # 5
     (6, TType.I32, 'age_ms', None, None, ),  # 6
     (7, TType.BOOL, 'is_store_reached', None, None, ),  # 7
+    (8, TType.BOOL, 'is_whole', None, None, ),  # 8
 )
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
@@ -1613,6 +1638,7 @@
     (1, TType.LIST, 'items', (TType.STRING, 'BINARY', False), None, ),  # 1
     (2, TType.I64, 'relay_number', None, None, ),  # 2
     (3, TType.I64, 'acknowledged', None, None, ),  # 3
+    (4, TType.BOOL, 'is_deferrable', None, None, ),  # 4
 )
 fix_spec(all_structs)
 del all_structs
--- a/mulberryway/peers/idl/notes.thrift
+++ b/mulberryway/peers/idl/notes.thrift
@@ -89,6 +89,8 @@
   6: required i32 age_ms,
   // Whether the platform's store answers it; none if it does not ask.
   7: optional bool is_store_reached,
+  // Whether all accounts are told, not only those that changed of late.
+  8: optional bool is_whole,
 }
 
 struct Datagram {
@@ -105,4 +107,7 @@
   // with this number.
   2: optional i64 relay_number,
   3: optional i64 acknowledged,
+  // Whether the relay may keep the items for a moment, to send them along
+  // with others.
+  4: optional bool is_deferrable,
 }
--- a/mulberryway/peers/note_messages.py
+++ b/mulberryway/peers/note_messages.py
@@ -166,6 +166,7 @@
         ],
         min(usage.age_ms, MOST_AGE_MS),
         usage.is_store_reached,
+        usage.is_whole or None,
     )
     return TSerialization.serialize(ttypes.Datagram(usage=message), FACTORY)
 
@@ -182,6 +183,7 @@
         {one.kind: one.revision for one in message.mirrors},
         message.age_ms,
         message.is_store_reached,
+        bool(message.is_whole),
     )
 
 
--- a/mulberryway/policy/dissemination/disseminator.py
+++ b/mulberryway/policy/dissemination/disseminator.py
@@ -51,16 +51,21 @@
             own = [self._own] if zone == self._own.zone else []
             self._outboxes[zone].chooser.change(found + own)
 
-    def publish(self, item: bytes, now_ms: int) -> list[messages.Packet]:
+    def publish(
+        self, item: bytes, now_ms: int, is_deferrable: bool = False
+    ) -> list[messages.Packet]:
         """Return the packets that bring an item to all VMs.
 
         :param item: the item
         :param now_ms: the present
+        :param is_deferrable: whether relays may keep it for a moment
         """
         return [
             packet
             for zone in self._zones
-            for packet in self._publish_zone(zone, item, 0, now_ms)
+            for packet in self._publish_zone(
+                zone, item, 0, now_ms, is_deferrable
+            )
         ]
 
     def take(
@@ -86,7 +91,8 @@
             "",
             messages.Envelope([], 0, envelope.relay_number),
         )
-        return [answer, *self._relay(envelope.items, now_ms)]
+        relayed = self._relay(envelope.items, now_ms, envelope.is_deferrable)
+        return [answer, *relayed]
 
     def poll(self, now_ms: int) -> list[messages.Packet]:
         """Return the packets that are due by time alone.
@@ -99,8 +105,10 @@
             for packet in self._spread(items)
         ]
         for zone, box in self._outboxes.items():
-            for item, tries in box.take_overdue(now_ms):
-                packets += self._publish_zone(zone, item, tries, now_ms)
+            for one in box.take_overdue(now_ms):
+                packets += self._publish_zone(
+                    zone, one.item, one.relays, now_ms, one.is_deferrable
+                )
         return packets
 
     def read_due_ms(self) -> int | None:
@@ -120,7 +128,12 @@
         return sum(box.given_up for box in self._outboxes.values())
 
     def _publish_zone(
-        self, zone: str, item: bytes, tries: int, now_ms: int
+        self,
+        zone: str,
+        item: bytes,
+        tries: int,
+        now_ms: int,
+        is_deferrable: bool,
     ) -> list[messages.Packet]:
         receivers = self._zones[zone]
         if len(receivers) <= MOST_DIRECT:
@@ -130,14 +143,18 @@
         relay = box.chooser.choose(now_ms)
         assert relay is not None
         if relay.name == self._own.name:
-            return self._relay([item], now_ms)
+            return self._relay([item], now_ms, is_deferrable)
         number = next(self._numbers)
-        return [box.send(item, relay, number, now_ms, tries + 1)]
+        return [
+            box.send(item, relay, number, now_ms, tries + 1, is_deferrable)
+        ]
 
-    def _relay(self, items: list[bytes], now_ms: int) -> list[messages.Packet]:
+    def _relay(
+        self, items: list[bytes], now_ms: int, is_deferrable: bool
+    ) -> list[messages.Packet]:
         return [
             packet
-            for due in self._batch.add(items, now_ms)
+            for due in self._batch.add(items, now_ms, is_deferrable)
             for packet in self._spread(due)
         ]
 
--- a/mulberryway/policy/dissemination/messages.py
+++ b/mulberryway/policy/dissemination/messages.py
@@ -41,19 +41,23 @@
     :param relay_number: the receiver passes the items on to its zone and
         acknowledges with this number; 0 if they are for it alone
     :param acknowledged: a relay number of the receiver; 0 for none
+    :param is_deferrable: whether a relay may keep the items for a moment, to
+        send them along with others
     """
 
-    __slots__ = ("items", "relay_number", "acknowledged")
+    __slots__ = ("items", "relay_number", "acknowledged", "is_deferrable")
 
     def __init__(
         self,
         items: list[bytes],
         relay_number: int = 0,
         acknowledged: int = 0,
+        is_deferrable: bool = False,
     ) -> None:
         self.items = items
         self.relay_number = relay_number
         self.acknowledged = acknowledged
+        self.is_deferrable = is_deferrable
 
 
 class Packet:
--- a/mulberryway/policy/dissemination/outbox.py
+++ b/mulberryway/policy/dissemination/outbox.py
@@ -5,7 +5,7 @@
 from mulberryway.policy.dissemination import messages
 from mulberryway.policy.dissemination import relays
 
-__all__ = ["ZoneOutbox"]
+__all__ = ["Pending", "ZoneOutbox"]
 
 # A relay acknowledges within a round trip and its own scheduling delay.
 ACKNOWLEDGE_MS = 150
@@ -16,18 +16,31 @@
 MOST_PENDING = 64
 
 
-class _Pending:
-    """An item that awaits its acknowledgement."""
+class Pending:
+    """An item that awaits its acknowledgement.
 
-    __slots__ = ("item", "relay", "sent_ms", "relays")
+    :param item: the item
+    :param relay: the relay's name
+    :param sent_ms: when it was sent
+    :param relays_: how many relays have got the item, this one included
+    :param is_deferrable: whether the relay may keep it for a moment
+    """
+
+    __slots__ = ("item", "relay", "sent_ms", "relays", "is_deferrable")
 
     def __init__(
-        self, item: bytes, relay: str, sent_ms: int, relays_: int
+        self,
+        item: bytes,
+        relay: str,
+        sent_ms: int,
+        relays_: int,
+        is_deferrable: bool,
     ) -> None:
         self.item = item
         self.relay = relay
         self.sent_ms = sent_ms
         self.relays = relays_
+        self.is_deferrable = is_deferrable
 
 
 class ZoneOutbox:
@@ -38,7 +51,7 @@
 
     def __init__(self, zone: str) -> None:
         self._zone = zone
-        self._pending: collections.OrderedDict[int, _Pending] = (
+        self._pending: collections.OrderedDict[int, Pending] = (
             collections.OrderedDict()
         )
         self.chooser = relays.RelayChooser(zone)
@@ -53,6 +66,7 @@
         number: int,
         now_ms: int,
         tries: int = 1,
+        is_deferrable: bool = False,
     ) -> messages.Packet:
         """Return the packet that brings an item to a relay.
 
@@ -61,8 +75,11 @@
         :param number: names the packet in its acknowledgement
         :param now_ms: the present
         :param tries: how many relays have got the item, this one included
+        :param is_deferrable: whether the relay may keep it for a moment
         """
-        self._pending[number] = _Pending(item, relay.name, now_ms, tries)
+        self._pending[number] = Pending(
+            item, relay.name, now_ms, tries, is_deferrable
+        )
         while len(self._pending) > MOST_PENDING:
             self._pending.popitem(last=False)
             self.given_up += 1
@@ -70,7 +87,7 @@
             messages.Kind.RELAY,
             relay.address,
             self._zone,
-            messages.Envelope([item], number),
+            messages.Envelope([item], number, is_deferrable=is_deferrable),
         )
 
     def note_acknowledged(self, number: int) -> bool:
@@ -81,12 +98,11 @@
         """
         return self._pending.pop(number, None) is not None
 
-    def take_overdue(self, now_ms: int) -> list[tuple[bytes, int]]:
+    def take_overdue(self, now_ms: int) -> list[Pending]:
         """Pass silent relays over, and return what has to be sent again.
 
         :param now_ms: the present
-        :returns: items in the order of sending, with the number of relays
-            that have got them
+        :returns: what was sent, in that order
         """
         if not self._is_overdue(now_ms):
             return []
@@ -107,7 +123,7 @@
         again = [one for one in overdue if one.relays < MOST_RELAYS]
         self.resent += len(again)
         self.given_up += len(overdue) - len(again)
-        return [(one.item, one.relays) for one in again]
+        return again
 
     def read_due_ms(self) -> int | None:
         """Return when to look for overdue items; none if nothing pends."""
--- a/mulberryway/policy/hints.py
+++ b/mulberryway/policy/hints.py
@@ -157,3 +157,8 @@
         self.holdings = holdings
         self.accounts = accounts
         self.deaths = deaths
+
+    @property
+    def is_heartbeat(self) -> bool:
+        """Whether it only tells that its sender lives."""
+        return not (self.holdings or self.accounts or self.deaths)
--- a/mulberryway/policy/usage.py
+++ b/mulberryway/policy/usage.py
@@ -56,6 +56,11 @@
 UNKNOWN = -1
 # A VM that has counted for so long knows what was given before.
 SETTLED_MS = 3_000
+# All accounts are told with each so many heartbeats, and with each one while
+# a VM has counted for less than this.  The others repeat only what was told
+# since the heartbeat before the last, in case a message was lost.
+WHOLE_HEARTBEATS = 5
+WHOLE_FOR_MS = 4_000
 
 
 AccountUsage = usage_messages.AccountUsage
@@ -102,6 +107,11 @@
         self._began_ms = now_ms
         self._told_ms: int | None = None
         self._numbers = itertools.count(1)
+        self._heartbeats = 0
+        self._whole_until_ms = now_ms + WHOLE_FOR_MS
+        # Accounts told since the last heartbeat, and before that.
+        self._recent: set[str] = set()
+        self._earlier: set[str] = set()
         self._buckets: dict[str, usage_bucket.UsageBucket] = {}
         self._peers: dict[str, _Peer] = {}
         self._gone: collections.OrderedDict[str, _Peer] = (
@@ -247,30 +257,49 @@
         """
         pause_ms = HEARTBEAT_MS * self._read_scale()
         is_due = self._told_ms is None or now_ms - self._told_ms >= pause_ms
-        told = {
-            name: bucket
+        changed = {
+            name
             for name, bucket in self._buckets.items()
-            if not bucket.is_told or is_due
+            if not bucket.is_told
         }
-        if not told and not is_due and not is_news:
+        if not changed and not is_due and not is_news:
             return None
-        for bucket in told.values():
-            bucket.is_told = True
+        is_whole = is_due and self._must_tell_all(now_ms)
+        self._recent |= changed
+        names = changed
         if is_due:
+            names = self._recent | self._earlier
+            self._earlier, self._recent = self._recent, set()
             self._told_ms = now_ms
+            self._heartbeats += 1
+        if is_whole:
+            names = set(self._buckets)
         return Usage(
             self._vm,
             self._incarnation,
             next(self._numbers),
             [
-                AccountUsage(name, bucket.spent, int(bucket.level))
-                for name, bucket in told.items()
-                if bucket.spent or bucket.rate
+                self._tell(name)
+                for name in sorted(names)
+                if self._buckets[name].spent or self._buckets[name].rate
             ],
             mirrors,
             now_ms - self._began_ms,
+            is_whole=is_whole,
+            is_heartbeat=not changed and not is_news,
+        )
+
+    def _must_tell_all(self, now_ms: int) -> bool:
+        return (
+            now_ms < self._whole_until_ms
+            or self._heartbeats % WHOLE_HEARTBEATS == 0
         )
 
+    def _tell(self, name: str) -> AccountUsage:
+        bucket = self._buckets[name]
+        bucket.is_told = True
+        return AccountUsage(name, bucket.spent, int(bucket.level))
+
     def note_usage(self, usage: Usage, now_ms: int) -> None:
         """Take in another VM's counts.
 
@@ -297,6 +326,10 @@
         peer.heard_ms = now_ms
         if was_silent or is_new:
             self._part_until_ms = 0
+        if usage.age_ms < WHOLE_FOR_MS:
+            self._whole_until_ms = max(
+                self._whole_until_ms, now_ms + WHOLE_FOR_MS - usage.age_ms
+            )
         self._adopt(usage, now_ms)
         for told in usage.accounts:
             self._subtract(peer, told, now_ms)
@@ -304,7 +337,11 @@
     def _adopt(self, usage: Usage, now_ms: int) -> None:
         # A VM that has just begun knows nothing of what was given before;
         # one that counted on does.
-        if self._has_adopted or usage.age_ms < SETTLED_MS:
+        if (
+            self._has_adopted
+            or usage.age_ms < SETTLED_MS
+            or not usage.is_whole
+        ):
             return
         if now_ms - self._began_ms > SETTLED_MS:
             self._has_adopted = True
--- a/mulberryway/policy/usage_messages.py
+++ b/mulberryway/policy/usage_messages.py
@@ -68,6 +68,8 @@
     :param age_ms: for how long the VM has counted
     :param is_store_reached: whether the platform's store answers it; none
         if it does not ask
+    :param is_whole: whether all accounts are told
+    :param is_heartbeat: whether it says nothing new; not sent
     """
 
     __slots__ = (
@@ -78,6 +80,8 @@
         "mirrors",
         "age_ms",
         "is_store_reached",
+        "is_whole",
+        "is_heartbeat",
     )
 
     def __init__(
@@ -89,6 +93,8 @@
         mirrors: dict[str, int],
         age_ms: int,
         is_store_reached: bool | None = True,
+        is_whole: bool = True,
+        is_heartbeat: bool = False,
     ) -> None:
         self.vm = vm
         self.incarnation = incarnation
@@ -97,3 +103,5 @@
         self.mirrors = mirrors
         self.age_ms = age_ms
         self.is_store_reached = is_store_reached
+        self.is_whole = is_whole
+        self.is_heartbeat = is_heartbeat
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -138,6 +138,28 @@
         self.assertEqual(batch.take_due(20), [[b"b", b"c"]])
         self.assertIsNone(batch.read_due_ms())
 
+    def test_heartbeats_share_a_batch(self):
+        """Guards against a datagram for every few heartbeats."""
+        batch = dissemination.RelayBatch()
+        sent = [
+            one
+            for now_ms in range(0, 1_000, 8)
+            for one in batch.add([b"beat"], now_ms, is_deferrable=True)
+            + batch.take_due(now_ms)
+        ]
+        self.assertLessEqual(len(sent), 10)
+        self.assertGreaterEqual(sum(map(len, sent)), 110)
+
+    def test_news_takes_waiting_heartbeats_along(self):
+        """Guards news against the wait that heartbeats may have."""
+        batch = dissemination.RelayBatch()
+        self.assertEqual(batch.add([b"beat"], 0, is_deferrable=True), [])
+        self.assertEqual(batch.add([b"news"], 10), [[b"beat", b"news"]])
+        self.assertEqual(batch.add([b"beat"], 12, is_deferrable=True), [])
+        self.assertEqual(batch.read_due_ms(), 112)
+        self.assertEqual(batch.add([b"news"], 15), [])
+        self.assertEqual(batch.read_due_ms(), 30)
+
     def test_a_batch_fits_one_frame(self):
         """Guards against datagrams that are lost with any fragment."""
         batch = dissemination.RelayBatch()
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -182,6 +182,56 @@
         new.note_usage(old.make_usage({}, 20_010), 20_010)
         self.assertIsNone(new.take("a", 5_000, 20_020))
 
+    def test_vm_that_begins_takes_over_whole_counts_only(self):
+        """Guards a new VM against knowing the levels of some accounts only."""
+        old = make_book("a1")
+        old.make_usage({}, usage.WHOLE_FOR_MS)
+        old.take("a", 100, 20_000)
+        partial = old.make_usage({}, 20_010)
+        self.assertFalse(partial.is_whole)
+        new = make_book("a2", now_ms=20_000)
+        new.note_usage(partial, 20_010)
+        self.assertIsNotNone(new.take("a", 9_000, 20_020))
+        old.note_usage(new.make_usage({}, 20_020), 20_020)
+        whole = old.make_usage({}, 20_400)
+        self.assertTrue(whole.is_whole)
+        new.note_usage(whole, 20_410)
+        self.assertIsNone(new.take("a", 9_000, 20_420))
+
+    def list_heartbeats(self, book, since_ms, count):
+        """Return messages of a book that nobody takes from meanwhile."""
+        return [
+            book.make_usage({}, since_ms + number * usage.HEARTBEAT_MS)
+            for number in range(count)
+        ]
+
+    def test_heartbeats_of_a_fleet_at_rest_are_short(self):
+        """Guards against processor time for counts that have not changed."""
+        book = make_book("a1")
+        accounts = [
+            tables.ClientAccount(f"a{n}", (), RATE, BURST) for n in range(16)
+        ]
+        book.change_accounts(accounts, 0)
+        told = self.list_heartbeats(book, usage.WHOLE_FOR_MS, 20)
+        self.assertTrue(all(one.is_heartbeat for one in told))
+        whole = [one for one in told if len(one.accounts) == 17]
+        self.assertEqual(len(whole), 20 // usage.WHOLE_HEARTBEATS)
+        self.assertEqual(sum(len(one.accounts) for one in told), 17 * 4)
+
+    def test_a_count_that_was_lost_comes_with_the_next_heartbeats(self):
+        """Guards against tokens given twice after a lost datagram."""
+        book = make_book("a1")
+        self.list_heartbeats(book, usage.WHOLE_FOR_MS, 2)
+        now_ms = usage.WHOLE_FOR_MS + usage.HEARTBEAT_MS + 100
+        book.take("a", 100, now_ms)
+        lost = book.make_usage({}, now_ms)
+        self.assertFalse(lost.is_heartbeat)
+        told = self.list_heartbeats(book, now_ms + usage.HEARTBEAT_MS, 2)
+        self.assertEqual(
+            [[one.spent for one in each.accounts] for each in told],
+            [[100], [100]],
+        )
+
     def test_small_account_gets_what_its_margin_holds(self):
         """A small account asks for several times its rate on a calm day.
         Operators allow it much beyond the rate, and its callers were refused
