Ask again for a copy that another VM could not give, and log readiness

Found while tracing the flaky start (a VM restarted while the store refuses was not ready 6 s after it listened): a VM without tables takes them from another VM. A call for them that failed was forgotten without a line, until that VM told its revisions again, up to 1.5 s later, and a later VM with the same revision was passed over. The call is now logged and made again with the next step, of the VM that told last.

--- a/mulberryway/controllers/mirrors.py
+++ b/mulberryway/controllers/mirrors.py
@@ -283,7 +283,8 @@
             return
         with self._lock:
             for kind, found in newer.items():
-                if found[0] > self._newer.get(kind, (0, ""))[0]:
+                # Of two equal ones the later: the earlier VM may have gone.
+                if found[0] >= self._newer.get(kind, (0, ""))[0]:
                     self._newer[kind] = found
         self.wake()
 
@@ -306,5 +307,17 @@
                 keeper.revision,
                 is_idempotent=True,
             )
-            if answer.is_ok() and answer.ok.content:
+            if answer.is_error():
+                self._note_failure(kind, revision, address, answer.error)
+            elif answer.ok.content:
                 keeper.unpack(answer.ok.revision, answer.ok.content)
+
+    def _note_failure(
+        self, kind: str, revision: int, address: str, fault: errors.Fault
+    ) -> None:
+        LOG.info(
+            "a newer copy could not be read from another VM",
+            extra=logs.describe(fault, kind=kind, revision=revision),
+        )
+        with self._lock:
+            self._newer.setdefault(kind, (revision, address))
--- a/mulberryway/router.py
+++ b/mulberryway/router.py
@@ -8,6 +8,7 @@
 
 from mulberryway import clock
 from mulberryway import errors
+from mulberryway import logs
 from mulberryway import metrics
 from mulberryway import replies
 from mulberryway import settings
@@ -235,10 +236,37 @@
         LOG.info("the router serves on port %d", self.port)
 
     def _await_ready(self) -> None:
+        began_ms = self.clock.now_ms()
+        told: list[str] | None = None
         while not self.is_ready and not self._is_refusing:
+            missing = self._list_missing()
+            if missing != told:
+                told = missing
+                self._log_readiness(began_ms, missing)
             self.clock.sleep_ms(READY_POLL_MS)
+        self._log_readiness(began_ms, self._list_missing())
         self._on_ready()
 
+    def _list_missing(self) -> list[str]:
+        """Return what this VM still waits for before callers may come."""
+        return [
+            what
+            for what, is_there in (
+                ("tables", self._source.read_tables() is not None),
+                ("allowances", self._was_settled),
+                ("stopping", not self._is_withdrawn),
+            )
+            if not is_there
+        ]
+
+    def _log_readiness(self, began_ms: int, missing: list[str]) -> None:
+        LOG.info(
+            "the VM is not ready" if missing else "the VM is ready",
+            extra=logs.describe(
+                missing=missing, waited_ms=self.clock.now_ms() - began_ms
+            ),
+        )
+
     def withdraw(self) -> None:
         """Tell new callers to go elsewhere; keep serving all who come."""
         self._is_withdrawn = True
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -1,8 +1,16 @@
 """Copies of the store's objects: order, outages, and help between VMs."""
 
+import json
 import unittest
+import zlib
 
+import expression
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway.controllers import mirrors as controllers
 from mulberryway.objects import base
+from mulberryway.peers.gen.mirrors import ttypes
 from mulberryway.policy import mirrors
 from mulberryway.policy import outages
 
@@ -95,6 +103,62 @@
         self.assertEqual(self.names(), ["s5", "s6"])
 
 
+class FailingPeers:
+    """Answers for other VMs; the first calls fail.
+
+    :param failures: how many
+    """
+
+    def __init__(self, failures):
+        self.failures = failures
+        self.called = []
+
+    def call(self, peer, client_class, method, kind, *arguments, **options):
+        self.called.append(peer)
+        if len(self.called) <= self.failures:
+            return expression.Error(
+                errors.Fault(errors.Code.PEER_UNREACHABLE, errors.Step.PEER)
+            )
+        rows = [["main", 7, {"version": 7}]]
+        content = zlib.compress(json.dumps(rows).encode())
+        return expression.Ok(ttypes.Mirror(7, content))
+
+
+class ExchangeTest(unittest.TestCase):
+    def make(self, failures):
+        self.changes = []
+        self.keeper = controllers.MirrorKeeper(
+            "config", None, clock.ManualClock(), lambda: self.changes.append(1)
+        )
+        self.peers = FailingPeers(failures)
+        return controllers.MirrorExchange(
+            {"config": self.keeper}, self.peers, clock.ManualClock()
+        )
+
+    def test_a_copy_that_could_not_be_read_is_asked_for_again(self):
+        """Guards against a VM without tables because one call failed."""
+        exchange = self.make(failures=2)
+        exchange.note_peer("a2:1", {"config": 7})
+        with self.assertLogs(controllers.LOG, "INFO"):
+            for _ in range(3):
+                exchange.step()
+        self.assertEqual(self.keeper.revision, 7)
+        self.assertEqual(self.changes, [1])
+        exchange.step()
+        self.assertEqual(len(self.peers.called), 3)
+
+    def test_a_second_vm_is_asked_where_the_first_does_not_answer(self):
+        """Guards against asking a VM that has gone again and again."""
+        exchange = self.make(failures=1)
+        exchange.note_peer("a2:1", {"config": 7})
+        with self.assertLogs(controllers.LOG, "INFO"):
+            exchange.step()
+        exchange.note_peer("a3:1", {"config": 7})
+        exchange.step()
+        self.assertEqual(self.peers.called, ["a2:1", "a3:1"])
+        self.assertEqual(self.keeper.revision, 7)
+
+
 class OutagesTest(unittest.TestCase):
     def test_alone_it_is_shared(self):
         self.assertTrue(outages.Outages().is_shared(0))
