Let news of an engine's pace wait for other news about engines

Each VM told all others at once, up to once a second for each stream, when the time between tokens had changed by a fifth. Such news now goes along with the next note, and by itself after 250 ms.

--- a/mulberryway/policy/scheduler.py
+++ b/mulberryway/policy/scheduler.py
@@ -27,8 +27,8 @@
 MOST_ENTRIES = 2_048
 MOST_BYTES = 64 << 20
 TOKEN_GAP_MS = 63
-# Peers hear of a change in an upstream's pace at once; the rest goes along
-# with the next note.
+# Peers hear soon of a larger change in an upstream's pace; the rest goes
+# along with the next note about it.
 NEWS_PART = 0.2
 # Starts in one call, so that a call's time has a limit.
 MOST_STARTS = 64
@@ -192,7 +192,9 @@
                 before_ms = decode.step.value
                 decode.note_step(gap_ms, now_ms)
                 if abs(gap_ms - before_ms) > NEWS_PART * before_ms:
-                    self._teller.note_view(job.entry.job.pool, decode.row.name)
+                    self._teller.note_later(
+                        job.entry.job.pool, decode.row.name, now_ms
+                    )
 
     def move_decode(
         self,
--- a/mulberryway/policy/telling.py
+++ b/mulberryway/policy/telling.py
@@ -13,6 +13,9 @@
 # with three changes) more than its 15 KB a second; within this time changes
 # go together, and a peer's view is that much late.
 LEAST_PAUSE_MS = 5
+# A change that nobody waits for goes along with the next note, and by itself
+# after this time.
+LATER_MS = 250
 # An empty note tells that the router lives; what it holds counts until it
 # has been silent for three of these.
 HEARTBEAT_MS = 1_000
@@ -50,6 +53,9 @@
         # How many VMs exchange notes.
         self.vms = 1
         self._views: set[tuple[str, str]] = set()
+        # Views that may wait for a note of others, and since when they do.
+        self._later: set[tuple[str, str]] = set()
+        self._later_since_ms = 0
         # What was told since the last whole note, which repeats it.
         self._recent: set[tuple[str, str]] = set()
         self._accounts: set[tuple[str, str]] = set()
@@ -67,6 +73,17 @@
         """
         self._views.add((pool, upstream))
 
+    def note_later(self, pool: str, upstream: str, now_ms: int) -> None:
+        """Mark an upstream of which the news may wait a bit.
+
+        :param pool: the pool's name
+        :param upstream: the upstream's name
+        :param now_ms: the present
+        """
+        if not self._later:
+            self._later_since_ms = now_ms
+        self._later.add((pool, upstream))
+
     def note_charge(
         self, pool: str, account: str, weight: int, tokens: float
     ) -> None:
@@ -103,9 +120,13 @@
         )
         has_gone = bool(self._told_waiting.keys() - waiting.keys())
         deaths = self._register.take_news(now_ms)
+        if self._later and now_ms - self._later_since_ms >= LATER_MS:
+            self._views |= self._later
         changed = self._views or self._accounts or deaths
         if not (changed or is_waiting or has_gone or is_beating):
             return None
+        self._views |= self._later
+        self._later = set()
         changed_views = set(self._views)
         self._mark_whole(pools_, now_ms)
         self._recent |= changed_views
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -10,6 +10,7 @@
 from mulberryway.policy import health
 from mulberryway.policy import messages
 from mulberryway.policy import scheduler
+from mulberryway.policy import telling
 from mulberryway.policy import trust
 from tests import policy_cases as cases
 
@@ -57,6 +58,30 @@
         ]
         self.assertEqual(sum(told), 2 * len(self.names))
 
+    def test_a_changed_pace_goes_along_with_other_news(self):
+        """Guards against a note for each stream and second of a fleet."""
+        while self.router.take_hints(100) is not None:
+            pass
+        self.router.submit(cases.make_job("j"), 100)
+        (started,) = self.router.dispatch(100).assignments
+        self.router.note_prefilled("j", 100)
+        self.router.note_first_token("j", 110)
+        self.router.take_hints(120)
+        notes = []
+        tokens = 0
+        for step, now_ms in enumerate(range(200, 2_200, 20)):
+            # A pace that changes by more than the part that is news.
+            tokens += (8, 80)[step % 2]
+            self.router.note_tokens("j", tokens, now_ms)
+            notes.append(self.router.take_hints(now_ms))
+        told = [
+            note
+            for note in filter(None, notes)
+            if any(one.upstream == started.decode for one in note.holdings)
+        ]
+        self.assertLessEqual(len(told), 2_000 / telling.LATER_MS + 1)
+        self.assertGreaterEqual(len(told), 4)
+
     def test_a_note_fits_a_datagram(self):
         """Guards against notes that are too large to be sent."""
         payload = note_messages.write_note(self.router.take_hints(100))
