--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -399,17 +399,15 @@
             blame = attempt.decode_name
             if fault.step is errors.Step.PREFILL:
                 blame = attempt.prefill_name
-            self._avoid = self._avoid | {blame}
             # An engine that is told to cancel may close the connection; it
             # has not died, and is not to blame.
             is_cancelled = (
                 not self._is_wanted() or fault.code is errors.Code.CANCELLED
             )
-            end = (
-                messages.JobEnd.CANCELLED
-                if is_cancelled
-                else model_parts.sort_end(fault)
-            )
+            end = messages.JobEnd.CANCELLED
+            if not is_cancelled:
+                end = model_parts.sort_end(fault)
+                self._avoid = self._avoid | {blame}
             attempt.end(end, blame)
         return result
 
