--- a/mulberryway/controllers/mirrors.py
+++ b/mulberryway/controllers/mirrors.py
@@ -68,6 +68,9 @@
         self._on_change = on_change
         self._mirror = mirrors.Mirror(kind, keeps_missing)
         self._lock = threading.Lock()
+        # The copy that other VMs get, and of which state of the mirror.
+        self._packed = b""
+        self._packed_edits = -1
         self._needs_listing = True
         self._is_outage_shared = is_outage_shared
         self._is_watcher = is_watcher
@@ -130,11 +133,20 @@
         """
         with self._lock:
             revision = self._mirror.changed
-            found = self._mirror.list_objects()
-        if revision <= known_revision:
-            return revision, b""
-        rows = [[one.name, one.version, one.value] for one in found]
-        return revision, zlib.compress(json.dumps(rows).encode(), PACK_LEVEL)
+            if revision <= known_revision:
+                return revision, b""
+            if self._packed_edits != self._mirror.edits:
+                # All VMs of a fleet ask for the same copy after a change.
+                self._packed_edits = self._mirror.edits
+                self._packed = self._pack_objects()
+            return revision, self._packed
+
+    def _pack_objects(self) -> bytes:
+        rows = [
+            [one.name, one.version, one.value]
+            for one in self._mirror.list_objects()
+        ]
+        return zlib.compress(json.dumps(rows).encode(), PACK_LEVEL)
 
     def unpack(self, revision: int, content: bytes) -> None:
         """Take over another VM's mirror if it is newer.
--- a/mulberryway/policy/mirrors.py
+++ b/mulberryway/policy/mirrors.py
@@ -29,7 +29,8 @@
 
     ``revision`` grows with any change in the store, and a watch goes on from
     it; ``changed`` only with changes of this kind, so that two VMs which
-    know the same tell the same.
+    know the same tell the same.  ``edits`` counts changes of the copy itself,
+    also those that the store did not tell.
     """
 
     __slots__ = (
@@ -37,6 +38,7 @@
         "objects",
         "revision",
         "changed",
+        "edits",
         "_keeps_missing",
         "_failed_ms",
         "_returned_ms",
@@ -48,6 +50,7 @@
         self.objects: dict[str, base.StoredObject] = {}
         self.revision = 0
         self.changed = 0
+        self.edits = 0
         self._keeps_missing = keeps_missing
         self._failed_ms: int | None = None
         self._returned_ms: int | None = None
@@ -162,6 +165,7 @@
         """
         if not self._missing or self._is_returning(now_ms):
             return False
+        self.edits += 1
         for name in self._missing:
             self.objects.pop(name, None)
         self._missing.clear()
@@ -177,12 +181,14 @@
             self._returned_ms = now_ms
 
     def _put(self, one: base.StoredObject) -> None:
+        self.edits += 1
         self._missing.discard(one.name)
         before = self.objects.get(one.name)
         if before is None or one.version >= before.version:
             self.objects[one.name] = one
 
     def _drop(self, name: str, now_ms: int) -> None:
+        self.edits += 1
         if self._keeps_missing and self._is_returning(now_ms):
             self._missing.add(name)
         else:
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -159,6 +159,35 @@
         self.assertEqual(self.keeper.revision, 7)
 
 
+class PackTest(unittest.TestCase):
+    def setUp(self):
+        self.keeper = controllers.MirrorKeeper(
+            "servers", None, clock.ManualClock(), lambda: None
+        )
+        self.take([["s1", 5, {}], ["s2", 7, {}]], 7)
+
+    def take(self, rows, revision):
+        content = zlib.compress(json.dumps(rows).encode())
+        with self.assertLogs(controllers.LOG, "INFO"):
+            self.keeper.unpack(revision, content)
+
+    def test_a_copy_is_packed_once_for_all_vms(self):
+        """Guards against processor time that grows with the fleet."""
+        first = self.keeper.pack(0)
+        self.assertIs(self.keeper.pack(3)[1], first[1])
+        self.assertEqual(self.keeper.pack(7), (7, b""))
+
+    def test_a_changed_copy_is_packed_anew(self):
+        """Guards against telling of servers that have left."""
+        before = self.keeper.pack(0)
+        self.take([["s2", 7, {}]], 9)
+        revision, content = self.keeper.pack(0)
+        self.assertEqual(revision, 9)
+        self.assertNotEqual(content, before[1])
+        rows = json.loads(zlib.decompress(content))
+        self.assertEqual([row[0] for row in rows], ["s2"])
+
+
 class OutagesTest(unittest.TestCase):
     def test_alone_it_is_shared(self):
         self.assertTrue(outages.Outages().is_shared(0))
