Forget the order of notes about upstreams that have left

For each peer a VM kept the number of the newest note about each upstream that ever was; with engines that leave and come anew under other names this grew for as long as the peer was heard. It is now pruned every ten seconds. The test held 200 of such numbers without that, and holds at most 44 now.

--- a/mulberryway/policy/hearing.py
+++ b/mulberryway/policy/hearing.py
@@ -17,6 +17,8 @@
 # of its notes' order is dropped.
 GONE_MS = 60_000
 SWEEP_MS = 500
+# How often the order of notes about upstreams that have left is dropped.
+PRUNE_MS = 10_000
 FRESH_MS = 1_500
 HOLDING = "holding"
 ACCOUNT = "account"
@@ -57,6 +59,7 @@
         self._heard: dict[str, _Heard] = {}
         self._trust = trust.Trust()
         self._swept_ms = 0
+        self._pruned_ms = 0
 
     def note(
         self,
@@ -130,6 +133,9 @@
                 _forget(vm, pools_)
             if silent_ms >= GONE_MS:
                 del self._heard[vm]
+        if now_ms - self._pruned_ms >= PRUNE_MS:
+            self._pruned_ms = now_ms
+            self._prune(pools_)
         hears = any(
             now_ms - heard.at_ms < FRESH_MS for heard in self._heard.values()
         )
@@ -138,6 +144,26 @@
                 view.excess for view in pool.members.list_all()
             )
 
+    @property
+    def size(self) -> int:
+        """About how many things of all peers the order of notes is kept."""
+        return sum(len(heard.applied) for heard in self._heard.values())
+
+    def _prune(
+        self, pools_: collections.abc.Mapping[str, pools.PoolScheduler]
+    ) -> None:
+        known = {
+            (name, view.row.name)
+            for name, pool in pools_.items()
+            for view in pool.members.list_all()
+        }
+        for heard in self._heard.values():
+            heard.applied = {
+                key: sequence
+                for key, sequence in heard.applied.items()
+                if key[0] == ACCOUNT or key[1:] in known
+            }
+
     def _find(
         self,
         note: hints.Note,
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -8,10 +8,16 @@
 from mulberryway.peers import datagrams
 from mulberryway.peers import note_messages
 from mulberryway.policy import health
+from mulberryway.policy import hearing
+from mulberryway.policy import hints
 from mulberryway.policy import messages
+from mulberryway.policy import poison
+from mulberryway.policy import pool_set
+from mulberryway.policy import retries
 from mulberryway.policy import scheduler
 from mulberryway.policy import telling
 from mulberryway.policy import trust
+from mulberryway.policy import weighing
 from tests import policy_cases as cases
 
 End = messages.JobEnd
@@ -30,6 +36,36 @@
         self.assertLessEqual(remembered.size, 32)
 
 
+class HearingTest(unittest.TestCase):
+    def test_upstreams_that_have_left_are_forgotten(self):
+        """Guards against a memory that grows with every engine that was."""
+        register = poison.Register()
+        hearer = hearing.Hearer("vm1", register)
+        known = pool_set.PoolSet(
+            "vm1",
+            weighing.find_weighing("goodput"),
+            register,
+            random.Random(1),
+            300,
+            100,
+            100_000,
+            retries.NoBudget,
+            0.018,
+        )
+        for number in range(100):
+            now_ms = number * 1_000
+            pool = cases.make_pool(1, 4, name=f"lm-{number % 50}")
+            known.change({pool.name: pool})
+            holdings = [
+                hints.Holding(pool.name, f"d{decode}", 1, 0)
+                for decode in range(4)
+            ]
+            note = hints.Note("vm2", 1, number + 1, holdings, [], [])
+            hearer.note(note, known.pools, now_ms)
+            hearer.sweep(known.pools, now_ms)
+        self.assertLessEqual(hearer.size, 4 * 11)
+
+
 class TellingTest(unittest.TestCase):
     names = tuple(f"d{number}" for number in range(60))
 
