Play streams whose engines pause beside changes and leaving engines

Real processes: a prefill and two decode engines that pause each stream once for 1.5 s, two entry VMs, and at seeded moments two changes of the configuration, a prefill engine that begins to refuse and a decode engine that drains.

--- a/standins/hosted_upstreams.py
+++ b/standins/hosted_upstreams.py
@@ -5,7 +5,8 @@
 ``POST /standin/faults`` sets faults: ``cut_after`` events, ``fail_status``,
 ``full`` (refuses what would run), ``lapse`` (handles are gone at once),
 ``mute`` (reads a prompt and never answers), ``lose_answer`` (runs a plain
-call and closes the connection).
+call and closes the connection), ``event_ms`` (the time between events),
+``pause_ms`` after the event ``pause_at``, ``refuse_prompts``.
 With
 ``--journal`` each run is added to a file as a line of JSON, which outlives
 the process.
@@ -31,7 +32,7 @@
 
 FLAGS = flags.FLAGS
 NOT_EXECUTED = {"Not-Executed": "1"}
-EVENT_S = 0.01
+EVENT_MS = 10
 EVENTS = 20
 WORK_S = 0.02
 MUTE_S = 60.0
@@ -85,6 +86,10 @@
             "mute": 0,
             "read_ms": 0,
             "no_room": 0,
+            "event_ms": EVENT_MS,
+            "pause_at": 0,
+            "pause_ms": 0,
+            "refuse_prompts": 0,
         }
         self._numbers = itertools.count(1)
 
@@ -143,6 +148,8 @@
     def _read_prompt(self, request: web.Request) -> web.Response:
         if self.phase != "prefill":
             return self._answer(request, 421, b"")
+        if self.faults["refuse_prompts"]:
+            return self._answer(request, 503, b"", NOT_EXECUTED)
         self.prompts += 1
         name = f"{self.instance}-{next(self._numbers)}"
         if not self.faults["lapse"]:
@@ -179,11 +186,17 @@
                 await response.write(
                     b"id: %d\ndata: t%d\n\n" % (number, number)
                 )
-                await asyncio.sleep(EVENT_S)
+                await self._pause_after(number)
         finally:
             self.running -= 1
         return response
 
+    async def _pause_after(self, number: int) -> None:
+        pause_ms = self.faults["event_ms"]
+        if number == self.faults["pause_at"]:
+            pause_ms += self.faults["pause_ms"]
+        await asyncio.sleep(pause_ms / 1_000)
+
     async def _fetch(self, source: str) -> bool:
         address, _, name = source.partition("/")
         async with serving.make_session() as session:
--- /dev/null
+++ b/tests/test_hosted_streams.py
@@ -0,0 +1,94 @@
+"""Streams whose engines pause while tables change and engines leave."""
+
+import concurrent.futures
+import random
+import time
+import unittest
+
+from tests import hosted_fleet
+
+SEEDS = 5
+STREAMS = 6
+SETTLE_S = 1
+# Longer than an engine may be silent before another one is sought.
+PAUSE_MS = 1_500
+EVENT_MS = 80
+EVENTS = 20
+DECODES = ("e1", "e2")
+# Two pauses one after the other must fit.
+ROUTE_MS = 8_000
+ROUTE = hosted_fleet.make_route(
+    "r-long", "/long/", "llm", "streaming", 2, True
+) | {"timeout_ms": ROUTE_MS}
+
+
+class PausedStreamTest(unittest.TestCase):
+    """A prefill and two decode engines; both pause each of their streams."""
+
+    def play(self, fleet, seed):
+        """Return the replies to streams of one round of changes."""
+        chance = random.Random(seed)
+        for name in DECODES:
+            fleet.set_fault(
+                name,
+                event_ms=EVENT_MS,
+                pause_at=chance.randint(1, 16),
+                pause_ms=PAUSE_MS,
+            )
+        acts = [
+            (chance.uniform(0, 2.5), self.configure, (fleet,)),
+            (chance.uniform(0, 2.5), self.configure, (fleet,)),
+            (chance.uniform(0.3, 2.5), self.refuse_prompts, (fleet, 1)),
+            (
+                chance.uniform(0.3, 2.5),
+                fleet.register,
+                (chance.choice(DECODES), "draining"),
+            ),
+        ]
+        with concurrent.futures.ThreadPoolExecutor(STREAMS) as pool:
+            streams = [
+                pool.submit(
+                    fleet.send,
+                    number % 2,
+                    "/long/a",
+                    f"p-{seed}-{number}",
+                    headers=hosted_fleet.STREAM,
+                    deadline_ms=ROUTE_MS,
+                )
+                for number in range(STREAMS)
+            ]
+            self.act(acts)
+            replies = [one.result() for one in streams]
+        self.refuse_prompts(fleet, 0)
+        for name in DECODES:
+            fleet.register(name)
+        return replies
+
+    def configure(self, fleet):
+        fleet.configure(more=[ROUTE])
+
+    def refuse_prompts(self, fleet, how):
+        fleet.set_fault("e0", refuse_prompts=how)
+
+    def act(self, acts):
+        began_s = time.monotonic()
+        for at_s, act, arguments in sorted(acts, key=lambda one: one[0]):
+            time.sleep(max(began_s + at_s - time.monotonic(), 0))
+            act(*arguments)
+
+    def test_no_stream_is_cut(self):
+        """Guards against answers that we end while their engine is sound."""
+        with hosted_fleet.Fleet(
+            phases=("prefill", "decode", "decode")
+        ) as fleet:
+            self.configure(fleet)
+            time.sleep(SETTLE_S)
+            for seed in range(SEEDS):
+                for reply in self.play(fleet, seed):
+                    with self.subTest(seed=seed):
+                        self.assertEqual(reply.status, 200, reply.body)
+                        self.assertFalse(reply.is_cut, reply.body)
+                        self.assertEqual(
+                            hosted_fleet.list_ids(reply.body),
+                            list(range(1, EVENTS + 1)),
+                        )
--- a/tools/suite.py
+++ b/tools/suite.py
@@ -26,6 +26,7 @@
 LONGEST_FIRST = (
     "test_soak",
     "test_hosted_processes",
+    "test_hosted_streams",
     "test_hosted_upstreams",
     "test_admin_processes",
     "test_once_deployment",
