Tell all accounts with each second heartbeat while a VM of a fleet settles

While VMs are restarted one after the other there is always one that has counted for less than 4 s, and all others told all accounts with each heartbeat. Ruled out: telling them once, with counts that a VM names later taken for old.

--- a/mulberryway/policy/usage.py
+++ b/mulberryway/policy/usage.py
@@ -56,10 +56,12 @@
 UNKNOWN = -1
 # A VM that has counted for so long knows what was given before.
 SETTLED_MS = 3_000
-# All accounts are told with each so many heartbeats, and with each one while
-# a VM has counted for less than this.  The others repeat only what was told
+# All accounts are told with each so many heartbeats; while a VM has counted
+# for less than ``WHOLE_FOR_MS``, with each one, or with each second one in a
+# fleet of more than ``HEARTBEAT_VMS``.  The others repeat only what was told
 # since the heartbeat before the last, in case a message was lost.
 WHOLE_HEARTBEATS = 5
+WHOLE_TO_NEW = 2
 WHOLE_FOR_MS = 4_000
 
 
@@ -290,10 +292,10 @@
         )
 
     def _must_tell_all(self, now_ms: int) -> bool:
-        return (
-            now_ms < self._whole_until_ms
-            or self._heartbeats % WHOLE_HEARTBEATS == 0
-        )
+        every = WHOLE_HEARTBEATS
+        if now_ms < self._whole_until_ms:
+            every = WHOLE_TO_NEW if self._read_scale() > 1 else 1
+        return self._heartbeats % every == 0
 
     def _tell(self, name: str) -> AccountUsage:
         bucket = self._buckets[name]
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -218,6 +218,24 @@
         self.assertEqual(len(whole), 20 // usage.WHOLE_HEARTBEATS)
         self.assertEqual(sum(len(one.accounts) for one in told), 17 * 4)
 
+    def test_all_accounts_are_told_twice_while_a_vm_settles(self):
+        """Guards a VM that begins against the past of VMs it knows not of."""
+        fleet = {f"a{n}": make_book(f"a{n}") for n in range(LARGE_VMS)}
+        for now_ms in range(0, 20_000, 100):
+            tell(fleet, now_ms)
+        new = make_book("new", now_ms=20_000)
+        fleet["new"] = new
+        whole = collections.Counter()
+        for now_ms in range(20_000, 20_000 + usage.SETTLED_MS, 100):
+            for name, book in fleet.items():
+                message = book.make_usage({}, now_ms)
+                if message is None:
+                    continue
+                whole[name] += message.is_whole
+                for other in fleet.values():
+                    other.note_usage(message, now_ms)
+        self.assertGreaterEqual(min(whole[name] for name in fleet), 2)
+
     def test_a_count_that_was_lost_comes_with_the_next_heartbeats(self):
         """Guards against tokens given twice after a lost datagram."""
         book = make_book("a1")
