--- a/mulberryway/policy/sharing.py
+++ b/mulberryway/policy/sharing.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import functools
 import hashlib
 
 from mulberryway import tables
@@ -13,6 +14,9 @@
 
 __all__ = ["Share", "choose_reporter", "divide_pool"]
 
+# Pairs of an upstream and a VM whose hashes are kept, about a megabyte.
+MOST_WEIGHTS = 8_192
+
 
 class Share:
     """What one router has to do with one pool.
@@ -63,5 +67,6 @@
     return max(vms, key=lambda vm: (_weigh(upstream, vm), vm))
 
 
+@functools.lru_cache(maxsize=MOST_WEIGHTS)
 def _weigh(upstream: str, vm: str) -> bytes:
     return hashlib.blake2b(f"{upstream}/{vm}".encode(), digest_size=8).digest()
