--- a/mulberryway/policy/usage.py
+++ b/mulberryway/policy/usage.py
@@ -276,14 +276,17 @@
             self._heartbeats += 1
         if is_whole:
             names = set(self._buckets)
+        told = {name: self._buckets[name] for name in sorted(names)}
+        for bucket in told.values():
+            bucket.is_told = True
         return Usage(
             self._vm,
             self._incarnation,
             next(self._numbers),
             [
-                self._tell(name)
-                for name in sorted(names)
-                if self._buckets[name].spent or self._buckets[name].rate
+                AccountUsage(name, bucket.spent, int(bucket.level))
+                for name, bucket in told.items()
+                if bucket.spent or bucket.rate
             ],
             mirrors,
             now_ms - self._began_ms,
@@ -297,11 +300,6 @@
             every = WHOLE_TO_NEW if self._read_scale() > 1 else 1
         return self._heartbeats % every == 0
 
-    def _tell(self, name: str) -> AccountUsage:
-        bucket = self._buckets[name]
-        bucket.is_told = True
-        return AccountUsage(name, bucket.spent, int(bucket.level))
-
     def note_usage(self, usage: Usage, now_ms: int) -> None:
         """Take in another VM's counts.
 
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -236,6 +236,16 @@
                     other.note_usage(message, now_ms)
         self.assertGreaterEqual(min(whole[name] for name in fleet), 2)
 
+    def test_tokens_that_came_back_are_told_once(self):
+        """Guards against a message with each step while nothing is told."""
+        book = make_book("a1")
+        self.list_heartbeats(book, 0, 2)
+        book.take("a", 100, 400)
+        book.change_accounts([tables.ClientAccount("a", (), 0, 0)], 400)
+        book.give_back("a", 100, 400)
+        book.make_usage({}, 410)
+        self.assertIsNone(book.make_usage({}, 420))
+
     def test_a_count_that_was_lost_comes_with_the_next_heartbeats(self):
         """Guards against tokens given twice after a lost datagram."""
         book = make_book("a1")
