--- a/mulberryway/controllers/mirrors.py
+++ b/mulberryway/controllers/mirrors.py
@@ -5,19 +5,22 @@
 import logging
 import random
 import threading
+import typing
 import zlib
 
 from mulberryway import clock
 from mulberryway import errors
 from mulberryway import logs
+from mulberryway import metrics
 from mulberryway import peers
 from mulberryway.controllers import base
 from mulberryway.objects import base as objects
 from mulberryway.peers.gen.mirrors import Mirrors
 from mulberryway.peers.gen.mirrors import ttypes
 from mulberryway.policy import mirrors
+from mulberryway.policy import outages
 
-__all__ = ["MirrorExchange", "MirrorHandler", "MirrorKeeper"]
+__all__ = ["MirrorExchange", "MirrorHandler", "MirrorKeeper", "report"]
 
 LOG = logging.getLogger(__name__)
 
@@ -37,6 +40,8 @@
 # it before it asks the other VM.
 PATIENCE_MS = 60
 PACK_LEVEL = 1
+# Names in one log line, whose length is bounded so.
+MOST_NAMED = 8
 
 
 class MirrorKeeper(base.Controller):
@@ -47,7 +52,8 @@
     :param clock_: where the time comes from
     :param on_change: called after each change; must not raise
     :param keeps_missing: see :class:`mirrors.Mirror`
-    :param is_outage_shared: tells whether other VMs missed the store too
+    :param outages_: knows whether other VMs missed the store too; without
+        it each absence counts as an outage
     :param is_watcher: tells whether this VM asks the store itself, or goes
         by what other VMs tell
     """
@@ -59,7 +65,7 @@
         clock_: clock.Clock,
         on_change: collections.abc.Callable[[], None],
         keeps_missing: bool = False,
-        is_outage_shared: collections.abc.Callable[[], bool] = lambda: True,
+        outages_: outages.Outages | None = None,
         is_watcher: collections.abc.Callable[[], bool] = lambda: True,
     ) -> None:
         super().__init__(f"mirror-{kind}", clock_, LEAST_PAUSE_MS)
@@ -72,10 +78,12 @@
         self._packed = b""
         self._packed_edits = -1
         self._needs_listing = True
-        self._is_outage_shared = is_outage_shared
+        self._outages = outages_ or outages.Outages()
         self._is_watcher = is_watcher
         self._was_reached = True
         self._random = random.Random()
+        self._deferred = 0
+        self._deferred_ms = 0
 
     @property
     def revision(self) -> int:
@@ -119,12 +127,71 @@
             )
         self._purge(now_ms)
 
+    def count_kept(self) -> int:
+        """Return how many objects count although the store removed them."""
+        with self._lock:
+            return len(self._mirror.list_deferred())
+
+    @property
+    def deferred(self) -> int:
+        """How many removals took effect late so far."""
+        return self._deferred
+
+    @property
+    def deferred_ms(self) -> int:
+        """How late these were, added up."""
+        return self._deferred_ms
+
     def _purge(self, now_ms: int) -> None:
         with self._lock:
-            has_changed = self._mirror.purge(now_ms)
-        if has_changed:
+            dropped = self._mirror.purge(now_ms)
+            self._deferred += len(dropped)
+            self._deferred_ms += sum(
+                now_ms - one.noticed_ms for one in dropped
+            )
+        if dropped:
+            self._log_dropped(dropped, now_ms)
             self._on_change()
 
+    def _log_deferred(self, now_ms: int) -> None:
+        with self._lock:
+            put_off = self._mirror.take_new_deferrals()
+        if not put_off:
+            return
+        first = put_off[0]
+        LOG.warning(
+            "removed objects are kept for a while",
+            extra=logs.describe(
+                **self._describe(put_off),
+                keeps_ms=first.until_ms - now_ms,
+                **_describe_absence(first.absence, now_ms),
+                **self._outages.describe(now_ms),
+            ),
+        )
+
+    def _log_dropped(
+        self, dropped: list[mirrors.Deferral], now_ms: int
+    ) -> None:
+        LOG.warning(
+            "kept objects are given up",
+            extra=logs.describe(
+                **self._describe(dropped),
+                kept_ms=now_ms - min(one.noticed_ms for one in dropped),
+                overdue_ms=now_ms - max(one.until_ms for one in dropped),
+            ),
+        )
+
+    def _describe(
+        self, deferred: list[mirrors.Deferral]
+    ) -> dict[str, typing.Any]:
+        names = [one.name for one in deferred]
+        return {
+            "kind": self.kind,
+            "objects": names[:MOST_NAMED],
+            "count": len(names),
+            "revision": max(one.revision for one in deferred),
+        }
+
     def pack(self, known_revision: int) -> tuple[int, bytes]:
         """Return the mirror for another VM.
 
@@ -168,6 +235,7 @@
                 "a newer copy came from another VM",
                 extra=logs.describe(kind=self.kind, revision=revision),
             )
+            self._log_deferred(self.clock.now_ms())
             self._on_change()
 
     def _list(self) -> errors.Fault | None:
@@ -177,7 +245,7 @@
         self._needs_listing = False
         now_ms = self.clock.now_ms()
         with self._lock:
-            self._mirror.note_answer(self._is_outage_shared(), now_ms)
+            self._note_answer(now_ms)
             has_changed = self._mirror.replace(
                 result.ok.objects, result.ok.revision, now_ms
             )
@@ -196,7 +264,7 @@
             return result.error
         now_ms = self.clock.now_ms()
         with self._lock:
-            self._mirror.note_answer(self._is_outage_shared(), now_ms)
+            self._note_answer(now_ms)
             has_changed = self._mirror.apply(
                 result.ok.events, result.ok.revision, now_ms
             )
@@ -205,7 +273,11 @@
             self._on_change()
         return None
 
+    def _note_answer(self, now_ms: int) -> None:
+        self._mirror.note_answer(self._outages.is_shared(now_ms), now_ms)
+
     def _log_change(self) -> None:
+        self._log_deferred(self.clock.now_ms())
         LOG.info(
             "the store's objects have changed",
             extra=logs.describe(
@@ -218,9 +290,9 @@
     def _note_reached(
         self, is_reached: bool, now_ms: int, fault: errors.Fault | None = None
     ) -> None:
-        if not is_reached:
+        if fault is not None:
             with self._lock:
-                self._mirror.note_failure(now_ms)
+                self._mirror.note_failure(now_ms, fault.message)
         if is_reached != self._was_reached:
             self._was_reached = is_reached
             LOG.warning(
@@ -231,6 +303,47 @@
             )
 
 
+def _describe_absence(
+    absence: mirrors.Absence | None, now_ms: int
+) -> dict[str, typing.Any]:
+    if absence is None:
+        return {"cause": "many went at once"}
+    ended_ms = now_ms if absence.ended_ms is None else absence.ended_ms
+    return {
+        "cause": "the store was away",
+        "absence_ms": ended_ms - absence.began_ms,
+        "ended_ms": now_ms - ended_ms,
+        "failure": absence.reason,
+        "is_shared": absence.is_shared,
+    }
+
+
+def report(
+    keepers: collections.abc.Collection[MirrorKeeper],
+    metrics_: metrics.Metrics,
+) -> None:
+    """Let removals that were put off appear among a process's metrics.
+
+    :param keepers: the keepers of all kinds
+    :param metrics_: the process's instruments
+    """
+    metrics_.observe(
+        "mirrors.kept",
+        "objects that count although the store has removed them",
+        lambda: sum(one.count_kept() for one in keepers),
+    )
+    metrics_.observe_many(
+        "mirrors.deferred",
+        "removals that took effect late, by kind",
+        lambda: [({"kind": one.kind}, one.deferred) for one in keepers],
+    )
+    metrics_.observe_many(
+        "mirrors.deferred_ms",
+        "how late removals took effect, added up, by kind",
+        lambda: [({"kind": one.kind}, one.deferred_ms) for one in keepers],
+    )
+
+
 class MirrorHandler:
     """Answers other VMs that ask for a mirror.
 
--- a/mulberryway/filters/base.py
+++ b/mulberryway/filters/base.py
@@ -185,6 +185,7 @@
         "has_gone",
         "prompt_used",
         "tried",
+        "tried_ms",
         "first_ms",
         "gap_ms",
         "stages",
@@ -238,6 +239,8 @@
         self.prompt_used = 0
         # Names of the upstreams that it was sent to, in order.
         self.tried: list[str] = []
+        # When each was chosen, counted from the request's arrival.
+        self.tried_ms: list[int] = []
         # Of a stream: when its first piece came, counted from the request's
         # arrival, and the longest time between two pieces; 0 for none yet.
         self.first_ms = 0
@@ -257,6 +260,15 @@
             None,
         )
 
+    def note_try(self, upstream: str, now_ms: int) -> None:
+        """Note an upstream that the request is sent to.
+
+        :param upstream: its name
+        :param now_ms: the present
+        """
+        self.tried.append(upstream)
+        self.tried_ms.append(now_ms - self.arrived_ms)
+
     def add_finisher(self, finisher: Finisher) -> None:
         """Have something done when the request has ended, on every path.
 
--- a/mulberryway/filters/model_engines.py
+++ b/mulberryway/filters/model_engines.py
@@ -317,7 +317,9 @@
                     message="the silent engine goes on",
                 )
             )
-        self._exchange.tried.append(attempt.decode_name)
+        self._exchange.note_try(
+            attempt.decode_name, self._parts.clock.now_ms()
+        )
         began_ms = self._parts.clock.now_ms()
         with self._begin_hop(attempt, errors.Step.TRANSFER) as span:
             result = attempt.decode.decode(
--- a/mulberryway/filters/observe.py
+++ b/mulberryway/filters/observe.py
@@ -80,6 +80,7 @@
                 pool="" if pool is None else pool.name,
                 tables=0 if found is None else found.revision,
                 tried=exchange.tried,
+                tried_ms=exchange.tried_ms,
                 tokens=outcome.tokens,
                 first_ms=exchange.first_ms,
                 gap_ms=exchange.gap_ms,
--- a/mulberryway/filters/service_forward.py
+++ b/mulberryway/filters/service_forward.py
@@ -112,7 +112,7 @@
             upstream = self._choose(exchange, avoid)
             if upstream is None:
                 break
-            exchange.tried.append(upstream.name)
+            exchange.note_try(upstream.name, self._clock.now_ms())
             result = self._call_once(exchange, upstream, number, interrupt)
             if result.is_ok():
                 return expression.Ok(_make_reply(result.ok))
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -253,9 +253,7 @@
             self.clock,
             source.refresh,
             keeps_missing=True,
-            is_outage_shared=lambda: self.outages.is_shared(
-                self.clock.now_ms()
-            ),
+            outages_=self.outages,
             is_watcher=self._must_watch,
         )
         return {
@@ -295,6 +293,7 @@
             cuts_withdrawn=False,
         )
         self.counts.report(self.router.metrics)
+        mirrors.report(self.keepers.values(), self.router.metrics)
         self.dissemination = dissemination.DisseminationController(
             self.members.own, self.clock
         )
--- a/mulberryway/policy/mirrors.py
+++ b/mulberryway/policy/mirrors.py
@@ -8,7 +8,7 @@
 
 from mulberryway.objects import base
 
-__all__ = ["Mirror"]
+__all__ = ["Absence", "Deferral", "Mirror"]
 
 # After an outage the entries of servers that could not renew them have lapsed.
 # Those that live are back within about two seconds, so that for so long a
@@ -20,6 +20,58 @@
 LEAST_LAPSE = 3
 
 
+class Absence:
+    """A span in which the store did not answer this VM.
+
+    :param began_ms: when the first call failed
+    :param reason: how it failed
+    :param ended_ms: when the store answered again
+    :param is_shared: whether the store was away for all VMs
+    """
+
+    __slots__ = ("began_ms", "reason", "ended_ms", "is_shared")
+
+    def __init__(
+        self,
+        began_ms: int,
+        reason: str,
+        ended_ms: int | None = None,
+        is_shared: bool = False,
+    ) -> None:
+        self.began_ms = began_ms
+        self.reason = reason
+        self.ended_ms = ended_ms
+        self.is_shared = is_shared
+
+
+class Deferral:
+    """A removal that does not count yet.
+
+    :param name: the object's name
+    :param revision: the store's revision up to which the removal was told
+    :param noticed_ms: when it was noticed
+    :param until_ms: how long the object still counts
+    :param absence: the absence for which it is put off; none where the
+        removals themselves look like a lapse
+    """
+
+    __slots__ = ("name", "revision", "noticed_ms", "until_ms", "absence")
+
+    def __init__(
+        self,
+        name: str,
+        revision: int,
+        noticed_ms: int,
+        until_ms: int,
+        absence: Absence | None,
+    ) -> None:
+        self.name = name
+        self.revision = revision
+        self.noticed_ms = noticed_ms
+        self.until_ms = until_ms
+        self.absence = absence
+
+
 class Mirror:
     """One kind of objects as far as it is known.
 
@@ -40,9 +92,10 @@
         "changed",
         "edits",
         "_keeps_missing",
-        "_failed_ms",
+        "_absence",
         "_returned_ms",
         "_missing",
+        "_unreported",
     )
 
     def __init__(self, kind: str, keeps_missing: bool = False) -> None:
@@ -52,17 +105,19 @@
         self.changed = 0
         self.edits = 0
         self._keeps_missing = keeps_missing
-        self._failed_ms: int | None = None
+        self._absence: Absence | None = None
         self._returned_ms: int | None = None
-        self._missing: set[str] = set()
+        self._missing: dict[str, Deferral] = {}
+        self._unreported: list[Deferral] = []
 
-    def note_failure(self, now_ms: int) -> None:
+    def note_failure(self, now_ms: int, reason: str = "") -> None:
         """Tell that the store could not be asked.
 
         :param now_ms: the present
+        :param reason: how the call failed
         """
-        if self._failed_ms is None:
-            self._failed_ms = now_ms
+        if self._absence is None or self._absence.ended_ms is not None:
+            self._absence = Absence(now_ms, reason)
 
     def note_answer(self, is_shared: bool, now_ms: int) -> None:
         """Tell that the store has answered.
@@ -70,8 +125,12 @@
         :param is_shared: whether the store was away for all VMs
         :param now_ms: the present
         """
-        failed_ms, self._failed_ms = self._failed_ms, None
-        if failed_ms is not None and is_shared:
+        absence = self._absence
+        if absence is None or absence.ended_ms is not None:
+            return
+        absence.ended_ms = now_ms
+        absence.is_shared = is_shared
+        if is_shared:
             self._returned_ms = now_ms
 
     def replace(
@@ -157,19 +216,29 @@
                 self._put(event.object)
         return has_changed
 
-    def purge(self, now_ms: int) -> bool:
+    def purge(self, now_ms: int) -> list[Deferral]:
         """Give up what is still missing some time after an outage.
 
         :param now_ms: the present
-        :returns: whether anything has changed
+        :returns: the removals that count from now on
         """
         if not self._missing or self._is_returning(now_ms):
-            return False
+            return []
         self.edits += 1
+        dropped = list(self._missing.values())
         for name in self._missing:
             self.objects.pop(name, None)
         self._missing.clear()
-        return True
+        return dropped
+
+    def list_deferred(self) -> list[Deferral]:
+        """Return the removals that do not count yet."""
+        return list(self._missing.values())
+
+    def take_new_deferrals(self) -> list[Deferral]:
+        """Return the removals that were put off since the last call."""
+        found, self._unreported = self._unreported, []
+        return found
 
     def list_objects(self) -> list[base.StoredObject]:
         """Return the objects that count."""
@@ -182,17 +251,27 @@
 
     def _put(self, one: base.StoredObject) -> None:
         self.edits += 1
-        self._missing.discard(one.name)
+        self._missing.pop(one.name, None)
         before = self.objects.get(one.name)
         if before is None or one.version >= before.version:
             self.objects[one.name] = one
 
     def _drop(self, name: str, now_ms: int) -> None:
         self.edits += 1
-        if self._keeps_missing and self._is_returning(now_ms):
-            self._missing.add(name)
-        else:
+        if not self._keeps_missing or not self._is_returning(now_ms):
             self.objects.pop(name, None)
+        elif name in self.objects and name not in self._missing:
+            deferral = self._make_deferral(name, now_ms)
+            self._missing[name] = deferral
+            self._unreported.append(deferral)
+
+    def _make_deferral(self, name: str, now_ms: int) -> Deferral:
+        returned_ms = self._returned_ms or 0
+        absence = self._absence
+        if absence is not None and absence.ended_ms != returned_ms:
+            absence = None
+        until_ms = returned_ms + RETURN_MS
+        return Deferral(name, self.revision, now_ms, until_ms, absence)
 
     def _is_returning(self, now_ms: int) -> bool:
         return (
--- a/mulberryway/policy/outages.py
+++ b/mulberryway/policy/outages.py
@@ -65,10 +65,20 @@
         :returns: true also where nobody is heard
         """
         return all(
-            peer.away_ms is not None and now_ms - peer.away_ms < REMEMBERED_MS
-            for peer in self._list_heard(now_ms)
+            _was_away(peer, now_ms) for peer in self._list_heard(now_ms)
         )
 
+    def describe(self, now_ms: int) -> dict[str, int]:
+        """Return what decides whether an outage is shared, for logs.
+
+        :param now_ms: the present
+        :returns: how many other VMs are heard, and how many of these missed
+            the store of late
+        """
+        heard = self._list_heard(now_ms)
+        away = sum(_was_away(peer, now_ms) for peer in heard)
+        return {"vms_heard": len(heard), "vms_away": away}
+
     def must_ask(self, vm: str, vms: tuple[str, ...], now_ms: int) -> bool:
         """Tell whether a VM has to ask the store itself.
 
@@ -105,5 +115,9 @@
     return sorted(vms, key=_hash)[:WATCHERS]
 
 
+def _was_away(peer: _Peer, now_ms: int) -> bool:
+    return peer.away_ms is not None and now_ms - peer.away_ms < REMEMBERED_MS
+
+
 def _hash(vm: str) -> bytes:
     return hashlib.blake2b(f"watcher/{vm}".encode(), digest_size=8).digest()
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -188,6 +188,106 @@
         self.assertEqual([row[0] for row in rows], ["s2"])
 
 
+class ScriptedStore:
+    """A store that answers by a list, each answer after a time.
+
+    :param clock_: the clock that an answer moves on
+    """
+
+    def __init__(self, clock_):
+        self.clock = clock_
+        self.answers = []
+
+    def read_listing(self, kind, purpose):
+        return self._answer()
+
+    def poll(self, kind, revision, wait_ms, purpose):
+        return self._answer()
+
+    def _answer(self):
+        after_ms, answer = self.answers.pop(0)
+        self.clock.advance_ms(after_ms)
+        if isinstance(answer, errors.Fault):
+            return expression.Error(answer)
+        return expression.Ok(answer)
+
+
+def fail(message="the store answered 503"):
+    """Return a call's fault."""
+    return errors.Fault(
+        errors.Code.PLATFORM_UNAVAILABLE,
+        errors.Step.PLATFORM,
+        message=message,
+    )
+
+
+class KeeperCase(unittest.TestCase):
+    """A keeper of six servers' entries that has listed them."""
+
+    def setUp(self):
+        self.clock = clock.ManualClock()
+        self.store = ScriptedStore(self.clock)
+        self.outages = outages.Outages()
+        self.keeper = controllers.MirrorKeeper(
+            "servers",
+            self.store,
+            self.clock,
+            lambda: None,
+            keeps_missing=True,
+            outages_=self.outages,
+        )
+        rows = [make(f"s{n}", n) for n in range(1, 7)]
+        self.step((0, base.Listing(rows, 10)))
+
+    def step(self, *answers):
+        self.store.answers += answers
+        for _ in answers:
+            self.keeper.step()
+
+    def names(self):
+        return sorted(one.name for one in self.keeper.list_objects())
+
+    def lapse_all(self, revision=20):
+        """Return the answer that tells that all entries have lapsed."""
+        events = [change(f"s{n}", n, True) for n in range(1, 7)]
+        return base.Changes(events, revision)
+
+
+class KeeperLogTest(KeeperCase):
+    def test_a_removal_that_is_put_off_tells_why(self):
+        """Guards against logs that cannot tell a kept entry from a removal
+        that was not noticed, nor an outage from a VM's own trouble.
+        """
+        self.outages.note_peer("a2", False, 0)
+        self.step((0, fail("reset")))
+        with self.assertLogs(controllers.LOG, "INFO") as logged:
+            self.step((4_000, self.lapse_all()))
+        line = next(
+            record
+            for record in logged.records
+            if record.getMessage() == "removed objects are kept for a while"
+        )
+        self.assertEqual(line.fields["cause"], "the store was away")
+        self.assertEqual(line.fields["absence_ms"], 4_000)
+        self.assertEqual(line.fields["failure"], "reset")
+        self.assertEqual(line.fields["vms_heard"], 1)
+        self.assertEqual(line.fields["vms_away"], 1)
+        self.assertEqual(line.fields["revision"], 20)
+        self.assertEqual(line.fields["count"], 6)
+
+    def test_the_end_of_a_delay_tells_how_long_it_was(self):
+        self.step((0, fail()), (4_000, self.lapse_all()))
+        self.assertEqual(self.keeper.count_kept(), 6)
+        with self.assertLogs(controllers.LOG, "INFO") as logged:
+            self.step((2_500, base.Changes([], 21)))
+        line = logged.records[-1]
+        self.assertEqual(line.getMessage(), "kept objects are given up")
+        self.assertEqual(line.fields["kept_ms"], 2_500)
+        self.assertEqual(line.fields["overdue_ms"], 400)
+        self.assertEqual(self.keeper.deferred, 6)
+        self.assertEqual(self.keeper.deferred_ms, 6 * 2_500)
+
+
 class OutagesTest(unittest.TestCase):
     def test_alone_it_is_shared(self):
         self.assertTrue(outages.Outages().is_shared(0))
