--- a/tests/test_hosted_processes.py
+++ b/tests/test_hosted_processes.py
@@ -50,6 +50,23 @@
                 )
             )
 
+    def test_no_request_to_a_server_that_left_after_refusals(self):
+        """The store refuses all VMs for a moment, and a server leaves soon
+        after.  Guards against calls to it for longer than it serves on.
+        """
+        with hosted_fleet.Fleet() as fleet:
+            fleet.set_store_fault("refuse")
+            # The waiting watches end with this, and the next are refused.
+            fleet.register("s1")
+            fleet.configure()
+            time.sleep(1.2)
+            fleet.set_store_fault("")
+            time.sleep(0.7)
+            fleet.drop("servers", "s0")
+            time.sleep(2.0)
+            self.assertFalse(self._reaches(fleet, 0, "s0"))
+            self.assertFalse(self._reaches(fleet, 1, "s0"))
+
     def test_vm_starts_while_the_store_is_away(self):
         """A VM is restarted in an outage.  The other VM gives it the tables
         and it serves, instead of refusing everybody.
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -1,6 +1,7 @@
 """Copies of the store's objects: order, outages, and help between VMs."""
 
 import json
+import threading
 import unittest
 import zlib
 
@@ -13,6 +14,7 @@
 from mulberryway.peers.gen.mirrors import ttypes
 from mulberryway.policy import mirrors
 from mulberryway.policy import outages
+from tests import processes
 
 
 def make(name, version):
@@ -253,6 +255,99 @@
         return base.Changes(events, revision)
 
 
+class LateRemovalTest(KeeperCase):
+    """Guards against requests for servers that have left, after the store
+    has refused all VMs for a moment or a watch was cut.
+    """
+
+    def leave(self, name, revision):
+        number = int(name[1:])
+        return base.Changes([change(name, number, True)], revision)
+
+    def test_refusals_of_all_vms_put_no_removal_off(self):
+        self.outages.note_peer("a2", False, 0)
+        self.step(
+            (0, fail()),
+            (1_200, base.Changes([], 11)),
+            (700, self.leave("s1", 12)),
+        )
+        self.assertNotIn("s1", self.names())
+
+    def test_cut_watch_after_an_outage_puts_no_removal_off(self):
+        self.outages.note_peer("a2", False, 0)
+        self.step(
+            (0, fail()),
+            (3_000, base.Changes([], 11)),
+            (2_000, fail("reset")),
+            (10, base.Changes([], 12)),
+            (700, self.leave("s1", 13)),
+        )
+        self.assertNotIn("s1", self.names())
+
+    def test_one_that_left_while_all_vms_were_refused_counts_at_once(self):
+        """A store that refuses VMs for long still hears its servers: one
+        entry of six is missing, and no outage lets a single one lapse.
+        """
+        self.outages.note_peer("a2", False, 0)
+        self.step((0, fail()), (6_000, self.leave("s1", 12)))
+        self.assertNotIn("s1", self.names())
+
+
+class BlockedStore:
+    """Tells of one batch of changes; later watches wait in vain.
+
+    :param rows: what a listing tells
+    :param events: the changes
+    """
+
+    def __init__(self, rows, events):
+        self.rows = rows
+        self.events = events
+        self.is_told = False
+        self.end = threading.Event()
+
+    def read_listing(self, kind, purpose):
+        return expression.Ok(base.Listing(self.rows, 10))
+
+    def poll(self, kind, revision, wait_ms, purpose):
+        if self.is_told:
+            self.end.wait(wait_ms / 1_000)
+            return expression.Ok(base.Changes([], revision))
+        self.is_told = True
+        return expression.Ok(base.Changes(self.events, 20))
+
+
+class ExpiryTest(unittest.TestCase):
+    def test_kept_entry_ends_on_time_while_a_watch_waits(self):
+        """Guards against removals that take effect only when a call to the
+        store ends.
+        """
+        store = BlockedStore(
+            [make(f"s{n}", n) for n in range(1, 7)],
+            [change(f"s{n}", n, True) for n in range(1, 7)],
+        )
+        keeper = controllers.MirrorKeeper(
+            "servers",
+            store,
+            clock.SystemClock(),
+            lambda: None,
+            keeps_missing=True,
+        )
+        keeper.start()
+        try:
+            told = processes.wait_until(lambda: store.is_told, 5)
+            self.assertTrue(told)
+            self.assertTrue(keeper.list_objects())
+            gone = processes.wait_until(
+                lambda: not keeper.list_objects(),
+                mirrors.RETURN_MS / 1e3 + 0.2,
+            )
+            self.assertTrue(gone)
+        finally:
+            store.end.set()
+            keeper.stop()
+
+
 class KeeperLogTest(KeeperCase):
     def test_a_removal_that_is_put_off_tells_why(self):
         """Guards against logs that cannot tell a kept entry from a removal
