--- a/mulberryway/controllers/kept_objects.py
+++ b/mulberryway/controllers/kept_objects.py
@@ -45,11 +45,9 @@
     def note_kept(self, kept: Kept, now_ms: int) -> None:
         """Tell of objects that are kept from now on.
 
-        :param kept: the objects; may be empty
+        :param kept: the objects, at least one
         :param now_ms: the present
         """
-        if not kept:
-            return
         first = kept[0]
         LOG.warning(
             "removed objects are kept for a while",
@@ -63,11 +61,9 @@
     def note_expired(self, expired: Kept, now_ms: int) -> None:
         """Tell of objects that count no longer.
 
-        :param expired: the objects; may be empty
+        :param expired: the objects, at least one
         :param now_ms: the present
         """
-        if not expired:
-            return
         self.expired += len(expired)
         self.delay_ms += sum(now_ms - one.noticed_ms for one in expired)
         LOG.warning(
--- a/mulberryway/controllers/mirrors.py
+++ b/mulberryway/controllers/mirrors.py
@@ -12,6 +12,7 @@
 from mulberryway import logs
 from mulberryway import peers
 from mulberryway.controllers import base
+from mulberryway.controllers import expiry
 from mulberryway.controllers import kept_objects
 from mulberryway.objects import base as objects
 from mulberryway.peers.gen.mirrors import Mirrors
@@ -68,12 +69,16 @@
         self._on_change = on_change
         self.kept = kept_objects.KeptReport(kind, detector)
         self._mirror = mirrors.Mirror(kind, detector)
+        self._keeps_objects = detector is not None
         self._lock = threading.Lock()
         # The copy that other VMs get, and of which state of the mirror.
         self._packed = b""
         self._packed_edits = -1
         self._needs_listing = True
         self._is_watcher = is_watcher
+        self._expiry = expiry.ExpiryController(
+            f"mirror-{kind}-expiry", clock_, self.expire, self._find_expiry_ms
+        )
         self._was_reached = True
         self._random = random.Random()
 
@@ -87,6 +92,20 @@
         """Whether the store answered the last time that it was asked."""
         return self._was_reached
 
+    def start(self) -> None:
+        """Begin to watch on a thread of its own, and to expire on another."""
+        super().start()
+        if self._keeps_objects:
+            self._expiry.start()
+
+    def stop(self, wait_ms: int = 2_000) -> None:
+        """End the threads.
+
+        :param wait_ms: the longest wait for a current call to the store
+        """
+        self._expiry.stop(wait_ms)
+        super().stop(wait_ms)
+
     def list_objects(self) -> list[objects.StoredObject]:
         """Return the objects that count."""
         with self._lock:
@@ -96,7 +115,6 @@
         """Ask the store once; a watch waits for changes."""
         if not self._needs_listing and not self._is_watcher():
             self.period_ms = LOOK_MS
-            self.expire()
             return
         before = self._mirror.revision
         # After an outage it matters that the store is back.
@@ -126,7 +144,6 @@
             self.period_ms = int(
                 self.period_ms * (0.75 + self._random.random() / 2)
             )
-        self.expire()
 
     def expire(self) -> None:
         """Give up kept objects whose time is over."""
@@ -138,6 +155,10 @@
             self.kept.note_expired(expired, now_ms)
             self._on_change()
 
+    def _find_expiry_ms(self) -> int | None:
+        with self._lock:
+            return self._mirror.find_expiry_ms()
+
     def pack(self, known_revision: int) -> tuple[int, bytes]:
         """Return the mirror for another VM.
 
@@ -221,7 +242,9 @@
         with self._lock:
             newly = self._mirror.take_newly_kept()
             self.kept.kept = len(self._mirror.list_kept())
-        self.kept.note_kept(newly, self.clock.now_ms())
+        if newly:
+            self.kept.note_kept(newly, self.clock.now_ms())
+            self._expiry.wake()
 
     def _log_change(self) -> None:
         self._note_kept()
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -430,8 +430,9 @@
     def test_the_end_of_a_delay_tells_how_long_it_was(self):
         self.step((0, fail()), (4_000, self.lapse_all()))
         self.assertEqual(self.keeper.kept.kept, 6)
+        self.clock.advance_ms(2_500)
         with self.assertLogs(kept_objects.LOG, "INFO") as logged:
-            self.step((2_500, base.Changes([], 21)))
+            self.keeper.expire()
         line = logged.records[-1]
         self.assertEqual(line.getMessage(), "kept objects are given up")
         self.assertEqual(line.fields["kept_ms"], 2_500)
