--- a/mulberryway/controllers/mirrors.py
+++ b/mulberryway/controllers/mirrors.py
@@ -1,17 +1,16 @@
 """Keeps copies of the store's objects, with the other VMs' help."""
 
 import collections.abc
-import json
 import logging
 import random
 import threading
-import zlib
 
 from mulberryway import clock
 from mulberryway import errors
 from mulberryway import logs
 from mulberryway import peers
 from mulberryway.controllers import base
+from mulberryway.controllers import copies
 from mulberryway.controllers import expiry
 from mulberryway.controllers import kept_objects
 from mulberryway.objects import base as objects
@@ -39,7 +38,6 @@
 # A VM that hears of a newer revision leaves its own watch so long to bring
 # it before it asks the other VM.
 PATIENCE_MS = 60
-PACK_LEVEL = 1
 
 
 class MirrorKeeper(base.Controller):
@@ -169,33 +167,26 @@
             revision = self._mirror.changed
             if revision <= known_revision:
                 return revision, b""
+            if self._mirror.list_kept():
+                # How long an object is kept for changes with each copy.
+                return revision, copies.pack(self._mirror, self.clock.now_ms())
             if self._packed_edits != self._mirror.edits:
                 # All VMs of a fleet ask for the same copy after a change.
                 self._packed_edits = self._mirror.edits
-                self._packed = self._pack_objects()
+                self._packed = copies.pack(self._mirror, 0)
             return revision, self._packed
 
-    def _pack_objects(self) -> bytes:
-        rows = [
-            [one.name, one.version, one.value]
-            for one in self._mirror.list_objects()
-        ]
-        return zlib.compress(json.dumps(rows).encode(), PACK_LEVEL)
-
     def unpack(self, revision: int, content: bytes) -> None:
         """Take over another VM's mirror if it is newer.
 
         :param revision: its revision
         :param content: the packed objects
         """
-        rows = json.loads(zlib.decompress(content))
-        found = [
-            objects.StoredObject(self.kind, name, version, value)
-            for name, version, value in rows
-        ]
+        now_ms = self.clock.now_ms()
+        copy = copies.unpack(self.kind, revision, content, now_ms)
         with self._lock:
             has_changed = self._mirror.adopt(
-                found, revision, self.clock.now_ms()
+                copy.objects, revision, now_ms, copy.kept
             )
         if has_changed:
             LOG.info(
--- a/mulberryway/policy/mirrors.py
+++ b/mulberryway/policy/mirrors.py
@@ -131,15 +131,17 @@
         objects: collections.abc.Iterable[base.StoredObject],
         changed: int,
         now_ms: int,
+        kept: collections.abc.Iterable[KeptObject] = (),
     ) -> bool:
         """Take over another VM's copy.
 
         It holds every change up to the one that it tells, so it is newer
         exactly if it tells a later one.
 
-        :param objects: all objects of the kind
+        :param objects: all objects of the kind that the store holds
         :param changed: the revision of the last change that is in it
         :param now_ms: the present
+        :param kept: the objects that the other VM keeps
         :returns: whether it was newer
         """
         if changed <= self.changed:
@@ -148,6 +150,8 @@
         known, self.revision = self.revision, 0
         self.replace(objects, changed, now_ms)
         self.revision = max(known, changed)
+        for one in kept:
+            self._adopt_kept(one)
         return True
 
     def apply(
@@ -262,6 +266,17 @@
             )
         self._removed.clear()
 
+    def _adopt_kept(self, kept: KeptObject) -> None:
+        """Keep what another VM keeps, and no longer than it does."""
+        name = kept.object.name
+        if name in self.objects:
+            return
+        own = self._kept.get(name)
+        if own is None:
+            self._keep(kept)
+        else:
+            own.until_ms = min(own.until_ms, kept.until_ms)
+
     def _keep(self, kept: KeptObject) -> None:
         if kept.object.name in self._kept:
             return
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -134,6 +134,14 @@
         self.lapse(6, 2_900)
         self.assertEqual(self.names(), [])
 
+    def test_copy_of_a_vm_without_kept_entries_takes_none_away(self):
+        """Guards against a VM that was started in the outage: its copy holds
+        only the entries that are back.
+        """
+        self.mirror.note_failure(1_000)
+        self.mirror.adopt([make("s1", 21)], 21, 5_000)
+        self.assertEqual(len(self.names()), 6)
+
     def test_removal_long_ago_does_not_come_back_with_a_lapse(self):
         """Guards against servers that left early in an outage's wake and are
         brought back by a later lapse.
@@ -405,6 +413,56 @@
             keeper.stop()
 
 
+class CopiedLapseTest(KeeperCase):
+    """Guards against kept entries that other VMs take for present ones."""
+
+    def setUp(self):
+        super().setUp()
+        self.other = controllers.MirrorKeeper(
+            "servers",
+            None,
+            self.clock,
+            lambda: None,
+            lapses.LapseDetector(lapses.Limits(), outages.Outages()),
+        )
+        self.copy()
+
+    def copy(self):
+        """Let the other VM take over this VM's copy if it is newer."""
+        revision, content = self.keeper.pack(self.other.revision)
+        if content:
+            self.other.unpack(revision, content)
+
+    def list_other(self):
+        return sorted(one.name for one in self.other.list_objects())
+
+    def test_kept_entry_of_a_copy_is_given_up(self):
+        self.step((0, fail()), (4_000, self.lapse_all()))
+        self.copy()
+        self.assertEqual(len(self.list_other()), 6)
+        self.clock.advance_ms(lapses.RETURN_MS)
+        self.other.expire()
+        self.assertEqual(self.list_other(), [])
+
+    def test_a_copy_keeps_entries_no_longer_than_its_vm(self):
+        self.step((0, fail()), (4_000, self.lapse_all()))
+        self.clock.advance_ms(lapses.RETURN_MS - 100)
+        self.copy()
+        self.assertEqual(len(self.list_other()), 6)
+        self.clock.advance_ms(100)
+        self.other.expire()
+        self.assertEqual(self.list_other(), [])
+
+    def test_a_vm_that_has_just_started_gets_kept_entries(self):
+        fresh = controllers.MirrorKeeper(
+            "servers", None, self.clock, lambda: None
+        )
+        self.step((0, fail()), (4_000, self.lapse_all()))
+        revision, content = self.keeper.pack(0)
+        fresh.unpack(revision, content)
+        self.assertEqual(len(fresh.list_objects()), 6)
+
+
 class KeeperLogTest(KeeperCase):
     def test_a_removal_that_is_put_off_tells_why(self):
         """Guards against logs that cannot tell a kept entry from a removal
