--- a/mulberryway/policy/mirrors.py
+++ b/mulberryway/policy/mirrors.py
@@ -121,6 +121,9 @@
         self.changed = max(self.changed, newest)
         gone = self.objects.keys() - found.keys()
         removed = {name: self.objects.pop(name) for name in gone}
+        if gone:
+            # No object left bears the revision of a removal.
+            self.changed = max(self.changed, revision)
         for one in found.values():
             self._put(one)
         self._judge(removed, gone, False, now_ms)
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -70,6 +70,25 @@
         self.assertEqual(self.mirror.changed, before)
         self.assertEqual(self.mirror.revision, 40)
 
+    def test_removal_that_only_a_listing_shows_is_told(self):
+        """Guards against a server that left while the store lost its history:
+        VMs that do not watch would never hear of it.
+        """
+        before = self.mirror.changed
+        rows = [make(f"s{n}", n) for n in range(2, 7)]
+        self.mirror.replace(rows, 12, 0)
+        self.assertGreater(self.mirror.changed, before)
+        other = mirrors.Mirror("servers")
+        other.adopt([make(f"s{n}", n) for n in range(1, 7)], before, 0)
+        taken = other.adopt(self.mirror.list_objects(), self.mirror.changed, 0)
+        self.assertTrue(taken)
+        self.assertNotIn("s1", {one.name for one in other.list_objects()})
+
+    def test_listing_without_a_removal_is_no_news(self):
+        before = self.mirror.changed
+        self.mirror.replace([make(f"s{n}", n) for n in range(1, 7)], 12, 0)
+        self.assertEqual(self.mirror.changed, before)
+
     def test_removal_counts_at_once(self):
         self.mirror.apply([change("s1", 1, True)], 11, 0)
         self.assertNotIn("s1", self.names())
