--- a/mulberryway/filters/interface.py
+++ b/mulberryway/filters/interface.py
@@ -117,5 +117,6 @@
                 choosing.ServerChooser(settings_.vm_zone),
                 parts.tracer,
                 parts.clock,
+                context.source,
             ),
         ]
--- a/mulberryway/filters/service_forward.py
+++ b/mulberryway/filters/service_forward.py
@@ -45,6 +45,7 @@
     :param chooser: chooses among them
     :param tracer: makes spans
     :param clock_: where the time comes from
+    :param source: the tables in force
     :param callers: notices callers that go while a server works for them
     :param may_repeat: takes one repeat out of a pool's budget for them
     :param scheduling_: knows requests under which upstreams died; without
@@ -57,6 +58,7 @@
         chooser: choosing.ServerChooser,
         tracer: traces.Tracer,
         clock_: clock.Clock,
+        source: tables.TableSource,
         callers: watch.CallerWatch | None = None,
         may_repeat: collections.abc.Callable[[str], bool] = lambda pool: True,
         scheduling_: scheduling.Scheduling | None = None,
@@ -65,6 +67,7 @@
         self._chooser = chooser
         self._tracer = tracer
         self._clock = clock_
+        self._source = source
         self._callers = callers
         self._may_repeat = may_repeat
         self._scheduling = scheduling_
@@ -151,10 +154,20 @@
     def _choose(
         self, exchange: base.Exchange, avoid: frozenset[str]
     ) -> tables.Upstream | None:
+        pool = self._read_pool(exchange)
         with self._lock:
-            return self._chooser.choose(
-                exchange.pool, avoid, self._clock.now_ms()
-            )
+            return self._chooser.choose(pool, avoid, self._clock.now_ms())
+
+    def _read_pool(self, exchange: base.Exchange) -> tables.Pool:
+        """Return a call's pool as it is now.
+
+        A call may wait for a silent server for longer than servers that
+        leave serve on, so a repeat must not go by the tables of its arrival.
+        """
+        newest = self._source.read_tables()
+        if newest is None:
+            return exchange.pool
+        return newest.pools.get(exchange.pool.name, exchange.pool)
 
     def _call_once(
         self,
--- a/mulberryway/platform/interface.py
+++ b/mulberryway/platform/interface.py
@@ -53,6 +53,7 @@
                 choosing.ServerChooser(settings_.vm_zone),
                 parts.tracer,
                 parts.clock,
+                context.source,
                 parts.callers,
                 parts.may_repeat,
                 parts.scheduling,
--- /dev/null
+++ b/tests/test_service_forward.py
@@ -0,0 +1,105 @@
+"""Calls to plain services whose servers change under way; no network."""
+
+import unittest
+
+import expression
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway import traces
+from mulberryway.filters import base
+from mulberryway.filters import service_forward
+from mulberryway.policy import choosing
+from mulberryway.upstreams import base as upstreams
+from mulberryway.upstreams import directory
+from tests import router_rig
+
+POOL = "member-api"
+
+
+class SilentServers(directory.UpstreamDirectory):
+    """Servers of which the first answers too late, and the others at once.
+
+    :param clock_: the clock that a wait moves on
+    :param on_wait: called while the first one is waited for
+    """
+
+    def __init__(self, clock_, on_wait):
+        self.clock = clock_
+        self.on_wait = on_wait
+        self.called = []
+
+    def find_engine(self, pool, upstream):
+        raise AssertionError("no model request is sent")
+
+    def change_tables(self, changed):
+        raise AssertionError("the router's own task")
+
+    def find_service(self, pool, upstream):
+        self.called.append(upstream.name)
+        return self
+
+    def call(self, request_id, method, target, headers, body, timeout_ms, *_):
+        if len(self.called) > 1:
+            return expression.Ok(upstreams.ServiceReply(200, [], b"{}"))
+        self.clock.advance_ms(timeout_ms)
+        self.on_wait()
+        return expression.Error(
+            errors.Fault(
+                errors.Code.UPSTREAM_TIMEOUT,
+                errors.Step.SERVICE,
+                run=errors.Run.MAY_HAVE_RUN,
+            )
+        )
+
+
+class RepeatTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = clock.ManualClock()
+        self.source = router_rig.StaticTables(self.make_tables("s1", "s2"))
+        self.servers = SilentServers(self.clock, self.change)
+        self.forward = service_forward.ServiceForward(
+            self.servers,
+            choosing.ServerChooser("kandy-a"),
+            traces.Tracer("a1"),
+            self.clock,
+            self.source,
+        )
+        self.next = ("s1", "s3")
+
+    def make_tables(self, *names):
+        services = [
+            router_rig.make_upstream("service", 9, name) for name in names
+        ]
+        return router_rig.make_tables((), services)
+
+    def change(self):
+        self.source.change(self.make_tables(*self.next))
+
+    def send(self):
+        exchange = base.Exchange(
+            "r-1", "GET", "/member", "/member", [], b"", None, None, None, 0
+        )
+        exchange.tables = self.source.current
+        exchange.account = next(iter(exchange.tables.accounts.values()))
+        exchange.route = exchange.tables.find_route("/member", "")
+        exchange.pool = exchange.tables.pools[POOL]
+        exchange.deadline.at_ms = 6_000
+        return self.forward.handle(exchange, lambda one: None)
+
+    def test_repeat_goes_to_no_server_that_has_left_meanwhile(self):
+        """Guards against a repeat that is sent by the tables of the call's
+        arrival, seconds after one of their servers has left.
+        """
+        self.assertTrue(self.send().is_ok())
+        self.assertEqual(self.servers.called, ["s1", "s3"])
+
+    def test_repeat_goes_on_where_the_pool_has_gone(self):
+        """An operator removes the pool under way; the call came under the
+        tables before and ends by them.
+        """
+        empty = router_rig.make_tables()
+        empty.pools.pop(POOL)
+        self.servers.on_wait = lambda: self.source.change(empty)
+        self.assertTrue(self.send().is_ok())
+        self.assertEqual(self.servers.called, ["s1", "s2"])
