--- a/mulberryway/filters/attempt.py
+++ b/mulberryway/filters/attempt.py
@@ -23,6 +23,7 @@
     :param decode: the engine whose slot is reserved
     :param prefill_name: the prefill engine's name in its pool
     :param decode_name: the decode engine's name in its pool
+    :param chosen_ms: when the decode engine was chosen
     """
 
     __slots__ = (
@@ -32,6 +33,7 @@
         "decode",
         "prefill_name",
         "decode_name",
+        "chosen_ms",
         "ready_in_ms",
         "room_tokens",
         "_scheduling",
@@ -50,6 +52,7 @@
         assignment: messages.Assignment,
         scheduling_: scheduling.Scheduling,
         cancelling_: cancelling.Cancelling,
+        chosen_ms: int,
     ) -> None:
         self.label = label
         self.job_id = job_id
@@ -57,6 +60,7 @@
         self.decode = decode
         self.prefill_name = assignment.prefill
         self.decode_name = assignment.decode
+        self.chosen_ms = chosen_ms
         self.ready_in_ms = assignment.ready_in_ms
         self.room_tokens = assignment.room_tokens
         self._scheduling = scheduling_
@@ -79,13 +83,17 @@
         if how is not messages.JobEnd.DONE:
             self.free()
 
-    def change_decode(self, name: str, engine: upstreams.Engine) -> None:
+    def change_decode(
+        self, name: str, engine: upstreams.Engine, now_ms: int
+    ) -> None:
         """Decode elsewhere, for the engine chosen first has refused.
 
         :param name: the other upstream's name
         :param engine: the other upstream
+        :param now_ms: the present
         """
         with self._lock:
+            self.chosen_ms = now_ms
             self.decode_name = name
             self.decode = engine
 
--- a/mulberryway/filters/model_engines.py
+++ b/mulberryway/filters/model_engines.py
@@ -8,6 +8,7 @@
 from mulberryway import clock
 from mulberryway import errors
 from mulberryway import logs
+from mulberryway import tables
 from mulberryway import traces
 from mulberryway.filters import attempt as attempts
 from mulberryway.filters import base
@@ -298,7 +299,7 @@
         engine = self.find_engine(name) if name is not None else None
         if name is None or engine is None:
             return False
-        attempt.change_decode(name, engine)
+        attempt.change_decode(name, engine, self._parts.clock.now_ms())
         return True
 
     def _decode_once(
@@ -317,6 +318,15 @@
                     message="the silent engine goes on",
                 )
             )
+        if self._has_left(attempt):
+            return expression.Error(
+                errors.Fault(
+                    errors.Code.UPSTREAM_UNREACHABLE,
+                    errors.Step.DECODE,
+                    attempt.decode_name,
+                    message="the chosen engine leaves",
+                )
+            )
         self._exchange.note_try(
             attempt.decode_name, self._parts.clock.now_ms()
         )
@@ -340,6 +350,18 @@
                 span.fail(result.error)
         return result
 
+    def _has_left(self, attempt: attempts.Attempt) -> bool:
+        """Tell whether the decode engine has left since it was chosen.
+
+        A prompt may be read for longer than an engine that leaves serves on;
+        a younger choice holds.
+        """
+        parts = self._parts
+        if parts.clock.now_ms() - attempt.chosen_ms < parts.choice_ms:
+            return False
+        row = self._find_row(attempt.decode_name)
+        return row is None or row[1].leaving
+
     def _begin_hop(
         self, attempt: attempts.Attempt, step: errors.Step
     ) -> traces.Span:
@@ -368,15 +390,19 @@
         :param name: the engine's name
         :returns: the engine, or none if it has left the tables
         """
+        row = self._find_row(name)
+        if row is None:
+            return None
+        return self._parts.directory.find_engine(*row)
+
+    def _find_row(
+        self, name: str
+    ) -> tuple[tables.Pool, tables.Upstream] | None:
         newest = self._parts.source.read_tables() or self._exchange.tables
         pool = newest.pools.get(self._exchange.pool.name)
         if pool is None:
             return None
         return next(
-            (
-                self._parts.directory.find_engine(pool, upstream)
-                for upstream in pool.upstreams
-                if upstream.name == name
-            ),
+            ((pool, one) for one in pool.upstreams if one.name == name),
             None,
         )
--- a/mulberryway/filters/model_parts.py
+++ b/mulberryway/filters/model_parts.py
@@ -46,6 +46,8 @@
     :param incarnation: which life of the VM's router this is
     :param gap_ms: the longest wait for a further token
     :param may_repeat: takes a repeat out of a pool's budget for them
+    :param choice_ms: for how long a chosen upstream may be used without a
+        look at the tables; shorter than upstreams that leave serve on
     """
 
     __slots__ = (
@@ -62,6 +64,7 @@
         "tracer",
         "metrics",
         "may_repeat",
+        "choice_ms",
     )
 
     def __init__(
@@ -79,6 +82,7 @@
         tracer: traces.Tracer,
         metrics_: metrics.Metrics,
         may_repeat: collections.abc.Callable[[str], bool],
+        choice_ms: int,
     ) -> None:
         self.vm = vm
         self.incarnation = incarnation
@@ -93,6 +97,7 @@
         self.tracer = tracer
         self.metrics = metrics_
         self.may_repeat = may_repeat
+        self.choice_ms = choice_ms
 
 
 def make_gone() -> errors.Fault:
--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -379,6 +379,7 @@
             assignment,
             parts.scheduling,
             parts.cancelling,
+            parts.clock.now_ms(),
         )
         with self._lock:
             if self._replacement is None:
--- a/mulberryway/router.py
+++ b/mulberryway/router.py
@@ -63,6 +63,9 @@
 # What was sent to this VM before the refusals began is on its way at most
 # for so long.
 LAST_CALLS_MS = 200
+# A chosen upstream is used without another look at the tables for this part
+# of the time for which one that leaves serves on.
+CHOICE_PART = 2
 
 
 class Router(status.Lifecycle):
@@ -360,6 +363,7 @@
             self.tracer,
             self.metrics,
             self._may_repeat,
+            settings_.upstreams_drain_ms // CHOICE_PART,
         )
         return interface.Context(
             settings_,
--- a/tests/test_model_run.py
+++ b/tests/test_model_run.py
@@ -213,6 +213,48 @@
         self.check_free(killed)
 
 
+class LeavingEngineTest(EnginesTest):
+    """A decode engine that leaves while a long prompt is being read."""
+
+    flags = ("--token_ms=10", "--prefill_base_ms=900")
+
+    def make_settings(self):
+        settings_ = super().make_settings()
+        settings_.upstreams_drain_ms = 300
+        return settings_
+
+    def make_tables(self):
+        return router_rig.make_tables(
+            map(router_rig.make_upstream, self.roles, self.ports),
+            timeout_ms=8_000,
+        )
+
+    def leave(self, port):
+        """Take an engine out of the tables."""
+        engines = [
+            router_rig.make_upstream(role, one)
+            for role, one in zip(self.roles, self.ports, strict=True)
+            if one != port
+        ]
+        self.rig.source.change(
+            router_rig.make_tables(engines, timeout_ms=8_000)
+        )
+
+    def test_no_stream_is_sent_to_an_engine_that_has_left(self):
+        """Guards against a decode by a choice that is older than the time for
+        which a leaving engine serves on.
+        """
+        stream = router_rig.OpenStream(self.rig, "leaves", 40)
+        processes.wait_until(lambda: router_rig.list_held(self.ports[0]))
+        chosen = self.ports[1]
+        self.leave(chosen)
+        events = stream.read_all()
+        stream.close()
+        self.assertEqual(events[-1], "[DONE]")
+        self.assertEqual(router_rig.list_runs(chosen), [])
+        self.assertTrue(router_rig.list_runs(self.ports[2]))
+
+
 class PausedEngineTest(EnginesTest):
     """An engine that pauses for longer than the limit, and then goes on."""
 
