--- a/mulberryway/controllers/mirrors.py
+++ b/mulberryway/controllers/mirrors.py
@@ -78,6 +78,7 @@
             f"mirror-{kind}-expiry", clock_, self.expire, self._find_expiry_ms
         )
         self._was_reached = True
+        self._was_answered = False
         self._random = random.Random()
 
     @property
@@ -88,7 +89,7 @@
     @property
     def is_reached(self) -> bool:
         """Whether the store answered the last time that it was asked."""
-        return self._was_reached
+        return self._was_answered and self._was_reached
 
     def start(self) -> None:
         """Begin to watch on a thread of its own, and to expire on another."""
@@ -121,6 +122,7 @@
         fault = self._list() if self._needs_listing else self._poll(wait_ms)
         now_ms = self.clock.now_ms()
         if fault is None:
+            self._was_answered = True
             self._note_reached(True)
             has_changed = self._mirror.revision != before
             self.period_ms = CHANGE_PAUSE_MS if has_changed else NO_PAUSE_MS
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -482,6 +482,18 @@
         self.assertEqual(len(fresh.list_objects()), 6)
 
 
+class ReachedTest(KeeperCase):
+    def test_a_vm_that_was_never_answered_does_not_claim_the_store(self):
+        """Guards against VMs that start in an outage and make all others take
+        it for trouble of their own.
+        """
+        started = controllers.MirrorKeeper(
+            "servers", self.store, self.clock, lambda: None
+        )
+        self.assertFalse(started.is_reached)
+        self.assertTrue(self.keeper.is_reached)
+
+
 class KeeperLogTest(KeeperCase):
     def test_a_removal_that_is_put_off_tells_why(self):
         """Guards against logs that cannot tell a kept entry from a removal
