--- a/mulberryway/controllers/mirrored_tables.py
+++ b/mulberryway/controllers/mirrored_tables.py
@@ -68,7 +68,9 @@
     def refresh(self) -> None:
         """Read the mirrors anew and tell the subscribers."""
         with self._lock:
-            if self.configuration is None or self.servers is None:
+            if not _is_known(self.configuration, self.servers):
+                # Tables without upstreams would let callers in who are then
+                # refused.
                 return
             self._revision += 1
             rows = {one.name: one for one in self.configuration.list_objects()}
@@ -101,3 +103,7 @@
                 ),
             ),
         )
+
+
+def _is_known(*keepers: mirrors.MirrorKeeper | None) -> bool:
+    return all(keeper is not None and keeper.is_known for keeper in keepers)
--- a/mulberryway/controllers/mirrors.py
+++ b/mulberryway/controllers/mirrors.py
@@ -73,6 +73,7 @@
         self._packed = b""
         self._packed_edits = -1
         self._needs_listing = True
+        self._is_known = False
         self._is_watcher = is_watcher
         self._expiry = expiry.ExpiryController(
             f"mirror-{kind}-expiry", clock_, self.expire, self._find_expiry_ms
@@ -91,6 +92,11 @@
         """Whether the store answered the last time that it was asked."""
         return self._was_answered and self._was_reached
 
+    @property
+    def is_known(self) -> bool:
+        """Whether a listing or a copy was ever taken over."""
+        return self._is_known
+
     def start(self) -> None:
         """Begin to watch on a thread of its own, and to expire on another."""
         super().start()
@@ -190,6 +196,7 @@
             has_changed = self._mirror.adopt(
                 copy.objects, revision, now_ms, copy.kept
             )
+            self._is_known = True
         if has_changed:
             LOG.info(
                 "a newer copy came from another VM",
@@ -209,6 +216,7 @@
             has_changed = self._mirror.replace(
                 result.ok.objects, result.ok.revision, now_ms
             )
+        self._is_known = True
         if has_changed:
             self._log_change()
             self._on_change()
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -9,7 +9,9 @@
 
 from mulberryway import clock
 from mulberryway import errors
+from mulberryway import tables
 from mulberryway.controllers import kept_objects
+from mulberryway.controllers import mirrored_tables
 from mulberryway.controllers import mirrors as controllers
 from mulberryway.objects import base
 from mulberryway.peers.gen.mirrors import ttypes
@@ -530,6 +532,56 @@
         self.assertEqual(self.keeper.kept.delay_ms, 6 * 2_500)
 
 
+class CopyReader(mirrored_tables.Reader):
+    """Makes tables that name the servers they were made from."""
+
+    def read(self, configuration, servers, revision):
+        if not configuration:
+            return None
+        rows = [
+            tables.Upstream(
+                one.name, "127.0.0.1:9", "a", tables.UpstreamRole.SERVICE
+            )
+            for one in servers
+        ]
+        pool = tables.Pool("app", tables.PoolKind.PLAIN, tuple(rows))
+        return tables.Tables(revision, (), (pool,), ())
+
+
+class FirstTablesTest(unittest.TestCase):
+    def setUp(self):
+        self.source = mirrored_tables.MirroredTables(CopyReader())
+        self.source.configuration = self.make_keeper("config")
+        self.source.servers = self.make_keeper("servers")
+
+    def make_keeper(self, kind):
+        store = ScriptedStore(clock.ManualClock())
+        store.answers = [(0, base.Listing([], 1))]
+        return controllers.MirrorKeeper(
+            kind, store, store.clock, self.source.refresh
+        )
+
+    def take(self, keeper, name):
+        content = zlib.compress(json.dumps([[name, 5, {}]]).encode())
+        with self.assertLogs(controllers.LOG, "INFO"):
+            keeper.unpack(5, content)
+
+    def test_no_tables_before_both_copies_are_known(self):
+        """Guards against a VM that takes callers before it knows any server:
+        its first requests are refused.
+        """
+        self.take(self.source.configuration, "main")
+        self.assertIsNone(self.source.read_tables())
+        self.take(self.source.servers, "s1")
+        found = self.source.read_tables()
+        self.assertEqual(len(found.pools["app"].upstreams), 1)
+
+    def test_tables_without_servers_where_the_store_has_none(self):
+        self.source.servers.step()
+        self.take(self.source.configuration, "main")
+        self.assertIsNotNone(self.source.read_tables())
+
+
 class OutagesTest(unittest.TestCase):
     def test_alone_it_is_shared(self):
         self.assertTrue(outages.Outages().is_shared(0, 0))
