--- a/mulberryway/controllers/membership.py
+++ b/mulberryway/controllers/membership.py
@@ -110,6 +110,7 @@
     def list_members(self) -> list[member.Member]:
         """Return copies of all known VMs, this one and dead ones included."""
         with self._lock:
+            self._expire()
             return [one.copy() for one in self._view.list_members()]
 
     def list_alive(self) -> tuple[str, ...]:
@@ -119,6 +120,7 @@
             that whoever derives something from it can keep that
         """
         with self._lock:
+            self._expire()
             digest = self._view.digest()
             if digest != self._alive_digest:
                 self._alive_digest = digest
@@ -138,6 +140,7 @@
         :returns: a few addresses; never empty
         """
         with self._lock:
+            self._expire()
             now_ms = self.clock.now_ms()
             self._view.note_heard(
                 self.own.name,
@@ -244,9 +247,17 @@
             self._check(target)
         self._probe_dead()
         with self._lock:
-            self._view.expire(self.clock.now_ms())
+            self._expire()
         self._read_list()
 
+    def _expire(self) -> None:
+        """Take over what is due by time; with the lock held.
+
+        Probes and the store's list may take seconds, so readers do not wait
+        for the end of a step.
+        """
+        self._view.expire(self.clock.now_ms())
+
     def _hurry(self) -> None:
         self._is_urgent = True
         now_ms = self.clock.now_ms()
--- a/mulberryway/policy/membership.py
+++ b/mulberryway/policy/membership.py
@@ -51,6 +51,8 @@
         self._since_ms: dict[str, int] = {}
         self._round: list[str] = []
         self._synced_ms: int | None = None
+        # Before this nothing expires; none if it has to be found out.
+        self._expiry_ms: float | None = None
 
     def list_members(self) -> list[member.Member]:
         """Return all known VMs, this one and dead ones included."""
@@ -124,21 +126,34 @@
         :param now_ms: the present
         :returns: the VMs that were newly taken for dead
         """
-        size = len(self._members)
-        suspect_ms = self._period_ms * (
-            SUSPECT_PERIODS + math.ceil(math.log2(size + 1))
-        )
+        if self._expiry_ms is not None and now_ms < self._expiry_ms:
+            return []
         died = []
         for known in list(self._members.values()):
-            age_ms = now_ms - self._since_ms.get(known.name, now_ms)
-            if known.health is member.Health.SUSPECT and age_ms >= suspect_ms:
+            if now_ms < self._find_expiry_ms(known):
+                continue
+            if known.health is member.Health.SUSPECT:
                 died.append(
                     self._set_health(known, member.Health.DEAD, now_ms)
                 )
-            elif known.health is member.Health.DEAD and age_ms >= DEAD_MS:
+            else:
                 self._forget(known)
+        self._expiry_ms = min(
+            map(self._find_expiry_ms, self._members.values())
+        )
         return died
 
+    def _find_expiry_ms(self, known: member.Member) -> float:
+        """Return when a VM's health changes by time alone."""
+        since_ms = self._since_ms.get(known.name, 0)
+        if known.health is member.Health.SUSPECT:
+            size = len(self._members)
+            periods = SUSPECT_PERIODS + math.ceil(math.log2(size + 1))
+            return since_ms + self._period_ms * periods
+        if known.health is member.Health.DEAD:
+            return since_ms + DEAD_MS
+        return math.inf
+
     def choose_target(self) -> member.Member | None:
         """Return the VM to probe next.
 
@@ -278,6 +293,7 @@
         else:
             self._digest ^= _weigh(known)
         self._members[news.name] = news
+        self._expiry_ms = None
         self._digest ^= _weigh(news)
         self._since_ms[news.name] = now_ms
         self._sends[news.name] = 0
@@ -301,6 +317,7 @@
 
     def _forget(self, known: member.Member) -> None:
         del self._members[known.name]
+        self._expiry_ms = None
         self._since_ms.pop(known.name, None)
         self._sends.pop(known.name, None)
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -9,6 +9,29 @@
 from tests import peer_network
 
 
+class ExpiryTest(unittest.TestCase):
+    def test_a_suspect_is_dead_on_time_while_probes_wait(self):
+        """Guards against VMs that count as alive for as long as this VM's
+        calls to other VMs, or to the store, wait for answers.
+        """
+        clock_ = clock.ManualClock()
+        own, other = (
+            member.Member(name, "127.0.0.1", port, 9, "z", "r", 1)
+            for port, name in enumerate(("vm0", "vm1"), 1)
+        )
+        found = controllers.MembershipController(
+            own, (), peer_network.Network(), None, clock_, 500
+        )
+        view = found.exchange.view
+        view.apply(other, 0)
+        view.note_silent("vm1", 1, 0)
+        self.assertEqual(found.list_alive(), ("vm0", "vm1"))
+        clock_.advance_ms(10_000)
+        self.assertEqual(found.list_alive(), ("vm0",))
+        dead = next(one for one in found.list_members() if one.name == "vm1")
+        self.assertIs(dead.health, member.Health.DEAD)
+
+
 class MembershipTest(unittest.TestCase):
     def check_all_see(self, fleet, name, health, besides=()):
         for vm in fleet.vms:
