--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -118,6 +118,18 @@
             self.mirror.apply([event], 10 + number, 5_000 + number)
         self.assertEqual(len(self.names()), 6)
 
+    def test_entry_that_came_back_early_counts_once(self):
+        """Guards against a server that stands twice in the tables: its entry
+        was removed and came back before the others lapsed.
+        """
+        self.mirror.note_failure(1_000)
+        self.mirror.note_answer(5_000)
+        self.lapse(1, 5_000)
+        self.mirror.apply([change("s1", 12)], 12, 5_100)
+        later = [change(f"s{n}", n, True) for n in range(2, 7)]
+        self.mirror.apply(later, 13, 5_200)
+        self.assertEqual(self.names(), [f"s{n}" for n in range(1, 7)])
+
     def test_entry_that_came_back_stays(self):
         self.mirror.note_failure(1_000)
         self.mirror.note_answer(5_000)
