--- a/mulberryway/controllers/membership.py
+++ b/mulberryway/controllers/membership.py
@@ -113,6 +113,14 @@
             self._expire()
             return [one.copy() for one in self._view.list_members()]
 
+    def count_members(self) -> int:
+        """Return how many VMs are known, dead ones included.
+
+        A VM that is cut off takes all others for dead although they live.
+        """
+        with self._lock:
+            return len(self._view.list_members())
+
     def list_alive(self) -> tuple[str, ...]:
         """Return the names of all VMs that are not thought to be dead.
 
--- a/mulberryway/filters/repeats.py
+++ b/mulberryway/filters/repeats.py
@@ -1,5 +1,6 @@
 """Counts requests, so that repeats stay a small part of them."""
 
+import collections.abc
 import threading
 
 from mulberryway import clock
@@ -14,23 +15,21 @@
 
     :param budget: what may be spent
     :param clock_: where the time comes from
+    :param count_vms: returns how many VMs share the budget, this one and
+        those that are silent among them
     """
 
     def __init__(
-        self, budget: retries.FleetBudget, clock_: clock.Clock
+        self,
+        budget: retries.FleetBudget,
+        clock_: clock.Clock,
+        count_vms: collections.abc.Callable[[], int],
     ) -> None:
         self._budget = budget
         self._clock = clock_
+        self._count_vms = count_vms
         self._lock = threading.Lock()
 
-    def change_vms(self, count: int) -> None:
-        """Take over how many VMs share the budget.
-
-        :param count: the VMs that live, this one among them
-        """
-        with self._lock:
-            self._budget.change_vms(count)
-
     def earn(self, pool: str) -> None:
         """Count a request.
 
@@ -46,6 +45,7 @@
         :returns: false if none is left
         """
         with self._lock:
+            self._budget.change_vms(self._count_vms())
             return self._budget.spend(pool, self._clock.now_ms())
 
 
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -135,6 +135,7 @@
                 settings_.retries_slack,
             ),
             self.clock,
+            self.members.count_members,
         )
         self.book = usage.UsageBook(
             settings_.vm_name,
@@ -414,7 +415,6 @@
 
     def _change_tables(self, changed: tables.Tables) -> None:
         self.allowances.change_tables(changed)
-        self.budget.change_vms(len(self.members.list_alive()))
 
 
 def _list_seeds(settings_: settings.Settings) -> tuple[str, ...]:
--- a/mulberryway/policy/retries.py
+++ b/mulberryway/policy/retries.py
@@ -49,8 +49,8 @@
 
     Operators allow, in any window, a part of the pool's requests and a
     number on top, over all VMs.  A VM takes the part of its own requests and
-    its share of the number, so that nobody has to be asked; with the VMs
-    that are known to live, shares add up to less than the number.
+    its share of the number, so that nobody has to be asked.  VMs that are
+    taken for dead keep their shares, since they may only be cut off.
 
     :param part: repeats for each request
     :param window_ms: the window's length
@@ -74,7 +74,7 @@
     def change_vms(self, count: int) -> None:
         """Take over how many VMs share the budget.
 
-        :param count: the VMs that live, this one among them
+        :param count: the VMs that are known, this one among them
         """
         self._vms = max(count, 1)
 
