--- a/mulberryway/policy/lapses.py
+++ b/mulberryway/policy/lapses.py
@@ -52,7 +52,10 @@
 class Absence:
     """A span in which the store did not answer this VM.
 
-    :param began_ms: when it began at the latest
+    It says nothing of the reason: the store may be down, refuse this VM, or
+    have lost one connection.
+
+    :param began_ms: since when the store may have been away
     :param reason: how the first call failed
     """
 
@@ -105,8 +108,8 @@
     def note_failure(self, began_ms: int, reason: str) -> None:
         """Tell that the store could not be asked.
 
-        :param began_ms: when the store stopped answering at the latest: a
-            refusal's own time, or when a call began that was not answered
+        :param began_ms: since when it may have been away: the moment of a
+            refusal, or the beginning of a call that was not answered
         :param reason: how the call failed
         """
         if self._absence is None or self._absence.ended_ms is not None:
