--- a/tests/request_history.py
+++ b/tests/request_history.py
@@ -6,6 +6,7 @@
 import json
 import random
 import signal
+import threading
 
 import aiohttp
 
@@ -106,6 +107,7 @@
     def __init__(self, world, seed):
         self.world = world
         self.random = random.Random(seed)
+        self.restarts = [threading.Lock() for _ in world.ports]
         self.records = []
 
     async def run(self, count, fault_every):
@@ -195,8 +197,11 @@
 
     def restart_router(self):
         number = self.random.randrange(len(self.world.ports))
-        self.world.routers[number].kill()
-        self.world.start_router(number).wait_ready()
+        # A restart that kills the router of another one, which has not begun
+        # to listen, would look like a router that cannot start.
+        with self.restarts[number]:
+            self.world.routers[number].kill()
+            self.world.start_router(number).wait_ready()
 
     def pause_router(self):
         router = self.random.choice(self.world.routers)
