--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -413,28 +413,52 @@
         return result
 
     def _may_move(self, fault: errors.Fault) -> bool:
-        """Tell whether another upstream may be tried.
+        """Tell whether another upstream may be tried, and log why not.
+
+        :param fault: what befell the last one
+        """
+        obstacle = self._find_obstacle(fault)
+        if not obstacle:
+            return True
+        LOG.info(
+            "no other engine is tried",
+            extra=logs.describe(
+                fault,
+                request_id=self._exchange.request_id,
+                obstacle=obstacle,
+                attempts=self._count_attempts(),
+                tries=self._number,
+            ),
+        )
+        return False
+
+    def _find_obstacle(self, fault: errors.Fault) -> str:
+        """Return why no other upstream may be tried; empty if one may.
 
         Repeats cost a prefill each, and come just when upstreams fail; the
         budget keeps them a small part of all work.
         """
         exchange = self._exchange
-        return (
-            fault.code in MOVABLE
-            and (
-                fault.run is errors.Run.NOT_RUN
-                or route.is_repeatable(exchange)
-            )
-            and self._count_attempts() < exchange.route.most_attempts
-            and self._number - self._unreserved < MOST_TRIES
-            and self._unreserved < MOST_UNRESERVED
-            and self._is_wanted()
-            and (
-                # Nothing of the request was sent, so nothing is repeated.
-                fault.step is errors.Step.RESERVE
-                or self._parts.may_repeat(exchange.pool.name)
-            )
-        )
+        # Nothing of the request was sent, so nothing is repeated.
+        is_unsent = fault.step is errors.Step.RESERVE
+        if fault.code not in MOVABLE:
+            return "the fault is final"
+        if not (
+            fault.run is errors.Run.NOT_RUN or route.is_repeatable(exchange)
+        ):
+            return "the request may run once only"
+        if self._count_attempts() >= exchange.route.most_attempts:
+            return "its route allows no further attempt"
+        if (
+            self._number - self._unreserved >= MOST_TRIES
+            or self._unreserved >= MOST_UNRESERVED
+        ):
+            return "too many tries have failed"
+        if not self._is_wanted():
+            return "the caller has gone"
+        if not is_unsent and not self._parts.may_repeat(exchange.pool.name):
+            return "the budget for repeats is spent"
+        return ""
 
     def _is_wanted(self) -> bool:
         return not (self._is_closed or self._exchange.has_gone.is_set())
