--- a/tests/test_model_run.py
+++ b/tests/test_model_run.py
@@ -213,6 +213,29 @@
         self.check_free(killed)
 
 
+class SpentTriesTest(EnginesTest):
+    """Streams that begin only after several engines could not be reached."""
+
+    roles = ("prefill", *["decode"] * 5)
+
+    def test_resumed_although_many_tries_came_before_it_began(self):
+        """Guards against answers cut by a limit on tries that the beginning
+        of the request has used up.
+        """
+        for port in self.ports[1:4]:
+            self.processes[port].kill()
+        stream = router_rig.OpenStream(self.rig, "tried", LONG)
+        events = [stream.read_event()]
+        killed = self.find_decoding()
+        self.processes[killed].kill()
+        events += stream.read_all()
+        stream.close()
+        self.assertEqual(events[-1], "[DONE]")
+        self.assertEqual(
+            router_rig.join_text(events), router_rig.expect_text("tried", LONG)
+        )
+
+
 class LeavingEngineTest(EnginesTest):
     """A decode engine that leaves while a long prompt is being read."""
 
