Count no attempt where nothing was sent to an engine

What callers saw: a stream whose engine paused, and went on before another had begun, was cut when that engine died later; so was one for which no slot had come free meanwhile.

Cause: a try that ended in the queue, or because the silent engine went on, counted as one of the attempts that the route allows (two on the operators' routes), although no second engine had got the request.

UnusedReplacementTest failed before ('no other engine is tried', obstacle 'its route allows no further attempt', attempts=2 with one engine tried) and passes now. Refused reservations and unreached engines were left out already; servers that got the request still count, refused or not.

--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -46,6 +46,10 @@
     )
 )
 
+# With these nothing of the request was sent, so a try counts as no attempt.
+UNSENT = frozenset((errors.Code.UPSTREAM_UNREACHABLE, errors.Code.CANCELLED))
+UNSENT_STEPS = frozenset((errors.Step.QUEUE, errors.Step.RESERVE))
+
 Source = model_parts.Source
 
 
@@ -468,10 +472,8 @@
     def _note_failure(self, fault: errors.Fault) -> None:
         if fault.run is not errors.Run.NOT_RUN:
             self._engines.has_run = True
-        is_unreserved = fault.step is errors.Step.RESERVE
-        if is_unreserved or fault.code is errors.Code.UPSTREAM_UNREACHABLE:
-            self._unsent += 1
-        if is_unreserved:
+        self._unsent += fault.step in UNSENT_STEPS or fault.code in UNSENT
+        if fault.step is errors.Step.RESERVE:
             self._search.note_unreserved()
         self._parts.metrics.attempts.add(
             1,
--- a/tests/test_model_run.py
+++ b/tests/test_model_run.py
@@ -236,6 +236,45 @@
         )
 
 
+class UnusedReplacementTest(EnginesTest):
+    """An engine that pauses, goes on before another has begun, and dies."""
+
+    flags = ("--token_ms=10", "--prefill_base_ms=900")
+    pause_s = 1.5
+
+    def make_tables(self):
+        return router_rig.make_tables(
+            map(router_rig.make_upstream, self.roles, self.ports),
+            timeout_ms=8_000,
+            most_attempts=2,
+        )
+
+    def test_resumed_although_a_replacement_was_sought_before(self):
+        """Guards against answers cut because an attempt that was sent to no
+        engine counts among those that the route allows.
+        """
+        stream = router_rig.OpenStream(self.rig, "twice", LONG)
+        events = [stream.read_event()]
+        decoding = self.processes[self.find_decoding()]
+        decoding.send_signal(signal.SIGSTOP)
+        time.sleep(self.pause_s)
+        decoding.send_signal(signal.SIGCONT)
+        self.assertTrue(
+            processes.wait_until(lambda: self.count_prompts() == 2)
+        )
+        events += [stream.read_event() for _ in range(LONG // 2)]
+        decoding.kill()
+        events += stream.read_all()
+        stream.close()
+        self.assertEqual(events[-1], "[DONE]")
+        self.assertEqual(
+            router_rig.join_text(events), router_rig.expect_text("twice", LONG)
+        )
+
+    def count_prompts(self):
+        return len(router_rig.list_runs(self.ports[0]))
+
+
 class LeavingEngineTest(EnginesTest):
     """A decode engine that leaves while a long prompt is being read."""
 
