Let the target of a lost stream count from its loss

Cause: its target was that of its first event, from the request's arrival, so it was late from the moment of its loss on (policy/entries.py, AccountState. list_heads; the same holds for which engine reads the prompt, policy/beside.py).

Evidence: by reading, and LostStreamTest, which failed before.

--- a/mulberryway/filters/model_job.py
+++ b/mulberryway/filters/model_job.py
@@ -70,7 +70,7 @@
             self._choose_avoided(avoid),
             exchange.digest,
             exchange.expected_tokens,
-            exchange.arrived_ms + exchange.route.target_ms
+            since_ms + exchange.route.target_ms
             if exchange.route.target_ms
             else 0,
             route.is_repeatable(exchange)
--- /dev/null
+++ b/tests/test_model_job.py
@@ -0,0 +1,59 @@
+"""Jobs of model requests, as the scheduler gets them."""
+
+import types
+import unittest
+
+from mulberryway import clock
+from mulberryway import tables
+from mulberryway.filters import model_job
+from mulberryway.policy import entries
+
+ARRIVED_MS = 1_000
+TARGET_MS = 900
+
+
+def make_job(now_ms, since_ms):
+    """Return the job of a stream that seeks an engine."""
+    exchange = types.SimpleNamespace(
+        request_id="r",
+        account=types.SimpleNamespace(name="a", weight=1),
+        pool=types.SimpleNamespace(name="p", upstreams=()),
+        model="m",
+        estimate=100,
+        max_tokens=100,
+        prefix_hashes=(),
+        body=b"",
+        digest="",
+        expected_tokens=0,
+        arrived_ms=ARRIVED_MS,
+        method="POST",
+        route=tables.Route(
+            "r",
+            "/",
+            "p",
+            ("m",),
+            is_streaming=True,
+            target_ms=TARGET_MS,
+            target_gap_ms=300,
+        ),
+    )
+    maker = model_job.JobMaker(exchange, clock.ManualClock(now_ms))
+    limit = clock.Deadline(now_ms + 10_000)
+    return maker.make(0, frozenset(), limit, since_ms)
+
+
+class LostStreamTest(unittest.TestCase):
+    def test_rest_of_a_stream_is_not_late_when_it_begins_to_wait(self):
+        """Guards against streams that queue behind all that can be on time,
+        and are cut there, because the target counts from their arrival.
+        """
+        lost_ms = ARRIVED_MS + 5_000
+        job = make_job(lost_ms, lost_ms)
+        entry = entries.Entry(job, entries.Lane.SHORT, 100, lost_ms + 2_000)
+        self.assertFalse(entry.is_late(lost_ms))
+        self.assertTrue(entry.is_late(lost_ms + TARGET_MS + 1))
+
+    def test_first_event_is_owed_from_the_arrival_on(self):
+        """Guards against requests that a failed try makes young again."""
+        job = make_job(ARRIVED_MS + 500, ARRIVED_MS)
+        self.assertEqual(job.target_at_ms, ARRIVED_MS + TARGET_MS)
