Resume a stream whose key was withdrawn where running streams go on

What callers saw: a stream whose key was withdrawn goes on on the operators' platform, where a key that is taken away binds the requests that come after it, but was cut with 'unauthenticated' if its engine died.

Cause: the key is checked after each wait for an engine, also after that of a stream which has begun.

Evidence: GrantedStreamTest, cut before, whole now. Where a withdrawn key ends running streams (the project's own interface) nothing changes.

--- a/mulberryway/filters/model_parts.py
+++ b/mulberryway/filters/model_parts.py
@@ -48,6 +48,7 @@
     :param may_repeat: takes a repeat out of a pool's budget for them
     :param choice_ms: for how long a chosen upstream may be used without a
         look at the tables; shorter than upstreams that leave serve on
+    :param cuts_withdrawn: whether a withdrawn key ends running streams
     """
 
     __slots__ = (
@@ -65,6 +66,7 @@
         "metrics",
         "may_repeat",
         "choice_ms",
+        "cuts_withdrawn",
     )
 
     def __init__(
@@ -83,6 +85,7 @@
         metrics_: metrics.Metrics,
         may_repeat: collections.abc.Callable[[str], bool],
         choice_ms: int,
+        cuts_withdrawn: bool,
     ) -> None:
         self.vm = vm
         self.incarnation = incarnation
@@ -98,6 +101,7 @@
         self.metrics = metrics_
         self.may_repeat = may_repeat
         self.choice_ms = choice_ms
+        self.cuts_withdrawn = cuts_withdrawn
 
 
 def make_gone() -> errors.Fault:
--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -356,11 +356,7 @@
     ) -> expression.Result[attempts.Attempt, errors.Fault]:
         """Turn a decision into an attempt, if the key still holds."""
         parts = self._parts
-        held = authenticate.check_key(
-            parts.source, self._exchange, errors.Step.QUEUE
-        )
-        if held.is_ok() and self._exchange.charge is not None:
-            held = self._exchange.charge.confirm()
+        held = self._confirm()
         engines = [
             self._engines.find_engine(name)
             for name in (assignment.prefill, assignment.decode)
@@ -394,6 +390,19 @@
                 self._next = attempt
         return expression.Ok(attempt)
 
+    def _confirm(self) -> expression.Result[None, errors.Fault]:
+        """Make sure that the request may still run after its wait."""
+        charge = self._exchange.charge
+        held: expression.Result[None, errors.Fault] = expression.Ok(None)
+        is_owed = self._search.has_begun and not self._parts.cuts_withdrawn
+        if not is_owed:
+            held = authenticate.check_key(
+                self._parts.source, self._exchange, errors.Step.QUEUE
+            )
+        if held.is_error() or charge is None:
+            return held
+        return charge.confirm()
+
     def _run_attempt(
         self, attempt: attempts.Attempt, offset: int, limit: clock.Deadline
     ) -> Source:
--- a/mulberryway/router.py
+++ b/mulberryway/router.py
@@ -364,6 +364,7 @@
             self.metrics,
             self._may_repeat,
             settings_.upstreams_drain_ms // CHOICE_PART,
+            self._cuts_withdrawn,
         )
         return interface.Context(
             settings_,
--- a/tests/router_rig.py
+++ b/tests/router_rig.py
@@ -54,6 +54,10 @@
         self.open = []
         self.settled = []
         self.fault = None
+        self.has_lapsed = False
+
+    def is_usable(self, reservation):
+        return not self.has_lapsed
 
     def reserve(self, account, tokens):
         if self.fault is not None:
@@ -137,6 +141,7 @@
         scheduler=None,
         claims=None,
         may_repeat=lambda pool: True,
+        cuts_withdrawn=True,
     ):
         self.settings = settings_ or make_settings()
         self.source = StaticTables(current)
@@ -154,6 +159,7 @@
             may_repeat,
             on_withdraw=lambda: self.withdrawn.append(True),
             claim_store=claims,
+            cuts_withdrawn=cuts_withdrawn,
         )
         self.port = self.settings.router_port
 
--- a/tests/test_model_run.py
+++ b/tests/test_model_run.py
@@ -43,6 +43,7 @@
 
     roles = ("prefill", "decode", "decode")
     flags = ("--token_ms=10",)
+    cuts_withdrawn = True
 
     def setUp(self):
         self.group = processes.Group()
@@ -64,6 +65,7 @@
             self.make_tables(),
             self.make_settings(),
             may_repeat=self.may_repeat,
+            cuts_withdrawn=self.cuts_withdrawn,
         )
         self.rig.__enter__()
         self.addCleanup(self.rig.__exit__)
@@ -275,6 +277,46 @@
         return len(router_rig.list_runs(self.ports[0]))
 
 
+class GrantedStreamTest(EnginesTest):
+    """Streams whose engine dies after what they were granted has changed."""
+
+    cuts_withdrawn = False
+
+    def read_killed(self, prompt, change):
+        """Return a stream's events whose engine dies after a change."""
+        stream = router_rig.OpenStream(
+            self.rig, prompt, LONG, router_rig.OTHER_KEY
+        )
+        first = stream.read_event()
+        change()
+        self.processes[self.find_decoding()].kill()
+        events = [first, *stream.read_all()]
+        stream.close()
+        return events
+
+    def check_whole(self, events, prompt):
+        self.assertEqual(events[-1], "[DONE]")
+        self.assertEqual(
+            router_rig.join_text(events), router_rig.expect_text(prompt, LONG)
+        )
+
+    def withdraw_key(self):
+        accounts = (router_rig.make_account("tea-estate", router_rig.KEY),)
+        self.rig.source.change(
+            router_rig.make_tables(
+                self.rig.source.current.pools["lm-pool"].upstreams,
+                accounts=accounts,
+                timeout_ms=3_000,
+            )
+        )
+
+    def test_resumed_after_its_key_was_withdrawn(self):
+        """Guards against answers cut for a key that held when they began,
+        where a withdrawn key ends no running stream.
+        """
+        self.check_whole(self.read_killed("key", self.withdraw_key), "key")
+
+
 class LeavingEngineTest(EnginesTest):
     """A decode engine that leaves while a long prompt is being read."""
 
