Take no tokens anew for the rest of a stream

What callers saw: on the project's own interface a stream that lost its engine after its reservation of tokens had lapsed (a loan over, a pause of the process) was cut with 'over_allowance', though the account had paid for all of it.

Cause: the reservation is confirmed after each wait, and taken anew whole if it has lapsed, also for an answer of which a part has been delivered.

Evidence: GrantedStreamTest, cut before, whole now.

--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -399,7 +399,8 @@
             held = authenticate.check_key(
                 self._parts.source, self._exchange, errors.Step.QUEUE
             )
-        if held.is_error() or charge is None:
+        # What has begun was granted its tokens, and has used some of them.
+        if held.is_error() or charge is None or self._search.has_begun:
             return held
         return charge.confirm()
 
--- a/tests/test_model_run.py
+++ b/tests/test_model_run.py
@@ -316,6 +316,15 @@
         """
         self.check_whole(self.read_killed("key", self.withdraw_key), "key")
 
+    def lapse(self):
+        self.rig.allowances.has_lapsed = True
+
+    def test_resumed_after_its_tokens_lapsed(self):
+        """Guards against answers cut for tokens that were taken when they
+        began.
+        """
+        self.check_whole(self.read_killed("tokens", self.lapse), "tokens")
+
 
 class LeavingEngineTest(EnginesTest):
     """A decode engine that leaves while a long prompt is being read."""
