Leave a silent engine only for one that has reserved the stream's room

What callers saw: a stream was cut because its silent engine was left for one that then refused the decode, or did not answer it.

Cause: a silent engine is left right before the decode is sent elsewhere, and a route allows two attempts, so a refusal then ends the answer. Room was reserved beforehand only where the engine seemed nearly full, and a reservation without an answer counted as none needed; an unanswered one could also pass for a lost prefill.

Evidence: FullReplacementTest, both cut on (ids 1 to 10 of 20), whole now. Where a pool has no reservations (the project's own interface) nothing changes.

--- a/mulberryway/filters/attempt.py
+++ b/mulberryway/filters/attempt.py
@@ -36,6 +36,7 @@
         "chosen_ms",
         "ready_in_ms",
         "room_tokens",
+        "must_reserve",
         "_scheduling",
         "_cancelling",
         "_lock",
@@ -63,6 +64,7 @@
         self.chosen_ms = chosen_ms
         self.ready_in_ms = assignment.ready_in_ms
         self.room_tokens = assignment.room_tokens
+        self.must_reserve = False
         self._scheduling = scheduling_
         self._cancelling = cancelling_
         self._lock = threading.Lock()
@@ -83,6 +85,14 @@
         if how is not messages.JobEnd.DONE:
             self.free()
 
+    def require_room(self, tokens: int) -> None:
+        """Let the decode begin only where the engine has reserved its room.
+
+        :param tokens: tokens of KV cache that it needs at least
+        """
+        self.room_tokens = max(self.room_tokens, tokens)
+        self.must_reserve = True
+
     def change_decode(
         self, name: str, engine: upstreams.Engine, now_ms: int
     ) -> None:
--- a/mulberryway/filters/model_engines.py
+++ b/mulberryway/filters/model_engines.py
@@ -139,7 +139,9 @@
         hold_ms = self._exchange.pool.hold_ms
         if not hold_ms or not attempt.room_tokens:
             return None
-        return upstreams.Room(attempt.room_tokens, hold_ms)
+        return upstreams.Room(
+            attempt.room_tokens, hold_ms, attempt.must_reserve
+        )
 
     def _note_vain(
         self,
@@ -163,7 +165,11 @@
         self, attempt: attempts.Attempt, fault: errors.Fault
     ) -> expression.Result[upstreams.PrefillResult, errors.Fault]:
         """Let the decode engine read a prompt whose prefill has no answer."""
-        is_lost = fault.code in UNANSWERED and not fault.has_died
+        is_lost = (
+            fault.code in UNANSWERED
+            and fault.step is errors.Step.PREFILL
+            and not fault.has_died
+        )
         if (
             not is_lost
             or not attempt.decode.reads_prompts
--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -387,6 +387,8 @@
             if self._replacement is None:
                 self._attempt = attempt
             else:
+                # A stream that has left its engine cannot go back to it.
+                attempt.require_room(self._exchange.estimate)
                 self._next = attempt
         return expression.Ok(attempt)
 
--- a/mulberryway/platform/engine.py
+++ b/mulberryway/platform/engine.py
@@ -283,7 +283,8 @@
         body = {"tokens": room.tokens, "ttl_ms": room.hold_ms}
         asked = self._control("POST", wire.HOLD_TAKE, body, RESERVE_MS)
         if asked.is_error():
-            if asked.error.code is not errors.Code.UPSTREAM_REFUSED:
+            is_refused = asked.error.code is errors.Code.UPSTREAM_REFUSED
+            if not is_refused and not room.is_required:
                 # Nothing is known of its room; the decode will show it.
                 LOG.info(
                     "a reservation was not answered",
--- a/mulberryway/upstreams/base.py
+++ b/mulberryway/upstreams/base.py
@@ -271,13 +271,18 @@
 
     :param tokens: tokens of KV cache, for the prompt and the answer
     :param hold_ms: how long it is to be reserved
+    :param is_required: whether the decode may not begin without it, also
+        where the engine does not answer
     """
 
-    __slots__ = ("tokens", "hold_ms")
+    __slots__ = ("tokens", "hold_ms", "is_required")
 
-    def __init__(self, tokens: int, hold_ms: int) -> None:
+    def __init__(
+        self, tokens: int, hold_ms: int, is_required: bool = False
+    ) -> None:
         self.tokens = tokens
         self.hold_ms = hold_ms
+        self.is_required = is_required
 
 
 class Engine(abc.ABC):
--- a/standins/hosted_upstreams.py
+++ b/standins/hosted_upstreams.py
@@ -4,7 +4,7 @@
 phase it is a plain service.  What it was sent is kept for checkers, and
 ``POST /standin/faults`` sets faults: ``cut_after`` events, ``fail_status``,
 ``full`` (refuses what would run), ``lapse`` (handles are gone at once),
-``mute`` (reads a prompt and never answers), ``lose_answer`` (runs a plain
+``mute`` (answers neither prompts, reservations nor decodes), ``lose_answer`` (runs a plain
 call and closes the connection), ``event_ms`` (the time between events),
 ``pause_ms`` after the event ``pause_at``, ``refuse_prompts``.
 With
@@ -122,9 +122,9 @@
             return self._answer(request, 503, b"", NOT_EXECUTED)
         if not self.phase:
             return await self._serve_plain(request, body)
+        if self.faults["mute"]:
+            await asyncio.sleep(MUTE_S)
         if request.headers.get("Serving-Phase") == "prefill":
-            if self.faults["mute"]:
-                await asyncio.sleep(MUTE_S)
             await asyncio.sleep(self.faults["read_ms"] / 1_000)
             return self._read_prompt(request)
         if self.phase != "decode":
@@ -215,6 +215,8 @@
         return serving.answer({})
 
     async def _take_hold(self, request: web.Request) -> web.Response:
+        if self.faults["mute"]:
+            await asyncio.sleep(MUTE_S)
         if self.faults["no_room"] or self.faults["full"]:
             self.refused_holds += 1
             return self._answer(request, 503, b"")
--- a/tests/test_hosted_streams.py
+++ b/tests/test_hosted_streams.py
@@ -6,6 +6,7 @@
 import unittest
 
 from tests import hosted_fleet
+from tests import processes
 
 SEEDS = 5
 STREAMS = 6
@@ -15,6 +16,7 @@
 EVENT_MS = 80
 EVENTS = 20
 DECODES = ("e1", "e2")
+SOUGHT = "a silent engine is waited for"
 # Two pauses one after the other must fit.
 ROUTE_MS = 8_000
 ROUTE = hosted_fleet.make_route(
@@ -92,3 +94,60 @@
                             hosted_fleet.list_ids(reply.body),
                             list(range(1, EVENTS + 1)),
                         )
+
+
+class FullReplacementTest(unittest.TestCase):
+    """An engine pauses a stream; the only other one has no room for it."""
+
+    def find_decoding(self, fleet):
+        """Return the names of the engine that decodes and of the other."""
+        processes.wait_until(
+            lambda: any(fleet.read_state(one)["running"] for one in DECODES)
+        )
+        return sorted(
+            DECODES, key=lambda one: -fleet.read_state(one)["running"]
+        )
+
+    def check_kept(self, **faults):
+        with (
+            hosted_fleet.Fleet(
+                phases=("prefill", "decode", "decode")
+            ) as fleet,
+            concurrent.futures.ThreadPoolExecutor(1) as pool,
+        ):
+            fleet.configure(more=[ROUTE])
+            time.sleep(SETTLE_S)
+            for name in DECODES:
+                fleet.set_fault(
+                    name, event_ms=EVENT_MS, pause_at=10, pause_ms=PAUSE_MS
+                )
+            stream = pool.submit(
+                fleet.send,
+                0,
+                "/long/a",
+                "f-1",
+                headers=hosted_fleet.STREAM,
+                deadline_ms=ROUTE_MS,
+            )
+            decoding, other = self.find_decoding(fleet)
+            fleet.set_fault(other, **faults)
+            reply = stream.result()
+            is_sought = processes.wait_until(
+                lambda: SOUGHT in fleet.find_log(0).read_text(), 5
+            )
+            logs = fleet.read_logs()
+        self.assertTrue(is_sought, logs)
+        self.assertEqual(
+            hosted_fleet.list_ids(reply.body), list(range(1, EVENTS + 1)), logs
+        )
+        self.assertFalse(reply.is_cut, logs)
+
+    def test_kept_where_the_other_engine_is_full(self):
+        """Guards against answers cut because a silent engine was left for one
+        that then refused the stream.
+        """
+        self.check_kept(full=1)
+
+    def test_kept_where_the_other_engine_answers_no_reservation(self):
+        """Guards against a silent engine left for one that is silent too."""
+        self.check_kept(mute=1)
