Make callers' worker threads on demand, and end them when idle

Cause: all 48 workers for callers and two for each side port were made at the start, though a VM at rest uses one or two; cheroot has a thread for refusals beside each of four servers.

Now the bound stays, and a worker is made when a connection waits and none is idle; it ends after two seconds without work. 22 threads at rest in place of 64 (one VM of the tests' settings), 24 right after traffic.

--- a/mulberryway/server/http_server.py
+++ b/mulberryway/server/http_server.py
@@ -8,11 +8,11 @@
 import typing
 
 from cheroot import server
-from cheroot.workers import threadpool
 
 from mulberryway import settings
 from mulberryway.relay import pump
 from mulberryway.server import request
+from mulberryway.server import workers
 
 __all__ = ["HttpServer"]
 
@@ -60,14 +60,8 @@
             server_name="mulberryway",
         )
         threads = settings_.router_threads if threads is None else threads
-        self.requests = threadpool.ThreadPool(
-            self,
-            min=threads,
-            max=threads,
-            accepted_queue_size=threads * QUEUE_PER_THREAD,
-            # The accepting thread must not wait for a worker: every other
-            # caller would wait behind it.
-            accepted_queue_timeout=0,
+        self.requests = workers.WorkerPool(
+            self, threads, threads * QUEUE_PER_THREAD
         )
         self.request_queue_size = settings_.router_backlog
         self.timeout = settings_.router_idle_ms / MS_IN_S
@@ -85,6 +79,17 @@
         self.prepare()
         self._thread.start()
 
+    def serve(self) -> None:
+        """Accept and hand out connections until the server stops.
+
+        cheroot's own has a thread for refusals besides; see ``_refuse``.
+        """
+        while self.ready:
+            try:
+                self._connections.run(self.expiration_interval)
+            except Exception:
+                LOG.exception("connections could not be looked at")
+
     def bind(self, family: int, type: int, proto: int = 0) -> socket.socket:
         """Bind the listening socket.
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -92,6 +92,11 @@
     return True
 
 
+def count_threads(pid):
+    """Return how many threads a process has, by the kernel's list."""
+    return len(list(pathlib.Path(f"/proc/{pid}/task").iterdir()))
+
+
 class Reply:
     """An HTTP reply; a cut one has less body than its head announced."""
 
