--- /dev/null
+++ b/mulberryway/controllers/mirror_exchange.py
@@ -0,0 +1,103 @@
+"""Asks other VMs for copies of the store's objects that are newer."""
+
+import collections.abc
+import logging
+import threading
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway import logs
+from mulberryway import peers
+from mulberryway.controllers import base
+from mulberryway.controllers import mirrors
+from mulberryway.peers.gen.mirrors import Mirrors
+
+__all__ = ["MirrorExchange"]
+
+LOG = logging.getLogger(__name__)
+
+PERIOD_MS = 1_000
+# A VM that hears of a newer revision leaves its own watch so long to bring
+# it before it asks the other VM.
+PATIENCE_MS = 60
+
+
+class MirrorExchange(base.Controller):
+    """Asks other VMs for mirrors that are newer than this VM's.
+
+    A VM that the store turns away, or that starts while the store is away,
+    would go on with old tables or serve nobody although others know better.
+
+    :param keepers: the keepers by kind
+    :param client: calls other VMs
+    :param clock_: where the time comes from
+    """
+
+    def __init__(
+        self,
+        keepers: collections.abc.Mapping[str, mirrors.MirrorKeeper],
+        client: peers.PeerClient,
+        clock_: clock.Clock,
+    ) -> None:
+        super().__init__("mirror-exchange", clock_, PERIOD_MS)
+        self._keepers = keepers
+        self._client = client
+        self._lock = threading.Lock()
+        self._newer: dict[str, tuple[int, str]] = {}
+
+    def note_peer(
+        self, address: str, revisions: collections.abc.Mapping[str, int]
+    ) -> None:
+        """Take in what another VM knows.
+
+        :param address: its ``host:port`` for peers
+        :param revisions: its revisions by kind
+        """
+        newer = {
+            kind: (revision, address)
+            for kind, revision in revisions.items()
+            if kind in self._keepers
+            and revision > self._keepers[kind].revision
+        }
+        if not newer:
+            return
+        with self._lock:
+            for kind, found in newer.items():
+                # Of two equal ones the later: the earlier VM may have gone.
+                if found[0] >= self._newer.get(kind, (0, ""))[0]:
+                    self._newer[kind] = found
+        self.wake()
+
+    def step(self) -> None:
+        """Ask for what is newer, unless it has come meanwhile."""
+        with self._lock:
+            newer, self._newer = self._newer, {}
+        if not newer:
+            return
+        self.clock.sleep_ms(PATIENCE_MS)
+        for kind, (revision, address) in newer.items():
+            keeper = self._keepers[kind]
+            if keeper.revision >= revision:
+                continue
+            answer = self._client.call(
+                address,
+                Mirrors.Client,
+                "read",
+                kind,
+                keeper.revision,
+                is_idempotent=True,
+            )
+            if answer.is_error():
+                self._note_failure(kind, revision, address, answer.error)
+            elif answer.ok.content:
+                keeper.unpack(answer.ok.revision, answer.ok.content)
+
+    def _note_failure(
+        self, kind: str, revision: int, address: str, fault: errors.Fault
+    ) -> None:
+        LOG.info(
+            "a newer copy could not be read from another VM",
+            extra=logs.describe(fault, kind=kind, revision=revision),
+        )
+        with self._lock:
+            self._newer.setdefault(kind, (revision, address))
--- a/mulberryway/controllers/mirrors.py
+++ b/mulberryway/controllers/mirrors.py
@@ -8,18 +8,16 @@
 from mulberryway import clock
 from mulberryway import errors
 from mulberryway import logs
-from mulberryway import peers
 from mulberryway.controllers import base
 from mulberryway.controllers import copies
 from mulberryway.controllers import expiry
 from mulberryway.controllers import kept_objects
 from mulberryway.objects import base as objects
-from mulberryway.peers.gen.mirrors import Mirrors
 from mulberryway.peers.gen.mirrors import ttypes
 from mulberryway.policy import lapses
 from mulberryway.policy import mirrors
 
-__all__ = ["MirrorExchange", "MirrorHandler", "MirrorKeeper"]
+__all__ = ["MirrorHandler", "MirrorKeeper"]
 
 LOG = logging.getLogger(__name__)
 
@@ -35,9 +33,6 @@
 CHANGE_PAUSE_MS = 50
 # How soon a VM that does not watch notices that it has to.
 LOOK_MS = 200
-# A VM that hears of a newer revision leaves its own watch so long to bring
-# it before it asks the other VM.
-PATIENCE_MS = 60
 
 
 class MirrorKeeper(base.Controller):
@@ -292,84 +287,3 @@
         if keeper is None:
             return ttypes.Mirror(0, b"")
         return ttypes.Mirror(*keeper.pack(known_revision))
-
-
-class MirrorExchange(base.Controller):
-    """Asks other VMs for mirrors that are newer than this VM's.
-
-    A VM that the store turns away, or that starts while the store is away,
-    would go on with old tables or serve nobody although others know better.
-
-    :param keepers: the keepers by kind
-    :param client: calls other VMs
-    :param clock_: where the time comes from
-    """
-
-    def __init__(
-        self,
-        keepers: collections.abc.Mapping[str, MirrorKeeper],
-        client: peers.PeerClient,
-        clock_: clock.Clock,
-    ) -> None:
-        super().__init__("mirror-exchange", clock_, MOST_PAUSE_MS)
-        self._keepers = keepers
-        self._client = client
-        self._lock = threading.Lock()
-        self._newer: dict[str, tuple[int, str]] = {}
-
-    def note_peer(
-        self, address: str, revisions: collections.abc.Mapping[str, int]
-    ) -> None:
-        """Take in what another VM knows.
-
-        :param address: its ``host:port`` for peers
-        :param revisions: its revisions by kind
-        """
-        newer = {
-            kind: (revision, address)
-            for kind, revision in revisions.items()
-            if kind in self._keepers
-            and revision > self._keepers[kind].revision
-        }
-        if not newer:
-            return
-        with self._lock:
-            for kind, found in newer.items():
-                # Of two equal ones the later: the earlier VM may have gone.
-                if found[0] >= self._newer.get(kind, (0, ""))[0]:
-                    self._newer[kind] = found
-        self.wake()
-
-    def step(self) -> None:
-        """Ask for what is newer, unless it has come meanwhile."""
-        with self._lock:
-            newer, self._newer = self._newer, {}
-        if not newer:
-            return
-        self.clock.sleep_ms(PATIENCE_MS)
-        for kind, (revision, address) in newer.items():
-            keeper = self._keepers[kind]
-            if keeper.revision >= revision:
-                continue
-            answer = self._client.call(
-                address,
-                Mirrors.Client,
-                "read",
-                kind,
-                keeper.revision,
-                is_idempotent=True,
-            )
-            if answer.is_error():
-                self._note_failure(kind, revision, address, answer.error)
-            elif answer.ok.content:
-                keeper.unpack(answer.ok.revision, answer.ok.content)
-
-    def _note_failure(
-        self, kind: str, revision: int, address: str, fault: errors.Fault
-    ) -> None:
-        LOG.info(
-            "a newer copy could not be read from another VM",
-            extra=logs.describe(fault, kind=kind, revision=revision),
-        )
-        with self._lock:
-            self._newer.setdefault(kind, (revision, address))
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -23,6 +23,7 @@
 from mulberryway.controllers import fleet_allowances
 from mulberryway.controllers import kept_objects
 from mulberryway.controllers import membership
+from mulberryway.controllers import mirror_exchange
 from mulberryway.controllers import mirrored_tables
 from mulberryway.controllers import mirrors
 from mulberryway.controllers import notes
@@ -124,7 +125,7 @@
         )
         self.outages = outages.Outages()
         self.keepers = self._make_keepers()
-        self.exchange = mirrors.MirrorExchange(
+        self.exchange = mirror_exchange.MirrorExchange(
             self.keepers, self.client, self.clock
         )
         self.directory = directory.PlatformDirectory(self.clock)
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -12,6 +12,7 @@
 from mulberryway import tables
 from mulberryway.controllers import kept_objects
 from mulberryway.controllers import mirrored_tables
+from mulberryway.controllers import mirror_exchange
 from mulberryway.controllers import mirrors as controllers
 from mulberryway.objects import base
 from mulberryway.peers.gen.mirrors import ttypes
@@ -232,7 +233,7 @@
             "config", None, clock.ManualClock(), lambda: self.changes.append(1)
         )
         self.peers = FailingPeers(failures)
-        return controllers.MirrorExchange(
+        return mirror_exchange.MirrorExchange(
             {"config": self.keeper}, self.peers, clock.ManualClock()
         )
 
@@ -240,7 +241,7 @@
         """Guards against a VM without tables because one call failed."""
         exchange = self.make(failures=2)
         exchange.note_peer("a2:1", {"config": 7})
-        with self.assertLogs(controllers.LOG, "INFO"):
+        with self.assertLogs(mirror_exchange.LOG, "INFO"):
             for _ in range(3):
                 exchange.step()
         self.assertEqual(self.keeper.revision, 7)
@@ -252,7 +253,7 @@
         """Guards against asking a VM that has gone again and again."""
         exchange = self.make(failures=1)
         exchange.note_peer("a2:1", {"config": 7})
-        with self.assertLogs(controllers.LOG, "INFO"):
+        with self.assertLogs(mirror_exchange.LOG, "INFO"):
             exchange.step()
         exchange.note_peer("a3:1", {"config": 7})
         exchange.step()
