Let a VM without a copy of the store's objects ask other VMs for one

What callers see: a VM that begins in an outage of the store refuses them until it has heard from another VM what that one knows.

Cause, by reading: a first copy came only after another VM's counts, which go in datagrams that may be lost, each second or so, to the VMs that the sender thinks alive. Now a VM that the store has failed, and that has no copy, asks the VMs that it knows, or its seeds, four times a second and one after the other.

Evidence: FirstCopyTest; on the old code such a VM asks nobody.

--- a/mulberryway/controllers/mirror_exchange.py
+++ b/mulberryway/controllers/mirror_exchange.py
@@ -17,6 +17,8 @@
 LOG = logging.getLogger(__name__)
 
 PERIOD_MS = 1_000
+# Until it has a copy of each kind a VM refuses its callers.
+FIRST_PERIOD_MS = 250
 # A VM that hears of a newer revision leaves its own watch so long to bring
 # it before it asks the other VM.
 PATIENCE_MS = 60
@@ -31,6 +33,8 @@
     :param keepers: the keepers by kind
     :param client: calls other VMs
     :param clock_: where the time comes from
+    :param list_addresses: returns where other VMs answer peers, as
+        ``host:port``
     """
 
     def __init__(
@@ -38,10 +42,13 @@
         keepers: collections.abc.Mapping[str, mirrors.MirrorKeeper],
         client: peers.PeerClient,
         clock_: clock.Clock,
+        list_addresses: collections.abc.Callable[[], list[str]],
     ) -> None:
-        super().__init__("mirror-exchange", clock_, PERIOD_MS)
+        super().__init__("mirror-exchange", clock_, FIRST_PERIOD_MS)
         self._keepers = keepers
         self._client = client
+        self._list_addresses = list_addresses
+        self._asked = 0
         self._lock = threading.Lock()
         self._newer: dict[str, tuple[int, str]] = {}
 
@@ -70,34 +77,71 @@
 
     def step(self) -> None:
         """Ask for what is newer, unless it has come meanwhile."""
+        self._seek_first()
         with self._lock:
             newer, self._newer = self._newer, {}
         if not newer:
             return
         self.clock.sleep_ms(PATIENCE_MS)
         for kind, (revision, address) in newer.items():
-            keeper = self._keepers[kind]
-            if keeper.revision >= revision:
+            if self._keepers[kind].revision >= revision:
                 continue
-            answer = self._client.call(
-                address,
-                Mirrors.Client,
-                "read",
-                kind,
-                keeper.revision,
-                is_idempotent=True,
-            )
-            if answer.is_error():
-                self._note_failure(kind, revision, address, answer.error)
-            elif answer.ok.content:
-                keeper.unpack(answer.ok.revision, answer.ok.content)
-
-    def _note_failure(
-        self, kind: str, revision: int, address: str, fault: errors.Fault
-    ) -> None:
+            fault = self._ask(kind, address)
+            if fault is not None:
+                self._log_failure(kind, fault)
+                with self._lock:
+                    self._newer.setdefault(kind, (revision, address))
+
+    def _seek_first(self) -> None:
+        """Ask for the first copies, where the store does not give them.
+
+        What other VMs know comes in datagrams, which may be lost.
+        """
+        if all(keeper.is_known for keeper in self._keepers.values()):
+            self.period_ms = PERIOD_MS
+            return
+        missing = [
+            kind
+            for kind, keeper in self._keepers.items()
+            if keeper.needs_first
+        ]
+        addresses = self._list_addresses() if missing else ()
+        if not addresses:
+            return
+        address = addresses[self._asked % len(addresses)]
+        self._asked += 1
+        for kind in missing:
+            fault = self._ask(kind, address)
+            if fault is not None:
+                self._log_failure(kind, fault)
+                return
+
+    def _ask(self, kind: str, address: str) -> errors.Fault | None:
+        """Take over another VM's copy if it is newer.
+
+        :param kind: the plural kind
+        :param address: where the VM answers peers
+        :returns: why it could not be read; none if all went well
+        """
+        keeper = self._keepers[kind]
+        answer = self._client.call(
+            address,
+            Mirrors.Client,
+            "read",
+            kind,
+            keeper.revision,
+            is_idempotent=True,
+        )
+        if answer.is_error():
+            return answer.error
+        if answer.ok.content:
+            keeper.unpack(answer.ok.revision, answer.ok.content)
+        return None
+
+    def _log_failure(self, kind: str, fault: errors.Fault) -> None:
         LOG.info(
             "a newer copy could not be read from another VM",
-            extra=logs.describe(fault, kind=kind, revision=revision),
+            extra=logs.describe(
+                fault, kind=kind, revision=self._keepers[kind].revision
+            ),
         )
-        with self._lock:
-            self._newer.setdefault(kind, (revision, address))
--- a/mulberryway/controllers/mirrors.py
+++ b/mulberryway/controllers/mirrors.py
@@ -92,6 +92,11 @@
         """Whether a listing or a copy was ever taken over."""
         return self._is_known
 
+    @property
+    def needs_first(self) -> bool:
+        """Whether there is no copy yet, and the store has given none."""
+        return not (self._is_known or self._was_reached)
+
     def start(self) -> None:
         """Begin to watch on a thread of its own, and to expire on another."""
         super().start()
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -126,7 +126,7 @@
         self.outages = outages.Outages()
         self.keepers = self._make_keepers()
         self.exchange = mirror_exchange.MirrorExchange(
-            self.keepers, self.client, self.clock
+            self.keepers, self.client, self.clock, self._list_peers
         )
         self.directory = directory.PlatformDirectory(self.clock)
         self.budget = repeats.Budget(
@@ -368,6 +368,16 @@
             shaping.ShapePlanner(),
         )
 
+    def _list_peers(self) -> list[str]:
+        """Return where other VMs answer peers; the seeds until one does."""
+        alive = [
+            one.peer
+            for one in self.members.list_members()
+            if one.health is not member.Health.DEAD
+            and one.name != self.settings.vm_name
+        ]
+        return alive or list(_list_seeds(self.settings))
+
     def _must_watch(self) -> bool:
         return self.outages.must_ask(
             self.settings.vm_name,
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -11,8 +11,8 @@
 from mulberryway import errors
 from mulberryway import tables
 from mulberryway.controllers import kept_objects
-from mulberryway.controllers import mirrored_tables
 from mulberryway.controllers import mirror_exchange
+from mulberryway.controllers import mirrored_tables
 from mulberryway.controllers import mirrors as controllers
 from mulberryway.objects import base
 from mulberryway.peers.gen.mirrors import ttypes
@@ -205,6 +205,15 @@
         self.assertEqual(self.names(), ["s5", "s6"])
 
 
+class AwayStore:
+    """A store that refuses every call."""
+
+    def read_listing(self, kind, purpose):
+        return expression.Error(
+            errors.Fault(errors.Code.PLATFORM_UNAVAILABLE, errors.Step.PEER)
+        )
+
+
 class FailingPeers:
     """Answers for other VMs; the first calls fail.
 
@@ -234,7 +243,7 @@
         )
         self.peers = FailingPeers(failures)
         return mirror_exchange.MirrorExchange(
-            {"config": self.keeper}, self.peers, clock.ManualClock()
+            {"config": self.keeper}, self.peers, clock.ManualClock(), list
         )
 
     def test_a_copy_that_could_not_be_read_is_asked_for_again(self):
@@ -261,6 +270,66 @@
         self.assertEqual(self.keeper.revision, 7)
 
 
+class FirstCopyTest(unittest.TestCase):
+    """A VM that the store has not answered yet, and that hears nobody."""
+
+    def make(self, failures=0, addresses=("a2:1", "a3:1")):
+        self.keeper = controllers.MirrorKeeper(
+            "config", AwayStore(), clock.ManualClock(), lambda: None
+        )
+        self.peers = FailingPeers(failures)
+        return mirror_exchange.MirrorExchange(
+            {"config": self.keeper},
+            self.peers,
+            clock.ManualClock(),
+            lambda: addresses,
+        )
+
+    def fail(self):
+        """Let the keeper ask the store once."""
+        with self.assertLogs(controllers.LOG, "WARNING"):
+            self.keeper.step()
+
+    def test_asks_another_vm_although_none_was_heard(self):
+        """Guards against a VM that begins in an outage, and refuses callers
+        for as long as other VMs' datagrams do not reach it.
+        """
+        exchange = self.make()
+        self.fail()
+        exchange.step()
+        self.assertEqual(self.keeper.revision, 7)
+
+    def test_asks_one_vm_after_the_other(self):
+        """Guards against asking a VM that has gone again and again."""
+        exchange = self.make(failures=1)
+        self.fail()
+        with self.assertLogs(mirror_exchange.LOG, "INFO"):
+            exchange.step()
+        exchange.step()
+        self.assertEqual(sorted(self.peers.called), ["a2:1", "a3:1"])
+        self.assertEqual(self.keeper.revision, 7)
+
+    def test_asks_nobody_while_the_store_has_not_failed(self):
+        """Guards against a fleet's start that asks for all copies twice."""
+        exchange = self.make()
+        exchange.step()
+        self.assertEqual(self.peers.called, [])
+
+    def test_asks_nobody_once_it_has_a_copy(self):
+        """Guards against calls between VMs for as long as an outage lasts."""
+        exchange = self.make()
+        self.fail()
+        exchange.step()
+        exchange.step()
+        self.assertEqual(len(self.peers.called), 1)
+
+    def test_alone_it_goes_on(self):
+        exchange = self.make(addresses=())
+        self.fail()
+        exchange.step()
+        self.assertEqual(self.keeper.revision, 0)
+
+
 class PackTest(unittest.TestCase):
     def setUp(self):
         self.keeper = controllers.MirrorKeeper(
