--- a/mulberryway/controllers/cancelling.py
+++ b/mulberryway/controllers/cancelling.py
@@ -16,6 +16,7 @@
 LOG = logging.getLogger(__name__)
 
 PERIOD_MS = 100
+IDLE_MS = 5_000
 # An engine that has not confirmed for so long has lost its memory anyway,
 # or the reconcilers of all VMs find what it still holds.
 GIVE_UP_MS = 60_000
@@ -104,7 +105,8 @@
             if cancel.due_ms <= now_ms:
                 self._submit(cancel)
             else:
-                self._wait(cancel)
+                self._keep(cancel)
+        self.period_ms = PERIOD_MS if self._waiting else IDLE_MS
 
     def _submit(self, cancel: _Cancel) -> None:
         try:
@@ -113,6 +115,10 @@
             LOG.debug("a cancel came after the stop")
 
     def _wait(self, cancel: _Cancel) -> None:
+        self._keep(cancel)
+        self.wake()
+
+    def _keep(self, cancel: _Cancel) -> None:
         with self._lock:
             self._waiting.append(cancel)
 
--- a/mulberryway/controllers/fleet_allowances.py
+++ b/mulberryway/controllers/fleet_allowances.py
@@ -17,6 +17,8 @@
 
 # A request's tokens are told to the other VMs this late at most.
 PERIOD_MS = 60
+# Whether the store answers is looked at so often.
+IDLE_MS = 250
 # A VM that asks the store tells at least this often that it is reached, or
 # all others would take it for away and ask themselves.
 WATCHER_MS = 1_500
@@ -54,9 +56,21 @@
         self._is_store_reached = is_store_reached
         self._told: tuple[dict[str, int], bool | None] | None = None
         self._told_ms = 0
+        self._stepped_ms = clock_.now_ms() - PERIOD_MS
 
     def step(self) -> None:
-        """Tell the other VMs what has changed."""
+        """Tell the other VMs what has changed, and wait for more."""
+        left_ms = self._stepped_ms + PERIOD_MS - self.clock.now_ms()
+        if left_ms > 0:
+            self.clock.sleep_ms(left_ms)
+        self._stepped_ms = self.clock.now_ms()
+        self._tell()
+        with self._lock:
+            due_ms = self._book.find_due_ms()
+        left_ms = due_ms - self.clock.now_ms()
+        self.period_ms = min(max(left_ms, 1), IDLE_MS)
+
+    def _tell(self) -> None:
         mirrors, is_reached = self._read_mirrors(), self._is_store_reached()
         # If every VM told all others at once that it has a change as well,
         # messages would grow with the square of the fleet.  VMs that ask the
@@ -105,6 +119,8 @@
             self._book.change_accounts(
                 changed.accounts.values(), self.clock.now_ms()
             )
+        # VMs that do not watch the store wait for what this one knows.
+        self.wake()
 
     def reserve(
         self, account: str, tokens: int
@@ -120,6 +136,7 @@
             wait_ms = self._book.take(account, tokens, now_ms)
             inputs = self._book.describe(account, now_ms)
         if wait_ms is None:
+            self.wake()
             return expression.Ok(allowance.Reservation(account, tokens))
         fault = errors.Fault(
             errors.Code.OVER_ALLOWANCE,
@@ -144,3 +161,4 @@
             self._book.give_back(
                 reservation.account, unused, self.clock.now_ms()
             )
+        self.wake()
--- a/mulberryway/policy/usage.py
+++ b/mulberryway/policy/usage.py
@@ -294,6 +294,12 @@
             is_heartbeat=not changed and not is_news,
         )
 
+    def find_due_ms(self) -> int:
+        """Return when the next heartbeat is due, whatever has changed."""
+        if self._told_ms is None:
+            return self._began_ms
+        return int(self._told_ms + HEARTBEAT_MS * self._read_scale())
+
     def _must_tell_all(self, now_ms: int) -> bool:
         every = WHOLE_HEARTBEATS
         if now_ms < self._whole_until_ms:
--- a/mulberryway/relay/loop.py
+++ b/mulberryway/relay/loop.py
@@ -14,10 +14,13 @@
 LOG = logging.getLogger(__name__)
 
 TICK_MS = 50
+# How long the loop sleeps where nothing needs a tick.
+IDLE_MS = 5_000
 MS_IN_S = 1_000
 
 Handler = collections.abc.Callable[[int], None]
 Act = collections.abc.Callable[[], None]
+Condition = collections.abc.Callable[[], bool]
 
 
 class EventLoop:
@@ -40,7 +43,7 @@
         self._epoll = select.epoll()
         self._handlers: dict[int, Handler] = {}
         self._posted: collections.deque[Act] = collections.deque()
-        self._ticks: list[Act] = []
+        self._ticks: list[tuple[Act, Condition]] = []
         self._wake_fd = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
         self._is_woken = False
         self._is_stopping = False
@@ -73,12 +76,14 @@
             self._is_woken = True
             os.eventfd_write(self._wake_fd, 1)
 
-    def add_tick(self, act: Act) -> None:
+    def add_tick(self, act: Act, is_needed: Condition) -> None:
         """Do something about every ``TICK_MS``; before the start only.
 
         :param act: what to do; must not block
+        :param is_needed: whether there is anything to do; asked after each
+            event, and while it says no the loop may sleep for longer
         """
-        self._ticks.append(act)
+        self._ticks.append((act, is_needed))
 
     def register(self, fd: int, events: int, handler: Handler) -> None:
         """Watch a file descriptor.
@@ -120,7 +125,7 @@
         poll = self._epoll.poll
         handlers = self._handlers
         while not self._is_stopping:
-            ready = poll(TICK_MS / MS_IN_S)
+            ready = poll(self._read_pause_ms() / MS_IN_S)
             self.now_ms = self.clock.now_ms()
             for fd, events in ready:
                 handler = handlers.get(fd)
@@ -130,8 +135,13 @@
                 self._call(self._posted.popleft())
             if self.now_ms - self._ticked_ms >= TICK_MS:
                 self._ticked_ms = self.now_ms
-                for tick in self._ticks:
-                    self._call(tick)
+                for tick, is_needed in self._ticks:
+                    if is_needed():
+                        self._call(tick)
+
+    def _read_pause_ms(self) -> int:
+        is_needed = any(is_needed() for _, is_needed in self._ticks)
+        return TICK_MS if is_needed else IDLE_MS
 
     def _call(
         self, act: collections.abc.Callable[..., None], *arguments: int
--- a/mulberryway/relay/pump.py
+++ b/mulberryway/relay/pump.py
@@ -57,8 +57,11 @@
         self._recoverers = concurrent.futures.ThreadPoolExecutor(
             RECOVERERS, "recover"
         )
-        loop_.add_tick(self._check_limits)
-        loop_.add_tick(self._tell_tokens)
+        loop_.add_tick(
+            self._check_limits,
+            lambda: bool(self._streams or self._farewells),
+        )
+        loop_.add_tick(self._tell_tokens, lambda: bool(self._streams))
 
     @property
     def count(self) -> int:
--- /dev/null
+++ b/tests/test_idle.py
@@ -0,0 +1,110 @@
+"""What a VM does while nothing happens: a fleet's processor time at rest."""
+
+import threading
+import time
+import unittest
+from unittest import mock
+
+import expression
+
+from mulberryway import clock
+from mulberryway.controllers import cancelling
+from mulberryway.controllers import fleet_allowances
+from mulberryway.policy import usage
+from mulberryway.relay import loop
+
+GUARD_S = 10
+
+
+class LoopTest(unittest.TestCase):
+    def setUp(self):
+        self.is_needed = False
+        self.ticked = threading.Event()
+        self.loop = loop.EventLoop("test", clock.SystemClock())
+        self.loop.add_tick(self.ticked.set, lambda: self.is_needed)
+        self.loop.start()
+        self.addCleanup(self.loop.stop)
+
+    def test_no_tick_where_none_is_needed(self):
+        """Guards against relays at rest that wake twenty times a second."""
+        self.assertFalse(self.ticked.wait(3 * loop.TICK_MS / 1_000))
+
+    def test_ticks_begin_with_what_needs_them(self):
+        """Guards against a stream whose limits nobody looks at."""
+        time.sleep(2 * loop.TICK_MS / 1_000)
+
+        def need():
+            self.is_needed = True
+
+        self.loop.post(need)
+        self.assertTrue(self.ticked.wait(GUARD_S))
+
+
+class CancellingTest(unittest.TestCase):
+    def test_sleeps_while_nothing_is_to_be_cancelled(self):
+        """Guards against a thread that wakes ten times a second."""
+        one = cancelling.Cancelling(clock.ManualClock(), mock.Mock())
+        self.addCleanup(one.stop)
+        one.step()
+        self.assertEqual(one.period_ms, cancelling.IDLE_MS)
+
+    def test_a_failed_cancel_is_repeated_soon(self):
+        """Guards against engines that go on for nobody for seconds."""
+        engine = mock.Mock()
+        engine.cancel.side_effect = [
+            expression.Error(mock.Mock()),
+            expression.Ok(True),
+        ]
+        one = cancelling.Cancelling(clock.SystemClock(), mock.Mock())
+        one.start()
+        self.addCleanup(one.stop)
+        one.cancel(engine, mock.Mock())
+        end_s = time.monotonic() + GUARD_S
+        while one.open and time.monotonic() < end_s:
+            time.sleep(0.01)
+        self.assertEqual(engine.cancel.call_count, 2)
+        self.assertLess(GUARD_S - (end_s - time.monotonic()), 1)
+
+
+class AllowancesTest(unittest.TestCase):
+    def make(self):
+        self.sent = []
+        self.clock = clock.ManualClock(10_000)
+        book = usage.UsageBook(
+            "a1", 1, usage.Margin(8_000, 0.1, 100), 10_000, True
+        )
+        made = fleet_allowances.FleetAllowances(
+            book, dict, lambda: True, self.clock
+        )
+        made.send_all = lambda payload, is_urgent: self.sent.append(payload)
+        return made
+
+    def test_sleeps_until_the_next_heartbeat(self):
+        """Guards against a thread that wakes sixteen times a second."""
+        made = self.make()
+        made.step()
+        self.assertEqual(len(self.sent), 1)
+        self.assertEqual(made.period_ms, fleet_allowances.IDLE_MS)
+        self.clock.advance_ms(made.period_ms)
+        made.step()
+        self.assertLessEqual(
+            made.period_ms, usage.HEARTBEAT_MS - fleet_allowances.IDLE_MS
+        )
+
+    def test_wakes_for_tokens_that_are_taken(self):
+        """Guards against other VMs that hear of tokens too late."""
+        made = self.make()
+        made.step()
+        made.wake = mock.Mock()
+        made.reserve("a", 1)
+        made.wake.assert_called()
+
+    def test_steps_keep_their_pause(self):
+        """Guards against a message to all VMs for each request."""
+        made = self.make()
+        made.step()
+        before_ms = self.clock.now_ms()
+        made.step()
+        self.assertEqual(
+            self.clock.now_ms() - before_ms, fleet_allowances.PERIOD_MS
+        )
