Read datagrams that come within 20 ms together, and tell of waiting jobs less

Each datagram woke its thread by itself; now those that come within 20 ms are read with one wakeup. And each change of what waits was told to all VMs at once, though most jobs wait for a few milliseconds and their start is news by itself; now that goes along with other news, and by itself each 100 ms, as it was repeated before.

--- a/mulberryway/assembly.py
+++ b/mulberryway/assembly.py
@@ -167,6 +167,7 @@
             settings_.peers_port,
             settings_.peers_secret,
             self.dissemination.take,
+            self.clock,
         )
         self.dissemination.datagrams = self.datagrams
 
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -348,6 +348,7 @@
             settings_.peers_port,
             settings_.peers_secret,
             self.dissemination.take,
+            self.clock,
         )
         self.dissemination.datagrams = self.datagrams
         self.registration = registration.Registration(
--- a/mulberryway/peers/datagrams.py
+++ b/mulberryway/peers/datagrams.py
@@ -14,6 +14,7 @@
 import socket
 import threading
 
+from mulberryway import clock
 from mulberryway.peers import traffic
 
 __all__ = ["Datagrams", "MOST_PAYLOAD_BYTES"]
@@ -27,6 +28,11 @@
 MOST_DATAGRAM_BYTES = 65_535
 # Several notes may come while the one thread is at work on another.
 RECEIVE_BUFFER_BYTES = 1 << 20
+# A wakeup of the thread takes several times what a datagram does, so those
+# that come within this time are read together.
+GATHER_MS = 20
+# Bounds what is read together, so that the thread looks whether to stop.
+MOST_TOGETHER = 256
 CONTEXT = b"mulberryway datagrams 1"
 KIND = "Datagram"
 
@@ -39,6 +45,7 @@
     :param secret: the fleet's secret
     :param on_payload: gets each genuine payload and the ``host:port`` that
         it came from, on a thread of its own
+    :param clock_: where the time comes from
     """
 
     def __init__(
@@ -47,10 +54,12 @@
         port: int,
         secret: str,
         on_payload: collections.abc.Callable[[bytes, str], None],
+        clock_: clock.Clock,
     ) -> None:
         self.traffic = traffic.Traffic()
         self._key = hashlib.sha256(CONTEXT + secret.encode()).digest()
         self._on_payload = on_payload
+        self._clock = clock_
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
@@ -102,12 +111,31 @@
 
     def _run(self) -> None:
         while not self._is_stopping:
-            try:
-                datagram, source = self._socket.recvfrom(MOST_DATAGRAM_BYTES)
-            except OSError:
-                # A peer that has gone shows as an error of the next call.
-                continue
-            self._take(datagram, f"{source[0]}:{source[1]}")
+            if self._receive(0) and not self._is_stopping:
+                self._receive_more()
+                self._clock.sleep_ms(GATHER_MS)
+
+    def _receive_more(self) -> None:
+        """Take what has come meanwhile, without waiting."""
+        for _ in range(MOST_TOGETHER):
+            if not self._receive(socket.MSG_DONTWAIT):
+                return
+
+    def _receive(self, flags: int) -> bool:
+        """Take a datagram; tell whether there was one.
+
+        :param flags: how to receive it
+        """
+        try:
+            datagram, source = self._socket.recvfrom(
+                MOST_DATAGRAM_BYTES, flags
+            )
+        except OSError as error:
+            # Nothing is there, or a peer that has gone shows as an error.
+            LOG.debug("no datagram: %r", error)
+            return False
+        self._take(datagram, f"{source[0]}:{source[1]}")
+        return True
 
     def _take(self, datagram: bytes, sender: str) -> None:
         signature, payload = datagram[:MAC_BYTES], datagram[MAC_BYTES:]
--- a/mulberryway/policy/telling.py
+++ b/mulberryway/policy/telling.py
@@ -25,6 +25,8 @@
 HEARTBEAT_VMS = 12
 # Everything is told anew now and then, which mends what a lost note spoilt.
 WHOLE_MS = 5_000
+# Jobs that wait are told of so often, and sooner only along with other news:
+# most wait for less, and their start is news.
 WAITING_MS = 100
 # Accounts told of at once: those that were given least and have jobs
 # waiting.  With more, a cell of six routers would exchange all 2,200.
@@ -115,15 +117,14 @@
             return None
         waiting = self._list_waiting(pools_)
         is_beating = pause_ms is None or self._has_to_beat(pause_ms, pools_)
-        is_waiting = bool(waiting) and (
-            waiting != self._told_waiting or (pause_ms or 0) >= WAITING_MS
+        has_waited = bool(waiting or self._told_waiting) and (
+            pause_ms is None or pause_ms >= WAITING_MS
         )
-        has_gone = bool(self._told_waiting.keys() - waiting.keys())
         deaths = self._register.take_news(now_ms)
         if self._later and now_ms - self._later_since_ms >= LATER_MS:
             self._views |= self._later
         changed = self._views or self._accounts or deaths
-        if not (changed or is_waiting or has_gone or is_beating):
+        if not (changed or has_waited or is_beating):
             return None
         self._views |= self._later
         self._later = set()
--- a/tests/test_notes.py
+++ b/tests/test_notes.py
@@ -3,6 +3,7 @@
 import socket
 import unittest
 
+from mulberryway import clock
 from mulberryway.peers import datagrams
 from mulberryway.peers import note_messages
 from mulberryway.policy import hints
@@ -46,7 +47,11 @@
 
     def open(self, secret):
         opened = datagrams.Datagrams(
-            HOST, 0, secret, lambda payload, sender: self.got.append(payload)
+            HOST,
+            0,
+            secret,
+            lambda payload, sender: self.got.append(payload),
+            clock.SystemClock(),
         )
         opened.start()
         self.addCleanup(opened.stop)
