Let small counts of accounts wait for the heartbeat in large fleets

Now a fleet of more than forty VMs lets a count wait for the next heartbeat while it is within one VM's part of a tenth of the account's margin, and the account has half of its burst left.

--- a/mulberryway/policy/usage.py
+++ b/mulberryway/policy/usage.py
@@ -166,10 +166,11 @@
         self, bucket: usage_bucket.UsageBucket, account: tables.ClientAccount
     ) -> None:
         """Set what comes in and what fits, the margin's free parts with it."""
+        margin = self._margin
+        bucket.margin = margin.read_tokens(account)
         if not account.rate:
             bucket.rate = bucket.burst = 0.0
             return
-        margin = self._margin
         free = 1 + margin.over_part / 2
         extra = margin.over_tokens * FREE_PART
         due = margin.read_due(account)
@@ -260,11 +261,10 @@
         pause_ms = HEARTBEAT_MS * self._read_scale()
         is_due = self._told_ms is None or now_ms - self._told_ms >= pause_ms
         changed = {
-            name
-            for name, bucket in self._buckets.items()
-            if not bucket.is_told
+            name for name, bucket in self._buckets.items() if bucket.untold
         }
-        if not changed and not is_due and not is_news:
+        is_urgent = any(not self._may_wait(name) for name in changed)
+        if not is_urgent and not is_due and not is_news:
             return None
         is_whole = is_due and self._must_tell_all(now_ms)
         self._recent |= changed
@@ -278,7 +278,7 @@
             names = set(self._buckets)
         told = {name: self._buckets[name] for name in sorted(names)}
         for bucket in told.values():
-            bucket.is_told = True
+            bucket.told = bucket.spent
         return Usage(
             self._vm,
             self._incarnation,
@@ -291,9 +291,18 @@
             mirrors,
             now_ms - self._began_ms,
             is_whole=is_whole,
-            is_heartbeat=not changed and not is_news,
+            is_heartbeat=not is_urgent and not is_news,
         )
 
+    def _may_wait(self, name: str) -> bool:
+        """Tell whether an account's count may wait for a heartbeat.
+
+        In a small fleet there are few messages, and each VM would hold back
+        more.
+        """
+        vms = len(self._peers) + 1
+        return vms > HEARTBEAT_VMS and self._buckets[name].may_wait(vms)
+
     def find_due_ms(self) -> int:
         """Return when the next heartbeat is due, whatever has changed."""
         if self._told_ms is None:
@@ -458,4 +467,3 @@
     def _spend(bucket: usage_bucket.UsageBucket, tokens: int) -> None:
         bucket.level -= tokens
         bucket.spent += tokens
-        bucket.is_told = False
--- a/mulberryway/policy/usage_bucket.py
+++ b/mulberryway/policy/usage_bucket.py
@@ -3,6 +3,9 @@
 __all__ = ["UsageBucket"]
 
 MS_IN_S = 1_000
+# Part of an account's margin that all VMs together may leave untold for a
+# while.
+UNTOLD_PART = 0.1
 
 
 class UsageBucket:
@@ -18,7 +21,8 @@
         "ceiling",
         "spent",
         "updated_ms",
-        "is_told",
+        "told",
+        "margin",
     )
 
     def __init__(self, now_ms: int) -> None:
@@ -30,7 +34,26 @@
         self.ceiling = 0.0
         self.spent = 0
         self.updated_ms = now_ms
-        self.is_told = True
+        # What of it the other VMs were told.
+        self.told = 0
+        # What the account may get beyond its due in one window.
+        self.margin = 0.0
+
+    @property
+    def untold(self) -> int:
+        """Tokens given here of which the other VMs do not know; signed."""
+        return self.spent - self.told
+
+    def may_wait(self, vms: int) -> bool:
+        """Tell whether what is untold may wait for the next heartbeat.
+
+        It may while all VMs together would use but a small part of the
+        margin by that, and much is left.
+
+        :param vms: how many VMs there are
+        """
+        least = self.margin * UNTOLD_PART / vms
+        return abs(self.untold) <= least and self.level * 2 >= self.burst
 
     def refill(self, part: float, now_ms: int) -> None:
         """Add what has come in since the last time.
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -63,6 +63,38 @@
         self.assertGreaterEqual(given, BURST)
         self.assertLessEqual(given, BURST * 1.05 + 20_000 * usage.FREE_PART)
 
+    def make_fleet(self, vms):
+        """Return one VM's book whose bucket is full after ten seconds."""
+        book, *others = [
+            make_book(f"a{n}", margin=LARGE_MARGIN, account=LARGE_ACCOUNT)
+            for n in range(vms)
+        ]
+        for now_ms in range(0, 10_001, 500):
+            for other in others:
+                message = other.make_usage({}, now_ms, is_news=True)
+                book.note_usage(message, now_ms)
+        book.make_usage({}, 10_000)
+        return book
+
+    def test_little_waits_for_the_heartbeat_of_a_large_fleet(self):
+        """Guards against a message to eighty VMs for each plain call."""
+        book = self.make_fleet(80)
+        self.assertIsNone(book.take("a", 200, 10_050))
+        self.assertIsNone(book.make_usage({}, 10_060))
+        message = book.make_usage({}, 10_700)
+        self.assertEqual(message.accounts[0].spent, 200)
+
+    def test_much_is_told_at_once_in_a_large_fleet(self):
+        book = self.make_fleet(80)
+        self.assertIsNone(book.take("a", 3_000, 10_050))
+        self.assertIsNotNone(book.make_usage({}, 10_060))
+
+    def test_little_is_told_at_once_in_a_small_fleet(self):
+        """Guards against parts of the margin that few VMs would use up."""
+        book = self.make_fleet(6)
+        self.assertIsNone(book.take("a", 200, 10_050))
+        self.assertIsNotNone(book.make_usage({}, 10_060))
+
     def test_account_without_a_rate_has_no_limit(self):
         book = usage.UsageBook("a1", 1, MARGIN, 0)
         book.change_accounts([tables.ClientAccount("b", (), 0, 0)], 0)
@@ -471,7 +503,29 @@
                     book.note_usage(message, self.now_ms)
 
 
+class PlainWorld(LargeWorld):
+    """The same fleet with small requests, which may be told of later."""
+
+    def ask(self):
+        # Some four times the account's rate.
+        for name in self.random.choices(list(self.books), k=40):
+            if name in self.down:
+                continue
+            tokens = self.random.randint(100, 300)
+            if self.books[name].take("a", tokens, self.now_ms) is None:
+                self.given.append((self.now_ms, tokens))
+
+
 class UsageHistoryTest(unittest.TestCase):
+    def test_small_requests_of_eighty_vms_keep_to_the_margin(self):
+        """Guards against counts held back on all VMs that add up to more
+        than the margin.
+        """
+        for seed in range(3):
+            self.assertLessEqual(
+                PlainWorld(seed).run(), LARGE_MOST, f"seed {seed}"
+            )
+
     def test_eighty_vms_with_late_messages_keep_to_the_margin(self):
         """Guards against an account that gets too much in a large fleet,
         where counts come later and seldomer.
