--- a/mulberryway/peers/envelopes.py
+++ b/mulberryway/peers/envelopes.py
@@ -1,15 +1,11 @@
 """Turns envelopes into the payloads of datagrams, and back."""
 
-from thrift import TSerialization
-from thrift.protocol import TCompactProtocol
-
+from mulberryway.peers import codec
 from mulberryway.peers.gen.notes import ttypes
 from mulberryway.policy import dissemination
 
 __all__ = ["read_envelope", "write_envelope"]
 
-FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory()
-
 
 def write_envelope(envelope: dissemination.Envelope) -> bytes:
     """Return the payload for an envelope.
@@ -22,7 +18,7 @@
         envelope.acknowledged or None,
         envelope.is_deferrable or None,
     )
-    return TSerialization.serialize(message, FACTORY)
+    return codec.write(message)
 
 
 def read_envelope(payload: bytes) -> dissemination.Envelope:
@@ -30,7 +26,7 @@
 
     :param payload: the payload
     """
-    message = TSerialization.deserialize(ttypes.Envelope(), payload, FACTORY)
+    message = codec.read(ttypes.Envelope(), payload)
     return dissemination.Envelope(
         message.items,
         message.relay_number or 0,
--- a/mulberryway/peers/note_messages.py
+++ b/mulberryway/peers/note_messages.py
@@ -2,9 +2,7 @@
 
 import itertools
 
-from thrift import TSerialization
-from thrift.protocol import TCompactProtocol
-
+from mulberryway.peers import codec
 from mulberryway.peers.gen.notes import ttypes
 from mulberryway.policy import health
 from mulberryway.policy import hints
@@ -22,7 +20,6 @@
     "write_usage",
 ]
 
-FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory()
 HASH_BYTES = 8
 # ``policy.telling`` puts no more upstreams into one note.
 MOST_HOLDINGS = 64
@@ -106,7 +103,7 @@
         ],
         [_pack_death(one) for one in note.deaths],
     )
-    return TSerialization.serialize(ttypes.Datagram(note=message), FACTORY)
+    return codec.write(ttypes.Datagram(note=message))
 
 
 def write_news(news: EngineNews) -> bytes:
@@ -127,9 +124,7 @@
         list(load.models),
         _pack_events(news.events),
     )
-    return TSerialization.serialize(
-        ttypes.Datagram(reports=[message]), FACTORY
-    )
+    return codec.write(ttypes.Datagram(reports=[message]))
 
 
 def read_datagram(payload: bytes) -> Received:
@@ -138,7 +133,7 @@
     :param payload: the payload
     :returns: what it holds
     """
-    message = TSerialization.deserialize(ttypes.Datagram(), payload, FACTORY)
+    message = codec.read(ttypes.Datagram(), payload)
     note = None if message.note is None else _unpack_note(message.note)
     usage = None if message.usage is None else _unpack_usage(message.usage)
     return Received(
@@ -168,7 +163,7 @@
         usage.is_store_reached,
         usage.is_whole or None,
     )
-    return TSerialization.serialize(ttypes.Datagram(usage=message), FACTORY)
+    return codec.write(ttypes.Datagram(usage=message))
 
 
 def _unpack_usage(message: ttypes.Usage) -> usages.Usage:
@@ -193,7 +188,7 @@
     :param death: the death
     :returns: the payload
     """
-    return TSerialization.serialize(_pack_death(death), FACTORY)
+    return codec.write(_pack_death(death))
 
 
 def read_death(payload: bytes) -> hints.Death:
@@ -202,9 +197,7 @@
     :param payload: the payload
     :returns: the death
     """
-    return _unpack_death(
-        TSerialization.deserialize(ttypes.Death(), payload, FACTORY)
-    )
+    return _unpack_death(codec.read(ttypes.Death(), payload))
 
 
 def _pack_death(death: hints.Death) -> ttypes.Death:
--- a/tests/test_notes.py
+++ b/tests/test_notes.py
@@ -38,6 +38,16 @@
         self.assertEqual(sorted(share.peers), ["a", "c"])
 
 
+class CodecTest(unittest.TestCase):
+    def test_reads_on_after_a_broken_message(self):
+        """Guards against a thread that reads nothing after one bad packet."""
+        payload = note_messages.write_note(hints.Note("a", 7, 3, [], [], []))
+        for size in range(1, len(payload)):
+            with self.assertRaises((EOFError, TypeError)):
+                note_messages.read_datagram(payload[:size])
+            self.assertEqual(note_messages.read_datagram(payload).note.vm, "a")
+
+
 class DatagramsTest(unittest.TestCase):
     def setUp(self):
         self.got = []
