--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -435,6 +435,8 @@
 
         :param fault: what befell the last one
         """
+        if fault.code not in MOVABLE:
+            return False
         obstacle = self._find_obstacle(fault)
         if not obstacle:
             return True
@@ -459,8 +461,6 @@
         exchange = self._exchange
         # Nothing of the request was sent, so nothing is repeated.
         is_unsent = fault.step is errors.Step.RESERVE
-        if fault.code not in MOVABLE:
-            return "the fault is final"
         if not (
             fault.run is errors.Run.NOT_RUN or route.is_repeatable(exchange)
         ):
