--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -46,10 +46,6 @@
     )
 )
 
-# With these nothing of the request was sent, so a try counts as no attempt.
-UNSENT = frozenset((errors.Code.UPSTREAM_UNREACHABLE, errors.Code.CANCELLED))
-UNSENT_STEPS = frozenset((errors.Step.QUEUE, errors.Step.RESERVE))
-
 Source = model_parts.Source
 
 
@@ -83,7 +79,7 @@
     ) -> None:
         self._exchange = exchange
         self._parts = parts
-        self._number = 0
+        self._tries = model_search.Tries(exchange.arrived_ms)
         self._avoid: frozenset[str] = frozenset()
         self._ticket: scheduling.Ticket | None = None
         self._attempt: attempts.Attempt | None = None
@@ -91,12 +87,9 @@
         self._next: attempts.Attempt | None = None
         self._replacement: _Replacement | None = None
         self._is_closed = False
-        self._search = model_search.Search(exchange.arrived_ms)
         self._decode_span = traces.NO_SPAN
         self._jobs = model_job.JobMaker(exchange, parts.clock)
         self._engines = model_engines.EngineSteps(exchange, parts)
-        # Tries that found nobody to take the request.
-        self._unsent = 0
         self._lock = threading.Lock()
 
     def begin(self) -> Source:
@@ -285,7 +278,7 @@
                 request_id=self._exchange.request_id,
                 decode=self._name_decode(),
                 attempts=self._count_attempts(),
-                tries=self._number,
+                tries=self._tries.number,
             ),
         )
 
@@ -295,9 +288,7 @@
         :param offset: how much of it the caller has
         """
         if offset:
-            self._search = model_search.Search(
-                self._parts.clock.now_ms(), has_begun=True
-            )
+            self._tries.begin_search(self._parts.clock.now_ms())
 
     def _find_next_source(self, offset: int) -> Source:
         """Find engines for the rest of a stream.
@@ -331,11 +322,11 @@
     ) -> expression.Result[attempts.Attempt, errors.Fault]:
         parts = self._parts
         began_ms = parts.clock.now_ms()
+        tries = self._tries
         job = self._jobs.make(
-            self._number, self._avoid, limit, self._search.since_ms
+            tries.number, self._avoid, limit, tries.search.since_ms
         )
-        self._number += 1
-        self._search.note_try()
+        tries.note_try()
         with self._exchange.span.begin(parts.tracer, errors.Step.QUEUE):
             submitted = parts.scheduling.submit(job)
             if submitted.is_error():
@@ -396,13 +387,15 @@
         """Make sure that the request may still run after its wait."""
         charge = self._exchange.charge
         held: expression.Result[None, errors.Fault] = expression.Ok(None)
-        is_owed = self._search.has_begun and not self._parts.cuts_withdrawn
+        is_owed = (
+            self._tries.search.has_begun and not self._parts.cuts_withdrawn
+        )
         if not is_owed:
             held = authenticate.check_key(
                 self._parts.source, self._exchange, errors.Step.QUEUE
             )
         # What has begun was granted its tokens, and has used some of them.
-        if held.is_error() or charge is None or self._search.has_begun:
+        if held.is_error() or charge is None or self._tries.search.has_begun:
             return held
         return charge.confirm()
 
@@ -447,7 +440,7 @@
                 request_id=self._exchange.request_id,
                 obstacle=obstacle,
                 attempts=self._count_attempts(),
-                tries=self._number,
+                tries=self._tries.number,
             ),
         )
         return False
@@ -467,7 +460,7 @@
             return "the request may run once only"
         if self._count_attempts() >= exchange.route.most_attempts:
             return "its route allows no further attempt"
-        if self._search.is_over():
+        if self._tries.search.is_over():
             return "too many tries have failed"
         if not self._is_wanted():
             return "the caller has gone"
@@ -479,14 +472,12 @@
         return not (self._is_closed or self._exchange.has_gone.is_set())
 
     def _count_attempts(self) -> int:
-        return max(self._number - self._unsent, len(self._engines.sent_to))
+        return self._tries.count_attempts(len(self._engines.sent_to))
 
     def _note_failure(self, fault: errors.Fault) -> None:
         if fault.run is not errors.Run.NOT_RUN:
             self._engines.has_run = True
-        self._unsent += fault.step in UNSENT_STEPS or fault.code in UNSENT
-        if fault.step is errors.Step.RESERVE:
-            self._search.note_unreserved()
+        self._tries.note_failure(fault)
         self._parts.metrics.attempts.add(
             1,
             {
--- a/mulberryway/filters/model_search.py
+++ b/mulberryway/filters/model_search.py
@@ -1,6 +1,8 @@
 """How long a model request has sought engines, and how often it has tried."""
 
-__all__ = ["Search"]
+from mulberryway import errors
+
+__all__ = ["Search", "Tries"]
 
 # Tries in all, also those that reached nobody: dead engines are ejected by
 # the first of them.
@@ -8,6 +10,9 @@
 # Tries that found no room; the queue leaves a refusing engine alone for a
 # while in between, so this many take longer than callers wait.
 MOST_UNRESERVED = 16
+# With these nothing of the request was sent, so a try counts as no attempt.
+UNSENT = frozenset((errors.Code.UPSTREAM_UNREACHABLE, errors.Code.CANCELLED))
+UNSENT_STEPS = frozenset((errors.Step.QUEUE, errors.Step.RESERVE))
 
 
 class Search:
@@ -40,3 +45,47 @@
             self._tries - self._unreserved >= MOST_TRIES
             or self._unreserved >= MOST_UNRESERVED
         )
+
+
+class Tries:
+    """The tries of one request, over all its searches.
+
+    ``number`` counts them, and ``search`` is the search that goes on.
+
+    :param arrived_ms: when the request came
+    """
+
+    __slots__ = ("number", "search", "_unsent")
+
+    def __init__(self, arrived_ms: int) -> None:
+        self.number = 0
+        self.search = Search(arrived_ms)
+        self._unsent = 0
+
+    def begin_search(self, now_ms: int) -> None:
+        """Count time and tries anew for the rest of a stream.
+
+        :param now_ms: when the stream lost its engine
+        """
+        self.search = Search(now_ms, has_begun=True)
+
+    def note_try(self) -> None:
+        """Count a try."""
+        self.number += 1
+        self.search.note_try()
+
+    def note_failure(self, fault: errors.Fault) -> None:
+        """Take notice of how a try has ended.
+
+        :param fault: what befell it
+        """
+        self._unsent += fault.step in UNSENT_STEPS or fault.code in UNSENT
+        if fault.step is errors.Step.RESERVE:
+            self.search.note_unreserved()
+
+    def count_attempts(self, sent_to: int) -> int:
+        """Return how many of the route's attempts are used.
+
+        :param sent_to: how many engines got the request, refused or not
+        """
+        return max(self.number - self._unsent, sent_to)
