Read datagrams together, and tell of waiting jobs later, in large fleets only

With forty VMs or fewer each datagram is read at once, and with twelve or fewer waiting jobs are told of at once, as before.

--- a/mulberryway/controllers/dissemination.py
+++ b/mulberryway/controllers/dissemination.py
@@ -15,6 +15,10 @@
 
 # Nothing is due by itself while nothing pends.
 IDLE_MS = 1_000
+# In a fleet of more VMs than this, what they tell comes by the hundred
+# datagrams a second, and may wait a little to be read together.
+PROMPT_VMS = 40
+GATHER_MS = 20
 DIRECTIONS = {True: "sent", False: "received"}
 
 
@@ -47,6 +51,9 @@
         with self._lock:
             self._addresses = {one.name: one.address for one in receivers}
             self._disseminator.change_receivers(receivers)
+        if self.datagrams is not None:
+            is_large = len(alive) > PROMPT_VMS
+            self.datagrams.gather_ms = GATHER_MS if is_large else 0
 
     def find_address(self, name: str) -> str:
         """Return where a VM answers peers; empty if it is not known.
--- a/mulberryway/peers/datagrams.py
+++ b/mulberryway/peers/datagrams.py
@@ -28,9 +28,6 @@
 MOST_DATAGRAM_BYTES = 65_535
 # Several notes may come while the one thread is at work on another.
 RECEIVE_BUFFER_BYTES = 1 << 20
-# A wakeup of the thread takes several times what a datagram does, so those
-# that come within this time are read together.
-GATHER_MS = 20
 # Bounds what is read together, so that the thread looks whether to stop.
 MOST_TOGETHER = 256
 CONTEXT = b"mulberryway datagrams 1"
@@ -43,6 +40,9 @@
     :param host: the IP number to listen on
     :param port: the port; the same number as that of the peers' server
     :param secret: the fleet's secret
+    ``gather_ms`` is for how long datagrams may wait to be read together: each
+    wakeup of the thread takes processor time of its own.
+
     :param on_payload: gets each genuine payload and the ``host:port`` that
         it came from, on a thread of its own
     :param clock_: where the time comes from
@@ -60,6 +60,7 @@
         self._key = hashlib.sha256(CONTEXT + secret.encode()).digest()
         self._on_payload = on_payload
         self._clock = clock_
+        self.gather_ms = 0
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
@@ -111,9 +112,10 @@
 
     def _run(self) -> None:
         while not self._is_stopping:
-            if self._receive(0) and not self._is_stopping:
+            has_received = self._receive(0)
+            if has_received and self.gather_ms and not self._is_stopping:
                 self._receive_more()
-                self._clock.sleep_ms(GATHER_MS)
+                self._clock.sleep_ms(self.gather_ms)
 
     def _receive_more(self) -> None:
         """Take what has come meanwhile, without waiting."""
--- a/mulberryway/policy/telling.py
+++ b/mulberryway/policy/telling.py
@@ -25,8 +25,9 @@
 HEARTBEAT_VMS = 12
 # Everything is told anew now and then, which mends what a lost note spoilt.
 WHOLE_MS = 5_000
-# Jobs that wait are told of so often, and sooner only along with other news:
-# most wait for less, and their start is news.
+# Jobs that wait are told of again so often.  In a fleet of more than
+# ``HEARTBEAT_VMS`` the first time may be as late: most wait for less, and
+# their start is news.
 WAITING_MS = 100
 # Accounts told of at once: those that were given least and have jobs
 # waiting.  With more, a cell of six routers would exchange all 2,200.
@@ -117,9 +118,7 @@
             return None
         waiting = self._list_waiting(pools_)
         is_beating = pause_ms is None or self._has_to_beat(pause_ms, pools_)
-        has_waited = bool(waiting or self._told_waiting) and (
-            pause_ms is None or pause_ms >= WAITING_MS
-        )
+        has_waited = self._has_to_tell_waiting(waiting, pause_ms)
         deaths = self._register.take_news(now_ms)
         if self._later and now_ms - self._later_since_ms >= LATER_MS:
             self._views |= self._later
@@ -133,6 +132,18 @@
         self._recent |= changed_views
         return self._build(pools_, waiting, deaths, now_ms)
 
+    def _has_to_tell_waiting(
+        self,
+        waiting: dict[tuple[str, str], tuple[int, int]],
+        pause_ms: int | None,
+    ) -> bool:
+        told = self._told_waiting
+        if pause_ms is None or pause_ms >= WAITING_MS:
+            return bool(waiting or told)
+        has_gone = bool(told.keys() - waiting.keys())
+        has_changed = has_gone or bool(waiting and waiting != told)
+        return has_changed and self.vms <= HEARTBEAT_VMS
+
     def _build(
         self,
         pools_: collections.abc.Mapping[str, pools.PoolScheduler],
--- a/tests/test_idle.py
+++ b/tests/test_idle.py
@@ -9,13 +9,21 @@
 
 from mulberryway import clock
 from mulberryway.controllers import cancelling
+from mulberryway.controllers import dissemination
 from mulberryway.controllers import fleet_allowances
+from mulberryway.policy import member
 from mulberryway.policy import usage
 from mulberryway.relay import loop
 
 GUARD_S = 10
 
 
+def make_member(number):
+    return member.Member(
+        f"a{number}", f"10.0.0.{number}", 7, 8, "zone", "region", 1
+    )
+
+
 class LoopTest(unittest.TestCase):
     def setUp(self):
         self.is_needed = False
@@ -108,3 +116,24 @@
         self.assertEqual(
             self.clock.now_ms() - before_ms, fleet_allowances.PERIOD_MS
         )
+
+
+class GatherTest(unittest.TestCase):
+    def make(self):
+        made = dissemination.DisseminationController(
+            make_member(0), clock.ManualClock()
+        )
+        made.datagrams = mock.Mock()
+        return made
+
+    def test_a_large_fleet_reads_datagrams_together(self):
+        """Guards against a wakeup for each of a hundred datagrams a second."""
+        made = self.make()
+        made.change_members([make_member(n) for n in range(79)])
+        self.assertEqual(made.datagrams.gather_ms, dissemination.GATHER_MS)
+
+    def test_a_small_fleet_reads_each_at_once(self):
+        """Guards against engines chosen by news that is older than needed."""
+        made = self.make()
+        made.change_members([make_member(n) for n in range(9)])
+        self.assertEqual(made.datagrams.gather_ms, 0)
