--- a/standins/hosted_upstreams.py
+++ b/standins/hosted_upstreams.py
@@ -4,9 +4,9 @@
 phase it is a plain service.  What it was sent is kept for checkers, and
 ``POST /standin/faults`` sets faults: ``cut_after`` events, ``fail_status``,
 ``full`` (refuses what would run), ``lapse`` (handles are gone at once),
-``mute`` (answers neither prompts, reservations nor decodes), ``lose_answer`` (runs a plain
-call and closes the connection), ``event_ms`` (the time between events),
-``pause_ms`` after the event ``pause_at``, ``refuse_prompts``.
+``mute`` (answers neither prompts, reservations nor decodes), ``lose_answer``
+(runs a plain call and closes the connection), ``event_ms`` (the time between
+events), ``pause_ms`` after the event ``pause_at``, ``refuse_prompts``.
 With
 ``--journal`` each run is added to a file as a line of JSON, which outlives
 the process.
