Lose no wakeup of the relay's loop

What callers saw: a stream stood still for up to 50 ms, and since the loop of an idle relay sleeps for 5 s, for up to 5 s: first events after 4.8 s, answers cut at their deadline.

Cause: the loop cleared its flag before it read the eventfd. An act posted in between wrote once more, and the read took both: the flag was set, nothing was left to wake the loop, and no later act wrote.

WakeTest posts at that moment and failed before. Now the eventfd is read first, and what was posted until then is done in the same round. Controllers and the peers' server were looked through: each looks at its state after its wakeup.

--- a/mulberryway/relay/loop.py
+++ b/mulberryway/relay/loop.py
@@ -118,8 +118,9 @@
         self._is_stopping = True
 
     def _on_wake(self, events: int) -> None:
-        self._is_woken = False
+        # In this order: a write that is read here must not leave the flag set.
         os.eventfd_read(self._wake_fd)
+        self._is_woken = False
 
     def _run(self) -> None:
         poll = self._epoll.poll
--- a/tests/test_idle.py
+++ b/tests/test_idle.py
@@ -1,5 +1,6 @@
 """What a VM does while nothing happens: a fleet's processor time at rest."""
 
+import os
 import threading
 import time
 import unittest
@@ -16,6 +17,9 @@
 from mulberryway.relay import loop
 
 GUARD_S = 10
+# Less than the loop sleeps by itself.
+LATE_S = 1
+SETTLE_S = 0.1
 
 
 def make_member(number):
@@ -48,6 +52,31 @@
         self.assertTrue(self.ticked.wait(GUARD_S))
 
 
+class WakeTest(unittest.TestCase):
+    def test_an_act_that_comes_while_the_loop_wakes_hides_no_later_one(self):
+        """Guards against streams that stand still because a wakeup of the
+        loop was read together with the one before.
+        """
+        loop_ = loop.EventLoop("test", clock.SystemClock())
+        first, second, third = (threading.Event() for _ in range(3))
+        read = os.eventfd_read
+
+        def read_late(fd):
+            if not second.is_set():
+                loop_.post(second.set)
+            return read(fd)
+
+        with mock.patch.object(os, "eventfd_read", read_late):
+            loop_.start()
+            self.addCleanup(loop_.stop)
+            loop_.post(first.set)
+            self.assertTrue(second.wait(GUARD_S))
+            # The loop is asleep again.
+            time.sleep(SETTLE_S)
+            loop_.post(third.set)
+            self.assertTrue(third.wait(LATE_S))
+
+
 class CancellingTest(unittest.TestCase):
     def test_sleeps_while_nothing_is_to_be_cancelled(self):
         """Guards against a thread that wakes ten times a second."""
