--- a/tests/hosted_fleet.py
+++ b/tests/hosted_fleet.py
@@ -11,6 +11,8 @@
 from tests import processes
 
 HOST = "127.0.0.1"
+# Of each VM's log, for a test that fails: more than a test's start leaves.
+LINES = 200
 SITE = "site.example"
 KEYS = {"k-large": "large", "k-small": "small"}
 LIMITS = {
@@ -247,7 +249,7 @@
         return "\n".join(
             line
             for number in range(len(self.vms))
-            for line in self.find_log(number).read_text().splitlines()[-30:]
+            for line in self.find_log(number).read_text().splitlines()[-LINES:]
         )
 
     def fronts(self):
--- a/tests/test_hosted_processes.py
+++ b/tests/test_hosted_processes.py
@@ -81,7 +81,11 @@
                 ),
                 fleet.read_logs(),
             )
-            self.assertEqual(fleet.send(1, "/plain/x", "o-1").status, 200)
+            self.assertEqual(
+                fleet.send(1, "/plain/x", "o-1").status,
+                200,
+                fleet.read_logs(),
+            )
 
     def test_history_that_is_gone_is_listed_anew(self):
         """The store drops its history.  A VM whose watch fails for good
