Test the order of events while a silent engine is replaced

The hosted stand-in gets the switches hold_prompts and hold_at, both off by default, and the count of held requests.

--- a/standins/hosted_upstreams.py
+++ b/standins/hosted_upstreams.py
@@ -16,6 +16,8 @@
 * ``refuse_prompts``: reject prefills
 * ``read_ms``: duration of a prefill
 * ``no_room``: reject reservations
+* ``hold_prompts``: let prefills wait until this is reset
+* ``hold_at``: let streams wait after this event until this is reset
 """
 
 import asyncio
@@ -42,6 +44,7 @@
 EVENTS = 20
 SERVICE_TIME_S = 0.02
 UNRESPONSIVE_S = 60.0
+HOLD_POLL_S = 0.01
 
 flags.DEFINE_string("host", "127.0.0.1", "IP address to listen on")
 flags.DEFINE_integer("port", 9001, "port to listen on")
@@ -96,7 +99,11 @@
             "pause_at": 0,
             "pause_ms": 0,
             "refuse_prompts": 0,
+            "hold_prompts": 0,
+            "hold_at": 0,
         }
+        # Number of requests that wait for a fault to be reset.
+        self.held = 0
         self._id_numbers = itertools.count(1)
 
     def make_app(self) -> web.Application:
@@ -136,6 +143,7 @@
             await asyncio.sleep(UNRESPONSIVE_S)
         if request.headers.get("Serving-Phase") == "prefill":
             await asyncio.sleep(self.faults["read_ms"] / 1_000)
+            await self._wait_while("hold_prompts", 1)
             return self._prefill(request)
         if self.phase != "decode":
             return self._make_response(request, 421, b"")
@@ -201,7 +209,15 @@
             self.running -= 1
         return response
 
+    async def _wait_while(self, fault: str, value: int) -> None:
+        """Wait until a fault no longer has a value."""
+        self.held += 1
+        while self.faults[fault] == value:
+            await asyncio.sleep(HOLD_POLL_S)
+        self.held -= 1
+
     async def _wait_after_event(self, number: int) -> None:
+        await self._wait_while("hold_at", number)
         delay_ms = self.faults["event_ms"]
         if number == self.faults["pause_at"]:
             delay_ms += self.faults["pause_ms"]
@@ -278,6 +294,7 @@
                 "holds": len(self.holds),
                 "refused_holds": self.refused_holds,
                 "held_decodes": self.held_decodes,
+                "held": self.held,
             }
         )
 
