Test that fails: test_pool_removed_while_the_prompt_is_read

Order: tables without the pool come into force during the prefill, silent engine left, then 'the chosen engine is draining or removed', next attempt 'no such model pool', cut.

At fault: model_engines.EngineCalls._decode_once calls may_begin before _is_removed_or_draining; NO_UPSTREAM can't be retried; pump.Relay._keep_source aborts since the source is closed.

Trace of the run (fails):

AssertionError: Lists differ: [1, 2, 3, 4, 5] != [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20] calls: {'e0': ['prefill', 'prefill'], 'e1': ['decode'], 'e2': ['reserve'] silent engine left: True retries withdrawn: 2 an attempt failed; code upstream_timeout; step decode; peer e1; run may_have_run; reason token timeout a prompt was read in vain; code upstream_unreachable; step decode; peer e2; run not_run; reason the chosen engine is draining or removed an attempt failed; code upstream_unreachable; step decode; peer e2; run not_run; reason the chosen engine is draining or removed an attempt failed; code no_upstream; step queue; peer llm; run not_run; reason no such model pool a silent engine is waited for; code no_upstream; step queue; peer llm; run may_have_run; reason no such model pool; attempts 1; tries 3 a request ended; code no_upstream; step queue; peer llm; run may_have_run; reason no such model pool; tried ['e1']; took_ms 741

--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -179,6 +179,14 @@
         gate.open()
         self.check_complete(future)
 
+    def test_pool_removed_while_the_prompt_is_read(self):
+        """Guards against an answer that ends with its pool."""
+        future, gate = self.begin_gated_search()
+        self.source.change(self.make_tables(pools=("app",), routes=False))
+        gate.open()
+        self.continue_after(self.is_left_or_kept)
+        self.check_complete(future)
+
     def test_prefill_engine_removed_while_the_room_is_reserved(self):
         """Guards against an answer that ends with a closed client."""
         future, gate = self.begin_gated_search("reserve")
