Test that fails: test_no_prompt_is_read_for_the_silent_engine

Order: the only other engine refuses the reservation; the search moves on to the silent engine itself, reserves there, reads the prompt, and only then sees that it is the same engine (logged as 'has continued'). Not a cut by itself: it uses up prompts and retry budget at each stall.

At fault: job_placement.Placer._list_usable ('not_excluded or admitted') via EngineCalls._prepare -> _reassign_decode; ModelRequest._switch_to_replacement compares the names only after the prefill.

Trace of the run (fails):

AssertionError: 3 != 1 calls: {'e0': ['prefill', 'prefill', 'drop', 'prefill', 'drop'], 'e1': ['decode', 'reserve', 'drop', 'reserve', 'drop'], 'e2': ['reserve', 'reserve'] silent engine left: True retries withdrawn: 2 an attempt failed; code upstream_refused; step reserve; peer PEER; run not_run; reason engine responded with status 503 a prompt was read in vain; code cancelled; step decode; peer e1; run not_run; reason the unresponsive engine has continued an attempt failed; code cancelled; step decode; peer e1; run not_run; reason the unresponsive engine has continued a silent engine is waited for; code cancelled; step decode; peer e1; run not_run; reason the unresponsive engine has continued; attempts 1; tries 3 a prompt was read in vain; code cancelled; step decode; peer e1; run not_run; reason the unresponsive engine has continued an attempt failed; code cancelled; step decode; peer e1; run not_run; reason the unresponsive engine has continued a silent engine is waited for; code cancelled; step decode; peer e1; run not_run; reason the unresponsive engine has continued; attempts 1; tries 4 a request ended; tried ['e1']; took_ms 491

--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -194,6 +194,16 @@
         gate.open()
         self.check_complete(future)
 
+    def test_no_prompt_is_read_for_the_silent_engine(self):
+        """Guards against searches that reserve room at the silent engine
+        itself and read the prompt for it, because no other one has room.
+        """
+        self.other.refuses_holds = True
+        future = self.begin_search()
+        self.continue_after(lambda: len(self.find_ended_search()) > 1)
+        self.check_complete(future)
+        self.assertEqual(self.prefill.calls.count("prefill"), 1, self.trace())
+
 
 class AfterLeavingTest(SearchTest):
     """The next engine fails after the silent one has been left."""
