Test that fails: test_silent_engine_is_excluded_after_a_release

Order: all other decode engines have registered since the request arrived; the job of the search excludes nothing.

At fault: model_job.JobBuilder._choose_excluded takes the engines' names from exchange.pool (the tables of the arrival).

Trace of the run (fails):

AssertionError: 'e1' not found in frozenset()

--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -204,6 +204,24 @@
         self.check_complete(future)
         self.assertEqual(self.prefill.calls.count("prefill"), 1, self.trace())
 
+    def test_silent_engine_is_excluded_after_a_release(self):
+        """Guards against a search that chooses the silent engine itself
+        because all others have registered since the request arrived.
+        """
+        self.change(e2=GONE)
+        submitted = []
+        submit = self.router.scheduling.submit
+        self.patch(
+            self.router.scheduling,
+            "submit",
+            lambda job: submitted.append(job) or submit(job),
+        )
+        future = self.begin_search()
+        self.await_true(lambda: len(submitted) > 1)
+        self.silent.allow(ALL)
+        self.assertIn("e1", submitted[1].excluded_upstreams)
+        self.check_complete(future)
+
 
 class AfterLeavingTest(SearchTest):
     """The next engine fails after the silent one has been left."""
