Test that fails: test_refused_after_the_grant

Order: grant, prompt read, silent engine left, decode refused with 503 (also the own reading), route's 2 attempts used, silent engine goes on.

At fault: model_engines.EngineCalls._decode_once calls may_begin (model_run.ModelRequest._switch_to_replacement -> pump.Relay.try_close_source) before the decode is sent; pump.Relay._keep_source aborts since the source is closed.

--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -226,6 +226,14 @@
 class AfterLeavingTest(SearchTest):
     """The next engine fails after the silent one has been left."""
 
+    def test_refused_after_the_grant(self):
+        """Guards against leaving an engine for one that refuses the decode
+        although it has granted the room.
+        """
+        future = self.begin_search(*["refuse"] * OFTEN)
+        self.continue_after(self.is_decode_sent)
+        self.check_complete(future)
+
     def check_withdrawn(self, state):
         """Check a stream whose next engine is withdrawn before the send."""
         self.refuse_new_decodes()
