Test that fails: test_closed_instead_of_an_answer

Order: grant, prompt read, silent engine left, connection closed without an answer, 2 attempts used, silent engine goes on.

At fault: model_engines.EngineCalls._decode_once calls may_begin (model_run.ModelRequest._switch_to_replacement -> pump.Relay.try_close_source) before the decode is sent; pump.Relay._keep_source aborts since the source is closed.

Trace of the run (fails):

AssertionError: Lists differ: [1, 2, 3, 4, 5] != [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20] calls: {'e0': ['prefill', 'prefill', 'drop'], 'e1': ['decode'], 'e2': ['reserve', 'decode'] silent engine left: True retries withdrawn: 1 an attempt failed; code upstream_timeout; step decode; peer e1; run may_have_run; reason token timeout a prompt was read in vain; code upstream_failed; step decode; peer PEER; run may_have_run; reason call failed: RemoteDisconnected an attempt failed; code upstream_failed; step decode; peer PEER; run may_have_run; reason call failed: RemoteDisconnected no other engine is tried; code upstream_failed; step decode; peer PEER; run may_have_run; reason call failed: RemoteDisconnected; obstacle its route allows no further attempt; attempts 2; tries 2 a silent engine is waited for; code upstream_failed; step decode; peer PEER; run may_have_run; reason call failed: RemoteDisconnected; attempts 2; tries 2 a request ended; code upstream_failed; step decode; peer PEER; run may_have_run; reason call failed: RemoteDisconnected; tried ['e1', 'e2']; took_ms 237

--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -240,6 +240,14 @@
         self.continue_after(self.is_decode_sent)
         self.check_complete(future)
 
+    def test_closed_instead_of_an_answer(self):
+        """Guards against leaving an engine for one that closes the decode's
+        connection without an answer.
+        """
+        future = self.begin_search(*["close"] * OFTEN)
+        self.continue_after(self.is_decode_sent)
+        self.check_complete(future)
+
     def check_withdrawn(self, state):
         """Check a stream whose next engine is withdrawn before the send."""
         self.refuse_new_decodes()
