Test that fails: test_closed_before_the_first_event

Order: silent engine left, decode answered with 200, connection closed before the first event, 2 attempts used, silent engine goes on (the new server broke off: by the letter of LOST perhaps not counted).

At fault: model_engines.EngineCalls._decode_once calls may_begin (model_run.ModelRequest._switch_to_replacement -> pump.Relay.try_close_source) before the decode is sent; then ModelRequest.recover -> _may_retry.

Trace of the run (fails):

AssertionError: Lists differ: [1, 2, 3, 4, 5] != [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20] calls: {'e0': ['prefill', 'prefill'], 'e1': ['decode'], 'e2': ['reserve', 'decode'] silent engine left: True retries withdrawn: 1 an attempt failed; code upstream_timeout; step decode; peer e1; run may_have_run; reason token timeout an attempt failed; code upstream_failed; step decode; peer e2; run may_have_run; reason engine closed an incomplete response no other engine is tried; code upstream_failed; step decode; peer e2; run may_have_run; reason engine closed an incomplete response; obstacle its route allows no further attempt; attempts 2; tries 2 a request ended; code upstream_failed; step decode; peer e2; run may_have_run; reason engine closed an incomplete response; tried ['e1', 'e2']; took_ms 228

--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -248,6 +248,14 @@
         self.continue_after(self.is_decode_sent)
         self.check_complete(future)
 
+    def test_closed_before_the_first_event(self):
+        """Guards against leaving an engine for one that has accepted the
+        decode and closes before its first event.
+        """
+        future = self.begin_search(*["head_close"] * OFTEN)
+        self.continue_after(self.is_decode_sent)
+        self.check_complete(future)
+
     def check_withdrawn(self, state):
         """Check a stream whose next engine is withdrawn before the send."""
         self.refuse_new_decodes()
