Test that fails: test_events_received_before_the_engine_is_left

Order: the silent engine's remaining events and its end are in the socket's buffer, the loop runs the posted try_close before it reads them, the new engine refuses.

At fault: pump.Relay._try_close_source compares stream.expected only and does not read what has arrived.

Trace of the run (fails):

AssertionError: Lists differ: [1, 2, 3, 4, 5] != [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20] calls: {'e0': ['prefill', 'prefill', 'drop'], 'e1': ['decode'], 'e2': ['reserve', 'decode', 'decode'] silent engine left: True retries withdrawn: 2 an attempt failed; code upstream_timeout; step decode; peer e1; run may_have_run; reason token timeout a prompt was read in vain; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 503 an attempt failed; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 503 no other engine is tried; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 503; obstacle its route allows no further attempt; attempts 2; tries 2 a silent engine is waited for; code upstream_refused; step decode; peer PEER; run may_have_run; reason the upstream refused with status 503; attempts 2; tries 2 a request ended; code upstream_refused; step decode; peer PEER; run may_have_run; reason the upstream refused with status 503; tried ['e1', 'e2', 'e2']; took_ms 202

--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -256,6 +256,21 @@
         self.continue_after(self.is_decode_sent)
         self.check_complete(future)
 
+    def test_events_received_before_the_engine_is_left(self):
+        """Guards against leaving an engine whose next events have arrived
+        and are read only after the decision.
+        """
+        future, gate = self.begin_gated_search("prefill", *["refuse"] * OFTEN)
+        pause = gated_engine.Gate()
+        self.router.loop.post(pause.wait)
+        self.await_gate(pause)
+        self.silent.allow(ALL)
+        self.await_true(lambda: self.silent.has_ended)
+        gate.open()
+        self.await_true(lambda: self.router.loop._posted)
+        pause.open()
+        self.check_complete(future)
+
     def check_withdrawn(self, state):
         """Check a stream whose next engine is withdrawn before the send."""
         self.refuse_new_decodes()
