Test that fails: test_connection_closed_while_the_prompt_is_read

Order: the new engine closes the prepared connection during the prefill, silent engine left, connection found closed, decode sent anew to the silent engine itself, which is full and refuses.

At fault: decode_call.begin_decode looks at the connection (is_closed_by_peer) only after the silent engine was left; scheduling.reassign_decode then chooses the engine just left.

Trace of the run (fails):

AssertionError: Lists differ: [1, 2, 3, 4, 5] != [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20] calls: {'e0': ['prefill', 'prefill', 'drop'], 'e1': ['decode', 'decode', 'decode'], 'e2': ['reserve'] silent engine left: True retries withdrawn: 2 an attempt failed; code upstream_timeout; step decode; peer e1; run may_have_run; reason token timeout a prompt was read in vain; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 503 an attempt failed; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 503 no other engine is tried; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 503; obstacle its route allows no further attempt; attempts 2; tries 2 a silent engine is waited for; code upstream_refused; step decode; peer PEER; run may_have_run; reason the upstream refused with status 503; attempts 2; tries 2 a request ended; code upstream_refused; step decode; peer PEER; run may_have_run; reason the upstream refused with status 503; tried ['e1', 'e2', 'e1', 'e1']; took_ms 184

--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -289,6 +289,17 @@
         half.open()
         self.check_complete(future)
 
+    def test_connection_closed_while_the_prompt_is_read(self):
+        """Guards against leaving an engine before the next one's connection
+        has been checked.
+        """
+        self.refuse_new_decodes()
+        future, gate = self.begin_gated_search()
+        self.other.close_idle()
+        gate.open()
+        self.continue_after(self.is_left_or_kept)
+        self.check_complete(future)
+
     def check_withdrawn(self, state):
         """Check a stream whose next engine is withdrawn before the send."""
         self.refuse_new_decodes()
