Test that fails: test_removed_while_the_prompt_is_read

Order: the new engine's row is removed during the prefill, silent engine left, then the tables are looked at, decode sent anew to the silent engine itself, which is full and refuses.

At fault: model_engines.EngineCalls._decode_once calls may_begin before _is_removed_or_draining.

Trace of the run (fails):

AssertionError: Lists differ: [1, 2, 3, 4, 5] != [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20] calls: {'e0': ['prefill', 'prefill', 'drop'], 'e1': ['decode', 'decode', 'decode'], 'e2': ['reserve'] silent engine left: True retries withdrawn: 2 an attempt failed; code upstream_timeout; step decode; peer e1; run may_have_run; reason token timeout a prompt was read in vain; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 503 an attempt failed; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 503 no other engine is tried; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 503; obstacle its route allows no further attempt; attempts 2; tries 2 a silent engine is waited for; code upstream_refused; step decode; peer PEER; run may_have_run; reason the upstream refused with status 503; attempts 2; tries 2 a request ended; code upstream_refused; step decode; peer PEER; run may_have_run; reason the upstream refused with status 503; tried ['e1', 'e1', 'e1']; took_ms 200

--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -326,6 +326,10 @@
         """Guards against leaving an engine for one that drains."""
         self.check_withdrawn(LEAVING)
 
+    def test_removed_while_the_prompt_is_read(self):
+        """Guards against leaving an engine for one that was removed."""
+        self.check_withdrawn(GONE)
+
     def test_handle_lapsed_before_it_is_fetched(self):
         """Guards against an answer that ends with a lapsed prefill result
         although the next engine can read the prompt itself.
