Test that fails: test_grant_lapsed_while_the_prompt_is_read

Order: grant, the prefill takes longer than hold_ms, silent engine left, decode sent without Kv-Hold, refused since the engine is full.

At fault: platform/engine.PlatformEngine.decode drops a lapsed reservation silently although the attempt requires_reservation; nothing looks at until_ms before the silent engine is left.

Trace of the run (fails):

AssertionError: Lists differ: [1, 2, 3, 4, 5] != [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20] calls: {'e0': ['prefill', 'prefill', 'drop'], 'e1': ['decode'], 'e2': ['reserve', 'decode', 'decode'] silent engine left: True retries withdrawn: 2 an attempt failed; code upstream_timeout; step decode; peer e1; run may_have_run; reason token timeout a prompt was read in vain; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 503 an attempt failed; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 503 no other engine is tried; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 503; obstacle its route allows no further attempt; attempts 2; tries 2 a silent engine is waited for; code upstream_refused; step decode; peer PEER; run may_have_run; reason the upstream refused with status 503; attempts 2; tries 2 a request ended; code upstream_refused; step decode; peer PEER; run may_have_run; reason the upstream refused with status 503; tried ['e1', 'e2', 'e2']; took_ms 2192

--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -330,6 +330,17 @@
         """Guards against leaving an engine for one that was removed."""
         self.check_withdrawn(GONE)
 
+    def test_grant_lapsed_while_the_prompt_is_read(self):
+        """Guards against leaving an engine for one that is full again since
+        its grant has lapsed.
+        """
+        future, gate = self.begin_gated_search()
+        self.other.is_full = True
+        self.clock.shift_ms += self.hold_ms + 1
+        gate.open()
+        self.continue_after(self.is_left_or_kept)
+        self.check_complete(future)
+
     def test_handle_lapsed_before_it_is_fetched(self):
         """Guards against an answer that ends with a lapsed prefill result
         although the next engine can read the prompt itself.
