Test that fails: test_handle_lapsed_and_retry_budget_used_up

Order: prefill result lapses before the new engine fetches it, retry budget used up meanwhile, silent engine goes on, decode refused.

At fault: model_engines.EngineCalls._decode_once calls may_begin (model_run.ModelRequest._switch_to_replacement -> pump.Relay.try_close_source) before the decode is sent; pump.Relay._keep_source aborts since the source is closed.

Trace of the run (fails):

AssertionError: Lists differ: [1, 2, 3, 4, 5] != [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20] calls: {'e0': ['prefill', 'prefill'], 'e1': ['decode'], 'e2': ['reserve', 'decode'] silent engine left: True retries withdrawn: 1 an attempt failed; code upstream_timeout; step decode; peer e1; run may_have_run; reason token timeout a prompt was read in vain; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 503 an attempt failed; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 503 no other engine is tried; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 503; obstacle its route allows no further attempt; attempts 2; tries 2 a silent engine is waited for; code upstream_refused; step decode; peer PEER; run may_have_run; reason the upstream refused with status 503; attempts 2; tries 2 a request ended; code upstream_refused; step decode; peer PEER; run may_have_run; reason the upstream refused with status 503; tried ['e1', 'e2']; took_ms 179

--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -351,6 +351,17 @@
         gate.open()
         self.check_complete(future)
 
+    def test_handle_lapsed_and_retry_budget_used_up(self):
+        """Guards against leaving an engine for one that cannot fetch the
+        prefill result when no retry is left.
+        """
+        future, gate = self.begin_gated_search("decode")
+        self.handles.clear()
+        self.budget.left = 0
+        self.silent.allow(ALL)
+        gate.open()
+        self.check_complete(future)
+
     def test_end_received_while_the_prompt_is_read(self):
         """Guards against a run of a stream that has ended."""
         end = self.silent.place_gate("end")
