Test that fails: test_prompt_not_read_and_refused

Order: the prefill isn't answered in time, the decode goes out without the prompt, silent engine left, decode refused.

At fault: model_engines.EngineCalls._skip_prefill also applies to a replacement; the silent engine is left before the new one has the prompt; pump.Relay._keep_source aborts since the source is closed.

Trace of the run (fails):

AssertionError: Lists differ: [1, 2, 3, 4, 5] != [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20] calls: {'e0': ['prefill', 'prefill'], 'e1': ['decode'], 'e2': ['reserve', 'decode'] silent engine left: True retries withdrawn: 1 a prefill was not answered, the decode engine reads the prompt; code upstream_timeout; step prefill; peer PEER; run not_run; reason call failed: ReadTimeoutError an attempt failed; code upstream_timeout; step decode; peer e1; run may_have_run; reason token timeout an attempt failed; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 503 no other engine is tried; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 503; obstacle its route allows no further attempt; attempts 2; tries 2 a silent engine is waited for; code upstream_refused; step decode; peer PEER; run may_have_run; reason the upstream refused with status 503; attempts 2; tries 2 a request ended; code upstream_refused; step decode; peer PEER; run may_have_run; reason the upstream refused with status 503; tried ['e1', 'e2']; took_ms 379

--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -372,6 +372,14 @@
         gate.open()
         self.check_complete(future)
 
+    def test_prompt_not_read_and_refused(self):
+        """Guards against leaving an engine for one without the prompt."""
+        self.patch(model_engines, "MIN_PREFILL_TIMEOUT_MS", SHORT_MS)
+        future, gate = self.begin_gated_search("prefill", *["refuse"] * OFTEN)
+        self.continue_after(self.is_left_or_kept)
+        gate.open()
+        self.check_complete(future)
+
     def test_end_received_while_the_prompt_is_read(self):
         """Guards against a run of a stream that has ended."""
         end = self.silent.place_gate("end")
