Test that fails: test_silent_engine_kept_until_the_prompt_is_read

Order: the prefill isn't answered in time, the new engine reads the prompt itself and hasn't answered; the silent engine has been left already.

At fault: model_engines.EngineCalls._skip_prefill + _decode_once (the documented order of replace_source, 'with a slot, a connection and the prompt's KV cache', is broken).

--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -380,6 +380,21 @@
         gate.open()
         self.check_complete(future)
 
+    def test_silent_engine_kept_until_the_prompt_is_read(self):
+        """Guards against leaving an engine while the next one still reads
+        the prompt itself.
+        """
+        self.patch(model_engines, "MIN_PREFILL_TIMEOUT_MS", SHORT_MS)
+        future, gate = self.begin_gated_search("prefill")
+        reading = self.other.place_gate("decode")
+        self.await_true(reading.reached.is_set)
+        is_left = self.silent.is_left()
+        self.silent.allow(ALL)
+        reading.open()
+        gate.open()
+        self.check_complete(future)
+        self.assertFalse(is_left, self.trace())
+
     def test_end_received_while_the_prompt_is_read(self):
         """Guards against a run of a stream that has ended."""
         end = self.silent.place_gate("end")
