Test that fails: test_end_not_received_and_refused

Order: the silent engine has sent its last event but not its end; search; silent engine left; the new one refuses Last-Event-Id 20; the end would have come.

At fault: model_engines.EngineCalls._decode_once calls may_begin (model_run.ModelRequest._switch_to_replacement -> pump.Relay.try_close_source) before the decode is sent; pump.Relay._keep_source aborts since the source is closed.

Trace of the run (fails):

AssertionError: True is not false calls: {'e0': ['prefill', 'prefill', 'drop'], 'e1': ['decode'], 'e2': ['reserve', 'decode', 'decode'] silent engine left: True retries withdrawn: 2 an attempt failed; code upstream_timeout; step decode; peer e1; run may_have_run; reason token timeout a prompt was read in vain; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 503 an attempt failed; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 503 no other engine is tried; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 503; obstacle its route allows no further attempt; attempts 2; tries 2 a silent engine is waited for; code upstream_refused; step decode; peer PEER; run may_have_run; reason the upstream refused with status 503; attempts 2; tries 2 a request ended; code upstream_refused; step decode; peer PEER; run may_have_run; reason the upstream refused with status 503; tried ['e1', 'e2', 'e2']; took_ms 186

--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -395,6 +395,16 @@
         self.check_complete(future)
         self.assertFalse(is_left, self.trace())
 
+    def test_end_not_received_and_refused(self):
+        """Guards against leaving an engine that has sent its last event, but
+        not its end, for one that refuses to go on from there.
+        """
+        gate = self.silent.place_gate("end")
+        future = self.begin_search(*["refuse"] * OFTEN, events=ALL)
+        self.await_true(self.is_decode_sent)
+        gate.open()
+        self.check_complete(future)
+
     def test_end_received_while_the_prompt_is_read(self):
         """Guards against a run of a stream that has ended."""
         end = self.silent.place_gate("end")
