Test that fails: test_unresponsive_after_the_grant

Order: grant, prompt read, silent engine left, the new engine doesn't answer; cut after half of the time left, before the deadline; the silent engine goes on meanwhile.

At fault: model_engines.EngineCalls._decode_once calls may_begin (model_run.ModelRequest._switch_to_replacement -> pump.Relay.try_close_source) before the decode is sent; REMAINING_TIME_DIVISOR ends the wait at half of the time; pump.Relay._keep_source aborts since the source is closed.

Trace of the run (fails):

AssertionError: Lists differ: [1, 2, 3, 4, 5] != [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20] calls: {'e0': ['prefill', 'prefill', 'drop'], 'e1': ['decode'], 'e2': ['reserve', 'decode'] silent engine left: True retries withdrawn: 1 an attempt failed; code upstream_timeout; step decode; peer e1; run may_have_run; reason token timeout a request ended; code deadline_exceeded; step decode; run may_have_run; reason the answer exceeded the deadline of its route; tried ['e1', 'e2']; took_ms 2040

--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -427,6 +427,19 @@
         self.assertEqual(self.other.decodes[0]["Last-Event-Id"], str(ALL))
 
 
+class SilentReplacementTest(SearchTest):
+    """The next engine does not answer the decode."""
+
+    route_ms = 2_000
+
+    def test_unresponsive_after_the_grant(self):
+        """Guards against leaving an engine for one that does not answer."""
+        future, gate = self.begin_gated_search("decode")
+        self.silent.allow(ALL)
+        self.check_complete(future)
+        gate.open()
+
+
 class ManyAttemptsTest(SearchTest):
     """A route that allows more attempts than the retry budget."""
 
