Test that fails: test_retry_budget_used_up_after_a_refusal

Order: route allows 4 attempts, one retry left, which the search takes; silent engine left; one refusal; no retry left; silent engine goes on.

At fault: model_engines.EngineCalls._decode_once calls may_begin (model_run.ModelRequest._switch_to_replacement -> pump.Relay.try_close_source) before the decode is sent; the budget is asked again only after that (EngineCalls._decode, ModelRequest._may_retry).

Trace of the run (fails):

AssertionError: Lists differ: [1, 2, 3, 4, 5] != [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20] calls: {'e0': ['prefill', 'prefill', 'drop'], 'e1': ['decode'], 'e2': ['reserve', 'decode'] silent engine left: True retries withdrawn: 1 an attempt failed; code upstream_timeout; step decode; peer e1; run may_have_run; reason token timeout a prompt was read in vain; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 503 an attempt failed; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 503 no other engine is tried; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 503; obstacle the retry budget is exhausted; attempts 2; tries 2 a silent engine is waited for; code upstream_refused; step decode; peer PEER; run may_have_run; reason the upstream refused with status 503; attempts 2; tries 2 a request ended; code upstream_refused; step decode; peer PEER; run may_have_run; reason the upstream refused with status 503; tried ['e1', 'e2']; took_ms 191

--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -445,6 +445,13 @@
 
     max_attempts = 4
 
+    def test_retry_budget_used_up_after_a_refusal(self):
+        """Guards against leaving an engine when one refusal is final."""
+        self.budget.left = 1
+        future = self.begin_search(*["refuse"] * OFTEN)
+        self.continue_after(self.is_decode_sent)
+        self.check_complete(future)
+
     def test_all_attempts_refused(self):
         """Guards against an answer that ends with its route's attempts."""
         future = self.begin_search(*["refuse"] * OFTEN)
