Test that fails: test_retry_budget_used_up_after_an_unsent_decode

Order: route allows 4 attempts, one retry left, which the search takes; the new engine closes the prepared connection during the prefill; silent engine left; nothing was sent, yet a retry is demanded.

At fault: ModelRequest._find_obstacle: is_unsent is true only for Step.RESERVE, not for UPSTREAM_UNREACHABLE; model_engines.EngineCalls._decode_once calls may_begin (model_run.ModelRequest._switch_to_replacement -> pump.Relay.try_close_source) before the decode is sent.

Trace of the run (fails):

AssertionError: Lists differ: [1, 2, 3, 4, 5] != [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20] calls: {'e0': ['prefill', 'prefill', 'drop'], 'e1': ['decode'], 'e2': ['reserve'] silent engine left: True retries withdrawn: 1 an attempt failed; code upstream_timeout; step decode; peer e1; run may_have_run; reason token timeout a prompt was read in vain; code upstream_unreachable; step decode; peer PEER; run not_run; reason upstream unreachable an attempt failed; code upstream_unreachable; step decode; peer PEER; run not_run; reason upstream unreachable no other engine is tried; code upstream_unreachable; step decode; peer PEER; run not_run; reason upstream unreachable; obstacle the retry budget is exhausted; attempts 1; tries 2 a silent engine is waited for; code upstream_unreachable; step decode; peer PEER; run may_have_run; reason upstream unreachable; attempts 1; tries 2 a request ended; code upstream_unreachable; step decode; peer PEER; run may_have_run; reason upstream unreachable; tried ['e1', 'e2']; took_ms 687

--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -452,6 +452,16 @@
         self.continue_after(self.is_decode_sent)
         self.check_complete(future)
 
+    def test_retry_budget_used_up_after_an_unsent_decode(self):
+        """Guards against a retry that is charged though nothing was sent."""
+        self.budget.left = 1
+        future, gate = self.begin_gated_search()
+        self.other.close_idle()
+        self.patch(self.router.scheduling, "reassign_decode", _find_none)
+        gate.open()
+        self.continue_after(self.is_left_or_kept)
+        self.check_complete(future)
+
     def test_all_attempts_refused(self):
         """Guards against an answer that ends with its route's attempts."""
         future = self.begin_search(*["refuse"] * OFTEN)
