Test that fails: test_refused_before_the_first_event

Order: head without an event, search, silent engine left, decode refused: 502 although the engine goes on (a complete error answer, no cut).

At fault: model_engines.EngineCalls._decode_once calls may_begin (model_run.ModelRequest._switch_to_replacement -> pump.Relay.try_close_source) before the decode is sent; pump.Relay._keep_source aborts since the source is closed.

Trace of the run (fails):

AssertionError: 502 != 200 calls: {'e0': ['prefill', 'prefill', 'drop'], 'e1': ['decode'], 'e2': ['reserve', 'decode', 'decode'] silent engine left: True retries withdrawn: 2 an attempt failed; code upstream_timeout; step decode; peer e1; run may_have_run; reason token timeout a prompt was read in vain; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 503 an attempt failed; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 503 no other engine is tried; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 503; obstacle its route allows no further attempt; attempts 2; tries 2 a silent engine is waited for; code upstream_refused; step decode; peer PEER; run may_have_run; reason the upstream refused with status 503; attempts 2; tries 2 a request ended; code upstream_refused; step decode; peer PEER; run may_have_run; reason the upstream refused with status 503; tried ['e1', 'e2', 'e2']; took_ms 174

--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -480,6 +480,12 @@
             lambda request: order_fixture.STALL_MS,
         )
 
+    def test_refused_before_the_first_event(self):
+        """Guards against an error instead of a late answer."""
+        future = self.begin_search(*["refuse"] * OFTEN, events=0)
+        self.continue_after(self.is_decode_sent)
+        self.check_complete(future)
+
     def test_key_revoked_before_the_first_event(self):
         """Guards against leaving an engine for a search that is not allowed
         to begin.
