Test that fails: test_waiting_connection_is_answered

At fault: server/workers.WorkerPool.stop closes the queued connections; Router._drain waits for gateway.running only, which doesn't count them.

Trace of the run (fails):

AssertionError: b'HTTP/1.1 ' not found in b''

--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -656,6 +656,27 @@
         self.assertIn(b" 503 ", self.read_status(connection))
 
 
+class FewThreadsTest(StoppingTest):
+    """A connection waits for the only worker while the VM stops."""
+
+    threads = 1
+
+    def test_waiting_connection_is_answered(self):
+        """Guards against closing a connection that waits for a worker
+        without an answer.
+        """
+        first, second = self.connect(), self.connect()
+        self.send_raw(first, b"{")
+        self.await_true(self.router.server.requests.count)
+        self.send_raw(second)
+        self.await_true(lambda: self.router.server.requests.qsize)
+        self.begin_stop()
+        self.await_true(lambda: self.router.server.requests._is_stopping)
+        first.sendall(b"}")
+        self.assertIn(b" 503 ", self.read_status(first))
+        self.assertIn(b"HTTP/1.1 ", self.read_status(second))
+
+
 class QueuedStopTest(StoppingTest):
     """A stream waits in the queue while the VM stops."""
 
