Test that fails: test_client_closed_before_the_call

Order: server chosen and its client found, tables without it come into force and close the client, call on the closed pool: 502 'may have run' although nothing was sent, no other server is tried (a complete error answer, no cut).

At fault: upstreams/connections.classify_failure: ClosedPoolError isn't among CONNECT_ERRORS -> UPSTREAM_FAILED, MAY_HAVE_RUN, has_died if the port is closed; platform/directory.update_tables.

Trace of the run (fails):

AssertionError: 502 != 200 calls: {'e0': [], 'e1': [], 'e2': [] silent engine left: False retries withdrawn: 0 a call to a server failed; code upstream_failed; step service; peer PEER; run may_have_run; reason call failed: ClosedPoolError; took_ms 51

--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -731,3 +731,26 @@
     def test_call_whose_pool_and_key_are_removed(self):
         """Guards against ending a call with its configuration."""
         self.check_kept("/plain/a", pools=(), routes=False, keys=("k-new",))
+
+    def test_client_closed_before_the_call(self):
+        """Guards against a failed call to a server that was removed between
+        its choice and the sending, although nothing was sent.
+        """
+        found = []
+        gate = gated_engine.Gate()
+        find = self.router.directory.find_service
+
+        def find_and_wait(pool, upstream):
+            found.append((upstream.name, find(pool, upstream)))
+            if len(found) == 1:
+                gate.wait()
+            return found[-1][1]
+
+        self.patch(self.router.directory, "find_service", find_and_wait)
+        future = self.send("/plain/a", headers={})
+        self.await_gate(gate)
+        self.budget.left = 0
+        self.change(**{found[0][0]: GONE})
+        gate.open()
+        reply = future.result(order_fixture.WAIT_S)
+        self.assertEqual(reply.status, 200, self.trace())
