Test that fails: test_pool_reset_before_the_call

Order: pool read for a call, another call's timeout replaces and closes it, call on the closed pool: 502 'may have run' although nothing was sent (a complete error answer, no cut; the same client carries prefills and reservations).

At fault: upstreams/connections.UpstreamClient.reset_pool / classify_failure (ClosedPoolError).

Trace of the run (fails):

AssertionError: 502 != 200 calls: {'e0': [], 'e1': [], 'e2': [] silent engine left: False retries withdrawn: 0 a call to a server failed; code upstream_failed; step service; peer PEER; run may_have_run; reason call failed: ClosedPoolError; took_ms 52 a request ended; code upstream_failed; step service; peer PEER; run may_have_run; reason call failed: ClosedPoolError; tried ['s0']; took_ms 58

--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -754,3 +754,24 @@
         gate.open()
         reply = future.result(order_fixture.WAIT_S)
         self.assertEqual(reply.status, 200, self.trace())
+
+    def test_pool_reset_before_the_call(self):
+        """Guards against a failed call whose connection pool another call's
+        timeout has replaced, although nothing was sent.
+        """
+        gate = gated_engine.Gate()
+        pool = self.source.get_tables().pools["app"]
+        clients = [
+            self.router.directory.find_service(pool, row)._client
+            for row in pool.upstreams
+        ]
+        for client in clients:
+            self.patch(client, "_get_pool", _wait_after(client, gate))
+        self.budget.left = 0
+        future = self.send("/plain/a", headers={})
+        self.await_gate(gate)
+        for client in clients:
+            client.reset_pool()
+        gate.open()
+        reply = future.result(order_fixture.WAIT_S)
+        self.assertEqual(reply.status, 200, self.trace())
