Test that fails: test_silent_server_and_refusal

Order: idempotent call, first server silent, left at half of the time, second refuses, 502 at half of the time; the first answers a moment later (a complete error answer, no cut).

At fault: service_forward.ServiceForward._compute_timeout_ms / _forward (REMAINING_TIME_DIVISOR, no return to the first server).

Trace of the run (fails):

AssertionError: 502 != 200 calls: {'e0': [], 'e1': [], 'e2': [], 's0': ['call'], 's1': ['call']} silent engine left: False retries withdrawn: 1 a call to a server failed; code upstream_timeout; step service; peer PEER; run may_have_run; reason call failed: ReadTimeoutError; took_ms 1002 a call to a server failed; code upstream_refused; step service; peer PEER; run not_run; reason the upstream refused with status 503; took_ms 3 a request ended; code upstream_refused; step service; peer PEER; run may_have_run; reason the upstream refused with status 503; tried ['s0', 's1']; took_ms 1007

--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -775,3 +775,14 @@
         gate.open()
         reply = future.result(order_fixture.WAIT_S)
         self.assertEqual(reply.status, 200, self.trace())
+
+    def test_silent_server_and_refusal(self):
+        """Guards against leaving a silent server for one that refuses."""
+        future, name, gates = self.begin_call("/plain/a")
+        (other,) = set(SERVICES) - {name}
+        self.engines[other].actions.extend(["refuse"] * OFTEN)
+        gates[other].open()
+        self.await_true(lambda: self.engines[other].calls)
+        gates[name].open()
+        reply = future.result(order_fixture.WAIT_S)
+        self.assertEqual(reply.status, 200, self.trace())
