--- a/tests/gated_engine.py
+++ b/tests/gated_engine.py
@@ -109,9 +109,9 @@
     ``end`` or ``call``) to the gate at which a call waits before it has an
     effect.
     ``actions`` holds what happens to the next decodes or calls: ``stream``,
-    ``refuse``, ``reset``, ``close``, ``head`` (no event follows) or
-    ``head_close`` (the connection closes before the first event); after
-    that, all are served.
+    ``refuse``, ``misdirect`` (another server has the address), ``reset``,
+    ``close`` or ``head_close`` (the connection closes before the first
+    event); after that, all are served.
 
     :param name: name of its incarnation
     :param handles: the prefill results of all engines of a test
@@ -247,6 +247,8 @@
         action = self.actions.popleft() if self.actions else "stream"
         if action == "refuse":
             self._refuse(handler)
+        elif action == "misdirect":
+            handler.reply(421)
         elif action in ("reset", "close"):
             handler.abort(action == "reset")
         elif action != "stream":
@@ -270,7 +272,7 @@
             return
         first = int(handler.headers.get("Last-Event-Id", "0")) + 1
         for number in range(first, EVENT_COUNT + 1):
-            if action == "head" or not self._wait_allowed(handler, number):
+            if not self._wait_allowed(handler, number):
                 break
             event = b"id: %d\ndata: t%d\n\n" % (number, number)
             if number == HALF_EVENT and "half" in self.gates:
@@ -284,8 +286,6 @@
             handler.wfile.write(LAST_CHUNK)
             self.has_ended = True
             return
-        if action == "head":
-            self._wait_allowed(handler, EVENT_COUNT + 1)
         handler.close_connection = True
 
     def _wait_allowed(self, handler, number):
