Test that fails: test_restarted_under_another_name

Order: grant, the engine restarts under another name at its address, silent engine left, decode refused with 421, 2 attempts used, silent engine goes on.

At fault: model_engines.EngineCalls._decode_once calls may_begin (model_run.ModelRequest._switch_to_replacement -> pump.Relay.try_close_source) before the decode is sent; pump.Relay._keep_source aborts since the source is closed.

Trace of the run (fails):

AssertionError: Lists differ: [1, 2, 3, 4, 5] != [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20] calls: {'e0': ['prefill', 'prefill', 'drop'], 'e1': ['decode'], 'e2': ['reserve', 'decode', 'decode'] silent engine left: True retries withdrawn: 2 an attempt failed; code upstream_timeout; step decode; peer e1; run may_have_run; reason token timeout a prompt was read in vain; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 421 an attempt failed; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 421 no other engine is tried; code upstream_refused; step decode; peer PEER; run not_run; reason the upstream refused with status 421; obstacle its route allows no further attempt; attempts 2; tries 2 a silent engine is waited for; code upstream_refused; step decode; peer PEER; run may_have_run; reason the upstream refused with status 421; attempts 2; tries 2 a request ended; code upstream_refused; step decode; peer PEER; run may_have_run; reason the upstream refused with status 421; tried ['e1', 'e2', 'e2']; took_ms 173

--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -5,6 +5,7 @@
 decode is sent, answered and begun.
 """
 
+import concurrent.futures
 import contextlib
 import http.client
 import socket
@@ -15,6 +16,7 @@
 from mulberryway.upstreams import decode_call
 from tests import gated_engine
 from tests import order_fixture
+from tests import processes
 
 READY = order_fixture.READY
 LEAVING = order_fixture.LEAVING
@@ -234,6 +236,14 @@
         self.continue_after(self.is_decode_sent)
         self.check_complete(future)
 
+    def test_restarted_under_another_name(self):
+        """Guards against leaving an engine for one that has restarted since
+        it granted the room.
+        """
+        future = self.begin_search(*["misdirect"] * OFTEN)
+        self.continue_after(self.is_decode_sent)
+        self.check_complete(future)
+
     def test_reset_instead_of_an_answer(self):
         """Guards against leaving an engine for one that resets the decode."""
         future = self.begin_search(*["reset"] * OFTEN)
