Test that fails: test_withdrawn_engine_is_released

Order: the new engine becomes draining during the prefill, silent engine left, decode moved to the silent engine itself; the drained engine's reservation and prepared connection are never released (no hold-drop; PlatformEngine._prepared keeps the socket until the engine leaves the tables). Not a cut by itself.

At fault: model_engines.EngineCalls._reassign_decode changes attempt.decode without attempt.decode.release(label); Attempt.free and EngineCalls.run release the last one only.

Trace of the run (fails):

AssertionError: False is not true calls: {'e0': ['prefill', 'prefill'], 'e1': ['decode', 'decode'], 'e2': ['reserve'] silent engine left: True retries withdrawn: 1 an attempt failed; code upstream_timeout; step decode; peer e1; run may_have_run; reason token timeout a request ended; tried ['e1', 'e1']; took_ms 169

--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -340,6 +340,20 @@
         """Guards against leaving an engine for one that was removed."""
         self.check_withdrawn(GONE)
 
+    def test_withdrawn_engine_is_released(self):
+        """Guards against a connection and a reservation that stay open at
+        an engine that was withdrawn before the decode was sent.
+        """
+        future, gate = self.begin_gated_search()
+        self.change(e2=LEAVING)
+        gate.open()
+        self.continue_after(self.is_left_or_kept)
+        self.check_complete(future)
+        is_released = processes.wait_until(
+            lambda: "drop" in self.other.calls, 1
+        )
+        self.assertTrue(is_released, self.trace())
+
     def test_grant_lapsed_while_the_prompt_is_read(self):
         """Guards against leaving an engine for one that is full again since
         its grant has lapsed.
