Test that fails: test_engine_kept_until_the_deadline

Order: one attempt allowed, the engine sends no head until 0.7 of the time: 504 at half of the time (a complete error answer, no cut; the same for streams that may run once only).

At fault: model_engines.compute_attempt_timeout_ms halves the time left even if no other engine may be tried (ServiceForward._compute_timeout_ms doesn't).

--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -493,6 +493,24 @@
         self.check_complete(future)
 
 
+class BeforeHeadTest(SearchTest):
+    """The only engine sends its head late."""
+
+    max_attempts = 1
+    route_ms = 2_000
+
+    def test_engine_kept_until_the_deadline(self):
+        """Guards against an error at half of the time, although no other
+        engine may be tried and the first one answers later.
+        """
+        gate = self.silent.place_gate("decode")
+        future = self.send()
+        self.await_gate(gate)
+        concurrent.futures.wait([future], self.route_ms * 0.7 / 1_000)
+        gate.open()
+        self.check_complete(future)
+
+
 class BeforeFirstEventTest(SearchTest):
     """An engine that has sent its head and no event."""
 
