Test that fails: test_start_deadline_passed_while_the_prompt_is_read

Order: 4 attempts allowed, the prefill takes longer than the time in which a job may still start (0.55 of the caller's patience since the search began), silent engine left, decode reset, the next attempt is refused in the queue ('deadline_exceeded'), silent engine goes on.

At fault: model_job.JobBuilder._compute_start_deadline applies to attempts after the silent engine was left; DEADLINE_EXCEEDED can't be retried; model_engines.EngineCalls._decode_once calls may_begin (model_run.ModelRequest._switch_to_replacement -> pump.Relay.try_close_source) before the decode is sent.

Trace of the run (fails):

AssertionError: Lists differ: [1, 2, 3, 4, 5] != [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20] calls: {'e0': ['prefill', 'prefill', 'drop'], 'e1': ['decode'], 'e2': ['reserve', 'decode'] silent engine left: True retries withdrawn: 2 an attempt failed; code upstream_timeout; step decode; peer e1; run may_have_run; reason token timeout a prompt was read in vain; code upstream_failed; step decode; peer PEER; run may_have_run; reason call failed: ConnectionResetError an attempt failed; code upstream_failed; step decode; peer PEER; run may_have_run; reason call failed: ConnectionResetError an attempt failed; code deadline_exceeded; step queue; peer llm; run not_run; reason the prefill would take longer than the deadline allows a silent engine is waited for; code deadline_exceeded; step queue; peer llm; run may_have_run; reason the prefill would take longer than the deadline allows; attempts 2; tries 3 a request ended; code deadline_exceeded; step queue; peer llm; run may_have_run; reason the prefill would take longer than the deadline allows; tried ['e1', 'e2']; took_ms 4211

--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -27,6 +27,7 @@
 SERVICES = ("s0", "s1")
 LONG_MS = 10_000
 SHORT_MS = 200
+START_MARGIN_MS = 10
 HEADERS = {
     "Host": "site.example",
     "Attempt-Id": "k",
@@ -468,6 +469,7 @@
     """A route that allows more attempts than the retry budget."""
 
     max_attempts = 4
+    hold_ms = 4_000
 
     def test_retry_budget_used_up_after_a_refusal(self):
         """Guards against leaving an engine when one refusal is final."""
@@ -486,6 +488,17 @@
         self.continue_after(self.is_left_or_kept)
         self.check_complete(future)
 
+    def test_start_deadline_passed_while_the_prompt_is_read(self):
+        """Guards against leaving an engine when the time for a further
+        attempt has passed.
+        """
+        future, gate = self.begin_gated_search("prefill", *["reset"] * OFTEN)
+        # The grant still holds, but no job may start any more.
+        self.clock.shift_ms += self.hold_ms - START_MARGIN_MS
+        gate.open()
+        self.continue_after(self.is_left_or_kept)
+        self.check_complete(future)
+
     def test_all_attempts_refused(self):
         """Guards against an answer that ends with its route's attempts."""
         future = self.begin_search(*["refuse"] * OFTEN)
