Exclude failed engines by the tables in force, not by those of the arrival

Cause: whether any engine remains beside those that failed a request was asked of the tables of its arrival. After all other engines had been replaced, none remained there, nothing was excluded, and the search could choose the stalled engine again.

The tests of the jobs construct the builder with a source.

--- a/mulberryway/filters/model_job.py
+++ b/mulberryway/filters/model_job.py
@@ -31,13 +31,20 @@
 
     :param exchange: the request
     :param clock_: the source of the current time
+    :param source: provides the active tables
     """
 
-    __slots__ = ("_exchange", "_clock")
+    __slots__ = ("_exchange", "_clock", "_source")
 
-    def __init__(self, exchange: base.Exchange, clock_: clock.Clock) -> None:
+    def __init__(
+        self,
+        exchange: base.Exchange,
+        clock_: clock.Clock,
+        source: tables.TableSource,
+    ) -> None:
         self._exchange = exchange
         self._clock = clock_
+        self._source = source
 
     def make(
         self,
@@ -105,10 +112,13 @@
         If every upstream of a pool has failed once, retrying is better than
         giving up: a restarted engine serves within seconds.
         """
+        # Upstreams may have registered since the request arrived.
+        newest = self._source.get_tables() or self._exchange.tables
+        pool = newest.pools.get(self._exchange.pool.name, self._exchange.pool)
         names_by_role = {
             role: {
                 upstream.name
-                for upstream in self._exchange.pool.upstreams
+                for upstream in pool.upstreams
                 if upstream.role in (role, tables.UpstreamRole.BOTH)
             }
             for role in (
--- a/tests/test_model_job.py
+++ b/tests/test_model_job.py
@@ -7,6 +7,7 @@
 from mulberryway import tables
 from mulberryway.filters import model_job
 from mulberryway.policy import queue_entries
+from tests import router_fixture
 
 ARRIVED_MS = 1_000
 TARGET_MS = 900
@@ -18,6 +19,7 @@
         request_id="r",
         account=types.SimpleNamespace(name="a", weight=1),
         pool=types.SimpleNamespace(name="p", upstreams=()),
+        tables=types.SimpleNamespace(pools={}),
         model="m",
         estimate=100,
         max_tokens=100,
@@ -37,7 +39,11 @@
             target_gap_ms=300,
         ),
     )
-    builder = model_job.JobBuilder(exchange, clock.ManualClock(now_ms))
+    builder = model_job.JobBuilder(
+        exchange,
+        clock.ManualClock(now_ms),
+        router_fixture.StaticTables(),
+    )
     limit = clock.Deadline(now_ms + 10_000)
     return builder.make(0, frozenset(), limit, since_ms)
 
