Serve connections that wait for a worker before the server stops

What callers saw: a connection that waited for a free worker while the VM stopped was closed without an answer.

Cause: WorkerPool.stop closed the queue before it waited for the workers. They now empty it, within the time that the stop has; what is left is closed.

Evidence: test_waiting_connection_is_answered failed before and passes now.

--- a/mulberryway/server/workers.py
+++ b/mulberryway/server/workers.py
@@ -105,22 +105,23 @@
             return True
 
     def stop(self, timeout: float = 5) -> None:
-        """Stop all workers and close the queued connections.
+        """Stop all workers after they have served the queued connections.
 
         :param timeout: maximum wait for running requests, in seconds
         """
         with self._lock:
             self._is_stopping = True
             workers = list(self._workers)
-            waiting, self._queue = self._queue, collections.deque()
             for worker in self._idle:
                 worker.assign(None)
             self._idle.clear()
-        for connection in waiting:
-            connection.close()
         deadline_s = time.monotonic() + max(timeout, 0)
         for worker in workers:
             worker.end(deadline_s)
+        with self._lock:
+            waiting, self._queue = self._queue, collections.deque()
+        for connection in waiting:
+            connection.close()
 
     def _add_worker(self, connection: typing.Any) -> bool:
         """Start a worker for a connection; the lock must be held.
