Give a resumed stream the timeout between events

Cause: the engine that resumes a stream had the timeout of the first event, half of the time that the request had at its start, counted anew. A silent one was not looked at again before the caller left.

--- a/mulberryway/relay/pump.py
+++ b/mulberryway/relay/pump.py
@@ -175,9 +175,12 @@
         source = stream.source
         if source is None:
             return
-        stream.token_deadline_ms = (
-            self._loop.now_ms + stream.first_token_timeout_ms
+        timeout_ms = (
+            stream.token_timeout_ms
+            if stream.expected
+            else stream.first_token_timeout_ms
         )
+        stream.token_deadline_ms = self._loop.now_ms + timeout_ms
         source.connection.setblocking(False)
         self._watch_source(stream, source)
         if source.buffered:
