Stop idle HTTP servers at once, so that a stop ends within its grace

Cause, traced with times of each step: from 7.2 s on the VM stopped its three HTTP servers one after another (7.20 to 8.01, 8.95 and 9.96 s). cheroot's stop() waits until the accepting thread looks at its flag, which an idle thread does once a second, and opens the connection that would wake it only after that. All that came after them took less than 10 ms.

Ruled out: running requests (none), the wait for cancels (none open) and controllers (each below 10 ms).

HttpServer.stop sets the flag and wakes the thread first. The new test, with the interval at 60 s, took 59.5 s to stop before and passes now.

--- a/mulberryway/server/http_server.py
+++ b/mulberryway/server/http_server.py
@@ -29,6 +29,7 @@
 # callers would only wait for replies that arrive too late.
 QUEUE_PER_THREAD = 4
 REJECT_READ_BYTES = 262_144
+WAKE_TIMEOUT_S = 0.2
 
 
 class HttpServer(server.HTTPServer):
@@ -92,6 +93,26 @@
             except Exception:
                 LOG.exception("processing of connections failed")
 
+    def stop(self) -> None:
+        """Stop the server and wait for running requests for some seconds.
+
+        cheroot waits until the accepting thread looks at its flag, which an
+        idle thread does once per ``expiration_interval``, and only then wakes
+        it with a connection.
+        """
+        if self.ready:
+            self._connections._stop_requested = True
+            self._wake_accepting_thread()
+        super().stop()
+
+    def _wake_accepting_thread(self) -> None:
+        try:
+            socket.create_connection(
+                self.bind_addr[:2], WAKE_TIMEOUT_S
+            ).close()
+        except OSError as error:
+            LOG.debug("the accepting thread was not woken: %r", error)
+
     def bind(self, family: int, type: int, proto: int = 0) -> socket.socket:
         """Bind the listening socket.
 
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -2,11 +2,18 @@
 
 import json
 import socket
+import time
 import unittest
+from unittest import mock
 
+from mulberryway.server import http_server
 from tests import processes
 from tests import router_fixture
 
+# Longer than any test waits.
+LONG_INTERVAL_S = 60.0
+MAX_STOP_S = 5
+SETTLE_S = 0.5
 KEY_LINE = f"Authorization: Bearer {router_fixture.KEY}\r\n"
 
 
@@ -135,6 +142,23 @@
                 connection.close()
 
 
+class StopTest(unittest.TestCase):
+    @mock.patch.object(
+        http_server.HttpServer, "expiration_interval", LONG_INTERVAL_S
+    )
+    def test_idle_server_stops_at_once(self):
+        """Guards against a VM that is killed at the end of its grace period
+        because each of its servers first waits for its idle check.
+        """
+        rig = router_fixture.RouterFixture(router_fixture.make_tables())
+        with rig:
+            self.assertEqual(rig.call("GET", "/readyz", key="").status, 200)
+            # Wait until the accepting thread sleeps again.
+            time.sleep(SETTLE_S)
+            started_s = time.monotonic()
+        self.assertLess(time.monotonic() - started_s, MAX_STOP_S)
+
+
 class NoTablesTest(unittest.TestCase):
     def test_reply_without_configuration(self):
         """A VM starts while the platform is down and no other VM is
