Stop the VM only after all streams of the shutdown test have begun

The test of a graceful shutdown stopped the VM as soon as one of its six streams ran. A VM with a grace of 4 s rejects new streams from the signal on, so those of the six that arrived later got 503 (`stopping`, not run), and the test demanded 200 for them.

Now all six must run on the engine when the signal comes, and each must arrive with all its events in order; the other conditions are unchanged. So the streams have a route of their own, with time enough, and are sped up after the signal. A router that does not wait for running requests fails the test.

--- a/tests/hosted_fleet.py
+++ b/tests/hosted_fleet.py
@@ -22,6 +22,11 @@
     "header_ms": 3000,
     "idle_ms": 15000,
 }
+# Interval of the events on the slow route: a stream takes 16 s, unless the
+# engine is told to send the rest faster.
+SLOW_EVENT_MS = 800
+FAST_EVENT_MS = 10
+SLOW_DEADLINE_MS = 30_000
 STREAM = {"Model": "m", "Token-Counts": "100,20", "Length-Hint": "20"}
 
 
@@ -32,6 +37,7 @@
     :param rate: the rate of the account ``small`` in tokens per second
     :param phases: the phase of each engine
     :param engine_tokens: the capacity of an engine's KV cache in tokens
+    :param router: settings of the VMs' routers that replace the defaults
     """
 
     def __init__(
@@ -40,6 +46,7 @@
         rate=1_000_000,
         phases=("prefill", "decode"),
         engine_tokens=96_693,
+        router=None,
     ):
         self.kv_capacity_tokens = engine_tokens
         self.group = processes.Group()
@@ -48,6 +55,7 @@
             self.group, "hosted_store"
         )
         self.rate = rate
+        self.router = router or {}
         self.version = 0
         self.upstreams = {}
         self.phases = phases
@@ -192,6 +200,31 @@
         }
         self.put("config", "main", value)
 
+    def slow_down_streams(self, engine="e1"):
+        """Add a route whose streams run for seconds, on a busy machine too.
+
+        :param engine: the only engine that decodes
+        """
+        route = make_route("r-slow", "/slow/", "llm", "streaming", 1)
+        slow = {"timeout_ms": SLOW_DEADLINE_MS, "target_gap_ms": 1_000}
+        self.configure(more=[route | slow])
+        for number in range(len(self.vms)):
+            processes.wait_until(
+                lambda n=number: self.send_slow(n, f"slow-{n}").status == 200
+            )
+        self.set_fault(engine, event_ms=SLOW_EVENT_MS)
+
+    def send_slow(self, number, attempt, **options):
+        """Send one stream on the slow route and return its reply."""
+        return self.send(
+            number,
+            "/slow/a",
+            attempt,
+            headers=STREAM,
+            deadline_ms=SLOW_DEADLINE_MS,
+            **options,
+        )
+
     def start_vm(self, number, store_port=None):
         """Start an entry VM and return it without waiting for it to listen."""
         file = self.write_settings(number, store_port)
@@ -222,7 +255,8 @@
                 "entry_ttl_ms": 300,
                 "entry_lives": 3,
                 "grace_s": 4,
-            },
+            }
+            | self.router,
             "peers": {
                 "port": peers,
                 "secret": "s",
@@ -300,8 +334,12 @@
     body=b"{}",
     headers=None,
     deadline_ms=4000,
+    kept=None,
 ):
-    """Send one request; ``is_cut`` is set in the reply if it was cut off."""
+    """Send one request; ``is_cut`` is set in the reply if it was cut off.
+
+    :param kept: an open connection to send it on, instead of a new one
+    """
     sent = {
         "Host": SITE,
         "Attempt-Id": attempt,
@@ -309,7 +347,7 @@
         "Authorization": f"Token {key}",
         **(headers or {}),
     }
-    connection = http.client.HTTPConnection(HOST, port, timeout=10)
+    connection = kept or connect(port)
     try:
         connection.request(method, path, body, sent)
         reply = connection.getresponse()
@@ -320,7 +358,13 @@
                 reply.status, reply.headers, cut.partial, True
             )
     finally:
-        connection.close()
+        if not kept:
+            connection.close()
+
+
+def connect(port):
+    """Return a connection that can be kept for several requests."""
+    return http.client.HTTPConnection(HOST, port, timeout=10)
 
 
 def open_stream(port, path, attempt):
--- a/tests/test_hosted_processes.py
+++ b/tests/test_hosted_processes.py
@@ -8,7 +8,8 @@
 from tests import hosted_fleet
 from tests import processes
 
-ALL = list(range(1, 21))
+STREAMS = 6
+EVENT_IDS = list(range(1, 21))
 
 
 class HostedFaultTest(unittest.TestCase):
@@ -108,29 +109,40 @@
         discovery responses at once, and every running stream must complete.
         """
         with hosted_fleet.Fleet() as fleet:
+            fleet.slow_down_streams()
             with concurrent.futures.ThreadPoolExecutor() as pool:
                 streams = [
-                    pool.submit(
-                        fleet.send,
-                        0,
-                        "/talk/a",
-                        f"s-{n}",
-                        headers=hosted_fleet.STREAM,
-                    )
-                    for n in range(6)
+                    pool.submit(fleet.send_slow, 0, f"s-{n}")
+                    for n in range(STREAMS)
                 ]
-                processes.wait_until(
-                    lambda: fleet.read_state("e1")["running"] > 0
+                # With this grace period a VM rejects new streams from the
+                # signal on, so all must have begun before it.
+                self.assertTrue(
+                    processes.wait_until(
+                        lambda: fleet.read_state("e1")["running"] == STREAMS,
+                        10,
+                    ),
+                    fleet.read_logs(),
                 )
                 fleet.vms[0].terminate()
                 self.assertTrue(
                     processes.wait_until(
                         lambda: not fleet.is_ready(fleet.ports[0]), 2
-                    )
+                    ),
+                    fleet.read_logs(),
                 )
+                fleet.set_fault("e1", event_ms=hosted_fleet.FAST_EVENT_MS)
                 replies = [future.result() for future in streams]
-            self.assertEqual([future.status for future in replies], [200] * 6)
-            self.assertFalse(any(future.is_cut for future in replies))
+            self.assertEqual(
+                [reply.status for reply in replies],
+                [200] * STREAMS,
+                fleet.read_logs(),
+            )
+            self.assertFalse(any(reply.is_cut for reply in replies))
+            self.assertEqual(
+                [hosted_fleet.list_ids(reply.body) for reply in replies],
+                [EVENT_IDS] * STREAMS,
+            )
             remaining = {f"{hosted_fleet.HOST}:{fleet.ports[1][0]}"}
             self.assertTrue(
                 processes.wait_until(
--- a/tools/suite.py
+++ b/tools/suite.py
@@ -30,6 +30,7 @@
 LONGEST_FIRST = (
     "test_soak",
     "test_hosted_processes",
+    "test_hosted_shutdown",
     "test_hosted_streams",
     "test_hosted_upstreams",
     "test_admin_processes",
