Print the complete logs of all VMs with each failure of a fleet's test

A failed assertion printed the last 200 lines of each VM's log, and an error that is no assertion, such as a port that never opens, printed none. Now the whole logs are printed with any failure inside the fleet's context.

A soak's logs are kept as files and are too long for its report, so its cluster passes no error on, as before.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -75,7 +75,8 @@
         self._stopping.set()
         for vm in self.vms:
             vm.send_signal(signal.SIGCONT)
-        super().__exit__(*reason)
+        # Without the reason: the logs of a soak are too long for its report.
+        super().__exit__()
 
     def start_vm(
         self, number: int, store_port: int | None = None
--- a/tests/hosted_fleet.py
+++ b/tests/hosted_fleet.py
@@ -11,9 +11,6 @@
 from tests import processes
 
 HOST = "127.0.0.1"
-# Log lines per VM in the report of a failed test; a VM logs fewer while the
-# test starts.
-MAX_LOG_LINES = 200
 SITE = "site.example"
 KEYS = {"k-large": "large", "k-small": "small"}
 LIMITS = {
@@ -81,9 +78,11 @@
         processes.wait_until(lambda: all(map(self.is_ready, self.ports)))
         processes.wait_until(lambda: self.list_resolved() == self.fronts())
 
-    def __exit__(self, *_):
+    def __exit__(self, kind=None, error=None, traceback=None):
         for vm in filter(None, self.vms):
             vm.kill()
+        if error is not None and (logs := self.read_logs()) not in str(error):
+            error.add_note(logs)
         self.group.stop()
         self.folder.cleanup()
 
@@ -280,13 +279,11 @@
         return pathlib.Path(self.folder.name) / f"vm{number}.log"
 
     def read_logs(self):
-        """Return the last log lines of all VMs, for failed tests."""
+        """Return the complete logs of all VMs, for failed tests."""
         return "\n".join(
-            line
+            self.find_log(number).read_text()
             for number in range(len(self.vms))
-            for line in self.find_log(number)
-            .read_text()
-            .splitlines()[-MAX_LOG_LINES:]
+            if self.find_log(number).exists()
         )
 
     def fronts(self):
