--- a/mulberryway/commands/entry.py
+++ b/mulberryway/commands/entry.py
@@ -1,8 +1,9 @@
 """The program that runs an entry VM on the operators' platform."""
 
+import faulthandler
+import importlib
 import sys
 
-from absl import app
 from absl import flags
 
 from mulberryway import errors
@@ -39,7 +40,15 @@
 def run() -> None:
     """Run the program; the entry point of the package."""
     flags.mark_flag_as_required("settings")
-    app.run(main)
+    try:
+        arguments = FLAGS(sys.argv)
+    except flags.Error:
+        # Explains the flags and exits; its import loads a debugger, which
+        # each start of a VM would pay for.
+        importlib.import_module("absl.app").run(main)
+    else:
+        faulthandler.enable()
+        sys.exit(main(arguments))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/test_entry_imports.py
@@ -0,0 +1,50 @@
+"""Tests of what a start of the entry program loads."""
+
+import subprocess
+import sys
+import unittest
+
+from tests import processes
+
+LIST_MODULES = (
+    "import sys; import mulberryway.commands.entry; print(*sys.modules)"
+)
+# Each start of a VM would pay for them, and no entry VM uses them.
+UNUSED = ("absl.app", "pdb")
+
+
+class EntryImportsTest(unittest.TestCase):
+    def test_unused_modules_are_not_loaded(self):
+        """A restart of the whole fleet spends its time on unused modules."""
+        listing = subprocess.run(
+            [sys.executable, "-c", LIST_MODULES],
+            cwd=processes.ROOT,
+            capture_output=True,
+            check=True,
+            text=True,
+        )
+        loaded = listing.stdout.split()
+        self.assertEqual([name for name in UNUSED if name in loaded], [])
+
+    def test_flags_are_still_explained(self):
+        """A mistyped flag ends the program without a word on the flags."""
+        for flag in ("--help", "--setings=x"):
+            with self.subTest(flag=flag):
+                ended = subprocess.run(
+                    [
+                        sys.executable,
+                        "-m",
+                        "mulberryway.commands.entry",
+                        flag,
+                    ],
+                    cwd=processes.ROOT,
+                    capture_output=True,
+                    check=False,
+                    text=True,
+                )
+                self.assertEqual(ended.returncode, 1)
+                self.assertIn("--help", ended.stdout + ended.stderr)
+
+
+if __name__ == "__main__":
+    unittest.main()
