Metrics: load the Prometheus client at the first scrape

prometheus_client and the exporter load 38 modules, among them http.server, wsgiref and urllib.request, at each start of a VM, scraped or not; and with a second reader each measurement was aggregated twice. The text is now written from the values of the reader in memory, by a subclass of the exporter's reader that is imported for the first scrape, so its totals still begin at the start of the process (tested). The first scrape takes the time that starts took.

--- a/mulberryway/metrics.py
+++ b/mulberryway/metrics.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import importlib
+import threading
 import typing
 
 from opentelemetry import metrics
@@ -49,14 +50,9 @@
             readers.append(
                 export.PeriodicExportingMetricReader(exporter, export_ms)
             )
-        self._registry: typing.Any = None
-        if serves_text:
-            self._registry = importlib.import_module("prometheus_client")
-            readers.append(
-                importlib.import_module(
-                    "opentelemetry.exporter.prometheus"
-                ).PrometheusMetricReader()
-            )
+        self._serves_text = serves_text
+        self._text: typing.Any = None
+        self._text_lock = threading.Lock()
         self._provider = sdk.MeterProvider(
             readers,
             resources.Resource(
@@ -153,14 +149,23 @@
 
     def write_text(self) -> bytes:
         """Return all current values in the Prometheus text format."""
-        if self._registry is None:
+        if not self._serves_text:
             return b""
-        exposition: bytes = self._registry.generate_latest()
+        with self._text_lock:
+            if self._text is None:
+                # Imported only when needed; many VMs are never scraped.
+                module = importlib.import_module("mulberryway.metrics_text")
+                self._text = module.MetricsText(
+                    self._memory_reader.get_metrics_data
+                )
+        exposition: bytes = self._text.write()
         return exposition
 
     def stop(self) -> None:
         """Export pending values and shut down."""
         self._provider.shutdown()
+        if self._text is not None:
+            self._text.shutdown()
 
 
 def _read_point(point: typing.Any) -> dict[str, typing.Any]:
--- a/tests/test_entry_imports.py
+++ b/tests/test_entry_imports.py
@@ -5,15 +5,19 @@
 import sys
 import unittest
 
+from mulberryway import metrics
 from tests import processes
 from tests import router_fixture
 
 LIST_MODULES = (
     "import sys; import mulberryway.commands.entry;"
-    " import mulberryway.commands.entry_program; print(*sys.modules)"
+    " import mulberryway.commands.entry_program;"
+    " from mulberryway import metrics;"
+    " metrics.Metrics('vm0', serves_text=True);"
+    " print(*sys.modules)"
 )
 # Each start of a VM would pay for them, and no entry VM uses them.
-UNUSED = ("absl.app", "pdb")
+UNUSED = ("absl.app", "http.server", "pdb", "prometheus_client")
 
 
 class EntryImportsTest(unittest.TestCase):
@@ -48,6 +52,22 @@
                 self.assertEqual(ended.returncode, 1)
                 self.assertIn("--help", ended.stdout + ended.stderr)
 
+    def test_first_scrape_has_the_totals_since_the_start(self):
+        """Requests before the first scrape are missing from all totals."""
+        metrics_ = metrics.Metrics("vm0", serves_text=True)
+        self.addCleanup(metrics_.stop)
+        metrics_.requests.add(3, {"code": "scraped_late"})
+        line = b'mulberryway_requests_total{code="scraped_late",'
+        for total in (b"3.0", b"4.0"):
+            text = metrics_.write_text()
+            values = [
+                row.split()[-1]
+                for row in text.splitlines()
+                if row.startswith(line)
+            ]
+            self.assertEqual(values, [total])
+            metrics_.requests.add(1, {"code": "scraped_late"})
+
     def test_garbage_is_collected_once_the_router_runs(self):
         """The program stops collections to start, and they never resume."""
         self.addCleanup(gc.enable)
