Router: the native API holds the claim store

The router passed a claim store on to the native API's filters only, and so each entry VM of the platform, whose API has none, loaded the controllers of claims and their messages: 16 modules. NativeApi has a module of its own and gets the store itself; the router's API is a required argument.

--- a/benchmarks/static_router.py
+++ b/benchmarks/static_router.py
@@ -13,6 +13,7 @@
 from mulberryway import router
 from mulberryway import settings
 from mulberryway import tables
+from mulberryway.filters import native_api
 from mulberryway.policy import allowance
 from mulberryway.policy import endpoints
 from mulberryway.policy import scheduler
@@ -93,6 +94,7 @@
         scheduler.FairScheduler("bench"),
         UnlimitedAllowances(),
         EmptyDirectory(),
+        native_api.NativeApi(),
     )
     stopping = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stopping.set())
--- a/mulberryway/assembly.py
+++ b/mulberryway/assembly.py
@@ -23,6 +23,7 @@
 from mulberryway.controllers import probing
 from mulberryway.controllers import reconciling
 from mulberryway.controllers import scheduler_gossip
+from mulberryway.filters import native_api
 from mulberryway.objects import call_metrics
 from mulberryway.objects import http as platform_http
 from mulberryway.peers import datagrams
@@ -275,9 +276,9 @@
             ),
             self.allowances,
             self.members,
+            native_api.NativeApi(self.claims),
             on_drain=lambda: self.members.update_local(is_stopping=True),
             directory_=self.directory,
-            claim_store=self.claims,
             has_settled=self.shares.has_all_holders,
             on_ready=lambda: self.members.update_local(is_starting=False),
         )
--- a/mulberryway/filters/caller_api.py
+++ b/mulberryway/filters/caller_api.py
@@ -5,22 +5,13 @@
 
 from mulberryway import settings
 from mulberryway import tables
-from mulberryway.controllers import claims
-from mulberryway.filters import admission
-from mulberryway.filters import authentication
 from mulberryway.filters import base
 from mulberryway.filters import model_dependencies
-from mulberryway.filters import model_forward
-from mulberryway.filters import observe
-from mulberryway.filters import once
-from mulberryway.filters import route
-from mulberryway.filters import service_forward
 from mulberryway.filters import status
 from mulberryway.policy import allowance
 from mulberryway.policy import endpoints
-from mulberryway.policy import server_selection
 
-__all__ = ["FilterDependencies", "CallerApi", "NativeApi"]
+__all__ = ["FilterDependencies", "CallerApi"]
 
 
 class FilterDependencies:
@@ -31,7 +22,6 @@
     :param source: provides the active tables
     :param entries: lists the VMs that accept callers
     :param allowances: the token allowances of all client accounts
-    :param claim_store: claims calls that must run at most once, or none
     :param parts: the dependencies shared by all model requests
     """
 
@@ -41,7 +31,6 @@
         "source",
         "entries",
         "allowances",
-        "claim_store",
         "parts",
     )
 
@@ -52,7 +41,6 @@
         source: tables.TableSource,
         entries: endpoints.EndpointDirectory,
         allowances: allowance.Allowances,
-        claim_store: claims.ClaimStore | None,
         parts: model_dependencies.ModelDependencies,
     ) -> None:
         self.settings = settings_
@@ -60,7 +48,6 @@
         self.source = source
         self.entries = entries
         self.allowances = allowances
-        self.claim_store = claim_store
         self.parts = parts
 
 
@@ -84,39 +71,3 @@
         :param context: the dependencies of the filters
         """
         return [status.MetricsEndpoint(context.parts.metrics)]
-
-
-class NativeApi(CallerApi):
-    """The native API, as described in docs/design/interfaces.md."""
-
-    def make_filters(
-        self, context: FilterDependencies
-    ) -> collections.abc.Sequence[base.Filter]:
-        """Return the filters for callers' requests, in order.
-
-        :param context: the dependencies of the filters
-        """
-        settings_, parts = context.settings, context.parts
-        return [
-            status.HealthEndpoint(context.lifecycle),
-            status.DiscoveryEndpoint(
-                context.entries,
-                settings_.vm_zone,
-                settings_.router_entry_ttl_ms,
-            ),
-            observe.RequestTelemetry(parts.tracer, parts.metrics, parts.clock),
-            status.ShutdownRejection(context.lifecycle),
-            authentication.Authentication(context.source),
-            route.RouteMatcher(),
-            admission.ModelRequestParser(),
-            admission.Admission(context.allowances),
-            model_forward.ModelForward(parts),
-            once.IdempotencyGuard(context.claim_store),
-            service_forward.ServiceForward(
-                parts.directory,
-                server_selection.ServerSelector(settings_.vm_zone),
-                parts.tracer,
-                parts.clock,
-                context.source,
-            ),
-        ]
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -294,11 +294,11 @@
             self.scheduler,
             self.allowances,
             _FleetEndpoints(self),
+            interface.PlatformInterface(self.retry_budget),
             self.retry_budget.try_withdraw,
             on_drain=lambda: self.members.update_local(is_stopping=True),
             directory_=self.directory,
             on_ready=lambda: self.members.update_local(is_starting=False),
-            api=interface.PlatformInterface(self.retry_budget),
             fault_format=FAULT_FORMAT,
             # On this platform a revoked key only prevents new requests;
             # running streams are completed.
--- a/mulberryway/router.py
+++ b/mulberryway/router.py
@@ -15,7 +15,6 @@
 from mulberryway import tables
 from mulberryway import traces
 from mulberryway.controllers import cancelling
-from mulberryway.controllers import claims
 from mulberryway.controllers import scheduling
 from mulberryway.filters import caller_api
 from mulberryway.filters import chain
@@ -78,15 +77,13 @@
     :param scheduler: assigns engines to model requests
     :param allowances: the token allowances of all client accounts
     :param entries: lists the VMs that accept callers
+    :param api: the interface for callers
     :param try_withdraw_retry: withdraws a retry from a pool's retry budget
     :param on_drain: called when new callers should use other VMs
     :param directory_: finds upstreams; over HTTP by default
-    :param claim_store: claims calls that must run at most once; without
-        one such calls are rejected
     :param has_settled: returns whether the accounts' tokens are available to
         this VM; not called again after it has returned true
     :param on_ready: called once, when the VM becomes ready for callers
-    :param api: the interface for callers; the native one by default
     :param fault_format: how faults are reported to callers
     :param closes_revoked_streams: whether a revoked key also ends running
         streams, or only prevents new requests
@@ -101,15 +98,14 @@
         scheduler: policy.Scheduler,
         allowances: allowance.Allowances,
         entries: endpoints.EndpointDirectory,
+        api: caller_api.CallerApi,
         try_withdraw_retry: collections.abc.Callable[
             [str], bool
         ] = lambda pool: True,
         on_drain: collections.abc.Callable[[], None] = lambda: None,
         directory_: directory.UpstreamDirectory | None = None,
-        claim_store: claims.ClaimStore | None = None,
         has_settled: collections.abc.Callable[[], bool] = lambda: True,
         on_ready: collections.abc.Callable[[], None] = lambda: None,
-        api: caller_api.CallerApi | None = None,
         fault_format: replies.FaultFormat = replies.NATIVE_FORMAT,
         closes_revoked_streams: bool = True,
     ) -> None:
@@ -134,12 +130,11 @@
         self._entries = entries
         self._try_withdraw_retry = try_withdraw_retry
         self._on_drain = on_drain
-        self._claim_store = claim_store
         self._incarnation = incarnation
         self._has_settled = has_settled
         self._was_settled = False
         self._on_ready = on_ready
-        self._api = api or caller_api.NativeApi()
+        self._api = api
         self._closes_revoked_streams = closes_revoked_streams
         self._stop_at_ms: int | None = None
         self._has_started = False
@@ -375,7 +370,6 @@
             self._source,
             self._entries,
             self._allowances,
-            self._claim_store,
             parts,
         )
 
--- a/tests/router_fixture.py
+++ b/tests/router_fixture.py
@@ -10,6 +10,7 @@
 from mulberryway import router
 from mulberryway import settings
 from mulberryway import tables
+from mulberryway.filters import native_api
 from mulberryway.policy import allowance
 from mulberryway.policy import baselines
 from mulberryway.policy import endpoints
@@ -147,6 +148,7 @@
         self.source = StaticTables(current)
         self.allowances = CountingAllowances()
         self.scheduler = scheduler or baselines.FirstComeScheduler()
+        self.claims = claims
         self.withdrawn = []
         self.router = router.Router(
             self.settings,
@@ -156,9 +158,9 @@
             self.scheduler,
             self.allowances,
             OneEntry(f"127.0.0.1:{self.settings.router_port}"),
+            native_api.NativeApi(claims),
             try_withdraw_retry,
             on_drain=lambda: self.withdrawn.append(True),
-            claim_store=claims,
             closes_revoked_streams=closes_revoked_streams,
         )
         self.port = self.settings.router_port
--- a/tests/test_entry_imports.py
+++ b/tests/test_entry_imports.py
@@ -17,7 +17,13 @@
     " print(*sys.modules)"
 )
 # Each start of a VM would pay for them, and no entry VM uses them.
-UNUSED = ("absl.app", "http.server", "pdb", "prometheus_client")
+UNUSED = (
+    "absl.app",
+    "http.server",
+    "mulberryway.controllers.claims",
+    "pdb",
+    "prometheus_client",
+)
 
 
 class EntryImportsTest(unittest.TestCase):
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -104,7 +104,7 @@
         key = self.make_key()
         first = self.book("a1", key)
         self.assertEqual(first.status, 201)
-        self.rigs["a1"].router._claim_store.step()
+        self.rigs["a1"].claims.step()
         for vm in VMS:
             again = self.book(vm, key)
             self.assertEqual((again.status, again.body), (201, first.body))
