--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -29,6 +29,7 @@
     "allowances",
     "membership",
     "dissemination",
+    "start",
 )
 MEASURES = (
     "goodput_part",
