--- a/tests/order_fixture.py
+++ b/tests/order_fixture.py
@@ -172,9 +172,9 @@
             ),
             self.allowances,
             router_fixture.OneEntry("127.0.0.1:1"),
+            interface.PlatformInterface(self.budget),
             self.budget.try_withdraw,
             directory_=directory.PlatformDirectory(self.clock),
-            api=interface.PlatformInterface(self.budget),
             closes_revoked_streams=False,
         )
 
