Make a call whose pool was closed before it was sent

Callers saw 502 (upstream_failed, may have run) for a call that was never sent, and the server was recorded as crashed if it had ended. Cause: UpstreamClient fetches its pool and takes a connection from it in two steps. Another thread's timeout, the pool's age or new tables may close the pool in between, and urllib3 raises ClosedPoolError. That error was classified like a lost connection. Ruled out that it can come later: urllib3 raises it only in _get_conn, before a connection is taken; returning a connection to a closed pool closes the connection and raises nothing.

Such a call is now made once more on a pool of its own, which no other thread can close, so it needs no loop. If the client itself was closed, the call fails as unreachable and not run, so another server may be tried without the retry budget, and nothing is recorded as a crash.

How often callers hit this was not measured.

--- a/mulberryway/upstreams/connections.py
+++ b/mulberryway/upstreams/connections.py
@@ -43,7 +43,9 @@
 MAX_REPLY_BYTES = 16_777_216
 REQUEST_ID_HEADER = "X-Request-Id"
 
-CONNECT_ERRORS = (
+# A closed pool raises its error before a connection is taken from it.
+NOT_SENT_ERRORS = (
+    urllib3.exceptions.ClosedPoolError,
     urllib3.exceptions.NewConnectionError,
     urllib3.exceptions.ConnectTimeoutError,
     ConnectionRefusedError,
@@ -79,7 +81,7 @@
 ) -> errors.Fault:
     """Map a client exception to a fault with its execution status.
 
-    The request was not executed if the connection was never established.
+    The request was not executed if it never had a connection to the upstream.
     After that the upstream may have received the complete request, because a
     successful write does not show whether the peer has read the data.
 
@@ -89,7 +91,7 @@
     :param was_sent: false if the call failed before anything was written
     :returns: the fault
     """
-    if not was_sent or isinstance(error, CONNECT_ERRORS):
+    if not was_sent or isinstance(error, NOT_SENT_ERRORS):
         return errors.Fault(
             errors.Code.UPSTREAM_UNREACHABLE,
             step,
@@ -203,6 +205,10 @@
     a call on it timed out or received the response to another request: the
     other connections took the same network path, so they may be affected too.
 
+    A call whose pool is closed before the call has a connection was not sent.
+    It is made on a new connection if the pool was replaced, and fails as not
+    sent if the client was closed.
+
     :param address: ``host:port``
     :param clock_: the clock
     :param echo_header: the header whose value the upstream echoes
@@ -218,6 +224,7 @@
         self._clock = clock_
         self._echo_header = echo_header
         self._lock = threading.Lock()
+        self._is_closed = False
         self._pool = self._create_pool()
         self._pool_created_ms = clock_.now_ms()
 
@@ -248,24 +255,23 @@
         :returns: the reply, or a fault with the execution status
         """
         deadline_s = time.monotonic() + timeout_ms / MS_IN_S
-        pool = (
-            self._create_pool() if needs_new_connection else self._get_pool()
-        )
+        own_pool = self._create_pool() if needs_new_connection else None
+        pool = own_pool or self._get_pool()
         response: urllib3.BaseHTTPResponse | None = None
         _CURRENT_CALL.canceller = canceller
         try:
-            response = pool.urlopen(
-                method,
-                target,
-                body,
-                headers,
-                retries=False,
-                redirect=False,
-                assert_same_host=False,
-                preload_content=False,
-                decode_content=False,
-                timeout=_make_timeout(timeout_ms),
-            )
+            try:
+                response = _send(
+                    pool, method, target, headers, body, timeout_ms
+                )
+            except urllib3.exceptions.ClosedPoolError:
+                if self._is_closed:
+                    raise
+                # The current pool may be replaced as well; this one is not.
+                own_pool = self._create_pool()
+                response = _send(
+                    own_pool, method, target, headers, body, timeout_ms
+                )
             complete = _read_response(response, deadline_s)
         except CLIENT_ERRORS as error:
             self._close_response(response)
@@ -275,13 +281,16 @@
             if canceller is not None:
                 canceller.detach()
         result = self._check_echo(headers, complete, response, step)
-        if needs_new_connection:
-            pool.close()
+        if own_pool is not None:
+            own_pool.close()
         return result
 
     def close(self) -> None:
         """Close the pooled connections."""
-        self._pool.close()
+        with self._lock:
+            self._is_closed = True
+            pool = self._pool
+        pool.close()
 
     def reset_pool(self) -> None:
         """Replace the pool so that no pooled connection is reused."""
@@ -289,7 +298,8 @@
             old_pool, self._pool = self._pool, self._create_pool()
             self._pool_created_ms = self._clock.now_ms()
         # Calls in progress finish on their own connections, which are closed
-        # afterwards because their pool is closed.
+        # afterwards because their pool is closed.  A call that has fetched
+        # the pool but has no connection yet is made on a new one.
         old_pool.close()
 
     def _check_echo(
@@ -349,6 +359,28 @@
         return pool
 
 
+def _send(
+    pool: urllib3.HTTPConnectionPool,
+    method: str,
+    target: str,
+    headers: dict[str, str],
+    body: bytes | None,
+    timeout_ms: int,
+) -> urllib3.BaseHTTPResponse:
+    return pool.urlopen(
+        method,
+        target,
+        body,
+        headers,
+        retries=False,
+        redirect=False,
+        assert_same_host=False,
+        preload_content=False,
+        decode_content=False,
+        timeout=_make_timeout(timeout_ms),
+    )
+
+
 def _make_timeout(timeout_ms: int) -> urllib3.Timeout:
     return urllib3.Timeout(
         connect=min(CONNECT_TIMEOUT_MS, timeout_ms) / MS_IN_S,
--- /dev/null
+++ b/tests/test_sound_calls.py
@@ -0,0 +1,174 @@
+"""Tests that a sound call is kept until what replaces it is certain."""
+
+import socket
+import threading
+import unittest
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway.upstreams import connections
+from tests import gated_engine
+from tests import order_fixture
+
+GONE = order_fixture.GONE
+HOST = "127.0.0.1"
+TEST_TIMEOUT_S = 10
+
+
+def _wait_after(client, gate):
+    """Return the client's lookup of its pool, followed by a gate."""
+    get_pool = client._get_pool
+
+    def get_and_wait():
+        connections = get_pool()
+        gate.wait()
+        return connections
+
+    return get_and_wait
+
+
+class PoolChangeTest(unittest.TestCase):
+    """A connection pool that is replaced while another thread uses it."""
+
+    def setUp(self):
+        self.listener = socket.create_server((HOST, 0))
+        self.addCleanup(self.listener.close)
+        self.listener.settimeout(TEST_TIMEOUT_S)
+        self.client = connections.UpstreamClient(
+            f"{HOST}:{self.listener.getsockname()[1]}", clock.SystemClock()
+        )
+        self.addCleanup(self.client.close)
+
+    def serve(self):
+        try:
+            connection, _ = self.listener.accept()
+        except OSError:
+            return
+        connection.recv(65_536)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        connection.close()
+
+    def call_during(self, change):
+        """Make a call whose pool another thread changes before its use."""
+        get_pool = self.client._get_pool
+
+        def get_and_change():
+            pool = get_pool()
+            change()
+            return pool
+
+        self.client._get_pool = get_and_change
+        thread = threading.Thread(target=self.serve)
+        thread.start()
+        result = self.client.call(
+            "POST", "/", {}, b"", 1_000, errors.Step.SERVICE
+        )
+        if result.is_error():
+            # Ends the wait of the server, which no call has reached.
+            socket.create_connection(self.listener.getsockname()).close()
+        thread.join()
+        return result
+
+    def test_call_survives_a_pool_reset(self):
+        """Guards against failing a call because another call timed out."""
+        result = self.call_during(self.client.reset_pool)
+        self.assertTrue(result.is_ok(), result)
+
+    def test_unsent_call_to_a_closed_client_has_not_run(self):
+        """Guards against reporting that a call may have run although it was
+        never sent, when its server leaves the tables.
+        """
+        result = self.call_during(self.client.close)
+        if result.is_error():
+            self.assertIs(result.error.run, errors.ExecutionStatus.NOT_RUN)
+
+    def test_call_of_a_closed_client_is_no_crash(self):
+        """Guards against a crash that is assumed for a call which was not
+        sent because its server left the tables and has ended.
+        """
+        self.listener.close()
+        self.client.close()
+        fault = self.client.call(
+            "POST", "/", {}, b"", 1_000, errors.Step.SERVICE
+        ).error
+        self.assertIs(fault.code, errors.Code.UPSTREAM_UNREACHABLE)
+        self.assertIs(fault.run, errors.ExecutionStatus.NOT_RUN)
+        self.assertFalse(fault.has_died)
+
+
+class RemovedServerTest(order_fixture.OrderTest):
+    """Calls to plain services whose server or pool changes before they are
+    sent.
+    """
+
+    route_ms = 2_000
+
+    def begin_unsent_call(self):
+        """Send a call; return the name of its server once its client is
+        found, and the gate at which the call waits.
+        """
+        found = []
+        gate = gated_engine.Gate()
+        find = self.router.directory.find_service
+
+        def find_and_wait(pool, upstream):
+            service = find(pool, upstream)
+            found.append(upstream.name)
+            if len(found) == 1:
+                gate.wait()
+            return service
+
+        self.patch(self.router.directory, "find_service", find_and_wait)
+        future = self.send("/plain/a", headers={})
+        self.await_gate(gate)
+        return future, found[0], gate
+
+    def test_client_closed_before_the_call(self):
+        """Guards against a failed call to a server that was removed between
+        its choice and the sending, although nothing was sent.
+        """
+        future, name, gate = self.begin_unsent_call()
+        self.budget.left = 0
+        self.change(**{name: GONE})
+        gate.open()
+        reply = future.result(order_fixture.WAIT_S)
+        self.assertEqual(reply.status, 200, self.trace())
+
+    def test_unsent_call_is_no_crash(self):
+        """Guards against a crash that is recorded for a call which was not
+        sent because its server was removed and has ended.
+        """
+        crashes = []
+        self.patch(
+            self.router.scheduling,
+            "record_crash",
+            lambda *arguments: crashes.append(arguments),
+        )
+        future, name, gate = self.begin_unsent_call()
+        self.change(**{name: GONE})
+        self.engines[name].stop_listening()
+        gate.open()
+        reply = future.result(order_fixture.WAIT_S)
+        self.assertEqual(reply.status, 200, self.trace())
+        self.assertEqual(crashes, [], self.trace())
+
+    def test_pool_reset_before_the_call(self):
+        """Guards against a failed call whose connection pool another call's
+        timeout has replaced, although nothing was sent.
+        """
+        gate = gated_engine.Gate()
+        pool = self.source.get_tables().pools["app"]
+        clients = [
+            self.router.directory.find_service(pool, row)._client
+            for row in pool.upstreams
+        ]
+        for client in clients:
+            self.patch(client, "_get_pool", _wait_after(client, gate))
+        self.budget.left = 0
+        future = self.send("/plain/a", headers={})
+        self.await_gate(gate)
+        for client in clients:
+            client.reset_pool()
+        gate.open()
+        reply = future.result(order_fixture.WAIT_S)
+        self.assertEqual(reply.status, 200, self.trace())
