Send a store call whose pool another call has replaced

A call to the object store whose pool another failed call had closed, after the call had read `_pool` and before it had a connection, failed with ClosedPoolError: platform_unavailable, for a write "may have run", although nothing was sent. Cause: the pool was closed and replaced without a lock, and each call that failed closed whatever pool was in use then, so calls that failed together closed sound pools one after another, and the ClosedPoolError itself closed the next one.

Such a call is now made on a pool of its own, which no other call can close. A failed call replaces only the pool on which it failed. objects/http.py was looked at: it drops its pools without closing those in use, by reading only.

How often it happens in a fleet was not measured.

--- a/mulberryway/platform/store.py
+++ b/mulberryway/platform/store.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import json
+import threading
 import typing
 import urllib.parse
 
@@ -58,10 +59,8 @@
         self._timeout_ms = timeout_ms
         self._counter = counter
         self._peer = url.removeprefix("http://")
-        host, _, port = self._peer.rpartition(":")
-        self._pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=CONNECTIONS, retries=False
-        )
+        self._lock = threading.Lock()
+        self._pool = self._create_pool()
 
     def read(
         self, kind: str, name: str, purpose: str
@@ -268,29 +267,21 @@
         read_timeout_ms = (
             self._timeout_ms if timeout_ms is None else timeout_ms
         )
+        pool = self._pool
         try:
-            response = self._pool.request(
-                method,
-                target,
-                body=data,
-                headers={"Content-Type": "application/json"} if data else {},
-                timeout=urllib3.Timeout(
-                    connect=self._timeout_ms / MS_IN_S,
-                    read=read_timeout_ms / MS_IN_S,
-                ),
-                retries=False,
-                redirect=False,
-            )
+            try:
+                response = self._send(
+                    pool, method, target, data, read_timeout_ms
+                )
+            except urllib3.exceptions.ClosedPoolError:
+                # Another call has replaced the pool, and nothing was sent.
+                # No other call can close this one.
+                with self._create_pool() as own_pool:
+                    response = self._send(
+                        own_pool, method, target, data, read_timeout_ms
+                    )
         except TRANSPORT_ERRORS as error:
-            # A network device that dropped one connection may have dropped
-            # the others as well, so the pool is replaced.
-            self._pool.close()
-            self._pool = urllib3.HTTPConnectionPool(
-                self._pool.host,
-                self._pool.port,
-                maxsize=CONNECTIONS,
-                retries=False,
-            )
+            self._replace_pool(pool)
             was_sent = not isinstance(error, CONNECT_ERRORS)
             fault = self._make_fault(method, was_sent, type(error).__name__)
         else:
@@ -301,6 +292,45 @@
         self._count(purpose, fault.code.value, data, b"")
         return expression.Error(fault)
 
+    def _send(
+        self,
+        pool: urllib3.HTTPConnectionPool,
+        method: str,
+        target: str,
+        data: bytes | None,
+        read_timeout_ms: int,
+    ) -> urllib3.BaseHTTPResponse:
+        return pool.request(
+            method,
+            target,
+            body=data,
+            headers={"Content-Type": "application/json"} if data else {},
+            timeout=urllib3.Timeout(
+                connect=self._timeout_ms / MS_IN_S,
+                read=read_timeout_ms / MS_IN_S,
+            ),
+            retries=False,
+            redirect=False,
+        )
+
+    def _create_pool(self) -> urllib3.HTTPConnectionPool:
+        host, _, port = self._peer.rpartition(":")
+        return urllib3.HTTPConnectionPool(
+            host, int(port), maxsize=CONNECTIONS, retries=False
+        )
+
+    def _replace_pool(self, failed: urllib3.HTTPConnectionPool) -> None:
+        """Replace the pool of a failed call, if it is still in use.
+
+        A network device that dropped one connection may have dropped the
+        others as well.  Of calls that fail together only the first replaces
+        the pool, because the next one is not affected.
+        """
+        with self._lock:
+            if self._pool is failed:
+                self._pool = self._create_pool()
+        failed.close()
+
     def _make_response_fault(self, method: str, status: int) -> errors.Fault:
         message = f"the store responded with status {status}"
         if status in FAULT_CODES:
--- a/tests/test_sound_calls.py
+++ b/tests/test_sound_calls.py
@@ -4,8 +4,12 @@
 import threading
 import unittest
 
+import urllib3.exceptions
+
 from mulberryway import clock
 from mulberryway import errors
+from mulberryway.objects import call_metrics
+from mulberryway.platform import store
 from mulberryway.upstreams import connections
 from tests import gated_engine
 from tests import order_fixture
@@ -96,6 +100,76 @@
         self.assertFalse(fault.has_died)
 
 
+class StorePoolTest(unittest.TestCase):
+    """The object store's pool, which another call replaces."""
+
+    def setUp(self):
+        self.listener = socket.create_server((HOST, 0))
+        self.addCleanup(self.listener.close)
+        self.listener.settimeout(TEST_TIMEOUT_S)
+        self.received = []
+        self.store = store.PlatformStore(
+            f"http://{HOST}:{self.listener.getsockname()[1]}",
+            1_000,
+            clock.SystemClock(),
+            call_metrics.InMemoryCallCounter(),
+        )
+
+    def serve(self):
+        """Close the first connection without a reply; answer the second."""
+        for reply in (b"", b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"):
+            connection, _ = self.listener.accept()
+            self.received.append(connection.recv(65_536).split()[:2])
+            connection.sendall(reply)
+            connection.close()
+
+    def test_call_survives_another_call_that_fails(self):
+        """Guards against a write reported as perhaps executed that was not
+        sent because another call's failure had replaced the pool.
+        """
+        thread = threading.Thread(target=self.serve)
+        thread.start()
+        pool = self.store._pool
+        request = pool.request
+        others = []
+
+        def fail_another_call_first(*arguments, **options):
+            if not others:
+                others.append(None)
+                others.append(self.store.delete("k", "other", 1, "test"))
+            return request(*arguments, **options)
+
+        pool.request = fail_another_call_first
+        result = self.store.delete("k", "one", 1, "test")
+        if result.is_error():
+            # Ends the wait of the server, which no call has reached.
+            socket.create_connection(self.listener.getsockname()).close()
+        thread.join()
+        self.assertTrue(others[1].is_error())
+        self.assertTrue(result.is_ok(), result)
+        self.assertEqual(len(self.received), 2)
+
+    def test_calls_that_fail_together_replace_the_pool_once(self):
+        """Guards against closing the sound pool that has replaced the one on
+        which a call has failed.
+        """
+        pool = self.store._pool
+        replacements = []
+
+        def fail_after_another_call(*_, **__):
+            if not replacements:
+                replacements.append(None)
+                self.assertTrue(self.store.read("k", "other", "t").is_error())
+                replacements.append(self.store._pool)
+            raise urllib3.exceptions.ProtocolError("lost")
+
+        pool.request = fail_after_another_call
+        self.assertTrue(self.store.read("k", "one", "test").is_error())
+        self.assertIsNot(replacements[1], pool)
+        self.assertIs(self.store._pool, replacements[1])
+        self.assertIsNotNone(replacements[1].pool)
+
+
 class RemovedServerTest(order_fixture.OrderTest):
     """Calls to plain services whose server or pool changes before they are
     sent.
