Give the only server of a call the whole time

Callers of an idempotent route got a failure at half of their time from a server that would have answered in time, even if the pool had no other server to ask. Cause: ServiceForward._compute_timeout_ms halved the time of each attempt that the route's `attempts` lets another follow, without looking at the pool.

An attempt now has all of the time that is left if no server of the current tables may be chosen after it: none that isn't draining and that this call has not tried. The list is the one from which the server is chosen. Servers that register during the wait are not foreseen. Left as it is: with a second server and a spent retry budget the first one is still left at half of the time, because asking the budget withdraws from it.

--- a/mulberryway/filters/service_forward.py
+++ b/mulberryway/filters/service_forward.py
@@ -33,7 +33,8 @@
 MAX_ATTEMPTS = 4
 # An unresponsive server must leave time to send an idempotent call to another
 # one.  It gets half of the remaining time, but at least this long, which is
-# several times the usual duration of a call.
+# several times the usual duration of a call.  If no other server may be
+# chosen, it gets all of the remaining time.
 REMAINING_TIME_DIVISOR = 2
 MIN_ATTEMPT_TIMEOUT_MS = 500
 
@@ -120,7 +121,14 @@
             if upstream is None:
                 break
             exchange.record_attempt(upstream.name, self._clock.now_ms())
-            result = self._call_once(exchange, upstream, number, canceller)
+            avoid = avoid | {upstream.name}
+            result = self._call_once(
+                exchange,
+                upstream,
+                number,
+                self._compute_timeout_ms(exchange, number, avoid),
+                canceller,
+            )
             if result.is_ok():
                 return expression.Ok(_make_reply(result.ok))
             fault = result.error
@@ -133,7 +141,6 @@
             has_run = (
                 has_run or fault.run is not errors.ExecutionStatus.NOT_RUN
             )
-            avoid = avoid | {upstream.name}
         if (
             fault.answer is not None
             and fault.run is errors.ExecutionStatus.RAN
@@ -186,6 +193,7 @@
         exchange: base.Exchange,
         upstream: tables.Upstream,
         number: int,
+        timeout_ms: int,
         canceller: connections.CallCanceller,
     ) -> expression.Result[upstreams.ServiceReply, errors.Fault]:
         service = self._directory.find_service(exchange.pool, upstream)
@@ -200,7 +208,7 @@
                 exchange.target,
                 headers,
                 exchange.body,
-                self._compute_timeout_ms(exchange, number, started_ms),
+                timeout_ms,
                 route.is_idempotent(exchange),
                 canceller,
             )
@@ -210,11 +218,23 @@
         return result
 
     def _compute_timeout_ms(
-        self, exchange: base.Exchange, number: int, now_ms: int
+        self, exchange: base.Exchange, number: int, called: frozenset[str]
     ) -> int:
-        left_ms = max(exchange.deadline.left_ms(now_ms), 1)
-        is_last = number + 1 >= exchange.route.max_attempts
-        if is_last or not route.is_idempotent(exchange):
+        """Return the timeout of a call to a server.
+
+        Whether the retry budget will allow another call is not checked,
+        because the check withdraws from it.
+
+        :param called: names of the servers called so far and of this one
+        """
+        left_ms = max(exchange.deadline.left_ms(self._clock.now_ms()), 1)
+        if (
+            number + 1 >= exchange.route.max_attempts
+            or not route.is_idempotent(exchange)
+            or not server_selection.list_usable_servers(
+                self._find_current_pool(exchange), called
+            )
+        ):
             return left_ms
         return min(
             max(left_ms // REMAINING_TIME_DIVISOR, MIN_ATTEMPT_TIMEOUT_MS),
--- a/mulberryway/policy/server_selection.py
+++ b/mulberryway/policy/server_selection.py
@@ -6,7 +6,7 @@
 from mulberryway import tables
 from mulberryway.policy import health
 
-__all__ = ["CallOutcome", "ServerSelector"]
+__all__ = ["CallOutcome", "ServerSelector", "list_usable_servers"]
 
 # The design load is some hundred short calls per second to three to seven
 # servers.  A server that refused a connection is in backoff for this long.
@@ -28,6 +28,22 @@
 FAILURE_DECAY_MS = 10_000
 
 
+def list_usable_servers(
+    pool: tables.Pool, excluded: frozenset[str]
+) -> list[tables.Upstream]:
+    """Return the servers that may be chosen for a call.
+
+    :param pool: the pool
+    :param excluded: names of servers at which this call failed
+    :returns: the servers that are neither draining nor excluded
+    """
+    return [
+        upstream
+        for upstream in pool.upstreams
+        if not upstream.leaving and upstream.name not in excluded
+    ]
+
+
 class CallOutcome(enum.Enum):
     """The outcome of a call to a server."""
 
@@ -84,11 +100,7 @@
         :param now_ms: current time in milliseconds
         :returns: the server, or none if all are draining or excluded
         """
-        usable = [
-            upstream
-            for upstream in pool.upstreams
-            if not upstream.leaving and upstream.name not in excluded
-        ]
+        usable = list_usable_servers(pool, excluded)
         if not usable:
             return None
         self._remove_deregistered(pool)
--- a/tests/test_sound_calls.py
+++ b/tests/test_sound_calls.py
@@ -4,19 +4,27 @@
 import threading
 import unittest
 
+import expression
 import urllib3.exceptions
 
 from mulberryway import clock
 from mulberryway import errors
+from mulberryway import traces
+from mulberryway.filters import base
+from mulberryway.filters import service_forward
 from mulberryway.objects import call_metrics
 from mulberryway.platform import store
+from mulberryway.policy import server_selection
+from mulberryway.upstreams import base as upstreams
 from mulberryway.upstreams import connections
 from tests import gated_engine
 from tests import order_fixture
+from tests import router_fixture
 
 GONE = order_fixture.GONE
 HOST = "127.0.0.1"
 TEST_TIMEOUT_S = 10
+TIMEOUT_MS = 8_000
 
 
 def _wait_after(client, gate):
@@ -246,3 +254,87 @@
         gate.open()
         reply = future.result(order_fixture.WAIT_S)
         self.assertEqual(reply.status, 200, self.trace())
+
+
+class LateService:
+    """Servers of which the first one answers late."""
+
+    def __init__(self, clock_, late_ms):
+        self.clock = clock_
+        self.late_ms = late_ms
+        self.calls = 0
+
+    def find_service(self, pool, upstream):
+        return self
+
+    def call(self, request_id, method, target, headers, body, timeout_ms, *_):
+        self.calls += 1
+        if self.calls > 1:
+            code, run = (
+                errors.Code.UPSTREAM_REFUSED,
+                errors.ExecutionStatus.NOT_RUN,
+            )
+        elif timeout_ms >= self.late_ms:
+            self.clock.advance_ms(self.late_ms)
+            return expression.Ok(upstreams.ServiceReply(200, [], b"{}"))
+        else:
+            self.clock.advance_ms(timeout_ms)
+            code, run = (
+                errors.Code.UPSTREAM_TIMEOUT,
+                errors.ExecutionStatus.MAY_HAVE_RUN,
+            )
+        return expression.Error(
+            errors.Fault(code, errors.Step.SERVICE, run=run)
+        )
+
+
+class LateServiceTest(unittest.TestCase):
+    """Plain calls to a server that answers late, but in time."""
+
+    def send(self, names, may_retry=True, leaving=()):
+        clock_ = clock.ManualClock()
+        source = router_fixture.StaticTables(
+            router_fixture.make_tables(
+                (),
+                [
+                    router_fixture.make_upstream("service", 9, name)
+                    for name in names
+                ],
+            )
+        )
+        for upstream in source.current.pools["member-api"].upstreams:
+            upstream.leaving = upstream.name in leaving
+        self.servers = LateService(clock_, TIMEOUT_MS * 6 // 10)
+        forward = service_forward.ServiceForward(
+            self.servers,
+            server_selection.ServerSelector("kandy-a"),
+            traces.Tracer("a1"),
+            clock_,
+            source,
+            try_withdraw_retry=lambda pool: may_retry,
+        )
+        exchange = base.Exchange(
+            "r", "GET", "/member", "/member", [], b"", None, None, None, 0
+        )
+        exchange.tables = source.current
+        exchange.account = next(iter(exchange.tables.accounts.values()))
+        exchange.route = exchange.tables.find_route("/member", "")
+        exchange.pool = exchange.tables.pools["member-api"]
+        exchange.deadline.at_ms = TIMEOUT_MS
+        return forward.handle(exchange, lambda one: None)
+
+    def test_kept_without_another_server(self):
+        """Guards against leaving the only server at half of the time."""
+        self.assertTrue(self.send(["s1"]).is_ok())
+
+    def test_kept_if_all_other_servers_drain(self):
+        """Guards against leaving a server for one that may not be chosen."""
+        result = self.send(["s1", "s2"], leaving=["s2"])
+        self.assertTrue(result.is_ok())
+
+    def test_left_in_time_for_another_server(self):
+        """Guards against an unresponsive server that uses up the time in
+        which another one could be called.
+        """
+        self.send(["s1", "s2"])
+        self.assertEqual(self.servers.calls, 2)
