Prefill no prompt for a stream that no longer needs another engine

Cause: the search looked at the stream again only right before the decode, so a stream that its engine completed while another one reserved capacity had its prompt read in vain, and the handle of that prefill was not deleted.

Evidence: test_no_prefill_after_the_answer_was_completed failed before and passes now.

--- a/mulberryway/filters/decode_gate.py
+++ b/mulberryway/filters/decode_gate.py
@@ -24,6 +24,10 @@
         """
         return True
 
+    def is_needed(self) -> bool:
+        """Return whether the search still has a purpose."""
+        return True
+
     @abc.abstractmethod
     def enter(self) -> bool:
         """Return whether a decode may be sent now."""
@@ -90,6 +94,12 @@
         """
         return engine != self._stalled
 
+    def is_needed(self) -> bool:
+        """Return whether the stream still waits at the same position."""
+        return self.stream.expected == self.offset and not (
+            self.stream.is_closed or self.stream.is_complete
+        )
+
     def enter(self) -> bool:
         """Stop reading the stalled engine unless it has continued."""
         return self._relay.try_hold_source(self.stream, self.offset)
--- a/mulberryway/filters/model_engines.py
+++ b/mulberryway/filters/model_engines.py
@@ -208,6 +208,8 @@
     def _prefill(
         self, attempt: attempts.Attempt, limit: clock.Deadline
     ) -> expression.Result[upstreams.PrefillResult, errors.Fault]:
+        if not self._gate.is_needed():
+            return expression.Error(_make_kept_fault(attempt))
         parts = self._parts
         started_ms = parts.clock.now_ms()
         with self._begin_span(attempt, errors.Step.PREFILL) as span:
