Record the crash of a stalled engine that is not read

Cause: while another engine is asked, the stalled one is not read, so its crash was seen by nobody and counted as a timeout, not towards the quarantine of requests that crash engines. It is looked at before its connection is closed.

Evidence: test_crash_during_a_search_is_recorded failed before and passes now.

--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -257,12 +257,12 @@
         if replacement is None or stalled is None or chosen is None:
             source.connection.close()
             return expression.Error(model_dependencies.make_disconnect_fault())
-        fault = replacement.stream.source_fault or replacement.fault
         if not self._parts.relay.try_close_source(
             replacement.stream, replacement.offset
         ):
             source.connection.close()
             return expression.Error(model_dependencies.make_disconnect_fault())
+        fault = replacement.stream.source_fault or replacement.fault
         with self._lock:
             self._attempt, self._next_attempt = chosen, None
         self._check_death(fault, stalled)
--- a/mulberryway/relay/pump.py
+++ b/mulberryway/relay/pump.py
@@ -121,7 +121,9 @@
 
         :param stream: the stream that ``replace_source`` was called for
         :param offset: the stream's offset when the search began, in tokens
-        :returns: whether another engine may resume at this offset
+        :returns: whether another engine may resume at this offset; then the
+            stream's ``source_fault`` tells whether the stalled engine had
+            closed the connection
         """
         return self._ask_loop(lambda: self._try_close_source(stream, offset))
 
@@ -379,7 +381,10 @@
             return False
         stream.is_replacing_source = False
         stream.is_paused = False
-        stream.source_fault = None
+        if stream.is_held and _has_ended(stream.source):
+            stream.source_fault = _make_source_fault(
+                "engine closed an incomplete response", has_died=True
+            )
         self._close_source(stream)
         return True
 
@@ -449,6 +454,7 @@
             source.connection.close()
             stream.owner.cancel_source()
             return
+        stream.source_fault = None
         stream.set_source(source)
         self._read_source(stream)
 
@@ -534,6 +540,19 @@
             connection.close()
 
 
+def _has_ended(source: upstreams.TokenStream | None) -> bool:
+    """Return whether an engine has closed its connection."""
+    if source is None:
+        return False
+    try:
+        return not source.connection.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError as failure:
+        LOG.debug("a stalled engine's connection failed: %r", failure)
+        return True
+
+
 def _make_source_fault(
     message: str,
     code: errors.Code = errors.Code.UPSTREAM_FAILED,
