Limit the wait for a complete response head, not for each read

Cause: a socket's timeout begins anew with each read, so a head in pieces took 2.5 to 3.0 s where 300 ms were allowed. Two engines could run a request all that time, which TWICE forbids after 400 ms.

Evidence: test_timeout_limits_the_whole_head failed before and passes now.

--- a/mulberryway/upstreams/decode_call.py
+++ b/mulberryway/upstreams/decode_call.py
@@ -31,6 +31,10 @@
 # arrives; then it is unknown whether the request was executed.  A connection
 # younger than this has not been closed as idle.
 MAX_UNUSED_AGE_MS = 500
+HEAD_END = b"\r\n\r\n"
+MAX_HEAD_BYTES = 65_536
+# Engines send their response head at once; this is for one in pieces.
+PARTIAL_HEAD_POLL_S = 0.005
 
 
 class DecodeRequest:
@@ -173,7 +177,12 @@
     prepared_connection.sock.settimeout(timeout_ms / MS_IN_S)
     try:
         return _exchange(
-            prepared_connection, address, request, rejection_parser, canceller
+            prepared_connection,
+            address,
+            request,
+            timeout_ms,
+            rejection_parser,
+            canceller,
         )
     except (OSError, http.client.HTTPException) as failure:
         prepared_connection.close()
@@ -194,6 +203,7 @@
     connection: DecodeConnection,
     address: str,
     request: DecodeRequest,
+    timeout_ms: int,
     rejection_parser: RejectionParser,
     canceller: connections.CallCanceller | None,
 ) -> expression.Result[base.TokenStream, errors.Fault]:
@@ -201,9 +211,11 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     if canceller is not None:
         canceller.attach(sock)
+    deadline_s = time.monotonic() + timeout_ms / MS_IN_S
     connection.request(
         request.method, request.target, request.body, request.headers
     )
+    _await_head(sock, deadline_s)
     response = connection.getresponse()
     echoed = response.getheader(request.echo_header, "")
     is_echo_correct = echoed == request.headers[request.echo_header]
@@ -229,6 +241,29 @@
     return expression.Ok(_detach_socket(sock, response, echoed))
 
 
+def _await_head(sock: socket.socket, deadline_s: float) -> None:
+    """Wait until a response head is complete or its connection has ended.
+
+    A socket's timeout limits each read, so a head in pieces could take many
+    times as long.
+
+    :raises TimeoutError: if the head is not complete at the deadline
+    """
+    while True:
+        left_s = deadline_s - time.monotonic()
+        if left_s <= 0:
+            raise TimeoutError("the response head is incomplete")
+        sock.settimeout(left_s)
+        received = sock.recv(MAX_HEAD_BYTES, socket.MSG_PEEK)
+        if (
+            not received
+            or HEAD_END in received
+            or len(received) == MAX_HEAD_BYTES
+        ):
+            return
+        time.sleep(PARTIAL_HEAD_POLL_S)
+
+
 def _detach_socket(
     sock: socket.socket, response: http.client.HTTPResponse, echoed: str
 ) -> base.TokenStream:
