--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -915,6 +915,21 @@
 
 
 class StartTest(RequestTest):
+    def test_kept_without_another_engine(self):
+        """Guards against leaving an engine before another one is certain."""
+        engine = self.engines["a"]
+        late_ms = TIMEOUT_MS * 6 // 10
+
+        def reply(label, timeout_ms):
+            if timeout_ms < late_ms:
+                return engine.time_out(label, timeout_ms)
+            self.clock.advance_ms(late_ms)
+            return engine.accept(label, timeout_ms)
+
+        engine.decode_replies.append(reply)
+        self.assign("a")
+        self.assertTrue(self.request.begin().is_ok())
+
     def test_handle_is_kept_until_a_decode_is_accepted(self):
         """Guards against a prompt that is read twice: the prefill result is
         deleted for an engine that then refuses the decode.
--- a/tests/test_sound_calls.py
+++ b/tests/test_sound_calls.py
@@ -327,6 +327,10 @@
         """Guards against leaving the only server at half of the time."""
         self.assertTrue(self.send(["s1"]).is_ok())
 
+    def test_kept_if_the_retry_budget_is_spent(self):
+        """Guards against leaving a server that no other may follow."""
+        self.assertTrue(self.send(["s1", "s2"], may_retry=False).is_ok())
+
     def test_kept_if_all_other_servers_drain(self):
         """Guards against leaving a server for one that may not be chosen."""
         result = self.send(["s1", "s2"], leaving=["s2"])
