Replace the ports of the setup page in one pass

test_setup_page failed with "router.port: expected a port from 1 to 65535" in 1 of 21 runs beside other tests, and in 10 of 15 runs three at a time, which take the ranges of ports of other workers when their own is in use. The test replaced the page's ports one after the other, also inside a port that it had just put in: with the platform on 28000, the router's 28001 became 228000, as the page's platform has port 8001.

Now all are replaced in one pass; each must still be on the page.

--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -47,16 +47,21 @@
     def write_settings(self):
         """Write the settings of the page with free ports."""
         text = read_blocks("setup.md", "toml")[0]
-        digest = tables.digest_key(CREDENTIAL)
-        for old, new in (
-            ("port = 8080", f"port = {self.router}"),
-            ("8081", str(self.peers)),
-            ("8001", str(self.platform)),
-            ("port = 8082", f"port = {self.admin}"),
-            (re.search(r"[0-9a-f]{64}", text)[0], digest),
-        ):
+        replacements = {
+            "port = 8080": f"port = {self.router}",
+            "8081": str(self.peers),
+            "8001": str(self.platform),
+            "port = 8082": f"port = {self.admin}",
+            re.search(r"[0-9a-f]{64}", text)[0]: tables.digest_key(CREDENTIAL),
+        }
+        for old in replacements:
             self.assertIn(old, text)
-            text = text.replace(old, new)
+        # In one pass, because a free port may contain another one's digits.
+        text = re.sub(
+            "|".join(map(re.escape, replacements)),
+            lambda match: replacements[match[0]],
+            text,
+        )
         (self.folder / "vm.toml").write_text(text, encoding="utf-8")
 
     def run_command(self, line):
