Give a decode that no other may follow the whole time

Callers of a stream whose engine sent its response head late, but in time, got 504 at half of their time also where no other engine may be tried: on a route with one attempt, or if the request may run once only. Evidence: the log says "its route allows no further attempt" and "the request may run once only" right after the timeout. Cause: every engine call got half of the time.

A decode now has all of the time that is left in these two cases. A prefill still gets half, because a decode follows it. The timeout of the first event is left as it is: when it passes, Relay asks may_replace_source and goes on waiting if no engine may follow (by reading).

--- a/mulberryway/filters/model_engines.py
+++ b/mulberryway/filters/model_engines.py
@@ -13,6 +13,7 @@
 from mulberryway.filters import attempt as attempts
 from mulberryway.filters import base
 from mulberryway.filters import model_dependencies
+from mulberryway.filters import route
 from mulberryway.upstreams import base as upstreams
 
 __all__ = ["EngineCalls", "compute_attempt_timeout_ms"]
@@ -399,14 +400,25 @@
     def _compute_prefill_timeout_ms(
         self, attempt: attempts.Attempt, limit: clock.Deadline
     ) -> int:
-        timeout_ms = self._compute_call_timeout_ms(limit)
+        # A decode follows in any case.
+        timeout_ms = compute_attempt_timeout_ms(
+            limit, self._parts.clock.now_ms()
+        )
         if not attempt.decode.supports_chunked_prefill:
             return timeout_ms
         prefill_timeout_ms = attempt.ready_in_ms * PREFILL_TIMEOUT_FACTOR
         return min(timeout_ms, max(prefill_timeout_ms, MIN_PREFILL_TIMEOUT_MS))
 
     def _compute_call_timeout_ms(self, limit: clock.Deadline) -> int:
-        return compute_attempt_timeout_ms(limit, self._parts.clock.now_ms())
+        """Return the timeout of a decode, whose outcome may be unknown."""
+        now_ms = self._parts.clock.now_ms()
+        exchange = self._exchange
+        if not route.is_idempotent(exchange) or (
+            exchange.route.max_attempts <= 1
+        ):
+            # No other engine may follow, so no time is kept for one.
+            return max(limit.left_ms(now_ms), MIN_ATTEMPT_TIMEOUT_MS)
+        return compute_attempt_timeout_ms(limit, now_ms)
 
     def find_engine(self, name: str) -> upstreams.Engine | None:
         """Return an engine from the active tables.
--- a/tests/test_sound_calls.py
+++ b/tests/test_sound_calls.py
@@ -1,5 +1,6 @@
 """Tests that a sound call is kept until what replaces it is certain."""
 
+import concurrent.futures
 import socket
 import threading
 import unittest
@@ -338,3 +339,32 @@
         """
         self.send(["s1", "s2"])
         self.assertEqual(self.servers.calls, 2)
+
+
+class BeforeHeadTest(order_fixture.OrderTest):
+    """The only engine sends its head late."""
+
+    max_attempts = 1
+    route_ms = 2_000
+
+    def test_engine_kept_until_the_deadline(self):
+        """Guards against an error at half of the time, although no other
+        engine may be tried and the first one answers later.
+        """
+        gate = self.silent.place_gate("decode")
+        future = self.send()
+        self.await_gate(gate)
+        concurrent.futures.wait([future], self.route_ms * 0.7 / 1_000)
+        gate.open()
+        self.check_complete(future)
+
+
+class BeforeOnlyHeadTest(BeforeHeadTest):
+    """The same for requests that may run once only."""
+
+    max_attempts = 2
+
+    def make_routes(self):
+        routes = super().make_routes()
+        routes[0].idempotent = False
+        return routes
