--- a/tests/test_entry_imports.py
+++ b/tests/test_entry_imports.py
@@ -16,7 +16,7 @@
     " metrics.Metrics('vm0', serves_text=True);"
     " print(*sys.modules)"
 )
-# Each start of a VM would pay for them, and no entry VM uses them.
+# Each start of a VM would pay for them, and none uses them.
 UNUSED = (
     "absl.app",
     "http.server",
