--- a/mulberryway/filters/decode_gate.py
+++ b/mulberryway/filters/decode_gate.py
@@ -17,6 +17,8 @@
 class DecodeGate(abc.ABC):
     """Guards the decodes of one search for an engine."""
 
+    __slots__ = ()
+
     def accepts(self, engine: str) -> bool:
         """Return whether an engine may decode the request.
 
@@ -51,6 +53,8 @@
 class OpenGate(DecodeGate):
     """Lets every decode pass."""
 
+    __slots__ = ()
+
     def enter(self) -> bool:
         """Return true."""
         return True
--- a/mulberryway/relay/pump.py
+++ b/mulberryway/relay/pump.py
@@ -132,8 +132,13 @@
         answer: concurrent.futures.Future[bool] = concurrent.futures.Future()
 
         def run() -> None:
-            if answer.set_running_or_notify_cancel():
+            if not answer.set_running_or_notify_cancel():
+                return
+            try:
                 answer.set_result(question())
+            except Exception as failure:
+                # Raised again on the thread that waits for the answer.
+                answer.set_exception(failure)
 
         self._loop.post(run)
         try:
