--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -5,7 +5,6 @@
 decode is sent, answered and begun.
 """
 
-import concurrent.futures
 import contextlib
 import http.client
 import socket
@@ -506,24 +505,6 @@
         self.check_complete(future)
 
 
-class BeforeHeadTest(SearchTest):
-    """The only engine sends its head late."""
-
-    max_attempts = 1
-    route_ms = 2_000
-
-    def test_engine_kept_until_the_deadline(self):
-        """Guards against an error at half of the time, although no other
-        engine may be tried and the first one answers later.
-        """
-        gate = self.silent.place_gate("decode")
-        future = self.send()
-        self.await_gate(gate)
-        concurrent.futures.wait([future], self.route_ms * 0.7 / 1_000)
-        gate.open()
-        self.check_complete(future)
-
-
 class BeforeFirstEventTest(SearchTest):
     """An engine that has sent its head and no event."""
 
@@ -807,56 +788,6 @@
         self.await_gate(gate)
         return future, found[0], gate
 
-    def test_client_closed_before_the_call(self):
-        """Guards against a failed call to a server that was removed between
-        its choice and the sending, although nothing was sent.
-        """
-        future, name, gate = self.begin_unsent_call()
-        self.budget.left = 0
-        self.change(**{name: GONE})
-        gate.open()
-        reply = future.result(order_fixture.WAIT_S)
-        self.assertEqual(reply.status, 200, self.trace())
-
-    def test_unsent_call_is_no_crash(self):
-        """Guards against a crash that is recorded for a call which was not
-        sent because its server was removed and has ended.
-        """
-        crashes = []
-        self.patch(
-            self.router.scheduling,
-            "record_crash",
-            lambda *arguments: crashes.append(arguments),
-        )
-        future, name, gate = self.begin_unsent_call()
-        self.change(**{name: GONE})
-        self.engines[name].stop_listening()
-        gate.open()
-        reply = future.result(order_fixture.WAIT_S)
-        self.assertEqual(reply.status, 200, self.trace())
-        self.assertEqual(crashes, [], self.trace())
-
-    def test_pool_reset_before_the_call(self):
-        """Guards against a failed call whose connection pool another call's
-        timeout has replaced, although nothing was sent.
-        """
-        gate = gated_engine.Gate()
-        pool = self.source.get_tables().pools["app"]
-        clients = [
-            self.router.directory.find_service(pool, row)._client
-            for row in pool.upstreams
-        ]
-        for client in clients:
-            self.patch(client, "_get_pool", _wait_after(client, gate))
-        self.budget.left = 0
-        future = self.send("/plain/a", headers={})
-        self.await_gate(gate)
-        for client in clients:
-            client.reset_pool()
-        gate.open()
-        reply = future.result(order_fixture.WAIT_S)
-        self.assertEqual(reply.status, 200, self.trace())
-
     def test_silent_server_and_refusal(self):
         """Guards against leaving a silent server for one that refuses."""
         future, name, gates = self.begin_call("/plain/a")
