--- a/mulberryway/controllers/probing.py
+++ b/mulberryway/controllers/probing.py
@@ -90,6 +90,9 @@
                 added=sorted(map("/".join, names - self._ejected)),
                 ended=sorted(map("/".join, self._ejected - names)),
                 count=len(names),
+                reported_by=sorted(
+                    {candidate.reported_by for candidate in ejected} - {""}
+                ),
             ),
         )
         self._ejected = names
--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -285,8 +285,9 @@
     ) -> None:
         """Clear ``has_died`` if the engine still accepts connections."""
         if fault.has_died:
-            address = attempt.decode.address
-            fault.has_died = not connections.is_accepting_connections(address)
+            fault.has_died = not connections.is_accepting_connections(
+                attempt.decode.address, self._parts.directory.dialer
+            )
 
     def _log_wait(self, fault: errors.Fault) -> None:
         LOG.info(
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -19,6 +19,7 @@
 from mulberryway import tables
 from mulberryway import threads
 from mulberryway.commands import process
+from mulberryway.controllers import detours
 from mulberryway.controllers import dissemination
 from mulberryway.controllers import fleet_allowances
 from mulberryway.controllers import kept_objects
@@ -27,6 +28,7 @@
 from mulberryway.controllers import mirrored_tables
 from mulberryway.controllers import mirrors
 from mulberryway.controllers import orders
+from mulberryway.controllers import path_monitoring
 from mulberryway.controllers import probing
 from mulberryway.controllers import registration
 from mulberryway.controllers import reloading
@@ -129,7 +131,10 @@
         self.exchange = mirror_exchange.MirrorSyncController(
             self.mirror_controllers, self.client, self.clock, self._list_peers
         )
-        self.directory = directory.PlatformDirectory(self.clock)
+        self.paths = path_monitoring.PathMonitor(settings_.vm_name, self.clock)
+        self.directory = directory.PlatformDirectory(
+            self.clock, detours.MonitoredDialer(self.paths)
+        )
         self.retry_budget = repeats.SharedRetryBudget(
             retries.FleetRetryBudget(
                 settings_.retries_part,
@@ -179,6 +184,7 @@
             controller.start()
         self.exchange.start()
         self.members.start()
+        self.paths.start()
         self.router.start()
         self.dissemination.start()
         self.notes.start()
@@ -208,6 +214,7 @@
             self.allowances,
             self.probing,
             self.notes,
+            self.paths,
             self.dissemination,
             self.exchange,
             self.members,
@@ -317,6 +324,7 @@
         )
         self.dissemination.report(self.router.metrics)
         threads.report(self.router.metrics)
+        self.paths.report(self.router.metrics)
         self.notes = scheduler_gossip.SchedulerGossipController(
             self.router.scheduling,
             self.members,
@@ -439,6 +447,7 @@
 
     def _update_tables(self, changed: tables.Tables) -> None:
         self.allowances.update_tables(changed)
+        self.paths.update_tables(changed)
 
 
 def _list_seeds(settings_: settings.Settings) -> tuple[str, ...]:
--- a/mulberryway/platform/directory.py
+++ b/mulberryway/platform/directory.py
@@ -8,6 +8,7 @@
 from mulberryway.platform import engine
 from mulberryway.platform import service
 from mulberryway.upstreams import base
+from mulberryway.upstreams import dialing
 from mulberryway.upstreams import directory
 
 __all__ = ["PlatformDirectory"]
@@ -22,10 +23,14 @@
     identify an incarnation.
 
     :param clock_: the clock
+    :param dialer: opens the connections
     """
 
-    def __init__(self, clock_: clock.Clock) -> None:
+    def __init__(
+        self, clock_: clock.Clock, dialer: dialing.Dialer = dialing.DIRECT
+    ) -> None:
         self._clock = clock_
+        self.dialer = dialer
         self._lock = threading.Lock()
         self._upstreams_by_key: dict[
             tuple[str, str, type], PlatformUpstream
@@ -82,6 +87,8 @@
         with self._lock:
             client = self._upstreams_by_key.get(key)
             if client is None:
-                client = kind(upstream.name, upstream.address, self._clock)
+                client = kind(
+                    upstream.name, upstream.address, self._clock, self.dialer
+                )
                 self._upstreams_by_key[key] = client
             return client
--- a/mulberryway/platform/engine.py
+++ b/mulberryway/platform/engine.py
@@ -17,6 +17,7 @@
 from mulberryway.upstreams import base
 from mulberryway.upstreams import connections
 from mulberryway.upstreams import decode_call
+from mulberryway.upstreams import dialing
 
 __all__ = ["PlatformEngine"]
 
@@ -64,19 +65,25 @@
     :param instance: the id of the incarnation expected at the address
     :param address: ``host:port``
     :param clock_: the clock
+    :param dialer: opens the connections
     """
 
     supports_chunked_prefill = True
     counts_prefill_as_run = False
 
     def __init__(
-        self, instance: str, address: str, clock_: clock.Clock
+        self,
+        instance: str,
+        address: str,
+        clock_: clock.Clock,
+        dialer: dialing.Dialer = dialing.DIRECT,
     ) -> None:
         self.instance = instance
         self.address = address
         self._clock = clock_
+        self._dialer = dialer
         self._client = connections.UpstreamClient(
-            address, clock_, wire.ATTEMPT_ID
+            address, clock_, wire.ATTEMPT_ID, dialer
         )
         self._lock = threading.Lock()
         self._calls: dict[str, connections.CallCanceller] = {}
@@ -129,7 +136,7 @@
         :param reservation: the capacity to reserve, or None
         :returns: None, or a fault; no part of the request was sent
         """
-        connected = decode_call.connect(self.address)
+        connected = decode_call.connect(self.address, self._dialer)
         if connected.is_error():
             return connected.map(lambda connection: None)
         self._store_prepared(label, connected.ok)
@@ -201,6 +208,7 @@
                 _make_decode_fault,
                 interrupt,
                 self._pop_prepared(label),
+                self._dialer,
             )
         finally:
             self._unregister_call(label)
--- a/mulberryway/platform/service.py
+++ b/mulberryway/platform/service.py
@@ -10,6 +10,7 @@
 from mulberryway.platform import wire
 from mulberryway.upstreams import base
 from mulberryway.upstreams import connections
+from mulberryway.upstreams import dialing
 from mulberryway.upstreams import http_service
 
 __all__ = ["PlatformService"]
@@ -23,15 +24,20 @@
     :param instance: the id of the incarnation expected at the address
     :param address: ``host:port``
     :param clock_: the clock
+    :param dialer: opens the connections
     """
 
     def __init__(
-        self, instance: str, address: str, clock_: clock.Clock
+        self,
+        instance: str,
+        address: str,
+        clock_: clock.Clock,
+        dialer: dialing.Dialer = dialing.DIRECT,
     ) -> None:
         self.instance = instance
         self.address = address
         self._client = connections.UpstreamClient(
-            address, clock_, wire.ATTEMPT_ID
+            address, clock_, wire.ATTEMPT_ID, dialer
         )
 
     def call(
--- a/mulberryway/policy/note_receiver.py
+++ b/mulberryway/policy/note_receiver.py
@@ -213,6 +213,8 @@
             view, now_ms
         ):
             return
+        if outcomes.has_failures():
+            view.reported_by = vm
         view.health.apply_peer_outcomes(outcomes, now_ms)
 
 
--- /dev/null
+++ b/mulberryway/policy/paths.py
@@ -0,0 +1,236 @@
+"""This VM's network paths to upstreams, by its own connects; without I/O.
+
+A failed connect says nothing about where the fault is: the upstream may be
+down, or only the path from this VM may be cut.  So a failure makes the path
+suspect, and the VM probes the path itself until a connect succeeds.
+"""
+
+import collections.abc
+import random
+
+__all__ = ["PathTable"]
+
+# With this many paths lost since the last successful connect, the VM considers
+# itself cut off from all upstreams.
+MIN_LOST_PATHS = 2
+# Interval of the probes of one suspect path, which doubles up to the maximum.
+MIN_PROBE_INTERVAL_MS = 200
+MAX_PROBE_INTERVAL_MS = 1_000
+# Bounds the rate of a VM's probes, whatever the number of upstreams.
+PROBE_GAP_MS = 50
+# VMs that were cut off together do not probe in step.
+JITTER = 0.25
+
+
+class _Path:
+    """The path to one upstream.
+
+    ``lost_ms`` is when connects began to fail, or None.  An inferred loss was
+    not observed on this path: the VM seems cut off from all upstreams.
+    """
+
+    __slots__ = (
+        "lost_ms",
+        "is_inferred",
+        "probe_ms",
+        "probe_interval_ms",
+        "epoch",
+    )
+
+    def __init__(self) -> None:
+        self.lost_ms: int | None = None
+        self.is_inferred = False
+        self.probe_ms: int | None = None
+        self.probe_interval_ms = MIN_PROBE_INTERVAL_MS
+        self.epoch = 0
+
+    def lose(self, is_inferred: bool, now_ms: int) -> None:
+        if self.lost_ms is None:
+            self.lost_ms = now_ms
+            self.epoch += 1
+            self.probe_interval_ms = MIN_PROBE_INTERVAL_MS
+            self.is_inferred = is_inferred
+        self.is_inferred = self.is_inferred and is_inferred
+
+    def schedule_probe(self, now_ms: int, random_: random.Random) -> None:
+        factor = 1.0 + JITTER * random_.random()
+        self.probe_ms = now_ms + int(self.probe_interval_ms * factor)
+        self.probe_interval_ms = min(
+            self.probe_interval_ms * 2, MAX_PROBE_INTERVAL_MS
+        )
+
+    def restore(self) -> None:
+        if self.lost_ms is not None:
+            self.epoch += 1
+        self.lost_ms = None
+        self.is_inferred = False
+        self.probe_ms = None
+
+
+class PathTable:
+    """The paths to all upstreams of the tables; not thread-safe.
+
+    :param random_: source of the probes' jitter
+    """
+
+    def __init__(self, random_: random.Random) -> None:
+        self._random = random_
+        self._paths: dict[str, _Path] = {}
+        self._reached_ms: int | None = None
+        self._probed_ms: int | None = None
+        self._is_cut_off = False
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether this VM seems to reach no upstream."""
+        return self._is_cut_off
+
+    def retain(self, addresses: collections.abc.Iterable[str]) -> None:
+        """Replace the set of known upstreams.
+
+        :param addresses: their addresses, ``host:port``
+        """
+        kept = {address: self._paths.get(address) for address in addresses}
+        self._paths = {
+            address: path or _Path() for address, path in kept.items()
+        }
+
+    def is_suspect(self, address: str) -> bool:
+        """Return whether connects to an upstream would probably fail.
+
+        :param address: ``host:port``; unknown ones are not suspect
+        """
+        path = self._paths.get(address)
+        return path is not None and path.lost_ms is not None
+
+    def get_epoch(self, address: str) -> int:
+        """Return a number that changes when the path is lost or restored.
+
+        :param address: ``host:port``
+        """
+        path = self._paths.get(address)
+        return 0 if path is None else path.epoch
+
+    def list_suspect(self) -> list[str]:
+        """Return the upstreams to which connects have failed."""
+        return sorted(
+            address
+            for address, path in self._paths.items()
+            if path.lost_ms is not None and not path.is_inferred
+        )
+
+    def has_reached_since(self, since_ms: int) -> bool:
+        """Return whether a connect to any upstream succeeded.
+
+        :param since_ms: the time from which on successes count, in ms
+        """
+        return self._reached_ms is not None and self._reached_ms >= since_ms
+
+    def record_success(self, address: str, now_ms: int) -> None:
+        """Record that a connect succeeded.
+
+        :param address: ``host:port``
+        :param now_ms: current time in ms
+        """
+        self._reached_ms = now_ms
+        path = self._paths.get(address)
+        if path is not None:
+            path.restore()
+        self._update_cut_off(now_ms)
+
+    def record_failure(self, address: str, now_ms: int) -> None:
+        """Record that a connect failed or timed out.
+
+        :param address: ``host:port``
+        :param now_ms: current time in ms
+        """
+        path = self._paths.get(address)
+        if path is None:
+            return
+        path.lose(False, now_ms)
+        path.schedule_probe(now_ms, self._random)
+        self._update_cut_off(now_ms)
+
+    def record_upstream_down(self, address: str, now_ms: int) -> None:
+        """Record that a VM which reaches others cannot reach an upstream.
+
+        :param address: ``host:port``
+        :param now_ms: current time in ms
+        """
+        path = self._paths.get(address)
+        if path is not None:
+            path.restore()
+        self._update_cut_off(now_ms)
+
+    def request_probe(self, address: str, now_ms: int) -> None:
+        """Probe a path soon, because a call on an open connection failed.
+
+        :param address: ``host:port``
+        :param now_ms: current time in ms
+        """
+        path = self._paths.get(address)
+        if path is not None and path.probe_ms is None:
+            path.probe_ms = now_ms
+
+    def choose_probe(self, now_ms: int) -> str | None:
+        """Return the upstream to probe now; its probe counts as started.
+
+        :param now_ms: current time in ms
+        :returns: ``host:port``, or None if no probe is due
+        """
+        due_ms = self.get_probe_ms()
+        if due_ms is None or due_ms > now_ms:
+            return None
+        address, path = min(
+            self._list_probed(), key=lambda item: (item[1].probe_ms, item[0])
+        )
+        self._probed_ms = now_ms
+        path.probe_ms = None
+        if path.lost_ms is not None:
+            path.schedule_probe(now_ms, self._random)
+        return address
+
+    def get_probe_ms(self) -> int | None:
+        """Return when the next probe is due, in ms; None if none is."""
+        due = [
+            path.probe_ms
+            for _, path in self._list_probed()
+            if path.probe_ms is not None
+        ]
+        if not due:
+            return None
+        if self._probed_ms is None:
+            return min(due)
+        return max(min(due), self._probed_ms + PROBE_GAP_MS)
+
+    def _list_probed(self) -> list[tuple[str, _Path]]:
+        return [
+            (address, path)
+            for address, path in self._paths.items()
+            if path.probe_ms is not None
+        ]
+
+    def _update_cut_off(self, now_ms: int) -> None:
+        was_cut_off = self._is_cut_off
+        self._is_cut_off = self._count_lost() >= MIN_LOST_PATHS
+        if self._is_cut_off and not was_cut_off:
+            for path in self._paths.values():
+                if path.lost_ms is None:
+                    path.lose(True, now_ms)
+                    path.schedule_probe(now_ms, self._random)
+        elif was_cut_off and not self._is_cut_off:
+            for path in self._paths.values():
+                if path.is_inferred:
+                    path.restore()
+                elif path.lost_ms is not None:
+                    path.probe_ms = now_ms
+                    path.probe_interval_ms = MIN_PROBE_INTERVAL_MS
+
+    def _count_lost(self) -> int:
+        """Return how many paths were lost since the last success."""
+        return sum(
+            path.lost_ms is not None
+            and not path.is_inferred
+            and (self._reached_ms is None or path.lost_ms > self._reached_ms)
+            for path in self._paths.values()
+        )
--- a/mulberryway/policy/scheduler.py
+++ b/mulberryway/policy/scheduler.py
@@ -319,7 +319,10 @@
         """
         return [
             probes.EjectedUpstream(
-                name, view.row.name, view.health.needs_probe(now_ms)
+                name,
+                view.row.name,
+                view.health.needs_probe(now_ms),
+                view.reported_by,
             )
             for name, pool in self._pools.items()
             for view in pool.members.list_all()
--- a/mulberryway/policy/upstream_view.py
+++ b/mulberryway/policy/upstream_view.py
@@ -71,6 +71,7 @@
         "step_updated_ms",
         "_unsent_step_ms",
         "health",
+        "reported_by",
         "prefixes",
         "pause_ms",
         "prefill_budget",
@@ -119,6 +120,8 @@
         self.step_updated_ms = 0
         self._unsent_step_ms = 0.0
         self.health = health.OutlierDetector(random_)
+        # The VM whose report of failures was applied last; for logs only.
+        self.reported_by = ""
         self.prefixes = prefix_index.PrefixIndex()
         # The inter-token gap target; 0 for none.
         self.pause_ms = 0
--- a/mulberryway/upstreams/connections.py
+++ b/mulberryway/upstreams/connections.py
@@ -5,6 +5,7 @@
 which the client does not track.
 """
 
+import functools
 import http.client
 import logging
 import socket
@@ -19,6 +20,7 @@
 
 from mulberryway import clock
 from mulberryway import errors
+from mulberryway.upstreams import dialing
 
 __all__ = [
     "UpstreamClient",
@@ -33,7 +35,7 @@
 MS_IN_S = 1_000
 CONNECT_TIMEOUT_MS = 1_000
 # Connecting takes a few milliseconds within a region.
-PROBE_TIMEOUT_S = 0.3
+PROBE_TIMEOUT_MS = 300
 PROBE_DELAYS_S = (0.0, 0.05)
 # A middlebox between the two ends may lose the state of a connection, which
 # is more likely the older the connection is.  A new one costs a millisecond.
@@ -111,7 +113,9 @@
     )
 
 
-def is_accepting_connections(address: str) -> bool:
+def is_accepting_connections(
+    address: str, dialer: dialing.Dialer = dialing.DIRECT
+) -> bool:
     """Return whether an address accepts connections, in two probes.
 
     A connection breaks because the upstream crashed or because its response
@@ -121,15 +125,13 @@
     still find the port open.
 
     :param address: ``host:port``
+    :param dialer: opens the connections
     :returns: whether both TCP connects succeed
     """
-    host, _, port = address.rpartition(":")
     for delay_s in PROBE_DELAYS_S:
         time.sleep(delay_s)
         try:
-            socket.create_connection(
-                (host, int(port)), PROBE_TIMEOUT_S
-            ).close()
+            dialer.connect(address, PROBE_TIMEOUT_MS).close()
         except OSError:
             return False
     return True
@@ -187,7 +189,28 @@
 
 
 class _Connection(urllib3.connection.HTTPConnection):
-    """Attaches its socket to the canceller of the call that it carries."""
+    """Attaches its socket to the canceller of the call that it carries.
+
+    :param dialer: opens the connection
+    """
+
+    def __init__(
+        self,
+        *arguments: typing.Any,
+        dialer: dialing.Dialer,
+        **keywords: typing.Any,
+    ) -> None:
+        super().__init__(*arguments, **keywords)
+        self._dialer = dialer
+
+    def _new_conn(self) -> socket.socket:
+        timeout_ms = int(float(self.timeout) * MS_IN_S)
+        try:
+            return self._dialer.connect(f"{self.host}:{self.port}", timeout_ms)
+        except OSError as error:
+            raise urllib3.exceptions.NewConnectionError(
+                self, f"failed to connect: {error!r}"
+            ) from error
 
     def request(self, *arguments: typing.Any, **keywords: typing.Any) -> None:
         """Send a request, after connecting if necessary."""
@@ -212,6 +235,7 @@
     :param address: ``host:port``
     :param clock_: the clock
     :param echo_header: the header whose value the upstream echoes
+    :param dialer: opens the connections
     """
 
     def __init__(
@@ -219,10 +243,12 @@
         address: str,
         clock_: clock.Clock,
         echo_header: str = REQUEST_ID_HEADER,
+        dialer: dialing.Dialer = dialing.DIRECT,
     ) -> None:
         self.address = address
         self._clock = clock_
         self._echo_header = echo_header
+        self._dialer = dialer
         self._lock = threading.Lock()
         self._is_closed = False
         self._pool = self._create_pool()
@@ -332,7 +358,7 @@
     def _make_fault(self, error: Exception, step: errors.Step) -> errors.Fault:
         fault = classify_failure(error, step, self.address)
         fault.has_died = fault.has_died and not is_accepting_connections(
-            self.address
+            self.address, self._dialer
         )
         if fault.code is errors.Code.UPSTREAM_TIMEOUT:
             self.reset_pool()
@@ -355,7 +381,9 @@
         pool = urllib3.HTTPConnectionPool(
             host, int(port), maxsize=MAX_IDLE_CONNECTIONS, retries=False
         )
-        pool.ConnectionCls = _Connection
+        pool.ConnectionCls = functools.partial(
+            _Connection, dialer=self._dialer
+        )
         return pool
 
 
--- a/mulberryway/upstreams/decode_call.py
+++ b/mulberryway/upstreams/decode_call.py
@@ -11,6 +11,7 @@
 from mulberryway import errors
 from mulberryway.upstreams import base
 from mulberryway.upstreams import connections
+from mulberryway.upstreams import dialing
 
 __all__ = [
     "DecodeConnection",
@@ -68,16 +69,21 @@
     """A connection that carries one decode.
 
     :param address: the engine's ``host:port``
+    :param dialer: opens the connection
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, dialer: dialing.Dialer = dialing.DIRECT
+    ) -> None:
         host, _, port = address.rpartition(":")
         super().__init__(host, int(port), timeout=CONNECT_TIMEOUT_MS / MS_IN_S)
         self.connected_s = 0.0
+        self._address = address
+        self._dialer = dialer
 
     def connect(self) -> None:
         """Connect within ``CONNECT_TIMEOUT_MS``."""
-        super().connect()
+        self.sock = self._dialer.connect(self._address, CONNECT_TIMEOUT_MS)
         self.connected_s = time.monotonic()
 
     def is_reusable(self) -> bool:
@@ -112,14 +118,15 @@
 
 
 def connect(
-    address: str,
+    address: str, dialer: dialing.Dialer = dialing.DIRECT
 ) -> expression.Result[DecodeConnection, errors.Fault]:
     """Open a connection for a later decode.
 
     :param address: the engine's ``host:port``
+    :param dialer: opens the connection
     :returns: the connection, or a fault, in which case nothing was sent
     """
-    connection = DecodeConnection(address)
+    connection = DecodeConnection(address, dialer)
     try:
         connection.connect()
     except OSError as failure:
@@ -140,6 +147,7 @@
     rejection_parser: RejectionParser,
     canceller: connections.CallCanceller | None = None,
     prepared_connection: DecodeConnection | None = None,
+    dialer: dialing.Dialer = dialing.DIRECT,
 ) -> expression.Result[base.TokenStream, errors.Fault]:
     """Send a decode request and return its stream after the response head.
 
@@ -158,12 +166,13 @@
     :param prepared_connection: a connection that was opened in advance; a new
         one is opened if it is too old or none is given.  If the engine has
         closed a recent one, the engine counts as unreachable.
+    :param dialer: opens the connection
     :returns: the stream, or a fault with the execution status
     """
     if prepared_connection is None or not prepared_connection.is_reusable():
         if prepared_connection is not None:
             prepared_connection.close()
-        connected = connect(address)
+        connected = connect(address, dialer)
         if connected.is_error():
             return expression.Error(connected.error)
         prepared_connection = connected.ok
@@ -191,7 +200,7 @@
         )
         fault.has_died = (
             fault.has_died
-            and not connections.is_accepting_connections(address)
+            and not connections.is_accepting_connections(address, dialer)
         )
         return expression.Error(fault)
     finally:
--- a/mulberryway/upstreams/directory.py
+++ b/mulberryway/upstreams/directory.py
@@ -7,6 +7,7 @@
 from mulberryway import clock
 from mulberryway import tables
 from mulberryway.upstreams import base
+from mulberryway.upstreams import dialing
 from mulberryway.upstreams import http_engine
 from mulberryway.upstreams import http_service
 
@@ -21,6 +22,9 @@
     Support for another protocol is added by implementing this interface.
     """
 
+    # Opens the connections to all upstreams.
+    dialer: dialing.Dialer = dialing.DIRECT
+
     @abc.abstractmethod
     def find_engine(
         self, pool: tables.Pool, upstream: tables.Upstream
@@ -80,10 +84,14 @@
     """Caches one client object, with its connections, for each address.
 
     :param clock_: the clock
+    :param dialer: opens the connections
     """
 
-    def __init__(self, clock_: clock.Clock) -> None:
+    def __init__(
+        self, clock_: clock.Clock, dialer: dialing.Dialer = dialing.DIRECT
+    ) -> None:
         self._clock = clock_
+        self.dialer = dialer
         self._lock = threading.Lock()
         self._upstreams: dict[tuple[str, str, type], HttpUpstream] = {}
 
@@ -142,6 +150,11 @@
         with self._lock:
             client = self._upstreams.get(key)
             if client is None:
-                client = kind(upstream.address, pool.credential, self._clock)
+                client = kind(
+                    upstream.address,
+                    pool.credential,
+                    self._clock,
+                    self.dialer,
+                )
                 self._upstreams[key] = client
             return client
--- a/mulberryway/upstreams/http_engine.py
+++ b/mulberryway/upstreams/http_engine.py
@@ -12,6 +12,7 @@
 from mulberryway.upstreams import base
 from mulberryway.upstreams import connections
 from mulberryway.upstreams import decode_call
+from mulberryway.upstreams import dialing
 
 __all__ = ["HttpEngine"]
 
@@ -33,14 +34,22 @@
     :param address: ``host:port``
     :param credential: the pool's own credential; empty for none
     :param clock_: the clock
+    :param dialer: opens the connections
     """
 
     def __init__(
-        self, address: str, credential: str, clock_: clock.Clock
+        self,
+        address: str,
+        credential: str,
+        clock_: clock.Clock,
+        dialer: dialing.Dialer = dialing.DIRECT,
     ) -> None:
         self.address = address
         self._credential = credential
-        self._client = connections.UpstreamClient(address, clock_)
+        self._dialer = dialer
+        self._client = connections.UpstreamClient(
+            address, clock_, dialer=dialer
+        )
 
     def prefill(
         self,
@@ -99,7 +108,11 @@
             json.dumps(call).encode(),
         )
         return decode_call.begin_decode(
-            self.address, request, timeout_ms, decode_call.parse_rejection
+            self.address,
+            request,
+            timeout_ms,
+            decode_call.parse_rejection,
+            dialer=self._dialer,
         )
 
     def cancel(
--- a/mulberryway/upstreams/http_service.py
+++ b/mulberryway/upstreams/http_service.py
@@ -6,6 +6,7 @@
 from mulberryway import errors
 from mulberryway.upstreams import base
 from mulberryway.upstreams import connections
+from mulberryway.upstreams import dialing
 
 __all__ = ["HttpService", "strip_framing_headers", "strip_hop_by_hop_headers"]
 
@@ -72,14 +73,21 @@
     :param address: ``host:port``
     :param credential: the pool's own credential; empty for none
     :param clock_: the clock
+    :param dialer: opens the connections
     """
 
     def __init__(
-        self, address: str, credential: str, clock_: clock.Clock
+        self,
+        address: str,
+        credential: str,
+        clock_: clock.Clock,
+        dialer: dialing.Dialer = dialing.DIRECT,
     ) -> None:
         self.address = address
         self._credential = credential
-        self._client = connections.UpstreamClient(address, clock_)
+        self._client = connections.UpstreamClient(
+            address, clock_, dialer=dialer
+        )
 
     def call(
         self,
