--- a/tests/hosted_fleet.py
+++ b/tests/hosted_fleet.py
@@ -8,6 +8,7 @@
 
 import tomli_w
 
+from standins import partitioned_vm
 from tests import processes
 
 HOST = "127.0.0.1"
@@ -35,6 +36,7 @@
     :param phases: the phase of each engine
     :param engine_tokens: the capacity of an engine's KV cache in tokens
     :param router: settings of the VMs' routers that replace the defaults
+    :param program: module that runs an entry VM
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         phases=("prefill", "decode"),
         engine_tokens=96_693,
         router=None,
+        program="mulberryway.commands.entry",
     ):
         self.kv_capacity_tokens = engine_tokens
         self.group = processes.Group()
@@ -53,6 +56,7 @@
         )
         self.rate = rate
         self.router = router or {}
+        self.program = program
         self.version = 0
         self.upstreams = {}
         self.phases = phases
@@ -228,7 +232,7 @@
         """Start an entry VM and return it without waiting for it to listen."""
         file = self.write_settings(number, store_port)
         self.vms[number] = processes.Process(
-            "mulberryway.commands.entry",
+            self.program,
             [f"--settings={file}"],
             self.ports[number],
             self.find_log(number),
@@ -236,6 +240,22 @@
         self.group.processes.append(self.vms[number])
         return self.vms[number]
 
+    def partition(self, number, mode=None, names=None):
+        """Cut a VM from upstreams; it must run ``standins.partitioned_vm``.
+
+        :param mode: how connections fail; None ends the partition
+        :param names: the upstreams; None for all
+        """
+        names = self.upstreams if names is None else names
+        ports = [str(self.upstreams[name][1]) for name in names]
+        words = [mode.value, *ports] if mode else []
+        settings_file = pathlib.Path(self.folder.name) / f"vm{number}.toml"
+        file = partitioned_vm.find_file(settings_file)
+        # Renamed into place, so that the VM never reads a part of it.
+        draft = file.with_suffix(".draft")
+        draft.write_text(" ".join(words), encoding="utf-8")
+        draft.rename(file)
+
     def write_settings(self, number, store_port=None):
         """Write a VM's settings file and return its path."""
         front, ready, directory, peers, metrics = self.ports[number]
