--- a/tests/test_admin_processes.py
+++ b/tests/test_admin_processes.py
@@ -18,6 +18,15 @@
         cls.fleet = configuration_fleet.ConfigurationFleet(3, 2)
         cls.fleet.__enter__()
         cls.addClassCleanup(cls.fleet.__exit__)
+        # "In force everywhere" covers the VMs that are known.
+        for admin in range(cls.fleet.admins):
+            processes.wait_until(lambda a=admin: cls.knows_all_vms(a))
+
+    @classmethod
+    def knows_all_vms(cls, admin):
+        """Return whether an administration API's VM knows all others."""
+        status = cls.fleet.call_admin("GET", "/v1/status", admin=admin).json()
+        return len(status["vms"]) == cls.fleet.count
 
     def setUp(self):
         file = self.fleet.write("tables.toml", samples.TABLES)
