--- a/mulberryway/peers/channel.py
+++ b/mulberryway/peers/channel.py
@@ -7,6 +7,7 @@
 or moved to another connection fails verification. Nothing is encrypted.
 """
 
+import copy
 import enum
 import hashlib
 import hmac
@@ -140,6 +141,12 @@
             return False
         return False
 
+    def detach(self) -> "Channel":
+        """Return a channel that owns the connection; this one is closed."""
+        detached = copy.copy(self)
+        detached.connection = socket.socket(fileno=self.connection.detach())
+        return detached
+
     def close(self) -> None:
         """Close the connection."""
         self.connection.close()
--- a/mulberryway/peers/client.py
+++ b/mulberryway/peers/client.py
@@ -1,6 +1,7 @@
 """Calls to other VMs over a bounded pool of authenticated connections."""
 
 import collections
+import socket
 import threading
 import typing
 
@@ -76,6 +77,57 @@
         finally:
             self._end_call(peer)
 
+    def call_detached(
+        self,
+        peer: str,
+        client_class: type,
+        method: str,
+        *arguments: typing.Any,
+        timeout_ms: int,
+    ) -> expression.Result[tuple[typing.Any, socket.socket], errors.Fault]:
+        """Make a call whose response leaves the connection to its caller.
+
+        The call is sent again if a pooled connection is unresponsive.
+
+        :param peer: ``host:port``
+        :param client_class: the generated ``Client`` of the service
+        :param method: the method's name
+        :param arguments: its arguments
+        :param timeout_ms: the longest wait, in milliseconds
+        :returns: the response and the connection, or a fault
+        """
+        now_ms = self._clock.now_ms()
+        call = _Call(peer, client_class, method, arguments)
+        pooled_channel = self._acquire_idle(peer)
+        if pooled_channel is not None:
+            # It may be half-open, so half of the time is left for a new one.
+            limit = clock.Deadline(now_ms + timeout_ms // 2)
+            result = self._run_detached(call, pooled_channel, limit)
+            if result.is_ok():
+                return result
+        deadline = clock.Deadline(now_ms + timeout_ms)
+        try:
+            new_channel = channel.connect(
+                call.parse_address(), self._secret, deadline, self._clock
+            )
+        except channel.ChannelError as error:
+            return _fail(peer, str(error))
+        return self._run_detached(call, new_channel, deadline)
+
+    def _run_detached(
+        self,
+        call: "_Call",
+        connection: channel.Channel,
+        deadline: clock.Deadline,
+    ) -> expression.Result[tuple[typing.Any, socket.socket], errors.Fault]:
+        try:
+            response = call.run(connection, deadline, self.traffic)
+        except (channel.ChannelError, Thrift.TException, EOFError) as error:
+            connection.close()
+            self._drop_idle(call.peer)
+            return _fail(call.peer, str(error), True)
+        return expression.Ok((response, connection.detach().connection))
+
     def close(self) -> None:
         """Close all idle connections; later calls do not pool theirs."""
         with self._lock:
--- a/mulberryway/peers/server.py
+++ b/mulberryway/peers/server.py
@@ -1,5 +1,6 @@
 """Handles other VMs' calls with a bounded number of threads."""
 
+import abc
 import collections
 import concurrent.futures
 import contextlib
@@ -17,7 +18,7 @@
 from mulberryway.peers import protocol
 from mulberryway.peers import traffic
 
-__all__ = ["PeerServer"]
+__all__ = ["PeerServer", "Takeover"]
 
 LOG = logging.getLogger(__name__)
 
@@ -34,6 +35,20 @@
 SWEEP_MS = 500
 
 
+class Takeover(abc.ABC):
+    """A service whose calls take over their connection."""
+
+    @abc.abstractmethod
+    def take(
+        self, reader: protocol.MultiplexedProtocol, peer: channel.Channel
+    ) -> None:
+        """Handle a call without waiting for anything.
+
+        :param reader: the call, positioned after its service's name
+        :param peer: the caller's channel, which the service has to close
+        """
+
+
 class _PendingConnection:
     """A connection that has not completed the handshake."""
 
@@ -54,6 +69,7 @@
     :param secret: the fleet's secret
     :param processors: generated processors by service name
     :param clock_: the clock
+    :param takeovers: services that take over their connections, by name
     """
 
     def __init__(
@@ -63,8 +79,10 @@
         secret: str,
         processors: dict[str, Thrift.TProcessor],
         clock_: clock.Clock,
+        takeovers: dict[str, Takeover] | None = None,
     ) -> None:
         self.traffic = traffic.Traffic()
+        self._takeovers = takeovers or {}
         self._secret = secret
         self._processors = processors
         self._clock = clock_
@@ -257,6 +275,11 @@
         )
         buffer = TTransport.TMemoryBuffer()
         service = reader.peek_service()
+        takeover = self._takeovers.get(service)
+        if takeover is not None:
+            # The pool's threads are free again at once.
+            takeover.take(reader, peer_channel.detach())
+            return
         processor = self._processors.get(service)
         if processor is None:
             # Closing the connection lets the caller fail before its timeout.
