--- a/mulberryway/assembly.py
+++ b/mulberryway/assembly.py
@@ -15,11 +15,13 @@
 from mulberryway.controllers import claim_coordination
 from mulberryway.controllers import claims
 from mulberryway.controllers import configuration_service
+from mulberryway.controllers import detours
 from mulberryway.controllers import dissemination
 from mulberryway.controllers import engine_reports
 from mulberryway.controllers import membership
 from mulberryway.controllers import orders
 from mulberryway.controllers import owner_liveness
+from mulberryway.controllers import path_monitoring
 from mulberryway.controllers import probing
 from mulberryway.controllers import reconciling
 from mulberryway.controllers import scheduler_gossip
@@ -35,6 +37,7 @@
 from mulberryway.policy import leader_lease
 from mulberryway.policy import member
 from mulberryway.policy import scheduler
+from mulberryway.relay import tunnels
 from mulberryway.upstreams import base as upstreams
 from mulberryway.upstreams import directory
 
@@ -97,7 +100,17 @@
         self.slots = allowance_slots.AllowanceSlotsController(
             self.shares, self.store, self.members, self.clock
         )
-        self.directory = directory.HttpDirectory(self.clock)
+        self.paths = path_monitoring.PathMonitor(
+            settings_.vm_name,
+            settings_.vm_zone,
+            self.incarnation,
+            self.members.list_members,
+            self.clock,
+        )
+        self.directory = directory.HttpDirectory(
+            self.clock,
+            detours.DetourDialer(self.paths, self.client, self.clock),
+        )
         self.router = self._make_router()
         self.platform_counts.register_metrics(self.router.metrics)
         self.configuration.report(self.router.metrics)
@@ -119,7 +132,11 @@
             self.configuration.source,
             self.directory,
             self.clock,
+            self.paths.list_reaching,
         )
+        self.paths.publish = self.dissemination.publish
+        self.notes.on_paths = self.paths.take_report
+        self.configuration.source.subscribe(self.paths.update_tables)
         self.reports = engine_reports.EngineReportController(
             self.notes,
             self.router.scheduling,
@@ -149,6 +166,16 @@
             self._may_issue_orders,
             self.clock,
         )
+        self.tunnels = tunnels.TunnelServer(
+            self.router.loop,
+            self.paths,
+            self.configuration.source,
+            tunnels.compute_max_tunnels(settings_.vm_link_mbps),
+            self.clock,
+        )
+        self.router.count_forwarded = self.tunnels.count_busy
+        for part in (self.paths, self.tunnels):
+            part.report(self.router.metrics)
         self.peer_server = peer_server.PeerServer(
             settings_.vm_address,
             settings_.peers_port,
@@ -162,6 +189,7 @@
                 configuration_service.SERVICE: self.configuration.processor,
             },
             self.clock,
+            {tunnels.SERVICE: self.tunnels},
         )
         self.datagrams = datagrams.DatagramTransport(
             settings_.vm_address,
@@ -181,6 +209,7 @@
         self.claims.start()
         self.slots.start()
         self.allowances.start()
+        self.paths.start()
         self.router.start()
         self.dissemination.start()
         self.notes.start()
@@ -194,6 +223,7 @@
 
         :param graceful: whether running requests may finish first
         """
+        self.tunnels.stop_accepting()
         self.router.stop(graceful)
         self.allowances.stop()
         self.slots.stop()
@@ -210,6 +240,7 @@
             self.reports,
             self.probing,
             self.notes,
+            self.paths,
             self.dissemination,
             self.configuration,
             self.members,
@@ -221,6 +252,7 @@
             )
         self.datagrams.stop()
         self.peer_server.stop()
+        self.tunnels.close()
 
     def _find_engine(
         self, pool: str, upstream: str
@@ -233,10 +265,10 @@
         )
 
     def _may_issue_orders(self) -> bool:
-        alive_members = self.members.list_alive()
-        return self.settings.vm_name in leader_lease.choose_candidates(
-            alive_members
+        candidates = leader_lease.choose_candidates(
+            self.paths.list_reaching(self.members.list_alive())
         )
+        return self.settings.vm_name in candidates
 
     def _make_members(self) -> membership.MembershipController:
         settings_ = self.settings
--- a/mulberryway/controllers/detours.py
+++ b/mulberryway/controllers/detours.py
@@ -1,34 +1,191 @@
-"""Opens connections to upstreams and reports each path's state."""
+"""Opens connections to upstreams, through other VMs if need be."""
 
+import logging
 import socket
 
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway import logs
+from mulberryway import peers
 from mulberryway.controllers import path_monitoring
+from mulberryway.peers.gen.tunnels import Tunnels
+from mulberryway.policy import forwarders
+from mulberryway.policy import member
 from mulberryway.upstreams import dialing
 
-__all__ = ["MonitoredDialer"]
+__all__ = ["DetourDialer"]
 
+LOG = logging.getLogger(__name__)
 
-class MonitoredDialer(dialing.Dialer):
-    """Connects to upstreams directly, and records the outcomes.
+MS_IN_S = 1_000
+# A tunnel takes about five round trips.
+TUNNEL_TIMEOUT_MS = 250
+# The time for all VMs that are asked for a tunnel.
+DETOUR_TIMEOUT_MS = 450
+CONNECT_FAILURES = frozenset(
+    (
+        forwarders.TunnelOutcome.UNREACHABLE,
+        forwarders.TunnelOutcome.CUT_OFF,
+    )
+)
 
-    :param monitor: this VM's view of its paths
+
+class DetourDialer(dialing.Dialer):
+    """Connects directly where the path works, else through another VM.
+
+    Only connecting is diverted: nothing of a request was sent yet.  A path
+    that has failed is not used again before one of the monitor's probes has
+    succeeded.
+
+    :param monitor: the paths of this VM and of the others
+    :param client: calls other VMs
+    :param clock_: the clock
     """
 
-    def __init__(self, monitor: path_monitoring.PathMonitor) -> None:
+    def __init__(
+        self,
+        monitor: path_monitoring.PathMonitor,
+        client: peers.PeerClient,
+        clock_: clock.Clock,
+    ) -> None:
         self._monitor = monitor
+        self._client = client
+        self._clock = clock_
 
     def connect(self, address: str, timeout_ms: int) -> socket.socket:
         """Open a connection.
 
         :param address: the upstream's ``host:port``
-        :param timeout_ms: timeout of the connect, in ms
+        :param timeout_ms: timeout of a direct connect, in ms; a tunnel may
+            take ``DETOUR_TIMEOUT_MS`` more
         :returns: a connected socket
-        :raises OSError: if the upstream cannot be reached
+        :raises dialing.PathError: if neither this VM nor another one has a
+            path to the upstream, which may be sound
+        :raises OSError: if other VMs cannot reach the upstream either, or if
+            there are none
+        """
+        failure: OSError | None = None
+        if not self.is_suspect(address):
+            try:
+                return self._connect_directly(address, timeout_ms)
+            except OSError as error:
+                self._monitor.record_failure(address, error)
+                failure = error
+        if not self._monitor.has_other_vms() and failure is not None:
+            raise failure
+        chosen = self._monitor.choose_forwarders(address)
+        if not chosen and self._monitor.is_unreachable_elsewhere(address):
+            raise self._record_down(address, "other VMs")
+        return self._connect_through(chosen, address)
+
+    def is_suspect(self, address: str) -> bool:
+        """Return whether a failure there may be a failure of the path.
+
+        Without another VM to compare with, it counts as the upstream's.
+
+        :param address: the upstream's ``host:port``
+        """
+        return (
+            self._monitor.is_suspect(address) and self._monitor.has_other_vms()
+        )
+
+    def get_epoch(self, address: str) -> int:
+        """Return a number that changes whenever the path is lost or restored.
+
+        :param address: the upstream's ``host:port``
         """
-        try:
-            connection = dialing.connect_directly(address, timeout_ms)
-        except OSError as failure:
-            self._monitor.record_failure(address, failure)
-            raise
+        return self._monitor.get_epoch(address)
+
+    def record_doubt(self, address: str) -> None:
+        """Probe a path, because a call on an open connection failed.
+
+        :param address: the upstream's ``host:port``
+        """
+        self._monitor.record_doubt(address)
+
+    def _connect_directly(
+        self, address: str, timeout_ms: int
+    ) -> socket.socket:
+        """Connect, and keep time for a tunnel if there are other VMs."""
+        direct_ms = timeout_ms
+        if timeout_ms > path_monitoring.CONNECT_TIMEOUT_MS and (
+            self._monitor.has_other_vms()
+        ):
+            direct_ms = path_monitoring.CONNECT_TIMEOUT_MS
+        connection = dialing.connect_directly(address, direct_ms)
         self._monitor.record_success(address)
         return connection
+
+    def _connect_through(
+        self, chosen: list[member.Member], address: str
+    ) -> socket.socket:
+        started_ms = self._clock.now_ms()
+        deadline = clock.Deadline(started_ms + DETOUR_TIMEOUT_MS)
+        has_failed_elsewhere = False
+        for forwarder in chosen:
+            left_ms = deadline.left_ms(self._clock.now_ms())
+            if not left_ms:
+                break
+            outcome, connection = self._ask(forwarder, address, left_ms)
+            if connection is not None:
+                took_ms = self._clock.now_ms() - started_ms
+                _log_tunnel(address, forwarder, took_ms)
+                return connection
+            has_failed_elsewhere |= outcome in CONNECT_FAILURES
+            if outcome is forwarders.TunnelOutcome.UNREACHABLE or (
+                has_failed_elsewhere and self._monitor.is_reaching()
+            ):
+                raise self._record_down(address, forwarder.name)
+        raise dialing.PathError(f"{address}: no VM has a path")
+
+    def _record_down(self, address: str, witness: str) -> OSError:
+        """Return the error of an upstream that other VMs do not reach."""
+        self._monitor.record_upstream_down(address)
+        return ConnectionRefusedError(f"{address}: unreachable for {witness}")
+
+    def _ask(
+        self, forwarder: member.Member, address: str, left_ms: int
+    ) -> tuple[forwarders.TunnelOutcome | None, socket.socket | None]:
+        """Ask a VM for a tunnel; return its answer and an open connection."""
+        answer = self._client.call_detached(
+            forwarder.peer,
+            Tunnels.Client,
+            "open",
+            address,
+            timeout_ms=min(TUNNEL_TIMEOUT_MS, left_ms),
+        )
+        if answer.is_error():
+            _log_refusal(address, forwarder, "unanswered", answer.error)
+            self._monitor.record_tunnel(forwarder.name, None)
+            return None, None
+        number, connection = answer.ok
+        outcome = forwarders.TunnelOutcome(number)
+        self._monitor.record_tunnel(forwarder.name, outcome)
+        if outcome is forwarders.TunnelOutcome.OPEN:
+            return outcome, connection
+        connection.close()
+        _log_refusal(address, forwarder, outcome.name.lower())
+        return outcome, None
+
+
+def _log_tunnel(address: str, forwarder: member.Member, took_ms: int) -> None:
+    LOG.info(
+        "a connection goes through another VM",
+        extra=logs.make_extra(
+            upstream=address, forwarder=forwarder.name, took_ms=took_ms
+        ),
+    )
+
+
+def _log_refusal(
+    address: str,
+    forwarder: member.Member,
+    outcome: str,
+    fault: errors.Fault | None = None,
+) -> None:
+    LOG.info(
+        "another VM opened no tunnel",
+        extra=logs.make_extra(
+            fault, upstream=address, forwarder=forwarder.name, outcome=outcome
+        ),
+    )
--- a/mulberryway/controllers/probing.py
+++ b/mulberryway/controllers/probing.py
@@ -1,5 +1,6 @@
 """Probes ejected engines; one VM probes each engine for the fleet."""
 
+import collections.abc
 import concurrent.futures
 import logging
 
@@ -36,6 +37,7 @@
     :param source: the active tables
     :param directory_: finds engines
     :param clock_: the clock
+    :param list_reaching: selects the VMs that reach upstreams
     """
 
     def __init__(
@@ -45,8 +47,12 @@
         source: tables.TableSource,
         directory_: directory.UpstreamDirectory,
         clock_: clock.Clock,
+        list_reaching: collections.abc.Callable[
+            [tuple[str, ...]], tuple[str, ...]
+        ] = lambda vms: vms,
     ) -> None:
         super().__init__("probing", clock_, IDLE_MS)
+        self._list_reaching = list_reaching
         self._scheduling = scheduling_
         self._members = members
         self._source = source
@@ -61,7 +67,8 @@
         ejected = self._scheduling.list_ejected()
         self.period_ms = PERIOD_MS if ejected else IDLE_MS
         self._log_changes(ejected)
-        own, vms = self._members.own.name, self._members.list_alive()
+        own = self._members.own.name
+        vms = self._list_reaching(self._members.list_alive())
         due = [
             candidate
             for candidate in ejected
--- a/mulberryway/controllers/scheduler_gossip.py
+++ b/mulberryway/controllers/scheduler_gossip.py
@@ -10,6 +10,7 @@
 from mulberryway.controllers import scheduling
 from mulberryway.peers import gossip_messages
 from mulberryway.policy import broadcast_queue
+from mulberryway.policy import forwarders
 from mulberryway.policy import hints
 from mulberryway.policy import member
 from mulberryway.policy import poison
@@ -70,6 +71,10 @@
         self.on_usage: collections.abc.Callable[[usages.Usage, str], None] = (
             lambda usage, address: None
         )
+        # Called with each VM's report on its paths; must return quickly.
+        self.on_paths: collections.abc.Callable[
+            [forwarders.PathReport], None
+        ] = lambda report: None
         scheduling_.on_change = self._handle_change
         dissemination_.on_items = self.take
         members.subscribe(DEATH, self._apply_crash)
@@ -115,6 +120,8 @@
             if entry.usage is not None:
                 address = self._dissemination.find_address(entry.usage.vm)
                 self.on_usage(entry.usage, address)
+            if entry.paths is not None:
+                self.on_paths(entry.paths)
             for news in entry.news:
                 self._apply_report(news)
 
--- a/mulberryway/errors.py
+++ b/mulberryway/errors.py
@@ -102,6 +102,8 @@
         a retry cannot succeed
     :param has_died: whether the connection broke during the request, so that
         this request may have crashed the remote end
+    :param is_path_fault: whether only the path to the remote end may have
+        failed, so that the fault proves nothing about the remote end
     :param answer: the upstream's own reply (see ``upstreams.base``) if the
         caller may see it; none if the upstream sent no reply
     """
@@ -114,6 +116,7 @@
         "message",
         "retry_after_ms",
         "has_died",
+        "is_path_fault",
         "answer",
         "inputs",
     )
@@ -128,6 +131,7 @@
         retry_after_ms: int | None = None,
         has_died: bool = False,
         answer: typing.Any = None,
+        is_path_fault: bool = False,
     ) -> None:
         self.code = code
         self.step = step
@@ -136,6 +140,7 @@
         self.message = message or code.value.replace("_", " ")
         self.retry_after_ms = retry_after_ms
         self.has_died = has_died
+        self.is_path_fault = is_path_fault
         self.answer = answer
         # Inputs of the decision, with their ages where known; logged only.
         self.inputs: dict[str, int | float | str] = {}
--- a/mulberryway/filters/model_dependencies.py
+++ b/mulberryway/filters/model_dependencies.py
@@ -37,8 +37,11 @@
 
     :param fault: the fault that ended the attempt
     :returns: the outcome; an upstream that may have crashed on the request
-        is distinguished from one that returned an error
+        is distinguished from one that returned an error, and from one that
+        only this VM cannot reach
     """
+    if fault.is_path_fault:
+        return jobs.JobOutcome.CANCELLED
     if fault.has_died:
         return jobs.JobOutcome.DIED
     return JOB_OUTCOME_BY_CODE.get(fault.code, jobs.JobOutcome.FAILED)
--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -150,7 +150,7 @@
         fault.peer = fault.peer or self._get_decode_name()
         self._begin_search(stream.expected)
         if self._attempt is not None:
-            self._check_death(fault, self._attempt)
+            self._check_path(fault, self._attempt)
         self._record_failure(fault)
         self._end_attempt(
             model_dependencies.classify_job_end(fault), self._get_decode_name()
@@ -181,6 +181,10 @@
             self._log_wait(fault)
             self._parts.relay.keep_source(stream, fault)
             return
+        if self._attempt is not None:
+            self._parts.directory.dialer.record_doubt(
+                self._attempt.decode.address
+            )
         self._avoided = self._avoided | {self._get_decode_name()}
         self._replacement = decode_gate.ReplacementGate(
             self._parts.relay, stream, offset, self._get_decode_name(), fault
@@ -265,7 +269,7 @@
         fault = replacement.stream.source_fault or replacement.fault
         with self._lock:
             self._attempt, self._next_attempt = chosen, None
-        self._check_death(fault, stalled)
+        self._check_path(fault, stalled)
         self._record_failure(fault)
         stalled.end(
             model_dependencies.classify_job_end(fault), stalled.decode_name
@@ -280,14 +284,13 @@
         if attempt is not None:
             attempt.end(jobs.JobOutcome.CANCELLED)
 
-    def _check_death(
+    def _check_path(
         self, fault: errors.Fault, attempt: attempts.Attempt
     ) -> None:
-        """Clear ``has_died`` if the engine still accepts connections."""
-        if fault.has_died:
-            fault.has_died = not connections.is_accepting_connections(
-                attempt.decode.address, self._parts.directory.dialer
-            )
+        """Find out whether the engine or only the path to it has failed."""
+        connections.check_path(
+            fault, attempt.decode.address, self._parts.directory.dialer
+        )
 
     def _log_wait(self, fault: errors.Fault) -> None:
         LOG.info(
--- a/mulberryway/filters/service_forward.py
+++ b/mulberryway/filters/service_forward.py
@@ -250,8 +250,10 @@
     ) -> None:
         now_ms = self._clock.now_ms()
         fault = None if result.is_ok() else result.error
-        if exchange.has_gone.is_set():
-            # A call cancelled for its caller proves nothing about the server.
+        is_path_fault = fault is not None and fault.is_path_fault
+        if exchange.has_gone.is_set() or is_path_fault:
+            # A call cancelled for its caller, or lost on its way, proves
+            # nothing about the server.
             call_outcome = server_selection.CallOutcome.NO_VERDICT
         elif fault is None:
             call_outcome = server_selection.CallOutcome.DONE
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -53,6 +53,7 @@
 from mulberryway.policy import scheduler
 from mulberryway.policy import store_reachability
 from mulberryway.policy import usage
+from mulberryway.relay import tunnels
 from mulberryway.upstreams import base as upstreams
 from mulberryway.upstreams import directory as directory_
 
@@ -131,9 +132,16 @@
         self.exchange = mirror_exchange.MirrorSyncController(
             self.mirror_controllers, self.client, self.clock, self._list_peers
         )
-        self.paths = path_monitoring.PathMonitor(settings_.vm_name, self.clock)
+        self.paths = path_monitoring.PathMonitor(
+            settings_.vm_name,
+            settings_.vm_zone,
+            self.incarnation,
+            self.members.list_members,
+            self.clock,
+        )
         self.directory = directory.PlatformDirectory(
-            self.clock, detours.MonitoredDialer(self.paths)
+            self.clock,
+            detours.DetourDialer(self.paths, self.client, self.clock),
         )
         self.retry_budget = repeats.SharedRetryBudget(
             retries.FleetRetryBudget(
@@ -206,6 +214,7 @@
                 grace_ms=self.settings.router_grace_ms,
             ),
         )
+        self.tunnels.stop_accepting()
         self.router.stop(graceful)
         controllers = (
             self.orders,
@@ -225,6 +234,7 @@
             )
         self.datagrams.stop()
         self.peer_server.stop()
+        self.tunnels.close()
         LOG.info(
             "the entry VM has stopped",
             extra=logs.make_extra(cut=self.router.running),
@@ -338,13 +348,25 @@
             self.source,
             self.directory,
             self.clock,
+            self.paths.list_reaching,
         )
+        self.paths.publish = self.dissemination.publish
+        self.notes.on_paths = self.paths.take_report
         self.allowances.broadcast = self.dissemination.publish
         self.notes.on_usage = self._receive_usage
         self.source.subscribe(self._update_tables)
 
     def _wire_peers(self) -> None:
         settings_ = self.settings
+        self.tunnels = tunnels.TunnelServer(
+            self.router.loop,
+            self.paths,
+            self.source,
+            tunnels.compute_max_tunnels(settings_.vm_link_mbps),
+            self.clock,
+        )
+        self.tunnels.report(self.router.metrics)
+        self.router.count_forwarded = self.tunnels.count_busy
         self.peer_server = peer_server.PeerServer(
             settings_.vm_address,
             settings_.peers_port,
@@ -356,6 +378,7 @@
                 ),
             },
             self.clock,
+            {tunnels.SERVICE: self.tunnels},
         )
         self.datagrams = datagrams.DatagramTransport(
             settings_.vm_address,
@@ -416,7 +439,9 @@
         )
 
     def _may_issue_orders(self) -> bool:
-        candidates = leader_lease.choose_candidates(self.members.list_alive())
+        candidates = leader_lease.choose_candidates(
+            self.paths.list_reaching(self.members.list_alive())
+        )
         return self.settings.vm_name in candidates
 
     def _apply_settings(self, changed: settings.Settings) -> None:
--- a/mulberryway/peers/gen/notes/ttypes.py
+++ b/mulberryway/peers/gen/notes/ttypes.py
@@ -1320,12 +1320,143 @@
         return not (self == other)
 
 
+class Paths(object):
+    """
+    Attributes:
+     - vm
+     - incarnation
+     - sequence
+     - is_cut_off
+     - unreachable
+
+    """
+
+    __slots__ = (
+        'vm',
+        'incarnation',
+        'sequence',
+        'is_cut_off',
+        'unreachable',
+    )
+
+
+    def __init__(self, vm=None, incarnation=None, sequence=None, is_cut_off=None, unreachable=None,):
+        self.vm = vm
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.is_cut_off = is_cut_off
+        self.unreachable = unreachable
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.vm = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.is_cut_off = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.unreachable = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.unreachable.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Paths')
+        if self.vm is not None:
+            oprot.writeFieldBegin('vm', TType.STRING, 1)
+            oprot.writeString(self.vm.encode('utf-8') if sys.version_info[0] == 2 else self.vm)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 3)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.is_cut_off is not None:
+            oprot.writeFieldBegin('is_cut_off', TType.BOOL, 4)
+            oprot.writeBool(self.is_cut_off)
+            oprot.writeFieldEnd()
+        if self.unreachable is not None:
+            oprot.writeFieldBegin('unreachable', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.unreachable))
+            for iter55 in self.unreachable:
+                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.vm is None:
+            raise TProtocolException(message='Required field vm is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.sequence is None:
+            raise TProtocolException(message='Required field sequence is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
      - note
      - reports
      - usage
+     - paths
 
     """
 
@@ -1333,13 +1464,15 @@
         'note',
         'reports',
         'usage',
+        'paths',
     )
 
 
-    def __init__(self, note=None, reports=None, usage=None,):
+    def __init__(self, note=None, reports=None, usage=None, paths=None,):
         self.note = note
         self.reports = reports
         self.usage = usage
+        self.paths = paths
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1359,11 +1492,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = EngineReport()
-                        _elem54.read(iprot)
-                        self.reports.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = EngineReport()
+                        _elem61.read(iprot)
+                        self.reports.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1373,6 +1506,12 @@
                     self.usage.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.paths = Paths()
+                    self.paths.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1390,14 +1529,18 @@
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter55 in self.reports:
-                iter55.write(oprot)
+            for iter62 in self.reports:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.usage is not None:
             oprot.writeFieldBegin('usage', TType.STRUCT, 3)
             self.usage.write(oprot)
             oprot.writeFieldEnd()
+        if self.paths is not None:
+            oprot.writeFieldBegin('paths', TType.STRUCT, 4)
+            self.paths.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1459,10 +1602,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = iprot.readBinary()
-                        self.items.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = iprot.readBinary()
+                        self.items.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1494,8 +1637,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.items))
-            for iter62 in self.items:
-                oprot.writeBinary(iter62)
+            for iter69 in self.items:
+                oprot.writeBinary(iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.relay_number is not None:
@@ -1625,12 +1768,22 @@
     (7, TType.BOOL, 'is_store_reached', None, None, ),  # 7
     (8, TType.BOOL, 'is_whole', None, None, ),  # 8
 )
+all_structs.append(Paths)
+Paths.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'vm', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I64, 'sequence', None, None, ),  # 3
+    (4, TType.BOOL, 'is_cut_off', None, None, ),  # 4
+    (5, TType.LIST, 'unreachable', (TType.STRING, 'UTF8', False), None, ),  # 5
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'note', [Note, None], None, ),  # 1
     (2, TType.LIST, 'reports', (TType.STRUCT, [EngineReport, None], False), None, ),  # 2
     (3, TType.STRUCT, 'usage', [Usage, None], None, ),  # 3
+    (4, TType.STRUCT, 'paths', [Paths, None], None, ),  # 4
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
--- a/mulberryway/peers/gossip_messages.py
+++ b/mulberryway/peers/gossip_messages.py
@@ -4,6 +4,7 @@
 
 from mulberryway.peers import codec
 from mulberryway.peers.gen.notes import ttypes
+from mulberryway.policy import forwarders
 from mulberryway.policy import health
 from mulberryway.policy import hints
 from mulberryway.policy import usage as usages
@@ -17,6 +18,7 @@
     "encode_death",
     "encode_report",
     "encode_note",
+    "encode_paths",
     "encode_usage",
 ]
 
@@ -24,6 +26,9 @@
 # Equal to the limit of upstreams in one note of ``policy.note_sender``.
 MAX_HOLDINGS = 64
 MAX_ACCOUNTS = 32
+# Addresses in one report: half a kilobyte.  A VM that cannot reach more is
+# asked in vain for the others.
+MAX_UNREACHABLE = 24
 # Hashes of one engine in one datagram: 4 KB of its 8 KB.
 MAX_HASHES = 512
 # The largest value of the message's 32-bit age field.
@@ -60,19 +65,22 @@
     :param note: a router's note, or none
     :param news: engine reports
     :param usage: tokens that the sender granted to accounts, or none
+    :param paths: upstreams that the sender cannot reach, or none
     """
 
-    __slots__ = ("note", "news", "usage")
+    __slots__ = ("note", "news", "usage", "paths")
 
     def __init__(
         self,
         note: hints.Note | None,
         news: list[EngineReport],
         usage: usages.Usage | None = None,
+        paths: forwarders.PathReport | None = None,
     ) -> None:
         self.note = note
         self.news = news
         self.usage = usage
+        self.paths = paths
 
 
 def encode_note(note: hints.Note) -> bytes:
@@ -136,8 +144,38 @@
     message = codec.read(ttypes.Datagram(), payload)
     note = None if message.note is None else _unpack_note(message.note)
     usage = None if message.usage is None else _unpack_usage(message.usage)
+    paths = None if message.paths is None else _unpack_paths(message.paths)
     return DecodedDatagram(
-        note, [_unpack_report(item) for item in message.reports or ()], usage
+        note,
+        [_unpack_report(item) for item in message.reports or ()],
+        usage,
+        paths,
+    )
+
+
+def encode_paths(report: forwarders.PathReport) -> bytes:
+    """Return the payload of a VM's report on its paths.
+
+    :param report: the report
+    :returns: the payload
+    """
+    message = ttypes.Paths(
+        report.vm,
+        report.incarnation,
+        report.sequence,
+        report.is_cut_off or None,
+        sorted(report.unreachable)[:MAX_UNREACHABLE] or None,
+    )
+    return codec.write(ttypes.Datagram(paths=message))
+
+
+def _unpack_paths(message: ttypes.Paths) -> forwarders.PathReport:
+    return forwarders.PathReport(
+        message.vm,
+        message.incarnation,
+        message.sequence,
+        bool(message.is_cut_off),
+        message.unreachable or (),
     )
 
 
--- a/mulberryway/peers/idl/notes.thrift
+++ b/mulberryway/peers/idl/notes.thrift
@@ -93,10 +93,22 @@
   8: optional bool is_whole,
 }
 
+// Upstreams that a VM cannot reach directly; sent only while there are any,
+// and once when there are none any more.
+struct Paths {
+  1: required string vm,
+  2: required i64 incarnation,
+  3: required i64 sequence,
+  // Whether it reaches none; then no addresses are listed.
+  4: optional bool is_cut_off,
+  5: optional list<string> unreachable,
+}
+
 struct Datagram {
   1: optional Note note,
   2: optional list<EngineReport> reports,
   3: optional Usage usage,
+  4: optional Paths paths,
 }
 
 // What one UDP datagram carries between VMs.
--- a/mulberryway/platform/engine.py
+++ b/mulberryway/platform/engine.py
@@ -266,6 +266,9 @@
     ) -> expression.Result[None, errors.Fault]:
         """Send the engine an order to change its role.
 
+        It never goes through another VM: engines tell holders apart by the
+        machine that an order comes from.
+
         :param order: the order with its fencing token
         :returns: None, or a fault: ``UPSTREAM_REFUSED`` if the fencing
             token is outdated
@@ -278,9 +281,12 @@
         }
         if order.expected is not None:
             body["expect"] = order.expected
-        return self._call_control("POST", wire.ORDER, body).map(
-            lambda response: None
+        client = connections.UpstreamClient(
+            self.address, self._clock, wire.ATTEMPT_ID
         )
+        sent = self._call_control("POST", wire.ORDER, body, client=client)
+        client.close()
+        return sent.map(lambda response: None)
 
     def close(self) -> None:
         """Close the pooled connections."""
@@ -400,20 +406,25 @@
         target: str,
         body: dict[str, typing.Any] | None = None,
         timeout_ms: int = CONTROL_TIMEOUT_MS,
+        client: connections.UpstreamClient | None = None,
     ) -> expression.Result[connections.Response, errors.Fault]:
         headers = {wire.EXPECTED_INSTANCE: self.instance}
         data = None
         if body is not None:
             headers["Content-Type"] = "application/json"
             data = json.dumps(body).encode()
-        return self._client.call(
-            method,
-            target,
-            headers,
-            data,
-            timeout_ms,
-            errors.Step.DECODE,
-        ).bind(self._check_control_response)
+        return (
+            (client or self._client)
+            .call(
+                method,
+                target,
+                headers,
+                data,
+                timeout_ms,
+                errors.Step.DECODE,
+            )
+            .bind(self._check_control_response)
+        )
 
     def _check_control_response(
         self, response: connections.Response
--- a/mulberryway/policy/paths.py
+++ b/mulberryway/policy/paths.py
@@ -18,7 +18,7 @@
 MAX_PROBE_INTERVAL_MS = 1_000
 # Bounds the rate of a VM's probes, whatever the number of upstreams.
 PROBE_GAP_MS = 50
-# VMs that were cut off together do not probe in step.
+# Spreads the probes of VMs that were cut off together.
 JITTER = 0.25
 
 
@@ -85,15 +85,21 @@
         """Whether this VM seems to reach no upstream."""
         return self._is_cut_off
 
-    def retain(self, addresses: collections.abc.Iterable[str]) -> None:
+    def retain(
+        self, addresses: collections.abc.Iterable[str], now_ms: int
+    ) -> None:
         """Replace the set of known upstreams.
 
         :param addresses: their addresses, ``host:port``
+        :param now_ms: current time in ms
         """
         kept = {address: self._paths.get(address) for address in addresses}
         self._paths = {
             address: path or _Path() for address, path in kept.items()
         }
+        if self._is_cut_off:
+            self._infer_losses(now_ms)
+        self._update_cut_off(now_ms)
 
     def is_suspect(self, address: str) -> bool:
         """Return whether connects to an upstream would probably fail.
@@ -173,7 +179,9 @@
             path.probe_ms = now_ms
 
     def choose_probe(self, now_ms: int) -> str | None:
-        """Return the upstream to probe now; its probe counts as started.
+        """Return the upstream to probe now.
+
+        The outcome has to be recorded; the next probe depends on it.
 
         :param now_ms: current time in ms
         :returns: ``host:port``, or None if no probe is due
@@ -186,8 +194,6 @@
         )
         self._probed_ms = now_ms
         path.probe_ms = None
-        if path.lost_ms is not None:
-            path.schedule_probe(now_ms, self._random)
         return address
 
     def get_probe_ms(self) -> int | None:
@@ -214,10 +220,7 @@
         was_cut_off = self._is_cut_off
         self._is_cut_off = self._count_lost() >= MIN_LOST_PATHS
         if self._is_cut_off and not was_cut_off:
-            for path in self._paths.values():
-                if path.lost_ms is None:
-                    path.lose(True, now_ms)
-                    path.schedule_probe(now_ms, self._random)
+            self._infer_losses(now_ms)
         elif was_cut_off and not self._is_cut_off:
             for path in self._paths.values():
                 if path.is_inferred:
@@ -226,6 +229,12 @@
                     path.probe_ms = now_ms
                     path.probe_interval_ms = MIN_PROBE_INTERVAL_MS
 
+    def _infer_losses(self, now_ms: int) -> None:
+        for path in self._paths.values():
+            if path.lost_ms is None:
+                path.lose(True, now_ms)
+                path.schedule_probe(now_ms, self._random)
+
     def _count_lost(self) -> int:
         """Return how many paths were lost since the last success."""
         return sum(
--- a/mulberryway/router.py
+++ b/mulberryway/router.py
@@ -137,6 +137,9 @@
         self._api = api
         self._closes_revoked_streams = closes_revoked_streams
         self._stop_at_ms: int | None = None
+        # Returns the number of other VMs' requests that pass through this VM;
+        # a graceful shutdown waits for them as well.
+        self.count_forwarded: collections.abc.Callable[[], int] = lambda: 0
         self._has_started = False
         self._is_draining = False
         self._is_rejecting = False
@@ -308,10 +311,12 @@
         # cheroot's stop() cuts off requests that take longer than its limit
         # of five seconds, so it is called only when no request is running.
         while not end.has_passed(self.clock.now_ms()):
-            while self.running and not end.has_passed(self.clock.now_ms()):
+            while self._is_in_use() and not end.has_passed(
+                self.clock.now_ms()
+            ):
                 self.clock.sleep_ms(POLL_MS)
             self.clock.sleep_ms(MAX_IN_FLIGHT_MS)
-            if not self.running:
+            if not self._is_in_use():
                 break
         while (
             self.cancelling.open
@@ -320,6 +325,9 @@
         ):
             self.clock.sleep_ms(POLL_MS)
 
+    def _is_in_use(self) -> bool:
+        return bool(self.running or self.count_forwarded())
+
     def _shut_down(self) -> None:
         for server in (*self._auxiliary_servers, self.server):
             server.stop()
--- a/mulberryway/upstreams/connections.py
+++ b/mulberryway/upstreams/connections.py
@@ -27,6 +27,7 @@
     "CallCanceller",
     "Response",
     "is_accepting_connections",
+    "check_path",
     "classify_failure",
 ]
 
@@ -51,6 +52,7 @@
     urllib3.exceptions.NewConnectionError,
     urllib3.exceptions.ConnectTimeoutError,
     ConnectionRefusedError,
+    dialing.PathError,
 )
 TIMEOUT_ERRORS = (urllib3.exceptions.TimeoutError, TimeoutError)
 CLIENT_ERRORS = (
@@ -94,11 +96,13 @@
     :returns: the fault
     """
     if not was_sent or isinstance(error, NOT_SENT_ERRORS):
+        cause = error.__cause__ or error
         return errors.Fault(
             errors.Code.UPSTREAM_UNREACHABLE,
             step,
             peer,
             errors.ExecutionStatus.NOT_RUN,
+            is_path_fault=isinstance(cause, dialing.PathError),
         )
     code = errors.Code.UPSTREAM_FAILED
     if isinstance(error, TIMEOUT_ERRORS):
@@ -137,6 +141,28 @@
     return True
 
 
+def check_path(
+    fault: errors.Fault, address: str, dialer: dialing.Dialer
+) -> None:
+    """Find out whether an upstream or only the path to it has failed.
+
+    Updates ``has_died`` and ``is_path_fault``.
+
+    :param fault: the fault of a call to the upstream
+    :param address: the upstream's ``host:port``
+    :param dialer: opens connections to it
+    """
+    if fault.run is errors.ExecutionStatus.NOT_RUN:
+        # The dialer has compared the path with those of other VMs.
+        return
+    if fault.has_died:
+        fault.has_died = not is_accepting_connections(address, dialer)
+    else:
+        dialer.record_doubt(address)
+    if dialer.is_suspect(address):
+        fault.is_path_fault = True
+
+
 class CallCanceller:
     """Cancels a call that runs on another thread.
 
@@ -224,9 +250,10 @@
 class UpstreamClient:
     """HTTP client of one upstream with a connection pool.
 
-    The pool is replaced when it reaches ``MAX_POOL_AGE_MS``, and at once when
-    a call on it timed out or received the response to another request: the
-    other connections took the same network path, so they may be affected too.
+    The pool is replaced when it reaches ``MAX_POOL_AGE_MS``, when the path to
+    the upstream is lost or restored, and at once when a call on it timed out
+    or received the response to another request: the other connections took
+    the same network path, so they may be affected too.
 
     A call whose pool is closed before the call has a connection was not sent.
     It is made on a new connection if the pool was replaced, and fails as not
@@ -253,6 +280,7 @@
         self._is_closed = False
         self._pool = self._create_pool()
         self._pool_created_ms = clock_.now_ms()
+        self._pool_epoch = dialer.get_epoch(address)
 
     def call(
         self,
@@ -323,6 +351,7 @@
         with self._lock:
             old_pool, self._pool = self._pool, self._create_pool()
             self._pool_created_ms = self._clock.now_ms()
+            self._pool_epoch = self._dialer.get_epoch(self.address)
         # Calls in progress finish on their own connections, which are closed
         # afterwards because their pool is closed.  A call that has fetched
         # the pool but has no connection yet is made on a new one.
@@ -357,9 +386,7 @@
 
     def _make_fault(self, error: Exception, step: errors.Step) -> errors.Fault:
         fault = classify_failure(error, step, self.address)
-        fault.has_died = fault.has_died and not is_accepting_connections(
-            self.address, self._dialer
-        )
+        check_path(fault, self.address, self._dialer)
         if fault.code is errors.Code.UPSTREAM_TIMEOUT:
             self.reset_pool()
         return fault
@@ -372,7 +399,10 @@
             response.close()
 
     def _get_pool(self) -> urllib3.HTTPConnectionPool:
-        if self._clock.now_ms() - self._pool_created_ms > MAX_POOL_AGE_MS:
+        is_old = self._clock.now_ms() - self._pool_created_ms > MAX_POOL_AGE_MS
+        # A pooled connection over a path that was lost may be dead, although
+        # nothing shows it.
+        if is_old or self._pool_epoch != self._dialer.get_epoch(self.address):
             self.reset_pool()
         return self._pool
 
--- a/mulberryway/upstreams/decode_call.py
+++ b/mulberryway/upstreams/decode_call.py
@@ -80,16 +80,20 @@
         self.connected_s = 0.0
         self._address = address
         self._dialer = dialer
+        self._epoch = 0
 
     def connect(self) -> None:
         """Connect within ``CONNECT_TIMEOUT_MS``."""
         self.sock = self._dialer.connect(self._address, CONNECT_TIMEOUT_MS)
         self.connected_s = time.monotonic()
+        self._epoch = self._dialer.get_epoch(self._address)
 
     def is_reusable(self) -> bool:
-        """Return whether the engine cannot have closed it as idle yet."""
+        """Return whether neither the engine nor the path has ended it."""
+        age_s = time.monotonic() - self.connected_s
         return (
-            time.monotonic() - self.connected_s < MAX_UNUSED_AGE_MS / MS_IN_S
+            age_s < MAX_UNUSED_AGE_MS / MS_IN_S
+            and self._epoch == self._dialer.get_epoch(self._address)
         )
 
     def is_closed_by_peer(self) -> bool:
@@ -134,7 +138,7 @@
         LOG.debug("connecting to %s failed: %r", address, failure)
         return expression.Error(
             connections.classify_failure(
-                ConnectionRefusedError(), errors.Step.DECODE, address
+                failure, errors.Step.DECODE, address, was_sent=False
             )
         )
     return expression.Ok(connection)
@@ -198,10 +202,7 @@
         fault = connections.classify_failure(
             failure, errors.Step.DECODE, address
         )
-        fault.has_died = (
-            fault.has_died
-            and not connections.is_accepting_connections(address, dialer)
-        )
+        connections.check_path(fault, address, dialer)
         return expression.Error(fault)
     finally:
         if canceller is not None:
--- a/standins/partitioned_vm.py
+++ b/standins/partitioned_vm.py
@@ -7,6 +7,7 @@
 """
 
 import enum
+import importlib
 import os
 import pathlib
 import socket
@@ -16,8 +17,6 @@
 import time
 import typing
 
-from mulberryway.commands import entry
-
 __all__ = ["Mode", "Partition", "find_file", "run"]
 
 POLL_S = 0.01
@@ -146,7 +145,8 @@
     flag = next(word for word in sys.argv if word.startswith("--settings="))
     settings_file = pathlib.Path(flag.partition("=")[2])
     Partition(find_file(settings_file)).start()
-    entry.run()
+    # Tests import this module beside programs that define the same flags.
+    importlib.import_module("mulberryway.commands.entry").run()
 
 
 if __name__ == "__main__":
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -28,6 +28,7 @@
 from mulberryway.upstreams import base as upstreams
 from mulberryway.upstreams import connections
 from mulberryway.upstreams import decode_call
+from mulberryway.upstreams import dialing
 from tests import router_fixture
 
 TEST_TIMEOUT_S = 10
@@ -329,7 +330,7 @@
         self.addCleanup(self.close_sockets)
         # The addresses of scripted engines cannot be probed.
         probe = mock.patch.object(
-            connections, "is_accepting_connections", lambda address: True
+            connections, "is_accepting_connections", lambda *_: True
         )
         probe.start()
         self.addCleanup(probe.stop)
@@ -384,7 +385,7 @@
         self.exchange.pool = current.pools["lm-pool"]
         self.exchange.deadline.at_ms = STARTED_MS + TIMEOUT_MS
         self.exchange.estimate = 100
-        directory = mock.Mock()
+        directory = mock.Mock(dialer=dialing.DIRECT)
         directory.find_engine = lambda pool, row: self.engines[row.name]
         return model_run.ModelRequest(
             self.exchange,
@@ -572,7 +573,7 @@
         without being quarantined, because each crash follows a stall.
         """
         probe = mock.patch.object(
-            connections, "is_accepting_connections", lambda address: False
+            connections, "is_accepting_connections", lambda *_: False
         )
         probe.start()
         self.addCleanup(probe.stop)
@@ -593,7 +594,7 @@
         is seen while another engine is prepared.
         """
         probe = mock.patch.object(
-            connections, "is_accepting_connections", lambda address: False
+            connections, "is_accepting_connections", lambda *_: False
         )
         probe.start()
         self.addCleanup(probe.stop)
@@ -1025,12 +1026,12 @@
         connect = decode_call.connect
         connects = []
 
-        def connect_slowly(address):
+        def connect_slowly(address, dialer):
             connects.append(address)
             if len(connects) == 2:
                 self.send_token("a", 1)
                 self.assertEqual(self.stream.expected, 1)
-            return connect(address)
+            return connect(address, dialer)
 
         thread = threading.Thread(target=self.serve, args=(answer,))
         thread.start()
--- /dev/null
+++ b/tests/test_tunnels.py
@@ -0,0 +1,405 @@
+"""Tests of connections to upstreams that go through another VM."""
+
+import contextlib
+import random
+import select
+import socket
+import threading
+import unittest
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway import peers
+from mulberryway.controllers import detours
+from mulberryway.controllers import path_monitoring
+from mulberryway.filters import model_dependencies
+from mulberryway.peers.gen.tunnels import Tunnels
+from mulberryway.policy import forwarders
+from mulberryway.policy import jobs
+from mulberryway.policy import member
+from mulberryway.relay import loop
+from mulberryway.relay import tunnels
+from mulberryway.upstreams import connections
+from mulberryway.upstreams import decode_call
+from mulberryway.upstreams import dialing
+from tests import processes
+from tests import router_fixture
+
+HOST = "127.0.0.1"
+SECRET = "s"
+TIMEOUT_S = 5.0
+TIMEOUT_MS = 1_000
+
+
+class Upstream:
+    """A listener whose accepted connections the test reads and writes."""
+
+    def __init__(self):
+        self.listener = socket.create_server((HOST, 0))
+        self.listener.settimeout(TIMEOUT_S)
+        self.port = self.listener.getsockname()[1]
+        self.address = f"{HOST}:{self.port}"
+        self.accepted = []
+
+    def accept(self):
+        connection, _ = self.listener.accept()
+        connection.settimeout(TIMEOUT_S)
+        self.accepted.append(connection)
+        return connection
+
+    def close(self):
+        for connection in [self.listener, *self.accepted]:
+            connection.close()
+
+
+class ForwardingVm:
+    """The parts of a VM that forward connections for others."""
+
+    def __init__(self, name, source, max_tunnels=8):
+        self.clock = clock.SystemClock()
+        self.loop = loop.EventLoop("relay", self.clock)
+        self.monitor = path_monitoring.PathMonitor(
+            name, "a", 1, lambda: [], self.clock
+        )
+        self.monitor.update_tables(source.get_tables())
+        self.tunnels = tunnels.TunnelServer(
+            self.loop, self.monitor, source, max_tunnels, self.clock
+        )
+        self.server = peers.PeerServer(
+            HOST,
+            0,
+            SECRET,
+            {},
+            self.clock,
+            {tunnels.SERVICE: self.tunnels},
+        )
+        self.loop.start()
+        self.server.start()
+        self.member = member.Member(
+            name, HOST, self.server.port, 0, "a", "r", 1
+        )
+
+        self.is_stopped = False
+
+    def has_tunnel(self):
+        """Wait until a tunnel is registered, shortly after its reply."""
+        return processes.wait_until(lambda: self.tunnels._tunnels, TIMEOUT_S)
+
+    def stop(self):
+        if self.is_stopped:
+            return
+        self.is_stopped = True
+        self.tunnels.stop_accepting()
+        self.loop.stop()
+        self.server.stop()
+        self.tunnels.close()
+
+
+class TunnelFixture(unittest.TestCase):
+    """One upstream, VMs that forward, and the dialer of another VM."""
+
+    def setUp(self):
+        self.upstream = Upstream()
+        self.addCleanup(self.upstream.close)
+        self.other = Upstream()
+        self.addCleanup(self.other.close)
+        services = [
+            router_fixture.make_upstream("service", upstream.port)
+            for upstream in (self.upstream, self.other)
+        ]
+        self.source = router_fixture.StaticTables(
+            router_fixture.make_tables(services=services)
+        )
+        self.clock = clock.SystemClock()
+        self.client = peers.PeerClient(SECRET, self.clock)
+        self.addCleanup(self.client.close)
+        self.own = member.Member("vm0", HOST, 1, 0, "a", "r", 1)
+        self.vms = []
+        self.monitor = path_monitoring.PathMonitor(
+            "vm0",
+            "a",
+            1,
+            lambda: [self.own, *(vm.member for vm in self.vms)],
+            self.clock,
+        )
+        self.monitor.update_tables(self.source.get_tables())
+        self.dialer = detours.DetourDialer(
+            self.monitor, self.client, self.clock
+        )
+
+    def add_vm(self, **options):
+        vm = ForwardingVm(f"vm{len(self.vms) + 1}", self.source, **options)
+        self.addCleanup(vm.stop)
+        self.vms.append(vm)
+        return vm
+
+    def lose_path(self, address=None):
+        failure = TimeoutError("no answer")
+        self.monitor.record_failure(address or self.upstream.address, failure)
+
+    def connect(self):
+        """Return both ends of a new tunnel."""
+        connection = self.dialer.connect(self.upstream.address, TIMEOUT_MS)
+        self.addCleanup(connection.close)
+        connection.settimeout(TIMEOUT_S)
+        return connection, self.upstream.accept()
+
+
+class TunnelTest(TunnelFixture):
+    def setUp(self):
+        super().setUp()
+        self.vm = self.add_vm()
+        self.lose_path()
+
+    def test_bytes_in_both_directions(self):
+        near, far = self.connect()
+        near.sendall(b"request")
+        self.assertEqual(far.recv(100), b"request")
+        far.sendall(b"response")
+        self.assertEqual(near.recv(100), b"response")
+
+    def test_large_response_to_a_slow_reader_is_complete(self):
+        """Guards against bytes lost, or held in memory, for a slow reader."""
+        near, far = self.connect()
+        sent = random.Random(7).randbytes(3_000_000)
+
+        def respond():
+            far.sendall(sent)
+            far.close()
+
+        thread = threading.Thread(target=respond)
+        thread.start()
+        self.assertTrue(self.vm.has_tunnel())
+        (tunnel,) = self.vm.tunnels._tunnels
+        received = bytearray()
+        while data := near.recv(50_000):
+            received += data
+            self.assertLessEqual(
+                len(tunnel.owner.pending), tunnels.RECEIVE_BYTES
+            )
+        thread.join()
+        self.assertEqual(bytes(received), sent)
+
+    def test_closing_cancels_at_the_upstream_at_once(self):
+        """Guards against work that goes on after its caller has left."""
+        near, far = self.connect()
+        near.sendall(b"request")
+        self.assertEqual(far.recv(100), b"request")
+        near.close()
+        self.assertEqual(far.recv(100), b"")
+        self.assertTrue(
+            processes.wait_until(
+                lambda: not self.vm.tunnels._tunnels, TIMEOUT_S
+            )
+        )
+
+    def test_end_of_a_response_without_length(self):
+        near, far = self.connect()
+        far.sendall(b"all of it")
+        far.close()
+        self.assertEqual(near.recv(100), b"all of it")
+        self.assertEqual(near.recv(100), b"")
+
+    def test_reset_upstream_does_not_look_complete(self):
+        """Guards against a cut response without length that looks whole."""
+        near, far = self.connect()
+        far.sendall(b"part")
+        self.assertEqual(near.recv(100), b"part")
+        far.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, tunnels.RESET_ON_CLOSE
+        )
+        far.close()
+        with self.assertRaises(ConnectionResetError):
+            near.recv(100)
+
+    def test_killed_forwarder_does_not_look_like_the_end(self):
+        """Guards against a cut response without length that looks whole."""
+        near, far = self.connect()
+        far.sendall(b"part")
+        self.assertEqual(near.recv(100), b"part")
+        self.vm.stop()
+        with self.assertRaises(ConnectionResetError):
+            near.recv(100)
+
+    def test_address_outside_the_tables_is_refused(self):
+        """Guards against VMs as a way to any other address."""
+        with socket.create_server((HOST, 0)) as secret:
+            port = secret.getsockname()[1]
+            answer = self.client.call_detached(
+                self.vm.member.peer,
+                Tunnels.Client,
+                "open",
+                f"{HOST}:{port}",
+                timeout_ms=TIMEOUT_MS,
+            )
+            outcome, connection = answer.ok
+            connection.close()
+            self.assertEqual(outcome, forwarders.TunnelOutcome.UNKNOWN)
+            self.assertEqual(select.select([secret], [], [], 0.1)[0], [])
+
+    def test_unauthenticated_peer_gets_no_tunnel(self):
+        stranger = peers.PeerClient("guess", self.clock)
+        answer = stranger.call_detached(
+            self.vm.member.peer,
+            Tunnels.Client,
+            "open",
+            self.upstream.address,
+            timeout_ms=TIMEOUT_MS,
+        )
+        self.assertIs(answer.error.code, errors.Code.PEER_UNREACHABLE)
+        self.assertEqual(
+            select.select([self.upstream.listener], [], [], 0.1)[0], []
+        )
+
+    def test_tunnels_are_bounded(self):
+        """Guards against a VM that carries more than its own callers bear."""
+        self.vm.tunnels._max_tunnels = 1
+        self.connect()
+        self.assertTrue(self.vm.has_tunnel())
+        with self.assertRaises(dialing.PathError):
+            self.dialer.connect(self.upstream.address, TIMEOUT_MS)
+
+    def test_stopping_vm_keeps_tunnels_and_opens_none(self):
+        near, far = self.connect()
+        self.assertTrue(self.vm.has_tunnel())
+        self.vm.tunnels.stop_accepting()
+        with self.assertRaises(dialing.PathError):
+            self.dialer.connect(self.upstream.address, TIMEOUT_MS)
+        near.sendall(b"request")
+        self.assertEqual(far.recv(100), b"request")
+        self.assertEqual(self.vm.tunnels.count_busy(), 1)
+
+
+class DetourDialerTest(TunnelFixture):
+    def test_direct_while_the_path_works(self):
+        self.add_vm()
+        self.connect()
+        self.assertEqual(len(self.vms[0].tunnels._tunnels), 0)
+
+    def test_no_direct_attempt_on_a_lost_path(self):
+        """Guards against a connect timeout in each request of a cut VM."""
+        self.add_vm()
+        self.lose_path()
+        self.connect()
+        self.assertTrue(self.vms[0].has_tunnel())
+        self.assertTrue(self.monitor.is_suspect(self.upstream.address))
+
+    def test_probe_returns_to_the_direct_path(self):
+        self.add_vm()
+        self.lose_path()
+        self.monitor.start()
+        self.addCleanup(self.monitor.stop)
+        self.assertTrue(
+            processes.wait_until(
+                lambda: not self.monitor.is_suspect(self.upstream.address),
+                TIMEOUT_S,
+            )
+        )
+
+    def test_vm_that_is_cut_off_as_well_is_passed_over(self):
+        """Guards against giving up where half of the VMs are cut off."""
+        for vm in (self.add_vm(), self.add_vm()):
+            for upstream in (self.upstream, self.other):
+                vm.monitor.record_failure(upstream.address, OSError())
+        self.add_vm()
+        self.lose_path()
+        self.connect()
+        self.assertTrue(self.vms[2].has_tunnel())
+
+    def test_upstream_that_is_down_is_blamed(self):
+        """Guards against sending on to an upstream that no VM reaches."""
+        vm = self.add_vm()
+        vm.monitor.record_success(self.other.address)
+        self.upstream.close()
+        with self.assertRaises(ConnectionRefusedError):
+            self.dialer.connect(self.upstream.address, TIMEOUT_MS)
+        self.assertFalse(self.dialer.is_suspect(self.upstream.address))
+
+    def test_upstream_that_all_vms_report_is_blamed(self):
+        self.add_vm()
+        self.monitor.take_report(
+            forwarders.PathReport("vm1", 1, 1, False, [self.upstream.address])
+        )
+        self.lose_path()
+        with self.assertRaises(ConnectionRefusedError):
+            self.dialer.connect(self.upstream.address, TIMEOUT_MS)
+
+    def test_no_verdict_if_no_vm_has_a_path(self):
+        """Guards against ejecting sound upstreams because of lost paths."""
+        self.add_vm()
+        self.monitor.take_report(forwarders.PathReport("vm1", 1, 1, True, ()))
+        self.lose_path()
+        result = decode_call.connect(self.upstream.address, self.dialer)
+        self.assertTrue(result.error.is_path_fault)
+        self.assertIs(result.error.run, errors.ExecutionStatus.NOT_RUN)
+        self.assertIs(
+            model_dependencies.classify_job_end(result.error),
+            jobs.JobOutcome.CANCELLED,
+        )
+
+    def test_failure_counts_without_another_vm(self):
+        self.upstream.close()
+        result = decode_call.connect(self.upstream.address, self.dialer)
+        self.assertFalse(result.error.is_path_fault)
+        self.assertIs(result.error.code, errors.Code.UPSTREAM_UNREACHABLE)
+
+    def test_upstream_behind_a_cut_has_not_died(self):
+        """Guards against a quarantine of requests that a cut has ended."""
+        self.add_vm()
+        self.lose_path()
+        self.assertTrue(
+            connections.is_accepting_connections(
+                self.upstream.address, self.dialer
+            )
+        )
+
+    def test_pooled_connection_is_not_used_after_a_cut_began(self):
+        """Guards against requests lost on connections that died silently."""
+        self.add_vm()
+        client = connections.UpstreamClient(
+            self.upstream.address, self.clock, "X-Id", self.dialer
+        )
+        self.addCleanup(client.close)
+        self.assertEqual(self.call(client).body, b"0")
+        self.assertEqual(self.call(client).body, b"0")
+        self.lose_path()
+        self.assertEqual(self.call(client).body, b"1")
+
+    def call(self, client):
+        """Make a call; its body numbers the connection that carried it."""
+        thread = threading.Thread(target=self.respond)
+        thread.start()
+        response = client.call(
+            "GET", "/", {}, None, TIMEOUT_MS, errors.Step.SERVICE
+        )
+        thread.join()
+        return response.ok
+
+    def respond(self):
+        ready = [self.upstream.listener, *self.upstream.accepted]
+        readable, _, _ = select.select(ready, [], [], TIMEOUT_S)
+        while readable:
+            connection = readable[0]
+            if connection is self.upstream.listener:
+                connection = self.upstream.accept()
+            with contextlib.suppress(OSError):
+                if connection.recv(65_536):
+                    number = self.upstream.accepted.index(connection)
+                    connection.sendall(
+                        b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d"
+                        % number
+                    )
+                    return
+            self.upstream.accepted[
+                self.upstream.accepted.index(connection)
+            ].close()
+            ready.remove(connection)
+            readable, _, _ = select.select(ready, [], [], TIMEOUT_S)
+
+    def test_prepared_connection_is_not_used_after_a_cut_began(self):
+        self.add_vm()
+        prepared = decode_call.connect(self.upstream.address, self.dialer).ok
+        self.addCleanup(prepared.close)
+        self.assertTrue(prepared.is_reusable())
+        self.lose_path()
+        self.assertFalse(prepared.is_reusable())
