--- a/mulberryway/filters/attempt.py
+++ b/mulberryway/filters/attempt.py
@@ -38,6 +38,7 @@
         "ready_in_ms",
         "kv_tokens",
         "requires_reservation",
+        "was_sent",
         "_scheduling",
         "_cancelling",
         "_lock",
@@ -66,6 +67,8 @@
         self.ready_in_ms = assignment.ready_in_ms
         self.kv_tokens = assignment.kv_tokens
         self.requires_reservation = False
+        # Whether an engine has received the request or its prompt.
+        self.was_sent = False
         self._scheduling = scheduling_
         self._cancelling = cancelling_
         self._lock = threading.Lock()
--- a/mulberryway/filters/model_engines.py
+++ b/mulberryway/filters/model_engines.py
@@ -1,6 +1,7 @@
 """Runs a model request's calls to its prefill and decode engines."""
 
 import logging
+import typing
 
 import expression
 
@@ -221,6 +222,7 @@
             )
             read_ms = parts.clock.now_ms() - started_ms
             self._exchange.stages.read_ms += read_ms
+            _record_sent(attempt, result)
             if result.is_error():
                 span.fail(result.error)
                 return result
@@ -366,10 +368,7 @@
             )
             begin_ms = self._parts.clock.now_ms() - started_ms
             self._exchange.stages.begin_ms += begin_ms
-            if (
-                result.is_ok()
-                or result.error.code is not errors.Code.UPSTREAM_UNREACHABLE
-            ):
+            if _record_sent(attempt, result):
                 self.sent_to.add(attempt.decode_name)
             if result.is_error():
                 span.fail(result.error)
@@ -459,6 +458,18 @@
         )
 
 
+def _record_sent(
+    attempt: attempts.Attempt,
+    result: expression.Result[typing.Any, errors.Fault],
+) -> bool:
+    """Return whether a call reached its engine, and record it."""
+    was_sent = result.is_ok() or (
+        result.error.code is not errors.Code.UPSTREAM_UNREACHABLE
+    )
+    attempt.was_sent = attempt.was_sent or was_sent
+    return was_sent
+
+
 def _make_kept_fault(attempt: attempts.Attempt) -> errors.Fault:
     return errors.Fault(
         errors.Code.CANCELLED,
--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -71,6 +71,8 @@
         # The attempt that will replace one on an unresponsive engine.
         self._next_attempt: attempts.Attempt | None = None
         self._replacement: decode_gate.ReplacementGate | None = None
+        # Whether an engine has received anything of the last attempt.
+        self._was_sent = False
         self._is_closed = False
         self._decode_span = traces.NO_SPAN
         self._jobs = model_job.JobBuilder(exchange, parts.clock, parts.source)
@@ -148,6 +150,7 @@
         :param fault: the fault of the engine
         """
         fault.peer = fault.peer or self._get_decode_name()
+        self._was_sent = True
         self._begin_search(stream.expected)
         if self._attempt is not None:
             self._check_path(fault, self._attempt)
@@ -439,6 +442,7 @@
         result = self._engines.run(attempt, offset, limit, gate)
         if result.is_error():
             fault = result.error
+            self._was_sent = attempt.was_sent
             failed_name = attempt.decode_name
             if fault.step is errors.Step.PREFILL:
                 failed_name = attempt.prefill_name
@@ -489,8 +493,11 @@
         upstreams fail; the budget limits them to a fraction of all work.
         """
         exchange = self._exchange
-        # Nothing of the request was sent, so this is not a retry.
-        is_unsent = fault.step is errors.Step.RESERVE
+        # If nothing of the request was sent, this is not a retry.
+        is_unsent = fault.step is errors.Step.RESERVE or (
+            fault.code is errors.Code.UPSTREAM_UNREACHABLE
+            and not self._was_sent
+        )
         if not (
             fault.run is errors.ExecutionStatus.NOT_RUN
             or route.is_idempotent(exchange)
--- a/tests/test_model_run.py
+++ b/tests/test_model_run.py
@@ -245,6 +245,21 @@
         )
 
 
+class UnsentAttemptTest(EnginesTest):
+    """Requests whose first engine cannot be reached."""
+
+    roles = ("prefill", "prefill", "decode")
+
+    def try_withdraw_retry(self, pool):
+        return False
+
+    def test_retry_budget_is_not_needed_if_nothing_was_sent(self):
+        """Guards against rejecting a request that no engine has received."""
+        self.processes[self.ports[0]].kill()
+        statuses = [self.fixture.complete(f"p{n}").status for n in range(4)]
+        self.assertEqual(statuses, [200] * 4)
+
+
 class UnusedReplacementTest(EnginesTest):
     """An engine that stalls, continues before it is replaced, and crashes."""
 
