--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,6 +17,7 @@
 flags.DEFINE_integer("seeds", 1, "number of seeds to run, one after the other")
 flags.DEFINE_integer("vms", 3, "number of entry VMs")
 flags.DEFINE_integer("chains", 3, "number of overlapping fault chains")
+flags.DEFINE_integer("partitions", 1, "VMs cut off from all upstreams")
 flags.DEFINE_integer("length_ms", 10_000, "duration of fault injection")
 flags.DEFINE_string("keep", "", "folder for the logs of failed seeds")
 
@@ -27,7 +28,10 @@
     :param arguments: remaining command-line arguments
     """
     config = plan.SoakConfig(
-        vms=FLAGS.vms, chains=FLAGS.chains, length_ms=FLAGS.length_ms
+        vms=FLAGS.vms,
+        chains=FLAGS.chains,
+        length_ms=FLAGS.length_ms,
+        partitions=FLAGS.partitions,
     )
     log_folder = pathlib.Path(FLAGS.keep) if FLAGS.keep else None
     failed = 0
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -29,6 +29,11 @@
 WINDOW_MS = 8_000
 STREAM_EVENTS = 20
 REJECTION_STATUSES = (408, 421, 429, 503)
+# A partitioned VM violates its promise if it serves less than this fraction of
+# what others serve, and if more attempts fail there than a few of all.
+MIN_PARTITIONED_RATIO = 2 / 3
+MAX_FAILED = 10
+MAX_FAILED_FRACTION = 0.02
 # Minimum fraction of requests served in the fault-free period at the end.
 MIN_SERVED_FRACTION = 0.95
 
@@ -290,6 +295,47 @@
             return
 
 
+def check_partitions(recorded: history.History) -> Violations:
+    """Check that a VM without paths to upstreams serves like the others."""
+    for window in recorded.fault_windows:
+        if not window.kind.startswith("path_"):
+            continue
+        served: dict[bool, list[bool]] = {True: [], False: []}
+        for attempt in recorded.attempts:
+            if _is_comparable(recorded, attempt, window):
+                is_partitioned = window.target == f"path-{attempt.vm}"
+                served[is_partitioned].append(
+                    attempt.status == 200 and not attempt.is_cut
+                )
+        inside, outside = served[True], served[False]
+        failed = inside.count(False)
+        limit = MAX_FAILED + MAX_FAILED_FRACTION * len(inside + outside)
+        if failed > limit and (
+            sum(inside) * len(outside)
+            < MIN_PARTITIONED_RATIO * sum(outside) * len(inside)
+        ):
+            yield (
+                f"{window.target} served {sum(inside)} of {len(inside)} "
+                f"while partitioned, others {sum(outside)} of {len(outside)}"
+            )
+
+
+def _is_comparable(
+    recorded: history.History,
+    attempt: history.Attempt,
+    window: history.FaultWindow,
+) -> bool:
+    """Return whether an attempt shows how a partition affects callers."""
+    return (
+        window.from_ms + SETTLE_MS <= attempt.began_ms < window.to_ms
+        and attempt.status not in (401, 429)
+        and not attempt.has_disconnected
+        and recorded.is_vm_healthy(
+            attempt.vm, attempt.began_ms - SETTLE_MS, attempt.ended_ms
+        )
+    )
+
+
 CHECKS = (
     check_runs,
     check_keys,
@@ -301,6 +347,7 @@
     check_graceful_shutdown,
     check_deadlines,
     check_recovery,
+    check_partitions,
 )
 
 
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -8,6 +8,7 @@
 
 from soak import history
 from soak import plan
+from standins import partitioned_vm
 from tests import hosted_fleet
 from tests import processes
 
@@ -43,7 +44,10 @@
     """
 
     def __init__(self, config: plan.SoakConfig) -> None:
-        super().__init__(config.vms, rate=RATE)
+        options = {}
+        if config.partitions:
+            options["program"] = partitioned_vm.__name__
+        super().__init__(config.vms, rate=RATE, **options)
         self.config = config
         self.keys = {"k-large": "large", "k-small": "small", "k-0": "large"}
         self.history = history.History(dict(self.keys), config.vms)
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -8,6 +8,7 @@
 from soak import cluster
 from soak import history
 from soak import plan
+from standins import partitioned_vm
 from tests import hosted_fleet
 
 __all__ = ["Injector"]
@@ -108,6 +109,8 @@
     ) -> collections.abc.Callable[[plan.ScheduledFault], None]:
         if step.kind in self._actions:
             return self._actions[step.kind]
+        if step.kind in plan.PARTITIONS:
+            return self._partition_vm
         if step.kind in STORE_FAULT_NAMES:
             return self._inject_store_fault
         if step.kind in UPSTREAM_FAULT_SETTINGS:
@@ -134,6 +137,14 @@
         _wait_for_duration(step)
         self._cluster.set_upstream_fault(step.target, **{fault: 0})
 
+    def _partition_vm(self, step: plan.ScheduledFault) -> None:
+        number = int(step.target)
+        mode = partitioned_vm.Mode(step.kind.partition("_")[2])
+        ports = self._cluster.upstream_proxy_ports.values()
+        self._cluster.write_partition(number, mode, ports)
+        _wait_for_duration(step)
+        self._cluster.write_partition(number)
+
     def _pause_vm(self, step: plan.ScheduledFault) -> None:
         vm = self._cluster.vms[int(step.target)]
         vm.send_signal(signal.SIGSTOP)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -19,6 +19,8 @@
 # counts as unresponsive and shorter than the time after which it is removed.
 MAX_DURATION_MS = 4_000
 MAX_GAP_MS = 1_500
+# Partitions last long enough for the VM to notice them and be checked.
+MIN_PARTITION_MS = 5_000
 MAX_CHAIN_LENGTH = 4
 
 VM_FAULTS = (
@@ -50,6 +52,8 @@
 )
 EDITS = ("edit_route", "edit_key", "edit_rate")
 FLEET_FAULTS = ("all_kill", "poison")
+# A VM loses its paths to all upstreams; see ``standins.partitioned_vm``.
+PARTITIONS = ("path_silent", "path_reset", "path_refuse")
 # Relative frequency of each group of faults.
 WEIGHTED_FAULT_GROUPS = (
     (VM_FAULTS, 5),
@@ -69,6 +73,7 @@
     :param services: number of servers of the non-model service
     :param chains: number of overlapping fault chains
     :param length_ms: duration of fault injection; the cooldown follows it
+    :param partitions: number of partitions beside the chains
     """
 
     __slots__ = (
@@ -78,6 +83,7 @@
         "services",
         "chains",
         "length_ms",
+        "partitions",
     )
 
     def __init__(
@@ -88,6 +94,7 @@
         services: int = 3,
         chains: int = 3,
         length_ms: int = 10_000,
+        partitions: int = 0,
     ) -> None:
         self.vms = vms
         self.prefills = prefills
@@ -95,6 +102,7 @@
         self.services = services
         self.chains = chains
         self.length_ms = length_ms
+        self.partitions = partitions
 
     def list_upstream_names(self) -> list[str]:
         """Return the names of all upstreams."""
@@ -136,9 +144,21 @@
     steps = [
         step for _ in range(config.chains) for step in _make_chain(rng, config)
     ]
+    # Last, so that they leave the chains of a seed as they are.
+    steps += [_make_partition(rng, config) for _ in range(config.partitions)]
     return sorted(steps, key=lambda step: step.at_ms)
 
 
+def _make_partition(rng: random.Random, config: SoakConfig) -> ScheduledFault:
+    at_ms = rng.randrange(500, config.length_ms - MIN_PARTITION_MS)
+    return ScheduledFault(
+        at_ms,
+        rng.choice(PARTITIONS),
+        str(rng.randrange(config.vms)),
+        rng.randint(MIN_PARTITION_MS, config.length_ms - at_ms),
+    )
+
+
 def _make_chain(
     rng: random.Random, config: SoakConfig
 ) -> collections.abc.Iterator[ScheduledFault]:
--- a/standins/partitioned_vm.py
+++ b/standins/partitioned_vm.py
@@ -108,6 +108,8 @@
             return
         silent = self._mode is Mode.SILENT
         near = self._make_silent() if silent else self._make_reset()
+        # The program's object for the descriptor expects its blocking mode.
+        os.set_blocking(near.fileno(), os.get_blocking(fd))
         os.dup2(near.fileno(), fd)
         near.close()
 
--- a/tests/hosted_fleet.py
+++ b/tests/hosted_fleet.py
@@ -247,8 +247,12 @@
         :param names: the upstreams; None for all
         """
         names = self.upstreams if names is None else names
-        ports = [str(self.upstreams[name][1]) for name in names]
-        words = [mode.value, *ports] if mode else []
+        ports = [self.upstreams[name][1] for name in names]
+        self.write_partition(number, mode, ports)
+
+    def write_partition(self, number, mode=None, ports=()):
+        """Cut a VM from some ports; without a mode, from none."""
+        words = [mode.value, *map(str, ports)] if mode else []
         settings_file = pathlib.Path(self.folder.name) / f"vm{number}.toml"
         file = partitioned_vm.find_file(settings_file)
         # Renamed into place, so that the VM never reads a part of it.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -161,6 +161,18 @@
         violations = checks.find_violations(recorded, QUOTA)
         self.assertIn("after all faults 0 of 1 were served", violations)
 
+    def test_partitioned_vm_that_serves_less(self):
+        window = history.FaultWindow("path_silent", "path-0", 5_000, 20_000)
+        attempts = [
+            make_attempt(f"p{n}", vm=n % 2, status=200 if n % 2 else 503)
+            for n in range(40)
+        ]
+        for attempt in attempts:
+            attempt.retry_after = "1"
+            attempt.body = f"POST {attempt.path} ".encode()
+        runs = [make_run(f"p{n}") for n in range(1, 40, 2)]
+        self.find("path-0 served 0 of 20", attempts, runs, [window])
+
     def test_unexpected_exit_and_held_memory(self):
         recorded = make_history([])
         recorded.unexpected_exits.append("vm-0")
@@ -206,11 +218,14 @@
         kinds = {
             step.kind
             for seed in range(400)
-            for step in plan.make_fault_schedule(seed, plan.SoakConfig())
+            for step in plan.make_fault_schedule(
+                seed, plan.SoakConfig(partitions=1)
+            )
         }
         known = {
             kind for group, _ in plan.WEIGHTED_FAULT_GROUPS for kind in group
         }
+        known |= set(plan.PARTITIONS)
         self.assertEqual(kinds, known)
 
 
@@ -227,6 +242,10 @@
             with self.subTest(seed=seed):
                 self.hold(seed, SHORT)
 
+    def test_partitioned_vm(self):
+        """Callers of a VM that alone reaches no upstream are served."""
+        self.hold(103, plan.SoakConfig(chains=1, partitions=2))
+
     def test_prefill_engine_that_became_a_decode_engine(self):
         """Prompts are not sent to an engine that now decodes.
 
