--- a/soak/checks.py
+++ b/soak/checks.py
@@ -233,6 +233,13 @@
             in (f"vm-{attempt.vm}", f"front-{attempt.vm}", "store")
             and window.overlaps(*span)
         }
+        # A cut breaks the connections that exist when it begins.
+        kinds |= {
+            window.kind
+            for window in recorded.fault_windows
+            if window.target == f"path-{attempt.vm}"
+            and span[0] <= window.from_ms <= span[1]
+        }
         if kinds <= {"vm_term", "vm_reload"}:
             yield f"{attempt.name} lost its response, faults: {sorted(kinds)}"
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -161,6 +161,14 @@
         violations = checks.find_violations(recorded, QUOTA)
         self.assertIn("after all faults 0 of 1 were served", violations)
 
+    def test_response_lost_long_after_a_partition_began(self):
+        """Only responses in progress at its beginning may be lost."""
+        lost = make_attempt(status=0)
+        early = history.FaultWindow("path_silent", "path-0", 1_000, 20_000)
+        recent = history.FaultWindow("path_silent", "path-0", 9_000, 20_000)
+        self.find("lost its response", [lost], [make_run()], [early])
+        self.assertEqual(self.check([lost], [make_run()], [recent]), [])
+
     def test_partitioned_vm_that_serves_less(self):
         window = history.FaultWindow("path_silent", "path-0", 5_000, 20_000)
         attempts = [
