--- a/mulberryway/controllers/detours.py
+++ b/mulberryway/controllers/detours.py
@@ -17,7 +17,6 @@
 
 LOG = logging.getLogger(__name__)
 
-MS_IN_S = 1_000
 # A tunnel takes about five round trips.
 TUNNEL_TIMEOUT_MS = 250
 # The time for all VMs that are asked for a tunnel.
@@ -64,15 +63,13 @@
         :raises OSError: if other VMs cannot reach the upstream either, or if
             there are none
         """
-        failure: OSError | None = None
         if not self.is_suspect(address):
             try:
                 return self._connect_directly(address, timeout_ms)
-            except OSError as error:
-                self._monitor.record_failure(address, error)
-                failure = error
-        if not self._monitor.has_other_vms() and failure is not None:
-            raise failure
+            except OSError as failure:
+                self._monitor.record_failure(address, failure)
+                if not self._monitor.has_other_vms():
+                    raise
         chosen = self._monitor.choose_forwarders(address)
         if not chosen and self._monitor.is_unreachable_elsewhere(address):
             raise self._record_down(address, "other VMs")
--- a/mulberryway/controllers/path_monitoring.py
+++ b/mulberryway/controllers/path_monitoring.py
@@ -26,12 +26,12 @@
 CONNECT_TIMEOUT_MS = 150
 # A VM that has reached an upstream this recently is not cut off.
 REACHED_MS = 2_000
-MEMBERS_TTL_MS = 250
+# Copying the members of a large fleet for each connect would take too long.
+MEMBERS_TTL_MS = 1_000
 # Bounds the messages of a VM whose link loses packets.
 MIN_REPORT_INTERVAL_MS = 100
 # A report that is lost, or a VM that has just started, waits this long.
 REPEAT_INTERVAL_MS = 2_000
-MS_IN_S = 1_000
 
 
 class PathMonitor(base.Controller):
@@ -98,11 +98,6 @@
         with self._lock:
             return self._table.is_suspect(address)
 
-    def is_cut_off(self) -> bool:
-        """Return whether this VM seems to reach no upstream."""
-        with self._lock:
-            return self._table.is_cut_off
-
     def get_epoch(self, address: str) -> int:
         """Return a number that changes when the path is lost or restored.
 
@@ -225,14 +220,6 @@
         """Return whether another VM is known."""
         return len(self._read_members()) > 1
 
-    def _read_members(self) -> list[member.Member]:
-        """Return all VMs as of a moment ago: each connect asks for them."""
-        now_ms = self.clock.now_ms()
-        if now_ms >= self._members_expiry_ms:
-            self._members = self._list_members()
-            self._members_expiry_ms = now_ms + MEMBERS_TTL_MS
-        return self._members
-
     def list_reaching(
         self, vms: collections.abc.Iterable[str]
     ) -> tuple[str, ...]:
@@ -266,6 +253,33 @@
             delay_ms = max(probe_ms - self.clock.now_ms(), 1)
             self.period_ms = min(delay_ms, IDLE_MS)
 
+    def report(self, metrics_: metrics.Metrics) -> None:
+        """Register metrics for connects and suspect paths.
+
+        :param metrics_: the process's instruments
+        """
+        metrics_.register_counter(
+            "upstream.connects",
+            "connections to upstreams, by how they were opened",
+            lambda: [
+                ({"path": path}, count)
+                for path, count in self._connects.copy().items()
+            ],
+        )
+        metrics_.register_gauge(
+            "upstream.suspect_paths",
+            "upstreams that this VM cannot reach directly",
+            self._count_suspect,
+        )
+
+    def _read_members(self) -> list[member.Member]:
+        """Return all VMs as of a moment ago."""
+        now_ms = self.clock.now_ms()
+        if now_ms >= self._members_expiry_ms:
+            self._members = self._list_members()
+            self._members_expiry_ms = now_ms + MEMBERS_TTL_MS
+        return self._members
+
     def _publish_report(self) -> None:
         now_ms = self.clock.now_ms()
         with self._lock:
@@ -287,25 +301,6 @@
             )
         self.publish(gossip_messages.encode_paths(report), has_changed)
 
-    def report(self, metrics_: metrics.Metrics) -> None:
-        """Register metrics for connects and suspect paths.
-
-        :param metrics_: the process's instruments
-        """
-        metrics_.register_counter(
-            "upstream.connects",
-            "connections to upstreams, by how they were opened",
-            lambda: [
-                ({"path": path}, count)
-                for path, count in self._connects.copy().items()
-            ],
-        )
-        metrics_.register_gauge(
-            "upstream.suspect_paths",
-            "upstreams that this VM cannot reach directly",
-            self._count_suspect,
-        )
-
     def _count_suspect(self) -> int:
         with self._lock:
             return len(self._table.list_suspect())
--- a/mulberryway/policy/paths.py
+++ b/mulberryway/policy/paths.py
@@ -59,6 +59,10 @@
             self.probe_interval_ms * 2, MAX_PROBE_INTERVAL_MS
         )
 
+    def hasten_probe(self, now_ms: int) -> None:
+        self.probe_ms = now_ms
+        self.probe_interval_ms = MIN_PROBE_INTERVAL_MS
+
     def restore(self) -> None:
         if self.lost_ms is not None:
             self.epoch += 1
@@ -76,6 +80,8 @@
     def __init__(self, random_: random.Random) -> None:
         self._random = random_
         self._paths: dict[str, _Path] = {}
+        # The paths that are lost or have a probe due, of thousands.
+        self._watched: dict[str, _Path] = {}
         self._reached_ms: int | None = None
         self._probed_ms: int | None = None
         self._is_cut_off = False
@@ -93,9 +99,14 @@
         :param addresses: their addresses, ``host:port``
         :param now_ms: current time in ms
         """
-        kept = {address: self._paths.get(address) for address in addresses}
         self._paths = {
-            address: path or _Path() for address, path in kept.items()
+            address: self._paths.get(address) or _Path()
+            for address in addresses
+        }
+        self._watched = {
+            address: path
+            for address, path in self._watched.items()
+            if address in self._paths
         }
         if self._is_cut_off:
             self._infer_losses(now_ms)
@@ -106,7 +117,7 @@
 
         :param address: ``host:port``; unknown ones are not suspect
         """
-        path = self._paths.get(address)
+        path = self._watched.get(address)
         return path is not None and path.lost_ms is not None
 
     def get_epoch(self, address: str) -> int:
@@ -121,7 +132,7 @@
         """Return the upstreams to which connects have failed."""
         return sorted(
             address
-            for address, path in self._paths.items()
+            for address, path in self._watched.items()
             if path.lost_ms is not None and not path.is_inferred
         )
 
@@ -139,9 +150,7 @@
         :param now_ms: current time in ms
         """
         self._reached_ms = now_ms
-        path = self._paths.get(address)
-        if path is not None:
-            path.restore()
+        self._restore(address)
         self._update_cut_off(now_ms)
 
     def record_failure(self, address: str, now_ms: int) -> None:
@@ -153,8 +162,7 @@
         path = self._paths.get(address)
         if path is None:
             return
-        path.lose(False, now_ms)
-        path.schedule_probe(now_ms, self._random)
+        self._lose(address, path, False, now_ms)
         self._update_cut_off(now_ms)
 
     def record_upstream_down(self, address: str, now_ms: int) -> None:
@@ -163,9 +171,7 @@
         :param address: ``host:port``
         :param now_ms: current time in ms
         """
-        path = self._paths.get(address)
-        if path is not None:
-            path.restore()
+        self._restore(address)
         self._update_cut_off(now_ms)
 
     def request_probe(self, address: str, now_ms: int) -> None:
@@ -177,6 +183,7 @@
         path = self._paths.get(address)
         if path is not None and path.probe_ms is None:
             path.probe_ms = now_ms
+            self._watched[address] = path
 
     def choose_probe(self, now_ms: int) -> str | None:
         """Return the upstream to probe now.
@@ -189,51 +196,56 @@
         due_ms = self.get_probe_ms()
         if due_ms is None or due_ms > now_ms:
             return None
-        address, path = min(
-            self._list_probed(), key=lambda item: (item[1].probe_ms, item[0])
-        )
+        _, address = min(self._list_probes())
         self._probed_ms = now_ms
-        path.probe_ms = None
+        self._paths[address].probe_ms = None
         return address
 
     def get_probe_ms(self) -> int | None:
         """Return when the next probe is due, in ms; None if none is."""
-        due = [
-            path.probe_ms
-            for _, path in self._list_probed()
-            if path.probe_ms is not None
-        ]
-        if not due:
-            return None
-        if self._probed_ms is None:
-            return min(due)
-        return max(min(due), self._probed_ms + PROBE_GAP_MS)
+        due_ms, _ = min(self._list_probes(), default=(None, ""))
+        if due_ms is None or self._probed_ms is None:
+            return due_ms
+        return max(due_ms, self._probed_ms + PROBE_GAP_MS)
 
-    def _list_probed(self) -> list[tuple[str, _Path]]:
+    def _list_probes(self) -> list[tuple[int, str]]:
         return [
-            (address, path)
-            for address, path in self._paths.items()
+            (path.probe_ms, address)
+            for address, path in self._watched.items()
             if path.probe_ms is not None
         ]
 
+    def _lose(
+        self, address: str, path: _Path, is_inferred: bool, now_ms: int
+    ) -> None:
+        path.lose(is_inferred, now_ms)
+        path.schedule_probe(now_ms, self._random)
+        self._watched[address] = path
+
+    def _restore(self, address: str) -> None:
+        path = self._watched.pop(address, None)
+        if path is not None:
+            path.restore()
+
     def _update_cut_off(self, now_ms: int) -> None:
         was_cut_off = self._is_cut_off
         self._is_cut_off = self._count_lost() >= MIN_LOST_PATHS
         if self._is_cut_off and not was_cut_off:
             self._infer_losses(now_ms)
         elif was_cut_off and not self._is_cut_off:
-            for path in self._paths.values():
-                if path.is_inferred:
-                    path.restore()
-                elif path.lost_ms is not None:
-                    path.probe_ms = now_ms
-                    path.probe_interval_ms = MIN_PROBE_INTERVAL_MS
+            self._end_inferred_losses(now_ms)
 
     def _infer_losses(self, now_ms: int) -> None:
-        for path in self._paths.values():
+        for address, path in self._paths.items():
             if path.lost_ms is None:
-                path.lose(True, now_ms)
-                path.schedule_probe(now_ms, self._random)
+                self._lose(address, path, True, now_ms)
+
+    def _end_inferred_losses(self, now_ms: int) -> None:
+        for address, path in list(self._watched.items()):
+            if path.is_inferred:
+                self._restore(address)
+            elif path.lost_ms is not None:
+                path.hasten_probe(now_ms)
 
     def _count_lost(self) -> int:
         """Return how many paths were lost since the last success."""
@@ -241,5 +253,5 @@
             path.lost_ms is not None
             and not path.is_inferred
             and (self._reached_ms is None or path.lost_ms > self._reached_ms)
-            for path in self._paths.values()
+            for path in self._watched.values()
         )
--- a/mulberryway/relay/tunnels.py
+++ b/mulberryway/relay/tunnels.py
@@ -94,6 +94,8 @@
 
 
 class _Tunnel:
+    """A connection of another VM, the owner, joined with an upstream's."""
+
     __slots__ = ("owner", "upstream", "used_ms", "awaits_answer", "has_ended")
 
     def __init__(
