--- a/mulberryway/controllers/detours.py
+++ b/mulberryway/controllers/detours.py
@@ -21,12 +21,8 @@
 TUNNEL_TIMEOUT_MS = 250
 # The time for all VMs that are asked for a tunnel.
 DETOUR_TIMEOUT_MS = 450
-CONNECT_FAILURES = frozenset(
-    (
-        forwarders.TunnelOutcome.UNREACHABLE,
-        forwarders.TunnelOutcome.CUT_OFF,
-    )
-)
+# A VM that cannot reach an upstream may be behind a partial cut itself.
+MIN_WITNESSES = 2
 
 
 class DetourDialer(dialing.Dialer):
@@ -118,7 +114,7 @@
     ) -> socket.socket:
         started_ms = self._clock.now_ms()
         deadline = clock.Deadline(started_ms + DETOUR_TIMEOUT_MS)
-        has_failed_elsewhere = False
+        witnesses: list[str] = []
         for forwarder in chosen:
             left_ms = deadline.left_ms(self._clock.now_ms())
             if not left_ms:
@@ -128,13 +124,22 @@
                 took_ms = self._clock.now_ms() - started_ms
                 _log_tunnel(address, forwarder, took_ms)
                 return connection
-            has_failed_elsewhere |= outcome in CONNECT_FAILURES
-            if outcome is forwarders.TunnelOutcome.UNREACHABLE or (
-                has_failed_elsewhere and self._monitor.is_reaching()
-            ):
-                raise self._record_down(address, forwarder.name)
+            if self._is_witness(outcome):
+                witnesses.append(forwarder.name)
+            if len(witnesses) >= min(MIN_WITNESSES, len(chosen)):
+                raise self._record_down(address, ", ".join(witnesses))
         raise dialing.PathError(f"{address}: no VM has a path")
 
+    def _is_witness(self, outcome: forwarders.TunnelOutcome | None) -> bool:
+        """Return whether a VM's answer shows that an upstream is down.
+
+        A VM that has reached no upstream lately may just have been idle.
+        """
+        return outcome is forwarders.TunnelOutcome.UNREACHABLE or (
+            outcome is forwarders.TunnelOutcome.CUT_OFF
+            and self._monitor.is_reaching()
+        )
+
     def _record_down(self, address: str, witness: str) -> OSError:
         """Return the error of an upstream that other VMs do not reach."""
         self._monitor.record_upstream_down(address)
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -315,6 +315,18 @@
             self.dialer.connect(self.upstream.address, TIMEOUT_MS)
         self.assertFalse(self.dialer.is_suspect(self.upstream.address))
 
+    def test_one_witness_is_not_enough(self):
+        """Guards against ejecting a sound upstream that some VMs, cut off
+        from one service only, cannot reach.
+        """
+        vm = self.add_vm()
+        vm.monitor.record_success(self.other.address)
+        vm.monitor.record_failure(self.upstream.address, OSError())
+        self.add_vm()
+        for _ in range(6):
+            self.lose_path()
+            self.connect()
+
     def test_upstream_that_all_vms_report_is_blamed(self):
         self.add_vm()
         self.monitor.take_report(
