--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -122,6 +122,8 @@
         self.assertEqual(raw.status, 400)
 
     def test_tokens_are_settled_once(self):
+        # A stream's tokens are settled after its caller has read its end.
+        self.assertTrue(self.fixture.wait_idle())
         before = len(self.fixture.allowances.settled)
         self.fixture.complete("four" * 10, max_tokens=7)
         self.assertTrue(self.fixture.wait_idle())
