--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -14,11 +14,13 @@
 from mulberryway.controllers import path_monitoring
 from mulberryway.filters import model_dependencies
 from mulberryway.peers.gen.tunnels import Tunnels
+from mulberryway.platform import engine
 from mulberryway.policy import forwarders
 from mulberryway.policy import jobs
 from mulberryway.policy import member
 from mulberryway.relay import loop
 from mulberryway.relay import tunnels
+from mulberryway.upstreams import base as upstreams
 from mulberryway.upstreams import connections
 from mulberryway.upstreams import decode_call
 from mulberryway.upstreams import dialing
@@ -408,6 +410,29 @@
             ready.remove(connection)
             readable, _, _ = select.select(ready, [], [], TIMEOUT_S)
 
+    def test_duties_move_to_vms_that_reach_upstreams(self):
+        """Guards against probes and orders of a VM that reaches nothing."""
+        names = ("vm0", "vm1", "vm2")
+        for address in (self.upstream.address, self.other.address):
+            self.lose_path(address)
+        self.monitor.take_report(forwarders.PathReport("vm1", 1, 1, True, ()))
+        self.assertEqual(self.monitor.list_reaching(names), ("vm2",))
+        self.assertEqual(self.monitor.list_reaching(names[:2]), names[:2])
+
+    def test_order_never_goes_through_another_vm(self):
+        """Guards against orders that seem to come from another holder."""
+        self.add_vm()
+        self.lose_path()
+        engine_ = engine.PlatformEngine(
+            "e", self.upstream.address, self.clock, self.dialer
+        )
+        self.addCleanup(engine_.close)
+        self.upstream.listener.close()
+        order = upstreams.Order("role", "decode", 1, "vm0", 0)
+        fault = engine_.send_order(order).error
+        self.assertIs(fault.code, errors.Code.UPSTREAM_UNREACHABLE)
+        self.assertEqual(sum(self.vms[0].tunnels._outcomes.values()), 0)
+
     def test_prepared_connection_is_not_used_after_a_cut_began(self):
         self.add_vm()
         prepared = decode_call.connect(self.upstream.address, self.dialer).ok
