Test a late pause of a sound engine while tables change

This test forces the order: an engine pauses a stream for 1.5 s, 2.4 s after the request's arrival, while another one has room and the configuration changes every 1.2 s.

--- a/tests/test_hosted_streams.py
+++ b/tests/test_hosted_streams.py
@@ -15,7 +15,12 @@
 PAUSE_MS = 1_500
 EVENT_MS = 80
 EVENT_COUNT = 20
+# The pause begins 2.4 s after the request's arrival.
+SLOW_EVENT_MS = 150
+LATE_PAUSE_AT = 16
+CHANGE_INTERVAL_S = 1.2
 DECODE_ENGINES = ("e1", "e2")
+STALL_LOG_MESSAGE = "token timeout"
 WAIT_LOG_MESSAGE = "a silent engine is waited for"
 # Long enough for two consecutive stalls.
 ROUTE_MS = 8_000
@@ -98,6 +103,50 @@
                         )
 
 
+class LatePauseTest(unittest.TestCase):
+    """An engine pauses a stream later than a new request may start."""
+
+    def test_complete_while_tables_change(self):
+        """Guards against cutting off the stream of a working engine because
+        the time in which its request had to start is over.
+        """
+        with (
+            hosted_fleet.Fleet(
+                phases=("prefill", "decode", "decode")
+            ) as fleet,
+            concurrent.futures.ThreadPoolExecutor(1) as pool,
+        ):
+            fleet.configure(more=[ROUTE])
+            time.sleep(SETTLE_S)
+            for name in DECODE_ENGINES:
+                fleet.set_fault(
+                    name,
+                    event_ms=SLOW_EVENT_MS,
+                    pause_at=LATE_PAUSE_AT,
+                    pause_ms=PAUSE_MS,
+                )
+            stream = pool.submit(
+                fleet.send,
+                0,
+                "/long/a",
+                "l-1",
+                headers=hosted_fleet.STREAM,
+                deadline_ms=ROUTE_MS,
+            )
+            while not stream.done():
+                fleet.configure(more=[ROUTE])
+                time.sleep(CHANGE_INTERVAL_S)
+            reply = stream.result()
+            logs = fleet.read_logs()
+        self.assertIn(STALL_LOG_MESSAGE, logs)
+        self.assertEqual(
+            hosted_fleet.list_ids(reply.body),
+            list(range(1, EVENT_COUNT + 1)),
+            logs,
+        )
+        self.assertFalse(reply.is_cut, logs)
+
+
 class FullReplacementTest(unittest.TestCase):
     """An engine stalls a stream; the only other one has no free capacity."""
 
