Keep a stalled engine until the other one has sent an event

What callers saw: the engine of a stream stalled, another one accepted the decode with status 200 and closed the response before its first event. The stream was cut, although the stalled engine was sound and would have gone on.

Change: where the stalled engine is still there, the first bytes of the other one's body are awaited for the rest of the 300 ms (plus the prefill, where the engine reads the prompt) that the head had. If the other one closes before them, the decode has failed, and the stalled engine is read again. A body that only its connection's end delimits is accepted without bytes, because its end cannot be told from a failure.

Not covered: an engine that fails after these 300 ms and before its first event.

--- a/mulberryway/filters/decode_gate.py
+++ b/mulberryway/filters/decode_gate.py
@@ -45,6 +45,10 @@
         """
         return None
 
+    def needs_events(self) -> bool:
+        """Return whether an accepted decode counts only once it has begun."""
+        return False
+
     def leave(self) -> None:
         """Handle a decode that was not accepted."""
         return
@@ -64,9 +68,10 @@
     """Guards the decodes that may replace a stalled engine.
 
     The stalled engine may be the only one that can complete the answer, so
-    its connection stays open until another engine has started to decode.  It
-    is not read in the meantime: if both continued the stream, the request
-    would run at two engines for longer than users allow.
+    its connection stays open until another engine has accepted the decode and
+    sent its first event, or the limit for both has passed.  It is not read in
+    the meantime: if both continued the stream, the request would run at two
+    engines for longer than users allow.
 
     :param relay: forwards the stream
     :param stream: the stream
@@ -123,6 +128,10 @@
             return None
         return MAX_OVERLAP_MS + (attempt.ready_in_ms if reads_prompt else 0)
 
+    def needs_events(self) -> bool:
+        """Return whether the stalled engine is still there to go back to."""
+        return self.stream.source is not None
+
     def leave(self) -> None:
         """Read the stalled engine again."""
         self._relay.release_source(self.stream)
--- a/mulberryway/filters/model_engines.py
+++ b/mulberryway/filters/model_engines.py
@@ -16,6 +16,7 @@
 from mulberryway.filters import model_dependencies
 from mulberryway.filters import route
 from mulberryway.upstreams import base as upstreams
+from mulberryway.upstreams import decode_call
 
 __all__ = ["EngineCalls", "compute_attempt_timeout_ms"]
 
@@ -358,13 +359,18 @@
             attempt.decode_name, self._parts.clock.now_ms()
         )
         started_ms = self._parts.clock.now_ms()
+        timeout_ms = self._compute_start_timeout_ms(attempt, prefill, limit)
         with self._begin_span(attempt, errors.Step.TRANSFER) as span:
             result = attempt.decode.decode(
                 attempt.label,
                 self._exchange.call,
                 prefill.transfer,
                 offset,
-                self._compute_start_timeout_ms(attempt, prefill, limit),
+                timeout_ms,
+            ).bind(
+                lambda source: self._await_events(
+                    attempt, source, clock.Deadline(started_ms + timeout_ms)
+                )
             )
             begin_ms = self._parts.clock.now_ms() - started_ms
             self._exchange.stages.begin_ms += begin_ms
@@ -375,6 +381,28 @@
                 self._gate.leave()
         return result
 
+    def _await_events(
+        self,
+        attempt: attempts.Attempt,
+        source: upstreams.TokenStream,
+        limit: clock.Deadline,
+    ) -> model_dependencies.SourceResult:
+        """Wait for an engine's first event if the stream has another engine.
+
+        :param attempt: the attempt, whose decode was accepted
+        :param source: the engine's stream
+        :param limit: when the wait ends; the stream is then used without it
+        :returns: the same stream, or a fault if the engine has closed it
+        """
+        if not self._gate.needs_events():
+            return expression.Ok(source)
+        return decode_call.await_body(
+            source,
+            attempt.decode.address,
+            limit.left_ms(self._parts.clock.now_ms()),
+            self._parts.directory.dialer,
+        )
+
     def _is_removed_or_draining(self, attempt: attempts.Attempt) -> bool:
         """Return whether the decode engine was removed or is draining.
 
--- a/mulberryway/upstreams/decode_call.py
+++ b/mulberryway/upstreams/decode_call.py
@@ -16,6 +16,7 @@
 __all__ = [
     "DecodeConnection",
     "DecodeRequest",
+    "await_body",
     "begin_decode",
     "connect",
     "parse_rejection",
@@ -209,6 +210,45 @@
             canceller.detach()
 
 
+def await_body(
+    source: base.TokenStream,
+    address: str,
+    timeout_ms: int,
+    dialer: dialing.Dialer = dialing.DIRECT,
+) -> expression.Result[base.TokenStream, errors.Fault]:
+    """Wait until a response's body has begun, and leave it unread.
+
+    :param source: the engine's stream, as returned by ``begin_decode``
+    :param address: the engine's ``host:port``
+    :param timeout_ms: timeout in ms; the stream is returned after it too
+    :param dialer: opens connections to the engine
+    :returns: the same stream, or a fault if the engine has closed it before
+        a body that its head announced; the socket is closed then
+    """
+    if source.buffered:
+        return expression.Ok(source)
+    sock = source.connection
+    sock.settimeout(timeout_ms / MS_IN_S)
+    try:
+        has_body = bool(sock.recv(1, socket.MSG_PEEK))
+    except (TimeoutError, BlockingIOError):
+        return expression.Ok(source)
+    except OSError as failure:
+        LOG.debug("%s closed a response without a body: %r", address, failure)
+        has_body = False
+    finally:
+        sock.setblocking(False)
+    # Without chunks and length, the end of the connection is a body's end.
+    if has_body or not (source.is_chunked or source.length):
+        return expression.Ok(source)
+    sock.close()
+    fault = connections.classify_failure(
+        ConnectionResetError(), errors.Step.DECODE, address
+    )
+    connections.check_path(fault, address, dialer)
+    return expression.Error(fault)
+
+
 def _exchange(
     connection: DecodeConnection,
     address: str,
--- a/tests/test_decode_call.py
+++ b/tests/test_decode_call.py
@@ -6,6 +6,7 @@
 import unittest
 
 from mulberryway import errors
+from mulberryway.upstreams import base
 from mulberryway.upstreams import connections
 from mulberryway.upstreams import decode_call
 
@@ -13,6 +14,75 @@
 TIMEOUT_MS = 300
 
 
+class AwaitBodyTest(unittest.TestCase):
+    """A decode that was accepted, whose events may never begin."""
+
+    def setUp(self):
+        self.peer, sock = socket.socketpair()
+        self.addCleanup(self.peer.close)
+        self.addCleanup(sock.close)
+        self.source = base.TokenStream(sock, b"", True, "r-1")
+        self.listener = socket.create_server((HOST, 0))
+        self.addCleanup(self.listener.close)
+
+    def await_body(self, timeout_ms=TIMEOUT_MS):
+        port = self.listener.getsockname()[1]
+        return decode_call.await_body(
+            self.source, f"{HOST}:{port}", timeout_ms
+        )
+
+    def check_accepted(self, result):
+        """Check that the stream is returned, not blocking and all unread."""
+        self.assertIs(result.ok, self.source)
+        self.assertFalse(self.source.connection.getblocking())
+
+    def test_first_bytes_are_left_unread(self):
+        """Guards against a stream without its first event."""
+        self.peer.sendall(b"event")
+        self.check_accepted(self.await_body())
+        self.assertEqual(self.source.connection.recv(9), b"event")
+
+    def test_bytes_that_arrived_with_the_head(self):
+        """Guards against a wait for bytes that were read with the head."""
+        self.source.buffered = b"event"
+        started_s = time.monotonic()
+        self.assertIs(self.await_body(60_000).ok, self.source)
+        self.assertLess(time.monotonic() - started_s, 30)
+
+    def test_nothing_arrives(self):
+        """Guards against a wait that lasts until the request's deadline."""
+        self.check_accepted(self.await_body())
+
+    def test_no_time_is_left(self):
+        """Guards against an exception if the head took all of the time."""
+        self.check_accepted(self.await_body(0))
+
+    def test_closed(self):
+        """Guards against using an engine that has closed its response."""
+        self.peer.close()
+        fault = self.await_body().error
+        self.assertIs(fault.code, errors.Code.UPSTREAM_FAILED)
+        self.assertIs(fault.step, errors.Step.DECODE)
+        self.assertIs(fault.run, errors.ExecutionStatus.MAY_HAVE_RUN)
+        self.assertFalse(fault.has_died)
+        self.assertEqual(self.source.connection.fileno(), -1)
+
+    def test_closed_by_a_crash(self):
+        """Guards against a crash that is not counted as one."""
+        self.listener.close()
+        self.listener = socket.socket()
+        self.addCleanup(self.listener.close)
+        self.listener.bind((HOST, 0))
+        self.peer.close()
+        self.assertTrue(self.await_body().error.has_died)
+
+    def test_closed_where_that_ends_the_body(self):
+        """Guards against taking the end of an empty body for a failure."""
+        self.source.is_chunked = False
+        self.peer.close()
+        self.check_accepted(self.await_body())
+
+
 class DecodeCallTest(unittest.TestCase):
     def call(self, port, timeout_ms=TIMEOUT_MS, prepared=None):
         request = decode_call.DecodeRequest(
--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -266,6 +266,17 @@
         self.continue_after(self.is_decode_sent)
         self.check_complete(future)
 
+    def test_silent_after_its_head(self):
+        """Guards against two runs at a time while an engine that has accepted
+        the decode sends no event.
+        """
+        self.other.allow(order_fixture.FIRST_IDS)
+        future = self.begin_search()
+        self.await_true(self.silent.is_left)
+        self.other.allow(ALL)
+        reply = self.check_complete(future)
+        self.assertEqual(reply.headers["Server-Seal"], "seal-e1")
+
     def test_events_received_before_the_engine_is_left(self):
         """Guards against leaving an engine whose next events have arrived
         and are read only after the decision.
