--- a/tests/test_hosted_streams.py
+++ b/tests/test_hosted_streams.py
@@ -103,7 +103,34 @@
                         )
 
 
-class LatePauseTest(unittest.TestCase):
+class OneStreamTest(unittest.TestCase):
+    """Base class: one stream whose engine pauses it."""
+
+    def begin_stream(self, fleet, pool, **faults):
+        """Start a stream; both decode engines have the same faults."""
+        fleet.configure(more=[ROUTE])
+        time.sleep(SETTLE_S)
+        for name in DECODE_ENGINES:
+            fleet.set_fault(name, pause_ms=PAUSE_MS, **faults)
+        return pool.submit(
+            fleet.send,
+            0,
+            "/long/a",
+            "f-1",
+            headers=hosted_fleet.STREAM,
+            deadline_ms=ROUTE_MS,
+        )
+
+    def check_complete(self, reply, logs):
+        self.assertEqual(
+            hosted_fleet.list_ids(reply.body),
+            list(range(1, EVENT_COUNT + 1)),
+            logs,
+        )
+        self.assertFalse(reply.is_cut, logs)
+
+
+class LatePauseTest(OneStreamTest):
     """An engine pauses a stream later than a new request may start."""
 
     def test_complete_while_tables_change(self):
@@ -116,22 +143,8 @@
             ) as fleet,
             concurrent.futures.ThreadPoolExecutor(1) as pool,
         ):
-            fleet.configure(more=[ROUTE])
-            time.sleep(SETTLE_S)
-            for name in DECODE_ENGINES:
-                fleet.set_fault(
-                    name,
-                    event_ms=SLOW_EVENT_MS,
-                    pause_at=LATE_PAUSE_AT,
-                    pause_ms=PAUSE_MS,
-                )
-            stream = pool.submit(
-                fleet.send,
-                0,
-                "/long/a",
-                "l-1",
-                headers=hosted_fleet.STREAM,
-                deadline_ms=ROUTE_MS,
+            stream = self.begin_stream(
+                fleet, pool, event_ms=SLOW_EVENT_MS, pause_at=LATE_PAUSE_AT
             )
             while not stream.done():
                 fleet.configure(more=[ROUTE])
@@ -139,15 +152,10 @@
             reply = stream.result()
             logs = fleet.read_logs()
         self.assertIn(STALL_LOG_MESSAGE, logs)
-        self.assertEqual(
-            hosted_fleet.list_ids(reply.body),
-            list(range(1, EVENT_COUNT + 1)),
-            logs,
-        )
-        self.assertFalse(reply.is_cut, logs)
+        self.check_complete(reply, logs)
 
 
-class FullReplacementTest(unittest.TestCase):
+class FullReplacementTest(OneStreamTest):
     """An engine stalls a stream; the only other one has no free capacity."""
 
     def find_decoding(self, fleet):
@@ -168,19 +176,8 @@
             ) as fleet,
             concurrent.futures.ThreadPoolExecutor(1) as pool,
         ):
-            fleet.configure(more=[ROUTE])
-            time.sleep(SETTLE_S)
-            for name in DECODE_ENGINES:
-                fleet.set_fault(
-                    name, event_ms=EVENT_MS, pause_at=10, pause_ms=PAUSE_MS
-                )
-            stream = pool.submit(
-                fleet.send,
-                0,
-                "/long/a",
-                "f-1",
-                headers=hosted_fleet.STREAM,
-                deadline_ms=ROUTE_MS,
+            stream = self.begin_stream(
+                fleet, pool, event_ms=EVENT_MS, pause_at=10
             )
             decoding, other = self.find_decoding(fleet)
             fleet.set_fault(other, **faults)
@@ -190,12 +187,7 @@
             )
             logs = fleet.read_logs()
         self.assertTrue(is_wait_logged, logs)
-        self.assertEqual(
-            hosted_fleet.list_ids(reply.body),
-            list(range(1, EVENT_COUNT + 1)),
-            logs,
-        )
-        self.assertFalse(reply.is_cut, logs)
+        self.check_complete(reply, logs)
 
     def test_kept_if_the_other_engine_is_full(self):
         """Guards against streams cut off because an unresponsive engine was
