Log software versions and which stream a caller resumes

'engines were chosen' names the versions of both engines, 'a request ended' the version of each upstream that the request was sent to, at that moment, and for a resumed stream the attempt that it names and its last event. A version that is missing or malformed becomes one of this incarnation alone.

Nothing is decided by these fields yet.

--- a/mulberryway/filters/attempt.py
+++ b/mulberryway/filters/attempt.py
@@ -34,6 +34,7 @@
         "decode",
         "prefill_name",
         "decode_name",
+        "decode_version",
         "chosen_ms",
         "ready_in_ms",
         "kv_tokens",
@@ -63,6 +64,9 @@
         self.decode = decode
         self.prefill_name = assignment.prefill
         self.decode_name = assignment.decode
+        # The software version of the decode engine, set when the request is
+        # sent to it.
+        self.decode_version = ""
         self.chosen_ms = chosen_ms
         self.ready_in_ms = assignment.ready_in_ms
         self.kv_tokens = assignment.kv_tokens
--- a/mulberryway/filters/base.py
+++ b/mulberryway/filters/base.py
@@ -20,6 +20,7 @@
 __all__ = [
     "Exchange",
     "Filter",
+    "Resumption",
     "StreamedAnswer",
     "Outcome",
     "NextHandler",
@@ -149,6 +150,21 @@
         self.begin_ms = 0
 
 
+class Resumption:
+    """A caller's request for the rest of a stream that was cut off.
+
+    :param attempt_id: the caller's id of the attempt that brought the
+        stream's first event; empty if the caller did not name it
+    :param last_event: the id of the last event that the caller has
+    """
+
+    __slots__ = ("attempt_id", "last_event")
+
+    def __init__(self, attempt_id: str, last_event: int) -> None:
+        self.attempt_id = attempt_id
+        self.last_event = last_event
+
+
 class Exchange:
     """One request and the state that the filters add to it.
 
@@ -190,11 +206,13 @@
         "estimate",
         "max_tokens",
         "digest",
+        "resumption",
         "span",
         "has_gone",
         "prefilled_tokens",
         "tried",
         "tried_ms",
+        "versions",
         "first_ms",
         "gap_ms",
         "stages",
@@ -242,6 +260,8 @@
         # The predicted number of output tokens; 0 if there is no prediction.
         self.expected_tokens = 0
         self.digest = ""
+        # Set if the caller resumes a stream of an earlier request.
+        self.resumption: Resumption | None = None
         self.span: traces.Span = traces.NO_SPAN
         self.has_gone = threading.Event()
         # Prompt tokens prefilled for this request, over all attempts.
@@ -250,6 +270,8 @@
         self.tried: list[str] = []
         # The time of each attempt, in ms after the request's arrival.
         self.tried_ms: list[int] = []
+        # The software version of each upstream in ``tried``.
+        self.versions: list[str] = []
         # For streams: the time of the first piece in ms after the request's
         # arrival, and the longest inter-token gap in ms; 0 for none yet.
         self.first_ms = 0
@@ -269,13 +291,15 @@
             None,
         )
 
-    def record_attempt(self, upstream: str, now_ms: int) -> None:
+    def record_attempt(self, upstream: str, version: str, now_ms: int) -> None:
         """Record that the request is sent to an upstream.
 
         :param upstream: the upstream's name
+        :param version: its software version; empty if unknown
         :param now_ms: the current time in ms
         """
         self.tried.append(upstream)
+        self.versions.append(version)
         self.tried_ms.append(now_ms - self.arrived_ms)
 
     def add_completion_callback(self, callback: CompletionCallback) -> None:
--- a/mulberryway/filters/model_engines.py
+++ b/mulberryway/filters/model_engines.py
@@ -355,8 +355,12 @@
             )
         if not self._gate.enter():
             return expression.Error(_make_kept_fault(attempt))
+        row = self._find_row(attempt.decode_name)
+        attempt.decode_version = "" if row is None else row[1].version
         self._exchange.record_attempt(
-            attempt.decode_name, self._parts.clock.now_ms()
+            attempt.decode_name,
+            attempt.decode_version,
+            self._parts.clock.now_ms(),
         )
         started_ms = self._parts.clock.now_ms()
         timeout_ms = self._compute_start_timeout_ms(attempt, prefill, limit)
--- a/mulberryway/filters/observe.py
+++ b/mulberryway/filters/observe.py
@@ -83,11 +83,13 @@
                 tables=0 if tables_ is None else tables_.revision,
                 tried=exchange.tried,
                 tried_ms=exchange.tried_ms,
+                versions=exchange.versions,
                 tokens=outcome.tokens,
                 first_ms=exchange.first_ms,
                 gap_ms=exchange.gap_ms,
                 took_ms=took_ms,
                 **_make_stage_fields(exchange),
+                **_make_resumption_fields(exchange),
             ),
         )
 
@@ -105,3 +107,14 @@
         "target_ms": route.target_ms,
         "target_gap_ms": route.target_gap_ms,
     }
+
+
+def _make_resumption_fields(exchange: base.Exchange) -> dict[str, str | int]:
+    """Return log fields of a resumed stream; empty for other requests."""
+    resumption = exchange.resumption
+    if resumption is None:
+        return {}
+    return {
+        "resumes": resumption.attempt_id,
+        "last_event": resumption.last_event,
+    }
--- a/mulberryway/filters/service_forward.py
+++ b/mulberryway/filters/service_forward.py
@@ -120,7 +120,9 @@
             upstream = self._choose(exchange, avoid)
             if upstream is None:
                 break
-            exchange.record_attempt(upstream.name, self._clock.now_ms())
+            exchange.record_attempt(
+                upstream.name, upstream.version, self._clock.now_ms()
+            )
             avoid = avoid | {upstream.name}
             result = self._call_once(
                 exchange,
--- a/mulberryway/platform/callers.py
+++ b/mulberryway/platform/callers.py
@@ -21,6 +21,7 @@
 MS_IN_S = 1_000
 # Longer ids are truncated; their beginning is sufficient in logs.
 MAX_ID_LENGTH = 64
+MAX_RESUMED_ID_LENGTH = 256
 
 
 class PlatformEndpoints(base.Filter):
@@ -105,6 +106,7 @@
         try:
             self._parse_deadline(exchange)
             self._parse_token_counts(exchange)
+            exchange.resumption = _parse_resumption(exchange)
         except ValueError as error:
             return _reject(str(error))
         exchange.call = upstreams.PassthroughRequest(
@@ -155,6 +157,18 @@
             )
 
 
+def _parse_resumption(exchange: base.Exchange) -> base.Resumption | None:
+    """Return which stream a request resumes; none if it starts a new one."""
+    route = exchange.route
+    last_event = exchange.find_header(wire.LAST_EVENT.lower()) or ""
+    if not (route.is_streaming and route.idempotent):
+        return None
+    if not last_event.isdecimal() or not int(last_event):
+        return None
+    resumed = exchange.find_header(wire.RESUMED_ATTEMPT.lower()) or ""
+    return base.Resumption(resumed[:MAX_RESUMED_ID_LENGTH], int(last_event))
+
+
 def _reject(message: str) -> base.Answer:
     return expression.Error(
         errors.Fault(
--- a/mulberryway/platform/tables.py
+++ b/mulberryway/platform/tables.py
@@ -20,6 +20,7 @@
 BITS_IN_MBIT = 1_000_000
 BITS_IN_BYTE = 8
 MS_IN_S = 1_000
+MAX_VERSION_LENGTH = 128
 STREAMING = "streaming"
 IDEMPOTENT = "idempotent"
 READY_STATE = "ready"
@@ -256,15 +257,33 @@
         if kinds.get(pool) is tables.PoolKind.MODEL:
             role = ROLES[value["phase"]]
         started_ms = wire.parse_integer(value.get("born") or 0)
+        version = _parse_version(value, entry.name, started_ms)
     except PARSE_ERRORS as error:
         LOG.debug("server entry %s is malformed: %r", entry.name, error)
         return None
     row = tables.Upstream(
-        entry.name, address, zone, role, state == DRAINING_STATE
+        entry.name,
+        address,
+        zone,
+        role,
+        state == DRAINING_STATE,
+        version=version,
     )
     return _Server(pool, row, started_ms)
 
 
+def _parse_version(value: Value, name: str, started_ms: int) -> str:
+    """Return the software version of a server.
+
+    One that is missing or malformed becomes a version of this incarnation
+    alone, because it may differ from that of any other server.
+    """
+    version = value.get("version")
+    if isinstance(version, str) and 0 < len(version) <= MAX_VERSION_LENGTH:
+        return version
+    return f"unknown:{name}:{started_ms}"[:MAX_VERSION_LENGTH]
+
+
 def _set_upstreams(
     pool: tables.Pool, upstreams: tuple[tables.Upstream, ...]
 ) -> tables.Pool:
--- a/mulberryway/platform/wire.py
+++ b/mulberryway/platform/wire.py
@@ -17,6 +17,7 @@
     "OBJECTS",
     "ORDER",
     "RESERVED_HEADERS",
+    "RESUMED_ATTEMPT",
     "PHASE",
     "PREFIX",
     "READY",
@@ -62,6 +63,9 @@
 # ``IP:PORT/HANDLE`` of a KV cache on the engine that ran the prefill.
 HANDLE_SOURCE = "Kv-Source"
 LAST_EVENT = "Last-Event-Id"
+# Attempt id of the caller's attempt that brought a resumed stream's first
+# event.
+RESUMED_ATTEMPT = "Resumes"
 # Name of a reservation of a slot and KV blocks, which is valid for one use.
 RESERVATION = "Kv-Hold"
 # Response header: the upstream has not run the request and will not run it.
--- a/mulberryway/policy/placements.py
+++ b/mulberryway/policy/placements.py
@@ -86,6 +86,8 @@
             "prefill_ms": round(self.prefill_ms),
             "ready_in_ms": round(self.ready_ms - now_ms),
             "step_ms": round(decode.step.value, 1),
+            "prefill_version": self.prefill.row.version,
+            "decode_version": decode.row.version,
         }
 
     def is_aggregated(self) -> bool:
--- a/mulberryway/tables/model.py
+++ b/mulberryway/tables/model.py
@@ -60,6 +60,8 @@
     :param leaving: whether it is draining: it completes its requests and gets
         no new ones
     :param checks_fencing: whether it rejects orders with an old fencing number
+    :param version: the version of its software; the events of two versions
+        must not be joined in one stream
     """
 
     __slots__ = (
@@ -69,6 +71,7 @@
         "role",
         "leaving",
         "checks_fencing",
+        "version",
     )
 
     def __init__(
@@ -79,6 +82,7 @@
         role: UpstreamRole,
         leaving: bool = False,
         checks_fencing: bool = False,
+        version: str = "",
     ) -> None:
         self.name = name
         self.address = address
@@ -86,6 +90,7 @@
         self.role = role
         self.leaving = leaving
         self.checks_fencing = checks_fencing
+        self.version = version
 
 
 class Pool:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -178,6 +178,29 @@
         rows = read(CONFIGURATION, *entries).pools["llm"].upstreams
         self.assertEqual(["i-0", "i-1"], [row.name for row in rows])
 
+    def test_software_version(self):
+        """Guards against servers whose version is unknown and that count as
+        servers of the same version.
+        """
+        entries = [
+            ENTRY | {"address": f"10.0.0.{number}:80"} | more
+            for number, more in enumerate(
+                (
+                    {"version": "v1"},
+                    {"version": "v1"},
+                    {},
+                    {"version": 2},
+                    {"version": ""},
+                )
+            )
+        ]
+        versions = [
+            row.version
+            for row in read(CONFIGURATION, *entries).pools["llm"].upstreams
+        ]
+        self.assertEqual(versions[:2], ["v1", "v1"])
+        self.assertEqual(len(set(versions)), 4)
+
     def test_malformed_entries_are_ignored(self):
         """Guards against the loss of all servers because one entry has
         missing fields or values of other types.
