--- a/standins/hosted_upstreams.py
+++ b/standins/hosted_upstreams.py
@@ -50,6 +50,7 @@
 flags.DEFINE_integer("port", 9001, "port to listen on")
 flags.DEFINE_string("instance", "i-1", "name of its incarnation")
 flags.DEFINE_string("phase", "", "prefill or decode; empty for a service")
+flags.DEFINE_string("version", "v1", "version of its software")
 flags.DEFINE_string("journal", "", "file that executions are written to")
 flags.DEFINE_integer(
     "handle_ms", 0, "time in ms until a handle expires; 0 for never"
@@ -63,6 +64,7 @@
     :param phase: ``prefill`` or ``decode``; empty for a non-model service
     :param journal: file that executions are appended to, if any
     :param handle_ms: time in ms until a handle expires; 0 for never
+    :param version: version of its software, written into each event
     """
 
     def __init__(
@@ -71,8 +73,10 @@
         phase: str,
         journal: pathlib.Path | None = None,
         handle_ms: int = 0,
+        version: str = "v1",
     ) -> None:
         self.instance = instance
+        self.version = version
         self.phase = phase
         self.journal = journal
         self.handle_ms = handle_ms
@@ -201,9 +205,8 @@
                     assert request.transport is not None
                     request.transport.abort()
                     break
-                await response.write(
-                    b"id: %d\ndata: t%d\n\n" % (number, number)
-                )
+                event = f"id: {number}\ndata: t{number} {self.version}\n\n"
+                await response.write(event.encode())
                 await self._wait_after_event(number)
         finally:
             self.running -= 1
@@ -355,7 +358,11 @@
     """
     journal = pathlib.Path(FLAGS.journal) if FLAGS.journal else None
     server: typing.Final = HostedUpstream(
-        FLAGS.instance, FLAGS.phase, journal, FLAGS.handle_ms
+        FLAGS.instance,
+        FLAGS.phase,
+        journal,
+        FLAGS.handle_ms,
+        FLAGS.version,
     )
     asyncio.run(serving.serve(FLAGS.host, {FLAGS.port: server.make_app()}))
 
--- a/tests/hosted_fleet.py
+++ b/tests/hosted_fleet.py
@@ -13,6 +13,7 @@
 
 HOST = "127.0.0.1"
 SITE = "site.example"
+VERSION = "v1"
 KEYS = {"k-large": "large", "k-small": "small"}
 LIMITS = {
     "header_bytes": 16384,
@@ -37,6 +38,8 @@
     :param engine_tokens: the capacity of an engine's KV cache in tokens
     :param router: settings of the VMs' routers that replace the defaults
     :param program: module that runs an entry VM
+    :param versions: the software version of each engine; all the same by
+        default
     """
 
     def __init__(
@@ -47,6 +50,7 @@
         engine_tokens=96_693,
         router=None,
         program="mulberryway.commands.entry",
+        versions=(),
     ):
         self.kv_capacity_tokens = engine_tokens
         self.group = processes.Group()
@@ -59,6 +63,9 @@
         self.program = program
         self.version = 0
         self.upstreams = {}
+        self.versions = {
+            f"e{number}": version for number, version in enumerate(versions)
+        }
         self.phases = phases
         ports = processes.pick_ports(vms * 5)
         self.ports = [ports[number::vms] for number in range(vms)]
@@ -97,6 +104,7 @@
             "hosted_upstreams",
             f"--instance={name}",
             f"--phase={phase}",
+            f"--version={self.versions.get(name, VERSION)}",
         )
         self.upstreams[name] = (process, port, service, phase)
         self.register(name)
@@ -108,7 +116,7 @@
             "service": service,
             "address": f"{HOST}:{port}",
             "zone": "kandy-a",
-            "version": "v1",
+            "version": self.versions.get(name, VERSION),
             "slots": 64,
             "state": state,
             "cold_left_ms": 0,
