Continue a stream within its response at its software version only

What callers saw: an engine broke off or stalled in the middle of a stream, and the rest came from an engine of another version, within the same response.

Cause: no decision on engines knows their versions; the search for a replacement takes any engine with free capacity.

Change: a request remembers the version of the engine that sent its first event. From then on it is a condition of each job, not a preference: the placement, the reassignment of a refused decode, the question whether an engine has capacity, and the last check before the decode is sent, which also sees an engine that has restarted with another version since it was chosen. A job is rejected at once if its version has no decode engine, also one that waits when the last of them leaves. Jobs with a condition have a lane of their own, one head per version, so that a full version keeps no other job waiting.

--- a/mulberryway/controllers/scheduling.py
+++ b/mulberryway/controllers/scheduling.py
@@ -254,15 +254,19 @@
                 job_id, rejected_by, self.clock.now_ms(), is_unreached
             )
 
-    def has_decode_capacity(self, pool: str, excluded: str) -> bool:
+    def has_decode_capacity(
+        self, pool: str, excluded: str, required_version: str | None
+    ) -> bool:
         """Return whether another engine probably has capacity for a decode.
 
         :param pool: the pool's name
         :param excluded: the upstream to exclude
+        :param required_version: the only software version to consider; none
+            for any
         """
         with self._lock:
             return self._scheduler.has_decode_capacity(
-                pool, excluded, self.clock.now_ms()
+                pool, excluded, self.clock.now_ms(), required_version
             )
 
     def list_ejected(self) -> list[probes.EjectedUpstream]:
--- a/mulberryway/filters/attempt.py
+++ b/mulberryway/filters/attempt.py
@@ -25,6 +25,9 @@
     :param scheduling_: releases the slot when the attempt ends
     :param cancelling_: sends cancellations to the engines
     :param chosen_ms: when the decode engine was chosen, in ms
+    :param decode_version: the software version of the decode engine
+    :param required_version: the only software version that may decode; none
+        for any
     """
 
     __slots__ = (
@@ -35,6 +38,7 @@
         "prefill_name",
         "decode_name",
         "decode_version",
+        "required_version",
         "chosen_ms",
         "ready_in_ms",
         "kv_tokens",
@@ -57,6 +61,8 @@
         scheduling_: scheduling.SchedulingController,
         cancelling_: cancelling.CancelController,
         chosen_ms: int,
+        decode_version: str = "",
+        required_version: str | None = None,
     ) -> None:
         self.label = label
         self.job_id = job_id
@@ -64,9 +70,8 @@
         self.decode = decode
         self.prefill_name = assignment.prefill
         self.decode_name = assignment.decode
-        # The software version of the decode engine, set when the request is
-        # sent to it.
-        self.decode_version = ""
+        self.decode_version = decode_version
+        self.required_version = required_version
         self.chosen_ms = chosen_ms
         self.ready_in_ms = assignment.ready_in_ms
         self.kv_tokens = assignment.kv_tokens
@@ -102,16 +107,22 @@
         self.requires_reservation = True
 
     def reassign_decode(
-        self, name: str, engine: upstreams.Engine, now_ms: int
+        self,
+        name: str,
+        version: str,
+        engine: upstreams.Engine,
+        now_ms: int,
     ) -> None:
         """Move the decode to another engine after the first one failed.
 
         :param name: the name of the new decode engine
+        :param version: its software version
         :param engine: the new decode engine
         :param now_ms: the current time in ms
         """
         with self._lock:
             self.chosen_ms = now_ms
+            self.decode_version = version
             self.decode_name = name
             self.decode = engine
 
--- a/mulberryway/filters/model_engines.py
+++ b/mulberryway/filters/model_engines.py
@@ -334,7 +334,12 @@
         if name is None or engine is None or not self._gate.accepts(name):
             return False
         attempt.decode.release(attempt.label)
-        attempt.reassign_decode(name, engine, self._parts.clock.now_ms())
+        attempt.reassign_decode(
+            name,
+            self.find_version(name),
+            engine,
+            self._parts.clock.now_ms(),
+        )
         return True
 
     def _decode_once(
@@ -353,10 +358,17 @@
                     message="the chosen engine is draining or removed",
                 )
             )
+        if not self._has_required_version(attempt):
+            return expression.Error(
+                errors.Fault(
+                    errors.Code.UPSTREAM_UNREACHABLE,
+                    errors.Step.DECODE,
+                    attempt.decode_name,
+                    message="the engine has another software version",
+                )
+            )
         if not self._gate.enter():
             return expression.Error(_make_kept_fault(attempt))
-        row = self._find_row(attempt.decode_name)
-        attempt.decode_version = "" if row is None else row[1].version
         self._exchange.record_attempt(
             attempt.decode_name,
             attempt.decode_version,
@@ -419,6 +431,17 @@
         row = self._find_row(attempt.decode_name)
         return row is None or row[1].leaving
 
+    def _has_required_version(self, attempt: attempts.Attempt) -> bool:
+        """Return whether the decode engine may write the stream's events.
+
+        An engine that has restarted since it was chosen may have another
+        version.
+        """
+        row = self._find_row(attempt.decode_name)
+        if row is not None:
+            attempt.decode_version = row[1].version
+        return attempt.required_version in (None, attempt.decode_version)
+
     def _begin_span(
         self, attempt: attempts.Attempt, step: errors.Step
     ) -> traces.Span:
@@ -473,6 +496,15 @@
             return None
         return self._parts.directory.find_engine(*row)
 
+    def find_version(self, name: str) -> str:
+        """Return an engine's software version from the active tables.
+
+        :param name: the engine's name
+        :returns: the version; empty if the engine has been removed
+        """
+        row = self._find_row(name)
+        return "" if row is None else row[1].version
+
     def _find_row(
         self, name: str
     ) -> tuple[tables.Pool, tables.Upstream] | None:
--- a/mulberryway/filters/model_job.py
+++ b/mulberryway/filters/model_job.py
@@ -52,6 +52,7 @@
         avoid: frozenset[str],
         limit: clock.Deadline,
         since_ms: int,
+        required_version: str | None = None,
     ) -> jobs.Job:
         """Return the job of one attempt.
 
@@ -61,6 +62,8 @@
         :param since_ms: the time since when the caller has waited for the next
             event, in ms: the request's arrival, or when its stream lost its
             engine
+        :param required_version: the software version that must decode it;
+            none for any
         """
         exchange = self._exchange
         return jobs.Job(
@@ -84,6 +87,7 @@
             else 0,
             route.is_idempotent(exchange)
             and number + 1 < exchange.route.max_attempts,
+            required_version,
         )
 
     def _compute_start_deadline(
--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -74,6 +74,8 @@
         # Whether an engine has received anything of the last attempt.
         self._was_sent = False
         self._is_closed = False
+        # The software version that wrote the events that the caller has.
+        self._version: str | None = None
         self._decode_span = traces.NO_SPAN
         self._jobs = model_job.JobBuilder(exchange, parts.clock, parts.source)
         self._engines = model_engines.EngineCalls(exchange, parts)
@@ -98,6 +100,7 @@
         """Report the first token to the scheduler and the metrics."""
         parts = self._parts
         if self._attempt is not None:
+            self._version = self._attempt.decode_version
             parts.scheduling.record_first_token(self._attempt.job_id)
         took_ms = parts.clock.now_ms() - self._exchange.arrived_ms
         parts.metrics.first_token.record(took_ms)
@@ -212,7 +215,7 @@
             and self._count_attempts() < exchange.route.max_attempts
             and not exchange.has_gone.is_set()
             and self._parts.scheduling.has_decode_capacity(
-                exchange.pool.name, self._get_decode_name()
+                exchange.pool.name, self._get_decode_name(), self._version
             )
         )
 
@@ -349,7 +352,11 @@
         started_ms = parts.clock.now_ms()
         state = self._retry_state
         job = self._jobs.make(
-            state.number, self._avoided, limit, state.search.since_ms
+            state.number,
+            self._avoided,
+            limit,
+            state.search.since_ms,
+            self._version,
         )
         state.record_attempt()
         with self._exchange.span.begin(parts.tracer, errors.Step.QUEUE):
@@ -402,6 +409,8 @@
             parts.scheduling,
             parts.cancelling,
             parts.clock.now_ms(),
+            self._engines.find_version(assignment.decode),
+            job.required_version,
         )
         with self._lock:
             if self._replacement is None:
--- a/mulberryway/policy/base.py
+++ b/mulberryway/policy/base.py
@@ -110,13 +110,19 @@
         return None
 
     def has_decode_capacity(
-        self, pool: str, excluded: str, now_ms: int
+        self,
+        pool: str,
+        excluded: str,
+        now_ms: int,
+        required_version: str | None = None,
     ) -> bool:
         """Return whether another upstream may have decode capacity.
 
         :param pool: the pool's name
         :param excluded: the upstream to leave out
         :param now_ms: current time in milliseconds
+        :param required_version: the only software version to consider; none
+            for any
         """
         return True
 
--- a/mulberryway/policy/fair_queue.py
+++ b/mulberryway/policy/fair_queue.py
@@ -170,6 +170,10 @@
             self.weight_waiting -= state.weight
         return entry
 
+    def list_entries(self) -> list[QueueEntry]:
+        """Return all waiting entries, in no particular order."""
+        return list(self._entries.values())
+
     def move(self, job_id: str, lane: Lane) -> None:
         """Move a waiting job to the end of another lane.
 
--- a/mulberryway/policy/job_placement.py
+++ b/mulberryway/policy/job_placement.py
@@ -77,7 +77,7 @@
         """
         candidates = list(self._members.prefills)
         if pool.has_chunked_prefill:
-            candidates += self._members.decodes
+            candidates += self._members.list_decodes(job.required_version)
         options = [
             self._plan_prefill(view, job, pool, now_ms)
             for view in self._list_usable(candidates, job, now_ms)
@@ -371,7 +371,9 @@
         usable = [
             view
             for view in self._list_usable(
-                self._members.decodes, entry.job, now_ms
+                self._members.list_decodes(entry.job.required_version),
+                entry.job,
+                now_ms,
             )
             if view.count_free_slots(now_ms) > 0 and view.has_blocks(blocks)
         ]
--- a/mulberryway/policy/jobs.py
+++ b/mulberryway/policy/jobs.py
@@ -40,6 +40,8 @@
         its target, in milliseconds; 0 for no target besides the deadline
     :param is_retry_safe: whether it may be sent to another upstream even if it
         may have been executed at the first
+    :param required_version: the software version that wrote the first events
+        of its stream, without which it cannot be decoded; none for any
     """
 
     __slots__ = (
@@ -60,6 +62,7 @@
         "expected_tokens",
         "first_token_target_ms",
         "is_retry_safe",
+        "required_version",
     )
 
     def __init__(
@@ -81,8 +84,10 @@
         expected_tokens: int = 0,
         first_token_target_ms: int = 0,
         is_retry_safe: bool = False,
+        required_version: str | None = None,
     ) -> None:
         self.is_retry_safe = is_retry_safe
+        self.required_version = required_version
         self.job_id = job_id
         self.account = account
         self.weight = weight
--- a/mulberryway/policy/pool_scheduler.py
+++ b/mulberryway/policy/pool_scheduler.py
@@ -34,6 +34,8 @@
 YIELD_PER_JOB_MS = 12
 MAX_YIELD_MS = 90
 RETRY_INTERVAL_MS = 10
+# A crashed upstream restarts within some seconds.
+NO_UPSTREAM_RETRY_MS = 1_000
 # Number of free slots before it has been estimated.
 UNKNOWN_FREE_SLOTS = -1
 # Interval between decisions while no slot is free.  The end of a job starts a
@@ -96,13 +98,15 @@
         )
         if fault is not None:
             return fault
+        if not self._has_required_version(job):
+            return self._make_version_rejection(job)
         best = self.placer.estimate(job, self.row, now_ms)
         if best is None or not self.members.decodes:
             return admission.make_rejection(
                 errors.Code.NO_UPSTREAM,
                 job,
                 "no upstream can serve this request now",
-                self.stats.clamp_retry_ms(1_000),
+                self.stats.clamp_retry_ms(NO_UPSTREAM_RETRY_MS),
             )
         latest_ms = self._admission.compute_latest_start_ms(
             job, best, self.row
@@ -120,6 +124,16 @@
         )
         return None
 
+    def list_unservable(self) -> list[jobs.Refusal]:
+        """Return rejections of the jobs whose software version has left."""
+        return [
+            jobs.Refusal(
+                entry.job.job_id, self._make_version_rejection(entry.job)
+            )
+            for entry in self.queue.list_entries()
+            if not self._has_required_version(entry.job)
+        ]
+
     def expire_waiting(self, now_ms: int) -> list[jobs.Refusal]:
         """Reject the jobs that can no longer meet their deadline.
 
@@ -165,7 +179,9 @@
             )
             if placement is not None:
                 return self._start(entry, placement, now_ms)
-            tried += 1
+            # A resumed stream whose engines are full must not keep others
+            # from being considered.
+            tried += entry.job.required_version is None
             if tried == MAX_PLACEMENTS_TRIED:
                 break
         return None
@@ -184,6 +200,19 @@
         )
         return max(min(latest_ms, now_ms + interval_ms), now_ms + 1)
 
+    def _has_required_version(self, job: jobs.Job) -> bool:
+        return job.required_version is None or bool(
+            self.members.list_decodes(job.required_version)
+        )
+
+    def _make_version_rejection(self, job: jobs.Job) -> errors.Fault:
+        return admission.make_rejection(
+            errors.Code.NO_UPSTREAM,
+            job,
+            "no engine has the software version that began the stream",
+            self.stats.clamp_retry_ms(NO_UPSTREAM_RETRY_MS),
+        )
+
     def _check_quarantine(
         self, job: jobs.Job, now_ms: int
     ) -> errors.Fault | None:
@@ -216,6 +245,8 @@
         quarantine = self._register.get_state(job.digest, now_ms)
         if quarantine is poison.QuarantineState.SUSPECT:
             return fair_queue.Lane.SUSPECT
+        if job.required_version is not None:
+            return fair_queue.Lane.RESUMED
         is_long = prefill_ms > LONG_PREFILL_MS
         return fair_queue.Lane.LONG if is_long else fair_queue.Lane.SHORT
 
--- a/mulberryway/policy/pool_upstreams.py
+++ b/mulberryway/policy/pool_upstreams.py
@@ -63,6 +63,17 @@
         """Return the views of all upstreams, whatever their role."""
         return list(self._views.values())
 
+    def list_decodes(
+        self, version: str | None
+    ) -> list[upstream_view.UpstreamView]:
+        """Return the upstreams that accept decodes.
+
+        :param version: the only software version to return; none for all
+        """
+        if version is None:
+            return self.decodes
+        return [view for view in self.decodes if view.row.version == version]
+
     def is_ejection_limit_reached(
         self, view: upstream_view.UpstreamView, now_ms: int
     ) -> bool:
--- a/mulberryway/policy/queue_entries.py
+++ b/mulberryway/policy/queue_entries.py
@@ -1,6 +1,7 @@
 """Holds the fair queue's waiting jobs by client account and lane."""
 
 import collections
+import collections.abc
 import enum
 import itertools
 
@@ -19,13 +20,14 @@
     """Separates jobs of one account that may overtake each other.
 
     A long prompt that waits for free prefill capacity must not block the
-    account's short ones, and a crash suspect waits for an engine without
-    another suspect.
+    account's short ones, a crash suspect waits for an engine without another
+    suspect, and the rest of a stream for an engine of one software version.
     """
 
     SHORT = 0
     LONG = 1
     SUSPECT = 2
+    RESUMED = 3
 
 
 class QueueEntry:
@@ -95,19 +97,33 @@
 
         :param now_ms: current time in milliseconds; none to take the oldest
             entry of each lane
-        :returns: at most one entry per lane
+        :returns: at most one entry per lane, and one per software version of
+            the lane for resumed streams
         """
+        lanes = [
+            *(lane.values() for lane in self.lanes[: Lane.RESUMED] if lane),
+            *_group_by_version(self.lanes[Lane.RESUMED].values()),
+        ]
         heads = [
             next(
                 (
                     entry
-                    for entry in itertools.islice(lane.values(), MAX_LANE_SCAN)
+                    for entry in itertools.islice(lane, MAX_LANE_SCAN)
                     if now_ms is not None and not entry.is_late(now_ms)
                 ),
-                next(iter(lane.values())),
+                next(iter(lane)),
             )
-            for lane in self.lanes
-            if lane
+            for lane in lanes
         ]
         heads.sort(key=lambda entry: entry.job.arrived_ms)
         return heads
+
+
+def _group_by_version(
+    lane: collections.abc.Iterable[QueueEntry],
+) -> collections.abc.Collection[list[QueueEntry]]:
+    """Return a lane's first entries by the software version they require."""
+    groups: dict[str | None, list[QueueEntry]] = {}
+    for entry in itertools.islice(lane, MAX_LANE_SCAN):
+        groups.setdefault(entry.job.required_version, []).append(entry)
+    return groups.values()
--- a/mulberryway/policy/scheduler.py
+++ b/mulberryway/policy/scheduler.py
@@ -296,20 +296,26 @@
             view.prefixes.apply_events(events)
 
     def has_decode_capacity(
-        self, pool: str, excluded: str, now_ms: int
+        self,
+        pool: str,
+        excluded: str,
+        now_ms: int,
+        required_version: str | None = None,
     ) -> bool:
         """Return whether another upstream may have decode capacity.
 
         :param pool: the pool's name
         :param excluded: the upstream to leave out
         :param now_ms: current time in milliseconds
+        :param required_version: the only software version to consider; none
+            for any
         """
         known = self._pools.get(pool)
         return known is not None and any(
             view.row.name != excluded
             and view.count_free_slots(now_ms) > 0
             and not view.health.is_ejected(now_ms)
-            for view in known.members.decodes
+            for view in known.members.list_decodes(required_version)
         )
 
     def list_ejected(self, now_ms: int) -> list[probes.EjectedUpstream]:
@@ -411,6 +417,10 @@
         """
         for name in self._pool_set.change(pools):
             self._reject_waiting(name)
+        for pool in self._pools.values():
+            for rejection in pool.list_unservable():
+                pool.queue.remove(rejection.job_id)
+                self._pending_rejections.append(rejection)
 
     def _reject_waiting(self, name: str) -> None:
         # Jobs of a removed pool would otherwise wait until their deadline, so
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -292,7 +292,7 @@
     def record_tokens(self, job_id, tokens):
         pass
 
-    def has_decode_capacity(self, pool, excluded):
+    def has_decode_capacity(self, pool, excluded, required_version):
         return True
 
     def reassign_decode(self, job_id, rejected_by, is_unreached=False):
