Resume a stream at the software version that began it

What callers saw: a caller that lost its connection in the middle of a stream took it up again, and the rest came from a server of another version; in the incident's record at 69.3 s, 0.5 s after the last server of the version had announced that it leaves.

Cause: a stream's version was kept nowhere, and 'Resumes' and 'Last-Event-Id' were passed on unread. The class of fault: state that binds a later request lives only in the process that a failure takes away.

Change: when a stream's first event arrives, and before it is sent to the caller, the VM records the version under a digest of the account and the attempt, and sends the record to all VMs by the existing dissemination (some 50 bytes a stream). A VM that has no record asks up to three others. A resumed stream has its version as the condition of the commit before; one whose version is unknown is rejected at once (503, not run), unless a VM with current tables has seen one version alone for as long as the stream can have lasted. Records expire after twice the route's timeout and are bounded in number.

--- a/mulberryway/controllers/scheduler_gossip.py
+++ b/mulberryway/controllers/scheduler_gossip.py
@@ -15,6 +15,7 @@
 from mulberryway.policy import member
 from mulberryway.policy import poison
 from mulberryway.policy import pool_subsets
+from mulberryway.policy import stream_versions
 from mulberryway.policy import usage as usages
 
 __all__ = ["SchedulerGossipController"]
@@ -75,6 +76,10 @@
         self.on_paths: collections.abc.Callable[
             [forwarders.PathReport], None
         ] = lambda report: None
+        # Called with the versions that began streams; must return quickly.
+        self.on_streams: collections.abc.Callable[
+            [list[stream_versions.StreamVersion]], None
+        ] = lambda records: None
         scheduling_.on_change = self._handle_change
         dissemination_.on_items = self.take
         members.subscribe(DEATH, self._apply_crash)
@@ -110,7 +115,7 @@
     def take(self, items: list[bytes]) -> None:
         """Apply gossip messages from other routers.
 
-        :param items: encoded notes, usage counts and engine reports
+        :param items: encoded notes, usage counts, engine reports and streams
         """
         received = [gossip_messages.decode_datagram(item) for item in items]
         notes = [entry.note for entry in received if entry.note is not None]
@@ -122,6 +127,8 @@
                 self.on_usage(entry.usage, address)
             if entry.paths is not None:
                 self.on_paths(entry.paths)
+            if entry.streams:
+                self.on_streams(entry.streams)
             for news in entry.news:
                 self._apply_report(news)
 
--- a/mulberryway/filters/base.py
+++ b/mulberryway/filters/base.py
@@ -206,7 +206,10 @@
         "estimate",
         "max_tokens",
         "digest",
+        "attempt_id",
         "resumption",
+        "required_version",
+        "on_first_event",
         "span",
         "has_gone",
         "prefilled_tokens",
@@ -260,8 +263,17 @@
         # The predicted number of output tokens; 0 if there is no prediction.
         self.expected_tokens = 0
         self.digest = ""
+        # The caller's id of this attempt; empty if callers send none.
+        self.attempt_id = ""
         # Set if the caller resumes a stream of an earlier request.
         self.resumption: Resumption | None = None
+        # The only software version that may run the request; none for any.
+        self.required_version: str | None = None
+        # Called with the software version that wrote a new stream's first
+        # event, before the event is sent to the caller; must return quickly.
+        self.on_first_event: collections.abc.Callable[[str], None] = (
+            lambda version: None
+        )
         self.span: traces.Span = traces.NO_SPAN
         self.has_gone = threading.Event()
         # Prompt tokens prefilled for this request, over all attempts.
--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -75,7 +75,7 @@
         self._was_sent = False
         self._is_closed = False
         # The software version that wrote the events that the caller has.
-        self._version: str | None = None
+        self._version = exchange.required_version
         self._decode_span = traces.NO_SPAN
         self._jobs = model_job.JobBuilder(exchange, parts.clock, parts.source)
         self._engines = model_engines.EngineCalls(exchange, parts)
@@ -100,7 +100,9 @@
         """Report the first token to the scheduler and the metrics."""
         parts = self._parts
         if self._attempt is not None:
-            self._version = self._attempt.decode_version
+            if self._version is None:
+                self._version = self._attempt.decode_version
+                self._exchange.on_first_event(self._version)
             parts.scheduling.record_first_token(self._attempt.job_id)
         took_ms = parts.clock.now_ms() - self._exchange.arrived_ms
         parts.metrics.first_token.record(took_ms)
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -33,12 +33,14 @@
 from mulberryway.controllers import registration
 from mulberryway.controllers import reloading
 from mulberryway.controllers import scheduler_gossip
+from mulberryway.controllers import version_tracking
 from mulberryway.filters import repeats
 from mulberryway.objects import call_metrics
 from mulberryway.peers import datagrams
 from mulberryway.peers import server as peer_server
 from mulberryway.peers.gen.membership import Membership
 from mulberryway.peers.gen.mirrors import Mirrors
+from mulberryway.peers.gen.streams import Streams
 from mulberryway.platform import directory
 from mulberryway.platform import interface
 from mulberryway.platform import store
@@ -63,6 +65,7 @@
 
 MEMBERSHIP = "Membership"
 MIRRORS = "Mirrors"
+STREAMS = "Streams"
 # The target inter-token gap of pools whose routes have no target; callers
 # disconnect after eight times this long.
 TOKEN_GAP_MS = 300
@@ -169,6 +172,14 @@
             self._is_store_reached,
             self.clock,
         )
+        self.versions = version_tracking.VersionTracker(
+            settings_.vm_name,
+            settings_.vm_zone,
+            self.client,
+            self.members.list_members,
+            self._has_current_tables,
+            self.clock,
+        )
         self.scheduler = self._make_scheduler()
         self._wire_router()
         self._wire_peers()
@@ -311,7 +322,7 @@
             self.scheduler,
             self.allowances,
             _FleetEndpoints(self),
-            interface.PlatformInterface(self.retry_budget),
+            interface.PlatformInterface(self.retry_budget, self.versions),
             self.retry_budget.try_withdraw,
             on_drain=lambda: self.members.update_local(is_stopping=True),
             directory_=self.directory,
@@ -335,6 +346,7 @@
         self.dissemination.report(self.router.metrics)
         threads.report(self.router.metrics)
         self.paths.report(self.router.metrics)
+        self.versions.report(self.router.metrics)
         self.notes = scheduler_gossip.SchedulerGossipController(
             self.router.scheduling,
             self.members,
@@ -352,6 +364,8 @@
         )
         self.paths.publish = self.dissemination.publish
         self.notes.on_paths = self.paths.take_report
+        self.versions.publish = self.dissemination.publish
+        self.notes.on_streams = self.versions.receive
         self.allowances.broadcast = self.dissemination.publish
         self.notes.on_usage = self._receive_usage
         self.source.subscribe(self._update_tables)
@@ -376,6 +390,9 @@
                 MIRRORS: Mirrors.Processor(
                     mirrors.MirrorHandler(self.mirror_controllers)
                 ),
+                STREAMS: Streams.Processor(
+                    version_tracking.VersionHandler(self.versions)
+                ),
             },
             self.clock,
             {tunnels.SERVICE: self.tunnels},
@@ -431,6 +448,10 @@
             for controller in self.mirror_controllers.values()
         )
 
+    def _has_current_tables(self) -> bool:
+        # A VM that does not watch the store gets changes from those that do.
+        return self._is_store_reached() is not False
+
     def _find_engine(
         self, pool: str, upstream: str
     ) -> upstreams.Engine | None:
@@ -473,6 +494,7 @@
     def _update_tables(self, changed: tables.Tables) -> None:
         self.allowances.update_tables(changed)
         self.paths.update_tables(changed)
+        self.versions.update_tables(changed)
 
 
 def _list_seeds(settings_: settings.Settings) -> tuple[str, ...]:
--- a/mulberryway/peers/gen/notes/ttypes.py
+++ b/mulberryway/peers/gen/notes/ttypes.py
@@ -1450,6 +1450,118 @@
         return not (self == other)
 
 
+class StreamVersion(object):
+    """
+    Attributes:
+     - stream
+     - pool
+     - version
+     - left_ms
+
+    """
+
+    __slots__ = (
+        'stream',
+        'pool',
+        'version',
+        'left_ms',
+    )
+
+
+    def __init__(self, stream=None, pool=None, version=None, left_ms=None,):
+        self.stream = stream
+        self.pool = pool
+        self.version = version
+        self.left_ms = left_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.stream = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.left_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamVersion')
+        if self.stream is not None:
+            oprot.writeFieldBegin('stream', TType.STRING, 1)
+            oprot.writeBinary(self.stream)
+            oprot.writeFieldEnd()
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 2)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 3)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.left_ms is not None:
+            oprot.writeFieldBegin('left_ms', TType.I32, 4)
+            oprot.writeI32(self.left_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.stream is None:
+            raise TProtocolException(message='Required field stream is unset!')
+        if self.pool is None:
+            raise TProtocolException(message='Required field pool is unset!')
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        if self.left_ms is None:
+            raise TProtocolException(message='Required field left_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
@@ -1457,6 +1569,7 @@
      - reports
      - usage
      - paths
+     - streams
 
     """
 
@@ -1465,14 +1578,16 @@
         'reports',
         'usage',
         'paths',
+        'streams',
     )
 
 
-    def __init__(self, note=None, reports=None, usage=None, paths=None,):
+    def __init__(self, note=None, reports=None, usage=None, paths=None, streams=None,):
         self.note = note
         self.reports = reports
         self.usage = usage
         self.paths = paths
+        self.streams = streams
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1512,6 +1627,17 @@
                     self.paths.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.streams = []
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = StreamVersion()
+                        _elem67.read(iprot)
+                        self.streams.append(_elem67)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1529,8 +1655,8 @@
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter62 in self.reports:
-                iter62.write(oprot)
+            for iter68 in self.reports:
+                iter68.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.usage is not None:
@@ -1541,6 +1667,13 @@
             oprot.writeFieldBegin('paths', TType.STRUCT, 4)
             self.paths.write(oprot)
             oprot.writeFieldEnd()
+        if self.streams is not None:
+            oprot.writeFieldBegin('streams', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.streams))
+            for iter69 in self.streams:
+                iter69.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1602,10 +1735,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = iprot.readBinary()
-                        self.items.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = iprot.readBinary()
+                        self.items.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1637,8 +1770,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.items))
-            for iter69 in self.items:
-                oprot.writeBinary(iter69)
+            for iter76 in self.items:
+                oprot.writeBinary(iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.relay_number is not None:
@@ -1777,6 +1910,14 @@
     (4, TType.BOOL, 'is_cut_off', None, None, ),  # 4
     (5, TType.LIST, 'unreachable', (TType.STRING, 'UTF8', False), None, ),  # 5
 )
+all_structs.append(StreamVersion)
+StreamVersion.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'stream', 'BINARY', None, ),  # 1
+    (2, TType.STRING, 'pool', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'version', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'left_ms', None, None, ),  # 4
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
@@ -1784,6 +1925,7 @@
     (2, TType.LIST, 'reports', (TType.STRUCT, [EngineReport, None], False), None, ),  # 2
     (3, TType.STRUCT, 'usage', [Usage, None], None, ),  # 3
     (4, TType.STRUCT, 'paths', [Paths, None], None, ),  # 4
+    (5, TType.LIST, 'streams', (TType.STRUCT, [StreamVersion, None], False), None, ),  # 5
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
--- /dev/null
+++ b/mulberryway/peers/gen/streams/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Streams']
--- a/mulberryway/peers/gossip_messages.py
+++ b/mulberryway/peers/gossip_messages.py
@@ -7,6 +7,7 @@
 from mulberryway.policy import forwarders
 from mulberryway.policy import health
 from mulberryway.policy import hints
+from mulberryway.policy import stream_versions
 from mulberryway.policy import usage as usages
 from mulberryway.upstreams import base as upstreams
 
@@ -19,6 +20,7 @@
     "encode_report",
     "encode_note",
     "encode_paths",
+    "encode_stream_version",
     "encode_usage",
 ]
 
@@ -66,9 +68,10 @@
     :param news: engine reports
     :param usage: tokens that the sender granted to accounts, or none
     :param paths: upstreams that the sender cannot reach, or none
+    :param streams: software versions that began streams
     """
 
-    __slots__ = ("note", "news", "usage", "paths")
+    __slots__ = ("note", "news", "usage", "paths", "streams")
 
     def __init__(
         self,
@@ -76,11 +79,13 @@
         news: list[EngineReport],
         usage: usages.Usage | None = None,
         paths: forwarders.PathReport | None = None,
+        streams: list[stream_versions.StreamVersion] | None = None,
     ) -> None:
         self.note = note
         self.news = news
         self.usage = usage
         self.paths = paths
+        self.streams = streams or []
 
 
 def encode_note(note: hints.Note) -> bytes:
@@ -150,7 +155,24 @@
         [_unpack_report(item) for item in message.reports or ()],
         usage,
         paths,
+        [
+            stream_versions.StreamVersion(
+                item.stream, item.pool, item.version, item.left_ms
+            )
+            for item in message.streams or ()
+        ],
+    )
+
+
+def encode_stream_version(record: stream_versions.StreamVersion) -> bytes:
+    """Return the payload of a stream's software version.
+
+    :param record: the stream's version
+    """
+    message = ttypes.StreamVersion(
+        record.stream, record.pool, record.version, record.left_ms
     )
+    return codec.write(ttypes.Datagram(streams=[message]))
 
 
 def encode_paths(report: forwarders.PathReport) -> bytes:
--- a/mulberryway/peers/idl/notes.thrift
+++ b/mulberryway/peers/idl/notes.thrift
@@ -104,11 +104,22 @@
   5: optional list<string> unreachable,
 }
 
+// The software version that wrote the first event of a stream.
+struct StreamVersion {
+  // Digest of the client account and of the caller's attempt.
+  1: required binary stream,
+  2: required string pool,
+  3: required string version,
+  // How long the stream may still be resumed.
+  4: required i32 left_ms,
+}
+
 struct Datagram {
   1: optional Note note,
   2: optional list<EngineReport> reports,
   3: optional Usage usage,
   4: optional Paths paths,
+  5: optional list<StreamVersion> streams,
 }
 
 // What one UDP datagram carries between VMs.
--- a/mulberryway/platform/callers.py
+++ b/mulberryway/platform/callers.py
@@ -94,6 +94,7 @@
             return _reject(f"{wire.ATTEMPT_ID}: expected a non-empty id")
         # Two requests may carry the same attempt id, so the generated id is
         # appended to keep request ids unique.
+        exchange.attempt_id = attempt_id
         suffix = exchange.request_id.rpartition("-")[2]
         exchange.request_id = f"{attempt_id[:MAX_ID_LENGTH]}.{suffix}"
         exchange.headers = [
--- a/mulberryway/platform/interface.py
+++ b/mulberryway/platform/interface.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 
+from mulberryway.controllers import version_tracking
 from mulberryway.filters import admission
 from mulberryway.filters import authentication
 from mulberryway.filters import base
@@ -9,6 +10,7 @@
 from mulberryway.filters import model_forward
 from mulberryway.filters import observe
 from mulberryway.filters import repeats
+from mulberryway.filters import resumption
 from mulberryway.filters import route
 from mulberryway.filters import service_forward
 from mulberryway.filters import status
@@ -23,10 +25,16 @@
     """Forwards requests unchanged, with parameters taken from headers.
 
     :param budget: the retry budget, shared by all requests
+    :param tracker: knows the software versions of streams
     """
 
-    def __init__(self, budget: repeats.SharedRetryBudget) -> None:
+    def __init__(
+        self,
+        budget: repeats.SharedRetryBudget,
+        tracker: version_tracking.VersionTracker,
+    ) -> None:
         self._budget = budget
+        self._tracker = tracker
 
     def make_filters(
         self, context: caller_api.FilterDependencies
@@ -46,6 +54,7 @@
             callers.RequestParser(),
             repeats.RetryBudgetDeposit(self._budget),
             status.LateStreamRejection(context.lifecycle),
+            resumption.StreamResumption(self._tracker),
             admission.Admission(context.allowances, charges_maximum=True),
             model_forward.ModelForward(parts, model_forward.make_raw_stream),
             service_forward.ServiceForward(
--- a/tests/order_fixture.py
+++ b/tests/order_fixture.py
@@ -9,8 +9,10 @@
 
 from mulberryway import clock
 from mulberryway import logs
+from mulberryway import peers
 from mulberryway import router
 from mulberryway import tables
+from mulberryway.controllers import version_tracking
 from mulberryway.filters import model_engines
 from mulberryway.filters import model_run
 from mulberryway.platform import directory
@@ -172,12 +174,19 @@
             ),
             self.allowances,
             router_fixture.OneEntry("127.0.0.1:1"),
-            interface.PlatformInterface(self.budget),
+            interface.PlatformInterface(self.budget, self.make_tracker()),
             self.budget.try_withdraw,
             directory_=directory.PlatformDirectory(self.clock),
             closes_revoked_streams=False,
         )
 
+    def make_tracker(self):
+        """Return a tracker that knows no other VM."""
+        client = peers.PeerClient("s", self.clock)
+        return version_tracking.VersionTracker(
+            "vm0", "kandy-a", client, list, lambda: True, self.clock
+        )
+
     def patch(self, target, name, value):
         patcher = mock.patch.object(target, name, value)
         patcher.start()
