Count jobs that require a version apart in the admission

Jobs that wait for a full software version counted as ahead of all others of the pool, so that requests which other engines could start at once were rejected ("the first token would miss its deadline").

A job is now compared with the free slots of its version and with the jobs that require the same one; jobs without a condition with each other.

--- a/mulberryway/policy/admission.py
+++ b/mulberryway/policy/admission.py
@@ -130,17 +130,27 @@
         # Virtual time advances by the pool's throughput divided by the
         # waiting weights.  This takes constant time for any number of waiting
         # jobs or accounts.
-        if self._placer.estimate_free_slots(now_ms) > len(self._queue):
+        #
+        # Jobs that require a software version and others wait for different
+        # slots, so neither are counted for the other.
+        version = job.required_version
+        free = self._placer.estimate_free_slots(now_ms, version)
+        if free > self._queue.count_requiring(version):
             return 0.0
         state = self._queue.find_account(job.account, job.weight)
-        own = sum(estimate_lane_cost(lane) for lane in state.lanes)
+        resumed = state.lanes[fair_queue.Lane.RESUMED]
+        own = sum(
+            estimate_lane_cost(lane)
+            for lane in state.lanes
+            if (lane is resumed) is (version is not None)
+        )
         start = self._queue.get_virtual_start(job.account) + own / state.weight
         distance = max(start - self._queue.virtual_time, 0.0)
         weights = self._queue.weight_waiting + self._peers.sum_waiting_weight(
             now_ms
         )
         throughput = self._stats.estimate_throughput(
-            self._placer.count_slots()
+            self._placer.count_slots(version)
         )
         return (
             distance * max(weights, state.weight) / throughput / WAIT_TOLERANCE
--- a/mulberryway/policy/fair_queue.py
+++ b/mulberryway/policy/fair_queue.py
@@ -6,6 +6,7 @@
 number of waiting accounts and entries.
 """
 
+import collections
 import collections.abc
 import heapq
 import itertools
@@ -50,6 +51,8 @@
         self.weight_waiting = 0
         self.bytes = 0
         self._entries: dict[str, QueueEntry] = {}
+        # The number of entries by the software version that they require.
+        self._versions: collections.Counter[str | None] = collections.Counter()
         self._accounts: dict[str, AccountState] = {}
         self._order = sortedcontainers.SortedList()
         self._expiry_heap: list[tuple[int, int, str]] = []
@@ -85,6 +88,14 @@
         state = self._accounts.get(name)
         return state.waiting if state is not None else 0
 
+    def count_requiring(self, version: str | None) -> int:
+        """Return the number of waiting jobs with a required version.
+
+        :param version: the software version; none for jobs without one
+        :returns: the number
+        """
+        return self._versions[version]
+
     def get_virtual_start(self, name: str) -> float:
         """Return the virtual start that orders an account.
 
@@ -145,6 +156,7 @@
         state.bytes += job.body_bytes
         self.bytes += job.body_bytes
         self._entries[job.job_id] = entry
+        self._versions[job.required_version] += 1
         heapq.heappush(
             self._expiry_heap,
             (entry.latest_start_ms, next(self._numbers), job.job_id),
@@ -160,6 +172,9 @@
         if entry is None:
             return None
         job = entry.job
+        self._versions[job.required_version] -= 1
+        if not self._versions[job.required_version]:
+            del self._versions[job.required_version]
         state = self._accounts[job.account]
         del state.lanes[entry.lane][job_id]
         state.waiting -= 1
--- a/mulberryway/policy/job_placement.py
+++ b/mulberryway/policy/job_placement.py
@@ -236,19 +236,22 @@
         """
         return self._choose_decode(entry, placement, pool, now_ms)
 
-    def estimate_free_slots(self, now_ms: int) -> int:
+    def estimate_free_slots(
+        self, now_ms: int, version: str | None = None
+    ) -> int:
         """Return how many more decodes of typical size probably fit.
 
         Streams may fill an engine's memory long before its slots, so a count
         of slots alone would overestimate the free capacity.
 
         :param now_ms: current time in milliseconds
+        :param version: the only software version to consider; none for all
         :returns: the sum over the subset
         """
         blocks = self._typical_blocks.value
         return sum(
             view.estimate_capacity(blocks, now_ms)
-            for view in self._members.decodes
+            for view in self._members.list_decodes(version)
             if not view.health.is_ejected(now_ms)
         )
 
@@ -266,9 +269,12 @@
         unreported_blocks = self._typical_blocks.value * UNREPORTED_STREAMS
         return view.count_free_blocks() < unreported_blocks
 
-    def count_slots(self) -> int:
-        """Return the total number of decode slots in the subset."""
-        return sum(view.slots for view in self._members.decodes)
+    def count_slots(self, version: str | None = None) -> int:
+        """Return the total number of decode slots in the subset.
+
+        :param version: the only software version to consider; none for all
+        """
+        return sum(view.slots for view in self._members.list_decodes(version))
 
     @staticmethod
     def _list_usable(
