Let streams use engines of their version outside of the subset

At large sites a router uses a part of a pool's engines. At the end of a release the part may hold no engine of a stream's version while the pool does, and the stream was refused.

For each version that its part cannot decode, a router knows up to two more engines, by rendezvous hashing, and uses them for streams that require this version only.

--- a/mulberryway/policy/pool_subsets.py
+++ b/mulberryway/policy/pool_subsets.py
@@ -12,7 +12,12 @@
 from mulberryway import tables
 from mulberryway.policy import subsetting
 
-__all__ = ["PoolSubset", "choose_load_poller", "find_pool_subset"]
+__all__ = [
+    "PoolSubset",
+    "choose_load_poller",
+    "find_pool_subset",
+    "hash_pair",
+]
 
 # Cached hashes of pairs of an upstream and a VM, about one megabyte.
 MAX_CACHED_HASHES = 8_192
@@ -68,9 +73,14 @@
     :param vms: the VMs that share it
     :returns: the name of one of them
     """
-    return max(vms, key=lambda vm: (_hash_pair(upstream, vm), vm))
+    return max(vms, key=lambda vm: (hash_pair(upstream, vm), vm))
 
 
 @functools.lru_cache(maxsize=MAX_CACHED_HASHES)
-def _hash_pair(upstream: str, vm: str) -> bytes:
+def hash_pair(upstream: str, vm: str) -> bytes:
+    """Return the rank of an upstream and a VM for rendezvous hashing.
+
+    :param upstream: the upstream's name
+    :param vm: the VM's name
+    """
     return hashlib.blake2b(f"{upstream}/{vm}".encode(), digest_size=8).digest()
--- a/mulberryway/policy/pool_upstreams.py
+++ b/mulberryway/policy/pool_upstreams.py
@@ -1,9 +1,12 @@
 """Tracks a pool's upstreams as they are added, removed or change role."""
 
+import heapq
+import itertools
 import random
 
 from mulberryway import tables
 from mulberryway.policy import health
+from mulberryway.policy import pool_subsets
 from mulberryway.policy import prefill_speed
 from mulberryway.policy import subsetting
 from mulberryway.policy import upstream_view
@@ -12,6 +15,9 @@
 
 # A chunked prefill takes this many times as long as one on a prefill engine.
 CHUNKED_PREFILL_SLOWDOWN = 2.0
+# Upstreams outside of the subset that a router uses for each software version
+# of which its subset has none.
+MAX_OUTSIDE_SUBSET = 2
 PREFILL_ROLES = (tables.UpstreamRole.PREFILL, tables.UpstreamRole.BOTH)
 DECODE_ROLES = (tables.UpstreamRole.DECODE, tables.UpstreamRole.BOTH)
 
@@ -34,6 +40,7 @@
         "_pool_rate",
         "prefills",
         "decodes",
+        "_outside",
     )
 
     def __init__(
@@ -50,6 +57,9 @@
         self._subsets: dict[int, subsetting.Subsets] = {}
         self.prefills: list[upstream_view.UpstreamView] = []
         self.decodes: list[upstream_view.UpstreamView] = []
+        # Upstreams outside of the subset, only for streams that require
+        # their software version.
+        self._outside: list[upstream_view.UpstreamView] = []
 
     def find(self, upstream: str) -> upstream_view.UpstreamView | None:
         """Return the view of one upstream.
@@ -72,7 +82,11 @@
         """
         if version is None:
             return self.decodes
-        return [view for view in self.decodes if view.row.version == version]
+        return [
+            view
+            for view in itertools.chain(self.decodes, self._outside)
+            if view.row.version == version
+        ]
 
     def is_ejection_limit_reached(
         self, view: upstream_view.UpstreamView, now_ms: int
@@ -100,7 +114,9 @@
         :param pool: the row
         :param vms: names of all VMs that run a router
         """
-        rows = self._choose_rows(pool, vms)
+        chosen = self._choose_rows(pool, vms)
+        outside = self._choose_outside(pool, chosen)
+        rows = [*chosen, *outside]
         known = self._retained | self._views
         self._views = {
             row.name: self._update_view(known.get(row.name), row, pool)
@@ -111,9 +127,8 @@
             for name, view in known.items()
             if name not in self._views and view.own_decodes > 0
         }
-        active = [
-            view for view in self._views.values() if not view.row.leaving
-        ]
+        self._outside = [self._views[row.name] for row in outside]
+        active = [self._views[row.name] for row in chosen if not row.leaving]
         self.prefills = [v for v in active if v.row.role in PREFILL_ROLES]
         self.decodes = [v for v in active if v.row.role in DECODE_ROLES]
 
@@ -130,6 +145,30 @@
             by_name[name] for name in subsets.choose(self._vm, list(by_name))
         ]
 
+    def _choose_outside(
+        self, pool: tables.Pool, chosen: list[tables.Upstream]
+    ) -> list[tables.Upstream]:
+        """Return upstreams of the versions that the subset cannot decode."""
+        names = {row.name for row in chosen}
+        covered = {row.version for row in chosen if _accepts_decodes(row)}
+        missing: dict[str, list[tables.Upstream]] = {}
+        for row in pool.upstreams:
+            if (
+                row.version not in covered
+                and row.name not in names
+                and _accepts_decodes(row)
+            ):
+                missing.setdefault(row.version, []).append(row)
+        return [
+            row
+            for rows in missing.values()
+            for row in heapq.nlargest(
+                MAX_OUTSIDE_SUBSET,
+                rows,
+                key=lambda row: pool_subsets.hash_pair(row.name, self._vm),
+            )
+        ]
+
     def reset_subsets(self) -> None:
         """Discard the subsets because the list of VMs has changed."""
         self._subsets = {}
@@ -156,3 +195,7 @@
         view.slots = pool.slots
         view.pause_ms = pool.pause_ms
         return view
+
+
+def _accepts_decodes(row: tables.Upstream) -> bool:
+    return row.role in DECODE_ROLES and not row.leaving
