--- a/mulberryway/filters/service_forward.py
+++ b/mulberryway/filters/service_forward.py
@@ -132,6 +132,8 @@
                 canceller,
             )
             if result.is_ok():
+                if exchange.required_version is None:
+                    exchange.on_first_event(upstream.version)
                 return expression.Ok(_make_reply(result.ok))
             fault = result.error
             # Without a connection, nothing was sent.
@@ -177,7 +179,9 @@
     ) -> tables.Upstream | None:
         pool = self._find_current_pool(exchange)
         with self._lock:
-            return self._chooser.choose(pool, avoid, self._clock.now_ms())
+            return self._chooser.choose(
+                pool, avoid, self._clock.now_ms(), exchange.required_version
+            )
 
     def _find_current_pool(self, exchange: base.Exchange) -> tables.Pool:
         """Return a call's pool from the active tables.
@@ -234,7 +238,9 @@
             number + 1 >= exchange.route.max_attempts
             or not route.is_idempotent(exchange)
             or not server_selection.list_usable_servers(
-                self._find_current_pool(exchange), called
+                self._find_current_pool(exchange),
+                called,
+                exchange.required_version,
             )
         ):
             return left_ms
--- a/mulberryway/policy/server_selection.py
+++ b/mulberryway/policy/server_selection.py
@@ -29,18 +29,24 @@
 
 
 def list_usable_servers(
-    pool: tables.Pool, excluded: frozenset[str]
+    pool: tables.Pool,
+    excluded: frozenset[str],
+    required_version: str | None = None,
 ) -> list[tables.Upstream]:
     """Return the servers that may be chosen for a call.
 
     :param pool: the pool
     :param excluded: names of servers at which this call failed
+    :param required_version: the only software version that may run the call;
+        none for any
     :returns: the servers that are neither draining nor excluded
     """
     return [
         upstream
         for upstream in pool.upstreams
-        if not upstream.leaving and upstream.name not in excluded
+        if not upstream.leaving
+        and upstream.name not in excluded
+        and required_version in (None, upstream.version)
     ]
 
 
@@ -91,16 +97,21 @@
         self._servers: dict[tuple[str, str], _Server] = {}
 
     def choose(
-        self, pool: tables.Pool, excluded: frozenset[str], now_ms: int
+        self,
+        pool: tables.Pool,
+        excluded: frozenset[str],
+        now_ms: int,
+        required_version: str | None = None,
     ) -> tables.Upstream | None:
         """Choose a server and count a call to it.
 
         :param pool: the pool
         :param excluded: names of servers at which this call failed
         :param now_ms: current time in milliseconds
+        :param required_version: see :func:`list_usable_servers`
         :returns: the server, or none if all are draining or excluded
         """
-        usable = list_usable_servers(pool, excluded)
+        usable = list_usable_servers(pool, excluded, required_version)
         if not usable:
             return None
         self._remove_deregistered(pool)
