Reject a malformed or repeated header of a resumed stream

Last-Event-Id and Resumes decide now which upstream may answer. Two values, or one that is no number or too long, are a clear error (400) on routes whose streams may be resumed; elsewhere both are passed on as before.

--- a/mulberryway/platform/callers.py
+++ b/mulberryway/platform/callers.py
@@ -22,6 +22,7 @@
 # Longer ids are truncated; their beginning is sufficient in logs.
 MAX_ID_LENGTH = 64
 MAX_RESUMED_ID_LENGTH = 256
+MAX_EVENT_ID_DIGITS = 18
 
 
 class PlatformEndpoints(base.Filter):
@@ -159,15 +160,37 @@
 
 
 def _parse_resumption(exchange: base.Exchange) -> base.Resumption | None:
-    """Return which stream a request resumes; none if it starts a new one."""
+    """Return which stream a request resumes; none if it starts a new one.
+
+    :raises ValueError: if a header is malformed or has several values
+    """
     route = exchange.route
-    last_event = exchange.find_header(wire.LAST_EVENT.lower()) or ""
     if not (route.is_streaming and route.idempotent):
         return None
-    if not last_event.isdecimal() or not int(last_event):
+    last_event = _find_single_header(exchange, wire.LAST_EVENT)
+    if not last_event:
+        return None
+    if not last_event.isdecimal() or len(last_event) > MAX_EVENT_ID_DIGITS:
+        raise ValueError(f"{wire.LAST_EVENT}: expected a decimal number")
+    resumed = _find_single_header(exchange, wire.RESUMED_ATTEMPT)
+    if len(resumed) > MAX_RESUMED_ID_LENGTH:
+        raise ValueError(
+            f"{wire.RESUMED_ATTEMPT}: expected at most "
+            f"{MAX_RESUMED_ID_LENGTH} characters"
+        )
+    if not int(last_event):
         return None
-    resumed = exchange.find_header(wire.RESUMED_ATTEMPT.lower()) or ""
-    return base.Resumption(resumed[:MAX_RESUMED_ID_LENGTH], int(last_event))
+    return base.Resumption(resumed, int(last_event))
+
+
+def _find_single_header(exchange: base.Exchange, name: str) -> str:
+    """Return the value of a header that must not have several values."""
+    values = {
+        value for key, value in exchange.headers if key.lower() == name.lower()
+    }
+    if len(values) > 1:
+        raise ValueError(f"{name}: expected one value")
+    return next(iter(values), "")
 
 
 def _reject(message: str) -> base.Answer:
--- /dev/null
+++ b/tests/test_version_tracking.py
@@ -0,0 +1,312 @@
+"""Tests of what VMs know about the software versions of streams."""
+
+import unittest
+
+import expression
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway import tables
+from mulberryway.controllers import version_tracking
+from mulberryway.peers import gossip_messages
+from mulberryway.policy import member
+from mulberryway.policy import stream_versions
+
+POOL = "llm"
+OLD, NEW = "v1", "v1.2"
+WINDOW_MS = 28_000
+SOURCES = version_tracking.VersionSource
+
+
+def digest(attempt="a", account="large"):
+    return stream_versions.digest_stream(account, attempt)
+
+
+def make_record(attempt="a", version=OLD, left_ms=WINDOW_MS):
+    return stream_versions.StreamVersion(
+        digest(attempt), POOL, version, left_ms
+    )
+
+
+def make_tables(*versions):
+    rows = tuple(
+        tables.Upstream(
+            f"e{number}",
+            f"10.0.0.{number}:1",
+            "a",
+            tables.UpstreamRole.DECODE,
+            version=version,
+        )
+        for number, version in enumerate(versions)
+    )
+    pool = tables.Pool(POOL, tables.PoolKind.MODEL, rows, ("m",), slots=4)
+    return tables.Tables(1, (), (pool,), ())
+
+
+class Network:
+    """Delivers gossip and calls among the VMs that reach one another."""
+
+    def __init__(self, clock_):
+        self.clock = clock_
+        self.vms = {}
+        self.cut_off = set()
+        # Receivers of the gossip; all by default.
+        self.receivers = None
+
+    def add(self, name):
+        self.vms[name] = Vm(name, self)
+        return self.vms[name]
+
+    def call(self, sender, peer, stream, pool, window_ms):
+        name = peer.partition(":")[0]
+        if {sender, name} & self.cut_off:
+            return expression.Error(
+                errors.Fault(errors.Code.PEER_UNREACHABLE, errors.Step.PEER)
+            )
+        return expression.Ok(
+            self.vms[name].tracker.answer(stream, pool, window_ms)
+        )
+
+    def publish(self, sender, payload):
+        decoded = gossip_messages.decode_datagram(payload)
+        for name, vm in self.vms.items():
+            if name != sender and not {sender, name} & self.cut_off:
+                if self.receivers is None or name in self.receivers:
+                    vm.tracker.receive(decoded.streams)
+
+
+class Vm:
+    """A VM's tracker, which other VMs call through the network."""
+
+    def __init__(self, name, network):
+        self.name = name
+        self.is_current = True
+        self.asked = 0
+        self._network = network
+        self.tracker = version_tracking.VersionTracker(
+            name,
+            "a",
+            self,
+            self._list_members,
+            lambda: self.is_current,
+            network.clock,
+        )
+        self.tracker.publish = lambda payload: network.publish(name, payload)
+
+    def call(self, peer, client_class, method, *arguments, **options):
+        self.asked += 1
+        return self._network.call(self.name, peer, *arguments)
+
+    def _list_members(self):
+        return [
+            member.Member(name, name, 1, 2, "a", "r", 1)
+            for name in self._network.vms
+        ]
+
+
+class TableTest(unittest.TestCase):
+    def setUp(self):
+        self.table = stream_versions.StreamVersionTable(3)
+
+    def test_known_until_it_expires(self):
+        self.table.record(make_record(left_ms=100), 0)
+        self.assertEqual(self.table.find(digest(), POOL, 99), OLD)
+        self.assertIsNone(self.table.find(digest(), POOL, 100))
+
+    def test_stream_of_another_account(self):
+        """Guards against an account that names another account's stream."""
+        self.table.record(make_record(), 0)
+        self.assertIsNone(self.table.find(digest("a", "small"), POOL, 1))
+        self.assertNotEqual(digest("ba", "a"), digest("a", "ab"))
+
+    def test_stream_of_another_pool(self):
+        self.table.record(make_record(), 0)
+        self.assertIsNone(self.table.find(digest(), "other", 1))
+
+    def test_two_versions_of_one_stream(self):
+        """Guards against guessing between two attempts with the same id."""
+        self.assertTrue(self.table.record(make_record(), 0))
+        self.assertTrue(self.table.record(make_record(), 0))
+        self.assertFalse(self.table.record(make_record(version=NEW), 0))
+        self.assertIsNone(self.table.find(digest(), POOL, 1))
+        self.assertTrue(self.table.is_ambiguous(digest()))
+
+    def test_bounded_number_of_streams(self):
+        """Guards against a flood of streams that fills the memory."""
+        for number in range(5):
+            self.table.record(make_record(f"a{number}"), 0)
+        self.assertEqual((len(self.table), self.table.evicted), (3, 2))
+        self.assertIsNone(self.table.find(digest("a0"), POOL, 1))
+        self.assertEqual(self.table.find(digest("a4"), POOL, 1), OLD)
+
+    def test_expired_streams_free_their_memory(self):
+        self.table.record(make_record("a0", left_ms=10), 0)
+        self.table.record(make_record("a1"), 20)
+        self.assertEqual((len(self.table), self.table.evicted), (1, 0))
+
+
+class HistoryTest(unittest.TestCase):
+    def setUp(self):
+        self.history = stream_versions.VersionHistory()
+
+    def update(self, now_ms, *versions):
+        self.history.update({POOL: frozenset(versions)}, now_ms)
+
+    def find(self, now_ms):
+        return self.history.find_sole_version(POOL, WINDOW_MS, now_ms)
+
+    def test_only_one_version(self):
+        self.update(0, OLD)
+        self.assertEqual(self.find(WINDOW_MS), OLD)
+        self.assertIsNone(self.history.find_sole_version("x", 1, 9_000))
+
+    def test_not_known_for_long_enough(self):
+        """Guards against a VM that has just started and guesses."""
+        self.update(0, OLD)
+        self.assertIsNone(self.find(WINDOW_MS - 1))
+
+    def test_version_that_has_left(self):
+        """Guards against forgetting a version whose streams still return."""
+        self.update(0, OLD)
+        self.update(50_000, OLD, NEW)
+        self.update(60_000, NEW)
+        self.assertIsNone(self.find(60_000 + WINDOW_MS - 1))
+        self.assertEqual(self.find(60_000 + WINDOW_MS), NEW)
+
+    def test_version_that_returns(self):
+        self.update(0, OLD)
+        self.update(1_000, NEW)
+        self.update(2_000, OLD)
+        self.assertEqual(
+            self.history.list_versions(POOL, WINDOW_MS, 3_000), {OLD, NEW}
+        )
+
+
+class TrackerTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = clock.ManualClock(100_000)
+        self.network = Network(self.clock)
+        self.first = self.network.add("vm0")
+        self.second = self.network.add("vm1")
+        self.serve(OLD, NEW)
+
+    def serve(self, *versions):
+        for vm in self.network.vms.values():
+            vm.tracker.update_tables(make_tables(*versions))
+
+    def begin(self, version=NEW):
+        self.first.tracker.record(digest(), POOL, version, WINDOW_MS)
+
+    def find(self, vm, attempt="a", account="large"):
+        return vm.tracker.find(digest(attempt, account), POOL, WINDOW_MS)
+
+    def check(self, vm, version, source, **options):
+        found = self.find(vm, **options)
+        self.assertEqual((found.version, found.source), (version, source))
+
+    def test_known_to_all_vms(self):
+        self.begin()
+        self.check(self.first, NEW, SOURCES.KNOWN)
+        self.check(self.second, NEW, SOURCES.KNOWN)
+        self.assertEqual(self.second.asked, 0)
+
+    def test_vm_that_started_later_asks(self):
+        """Guards against a VM that refuses what all others know."""
+        self.begin()
+        third = self.network.add("vm2")
+        third.tracker.update_tables(make_tables(OLD, NEW))
+        self.check(third, NEW, SOURCES.ASKED)
+
+    def test_lost_datagrams_are_asked_for(self):
+        """Guards against a stream that a lost datagram made unknown."""
+        self.network.receivers = ()
+        self.begin()
+        self.check(self.second, NEW, SOURCES.ASKED)
+
+    def test_partitioned_vm_does_not_guess(self):
+        """Guards against a VM that takes the only version it has seen for
+        that of a stream, while another one serves behind the partition.
+        """
+        self.network = Network(self.clock)
+        self.first = self.network.add("vm0")
+        self.second = self.network.add("vm1")
+        self.serve(OLD)
+        self.clock.advance_ms(WINDOW_MS)
+        self.network.cut_off = {"vm1"}
+        self.first.tracker.update_tables(make_tables(OLD, NEW))
+        self.begin(NEW)
+        self.check(self.second, None, SOURCES.UNKNOWN)
+
+    def test_unknown_stream_of_two_versions(self):
+        self.clock.advance_ms(WINDOW_MS)
+        self.check(self.second, None, SOURCES.UNKNOWN)
+
+    def test_unknown_stream_of_another_account(self):
+        self.begin()
+        self.clock.advance_ms(WINDOW_MS // 2)
+        self.check(self.second, None, SOURCES.UNKNOWN, account="small")
+
+    def test_unknown_stream_of_the_only_version(self):
+        """Guards against refusals where no second version has served."""
+        self.network = Network(self.clock)
+        self.first = self.network.add("vm0")
+        self.second = self.network.add("vm1")
+        self.serve(OLD)
+        self.clock.advance_ms(WINDOW_MS)
+        self.check(self.second, OLD, SOURCES.SOLE)
+        third = self.network.add("vm2")
+        third.tracker.update_tables(make_tables(OLD))
+        self.check(third, OLD, SOURCES.SOLE)
+
+    def test_other_vms_without_the_store_do_not_vouch(self):
+        """Guards against trusting VMs whose tables may be out of date."""
+        self.network = Network(self.clock)
+        self.first = self.network.add("vm0")
+        self.second = self.network.add("vm1")
+        self.serve(OLD)
+        self.clock.advance_ms(WINDOW_MS)
+        self.first.is_current = False
+        self.check(self.second, None, SOURCES.UNKNOWN)
+
+    def test_own_view_outweighs_anothers(self):
+        """Guards against a VM that lags behind and has seen one version."""
+        self.network = Network(self.clock)
+        self.first = self.network.add("vm0")
+        self.second = self.network.add("vm1")
+        self.serve(OLD)
+        self.clock.advance_ms(WINDOW_MS)
+        self.second.tracker.update_tables(make_tables(OLD, NEW))
+        self.check(self.second, None, SOURCES.UNKNOWN)
+
+    def test_fleet_that_has_restarted(self):
+        """Guards against guessing right after all VMs have restarted."""
+        self.network = Network(self.clock)
+        self.first = self.network.add("vm0")
+        self.second = self.network.add("vm1")
+        self.serve(NEW)
+        self.clock.advance_ms(1_000)
+        self.check(self.second, None, SOURCES.UNKNOWN)
+
+    def test_vm_without_others(self):
+        self.network = Network(self.clock)
+        only = self.network.add("vm0")
+        self.serve(OLD)
+        self.clock.advance_ms(WINDOW_MS)
+        self.check(only, OLD, SOURCES.SOLE)
+        only.is_current = False
+        self.check(only, None, SOURCES.UNKNOWN)
+
+
+class MessageTest(unittest.TestCase):
+    def test_encoded_and_decoded(self):
+        payload = gossip_messages.encode_stream_version(make_record())
+        (record,) = gossip_messages.decode_datagram(payload).streams
+        self.assertEqual(
+            (record.stream, record.pool, record.version, record.left_ms),
+            (digest(), POOL, OLD, WINDOW_MS),
+        )
+        self.assertLess(len(payload), 64)
+
+
+if __name__ == "__main__":
+    unittest.main()
