--- a/tests/stream_callers.py
+++ b/tests/stream_callers.py
@@ -67,7 +67,11 @@
         self._stream.first_count = len(self._stream.events)
 
     def resume(self, port, key="k-large"):
-        """Request the rest of the stream until it is complete."""
+        """Request the rest of the stream until it is complete.
+
+        :param port: the port of the VM
+        :param key: the API key
+        """
         stream = self._stream
         for number in range(1, MAX_REQUESTS):
             if not stream.events or stream.is_complete():
--- a/tools/suite.py
+++ b/tools/suite.py
@@ -33,6 +33,7 @@
     "test_hosted_shutdown",
     "test_hosted_streams",
     "test_stream_versions",
+    "test_engine_versions",
     "test_hosted_upstreams",
     "test_admin_processes",
     "test_once_deployment",
