--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,6 +18,8 @@
 flags.DEFINE_integer("vms", 3, "number of entry VMs")
 flags.DEFINE_integer("chains", 3, "number of overlapping fault chains")
 flags.DEFINE_integer("partitions", 1, "VMs cut off from all upstreams")
+flags.DEFINE_integer("decodes", 3, "number of decode engines")
+flags.DEFINE_integer("versions", 1, "software versions of decode engines")
 flags.DEFINE_integer("length_ms", 10_000, "duration of fault injection")
 flags.DEFINE_string("keep", "", "folder for the logs of failed seeds")
 
@@ -30,6 +32,8 @@
     config = plan.SoakConfig(
         vms=FLAGS.vms,
         chains=FLAGS.chains,
+        decodes=FLAGS.decodes,
+        versions=FLAGS.versions,
         length_ms=FLAGS.length_ms,
         partitions=FLAGS.partitions,
     )
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -6,6 +6,7 @@
 import threading
 import time
 
+from soak import checks
 from soak import cluster
 from soak import history
 from tests import hosted_fleet
@@ -21,6 +22,12 @@
 DISCONNECT_PROBABILITY = 0.05
 SMALL_ACCOUNT_PROBABILITY = 0.4
 ROTATED_KEY_PROBABILITY = 0.15
+# Probability that a caller drops a stream that it can resume, and requests
+# for the rest of one stream.
+DROP_PROBABILITY = 0.4
+MAX_RESUMPTIONS = 3
+BYTES_PER_EVENT = 18
+MAX_RETRY_S = 1.0
 KINDS = (
     history.RequestKind.PLAIN,
     history.RequestKind.PLAIN,
@@ -66,8 +73,37 @@
             self.attempts.append(attempt)
             self._call(attempt)
             attempt.ended_ms = cluster.now_ms()
+            if self._cluster.config.versions > 1:
+                self._resume(attempt)
         self._close()
 
+    def _resume(self, first: history.Attempt) -> None:
+        """Request the rest of a stream that was cut off."""
+        previous = first
+        for number in range(1, MAX_RESUMPTIONS + 1):
+            events = checks.list_events(previous.body)
+            last_event = events[-1] if events else previous.last_event
+            if (
+                first.kind is not history.RequestKind.RESUMABLE_STREAM
+                or not last_event
+                or last_event == checks.STREAM_EVENTS
+            ):
+                return
+            time.sleep(min(float(previous.retry_after or 0), MAX_RETRY_S))
+            attempt = history.Attempt(
+                f"{first.name}-r{number}",
+                first.kind,
+                first.key,
+                self._vm,
+                cluster.now_ms(),
+            )
+            attempt.path, attempt.sent = first.path, first.sent
+            attempt.resumes, attempt.last_event = first.name, last_event
+            self.attempts.append(attempt)
+            self._call(attempt)
+            attempt.ended_ms = cluster.now_ms()
+            previous = attempt
+
     def _make_attempt(self, number: int) -> history.Attempt:
         kind = self._rng.choice(KINDS)
         key = self._choose_key()
@@ -101,6 +137,9 @@
         }
         if attempt.kind.is_stream:
             headers |= hosted_fleet.STREAM
+        if attempt.resumes:
+            headers["Resumes"] = attempt.resumes
+            headers["Last-Event-Id"] = str(attempt.last_event)
         try:
             self._connection.request(
                 "POST", attempt.path, attempt.sent, headers
@@ -122,6 +161,12 @@
         attempt.seal = response.headers.get("Server-Seal", "")
         attempt.echoed_id = response.headers.get("Attempt-Id", "")
         attempt.retry_after = response.headers.get("Retry-After", "")
+        if self._should_drop(attempt):
+            events = self._rng.randint(2, checks.STREAM_EVENTS - 2)
+            attempt.body = response.read(events * BYTES_PER_EVENT)
+            attempt.is_cut = attempt.has_disconnected = True
+            self._switch_vm()
+            return
         should_close = response.headers.get("Connection", "") == "close"
         try:
             attempt.body = response.read()
@@ -135,6 +180,14 @@
         ):
             self._switch_vm()
 
+    def _should_drop(self, attempt: history.Attempt) -> bool:
+        return (
+            self._cluster.config.versions > 1
+            and attempt.kind is history.RequestKind.RESUMABLE_STREAM
+            and attempt.status == 200
+            and self._rng.random() < DROP_PROBABILITY
+        )
+
     def _switch_vm(self) -> None:
         """Choose a VM from the resolved addresses and reconnect to it."""
         self._close()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -302,6 +302,19 @@
             return
 
 
+def check_versions(recorded: history.History) -> Violations:
+    """Check that no stream holds events of two software versions."""
+    versions: dict[str, set[str]] = collections.defaultdict(set)
+    for attempt in recorded.attempts:
+        if attempt.kind.is_stream and attempt.status == 200:
+            versions[attempt.resumes or attempt.name] |= set(
+                list_versions(attempt.body)
+            )
+    for name, written_by in versions.items():
+        if len(written_by) > 1:
+            yield f"{name} holds events of {sorted(written_by)}"
+
+
 def check_partitions(recorded: history.History) -> Violations:
     """Check that a VM without paths to upstreams serves like the others."""
     for window in recorded.fault_windows:
@@ -355,6 +368,7 @@
     check_deadlines,
     check_recovery,
     check_partitions,
+    check_versions,
 )
 
 
@@ -381,11 +395,36 @@
     return [int(event.split(b"\n")[0].partition(b":")[2]) for event in events]
 
 
+def list_versions(body: bytes) -> list[str]:
+    """Return the software versions that wrote a stream's complete events.
+
+    :param body: received part of the stream
+    """
+    events = body.split(b"\n\n")[:-1]
+    return [event.rpartition(b" ")[2].decode() for event in events]
+
+
+def count_resumptions(recorded: history.History) -> dict[str, int]:
+    """Return the outcomes of streams that callers resumed.
+
+    :param recorded: history of a run
+    :returns: number of requests by outcome
+    """
+    counts = collections.Counter(
+        str(attempt.status) if attempt.status != 200 else "went on"
+        for attempt in recorded.attempts
+        if attempt.resumes
+    )
+    return dict(sorted(counts.items()))
+
+
 def _check_stream(attempt: history.Attempt) -> Violations:
     numbers = list_events(attempt.body)
-    if numbers != list(range(1, len(numbers) + 1)):
+    first = attempt.last_event + 1
+    if numbers != list(range(first, first + len(numbers))):
         yield f"{attempt.name} got events {numbers}"
-    if not attempt.is_cut and len(numbers) != STREAM_EVENTS:
+    expected = STREAM_EVENTS - attempt.last_event
+    if not attempt.is_cut and len(numbers) != expected:
         yield f"{attempt.name} ended as complete after {len(numbers)} events"
 
 
@@ -433,6 +472,8 @@
     """Return whether an attempt of the fault-free period must succeed."""
     if (
         attempt.status == 429
+        # The software version that began the stream may have left.
+        or attempt.resumes
         or attempt.kind is history.RequestKind.ADDED_ROUTE
     ):
         return False
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -15,6 +15,8 @@
 __all__ = ["OVER_PART", "OVER_TOKENS", "RATE", "SoakCluster", "now_ms"]
 
 HANDLE_MS = 500
+# Interval of events where callers resume streams, so that faults hit them.
+EVENT_MS = 50
 RATE = 2_000
 # Same values as in the fleet's settings.
 OVER_PART = 0.1
@@ -126,6 +128,9 @@
             self.incarnation_counts.get(name, 0) + 1
         )
         instance = f"{name}-life{number}"
+        # Each incarnation has the next version, as in a release.
+        version = (int(name[1:]) + number) % self.config.versions
+        self.versions[instance] = f"v{version}"
         service, phase = parse_upstream_name(name)
         self.history.services[instance] = service
         port = self.upstream_ports[name]
@@ -136,6 +141,8 @@
             f"--phase={phase}",
             f"--journal={self.journal}",
             f"--handle_ms={HANDLE_MS}",
+            f"--version={self.versions[instance]}",
+            f"--event_ms={EVENT_MS if self.config.versions > 1 else 10}",
             ports=[port],
         )
         proxy_port = self.upstream_proxy_ports[name]
--- a/soak/history.py
+++ b/soak/history.py
@@ -51,6 +51,9 @@
     :param vm: number of the VM that it was sent to
     :param began_ms: time of sending
 
+    A caller that resumes a stream names the attempt that brought its first
+    event in ``resumes`` and has the events up to ``last_event``.
+
     ``status`` is 0 if no response arrived, ``is_cut`` marks a truncated
     response, and ``has_disconnected`` a caller that did not wait for one.
     """
@@ -71,6 +74,8 @@
         "retry_after",
         "is_cut",
         "has_disconnected",
+        "resumes",
+        "last_event",
     )
 
     def __init__(
@@ -91,6 +96,8 @@
         self.retry_after = ""
         self.is_cut = False
         self.has_disconnected = False
+        self.resumes = ""
+        self.last_event = 0
 
 
 class Run:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -74,6 +74,8 @@
     :param chains: number of overlapping fault chains
     :param length_ms: duration of fault injection; the cooldown follows it
     :param partitions: number of partitions beside the chains
+    :param versions: number of software versions of the decode engines; with
+        several, callers resume their streams
     """
 
     __slots__ = (
@@ -84,6 +86,7 @@
         "chains",
         "length_ms",
         "partitions",
+        "versions",
     )
 
     def __init__(
@@ -95,6 +98,7 @@
         chains: int = 3,
         length_ms: int = 10_000,
         partitions: int = 0,
+        versions: int = 1,
     ) -> None:
         self.vms = vms
         self.prefills = prefills
@@ -103,6 +107,7 @@
         self.chains = chains
         self.length_ms = length_ms
         self.partitions = partitions
+        self.versions = versions
 
     def list_upstream_names(self) -> list[str]:
         """Return the names of all upstreams."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -59,7 +59,8 @@
         )
         return (
             f"seed {self.seed}: {len(self.violations)} violations, "
-            f"{served} of {len(self.history.attempts)} served; {faults}"
+            f"{served} of {len(self.history.attempts)} served, "
+            f"resumed {checks.count_resumptions(self.history)}; {faults}"
         )
 
 
--- a/standins/hosted_upstreams.py
+++ b/standins/hosted_upstreams.py
@@ -52,6 +52,7 @@
 flags.DEFINE_string("phase", "", "prefill or decode; empty for a service")
 flags.DEFINE_string("version", "v1", "version of its software")
 flags.DEFINE_string("journal", "", "file that executions are written to")
+flags.DEFINE_integer("event_ms", DEFAULT_EVENT_MS, "time between events in ms")
 flags.DEFINE_integer(
     "handle_ms", 0, "time in ms until a handle expires; 0 for never"
 )
@@ -364,6 +365,7 @@
         FLAGS.handle_ms,
         FLAGS.version,
     )
+    server.faults["event_ms"] = FLAGS.event_ms
     asyncio.run(serving.serve(FLAGS.host, {FLAGS.port: server.make_app()}))
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -30,8 +30,10 @@
     return attempt
 
 
-def make_stream(numbers):
-    return b"".join(b"id: %d\ndata: x\n\n" % number for number in numbers)
+def make_stream(numbers, version="v0"):
+    return b"".join(
+        f"id: {number}\ndata: x {version}\n\n".encode() for number in numbers
+    )
 
 
 def make_run(attempt="a", instance="s0-life1", **values):
@@ -195,6 +197,30 @@
         runs = [make_run(f"q{n}", account="small") for n in range(count)]
         self.find("small used", sent, runs)
 
+    def test_two_versions_in_one_answer(self):
+        body = make_stream(range(1, 9)) + make_stream(range(9, 21), "v1")
+        stream = make_attempt(kind=RequestKind.RESUMABLE_STREAM, body=body)
+        self.find("holds events of ['v0', 'v1']", [stream])
+
+    def test_two_versions_over_two_requests(self):
+        first = make_attempt(
+            kind=RequestKind.RESUMABLE_STREAM,
+            body=make_stream(range(1, 9)),
+            is_cut=True,
+            has_disconnected=True,
+        )
+        second = make_attempt(
+            "a-r1",
+            RequestKind.RESUMABLE_STREAM,
+            body=make_stream(range(9, 21), "v1"),
+            resumes="a",
+            last_event=8,
+        )
+        self.find("holds events of ['v0', 'v1']", [first, second])
+        second.body = make_stream(range(9, 21))
+        runs = [make_run("a", "d0-life1"), make_run("a-r1", "d0-life1")]
+        self.assertEqual(self.check([first, second], runs), [])
+
     def test_fault_of_the_vm_suppresses_violation(self):
         edit = history.Edit("withdraw", "k", 5_000)
         window = history.FaultWindow("vm_pause", "vm-0", 9_000, 10_000)
@@ -250,6 +276,15 @@
             with self.subTest(seed=seed):
                 self.hold(seed, SHORT)
 
+    def test_resumed_streams_of_two_versions(self):
+        """Guards against streams of two software versions while engines of
+        both fail and come back with the other one.
+        """
+        self.hold(
+            104,
+            plan.SoakConfig(decodes=4, chains=4, length_ms=6_000, versions=2),
+        )
+
     def test_partitioned_vm(self):
         """Callers of a VM that alone reaches no upstream are served."""
         self.hold(103, plan.SoakConfig(chains=1, partitions=2))
