Let three VMs remember a stream in large fleets

Beyond nine VMs a stream's record goes to three VMs, in different zones if possible, that consistent hashing names; a VM that resumes a stream asks them. Smaller fleets tell all VMs, as before: a VM then needs no other one to answer.

A flood of streams that do not fit logs one line in ten seconds, where it was a line for each, and is counted by streams.evicted.

--- a/mulberryway/controllers/scheduler_gossip.py
+++ b/mulberryway/controllers/scheduler_gossip.py
@@ -76,6 +76,10 @@
         self.on_paths: collections.abc.Callable[
             [forwarders.PathReport], None
         ] = lambda report: None
+        # Called with the VMs considered alive; must return quickly.
+        self.on_members: collections.abc.Callable[
+            [list[member.Member]], None
+        ] = lambda alive: None
         # Called with the versions that began streams; must return quickly.
         self.on_streams: collections.abc.Callable[
             [list[stream_versions.StreamVersion]], None
@@ -170,6 +174,7 @@
             if entry.health is not member.MemberStatus.DEAD
         ]
         self._dissemination.update_members(alive)
+        self.on_members(alive)
         self._other_vms = frozenset(entry.name for entry in alive) - {
             self._members.own.name
         }
--- a/mulberryway/controllers/version_tracking.py
+++ b/mulberryway/controllers/version_tracking.py
@@ -1,10 +1,9 @@
-"""Knows which software version began each stream, over all VMs."""
+"""Finds out which software version began a stream, with other VMs' help."""
 
 import collections
 import collections.abc
 import enum
 import logging
-import random
 import threading
 
 from mulberryway import clock
@@ -16,16 +15,18 @@
 from mulberryway.peers.gen.streams import Streams
 from mulberryway.peers.gen.streams import ttypes
 from mulberryway.policy import member
+from mulberryway.policy import stream_owners
 from mulberryway.policy import stream_versions
 
 __all__ = ["FoundVersion", "VersionHandler", "VersionSource", "VersionTracker"]
 
 LOG = logging.getLogger(__name__)
 
-# VMs that are asked for a stream that this VM does not know, and the timeout
-# of each.  The caller waits meanwhile.
-MAX_ASKED = 3
+# Timeouts of asking one VM and all VMs; the caller waits meanwhile.
 ASK_TIMEOUT_MS = 250
+ASK_ALL_TIMEOUT_MS = 600
+# Interval of log lines on streams that are dropped for lack of memory.
+EVICTION_LOG_INTERVAL_MS = 10_000
 
 
 class VersionSource(enum.Enum):
@@ -65,16 +66,14 @@
 
 
 class VersionTracker:
-    """Records streams, tells the other VMs, and finds resumed streams.
+    """Records streams at the VMs that own them, and finds resumed ones.
 
-    A record is sent to all VMs before the stream's first event goes to its
-    caller.  A VM that has no record, because it started later or a datagram
-    was lost, asks others.
+    A record is sent before the stream's first event goes to its caller.  A VM
+    that has no record, because it is no owner, has started later or a
+    datagram was lost, asks the owners.
 
     :param vm: this VM's name
-    :param zone: its availability zone
     :param client: calls other VMs
-    :param list_members: returns all known VMs
     :param has_current_tables: returns whether the store confirms the tables
     :param clock_: the source of the current time
     """
@@ -82,27 +81,35 @@
     def __init__(
         self,
         vm: str,
-        zone: str,
         client: peers.PeerClient,
-        list_members: collections.abc.Callable[[], list[member.Member]],
         has_current_tables: collections.abc.Callable[[], bool],
         clock_: clock.Clock,
     ) -> None:
         self._vm = vm
-        self._zone = zone
         self._client = client
-        self._list_members = list_members
         self._has_current_tables = has_current_tables
         self._clock = clock_
-        self._random = random.Random()
         self._lock = threading.Lock()
         self._table = stream_versions.StreamVersionTable()
         self._history = stream_versions.VersionHistory()
         self._found: collections.Counter[VersionSource] = collections.Counter()
-        # Sends a gossip message to all VMs; set by the code that creates the
+        self._owners = stream_owners.StreamOwners({})
+        self._addresses: dict[str, str] = {}
+        self._eviction_logged_ms: int | None = None
+        # Sends a gossip message to some VMs; set by the code that creates the
         # gossip's transport.
-        self.publish: collections.abc.Callable[[bytes], None] = (
-            lambda payload: None
+        self.send: collections.abc.Callable[
+            [bytes, collections.abc.Iterable[str]], None
+        ] = lambda payload, names: None
+
+    def update_members(self, alive: list[member.Member]) -> None:
+        """Replace the list of VMs that may own streams.
+
+        :param alive: the VMs considered alive, including this one
+        """
+        self._addresses = {vm.name: vm.peer for vm in alive}
+        self._owners = stream_owners.StreamOwners(
+            {vm.name: vm.zone for vm in alive}
         )
 
     def update_tables(self, changed: tables.Tables) -> None:
@@ -129,7 +136,10 @@
         """
         record = stream_versions.StreamVersion(stream, pool, version, ttl_ms)
         self.receive([record])
-        self.publish(gossip_messages.encode_stream_version(record))
+        self.send(
+            gossip_messages.encode_stream_version(record),
+            self._list_other_owners(stream),
+        )
 
     def receive(self, records: list[stream_versions.StreamVersion]) -> None:
         """Apply records of other VMs.
@@ -144,7 +154,7 @@
                 for record in records
                 if not self._table.record(record, now_ms)
             ]
-            evicted = self._table.evicted - evicted
+            has_evicted = self._table.evicted > evicted
         for record in conflicting:
             LOG.warning(
                 "two versions were recorded for one stream",
@@ -154,11 +164,8 @@
                     version=record.version,
                 ),
             )
-        if evicted:
-            LOG.warning(
-                "too many streams to remember their versions",
-                extra=logs.make_extra(evicted=evicted),
-            )
+        if has_evicted:
+            self._log_eviction(now_ms)
 
     def find(self, stream: bytes, pool: str, window_ms: int) -> FoundVersion:
         """Find the version that began a stream; may ask other VMs.
@@ -212,6 +219,24 @@
             "streams whose software version is known",
             lambda: len(self._table),
         )
+        metrics_.register_counter(
+            "streams.evicted",
+            "streams whose software version was dropped for lack of memory",
+            lambda: [({}, self._table.evicted)],
+        )
+
+    def _log_eviction(self, now_ms: int) -> None:
+        logged_ms = self._eviction_logged_ms
+        if (
+            logged_ms is not None
+            and now_ms - logged_ms < EVICTION_LOG_INTERVAL_MS
+        ):
+            return
+        self._eviction_logged_ms = now_ms
+        LOG.warning(
+            "too many streams to remember their versions",
+            extra=logs.make_extra(evicted=self._table.evicted),
+        )
 
     def _find(self, stream: bytes, pool: str, window_ms: int) -> FoundVersion:
         now_ms = self._clock.now_ms()
@@ -224,59 +249,46 @@
             return FoundVersion(known, VersionSource.KNOWN)
         if is_ambiguous:
             return FoundVersion(None, VersionSource.UNKNOWN, serving=serving)
-        asked = self._choose_peers()
-        if not asked and sole is not None and self._has_current_tables():
+        owners = self._list_other_owners(stream)
+        if not owners and sole is not None and self._has_current_tables():
             return FoundVersion(sole, VersionSource.SOLE)
-        answered = 0
-        for peer in asked:
+        asked, answered = 0, 0
+        deadline = clock.Deadline(now_ms + ASK_ALL_TIMEOUT_MS)
+        for name in owners:
+            left_ms = deadline.left_ms(self._clock.now_ms())
+            if left_ms <= 0:
+                break
+            asked += 1
             reply = self._client.call(
-                peer.peer,
+                self._addresses[name],
                 Streams.Client,
                 "find_version",
                 stream,
                 pool,
                 window_ms,
-                timeout_ms=ASK_TIMEOUT_MS,
+                timeout_ms=min(ASK_TIMEOUT_MS, left_ms),
                 is_idempotent=True,
             )
             if reply.is_error():
                 continue
             answered += 1
+            counts = (asked, answered)
             if reply.ok.version is not None:
                 return FoundVersion(
-                    reply.ok.version,
-                    VersionSource.ASKED,
-                    (len(asked), answered),
-                    serving,
+                    reply.ok.version, VersionSource.ASKED, counts, serving
                 )
+            sole = reply.ok.sole_version
             # This VM may know of a version that the other one has not seen.
-            if reply.ok.sole_version is not None and serving <= {
-                reply.ok.sole_version
-            }:
-                return FoundVersion(
-                    reply.ok.sole_version,
-                    VersionSource.SOLE,
-                    (len(asked), answered),
-                    serving,
-                )
+            if sole is not None and serving <= {sole}:
+                return FoundVersion(sole, VersionSource.SOLE, counts, serving)
         return FoundVersion(
-            None, VersionSource.UNKNOWN, (len(asked), answered), serving
+            None, VersionSource.UNKNOWN, (asked, answered), serving
         )
 
-    def _choose_peers(self) -> list[member.Member]:
-        """Return VMs to ask; one of this VM's zone first."""
-        others = [
-            vm
-            for vm in self._list_members()
-            if vm.name != self._vm
-            and vm.health is not member.MemberStatus.DEAD
+    def _list_other_owners(self, stream: bytes) -> list[str]:
+        return [
+            name for name in self._owners.choose(stream) if name != self._vm
         ]
-        self._random.shuffle(others)
-        others.sort(key=lambda vm: (vm.is_starting, vm.zone != self._zone))
-        local = others[:1]
-        remote = [vm for vm in others[1:] if vm.zone != self._zone]
-        rest = [vm for vm in others[1:] if vm.zone == self._zone]
-        return [*local, *remote, *rest][:MAX_ASKED]
 
 
 class VersionHandler:
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -174,9 +174,7 @@
         )
         self.versions = version_tracking.VersionTracker(
             settings_.vm_name,
-            settings_.vm_zone,
             self.client,
-            self.members.list_members,
             self._has_current_tables,
             self.clock,
         )
@@ -364,7 +362,8 @@
         )
         self.paths.publish = self.dissemination.publish
         self.notes.on_paths = self.paths.take_report
-        self.versions.publish = self.dissemination.publish
+        self.versions.send = self.dissemination.send
+        self.notes.on_members = self.versions.update_members
         self.notes.on_streams = self.versions.receive
         self.allowances.broadcast = self.dissemination.publish
         self.notes.on_usage = self._receive_usage
--- a/tests/test_version_tracking.py
+++ b/tests/test_version_tracking.py
@@ -10,6 +10,7 @@
 from mulberryway.controllers import version_tracking
 from mulberryway.peers import gossip_messages
 from mulberryway.policy import member
+from mulberryway.policy import stream_owners
 from mulberryway.policy import stream_versions
 
 POOL = "llm"
@@ -53,9 +54,18 @@
         # Receivers of the gossip; all by default.
         self.receivers = None
 
-    def add(self, name):
-        self.vms[name] = Vm(name, self)
-        return self.vms[name]
+    def add(self, name, zone="a"):
+        added = self.vms[name] = Vm(name, zone, self)
+        for vm in self.vms.values():
+            vm.tracker.update_members(
+                [
+                    member.Member(
+                        other.name, other.name, 1, 2, other.zone, "r", 1
+                    )
+                    for other in self.vms.values()
+                ]
+            )
+        return added
 
     def call(self, sender, peer, stream, pool, window_ms):
         name = peer.partition(":")[0]
@@ -67,42 +77,34 @@
             self.vms[name].tracker.answer(stream, pool, window_ms)
         )
 
-    def publish(self, sender, payload):
+    def send(self, sender, payload, names):
         decoded = gossip_messages.decode_datagram(payload)
-        for name, vm in self.vms.items():
-            if name != sender and not {sender, name} & self.cut_off:
+        for name in names:
+            if not {sender, name} & self.cut_off:
                 if self.receivers is None or name in self.receivers:
-                    vm.tracker.receive(decoded.streams)
+                    self.vms[name].tracker.receive(decoded.streams)
 
 
 class Vm:
     """A VM's tracker, which other VMs call through the network."""
 
-    def __init__(self, name, network):
+    def __init__(self, name, zone, network):
         self.name = name
+        self.zone = zone
         self.is_current = True
         self.asked = 0
         self._network = network
         self.tracker = version_tracking.VersionTracker(
-            name,
-            "a",
-            self,
-            self._list_members,
-            lambda: self.is_current,
-            network.clock,
+            name, self, lambda: self.is_current, network.clock
+        )
+        self.tracker.send = lambda payload, names: network.send(
+            name, payload, names
         )
-        self.tracker.publish = lambda payload: network.publish(name, payload)
 
     def call(self, peer, client_class, method, *arguments, **options):
         self.asked += 1
         return self._network.call(self.name, peer, *arguments)
 
-    def _list_members(self):
-        return [
-            member.Member(name, name, 1, 2, "a", "r", 1)
-            for name in self._network.vms
-        ]
-
 
 class TableTest(unittest.TestCase):
     def setUp(self):
@@ -297,6 +299,68 @@
         self.check(only, None, SOURCES.UNKNOWN)
 
 
+class LargeFleetTest(unittest.TestCase):
+    """A fleet in which some VMs remember each stream."""
+
+    vms = 30
+
+    def setUp(self):
+        self.clock = clock.ManualClock(100_000)
+        self.network = Network(self.clock)
+        for number in range(self.vms):
+            self.network.add(f"vm{number}", "abc"[number % 3])
+        for vm in self.network.vms.values():
+            vm.tracker.update_tables(make_tables(OLD, NEW))
+        self.streams = [digest(f"a{number}") for number in range(60)]
+
+    def begin(self):
+        for stream in self.streams:
+            self.network.vms["vm0"].tracker.record(
+                stream, POOL, NEW, WINDOW_MS
+            )
+
+    def count_found(self, vm):
+        return sum(
+            vm.tracker.find(stream, POOL, WINDOW_MS).version == NEW
+            for stream in self.streams
+        )
+
+    def test_any_vm_finds_all_streams(self):
+        self.begin()
+        for vm in self.network.vms.values():
+            self.assertEqual(self.count_found(vm), len(self.streams))
+        asked = [vm.asked for vm in self.network.vms.values()]
+        self.assertLessEqual(max(asked), len(self.streams))
+
+    def test_first_vm_and_a_zone_are_lost(self):
+        """Guards against streams that are forgotten with one zone."""
+        self.begin()
+        self.network.cut_off = {"vm0"} | {
+            vm.name for vm in self.network.vms.values() if vm.zone == "b"
+        }
+        for name in ("vm3", "vm5"):
+            self.assertEqual(
+                self.count_found(self.network.vms[name]), len(self.streams)
+            )
+
+    def test_vms_join_after_the_streams_began(self):
+        """Guards against streams whose owners change with the fleet."""
+        self.begin()
+        for number in range(3):
+            self.network.add(f"new{number}", "abc"[number])
+        self.assertEqual(
+            self.count_found(self.network.vms["new0"]), len(self.streams)
+        )
+
+    def test_cost_of_a_vm_is_independent_of_the_fleet(self):
+        """Guards against gossip that grows with the whole fleet's streams."""
+        sent = []
+        vm = self.network.vms["vm0"]
+        vm.tracker.send = lambda payload, names: sent.append(list(names))
+        self.begin()
+        self.assertLessEqual(max(map(len, sent)), stream_owners.OWNERS)
+
+
 class MessageTest(unittest.TestCase):
     def test_encoded_and_decoded(self):
         payload = gossip_messages.encode_stream_version(make_record())
