--- a/mulberryway/controllers/version_tracking.py
+++ b/mulberryway/controllers/version_tracking.py
@@ -107,10 +107,10 @@
 
         :param alive: the VMs considered alive, including this one
         """
-        self._addresses = {vm.name: vm.peer for vm in alive}
-        self._owners = stream_owners.StreamOwners(
-            {vm.name: vm.zone for vm in alive}
-        )
+        owners = stream_owners.StreamOwners({vm.name: vm.zone for vm in alive})
+        with self._lock:
+            self._addresses = {vm.name: vm.peer for vm in alive}
+            self._owners = owners
 
     def update_tables(self, changed: tables.Tables) -> None:
         """Apply new tables.
@@ -138,13 +138,13 @@
         self.receive([record])
         self.send(
             gossip_messages.encode_stream_version(record),
-            self._list_other_owners(stream),
+            [name for name, _ in self._list_other_owners(stream)],
         )
 
     def receive(self, records: list[stream_versions.StreamVersion]) -> None:
-        """Apply records of other VMs.
+        """Apply records.
 
-        :param records: the records
+        :param records: records of this VM or of others
         """
         now_ms = self._clock.now_ms()
         with self._lock:
@@ -254,13 +254,13 @@
             return FoundVersion(sole, VersionSource.SOLE)
         asked, answered = 0, 0
         deadline = clock.Deadline(now_ms + ASK_ALL_TIMEOUT_MS)
-        for name in owners:
+        for _, address in owners:
             left_ms = deadline.left_ms(self._clock.now_ms())
             if left_ms <= 0:
                 break
             asked += 1
             reply = self._client.call(
-                self._addresses[name],
+                address,
                 Streams.Client,
                 "find_version",
                 stream,
@@ -285,9 +285,14 @@
             None, VersionSource.UNKNOWN, (asked, answered), serving
         )
 
-    def _list_other_owners(self, stream: bytes) -> list[str]:
+    def _list_other_owners(self, stream: bytes) -> list[tuple[str, str]]:
+        """Return the names and peer addresses of a stream's owners."""
+        with self._lock:
+            owners, addresses = self._owners, self._addresses
         return [
-            name for name in self._owners.choose(stream) if name != self._vm
+            (name, addresses[name])
+            for name in owners.choose(stream)
+            if name != self._vm
         ]
 
 
