--- a/tests/stream_callers.py
+++ b/tests/stream_callers.py
@@ -1,7 +1,9 @@
 """Callers that resume their streams, and what they received."""
 
+import collections
 import concurrent.futures
 import http.client
+import itertools
 import time
 
 from tests import hosted_fleet
@@ -25,8 +27,7 @@
         # Pairs of the event's id and the version that wrote it.
         self.events = []
         self.statuses = []
-        # The number of events after the first request, and the position of
-        # the last request that brought events.
+        # The number of events after the first request.
         self.first_count = 0
         # The attempt id of the request that brought the first event.
         self.resumes = ""
@@ -133,9 +134,15 @@
     """Return the outcomes of some streams in one line."""
     begun = [stream for stream in streams if stream.has_begun()]
     resumed = [stream for stream in begun if stream.has_resumed()]
+    statuses = collections.Counter(
+        itertools.chain.from_iterable(
+            stream.statuses[1:] for stream in streams
+        )
+    )
     return (
         f"{len(streams)} sent, {len(begun)} begun, "
         f"{len(resumed)} resumed, "
         f"{sum(stream.is_complete() for stream in streams)} complete, "
-        f"{sum(stream.is_mixed() for stream in streams)} mixed"
+        f"{sum(stream.is_mixed() for stream in streams)} mixed; "
+        f"statuses of returns: {dict(statuses)}"
     )
