--- a/mulberryway/filters/model_engines.py
+++ b/mulberryway/filters/model_engines.py
@@ -350,22 +350,12 @@
         limit: clock.Deadline,
     ) -> model_dependencies.SourceResult:
         if self._is_removed_or_draining(attempt):
-            return expression.Error(
-                errors.Fault(
-                    errors.Code.UPSTREAM_UNREACHABLE,
-                    errors.Step.DECODE,
-                    attempt.decode_name,
-                    message="the chosen engine is draining or removed",
-                )
+            return _make_unsent_error(
+                attempt, "the chosen engine is draining or removed"
             )
         if not self._has_required_version(attempt):
-            return expression.Error(
-                errors.Fault(
-                    errors.Code.UPSTREAM_UNREACHABLE,
-                    errors.Step.DECODE,
-                    attempt.decode_name,
-                    message="the engine has another software version",
-                )
+            return _make_unsent_error(
+                attempt, "the chosen engine has another software version"
             )
         if not self._gate.enter():
             return expression.Error(_make_kept_fault(attempt))
@@ -534,6 +524,19 @@
     return was_sent
 
 
+def _make_unsent_error(
+    attempt: attempts.Attempt, message: str
+) -> model_dependencies.SourceResult:
+    return expression.Error(
+        errors.Fault(
+            errors.Code.UPSTREAM_UNREACHABLE,
+            errors.Step.DECODE,
+            attempt.decode_name,
+            message=message,
+        )
+    )
+
+
 def _make_kept_fault(attempt: attempts.Attempt) -> errors.Fault:
     return errors.Fault(
         errors.Code.CANCELLED,
--- a/tests/test_version_tracking.py
+++ b/tests/test_version_tracking.py
@@ -187,10 +187,14 @@
 class TrackerTest(unittest.TestCase):
     def setUp(self):
         self.clock = clock.ManualClock(100_000)
+        self.start_fleet(OLD, NEW)
+
+    def start_fleet(self, *versions):
+        """Start two VMs that have seen the versions of the servers."""
         self.network = Network(self.clock)
         self.first = self.network.add("vm0")
         self.second = self.network.add("vm1")
-        self.serve(OLD, NEW)
+        self.serve(*versions)
 
     def serve(self, *versions):
         for vm in self.network.vms.values():
@@ -229,10 +233,7 @@
         """Guards against a VM that takes the only version it has seen for
         that of a stream, while another one serves behind the partition.
         """
-        self.network = Network(self.clock)
-        self.first = self.network.add("vm0")
-        self.second = self.network.add("vm1")
-        self.serve(OLD)
+        self.start_fleet(OLD)
         self.clock.advance_ms(WINDOW_MS)
         self.network.cut_off = {"vm1"}
         self.first.tracker.update_tables(make_tables(OLD, NEW))
@@ -250,10 +251,7 @@
 
     def test_unknown_stream_of_the_only_version(self):
         """Guards against refusals where no second version has served."""
-        self.network = Network(self.clock)
-        self.first = self.network.add("vm0")
-        self.second = self.network.add("vm1")
-        self.serve(OLD)
+        self.start_fleet(OLD)
         self.clock.advance_ms(WINDOW_MS)
         self.check(self.second, OLD, SOURCES.SOLE)
         third = self.network.add("vm2")
@@ -262,30 +260,21 @@
 
     def test_other_vms_without_the_store_do_not_vouch(self):
         """Guards against trusting VMs whose tables may be out of date."""
-        self.network = Network(self.clock)
-        self.first = self.network.add("vm0")
-        self.second = self.network.add("vm1")
-        self.serve(OLD)
+        self.start_fleet(OLD)
         self.clock.advance_ms(WINDOW_MS)
         self.first.is_current = False
         self.check(self.second, None, SOURCES.UNKNOWN)
 
     def test_own_view_outweighs_anothers(self):
         """Guards against a VM that lags behind and has seen one version."""
-        self.network = Network(self.clock)
-        self.first = self.network.add("vm0")
-        self.second = self.network.add("vm1")
-        self.serve(OLD)
+        self.start_fleet(OLD)
         self.clock.advance_ms(WINDOW_MS)
         self.second.tracker.update_tables(make_tables(OLD, NEW))
         self.check(self.second, None, SOURCES.UNKNOWN)
 
     def test_fleet_that_has_restarted(self):
         """Guards against guessing right after all VMs have restarted."""
-        self.network = Network(self.clock)
-        self.first = self.network.add("vm0")
-        self.second = self.network.add("vm1")
-        self.serve(NEW)
+        self.start_fleet(NEW)
         self.clock.advance_ms(1_000)
         self.check(self.second, None, SOURCES.UNKNOWN)
 
