--- a/tests/version_fleet.py
+++ b/tests/version_fleet.py
@@ -100,8 +100,11 @@
             self.callers, lambda caller: caller.resume(port, key)
         )
 
-    def check(self, min_resumed=MIN_RESUMED_FRACTION):
-        """Check that no stream is mixed and that enough of them went on."""
+    def check(self, min_complete=MIN_RESUMED_FRACTION):
+        """Check that no stream is mixed and that enough are complete.
+
+        :param min_complete: the least fraction of complete streams
+        """
         report = stream_callers.describe(self.streams)
         print(f"{self.id()}: {report}")
         begun = [stream for stream in self.streams if stream.has_begun()]
@@ -113,6 +116,6 @@
         )
         self.assertGreaterEqual(
             sum(stream.is_complete() for stream in begun),
-            min_resumed * len(begun),
+            min_complete * len(begun),
             report,
         )
