Survive a reload signal while an entry VM starts

Its schedule reloads a VM a second after it was killed and started again.

Cause: the handler of SIGHUP is set after imports and assembly; until then the signal ends the process.

Change: the signal is ignored from the program's first line on. The settings are read later, so a reload until then needs no work; between the reading and the handler the file's watch sees a change.

EarlyReloadTest failed before (status -1).

--- a/mulberryway/commands/entry.py
+++ b/mulberryway/commands/entry.py
@@ -3,6 +3,7 @@
 import faulthandler
 import gc
 import importlib
+import signal
 import sys
 
 from absl import flags
@@ -39,6 +40,9 @@
         importlib.import_module("absl.app").run(main)
     else:
         faulthandler.enable()
+        # The settings are read later, so a reload until then needs no work;
+        # without a handler the signal would end the process.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         sys.exit(main(arguments))
 
 
--- a/tests/test_entry_imports.py
+++ b/tests/test_entry_imports.py
@@ -1,6 +1,7 @@
 """Tests of what a start of the entry program loads."""
 
 import gc
+import signal
 import subprocess
 import sys
 import unittest
@@ -16,6 +17,20 @@
     " metrics.Metrics('vm0', serves_text=True);"
     " print(*sys.modules)"
 )
+# Waits for a line where the program loads the rest of itself.
+START_AND_WAIT = """
+import types
+from mulberryway.commands import entry
+def wait(name):
+    print("loading", flush=True)
+    input()
+    return types.SimpleNamespace(run_vm=lambda settings: 7)
+entry.importlib.import_module = wait
+entry.FLAGS(["entry", "--settings=none"])
+entry.sys.argv = ["entry", "--settings=none"]
+entry.run()
+"""
+WAIT_S = 20.0
 # Each start of a VM would pay for them, and none uses them.
 UNUSED = (
     "absl.app",
@@ -27,6 +42,24 @@
 )
 
 
+class EarlyReloadTest(unittest.TestCase):
+    def test_reload_signal_during_a_start(self):
+        """Guards against a reload signal that ends a VM which still starts."""
+        process = subprocess.Popen(
+            [sys.executable, "-c", START_AND_WAIT],
+            cwd=processes.ROOT,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.addCleanup(process.communicate)
+        self.assertEqual(process.stdout.readline(), "loading\n")
+        process.send_signal(signal.SIGHUP)
+        process.stdin.write("\n")
+        process.stdin.flush()
+        self.assertEqual(process.wait(WAIT_S), 7)
+
+
 class EntryImportsTest(unittest.TestCase):
     def test_unused_modules_are_not_loaded(self):
         """A restart of the whole fleet spends its time on unused modules."""
