--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -277,8 +277,8 @@
         pool = rig.routers[0]._pool_set.find_any("lm")
         calls = []
         count_free = pool.placer.estimate_free_slots
-        pool.placer.estimate_free_slots = lambda now_ms: (
-            calls.append(now_ms) or count_free(now_ms)
+        pool.placer.estimate_free_slots = lambda now_ms, version=None: (
+            calls.append(now_ms) or count_free(now_ms, version)
         )
         rig.gossip(10, vm=1)
         rig.start(10)
