--- a/mulberryway/policy/stream_versions.py
+++ b/mulberryway/policy/stream_versions.py
@@ -17,7 +17,7 @@
 ]
 
 DIGEST_BYTES = 16
-# Bounds the memory of a flood of streams, at some 300 bytes each.
+# Bounds the memory of a flood of streams, at some 200 bytes each.
 MAX_STREAMS = 16_384
 # Bounds how long another VM's message is kept.
 MAX_TTL_MS = 600_000
