Log the prompt's parts and the verdict of each failed attempt

The adapter now reads the parts that other requests may share, all but the last, and 'an attempt failed' names them, the digest, and what was concluded. No decision uses the parts yet.

--- a/mulberryway/filters/base.py
+++ b/mulberryway/filters/base.py
@@ -202,6 +202,7 @@
         "model",
         "expected_tokens",
         "prefix_hashes",
+        "prompt_parts",
         "charge",
         "estimate",
         "max_tokens",
@@ -257,6 +258,9 @@
         self.call: typing.Any = {}
         self.model = ""
         self.prefix_hashes: tuple[str, ...] = ()
+        # Ids of the prompt's parts that other requests may share, in order;
+        # empty if callers send none.
+        self.prompt_parts: tuple[str, ...] = ()
         self.charge: TokenReservation | None = None
         self.estimate = 0
         self.max_tokens = 0
--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -548,7 +548,14 @@
         )
         LOG.info(
             "an attempt failed",
-            extra=logs.make_extra(fault, request_id=self._exchange.request_id),
+            extra=logs.make_extra(
+                fault,
+                request_id=self._exchange.request_id,
+                has_died=fault.has_died,
+                is_path_fault=fault.is_path_fault,
+                digest=self._exchange.digest,
+                parts=self._exchange.prompt_parts,
+            ),
         )
 
     def _finalize_fault(self, fault: errors.Fault) -> errors.Fault:
--- a/mulberryway/platform/callers.py
+++ b/mulberryway/platform/callers.py
@@ -1,6 +1,7 @@
 """Parses callers' requests and serves the platform's own endpoints."""
 
 import json
+import re
 import urllib.parse
 
 import expression
@@ -16,13 +17,16 @@
 from mulberryway.policy import poison
 from mulberryway.upstreams import base as upstreams
 
-__all__ = ["PlatformEndpoints", "RequestParser"]
+__all__ = ["PlatformEndpoints", "RequestParser", "parse_shared_parts"]
 
 MS_IN_S = 1_000
 # Longer ids are truncated; their beginning is sufficient in logs.
 MAX_ID_LENGTH = 64
 MAX_RESUMED_ID_LENGTH = 256
 MAX_EVENT_ID_DIGITS = 18
+# Parts of a prompt that are read from its header; more are ignored.
+MAX_PROMPT_PARTS = 64
+PROMPT_PART = re.compile(r"([0-9A-Fa-f]{1,64}):[0-9]{1,9}")
 
 
 class PlatformEndpoints(base.Filter):
@@ -157,6 +161,26 @@
                 exchange.model,
                 exchange.target.encode() + b"\0" + exchange.body,
             )
+            exchange.prompt_parts = parse_shared_parts(
+                exchange.find_header(wire.PREFIX.lower()) or ""
+            )
+
+
+def parse_shared_parts(text: str) -> tuple[str, ...]:
+    """Return the parts of a prompt that other requests may share.
+
+    The last part belongs to the request or its session alone.  A malformed
+    header is left to the upstream, so it has no parts here.
+
+    :param text: the parts in their order as ``ID:TOKENS``, comma-separated
+    :returns: their ids, each once; at most ``MAX_PROMPT_PARTS``
+    """
+    entries = text.split(",")[: MAX_PROMPT_PARTS + 1]
+    matches = [PROMPT_PART.fullmatch(entry.strip()) for entry in entries]
+    if not all(matches):
+        return ()
+    ids = [match[1].lower() for match in matches if match]
+    return tuple(dict.fromkeys(ids[:-1]))
 
 
 def _parse_resumption(exchange: base.Exchange) -> base.Resumption | None:
