Failing tests: a part of a prompt ends one engine after another

Three VMs, two prefill and six decode engines that are back after 2 s under another name; sound requests share their first part and one of seven in the middle; others have one part that ends the engine 100 ms after it has begun to write.

--- a/standins/hosted_upstreams.py
+++ b/standins/hosted_upstreams.py
@@ -3,7 +3,10 @@
 ``python -m standins.hosted_upstreams --port 9001 --phase decode``; without a
 phase it is a non-model service.  It records its requests for the test harness.
 With ``--journal`` it also appends each execution to a file as a line of JSON,
-which outlives the process.  ``POST /standin/faults`` sets faults:
+which outlives the process, and with ``--arrivals`` each request to an engine.
+With ``--crash_parts`` it ends by itself soon after it has begun to write an
+answer to a prompt with one of these parts.  ``POST /standin/faults`` sets
+faults:
 
 * ``cut_after``: truncate streams after this many events
 * ``fail_status``: status of all responses
@@ -52,12 +55,82 @@
 flags.DEFINE_string("phase", "", "prefill or decode; empty for a service")
 flags.DEFINE_string("version", "v1", "version of its software")
 flags.DEFINE_string("journal", "", "file that executions are written to")
+flags.DEFINE_string("arrivals", "", "file that engine requests are written to")
+flags.DEFINE_list("crash_parts", [], "prompt parts that end the process")
+flags.DEFINE_integer(
+    "crash_ms", 100, "time in ms from the first event to the crash"
+)
 flags.DEFINE_integer("event_ms", DEFAULT_EVENT_MS, "time between events in ms")
 flags.DEFINE_integer(
     "handle_ms", 0, "time in ms until a handle expires; 0 for never"
 )
 
 
+class PartCrash:
+    """Ends the process if a prompt has a certain part.
+
+    :param parts: the parts that end it
+    :param delay_ms: time in ms from an answer's first event to the end
+    :param arrivals: file that engine requests and the end are appended to,
+        if any
+    """
+
+    def __init__(
+        self,
+        parts: list[str] | None = None,
+        delay_ms: int = 0,
+        arrivals: pathlib.Path | None = None,
+    ) -> None:
+        self.parts = frozenset(parts or ())
+        self.delay_ms = delay_ms
+        self.arrivals = arrivals
+
+    def record_arrival(self, request: web.Request, instance: str) -> None:
+        """Append a request to an engine to the file.
+
+        :param request: received request
+        :param instance: name of the engine's incarnation
+        """
+        self._append(
+            instance=instance,
+            attempt=request.headers.get("Attempt-Id", ""),
+            parts=list_parts(request),
+            crashes=[],
+        )
+
+    def begin_answer(self, request: web.Request, instance: str) -> None:
+        """Schedule the end of the process if the prompt has such a part.
+
+        :param request: request whose first event was written
+        :param instance: name of the engine's incarnation
+        """
+        found = sorted(self.parts.intersection(list_parts(request)))
+        if found:
+            asyncio.get_running_loop().call_later(
+                self.delay_ms / 1_000, self._end, instance, found
+            )
+
+    def _end(self, instance: str, found: list[str]) -> None:
+        self._append(instance=instance, attempt="", parts=[], crashes=found)
+        os._exit(1)
+
+    def _append(self, **record: typing.Any) -> None:
+        if self.arrivals is None:
+            return
+        record["at_ms"] = time.monotonic_ns() // 1_000_000
+        with self.arrivals.open("a", encoding="utf-8") as output:
+            output.write(json.dumps(record) + "\n")
+
+
+def list_parts(request: web.Request) -> list[str]:
+    """Return the ids of a prompt's parts, without the request's own one.
+
+    :param request: received request
+    """
+    entries = request.headers.get("Prompt-Prefix", "").split(",")
+    return [entry.partition(":")[0] for entry in entries[:-1]]
+
+
 class HostedUpstream:
     """One upstream server.
 
@@ -66,6 +139,7 @@
     :param journal: file that executions are appended to, if any
     :param handle_ms: time in ms until a handle expires; 0 for never
     :param version: version of its software, written into each event
+    :param crash: what ends the process; never by default
     """
 
     def __init__(
@@ -75,7 +149,9 @@
         journal: pathlib.Path | None = None,
         handle_ms: int = 0,
         version: str = "v1",
+        crash: "PartCrash | None" = None,
     ) -> None:
+        self.crash = crash or PartCrash()
         self.instance = instance
         self.version = version
         self.phase = phase
@@ -144,6 +220,7 @@
             return self._make_response(request, 503, b"", NOT_EXECUTED)
         if not self.phase:
             return await self._serve_plain(request, body)
+        self.crash.record_arrival(request, self.instance)
         if self.faults["mute"]:
             await asyncio.sleep(UNRESPONSIVE_S)
         if request.headers.get("Serving-Phase") == "prefill":
@@ -208,6 +285,8 @@
                     break
                 event = f"id: {number}\ndata: t{number} {self.version}\n\n"
                 await response.write(event.encode())
+                if number == first_event:
+                    self.crash.begin_answer(request, self.instance)
                 await self._wait_after_event(number)
         finally:
             self.running -= 1
@@ -358,12 +437,14 @@
     :param arguments: remaining command-line arguments
     """
     journal = pathlib.Path(FLAGS.journal) if FLAGS.journal else None
+    arrivals = pathlib.Path(FLAGS.arrivals) if FLAGS.arrivals else None
     server: typing.Final = HostedUpstream(
         FLAGS.instance,
         FLAGS.phase,
         journal,
         FLAGS.handle_ms,
         FLAGS.version,
+        PartCrash(FLAGS.crash_parts, FLAGS.crash_ms, arrivals),
     )
     server.faults["event_ms"] = FLAGS.event_ms
     asyncio.run(serving.serve(FLAGS.host, {FLAGS.port: server.make_app()}))
