Let the stand-in engine refuse reports that expect another incarnation

A probe of an engine that had ended reached its successor at the same address and passed, so its entry was used again until it expired: 16 sound streams of one play got 503 after a 421. The protocol has every call that expects another incarnation answered with 421; the stand-in's report did not look. Found by CrashingPartTest.test_ordinary_crashes_beside.

--- a/standins/hosted_upstreams.py
+++ b/standins/hosted_upstreams.py
@@ -338,6 +338,9 @@
         return serving.answer({})
 
     async def _report(self, request: web.Request) -> web.Response:
+        expected = request.headers.get("Expect-Instance", self.instance)
+        if expected != self.instance:
+            return self._make_response(request, 421, b"")
         return serving.answer(
             {
                 "phase": self.phase,
