--- a/mulberryway/controllers/probing.py
+++ b/mulberryway/controllers/probing.py
@@ -1,4 +1,8 @@
-"""Probes ejected engines; one VM probes each engine for the fleet."""
+"""Probes ejected engines; one VM probes each engine for the fleet.
+
+A VM also probes engines that ran a suspect for it, if nothing else shows that
+they have survived it.
+"""
 
 import collections.abc
 import concurrent.futures
@@ -65,7 +69,8 @@
     def step(self) -> None:
         """Probe the engines that are due and assigned to this VM."""
         ejected = self._scheduling.list_ejected()
-        self.period_ms = PERIOD_MS if ejected else IDLE_MS
+        unconfirmed = self._scheduling.list_unconfirmed()
+        self.period_ms = PERIOD_MS if ejected or unconfirmed else IDLE_MS
         self._log_changes(ejected)
         own = self._members.own.name
         vms = self._list_reaching(self._members.list_alive())
@@ -76,6 +81,8 @@
             and pool_subsets.choose_load_poller(candidate.upstream, vms) == own
         ]
         list(self._workers.map(self._probe, due[:MAX_PROBES_PER_STEP]))
+        confirmed = unconfirmed[:MAX_PROBES_PER_STEP]
+        list(self._workers.map(self._confirm, confirmed))
 
     def stop(self, wait_ms: int = 2_000) -> None:
         """Stop the thread and its worker threads.
@@ -104,6 +111,17 @@
         )
         self._ejected = names
 
+    def _confirm(self, names: tuple[str, str]) -> None:
+        """Ask an engine for a sign of life.
+
+        :param names: the pool's and the engine's name
+        """
+        engine = directory.find_engine_by_name(
+            self._source.get_tables(), self._directory, *names
+        )
+        if engine is not None and engine.report_load().is_ok():
+            self._scheduling.record_alive(*names)
+
     def _probe(self, ejected: probes.EjectedUpstream) -> None:
         engine = directory.find_engine_by_name(
             self._source.get_tables(),
--- a/mulberryway/controllers/scheduler_gossip.py
+++ b/mulberryway/controllers/scheduler_gossip.py
@@ -106,7 +106,8 @@
         else:
             self.send(payload, peers)
         for crash in note.deaths:
-            self._publish_crash(crash)
+            if not crash.is_repeated:
+                self._publish_crash(crash)
 
     def send(self, payload: bytes, vms: collections.abc.Iterable[str]) -> None:
         """Send a payload to some VMs.
@@ -194,5 +195,5 @@
         crash = gossip_messages.decode_death(hint.payload)
         # The message may have been forwarded by several VMs for a while.
         left_ms = max(hint.until_ms - self.clock.now_ms(), 0)
-        crash.age_ms = max(poison.QUARANTINE_MS - left_ms, 0)
+        crash.age_ms += max(poison.QUARANTINE_MS - left_ms, 0)
         self._scheduling.record_crashes([crash])
--- a/mulberryway/controllers/scheduling.py
+++ b/mulberryway/controllers/scheduling.py
@@ -177,6 +177,74 @@
         with self._lock:
             self._scheduler.record_first_token(job_id, self.clock.now_ms())
 
+    def record_output(self, job_id: str) -> None:
+        """Record the first output of a started job's engine.
+
+        :param job_id: the job, which may resume a stream
+        """
+        with self._lock:
+            self._scheduler.record_output(job_id, self.clock.now_ms())
+
+    def record_progress(self, job_id: str, at_ms: int) -> None:
+        """Record when a started job's engine has written last.
+
+        :param job_id: the job
+        :param at_ms: time of its last output, in ms
+        """
+        with self._lock:
+            self._scheduler.record_progress(job_id, at_ms, self.clock.now_ms())
+
+    def record_alive(self, pool: str, upstream: str) -> None:
+        """Record that an engine has just answered a call of this VM.
+
+        :param pool: the pool's name
+        :param upstream: the engine's name
+        """
+        with self._lock:
+            now_ms = self.clock.now_ms()
+            self._scheduler.record_alive(pool, upstream, now_ms, now_ms)
+            self._dispatch()
+
+    def list_unconfirmed(self) -> list[tuple[str, str]]:
+        """Return the engines that have to show that they survived a suspect.
+
+        :returns: pairs of a pool's and an engine's name
+        """
+        with self._lock:
+            return self._scheduler.list_unconfirmed(self.clock.now_ms())
+
+    def check_running(
+        self, job_id: str
+    ) -> expression.Result[None, errors.Fault]:
+        """Check that a started job may be sent to another engine.
+
+        :param job_id: the job
+        :returns: nothing, or the fault if it was quarantined since its start
+        """
+        with self._lock:
+            fault = self._scheduler.check_running(job_id, self.clock.now_ms())
+        return (
+            expression.Ok(None) if fault is None else expression.Error(fault)
+        )
+
+    def has_quarantined_part(self, part_keys: tuple[str, ...]) -> bool:
+        """Return whether a request must not run because of its prompt.
+
+        :param part_keys: keys of its prompt's parts
+        """
+        with self._lock:
+            return self._scheduler.has_quarantined_part(
+                part_keys, self.clock.now_ms()
+            )
+
+    def count_parts(self, state: str) -> int:
+        """Return the number of prompt parts that are blamed for crashes.
+
+        :param state: ``suspect`` or ``quarantined``
+        """
+        with self._lock:
+            return self._scheduler.count_parts(state)
+
     def finish(
         self, job_id: str, end: jobs.JobOutcome, upstream: str = ""
     ) -> None:
--- a/mulberryway/filters/base.py
+++ b/mulberryway/filters/base.py
@@ -203,6 +203,7 @@
         "expected_tokens",
         "prefix_hashes",
         "prompt_parts",
+        "part_keys",
         "charge",
         "estimate",
         "max_tokens",
@@ -261,6 +262,8 @@
         # Ids of the prompt's parts that other requests may share, in order;
         # empty if callers send none.
         self.prompt_parts: tuple[str, ...] = ()
+        # The keys under which crashes on these parts are counted.
+        self.part_keys: tuple[str, ...] = ()
         self.charge: TokenReservation | None = None
         self.estimate = 0
         self.max_tokens = 0
--- a/mulberryway/filters/model_engines.py
+++ b/mulberryway/filters/model_engines.py
@@ -214,6 +214,9 @@
         if not self._gate.is_needed():
             return expression.Error(_make_kept_fault(attempt))
         parts = self._parts
+        checked = parts.scheduling.check_running(attempt.job_id)
+        if checked.is_error():
+            return expression.Error(checked.error)
         started_ms = parts.clock.now_ms()
         with self._begin_span(attempt, errors.Step.PREFILL) as span:
             result = attempt.prefill.prefill(
@@ -357,6 +360,9 @@
             return _make_unsent_error(
                 attempt, "the chosen engine has another software version"
             )
+        checked = self._parts.scheduling.check_running(attempt.job_id)
+        if checked.is_error():
+            return expression.Error(checked.error)
         if not self._gate.enter():
             return expression.Error(_make_kept_fault(attempt))
         self._exchange.record_attempt(
--- a/mulberryway/filters/model_job.py
+++ b/mulberryway/filters/model_job.py
@@ -88,6 +88,7 @@
             route.is_idempotent(exchange)
             and number + 1 < exchange.route.max_attempts,
             required_version,
+            exchange.part_keys,
         )
 
     def _compute_start_deadline(
--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -47,6 +47,9 @@
     )
 )
 
+# After these faults nothing was asked of the engine.
+NO_VERDICT_CODES = frozenset((errors.Code.CANCELLED, errors.Code.QUARANTINED))
+
 SourceResult = model_dependencies.SourceResult
 
 
@@ -108,6 +111,11 @@
         parts.metrics.first_token.record(took_ms)
         self._exchange.first_ms = took_ms
 
+    def on_source_begin(self) -> None:
+        """Report an engine's first output to the scheduler."""
+        if self._attempt is not None:
+            self._parts.scheduling.record_output(self._attempt.job_id)
+
     def on_tokens(self, tokens: int) -> None:
         """Report the progress of the answer to the scheduler.
 
@@ -158,6 +166,10 @@
         self._was_sent = True
         self._begin_search(stream.expected)
         if self._attempt is not None:
+            if stream.has_source_begun:
+                self._parts.scheduling.record_progress(
+                    self._attempt.job_id, stream.last_progress_ms
+                )
             self._check_path(fault, self._attempt)
         self._record_failure(fault)
         self._end_attempt(
@@ -460,7 +472,7 @@
             end = jobs.JobOutcome.CANCELLED
             # An engine may close the connection after a cancellation; it has
             # not crashed and is not at fault.
-            if self._is_active() and fault.code is not errors.Code.CANCELLED:
+            if self._is_active() and fault.code not in NO_VERDICT_CODES:
                 self._avoided = self._avoided | {failed_name}
                 if not self._is_start_limited(fault):
                     end = model_dependencies.classify_job_end(fault)
@@ -520,6 +532,8 @@
             return "too many attempts have failed"
         if not self._is_active():
             return "the caller disconnected"
+        if self._parts.scheduling.has_quarantined_part(exchange.part_keys):
+            return "upstreams crashed on a part of its prompt"
         if not is_unsent and not self._parts.try_withdraw_retry(
             exchange.pool.name
         ):
--- a/mulberryway/policy/base.py
+++ b/mulberryway/policy/base.py
@@ -188,6 +188,69 @@
         """
         return None
 
+    def record_output(self, job_id: str, now_ms: int) -> None:
+        """Record the first output of a started job's engine.
+
+        :param job_id: the job, which may resume a stream
+        :param now_ms: current time in milliseconds
+        """
+        return None
+
+    def record_progress(self, job_id: str, at_ms: int, now_ms: int) -> None:
+        """Record when a started job's engine has written last.
+
+        :param job_id: the job
+        :param at_ms: time of its last output, in milliseconds
+        :param now_ms: current time in milliseconds
+        """
+        return None
+
+    def record_alive(
+        self, pool: str, upstream: str, at_ms: int, now_ms: int
+    ) -> None:
+        """Record a sign of life of an engine.
+
+        :param pool: the pool's name
+        :param upstream: the engine's name
+        :param at_ms: when it was alive, in milliseconds
+        :param now_ms: current time in milliseconds
+        """
+        return None
+
+    def list_unconfirmed(self, now_ms: int) -> list[tuple[str, str]]:
+        """Return the engines that have to show that they survived a suspect.
+
+        :param now_ms: current time in milliseconds
+        :returns: pairs of a pool's and an engine's name
+        """
+        return []
+
+    def check_running(self, job_id: str, now_ms: int) -> errors.Fault | None:
+        """Return why a started job must not be sent to another engine.
+
+        :param job_id: the job
+        :param now_ms: current time in milliseconds
+        :returns: the rejection if it was quarantined since its start, or none
+        """
+        return None
+
+    def has_quarantined_part(
+        self, part_keys: tuple[str, ...], now_ms: int
+    ) -> bool:
+        """Return whether a request must not run because of its prompt.
+
+        :param part_keys: keys of its prompt's parts
+        :param now_ms: current time in milliseconds
+        """
+        return False
+
+    def count_parts(self, state: str) -> int:
+        """Return the number of prompt parts that are blamed for crashes.
+
+        :param state: ``suspect`` or ``quarantined``
+        """
+        return 0
+
     def update_vms(self, vms: tuple[str, ...], now_ms: int) -> None:
         """Apply a new list of VMs that run a router.
 
--- a/mulberryway/policy/hints.py
+++ b/mulberryway/policy/hints.py
@@ -104,18 +104,21 @@
 class Death:
     """A crash of an upstream under a request, or the request's clearance.
 
-    :param digest: digest of account, model and body
+    :param digest: digest of account, model and body, or the key of a part of
+        the prompt, see ``policy.part_quarantine``
     :param upstream: ``pool/name`` of the upstream; empty if cleared
     :param age_ms: time since the crash, by the sender's clock
     :param proven: whether the request ran as a suspect and no other suspect
         was known to run there
     """
 
-    __slots__ = ("digest", "upstream", "age_ms", "proven")
+    __slots__ = ("digest", "upstream", "age_ms", "proven", "is_repeated")
 
     def __init__(
         self, digest: str, upstream: str, age_ms: int, proven: bool
     ) -> None:
+        # Whether it was sent before, to all VMs of that time; not sent.
+        self.is_repeated = False
         self.digest = digest
         self.upstream = upstream
         self.age_ms = age_ms
--- a/mulberryway/policy/job_completion.py
+++ b/mulberryway/policy/job_completion.py
@@ -1,8 +1,10 @@
 """Updates health, suspects and accounting when a started job ends."""
 
 from mulberryway.policy import jobs
+from mulberryway.policy import part_quarantine
 from mulberryway.policy import poison
 from mulberryway.policy import pool_scheduler
+from mulberryway.policy import run_survival
 from mulberryway.policy import running_jobs
 from mulberryway.policy import upstream_view
 
@@ -17,17 +19,22 @@
 
     :param pool: the pool's scheduler
     :param register: registry of suspected poison requests
+    :param parts: quarantine of prompt parts
     """
 
-    __slots__ = ("_pool", "_register")
+    __slots__ = ("_pool", "_register", "_parts", "_survival", "_cleared")
 
     def __init__(
         self,
         pool: pool_scheduler.PoolScheduler,
         register: poison.PoisonRegistry,
+        parts: part_quarantine.PartQuarantine,
     ) -> None:
         self._pool = pool
         self._register = register
+        self._parts = parts
+        self._survival = run_survival.SurvivalTracker()
+        self._cleared: list[running_jobs.RunningJob] = []
 
     def record_start(self, job: running_jobs.RunningJob, now_ms: int) -> None:
         """Count a job on the upstreams where it starts.
@@ -62,6 +69,83 @@
             now_ms,
         )
         engine.health.record_success(job.started_ms)
+        self.record_alive(engine.row.name, now_ms, now_ms)
+
+    def record_output(self, job: running_jobs.RunningJob, now_ms: int) -> None:
+        """Record the first output of a run, also of a resumed stream.
+
+        :param job: the job
+        :param now_ms: current time in ms
+        """
+        decode = job.placement.decode
+        if decode is not None and job.output_ms is None:
+            job.output_ms = now_ms
+            self._survival.begin(decode.row.name, job, now_ms)
+            self.record_alive(decode.row.name, now_ms, now_ms)
+
+    def record_alive(self, upstream: str, at_ms: int, now_ms: int) -> None:
+        """Record a sign of life of an engine; conclude what it has survived.
+
+        :param upstream: the engine's name
+        :param at_ms: when it was alive, in ms
+        :param now_ms: current time in ms
+        """
+        for run in self._survival.record_alive(upstream, at_ms):
+            job = run.job.entry.job
+            self._parts.record_survival(job.part_keys, run.began_ms, now_ms)
+            if run.has_ended:
+                self._register.record_success(job.digest, now_ms)
+            elif run.job.is_suspect() and self._is_clear(job, now_ms):
+                for view in self._list_views(run.job):
+                    view.own_suspects -= 1
+                run.job.clear_suspicion()
+                self._cleared.append(run.job)
+
+    def record_unreached(self, upstream: str, now_ms: int) -> None:
+        """Record that an engine accepts no connection any more.
+
+        It has crashed at some time since its last sign of life.
+
+        :param upstream: the engine's name
+        :param now_ms: current time in ms
+        """
+        runs = self._survival.record_crash(upstream, now_ms, False)
+        self._blame(upstream, runs, now_ms)
+
+    def drain_cleared(self) -> list[running_jobs.RunningJob]:
+        """Return the jobs that are no longer suspect since the last call."""
+        cleared, self._cleared = self._cleared, []
+        return cleared
+
+    def record_peer_crash(self, upstream: str, at_ms: int) -> None:
+        """Apply a crash of an engine that another VM has seen.
+
+        :param upstream: the engine's name
+        :param at_ms: when it was detected, in ms
+        """
+        runs = self._survival.record_crash(upstream, at_ms)
+        self._blame(upstream, runs, at_ms)
+
+    def list_unconfirmed(self, now_ms: int) -> list[str]:
+        """Return the engines that have to show that they survived a suspect.
+
+        :param now_ms: current time in ms
+        """
+        return [
+            upstream
+            for upstream, runs in self._survival.list_unconfirmed(now_ms)
+            if not all(
+                self._is_clear(run.job.entry.job, now_ms) for run in runs
+            )
+        ]
+
+    def _is_clear(self, job: jobs.Job, now_ms: int) -> bool:
+        state = self._register.get_state(job.digest, now_ms)
+        verdict = self._parts.assess(job.part_keys, now_ms)
+        return (
+            state is poison.QuarantineState.CLEAR
+            and verdict.state is part_quarantine.PartState.CLEAR
+        )
 
     @staticmethod
     def record_first_token(job: running_jobs.RunningJob) -> bool:
@@ -128,6 +212,10 @@
         upstream: str,
         now_ms: int,
     ) -> None:
+        decode = job.placement.decode
+        is_unconfirmed = decode is not None and self._survival.end(
+            decode.row.name, job, outcome is jobs.JobOutcome.DONE
+        )
         for view in self._list_views(job):
             if outcome is jobs.JobOutcome.DONE:
                 view.health.record_success(job.started_ms)
@@ -135,7 +223,11 @@
                 view.health.record_inconclusive()
             else:
                 self._record_upstream_outcome(job, view, outcome, now_ms)
-        if outcome is jobs.JobOutcome.DONE:
+        if outcome is not jobs.JobOutcome.DONE:
+            return
+        if decode is not None:
+            self.record_alive(decode.row.name, now_ms, now_ms)
+        if not is_unconfirmed:
             self._register.record_success(job.entry.job.digest, now_ms)
 
     def _record_upstream_outcome(
@@ -162,6 +254,39 @@
             view.health.record_failure(is_down, now_ms)
             if crashed:
                 self._record_crash(job, view, now_ms)
+                self._blame_parts(job, view, now_ms)
+            elif is_down and not view.row.leaving:
+                self.record_unreached(view.row.name, now_ms)
+
+    def _blame_parts(
+        self,
+        job: running_jobs.RunningJob,
+        view: upstream_view.UpstreamView,
+        now_ms: int,
+    ) -> None:
+        """Blame the parts of all runs that a crashed engine has not survived.
+
+        :param job: the job whose connection broke
+        :param view: the engine
+        :param now_ms: current time in ms
+        """
+        name = view.row.name
+        runs = self._survival.record_crash(name, now_ms)
+        if job.output_ms is None:
+            runs.append(run_survival.Run(job, now_ms))
+        self._blame(name, runs, now_ms)
+        self._parts.report_crash(f"{self._pool.row.name}/{name}", now_ms)
+
+    def _blame(
+        self, upstream: str, runs: list[run_survival.Run], now_ms: int
+    ) -> None:
+        name = f"{self._pool.row.name}/{upstream}"
+        for run in runs:
+            job = run.job.entry.job
+            self._parts.record_crash(job.part_keys, name, now_ms)
+            if run.has_ended:
+                # The crash of a running job is recorded with its outcome.
+                self._register.record_crash(job.digest, name, False, now_ms)
 
     @staticmethod
     def _rejected_prefill(
--- a/mulberryway/policy/jobs.py
+++ b/mulberryway/policy/jobs.py
@@ -42,6 +42,8 @@
         may have been executed at the first
     :param required_version: the software version that wrote the first events
         of its stream, without which it cannot be decoded; none for any
+    :param part_keys: keys of the prompt's parts that other requests may share,
+        see ``policy.part_quarantine``
     """
 
     __slots__ = (
@@ -63,6 +65,7 @@
         "first_token_target_ms",
         "is_retry_safe",
         "required_version",
+        "part_keys",
     )
 
     def __init__(
@@ -85,7 +88,9 @@
         first_token_target_ms: int = 0,
         is_retry_safe: bool = False,
         required_version: str | None = None,
+        part_keys: tuple[str, ...] = (),
     ) -> None:
+        self.part_keys = part_keys
         self.is_retry_safe = is_retry_safe
         self.required_version = required_version
         self.job_id = job_id
--- a/mulberryway/policy/note_receiver.py
+++ b/mulberryway/policy/note_receiver.py
@@ -2,9 +2,9 @@
 
 import collections.abc
 
+from mulberryway.policy import crash_reports
 from mulberryway.policy import failure_reports
 from mulberryway.policy import hints
-from mulberryway.policy import poison
 from mulberryway.policy import pool_scheduler
 
 __all__ = ["NoteReceiver"]
@@ -56,12 +56,12 @@
     """Applies notes, and expires peers that become unresponsive.
 
     :param vm: this VM's name; its own notes are ignored
-    :param register: registry of suspected poison requests
+    :param crashes: exchanges reports of crashes
     """
 
-    def __init__(self, vm: str, register: poison.PoisonRegistry) -> None:
+    def __init__(self, vm: str, crashes: crash_reports.CrashReports) -> None:
         self._vm = vm
-        self._register = register
+        self._crashes = crashes
         self._peers: dict[str, _PeerState] = {}
         self._report_filter = failure_reports.FailureReportFilter()
         self._checked_ms = 0
@@ -82,7 +82,7 @@
         if note.vm == self._vm:
             return
         # Crash updates are valid in any order of receipt.
-        self._register.apply_updates(note.deaths, now_ms)
+        self._crashes.apply_updates(note.deaths, now_ms)
         peer = self._find(note, pools_, now_ms)
         if peer is None:
             return
--- a/mulberryway/policy/note_sender.py
+++ b/mulberryway/policy/note_sender.py
@@ -3,8 +3,8 @@
 import collections.abc
 import itertools
 
+from mulberryway.policy import crash_reports
 from mulberryway.policy import hints
-from mulberryway.policy import poison
 from mulberryway.policy import pool_scheduler
 
 __all__ = ["NoteSender"]
@@ -44,15 +44,15 @@
 
     :param vm: this VM's name
     :param incarnation: the incarnation of its router
-    :param register: registry of suspected poison requests
+    :param crashes: exchanges reports of crashes
     """
 
     def __init__(
-        self, vm: str, incarnation: int, register: poison.PoisonRegistry
+        self, vm: str, incarnation: int, crashes: crash_reports.CrashReports
     ) -> None:
         self._vm = vm
         self._incarnation = incarnation
-        self._register = register
+        self._crashes = crashes
         self._numbers = itertools.count(1)
         # Number of VMs that exchange notes.
         self.vms = 1
@@ -124,7 +124,7 @@
             elapsed_ms, pools_
         )
         must_send_waiting = self._must_send_waiting(waiting, elapsed_ms)
-        deaths = self._register.drain_updates(now_ms)
+        deaths = self._crashes.drain_updates(now_ms)
         if self._deferred and now_ms - self._deferred_since_ms >= MAX_DEFER_MS:
             self._views |= self._deferred
         changed = self._views or self._accounts or deaths
--- /dev/null
+++ b/mulberryway/policy/part_quarantine.py
@@ -0,0 +1,456 @@
+"""Quarantine of prompt parts that crash engines, over all VMs; best effort.
+
+A part is blamed for a crash if the engine had just begun to answer a request
+with it, unless an engine has survived another such request at about that time.
+A part that is blamed for several crashes is quarantined: requests with it are
+rejected, except for a rare trial.  Sound parts of these requests are proven
+sound by requests without the crashing part.
+"""
+
+import collections
+import collections.abc
+import enum
+import hashlib
+import random
+
+from mulberryway.policy import hints
+from mulberryway.policy import pool_subsets
+
+__all__ = [
+    "NO_PART_KEY",
+    "PartQuarantine",
+    "PartState",
+    "Verdict",
+    "is_part_key",
+    "make_part_key",
+]
+
+KEY_PREFIX = "part:"
+# The key of an engine's crash that no part is blamed for.
+NO_PART_KEY = KEY_PREFIX
+MODEL_DIGITS = 8
+# Takes the place of the upstream in an update: a trial of the part begins.
+TRIAL = "trial"
+CRASHES_TO_QUARANTINE = 2
+# Reports of one crash by several VMs.  Shorter than an engine's restart.
+SAME_CRASH_MS = 900
+# A survived run exonerates its parts from crashes up to this long after it
+# began.  A part that begins to crash engines is protected for as long.
+PROOF_TTL_MS = 4_000
+# Time from a quarantined part's last crash to its next trial, by the number of
+# crashes.  After more crashes there is no trial until the part has not been
+# requested for RETENTION_MS.
+TRIAL_DELAYS_MS = (4_000, 15_000, 60_000, 120_000, 240_000)
+# A trial without a result has been lost.
+TRIAL_TIMEOUT_MS = 3_000
+# Spreads the VMs' trials of one part, so that only one begins.
+TRIAL_STAGGER_MS = 250
+RETENTION_MS = 600_000
+# Bound the memory.
+MAX_PARTS = 1_024
+MAX_PROOFS = 4_096
+MAX_CRASHES_PER_PART = 8
+MAX_REPORTED = 64
+# Bounds the message about one crash; the most often blamed parts go first.
+MAX_BLAMED_PARTS = 16
+MAX_REPEATED_CRASHES = 32
+# Several VMs may refute another VM's blame; most of them hear it from the
+# first one in time.
+MAX_REFUTATION_DELAY_MS = 200
+
+
+def make_part_key(model: str, part: str) -> str:
+    """Return the key under which a part's crashes are counted.
+
+    It is the same for all client accounts: a part that crashes engines does so
+    for each of them.
+
+    :param model: the model's name
+    :param part: the part's id
+    """
+    digest = hashlib.sha256(model.encode()).hexdigest()[:MODEL_DIGITS]
+    return f"{KEY_PREFIX}{digest}/{part}"
+
+
+def is_part_key(key: str) -> bool:
+    """Return whether an update is about a part, not about a whole request.
+
+    :param key: the update's digest
+    """
+    return key.startswith(KEY_PREFIX)
+
+
+class PartState(enum.Enum):
+    """Whether requests with some parts may run."""
+
+    CLEAR = "clear"
+    SUSPECT = "suspect"
+    QUARANTINED = "quarantined"
+
+
+class Verdict:
+    """What is known about the parts of a request.
+
+    :param state: whether the request may run
+    :param key: the part that decides this; empty if it is clear
+    :param upstreams: the engines that crashed on that part
+    :param retry_after_ms: when a quarantined part may be tried again
+    :param is_trial: whether the request may run as the only one with a
+        quarantined part
+    """
+
+    __slots__ = ("state", "key", "upstreams", "retry_after_ms", "is_trial")
+
+    def __init__(
+        self,
+        state: PartState,
+        key: str = "",
+        upstreams: tuple[str, ...] = (),
+        retry_after_ms: int = 0,
+        is_trial: bool = False,
+    ) -> None:
+        self.state = state
+        self.key = key
+        self.upstreams = upstreams
+        self.retry_after_ms = retry_after_ms
+        self.is_trial = is_trial
+
+
+class _Crash:
+    """A crash that a part is blamed for."""
+
+    __slots__ = ("upstream", "at_ms")
+
+    def __init__(self, upstream: str, at_ms: int) -> None:
+        self.upstream = upstream
+        self.at_ms = at_ms
+
+
+class _Record:
+    """The crashes that one part is blamed for."""
+
+    __slots__ = ("crashes", "trial_ms", "used_ms")
+
+    def __init__(self, now_ms: int) -> None:
+        self.crashes: list[_Crash] = []
+        # When the last trial began, on any VM.
+        self.trial_ms: int | None = None
+        self.used_ms = now_ms
+
+
+class PartQuarantine:
+    """The crashes and survived runs of prompt parts; not thread-safe.
+
+    :param vm: this VM's name
+    :param random_: seeded random generator
+    """
+
+    def __init__(self, vm: str, random_: random.Random) -> None:
+        self._vm = vm
+        self._random = random_
+        self._vms: tuple[str, ...] = (vm,)
+        self._records: collections.OrderedDict[str, _Record] = (
+            collections.OrderedDict()
+        )
+        # When the last survived run with a part began, in ms.
+        self._proofs: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        # When the peers were told of an engine's crash.
+        self._reported: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self._updates: list[tuple[hints.Death, int]] = []
+        # Parts whose blame this VM refutes, and when.
+        self._refutations: dict[str, int] = {}
+
+    def update_vms(self, vms: tuple[str, ...]) -> None:
+        """Replace the list of VMs that run a router.
+
+        :param vms: their names
+        """
+        self._vms = vms
+
+    def count(self, state: PartState) -> int:
+        """Return the number of parts that are suspect or quarantined.
+
+        :param state: the state to count
+        """
+        return sum(
+            _choose_state(len(self._list_crashes(key, record))) is state
+            for key, record in self._records.items()
+        )
+
+    def assess(
+        self, keys: collections.abc.Collection[str], now_ms: int
+    ) -> Verdict:
+        """Return whether a request may run.
+
+        :param keys: keys of its prompt's parts
+        :param now_ms: current time in ms
+        :returns: the verdict; a suspect request must be the only suspect on
+            its engines
+        """
+        blamed = {
+            key: crashes
+            for key in keys
+            if (crashes := self._find_crashes(key, now_ms))
+        }
+        if not blamed:
+            return Verdict(PartState.CLEAR)
+        quarantined = [
+            key
+            for key, crashes in blamed.items()
+            if len(crashes) >= CRASHES_TO_QUARANTINE
+            and not self._is_explained_without(crashes, keys, now_ms)
+        ]
+        for key in quarantined:
+            self._records[key].used_ms = now_ms
+        waits = {
+            key: self._compute_wait_ms(key, now_ms) for key in quarantined
+        }
+        key = max(waits or blamed, key=lambda key: (waits.get(key, 0), key))
+        wait_ms = waits.get(key, 0)
+        return Verdict(
+            PartState.QUARANTINED if wait_ms > 0 else PartState.SUSPECT,
+            key,
+            tuple(crash.upstream for crash in blamed[key]),
+            wait_ms,
+            bool(quarantined) and wait_ms <= 0,
+        )
+
+    def begin_trial(
+        self, keys: collections.abc.Collection[str], now_ms: int
+    ) -> None:
+        """Record that a request with quarantined parts starts.
+
+        :param keys: keys of its prompt's parts
+        :param now_ms: current time in ms
+        """
+        for key in keys:
+            record = self._records.get(key)
+            if record is not None:
+                record.trial_ms = now_ms
+                self._queue(hints.Death(key, TRIAL, 0, False), now_ms)
+
+    def record_crash(
+        self,
+        keys: collections.abc.Collection[str],
+        upstream: str,
+        now_ms: int,
+    ) -> list[str]:
+        """Blame parts for a crash, unless they are proven; tell the peers.
+
+        :param keys: keys of parts of requests that had just begun there
+        :param upstream: ``pool/name`` of the engine
+        :param now_ms: current time in ms
+        :returns: the parts that were not blamed for this crash before
+        """
+        blamed = [
+            key
+            for key in dict.fromkeys(keys)
+            if not self._is_exonerated(key, now_ms)
+            and self._add_crash(key, _Crash(upstream, now_ms), now_ms)
+        ]
+        blamed.sort(key=lambda key: -len(self._records[key].crashes))
+        for key in blamed[:MAX_BLAMED_PARTS]:
+            self._queue(hints.Death(key, upstream, 0, False), now_ms)
+        return blamed
+
+    def report_crash(self, upstream: str, now_ms: int) -> None:
+        """Tell the peers of a crash; they blame the parts of their own runs.
+
+        :param upstream: ``pool/name`` of the engine
+        :param now_ms: current time in ms
+        """
+        reported_ms = self._reported.pop(upstream, None)
+        self._reported[upstream] = now_ms
+        while len(self._reported) > MAX_REPORTED:
+            self._reported.popitem(last=False)
+        if reported_ms is None or now_ms - reported_ms >= SAME_CRASH_MS:
+            update = hints.Death(NO_PART_KEY, upstream, 0, False)
+            self._queue(update, now_ms)
+
+    def record_survival(
+        self,
+        keys: collections.abc.Collection[str],
+        began_ms: int,
+        now_ms: int,
+    ) -> None:
+        """Record that an engine has survived a run; tell the peers if needed.
+
+        :param keys: keys of the parts of its prompt
+        :param began_ms: when the run began to write, in ms
+        :param now_ms: current time in ms
+        """
+        for key in keys:
+            if self._add_proof(key, began_ms):
+                self._queue_clearance(key, now_ms)
+
+    def apply_update(self, update: hints.Death, now_ms: int) -> None:
+        """Apply another VM's update, which may be late or a duplicate.
+
+        :param update: the update
+        :param now_ms: current time in ms
+        """
+        key, at_ms = update.digest, now_ms - update.age_ms
+        if key == NO_PART_KEY or not 0 <= update.age_ms < RETENTION_MS:
+            return
+        if not update.upstream:
+            self._add_proof(key, at_ms)
+            self._refutations.pop(key, None)
+        elif update.upstream == TRIAL:
+            record = self._records.get(key)
+            if record is not None:
+                record.trial_ms = max(record.trial_ms or 0, at_ms)
+        elif self._is_exonerated(key, at_ms):
+            delay_ms = self._random.randrange(MAX_REFUTATION_DELAY_MS)
+            self._refutations.setdefault(key, now_ms + delay_ms)
+        else:
+            self._add_crash(key, _Crash(update.upstream, at_ms), now_ms)
+
+    def drain_updates(self, now_ms: int) -> list[hints.Death]:
+        """Return the updates to send to the peers now, and clear them.
+
+        :param now_ms: current time in ms
+        """
+        for key, due_ms in list(self._refutations.items()):
+            if due_ms <= now_ms:
+                del self._refutations[key]
+                self._queue_clearance(key, now_ms)
+        updates, self._updates = self._updates, []
+        for update, at_ms in updates:
+            update.age_ms += now_ms - at_ms
+        return [update for update, _ in updates]
+
+    def list_quarantined(self, now_ms: int) -> list[hints.Death]:
+        """Return the crashes of quarantined parts, for VMs without them.
+
+        :param now_ms: current time in ms
+        """
+        crashes = [
+            hints.Death(key, crash.upstream, now_ms - crash.at_ms, False)
+            for key in list(self._records)
+            if len(blamed := self._find_crashes(key, now_ms))
+            >= CRASHES_TO_QUARANTINE
+            for crash in blamed
+        ]
+        return crashes[-MAX_REPEATED_CRASHES:]
+
+    def _find_crashes(self, key: str, now_ms: int) -> list[_Crash]:
+        record = self._records.get(key)
+        if record is None:
+            return []
+        if now_ms - record.used_ms >= RETENTION_MS:
+            del self._records[key]
+            return []
+        return self._list_crashes(key, record)
+
+    def _list_crashes(self, key: str, record: _Record) -> list[_Crash]:
+        return [
+            crash
+            for crash in record.crashes
+            if not self._is_exonerated(key, crash.at_ms)
+        ]
+
+    def _is_exonerated(self, key: str, at_ms: int) -> bool:
+        """Return whether a run with a part was survived around a crash."""
+        proven_ms = self._proofs.get(key)
+        return proven_ms is not None and proven_ms > at_ms - PROOF_TTL_MS
+
+    def _is_explained_without(
+        self,
+        crashes: list[_Crash],
+        keys: collections.abc.Collection[str],
+        now_ms: int,
+    ) -> bool:
+        """Return whether parts that a request lacks may explain the crashes.
+
+        A sound part that all requests share is blamed with the part that
+        crashes engines.  A request with the sound one alone must be allowed to
+        prove it.
+        """
+        upstreams = {crash.upstream for crash in crashes}
+        explained = {
+            other_crash.upstream
+            for other in list(self._records)
+            if other not in keys
+            and len(others := self._find_crashes(other, now_ms))
+            >= len(crashes)
+            for other_crash in others
+        }
+        return upstreams <= explained
+
+    def _compute_wait_ms(self, key: str, now_ms: int) -> int:
+        """Return the time until a quarantined part's next trial; 0 if due."""
+        record = self._records[key]
+        crashes = self._list_crashes(key, record)
+        index = len(crashes) - CRASHES_TO_QUARANTINE
+        if index >= len(TRIAL_DELAYS_MS):
+            return RETENTION_MS
+        due_ms = (
+            max(crash.at_ms for crash in crashes)
+            + TRIAL_DELAYS_MS[index]
+            + self._compute_stagger_ms(key)
+        )
+        if record.trial_ms is not None:
+            due_ms = max(due_ms, record.trial_ms + TRIAL_TIMEOUT_MS)
+        return max(due_ms - now_ms, 0)
+
+    def _compute_stagger_ms(self, key: str) -> int:
+        own = pool_subsets.hash_pair(key, self._vm)
+        rank = sum(pool_subsets.hash_pair(key, vm) > own for vm in self._vms)
+        return TRIAL_STAGGER_MS * rank.bit_length()
+
+    def _add_crash(self, key: str, crash: _Crash, now_ms: int) -> bool:
+        record = self._records.get(key)
+        if record is None:
+            record = self._records[key] = _Record(now_ms)
+            while len(self._records) > MAX_PARTS:
+                self._records.popitem(last=False)
+        is_known = any(
+            known.upstream == crash.upstream
+            and abs(known.at_ms - crash.at_ms) < SAME_CRASH_MS
+            for known in record.crashes
+        )
+        if is_known:
+            return False
+        record.crashes.append(crash)
+        record.crashes.sort(key=lambda known: known.at_ms)
+        del record.crashes[:-MAX_CRASHES_PER_PART]
+        record.used_ms = now_ms
+        self._records.move_to_end(key)
+        return True
+
+    def _add_proof(self, key: str, began_ms: int) -> bool:
+        """Add a survived run; return whether it ends a blame."""
+        record = self._records.get(key)
+        was_blamed = record is not None and bool(
+            self._list_crashes(key, record)
+        )
+        self._proofs[key] = max(began_ms, self._proofs.get(key, began_ms))
+        self._proofs.move_to_end(key)
+        while len(self._proofs) > MAX_PROOFS:
+            self._proofs.popitem(last=False)
+        if record is None or self._list_crashes(key, record):
+            return False
+        del self._records[key]
+        return was_blamed
+
+    def _queue_clearance(self, key: str, now_ms: int) -> None:
+        proven_ms = self._proofs.get(key)
+        if proven_ms is not None:
+            update = hints.Death(key, "", now_ms - proven_ms, True)
+            self._queue(update, now_ms)
+
+    def _queue(self, update: hints.Death, now_ms: int) -> None:
+        self._updates.append((update, now_ms))
+        del self._updates[:-MAX_PARTS]
+
+
+def _choose_state(crashes: int) -> PartState:
+    if not crashes:
+        return PartState.CLEAR
+    if crashes < CRASHES_TO_QUARANTINE:
+        return PartState.SUSPECT
+    return PartState.QUARANTINED
--- a/mulberryway/policy/poison.py
+++ b/mulberryway/policy/poison.py
@@ -123,6 +123,21 @@
             return QuarantineState.CLEAR
         return record.read_standing(now_ms)
 
+    def get_retry_ms(self, digest: str, now_ms: int) -> int:
+        """Return when a quarantined request may run again, in ms.
+
+        :param digest: the request's digest
+        :param now_ms: current time in ms
+        :returns: the time if it is not sent again before
+        """
+        record = self._records.get(digest)
+        if record is None:
+            return 0
+        if record.is_proven:
+            return QUARANTINE_MS
+        elapsed_ms = now_ms - record.deaths[-1].at_ms
+        return max(UNPROVEN_QUARANTINE_MS - elapsed_ms, 0)
+
     def renew_quarantine(self, digest: str, now_ms: int) -> None:
         """Renew a quarantine because the request was sent again.
 
--- a/mulberryway/policy/pool_scheduler.py
+++ b/mulberryway/policy/pool_scheduler.py
@@ -9,6 +9,7 @@
 from mulberryway.policy import fairness
 from mulberryway.policy import job_placement
 from mulberryway.policy import jobs
+from mulberryway.policy import part_quarantine
 from mulberryway.policy import peer_accounts
 from mulberryway.policy import placements
 from mulberryway.policy import poison
@@ -36,6 +37,8 @@
 RETRY_INTERVAL_MS = 10
 # A crashed upstream restarts within some seconds.
 NO_UPSTREAM_RETRY_MS = 1_000
+# A caller that returns at once would only be rejected again.
+MIN_QUARANTINE_RETRY_MS = 1_000
 # Number of free slots before it has been estimated.
 UNKNOWN_FREE_SLOTS = -1
 # Interval between decisions while no slot is free.  The end of a job starts a
@@ -49,6 +52,7 @@
     :param row: the pool's row
     :param members: its upstreams
     :param register: registry of suspected poison requests
+    :param parts: quarantine of prompt parts
     :param fairness_mode: the deployment's fairness mode
     :param random_: seeded random generator
     :param token_gap_ms: inter-token gap target, in milliseconds
@@ -62,6 +66,7 @@
         row: tables.Pool,
         members: pool_upstreams.PoolUpstreams,
         register: poison.PoisonRegistry,
+        parts: part_quarantine.PartQuarantine,
         fairness_mode: fairness.FairnessMode,
         random_: random.Random,
         token_gap_ms: int,
@@ -80,6 +85,7 @@
             self.queue, self.placer, self.peer_accounts, self.stats
         )
         self._register = register
+        self._parts = parts
         self._fairness_mode = fairness_mode
         self._free_slots = UNKNOWN_FREE_SLOTS
         self._free_since_ms = 0
@@ -124,6 +130,19 @@
         )
         return None
 
+    def check_running(
+        self, job: running_jobs.RunningJob, now_ms: int
+    ) -> errors.Fault | None:
+        """Return why a started job must not be sent to another engine.
+
+        :param job: the job
+        :param now_ms: current time in milliseconds
+        :returns: the rejection if it was quarantined since its start, or none
+        """
+        if job.is_trial:
+            return None
+        return self._check_quarantine(job.entry.job, now_ms)
+
     def list_unservable(self) -> list[jobs.Refusal]:
         """Return rejections of the jobs whose software version has left."""
         return [
@@ -218,14 +237,32 @@
     ) -> errors.Fault | None:
         quarantine = self._register.get_state(job.digest, now_ms)
         if quarantine is not poison.QuarantineState.QUARANTINED:
-            return None
+            return self._check_parts(job, now_ms)
         self._register.renew_quarantine(job.digest, now_ms)
         return admission.make_rejection(
             errors.Code.QUARANTINED,
             job,
             "upstreams crashed while they ran this request",
+            self._register.get_retry_ms(job.digest, now_ms),
         )
 
+    def _check_parts(self, job: jobs.Job, now_ms: int) -> errors.Fault | None:
+        verdict = self._parts.assess(job.part_keys, now_ms)
+        if verdict.state is not part_quarantine.PartState.QUARANTINED:
+            return None
+        fault = admission.make_rejection(
+            errors.Code.QUARANTINED,
+            job,
+            "upstreams crashed while they ran requests with this prompt part",
+            max(verdict.retry_after_ms, MIN_QUARANTINE_RETRY_MS),
+        )
+        fault.inputs = {
+            "part": verdict.key,
+            "crashes": len(verdict.upstreams),
+            "crashed": " ".join(verdict.upstreams),
+        }
+        return fault
+
     def _check_budget(self, job: jobs.Job) -> errors.Fault | None:
         if job.attempt == 0:
             self.budget.deposit()
@@ -242,14 +279,21 @@
     def _choose_lane(
         self, job: jobs.Job, prefill_ms: float, now_ms: int
     ) -> fair_queue.Lane:
-        quarantine = self._register.get_state(job.digest, now_ms)
-        if quarantine is poison.QuarantineState.SUSPECT:
+        if self._is_suspect(job, now_ms):
             return fair_queue.Lane.SUSPECT
         if job.required_version is not None:
             return fair_queue.Lane.RESUMED
         is_long = prefill_ms > LONG_PREFILL_MS
         return fair_queue.Lane.LONG if is_long else fair_queue.Lane.SHORT
 
+    def _is_suspect(self, job: jobs.Job, now_ms: int) -> bool:
+        quarantine = self._register.get_state(job.digest, now_ms)
+        verdict = self._parts.assess(job.part_keys, now_ms)
+        return (
+            quarantine is poison.QuarantineState.SUSPECT
+            or verdict.state is part_quarantine.PartState.SUSPECT
+        )
+
     def _record_free_slots(self, free: int, now_ms: int) -> None:
         if free != self._free_slots:
             self._free_slots = free
@@ -292,12 +336,12 @@
             self.queue.remove(entry.job.job_id)
             refusals.append(jobs.Refusal(entry.job.job_id, fault))
             return False
-        quarantine = self._register.get_state(entry.job.digest, now_ms)
-        if (
-            quarantine is poison.QuarantineState.SUSPECT
-            and entry.lane is not fair_queue.Lane.SUSPECT
+        lane = self._choose_lane(entry.job, entry.prefill_ms, now_ms)
+        if lane is not entry.lane and fair_queue.Lane.SUSPECT in (
+            lane,
+            entry.lane,
         ):
-            self.queue.move(entry.job.job_id, fair_queue.Lane.SUSPECT)
+            self.queue.move(entry.job.job_id, lane)
         return True
 
     def _count_ahead(self, entry: fair_queue.QueueEntry, now_ms: int) -> int:
@@ -358,7 +402,11 @@
         entry.cost = self.stats.estimate_cost(job, placement.tokens)
         self.queue.charge(job.account, job.weight, entry.cost)
         self.placer.commit(placement, job, self.row, now_ms)
-        return running_jobs.RunningJob(entry, placement, now_ms)
+        started = running_jobs.RunningJob(entry, placement, now_ms)
+        if self._parts.assess(job.part_keys, now_ms).is_trial:
+            started.is_trial = True
+            self._parts.begin_trial(job.part_keys, now_ms)
+        return started
 
 
 def _get_yield_ms(ahead: int) -> int:
--- a/mulberryway/policy/pool_set.py
+++ b/mulberryway/policy/pool_set.py
@@ -6,6 +6,7 @@
 from mulberryway import tables
 from mulberryway.policy import fairness
 from mulberryway.policy import job_completion
+from mulberryway.policy import part_quarantine
 from mulberryway.policy import poison
 from mulberryway.policy import pool_scheduler
 from mulberryway.policy import pool_upstreams
@@ -21,6 +22,7 @@
     :param vm: this VM's name
     :param fairness_mode: the deployment's fairness mode
     :param register: registry of suspected poison requests
+    :param parts: quarantine of prompt parts
     :param random_: seeded random generator
     :param token_gap_ms: inter-token gap target, in milliseconds
     :param max_entries: maximum number of waiting jobs in each pool
@@ -34,6 +36,7 @@
         vm: str,
         fairness_mode: fairness.FairnessMode,
         register: poison.PoisonRegistry,
+        parts: part_quarantine.PartQuarantine,
         random_: random.Random,
         token_gap_ms: int,
         max_entries: int,
@@ -45,6 +48,7 @@
         self._vm = vm
         self._fairness_mode = fairness_mode
         self._register = register
+        self._parts = parts
         self._random = random_
         self._token_gap_ms = token_gap_ms
         self._max_entries = max_entries
@@ -73,6 +77,21 @@
         """
         return self._completions[name]
 
+    def find_known_completion(
+        self, name: str
+    ) -> job_completion.JobCompletion | None:
+        """Return the job completion of a pool; none if it never existed.
+
+        :param name: the pool's name
+        """
+        return self._completions.get(name)
+
+    def list_completions(
+        self,
+    ) -> list[tuple[str, job_completion.JobCompletion]]:
+        """Return the job completions with the names of their pools."""
+        return list(self._completions.items())
+
     def change_vms(self, vms: tuple[str, ...]) -> None:
         """Apply a new list of VMs that run a router.
 
@@ -113,7 +132,7 @@
         if pool is None:
             pool = self._make(row)
             self._completions[name] = job_completion.JobCompletion(
-                pool, self._register
+                pool, self._register, self._parts
             )
         self.pools[name] = pool
 
@@ -124,6 +143,7 @@
                 self._vm, self._random, self._prefill_rate
             ),
             self._register,
+            self._parts,
             self._fairness_mode,
             self._random,
             self._token_gap_ms,
--- a/mulberryway/policy/running_jobs.py
+++ b/mulberryway/policy/running_jobs.py
@@ -24,6 +24,9 @@
         "prefilled_ms",
         "first_token_ms",
         "tokens",
+        "output_ms",
+        "is_trial",
+        "_is_suspect",
         "_sampled_tokens",
         "_sampled_ms",
     )
@@ -40,12 +43,21 @@
         self.prefilled_ms: int | None = None
         self.first_token_ms: int | None = None
         self.tokens = 0
+        # Time of its first output, also of a resumed stream; none before.
+        self.output_ms: int | None = None
+        # Whether it is the trial of a quarantined part.
+        self.is_trial = False
+        self._is_suspect = entry.lane is fair_queue.Lane.SUSPECT
         self._sampled_tokens = 0
         self._sampled_ms = now_ms
 
     def is_suspect(self) -> bool:
         """Return whether it must be the only suspect on its upstreams."""
-        return self.entry.lane is fair_queue.Lane.SUSPECT
+        return self._is_suspect
+
+    def clear_suspicion(self) -> None:
+        """Record that its engine has survived it."""
+        self._is_suspect = False
 
     def record_first_token(self, now_ms: int) -> None:
         """Record the first token and start to measure inter-token gaps.
--- a/mulberryway/policy/scheduler.py
+++ b/mulberryway/policy/scheduler.py
@@ -8,11 +8,13 @@
 from mulberryway import tables
 from mulberryway.policy import admission
 from mulberryway.policy import base
+from mulberryway.policy import crash_reports
 from mulberryway.policy import fairness
 from mulberryway.policy import hints
 from mulberryway.policy import jobs
 from mulberryway.policy import note_receiver
 from mulberryway.policy import note_sender
+from mulberryway.policy import part_quarantine
 from mulberryway.policy import poison
 from mulberryway.policy import pool_set
 from mulberryway.policy import probes
@@ -63,10 +65,16 @@
         prefill_rate: float = upstream_view.PREFILL_MS_PER_TOKEN,
     ) -> None:
         self.register = register or poison.PoisonRegistry()
+        self.parts = part_quarantine.PartQuarantine(vm, random.Random(seed))
+        self._crashes = crash_reports.CrashReports(
+            self.register, self.parts, random.Random(seed)
+        )
+        self._crashes.on_peer_crash = self._record_peer_crash
         self._pool_set = pool_set.PoolSet(
             vm,
             fairness_mode,
             self.register,
+            self.parts,
             random.Random(seed),
             token_gap_ms,
             max_entries,
@@ -79,9 +87,9 @@
         self._running: dict[str, running_jobs.RunningJob] = {}
         self._pending_rejections: list[jobs.Refusal] = []
         self._note_sender = note_sender.NoteSender(
-            vm, incarnation, self.register
+            vm, incarnation, self._crashes
         )
-        self._note_receiver = note_receiver.NoteReceiver(vm, self.register)
+        self._note_receiver = note_receiver.NoteReceiver(vm, self._crashes)
 
     def submit(
         self, job: jobs.Job, now_ms: int
@@ -151,9 +159,9 @@
         """
         job = self._running.get(job_id)
         if job is not None:
-            self._pool_set.find_completion(
-                job.entry.job.pool
-            ).record_prefilled(job, now_ms)
+            pool = job.entry.job.pool
+            self._pool_set.find_completion(pool).record_prefilled(job, now_ms)
+            self._mark_cleared(pool)
 
     def record_prefill_failed(self, job_id: str, now_ms: int) -> None:
         """Record a failed prefill that the decode engine takes over.
@@ -182,6 +190,75 @@
             pool = job.entry.job.pool
             if self._pool_set.find_completion(pool).record_first_token(job):
                 self._mark_views_changed(pool, job)
+            self.record_output(job_id, now_ms)
+
+    def record_output(self, job_id: str, now_ms: int) -> None:
+        """Record the first output of a started job's engine.
+
+        :param job_id: the job, which may resume a stream
+        :param now_ms: current time in milliseconds
+        """
+        job = self._running.get(job_id)
+        if job is not None:
+            pool = job.entry.job.pool
+            self._pool_set.find_completion(pool).record_output(job, now_ms)
+            self._mark_cleared(pool)
+
+    def record_progress(self, job_id: str, at_ms: int, now_ms: int) -> None:
+        """Record when a started job's engine has written last.
+
+        :param job_id: the job
+        :param at_ms: time of its last output, in milliseconds
+        :param now_ms: current time in milliseconds
+        """
+        job = self._running.get(job_id)
+        if job is not None and job.placement.decode is not None:
+            self.record_alive(
+                job.entry.job.pool,
+                job.placement.decode.row.name,
+                at_ms,
+                now_ms,
+            )
+
+    def record_alive(
+        self, pool: str, upstream: str, at_ms: int, now_ms: int
+    ) -> None:
+        """Record a sign of life of an engine.
+
+        :param pool: the pool's name
+        :param upstream: the engine's name
+        :param at_ms: when it was alive, in milliseconds
+        :param now_ms: current time in milliseconds
+        """
+        completion = self._pool_set.find_known_completion(pool)
+        if completion is not None:
+            completion.record_alive(upstream, at_ms, now_ms)
+            self._mark_cleared(pool)
+
+    def list_unconfirmed(self, now_ms: int) -> list[tuple[str, str]]:
+        """Return the engines that have to show that they survived a suspect.
+
+        :param now_ms: current time in milliseconds
+        :returns: pairs of a pool's and an engine's name
+        """
+        return [
+            (name, upstream)
+            for name, completion in self._pool_set.list_completions()
+            for upstream in completion.list_unconfirmed(now_ms)
+        ]
+
+    def check_running(self, job_id: str, now_ms: int) -> errors.Fault | None:
+        """Return why a started job must not be sent to another engine.
+
+        :param job_id: the job
+        :param now_ms: current time in milliseconds
+        :returns: the rejection if it was quarantined since its start, or none
+        """
+        job = self._running.get(job_id)
+        if job is None:
+            return None
+        pool = self._pool_set.find_any(job.entry.job.pool)
+        return pool.check_running(job, now_ms)
 
     def record_tokens(self, job_id: str, tokens: int, now_ms: int) -> None:
         """Record how many tokens of a running job have arrived.
@@ -191,6 +268,7 @@
         :param now_ms: current time in milliseconds
         """
         job = self._running.get(job_id)
+        self.record_progress(job_id, now_ms, now_ms)
         gap_ms = job.record_tokens(tokens, now_ms) if job is not None else None
         if job is not None and gap_ms is not None:
             decode = job.placement.decode
@@ -221,6 +299,10 @@
         if job is None or job.placement.decode is None:
             return None
         pool = self._pool_set.find_any(job.entry.job.pool)
+        if is_unreached:
+            self._pool_set.find_completion(pool.row.name).record_unreached(
+                rejected_by, now_ms
+            )
         before = job.placement.decode
         after = pool.reassign_decode(job, rejected_by, now_ms, is_unreached)
         if after is None:
@@ -256,6 +338,7 @@
             job.pool, job.account, job.weight, tokens
         )
         self._mark_views_changed(job.pool, started)
+        self._mark_cleared(job.pool)
 
     def record_load(
         self,
@@ -374,7 +457,30 @@
         :param deaths: the crashes; duplicates have no effect
         :param now_ms: current time in milliseconds
         """
-        self.register.apply_updates(deaths, now_ms)
+        self._crashes.apply_updates(deaths, now_ms)
+
+    def _record_peer_crash(self, pool: str, upstream: str, at_ms: int) -> None:
+        completion = self._pool_set.find_known_completion(pool)
+        if completion is not None:
+            completion.record_peer_crash(upstream, at_ms)
+
+    def has_quarantined_part(
+        self, part_keys: tuple[str, ...], now_ms: int
+    ) -> bool:
+        """Return whether a request must not run because of its prompt.
+
+        :param part_keys: keys of its prompt's parts
+        :param now_ms: current time in milliseconds
+        """
+        verdict = self.parts.assess(part_keys, now_ms)
+        return verdict.state is part_quarantine.PartState.QUARANTINED
+
+    def count_parts(self, state: str) -> int:
+        """Return the number of prompt parts that are blamed for crashes.
+
+        :param state: ``suspect`` or ``quarantined``
+        """
+        return self.parts.count(part_quarantine.PartState(state))
 
     def is_quarantined(self, digest: str, now_ms: int) -> bool:
         """Return whether a request is quarantined, and renew its quarantine.
@@ -407,6 +513,7 @@
         :param now_ms: current time in milliseconds
         """
         self._note_sender.vms = len(vms)
+        self._crashes.update_vms(vms)
         self._pool_set.change_vms(vms)
 
     def change_pools(self, pools: dict[str, tables.Pool], now_ms: int) -> None:
@@ -480,6 +587,10 @@
             if view is not None:
                 self._note_sender.mark_changed(pool, view.row.name)
 
+    def _mark_cleared(self, pool: str) -> None:
+        for job in self._pool_set.find_completion(pool).drain_cleared():
+            self._mark_views_changed(pool, job)
+
     def _get_wake_ms(self, now_ms: int) -> int | None:
         if self._pending_rejections:
             return now_ms
--- a/mulberryway/relay/pump.py
+++ b/mulberryway/relay/pump.py
@@ -235,6 +235,9 @@
                 self._loop.now_ms + stream.token_timeout_ms
             )
             stream.record_progress(self._loop.now_ms)
+            if not stream.has_source_begun:
+                stream.has_source_begun = True
+                stream.owner.on_source_begin()
             if not offset:
                 stream.owner.on_first_token()
         if stream.is_complete:
--- a/mulberryway/relay/stream.py
+++ b/mulberryway/relay/stream.py
@@ -26,6 +26,10 @@
     def on_first_token(self) -> None:
         """Handle the arrival of the engine's first token."""
 
+    def on_source_begin(self) -> None:
+        """Handle the first token of each engine that the stream has."""
+        return
+
     @abc.abstractmethod
     def on_tokens(self, tokens: int) -> None:
         """Handle a progress report, sent about once a second.
@@ -129,6 +133,7 @@
         "longest_gap_ms",
         "last_write_ms",
         "is_paused",
+        "has_source_begun",
         "is_complete",
         "is_closed",
         "is_replacing_source",
@@ -189,6 +194,8 @@
         :param source: the engine's stream
         """
         self.source: upstreams.TokenStream | None = source
+        # Whether this engine has written a token.
+        self.has_source_begun = False
         self.decoder = events.ChunkDecoder()
         self._splitter = events.EventSplitter()
         self._source_id = b""
--- a/mulberryway/router.py
+++ b/mulberryway/router.py
@@ -1,6 +1,7 @@
 """The router of one VM, which serves callers' requests."""
 
 import collections.abc
+import functools
 import gc
 import logging
 import sys
@@ -390,6 +391,12 @@
             ("cancels_open", "cancels sent", lambda: self.cancelling.open),
         ):
             self.metrics.register_gauge(name, description, read)
+        for state in ("suspect", "quarantined"):
+            self.metrics.register_gauge(
+                f"{state}_parts",
+                f"{state} parts of prompts, blamed for crashes of engines",
+                functools.partial(self.scheduling.count_parts, state),
+            )
 
 
 def _is_key_revoked(changed: tables.Tables, stream: streams.Stream) -> bool:
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -14,6 +14,7 @@
 from mulberryway.policy import jobs
 from mulberryway.policy import note_receiver
 from mulberryway.policy import note_sender
+from mulberryway.policy import part_quarantine
 from mulberryway.policy import poison
 from mulberryway.policy import pool_set
 from mulberryway.policy import retries
@@ -45,6 +46,7 @@
             "vm1",
             fairness.find_fairness_mode("goodput"),
             register,
+            part_quarantine.PartQuarantine("vm1", random.Random(1)),
             random.Random(1),
             300,
             100,
--- a/tests/test_model_job.py
+++ b/tests/test_model_job.py
@@ -24,6 +24,7 @@
         estimate=100,
         max_tokens=100,
         prefix_hashes=(),
+        part_keys=(),
         body=b"",
         digest="",
         expected_tokens=0,
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -28,6 +28,8 @@
         self.answers = answers
         self.probed = []
         self.recorded = []
+        self.unconfirmed = []
+        self.alive = []
 
     def list_alive(self):
         return VMS
@@ -38,6 +40,12 @@
     def list_ejected(self):
         return self.ejected
 
+    def list_unconfirmed(self):
+        return self.unconfirmed
+
+    def record_alive(self, pool, upstream):
+        self.alive.append((pool, upstream))
+
     def record_probe(self, pool, upstream, has_passed):
         self.recorded.append((upstream, has_passed))
 
