Count engines that crash at one moment as one event

Crashes within 400 ms of one another, by the time of the break rather than of the verdict, now blame a part once; a second event or its own run decides. Trials follow after 3, 10, 30, 60 and 120 s, by engines.

Each change of a part's state is logged with its engines.

--- a/mulberryway/controllers/scheduling.py
+++ b/mulberryway/controllers/scheduling.py
@@ -1,12 +1,14 @@
 """Runs the scheduler for worker threads and wakes them on its decisions."""
 
 import collections.abc
+import logging
 import threading
 
 import expression
 
 from mulberryway import clock
 from mulberryway import errors
+from mulberryway import logs
 from mulberryway import tables
 from mulberryway.controllers import base
 from mulberryway.policy import base as policy
@@ -17,6 +19,8 @@
 
 __all__ = ["SchedulingController", "Ticket"]
 
+LOG = logging.getLogger(__name__)
+
 IDLE_MS = 1_000
 MS_IN_S = 1_000
 # A decision that is later than this has been lost.  The limit keeps a worker
@@ -185,14 +189,17 @@
         with self._lock:
             self._scheduler.record_output(job_id, self.clock.now_ms())
 
-    def record_progress(self, job_id: str, at_ms: int) -> None:
-        """Record when a started job's engine has written last.
+    def record_break(self, job_id: str, output_ms: int | None) -> None:
+        """Record that a started job's connection has broken, before its end.
 
         :param job_id: the job
-        :param at_ms: time of its last output, in ms
+        :param output_ms: time of its last output, in ms; None if there was
+            none
         """
         with self._lock:
-            self._scheduler.record_progress(job_id, at_ms, self.clock.now_ms())
+            self._scheduler.record_break(
+                job_id, output_ms, self.clock.now_ms()
+            )
 
     def record_alive(self, pool: str, upstream: str) -> None:
         """Record that an engine has just answered a call of this VM.
@@ -432,6 +439,14 @@
             self._decide(assignment.job_id, expression.Ok(assignment))
         for rejection in dispatch.refusals:
             self._decide(rejection.job_id, expression.Error(rejection.fault))
+        for change in self._scheduler.drain_part_changes():
+            LOG.info(
+                "a prompt part is %s",
+                change.state.value,
+                extra=logs.make_extra(
+                    part=change.key, crashed=change.upstreams
+                ),
+            )
         return dispatch.wake_ms
 
     def _decide(self, job_id: str, decision: Decision) -> None:
--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -166,10 +166,10 @@
         self._was_sent = True
         self._begin_search(stream.expected)
         if self._attempt is not None:
-            if stream.has_source_begun:
-                self._parts.scheduling.record_progress(
-                    self._attempt.job_id, stream.last_progress_ms
-                )
+            self._parts.scheduling.record_break(
+                self._attempt.job_id,
+                stream.last_progress_ms if stream.has_source_begun else None,
+            )
             self._check_path(fault, self._attempt)
         self._record_failure(fault)
         self._end_attempt(
--- a/mulberryway/policy/base.py
+++ b/mulberryway/policy/base.py
@@ -8,6 +8,7 @@
 from mulberryway import tables
 from mulberryway.policy import hints
 from mulberryway.policy import jobs
+from mulberryway.policy import part_quarantine
 from mulberryway.policy import probes
 from mulberryway.upstreams import base as upstreams
 
@@ -196,11 +197,14 @@
         """
         return None
 
-    def record_progress(self, job_id: str, at_ms: int, now_ms: int) -> None:
-        """Record when a started job's engine has written last.
+    def record_break(
+        self, job_id: str, output_ms: int | None, now_ms: int
+    ) -> None:
+        """Record that a started job's connection has broken, before its end.
 
         :param job_id: the job
-        :param at_ms: time of its last output, in milliseconds
+        :param output_ms: time of its last output, in milliseconds; none if
+            there was none
         :param now_ms: current time in milliseconds
         """
         return None
@@ -244,6 +248,10 @@
         """
         return False
 
+    def drain_part_changes(self) -> list[part_quarantine.PartChange]:
+        """Return what has changed about prompt parts, for logs."""
+        return []
+
     def count_parts(self, state: str) -> int:
         """Return the number of prompt parts that are blamed for crashes.
 
--- a/mulberryway/policy/job_completion.py
+++ b/mulberryway/policy/job_completion.py
@@ -271,22 +271,23 @@
         :param now_ms: current time in ms
         """
         name = view.row.name
-        runs = self._survival.record_crash(name, now_ms)
+        at_ms = now_ms if job.broke_ms is None else job.broke_ms
+        runs = self._survival.record_crash(name, at_ms)
         if job.output_ms is None:
-            runs.append(run_survival.Run(job, now_ms))
-        self._blame(name, runs, now_ms)
-        self._parts.report_crash(f"{self._pool.row.name}/{name}", now_ms)
+            runs.append(run_survival.Run(job, at_ms))
+        self._blame(name, runs, at_ms)
+        self._parts.report_crash(f"{self._pool.row.name}/{name}", at_ms)
 
     def _blame(
-        self, upstream: str, runs: list[run_survival.Run], now_ms: int
+        self, upstream: str, runs: list[run_survival.Run], at_ms: int
     ) -> None:
         name = f"{self._pool.row.name}/{upstream}"
         for run in runs:
             job = run.job.entry.job
-            self._parts.record_crash(job.part_keys, name, now_ms)
+            self._parts.record_crash(job.part_keys, name, at_ms)
             if run.has_ended:
                 # The crash of a running job is recorded with its outcome.
-                self._register.record_crash(job.digest, name, False, now_ms)
+                self._register.record_crash(job.digest, name, False, at_ms)
 
     @staticmethod
     def _rejected_prefill(
--- a/mulberryway/policy/part_quarantine.py
+++ b/mulberryway/policy/part_quarantine.py
@@ -18,6 +18,7 @@
 
 __all__ = [
     "NO_PART_KEY",
+    "PartChange",
     "PartQuarantine",
     "PartState",
     "Verdict",
@@ -31,16 +32,19 @@
 MODEL_DIGITS = 8
 # Takes the place of the upstream in an update: a trial of the part begins.
 TRIAL = "trial"
-CRASHES_TO_QUARANTINE = 2
+EVENTS_TO_QUARANTINE = 2
+# Engines that crash within this time may have one cause, such as a loss of
+# power, so a part is blamed for them once.
+SAME_EVENT_MS = 400
 # Reports of one crash by several VMs.  Shorter than an engine's restart.
 SAME_CRASH_MS = 900
 # A survived run exonerates its parts from crashes up to this long after it
 # began.  A part that begins to crash engines is protected for as long.
 PROOF_TTL_MS = 4_000
 # Time from a quarantined part's last crash to its next trial, by the number of
-# crashes.  After more crashes there is no trial until the part has not been
-# requested for RETENTION_MS.
-TRIAL_DELAYS_MS = (4_000, 15_000, 60_000, 120_000, 240_000)
+# engines from two on.  After more there is no trial until the part has not
+# been requested for RETENTION_MS.
+TRIAL_DELAYS_MS = (3_000, 10_000, 30_000, 60_000, 120_000)
 # A trial without a result has been lost.
 TRIAL_TIMEOUT_MS = 3_000
 # Spreads the VMs' trials of one part, so that only one begins.
@@ -51,6 +55,8 @@
 MAX_PROOFS = 4_096
 MAX_CRASHES_PER_PART = 8
 MAX_REPORTED = 64
+# Bounds the log lines about one crash.
+MAX_CHANGES = 32
 # Bounds the message about one crash; the most often blamed parts go first.
 MAX_BLAMED_PARTS = 16
 MAX_REPEATED_CRASHES = 32
@@ -116,6 +122,24 @@
         self.is_trial = is_trial
 
 
+class PartChange:
+    """A change of what is known about a part, for logs.
+
+    :param key: the part
+    :param state: its state now
+    :param upstreams: the engines that crashed on it
+    """
+
+    __slots__ = ("key", "state", "upstreams")
+
+    def __init__(
+        self, key: str, state: PartState, upstreams: tuple[str, ...] = ()
+    ) -> None:
+        self.key = key
+        self.state = state
+        self.upstreams = upstreams
+
+
 class _Crash:
     """A crash that a part is blamed for."""
 
@@ -161,6 +185,9 @@
             collections.OrderedDict()
         )
         self._updates: list[tuple[hints.Death, int]] = []
+        self._changes: collections.deque[PartChange] = collections.deque(
+            maxlen=MAX_CHANGES
+        )
         # Parts whose blame this VM refutes, and when.
         self._refutations: dict[str, int] = {}
 
@@ -177,7 +204,7 @@
         :param state: the state to count
         """
         return sum(
-            _choose_state(len(self._list_crashes(key, record))) is state
+            _choose_state(self._list_crashes(key, record)) is state
             for key, record in self._records.items()
         )
 
@@ -201,7 +228,7 @@
         quarantined = [
             key
             for key, crashes in blamed.items()
-            if len(crashes) >= CRASHES_TO_QUARANTINE
+            if _count_events(crashes) >= EVENTS_TO_QUARANTINE
             and not self._is_explained_without(crashes, keys, now_ms)
         ]
         for key in quarantined:
@@ -323,6 +350,12 @@
             update.age_ms += now_ms - at_ms
         return [update for update, _ in updates]
 
+    def drain_changes(self) -> list[PartChange]:
+        """Return the changes since the last call, for logs."""
+        changes = list(self._changes)
+        self._changes.clear()
+        return changes
+
     def list_quarantined(self, now_ms: int) -> list[hints.Death]:
         """Return the crashes of quarantined parts, for VMs without them.
 
@@ -331,8 +364,8 @@
         crashes = [
             hints.Death(key, crash.upstream, now_ms - crash.at_ms, False)
             for key in list(self._records)
-            if len(blamed := self._find_crashes(key, now_ms))
-            >= CRASHES_TO_QUARANTINE
+            if _count_events(blamed := self._find_crashes(key, now_ms))
+            >= EVENTS_TO_QUARANTINE
             for crash in blamed
         ]
         return crashes[-MAX_REPEATED_CRASHES:]
@@ -385,7 +418,7 @@
         """Return the time until a quarantined part's next trial; 0 if due."""
         record = self._records[key]
         crashes = self._list_crashes(key, record)
-        index = len(crashes) - CRASHES_TO_QUARANTINE
+        index = len(crashes) - EVENTS_TO_QUARANTINE
         if index >= len(TRIAL_DELAYS_MS):
             return RETENTION_MS
         due_ms = (
@@ -420,6 +453,7 @@
         del record.crashes[:-MAX_CRASHES_PER_PART]
         record.used_ms = now_ms
         self._records.move_to_end(key)
+        self._record_change(key, self._list_crashes(key, record))
         return True
 
     def _add_proof(self, key: str, began_ms: int) -> bool:
@@ -435,8 +469,16 @@
         if record is None or self._list_crashes(key, record):
             return False
         del self._records[key]
+        if was_blamed:
+            self._record_change(key, [])
         return was_blamed
 
+    def _record_change(self, key: str, crashes: list[_Crash]) -> None:
+        upstreams = tuple(crash.upstream for crash in crashes)
+        self._changes.append(
+            PartChange(key, _choose_state(crashes), upstreams)
+        )
+
     def _queue_clearance(self, key: str, now_ms: int) -> None:
         proven_ms = self._proofs.get(key)
         if proven_ms is not None:
@@ -448,9 +490,21 @@
         del self._updates[:-MAX_PARTS]
 
 
-def _choose_state(crashes: int) -> PartState:
+def _count_events(crashes: list[_Crash]) -> int:
+    """Return the number of events that may have caused some crashes.
+
+    :param crashes: the crashes in order of time
+    """
+    events, began_ms = 0, None
+    for crash in crashes:
+        if began_ms is None or crash.at_ms - began_ms >= SAME_EVENT_MS:
+            events, began_ms = events + 1, crash.at_ms
+    return events
+
+
+def _choose_state(crashes: list[_Crash]) -> PartState:
     if not crashes:
         return PartState.CLEAR
-    if crashes < CRASHES_TO_QUARANTINE:
+    if _count_events(crashes) < EVENTS_TO_QUARANTINE:
         return PartState.SUSPECT
     return PartState.QUARANTINED
--- a/mulberryway/policy/running_jobs.py
+++ b/mulberryway/policy/running_jobs.py
@@ -25,6 +25,7 @@
         "first_token_ms",
         "tokens",
         "output_ms",
+        "broke_ms",
         "is_trial",
         "_is_suspect",
         "_sampled_tokens",
@@ -45,6 +46,8 @@
         self.tokens = 0
         # Time of its first output, also of a resumed stream; none before.
         self.output_ms: int | None = None
+        # When its connection has broken; none before.
+        self.broke_ms: int | None = None
         # Whether it is the trial of a quarantined part.
         self.is_trial = False
         self._is_suspect = entry.lane is fair_queue.Lane.SUSPECT
--- a/mulberryway/policy/scheduler.py
+++ b/mulberryway/policy/scheduler.py
@@ -204,21 +204,29 @@
             self._pool_set.find_completion(pool).record_output(job, now_ms)
             self._mark_cleared(pool)
 
-    def record_progress(self, job_id: str, at_ms: int, now_ms: int) -> None:
-        """Record when a started job's engine has written last.
+    def record_break(
+        self, job_id: str, output_ms: int | None, now_ms: int
+    ) -> None:
+        """Record that a started job's connection has broken, before its end.
 
         :param job_id: the job
-        :param at_ms: time of its last output, in milliseconds
+        :param output_ms: time of its last output, in milliseconds; none if
+            there was none
         :param now_ms: current time in milliseconds
         """
         job = self._running.get(job_id)
-        if job is not None and job.placement.decode is not None:
-            self.record_alive(
-                job.entry.job.pool,
-                job.placement.decode.row.name,
-                at_ms,
-                now_ms,
-            )
+        if job is not None:
+            job.broke_ms = now_ms
+            if output_ms is not None:
+                self._record_output_time(job, output_ms, now_ms)
+
+    def _record_output_time(
+        self, job: running_jobs.RunningJob, at_ms: int, now_ms: int
+    ) -> None:
+        decode = job.placement.decode
+        if decode is not None:
+            pool = job.entry.job.pool
+            self.record_alive(pool, decode.row.name, at_ms, now_ms)
 
     def record_alive(
         self, pool: str, upstream: str, at_ms: int, now_ms: int
@@ -268,7 +276,8 @@
         :param now_ms: current time in milliseconds
         """
         job = self._running.get(job_id)
-        self.record_progress(job_id, now_ms, now_ms)
+        if job is not None:
+            self._record_output_time(job, now_ms, now_ms)
         gap_ms = job.record_tokens(tokens, now_ms) if job is not None else None
         if job is not None and gap_ms is not None:
             decode = job.placement.decode
@@ -475,6 +484,10 @@
         verdict = self.parts.assess(part_keys, now_ms)
         return verdict.state is part_quarantine.PartState.QUARANTINED
 
+    def drain_part_changes(self) -> list[part_quarantine.PartChange]:
+        """Return what has changed about prompt parts, for logs."""
+        return self.parts.drain_changes()
+
     def count_parts(self, state: str) -> int:
         """Return the number of prompt parts that are blamed for crashes.
 
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -292,6 +292,18 @@
     def record_tokens(self, job_id, tokens):
         pass
 
+    def record_output(self, job_id):
+        pass
+
+    def record_break(self, job_id, output_ms):
+        pass
+
+    def check_running(self, job_id):
+        return expression.Ok(None)
+
+    def has_quarantined_part(self, part_keys):
+        return False
+
     def has_decode_capacity(self, pool, excluded, required_version):
         return True
 
--- a/tools/suite.py
+++ b/tools/suite.py
@@ -28,6 +28,9 @@
 # minutes.
 MODULE_TIMEOUT_S = 420.0
 LONGEST_FIRST = (
+    "test_crashing_parts",
+    "test_crashing_requests",
+    "test_crashing_faults",
     "test_soak",
     "test_hosted_processes",
     "test_hosted_shutdown",
