Probe another path at once when several upstreams cannot be reached

A VM whose connects to two upstreams had failed took itself for cut off from all of them until its first probe 200 ms later. One of the paths that are only inferred to be lost is now probed at once; a connect refutes the cut.

Real cuts are still inferred from two paths; tests.test_partitioned_vm is unchanged. test_paths failed before.

--- a/mulberryway/policy/paths.py
+++ b/mulberryway/policy/paths.py
@@ -236,9 +236,16 @@
             self._end_inferred_losses(now_ms)
 
     def _infer_losses(self, now_ms: int) -> None:
+        inferred = [
+            path for path in self._paths.values() if path.lost_ms is None
+        ]
         for address, path in self._paths.items():
             if path.lost_ms is None:
                 self._lose(address, path, True, now_ms)
+        if inferred:
+            # Several upstreams may have crashed while no path is cut, which a
+            # connect to any other one shows.
+            self._random.choice(inferred).hasten_probe(now_ms)
 
     def _end_inferred_losses(self, now_ms: int) -> None:
         for address, path in list(self._watched.items()):
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -70,6 +70,14 @@
         self.assertFalse(self.table.is_cut_off)
         self.assertFalse(self.table.is_suspect(FIRST))
 
+    def test_crashes_that_look_like_a_cut_are_refuted_at_once(self):
+        """Guards against detours while several upstreams are down."""
+        self.cut_off()
+        address = self.table.choose_probe(211)
+        self.assertIn(address, ADDRESSES[2:])
+        self.table.record_success(address, 213)
+        self.assertFalse(self.table.is_cut_off)
+
     def test_epoch_changes_with_each_loss_and_return(self):
         """Guards against requests on connections that died in a cut."""
         epochs = [self.table.get_epoch(THIRD)]
