Treat an unframed stream whose engine has crashed as broken off

An answer, a stream too, may have neither a length nor chunks and end with its connection. An engine that crashed between two events closes it as well, and the stream was ended as complete: callers saw a whole answer, and its request counted as a proof that its prompt does not crash engines. A 200 that ended before its first event was passed on as an empty success.

After such an end the VM now checks, on a recovery thread, that the engine still accepts connections; if not, the stream goes on at another engine or is cut. If only the path may have failed, it counts as ended. Without an event there is no answer. An engine that lives on and closes early cannot be told from one that has finished.

The stand-in streams without framing, resets connections, and closes early.

--- a/mulberryway/relay/passthrough_stream.py
+++ b/mulberryway/relay/passthrough_stream.py
@@ -109,7 +109,8 @@
         """Return whether closing the connection may end the response.
 
         A response with neither chunks nor a length can end only this way.  It
-        is truncated if an incomplete event is still buffered.
+        is truncated if an incomplete event is still buffered, or if there was
+        no event at all.
         """
         source = self.source
         return (
@@ -117,6 +118,7 @@
             and not source.is_chunked
             and self._remaining is None
             and not self._partial_event
+            and self.writer.is_head_written
         )
 
     def take(self, data: bytes) -> bytes:
--- a/mulberryway/relay/pump.py
+++ b/mulberryway/relay/pump.py
@@ -31,6 +31,7 @@
 # waiting forever for a loop that was stopped.
 LOOP_TIMEOUT_S = 1.0
 TOKEN_REPORT_INTERVAL_MS = 1_000
+CLOSED_MESSAGE = "engine closed an incomplete response"
 
 HANGUP_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 READ = select.EPOLLIN
@@ -43,7 +44,7 @@
 class Relay:
     """Forwards the streams handed over to it until they end.
 
-    ``add_stream``, ``resume``, ``fail``, ``try_hold_source``,
+    ``add_stream``, ``resume``, ``fail``, ``end``, ``try_hold_source``,
     ``release_source``, ``try_close_source``, ``keep_source`` and ``cut`` may
     be called on any thread; everything else runs on the loop's thread.
 
@@ -96,6 +97,13 @@
         """
         self._loop.post(lambda: self._abort(stream, fault))
 
+    def end(self, stream: Stream) -> None:
+        """End a stream whose engine has ended its response.
+
+        :param stream: the stream that ``confirm_end`` was called for
+        """
+        self._loop.post(lambda: self._end(stream))
+
     def try_hold_source(self, stream: Stream, offset: int) -> bool:
         """Stop reading a stalled engine unless the stream progressed.
 
@@ -216,12 +224,14 @@
             return
         if data:
             self._on_data(stream, data)
-        elif stream.may_end_on_close():
+        elif not stream.may_end_on_close():
+            self._on_source_failure(stream, CLOSED_MESSAGE, has_died=True)
+        elif stream.is_replacing_source:
             self._finish_source(stream, b"")
         else:
-            self._on_source_failure(
-                stream, "engine closed an incomplete response", has_died=True
-            )
+            self._close_source(stream)
+            fault = _make_source_fault(CLOSED_MESSAGE, has_died=True)
+            self._submit(stream.owner.confirm_end, stream, fault)
 
     def _on_data(self, stream: Stream, data: bytes) -> None:
         offset = stream.expected
@@ -391,7 +401,7 @@
         stream.is_paused = False
         if stream.is_held and _has_ended(stream.source):
             stream.source_fault = _make_source_fault(
-                "engine closed an incomplete response", has_died=True
+                CLOSED_MESSAGE, has_died=True
             )
         self._close_source(stream)
         return True
@@ -466,6 +476,10 @@
         stream.set_source(source)
         self._read_source(stream)
 
+    def _end(self, stream: Stream) -> None:
+        if not stream.is_closed:
+            self._finish_source(stream, b"")
+
     def _on_disconnect(self, stream: Stream) -> None:
         self._close(
             stream,
--- a/mulberryway/relay/stream.py
+++ b/mulberryway/relay/stream.py
@@ -52,6 +52,18 @@
         another engine for a caller that disconnected during the search.
         """
 
+    def confirm_end(self, stream: "Stream", fault: errors.Fault) -> None:
+        """Find out whether an engine has ended a response or has crashed.
+
+        Called for a response that only the end of its connection can end, on a
+        recovery thread; may block.  Must end with ``Relay.end``, ``resume`` or
+        ``fail`` for the stream.
+
+        :param stream: the stream
+        :param fault: the fault if the engine has crashed
+        """
+        self.recover(stream, fault)
+
     @abc.abstractmethod
     def recover(self, stream: "Stream", fault: errors.Fault) -> None:
         """Find another engine; runs on a recovery thread and may block.
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -49,3 +49,10 @@
             ),
         )
         self.check(BAD)
+
+    def test_answers_without_framing(self):
+        """Guards against a broken stream that proves its parts sound."""
+        self.start(is_unframed=True)
+        self.warm_up()
+        self.play(*self.make_loads())
+        self.check(BAD)
--- /dev/null
+++ b/tests/test_unframed_streams.py
@@ -0,0 +1,80 @@
+"""Tests of streams that only the end of their connection can end."""
+
+import concurrent.futures
+import unittest
+
+from tests import hosted_fleet
+from tests import processes
+
+EVENTS = list(range(1, 21))
+BROKEN_AT = 5
+ENGINES = ("e1", "e2")
+
+
+class UnframedStreamTest(unittest.TestCase):
+    """Engines answer with neither a length nor chunks."""
+
+    def setUp(self):
+        self.fleet = hosted_fleet.Fleet(phases=("prefill", "decode", "decode"))
+        self.enterContext(self.fleet)
+        self.set_faults(unframed=1)
+        self.pool = concurrent.futures.ThreadPoolExecutor(1)
+        self.addCleanup(self.pool.shutdown)
+
+    def set_faults(self, **faults):
+        for name in ENGINES:
+            self.fleet.set_fault(name, **faults)
+
+    def send(self, path):
+        return self.fleet.send(
+            0, path, f"a{path}", headers=hosted_fleet.STREAM
+        )
+
+    def break_off(self, path):
+        """Kill a stream's engine between two events; return the reply."""
+        self.set_faults(hold_at=BROKEN_AT)
+        future = self.pool.submit(self.send, path)
+        held = []
+        processes.wait_until(
+            lambda: (
+                held.extend(
+                    name
+                    for name in ENGINES
+                    if self.fleet.read_state(name)["held"]
+                )
+                or held
+            )
+        )
+        other = next(name for name in ENGINES if name != held[0])
+        self.fleet.set_fault(other, hold_at=0)
+        self.fleet.kill_upstream(held[0])
+        return future.result()
+
+    def test_whole_answer(self):
+        reply = self.send("/talk/x")
+        self.assertEqual((reply.status, reply.is_cut), (200, False))
+        self.assertEqual(hosted_fleet.list_ids(reply.body), EVENTS)
+
+    def test_engine_that_ends_between_events(self):
+        """Guards against a broken stream that looks complete."""
+        reply = self.break_off("/talk/x")
+        self.assertTrue(reply.is_cut, reply.body)
+        self.assertEqual(hosted_fleet.list_ids(reply.body), EVENTS[:BROKEN_AT])
+
+    def test_stream_goes_on_at_another_engine(self):
+        """Guards against losing a stream that may be resumed."""
+        reply = self.break_off("/digest/x")
+        self.assertFalse(reply.is_cut)
+        self.assertEqual(hosted_fleet.list_ids(reply.body), EVENTS)
+
+    def test_answer_without_an_event(self):
+        """Guards against a success that holds nothing."""
+        self.set_faults(cut_after=0, close_after=-1)
+        reply = self.send("/talk/x")
+        self.assertNotEqual(reply.status, 200)
+
+    def test_answer_that_is_reset(self):
+        """Guards against a reset that is taken for the end."""
+        self.set_faults(cut_after=BROKEN_AT)
+        reply = self.send("/talk/x")
+        self.assertTrue(reply.is_cut, reply.body)
