--- a/mulberryway/policy/part_quarantine.py
+++ b/mulberryway/policy/part_quarantine.py
@@ -32,10 +32,11 @@
 MODEL_DIGITS = 8
 # Takes the place of the upstream in an update: a trial of the part begins.
 TRIAL = "trial"
-EVENTS_TO_QUARANTINE = 2
+CRASHES_TO_QUARANTINE = 2
 # Engines that crash within this time may have one cause, such as a loss of
-# power, so a part is blamed for them once.
+# power.  A sound part that is not proven yet is rarely on this many of them.
 SAME_EVENT_MS = 400
+CRASHES_OF_EVENT_TO_QUARANTINE = 3
 # Reports of one crash by several VMs.  Shorter than an engine's restart.
 SAME_CRASH_MS = 900
 # A survived run exonerates its parts from crashes up to this long after it
@@ -44,7 +45,7 @@
 # Time from a quarantined part's last crash to its next trial, by the number of
 # engines from two on.  After more there is no trial until the part has not
 # been requested for RETENTION_MS.
-TRIAL_DELAYS_MS = (3_000, 10_000, 30_000, 60_000, 120_000)
+TRIAL_DELAYS_MS = (5_000, 30_000, 60_000, 120_000, 240_000)
 # A trial without a result has been lost.
 TRIAL_TIMEOUT_MS = 3_000
 # Spreads the VMs' trials of one part, so that only one begins.
@@ -228,7 +229,7 @@
         quarantined = [
             key
             for key, crashes in blamed.items()
-            if _count_events(crashes) >= EVENTS_TO_QUARANTINE
+            if _choose_state(crashes) is PartState.QUARANTINED
             and not self._is_explained_without(crashes, keys, now_ms)
         ]
         for key in quarantined:
@@ -364,8 +365,8 @@
         crashes = [
             hints.Death(key, crash.upstream, now_ms - crash.at_ms, False)
             for key in list(self._records)
-            if _count_events(blamed := self._find_crashes(key, now_ms))
-            >= EVENTS_TO_QUARANTINE
+            if _choose_state(blamed := self._find_crashes(key, now_ms))
+            is PartState.QUARANTINED
             for crash in blamed
         ]
         return crashes[-MAX_REPEATED_CRASHES:]
@@ -418,7 +419,7 @@
         """Return the time until a quarantined part's next trial; 0 if due."""
         record = self._records[key]
         crashes = self._list_crashes(key, record)
-        index = len(crashes) - EVENTS_TO_QUARANTINE
+        index = len(crashes) - CRASHES_TO_QUARANTINE
         if index >= len(TRIAL_DELAYS_MS):
             return RETENTION_MS
         due_ms = (
@@ -490,21 +491,19 @@
         del self._updates[:-MAX_PARTS]
 
 
-def _count_events(crashes: list[_Crash]) -> int:
-    """Return the number of events that may have caused some crashes.
+def _choose_state(crashes: list[_Crash]) -> PartState:
+    """Return the state of a part.
 
-    :param crashes: the crashes in order of time
+    :param crashes: the crashes that it is blamed for, in order of time
     """
-    events, began_ms = 0, None
-    for crash in crashes:
-        if began_ms is None or crash.at_ms - began_ms >= SAME_EVENT_MS:
-            events, began_ms = events + 1, crash.at_ms
-    return events
-
-
-def _choose_state(crashes: list[_Crash]) -> PartState:
     if not crashes:
         return PartState.CLEAR
-    if _count_events(crashes) < EVENTS_TO_QUARANTINE:
-        return PartState.SUSPECT
-    return PartState.QUARANTINED
+    is_one_event = crashes[-1].at_ms - crashes[0].at_ms < SAME_EVENT_MS
+    needed = (
+        CRASHES_OF_EVENT_TO_QUARANTINE
+        if is_one_event
+        else CRASHES_TO_QUARANTINE
+    )
+    return (
+        PartState.SUSPECT if len(crashes) < needed else PartState.QUARANTINED
+    )
