Soak with prompt parts that crash engines beside other faults

Checked: of a part that has ended five, at most three requests reach engines through healthy VMs later than 3 s after the fifth.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -28,6 +28,10 @@
 MAX_RESUMPTIONS = 3
 BYTES_PER_EVENT = 18
 MAX_RETRY_S = 1.0
+# Probability that a stream's prompt has a part that ends its engine.
+CRASHING_PROBABILITY = 0.1
+FIRST_PART = "aa"
+MIDDLE_PARTS = tuple(f"b{number}" for number in range(5))
 KINDS = (
     history.RequestKind.PLAIN,
     history.RequestKind.PLAIN,
@@ -63,6 +67,7 @@
         self._stop_event = stop_event
         self._vm = number % len(soak_cluster.vms)
         self._connection: http.client.HTTPConnection | None = None
+        self._began_ms = cluster.now_ms()
 
     def run(self) -> None:
         """Send attempts until the stop event is set."""
@@ -98,6 +103,10 @@
                 cluster.now_ms(),
             )
             attempt.path, attempt.sent = first.path, first.sent
+            attempt.parts, attempt.is_crashing = (
+                first.parts,
+                first.is_crashing,
+            )
             attempt.resumes, attempt.last_event = first.name, last_event
             self.attempts.append(attempt)
             self._call(attempt)
@@ -112,8 +121,23 @@
         attempt.path = f"/{kind.value}/{name}"
         attempt.sent = name.encode() * self._rng.randint(1, 40)
         attempt.has_disconnected = self._rng.random() < DISCONNECT_PROBABILITY
+        if self._cluster.config.crashing_parts and kind.is_stream:
+            self._choose_parts(attempt, number)
         return attempt
 
+    def _choose_parts(self, attempt: history.Attempt, number: int) -> None:
+        parts = [FIRST_PART, self._rng.choice(MIDDLE_PARTS)]
+        elapsed_ms = cluster.now_ms() - self._began_ms
+        attempt.is_crashing = (
+            elapsed_ms < self._cluster.config.length_ms
+            and self._rng.random() < CRASHING_PROBABILITY
+        )
+        if attempt.is_crashing:
+            bad_parts = self._cluster.config.list_crashing_parts()
+            parts.append(self._rng.choice(bad_parts))
+        parts.append(f"e{self._number:03x}{number:06x}")
+        attempt.parts = ",".join(f"{part}:25" for part in parts)
+
     def _choose_key(self) -> str:
         sample = self._rng.random()
         if sample < SMALL_ACCOUNT_PROBABILITY:
@@ -137,6 +161,8 @@
         }
         if attempt.kind.is_stream:
             headers |= hosted_fleet.STREAM
+        if attempt.parts:
+            headers["Prompt-Prefix"] = attempt.parts
         if attempt.resumes:
             headers["Resumes"] = attempt.resumes
             headers["Last-Event-Id"] = str(attempt.last_event)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -36,6 +36,10 @@
 MAX_FAILED_FRACTION = 0.02
 # Minimum fraction of requests served in the fault-free period at the end.
 MIN_SERVED_FRACTION = 0.95
+# After this many crashes by one part, all VMs must know of it in SETTLE_MS.
+# Then no more than a few requests with it may reach engines.
+COUNTED_CRASHES = 5
+MAX_LATE_REQUESTS = 3
 
 
 class Quota:
@@ -315,6 +319,39 @@
             yield f"{name} holds events of {sorted(written_by)}"
 
 
+def check_crashing_parts(recorded: history.History) -> Violations:
+    """Check that a part that ends engines reaches few of them any more.
+
+    Only requests of healthy VMs count, from the time on at which all VMs know
+    of the fifth crash.
+    """
+    vms = {attempt.name: attempt.vm for attempt in recorded.attempts}
+    crashes: dict[str, list[int]] = collections.defaultdict(list)
+    for arrival in recorded.arrivals:
+        for part in arrival.crashes:
+            crashes[part].append(arrival.at_ms)
+    for part, times in crashes.items():
+        if len(times) < COUNTED_CRASHES:
+            continue
+        limit_ms = times[COUNTED_CRASHES - 1] + SETTLE_MS
+        late = {
+            arrival.attempt
+            for arrival in recorded.arrivals
+            if part in arrival.parts
+            and arrival.at_ms > limit_ms
+            and recorded.is_vm_healthy(
+                vms[arrival.attempt],
+                arrival.at_ms - SETTLE_MS,
+                arrival.at_ms,
+            )
+        }
+        if len(late) > MAX_LATE_REQUESTS:
+            yield (
+                f"{len(late)} requests with {part} reached engines after it "
+                f"had ended {COUNTED_CRASHES}; {len(times)} ended in all"
+            )
+
+
 def check_partitions(recorded: history.History) -> Violations:
     """Check that a VM without paths to upstreams serves like the others."""
     for window in recorded.fault_windows:
@@ -369,6 +406,7 @@
     check_recovery,
     check_partitions,
     check_versions,
+    check_crashing_parts,
 )
 
 
@@ -474,6 +512,7 @@
         attempt.status == 429
         # The software version that began the stream may have left.
         or attempt.resumes
+        or attempt.is_crashing
         or attempt.kind is history.RequestKind.ADDED_ROUTE
     ):
         return False
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -54,6 +54,7 @@
         self.keys = {"k-large": "large", "k-small": "small", "k-0": "large"}
         self.history = history.History(dict(self.keys), config.vms)
         self.journal = pathlib.Path(self.folder.name) / "runs.jsonl"
+        self.arrivals = pathlib.Path(self.folder.name) / "arrivals.jsonl"
         self.lock = threading.RLock()
         self.vm_locks = [threading.Lock() for _ in self.vms]
         # Two faults may start and kill the same upstream at the same time.
@@ -68,6 +69,9 @@
         self._watcher = threading.Thread(
             target=self._watch_vm_exits, daemon=True
         )
+        self._engine_keeper = threading.Thread(
+            target=self._restart_crashed_engines, daemon=True
+        )
         self._start_proxy()
 
     def __enter__(self) -> "SoakCluster":
@@ -75,6 +79,8 @@
             self.start_incarnation(name)
         self.start_vms()
         self._watcher.start()
+        if self.config.crashing_parts:
+            self._engine_keeper.start()
         return self
 
     def __exit__(self, *reason: object) -> None:
@@ -143,6 +149,8 @@
             f"--handle_ms={HANDLE_MS}",
             f"--version={self.versions[instance]}",
             f"--event_ms={EVENT_MS if self.config.versions > 1 else 10}",
+            f"--crash_parts={','.join(self.config.list_crashing_parts())}",
+            f"--arrivals={self.arrivals if phase else ''}",
             ports=[port],
         )
         proxy_port = self.upstream_proxy_ports[name]
@@ -218,8 +226,42 @@
             self.history.runs = [
                 history.Run(**json.loads(line)) for line in lines
             ]
+        self.history.arrivals = self._read_arrivals()
         return self.history
 
+    def _read_arrivals(self) -> list[history.Arrival]:
+        """Return what engines have written, in the order of time."""
+        if not self.arrivals.exists():
+            return []
+        lines = self.arrivals.read_text(encoding="utf-8").splitlines()
+        arrivals = [history.Arrival(**json.loads(line)) for line in lines]
+        return sorted(arrivals, key=lambda arrival: arrival.at_ms)
+
+    def _restart_crashed_engines(self) -> None:
+        """Restart the engines that a part of a prompt has ended."""
+        known: set[str] = set()
+        while not self._stopping.wait(WATCH_INTERVAL_S):
+            for arrival in self._read_arrivals():
+                if arrival.crashes and arrival.instance not in known:
+                    known.add(arrival.instance)
+                    threading.Thread(
+                        target=self._restart_engine,
+                        args=(arrival,),
+                        daemon=True,
+                    ).start()
+
+    def _restart_engine(self, crash: history.Arrival) -> None:
+        name = crash.instance.partition("-")[0]
+        window = history.FaultWindow(
+            "up_crash", f"up-{name}", crash.at_ms, 1 << 62
+        )
+        self.history.fault_windows.append(window)
+        time.sleep(ENTRY_EXPIRY_S)
+        if not self._stopping.is_set():
+            self.drop("servers", crash.instance)
+            self.start_incarnation(name)
+        window.to_ms = now_ms()
+
     def count_held(self) -> int:
         """Return the number of requests and KV caches that engines hold."""
         names = [n for n in self.config.list_upstream_names() if n[0] != "s"]
--- a/soak/history.py
+++ b/soak/history.py
@@ -6,7 +6,15 @@
 
 import enum
 
-__all__ = ["Attempt", "Edit", "History", "RequestKind", "Run", "FaultWindow"]
+__all__ = [
+    "Arrival",
+    "Attempt",
+    "Edit",
+    "History",
+    "RequestKind",
+    "Run",
+    "FaultWindow",
+]
 
 
 class RequestKind(enum.Enum):
@@ -76,6 +84,8 @@
         "has_disconnected",
         "resumes",
         "last_event",
+        "parts",
+        "is_crashing",
     )
 
     def __init__(
@@ -98,6 +108,10 @@
         self.has_disconnected = False
         self.resumes = ""
         self.last_event = 0
+        # Value of the header that lists the prompt's parts, and whether one of
+        # them ends its engine.
+        self.parts = ""
+        self.is_crashing = False
 
 
 class Run:
@@ -130,6 +144,33 @@
         self.text = text
 
 
+class Arrival:
+    """A request that reached an engine, or the engine's end.
+
+    :param instance: incarnation of the engine
+    :param attempt: id of the attempt; empty for the engine's end
+    :param parts: shared parts of the request's prompt
+    :param crashes: the parts that have ended the engine
+    :param at_ms: time of arrival
+    """
+
+    __slots__ = ("instance", "attempt", "parts", "crashes", "at_ms")
+
+    def __init__(
+        self,
+        instance: str,
+        attempt: str,
+        parts: list[str],
+        crashes: list[str],
+        at_ms: int,
+    ) -> None:
+        self.instance = instance
+        self.attempt = attempt
+        self.parts = parts
+        self.crashes = crashes
+        self.at_ms = at_ms
+
+
 class FaultWindow:
     """Period in which a fault affected a target.
 
@@ -192,6 +233,7 @@
         "edits",
         "unexpected_exits",
         "held",
+        "arrivals",
         "recovered_ms",
     )
 
@@ -202,6 +244,8 @@
         self.services: dict[str, str] = {}
         self.attempts: list[Attempt] = []
         self.runs: list[Run] = []
+        # What engines received, if prompts have parts.
+        self.arrivals: list[Arrival] = []
         self.fault_windows: list[FaultWindow] = []
         self.edits: list[Edit] = []
         # VMs that exited without being stopped by the test.
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -76,6 +76,8 @@
     :param partitions: number of partitions beside the chains
     :param versions: number of software versions of the decode engines; with
         several, callers resume their streams
+    :param crashing_parts: number of prompt parts that end the engine which
+        answers a stream with one of them
     """
 
     __slots__ = (
@@ -87,6 +89,7 @@
         "length_ms",
         "partitions",
         "versions",
+        "crashing_parts",
     )
 
     def __init__(
@@ -99,7 +102,9 @@
         length_ms: int = 10_000,
         partitions: int = 0,
         versions: int = 1,
+        crashing_parts: int = 0,
     ) -> None:
+        self.crashing_parts = crashing_parts
         self.vms = vms
         self.prefills = prefills
         self.decodes = decodes
@@ -109,6 +114,10 @@
         self.partitions = partitions
         self.versions = versions
 
+    def list_crashing_parts(self) -> list[str]:
+        """Return the ids of the prompt parts that end engines."""
+        return [f"c{number}" for number in range(self.crashing_parts)]
+
     def list_upstream_names(self) -> list[str]:
         """Return the names of all upstreams."""
         return [
--- a/soak/run.py
+++ b/soak/run.py
@@ -60,9 +60,13 @@
         return (
             f"seed {self.seed}: {len(self.violations)} violations, "
             f"{served} of {len(self.history.attempts)} served, "
-            f"resumed {checks.count_resumptions(self.history)}; {faults}"
+            f"resumed {checks.count_resumptions(self.history)}, "
+            f"{self._count_crashes()} engines ended by parts; {faults}"
         )
 
+    def _count_crashes(self) -> int:
+        return sum(bool(arrival.crashes) for arrival in self.history.arrivals)
+
 
 def run_seed(
     seed: int, config: plan.SoakConfig, log_folder: pathlib.Path | None = None
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -197,6 +197,25 @@
         runs = [make_run(f"q{n}", account="small") for n in range(count)]
         self.find("small used", sent, runs)
 
+    def test_part_that_goes_on_to_crash_engines(self):
+        attempts = [
+            make_attempt(f"a{n}", RequestKind.SINGLE_RUN_STREAM, is_cut=True)
+            for n in range(9)
+        ]
+        recorded = make_history(attempts)
+        recorded.arrivals = [
+            history.Arrival("d0-life1", f"a{n}", ["c0"], [], 10_000 + at_ms)
+            for n, at_ms in enumerate(range(0, 9_000, 1_000))
+        ] + [
+            history.Arrival("d0-life1", "", [], ["c0"], 9_000 + n)
+            for n in range(checks.COUNTED_CRASHES)
+        ]
+        found = list(checks.check_crashing_parts(recorded))
+        self.assertEqual(len(found), 1, found)
+        self.assertIn("6 requests with c0", found[0])
+        del recorded.arrivals[5:9]
+        self.assertEqual(list(checks.check_crashing_parts(recorded)), [])
+
     def test_two_versions_in_one_answer(self):
         body = make_stream(range(1, 9)) + make_stream(range(9, 21), "v1")
         stream = make_attempt(kind=RequestKind.RESUMABLE_STREAM, body=body)
@@ -285,6 +304,10 @@
             plan.SoakConfig(decodes=4, chains=4, length_ms=6_000, versions=2),
         )
 
+    def test_crashing_part(self):
+        """Guards against a part that crashes engines beside other faults."""
+        self.hold(1, plan.SoakConfig(decodes=5, crashing_parts=1))
+
     def test_partitioned_vm(self):
         """Callers of a VM that alone reaches no upstream are served."""
         self.hold(103, plan.SoakConfig(chains=1, partitions=2))
