Try a part soon whose crashes other parts may explain; bound refutations

If other parts that a request lacks were on each of these engines, the next trial follows after 1 s, up to four crashes. Unit tests for both sides.

--- a/mulberryway/policy/part_quarantine.py
+++ b/mulberryway/policy/part_quarantine.py
@@ -46,6 +46,11 @@
 # engines from two on.  After more there is no trial until the part has not
 # been requested for RETENTION_MS.
 TRIAL_DELAYS_MS = (5_000, 30_000, 60_000, 120_000, 240_000)
+# The same where each of the crashes may have another cause, and up to which
+# number of crashes: two parts that crash engines by turns may have a sound one
+# in common.
+DOUBTFUL_TRIAL_DELAY_MS = 1_000
+MAX_DOUBTFUL_CRASHES = 4
 # A trial without a result has been lost.
 TRIAL_TIMEOUT_MS = 3_000
 # Spreads the VMs' trials of one part, so that only one begins.
@@ -61,9 +66,10 @@
 # Bounds the message about one crash; the most often blamed parts go first.
 MAX_BLAMED_PARTS = 16
 MAX_REPEATED_CRASHES = 32
-# Several VMs may refute another VM's blame; most of them hear it from the
-# first one in time.
-MAX_REFUTATION_DELAY_MS = 200
+# Several VMs may refute another VM's blame.  They take a random time, so that
+# most of them hear it from the first ones, however many VMs there are.
+MIN_REFUTATION_WINDOW_MS = 200
+REFUTATION_WINDOW_PER_VM_MS = 20
 
 
 def make_part_key(model: str, part: str) -> str:
@@ -226,17 +232,15 @@
         }
         if not blamed:
             return Verdict(PartState.CLEAR)
-        quarantined = [
-            key
+        waits = {
+            key: self._compute_wait_ms(key, crashes, rivals, now_ms)
             for key, crashes in blamed.items()
             if _choose_state(crashes) is PartState.QUARANTINED
-            and not self._is_explained_without(crashes, keys, now_ms)
-        ]
-        for key in quarantined:
-            self._records[key].used_ms = now_ms
-        waits = {
-            key: self._compute_wait_ms(key, now_ms) for key in quarantined
+            and (rivals := self._count_rivals(crashes, keys, now_ms))
+            < len(crashes)
         }
+        for key in waits:
+            self._records[key].used_ms = now_ms
         key = max(waits or blamed, key=lambda key: (waits.get(key, 0), key))
         wait_ms = waits.get(key, 0)
         return Verdict(
@@ -244,7 +248,7 @@
             key,
             tuple(crash.upstream for crash in blamed[key]),
             wait_ms,
-            bool(quarantined) and wait_ms <= 0,
+            bool(waits) and wait_ms <= 0,
         )
 
     def begin_trial(
@@ -332,7 +336,11 @@
             if record is not None:
                 record.trial_ms = max(record.trial_ms or 0, at_ms)
         elif self._is_exonerated(key, at_ms):
-            delay_ms = self._random.randrange(MAX_REFUTATION_DELAY_MS)
+            window_ms = max(
+                MIN_REFUTATION_WINDOW_MS,
+                REFUTATION_WINDOW_PER_VM_MS * len(self._vms),
+            )
+            delay_ms = self._random.randrange(window_ms)
             self._refutations.setdefault(key, now_ms + delay_ms)
         else:
             self._add_crash(key, _Crash(update.upstream, at_ms), now_ms)
@@ -392,43 +400,50 @@
         proven_ms = self._proofs.get(key)
         return proven_ms is not None and proven_ms > at_ms - PROOF_TTL_MS
 
-    def _is_explained_without(
+    def _count_rivals(
         self,
         crashes: list[_Crash],
         keys: collections.abc.Collection[str],
         now_ms: int,
-    ) -> bool:
-        """Return whether parts that a request lacks may explain the crashes.
+    ) -> int:
+        """Return how well parts that a request lacks explain some crashes.
 
         A sound part that all requests share is blamed with the part that
         crashes engines.  A request with the sound one alone must be allowed to
         prove it.
-        """
-        upstreams = {crash.upstream for crash in crashes}
-        explained = {
-            other_crash.upstream
-            for other in list(self._records)
-            if other not in keys
-            and len(others := self._find_crashes(other, now_ms))
-            >= len(crashes)
-            for other_crash in others
-        }
-        return upstreams <= explained
 
-    def _compute_wait_ms(self, key: str, now_ms: int) -> int:
+        :param crashes: the crashes that a part of the request is blamed for
+        :param keys: keys of the request's parts
+        :param now_ms: current time in ms
+        :returns: for the crash that is explained worst, the largest number of
+            crashes that another part of it is blamed for
+        """
+        rivals: collections.Counter[str] = collections.Counter()
+        for other in list(self._records):
+            if other in keys:
+                continue
+            others = self._find_crashes(other, now_ms)
+            for crash in others:
+                rivals[crash.upstream] = max(
+                    rivals[crash.upstream], len(others)
+                )
+        return min(rivals[crash.upstream] for crash in crashes)
+
+    def _compute_wait_ms(
+        self, key: str, crashes: list[_Crash], rivals: int, now_ms: int
+    ) -> int:
         """Return the time until a quarantined part's next trial; 0 if due."""
-        record = self._records[key]
-        crashes = self._list_crashes(key, record)
         index = len(crashes) - CRASHES_TO_QUARANTINE
         if index >= len(TRIAL_DELAYS_MS):
             return RETENTION_MS
-        due_ms = (
-            max(crash.at_ms for crash in crashes)
-            + TRIAL_DELAYS_MS[index]
-            + self._compute_stagger_ms(key)
+        is_doubtful = rivals and len(crashes) <= MAX_DOUBTFUL_CRASHES
+        delay_ms = (
+            DOUBTFUL_TRIAL_DELAY_MS if is_doubtful else TRIAL_DELAYS_MS[index]
         )
-        if record.trial_ms is not None:
-            due_ms = max(due_ms, record.trial_ms + TRIAL_TIMEOUT_MS)
+        due_ms = crashes[-1].at_ms + delay_ms + self._compute_stagger_ms(key)
+        trial_ms = self._records[key].trial_ms
+        if trial_ms is not None:
+            due_ms = max(due_ms, trial_ms + TRIAL_TIMEOUT_MS)
         return max(due_ms - now_ms, 0)
 
     def _compute_stagger_ms(self, key: str) -> int:
--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -135,6 +135,23 @@
             self.assertIs(self.get_state(SHARED, part), State.QUARANTINED)
         self.assertIs(self.get_state(SHARED, SOUND[0]), State.CLEAR)
 
+    def test_sound_part_of_two_crashing_ones_is_tried_soon(self):
+        """Guards against blaming what two crashing parts have in common."""
+        for part in (BAD, OTHER, OTHER):
+            self.crash(SOUND[0], part)
+        self.assertIs(self.get_state(SOUND[0]), State.QUARANTINED)
+        self.now_ms += part_quarantine.TRIAL_DELAYS_MS[0] // 2
+        verdict = self.vm.assess((SOUND[0],), self.now_ms)
+        self.assertTrue(verdict.is_trial)
+        self.assertFalse(self.vm.assess((OTHER,), self.now_ms).is_trial)
+
+    def test_doubtful_part_is_not_tried_for_ever(self):
+        """Guards against a crashing part with other new parts each time."""
+        for number in range(part_quarantine.MAX_DOUBTFUL_CRASHES + 1):
+            self.crash(BAD, f"part:m/f{number}")
+        self.now_ms += part_quarantine.TRIAL_DELAYS_MS[0]
+        self.assertIs(self.get_state(BAD), State.QUARANTINED)
+
     def test_one_crash_seen_twice_counts_once(self):
         """Guards against counting each VM's report of one crash."""
         upstream = self.crash(BAD)
