Count trials of a part and let VMs begin them by turns

The schedule now counts trials, three in all, 5, 30 and 120 s after a crash, or 1, 3 and 10 s where other parts may explain each crash; a VM that starts hears of earlier trials.

--- a/mulberryway/policy/part_quarantine.py
+++ b/mulberryway/policy/part_quarantine.py
@@ -42,19 +42,24 @@
 # A survived run exonerates its parts from crashes up to this long after it
 # began.  A part that begins to crash engines is protected for as long.
 PROOF_TTL_MS = 4_000
-# Time from a quarantined part's last crash to its next trial, by the number of
-# engines from two on.  After more there is no trial until the part has not
+# Time from a quarantined part's last crash or trial to its next trial, by the
+# number of trials.  After the last one there is none until the part has not
 # been requested for RETENTION_MS.
-TRIAL_DELAYS_MS = (5_000, 30_000, 60_000, 120_000, 240_000)
-# The same where each of the crashes may have another cause, and up to which
-# number of crashes: two parts that crash engines by turns may have a sound one
-# in common.
-DOUBTFUL_TRIAL_DELAY_MS = 1_000
-MAX_DOUBTFUL_CRASHES = 4
+TRIAL_DELAYS_MS = (5_000, 30_000, 120_000)
+# The same where other parts may explain each crash: two parts that crash
+# engines by turns may have a sound one in common.
+DOUBTFUL_TRIAL_DELAYS_MS = (1_000, 3_000, 10_000)
 # A trial without a result has been lost.
 TRIAL_TIMEOUT_MS = 3_000
-# Spreads the VMs' trials of one part, so that only one begins.
-TRIAL_STAGGER_MS = 250
+# Trials of several VMs within this time count once.
+SAME_TRIAL_MS = 1_000
+# Trials may begin on groups of VMs by turns, so that the others hear of one
+# before their own turn.  With few crashes there are few groups, so that a rare
+# sound part need not wait; then it is one VM at a time, or a few of many.
+TRIAL_TURN_MS = 1_000
+FEW_CRASHES = 4
+MIN_TRIAL_TURNS = 2
+MAX_TRIAL_TURNS = 16
 RETENTION_MS = 600_000
 # Bound the memory.
 MAX_PARTS = 1_024
@@ -65,7 +70,7 @@
 MAX_CHANGES = 32
 # Bounds the message about one crash; the most often blamed parts go first.
 MAX_BLAMED_PARTS = 16
-MAX_REPEATED_CRASHES = 32
+MAX_REPEATED_UPDATES = 48
 # Several VMs may refute another VM's blame.  They take a random time, so that
 # most of them hear it from the first ones, however many VMs there are.
 MIN_REFUTATION_WINDOW_MS = 200
@@ -160,14 +165,23 @@
 class _Record:
     """The crashes that one part is blamed for."""
 
-    __slots__ = ("crashes", "trial_ms", "used_ms")
+    __slots__ = ("crashes", "trials_ms", "used_ms")
 
     def __init__(self, now_ms: int) -> None:
         self.crashes: list[_Crash] = []
-        # When the last trial began, on any VM.
-        self.trial_ms: int | None = None
+        # When trials began, on any VM.
+        self.trials_ms: list[int] = []
         self.used_ms = now_ms
 
+    def add_trial(self, at_ms: int) -> None:
+        """Record a trial unless it is known."""
+        if all(
+            abs(at_ms - known_ms) >= SAME_TRIAL_MS
+            for known_ms in self.trials_ms
+        ):
+            self.trials_ms = sorted([*self.trials_ms, at_ms])
+            del self.trials_ms[: -len(TRIAL_DELAYS_MS)]
+
 
 class PartQuarantine:
     """The crashes and survived runs of prompt parts; not thread-safe.
@@ -260,9 +274,9 @@
         :param now_ms: current time in ms
         """
         for key in keys:
-            record = self._records.get(key)
-            if record is not None:
-                record.trial_ms = now_ms
+            crashes = self._find_crashes(key, now_ms)
+            if _choose_state(crashes) is PartState.QUARANTINED:
+                self._records[key].add_trial(now_ms)
                 self._queue(hints.Death(key, TRIAL, 0, False), now_ms)
 
     def record_crash(
@@ -334,7 +348,7 @@
         elif update.upstream == TRIAL:
             record = self._records.get(key)
             if record is not None:
-                record.trial_ms = max(record.trial_ms or 0, at_ms)
+                record.add_trial(at_ms)
         elif self._is_exonerated(key, at_ms):
             window_ms = max(
                 MIN_REFUTATION_WINDOW_MS,
@@ -366,18 +380,26 @@
         return changes
 
     def list_quarantined(self, now_ms: int) -> list[hints.Death]:
-        """Return the crashes of quarantined parts, for VMs without them.
+        """Return the crashes and trials of quarantined parts.
+
+        They are repeated for VMs that have just started or were cut off.
 
         :param now_ms: current time in ms
         """
-        crashes = [
-            hints.Death(key, crash.upstream, now_ms - crash.at_ms, False)
-            for key in list(self._records)
-            if _choose_state(blamed := self._find_crashes(key, now_ms))
-            is PartState.QUARANTINED
-            for crash in blamed
-        ]
-        return crashes[-MAX_REPEATED_CRASHES:]
+        updates = []
+        for key, record in list(self._records.items()):
+            crashes = self._find_crashes(key, now_ms)
+            if _choose_state(crashes) is not PartState.QUARANTINED:
+                continue
+            updates += [
+                hints.Death(key, crash.upstream, now_ms - crash.at_ms, False)
+                for crash in crashes
+            ]
+            updates += [
+                hints.Death(key, TRIAL, now_ms - at_ms, False)
+                for at_ms in record.trials_ms
+            ]
+        return updates[-MAX_REPEATED_UPDATES:]
 
     def _find_crashes(self, key: str, now_ms: int) -> list[_Crash]:
         record = self._records.get(key)
@@ -433,23 +455,38 @@
         self, key: str, crashes: list[_Crash], rivals: int, now_ms: int
     ) -> int:
         """Return the time until a quarantined part's next trial; 0 if due."""
-        index = len(crashes) - CRASHES_TO_QUARANTINE
-        if index >= len(TRIAL_DELAYS_MS):
+        trials_ms = self._records[key].trials_ms
+        delays_ms = DOUBTFUL_TRIAL_DELAYS_MS if rivals else TRIAL_DELAYS_MS
+        if len(trials_ms) >= len(delays_ms):
             return RETENTION_MS
-        is_doubtful = rivals and len(crashes) <= MAX_DOUBTFUL_CRASHES
-        delay_ms = (
-            DOUBTFUL_TRIAL_DELAY_MS if is_doubtful else TRIAL_DELAYS_MS[index]
+        delay_ms = delays_ms[len(trials_ms)]
+        due_ms = crashes[-1].at_ms + delay_ms
+        if trials_ms:
+            due_ms = max(due_ms, trials_ms[-1] + TRIAL_TIMEOUT_MS)
+        turns = (
+            MIN_TRIAL_TURNS if len(crashes) <= FEW_CRASHES else MAX_TRIAL_TURNS
         )
-        due_ms = crashes[-1].at_ms + delay_ms + self._compute_stagger_ms(key)
-        trial_ms = self._records[key].trial_ms
-        if trial_ms is not None:
-            due_ms = max(due_ms, trial_ms + TRIAL_TIMEOUT_MS)
-        return max(due_ms - now_ms, 0)
+        return self._compute_turn_wait_ms(key, turns, now_ms - due_ms)
+
+    def _compute_turn_wait_ms(
+        self, key: str, max_turns: int, elapsed_ms: int
+    ) -> int:
+        """Return the time until this VM may begin a trial.
 
-    def _compute_stagger_ms(self, key: str) -> int:
+        :param key: the part
+        :param max_turns: the number of groups of VMs, if there are enough VMs
+        :param elapsed_ms: time since the trial is due; negative before
+        """
         own = pool_subsets.hash_pair(key, self._vm)
         rank = sum(pool_subsets.hash_pair(key, vm) > own for vm in self._vms)
-        return TRIAL_STAGGER_MS * rank.bit_length()
+        turns = min(len(self._vms), max_turns)
+        first_ms = rank % turns * TRIAL_TURN_MS
+        if elapsed_ms < first_ms:
+            return first_ms - elapsed_ms
+        since_ms = (elapsed_ms - first_ms) % (turns * TRIAL_TURN_MS)
+        if since_ms < TRIAL_TURN_MS:
+            return 0
+        return turns * TRIAL_TURN_MS - since_ms
 
     def _add_crash(self, key: str, crash: _Crash, now_ms: int) -> bool:
         record = self._records.get(key)
