--- a/benchmarks/crashes_simulation.py
+++ b/benchmarks/crashes_simulation.py
@@ -15,10 +15,11 @@
 
 from mulberryway.policy import hints
 from mulberryway.policy import part_quarantine
+from mulberryway.policy import part_records
 
 __all__ = ["Result", "Scenario", "SCENARIOS", "WAYS", "simulate"]
 
-PartState = part_quarantine.PartState
+PartState = part_records.PartState
 SEEDS = 10
 PREFILL_MS = 150
 CRASH_MS = 100
--- a/benchmarks/part_cost.py
+++ b/benchmarks/part_cost.py
@@ -13,6 +13,7 @@
 from mulberryway.peers import gossip_messages
 from mulberryway.policy import hints
 from mulberryway.policy import part_quarantine
+from mulberryway.policy import part_records
 
 __all__ = ["main"]
 
@@ -41,7 +42,7 @@
     :param count: the number of parts
     """
     return [
-        part_quarantine.make_part_key("m", f"{number:08x}")
+        part_records.make_part_key("m", f"{number:08x}")
         for number in range(count)
     ]
 
--- a/mulberryway/platform/callers.py
+++ b/mulberryway/platform/callers.py
@@ -14,7 +14,7 @@
 from mulberryway.filters import status
 from mulberryway.platform import wire
 from mulberryway.policy import endpoints
-from mulberryway.policy import part_quarantine
+from mulberryway.policy import part_records
 from mulberryway.policy import poison
 from mulberryway.upstreams import base as upstreams
 
@@ -166,7 +166,7 @@
                 exchange.find_header(wire.PREFIX.lower()) or ""
             )
             exchange.part_keys = tuple(
-                part_quarantine.make_part_key(exchange.model, part)
+                part_records.make_part_key(exchange.model, part)
                 for part in exchange.prompt_parts
             )
 
--- a/mulberryway/policy/crash_reports.py
+++ b/mulberryway/policy/crash_reports.py
@@ -5,6 +5,7 @@
 
 from mulberryway.policy import hints
 from mulberryway.policy import part_quarantine
+from mulberryway.policy import part_records
 from mulberryway.policy import poison
 
 __all__ = ["CrashReports"]
@@ -14,7 +15,7 @@
 # often, so that it receives as many repeats.
 REPEAT_INTERVAL_MS = 2_000
 SCALING_PEERS = 12
-NO_UPSTREAM = ("", part_quarantine.TRIAL)
+NO_UPSTREAM = ("", part_records.TRIAL)
 
 
 class CrashReports:
@@ -56,7 +57,7 @@
         :param now_ms: current time in ms
         """
         for update in updates:
-            if part_quarantine.is_part_key(update.digest):
+            if part_records.is_part_key(update.digest):
                 self._parts.apply_update(update, now_ms)
             else:
                 self._register.apply_updates([update], now_ms)
--- a/mulberryway/policy/job_completion.py
+++ b/mulberryway/policy/job_completion.py
@@ -95,7 +95,7 @@
             self._parts.record_survival(job.part_keys, run.began_ms, now_ms)
             if run.has_ended:
                 self._register.record_success(job.digest, now_ms)
-            elif run.job.is_suspect() and self._is_clear(job, now_ms):
+            elif run.job.is_suspect() and self._pool.is_clear(job, now_ms):
                 for view in self._list_views(run.job):
                     view.own_suspects -= 1
                 run.job.clear_suspicion()
@@ -135,18 +135,10 @@
             upstream
             for upstream, runs in self._survival.list_unconfirmed(now_ms)
             if not all(
-                self._is_clear(run.job.entry.job, now_ms) for run in runs
+                self._pool.is_clear(run.job.entry.job, now_ms) for run in runs
             )
         ]
 
-    def _is_clear(self, job: jobs.Job, now_ms: int) -> bool:
-        state = self._register.get_state(job.digest, now_ms)
-        verdict = self._parts.assess(job.part_keys, now_ms)
-        return (
-            state is poison.QuarantineState.CLEAR
-            and verdict.state is part_quarantine.PartState.CLEAR
-        )
-
     @staticmethod
     def record_first_token(job: running_jobs.RunningJob) -> bool:
         """Record the first token, which shows that the decode engine works.
--- a/mulberryway/policy/part_quarantine.py
+++ b/mulberryway/policy/part_quarantine.py
@@ -9,62 +9,25 @@
 
 import collections
 import collections.abc
-import enum
-import hashlib
 import random
 
 from mulberryway.policy import hints
-from mulberryway.policy import pool_subsets
-
-__all__ = [
-    "NO_PART_KEY",
-    "PartChange",
-    "PartQuarantine",
-    "PartState",
-    "Verdict",
-    "is_part_key",
-    "make_part_key",
-]
-
-KEY_PREFIX = "part:"
-# The key of an engine's crash that no part is blamed for.
-NO_PART_KEY = KEY_PREFIX
-MODEL_DIGITS = 8
-# Takes the place of the upstream in an update: a trial of the part begins.
-TRIAL = "trial"
-CRASHES_TO_QUARANTINE = 2
-# Engines that crash within this time may have one cause, such as a loss of
-# power.  A sound part that is not proven yet is rarely on this many of them.
-SAME_EVENT_MS = 400
-CRASHES_OF_EVENT_TO_QUARANTINE = 3
-# Reports of one crash by several VMs.  Shorter than an engine's restart.
-SAME_CRASH_MS = 900
+from mulberryway.policy import part_records
+from mulberryway.policy import part_trials
+
+__all__ = ["PartChange", "PartQuarantine", "Verdict"]
+
+Crash = part_records.Crash
+PartState = part_records.PartState
+
 # A survived run exonerates its parts from crashes up to this long after it
 # began.  A part that begins to crash engines is protected for as long.
 PROOF_TTL_MS = 4_000
-# Time from a quarantined part's last crash or trial to its next trial, by the
-# number of trials.  After the last one there is none until the part has not
-# been requested for RETENTION_MS.
-TRIAL_DELAYS_MS = (3_000, 10_000, 60_000)
-# The same where other parts may explain each crash: two parts that crash
-# engines by turns may have a sound one in common.
-DOUBTFUL_TRIAL_DELAYS_MS = (1_000, 3_000, 6_000)
-# A trial without a result has been lost.
-TRIAL_TIMEOUT_MS = 3_000
-# Trials of several VMs within this time count once.
-SAME_TRIAL_MS = 1_000
-# Trials may begin on groups of VMs by turns, so that the others hear of one
-# before their own turn.  With few crashes there are few groups, so that a rare
-# sound part need not wait; then it is one VM at a time, or a few of many.
-TRIAL_TURN_MS = 1_000
-FEW_CRASHES = 4
-MIN_TRIAL_TURNS = 2
-MAX_TRIAL_TURNS = 16
+# A part that nobody has requested for this long is forgotten.
 RETENTION_MS = 600_000
 # Bound the memory.
 MAX_PARTS = 1_024
 MAX_PROOFS = 4_096
-MAX_CRASHES_PER_PART = 8
 MAX_REPORTED = 64
 # Bounds the log lines about one crash.
 MAX_CHANGES = 32
@@ -77,35 +40,6 @@
 REFUTATION_WINDOW_PER_VM_MS = 20
 
 
-def make_part_key(model: str, part: str) -> str:
-    """Return the key under which a part's crashes are counted.
-
-    It is the same for all client accounts: a part that crashes engines does so
-    for each of them.
-
-    :param model: the model's name
-    :param part: the part's id
-    """
-    digest = hashlib.sha256(model.encode()).hexdigest()[:MODEL_DIGITS]
-    return f"{KEY_PREFIX}{digest}/{part}"
-
-
-def is_part_key(key: str) -> bool:
-    """Return whether an update is about a part, not about a whole request.
-
-    :param key: the update's digest
-    """
-    return key.startswith(KEY_PREFIX)
-
-
-class PartState(enum.Enum):
-    """Whether requests with some parts may run."""
-
-    CLEAR = "clear"
-    SUSPECT = "suspect"
-    QUARANTINED = "quarantined"
-
-
 class Verdict:
     """What is known about the parts of a request.
 
@@ -145,44 +79,16 @@
     __slots__ = ("key", "state", "upstreams")
 
     def __init__(
-        self, key: str, state: PartState, upstreams: tuple[str, ...] = ()
+        self,
+        key: str,
+        state: PartState,
+        upstreams: tuple[str, ...] = (),
     ) -> None:
         self.key = key
         self.state = state
         self.upstreams = upstreams
 
 
-class _Crash:
-    """A crash that a part is blamed for."""
-
-    __slots__ = ("upstream", "at_ms")
-
-    def __init__(self, upstream: str, at_ms: int) -> None:
-        self.upstream = upstream
-        self.at_ms = at_ms
-
-
-class _Record:
-    """The crashes that one part is blamed for."""
-
-    __slots__ = ("crashes", "trials_ms", "used_ms")
-
-    def __init__(self, now_ms: int) -> None:
-        self.crashes: list[_Crash] = []
-        # When trials began, on any VM.
-        self.trials_ms: list[int] = []
-        self.used_ms = now_ms
-
-    def add_trial(self, at_ms: int) -> None:
-        """Record a trial unless it is known."""
-        if all(
-            abs(at_ms - known_ms) >= SAME_TRIAL_MS
-            for known_ms in self.trials_ms
-        ):
-            self.trials_ms = sorted([*self.trials_ms, at_ms])
-            del self.trials_ms[: -len(TRIAL_DELAYS_MS)]
-
-
 class PartQuarantine:
     """The crashes and survived runs of prompt parts; not thread-safe.
 
@@ -194,9 +100,9 @@
         self._vm = vm
         self._random = random_
         self._vms: tuple[str, ...] = (vm,)
-        self._records: collections.OrderedDict[str, _Record] = (
-            collections.OrderedDict()
-        )
+        self._records: collections.OrderedDict[
+            str, part_records.PartRecord
+        ] = collections.OrderedDict()
         # When the last survived run with a part began, in ms.
         self._proofs: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
@@ -225,7 +131,7 @@
         :param state: the state to count
         """
         return sum(
-            _choose_state(self._list_crashes(key, record)) is state
+            part_records.choose_state(self._list_crashes(key, record)) is state
             for key, record in self._records.items()
         )
 
@@ -249,7 +155,7 @@
         waits = {
             key: self._compute_wait_ms(key, crashes, rivals, now_ms)
             for key, crashes in blamed.items()
-            if _choose_state(crashes) is PartState.QUARANTINED
+            if part_records.choose_state(crashes) is PartState.QUARANTINED
             and (rivals := self._count_rivals(crashes, keys, now_ms))
             < len(crashes)
         }
@@ -275,9 +181,11 @@
         """
         for key in keys:
             crashes = self._find_crashes(key, now_ms)
-            if _choose_state(crashes) is PartState.QUARANTINED:
+            if part_records.choose_state(crashes) is PartState.QUARANTINED:
                 self._records[key].add_trial(now_ms)
-                self._queue(hints.Death(key, TRIAL, 0, False), now_ms)
+                self._queue(
+                    hints.Death(key, part_records.TRIAL, 0, False), now_ms
+                )
 
     def record_crash(
         self,
@@ -296,7 +204,7 @@
             key
             for key in dict.fromkeys(keys)
             if not self._is_exonerated(key, now_ms)
-            and self._add_crash(key, _Crash(upstream, now_ms), now_ms)
+            and self._add_crash(key, Crash(upstream, now_ms), now_ms)
         ]
         blamed.sort(key=lambda key: -len(self._records[key].crashes))
         for key in blamed[:MAX_BLAMED_PARTS]:
@@ -313,8 +221,11 @@
         self._reported[upstream] = now_ms
         while len(self._reported) > MAX_REPORTED:
             self._reported.popitem(last=False)
-        if reported_ms is None or now_ms - reported_ms >= SAME_CRASH_MS:
-            update = hints.Death(NO_PART_KEY, upstream, 0, False)
+        if (
+            reported_ms is None
+            or now_ms - reported_ms >= part_records.SAME_CRASH_MS
+        ):
+            update = hints.Death(part_records.NO_PART_KEY, upstream, 0, False)
             self._queue(update, now_ms)
 
     def record_survival(
@@ -340,12 +251,15 @@
         :param now_ms: current time in ms
         """
         key, at_ms = update.digest, now_ms - update.age_ms
-        if key == NO_PART_KEY or not 0 <= update.age_ms < RETENTION_MS:
+        if (
+            key == part_records.NO_PART_KEY
+            or not 0 <= update.age_ms < RETENTION_MS
+        ):
             return
         if not update.upstream:
             self._add_proof(key, at_ms)
             self._refutations.pop(key, None)
-        elif update.upstream == TRIAL:
+        elif update.upstream == part_records.TRIAL:
             record = self._records.get(key)
             if record is not None:
                 record.add_trial(at_ms)
@@ -357,7 +271,7 @@
             delay_ms = self._random.randrange(window_ms)
             self._refutations.setdefault(key, now_ms + delay_ms)
         else:
-            self._add_crash(key, _Crash(update.upstream, at_ms), now_ms)
+            self._add_crash(key, Crash(update.upstream, at_ms), now_ms)
 
     def drain_updates(self, now_ms: int) -> list[hints.Death]:
         """Return the updates to send to the peers now, and clear them.
@@ -389,19 +303,19 @@
         updates = []
         for key, record in list(self._records.items()):
             crashes = self._find_crashes(key, now_ms)
-            if _choose_state(crashes) is not PartState.QUARANTINED:
+            if part_records.choose_state(crashes) is not PartState.QUARANTINED:
                 continue
             updates += [
                 hints.Death(key, crash.upstream, now_ms - crash.at_ms, False)
                 for crash in crashes
             ]
             updates += [
-                hints.Death(key, TRIAL, now_ms - at_ms, False)
+                hints.Death(key, part_records.TRIAL, now_ms - at_ms, False)
                 for at_ms in record.trials_ms
             ]
         return updates[-MAX_REPEATED_UPDATES:]
 
-    def _find_crashes(self, key: str, now_ms: int) -> list[_Crash]:
+    def _find_crashes(self, key: str, now_ms: int) -> list[Crash]:
         record = self._records.get(key)
         if record is None:
             return []
@@ -410,7 +324,9 @@
             return []
         return self._list_crashes(key, record)
 
-    def _list_crashes(self, key: str, record: _Record) -> list[_Crash]:
+    def _list_crashes(
+        self, key: str, record: part_records.PartRecord
+    ) -> list[Crash]:
         return [
             crash
             for crash in record.crashes
@@ -424,7 +340,7 @@
 
     def _count_rivals(
         self,
-        crashes: list[_Crash],
+        crashes: list[Crash],
         keys: collections.abc.Collection[str],
         now_ms: int,
     ) -> int:
@@ -452,58 +368,31 @@
         return min(rivals[crash.upstream] for crash in crashes)
 
     def _compute_wait_ms(
-        self, key: str, crashes: list[_Crash], rivals: int, now_ms: int
+        self,
+        key: str,
+        crashes: list[Crash],
+        rivals: int,
+        now_ms: int,
     ) -> int:
         """Return the time until a quarantined part's next trial; 0 if due."""
-        trials_ms = self._records[key].trials_ms
-        delays_ms = DOUBTFUL_TRIAL_DELAYS_MS if rivals else TRIAL_DELAYS_MS
-        if len(trials_ms) >= len(delays_ms):
-            return RETENTION_MS
-        delay_ms = delays_ms[len(trials_ms)]
-        due_ms = crashes[-1].at_ms + delay_ms
-        if trials_ms:
-            due_ms = max(due_ms, trials_ms[-1] + TRIAL_TIMEOUT_MS)
-        turns = (
-            MIN_TRIAL_TURNS if len(crashes) <= FEW_CRASHES else MAX_TRIAL_TURNS
+        wait_ms = part_trials.compute_wait_ms(
+            self._records[key],
+            crashes,
+            rivals > 0,
+            part_trials.rank_vm(key, self._vm, self._vms),
+            len(self._vms),
+            now_ms,
         )
-        return self._compute_turn_wait_ms(key, turns, now_ms - due_ms)
+        return RETENTION_MS if wait_ms is None else wait_ms
 
-    def _compute_turn_wait_ms(
-        self, key: str, max_turns: int, elapsed_ms: int
-    ) -> int:
-        """Return the time until this VM may begin a trial.
-
-        :param key: the part
-        :param max_turns: the number of groups of VMs, if there are enough VMs
-        :param elapsed_ms: time since the trial is due; negative before
-        """
-        own = pool_subsets.hash_pair(key, self._vm)
-        rank = sum(pool_subsets.hash_pair(key, vm) > own for vm in self._vms)
-        turns = min(len(self._vms), max_turns)
-        first_ms = rank % turns * TRIAL_TURN_MS
-        if elapsed_ms < first_ms:
-            return first_ms - elapsed_ms
-        since_ms = (elapsed_ms - first_ms) % (turns * TRIAL_TURN_MS)
-        if since_ms < TRIAL_TURN_MS:
-            return 0
-        return turns * TRIAL_TURN_MS - since_ms
-
-    def _add_crash(self, key: str, crash: _Crash, now_ms: int) -> bool:
+    def _add_crash(self, key: str, crash: Crash, now_ms: int) -> bool:
         record = self._records.get(key)
         if record is None:
-            record = self._records[key] = _Record(now_ms)
+            record = self._records[key] = part_records.PartRecord(now_ms)
             while len(self._records) > MAX_PARTS:
                 self._records.popitem(last=False)
-        is_known = any(
-            known.upstream == crash.upstream
-            and abs(known.at_ms - crash.at_ms) < SAME_CRASH_MS
-            for known in record.crashes
-        )
-        if is_known:
+        if not record.add_crash(crash):
             return False
-        record.crashes.append(crash)
-        record.crashes.sort(key=lambda known: known.at_ms)
-        del record.crashes[:-MAX_CRASHES_PER_PART]
         record.used_ms = now_ms
         self._records.move_to_end(key)
         self._record_change(key, self._list_crashes(key, record))
@@ -526,10 +415,10 @@
             self._record_change(key, [])
         return was_blamed
 
-    def _record_change(self, key: str, crashes: list[_Crash]) -> None:
+    def _record_change(self, key: str, crashes: list[Crash]) -> None:
         upstreams = tuple(crash.upstream for crash in crashes)
         self._changes.append(
-            PartChange(key, _choose_state(crashes), upstreams)
+            PartChange(key, part_records.choose_state(crashes), upstreams)
         )
 
     def _queue_clearance(self, key: str, now_ms: int) -> None:
@@ -541,21 +430,3 @@
     def _queue(self, update: hints.Death, now_ms: int) -> None:
         self._updates.append((update, now_ms))
         del self._updates[:-MAX_PARTS]
-
-
-def _choose_state(crashes: list[_Crash]) -> PartState:
-    """Return the state of a part.
-
-    :param crashes: the crashes that it is blamed for, in order of time
-    """
-    if not crashes:
-        return PartState.CLEAR
-    is_one_event = crashes[-1].at_ms - crashes[0].at_ms < SAME_EVENT_MS
-    needed = (
-        CRASHES_OF_EVENT_TO_QUARANTINE
-        if is_one_event
-        else CRASHES_TO_QUARANTINE
-    )
-    return (
-        PartState.SUSPECT if len(crashes) < needed else PartState.QUARANTINED
-    )
--- a/mulberryway/policy/pool_scheduler.py
+++ b/mulberryway/policy/pool_scheduler.py
@@ -10,6 +10,7 @@
 from mulberryway.policy import job_placement
 from mulberryway.policy import jobs
 from mulberryway.policy import part_quarantine
+from mulberryway.policy import part_records
 from mulberryway.policy import peer_accounts
 from mulberryway.policy import placements
 from mulberryway.policy import poison
@@ -130,6 +131,19 @@
         )
         return None
 
+    def is_clear(self, job: jobs.Job, now_ms: int) -> bool:
+        """Return whether a job is neither suspect nor quarantined.
+
+        :param job: the job
+        :param now_ms: current time in milliseconds
+        """
+        state = self._register.get_state(job.digest, now_ms)
+        verdict = self._parts.assess(job.part_keys, now_ms)
+        return (
+            state is poison.QuarantineState.CLEAR
+            and verdict.state is part_records.PartState.CLEAR
+        )
+
     def check_running(
         self, job: running_jobs.RunningJob, now_ms: int
     ) -> errors.Fault | None:
@@ -248,7 +262,7 @@
 
     def _check_parts(self, job: jobs.Job, now_ms: int) -> errors.Fault | None:
         verdict = self._parts.assess(job.part_keys, now_ms)
-        if verdict.state is not part_quarantine.PartState.QUARANTINED:
+        if verdict.state is not part_records.PartState.QUARANTINED:
             return None
         fault = admission.make_rejection(
             errors.Code.QUARANTINED,
@@ -279,21 +293,13 @@
     def _choose_lane(
         self, job: jobs.Job, prefill_ms: float, now_ms: int
     ) -> fair_queue.Lane:
-        if self._is_suspect(job, now_ms):
+        if not self.is_clear(job, now_ms):
             return fair_queue.Lane.SUSPECT
         if job.required_version is not None:
             return fair_queue.Lane.RESUMED
         is_long = prefill_ms > LONG_PREFILL_MS
         return fair_queue.Lane.LONG if is_long else fair_queue.Lane.SHORT
 
-    def _is_suspect(self, job: jobs.Job, now_ms: int) -> bool:
-        quarantine = self._register.get_state(job.digest, now_ms)
-        verdict = self._parts.assess(job.part_keys, now_ms)
-        return (
-            quarantine is poison.QuarantineState.SUSPECT
-            or verdict.state is part_quarantine.PartState.SUSPECT
-        )
-
     def _record_free_slots(self, free: int, now_ms: int) -> None:
         if free != self._free_slots:
             self._free_slots = free
--- a/mulberryway/policy/scheduler.py
+++ b/mulberryway/policy/scheduler.py
@@ -15,6 +15,7 @@
 from mulberryway.policy import note_receiver
 from mulberryway.policy import note_sender
 from mulberryway.policy import part_quarantine
+from mulberryway.policy import part_records
 from mulberryway.policy import poison
 from mulberryway.policy import pool_set
 from mulberryway.policy import probes
@@ -482,7 +483,7 @@
         :param now_ms: current time in milliseconds
         """
         verdict = self.parts.assess(part_keys, now_ms)
-        return verdict.state is part_quarantine.PartState.QUARANTINED
+        return verdict.state is part_records.PartState.QUARANTINED
 
     def drain_part_changes(self) -> list[part_quarantine.PartChange]:
         """Return what has changed about prompt parts, for logs."""
@@ -493,7 +494,7 @@
 
         :param state: ``suspect`` or ``quarantined``
         """
-        return self.parts.count(part_quarantine.PartState(state))
+        return self.parts.count(part_records.PartState(state))
 
     def is_quarantined(self, digest: str, now_ms: int) -> bool:
         """Return whether a request is quarantined, and renew its quarantine.
--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -8,9 +8,11 @@
 from mulberryway.policy import crash_reports
 from mulberryway.policy import hints
 from mulberryway.policy import part_quarantine
+from mulberryway.policy import part_records
+from mulberryway.policy import part_trials
 from mulberryway.policy import poison
 
-State = part_quarantine.PartState
+State = part_records.PartState
 SHARED, BAD, OTHER = "part:m/aa", "part:m/c0", "part:m/c1"
 SOUND = ("part:m/b0", "part:m/b1", "part:m/b2")
 COUNTED_CRASHES, MAX_LATE = 5, 3
@@ -33,7 +35,7 @@
 
     def crash(self, *keys, vm=None):
         """Let an engine crash on a request by itself; return its name."""
-        self.now_ms += part_quarantine.SAME_EVENT_MS
+        self.now_ms += part_records.SAME_EVENT_MS
         return self.crash_at_once(*keys, vm=vm)
 
     def crash_at_once(self, *keys, vm=None):
@@ -96,7 +98,7 @@
     def test_many_crashes_at_one_moment_quarantine(self):
         """Guards against batches of requests that crash engines together."""
         for _ in range(2):
-            for _ in range(2 * part_quarantine.MAX_CRASHES_PER_PART):
+            for _ in range(2 * part_records.MAX_CRASHES_PER_PART):
                 self.crash_at_once(BAD)
             self.assertIs(self.get_state(BAD), State.QUARANTINED)
             self.now_ms += 1_000
@@ -154,7 +156,7 @@
         began_ms = self.now_ms
         self.assertIsNotNone(self.wait_for_trial(SOUND[0]))
         self.assertLess(
-            self.now_ms - began_ms, part_quarantine.TRIAL_DELAYS_MS[0] // 2
+            self.now_ms - began_ms, part_trials.TRIAL_DELAYS_MS[0] // 2
         )
         self.assertFalse(self.vm.assess((OTHER,), self.now_ms).is_trial)
 
@@ -170,7 +172,7 @@
                 self.now_ms += 200
                 self.crash(BAD, f"part:m/f{trials}0")
             self.now_ms += 100
-        self.assertEqual(trials, len(part_quarantine.DOUBTFUL_TRIAL_DELAYS_MS))
+        self.assertEqual(trials, len(part_trials.DOUBTFUL_TRIAL_DELAYS_MS))
 
     def test_one_crash_seen_twice_counts_once(self):
         """Guards against counting each VM's report of one crash."""
@@ -247,7 +249,7 @@
     def test_vms_begin_trials_by_turns(self):
         """Guards against a batch of requests that are all trials."""
         self.quarantine(BAD)
-        for _ in range(part_quarantine.FEW_CRASHES):
+        for _ in range(part_trials.FEW_CRASHES):
             self.crash(BAD)
             self.exchange()
         turns = []
@@ -421,8 +423,8 @@
         updates = [
             hints.Death("digest", "llm/e1", 100, False),
             hints.Death(BAD, "llm/e1", 100, False),
-            hints.Death(BAD, part_quarantine.TRIAL, 0, False),
-            hints.Death(part_quarantine.NO_PART_KEY, "llm/e2", 300, False),
+            hints.Death(BAD, part_records.TRIAL, 0, False),
+            hints.Death(part_records.NO_PART_KEY, "llm/e2", 300, False),
         ]
         reports.apply_updates(updates, self.now_ms)
         self.assertEqual(len(register), 1)
--- a/tests/test_run_survival.py
+++ b/tests/test_run_survival.py
@@ -3,13 +3,14 @@
 import unittest
 
 from mulberryway.policy import jobs
-from mulberryway.policy import part_quarantine
+from mulberryway.policy import part_records
+from mulberryway.policy import part_trials
 from mulberryway.policy import poison
 from mulberryway.policy import run_survival
 from mulberryway.policy import scheduler
 from tests import policy_cases as cases
 
-State = part_quarantine.PartState
+State = part_records.PartState
 DIED = jobs.JobOutcome.DIED
 DONE = jobs.JobOutcome.DONE
 CANCELLED = jobs.JobOutcome.CANCELLED
@@ -226,7 +227,7 @@
 
     def quarantine(self):
         for number in range(2):
-            self.now_ms += part_quarantine.SAME_EVENT_MS
+            self.now_ms += part_records.SAME_EVENT_MS
             self.router.parts.record_crash(
                 (PART,), f"lm/x{number}", self.now_ms
             )
@@ -239,7 +240,7 @@
         self.assertEqual(fault.code.value, "quarantined")
         self.assertEqual(fault.run.value, "not_run")
         self.assertGreaterEqual(
-            fault.retry_after_ms, part_quarantine.TRIAL_DELAYS_MS[0]
+            fault.retry_after_ms, part_trials.TRIAL_DELAYS_MS[0]
         )
         self.assertEqual(fault.inputs["part"], PART)
         self.assertEqual(fault.inputs["crashed"], "lm/x0 lm/x1")
