--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -174,7 +174,7 @@
 class CrashingPartTest(unittest.TestCase):
     """Base class of tests that send sound requests and crashing ones."""
 
-    length_s = 13.0
+    length_s = 16.0
 
     def setUp(self):
         self.numbers = itertools.count()
--- a/tests/test_crashing_faults.py
+++ b/tests/test_crashing_faults.py
@@ -9,8 +9,6 @@
 class CrashingFaultTest(crash_fleet.CrashingPartTest):
     """Engines and VMs end for other reasons, too."""
 
-    length_s = 16.0
-
     def test_restarted_vm(self):
         """Guards against a VM that starts without knowledge of crashes."""
         self.start()
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -5,7 +5,7 @@
 BAD = crash_fleet.BAD_PART
 SHORT_EVENT_MS = 2
 RARE_SOUND_S = 0.35
-LONG_S = 20.0
+LONG_S = 26.0
 
 
 class CrashingPartTest(crash_fleet.CrashingPartTest):
--- a/tests/test_run_survival.py
+++ b/tests/test_run_survival.py
@@ -184,14 +184,9 @@
         other = scheduler.FairScheduler("vm1", seed=6)
         other.parts.report_crash(f"lm/{short[1]}", self.now_ms + 100)
         self.now_ms += 150
-        other.drain_hints(self.now_ms - 100)
         updates = other.parts.drain_updates(self.now_ms)
+        self.assertEqual(len(updates), 1)
         self.router.record_crashes(updates, self.now_ms)
-        self.assertEqual(updates, [])
-        other.parts.report_crash(f"lm/{short[1]}", self.now_ms + 1_000)
-        self.router.record_crashes(
-            other.parts.drain_updates(self.now_ms + 1_000), self.now_ms
-        )
         self.assertIs(self.get_state(PART), State.SUSPECT)
 
     def test_repeat_with_short_answers_is_quarantined(self):
@@ -201,7 +196,6 @@
             self.now_ms += 50
             self.finish(run, DONE)
             self.now_ms += 2_000
-            self.router.reassign_decode("none", run[1], self.now_ms, True)
             completion = self.router._pool_set.find_completion("lm")
             completion.record_unreached(run[1], self.now_ms)
             self.assertEqual(
