Send nothing to availability zones that operators evacuate

Change: the entries are a third mirror beside configuration and servers, watched by the same VMs and handed over between VMs by revision. Servers of such a zone are cordoned in the tables: they leave all choices at once, as draining ones do, and their clients send nothing at all, so that probes, orders, reservations, releases of KV handles and requests that were already chosen end at the same check. Running streams are completed. A VM builds no tables before it has the mirror; an empty kind has a revision of its own, so that a VM which the store rejects gets the empty list from another VM.

Also: an engine that is draining or cordoned no longer counts as crashed if a decode finds it so, since no connection was made; the requests that run there would have been blamed.

Ways weighed: entries as rows of their own that the scheduler reads, against the existing way of draining servers. The second is kept: each place that leaves draining servers out holds for evacuations too.

--- a/mulberryway/controllers/mirrored_tables.py
+++ b/mulberryway/controllers/mirrored_tables.py
@@ -26,21 +26,25 @@
         configuration: collections.abc.Mapping[str, objects.StoredObject],
         servers: collections.abc.Iterable[objects.StoredObject],
         revision: int,
+        evacuations: collections.abc.Iterable[objects.StoredObject] = (),
     ) -> tables.Tables | None:
         """Build the tables.
 
         :param configuration: the configuration's objects by name
         :param servers: the entries of upstreams
         :param revision: the revision of the new tables
+        :param evacuations: the entries of availability zones whose upstreams
+            get no requests
         :returns: the tables, or None while there is no configuration
         :raises ValueError: if the configuration is malformed
         """
 
 
 class MirroredTables(tables.TableSource):
-    """Builds new tables whenever one of two mirrors has changed.
+    """Builds new tables whenever one of its mirrors has changed.
 
-    Both mirrors' controllers have to call :meth:`refresh` on a change.
+    The mirrors' controllers have to call :meth:`refresh` on a change.
+    ``evacuations`` is None where the platform evacuates no zones.
 
     :param reader: builds tables from the store's objects
     """
@@ -53,6 +57,7 @@
         self._revision = 0
         self.configuration: mirrors.MirrorController | None = None
         self.servers: mirrors.MirrorController | None = None
+        self.evacuations: mirrors.MirrorController | None = None
 
     def get_tables(self) -> tables.Tables | None:
         """Return the active tables, or None before the first are known."""
@@ -72,13 +77,19 @@
                 # Tables without upstreams would admit requests that are then
                 # rejected.
                 return
+            evacuations = self.evacuations
+            if evacuations is not None and not evacuations.has_synced:
+                return
             self._revision += 1
             rows = {
                 item.name: item for item in self.configuration.list_objects()
             }
             try:
                 built = self._reader.read(
-                    rows, self.servers.list_objects(), self._revision
+                    rows,
+                    self.servers.list_objects(),
+                    self._revision,
+                    evacuations.list_objects() if evacuations else (),
                 )
             except (ValueError, KeyError, TypeError) as error:
                 # The previous tables stay active, because a guess could route
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -294,9 +294,20 @@
             ),
             is_watcher=self._must_watch,
         )
+        source.evacuations = mirrors.MirrorController(
+            platform_tables.EVACUATIONS_KIND,
+            self.store,
+            self.clock,
+            source.refresh,
+            is_watcher=self._must_watch,
+        )
         return {
             controller.kind: controller
-            for controller in (source.configuration, source.servers)
+            for controller in (
+                source.configuration,
+                source.servers,
+                source.evacuations,
+            )
         }
 
     def _make_scheduler(self) -> scheduler.FairScheduler:
--- a/mulberryway/platform/directory.py
+++ b/mulberryway/platform/directory.py
@@ -68,11 +68,14 @@
         :param changed: the new tables
         """
         current = {
-            (upstream.name, upstream.address)
+            (upstream.name, upstream.address): upstream
             for pool in changed.pools.values()
             for upstream in pool.upstreams
         }
         with self._lock:
+            for key, client in self._upstreams_by_key.items():
+                if key[:2] in current:
+                    client.is_cordoned = current[key[:2]].cordoned
             removed = [
                 key for key in self._upstreams_by_key if key[:2] not in current
             ]
@@ -90,5 +93,6 @@
                 client = kind(
                     upstream.name, upstream.address, self._clock, self.dialer
                 )
+                client.is_cordoned = upstream.cordoned
                 self._upstreams_by_key[key] = client
             return client
--- a/mulberryway/platform/engine.py
+++ b/mulberryway/platform/engine.py
@@ -80,6 +80,8 @@
     ) -> None:
         self.instance = instance
         self.address = address
+        # See :class:`tables.Upstream`.
+        self.is_cordoned = False
         self._clock = clock_
         self._dialer = dialer
         self._client = connections.UpstreamClient(
@@ -104,6 +106,12 @@
         :param timeout_ms: the maximum wait for the result, in ms
         :returns: the result, or a fault, always with ``NOT_RUN``
         """
+        if self.is_cordoned:
+            return expression.Error(
+                responses.make_cordoned_fault(
+                    self.address, errors.Step.PREFILL
+                )
+            )
         headers = self._make_headers(body)
         headers[wire.PHASE] = "prefill"
         interrupt = self._register_call(label)
@@ -136,6 +144,10 @@
         :param reservation: the capacity to reserve, or None
         :returns: None, or a fault; no part of the request was sent
         """
+        if self.is_cordoned:
+            return expression.Error(
+                responses.make_cordoned_fault(self.address, errors.Step.DECODE)
+            )
         connected = decode_call.connect(self.address, self._dialer)
         if connected.is_error():
             return connected.map(lambda connection: None)
@@ -183,6 +195,10 @@
         :param timeout_ms: the maximum wait for the response head, in ms
         :returns: the stream, or a fault with the execution status
         """
+        if self.is_cordoned:
+            return expression.Error(
+                responses.make_cordoned_fault(self.address, errors.Step.DECODE)
+            )
         headers = self._make_headers(body)
         if transfer:
             headers[wire.HANDLE_SOURCE] = (
@@ -236,7 +252,8 @@
         self.release(label)
         if call is not None:
             call.cancel()
-        if handle is None:
+        if handle is None or self.is_cordoned:
+            # A cordoned engine releases the handle when it expires.
             return expression.Ok(call is not None)
         return self._call_control(
             "DELETE", f"{wire.KV_HANDLE_PATH}/{handle.name}"
@@ -408,6 +425,10 @@
         timeout_ms: int = CONTROL_TIMEOUT_MS,
         client: connections.UpstreamClient | None = None,
     ) -> expression.Result[connections.Response, errors.Fault]:
+        if self.is_cordoned:
+            return expression.Error(
+                responses.make_cordoned_fault(self.address, errors.Step.DECODE)
+            )
         headers = {wire.EXPECTED_INSTANCE: self.instance}
         data = None
         if body is not None:
--- a/mulberryway/platform/responses.py
+++ b/mulberryway/platform/responses.py
@@ -7,7 +7,11 @@
 from mulberryway.upstreams import base
 from mulberryway.upstreams import http_service
 
-__all__ = ["make_request_headers", "make_response_fault"]
+__all__ = [
+    "make_cordoned_fault",
+    "make_request_headers",
+    "make_response_fault",
+]
 
 REJECTION_STATUSES = (
     http.HTTPStatus.SERVICE_UNAVAILABLE,
@@ -36,6 +40,20 @@
     return forwarded
 
 
+def make_cordoned_fault(address: str, step: errors.Step) -> errors.Fault:
+    """Return the fault for a call that is not sent to a cordoned upstream.
+
+    :param address: the upstream's address
+    :param step: the step of the request
+    """
+    return errors.Fault(
+        errors.Code.UPSTREAM_UNREACHABLE,
+        step,
+        address,
+        message="the upstream's zone is evacuated",
+    )
+
+
 def make_response_fault(
     status: int,
     headers: list[tuple[str, str]],
--- a/mulberryway/platform/service.py
+++ b/mulberryway/platform/service.py
@@ -36,6 +36,8 @@
     ) -> None:
         self.instance = instance
         self.address = address
+        # See :class:`tables.Upstream`.
+        self.is_cordoned = False
         self._client = connections.UpstreamClient(
             address, clock_, wire.ATTEMPT_ID, dialer
         )
@@ -64,6 +66,12 @@
         :param canceller: cancels the call from another thread
         :returns: the response, or a fault with the execution status
         """
+        if self.is_cordoned:
+            return expression.Error(
+                responses.make_cordoned_fault(
+                    self.address, errors.Step.SERVICE
+                )
+            )
         sent = responses.make_request_headers(
             headers, self.instance, timeout_ms
         )
--- a/mulberryway/platform/tables.py
+++ b/mulberryway/platform/tables.py
@@ -9,12 +9,19 @@
 from mulberryway.objects import base
 from mulberryway.platform import wire
 
-__all__ = ["CONFIGURATION_KIND", "SERVERS_KIND", "TablesReader"]
+__all__ = [
+    "CONFIGURATION_KIND",
+    "EVACUATIONS_KIND",
+    "SERVERS_KIND",
+    "TablesReader",
+]
 
 LOG = logging.getLogger(__name__)
 
 CONFIGURATION_KIND = "config"
 SERVERS_KIND = "servers"
+# Each object names an availability zone; its contents have no meaning.
+EVACUATIONS_KIND = "evacuations"
 CONFIGURATION_NAME = "main"
 BLOCK_TOKENS = 16
 BITS_IN_MBIT = 1_000_000
@@ -52,12 +59,14 @@
         configuration: collections.abc.Mapping[str, base.StoredObject],
         servers: collections.abc.Iterable[base.StoredObject],
         revision: int,
+        evacuations: collections.abc.Iterable[base.StoredObject] = (),
     ) -> tables.Tables | None:
         """Return the tables.
 
         :param configuration: the configuration objects by name
         :param servers: the server entries; malformed ones are ignored
         :param revision: the revision to assign to the tables
+        :param evacuations: the entries of zones that are evacuated
         :returns: the tables, or None if there is no configuration
         :raises ValueError: if the configuration is malformed
         """
@@ -69,10 +78,12 @@
             self._version = main.version
         upstreams: dict[str, list[tables.Upstream]] = {}
         kinds = {pool.name: pool.kind for pool in self._pools}
+        evacuated_zones = frozenset(entry.name for entry in evacuations)
         parsed = [
             server
             for entry in servers
-            if (server := _parse_server(entry, kinds)) is not None
+            if (server := _parse_server(entry, kinds, evacuated_zones))
+            is not None
         ]
         for server in _list_current(parsed):
             upstreams.setdefault(server.pool, []).append(server.row)
@@ -240,6 +251,7 @@
 def _parse_server(
     entry: base.StoredObject,
     kinds: collections.abc.Mapping[str, tables.PoolKind],
+    evacuated_zones: frozenset[str],
 ) -> _Server | None:
     """Parse a server entry; return None if it is malformed."""
     try:
@@ -268,6 +280,7 @@
         role,
         state == DRAINING_STATE,
         version=version,
+        cordoned=zone in evacuated_zones,
     )
     return _Server(pool, row, started_ms)
 
--- a/mulberryway/policy/job_completion.py
+++ b/mulberryway/policy/job_completion.py
@@ -235,7 +235,9 @@
             else:
                 view.record_full(now_ms)
             view.health.record_inconclusive()
-        elif outcome is jobs.JobOutcome.CANCELLED:
+        elif outcome is jobs.JobOutcome.CANCELLED or (
+            outcome is jobs.JobOutcome.UNREACHED and view.row.leaving
+        ):
             view.health.record_inconclusive()
         else:
             crashed = outcome is jobs.JobOutcome.DIED
@@ -247,7 +249,7 @@
             if crashed:
                 self._record_crash(job, view, now_ms)
                 self._blame_parts(job, view, now_ms)
-            elif is_down and not view.row.leaving:
+            elif is_down:
                 self.record_unreached(view.row.name, now_ms)
 
     def _blame_parts(
--- a/mulberryway/policy/mirrors.py
+++ b/mulberryway/policy/mirrors.py
@@ -11,6 +11,10 @@
 
 __all__ = ["RetainedObject", "Mirror"]
 
+# The revision of a kind that has never had an object.  It is above that of a
+# mirror that is not known yet, so that VMs get the empty mirror from others.
+EMPTY_REVISION = 1
+
 
 class RetainedObject:
     """An object that is still in use although the store has removed it.
@@ -119,7 +123,8 @@
         self.revision = revision
         listed = {object_.name: object_ for object_ in objects}
         newest = max(
-            (object_.version for object_ in listed.values()), default=0
+            (object_.version for object_ in listed.values()),
+            default=EMPTY_REVISION,
         )
         self.changed_revision = max(self.changed_revision, newest)
         removed_names = self.objects.keys() - listed.keys()
--- a/mulberryway/policy/scheduler.py
+++ b/mulberryway/policy/scheduler.py
@@ -309,6 +309,10 @@
         if job is None or job.placement.decode is None:
             return None
         pool = self._pool_set.find_any(job.entry.job.pool)
+        view = pool.members.find(rejected_by)
+        # No connection is made to an engine that leaves, so nothing shows
+        # that it has crashed.
+        is_unreached = is_unreached and (view is None or not view.row.leaving)
         if is_unreached:
             self._pool_set.find_completion(pool.row.name).record_unreached(
                 rejected_by, now_ms
@@ -426,6 +430,7 @@
             for name, pool in self._pools.items()
             for view in pool.members.list_all()
             if view.health.next_probe_ms() is not None
+            and not view.row.cordoned
         ]
 
     def record_probe(
--- a/mulberryway/tables/model.py
+++ b/mulberryway/tables/model.py
@@ -59,6 +59,8 @@
     :param role: the work that it accepts
     :param leaving: whether it is draining: it completes its requests and gets
         no new ones
+    :param cordoned: whether nothing at all may be sent to it, not even a
+        probe or an order; requests that it runs are completed
     :param checks_fencing: whether it rejects orders with an old fencing number
     :param version: the version of its software; the events of two versions
         must not be joined in one stream
@@ -70,6 +72,7 @@
         "zone",
         "role",
         "leaving",
+        "cordoned",
         "checks_fencing",
         "version",
     )
@@ -83,12 +86,14 @@
         leaving: bool = False,
         checks_fencing: bool = False,
         version: str = "",
+        cordoned: bool = False,
     ) -> None:
         self.name = name
         self.address = address
         self.zone = zone
         self.role = role
-        self.leaving = leaving
+        self.leaving = leaving or cordoned
+        self.cordoned = cordoned
         self.checks_fencing = checks_fencing
         self.version = version
 
--- a/tests/hosted_fleet.py
+++ b/tests/hosted_fleet.py
@@ -40,6 +40,8 @@
     :param program: module that runs an entry VM
     :param versions: the software version of each engine; all the same by
         default
+    :param zones: the availability zones of servers by name; the VMs' zone by
+        default
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         router=None,
         program="mulberryway.commands.entry",
         versions=(),
+        zones=None,
     ):
         self.kv_capacity_tokens = engine_tokens
         self.group = processes.Group()
@@ -66,6 +69,7 @@
         self.versions = {
             f"e{number}": version for number, version in enumerate(versions)
         }
+        self.zones = zones or {}
         self.phases = phases
         ports = processes.pick_ports(vms * 5)
         self.ports = [ports[number::vms] for number in range(vms)]
@@ -115,7 +119,7 @@
         entry = {
             "service": service,
             "address": f"{HOST}:{port}",
-            "zone": "kandy-a",
+            "zone": self.zones.get(name, "kandy-a"),
             "version": self.versions.get(name, VERSION),
             "slots": 64,
             "state": state,
@@ -337,6 +341,31 @@
         return send(self.ports[number][0], path, attempt, **options)
 
 
+class StoreProxy:
+    """A proxy in front of a fleet's store that can cut off its VMs.
+
+    :param fleet: the fleet
+    """
+
+    def __init__(self, fleet):
+        self.port, self._control = processes.pick_ports(2)
+        fleet.group.start(
+            "standins.faultproxy",
+            f"--port={self._control}",
+            f"--pair=store={HOST}:{self.port}={HOST}:{fleet.store_port}",
+            ports=[self.port, self._control],
+        )
+
+    def cut_off(self):
+        """Refuse connections and stall the open ones."""
+        processes.call(
+            self._control,
+            "POST",
+            "/standin/pairs/store",
+            {"refuse": True, "stall_down": True},
+        )
+
+
 def make_route(name, prefix, service, kind, attempts, resumable=False):
     return {
         "name": name,
--- a/tests/test_hosted_processes.py
+++ b/tests/test_hosted_processes.py
@@ -39,11 +39,11 @@
         of it from the other VM, or it would keep sending requests there.
         """
         with hosted_fleet.Fleet() as fleet:
-            proxy_port = self._start_proxy(fleet)
+            proxy = hosted_fleet.StoreProxy(fleet)
             fleet.vms[1].kill()
-            fleet.start_vm(1, proxy_port).wait_ready()
+            fleet.start_vm(1, proxy.port).wait_ready()
             processes.wait_until(lambda: fleet.is_ready(fleet.ports[1]))
-            self._cut_off_store()
+            proxy.cut_off()
             fleet.register("s0", "draining")
             self.assertTrue(
                 processes.wait_until(
@@ -192,26 +192,6 @@
                 )
             )
 
-    def _start_proxy(self, fleet):
-        port, control = processes.pick_ports(2)
-        host = hosted_fleet.HOST
-        fleet.group.start(
-            "standins.faultproxy",
-            f"--port={control}",
-            f"--pair=store={host}:{port}={host}:{fleet.store_port}",
-            ports=[port, control],
-        )
-        self.control = control
-        return port
-
-    def _cut_off_store(self):
-        processes.call(
-            self.control,
-            "POST",
-            "/standin/pairs/store",
-            {"refuse": True, "stall_down": True},
-        )
-
     def _is_request_sent_to(self, fleet, number, name):
         before = len(fleet.list_runs(name))
         for turn in range(4):
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -654,7 +654,7 @@
 class ServerListReader(mirrored_tables.Reader):
     """Builds tables that contain the given servers."""
 
-    def read(self, configuration, servers, revision):
+    def read(self, configuration, servers, revision, evacuations=()):
         if not configuration:
             return None
         rows = [
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -79,14 +79,18 @@
 }
 
 
-def read(configuration=CONFIGURATION, *entries):
+def read(configuration=CONFIGURATION, *entries, evacuations=()):
     main = base.StoredObject("config", "main", 3, configuration)
     rows = [
         base.StoredObject("servers", f"i-{n}", 4 + n, entry)
         for n, entry in enumerate(entries)
     ]
     reader = platform_tables.TablesReader()
-    return reader.read({"main": main}, rows, 5)
+    zones = [
+        base.StoredObject("evacuations", zone, 9, value)
+        for zone, value in evacuations
+    ]
+    return reader.read({"main": main}, rows, 5, zones)
 
 
 class ConfigurationTest(unittest.TestCase):
@@ -148,6 +152,31 @@
         (row,) = read(CONFIGURATION, entry).pools["llm"].upstreams
         self.assertTrue(row.leaving)
 
+    def test_servers_of_an_evacuated_zone(self):
+        other = ENTRY | {"zone": "b", "address": "10.0.0.2:80"}
+        rows = (
+            read(CONFIGURATION, ENTRY, other, evacuations=[("a", {})])
+            .pools["llm"]
+            .upstreams
+        )
+        self.assertEqual(
+            [(True, True), (False, False)],
+            [(row.cordoned, row.leaving) for row in rows],
+        )
+
+    def test_evacuation_entries_with_unknown_zones_and_contents(self):
+        """Guards against tables that are not built, or servers that are
+        cordoned, because of an evacuation's contents.
+        """
+        for value in ({}, None, [1], "x", {"zone": "a"}):
+            with self.subTest(value=value):
+                (row,) = (
+                    read(CONFIGURATION, ENTRY, evacuations=[("?", value)])
+                    .pools["llm"]
+                    .upstreams
+                )
+                self.assertFalse(row.cordoned)
+
     def test_previous_incarnation_is_ignored(self):
         """Guards against prompts for a previous incarnation: an engine crashed
         and restarted under another name before its old entry expired, and
