Bound the requests to cold servers over all VMs

A server that has started, or whose zone is used again, could get the whole fleet's requests in one second.

Change: each VM has a fixed share of what operators allow a cold server in a second, 0.8 of it for the known VMs, dead ones included; what cannot be divided goes to the VMs that rank first for that server. The limit holds for plain calls, prefills, decodes, retries and resumed streams, at the choice and again at the send. A VM that has just started has no share until it knows the fleet and the window of its previous incarnation has passed; one that hears neither the store nor a VM that polls it takes all servers for cold; a server that was down is taken for cold when it is back.

Permits that VMs lend one another were not built: they need messages that a partition stops.

Not bounded: a server that becomes cold without restarting, while no VM reaches the store.

--- /dev/null
+++ b/mulberryway/controllers/fleet_shares.py
@@ -0,0 +1,69 @@
+"""Keeps this VM's share of limits over all VMs up to date."""
+
+import collections.abc
+import threading
+
+from mulberryway import clock
+from mulberryway.policy import cold_start
+
+__all__ = ["FleetSharesUpdater"]
+
+# A VM that started while the store was unreachable has heard of all others by
+# then.
+SETTLE_MS = 3_000
+
+
+class FleetSharesUpdater:
+    """Records all VMs that the store or other VMs have named.
+
+    :param shares: the shares to update
+    :param is_informed: returns whether this VM would learn from the store or
+        from another VM that a server has become cold
+    :param clock_: the source of the current time
+    """
+
+    def __init__(
+        self,
+        shares: cold_start.FleetShares,
+        is_informed: collections.abc.Callable[[], bool],
+        clock_: clock.Clock,
+    ) -> None:
+        self._shares = shares
+        self._is_informed = is_informed
+        self._clock = clock_
+        self._started_ms = clock_.now_ms()
+        self._lock = threading.Lock()
+        self._is_listed = False
+
+    def record_listed(self, vms: collections.abc.Iterable[str]) -> None:
+        """Record the VMs that are registered in the store.
+
+        :param vms: their names
+        """
+        with self._lock:
+            self._is_listed = True
+            self._add(vms)
+            self._update_completeness()
+
+    def record_known(self, vms: collections.abc.Collection[str]) -> None:
+        """Record the VMs that this VM has heard of, including dead ones.
+
+        :param vms: their names
+        """
+        with self._lock:
+            self._add(vms)
+            self._update_completeness()
+            self._shares.is_informed = self._is_informed()
+
+    def _update_completeness(self) -> None:
+        age_ms = self._clock.now_ms() - self._started_ms
+        has_settled = len(self._shares.vms) > 1 and age_ms >= SETTLE_MS
+        # The requests of a previous incarnation still count in its window.
+        self._shares.is_complete = has_settled or (
+            self._is_listed and age_ms >= cold_start.WINDOW_MS
+        )
+
+    def _add(self, vms: collections.abc.Iterable[str]) -> None:
+        known = self._shares.vms | frozenset(vms)
+        if known != self._shares.vms:
+            self._shares.vms = known
--- a/mulberryway/controllers/scheduler_gossip.py
+++ b/mulberryway/controllers/scheduler_gossip.py
@@ -60,6 +60,7 @@
         self._dissemination = dissemination_
         self._other_vms: frozenset[str] = frozenset()
         self._vms: tuple[str, ...] = ()
+        self._known_vms: frozenset[str] = frozenset()
         self._scheduling = scheduling_
         self._members = members
         self._source = source
@@ -80,6 +81,11 @@
         self.on_members: collections.abc.Callable[
             [list[member.Member]], None
         ] = lambda alive: None
+        # Called every second with the names of all VMs that this VM has heard
+        # of, including dead ones; must return quickly.
+        self.on_known_vms: collections.abc.Callable[[frozenset[str]], None] = (
+            lambda vms: None
+        )
         # Called with the versions that began streams; must return quickly.
         self.on_streams: collections.abc.Callable[
             [list[stream_versions.StreamVersion]], None
@@ -155,6 +161,7 @@
         if vms != self._vms:
             self._vms = vms
             self._update_members()
+        self.on_known_vms(self._known_vms)
         active = self._source.get_tables()
         state = (active.revision if active else 0, vms)
         if active is not None and state != self._subsets_state:
@@ -170,9 +177,11 @@
             self._scheduling.update_peers(len(self._list_peers()))
 
     def _update_members(self) -> None:
+        known = self._members.list_members()
+        self._known_vms = frozenset(entry.name for entry in known)
         alive = [
             entry
-            for entry in self._members.list_members()
+            for entry in known
             if entry.health is not member.MemberStatus.DEAD
         ]
         self._dissemination.update_members(alive)
--- a/mulberryway/controllers/scheduling.py
+++ b/mulberryway/controllers/scheduling.py
@@ -234,6 +234,18 @@
             expression.Ok(None) if fault is None else expression.Error(fault)
         )
 
+    def try_send(self, job_id: str, upstream: str) -> bool:
+        """Count a request that is about to be sent, if it may be sent.
+
+        :param job_id: the job
+        :param upstream: the engine's name
+        :returns: whether it may be sent
+        """
+        with self._lock:
+            return self._scheduler.try_send(
+                job_id, upstream, self.clock.now_ms()
+            )
+
     def has_quarantined_part(self, part_keys: tuple[str, ...]) -> bool:
         """Return whether a request must not run because of its prompt.
 
--- a/mulberryway/filters/model_engines.py
+++ b/mulberryway/filters/model_engines.py
@@ -47,6 +47,8 @@
     (errors.Code.UPSTREAM_TIMEOUT, errors.Code.UPSTREAM_FAILED)
 )
 
+IS_COLD = "the chosen engine is cold and has got the requests it may get"
+
 
 def compute_attempt_timeout_ms(limit: clock.Deadline, now_ms: int) -> int:
     """Return the timeout of a call to one engine in ms.
@@ -217,6 +219,10 @@
         checked = parts.scheduling.check_running(attempt.job_id)
         if checked.is_error():
             return expression.Error(checked.error)
+        if not parts.scheduling.try_send(attempt.job_id, attempt.prefill_name):
+            return _make_unsent_error(
+                errors.Step.PREFILL, attempt.prefill_name, IS_COLD
+            )
         started_ms = parts.clock.now_ms()
         with self._begin_span(attempt, errors.Step.PREFILL) as span:
             result = attempt.prefill.prefill(
@@ -354,17 +360,28 @@
     ) -> model_dependencies.SourceResult:
         if self._is_removed_or_draining(attempt):
             return _make_unsent_error(
-                attempt, "the chosen engine is draining or removed"
+                errors.Step.DECODE,
+                attempt.decode_name,
+                "the chosen engine is draining or removed",
             )
         if not self._has_required_version(attempt):
             return _make_unsent_error(
-                attempt, "the chosen engine has another software version"
+                errors.Step.DECODE,
+                attempt.decode_name,
+                "the chosen engine has another software version",
             )
         checked = self._parts.scheduling.check_running(attempt.job_id)
         if checked.is_error():
             return expression.Error(checked.error)
         if not self._gate.enter():
             return expression.Error(_make_kept_fault(attempt))
+        if not self._parts.scheduling.try_send(
+            attempt.job_id, attempt.decode_name
+        ):
+            self._gate.leave()
+            return _make_unsent_error(
+                errors.Step.DECODE, attempt.decode_name, IS_COLD
+            )
         self._exchange.record_attempt(
             attempt.decode_name,
             attempt.decode_version,
@@ -531,14 +548,11 @@
 
 
 def _make_unsent_error(
-    attempt: attempts.Attempt, message: str
-) -> model_dependencies.SourceResult:
+    step: errors.Step, engine: str, message: str
+) -> expression.Result[typing.Any, errors.Fault]:
     return expression.Error(
         errors.Fault(
-            errors.Code.UPSTREAM_UNREACHABLE,
-            errors.Step.DECODE,
-            attempt.decode_name,
-            message=message,
+            errors.Code.UPSTREAM_UNREACHABLE, step, engine, message=message
         )
     )
 
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -22,6 +22,7 @@
 from mulberryway.controllers import detours
 from mulberryway.controllers import dissemination
 from mulberryway.controllers import fleet_allowances
+from mulberryway.controllers import fleet_shares
 from mulberryway.controllers import kept_objects
 from mulberryway.controllers import membership
 from mulberryway.controllers import mirror_exchange
@@ -45,6 +46,7 @@
 from mulberryway.platform import interface
 from mulberryway.platform import store
 from mulberryway.platform import tables as platform_tables
+from mulberryway.policy import cold_start
 from mulberryway.policy import endpoints
 from mulberryway.policy import fairness
 from mulberryway.policy import leader_lease
@@ -178,6 +180,13 @@
             self._has_current_tables,
             self.clock,
         )
+        self.shares = cold_start.FleetShares(settings_.vm_name)
+        self.share_updater = fleet_shares.FleetSharesUpdater(
+            self.shares, self._is_informed, self.clock
+        )
+        self.cold_limits = cold_start.ColdStartLimits(
+            settings_.cold_start_over_part, settings_.cold_start_slack
+        )
         self.scheduler = self._make_scheduler()
         self._wire_router()
         self._wire_peers()
@@ -320,6 +329,8 @@
             token_gap_ms=TOKEN_GAP_MS,
             budget=retries.UnlimitedRetryBudget,
             prefill_rate=settings_.policy_prefill_us / US_IN_MS,
+            shares=self.shares,
+            cold_limits=self.cold_limits,
         )
 
     def _wire_router(self) -> None:
@@ -331,7 +342,12 @@
             self.scheduler,
             self.allowances,
             _FleetEndpoints(self),
-            interface.PlatformInterface(self.retry_budget, self.versions),
+            interface.PlatformInterface(
+                self.retry_budget,
+                self.versions,
+                self.shares,
+                self.cold_limits,
+            ),
             self.retry_budget.try_withdraw,
             on_drain=lambda: self.members.update_local(is_stopping=True),
             directory_=self.directory,
@@ -375,6 +391,7 @@
         self.notes.on_paths = self.paths.take_report
         self.versions.send = self.dissemination.send
         self.notes.on_members = self.versions.update_members
+        self.notes.on_known_vms = self.share_updater.record_known
         self.notes.on_streams = self.versions.receive
         self.allowances.broadcast = self.dissemination.publish
         self.notes.on_usage = self._receive_usage
@@ -419,7 +436,7 @@
             self.members.own,
             self.store,
             self.clock,
-            self.allowances.update_members,
+            self._update_listed,
         )
         self.orders = orders.OrdersController(
             settings_.vm_name,
@@ -458,6 +475,12 @@
             for controller in self.mirror_controllers.values()
         )
 
+    def _is_informed(self) -> bool:
+        """Return whether changes in the store would reach this VM."""
+        return self._is_store_reached() is True or self.outages.is_informed(
+            self.clock.now_ms()
+        )
+
     def _has_current_tables(self) -> bool:
         # A VM that does not watch the store gets changes from those that do.
         return self._is_store_reached() is not False
@@ -501,6 +524,10 @@
         if address:
             self.exchange.record_peer_revisions(address, received.mirrors)
 
+    def _update_listed(self, vms: list[str]) -> None:
+        self.allowances.update_members(vms)
+        self.share_updater.record_listed(vms)
+
     def _update_tables(self, changed: tables.Tables) -> None:
         self.allowances.update_tables(changed)
         self.paths.update_tables(changed)
--- a/mulberryway/options.py
+++ b/mulberryway/options.py
@@ -81,6 +81,11 @@
     return type(value) in (int, float) and 0 <= value <= 1
 
 
+def is_factor(value: typing.Any) -> bool:
+    """Return whether a value is a number from 1 to 100."""
+    return type(value) in (int, float) and 1 <= value <= 100
+
+
 def is_nonempty_string(value: typing.Any) -> bool:
     """Return whether a value is a non-empty string."""
     return isinstance(value, str) and bool(value)
--- a/mulberryway/platform/interface.py
+++ b/mulberryway/platform/interface.py
@@ -16,6 +16,7 @@
 from mulberryway.filters import status
 from mulberryway.platform import callers
 from mulberryway.platform import wire
+from mulberryway.policy import cold_start
 from mulberryway.policy import server_selection
 
 __all__ = ["PlatformInterface"]
@@ -26,13 +27,19 @@
 
     :param budget: the retry budget, shared by all requests
     :param tracker: knows the software versions of streams
+    :param shares: this VM's shares of limits over all VMs
+    :param cold_limits: what operators allow cold servers to get
     """
 
     def __init__(
         self,
         budget: repeats.SharedRetryBudget,
         tracker: version_tracking.VersionTracker,
+        shares: cold_start.FleetShares | None = None,
+        cold_limits: cold_start.ColdStartLimits | None = None,
     ) -> None:
+        self._shares = shares
+        self._cold_limits = cold_limits
         self._budget = budget
         self._tracker = tracker
 
@@ -59,7 +66,9 @@
             model_forward.ModelForward(parts, model_forward.make_raw_stream),
             service_forward.ServiceForward(
                 parts.directory,
-                server_selection.ServerSelector(settings_.vm_zone),
+                server_selection.ServerSelector(
+                    settings_.vm_zone, self._shares, self._cold_limits
+                ),
                 parts.tracer,
                 parts.clock,
                 context.source,
--- a/mulberryway/platform/tables.py
+++ b/mulberryway/platform/tables.py
@@ -28,6 +28,8 @@
 BITS_IN_BYTE = 8
 MS_IN_S = 1_000
 MAX_VERSION_LENGTH = 128
+MAX_COLD_MS = 600_000
+MAX_COLD_REQUESTS_PER_S = 1_000_000
 STREAMING = "streaming"
 IDEMPOTENT = "idempotent"
 READY_STATE = "ready"
@@ -168,10 +170,21 @@
 def _parse_pool(row: Value, pause_ms: int) -> tables.Pool:
     name = wire.parse_string(row["name"])
     connections = wire.parse_integer(row.get("max_conns", 0))
+    cold_requests_per_s = wire.parse_amount(
+        row.get("cold_per_s"), MAX_COLD_REQUESTS_PER_S
+    )
+    cold_ms = int(
+        wire.parse_amount(row.get("cold_s"), MAX_COLD_MS / MS_IN_S) * MS_IN_S
+    )
     engine = row.get("engine")
     if not engine:
         return tables.Pool(
-            name, tables.PoolKind.PLAIN, (), max_connections=connections
+            name,
+            tables.PoolKind.PLAIN,
+            (),
+            max_connections=connections,
+            cold_requests_per_s=cold_requests_per_s,
+            cold_ms=cold_ms,
         )
     # "link_mbps" is in megabits per second; "swap_s" is the time for which
     # an engine that changes its role is unavailable, in seconds.
@@ -192,6 +205,8 @@
         has_chunked_prefill=True,
         pause_ms=pause_ms,
         hold_ms=int(float(engine.get("hold_ms", 0))),
+        cold_requests_per_s=cold_requests_per_s,
+        cold_ms=cold_ms,
     )
 
 
@@ -281,6 +296,10 @@
         state == DRAINING_STATE,
         version=version,
         cordoned=zone in evacuated_zones,
+        cold_left_ms=int(
+            wire.parse_amount(value.get("cold_left_ms"), MAX_COLD_MS)
+        ),
+        revision=entry.version,
     )
     return _Server(pool, row, started_ms)
 
@@ -315,4 +334,6 @@
         has_chunked_prefill=pool.has_chunked_prefill,
         pause_ms=pool.pause_ms,
         hold_ms=pool.hold_ms,
+        cold_requests_per_s=pool.cold_requests_per_s,
+        cold_ms=pool.cold_ms,
     )
--- a/mulberryway/platform/wire.py
+++ b/mulberryway/platform/wire.py
@@ -27,6 +27,7 @@
     "SCHEME",
     "TENANT",
     "TOKEN_COUNTS",
+    "parse_amount",
     "parse_string",
     "parse_integer",
 ]
@@ -106,6 +107,18 @@
     return value
 
 
+def parse_amount(value: typing.Any, maximum: float) -> float:
+    """Return an optional JSON number that is at least 0.
+
+    :param value: the JSON value
+    :param maximum: the number that larger ones are reduced to
+    :returns: the number; 0 if the value is missing or is not such a number
+    """
+    if type(value) not in (int, float) or not value > 0:
+        return 0.0
+    return float(min(value, maximum))
+
+
 def parse_string(value: typing.Any) -> str:
     """Return a JSON value as a non-empty string.
 
--- a/mulberryway/policy/base.py
+++ b/mulberryway/policy/base.py
@@ -88,6 +88,17 @@
         """
         return None
 
+    def try_send(self, job_id: str, upstream: str, now_ms: int) -> bool:
+        """Count a request that is about to be sent, if it may be sent.
+
+        :param job_id: the job
+        :param upstream: the upstream's name
+        :param now_ms: current time in milliseconds
+        :returns: whether it may be sent; a cold upstream's limit may be
+            reached since it was chosen
+        """
+        return True
+
     def reassign_decode(
         self,
         job_id: str,
--- a/mulberryway/policy/job_completion.py
+++ b/mulberryway/policy/job_completion.py
@@ -246,6 +246,10 @@
             # timeout.
             is_down = crashed or outcome is jobs.JobOutcome.UNREACHED
             view.health.record_failure(is_down, now_ms)
+            if is_down:
+                self._pool.placer.cold_starts.expect_restart(
+                    view.row.name, now_ms
+                )
             if crashed:
                 self._record_crash(job, view, now_ms)
                 self._blame_parts(job, view, now_ms)
--- a/mulberryway/policy/job_placement.py
+++ b/mulberryway/policy/job_placement.py
@@ -8,6 +8,7 @@
 
 from mulberryway import tables
 from mulberryway.policy import aggregated_serving
+from mulberryway.policy import cold_start
 from mulberryway.policy import fair_queue
 from mulberryway.policy import health
 from mulberryway.policy import jobs
@@ -44,6 +45,7 @@
     :param members: the upstreams of this router's subset
     :param random_: seeded random generator
     :param token_gap_ms: inter-token gap target, in milliseconds
+    :param cold_starts: limits requests to cold upstreams; none by default
     """
 
     def __init__(
@@ -51,8 +53,12 @@
         members: pool_upstreams.PoolUpstreams,
         random_: random.Random,
         token_gap_ms: int,
+        cold_starts: cold_start.ColdStartLimiter | None = None,
     ) -> None:
         self._members = members
+        self.cold_starts = cold_starts or cold_start.ColdStartLimiter(
+            cold_start.FleetShares(""), cold_start.ColdStartLimits()
+        )
         self._random = random_
         self._token_gap_ms = token_gap_ms
         self._links = transfers.TransferLinks()
@@ -81,6 +87,7 @@
         options = [
             self._plan_prefill(view, job, pool, now_ms)
             for view in self._list_usable(candidates, job, now_ms)
+            if self.cold_starts.has_share(view.row.name, now_ms)
         ]
         return min(options, key=_get_ready_ms, default=None)
 
@@ -204,6 +211,8 @@
         """
         assert placement.decode is not None
         placement.decode.start_decode(placement.blocks, now_ms)
+        for view in {placement.prefill, placement.decode}:
+            self.cold_starts.record_choice(view.row.name, now_ms)
         if not self._typical_blocks.count:
             self._typical_blocks.value = float(placement.blocks)
         self._typical_blocks.note(placement.blocks)
@@ -299,6 +308,7 @@
     ) -> list[placements.Placement]:
         job = entry.job
         usable = self._list_usable(self._members.prefills, job, now_ms)
+        usable = self._exclude_cold(usable, now_ms)
         accepting = [
             view for view in usable if not view.is_backing_off(now_ms)
         ]
@@ -383,10 +393,21 @@
             )
             if view.count_free_slots(now_ms) > 0 and view.has_blocks(blocks)
         ]
+        usable = self._exclude_cold(usable, now_ms)
         if entry.lane is fair_queue.Lane.SUSPECT:
             usable = [view for view in usable if not view.count_suspects()]
         return self.slowness.exclude_slow(usable, entry, now_ms)
 
+    def _exclude_cold(
+        self, views: list[upstream_view.UpstreamView], now_ms: int
+    ) -> list[upstream_view.UpstreamView]:
+        """Return the upstreams that are warm or may get a request now."""
+        return [
+            view
+            for view in views
+            if self.cold_starts.has_room(view.row.name, now_ms)
+        ]
+
     def _score_decode(
         self,
         view: upstream_view.UpstreamView,
--- a/mulberryway/policy/pool_scheduler.py
+++ b/mulberryway/policy/pool_scheduler.py
@@ -5,6 +5,7 @@
 from mulberryway import errors
 from mulberryway import tables
 from mulberryway.policy import admission
+from mulberryway.policy import cold_start
 from mulberryway.policy import fair_queue
 from mulberryway.policy import fairness
 from mulberryway.policy import job_placement
@@ -60,6 +61,7 @@
     :param max_entries: maximum number of waiting jobs
     :param max_bytes: maximum size of waiting bodies, in bytes
     :param budget: the retry budget
+    :param cold_starts: see :class:`job_placement.Placer`
     """
 
     def __init__(
@@ -74,11 +76,14 @@
         max_entries: int,
         max_bytes: int,
         budget: retries.RetryBudget | None = None,
+        cold_starts: cold_start.ColdStartLimiter | None = None,
     ) -> None:
         self.row = row
         self.members = members
         self.queue = fair_queue.FairQueue(max_entries, max_bytes)
-        self.placer = job_placement.Placer(members, random_, token_gap_ms)
+        self.placer = job_placement.Placer(
+            members, random_, token_gap_ms, cold_starts
+        )
         self.peer_accounts = peer_accounts.PeerAccounts(self.queue)
         self.stats = pool_stats.PoolStats()
         self.budget = budget or retries.RetryBudget()
@@ -392,6 +397,7 @@
         if decode is None or previous is None or decode is previous:
             return None
         previous.move_decode_to(decode, job.placement.blocks, now_ms)
+        self.placer.cold_starts.record_choice(decode.row.name, now_ms)
         decode.own_suspects += job.is_suspect()
         previous.own_suspects -= job.is_suspect()
         job.placement.decode = decode
--- a/mulberryway/policy/pool_set.py
+++ b/mulberryway/policy/pool_set.py
@@ -4,6 +4,7 @@
 import random
 
 from mulberryway import tables
+from mulberryway.policy import cold_start
 from mulberryway.policy import fairness
 from mulberryway.policy import job_completion
 from mulberryway.policy import part_quarantine
@@ -29,6 +30,8 @@
     :param max_bytes: maximum size of waiting bodies in each pool, in bytes
     :param budget: class of the pools' retry budgets
     :param prefill_rate: see :class:`pool_upstreams.PoolUpstreams`
+    :param shares: this VM's shares of limits over all VMs
+    :param cold_limits: what operators allow cold upstreams to get
     """
 
     def __init__(
@@ -43,7 +46,11 @@
         max_bytes: int,
         budget: type[retries.RetryBudget] = retries.RetryBudget,
         prefill_rate: float = upstream_view.PREFILL_MS_PER_TOKEN,
+        shares: cold_start.FleetShares | None = None,
+        cold_limits: cold_start.ColdStartLimits | None = None,
     ) -> None:
+        self._shares = shares or cold_start.FleetShares(vm)
+        self._cold_limits = cold_limits or cold_start.ColdStartLimits()
         self.pools: dict[str, pool_scheduler.PoolScheduler] = {}
         self._vm = vm
         self._fairness_mode = fairness_mode
@@ -105,11 +112,12 @@
             pool.members.change(pool.row, self._vms)
 
     def change(
-        self, rows: collections.abc.Mapping[str, tables.Pool]
+        self, rows: collections.abc.Mapping[str, tables.Pool], now_ms: int
     ) -> list[str]:
         """Apply a new table of pools.
 
         :param rows: the rows by name
+        :param now_ms: current time in milliseconds
         :returns: names of the removed pools
         """
         models = {
@@ -125,6 +133,7 @@
                 self._add(name, row)
             self.pools[name].row = row
             self.pools[name].members.change(row, self._vms)
+            self.pools[name].placer.cold_starts.update_pool(row, now_ms)
         return removed
 
     def _add(self, name: str, row: tables.Pool) -> None:
@@ -150,4 +159,5 @@
             self._max_entries,
             self._max_bytes,
             self._budget(),
+            cold_start.ColdStartLimiter(self._shares, self._cold_limits),
         )
--- a/mulberryway/policy/scheduler.py
+++ b/mulberryway/policy/scheduler.py
@@ -8,6 +8,7 @@
 from mulberryway import tables
 from mulberryway.policy import admission
 from mulberryway.policy import base
+from mulberryway.policy import cold_start
 from mulberryway.policy import crash_reports
 from mulberryway.policy import fairness
 from mulberryway.policy import hints
@@ -50,6 +51,8 @@
     :param max_bytes: maximum size of waiting bodies in each pool, in bytes
     :param budget: class of the pools' retry budgets
     :param prefill_rate: see :class:`pool_upstreams.PoolUpstreams`
+    :param shares: see :class:`pool_set.PoolSet`
+    :param cold_limits: see :class:`pool_set.PoolSet`
     """
 
     def __init__(
@@ -64,6 +67,8 @@
         max_bytes: int = MAX_BYTES,
         budget: type[retries.RetryBudget] = retries.RetryBudget,
         prefill_rate: float = upstream_view.PREFILL_MS_PER_TOKEN,
+        shares: cold_start.FleetShares | None = None,
+        cold_limits: cold_start.ColdStartLimits | None = None,
     ) -> None:
         self.register = register or poison.PoisonRegistry()
         self.parts = part_quarantine.PartQuarantine(vm, random.Random(seed))
@@ -82,6 +87,8 @@
             max_bytes,
             budget,
             prefill_rate,
+            shares,
+            cold_limits,
         )
         self._pools = self._pool_set.pools
         self._waiting: dict[str, str] = {}
@@ -269,6 +276,20 @@
         pool = self._pool_set.find_any(job.entry.job.pool)
         return pool.check_running(job, now_ms)
 
+    def try_send(self, job_id: str, upstream: str, now_ms: int) -> bool:
+        """Count a request that is about to be sent, if it may be sent.
+
+        :param job_id: the job
+        :param upstream: the upstream's name
+        :param now_ms: current time in milliseconds
+        :returns: whether it may be sent
+        """
+        job = self._running.get(job_id)
+        if job is None:
+            return True
+        pool = self._pool_set.find_any(job.entry.job.pool)
+        return pool.placer.cold_starts.try_send(upstream, now_ms)
+
     def record_tokens(self, job_id: str, tokens: int, now_ms: int) -> None:
         """Record how many tokens of a running job have arrived.
 
@@ -445,8 +466,10 @@
         """
         known = self._pools.get(pool)
         view = known.members.find(upstream) if known is not None else None
-        if view is not None:
+        if known is not None and view is not None:
             view.health.record_probe(has_passed, now_ms)
+            if not has_passed:
+                known.placer.cold_starts.expect_restart(upstream, now_ms)
             self._note_sender.mark_changed(pool, upstream)
 
     def drain_hints(self, now_ms: int) -> hints.Note | None:
@@ -548,7 +571,7 @@
         :param pools: the pools by name
         :param now_ms: current time in milliseconds
         """
-        for name in self._pool_set.change(pools):
+        for name in self._pool_set.change(pools, now_ms):
             self._reject_waiting(name)
         for pool in self._pools.values():
             for rejection in pool.list_unservable():
--- a/mulberryway/policy/server_selection.py
+++ b/mulberryway/policy/server_selection.py
@@ -4,6 +4,7 @@
 import statistics
 
 from mulberryway import tables
+from mulberryway.policy import cold_start
 from mulberryway.policy import health
 
 __all__ = ["CallOutcome", "ServerSelector", "list_usable_servers"]
@@ -88,12 +89,31 @@
     It is not thread-safe; callers hold a lock.
 
     :param zone: the zone of this VM
+    :param shares: this VM's shares of limits over all VMs
+    :param cold_limits: what operators allow cold servers to get
     """
 
-    __slots__ = ("_zone", "_servers")
+    __slots__ = (
+        "_zone",
+        "_servers",
+        "_shares",
+        "_cold_limits",
+        "_cold_starts",
+    )
 
-    def __init__(self, zone: str) -> None:
+    def __init__(
+        self,
+        zone: str,
+        shares: cold_start.FleetShares | None = None,
+        cold_limits: cold_start.ColdStartLimits | None = None,
+    ) -> None:
         self._zone = zone
+        self._shares = shares or cold_start.FleetShares("")
+        self._cold_limits = cold_limits or cold_start.ColdStartLimits()
+        # By pool name, with the row that was applied last.
+        self._cold_starts: dict[
+            str, tuple[tables.Pool, cold_start.ColdStartLimiter]
+        ] = {}
         self._servers: dict[tuple[str, str], _Server] = {}
 
     def choose(
@@ -109,9 +129,17 @@
         :param excluded: names of servers at which this call failed
         :param now_ms: current time in milliseconds
         :param required_version: see :func:`list_usable_servers`
-        :returns: the server, or none if all are draining or excluded
+        :returns: the server, or none if all are draining or excluded, or are
+            cold and have got the requests that they may get now
         """
-        usable = list_usable_servers(pool, excluded, required_version)
+        cold_starts = self._find_cold_starts(pool, now_ms)
+        usable = [
+            upstream
+            for upstream in list_usable_servers(
+                pool, excluded, required_version
+            )
+            if cold_starts.has_room(upstream.name, now_ms)
+        ]
         if not usable:
             return None
         self._remove_deregistered(pool)
@@ -126,6 +154,7 @@
             ),
         )
         self._find(pool, chosen).in_flight += 1
+        cold_starts.try_send(chosen.name, now_ms)
         return chosen
 
     def finish(
@@ -150,6 +179,9 @@
             return
         if outcome is CallOutcome.UNREACHED:
             server.backoff_until_ms = now_ms + UNREACHED_BACKOFF_MS
+            self._find_cold_starts(pool, now_ms).expect_restart(
+                upstream.name, server.backoff_until_ms
+            )
             return
         server.backoff_until_ms = 0
         server.updated_ms = now_ms
@@ -160,6 +192,18 @@
     def _find(self, pool: tables.Pool, upstream: tables.Upstream) -> _Server:
         return self._servers.setdefault((pool.name, upstream.name), _Server())
 
+    def _find_cold_starts(
+        self, pool: tables.Pool, now_ms: int
+    ) -> cold_start.ColdStartLimiter:
+        row, limiter = self._cold_starts.get(pool.name) or (
+            None,
+            cold_start.ColdStartLimiter(self._shares, self._cold_limits),
+        )
+        if row is not pool:
+            limiter.update_pool(pool, now_ms)
+            self._cold_starts[pool.name] = pool, limiter
+        return limiter
+
     def _remove_deregistered(self, pool: tables.Pool) -> None:
         names = {upstream.name for upstream in pool.upstreams}
         removed = [
--- a/mulberryway/policy/store_reachability.py
+++ b/mulberryway/policy/store_reachability.py
@@ -75,6 +75,13 @@
             for peer in self._list_recent(now_ms)
         )
 
+    def is_informed(self, now_ms: int) -> bool:
+        """Return whether another VM that polls the store was heard recently.
+
+        :param now_ms: current time in ms
+        """
+        return bool(self._list_recent(now_ms))
+
     def describe(self, since_ms: int, now_ms: int) -> dict[str, int]:
         """Return the facts behind :meth:`is_fleet_wide`, for logs.
 
--- a/mulberryway/settings.py
+++ b/mulberryway/settings.py
@@ -83,6 +83,11 @@
         self.upstreams_heartbeat_ms: int = 1_000
         self.upstreams_drain_ms: int = 2_000
 
+        # What a cold upstream may get over all VMs, in each second: its rate
+        # times the factor, plus the slack in requests.
+        self.cold_start_over_part: float = 1.0
+        self.cold_start_slack: int = 0
+
         # The tokens that a client account may get beyond its rate and burst
         # in one window, over all VMs; they cover usage that VMs have not
         # reported to one another yet.
@@ -194,6 +199,13 @@
     options.make_number(
         "upstreams.drain_ms", "upstreams_drain_ms", 10, HOUR_MS
     ),
+    options.Option(
+        "cold_start.over_part",
+        "cold_start_over_part",
+        "a number from 1 to 100",
+        options.is_factor,
+    ),
+    options.make_amount("cold_start.slack", "cold_start_slack", 1_000_000),
     options.make_seconds(
         "allowances.window_s", "allowances_window_ms", 0.1, HOUR_S
     ),
--- a/mulberryway/tables/model.py
+++ b/mulberryway/tables/model.py
@@ -59,6 +59,9 @@
     :param role: the work that it accepts
     :param leaving: whether it is draining: it completes its requests and gets
         no new ones
+    :param cold_left_ms: for how long it stays cold, in milliseconds, by its
+        last report; 0 if it is warm
+    :param revision: the platform's revision of its last report
     :param cordoned: whether nothing at all may be sent to it, not even a
         probe or an order; requests that it runs are completed
     :param checks_fencing: whether it rejects orders with an old fencing number
@@ -73,6 +76,8 @@
         "role",
         "leaving",
         "cordoned",
+        "cold_left_ms",
+        "revision",
         "checks_fencing",
         "version",
     )
@@ -87,6 +92,8 @@
         checks_fencing: bool = False,
         version: str = "",
         cordoned: bool = False,
+        cold_left_ms: int = 0,
+        revision: int = 0,
     ) -> None:
         self.name = name
         self.address = address
@@ -94,6 +101,8 @@
         self.role = role
         self.leaving = leaving or cordoned
         self.cordoned = cordoned
+        self.cold_left_ms = cold_left_ms
+        self.revision = revision
         self.checks_fencing = checks_fencing
         self.version = version
 
@@ -124,6 +133,10 @@
         the targets of all its routes; 0 if no route has a target
     :param hold_ms: the longest time, in milliseconds, for which its decode
         engines reserve a slot and memory; 0 if they do not
+    :param cold_requests_per_s: requests per second that one of its upstreams
+        tolerates while it is cold; 0 if that is not limited
+    :param cold_ms: how long an upstream is cold after it starts, in
+        milliseconds
     """
 
     __slots__ = (
@@ -136,6 +149,8 @@
         "has_chunked_prefill",
         "pause_ms",
         "hold_ms",
+        "cold_requests_per_s",
+        "cold_ms",
         "models",
         "credential",
         "slots",
@@ -161,8 +176,12 @@
         has_chunked_prefill: bool = False,
         pause_ms: int = 0,
         hold_ms: int = 0,
+        cold_requests_per_s: float = 0.0,
+        cold_ms: int = 0,
     ) -> None:
         self.hold_ms = hold_ms
+        self.cold_requests_per_s = cold_requests_per_s
+        self.cold_ms = cold_ms
         self.name = name
         self.kind = kind
         self.upstreams = upstreams
--- a/standins/hosted_upstreams.py
+++ b/standins/hosted_upstreams.py
@@ -27,6 +27,7 @@
 """
 
 import asyncio
+import collections
 import hashlib
 import itertools
 import json
@@ -248,7 +249,11 @@
             "hold_at": 0,
             "unframed": 0,
             "close_after": 0,
+            # Requests per second above which the process ends; 0 if warm.
+            "cold_per_s": 0,
         }
+        self.arrivals: collections.deque[float] = collections.deque()
+        self.most_per_s = 0
         # Number of requests that wait for a fault to be reset.
         self.held = 0
         self._id_numbers = itertools.count(1)
@@ -278,6 +283,7 @@
         expected = request.headers.get("Expect-Instance", self.instance)
         if expected != self.instance:
             return self._make_response(request, 421, b"")
+        self._count_arrival()
         if self.faults["fail_status"]:
             return self._make_response(
                 request, self.faults["fail_status"], b"failed"
@@ -297,6 +303,16 @@
             return self._make_response(request, 421, b"")
         return await self._stream(request)
 
+    def _count_arrival(self) -> None:
+        """Count a request, and crash a cold server that gets too many."""
+        now_s = time.monotonic()
+        self.arrivals.append(now_s)
+        while now_s - self.arrivals[0] >= 1:
+            self.arrivals.popleft()
+        self.most_per_s = max(self.most_per_s, len(self.arrivals))
+        if 0 < self.faults["cold_per_s"] < len(self.arrivals):
+            os._exit(1)
+
     async def _serve_plain(
         self, request: web.Request, body: bytes
     ) -> web.Response:
@@ -451,6 +467,7 @@
                 "refused_holds": self.refused_holds,
                 "held_decodes": self.held_decodes,
                 "held": self.held,
+                "most_per_s": self.most_per_s,
             }
         )
 
--- a/tests/hosted_fleet.py
+++ b/tests/hosted_fleet.py
@@ -42,6 +42,8 @@
         default
     :param zones: the availability zones of servers by name; the VMs' zone by
         default
+    :param cold_per_s: requests per second that a cold server tolerates; 0 if
+        they are not limited
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         program="mulberryway.commands.entry",
         versions=(),
         zones=None,
+        cold_per_s=0.0,
     ):
         self.kv_capacity_tokens = engine_tokens
         self.group = processes.Group()
@@ -70,6 +73,7 @@
             f"e{number}": version for number, version in enumerate(versions)
         }
         self.zones = zones or {}
+        self.cold_per_s = cold_per_s
         self.phases = phases
         ports = processes.pick_ports(vms * 5)
         self.ports = [ports[number::vms] for number in range(vms)]
@@ -113,7 +117,7 @@
         self.upstreams[name] = (process, port, service, phase)
         self.register(name)
 
-    def register(self, name, state="ready"):
+    def register(self, name, state="ready", cold_left_ms=0):
         """Write a server's entry to the store."""
         _, port, service, phase = self.upstreams[name]
         entry = {
@@ -123,7 +127,7 @@
             "version": self.versions.get(name, VERSION),
             "slots": 64,
             "state": state,
-            "cold_left_ms": 0,
+            "cold_left_ms": cold_left_ms,
             "sequence": 1,
         }
         if phase:
@@ -173,6 +177,7 @@
         """Write a new version of the configuration to the store."""
         self.version += 3
         keys = KEYS if keys is None else keys
+        cold = {"cold_s": 3.0, "cold_per_s": self.cold_per_s}
         engine = {
             "slots": 64,
             "kv_capacity": self.kv_capacity_tokens,
@@ -195,8 +200,8 @@
                 *more,
             ],
             "services": [
-                {"name": "llm", "health_path": "/h", "engine": engine},
-                {"name": "app", "health_path": "/h"},
+                {"name": "llm", "health_path": "/h", "engine": engine} | cold,
+                {"name": "app", "health_path": "/h"} | cold,
             ],
             "limits": LIMITS,
             "tenants": [
@@ -303,6 +308,7 @@
                 "timeout_ms": 500,
             },
             "allowances": {"over_part": 0.1, "over_tokens": 2000},
+            "cold_start": {"over_part": 1.5, "slack": 2},
             "policy": {"prefill_us": 18},
             "telemetry": {"metrics_address": f"{HOST}:{metrics}"},
         }
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -57,7 +57,7 @@
         for number in range(100):
             now_ms = number * 1_000
             pool = cases.make_pool(1, 4, name=f"lm-{number % 50}")
-            pool_set_.change({pool.name: pool})
+            pool_set_.change({pool.name: pool}, 0)
             holdings = [
                 hints.Holding(pool.name, f"d{decode}", 1, 0)
                 for decode in range(4)
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -141,6 +141,47 @@
         return prompts + sum(len(fleet.list_runs(name)) for name in SERVERS)
 
 
+class ColdServerTest(unittest.TestCase):
+    def test_returned_zone_is_not_overloaded(self):
+        """Guards against servers of a zone that crash because they are cold
+        and all VMs send to them at once when its evacuation ends.
+        """
+        allowed = 14
+        zones = {"s0": ZONE, "e1": ZONE}
+        phases = ("prefill", "decode", "decode")
+        with hosted_fleet.Fleet(
+            phases=phases, zones=zones, cold_per_s=8.0
+        ) as fleet:
+            fleet.put("evacuations", ZONE, {})
+            for name in zones:
+                fleet.set_fault(name, cold_per_s=allowed)
+                fleet.register(name, cold_left_ms=60_000)
+            # Shares are complete some seconds after the start.
+            time.sleep(1.5)
+            fleet.drop("evacuations", ZONE)
+            with concurrent.futures.ThreadPoolExecutor(24) as pool:
+                plain = [
+                    pool.submit(fleet.send, n % 2, "/plain/x", f"p-{n}")
+                    for n in range(150)
+                ]
+                streams = [
+                    pool.submit(
+                        fleet.send,
+                        n % 2,
+                        f"/talk/{n}",
+                        f"t-{n}",
+                        headers=STREAM,
+                    )
+                    for n in range(60)
+                ]
+            statuses = {answer.result().status for answer in plain + streams}
+            self.assertEqual({200}, statuses)
+            for name in zones:
+                most = fleet.read_state(name)["most_per_s"]
+                self.assertLessEqual(most, allowed)
+                self.assertGreater(most, 0)
+
+
 class FailingDialer(dialing.Dialer):
     """Fails the test that opens a connection."""
 
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -301,6 +301,9 @@
     def check_running(self, job_id):
         return expression.Ok(None)
 
+    def try_send(self, job_id, upstream):
+        return True
+
     def has_quarantined_part(self, part_keys):
         return False
 
