Greet all listed VMs at the start, so that shares are known soon

Each VM knew the 76 others by the store's list, had heard from none, and could use 1/77 of each account. The membership protocol took about 1.1 s to name the receivers of usage messages.

Ruled out: a larger part for VMs that have heard nobody (76 VMs would grant more than the margin to a hot account); a fixed number of VMs for each account (requests come to any VM).

Change: a VM sends its usage message directly to all VMs that the store lists as soon as it has registered, and each VM answers the first message of one that has just started. While others are still unheard, at most a second after the start, a request waits up to 400 ms for them instead of being rejected.

Tests: tests/test_usage.py, RestartedFleetTest and a simulation of 80 VMs with requests that are large beside the margin.

--- a/mulberryway/controllers/dissemination.py
+++ b/mulberryway/controllers/dissemination.py
@@ -6,6 +6,7 @@
 from mulberryway import clock
 from mulberryway import metrics
 from mulberryway.controllers import base
+from mulberryway.objects import base as objects
 from mulberryway.peers import datagrams
 from mulberryway.peers import envelopes
 from mulberryway.policy import dissemination
@@ -41,6 +42,9 @@
         )
         self._lock = threading.Lock()
         self._addresses: dict[str, str] = {}
+        # Addresses of VMs that the store lists; membership may not know them
+        # yet.
+        self._listed_addresses: dict[str, str] = {}
         self._disseminator = dissemination.Disseminator(_make_receiver(own))
 
     def update_members(self, alive: list[member.Member]) -> None:
@@ -58,12 +62,23 @@
             is_large = len(alive) > MAX_UNBATCHED_VMS
             self.datagrams.batch_delay_ms = RECEIVE_BATCH_MS if is_large else 0
 
+    def add_listed(
+        self, listed: collections.abc.Iterable[objects.ListedVm]
+    ) -> None:
+        """Add VMs to which items may be sent directly.
+
+        :param listed: the VMs that are registered in the store
+        """
+        self._listed_addresses = {vm.name: vm.address for vm in listed}
+
     def find_address(self, name: str) -> str:
         """Return the address of a VM's peer server; empty if unknown.
 
         :param name: the VM's name
         """
-        return self._addresses.get(name, "")
+        return self._addresses.get(name) or self._listed_addresses.get(
+            name, ""
+        )
 
     def publish(self, item: bytes, is_urgent: bool = True) -> None:
         """Send an item to all VMs considered alive.
@@ -85,7 +100,7 @@
         :param item: an encoded gossip message
         :param names: names of VMs; unknown ones are skipped
         """
-        addresses = filter(None, map(self._addresses.get, names))
+        addresses = filter(None, map(self.find_address, names))
         envelope = dissemination.Envelope([item])
         self._send(
             [
--- a/mulberryway/controllers/fleet_allowances.py
+++ b/mulberryway/controllers/fleet_allowances.py
@@ -26,6 +26,10 @@
 # Bounds of the retry hint; within the minimum the others' counts arrive too.
 MIN_RETRY_MS = 200
 MAX_RETRY_MS = 5_000
+# A request waits this long for the first messages of VMs that have started at
+# the same time, and asks this often.
+SETTLE_WAIT_MS = 400
+SETTLE_POLL_MS = 20
 
 
 class FleetAllowances(base.Controller, allowance.Allowances):
@@ -37,7 +41,8 @@
         None if this VM does not contact it
     :param clock_: time source
 
-    ``broadcast`` is replaced by the component that sends to the other VMs.
+    ``broadcast`` and ``send`` are replaced by the component that sends to all
+    or some of the other VMs.
     """
 
     def __init__(
@@ -52,6 +57,9 @@
         self.broadcast: collections.abc.Callable[[bytes, bool], None] = (
             lambda payload, is_urgent: None
         )
+        self.send: collections.abc.Callable[
+            [bytes, collections.abc.Iterable[str]], None
+        ] = lambda payload, vms: None
         self._read_mirrors = read_mirrors
         self._lock = threading.Lock()
         self._is_store_reached = is_store_reached
@@ -99,15 +107,33 @@
         :param message: its usage message
         """
         with self._lock:
-            self._rate_limiter.merge_usage(message, self.clock.now_ms())
+            has_started = self._rate_limiter.merge_usage(
+                message, self.clock.now_ms()
+            )
+        if has_started:
+            self._greet([message.vm])
 
     def update_members(self, vms: list[str]) -> None:
-        """Apply the set of VMs that the store lists.
+        """Apply the set of VMs that the store lists, and greet them.
+
+        Until a VM has heard from the others it may use only its own fraction
+        of all limits.  Its membership protocol takes a second or more to
+        reach all of a large fleet.
 
         :param vms: names of the VMs
         """
         with self._lock:
             self._rate_limiter.update_members(vms, self.clock.now_ms())
+        self._greet(vms)
+
+    def _greet(self, vms: collections.abc.Iterable[str]) -> None:
+        mirrors, is_reached = self._read_mirrors(), self._is_store_reached()
+        with self._lock:
+            message = self._rate_limiter.make_greeting(
+                mirrors, self.clock.now_ms()
+            )
+        message.is_store_reached = is_reached
+        self.send(gossip_messages.encode_usage(message), vms)
 
     def list_unresponsive(self) -> frozenset[str]:
         """Return known VMs that are unresponsive now."""
@@ -135,10 +161,20 @@
         :param tokens: maximum number of tokens that it may use
         :returns: the reservation, or ``OVER_ALLOWANCE`` with a retry hint
         """
-        with self._lock:
-            now_ms = self.clock.now_ms()
-            wait_ms = self._rate_limiter.take(account, tokens, now_ms)
-            inputs = self._rate_limiter.describe(account, now_ms)
+        deadline = clock.Deadline(self.clock.now_ms() + SETTLE_WAIT_MS)
+        while True:
+            with self._lock:
+                now_ms = self.clock.now_ms()
+                wait_ms = self._rate_limiter.take(account, tokens, now_ms)
+                inputs = self._rate_limiter.describe(account, now_ms)
+                is_settling = self._rate_limiter.is_settling(now_ms)
+            if (
+                wait_ms is None
+                or not is_settling
+                or deadline.has_passed(now_ms)
+            ):
+                break
+            self.clock.sleep_ms(SETTLE_POLL_MS)
         if wait_ms is None:
             self.wake()
             return expression.Ok(allowance.Reservation(account, tokens))
--- a/mulberryway/controllers/registration.py
+++ b/mulberryway/controllers/registration.py
@@ -28,8 +28,7 @@
     :param own: this VM
     :param store: the platform's store
     :param clock_: the clock
-    :param on_listed: called once with the names of all VMs that have an
-        entry
+    :param on_listed: called once with all VMs that have an entry
     """
 
     def __init__(
@@ -38,8 +37,8 @@
         store: objects.ObjectStore,
         clock_: clock.Clock,
         on_listed: collections.abc.Callable[
-            [list[str]], None
-        ] = lambda names: None,
+            [list[objects.ListedVm]], None
+        ] = lambda listed: None,
     ) -> None:
         super().__init__("registration", clock_, RETRY_MS)
         self._own = own
@@ -68,5 +67,5 @@
         result = self._store.list_vms(PURPOSE)
         if result.is_error():
             return result.error
-        self._on_listed([vm.name for vm in result.ok])
+        self._on_listed(result.ok)
         return None
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -36,6 +36,7 @@
 from mulberryway.controllers import scheduler_gossip
 from mulberryway.controllers import version_tracking
 from mulberryway.filters import repeats
+from mulberryway.objects import base as objects
 from mulberryway.objects import call_metrics
 from mulberryway.peers import datagrams
 from mulberryway.peers import server as peer_server
@@ -394,6 +395,7 @@
         self.notes.on_known_vms = self.share_updater.record_known
         self.notes.on_streams = self.versions.receive
         self.allowances.broadcast = self.dissemination.publish
+        self.allowances.send = self.dissemination.send
         self.notes.on_usage = self._receive_usage
         self.source.subscribe(self._update_tables)
 
@@ -524,9 +526,12 @@
         if address:
             self.exchange.record_peer_revisions(address, received.mirrors)
 
-    def _update_listed(self, vms: list[str]) -> None:
-        self.allowances.update_members(vms)
-        self.share_updater.record_listed(vms)
+    def _update_listed(self, listed: list[objects.ListedVm]) -> None:
+        own = self.settings.vm_name
+        others = [vm for vm in listed if vm.name != own]
+        self.dissemination.add_listed(others)
+        self.allowances.update_members([vm.name for vm in others])
+        self.share_updater.record_listed([vm.name for vm in listed])
 
     def _update_tables(self, changed: tables.Tables) -> None:
         self.allowances.update_tables(changed)
--- a/mulberryway/policy/usage.py
+++ b/mulberryway/policy/usage.py
@@ -10,6 +10,7 @@
 import collections
 import collections.abc
 import itertools
+import random
 
 from mulberryway import tables
 from mulberryway.policy import usage_bucket
@@ -60,6 +61,11 @@
 UNKNOWN = -1
 # A VM that has counted this long has all counts from before it started.
 WARM_UP_MS = 3_000
+# A VM that starts greets all VMs that the store lists.  For this long it has
+# not heard from most of them, and its own fraction is too small for a request.
+SETTLE_MS = 1_000
+# Number of greeted VMs of which a full snapshot is expected in response.
+WHOLE_RESPONSES = 8
 # Each ``FULL_SYNC_INTERVAL``-th heartbeat is a full snapshot.  While a VM has
 # counted for less than ``STARTUP_FULL_SYNC_MS``, every heartbeat is one, or
 # every second one in a fleet of more than ``HEARTBEAT_SCALING_VMS``.  The
@@ -120,6 +126,7 @@
         self._started_ms = now_ms
         self._last_heartbeat_ms: int | None = None
         self._numbers = itertools.count(1)
+        self._random = random.Random(f"{vm}/{incarnation}")
         self._heartbeats = 0
         self._startup_sync_until_ms = now_ms + STARTUP_FULL_SYNC_MS
         # Accounts announced since the last heartbeat, and in the interval
@@ -318,6 +325,45 @@
             is_heartbeat=not is_urgent and not has_other_changes,
         )
 
+    def make_greeting(self, mirrors: dict[str, int], now_ms: int) -> Usage:
+        """Return the message to send to VMs that may not know this one.
+
+        It does not replace an announcement to all VMs.  It is a snapshot if
+        this VM has counted for long enough, and only with some probability,
+        because the other VM needs few snapshots.
+
+        :param mirrors: store revision of each mirror, by kind
+        :param now_ms: current time in ms
+        """
+        age_ms = now_ms - self._started_ms
+        probability = WHOLE_RESPONSES / max(len(self._peers), 1)
+        is_whole = age_ms >= WARM_UP_MS and (
+            self._random.random() < probability
+        )
+        return Usage(
+            self._vm,
+            self._incarnation,
+            next(self._numbers),
+            [
+                AccountUsage(name, bucket.spent, int(bucket.level))
+                for name, bucket in self._buckets.items()
+                if bucket.spent or (is_whole and bucket.rate)
+            ],
+            mirrors,
+            age_ms,
+            is_whole=is_whole,
+            is_heartbeat=True,
+        )
+
+    def is_settling(self, now_ms: int) -> bool:
+        """Return whether VMs that have just started will soon be heard.
+
+        :param now_ms: current time in ms
+        """
+        return now_ms - self._started_ms < SETTLE_MS and any(
+            peer.incarnation == UNKNOWN for peer in self._peers.values()
+        )
+
     def _can_defer(self, name: str) -> bool:
         """Return whether an account's count may wait for a heartbeat.
 
@@ -348,14 +394,15 @@
             )
         return self._heartbeats % interval == 0
 
-    def merge_usage(self, usage: Usage, now_ms: int) -> None:
+    def merge_usage(self, usage: Usage, now_ms: int) -> bool:
         """Merge another VM's counts.
 
         :param usage: its message; late and duplicate ones are ignored
         :param now_ms: current time in ms
+        :returns: whether it is the first one of a VM that has just started
         """
         if usage.vm == self._vm:
-            return
+            return False
         peer = self._peers.get(usage.vm)
         if peer is None and usage.vm in self._evicted:
             peer = self._peers[usage.vm] = self._evicted.pop(usage.vm)
@@ -367,7 +414,7 @@
             peer = _Peer(usage.incarnation, now_ms)
             self._peers[usage.vm] = peer
         elif usage.sequence <= peer.sequence:
-            return
+            return False
         was_unresponsive = peer.unresponsive_since_ms is not None
         self._restore_fraction(peer, now_ms)
         peer.sequence = usage.sequence
@@ -382,6 +429,7 @@
         self._adopt(usage, now_ms)
         for entry in usage.accounts:
             self._subtract(peer, entry, now_ms)
+        return is_new and usage.age_ms < SETTLE_MS
 
     def _adopt(self, usage: Usage, now_ms: int) -> None:
         # A VM that has just started lacks the counts of tokens granted
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -564,7 +564,114 @@
                 self.granted.append((self.now_ms, tokens))
 
 
+class LargeRequestSimulation(LargeSimulation):
+    """The same fleet and a small account with requests of large streams."""
+
+    def make_limiter(self, name):
+        return make_limiter(
+            name,
+            self.now_ms,
+            1 + self.incarnation_counts[name],
+            self.is_connected,
+            WIDE_MARGIN,
+            WIDE_ACCOUNT,
+        )
+
+    def submit_request(self):
+        # About ten times the account's rate.
+        name = self.random.choice(list(self.limiters))
+        if name in self.down or self.random.random() < 0.5:
+            return
+        tokens = self.random.randint(11_000, 16_000)
+        if self.limiters[name].take("a", tokens, self.now_ms) is None:
+            self.granted.append((self.now_ms, tokens))
+
+
+class RestartedFleetTest(unittest.TestCase):
+    """Pattern: all VMs of a large fleet lose power and start within 350 ms,
+    and streams of many accounts arrive at once.
+    """
+
+    def play(self, greets):
+        """Return the limiters 250 ms after the last start."""
+        random_ = random.Random(0)
+        names = [f"a{n}" for n in range(LARGE_VMS)]
+        starts = {name: random_.randrange(0, 350, 10) for name in names}
+        limiters, late = {}, []
+        for now_ms in range(0, 600, 10):
+            for name in names:
+                if now_ms == starts[name]:
+                    limiters[name] = make_limiter(
+                        name, now_ms, 2, True, WIDE_MARGIN, WIDE_ACCOUNT
+                    )
+                if now_ms == starts[name] + 60:
+                    limiters[name].update_members(names, now_ms)
+                    if greets:
+                        message = limiters[name].make_greeting({}, now_ms)
+                        late += [(now_ms + 10, to, message) for to in names]
+            due = [item for item in late if item[0] <= now_ms]
+            late = [item for item in late if item[0] > now_ms]
+            for _, to, message in due:
+                if to in limiters and limiters[to].merge_usage(
+                    message, now_ms
+                ):
+                    response = limiters[to].make_greeting({}, now_ms)
+                    late.append((now_ms + 10, message.vm, response))
+        return limiters
+
+    def test_streams_are_admitted_soon(self):
+        """Guards against rejections of all streams for a second after a
+        restart, because no VM has heard from the others yet.
+        """
+        limiters = self.play(greets=True)
+        for limiter in limiters.values():
+            self.assertEqual(limiter._get_fraction(600), 1.0)
+            self.assertFalse(limiter.is_settling(600))
+        granted = [
+            limiter.take("a", 12_000, 600) for limiter in limiters.values()
+        ]
+        self.assertEqual(set(granted), {None})
+
+    def test_fleet_that_does_not_greet(self):
+        """The test above must fail without greetings."""
+        limiters = self.play(greets=False)
+        for limiter in limiters.values():
+            self.assertTrue(limiter.is_settling(600))
+            self.assertIsNotNone(limiter.take("a", 12_000, 600))
+
+    def test_wait_for_other_vms_is_bounded(self):
+        """Guards against requests that wait for VMs that never come."""
+        limiter = make_limiter("a0", has_others=True)
+        limiter.update_members(["a0", "a1"], 0)
+        self.assertTrue(limiter.is_settling(0))
+        self.assertFalse(limiter.is_settling(usage.SETTLE_MS))
+
+    def test_greeting_of_a_warm_vm_may_be_adopted(self):
+        """Guards against a VM that starts among others and grants what they
+        have granted already.
+        """
+        warm = make_limiter("a1")
+        warm.merge_usage(make_limiter("a2").make_greeting({}, 0), 0)
+        self.assertIsNone(warm.take("a", 9_000, 20_000))
+        new = make_limiter("a2", 20_000, 2, True)
+        new.merge_usage(warm.make_greeting({}, 20_000), 20_000)
+        self.assertEqual(
+            new._buckets["a"].level, int(warm._buckets["a"].level)
+        )
+
+
 class UsageHistoryTest(unittest.TestCase):
+    def test_large_requests_of_eighty_vms_keep_to_the_margin(self):
+        """Guards against overruns by requests that are large beside the
+        margin, when VMs hear of one another soon after a restart.
+        """
+        for seed in range(6):
+            self.assertLessEqual(
+                LargeRequestSimulation(seed).run(),
+                WIDE_MAX_TOKENS,
+                f"seed {seed}",
+            )
+
     def test_small_requests_of_eighty_vms_keep_to_the_margin(self):
         """Guards against deferred counts of all VMs exceeding the margin."""
         for seed in range(3):
