Keep roles while a zone is evacuated; soak with evacuations; wait for news

The shape of the pool counts evacuated engines now.

It counts as informed for 5 s.

The soak evacuates zones whose servers are cold afterwards (--evacuations).

--- a/mulberryway/controllers/fleet_shares.py
+++ b/mulberryway/controllers/fleet_shares.py
@@ -11,6 +11,8 @@
 # A VM that started while the store was unreachable has heard of all others by
 # then.
 SETTLE_MS = 3_000
+# A VM that has had no contact for this long may not know of a cold server.
+INFORMATION_TTL_MS = 5_000
 
 
 class FleetSharesUpdater:
@@ -32,6 +34,8 @@
         self._is_informed = is_informed
         self._clock = clock_
         self._started_ms = clock_.now_ms()
+        # A VM serves no requests before it has got tables.
+        self._informed_ms = self._started_ms
         self._lock = threading.Lock()
         self._is_listed = False
 
@@ -53,7 +57,12 @@
         with self._lock:
             self._add(vms)
             self._update_completeness()
-            self._shares.is_informed = self._is_informed()
+            now_ms = self._clock.now_ms()
+            if self._is_informed():
+                self._informed_ms = now_ms
+            self._shares.is_informed = (
+                now_ms - self._informed_ms < INFORMATION_TTL_MS
+            )
 
     def _update_completeness(self) -> None:
         age_ms = self._clock.now_ms() - self._started_ms
--- a/mulberryway/policy/role_planner.py
+++ b/mulberryway/policy/role_planner.py
@@ -77,25 +77,28 @@
     def _plan_pool(
         self, name: str, pool: tables.Pool
     ) -> list[orders.PlannedOrder]:
-        active = [row for row in pool.upstreams if not row.leaving]
-        if len(active) < MIN_ENGINES:
+        # An evacuated zone comes back with the roles that its engines have.
+        kept = [
+            row for row in pool.upstreams if row.cordoned or not row.leaving
+        ]
+        if len(kept) < MIN_ENGINES:
             return []
         changing = sum(key[0] == name for key in self._ordered_ms)
-        prefills = sorted(
-            (
-                row
-                for row in active
-                if row.role is tables.UpstreamRole.PREFILL
-                and (name, row.name) not in self._ordered_ms
-            ),
-            key=lambda row: row.name,
-        )
-        desired = max(round(len(active) / ENGINES_PER_PREFILL), 1)
+        prefills = [
+            row
+            for row in kept
+            if row.role is tables.UpstreamRole.PREFILL
+            and (name, row.name) not in self._ordered_ms
+        ]
+        desired = max(round(len(kept) / ENGINES_PER_PREFILL), 1)
         surplus = len(prefills) - desired
         available = max(MAX_CONCURRENT_CHANGES - changing, 0)
         return [
             orders.PlannedOrder(
                 name, row, "role", tables.UpstreamRole.DECODE.value
             )
-            for row in prefills[: max(min(surplus, available), 0)]
+            for row in sorted(
+                (row for row in prefills if not row.cordoned),
+                key=lambda row: row.name,
+            )[: max(min(surplus, available), 0)]
         ]
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,6 +21,7 @@
 flags.DEFINE_integer("decodes", 3, "number of decode engines")
 flags.DEFINE_integer("versions", 1, "software versions of decode engines")
 flags.DEFINE_integer("crashing_parts", 0, "prompt parts that end engines")
+flags.DEFINE_integer("evacuations", 0, "availability zones evacuated")
 flags.DEFINE_integer("length_ms", 10_000, "duration of fault injection")
 flags.DEFINE_string("keep", "", "folder for the logs of failed seeds")
 
@@ -38,6 +39,7 @@
         length_ms=FLAGS.length_ms,
         partitions=FLAGS.partitions,
         crashing_parts=FLAGS.crashing_parts,
+        evacuations=FLAGS.evacuations,
     )
     log_folder = pathlib.Path(FLAGS.keep) if FLAGS.keep else None
     failed = 0
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -19,6 +19,10 @@
 # no new requests.  The settings of the entry VMs guarantee both.
 EDIT_PROPAGATION_MS = 2_000
 DRAIN_PROPAGATION_MS = 2_000
+# Operators allow 5 s for an evacuation.
+EVACUATION_PROPAGATION_MS = 5_000
+# What the entry VMs' settings allow at a rate of 4 requests per second.
+MAX_COLD_PER_S = 8
 # A VM that has served a route must not lose it again.  Requests that were in
 # flight when the route was added may still be served from the old tables.
 REGRESSION_TOLERANCE_MS = 250
@@ -216,6 +220,45 @@
             yield f"{run.attempt} ran at {run.instance}, which was draining"
 
 
+def check_evacuations(recorded: history.History) -> Violations:
+    """Check that healthy VMs send nothing to evacuated zones."""
+    attempts_by_name = {attempt.name: attempt for attempt in recorded.attempts}
+    for run, evacuation in itertools.product(
+        recorded.runs, recorded.evacuations
+    ):
+        attempt = attempts_by_name.get(run.attempt)
+        due_ms = evacuation.began_ms + EVACUATION_PROPAGATION_MS
+        if (
+            attempt is None
+            or recorded.zones.get(run.instance) != evacuation.zone
+            or not due_ms < run.at_ms < evacuation.ended_ms
+        ):
+            continue
+        if recorded.is_vm_healthy(
+            attempt.vm, evacuation.began_ms - SETTLE_MS, run.at_ms
+        ):
+            yield f"{run.attempt} ran at {run.instance}, in an evacuated zone"
+
+
+def check_cold_servers(recorded: history.History) -> Violations:
+    """Check that all VMs together keep to the limit of cold servers."""
+    for evacuation in recorded.evacuations:
+        times = collections.defaultdict(list)
+        for run in recorded.runs:
+            if (
+                recorded.zones.get(run.instance) == evacuation.zone
+                and evacuation.ended_ms <= run.at_ms < evacuation.warm_ms
+            ):
+                times[run.instance].append(run.at_ms)
+        for instance, at_ms in times.items():
+            most = max(
+                sum(first <= other < first + 1_000 for other in at_ms)
+                for first in at_ms
+            )
+            if most > MAX_COLD_PER_S:
+                yield f"{instance} was cold and got {most} in a second"
+
+
 def check_graceful_shutdown(recorded: history.History) -> Violations:
     """Check that a graceful shutdown truncates no response in progress."""
     runs_by_attempt = _group_runs(recorded)
@@ -407,6 +450,8 @@
     check_partitions,
     check_versions,
     check_crashing_parts,
+    check_evacuations,
+    check_cold_servers,
 )
 
 
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -25,6 +25,9 @@
 RESTART_DELAY_S = 0.2
 # Entries of crashed upstreams expire after about three heartbeats.
 ENTRY_EXPIRY_S = 2.5
+# What a cold server tolerates in a second, and how long it is cold.
+COLD_PER_S = 4.0
+COLD_MS = 3_000
 # A VM that still runs after the grace period is killed by the platform.
 SHUTDOWN_GRACE_S = 5.0
 WATCH_INTERVAL_S = 0.1
@@ -49,6 +52,8 @@
         options = {}
         if config.partitions:
             options["program"] = partitioned_vm.__name__
+        if config.evacuations:
+            options["cold_per_s"] = COLD_PER_S
         super().__init__(config.vms, rate=RATE, **options)
         self.config = config
         self.keys = {"k-large": "large", "k-small": "small", "k-0": "large"}
@@ -139,6 +144,9 @@
         self.versions[instance] = f"v{version}"
         service, phase = parse_upstream_name(name)
         self.history.services[instance] = service
+        if self.config.evacuations:
+            self.zones[instance] = plan.choose_zone(name)
+            self.history.zones[instance] = self.zones[instance]
         port = self.upstream_ports[name]
         process = self.group.start(
             "standins.hosted_upstreams",
--- a/soak/history.py
+++ b/soak/history.py
@@ -10,6 +10,7 @@
     "Arrival",
     "Attempt",
     "Edit",
+    "Evacuation",
     "History",
     "RequestKind",
     "Run",
@@ -171,6 +172,25 @@
         self.at_ms = at_ms
 
 
+class Evacuation:
+    """Period in which a zone's servers may get no requests.
+
+    :param zone: the availability zone
+    :param began_ms: when the store acknowledged the evacuation
+
+    ``ended_ms`` is when its end was sent, and ``warm_ms`` when its servers
+    were no longer cold; both are far in the future while it lasts.
+    """
+
+    __slots__ = ("zone", "began_ms", "ended_ms", "warm_ms")
+
+    def __init__(self, zone: str, began_ms: int) -> None:
+        self.zone = zone
+        self.began_ms = began_ms
+        self.ended_ms = 1 << 62
+        self.warm_ms = 1 << 62
+
+
 class FaultWindow:
     """Period in which a fault affected a target.
 
@@ -235,6 +255,8 @@
         "held",
         "arrivals",
         "recovered_ms",
+        "zones",
+        "evacuations",
     )
 
     def __init__(self, keys: dict[str, str], vms: int) -> None:
@@ -242,6 +264,9 @@
         self.vms = vms
         # Service name by incarnation of an upstream.
         self.services: dict[str, str] = {}
+        # Availability zone by incarnation, if zones are evacuated.
+        self.zones: dict[str, str] = {}
+        self.evacuations: list[Evacuation] = []
         self.attempts: list[Attempt] = []
         self.runs: list[Run] = []
         # What engines received, if prompts have parts.
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -20,6 +20,7 @@
 BOTH_WAYS = ["up", "down"]
 TRUNCATE_AFTER_EVENTS = 5
 DRAIN_DURATION_S = 3.0
+COLD_NOTICE_S = 1.0
 UPSTREAM_FAULT_SETTINGS = {
     "up_error": ("fail_status", 500),
     "up_full": ("full", 1),
@@ -79,6 +80,7 @@
             "edit_key": self._change_key,
             "edit_rate": self._change_rate,
             "poison": self._send_poison_request,
+            plan.EVACUATION: self._evacuate_zone,
         }
 
     def inject_all(self) -> None:
@@ -192,6 +194,40 @@
         self._cluster.drop("servers", instance)
         self._cluster.start_incarnation(name)
 
+    def _evacuate_zone(self, step: plan.ScheduledFault) -> None:
+        """Evacuate a zone; its servers are cold when it is used again."""
+        zone = step.target
+        if any(
+            evacuation.zone == zone and evacuation.warm_ms > cluster.now_ms()
+            for evacuation in self._cluster.history.evacuations
+        ):
+            return
+        self._cluster.put("evacuations", zone, {})
+        window = history.Evacuation(zone, cluster.now_ms())
+        self._cluster.history.evacuations.append(window)
+        _wait_for_duration(step)
+        names = [
+            name
+            for name in self._cluster.config.list_upstream_names()
+            if plan.choose_zone(name) == zone and self._cluster.is_alive(name)
+        ]
+        for name in names:
+            self._cluster.register(
+                self._cluster.instances[name], cold_left_ms=cluster.COLD_MS
+            )
+        # All VMs have the entries by then.
+        time.sleep(COLD_NOTICE_S)
+        window.ended_ms = cluster.now_ms()
+        self._cluster.drop("evacuations", zone)
+        # The servers report how long they stay cold, and not again.
+        time.sleep(cluster.COLD_MS / MS_IN_S - COLD_NOTICE_S)
+        window.warm_ms = window.ended_ms + int(
+            cluster.COLD_MS - COLD_NOTICE_S * MS_IN_S
+        )
+        for name in names:
+            if self._cluster.is_alive(name):
+                self._cluster.register(self._cluster.instances[name])
+
     def _add_route(self, step: plan.ScheduledFault) -> None:
         with self._cluster.lock:
             if self._cluster.routes:
@@ -277,6 +313,8 @@
         return "store"
     if target_kind == "edit":
         return "edit"
+    if step.kind == plan.EVACUATION:
+        return step.target
     return f"{target_kind}-{step.target}"
 
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -5,8 +5,11 @@
 
 __all__ = [
     "COOLDOWN_MS",
+    "EVACUATION",
     "SoakConfig",
     "ScheduledFault",
+    "ZONES",
+    "choose_zone",
     "make_fault_schedule",
 ]
 
@@ -53,6 +56,11 @@
 EDITS = ("edit_route", "edit_key", "edit_rate")
 FLEET_FAULTS = ("all_kill", "poison")
 # A VM loses its paths to all upstreams; see ``standins.partitioned_vm``.
+# Operators evacuate a zone, whose servers are cold when it is used again.
+EVACUATION = "zone_evacuate"
+MIN_EVACUATION_MS = 4_000
+# Availability zones; the number of an upstream selects its zone.
+ZONES = ("kandy-a", "matale-b")
 PARTITIONS = ("path_silent", "path_reset", "path_refuse")
 # Relative frequency of each group of faults.
 WEIGHTED_FAULT_GROUPS = (
@@ -78,6 +86,7 @@
         several, callers resume their streams
     :param crashing_parts: number of prompt parts that end the engine which
         answers a stream with one of them
+    :param evacuations: number of evacuations beside the chains
     """
 
     __slots__ = (
@@ -90,6 +99,7 @@
         "partitions",
         "versions",
         "crashing_parts",
+        "evacuations",
     )
 
     def __init__(
@@ -103,7 +113,9 @@
         partitions: int = 0,
         versions: int = 1,
         crashing_parts: int = 0,
+        evacuations: int = 0,
     ) -> None:
+        self.evacuations = evacuations
         self.crashing_parts = crashing_parts
         self.vms = vms
         self.prefills = prefills
@@ -127,6 +139,14 @@
         ]
 
 
+def choose_zone(name: str) -> str:
+    """Return an upstream's availability zone.
+
+    :param name: name of the upstream, a letter and a number
+    """
+    return ZONES[int(name[1:]) % len(ZONES)]
+
+
 class ScheduledFault:
     """One fault of a schedule.
 
@@ -160,6 +180,7 @@
     ]
     # Last, so that they leave the chains of a seed as they are.
     steps += [_make_partition(rng, config) for _ in range(config.partitions)]
+    steps += [_make_evacuation(rng, config) for _ in range(config.evacuations)]
     return sorted(steps, key=lambda step: step.at_ms)
 
 
@@ -173,6 +194,16 @@
     )
 
 
+def _make_evacuation(rng: random.Random, config: SoakConfig) -> ScheduledFault:
+    at_ms = rng.randrange(500, config.length_ms - MIN_EVACUATION_MS)
+    return ScheduledFault(
+        at_ms,
+        EVACUATION,
+        rng.choice(ZONES),
+        rng.randint(MIN_EVACUATION_MS, config.length_ms - at_ms),
+    )
+
+
 def _make_chain(
     rng: random.Random, config: SoakConfig
 ) -> collections.abc.Iterator[ScheduledFault]:
--- a/tests/policy_cases.py
+++ b/tests/policy_cases.py
@@ -8,7 +8,9 @@
 ROLES = tables.UpstreamRole
 
 
-def make_pool(prefills=2, decodes=2, slots=4, name="lm", leaving=()):
+def make_pool(
+    prefills=2, decodes=2, slots=4, name="lm", leaving=(), cordoned=()
+):
     """Return a pool with prefill engines p0.. and decode engines d0.."""
     members = [("p", i, ROLES.PREFILL) for i in range(prefills)]
     members += [("d", i, ROLES.DECODE) for i in range(decodes)]
@@ -19,6 +21,7 @@
             ("a", "b", "c")[i % 3],
             role,
             leaving=f"{letter}{i}" in leaving,
+            cordoned=f"{letter}{i}" in cordoned,
         )
         for letter, i, role in members
     )
@@ -30,7 +33,13 @@
 
     Callers pass its memory, links and targets.
     """
-    plain = make_pool(prefills, decodes, 64, leaving=values.pop("leaving", ()))
+    plain = make_pool(
+        prefills,
+        decodes,
+        64,
+        leaving=values.pop("leaving", ()),
+        cordoned=values.pop("cordoned", ()),
+    )
     defaults = {
         "block_tokens": 16,
         "has_chunked_prefill": True,
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -109,6 +109,27 @@
         self.assertEqual(8, shares.compute(8, "s0"))
 
 
+class InformedTest(unittest.TestCase):
+    def test_vm_is_informed_until_it_hears_nobody_for_long(self):
+        """Guards against a VM that takes all servers for cold just after its
+        start, when it has not heard another VM yet.
+        """
+        clock_ = clock.ManualClock()
+        shares = cold_start.FleetShares("vm0")
+        heard = [False]
+        updater = fleet_shares.FleetSharesUpdater(
+            shares, lambda: heard[0], clock_
+        )
+        updater.record_known(("vm0",))
+        self.assertTrue(shares.is_informed)
+        clock_.advance_ms(fleet_shares.INFORMATION_TTL_MS)
+        updater.record_known(("vm0",))
+        self.assertFalse(shares.is_informed)
+        heard[0] = True
+        updater.record_known(("vm0",))
+        self.assertTrue(shares.is_informed)
+
+
 class LimiterTest(unittest.TestCase):
     def setUp(self):
         self.shares = make_shares()
--- a/tests/test_shaping.py
+++ b/tests/test_shaping.py
@@ -18,11 +18,14 @@
 RATE = 0.018
 
 
-def make_pool(prefills=2, decodes=4, has_chunked_prefill=True, leaving=()):
+def make_pool(
+    prefills=2, decodes=4, has_chunked_prefill=True, leaving=(), cordoned=()
+):
     return cases.make_reading_pool(
         prefills,
         decodes,
         leaving=leaving,
+        cordoned=cordoned,
         kv_bytes_per_token=163_840,
         link_bytes_per_s=675_000_000_000,
         kv_capacity_tokens=TOKENS,
@@ -186,3 +189,24 @@
             leaving=("p0", "p1"),
         )
         self.assertEqual(found, [])
+
+    def test_evacuated_zone_changes_no_roles(self):
+        """Guards against an engine that serves nobody for seconds, because it
+        changes its role while a zone is evacuated for a moment.
+        """
+        found = self.plan(
+            role_planner.RolePlanner(),
+            prefills=4,
+            decodes=10,
+            cordoned=("d0", "d1", "d2", "d3", "d4", "d5"),
+        )
+        self.assertEqual(found, [])
+
+    def test_no_order_to_an_evacuated_zone(self):
+        found = self.plan(
+            role_planner.RolePlanner(),
+            prefills=4,
+            decodes=3,
+            cordoned=("p0", "p1"),
+        )
+        self.assertEqual([item.row.name for item in found], ["p2", "p3"])
