--- a/mulberryway/controllers/dissemination.py
+++ b/mulberryway/controllers/dissemination.py
@@ -14,6 +14,10 @@
 
 __all__ = ["DisseminationController"]
 
+# VMs that the store lists count as alive for this long after the listing: the
+# membership protocol may take seconds to name all VMs of a large fleet that
+# has just started.
+LISTED_TTL_MS = 5_000
 # Period of the thread while no message is pending.
 IDLE_MS = 1_000
 # A fleet of more VMs than this sends hundreds of datagrams a second to each
@@ -42,9 +46,10 @@
         )
         self._lock = threading.Lock()
         self._addresses: dict[str, str] = {}
-        # Addresses of VMs that the store lists; membership may not know them
-        # yet.
-        self._listed_addresses: dict[str, str] = {}
+        self._alive: list[dissemination.Receiver] = []
+        self._listed: list[dissemination.Receiver] = []
+        # Until when the listed VMs count as alive; None if they do not.
+        self._listed_until_ms: int | None = None
         self._disseminator = dissemination.Disseminator(_make_receiver(own))
 
     def update_members(self, alive: list[member.Member]) -> None:
@@ -52,33 +57,43 @@
 
         :param alive: the VMs considered alive
         """
-        receivers = list(map(_make_receiver, alive))
-        with self._lock:
-            self._addresses = {
-                entry.name: entry.address for entry in receivers
-            }
-            self._disseminator.set_receivers(receivers)
-        if self.datagrams is not None:
-            is_large = len(alive) > MAX_UNBATCHED_VMS
-            self.datagrams.batch_delay_ms = RECEIVE_BATCH_MS if is_large else 0
+        self._alive = list(map(_make_receiver, alive))
+        self._update_receivers()
 
     def add_listed(
         self, listed: collections.abc.Iterable[objects.ListedVm]
     ) -> None:
-        """Add VMs to which items may be sent directly.
+        """Add VMs that membership may not know yet.
 
         :param listed: the VMs that are registered in the store
         """
-        self._listed_addresses = {vm.name: vm.address for vm in listed}
+        self._listed = [
+            dissemination.Receiver(vm.name, vm.address, vm.zone)
+            for vm in listed
+        ]
+        self._listed_until_ms = self.clock.now_ms() + LISTED_TTL_MS
+        self._update_receivers()
+
+    def _update_receivers(self) -> None:
+        with self._lock:
+            known = {entry.name: entry for entry in self._listed}
+            if self._listed_until_ms is None:
+                known = {}
+            known |= {entry.name: entry for entry in self._alive}
+            self._addresses = {
+                name: entry.address for name, entry in known.items()
+            }
+            self._disseminator.set_receivers(known.values())
+        if self.datagrams is not None:
+            is_large = len(known) > MAX_UNBATCHED_VMS
+            self.datagrams.batch_delay_ms = RECEIVE_BATCH_MS if is_large else 0
 
     def find_address(self, name: str) -> str:
         """Return the address of a VM's peer server; empty if unknown.
 
         :param name: the VM's name
         """
-        return self._addresses.get(name) or self._listed_addresses.get(
-            name, ""
-        )
+        return self._addresses.get(name, "")
 
     def publish(self, item: bytes, is_urgent: bool = True) -> None:
         """Send an item to all VMs considered alive.
@@ -131,6 +146,12 @@
 
     def step(self) -> None:
         """Send the packets that are due."""
+        if (
+            self._listed_until_ms is not None
+            and self.clock.now_ms() >= self._listed_until_ms
+        ):
+            self._listed_until_ms = None
+            self._update_receivers()
         with self._lock:
             packets = self._disseminator.poll(self.clock.now_ms())
             due_ms = self._disseminator.read_due_ms()
--- a/tests/test_idle.py
+++ b/tests/test_idle.py
@@ -12,6 +12,7 @@
 from mulberryway.controllers import cancelling
 from mulberryway.controllers import dissemination
 from mulberryway.controllers import fleet_allowances
+from mulberryway.objects import base as objects
 from mulberryway.policy import member
 from mulberryway.policy import usage
 from mulberryway.relay import loop
@@ -154,6 +155,49 @@
         )
 
 
+class ListedReceiversTest(unittest.TestCase):
+    """Pattern: all VMs of a fleet start at once and know only the list that
+    the store has of them.
+    """
+
+    def setUp(self):
+        self.clock = clock.ManualClock()
+        self.controller = dissemination.DisseminationController(
+            make_member(0), self.clock
+        )
+        self.controller.datagrams = mock.Mock()
+        self.controller.add_listed(
+            [
+                objects.ListedVm(f"listed{n}", f"10.0.0.{n}:1", "a", False)
+                for n in range(3)
+            ]
+        )
+
+    def publish(self):
+        """Return the addresses that an item is sent to."""
+        self.controller.datagrams.send.reset_mock()
+        self.controller.publish(b"x")
+        calls = self.controller.datagrams.send.call_args_list
+        return {call.args[0] for call in calls}
+
+    def test_listed_vms_get_items_before_membership_knows_them(self):
+        """Guards against VMs that hear nobody for seconds after a restart,
+        because the others do not know yet that they are alive.
+        """
+        self.assertEqual(3, len(self.publish()))
+        self.controller.update_members([make_member(0), make_member(1)])
+        self.assertEqual(4, len(self.publish()))
+
+    def test_only_members_get_items_later(self):
+        """Guards against datagrams to VMs that were removed long ago, whose
+        entries the store keeps.
+        """
+        self.controller.update_members([make_member(0), make_member(1)])
+        self.clock.advance_ms(dissemination.LISTED_TTL_MS)
+        self.controller.step()
+        self.assertEqual(1, len(self.publish()))
+
+
 class ReceiveBatchTest(unittest.TestCase):
     def make(self):
         controller = dissemination.DisseminationController(
