Wait for a prefill until the decode engine can just meet the target

Change: a request with a target for its first event waits until the decode engine would just meet the target, as a lost answer still needs; without a target, and where the target is too near, as long as before.

Tests that shorten the wait patch the constant at its new place.

--- a/mulberryway/filters/model_engines.py
+++ b/mulberryway/filters/model_engines.py
@@ -15,6 +15,7 @@
 from mulberryway.filters import decode_gate
 from mulberryway.filters import model_dependencies
 from mulberryway.filters import route
+from mulberryway.policy import prefill_timeouts
 from mulberryway.upstreams import base as upstreams
 from mulberryway.upstreams import decode_call
 
@@ -31,10 +32,6 @@
 DECODE_REASSIGN_DELAY_MS = 30
 # Engines asked for a reservation per attempt; each costs a round trip.
 MAX_RESERVE_ATTEMPTS = 4
-# A prefill without a response is abandoned early enough for the decode
-# engine, where a slot is reserved, to prefill the prompt itself.
-PREFILL_TIMEOUT_FACTOR = 3
-MIN_PREFILL_TIMEOUT_MS = 400
 # After these faults the decode has not started and the prefill result is
 # still available.
 DECODE_NOT_STARTED = frozenset(
@@ -471,8 +468,19 @@
         )
         if not attempt.decode.supports_chunked_prefill:
             return timeout_ms
-        prefill_timeout_ms = attempt.ready_in_ms * PREFILL_TIMEOUT_FACTOR
-        return min(timeout_ms, max(prefill_timeout_ms, MIN_PREFILL_TIMEOUT_MS))
+        return min(
+            timeout_ms,
+            prefill_timeouts.compute_prefill_timeout_ms(
+                attempt.ready_in_ms, self._compute_target_left_ms()
+            ),
+        )
+
+    def _compute_target_left_ms(self) -> int | None:
+        exchange = self._exchange
+        if not exchange.route.target_ms:
+            return None
+        target_at_ms = exchange.arrived_ms + exchange.route.target_ms
+        return target_at_ms - self._parts.clock.now_ms()
 
     def _compute_start_timeout_ms(
         self,
--- a/tests/order_fixture.py
+++ b/tests/order_fixture.py
@@ -13,12 +13,12 @@
 from mulberryway import router
 from mulberryway import tables
 from mulberryway.controllers import version_tracking
-from mulberryway.filters import model_engines
 from mulberryway.filters import model_run
 from mulberryway.platform import directory
 from mulberryway.platform import engine
 from mulberryway.platform import interface
 from mulberryway.policy import fairness
+from mulberryway.policy import prefill_timeouts
 from mulberryway.policy import retries
 from mulberryway.policy import scheduler
 from mulberryway.server import http_server
@@ -124,7 +124,7 @@
         self._capture_logs()
         self.patch(model_run, "MIN_STALL_TIMEOUT_MS", STALL_MS)
         # A call that waits at a gate must not time out meanwhile.
-        self.patch(model_engines, "MIN_PREFILL_TIMEOUT_MS", GATE_MS)
+        self.patch(prefill_timeouts, "MIN_TIMEOUT_MS", GATE_MS)
         self.patch(engine, "RESERVE_TIMEOUT_MS", GATE_MS)
         self.patch(http_server.HttpServer, "expiration_interval", POLL_S)
         self.clock = ShiftedClock()
--- a/tests/test_replacement_order.py
+++ b/tests/test_replacement_order.py
@@ -12,6 +12,7 @@
 from mulberryway import router
 from mulberryway.filters import model_engines
 from mulberryway.filters import model_run
+from mulberryway.policy import prefill_timeouts
 from mulberryway.upstreams import decode_call
 from tests import gated_engine
 from tests import order_fixture
@@ -409,7 +410,7 @@
 
     def test_prompt_not_read_and_refused(self):
         """Guards against leaving an engine for one without the prompt."""
-        self.patch(model_engines, "MIN_PREFILL_TIMEOUT_MS", SHORT_MS)
+        self.patch(prefill_timeouts, "MIN_TIMEOUT_MS", SHORT_MS)
         future, gate = self.begin_gated_search("prefill", *["refuse"] * OFTEN)
         self.continue_after(self.is_left_or_kept)
         gate.open()
@@ -419,7 +420,7 @@
         """Guards against leaving an engine while the next one still reads
         the prompt itself.
         """
-        self.patch(model_engines, "MIN_PREFILL_TIMEOUT_MS", SHORT_MS)
+        self.patch(prefill_timeouts, "MIN_TIMEOUT_MS", SHORT_MS)
         future, gate = self.begin_gated_search("prefill")
         reading = self.other.place_gate("decode")
         self.await_true(reading.reached.is_set)
