--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """Tests of the soak: its checks, its schedules, and some short seeds."""
 
+import itertools
 import unittest
 
 from soak import checks
@@ -148,6 +149,40 @@
         edit = history.Edit("leave", "s0-life1", 5_000)
         self.find("was draining", [make_attempt()], [make_run()], edits=[edit])
 
+    def make_evacuated_history(self, times, **values):
+        """Return the violations of runs in a zone that was evacuated."""
+        attempts = [make_attempt(f"a{n}") for n in range(len(times))]
+        runs = [
+            make_run(f"a{n}", at_ms=at_ms) for n, at_ms in enumerate(times)
+        ]
+        recorded = make_history(attempts, runs)
+        recorded.zones = {"s0-life1": "z"}
+        evacuation = history.Evacuation("z", 4_000)
+        for field, value in values.items():
+            setattr(evacuation, field, value)
+        recorded.evacuations = [evacuation]
+        found = itertools.chain(
+            checks.check_evacuations(recorded),
+            checks.check_cold_servers(recorded),
+        )
+        return list(found)
+
+    def test_request_to_evacuated_zone(self):
+        (violation,) = self.make_evacuated_history([10_050])
+        self.assertIn("in an evacuated zone", violation)
+        self.assertEqual(self.make_evacuated_history([8_000]), [])
+        self.assertEqual(
+            self.make_evacuated_history([10_050], ended_ms=10_000), []
+        )
+
+    def test_too_many_requests_to_a_cold_server(self):
+        times = [10_000 + 100 * n for n in range(checks.MAX_COLD_PER_S + 1)]
+        (violation,) = self.make_evacuated_history(times, ended_ms=10_000)
+        self.assertIn("was cold and got 9", violation)
+        self.assertEqual(
+            self.make_evacuated_history(times[:-1], ended_ms=10_000), []
+        )
+
     def test_response_lost_in_graceful_shutdown(self):
         window = history.FaultWindow("vm_term", "vm-0", 9_900, 12_000)
         incomplete = make_attempt(status=0)
@@ -272,13 +307,13 @@
             step.kind
             for seed in range(400)
             for step in plan.make_fault_schedule(
-                seed, plan.SoakConfig(partitions=1)
+                seed, plan.SoakConfig(partitions=1, evacuations=1)
             )
         }
         known = {
             kind for group, _ in plan.WEIGHTED_FAULT_GROUPS for kind in group
         }
-        known |= set(plan.PARTITIONS)
+        known |= {*plan.PARTITIONS, plan.EVACUATION}
         self.assertEqual(kinds, known)
 
 
@@ -308,6 +343,12 @@
         """Guards against a part that crashes engines beside other faults."""
         self.hold(1, plan.SoakConfig(decodes=5, crashing_parts=1))
 
+    def test_evacuated_zone(self):
+        """Guards against requests to an evacuated zone, and against cold
+        servers that get too many when it is used again, beside other faults.
+        """
+        self.hold(601, plan.SoakConfig(chains=1, evacuations=1))
+
     def test_partitioned_vm(self):
         """Callers of a VM that alone reaches no upstream are served."""
         self.hold(103, plan.SoakConfig(chains=1, partitions=2))
