--- a/mulberryway/policy/placements.py
+++ b/mulberryway/policy/placements.py
@@ -22,9 +22,7 @@
 
 # Fraction of a response's expected length that counts as KV cache.  Responses
 # of one burst grow at the same time, so nearly all of their length is in
-# memory at once.  Measured over two days of light and two of heavy load,
-# wasted prefills cost 4 to 5 % of the total value at 0.5, 2 to 3 % at 0.7 and
-# less than 1 % at 0.9; the longer waits cost less than that.
+# memory at once.
 EXPECTED_LENGTH_FRACTION = 0.9
 
 
