Count a cold engine that gets no more requests as full, not as unreachable

Found by reading the diff: the check right before a send reported a cold engine as unreachable, by which the scheduler takes it for crashed, ejects it and blames the requests that run there. A row of older tables could make a cold server warm. A VM that knows of an evacuation opens no tunnel to the zone for one that does not.

Tests: ColdEngineTest in tests/test_replacement.py, tests/test_cold_start.py, tests/test_tunnels.py.

--- a/mulberryway/filters/model_engines.py
+++ b/mulberryway/filters/model_engines.py
@@ -44,8 +44,6 @@
     (errors.Code.UPSTREAM_TIMEOUT, errors.Code.UPSTREAM_FAILED)
 )
 
-IS_COLD = "the chosen engine is cold and has got the requests it may get"
-
 
 def compute_attempt_timeout_ms(limit: clock.Deadline, now_ms: int) -> int:
     """Return the timeout of a call to one engine in ms.
@@ -217,9 +215,7 @@
         if checked.is_error():
             return expression.Error(checked.error)
         if not parts.scheduling.try_send(attempt.job_id, attempt.prefill_name):
-            return _make_unsent_error(
-                errors.Step.PREFILL, attempt.prefill_name, IS_COLD
-            )
+            return _make_cold_error(errors.Step.PREFILL, attempt.prefill_name)
         started_ms = parts.clock.now_ms()
         with self._begin_span(attempt, errors.Step.PREFILL) as span:
             result = attempt.prefill.prefill(
@@ -357,15 +353,11 @@
     ) -> model_dependencies.SourceResult:
         if self._is_removed_or_draining(attempt):
             return _make_unsent_error(
-                errors.Step.DECODE,
-                attempt.decode_name,
-                "the chosen engine is draining or removed",
+                attempt, "the chosen engine is draining or removed"
             )
         if not self._has_required_version(attempt):
             return _make_unsent_error(
-                errors.Step.DECODE,
-                attempt.decode_name,
-                "the chosen engine has another software version",
+                attempt, "the chosen engine has another software version"
             )
         checked = self._parts.scheduling.check_running(attempt.job_id)
         if checked.is_error():
@@ -376,9 +368,7 @@
             attempt.job_id, attempt.decode_name
         ):
             self._gate.leave()
-            return _make_unsent_error(
-                errors.Step.DECODE, attempt.decode_name, IS_COLD
-            )
+            return _make_cold_error(errors.Step.DECODE, attempt.decode_name)
         self._exchange.record_attempt(
             attempt.decode_name,
             attempt.decode_version,
@@ -556,11 +546,32 @@
 
 
 def _make_unsent_error(
-    step: errors.Step, engine: str, message: str
+    attempt: attempts.Attempt, message: str
+) -> model_dependencies.SourceResult:
+    return expression.Error(
+        errors.Fault(
+            errors.Code.UPSTREAM_UNREACHABLE,
+            errors.Step.DECODE,
+            attempt.decode_name,
+            message=message,
+        )
+    )
+
+
+def _make_cold_error(
+    step: errors.Step, engine: str
 ) -> expression.Result[typing.Any, errors.Fault]:
+    """Return the error for a request that a cold engine must not get.
+
+    The engine counts as full and not as unreachable, because nothing shows
+    that it has crashed.
+    """
     return expression.Error(
         errors.Fault(
-            errors.Code.UPSTREAM_UNREACHABLE, step, engine, message=message
+            errors.Code.UPSTREAM_REFUSED,
+            step,
+            engine,
+            message="the chosen engine is cold and gets no more requests now",
         )
     )
 
--- a/mulberryway/policy/cold_start.py
+++ b/mulberryway/policy/cold_start.py
@@ -85,10 +85,11 @@
 class _Server:
     """One server's state, and the times of this VM's requests to it."""
 
-    __slots__ = ("report", "cold_until_ms", "chosen", "sent", "share")
+    __slots__ = ("revision", "cold_until_ms", "chosen", "sent", "share")
 
     def __init__(self) -> None:
-        self.report: tuple[int, int] = (0, 0)
+        # That of its last report.
+        self.revision = 0
         self.cold_until_ms = 0
         self.chosen: collections.deque[int] = collections.deque()
         self.sent: collections.deque[int] = collections.deque()
@@ -119,7 +120,8 @@
         """Apply a pool's row, with its servers' reports.
 
         A report tells for how long the server stays cold.  It counts from when
-        this VM got it, and not again until the server reports anew.
+        this VM got it, and not again until the server reports anew.  Calls
+        that have begun under older tables may pass an older row.
 
         :param pool: the row
         :param now_ms: current time in ms
@@ -135,9 +137,8 @@
         }
         for row in pool.upstreams:
             server = self._servers[row.name]
-            report = (row.revision, row.cold_left_ms)
-            if report != server.report:
-                server.report = report
+            if row.revision > server.revision:
+                server.revision = row.revision
                 server.cold_until_ms = now_ms + row.cold_left_ms
 
     def expect_restart(self, server: str, now_ms: int) -> None:
--- a/mulberryway/policy/server_selection.py
+++ b/mulberryway/policy/server_selection.py
@@ -179,9 +179,9 @@
             return
         if outcome is CallOutcome.UNREACHED:
             server.backoff_until_ms = now_ms + UNREACHED_BACKOFF_MS
-            self._find_cold_starts(pool, now_ms).expect_restart(
-                upstream.name, server.backoff_until_ms
-            )
+            if pool.name in self._cold_starts:
+                _, limiter = self._cold_starts[pool.name]
+                limiter.expect_restart(upstream.name, server.backoff_until_ms)
             return
         server.backoff_until_ms = 0
         server.updated_ms = now_ms
--- a/mulberryway/relay/tunnels.py
+++ b/mulberryway/relay/tunnels.py
@@ -212,7 +212,7 @@
             return forwarders.TunnelOutcome.BUSY
         active = self._source.get_tables()
         is_known = active is not None and any(
-            upstream.address == address
+            upstream.address == address and not upstream.cordoned
             for pool in active.pools.values()
             for upstream in pool.upstreams
         )
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -165,6 +165,12 @@
         self.limiter.update_pool(make_pool(2_000, revision=2), 2_000)
         self.assertEqual(0, self.count_sent(2_001))
 
+    def test_older_row_does_not_make_it_warm(self):
+        """Guards against calls that have begun under older tables."""
+        self.limiter.update_pool(make_pool(2_000, revision=2), 0)
+        self.limiter.update_pool(make_pool(0, revision=1), 0)
+        self.assertEqual(41, self.count_sent(0))
+
     def test_pool_without_a_limit(self):
         self.limiter.update_pool(make_pool(2_000, rate=0.0), 0)
         self.assertEqual(1_000, self.count_sent(0))
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -960,6 +960,36 @@
         self.assertEqual(b.decodes[0].transfer, {"handle": "r-0"})
 
 
+class ColdEngineTest(RequestTest):
+    def limit(self, *cold):
+        self.scheduling.try_send = lambda job_id, name: name not in cold
+
+    def test_another_engine_decodes(self):
+        """Guards against a cold engine that gets too many requests, because
+        it was chosen before others had sent theirs.
+        """
+        self.limit("a")
+        self.engines["b"].decode_replies.append(self.engines["b"].accept)
+        self.assign("a")
+        calls = []
+        self.scheduling.reassign_decode = lambda *arguments: (
+            calls.append(arguments[1:]) or "b"
+        )
+        self.assertTrue(self.request.begin().is_ok())
+        self.assertEqual(self.engines["a"].decodes, [])
+        # The engine is full and not unreachable, which would look like a
+        # crash.
+        self.assertEqual(calls, [("a", False)])
+
+    def test_cold_prefill_engine_is_not_down(self):
+        """Guards against an ejection of an engine that is cold only."""
+        self.limit("p")
+        self.assign("a")
+        self.assertTrue(self.request.begin().is_error())
+        outcomes = [entry[1:] for entry in self.scheduling.finished]
+        self.assertEqual(outcomes, [(jobs.JobOutcome.REFUSED_BY_ENGINE, "p")])
+
+
 class SlowHeadTest(unittest.TestCase):
     def test_timeout_limits_the_whole_head(self):
         """Guards against an overlap that is longer than its limit: an engine
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -239,6 +239,24 @@
             self.assertEqual(outcome, forwarders.TunnelOutcome.UNKNOWN)
             self.assertEqual(select.select([secret], [], [], 0.1)[0], [])
 
+    def test_evacuated_upstream_is_refused(self):
+        """Guards against requests to an evacuated zone by way of a VM that
+        knows of the evacuation, from one that does not.
+        """
+        row = router_fixture.make_upstream("service", self.upstream.port)
+        row.cordoned = True
+        self.source.change(router_fixture.make_tables(services=[row]))
+        answer = self.client.call_detached(
+            self.vm.member.peer,
+            Tunnels.Client,
+            "open",
+            f"{HOST}:{self.upstream.port}",
+            timeout_ms=TIMEOUT_MS,
+        )
+        outcome, connection = answer.ok
+        connection.close()
+        self.assertEqual(outcome, forwarders.TunnelOutcome.UNKNOWN)
+
     def test_unauthenticated_peer_gets_no_tunnel(self):
         stranger = peers.PeerClient("guess", self.clock)
         answer = stranger.call_detached(
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -395,6 +395,9 @@
 class Simulation:
     """Limiters of several VMs under message loss, partitions and kills."""
 
+    margin = MARGIN
+    account = ACCOUNT
+
     def __init__(self, seed, vms=6, is_connected=True):
         self.random = random.Random(seed)
         self.is_connected = is_connected
@@ -447,6 +450,8 @@
             self.now_ms,
             1 + self.incarnation_counts[name],
             self.is_connected,
+            self.margin,
+            self.account,
         )
 
     def submit_request(self):
@@ -478,15 +483,8 @@
 class WideSimulation(Simulation):
     """The same with a small account and request sizes seen on sites."""
 
-    def make_limiter(self, name):
-        return make_limiter(
-            name,
-            self.now_ms,
-            1 + self.incarnation_counts[name],
-            self.is_connected,
-            WIDE_MARGIN,
-            WIDE_ACCOUNT,
-        )
+    margin = WIDE_MARGIN
+    account = WIDE_ACCOUNT
 
     def submit_request(self):
         # Requests of about 10,000 tokens, fourteen times the account's rate.
@@ -501,20 +499,13 @@
 class LargeSimulation(Simulation):
     """A fleet of 80 VMs whose messages are relayed and therefore delayed."""
 
+    margin = LARGE_MARGIN
+    account = LARGE_ACCOUNT
+
     def __init__(self, seed):
         self.late = collections.deque()
         super().__init__(seed, LARGE_VMS)
 
-    def make_limiter(self, name):
-        return make_limiter(
-            name,
-            self.now_ms,
-            1 + self.incarnation_counts[name],
-            self.is_connected,
-            LARGE_MARGIN,
-            LARGE_ACCOUNT,
-        )
-
     def submit_request(self):
         # About four times the account's rate, each request on a random VM.
         for name in self.random.choices(list(self.limiters), k=2):
@@ -567,15 +558,8 @@
 class LargeRequestSimulation(LargeSimulation):
     """The same fleet and a small account with requests of large streams."""
 
-    def make_limiter(self, name):
-        return make_limiter(
-            name,
-            self.now_ms,
-            1 + self.incarnation_counts[name],
-            self.is_connected,
-            WIDE_MARGIN,
-            WIDE_ACCOUNT,
-        )
+    margin = WIDE_MARGIN
+    account = WIDE_ACCOUNT
 
     def submit_request(self):
         # About ten times the account's rate.
