--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -177,6 +177,37 @@
                 )
                 self.assertFalse(row.cordoned)
 
+    def test_cold_server(self):
+        changed = copy.deepcopy(CONFIGURATION)
+        changed["services"][0] |= {"cold_per_s": 31.0, "cold_s": 3.0}
+        pool = read(changed, ENTRY | {"cold_left_ms": 2_500}).pools["llm"]
+        self.assertEqual(pool.cold_requests_per_s, 31)
+        self.assertEqual(pool.cold_ms, 3_000)
+        (row,) = pool.upstreams
+        self.assertEqual((row.cold_left_ms, row.revision), (2_500, 4))
+
+    def test_invalid_figures_of_cold_servers(self):
+        """Guards against tables that are not built, and servers that are not
+        used, because of figures that nobody can mean.
+        """
+        for value in (None, -1, "3", [], True, float("nan")):
+            with self.subTest(value=value):
+                changed = copy.deepcopy(CONFIGURATION)
+                changed["services"][0] |= {
+                    "cold_per_s": value,
+                    "cold_s": value,
+                }
+                entry = ENTRY | {"cold_left_ms": value}
+                pool = read(changed, entry).pools["llm"]
+                self.assertEqual(pool.cold_requests_per_s, 0)
+                self.assertEqual(pool.cold_ms, 0)
+                self.assertEqual(pool.upstreams[0].cold_left_ms, 0)
+
+    def test_huge_figures_of_cold_servers_are_bounded(self):
+        entry = ENTRY | {"cold_left_ms": 1e300}
+        (row,) = read(CONFIGURATION, entry).pools["llm"].upstreams
+        self.assertEqual(row.cold_left_ms, platform_tables.MAX_COLD_MS)
+
     def test_previous_incarnation_is_ignored(self):
         """Guards against prompts for a previous incarnation: an engine crashed
         and restarted under another name before its old entry expired, and
