Log and count the rate limits that upstreams name

Observability of LIMIT, without any change of what is sent where. The logs of the incident could not tell whether VMs know of a limit, take it for their own, or pass it by another way. The adapter decodes the header once, for plain calls, prefills, decodes and the router's own calls, and a register keeps what each incarnation has said last. Each change is one line, with the time since its request was sent; a gauge counts the upstreams that name a limit.

Responses may overtake one another, so one whose request was sent before the last advisory arrived can tighten a limit but neither raise nor end it. Values that are no finite number are ignored and logged once for each server.

--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -19,6 +19,7 @@
 from mulberryway import tables
 from mulberryway import threads
 from mulberryway.commands import process
+from mulberryway.controllers import advisories
 from mulberryway.controllers import detours
 from mulberryway.controllers import dissemination
 from mulberryway.controllers import fleet_allowances
@@ -47,6 +48,7 @@
 from mulberryway.platform import interface
 from mulberryway.platform import store
 from mulberryway.platform import tables as platform_tables
+from mulberryway.policy import advisories as policy_advisories
 from mulberryway.policy import cold_start
 from mulberryway.policy import endpoints
 from mulberryway.policy import fairness
@@ -145,9 +147,13 @@
             self.members.list_members,
             self.clock,
         )
+        self.advisories = advisories.UpstreamAdvisories(
+            policy_advisories.AdvisoryRegister(), self.clock
+        )
         self.directory = directory.PlatformDirectory(
             self.clock,
             detours.DetourDialer(self.paths, self.client, self.clock),
+            self.advisories.record,
         )
         self.retry_budget = repeats.SharedRetryBudget(
             retries.FleetRetryBudget(
@@ -373,6 +379,7 @@
         threads.report(self.router.metrics)
         self.paths.report(self.router.metrics)
         self.versions.report(self.router.metrics)
+        self.advisories.report(self.router.metrics)
         self.notes = scheduler_gossip.SchedulerGossipController(
             self.router.scheduling,
             self.members,
@@ -534,6 +541,7 @@
         self.share_updater.record_listed([vm.name for vm in listed])
 
     def _update_tables(self, changed: tables.Tables) -> None:
+        self.advisories.update_tables(changed)
         self.allowances.update_tables(changed)
         self.paths.update_tables(changed)
         self.versions.update_tables(changed)
--- /dev/null
+++ b/mulberryway/platform/advisories.py
@@ -0,0 +1,104 @@
+"""Reads what an upstream says of itself in response headers."""
+
+import collections.abc
+import http
+import logging
+import math
+
+from mulberryway import logs
+from mulberryway.platform import wire
+from mulberryway.policy import advisories
+
+__all__ = ["AdvisoryReader", "Listener", "ignore"]
+
+LOG = logging.getLogger(__name__)
+
+Headers = collections.abc.Sequence[tuple[str, str]]
+# Called with the name of an upstream and with what its response says.
+Listener = collections.abc.Callable[[str, advisories.Advisory], None]
+
+
+def ignore(upstream: str, advisory: advisories.Advisory) -> None:
+    """Ignore what a response says.
+
+    :param upstream: the name of its upstream
+    :param advisory: what it says
+    """
+
+
+class AdvisoryReader:
+    """Passes on what the responses of one upstream say.
+
+    :param upstream: the upstream's name
+    :param listener: called for each response of the upstream
+    """
+
+    __slots__ = ("_upstream", "_listener", "_has_warned")
+
+    def __init__(self, upstream: str, listener: Listener) -> None:
+        self._upstream = upstream
+        self._listener = listener
+        self._has_warned = False
+
+    def read(
+        self,
+        status: int,
+        headers: Headers,
+        sent_ms: int,
+        is_request: bool = True,
+    ) -> None:
+        """Read a response.
+
+        :param status: its HTTP status
+        :param headers: its headers, as pairs of name and value
+        :param sent_ms: when its request was sent, in ms
+        :param is_request: whether it answers a caller's request and not a
+            call of the router itself
+        """
+        if status == http.HTTPStatus.MISDIRECTED_REQUEST:
+            # Another incarnation has responded.
+            return
+        values = _list_values(headers, wire.RATE_LIMIT)
+        rate_per_s = None
+        try:
+            rate_per_s = min(map(_parse_rate, values), default=None)
+        except ValueError:
+            self._warn(wire.RATE_LIMIT, values)
+        has_run = http.HTTPStatus.OK <= status < http.HTTPStatus.BAD_REQUEST
+        self._listener(
+            self._upstream,
+            advisories.Advisory(
+                sent_ms,
+                rate_per_s,
+                ends_limit=is_request and has_run and not values,
+            ),
+        )
+
+    def _warn(self, header: str, values: list[str]) -> None:
+        if self._has_warned:
+            return
+        self._has_warned = True
+        LOG.warning(
+            "a response header is malformed and ignored",
+            extra=logs.make_extra(
+                upstream=self._upstream,
+                header=header,
+                value=", ".join(values)[: wire.MAX_LOGGED_LENGTH],
+            ),
+        )
+
+
+def _list_values(headers: Headers, name: str) -> list[str]:
+    return [value for key, value in headers if key.lower() == name.lower()]
+
+
+def _parse_rate(value: str) -> float:
+    """Return a rate in requests per second.
+
+    :param value: the header's value
+    :raises ValueError: if it is not a finite number of at least 0
+    """
+    rate = float(value)
+    if not 0 <= rate < math.inf:
+        raise ValueError("expected a finite number of at least 0")
+    return rate
--- a/mulberryway/platform/directory.py
+++ b/mulberryway/platform/directory.py
@@ -5,6 +5,7 @@
 
 from mulberryway import clock
 from mulberryway import tables
+from mulberryway.platform import advisories
 from mulberryway.platform import engine
 from mulberryway.platform import service
 from mulberryway.upstreams import base
@@ -24,12 +25,17 @@
 
     :param clock_: the clock
     :param dialer: opens the connections
+    :param listener: called with what each response says of its upstream
     """
 
     def __init__(
-        self, clock_: clock.Clock, dialer: dialing.Dialer = dialing.DIRECT
+        self,
+        clock_: clock.Clock,
+        dialer: dialing.Dialer = dialing.DIRECT,
+        listener: advisories.Listener = advisories.ignore,
     ) -> None:
         self._clock = clock_
+        self._listener = listener
         self.dialer = dialer
         self._lock = threading.Lock()
         self._upstreams_by_key: dict[
@@ -91,7 +97,11 @@
             client = self._upstreams_by_key.get(key)
             if client is None:
                 client = kind(
-                    upstream.name, upstream.address, self._clock, self.dialer
+                    upstream.name,
+                    upstream.address,
+                    self._clock,
+                    self.dialer,
+                    self._listener,
                 )
                 client.is_cordoned = upstream.cordoned
                 self._upstreams_by_key[key] = client
--- a/mulberryway/platform/engine.py
+++ b/mulberryway/platform/engine.py
@@ -12,6 +12,7 @@
 from mulberryway import clock
 from mulberryway import errors
 from mulberryway import logs
+from mulberryway.platform import advisories
 from mulberryway.platform import responses
 from mulberryway.platform import wire
 from mulberryway.upstreams import base
@@ -66,6 +67,7 @@
     :param address: ``host:port``
     :param clock_: the clock
     :param dialer: opens the connections
+    :param listener: called with what each response says of the engine
     """
 
     supports_chunked_prefill = True
@@ -77,7 +79,9 @@
         address: str,
         clock_: clock.Clock,
         dialer: dialing.Dialer = dialing.DIRECT,
+        listener: advisories.Listener = advisories.ignore,
     ) -> None:
+        self._reader = advisories.AdvisoryReader(instance, listener)
         self.instance = instance
         self.address = address
         # See :class:`tables.Upstream`.
@@ -115,6 +119,7 @@
         headers = self._make_headers(body)
         headers[wire.PHASE] = "prefill"
         interrupt = self._register_call(label)
+        sent_ms = self._clock.now_ms()
         try:
             result = self._client.call(
                 body.method,
@@ -124,9 +129,14 @@
                 timeout_ms,
                 errors.Step.PREFILL,
                 canceller=interrupt,
-            ).bind(lambda response: self._parse_prefill(label, response))
+            )
         finally:
             self._unregister_call(label)
+        if result.is_ok():
+            self._reader.read(result.ok.status, result.ok.headers, sent_ms)
+        result = result.bind(
+            lambda response: self._parse_prefill(label, response)
+        )
         if result.is_error():
             # A prefill generates no output, so the request can be retried
             # whatever the outcome of the call.
@@ -216,18 +226,33 @@
             body.method, body.target, headers, body.body, wire.ATTEMPT_ID
         )
         interrupt = self._register_call(label)
+        sent_ms = self._clock.now_ms()
+
+        def parse_rejection(
+            status: int,
+            headers: list[tuple[str, str]],
+            body: bytes,
+            address: str,
+        ) -> errors.Fault:
+            self._reader.read(status, headers, sent_ms)
+            return responses.make_response_fault(
+                status, headers, body, address, errors.Step.DECODE
+            )
+
         try:
             result = decode_call.begin_decode(
                 self.address,
                 request,
                 timeout_ms,
-                _make_decode_fault,
+                parse_rejection,
                 interrupt,
                 self._pop_prepared(label),
                 self._dialer,
             )
         finally:
             self._unregister_call(label)
+        if result.is_ok():
+            self._reader.read(http.HTTPStatus.OK, result.ok.headers, sent_ms)
         if result.is_ok() and transfer:
             # The handle is used up, so the prefill engine has nothing to
             # release.
@@ -434,18 +459,15 @@
         if body is not None:
             headers["Content-Type"] = "application/json"
             data = json.dumps(body).encode()
-        return (
-            (client or self._client)
-            .call(
-                method,
-                target,
-                headers,
-                data,
-                timeout_ms,
-                errors.Step.DECODE,
-            )
-            .bind(self._check_control_response)
+        sent_ms = self._clock.now_ms()
+        result = (client or self._client).call(
+            method, target, headers, data, timeout_ms, errors.Step.DECODE
         )
+        if result.is_ok():
+            self._reader.read(
+                result.ok.status, result.ok.headers, sent_ms, is_request=False
+            )
+        return result.bind(self._check_control_response)
 
     def _check_control_response(
         self, response: connections.Response
@@ -488,14 +510,6 @@
         return expression.Ok(load)
 
 
-def _make_decode_fault(
-    status: int, headers: list[tuple[str, str]], body: bytes, address: str
-) -> errors.Fault:
-    return responses.make_response_fault(
-        status, headers, body, address, errors.Step.DECODE
-    )
-
-
 def _make_failure(address: str, message: str) -> errors.Fault:
     return errors.Fault(
         errors.Code.UPSTREAM_FAILED,
--- a/mulberryway/platform/service.py
+++ b/mulberryway/platform/service.py
@@ -6,6 +6,7 @@
 
 from mulberryway import clock
 from mulberryway import errors
+from mulberryway.platform import advisories
 from mulberryway.platform import responses
 from mulberryway.platform import wire
 from mulberryway.upstreams import base
@@ -25,6 +26,7 @@
     :param address: ``host:port``
     :param clock_: the clock
     :param dialer: opens the connections
+    :param listener: called with what each response says of the server
     """
 
     def __init__(
@@ -33,7 +35,10 @@
         address: str,
         clock_: clock.Clock,
         dialer: dialing.Dialer = dialing.DIRECT,
+        listener: advisories.Listener = advisories.ignore,
     ) -> None:
+        self._clock = clock_
+        self._reader = advisories.AdvisoryReader(instance, listener)
         self.instance = instance
         self.address = address
         # See :class:`tables.Upstream`.
@@ -75,7 +80,8 @@
         sent = responses.make_request_headers(
             headers, self.instance, timeout_ms
         )
-        return self._client.call(
+        sent_ms = self._clock.now_ms()
+        result = self._client.call(
             method,
             target,
             sent,
@@ -84,7 +90,10 @@
             errors.Step.SERVICE,
             needs_new_connection=not is_idempotent,
             canceller=canceller,
-        ).bind(self._parse_response)
+        )
+        if result.is_ok():
+            self._reader.read(result.ok.status, result.ok.headers, sent_ms)
+        return result.bind(self._parse_response)
 
     def close(self) -> None:
         """Close the pooled connections."""
--- a/mulberryway/platform/tables.py
+++ b/mulberryway/platform/tables.py
@@ -300,6 +300,7 @@
             wire.parse_amount(value.get("cold_left_ms"), MAX_COLD_MS)
         ),
         revision=entry.version,
+        started_ms=started_ms,
     )
     return _Server(pool, row, started_ms)
 
--- a/mulberryway/platform/wire.py
+++ b/mulberryway/platform/wire.py
@@ -12,6 +12,7 @@
     "RESERVE_PATH",
     "LAST_EVENT",
     "LENGTH_HINT",
+    "MAX_LOGGED_LENGTH",
     "MODEL",
     "NOT_EXECUTED",
     "OBJECTS",
@@ -20,6 +21,7 @@
     "RESUMED_ATTEMPT",
     "PHASE",
     "PREFIX",
+    "RATE_LIMIT",
     "READY",
     "REPORT",
     "RESOLVE",
@@ -71,6 +73,11 @@
 RESERVATION = "Kv-Hold"
 # Response header: the upstream has not run the request and will not run it.
 NOT_EXECUTED = "Not-Executed"
+# Response header: requests per second that the upstream accepts from all
+# routers together, for as long as its responses have the header.
+RATE_LIMIT = "Server-Limit"
+# Bounds the length of a received value in a log line.
+MAX_LOGGED_LENGTH = 100
 
 # Headers that only routers may send to upstreams.  They are removed from
 # callers' requests, because a caller could use them to act as another client
--- a/mulberryway/tables/model.py
+++ b/mulberryway/tables/model.py
@@ -67,6 +67,8 @@
     :param checks_fencing: whether it rejects orders with an old fencing number
     :param version: the version of its software; the events of two versions
         must not be joined in one stream
+    :param started_ms: when its incarnation started, in ms of its own clock; 0
+        if unknown
     """
 
     __slots__ = (
@@ -80,6 +82,7 @@
         "revision",
         "checks_fencing",
         "version",
+        "started_ms",
     )
 
     def __init__(
@@ -94,6 +97,7 @@
         cordoned: bool = False,
         cold_left_ms: int = 0,
         revision: int = 0,
+        started_ms: int = 0,
     ) -> None:
         self.name = name
         self.address = address
@@ -105,6 +109,7 @@
         self.revision = revision
         self.checks_fencing = checks_fencing
         self.version = version
+        self.started_ms = started_ms
 
 
 class Pool:
--- /dev/null
+++ b/tests/test_advisories.py
@@ -0,0 +1,90 @@
+"""Tests of what upstreams say of themselves in response headers."""
+
+import unittest
+
+from mulberryway import clock
+from mulberryway import metrics
+from mulberryway.controllers import advisories as controllers
+from mulberryway.platform import advisories
+from mulberryway.policy import advisories as policy
+
+CHANGED = "the rate limit of an upstream has changed"
+
+
+class ReaderTest(unittest.TestCase):
+    def setUp(self):
+        self.heard = []
+        self.reader = advisories.AdvisoryReader(
+            "s0", lambda upstream, advisory: self.heard.append(advisory)
+        )
+
+    def read(self, headers=(), status=200, **options):
+        self.reader.read(status, list(headers), 5, **options)
+        return self.heard[-1] if self.heard else None
+
+    def read_limit(self, *values):
+        return self.read([("server-limit", value) for value in values])
+
+    def test_limit(self):
+        for value, rate in (("2.3", 2.3), ("0", 0), (" 4 ", 4), ("1e6", 1e6)):
+            advisory = self.read_limit(value)
+            self.assertEqual(advisory.rate_per_s, rate)
+            self.assertFalse(advisory.ends_limit)
+            self.assertEqual(advisory.sent_ms, 5)
+
+    def test_several_values(self):
+        self.assertEqual(self.read_limit("4", "2.5").rate_per_s, 2.5)
+
+    def test_malformed_limit_neither_sets_nor_ends_one(self):
+        """Guards against a value that nobody can mean, and against a log line
+        for each response that has one.
+        """
+        with self.assertLogs("mulberryway.platform.advisories") as logged:
+            for value in ("", "many", "-1", "nan", "inf", "2,3", "9" * 400):
+                advisory = self.read_limit(value)
+                self.assertIsNone(advisory.rate_per_s)
+                self.assertFalse(advisory.ends_limit)
+        self.assertEqual(len(logged.output), 1)
+
+    def test_only_the_response_of_a_run_shows_that_there_is_no_limit(self):
+        self.assertTrue(self.read().ends_limit)
+        for status in (400, 429, 500, 503):
+            self.assertFalse(self.read(status=status).ends_limit)
+        self.assertFalse(self.read(is_request=False).ends_limit)
+
+    def test_response_of_another_incarnation(self):
+        """Guards against a limit of the server that now has the address."""
+        self.assertIsNone(self.read([("Server-Limit", "2")], 421))
+
+
+class LogTest(unittest.TestCase):
+    def test_each_change_is_logged_once(self):
+        clock_ = clock.ManualClock()
+        shown = controllers.UpstreamAdvisories(
+            policy.AdvisoryRegister(), clock_
+        )
+        with self.assertLogs("mulberryway.controllers.advisories") as logged:
+            for rate in (2.0, 2.0, 3.0, None, None):
+                clock_.advance_ms(100)
+                sent_ms = clock_.now_ms()
+                clock_.advance_ms(50)
+                shown.record(
+                    "s0", policy.Advisory(sent_ms, rate, rate is None)
+                )
+        fields = [record.fields for record in logged.records]
+        self.assertEqual({CHANGED}, {one.msg for one in logged.records})
+        self.assertEqual(
+            [2.0, 3.0, None], [one.get("rate_per_s") for one in fields]
+        )
+        self.assertEqual({50}, {one["took_ms"] for one in fields})
+
+    def test_limited_upstreams_are_counted(self):
+        shown = controllers.UpstreamAdvisories(
+            policy.AdvisoryRegister(), clock.ManualClock()
+        )
+        metrics_ = metrics.Metrics("vm0")
+        shown.report(metrics_)
+        shown.record("s0", policy.Advisory(0, 2.0))
+        values = metrics_.read()["mulberryway.upstreams.rate_limited"]
+        metrics_.stop()
+        self.assertEqual([1], [point["value"] for point in values])
