--- a/standins/hosted_upstreams.py
+++ b/standins/hosted_upstreams.py
@@ -24,6 +24,7 @@
 * ``unframed``: stream without a length or chunks; the connection ends it
 * ``close_after``: close streams after this many events as if they were whole;
   -1 for none
+* ``limit_per_s``: name this rate limit in all answers
 """
 
 import asyncio
@@ -54,6 +55,7 @@
 SERVICE_TIME_S = 0.02
 UNRESPONSIVE_S = 60.0
 HOLD_POLL_S = 0.01
+MAX_REQUESTS = 50_000
 
 flags.DEFINE_string("host", "127.0.0.1", "IP address to listen on")
 flags.DEFINE_integer("port", 9001, "port to listen on")
@@ -232,7 +234,7 @@
         self.running = 0
         # Number of prefills for other engines.
         self.prompts = 0
-        self.faults: dict[str, int] = {
+        self.faults: dict[str, float] = {
             "cut_after": 0,
             "fail_status": 0,
             "full": 0,
@@ -251,7 +253,12 @@
             "close_after": 0,
             # Requests per second above which the process ends; 0 if warm.
             "cold_per_s": 0,
+            "limit_per_s": 0,
         }
+        # Requests with the time of their arrival, and what their answers said.
+        self.requests: collections.deque[dict[str, typing.Any]] = (
+            collections.deque(maxlen=MAX_REQUESTS)
+        )
         self.arrivals: collections.deque[float] = collections.deque()
         self.most_per_s = 0
         # Number of requests that wait for a fault to be reset.
@@ -264,6 +271,7 @@
         self.recorder.add_routes(app)
         app.router.add_post("/standin/faults", self._set_faults)
         app.router.add_get("/standin/state", self._show_state)
+        app.router.add_get("/standin/requests", self._show_requests)
         app.router.add_get("/mulberryway/report", self._report)
         app.router.add_post("/mulberryway/order", self._order)
         app.router.add_post("/mulberryway/hold-take", self._reserve)
@@ -284,6 +292,7 @@
         if expected != self.instance:
             return self._make_response(request, 421, b"")
         self._count_arrival()
+        self._record_request(request)
         if self.faults["fail_status"]:
             return self._make_response(
                 request, self.faults["fail_status"], b"failed"
@@ -313,6 +322,19 @@
         if 0 < self.faults["cold_per_s"] < len(self.arrivals):
             os._exit(1)
 
+    def _record_request(self, request: web.Request) -> None:
+        record = {
+            "id": request.headers.get("Attempt-Id", ""),
+            "at_ms": time.monotonic_ns() // 1_000_000,
+            "said_ms": None,
+            "said": {},
+        }
+        request["record"] = record
+        self.requests.append(record)
+
+    async def _show_requests(self, request: web.Request) -> web.Response:
+        return serving.answer({"requests": list(self.requests)})
+
     async def _serve_plain(
         self, request: web.Request, body: bytes
     ) -> web.Response:
@@ -492,7 +514,7 @@
             "instance": self.instance,
             "account": request.headers.get("Tenant", ""),
             "at_ms": time.monotonic_ns() // 1_000_000,
-            "seal": self._make_headers(request)["Server-Seal"],
+            "seal": self._make_seal(request),
             "text": f"{request.raw_path} {dict(request.headers)}",
         }
         with journal.open("a", encoding="utf-8") as output:
@@ -512,13 +534,27 @@
         )
 
     def _make_headers(self, request: web.Request) -> dict[str, str]:
-        attempt = request.headers.get("Attempt-Id", "")
-        seal = hashlib.sha256(f"{self.instance}/{attempt}".encode())
+        advisories = self._make_advisories()
+        if "record" in request and request["record"]["said_ms"] is None:
+            request["record"]["said_ms"] = time.monotonic_ns() // 1_000_000
+            request["record"]["said"] = advisories
         return {
-            "Attempt-Id": attempt,
-            "Server-Seal": seal.hexdigest()[:16],
+            "Attempt-Id": request.headers.get("Attempt-Id", ""),
+            "Server-Seal": self._make_seal(request),
             "Instance-Id": self.instance,
-        }
+        } | advisories
+
+    def _make_seal(self, request: web.Request) -> str:
+        attempt = request.headers.get("Attempt-Id", "")
+        seal = hashlib.sha256(f"{self.instance}/{attempt}".encode())
+        return seal.hexdigest()[:16]
+
+    def _make_advisories(self) -> dict[str, str]:
+        """Return the headers in which the server speaks of itself."""
+        advisories = {}
+        if self.faults["limit_per_s"]:
+            advisories["Server-Limit"] = str(self.faults["limit_per_s"])
+        return advisories
 
 
 def run(arguments: list[str]) -> None:
--- a/tests/hosted_fleet.py
+++ b/tests/hosted_fleet.py
@@ -44,6 +44,7 @@
         default
     :param cold_per_s: requests per second that a cold server tolerates; 0 if
         they are not limited
+    :param servers: names of the plain service's servers
     """
 
     def __init__(
@@ -57,7 +58,9 @@
         versions=(),
         zones=None,
         cold_per_s=0.0,
+        servers=("s0", "s1"),
     ):
+        self.servers = servers
         self.kv_capacity_tokens = engine_tokens
         self.group = processes.Group()
         self.folder = tempfile.TemporaryDirectory()
@@ -82,7 +85,7 @@
     def __enter__(self):
         for number, phase in enumerate(self.phases):
             self.start_upstream(f"e{number}", "llm", phase)
-        for name in ("s0", "s1"):
+        for name in self.servers:
             self.start_upstream(name, "app")
         self.start_vms()
         return self
