Count requests in a window, and limit sends, independently of cold starts

No change of behaviour: what counts the requests to one upstream in a sliding window, and what a chooser asks before it sends, is needed by other limits than that of cold upstreams.

--- a/mulberryway/policy/cold_start.py
+++ b/mulberryway/policy/cold_start.py
@@ -6,10 +6,11 @@
 no messages, and they hold while VMs cannot reach one another.
 """
 
-import collections
 import hashlib
 
 from mulberryway import tables
+from mulberryway.policy import request_window
+from mulberryway.policy import send_limits
 
 __all__ = ["ColdStartLimiter", "ColdStartLimits", "FleetShares"]
 
@@ -77,32 +78,34 @@
         share, rest = divmod(limit, len(self.vms))
         if not rest:
             return share
+        return share + (self.rank(server) < rest)
+
+    def rank(self, server: str) -> int:
+        """Return this VM's place in the order of VMs for a server, from 0.
+
+        :param server: the server's name
+        """
         own = _hash(self.vm, server)
-        ahead = sum(_hash(vm, server) < own for vm in self.vms)
-        return share + (ahead < rest)
+        return sum(_hash(vm, server) < own for vm in self.vms)
 
 
 class _Server:
     """One server's state, and the times of this VM's requests to it."""
 
-    __slots__ = ("revision", "cold_until_ms", "chosen", "sent", "share")
+    __slots__ = ("revision", "cold_until_ms", "requests", "share")
 
     def __init__(self) -> None:
         # That of its last report.
         self.revision = 0
         self.cold_until_ms = 0
-        self.chosen: collections.deque[int] = collections.deque()
-        self.sent: collections.deque[int] = collections.deque()
+        self.requests = request_window.RequestWindow(WINDOW_MS)
         # The VMs for which the share was computed, and the share.
         self.share: tuple[frozenset[str], int] = (frozenset(), 0)
 
 
-class ColdStartLimiter:
+class ColdStartLimiter(send_limits.SendLimits):
     """One VM's requests to the cold servers of a pool; not thread-safe.
 
-    A request is counted when its server is chosen, and again when it is sent:
-    a decode follows its choice by the time of a prefill.
-
     :param shares: this VM's share of each limit
     :param limits: what operators allow
     """
@@ -153,57 +156,35 @@
                 state.cold_until_ms, now_ms + self._cold_ms
             )
 
-    def has_share(self, server: str, now_ms: int) -> bool:
-        """Return whether this VM may send to a server, now or soon.
+    def has_share(self, upstream: str, now_ms: int) -> bool:
+        """Return whether this VM may send to a server, now or soon."""
+        state = self._find_cold(upstream, now_ms)
+        return state is None or self._get_share(upstream, state) > 0
 
-        :param server: its name
-        :param now_ms: current time in ms
-        """
-        state = self._find_cold(server, now_ms)
-        return state is None or self._get_share(server, state) > 0
-
-    def has_room(self, server: str, now_ms: int) -> bool:
-        """Return whether a server may be chosen for a request now.
-
-        :param server: its name
-        :param now_ms: current time in ms
-        """
-        state = self._find_cold(server, now_ms)
+    def has_room(self, upstream: str, now_ms: int) -> bool:
+        """Return whether a server may be chosen for a request now."""
+        state = self._find_cold(upstream, now_ms)
         if state is None:
             return True
-        recent = max(
-            _count_recent(state.chosen, now_ms),
-            _count_recent(state.sent, now_ms),
-        )
-        return recent < self._get_share(server, state)
+        share = self._get_share(upstream, state)
+        return state.requests.count(now_ms) < share
 
-    def record_choice(self, server: str, now_ms: int) -> None:
-        """Count a request for which a server was chosen.
-
-        :param server: its name
-        :param now_ms: current time in ms
-        """
-        state = self._servers.get(server)
+    def record_choice(self, upstream: str, now_ms: int) -> None:
+        """Count a request for which a server was chosen."""
+        state = self._servers.get(upstream)
         if state is not None:
-            _count_recent(state.chosen, now_ms)
-            state.chosen.append(now_ms)
-
-    def try_send(self, server: str, now_ms: int) -> bool:
-        """Count a request that is about to be sent, if it may be sent.
+            state.requests.record_choice(now_ms)
 
-        :param server: the server's name
-        :param now_ms: current time in ms
-        :returns: whether it may be sent
-        """
-        state = self._servers.get(server)
+    def try_send(self, upstream: str, now_ms: int) -> bool:
+        """Count a request that is about to be sent, if it may be sent."""
+        state = self._servers.get(upstream)
         if state is None:
             return True
-        recent = _count_recent(state.sent, now_ms)
-        if self._is_cold(state, now_ms) and recent >= self._get_share(
-            server, state
-        ):
+        if self._is_cold(state, now_ms) and state.requests.count_sent(
+            now_ms
+        ) >= self._get_share(upstream, state):
             return False
-        state.sent.append(now_ms)
+        state.requests.record_send(now_ms)
         return True
 
     def _find_cold(self, server: str, now_ms: int) -> _Server | None:
@@ -225,12 +206,5 @@
         return state.share[1]
 
 
-def _count_recent(times: collections.deque[int], now_ms: int) -> int:
-    """Return the number of times within the window; remove the others."""
-    while times and now_ms - times[0] >= WINDOW_MS:
-        times.popleft()
-    return len(times)
-
-
 def _hash(vm: str, server: str) -> bytes:
     return hashlib.blake2b(f"{vm}/{server}".encode(), digest_size=8).digest()
