Keep the rate limit that an upstream names, over all VMs

Cause: no code read the header; a success passed it on to the caller as text, a rejection dropped it. Class: what an upstream says of itself in its responses reached no decision.

Each VM has a fixed share of four seconds of the limit, as for cold upstreams, and holds it wherever an upstream is chosen and again where a prefill, a decode or a call is sent. Shares need no messages, so VMs that are cut off from one another keep the limit, too. VMs count for ten minutes after they were alive, not for good, so shares do not shrink with each replaced VM. If all have got what they accept, calls are rejected at once with the time until the next one is allowed, and streams that would wait beyond their latest start are too.

--- a/mulberryway/controllers/advisories.py
+++ b/mulberryway/controllers/advisories.py
@@ -8,13 +8,14 @@
 from mulberryway import metrics
 from mulberryway import tables
 from mulberryway.policy import advisories
+from mulberryway.policy import send_limits
 
 __all__ = ["UpstreamAdvisories"]
 
 LOG = logging.getLogger(__name__)
 
 
-class UpstreamAdvisories:
+class UpstreamAdvisories(send_limits.SendLimits):
     """Locks a register of advisories, and logs its changes.
 
     :param register: the register
@@ -48,6 +49,31 @@
         with self._lock:
             self._register.update_tables(changed)
 
+    def has_share(self, upstream: str, now_ms: int) -> bool:
+        """Return whether this VM may send to an upstream, now or soon."""
+        with self._lock:
+            return self._register.has_share(upstream, now_ms)
+
+    def has_room(self, upstream: str, now_ms: int) -> bool:
+        """Return whether an upstream may be chosen for a request now."""
+        with self._lock:
+            return self._register.has_room(upstream, now_ms)
+
+    def get_wait_ms(self, upstream: str, now_ms: int) -> int:
+        """Return the time until an upstream may be chosen, in ms."""
+        with self._lock:
+            return self._register.get_wait_ms(upstream, now_ms)
+
+    def record_choice(self, upstream: str, now_ms: int) -> None:
+        """Count a request for which an upstream was chosen."""
+        with self._lock:
+            self._register.record_choice(upstream, now_ms)
+
+    def try_send(self, upstream: str, now_ms: int) -> bool:
+        """Count a request that is about to be sent, if it may be sent."""
+        with self._lock:
+            return self._register.try_send(upstream, now_ms)
+
     def report(self, metrics_: metrics.Metrics) -> None:
         """Register metrics of what upstreams say.
 
--- a/mulberryway/controllers/fleet_shares.py
+++ b/mulberryway/controllers/fleet_shares.py
@@ -11,6 +11,8 @@
 # A VM that started while the store was unreachable has heard of all others by
 # then.
 SETTLE_MS = 3_000
+# How long a dead VM keeps its share of limits that partitioned VMs may exceed.
+DEAD_VM_TTL_MS = 600_000
 # A VM that has had no contact for this long may not know of a cold server.
 INFORMATION_TTL_MS = 5_000
 
@@ -22,6 +24,8 @@
     :param is_informed: returns whether this VM would learn from the store or
         from another VM that a server has become cold
     :param clock_: the source of the current time
+    :param ttl_ms: how long VMs count after they were named last, in ms; for
+        good by default
     """
 
     def __init__(
@@ -29,7 +33,10 @@
         shares: cold_start.FleetShares,
         is_informed: collections.abc.Callable[[], bool],
         clock_: clock.Clock,
+        ttl_ms: int | None = None,
     ) -> None:
+        self._ttl_ms = ttl_ms
+        self._named_ms: dict[str, int] = {}
         self._shares = shares
         self._is_informed = is_informed
         self._clock = clock_
@@ -49,10 +56,10 @@
             self._add(vms)
             self._update_completeness()
 
-    def record_known(self, vms: collections.abc.Collection[str]) -> None:
-        """Record the VMs that this VM has heard of, including dead ones.
+    def record_known(self, vms: collections.abc.Iterable[str]) -> None:
+        """Record the VMs that this VM has heard of; call it every second.
 
-        :param vms: their names
+        :param vms: their names, with those of dead VMs if they count for good
         """
         with self._lock:
             self._add(vms)
@@ -68,11 +75,21 @@
         age_ms = self._clock.now_ms() - self._started_ms
         has_settled = len(self._shares.vms) > 1 and age_ms >= SETTLE_MS
         # The requests of a previous incarnation still count in its window.
-        self._shares.is_complete = has_settled or (
-            self._is_listed and age_ms >= cold_start.WINDOW_MS
+        self._shares.is_complete = (
+            self._shares.is_complete
+            or has_settled
+            or (self._is_listed and age_ms >= cold_start.WINDOW_MS)
         )
 
     def _add(self, vms: collections.abc.Iterable[str]) -> None:
-        known = self._shares.vms | frozenset(vms)
+        now_ms = self._clock.now_ms()
+        self._named_ms.update(dict.fromkeys((self._shares.vm, *vms), now_ms))
+        if self._ttl_ms is not None:
+            self._named_ms = {
+                vm: named_ms
+                for vm, named_ms in self._named_ms.items()
+                if now_ms - named_ms < self._ttl_ms
+            }
+        known = frozenset(self._named_ms)
         if known != self._shares.vms:
             self._shares.vms = known
--- a/mulberryway/controllers/scheduler_gossip.py
+++ b/mulberryway/controllers/scheduler_gossip.py
@@ -86,6 +86,11 @@
         self.on_known_vms: collections.abc.Callable[[frozenset[str]], None] = (
             lambda vms: None
         )
+        # Called every second with the names of the VMs considered alive; must
+        # return quickly.
+        self.on_alive_vms: collections.abc.Callable[
+            [tuple[str, ...]], None
+        ] = lambda vms: None
         # Called with the versions that began streams; must return quickly.
         self.on_streams: collections.abc.Callable[
             [list[stream_versions.StreamVersion]], None
@@ -162,6 +167,7 @@
             self._vms = vms
             self._update_members()
         self.on_known_vms(self._known_vms)
+        self.on_alive_vms(vms)
         active = self._source.get_tables()
         state = (active.revision if active else 0, vms)
         if active is not None and state != self._subsets_state:
--- a/mulberryway/filters/service_forward.py
+++ b/mulberryway/filters/service_forward.py
@@ -108,7 +108,7 @@
     ) -> base.Answer:
         avoid: frozenset[str] = frozenset()
         has_run = False
-        fault = _make_no_server_fault(exchange)
+        fault: errors.Fault | None = None
         sent = 0
         for number in range(MAX_ATTEMPTS):
             if sent >= exchange.route.max_attempts:
@@ -145,6 +145,8 @@
             has_run = (
                 has_run or fault.run is not errors.ExecutionStatus.NOT_RUN
             )
+        if fault is None:
+            return expression.Error(self._make_no_server_fault(exchange))
         if (
             fault.answer is not None
             and fault.run is errors.ExecutionStatus.RAN
@@ -183,6 +185,21 @@
                 pool, avoid, self._clock.now_ms(), exchange.required_version
             )
 
+    def _make_no_server_fault(self, exchange: base.Exchange) -> errors.Fault:
+        pool = self._find_current_pool(exchange)
+        with self._lock:
+            wait_ms = self._chooser.get_wait_ms(pool, self._clock.now_ms())
+        message = "no server of the pool accepts calls"
+        if wait_ms:
+            message = "all servers of the pool have got what they accept"
+        return errors.Fault(
+            errors.Code.NO_UPSTREAM,
+            errors.Step.SERVICE,
+            exchange.pool.name,
+            message=message,
+            retry_after_ms=wait_ms or RETRY_AFTER_MS,
+        )
+
     def _find_current_pool(self, exchange: base.Exchange) -> tables.Pool:
         """Return a call's pool from the active tables.
 
@@ -310,13 +327,3 @@
         exchange.pool.name,
         message="servers crashed while running this call",
     )
-
-
-def _make_no_server_fault(exchange: base.Exchange) -> errors.Fault:
-    return errors.Fault(
-        errors.Code.NO_UPSTREAM,
-        errors.Step.SERVICE,
-        exchange.pool.name,
-        message="no server of the pool accepts calls",
-        retry_after_ms=RETRY_AFTER_MS,
-    )
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -147,8 +147,15 @@
             self.members.list_members,
             self.clock,
         )
+        self.alive_shares = cold_start.FleetShares(settings_.vm_name)
+        self.alive_share_updater = fleet_shares.FleetSharesUpdater(
+            self.alive_shares,
+            self._is_informed,
+            self.clock,
+            fleet_shares.DEAD_VM_TTL_MS,
+        )
         self.advisories = advisories.UpstreamAdvisories(
-            policy_advisories.AdvisoryRegister(), self.clock
+            policy_advisories.AdvisoryRegister(self.alive_shares), self.clock
         )
         self.directory = directory.PlatformDirectory(
             self.clock,
@@ -338,6 +345,7 @@
             prefill_rate=settings_.policy_prefill_us / US_IN_MS,
             shares=self.shares,
             cold_limits=self.cold_limits,
+            limits=self.advisories,
         )
 
     def _wire_router(self) -> None:
@@ -354,6 +362,7 @@
                 self.versions,
                 self.shares,
                 self.cold_limits,
+                self.advisories,
             ),
             self.retry_budget.try_withdraw,
             on_drain=lambda: self.members.update_local(is_stopping=True),
@@ -400,6 +409,7 @@
         self.versions.send = self.dissemination.send
         self.notes.on_members = self.versions.update_members
         self.notes.on_known_vms = self.share_updater.record_known
+        self.notes.on_alive_vms = self.alive_share_updater.record_known
         self.notes.on_streams = self.versions.receive
         self.allowances.broadcast = self.dissemination.publish
         self.allowances.send = self.dissemination.send
@@ -538,7 +548,9 @@
         others = [vm for vm in listed if vm.name != own]
         self.dissemination.add_listed(others)
         self.allowances.update_members([vm.name for vm in others])
-        self.share_updater.record_listed([vm.name for vm in listed])
+        names = [vm.name for vm in listed]
+        self.share_updater.record_listed(names)
+        self.alive_share_updater.record_listed(names)
 
     def _update_tables(self, changed: tables.Tables) -> None:
         self.advisories.update_tables(changed)
--- a/mulberryway/platform/interface.py
+++ b/mulberryway/platform/interface.py
@@ -17,6 +17,7 @@
 from mulberryway.platform import callers
 from mulberryway.platform import wire
 from mulberryway.policy import cold_start
+from mulberryway.policy import send_limits
 from mulberryway.policy import server_selection
 
 __all__ = ["PlatformInterface"]
@@ -29,6 +30,7 @@
     :param tracker: knows the software versions of streams
     :param shares: this VM's shares of limits over all VMs
     :param cold_limits: what operators allow cold servers to get
+    :param limits: further limits of requests to servers; none by default
     """
 
     def __init__(
@@ -37,7 +39,9 @@
         tracker: version_tracking.VersionTracker,
         shares: cold_start.FleetShares | None = None,
         cold_limits: cold_start.ColdStartLimits | None = None,
+        limits: send_limits.SendLimits | None = None,
     ) -> None:
+        self._limits = limits
         self._shares = shares
         self._cold_limits = cold_limits
         self._budget = budget
@@ -67,7 +71,10 @@
             service_forward.ServiceForward(
                 parts.directory,
                 server_selection.ServerSelector(
-                    settings_.vm_zone, self._shares, self._cold_limits
+                    settings_.vm_zone,
+                    self._shares,
+                    self._cold_limits,
+                    self._limits,
                 ),
                 parts.tracer,
                 parts.clock,
--- a/mulberryway/policy/admission.py
+++ b/mulberryway/policy/admission.py
@@ -108,7 +108,11 @@
                 "the prefill would take longer than the deadline allows",
             )
         queue_ms = best.ready_ms - best.prefill_ms - now_ms
-        wait_ms = max(queue_ms, self._estimate_slot_wait_ms(job, now_ms))
+        wait_ms = max(
+            queue_ms,
+            self._estimate_slot_wait_ms(job, now_ms),
+            self._placer.get_limit_wait_ms(job, now_ms),
+        )
         if now_ms + wait_ms <= latest_ms:
             return None
         fault = make_rejection(
--- a/mulberryway/policy/advisories.py
+++ b/mulberryway/policy/advisories.py
@@ -1,11 +1,34 @@
-"""What upstreams say of themselves in their responses; without I/O."""
+"""What upstreams say of themselves in their responses; without I/O.
+
+An upstream may name the rate of requests that it accepts from all VMs
+together.  Each VM has a fixed share of it, as of the limits of cold upstreams.
+VMs without a share get no responses of the upstream, so each VM tells the
+others what it has heard.
+"""
 
 from mulberryway import tables
+from mulberryway.policy import cold_start
+from mulberryway.policy import request_window
+from mulberryway.policy import send_limits
 
-__all__ = ["Advisory", "AdvisoryRegister", "RateLimitChange"]
+__all__ = [
+    "Advisory",
+    "AdvisoryRegister",
+    "RateLimitChange",
+    "RateLimitNews",
+]
 
 # Bounds the memory: the design load is 600 servers, of which few name a limit.
 MAX_UPSTREAMS = 4_096
+WINDOW_MS = 4_000
+MS_IN_S = 1_000
+# VMs that hear a limit again tell the others at this interval, all together.
+NEWS_INTERVAL_MS = 2_000
+# If no VM has heard an upstream for this long, VMs without a share send it a
+# request one after another, because its limit may have ended.  The interval
+# keeps them within the limit even if they do not hear of each other's.
+SILENCE_MS = 5_000
+PROBE_INTERVAL_MS = 1_000
 
 
 class Advisory:
@@ -51,29 +74,94 @@
         self.rate_per_s = rate_per_s
 
 
+class RateLimitNews:
+    """What one VM has heard of an upstream's rate limit, for the others.
+
+    :param upstream: the upstream's name
+    :param started_ms: when its incarnation started, in ms of its own clock
+    :param rate_per_s: requests per second; none if it has no limit
+    :param age_ms: time since the request was sent whose response said so
+    """
+
+    __slots__ = ("upstream", "started_ms", "rate_per_s", "age_ms")
+
+    def __init__(
+        self,
+        upstream: str,
+        started_ms: int,
+        rate_per_s: float | None,
+        age_ms: int,
+    ) -> None:
+        self.upstream = upstream
+        self.started_ms = started_ms
+        self.rate_per_s = rate_per_s
+        self.age_ms = age_ms
+
+
+class _Share:
+    """This VM's share of a rate limit.
+
+    :param vms: the VMs that it was computed for
+    :param rate_per_s: the rate that it was computed for
+    :param requests: the requests that this VM may send in a window
+    :param rank: this VM's place in the order of VMs for the upstream
+    """
+
+    __slots__ = ("vms", "rate_per_s", "requests", "rank")
+
+    def __init__(
+        self, vms: frozenset[str], rate_per_s: float, requests: int, rank: int
+    ) -> None:
+        self.vms = vms
+        self.rate_per_s = rate_per_s
+        self.requests = requests
+        self.rank = rank
+
+
 class _RateLimit:
-    """The rate limit that an upstream names."""
+    """The rate limit that an upstream names, and this VM's requests to it."""
 
-    __slots__ = ("rate_per_s", "heard_ms")
+    __slots__ = (
+        "rate_per_s",
+        "heard_ms",
+        "told_ms",
+        "probed_ms",
+        "requests",
+        "share",
+    )
 
     def __init__(self, rate_per_s: float, heard_ms: int) -> None:
         self.rate_per_s = rate_per_s
         self.heard_ms = heard_ms
+        # When this VM has told the others or was told; none for never.
+        self.told_ms: int | None = None
+        # When this VM has last sent a request without a share.
+        self.probed_ms: int | None = None
+        self.requests = request_window.RequestWindow(WINDOW_MS)
+        self.share = _Share(frozenset(), 0.0, 0, 0)
 
+    def compute_limit(self) -> int:
+        """Return the requests that all VMs together may send in a window."""
+        return max(int(self.rate_per_s * WINDOW_MS / MS_IN_S), 1)
 
-class AdvisoryRegister:
+
+class AdvisoryRegister(send_limits.SendLimits):
     """The latest advisories of each upstream; not thread-safe.
 
     Responses may overtake one another.  One whose request was sent before the
     last advisory arrived may be older, so it can tighten a limit but neither
     raise nor end it.
+
+    :param shares: this VM's share of each limit
     """
 
-    __slots__ = ("_limits", "_started_ms")
+    __slots__ = ("_shares", "_limits", "_started_ms")
 
-    def __init__(self) -> None:
+    def __init__(self, shares: cold_start.FleetShares | None = None) -> None:
+        self._shares = shares or cold_start.FleetShares("")
         # By the name of the upstream, the oldest first.
         self._limits: dict[str, _RateLimit] = {}
+        # When the incarnations of upstreams started, by their own clocks.
         self._started_ms: dict[str, int] = {}
 
     def record(
@@ -107,6 +195,59 @@
             return None
         return RateLimitChange(upstream, previous, rate)
 
+    def record_news(
+        self, news: RateLimitNews, now_ms: int
+    ) -> RateLimitChange | None:
+        """Apply what another VM has heard.
+
+        :param news: what it has heard
+        :param now_ms: current time in ms
+        :returns: the change of the upstream's rate limit, if any
+        """
+        known_ms = self._started_ms.get(news.upstream, news.started_ms)
+        if known_ms != news.started_ms:
+            return None
+        advisory = Advisory(
+            now_ms - news.age_ms,
+            news.rate_per_s,
+            ends_limit=news.rate_per_s is None,
+        )
+        change = self.record(news.upstream, advisory, now_ms)
+        limit = self._limits.get(news.upstream)
+        if limit is not None:
+            limit.told_ms = now_ms
+        return change
+
+    def make_news(
+        self,
+        upstream: str,
+        advisory: Advisory,
+        change: RateLimitChange | None,
+        now_ms: int,
+    ) -> RateLimitNews | None:
+        """Return what the other VMs should hear of a response, if anything.
+
+        :param upstream: the name of its upstream
+        :param advisory: what it says, already recorded
+        :param change: the change that it has caused, if any
+        :param now_ms: current time in ms
+        """
+        limit = self._limits.get(upstream)
+        if change is None:
+            if limit is None or advisory.rate_per_s != limit.rate_per_s:
+                return None
+            told_ms = limit.told_ms
+            if told_ms is not None and now_ms - told_ms < NEWS_INTERVAL_MS:
+                return None
+        if limit is not None:
+            limit.told_ms = now_ms
+        return RateLimitNews(
+            upstream,
+            self._started_ms.get(upstream, 0),
+            advisory.rate_per_s,
+            now_ms - advisory.sent_ms,
+        )
+
     def update_tables(self, changed: tables.Tables) -> None:
         """Forget what previous incarnations of upstreams have said.
 
@@ -132,6 +273,75 @@
         """Return the number of upstreams that name a rate limit."""
         return len(self._limits)
 
+    def has_share(self, upstream: str, now_ms: int) -> bool:
+        """Return whether this VM may send to an upstream, now or soon."""
+        limit = self._limits.get(upstream)
+        return limit is None or self._get_share(upstream, limit, now_ms) > 0
+
+    def has_room(self, upstream: str, now_ms: int) -> bool:
+        """Return whether an upstream may be chosen for a request now."""
+        limit = self._limits.get(upstream)
+        if limit is None:
+            return True
+        share = self._get_share(upstream, limit, now_ms)
+        return limit.requests.count(now_ms) < share
+
+    def get_wait_ms(self, upstream: str, now_ms: int) -> int:
+        """Return the time until an upstream may be chosen, in ms."""
+        limit = self._limits.get(upstream)
+        if limit is None:
+            return 0
+        share = self._get_share(upstream, limit, now_ms)
+        if not share:
+            return WINDOW_MS
+        return limit.requests.get_wait_ms(share, now_ms)
+
+    def record_choice(self, upstream: str, now_ms: int) -> None:
+        """Count a request for which an upstream was chosen."""
+        limit = self._limits.get(upstream)
+        if limit is not None:
+            limit.requests.record_choice(now_ms)
+
+    def try_send(self, upstream: str, now_ms: int) -> bool:
+        """Count a request that is about to be sent, if it may be sent."""
+        limit = self._limits.get(upstream)
+        if limit is None:
+            return True
+        share = self._get_share(upstream, limit, now_ms)
+        if limit.requests.count_sent(now_ms) >= share:
+            return False
+        limit.requests.record_send(now_ms)
+        if not limit.share.requests:
+            limit.probed_ms = now_ms
+        return True
+
+    def _get_share(self, upstream: str, limit: _RateLimit, now_ms: int) -> int:
+        """Return how many requests this VM may send in a window."""
+        shares = self._shares
+        if not shares.is_complete:
+            return 0
+        share = limit.share
+        if share.vms is not shares.vms or share.rate_per_s != limit.rate_per_s:
+            share = limit.share = _Share(
+                shares.vms,
+                limit.rate_per_s,
+                shares.compute(limit.compute_limit(), upstream),
+                shares.rank(upstream),
+            )
+        if share.requests:
+            return share.requests
+        return int(self._may_probe(limit, now_ms))
+
+    @staticmethod
+    def _may_probe(limit: _RateLimit, now_ms: int) -> bool:
+        """Return whether it is this VM's turn to ask a silent upstream."""
+        share = limit.share
+        turn_ms = SILENCE_MS + share.rank * PROBE_INTERVAL_MS
+        round_ms = SILENCE_MS + len(share.vms) * PROBE_INTERVAL_MS
+        return now_ms - limit.heard_ms >= turn_ms and (
+            limit.probed_ms is None or now_ms - limit.probed_ms >= round_ms
+        )
+
     def _evict(self) -> None:
         while len(self._limits) > MAX_UPSTREAMS:
             del self._limits[next(iter(self._limits))]
--- a/mulberryway/policy/job_placement.py
+++ b/mulberryway/policy/job_placement.py
@@ -14,6 +14,7 @@
 from mulberryway.policy import jobs
 from mulberryway.policy import placements
 from mulberryway.policy import pool_upstreams
+from mulberryway.policy import send_limits
 from mulberryway.policy import slow_upstreams
 from mulberryway.policy import transfers
 from mulberryway.policy import upstream_view
@@ -46,6 +47,7 @@
     :param random_: seeded random generator
     :param token_gap_ms: inter-token gap target, in milliseconds
     :param cold_starts: limits requests to cold upstreams; none by default
+    :param limits: further limits of requests to upstreams; none by default
     """
 
     def __init__(
@@ -54,11 +56,15 @@
         random_: random.Random,
         token_gap_ms: int,
         cold_starts: cold_start.ColdStartLimiter | None = None,
+        limits: send_limits.SendLimits | None = None,
     ) -> None:
         self._members = members
         self.cold_starts = cold_starts or cold_start.ColdStartLimiter(
             cold_start.FleetShares(""), cold_start.ColdStartLimits()
         )
+        self.limits = send_limits.CombinedSendLimits(
+            filter(None, (self.cold_starts, limits))
+        )
         self._random = random_
         self._token_gap_ms = token_gap_ms
         self._links = transfers.TransferLinks()
@@ -87,7 +93,7 @@
         options = [
             self._plan_prefill(view, job, pool, now_ms)
             for view in self._list_usable(candidates, job, now_ms)
-            if self.cold_starts.has_share(view.row.name, now_ms)
+            if self.limits.has_share(view.row.name, now_ms)
         ]
         return min(options, key=_get_ready_ms, default=None)
 
@@ -212,7 +218,7 @@
         assert placement.decode is not None
         placement.decode.start_decode(placement.blocks, now_ms)
         for view in {placement.prefill, placement.decode}:
-            self.cold_starts.record_choice(view.row.name, now_ms)
+            self.limits.record_choice(view.row.name, now_ms)
         if not self._typical_blocks.count:
             self._typical_blocks.value = float(placement.blocks)
         self._typical_blocks.note(placement.blocks)
@@ -264,6 +270,19 @@
             if not view.health.is_ejected(now_ms)
         )
 
+    def get_limit_wait_ms(self, job: jobs.Job, now_ms: int) -> int:
+        """Return how long all decode upstreams get no request at least.
+
+        :param job: the job
+        :param now_ms: current time in milliseconds
+        :returns: milliseconds; 0 if one may get a request now
+        """
+        views = self._members.list_decodes(job.required_version)
+        return min(
+            (self.limits.get_wait_ms(view.row.name, now_ms) for view in views),
+            default=0,
+        )
+
     def is_near_capacity(self, view: upstream_view.UpstreamView) -> bool:
         """Return whether an engine may be fuller than the view shows.
 
@@ -308,7 +327,7 @@
     ) -> list[placements.Placement]:
         job = entry.job
         usable = self._list_usable(self._members.prefills, job, now_ms)
-        usable = self._exclude_cold(usable, now_ms)
+        usable = self._exclude_limited(usable, now_ms)
         accepting = [
             view for view in usable if not view.is_backing_off(now_ms)
         ]
@@ -393,19 +412,19 @@
             )
             if view.count_free_slots(now_ms) > 0 and view.has_blocks(blocks)
         ]
-        usable = self._exclude_cold(usable, now_ms)
+        usable = self._exclude_limited(usable, now_ms)
         if entry.lane is fair_queue.Lane.SUSPECT:
             usable = [view for view in usable if not view.count_suspects()]
         return self.slowness.exclude_slow(usable, entry, now_ms)
 
-    def _exclude_cold(
+    def _exclude_limited(
         self, views: list[upstream_view.UpstreamView], now_ms: int
     ) -> list[upstream_view.UpstreamView]:
-        """Return the upstreams that are warm or may get a request now."""
+        """Return the upstreams that may get a request now."""
         return [
             view
             for view in views
-            if self.cold_starts.has_room(view.row.name, now_ms)
+            if self.limits.has_room(view.row.name, now_ms)
         ]
 
     def _score_decode(
--- a/mulberryway/policy/pool_scheduler.py
+++ b/mulberryway/policy/pool_scheduler.py
@@ -19,6 +19,7 @@
 from mulberryway.policy import pool_upstreams
 from mulberryway.policy import retries
 from mulberryway.policy import running_jobs
+from mulberryway.policy import send_limits
 from mulberryway.policy import upstream_view
 
 __all__ = ["PoolScheduler"]
@@ -62,6 +63,7 @@
     :param max_bytes: maximum size of waiting bodies, in bytes
     :param budget: the retry budget
     :param cold_starts: see :class:`job_placement.Placer`
+    :param limits: see :class:`job_placement.Placer`
     """
 
     def __init__(
@@ -77,12 +79,13 @@
         max_bytes: int,
         budget: retries.RetryBudget | None = None,
         cold_starts: cold_start.ColdStartLimiter | None = None,
+        limits: send_limits.SendLimits | None = None,
     ) -> None:
         self.row = row
         self.members = members
         self.queue = fair_queue.FairQueue(max_entries, max_bytes)
         self.placer = job_placement.Placer(
-            members, random_, token_gap_ms, cold_starts
+            members, random_, token_gap_ms, cold_starts, limits
         )
         self.peer_accounts = peer_accounts.PeerAccounts(self.queue)
         self.stats = pool_stats.PoolStats()
@@ -397,7 +400,7 @@
         if decode is None or previous is None or decode is previous:
             return None
         previous.move_decode_to(decode, job.placement.blocks, now_ms)
-        self.placer.cold_starts.record_choice(decode.row.name, now_ms)
+        self.placer.limits.record_choice(decode.row.name, now_ms)
         decode.own_suspects += job.is_suspect()
         previous.own_suspects -= job.is_suspect()
         job.placement.decode = decode
--- a/mulberryway/policy/pool_set.py
+++ b/mulberryway/policy/pool_set.py
@@ -12,6 +12,7 @@
 from mulberryway.policy import pool_scheduler
 from mulberryway.policy import pool_upstreams
 from mulberryway.policy import retries
+from mulberryway.policy import send_limits
 from mulberryway.policy import upstream_view
 
 __all__ = ["PoolSet"]
@@ -32,6 +33,7 @@
     :param prefill_rate: see :class:`pool_upstreams.PoolUpstreams`
     :param shares: this VM's shares of limits over all VMs
     :param cold_limits: what operators allow cold upstreams to get
+    :param limits: further limits of requests to upstreams; none by default
     """
 
     def __init__(
@@ -48,7 +50,9 @@
         prefill_rate: float = upstream_view.PREFILL_MS_PER_TOKEN,
         shares: cold_start.FleetShares | None = None,
         cold_limits: cold_start.ColdStartLimits | None = None,
+        limits: send_limits.SendLimits | None = None,
     ) -> None:
+        self._limits = limits
         self._shares = shares or cold_start.FleetShares(vm)
         self._cold_limits = cold_limits or cold_start.ColdStartLimits()
         self.pools: dict[str, pool_scheduler.PoolScheduler] = {}
@@ -160,4 +164,5 @@
             self._max_bytes,
             self._budget(),
             cold_start.ColdStartLimiter(self._shares, self._cold_limits),
+            self._limits,
         )
--- a/mulberryway/policy/scheduler.py
+++ b/mulberryway/policy/scheduler.py
@@ -22,6 +22,7 @@
 from mulberryway.policy import probes
 from mulberryway.policy import retries
 from mulberryway.policy import running_jobs
+from mulberryway.policy import send_limits
 from mulberryway.policy import upstream_view
 from mulberryway.upstreams import base as upstreams
 
@@ -53,6 +54,7 @@
     :param prefill_rate: see :class:`pool_upstreams.PoolUpstreams`
     :param shares: see :class:`pool_set.PoolSet`
     :param cold_limits: see :class:`pool_set.PoolSet`
+    :param limits: see :class:`pool_set.PoolSet`
     """
 
     def __init__(
@@ -69,6 +71,7 @@
         prefill_rate: float = upstream_view.PREFILL_MS_PER_TOKEN,
         shares: cold_start.FleetShares | None = None,
         cold_limits: cold_start.ColdStartLimits | None = None,
+        limits: send_limits.SendLimits | None = None,
     ) -> None:
         self.register = register or poison.PoisonRegistry()
         self.parts = part_quarantine.PartQuarantine(vm, random.Random(seed))
@@ -89,6 +92,7 @@
             prefill_rate,
             shares,
             cold_limits,
+            limits,
         )
         self._pools = self._pool_set.pools
         self._waiting: dict[str, str] = {}
@@ -288,7 +292,7 @@
         if job is None:
             return True
         pool = self._pool_set.find_any(job.entry.job.pool)
-        return pool.placer.cold_starts.try_send(upstream, now_ms)
+        return pool.placer.limits.try_send(upstream, now_ms)
 
     def record_tokens(self, job_id: str, tokens: int, now_ms: int) -> None:
         """Record how many tokens of a running job have arrived.
--- a/mulberryway/policy/server_selection.py
+++ b/mulberryway/policy/server_selection.py
@@ -6,6 +6,7 @@
 from mulberryway import tables
 from mulberryway.policy import cold_start
 from mulberryway.policy import health
+from mulberryway.policy import send_limits
 
 __all__ = ["CallOutcome", "ServerSelector", "list_usable_servers"]
 
@@ -91,6 +92,7 @@
     :param zone: the zone of this VM
     :param shares: this VM's shares of limits over all VMs
     :param cold_limits: what operators allow cold servers to get
+    :param limits: further limits of requests to servers; none by default
     """
 
     __slots__ = (
@@ -99,6 +101,7 @@
         "_shares",
         "_cold_limits",
         "_cold_starts",
+        "_limits",
     )
 
     def __init__(
@@ -106,8 +109,10 @@
         zone: str,
         shares: cold_start.FleetShares | None = None,
         cold_limits: cold_start.ColdStartLimits | None = None,
+        limits: send_limits.SendLimits | None = None,
     ) -> None:
         self._zone = zone
+        self._limits = limits
         self._shares = shares or cold_start.FleetShares("")
         self._cold_limits = cold_limits or cold_start.ColdStartLimits()
         # By pool name, with the row that was applied last.
@@ -129,16 +134,16 @@
         :param excluded: names of servers at which this call failed
         :param now_ms: current time in milliseconds
         :param required_version: see :func:`list_usable_servers`
-        :returns: the server, or none if all are draining or excluded, or are
-            cold and have got the requests that they may get now
+        :returns: the server, or none if all are draining or excluded, or have
+            got the requests that they may get now
         """
-        cold_starts = self._find_cold_starts(pool, now_ms)
+        limits = self._find_limits(pool, now_ms)
         usable = [
             upstream
             for upstream in list_usable_servers(
                 pool, excluded, required_version
             )
-            if cold_starts.has_room(upstream.name, now_ms)
+            if limits.has_room(upstream.name, now_ms)
         ]
         if not usable:
             return None
@@ -154,9 +159,25 @@
             ),
         )
         self._find(pool, chosen).in_flight += 1
-        cold_starts.try_send(chosen.name, now_ms)
+        limits.try_send(chosen.name, now_ms)
         return chosen
 
+    def get_wait_ms(self, pool: tables.Pool, now_ms: int) -> int:
+        """Return the time until a server may be chosen, in ms.
+
+        :param pool: the pool
+        :param now_ms: current time in milliseconds
+        :returns: 0 if one may be chosen now, or if the time is unknown
+        """
+        limits = self._find_limits(pool, now_ms)
+        return min(
+            (
+                limits.get_wait_ms(upstream.name, now_ms)
+                for upstream in list_usable_servers(pool, frozenset())
+            ),
+            default=0,
+        )
+
     def finish(
         self,
         pool: tables.Pool,
@@ -192,6 +213,14 @@
     def _find(self, pool: tables.Pool, upstream: tables.Upstream) -> _Server:
         return self._servers.setdefault((pool.name, upstream.name), _Server())
 
+    def _find_limits(
+        self, pool: tables.Pool, now_ms: int
+    ) -> send_limits.SendLimits:
+        cold_starts = self._find_cold_starts(pool, now_ms)
+        if self._limits is None:
+            return cold_starts
+        return send_limits.CombinedSendLimits((cold_starts, self._limits))
+
     def _find_cold_starts(
         self, pool: tables.Pool, now_ms: int
     ) -> cold_start.ColdStartLimiter:
