Tell all VMs of changed and ended rate limits of upstreams

Callers at a VM without a share of a limit were kept from its server after the limit had ended, since such a VM gets no answers of it: the VM asked after five seconds and its turn, in a fleet of 76 up to 81 s later. News carries the age of the request whose answer it is and the incarnation's start, and is ordered as answers are, so a late message neither raises nor ends a newer limit. Keys hold the sender's name, because VMs' clocks differ.

--- a/mulberryway/controllers/advisories.py
+++ b/mulberryway/controllers/advisories.py
@@ -7,26 +7,39 @@
 from mulberryway import logs
 from mulberryway import metrics
 from mulberryway import tables
+from mulberryway.controllers import membership
+from mulberryway.peers import gossip_messages
 from mulberryway.policy import advisories
+from mulberryway.policy import broadcast_queue
 from mulberryway.policy import send_limits
 
 __all__ = ["UpstreamAdvisories"]
 
 LOG = logging.getLogger(__name__)
 
+RATE_LIMIT = "rate_limit"
+# News is repeated while a limit lasts, so it need not be kept for long.
+NEWS_TTL_MS = 10_000
+
 
 class UpstreamAdvisories(send_limits.SendLimits):
-    """Locks a register of advisories, and logs its changes.
+    """Locks a register of advisories, logs its changes and tells other VMs.
 
     :param register: the register
+    :param members: sends news to the other VMs and receives theirs
     :param clock_: the source of the current time
     """
 
     def __init__(
-        self, register: advisories.AdvisoryRegister, clock_: clock.Clock
+        self,
+        register: advisories.AdvisoryRegister,
+        members: membership.MembershipController,
+        clock_: clock.Clock,
     ) -> None:
         self._register = register
+        self._members = members
         self._clock = clock_
+        members.subscribe(RATE_LIMIT, self._apply_news)
         self._lock = threading.Lock()
 
     def record(self, upstream: str, advisory: advisories.Advisory) -> None:
@@ -38,8 +51,11 @@
         now_ms = self._clock.now_ms()
         with self._lock:
             change = self._register.record(upstream, advisory, now_ms)
+            news = self._register.make_news(upstream, advisory, change, now_ms)
         if change is not None:
             self._log(change, took_ms=now_ms - advisory.sent_ms)
+        if news is not None:
+            self._publish(news)
 
     def update_tables(self, changed: tables.Tables) -> None:
         """Forget what previous incarnations of upstreams have said.
@@ -85,6 +101,26 @@
             self._register.count_limited,
         )
 
+    def _publish(self, news: advisories.RateLimitNews) -> None:
+        # A key of this VM alone: VMs' clocks differ, and a message replaces
+        # an older one of the same key.
+        self._members.publish(
+            RATE_LIMIT,
+            f"{news.upstream}/{self._members.own.name}",
+            gossip_messages.encode_rate_limit(news),
+            NEWS_TTL_MS,
+        )
+
+    def _apply_news(self, hint: broadcast_queue.Hint) -> None:
+        news = gossip_messages.decode_rate_limit(hint.payload)
+        now_ms = self._clock.now_ms()
+        # The message may have been forwarded by several VMs for a while.
+        news.age_ms += max(NEWS_TTL_MS - (hint.until_ms - now_ms), 0)
+        with self._lock:
+            change = self._register.record_news(news, now_ms)
+        if change is not None:
+            self._log(change, age_ms=news.age_ms, source=hint.key)
+
     @staticmethod
     def _log(change: advisories.RateLimitChange, **fields: object) -> None:
         LOG.info(
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -155,7 +155,9 @@
             fleet_shares.DEAD_VM_TTL_MS,
         )
         self.advisories = advisories.UpstreamAdvisories(
-            policy_advisories.AdvisoryRegister(self.alive_shares), self.clock
+            policy_advisories.AdvisoryRegister(self.alive_shares),
+            self.members,
+            self.clock,
         )
         self.directory = directory.PlatformDirectory(
             self.clock,
--- a/mulberryway/peers/gen/notes/ttypes.py
+++ b/mulberryway/peers/gen/notes/ttypes.py
@@ -1562,6 +1562,116 @@
         return not (self == other)
 
 
+class RateLimit(object):
+    """
+    Attributes:
+     - upstream
+     - started_ms
+     - rate_per_s
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'started_ms',
+        'rate_per_s',
+        'age_ms',
+    )
+
+
+    def __init__(self, upstream=None, started_ms=None, rate_per_s=None, age_ms=None,):
+        self.upstream = upstream
+        self.started_ms = started_ms
+        self.rate_per_s = rate_per_s
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.rate_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RateLimit')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.I64, 2)
+            oprot.writeI64(self.started_ms)
+            oprot.writeFieldEnd()
+        if self.rate_per_s is not None:
+            oprot.writeFieldBegin('rate_per_s', TType.DOUBLE, 3)
+            oprot.writeDouble(self.rate_per_s)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 4)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.upstream is None:
+            raise TProtocolException(message='Required field upstream is unset!')
+        if self.started_ms is None:
+            raise TProtocolException(message='Required field started_ms is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
@@ -1918,6 +2028,14 @@
     (3, TType.STRING, 'version', 'UTF8', None, ),  # 3
     (4, TType.I32, 'left_ms', None, None, ),  # 4
 )
+all_structs.append(RateLimit)
+RateLimit.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started_ms', None, None, ),  # 2
+    (3, TType.DOUBLE, 'rate_per_s', None, None, ),  # 3
+    (4, TType.I32, 'age_ms', None, None, ),  # 4
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
--- a/mulberryway/peers/gossip_messages.py
+++ b/mulberryway/peers/gossip_messages.py
@@ -4,6 +4,7 @@
 
 from mulberryway.peers import codec
 from mulberryway.peers.gen.notes import ttypes
+from mulberryway.policy import advisories
 from mulberryway.policy import forwarders
 from mulberryway.policy import health
 from mulberryway.policy import hints
@@ -16,10 +17,12 @@
     "DecodedDatagram",
     "decode_datagram",
     "decode_death",
+    "decode_rate_limit",
     "encode_death",
     "encode_report",
     "encode_note",
     "encode_paths",
+    "encode_rate_limit",
     "encode_stream_version",
     "encode_usage",
 ]
@@ -242,6 +245,36 @@
     )
 
 
+def encode_rate_limit(news: advisories.RateLimitNews) -> bytes:
+    """Return the payload of news of a rate limit, for all VMs.
+
+    :param news: the news
+    :returns: the payload
+    """
+    return codec.write(
+        ttypes.RateLimit(
+            news.upstream,
+            news.started_ms,
+            news.rate_per_s,
+            min(news.age_ms, MAX_AGE_MS),
+        )
+    )
+
+
+def decode_rate_limit(payload: bytes) -> advisories.RateLimitNews:
+    """Return the news of a rate limit of a payload.
+
+    :param payload: the payload
+    """
+    message = codec.read(ttypes.RateLimit(), payload)
+    return advisories.RateLimitNews(
+        message.upstream,
+        message.started_ms,
+        message.rate_per_s,
+        message.age_ms,
+    )
+
+
 def encode_death(death: hints.Death) -> bytes:
     """Return the payload of a crash report, which is broadcast to all VMs.
 
--- a/mulberryway/peers/idl/notes.thrift
+++ b/mulberryway/peers/idl/notes.thrift
@@ -114,6 +114,17 @@
   4: required i32 left_ms,
 }
 
+// What a VM has heard of the rate limit of an upstream.
+struct RateLimit {
+  1: required string upstream,
+  // When the upstream's incarnation started, in ms of its own clock.
+  2: required i64 started_ms,
+  // Requests per second; none if it has no limit any more.
+  3: optional double rate_per_s,
+  // Time since the request was sent whose response said so.
+  4: required i32 age_ms,
+}
+
 struct Datagram {
   1: optional Note note,
   2: optional list<EngineReport> reports,
--- a/tests/test_advisories.py
+++ b/tests/test_advisories.py
@@ -7,6 +7,7 @@
 from mulberryway.controllers import advisories as controllers
 from mulberryway.platform import advisories
 from mulberryway.policy import advisories as policy
+from mulberryway.policy import broadcast_queue
 
 CHANGED = "the rate limit of an upstream has changed"
 
@@ -57,11 +58,80 @@
         self.assertIsNone(self.read([("Server-Limit", "2")], 421))
 
 
+class Members:
+    """Delivers messages to the other VMs at once, with an age.
+
+    :param name: this VM's name
+    :param age_ms: how long messages were on their way, in ms
+    """
+
+    def __init__(self, name="vm0", age_ms=0):
+        self.own = Members.Own(name)
+        self.age_ms = age_ms
+        self.peers = []
+        self.published = []
+        self.on_hint = None
+
+    class Own:
+        def __init__(self, name):
+            self.name = name
+
+    def subscribe(self, kind, on_hint):
+        self.on_hint = on_hint
+
+    def publish(self, kind, key, payload, ttl_ms):
+        self.published.append(key)
+        for peer in self.peers:
+            peer.on_hint(
+                broadcast_queue.Hint(
+                    kind, key, payload, 0, ttl_ms - self.age_ms
+                )
+            )
+
+
+class NewsTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = clock.ManualClock()
+        self.members = [Members("vm0", 40), Members("vm1")]
+        self.members[0].peers = [self.members[1]]
+        self.vms = [
+            controllers.UpstreamAdvisories(
+                policy.AdvisoryRegister(), members, self.clock
+            )
+            for members in self.members
+        ]
+
+    def hear(self, rate, sent_ms=0):
+        self.vms[0].record(
+            "s0", policy.Advisory(sent_ms, rate, ends_limit=rate is None)
+        )
+
+    def test_other_vms_hear_of_each_change(self):
+        """Guards against VMs without a share of a limit that do not hear that
+        it was changed or has ended.
+        """
+        with self.assertLogs("mulberryway.controllers.advisories") as logged:
+            self.hear(2.0)
+            self.hear(1.0)
+        heard = [
+            one.fields for one in logged.records if "source" in one.fields
+        ]
+        self.assertEqual([2.0, 1.0], [one["rate_per_s"] for one in heard])
+        self.assertEqual({40}, {one["age_ms"] for one in heard})
+        self.assertFalse(self.vms[1].has_room("s0", 0))
+
+    def test_news_of_the_same_limit_is_rare(self):
+        """Guards against a message to all VMs for each response."""
+        for _ in range(100):
+            self.hear(2.0)
+        self.assertEqual(len(self.members[0].published), 1)
+
+
 class LogTest(unittest.TestCase):
     def test_each_change_is_logged_once(self):
         clock_ = clock.ManualClock()
         shown = controllers.UpstreamAdvisories(
-            policy.AdvisoryRegister(), clock_
+            policy.AdvisoryRegister(), Members(), clock_
         )
         with self.assertLogs("mulberryway.controllers.advisories") as logged:
             for rate in (2.0, 2.0, 3.0, None, None):
@@ -80,7 +150,7 @@
 
     def test_limited_upstreams_are_counted(self):
         shown = controllers.UpstreamAdvisories(
-            policy.AdvisoryRegister(), clock.ManualClock()
+            policy.AdvisoryRegister(), Members(), clock.ManualClock()
         )
         metrics_ = metrics.Metrics("vm0")
         shown.report(metrics_)
