Log and count the upstreams that say that they will end

Observability of DRAIN, without any change of what is sent where. The header is decoded with the rate limit, in any response of the incarnation; the first one is a line of the log, and a gauge counts the listed upstreams that have said so.

--- a/mulberryway/controllers/advisories.py
+++ b/mulberryway/controllers/advisories.py
@@ -52,10 +52,20 @@
         with self._lock:
             change = self._register.record(upstream, advisory, now_ms)
             news = self._register.make_news(upstream, advisory, change, now_ms)
+            has_left = advisory.is_leaving and self._register.record_leaving(
+                upstream
+            )
         if change is not None:
             self._log(change, took_ms=now_ms - advisory.sent_ms)
         if news is not None:
             self._publish(news)
+        if has_left:
+            LOG.info(
+                "an upstream says that it will end",
+                extra=logs.make_extra(
+                    upstream=upstream, took_ms=now_ms - advisory.sent_ms
+                ),
+            )
 
     def update_tables(self, changed: tables.Tables) -> None:
         """Forget what previous incarnations of upstreams have said.
@@ -100,6 +110,11 @@
             "upstreams that name a rate limit in their responses",
             self._register.count_limited,
         )
+        metrics_.register_gauge(
+            "upstreams.leaving",
+            "upstreams that say in their responses that they will end",
+            self._register.count_leaving,
+        )
 
     def _publish(self, news: advisories.RateLimitNews) -> None:
         # A key of this VM alone: VMs' clocks differ, and a message replaces
--- a/mulberryway/platform/advisories.py
+++ b/mulberryway/platform/advisories.py
@@ -13,6 +13,8 @@
 
 LOG = logging.getLogger(__name__)
 
+IS_LEAVING = "1"
+
 Headers = collections.abc.Sequence[tuple[str, str]]
 # Called with the name of an upstream and with what its response says.
 Listener = collections.abc.Callable[[str, advisories.Advisory], None]
@@ -71,6 +73,7 @@
                 sent_ms,
                 rate_per_s,
                 ends_limit=is_request and has_run and not values,
+                is_leaving=IS_LEAVING in _list_values(headers, wire.LEAVING),
             ),
         )
 
@@ -89,7 +92,9 @@
 
 
 def _list_values(headers: Headers, name: str) -> list[str]:
-    return [value for key, value in headers if key.lower() == name.lower()]
+    return [
+        value.strip() for key, value in headers if key.lower() == name.lower()
+    ]
 
 
 def _parse_rate(value: str) -> float:
--- a/mulberryway/platform/wire.py
+++ b/mulberryway/platform/wire.py
@@ -11,6 +11,7 @@
     "CANCEL_RESERVATION_PATH",
     "RESERVE_PATH",
     "LAST_EVENT",
+    "LEAVING",
     "LENGTH_HINT",
     "MAX_LOGGED_LENGTH",
     "MODEL",
@@ -76,6 +77,8 @@
 # Response header: requests per second that the upstream accepts from all
 # routers together, for as long as its responses have the header.
 RATE_LIMIT = "Server-Limit"
+# Response header: ``1`` if the upstream will end soon.
+LEAVING = "Server-Leaving"
 # Bounds the length of a received value in a log line.
 MAX_LOGGED_LENGTH = 100
 
--- a/mulberryway/policy/advisories.py
+++ b/mulberryway/policy/advisories.py
@@ -6,6 +6,8 @@
 others what it has heard.
 """
 
+import typing
+
 from mulberryway import tables
 from mulberryway.policy import cold_start
 from mulberryway.policy import request_window
@@ -38,19 +40,22 @@
     :param rate_per_s: requests per second that the upstream accepts from all
         VMs together; none if it names no limit
     :param ends_limit: whether the upstream has no limit if it names none
+    :param is_leaving: whether the upstream will end soon
     """
 
-    __slots__ = ("sent_ms", "rate_per_s", "ends_limit")
+    __slots__ = ("sent_ms", "rate_per_s", "ends_limit", "is_leaving")
 
     def __init__(
         self,
         sent_ms: int,
         rate_per_s: float | None = None,
         ends_limit: bool = False,
+        is_leaving: bool = False,
     ) -> None:
         self.sent_ms = sent_ms
         self.rate_per_s = rate_per_s
         self.ends_limit = ends_limit
+        self.is_leaving = is_leaving
 
 
 class RateLimitChange:
@@ -155,14 +160,19 @@
     :param shares: this VM's share of each limit
     """
 
-    __slots__ = ("_shares", "_limits", "_started_ms")
+    __slots__ = ("_shares", "_limits", "_leaving", "_started_ms", "_listed")
 
     def __init__(self, shares: cold_start.FleetShares | None = None) -> None:
         self._shares = shares or cold_start.FleetShares("")
         # By the name of the upstream, the oldest first.
         self._limits: dict[str, _RateLimit] = {}
+        # The upstreams that will end soon, the oldest first, with the start of
+        # the incarnation that said so.
+        self._leaving: dict[str, int] = {}
         # When the incarnations of upstreams started, by their own clocks.
         self._started_ms: dict[str, int] = {}
+        # The upstreams of the active tables.
+        self._listed: frozenset[str] = frozenset()
 
     def record(
         self, upstream: str, advisory: Advisory, now_ms: int
@@ -185,7 +195,7 @@
             return RateLimitChange(upstream, previous, None)
         if limit is None:
             self._limits[upstream] = _RateLimit(rate, now_ms)
-            self._evict()
+            _evict(self._limits)
         elif is_newer or rate <= limit.rate_per_s:
             limit.rate_per_s = rate
             limit.heard_ms = now_ms
@@ -248,6 +258,26 @@
             now_ms - advisory.sent_ms,
         )
 
+    def record_leaving(self, upstream: str) -> bool:
+        """Record that an upstream will end soon.
+
+        :param upstream: its name
+        :returns: whether it was not known
+        """
+        started_ms = self._started_ms.get(upstream, 0)
+        if self._leaving.get(upstream) == started_ms:
+            return False
+        self._leaving[upstream] = started_ms
+        _evict(self._leaving)
+        return True
+
+    def is_leaving(self, upstream: tables.Upstream) -> bool:
+        """Return whether an upstream's incarnation has said that it will end.
+
+        :param upstream: the upstream
+        """
+        return self._leaving.get(upstream.name) == upstream.started_ms
+
     def update_tables(self, changed: tables.Tables) -> None:
         """Forget what previous incarnations of upstreams have said.
 
@@ -263,12 +293,18 @@
         for name, time_ms in started_ms.items():
             if self._started_ms.get(name, time_ms) != time_ms:
                 self._limits.pop(name, None)
+                self._leaving.pop(name, None)
+        self._listed = frozenset(started_ms)
         self._started_ms = {
             name: time_ms
             for name, time_ms in self._started_ms.items()
-            if name in self._limits
+            if name in self._limits or name in self._leaving
         } | started_ms
 
+    def count_leaving(self) -> int:
+        """Return how many listed upstreams have said that they will end."""
+        return len(self._listed.intersection(self._leaving))
+
     def count_limited(self) -> int:
         """Return the number of upstreams that name a rate limit."""
         return len(self._limits)
@@ -342,6 +378,8 @@
             limit.probed_ms is None or now_ms - limit.probed_ms >= round_ms
         )
 
-    def _evict(self) -> None:
-        while len(self._limits) > MAX_UPSTREAMS:
-            del self._limits[next(iter(self._limits))]
+
+def _evict(by_upstream: dict[str, typing.Any]) -> None:
+    """Remove the oldest entries beyond the maximum."""
+    while len(by_upstream) > MAX_UPSTREAMS:
+        del by_upstream[next(iter(by_upstream))]
--- a/tests/test_advisories.py
+++ b/tests/test_advisories.py
@@ -53,6 +53,15 @@
             self.assertFalse(self.read(status=status).ends_limit)
         self.assertFalse(self.read(is_request=False).ends_limit)
 
+    def test_leaving(self):
+        self.assertFalse(self.read().is_leaving)
+        for value, is_leaving in (("1", True), (" 1 ", True), ("0", False)):
+            headers = [("server-leaving", value)]
+            self.assertEqual(self.read(headers, 503).is_leaving, is_leaving)
+        self.assertTrue(
+            self.read([("Server-Leaving", "1")], is_request=False).is_leaving
+        )
+
     def test_response_of_another_incarnation(self):
         """Guards against a limit of the server that now has the address."""
         self.assertIsNone(self.read([("Server-Limit", "2")], 421))
@@ -148,6 +157,15 @@
         )
         self.assertEqual({50}, {one["took_ms"] for one in fields})
 
+    def test_leaving_upstream_is_logged_once(self):
+        shown = controllers.UpstreamAdvisories(
+            policy.AdvisoryRegister(), Members(), clock.ManualClock()
+        )
+        with self.assertLogs("mulberryway.controllers.advisories") as logged:
+            for _ in range(3):
+                shown.record("s0", policy.Advisory(0, is_leaving=True))
+        self.assertEqual(len(logged.output), 1)
+
     def test_limited_upstreams_are_counted(self):
         shown = controllers.UpstreamAdvisories(
             policy.AdvisoryRegister(), Members(), clock.ManualClock()
