--- a/standins/hosted_upstreams.py
+++ b/standins/hosted_upstreams.py
@@ -25,6 +25,7 @@
 * ``close_after``: close streams after this many events as if they were whole;
   -1 for none
 * ``limit_per_s``: name this rate limit in all answers
+* ``leaving``: say in all answers that it leaves
 """
 
 import asyncio
@@ -254,6 +255,7 @@
             # Requests per second above which the process ends; 0 if warm.
             "cold_per_s": 0,
             "limit_per_s": 0,
+            "leaving": 0,
         }
         # Requests with the time of their arrival, and what their answers said.
         self.requests: collections.deque[dict[str, typing.Any]] = (
@@ -554,6 +556,8 @@
         advisories = {}
         if self.faults["limit_per_s"]:
             advisories["Server-Limit"] = str(self.faults["limit_per_s"])
+        if self.faults["leaving"]:
+            advisories["Server-Leaving"] = "1"
         return advisories
 
 
--- a/tests/advisory_fleet.py
+++ b/tests/advisory_fleet.py
@@ -48,11 +48,12 @@
         reply = processes.call(port, "GET", "/standin/requests")
         return reply.json()["requests"]
 
-    def list_counted(self, server, header):
+    def list_counted(self, server, header, told_ms=TOLD_MS):
         """Return the times of the requests from VMs that had been told.
 
         :param server: the server's name
         :param header: the header that has told them
+        :param told_ms: how long before they had been told at least
         """
         requests = self.list_requests(server)
         told = {}
@@ -66,7 +67,7 @@
             request["at_ms"]
             for request in requests
             if request["at_ms"]
-            >= told.get(find_vm(request), now_ms()) + TOLD_MS
+            >= told.get(find_vm(request), now_ms()) + told_ms
         ]
 
 
