Send nothing to upstreams whose answers say that they leave

Callers were served, but by servers about to end: a VM sent requests 2.3 and 2.7 s after an answer had told it that a server leaves (2 s allowed), since the store, the only source of that news, was away for 12 s.

The first such answer marks the incarnation, and the mark is joined with the store's entries where tables are built, so all that leaves draining upstreams out follows at once: choices, retries, reassigned decodes, the last check before a decode, the role planner. The mark outlives new tables and missing entries, and ends with the incarnation, by the start that entries carry. Other VMs are not told: they learn it from their own next answer, which is served.

--- a/mulberryway/controllers/advisories.py
+++ b/mulberryway/controllers/advisories.py
@@ -1,5 +1,6 @@
 """Collects what upstreams say of themselves, for all requests of a VM."""
 
+import collections.abc
 import logging
 import threading
 
@@ -39,6 +40,8 @@
         self._register = register
         self._members = members
         self._clock = clock_
+        # Called when an upstream says for the first time that it will end.
+        self.on_leaving: collections.abc.Callable[[], None] = lambda: None
         members.subscribe(RATE_LIMIT, self._apply_news)
         self._lock = threading.Lock()
 
@@ -66,6 +69,15 @@
                     upstream=upstream, took_ms=now_ms - advisory.sent_ms
                 ),
             )
+            self.on_leaving()
+
+    def is_leaving(self, upstream: tables.Upstream) -> bool:
+        """Return whether an upstream has said that it will end soon.
+
+        :param upstream: the upstream
+        """
+        with self._lock:
+            return self._register.is_leaving(upstream)
 
     def update_tables(self, changed: tables.Tables) -> None:
         """Forget what previous incarnations of upstreams have said.
--- a/mulberryway/controllers/mirrored_tables.py
+++ b/mulberryway/controllers/mirrored_tables.py
@@ -47,10 +47,16 @@
     ``evacuations`` is None where the platform evacuates no zones.
 
     :param reader: builds tables from the store's objects
+
+    ``is_leaving`` tells which upstreams have said themselves that they will
+    end; the store may learn of it much later.
     """
 
     def __init__(self, reader: Reader) -> None:
         self._reader = reader
+        self.is_leaving: collections.abc.Callable[[tables.Upstream], bool] = (
+            lambda upstream: False
+        )
         self._lock = threading.Lock()
         self._tables: tables.Tables | None = None
         self._subscribers: list[OnChange] = []
@@ -101,6 +107,10 @@
                 return
             if built is None:
                 return
+            for pool in built.pools.values():
+                for upstream in pool.upstreams:
+                    if self.is_leaving(upstream):
+                        upstream.leaving = True
             self._tables = built
             for on_change in self._subscribers:
                 on_change(built)
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -159,6 +159,8 @@
             self.members,
             self.clock,
         )
+        self.source.is_leaving = self.advisories.is_leaving
+        self.advisories.on_leaving = self.source.refresh
         self.directory = directory.PlatformDirectory(
             self.clock,
             detours.DetourDialer(self.paths, self.client, self.clock),
--- a/tests/test_advisories.py
+++ b/tests/test_advisories.py
@@ -4,7 +4,9 @@
 
 from mulberryway import clock
 from mulberryway import metrics
+from mulberryway import tables
 from mulberryway.controllers import advisories as controllers
+from mulberryway.controllers import mirrored_tables
 from mulberryway.platform import advisories
 from mulberryway.policy import advisories as policy
 from mulberryway.policy import broadcast_queue
@@ -176,3 +178,71 @@
         values = metrics_.read()["mulberryway.upstreams.rate_limited"]
         metrics_.stop()
         self.assertEqual([1], [point["value"] for point in values])
+
+
+class Mirror:
+    """A mirror of the store's objects that is up to date."""
+
+    has_synced = True
+    revision = 1
+
+    def list_objects(self):
+        return []
+
+
+class Reader:
+    """Builds tables with one server, anew each time.
+
+    :param started_ms: when the server's incarnation started
+    """
+
+    def __init__(self, started_ms):
+        self.started_ms = started_ms
+
+    def read(self, configuration, servers, revision, evacuations=()):
+        row = tables.Upstream(
+            "s0",
+            "10.0.0.1:1",
+            "a",
+            tables.UpstreamRole.SERVICE,
+            started_ms=self.started_ms,
+        )
+        pool = tables.Pool("app", tables.PoolKind.PLAIN, (row,))
+        return tables.Tables(revision, (), (pool,), ())
+
+
+class LeavingTest(unittest.TestCase):
+    def setUp(self):
+        self.shown = controllers.UpstreamAdvisories(
+            policy.AdvisoryRegister(), Members(), clock.ManualClock()
+        )
+        self.reader = Reader(5)
+        self.source = mirrored_tables.MirroredTables(self.reader)
+        self.source.configuration = self.source.servers = Mirror()
+        self.source.is_leaving = self.shown.is_leaving
+        self.source.subscribe(self.shown.update_tables)
+        self.shown.on_leaving = self.source.refresh
+        self.source.refresh()
+
+    def is_leaving(self):
+        row = self.source.get_tables().pools["app"].upstreams[0]
+        return row.leaving
+
+    def test_new_tables_keep_the_mark(self):
+        """Guards against an entry of the store, or of an older copy of it,
+        that brings a leaving server back.
+        """
+        self.assertFalse(self.is_leaving())
+        self.shown.record("s0", policy.Advisory(0, is_leaving=True))
+        self.assertTrue(self.is_leaving())
+        self.source.refresh()
+        self.assertTrue(self.is_leaving())
+
+    def test_restarted_server_is_used(self):
+        """Guards against a mark that outlives its server's incarnation."""
+        self.shown.record("s0", policy.Advisory(0, is_leaving=True))
+        self.reader.started_ms = 6
+        self.source.refresh()
+        self.assertFalse(self.is_leaving())
+        self.shown.record("s0", policy.Advisory(0, is_leaving=True))
+        self.assertTrue(self.is_leaving())
