Refuse tunnels to upstreams that leave

A VM that an upstream has told that it leaves still forwarded connections of other VMs to it, so their requests reached it from this VM. Found by looking for other ways to send; test_leaving_upstream_is_refused fails on the commit before.

--- a/mulberryway/relay/tunnels.py
+++ b/mulberryway/relay/tunnels.py
@@ -212,7 +212,8 @@
             return forwarders.TunnelOutcome.BUSY
         active = self._source.get_tables()
         is_known = active is not None and any(
-            upstream.address == address and not upstream.cordoned
+            upstream.address == address
+            and not (upstream.leaving or upstream.cordoned)
             for pool in active.pools.values()
             for upstream in pool.upstreams
         )
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -257,6 +257,24 @@
         connection.close()
         self.assertEqual(outcome, forwarders.TunnelOutcome.UNKNOWN)
 
+    def test_leaving_upstream_is_refused(self):
+        """Guards against requests to an upstream that has told this VM that
+        it leaves, by a VM that it has not told.
+        """
+        row = router_fixture.make_upstream("service", self.upstream.port)
+        row.leaving = True
+        self.source.change(router_fixture.make_tables(services=[row]))
+        answer = self.client.call_detached(
+            self.vm.member.peer,
+            Tunnels.Client,
+            "open",
+            f"{HOST}:{self.upstream.port}",
+            timeout_ms=TIMEOUT_MS,
+        )
+        outcome, connection = answer.ok
+        connection.close()
+        self.assertEqual(outcome, forwarders.TunnelOutcome.UNKNOWN)
+
     def test_unauthenticated_peer_gets_no_tunnel(self):
         stranger = peers.PeerClient("guess", self.clock)
         answer = stranger.call_detached(
