Log and count the upstreams that want no requests for a while

Retry-After of a rejection is decoded with the other advisories, as seconds with fractions or as a date; values that are neither are ignored and logged once for each server, and an hour is the most. The beginning of each pause is a line of the log, a warning from a minute on; a gauge counts paused upstreams.

--- a/mulberryway/controllers/advisories.py
+++ b/mulberryway/controllers/advisories.py
@@ -23,6 +23,10 @@
 NEWS_TTL_MS = 10_000
 
 
+# Operators should look at an upstream that wants no requests for this long.
+LONG_PAUSE_MS = 60_000
+
+
 class UpstreamAdvisories(send_limits.SendLimits):
     """Locks a register of advisories, logs its changes and tells other VMs.
 
@@ -58,10 +62,22 @@
             has_left = advisory.is_leaving and self._register.record_leaving(
                 upstream
             )
+            has_paused = advisory.pause_ms and self._register.record_pause(
+                upstream, advisory.pause_ms, now_ms
+            )
         if change is not None:
             self._log(change, took_ms=now_ms - advisory.sent_ms)
         if news is not None:
             self._publish(news)
+        if has_paused:
+            is_long = advisory.pause_ms >= LONG_PAUSE_MS
+            LOG.log(
+                logging.WARNING if is_long else logging.INFO,
+                "an upstream wants no requests for a while",
+                extra=logs.make_extra(
+                    upstream=upstream, pause_ms=advisory.pause_ms
+                ),
+            )
         if has_left:
             LOG.info(
                 "an upstream says that it will end",
@@ -127,6 +143,15 @@
             "upstreams that say in their responses that they will end",
             self._register.count_leaving,
         )
+        metrics_.register_gauge(
+            "upstreams.paused",
+            "upstreams that want no requests of this VM for a while",
+            self._count_paused,
+        )
+
+    def _count_paused(self) -> int:
+        with self._lock:
+            return self._register.count_paused(self._clock.now_ms())
 
     def _publish(self, news: advisories.RateLimitNews) -> None:
         # A key of this VM alone: VMs' clocks differ, and a message replaces
--- a/mulberryway/platform/advisories.py
+++ b/mulberryway/platform/advisories.py
@@ -1,10 +1,12 @@
 """Reads what an upstream says of itself in response headers."""
 
 import collections.abc
+import email.utils
 import http
 import logging
 import math
 
+from mulberryway import clock
 from mulberryway import logs
 from mulberryway.platform import wire
 from mulberryway.policy import advisories
@@ -14,6 +16,12 @@
 LOG = logging.getLogger(__name__)
 
 IS_LEAVING = "1"
+MS_IN_S = 1_000
+MAX_PAUSE_MS = 3_600_000
+PAUSE_STATUSES = (
+    http.HTTPStatus.SERVICE_UNAVAILABLE,
+    http.HTTPStatus.TOO_MANY_REQUESTS,
+)
 
 Headers = collections.abc.Sequence[tuple[str, str]]
 # Called with the name of an upstream and with what its response says.
@@ -33,11 +41,15 @@
 
     :param upstream: the upstream's name
     :param listener: called for each response of the upstream
+    :param clock_: the clock, for dates
     """
 
-    __slots__ = ("_upstream", "_listener", "_has_warned")
+    __slots__ = ("_upstream", "_listener", "_clock", "_has_warned")
 
-    def __init__(self, upstream: str, listener: Listener) -> None:
+    def __init__(
+        self, upstream: str, listener: Listener, clock_: clock.Clock
+    ) -> None:
+        self._clock = clock_
         self._upstream = upstream
         self._listener = listener
         self._has_warned = False
@@ -66,6 +78,9 @@
             rate_per_s = min(map(_parse_rate, values), default=None)
         except ValueError:
             self._warn(wire.RATE_LIMIT, values)
+        pause_ms = 0
+        if status in PAUSE_STATUSES:
+            pause_ms = self._read_pause_ms(headers)
         has_run = http.HTTPStatus.OK <= status < http.HTTPStatus.BAD_REQUEST
         self._listener(
             self._upstream,
@@ -74,9 +89,21 @@
                 rate_per_s,
                 ends_limit=is_request and has_run and not values,
                 is_leaving=IS_LEAVING in _list_values(headers, wire.LEAVING),
+                pause_ms=pause_ms,
             ),
         )
 
+    def _read_pause_ms(self, headers: Headers) -> int:
+        """Return for how long the upstream wants no requests, in ms."""
+        values = _list_values(headers, wire.RETRY_AFTER)
+        wall_ms = self._clock.wall_ms()
+        try:
+            pauses_ms = [_parse_pause_ms(value, wall_ms) for value in values]
+        except ValueError:
+            self._warn(wire.RETRY_AFTER, values)
+            return 0
+        return max(pauses_ms, default=0)
+
     def _warn(self, header: str, values: list[str]) -> None:
         if self._has_warned:
             return
@@ -107,3 +134,20 @@
     if not 0 <= rate < math.inf:
         raise ValueError("expected a finite number of at least 0")
     return rate
+
+
+def _parse_pause_ms(value: str, wall_ms: int) -> int:
+    """Return the time of a ``Retry-After`` in ms, at most ``MAX_PAUSE_MS``.
+
+    :param value: the header's value: seconds or a date
+    :param wall_ms: the current time of day in ms
+    :raises ValueError: if it is neither a date nor a number of at least 0
+    """
+    try:
+        pause_ms = float(value) * MS_IN_S
+    except ValueError:
+        date = email.utils.parsedate_to_datetime(value)
+        pause_ms = max(date.timestamp() * MS_IN_S - wall_ms, 0.0)
+    if not pause_ms >= 0:
+        raise ValueError("expected a number of at least 0")
+    return int(min(pause_ms, MAX_PAUSE_MS))
--- a/mulberryway/platform/engine.py
+++ b/mulberryway/platform/engine.py
@@ -81,7 +81,7 @@
         dialer: dialing.Dialer = dialing.DIRECT,
         listener: advisories.Listener = advisories.ignore,
     ) -> None:
-        self._reader = advisories.AdvisoryReader(instance, listener)
+        self._reader = advisories.AdvisoryReader(instance, listener, clock_)
         self.instance = instance
         self.address = address
         # See :class:`tables.Upstream`.
--- a/mulberryway/platform/service.py
+++ b/mulberryway/platform/service.py
@@ -38,7 +38,7 @@
         listener: advisories.Listener = advisories.ignore,
     ) -> None:
         self._clock = clock_
-        self._reader = advisories.AdvisoryReader(instance, listener)
+        self._reader = advisories.AdvisoryReader(instance, listener, clock_)
         self.instance = instance
         self.address = address
         # See :class:`tables.Upstream`.
--- a/mulberryway/platform/wire.py
+++ b/mulberryway/platform/wire.py
@@ -19,6 +19,7 @@
     "OBJECTS",
     "ORDER",
     "RESERVED_HEADERS",
+    "RETRY_AFTER",
     "RESUMED_ATTEMPT",
     "PHASE",
     "PREFIX",
@@ -79,6 +80,9 @@
 RATE_LIMIT = "Server-Limit"
 # Response header: ``1`` if the upstream will end soon.
 LEAVING = "Server-Leaving"
+# Response header of a rejection: the upstream wants no request of this router
+# for so long, in seconds with fractions; a date is allowed too (RFC 9110).
+RETRY_AFTER = "Retry-After"
 # Bounds the length of a received value in a log line.
 MAX_LOGGED_LENGTH = 100
 
--- a/mulberryway/policy/advisories.py
+++ b/mulberryway/policy/advisories.py
@@ -41,9 +41,16 @@
         VMs together; none if it names no limit
     :param ends_limit: whether the upstream has no limit if it names none
     :param is_leaving: whether the upstream will end soon
+    :param pause_ms: for how long the upstream wants no requests of this VM
     """
 
-    __slots__ = ("sent_ms", "rate_per_s", "ends_limit", "is_leaving")
+    __slots__ = (
+        "sent_ms",
+        "rate_per_s",
+        "ends_limit",
+        "is_leaving",
+        "pause_ms",
+    )
 
     def __init__(
         self,
@@ -51,11 +58,13 @@
         rate_per_s: float | None = None,
         ends_limit: bool = False,
         is_leaving: bool = False,
+        pause_ms: int = 0,
     ) -> None:
         self.sent_ms = sent_ms
         self.rate_per_s = rate_per_s
         self.ends_limit = ends_limit
         self.is_leaving = is_leaving
+        self.pause_ms = pause_ms
 
 
 class RateLimitChange:
@@ -160,7 +169,14 @@
     :param shares: this VM's share of each limit
     """
 
-    __slots__ = ("_shares", "_limits", "_leaving", "_started_ms", "_listed")
+    __slots__ = (
+        "_shares",
+        "_limits",
+        "_leaving",
+        "_paused_until_ms",
+        "_started_ms",
+        "_listed",
+    )
 
     def __init__(self, shares: cold_start.FleetShares | None = None) -> None:
         self._shares = shares or cold_start.FleetShares("")
@@ -169,6 +185,8 @@
         # The upstreams that will end soon, the oldest first, with the start of
         # the incarnation that said so.
         self._leaving: dict[str, int] = {}
+        # Until when upstreams want no requests of this VM.
+        self._paused_until_ms: dict[str, int] = {}
         # When the incarnations of upstreams started, by their own clocks.
         self._started_ms: dict[str, int] = {}
         # The upstreams of the active tables.
@@ -271,6 +289,28 @@
         _evict(self._leaving)
         return True
 
+    def record_pause(self, upstream: str, pause_ms: int, now_ms: int) -> bool:
+        """Record that an upstream wants no requests of this VM for a while.
+
+        :param upstream: its name
+        :param pause_ms: for how long, in ms
+        :param now_ms: current time in ms
+        :returns: whether it wanted some until now
+        """
+        until_ms = self._paused_until_ms.pop(upstream, 0)
+        self._paused_until_ms[upstream] = max(until_ms, now_ms + pause_ms)
+        _evict(self._paused_until_ms)
+        return until_ms <= now_ms
+
+    def count_paused(self, now_ms: int) -> int:
+        """Return the number of upstreams that want no requests of this VM.
+
+        :param now_ms: current time in ms
+        """
+        return sum(
+            now_ms < until_ms for until_ms in self._paused_until_ms.values()
+        )
+
     def is_leaving(self, upstream: tables.Upstream) -> bool:
         """Return whether an upstream's incarnation has said that it will end.
 
@@ -294,11 +334,14 @@
             if self._started_ms.get(name, time_ms) != time_ms:
                 self._limits.pop(name, None)
                 self._leaving.pop(name, None)
+                self._paused_until_ms.pop(name, None)
         self._listed = frozenset(started_ms)
         self._started_ms = {
             name: time_ms
             for name, time_ms in self._started_ms.items()
-            if name in self._limits or name in self._leaving
+            if name in self._limits
+            or name in self._leaving
+            or name in self._paused_until_ms
         } | started_ms
 
     def count_leaving(self) -> int:
--- a/tests/test_advisories.py
+++ b/tests/test_advisories.py
@@ -1,5 +1,6 @@
 """Tests of what upstreams say of themselves in response headers."""
 
+import email.utils
 import unittest
 
 from mulberryway import clock
@@ -17,8 +18,11 @@
 class ReaderTest(unittest.TestCase):
     def setUp(self):
         self.heard = []
+        self.clock = clock.ManualClock()
         self.reader = advisories.AdvisoryReader(
-            "s0", lambda upstream, advisory: self.heard.append(advisory)
+            "s0",
+            lambda upstream, advisory: self.heard.append(advisory),
+            self.clock,
         )
 
     def read(self, headers=(), status=200, **options):
@@ -64,6 +68,44 @@
             self.read([("Server-Leaving", "1")], is_request=False).is_leaving
         )
 
+    def read_pause(self, *values, status=503):
+        headers = [("Retry-After", value) for value in values]
+        return self.read(headers, status).pause_ms
+
+    def test_pause(self):
+        hour_ms = advisories.MAX_PAUSE_MS
+        for value, pause_ms in (
+            ("3", 3_000),
+            ("2.5", 2_500),
+            ("0", 0),
+            ("1e9", hour_ms),
+            ("inf", hour_ms),
+        ):
+            self.assertEqual(self.read_pause(value), pause_ms)
+        self.assertEqual(self.read_pause("3", status=429), 3_000)
+        self.assertEqual(self.read_pause("1", "2"), 2_000)
+        self.assertEqual(self.read_pause(), 0)
+
+    def test_pause_until_a_date(self):
+        date_s = self.clock.wall_ms() // 1_000 + 60
+        for offset_s, pause_ms in ((0, 60_000), (-90, 0)):
+            date = email.utils.formatdate(date_s + offset_s, usegmt=True)
+            self.assertAlmostEqual(
+                self.read_pause(date), pause_ms, delta=1_000
+            )
+
+    def test_malformed_pause_is_ignored(self):
+        """Guards against a response whose header ends the call with an
+        exception.
+        """
+        with self.assertLogs("mulberryway.platform.advisories") as logged:
+            for value in ("", "soon", "-1", "nan", "Mon, 99 Foo 2026"):
+                self.assertEqual(self.read_pause(value), 0)
+        self.assertEqual(len(logged.output), 1)
+
+    def test_success_asks_for_no_pause(self):
+        self.assertEqual(self.read_pause("3", status=200), 0)
+
     def test_response_of_another_incarnation(self):
         """Guards against a limit of the server that now has the address."""
         self.assertIsNone(self.read([("Server-Limit", "2")], 421))
@@ -168,6 +210,20 @@
                 shown.record("s0", policy.Advisory(0, is_leaving=True))
         self.assertEqual(len(logged.output), 1)
 
+    def test_long_pause_is_a_warning(self):
+        """Guards against a server that is left alone for an hour and that
+        nobody looks at.
+        """
+        shown = controllers.UpstreamAdvisories(
+            policy.AdvisoryRegister(), Members(), clock.ManualClock()
+        )
+        with self.assertLogs("mulberryway.controllers.advisories") as logged:
+            for pause_ms in (3_000, 3_000):
+                shown.record("s0", policy.Advisory(0, pause_ms=pause_ms))
+            shown.record("s1", policy.Advisory(0, pause_ms=3_600_000))
+        levels = [record.levelname for record in logged.records]
+        self.assertEqual(levels, ["INFO", "WARNING"])
+
     def test_limited_upstreams_are_counted(self):
         shown = controllers.UpstreamAdvisories(
             policy.AdvisoryRegister(), Members(), clock.ManualClock()
