--- a/standins/hosted_upstreams.py
+++ b/standins/hosted_upstreams.py
@@ -26,6 +26,9 @@
   -1 for none
 * ``limit_per_s``: name this rate limit in all answers
 * ``leaving``: say in all answers that it leaves
+* ``pause_s``: reject requests and want none for so long
+* ``pause_every``: reject so each of this many requests; 0 for each one
+* ``pause_status``: status of these rejections
 """
 
 import asyncio
@@ -256,6 +259,9 @@
             "cold_per_s": 0,
             "limit_per_s": 0,
             "leaving": 0,
+            "pause_s": 0,
+            "pause_every": 0,
+            "pause_status": 503,
         }
         # Requests with the time of their arrival, and what their answers said.
         self.requests: collections.deque[dict[str, typing.Any]] = (
@@ -301,6 +307,8 @@
             )
         if self.faults["full"]:
             return self._make_response(request, 503, b"", NOT_EXECUTED)
+        if self._must_pause():
+            return self._reject_for_a_pause(request)
         if not self.phase:
             return await self._serve_plain(request, body)
         self.crash.record_arrival(request, self.instance)
@@ -324,6 +332,21 @@
         if 0 < self.faults["cold_per_s"] < len(self.arrivals):
             os._exit(1)
 
+    def _must_pause(self) -> bool:
+        every = int(self.faults["pause_every"]) or 1
+        return bool(self.faults["pause_s"]) and not len(self.requests) % every
+
+    def _reject_for_a_pause(self, request: web.Request) -> web.Response:
+        wanted = {"Retry-After": str(self.faults["pause_s"])}
+        response = self._make_response(
+            request,
+            int(self.faults["pause_status"]),
+            b"",
+            NOT_EXECUTED | wanted,
+        )
+        request["record"]["said"] |= wanted
+        return response
+
     def _record_request(self, request: web.Request) -> None:
         record = {
             "id": request.headers.get("Attempt-Id", ""),
