Send nothing to an upstream in the pause that it asks for

Cause: no code read Retry-After of a rejection. Its failure raised the server's failure rate, and a refused connection its backoff, but both are an order of preference: when the others are worse, or have paused as well, it is chosen again, and each success lowers the rate.

A pause is a bound now: nothing is chosen or sent until it is over, wherever an upstream is chosen, and right before a request is sent. If all servers of a pool have paused, calls are rejected at once with the time of the first that takes calls again, and so are streams that could not start in time.

--- a/mulberryway/filters/service_forward.py
+++ b/mulberryway/filters/service_forward.py
@@ -158,7 +158,9 @@
             fault.run is errors.ExecutionStatus.NOT_RUN
             and fault.retry_after_ms is None
         ):
-            fault.retry_after_ms = RETRY_AFTER_MS
+            fault.retry_after_ms = self._get_wait_ms(exchange) or (
+                RETRY_AFTER_MS
+            )
         return expression.Error(fault)
 
     def _may_try_next_server(
@@ -186,12 +188,10 @@
             )
 
     def _make_no_server_fault(self, exchange: base.Exchange) -> errors.Fault:
-        pool = self._find_current_pool(exchange)
-        with self._lock:
-            wait_ms = self._chooser.get_wait_ms(pool, self._clock.now_ms())
+        wait_ms = self._get_wait_ms(exchange)
         message = "no server of the pool accepts calls"
         if wait_ms:
-            message = "all servers of the pool have got what they accept"
+            message = "no server of the pool accepts calls now"
         return errors.Fault(
             errors.Code.NO_UPSTREAM,
             errors.Step.SERVICE,
@@ -200,6 +200,12 @@
             retry_after_ms=wait_ms or RETRY_AFTER_MS,
         )
 
+    def _get_wait_ms(self, exchange: base.Exchange) -> int:
+        """Return the time until a server of a call's pool may be chosen."""
+        pool = self._find_current_pool(exchange)
+        with self._lock:
+            return self._chooser.get_wait_ms(pool, self._clock.now_ms())
+
     def _find_current_pool(self, exchange: base.Exchange) -> tables.Pool:
         """Return a call's pool from the active tables.
 
--- a/mulberryway/policy/advisories.py
+++ b/mulberryway/policy/advisories.py
@@ -359,6 +359,8 @@
 
     def has_room(self, upstream: str, now_ms: int) -> bool:
         """Return whether an upstream may be chosen for a request now."""
+        if self._get_pause_ms(upstream, now_ms):
+            return False
         limit = self._limits.get(upstream)
         if limit is None:
             return True
@@ -367,13 +369,14 @@
 
     def get_wait_ms(self, upstream: str, now_ms: int) -> int:
         """Return the time until an upstream may be chosen, in ms."""
+        pause_ms = self._get_pause_ms(upstream, now_ms)
         limit = self._limits.get(upstream)
         if limit is None:
-            return 0
+            return pause_ms
         share = self._get_share(upstream, limit, now_ms)
         if not share:
-            return WINDOW_MS
-        return limit.requests.get_wait_ms(share, now_ms)
+            return max(WINDOW_MS, pause_ms)
+        return max(limit.requests.get_wait_ms(share, now_ms), pause_ms)
 
     def record_choice(self, upstream: str, now_ms: int) -> None:
         """Count a request for which an upstream was chosen."""
@@ -383,6 +386,8 @@
 
     def try_send(self, upstream: str, now_ms: int) -> bool:
         """Count a request that is about to be sent, if it may be sent."""
+        if self._get_pause_ms(upstream, now_ms):
+            return False
         limit = self._limits.get(upstream)
         if limit is None:
             return True
@@ -394,6 +399,10 @@
             limit.probed_ms = now_ms
         return True
 
+    def _get_pause_ms(self, upstream: str, now_ms: int) -> int:
+        """Return for how long an upstream wants no requests of this VM."""
+        return max(self._paused_until_ms.get(upstream, 0) - now_ms, 0)
+
     def _get_share(self, upstream: str, limit: _RateLimit, now_ms: int) -> int:
         """Return how many requests this VM may send in a window."""
         shares = self._shares
--- a/mulberryway/policy/job_placement.py
+++ b/mulberryway/policy/job_placement.py
@@ -95,6 +95,10 @@
             for view in self._list_usable(candidates, job, now_ms)
             if self.limits.has_share(view.row.name, now_ms)
         ]
+        for option in options:
+            option.ready_ms += self.limits.get_wait_ms(
+                option.prefill.row.name, now_ms
+            )
         return min(options, key=_get_ready_ms, default=None)
 
     def choose(
