Bound the time and the memory of whole responses of upstreams

Callers of a server that sends without end waited beyond their deadlines, each with a worker: a socket's timeout bounds each read, so a byte now and then, or another interim response, began the wait anew. Bodies of 16 MiB each were held for each call. A rejection whose body does not end was not believed.

The socket of a call bounds the whole response now: each read gets what is left of the call's time, a head has 64 KiB, and what all calls of a process receive beyond 64 KiB each comes out of one budget of 16 MiB. It holds for whatever the HTTP library reads, so there is no second place to keep in step. A rejection's body is waited for 200 ms and not needed; a failure's body that has no end is not passed on as complete. The connection is closed, and the upstream counts as failed.

Not bound by it: the relay of a stream that has begun, which has bounds of its own, and the store's client; calls between VMs had a deadline for whole frames already.

--- a/mulberryway/platform/engine.py
+++ b/mulberryway/platform/engine.py
@@ -129,6 +129,7 @@
                 timeout_ms,
                 errors.Step.PREFILL,
                 canceller=interrupt,
+                is_rejection=responses.is_rejection,
             )
         finally:
             self._unregister_call(label)
--- a/mulberryway/platform/responses.py
+++ b/mulberryway/platform/responses.py
@@ -8,6 +8,7 @@
 from mulberryway.upstreams import http_service
 
 __all__ = [
+    "is_rejection",
     "make_cordoned_fault",
     "make_request_headers",
     "make_response_fault",
@@ -54,6 +55,20 @@
     )
 
 
+def is_rejection(status: int, headers: list[tuple[str, str]]) -> bool:
+    """Return whether a response says that the request was not executed.
+
+    :param status: its HTTP status
+    :param headers: name and value pairs of the response
+    """
+    return status == http.HTTPStatus.MISDIRECTED_REQUEST or (
+        status in REJECTION_STATUSES
+        and any(
+            name.lower() == wire.NOT_EXECUTED.lower() for name, _ in headers
+        )
+    )
+
+
 def make_response_fault(
     status: int,
     headers: list[tuple[str, str]],
@@ -71,11 +86,7 @@
     :param step: the step of the request that failed
     :returns: the fault, with the response that may be forwarded to the caller
     """
-    names = {name.lower() for name, _ in headers}
-    is_rejection = status == http.HTTPStatus.MISDIRECTED_REQUEST or (
-        status in REJECTION_STATUSES and wire.NOT_EXECUTED.lower() in names
-    )
-    if is_rejection:
+    if is_rejection(status, headers):
         return errors.Fault(
             errors.Code.UPSTREAM_REFUSED,
             step,
--- a/mulberryway/platform/service.py
+++ b/mulberryway/platform/service.py
@@ -90,6 +90,7 @@
             errors.Step.SERVICE,
             needs_new_connection=not is_idempotent,
             canceller=canceller,
+            is_rejection=responses.is_rejection,
         )
         if result.is_ok():
             self._reader.read(result.ok.status, result.ok.headers, sent_ms)
--- /dev/null
+++ b/mulberryway/upstreams/bounded_socket.py
@@ -0,0 +1,131 @@
+"""Sockets that bound the time and the memory of one response."""
+
+import socket
+import threading
+import time
+import typing
+
+__all__ = ["BoundedSocket", "ReceiveBudget", "ResponseSizeError"]
+
+# Each response may have this many bytes; more of it counts against the budget.
+GUARANTEED_BYTES = 65_536
+
+
+class ResponseSizeError(ConnectionError):
+    """A response needs more memory than it may have."""
+
+
+class ReceiveBudget:
+    """Bounds the bytes that all calls of a process receive at a time.
+
+    :param max_bytes: bytes beyond those guaranteed to each response
+    """
+
+    def __init__(self, max_bytes: int) -> None:
+        self.peak_bytes = 0
+        self._max_bytes = max_bytes
+        self._used_bytes = 0
+        self._lock = threading.Lock()
+
+    def try_reserve(self, size: int) -> bool:
+        """Reserve bytes, if they are left.
+
+        :param size: the number of bytes
+        """
+        with self._lock:
+            if self._used_bytes + size > self._max_bytes:
+                return False
+            self._used_bytes += size
+            self.peak_bytes = max(self.peak_bytes, self._used_bytes)
+            return True
+
+    def release(self, size: int) -> None:
+        """Release reserved bytes.
+
+        :param size: the number of bytes
+        """
+        with self._lock:
+            self._used_bytes -= size
+
+
+class BoundedSocket(socket.socket):
+    """A socket whose reads are bounded for each response.
+
+    A socket's timeout limits each single read, so a peer that sends a byte now
+    and then could keep a call waiting for any time.
+
+    :param connection: the connected socket, which is detached
+    :param budget: bounds the bytes of all responses
+    """
+
+    def __init__(
+        self, connection: socket.socket, budget: ReceiveBudget
+    ) -> None:
+        timeout_s = connection.gettimeout()
+        super().__init__(fileno=connection.detach())
+        self.settimeout(timeout_s)
+        self._budget = budget
+        self._deadline_s: float | None = None
+        self._max_bytes = 0
+        self._received = 0
+        self._reserved = 0
+
+    def begin_response(self, deadline_s: float) -> None:
+        """Bound the response to the request that is sent next.
+
+        Until :meth:`allow_body` it may have the guaranteed size only.
+
+        :param deadline_s: when it must be complete, by ``time.monotonic``
+        """
+        self.end_response()
+        self._deadline_s = deadline_s
+        self._max_bytes = GUARANTEED_BYTES
+
+    def allow_body(self, max_bytes: int) -> None:
+        """Allow a larger response, after its head.
+
+        :param max_bytes: the maximum size in bytes
+        """
+        self._max_bytes = max_bytes
+
+    def shorten_response(self, deadline_s: float) -> None:
+        """Bound the rest of a response to a shorter time.
+
+        :param deadline_s: when it must be complete, by ``time.monotonic``
+        """
+        if self._deadline_s is not None:
+            self._deadline_s = min(self._deadline_s, deadline_s)
+
+    def end_response(self) -> None:
+        """Remove the bounds and release the memory of a response."""
+        self._budget.release(self._reserved)
+        self._deadline_s = None
+        self._received = self._reserved = 0
+
+    def recv_into(self, *arguments: typing.Any) -> int:
+        """Receive bytes within the bounds of the current response.
+
+        :returns: the number of bytes
+        :raises TimeoutError: if its time is over
+        :raises ResponseSizeError: if it is too large
+        """
+        if self._deadline_s is None:
+            return super().recv_into(*arguments)
+        left_s = self._deadline_s - time.monotonic()
+        if left_s <= 0:
+            raise TimeoutError("the response is incomplete")
+        self.settimeout(left_s)
+        size = super().recv_into(*arguments)
+        self._received += size
+        self._reserve()
+        return size
+
+    def _reserve(self) -> None:
+        if self._received > self._max_bytes:
+            raise ResponseSizeError("the response is too large")
+        missing = self._received - GUARANTEED_BYTES - self._reserved
+        if missing <= 0:
+            return
+        if not self._budget.try_reserve(missing):
+            raise ResponseSizeError("too many bytes of responses are held")
+        self._reserved += missing
--- a/mulberryway/upstreams/connections.py
+++ b/mulberryway/upstreams/connections.py
@@ -5,6 +5,7 @@
 which the client does not track.
 """
 
+import collections.abc
 import functools
 import http.client
 import logging
@@ -20,6 +21,7 @@
 
 from mulberryway import clock
 from mulberryway import errors
+from mulberryway.upstreams import bounded_socket
 from mulberryway.upstreams import dialing
 
 __all__ = [
@@ -44,6 +46,10 @@
 MAX_IDLE_CONNECTIONS = 32
 READ_BYTES = 65_536
 MAX_REPLY_BYTES = 16_777_216
+# With the framing of chunks.
+MAX_RECEIVED_BYTES = 2 * MAX_REPLY_BYTES
+# A rejection's body is not needed, so another upstream can be asked soon.
+REJECTION_BODY_TIMEOUT_MS = 200
 REQUEST_ID_HEADER = "X-Request-Id"
 
 # A closed pool raises its error before a connection is taken from it.
@@ -62,6 +68,14 @@
 )
 
 
+# Bounds what all calls of this process receive at a time.
+RECEIVE_BUDGET = bounded_socket.ReceiveBudget(MAX_REPLY_BYTES)
+
+# Returns whether a response's status and headers say that its upstream has not
+# executed the request.
+RejectionTest = collections.abc.Callable[[int, list[tuple[str, str]]], bool]
+
+
 class Response:
     """A complete reply.
 
@@ -206,16 +220,21 @@
 
 
 class _CurrentCall(threading.local):
-    """Holds the canceller of the call that runs on this thread."""
+    """Describes the call that runs on this thread.
+
+    ``socket`` is set when its request is sent.
+    """
 
     canceller: CallCanceller | None = None
+    deadline_s = 0.0
+    socket: bounded_socket.BoundedSocket | None = None
 
 
 _CURRENT_CALL = _CurrentCall()
 
 
 class _Connection(urllib3.connection.HTTPConnection):
-    """Attaches its socket to the canceller of the call that it carries.
+    """Bounds the call that it carries, and attaches it to its canceller.
 
     :param dialer: opens the connection
     """
@@ -232,7 +251,10 @@
     def _new_conn(self) -> socket.socket:
         timeout_ms = int(float(self.timeout) * MS_IN_S)
         try:
-            return self._dialer.connect(f"{self.host}:{self.port}", timeout_ms)
+            return bounded_socket.BoundedSocket(
+                self._dialer.connect(f"{self.host}:{self.port}", timeout_ms),
+                RECEIVE_BUDGET,
+            )
         except OSError as error:
             raise urllib3.exceptions.NewConnectionError(
                 self, f"failed to connect: {error!r}"
@@ -242,6 +264,9 @@
         """Send a request, after connecting if necessary."""
         if self.sock is None:
             self.connect()
+        assert isinstance(self.sock, bounded_socket.BoundedSocket)
+        self.sock.begin_response(_CURRENT_CALL.deadline_s)
+        _CURRENT_CALL.socket = self.sock
         if _CURRENT_CALL.canceller is not None:
             _CURRENT_CALL.canceller.attach(self.sock)
         super().request(*arguments, **keywords)
@@ -292,6 +317,7 @@
         step: errors.Step,
         needs_new_connection: bool = False,
         canceller: "CallCanceller | None" = None,
+        is_rejection: RejectionTest = lambda status, headers: False,
     ) -> expression.Result[Response, errors.Fault]:
         """Make one call without retries.
 
@@ -306,6 +332,8 @@
             connection: the peer may close an idle connection at any moment,
             and then it is unknown whether the call was executed
         :param canceller: cancels the call from another thread
+        :param is_rejection: whether a response is a rejection, whose body is
+            not needed; an empty body takes the place of one that does not end
         :returns: the reply, or a fault with the execution status
         """
         deadline_s = time.monotonic() + timeout_ms / MS_IN_S
@@ -313,6 +341,7 @@
         pool = own_pool or self._get_pool()
         response: urllib3.BaseHTTPResponse | None = None
         _CURRENT_CALL.canceller = canceller
+        _CURRENT_CALL.deadline_s = deadline_s
         try:
             try:
                 response = _send(
@@ -326,12 +355,15 @@
                 response = _send(
                     own_pool, method, target, headers, body, timeout_ms
                 )
-            complete = _read_response(response, deadline_s)
+            complete = _read_response(response, is_rejection)
         except CLIENT_ERRORS as error:
             self._close_response(response)
             return expression.Error(self._make_fault(error, step))
         finally:
             _CURRENT_CALL.canceller = None
+            if _CURRENT_CALL.socket is not None:
+                _CURRENT_CALL.socket.end_response()
+                _CURRENT_CALL.socket = None
             if canceller is not None:
                 canceller.detach()
         result = self._check_echo(headers, complete, response, step)
@@ -447,8 +479,27 @@
 
 
 def _read_response(
-    response: urllib3.BaseHTTPResponse, deadline_s: float
+    response: urllib3.BaseHTTPResponse, is_rejection: RejectionTest
 ) -> Response:
+    sock = _CURRENT_CALL.socket
+    assert sock is not None
+    sock.allow_body(MAX_RECEIVED_BYTES)
+    headers = list(response.headers.items())
+    if not is_rejection(response.status, headers):
+        return Response(response.status, headers, _read_body(response))
+    sock.shorten_response(
+        time.monotonic() + REJECTION_BODY_TIMEOUT_MS / MS_IN_S
+    )
+    try:
+        body = _read_body(response)
+    except CLIENT_ERRORS as error:
+        LOG.debug("the body of a rejection is incomplete: %r", error)
+        response.close()
+        body = b""
+    return Response(response.status, headers, body)
+
+
+def _read_body(response: urllib3.BaseHTTPResponse) -> bytes:
     chunks = []
     total = 0
     for chunk in response.stream(READ_BYTES, decode_content=False):
@@ -456,10 +507,4 @@
         total += len(chunk)
         if total > MAX_REPLY_BYTES:
             raise urllib3.exceptions.ProtocolError("response is too large")
-        if time.monotonic() > deadline_s:
-            raise urllib3.exceptions.ReadTimeoutError(
-                None, "", "response timed out"
-            )
-    return Response(
-        response.status, list(response.headers.items()), b"".join(chunks)
-    )
+    return b"".join(chunks)
--- a/mulberryway/upstreams/decode_call.py
+++ b/mulberryway/upstreams/decode_call.py
@@ -10,6 +10,7 @@
 
 from mulberryway import errors
 from mulberryway.upstreams import base
+from mulberryway.upstreams import bounded_socket
 from mulberryway.upstreams import connections
 from mulberryway.upstreams import dialing
 
@@ -26,6 +27,7 @@
 
 MS_IN_S = 1_000
 MAX_ERROR_BYTES = 65_536
+ERROR_BODY_TIMEOUT_MS = 200
 # Connecting takes a few milliseconds within a region.  After this time the
 # engine is down, or the network is partitioned.
 CONNECT_TIMEOUT_MS = 300
@@ -85,10 +87,27 @@
 
     def connect(self) -> None:
         """Connect within ``CONNECT_TIMEOUT_MS``."""
-        self.sock = self._dialer.connect(self._address, CONNECT_TIMEOUT_MS)
+        self.sock = bounded_socket.BoundedSocket(
+            self._dialer.connect(self._address, CONNECT_TIMEOUT_MS),
+            connections.RECEIVE_BUDGET,
+        )
         self.connected_s = time.monotonic()
         self._epoch = self._dialer.get_epoch(self._address)
 
+    def begin_response(self, deadline_s: float) -> None:
+        """Bound the response to the request that is sent next.
+
+        :param deadline_s: when its head must be complete, by
+            ``time.monotonic``
+        """
+        if isinstance(self.sock, bounded_socket.BoundedSocket):
+            self.sock.begin_response(deadline_s)
+
+    def end_response(self) -> None:
+        """Remove the bounds of a response."""
+        if isinstance(self.sock, bounded_socket.BoundedSocket):
+            self.sock.end_response()
+
     def is_reusable(self) -> bool:
         """Return whether neither the engine nor the path has ended it."""
         age_s = time.monotonic() - self.connected_s
@@ -206,6 +225,7 @@
         connections.check_path(fault, address, dialer)
         return expression.Error(fault)
     finally:
+        prepared_connection.end_response()
         if canceller is not None:
             canceller.detach()
 
@@ -262,6 +282,7 @@
     if canceller is not None:
         canceller.attach(sock)
     deadline_s = time.monotonic() + timeout_ms / MS_IN_S
+    connection.begin_response(deadline_s)
     connection.request(
         request.method, request.target, request.body, request.headers
     )
@@ -270,12 +291,16 @@
     echoed = response.getheader(request.echo_header, "")
     is_echo_correct = echoed == request.headers[request.echo_header]
     if response.status != http.client.OK:
-        body = response.read(MAX_ERROR_BYTES)
+        body = _read_error_body(connection, response)
         connection.close()
         headers = response.getheaders() if is_echo_correct else []
-        return expression.Error(
-            rejection_parser(response.status, headers, body, address)
+        fault = rejection_parser(
+            response.status, headers, body or b"", address
         )
+        if body is None:
+            # Without its end it must not be passed on as a complete response.
+            fault.answer = None
+        return expression.Error(fault)
     if not is_echo_correct:
         response.close()
         connection.close()
@@ -291,6 +316,21 @@
     return expression.Ok(_detach_socket(sock, response, echoed))
 
 
+def _read_error_body(
+    connection: DecodeConnection, response: http.client.HTTPResponse
+) -> bytes | None:
+    """Return the body of an unsuccessful response; None if it has no end."""
+    connection.begin_response(
+        time.monotonic() + ERROR_BODY_TIMEOUT_MS / MS_IN_S
+    )
+    try:
+        body = response.read(MAX_ERROR_BYTES)
+    except (OSError, http.client.HTTPException) as failure:
+        LOG.debug("the body of an error is incomplete: %r", failure)
+        return None
+    return None if response.length or not response.isclosed() else body
+
+
 def _await_head(sock: socket.socket, deadline_s: float) -> None:
     """Wait until a response head is complete or its connection has ended.
 
