Soak: upstreams that name limits, leave, or want pauses in their answers

A run may have some upstreams that say what they want, beside the chains of faults; the checks hold for all VMs but those that were killed, stopped, paused or cut off meanwhile.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,6 +22,7 @@
 flags.DEFINE_integer("versions", 1, "software versions of decode engines")
 flags.DEFINE_integer("crashing_parts", 0, "prompt parts that end engines")
 flags.DEFINE_integer("evacuations", 0, "availability zones evacuated")
+flags.DEFINE_integer("advisories", 0, "upstreams that say what they want")
 flags.DEFINE_integer("length_ms", 10_000, "duration of fault injection")
 flags.DEFINE_string("keep", "", "folder for the logs of failed seeds")
 
@@ -40,6 +41,7 @@
         partitions=FLAGS.partitions,
         crashing_parts=FLAGS.crashing_parts,
         evacuations=FLAGS.evacuations,
+        advisories=FLAGS.advisories,
     )
     log_folder = pathlib.Path(FLAGS.keep) if FLAGS.keep else None
     failed = 0
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -7,6 +7,7 @@
 import collections.abc
 import itertools
 
+from soak import advisories
 from soak import history
 
 __all__ = ["CHECKS", "find_violations"]
@@ -452,6 +453,9 @@
     check_crashing_parts,
     check_evacuations,
     check_cold_servers,
+    advisories.check_rate_limits,
+    advisories.check_leaving,
+    advisories.check_pauses,
 )
 
 
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -59,6 +59,7 @@
         self.keys = {"k-large": "large", "k-small": "small", "k-0": "large"}
         self.history = history.History(dict(self.keys), config.vms)
         self.journal = pathlib.Path(self.folder.name) / "runs.jsonl"
+        self.requests = pathlib.Path(self.folder.name) / "requests.jsonl"
         self.arrivals = pathlib.Path(self.folder.name) / "arrivals.jsonl"
         self.lock = threading.RLock()
         self.vm_locks = [threading.Lock() for _ in self.vms]
@@ -159,6 +160,7 @@
             f"--event_ms={EVENT_MS if self.config.versions > 1 else 10}",
             f"--crash_parts={','.join(self.config.list_crashing_parts())}",
             f"--arrivals={self.arrivals if phase else ''}",
+            f"--requests={self.requests if self.config.advisories else ''}",
             ports=[port],
         )
         proxy_port = self.upstream_proxy_ports[name]
@@ -182,7 +184,7 @@
         with self.upstream_locks[name]:
             return self.upstreams[self.instances[name]][0]
 
-    def set_upstream_fault(self, name: str, **faults: int) -> None:
+    def set_upstream_fault(self, name: str, **faults: float) -> None:
         """Set faults of the upstream process, not of its proxy."""
         try:
             processes.call(
@@ -235,6 +237,11 @@
                 history.Run(**json.loads(line)) for line in lines
             ]
         self.history.arrivals = self._read_arrivals()
+        if self.requests.exists():
+            lines = self.requests.read_text(encoding="utf-8").splitlines()
+            self.history.requests = [
+                history.UpstreamRequest(**json.loads(line)) for line in lines
+            ]
         return self.history
 
     def _read_arrivals(self) -> list[history.Arrival]:
--- a/soak/history.py
+++ b/soak/history.py
@@ -172,6 +172,27 @@
         self.at_ms = at_ms
 
 
+class UpstreamRequest:
+    """A request that reached an upstream, or what its answer said.
+
+    :param instance: incarnation of the upstream
+    :param attempt: id of the attempt
+    :param at_ms: time of arrival, or of the answer
+    :param said: headers in which the answer speaks of the upstream; empty for
+        an arrival
+    """
+
+    __slots__ = ("instance", "attempt", "at_ms", "said")
+
+    def __init__(
+        self, instance: str, attempt: str, at_ms: int, said: dict[str, str]
+    ) -> None:
+        self.instance = instance
+        self.attempt = attempt
+        self.at_ms = at_ms
+        self.said = said
+
+
 class Evacuation:
     """Period in which a zone's servers may get no requests.
 
@@ -254,6 +275,7 @@
         "unexpected_exits",
         "held",
         "arrivals",
+        "requests",
         "recovered_ms",
         "zones",
         "evacuations",
@@ -271,6 +293,8 @@
         self.runs: list[Run] = []
         # What engines received, if prompts have parts.
         self.arrivals: list[Arrival] = []
+        # What upstreams received and said, if some say what they want.
+        self.requests: list[UpstreamRequest] = []
         self.fault_windows: list[FaultWindow] = []
         self.edits: list[Edit] = []
         # VMs that exited without being stopped by the test.
@@ -303,6 +327,20 @@
             not targets & {f"vm-{other}", f"tie-{other}"} for other in others
         )
 
+    def is_vm_undisturbed(self, vm: int, from_ms: int, to_ms: int) -> bool:
+        """Return whether a VM was neither restarted, paused nor cut off.
+
+        :param vm: number of the VM
+        :param from_ms: start of the period
+        :param to_ms: end of the period
+        """
+        disturbed = {f"vm-{vm}", f"front-{vm}", f"path-{vm}"}
+        return not any(
+            (window.target in disturbed or window.kind == "all_kill")
+            and window.overlaps(from_ms, to_ms)
+            for window in self.fault_windows
+        )
+
     def are_upstreams_healthy(self, from_ms: int, to_ms: int) -> bool:
         """Return whether no upstream had a fault.
 
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -21,7 +21,11 @@
 TRUNCATE_AFTER_EVENTS = 5
 DRAIN_DURATION_S = 3.0
 COLD_NOTICE_S = 1.0
+PAUSE_S = 2
+# An upstream wants a pause in each answer of this many.
+PAUSE_EVERY = 3
 UPSTREAM_FAULT_SETTINGS = {
+    "up_limited": ("limit_per_s", plan.LIMIT_PER_S),
     "up_error": ("fail_status", 500),
     "up_full": ("full", 1),
     "up_lapse": ("lapse", 1),
@@ -76,6 +80,8 @@
             "up_kill": self._kill_upstream,
             "up_pause": self._pause_upstream,
             "up_leave": self._drain_upstream,
+            "up_leaving": self._announce_leaving,
+            "up_pausing": self._ask_for_pauses,
             "edit_route": self._add_route,
             "edit_key": self._change_key,
             "edit_rate": self._change_rate,
@@ -194,6 +200,25 @@
         self._cluster.drop("servers", instance)
         self._cluster.start_incarnation(name)
 
+    def _announce_leaving(self, step: plan.ScheduledFault) -> None:
+        """Let an upstream say in its answers alone that it leaves."""
+        name = step.target
+        instance = self._cluster.instances[name]
+        self._cluster.set_upstream_fault(name, leaving=1)
+        _wait_for_duration(step)
+        if self._cluster.instances[name] != instance:
+            return
+        self._cluster.kill_incarnation(name)
+        self._cluster.drop("servers", instance)
+        self._cluster.start_incarnation(name)
+
+    def _ask_for_pauses(self, step: plan.ScheduledFault) -> None:
+        self._cluster.set_upstream_fault(
+            step.target, pause_s=PAUSE_S, pause_every=PAUSE_EVERY
+        )
+        _wait_for_duration(step)
+        self._cluster.set_upstream_fault(step.target, pause_s=0)
+
     def _evacuate_zone(self, step: plan.ScheduledFault) -> None:
         """Evacuate a zone; its servers are cold when it is used again."""
         zone = step.target
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -4,8 +4,10 @@
 import random
 
 __all__ = [
+    "ADVISORIES",
     "COOLDOWN_MS",
     "EVACUATION",
+    "LIMIT_PER_S",
     "SoakConfig",
     "ScheduledFault",
     "ZONES",
@@ -61,6 +63,10 @@
 MIN_EVACUATION_MS = 4_000
 # Availability zones; the number of an upstream selects its zone.
 ZONES = ("kandy-a", "matale-b")
+# Upstreams that say in their answers what they want.
+ADVISORIES = ("up_limited", "up_pausing", "up_leaving")
+MIN_ADVISORY_MS = 4_000
+LIMIT_PER_S = 1.5
 PARTITIONS = ("path_silent", "path_reset", "path_refuse")
 # Relative frequency of each group of faults.
 WEIGHTED_FAULT_GROUPS = (
@@ -87,6 +93,8 @@
     :param crashing_parts: number of prompt parts that end the engine which
         answers a stream with one of them
     :param evacuations: number of evacuations beside the chains
+    :param advisories: number of upstreams that say in their answers what they
+        want, beside the chains
     """
 
     __slots__ = (
@@ -100,6 +108,7 @@
         "versions",
         "crashing_parts",
         "evacuations",
+        "advisories",
     )
 
     def __init__(
@@ -114,7 +123,9 @@
         versions: int = 1,
         crashing_parts: int = 0,
         evacuations: int = 0,
+        advisories: int = 0,
     ) -> None:
+        self.advisories = advisories
         self.evacuations = evacuations
         self.crashing_parts = crashing_parts
         self.vms = vms
@@ -181,6 +192,7 @@
     # Last, so that they leave the chains of a seed as they are.
     steps += [_make_partition(rng, config) for _ in range(config.partitions)]
     steps += [_make_evacuation(rng, config) for _ in range(config.evacuations)]
+    steps += [_make_advisory(rng, config) for _ in range(config.advisories)]
     return sorted(steps, key=lambda step: step.at_ms)
 
 
@@ -204,6 +216,16 @@
     )
 
 
+def _make_advisory(rng: random.Random, config: SoakConfig) -> ScheduledFault:
+    at_ms = rng.randrange(500, config.length_ms - MIN_ADVISORY_MS)
+    return ScheduledFault(
+        at_ms,
+        rng.choice(ADVISORIES),
+        rng.choice(config.list_upstream_names()),
+        rng.randint(MIN_ADVISORY_MS, config.length_ms - at_ms),
+    )
+
+
 def _make_chain(
     rng: random.Random, config: SoakConfig
 ) -> collections.abc.Iterator[ScheduledFault]:
--- a/standins/hosted_upstreams.py
+++ b/standins/hosted_upstreams.py
@@ -3,7 +3,8 @@
 ``python -m standins.hosted_upstreams --port 9001 --phase decode``; without a
 phase it is a non-model service.  It records its requests for the test harness.
 With ``--journal`` it also appends each execution to a file as a line of JSON,
-which outlives the process, and with ``--arrivals`` each request to an engine.
+which outlives the process, with ``--arrivals`` each request to an engine, and
+with ``--requests`` each request and what its answer says of the server.
 With ``--crash_parts`` it ends by itself soon after it has begun to write an
 answer to a prompt with one of these parts.  ``POST /standin/faults`` sets
 faults:
@@ -68,6 +69,7 @@
 flags.DEFINE_string("version", "v1", "version of its software")
 flags.DEFINE_string("journal", "", "file that executions are written to")
 flags.DEFINE_string("arrivals", "", "file that engine requests are written to")
+flags.DEFINE_string("requests", "", "file that all requests are written to")
 flags.DEFINE_list("crash_parts", [], "prompt parts that end the process")
 flags.DEFINE_integer(
     "crash_ms", 100, "time in ms from the first event to the crash"
@@ -222,6 +224,8 @@
         version: str = "v1",
         crash: "PartCrash | None" = None,
     ) -> None:
+        # File that requests and their answers' advisories are written to.
+        self.requests_file: pathlib.Path | None = None
         self.crash = crash or PartCrash()
         self.instance = instance
         self.version = version
@@ -337,15 +341,10 @@
         return bool(self.faults["pause_s"]) and not len(self.requests) % every
 
     def _reject_for_a_pause(self, request: web.Request) -> web.Response:
-        wanted = {"Retry-After": str(self.faults["pause_s"])}
-        response = self._make_response(
-            request,
-            int(self.faults["pause_status"]),
-            b"",
-            NOT_EXECUTED | wanted,
+        request["wanted"] = {"Retry-After": str(self.faults["pause_s"])}
+        return self._make_response(
+            request, int(self.faults["pause_status"]), b"", NOT_EXECUTED
         )
-        request["record"]["said"] |= wanted
-        return response
 
     def _record_request(self, request: web.Request) -> None:
         record = {
@@ -356,6 +355,22 @@
         }
         request["record"] = record
         self.requests.append(record)
+        self._append_request(record["id"], record["at_ms"], {})
+
+    def _append_request(
+        self, attempt: str, at_ms: int, said: dict[str, str]
+    ) -> None:
+        """Append an arrival, or what an answer says, to the file."""
+        if self.requests_file is None:
+            return
+        line = {
+            "instance": self.instance,
+            "attempt": attempt,
+            "at_ms": at_ms,
+            "said": said,
+        }
+        with self.requests_file.open("a", encoding="utf-8") as output:
+            output.write(json.dumps(line) + "\n")
 
     async def _show_requests(self, request: web.Request) -> web.Response:
         return serving.answer({"requests": list(self.requests)})
@@ -559,10 +574,15 @@
         )
 
     def _make_headers(self, request: web.Request) -> dict[str, str]:
-        advisories = self._make_advisories()
-        if "record" in request and request["record"]["said_ms"] is None:
-            request["record"]["said_ms"] = time.monotonic_ns() // 1_000_000
-            request["record"]["said"] = advisories
+        advisories = self._make_advisories() | request.get("wanted", {})
+        record = request.get("record", {"said_ms": 0})
+        if record["said_ms"] is None:
+            record["said_ms"] = time.monotonic_ns() // 1_000_000
+            record["said"] = advisories
+            if advisories:
+                self._append_request(
+                    record["id"], record["said_ms"], advisories
+                )
         return {
             "Attempt-Id": request.headers.get("Attempt-Id", ""),
             "Server-Seal": self._make_seal(request),
@@ -599,6 +619,8 @@
         FLAGS.version,
         PartCrash(FLAGS.crash_parts, FLAGS.crash_ms, arrivals),
     )
+    if FLAGS.requests:
+        server.requests_file = pathlib.Path(FLAGS.requests)
     server.faults["event_ms"] = FLAGS.event_ms
     server.faults["unframed"] = int(FLAGS.unframed)
     asyncio.run(serving.serve(FLAGS.host, {FLAGS.port: server.make_app()}))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 import itertools
 import unittest
 
+from soak import advisories
 from soak import checks
 from soak import history
 from soak import plan
@@ -317,6 +318,47 @@
         self.assertEqual(kinds, known)
 
 
+class AdvisoriesTest(unittest.TestCase):
+    """Runs the checks of what upstreams ask for on made-up histories."""
+
+    def check(self, check, requests, windows=()):
+        recorded = make_history(
+            [
+                make_attempt(f"a{at}", vm=0, began_ms=at)
+                for at in range(0, 9_000, 100)
+            ],
+            windows=windows,
+        )
+        recorded.requests = [
+            history.UpstreamRequest("s0-life1", f"a{at}", at, said)
+            for at, said in requests
+        ]
+        return list(check(recorded))
+
+    def test_rate_limit(self):
+        said = [(at, {advisories.LIMIT: "1.5"}) for at in (0, 8_000)]
+        arrivals = [(at, {}) for at in range(1_000, 2_500, 100)]
+        check = advisories.check_rate_limits
+        self.assertEqual(self.check(check, said + arrivals[:14]), [])
+        self.assertEqual(len(self.check(check, said + arrivals)), 1)
+        paused = [history.FaultWindow("vm_pause", "vm-0", 500, 900)]
+        self.assertEqual(self.check(check, said + arrivals, paused), [])
+
+    def test_leaving(self):
+        said = [(0, {advisories.LEAVING: "1"})]
+        check = advisories.check_leaving
+        self.assertEqual(self.check(check, [*said, (2_000, {})]), [])
+        self.assertEqual(len(self.check(check, [*said, (2_100, {})])), 1)
+
+    def test_pause(self):
+        said = [(0, {advisories.PAUSE: "2"})]
+        check = advisories.check_pauses
+        late = [(at, {}) for at in (400, 600, 1_900, 2_000)]
+        self.assertEqual(self.check(check, said + late), [])
+        late.append((1_000, {}))
+        self.assertEqual(len(self.check(check, said + late)), 1)
+
+
 class SeedsTest(unittest.TestCase):
     """Runs seeds with real processes and injected faults."""
 
@@ -349,6 +391,12 @@
         """
         self.hold(601, plan.SoakConfig(chains=1, evacuations=1))
 
+    def test_upstreams_that_say_what_they_want(self):
+        """Guards against requests beyond what upstreams ask for in their
+        answers, beside other faults.
+        """
+        self.hold(701, plan.SoakConfig(chains=1, advisories=3))
+
     def test_partitioned_vm(self):
         """Callers of a VM that alone reaches no upstream are served."""
         self.hold(103, plan.SoakConfig(chains=1, partitions=2))
