Search no other engine for a stalled stream where none takes it now

Whether another engine probably has capacity did not ask the limits of requests to single upstreams, so a stalled stream was searched an engine that a pause or a rate limit keeps from being sent anything. A rejected job's log line names the wait that comes from such limits.

--- a/mulberryway/policy/admission.py
+++ b/mulberryway/policy/admission.py
@@ -126,6 +126,7 @@
             "left_ms": latest_ms - now_ms,
             "waiting": len(self._queue),
             "free_slots": self._placer.estimate_free_slots(now_ms),
+            "limit_wait_ms": self._placer.get_limit_wait_ms(job, now_ms),
         }
         return fault
 
--- a/mulberryway/policy/scheduler.py
+++ b/mulberryway/policy/scheduler.py
@@ -437,6 +437,7 @@
             view.row.name != excluded
             and view.count_free_slots(now_ms) > 0
             and not view.health.is_ejected(now_ms)
+            and known.placer.limits.has_room(view.row.name, now_ms)
             for view in known.members.list_decodes(required_version)
         )
 
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -127,6 +127,16 @@
         self.assertEqual(self.start(499)[0], [])
         self.assertEqual(len(self.start(501)[0]), 1)
 
+    def test_paused_engine_replaces_no_other(self):
+        """Guards against a stalled stream that is searched another engine for
+        which takes none.
+        """
+        self.submit("j0", 2_000)
+        decode = self.start(0)[0][0]
+        self.assertTrue(self.scheduler.has_decode_capacity("lm", decode, 10))
+        self.pause("d0", "d1")
+        self.assertFalse(self.scheduler.has_decode_capacity("lm", decode, 10))
+
     def test_decode_is_not_sent_in_a_pause(self):
         """Guards against a decode at an engine that has asked for a pause
         during the prefill.
