Soak: do not count requests that are answered with 421

Its log shows that the engine had changed its role and answered them with 421, "the wrong stage"; rules do not count such requests, and such an answer says nothing of the upstream. A test of the check holds both ways.

--- a/soak/advisories.py
+++ b/soak/advisories.py
@@ -13,6 +13,9 @@
 LIMIT = "Server-Limit"
 LEAVING = "Server-Leaving"
 PAUSE = "Retry-After"
+# Marks the answer to a request that the upstream does not serve at all; such
+# requests and answers do not count.
+MISDIRECTED = "X-Misdirected"
 MS_IN_S = 1_000
 # Counted are requests from VMs that were told this long before.
 TOLD_MS = 500
@@ -120,10 +123,19 @@
 ) -> dict[str, list[_Received]]:
     """Return the requests of known attempts by incarnation."""
     attempts = {attempt.name: attempt for attempt in recorded.attempts}
+    misdirected = collections.Counter(
+        (request.instance, request.attempt)
+        for request in recorded.requests
+        if MISDIRECTED in request.said
+    )
     grouped = collections.defaultdict(list)
     for request in recorded.requests:
+        key = (request.instance, request.attempt)
+        if not request.said and misdirected[key]:
+            misdirected[key] -= 1
+            continue
         attempt = attempts.get(request.attempt)
-        if attempt is not None:
+        if attempt is not None and MISDIRECTED not in request.said:
             grouped[request.instance].append(
                 _Received(attempt.vm, attempt.began_ms, request)
             )
--- a/standins/hosted_upstreams.py
+++ b/standins/hosted_upstreams.py
@@ -61,6 +61,9 @@
 UNRESPONSIVE_S = 60.0
 HOLD_POLL_S = 0.01
 MAX_REQUESTS = 50_000
+# An engine that does not serve the request's stage, or another incarnation.
+MISDIRECTED = 421
+MISDIRECTED_MARK = "X-Misdirected"
 
 flags.DEFINE_string("host", "127.0.0.1", "IP address to listen on")
 flags.DEFINE_integer("port", 9001, "port to listen on")
@@ -567,6 +570,8 @@
         body: bytes,
         headers: dict[str, str] | None = None,
     ) -> web.Response:
+        if status == MISDIRECTED:
+            request["wanted"] = {MISDIRECTED_MARK: "1"}
         return web.Response(
             status=status,
             body=body,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -350,6 +350,17 @@
         self.assertEqual(self.check(check, [*said, (2_000, {})]), [])
         self.assertEqual(len(self.check(check, [*said, (2_100, {})])), 1)
 
+    def test_misdirected_request(self):
+        """Rules do not count requests that get 421, as when an engine has
+        changed its role.
+        """
+        said = [(0, {advisories.LEAVING: "1"})]
+        mark = (2_100, {advisories.LEAVING: "1", advisories.MISDIRECTED: "1"})
+        requests = [*said, (2_100, {}), mark]
+        check = advisories.check_leaving
+        self.assertEqual(self.check(check, requests), [])
+        self.assertEqual(len(self.check(check, [*requests, (2_200, {})])), 1)
+
     def test_pause(self):
         said = [(0, {advisories.PAUSE: "2"})]
         check = advisories.check_pauses
