--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -11,6 +11,7 @@
 from mulberryway.policy import advisories
 from mulberryway.policy import cold_start
 from mulberryway.policy import request_window
+from mulberryway.policy import send_limits
 from mulberryway.policy import server_selection
 from tests import advisory_fleet
 
@@ -194,6 +195,38 @@
         self.assertEqual(8, shares.compute(8, SERVER))
 
 
+class ColdServerTest(unittest.TestCase):
+    def test_the_smaller_bound_holds(self):
+        """Guards against a limit that replaces that of a cold server, and the
+        other way round.
+        """
+        for rate, sent in ((100, 8), (1, 4)):
+            register = make_register()
+            limiter = cold_start.ColdStartLimiter(
+                make_shares(), cold_start.ColdStartLimits(1.0, 0)
+            )
+            row = tables.Upstream(
+                SERVER,
+                "10.0.0.1:1",
+                "a",
+                tables.UpstreamRole.SERVICE,
+                cold_left_ms=3_000,
+                revision=1,
+            )
+            pool = tables.Pool(
+                "app",
+                tables.PoolKind.PLAIN,
+                (row,),
+                cold_requests_per_s=10.0,
+                cold_ms=3_000,
+            )
+            limiter.update_pool(pool, 0)
+            name_limit(register, rate, 0, 0)
+            limits = send_limits.CombinedSendLimits((limiter, register))
+            count = sum(limits.try_send(SERVER, 0) for _ in range(50))
+            self.assertEqual(count, sent)
+
+
 class SelectorTest(unittest.TestCase):
     def setUp(self):
         self.register = make_register()
