--- a/mulberryway/controllers/advisories.py
+++ b/mulberryway/controllers/advisories.py
@@ -12,6 +12,7 @@
 from mulberryway.peers import gossip_messages
 from mulberryway.policy import advisories
 from mulberryway.policy import broadcast_queue
+from mulberryway.policy import rate_limits
 from mulberryway.policy import send_limits
 
 __all__ = ["UpstreamAdvisories"]
@@ -57,12 +58,12 @@
         """
         now_ms = self._clock.now_ms()
         with self._lock:
-            change = self._register.record(upstream, advisory, now_ms)
+            change = self._register.record_rate(upstream, advisory, now_ms)
             news = self._register.make_news(upstream, advisory, change, now_ms)
             has_left = advisory.is_leaving and self._register.record_leaving(
                 upstream
             )
-            has_paused = advisory.pause_ms and self._register.record_pause(
+            has_paused = advisory.pause_ms and self._register.pauses.record(
                 upstream, advisory.pause_ms, now_ms
             )
         if change is not None:
@@ -136,7 +137,7 @@
         metrics_.register_gauge(
             "upstreams.rate_limited",
             "upstreams that name a rate limit in their responses",
-            self._register.count_limited,
+            self._register.rate_limits.count,
         )
         metrics_.register_gauge(
             "upstreams.leaving",
@@ -151,9 +152,9 @@
 
     def _count_paused(self) -> int:
         with self._lock:
-            return self._register.count_paused(self._clock.now_ms())
+            return self._register.pauses.count(self._clock.now_ms())
 
-    def _publish(self, news: advisories.RateLimitNews) -> None:
+    def _publish(self, news: rate_limits.RateLimitNews) -> None:
         # A key of this VM alone: VMs' clocks differ, and a message replaces
         # an older one of the same key.
         self._members.publish(
@@ -174,7 +175,7 @@
             self._log(change, age_ms=news.age_ms, source=hint.key)
 
     @staticmethod
-    def _log(change: advisories.RateLimitChange, **fields: object) -> None:
+    def _log(change: rate_limits.RateLimitChange, **fields: object) -> None:
         LOG.info(
             "the rate limit of an upstream has changed",
             extra=logs.make_extra(
--- a/mulberryway/peers/gossip_messages.py
+++ b/mulberryway/peers/gossip_messages.py
@@ -4,10 +4,10 @@
 
 from mulberryway.peers import codec
 from mulberryway.peers.gen.notes import ttypes
-from mulberryway.policy import advisories
 from mulberryway.policy import forwarders
 from mulberryway.policy import health
 from mulberryway.policy import hints
+from mulberryway.policy import rate_limits
 from mulberryway.policy import stream_versions
 from mulberryway.policy import usage as usages
 from mulberryway.upstreams import base as upstreams
@@ -245,7 +245,7 @@
     )
 
 
-def encode_rate_limit(news: advisories.RateLimitNews) -> bytes:
+def encode_rate_limit(news: rate_limits.RateLimitNews) -> bytes:
     """Return the payload of news of a rate limit, for all VMs.
 
     :param news: the news
@@ -261,13 +261,13 @@
     )
 
 
-def decode_rate_limit(payload: bytes) -> advisories.RateLimitNews:
+def decode_rate_limit(payload: bytes) -> rate_limits.RateLimitNews:
     """Return the news of a rate limit of a payload.
 
     :param payload: the payload
     """
     message = codec.read(ttypes.RateLimit(), payload)
-    return advisories.RateLimitNews(
+    return rate_limits.RateLimitNews(
         message.upstream,
         message.started_ms,
         message.rate_per_s,
--- a/mulberryway/policy/send_limits.py
+++ b/mulberryway/policy/send_limits.py
@@ -2,8 +2,12 @@
 
 import abc
 import collections.abc
+import typing
 
-__all__ = ["CombinedSendLimits", "SendLimits"]
+__all__ = ["CombinedSendLimits", "SendLimits", "evict_oldest"]
+
+# Bounds the memory; the design load is 4,800 engines, few of them limited.
+MAX_UPSTREAMS = 16_384
 
 
 class SendLimits(abc.ABC):
@@ -94,3 +98,12 @@
         return all(
             limits.try_send(upstream, now_ms) for limits in self._limits
         )
+
+
+def evict_oldest(by_upstream: dict[str, typing.Any]) -> None:
+    """Remove the oldest entries beyond ``MAX_UPSTREAMS``.
+
+    :param by_upstream: entries by the name of an upstream
+    """
+    while len(by_upstream) > MAX_UPSTREAMS:
+        del by_upstream[next(iter(by_upstream))]
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -4,7 +4,7 @@
 
 from mulberryway import errors
 from mulberryway import tables
-from mulberryway.policy import advisories
+from mulberryway.policy import rate_limits
 from mulberryway.policy import scheduler
 from mulberryway.policy import server_selection
 from tests import policy_cases
@@ -22,20 +22,20 @@
         has asked for a pause.
         """
         self.register.record_choice("s0", 900)
-        self.register.record_pause("s0", 3_000, 1_000)
+        self.register.pauses.record("s0", 3_000, 1_000)
         for now_ms, is_open in ((1_000, False), (3_999, False), (4_000, True)):
             self.assertEqual(self.register.has_room("s0", now_ms), is_open)
             self.assertEqual(self.register.try_send("s0", now_ms), is_open)
         self.assertTrue(self.register.try_send("s1", 1_000))
 
     def test_shorter_pause_does_not_end_a_longer_one(self):
-        self.register.record_pause("s0", 3_000, 0)
-        self.register.record_pause("s0", 100, 500)
+        self.register.pauses.record("s0", 3_000, 0)
+        self.register.pauses.record("s0", 100, 500)
         self.assertEqual(self.register.get_wait_ms("s0", 1_000), 2_000)
 
     def test_each_pause_is_reported_once(self):
         reported = [
-            self.register.record_pause("s0", 1_000, now_ms)
+            self.register.pauses.record("s0", 1_000, now_ms)
             for now_ms in (0, 500, 1_400, 3_000)
         ]
         self.assertEqual(reported, [True, False, False, True])
@@ -46,19 +46,19 @@
             pool = make_pool(started_ms=started_ms)
             self.register.update_tables(tables.Tables(1, (), (pool,), ()))
             if started_ms == 5:
-                self.register.record_pause("s0", 9_000, 0)
-                self.assertEqual(self.register.count_paused(0), 1)
-        self.assertEqual(self.register.count_paused(0), 0)
+                self.register.pauses.record("s0", 9_000, 0)
+                self.assertEqual(self.register.pauses.count(0), 1)
+        self.assertEqual(self.register.pauses.count(0), 0)
 
     def test_limit_and_pause_hold_together(self):
         test_rate_limits.name_limit(self.register, 0.25, 0, 0)
         self.assertTrue(self.register.try_send("s0", 0))
-        self.register.record_pause("s0", 1_000, 0)
+        self.register.pauses.record("s0", 1_000, 0)
         self.assertEqual(
-            self.register.get_wait_ms("s0", 0), advisories.WINDOW_MS
+            self.register.get_wait_ms("s0", 0), rate_limits.WINDOW_MS
         )
         self.assertFalse(self.register.has_room("s0", 2_000))
-        self.register.record_pause("s0", 9_000, 0)
+        self.register.pauses.record("s0", 9_000, 0)
         self.assertEqual(self.register.get_wait_ms("s0", 0), 9_000)
 
 
@@ -78,7 +78,7 @@
         worse, or have paused themselves.
         """
         for number in range(3):
-            self.register.record_pause(f"s{number}", 1_000 + number, 0)
+            self.register.pauses.record(f"s{number}", 1_000 + number, 0)
         self.assertIsNone(self.choose(999))
         self.assertEqual(self.selector.get_wait_ms(self.pool, 400), 600)
         self.assertEqual(self.choose(1_000).name, "s0")
@@ -93,7 +93,7 @@
 
     def pause(self, *names, pause_ms=3_000):
         for name in names:
-            self.register.record_pause(name, pause_ms, 0)
+            self.register.pauses.record(name, pause_ms, 0)
 
     def submit(self, job_id, within_ms):
         job = policy_cases.make_job(job_id, now_ms=0, within_ms=within_ms)
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -10,13 +10,14 @@
 from mulberryway.controllers import fleet_shares
 from mulberryway.policy import advisories
 from mulberryway.policy import cold_start
+from mulberryway.policy import rate_limits
 from mulberryway.policy import request_window
 from mulberryway.policy import send_limits
 from mulberryway.policy import server_selection
 from tests import advisory_fleet
 
 SERVER = "s0"
-WINDOW_MS = advisories.WINDOW_MS
+WINDOW_MS = rate_limits.WINDOW_MS
 TOLD_MS = advisory_fleet.TOLD_MS
 SEEDS = 5
 
@@ -47,7 +48,7 @@
 
 def name_limit(register, rate, sent_ms, now_ms, server=SERVER):
     advisory = advisories.Advisory(sent_ms, rate, ends_limit=rate is None)
-    return register.record(server, advisory, now_ms)
+    return register.record_rate(server, advisory, now_ms)
 
 
 def count_allowed(rate):
@@ -76,7 +77,7 @@
         name_limit(self.register, 2.0, 100, 200)
         self.assertIsNone(name_limit(self.register, None, 150, 300))
         self.assertIsNotNone(name_limit(self.register, None, 200, 400))
-        self.assertEqual(self.register.count_limited(), 0)
+        self.assertEqual(self.register.rate_limits.count(), 0)
 
     def test_overtaken_response_does_not_raise_a_limit(self):
         name_limit(self.register, 1.0, 100, 200)
@@ -97,9 +98,11 @@
 
     def test_rejection_does_not_end_a_limit(self):
         name_limit(self.register, 1.0, 0, 100)
-        change = self.register.record(SERVER, advisories.Advisory(200), 300)
+        change = self.register.record_rate(
+            SERVER, advisories.Advisory(200), 300
+        )
         self.assertIsNone(change)
-        self.assertEqual(self.register.count_limited(), 1)
+        self.assertEqual(self.register.rate_limits.count(), 1)
 
     def test_restart_ends_a_limit(self):
         """Guards against a limit that outlives its server's incarnation."""
@@ -108,7 +111,7 @@
             self.register.update_tables(tables.Tables(1, (), (pool,), ()))
             if started_ms == 5:
                 name_limit(self.register, 1.0, 0, 100)
-            self.assertEqual(self.register.count_limited(), count)
+            self.assertEqual(self.register.rate_limits.count(), count)
 
     def test_missing_entry_does_not_end_a_limit(self):
         """Guards against a limit that is forgotten while the store has lost
@@ -119,13 +122,13 @@
             self.register.update_tables(tables.Tables(1, (), (pool,), ()))
             if servers:
                 name_limit(self.register, 1.0, 0, 100)
-        self.assertEqual(self.register.count_limited(), 1)
+        self.assertEqual(self.register.rate_limits.count(), 1)
 
     def test_memory_is_bounded(self):
-        for number in range(advisories.MAX_UPSTREAMS + 10):
+        for number in range(send_limits.MAX_UPSTREAMS + 10):
             name_limit(self.register, 1.0, 0, 0, f"s{number}")
         self.assertEqual(
-            self.register.count_limited(), advisories.MAX_UPSTREAMS
+            self.register.rate_limits.count(), send_limits.MAX_UPSTREAMS
         )
 
 
@@ -174,8 +177,8 @@
             for now_ms in range(0, 60_000, 100)
         }
         # Two have a share.
-        self.assertEqual(asked[advisories.SILENCE_MS - 100], 2)
-        later_ms = advisories.SILENCE_MS + 10 * advisories.PROBE_INTERVAL_MS
+        self.assertEqual(asked[rate_limits.SILENCE_MS - 100], 2)
+        later_ms = rate_limits.SILENCE_MS + 10 * rate_limits.PROBE_INTERVAL_MS
         self.assertEqual(asked[later_ms], 11)
         self.assertEqual(asked[59_900], 50)
 
@@ -317,7 +320,7 @@
         advisory = advisories.Advisory(
             sent_ms, self.rate, ends_limit=self.rate is None
         )
-        change = register.record(SERVER, advisory, now_ms)
+        change = register.record_rate(SERVER, advisory, now_ms)
         news = register.make_news(SERVER, advisory, change, now_ms)
         if news is not None and self.has_gossip:
             for other in range(len(self.registers)):
@@ -325,7 +328,7 @@
                 self._push(now_ms + delay_ms, self._take, other, news, now_ms)
 
     def _take(self, now_ms, vm, news, made_ms):
-        received = advisories.RateLimitNews(
+        received = rate_limits.RateLimitNews(
             news.upstream,
             news.started_ms,
             news.rate_per_s,
@@ -365,6 +368,6 @@
             model = FleetModel(random.Random(seed), 76, 0.5, [1.0] * 76)
             model.end_limit(8_000)
             model.run(60, 30_000)
-            limited = sum(one.count_limited() for one in model.registers)
+            limited = sum(one.rate_limits.count() for one in model.registers)
             with self.subTest(seed=seed):
                 self.assertEqual(limited, 0)
