--- a/mulberryway/controllers/advisories.py
+++ b/mulberryway/controllers/advisories.py
@@ -22,8 +22,6 @@
 RATE_LIMIT = "rate_limit"
 # News is repeated while a limit lasts, so it need not be kept for long.
 NEWS_TTL_MS = 10_000
-
-
 # Operators should look at an upstream that wants no requests for this long.
 LONG_PAUSE_MS = 60_000
 
@@ -47,8 +45,8 @@
         self._clock = clock_
         # Called when an upstream says for the first time that it will end.
         self.on_leaving: collections.abc.Callable[[], None] = lambda: None
-        members.subscribe(RATE_LIMIT, self._apply_news)
         self._lock = threading.Lock()
+        members.subscribe(RATE_LIMIT, self._apply_news)
 
     def record(self, upstream: str, advisory: advisories.Advisory) -> None:
         """Apply what a response says.
@@ -60,31 +58,26 @@
         with self._lock:
             change = self._register.record_rate(upstream, advisory, now_ms)
             news = self._register.make_news(upstream, advisory, change, now_ms)
-            has_left = advisory.is_leaving and self._register.record_leaving(
-                upstream
+            begins_to_leave = (
+                advisory.is_leaving and self._register.record_leaving(upstream)
             )
-            has_paused = advisory.pause_ms and self._register.pauses.record(
-                upstream, advisory.pause_ms, now_ms
+            begins_a_pause = (
+                advisory.pause_ms > 0
+                and self._register.pauses.record(
+                    upstream, advisory.pause_ms, now_ms
+                )
             )
+        took_ms = now_ms - advisory.sent_ms
         if change is not None:
-            self._log(change, took_ms=now_ms - advisory.sent_ms)
+            _log_rate(change, took_ms=took_ms)
         if news is not None:
             self._publish(news)
-        if has_paused:
-            is_long = advisory.pause_ms >= LONG_PAUSE_MS
-            LOG.log(
-                logging.WARNING if is_long else logging.INFO,
-                "an upstream wants no requests for a while",
-                extra=logs.make_extra(
-                    upstream=upstream, pause_ms=advisory.pause_ms
-                ),
-            )
-        if has_left:
+        if begins_a_pause:
+            _log_pause(upstream, advisory.pause_ms)
+        if begins_to_leave:
             LOG.info(
                 "an upstream says that it will end",
-                extra=logs.make_extra(
-                    upstream=upstream, took_ms=now_ms - advisory.sent_ms
-                ),
+                extra=logs.make_extra(upstream=upstream, took_ms=took_ms),
             )
             self.on_leaving()
 
@@ -172,16 +165,24 @@
         with self._lock:
             change = self._register.record_news(news, now_ms)
         if change is not None:
-            self._log(change, age_ms=news.age_ms, source=hint.key)
-
-    @staticmethod
-    def _log(change: rate_limits.RateLimitChange, **fields: object) -> None:
-        LOG.info(
-            "the rate limit of an upstream has changed",
-            extra=logs.make_extra(
-                upstream=change.upstream,
-                rate_per_s=change.rate_per_s,
-                previous_per_s=change.previous_per_s,
-                **fields,
-            ),
-        )
+            _log_rate(change, age_ms=news.age_ms, source=hint.key)
+
+
+def _log_rate(change: rate_limits.RateLimitChange, **fields: object) -> None:
+    LOG.info(
+        "the rate limit of an upstream has changed",
+        extra=logs.make_extra(
+            upstream=change.upstream,
+            rate_per_s=change.rate_per_s,
+            previous_per_s=change.previous_per_s,
+            **fields,
+        ),
+    )
+
+
+def _log_pause(upstream: str, pause_ms: int) -> None:
+    LOG.log(
+        logging.WARNING if pause_ms >= LONG_PAUSE_MS else logging.INFO,
+        "an upstream wants no requests for a while",
+        extra=logs.make_extra(upstream=upstream, pause_ms=pause_ms),
+    )
