Bound the part of an event that the relay holds for a forwarded stream

An engine whose event does not end filled the memory of a VM: what is forwarded byte for byte is held until its event is complete, without a bound, and is copied with each read. Time was bounded already: only complete events count as progress. The stream counts as invalid from 64 KiB on, as it does for events that are parsed from 1 MiB on. test_event_without_end fails on the commit before.

--- a/mulberryway/relay/passthrough_stream.py
+++ b/mulberryway/relay/passthrough_stream.py
@@ -14,6 +14,8 @@
 EVENT_ID_PATTERN = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
 EVENT_END = b"\n\n"
 LAST_CHUNK = b"0\r\n\r\n"
+# A VM may forward some 360 streams, and has 128 MB.
+MAX_PARTIAL_EVENT_BYTES = 65_536
 # Headers about the engine's connection and transfer coding.
 FRAMING_HEADERS = frozenset(
     ("connection", "keep-alive", "transfer-encoding", "content-length")
@@ -136,6 +138,8 @@
             self._partial_event + payload
         ).rpartition(EVENT_END)
         self._partial_event = partial
+        if len(partial) > MAX_PARTIAL_EVENT_BYTES:
+            raise events.InvalidStream("event is too long")
         out = [complete + separator] if separator else []
         if separator:
             self._update_position(complete + separator)
--- a/tests/test_raw_stream.py
+++ b/tests/test_raw_stream.py
@@ -45,6 +45,14 @@
         self.assertTrue(stream.is_complete)
         self.assertEqual(stream.expected, 4)
 
+    def test_event_without_end(self):
+        """Guards against an event whose bytes fill a small VM's memory."""
+        stream = self.make(is_chunked=False)
+        data = b"id: 1\ndata: " + b"t" * 65_536
+        with self.assertRaises(events.InvalidStream):
+            for _ in range(16):
+                self.assertEqual(stream.take(data), b"")
+
     def test_partial_event_is_buffered(self):
         """An engine crashes in the middle of an event.  If the first half had
         been sent to the caller, another engine could not resume the stream.
