Tell in the reason of a rejection that engines accept no requests for now

mulberryway-losses counts rejections by their reason, and streams that were rejected for a pause or a rate limit looked like those for which the pool was too slow.

--- a/mulberryway/policy/admission.py
+++ b/mulberryway/policy/admission.py
@@ -108,17 +108,20 @@
                 "the prefill would take longer than the deadline allows",
             )
         queue_ms = best.ready_ms - best.prefill_ms - now_ms
+        limit_wait_ms = self._placer.get_limit_wait_ms(job, now_ms)
         wait_ms = max(
             queue_ms,
             self._estimate_slot_wait_ms(job, now_ms),
-            self._placer.get_limit_wait_ms(job, now_ms),
+            limit_wait_ms,
         )
         if now_ms + wait_ms <= latest_ms:
             return None
         fault = make_rejection(
             errors.Code.OVERLOADED,
             job,
-            "the first token would miss its deadline",
+            "no engine accepts requests before the deadline"
+            if now_ms + limit_wait_ms > latest_ms
+            else "the first token would miss its deadline",
             self._stats.clamp_retry_ms(wait_ms),
         )
         fault.inputs = {
@@ -126,7 +129,7 @@
             "left_ms": latest_ms - now_ms,
             "waiting": len(self._queue),
             "free_slots": self._placer.estimate_free_slots(now_ms),
-            "limit_wait_ms": self._placer.get_limit_wait_ms(job, now_ms),
+            "limit_wait_ms": limit_wait_ms,
         }
         return fault
 
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -120,6 +120,10 @@
             result = self.submit("j0", 2_000)
             self.assertIs(result.error.code, errors.Code.OVERLOADED)
             self.assertTrue(result.error.retry_after_ms)
+            # The reason by which losses are counted.
+            self.assertEqual(
+                "no engine accepts" in result.error.message, "d0" in names
+            )
 
     def test_job_waits_for_the_end_of_a_pause(self):
         self.pause("d0", "d1", pause_ms=500)
