List a failing test: a response of the store that does not end

The same cause elsewhere, found by looking at each place that reads from a peer: the client of the store has a timeout for each read. Calls between VMs have a deadline for whole frames, and the relay counts complete events as progress.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -11,8 +11,10 @@
 
 from mulberryway import clock
 from mulberryway import errors
+from mulberryway.objects import call_metrics
 from mulberryway.platform import engine
 from mulberryway.platform import service
+from mulberryway.platform import store
 from mulberryway.upstreams import base
 
 HOST = "127.0.0.1"
@@ -275,3 +277,23 @@
         self.assertTrue(all(result.is_error() for result in results))
         has_ended.set()
         self.assertLessEqual(max(peak) - before, MAX_BUFFERED_BYTES)
+
+
+def call_store(address):
+    client = store.PlatformStore(
+        f"http://{address}",
+        TIMEOUT_MS,
+        clock.SystemClock(),
+        call_metrics.InMemoryCallCounter(),
+    )
+    return client.list_vms("membership")
+
+
+class StoreTest(EndlessAnswerCase):
+    """Responses of the store that do not end."""
+
+    def test_body_in_pieces(self):
+        """Guards against a store that keeps a controller waiting for good."""
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n"
+        server = self.serve(head, b" ", 0.05)
+        self.assertTrue(self.check_end(server, call_store).is_error())
