Test the end of a limit where VMs need the server

test_limit_ends failed once, at load 14 on: no VM had asked the server within 10 s after the limit ended. Its logs show that all VMs preferred the two others, of equal speed; nothing was lost for callers, and a VM that wants the server asks it. The others are full now from that moment on, so the end has to be heard for callers to be served; the bound is the same. That the news passes between VMs is held by test_all_vms_hear_that_a_limit_has_ended, which has no servers to prefer.

--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -123,6 +123,9 @@
                 fleet.set_fault("s0", limit_per_s=0.5)
                 time.sleep(5)
                 fleet.set_fault("s0", limit_per_s=0)
+                # VMs may prefer other servers and leave this one alone.
+                for server in ("s1", "s2"):
+                    fleet.set_fault(server, full=1)
                 self.assertTrue(
                     processes.wait_until(
                         lambda: count_ends(fleet) == len(fleet.vms), 10, 0.2
