Messages for ranks, present blocks and loads of plain servers; their seams

The parts for the two customers with hard load exchange three more things between VMs: waiting jobs by rank, the KV blocks that streams fill now, and the calls to servers of plain services. All fields are optional, so VMs of the previous version are understood. Nothing sends or uses them yet.

--- a/mulberryway/peers/gen/notes/ttypes.py
+++ b/mulberryway/peers/gen/notes/ttypes.py
@@ -31,6 +31,7 @@
      - unreached
      - probes_passed
      - probes_failed
+     - present_blocks
 
     """
 
@@ -47,10 +48,11 @@
         'unreached',
         'probes_passed',
         'probes_failed',
+        'present_blocks',
     )
 
 
-    def __init__(self, pool=None, upstream=None, decodes=None, prefill_ms=None, suspects=None, blocks=None, step_ms=None, succeeded=None, failed=None, unreached=None, probes_passed=None, probes_failed=None,):
+    def __init__(self, pool=None, upstream=None, decodes=None, prefill_ms=None, suspects=None, blocks=None, step_ms=None, succeeded=None, failed=None, unreached=None, probes_passed=None, probes_failed=None, present_blocks=None,):
         self.pool = pool
         self.upstream = upstream
         self.decodes = decodes
@@ -63,6 +65,7 @@
         self.unreached = unreached
         self.probes_passed = probes_passed
         self.probes_failed = probes_failed
+        self.present_blocks = present_blocks
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -133,6 +136,11 @@
                     self.probes_failed = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.present_blocks = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -191,6 +199,10 @@
             oprot.writeFieldBegin('probes_failed', TType.I32, 12)
             oprot.writeI32(self.probes_failed)
             oprot.writeFieldEnd()
+        if self.present_blocks is not None:
+            oprot.writeFieldBegin('present_blocks', TType.I32, 13)
+            oprot.writeI32(self.present_blocks)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -380,6 +392,118 @@
         return not (self == other)
 
 
+class RankNote(object):
+    """
+    Attributes:
+     - pool
+     - rank
+     - waiting
+     - oldest_ms
+
+    """
+
+    __slots__ = (
+        'pool',
+        'rank',
+        'waiting',
+        'oldest_ms',
+    )
+
+
+    def __init__(self, pool=None, rank=None, waiting=None, oldest_ms=None,):
+        self.pool = pool
+        self.rank = rank
+        self.waiting = waiting
+        self.oldest_ms = oldest_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.waiting = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.oldest_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RankNote')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 2)
+            oprot.writeI32(self.rank)
+            oprot.writeFieldEnd()
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.I32, 3)
+            oprot.writeI32(self.waiting)
+            oprot.writeFieldEnd()
+        if self.oldest_ms is not None:
+            oprot.writeFieldBegin('oldest_ms', TType.I32, 4)
+            oprot.writeI32(self.oldest_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.pool is None:
+            raise TProtocolException(message='Required field pool is unset!')
+        if self.rank is None:
+            raise TProtocolException(message='Required field rank is unset!')
+        if self.waiting is None:
+            raise TProtocolException(message='Required field waiting is unset!')
+        if self.oldest_ms is None:
+            raise TProtocolException(message='Required field oldest_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Death(object):
     """
     Attributes:
@@ -501,6 +625,7 @@
      - holdings
      - accounts
      - deaths
+     - ranks
 
     """
 
@@ -511,16 +636,18 @@
         'holdings',
         'accounts',
         'deaths',
+        'ranks',
     )
 
 
-    def __init__(self, vm=None, incarnation=None, sequence=None, holdings=None, accounts=None, deaths=None,):
+    def __init__(self, vm=None, incarnation=None, sequence=None, holdings=None, accounts=None, deaths=None, ranks=None,):
         self.vm = vm
         self.incarnation = incarnation
         self.sequence = sequence
         self.holdings = holdings
         self.accounts = accounts
         self.deaths = deaths
+        self.ranks = ranks
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -579,6 +706,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.ranks = []
+                    (_etype21, _size18) = iprot.readListBegin()
+                    for _i22 in range(_size18):
+                        _elem23 = RankNote()
+                        _elem23.read(iprot)
+                        self.ranks.append(_elem23)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -604,22 +742,29 @@
         if self.holdings is not None:
             oprot.writeFieldBegin('holdings', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.holdings))
-            for iter18 in self.holdings:
-                iter18.write(oprot)
+            for iter24 in self.holdings:
+                iter24.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accounts is not None:
             oprot.writeFieldBegin('accounts', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.accounts))
-            for iter19 in self.accounts:
-                iter19.write(oprot)
+            for iter25 in self.accounts:
+                iter25.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.deaths is not None:
             oprot.writeFieldBegin('deaths', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.deaths))
-            for iter20 in self.deaths:
-                iter20.write(oprot)
+            for iter26 in self.deaths:
+                iter26.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.ranks is not None:
+            oprot.writeFieldBegin('ranks', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.ranks))
+            for iter27 in self.ranks:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -843,21 +988,21 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.models = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.models.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.models.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.events = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = CacheEvent()
-                        _elem32.read(iprot)
-                        self.events.append(_elem32)
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = CacheEvent()
+                        _elem39.read(iprot)
+                        self.events.append(_elem39)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -902,15 +1047,15 @@
         if self.models is not None:
             oprot.writeFieldBegin('models', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.models))
-            for iter33 in self.models:
-                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
+            for iter40 in self.models:
+                oprot.writeString(iter40.encode('utf-8') if sys.version_info[0] == 2 else iter40)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.events is not None:
             oprot.writeFieldBegin('events', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.events))
-            for iter34 in self.events:
-                iter34.write(oprot)
+            for iter41 in self.events:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1201,22 +1346,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.accounts = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = AccountUsage()
-                        _elem40.read(iprot)
-                        self.accounts.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = AccountUsage()
+                        _elem47.read(iprot)
+                        self.accounts.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.mirrors = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = MirrorState()
-                        _elem46.read(iprot)
-                        self.mirrors.append(_elem46)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = MirrorState()
+                        _elem53.read(iprot)
+                        self.mirrors.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1260,15 +1405,15 @@
         if self.accounts is not None:
             oprot.writeFieldBegin('accounts', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.accounts))
-            for iter47 in self.accounts:
-                iter47.write(oprot)
+            for iter54 in self.accounts:
+                iter54.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.mirrors is not None:
             oprot.writeFieldBegin('mirrors', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.mirrors))
-            for iter48 in self.mirrors:
-                iter48.write(oprot)
+            for iter55 in self.mirrors:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -1379,10 +1524,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.unreachable = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.unreachable.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.unreachable.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1415,8 +1560,8 @@
         if self.unreachable is not None:
             oprot.writeFieldBegin('unreachable', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.unreachable))
-            for iter55 in self.unreachable:
-                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
+            for iter62 in self.unreachable:
+                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1672,6 +1817,261 @@
         return not (self == other)
 
 
+class ServerLoad(object):
+    """
+    Attributes:
+     - pool
+     - server
+     - in_flight
+     - completed
+     - rejected
+     - busy_ms
+
+    """
+
+    __slots__ = (
+        'pool',
+        'server',
+        'in_flight',
+        'completed',
+        'rejected',
+        'busy_ms',
+    )
+
+
+    def __init__(self, pool=None, server=None, in_flight=None, completed=None, rejected=None, busy_ms=None,):
+        self.pool = pool
+        self.server = server
+        self.in_flight = in_flight
+        self.completed = completed
+        self.rejected = rejected
+        self.busy_ms = busy_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.server = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.in_flight = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.completed = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.rejected = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.busy_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServerLoad')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.server is not None:
+            oprot.writeFieldBegin('server', TType.STRING, 2)
+            oprot.writeString(self.server.encode('utf-8') if sys.version_info[0] == 2 else self.server)
+            oprot.writeFieldEnd()
+        if self.in_flight is not None:
+            oprot.writeFieldBegin('in_flight', TType.I32, 3)
+            oprot.writeI32(self.in_flight)
+            oprot.writeFieldEnd()
+        if self.completed is not None:
+            oprot.writeFieldBegin('completed', TType.I32, 4)
+            oprot.writeI32(self.completed)
+            oprot.writeFieldEnd()
+        if self.rejected is not None:
+            oprot.writeFieldBegin('rejected', TType.I32, 5)
+            oprot.writeI32(self.rejected)
+            oprot.writeFieldEnd()
+        if self.busy_ms is not None:
+            oprot.writeFieldBegin('busy_ms', TType.I64, 6)
+            oprot.writeI64(self.busy_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.pool is None:
+            raise TProtocolException(message='Required field pool is unset!')
+        if self.server is None:
+            raise TProtocolException(message='Required field server is unset!')
+        if self.in_flight is None:
+            raise TProtocolException(message='Required field in_flight is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServerLoads(object):
+    """
+    Attributes:
+     - vm
+     - incarnation
+     - sequence
+     - loads
+
+    """
+
+    __slots__ = (
+        'vm',
+        'incarnation',
+        'sequence',
+        'loads',
+    )
+
+
+    def __init__(self, vm=None, incarnation=None, sequence=None, loads=None,):
+        self.vm = vm
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.loads = loads
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.vm = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.loads = []
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = ServerLoad()
+                        _elem68.read(iprot)
+                        self.loads.append(_elem68)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServerLoads')
+        if self.vm is not None:
+            oprot.writeFieldBegin('vm', TType.STRING, 1)
+            oprot.writeString(self.vm.encode('utf-8') if sys.version_info[0] == 2 else self.vm)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 3)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.loads))
+            for iter69 in self.loads:
+                iter69.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.vm is None:
+            raise TProtocolException(message='Required field vm is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.sequence is None:
+            raise TProtocolException(message='Required field sequence is unset!')
+        if self.loads is None:
+            raise TProtocolException(message='Required field loads is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
@@ -1680,6 +2080,7 @@
      - usage
      - paths
      - streams
+     - server_loads
 
     """
 
@@ -1689,15 +2090,17 @@
         'usage',
         'paths',
         'streams',
+        'server_loads',
     )
 
 
-    def __init__(self, note=None, reports=None, usage=None, paths=None, streams=None,):
+    def __init__(self, note=None, reports=None, usage=None, paths=None, streams=None, server_loads=None,):
         self.note = note
         self.reports = reports
         self.usage = usage
         self.paths = paths
         self.streams = streams
+        self.server_loads = server_loads
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1717,11 +2120,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = EngineReport()
-                        _elem61.read(iprot)
-                        self.reports.append(_elem61)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = EngineReport()
+                        _elem75.read(iprot)
+                        self.reports.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1740,14 +2143,20 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.streams = []
-                    (_etype65, _size62) = iprot.readListBegin()
-                    for _i66 in range(_size62):
-                        _elem67 = StreamVersion()
-                        _elem67.read(iprot)
-                        self.streams.append(_elem67)
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = StreamVersion()
+                        _elem81.read(iprot)
+                        self.streams.append(_elem81)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.server_loads = ServerLoads()
+                    self.server_loads.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1765,8 +2174,8 @@
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter68 in self.reports:
-                iter68.write(oprot)
+            for iter82 in self.reports:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.usage is not None:
@@ -1780,10 +2189,14 @@
         if self.streams is not None:
             oprot.writeFieldBegin('streams', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.streams))
-            for iter69 in self.streams:
-                iter69.write(oprot)
+            for iter83 in self.streams:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.server_loads is not None:
+            oprot.writeFieldBegin('server_loads', TType.STRUCT, 6)
+            self.server_loads.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1845,10 +2258,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = iprot.readBinary()
-                        self.items.append(_elem75)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = iprot.readBinary()
+                        self.items.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1880,8 +2293,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.items))
-            for iter76 in self.items:
-                oprot.writeBinary(iter76)
+            for iter90 in self.items:
+                oprot.writeBinary(iter90)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.relay_number is not None:
@@ -1936,6 +2349,7 @@
     (10, TType.I32, 'unreached', None, None, ),  # 10
     (11, TType.I32, 'probes_passed', None, None, ),  # 11
     (12, TType.I32, 'probes_failed', None, None, ),  # 12
+    (13, TType.I32, 'present_blocks', None, None, ),  # 13
 )
 all_structs.append(AccountNote)
 AccountNote.thrift_spec = (
@@ -1948,6 +2362,14 @@
     (6, TType.I32, 'oldest_ms', None, None, ),  # 6
     (7, TType.I32, 'prefill_ms', None, None, ),  # 7
 )
+all_structs.append(RankNote)
+RankNote.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'rank', None, None, ),  # 2
+    (3, TType.I32, 'waiting', None, None, ),  # 3
+    (4, TType.I32, 'oldest_ms', None, None, ),  # 4
+)
 all_structs.append(Death)
 Death.thrift_spec = (
     None,  # 0
@@ -1965,6 +2387,7 @@
     (4, TType.LIST, 'holdings', (TType.STRUCT, [Holding, None], False), None, ),  # 4
     (5, TType.LIST, 'accounts', (TType.STRUCT, [AccountNote, None], False), None, ),  # 5
     (6, TType.LIST, 'deaths', (TType.STRUCT, [Death, None], False), None, ),  # 6
+    (7, TType.LIST, 'ranks', (TType.STRUCT, [RankNote, None], False), None, ),  # 7
 )
 all_structs.append(CacheEvent)
 CacheEvent.thrift_spec = (
@@ -2036,6 +2459,24 @@
     (3, TType.DOUBLE, 'rate_per_s', None, None, ),  # 3
     (4, TType.I32, 'age_ms', None, None, ),  # 4
 )
+all_structs.append(ServerLoad)
+ServerLoad.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'server', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'in_flight', None, None, ),  # 3
+    (4, TType.I32, 'completed', None, None, ),  # 4
+    (5, TType.I32, 'rejected', None, None, ),  # 5
+    (6, TType.I64, 'busy_ms', None, None, ),  # 6
+)
+all_structs.append(ServerLoads)
+ServerLoads.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'vm', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I64, 'sequence', None, None, ),  # 3
+    (4, TType.LIST, 'loads', (TType.STRUCT, [ServerLoad, None], False), None, ),  # 4
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
@@ -2044,6 +2485,7 @@
     (3, TType.STRUCT, 'usage', [Usage, None], None, ),  # 3
     (4, TType.STRUCT, 'paths', [Paths, None], None, ),  # 4
     (5, TType.LIST, 'streams', (TType.STRUCT, [StreamVersion, None], False), None, ),  # 5
+    (6, TType.STRUCT, 'server_loads', [ServerLoads, None], None, ),  # 6
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
--- a/mulberryway/peers/gossip_messages.py
+++ b/mulberryway/peers/gossip_messages.py
@@ -8,6 +8,7 @@
 from mulberryway.policy import health
 from mulberryway.policy import hints
 from mulberryway.policy import rate_limits
+from mulberryway.policy import server_loads
 from mulberryway.policy import stream_versions
 from mulberryway.policy import usage as usages
 from mulberryway.upstreams import base as upstreams
@@ -23,6 +24,7 @@
     "encode_note",
     "encode_paths",
     "encode_rate_limit",
+    "encode_server_loads",
     "encode_stream_version",
     "encode_usage",
 ]
@@ -31,6 +33,9 @@
 # Equal to the limit of upstreams in one note of ``policy.note_sender``.
 MAX_HOLDINGS = 64
 MAX_ACCOUNTS = 32
+MAX_RANKS = 32
+# The others follow in the next report.
+MAX_SERVER_LOADS = 64
 # Addresses in one report: half a kilobyte.  A VM that cannot reach more is
 # asked in vain for the others.
 MAX_UNREACHABLE = 24
@@ -72,9 +77,17 @@
     :param usage: tokens that the sender granted to accounts, or none
     :param paths: upstreams that the sender cannot reach, or none
     :param streams: software versions that began streams
+    :param server_loads: the sender's calls to plain services, or none
     """
 
-    __slots__ = ("note", "news", "usage", "paths", "streams")
+    __slots__ = (
+        "note",
+        "news",
+        "usage",
+        "paths",
+        "streams",
+        "server_loads",
+    )
 
     def __init__(
         self,
@@ -83,7 +96,9 @@
         usage: usages.Usage | None = None,
         paths: forwarders.PathReport | None = None,
         streams: list[stream_versions.StreamVersion] | None = None,
+        server_loads_: server_loads.ServerLoadReport | None = None,
     ) -> None:
+        self.server_loads = server_loads_
         self.note = note
         self.news = news
         self.usage = usage
@@ -118,6 +133,11 @@
             for item in note.accounts[:MAX_ACCOUNTS]
         ],
         [_pack_death(item) for item in note.deaths],
+        [
+            ttypes.RankNote(item.pool, item.rank, item.waiting, item.oldest_ms)
+            for item in note.ranks[:MAX_RANKS]
+        ]
+        or None,
     )
     return codec.write(ttypes.Datagram(note=message))
 
@@ -164,6 +184,55 @@
             )
             for item in message.streams or ()
         ],
+        None
+        if message.server_loads is None
+        else _unpack_server_loads(message.server_loads),
+    )
+
+
+def encode_server_loads(report: server_loads.ServerLoadReport) -> bytes:
+    """Return the payload of a VM's calls to plain services.
+
+    :param report: the report
+    :returns: the payload
+    """
+    message = ttypes.ServerLoads(
+        report.vm,
+        report.incarnation,
+        report.sequence,
+        [
+            ttypes.ServerLoad(
+                item.pool,
+                item.server,
+                item.in_flight,
+                item.completed or None,
+                item.rejected or None,
+                item.busy_ms or None,
+            )
+            for item in report.loads[:MAX_SERVER_LOADS]
+        ],
+    )
+    return codec.write(ttypes.Datagram(server_loads=message))
+
+
+def _unpack_server_loads(
+    message: ttypes.ServerLoads,
+) -> server_loads.ServerLoadReport:
+    return server_loads.ServerLoadReport(
+        message.vm,
+        message.incarnation,
+        message.sequence,
+        [
+            server_loads.ServerLoad(
+                item.pool,
+                item.server,
+                item.in_flight,
+                item.completed or 0,
+                item.rejected or 0,
+                item.busy_ms or 0,
+            )
+            for item in message.loads
+        ],
     )
 
 
@@ -351,6 +420,7 @@
         outcomes.unreached or None,
         outcomes.probes_passed or None,
         outcomes.probes_failed or None,
+        item.present_blocks,
     )
 
 
@@ -370,6 +440,7 @@
             message.probes_passed or 0,
             message.probes_failed or 0,
         ),
+        message.present_blocks,
     )
 
 
@@ -392,6 +463,10 @@
             for item in message.accounts
         ],
         [_unpack_death(item) for item in message.deaths],
+        [
+            hints.RankNote(item.pool, item.rank, item.waiting, item.oldest_ms)
+            for item in message.ranks or ()
+        ],
     )
 
 
--- a/mulberryway/peers/idl/notes.thrift
+++ b/mulberryway/peers/idl/notes.thrift
@@ -17,6 +17,8 @@
   10: optional i32 unreached,
   11: optional i32 probes_passed,
   12: optional i32 probes_failed,
+  // KV cache blocks that its streams fill now; "blocks" is what they may fill.
+  13: optional i32 present_blocks,
 }
 
 struct AccountNote {
@@ -29,6 +31,14 @@
   7: optional i32 prefill_ms,
 }
 
+// The waiting jobs of one rank in a pool.
+struct RankNote {
+  1: required string pool,
+  2: required i32 rank,
+  3: required i32 waiting,
+  4: required i32 oldest_ms,
+}
+
 struct Death {
   1: required string digest,
   2: required string upstream,
@@ -43,6 +53,7 @@
   4: required list<Holding> holdings,
   5: required list<AccountNote> accounts,
   6: required list<Death> deaths,
+  7: optional list<RankNote> ranks,
 }
 
 // One engine's events; hashes are 8 bytes each, one after another.
@@ -125,12 +136,34 @@
   4: required i32 age_ms,
 }
 
+// A VM's calls to one server of a plain service.
+struct ServerLoad {
+  1: required string pool,
+  2: required string server,
+  // Sent and not answered yet.
+  3: required i32 in_flight,
+  // The counts are those since the sender's last report on this server.
+  4: optional i32 completed,
+  5: optional i32 rejected,
+  // The sum of the completed calls' durations.
+  6: optional i64 busy_ms,
+}
+
+// Only servers whose state has changed are told.
+struct ServerLoads {
+  1: required string vm,
+  2: required i64 incarnation,
+  3: required i64 sequence,
+  4: required list<ServerLoad> loads,
+}
+
 struct Datagram {
   1: optional Note note,
   2: optional list<EngineReport> reports,
   3: optional Usage usage,
   4: optional Paths paths,
   5: optional list<StreamVersion> streams,
+  6: optional ServerLoads server_loads,
 }
 
 // What one UDP datagram carries between VMs.
--- a/mulberryway/policy/hints.py
+++ b/mulberryway/policy/hints.py
@@ -8,7 +8,7 @@
 
 from mulberryway.policy import health
 
-__all__ = ["AccountNote", "Death", "Holding", "Note"]
+__all__ = ["AccountNote", "Death", "Holding", "Note", "RankNote"]
 
 
 class Holding:
@@ -25,6 +25,8 @@
         none recently
     :param outcomes: outcomes of its requests and probes since its last note on
         the upstream
+    :param present_blocks: KV cache blocks that its decodes fill now; none if
+        the sender does not tell
     """
 
     __slots__ = (
@@ -36,6 +38,7 @@
         "blocks",
         "step_ms",
         "outcomes",
+        "present_blocks",
     )
 
     def __init__(
@@ -48,7 +51,9 @@
         blocks: int = 0,
         step_ms: int = 0,
         outcomes: health.Outcomes | None = None,
+        present_blocks: int | None = None,
     ) -> None:
+        self.present_blocks = present_blocks
         self.outcomes = outcomes or health.Outcomes()
         self.pool = pool
         self.upstream = upstream
@@ -101,6 +106,26 @@
         self.prefill_ms = prefill_ms
 
 
+class RankNote:
+    """Waiting jobs of one rank at one router.
+
+    :param pool: the pool's name
+    :param rank: the rank; 0 is the highest
+    :param waiting: number of waiting jobs
+    :param oldest_ms: how long the oldest of them has waited, in ms
+    """
+
+    __slots__ = ("pool", "rank", "waiting", "oldest_ms")
+
+    def __init__(
+        self, pool: str, rank: int, waiting: int, oldest_ms: int
+    ) -> None:
+        self.pool = pool
+        self.rank = rank
+        self.waiting = waiting
+        self.oldest_ms = oldest_ms
+
+
 class Death:
     """A crash of an upstream under a request, or the request's clearance.
 
@@ -134,6 +159,7 @@
     :param holdings: upstreams whose state changed
     :param accounts: accounts whose state changed or that have waiting jobs
     :param deaths: updates on suspected poison requests
+    :param ranks: waiting jobs by rank, of pools whose ranks differ
     """
 
     __slots__ = (
@@ -143,6 +169,7 @@
         "holdings",
         "accounts",
         "deaths",
+        "ranks",
     )
 
     def __init__(
@@ -153,7 +180,9 @@
         holdings: list[Holding],
         accounts: list[AccountNote],
         deaths: list[Death],
+        ranks: list[RankNote] | None = None,
     ) -> None:
+        self.ranks = ranks or []
         self.vm = vm
         self.incarnation = incarnation
         self.sequence = sequence
@@ -164,4 +193,6 @@
     @property
     def is_heartbeat(self) -> bool:
         """Whether it only shows that its sender is alive."""
-        return not (self.holdings or self.accounts or self.deaths)
+        return not (
+            self.holdings or self.accounts or self.deaths or self.ranks
+        )
