--- a/tests/test_gossip_messages.py
+++ b/tests/test_gossip_messages.py
@@ -57,7 +57,8 @@
 class PreviousVersionTest(unittest.TestCase):
     def test_note_without_the_new_fields(self):
         """During an update, VMs of the previous version send notes without
-        ranks and present blocks."""
+        ranks and present blocks.
+        """
         message = ttypes.Note(
             "vm1", 1, 2, [ttypes.Holding("lm", "d0", 2, 0, 0, 9)], [], []
         )
