Keep a prefill's result until an engine accepts the decode, and reserve again

Two known failures of decodes that are sent to another engine. After a refusal the router deleted the KV handle for the one retry without it; when that was refused too, a third engine read the prompt anew. The handle is now deleted when an engine has accepted the decode. And a replacement, which requires a reservation, was sent without one to the engine that it was reassigned to.

--- a/mulberryway/filters/model_engines.py
+++ b/mulberryway/filters/model_engines.py
@@ -251,7 +251,8 @@
         reassign_deadline = clock.Deadline(
             clock_.now_ms() + DECODE_REASSIGN_TIMEOUT_MS
         )
-        result = self._decode_once(attempt, prefill, offset, limit)
+        sent = prefill
+        result = self._decode_once(attempt, sent, offset, limit)
         while (
             result.is_error()
             and result.error.code in DECODE_NOT_STARTED
@@ -267,25 +268,30 @@
                     attempt, prefill, reassign_deadline
                 )
                 if is_unreached
-                else self._prepare_decode_retry(attempt, prefill)
+                else self._prepare_decode_retry(attempt, prefill, sent)
             )
             if retry_input is None:
                 break
-            if prefill.transfer and not retry_input.transfer:
-                self._log_wasted_prefill(attempt, prefill, result.error)
-            prefill = retry_input
+            sent = retry_input
             # An attempt that did not reach an engine costs no retry budget.
             if not is_unreached and not self._parts.try_withdraw_retry(
                 self._exchange.pool.name
             ):
                 break
-            result = self._decode_once(attempt, prefill, offset, limit)
+            rejection = result.error
+            result = self._decode_once(attempt, sent, offset, limit)
+            if result.is_ok() and prefill.transfer and not sent.transfer:
+                self._log_wasted_prefill(attempt, prefill, rejection)
+                self._parts.cancelling.cancel(attempt.prefill, attempt.label)
         if result.is_error() and prefill.transfer:
             self._log_wasted_prefill(attempt, prefill, result.error)
         return result
 
     def _prepare_decode_retry(
-        self, attempt: attempts.Attempt, prefill: upstreams.PrefillResult
+        self,
+        attempt: attempts.Attempt,
+        prefill: upstreams.PrefillResult,
+        sent: upstreams.PrefillResult,
     ) -> upstreams.PrefillResult | None:
         """Return the prefill result for a retry of a rejected decode, or none.
 
@@ -293,15 +299,19 @@
         the KV cache.  If it supports chunked prefill, it is asked once to
         prefill the prompt itself, which handles both cases if it has free
         capacity by now, and needs no third engine.
+
+        :param attempt: the attempt
+        :param prefill: the result of its prefill, which is kept until an
+            engine accepts the decode
+        :param sent: the result that was sent with the rejected decode
         """
         if self._reassign_decode(attempt):
-            return prefill
+            return prefill if self._reserve_reassigned(attempt) else None
         if not attempt.decode.supports_chunked_prefill:
             self._parts.clock.sleep_ms(DECODE_REASSIGN_DELAY_MS)
-            return prefill
-        if not prefill.transfer:
+            return sent
+        if not sent.transfer:
             return None
-        self._parts.cancelling.cancel(attempt.prefill, attempt.label)
         return upstreams.PrefillResult({}, prefill.prompt_tokens, 0)
 
     def _reassign_unreached_decode(
@@ -320,10 +330,19 @@
             if self._exchange.has_gone.is_set():
                 break
             if self._reassign_decode(attempt, is_unreached=True):
-                return prefill
+                return prefill if self._reserve_reassigned(attempt) else None
             clock_.sleep_ms(DECODE_REASSIGN_DELAY_MS)
         return None
 
+    def _reserve_reassigned(self, attempt: attempts.Attempt) -> bool:
+        """Reserve KV cache at the new engine of a decode that requires it.
+
+        :returns: whether the decode may be sent
+        """
+        return (
+            not attempt.requires_reservation or self._prepare(attempt).is_ok()
+        )
+
     def _reassign_decode(
         self, attempt: attempts.Attempt, is_unreached: bool = False
     ) -> bool:
