Ranks of jobs: from the tables to the scheduler's jobs

No decision read the ranks of routes and accounts, and a malformed rank of an account would have become an exception in the first decision that compares it. Jobs carry their rank, the ranks that their pool can have and the caller's own deadline; nothing decides by them yet.

A malformed rank is logged, and its route or account keeps the one in force. Rejecting the whole configuration, as for other malformed values, was ruled out: it would also keep keys that are taken away in force, and the servers as they were.

tests/test_model_job.py builds its jobs from a real account and real tables, since the builder now asks them for ranks; its checks are unchanged.

--- a/mulberryway/filters/model_job.py
+++ b/mulberryway/filters/model_job.py
@@ -11,6 +11,7 @@
 from mulberryway.filters import base
 from mulberryway.filters import route
 from mulberryway.policy import jobs
+from mulberryway.policy import ranks
 
 __all__ = ["JobBuilder"]
 
@@ -66,6 +67,7 @@
             none for any
         """
         exchange = self._exchange
+        route_ = exchange.route
         return jobs.Job(
             f"{exchange.request_id}-{number}",
             exchange.account.name,
@@ -82,13 +84,15 @@
             self._choose_excluded(avoid),
             exchange.digest,
             exchange.expected_tokens,
-            since_ms + exchange.route.target_ms
-            if exchange.route.target_ms
-            else 0,
-            route.is_idempotent(exchange)
-            and number + 1 < exchange.route.max_attempts,
+            since_ms + route_.target_ms if route_.target_ms else 0,
+            route.is_idempotent(exchange) and number + 1 < route_.max_attempts,
             required_version,
             exchange.part_keys,
+            ranks.compute_rank(route_.priority, exchange.account.priority),
+            ranks.make_pool_ranks(
+                exchange.tables.list_priorities(exchange.pool.name)
+            ),
+            limit,
         )
 
     def _compute_start_deadline(
@@ -152,6 +156,7 @@
             "request_id": exchange.request_id,
             "job": job.job_id,
             "pool": job.pool,
+            "rank": job.rank,
             "prompt_tokens": job.prompt_tokens,
             "expected_tokens": job.expected_tokens or job.max_tokens,
             "waited_ms": waited_ms,
--- a/mulberryway/platform/tables.py
+++ b/mulberryway/platform/tables.py
@@ -4,6 +4,7 @@
 import logging
 import typing
 
+from mulberryway import logs
 from mulberryway import tables
 from mulberryway.controllers import mirrored_tables
 from mulberryway.objects import base
@@ -100,9 +101,15 @@
         )
 
     def _parse_configuration(self, value: Value) -> None:
-        accounts = tuple(map(_parse_account, value.get("tenants") or ()))
+        account_ranks = {row.name: row.priority for row in self._accounts}
+        accounts = tuple(
+            _parse_account(row, account_ranks)
+            for row in value.get("tenants") or ()
+        )
+        route_ranks = {row.name: row.priority for row in self._routes}
         routes = tuple(
-            _parse_route(row, not accounts) for row in value["routes"]
+            _parse_route(row, not accounts, route_ranks)
+            for row in value["routes"]
         )
         pools = tuple(
             _parse_pool(row, _find_min_gap_target(row, routes))
@@ -112,7 +119,11 @@
         self._accounts = accounts
 
 
-def _parse_route(row: Value, allows_anonymous: bool) -> tables.Route:
+def _parse_route(
+    row: Value,
+    allows_anonymous: bool,
+    ranks: collections.abc.Mapping[str, int | None],
+) -> tables.Route:
     kind = wire.parse_string(row["kind"])
     is_streaming = kind == STREAMING
     weighted_pools = tuple(
@@ -146,7 +157,7 @@
         max_attempts=wire.parse_integer(row.get("max_attempts", 1), 1),
         target_ms=wire.parse_integer(row.get("target_latency_ms", 0)),
         target_gap_ms=wire.parse_integer(row.get("target_gap_ms") or 0),
-        priority=wire.parse_integer(row.get("priority", 0)),
+        priority=_parse_rank(row, ranks) or 0,
     )
 
 
@@ -157,11 +168,7 @@
         (
             route.target_gap_ms
             for route in routes
-            if route.target_gap_ms
-            and (
-                route.pool == name
-                or any(share.pool == name for share in route.weighted_pools)
-            )
+            if route.target_gap_ms and route.leads_to(name)
         ),
         default=0,
     )
@@ -210,7 +217,9 @@
     )
 
 
-def _parse_account(row: Value) -> tables.ClientAccount:
+def _parse_account(
+    row: Value, ranks: collections.abc.Mapping[str, int | None]
+) -> tables.ClientAccount:
     # A missing rate or a rate of 0 means no limit.
     return tables.ClientAccount(
         wire.parse_string(row["name"]),
@@ -218,10 +227,38 @@
         wire.parse_integer(row.get("rate_per_s") or 0),
         wire.parse_integer(row.get("burst") or 0),
         plain_tokens=wire.parse_integer(row.get("plain_tokens") or 0),
-        priority=row.get("priority"),
+        priority=_parse_rank(row, ranks),
     )
 
 
+def _parse_rank(
+    row: Value, previous: collections.abc.Mapping[str, int | None]
+) -> int | None:
+    """Return the rank of a route or an account; None if it has none.
+
+    A malformed one must not keep the rest of a configuration from taking
+    effect, for example keys that are taken away.
+
+    :param row: the encoded route or account
+    :param previous: the ranks in force by name, which remain in that case
+    """
+    value = row.get("priority")
+    try:
+        return None if value is None else wire.parse_integer(value)
+    except ValueError as error:
+        name = wire.parse_string(row["name"])
+        LOG.error(
+            "a rank in the configuration is malformed",
+            extra=logs.make_extra(
+                row=name,
+                value=repr(value)[: wire.MAX_LOGGED_LENGTH],
+                in_force=previous.get(name),
+                reason=repr(error),
+            ),
+        )
+        return previous.get(name)
+
+
 class _Server:
     """A server entry after parsing.
 
--- a/mulberryway/policy/jobs.py
+++ b/mulberryway/policy/jobs.py
@@ -4,6 +4,7 @@
 
 from mulberryway import clock
 from mulberryway import errors
+from mulberryway.policy import ranks
 
 __all__ = [
     "Assignment",
@@ -44,6 +45,10 @@
         of its stream, without which it cannot be decoded; none for any
     :param part_keys: keys of the prompt's parts that other requests may share,
         see ``policy.part_quarantine``
+    :param rank: its rank under overload; 0 is the highest
+    :param pool_ranks: the ranks that jobs of its pool can have
+    :param caller_deadline: when its caller stops waiting; none if that is
+        the deadline for the first token
     """
 
     __slots__ = (
@@ -66,6 +71,9 @@
         "is_retry_safe",
         "required_version",
         "part_keys",
+        "rank",
+        "pool_ranks",
+        "caller_deadline",
     )
 
     def __init__(
@@ -89,7 +97,13 @@
         is_retry_safe: bool = False,
         required_version: str | None = None,
         part_keys: tuple[str, ...] = (),
+        rank: int = ranks.DEFAULT_RANK,
+        pool_ranks: ranks.PoolRanks = ranks.SINGLE_RANK,
+        caller_deadline: clock.Deadline | None = None,
     ) -> None:
+        self.rank = rank
+        self.pool_ranks = pool_ranks
+        self.caller_deadline = caller_deadline or deadline
         self.part_keys = part_keys
         self.is_retry_safe = is_retry_safe
         self.required_version = required_version
@@ -110,6 +124,22 @@
         self.expected_tokens = expected_tokens
         self.first_token_target_ms = first_token_target_ms
 
+    @property
+    def request_id(self) -> str:
+        """The request that it is an attempt of."""
+        return self.job_id.rpartition("-")[0] or self.job_id
+
+    def compute_queue_rank(self) -> int:
+        """Return how many ranks below the highest of its pool it is queued.
+
+        A resumed stream is not put behind: its caller has its beginning.
+        """
+        if not self.pool_ranks.differ or self.required_version is not None:
+            return 0
+        return ranks.compute_queue_rank(
+            self.rank, self.pool_ranks, self.request_id
+        )
+
 
 class Assignment:
     """The placement of a job that may start; its decode slot is reserved.
--- a/mulberryway/tables/model.py
+++ b/mulberryway/tables/model.py
@@ -300,6 +300,15 @@
         self.timeout_ms = timeout_ms
         self.accounts = accounts
 
+    def leads_to(self, pool: str) -> bool:
+        """Return whether requests of the route may go to a pool.
+
+        :param pool: the pool's name
+        """
+        return pool == self.pool or any(
+            weighted.pool == pool for weighted in self.weighted_pools
+        )
+
 
 class ClientAccount:
     """A client account: its keys and its rate limit.
@@ -362,6 +371,7 @@
         "accounts",
         "_by_prefix",
         "_by_digest",
+        "_priorities",
     )
 
     def __init__(
@@ -383,6 +393,8 @@
             for account in accounts
             for digest in account.key_digests
         }
+        # Computed on first use, because it visits all accounts.
+        self._priorities: dict[str, frozenset[int]] = {}
 
     def find_route(self, path: str, host: str = "") -> Route | None:
         """Return the route with the longest prefix of a path.
@@ -413,6 +425,38 @@
         """
         return self._by_digest.get(key_digest)
 
+    def list_priorities(self, pool: str) -> frozenset[int]:
+        """Return the priorities that requests to a pool can have.
+
+        :param pool: the pool's name
+        :returns: those of its routes and of the accounts that override them
+        """
+        found = self._priorities.get(pool)
+        if found is None:
+            found = self._priorities[pool] = self._collect_priorities(pool)
+        return found
+
+    def _collect_priorities(self, pool: str) -> frozenset[int]:
+        return frozenset(
+            priority
+            for route in self.routes.values()
+            if route.leads_to(pool)
+            for priority in self._collect_route_priorities(route)
+        )
+
+    def _collect_route_priorities(self, route: Route) -> set[int]:
+        overriding = {
+            account.priority
+            for name, account in self.accounts.items()
+            if not route.accounts or name in route.accounts
+        }
+        if route.is_public or not overriding:
+            overriding.add(None)
+        return {
+            route.priority if priority is None else priority
+            for priority in overriding
+        }
+
 
 def _list_prefixes(path: str) -> collections.abc.Iterator[str]:
     """Yield the prefixes that match a path, the longest first.
--- a/tests/test_model_job.py
+++ b/tests/test_model_job.py
@@ -17,9 +17,9 @@
     """Return the job of a stream that needs an engine."""
     exchange = types.SimpleNamespace(
         request_id="r",
-        account=types.SimpleNamespace(name="a", weight=1),
+        account=tables.ClientAccount("a", (), 0, 0),
         pool=types.SimpleNamespace(name="p", upstreams=()),
-        tables=types.SimpleNamespace(pools={}),
+        tables=tables.Tables(1, (), (), ()),
         model="m",
         estimate=100,
         max_tokens=100,
