Order, admission and gossip of waiting jobs by rank

Under overload chance decided who waited and who was refused. Jobs of higher ranks go first; 3 in 10 of the others are queued with the highest rank, so that none starves; the estimated wait no longer counts what waits behind a job; a job of a lower rank is refused at once when its rank waits too long already; a full queue rejects the latest job of the lowest rank for one of a higher rank; VMs tell each other how many jobs of each rank wait. Callers that are refused return spread, those of higher ranks earlier.

Pools with one rank decide as before.

Half of the target for the observed wait: until the oldest job has waited that long, arrivals go on, and they wait up to as long again.

--- a/mulberryway/policy/admission.py
+++ b/mulberryway/policy/admission.py
@@ -11,6 +11,10 @@
 
 __all__ = ["Admission"]
 
+# A job below the highest rank is refused when others of its rank or higher
+# ones have waited for this fraction of the time until its target.  The queue
+# goes on growing for as long as the oldest job has waited.
+MAX_WAITED_FRACTION = 0.5
 # Divides estimated waits.  The estimate is rough, and a wrong rejection loses
 # a job that would have been served, so only clearly too long waits count.
 WAIT_TOLERANCE = 1.5
@@ -43,13 +47,15 @@
         self._peers = peers
         self._stats = stats
 
-    def check_capacity(self, job: jobs.Job) -> errors.Fault | None:
+    def check_capacity(self, job: jobs.Job, rank: int) -> errors.Fault | None:
         """Reject a job that exceeds the queue capacity.
 
         :param job: the job
-        :returns: the fault, or None if there is capacity
+        :param rank: its queue rank
+        :returns: the fault, or None if there is capacity, at least in place
+            of jobs of lower ranks
         """
-        if self._queue.has_room(job):
+        if self._queue.list_displaceable(job, rank) is not None:
             return None
         return make_rejection(
             errors.Code.OVERLOADED,
@@ -92,6 +98,7 @@
         best: placements.Placement,
         latest_ms: int,
         now_ms: int,
+        rank: int = 0,
     ) -> errors.Fault | None:
         """Reject a job whose first token would miss its deadline.
 
@@ -99,6 +106,7 @@
         :param best: the best prefill placement available now
         :param latest_ms: latest start time in ms
         :param now_ms: current time in ms
+        :param rank: its queue rank
         :returns: the fault, or None if the job can be admitted
         """
         if now_ms > latest_ms:
@@ -111,11 +119,11 @@
         limit_wait_ms = self._placer.get_limit_wait_ms(job, now_ms)
         wait_ms = max(
             queue_ms,
-            self._estimate_slot_wait_ms(job, now_ms),
+            self._estimate_slot_wait_ms(job, now_ms, rank),
             limit_wait_ms,
         )
         if now_ms + wait_ms <= latest_ms:
-            return None
+            return self._check_waited(job, now_ms, rank)
         fault = make_rejection(
             errors.Code.OVERLOADED,
             job,
@@ -133,36 +141,86 @@
         }
         return fault
 
-    def _estimate_slot_wait_ms(self, job: jobs.Job, now_ms: int) -> float:
+    def _check_waited(
+        self, job: jobs.Job, now_ms: int, rank: int
+    ) -> errors.Fault | None:
+        """Reject a job of a lower rank whose rank already waits too long.
+
+        How much of the throughput higher ranks will take cannot be estimated
+        by a VM that sees few requests, but how long jobs wait is observed.
+        """
+        left_ms = job.first_token_target_ms - now_ms
+        if not rank or job.attempt or left_ms <= 0:
+            return None
+        free = self._placer.estimate_free_slots(now_ms)
+        if free > self._queue.count_requiring(None, rank):
+            return None
+        waited_ms = self._get_oldest_ms(rank, now_ms)
+        if waited_ms <= left_ms * MAX_WAITED_FRACTION:
+            return None
+        fault = make_rejection(
+            errors.Code.OVERLOADED,
+            job,
+            "jobs of its rank or higher ones wait too long",
+            self._stats.clamp_retry_ms(waited_ms),
+        )
+        fault.inputs = {
+            "oldest_ms": waited_ms,
+            "left_ms": left_ms,
+            "waiting": len(self._queue),
+            "free_slots": free,
+        }
+        return fault
+
+    def _get_oldest_ms(self, rank: int, now_ms: int) -> int:
+        """Return how long the pool's jobs of a rank or higher ones waited."""
+        states = map(self._queue.get_rank, range(rank + 1))
+        entries = (state.find_oldest() for state in states if state)
+        return max(
+            self._peers.get_oldest_ms(rank, now_ms),
+            *(now_ms - entry.job.arrived_ms for entry in entries if entry),
+            0,
+        )
+
+    def _estimate_slot_wait_ms(
+        self, job: jobs.Job, now_ms: int, rank: int
+    ) -> float:
         # In virtual time a job waits until the account's start is reached.
         # Virtual time advances by the pool's throughput divided by the
         # waiting weights.  This takes constant time for any number of waiting
         # jobs or accounts.
         #
+        # Jobs of higher ranks all precede it, those of lower ranks do not.
+        #
         # Jobs that require a software version and others wait for different
         # slots, so neither are counted for the other.
         version = job.required_version
         free = self._placer.estimate_free_slots(now_ms, version)
-        if free > self._queue.count_requiring(version):
+        if free > self._queue.count_requiring(version, rank):
             return 0.0
         state = self._queue.find_account(job.account, job.weight)
-        resumed = state.lanes[fair_queue.Lane.RESUMED]
+        lanes = state.get_lanes(rank)
+        resumed = lanes[fair_queue.Lane.RESUMED]
         own = sum(
             estimate_lane_cost(lane)
-            for lane in state.lanes
+            for lane in lanes
             if (lane is resumed) is (version is not None)
         )
         start = self._queue.get_virtual_start(job.account) + own / state.weight
         distance = max(start - self._queue.virtual_time, 0.0)
-        weights = self._queue.weight_waiting + self._peers.sum_waiting_weight(
-            now_ms
+        same = self._queue.get_rank(rank)
+        weights = (
+            same.weight if same is not None else 0
+        ) + self._peers.sum_waiting_weight(now_ms, rank)
+        higher = (
+            self._queue.sum_cost_above(rank)
+            + self._peers.count_above(rank, now_ms) * self._stats.cost.value
         )
         throughput = self._stats.estimate_throughput(
             self._placer.count_slots(version)
         )
-        return (
-            distance * max(weights, state.weight) / throughput / WAIT_TOLERANCE
-        )
+        cost = higher + distance * max(weights, state.weight)
+        return cost / throughput / WAIT_TOLERANCE
 
 
 def estimate_lane_cost(lane: dict[str, fair_queue.QueueEntry]) -> float:
--- a/mulberryway/policy/fair_queue.py
+++ b/mulberryway/policy/fair_queue.py
@@ -1,18 +1,16 @@
-"""Orders the waiting jobs of one pool by start-time fair queueing.
+"""Orders the waiting jobs of one pool by rank and fair queueing.
 
 Each client account has a virtual start, in tokens divided by its weight,
 which grows with the tokens that were charged to it; the account with the
-smallest virtual start is next.  All operations take logarithmic time in the
+smallest virtual start is next.  Each queue rank has an order of its own, and
+lower numbers go first.  All operations take logarithmic time in the
 number of waiting accounts and entries.
 """
 
-import collections
 import collections.abc
 import heapq
 import itertools
 
-import sortedcontainers
-
 from mulberryway.policy import jobs
 from mulberryway.policy import queue_entries
 
@@ -30,6 +28,8 @@
 # is served first until the credit is used up: about fifteen ordinary requests,
 # or two to three seconds of a small pool's throughput.
 MAX_CREDIT_TOKENS = 6_000.0
+# Bounds the jobs that one job of a higher rank may displace.
+MAX_DISPLACED = 8
 
 
 AccountState = queue_entries.AccountState
@@ -51,10 +51,8 @@
         self.weight_waiting = 0
         self.bytes = 0
         self._entries: dict[str, QueueEntry] = {}
-        # The number of entries by the software version that they require.
-        self._versions: collections.Counter[str | None] = collections.Counter()
+        self._ranks: dict[int, queue_entries.RankState] = {}
         self._accounts: dict[str, AccountState] = {}
-        self._order = sortedcontainers.SortedList()
         self._expiry_heap: list[tuple[int, int, str]] = []
         self._numbers = itertools.count()
 
@@ -75,7 +73,7 @@
             self._accounts[name] = state
         elif state.weight != max(weight, 1):
             if state.waiting:
-                self.weight_waiting += max(weight, 1) - state.weight
+                self._change_weight(state, max(weight, 1) - state.weight)
             state.weight = max(weight, 1)
         return state
 
@@ -88,13 +86,42 @@
         state = self._accounts.get(name)
         return state.waiting if state is not None else 0
 
-    def count_requiring(self, version: str | None) -> int:
+    def count_requiring(
+        self, version: str | None, rank: int | None = None
+    ) -> int:
         """Return the number of waiting jobs with a required version.
 
         :param version: the software version; none for jobs without one
+        :param rank: the lowest queue rank to count; none for all
         :returns: the number
         """
-        return self._versions[version]
+        return sum(
+            state.versions[version]
+            for number, state in self._ranks.items()
+            if rank is None or number <= rank
+        )
+
+    def get_rank(self, rank: int) -> queue_entries.RankState | None:
+        """Return the waiting jobs of a queue rank; none if there are none.
+
+        :param rank: the queue rank
+        """
+        return self._ranks.get(rank)
+
+    def list_ranks(self) -> list[int]:
+        """Return the queue ranks of the waiting jobs, the highest first."""
+        return sorted(self._ranks)
+
+    def sum_cost_above(self, rank: int) -> float:
+        """Return the cost of waiting jobs of higher queue ranks, in tokens.
+
+        :param rank: the queue rank
+        """
+        return sum(
+            state.cost
+            for number, state in self._ranks.items()
+            if number < rank
+        )
 
     def get_virtual_start(self, name: str) -> float:
         """Return the virtual start that orders an account.
@@ -131,13 +158,68 @@
         :param job: the job
         :returns: whether it fits
         """
+        return not self._exceeds(job) and not self._exceeds_share(job)
+
+    def list_displaceable(
+        self, job: jobs.Job, rank: int
+    ) -> list[QueueEntry] | None:
+        """Return the jobs to reject so that a job of a higher rank fits.
+
+        :param job: the job
+        :param rank: its queue rank
+        :returns: the latest ones of the lowest queue ranks; none if that is
+            not enough
+        """
+        displaced: list[QueueEntry] = []
+        while self._exceeds_share(job, displaced):
+            entry = self._find_last(rank, displaced, job.account)
+            if entry is None:
+                return None
+            displaced.append(entry)
+        while self._exceeds(job, displaced):
+            entry = self._find_last(rank, displaced)
+            if entry is None:
+                return None
+            displaced.append(entry)
+        return displaced
+
+    def _exceeds(
+        self, job: jobs.Job, removed: collections.abc.Sequence[QueueEntry] = ()
+    ) -> bool:
+        size = self.bytes + job.body_bytes - _sum_bytes(removed)
+        return (
+            len(self._entries) + 1 - len(removed) > self.max_entries
+            or size > self.max_bytes
+        )
+
+    def _exceeds_share(
+        self, job: jobs.Job, removed: collections.abc.Sequence[QueueEntry] = ()
+    ) -> bool:
         state = self.find_account(job.account, job.weight)
-        entries, size = len(self._entries) + 1, self.bytes + job.body_bytes
+        size = state.bytes + job.body_bytes - _sum_bytes(removed)
         return (
-            entries <= self.max_entries
-            and size <= self.max_bytes
-            and (state.waiting + 1) * 2 <= self.max_entries
-            and (state.bytes + job.body_bytes) * 2 <= self.max_bytes
+            state.waiting + 1 - len(removed)
+        ) * 2 > self.max_entries or size * 2 > self.max_bytes
+
+    def _find_last(
+        self,
+        rank: int,
+        excluded: list[QueueEntry],
+        account: str | None = None,
+    ) -> QueueEntry | None:
+        """Return the latest job of the lowest rank below a queue rank."""
+        if len(excluded) >= MAX_DISPLACED:
+            return None
+        return next(
+            (
+                entry
+                for number in reversed(self.list_ranks())
+                if number > rank
+                for entry in reversed(self._ranks[number].entries.values())
+                if entry not in excluded
+                and (account is None or entry.job.account == account)
+            ),
+            None,
         )
 
     def push(self, entry: QueueEntry) -> None:
@@ -149,14 +231,19 @@
         state = self.find_account(job.account, job.weight)
         if not state.waiting:
             state.virtual_start = self._get_idle_start(state)
-            self._order.add((state.virtual_start, state.name))
             self.weight_waiting += state.weight
-        state.lanes[entry.lane][job.job_id] = entry
+        rank = self._ranks.get(entry.rank)
+        if rank is None:
+            rank = self._ranks[entry.rank] = queue_entries.RankState()
+        if not state.has_waiting(entry.rank):
+            rank.order.add((state.virtual_start, state.name))
+            rank.weight += state.weight
+        rank.add(entry)
+        state.get_lanes(entry.rank)[entry.lane][job.job_id] = entry
         state.waiting += 1
         state.bytes += job.body_bytes
         self.bytes += job.body_bytes
         self._entries[job.job_id] = entry
-        self._versions[job.required_version] += 1
         heapq.heappush(
             self._expiry_heap,
             (entry.latest_start_ms, next(self._numbers), job.job_id),
@@ -172,19 +259,28 @@
         if entry is None:
             return None
         job = entry.job
-        self._versions[job.required_version] -= 1
-        if not self._versions[job.required_version]:
-            del self._versions[job.required_version]
         state = self._accounts[job.account]
-        del state.lanes[entry.lane][job_id]
+        del state.get_lanes(entry.rank)[entry.lane][job_id]
+        self._remove_from_rank(entry, state)
         state.waiting -= 1
         state.bytes -= job.body_bytes
         self.bytes -= job.body_bytes
         if not state.waiting:
-            self._order.remove((state.virtual_start, state.name))
             self.weight_waiting -= state.weight
         return entry
 
+    def _remove_from_rank(
+        self, entry: QueueEntry, state: AccountState
+    ) -> None:
+        rank = self._ranks[entry.rank]
+        rank.remove(entry)
+        if not state.has_waiting(entry.rank):
+            rank.order.remove((state.virtual_start, state.name))
+            rank.weight -= state.weight
+            state.lower_lanes.pop(entry.rank, None)
+        if not rank.entries:
+            del self._ranks[entry.rank]
+
     def list_entries(self) -> list[QueueEntry]:
         """Return all waiting entries, in no particular order."""
         return list(self._entries.values())
@@ -196,10 +292,10 @@
         :param lane: the lane
         """
         entry = self._entries[job_id]
-        state = self._accounts[entry.job.account]
-        del state.lanes[entry.lane][job_id]
+        lanes = self._accounts[entry.job.account].get_lanes(entry.rank)
+        del lanes[entry.lane][job_id]
         entry.lane = lane
-        state.lanes[lane][job_id] = entry
+        lanes[lane][job_id] = entry
 
     def pop_expired(self, now_ms: int) -> collections.abc.Iterator[QueueEntry]:
         """Remove the jobs that can no longer meet their deadline.
@@ -220,15 +316,25 @@
             heapq.heappop(self._expiry_heap)
         return self._expiry_heap[0][0] if self._expiry_heap else None
 
-    def list_next(self, limit: int) -> list[AccountState]:
+    def list_next(
+        self, limit: int, rank: int | None = None
+    ) -> list[AccountState]:
         """Return the next accounts in fair order, without any change.
 
         :param limit: maximum number of accounts
+        :param rank: the queue rank of which they have jobs; none for any
         :returns: the accounts in order
         """
+        orders = [
+            state.order
+            for number, state in self._ranks.items()
+            if rank is None or number == rank
+        ]
+        # An account is in each order once at most.
+        merged = itertools.islice(heapq.merge(*orders), limit * len(orders))
+        names = dict.fromkeys(name for _, name in merged)
         return [
-            self._accounts[name]
-            for _, name in itertools.islice(self._order, limit)
+            self._accounts[name] for name in itertools.islice(names, limit)
         ]
 
     def charge(self, name: str, weight: int, tokens: float) -> None:
@@ -263,11 +369,17 @@
         return max(self.virtual_time - MAX_CREDIT_TOKENS, 0.0)
 
     def _set_start(self, state: AccountState, start: float) -> None:
-        if state.waiting:
-            self._order.remove((state.virtual_start, state.name))
-            self._order.add((start, state.name))
+        for number in state.list_ranks() if state.waiting else ():
+            order = self._ranks[number].order
+            order.remove((state.virtual_start, state.name))
+            order.add((start, state.name))
         state.virtual_start = start
 
+    def _change_weight(self, state: AccountState, change: int) -> None:
+        self.weight_waiting += change
+        for number in state.list_ranks():
+            self._ranks[number].weight += change
+
     def _get_idle_start(self, state: AccountState) -> float:
         return max(state.virtual_start, self._get_min_start())
 
@@ -280,3 +392,7 @@
             if state.waiting
             or state.virtual_start > self.virtual_time - MAX_CREDIT_TOKENS
         }
+
+
+def _sum_bytes(entries: collections.abc.Iterable[QueueEntry]) -> int:
+    return sum(entry.job.body_bytes for entry in entries)
--- a/mulberryway/policy/note_receiver.py
+++ b/mulberryway/policy/note_receiver.py
@@ -1,14 +1,19 @@
 """Applies notes from peers, and expires the state of unresponsive peers."""
 
 import collections.abc
+import logging
 
+from mulberryway import logs
 from mulberryway.policy import crash_reports
 from mulberryway.policy import failure_reports
 from mulberryway.policy import hints
+from mulberryway.policy import peer_ranks
 from mulberryway.policy import pool_scheduler
 
 __all__ = ["NoteReceiver"]
 
+LOG = logging.getLogger(__name__)
+
 # A crashed router uses no slots, but one whose notes are lost for a moment
 # does. Three missed heartbeats distinguish the two well enough, since the
 # engines make the final decision.
@@ -22,6 +27,7 @@
 FRESH_MS = 1_500
 HOLDING = "holding"
 ACCOUNT = "account"
+RANK = "rank"
 
 
 class _PeerState:
@@ -33,6 +39,7 @@
         "at_ms",
         "applied",
         "is_unresponsive",
+        "has_malformed",
     )
 
     def __init__(self, incarnation: int, at_ms: int) -> None:
@@ -43,6 +50,8 @@
         # of order, and each contains only changes.
         self.applied: dict[tuple[str, str, str], int] = {}
         self.is_unresponsive = False
+        # Bounds the log lines on malformed reports to one an incarnation.
+        self.has_malformed = False
 
     def accepts(self, key: tuple[str, str, str], sequence: int) -> bool:
         """Return whether a note is the newest on its subject."""
@@ -99,6 +108,34 @@
             key = (ACCOUNT, account.pool, account.account)
             if pool is not None and peer.accepts(key, note.sequence):
                 pool.peer_accounts.note(note.vm, account, now_ms)
+        self._apply_ranks(note, peer, pools_, now_ms)
+
+    def _apply_ranks(
+        self,
+        note: hints.Note,
+        peer: _PeerState,
+        pools_: collections.abc.Mapping[str, pool_scheduler.PoolScheduler],
+        now_ms: int,
+    ) -> None:
+        for item in note.ranks:
+            if not peer_ranks.is_valid(item):
+                if not peer.has_malformed:
+                    LOG.error(
+                        "a peer's report on ranks is malformed",
+                        extra=logs.make_extra(
+                            vm=note.vm,
+                            pool=item.pool,
+                            rank=item.rank,
+                            waiting=item.waiting,
+                            oldest_ms=item.oldest_ms,
+                        ),
+                    )
+                peer.has_malformed = True
+                continue
+            pool = pools_.get(item.pool)
+            key = (RANK, item.pool, str(item.rank))
+            if pool is not None and peer.accepts(key, note.sequence):
+                pool.peer_ranks.note(note.vm, item, now_ms)
 
     def compute_max_age_ms(self, now_ms: int) -> int:
         """Return the age of the oldest note among responsive peers.
@@ -168,7 +205,7 @@
             peer.applied = {
                 key: sequence
                 for key, sequence in peer.applied.items()
-                if key[0] == ACCOUNT or key[1:] in known
+                if key[0] in (ACCOUNT, RANK) or key[1:] in known
             }
 
     def _find(
@@ -223,5 +260,6 @@
 ) -> None:
     for pool in pools_.values():
         pool.peer_accounts.remove_peer(vm)
+        pool.peer_ranks.remove_peer(vm)
         for view in pool.members.list_all():
             view.forget_peer(vm)
--- a/mulberryway/policy/note_sender.py
+++ b/mulberryway/policy/note_sender.py
@@ -66,6 +66,10 @@
         self._charged: dict[tuple[str, str], float] = {}
         self._weights: dict[tuple[str, str], int] = {}
         self._sent_waiting: dict[tuple[str, str], tuple[int, int]] = {}
+        # Pools and ranks of waiting jobs in the last message on ranks, and
+        # when it was sent, in ms.
+        self._sent_ranks: set[tuple[str, int]] = set()
+        self._ranks_ms = 0
         self._at_ms: int | None = None
         self._full_note_ms: int | None = None
 
@@ -175,12 +179,37 @@
                 if pool in pools_
             ],
             deaths,
+            self._list_ranks(pools_, now_ms),
         )
         self._views, self._accounts = set(views[MAX_HOLDINGS:]), set()
         self._sent_waiting = waiting
         self._at_ms = now_ms
         return note
 
+    def _list_ranks(
+        self,
+        pools_: collections.abc.Mapping[str, pool_scheduler.PoolScheduler],
+        now_ms: int,
+    ) -> list[hints.RankNote]:
+        """Return the waiting jobs by rank, of pools where ranks differ."""
+        if now_ms - self._ranks_ms < WAITING_MS and self._sent_ranks:
+            return []
+        waiting = {
+            (name, rank)
+            for name, pool in pools_.items()
+            if any(ranks := pool.queue.list_ranks())
+            for rank in ranks
+        }
+        # Peers forget a rank by a report that none of its jobs waits.
+        removed = self._sent_ranks - waiting
+        if waiting or removed:
+            self._ranks_ms = now_ms
+        self._sent_ranks = waiting
+        return [
+            _make_rank_note(pools_.get(name), name, rank, now_ms)
+            for name, rank in sorted(waiting | removed)
+        ]
+
     def _mark_all_if_due(
         self,
         pools_: collections.abc.Mapping[str, pool_scheduler.PoolScheduler],
@@ -266,3 +295,17 @@
             view.health.drain_outcomes(),
         )
     ]
+
+
+def _make_rank_note(
+    pool: pool_scheduler.PoolScheduler | None,
+    name: str,
+    rank: int,
+    now_ms: int,
+) -> hints.RankNote:
+    state = pool.queue.get_rank(rank) if pool is not None else None
+    if state is None:
+        return hints.RankNote(name, rank, 0, 0)
+    oldest = state.find_oldest()
+    oldest_ms = now_ms - oldest.job.arrived_ms if oldest is not None else 0
+    return hints.RankNote(name, rank, len(state.entries), max(oldest_ms, 0))
--- a/mulberryway/policy/peer_accounts.py
+++ b/mulberryway/policy/peer_accounts.py
@@ -1,7 +1,10 @@
 """Client accounts' usage and waiting jobs, as reported by peers."""
 
+import itertools
+
 from mulberryway.policy import fair_queue
 from mulberryway.policy import hints
+from mulberryway.policy import peer_ranks
 
 __all__ = ["PeerAccounts"]
 
@@ -26,12 +29,18 @@
     """One pool's accounts as reported by the other routers of the subset.
 
     :param fair: the pool's fair queue, which orders the accounts
+    :param ranks: the ranks of the peers' waiting jobs
     """
 
-    __slots__ = ("_fair", "_charged", "_waiting")
+    __slots__ = ("_fair", "_ranks", "_charged", "_waiting")
 
-    def __init__(self, fair: fair_queue.FairQueue) -> None:
+    def __init__(
+        self,
+        fair: fair_queue.FairQueue,
+        ranks: peer_ranks.PeerRanks | None = None,
+    ) -> None:
         self._fair = fair
+        self._ranks = ranks or peer_ranks.PeerRanks()
         self._charged: dict[str, dict[str, int]] = {}
         self._waiting: dict[str, dict[str, _Waiting]] = {}
 
@@ -85,11 +94,82 @@
         :returns: the number of jobs
         """
         return sum(
-            self._count_account(account, waiting, state, entry, slack_tokens)
-            for accounts in self._waiting.values()
-            for account, waiting in accounts.items()
+            self._count_peer(vm, state, entry, slack_tokens, now_ms)
+            for vm in self._waiting
+        )
+
+    def _count_peer(
+        self,
+        vm: str,
+        state: fair_queue.AccountState,
+        entry: fair_queue.QueueEntry,
+        slack_tokens: int,
+        now_ms: int,
+    ) -> int:
+        fresh = self._list_fresh(vm, now_ms)
+        if not self._ranks.has_report(vm, now_ms):
+            # All jobs of this peer have the highest queue rank.
+            if entry.rank:
+                return sum(waiting.jobs for _, waiting in fresh)
+            return sum(
+                self._count_account(
+                    account, waiting, state, entry, slack_tokens
+                )
+                for account, waiting in fresh
+            )
+        equal = min(
+            sum(
+                self._count_account(
+                    account, waiting, state, entry, slack_tokens
+                )
+                for account, waiting in fresh
+            ),
+            self._ranks.count_at(vm, entry.rank, now_ms),
+        )
+        return self._ranks.count_above(vm, entry.rank, now_ms) + equal
+
+    def _list_fresh(self, vm: str, now_ms: int) -> list[tuple[str, _Waiting]]:
+        return [
+            (account, waiting)
+            for account, waiting in self._waiting[vm].items()
             if now_ms - waiting.received_ms <= WAITING_FRESH_MS
+        ]
+
+    def count_above(self, rank: int, now_ms: int) -> int:
+        """Return the number of the peers' waiting jobs of higher ranks.
+
+        :param rank: the queue rank
+        :param now_ms: current time in ms
+        """
+        if not rank:
+            return 0
+        return sum(
+            self._ranks.count_above(vm, rank, now_ms)
+            if self._ranks.has_report(vm, now_ms)
+            else sum(
+                waiting.jobs for _, waiting in self._list_fresh(vm, now_ms)
+            )
+            for vm in self._waiting
+        )
+
+    def get_oldest_ms(self, rank: int, now_ms: int) -> int:
+        """Return how long a peer's job of a rank or a higher one has waited.
+
+        :param rank: the queue rank
+        :param now_ms: current time in ms
+        :returns: the longest time in ms; 0 if none waits
+        """
+        unreported = (
+            waiting.since_ms
+            for vm in self._waiting
+            if not self._ranks.has_report(vm, now_ms)
+            for _, waiting in self._list_fresh(vm, now_ms)
         )
+        since_ms = min(
+            itertools.chain(unreported, self._ranks.list_since(rank, now_ms)),
+            default=now_ms,
+        )
+        return max(now_ms - since_ms, 0)
 
     def _count_account(
         self,
@@ -106,17 +186,23 @@
             return 1 if waiting.since_ms < entry.job.arrived_ms else 0
         return waiting.jobs if lead > 0 else 0
 
-    def sum_waiting_weight(self, now_ms: int) -> int:
+    def sum_waiting_weight(self, now_ms: int, rank: int = 0) -> int:
         """Return the total weight of accounts with waiting jobs only at peers.
 
         :param now_ms: current time in ms
+        :param rank: the queue rank of which these peers have waiting jobs
         :returns: the sum of weights, with each account counted once
         """
         names: set[str] = {
             account
-            for accounts in self._waiting.values()
-            for account, waiting in accounts.items()
-            if now_ms - waiting.received_ms <= WAITING_FRESH_MS
-            and not self._fair.count_waiting(account)
+            for vm in self._waiting
+            if self._has_waiting(vm, rank, now_ms)
+            for account, _ in self._list_fresh(vm, now_ms)
+            if not self._fair.count_waiting(account)
         }
         return sum(map(self._fair.get_weight, names))
+
+    def _has_waiting(self, vm: str, rank: int, now_ms: int) -> bool:
+        if not self._ranks.has_report(vm, now_ms):
+            return not rank
+        return bool(self._ranks.count_at(vm, rank, now_ms))
--- a/mulberryway/policy/pool_scheduler.py
+++ b/mulberryway/policy/pool_scheduler.py
@@ -1,5 +1,6 @@
 """Schedules the jobs of one pool."""
 
+import collections.abc
 import random
 
 from mulberryway import errors
@@ -13,10 +14,12 @@
 from mulberryway.policy import part_quarantine
 from mulberryway.policy import part_records
 from mulberryway.policy import peer_accounts
+from mulberryway.policy import peer_ranks
 from mulberryway.policy import placements
 from mulberryway.policy import poison
 from mulberryway.policy import pool_stats
 from mulberryway.policy import pool_upstreams
+from mulberryway.policy import ranks
 from mulberryway.policy import retries
 from mulberryway.policy import running_jobs
 from mulberryway.policy import send_limits
@@ -87,7 +90,10 @@
         self.placer = job_placement.Placer(
             members, random_, token_gap_ms, cold_starts, limits
         )
-        self.peer_accounts = peer_accounts.PeerAccounts(self.queue)
+        self.peer_ranks = peer_ranks.PeerRanks()
+        self.peer_accounts = peer_accounts.PeerAccounts(
+            self.queue, self.peer_ranks
+        )
         self.stats = pool_stats.PoolStats()
         self.budget = budget or retries.RetryBudget()
         self._admission = admission.Admission(
@@ -98,6 +104,7 @@
         self._fairness_mode = fairness_mode
         self._free_slots = UNKNOWN_FREE_SLOTS
         self._free_since_ms = 0
+        self._displaced: list[jobs.Refusal] = []
 
     def submit(self, job: jobs.Job, now_ms: int) -> errors.Fault | None:
         """Add a job to the queue, or reject it immediately.
@@ -106,10 +113,23 @@
         :param now_ms: current time in milliseconds
         :returns: the reason for a rejection, or none
         """
+        fault = self._submit(job, job.compute_queue_rank(), now_ms)
+        if fault is not None:
+            _spread_return(fault, job, now_ms)
+        return fault
+
+    def drain_displaced(self) -> list[jobs.Refusal]:
+        """Return rejections of jobs displaced from a full queue, once."""
+        displaced, self._displaced = self._displaced, []
+        return displaced
+
+    def _submit(
+        self, job: jobs.Job, rank: int, now_ms: int
+    ) -> errors.Fault | None:
         fault = (
             self._check_quarantine(job, now_ms)
             or self._check_budget(job)
-            or self._admission.check_capacity(job)
+            or self._admission.check_capacity(job, rank)
         )
         if fault is not None:
             return fault
@@ -126,19 +146,38 @@
         latest_ms = self._admission.compute_latest_start_ms(
             job, best, self.row
         )
-        fault = self._admission.check_deadline(job, best, latest_ms, now_ms)
+        fault = self._admission.check_deadline(
+            job, best, latest_ms, now_ms, rank
+        )
         if fault is not None:
             return fault
+        self._displace(job, rank, now_ms)
         cost = self.stats.estimate_cost(job, best.tokens)
         lane = self._choose_lane(job, best.prefill_ms, now_ms)
         if not len(self.queue):
             # Free slots are not estimated while the queue is empty.
             self._free_slots = UNKNOWN_FREE_SLOTS
         self.queue.push(
-            fair_queue.QueueEntry(job, lane, cost, latest_ms, best.prefill_ms)
+            fair_queue.QueueEntry(
+                job, lane, cost, latest_ms, best.prefill_ms, rank
+            )
         )
         return None
 
+    def _displace(self, job: jobs.Job, rank: int, now_ms: int) -> None:
+        """Reject waiting jobs of lower ranks until another job fits."""
+        for entry in self.queue.list_displaceable(job, rank) or ():
+            self.queue.remove(entry.job.job_id)
+            fault = admission.make_rejection(
+                errors.Code.OVERLOADED,
+                entry.job,
+                "a job of a higher rank needs the place in the queue",
+                self.stats.clamp_retry_ms(self.stats.hold_ms.value / 4),
+            )
+            fault.inputs = {"displaced_by": job.rank}
+            _spread_return(fault, entry.job, now_ms)
+            self._displaced.append(jobs.Refusal(entry.job.job_id, fault))
+
     def is_clear(self, job: jobs.Job, now_ms: int) -> bool:
         """Return whether a job is neither suspect nor quarantined.
 
@@ -182,18 +221,17 @@
         :returns: the rejections, which are final and due immediately
         """
         retry_ms = self.stats.clamp_retry_ms(self.stats.hold_ms.value / 10)
-        return [
-            jobs.Refusal(
-                entry.job.job_id,
-                admission.make_rejection(
-                    errors.Code.DEADLINE_EXCEEDED,
-                    entry.job,
-                    "no slot became free before the deadline",
-                    retry_ms,
-                ),
+        refusals = []
+        for entry in self.queue.pop_expired(now_ms):
+            fault = admission.make_rejection(
+                errors.Code.DEADLINE_EXCEEDED,
+                entry.job,
+                "no slot became free before the deadline",
+                retry_ms,
             )
-            for entry in self.queue.pop_expired(now_ms)
-        ]
+            _spread_return(fault, entry.job, now_ms)
+            refusals.append(jobs.Refusal(entry.job.job_id, fault))
+        return refusals
 
     def start_next(
         self, now_ms: int, refusals: list[jobs.Refusal]
@@ -315,13 +353,21 @@
 
     def _list_candidates(
         self, now_ms: int, refusals: list[jobs.Refusal]
+    ) -> collections.abc.Iterator[fair_queue.QueueEntry]:
+        # A lower rank is considered only if the jobs of higher ones wait for
+        # other reasons than their order.
+        for rank in self.queue.list_ranks():
+            yield from self._list_rank_candidates(rank, now_ms, refusals)
+
+    def _list_rank_candidates(
+        self, rank: int, now_ms: int, refusals: list[jobs.Refusal]
     ) -> list[fair_queue.QueueEntry]:
-        states = self.queue.list_next(MAX_ACCOUNTS_TRIED)
+        states = self.queue.list_next(MAX_ACCOUNTS_TRIED, rank)
         limit = states[0].virtual_start + self._fairness_mode.slack_tokens
         entries = [
             (state.virtual_start, entry)
             for state in states
-            for entry in state.list_heads(now_ms)
+            for entry in state.list_heads(now_ms, rank)
             if self._is_runnable(entry, now_ms, refusals)
         ]
         # Jobs that can still meet their target go first; the sort is stable
@@ -427,3 +473,17 @@
 def _get_yield_ms(ahead: int) -> int:
     """Return how long to yield a free slot to peers' jobs, in ms."""
     return min(ahead * YIELD_PER_JOB_MS, MAX_YIELD_MS)
+
+
+def _spread_return(fault: errors.Fault, job: jobs.Job, now_ms: int) -> None:
+    """Keep callers that are refused together from returning together."""
+    if fault.retry_after_ms is None or not job.pool_ranks.differ:
+        return
+    if fault.code is errors.Code.QUARANTINED:
+        return
+    fault.retry_after_ms = ranks.compute_return_ms(
+        fault.retry_after_ms,
+        job.rank - job.pool_ranks.highest,
+        job.request_id,
+        job.caller_deadline.left_ms(now_ms),
+    )
--- a/mulberryway/policy/queue_entries.py
+++ b/mulberryway/policy/queue_entries.py
@@ -1,13 +1,15 @@
-"""Holds the fair queue's waiting jobs by client account and lane."""
+"""Holds the fair queue's waiting jobs by client account, rank and lane."""
 
 import collections
 import collections.abc
 import enum
 import itertools
 
+import sortedcontainers
+
 from mulberryway.policy import jobs
 
-__all__ = ["AccountState", "QueueEntry", "Lane"]
+__all__ = ["AccountState", "QueueEntry", "Lane", "RankState"]
 
 
 # Number of a lane's entries that are searched for one that can meet its
@@ -38,9 +40,17 @@
     :param cost: estimated charge in tokens
     :param latest_start_ms: latest time to start and meet the deadline
     :param prefill_ms: estimated uncontended duration of its prefill
+    :param rank: its queue rank, see ``policy.ranks``; 0 goes first
     """
 
-    __slots__ = ("job", "lane", "cost", "latest_start_ms", "prefill_ms")
+    __slots__ = (
+        "job",
+        "lane",
+        "cost",
+        "latest_start_ms",
+        "prefill_ms",
+        "rank",
+    )
 
     def __init__(
         self,
@@ -49,7 +59,9 @@
         cost: float,
         latest_start_ms: int,
         prefill_ms: float = 0.0,
+        rank: int = 0,
     ) -> None:
+        self.rank = rank
         self.job = job
         self.lane = lane
         self.cost = cost
@@ -66,6 +78,65 @@
         return bool(target_ms) and now_ms + self.prefill_ms > target_ms
 
 
+Lanes = tuple[collections.OrderedDict[str, QueueEntry], ...]
+
+
+class RankState:
+    """The waiting jobs of one queue rank.
+
+    ``order`` holds the virtual starts and names of the accounts with such
+    jobs, ``weight`` the sum of their weights, ``cost`` the jobs' cost in
+    tokens and ``versions`` their number by required software version.
+    """
+
+    __slots__ = ("entries", "order", "weight", "cost", "versions")
+
+    def __init__(self) -> None:
+        # In order of arrival.
+        self.entries: dict[str, QueueEntry] = {}
+        self.order = sortedcontainers.SortedList()
+        self.weight = 0
+        self.cost = 0.0
+        self.versions: collections.Counter[str | None] = collections.Counter()
+
+    def add(self, entry: QueueEntry) -> None:
+        """Add a job.
+
+        :param entry: the job's entry
+        """
+        self.entries[entry.job.job_id] = entry
+        self.cost += entry.cost
+        self.versions[entry.job.required_version] += 1
+
+    def remove(self, entry: QueueEntry) -> None:
+        """Remove a job.
+
+        :param entry: the job's entry
+        """
+        del self.entries[entry.job.job_id]
+        self.cost -= entry.cost
+        version = entry.job.required_version
+        self.versions[version] -= 1
+        if not self.versions[version]:
+            del self.versions[version]
+
+    def find_oldest(self) -> QueueEntry | None:
+        """Return the oldest job that waits for any engine; none if empty.
+
+        Suspects and resumed streams may wait for reasons of their own.
+        """
+        return next(
+            (
+                entry
+                for entry in itertools.islice(
+                    self.entries.values(), MAX_LANE_SCAN
+                )
+                if entry.lane in (Lane.SHORT, Lane.LONG)
+            ),
+            None,
+        )
+
+
 class AccountState:
     """One client account's virtual start and waiting jobs."""
 
@@ -74,6 +145,7 @@
         "weight",
         "virtual_start",
         "lanes",
+        "lower_lanes",
         "waiting",
         "bytes",
     )
@@ -82,13 +154,40 @@
         self.name = name
         self.weight = max(weight, 1)
         self.virtual_start = virtual_start
-        self.lanes: tuple[collections.OrderedDict[str, QueueEntry], ...] = (
-            tuple(collections.OrderedDict() for _ in Lane)
-        )
+        self.lanes = _make_lanes()
+        # The lanes of queue ranks below the highest; most accounts have none.
+        self.lower_lanes: dict[int, Lanes] = {}
         self.waiting = 0
         self.bytes = 0
 
-    def list_heads(self, now_ms: int | None = None) -> list[QueueEntry]:
+    def get_lanes(self, rank: int) -> Lanes:
+        """Return the lanes of a queue rank.
+
+        :param rank: the queue rank
+        """
+        if not rank:
+            return self.lanes
+        lanes = self.lower_lanes.get(rank)
+        if lanes is None:
+            lanes = self.lower_lanes[rank] = _make_lanes()
+        return lanes
+
+    def has_waiting(self, rank: int) -> bool:
+        """Return whether jobs of a queue rank wait.
+
+        :param rank: the queue rank
+        """
+        return any(self.get_lanes(rank))
+
+    def list_ranks(self) -> list[int]:
+        """Return the queue ranks of the waiting jobs."""
+        return [
+            rank for rank in (0, *self.lower_lanes) if self.has_waiting(rank)
+        ]
+
+    def list_heads(
+        self, now_ms: int | None = None, rank: int | None = None
+    ) -> list[QueueEntry]:
         """Return each lane's next entry, oldest first.
 
         In strict order of age, every response of a burst would miss its
@@ -97,12 +196,15 @@
 
         :param now_ms: current time in milliseconds; none to take the oldest
             entry of each lane
-        :returns: at most one entry per lane, and one per software version of
-            the lane for resumed streams
+        :param rank: the queue rank; none for all
+        :returns: at most one entry per rank and lane, and one per software
+            version of the lane for resumed streams
         """
+        ranks = self.list_ranks() if rank is None else [rank]
         lanes = [
-            *(lane.values() for lane in self.lanes[: Lane.RESUMED] if lane),
-            *_group_by_version(self.lanes[Lane.RESUMED].values()),
+            lane
+            for rank_lanes in map(self.get_lanes, ranks)
+            for lane in _list_filled(rank_lanes)
         ]
         heads = [
             next(
@@ -119,6 +221,20 @@
         return heads
 
 
+def _make_lanes() -> Lanes:
+    return tuple(collections.OrderedDict() for _ in Lane)
+
+
+def _list_filled(
+    lanes: Lanes,
+) -> list[collections.abc.Iterable[QueueEntry]]:
+    """Return the entries of each lane that has some."""
+    return [
+        *(lane.values() for lane in lanes[: Lane.RESUMED] if lane),
+        *_group_by_version(lanes[Lane.RESUMED].values()),
+    ]
+
+
 def _group_by_version(
     lane: collections.abc.Iterable[QueueEntry],
 ) -> collections.abc.Collection[list[QueueEntry]]:
--- a/mulberryway/policy/scheduler.py
+++ b/mulberryway/policy/scheduler.py
@@ -119,6 +119,7 @@
             )
             return expression.Error(fault)
         rejection = pool.submit(job, now_ms)
+        self._pending_rejections += pool.drain_displaced()
         if rejection is not None:
             return expression.Error(rejection)
         self._waiting[job.job_id] = job.pool
