Request-Urgency, metrics by rank and headroom for the highest rank

Engines admit and preempt by the rank where the ranks of a pool differ. Lower ranks leave as many slots free as jobs of the highest rank have waited at a time lately: a slot that one of them takes in a lull is missing for the whole stream.

--- a/mulberryway/controllers/scheduling.py
+++ b/mulberryway/controllers/scheduling.py
@@ -1,5 +1,6 @@
 """Runs the scheduler for worker threads and wakes them on its decisions."""
 
+import collections
 import collections.abc
 import logging
 import threading
@@ -9,6 +10,7 @@
 from mulberryway import clock
 from mulberryway import errors
 from mulberryway import logs
+from mulberryway import metrics
 from mulberryway import tables
 from mulberryway.controllers import base
 from mulberryway.policy import base as policy
@@ -69,6 +71,10 @@
         self._started: set[str] = set()
         self._dispatched_ms = 0
         self._loads: dict[tuple[str, str], upstreams.EngineLoad] = {}
+        # Numbers of rejected jobs by pool and rank.
+        self._rejected: collections.Counter[tuple[str, int]] = (
+            collections.Counter()
+        )
         # Called after jobs were submitted, started or ended; must not block.
         self.on_change: collections.abc.Callable[[], None] = lambda: None
 
@@ -82,6 +88,20 @@
         """Number of jobs that have started and not ended."""
         return len(self._started)
 
+    def count_waiting_by_rank(self) -> list[tuple[metrics.Labels, int]]:
+        """Return the number of waiting jobs with their pool and rank."""
+        with self._lock:
+            counts = collections.Counter(
+                (ticket.job.pool, ticket.job.rank)
+                for ticket in self._tickets.values()
+            )
+        return _label_counts(counts)
+
+    def count_rejected_by_rank(self) -> list[tuple[metrics.Labels, int]]:
+        """Return the number of rejected jobs with their pool and rank."""
+        with self._lock:
+            return _label_counts(self._rejected)
+
     def is_running(self, job_id: str) -> bool:
         """Return whether a job has started and not ended.
 
@@ -115,6 +135,7 @@
         with self._lock:
             taken = self._scheduler.submit(job, self.clock.now_ms())
             if taken.is_error():
+                self._rejected[job.pool, job.rank] += 1
                 return expression.Error(taken.error)
             self._tickets[job.job_id] = ticket
             self._dispatch()
@@ -472,5 +493,16 @@
     def _decide(self, job_id: str, decision: Decision) -> None:
         ticket = self._tickets.pop(job_id, None)
         if ticket is not None:
+            if decision.is_error():
+                self._rejected[ticket.job.pool, ticket.job.rank] += 1
             ticket.decision = decision
             ticket.decided.set()
+
+
+def _label_counts(
+    counts: collections.Counter[tuple[str, int]],
+) -> list[tuple[metrics.Labels, int]]:
+    return [
+        ({"pool": pool, "rank": rank}, count)
+        for (pool, rank), count in sorted(counts.items())
+    ]
--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -436,7 +436,12 @@
                 )
             )
         attempt = attempts.Attempt(
-            upstreams.AttemptLabel(job.job_id, parts.vm, parts.incarnation),
+            upstreams.AttemptLabel(
+                job.job_id,
+                parts.vm,
+                parts.incarnation,
+                urgency=job.rank if job.pool_ranks.differ else None,
+            ),
             job.job_id,
             engines[0],
             engines[1],
--- a/mulberryway/platform/engine.py
+++ b/mulberryway/platform/engine.py
@@ -116,7 +116,7 @@
                     self.address, errors.Step.PREFILL
                 )
             )
-        headers = self._make_headers(body)
+        headers = self._make_headers(label, body)
         headers[wire.PHASE] = "prefill"
         interrupt = self._register_call(label)
         sent_ms = self._clock.now_ms()
@@ -210,7 +210,7 @@
             return expression.Error(
                 responses.make_cordoned_fault(self.address, errors.Step.DECODE)
             )
-        headers = self._make_headers(body)
+        headers = self._make_headers(label, body)
         if transfer:
             headers[wire.HANDLE_SOURCE] = (
                 f"{transfer['address']}/{transfer['handle'].name}"
@@ -335,11 +335,16 @@
         """Close the pooled connections."""
         self._client.close()
 
-    def _make_headers(self, call: base.PassthroughRequest) -> dict[str, str]:
+    def _make_headers(
+        self, label: base.AttemptLabel, call: base.PassthroughRequest
+    ) -> dict[str, str]:
         left_ms = call.deadline.left_ms(self._clock.now_ms())
-        return responses.make_request_headers(
+        headers = responses.make_request_headers(
             call.headers, self.instance, max(left_ms, 1)
         )
+        if label.urgency is not None:
+            headers[wire.URGENCY] = str(label.urgency)
+        return headers
 
     def _register_call(
         self, label: base.AttemptLabel
--- a/mulberryway/platform/wire.py
+++ b/mulberryway/platform/wire.py
@@ -31,6 +31,7 @@
     "SCHEME",
     "TENANT",
     "TOKEN_COUNTS",
+    "URGENCY",
     "parse_amount",
     "parse_string",
     "parse_integer",
@@ -65,6 +66,9 @@
 LENGTH_HINT = "Length-Hint"
 # ``prefill`` for a request that runs the prefill only.
 PHASE = "Serving-Phase"
+# Rank from 0 to 9 by which an engine admits and preempts, 0 first; without it
+# 5 applies.
+URGENCY = "Request-Urgency"
 # ``IP:PORT/HANDLE`` of a KV cache on the engine that ran the prefill.
 HANDLE_SOURCE = "Kv-Source"
 LAST_EVENT = "Last-Event-Id"
--- a/mulberryway/policy/note_sender.py
+++ b/mulberryway/policy/note_sender.py
@@ -192,14 +192,15 @@
         now_ms: int,
     ) -> list[hints.RankNote]:
         """Return the waiting jobs by rank, of pools where ranks differ."""
-        if now_ms - self._ranks_ms < WAITING_MS and self._sent_ranks:
-            return []
         waiting = {
             (name, rank)
             for name, pool in pools_.items()
             if any(ranks := pool.queue.list_ranks())
             for rank in ranks
         }
+        is_due = now_ms - self._ranks_ms >= WAITING_MS
+        if not is_due and waiting == self._sent_ranks:
+            return []
         # Peers forget a rank by a report that none of its jobs waits.
         removed = self._sent_ranks - waiting
         if waiting or removed:
--- a/mulberryway/policy/pool_scheduler.py
+++ b/mulberryway/policy/pool_scheduler.py
@@ -19,6 +19,7 @@
 from mulberryway.policy import poison
 from mulberryway.policy import pool_stats
 from mulberryway.policy import pool_upstreams
+from mulberryway.policy import rank_headroom
 from mulberryway.policy import ranks
 from mulberryway.policy import retries
 from mulberryway.policy import running_jobs
@@ -105,6 +106,11 @@
         self._free_slots = UNKNOWN_FREE_SLOTS
         self._free_since_ms = 0
         self._displaced: list[jobs.Refusal] = []
+        self._headroom = rank_headroom.RankHeadroom()
+        # Whether a job with more than one rank in its pool was submitted.
+        self._has_ranks = False
+        # Whether the waiting jobs leave the free slots to a higher rank.
+        self._is_held = False
 
     def submit(self, job: jobs.Job, now_ms: int) -> errors.Fault | None:
         """Add a job to the queue, or reject it immediately.
@@ -113,9 +119,10 @@
         :param now_ms: current time in milliseconds
         :returns: the reason for a rejection, or none
         """
+        self._has_ranks = job.pool_ranks.differ
         fault = self._submit(job, job.compute_queue_rank(), now_ms)
         if fault is not None:
-            _spread_return(fault, job, now_ms)
+            _add_rank(fault, job, now_ms)
         return fault
 
     def drain_displaced(self) -> list[jobs.Refusal]:
@@ -175,7 +182,7 @@
                 self.stats.clamp_retry_ms(self.stats.hold_ms.value / 4),
             )
             fault.inputs = {"displaced_by": job.rank}
-            _spread_return(fault, entry.job, now_ms)
+            _add_rank(fault, entry.job, now_ms)
             self._displaced.append(jobs.Refusal(entry.job.job_id, fault))
 
     def is_clear(self, job: jobs.Job, now_ms: int) -> bool:
@@ -229,7 +236,7 @@
                 "no slot became free before the deadline",
                 retry_ms,
             )
-            _spread_return(fault, entry.job, now_ms)
+            _add_rank(fault, entry.job, now_ms)
             refusals.append(jobs.Refusal(entry.job.job_id, fault))
         return refusals
 
@@ -242,6 +249,8 @@
         :param refusals: list to which jobs that are now quarantined are added
         :returns: the started job, or none if none can start now
         """
+        if self._has_ranks and self._headroom.is_sample_due(now_ms):
+            self._sample_waiting(now_ms)
         if not len(self.queue):
             # Each gossip message causes a call, mostly with an empty queue.
             return None
@@ -275,7 +284,9 @@
         if latest_ms is None:
             return None
         interval_ms = (
-            RETRY_INTERVAL_MS if self._free_slots else FULL_INTERVAL_MS
+            RETRY_INTERVAL_MS
+            if self._free_slots and not self._is_held
+            else FULL_INTERVAL_MS
         )
         return max(min(latest_ms, now_ms + interval_ms), now_ms + 1)
 
@@ -346,6 +357,20 @@
         is_long = prefill_ms > LONG_PREFILL_MS
         return fair_queue.Lane.LONG if is_long else fair_queue.Lane.SHORT
 
+    def _count_headroom(self, now_ms: int) -> int:
+        # Memory may be full long before the slots are.
+        running = sum(
+            view.count_running() for view in self.members.list_decodes(None)
+        )
+        return self._headroom.get_slots(running + self._free_slots, now_ms)
+
+    def _sample_waiting(self, now_ms: int) -> None:
+        highest = self.queue.get_rank(0)
+        own = len(highest.entries) if highest is not None else 0
+        # What precedes the next lower rank at peers is of the highest one.
+        count = own + self.peer_accounts.count_above(1, now_ms)
+        self._headroom.record_waiting(count, self.stats.hold_ms.value, now_ms)
+
     def _record_free_slots(self, free: int, now_ms: int) -> None:
         if free != self._free_slots:
             self._free_slots = free
@@ -356,7 +381,11 @@
     ) -> collections.abc.Iterator[fair_queue.QueueEntry]:
         # A lower rank is considered only if the jobs of higher ones wait for
         # other reasons than their order.
+        self._is_held = False
         for rank in self.queue.list_ranks():
+            if rank and self._free_slots <= self._count_headroom(now_ms):
+                self._is_held = True
+                return
             yield from self._list_rank_candidates(rank, now_ms, refusals)
 
     def _list_rank_candidates(
@@ -475,11 +504,12 @@
     return min(ahead * YIELD_PER_JOB_MS, MAX_YIELD_MS)
 
 
-def _spread_return(fault: errors.Fault, job: jobs.Job, now_ms: int) -> None:
-    """Keep callers that are refused together from returning together."""
-    if fault.retry_after_ms is None or not job.pool_ranks.differ:
+def _add_rank(fault: errors.Fault, job: jobs.Job, now_ms: int) -> None:
+    """Log the rank, and spread the returns of callers refused together."""
+    if not job.pool_ranks.differ:
         return
-    if fault.code is errors.Code.QUARANTINED:
+    fault.inputs["rank"] = job.rank
+    if fault.retry_after_ms is None or (fault.code is errors.Code.QUARANTINED):
         return
     fault.retry_after_ms = ranks.compute_return_ms(
         fault.retry_after_ms,
--- a/mulberryway/router.py
+++ b/mulberryway/router.py
@@ -391,6 +391,16 @@
             ("cancels_open", "cancels sent", lambda: self.cancelling.open),
         ):
             self.metrics.register_gauge(name, description, read)
+        self.metrics.register_labeled_gauge(
+            "waiting_by_rank",
+            "jobs queued, by pool and rank",
+            self.scheduling.count_waiting_by_rank,
+        )
+        self.metrics.register_counter(
+            "rejected_by_rank",
+            "jobs rejected before they ran, by pool and rank",
+            self.scheduling.count_rejected_by_rank,
+        )
         for state in ("suspect", "quarantined"):
             self.metrics.register_gauge(
                 f"{state}_parts",
--- a/mulberryway/upstreams/base.py
+++ b/mulberryway/upstreams/base.py
@@ -35,9 +35,17 @@
     :param vm: the VM that handles the request
     :param incarnation: the incarnation of that VM's router
     :param traceparent: the W3C trace context of the hop; empty for none
+    :param urgency: the request's rank, 0 to 9, for engines that order their
+        requests by it; none if all have the same
     """
 
-    __slots__ = ("request_id", "vm", "incarnation", "traceparent")
+    __slots__ = (
+        "request_id",
+        "vm",
+        "incarnation",
+        "traceparent",
+        "urgency",
+    )
 
     def __init__(
         self,
@@ -45,7 +53,9 @@
         vm: str,
         incarnation: int,
         traceparent: str = "",
+        urgency: int | None = None,
     ) -> None:
+        self.urgency = urgency
         self.request_id = request_id
         self.vm = vm
         self.incarnation = incarnation
