Count the memory of running streams by what they fill and grow

A stream's final size counted from its first moment, so on average half of the answers' part of an engine's memory was empty. A new stream now fits if at no moment of its life all streams together exceed the memory. Own streams count one by one, peers' by two sums in the holdings that are sent anyway; the bound holds for any ages behind these sums.

The number of events was ruled out as a measure of progress: an event may contain several tokens. Time in decode steps of the engine is used, at the median rate of the pool's streams that have ended. The distance of the third quartile from the median is the margin for lengths that are off.

--- a/mulberryway/policy/job_completion.py
+++ b/mulberryway/policy/job_completion.py
@@ -191,7 +191,10 @@
         if job.prefilled_ms is None:
             placement.prefill.cancel_prefill(placement.prefill_ms)
         if placement.decode is not None:
-            placement.decode.end_decode(placement.blocks)
+            stream = placement.stream
+            if stream is not None and outcome is jobs.JobOutcome.DONE:
+                placement.decode.record_stream_end(stream, now_ms)
+            placement.decode.end_decode(placement.blocks, stream)
         self._record_outcome(job, outcome, upstream, now_ms)
         for view in self._list_views(job):
             view.own_suspects -= job.is_suspect()
--- a/mulberryway/policy/job_placement.py
+++ b/mulberryway/policy/job_placement.py
@@ -12,6 +12,7 @@
 from mulberryway.policy import fair_queue
 from mulberryway.policy import health
 from mulberryway.policy import jobs
+from mulberryway.policy import kv_growth
 from mulberryway.policy import placements
 from mulberryway.policy import pool_upstreams
 from mulberryway.policy import send_limits
@@ -72,6 +73,7 @@
             members, token_gap_ms
         )
         self._typical_blocks = health.Ewma(0.0)
+        self._typical_prompt = health.Ewma(0.0)
         # Typical duration of a stream, in milliseconds; set by the pool.
         self.typical_stream_ms = 0.0
         self.is_without_peer_state = False
@@ -170,10 +172,10 @@
         """Return a placement with a chunked prefill on a decode engine."""
         if not pool.has_chunked_prefill:
             return None
-        blocks = placements.estimate_kv_blocks(entry.job, pool)
+        stream = placements.estimate_growth(entry.job, pool)
         options = [
             self._plan_prefill(view, entry.job, pool, now_ms)
-            for view in self._list_with_capacity(entry, blocks, now_ms)
+            for view in self._list_with_capacity(entry, stream, now_ms)
         ]
         placement = aggregated_serving.choose_aggregated(
             options,
@@ -185,7 +187,8 @@
         )
         if placement is not None:
             placement.decode = placement.prefill
-            placement.blocks = blocks
+            placement.blocks = stream.reserved_blocks
+            placement.stream = stream
             placement.first_token_ms = (
                 placement.ready_ms
                 + placement.prefill.step.value
@@ -220,12 +223,16 @@
         :param now_ms: current time in milliseconds
         """
         assert placement.decode is not None
-        placement.decode.start_decode(placement.blocks, now_ms)
+        placement.decode.start_decode(
+            placement.blocks, now_ms, placement.stream
+        )
         for view in {placement.prefill, placement.decode}:
             self.limits.record_choice(view.row.name, now_ms)
         if not self._typical_blocks.count:
             self._typical_blocks.value = float(placement.blocks)
         self._typical_blocks.note(placement.blocks)
+        if placement.stream is not None:
+            self._note_typical_prompt(placement.stream.prompt_blocks)
         placement.prefill.add_prefill(placement.prefill_ms, now_ms)
         placement.drift_ms = placement.prefill.drift_ms
         placement.prefill.prefixes.record_own(job.prefix_hashes)
@@ -238,6 +245,11 @@
             placement.ready_ms,
         )
 
+    def _note_typical_prompt(self, blocks: int) -> None:
+        if not self._typical_prompt.count:
+            self._typical_prompt.value = float(blocks)
+        self._typical_prompt.note(blocks)
+
     def choose_other_decode(
         self,
         entry: fair_queue.QueueEntry,
@@ -268,8 +280,11 @@
         :returns: the sum over the subset
         """
         blocks = self._typical_blocks.value
+        prompt = (
+            self._typical_prompt.value if self._typical_prompt.count else None
+        )
         return sum(
-            view.estimate_capacity(blocks, now_ms)
+            view.estimate_capacity(blocks, now_ms, prompt)
             for view in self._members.list_decodes(version)
             if not view.health.is_ejected(now_ms)
         )
@@ -391,8 +406,8 @@
         pool: tables.Pool,
         now_ms: int,
     ) -> upstream_view.UpstreamView | None:
-        blocks = placements.estimate_kv_blocks(entry.job, pool)
-        usable = self._list_with_capacity(entry, blocks, now_ms)
+        stream = placements.estimate_growth(entry.job, pool)
+        usable = self._list_with_capacity(entry, stream, now_ms)
         if self.is_without_peer_state and len(usable) > UNINFORMED_CHOICES:
             usable = self._random.sample(usable, UNINFORMED_CHOICES)
         return max(
@@ -404,7 +419,10 @@
         )
 
     def _list_with_capacity(
-        self, entry: fair_queue.QueueEntry, blocks: int, now_ms: int
+        self,
+        entry: fair_queue.QueueEntry,
+        stream: kv_growth.StreamGrowth,
+        now_ms: int,
     ) -> list[upstream_view.UpstreamView]:
         """Return the decode upstreams that probably have free capacity."""
         usable = [
@@ -414,7 +432,8 @@
                 entry.job,
                 now_ms,
             )
-            if view.count_free_slots(now_ms) > 0 and view.has_blocks(blocks)
+            if view.count_free_slots(now_ms) > 0
+            and view.fits_stream(stream, now_ms)
         ]
         usable = self._exclude_limited(usable, now_ms)
         if entry.lane is fair_queue.Lane.SUSPECT:
@@ -458,7 +477,8 @@
         pool: tables.Pool,
     ) -> None:
         placement.decode = decode
-        placement.blocks = placements.estimate_kv_blocks(job, pool)
+        placement.stream = placements.estimate_growth(job, pool)
+        placement.blocks = placement.stream.reserved_blocks
         placement.transfer_ms = self._links.estimate_ms(
             placements.get_zone_pair(placement.prefill, decode),
             placements.compute_kv_bytes(job, pool),
--- a/mulberryway/policy/note_sender.py
+++ b/mulberryway/policy/note_sender.py
@@ -264,5 +264,6 @@
             view.own_blocks,
             view.drain_step_ms(),
             view.health.drain_outcomes(),
+            view.estimate_own_present(now_ms),
         )
     ]
--- a/mulberryway/policy/placements.py
+++ b/mulberryway/policy/placements.py
@@ -2,12 +2,14 @@
 
 from mulberryway import tables
 from mulberryway.policy import jobs
+from mulberryway.policy import kv_growth
 from mulberryway.policy import upstream_view
 
 __all__ = [
     "NETWORK_OVERHEAD_MS",
     "DEADLINE_MARGIN_MS",
     "Placement",
+    "estimate_growth",
     "estimate_kv_blocks",
     "compute_kv_bytes",
     "get_zone_pair",
@@ -20,11 +22,6 @@
 # deadline.
 DEADLINE_MARGIN_MS = 30.0
 
-# Fraction of a response's expected length that counts as KV cache.  Responses
-# of one burst grow at the same time, so nearly all of their length is in
-# memory at once.
-EXPECTED_LENGTH_FRACTION = 0.9
-
 
 class Placement:
     """A possible placement of a job with its estimated times.
@@ -37,6 +34,7 @@
     :param transfer_ms: duration of the KV cache transfer over the link
     :param first_token_ms: estimated time of the first token
     :param blocks: KV cache blocks that the decode uses
+    :param stream: how the decode fills them
     :param drift_ms: the prefill upstream's drift at the start, see
         :class:`upstream_view.UpstreamView`
     """
@@ -50,6 +48,7 @@
         "transfer_ms",
         "first_token_ms",
         "blocks",
+        "stream",
         "drift_ms",
     )
 
@@ -68,6 +67,7 @@
         self.transfer_ms = 0.0
         self.first_token_ms = ready_ms
         self.blocks = 0
+        self.stream: kv_growth.StreamGrowth | None = None
         self.drift_ms = 0.0
 
     def describe(self, now_ms: int) -> dict[str, int | float | str]:
@@ -81,6 +81,7 @@
             "blocks": self.blocks,
             "free_slots": decode.count_free_slots(now_ms),
             "free_blocks": decode.count_free_blocks(),
+            "present_blocks": decode.estimate_present(now_ms),
             "prefill_ms": round(self.prefill_ms),
             "ready_in_ms": round(self.ready_ms - now_ms),
             "step_ms": round(decode.step.value, 1),
@@ -114,12 +115,34 @@
     expected = job.max_tokens
     if job.expected_tokens:
         expected = min(
-            expected, int(job.expected_tokens * EXPECTED_LENGTH_FRACTION)
+            expected, int(job.expected_tokens * kv_growth.RESERVED_FRACTION)
         )
     tokens = job.prompt_tokens + expected
     return -(-tokens // max(pool.block_tokens, 1))
 
 
+def estimate_growth(
+    job: jobs.Job, pool: tables.Pool
+) -> kv_growth.StreamGrowth:
+    """Return how a job's KV cache grows on a decode engine.
+
+    :param job: the job
+    :param pool: the pool's row
+    :returns: its blocks; without an expected length the final ones from its
+        start
+    """
+    reserved = estimate_kv_blocks(job, pool)
+    if not job.expected_tokens:
+        return kv_growth.StreamGrowth(reserved, reserved)
+    block_tokens = max(pool.block_tokens, 1)
+    answer = min(job.expected_tokens, job.max_tokens)
+    return kv_growth.StreamGrowth(
+        -(-job.prompt_tokens // block_tokens),
+        -(-(job.prompt_tokens + answer) // block_tokens),
+        reserved,
+    )
+
+
 def get_zone_pair(
     prefill: upstream_view.UpstreamView, decode: upstream_view.UpstreamView
 ) -> tuple[str, str]:
--- a/mulberryway/policy/pool_scheduler.py
+++ b/mulberryway/policy/pool_scheduler.py
@@ -399,7 +399,9 @@
         )
         if decode is None or previous is None or decode is previous:
             return None
-        previous.move_decode_to(decode, job.placement.blocks, now_ms)
+        previous.move_decode_to(
+            decode, job.placement.blocks, now_ms, job.placement.stream
+        )
         self.placer.limits.record_choice(decode.row.name, now_ms)
         decode.own_suspects += job.is_suspect()
         previous.own_suspects -= job.is_suspect()
--- a/mulberryway/policy/pool_upstreams.py
+++ b/mulberryway/policy/pool_upstreams.py
@@ -6,6 +6,7 @@
 
 from mulberryway import tables
 from mulberryway.policy import health
+from mulberryway.policy import kv_growth
 from mulberryway.policy import pool_subsets
 from mulberryway.policy import prefill_speed
 from mulberryway.policy import subsetting
@@ -38,6 +39,7 @@
         "_retained",
         "_subsets",
         "_pool_rate",
+        "growth_rate",
         "prefills",
         "decodes",
         "_outside",
@@ -51,6 +53,7 @@
     ) -> None:
         self._vm = vm
         self._pool_rate = health.LatencyFloor(prefill_rate)
+        self.growth_rate = kv_growth.GrowthRate()
         self._random = random_
         self._views: dict[str, upstream_view.UpstreamView] = {}
         self._retained: dict[str, upstream_view.UpstreamView] = {}
@@ -185,6 +188,7 @@
             view = upstream_view.UpstreamView(
                 row, pool.slots, self._random, blocks
             )
+            view.growth_rate = self.growth_rate
         if is_new:
             is_decode = row.role is tables.UpstreamRole.DECODE
             slowdown = CHUNKED_PREFILL_SLOWDOWN if is_decode else 1.0
--- a/mulberryway/policy/upstream_view.py
+++ b/mulberryway/policy/upstream_view.py
@@ -5,12 +5,14 @@
 load that the delayed load report shows beyond both.
 """
 
+import math
 import random
 
 from mulberryway import tables
 from mulberryway.policy import chunked_prefill
 from mulberryway.policy import health
 from mulberryway.policy import hints
+from mulberryway.policy import kv_growth
 from mulberryway.policy import prefill_speed
 from mulberryway.policy import prefix_index
 from mulberryway.upstreams import base as upstreams
@@ -31,7 +33,15 @@
 MAX_BACKOFF_DOUBLINGS = 7
 PREFILL_MS_PER_TOKEN = 0.1
 STEP_MS = 40.0
+# A step that was measured as nothing must not stop the clock of decode steps.
+MIN_STEP_MS = 0.01
 STEP_SMOOTHING = 0.3
+# Within this time streams grow by less than a block or two, so the profile of
+# an engine's memory is kept unless its streams change.
+PROFILE_MS = 20
+# Memory that is kept free because lengths of responses are off, as a multiple
+# of a stream's typical overrun and of the square root of their number.
+MARGIN_DEVIATIONS = 2.0
 
 
 class UpstreamView:
@@ -75,7 +85,15 @@
         "prefixes",
         "pause_ms",
         "prefill_budget",
+        "growth_rate",
+        "_own_streams",
+        "_steps",
+        "_steps_at_ms",
+        "_profile",
+        "_profile_at_ms",
         "_by_peer",
+        "_peer_steps",
+        "_peer_starts",
         "_peak_decodes",
         "_previous_peak",
         "_peak_since_ms",
@@ -126,7 +144,20 @@
         # The inter-token gap target; 0 for none.
         self.pause_ms = 0
         self.prefill_budget = chunked_prefill.ChunkedPrefillBudget()
+        # Shared by the upstreams of a pool.
+        self.growth_rate = kv_growth.GrowthRate()
+        self._own_streams: set[kv_growth.StreamGrowth] = set()
+        # Decode steps until a time, the clock by which streams grow.
+        self._steps = 0.0
+        self._steps_at_ms = 0
+        self._profile: kv_growth.GrowthProfile | None = None
+        self._profile_at_ms = 0
         self._by_peer: dict[str, hints.Holding] = {}
+        # Decode steps until each peer's latest note.
+        self._peer_steps: dict[str, float] = {}
+        # Decode steps and growth of peers' streams that are the only ones of
+        # their VMs, at their starts.
+        self._peer_starts: dict[str, tuple[float, float]] = {}
         self._peak_decodes = 0
         self._previous_peak = 0
         self._peak_since_ms = 0
@@ -154,16 +185,26 @@
         used = self.own_blocks + self.peer_blocks + self.unattributed_blocks
         return self.total_blocks - used
 
-    def estimate_capacity(self, blocks: float, now_ms: int) -> int:
+    def estimate_capacity(
+        self, blocks: float, now_ms: int, prompt_blocks: float | None = None
+    ) -> int:
         """Return how many more decodes of typical size probably fit.
 
         :param blocks: a decode's typical number of blocks; 0 if unknown
         :param now_ms: current time in milliseconds
+        :param prompt_blocks: those of them that its prompt fills; none if
+            unknown
         """
         free = self.count_free_slots(now_ms)
         if self.total_blocks is None or not blocks:
             return free
-        return min(free, max(int(self.count_free_blocks() / blocks), 0))
+        count = max(int(self.count_free_blocks() / blocks), 0)
+        if count < free and prompt_blocks is not None:
+            growth = blocks - prompt_blocks
+            count = max(
+                count, self._count_growing(prompt_blocks, growth, now_ms)
+            )
+        return min(free, count)
 
     def count_running(self) -> int:
         """Return the estimated number of streams of all VMs together."""
@@ -179,6 +220,69 @@
             return True
         return blocks <= self.count_free_blocks()
 
+    def fits_stream(self, stream: kv_growth.StreamGrowth, now_ms: int) -> bool:
+        """Return whether a stream's KV cache probably fits until its end.
+
+        :param stream: the stream, if it started now
+        :param now_ms: current time in milliseconds
+        :returns: whether it fits; true while the engine's size is unknown
+        """
+        if self.has_blocks(stream.reserved_blocks):
+            return True
+        return (
+            self._count_growing(
+                stream.prompt_blocks, stream.get_growth(), now_ms
+            )
+            > 0
+        )
+
+    def count_steps(self, now_ms: int) -> float:
+        """Return the estimated number of decode steps until now.
+
+        :param now_ms: current time in milliseconds
+        """
+        elapsed_ms = now_ms - self._steps_at_ms
+        return self._steps + elapsed_ms / max(self.step.value, MIN_STEP_MS)
+
+    def estimate_own_present(self, now_ms: int) -> int | None:
+        """Return the blocks that the streams of this router fill now.
+
+        :param now_ms: current time in milliseconds
+        :returns: blocks; none while it is unknown how streams grow
+        """
+        rate = self.growth_rate.steps_per_block
+        steps = self.count_steps(now_ms)
+        # A stream has no token before its engine's next decode step.
+        if rate is None and any(
+            steps - stream.started_steps >= 1.0 for stream in self._own_streams
+        ):
+            return None
+        tracked = sum(stream.reserved_blocks for stream in self._own_streams)
+        present = sum(
+            stream.prompt_blocks
+            if rate is None
+            else stream.estimate_present(steps, rate)
+            for stream in self._own_streams
+        )
+        return round(self.own_blocks - tracked + present)
+
+    def estimate_present(self, now_ms: int) -> int:
+        """Return the blocks that all known streams fill now, estimated.
+
+        :param now_ms: current time in milliseconds
+        """
+        own = self.estimate_own_present(now_ms)
+        return (
+            (self.own_blocks if own is None else own)
+            + self.unattributed_blocks
+            + round(
+                sum(
+                    self._estimate_peer_present(vm, holding, now_ms)
+                    for vm, holding in self._by_peer.items()
+                )
+            )
+        )
+
     def estimate_prefill_wait_ms(self, now_ms: int) -> float:
         """Return the estimated wait before a new prefill begins.
 
@@ -258,9 +362,7 @@
         :param step_ms: their mean since the last call
         :param now_ms: current time in milliseconds
         """
-        self.step.note(step_ms)
-        self.step_floor.note(step_ms)
-        self.step_updated_ms = now_ms
+        self._note_step(step_ms, now_ms)
         self._unsent_step_ms = step_ms
 
     def drain_step_ms(self) -> int:
@@ -282,37 +384,73 @@
         self._sent_prefill_ms += unsent_ms
         return min(unsent_ms, int(self.estimate_prefill_wait_ms(now_ms)))
 
-    def start_decode(self, blocks: int, now_ms: int) -> None:
+    def start_decode(
+        self,
+        blocks: int,
+        now_ms: int,
+        stream: kv_growth.StreamGrowth | None = None,
+    ) -> None:
         """Reserve a decode slot.
 
         :param blocks: KV cache blocks to reserve with it
         :param now_ms: current time in milliseconds
+        :param stream: how they are filled; none if that is unknown
         """
         self.own_decodes += 1
         self.own_blocks += blocks
+        if stream is not None:
+            stream.started_steps = self.count_steps(now_ms)
+            self._own_streams.add(stream)
+        self._profile = None
         self._update_peak(now_ms)
 
-    def end_decode(self, blocks: int) -> None:
+    def end_decode(
+        self, blocks: int, stream: kv_growth.StreamGrowth | None = None
+    ) -> None:
         """Release a decode slot.
 
         :param blocks: KV cache blocks that were reserved with it
+        :param stream: the one that was passed at the start
         """
         self.own_decodes -= 1
         self.own_blocks -= blocks
         self.full_until_ms = 0
+        if stream is not None:
+            self._own_streams.discard(stream)
+        self._profile = None
+
+    def record_stream_end(
+        self, stream: kv_growth.StreamGrowth, now_ms: int
+    ) -> None:
+        """Learn from an own stream that is complete.
+
+        :param stream: the stream, which has not been released yet
+        :param now_ms: current time in milliseconds
+        """
+        if stream in self._own_streams:
+            steps = self.count_steps(now_ms) - stream.started_steps
+            self.growth_rate.note(steps, stream.get_growth())
 
     def move_decode_to(
-        self, other: "UpstreamView", blocks: int, now_ms: int
+        self,
+        other: "UpstreamView",
+        blocks: int,
+        now_ms: int,
+        stream: kv_growth.StreamGrowth | None = None,
     ) -> None:
         """Move a slot's reservation to another upstream.
 
         :param other: the other upstream
         :param blocks: KV cache blocks that were reserved with the slot
         :param now_ms: current time in milliseconds
+        :param stream: the one that was passed at the start
         """
         self.own_decodes -= 1
         self.own_blocks -= blocks
-        other.start_decode(blocks, now_ms)
+        if stream is not None:
+            self._own_streams.discard(stream)
+        self._profile = None
+        other.start_decode(blocks, now_ms, stream)
 
     def record_full(self, now_ms: int) -> None:
         """Record that the engine rejected a decode for lack of capacity.
@@ -357,6 +495,7 @@
         used = load.total_blocks - load.free_blocks
         known_blocks = self.own_blocks + self.peer_blocks
         self.unattributed_blocks = max(used - known_blocks, 0)
+        self._profile = None
 
     def apply_peer_holding(
         self, vm: str, holding: hints.Holding, now_ms: int
@@ -381,10 +520,11 @@
             # Peers' measurements count like own ones.  With nine routers,
             # each has about two streams on an engine and would need seconds
             # to measure a change on its own.
-            self.step.note(holding.step_ms)
-            self.step_floor.note(holding.step_ms)
-            self.step_updated_ms = now_ms
+            self._note_step(holding.step_ms, now_ms)
+        self._learn_from_peer(vm, before, holding, now_ms)
         self._by_peer[vm] = holding
+        self._peer_steps[vm] = self.count_steps(now_ms)
+        self._profile = None
         self._update_peak(now_ms)
 
     def forget_peer(self, vm: str) -> None:
@@ -397,6 +537,9 @@
             self.peers -= holding.decodes
             self.peer_suspects -= holding.suspects
             self.peer_blocks -= holding.blocks
+        self._peer_steps.pop(vm, None)
+        self._peer_starts.pop(vm, None)
+        self._profile = None
 
     def fits_prefill(
         self, prefill_ms: float, now_ms: int, yield_ms: int = 0
@@ -427,6 +570,106 @@
             prefill_ms, self.pause_ms, self.step_floor.value
         )
 
+    def _count_growing(
+        self, prompt_blocks: float, growth: float, now_ms: int
+    ) -> int:
+        """Return how many equal streams fit by the growth of all streams."""
+        if (
+            self.growth_rate.steps_per_block is None
+            or self.total_blocks is None
+        ):
+            return 0
+        if self._profile is None or now_ms - self._profile_at_ms >= PROFILE_MS:
+            self._profile = self._make_profile(now_ms)
+            self._profile_at_ms = now_ms
+        # Lengths are off independently of each other.
+        margin = (
+            MARGIN_DEVIATIONS
+            * self.growth_rate.overrun_blocks
+            * math.sqrt(max(self.count_running(), 0))
+        )
+        return self._profile.count_fitting(
+            prompt_blocks,
+            growth + self.growth_rate.overrun_blocks,
+            self.total_blocks - margin,
+        )
+
+    def _make_profile(self, now_ms: int) -> kv_growth.GrowthProfile:
+        rate = self.growth_rate
+        steps = self.count_steps(now_ms)
+        own = list(self._own_streams)
+        known = {
+            vm: holding
+            for vm, holding in self._by_peer.items()
+            if holding.decodes > 0 and _tells_present(holding)
+        }
+        groups = [
+            kv_growth.StreamGroup(
+                1,
+                stream.estimate_present(steps, rate.steps_per_block),
+                stream.final_blocks,
+                rate.overrun_blocks,
+            )
+            for stream in own
+        ] + [
+            kv_growth.StreamGroup(
+                holding.decodes,
+                self._estimate_peer_present(vm, holding, now_ms),
+                self._estimate_peer_final(holding),
+                rate.overrun_blocks,
+            )
+            for vm, holding in known.items()
+        ]
+        growing = sum(stream.reserved_blocks for stream in own) + sum(
+            holding.blocks for holding in known.values()
+        )
+        used = self.own_blocks + self.peer_blocks + self.unattributed_blocks
+        return kv_growth.GrowthProfile(groups, used - growing)
+
+    def _estimate_peer_present(
+        self, vm: str, holding: hints.Holding, now_ms: int
+    ) -> float:
+        rate = self.growth_rate.steps_per_block
+        if rate is None or not _tells_present(holding):
+            return float(holding.blocks)
+        steps = self.count_steps(now_ms) - self._peer_steps[vm]
+        grown = max(steps, 0.0) / rate * max(holding.decodes, 0)
+        present = holding.present_blocks or 0
+        return min(present + grown, self._estimate_peer_final(holding))
+
+    def _estimate_peer_final(self, holding: hints.Holding) -> float:
+        """Return the final blocks of a peer that tells its reserved ones."""
+        unreserved = self.growth_rate.unreserved_blocks
+        return holding.blocks + unreserved * max(holding.decodes, 0)
+
+    def _learn_from_peer(
+        self,
+        vm: str,
+        before: hints.Holding,
+        holding: hints.Holding,
+        now_ms: int,
+    ) -> None:
+        """Learn from a stream that is the only one of its VM here."""
+        steps = self.count_steps(now_ms)
+        if not before.decodes and holding.decodes == 1:
+            if _tells_present(holding):
+                reserved = holding.blocks - (holding.present_blocks or 0)
+                growth = reserved / kv_growth.RESERVED_FRACTION
+                self._peer_starts[vm] = steps, growth
+            return
+        if holding.decodes == before.decodes:
+            return
+        start = self._peer_starts.pop(vm, None)
+        if start is not None and not holding.decodes:
+            self.growth_rate.note(steps - start[0], start[1])
+
+    def _note_step(self, step_ms: float, now_ms: int) -> None:
+        self._steps = self.count_steps(now_ms)
+        self._steps_at_ms = now_ms
+        self.step.note(step_ms)
+        self.step_floor.note(step_ms)
+        self.step_updated_ms = now_ms
+
     def _record_prefill_work(self, prefill_ms: float, now_ms: int) -> None:
         self.busy_until_ms = (
             max(self.busy_until_ms, float(now_ms)) + prefill_ms
@@ -447,3 +690,8 @@
         self._peak_decodes = max(
             self._peak_decodes, self.own_decodes + self.peers
         )
+
+
+def _tells_present(holding: hints.Holding) -> bool:
+    present = holding.present_blocks
+    return present is not None and present >= 0
