Weigh an engine's speed in the choice of a decode engine

The choice counted free slots and the transfer. An engine that turned slow for some seconds got its full share of streams until it passed the bound that excludes it. Free slots now count in proportion to the engine's speed, which is its step over the lowest of the pool for as many streams, so that load is not counted twice.

A ratio noted with each measurement was ruled out: an engine that is measured first is the reference for itself.

--- a/mulberryway/policy/job_placement.py
+++ b/mulberryway/policy/job_placement.py
@@ -465,6 +465,8 @@
             placement.ready_ms,
         )
         free = view.count_free_slots(now_ms) / max(view.slots, 1)
+        # A slow engine holds each stream for longer.
+        free /= view.estimate_slowness(now_ms)
         # A larger batch delays each of its tokens; an idle engine is worth
         # about 40 ms of transfer time.
         return free * 40.0 - transfer_ms + self._random.random()
--- a/mulberryway/policy/placements.py
+++ b/mulberryway/policy/placements.py
@@ -85,6 +85,7 @@
             "prefill_ms": round(self.prefill_ms),
             "ready_in_ms": round(self.ready_ms - now_ms),
             "step_ms": round(decode.step.value, 1),
+            "slowness": round(decode.estimate_slowness(now_ms), 2),
             "prefill_version": self.prefill.row.version,
             "decode_version": decode.row.version,
         }
--- a/mulberryway/policy/pool_upstreams.py
+++ b/mulberryway/policy/pool_upstreams.py
@@ -9,6 +9,7 @@
 from mulberryway.policy import kv_growth
 from mulberryway.policy import pool_subsets
 from mulberryway.policy import prefill_speed
+from mulberryway.policy import step_profile
 from mulberryway.policy import subsetting
 from mulberryway.policy import upstream_view
 
@@ -40,6 +41,7 @@
         "_subsets",
         "_pool_rate",
         "growth_rate",
+        "_step_profile",
         "prefills",
         "decodes",
         "_outside",
@@ -54,6 +56,7 @@
         self._vm = vm
         self._pool_rate = health.LatencyFloor(prefill_rate)
         self.growth_rate = kv_growth.GrowthRate()
+        self._step_profile = step_profile.StepProfile()
         self._random = random_
         self._views: dict[str, upstream_view.UpstreamView] = {}
         self._retained: dict[str, upstream_view.UpstreamView] = {}
@@ -189,6 +192,7 @@
                 row, pool.slots, self._random, blocks
             )
             view.growth_rate = self.growth_rate
+            view.step_profile = self._step_profile
         if is_new:
             is_decode = row.role is tables.UpstreamRole.DECODE
             slowdown = CHUNKED_PREFILL_SLOWDOWN if is_decode else 1.0
--- a/mulberryway/policy/upstream_view.py
+++ b/mulberryway/policy/upstream_view.py
@@ -15,6 +15,7 @@
 from mulberryway.policy import kv_growth
 from mulberryway.policy import prefill_speed
 from mulberryway.policy import prefix_index
+from mulberryway.policy import step_profile
 from mulberryway.upstreams import base as upstreams
 
 __all__ = ["UpstreamView"]
@@ -85,6 +86,8 @@
         "prefixes",
         "pause_ms",
         "prefill_budget",
+        "step_profile",
+        "_step_streams",
         "growth_rate",
         "_own_streams",
         "_steps",
@@ -145,6 +148,10 @@
         self.pause_ms = 0
         self.prefill_budget = chunked_prefill.ChunkedPrefillBudget()
         # Shared by the upstreams of a pool.
+        self.step_profile = step_profile.StepProfile()
+        # Number of streams when the step was measured last.
+        self._step_streams = 0
+        # Shared by the upstreams of a pool.
         self.growth_rate = kv_growth.GrowthRate()
         self._own_streams: set[kv_growth.StreamGrowth] = set()
         # Decode steps until a time, the clock by which streams grow.
@@ -244,6 +251,16 @@
         elapsed_ms = now_ms - self._steps_at_ms
         return self._steps + elapsed_ms / max(self.step.value, MIN_STEP_MS)
 
+    def estimate_slowness(self, now_ms: int) -> float:
+        """Return how slow the engine is beside others of its pool.
+
+        :param now_ms: current time in milliseconds
+        :returns: the ratio of decode steps, at least 1
+        """
+        return self.step_profile.compare(
+            self.step.value, self._step_streams, now_ms - self.step_updated_ms
+        )
+
     def estimate_own_present(self, now_ms: int) -> int | None:
         """Return the blocks that the streams of this router fill now.
 
@@ -669,6 +686,8 @@
         self.step.note(step_ms)
         self.step_floor.note(step_ms)
         self.step_updated_ms = now_ms
+        self._step_streams = self.count_running()
+        self.step_profile.note(step_ms, self._step_streams)
 
     def _record_prefill_work(self, prefill_ms: float, now_ms: int) -> None:
         self.busy_until_ms = (
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -24,12 +24,12 @@
 class Engine:
     """An engine, one VM's view of it, and the true sizes of streams."""
 
-    def __init__(self, lengths=itertools.repeat(1.0)):
+    def __init__(self, lengths=(1.0,)):
         row = cases.make_pool().upstreams[2]
         self.view = upstream_view.UpstreamView(
             row, 64, random.Random(1), TOTAL
         )
-        self.lengths = lengths
+        self.lengths = itertools.cycle(lengths)
         self.live = []
         self.started = 0
 
@@ -124,8 +124,7 @@
         hint, and more streams wait than fit.  Streams are preempted then; the
         memory that stays free for it must keep them few.
         """
-        lengths = itertools.cycle((1.0, 0.5, 2.0, 0.5))
-        engine = Engine(lengths)
+        engine = Engine((1.0, 0.5, 2.0, 0.5))
         preempted = 0
         for _, used in engine.run(200, 60_000):
             while used > TOTAL:
