Plan engines' roles by what is asked of their pool

One engine in 3.5 had the prefill role whatever the load. All VMs know the demand from notes that are sent anyway, so a new leader has it.

Following the demand of the moment was ruled out: a change takes longer than most bursts. State of the issuer was ruled out for the time between opposite changes: each VM sees them in the tables.

--- a/mulberryway/controllers/orders.py
+++ b/mulberryway/controllers/orders.py
@@ -12,6 +12,7 @@
 from mulberryway.objects import base as platform
 from mulberryway.policy import leader_lease
 from mulberryway.policy import orders
+from mulberryway.policy import pool_demand
 from mulberryway.upstreams import base as upstreams
 
 __all__ = ["OrdersController"]
@@ -30,6 +31,9 @@
 LoadReader = collections.abc.Callable[
     [], collections.abc.Mapping[tuple[str, str], upstreams.EngineLoad]
 ]
+DemandReader = collections.abc.Callable[
+    [], collections.abc.Mapping[str, pool_demand.PoolDemand]
+]
 
 
 class OrdersController(base.Controller):
@@ -45,6 +49,7 @@
     :param clock_: the clock
     :param planner: decides which orders are needed; the default compares
         the tables with the engines' reports
+    :param read_demands: returns what is asked of the pools
     """
 
     def __init__(
@@ -58,6 +63,7 @@
         is_candidate: collections.abc.Callable[[], bool],
         clock_: clock.Clock,
         planner: orders.Planner | None = None,
+        read_demands: DemandReader = dict,
     ) -> None:
         super().__init__("orders", clock_, PERIOD_MS)
         self._vm = vm
@@ -68,12 +74,16 @@
         self._is_candidate = is_candidate
         self._lease = leader_lease.LeaderLease(vm, incarnation)
         self._planner = planner or orders.OrderPlanner()
+        self._read_demands = read_demands
         self._fencing = 0
 
     def step(self) -> None:
         """Renew the lease, then send the orders that are due."""
         tables_ = self._source.get_tables()
-        if tables_ is None or self._is_idle(tables_):
+        if tables_ is None:
+            return
+        self._planner.update_demands(self._read_demands())
+        if self._is_idle(tables_):
             return
         self._maintain_lease()
         now_ms = self.clock.now_ms()
@@ -193,6 +203,7 @@
                 argument=order.argument,
                 fencing=sent.fencing,
                 expected=expected,
+                **order.inputs,
             ),
         )
         if result.is_ok():
--- a/mulberryway/controllers/scheduling.py
+++ b/mulberryway/controllers/scheduling.py
@@ -14,6 +14,7 @@
 from mulberryway.policy import base as policy
 from mulberryway.policy import hints
 from mulberryway.policy import jobs
+from mulberryway.policy import pool_demand
 from mulberryway.policy import probes
 from mulberryway.upstreams import base as upstreams
 
@@ -302,6 +303,11 @@
         with self._lock:
             return dict(self._loads)
 
+    def read_demands(self) -> dict[str, pool_demand.PoolDemand]:
+        """Return what was asked of the pools in the last minute."""
+        with self._lock:
+            return self._scheduler.read_demands(self.clock.now_ms())
+
     def record_cache_events(
         self, pool: str, upstream: str, events: list[upstreams.CacheEvent]
     ) -> None:
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -471,6 +471,7 @@
             self._may_issue_orders,
             self.clock,
             role_planner.RolePlanner(),
+            self.router.scheduling.read_demands,
         )
 
     def _list_peers(self) -> list[str]:
--- a/mulberryway/policy/base.py
+++ b/mulberryway/policy/base.py
@@ -9,6 +9,7 @@
 from mulberryway.policy import hints
 from mulberryway.policy import jobs
 from mulberryway.policy import part_quarantine
+from mulberryway.policy import pool_demand
 from mulberryway.policy import probes
 from mulberryway.upstreams import base as upstreams
 
@@ -232,6 +233,14 @@
         """
         return None
 
+    def read_demands(self, now_ms: int) -> dict[str, pool_demand.PoolDemand]:
+        """Return what was asked of the pools in the last minute.
+
+        :param now_ms: current time in milliseconds
+        :returns: the demand of each pool of which it is known
+        """
+        return {}
+
     def list_unconfirmed(self, now_ms: int) -> list[tuple[str, str]]:
         """Return the engines that have to show that they survived a suspect.
 
--- a/mulberryway/policy/orders.py
+++ b/mulberryway/policy/orders.py
@@ -2,8 +2,10 @@
 
 import abc
 import collections.abc
+import types
 
 from mulberryway import tables
+from mulberryway.policy import pool_demand
 from mulberryway.upstreams import base as upstreams
 
 __all__ = ["OrderPlanner", "PlannedOrder", "Planner"]
@@ -24,13 +26,20 @@
     :param row: the engine's row
     :param verb: ``load``, ``unload`` or ``role``
     :param argument: the model's name, or the role
+    :param inputs: what the decision was made from, for logs
     """
 
-    __slots__ = ("pool", "row", "verb", "argument")
+    __slots__ = ("pool", "row", "verb", "argument", "inputs")
 
     def __init__(
-        self, pool: str, row: tables.Upstream, verb: str, argument: str
+        self,
+        pool: str,
+        row: tables.Upstream,
+        verb: str,
+        argument: str,
+        inputs: collections.abc.Mapping[str, float] | None = None,
     ) -> None:
+        self.inputs = inputs or {}
         self.pool = pool
         self.row = row
         self.verb = verb
@@ -47,6 +56,19 @@
     # Whether the engine's state is queried immediately before an order, which
     # is then valid for that state only.
     needs_state: bool = True
+    # What is asked of the pools, by name, where it is known.
+    demands: collections.abc.Mapping[str, pool_demand.PoolDemand] = (
+        types.MappingProxyType({})
+    )
+
+    def update_demands(
+        self, demands: collections.abc.Mapping[str, pool_demand.PoolDemand]
+    ) -> None:
+        """Replace what is asked of the pools.
+
+        :param demands: the known demands by pool
+        """
+        self.demands = demands
 
     @abc.abstractmethod
     def plan(
--- a/mulberryway/policy/pool_upstreams.py
+++ b/mulberryway/policy/pool_upstreams.py
@@ -7,6 +7,7 @@
 from mulberryway import tables
 from mulberryway.policy import health
 from mulberryway.policy import kv_growth
+from mulberryway.policy import pool_demand
 from mulberryway.policy import pool_subsets
 from mulberryway.policy import prefill_speed
 from mulberryway.policy import step_profile
@@ -42,6 +43,7 @@
         "_pool_rate",
         "growth_rate",
         "_step_profile",
+        "_demand",
         "prefills",
         "decodes",
         "_outside",
@@ -57,6 +59,7 @@
         self._pool_rate = health.LatencyFloor(prefill_rate)
         self.growth_rate = kv_growth.GrowthRate()
         self._step_profile = step_profile.StepProfile()
+        self._demand = pool_demand.DemandHistory()
         self._random = random_
         self._views: dict[str, upstream_view.UpstreamView] = {}
         self._retained: dict[str, upstream_view.UpstreamView] = {}
@@ -94,6 +97,35 @@
             if view.row.version == version
         ]
 
+    def sample_memory(self, now_ms: int) -> None:
+        """Record how full the decode engines' memory is, if that is due.
+
+        :param now_ms: current time in milliseconds
+        """
+        if not self._demand.is_sample_due(now_ms):
+            return
+        total = sum(view.total_blocks or 0 for view in self.decodes)
+        reserved = sum(view.count_reserved_blocks() for view in self.decodes)
+        self._demand.note_memory(reserved / total if total else 0.0, now_ms)
+
+    def summarize_demand(
+        self, engines: int, now_ms: int
+    ) -> pool_demand.PoolDemand | None:
+        """Return what was asked of the pool in the last minute.
+
+        :param engines: number of all engines of the pool
+        :param now_ms: current time in milliseconds
+        :returns: the demand; none if it is not known yet
+        """
+        return self._demand.summarize(
+            engines / max(len(self._views), 1),
+            {
+                view.row.name: view.count_reserved_blocks()
+                for view in self.decodes
+            },
+            now_ms,
+        )
+
     def is_ejection_limit_reached(
         self, view: upstream_view.UpstreamView, now_ms: int
     ) -> bool:
@@ -193,6 +225,7 @@
             )
             view.growth_rate = self.growth_rate
             view.step_profile = self._step_profile
+            view.demand = self._demand
         if is_new:
             is_decode = row.role is tables.UpstreamRole.DECODE
             slowdown = CHUNKED_PREFILL_SLOWDOWN if is_decode else 1.0
--- a/mulberryway/policy/prefill_speed.py
+++ b/mulberryway/policy/prefill_speed.py
@@ -45,6 +45,11 @@
             health.LatencyFloor(rate) if slowdown > 1.0 else health.Ewma(rate)
         )
 
+    @property
+    def slowdown(self) -> float:
+        """Ratio of this engine's time to a prefill engine's."""
+        return self._slowdown
+
     def estimate_ms(self, tokens: float) -> float:
         """Return the estimated uncontended prefill time, in milliseconds.
 
--- a/mulberryway/policy/scheduler.py
+++ b/mulberryway/policy/scheduler.py
@@ -18,6 +18,7 @@
 from mulberryway.policy import part_quarantine
 from mulberryway.policy import part_records
 from mulberryway.policy import poison
+from mulberryway.policy import pool_demand
 from mulberryway.policy import pool_set
 from mulberryway.policy import probes
 from mulberryway.policy import retries
@@ -135,6 +136,7 @@
         self._pending_rejections = []
         assignments: list[jobs.Assignment] = []
         for name, pool in self._pools.items():
+            pool.members.sample_memory(now_ms)
             refusals += pool.expire_waiting(now_ms)
             for _ in range(MAX_STARTS):
                 started = pool.start_next(now_ms, refusals)
@@ -417,6 +419,24 @@
         if view is not None:
             view.prefixes.apply_events(events)
 
+    def read_demands(self, now_ms: int) -> dict[str, pool_demand.PoolDemand]:
+        """Return what was asked of the pools in the last minute.
+
+        :param now_ms: current time in milliseconds
+        :returns: the demand of each pool of which it is known
+        """
+        demands = {
+            name: pool.members.summarize_demand(
+                len(pool.row.upstreams), now_ms
+            )
+            for name, pool in self._pools.items()
+        }
+        return {
+            name: demand
+            for name, demand in demands.items()
+            if demand is not None
+        }
+
     def has_decode_capacity(
         self,
         pool: str,
--- a/mulberryway/policy/upstream_view.py
+++ b/mulberryway/policy/upstream_view.py
@@ -13,6 +13,7 @@
 from mulberryway.policy import health
 from mulberryway.policy import hints
 from mulberryway.policy import kv_growth
+from mulberryway.policy import pool_demand
 from mulberryway.policy import prefill_speed
 from mulberryway.policy import prefix_index
 from mulberryway.policy import step_profile
@@ -86,6 +87,7 @@
         "prefixes",
         "pause_ms",
         "prefill_budget",
+        "demand",
         "step_profile",
         "_step_streams",
         "growth_rate",
@@ -148,11 +150,11 @@
         self.pause_ms = 0
         self.prefill_budget = chunked_prefill.ChunkedPrefillBudget()
         # Shared by the upstreams of a pool.
+        self.demand = pool_demand.DemandHistory()
         self.step_profile = step_profile.StepProfile()
+        self.growth_rate = kv_growth.GrowthRate()
         # Number of streams when the step was measured last.
         self._step_streams = 0
-        # Shared by the upstreams of a pool.
-        self.growth_rate = kv_growth.GrowthRate()
         self._own_streams: set[kv_growth.StreamGrowth] = set()
         # Decode steps until a time, the clock by which streams grow.
         self._steps = 0.0
@@ -189,8 +191,11 @@
         """Return the estimated number of free KV cache blocks; -1 unknown."""
         if self.total_blocks is None:
             return -1
-        used = self.own_blocks + self.peer_blocks + self.unattributed_blocks
-        return self.total_blocks - used
+        return self.total_blocks - self.count_reserved_blocks()
+
+    def count_reserved_blocks(self) -> int:
+        """Return the blocks that are reserved for known streams."""
+        return self.own_blocks + self.peer_blocks + self.unattributed_blocks
 
     def estimate_capacity(
         self, blocks: float, now_ms: int, prompt_blocks: float | None = None
@@ -640,8 +645,9 @@
         growing = sum(stream.reserved_blocks for stream in own) + sum(
             holding.blocks for holding in known.values()
         )
-        used = self.own_blocks + self.peer_blocks + self.unattributed_blocks
-        return kv_growth.GrowthProfile(groups, used - growing)
+        return kv_growth.GrowthProfile(
+            groups, self.count_reserved_blocks() - growing
+        )
 
     def _estimate_peer_present(
         self, vm: str, holding: hints.Holding, now_ms: int
@@ -693,6 +699,7 @@
         self.busy_until_ms = (
             max(self.busy_until_ms, float(now_ms)) + prefill_ms
         )
+        self.demand.note_prefill(prefill_ms / self.speed.slowdown, now_ms)
         self.prefill_budget.note(
             prefill_ms,
             self.pause_ms,
