--- a/mulberryway/controllers/scheduling.py
+++ b/mulberryway/controllers/scheduling.py
@@ -9,6 +9,7 @@
 from mulberryway import clock
 from mulberryway import errors
 from mulberryway import logs
+from mulberryway import metrics
 from mulberryway import tables
 from mulberryway.controllers import base
 from mulberryway.policy import base as policy
@@ -303,6 +304,26 @@
         with self._lock:
             return dict(self._loads)
 
+    def report(self, metrics_: metrics.Metrics) -> None:
+        """Register metrics of the engines' memory.
+
+        :param metrics_: the process's instruments
+        """
+        metrics_.register_labeled_gauge(
+            "engine_memory",
+            "KV cache blocks of decode engines by pool and kind, and streams",
+            self._list_memory,
+        )
+
+    def _list_memory(self) -> list[tuple[metrics.Labels, int]]:
+        with self._lock:
+            counts = self._scheduler.count_memory(self.clock.now_ms())
+        return [
+            ({"pool": pool, "kind": kind}, count)
+            for pool, kinds in counts.items()
+            for kind, count in kinds.items()
+        ]
+
     def read_demands(self) -> dict[str, pool_demand.PoolDemand]:
         """Return what was asked of the pools in the last minute."""
         with self._lock:
--- a/mulberryway/policy/base.py
+++ b/mulberryway/policy/base.py
@@ -233,6 +233,14 @@
         """
         return None
 
+    def count_memory(self, now_ms: int) -> dict[str, dict[str, int]]:
+        """Return what the decode engines hold, for metrics.
+
+        :param now_ms: current time in milliseconds
+        :returns: streams, and KV cache blocks by kind, for each pool
+        """
+        return {}
+
     def read_demands(self, now_ms: int) -> dict[str, pool_demand.PoolDemand]:
         """Return what was asked of the pools in the last minute.
 
--- a/mulberryway/policy/pool_upstreams.py
+++ b/mulberryway/policy/pool_upstreams.py
@@ -108,6 +108,24 @@
         reserved = sum(view.count_reserved_blocks() for view in self.decodes)
         self._demand.note_memory(reserved / total if total else 0.0, now_ms)
 
+    def count_memory(self, now_ms: int) -> dict[str, int]:
+        """Return what the decode engines hold, as this VM knows it.
+
+        :param now_ms: current time in milliseconds
+        :returns: streams, and KV cache blocks by kind
+        """
+        return {
+            "streams": sum(view.count_running() for view in self.decodes),
+            "present": sum(
+                view.estimate_present(now_ms) for view in self.decodes
+            ),
+            "reserved": sum(
+                view.count_reserved_blocks() for view in self.decodes
+            ),
+            "total": sum(view.total_blocks or 0 for view in self.decodes),
+            "overrun": round(self.growth_rate.overrun_blocks),
+        }
+
     def summarize_demand(
         self, engines: int, now_ms: int
     ) -> pool_demand.PoolDemand | None:
--- a/mulberryway/policy/role_planner.py
+++ b/mulberryway/policy/role_planner.py
@@ -40,8 +40,8 @@
 # be given up for a prefill engine if less than the second one is.
 SHORT_MEMORY = 0.9
 SPARE_MEMORY = 0.7
-# By its demand, a pool keeps at least this many, so that the loss of one leaves
-# another.
+# By its demand, a pool keeps at least this many, so that the loss of one
+# leaves another.
 MIN_PREFILLS = 2
 # After a change, none in the opposite direction follows for this time.
 DWELL_MS = 60_000
--- a/mulberryway/policy/scheduler.py
+++ b/mulberryway/policy/scheduler.py
@@ -419,6 +419,17 @@
         if view is not None:
             view.prefixes.apply_events(events)
 
+    def count_memory(self, now_ms: int) -> dict[str, dict[str, int]]:
+        """Return what the decode engines hold, for metrics.
+
+        :param now_ms: current time in milliseconds
+        :returns: streams, and KV cache blocks by kind, for each pool
+        """
+        return {
+            name: pool.members.count_memory(now_ms)
+            for name, pool in self._pools.items()
+        }
+
     def read_demands(self, now_ms: int) -> dict[str, pool_demand.PoolDemand]:
         """Return what was asked of the pools in the last minute.
 
--- a/mulberryway/router.py
+++ b/mulberryway/router.py
@@ -383,6 +383,7 @@
         )
 
     def _register_gauges(self) -> None:
+        self.scheduling.report(self.metrics)
         for name, description, read in (
             ("streams", "streams on their way", lambda: self.relay.count),
             ("running", "requests in the router", lambda: self.running),
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -303,3 +303,12 @@
         (holding,) = [one for one in note.holdings if one.decodes]
         blocks = shaping.PROMPT / 16 + shaping.RESPONSE / 16 / 2
         self.assertAlmostEqual(holding.present_blocks, blocks, delta=15)
+
+    def test_metrics_tell_the_memory_in_use(self):
+        rig = shaping.Rig(decodes=1)
+        rig.submit(0)
+        rig.start(0)
+        count = rig.scheduler.count_memory(0)["lm"]
+        self.assertEqual((count["streams"], count["total"]), (1, 6_043))
+        self.assertEqual(count["reserved"], 604)
+        self.assertLessEqual(count["present"], count["reserved"])
