Count streams of unknown length by their final size; sum up single streams

Streams without an expected length counted as ending soon. They now count their final size all the while, and a VM that has some does not tell present blocks.

The profile of an engine's memory took most of a decision's time on engines that are full.

--- a/mulberryway/policy/kv_growth.py
+++ b/mulberryway/policy/kv_growth.py
@@ -1,7 +1,9 @@
 """Estimates how the KV caches of running streams grow and are freed."""
 
+import bisect
 import collections
 import collections.abc
+import itertools
 import statistics
 
 __all__ = ["GrowthProfile", "GrowthRate", "StreamGroup", "StreamGrowth"]
@@ -123,21 +125,22 @@
     :param overrun: blocks by which a stream at its expected end grows on
     """
 
-    __slots__ = ("_count", "_present", "_mean_growth", "_mean_final")
+    __slots__ = ("count", "present", "growth", "_mean_final")
 
     def __init__(
         self, count: int, present: float, final: float, overrun: float
     ) -> None:
-        self._count = count
-        self._present = min(present, final)
-        self._mean_growth = max((final - self._present) / count, overrun)
-        self._mean_final = self._present / count + self._mean_growth
+        self.count = count
+        self.present = min(present, final)
+        # Blocks by which each of them grows, on average.
+        self.growth = max((final - self.present) / count, overrun)
+        self._mean_final = self.present / count + self.growth
 
     def list_ends(self) -> list[float]:
         """Return the growths at which streams may end, in blocks."""
         return [
-            self._count * self._mean_growth / left
-            for left in range(1, self._count + 1)
+            self.count * self.growth / left
+            for left in range(1, self.count + 1)
         ]
 
     def count_blocks(self, growth: float) -> float:
@@ -149,29 +152,45 @@
         :param growth: by how much a stream has grown until then, in blocks
         :returns: blocks
         """
-        if growth <= self._mean_growth:
-            return self._present + self._count * growth
-        alive = int(self._count * self._mean_growth / growth + ROUNDING)
+        if growth <= self.growth:
+            return self.present + self.count * growth
+        alive = int(self.count * self.growth / growth + ROUNDING)
         return alive * self._mean_final
 
 
 class GrowthProfile:
     """Memory that an engine's streams fill while they grow.
 
+    Most VMs have one stream at an engine, so single streams are added up by
+    their ends and not one by one at each end.
+
     :param groups: groups of streams
     :param constant_blocks: blocks that do not grow and are not freed
     """
 
-    __slots__ = ("_groups", "_constant", "_peaks")
+    __slots__ = ("_groups", "_constant", "_ends", "_left", "_peaks")
 
     def __init__(
         self,
-        groups: collections.abc.Sequence[StreamGroup],
+        groups: collections.abc.Iterable[StreamGroup],
         constant_blocks: float,
     ) -> None:
-        self._groups = groups
         self._constant = constant_blocks
-        ends = {end for group in groups for end in group.list_ends()}
+        self._groups: list[StreamGroup] = []
+        singles: list[StreamGroup] = []
+        for group in groups:
+            (singles if group.count == 1 else self._groups).append(group)
+        singles.sort(key=lambda group: group.growth)
+        self._ends = [group.growth for group in singles]
+        # Blocks that those from each position on fill now.
+        self._left = list(
+            itertools.accumulate(
+                (group.present for group in reversed(singles)), initial=0.0
+            )
+        )[::-1]
+        ends = set(self._ends).union(
+            *(group.list_ends() for group in self._groups)
+        )
         self._peaks = [(end, self._sum(end)) for end in sorted(ends)]
 
     def count_fitting(
@@ -203,6 +222,10 @@
         )
 
     def _sum(self, growth: float) -> float:
-        return self._constant + sum(
-            group.count_blocks(growth) for group in self._groups
+        ended = bisect.bisect_left(self._ends, growth)
+        return (
+            self._constant
+            + self._left[ended]
+            + (len(self._ends) - ended) * growth
+            + sum(group.count_blocks(growth) for group in self._groups)
         )
--- a/mulberryway/policy/upstream_view.py
+++ b/mulberryway/policy/upstream_view.py
@@ -38,9 +38,9 @@
 # A step that was measured as nothing must not stop the clock of decode steps.
 MIN_STEP_MS = 0.01
 STEP_SMOOTHING = 0.3
-# Within this time streams grow by less than a block or two, so the profile of
+# Within this time streams grow by about a hundredth, so the profile of
 # an engine's memory is kept unless its streams change.
-PROFILE_MS = 20
+PROFILE_MS = 50
 # Memory that is kept free because lengths of responses are off, as a multiple
 # of a stream's typical overrun and of the square root of their number.
 MARGIN_DEVIATIONS = 2.0
@@ -274,19 +274,23 @@
         """
         rate = self.growth_rate.steps_per_block
         steps = self.count_steps(now_ms)
-        # A stream has no token before its engine's next decode step.
-        if rate is None and any(
-            steps - stream.started_steps >= 1.0 for stream in self._own_streams
-        ):
-            return None
-        tracked = sum(stream.reserved_blocks for stream in self._own_streams)
-        present = sum(
-            stream.prompt_blocks
-            if rate is None
-            else stream.estimate_present(steps, rate)
+        tracked = sum(
+            stream.reserved_blocks
             for stream in self._own_streams
+            # A stream has no token before its engine's next decode step.
+            if stream.get_growth() > 0
+            and (rate is not None or steps - stream.started_steps < 1.0)
+        )
+        if tracked < self.own_blocks:
+            return None
+        return round(
+            sum(
+                stream.prompt_blocks
+                if rate is None
+                else stream.estimate_present(steps, rate)
+                for stream in self._own_streams
+            )
         )
-        return round(self.own_blocks - tracked + present)
 
     def estimate_present(self, now_ms: int) -> int:
         """Return the blocks that all known streams fill now, estimated.
@@ -619,7 +623,9 @@
     def _make_profile(self, now_ms: int) -> kv_growth.GrowthProfile:
         rate = self.growth_rate
         steps = self.count_steps(now_ms)
-        own = list(self._own_streams)
+        own = [
+            stream for stream in self._own_streams if stream.get_growth() > 0
+        ]
         known = {
             vm: holding
             for vm, holding in self._by_peer.items()
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -252,9 +252,23 @@
         rate = engine.view.growth_rate.steps_per_block
         self.assertAlmostEqual(rate, expected, delta=expected * 0.02)
 
-    def test_request_without_a_length_counts_its_final_size(self):
+    def test_requests_without_expected_lengths(self):
+        """Seven requests do not tell how long their responses will be.  They
+        may run for any time, so their final sizes count all the while.
+        """
+        engine = Engine()
+        now_ms = engine.learn()
+        for _ in range(7):
+            stream = kv_growth.StreamGrowth(RESERVED, RESERVED)
+            engine.view.start_decode(RESERVED, now_ms, stream)
+        self.assertIsNone(engine.view.estimate_own_present(now_ms))
+        for later_ms in (0, STREAM_MS // 2, 5 * STREAM_MS):
+            self.assertFalse(engine.try_start(now_ms + later_ms))
+
+    def test_streams_without_growth_teach_nothing(self):
         rate = kv_growth.GrowthRate()
-        rate.note(70.0, 0)
+        for _ in range(10):
+            rate.note(70.0, 0)
         self.assertIsNone(rate.steps_per_block)
 
 
