--- a/mulberryway/policy/pool_upstreams.py
+++ b/mulberryway/policy/pool_upstreams.py
@@ -6,8 +6,11 @@
 
 from mulberryway import tables
 from mulberryway.policy import health
+from mulberryway.policy import kv_growth
+from mulberryway.policy import pool_demand
 from mulberryway.policy import pool_subsets
 from mulberryway.policy import prefill_speed
+from mulberryway.policy import step_profile
 from mulberryway.policy import subsetting
 from mulberryway.policy import upstream_view
 
@@ -38,6 +41,9 @@
         "_retained",
         "_subsets",
         "_pool_rate",
+        "growth_rate",
+        "_step_profile",
+        "_demand",
         "prefills",
         "decodes",
         "_outside",
@@ -51,6 +57,9 @@
     ) -> None:
         self._vm = vm
         self._pool_rate = health.LatencyFloor(prefill_rate)
+        self.growth_rate = kv_growth.GrowthRate()
+        self._step_profile = step_profile.StepProfile()
+        self._demand = pool_demand.DemandHistory()
         self._random = random_
         self._views: dict[str, upstream_view.UpstreamView] = {}
         self._retained: dict[str, upstream_view.UpstreamView] = {}
@@ -88,6 +97,53 @@
             if view.row.version == version
         ]
 
+    def sample_memory(self, now_ms: int) -> None:
+        """Record how full the decode engines' memory is, if that is due.
+
+        :param now_ms: current time in milliseconds
+        """
+        if not self._demand.is_sample_due(now_ms):
+            return
+        total = sum(view.total_blocks or 0 for view in self.decodes)
+        reserved = sum(view.count_reserved_blocks() for view in self.decodes)
+        self._demand.note_memory(reserved / total if total else 0.0, now_ms)
+
+    def count_memory(self, now_ms: int) -> dict[str, int]:
+        """Return what the decode engines hold, as this VM knows it.
+
+        :param now_ms: current time in milliseconds
+        :returns: streams, and KV cache blocks by kind
+        """
+        return {
+            "streams": sum(view.count_running() for view in self.decodes),
+            "present": sum(
+                view.estimate_present(now_ms) for view in self.decodes
+            ),
+            "reserved": sum(
+                view.count_reserved_blocks() for view in self.decodes
+            ),
+            "total": sum(view.total_blocks or 0 for view in self.decodes),
+            "overrun": round(self.growth_rate.overrun_blocks),
+        }
+
+    def summarize_demand(
+        self, engines: int, now_ms: int
+    ) -> pool_demand.PoolDemand | None:
+        """Return what was asked of the pool in the last minute.
+
+        :param engines: number of all engines of the pool
+        :param now_ms: current time in milliseconds
+        :returns: the demand; none if it is not known yet
+        """
+        return self._demand.summarize(
+            engines / max(len(self._views), 1),
+            {
+                view.row.name: view.count_reserved_blocks()
+                for view in self.decodes
+            },
+            now_ms,
+        )
+
     def is_ejection_limit_reached(
         self, view: upstream_view.UpstreamView, now_ms: int
     ) -> bool:
@@ -185,6 +241,9 @@
             view = upstream_view.UpstreamView(
                 row, pool.slots, self._random, blocks
             )
+            view.growth_rate = self.growth_rate
+            view.step_profile = self._step_profile
+            view.demand = self._demand
         if is_new:
             is_decode = row.role is tables.UpstreamRole.DECODE
             slowdown = CHUNKED_PREFILL_SLOWDOWN if is_decode else 1.0
