Choose and admit plain calls by the calls of all VMs

With some 70 or 90 VMs that each call a plain service about once a second, a VM's own calls in flight say nothing of a server's load: it learnt of a full server by being turned away, at the same moment as its neighbours. VMs now tell each other their calls by server, and each one spreads its calls so that the servers' expected completions become equal, and refuses at once what the servers cannot finish within the target.

Ruled out in a model of the two load patterns (tests/test_plain_overload.py, reports 100 to 300 ms late): correcting the whole difference of the queues within one interval (swings), correcting durations by the queue at the time of the report (the service time was learnt up to 60 % too high and drifted), and a rate measured over 500 ms (a burst was seen too late). The service time is learnt from the mean duration and the mean number in flight of the same window.

--- a/mulberryway/controllers/scheduler_gossip.py
+++ b/mulberryway/controllers/scheduler_gossip.py
@@ -15,6 +15,7 @@
 from mulberryway.policy import member
 from mulberryway.policy import poison
 from mulberryway.policy import pool_subsets
+from mulberryway.policy import server_loads
 from mulberryway.policy import stream_versions
 from mulberryway.policy import usage as usages
 
@@ -91,6 +92,10 @@
         self.on_alive_vms: collections.abc.Callable[
             [tuple[str, ...]], None
         ] = lambda vms: None
+        # Called with each VM's calls to plain servers; must return quickly.
+        self.on_server_loads: collections.abc.Callable[
+            [server_loads.ServerLoadReport], None
+        ] = lambda report: None
         # Called with the versions that began streams; must return quickly.
         self.on_streams: collections.abc.Callable[
             [list[stream_versions.StreamVersion]], None
@@ -143,6 +148,8 @@
                 self.on_usage(entry.usage, address)
             if entry.paths is not None:
                 self.on_paths(entry.paths)
+            if entry.server_loads is not None:
+                self.on_server_loads(entry.server_loads)
             if entry.streams:
                 self.on_streams(entry.streams)
             for news in entry.news:
--- a/mulberryway/filters/service_forward.py
+++ b/mulberryway/filters/service_forward.py
@@ -1,8 +1,10 @@
 """Forwards calls to plain services."""
 
 import collections.abc
+import contextlib
 import logging
 import threading
+import typing
 
 import expression
 
@@ -15,7 +17,9 @@
 from mulberryway.controllers import scheduling
 from mulberryway.filters import base
 from mulberryway.filters import route
+from mulberryway.policy import call_admission
 from mulberryway.policy import poison
+from mulberryway.policy import ranks
 from mulberryway.policy import server_selection
 from mulberryway.relay import watch
 from mulberryway.upstreams import base as upstreams
@@ -51,6 +55,7 @@
     :param try_withdraw_retry: withdraws a retry from a pool's retry budget
     :param scheduling_: records calls that crashed servers; without it no
         call is quarantined
+    :param lock: guards the chooser and what it shares with other threads
     """
 
     def __init__(
@@ -65,6 +70,7 @@
             [str], bool
         ] = lambda pool: True,
         scheduling_: scheduling.SchedulingController | None = None,
+        lock: contextlib.AbstractContextManager[typing.Any] | None = None,
     ) -> None:
         self._directory = directory_
         self._chooser = chooser
@@ -74,7 +80,7 @@
         self._callers = callers
         self._try_withdraw_retry = try_withdraw_retry
         self._scheduling = scheduling_
-        self._lock = threading.Lock()
+        self._lock = lock or threading.Lock()
 
     def handle(
         self, exchange: base.Exchange, proceed: base.NextHandler
@@ -106,6 +112,9 @@
     def _forward(
         self, exchange: base.Exchange, canceller: connections.CallCanceller
     ) -> base.Answer:
+        retry_ms = self._admit(exchange)
+        if retry_ms is not None:
+            return expression.Error(_make_overload_fault(exchange, retry_ms))
         avoid: frozenset[str] = frozenset()
         has_run = False
         fault: errors.Fault | None = None
@@ -178,6 +187,24 @@
             and (not sent or self._try_withdraw_retry(exchange.pool.name))
         )
 
+    def _admit(self, exchange: base.Exchange) -> int | None:
+        """Return none if a call may wait for a server.
+
+        :returns: else after how long a retry is useful, in ms
+        """
+        now_ms = self._clock.now_ms()
+        row = exchange.route
+        target_ms = row.target_ms - (now_ms - exchange.arrived_ms)
+        needs = call_admission.CallNeeds(
+            target_ms if target_ms > 0 else None,
+            exchange.deadline.left_ms(now_ms),
+            ranks.compute_rank(row.priority, exchange.account.priority),
+            exchange.request_id,
+        )
+        pool = self._find_current_pool(exchange)
+        with self._lock:
+            return self._chooser.admit(pool, needs, now_ms)
+
     def _choose(
         self, exchange: base.Exchange, avoid: frozenset[str]
     ) -> tables.Upstream | None:
@@ -290,6 +317,8 @@
             call_outcome = server_selection.CallOutcome.DONE
         elif fault.code is errors.Code.UPSTREAM_UNREACHABLE:
             call_outcome = server_selection.CallOutcome.UNREACHED
+        elif fault.run is errors.ExecutionStatus.NOT_RUN:
+            call_outcome = server_selection.CallOutcome.REJECTED
         else:
             call_outcome = server_selection.CallOutcome.FAILED
         with self._lock:
@@ -326,6 +355,18 @@
     )
 
 
+def _make_overload_fault(
+    exchange: base.Exchange, retry_ms: int
+) -> errors.Fault:
+    return errors.Fault(
+        errors.Code.OVERLOADED,
+        errors.Step.SERVICE,
+        exchange.pool.name,
+        message="the servers of the pool are busy",
+        retry_after_ms=retry_ms,
+    )
+
+
 def _make_quarantine_fault(exchange: base.Exchange) -> errors.Fault:
     return errors.Fault(
         errors.Code.QUARANTINED,
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -35,6 +35,7 @@
 from mulberryway.controllers import registration
 from mulberryway.controllers import reloading
 from mulberryway.controllers import scheduler_gossip
+from mulberryway.controllers import server_load_gossip
 from mulberryway.controllers import version_tracking
 from mulberryway.filters import repeats
 from mulberryway.objects import base as objects
@@ -205,6 +206,12 @@
         self.cold_limits = cold_start.ColdStartLimits(
             settings_.cold_start_over_part, settings_.cold_start_slack
         )
+        self.server_loads = server_load_gossip.ServerLoadGossip(
+            settings_.vm_name,
+            self.incarnation,
+            lambda: len(self.members.list_alive()),
+            self.clock,
+        )
         self.scheduler = self._make_scheduler()
         self._wire_router()
         self._wire_peers()
@@ -232,6 +239,7 @@
         self.router.start()
         self.dissemination.start()
         self.notes.start()
+        self.server_loads.start()
         self.probing.start()
         self.allowances.start()
         self.registration.start()
@@ -258,6 +266,7 @@
             self.registration,
             self.allowances,
             self.probing,
+            self.server_loads,
             self.notes,
             self.paths,
             self.dissemination,
@@ -367,6 +376,7 @@
                 self.shares,
                 self.cold_limits,
                 self.advisories,
+                self.server_loads,
             ),
             self.retry_budget.try_withdraw,
             on_drain=lambda: self.members.update_local(is_stopping=True),
@@ -393,6 +403,7 @@
         self.paths.report(self.router.metrics)
         self.versions.report(self.router.metrics)
         self.advisories.report(self.router.metrics)
+        self.server_loads.report(self.router.metrics)
         self.notes = scheduler_gossip.SchedulerGossipController(
             self.router.scheduling,
             self.members,
@@ -409,6 +420,8 @@
             self.paths.list_reaching,
         )
         self.paths.publish = self.dissemination.publish
+        self.server_loads.publish = self.dissemination.publish
+        self.notes.on_server_loads = self.server_loads.take_report
         self.notes.on_paths = self.paths.take_report
         self.versions.send = self.dissemination.send
         self.notes.on_members = self.versions.update_members
--- a/mulberryway/metrics.py
+++ b/mulberryway/metrics.py
@@ -111,6 +111,26 @@
             description=description,
         )
 
+    def register_labeled_gauge(
+        self, name: str, description: str, read: LabeledValues
+    ) -> None:
+        """Register a gauge whose values by label are read by a callback.
+
+        :param name: the instrument's name, without the common prefix
+        :param description: the instrument's description
+        :param read: returns pairs of labels and value
+        """
+        self._meter.create_observable_gauge(
+            f"mulberryway.{name}",
+            [
+                lambda options: [
+                    metrics.Observation(value, labels)
+                    for labels, value in read()
+                ]
+            ],
+            description=description,
+        )
+
     def register_counter(
         self, name: str, description: str, read: LabeledValues
     ) -> None:
--- a/mulberryway/platform/interface.py
+++ b/mulberryway/platform/interface.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 
+from mulberryway.controllers import server_load_gossip
 from mulberryway.controllers import version_tracking
 from mulberryway.filters import admission
 from mulberryway.filters import authentication
@@ -31,6 +32,8 @@
     :param shares: this VM's shares of limits over all VMs
     :param cold_limits: what operators allow cold servers to get
     :param limits: further limits of requests to servers; none by default
+    :param loads: the calls of all VMs to plain servers; none to know only
+        those of this VM
     """
 
     def __init__(
@@ -40,7 +43,9 @@
         shares: cold_start.FleetShares | None = None,
         cold_limits: cold_start.ColdStartLimits | None = None,
         limits: send_limits.SendLimits | None = None,
+        loads: server_load_gossip.ServerLoadGossip | None = None,
     ) -> None:
+        self._loads = loads
         self._limits = limits
         self._shares = shares
         self._cold_limits = cold_limits
@@ -75,6 +80,7 @@
                     self._shares,
                     self._cold_limits,
                     self._limits,
+                    self._loads.book if self._loads else None,
                 ),
                 parts.tracer,
                 parts.clock,
@@ -82,6 +88,7 @@
                 parts.callers,
                 parts.try_withdraw_retry,
                 parts.scheduling,
+                self._loads.lock if self._loads else None,
             ),
         ]
 
--- a/mulberryway/platform/tables.py
+++ b/mulberryway/platform/tables.py
@@ -28,6 +28,7 @@
 BITS_IN_BYTE = 8
 MS_IN_S = 1_000
 MAX_VERSION_LENGTH = 128
+MAX_SLOTS = 100_000
 MAX_COLD_MS = 600_000
 MAX_COLD_REQUESTS_PER_S = 1_000_000
 STREAMING = "streaming"
@@ -301,6 +302,7 @@
         ),
         revision=entry.version,
         started_ms=started_ms,
+        slots=int(wire.parse_amount(value.get("slots"), MAX_SLOTS)),
     )
     return _Server(pool, row, started_ms)
 
--- a/mulberryway/policy/server_loads.py
+++ b/mulberryway/policy/server_loads.py
@@ -9,7 +9,8 @@
     The counts are those since the sender's last report on this server.
 
     :param pool: the pool's name
-    :param server: the server's name
+    :param server: the server's name; empty for the sender's own refusals of
+        calls to the pool, which count as rejected
     :param in_flight: calls that were sent and are not answered yet
     :param completed: calls that were answered
     :param rejected: calls that the server turned away without running them
--- a/mulberryway/policy/server_selection.py
+++ b/mulberryway/policy/server_selection.py
@@ -1,12 +1,18 @@
 """Selects the server of a non-model service for a call; without I/O."""
 
 import enum
+import random
 import statistics
 
 from mulberryway import tables
+from mulberryway.policy import call_admission
+from mulberryway.policy import call_spread
 from mulberryway.policy import cold_start
 from mulberryway.policy import health
 from mulberryway.policy import send_limits
+from mulberryway.policy import server_estimates
+from mulberryway.policy import server_load_book
+from mulberryway.policy import zone_overflow
 
 __all__ = ["CallOutcome", "ServerSelector", "list_usable_servers"]
 
@@ -17,8 +23,6 @@
 UNREACHED_BACKOFF_MS = 2_000
 # Additional round-trip time of a call to another zone.
 CROSS_ZONE_MS = 2.0
-# Estimated duration of a call before any has ended.
-INITIAL_CALL_MS = 60.0
 # A server that fails calls immediately looks idle and would attract more of
 # them.  A failure rate above the pool's median therefore adds to its estimated
 # time; the margin is the random deviation of the mean of about ten calls.
@@ -57,6 +61,8 @@
 
     DONE = "done"
     FAILED = "failed"
+    # The server turned the call away without running it.
+    REJECTED = "rejected"
     UNREACHED = "unreached"
     NO_VERDICT = "no_verdict"
 
@@ -74,7 +80,7 @@
 
     def __init__(self) -> None:
         self.in_flight = 0
-        self.latency = health.Ewma(INITIAL_CALL_MS)
+        self.latency = health.Ewma(server_estimates.INITIAL_CALL_MS)
         self.failures = health.Ewma(0.0, FAILURE_SMOOTHING)
         self.updated_ms = 0
         self.backoff_until_ms = 0
@@ -87,15 +93,23 @@
 class ServerSelector:
     """Chooses the server that will probably respond first.
 
-    It is not thread-safe; callers hold a lock.
+    While other VMs report their calls, it chooses by the calls of all VMs;
+    else by those of this VM.  It is not thread-safe; callers hold a lock.
 
     :param zone: the zone of this VM
     :param shares: this VM's shares of limits over all VMs
     :param cold_limits: what operators allow cold servers to get
     :param limits: further limits of requests to servers; none by default
+    :param book: the calls of all VMs; none to know only those of this VM
+    :param zones: decides when calls leave their zone
+    :param random_: spreads the calls of VMs that know the same
     """
 
     __slots__ = (
+        "_book",
+        "_zones",
+        "_random",
+        "_mixes",
         "_zone",
         "_servers",
         "_shares",
@@ -110,8 +124,15 @@
         shares: cold_start.FleetShares | None = None,
         cold_limits: cold_start.ColdStartLimits | None = None,
         limits: send_limits.SendLimits | None = None,
+        book: server_load_book.ServerLoadBook | None = None,
+        zones: zone_overflow.ZoneOverflow | None = None,
+        random_: random.Random | None = None,
     ) -> None:
         self._zone = zone
+        self._book = book or server_load_book.ServerLoadBook("", 0)
+        self._zones = zones or zone_overflow.ZoneOverflow(zone)
+        self._random = random_ or random.Random()
+        self._mixes: dict[str, call_admission.RankMix] = {}
         self._limits = limits
         self._shares = shares or cold_start.FleetShares("")
         self._cold_limits = cold_limits or cold_start.ColdStartLimits()
@@ -148,20 +169,72 @@
         if not usable:
             return None
         self._remove_deregistered(pool)
-        median_rate = statistics.median(
-            self._find(pool, upstream).get_failure_rate(now_ms)
-            for upstream in usable
-        )
-        chosen = min(
-            usable,
-            key=lambda upstream: self._rank(
-                pool, upstream, median_rate, now_ms
-            ),
-        )
+        if self._is_load_shared(pool, now_ms):
+            chosen = self._choose_by_fleet(pool, usable, now_ms)
+        else:
+            chosen = self._choose_alone(pool, usable, now_ms)
+        self._book.begin(pool.name, chosen.name, now_ms)
         self._find(pool, chosen).in_flight += 1
         limits.try_send(chosen.name, now_ms)
         return chosen
 
+    def admit(
+        self,
+        pool: tables.Pool,
+        needs: call_admission.CallNeeds,
+        now_ms: int,
+    ) -> int | None:
+        """Decide whether a call may wait for a server.
+
+        :param pool: the pool
+        :param needs: what the caller can use
+        :param now_ms: current time in milliseconds
+        :returns: none if it may; else when it may come back, in milliseconds
+        """
+        mix = self._mixes.setdefault(pool.name, call_admission.RankMix())
+        mix.record(needs.rank)
+        news_age_ms = self._book.get_news_age_ms(now_ms)
+        if news_age_ms is None or (
+            news_age_ms > call_admission.MAX_NEWS_AGE_MS
+        ):
+            return None
+        servers = self._list_admitting(pool, now_ms)
+        if not servers:
+            return None
+        horizon_ms = self._get_horizon_ms()
+        fraction = call_admission.compute_fraction(
+            servers,
+            needs,
+            self._book.get_demand(pool.name, now_ms) * horizon_ms,
+            horizon_ms,
+        )
+        if fraction >= 1.0:
+            return None
+        draws = random.Random(needs.key)
+        if draws.random() < mix.compute_part(needs.rank, fraction):
+            return None
+        self._book.record_refusal(pool.name, needs.rank, now_ms)
+        return call_admission.compute_retry_ms(
+            servers, fraction, horizon_ms, draws.random()
+        )
+
+    def get_duration_ms(
+        self, pool: tables.Pool, upstream: tables.Upstream, now_ms: int
+    ) -> float | None:
+        """Return the expected duration of a call, in milliseconds.
+
+        :param pool: the pool
+        :param upstream: the server
+        :param now_ms: current time in milliseconds
+        :returns: none until some calls have ended
+        """
+        estimate = self._book.get_estimate(
+            pool.name, upstream.name, upstream.slots
+        )
+        if not estimate.has_samples:
+            return None
+        return self._make_state(pool, upstream, now_ms).wait_ms
+
     def get_wait_ms(self, pool: tables.Pool, now_ms: int) -> int:
         """Return the time until a server may be chosen, in ms.
 
@@ -196,6 +269,13 @@
         """
         server = self._find(pool, upstream)
         server.in_flight = max(server.in_flight - 1, 0)
+        self._book.finish(
+            pool.name,
+            upstream.name,
+            took_ms if outcome is CallOutcome.DONE else None,
+            outcome is CallOutcome.REJECTED,
+            now_ms,
+        )
         if outcome is CallOutcome.NO_VERDICT:
             return
         if outcome is CallOutcome.UNREACHED:
@@ -206,10 +286,156 @@
             return
         server.backoff_until_ms = 0
         server.updated_ms = now_ms
-        server.failures.note(1.0 if outcome is CallOutcome.FAILED else 0.0)
+        server.failures.note(0.0 if outcome is CallOutcome.DONE else 1.0)
         if outcome is CallOutcome.DONE:
             server.latency.note(took_ms)
 
+    def _get_horizon_ms(self) -> int:
+        """Return the time until the VMs know what each other has done."""
+        return 2 * self._book.interval_ms
+
+    def _is_load_shared(self, pool: tables.Pool, now_ms: int) -> bool:
+        return (
+            len(pool.upstreams) > 1
+            and self._book.get_news_age_ms(now_ms) is not None
+        )
+
+    def _list_admitting(
+        self, pool: tables.Pool, now_ms: int
+    ) -> list[call_spread.ServerState]:
+        """Return the servers that count for admission.
+
+        :returns: none if the pool has a single server, or if the capacity of
+            one that is in use is unknown
+        """
+        usable = self._list_reachable(
+            pool, list_usable_servers(pool, frozenset()), now_ms
+        )
+        are_known = all(
+            self._book.get_estimate(
+                pool.name, upstream.name, upstream.slots
+            ).is_capacity_known
+            for upstream in usable
+        )
+        if len(pool.upstreams) < 2 or not are_known:
+            return []
+        return [
+            self._make_state(pool, upstream, now_ms) for upstream in usable
+        ]
+
+    def _list_reachable(
+        self,
+        pool: tables.Pool,
+        usable: list[tables.Upstream],
+        now_ms: int,
+    ) -> list[tables.Upstream]:
+        """Return the servers that are not in backoff, or all if none."""
+        return [
+            upstream
+            for upstream in usable
+            if self._find(pool, upstream).backoff_until_ms <= now_ms
+        ] or usable
+
+    def _make_state(
+        self,
+        pool: tables.Pool,
+        upstream: tables.Upstream,
+        now_ms: int,
+        extra_ms: float = 0.0,
+    ) -> call_spread.ServerState:
+        estimate = self._book.get_estimate(
+            pool.name, upstream.name, upstream.slots
+        )
+        return call_spread.ServerState(
+            upstream.name,
+            self._book.count_in_flight(pool.name, upstream.name, now_ms),
+            estimate.concurrency,
+            estimate.service_ms,
+            extra_ms,
+        )
+
+    def _choose_by_fleet(
+        self,
+        pool: tables.Pool,
+        usable: list[tables.Upstream],
+        now_ms: int,
+    ) -> tables.Upstream:
+        """Choose by the calls of all VMs."""
+        median_rate = self._compute_median_rate(pool, usable, now_ms)
+        by_name = {
+            upstream.name: (
+                upstream,
+                self._make_state(
+                    pool,
+                    upstream,
+                    now_ms,
+                    self._compute_extra_ms(pool, upstream, median_rate, now_ms)
+                    + self._book.get_estimate(
+                        pool.name, upstream.name
+                    ).get_rejection_ms(now_ms),
+                ),
+            )
+            for upstream in self._list_reachable(pool, usable, now_ms)
+        }
+        options = [
+            zone_overflow.ServerOption(
+                name, upstream.zone, state.wait_ms, state.free
+            )
+            for name, (upstream, state) in by_name.items()
+        ]
+        allowed = self._zones.restrict(
+            pool.name, options, self._random.random(), now_ms
+        )
+        horizon_ms = self._get_horizon_ms()
+        shares = call_spread.compute_shares(
+            [by_name[option.name][1] for option in allowed],
+            self._book.get_demand(pool.name, now_ms) * horizon_ms,
+            horizon_ms,
+        )
+        name = call_spread.choose(shares, self._random.random())
+        return by_name[name][0]
+
+    def _choose_alone(
+        self,
+        pool: tables.Pool,
+        usable: list[tables.Upstream],
+        now_ms: int,
+    ) -> tables.Upstream:
+        """Choose by the calls of this VM."""
+        median_rate = self._compute_median_rate(pool, usable, now_ms)
+        return min(
+            usable,
+            key=lambda upstream: self._rank(
+                pool, upstream, median_rate, now_ms
+            ),
+        )
+
+    def _compute_median_rate(
+        self,
+        pool: tables.Pool,
+        usable: list[tables.Upstream],
+        now_ms: int,
+    ) -> float:
+        return statistics.median(
+            self._find(pool, upstream).get_failure_rate(now_ms)
+            for upstream in usable
+        )
+
+    def _compute_extra_ms(
+        self,
+        pool: tables.Pool,
+        upstream: tables.Upstream,
+        median_rate: float,
+        now_ms: int,
+    ) -> float:
+        """Return the cost of distance and failures, in milliseconds."""
+        server = self._find(pool, upstream)
+        excess = server.get_failure_rate(now_ms) - median_rate - FAILURE_MARGIN
+        extra_ms = max(excess, 0.0) * FAILURE_MS
+        if upstream.zone != self._zone:
+            extra_ms += CROSS_ZONE_MS
+        return extra_ms
+
     def _find(self, pool: tables.Pool, upstream: tables.Upstream) -> _Server:
         return self._servers.setdefault((pool.name, upstream.name), _Server())
 
@@ -230,6 +456,9 @@
         )
         if row is not pool:
             limiter.update_pool(pool, now_ms)
+            self._book.retain(
+                pool.name, {upstream.name for upstream in pool.upstreams}
+            )
             self._cold_starts[pool.name] = pool, limiter
         return limiter
 
@@ -253,9 +482,6 @@
         now_ms: int,
     ) -> tuple[bool, float, str]:
         server = self._find(pool, upstream)
-        excess = server.get_failure_rate(now_ms) - median_rate - FAILURE_MARGIN
         wait_ms = (server.in_flight + 1) * server.latency.value
-        if upstream.zone != self._zone:
-            wait_ms += CROSS_ZONE_MS
-        wait_ms += max(excess, 0.0) * FAILURE_MS
+        wait_ms += self._compute_extra_ms(pool, upstream, median_rate, now_ms)
         return (server.backoff_until_ms > now_ms, wait_ms, upstream.name)
--- a/mulberryway/tables/model.py
+++ b/mulberryway/tables/model.py
@@ -69,6 +69,8 @@
         must not be joined in one stream
     :param started_ms: when its incarnation started, in ms of its own clock; 0
         if unknown
+    :param slots: requests that it runs at once, by its own report; 0 if
+        unknown
     """
 
     __slots__ = (
@@ -83,6 +85,7 @@
         "checks_fencing",
         "version",
         "started_ms",
+        "slots",
     )
 
     def __init__(
@@ -98,6 +101,7 @@
         cold_left_ms: int = 0,
         revision: int = 0,
         started_ms: int = 0,
+        slots: int = 0,
     ) -> None:
         self.name = name
         self.address = address
@@ -110,6 +114,7 @@
         self.checks_fencing = checks_fencing
         self.version = version
         self.started_ms = started_ms
+        self.slots = slots
 
 
 class Pool:
