Keep a plain call open while a second server is asked

An idempotent call left a silent server at half of its time. If the next server refused or the retry budget was spent, the first one's late answer was lost. The first call now keeps its connection at its timeout, and a second one is made beside it on a thread of its own. The first success counts and the other call is cancelled; the budget is asked when the second call is due. The server is told the whole time that is left, not the half of it.

Ruled out: asking the budget before the first call and returning what was not used, because each call in flight would hold a retry that others need.

The time for the first server was at least 500 ms, so at a deadline of 640 ms nobody was served in time after a silent server. It is four usual durations if the target leaves room for them, else half of the remaining time.

A call that was cancelled on this side is no crash of its server and is not followed by probes of its port.

The fake in LateServiceTest ended a call at its timeout; it now extends it as the client does, with its assertions unchanged.

--- a/mulberryway/filters/service_forward.py
+++ b/mulberryway/filters/service_forward.py
@@ -16,6 +16,7 @@
 from mulberryway import traces
 from mulberryway.controllers import scheduling
 from mulberryway.filters import base
+from mulberryway.filters import hedging
 from mulberryway.filters import route
 from mulberryway.policy import call_admission
 from mulberryway.policy import poison
@@ -36,11 +37,12 @@
 # try every server of a service with three or four.
 MAX_ATTEMPTS = 4
 # An unresponsive server must leave time to send an idempotent call to another
-# one.  It gets half of the remaining time, but at least this long, which is
-# several times the usual duration of a call.  If no other server may be
-# chosen, it gets all of the remaining time.
+# one, which gets half of the remaining time, or more if the target allows it.
 REMAINING_TIME_DIVISOR = 2
-MIN_ATTEMPT_TIMEOUT_MS = 500
+# A call that takes this many times its usual duration is probably lost.
+PATIENCE_FACTOR = 4.0
+# The wait for a server whose usual duration is unknown is at least this.
+MIN_PATIENCE_MS = 250
 
 
 class ServiceForward(base.Filter):
@@ -95,65 +97,49 @@
             exchange.digest = _digest(exchange)
             if self._scheduling.is_quarantined(exchange.digest):
                 return expression.Error(_make_quarantine_fault(exchange))
-        canceller = connections.CallCanceller()
+        open_calls = hedging.OpenCalls()
         if self._callers is None:
-            return self._forward(exchange, canceller)
+            return self._forward(exchange, open_calls)
 
         def on_disconnect() -> None:
             exchange.has_gone.set()
-            canceller.cancel()
+            open_calls.cancel()
 
         watched = self._callers.add(exchange.connection, on_disconnect)
         try:
-            return self._forward(exchange, canceller)
+            return self._forward(exchange, open_calls)
         finally:
             self._callers.remove(watched)
 
     def _forward(
-        self, exchange: base.Exchange, canceller: connections.CallCanceller
+        self, exchange: base.Exchange, open_calls: hedging.OpenCalls
     ) -> base.Answer:
         retry_ms = self._admit(exchange)
         if retry_ms is not None:
             return expression.Error(_make_overload_fault(exchange, retry_ms))
-        avoid: frozenset[str] = frozenset()
-        has_run = False
-        fault: errors.Fault | None = None
-        sent = 0
-        for number in range(MAX_ATTEMPTS):
-            if sent >= exchange.route.max_attempts:
-                break
-            if number and not self._may_try_next_server(
-                exchange, has_run, sent
+        attempts = _Attempts(exchange.route.max_attempts)
+        while attempts.has_left():
+            if attempts.called and not self._may_try_next_server(
+                exchange, attempts.has_run, attempts.sent
             ):
                 break
-            upstream = self._choose(exchange, avoid)
+            upstream = self._choose(exchange, attempts.called)
             if upstream is None:
                 break
-            exchange.record_attempt(
-                upstream.name, upstream.version, self._clock.now_ms()
-            )
-            avoid = avoid | {upstream.name}
-            result = self._call_once(
-                exchange,
-                upstream,
-                number,
-                self._compute_timeout_ms(exchange, number, avoid),
-                canceller,
+            version, result = self._call(
+                exchange, upstream, attempts, open_calls
             )
             if result.is_ok():
                 if exchange.required_version is None:
-                    exchange.on_first_event(upstream.version)
+                    exchange.on_first_event(version)
                 return expression.Ok(_make_reply(result.ok))
-            fault = result.error
-            # Without a connection, nothing was sent.
-            sent += fault.code is not errors.Code.UPSTREAM_UNREACHABLE
-            if fault.has_died and self._scheduling is not None:
-                self._scheduling.record_crash(
-                    exchange.digest, f"{exchange.pool.name}/{upstream.name}"
-                )
-            has_run = (
-                has_run or fault.run is not errors.ExecutionStatus.NOT_RUN
-            )
+        return self._make_failure(exchange, attempts)
+
+    def _make_failure(
+        self, exchange: base.Exchange, attempts: "_Attempts"
+    ) -> base.Answer:
+        """Return the answer of a call that no server has served."""
+        fault = attempts.fault
         if fault is None:
             return expression.Error(self._make_no_server_fault(exchange))
         if (
@@ -161,7 +147,7 @@
             and fault.run is errors.ExecutionStatus.RAN
         ):
             return expression.Ok(_make_reply(fault.answer))
-        if has_run and fault.run is errors.ExecutionStatus.NOT_RUN:
+        if attempts.has_run and fault.run is errors.ExecutionStatus.NOT_RUN:
             fault.run = errors.ExecutionStatus.MAY_HAVE_RUN
         if (
             fault.run is errors.ExecutionStatus.NOT_RUN
@@ -172,6 +158,111 @@
             )
         return expression.Error(fault)
 
+    def _call(
+        self,
+        exchange: base.Exchange,
+        upstream: tables.Upstream,
+        attempts: "_Attempts",
+        open_calls: hedging.OpenCalls,
+    ) -> tuple[str, hedging.Result]:
+        """Call a server, and a second one if the first is silent.
+
+        :returns: the version of the server that has answered, and the result
+        """
+        hedges: list[hedging.Hedge] = []
+        number = self._begin_attempt(exchange, upstream, attempts)
+        timeout_ms, extension_ms = self._compute_timeouts_ms(
+            exchange, upstream, attempts
+        )
+        canceller = connections.CallCanceller(
+            extension_ms,
+            lambda: hedges.extend(
+                self._start_hedge(exchange, attempts, open_calls, canceller)
+            ),
+        )
+        open_calls.add(canceller)
+        result = self._call_once(
+            exchange, upstream, number, timeout_ms, canceller
+        )
+        for hedge in hedges:
+            if result.is_ok():
+                hedge.cancel()
+                continue
+            second = hedge.wait()
+            if second is not None and second.is_ok():
+                return hedge.upstream.version, second
+            if second is not None:
+                self._record_fault(
+                    exchange, hedge.upstream, second.error, attempts
+                )
+        if result.is_error():
+            self._record_fault(exchange, upstream, result.error, attempts)
+        return upstream.version, result
+
+    def _begin_attempt(
+        self,
+        exchange: base.Exchange,
+        upstream: tables.Upstream,
+        attempts: "_Attempts",
+    ) -> int:
+        """Record that a server is called, and return the call's number."""
+        exchange.record_attempt(
+            upstream.name, upstream.version, self._clock.now_ms()
+        )
+        attempts.called = attempts.called | {upstream.name}
+        return len(attempts.called) - 1
+
+    def _start_hedge(
+        self,
+        exchange: base.Exchange,
+        attempts: "_Attempts",
+        open_calls: hedging.OpenCalls,
+        first: connections.CallCanceller,
+    ) -> list[hedging.Hedge]:
+        """Call a second server while the first one is silent.
+
+        The retry budget is asked only now, when a second call is needed.
+
+        :param first: cancels the first call
+        :returns: the second call; empty if none may be made
+        """
+        if not self._may_try_next_server(exchange, True, attempts.sent + 1):
+            return []
+        upstream = self._choose(exchange, attempts.called)
+        if upstream is None:
+            return []
+        number = self._begin_attempt(exchange, upstream, attempts)
+        canceller = connections.CallCanceller()
+        open_calls.add(canceller)
+        hedge = hedging.Hedge(
+            upstream,
+            canceller,
+            lambda: self._call_once(
+                exchange,
+                upstream,
+                number,
+                max(exchange.deadline.left_ms(self._clock.now_ms()), 1),
+                canceller,
+                is_hedge=True,
+            ),
+            first.cancel,
+        )
+        hedge.start()
+        return [hedge]
+
+    def _record_fault(
+        self,
+        exchange: base.Exchange,
+        upstream: tables.Upstream,
+        fault: errors.Fault,
+        attempts: "_Attempts",
+    ) -> None:
+        attempts.record(fault)
+        if fault.has_died and self._scheduling is not None:
+            self._scheduling.record_crash(
+                exchange.digest, f"{exchange.pool.name}/{upstream.name}"
+            )
+
     def _may_try_next_server(
         self, exchange: base.Exchange, has_run: bool, sent: int
     ) -> bool:
@@ -251,7 +342,8 @@
         number: int,
         timeout_ms: int,
         canceller: connections.CallCanceller,
-    ) -> expression.Result[upstreams.ServiceReply, errors.Fault]:
+        is_hedge: bool = False,
+    ) -> hedging.Result:
         service = self._directory.find_service(exchange.pool, upstream)
         step = errors.Step.SERVICE
         started_ms = self._clock.now_ms()
@@ -270,46 +362,75 @@
             )
             if result.is_error():
                 span.fail(result.error)
-        self._record_call_end(exchange, upstream, result, started_ms)
+        # A second call that the first one has overtaken proves nothing, but a
+        # first call that was overtaken was late.
+        is_void = is_hedge and canceller.is_cancelled
+        self._record_call_end(exchange, upstream, result, started_ms, is_void)
         return result
 
-    def _compute_timeout_ms(
-        self, exchange: base.Exchange, number: int, called: frozenset[str]
-    ) -> int:
-        """Return the timeout of a call to a server.
-
-        Whether the retry budget will allow another call is not checked,
-        because the check withdraws from it.
+    def _compute_timeouts_ms(
+        self,
+        exchange: base.Exchange,
+        upstream: tables.Upstream,
+        attempts: "_Attempts",
+    ) -> tuple[int, int]:
+        """Return the timeout of a call to a server, and its extension.
 
-        :param called: names of the servers called so far and of this one
+        At the timeout a second server may be called.  If none may follow, the
+        server gets all of the remaining time.
         """
         left_ms = max(exchange.deadline.left_ms(self._clock.now_ms()), 1)
         if (
-            number + 1 >= exchange.route.max_attempts
+            len(attempts.called) >= exchange.route.max_attempts
             or not route.is_idempotent(exchange)
             or not server_selection.list_usable_servers(
                 self._find_current_pool(exchange),
-                called,
+                attempts.called,
                 exchange.required_version,
             )
         ):
-            return left_ms
-        return min(
-            max(left_ms // REMAINING_TIME_DIVISOR, MIN_ATTEMPT_TIMEOUT_MS),
-            left_ms,
+            return left_ms, 0
+        timeout_ms = min(
+            self._compute_patience_ms(exchange, upstream, left_ms), left_ms
+        )
+        return timeout_ms, left_ms - timeout_ms
+
+    def _compute_patience_ms(
+        self, exchange: base.Exchange, upstream: tables.Upstream, left_ms: int
+    ) -> int:
+        """Return how long a server may be silent.
+
+        A second call is made in time for the target if the target leaves room
+        for several usual durations; else at half of the remaining time.
+        """
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            usual_ms = self._chooser.get_duration_ms(
+                exchange.pool, upstream, now_ms
+            )
+        half_ms = left_ms // REMAINING_TIME_DIVISOR
+        if usual_ms is None:
+            return max(half_ms, MIN_PATIENCE_MS)
+        patience_ms = int(PATIENCE_FACTOR * usual_ms)
+        target_left_ms = exchange.route.target_ms - (
+            now_ms - exchange.arrived_ms
         )
+        if patience_ms + usual_ms <= target_left_ms:
+            return patience_ms
+        return max(half_ms, patience_ms)
 
     def _record_call_end(
         self,
         exchange: base.Exchange,
         upstream: tables.Upstream,
-        result: expression.Result[upstreams.ServiceReply, errors.Fault],
+        result: hedging.Result,
         started_ms: int,
+        is_void: bool,
     ) -> None:
         now_ms = self._clock.now_ms()
         fault = None if result.is_ok() else result.error
         is_path_fault = fault is not None and fault.is_path_fault
-        if exchange.has_gone.is_set() or is_path_fault:
+        if exchange.has_gone.is_set() or is_path_fault or is_void:
             # A call cancelled for its caller, or lost on its way, proves
             # nothing about the server.
             call_outcome = server_selection.CallOutcome.NO_VERDICT
@@ -341,6 +462,49 @@
             )
 
 
+class _Attempts:
+    """The servers that were called for one request, and what came of it.
+
+    :param max_attempts: servers to which the request may be sent
+    """
+
+    __slots__ = ("called", "sent", "has_run", "fault", "_max_attempts")
+
+    def __init__(self, max_attempts: int) -> None:
+        self.called: frozenset[str] = frozenset()
+        self.sent = 0
+        # Whether a server may have run it.
+        self.has_run = False
+        # The fault of the last call; none if there was none.
+        self.fault: errors.Fault | None = None
+        self._max_attempts = max_attempts
+
+    def has_left(self) -> bool:
+        """Return whether the request may be sent to one more server."""
+        return (
+            self.sent < self._max_attempts and len(self.called) < MAX_ATTEMPTS
+        )
+
+    def record(self, fault: errors.Fault) -> None:
+        """Record a call that has failed.
+
+        :param fault: its fault
+        """
+        # A server's own reply tells the caller more than a later refusal.
+        has_answer = (
+            self.fault is not None
+            and self.fault.answer is not None
+            and self.fault.run is errors.ExecutionStatus.RAN
+        )
+        if not has_answer or fault.answer is not None:
+            self.fault = fault
+        # Without a connection, nothing was sent.
+        self.sent += fault.code is not errors.Code.UPSTREAM_UNREACHABLE
+        self.has_run = (
+            self.has_run or fault.run is not errors.ExecutionStatus.NOT_RUN
+        )
+
+
 def _make_reply(reply: upstreams.ServiceReply) -> replies.Reply:
     return replies.Reply(reply.status, reply.headers, reply.body)
 
--- a/mulberryway/platform/service.py
+++ b/mulberryway/platform/service.py
@@ -77,8 +77,9 @@
                     self.address, errors.Step.SERVICE
                 )
             )
+        extension_ms = canceller.extension_ms if canceller else 0
         sent = responses.make_request_headers(
-            headers, self.instance, timeout_ms
+            headers, self.instance, timeout_ms + extension_ms
         )
         sent_ms = self._clock.now_ms()
         result = self._client.call(
--- a/mulberryway/upstreams/bounded_socket.py
+++ b/mulberryway/upstreams/bounded_socket.py
@@ -1,5 +1,6 @@
 """Sockets that bound the time and the memory of one response."""
 
+import collections.abc
 import socket
 import threading
 import time
@@ -66,19 +67,27 @@
         self.settimeout(timeout_s)
         self._budget = budget
         self._deadline_s: float | None = None
+        self._extend: collections.abc.Callable[[], float] | None = None
         self._max_bytes = 0
         self._received = 0
         self._reserved = 0
 
-    def begin_response(self, deadline_s: float) -> None:
+    def begin_response(
+        self,
+        deadline_s: float,
+        extend: collections.abc.Callable[[], float] | None = None,
+    ) -> None:
         """Bound the response to the request that is sent next.
 
         Until :meth:`allow_body` it may have the guaranteed size only.
 
         :param deadline_s: when it must be complete, by ``time.monotonic``
+        :param extend: called once when that time is over; returns how much
+            longer the response may take, in seconds
         """
         self.end_response()
         self._deadline_s = deadline_s
+        self._extend = extend
         self._max_bytes = GUARANTEED_BYTES
 
     def allow_body(self, max_bytes: int) -> None:
@@ -99,7 +108,7 @@
     def end_response(self) -> None:
         """Remove the bounds and release the memory of a response."""
         self._budget.release(self._reserved)
-        self._deadline_s = None
+        self._deadline_s = self._extend = None
         self._received = self._reserved = 0
 
     def recv_into(self, *arguments: typing.Any) -> int:
@@ -111,15 +120,25 @@
         """
         if self._deadline_s is None:
             return super().recv_into(*arguments)
-        left_s = self._deadline_s - time.monotonic()
-        if left_s <= 0:
-            raise TimeoutError("the response is incomplete")
-        self.settimeout(left_s)
-        size = super().recv_into(*arguments)
+        try:
+            size = self._receive(self._deadline_s, *arguments)
+        except TimeoutError:
+            if self._extend is None:
+                raise
+            extend, self._extend = self._extend, None
+            self._deadline_s += extend()
+            size = self._receive(self._deadline_s, *arguments)
         self._received += size
         self._reserve()
         return size
 
+    def _receive(self, deadline_s: float, *arguments: typing.Any) -> int:
+        left_s = deadline_s - time.monotonic()
+        if left_s <= 0:
+            raise TimeoutError("the response is incomplete")
+        self.settimeout(left_s)
+        return super().recv_into(*arguments)
+
     def _reserve(self) -> None:
         if self._received > self._max_bytes:
             raise ResponseSizeError("the response is too large")
--- a/mulberryway/upstreams/connections.py
+++ b/mulberryway/upstreams/connections.py
@@ -182,15 +182,43 @@
 
     Without it an upstream would continue to work for a caller that has
     disconnected.
+
+    :param extension_ms: how much longer than its timeout the call may take
+    :param on_late: called on the call's thread at its timeout, if there is an
+        extension; must return quickly
     """
 
-    __slots__ = ("_lock", "_socket", "_is_cancelled")
+    __slots__ = (
+        "extension_ms",
+        "_on_late",
+        "_lock",
+        "_socket",
+        "_is_cancelled",
+    )
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        extension_ms: int = 0,
+        on_late: collections.abc.Callable[[], None] = lambda: None,
+    ) -> None:
+        self.extension_ms = extension_ms
+        self._on_late = on_late
         self._lock = threading.Lock()
         self._socket: socket.socket | None = None
         self._is_cancelled = False
 
+    @property
+    def is_cancelled(self) -> bool:
+        """Whether the call was cancelled."""
+        with self._lock:
+            return self._is_cancelled
+
+    def extend(self) -> float:
+        """Return the extension in seconds, at the call's timeout."""
+        if self.extension_ms:
+            self._on_late()
+        return self.extension_ms / MS_IN_S
+
     def attach(self, connection: socket.socket) -> None:
         """Set the socket that carries the call.
 
@@ -265,10 +293,13 @@
         if self.sock is None:
             self.connect()
         assert isinstance(self.sock, bounded_socket.BoundedSocket)
-        self.sock.begin_response(_CURRENT_CALL.deadline_s)
+        canceller = _CURRENT_CALL.canceller
+        self.sock.begin_response(
+            _CURRENT_CALL.deadline_s, canceller.extend if canceller else None
+        )
         _CURRENT_CALL.socket = self.sock
-        if _CURRENT_CALL.canceller is not None:
-            _CURRENT_CALL.canceller.attach(self.sock)
+        if canceller is not None:
+            canceller.attach(self.sock)
         super().request(*arguments, **keywords)
 
 
@@ -358,7 +389,10 @@
             complete = _read_response(response, is_rejection)
         except CLIENT_ERRORS as error:
             self._close_response(response)
-            return expression.Error(self._make_fault(error, step))
+            is_cancelled = canceller is not None and canceller.is_cancelled
+            return expression.Error(
+                self._make_fault(error, step, is_cancelled)
+            )
         finally:
             _CURRENT_CALL.canceller = None
             if _CURRENT_CALL.socket is not None:
@@ -416,8 +450,14 @@
             )
         )
 
-    def _make_fault(self, error: Exception, step: errors.Step) -> errors.Fault:
+    def _make_fault(
+        self, error: Exception, step: errors.Step, is_cancelled: bool
+    ) -> errors.Fault:
         fault = classify_failure(error, step, self.address)
+        if is_cancelled:
+            # The connection broke on this side.
+            fault.has_died = False
+            return fault
         check_path(fault, self.address, self._dialer)
         if fault.code is errors.Code.UPSTREAM_TIMEOUT:
             self.reset_pool()
--- a/tests/test_sound_calls.py
+++ b/tests/test_sound_calls.py
@@ -26,6 +26,7 @@
 HOST = "127.0.0.1"
 TEST_TIMEOUT_S = 10
 TIMEOUT_MS = 8_000
+MS_IN_S = 1_000
 
 
 def _wait_after(client, gate):
@@ -258,19 +259,30 @@
 
 
 class LateService:
-    """Servers of which the first one answers late."""
+    """Servers of which the first one answers late.
 
-    def __init__(self, clock_, late_ms):
+    Like the real client it keeps a call open at its timeout if that may be
+    extended.
+
+    :param may_retry: whether a second call is expected meanwhile
+    """
+
+    def __init__(self, clock_, late_ms, may_retry):
         self.clock = clock_
         self.late_ms = late_ms
+        self.may_retry = may_retry
+        self.second = threading.Event()
         self.calls = 0
 
     def find_service(self, pool, upstream):
         return self
 
-    def call(self, request_id, method, target, headers, body, timeout_ms, *_):
+    def call(
+        self, request_id, method, target, headers, body, timeout_ms, *options
+    ):
         self.calls += 1
         if self.calls > 1:
+            self.second.set()
             code, run = (
                 errors.Code.UPSTREAM_REFUSED,
                 errors.ExecutionStatus.NOT_RUN,
@@ -280,6 +292,13 @@
             return expression.Ok(upstreams.ServiceReply(200, [], b"{}"))
         else:
             self.clock.advance_ms(timeout_ms)
+            _, canceller = options
+            extended_ms = timeout_ms + canceller.extend() * MS_IN_S
+            if self.may_retry:
+                self.second.wait(TEST_TIMEOUT_S)
+            if extended_ms >= self.late_ms:
+                self.clock.advance_ms(self.late_ms - timeout_ms)
+                return expression.Ok(upstreams.ServiceReply(200, [], b"{}"))
             code, run = (
                 errors.Code.UPSTREAM_TIMEOUT,
                 errors.ExecutionStatus.MAY_HAVE_RUN,
@@ -305,7 +324,7 @@
         )
         for upstream in source.current.pools["member-api"].upstreams:
             upstream.leaving = upstream.name in leaving
-        self.servers = LateService(clock_, TIMEOUT_MS * 6 // 10)
+        self.servers = LateService(clock_, TIMEOUT_MS * 6 // 10, may_retry)
         forward = service_forward.ServiceForward(
             self.servers,
             server_selection.ServerSelector("kandy-a"),
