Bound a call to the store in time and in size as a whole

Cause: the timeout of a store call bounded each read, so a response that arrives in pieces kept a controller waiting for good, and a length of 100 GB ended the call with MemoryError.

A pool of bounded connections (upstreams/bounded_pool.py) uses the sockets that bound upstream responses. A response may have 5 MiB: a page of a list has about 1 MB, and a configuration up to 4 MB. All of a VM's store responses together may have 10 MiB beyond 64 KiB each. The read timeout, or the wait of a watch, bounds the whole response; connecting and sending have the timeout of their own.

Found beside it: a response's connection returns to its pool with the last byte, before its call ends, so the end could remove the bounds of the next call on it; a call has a number now. A request on a reused connection had the timeout that the last response left, so a server that reads a long body slowly could fail it at once.

--- a/mulberryway/platform/store.py
+++ b/mulberryway/platform/store.py
@@ -15,6 +15,8 @@
 from mulberryway.objects import base
 from mulberryway.objects import call_metrics
 from mulberryway.platform import wire
+from mulberryway.upstreams import bounded_pool
+from mulberryway.upstreams import bounded_socket
 
 __all__ = ["PlatformStore"]
 
@@ -23,12 +25,18 @@
 # milliseconds, so a watch that is later means an unresponsive store.
 WATCH_GRACE_MS = 500
 CONNECTIONS = 4
+# A page of a list has about 1 MB; the configuration, the largest single
+# object, may have 4 MB.  The rest is for what encloses it.
+MAX_RESPONSE_BYTES = 5_242_880
+# All calls of a VM together, beyond what each response may have in any case.
+MAX_RECEIVED_BYTES = 2 * MAX_RESPONSE_BYTES
 VMS = "vms"
 FAULT_CODES = {
     404: errors.Code.NOT_FOUND,
     409: errors.Code.CONFLICT,
     410: errors.Code.HISTORY_GONE,
 }
+RECEIVE_BUDGET = bounded_socket.ReceiveBudget(MAX_RECEIVED_BYTES)
 CONNECT_ERRORS = (
     urllib3.exceptions.ConnectTimeoutError,
     urllib3.exceptions.NewConnectionError,
@@ -43,7 +51,8 @@
     """Calls the object store over a pool of persistent connections.
 
     :param url: the store's address, as ``http://host:port``
-    :param timeout_ms: the maximum wait for a response, in ms
+    :param timeout_ms: the maximum time to connect, to send a request, and
+        until its response is complete, in ms
     :param clock_: the clock
     :param counter: counts every call
     """
@@ -269,57 +278,56 @@
         )
         pool = self._pool
         try:
-            try:
-                response = self._send(
-                    pool, method, target, data, read_timeout_ms
-                )
-            except urllib3.exceptions.ClosedPoolError:
-                # Another call has replaced the pool, and nothing was sent.
-                # No other call can close this one.
-                with self._create_pool() as own_pool:
-                    response = self._send(
-                        own_pool, method, target, data, read_timeout_ms
-                    )
+            status, content = self._send(
+                pool, method, target, data, read_timeout_ms
+            )
         except TRANSPORT_ERRORS as error:
             self._replace_pool(pool)
             was_sent = not isinstance(error, CONNECT_ERRORS)
             fault = self._make_fault(method, was_sent, type(error).__name__)
         else:
-            if response.status < 300:
-                self._count(purpose, "ok", data, response.data)
-                return self._parse(lambda: json.loads(response.data or b"{}"))
-            fault = self._make_response_fault(method, response.status)
+            if status < 300:
+                self._count(purpose, "ok", data, content)
+                return self._parse(lambda: json.loads(content or b"{}"))
+            fault = self._make_response_fault(method, status)
         self._count(purpose, fault.code.value, data, b"")
         return expression.Error(fault)
 
     def _send(
         self,
-        pool: urllib3.HTTPConnectionPool,
+        pool: bounded_pool.BoundedPool,
         method: str,
         target: str,
         data: bytes | None,
         read_timeout_ms: int,
-    ) -> urllib3.BaseHTTPResponse:
-        return pool.request(
-            method,
-            target,
-            body=data,
-            headers={"Content-Type": "application/json"} if data else {},
-            timeout=urllib3.Timeout(
+    ) -> tuple[int, bytes]:
+        options = {
+            "body": data,
+            "headers": {"Content-Type": "application/json"} if data else {},
+            "timeout": urllib3.Timeout(
                 connect=self._timeout_ms / MS_IN_S,
                 read=read_timeout_ms / MS_IN_S,
             ),
-            retries=False,
-            redirect=False,
-        )
-
-    def _create_pool(self) -> urllib3.HTTPConnectionPool:
-        host, _, port = self._peer.rpartition(":")
-        return urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=CONNECTIONS, retries=False
+            "retries": False,
+            "redirect": False,
+            "preload_content": False,
+        }
+        try:
+            response = pool.request(method, target, **options)
+        except urllib3.exceptions.ClosedPoolError:
+            # Another call has replaced the pool, and nothing was sent.  No
+            # other call can close this one.
+            with self._create_pool() as own_pool:
+                response = own_pool.request(method, target, **options)
+                return response.status, _read_body(response)
+        return response.status, _read_body(response)
+
+    def _create_pool(self) -> bounded_pool.BoundedPool:
+        return bounded_pool.BoundedPool(
+            self._peer, CONNECTIONS, RECEIVE_BUDGET
         )
 
-    def _replace_pool(self, failed: urllib3.HTTPConnectionPool) -> None:
+    def _replace_pool(self, failed: bounded_pool.BoundedPool) -> None:
         """Replace the pool of a failed call, if it is still in use.
 
         A network device that dropped one connection may have dropped the
@@ -374,6 +382,10 @@
         )
 
 
+def _read_body(response: urllib3.BaseHTTPResponse) -> bytes:
+    return bounded_pool.read_body(response, MAX_RESPONSE_BYTES)
+
+
 def _path(kind: str, name: str = "") -> str:
     parts = [wire.OBJECTS, kind, urllib.parse.quote(name, safe="")]
     return "/".join(filter(None, parts))
--- a/mulberryway/upstreams/bounded_socket.py
+++ b/mulberryway/upstreams/bounded_socket.py
@@ -1,4 +1,4 @@
-"""Sockets that bound the time and the memory of one response."""
+"""Sockets that bound the time and the memory of one call."""
 
 import socket
 import threading
@@ -65,21 +65,29 @@
         super().__init__(fileno=connection.detach())
         self.settimeout(timeout_s)
         self._budget = budget
+        # Guards the bounds: the next call may have the connection before the
+        # last one has ended its response.
+        self._lock = threading.Lock()
+        self._calls = 0
         self._deadline_s: float | None = None
         self._max_bytes = 0
         self._received = 0
         self._reserved = 0
 
-    def begin_response(self, deadline_s: float) -> None:
+    def begin_response(self, deadline_s: float) -> int:
         """Bound the response to the request that is sent next.
 
         Until :meth:`allow_body` it may have the guaranteed size only.
 
         :param deadline_s: when it must be complete, by ``time.monotonic``
+        :returns: the number of the call, for :meth:`end_response`
         """
-        self.end_response()
-        self._deadline_s = deadline_s
-        self._max_bytes = GUARANTEED_BYTES
+        with self._lock:
+            self._release()
+            self._calls += 1
+            self._deadline_s = deadline_s
+            self._max_bytes = GUARANTEED_BYTES
+            return self._calls
 
     def allow_body(self, max_bytes: int) -> None:
         """Allow a larger response, after its head.
@@ -96,11 +104,26 @@
         if self._deadline_s is not None:
             self._deadline_s = min(self._deadline_s, deadline_s)
 
-    def end_response(self) -> None:
-        """Remove the bounds and release the memory of a response."""
-        self._budget.release(self._reserved)
-        self._deadline_s = None
-        self._received = self._reserved = 0
+    def end_response(self, call: int | None = None) -> None:
+        """Remove the bounds and release the memory of a response.
+
+        :param call: the number of its call, if the connection may be in use
+            by another one already, whose bounds then stay; none otherwise
+        """
+        with self._lock:
+            if call in (None, self._calls):
+                self._release()
+
+    def sendall(self, *arguments: typing.Any) -> None:
+        """Send bytes within the time of the current call.
+
+        The timeout of a reused connection is what its last response left.
+
+        :raises TimeoutError: if the peer does not read them in time
+        """
+        if self._deadline_s is not None:
+            self.settimeout(self._get_left_s())
+        super().sendall(*arguments)
 
     def recv_into(self, *arguments: typing.Any) -> int:
         """Receive bytes within the bounds of the current response.
@@ -111,15 +134,24 @@
         """
         if self._deadline_s is None:
             return super().recv_into(*arguments)
-        left_s = self._deadline_s - time.monotonic()
-        if left_s <= 0:
-            raise TimeoutError("the response is incomplete")
-        self.settimeout(left_s)
+        self.settimeout(self._get_left_s())
         size = super().recv_into(*arguments)
         self._received += size
         self._reserve()
         return size
 
+    def _release(self) -> None:
+        self._budget.release(self._reserved)
+        self._deadline_s = None
+        self._received = self._reserved = 0
+
+    def _get_left_s(self) -> float:
+        assert self._deadline_s is not None
+        left_s = self._deadline_s - time.monotonic()
+        if left_s <= 0:
+            raise TimeoutError("the call is incomplete")
+        return left_s
+
     def _reserve(self) -> None:
         if self._received > self._max_bytes:
             raise ResponseSizeError("the response is too large")
--- a/mulberryway/upstreams/connections.py
+++ b/mulberryway/upstreams/connections.py
@@ -222,12 +222,13 @@
 class _CurrentCall(threading.local):
     """Describes the call that runs on this thread.
 
-    ``socket`` is set when its request is sent.
+    ``socket`` and ``number`` are set when its request is sent.
     """
 
     canceller: CallCanceller | None = None
     deadline_s = 0.0
     socket: bounded_socket.BoundedSocket | None = None
+    number = 0
 
 
 _CURRENT_CALL = _CurrentCall()
@@ -265,7 +266,9 @@
         if self.sock is None:
             self.connect()
         assert isinstance(self.sock, bounded_socket.BoundedSocket)
-        self.sock.begin_response(_CURRENT_CALL.deadline_s)
+        _CURRENT_CALL.number = self.sock.begin_response(
+            _CURRENT_CALL.deadline_s
+        )
         _CURRENT_CALL.socket = self.sock
         if _CURRENT_CALL.canceller is not None:
             _CURRENT_CALL.canceller.attach(self.sock)
@@ -362,7 +365,7 @@
         finally:
             _CURRENT_CALL.canceller = None
             if _CURRENT_CALL.socket is not None:
-                _CURRENT_CALL.socket.end_response()
+                _CURRENT_CALL.socket.end_response(_CURRENT_CALL.number)
                 _CURRENT_CALL.socket = None
             if canceller is not None:
                 canceller.detach()
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -16,6 +16,7 @@
 from mulberryway.platform import service
 from mulberryway.platform import store
 from mulberryway.upstreams import base
+from mulberryway.upstreams import bounded_socket
 
 HOST = "127.0.0.1"
 TIMEOUT_MS = 1_000
@@ -297,3 +298,60 @@
         head = b"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n"
         server = self.serve(head, b" ", 0.05)
         self.assertTrue(self.check_end(server, call_store).is_error())
+
+    def test_long_body(self):
+        """Guards against a length that is reserved before it is received."""
+        server = self.serve(OK + LENGTH, BLOCK)
+        self.assertTrue(self.check_end(server, call_store).is_error())
+        self.assertLess(server.sent, 2 * store.MAX_RESPONSE_BYTES)
+
+    def test_head_in_pieces(self):
+        """Guards against a head that each line of keeps alive."""
+        server = self.serve(OK, b"x: y\r\n", 0.2)
+        self.assertTrue(self.check_end(server, call_store).is_error())
+
+
+class ReuseTest(unittest.TestCase):
+    """A connection whose next call begins before the last one has ended."""
+
+    def test_end_of_the_last_call(self):
+        """Guards against a call whose bounds the one before it removes."""
+        near, far = socket.socketpair()
+        self.addCleanup(far.close)
+        bounded = bounded_socket.BoundedSocket(
+            near, bounded_socket.ReceiveBudget(0)
+        )
+        self.addCleanup(bounded.close)
+        first = bounded.begin_response(time.monotonic() + 1)
+        bounded.begin_response(time.monotonic())
+        bounded.end_response(first)
+        with self.assertRaises(TimeoutError):
+            bounded.recv_into(bytearray(1))
+
+    def test_timeout_of_a_long_request(self):
+        """Guards against a server that reads a body slowly: what the last
+        response left of its time does not bound the next request.
+        """
+        near, far = socket.socketpair()
+        self.addCleanup(far.close)
+        bounded = bounded_socket.BoundedSocket(
+            near, bounded_socket.ReceiveBudget(0)
+        )
+        self.addCleanup(bounded.close)
+        bounded.settimeout(0.01)
+        bounded.begin_response(time.monotonic() + 5)
+        body = BLOCK * 64
+
+        def read_slowly():
+            time.sleep(0.1)
+            while far.recv(1 << 20):
+                pass
+
+        thread = threading.Thread(target=read_slowly)
+        thread.start()
+        bounded.sendall(body)
+        bounded.shutdown(socket.SHUT_WR)
+        thread.join()
+        bounded.begin_response(time.monotonic())
+        with self.assertRaises(TimeoutError):
+            bounded.sendall(body)
