Give a pool's only engine the whole time of a decode

Cause: half of a request's time was kept for another engine whether or not the pool had one. Engines that drain, prefill or have another version than the stream requires do not count.

Whether another one has capacity now (has_decode_capacity) is not asked: one that is full at the start may have a place at half of the time, and a silent engine would then cost the request.

test_kept_without_another_engine stays red: there two others exist, and the scheduler gives out none. That needs a first call that is kept during the search, as replace_source does for a stream that has begun.

--- a/mulberryway/filters/model_engines.py
+++ b/mulberryway/filters/model_engines.py
@@ -478,21 +478,37 @@
         prefill: upstreams.PrefillResult,
         limit: clock.Deadline,
     ) -> int:
-        timeout_ms = self._compute_call_timeout_ms(limit)
+        timeout_ms = self._compute_call_timeout_ms(attempt, limit)
         gate_ms = self._gate.compute_timeout_ms(attempt, not prefill.transfer)
         return timeout_ms if gate_ms is None else min(timeout_ms, gate_ms)
 
-    def _compute_call_timeout_ms(self, limit: clock.Deadline) -> int:
+    def _compute_call_timeout_ms(
+        self, attempt: attempts.Attempt, limit: clock.Deadline
+    ) -> int:
         """Return the timeout of a decode, whose outcome may be unknown."""
         now_ms = self._parts.clock.now_ms()
         exchange = self._exchange
-        if not route.is_idempotent(exchange) or (
-            exchange.route.max_attempts <= 1
+        if (
+            not route.is_idempotent(exchange)
+            or exchange.route.max_attempts <= 1
+            or not self._has_other_engine(attempt)
         ):
             # No other engine may follow, so no time is kept for one.
             return max(limit.left_ms(now_ms), MIN_ATTEMPT_TIMEOUT_MS)
         return compute_attempt_timeout_ms(limit, now_ms)
 
+    def _has_other_engine(self, attempt: attempts.Attempt) -> bool:
+        """Return whether the pool has another engine for a decode."""
+        newest = self._parts.source.get_tables() or self._exchange.tables
+        pool = newest.pools.get(self._exchange.pool.name)
+        return pool is not None and any(
+            upstream.name != attempt.decode_name
+            and upstream.role is not tables.UpstreamRole.PREFILL
+            and not upstream.leaving
+            and attempt.required_version in (None, upstream.version)
+            for upstream in pool.upstreams
+        )
+
     def find_engine(self, name: str) -> upstreams.Engine | None:
         """Return an engine from the active tables.
 
