Bound what a VM holds for callers that read slowly

Cause: 256 KiB could wait for each stream, with no bound over all streams of a VM (360 of them are 92 MB of 128); an engine that was not read because of its caller cuts off its response, for which the engine was blamed and the stream was sought elsewhere; a plain answer kept a worker until its caller had read it; bodies of requests counted nowhere.

Answers that a caller does not accept at once are sent by the event loop.

--- a/mulberryway/relay/pump.py
+++ b/mulberryway/relay/pump.py
@@ -5,11 +5,14 @@
 import logging
 import select
 import socket
+import struct
 
 from mulberryway import errors
 from mulberryway.relay import events
 from mulberryway.relay import loop
+from mulberryway.relay import memory
 from mulberryway.relay import stream as streams
+from mulberryway.relay import unsent
 from mulberryway.upstreams import base as upstreams
 
 __all__ = ["Relay"]
@@ -17,12 +20,14 @@
 LOG = logging.getLogger(__name__)
 
 RECEIVE_BYTES = 65_536
-# Limit of a caller's write buffer, about five thousand tokens.  Above it the
-# engine's socket is not read, so TCP flow control slows the engine down.
-MAX_WRITE_BUFFER_BYTES = 262_144
 # A caller that accepts no bytes for this long counts as disconnected: it has
 # vanished without closing, or blocks a decode slot that other requests need.
 CALLER_WRITE_TIMEOUT_MS = 20_000
+# An engine that was not read for this long because of the caller may have cut
+# off its response for that.
+MIN_BLAMELESS_PAUSE_MS = 1_000
+# Closing resets the connection and drops what its peer has not read.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # An engine's last chunk usually arrives with its last event.  This limits how
 # long the connection is kept open to wait for it.
 LAST_CHUNK_TIMEOUT_MS = 1_000
@@ -49,9 +54,15 @@
     be called on any thread; everything else runs on the loop's thread.
 
     :param loop_: the event loop
+    :param guard: bounds the memory of callers; by default each stream alone
+        is bounded
     """
 
-    def __init__(self, loop_: loop.EventLoop) -> None:
+    def __init__(
+        self, loop_: loop.EventLoop, guard: memory.MemoryGuard | None = None
+    ) -> None:
+        self.guard = guard or memory.MemoryGuard(loop_)
+        self.replies = unsent.ReplySender(loop_, self.guard)
         self._loop = loop_
         self._streams: set[Stream] = set()
         self._draining: dict[socket.socket, int] = {}
@@ -218,12 +229,19 @@
         except BlockingIOError:
             return
         except OSError as error:
+            if stream.get_pause_ms(self._loop.now_ms) >= (
+                MIN_BLAMELESS_PAUSE_MS
+            ):
+                self._give_up(stream)
+                return
             self._on_source_failure(
                 stream, f"engine connection failed: {error}", has_died=True
             )
             return
         if data:
             self._on_data(stream, data)
+        elif stream.get_pause_ms(self._loop.now_ms) >= MIN_BLAMELESS_PAUSE_MS:
+            self._give_up(stream)
         elif not stream.may_end_on_close():
             self._on_source_failure(stream, CLOSED_MESSAGE, has_died=True)
         elif stream.is_replacing_source:
@@ -283,8 +301,18 @@
             stream.write_buffer += out[sent:]
             stream.last_write_ms = self._loop.now_ms
             self._loop.modify(stream.caller.fileno(), HANGUP_EVENTS | WRITE)
-        if len(stream.write_buffer) > MAX_WRITE_BUFFER_BYTES:
+        if len(stream.write_buffer) > self.guard.limit_bytes:
             self._pause_source(stream)
+        self._count(stream)
+
+    def _count(self, stream: Stream) -> None:
+        """Report what the caller has not read."""
+        self.guard.update(
+            stream,
+            len(stream.write_buffer),
+            stream.is_paused and stream.source is not None,
+            lambda: self._give_up(stream),
+        )
 
     def _on_caller(self, stream: Stream, events_: int) -> None:
         if stream.is_closed:
@@ -304,23 +332,28 @@
             return
         del stream.write_buffer[:sent]
         stream.last_write_ms = self._loop.now_ms
-        if stream.write_buffer:
-            return
-        if stream.is_complete:
-            self._close(stream, None)
-            return
-        self._loop.modify(stream.caller.fileno(), HANGUP_EVENTS)
-        if stream.is_paused:
+        if not stream.write_buffer:
+            if stream.is_complete:
+                self._close(stream, None)
+                return
+            self._loop.modify(stream.caller.fileno(), HANGUP_EVENTS)
+        if (
+            stream.is_paused
+            and len(stream.write_buffer) <= self.guard.limit_bytes // 2
+        ):
             self._resume_source(stream)
+        self._count(stream)
 
     def _pause_source(self, stream: Stream) -> None:
         if stream.source is not None and not stream.is_paused:
             stream.is_paused = True
+            stream.paused_ms = self._loop.now_ms
             if stream.is_held:
                 return
             self._loop.modify(stream.source.connection.fileno(), 0)
 
     def _resume_source(self, stream: Stream) -> None:
+        stream.longest_pause_ms = stream.get_pause_ms(self._loop.now_ms)
         stream.is_paused = False
         stream.token_deadline_ms = self._loop.now_ms + stream.token_timeout_ms
         if stream.source is not None and not stream.is_held:
@@ -491,6 +524,27 @@
             ),
         )
 
+    def _give_up(self, stream: Stream) -> None:
+        """Cut off a stream because its caller reads too slowly.
+
+        A reset shows also a caller of an answer without framing that it is
+        incomplete.
+        """
+        if stream.is_closed:
+            return
+        stream.caller.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+        )
+        self._close(
+            stream,
+            errors.Fault(
+                errors.Code.CANCELLED,
+                errors.Step.CALLER,
+                run=errors.ExecutionStatus.MAY_HAVE_RUN,
+                message="the caller reads too slowly",
+            ),
+        )
+
     def _abort_matching(
         self,
         predicate: collections.abc.Callable[[Stream], bool],
@@ -522,6 +576,8 @@
             return
         stream.is_closed = True
         self._streams.discard(stream)
+        stream.write_buffer.clear()
+        self._count(stream)
         self._loop.unregister(stream.caller.fileno())
         self._close_source(stream)
         if fault is not None:
--- a/mulberryway/relay/stream.py
+++ b/mulberryway/relay/stream.py
@@ -145,6 +145,8 @@
         "longest_gap_ms",
         "last_write_ms",
         "is_paused",
+        "paused_ms",
+        "longest_pause_ms",
         "has_source_begun",
         "is_complete",
         "is_closed",
@@ -187,7 +189,9 @@
         self.last_progress_ms = 0
         self.longest_gap_ms = 0
         self.last_write_ms = 0
+        # Whether the engine is not read because of the caller, and since when.
         self.is_paused = False
+        self.paused_ms = 0
         self.is_complete = False
         self.is_closed = False
         # Whether a replacement is sought while the stalled engine is still
@@ -208,11 +212,21 @@
         self.source: upstreams.TokenStream | None = source
         # Whether this engine has written a token.
         self.has_source_begun = False
+        self.longest_pause_ms = 0
         self.decoder = events.ChunkDecoder()
         self._splitter = events.EventSplitter()
         self._source_id = b""
         self._has_finish_reason = False
 
+    def get_pause_ms(self, now_ms: int) -> int:
+        """Return the longest time that the engine was not read, in ms.
+
+        :param now_ms: the current time
+        """
+        if not self.is_paused:
+            return self.longest_pause_ms
+        return max(self.longest_pause_ms, now_ms - self.paused_ms)
+
     def record_progress(self, now_ms: int) -> None:
         """Record that the answer has grown, and update the longest gap.
 
--- /dev/null
+++ b/mulberryway/relay/unsent.py
@@ -0,0 +1,119 @@
+"""Sends the rest of replies whose callers read slowly."""
+
+import collections.abc
+import select
+import socket
+
+from mulberryway.relay import loop
+from mulberryway.relay import memory
+
+__all__ = ["ReplySender", "UnsentReply"]
+
+# A caller that has only ended its requests still reads.
+HANGUP_EVENTS = select.EPOLLHUP | select.EPOLLERR
+# A caller that accepts nothing for this long counts as disconnected.
+WRITE_TIMEOUT_MS = 20_000
+
+
+class UnsentReply:
+    """What a caller's socket has not accepted of a reply.
+
+    :param caller: the caller's socket
+    :param data: the bytes that are left
+    :param on_end: called once, with whether all bytes were sent
+    """
+
+    __slots__ = ("caller", "data", "on_end", "last_write_ms", "is_closed")
+
+    def __init__(
+        self,
+        caller: socket.socket,
+        data: bytes,
+        on_end: collections.abc.Callable[[bool], None],
+    ) -> None:
+        self.caller = caller
+        self.data = memoryview(data)
+        self.on_end = on_end
+        self.last_write_ms = 0
+        self.is_closed = False
+
+
+class ReplySender:
+    """Sends unsent replies on the event loop, so that no worker waits.
+
+    ``add`` may be called on any thread; everything else runs on the loop's
+    thread.
+
+    :param loop_: the event loop
+    :param guard: bounds the memory of callers
+    """
+
+    def __init__(
+        self, loop_: loop.EventLoop, guard: memory.MemoryGuard
+    ) -> None:
+        self._loop = loop_
+        self._guard = guard
+        self._replies: set[UnsentReply] = set()
+        loop_.add_periodic(self._check_timeouts, lambda: bool(self._replies))
+
+    def add(self, reply: UnsentReply) -> None:
+        """Start to send the rest of a reply.
+
+        :param reply: the rest, with the caller's socket
+        """
+        self._loop.post(lambda: self._start(reply))
+
+    def _start(self, reply: UnsentReply) -> None:
+        self._replies.add(reply)
+        reply.last_write_ms = self._loop.now_ms
+        reply.caller.setblocking(False)
+        self._loop.register(
+            reply.caller.fileno(),
+            HANGUP_EVENTS | select.EPOLLOUT,
+            lambda events: self._on_caller(reply, events),
+        )
+        self._count(reply)
+
+    def _on_caller(self, reply: UnsentReply, events: int) -> None:
+        if reply.is_closed:
+            return
+        if events & HANGUP_EVENTS:
+            self._end(reply, False)
+            return
+        try:
+            sent = reply.caller.send(reply.data)
+        except BlockingIOError:
+            return
+        except OSError:
+            self._end(reply, False)
+            return
+        reply.data = reply.data[sent:]
+        reply.last_write_ms = self._loop.now_ms
+        if reply.data:
+            self._count(reply)
+        else:
+            self._end(reply, True)
+
+    def _count(self, reply: UnsentReply) -> None:
+        self._guard.update(
+            reply, len(reply.data), False, lambda: self._end(reply, False)
+        )
+
+    def _check_timeouts(self) -> None:
+        min_write_ms = self._loop.now_ms - WRITE_TIMEOUT_MS
+        for reply in [
+            reply
+            for reply in self._replies
+            if reply.last_write_ms <= min_write_ms
+        ]:
+            self._end(reply, False)
+
+    def _end(self, reply: UnsentReply, is_complete: bool) -> None:
+        if reply.is_closed:
+            return
+        reply.is_closed = True
+        self._replies.discard(reply)
+        self._loop.unregister(reply.caller.fileno())
+        reply.data = memoryview(b"")
+        self._count(reply)
+        reply.on_end(is_complete)
--- a/mulberryway/router.py
+++ b/mulberryway/router.py
@@ -24,7 +24,9 @@
 from mulberryway.policy import allowance
 from mulberryway.policy import base as policy
 from mulberryway.policy import endpoints
+from mulberryway.policy import memory_budget
 from mulberryway.relay import loop
+from mulberryway.relay import memory
 from mulberryway.relay import pump
 from mulberryway.relay import stream as streams
 from mulberryway.relay import watch
@@ -122,7 +124,13 @@
             settings_.vm_name, settings_.telemetry_otlp_url
         )
         self.loop = loop.EventLoop("relay", clock_)
-        self.relay = pump.Relay(self.loop)
+        self.relay = pump.Relay(
+            self.loop,
+            memory.MemoryGuard(
+                self.loop,
+                memory_budget.compute_budget_bytes(settings_.vm_memory_mb),
+            ),
+        )
         self.scheduling = scheduling.SchedulingController(scheduler, clock_)
         self.cancelling = cancelling.CancelController(clock_, self.metrics)
         self.directory = directory_ or directory.HttpDirectory(clock_)
@@ -391,6 +399,7 @@
             ("cancels_open", "cancels sent", lambda: self.cancelling.open),
         ):
             self.metrics.register_gauge(name, description, read)
+        self.relay.guard.report(self.metrics)
         for state in ("suspect", "quarantined"):
             self.metrics.register_gauge(
                 f"{state}_parts",
--- a/mulberryway/server/gateway.py
+++ b/mulberryway/server/gateway.py
@@ -12,6 +12,7 @@
 from mulberryway import replies
 from mulberryway.filters import base
 from mulberryway.filters import chain
+from mulberryway.relay import unsent
 from mulberryway.relay import writers
 from mulberryway.server import request
 
@@ -101,17 +102,52 @@
 
         A streamed answer is handed over to the relay instead.
         """
+        memory = self._request.server.memory
+        reserved: list[int] = []
+
+        def try_reserve(size: int) -> bool:
+            has_room: bool = memory.try_reserve(size)
+            if has_room:
+                reserved.append(size)
+            return has_room
+
         try:
-            body = self._request.read_body()
+            body = self._request.read_body(try_reserve)
+        except request.NoRoomError:
+            memory.release(sum(reserved))
+            self._reject(
+                errors.Code.OVERLOADED,
+                "no room for the body",
+                request.OVERLOAD_RETRY_AFTER_MS,
+            )
         except cheroot_errors.MaxSizeExceeded:
+            memory.release(sum(reserved))
             self._reject(errors.Code.BODY_TOO_LARGE, "body is too large")
         except ValueError as error:
+            memory.release(sum(reserved))
             self._reject(errors.Code.BAD_REQUEST, str(error))
+        except OSError:
+            memory.release(sum(reserved))
+            raise
         else:
-            self._handle(self._make_exchange(body))
+            exchange = self._make_exchange(body)
+            exchange.add_completion_callback(
+                lambda outcome: memory.release(sum(reserved))
+            )
+            self._handle(exchange)
 
-    def _reject(self, code: errors.Code, message: str) -> None:
-        fault = errors.Fault(code, errors.Step.CALLER, message=message)
+    def _reject(
+        self,
+        code: errors.Code,
+        message: str,
+        retry_after_ms: int | None = None,
+    ) -> None:
+        fault = errors.Fault(
+            code,
+            errors.Step.CALLER,
+            message=message,
+            retry_after_ms=retry_after_ms,
+        )
         self._request.conn.has_unread_input = True
         self._write(replies.make_fault_reply(fault, close=True))
 
@@ -126,28 +162,65 @@
             self._request.close_connection = False
             return
         fault = None if answer.is_ok() else answer.error
+        reply = (
+            answer.ok
+            if fault is None
+            else replies.make_fault_reply(
+                fault, style=self._factory.fault_format
+            )
+        )
+        outcome = base.Outcome(fault, exchange.prefilled_tokens, 0)
+        is_sent = True
         try:
-            if fault is None:
-                self._write(answer.ok)
-            else:
-                self._write(
-                    replies.make_fault_reply(
-                        fault, style=self._factory.fault_format
-                    )
-                )
+            is_sent = self._try_send(reply, lambda: exchange.finish(outcome))
         finally:
-            exchange.finish(base.Outcome(fault, exchange.prefilled_tokens, 0))
+            if is_sent:
+                exchange.finish(outcome)
+
+    def _try_send(
+        self, reply: replies.Reply, on_end: collections.abc.Callable[[], None]
+    ) -> bool:
+        """Send a reply, or hand over what its caller does not read now.
+
+        :param reply: the reply
+        :param on_end: called at its end if it is handed over
+        :returns: whether it was sent completely
+        """
+        connection = self._request.conn
+        data = self._encode(reply)
+        connection.socket.setblocking(False)
+        try:
+            sent = connection.socket.send(data)
+        except BlockingIOError:
+            sent = 0
+        if sent == len(data):
+            self._request.close_connection = not self._head.keep
+            return True
+        release, keep = _make_release(connection), self._head.keep
+
+        def end(is_complete: bool) -> None:
+            release(is_complete and keep)
+            on_end()
+
+        connection.unsent_reply = unsent.UnsentReply(
+            connection.socket, data[sent:], end
+        )
+        self._request.close_connection = False
+        return False
 
     def _write(self, reply: replies.Reply) -> None:
         request_ = self._request
-        request_.sent_headers = True
         connection = request_.conn
         connection.socket.settimeout(request_.server.request_timeout_s)
+        connection.wfile.write(self._encode(reply))
+        request_.close_connection = not self._head.keep
+
+    def _encode(self, reply: replies.Reply) -> bytes:
+        self._request.sent_headers = True
         data = self._head.write_reply(reply)
-        if request_.method == b"HEAD":
+        if self._request.method == b"HEAD":
             data = data.removesuffix(reply.body)
-        connection.wfile.write(data)
-        request_.close_connection = not self._head.keep
+        return data
 
     def _make_exchange(self, body: bytes) -> base.Exchange:
         request_ = self._request
--- a/mulberryway/server/http_server.py
+++ b/mulberryway/server/http_server.py
@@ -71,6 +71,7 @@
         self.keep_alive_conn_limit = settings_.router_keep_alive
         self.max_request_header_size = settings_.router_header_bytes
         self.max_request_body_size = settings_.router_body_bytes
+        self.memory = relay.guard
         self._relay = relay
         self._thread = threading.Thread(
             target=self.serve, name="accept", daemon=True
@@ -172,9 +173,13 @@
         :param conn: the connection
         """
         stream, conn.relayed_stream = conn.relayed_stream, None
+        reply, conn.unsent_reply = conn.unsent_reply, None
         if stream is not None:
             self._relay.add_stream(stream)
             return
+        if reply is not None:
+            self._relay.replies.add(reply)
+            return
         conn.socket.settimeout(self.timeout)
         super().put_conn(conn)
 
--- a/mulberryway/server/request.py
+++ b/mulberryway/server/request.py
@@ -15,7 +15,7 @@
 from mulberryway import replies
 from mulberryway.relay import writers
 
-__all__ = ["Connection", "HeaderReader", "Request"]
+__all__ = ["Connection", "HeaderReader", "NoRoomError", "Request"]
 
 READ_BYTES = 65_536
 LINGER_TIMEOUT_S = 0.5
@@ -30,6 +30,13 @@
 }
 OVERLOAD_RETRY_AFTER_MS = 1_000
 
+# Reserves memory for the given number of bytes; false if there is none.
+Reservation = collections.abc.Callable[[int], bool]
+
+
+class NoRoomError(Exception):
+    """There is no memory for a body."""
+
 
 class _DeadlineReader(socket.SocketIO):
     """Raw socket reader with a deadline for the whole request.
@@ -142,33 +149,39 @@
             return False
         return True
 
-    def read_body(self) -> bytes:
+    def read_body(self, try_reserve: Reservation = lambda size: True) -> bytes:
         """Read the complete body.
 
+        :param try_reserve: called before bytes are read, with their number
         :returns: the body
+        :raises NoRoomError: if there is no memory for it
         :raises MaxSizeExceeded: if it exceeds the limit
         :raises ValueError: if its coding is malformed or it is truncated
         """
         if self.chunked_read:
-            return self._read_chunks()
+            return self._read_chunks(try_reserve)
         length = int(self.inheaders.get(CONTENT_LENGTH, 0))
+        if length and not try_reserve(length):
+            raise NoRoomError
         body = self.conn.rfile.read(length) if length else b""
         if len(body) < length:
             raise ValueError("body is truncated")
         return body
 
-    def _read_chunks(self) -> bytes:
+    def _read_chunks(self, try_reserve: Reservation) -> bytes:
         max_bytes = self.server.max_request_body_size
         chunks = []
         total = 0
-        for chunk in self._iterate_chunks():
+        for chunk in self._iterate_chunks(try_reserve):
             total += len(chunk)
             if total > max_bytes:
                 raise cheroot_errors.MaxSizeExceeded
             chunks.append(chunk)
         return b"".join(chunks)
 
-    def _iterate_chunks(self) -> collections.abc.Iterator[bytes]:
+    def _iterate_chunks(
+        self, try_reserve: Reservation
+    ) -> collections.abc.Iterator[bytes]:
         # cheroot's reader accepts lines of any length, trusts the chunk sizes
         # and leaves trailers unread.
         rfile = self.conn.rfile
@@ -182,6 +195,8 @@
                 break
             if size > self.server.max_request_body_size:
                 raise cheroot_errors.MaxSizeExceeded
+            if not try_reserve(size):
+                raise NoRoomError
             yield rfile.read(size)
             if rfile.read(2) != b"\r\n":
                 raise ValueError("chunk does not end with CRLF")
@@ -229,9 +244,9 @@
 class Connection(server.HTTPConnection):
     """A caller's connection, which can be handed over to the relay.
 
-    The gateway sets ``relayed_stream``, and the server hands it over when the
-    worker thread returns the connection.  No worker uses the connection after
-    that.
+    The gateway sets ``relayed_stream`` or ``unsent_reply``, and the server
+    hands it over when the worker thread returns the connection.  No worker
+    uses the connection after that.
     """
 
     RequestHandlerClass = Request
@@ -244,6 +259,7 @@
     ) -> None:
         super().__init__(server_, sock, _make_file)
         self.relayed_stream: typing.Any = None
+        self.unsent_reply: typing.Any = None
         # Whether a reply was written before the request was read completely.
         self.has_unread_input = False
 
--- a/mulberryway/settings.py
+++ b/mulberryway/settings.py
@@ -34,6 +34,9 @@
         # The bandwidth of its network link; 0 if unknown.  VMs with faster
         # links relay the gossip messages of others.
         self.vm_link_mbps: int = 0
+        # Its memory; 0 if unknown, and then what callers leave unread is
+        # bounded for each stream alone.
+        self.vm_memory_mb: int = 0
 
         # The server for callers.  The backlog absorbs bursts of new callers:
         # with cheroot's default of 5, a hundred simultaneous callers lose two
@@ -143,6 +146,7 @@
         "vm.region", "vm_region", "a region", options.is_nonempty_string
     ),
     options.make_amount("vm.link_mbps", "vm_link_mbps", 1_000_000),
+    options.make_amount("vm.memory_mb", "vm_memory_mb", 100_000_000),
     options.make_port("router.port", "router_port"),
     options.make_number("router.threads", "router_threads", 4, 1024),
     options.make_number("router.backlog", "router_backlog", 16, 65_535),
