--- a/mulberryway/relay/pump.py
+++ b/mulberryway/relay/pump.py
@@ -20,6 +20,7 @@
 LOG = logging.getLogger(__name__)
 
 RECEIVE_BYTES = 65_536
+MIN_RECEIVE_BYTES = 4_096
 # A caller that accepts no bytes for this long counts as disconnected: it has
 # vanished without closing, or blocks a decode slot that other requests need.
 CALLER_WRITE_TIMEOUT_MS = 20_000
@@ -225,7 +226,9 @@
         if stream.source is None or stream.is_closed:
             return
         try:
-            data = stream.source.connection.recv(RECEIVE_BYTES)
+            data = stream.source.connection.recv(
+                self._compute_receive_bytes(stream)
+            )
         except BlockingIOError:
             return
         except OSError as error:
@@ -251,6 +254,11 @@
             fault = _make_source_fault(CLOSED_MESSAGE, has_died=True)
             self._submit(stream.owner.confirm_end, stream, fault)
 
+    def _compute_receive_bytes(self, stream: Stream) -> int:
+        """Return how much to read, so that a reader's limit is kept."""
+        left = self.guard.limit_bytes - len(stream.write_buffer)
+        return min(max(left, MIN_RECEIVE_BYTES), RECEIVE_BYTES)
+
     def _on_data(self, stream: Stream, data: bytes) -> None:
         offset = stream.expected
         try:
