--- a/mulberryway/upstreams/connections.py
+++ b/mulberryway/upstreams/connections.py
@@ -250,12 +250,13 @@
 class _CurrentCall(threading.local):
     """Describes the call that runs on this thread.
 
-    ``socket`` is set when its request is sent.
+    ``socket`` and ``number`` are set when its request is sent.
     """
 
     canceller: CallCanceller | None = None
     deadline_s = 0.0
     socket: bounded_socket.BoundedSocket | None = None
+    number = 0
 
 
 _CURRENT_CALL = _CurrentCall()
@@ -294,7 +295,7 @@
             self.connect()
         assert isinstance(self.sock, bounded_socket.BoundedSocket)
         canceller = _CURRENT_CALL.canceller
-        self.sock.begin_response(
+        _CURRENT_CALL.number = self.sock.begin_response(
             _CURRENT_CALL.deadline_s, canceller.extend if canceller else None
         )
         _CURRENT_CALL.socket = self.sock
@@ -396,7 +397,7 @@
         finally:
             _CURRENT_CALL.canceller = None
             if _CURRENT_CALL.socket is not None:
-                _CURRENT_CALL.socket.end_response()
+                _CURRENT_CALL.socket.end_response(_CURRENT_CALL.number)
                 _CURRENT_CALL.socket = None
             if canceller is not None:
                 canceller.detach()
