Charge placements for the distance between zones

The choice of engines ignored the VM's zone, and the prefill's engine was chosen without regard to where the decode would run, so seven of ten KV caches crossed zones with three engines of each role in three zones.

ZoneCosts adds round trips, a margin for bytes and the second half of the KV transfer to the waits.

zones.margin_ms and zones.round_trip_ms are new settings; metrics and log lines show what leaves the zone. ZoneTraffic holds the decision for plain services too, which is not called yet.

--- a/mulberryway/assembly.py
+++ b/mulberryway/assembly.py
@@ -25,6 +25,7 @@
 from mulberryway.controllers import probing
 from mulberryway.controllers import reconciling
 from mulberryway.controllers import scheduler_gossip
+from mulberryway.controllers import zone_traffic
 from mulberryway.filters import native_api
 from mulberryway.objects import call_metrics
 from mulberryway.objects import http as platform_http
@@ -111,6 +112,7 @@
             self.clock,
             detours.DetourDialer(self.paths, self.client, self.clock),
         )
+        self.zones = zone_traffic.ZoneTraffic(settings_)
         self.router = self._make_router()
         self.platform_counts.register_metrics(self.router.metrics)
         self.configuration.report(self.router.metrics)
@@ -119,6 +121,7 @@
         )
         self.dissemination.report(self.router.metrics)
         threads.report(self.router.metrics)
+        self.zones.report(self.router.metrics)
         self.notes = scheduler_gossip.SchedulerGossipController(
             self.router.scheduling,
             self.members,
@@ -305,6 +308,7 @@
                 self.incarnation,
                 fairness.find_fairness_mode(settings_.policy_weighing),
                 seed=random.SystemRandom().getrandbits(32),
+                zones=self.zones.costs,
             ),
             self.allowances,
             self.members,
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -36,6 +36,7 @@
 from mulberryway.controllers import reloading
 from mulberryway.controllers import scheduler_gossip
 from mulberryway.controllers import version_tracking
+from mulberryway.controllers import zone_traffic
 from mulberryway.filters import repeats
 from mulberryway.objects import base as objects
 from mulberryway.objects import call_metrics
@@ -205,6 +206,7 @@
         self.cold_limits = cold_start.ColdStartLimits(
             settings_.cold_start_over_part, settings_.cold_start_slack
         )
+        self.zones = zone_traffic.ZoneTraffic(settings_)
         self.scheduler = self._make_scheduler()
         self._wire_router()
         self._wire_peers()
@@ -350,6 +352,7 @@
             shares=self.shares,
             cold_limits=self.cold_limits,
             limits=self.advisories,
+            zones=self.zones.costs,
         )
 
     def _wire_router(self) -> None:
@@ -393,6 +396,7 @@
         self.paths.report(self.router.metrics)
         self.versions.report(self.router.metrics)
         self.advisories.report(self.router.metrics)
+        self.zones.report(self.router.metrics)
         self.notes = scheduler_gossip.SchedulerGossipController(
             self.router.scheduling,
             self.members,
--- a/mulberryway/metrics.py
+++ b/mulberryway/metrics.py
@@ -14,6 +14,7 @@
 
 Labels = dict[str, str | int | float | bool]
 Gauge = collections.abc.Callable[[], int]
+LabeledLevels = collections.abc.Callable[[], list[tuple[Labels, float]]]
 LabeledValues = collections.abc.Callable[[], list[tuple[Labels, int]]]
 
 
@@ -111,6 +112,26 @@
             description=description,
         )
 
+    def register_labeled_gauge(
+        self, name: str, description: str, read: LabeledLevels
+    ) -> None:
+        """Register a gauge whose values by label are read by a callback.
+
+        :param name: the instrument's name, without the common prefix
+        :param description: the instrument's description
+        :param read: returns pairs of labels and current value
+        """
+        self._meter.create_observable_gauge(
+            f"mulberryway.{name}",
+            [
+                lambda options: [
+                    metrics.Observation(value, labels)
+                    for labels, value in read()
+                ]
+            ],
+            description=description,
+        )
+
     def register_counter(
         self, name: str, description: str, read: LabeledValues
     ) -> None:
--- a/mulberryway/options.py
+++ b/mulberryway/options.py
@@ -19,6 +19,7 @@
     "is_url",
     "make_address",
     "make_amount",
+    "make_duration",
     "make_number",
     "make_port",
     "make_seconds",
@@ -181,6 +182,17 @@
     )
 
 
+def make_duration(key: str, attribute: str, high: int) -> Option:
+    """Return an option in ms that may have a fraction."""
+    return Option(
+        key,
+        attribute,
+        f"milliseconds from 0 to {high}",
+        make_number_check(0, high),
+        float,
+    )
+
+
 def make_amount(key: str, attribute: str, high: float) -> Option:
     """Return an option for a number that is rounded down to an integer."""
     return Option(
--- a/mulberryway/policy/aggregated_serving.py
+++ b/mulberryway/policy/aggregated_serving.py
@@ -1,9 +1,11 @@
 """Chooses decode engines for chunked prefills between decode steps."""
 
+import collections.abc
 import random
 
 from mulberryway.policy import jobs
 from mulberryway.policy import placements
+from mulberryway.policy import upstream_view
 
 __all__ = ["choose_aggregated", "meets_target", "prefers_aggregated"]
 
@@ -23,6 +25,9 @@
     yield_ms: int,
     random_: random.Random,
     now_ms: int,
+    compute_distance: collections.abc.Callable[
+        [upstream_view.UpstreamView], float
+    ] = lambda view: 0.0,
 ) -> placements.Placement | None:
     """Return the decode engine for a prompt's chunked prefill.
 
@@ -35,6 +40,8 @@
         prefill is left to peers' jobs with priority, in milliseconds
     :param random_: seeded random generator
     :param now_ms: current time in milliseconds
+    :param compute_distance: returns an engine's distance, as a number of
+        streams
     :returns: the option, or none if the prefill would stretch inter-token
         gaps beyond their limit
     """
@@ -50,6 +57,7 @@
         key=lambda option: (
             option.prefill.prefill_budget.is_gap_exceeded(stream_ms, now_ms),
             option.prefill.count_running()
+            + compute_distance(option.prefill)
             + random_.random() * STREAM_COUNT_JITTER,
         ),
         default=None,
--- a/mulberryway/policy/job_placement.py
+++ b/mulberryway/policy/job_placement.py
@@ -18,6 +18,7 @@
 from mulberryway.policy import slow_upstreams
 from mulberryway.policy import transfers
 from mulberryway.policy import upstream_view
+from mulberryway.policy import zone_costs
 
 __all__ = ["Placer"]
 
@@ -48,6 +49,7 @@
     :param token_gap_ms: inter-token gap target, in milliseconds
     :param cold_starts: limits requests to cold upstreams; none by default
     :param limits: further limits of requests to upstreams; none by default
+    :param zones: charges for the distance between zones; nothing by default
     """
 
     def __init__(
@@ -57,8 +59,10 @@
         token_gap_ms: int,
         cold_starts: cold_start.ColdStartLimiter | None = None,
         limits: send_limits.SendLimits | None = None,
+        zones: zone_costs.ZoneCosts | None = None,
     ) -> None:
         self._members = members
+        self._zones = zones or zone_costs.ZoneCosts()
         self.cold_starts = cold_starts or cold_start.ColdStartLimiter(
             cold_start.FleetShares(""), cold_start.ColdStartLimits()
         )
@@ -145,13 +149,11 @@
         options = self._list_prefills(entry, pool, now_ms)
         if not options:
             return None
-        best_ms = min(map(_get_ready_ms, options))
+        decodes = self._members.list_decodes(entry.job.required_version)
         placement = self._random.choice(
-            [
-                option
-                for option in options
-                if option.ready_ms <= best_ms + READY_TIE_MS
-            ]
+            self._zones.list_best(
+                options, decodes, entry.job, pool, READY_TIE_MS, now_ms
+            )
         )
         decode = self._choose_decode(entry, placement, pool, now_ms)
         if decode is None:
@@ -182,6 +184,7 @@
             yield_ms,
             self._random,
             now_ms,
+            self._zones.compute_streams,
         )
         if placement is not None:
             placement.decode = placement.prefill
@@ -229,6 +232,7 @@
         placement.prefill.add_prefill(placement.prefill_ms, now_ms)
         placement.drift_ms = placement.prefill.drift_ms
         placement.prefill.prefixes.record_own(job.prefix_hashes)
+        self._zones.record(placement, job, pool)
         if placement.is_aggregated():
             return
         self._links.reserve(
@@ -448,7 +452,10 @@
         free = view.count_free_slots(now_ms) / max(view.slots, 1)
         # A larger batch delays each of its tokens; an idle engine is worth
         # about 40 ms of transfer time.
-        return free * 40.0 - transfer_ms + self._random.random()
+        distance_ms = self._zones.compute_decode_ms(
+            placement.prefill.row.zone, view.row.zone, job, pool
+        )
+        return free * 40.0 - transfer_ms - distance_ms + self._random.random()
 
     def _plan_decode(
         self,
--- a/mulberryway/policy/pool_scheduler.py
+++ b/mulberryway/policy/pool_scheduler.py
@@ -21,6 +21,7 @@
 from mulberryway.policy import running_jobs
 from mulberryway.policy import send_limits
 from mulberryway.policy import upstream_view
+from mulberryway.policy import zone_costs
 
 __all__ = ["PoolScheduler"]
 
@@ -64,6 +65,7 @@
     :param budget: the retry budget
     :param cold_starts: see :class:`job_placement.Placer`
     :param limits: see :class:`job_placement.Placer`
+    :param zones: see :class:`job_placement.Placer`
     """
 
     def __init__(
@@ -80,12 +82,13 @@
         budget: retries.RetryBudget | None = None,
         cold_starts: cold_start.ColdStartLimiter | None = None,
         limits: send_limits.SendLimits | None = None,
+        zones: zone_costs.ZoneCosts | None = None,
     ) -> None:
         self.row = row
         self.members = members
         self.queue = fair_queue.FairQueue(max_entries, max_bytes)
         self.placer = job_placement.Placer(
-            members, random_, token_gap_ms, cold_starts, limits
+            members, random_, token_gap_ms, cold_starts, limits, zones
         )
         self.peer_accounts = peer_accounts.PeerAccounts(self.queue)
         self.stats = pool_stats.PoolStats()
--- a/mulberryway/policy/pool_set.py
+++ b/mulberryway/policy/pool_set.py
@@ -14,6 +14,7 @@
 from mulberryway.policy import retries
 from mulberryway.policy import send_limits
 from mulberryway.policy import upstream_view
+from mulberryway.policy import zone_costs
 
 __all__ = ["PoolSet"]
 
@@ -34,6 +35,7 @@
     :param shares: this VM's shares of limits over all VMs
     :param cold_limits: what operators allow cold upstreams to get
     :param limits: further limits of requests to upstreams; none by default
+    :param zones: charges for the distance between zones; nothing by default
     """
 
     def __init__(
@@ -51,8 +53,10 @@
         shares: cold_start.FleetShares | None = None,
         cold_limits: cold_start.ColdStartLimits | None = None,
         limits: send_limits.SendLimits | None = None,
+        zones: zone_costs.ZoneCosts | None = None,
     ) -> None:
         self._limits = limits
+        self._zones = zones
         self._shares = shares or cold_start.FleetShares(vm)
         self._cold_limits = cold_limits or cold_start.ColdStartLimits()
         self.pools: dict[str, pool_scheduler.PoolScheduler] = {}
@@ -165,4 +169,5 @@
             self._budget(),
             cold_start.ColdStartLimiter(self._shares, self._cold_limits),
             self._limits,
+            self._zones,
         )
--- a/mulberryway/policy/scheduler.py
+++ b/mulberryway/policy/scheduler.py
@@ -24,6 +24,7 @@
 from mulberryway.policy import running_jobs
 from mulberryway.policy import send_limits
 from mulberryway.policy import upstream_view
+from mulberryway.policy import zone_costs
 from mulberryway.upstreams import base as upstreams
 
 __all__ = ["FairScheduler"]
@@ -55,6 +56,7 @@
     :param shares: see :class:`pool_set.PoolSet`
     :param cold_limits: see :class:`pool_set.PoolSet`
     :param limits: see :class:`pool_set.PoolSet`
+    :param zones: see :class:`pool_set.PoolSet`
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         shares: cold_start.FleetShares | None = None,
         cold_limits: cold_start.ColdStartLimits | None = None,
         limits: send_limits.SendLimits | None = None,
+        zones: zone_costs.ZoneCosts | None = None,
     ) -> None:
         self.register = register or poison.PoisonRegistry()
         self.parts = part_quarantine.PartQuarantine(vm, random.Random(seed))
@@ -93,6 +96,7 @@
             shares,
             cold_limits,
             limits,
+            zones,
         )
         self._pools = self._pool_set.pools
         self._waiting: dict[str, str] = {}
--- a/mulberryway/policy/transfers.py
+++ b/mulberryway/policy/transfers.py
@@ -1,6 +1,6 @@
 """Estimates KV cache transfer times on shared links; best effort."""
 
-__all__ = ["TransferLinks"]
+__all__ = ["TransferLinks", "compute_carry_ms"]
 
 MS_IN_S = 1_000
 
@@ -28,7 +28,7 @@
         :returns: the duration in milliseconds
         """
         busy_ms = self._busy_until_ms.get(zones, 0.0)
-        return max(busy_ms - ready_ms, 0.0) + _carry_ms(bytes_, rate)
+        return max(busy_ms - ready_ms, 0.0) + compute_carry_ms(bytes_, rate)
 
     def reserve(
         self, zones: tuple[str, str], bytes_: int, rate: int, ready_ms: float
@@ -41,8 +41,14 @@
         :param ready_ms: earliest start of the transfer
         """
         begin_ms = max(self._busy_until_ms.get(zones, 0.0), ready_ms)
-        self._busy_until_ms[zones] = begin_ms + _carry_ms(bytes_, rate)
+        self._busy_until_ms[zones] = begin_ms + compute_carry_ms(bytes_, rate)
 
 
-def _carry_ms(bytes_: int, rate: int) -> float:
+def compute_carry_ms(bytes_: int, rate: int) -> float:
+    """Return the duration of a transfer on an idle link.
+
+    :param bytes_: size of the KV cache
+    :param rate: the link's rate in bytes per second
+    :returns: the duration in milliseconds
+    """
     return bytes_ * MS_IN_S / max(rate, 1)
--- a/mulberryway/settings.py
+++ b/mulberryway/settings.py
@@ -83,6 +83,12 @@
         self.upstreams_heartbeat_ms: int = 1_000
         self.upstreams_drain_ms: int = 2_000
 
+        # Additional round-trip time to another availability zone; 0 if
+        # unknown.  The margin is how much sooner, beyond the round trip,
+        # another zone has to serve a request before it leaves its zone.
+        self.zones_round_trip_ms: float = 0.0
+        self.zones_margin_ms: float = 3.0
+
         # What a cold upstream may get over all VMs, in each second: its rate
         # times the factor, plus the slack in requests.
         self.cold_start_over_part: float = 1.0
@@ -199,6 +205,8 @@
     options.make_number(
         "upstreams.drain_ms", "upstreams_drain_ms", 10, HOUR_MS
     ),
+    options.make_duration("zones.round_trip_ms", "zones_round_trip_ms", 1_000),
+    options.make_duration("zones.margin_ms", "zones_margin_ms", 60_000),
     options.Option(
         "cold_start.over_part",
         "cold_start_over_part",
