--- a/mulberryway/controllers/zone_traffic.py
+++ b/mulberryway/controllers/zone_traffic.py
@@ -44,10 +44,10 @@
         :param metrics_: the process's instruments
         """
         metrics_.register_labeled_gauge(
-            "zones.share",
-            "fraction of a pool's plain requests that leave the zone, by pool",
+            "zones.share_percent",
+            "part of a pool's plain requests that leaves the zone, by pool",
             lambda: [
-                ({"pool": pool}, share)
+                ({"pool": pool}, round(share * 100))
                 for pool, share in self.overflow.list_shares()
             ],
         )
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -199,6 +199,7 @@
             self._has_current_tables,
             self.clock,
         )
+        self.zones = zone_traffic.ZoneTraffic(settings_)
         self.shares = cold_start.FleetShares(settings_.vm_name)
         self.share_updater = fleet_shares.FleetSharesUpdater(
             self.shares, self._is_informed, self.clock
@@ -206,7 +207,6 @@
         self.cold_limits = cold_start.ColdStartLimits(
             settings_.cold_start_over_part, settings_.cold_start_slack
         )
-        self.zones = zone_traffic.ZoneTraffic(settings_)
         self.scheduler = self._make_scheduler()
         self._wire_router()
         self._wire_peers()
@@ -393,10 +393,10 @@
         )
         self.dissemination.report(self.router.metrics)
         threads.report(self.router.metrics)
+        self.zones.report(self.router.metrics)
         self.paths.report(self.router.metrics)
         self.versions.report(self.router.metrics)
         self.advisories.report(self.router.metrics)
-        self.zones.report(self.router.metrics)
         self.notes = scheduler_gossip.SchedulerGossipController(
             self.router.scheduling,
             self.members,
--- a/mulberryway/metrics.py
+++ b/mulberryway/metrics.py
@@ -14,7 +14,6 @@
 
 Labels = dict[str, str | int | float | bool]
 Gauge = collections.abc.Callable[[], int]
-LabeledLevels = collections.abc.Callable[[], list[tuple[Labels, float]]]
 LabeledValues = collections.abc.Callable[[], list[tuple[Labels, int]]]
 
 
@@ -113,13 +112,13 @@
         )
 
     def register_labeled_gauge(
-        self, name: str, description: str, read: LabeledLevels
+        self, name: str, description: str, read: LabeledValues
     ) -> None:
         """Register a gauge whose values by label are read by a callback.
 
         :param name: the instrument's name, without the common prefix
         :param description: the instrument's description
-        :param read: returns pairs of labels and current value
+        :param read: returns pairs of labels and value
         """
         self._meter.create_observable_gauge(
             f"mulberryway.{name}",
