--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -37,6 +37,7 @@
 from mulberryway.controllers import scheduler_gossip
 from mulberryway.controllers import server_load_gossip
 from mulberryway.controllers import version_tracking
+from mulberryway.controllers import zone_traffic
 from mulberryway.filters import repeats
 from mulberryway.objects import base as objects
 from mulberryway.objects import call_metrics
@@ -199,6 +200,7 @@
             self._has_current_tables,
             self.clock,
         )
+        self.zones = zone_traffic.ZoneTraffic(settings_)
         self.shares = cold_start.FleetShares(settings_.vm_name)
         self.share_updater = fleet_shares.FleetSharesUpdater(
             self.shares, self._is_informed, self.clock
@@ -359,6 +361,7 @@
             shares=self.shares,
             cold_limits=self.cold_limits,
             limits=self.advisories,
+            zones=self.zones.costs,
         )
 
     def _wire_router(self) -> None:
@@ -400,6 +403,7 @@
         )
         self.dissemination.report(self.router.metrics)
         threads.report(self.router.metrics)
+        self.zones.report(self.router.metrics)
         self.paths.report(self.router.metrics)
         self.versions.report(self.router.metrics)
         self.advisories.report(self.router.metrics)
