Let plain calls leave their zone by the overflow decision

The selector of plain servers hands it the expected wait with the cost of failures and rejections, so a zone whose server fails or is full is left too. Without it, as in tests of the selector alone, the distance counts as before.

--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -380,6 +380,7 @@
                 self.cold_limits,
                 self.advisories,
                 self.server_loads,
+                self.zones.overflow,
             ),
             self.retry_budget.try_withdraw,
             on_drain=lambda: self.members.update_local(is_stopping=True),
--- a/mulberryway/platform/interface.py
+++ b/mulberryway/platform/interface.py
@@ -20,6 +20,7 @@
 from mulberryway.policy import cold_start
 from mulberryway.policy import send_limits
 from mulberryway.policy import server_selection
+from mulberryway.policy import zone_overflow
 
 __all__ = ["PlatformInterface"]
 
@@ -34,6 +35,8 @@
     :param limits: further limits of requests to servers; none by default
     :param loads: the calls of all VMs to plain servers; none to know only
         those of this VM
+    :param zones: decides when calls leave their zone; none if no call has to
+        stay there
     """
 
     def __init__(
@@ -44,8 +47,10 @@
         cold_limits: cold_start.ColdStartLimits | None = None,
         limits: send_limits.SendLimits | None = None,
         loads: server_load_gossip.ServerLoadGossip | None = None,
+        zones: zone_overflow.ZoneOverflow | None = None,
     ) -> None:
         self._loads = loads
+        self._zones = zones
         self._limits = limits
         self._shares = shares
         self._cold_limits = cold_limits
@@ -81,6 +86,7 @@
                     self._cold_limits,
                     self._limits,
                     self._loads.book if self._loads else None,
+                    self._zones,
                 ),
                 parts.tracer,
                 parts.clock,
--- a/mulberryway/policy/server_selection.py
+++ b/mulberryway/policy/server_selection.py
@@ -101,7 +101,8 @@
     :param cold_limits: what operators allow cold servers to get
     :param limits: further limits of requests to servers; none by default
     :param book: the calls of all VMs; none to know only those of this VM
-    :param zones: decides when calls leave their zone
+    :param zones: decides when calls leave their zone; by default their zone
+        counts only as a distance
     :param random_: spreads the calls of VMs that know the same
     """
 
@@ -130,7 +131,7 @@
     ) -> None:
         self._zone = zone
         self._book = book or server_load_book.ServerLoadBook("", 0)
-        self._zones = zones or zone_overflow.ZoneOverflow(zone)
+        self._zones = zones or zone_overflow.ZoneOverflow("")
         self._random = random_ or random.Random()
         self._mixes: dict[str, call_admission.RankMix] = {}
         self._limits = limits
@@ -369,7 +370,9 @@
                     pool,
                     upstream,
                     now_ms,
-                    self._compute_extra_ms(pool, upstream, median_rate, now_ms)
+                    self._compute_failure_ms(
+                        pool, upstream, median_rate, now_ms
+                    )
                     + self._book.get_estimate(
                         pool.name, upstream.name
                     ).get_rejection_ms(now_ms),
@@ -379,13 +382,18 @@
         }
         options = [
             zone_overflow.ServerOption(
-                name, upstream.zone, state.wait_ms, state.free
+                name,
+                upstream.zone,
+                state.wait_ms + state.extra_ms,
+                state.free,
             )
             for name, (upstream, state) in by_name.items()
         ]
         allowed = self._zones.restrict(
             pool.name, options, self._random.random(), now_ms
         )
+        for upstream, state in by_name.values():
+            state.extra_ms += self._get_distance_ms(upstream)
         horizon_ms = self._get_horizon_ms()
         shares = call_spread.compute_shares(
             [by_name[option.name][1] for option in allowed],
@@ -421,20 +429,20 @@
             for upstream in usable
         )
 
-    def _compute_extra_ms(
+    def _compute_failure_ms(
         self,
         pool: tables.Pool,
         upstream: tables.Upstream,
         median_rate: float,
         now_ms: int,
     ) -> float:
-        """Return the cost of distance and failures, in milliseconds."""
+        """Return the cost of failures, in milliseconds."""
         server = self._find(pool, upstream)
         excess = server.get_failure_rate(now_ms) - median_rate - FAILURE_MARGIN
-        extra_ms = max(excess, 0.0) * FAILURE_MS
-        if upstream.zone != self._zone:
-            extra_ms += CROSS_ZONE_MS
-        return extra_ms
+        return max(excess, 0.0) * FAILURE_MS
+
+    def _get_distance_ms(self, upstream: tables.Upstream) -> float:
+        return 0.0 if upstream.zone == self._zone else CROSS_ZONE_MS
 
     def _find(self, pool: tables.Pool, upstream: tables.Upstream) -> _Server:
         return self._servers.setdefault((pool.name, upstream.name), _Server())
@@ -483,5 +491,8 @@
     ) -> tuple[bool, float, str]:
         server = self._find(pool, upstream)
         wait_ms = (server.in_flight + 1) * server.latency.value
-        wait_ms += self._compute_extra_ms(pool, upstream, median_rate, now_ms)
+        wait_ms += self._get_distance_ms(upstream)
+        wait_ms += self._compute_failure_ms(
+            pool, upstream, median_rate, now_ms
+        )
         return (server.backoff_until_ms > now_ms, wait_ms, upstream.name)
