--- a/tests/test_ranks.py
+++ b/tests/test_ranks.py
@@ -1,11 +1,17 @@
 """Tests ranks of model jobs under overload, without a network."""
 
 import itertools
+import socket
+import threading
 import unittest
 
+from mulberryway import clock
 from mulberryway.objects import base
+from mulberryway.platform import engine
 from mulberryway.platform import tables as platform_tables
+from mulberryway.platform import wire
 from mulberryway.policy import ranks
+from mulberryway.upstreams import base as upstreams
 from tests import policy_cases as cases
 
 URGENT, LIGHT = 0, 2
@@ -193,3 +199,58 @@
             self.assertLessEqual(max(times), max(left_ms / 3, 0))
             self.assertGreaterEqual(min(times), max(left_ms / 4 - 1, 0))
         self.assertGreater(len(set(self.list_times(0, 5_000, 2_000))), 100)
+
+
+class UrgencyTest(unittest.TestCase):
+    """Tests the rank that engines are told."""
+
+    def call(self, urgency, method):
+        """Return the head of a call to an engine."""
+        heads = []
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+
+            def answer():
+                with listener.accept()[0] as connection:
+                    heads.append(connection.recv(65_536).decode().lower())
+                    connection.sendall(b"HTTP/1.1 503 x\r\n\r\n")
+
+            thread = threading.Thread(target=answer)
+            thread.start()
+            host, port = listener.getsockname()
+            clock_ = clock.SystemClock()
+            engine_ = engine.PlatformEngine("i", f"{host}:{port}", clock_)
+            label = upstreams.AttemptLabel("r", "vm", 1, urgency=urgency)
+            request = upstreams.PassthroughRequest(
+                "POST",
+                "/",
+                [("Attempt-Id", "a")],
+                b"{}",
+                "a",
+                "",
+                clock.Deadline(clock_.now_ms() + 5_000),
+            )
+            if method == "prefill":
+                engine_.prefill(label, request, 5_000)
+            else:
+                engine_.decode(label, request, {}, 0, 5_000)
+            thread.join()
+            engine_.close()
+        return heads[0]
+
+    def test_rank_is_sent_as_it_is(self):
+        """Guards against engines that preempt an urgent stream."""
+        for method in ("prefill", "decode"):
+            for urgency in (0, 9):
+                self.assertIn(
+                    f"request-urgency: {urgency}\r\n",
+                    self.call(urgency, method),
+                )
+
+    def test_single_rank_is_not_sent(self):
+        """Guards against another order at engines without ranks."""
+        for method in ("prefill", "decode"):
+            self.assertNotIn("request-urgency", self.call(None, method))
+
+    def test_callers_rank_is_removed(self):
+        """Guards against callers who make their own requests urgent."""
+        self.assertIn(wire.URGENCY.lower(), wire.RESERVED_HEADERS)
