Malformed reports on ranks are logged outside the policy; returns of refused streams

The policy modules do no I/O, and a log line is one. A stream that no engine accepted is told a spread time as well where ranks differ. tests/test_model_job.py names an account's rank; its other checks are unchanged.

--- a/mulberryway/controllers/scheduling.py
+++ b/mulberryway/controllers/scheduling.py
@@ -410,8 +410,20 @@
             now_ms = self.clock.now_ms()
             for note in notes:
                 self._scheduler.apply_hints(note, now_ms)
+            malformed = self._scheduler.drain_malformed()
             if now_ms - self._dispatched_ms >= GOSSIP_DISPATCH_INTERVAL_MS:
                 self._dispatch()
+        for vm, report in malformed:
+            LOG.error(
+                "a peer's report on ranks is malformed",
+                extra=logs.make_extra(
+                    vm=vm,
+                    pool=report.pool,
+                    rank=report.rank,
+                    waiting=report.waiting,
+                    oldest_ms=report.oldest_ms,
+                ),
+            )
 
     def record_crashes(self, deaths: list[hints.Death]) -> None:
         """Apply other VMs' reports of crashes while serving a request.
--- a/mulberryway/filters/model_job.py
+++ b/mulberryway/filters/model_job.py
@@ -88,10 +88,7 @@
             route.is_idempotent(exchange) and number + 1 < route_.max_attempts,
             required_version,
             exchange.part_keys,
-            ranks.compute_rank(route_.priority, exchange.account.priority),
-            ranks.make_pool_ranks(
-                exchange.tables.list_priorities(exchange.pool.name)
-            ),
+            *self._get_ranks(),
             limit,
         )
 
@@ -139,6 +136,34 @@
             return avoid
         return frozenset()
 
+    def compute_return_ms(self, wait_ms: int) -> int:
+        """Return after how long a caller that no engine served may return.
+
+        :param wait_ms: the time until a return is useful, in ms
+        """
+        exchange = self._exchange
+        rank, pool_ranks = self._get_ranks()
+        if not pool_ranks.differ:
+            return wait_ms
+        return ranks.compute_return_ms(
+            wait_ms,
+            rank - pool_ranks.highest,
+            exchange.request_id,
+            exchange.deadline.left_ms(self._clock.now_ms()),
+        )
+
+    def _get_ranks(self) -> tuple[int, ranks.PoolRanks]:
+        """Return the rank of the request and those of its pool."""
+        exchange = self._exchange
+        return (
+            ranks.compute_rank(
+                exchange.route.priority, exchange.account.priority
+            ),
+            ranks.make_pool_ranks(
+                exchange.tables.list_priorities(exchange.pool.name)
+            ),
+        )
+
     def log_decision(
         self,
         job: jobs.Job,
--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -613,7 +613,7 @@
             fault.run is errors.ExecutionStatus.NOT_RUN
             and fault.retry_after_ms is None
         ):
-            fault.retry_after_ms = RETRY_AFTER_MS
+            fault.retry_after_ms = self._jobs.compute_return_ms(RETRY_AFTER_MS)
         return fault
 
     def _discard_result(self, result: SourceResult) -> SourceResult:
--- a/mulberryway/policy/base.py
+++ b/mulberryway/policy/base.py
@@ -263,6 +263,10 @@
         """Return what has changed about prompt parts, for logs."""
         return []
 
+    def drain_malformed(self) -> list[tuple[str, hints.RankNote]]:
+        """Return peers' malformed reports with their senders, for logs."""
+        return []
+
     def count_parts(self, state: str) -> int:
         """Return the number of prompt parts that are blamed for crashes.
 
--- a/mulberryway/policy/note_receiver.py
+++ b/mulberryway/policy/note_receiver.py
@@ -1,9 +1,7 @@
 """Applies notes from peers, and expires the state of unresponsive peers."""
 
 import collections.abc
-import logging
 
-from mulberryway import logs
 from mulberryway.policy import crash_reports
 from mulberryway.policy import failure_reports
 from mulberryway.policy import hints
@@ -12,8 +10,6 @@
 
 __all__ = ["NoteReceiver"]
 
-LOG = logging.getLogger(__name__)
-
 # A crashed router uses no slots, but one whose notes are lost for a moment
 # does. Three missed heartbeats distinguish the two well enough, since the
 # engines make the final decision.
@@ -50,7 +46,7 @@
         # of order, and each contains only changes.
         self.applied: dict[tuple[str, str, str], int] = {}
         self.is_unresponsive = False
-        # Bounds the log lines on malformed reports to one an incarnation.
+        # Bounds the malformed reports that are kept to one an incarnation.
         self.has_malformed = False
 
     def accepts(self, key: tuple[str, str, str], sequence: int) -> bool:
@@ -73,9 +69,15 @@
         self._crashes = crashes
         self._peers: dict[str, _PeerState] = {}
         self._report_filter = failure_reports.FailureReportFilter()
+        self._malformed: list[tuple[str, hints.RankNote]] = []
         self._checked_ms = 0
         self._pruned_ms = 0
 
+    def drain_malformed(self) -> list[tuple[str, hints.RankNote]]:
+        """Return malformed reports on ranks with their senders, once."""
+        malformed, self._malformed = self._malformed, []
+        return malformed
+
     def note(
         self,
         note: hints.Note,
@@ -120,16 +122,7 @@
         for item in note.ranks:
             if not peer_ranks.is_valid(item):
                 if not peer.has_malformed:
-                    LOG.error(
-                        "a peer's report on ranks is malformed",
-                        extra=logs.make_extra(
-                            vm=note.vm,
-                            pool=item.pool,
-                            rank=item.rank,
-                            waiting=item.waiting,
-                            oldest_ms=item.oldest_ms,
-                        ),
-                    )
+                    self._malformed.append((note.vm, item))
                 peer.has_malformed = True
                 continue
             pool = pools_.get(item.pool)
--- a/mulberryway/policy/scheduler.py
+++ b/mulberryway/policy/scheduler.py
@@ -495,6 +495,10 @@
         """
         self._note_receiver.note(note, self._pools, now_ms)
 
+    def drain_malformed(self) -> list[tuple[str, hints.RankNote]]:
+        """Return peers' malformed reports with their senders, for logs."""
+        return self._note_receiver.drain_malformed()
+
     def record_crashes(self, deaths: list[hints.Death], now_ms: int) -> None:
         """Apply crashes of upstreams that any VM has reported.
 
--- a/tests/test_model_job.py
+++ b/tests/test_model_job.py
@@ -13,13 +13,24 @@
 TARGET_MS = 900
 
 
-def make_job(now_ms, since_ms):
+def make_job(now_ms, since_ms, priority=None, accounts=()):
     """Return the job of a stream that needs an engine."""
+    account = tables.ClientAccount("a", (), 0, 0, priority=priority)
+    route = tables.Route(
+        "r",
+        "/",
+        "p",
+        ("m",),
+        is_streaming=True,
+        target_ms=TARGET_MS,
+        target_gap_ms=300,
+        priority=3,
+    )
     exchange = types.SimpleNamespace(
         request_id="r",
-        account=tables.ClientAccount("a", (), 0, 0),
+        account=account,
         pool=types.SimpleNamespace(name="p", upstreams=()),
-        tables=tables.Tables(1, (), (), ()),
+        tables=tables.Tables(1, (route,), (), (account, *accounts)),
         model="m",
         estimate=100,
         max_tokens=100,
@@ -30,15 +41,7 @@
         expected_tokens=0,
         arrived_ms=ARRIVED_MS,
         method="POST",
-        route=tables.Route(
-            "r",
-            "/",
-            "p",
-            ("m",),
-            is_streaming=True,
-            target_ms=TARGET_MS,
-            target_gap_ms=300,
-        ),
+        route=route,
     )
     builder = model_job.JobBuilder(
         exchange,
@@ -66,3 +69,23 @@
         """Guards against retries that restart the request's target."""
         job = make_job(ARRIVED_MS + 500, ARRIVED_MS)
         self.assertEqual(job.first_token_target_ms, ARRIVED_MS + TARGET_MS)
+
+
+class RankTest(unittest.TestCase):
+    def test_account_rank_goes_before_the_routes(self):
+        """Guards against an urgent account that is queued as its route."""
+        other = tables.ClientAccount("b", (), 0, 0)
+        job = make_job(ARRIVED_MS, ARRIVED_MS, 1, (other,))
+        self.assertEqual(1, job.rank)
+        self.assertEqual(
+            (1, 3), (job.pool_ranks.highest, job.pool_ranks.lowest)
+        )
+        self.assertEqual(ARRIVED_MS + 10_000, job.caller_deadline.at_ms)
+        self.assertLess(job.deadline.at_ms, job.caller_deadline.at_ms)
+
+    def test_single_rank(self):
+        """Guards against decisions by rank in deployments with one."""
+        job = make_job(ARRIVED_MS, ARRIVED_MS)
+        self.assertEqual(3, job.rank)
+        self.assertFalse(job.pool_ranks.differ)
+        self.assertEqual(0, job.compute_queue_rank())
--- a/tests/test_rank_overload.py
+++ b/tests/test_rank_overload.py
@@ -2,7 +2,9 @@
 
 import unittest
 
+from mulberryway import clock
 from mulberryway import errors
+from mulberryway.controllers import scheduling
 from mulberryway.policy import hints
 from mulberryway.policy import jobs
 from mulberryway.policy import peer_ranks
@@ -30,6 +32,16 @@
 ]
 
 
+def make_rank_job(name, rank, account="a", now_ms=0, **values):
+    """Return a job of a pool with both ranks that may wait for long."""
+    values = {
+        "within_ms": 60_000,
+        "first_token_target_ms": now_ms + 50_000,
+        "pool_ranks": BOTH,
+    } | values
+    return cases.make_job(f"{name}-0", account, now_ms, rank=rank, **values)
+
+
 class Rig:
     """One VM's scheduler of a pool with few slots."""
 
@@ -42,13 +54,7 @@
         self.pool = self.scheduler._pools["lm"]
 
     def submit(self, name, rank, now_ms=0, account="a", **values):
-        values = {
-            "within_ms": 60_000,
-            "first_token_target_ms": now_ms + 50_000,
-        } | values
-        job = cases.make_job(
-            f"{name}-0", account, now_ms, rank=rank, pool_ranks=BOTH, **values
-        )
+        job = make_rank_job(name, rank, account, now_ms, **values)
         return self.scheduler.submit(job, now_ms)
 
     def start(self, now_ms=0):
@@ -243,6 +249,29 @@
         self.assertLessEqual(max(times[LIGHT]), 1_000)
 
 
+class MetricsTest(unittest.TestCase):
+    def test_waiting_and_rejected_by_rank(self):
+        """Guards against an overload of which operators see no rank."""
+        rig = Rig(max_entries=4)
+        controller = scheduling.SchedulingController(
+            rig.scheduler, clock.ManualClock()
+        )
+        for number in range(4):
+            rank = (URGENT, URGENT, LIGHT, LIGHT)[number]
+            controller.submit(make_rank_job(PLAIN[number], rank, str(number)))
+        light, urgent = ({"pool": "lm", "rank": n} for n in (LIGHT, URGENT))
+        waiting = controller.count_waiting_by_rank
+        self.assertEqual([(light, 2)], waiting())
+        for number in range(4, 8):
+            controller.submit(make_rank_job(f"u{number}", URGENT, str(number)))
+        self.assertEqual([(urgent, 4)], waiting())
+        self.assertEqual([(light, 2)], controller.count_rejected_by_rank())
+        controller.submit(make_rank_job("u8", URGENT, "8"))
+        self.assertEqual(
+            [(urgent, 1), (light, 2)], controller.count_rejected_by_rank()
+        )
+
+
 class HeadroomTest(unittest.TestCase):
     def setUp(self):
         self.headroom = rank_headroom.RankHeadroom()
@@ -378,8 +407,11 @@
             hints.RankNote("none", LIGHT, 3, 5),
         ]
         note = hints.Note("vm2", 0, 99, [], [], [], malformed)
+        controller = scheduling.SchedulingController(
+            self.rig.scheduler, clock.ManualClock(120)
+        )
         with self.assertLogs(level="ERROR") as logged:
-            self.rig.scheduler.apply_hints(note, 120)
+            controller.apply_hints([note])
         self.assertEqual(1, len(logged.output))
         waiting = self.rig.pool.peer_ranks
         self.assertEqual(1, waiting.count_at("vm2", LIGHT, 120))
@@ -397,7 +429,7 @@
         rig = Rig("vm9")
         single = {"pool_ranks": ranks.SINGLE_RANK}
         for number in range(6):
-            job = cases.make_job(f"j{number}-0", rank=0, **single)
+            job = make_rank_job(f"j{number}", 2, **single)
             rig.scheduler.submit(job, 0)
         rig.start()
         self.assertEqual([], rig.scheduler.drain_hints(100).ranks)
