--- a/mulberryway/policy/peer_accounts.py
+++ b/mulberryway/policy/peer_accounts.py
@@ -56,11 +56,14 @@
             self._fair.charge(note.account, note.weight, added)
         elif added < 0:
             self._fair.adjust_charge(note.account, note.weight, added)
-        waiting = self._waiting.setdefault(vm, {})
         if note.waiting:
+            waiting = self._waiting.setdefault(vm, {})
             waiting[note.account] = _Waiting(note, now_ms)
-        else:
-            waiting.pop(note.account, None)
+        elif vm in self._waiting:
+            # Each decision visits all peers with waiting jobs.
+            self._waiting[vm].pop(note.account, None)
+            if not self._waiting[vm]:
+                del self._waiting[vm]
 
     def remove_peer(self, vm: str) -> None:
         """Remove the state of an unresponsive peer.
@@ -91,48 +94,48 @@
         :param now_ms: current time in ms
         :returns: the number of jobs
         """
+        counts: dict[str, int] = {}
+        for vm, account, waiting in self._list_fresh(now_ms):
+            counts[vm] = counts.get(vm, 0) + self._count_account(
+                account, waiting, state, entry, slack_tokens
+            )
+        if not entry.rank and self.ranks.is_empty:
+            return sum(counts.values())
         return sum(
-            self._count_peer(vm, state, entry, slack_tokens, now_ms)
-            for vm in self._waiting
+            self._apply_ranks(vm, count, entry.rank, now_ms)
+            for vm, count in counts.items()
         )
 
-    def _count_peer(
-        self,
-        vm: str,
-        state: fair_queue.AccountState,
-        entry: fair_queue.QueueEntry,
-        slack_tokens: int,
-        now_ms: int,
-    ) -> int:
-        fresh = self._list_fresh(vm, now_ms)
-        if not self.ranks.has_report(vm, now_ms):
-            # All jobs of this peer have the highest queue rank.
-            if entry.rank:
-                return sum(waiting.jobs for _, waiting in fresh)
-            return sum(
-                self._count_account(
-                    account, waiting, state, entry, slack_tokens
-                )
-                for account, waiting in fresh
-            )
-        equal = min(
-            sum(
-                self._count_account(
-                    account, waiting, state, entry, slack_tokens
-                )
-                for account, waiting in fresh
-            ),
-            self.ranks.count_at(vm, entry.rank, now_ms),
-        )
-        return self.ranks.count_above(vm, entry.rank, now_ms) + equal
+    def _apply_ranks(self, vm: str, count: int, rank: int, now_ms: int) -> int:
+        """Return how many of a peer's jobs precede a job of a rank.
 
-    def _list_fresh(self, vm: str, now_ms: int) -> list[tuple[str, _Waiting]]:
+        :param vm: the peer
+        :param count: how many precede it by their accounts
+        :param rank: the queue rank of the job
+        :param now_ms: current time in ms
+        """
+        if self.ranks.has_report(vm, now_ms):
+            equal = min(count, self.ranks.count_at(vm, rank, now_ms))
+            return self.ranks.count_above(vm, rank, now_ms) + equal
+        # All jobs of this peer have the highest queue rank.
+        return self._count_jobs(vm, now_ms) if rank else count
+
+    def _list_fresh(self, now_ms: int) -> list[tuple[str, str, _Waiting]]:
+        """Return the peers' accounts with waiting jobs."""
         return [
-            (account, waiting)
-            for account, waiting in self._waiting[vm].items()
+            (vm, account, waiting)
+            for vm, accounts in self._waiting.items()
+            for account, waiting in accounts.items()
             if now_ms - waiting.received_ms <= WAITING_FRESH_MS
         ]
 
+    def _count_jobs(self, vm: str, now_ms: int) -> int:
+        return sum(
+            waiting.jobs
+            for waiting in self._waiting[vm].values()
+            if now_ms - waiting.received_ms <= WAITING_FRESH_MS
+        )
+
     def count_above(self, rank: int, now_ms: int) -> int:
         """Return the number of the peers' waiting jobs of higher ranks.
 
@@ -144,9 +147,7 @@
         return sum(
             self.ranks.count_above(vm, rank, now_ms)
             if self.ranks.has_report(vm, now_ms)
-            else sum(
-                waiting.jobs for _, waiting in self._list_fresh(vm, now_ms)
-            )
+            else self._count_jobs(vm, now_ms)
             for vm in self._waiting
         )
 
@@ -174,10 +175,9 @@
         """
         names: set[str] = {
             account
-            for vm in self._waiting
-            if self._has_waiting(vm, rank, now_ms)
-            for account, _ in self._list_fresh(vm, now_ms)
+            for vm, account, _ in self._list_fresh(now_ms)
             if not self._fair.count_waiting(account)
+            and self._has_waiting(vm, rank, now_ms)
         }
         return sum(map(self._fair.get_weight, names))
 
--- a/mulberryway/policy/peer_ranks.py
+++ b/mulberryway/policy/peer_ranks.py
@@ -35,6 +35,11 @@
     def __init__(self) -> None:
         self._waiting: dict[str, dict[int, _Waiting]] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no peer has reported ranks."""
+        return not self._waiting
+
     def note(self, vm: str, note: hints.RankNote, now_ms: int) -> None:
         """Apply a peer's valid report on one rank.
 
