--- a/tests/test_rank_overload.py
+++ b/tests/test_rank_overload.py
@@ -2,7 +2,9 @@
 
 import unittest
 
+from mulberryway import clock
 from mulberryway import errors
+from mulberryway.controllers import scheduling
 from mulberryway.policy import hints
 from mulberryway.policy import jobs
 from mulberryway.policy import peer_ranks
@@ -30,6 +32,16 @@
 ]
 
 
+def make_rank_job(name, rank, account="a", now_ms=0, **values):
+    """Return a job of a pool with both ranks that may wait for long."""
+    values = {
+        "within_ms": 60_000,
+        "first_token_target_ms": now_ms + 50_000,
+        "pool_ranks": BOTH,
+    } | values
+    return cases.make_job(f"{name}-0", account, now_ms, rank=rank, **values)
+
+
 class Rig:
     """One VM's scheduler of a pool with few slots."""
 
@@ -42,13 +54,7 @@
         self.pool = self.scheduler._pools["lm"]
 
     def submit(self, name, rank, now_ms=0, account="a", **values):
-        values = {
-            "within_ms": 60_000,
-            "first_token_target_ms": now_ms + 50_000,
-        } | values
-        job = cases.make_job(
-            f"{name}-0", account, now_ms, rank=rank, pool_ranks=BOTH, **values
-        )
+        job = make_rank_job(name, rank, account, now_ms, **values)
         return self.scheduler.submit(job, now_ms)
 
     def start(self, now_ms=0):
@@ -243,6 +249,29 @@
         self.assertLessEqual(max(times[LIGHT]), 1_000)
 
 
+class MetricsTest(unittest.TestCase):
+    def test_waiting_and_rejected_by_rank(self):
+        """Guards against an overload of which operators see no rank."""
+        rig = Rig(max_entries=4)
+        controller = scheduling.SchedulingController(
+            rig.scheduler, clock.ManualClock()
+        )
+        for number in range(4):
+            rank = (URGENT, URGENT, LIGHT, LIGHT)[number]
+            controller.submit(make_rank_job(PLAIN[number], rank, str(number)))
+        light, urgent = ({"pool": "lm", "rank": n} for n in (LIGHT, URGENT))
+        waiting = controller.count_waiting_by_rank
+        self.assertEqual([(light, 2)], waiting())
+        for number in range(4, 8):
+            controller.submit(make_rank_job(f"u{number}", URGENT, str(number)))
+        self.assertEqual([(urgent, 4)], waiting())
+        self.assertEqual([(light, 2)], controller.count_rejected_by_rank())
+        controller.submit(make_rank_job("u8", URGENT, "8"))
+        self.assertEqual(
+            [(urgent, 1), (light, 2)], controller.count_rejected_by_rank()
+        )
+
+
 class HeadroomTest(unittest.TestCase):
     def setUp(self):
         self.headroom = rank_headroom.RankHeadroom()
@@ -331,7 +360,6 @@
         self.assertEqual(1, accounts.count_above(LIGHT, 100))
         late_ms = 101 + peer_ranks.WAITING_FRESH_MS
         self.assertEqual(0, accounts.count_above(LIGHT, late_ms))
-        self.assertEqual(0, accounts.get_oldest_ms(LIGHT, late_ms))
 
     def test_waiting_jobs_of_a_dead_vm_vanish(self):
         """Guards against slots that are kept for callers that have gone."""
@@ -366,7 +394,7 @@
             hints.Note("vm3", 1, 1, [], [waiting], []), 50
         )
         self.assertEqual(2, self.rig.pool.peer_accounts.count_above(1, 50))
-        self.assertEqual(50, self.rig.pool.peer_accounts.get_oldest_ms(1, 60))
+        self.assertEqual(0, self.rig.pool.peer_accounts.count_above(0, 50))
 
     def test_malformed_report_keeps_the_last_one(self):
         """Guards against reports of a VM whose memory is damaged."""
@@ -379,11 +407,16 @@
             hints.RankNote("none", LIGHT, 3, 5),
         ]
         note = hints.Note("vm2", 0, 99, [], [], [], malformed)
+        controller = scheduling.SchedulingController(
+            self.rig.scheduler, clock.ManualClock(120)
+        )
         with self.assertLogs(level="ERROR") as logged:
-            self.rig.scheduler.apply_hints(note, 120)
+            controller.apply_hints([note])
         self.assertEqual(1, len(logged.output))
         waiting = self.rig.pool.peer_ranks
         self.assertEqual(1, waiting.count_at("vm2", LIGHT, 120))
+        self.assertEqual(120, waiting.get_oldest_ms(LIGHT, 120))
+        self.assertEqual(0, waiting.get_oldest_ms(LIGHT, 500))
 
     def test_all_vms_start(self):
         """Nothing is known of others: light jobs are admitted and start."""
@@ -396,7 +429,7 @@
         rig = Rig("vm9")
         single = {"pool_ranks": ranks.SINGLE_RANK}
         for number in range(6):
-            job = cases.make_job(f"j{number}-0", rank=0, **single)
+            job = make_rank_job(f"j{number}", 2, **single)
             rig.scheduler.submit(job, 0)
         rig.start()
         self.assertEqual([], rig.scheduler.drain_hints(100).ranks)
@@ -404,16 +437,17 @@
 
 
 class FleetTest(unittest.TestCase):
-    """Ten decode engines instead of the sheet's twenty-three, so that twelve
-    times the light kind's traffic saturates them.
+    """Ten or six decode engines instead of the sheet's twenty-three, so that
+    twelve times the light kind's traffic saturates them; with six, both kinds
+    have six tenths of their traffic.
     """
 
-    def play(self, vms, until_ms, seeds, has_ranks=True):
-        urgent = rank_fleet.Kind(URGENT, 15.2)
-        light = rank_fleet.Kind(LIGHT, 8.0, 2_000, until_ms)
-        for seed in range(seeds):
-            fleet = rank_fleet.Fleet(vms, 3, 10, has_ranks, seed)
-            fleet.run([urgent, light], until_ms)
+    def play(self, vms, decodes, scale, has_ranks=True):
+        urgent = rank_fleet.Kind(URGENT, 15.2 * scale)
+        light = rank_fleet.Kind(LIGHT, 8.0 * scale, 2_000)
+        for seed in range(3):
+            fleet = rank_fleet.Fleet(vms, 3, decodes, has_ranks, seed)
+            fleet.run([urgent, light], 16_000)
         return urgent, light
 
     def check(self, urgent, light):
@@ -427,13 +461,13 @@
 
     def test_light_burst_at_six_vms(self):
         """Light jobs come at twelve times their rate for long."""
-        self.check(*self.play(6, 16_000, 3))
-        urgent, light = self.play(6, 16_000, 3, has_ranks=False)
+        self.check(*self.play(6, 10, 1.0))
+        urgent, light = self.play(6, 10, 1.0, has_ranks=False)
         self.assertLess(urgent.in_time, light.in_time)
 
     def test_light_burst_at_many_vms(self):
         """The same in a fleet in which a VM sees one job in four seconds."""
-        self.check(*self.play(91, 9_000, 1))
+        self.check(*self.play(91, 6, 0.6))
 
     def test_urgent_burst_alone(self):
         """Urgent jobs come at twice what the pool can run."""
