--- a/mulberryway/policy/call_admission.py
+++ b/mulberryway/policy/call_admission.py
@@ -6,7 +6,13 @@
 
 from mulberryway.policy import call_spread
 
-__all__ = ["CallNeeds", "RankMix", "compute_fraction", "compute_retry_ms"]
+__all__ = [
+    "CallNeeds",
+    "RankMix",
+    "Traffic",
+    "compute_fraction",
+    "compute_retry_ms",
+]
 
 # Older news may show a queue that is gone.
 MAX_NEWS_AGE_MS = 1_000
@@ -85,19 +91,45 @@
         return min(max(left / own, reserved), 1.0)
 
 
+class Traffic:
+    """The calls of all VMs to a pool, and how old the news of them are.
+
+    :param demand_per_ms: calls per millisecond, with those refused
+    :param sent_per_ms: calls per millisecond that were sent to servers
+    :param interval_ms: the interval between two reports of a VM, in
+        milliseconds
+    """
+
+    __slots__ = ("demand_per_ms", "sent_per_ms", "interval_ms")
+
+    def __init__(
+        self, demand_per_ms: float, sent_per_ms: float, interval_ms: float
+    ) -> None:
+        self.demand_per_ms = demand_per_ms
+        self.sent_per_ms = sent_per_ms
+        self.interval_ms = interval_ms
+
+    @property
+    def horizon_ms(self) -> float:
+        """Time until all VMs know what each of them has done."""
+        return 2.0 * self.interval_ms
+
+    @property
+    def calls(self) -> float:
+        """Calls that will be asked within the horizon."""
+        return self.demand_per_ms * self.horizon_ms
+
+
 def compute_fraction(
     servers: collections.abc.Sequence[call_spread.ServerState],
     needs: CallNeeds,
-    calls: float,
-    horizon_ms: float,
+    traffic: Traffic,
 ) -> float:
     """Return the part of the calls that the servers can serve in time.
 
     :param servers: the servers; not empty
     :param needs: what the caller can use
-    :param calls: calls that all VMs will make within the horizon, with those
-        that they will refuse
-    :param horizon_ms: time until the VMs know more, in milliseconds
+    :param traffic: the calls of all VMs
     :returns: 1 if all may be admitted; 0 if this one cannot be served
     """
     in_flight = sum(server.in_flight for server in servers)
@@ -106,25 +138,26 @@
         return 1.0
     if min(map(_compute_completion_ms, servers)) > needs.deadline_ms:
         return 0.0
-    bearable = sum(
-        server.calls_per_ms * horizon_ms
-        + CORRECTION * (_compute_bound(server, needs) - server.in_flight)
-        for server in servers
-    )
-    return min(max(bearable, 0.0) / max(calls, 1.0), 1.0)
+    calls_per_ms = sum(server.calls_per_ms for server in servers)
+    # The counts are half an interval old on average.
+    grown = (traffic.sent_per_ms - calls_per_ms) * traffic.interval_ms / 2.0
+    room = sum(_compute_bound(server, needs) for server in servers)
+    room -= in_flight + grown
+    bearable = calls_per_ms * traffic.horizon_ms + CORRECTION * room
+    return min(max(bearable, 0.0) / max(traffic.calls, 1.0), 1.0)
 
 
 def compute_retry_ms(
     servers: collections.abc.Sequence[call_spread.ServerState],
     fraction: float,
-    horizon_ms: float,
+    traffic: Traffic,
     draw: float,
 ) -> int:
     """Return when a refused call may come back, in milliseconds.
 
     :param servers: the servers; not empty
     :param fraction: the part of the calls that is admitted
-    :param horizon_ms: time until the VMs know more, in milliseconds
+    :param traffic: the calls of all VMs
     :param draw: spreads the callers; at least 0 and below 1
     """
     waiting = sum(
@@ -132,7 +165,7 @@
     )
     drain_ms = waiting / sum(server.calls_per_ms for server in servers)
     excess = 1.0 / max(fraction, MIN_RANK_FRACTION)
-    delay_ms = (drain_ms + horizon_ms) * excess * (0.5 + draw)
+    delay_ms = (drain_ms + traffic.horizon_ms) * excess * (0.5 + draw)
     return min(math.ceil(delay_ms), MAX_RETRY_MS)
 
 
--- a/mulberryway/policy/server_load_book.py
+++ b/mulberryway/policy/server_load_book.py
@@ -4,6 +4,7 @@
 import itertools
 import math
 
+from mulberryway.policy import call_admission
 from mulberryway.policy import server_estimates
 from mulberryway.policy import server_loads
 
@@ -139,7 +140,7 @@
         self._unreported: collections.Counter[str] = collections.Counter()
         self._peers: dict[str, _Peer] = {}
         self._estimates: dict[ServerKey, server_estimates.ServerEstimate] = {}
-        self._rates: dict[str, _Rate] = {}
+        self._rates: dict[str, tuple[_Rate, _Rate]] = {}
         self._reported_ms = 0
         self._heard_ms: int | None = None
         self._totals: dict[ServerKey, float] = {}
@@ -176,7 +177,7 @@
         :param now_ms: current time in milliseconds
         """
         self._find_own(pool, server).in_flight += 1
-        self._add_demand(pool, 1, now_ms)
+        self._find_rates(pool)[0].add(1, now_ms)
 
     def finish(
         self,
@@ -214,7 +215,7 @@
         """
         self.refused[pool, rank] += 1
         self._unreported[pool] += 1
-        self._add_demand(pool, 1, now_ms)
+        self._find_rates(pool)[1].add(1, now_ms)
 
     def make_report(self, now_ms: int) -> server_loads.ServerLoadReport | None:
         """Return what the other VMs should know, or none if nothing changed.
@@ -290,14 +291,19 @@
         """Return the pool, the name and the estimate of each server."""
         return [(*key, estimate) for key, estimate in self._estimates.items()]
 
-    def get_demand(self, pool: str, now_ms: int) -> float:
-        """Return the calls per ms of all VMs, with those refused.
+    def get_traffic(self, pool: str, now_ms: int) -> call_admission.Traffic:
+        """Return the calls of all VMs to a pool.
 
         :param pool: the pool's name
         :param now_ms: current time in milliseconds
         """
-        rate = self._rates.get(pool)
-        return rate.get_per_ms(now_ms) if rate else 0.0
+        sent, refused = self._find_rates(pool)
+        sent_per_ms = sent.get_per_ms(now_ms)
+        return call_admission.Traffic(
+            sent_per_ms + refused.get_per_ms(now_ms),
+            sent_per_ms,
+            self.interval_ms,
+        )
 
     def get_news_age_ms(self, now_ms: int) -> int | None:
         """Return the time since the last report of another VM.
@@ -341,11 +347,13 @@
         self, peer: _Peer, load: server_loads.ServerLoad, now_ms: int
     ) -> None:
         key = load.pool, load.server
-        before, _ = peer.in_flight.get(key, (0, 0))
-        started = load.in_flight - before + load.completed + load.rejected
-        self._add_demand(load.pool, max(started, 0), now_ms)
+        sent, refused = self._find_rates(load.pool)
         if not load.server:
+            refused.add(load.rejected, now_ms)
             return
+        before, _ = peer.in_flight.get(key, (0, 0))
+        started = load.in_flight - before + load.completed + load.rejected
+        sent.add(max(started, 0), now_ms)
         peer.in_flight[key] = load.in_flight, now_ms
         if key in self._totals:
             self._totals[key] += load.in_flight - before
@@ -385,8 +393,9 @@
     def _find_own(self, pool: str, server: str) -> _OwnCalls:
         return self._own.setdefault((pool, server), _OwnCalls())
 
-    def _add_demand(self, pool: str, count: int, now_ms: int) -> None:
-        self._rates.setdefault(pool, _Rate()).add(count, now_ms)
+    def _find_rates(self, pool: str) -> tuple[_Rate, _Rate]:
+        """Return the rates of the calls sent and of those refused."""
+        return self._rates.setdefault(pool, (_Rate(), _Rate()))
 
 
 def _is_valid(load: server_loads.ServerLoad) -> bool:
--- a/mulberryway/policy/server_selection.py
+++ b/mulberryway/policy/server_selection.py
@@ -201,13 +201,8 @@
         servers = self._list_admitting(pool, now_ms)
         if not servers:
             return None
-        horizon_ms = self._get_horizon_ms()
-        fraction = call_admission.compute_fraction(
-            servers,
-            needs,
-            self._book.get_demand(pool.name, now_ms) * horizon_ms,
-            horizon_ms,
-        )
+        traffic = self._book.get_traffic(pool.name, now_ms)
+        fraction = call_admission.compute_fraction(servers, needs, traffic)
         if fraction >= 1.0:
             return None
         draws = random.Random(needs.key)
@@ -215,7 +210,7 @@
             return None
         self._book.record_refusal(pool.name, needs.rank, now_ms)
         return call_admission.compute_retry_ms(
-            servers, fraction, horizon_ms, draws.random()
+            servers, fraction, traffic, draws.random()
         )
 
     def get_duration_ms(
@@ -290,10 +285,6 @@
         if outcome is CallOutcome.DONE:
             server.latency.note(took_ms)
 
-    def _get_horizon_ms(self) -> int:
-        """Return the time until the VMs know what each other has done."""
-        return 2 * self._book.interval_ms
-
     def _is_load_shared(self, pool: tables.Pool, now_ms: int) -> bool:
         return (
             len(pool.upstreams) > 1
@@ -386,11 +377,11 @@
         allowed = self._zones.restrict(
             pool.name, options, self._random.random(), now_ms
         )
-        horizon_ms = self._get_horizon_ms()
+        traffic = self._book.get_traffic(pool.name, now_ms)
         shares = call_spread.compute_shares(
             [by_name[option.name][1] for option in allowed],
-            self._book.get_demand(pool.name, now_ms) * horizon_ms,
-            horizon_ms,
+            traffic.calls,
+            traffic.horizon_ms,
         )
         name = call_spread.choose(shares, self._random.random())
         return by_name[name][0]
--- a/tests/test_server_loads.py
+++ b/tests/test_server_loads.py
@@ -112,7 +112,9 @@
         for _ in range(50):
             self.other.record_refusal(POOL, 2, 0)
         self.book.record_report(self.other.make_report(10), 20)
-        self.assertGreater(self.book.get_demand(POOL, 20), 0.1)
+        traffic = self.book.get_traffic(POOL, 20)
+        self.assertGreater(traffic.demand_per_ms, 0.1)
+        self.assertEqual(traffic.sent_per_ms, 0)
         self.assertEqual(self.book.list_servers(), [])
 
     def test_removed_server(self):
