--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -215,6 +215,26 @@
         self.assertEqual(len(owner.recovered), 1)
 
 
+class UnknownMemoryTest(RelayCase):
+    """A VM whose memory is not known."""
+
+    total_bytes = 0
+
+    def test_paused_stream_is_kept(self):
+        """Guards against a caller given up where no bound was asked for."""
+        owner, caller, engine = self.start()
+        self.write(engine, make_body(2_000) + ENDING)
+        self.wait_held(250_000)
+        time.sleep(MAX_PAUSE_S + 0.5)
+        self.assertLessEqual(
+            self.guard._budget.used_bytes, 262_144 + 2 * pump.RECEIVE_BYTES
+        )
+        content, is_complete = self.read_answer(caller)
+        self.assertTrue(is_complete)
+        self.assertEqual(len(content), 2_000 * EVENT_BYTES)
+        self.assertIsNone(owner.outcome.get(timeout=TEST_TIMEOUT_S))
+
+
 class ManyStreamsTest(RelayCase):
     """Callers that read one event a second, beside one that reads well."""
 
