Soak: callers that read long answers slowly; bound the kernel's part

Found while the soak's slow readers were written: a send on loopback put 3.3 to 3.9 MB of an answer into the kernel at once, which no budget counts. Where the memory is known, a caller's socket has a send buffer of 64 KiB, which Linux doubles.

The fleet of the tests names 128 MB, as deployments do.

--- a/mulberryway/relay/memory.py
+++ b/mulberryway/relay/memory.py
@@ -41,6 +41,11 @@
         self._unlogged = 0
         loop_.add_periodic(self._check, lambda: bool(self._readers))
 
+    @property
+    def is_bounded(self) -> bool:
+        """Whether there is a budget."""
+        return self._budget.total_bytes > 0
+
     @property
     def limit_bytes(self) -> int:
         """The number of unread bytes that one caller may have now."""
@@ -127,7 +132,7 @@
         )
 
     def _check(self) -> None:
-        if not self._budget.total_bytes:
+        if not self.is_bounded:
             return
         now_ms = self._loop.now_ms
         for reader in [
--- a/mulberryway/server/http_server.py
+++ b/mulberryway/server/http_server.py
@@ -28,6 +28,9 @@
 # Maximum number of queued connections per worker thread.  In a longer queue
 # callers would only wait for replies that arrive too late.
 QUEUE_PER_THREAD = 4
+# What the kernel holds for a caller that does not read, in place of megabytes
+# that no budget counts; Linux doubles it.
+SEND_BUFFER_BYTES = 65_536
 REJECT_READ_BYTES = 262_144
 WAKE_TIMEOUT_S = 0.2
 
@@ -127,6 +130,10 @@
         bound.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
         )
+        if self.memory.is_bounded:
+            bound.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
+            )
         return bound
 
     def process_conn(self, conn: request.Connection) -> None:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.client
 import random
+import socket
 import threading
 import time
 
@@ -30,6 +31,11 @@
 MAX_RETRY_S = 1.0
 # Probability that a stream's prompt has a part that ends its engine.
 CRASHING_PROBABILITY = 0.1
+# What a caller that reads slowly sends and gets back, and how it reads.
+LONG_BODY_BYTES = 400_000
+SLOW_READ_BYTES = 20_000
+SLOW_READ_INTERVAL_S = 0.1
+SLOW_BUFFER_BYTES = 8_192
 FIRST_PART = "aa"
 MIDDLE_PARTS = tuple(f"b{number}" for number in range(5))
 KINDS = (
@@ -66,6 +72,7 @@
         self._cluster = soak_cluster
         self._stop_event = stop_event
         self._vm = number % len(soak_cluster.vms)
+        self._is_slow = number < soak_cluster.config.slow_readers
         self._connection: http.client.HTTPConnection | None = None
         self._began_ms = cluster.now_ms()
 
@@ -123,6 +130,8 @@
         attempt.has_disconnected = self._rng.random() < DISCONNECT_PROBABILITY
         if self._cluster.config.crashing_parts and kind.is_stream:
             self._choose_parts(attempt, number)
+        if self._is_slow and kind is history.RequestKind.PLAIN:
+            attempt.sent = name.encode() * (LONG_BODY_BYTES // len(name))
         return attempt
 
     def _choose_parts(self, attempt: history.Attempt, number: int) -> None:
@@ -153,6 +162,8 @@
                 self._cluster.client_proxy_ports[self._vm],
                 timeout=CALL_TIMEOUT_S,
             )
+            if self._is_slow:
+                self._connect_slowly(self._connection)
         headers = {
             "Host": hosted_fleet.SITE,
             "Attempt-Id": attempt.name,
@@ -180,6 +191,30 @@
             attempt.is_cut = attempt.status != 0
             self._switch_vm()
 
+    def _connect_slowly(self, connection: http.client.HTTPConnection) -> None:
+        """Open a connection whose buffer holds little of an answer."""
+        connection.sock = socket.socket()
+        connection.sock.settimeout(CALL_TIMEOUT_S)
+        connection.sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BUFFER_BYTES
+        )
+        try:
+            connection.sock.connect((connection.host, connection.port))
+        except OSError:
+            # The request opens another one, or fails and is recorded.
+            connection.close()
+
+    def _read_body(self, response: http.client.HTTPResponse) -> bytes:
+        if not self._is_slow:
+            return response.read()
+        body = b""
+        while piece := response.read(SLOW_READ_BYTES):
+            body += piece
+            time.sleep(SLOW_READ_INTERVAL_S)
+        if response.length:
+            raise http.client.IncompleteRead(body, response.length)
+        return body
+
     def _read_response(
         self, attempt: history.Attempt, response: http.client.HTTPResponse
     ) -> None:
@@ -195,7 +230,7 @@
             return
         should_close = response.headers.get("Connection", "") == "close"
         try:
-            attempt.body = response.read()
+            attempt.body = self._read_body(response)
         except http.client.IncompleteRead as error:
             attempt.body = error.partial
             attempt.is_cut = True
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -95,6 +95,7 @@
     :param evacuations: number of evacuations beside the chains
     :param advisories: number of upstreams that say in their answers what they
         want, beside the chains
+    :param slow_readers: number of callers that read long answers slowly
     """
 
     __slots__ = (
@@ -109,6 +110,7 @@
         "crashing_parts",
         "evacuations",
         "advisories",
+        "slow_readers",
     )
 
     def __init__(
@@ -124,7 +126,9 @@
         crashing_parts: int = 0,
         evacuations: int = 0,
         advisories: int = 0,
+        slow_readers: int = 0,
     ) -> None:
+        self.slow_readers = slow_readers
         self.advisories = advisories
         self.evacuations = evacuations
         self.crashing_parts = crashing_parts
--- a/tests/hosted_fleet.py
+++ b/tests/hosted_fleet.py
@@ -289,6 +289,7 @@
                 "address": HOST,
                 "zone": "kandy-a",
                 "region": "lk",
+                "memory_mb": 128,
             },
             "router": {
                 "address": f"{HOST}:{front}",
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -348,10 +348,6 @@
         )
         self.server.start()
         self.addCleanup(self.server.stop)
-        # Accepted connections inherit it.
-        self.server.socket.setsockopt(
-            socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES
-        )
         self.port = settings_.router_port
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -396,6 +396,22 @@
         """Guards against a part that crashes engines beside other faults."""
         self.hold(1, plan.SoakConfig(decodes=5, crashing_parts=1))
 
+    def test_slow_readers(self):
+        """Guards against answers that are cut off or mixed up because their
+        callers read slowly, beside other faults.
+        """
+        self.hold(
+            701,
+            plan.SoakConfig(
+                vms=2,
+                decodes=2,
+                services=2,
+                chains=1,
+                length_ms=4_000,
+                slow_readers=4,
+            ),
+        )
+
     def test_evacuated_zone(self):
         """Guards against requests to an evacuated zone, and against cold
         servers that get too many when it is used again, beside other faults.
