--- a/mulberryway/relay/memory.py
+++ b/mulberryway/relay/memory.py
@@ -39,6 +39,7 @@
         self._callbacks: dict[typing.Any, GiveUp] = {}
         self._last_log_ms = loop_.now_ms - LOG_INTERVAL_MS
         self._unlogged = 0
+        self._last_refusal_ms = self._last_log_ms
         loop_.add_periodic(self._check, lambda: bool(self._readers))
 
     @property
@@ -57,9 +58,25 @@
         :param size: the number of bytes
         """
         with self._lock:
-            has_room = self._budget.try_reserve(size)
-            self.refused += not has_room
-        return has_room
+            if self._budget.try_reserve(size):
+                return True
+            self.refused += 1
+            now_ms = self._loop.clock.now_ms()
+            is_due = now_ms - self._last_refusal_ms >= LOG_INTERVAL_MS
+            if is_due:
+                self._last_refusal_ms = now_ms
+        if is_due:
+            LOG.warning(
+                "a request is refused, there is no room for its body",
+                extra=logs.make_extra(
+                    body_bytes=size,
+                    held_bytes=self._budget.used_bytes,
+                    budget_bytes=self._budget.total_bytes,
+                    slow_callers=len(self._readers),
+                    refused=self.refused,
+                ),
+            )
+        return False
 
     def release(self, size: int) -> None:
         """Release memory that was reserved.
--- a/mulberryway/relay/unsent.py
+++ b/mulberryway/relay/unsent.py
@@ -16,23 +16,33 @@
 
 
 class UnsentReply:
-    """What a caller's socket has not accepted of a reply.
+    """A reply of which a caller's socket has accepted a part.
 
     :param caller: the caller's socket
-    :param data: the bytes that are left
+    :param data: the whole reply, which is held until the end
+    :param sent: the number of bytes that the socket has accepted
     :param on_end: called once, with whether all bytes were sent
     """
 
-    __slots__ = ("caller", "data", "on_end", "last_write_ms", "is_closed")
+    __slots__ = (
+        "caller",
+        "size",
+        "rest",
+        "on_end",
+        "last_write_ms",
+        "is_closed",
+    )
 
     def __init__(
         self,
         caller: socket.socket,
         data: bytes,
+        sent: int,
         on_end: collections.abc.Callable[[bool], None],
     ) -> None:
         self.caller = caller
-        self.data = memoryview(data)
+        self.size = len(data)
+        self.rest = memoryview(data)[sent:]
         self.on_end = on_end
         self.last_write_ms = 0
         self.is_closed = False
@@ -81,22 +91,23 @@
             self._end(reply, False)
             return
         try:
-            sent = reply.caller.send(reply.data)
+            sent = reply.caller.send(reply.rest)
         except BlockingIOError:
             return
         except OSError:
             self._end(reply, False)
             return
-        reply.data = reply.data[sent:]
+        reply.rest = reply.rest[sent:]
         reply.last_write_ms = self._loop.now_ms
-        if reply.data:
-            self._count(reply)
-        else:
+        if not reply.rest:
             self._end(reply, True)
 
     def _count(self, reply: UnsentReply) -> None:
         self._guard.update(
-            reply, len(reply.data), False, lambda: self._end(reply, False)
+            reply,
+            0 if reply.is_closed else reply.size,
+            False,
+            lambda: self._end(reply, False),
         )
 
     def _check_timeouts(self) -> None:
@@ -114,6 +125,6 @@
         reply.is_closed = True
         self._replies.discard(reply)
         self._loop.unregister(reply.caller.fileno())
-        reply.data = memoryview(b"")
+        reply.rest = memoryview(b"")
         self._count(reply)
         reply.on_end(is_complete)
--- a/mulberryway/server/gateway.py
+++ b/mulberryway/server/gateway.py
@@ -12,6 +12,7 @@
 from mulberryway import replies
 from mulberryway.filters import base
 from mulberryway.filters import chain
+from mulberryway.relay import memory
 from mulberryway.relay import unsent
 from mulberryway.relay import writers
 from mulberryway.server import request
@@ -74,6 +75,35 @@
         return Gateway(request_, self)
 
 
+class _Reservation:
+    """The memory of one request's body, until the request has ended.
+
+    :param guard: bounds the memory of callers
+    """
+
+    __slots__ = ("_guard", "_size")
+
+    def __init__(self, guard: memory.MemoryGuard) -> None:
+        self._guard = guard
+        self._size = 0
+
+    def try_grow(self, size: int) -> bool:
+        """Reserve memory before more of the body is read.
+
+        :param size: the number of bytes
+        :returns: whether there is room
+        """
+        if not self._guard.try_reserve(size):
+            return False
+        self._size += size
+        return True
+
+    def release(self) -> None:
+        """Release all of it."""
+        self._guard.release(self._size)
+        self._size = 0
+
+
 class Gateway:
     """Handles one request.
 
@@ -102,37 +132,27 @@
 
         A streamed answer is handed over to the relay instead.
         """
-        memory = self._request.server.memory
-        reserved: list[int] = []
-
-        def try_reserve(size: int) -> bool:
-            has_room: bool = memory.try_reserve(size)
-            if has_room:
-                reserved.append(size)
-            return has_room
-
+        reservation = _Reservation(self._request.server.memory)
+        body = None
         try:
-            body = self._request.read_body(try_reserve)
+            body = self._request.read_body(reservation.try_grow)
         except request.NoRoomError:
-            memory.release(sum(reserved))
             self._reject(
                 errors.Code.OVERLOADED,
                 "no room for the body",
                 request.OVERLOAD_RETRY_AFTER_MS,
             )
         except cheroot_errors.MaxSizeExceeded:
-            memory.release(sum(reserved))
             self._reject(errors.Code.BODY_TOO_LARGE, "body is too large")
         except ValueError as error:
-            memory.release(sum(reserved))
             self._reject(errors.Code.BAD_REQUEST, str(error))
-        except OSError:
-            memory.release(sum(reserved))
-            raise
-        else:
+        finally:
+            if body is None:
+                reservation.release()
+        if body is not None:
             exchange = self._make_exchange(body)
             exchange.add_completion_callback(
-                lambda outcome: memory.release(sum(reserved))
+                lambda outcome: reservation.release()
             )
             self._handle(exchange)
 
@@ -203,7 +223,7 @@
             on_end()
 
         connection.unsent_reply = unsent.UnsentReply(
-            connection.socket, data[sent:], end
+            connection.socket, data, sent, end
         )
         self._request.close_connection = False
         return False
