--- a/mulberryway/relay/pump.py
+++ b/mulberryway/relay/pump.py
@@ -24,9 +24,6 @@
 # A caller that accepts no bytes for this long counts as disconnected: it has
 # vanished without closing, or blocks a decode slot that other requests need.
 CALLER_WRITE_TIMEOUT_MS = 20_000
-# An engine that was not read for this long because of the caller may have cut
-# off its response for that.
-MIN_BLAMELESS_PAUSE_MS = 1_000
 # Closing resets the connection and drops what its peer has not read.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # An engine's last chunk usually arrives with its last event.  This limits how
@@ -232,9 +229,7 @@
         except BlockingIOError:
             return
         except OSError as error:
-            if stream.get_pause_ms(self._loop.now_ms) >= (
-                MIN_BLAMELESS_PAUSE_MS
-            ):
+            if stream.may_be_cut_off(self._loop.now_ms):
                 self._give_up(stream)
                 return
             self._on_source_failure(
@@ -243,7 +238,7 @@
             return
         if data:
             self._on_data(stream, data)
-        elif stream.get_pause_ms(self._loop.now_ms) >= MIN_BLAMELESS_PAUSE_MS:
+        elif stream.may_be_cut_off(self._loop.now_ms):
             self._give_up(stream)
         elif not stream.may_end_on_close():
             self._on_source_failure(stream, CLOSED_MESSAGE, has_died=True)
@@ -354,15 +349,13 @@
 
     def _pause_source(self, stream: Stream) -> None:
         if stream.source is not None and not stream.is_paused:
-            stream.is_paused = True
-            stream.paused_ms = self._loop.now_ms
+            stream.pause(self._loop.now_ms)
             if stream.is_held:
                 return
             self._loop.modify(stream.source.connection.fileno(), 0)
 
     def _resume_source(self, stream: Stream) -> None:
-        stream.longest_pause_ms = stream.get_pause_ms(self._loop.now_ms)
-        stream.is_paused = False
+        stream.resume(self._loop.now_ms)
         stream.token_deadline_ms = self._loop.now_ms + stream.token_timeout_ms
         if stream.source is not None and not stream.is_held:
             self._loop.modify(stream.source.connection.fileno(), READ)
--- a/mulberryway/relay/stream.py
+++ b/mulberryway/relay/stream.py
@@ -13,6 +13,9 @@
 
 DONE_EVENT = b"data: [DONE]"
 FINISH_MEMBER = b'"finish_reason"'
+# An engine that was not read for this long because of the caller may have cut
+# off its response for that.
+MIN_BLAMELESS_PAUSE_MS = 1_000
 
 
 class StreamOwner(abc.ABC):
@@ -146,6 +149,7 @@
         "last_write_ms",
         "is_paused",
         "paused_ms",
+        "resumed_ms",
         "longest_pause_ms",
         "has_source_begun",
         "is_complete",
@@ -192,6 +196,7 @@
         # Whether the engine is not read because of the caller, and since when.
         self.is_paused = False
         self.paused_ms = 0
+        self.resumed_ms = 0
         self.is_complete = False
         self.is_closed = False
         # Whether a replacement is sought while the stalled engine is still
@@ -218,14 +223,40 @@
         self._source_id = b""
         self._has_finish_reason = False
 
-    def get_pause_ms(self, now_ms: int) -> int:
-        """Return the longest time that the engine was not read, in ms.
+    def pause(self, now_ms: int) -> None:
+        """Record that the engine is not read because of the caller.
 
         :param now_ms: the current time
         """
-        if not self.is_paused:
-            return self.longest_pause_ms
-        return max(self.longest_pause_ms, now_ms - self.paused_ms)
+        if now_ms - self.resumed_ms >= MIN_BLAMELESS_PAUSE_MS:
+            self.longest_pause_ms = 0
+        self.is_paused = True
+        self.paused_ms = now_ms
+
+    def resume(self, now_ms: int) -> None:
+        """Record that the engine is read again.
+
+        :param now_ms: the current time
+        """
+        self.longest_pause_ms = max(
+            self.longest_pause_ms, now_ms - self.paused_ms
+        )
+        self.is_paused = False
+        self.resumed_ms = now_ms
+
+    def may_be_cut_off(self, now_ms: int) -> bool:
+        """Return whether the engine may break off because of the caller.
+
+        It is read again for a while before the end of what it had sent shows.
+
+        :param now_ms: the current time
+        """
+        pause_ms = self.longest_pause_ms
+        if self.is_paused:
+            pause_ms = max(pause_ms, now_ms - self.paused_ms)
+        elif now_ms - self.resumed_ms >= MIN_BLAMELESS_PAUSE_MS:
+            return False
+        return pause_ms >= MIN_BLAMELESS_PAUSE_MS
 
     def record_progress(self, now_ms: int) -> None:
         """Record that the answer has grown, and update the longest gap.
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -205,6 +205,22 @@
         self.assertIs(fault.step, errors.Step.CALLER)
         self.assertEqual(owner.recovered, [])
 
+    def test_engine_that_dies_after_a_pause(self):
+        """Guards against a crash that is put down to a caller that has read
+        well again for a while.
+        """
+        owner, caller, engine = self.start()
+        self.write(engine, make_body(500))
+        self.wait_held(250_000)
+        time.sleep(1.3)
+        received = b""
+        while b"id: 500\n" not in received:
+            received += caller.recv(65_536)
+        time.sleep(1.3)
+        engine.close()
+        owner.outcome.get(timeout=TEST_TIMEOUT_S)
+        self.assertEqual(len(owner.recovered), 1)
+
     def test_engine_that_dies(self):
         """Guards against a crash that is put down to a caller that reads."""
         owner, caller, engine = self.start()
