--- a/mulberryway/controllers/zone_traffic.py
+++ b/mulberryway/controllers/zone_traffic.py
@@ -45,15 +45,23 @@
         """
         metrics_.register_labeled_gauge(
             "zones.share_percent",
-            "part of a pool's plain requests that leaves the zone, by pool",
+            "part of a pool's plain requests that may leave the zone, by pool",
             lambda: [
                 ({"pool": pool}, round(share * 100))
                 for pool, share in self.overflow.list_shares()
             ],
         )
+        metrics_.register_counter(
+            "zones.released",
+            "plain requests that might leave the zone, by pool",
+            lambda: [
+                ({"pool": pool}, total)
+                for pool, total in self.overflow.list_released()
+            ],
+        )
         metrics_.register_counter(
             "zones.left",
-            "requests and KV caches sent to another zone, by pool and kind",
+            "streams and KV caches sent to another zone, by pool and kind",
             self._list_left,
         )
         metrics_.register_counter(
@@ -66,12 +74,9 @@
         )
 
     def _list_left(self) -> list[tuple[metrics.Labels, int]]:
-        plain = [
-            (pool, "plain", total) for pool, total in self.overflow.list_left()
-        ]
         return [
             ({"pool": pool, "kind": kind}, total)
-            for pool, kind, total in plain + self.costs.list_left()
+            for pool, kind, total in self.costs.list_left()
         ]
 
     def _log_invalid(
@@ -98,9 +103,9 @@
 
 def _log_change(change: zone_overflow.ZoneChange) -> None:
     LOG.info(
-        "requests start to leave the zone"
+        "requests may leave the zone"
         if change.share
-        else "requests no longer leave the zone",
+        else "requests stay in the zone",
         extra=logs.make_extra(
             pool=change.pool,
             share=round(change.share, 3),
--- a/mulberryway/policy/zone_overflow.py
+++ b/mulberryway/policy/zone_overflow.py
@@ -1,7 +1,6 @@
-"""Decides when requests leave their availability zone, and how many do."""
+"""Decides when requests may leave their availability zone, and how many."""
 
 import collections.abc
-import itertools
 import math
 
 __all__ = [
@@ -17,33 +16,20 @@
 # How much sooner another zone has to answer, beyond the round trip, if no
 # other margin is configured.
 MARGIN_MS = 3.0
+# A request that waits at home for as long as it would be served elsewhere
+# leaves at the latest; smaller differences are within the estimates' error.
+MARGIN_FRACTION = 1.0
 # Once requests leave, they do until the advantage is below this fraction of
 # the margin.
 HYSTERESIS_FRACTION = 0.5
-# Loads of servers are some hundred milliseconds old, so a share that changed
-# faster would follow its own effects.  A return that is too early makes
-# requests late, a late one costs only the distance.
-MAX_RISE_PER_S = 1.0
-MAX_FALL_PER_S = 0.5
+# Loads of servers are some hundred milliseconds old.  Requests that stay in an
+# overloaded zone are late, those that return later than necessary cost only
+# the distance.
+RISE_PER_S = 8.0
+FALL_PER_S = 0.25
 # Bounds the change after a time without requests.
 MAX_ELAPSED_MS = 500
 MS_IN_S = 1_000
-# A server that is slow although it has free capacity does not become faster by
-# fewer requests.  While that lasts, the share grows at this rate towards 1,
-# and afterwards it falls at the other.
-SLOW_RISE_PER_S = 2.0
-SLOW_FALL_PER_S = 1.0
-# The remaining requests show whether the zone's servers have recovered.
-MAX_SHARE = 0.97
-# When the other zones are found full, at most once in this time, the share is
-# limited to this fraction of itself; the limit then grows at this rate, so
-# that their own requests find room.
-FULL_INTERVAL_MS = 300
-FULL_FRACTION = 0.5
-LIMIT_RISE_PER_S = 0.5
-# Free capacity of each server that is left to the requests of its own zone.
-RESERVED_REQUESTS = 1.0
-MIN_WAIT_MS = 1.0
 # Requests without a usable server in their zone may be retries at other
 # servers; only after this time the zone has none.
 NO_SERVER_MS = 500
@@ -84,11 +70,11 @@
     """What an operator should hear of a pool.
 
     :param pool: the pool's name
-    :param share: the fraction of its requests that leave the zone
+    :param share: the fraction of its requests that may leave the zone
     :param local_ms: expected wait in the zone, in milliseconds; none if the
         zone has no usable server
     :param remote_ms: expected wait in other zones with the distance, in
-        milliseconds; none if they have no free capacity
+        milliseconds; none if it did not matter
     """
 
     __slots__ = ("pool", "share", "local_ms", "remote_ms")
@@ -106,117 +92,60 @@
         self.remote_ms = remote_ms
 
 
-class _Capacity:
-    """What a group of servers can take.
-
-    :param options: the servers
-    :param reserved: free capacity of each that is not counted
-    """
-
-    __slots__ = ("room", "rate", "min_wait_ms")
-
-    def __init__(
-        self,
-        options: collections.abc.Iterable[ServerOption],
-        reserved: float = 0.0,
-    ) -> None:
-        loads = [
-            (max(option.wait_ms, MIN_WAIT_MS), option.free)
-            for option in options
-            if option.is_valid()
-        ]
-        rooms = [max(free - reserved, 0.0) for _, free in loads]
-        self.room = sum(rooms)
-        # Requests that can be run per millisecond with the free capacity.
-        self.rate = sum(
-            room / wait_ms
-            for room, (wait_ms, _) in zip(rooms, loads, strict=True)
-        )
-        self.min_wait_ms = min(
-            (wait_ms for wait_ms, _ in loads), default=math.inf
-        )
-
-    def get_wait_ms(self) -> float:
-        """Return the mean wait of requests that are spread by rate."""
-        return self.room / self.rate if self.rate else self.min_wait_ms
-
-
 class _PoolShare:
-    """The share of a pool's requests that leave the zone."""
+    """The share of a pool's requests that may leave the zone."""
 
     __slots__ = (
         "share",
-        "updated_ms",
-        "_slow_part",
-        "_limit",
-        "_limited_ms",
-        "left",
+        "released",
         "without_server_ms",
-        "was_leaving",
-        "reported_ms",
+        "_updated_ms",
+        "_was_leaving",
+        "_reported_ms",
     )
 
     def __init__(self, now_ms: int) -> None:
         self.share = 0.0
-        self.updated_ms = now_ms - MAX_ELAPSED_MS
-        # The part of the share that does not depend on what waits at home.
-        self._slow_part = 0.0
-        self._limit = MAX_SHARE
-        self._limited_ms = now_ms - FULL_INTERVAL_MS
-        self.left = 0
+        # Requests that might leave the zone.
+        self.released = 0
         # Since when the zone has had no usable server; none if it has one.
         self.without_server_ms: int | None = None
-        self.was_leaving = False
-        self.reported_ms: int | None = None
+        self._updated_ms = now_ms - MAX_ELAPSED_MS
+        self._was_leaving = False
+        self._reported_ms: int | None = None
 
     def update(
-        self, excess: float, has_room: bool, is_full: bool, now_ms: int
+        self, advantage_ms: float, margin_ms: float, now_ms: int
     ) -> None:
-        """Move the share, at a bounded rate, to where it evens out the waits.
+        """Raise or lower the share at a bounded rate.
 
-        :param excess: by which fraction of the wait in the zone other zones
-            are sooner; not positive if they are not
-        :param has_room: whether the zone has free capacity
-        :param is_full: whether the other zones have none
+        :param advantage_ms: how much sooner other zones are, in milliseconds
+        :param margin_ms: how much sooner they have to be, in milliseconds
         :param now_ms: current time in milliseconds
         """
-        elapsed_ms = max(now_ms - self.updated_ms, 0)
+        elapsed_ms = max(now_ms - self._updated_ms, 0)
         elapsed_s = min(elapsed_ms, MAX_ELAPSED_MS) / MS_IN_S
-        self.updated_ms = max(now_ms, self.updated_ms)
-        if excess <= 0:
-            self._slow_part -= elapsed_s * SLOW_FALL_PER_S
-        elif has_room:
-            self._slow_part += elapsed_s * SLOW_RISE_PER_S * excess
-        self._slow_part = min(max(self._slow_part, 0.0), MAX_SHARE)
-        self._update_limit(is_full, elapsed_s, now_ms)
-        goal = 1.0 - (1.0 - self._slow_part) * (1.0 - max(excess, 0.0))
-        lowest = self.share - elapsed_s * MAX_FALL_PER_S
-        highest = self.share + elapsed_s * MAX_RISE_PER_S
-        self.share = min(max(goal, lowest), highest, self._limit)
-
-    def _update_limit(
-        self, is_full: bool, elapsed_s: float, now_ms: int
-    ) -> None:
-        if not is_full:
-            raised = self._limit + elapsed_s * LIMIT_RISE_PER_S
-            self._limit = min(raised, MAX_SHARE)
-        elif self.share and now_ms - self._limited_ms >= FULL_INTERVAL_MS:
-            self._limit = self.share * FULL_FRACTION
-            self._limited_ms = now_ms
+        self._updated_ms = max(now_ms, self._updated_ms)
+        if self.share:
+            margin_ms *= HYSTERESIS_FRACTION
+        if advantage_ms > margin_ms:
+            self.share = min(self.share + elapsed_s * RISE_PER_S, 1.0)
+        else:
+            self.share = max(self.share - elapsed_s * FALL_PER_S, 0.0)
 
     def must_report(self, is_leaving: bool, now_ms: int) -> bool:
         """Return whether a change is reported now, and note that it is."""
-        if is_leaving == self.was_leaving or (
-            self.reported_ms is not None
-            and now_ms - self.reported_ms < REPORT_INTERVAL_MS
+        if is_leaving == self._was_leaving or (
+            self._reported_ms is not None
+            and now_ms - self._reported_ms < REPORT_INTERVAL_MS
         ):
             return False
-        self.was_leaving, self.reported_ms = is_leaving, now_ms
+        self._was_leaving, self._reported_ms = is_leaving, now_ms
         return True
 
 
 class ZoneOverflow:
-    """Restricts requests to zones; not thread-safe.
+    """Restricts requests to their zone; not thread-safe.
 
     :param zone: the availability zone of this VM; empty to restrict nothing
     :param round_trip_ms: additional round-trip time to another zone, in
@@ -262,99 +191,71 @@
     ) -> collections.abc.Sequence[ServerOption]:
         """Return the servers among which a request may choose.
 
+        The choice among servers of several zones is left to the caller, who
+        spreads requests over them by their loads.
+
         :param pool: the pool's name
         :param options: the usable servers; not empty
         :param draw: a random number, at least 0 and below 1
         :param now_ms: current time in milliseconds
-        :returns: the servers of one zone, or all if this VM has no zone; not
-            empty
+        :returns: the servers of this VM's zone, or all; not empty
         """
-        zones: dict[str, list[ServerOption]] = {}
-        for option in options:
-            zones.setdefault(option.zone, []).append(option)
-        if not self._zone or zones.keys() <= {self._zone}:
+        home = [option for option in options if option.zone == self._zone]
+        if not self._zone or len(home) == len(options):
             return options
         state = self._pools.get(pool)
         if state is None:
             state = self._pools[pool] = _PoolShare(now_ms)
-        home = zones.pop(self._zone, None)
-        if home is None:
-            return self._restrict_without_home(
-                pool, state, zones, draw, now_ms
-            )
+        if not home:
+            self._record_no_server(pool, state, now_ms)
+            return options
         state.without_server_ms = None
-        remote = {
-            zone: _Capacity(servers, RESERVED_REQUESTS)
-            for zone, servers in zones.items()
-        }
         if self._check(pool, options, now_ms):
-            self._update(pool, state, home, remote.values(), now_ms)
-        if draw >= state.share or not any(
-            capacity.room for capacity in remote.values()
-        ):
+            self._update(pool, state, home, options, now_ms)
+        if draw >= state.share:
             return home
-        state.left += 1
-        rates = {zone: capacity.rate for zone, capacity in remote.items()}
-        return zones[_draw_zone(rates, draw / state.share)]
+        state.released += 1
+        return options
 
     def list_shares(self) -> list[tuple[str, float]]:
-        """Return the share that leaves the zone by pool."""
+        """Return the share that may leave the zone by pool."""
         return [
             (pool, 1.0 if state.without_server_ms is not None else state.share)
             for pool, state in list(self._pools.items())
         ]
 
-    def list_left(self) -> list[tuple[str, int]]:
-        """Return how many requests have left the zone by pool."""
+    def list_released(self) -> list[tuple[str, int]]:
+        """Return how many requests might leave the zone by pool."""
         return [
-            (pool, state.left) for pool, state in list(self._pools.items())
+            (pool, state.released) for pool, state in list(self._pools.items())
         ]
 
-    def _restrict_without_home(
-        self,
-        pool: str,
-        state: _PoolShare,
-        zones: dict[str, list[ServerOption]],
-        draw: float,
-        now_ms: int,
-    ) -> list[ServerOption]:
-        state.left += 1
+    def _record_no_server(
+        self, pool: str, state: _PoolShare, now_ms: int
+    ) -> None:
+        state.released += 1
         if state.without_server_ms is None:
             state.without_server_ms = now_ms
         elif now_ms - state.without_server_ms >= NO_SERVER_MS:
-            self._report(pool, state, 1.0, None, None, now_ms)
-        capacities = {
-            zone: _Capacity(servers) for zone, servers in zones.items()
-        }
-        rates = {zone: item.rate for zone, item in capacities.items()}
-        if not any(rates.values()):
-            rates = {
-                zone: 1.0 / item.min_wait_ms
-                for zone, item in capacities.items()
-            }
-        return zones[_draw_zone(rates, draw)]
+            self._report(ZoneChange(pool, 1.0, None, None), state, now_ms)
 
     def _update(
         self,
         pool: str,
         state: _PoolShare,
         home: list[ServerOption],
-        remote: collections.abc.Collection[_Capacity],
+        options: collections.abc.Sequence[ServerOption],
         now_ms: int,
     ) -> None:
-        local = _Capacity(home)
-        local_ms = local.get_wait_ms()
-        room = sum(capacity.room for capacity in remote)
-        rate = sum(capacity.rate for capacity in remote)
-        remote_ms = room / rate + self._round_trip_ms if room else None
-        excess = 0.0
-        if remote_ms is not None:
-            margin_ms = self._margin_ms
-            if state.share > 0:
-                margin_ms *= HYSTERESIS_FRACTION
-            excess = 1.0 - (remote_ms + margin_ms) / local_ms
-        state.update(excess, local.room > 0, not room, now_ms)
-        self._report(pool, state, state.share, local_ms, remote_ms, now_ms)
+        local_ms = min(option.wait_ms for option in home)
+        served_ms = min(
+            option.wait_ms for option in options if option.zone != self._zone
+        )
+        remote_ms = served_ms + self._round_trip_ms
+        margin_ms = max(self._margin_ms, MARGIN_FRACTION * served_ms)
+        state.update(local_ms - remote_ms, margin_ms, now_ms)
+        change = ZoneChange(pool, state.share, local_ms, remote_ms)
+        self._report(change, state, now_ms)
 
     def _check(
         self,
@@ -369,32 +270,7 @@
         return not invalid
 
     def _report(
-        self,
-        pool: str,
-        state: _PoolShare,
-        share: float,
-        local_ms: float | None,
-        remote_ms: float | None,
-        now_ms: int,
+        self, change: ZoneChange, state: _PoolShare, now_ms: int
     ) -> None:
-        if state.must_report(share > 0, now_ms):
-            self.on_change(ZoneChange(pool, share, local_ms, remote_ms))
-
-
-def _draw_zone(rates: collections.abc.Mapping[str, float], draw: float) -> str:
-    """Return a zone with a probability in proportion to its rate.
-
-    :param rates: rates by zone; not empty
-    :param draw: a random number, at least 0 and below 1
-    """
-    names = list(rates)
-    bounds = list(itertools.accumulate(rates.values()))
-    point = draw * bounds[-1]
-    return next(
-        (
-            name
-            for name, bound in zip(names, bounds, strict=True)
-            if point < bound
-        ),
-        names[-1],
-    )
+        if state.must_report(change.share > 0, now_ms):
+            self.on_change(change)
