Ask further servers while the first is silent; hold slots only for jobs that waited

A hedged call that the second server turned away waited for the silent first one until the deadline; it goes to a third server now, within max_attempts and the retry budget. A thread that cannot be started leaves no call counted. Slots were held for the highest rank although nothing waited or none was reserved, and a job was admitted into slots that its rank has to leave; the message of its expiry names the rank.

--- a/mulberryway/filters/hedging.py
+++ b/mulberryway/filters/hedging.py
@@ -51,7 +51,7 @@
 class Hedge:
     """A second call, made on its own thread while the first one is open.
 
-    :param upstream: its server
+    :param upstream: its server, which changes if it turns the call away
     :param canceller: cancels this call
     :param call: makes the call
     :param on_success: called if it succeeds
@@ -74,16 +74,24 @@
             try:
                 self._result = call()
             except Exception:
-                LOG.exception("a hedged call failed: %s", upstream.name)
+                LOG.exception("a hedged call failed: %s", self.upstream.name)
                 return
             if self._result.is_ok():
                 on_success()
 
         self._thread = threading.Thread(target=run, name="hedge", daemon=True)
 
-    def start(self) -> None:
-        """Start the call; returns at once."""
-        self._thread.start()
+    def start(self) -> bool:
+        """Start the call; returns at once.
+
+        :returns: false if no thread can be started
+        """
+        try:
+            self._thread.start()
+        except RuntimeError:
+            LOG.exception("no hedged call: %s", self.upstream.name)
+            return False
+        return True
 
     def cancel(self) -> None:
         """Cancel the call without waiting for its end."""
--- a/mulberryway/filters/service_forward.py
+++ b/mulberryway/filters/service_forward.py
@@ -231,24 +231,88 @@
         upstream = self._choose(exchange, attempts.called)
         if upstream is None:
             return []
-        number = self._begin_attempt(exchange, upstream, attempts)
         canceller = connections.CallCanceller()
         open_calls.add(canceller)
         hedge = hedging.Hedge(
             upstream,
             canceller,
-            lambda: self._call_once(
+            lambda: self._call_others(exchange, hedge, attempts, canceller),
+            first.cancel,
+        )
+        self._begin_attempt(exchange, upstream, attempts)
+        if not hedge.start():
+            self._release_choice(exchange, upstream)
+            return []
+        return [hedge]
+
+    def _call_others(
+        self,
+        exchange: base.Exchange,
+        hedge: hedging.Hedge,
+        attempts: "_Attempts",
+        canceller: connections.CallCanceller,
+    ) -> hedging.Result:
+        """Call a second server, and others if it turns the call away.
+
+        The request's own thread waits for the first server meanwhile.
+
+        :returns: the result of the last call, whose server the hedge names
+        """
+        while True:
+            result = self._call_once(
                 exchange,
-                upstream,
-                number,
+                hedge.upstream,
+                len(attempts.called) - 1,
                 max(exchange.deadline.left_ms(self._clock.now_ms()), 1),
                 canceller,
                 is_hedge=True,
-            ),
-            first.cancel,
-        )
-        hedge.start()
-        return [hedge]
+            )
+            if (
+                result.is_ok()
+                or result.error.run is not errors.ExecutionStatus.NOT_RUN
+                or canceller.is_cancelled
+            ):
+                return result
+            upstream = self._choose_after_rejection(
+                exchange, hedge.upstream, result.error, attempts
+            )
+            if upstream is None:
+                return result
+            hedge.upstream = upstream
+
+    def _choose_after_rejection(
+        self,
+        exchange: base.Exchange,
+        rejecting: tables.Upstream,
+        fault: errors.Fault,
+        attempts: "_Attempts",
+    ) -> tables.Upstream | None:
+        """Return the next server of a hedged call, or none."""
+        # The first server has the request, though its fault is not known yet.
+        sent = attempts.sent + 1
+        sent += fault.code is not errors.Code.UPSTREAM_UNREACHABLE
+        if sent >= exchange.route.max_attempts:
+            return None
+        if not self._may_try_next_server(exchange, True, sent):
+            return None
+        upstream = self._choose(exchange, attempts.called)
+        if upstream is not None:
+            self._record_fault(exchange, rejecting, fault, attempts)
+            self._begin_attempt(exchange, upstream, attempts)
+        return upstream
+
+    def _release_choice(
+        self, exchange: base.Exchange, upstream: tables.Upstream
+    ) -> None:
+        """Undo the choice of a server that gets no call."""
+        with self._lock:
+            self._chooser.finish(
+                exchange.pool,
+                upstream,
+                server_selection.CallOutcome.NO_VERDICT,
+                0,
+                self._clock.now_ms(),
+            )
 
     def _record_fault(
         self,
--- a/mulberryway/policy/admission.py
+++ b/mulberryway/policy/admission.py
@@ -99,6 +99,7 @@
         latest_ms: int,
         now_ms: int,
         rank: int = 0,
+        headroom: int = 0,
     ) -> errors.Fault | None:
         """Reject a job whose first token would miss its deadline.
 
@@ -107,6 +108,7 @@
         :param latest_ms: latest start time in ms
         :param now_ms: current time in ms
         :param rank: its queue rank
+        :param headroom: free slots that its rank has to leave
         :returns: the fault, or None if the job can be admitted
         """
         if now_ms > latest_ms:
@@ -119,11 +121,11 @@
         limit_wait_ms = self._placer.get_limit_wait_ms(job, now_ms)
         wait_ms = max(
             queue_ms,
-            self._estimate_slot_wait_ms(job, now_ms, rank),
+            self._estimate_slot_wait_ms(job, now_ms, rank, headroom),
             limit_wait_ms,
         )
         if now_ms + wait_ms <= latest_ms:
-            return self._check_waited(job, now_ms, rank)
+            return self._check_waited(job, now_ms, rank, headroom)
         fault = make_rejection(
             errors.Code.OVERLOADED,
             job,
@@ -142,7 +144,7 @@
         return fault
 
     def _check_waited(
-        self, job: jobs.Job, now_ms: int, rank: int
+        self, job: jobs.Job, now_ms: int, rank: int, headroom: int
     ) -> errors.Fault | None:
         """Reject a job of a lower rank whose rank already waits too long.
 
@@ -152,7 +154,7 @@
         left_ms = job.first_token_target_ms - now_ms
         if not rank or job.attempt or left_ms <= 0:
             return None
-        free = self._placer.estimate_free_slots(now_ms)
+        free = self._placer.estimate_free_slots(now_ms) - headroom
         if free > self._queue.count_requiring(None, rank):
             return None
         waited_ms = self._get_oldest_ms(rank, now_ms)
@@ -183,7 +185,7 @@
         )
 
     def _estimate_slot_wait_ms(
-        self, job: jobs.Job, now_ms: int, rank: int
+        self, job: jobs.Job, now_ms: int, rank: int, headroom: int
     ) -> float:
         # In virtual time a job waits until the account's start is reached.
         # Virtual time advances by the pool's throughput divided by the
@@ -195,7 +197,7 @@
         # Jobs that require a software version and others wait for different
         # slots, so neither are counted for the other.
         version = job.required_version
-        free = self._placer.estimate_free_slots(now_ms, version)
+        free = self._placer.estimate_free_slots(now_ms, version) - headroom
         if free > self._queue.count_requiring(version, rank):
             return 0.0
         state = self._queue.find_account(job.account, job.weight)
--- a/mulberryway/policy/pool_scheduler.py
+++ b/mulberryway/policy/pool_scheduler.py
@@ -156,8 +156,9 @@
         latest_ms = self._admission.compute_latest_start_ms(
             job, best, self.row
         )
+        headroom = self._count_headroom(now_ms) if rank else 0
         fault = self._admission.check_deadline(
-            job, best, latest_ms, now_ms, rank
+            job, best, latest_ms, now_ms, rank, headroom
         )
         if fault is not None:
             return fault
@@ -236,7 +237,9 @@
             fault = admission.make_rejection(
                 errors.Code.DEADLINE_EXCEEDED,
                 entry.job,
-                "no slot became free before the deadline",
+                "no slot became free for its rank before the deadline"
+                if entry.rank
+                else "no slot became free before the deadline",
                 retry_ms,
             )
             _add_rank(fault, entry.job, now_ms)
@@ -369,7 +372,11 @@
 
     def _sample_waiting(self, now_ms: int) -> None:
         highest = self.queue.get_rank(0)
-        own = len(highest.entries) if highest is not None else 0
+        # A job that has just arrived may start at once.
+        own = sum(
+            entry.job.arrived_ms < now_ms
+            for entry in (highest.entries.values() if highest else ())
+        )
         # What precedes the next lower rank at peers is of the highest one.
         count = own + self.peer_accounts.count_above(1, now_ms)
         self._headroom.record_waiting(count, self.stats.hold_ms.value, now_ms)
@@ -386,7 +393,8 @@
         # other reasons than their order.
         self._is_held = False
         for rank in self.queue.list_ranks():
-            if rank and self._free_slots <= self._count_headroom(now_ms):
+            headroom = self._count_headroom(now_ms) if rank else 0
+            if headroom and self._free_slots <= headroom:
                 self._is_held = True
                 return
             yield from self._list_rank_candidates(rank, now_ms, refusals)
--- a/mulberryway/policy/role_planner.py
+++ b/mulberryway/policy/role_planner.py
@@ -176,7 +176,8 @@
             needed = _count_needed(demand, switch_s)
             inputs = _describe(demand, switch_s, coming, needed)
             if _must_add(demand, switch_s, coming, len(kept)):
-                count = min(needed - coming, available)
+                # The memory that is left is checked for one engine.
+                count = min(needed - coming, available, 1)
                 return self._add_prefills(
                     name, unordered, count, demand, inputs, now_ms
                 )
