Mend what the review of slow callers and engine calls found

A steady reader of a long answer was cut off while memory was free: its engine was read again only when half of a large buffer was empty, which took longer than engines wait. Without a known memory nothing bounded the unread plain answers; workers do again. A store response of a megabyte over a link of 5 Mbit/s never fitted the timeout of 1 s; the time grows with what arrives at 128 KiB/s or more. A reassigned decode whose engine can't be reserved ended the search although others were left, and a cancellation could name a decode that runs.

--- a/mulberryway/filters/model_engines.py
+++ b/mulberryway/filters/model_engines.py
@@ -282,7 +282,11 @@
             result = self._decode_once(attempt, sent, offset, limit)
             if result.is_ok() and prefill.transfer and not sent.transfer:
                 self._log_wasted_prefill(attempt, prefill, rejection)
-                self._parts.cancelling.cancel(attempt.prefill, attempt.label)
+                # The label also names the decode that runs now.
+                if attempt.decode is not attempt.prefill:
+                    self._parts.cancelling.cancel(
+                        attempt.prefill, attempt.label
+                    )
         if result.is_error() and prefill.transfer:
             self._log_wasted_prefill(attempt, prefill, result.error)
         return result
@@ -305,8 +309,9 @@
             engine accepts the decode
         :param sent: the result that was sent with the rejected decode
         """
-        if self._reassign_decode(attempt):
-            return prefill if self._reserve_reassigned(attempt) else None
+        while self._reassign_decode(attempt):
+            if self._reserve_reassigned(attempt):
+                return prefill
         if not attempt.decode.supports_chunked_prefill:
             self._parts.clock.sleep_ms(DECODE_REASSIGN_DELAY_MS)
             return sent
@@ -329,8 +334,10 @@
         while not reassign_deadline.has_passed(clock_.now_ms()):
             if self._exchange.has_gone.is_set():
                 break
-            if self._reassign_decode(attempt, is_unreached=True):
-                return prefill if self._reserve_reassigned(attempt) else None
+            if self._reassign_decode(
+                attempt, is_unreached=True
+            ) and self._reserve_reassigned(attempt):
+                return prefill
             clock_.sleep_ms(DECODE_REASSIGN_DELAY_MS)
         return None
 
--- a/mulberryway/policy/role_planner.py
+++ b/mulberryway/policy/role_planner.py
@@ -176,8 +176,11 @@
             needed = _count_needed(demand, switch_s)
             inputs = _describe(demand, switch_s, coming, needed)
             if _must_add(demand, switch_s, coming, len(kept)):
-                # The memory that is left is checked for one engine.
-                count = min(needed - coming, available, 1)
+                count = min(
+                    needed - coming,
+                    available,
+                    _count_spare(demand, coming, len(kept)),
+                )
                 return self._add_prefills(
                     name, unordered, count, demand, inputs, now_ms
                 )
@@ -262,13 +265,27 @@
     demand: pool_demand.PoolDemand, switch_s: int, prefills: int, engines: int
 ) -> bool:
     """Return whether decode engines have to become prefill engines."""
-    decodes = max(engines - prefills, 1)
-    memory = max(demand.memory_load, default=0.0)
     return (
         demand.count_busy_s(prefills * MAX_UTILIZATION)
         >= switch_s * WINDOW_SWITCHES
-        and prefills < engines // 2
-        and memory * decodes / max(decodes - 1, 1) < SPARE_MEMORY
+        and _count_spare(demand, prefills, engines) > 0
+    )
+
+
+def _count_spare(
+    demand: pool_demand.PoolDemand, prefills: int, engines: int
+) -> int:
+    """Return how many decode engines the memory in use can spare."""
+    decodes = engines - prefills
+    memory = max(demand.memory_load, default=0.0)
+    most = min(max(engines // 2 - prefills, 0), MAX_CONCURRENT_CHANGES)
+    return max(
+        (
+            count
+            for count in range(1, most + 1)
+            if memory * decodes / max(decodes - count, 1) < SPARE_MEMORY
+        ),
+        default=0,
     )
 
 
--- a/mulberryway/relay/pump.py
+++ b/mulberryway/relay/pump.py
@@ -340,9 +340,11 @@
                 self._close(stream, None)
                 return
             self._loop.modify(stream.caller.fileno(), HANGUP_EVENTS)
-        if (
-            stream.is_paused
-            and len(stream.write_buffer) <= self.guard.limit_bytes // 2
+        # A large buffer need not be half empty: a steady reader of a long
+        # answer would pause the engine for too long.
+        limit = self.guard.limit_bytes
+        if stream.is_paused and len(stream.write_buffer) <= max(
+            limit // 2, limit - RECEIVE_BYTES
         ):
             self._resume_source(stream)
         self._count(stream)
--- a/mulberryway/server/gateway.py
+++ b/mulberryway/server/gateway.py
@@ -207,6 +207,10 @@
         :returns: whether it was sent completely
         """
         connection = self._request.conn
+        if not self._request.server.memory.is_bounded:
+            # Only the number of workers bounds what callers do not read.
+            self._write(reply)
+            return True
         data = self._encode(reply)
         connection.socket.setblocking(False)
         try:
--- a/mulberryway/upstreams/bounded_pool.py
+++ b/mulberryway/upstreams/bounded_pool.py
@@ -1,5 +1,6 @@
 """Connection pool whose calls are bounded in time and size as a whole."""
 
+import collections.abc
 import functools
 import time
 import typing
@@ -12,6 +13,9 @@
 __all__ = ["BoundedPool", "read_body"]
 
 READ_BYTES = 65_536
+# A large response over a slow link may take longer than the timeout, as long
+# as it arrives at this rate; VMs have links of 5 Mbit/s and more.
+MIN_BYTES_PER_S = 131_072
 
 
 class _Connection(urllib3.connection.HTTPConnection):
@@ -91,7 +95,7 @@
     bounded, number = response.connection.bounded, response.connection.number
     try:
         bounded.allow_body(max_bytes)
-        body = b"".join(response.stream(READ_BYTES))
+        body = b"".join(_read_pieces(response, bounded))
     except BaseException:
         response.close()
         raise
@@ -99,3 +103,12 @@
         bounded.end_response(number)
     response.release_conn()
     return body
+
+
+def _read_pieces(
+    response: urllib3.BaseHTTPResponse, bounded: bounded_socket.BoundedSocket
+) -> collections.abc.Iterator[bytes]:
+    """Yield a body, whose time grows with the bytes that arrive."""
+    for piece in response.stream(READ_BYTES):
+        bounded.extend_response(len(piece) / MIN_BYTES_PER_S)
+        yield piece
--- a/mulberryway/upstreams/bounded_socket.py
+++ b/mulberryway/upstreams/bounded_socket.py
@@ -105,6 +105,14 @@
         """
         self._max_bytes = max_bytes
 
+    def extend_response(self, duration_s: float) -> None:
+        """Allow more time for a response that arrives at a sound rate.
+
+        :param duration_s: the additional time
+        """
+        if self._deadline_s is not None:
+            self._deadline_s += duration_s
+
     def shorten_response(self, deadline_s: float) -> None:
         """Bound the rest of a response to a shorter time.
 
