--- a/mulberryway/policy/server_estimates.py
+++ b/mulberryway/policy/server_estimates.py
@@ -11,6 +11,11 @@
 CALL_WEIGHT = 0.02
 LONGER_CALL_WEIGHT = 0.004
 MIN_CALL_MS = 1.0
+# A server that has become slow gets no calls and is not measured.  After a
+# time without calls, half of what it was slower than before is forgotten in
+# each half-life, so that its recovery shows.
+IDLE_MS = 1_000
+FORGET_HALF_LIFE_MS = 2_000
 # Part of a duration that waiting may explain.
 MAX_WAITING = 0.95
 # Calls weigh more until this many have been seen.
@@ -37,6 +42,8 @@
     __slots__ = (
         "slots",
         "service_ms",
+        "_lowest_ms",
+        "_called_ms",
         "_calls",
         "_learnt",
         "_is_saturation_known",
@@ -49,6 +56,9 @@
     def __init__(self, slots: int = 0) -> None:
         self.slots = slots
         self.service_ms = INITIAL_CALL_MS
+        # The lowest service time that rests on samples.
+        self._lowest_ms: float | None = None
+        self._called_ms = 0
         self._calls = 0
         self._learnt = 1.0
         self._is_saturation_known = False
@@ -81,6 +91,8 @@
         :param busy_ms: sum of their durations, in milliseconds
         :param now_ms: current time in milliseconds
         """
+        self.service_ms = self.get_service_ms(now_ms)
+        self._called_ms = now_ms
         self._window_calls += count
         self._window_busy_ms += busy_ms
         elapsed_ms = now_ms - self._window_started_ms
@@ -93,6 +105,20 @@
         self._window_started_ms = now_ms
         self._window_calls = self._window_busy_ms = 0
 
+    def get_service_ms(self, now_ms: int) -> float:
+        """Return the duration of a call that does not wait.
+
+        :param now_ms: current time in milliseconds
+        :returns: milliseconds; nearer to the lowest known the longer it has
+            been idle
+        """
+        if self._lowest_ms is None:
+            return self.service_ms
+        excess_ms = max(self.service_ms - self._lowest_ms, 0.0)
+        idle_ms = max(now_ms - self._called_ms - IDLE_MS, 0)
+        kept = 0.5 ** (idle_ms / FORGET_HALF_LIFE_MS)
+        return self.service_ms - excess_ms * (1.0 - kept)
+
     def record_rejections(self, now_ms: int) -> None:
         """Record that the server turned calls away.
 
@@ -131,6 +157,9 @@
         if is_new:
             weight = max(weight, count / self._calls)
         self.service_ms += weight * (mean_ms - self.service_ms)
+        if self.has_samples:
+            lowest_ms = self._lowest_ms or self.service_ms
+            self._lowest_ms = min(lowest_ms, self.service_ms)
 
     def _update_concurrency(self, mean_ms: float, elapsed_ms: int) -> None:
         busy = self._window_calls * self.service_ms / elapsed_ms
--- a/mulberryway/policy/server_selection.py
+++ b/mulberryway/policy/server_selection.py
@@ -342,7 +342,7 @@
             upstream.name,
             self._book.count_in_flight(pool.name, upstream.name, now_ms),
             estimate.concurrency,
-            estimate.service_ms,
+            estimate.get_service_ms(now_ms),
             extra_ms,
         )
 
