Read the store's era; log its changes and listings that are dropped

Logs and metrics could not tell a store that came back older (H1 in docs/incidents/store-returns.md) from watches that hung or VMs cut off: no line named the store's own revision, its era or a listing that is dropped as late.

The store's client reads Store-Era from each response; the change is a line, a gauge and a counter, a malformed header an error line. A mirror logs a listing that is not newer than its copy, once a second at most. Nothing is decided by them yet. Tests: EraTest of tests/test_platform_adapter.py.

--- a/mulberryway/controllers/mirrors.py
+++ b/mulberryway/controllers/mirrors.py
@@ -34,6 +34,7 @@
 CHANGE_BATCH_DELAY_MS = 50
 # Interval at which a VM that does not watch checks whether it has to.
 WATCHER_CHECK_MS = 200
+OUTDATED_LOG_INTERVAL_MS = 1_000
 
 
 class MirrorController(base.Controller):
@@ -77,6 +78,7 @@
         )
         self._was_reached = True
         self._was_answered = False
+        self._outdated_logged_ms: int | None = None
         self._random = random.Random()
 
     @property
@@ -231,6 +233,8 @@
         if has_changed:
             self._log_change()
             self._on_change()
+        else:
+            self._log_outdated(result.ok.revision, now_ms)
         return None
 
     def _poll(self, wait_ms: int) -> errors.Fault | None:
@@ -250,6 +254,23 @@
             self._on_change()
         return None
 
+    def _log_outdated(self, revision: int, now_ms: int) -> None:
+        logged_ms = self._outdated_logged_ms
+        if (
+            logged_ms is not None
+            and now_ms - logged_ms < OUTDATED_LOG_INTERVAL_MS
+        ):
+            return
+        self._outdated_logged_ms = now_ms
+        LOG.warning(
+            "a listing of the store is not newer than the copy",
+            extra=logs.make_extra(
+                kind=self.kind,
+                listed_revision=revision,
+                revision=self._mirror.revision,
+            ),
+        )
+
     def _report_retained(self) -> None:
         with self._lock:
             retained = self._mirror.drain_newly_retained()
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -392,6 +392,7 @@
             closes_revoked_streams=False,
         )
         self.counts.register_metrics(self.router.metrics)
+        self.store.eras.report(self.router.metrics)
         kept_objects.report(
             [
                 controller.kept
--- a/mulberryway/platform/store.py
+++ b/mulberryway/platform/store.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import json
+import logging
 import threading
 import typing
 import urllib.parse
@@ -12,14 +13,18 @@
 
 from mulberryway import clock
 from mulberryway import errors
+from mulberryway import logs
 from mulberryway.objects import base
 from mulberryway.objects import call_metrics
+from mulberryway.objects import eras
 from mulberryway.platform import wire
 from mulberryway.upstreams import bounded_pool
 from mulberryway.upstreams import bounded_socket
 
 __all__ = ["PlatformStore"]
 
+LOG = logging.getLogger(__name__)
+
 MS_IN_S = 1_000
 # Added to the wait of a watch to get its timeout.  The response itself takes
 # milliseconds, so a watch that is later means an unresponsive store.
@@ -68,6 +73,8 @@
         self._timeout_ms = timeout_ms
         self._counter = counter
         self._peer = url.removeprefix("http://")
+        self.eras = eras.StoreEras()
+        self._malformed_era = ""
         self._lock = threading.Lock()
         self._pool = self._create_pool()
 
@@ -319,8 +326,31 @@
             # other call can close this one.
             with self._create_pool() as own_pool:
                 response = own_pool.request(method, target, **options)
-                return response.status, _read_body(response)
-        return response.status, _read_body(response)
+                return response.status, self._read_response(response)
+        return response.status, self._read_response(response)
+
+    def _read_response(self, response: urllib3.BaseHTTPResponse) -> bytes:
+        body = _read_body(response)
+        self._record_era(response.headers.get(wire.ERA))
+        return body
+
+    def _record_era(self, text: str | None) -> None:
+        """Record the era of a response; a store may not name it."""
+        if text is None:
+            return
+        try:
+            self.eras.record(wire.parse_era(text))
+        except ValueError as error:
+            if text != self._malformed_era:
+                LOG.error(
+                    "the store's era is malformed",
+                    extra=logs.make_extra(
+                        value=repr(text)[: wire.MAX_LOGGED_LENGTH],
+                        era=self.eras.era,
+                        reason=repr(error),
+                    ),
+                )
+            self._malformed_era = text
 
     def _create_pool(self) -> bounded_pool.BoundedPool:
         return bounded_pool.BoundedPool(
--- a/mulberryway/platform/wire.py
+++ b/mulberryway/platform/wire.py
@@ -2,9 +2,12 @@
 
 import typing
 
+from mulberryway.objects import eras
+
 __all__ = [
     "ATTEMPT_ID",
     "DEADLINE",
+    "ERA",
     "EXPECTED_INSTANCE",
     "HANDLE_SOURCE",
     "RESERVATION",
@@ -33,6 +36,7 @@
     "TOKEN_COUNTS",
     "URGENCY",
     "parse_amount",
+    "parse_era",
     "parse_string",
     "parse_integer",
 ]
@@ -87,6 +91,8 @@
 # Response header of a rejection: the upstream wants no request of this router
 # for so long, in seconds with fractions; a date is allowed too (RFC 9110).
 RETRY_AFTER = "Retry-After"
+# Response header of the store: its era; see ``objects.eras``.
+ERA = "Store-Era"
 # Bounds the length of a received value in a log line.
 MAX_LOGGED_LENGTH = 100
 
@@ -137,6 +143,20 @@
     return float(min(value, maximum))
 
 
+def parse_era(text: str) -> int:
+    """Return the store's era from its header.
+
+    :param text: the header's value
+    :returns: the era
+    :raises ValueError: if it is not a decimal number in the valid range
+    """
+    if not (text.isascii() and text.isdecimal()):
+        raise ValueError("expected a decimal number")
+    if len(text) > len(str(eras.MAX_ERA)) or int(text) > eras.MAX_ERA:
+        raise ValueError("the number is too large")
+    return int(text)
+
+
 def parse_string(value: typing.Any) -> str:
     """Return a JSON value as a non-empty string.
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -9,6 +9,7 @@
 from mulberryway import errors
 from mulberryway import tables
 from mulberryway.objects import base
+from mulberryway.objects import eras
 from mulberryway.platform import engine
 from mulberryway.platform import responses
 from mulberryway.platform import tables as platform_tables
@@ -409,3 +410,22 @@
         for value in (True, "3", 2.5, None, -1):
             with self.assertRaises(ValueError):
                 wire.parse_integer(value)
+
+
+class EraTest(unittest.TestCase):
+    def test_malformed_eras(self):
+        """Guards against a header that becomes an era although it is none."""
+        for text in ("", "x", "-1", "+1", "1.5", " 2", "²", "9" * 40):
+            with self.subTest(text=text), self.assertRaises(ValueError):
+                wire.parse_era(text)
+        self.assertEqual(wire.parse_era("07"), 7)
+
+    def test_era_never_falls(self):
+        """Guards against a late response that ends the current era."""
+        known, told = eras.StoreEras(), []
+        known.subscribe(told.append)
+        with self.assertLogs(eras.LOG, "WARNING"):
+            for era in (3, 2, 3, 5, 4):
+                known.record(era)
+        self.assertEqual((known.era, known.changes), (5, 1))
+        self.assertEqual(told, [3, 5])
