--- a/standins/hosted_store.py
+++ b/standins/hosted_store.py
@@ -3,11 +3,14 @@
 ``python -m standins.hosted_store --port 8101``.  ``POST /standin/fault`` sets
 one of the faults ``refuse`` (status 503), ``silent`` (no response) and
 ``lose`` (writes take effect, but the connection closes without a response);
-``POST /standin/compact`` discards the history of changes.
+``POST /standin/compact`` discards the history of changes.  ``POST
+/standin/copy`` makes a backup, and ``POST /standin/restore`` returns to it,
+which starts the next era.
 """
 
 import asyncio
 import collections
+import copy
 import typing
 
 from absl import app as absl_app
@@ -23,6 +26,7 @@
 PAGE_SIZE = 500
 UNRESPONSIVE_S = 60.0
 MS_IN_S = 1_000
+ERA = "Store-Era"
 
 flags.DEFINE_string("host", "127.0.0.1", "IP address to listen on")
 flags.DEFINE_integer("port", 8101, "port to listen on")
@@ -30,23 +34,53 @@
 Stored = dict[str, typing.Any]
 
 
+class Backup:
+    """A copy of the store's state.
+
+    :param revision: the revision counter
+    :param objects: the objects by kind and name
+    :param changes: the history of changes
+    :param oldest_revision: the revision at which the history begins
+    """
+
+    __slots__ = ("revision", "objects", "changes", "oldest_revision")
+
+    def __init__(
+        self,
+        revision: int,
+        objects: dict[str, dict[str, Stored]],
+        changes: list[tuple[int, str, bool, Stored]],
+        oldest_revision: int,
+    ) -> None:
+        self.revision = revision
+        self.objects = objects
+        self.changes = changes
+        self.oldest_revision = oldest_revision
+
+
 class HostedStore:
     """Store of objects by kind and name, with a history for watches."""
 
     def __init__(self) -> None:
         self.revision = 1
+        self.era = 1
         self.objects: dict[str, dict[str, Stored]] = collections.defaultdict(
             dict
         )
         self.calls = 0
+        self.gone = 0
         self._changes: list[tuple[int, str, bool, Stored]] = []
         self._oldest_revision = 0
         self._changed = asyncio.Condition()
         self._fault = ""
+        self._backup: Backup | None = None
+        # Replaces the header of the era; empty for no header at all.
+        self._era_header: str | None = None
 
     def make_app(self) -> web.Application:
         """Return the application to serve."""
         app = serving.make_app()
+        app.middlewares.append(self._add_era)
         app.middlewares.append(self._inject_fault)
         app.router.add_get(f"{ROOT}/{{kind}}", self._list)
         app.router.add_post(f"{ROOT}/{{kind}}", self._create)
@@ -55,11 +89,26 @@
         app.router.add_delete(f"{ROOT}/{{kind}}/{{name}}", self._delete)
         app.router.add_post("/standin/fault", self._set_fault)
         app.router.add_post("/standin/compact", self._compact)
+        app.router.add_post("/standin/copy", self._copy)
+        app.router.add_post("/standin/restore", self._restore)
+        app.router.add_post("/standin/era", self._set_era_header)
         app.router.add_post("/standin/put/{kind}/{name}", self._put)
         app.router.add_post("/standin/drop/{kind}/{name}", self._drop)
         app.router.add_get("/standin/calls", self._show_calls)
         return app
 
+    @web.middleware
+    async def _add_era(
+        self, request: web.Request, handler: typing.Any
+    ) -> web.StreamResponse:
+        """Add the header of the era to all responses."""
+        response = await handler(request)
+        header = self._era_header
+        header = str(self.era) if header is None else header
+        if header:
+            response.headers[ERA] = header
+        return response
+
     @web.middleware
     async def _inject_fault(
         self, request: web.Request, handler: typing.Any
@@ -99,10 +148,12 @@
     async def _watch(self, kind: str, request: web.Request) -> web.Response:
         after_revision = int(request.query["watch"])
         wait_s = int(request.query.get("wait_ms", 0)) / MS_IN_S
-        if after_revision < self._oldest_revision:
+        if not self._oldest_revision <= after_revision <= self.revision:
+            self.gone += 1
             return serving.make_error_response(
-                410, "the revision was compacted"
+                410, "the history has no such revision"
             )
+        era = self.era
 
         def list_events() -> list[dict[str, typing.Any]]:
             return [
@@ -114,11 +165,17 @@
         async with self._changed:
             try:
                 await asyncio.wait_for(
-                    self._changed.wait_for(lambda: bool(list_events())), wait_s
+                    self._changed.wait_for(
+                        lambda: self.era != era or bool(list_events())
+                    ),
+                    wait_s,
                 )
             except asyncio.TimeoutError:
                 # An empty list of events means that nothing has changed.
                 pass
+        if self.era != era:
+            assert request.transport is not None
+            request.transport.abort()
         return serving.answer(
             {"events": list_events(), "store_revision": self.revision}
         )
@@ -234,8 +291,37 @@
             self._oldest_revision = self.revision
         return serving.answer({})
 
+    async def _copy(self, request: web.Request) -> web.Response:
+        async with self._changed:
+            self._backup = Backup(
+                self.revision,
+                copy.deepcopy(self.objects),
+                list(self._changes),
+                self._oldest_revision,
+            )
+        return serving.answer({})
+
+    async def _restore(self, request: web.Request) -> web.Response:
+        """Return to the backup, which can be restored again."""
+        backup = self._backup
+        if backup is None:
+            return serving.make_error_response(409, "there is no backup")
+        async with self._changed:
+            self.revision = backup.revision
+            self.objects = copy.deepcopy(backup.objects)
+            self._changes = list(backup.changes)
+            self._oldest_revision = backup.oldest_revision
+            self.era += 1
+            self._changed.notify_all()
+        return serving.answer({"era": self.era})
+
+    async def _set_era_header(self, request: web.Request) -> web.Response:
+        body = await serving.read_json(request)
+        self._era_header = body.get("header")
+        return serving.answer({})
+
     async def _show_calls(self, request: web.Request) -> web.Response:
-        return serving.answer({"calls": self.calls})
+        return serving.answer({"calls": self.calls, "gone": self.gone})
 
 
 def run(arguments: list[str]) -> None:
--- a/tests/hosted_fleet.py
+++ b/tests/hosted_fleet.py
@@ -4,6 +4,7 @@
 import pathlib
 import socket
 import tempfile
+import time
 import urllib.parse
 
 import tomli_w
@@ -120,7 +121,7 @@
         self.upstreams[name] = (process, port, service, phase)
         self.register(name)
 
-    def register(self, name, state="ready", cold_left_ms=0):
+    def register(self, name, state="ready", cold_left_ms=0, sequence=1):
         """Write a server's entry to the store."""
         _, port, service, phase = self.upstreams[name]
         entry = {
@@ -131,7 +132,7 @@
             "slots": 64,
             "state": state,
             "cold_left_ms": cold_left_ms,
-            "sequence": 1,
+            "sequence": sequence,
         }
         if phase:
             entry["phase"] = phase
@@ -150,6 +151,44 @@
             self.store_port, "POST", "/standin/fault", {"fault": fault}
         )
 
+    def drop_all(self, kind):
+        """Remove all objects of a kind from the store."""
+        for item in self.list_stored(kind):
+            self.drop(kind, item["metadata"]["name"])
+
+    def list_stored(self, kind):
+        """Return the objects of a kind in the store."""
+        path = f"/mulberryway/objects/{kind}"
+        return processes.call(self.store_port, "GET", path).json()["items"]
+
+    def set_era_header(self, header):
+        """Replace the header with the store's era.
+
+        :param header: its value; empty for none, None for the store's era
+        """
+        processes.call(
+            self.store_port, "POST", "/standin/era", {"header": header}
+        )
+
+    def copy_store(self):
+        """Make a backup of the store."""
+        processes.call(self.store_port, "POST", "/standin/copy", {})
+
+    def restore_store(self, away_s=0.0):
+        """Return the store to its backup after an outage.
+
+        :param away_s: duration of the outage in seconds
+        """
+        self.set_store_fault("refuse")
+        time.sleep(away_s)
+        processes.call(self.store_port, "POST", "/standin/restore", {})
+        self.set_store_fault("")
+
+    def count_store_calls(self):
+        """Return the number of calls to the store."""
+        reply = processes.call(self.store_port, "GET", "/standin/calls")
+        return reply.json()["calls"]
+
     def kill_upstream(self, name):
         """Kill a server without removing its entry."""
         self.upstreams[name][0].kill()
