--- a/mulberryway/controllers/fleet_allowances.py
+++ b/mulberryway/controllers/fleet_allowances.py
@@ -11,6 +11,7 @@
 from mulberryway.controllers import base
 from mulberryway.peers import gossip_messages
 from mulberryway.policy import allowance
+from mulberryway.policy import mirror_summary
 from mulberryway.policy import usage
 
 __all__ = ["FleetAllowances"]
@@ -31,12 +32,15 @@
 SETTLE_WAIT_MS = 400
 SETTLE_POLL_MS = 20
 
+MirrorSummaries = dict[str, mirror_summary.MirrorSummary]
+MirrorReader = collections.abc.Callable[[], MirrorSummaries]
+
 
 class FleetAllowances(base.Controller, allowance.Allowances):
     """Guards the replicated rate limiter by a lock and broadcasts its counts.
 
     :param rate_limiter: rate limiter with the counts of all VMs
-    :param read_mirrors: returns the store revision of each mirror, by kind
+    :param read_mirrors: returns the state of each mirror, by kind
     :param is_store_reached: returns whether the platform's store answers, or
         None if this VM does not contact it
     :param clock_: time source
@@ -48,7 +52,7 @@
     def __init__(
         self,
         rate_limiter: usage.ReplicatedRateLimiter,
-        read_mirrors: collections.abc.Callable[[], dict[str, int]],
+        read_mirrors: MirrorReader,
         is_store_reached: collections.abc.Callable[[], bool | None],
         clock_: clock.Clock,
     ) -> None:
@@ -63,7 +67,7 @@
         self._read_mirrors = read_mirrors
         self._lock = threading.Lock()
         self._is_store_reached = is_store_reached
-        self._announced: tuple[dict[str, int], bool | None] | None = None
+        self._announced: tuple[MirrorSummaries, bool | None] | None = None
         self._announced_ms = 0
         self._stepped_ms = clock_.now_ms() - PERIOD_MS
 
--- a/mulberryway/controllers/kept_objects.py
+++ b/mulberryway/controllers/kept_objects.py
@@ -6,6 +6,7 @@
 
 from mulberryway import logs
 from mulberryway import metrics
+from mulberryway.policy import carried_objects
 from mulberryway.policy import mass_expiry
 from mulberryway.policy import mirrors
 
@@ -17,6 +18,7 @@
 MAX_LOGGED_NAMES = 8
 
 Kept = collections.abc.Sequence[mirrors.RetainedObject]
+Carried = collections.abc.Sequence[carried_objects.CarriedObject]
 Fields = dict[str, typing.Any]
 
 
@@ -27,18 +29,27 @@
     :param detector: describes the outage behind a deferral; None for kinds
         whose objects are not retained
 
-    ``kept`` is the number of objects that are retained now.  ``expired`` is
+    ``kept`` is the number of objects that are retained now, and ``carried``
+    that of the store's objects which others replace.  ``expired`` is
     the number of deferred removals that have taken effect, and ``delay_ms``
     is the sum of their delays.
     """
 
-    __slots__ = ("kind", "kept", "expired", "delay_ms", "_detector")
+    __slots__ = (
+        "kind",
+        "kept",
+        "carried",
+        "expired",
+        "delay_ms",
+        "_detector",
+    )
 
     def __init__(
         self, kind: str, detector: mass_expiry.MassExpiryDetector | None
     ) -> None:
         self.kind = kind
         self.kept = 0
+        self.carried = 0
         self.expired = 0
         self.delay_ms = 0
         self._detector = detector
@@ -55,7 +66,7 @@
             extra=logs.make_extra(
                 **self._describe(kept),
                 keeps_ms=first.until_ms - now_ms,
-                **self._describe_outage(first.absence, now_ms),
+                **self._describe_cause(first, now_ms),
             ),
         )
 
@@ -76,17 +87,60 @@
             ),
         )
 
+    def report_carried(self, carried: Carried, now_ms: int) -> None:
+        """Log what is used in place of the store's objects from now on.
+
+        :param carried: the replacements, at least one
+        :param now_ms: current time in ms
+        """
+        until_ms = carried[0].until_ms
+        LOG.warning(
+            "the store's copy is older; what was in use stays",
+            extra=logs.make_extra(
+                **self._describe_carried(carried),
+                keeps_ms=None if until_ms is None else until_ms - now_ms,
+            ),
+        )
+
+    def report_dropped(self, dropped: Carried, now_ms: int) -> None:
+        """Log that the store's objects are used again.
+
+        :param dropped: the replacements, at least one
+        :param now_ms: current time in ms
+        """
+        LOG.warning(
+            "the store's objects are used although they are older",
+            extra=logs.make_extra(
+                **self._describe_carried(dropped),
+                kept_ms=now_ms - min(item.noticed_ms for item in dropped),
+            ),
+        )
+
+    def _describe_carried(self, carried: Carried) -> Fields:
+        return {
+            "kind": self.kind,
+            "objects": [item.name for item in carried[:MAX_LOGGED_NAMES]],
+            "generations": [
+                item.generation for item in carried[:MAX_LOGGED_NAMES]
+            ],
+            "count": len(carried),
+            "hidden": sum(item.object is None for item in carried),
+        }
+
     def _describe(self, kept: Kept) -> Fields:
         return {
             "kind": self.kind,
             "objects": [item.object.name for item in kept[:MAX_LOGGED_NAMES]],
             "count": len(kept),
-            "revision": max(item.revision for item in kept),
+            **max(item.position for item in kept).describe(),
         }
 
-    def _describe_outage(
-        self, absence: mass_expiry.UnreachablePeriod | None, now_ms: int
+    def _describe_cause(
+        self, retained: mirrors.RetainedObject, now_ms: int
     ) -> Fields:
+        if retained.was_lost:
+            return {"cause": "the store's copy lacks them"}
+        absence = retained.absence
         if absence is None or self._detector is None:
             return {
                 "cause": "many were removed at once, here or at another VM"
@@ -115,6 +169,11 @@
         "objects that count although the store has removed them",
         lambda: sum(item.kept for item in reports),
     )
+    metrics_.register_labeled_gauge(
+        "mirrors.carried",
+        "objects used in place of older ones of the store's copy, by kind",
+        lambda: [({"kind": item.kind}, item.carried) for item in reports],
+    )
     metrics_.register_counter(
         "mirrors.deferred",
         "removals that took effect late, by kind",
--- a/mulberryway/controllers/mirror_exchange.py
+++ b/mulberryway/controllers/mirror_exchange.py
@@ -11,6 +11,7 @@
 from mulberryway.controllers import base
 from mulberryway.controllers import mirrors
 from mulberryway.peers.gen.mirrors import Mirrors
+from mulberryway.policy import mirror_summary
 
 __all__ = ["MirrorSyncController"]
 
@@ -24,6 +25,22 @@
 FETCH_DELAY_MS = 60
 
 
+class _Offer:
+    """A mirror of another VM that has what this VM's lacks.
+
+    :param summary: its state
+    :param address: ``host:port`` of the VM's peer server
+    """
+
+    __slots__ = ("summary", "address")
+
+    def __init__(
+        self, summary: mirror_summary.MirrorSummary, address: str
+    ) -> None:
+        self.summary = summary
+        self.address = address
+
+
 class MirrorSyncController(base.Controller):
     """Fetches mirrors from other VMs that are newer than this VM's.
 
@@ -51,30 +68,37 @@
         self._list_addresses = list_addresses
         self._request_count = 0
         self._lock = threading.Lock()
-        self._newer: dict[str, tuple[int, str]] = {}
+        self._newer: dict[str, _Offer] = {}
+        # The state of another VM's mirror that was fetched last, by kind.
+        self._fetched: dict[str, mirror_summary.MirrorSummary] = {}
 
-    def record_peer_revisions(
-        self, address: str, revisions: collections.abc.Mapping[str, int]
+    def record_peer_mirrors(
+        self,
+        address: str,
+        summaries: collections.abc.Mapping[str, mirror_summary.MirrorSummary],
     ) -> None:
-        """Record the revisions that another VM has.
+        """Record the state of another VM's mirrors.
 
         :param address: ``host:port`` of its peer server
-        :param revisions: its revisions by kind
+        :param summaries: the states by kind
         """
         newer = {
-            kind: (revision, address)
-            for kind, revision in revisions.items()
-            if kind in self._controllers
-            and revision > self._controllers[kind].revision
+            kind: _Offer(summary, address)
+            for kind, summary in summaries.items()
+            if kind in self._controllers and self._is_news(kind, summary)
         }
         if not newer:
             return
         with self._lock:
-            for kind, candidate in newer.items():
-                # Of two VMs with the same revision the later one is used,
+            for kind, offer in newer.items():
+                known = self._newer.get(kind)
+                # Of two VMs with the same position the later one is used,
                 # because the other may have left the fleet.
-                if candidate[0] >= self._newer.get(kind, (0, ""))[0]:
-                    self._newer[kind] = candidate
+                if (
+                    known is None
+                    or offer.summary.changed >= known.summary.changed
+                ):
+                    self._newer[kind] = offer
         self.wake()
 
     def step(self) -> None:
@@ -85,14 +109,29 @@
         if not newer:
             return
         self.clock.sleep_ms(FETCH_DELAY_MS)
-        for kind, (revision, address) in newer.items():
-            if self._controllers[kind].revision >= revision:
+        for kind, offer in newer.items():
+            if not self._is_news(kind, offer.summary):
                 continue
-            fault = self._fetch(kind, address)
-            if fault is not None:
-                self._log_failure(kind, fault)
-                with self._lock:
-                    self._newer.setdefault(kind, (revision, address))
+            fault = self._fetch(kind, offer.address)
+            if fault is None:
+                self._fetched[kind] = offer.summary
+                continue
+            self._log_failure(kind, fault)
+            with self._lock:
+                self._newer.setdefault(kind, offer)
+
+    def _is_news(
+        self, kind: str, summary: mirror_summary.MirrorSummary
+    ) -> bool:
+        """Return whether another VM's mirror has what this VM's lacks."""
+        own = self._controllers[kind].summary
+        if summary.changed > own.changed:
+            return True
+        return (
+            summary.carried not in (0, own.carried)
+            and summary.changed.era == own.changed.era
+            and summary != self._fetched.get(kind)
+        )
 
     def _sync_initial(self) -> None:
         """Fetch the first snapshots if the store does not provide them.
@@ -134,19 +173,22 @@
             Mirrors.Client,
             "read",
             kind,
-            controller.revision,
+            controller.changed.revision,
+            controller.changed.era,
             is_idempotent=True,
         )
         if answer.is_error():
             return answer.error
-        if answer.ok.content:
-            controller.apply_snapshot(answer.ok.revision, answer.ok.content)
+        if answer.ok.content or answer.ok.carried:
+            controller.apply_snapshot(answer.ok)
         return None
 
     def _log_failure(self, kind: str, fault: errors.Fault) -> None:
         LOG.info(
             "a newer copy could not be read from another VM",
             extra=logs.make_extra(
-                fault, kind=kind, revision=self._controllers[kind].revision
+                fault,
+                kind=kind,
+                **self._controllers[kind].changed.describe(),
             ),
         )
--- a/mulberryway/controllers/mirrored_tables.py
+++ b/mulberryway/controllers/mirrored_tables.py
@@ -118,8 +118,9 @@
             "tables are in force",
             extra=logs.make_extra(
                 revision=built.revision,
-                configuration=self.configuration.revision,
-                servers=self.servers.revision,
+                era=self.configuration.changed.era,
+                configuration=self.configuration.changed.revision,
+                servers=self.servers.changed.revision,
                 routes=len(built.routes),
                 upstreams=sum(
                     len(pool.upstreams) for pool in built.pools.values()
--- a/mulberryway/controllers/mirrors.py
+++ b/mulberryway/controllers/mirrors.py
@@ -13,8 +13,11 @@
 from mulberryway.controllers import kept_objects
 from mulberryway.controllers import mirror_codec
 from mulberryway.objects import base as objects
+from mulberryway.objects import position
 from mulberryway.peers.gen.mirrors import ttypes
+from mulberryway.policy import carried_objects
 from mulberryway.policy import mass_expiry
+from mulberryway.policy import mirror_summary
 from mulberryway.policy import mirrors
 
 __all__ = ["MirrorHandler", "MirrorController"]
@@ -47,6 +50,7 @@
     :param detector: see :class:`mirrors.Mirror`
     :param is_watcher: returns whether this VM watches the store itself; if
         not, it gets its mirror from other VMs
+    :param rules: see :class:`mirrors.Mirror`
     """
 
     def __init__(
@@ -57,14 +61,17 @@
         on_change: collections.abc.Callable[[], None],
         detector: mass_expiry.MassExpiryDetector | None = None,
         is_watcher: collections.abc.Callable[[], bool] = lambda: True,
+        rules: carried_objects.ReturnRules | None = None,
     ) -> None:
         super().__init__(f"mirror-{kind}", clock_, MIN_BACKOFF_MS)
         self.kind = kind
         self._store = store
         self._on_change = on_change
         self.kept = kept_objects.RetainedObjectReport(kind, detector)
-        self._mirror = mirrors.Mirror(kind, detector)
-        self._retains_objects = detector is not None
+        self._mirror = mirrors.Mirror(kind, detector, rules)
+        self._expires_objects = detector is not None or (
+            rules is not None and rules.has_expiry
+        )
         self._lock = threading.Lock()
         # The encoded snapshot for other VMs, and the mirror's edit count at
         # which it was made.
@@ -82,9 +89,17 @@
         self._random = random.Random()
 
     @property
-    def revision(self) -> int:
-        """Revision of the kind's last known change."""
-        return self._mirror.changed_revision
+    def changed(self) -> position.Position:
+        """Position of the kind's last known change."""
+        return self._mirror.changed
+
+    @property
+    def summary(self) -> mirror_summary.MirrorSummary:
+        """What other VMs are told of the mirror."""
+        with self._lock:
+            return mirror_summary.MirrorSummary(
+                self._mirror.changed, self._mirror.carried.compute_digest()
+            )
 
     @property
     def is_reached(self) -> bool:
@@ -104,7 +119,7 @@
     def start(self) -> None:
         """Start one thread that watches and one that expires objects."""
         super().start()
-        if self._retains_objects:
+        if self._expires_objects:
             self._expiry.start()
 
     def stop(self, wait_ms: int = 2_000) -> None:
@@ -126,7 +141,7 @@
         if not self._needs_listing and not self._is_watcher():
             self.period_ms = WATCHER_CHECK_MS
             return
-        before = self._mirror.revision
+        before = self._mirror.position
         # After a failed call the poll does not wait, so that the store's
         # recovery is noticed immediately.
         wait_ms = LONG_POLL_MS if self._was_reached else 0
@@ -136,7 +151,7 @@
         if fault is None:
             self._was_answered = True
             self._set_reached(True)
-            has_changed = self._mirror.revision != before
+            has_changed = self._mirror.position != before
             self.period_ms = (
                 CHANGE_BATCH_DELAY_MS if has_changed else NO_PAUSE_MS
             )
@@ -165,55 +180,92 @@
         now_ms = self.clock.now_ms()
         with self._lock:
             expired = self._mirror.expire(now_ms)
-            self.kept.kept = len(self._mirror.list_retained())
+            dropped = self._mirror.expire_carried(now_ms)
+            self._update_counts()
         if expired:
             self.kept.report_expired(expired, now_ms)
+        if dropped:
+            self.kept.report_dropped(dropped, now_ms)
+        if expired or dropped:
             self._on_change()
 
     def _find_expiry_ms(self) -> int | None:
         with self._lock:
             return self._mirror.find_expiry_ms()
 
-    def make_snapshot(self, known_revision: int) -> tuple[int, bytes]:
+    def make_snapshot(
+        self, known_revision: int, known_era: int | None
+    ) -> ttypes.Mirror:
         """Return a snapshot of the mirror for another VM.
 
         :param known_revision: the revision that the other VM has
-        :returns: the revision and the encoded snapshot; empty if not newer
+        :param known_era: the era of that revision; None if the VM runs a
+            version that knows no eras
+        :returns: the snapshot; it contains the objects only if they are newer
         """
         with self._lock:
-            revision = self._mirror.changed_revision
-            if revision <= known_revision:
-                return revision, b""
-            if self._mirror.list_retained():
-                # The remaining retention time differs for each snapshot.
-                return revision, mirror_codec.encode_snapshot(
-                    self._mirror, self.clock.now_ms()
-                )
-            if self._snapshot_edits != self._mirror.edits:
-                # After a change all VMs of a fleet request the same snapshot.
-                self._snapshot_edits = self._mirror.edits
-                self._snapshot = mirror_codec.encode_snapshot(self._mirror, 0)
-            return revision, self._snapshot
+            mirror = self._mirror
+            changed = mirror.changed
+            era = changed.era if known_era is None else known_era
+            is_newer = changed > position.Position(era, known_revision)
+            return ttypes.Mirror(
+                changed.revision,
+                self._encode_objects() if is_newer else b"",
+                changed.era,
+                self._encode_carried(),
+                mirror.position.revision,
+            )
 
-    def apply_snapshot(self, revision: int, content: bytes) -> None:
+    def _encode_objects(self) -> bytes:
+        mirror = self._mirror
+        if mirror.list_retained():
+            # The remaining retention time differs for each snapshot.
+            return mirror_codec.encode_snapshot(mirror, self.clock.now_ms())
+        if self._snapshot_edits != mirror.edits:
+            # After a change all VMs of a fleet request the same snapshot.
+            self._snapshot_edits = mirror.edits
+            self._snapshot = mirror_codec.encode_snapshot(mirror, 0)
+        return self._snapshot
+
+    def _encode_carried(self) -> bytes | None:
+        carried = self._mirror.carried.list_all()
+        if not carried:
+            return None
+        return mirror_codec.encode_carried(carried, self.clock.now_ms())
+
+    def apply_snapshot(self, received: ttypes.Mirror) -> None:
         """Apply another VM's snapshot if it is newer.
 
-        :param revision: its revision
-        :param content: the encoded snapshot
+        :param received: the snapshot
         """
         now_ms = self.clock.now_ms()
+        # A VM of a version that knows no eras cannot tell which one it means.
+        era = received.era or 0
+        changed = position.Position(era, received.revision)
+        complete = position.Position(
+            era, received.complete_revision or received.revision
+        )
         snapshot = mirror_codec.decode_snapshot(
-            self.kind, revision, content, now_ms
+            self.kind, changed, received, now_ms
         )
         with self._lock:
-            has_changed = self._mirror.replace_from_peer(
-                snapshot.objects, revision, now_ms, snapshot.kept
+            has_changed = (
+                self._mirror.replace_from_peer(
+                    snapshot.objects,
+                    changed,
+                    now_ms,
+                    snapshot.kept,
+                    snapshot.carried,
+                    complete,
+                )
+                if received.content
+                else self._mirror.merge_carried(snapshot.carried, changed.era)
             )
-            self._has_synced = True
+            self._has_synced |= bool(received.content)
         if has_changed:
             LOG.info(
                 "a newer copy came from another VM",
-                extra=logs.make_extra(kind=self.kind, revision=revision),
+                extra=logs.make_extra(kind=self.kind, **changed.describe()),
             )
             self._report_retained()
             self._on_change()
@@ -226,35 +278,41 @@
         now_ms = self.clock.now_ms()
         with self._lock:
             self._mirror.record_response(now_ms)
+            before = self._mirror.position
             has_changed = self._mirror.replace(
-                result.ok.objects, result.ok.revision, now_ms
+                result.ok.objects, result.ok.position, now_ms
             )
         self._has_synced = True
         if has_changed:
-            self._log_change()
+            self._log_change(before)
             self._on_change()
         else:
-            self._log_outdated(result.ok.revision, now_ms)
+            self._log_outdated(result.ok.position, now_ms)
         return None
 
     def _poll(self, wait_ms: int) -> errors.Fault | None:
+        asked = self._mirror.position
         result = self._store.poll_changes(
-            self.kind, self._mirror.revision, wait_ms, "mirror"
+            self.kind, asked.revision, wait_ms, "mirror"
         )
         if result.is_error():
             return result.error
         now_ms = self.clock.now_ms()
+        if result.ok.position.era != asked.era:
+            # The revision stands for another state in this era.
+            self._needs_listing = True
+            return None
         with self._lock:
             self._mirror.record_response(now_ms)
             has_changed = self._mirror.apply(
-                result.ok.events, result.ok.revision, now_ms
+                result.ok.events, result.ok.position, now_ms
             )
         if has_changed:
-            self._log_change()
+            self._log_change(asked)
             self._on_change()
         return None
 
-    def _log_outdated(self, revision: int, now_ms: int) -> None:
+    def _log_outdated(self, listed: position.Position, now_ms: int) -> None:
         logged_ms = self._outdated_logged_ms
         if (
             logged_ms is not None
@@ -266,26 +324,50 @@
             "a listing of the store is not newer than the copy",
             extra=logs.make_extra(
                 kind=self.kind,
-                listed_revision=revision,
-                revision=self._mirror.revision,
+                listed_era=listed.era,
+                listed_revision=listed.revision,
+                **self._mirror.position.describe(),
             ),
         )
 
     def _report_retained(self) -> None:
         with self._lock:
             retained = self._mirror.drain_newly_retained()
-            self.kept.kept = len(self._mirror.list_retained())
+            carried = self._mirror.carried.drain_new()
+            self._update_counts()
+        now_ms = self.clock.now_ms()
         if retained:
-            self.kept.report_retained(retained, self.clock.now_ms())
+            self.kept.report_retained(retained, now_ms)
+        if carried:
+            self.kept.report_carried(carried, now_ms)
+        if retained or carried:
             self._expiry.wake()
 
-    def _log_change(self) -> None:
+    def _update_counts(self) -> None:
+        self.kept.kept = len(self._mirror.list_retained())
+        self.kept.carried = len(self._mirror.carried)
+
+    def _log_change(self, before: position.Position) -> None:
+        after = self._mirror.position
+        if before != position.ORIGIN and after.era != before.era:
+            LOG.warning(
+                "the store has returned from another copy of itself",
+                extra=logs.make_extra(
+                    kind=self.kind,
+                    previous_era=before.era,
+                    previous_revision=before.revision,
+                    **after.describe(),
+                    count=len(self._mirror.objects),
+                    retained=len(self._mirror.list_retained()),
+                    carried=len(self._mirror.carried),
+                ),
+            )
         self._report_retained()
         LOG.info(
             "the store's objects have changed",
             extra=logs.make_extra(
                 kind=self.kind,
-                revision=self.revision,
+                **self.changed.describe(),
                 count=len(self._mirror.objects),
             ),
         )
@@ -298,7 +380,7 @@
             LOG.warning(
                 "the store is back" if is_reached else "the store is away",
                 extra=logs.make_extra(
-                    fault, kind=self.kind, revision=self.revision
+                    fault, kind=self.kind, **self.changed.describe()
                 ),
             )
 
@@ -314,13 +396,17 @@
     ) -> None:
         self._controllers = controllers
 
-    def read(self, kind: str, known_revision: int) -> ttypes.Mirror:
-        """Return a mirror's snapshot if it is newer than the known revision.
+    def read(
+        self, kind: str, known_revision: int, known_era: int | None = None
+    ) -> ttypes.Mirror:
+        """Return a mirror's snapshot if it is newer than the known position.
 
         :param kind: the plural kind
         :param known_revision: the revision that the calling VM has
+        :param known_era: the era of that revision; None if the calling VM
+            runs a version that knows no eras
         """
         controller = self._controllers.get(kind)
         if controller is None:
             return ttypes.Mirror(0, b"")
-        return ttypes.Mirror(*controller.make_snapshot(known_revision))
+        return controller.make_snapshot(known_revision, known_era)
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -51,12 +51,14 @@
 from mulberryway.platform import store
 from mulberryway.platform import tables as platform_tables
 from mulberryway.policy import advisories as policy_advisories
+from mulberryway.policy import carried_objects
 from mulberryway.policy import cold_start
 from mulberryway.policy import endpoints
 from mulberryway.policy import fairness
 from mulberryway.policy import leader_lease
 from mulberryway.policy import mass_expiry
 from mulberryway.policy import member
+from mulberryway.policy import mirror_summary
 from mulberryway.policy import retries
 from mulberryway.policy import role_planner
 from mulberryway.policy import scheduler
@@ -77,6 +79,8 @@
 # disconnect after eight times this long.
 TOKEN_GAP_MS = 300
 US_IN_MS = 1_000
+# How long a zone stays evacuated if the store has lost its evacuation.
+LOST_EVACUATION_MS = 30_000
 FAULT_FORMAT = replies.FaultFormat(
     has_fractional_retry_after=True,
     is_retried_by_status=True,
@@ -317,20 +321,29 @@
             self.clock,
             source.refresh,
             is_watcher=self._must_watch,
+            rules=carried_objects.ReturnRules(
+                platform_tables.read_configuration_generation,
+                missing_ms=None,
+                outdated_ms=None,
+            ),
+        )
+        limits = mass_expiry.RegistrationLimits(
+            self.settings.upstreams_heartbeat_ms,
+            self.settings.upstreams_drain_ms,
         )
         source.servers = mirrors.MirrorController(
             platform_tables.SERVERS_KIND,
             self.store,
             self.clock,
             source.refresh,
-            mass_expiry.MassExpiryDetector(
-                mass_expiry.RegistrationLimits(
-                    self.settings.upstreams_heartbeat_ms,
-                    self.settings.upstreams_drain_ms,
-                ),
-                self.outages,
-            ),
+            mass_expiry.MassExpiryDetector(limits, self.outages),
             is_watcher=self._must_watch,
+            rules=carried_objects.ReturnRules(
+                platform_tables.read_server_generation,
+                missing_ms=mass_expiry.REREGISTRATION_MS,
+                outdated_ms=limits.max_silence_ms,
+                hides_removed=True,
+            ),
         )
         source.evacuations = mirrors.MirrorController(
             platform_tables.EVACUATIONS_KIND,
@@ -338,6 +351,7 @@
             self.clock,
             source.refresh,
             is_watcher=self._must_watch,
+            rules=carried_objects.ReturnRules(missing_ms=LOST_EVACUATION_MS),
         )
         return {
             controller.kind: controller
@@ -544,9 +558,9 @@
     def _apply_settings(self, changed: settings.Settings) -> None:
         self.members.update_seeds(_list_seeds(changed))
 
-    def _read_mirrors(self) -> dict[str, int]:
+    def _read_mirrors(self) -> dict[str, mirror_summary.MirrorSummary]:
         return {
-            kind: controller.revision
+            kind: controller.summary
             for kind, controller in self.mirror_controllers.items()
         }
 
@@ -565,7 +579,7 @@
             "",
         )
         if address:
-            self.exchange.record_peer_revisions(address, received.mirrors)
+            self.exchange.record_peer_mirrors(address, received.mirrors)
 
     def _update_listed(self, listed: list[objects.ListedVm]) -> None:
         own = self.settings.vm_name
--- a/mulberryway/objects/base.py
+++ b/mulberryway/objects/base.py
@@ -8,6 +8,7 @@
 import expression
 
 from mulberryway import errors
+from mulberryway.objects import position
 
 __all__ = [
     "ChangeBatch",
@@ -28,17 +29,30 @@
     :param name: the name, unique within its kind
     :param version: the platform's version; increases with each write
     :param value: the JSON value, at most a megabyte when encoded
+    :param era: the store's era in which the version was given out or read; 0
+        if the platform has no eras
     """
 
-    __slots__ = ("kind", "name", "version", "value")
+    __slots__ = ("kind", "name", "version", "value", "era")
 
     def __init__(
-        self, kind: str, name: str, version: int, value: dict[str, typing.Any]
+        self,
+        kind: str,
+        name: str,
+        version: int,
+        value: dict[str, typing.Any],
+        era: int = 0,
     ) -> None:
         self.kind = kind
         self.name = name
         self.version = version
         self.value = value
+        self.era = era
+
+    @property
+    def position(self) -> position.Position:
+        """The point in the store's history at which it was written."""
+        return position.Position(self.era, self.version)
 
 
 class EventType(enum.Enum):
@@ -85,36 +99,43 @@
 
 
 class Listing:
-    """All objects of a kind at one revision.
+    """All objects of a kind at one position.
 
     :param objects: the objects
-    :param revision: the store's revision, from which a watch can continue
+    :param position_: the store's position, from which a watch can continue
     """
 
-    __slots__ = ("objects", "revision")
+    __slots__ = ("objects", "position")
 
-    def __init__(self, objects: list[StoredObject], revision: int) -> None:
+    def __init__(
+        self, objects: list[StoredObject], position_: position.Position
+    ) -> None:
         self.objects = objects
-        self.revision = revision
+        self.position = position_
 
 
 class ChangeBatch:
     """The changes of a kind since a revision.
 
     :param events: the changes in order
-    :param revision: the store's revision after the last change
+    :param position_: the store's position after the last change
     """
 
-    __slots__ = ("events", "revision")
+    __slots__ = ("events", "position")
 
-    def __init__(self, events: list[WatchEvent], revision: int) -> None:
+    def __init__(
+        self, events: list[WatchEvent], position_: position.Position
+    ) -> None:
         self.events = events
-        self.revision = revision
+        self.position = position_
 
 
 class RevisionedStore(abc.ABC):
     """A store with one revision counter for the changes of all objects.
 
+    The counter starts anew from an older value with each era; see
+    :class:`position.Position`.
+
     Faults: ``PLATFORM_UNAVAILABLE``, and ``HISTORY_GONE`` if the store no
     longer has the changes since a revision.
     """
--- a/mulberryway/objects/eras.py
+++ b/mulberryway/objects/eras.py
@@ -37,7 +37,9 @@
         self._listeners: list[Listener] = []
 
     def subscribe(self, listener: Listener) -> None:
-        """Call a function after each change, on the thread that noticed it.
+        """Call a function when the era has risen, on any thread.
+
+        It is not called for the first era that is known.
 
         :param listener: called with the new era; must return quickly
         """
@@ -54,6 +56,9 @@
                 return
             self.era = era
             self.changes += previous != UNKNOWN_ERA
+        if previous == UNKNOWN_ERA:
+            LOG.info("the store names its era", extra=logs.make_extra(era=era))
+            return
         LOG.warning(
             "the store's era has changed",
             extra=logs.make_extra(previous_era=previous, era=era),
--- a/mulberryway/peers/gen/mirrors/Mirrors.py
+++ b/mulberryway/peers/gen/mirrors/Mirrors.py
@@ -19,11 +19,12 @@
 
 
 class Iface(object):
-    def read(self, kind, known_revision):
+    def read(self, kind, known_revision, known_era):
         """
         Parameters:
          - kind
          - known_revision
+         - known_era
 
         """
         pass
@@ -36,21 +37,23 @@
             self._oprot = oprot
         self._seqid = 0
 
-    def read(self, kind, known_revision):
+    def read(self, kind, known_revision, known_era):
         """
         Parameters:
          - kind
          - known_revision
+         - known_era
 
         """
-        self.send_read(kind, known_revision)
+        self.send_read(kind, known_revision, known_era)
         return self.recv_read()
 
-    def send_read(self, kind, known_revision):
+    def send_read(self, kind, known_revision, known_era):
         self._oprot.writeMessageBegin('read', TMessageType.CALL, self._seqid)
         args = read_args()
         args.kind = kind
         args.known_revision = known_revision
+        args.known_era = known_era
         args.write(self._oprot)
         self._oprot.writeMessageEnd()
         self._oprot.trans.flush()
@@ -104,7 +107,7 @@
         iprot.readMessageEnd()
         result = read_result()
         try:
-            result.success = self._handler.read(args.kind, args.known_revision)
+            result.success = self._handler.read(args.kind, args.known_revision, args.known_era)
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
@@ -129,18 +132,21 @@
     Attributes:
      - kind
      - known_revision
+     - known_era
 
     """
 
     __slots__ = (
         'kind',
         'known_revision',
+        'known_era',
     )
 
 
-    def __init__(self, kind=None, known_revision=None,):
+    def __init__(self, kind=None, known_revision=None, known_era=None,):
         self.kind = kind
         self.known_revision = known_revision
+        self.known_era = known_era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -161,6 +167,11 @@
                     self.known_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.known_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -179,6 +190,10 @@
             oprot.writeFieldBegin('known_revision', TType.I64, 2)
             oprot.writeI64(self.known_revision)
             oprot.writeFieldEnd()
+        if self.known_era is not None:
+            oprot.writeFieldBegin('known_era', TType.I64, 3)
+            oprot.writeI64(self.known_era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -207,6 +222,7 @@
     None,  # 0
     (1, TType.STRING, 'kind', 'UTF8', None, ),  # 1
     (2, TType.I64, 'known_revision', None, None, ),  # 2
+    (3, TType.I64, 'known_era', None, None, ),  # 3
 )
 
 
--- a/mulberryway/peers/gen/mirrors/ttypes.py
+++ b/mulberryway/peers/gen/mirrors/ttypes.py
@@ -21,18 +21,27 @@
     Attributes:
      - revision
      - content
+     - era
+     - carried
+     - complete_revision
 
     """
 
     __slots__ = (
         'revision',
         'content',
+        'era',
+        'carried',
+        'complete_revision',
     )
 
 
-    def __init__(self, revision=None, content=None,):
+    def __init__(self, revision=None, content=None, era=None, carried=None, complete_revision=None,):
         self.revision = revision
         self.content = content
+        self.era = era
+        self.carried = carried
+        self.complete_revision = complete_revision
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -53,6 +62,21 @@
                     self.content = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.carried = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.complete_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -71,6 +95,18 @@
             oprot.writeFieldBegin('content', TType.STRING, 2)
             oprot.writeBinary(self.content)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 3)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.carried is not None:
+            oprot.writeFieldBegin('carried', TType.STRING, 4)
+            oprot.writeBinary(self.carried)
+            oprot.writeFieldEnd()
+        if self.complete_revision is not None:
+            oprot.writeFieldBegin('complete_revision', TType.I64, 5)
+            oprot.writeI64(self.complete_revision)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -103,6 +139,9 @@
     None,  # 0
     (1, TType.I64, 'revision', None, None, ),  # 1
     (2, TType.STRING, 'content', 'BINARY', None, ),  # 2
+    (3, TType.I64, 'era', None, None, ),  # 3
+    (4, TType.STRING, 'carried', 'BINARY', None, ),  # 4
+    (5, TType.I64, 'complete_revision', None, None, ),  # 5
 )
 fix_spec(all_structs)
 del all_structs
--- a/mulberryway/peers/gen/notes/ttypes.py
+++ b/mulberryway/peers/gen/notes/ttypes.py
@@ -1204,18 +1204,24 @@
     Attributes:
      - kind
      - revision
+     - era
+     - carried
 
     """
 
     __slots__ = (
         'kind',
         'revision',
+        'era',
+        'carried',
     )
 
 
-    def __init__(self, kind=None, revision=None,):
+    def __init__(self, kind=None, revision=None, era=None, carried=None,):
         self.kind = kind
         self.revision = revision
+        self.era = era
+        self.carried = carried
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1236,6 +1242,16 @@
                     self.revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.carried = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1254,6 +1270,14 @@
             oprot.writeFieldBegin('revision', TType.I64, 2)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 3)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.carried is not None:
+            oprot.writeFieldBegin('carried', TType.I64, 4)
+            oprot.writeI64(self.carried)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2421,6 +2445,8 @@
     None,  # 0
     (1, TType.STRING, 'kind', 'UTF8', None, ),  # 1
     (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.I64, 'era', None, None, ),  # 3
+    (4, TType.I64, 'carried', None, None, ),  # 4
 )
 all_structs.append(Usage)
 Usage.thrift_spec = (
--- a/mulberryway/peers/gossip_messages.py
+++ b/mulberryway/peers/gossip_messages.py
@@ -2,11 +2,13 @@
 
 import itertools
 
+from mulberryway.objects import position
 from mulberryway.peers import codec
 from mulberryway.peers.gen.notes import ttypes
 from mulberryway.policy import forwarders
 from mulberryway.policy import health
 from mulberryway.policy import hints
+from mulberryway.policy import mirror_summary
 from mulberryway.policy import rate_limits
 from mulberryway.policy import server_loads
 from mulberryway.policy import stream_versions
@@ -288,8 +290,8 @@
             for item in usage.accounts
         ],
         [
-            ttypes.MirrorState(kind, revision)
-            for kind, revision in usage.mirrors.items()
+            _pack_mirror(kind, summary)
+            for kind, summary in usage.mirrors.items()
         ],
         min(usage.age_ms, MAX_AGE_MS),
         usage.is_store_reached,
@@ -298,6 +300,24 @@
     return codec.write(ttypes.Datagram(usage=message))
 
 
+def _pack_mirror(
+    kind: str, summary: mirror_summary.MirrorSummary
+) -> ttypes.MirrorState:
+    changed = summary.changed
+    return ttypes.MirrorState(
+        kind, changed.revision, changed.era, summary.carried or None
+    )
+
+
+def _unpack_mirror(
+    message: ttypes.MirrorState,
+) -> mirror_summary.MirrorSummary:
+    return mirror_summary.MirrorSummary(
+        position.Position(message.era or 0, message.revision),
+        message.carried or 0,
+    )
+
+
 def _unpack_usage(message: ttypes.Usage) -> usages.Usage:
     return usages.Usage(
         message.vm,
@@ -307,7 +327,7 @@
             usages.AccountUsage(item.account, item.spent, item.left)
             for item in message.accounts
         ],
-        {item.kind: item.revision for item in message.mirrors},
+        {item.kind: _unpack_mirror(item) for item in message.mirrors},
         message.age_ms,
         message.is_store_reached,
         bool(message.is_whole),
--- a/mulberryway/peers/idl/notes.thrift
+++ b/mulberryway/peers/idl/notes.thrift
@@ -87,6 +87,11 @@
 struct MirrorState {
   1: required string kind,
   2: required i64 revision,
+  // The store's era of the revision; unset by VMs that know no eras.
+  3: optional i64 era,
+  // Digest of what the VM uses in place of the store's objects; unset if it
+  // uses none.
+  4: optional i64 carried,
 }
 
 // A VM's own counts; each replaces the ones before.
--- a/mulberryway/platform/store.py
+++ b/mulberryway/platform/store.py
@@ -17,6 +17,7 @@
 from mulberryway.objects import base
 from mulberryway.objects import call_metrics
 from mulberryway.objects import eras
+from mulberryway.objects import position
 from mulberryway.platform import wire
 from mulberryway.upstreams import bounded_pool
 from mulberryway.upstreams import bounded_socket
@@ -77,6 +78,7 @@
         self._malformed_era = ""
         self._lock = threading.Lock()
         self._pool = self._create_pool()
+        self.eras.subscribe(self._abandon_pool)
 
     def read(
         self, kind: str, name: str, purpose: str
@@ -89,7 +91,9 @@
         :returns: the object, or a fault
         """
         return self._call("GET", _path(kind, name), purpose).bind(
-            lambda value: self._parse(lambda: _parse_object(kind, value))
+            lambda response: self._parse(
+                lambda: _parse_object(kind, response.value, response.era)
+            )
         )
 
     def read_all(
@@ -108,33 +112,38 @@
     def read_listing(
         self, kind: str, purpose: str
     ) -> expression.Result[base.Listing, errors.Fault]:
-        """Return all objects of a kind and the revision to watch from.
+        """Return all objects of a kind and the position to watch from.
 
         Objects may change between two pages, so the listing gets the
-        revision of the first page: a watch from it misses no change.
+        position of the first page: a watch from it misses no change.
 
         :param kind: the kind
         :param purpose: the label under which the call is counted
-        :returns: the listing, or a fault
+        :returns: the listing, or a fault: ``HISTORY_GONE`` if the store's era
+            has changed between two pages
         """
         objects: list[base.StoredObject] = []
-        revision: int | None = None
+        first: position.Position | None = None
         after = ""
         while True:
             target = _path(kind)
             if after:
                 target += "?" + urllib.parse.urlencode({"after": after})
             page = self._call("GET", target, purpose).bind(
-                lambda value: self._parse(lambda: _parse_page(kind, value))
+                lambda response: self._parse(
+                    lambda: _parse_page(kind, response)
+                )
             )
             if page.is_error():
                 return expression.Error(page.error)
-            page_objects, page_revision, has_more = page.ok
-            objects += page_objects
-            revision = page_revision if revision is None else revision
-            if not has_more or not page_objects:
-                return expression.Ok(base.Listing(objects, revision))
-            after = page_objects[-1].name
+            listing, has_more = page.ok
+            first = first or listing.position
+            if listing.position.era != first.era:
+                return expression.Error(self._make_era_fault())
+            objects += listing.objects
+            if not has_more or not listing.objects:
+                return expression.Ok(base.Listing(objects, first))
+            after = listing.objects[-1].name
 
     def poll_changes(
         self, kind: str, revision: int, wait_ms: int, purpose: str
@@ -155,7 +164,11 @@
             f"{_path(kind)}?{query}",
             purpose,
             timeout_ms=wait_ms + WATCH_GRACE_MS,
-        ).bind(lambda value: self._parse(lambda: _parse_changes(kind, value)))
+        ).bind(
+            lambda response: self._parse(
+                lambda: _parse_changes(kind, response)
+            )
+        )
 
     def create(
         self, kind: str, name: str, value: dict[str, typing.Any], purpose: str
@@ -231,7 +244,7 @@
             if batch.is_error():
                 yield expression.Error(batch.error)
                 return
-            revision = batch.ok.revision
+            revision = batch.ok.position.revision
             for event in batch.ok.events:
                 yield expression.Ok(event)
             bookmark = base.StoredObject(kind, "", revision, {})
@@ -268,7 +281,9 @@
         purpose: str,
     ) -> expression.Result[base.StoredObject, errors.Fault]:
         return self._call(method, target, purpose, body).bind(
-            lambda value: self._parse(lambda: _parse_object(kind, value))
+            lambda response: self._parse(
+                lambda: _parse_object(kind, response.value, response.era)
+            )
         )
 
     def _call(
@@ -278,28 +293,77 @@
         purpose: str,
         body: dict[str, typing.Any] | None = None,
         timeout_ms: int | None = None,
-    ) -> expression.Result[typing.Any, errors.Fault]:
+    ) -> expression.Result["_Response", errors.Fault]:
         data = None if body is None else json.dumps(body).encode()
         read_timeout_ms = (
             self._timeout_ms if timeout_ms is None else timeout_ms
         )
-        pool = self._pool
+        pool, era = self._pool, self.eras.era
         try:
-            status, content = self._send(
-                pool, method, target, data, read_timeout_ms
-            )
+            received = self._send(pool, method, target, data, read_timeout_ms)
         except TRANSPORT_ERRORS as error:
             self._replace_pool(pool)
             was_sent = not isinstance(error, CONNECT_ERRORS)
             fault = self._make_fault(method, was_sent, type(error).__name__)
+            if method == "GET" and self.eras.era != era:
+                fault = self._make_era_fault()
         else:
-            if status < 300:
-                self._count(purpose, "ok", data, content)
-                return self._parse(lambda: json.loads(content or b"{}"))
-            fault = self._make_response_fault(method, status)
+            result = self._check_response(method, received)
+            if result.is_ok():
+                self._count(purpose, "ok", data, received.content)
+                return result
+            fault = result.error
         self._count(purpose, fault.code.value, data, b"")
         return expression.Error(fault)
 
+    def _check_response(
+        self, method: str, received: "_Received"
+    ) -> expression.Result["_Response", errors.Fault]:
+        """Return a response's value, unless it is a failure or outdated."""
+        era = self._read_era(received.era)
+        if era is None:
+            return expression.Error(
+                self._make_fault(method, True, "no response of this era")
+            )
+        if received.status >= 300:
+            return expression.Error(
+                self._make_response_fault(method, received.status)
+            )
+        return self._parse(
+            lambda: _Response(json.loads(received.content or b"{}"), era)
+        )
+
+    def _read_era(self, text: str | None) -> int | None:
+        """Return the era of a response, after recording it.
+
+        A store that names no era has the last known one.
+
+        :param text: the header of the response; None if it has none
+        :returns: the era; None if it is malformed, or over already: the
+            response was late, or comes from a part of the store that is
+        """
+        if text is None:
+            return self.eras.era
+        try:
+            era = wire.parse_era(text)
+        except ValueError as error:
+            self._log_malformed_era(text, error)
+            return None
+        self.eras.record(era)
+        return era if era == self.eras.era else None
+
+    def _log_malformed_era(self, text: str, error: ValueError) -> None:
+        if text != self._malformed_era:
+            LOG.error(
+                "the store's era is malformed",
+                extra=logs.make_extra(
+                    value=repr(text)[: wire.MAX_LOGGED_LENGTH],
+                    era=self.eras.era,
+                    reason=repr(error),
+                ),
+            )
+        self._malformed_era = text
+
     def _send(
         self,
         pool: bounded_pool.BoundedPool,
@@ -307,7 +371,7 @@
         target: str,
         data: bytes | None,
         read_timeout_ms: int,
-    ) -> tuple[int, bytes]:
+    ) -> "_Received":
         options = {
             "body": data,
             "headers": {"Content-Type": "application/json"} if data else {},
@@ -320,37 +384,12 @@
             "preload_content": False,
         }
         try:
-            response = pool.request(method, target, **options)
+            return _receive(pool.request(method, target, **options))
         except urllib3.exceptions.ClosedPoolError:
             # Another call has replaced the pool, and nothing was sent.  No
             # other call can close this one.
             with self._create_pool() as own_pool:
-                response = own_pool.request(method, target, **options)
-                return response.status, self._read_response(response)
-        return response.status, self._read_response(response)
-
-    def _read_response(self, response: urllib3.BaseHTTPResponse) -> bytes:
-        body = _read_body(response)
-        self._record_era(response.headers.get(wire.ERA))
-        return body
-
-    def _record_era(self, text: str | None) -> None:
-        """Record the era of a response; a store may not name it."""
-        if text is None:
-            return
-        try:
-            self.eras.record(wire.parse_era(text))
-        except ValueError as error:
-            if text != self._malformed_era:
-                LOG.error(
-                    "the store's era is malformed",
-                    extra=logs.make_extra(
-                        value=repr(text)[: wire.MAX_LOGGED_LENGTH],
-                        era=self.eras.era,
-                        reason=repr(error),
-                    ),
-                )
-            self._malformed_era = text
+                return _receive(own_pool.request(method, target, **options))
 
     def _create_pool(self) -> bounded_pool.BoundedPool:
         return bounded_pool.BoundedPool(
@@ -369,6 +408,23 @@
                 self._pool = self._create_pool()
         failed.close()
 
+    def _abandon_pool(self, era: int) -> None:
+        """Break off all calls, because a new era has begun.
+
+        The store may leave a watch of the last era waiting.
+        """
+        with self._lock:
+            pool, self._pool = self._pool, self._create_pool()
+        pool.abort()
+
+    def _make_era_fault(self) -> errors.Fault:
+        return errors.Fault(
+            errors.Code.HISTORY_GONE,
+            errors.Step.PLATFORM,
+            self._peer,
+            message="the store's era has changed during the call",
+        )
+
     def _make_response_fault(self, method: str, status: int) -> errors.Fault:
         message = f"the store responded with status {status}"
         if status in FAULT_CODES:
@@ -412,8 +468,39 @@
         )
 
 
-def _read_body(response: urllib3.BaseHTTPResponse) -> bytes:
-    return bounded_pool.read_body(response, MAX_RESPONSE_BYTES)
+class _Received:
+    """A response as received.
+
+    :param status: the HTTP status
+    :param content: the body
+    :param era: the header with the store's era; None if there is none
+    """
+
+    __slots__ = ("status", "content", "era")
+
+    def __init__(self, status: int, content: bytes, era: str | None) -> None:
+        self.status = status
+        self.content = content
+        self.era = era
+
+
+class _Response:
+    """A successful response.
+
+    :param value: the decoded body
+    :param era: the era in which the store has sent it
+    """
+
+    __slots__ = ("value", "era")
+
+    def __init__(self, value: typing.Any, era: int) -> None:
+        self.value = value
+        self.era = era
+
+
+def _receive(response: urllib3.BaseHTTPResponse) -> _Received:
+    content = bounded_pool.read_body(response, MAX_RESPONSE_BYTES)
+    return _Received(response.status, content, response.headers.get(wire.ERA))
 
 
 def _path(kind: str, name: str = "") -> str:
@@ -421,7 +508,7 @@
     return "/".join(filter(None, parts))
 
 
-def _parse_object(kind: str, value: typing.Any) -> base.StoredObject:
+def _parse_object(kind: str, value: typing.Any, era: int) -> base.StoredObject:
     metadata = value["metadata"]
     content = value.get("spec")
     return base.StoredObject(
@@ -429,29 +516,35 @@
         wire.parse_string(metadata["name"]),
         wire.parse_integer(metadata["revision"]),
         content if isinstance(content, dict) else {},
+        era,
     )
 
 
-def _parse_page(
-    kind: str, value: typing.Any
-) -> tuple[list[base.StoredObject], int, bool]:
-    return (
-        [_parse_object(kind, item) for item in value["items"]],
-        wire.parse_integer(value["store_revision"]),
-        bool(value.get("has_more")),
+def _parse_page(kind: str, response: _Response) -> tuple[base.Listing, bool]:
+    """Return a page of a listing, and whether there is another one."""
+    value = response.value
+    listing = base.Listing(
+        [_parse_object(kind, item, response.era) for item in value["items"]],
+        _parse_position(response),
     )
+    return listing, bool(value.get("has_more"))
 
 
-def _parse_changes(kind: str, value: typing.Any) -> base.ChangeBatch:
+def _parse_changes(kind: str, response: _Response) -> base.ChangeBatch:
     return base.ChangeBatch(
         [
             base.WatchEvent(
                 base.EventType.DELETED
                 if event.get("deleted")
                 else base.EventType.MODIFIED,
-                _parse_object(kind, event["object"]),
+                _parse_object(kind, event["object"], response.era),
             )
-            for event in value["events"]
+            for event in response.value["events"]
         ],
-        wire.parse_integer(value["store_revision"]),
+        _parse_position(response),
     )
+
+
+def _parse_position(response: _Response) -> position.Position:
+    revision = wire.parse_integer(response.value["store_revision"])
+    return position.Position(response.era, revision)
--- a/mulberryway/platform/tables.py
+++ b/mulberryway/platform/tables.py
@@ -8,13 +8,17 @@
 from mulberryway import tables
 from mulberryway.controllers import mirrored_tables
 from mulberryway.objects import base
+from mulberryway.objects import position
 from mulberryway.platform import wire
+from mulberryway.policy import carried_objects
 
 __all__ = [
     "CONFIGURATION_KIND",
     "EVACUATIONS_KIND",
     "SERVERS_KIND",
     "TablesReader",
+    "read_configuration_generation",
+    "read_server_generation",
 ]
 
 LOG = logging.getLogger(__name__)
@@ -53,7 +57,7 @@
     """
 
     def __init__(self) -> None:
-        self._version = 0
+        self._position = position.ORIGIN
         self._routes: tuple[tables.Route, ...] = ()
         self._pools: tuple[tables.Pool, ...] = ()
         self._accounts: tuple[tables.ClientAccount, ...] = ()
@@ -77,9 +81,9 @@
         main = configuration.get(CONFIGURATION_NAME)
         if main is None:
             return None
-        if main.version != self._version:
+        if main.position != self._position:
             self._parse_configuration(main.value)
-            self._version = main.version
+            self._position = main.position
         upstreams: dict[str, list[tables.Upstream]] = {}
         kinds = {pool.name: pool.kind for pool in self._pools}
         evacuated_zones = frozenset(entry.name for entry in evacuations)
@@ -120,6 +124,39 @@
         self._accounts = accounts
 
 
+def read_configuration_generation(
+    object_: base.StoredObject,
+) -> carried_objects.Generation | None:
+    """Return the number by which the operators order configurations.
+
+    :param object_: the configuration
+    :returns: the generation; None if it is malformed
+    """
+    try:
+        return (wire.parse_integer(object_.value.get("version")),)
+    except ValueError:
+        return None
+
+
+def read_server_generation(
+    object_: base.StoredObject,
+) -> carried_objects.Generation | None:
+    """Return the numbers by which a server orders what it reports.
+
+    :param object_: the server's entry
+    :returns: its incarnation and the number of the report, which starts anew
+        with each incarnation; None if they are malformed
+    """
+    value = object_.value
+    try:
+        return (
+            wire.parse_integer(value.get("born") or 0),
+            wire.parse_integer(value.get("sequence")),
+        )
+    except ValueError:
+        return None
+
+
 def _parse_route(
     row: Value,
     allows_anonymous: bool,
@@ -337,7 +374,7 @@
         cold_left_ms=int(
             wire.parse_amount(value.get("cold_left_ms"), MAX_COLD_MS)
         ),
-        revision=entry.version,
+        position_=entry.position,
         started_ms=started_ms,
         slots=int(wire.parse_amount(value.get("slots"), MAX_SLOTS)),
     )
--- a/mulberryway/policy/cold_start.py
+++ b/mulberryway/policy/cold_start.py
@@ -9,6 +9,7 @@
 import hashlib
 
 from mulberryway import tables
+from mulberryway.objects import position
 from mulberryway.policy import request_window
 from mulberryway.policy import send_limits
 
@@ -92,11 +93,11 @@
 class _Server:
     """One server's state, and the times of this VM's requests to it."""
 
-    __slots__ = ("revision", "cold_until_ms", "requests", "share")
+    __slots__ = ("position", "cold_until_ms", "requests", "share")
 
     def __init__(self) -> None:
         # That of its last report.
-        self.revision = 0
+        self.position = position.ORIGIN
         self.cold_until_ms = 0
         self.requests = request_window.RequestWindow(WINDOW_MS)
         # The VMs for which the share was computed, and the share.
@@ -140,8 +141,8 @@
         }
         for row in pool.upstreams:
             server = self._servers[row.name]
-            if row.revision > server.revision:
-                server.revision = row.revision
+            if row.position > server.position:
+                server.position = row.position
                 server.cold_until_ms = now_ms + row.cold_left_ms
 
     def expect_restart(self, server: str, now_ms: int) -> None:
--- a/mulberryway/policy/mass_expiry.py
+++ b/mulberryway/policy/mass_expiry.py
@@ -46,6 +46,14 @@
         """The shortest outage in which an entry can expire, in ms."""
         return (EXPIRY_HEARTBEATS - 1) * self.heartbeat_ms
 
+    @property
+    def max_silence_ms(self) -> int:
+        """The longest time in ms after which each entry was renewed.
+
+        An entry of a server that is gone has expired by then.
+        """
+        return EXPIRY_HEARTBEATS * self.heartbeat_ms + REREGISTRATION_MS
+
     @property
     def max_retention_ms(self) -> int:
         """The maximum retention of an entry without an outage, in ms."""
--- a/mulberryway/policy/usage.py
+++ b/mulberryway/policy/usage.py
@@ -13,6 +13,7 @@
 import random
 
 from mulberryway import tables
+from mulberryway.policy import mirror_summary
 from mulberryway.policy import usage_bucket
 from mulberryway.policy import usage_messages
 
@@ -272,13 +273,13 @@
 
     def make_usage(
         self,
-        mirrors: dict[str, int],
+        mirrors: dict[str, mirror_summary.MirrorSummary],
         now_ms: int,
         has_other_changes: bool = False,
     ) -> Usage | None:
         """Return the message to send to the other VMs now.
 
-        :param mirrors: store revision of each mirror, by kind
+        :param mirrors: state of each mirror, by kind
         :param now_ms: current time in ms
         :param has_other_changes: whether anything besides the counts has
             changed
@@ -325,14 +326,16 @@
             is_heartbeat=not is_urgent and not has_other_changes,
         )
 
-    def make_greeting(self, mirrors: dict[str, int], now_ms: int) -> Usage:
+    def make_greeting(
+        self, mirrors: dict[str, mirror_summary.MirrorSummary], now_ms: int
+    ) -> Usage:
         """Return the message to send to VMs that may not know this one.
 
         It does not replace an announcement to all VMs.  It is a snapshot if
         this VM has counted for long enough, and only with some probability,
         because the other VM needs few snapshots.
 
-        :param mirrors: store revision of each mirror, by kind
+        :param mirrors: state of each mirror, by kind
         :param now_ms: current time in ms
         """
         age_ms = now_ms - self._started_ms
--- a/mulberryway/policy/usage_messages.py
+++ b/mulberryway/policy/usage_messages.py
@@ -1,6 +1,7 @@
 """Messages in which VMs announce the tokens granted to accounts."""
 
 from mulberryway import tables
+from mulberryway.policy import mirror_summary
 
 __all__ = ["AccountUsage", "Margin", "Usage"]
 
@@ -64,7 +65,7 @@
     :param incarnation: incarnation of the VM; counters restart with each
     :param sequence: incremented with each message of an incarnation
     :param accounts: accounts whose counters have changed, or all
-    :param mirrors: store revision of each mirror, by kind
+    :param mirrors: state of each mirror, by kind
     :param age_ms: how long in ms the VM has counted
     :param is_store_reached: whether the VM reaches the platform's store, or
         None if it does not contact it
@@ -91,7 +92,7 @@
         incarnation: int,
         sequence: int,
         accounts: list[AccountUsage],
-        mirrors: dict[str, int],
+        mirrors: dict[str, mirror_summary.MirrorSummary],
         age_ms: int,
         is_store_reached: bool | None = True,
         is_whole: bool = True,
--- a/mulberryway/tables/model.py
+++ b/mulberryway/tables/model.py
@@ -4,6 +4,8 @@
 import enum
 import hashlib
 
+from mulberryway.objects import position
+
 __all__ = [
     "ANONYMOUS_ACCOUNT",
     "ClientAccount",
@@ -61,7 +63,7 @@
         no new ones
     :param cold_left_ms: for how long it stays cold, in milliseconds, by its
         last report; 0 if it is warm
-    :param revision: the platform's revision of its last report
+    :param position_: the store's position of its last report
     :param cordoned: whether nothing at all may be sent to it, not even a
         probe or an order; requests that it runs are completed
     :param checks_fencing: whether it rejects orders with an old fencing number
@@ -81,7 +83,7 @@
         "leaving",
         "cordoned",
         "cold_left_ms",
-        "revision",
+        "position",
         "checks_fencing",
         "version",
         "started_ms",
@@ -99,7 +101,7 @@
         version: str = "",
         cordoned: bool = False,
         cold_left_ms: int = 0,
-        revision: int = 0,
+        position_: position.Position = position.ORIGIN,
         started_ms: int = 0,
         slots: int = 0,
     ) -> None:
@@ -110,7 +112,7 @@
         self.leaving = leaving or cordoned
         self.cordoned = cordoned
         self.cold_left_ms = cold_left_ms
-        self.revision = revision
+        self.position = position_
         self.checks_fencing = checks_fencing
         self.version = version
         self.started_ms = started_ms
--- a/mulberryway/upstreams/bounded_pool.py
+++ b/mulberryway/upstreams/bounded_pool.py
@@ -2,8 +2,11 @@
 
 import collections.abc
 import functools
+import socket
+import threading
 import time
 import typing
+import weakref
 
 import urllib3
 import urllib3.connection
@@ -42,6 +45,16 @@
         )
         return self.bounded
 
+    def abort(self) -> None:
+        """Break off a call of another thread."""
+        if self.bounded is None:
+            return
+        try:
+            self.bounded.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The connection has been closed meanwhile.
+            return
+
     def request(self, *arguments: typing.Any, **keywords: typing.Any) -> None:
         """Send a request within the connect timeout."""
         if self.sock is None:
@@ -80,6 +93,22 @@
         host, _, port = address.rpartition(":")
         super().__init__(host, int(port), maxsize=connections, retries=False)
         self.ConnectionCls = functools.partial(_Connection, budget=budget)
+        self._open: weakref.WeakSet[_Connection] = weakref.WeakSet()
+        self._open_lock = threading.Lock()
+
+    def _new_conn(self) -> _Connection:
+        connection = super()._new_conn()
+        with self._open_lock:
+            self._open.add(connection)
+        return connection
+
+    def abort(self) -> None:
+        """Close the pool and break off the calls of other threads."""
+        self.close()
+        with self._open_lock:
+            connections = list(self._open)
+        for connection in connections:
+            connection.abort()
 
 
 def read_body(response: urllib3.BaseHTTPResponse, max_bytes: int) -> bytes:
