Register VMs again after the store's return from a copy

A VM writes its entry once, so an entry that the store's copy lacks was never written again, and VMs that started later did not find it in the store. Entries of VMs that have ended since are not written again by anybody, on purpose.

--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -41,6 +41,7 @@
 from mulberryway.filters import repeats
 from mulberryway.objects import base as objects
 from mulberryway.objects import call_metrics
+from mulberryway.objects import eras
 from mulberryway.peers import datagrams
 from mulberryway.peers import server as peer_server
 from mulberryway.peers.gen.membership import Membership
@@ -494,6 +495,14 @@
             self.clock,
             self._update_listed,
         )
+        self.store.eras.subscribe(lambda era: self.registration.renew())
+        self.router.metrics.register_counter(
+            "platform.renewals",
+            "entries that were written again after the store had lost them",
+            lambda: [
+                ({"kind": registration.KIND}, self.registration.renewals)
+            ],
+        )
         self.orders = orders.OrdersController(
             settings_.vm_name,
             self.incarnation,
@@ -580,6 +589,12 @@
         )
         if address:
             self.exchange.record_peer_mirrors(address, received.mirrors)
+        self.store.eras.record(
+            max(
+                (item.changed.era for item in received.mirrors.values()),
+                default=eras.UNKNOWN_ERA,
+            )
+        )
 
     def _update_listed(self, listed: list[objects.ListedVm]) -> None:
         own = self.settings.vm_name
