Pause between listings that bring nothing new

A watch that gets 410 is followed by a listing, and that by a watch, without a pause.

The second 410 without a change in between is followed by the backoff of failed calls, 100 ms to 1 s with jitter, whose length no longer depends on the pause after the last listing. A poll answered in another era than the mirror's counts the same.

--- a/mulberryway/controllers/mirrors.py
+++ b/mulberryway/controllers/mirrors.py
@@ -85,6 +85,9 @@
         )
         self._was_reached = True
         self._was_answered = False
+        # Whether the last listing or poll brought the mirror up to date.
+        self._is_up_to_date = True
+        self._backoff_ms = 0
         self._outdated_logged_ms: int | None = None
         self._random = random.Random()
 
@@ -151,13 +154,20 @@
         if fault is None:
             self._was_answered = True
             self._set_reached(True)
+            if self._is_up_to_date:
+                self._backoff_ms = 0
             has_changed = self._mirror.position != before
             self.period_ms = (
                 CHANGE_BATCH_DELAY_MS if has_changed else NO_PAUSE_MS
             )
         elif fault.code is errors.Code.HISTORY_GONE:
             self._needs_listing = True
-            self.period_ms = NO_PAUSE_MS
+            # If the last listing brought nothing, the next one may not either.
+            if self._is_up_to_date:
+                self.period_ms = NO_PAUSE_MS
+            else:
+                self._back_off()
+            self._is_up_to_date = False
         else:
             # If the call took longer than its poll, the store may have been
             # unreachable since the call began.  A rejection or a broken
@@ -168,12 +178,7 @@
                     asked_ms if has_timed_out else now_ms, fault.message
                 )
             self._set_reached(False, fault)
-            self.period_ms = min(
-                max(self.period_ms * 2, MIN_BACKOFF_MS), MAX_BACKOFF_MS
-            )
-            self.period_ms = int(
-                self.period_ms * (0.75 + self._random.random() / 2)
-            )
+            self._back_off()
 
     def expire(self) -> None:
         """Remove retained objects whose retention has expired."""
@@ -283,6 +288,7 @@
                 result.ok.objects, result.ok.position, now_ms
             )
         self._has_synced = True
+        self._is_up_to_date |= has_changed
         if has_changed:
             self._log_change(before)
             self._on_change()
@@ -299,9 +305,12 @@
             return result.error
         now_ms = self.clock.now_ms()
         if result.ok.position.era != asked.era:
-            # The revision stands for another state in this era.
-            self._needs_listing = True
-            return None
+            return errors.Fault(
+                errors.Code.HISTORY_GONE,
+                errors.Step.PLATFORM,
+                message="the revision stands for another state in this era",
+            )
+        self._is_up_to_date = True
         with self._lock:
             self._mirror.record_response(now_ms)
             has_changed = self._mirror.apply(
@@ -330,6 +339,15 @@
             ),
         )
 
+    def _back_off(self) -> None:
+        """Wait longer with each call that fails, and with jitter."""
+        self._backoff_ms = min(
+            max(self._backoff_ms * 2, MIN_BACKOFF_MS), MAX_BACKOFF_MS
+        )
+        self.period_ms = int(
+            self._backoff_ms * (0.75 + self._random.random() / 2)
+        )
+
     def _report_retained(self) -> None:
         with self._lock:
             retained = self._mirror.drain_newly_retained()
--- a/tests/test_mirror_returns.py
+++ b/tests/test_mirror_returns.py
@@ -371,6 +371,21 @@
         self.assertEqual(self.list_versions(), [55])
         self.assertEqual(self.controller.changed, at(2, 60))
 
+    def test_listings_in_vain_are_followed_by_longer_pauses(self):
+        """Guards against calls without a pause to a store whose history is
+        gone and whose listings bring nothing new.
+        """
+        gone = errors.Fault(errors.Code.HISTORY_GONE, errors.Step.PLATFORM)
+        old = base.Listing([make_configuration(55, 49)], at(1, 50))
+        pauses = []
+        for _ in range(8):
+            self.step(gone)
+            pauses.append(self.controller.period_ms)
+            self.step(old)
+        self.assertEqual(pauses[0], controllers.NO_PAUSE_MS)
+        self.assertGreater(min(pauses[1:]), 50)
+        self.assertGreater(pauses[-1], 500)
+
     def test_other_vm_learns_of_the_return(self):
         """Guards against a VM without the store that waits for revisions
         above those of the last era.
