Keep one leader and one use of each fencing number over a return of the store

A lease that the store had lost was still believed, and a candidate that read nothing, or an earlier holder, in the new era took over at once; its fencing number could be one that the lost holder had used.

The holder writes the lease again before its next order; nobody takes over for 30.3 s after seeing the new era, also where no lease is found; a takeover that was decided in one era and written in the next does not count; the numbers of an era begin above a multiple of it (2**20: 53-bit numbers hold eras up to 2**33). A VM that starts while others may have run waits too: the platform's bootstrap flag becomes vm.is_first_start, true by default.

--- a/mulberryway/controllers/orders.py
+++ b/mulberryway/controllers/orders.py
@@ -10,6 +10,7 @@
 from mulberryway import tables
 from mulberryway.controllers import base
 from mulberryway.objects import base as platform
+from mulberryway.objects import position
 from mulberryway.policy import leader_lease
 from mulberryway.policy import orders
 from mulberryway.policy import pool_demand
@@ -50,6 +51,9 @@
     :param planner: decides which orders are needed; the default compares
         the tables with the engines' reports
     :param read_demands: returns what is asked of the pools
+    :param read_era: returns the latest known era of the store; 0 if it names
+        none
+    :param is_first_start: see :class:`leader_lease.LeaderLease`
     """
 
     def __init__(
@@ -64,6 +68,8 @@
         clock_: clock.Clock,
         planner: orders.Planner | None = None,
         read_demands: DemandReader = dict,
+        read_era: collections.abc.Callable[[], int] = lambda: 0,
+        is_first_start: bool = True,
     ) -> None:
         super().__init__("orders", clock_, PERIOD_MS)
         self._vm = vm
@@ -72,13 +78,15 @@
         self._find_engine = find_engine
         self._read_loads = read_loads
         self._is_candidate = is_candidate
-        self._lease = leader_lease.LeaderLease(vm, incarnation)
+        self._lease = leader_lease.LeaderLease(vm, incarnation, is_first_start)
         self._planner = planner or orders.OrderPlanner()
         self._read_demands = read_demands
+        self._read_era = read_era
         self._fencing = 0
 
     def step(self) -> None:
         """Renew the lease, then send the orders that are due."""
+        self._record_era()
         tables_ = self._source.get_tables()
         if tables_ is None:
             return
@@ -111,25 +119,43 @@
         if action is leader_lease.LeaseAction.WRITE:
             self._write()
 
+    def _record_era(self) -> bool:
+        """Return whether the store may have lost the lease meanwhile."""
+        era, fencing = self._read_era(), self._lease.fencing
+        if not self._lease.record_era(era, self.clock.now_ms()):
+            return False
+        LOG.warning(
+            "the store may have lost the lease",
+            extra=logs.make_extra(era=era, fencing=fencing),
+        )
+        return True
+
     def _read(self) -> None:
         result = self._store.read(KIND, NAME, PURPOSE)
+        self._record_era()
         now_ms = self.clock.now_ms()
         if result.is_ok():
             record = _unpack(result.ok.value)
-            self._lease.record_read(record, result.ok.version, now_ms)
+            self._lease.record_read(record, result.ok.position, now_ms)
         elif result.error.code is errors.Code.NOT_FOUND:
-            self._lease.record_read(None, 0, now_ms)
+            self._lease.record_read(None, position.ORIGIN, now_ms)
 
     def _write(self) -> None:
         sent_ms = self.clock.now_ms()
         record = self._lease.make_record(sent_ms)
+        is_takeover = record.fencing != self._lease.fencing
         value, version = _pack(record), self._lease.version
-        if version:
-            result = self._store.update(KIND, NAME, value, version, PURPOSE)
+        if version != position.ORIGIN:
+            result = self._store.update(
+                KIND, NAME, value, version.revision, PURPOSE
+            )
         else:
             result = self._store.create(KIND, NAME, value, PURPOSE)
+        if self._record_era() and is_takeover:
+            # The decision was based on the state before the store's return.
+            return
         if result.is_ok():
-            self._record_written(record, result.ok.version, sent_ms)
+            self._record_written(record, result.ok.position, sent_ms)
         elif result.error.run is errors.ExecutionStatus.MAY_HAVE_RUN:
             self._read_back(record, sent_ms)
         elif result.error.code is errors.Code.CONFLICT:
@@ -148,13 +174,16 @@
             return
         stored = _unpack(result.ok.value)
         if _pack(stored) == _pack(record):
-            self._record_written(record, result.ok.version, sent_ms)
+            self._record_written(record, result.ok.position, sent_ms)
         else:
             now_ms = self.clock.now_ms()
-            self._lease.record_read(stored, result.ok.version, now_ms)
+            self._lease.record_read(stored, result.ok.position, now_ms)
 
     def _record_written(
-        self, record: leader_lease.LeaseRecord, version: int, sent_ms: int
+        self,
+        record: leader_lease.LeaseRecord,
+        version: position.Position,
+        sent_ms: int,
     ) -> None:
         now_ms = self.clock.now_ms()
         if record.fencing != self._fencing:
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -514,6 +514,8 @@
             self.clock,
             role_planner.RolePlanner(),
             self.router.scheduling.read_demands,
+            lambda: self.store.eras.era,
+            settings_.vm_is_first_start,
         )
 
     def _list_peers(self) -> list[str]:
--- a/mulberryway/options.py
+++ b/mulberryway/options.py
@@ -77,6 +77,11 @@
     return lambda value: type(value) in (int, float) and low <= value <= high
 
 
+def is_flag(value: typing.Any) -> bool:
+    """Return whether a value is true or false."""
+    return isinstance(value, bool)
+
+
 def is_fraction(value: typing.Any) -> bool:
     """Return whether a value is a number from 0 to 1."""
     return type(value) in (int, float) and 0 <= value <= 1
--- a/mulberryway/policy/leader_lease.py
+++ b/mulberryway/policy/leader_lease.py
@@ -3,6 +3,10 @@
 The lease is one object in the platform. Clocks of VMs are never compared: the
 holder measures its lease from before its write, and another VM from after it
 first read that write, so the other VM's measurement ends later.
+
+The store may return from an older copy and lose the lease. The holder then
+writes it again before its next order, and nobody takes it over for as long as
+a lease may have been held.
 """
 
 import collections.abc
@@ -10,6 +14,7 @@
 import hashlib
 
 from mulberryway import clock
+from mulberryway.objects import position
 
 __all__ = ["LeaderLease", "LeaseAction", "LeaseRecord", "choose_candidates"]
 
@@ -31,6 +36,11 @@
 # Maximum relative drift between two clocks; quartz clocks are a hundred times
 # better.
 MAX_DRIFT_FRACTION = 0.01
+# The time after which a lease of another VM has expired.
+TAKEOVER_WAIT_MS = int(LEASE_MS * (1 + MAX_DRIFT_FRACTION))
+# Fencing tokens of an era are above this multiple of it, so that those of an
+# earlier one, which the store may have lost, are not given out again.
+ERA_TOKENS = 2**20
 
 
 class LeaseRecord:
@@ -66,13 +76,23 @@
 
     :param vm: this VM's name
     :param incarnation: incarnation of its process
+    :param is_first_start: whether no VM can have held the lease before; if
+        not, the store may have lost a lease that is still held
     """
 
-    def __init__(self, vm: str, incarnation: int) -> None:
+    def __init__(
+        self, vm: str, incarnation: int, is_first_start: bool = True
+    ) -> None:
         self._vm = vm
+        self._is_first_start = is_first_start
         self._incarnation = incarnation
         self._record: LeaseRecord | None = None
-        self._version = 0
+        self._version = position.ORIGIN
+        self._era = 0
+        self._max_fencing = 0
+        # Whether the store may have lost the lease that this VM holds.
+        self._must_confirm = False
+        self._takeover_from_ms = 0
         self._changed_ms = 0
         self._read_ms: int | None = None
         self._held_until: clock.Deadline | None = None
@@ -80,8 +100,8 @@
         self._wait_until_ms = 0
 
     @property
-    def version(self) -> int:
-        """The platform's version of the object as last read or written."""
+    def version(self) -> position.Position:
+        """The object's position in the store as last read or written."""
         return self._version
 
     @property
@@ -89,6 +109,25 @@
         """The fencing token that is sent with orders; 0 if none is known."""
         return self._record.fencing if self._record is not None else 0
 
+    def record_era(self, era: int, now_ms: int) -> bool:
+        """Record the store's era; call it before each decision.
+
+        :param era: the era that this VM knows; 0 if the store names none
+        :param now_ms: current time in ms
+        :returns: whether the store may have lost the lease since the last call
+        """
+        if era <= self._era:
+            return False
+        was_known = self._era > 0 or self._read_ms is not None
+        self._era = era
+        if not was_known and self._is_first_start:
+            return False
+        self._version = position.ORIGIN
+        self._read_ms = None
+        self._must_confirm = self._holds(now_ms)
+        self._takeover_from_ms = now_ms + TAKEOVER_WAIT_MS
+        return True
+
     def decide(self, is_candidate: bool, now_ms: int) -> LeaseAction:
         """Return the action that is due now.
 
@@ -97,7 +136,11 @@
         :returns: the action
         """
         if self._holds(now_ms):
-            is_due = now_ms - self._renewed_ms >= RENEW_MS
+            if self._must_confirm and is_candidate and self._read_ms is None:
+                return LeaseAction.READ
+            is_due = (
+                self._must_confirm or now_ms - self._renewed_ms >= RENEW_MS
+            )
             # A VM that is no longer a candidate lets its lease expire.
             return (
                 LeaseAction.WRITE
@@ -115,18 +158,29 @@
         )
 
     def record_read(
-        self, record: LeaseRecord | None, version: int, now_ms: int
+        self,
+        record: LeaseRecord | None,
+        version: position.Position,
+        now_ms: int,
     ) -> None:
         """Apply the lease object as read from the platform.
 
         :param record: its content; none if there is no object
-        :param version: its version; 0 if there is no object
+        :param version: its position; the origin if there is no object
         :param now_ms: time after the read, in ms
         """
         self._read_ms = now_ms
         if version < self._version:
             # A stale read must not restore an earlier holder.
             return
+        if self._must_confirm and self._holds(now_ms):
+            if record is None or record.fencing <= self.fencing:
+                # The copy has an earlier state of the lease, or none.
+                self._version = version
+                return
+            self._must_confirm = False
+        if record is not None:
+            self._max_fencing = max(self._max_fencing, record.fencing)
         if version != self._version:
             self._changed_ms = now_ms
         self._record, self._version = record, version
@@ -151,25 +205,28 @@
                 current.fencing,
                 current.renewal + 1,
             )
-        fencing = current.fencing + 1 if current is not None else 1
+        fencing = max(self._max_fencing, self._era * ERA_TOKENS) + 1
         return LeaseRecord(self._vm, self._incarnation, fencing, 0)
 
     def record_write(
-        self, record: LeaseRecord, version: int, sent_ms: int, now_ms: int
+        self,
+        record: LeaseRecord,
+        version: position.Position,
+        sent_ms: int,
+        now_ms: int,
     ) -> None:
         """Record that the platform accepted a write.
 
         :param record: the record that was written
-        :param version: the object's new version
+        :param version: the object's new position
         :param sent_ms: time before the write was sent, in ms
         :param now_ms: current time in ms
         """
         # No order can be in flight before the first lease ever.
-        is_new = self._record is not None or record.fencing > 1
-        if is_new and (
-            self._record is None or record.fencing != self._record.fencing
-        ):
+        if self._max_fencing and record.fencing != self.fencing:
             self._wait_until_ms = now_ms + MAX_IN_FLIGHT_MS
+        self._max_fencing = max(self._max_fencing, record.fencing)
+        self._must_confirm = False
         self._record, self._version = record, version
         self._changed_ms = now_ms
         self._renewed_ms = sent_ms
@@ -181,11 +238,12 @@
         The next write creates it with a fencing token above the last known
         one, so engines continue to reject lower tokens.
         """
-        self._version = 0
+        self._version = position.ORIGIN
 
     def lose(self) -> None:
         """Give up the lease after a lost write or a fenced-off order."""
         self._held_until = None
+        self._must_confirm = False
         self._read_ms = None
 
     def may_send(self, checks_fencing: bool, now_ms: int) -> bool:
@@ -199,7 +257,7 @@
         :param now_ms: current time in ms
         :returns: true if the order may be sent
         """
-        if not self._holds(now_ms):
+        if self._must_confirm or not self._holds(now_ms):
             return False
         if checks_fencing:
             return True
@@ -213,10 +271,11 @@
         )
 
     def _has_expired(self, now_ms: int) -> bool:
+        if now_ms < self._takeover_from_ms:
+            return False
         if self._record is None:
             return True
-        wait_ms = LEASE_MS * (1 + MAX_DRIFT_FRACTION)
-        return now_ms - self._changed_ms >= wait_ms
+        return now_ms - self._changed_ms >= TAKEOVER_WAIT_MS
 
     def _is_own(self, record: LeaseRecord) -> bool:
         return (record.holder, record.incarnation) == (
--- a/mulberryway/settings.py
+++ b/mulberryway/settings.py
@@ -34,6 +34,8 @@
         # The bandwidth of its network link; 0 if unknown.  VMs with faster
         # links relay the gossip messages of others.
         self.vm_link_mbps: int = 0
+        # Whether no VM of the fleet has run before.
+        self.vm_is_first_start: bool = True
         # Its memory; 0 if unknown, and then what callers leave unread is
         # bounded for each stream alone.
         self.vm_memory_mb: int = 0
@@ -152,6 +154,12 @@
         "vm.region", "vm_region", "a region", options.is_nonempty_string
     ),
     options.make_amount("vm.link_mbps", "vm_link_mbps", 1_000_000),
+    options.Option(
+        "vm.is_first_start",
+        "vm_is_first_start",
+        "true or false",
+        options.is_flag,
+    ),
     options.make_amount("vm.memory_mb", "vm_memory_mb", 100_000_000),
     options.make_port("router.port", "router_port"),
     options.make_number("router.threads", "router_threads", 4, 1024),
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -46,6 +46,8 @@
         # Time of each version, for checks in tests.
         self.now_ms = lambda: 0
         self.written_ms = {}
+        self.era = 0
+        self.backup = None
 
     def read(self, kind, name, purpose):
         self.on_call()
@@ -57,7 +59,12 @@
                 versions = versions[: self.random.randint(1, len(versions))]
             if not versions or versions[-1].value is None:
                 return expression.Error(make_fault(errors.Code.NOT_FOUND))
-            return expression.Ok(versions[-1])
+            last = versions[-1]
+            return expression.Ok(
+                base.StoredObject(
+                    kind, name, last.version, last.value, self.era
+                )
+            )
 
     def read_all(self, kind, purpose):
         self.on_call()
@@ -112,6 +119,19 @@
             return self._unavailable()
         return expression.Ok(list(self.vms))
 
+    def make_backup(self):
+        """Remember the present state, to which the store may return."""
+        with self.lock:
+            histories = {key: list(old) for key, old in self.history.items()}
+            self.backup = self.version, histories
+
+    def return_to_backup(self):
+        """Lose all changes since the backup, and begin the next era."""
+        with self.lock:
+            self.version, histories = self.backup
+            self.history = {key: list(old) for key, old in histories.items()}
+            self.era += 1
+
     def names(self, kind):
         """Return the names of all existing objects of a kind."""
         return {
@@ -159,7 +179,7 @@
         self.written_ms[self.version] = self.now_ms()
         self.bytes_written += size
         stored = base.StoredObject(
-            kind, name, self.version, copy.deepcopy(value)
+            kind, name, self.version, copy.deepcopy(value), self.era
         )
         versions = self.history.setdefault((kind, name), [])
         type_ = base.EventType.MODIFIED if versions else base.EventType.ADDED
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -10,6 +10,7 @@
 from mulberryway import errors
 from mulberryway import tables
 from mulberryway.controllers import orders as controllers
+from mulberryway.objects import position
 from mulberryway.policy import leader_lease
 from mulberryway.policy import orders
 from mulberryway.upstreams import base as upstreams
@@ -17,6 +18,8 @@
 
 ROLES = tables.UpstreamRole
 VMS = ["vm0", "vm1", "vm2"]
+# The store returns from a copy that is some seconds old.
+MAX_BACKUP_AGE_MS = 10_000
 
 
 def make_pool(count=4, models=("m",), checks=(True, False)):
@@ -101,9 +104,10 @@
 
     def test_stale_read_restores_no_previous_holder(self):
         lease = leader_lease.LeaderLease("a", 1)
-        lease.record_read(leader_lease.LeaseRecord("b", 1, 5, 0), 50, 0)
-        lease.record_read(leader_lease.LeaseRecord("c", 1, 4, 9), 40, 10)
-        self.assertEqual((lease.fencing, lease.version), (5, 50))
+        newer, older = position.Position(0, 50), position.Position(0, 40)
+        lease.record_read(leader_lease.LeaseRecord("b", 1, 5, 0), newer, 0)
+        lease.record_read(leader_lease.LeaseRecord("c", 1, 4, 9), older, 10)
+        self.assertEqual((lease.fencing, lease.version), (5, newer))
 
 
 class PartitionableStore:
@@ -112,27 +116,50 @@
     def __init__(self, world, name):
         self.world = world
         self.name = name
+        # The era of the last response.
+        self.era = world.store.era
 
     def __getattr__(self, method):
         if self.name in self.world.cut:
             return lambda *arguments: expression.Error(
                 fakes.make_fault(errors.Code.PLATFORM_UNAVAILABLE)
             )
-        return getattr(self.world.store, method)
+
+        def call(*arguments):
+            result = getattr(self.world.store, method)(*arguments)
+            if not self.world.store.outage:
+                self.era = self.world.store.era
+            return result
+
+        return call
 
 
 class World:
-    """Several VMs, one platform and some engines with a manual clock."""
+    """Several VMs, one platform and some engines with a manual clock.
+
+    :param seed: seed of all random choices
+    :param returns: fraction of steps before which the store returns from a
+        copy that is some seconds old
+    """
 
-    def __init__(self, seed):
+    def __init__(self, seed, returns=0.0):
+        self.returns = returns
         self.random = random.Random(seed)
         self.clock = clock.ManualClock(1_000)
         self.store = fakes.MemoryStore(seed)
+        self.store.era = 1 if returns else 0
+        self.make_backup()
         self.pool = make_pool()
         self.tables = tables.Tables(1, (), (self.pool,), ())
         self.arrivals = {row.name: [] for row in self.pool.upstreams}
         self.cut = set()
+        # Holders of each fencing number.
+        self.holders = {}
+        self.incarnations = 1
         self.vms = [self.make_vm(name) for name in VMS]
+        # An era that has begun before a VM's first step is not its first.
+        for vm in self.vms if returns else ():
+            vm.step()
         # A process may be paused just before any call.
         self.store.on_call = self.pause
 
@@ -142,16 +169,19 @@
     def subscribe(self, on_change):
         raise NotImplementedError
 
-    def make_vm(self, name):
+    def make_vm(self, name, incarnation=1):
+        store = PartitionableStore(self, name)
         return controllers.OrdersController(
             name,
-            1,
-            PartitionableStore(self, name),
+            incarnation,
+            store,
             self,
             lambda pool, upstream: WorldEngine(self, upstream),
             dict,
             lambda: True,
             self.clock,
+            read_era=lambda: store.era,
+            is_first_start=incarnation == 1,
         )
 
     def pause(self):
@@ -171,8 +201,26 @@
                 self.store.lose_reply = self.random.choice((0, 0.3))
                 self.store.lose_write = self.random.choice((0, 0.3))
                 self.store.stale = self.random.choice((0, 0.3))
+            self.change_era()
             self.random.choice(self.vms).step()
 
+    def change_era(self):
+        if not self.returns:
+            return
+        if self.random.random() < 0.01:
+            number = self.random.randrange(len(VMS))
+            self.incarnations += 1
+            self.vms[number] = self.make_vm(VMS[number], self.incarnations)
+        if self.clock.now_ms() - self.backup_ms > MAX_BACKUP_AGE_MS:
+            self.make_backup()
+        if self.random.random() < self.returns:
+            self.store.return_to_backup()
+            self.make_backup()
+
+    def make_backup(self):
+        self.store.make_backup()
+        self.backup_ms = self.clock.now_ms()
+
 
 class WorldEngine:
     """Receives orders after a random delay up to the maximum."""
@@ -186,6 +234,7 @@
         delay_ms = world.random.randint(0, leader_lease.MAX_IN_FLIGHT_MS)
         at_ms = world.clock.now_ms() + delay_ms
         world.arrivals[self.name].append((at_ms, order.fencing))
+        world.holders.setdefault(order.fencing, set()).add(order.holder)
         # Most answers are lost, so that orders are sent continually.
         if world.random.random() < 0.9:
             return expression.Error(
@@ -215,6 +264,27 @@
         # The test is only meaningful with many changes of leader.
         self.assertGreater(leaders, 120)
 
+    def test_returns_of_the_store(self):
+        """Guards against two leaders, or two with one fencing number, after
+        the store has lost the lease.
+        """
+        leaders = eras = 0
+        for seed in range(40):
+            world = World(seed, returns=0.02)
+            world.run(1_500)
+            eras += world.store.era
+            self.assertTrue(
+                all(len(names) == 1 for names in world.holders.values()), seed
+            )
+            for row in world.pool.upstreams:
+                if row.checks_fencing:
+                    continue
+                arrived = [f for _, f in sorted(world.arrivals[row.name])]
+                self.assertEqual(arrived, sorted(arrived), seed)
+                leaders += len(set(arrived))
+        self.assertGreater(leaders, 120)
+        self.assertGreater(eras, 800)
+
     def test_few_calls_to_the_platform(self):
         world = World(0)
         world.store.on_call = lambda: None
