The soak's store returns from backups beside its other faults

--returns N: a backup, later an outage of 0.2 to 1.5 s and a return from it, which loses what was written since; operators and servers write it again 0.4 s later. Servers number their reports. All checks stay as they are: an edit or a server's leaving must hold from its first acknowledgement on, also while the store has lost it. New: at the end each VM has an entry in the store.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -24,6 +24,7 @@
 flags.DEFINE_integer("evacuations", 0, "availability zones evacuated")
 flags.DEFINE_integer("advisories", 0, "upstreams that say what they want")
 flags.DEFINE_integer("slow_readers", 0, "callers that read slowly")
+flags.DEFINE_integer("returns", 0, "returns of the store from a backup")
 flags.DEFINE_integer("length_ms", 10_000, "duration of fault injection")
 flags.DEFINE_string("keep", "", "folder for the logs of failed seeds")
 
@@ -44,6 +45,7 @@
         evacuations=FLAGS.evacuations,
         advisories=FLAGS.advisories,
         slow_readers=FLAGS.slow_readers,
+        returns=FLAGS.returns,
     )
     log_folder = pathlib.Path(FLAGS.keep) if FLAGS.keep else None
     failed = 0
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -311,6 +311,8 @@
     """Check for unexpected exits, leaked resources and missing recovery."""
     for vm in recorded.unexpected_exits:
         yield f"{vm} exited unexpectedly"
+    for vm in recorded.unregistered_vms:
+        yield f"{vm} has no entry in the store"
     if recorded.held:
         yield f"engines still hold {recorded.held} runs or KV caches"
     fault_free = [
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -1,10 +1,12 @@
 """Processes of a soak test: entry VMs, upstreams, the store and proxies."""
 
+import collections
 import json
 import pathlib
 import signal
 import threading
 import time
+import typing
 
 from soak import history
 from soak import plan
@@ -21,6 +23,8 @@
 # Same values as in the fleet's settings.
 OVER_PART = 0.1
 OVER_TOKENS = 2_000
+Value = dict[str, typing.Any] | None
+
 READY_TIMEOUT_S = 15.0
 RESTART_DELAY_S = 0.2
 # Entries of crashed upstreams expire after about three heartbeats.
@@ -67,6 +71,10 @@
         self.upstream_locks = {
             name: threading.RLock() for name in config.list_upstream_names()
         }
+        # Orders writes, and what was written since the store's backup.
+        self.store_lock = threading.RLock()
+        self.written: dict[tuple[str, str], Value] = {}
+        self.sequences: collections.Counter[str] = collections.Counter()
         self.expected_exits: set[int] = set()
         self.routes: list[dict] = []
         self.instances: dict[str, str] = {}
@@ -107,6 +115,50 @@
         with self.lock:
             super().configure(self.keys, self.routes)
 
+    def put(self, kind: str, name: str, value: Value) -> None:
+        """Write an object, and remember it until the next backup."""
+        with self.store_lock:
+            self.written[kind, name] = value
+            super().put(kind, name, value)
+
+    def drop(self, kind: str, name: str) -> None:
+        """Remove an object, and remember that until the next backup."""
+        with self.store_lock:
+            self.written[kind, name] = None
+            super().drop(kind, name)
+
+    def register(
+        self,
+        name: str,
+        state: str = "ready",
+        cold_left_ms: int = 0,
+        sequence: int | None = None,
+    ) -> None:
+        """Write a server's entry with the next number of its reports."""
+        with self.store_lock:
+            self.sequences[name] += 1
+            super().register(name, state, cold_left_ms, self.sequences[name])
+
+    def back_up_store(self) -> None:
+        """Make a backup of the store."""
+        with self.store_lock:
+            self.copy_store()
+            self.written.clear()
+
+    def return_store(self) -> None:
+        """Return the store to its backup."""
+        with self.store_lock:
+            processes.call(self.store_port, "POST", "/standin/restore", {})
+
+    def write_lost_again(self) -> None:
+        """Write what the operators and servers wrote since the backup."""
+        with self.store_lock:
+            for (kind, name), value in self.written.items():
+                if value is None:
+                    super().drop(kind, name)
+                else:
+                    super().put(kind, name, value)
+
     def compact(self) -> None:
         """Make the store discard its history of changes."""
         processes.call(self.store_port, "POST", "/standin/compact", {})
@@ -277,6 +329,15 @@
             self.start_incarnation(name)
         window.to_ms = now_ms()
 
+    def list_unregistered_vms(self) -> list[str]:
+        """Return the VMs that have no entry in the store."""
+        listed = {item["metadata"]["name"] for item in self.list_stored("vms")}
+        return [
+            f"vm{number}"
+            for number in range(len(self.vms))
+            if f"vm{number}" not in listed
+        ]
+
     def count_held(self) -> int:
         """Return the number of requests and KV caches that engines hold."""
         names = [n for n in self.config.list_upstream_names() if n[0] != "s"]
--- a/soak/history.py
+++ b/soak/history.py
@@ -279,6 +279,7 @@
         "recovered_ms",
         "zones",
         "evacuations",
+        "unregistered_vms",
     )
 
     def __init__(self, keys: dict[str, str], vms: int) -> None:
@@ -299,6 +300,8 @@
         self.edits: list[Edit] = []
         # VMs that exited without being stopped by the test.
         self.unexpected_exits: list[str] = []
+        # VMs without an entry in the store at the end.
+        self.unregistered_vms: list[str] = []
         # Number of requests and KV caches that engines still hold at the end.
         self.held = 0
         # After this time there are no faults, and all processes have had time
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -22,6 +22,7 @@
 DRAIN_DURATION_S = 3.0
 COLD_NOTICE_S = 1.0
 PAUSE_S = 2
+REWRITE_S = 0.4
 # An upstream wants a pause in each answer of this many.
 PAUSE_EVERY = 3
 UPSTREAM_FAULT_SETTINGS = {
@@ -87,6 +88,8 @@
             "edit_rate": self._change_rate,
             "poison": self._send_poison_request,
             plan.EVACUATION: self._evacuate_zone,
+            plan.BACKUP: lambda step: soak_cluster.back_up_store(),
+            plan.RETURN: self._return_store,
         }
 
     def inject_all(self) -> None:
@@ -174,6 +177,15 @@
     def _compact_store(self, step: plan.ScheduledFault) -> None:
         self._cluster.compact()
 
+    def _return_store(self, step: plan.ScheduledFault) -> None:
+        self._cluster.set_store_fault("refuse")
+        _wait_for_duration(step)
+        self._cluster.return_store()
+        self._cluster.set_store_fault("")
+        # Operators and servers notice the return a little later.
+        time.sleep(REWRITE_S)
+        self._cluster.write_lost_again()
+
     def _kill_upstream(self, step: plan.ScheduledFault) -> None:
         killed_instance = self._cluster.kill_incarnation(step.target)
         _wait_for_duration(step)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -5,9 +5,11 @@
 
 __all__ = [
     "ADVISORIES",
+    "BACKUP",
     "COOLDOWN_MS",
     "EVACUATION",
     "LIMIT_PER_S",
+    "RETURN",
     "SoakConfig",
     "ScheduledFault",
     "ZONES",
@@ -67,6 +69,14 @@
 ADVISORIES = ("up_limited", "up_pausing", "up_leaving")
 MIN_ADVISORY_MS = 4_000
 LIMIT_PER_S = 1.5
+# The store is backed up, and returns from the backup after an outage.
+BACKUP = "backup"
+RETURN = "store_return"
+MIN_RETURN_MS = 200
+MAX_RETURN_MS = 1_500
+# Age of a backup when the store returns from it.
+MIN_BACKUP_AGE_MS = 300
+MAX_BACKUP_AGE_MS = 3_000
 PARTITIONS = ("path_silent", "path_reset", "path_refuse")
 # Relative frequency of each group of faults.
 WEIGHTED_FAULT_GROUPS = (
@@ -96,6 +106,8 @@
     :param advisories: number of upstreams that say in their answers what they
         want, beside the chains
     :param slow_readers: number of callers that read long answers slowly
+    :param returns: number of returns of the store from a backup, beside the
+        chains
     """
 
     __slots__ = (
@@ -111,6 +123,7 @@
         "evacuations",
         "advisories",
         "slow_readers",
+        "returns",
     )
 
     def __init__(
@@ -127,7 +140,9 @@
         evacuations: int = 0,
         advisories: int = 0,
         slow_readers: int = 0,
+        returns: int = 0,
     ) -> None:
+        self.returns = returns
         self.slow_readers = slow_readers
         self.advisories = advisories
         self.evacuations = evacuations
@@ -197,9 +212,25 @@
     steps += [_make_partition(rng, config) for _ in range(config.partitions)]
     steps += [_make_evacuation(rng, config) for _ in range(config.evacuations)]
     steps += [_make_advisory(rng, config) for _ in range(config.advisories)]
+    steps += [
+        step
+        for _ in range(config.returns)
+        for step in _make_return(rng, config)
+    ]
     return sorted(steps, key=lambda step: step.at_ms)
 
 
+def _make_return(
+    rng: random.Random, config: SoakConfig
+) -> collections.abc.Iterator[ScheduledFault]:
+    at_ms = rng.randrange(MIN_BACKUP_AGE_MS, config.length_ms - MAX_RETURN_MS)
+    age_ms = rng.randint(MIN_BACKUP_AGE_MS, MAX_BACKUP_AGE_MS)
+    yield ScheduledFault(max(at_ms - age_ms, 0), BACKUP, "", 0)
+    yield ScheduledFault(
+        at_ms, RETURN, "", rng.randint(MIN_RETURN_MS, MAX_RETURN_MS)
+    )
+
+
 def _make_partition(rng: random.Random, config: SoakConfig) -> ScheduledFault:
     at_ms = rng.randrange(500, config.length_ms - MIN_PARTITION_MS)
     return ScheduledFault(
--- a/soak/run.py
+++ b/soak/run.py
@@ -91,6 +91,9 @@
         soak_cluster.history.attempts += client_callers.stop()
         time.sleep(RELEASE_TIMEOUT_S)
         soak_cluster.history.held = soak_cluster.count_held()
+        soak_cluster.history.unregistered_vms = (
+            soak_cluster.list_unregistered_vms()
+        )
         recorded = soak_cluster.read_history()
         violations = checks.find_violations(recorded, QUOTA)
         if violations and log_folder is not None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -139,6 +139,12 @@
         attempt = make_attempt(kind=RequestKind.ADDED_ROUTE, status=404)
         self.find("no route", [attempt], edits=[edit])
 
+    def test_vm_without_an_entry(self):
+        recorded = make_history([])
+        recorded.unregistered_vms = ["vm1"]
+        violations = checks.find_violations(recorded, QUOTA)
+        self.assertEqual(violations, ["vm1 has no entry in the store"])
+
     def test_route_that_disappears(self):
         attempt = make_attempt(kind=RequestKind.ADDED_ROUTE)
         rejected_attempt = make_attempt(
@@ -424,6 +430,12 @@
         """
         self.hold(701, plan.SoakConfig(chains=1, advisories=3))
 
+    def test_returns_of_the_store(self):
+        """Guards against changes that are missed or taken back when the store
+        returns from older copies, beside other faults.
+        """
+        self.hold(801, plan.SoakConfig(chains=2, returns=2))
+
     def test_partitioned_vm(self):
         """Callers of a VM that alone reaches no upstream are served."""
         self.hold(103, plan.SoakConfig(chains=1, partitions=2))
