--- a/mulberryway/controllers/mirrored_tables.py
+++ b/mulberryway/controllers/mirrored_tables.py
@@ -107,6 +107,7 @@
                 return
             if built is None:
                 return
+            built.era = self.configuration.changed.era
             for pool in built.pools.values():
                 for upstream in pool.upstreams:
                     if self.is_leaving(upstream):
@@ -118,7 +119,7 @@
             "tables are in force",
             extra=logs.make_extra(
                 revision=built.revision,
-                era=self.configuration.changed.era,
+                era=built.era,
                 configuration=self.configuration.changed.revision,
                 servers=self.servers.changed.revision,
                 routes=len(built.routes),
--- a/mulberryway/filters/observe.py
+++ b/mulberryway/filters/observe.py
@@ -81,6 +81,7 @@
                 route="" if route is None else route.name,
                 pool="" if pool is None else pool.name,
                 tables=0 if tables_ is None else tables_.revision,
+                era=0 if tables_ is None else tables_.era,
                 tried=exchange.tried,
                 tried_ms=exchange.tried_ms,
                 versions=exchange.versions,
--- a/mulberryway/peers/gossip_messages.py
+++ b/mulberryway/peers/gossip_messages.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+from mulberryway.objects import eras
 from mulberryway.objects import position
 from mulberryway.peers import codec
 from mulberryway.peers.gen.notes import ttypes
@@ -312,8 +313,11 @@
 def _unpack_mirror(
     message: ttypes.MirrorState,
 ) -> mirror_summary.MirrorSummary:
+    era = message.era or eras.UNKNOWN_ERA
+    if not eras.UNKNOWN_ERA <= era <= eras.MAX_ERA:
+        era = eras.UNKNOWN_ERA
     return mirror_summary.MirrorSummary(
-        position.Position(message.era or 0, message.revision),
+        position.Position(era, message.revision),
         message.carried or 0,
     )
 
--- a/mulberryway/platform/store.py
+++ b/mulberryway/platform/store.py
@@ -75,7 +75,7 @@
         self._counter = counter
         self._peer = url.removeprefix("http://")
         self.eras = eras.StoreEras()
-        self._malformed_era = ""
+        self._rejected_era = ""
         self._lock = threading.Lock()
         self._pool = self._create_pool()
         self.eras.subscribe(self._abandon_pool)
@@ -347,22 +347,26 @@
         try:
             era = wire.parse_era(text)
         except ValueError as error:
-            self._log_malformed_era(text, error)
+            self._log_rejected_era(text, repr(error))
             return None
         self.eras.record(era)
-        return era if era == self.eras.era else None
+        if era != self.eras.era:
+            self._log_rejected_era(text, "the era is over")
+            return None
+        return era
 
-    def _log_malformed_era(self, text: str, error: ValueError) -> None:
-        if text != self._malformed_era:
+    def _log_rejected_era(self, text: str, reason: str) -> None:
+        """Log why a response does not count, once for each value."""
+        if text != self._rejected_era:
             LOG.error(
-                "the store's era is malformed",
+                "a response of the store is rejected for its era",
                 extra=logs.make_extra(
                     value=repr(text)[: wire.MAX_LOGGED_LENGTH],
                     era=self.eras.era,
-                    reason=repr(error),
+                    reason=reason,
                 ),
             )
-        self._malformed_era = text
+        self._rejected_era = text
 
     def _send(
         self,
--- a/mulberryway/tables/model.py
+++ b/mulberryway/tables/model.py
@@ -373,6 +373,7 @@
 
     __slots__ = (
         "revision",
+        "era",
         "routes",
         "pools",
         "accounts",
@@ -389,6 +390,8 @@
         accounts: tuple[ClientAccount, ...],
     ) -> None:
         self.revision = revision
+        # The era of the store of which they were built; 0 if it names none.
+        self.era = 0
         self.routes = {route.name: route for route in routes}
         self.pools = {pool.name: pool for pool in pools}
         self.accounts = {account.name: account for account in accounts}
