The soak's returns lose writes that nobody repeats, and are followed by an edit

Now others write 20 objects after each backup, and a key is revoked and one given after each return.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -26,6 +26,8 @@
 Value = dict[str, typing.Any] | None
 
 READY_TIMEOUT_S = 15.0
+# Writes of others after a backup of the store.
+OTHER_WRITES = 20
 RESTART_DELAY_S = 0.2
 # Entries of crashed upstreams expire after about three heartbeats.
 ENTRY_EXPIRY_S = 2.5
@@ -140,10 +142,16 @@
             super().register(name, state, cold_left_ms, self.sequences[name])
 
     def back_up_store(self) -> None:
-        """Make a backup of the store."""
+        """Make a backup of the store, after which others write to it.
+
+        What they write is lost and not written again, so that a return takes
+        the store's revision back.
+        """
         with self.store_lock:
             self.copy_store()
             self.written.clear()
+            for number in range(OTHER_WRITES):
+                super().put("notes", f"n{number}", {})
 
     def return_store(self) -> None:
         """Return the store to its backup."""
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -185,6 +185,7 @@
         # Operators and servers notice the return a little later.
         time.sleep(REWRITE_S)
         self._cluster.write_lost_again()
+        self._change_key(step)
 
     def _kill_upstream(self, step: plan.ScheduledFault) -> None:
         killed_instance = self._cluster.kill_incarnation(step.target)
