Cost of a return in large fleets: no list of VMs, no copies fetched in vain

By reading, for 410 VMs: each VM that wrote its entry again would have read all entries and greeted all VMs, 168,000 datagrams within 2 s; watchers that list the same objects at different revisions, while those entries are written, would have reported different positions, and each VM would have fetched up to nine equal copies of each kind. Now the list is read at the start only, and a listing after a return reports the era and its newest object. What is carried over and could not be used is fetched once in an era.

--- a/mulberryway/controllers/mirror_exchange.py
+++ b/mulberryway/controllers/mirror_exchange.py
@@ -69,8 +69,8 @@
         self._request_count = 0
         self._lock = threading.Lock()
         self._newer: dict[str, _Offer] = {}
-        # The state of another VM's mirror that was fetched last, by kind.
-        self._fetched: dict[str, mirror_summary.MirrorSummary] = {}
+        # Era and digests of what was fetched from other VMs, by kind.
+        self._fetched: dict[str, tuple[int, set[int]]] = {}
 
     def record_peer_mirrors(
         self,
@@ -114,7 +114,7 @@
                 continue
             fault = self._fetch(kind, offer.address)
             if fault is None:
-                self._fetched[kind] = offer.summary
+                self._record_fetched(kind, offer.summary)
                 continue
             self._log_failure(kind, fault)
             with self._lock:
@@ -127,11 +127,20 @@
         own = self._controllers[kind].summary
         if summary.changed > own.changed:
             return True
-        return (
-            summary.carried not in (0, own.carried)
-            and summary.changed.era == own.changed.era
-            and summary != self._fetched.get(kind)
-        )
+        if summary.changed.era != own.changed.era:
+            return False
+        era, digests = self._fetched.get(kind, (0, set()))
+        # What could not be used before is not fetched again.
+        was_fetched = era == own.changed.era and summary.carried in digests
+        return summary.carried not in (0, own.carried) and not was_fetched
+
+    def _record_fetched(
+        self, kind: str, summary: mirror_summary.MirrorSummary
+    ) -> None:
+        era, digests = self._fetched.get(kind, (0, set()))
+        if era != summary.changed.era:
+            digests = set()
+        self._fetched[kind] = summary.changed.era, digests | {summary.carried}
 
     def _sync_initial(self) -> None:
         """Fetch the first snapshots if the store does not provide them.
--- a/mulberryway/controllers/registration.py
+++ b/mulberryway/controllers/registration.py
@@ -29,12 +29,12 @@
 class RegistrationController(base.Controller):
     """Writes this VM's entry and reads the list of VMs.
 
-    It does so once, and again when the store may have lost the entry.
+    The entry is written again when the store may have lost it.
 
     :param own: this VM
     :param store: the platform's store
     :param clock_: the clock
-    :param on_listed: called each time with all VMs that have an entry
+    :param on_listed: called once with all VMs that have an entry
 
     ``renewals`` counts how often the entry was written again.
     """
@@ -78,7 +78,9 @@
             self.renewals += self._was_registered
         # An entry of a previous incarnation has the same contents.
         if fault is None or fault.code is errors.Code.CONFLICT:
-            fault = self._list()
+            # In a large fleet all VMs renew their entries at about the same
+            # time, and know each other.
+            fault = None if self._was_registered else self._list()
         if fault is None:
             self._was_registered = True
             self.period_ms = REGISTERED_PERIOD_MS
--- a/mulberryway/objects/eras.py
+++ b/mulberryway/objects/eras.py
@@ -50,6 +50,8 @@
 
         :param era: the era
         """
+        if era <= self.era:
+            return
         with self._lock:
             previous = self.era
             if era <= previous:
--- a/mulberryway/policy/mirrors.py
+++ b/mulberryway/policy/mirrors.py
@@ -159,12 +159,12 @@
         removed = {name: self.objects.pop(name) for name in removed_names}
         for object_ in listed.values():
             self._put(object_)
-        if removed_names or has_returned:
-            # No remaining object has the revision of a removal, which the copy
-            # may have made too.
-            self.changed = max(self.changed, position_)
         if has_returned:
+            # The era tells other VMs that the listing is newer.
             return True
+        if removed_names:
+            # No remaining object has the revision of a removal.
+            self.changed = max(self.changed, position_)
         self._record_removed(removed, now_ms)
         self._retain_expired(removed, removed_names, False, now_ms)
         return True
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -45,6 +45,7 @@
         controller.step()
         self.assertEqual(self.store.create.call_count, 2)
         self.assertEqual(controller.renewals, 1)
+        self.assertEqual(self.store.list_vms.call_count, 1)
 
     def test_entry_of_the_copy_is_no_renewal(self):
         """Guards against a count of entries that were not lost."""
