--- a/mulberryway/policy/mirrors.py
+++ b/mulberryway/policy/mirrors.py
@@ -161,6 +161,7 @@
             self._put(object_)
         if has_returned:
             # The era tells other VMs that the listing is newer.
+            self.edits += 1
             return True
         if removed_names:
             # No remaining object has the revision of a removal.
--- a/tests/test_mirror_returns.py
+++ b/tests/test_mirror_returns.py
@@ -418,6 +418,19 @@
         self.assertEqual(self.list_versions(started), [55])
         self.assertEqual(peers.calls, 1)
 
+    def test_snapshot_of_an_empty_copy(self):
+        """Guards against a snapshot of the last era with the new position."""
+        before = self.controller.make_snapshot(0, 0).content
+        with self.assertLogs(controllers.LOG, "WARNING"):
+            self.step(
+                errors.Fault(errors.Code.HISTORY_GONE, errors.Step.PLATFORM),
+                base.Listing([], at(2, 20)),
+            )
+        snapshot = self.controller.make_snapshot(0, 0)
+        self.assertEqual(snapshot.era, 2)
+        self.assertNotEqual(snapshot.content, before)
+        self.assertEqual(self.list_versions(), [55])
+
     def test_digest_that_cannot_be_merged_is_fetched_once(self):
         """Guards against a fetch for each datagram of another VM."""
         self.return_from_copy()
