Decide anew at each return what is used in place of the store's objects

Found by reading: a server that was carried over one return and is missing in the copy of the next was listed twice, once as carried and once as retained. test_copies_that_grow_older failed before.

--- a/mulberryway/policy/carried_objects.py
+++ b/mulberryway/policy/carried_objects.py
@@ -154,6 +154,18 @@
         :param listed: the objects of the copy, by name
         :param now_ms: current time in ms
         """
+        hidden = {
+            item.name: item.generation
+            for item in self._items.values()
+            if item.object is None
+        }
+        hidden |= {
+            name: removal.generation
+            for name, removal in self._removals.items()
+            if now_ms - removal.at_ms < REMOVAL_TTL_MS
+        }
+        # What is carried is in use, so the new copy decides about it anew.
+        self._items.clear()
         for name, object_ in in_use.items():
             generation = self._rules.read_generation(object_)
             if generation is None or not self._is_lost(
@@ -161,15 +173,9 @@
             ):
                 continue
             self._carry(name, object_, generation, now_ms)
-        for name, removal in self._removals.items():
-            copied = listed.get(name)
-            if (
-                copied is None
-                or name in in_use
-                or now_ms - removal.at_ms >= REMOVAL_TTL_MS
-            ):
-                continue
-            self._carry(name, None, removal.generation, now_ms)
+        for name, generation in hidden.items():
+            if name in listed and name not in in_use:
+                self._carry(name, None, generation, now_ms)
 
     def merge(
         self, item: CarriedObject, stored: base.StoredObject | None
--- a/tests/test_mirror_returns.py
+++ b/tests/test_mirror_returns.py
@@ -267,6 +267,19 @@
         self.assertEqual(len(self.mirror.expire(1_000 + MISSING_MS)), 1)
         self.assertNotIn("s0", self.list_states())
 
+    def test_copies_that_grow_older(self):
+        """Guards against a server that is listed twice, or back in use, after
+        a second return from an older copy.
+        """
+        self.write(make_server("s0", 51, 2, "draining"))
+        self.write(make_server("s1", 52), deleted=True)
+        self.mirror.replace(self.copy, at(2, 20), 0)
+        older = [make_server("s1", 2, era=3), make_server("s3", 4, era=3)]
+        self.mirror.replace(older, at(3, 10), 100)
+        names = sorted(entry.name for entry in self.mirror.list_objects())
+        self.assertEqual(names, ["s0", "s2", "s3"])
+        self.assertEqual(self.list_states()["s0"], "draining")
+
     def test_restarted_server_replaces_its_predecessor(self):
         """Guards against a new incarnation, whose reports count anew, that
         is taken for older.
