--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -244,6 +244,17 @@
 
 
 class LeaderTest(unittest.TestCase):
+    def check_arrivals(self, world, seed):
+        """Check the order of arrivals; return the number of leaders."""
+        leaders = 0
+        for row in world.pool.upstreams:
+            if row.checks_fencing:
+                continue
+            arrived = [f for _, f in sorted(world.arrivals[row.name])]
+            self.assertEqual(arrived, sorted(arrived), seed)
+            leaders += len(set(arrived))
+        return leaders
+
     def test_no_old_order_arrives_after_a_newer_one(self):
         """No order of a previous leader arrives after one of its successor.
 
@@ -255,12 +266,7 @@
         for seed in range(40):
             world = World(seed)
             world.run(1_500)
-            for row in world.pool.upstreams:
-                if row.checks_fencing:
-                    continue
-                arrived = [f for _, f in sorted(world.arrivals[row.name])]
-                self.assertEqual(arrived, sorted(arrived), seed)
-                leaders += len(set(arrived))
+            leaders += self.check_arrivals(world, seed)
         # The test is only meaningful with many changes of leader.
         self.assertGreater(leaders, 120)
 
@@ -276,12 +282,7 @@
             self.assertTrue(
                 all(len(names) == 1 for names in world.holders.values()), seed
             )
-            for row in world.pool.upstreams:
-                if row.checks_fencing:
-                    continue
-                arrived = [f for _, f in sorted(world.arrivals[row.name])]
-                self.assertEqual(arrived, sorted(arrived), seed)
-                leaders += len(set(arrived))
+            leaders += self.check_arrivals(world, seed)
         self.assertGreater(leaders, 120)
         self.assertGreater(eras, 800)
 
--- a/tests/test_store_returns.py
+++ b/tests/test_store_returns.py
@@ -67,6 +67,14 @@
             if request["at_ms"] > since_ms + BOUND_MS
         ]
 
+    def check_changes(self, newer, acked_ms):
+        """Check that a new route and a server's leaving are in force."""
+        self.assertEqual(len(self.list_late("s0", acked_ms)), 0)
+        requests = newer.list_since(acked_ms + BOUND_MS)
+        self.assertEqual(
+            advisory_fleet.count_served(requests), len(requests), "/newer/"
+        )
+
     def check_changes_after_a_return(self, lost, noise):
         """Write a version and let a server leave after a return."""
         self.lose_changes(lost)
@@ -83,11 +91,7 @@
         ):
             time.sleep(PLAY_S)
             rate = (self.fleet.count_store_calls() - calls) / PLAY_S
-        self.assertEqual(len(self.list_late("s0", acked_ms)), 0)
-        requests = newer.list_since(acked_ms + BOUND_MS)
-        self.assertEqual(
-            advisory_fleet.count_served(requests), len(requests), "/newer/"
-        )
+        self.check_changes(newer, acked_ms)
         self.assertLessEqual(rate, MAX_CALLS_PER_S * len(self.vms))
 
     def test_few_changes_are_lost(self):
@@ -128,11 +132,7 @@
         acked_ms = advisory_fleet.now_ms()
         with advisory_fleet.Load(self.fleet, PLAIN_S, "/newer/") as newer:
             time.sleep(PLAY_S)
-        self.assertEqual(len(self.list_late("s0", acked_ms)), 0)
-        requests = newer.list_since(acked_ms + BOUND_MS)
-        self.assertEqual(
-            advisory_fleet.count_served(requests), len(requests), "/newer/"
-        )
+        self.check_changes(newer, acked_ms)
 
     def test_configuration_does_not_go_back(self):
         """Guards against a version in force that is replaced by the older one
@@ -215,11 +215,7 @@
         processes.wait_until(lambda: self.fleet.is_ready(self.fleet.ports[1]))
         with advisory_fleet.Load(self.fleet, PLAIN_S, "/newer/") as newer:
             time.sleep(PLAY_S)
-        self.assertEqual(len(self.list_late("s0", acked_ms)), 0)
-        requests = newer.list_since(acked_ms + BOUND_MS)
-        self.assertEqual(
-            advisory_fleet.count_served(requests), len(requests), "/newer/"
-        )
+        self.check_changes(newer, acked_ms)
 
 
 class HeaderTest(unittest.TestCase):
