--- a/tools/mixed_builds.py
+++ b/tools/mixed_builds.py
@@ -38,6 +38,11 @@
 # The margin that the fleet's settings allow an account in one window, over all
 # VMs, beyond its rate and burst.
 WINDOW_S = 8
+# A return of the store from a copy, and the time for a change after it.
+LOST_WRITES = 40
+POLL_S = 3.0
+AWAY_S = 0.8
+APPLY_S = 2.0
 OVER_FRACTION = 0.1
 OVER_TOKENS = 2_000
 SIGTERM = 15
@@ -257,10 +262,39 @@
             "platform: no call to a removed server",
             len(fleet.list_runs("s0")) == previous_count,
         )
+        _check_return(builds, fleet, checks)
         _check_logs(builds, fleet, checks)
         _check_stops(fleet.vms, checks)
 
 
+def _check_return(builds: Builds, fleet: MixedFleet, checks: Checks) -> None:
+    """Check this build's VMs after the store's return from a copy.
+
+    The other build may know no eras and then misses what comes after it.
+    """
+    fleet.copy_store()
+    for number in range(LOST_WRITES):
+        fleet.put("notes", f"n{number}", {})
+    time.sleep(POLL_S)
+    fleet.restore_store(AWAY_S)
+    route = hosted_fleet.make_route(
+        "r-newer", "/newer/", "app", "idempotent", 1
+    )
+    fleet.configure({"k-large": "large"}, [route])
+    time.sleep(APPLY_S)
+    own = [n for n in range(VMS) if builds.find_root(n) == processes.ROOT]
+    statuses = [
+        fleet.send(n, "/newer/x", f"r-{n}-{count}").status
+        for count in range(3)
+        for n in own
+    ]
+    checks.report(
+        "platform: a new route after a return of the store, on main",
+        set(statuses) == {200},
+        statuses,
+    )
+
+
 def main(arguments: list[str]) -> int:
     """Run all checks twice, with each half of the VMs on the other build.
 
