--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -8,6 +8,7 @@
 from mulberryway import clock
 from mulberryway import tables
 from mulberryway.controllers import fleet_shares
+from mulberryway.objects import position
 from mulberryway.policy import advisories
 from mulberryway.policy import cold_start
 from mulberryway.policy import rate_limits
@@ -214,7 +215,7 @@
                 "a",
                 tables.UpstreamRole.SERVICE,
                 cold_left_ms=3_000,
-                revision=1,
+                position_=position.Position(1, 1),
             )
             pool = tables.Pool(
                 "app",
