Pause by what failed in succession, not by what failed long before

After a return VMs mostly have another VM's copy when they list; that listing brings nothing, so the pause of the outage, up to 1.25 s, was kept.

Failures are counted until the next answer; listings in vain only while the mirror stands at the same position, until the next poll that succeeds.

--- a/mulberryway/controllers/mirrors.py
+++ b/mulberryway/controllers/mirrors.py
@@ -31,6 +31,7 @@
 # store at the same moment when it becomes reachable again.
 MIN_BACKOFF_MS = 100
 MAX_BACKOFF_MS = 1_000
+MAX_DOUBLINGS = 4
 NO_PAUSE_MS = 1
 # Delay after a change, so that one answer contains several changes in
 # quick succession.
@@ -85,9 +86,12 @@
         )
         self._was_reached = True
         self._was_answered = False
-        # Whether the last listing or poll brought the mirror up to date.
-        self._is_up_to_date = True
-        self._backoff_ms = 0
+        # Calls that have failed in succession.
+        self._failures = 0
+        # Where the mirror was when the store's history was gone, and how often
+        # it was gone since without any progress of the mirror.
+        self._gone_position: position.Position | None = None
+        self._vain_listings = 0
         self._outdated_logged_ms: int | None = None
         self._random = random.Random()
 
@@ -154,20 +158,22 @@
         if fault is None:
             self._was_answered = True
             self._set_reached(True)
-            if self._is_up_to_date:
-                self._backoff_ms = 0
+            self._failures = 0
             has_changed = self._mirror.position != before
             self.period_ms = (
                 CHANGE_BATCH_DELAY_MS if has_changed else NO_PAUSE_MS
             )
         elif fault.code is errors.Code.HISTORY_GONE:
             self._needs_listing = True
+            if before != self._gone_position:
+                self._gone_position, self._vain_listings = before, 0
             # If the last listing brought nothing, the next one may not either.
-            if self._is_up_to_date:
-                self.period_ms = NO_PAUSE_MS
-            else:
-                self._back_off()
-            self._is_up_to_date = False
+            self.period_ms = (
+                self._compute_backoff_ms(self._vain_listings)
+                if self._vain_listings
+                else NO_PAUSE_MS
+            )
+            self._vain_listings += 1
         else:
             # If the call took longer than its poll, the store may have been
             # unreachable since the call began.  A rejection or a broken
@@ -178,7 +184,8 @@
                     asked_ms if has_timed_out else now_ms, fault.message
                 )
             self._set_reached(False, fault)
-            self._back_off()
+            self._failures += 1
+            self.period_ms = self._compute_backoff_ms(self._failures)
 
     def expire(self) -> None:
         """Remove retained objects whose retention has expired."""
@@ -288,7 +295,6 @@
                 result.ok.objects, result.ok.position, now_ms
             )
         self._has_synced = True
-        self._is_up_to_date |= has_changed
         if has_changed:
             self._log_change(before)
             self._on_change()
@@ -310,7 +316,7 @@
                 errors.Step.PLATFORM,
                 message="the revision stands for another state in this era",
             )
-        self._is_up_to_date = True
+        self._gone_position = None
         with self._lock:
             self._mirror.record_response(now_ms)
             has_changed = self._mirror.apply(
@@ -339,14 +345,14 @@
             ),
         )
 
-    def _back_off(self) -> None:
-        """Wait longer with each call that fails, and with jitter."""
-        self._backoff_ms = min(
-            max(self._backoff_ms * 2, MIN_BACKOFF_MS), MAX_BACKOFF_MS
-        )
-        self.period_ms = int(
-            self._backoff_ms * (0.75 + self._random.random() / 2)
-        )
+    def _compute_backoff_ms(self, failures: int) -> int:
+        """Return the time until the next call, with jitter, in ms.
+
+        :param failures: the number of calls that brought nothing, at least 1
+        """
+        doublings = min(failures - 1, MAX_DOUBLINGS)
+        backoff_ms = min(MIN_BACKOFF_MS << doublings, MAX_BACKOFF_MS)
+        return int(backoff_ms * (0.75 + self._random.random() / 2))
 
     def _report_retained(self) -> None:
         with self._lock:
--- a/standins/hosted_store.py
+++ b/standins/hosted_store.py
@@ -3,7 +3,8 @@
 ``python -m standins.hosted_store --port 8101``.  ``POST /standin/fault`` sets
 one of the faults ``refuse`` (status 503), ``silent`` (no response) and
 ``lose`` (writes take effect, but the connection closes without a response);
-``POST /standin/compact`` discards the history of changes.  ``POST
+``POST /standin/compact`` discards the history of changes, and cuts waiting
+watches if ``cut`` is set.  ``POST
 /standin/copy`` makes a backup, and ``POST /standin/restore`` returns to it,
 which starts the next era.
 """
@@ -73,6 +74,8 @@
         self._oldest_revision = 0
         self._changed = asyncio.Condition()
         self._fault = ""
+        # How often waiting watches were cut.
+        self._cuts = 0
         self._backup: Backup | None = None
         # Replaces the header of the era; empty for no header at all.
         self._era_header: str | None = None
@@ -153,7 +156,7 @@
             return serving.make_error_response(
                 410, "the history has no such revision"
             )
-        era = self.era
+        cuts = self._cuts
 
         def list_events() -> list[dict[str, typing.Any]]:
             return [
@@ -166,14 +169,14 @@
             try:
                 await asyncio.wait_for(
                     self._changed.wait_for(
-                        lambda: self.era != era or bool(list_events())
+                        lambda: self._cuts != cuts or bool(list_events())
                     ),
                     wait_s,
                 )
             except asyncio.TimeoutError:
                 # An empty list of events means that nothing has changed.
                 pass
-        if self.era != era:
+        if self._cuts != cuts:
             assert request.transport is not None
             request.transport.abort()
         return serving.answer(
@@ -285,10 +288,13 @@
         return serving.answer({})
 
     async def _compact(self, request: web.Request) -> web.Response:
+        body = await serving.read_json(request)
         async with self._changed:
             self._changes.clear()
             self.revision += 1
             self._oldest_revision = self.revision
+            self._cuts += bool(body.get("cut"))
+            self._changed.notify_all()
         return serving.answer({})
 
     async def _copy(self, request: web.Request) -> web.Response:
@@ -312,6 +318,7 @@
             self._changes = list(backup.changes)
             self._oldest_revision = backup.oldest_revision
             self.era += 1
+            self._cuts += 1
             self._changed.notify_all()
         return serving.answer({"era": self.era})
 
--- a/tests/hosted_fleet.py
+++ b/tests/hosted_fleet.py
@@ -184,6 +184,12 @@
         processes.call(self.store_port, "POST", "/standin/restore", {})
         self.set_store_fault("")
 
+    def compact_store(self):
+        """Discard the store's history, and cut waiting watches."""
+        processes.call(
+            self.store_port, "POST", "/standin/compact", {"cut": True}
+        )
+
     def count_store_calls(self):
         """Return the number of calls to the store."""
         reply = processes.call(self.store_port, "GET", "/standin/calls")
--- a/tests/test_mirror_returns.py
+++ b/tests/test_mirror_returns.py
@@ -20,6 +20,8 @@
 from mulberryway.policy import store_reachability
 from mulberryway.policy import usage_messages
 
+# A quarter of the time within which a change has to be in force.
+MAX_PAUSES_MS = 500
 MISSING_MS = 2_100
 OUTDATED_MS = 5_100
 SERVER_RULES = carried_objects.ReturnRules(
@@ -402,6 +404,28 @@
         self.assertGreater(min(pauses[1:]), 50)
         self.assertGreater(pauses[-1], 500)
 
+    def test_cut_watch_after_a_peer_was_faster(self):
+        """Guards against pauses of seconds before the next listing, because
+        the last one brought only what another VM had already sent.
+        """
+        self.return_from_copy()
+        newer = self.controller.make_snapshot(0, 0)
+        behind = self.controller = self.make_controller()
+        away = errors.Fault(
+            errors.Code.PLATFORM_UNAVAILABLE, errors.Step.PLATFORM
+        )
+        gone = errors.Fault(errors.Code.HISTORY_GONE, errors.Step.PLATFORM)
+        self.step(base.Listing([make_configuration(55, 49)], at(1, 50)))
+        self.step(*[away] * 6)
+        behind.apply_snapshot(newer)
+        copy = [make_configuration(51, 18, era=2)]
+        self.step(gone, base.Listing(copy, at(2, 20)))
+        pauses = []
+        for answer in (away, gone):
+            self.step(answer)
+            pauses.append(behind.period_ms)
+        self.assertLess(sum(pauses), MAX_PAUSES_MS)
+
     def test_other_vm_learns_of_the_return(self):
         """Guards against a VM without the store that waits for revisions
         above those of the last era.
--- a/tests/test_store_returns.py
+++ b/tests/test_store_returns.py
@@ -11,6 +11,8 @@
 BOUND_MS = 2_000
 MS_IN_S = 1_000
 AWAY_S = 0.8
+# Calls are repeated after the longest pause by then.
+LONG_AWAY_S = 2.6
 # What the operators and the servers lost is written again after this time.
 REWRITE_S = 0.4
 PLAY_S = 6.0
@@ -37,14 +39,14 @@
         for number in range(count):
             self.fleet.put("notes", f"n{number}", {})
 
-    def lose_changes(self, count):
+    def lose_changes(self, count, away_s=AWAY_S):
         """Let the store return from a copy without a version and changes."""
         self.fleet.copy_store()
         self.write_noise(count - 1)
         self.fleet.configure(more=[LOST])
         self.wait_served("/lost/a")
         time.sleep(POLL_S)
-        self.fleet.restore_store(AWAY_S)
+        self.fleet.restore_store(away_s)
         time.sleep(REWRITE_S)
 
     def wait_served(self, path):
@@ -185,6 +187,24 @@
             advisory_fleet.count_served(load.sent), len(load.sent)
         )
 
+    def test_history_is_lost_soon_after_a_return(self):
+        """Guards against pauses from before the return that delay the next
+        listing beyond the time that a change may take.
+        """
+        for number in range(3):
+            self.lose_changes(20, LONG_AWAY_S)
+            time.sleep(1)
+            self.fleet.compact_store()
+            route = hosted_fleet.make_route(
+                f"r-{number}", f"/again{number}/", "app", "idempotent", 2
+            )
+            self.fleet.configure(more=[LOST, route])
+            time.sleep(BOUND_MS / MS_IN_S)
+            statuses = [
+                self.get_status(vm, f"/again{number}/a") for vm in self.vms
+            ]
+            self.assertEqual(set(statuses), {200}, number)
+
     def test_vms_register_again(self):
         """Guards against a fleet whose VMs are missing in the store for
         good.
