Give objects that a return left unchanged their position in the new era

If the operators write a lost version again before a VM lists, the VM kept the object with its revision of the last era, so that its reports do not count anew. Its copies for other VMs named that revision in the new era, and a VM that took one dropped all later versions until the counter had passed it.

Objects now always have the position at which the store showed them; reports and the parsed configuration go by content_position, where the content was first seen. test_version_written_again_before_the_listing failed before ([55] instead of [59]).

--- a/mulberryway/objects/base.py
+++ b/mulberryway/objects/base.py
@@ -31,9 +31,20 @@
     :param value: the JSON value, at most a megabyte when encoded
     :param era: the store's era in which the version was given out or read; 0
         if the platform has no eras
+
+    ``content_position`` is the position at which its content was first seen.
+    After the store's return from a copy, an object that has not changed has a
+    new position but no new content.
     """
 
-    __slots__ = ("kind", "name", "version", "value", "era")
+    __slots__ = (
+        "kind",
+        "name",
+        "version",
+        "value",
+        "era",
+        "content_position",
+    )
 
     def __init__(
         self,
@@ -48,6 +59,7 @@
         self.version = version
         self.value = value
         self.era = era
+        self.content_position = self.position
 
     @property
     def position(self) -> position.Position:
--- a/mulberryway/platform/tables.py
+++ b/mulberryway/platform/tables.py
@@ -81,9 +81,9 @@
         main = configuration.get(CONFIGURATION_NAME)
         if main is None:
             return None
-        if main.position != self._position:
+        if main.content_position != self._position:
             self._parse_configuration(main.value)
-            self._position = main.position
+            self._position = main.content_position
         upstreams: dict[str, list[tables.Upstream]] = {}
         kinds = {pool.name: pool.kind for pool in self._pools}
         evacuated_zones = frozenset(entry.name for entry in evacuations)
@@ -374,7 +374,7 @@
         cold_left_ms=int(
             wire.parse_amount(value.get("cold_left_ms"), MAX_COLD_MS)
         ),
-        position_=entry.position,
+        position_=entry.content_position,
         started_ms=started_ms,
         slots=int(wire.parse_amount(value.get("slots"), MAX_SLOTS)),
     )
--- a/mulberryway/policy/mirrors.py
+++ b/mulberryway/policy/mirrors.py
@@ -355,12 +355,12 @@
         self._removed.pop(object_.name, None)
         self.carried.record_write(object_)
         before = self.objects.get(object_.name)
-        if before is None or (
-            object_.position >= before.position
-            # An object of the copy that has not changed was not written anew.
-            and object_.value != before.value
-        ):
-            self.objects[object_.name] = object_
+        if before is not None:
+            if object_.position < before.position:
+                return
+            if object_.value == before.value:
+                object_.content_position = before.content_position
+        self.objects[object_.name] = object_
 
     def _record_removed(
         self, removed: dict[str, base.StoredObject], now_ms: int
