Take another VM's copy only if its last change is after the mirror's position

A VM that starts after a server has gone lists the others only; its last change is that of its newest object, which may be older than that of a VM which still has the removed server. It took that VM's copy, the server came back, and its own watch, which was further, never told it of the removal. A mirror is complete up to its position, so only a later change is news.

--- a/mulberryway/controllers/mirror_exchange.py
+++ b/mulberryway/controllers/mirror_exchange.py
@@ -124,9 +124,10 @@
         self, kind: str, summary: mirror_summary.MirrorSummary
     ) -> bool:
         """Return whether another VM's mirror has what this VM's lacks."""
-        own = self._controllers[kind].summary
-        if summary.changed > own.changed:
+        controller = self._controllers[kind]
+        if summary.changed > controller.known_position:
             return True
+        own = controller.summary
         if summary.changed.era != own.changed.era:
             return False
         era, digests = self._fetched.get(kind, (0, set()))
@@ -182,8 +183,8 @@
             Mirrors.Client,
             "read",
             kind,
-            controller.changed.revision,
-            controller.changed.era,
+            controller.known_position.revision,
+            controller.known_position.era,
             is_idempotent=True,
         )
         if answer.is_error():
--- a/mulberryway/controllers/mirrors.py
+++ b/mulberryway/controllers/mirrors.py
@@ -100,6 +100,11 @@
         """Position of the kind's last known change."""
         return self._mirror.changed
 
+    @property
+    def known_position(self) -> position.Position:
+        """Position up to which the mirror is complete."""
+        return self._mirror.position
+
     @property
     def summary(self) -> mirror_summary.MirrorSummary:
         """What other VMs are told of the mirror."""
--- a/mulberryway/policy/mirrors.py
+++ b/mulberryway/policy/mirrors.py
@@ -181,8 +181,9 @@
     ) -> bool:
         """Replace the copy by a newer one from a peer.
 
-        A copy contains all changes up to the reported position, so it is newer
-        if and only if that position is.
+        This mirror is complete up to its position, so the copy is newer if and
+        only if its last change is after that. The last changes alone do not
+        tell: none of this mirror's objects may show that one was removed.
 
         :param objects: all objects of the kind in the store
         :param changed: position of the last change in the copy
@@ -193,7 +194,7 @@
             a watch from an earlier one would repeat changes
         :returns: whether anything has changed
         """
-        is_newer = changed > self.changed
+        is_newer = changed > self.position
         if is_newer:
             self.changed = changed
             known = self.position
