--- a/mulberryway/policy/carried_objects.py
+++ b/mulberryway/policy/carried_objects.py
@@ -240,6 +240,17 @@
         }
         self._removals[object_.name] = _Removal(generation, now_ms)
 
+    def was_removed(self, object_: base.StoredObject) -> bool:
+        """Return whether this or a later content has been removed.
+
+        :param object_: an object that another VM uses
+        """
+        removal = self._removals.get(object_.name)
+        if removal is None:
+            return False
+        generation = self._rules.read_generation(object_)
+        return generation is not None and generation <= removal.generation
+
     def postpone_expiry(self, now_ms: int) -> None:
         """Record that writers cannot reach the store.
 
--- a/mulberryway/policy/mirrors.py
+++ b/mulberryway/policy/mirrors.py
@@ -196,6 +196,12 @@
         """
         is_newer = changed > self.position
         if is_newer:
+            # The peer may not have heard of a removal that this VM knows.
+            retained = [
+                item
+                for item in retained
+                if not self.carried.was_removed(item.object)
+            ]
             self.changed = changed
             known = self.position
             # The copy may be newer although it is of an earlier position.
--- a/tests/test_mirror_returns.py
+++ b/tests/test_mirror_returns.py
@@ -107,6 +107,16 @@
         self.assertTrue(applied)
         self.assertEqual(self.list_states(), {"s1": "ready"})
 
+    def test_copy_from_before_a_removal_is_dropped(self):
+        """Guards against a server that is gone and comes back to a VM which
+        has started since, with the copy of a VM that lags.
+        """
+        started = mirrors.Mirror("servers")
+        started.replace([make_server("s1", 9)], at(1, 60), 0)
+        rows = [make_server("s1", 9), make_server("s0", 51)]
+        self.assertFalse(started.replace_from_peer(rows, at(1, 51), 0))
+        self.assertEqual(len(started.list_objects()), 1)
+
     def test_vms_report_the_same_position_after_a_return(self):
         """Guards against VMs that all fetch each other's copies because they
         have listed the same objects at different revisions.
@@ -283,6 +293,16 @@
         self.assertEqual(names, ["s0", "s2", "s3"])
         self.assertEqual(self.list_states()["s0"], "draining")
 
+    def test_removal_that_another_vm_missed(self):
+        """Guards against a VM that learns of a return late, takes a removed
+        server for a lost one and hands it to the others.
+        """
+        self.mirror.replace(self.copy, at(2, 20), 0)
+        self.write(make_server("s0", 21, 1, era=2), deleted=True)
+        kept = mirrors.RetainedObject(self.copy[0], at(2, 30), 0, MISSING_MS)
+        self.mirror.replace_from_peer(self.copy[1:], at(2, 30), 0, [kept])
+        self.assertNotIn("s0", self.list_states())
+
     def test_restarted_server_replaces_its_predecessor(self):
         """Guards against a new incarnation, whose reports count anew, that
         is taken for older.
