Check that VMs which reach the store drop no change, in random histories

A VM that reaches the store must use what it has, or a later content, after four calls: watch, 410, listing, watch.

--- a/tests/test_mirror_history.py
+++ b/tests/test_mirror_history.py
@@ -21,6 +21,8 @@
 SERVERS = 4
 CONFIG, SERVER = "config", "servers"
 OUTDATED_MS = 5_100
+# Watch, 410, listing and watch.
+MAX_CALLS = 4
 # Writers notice a return and write what was lost again by then.
 REWRITE_MS = 1_000
 RULES = {
@@ -142,6 +144,16 @@
         # The highest generation that was in use, by kind and name.
         self.used = {}
 
+    def has_caught_up(self, stored):
+        """Return whether a stored object, or a later content, is used."""
+        rules = RULES[stored.kind]
+        mirror = self.mirrors[stored.kind]
+        used = self.list_used(stored.kind).get(stored.name)
+        if used is None:
+            # The copy may list what had been removed.
+            return mirror.kept.carried > 0
+        return rules.read_generation(used) >= rules.read_generation(stored)
+
     def list_used(self, kind):
         return {item.name: item for item in self.mirrors[kind].list_objects()}
 
@@ -150,9 +162,11 @@
     """A store, its writers and some VMs.
 
     :param seed: seed of all random choices
+    :param updates: whether VMs that reach the store are checked at once
     """
 
-    def __init__(self, seed):
+    def __init__(self, seed, updates=False):
+        self.updates_weight = 10 if updates else 0
         self.random = random.Random(seed)
         self.clock = clock.ManualClock(1_000)
         self.store = ModelStore()
@@ -165,6 +179,9 @@
             self.start_server(f"s{number}")
         self.vms = [Vm(self, number) for number in range(VMS)]
         self.went_back = []
+        # What VMs that reached the store did not use, and how often they did.
+        self.missed = []
+        self.updates = 0
 
     def call(self, address, client_class, method, *arguments, **options):
         """Read a mirror of the VM with this number."""
@@ -248,6 +265,21 @@
             mirror.expire()
         self.check(vm)
 
+    def update_vm(self):
+        """Let a VM call the store as often as a return may need."""
+        vm = self.random.choice(self.vms)
+        if vm.store.is_cut:
+            return
+        for _ in range(MAX_CALLS):
+            self.step_vm(vm)
+        self.updates += 1
+        for (kind, name), (_, value) in self.store.objects.items():
+            if kind not in RULES or not vm.mirrors[kind].is_reached:
+                continue
+            stored = self.store.make(kind, name, 0, value)
+            if not vm.has_caught_up(stored):
+                self.missed.append((kind, name, value))
+
     def check(self, vm):
         """Note what has gone back at a VM."""
         for kind in RULES:
@@ -260,7 +292,8 @@
 
     def run(self, steps):
         actions = (
-            (self.step_vm, 40),
+            (self.step_vm, 40 - self.updates_weight),
+            (self.update_vm, self.updates_weight),
             (self.tell, 20),
             (self.write_other, 6),
             (self.write_configuration, 3),
@@ -312,12 +345,18 @@
         for seed in (258, 289):
             self.play(seed)
 
-    def play(self, seed):
-        world = World(seed)
+    def test_vms_that_reach_the_store(self):
+        """Guards against changes that a VM drops although it gets them."""
+        worlds = [self.play(seed, updates=True) for seed in range(SEEDS)]
+        self.assertGreater(min(world.updates for world in worlds), 0)
+
+    def play(self, seed, updates=False):
+        world = World(seed, updates)
         world.run(STEPS)
         world.settle()
         with self.subTest(seed=seed):
             self.assertEqual(world.went_back, [])
+            self.assertEqual(world.missed, [])
             for vm in world.vms:
                 used = vm.list_used(CONFIG)["main"]
                 self.assertEqual(used.value["version"], world.version)
