--- a/tools/suite.py
+++ b/tools/suite.py
@@ -31,6 +31,7 @@
     "test_crashing_parts",
     "test_crashing_requests",
     "test_crashing_faults",
+    "test_store_returns",
     "test_soak",
     "test_server_limits",
     "test_requested_pauses",
