--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -31,6 +31,7 @@
 )
 STORE = 8361
 KEYS = {"key-large-4f1c9a": "large", "key-small-77b0e2": "small"}
+RATE = 76009
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 START_S = 40
 MAX_RUN_S = 115
@@ -95,25 +96,32 @@
         self._servers += 1
         return f"{self._net}.{63 + self._servers}"
 
-    def configure(self, routes, services):
-        """Write the configuration to the store."""
+    def configure(self, routes, services, version=7, keys=KEYS, rate=RATE):
+        """Write the configuration to the store.
+
+        :param routes: its routes
+        :param services: its services
+        :param version: its version
+        :param keys: the tenants by their keys
+        :param rate: the rate and the burst of each tenant
+        """
         tenants = [
             {
                 "name": name,
-                "api_keys": [key],
+                "api_keys": [key for key in keys if keys[key] == name],
                 "priority": 1,
                 "unit": "token_stream",
                 "plain_tokens": 200,
-                "rate_per_s": 76009,
-                "burst": 76009,
+                "rate_per_s": rate,
+                "burst": rate,
             }
-            for key, name in KEYS.items()
+            for name in KEYS.values()
         ]
         self.store.put(
             "config",
             "main",
             {
-                "version": 7,
+                "version": version,
                 "routes": routes,
                 "services": services,
                 "limits": {
--- a/review/common/servers.py
+++ b/review/common/servers.py
@@ -58,6 +58,11 @@
         self._entry["sequence"] += 1
         self._store.put("servers", self.name, dict(self._entry))
 
+    def leave(self):
+        """Report that the server drains; it goes on serving."""
+        self._entry["state"] = "draining"
+        self.register()
+
     def make_headers(self, request):
         """Return the headers of all answers to a request."""
         return [
