--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -72,17 +72,20 @@
         self.fronts = [f"{self._net}.{number + 1}" for number in range(vms)]
         self.store = stores.Store(f"{self._net}.200", STORE)
         self._servers = 0
+        self.successes = 0
 
     def __enter__(self):
         return self
 
-    def __exit__(self, *_):
+    def __exit__(self, kind, error, traceback):
         for process in self._processes:
             process.kill()
         for process in self._processes:
             process.wait()
         self._temporary.cleanup()
         self._record.close()
+        if error is None and not self.successes:
+            raise CannotRunError("no request was served")
 
     def record(self, line):
         """Write a line to the record."""
@@ -270,6 +273,7 @@
     answer = _exchange(
         deployment.fronts[number], head.encode("latin-1") + body, deadline_ms
     )
+    deployment.successes += answer.status == 200
     deployment.record(
         f"answer {attempt} {answer.status} seal={answer.seal} "
         f"bytes={len(answer.body)} whole={answer.is_whole}"
@@ -324,8 +328,9 @@
     signal.alarm(MAX_RUN_S)
     try:
         is_broken = case(folder, has_trouble)
-    except (CannotRunError, OSError) as error:
-        print(f"could not run: {error}", file=sys.stderr)
+    except Exception as error:
+        # Python's own status for an exception would mean a broken rule.
+        print(f"could not run: {error!r}", file=sys.stderr)
         sys.exit(NOT_RUN)
     print("the rule was broken" if is_broken else "the rule held")
     sys.exit(BROKEN if is_broken else HELD)
