Release a model request's job however the request ends

What callers saw: after one exception between the scheduler's decision and the end of a request, the request got 500 and its decode slot and KV cache stayed taken until the process was restarted. Some 50 such requests took all of them: each stream then got 503, "no slot became free before the deadline", at this VM and, by gossip, at the others, while the engines were idle.

Cause: a job was owned by nobody from its submission until an Attempt existed (_make_attempt looks up the engines in between), and an attempt was ended only on the paths that return a fault. An exception in a filter, in an engine's client, or while the stream was created passed all of them.

Change: the job is abandoned where an exception passes the attempt, and what is left of its attempts ends with the exchange, whose completion callbacks run however it ends.

--- a/mulberryway/controllers/scheduling.py
+++ b/mulberryway/controllers/scheduling.py
@@ -303,6 +303,22 @@
             self._dispatch()
         self.on_change()
 
+    def abandon(self, job_id: str) -> None:
+        """Release all that a job holds, whether it waits or has started.
+
+        For a job whose request has failed by an exception; later calls, and
+        calls for unknown jobs, do nothing.
+
+        :param job_id: the job
+        """
+        with self._lock:
+            ticket = self._tickets.get(job_id)
+        if ticket is not None:
+            self.cancel_waiting(
+                ticket, errors.Fault(errors.Code.INTERNAL, errors.Step.QUEUE)
+            )
+        self.finish(job_id, jobs.JobOutcome.CANCELLED)
+
     def record_load(
         self, pool: str, upstream: str, load: upstreams.EngineLoad
     ) -> None:
--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -83,6 +83,7 @@
         self._jobs = model_job.JobBuilder(exchange, parts.clock, parts.source)
         self._engines = model_engines.EngineCalls(exchange, parts)
         self._lock = threading.Lock()
+        exchange.add_completion_callback(lambda outcome: self._release())
 
     def begin(self) -> SourceResult:
         """Find engines for the request and start its decode.
@@ -254,12 +255,14 @@
         outcome = jobs.JobOutcome.DONE
         if fault is not None:
             outcome = jobs.JobOutcome.CANCELLED
-        self._end_search()
-        self._end_attempt(outcome)
         exchange = self._exchange
-        exchange.finish(
-            base.Outcome(fault, exchange.prefilled_tokens + tokens, tokens)
-        )
+        try:
+            self._end_search()
+            self._end_attempt(outcome)
+        finally:
+            exchange.finish(
+                base.Outcome(fault, exchange.prefilled_tokens + tokens, tokens)
+            )
 
     def compute_first_token_timeout_ms(self) -> int:
         """Return the timeout for the first token, from now on, in ms."""
@@ -376,15 +379,17 @@
                 return expression.Error(self._finalize_fault(result.error))
 
     def _try_once(self, offset: int, limit: clock.Deadline) -> SourceResult:
-        return self._queue(limit).bind(
-            lambda attempt: self._run_attempt(attempt, offset, limit)
-        )
+        job = self._make_job(limit)
+        try:
+            return self._queue(job).bind(
+                lambda attempt: self._run_attempt(attempt, offset, limit)
+            )
+        except BaseException:
+            # Nothing else ends a job that has no attempt yet.
+            self._parts.scheduling.abandon(job.job_id)
+            raise
 
-    def _queue(
-        self, limit: clock.Deadline
-    ) -> expression.Result[attempts.Attempt, errors.Fault]:
-        parts = self._parts
-        started_ms = parts.clock.now_ms()
+    def _make_job(self, limit: clock.Deadline) -> jobs.Job:
         state = self._retry_state
         job = self._jobs.make(
             state.number,
@@ -394,6 +399,13 @@
             self._version,
         )
         state.record_attempt()
+        return job
+
+    def _queue(
+        self, job: jobs.Job
+    ) -> expression.Result[attempts.Attempt, errors.Fault]:
+        parts = self._parts
+        started_ms = parts.clock.now_ms()
         with self._exchange.span.begin(parts.tracer, errors.Step.QUEUE):
             submitted = parts.scheduling.submit(job)
             if submitted.is_error():
@@ -634,6 +646,14 @@
         if attempt is not None:
             attempt.end(outcome, failed_name)
 
+    def _release(self) -> None:
+        """End the attempts that are left when the request has ended."""
+        with self._lock:
+            left = (self._attempt, self._next_attempt)
+        for attempt in filter(None, left):
+            attempt.end(jobs.JobOutcome.CANCELLED)
+            self._parts.scheduling.abandon(attempt.job_id)
+
     def _end_search(self) -> None:
         """End the search for another engine when the stream is closed."""
         with self._lock:
