End a plain call at its server's count however it ends

What callers saw: nothing at once. A server that was chosen for a call which then ended by an exception counted one more call in flight for good, on this VM and in what it tells the others, so it got fewer calls and the admission took the pool for fuller than it is.

Cause: the choice counts the call, and only the record of the call's result took it back.

Change: a choice is an object that is released with its block, and of which only the first end counts; a hedged call's thread owns its own. Calls that an exception leaves open are cancelled.

--- a/mulberryway/filters/hedging.py
+++ b/mulberryway/filters/hedging.py
@@ -19,7 +19,10 @@
 
 
 class OpenCalls:
-    """The open calls of one request, which end if its caller disconnects."""
+    """The open calls of one request, which end if its caller disconnects.
+
+    A context manager, which cancels those that an exception leaves open.
+    """
 
     __slots__ = ("_lock", "_cancellers", "_is_cancelled")
 
@@ -28,6 +31,13 @@
         self._cancellers: list[connections.CallCanceller] = []
         self._is_cancelled = False
 
+    def __enter__(self) -> "OpenCalls":
+        return self
+
+    def __exit__(self, kind: type[BaseException] | None, *_: object) -> None:
+        if kind is not None:
+            self.cancel()
+
     def add(self, canceller: connections.CallCanceller) -> None:
         """Add a call; it is cancelled at once if the caller has gone.
 
--- a/mulberryway/filters/service_forward.py
+++ b/mulberryway/filters/service_forward.py
@@ -18,6 +18,7 @@
 from mulberryway.filters import base
 from mulberryway.filters import hedging
 from mulberryway.filters import route
+from mulberryway.filters import server_choice
 from mulberryway.policy import call_admission
 from mulberryway.policy import poison
 from mulberryway.policy import ranks
@@ -97,7 +98,13 @@
             exchange.digest = _digest(exchange)
             if self._scheduling.is_quarantined(exchange.digest):
                 return expression.Error(_make_quarantine_fault(exchange))
-        open_calls = hedging.OpenCalls()
+        with hedging.OpenCalls() as open_calls:
+            return self._watch(exchange, open_calls)
+
+    def _watch(
+        self, exchange: base.Exchange, open_calls: hedging.OpenCalls
+    ) -> base.Answer:
+        """Forward a call; cancel it if its caller disconnects."""
         if self._callers is None:
             return self._forward(exchange, open_calls)
 
@@ -123,12 +130,13 @@
                 exchange, attempts.has_run, attempts.sent
             ):
                 break
-            upstream = self._choose(exchange, attempts.called)
-            if upstream is None:
+            choice = self._choose(exchange, attempts.called)
+            if choice is None:
                 break
-            version, result = self._call(
-                exchange, upstream, attempts, open_calls
-            )
+            with choice:
+                version, result = self._call(
+                    exchange, choice, attempts, open_calls
+                )
             if result.is_ok():
                 if exchange.required_version is None:
                     exchange.on_first_event(version)
@@ -161,7 +169,7 @@
     def _call(
         self,
         exchange: base.Exchange,
-        upstream: tables.Upstream,
+        choice: server_choice.ServerChoice,
         attempts: "_Attempts",
         open_calls: hedging.OpenCalls,
     ) -> tuple[str, hedging.Result]:
@@ -169,6 +177,7 @@
 
         :returns: the version of the server that has answered, and the result
         """
+        upstream = choice.upstream
         hedges: list[hedging.Hedge] = []
         number = self._begin_attempt(exchange, upstream, attempts)
         timeout_ms, extension_ms = self._compute_timeouts_ms(
@@ -182,7 +191,7 @@
         )
         open_calls.add(canceller)
         result = self._call_once(
-            exchange, upstream, number, timeout_ms, canceller
+            exchange, choice, number, timeout_ms, canceller
         )
         for hedge in hedges:
             if result.is_ok():
@@ -228,20 +237,22 @@
         """
         if not self._may_try_next_server(exchange, True, attempts.sent + 1):
             return []
-        upstream = self._choose(exchange, attempts.called)
-        if upstream is None:
+        choice = self._choose(exchange, attempts.called)
+        if choice is None:
             return []
         canceller = connections.CallCanceller()
         open_calls.add(canceller)
         hedge = hedging.Hedge(
-            upstream,
+            choice.upstream,
             canceller,
-            lambda: self._call_others(exchange, hedge, attempts, canceller),
+            lambda: self._call_others(
+                exchange, hedge, choice, attempts, canceller
+            ),
             first.cancel,
         )
-        self._begin_attempt(exchange, upstream, attempts)
+        self._begin_attempt(exchange, choice.upstream, attempts)
         if not hedge.start():
-            self._release_choice(exchange, upstream)
+            choice.release()
             return []
         return [hedge]
 
@@ -249,6 +260,7 @@
         self,
         exchange: base.Exchange,
         hedge: hedging.Hedge,
+        choice: server_choice.ServerChoice,
         attempts: "_Attempts",
         canceller: connections.CallCanceller,
     ) -> hedging.Result:
@@ -256,29 +268,32 @@
 
         The request's own thread waits for the first server meanwhile.
 
+        :param choice: the second server
         :returns: the result of the last call, whose server the hedge names
         """
         while True:
-            result = self._call_once(
-                exchange,
-                hedge.upstream,
-                len(attempts.called) - 1,
-                max(exchange.deadline.left_ms(self._clock.now_ms()), 1),
-                canceller,
-                is_hedge=True,
-            )
+            with choice:
+                result = self._call_once(
+                    exchange,
+                    choice,
+                    len(attempts.called) - 1,
+                    max(exchange.deadline.left_ms(self._clock.now_ms()), 1),
+                    canceller,
+                    is_hedge=True,
+                )
             if (
                 result.is_ok()
                 or result.error.run is not errors.ExecutionStatus.NOT_RUN
                 or canceller.is_cancelled
             ):
                 return result
-            upstream = self._choose_after_rejection(
-                exchange, hedge.upstream, result.error, attempts
+            following = self._choose_after_rejection(
+                exchange, choice.upstream, result.error, attempts
             )
-            if upstream is None:
+            if following is None:
                 return result
-            hedge.upstream = upstream
+            choice = following
+            hedge.upstream = choice.upstream
 
     def _choose_after_rejection(
         self,
@@ -286,7 +301,7 @@
         rejecting: tables.Upstream,
         fault: errors.Fault,
         attempts: "_Attempts",
-    ) -> tables.Upstream | None:
+    ) -> server_choice.ServerChoice | None:
         """Return the next server of a hedged call, or none."""
         # The first server has the request, though its fault is not known yet.
         sent = attempts.sent + 1
@@ -295,24 +310,11 @@
             return None
         if not self._may_try_next_server(exchange, True, sent):
             return None
-        upstream = self._choose(exchange, attempts.called)
-        if upstream is not None:
+        choice = self._choose(exchange, attempts.called)
+        if choice is not None:
             self._record_fault(exchange, rejecting, fault, attempts)
-            self._begin_attempt(exchange, upstream, attempts)
-        return upstream
-
-    def _release_choice(
-        self, exchange: base.Exchange, upstream: tables.Upstream
-    ) -> None:
-        """Undo the choice of a server that gets no call."""
-        with self._lock:
-            self._chooser.finish(
-                exchange.pool,
-                upstream,
-                server_selection.CallOutcome.NO_VERDICT,
-                0,
-                self._clock.now_ms(),
-            )
+            self._begin_attempt(exchange, choice.upstream, attempts)
+        return choice
 
     def _record_fault(
         self,
@@ -362,12 +364,32 @@
 
     def _choose(
         self, exchange: base.Exchange, avoid: frozenset[str]
-    ) -> tables.Upstream | None:
+    ) -> server_choice.ServerChoice | None:
         pool = self._find_current_pool(exchange)
         with self._lock:
-            return self._chooser.choose(
+            upstream = self._chooser.choose(
                 pool, avoid, self._clock.now_ms(), exchange.required_version
             )
+        if upstream is None:
+            return None
+        return server_choice.ServerChoice(
+            upstream,
+            lambda outcome, took_ms: self._finish_call(
+                exchange.pool, upstream, outcome, took_ms
+            ),
+        )
+
+    def _finish_call(
+        self,
+        pool: tables.Pool,
+        upstream: tables.Upstream,
+        outcome: server_selection.CallOutcome,
+        took_ms: int,
+    ) -> None:
+        with self._lock:
+            self._chooser.finish(
+                pool, upstream, outcome, took_ms, self._clock.now_ms()
+            )
 
     def _make_no_server_fault(self, exchange: base.Exchange) -> errors.Fault:
         wait_ms = self._get_wait_ms(exchange)
@@ -402,13 +424,13 @@
     def _call_once(
         self,
         exchange: base.Exchange,
-        upstream: tables.Upstream,
+        choice: server_choice.ServerChoice,
         number: int,
         timeout_ms: int,
         canceller: connections.CallCanceller,
         is_hedge: bool = False,
     ) -> hedging.Result:
-        service = self._directory.find_service(exchange.pool, upstream)
+        service = self._directory.find_service(exchange.pool, choice.upstream)
         step = errors.Step.SERVICE
         started_ms = self._clock.now_ms()
         with exchange.span.begin(self._tracer, step) as span:
@@ -429,7 +451,7 @@
         # A second call that the first one has overtaken proves nothing, but a
         # first call that was overtaken was late.
         is_void = is_hedge and canceller.is_cancelled
-        self._record_call_end(exchange, upstream, result, started_ms, is_void)
+        self._record_call_end(exchange, choice, result, started_ms, is_void)
         return result
 
     def _compute_timeouts_ms(
@@ -486,12 +508,12 @@
     def _record_call_end(
         self,
         exchange: base.Exchange,
-        upstream: tables.Upstream,
+        choice: server_choice.ServerChoice,
         result: hedging.Result,
         started_ms: int,
         is_void: bool,
     ) -> None:
-        now_ms = self._clock.now_ms()
+        took_ms = self._clock.now_ms() - started_ms
         fault = None if result.is_ok() else result.error
         is_path_fault = fault is not None and fault.is_path_fault
         if exchange.has_gone.is_set() or is_path_fault or is_void:
@@ -506,22 +528,15 @@
             call_outcome = server_selection.CallOutcome.REJECTED
         else:
             call_outcome = server_selection.CallOutcome.FAILED
-        with self._lock:
-            self._chooser.finish(
-                exchange.pool,
-                upstream,
-                call_outcome,
-                now_ms - started_ms,
-                now_ms,
-            )
+        choice.finish(call_outcome, took_ms)
         if fault is not None:
             LOG.info(
                 "a call to a server failed",
                 extra=logs.make_extra(
                     fault,
                     request_id=exchange.request_id,
-                    upstream=upstream.name,
-                    took_ms=now_ms - started_ms,
+                    upstream=choice.upstream.name,
+                    took_ms=took_ms,
                 ),
             )
 
--- a/tests/test_resource_release.py
+++ b/tests/test_resource_release.py
@@ -10,8 +10,11 @@
 from mulberryway.filters import model_forward
 from mulberryway.filters import model_job
 from mulberryway.filters import model_run
+from mulberryway.filters import service_forward
+from mulberryway.policy import server_selection
 from mulberryway.upstreams import directory
 from mulberryway.upstreams import http_engine
+from mulberryway.upstreams import http_service
 from tests import processes
 from tests import router_fixture
 
@@ -36,6 +39,11 @@
     (model_forward, "_choose_writer"),
     (model_forward.ModelForward, "handle"),
 )
+PLAIN_STEPS = (
+    (directory.HttpDirectory, "find_service"),
+    (service_forward.ServiceForward, "_compute_timeouts_ms"),
+    (http_service.HttpService, "call"),
+)
 
 
 class InjectedError(Exception):
@@ -107,3 +115,32 @@
                     self.assertEqual(reply.status, 500)
                     self.assertTrue(self.fixture.wait_idle())
                     self.assertEqual(self.fixture.complete().status, 200)
+
+    def test_plain_call_fails_at_each_step(self):
+        """Guards against calls that count at a server for good after an
+        exception between its choice and the end of the call.
+        """
+        for owner, name in PLAIN_STEPS:
+            for after in (False, True):
+                counts = {}
+                with (
+                    self.subTest(step=name, after=after),
+                    RaisingStep(owner, name, after) as step,
+                    _count_calls(counts, "choose"),
+                    _count_calls(counts, "finish"),
+                ):
+                    reply = self.fixture.call("GET", "/member/a")
+                    self.assertEqual(step.calls, 1)
+                    self.assertEqual(reply.status, 500)
+                    self.assertEqual(counts, {"choose": 1, "finish": 1})
+                    self.assertTrue(self.fixture.wait_idle())
+
+
+def _count_calls(counts, name):
+    original = getattr(server_selection.ServerSelector, name)
+
+    def run(*arguments, **keywords):
+        counts[name] = counts.get(name, 0) + 1
+        return original(*arguments, **keywords)
+
+    return mock.patch.object(server_selection.ServerSelector, name, run)
