End a stream whose callback on the event loop fails

What callers saw: an open connection without another byte, until they gave up; the stream kept its slot and its tokens, and its VM never became idle.

Cause: the loop logs an exception of a callback and goes on, but nothing ended the stream that the callback was for. And of a request's completion callbacks those after a failing one were not called, which release tokens and memory.

Evidence: the new test lets the scheduler's finish raise once.

Change: a stream's callbacks run through one function that ends the stream, with an error if its answer has not begun and by a reset otherwise. Completion callbacks fail one by one.

--- a/mulberryway/filters/base.py
+++ b/mulberryway/filters/base.py
@@ -2,6 +2,7 @@
 
 import abc
 import collections.abc
+import logging
 import socket
 import threading
 import typing
@@ -27,6 +28,8 @@
     "StageTimings",
 ]
 
+LOG = logging.getLogger(__name__)
+
 
 class StreamedAnswer:
     """An answer that is still being sent after the chain has returned.
@@ -343,7 +346,13 @@
                 [],
             )
         for callback in reversed(callbacks):
-            callback(outcome)
+            try:
+                callback(outcome)
+            except Exception:
+                # The others release what the request still holds.
+                LOG.exception(
+                    "a completion callback failed: request %s", self.request_id
+                )
 
 
 NextHandler = collections.abc.Callable[[Exchange], Answer]
--- a/mulberryway/relay/pump.py
+++ b/mulberryway/relay/pump.py
@@ -6,6 +6,7 @@
 import select
 import socket
 import struct
+import typing
 
 from mulberryway import errors
 from mulberryway.relay import events
@@ -88,7 +89,7 @@
 
         :param stream: the stream, with its caller's and engine's sockets
         """
-        self._loop.post(lambda: self._start_stream(stream))
+        self._loop.post(lambda: self._run(stream, self._start_stream))
 
     def resume(self, stream: Stream, source: upstreams.TokenStream) -> None:
         """Resume a stream from another engine.
@@ -96,7 +97,7 @@
         :param stream: the stream that ``recover`` was called for
         :param source: the new engine's stream
         """
-        self._loop.post(lambda: self._resume(stream, source))
+        self._loop.post(lambda: self._run(stream, self._resume, source))
 
     def fail(self, stream: Stream, fault: errors.Fault) -> None:
         """Abort a stream that no engine can resume.
@@ -104,14 +105,14 @@
         :param stream: the stream
         :param fault: the fault that is reported to the caller
         """
-        self._loop.post(lambda: self._abort(stream, fault))
+        self._loop.post(lambda: self._run(stream, self._abort, fault))
 
     def end(self, stream: Stream) -> None:
         """End a stream whose engine has ended its response.
 
         :param stream: the stream that ``confirm_end`` was called for
         """
-        self._loop.post(lambda: self._end(stream))
+        self._loop.post(lambda: self._run(stream, self._end))
 
     def try_hold_source(self, stream: Stream, offset: int) -> bool:
         """Stop reading a stalled engine unless the stream progressed.
@@ -171,7 +172,7 @@
         :param fault: the fault that is reported to the caller if the engine's
             connection was closed already
         """
-        self._loop.post(lambda: self._keep_source(stream, fault))
+        self._loop.post(lambda: self._run(stream, self._keep_source, fault))
 
     def cut(
         self,
@@ -185,13 +186,44 @@
         """
         self._loop.post(lambda: self._abort_matching(predicate, fault))
 
+    def _run(
+        self,
+        stream: Stream,
+        callback: collections.abc.Callable[..., None],
+        *arguments: typing.Any,
+    ) -> None:
+        """Run a callback of a stream; end the stream if it fails.
+
+        Nothing else would end it, and it holds a decode slot.
+        """
+        try:
+            callback(stream, *arguments)
+        except Exception:
+            LOG.exception("a callback of a stream failed")
+            self._end_failed(stream)
+
+    def _end_failed(self, stream: Stream) -> None:
+        """End a stream whose state may be inconsistent."""
+        fault = errors.Fault(
+            errors.Code.INTERNAL,
+            errors.Step.DECODE,
+            run=errors.ExecutionStatus.MAY_HAVE_RUN,
+        )
+        try:
+            self._abort(stream, fault)
+        finally:
+            if not stream.is_closed:
+                _reset_on_close(stream.caller)
+                stream.writer.head.keep = False
+                self._close(stream, fault)
+
     def _start_stream(self, stream: Stream) -> None:
         self._streams.add(stream)
         stream.caller.setblocking(False)
         self._loop.register(
             stream.caller.fileno(),
             HANGUP_EVENTS,
-            lambda events_: self._on_caller(stream, events_),
+            lambda events_: self._run(stream, self._on_caller, events_),
         )
         self._read_source(stream)
 
@@ -216,7 +248,7 @@
         self._loop.register(
             source.connection.fileno(),
             0 if stream.is_paused else READ,
-            lambda events_: self._on_source(stream),
+            lambda events_: self._run(stream, self._on_source),
         )
 
     def _on_source(self, stream: Stream) -> None:
@@ -372,20 +404,7 @@
             or stream.write_buffer
             or 0 < stream.deadline_ms <= now_ms
         ]:
-            if 0 < stream.deadline_ms <= now_ms:
-                self._abort(stream, _make_deadline_fault())
-            elif (
-                stream.write_buffer
-                and stream.last_write_ms <= min_last_write_ms
-            ):
-                self._on_disconnect(stream)
-            elif (
-                stream.token_deadline_ms <= now_ms
-                and stream.source is not None
-                and not stream.is_paused
-                and not stream.is_replacing_source
-            ):
-                self._on_stalled_source(stream)
+            self._run(stream, self._check_stream, min_last_write_ms)
         for connection in [
             connection
             for connection, deadline_ms in self._draining.items()
@@ -393,6 +412,20 @@
         ]:
             self._close_drained(connection)
 
+    def _check_stream(self, stream: Stream, min_last_write_ms: int) -> None:
+        now_ms = self._loop.now_ms
+        if 0 < stream.deadline_ms <= now_ms:
+            self._abort(stream, _make_deadline_fault())
+        elif stream.write_buffer and stream.last_write_ms <= min_last_write_ms:
+            self._on_disconnect(stream)
+        elif (
+            stream.token_deadline_ms <= now_ms
+            and stream.source is not None
+            and not stream.is_paused
+            and not stream.is_replacing_source
+        ):
+            self._on_stalled_source(stream)
+
     def _on_stalled_source(self, stream: Stream) -> None:
         if not stream.owner.may_replace_source():
             stream.token_deadline_ms = (
@@ -535,9 +568,7 @@
         """
         if stream.is_closed:
             return
-        stream.caller.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-        )
+        _reset_on_close(stream.caller)
         self._close(
             stream,
             errors.Fault(
@@ -582,15 +613,17 @@
         stream.write_buffer.clear()
         self._count(stream)
         self._loop.unregister(stream.caller.fileno())
-        self._close_source(stream)
-        if fault is not None:
-            stream.owner.cancel_source()
         is_disconnected = (
             fault is not None and fault.step is errors.Step.CALLER
         )
-        stream.release(stream.writer.head.keep and not is_disconnected)
-        stream.owner.on_longest_gap(stream.longest_gap_ms)
-        stream.owner.close(stream.expected, fault)
+        try:
+            self._close_source(stream)
+            if fault is not None:
+                stream.owner.cancel_source()
+            stream.release(stream.writer.head.keep and not is_disconnected)
+            stream.owner.on_longest_gap(stream.longest_gap_ms)
+        finally:
+            stream.owner.close(stream.expected, fault)
 
     def _close_source(self, stream: Stream) -> None:
         if stream.source is not None:
@@ -621,6 +654,11 @@
             connection.close()
 
 
+def _reset_on_close(connection: socket.socket) -> None:
+    """Let the close of a connection show that its answer is incomplete."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
 def _has_ended(source: upstreams.TokenStream | None) -> bool:
     """Return whether an engine has closed its connection."""
     if source is None:
--- a/tests/test_resource_release.py
+++ b/tests/test_resource_release.py
@@ -1,5 +1,7 @@
 """Tests that requests which fail by an exception leave nothing behind."""
 
+import contextlib
+import http.client
 import unittest
 from unittest import mock
 
@@ -135,6 +137,24 @@
                     self.assertEqual(counts, {"choose": 1, "finish": 1})
                     self.assertTrue(self.fixture.wait_idle())
 
+    def test_completion_callback_fails(self):
+        """Guards against reservations that one failing callback of a request
+        keeps from being released.
+        """
+        with (
+            RaisingStep(scheduling.SchedulingController, "finish"),
+            contextlib.suppress(OSError, http.client.HTTPException),
+        ):
+            self.fixture.complete()
+        self.assertTrue(
+            processes.wait_until(
+                lambda: (
+                    not self.fixture.allowances.open
+                    and not self.fixture.router.running
+                )
+            )
+        )
+
 
 def _count_calls(counts, name):
     original = getattr(server_selection.ServerSelector, name)
