Take no server entry whose address or id cannot be used for a server

What callers saw: as soon as three server entries of another writer with unreadable addresses were in the store, streams got 500, then 503 at every VM.

Cause: the adapter took any text before a colon and digits after it for an address. Whoever connects reads it by other rules: urllib3 raises LocationParseError in the client's constructor, the socket module UnicodeError or OverflowError, which are no OSError. A name would have been looked up, and on the event loop for a tunnel. An id that a header cannot carry raises UnicodeEncodeError when the request is sent.

Change: one function splits addresses, used by the tables' check, the clients, the dialer and the tunnels. The adapter takes IPv4 addresses only, as there are no names on the platform; the dialer turns an unreadable address into a failed connect. A version that cannot be printed counts as unknown.

Not changed: such an entry is still logged at debug level only.

--- a/mulberryway/platform/tables.py
+++ b/mulberryway/platform/tables.py
@@ -4,6 +4,7 @@
 import logging
 import typing
 
+from mulberryway import addresses
 from mulberryway import logs
 from mulberryway import tables
 from mulberryway.controllers import mirrored_tables
@@ -348,9 +349,8 @@
         value = entry.value
         pool = wire.parse_string(value["service"])
         address = wire.parse_string(value["address"])
-        host, _, port = address.rpartition(":")
-        if not host or not port.isdecimal():
-            raise ValueError("expected host:port")
+        addresses.split_ip(address)
+        name = wire.parse_id(entry.name)
         zone = wire.parse_string(value["zone"])
         state = wire.parse_string(value["state"])
         if state not in (READY_STATE, DRAINING_STATE):
@@ -364,7 +364,7 @@
         LOG.debug("server entry %s is malformed: %r", entry.name, error)
         return None
     row = tables.Upstream(
-        entry.name,
+        name,
         address,
         zone,
         role,
@@ -388,7 +388,11 @@
     alone, because it may differ from that of any other server.
     """
     version = value.get("version")
-    if isinstance(version, str) and 0 < len(version) <= MAX_VERSION_LENGTH:
+    if (
+        isinstance(version, str)
+        and 0 < len(version) <= MAX_VERSION_LENGTH
+        and version.isprintable()
+    ):
         return version
     return f"unknown:{name}:{started_ms}"[:MAX_VERSION_LENGTH]
 
--- a/mulberryway/platform/wire.py
+++ b/mulberryway/platform/wire.py
@@ -37,6 +37,7 @@
     "URGENCY",
     "parse_amount",
     "parse_era",
+    "parse_id",
     "parse_string",
     "parse_integer",
 ]
@@ -157,6 +158,18 @@
     return int(text)
 
 
+def parse_id(text: str) -> str:
+    """Return an id that is sent in headers.
+
+    :param text: the id
+    :returns: the id
+    :raises ValueError: if a header cannot carry it
+    """
+    if not (text.isascii() and text.isprintable() and text == text.strip()):
+        raise ValueError("expected printable ASCII characters")
+    return parse_string(text)
+
+
 def parse_string(value: typing.Any) -> str:
     """Return a JSON value as a non-empty string.
 
--- a/mulberryway/relay/tunnels.py
+++ b/mulberryway/relay/tunnels.py
@@ -16,6 +16,7 @@
 from thrift import Thrift
 from thrift.transport import TTransport
 
+from mulberryway import addresses
 from mulberryway import clock
 from mulberryway import logs
 from mulberryway import metrics
@@ -232,11 +233,14 @@
         )
 
     def _connect(self, request: _Request) -> None:
-        host, _, port = request.address.rpartition(":")
         upstream = request.upstream
         upstream.setblocking(False)
         upstream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        status = upstream.connect_ex((host, int(port)))
+        try:
+            status = upstream.connect_ex(addresses.split(request.address))
+        except (OSError, ValueError) as failure:
+            self._fail(request, OSError(str(failure)))
+            return
         if status not in (0, errno.EINPROGRESS):
             self._fail(request, OSError(status, os.strerror(status)))
             return
--- a/mulberryway/tables/columns.py
+++ b/mulberryway/tables/columns.py
@@ -6,6 +6,7 @@
 import re
 import typing
 
+from mulberryway import addresses
 from mulberryway import errors
 from mulberryway.tables import model
 
@@ -21,10 +22,8 @@
 ]
 
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
-ADDRESS = re.compile(r"[^\s/:]+:[0-9]{1,5}|\[[0-9a-fA-F:]+\]:[0-9]{1,5}")
 DIGEST = re.compile(r"[0-9a-f]{64}")
 MAX_COUNT = 1 << 53
-MAX_PORT = 65_535
 MAX_TIMEOUT_MS = 3_600_000
 EXPECTED_NAME = "a name of letters, digits, '.', '_' and '-', at most 63"
 
@@ -181,11 +180,10 @@
 
 
 def _is_address(value: typing.Any) -> bool:
-    return (
-        isinstance(value, str)
-        and ADDRESS.fullmatch(value) is not None
-        and 1 <= int(value.rpartition(":")[2]) <= MAX_PORT
-    )
+    try:
+        return isinstance(value, str) and bool(addresses.split(value))
+    except ValueError:
+        return False
 
 
 def _is_unique_list(
--- a/mulberryway/upstreams/connections.py
+++ b/mulberryway/upstreams/connections.py
@@ -19,6 +19,7 @@
 import urllib3.connection
 import urllib3.exceptions
 
+from mulberryway import addresses
 from mulberryway import clock
 from mulberryway import errors
 from mulberryway.upstreams import bounded_socket
@@ -265,23 +266,26 @@
 class _Connection(urllib3.connection.HTTPConnection):
     """Bounds the call that it carries, and attaches it to its canceller.
 
+    :param address: ``host:port``
     :param dialer: opens the connection
     """
 
     def __init__(
         self,
         *arguments: typing.Any,
+        address: str,
         dialer: dialing.Dialer,
         **keywords: typing.Any,
     ) -> None:
         super().__init__(*arguments, **keywords)
+        self._address = address
         self._dialer = dialer
 
     def _new_conn(self) -> socket.socket:
         timeout_ms = int(float(self.timeout) * MS_IN_S)
         try:
             return bounded_socket.BoundedSocket(
-                self._dialer.connect(f"{self.host}:{self.port}", timeout_ms),
+                self._dialer.connect(self._address, timeout_ms),
                 RECEIVE_BUDGET,
             )
         except OSError as error:
@@ -480,12 +484,12 @@
         return self._pool
 
     def _create_pool(self) -> urllib3.HTTPConnectionPool:
-        host, _, port = self.address.rpartition(":")
+        host, port = addresses.split(self.address)
         pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=MAX_IDLE_CONNECTIONS, retries=False
+            host, port, maxsize=MAX_IDLE_CONNECTIONS, retries=False
         )
         pool.ConnectionCls = functools.partial(
-            _Connection, dialer=self._dialer
+            _Connection, address=self.address, dialer=self._dialer
         )
         return pool
 
--- a/mulberryway/upstreams/decode_call.py
+++ b/mulberryway/upstreams/decode_call.py
@@ -8,6 +8,7 @@
 
 import expression
 
+from mulberryway import addresses
 from mulberryway import errors
 from mulberryway.upstreams import base
 from mulberryway.upstreams import bounded_socket
@@ -78,8 +79,8 @@
     def __init__(
         self, address: str, dialer: dialing.Dialer = dialing.DIRECT
     ) -> None:
-        host, _, port = address.rpartition(":")
-        super().__init__(host, int(port), timeout=CONNECT_TIMEOUT_MS / MS_IN_S)
+        host, port = addresses.split(address)
+        super().__init__(host, port, timeout=CONNECT_TIMEOUT_MS / MS_IN_S)
         self.connected_s = 0.0
         self._address = address
         self._dialer = dialer
--- a/mulberryway/upstreams/dialing.py
+++ b/mulberryway/upstreams/dialing.py
@@ -3,6 +3,8 @@
 import abc
 import socket
 
+from mulberryway import addresses
+
 __all__ = ["DIRECT", "Dialer", "DirectDialer", "PathError", "connect_directly"]
 
 MS_IN_S = 1_000
@@ -72,10 +74,11 @@
     :returns: a connected socket
     :raises OSError: if the upstream cannot be reached
     """
-    host, _, port = address.rpartition(":")
-    connection = socket.create_connection(
-        (host, int(port)), timeout_ms / MS_IN_S
-    )
+    try:
+        target = addresses.split(address)
+    except ValueError as error:
+        raise OSError(f"no address to connect to: {address!r}") from error
+    connection = socket.create_connection(target, timeout_ms / MS_IN_S)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return connection
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -16,6 +16,7 @@
 from mulberryway.platform import wire
 from mulberryway.upstreams import base as upstreams
 from mulberryway.upstreams import connections
+from tests import test_addresses
 
 CONFIGURATION = {
     "version": 7,
@@ -209,6 +210,25 @@
         (row,) = read(CONFIGURATION, entry).pools["llm"].upstreams
         self.assertEqual(row.cold_left_ms, platform_tables.MAX_COLD_MS)
 
+    def test_server_that_cannot_be_called(self):
+        """Guards against servers of entries whose address or id cannot be
+        used: each request for which they are chosen fails.
+        """
+        entries = [
+            ENTRY | {"address": address}
+            for address in (*test_addresses.UNREADABLE, "localhost:80")
+        ]
+        rows = read(CONFIGURATION, *entries, ENTRY).pools["llm"].upstreams
+        self.assertEqual([row.address for row in rows], ["10.0.0.1:80"])
+        for name in ("\u20ac", "a\r\nb", " a", "a\ud800"):
+            with self.subTest(name):
+                main = base.StoredObject("config", "main", 3, CONFIGURATION)
+                entry = base.StoredObject("servers", name, 4, ENTRY)
+                parsed = platform_tables.TablesReader().read(
+                    {"main": main}, [entry], 5
+                )
+                self.assertEqual(parsed.pools["llm"].upstreams, ())
+
     def test_previous_incarnation_is_ignored(self):
         """Guards against prompts for a previous incarnation: an engine crashed
         and restarted under another name before its old entry expired, and
