Reject requests that no upstream's request can carry

What callers saw: a header value with a bare CR, a header name outside of ASCII or a method with control characters got 500, after engines were assigned.

Cause: the request parser takes any bytes, and http.client refuses to send some of them with ValueError or UnicodeEncodeError, in begin_decode.

Change: names and methods are tokens (RFC 9110), values and targets have no control characters; everything else gets 400 before admission. Numbers in the platform's headers have at most 12 digits, so that no arithmetic on them overflows. A decode's connection is closed whatever exception ends the call.

--- a/mulberryway/platform/callers.py
+++ b/mulberryway/platform/callers.py
@@ -25,6 +25,7 @@
 MAX_ID_LENGTH = 64
 MAX_RESUMED_ID_LENGTH = 256
 MAX_EVENT_ID_DIGITS = 18
+MAX_NUMBER_DIGITS = 12
 # Parts of a prompt that are read from its header; more are ignored.
 MAX_PROMPT_PARTS = 64
 PROMPT_PART = re.compile(r"([0-9A-Fa-f]{1,64}):[0-9]{1,9}")
@@ -132,11 +133,8 @@
         text = exchange.find_header(wire.DEADLINE.lower())
         if text is None:
             return
-        if not text.isdecimal():
-            raise ValueError(
-                f"{wire.DEADLINE}: expected a decimal number of ms"
-            )
-        requested = clock.Deadline(exchange.arrived_ms + int(text))
+        left_ms = _parse_number(wire.DEADLINE, text)
+        requested = clock.Deadline(exchange.arrived_ms + left_ms)
         exchange.deadline.at_ms = min(exchange.deadline.at_ms, requested.at_ms)
 
     @staticmethod
@@ -147,14 +145,12 @@
             exchange.max_tokens = exchange.account.plain_tokens
             return
         prompt, comma, maximum = text.partition(",")
-        if not comma or not (prompt + maximum).isdecimal():
-            raise ValueError(
-                f"{wire.TOKEN_COUNTS}: expected two decimal numbers"
-            )
-        exchange.estimate = int(prompt)
-        exchange.max_tokens = int(maximum)
+        if not comma:
+            raise ValueError(f"{wire.TOKEN_COUNTS}: expected two numbers")
+        exchange.estimate = _parse_number(wire.TOKEN_COUNTS, prompt)
+        exchange.max_tokens = _parse_number(wire.TOKEN_COUNTS, maximum)
         hint = exchange.find_header(wire.LENGTH_HINT.lower()) or ""
-        if hint.isdecimal():
+        if hint.isdecimal() and len(hint) <= MAX_NUMBER_DIGITS:
             exchange.expected_tokens = int(hint)
         if exchange.pool.kind is tables.PoolKind.MODEL:
             exchange.digest = poison.digest_request(
@@ -212,6 +208,21 @@
     return base.Resumption(resumed, int(last_event))
 
 
+def _parse_number(name: str, text: str) -> int:
+    """Return the number in a header.
+
+    :param name: the header's name
+    :param text: the number's digits
+    :raises ValueError: if it is no decimal number or too large
+    """
+    if not text.isdecimal() or len(text) > MAX_NUMBER_DIGITS:
+        raise ValueError(
+            f"{name}: expected a decimal number of at most "
+            f"{MAX_NUMBER_DIGITS} digits"
+        )
+    return int(text)
+
+
 def _find_single_header(exchange: base.Exchange, name: str) -> str:
     """Return the value of a header that must not have several values."""
     values = {
--- a/mulberryway/server/request.py
+++ b/mulberryway/server/request.py
@@ -3,6 +3,7 @@
 import collections.abc
 import http
 import io
+import re
 import socket
 import time
 import typing
@@ -22,6 +23,11 @@
 CONTENT_LENGTH = b"Content-Length"
 TRANSFER_ENCODING = b"Transfer-Encoding"
 FOLDING = (b" ", b"\t")
+# RFC 9110, section 5.6.2.
+TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+CONTROL_CHARACTERS = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+# A target has no white space either.
+NOT_IN_TARGET = re.compile(rb"[\x00-\x20\x7f-\xff]")
 ERROR_CODE_BY_STATUS = {
     413: errors.Code.BODY_TOO_LARGE,
     414: errors.Code.BODY_TOO_LARGE,
@@ -119,8 +125,11 @@
         if line.startswith(FOLDING):
             raise ValueError("header line is folded")
         name, colon, _ = line.partition(b":")
-        if colon and name != name.strip():
-            raise ValueError("header name has spaces around it")
+        if colon and TOKEN.fullmatch(name) is None:
+            raise ValueError("header name is not a token")
+        if CONTROL_CHARACTERS.search(line.removesuffix(b"\r\n")):
+            # A request to an upstream cannot carry it.
+            raise ValueError("header has control characters")
         name = name.lower()
         if name in self.UNIQUE_HEADERS and name in self._seen:
             raise ValueError(f"{name.decode('latin-1')} header is duplicated")
@@ -133,6 +142,23 @@
 
     header_reader = HeaderReader()
 
+    def read_request_line(self) -> bool:
+        """Read the request line.
+
+        :returns: whether to continue with the request
+        """
+        if not super().read_request_line():
+            return False
+        if TOKEN.fullmatch(self.method) is None:
+            self.simple_response("400 Bad Request", "method is not a token")
+            return False
+        if NOT_IN_TARGET.search(self.uri):
+            self.simple_response(
+                "400 Bad Request", "target has control characters"
+            )
+            return False
+        return True
+
     def read_request_headers(self) -> bool:
         """Read the request's headers.
 
--- a/mulberryway/upstreams/decode_call.py
+++ b/mulberryway/upstreams/decode_call.py
@@ -225,6 +225,9 @@
         )
         connections.check_path(fault, address, dialer)
         return expression.Error(fault)
+    except BaseException:
+        prepared_connection.close()
+        raise
     finally:
         prepared_connection.end_response()
         if canceller is not None:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -71,6 +71,31 @@
             with self.subTest(lines=lines):
                 self.check_error(400, "bad_request", self.post(*lines))
 
+    def test_what_no_other_request_can_carry(self):
+        """Guards against requests that are admitted and that the library of
+        an upstream's client refuses to send, after engines were assigned.
+        """
+        for line in (
+            "X-A: b\rc",
+            "X-A: b\nX-B: c",
+            "X-A: b\0c",
+            "X-A: b\x7fc",
+            "X-\u00e9: b",
+            "X A: b",
+            ": b",
+            "X-A : b",
+        ):
+            with self.subTest(line):
+                self.check_error(400, "bad_request", self.post(line))
+        for path in ("/a\tb", "/a\x01", "/\u00e9", "/a\rb"):
+            with self.subTest(path):
+                self.check_error(400, "bad_request", self.post(path=path))
+        for method in ("P\x01ST", "P(ST", "P\u00c9ST"):
+            with self.subTest(method):
+                self.check_error(
+                    400, "bad_request", f"{method} / HTTP/1.1\r\n\r\n"
+                )
+
     def test_bad_chunks(self):
         coding = "Transfer-Encoding: chunked"
         for body in ("zz\r\n", "4\r\nabcdef\r\n", "-1\r\n\r\n", "\r\n"):
