End started jobs that nobody has ended, and count them

What callers saw: streams refused for want of a slot while the engines were idle; nothing told on-call that the slots were taken by jobs of requests that had ended long before.

Cause: what is leaked once stays leaked, and no metric compares the age of a started job with its deadline.

Change: a job that is a minute past its caller's deadline and has reported no tokens for a minute is ended, logged as an error and counted (jobs.lost); jobs.silent_ms tells how long the most silent one is past its time. The relay reports each running stream about once a second, so a long stream is not taken for a lost one.

--- a/mulberryway/controllers/scheduling.py
+++ b/mulberryway/controllers/scheduling.py
@@ -15,6 +15,7 @@
 from mulberryway.controllers import base
 from mulberryway.policy import base as policy
 from mulberryway.policy import hints
+from mulberryway.policy import job_liveness
 from mulberryway.policy import jobs
 from mulberryway.policy import pool_demand
 from mulberryway.policy import probes
@@ -33,6 +34,7 @@
 # waiting jobs a dispatch takes longer than applying a message.  Messages that
 # arrive within this time share one dispatch.
 GOSSIP_DISPATCH_INTERVAL_MS = 20
+MAX_LOGGED_JOBS = 8
 
 Decision = expression.Result[jobs.Assignment, errors.Fault]
 
@@ -69,7 +71,9 @@
         self._scheduler = scheduler
         self._lock = threading.Lock()
         self._tickets: dict[str, Ticket] = {}
-        self._started: set[str] = set()
+        self._started = job_liveness.JobLiveness()
+        # Started jobs that had to be ended because nobody else did.
+        self._lost = 0
         self._dispatched_ms = 0
         self._loads: dict[tuple[str, str], upstreams.EngineLoad] = {}
         # Numbers of rejected jobs by pool and rank.
@@ -114,6 +118,7 @@
 
     def step(self) -> None:
         """Dispatch, and sleep until the scheduler's next wake-up time."""
+        self._end_lost()
         with self._lock:
             wake_ms = self._dispatch()
             max_sleep_ms = (
@@ -296,9 +301,8 @@
         :param upstream: the upstream that failed; empty if none
         """
         with self._lock:
-            if job_id not in self._started:
+            if not self._started.end(job_id):
                 return
-            self._started.discard(job_id)
             self._scheduler.finish(job_id, end, upstream, self.clock.now_ms())
             self._dispatch()
         self.on_change()
@@ -350,6 +354,20 @@
             "KV cache blocks of decode engines by pool and kind, and streams",
             self._list_memory,
         )
+        metrics_.register_gauge(
+            "jobs.silent_ms",
+            "longest time without a report of a job past its deadline, in ms",
+            self._get_longest_silence_ms,
+        )
+        metrics_.register_counter(
+            "jobs.lost",
+            "started jobs that were never ended and had to be",
+            lambda: [({}, self._lost)],
+        )
+
+    def _get_longest_silence_ms(self) -> int:
+        with self._lock:
+            return self._started.get_longest_silence_ms(self.clock.now_ms())
 
     def _list_memory(self) -> list[tuple[metrics.Labels, int]]:
         with self._lock:
@@ -386,7 +404,9 @@
         :param tokens: the total number of tokens so far
         """
         with self._lock:
-            self._scheduler.record_tokens(job_id, tokens, self.clock.now_ms())
+            now_ms = self.clock.now_ms()
+            self._started.report(job_id, now_ms)
+            self._scheduler.record_tokens(job_id, tokens, now_ms)
 
     def reassign_decode(
         self, job_id: str, rejected_by: str, is_unreached: bool = False
@@ -530,7 +550,7 @@
         self._dispatched_ms = self.clock.now_ms()
         dispatch = self._scheduler.dispatch(self._dispatched_ms)
         for assignment in dispatch.assignments:
-            self._started.add(assignment.job_id)
+            self._begin(assignment.job_id)
             self._decide(assignment.job_id, expression.Ok(assignment))
         for rejection in dispatch.refusals:
             self._decide(rejection.job_id, expression.Error(rejection.fault))
@@ -544,6 +564,33 @@
             )
         return dispatch.wake_ms
 
+    def _begin(self, job_id: str) -> None:
+        ticket = self._tickets.get(job_id)
+        now_ms = self._dispatched_ms
+        self._started.begin(
+            job_id,
+            clock.Deadline(now_ms)
+            if ticket is None
+            else ticket.job.caller_deadline,
+            now_ms,
+        )
+
+    def _end_lost(self) -> None:
+        """End jobs that nobody has ended, so that they free their slots."""
+        with self._lock:
+            lost = self._started.list_lost(self.clock.now_ms())
+            self._lost += len(lost)
+        if not lost:
+            return
+        LOG.error(
+            "started jobs were never ended",
+            extra=logs.make_extra(
+                jobs=lost[:MAX_LOGGED_JOBS], count=len(lost), total=self._lost
+            ),
+        )
+        for job_id in lost:
+            self.finish(job_id, jobs.JobOutcome.CANCELLED)
+
     def _decide(self, job_id: str, decision: Decision) -> None:
         ticket = self._tickets.pop(job_id, None)
         if ticket is not None:
