Take no torn or malformed head of a response for a whole one

What callers saw: a server that broke off in the head of its answer gave them a complete 200 with an empty body, without the server's seal or with a part of it; a line that is no header gave them chunk sizes in the body. A 404 or 503 that was torn counted as whole, a torn rejection as "not run", a torn 404 of the store as an object's absence, a torn 409 as a lost race, a torn answer to an order as its acceptance.

Cause: http.client takes the end of the connection, and the first line that is no header, for the end of a head. What is missing is the length, so the body "ends with the connection". It also ignores a length that it cannot read, and takes the first of two. Nothing above it asked whether the head was whole.

Ruled out: that the pool or the check of the echo lets such an answer through (review/2 breaks off on new connections, after the echo); that it is a matter of plain calls alone: prefills, reports, orders and the store read as they do.

Change: one class reads heads, for all HTTP clients of the project: it raises an exception unless each line is a header, the empty line is there and the length is said once and can be read. Interim responses other than 100 are skipped. Such a call may have run, so it is repeated only where the route allows that, and counts as a failure of its server.

--- a/mulberryway/admin/client.py
+++ b/mulberryway/admin/client.py
@@ -9,6 +9,7 @@
 import urllib3
 
 from mulberryway import errors
+from mulberryway import response_heads
 
 __all__ = ["AdminClient"]
 
@@ -38,7 +39,7 @@
             "Authorization": f"Bearer {credential}",
             "Content-Type": "application/json",
         }
-        self._pool = urllib3.PoolManager()
+        self._pool = response_heads.make_pools()
 
     def call(
         self, method: str, path: str, body: Reply | None = None
--- a/mulberryway/objects/http.py
+++ b/mulberryway/objects/http.py
@@ -11,6 +11,7 @@
 
 from mulberryway import clock
 from mulberryway import errors
+from mulberryway import response_heads
 from mulberryway.objects import base
 from mulberryway.objects import call_metrics
 from mulberryway.objects import codec
@@ -68,7 +69,7 @@
         self._timeout_ms = timeout_ms
         self._clock = clock_
         self._counter = counter
-        self._pool = urllib3.PoolManager(maxsize=WATCH_CONNECTIONS)
+        self._pool = response_heads.make_pools(maxsize=WATCH_CONNECTIONS)
 
     def read(
         self, kind: str, name: str, purpose: str
--- a/mulberryway/upstreams/bounded_pool.py
+++ b/mulberryway/upstreams/bounded_pool.py
@@ -9,8 +9,8 @@
 import weakref
 
 import urllib3
-import urllib3.connection
 
+from mulberryway import response_heads
 from mulberryway.upstreams import bounded_socket
 
 __all__ = ["BoundedPool", "read_body"]
@@ -21,7 +21,7 @@
 MIN_BYTES_PER_S = 131_072
 
 
-class _Connection(urllib3.connection.HTTPConnection):
+class _Connection(response_heads.StrictConnection):
     """A connection whose socket bounds each response.
 
     :param budget: bounds the bytes of all responses
--- a/mulberryway/upstreams/connections.py
+++ b/mulberryway/upstreams/connections.py
@@ -16,12 +16,12 @@
 
 import expression
 import urllib3
-import urllib3.connection
 import urllib3.exceptions
 
 from mulberryway import addresses
 from mulberryway import clock
 from mulberryway import errors
+from mulberryway import response_heads
 from mulberryway.upstreams import bounded_socket
 from mulberryway.upstreams import dialing
 
@@ -127,11 +127,24 @@
         step,
         peer,
         errors.ExecutionStatus.MAY_HAVE_RUN,
-        f"call failed: {type(error).__name__}",
+        f"call failed: {_describe(error)}",
         has_died=code is errors.Code.UPSTREAM_FAILED,
     )
 
 
+def _describe(error: Exception) -> str:
+    """Return what an exception says of a response's head, or its type."""
+    causes = (error, *error.args)
+    return next(
+        (
+            str(cause)
+            for cause in causes
+            if isinstance(cause, response_heads.HeadError)
+        ),
+        type(error).__name__,
+    )
+
+
 def is_accepting_connections(
     address: str, dialer: dialing.Dialer = dialing.DIRECT
 ) -> bool:
@@ -263,7 +276,7 @@
 _CURRENT_CALL = _CurrentCall()
 
 
-class _Connection(urllib3.connection.HTTPConnection):
+class _Connection(response_heads.StrictConnection):
     """Bounds the call that it carries, and attaches it to its canceller.
 
     :param address: ``host:port``
