Do not wait for the rest of a head whose engine has closed

What callers saw: a stream whose engine broke off in the head of its answer began late or not at all: its VM waited for half of the caller's time or all of it, counted a timeout, and went to another engine only then.

Cause: the decode waited for the whole head by peeking at the socket. Peeking shows the same bytes again and never the end of the connection behind them.

The socket bounds the time of the response as a whole, so heads in pieces need no loop of their own.

--- a/mulberryway/upstreams/decode_call.py
+++ b/mulberryway/upstreams/decode_call.py
@@ -10,6 +10,7 @@
 
 from mulberryway import addresses
 from mulberryway import errors
+from mulberryway import response_heads
 from mulberryway.upstreams import base
 from mulberryway.upstreams import bounded_socket
 from mulberryway.upstreams import connections
@@ -36,10 +37,6 @@
 # arrives; then it is unknown whether the request was executed.  A connection
 # younger than this has not been closed as idle.
 MAX_UNUSED_AGE_MS = 500
-HEAD_END = b"\r\n\r\n"
-MAX_HEAD_BYTES = 65_536
-# Engines send their response head at once; this is for one in pieces.
-PARTIAL_HEAD_POLL_S = 0.005
 
 
 class DecodeRequest:
@@ -76,6 +73,8 @@
     :param dialer: opens the connection
     """
 
+    response_class = response_heads.StrictResponse
+
     def __init__(
         self, address: str, dialer: dialing.Dialer = dialing.DIRECT
     ) -> None:
@@ -290,7 +289,6 @@
     connection.request(
         request.method, request.target, request.body, request.headers
     )
-    _await_head(sock, deadline_s)
     response = connection.getresponse()
     echoed = response.getheader(request.echo_header, "")
     is_echo_correct = echoed == request.headers[request.echo_header]
@@ -337,29 +335,6 @@
     return None if response.length or not response.isclosed() else body
 
 
-def _await_head(sock: socket.socket, deadline_s: float) -> None:
-    """Wait until a response head is complete or its connection has ended.
-
-    A socket's timeout limits each read, so a head in pieces could take many
-    times as long.
-
-    :raises TimeoutError: if the head is not complete at the deadline
-    """
-    while True:
-        left_s = deadline_s - time.monotonic()
-        if left_s <= 0:
-            raise TimeoutError("the response head is incomplete")
-        sock.settimeout(left_s)
-        received = sock.recv(MAX_HEAD_BYTES, socket.MSG_PEEK)
-        if (
-            not received
-            or HEAD_END in received
-            or len(received) == MAX_HEAD_BYTES
-        ):
-            return
-        time.sleep(PARTIAL_HEAD_POLL_S)
-
-
 def _detach_socket(
     sock: socket.socket, response: http.client.HTTPResponse, echoed: str
 ) -> base.TokenStream:
--- a/tests/test_torn_heads.py
+++ b/tests/test_torn_heads.py
@@ -14,6 +14,7 @@
 from mulberryway.platform import service
 from mulberryway.platform import store
 from mulberryway.upstreams import base
+from mulberryway.upstreams import http_engine
 from mulberryway.upstreams import http_service
 
 HOST = "127.0.0.1"
@@ -193,6 +194,12 @@
     )
 
 
+def decode(address):
+    return make_engine(address).decode(
+        make_label(), make_request(), {}, 0, TIMEOUT_MS
+    )
+
+
 def report_load(address):
     return make_engine(address).report_load()
 
@@ -202,6 +209,11 @@
     return make_engine(address).send_order(order)
 
 
+def decode_natively(address):
+    client = http_engine.HttpEngine(address, "", clock.SystemClock())
+    return client.decode(make_label(), {"prompt": "x"}, {}, 0, TIMEOUT_MS)
+
+
 def make_store(address):
     return store.PlatformStore(
         f"http://{address}",
@@ -275,6 +287,15 @@
     def test_native_plain_call(self):
         self.check_upstream(call_native_service)
 
+    def test_decode(self):
+        """Guards against streams that wait for their timeout although their
+        engine has closed the connection.
+        """
+        self.check_upstream(decode)
+
+    def test_native_decode(self):
+        self.check_upstream(decode_natively)
+
     def test_prefill(self):
         # A prefill generates no output, whatever became of it.
         self.check(
@@ -318,6 +339,9 @@
     def test_chunks(self):
         answer = STATUS + ECHO + SEAL + CHUNKED + b"\r\n" + CHUNKS
         self.assertEqual(self.call(answer, call_plain).ok.body, BODY)
+        stream = self.call(answer, decode).ok
+        stream.connection.close()
+        self.assertTrue(stream.is_chunked)
 
     def test_line_ends_without_cr(self):
         answer = WHOLE.replace(b"\r\n", b"\n")
@@ -329,6 +353,28 @@
 
     def test_head_that_is_whole_ends_a_rejection(self):
         answer = REJECTION + ECHO + b"Not-Executed: 1\r\n\r\n"
-        fault = self.call(answer, call_plain).error
-        self.assertIs(fault.code, errors.Code.UPSTREAM_REFUSED)
-        self.assertIs(fault.run, errors.ExecutionStatus.NOT_RUN)
+        for call in (call_plain, decode):
+            fault = self.call(answer, call).error
+            self.assertIs(fault.code, errors.Code.UPSTREAM_REFUSED)
+            self.assertIs(fault.run, errors.ExecutionStatus.NOT_RUN)
+
+    def test_head_in_pieces(self):
+        """Guards against heads that count as torn because they arrive in
+        several packets.
+        """
+        listener = socket.create_server((HOST, 0))
+        self.addCleanup(listener.close)
+
+        def serve():
+            connection, _ = listener.accept()
+            with connection:
+                connection.recv(65_536)
+                for start in range(0, len(WHOLE), 7):
+                    connection.sendall(WHOLE[start : start + 7])
+                    time.sleep(0.002)
+
+        threading.Thread(target=serve, daemon=True).start()
+        address = f"{HOST}:{listener.getsockname()[1]}"
+        stream = decode(address).ok
+        stream.connection.close()
+        self.assertEqual(stream.length, len(BODY))
