Pass on no success without the signature of its server

What callers saw: beside the answers that were torn in their head, nothing shown; this is a second, independent check of the same promise. Servers of the platform sign what they have run, and a success counts only with the signature.

Cause: neither the plain services' client nor the engines' asked for the header.

A 404 needs no signature and is passed on as before.

Change: such a success is a failure that may have run. Prefills, reports and orders have no signature and need none.

--- a/mulberryway/platform/engine.py
+++ b/mulberryway/platform/engine.py
@@ -254,6 +254,7 @@
             self._unregister_call(label)
         if result.is_ok():
             self._reader.read(http.HTTPStatus.OK, result.ok.headers, sent_ms)
+        result = result.bind(self._check_signature)
         if result.is_ok() and transfer:
             # The handle is used up, so the prefill engine has nothing to
             # release.
@@ -346,6 +347,16 @@
             headers[wire.URGENCY] = str(label.urgency)
         return headers
 
+    def _check_signature(
+        self, source: base.TokenStream
+    ) -> expression.Result[base.TokenStream, errors.Fault]:
+        if responses.is_signed(list(source.headers)):
+            return expression.Ok(source)
+        source.connection.close()
+        return expression.Error(
+            responses.make_unsigned_fault(self.address, errors.Step.DECODE)
+        )
+
     def _register_call(
         self, label: base.AttemptLabel
     ) -> connections.CallCanceller:
--- a/mulberryway/platform/responses.py
+++ b/mulberryway/platform/responses.py
@@ -9,6 +9,8 @@
 
 __all__ = [
     "is_rejection",
+    "is_signed",
+    "make_unsigned_fault",
     "make_cordoned_fault",
     "make_request_headers",
     "make_response_fault",
@@ -69,6 +71,32 @@
     )
 
 
+def is_signed(headers: list[tuple[str, str]]) -> bool:
+    """Return whether a response has a server's signature.
+
+    :param headers: name and value pairs of the response
+    """
+    return any(
+        name.lower() == wire.SIGNATURE.lower() and value
+        for name, value in headers
+    )
+
+
+def make_unsigned_fault(address: str, step: errors.Step) -> errors.Fault:
+    """Return the fault for a success that has no server's signature.
+
+    :param address: the upstream's address
+    :param step: the step of the request
+    """
+    return errors.Fault(
+        errors.Code.UPSTREAM_FAILED,
+        step,
+        address,
+        errors.ExecutionStatus.MAY_HAVE_RUN,
+        "the response has no signature of its server",
+    )
+
+
 def make_response_fault(
     status: int,
     headers: list[tuple[str, str]],
--- a/mulberryway/platform/service.py
+++ b/mulberryway/platform/service.py
@@ -16,8 +16,6 @@
 
 __all__ = ["PlatformService"]
 
-MIN_ERROR_STATUS = 300
-
 
 class PlatformService(base.UpstreamService):
     """A plain service at one address.
@@ -130,6 +128,13 @@
                     errors.Step.SERVICE,
                 )
             )
+        is_success = response.status < http.HTTPStatus.MULTIPLE_CHOICES
+        if is_success and not responses.is_signed(response.headers):
+            return expression.Error(
+                responses.make_unsigned_fault(
+                    self.address, errors.Step.SERVICE
+                )
+            )
         return expression.Ok(
             base.ServiceReply(
                 response.status,
--- a/mulberryway/platform/wire.py
+++ b/mulberryway/platform/wire.py
@@ -23,6 +23,7 @@
     "ORDER",
     "RESERVED_HEADERS",
     "RETRY_AFTER",
+    "SIGNATURE",
     "RESUMED_ATTEMPT",
     "PHASE",
     "PREFIX",
@@ -92,6 +93,8 @@
 # Response header of a rejection: the upstream wants no request of this router
 # for so long, in seconds with fractions; a date is allowed too (RFC 9110).
 RETRY_AFTER = "Retry-After"
+# Response header: the signature of the server that has run the request.
+SIGNATURE = "Server-Seal"
 # Response header of the store: its era; see ``objects.eras``.
 ERA = "Store-Era"
 # Bounds the length of a received value in a log line.
--- a/tests/test_torn_heads.py
+++ b/tests/test_torn_heads.py
@@ -343,6 +343,33 @@
         stream.connection.close()
         self.assertTrue(stream.is_chunked)
 
+    def test_success_without_a_signature(self):
+        """Guards against successes that no server has signed, however they
+        came about.
+        """
+        heads = {
+            "none": STATUS + ECHO + LENGTH,
+            "empty": STATUS + ECHO + b"Server-Seal: \r\n" + LENGTH,
+            "no content": b"HTTP/1.1 204 No Content\r\n" + ECHO,
+            "partial": b"HTTP/1.1 206 Partial\r\n" + ECHO + LENGTH,
+        }
+        for (name, head), call in itertools.product(
+            heads.items(), (call_plain, decode)
+        ):
+            with self.subTest(name, call=call.__name__):
+                fault = self.call(head + b"\r\n" + BODY, call).error
+                self.assertIs(fault.code, errors.Code.UPSTREAM_FAILED)
+                self.assertIsNot(fault.run, errors.ExecutionStatus.NOT_RUN)
+        head = self.call(
+            STATUS + ECHO + LENGTH + b"\r\n",
+            lambda address: call_plain(address, "HEAD"),
+        )
+        self.assertIs(head.error.code, errors.Code.UPSTREAM_FAILED)
+
+    def test_failure_needs_no_signature(self):
+        answer = b"HTTP/1.1 404 Not Found\r\n" + ECHO + LENGTH + b"\r\n" + BODY
+        self.assertEqual(self.call(answer, call_plain).ok.status, 404)
+
     def test_line_ends_without_cr(self):
         answer = WHOLE.replace(b"\r\n", b"\n")
         self.assertEqual(self.call(answer, call_plain).ok.body, BODY)
