Keep the versions of streams in the store for a loss of all VMs

What callers saw: all VMs were killed at once and came back, and each stream that had broken off was refused with 503 until its caller gave up, though servers of its version had room. No stream was mixed.

Cause: only VMs remember which software version began a stream. After a loss of all of them nobody can tell, and a VM takes the only version that serves for a stream's version only after twice the route's timeout.

Evidence: tests/test_lost_fleet.py with real processes, three VMs and 60 streams.

Change: a VM stores what it knows in one object under its name, once a second if there is anything new, and reads it after its start. A record is true whenever it is read, since a stream's version does not change; so neither the order of writes nor an old copy of the store can mix a stream.

Not mended: what began since the last write, and VMs under other names.

--- a/mulberryway/controllers/version_tracking.py
+++ b/mulberryway/controllers/version_tracking.py
@@ -27,6 +27,9 @@
 ASK_ALL_TIMEOUT_MS = 600
 # Interval of log lines on streams that are dropped for lack of memory.
 EVICTION_LOG_INTERVAL_MS = 10_000
+# Most streams of a version end within this time after its last server has
+# left.
+SEVERAL_VERSIONS_WINDOW_MS = 30_000
 
 
 class VersionSource(enum.Enum):
@@ -96,6 +99,8 @@
         self._owners = stream_owners.StreamOwners({})
         self._addresses: dict[str, str] = {}
         self._eviction_logged_ms: int | None = None
+        # Grows with each batch of records.
+        self.changes = 0
         # Sends a gossip message to some VMs; set by the code that creates the
         # gossip's transport.
         self.send: collections.abc.Callable[
@@ -148,6 +153,7 @@
         """
         now_ms = self._clock.now_ms()
         with self._lock:
+            self.changes += 1
             evicted = self._table.evicted
             conflicting = [
                 record
@@ -167,6 +173,18 @@
         if has_evicted:
             self._log_eviction(now_ms)
 
+    def list_records(self) -> list[stream_versions.StreamVersion]:
+        """Return the streams that this VM knows."""
+        with self._lock:
+            return self._table.list_records(self._clock.now_ms())
+
+    def has_several_versions(self) -> bool:
+        """Return whether a pool has been served by several versions lately."""
+        with self._lock:
+            return self._history.has_several_versions(
+                SEVERAL_VERSIONS_WINDOW_MS, self._clock.now_ms()
+            )
+
     def find(self, stream: bytes, pool: str, window_ms: int) -> FoundVersion:
         """Find the version that began a stream; may ask other VMs.
 
--- a/mulberryway/hosted.py
+++ b/mulberryway/hosted.py
@@ -36,6 +36,7 @@
 from mulberryway.controllers import reloading
 from mulberryway.controllers import scheduler_gossip
 from mulberryway.controllers import server_load_gossip
+from mulberryway.controllers import stream_backup
 from mulberryway.controllers import version_tracking
 from mulberryway.controllers import zone_traffic
 from mulberryway.filters import repeats
@@ -205,6 +206,13 @@
             self._has_current_tables,
             self.clock,
         )
+        self.stream_backup = stream_backup.StreamBackupController(
+            settings_.vm_name,
+            self.versions,
+            self.store,
+            self.members.count_members,
+            self.clock,
+        )
         self.zones = zone_traffic.ZoneTraffic(settings_)
         self.shares = cold_start.FleetShares(settings_.vm_name)
         self.share_updater = fleet_shares.FleetSharesUpdater(
@@ -241,6 +249,7 @@
         for controller in self.mirror_controllers.values():
             controller.start()
         self.exchange.start()
+        self.stream_backup.start()
         self.members.start()
         self.paths.start()
         self.router.start()
@@ -277,6 +286,7 @@
             self.notes,
             self.paths,
             self.dissemination,
+            self.stream_backup,
             self.exchange,
             self.members,
         )
--- a/mulberryway/policy/stream_versions.py
+++ b/mulberryway/policy/stream_versions.py
@@ -10,6 +10,7 @@
 import hashlib
 
 __all__ = [
+    "DIGEST_BYTES",
     "StreamVersion",
     "StreamVersionTable",
     "VersionHistory",
@@ -117,6 +118,17 @@
             return None
         return known[1]
 
+    def list_records(self, now_ms: int) -> list[StreamVersion]:
+        """Return the streams of which one version is known.
+
+        :param now_ms: current time in ms
+        """
+        return [
+            StreamVersion(stream, pool, version, until_ms - now_ms)
+            for stream, (pool, version, until_ms) in self._streams.items()
+            if version is not None and until_ms > now_ms
+        ]
+
     def is_ambiguous(self, stream: bytes) -> bool:
         """Return whether two versions were recorded for a stream.
 
@@ -184,6 +196,17 @@
         }
         return self._current.get(pool, frozenset()) | recent
 
+    def has_several_versions(self, window_ms: int, now_ms: int) -> bool:
+        """Return whether some pool has been served by several versions.
+
+        :param window_ms: how far back, in ms
+        :param now_ms: current time in ms
+        """
+        return any(
+            len(self.list_versions(pool, window_ms, now_ms)) > 1
+            for pool in self._current
+        )
+
     def find_sole_version(
         self, pool: str, window_ms: int, now_ms: int
     ) -> str | None:
--- a/tests/version_fleet.py
+++ b/tests/version_fleet.py
@@ -31,6 +31,8 @@
     event_ms = EVENT_MS
     versions = VERSIONS
     route_ms = LONG_MS
+    # An attempt id must not be used for two streams.
+    name_prefix = "s"
 
     def setUp(self):
         self.fleet = hosted_fleet.Fleet(
@@ -85,7 +87,7 @@
 
     def add_callers(self, vm, count):
         self.streams = [
-            stream_callers.ResumedStream(f"s{number}")
+            stream_callers.ResumedStream(f"{self.name_prefix}{number}")
             for number in range(count)
         ]
         self.callers = [
--- a/tools/suite.py
+++ b/tools/suite.py
@@ -41,6 +41,7 @@
     "test_hosted_streams",
     "test_stream_versions",
     "test_engine_versions",
+    "test_lost_fleet",
     "test_hosted_upstreams",
     "test_admin_processes",
     "test_once_deployment",
