Let no Connection header of a caller take away a request's headers

What callers saw: a request with "Connection: Tenant" was run by a server that was not told whose it is; with "Connection: Token-Counts" it got 500.

Cause: hop-by-hop headers were removed after the router had set its own, and the caller's options named what else is to be removed.

Looked for on the way back: a server's Connection header could take away its signature, by reading.

Change: the caller's hop-by-hop headers are removed when the request is parsed, before the router adds headers. Options that name headers of the two ends (ids, deadline, model, token counts, signature) have no effect.

--- a/mulberryway/platform/callers.py
+++ b/mulberryway/platform/callers.py
@@ -17,6 +17,7 @@
 from mulberryway.policy import part_records
 from mulberryway.policy import poison
 from mulberryway.upstreams import base as upstreams
+from mulberryway.upstreams import http_service
 
 __all__ = ["PlatformEndpoints", "RequestParser", "parse_shared_parts"]
 
@@ -104,9 +105,13 @@
         exchange.attempt_id = attempt_id
         suffix = exchange.request_id.rpartition("-")[2]
         exchange.request_id = f"{attempt_id[:MAX_ID_LENGTH]}.{suffix}"
+        # Removed before the router sets headers of its own, which a caller's
+        # ``Connection`` header must not take away.
         exchange.headers = [
             (name, value)
-            for name, value in exchange.headers
+            for name, value in http_service.strip_hop_by_hop_headers(
+                exchange.headers, wire.END_TO_END_HEADERS
+            )
             if name.lower() not in wire.RESERVED_HEADERS
         ]
         if exchange.account.name:
--- a/mulberryway/platform/responses.py
+++ b/mulberryway/platform/responses.py
@@ -137,6 +137,10 @@
         errors.ExecutionStatus.RAN,
         f"the upstream responded with status {status}",
         answer=base.ServiceReply(
-            status, http_service.strip_framing_headers(headers), body
+            status,
+            http_service.strip_framing_headers(
+                headers, wire.END_TO_END_HEADERS
+            ),
+            body,
         ),
     )
--- a/mulberryway/platform/service.py
+++ b/mulberryway/platform/service.py
@@ -138,7 +138,9 @@
         return expression.Ok(
             base.ServiceReply(
                 response.status,
-                http_service.strip_framing_headers(response.headers),
+                http_service.strip_framing_headers(
+                    response.headers, wire.END_TO_END_HEADERS
+                ),
                 response.body,
             )
         )
--- a/mulberryway/platform/wire.py
+++ b/mulberryway/platform/wire.py
@@ -8,6 +8,7 @@
     "ATTEMPT_ID",
     "DEADLINE",
     "ERA",
+    "END_TO_END_HEADERS",
     "EXPECTED_INSTANCE",
     "HANDLE_SOURCE",
     "RESERVATION",
@@ -100,6 +101,23 @@
 # Bounds the length of a received value in a log line.
 MAX_LOGGED_LENGTH = 100
 
+# Headers of requests and responses that concern their two ends, whatever a
+# ``Connection`` header says.
+END_TO_END_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        ATTEMPT_ID,
+        DEADLINE,
+        MODEL,
+        TOKEN_COUNTS,
+        PREFIX,
+        LENGTH_HINT,
+        LAST_EVENT,
+        RESUMED_ATTEMPT,
+        SIGNATURE,
+    )
+)
+
 # Headers that only routers may send to upstreams.  They are removed from
 # callers' requests, because a caller could use them to act as another client
 # account or to access the KV cache of another request.
--- a/mulberryway/upstreams/http_service.py
+++ b/mulberryway/upstreams/http_service.py
@@ -31,10 +31,13 @@
 
 def strip_hop_by_hop_headers(
     headers: list[tuple[str, str]],
+    end_to_end: frozenset[str] = frozenset(),
 ) -> list[tuple[str, str]]:
     """Remove the headers that apply to a single connection.
 
     :param headers: header pairs
+    :param end_to_end: names in lower case of headers that stay although a
+        sender says that they apply to its connection
     :returns: the pairs that may be forwarded to the next hop
     """
     connection_options = {
@@ -42,7 +45,7 @@
         for name, value in headers
         if name.lower() == "connection"
         for option in value.split(",")
-    }
+    } - end_to_end
     return [
         (name, value)
         for name, value in headers
@@ -52,17 +55,19 @@
 
 def strip_framing_headers(
     headers: list[tuple[str, str]],
+    end_to_end: frozenset[str] = frozenset(),
 ) -> list[tuple[str, str]]:
     """Remove a reply's hop-by-hop headers and its Content-Length.
 
     The reply is written again for the caller with headers of its own.
 
     :param headers: header pairs
+    :param end_to_end: see :func:`strip_hop_by_hop_headers`
     :returns: the pairs to forward to the caller
     """
     return [
         (name, value)
-        for name, value in strip_hop_by_hop_headers(headers)
+        for name, value in strip_hop_by_hop_headers(headers, end_to_end)
         if name.lower() != "content-length"
     ]
 
--- a/tests/test_hosted_path.py
+++ b/tests/test_hosted_path.py
@@ -55,6 +55,26 @@
         self.assertEqual(self.fleet.count_seen("as-claimed"), 0)
         self.assertGreater(self.fleet.count_seen("Tenant: large"), 0)
 
+    def test_connection_header_takes_nothing_away(self):
+        """Guards against requests without an account, and against requests
+        without an id, which a caller's Connection header brings about.
+        """
+        options = "keep-alive, Tenant, Attempt-Id, Model, Token-Counts"
+        headers = {"Connection": options, "X-Hop": "hop-as-claimed"}
+        headers["Connection"] += ", X-Hop"
+        for number, path in enumerate(("/talk/c", "/plain/c")):
+            attempt = f"c-{number}"
+            seen = self.fleet.count_seen("Tenant: large")
+            reply = self.fleet.send(
+                0, path, attempt, headers=headers | hosted_fleet.STREAM
+            )
+            self.assertEqual(reply.status, 200)
+            self.assertGreater(self.fleet.count_seen("Tenant: large"), seen)
+            self.assertGreater(
+                self.fleet.count_seen(f"Attempt-Id: {attempt}"), 0
+            )
+        self.assertEqual(self.fleet.count_seen("hop-as-claimed"), 0)
+
     def test_request_smuggled_in_a_body_is_not_run(self):
         """A caller embeds a request in the body of another one.  If it was
         parsed as a request, it would run without authentication.
