Let no unreadable object hide the others of the store

What callers saw: requests went to a server that had announced 15 s before that it leaves, at all VMs, as long as one server entry with a number of 5,000 digits was in the store.

Cause: a listing's page and a watch's batch are decoded as a whole, and Python refuses integers of more than 4,300 digits with ValueError. So one entry made the answer "malformed", and it was asked for again in vain. The same holds for bytes that are no UTF-8 and for control characters in strings; deep nesting raises RecursionError.

Change: the store's JSON is decoded so that a long integer becomes a float, a bad byte U+FFFD, and what is nested more than 64 deep null. The entry then fails the checks of its fields, alone.

--- a/mulberryway/platform/store.py
+++ b/mulberryway/platform/store.py
@@ -18,6 +18,7 @@
 from mulberryway.objects import call_metrics
 from mulberryway.objects import eras
 from mulberryway.objects import position
+from mulberryway.platform import json_text
 from mulberryway.platform import wire
 from mulberryway.upstreams import bounded_pool
 from mulberryway.upstreams import bounded_socket
@@ -330,7 +331,7 @@
                 self._make_response_fault(method, received.status)
             )
         return self._parse(
-            lambda: _Response(json.loads(received.content or b"{}"), era)
+            lambda: _Response(json_text.decode(received.content or b"{}"), era)
         )
 
     def _read_era(self, text: str | None) -> int | None:
--- /dev/null
+++ b/tests/test_unreadable_objects.py
@@ -0,0 +1,114 @@
+"""Tests of objects in the store that cannot be read."""
+
+import json
+import unittest
+
+from mulberryway import clock
+from mulberryway.objects import call_metrics
+from mulberryway.platform import json_text
+from mulberryway.platform import store
+from mulberryway.platform import tables as platform_tables
+from tests import test_platform_adapter
+from tests import test_torn_heads
+
+HOST = "127.0.0.1"
+ENTRY = json.dumps(test_platform_adapter.ENTRY | {"sequence": 1})
+# The encoded value of one field of an entry, which its reader must survive.
+UNREADABLE = {
+    "a number of 5,000 digits": b"9" * 5_000,
+    "a negative number of 5,000 digits": b"-" + b"9" * 5_000,
+    "a fraction of 5,000 digits": b"0." + b"9" * 5_000,
+    "bytes that are no UTF-8": b'"\xff\xfe\x80"',
+    "half of a pair of surrogates": b'"\\ud800"',
+    "a control character": b'"\x01"',
+    "lists in lists": b"[" * 50_000 + b"]" * 50_000,
+    "objects in objects": b'{"a":' * 50_000 + b"1" + b"}" * 50_000,
+    "objects in lists": b'[{"a":' * 50_000 + b"1" + b"}]" * 50_000,
+    "not a number": b"NaN",
+    "infinity": b"-Infinity",
+}
+
+
+def make_item(name, value):
+    revision = 7 if name == "s0" else 8
+    return b'{"metadata": {"name": "%s", "revision": %d}, "spec": %s}' % (
+        name.encode(),
+        revision,
+        value,
+    )
+
+
+def replace_field(field, value):
+    entry = json.loads(ENTRY) | {field: "@"}
+    return json.dumps(entry).encode().replace(b'"@"', value)
+
+
+class UnreadableObjectTest(unittest.TestCase):
+    def read(self, body):
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        server = test_torn_heads.OneAnswerServer(head + body)
+        self.addCleanup(server.close)
+        client = store.PlatformStore(
+            f"http://{server.address}",
+            2_000,
+            clock.SystemClock(),
+            call_metrics.InMemoryCallCounter(),
+        )
+        return client
+
+    def check_listing(self, value, field):
+        items = b", ".join(
+            (
+                make_item("bad", replace_field(field, value)),
+                make_item("s0", ENTRY.encode()),
+            )
+        )
+        body = b'{"items": [%s], "store_revision": 9}' % items
+        listing = self.read(body).read_listing("servers", "test").ok
+        self.assertEqual([one.name for one in listing.objects], ["bad", "s0"])
+        for entry in listing.objects:
+            platform_tables.read_server_generation(entry)
+        main = test_platform_adapter.base.StoredObject(
+            "config", "main", 3, test_platform_adapter.CONFIGURATION
+        )
+        parsed = platform_tables.TablesReader().read(
+            {"main": main}, listing.objects, 9
+        )
+        names = {row.name for row in parsed.pools["llm"].upstreams}
+        self.assertIn("s0", names)
+
+    def test_listing(self):
+        """Guards against one entry that keeps all others from being read."""
+        for name, value in UNREADABLE.items():
+            for field in ("sequence", "born", "address", "slots", "version"):
+                with self.subTest(name, field=field):
+                    self.check_listing(value, field)
+
+    def test_watch(self):
+        for name, value in UNREADABLE.items():
+            with self.subTest(name):
+                events = b", ".join(
+                    b'{"object": %s}' % item
+                    for item in (
+                        make_item("bad", replace_field("sequence", value)),
+                        make_item("s0", ENTRY.encode()),
+                    )
+                )
+                body = b'{"events": [%s], "store_revision": 9}' % events
+                batch = self.read(body).poll_changes("servers", 3, 0, "test")
+                self.assertEqual(len(batch.ok.events), 2)
+
+    def test_sound_text_is_unchanged(self):
+        """Guards against brackets in strings that count as nesting."""
+        deep = b"[" * 5_000 + b"]" * 5_000
+        text = (
+            b'{"a": "[[{\\"}", "b": [1, {"c": "]"}], "d": %s, "e": 2}' % deep
+        )
+        value = json_text.decode(text)
+        self.assertEqual(value["a"], '[[{"}')
+        self.assertEqual((value["b"], value["e"]), ([1, {"c": "]"}], 2))
+
+    def test_malformed_text(self):
+        for text in (b"", b"{", b"[" * 50_000, b"[1,]"):
+            with self.subTest(text[:5]), self.assertRaises(ValueError):
+                json_text.decode(text)
