Ask whether a server lives whose answer ends with its connection

What callers saw: a complete 200 with half of a body, of a plain service's server that was killed while it wrote an answer without a length.

Cause: the connections of a killed process end like such an answer. Streams ask whether the engine still accepts connections; plain calls did not.

Answers with a length or chunks, rejections and answers without a body cost nothing.

--- a/mulberryway/upstreams/connections.py
+++ b/mulberryway/upstreams/connections.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import functools
+import http
 import http.client
 import logging
 import socket
@@ -61,6 +62,7 @@
     ConnectionRefusedError,
     dialing.PathError,
 )
+BODILESS_STATUSES = (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
 TIMEOUT_ERRORS = (urllib3.exceptions.TimeoutError, TimeoutError)
 CLIENT_ERRORS = (
     urllib3.exceptions.HTTPError,
@@ -405,6 +407,9 @@
                     own_pool, method, target, headers, body, timeout_ms
                 )
             complete = _read_response(response, is_rejection)
+            is_rejected = is_rejection(complete.status, complete.headers)
+            if not is_rejected and _ends_with_connection(method, response):
+                self._check_alive()
         except CLIENT_ERRORS as error:
             self._close_response(response)
             is_cancelled = canceller is not None and canceller.is_cancelled
@@ -441,6 +446,19 @@
         # the pool but has no connection yet is made on a new one.
         old_pool.close()
 
+    def _check_alive(self) -> None:
+        """Check that a response without a length was not cut by a crash.
+
+        The connections of a process that is killed end like a response.
+
+        :raises ConnectionResetError: if the upstream has crashed
+        """
+        if not (
+            is_accepting_connections(self.address, self._dialer)
+            or self._dialer.is_suspect(self.address)
+        ):
+            raise ConnectionResetError("the upstream has ended")
+
     def _check_echo(
         self,
         headers: dict[str, str],
@@ -557,6 +575,17 @@
     return Response(response.status, headers, body)
 
 
+def _ends_with_connection(
+    method: str, response: urllib3.BaseHTTPResponse
+) -> bool:
+    """Return whether only the end of its connection ends a response."""
+    has_body = method != "HEAD" and response.status not in BODILESS_STATUSES
+    is_framed = "content-length" in response.headers or (
+        "transfer-encoding" in response.headers
+    )
+    return has_body and not is_framed
+
+
 def _read_body(response: urllib3.BaseHTTPResponse) -> bytes:
     chunks = []
     total = 0
