Soak: answers without a whole head, unusable entries, loss of all VMs

The stand-ins' servers can now break off in the head of an answer or send a line that is no header, after they have run the request; another writer can leave seven server entries with one unusable field each for a while; all VMs can be killed at once at a random time while several versions serve. The options come after the chains, so earlier seeds play as they did.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -25,6 +25,10 @@
 flags.DEFINE_integer("advisories", 0, "upstreams that say what they want")
 flags.DEFINE_integer("slow_readers", 0, "callers that read slowly")
 flags.DEFINE_integer("returns", 0, "returns of the store from a backup")
+flags.DEFINE_integer(
+    "unreadable", 0, "answers without a whole head, and unusable entries"
+)
+flags.DEFINE_integer("losses", 0, "times that all VMs are killed at once")
 flags.DEFINE_integer("length_ms", 10_000, "duration of fault injection")
 flags.DEFINE_string("keep", "", "folder for the logs of failed seeds")
 
@@ -46,6 +50,8 @@
         advisories=FLAGS.advisories,
         slow_readers=FLAGS.slow_readers,
         returns=FLAGS.returns,
+        unreadable=FLAGS.unreadable,
+        losses=FLAGS.losses,
     )
     log_folder = pathlib.Path(FLAGS.keep) if FLAGS.keep else None
     failed = 0
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -32,7 +32,29 @@
     "up_lapse": ("lapse", 1),
     "up_lose": ("lose_answer", 1),
     "up_break": ("cut_after", TRUNCATE_AFTER_EVENTS),
+    "up_torn": ("torn_head", 1),
+    "up_malformed": ("malformed_head", 1),
 }
+FOREIGN_ENTRY = {
+    "service": "llm",
+    "address": "127.0.0.1:9",
+    "zone": plan.ZONES[0],
+    "version": hosted_fleet.VERSION,
+    "slots": 64,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "sequence": 1,
+    "phase": "prefill",
+}
+UNUSABLE_FIELDS = (
+    ("address", "\ufffd\ufffd\ufffd:8080"),
+    ("address", "[::1]:8080"),
+    ("address", "a..b:99999"),
+    ("address", 7),
+    ("state", "idle"),
+    ("service", ["llm"]),
+    ("born", 10**4_200),
+)
 PROXY_FAULT_SETTINGS = {
     "delay": (DELAY, NO_DELAY),
     "one_way": ({"stall_down": True}, {"stall_down": False}),
@@ -88,6 +110,7 @@
             "edit_rate": self._change_rate,
             "poison": self._send_poison_request,
             plan.EVACUATION: self._evacuate_zone,
+            plan.FOREIGN_ENTRIES: self._write_foreign_entries,
             plan.BACKUP: lambda step: soak_cluster.back_up_store(),
             plan.RETURN: self._return_store,
         }
@@ -169,6 +192,19 @@
         )
         self._cluster.vms[number].send_signal(signal.SIGHUP)
 
+    def _write_foreign_entries(self, step: plan.ScheduledFault) -> None:
+        """Leave server entries that cannot be used, as another writer would.
+
+        Each has one field of another kind of value.
+        """
+        for number, (field, value) in enumerate(UNUSABLE_FIELDS):
+            self._cluster.put(
+                "servers", f"foreign-{number}", FOREIGN_ENTRY | {field: value}
+            )
+        _wait_for_duration(step)
+        for number, _ in enumerate(UNUSABLE_FIELDS):
+            self._cluster.drop("servers", f"foreign-{number}")
+
     def _kill_all(self, step: plan.ScheduledFault) -> None:
         numbers = range(len(self._cluster.vms))
         with concurrent.futures.ThreadPoolExecutor() as pool:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -5,9 +5,11 @@
 
 __all__ = [
     "ADVISORIES",
+    "ALL_KILL",
     "BACKUP",
     "COOLDOWN_MS",
     "EVACUATION",
+    "FOREIGN_ENTRIES",
     "LIMIT_PER_S",
     "RETURN",
     "SoakConfig",
@@ -77,6 +79,12 @@
 # Age of a backup when the store returns from it.
 MIN_BACKUP_AGE_MS = 300
 MAX_BACKUP_AGE_MS = 3_000
+# Upstreams break off in the head of their answers or send lines that are no
+# headers, and another writer leaves server entries that cannot be used.
+FOREIGN_ENTRIES = "foreign_entries"
+UNREADABLE = ("up_torn", "up_malformed", FOREIGN_ENTRIES)
+MIN_UNREADABLE_MS = 2_000
+ALL_KILL = "all_kill"
 PARTITIONS = ("path_silent", "path_reset", "path_refuse")
 # Relative frequency of each group of faults.
 WEIGHTED_FAULT_GROUPS = (
@@ -108,6 +116,10 @@
     :param slow_readers: number of callers that read long answers slowly
     :param returns: number of returns of the store from a backup, beside the
         chains
+    :param unreadable: number of upstreams whose answers have no whole head, or
+        of spells of unusable server entries, beside the chains
+    :param losses: number of times that all VMs are killed at once, beside the
+        chains
     """
 
     __slots__ = (
@@ -124,6 +136,8 @@
         "advisories",
         "slow_readers",
         "returns",
+        "unreadable",
+        "losses",
     )
 
     def __init__(
@@ -141,8 +155,12 @@
         advisories: int = 0,
         slow_readers: int = 0,
         returns: int = 0,
+        unreadable: int = 0,
+        losses: int = 0,
     ) -> None:
         self.returns = returns
+        self.unreadable = unreadable
+        self.losses = losses
         self.slow_readers = slow_readers
         self.advisories = advisories
         self.evacuations = evacuations
@@ -217,6 +235,11 @@
         for _ in range(config.returns)
         for step in _make_return(rng, config)
     ]
+    steps += [_make_unreadable(rng, config) for _ in range(config.unreadable)]
+    steps += [
+        ScheduledFault(rng.randrange(500, config.length_ms), ALL_KILL, "", 0)
+        for _ in range(config.losses)
+    ]
     return sorted(steps, key=lambda step: step.at_ms)
 
 
@@ -261,6 +284,16 @@
     )
 
 
+def _make_unreadable(rng: random.Random, config: SoakConfig) -> ScheduledFault:
+    at_ms = rng.randrange(500, config.length_ms - MIN_UNREADABLE_MS)
+    return ScheduledFault(
+        at_ms,
+        rng.choice(UNREADABLE),
+        rng.choice(config.list_upstream_names()),
+        rng.randint(MIN_UNREADABLE_MS, config.length_ms - at_ms),
+    )
+
+
 def _make_chain(
     rng: random.Random, config: SoakConfig
 ) -> collections.abc.Iterator[ScheduledFault]:
--- a/standins/hosted_upstreams.py
+++ b/standins/hosted_upstreams.py
@@ -15,6 +15,8 @@
 * ``lapse``: let handles expire at once
 * ``mute``: answer neither prompts, reservations nor decodes
 * ``lose_answer``: execute a service call and close the connection
+* ``torn_head``: execute a request, break off in the head of its answer
+* ``malformed_head``: execute a request, answer with a line that is no header
 * ``event_ms``: time between events
 * ``pause_ms``: additional time after the event ``pause_at``
 * ``refuse_prompts``: reject prefills
@@ -251,6 +253,8 @@
             "full": 0,
             "lapse": 0,
             "lose_answer": 0,
+            "torn_head": 0,
+            "malformed_head": 0,
             "mute": 0,
             "read_ms": 0,
             "no_room": 0,
@@ -389,9 +393,28 @@
         if self.faults["lose_answer"]:
             assert request.transport is not None
             request.transport.abort()
+        if self._spoil_head(request):
+            return web.Response()
         content = f"{request.method} {request.path_qs} ".encode() + body
         return self._make_response(request, 200, content)
 
+    def _spoil_head(self, request: web.Request) -> bool:
+        """Answer without a whole head if a fault asks for it, and close."""
+        is_torn = self.faults["torn_head"]
+        if not (is_torn or self.faults["malformed_head"]):
+            return False
+        lines = [
+            f"{name}: {value}"
+            for name, value in self._make_headers(request).items()
+        ]
+        head = "\r\n".join(["HTTP/1.1 200 OK", *lines, ""])
+        if not is_torn:
+            head += "no header\r\nContent-Length: 4\r\n\r\nbody"
+        assert request.transport is not None
+        request.transport.write(head.encode())
+        request.transport.close()
+        return True
+
     def _prefill(self, request: web.Request) -> web.Response:
         if self.phase != "prefill":
             return self._make_response(request, 421, b"")
@@ -419,6 +442,8 @@
             return self._make_response(request, 503, b"", NOT_EXECUTED)
         first_event = int(request.headers.get("Last-Event-Id", "0")) + 1
         self._record_run(request)
+        if self._spoil_head(request):
+            return web.Response()
         response = web.StreamResponse(headers=self._make_headers(request))
         response.headers["Content-Type"] = "text/event-stream"
         if self.faults["unframed"]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -430,6 +430,14 @@
         """
         self.hold(701, plan.SoakConfig(chains=1, advisories=3))
 
+    def test_unreadable_answers_and_a_loss_of_all_vms(self):
+        """Upstreams break off in their heads, another writer leaves server
+        entries, and all VMs are killed at once while two versions serve.
+        """
+        self.hold(
+            901, plan.SoakConfig(chains=1, versions=2, unreadable=4, losses=1)
+        )
+
     def test_returns_of_the_store(self):
         """Guards against changes that are missed or taken back when the store
         returns from older copies, beside other faults.
