--- a/tests/request_history.py
+++ b/tests/request_history.py
@@ -273,8 +273,9 @@
             yield "truncated stream looks complete", record.number
     elif record.is_whole and record.kind == "whole":
         text = json.loads(record.body)["choices"][0]["text"]
-        if text != answers.Answer("m", record.prompt, MAX_TOKENS).text():
-            yield "completion wrong", record.number
+        expected = answers.Answer("m", record.prompt, MAX_TOKENS).text()
+        if text != expected:
+            yield "completion wrong", (record.request_id, text, expected)
     elif record.is_whole and record.kind == "plain":
         if json.loads(record.body)["target"] != f"/member/{record.name}":
             yield "answer of another call", record.number
