Let no shorter timeout shorten the search for a stream's version

What callers would see: a stream that began at one version goes on at another.

Cause: a VM takes the only version that has served a pool for twice the route's timeout for that of a stream that nobody knows. It uses the timeout of the configuration in force; one that shortens it also shortens this time, while streams of the longer one run or return.

Change: the longest time of a pool counts, from its records, its searches and the questions of other VMs.

--- a/mulberryway/controllers/version_tracking.py
+++ b/mulberryway/controllers/version_tracking.py
@@ -99,6 +99,9 @@
         self._owners = stream_owners.StreamOwners({})
         self._addresses: dict[str, str] = {}
         self._eviction_logged_ms: int | None = None
+        # The longest time for which streams of a pool may return, by pool.  A
+        # configuration may shorten it while streams run.
+        self._windows_ms: dict[str, int] = {}
         # Grows with each batch of records.
         self.changes = 0
         # Sends a gossip message to some VMs; set by the code that creates the
@@ -140,6 +143,8 @@
         :param ttl_ms: how long the stream may be resumed, in ms
         """
         record = stream_versions.StreamVersion(stream, pool, version, ttl_ms)
+        with self._lock:
+            self._widen(pool, ttl_ms)
         self.receive([record])
         self.send(
             gossip_messages.encode_stream_version(record),
@@ -210,6 +215,7 @@
         now_ms = self._clock.now_ms()
         is_current = self._has_current_tables()
         with self._lock:
+            window_ms = self._widen(pool, window_ms)
             known = self._table.find(stream, pool, now_ms)
             if known is not None:
                 return ttypes.VersionReply(known)
@@ -259,6 +265,7 @@
     def _find(self, stream: bytes, pool: str, window_ms: int) -> FoundVersion:
         now_ms = self._clock.now_ms()
         with self._lock:
+            window_ms = self._widen(pool, window_ms)
             known = self._table.find(stream, pool, now_ms)
             serving = self._history.list_versions(pool, window_ms, now_ms)
             sole = self._history.find_sole_version(pool, window_ms, now_ms)
@@ -303,6 +310,12 @@
             None, VersionSource.UNKNOWN, (asked, answered), serving
         )
 
+    def _widen(self, pool: str, window_ms: int) -> int:
+        """Return the longest window of a pool so far, in ms."""
+        longest_ms = max(window_ms, self._windows_ms.get(pool, 0))
+        self._windows_ms[pool] = longest_ms
+        return longest_ms
+
     def _list_other_owners(self, stream: bytes) -> list[tuple[str, str]]:
         """Return the names and peer addresses of a stream's owners."""
         with self._lock:
--- a/tests/test_version_tracking.py
+++ b/tests/test_version_tracking.py
@@ -278,6 +278,21 @@
         self.clock.advance_ms(1_000)
         self.check(self.second, None, SOURCES.UNKNOWN)
 
+    def test_window_that_a_configuration_shortens(self):
+        """Guards against the version that is left for a stream that began
+        under a longer timeout, at one that has left since.
+        """
+        self.begin(OLD)
+        self.second.tracker.record(digest("b"), POOL, NEW, WINDOW_MS)
+        self.serve(NEW)
+        self.clock.advance_ms(WINDOW_MS // 2)
+        for vm in (self.first, self.second):
+            found = vm.tracker.find(digest("lost"), POOL, WINDOW_MS // 4)
+            self.assertIsNone(found.version)
+        self.clock.advance_ms(WINDOW_MS)
+        found = self.second.tracker.find(digest("lost"), POOL, WINDOW_MS // 4)
+        self.assertEqual(found.version, NEW)
+
     def test_vm_without_others(self):
         self.network = Network(self.clock)
         only = self.network.add("vm0")
