Sign the answer of an engine in a test of replaced connections

The test's engine answered 200 without the signature that each engine of the platform sends. The answer now has a signature; what the test asks for is unchanged.

--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -49,7 +49,10 @@
 
 
 # A decode engine's whole response to a request for the second token.
-ANSWER = b"HTTP/1.1 200 OK\r\nAttempt-Id: a-1\r\n\r\n" + make_end(1)
+ANSWER = (
+    b"HTTP/1.1 200 OK\r\nAttempt-Id: a-1\r\nServer-Seal: s-1\r\n\r\n"
+    + make_end(1)
+)
 
 
 class InlineLoop:
