Ask again for tokens that arrived with an invalid event

What callers would get: a complete answer without some of its tokens, as a stream or as one JSON object.

Cause: the events of one read are taken one by one and written together. If a later one of them is invalid, such as the end of a stream that its engine has aborted, the tokens before it counted as received and were dropped, and the next engine went on behind them.

Change: the count goes back to where the read began. Streams that are forwarded byte for byte count only after their checks, by reading, and are unchanged.

--- a/mulberryway/relay/stream.py
+++ b/mulberryway/relay/stream.py
@@ -284,15 +284,25 @@
         """
         if self.source is not None and self.source.is_chunked:
             data = self.decoder.feed(data)
-        tokens: list[bytes] = []
+        offset = self.expected
+        try:
+            tokens = list(self._take_tokens(data))
+        except events.InvalidStream:
+            # What came before the invalid event is not forwarded, so another
+            # engine has to write it again.
+            self.expected = offset
+            raise
+        return self.writer.add(tokens) if tokens else b""
+
+    def _take_tokens(self, data: bytes) -> collections.abc.Iterator[bytes]:
+        """Yield the events that the caller does not have."""
         for event in self._splitter.feed(data):
             if event == DONE_EVENT:
                 self._check_complete()
                 self.is_complete = True
-                break
+                return
             if self._accept_event(event):
-                tokens.append(self._replace_id(event))
-        return self.writer.add(tokens) if tokens else b""
+                yield self._replace_id(event)
 
     def _accept_event(self, event: bytes) -> bool:
         token = events.TokenEvent.read(event)
