Say in logs and a metric how the response to a call arrived

Each failed call now has a reason, the number of the call on its connection, what ended the body and the number of bytes received, in its log line and in mulberryway.upstream.failed_calls. 'a request ended' says the last three of the answer that was passed on.

--- a/mulberryway/filters/base.py
+++ b/mulberryway/filters/base.py
@@ -221,6 +221,7 @@
         "tried",
         "tried_ms",
         "versions",
+        "arrival",
         "first_ms",
         "gap_ms",
         "stages",
@@ -294,6 +295,8 @@
         self.tried_ms: list[int] = []
         # The software version of each upstream in ``tried``.
         self.versions: list[str] = []
+        # How the response that is forwarded arrived, as fields of a log line.
+        self.arrival: dict[str, int | float | str] = {}
         # For streams: the time of the first piece in ms after the request's
         # arrival, and the longest inter-token gap in ms; 0 for none yet.
         self.first_ms = 0
--- a/mulberryway/filters/observe.py
+++ b/mulberryway/filters/observe.py
@@ -89,6 +89,7 @@
                 first_ms=exchange.first_ms,
                 gap_ms=exchange.gap_ms,
                 took_ms=took_ms,
+                **exchange.arrival,
                 **_make_stage_fields(exchange),
                 **_make_resumption_fields(exchange),
             ),
--- a/mulberryway/filters/service_forward.py
+++ b/mulberryway/filters/service_forward.py
@@ -140,6 +140,7 @@
             if result.is_ok():
                 if exchange.required_version is None:
                     exchange.on_first_event(version)
+                exchange.arrival = result.ok.arrival
                 return expression.Ok(_make_reply(result.ok))
         return self._make_failure(exchange, attempts)
 
--- a/mulberryway/platform/responses.py
+++ b/mulberryway/platform/responses.py
@@ -5,11 +5,13 @@
 from mulberryway import errors
 from mulberryway.platform import wire
 from mulberryway.upstreams import base
+from mulberryway.upstreams import call_details
 from mulberryway.upstreams import http_service
 
 __all__ = [
     "is_rejection",
     "is_signed",
+    "make_encoded_fault",
     "make_unsigned_fault",
     "make_cordoned_fault",
     "make_request_headers",
@@ -82,19 +84,52 @@
     )
 
 
-def make_unsigned_fault(address: str, step: errors.Step) -> errors.Fault:
+def make_unsigned_fault(
+    address: str,
+    step: errors.Step,
+    details: call_details.CallDetails | None = None,
+) -> errors.Fault:
     """Return the fault for a success that has no server's signature.
 
     :param address: the upstream's address
     :param step: the step of the request
+    :param details: how the response arrived, if that is known
     """
-    return errors.Fault(
+    fault = errors.Fault(
         errors.Code.UPSTREAM_FAILED,
         step,
         address,
         errors.ExecutionStatus.MAY_HAVE_RUN,
         "the response has no signature of its server",
     )
+    return call_details.FAILURES.record(
+        fault, call_details.FailureReason.UNSIGNED, details
+    )
+
+
+def make_encoded_fault(
+    address: str,
+    step: errors.Step,
+    details: call_details.CallDetails | None = None,
+) -> errors.Fault:
+    """Return the fault for a response whose body is not the server's own.
+
+    No content encoding is ever requested.
+
+    :param address: the upstream's address
+    :param step: the step of the request
+    :param details: how the response arrived, if that is known
+    """
+    fault = errors.Fault(
+        errors.Code.UPSTREAM_FAILED,
+        step,
+        address,
+        errors.ExecutionStatus.MAY_HAVE_RUN,
+        "the response has an unrequested content encoding",
+    )
+    return call_details.FAILURES.record(
+        fault, call_details.FailureReason.ENCODED, details
+    )
 
 
 def make_response_fault(
--- a/mulberryway/platform/service.py
+++ b/mulberryway/platform/service.py
@@ -104,14 +104,9 @@
     ) -> expression.Result[base.ServiceReply, errors.Fault]:
         names = {name.lower() for name, _ in response.headers}
         if "content-encoding" in names:
-            # No encoding was requested, so the body is not the server's.
             return expression.Error(
-                errors.Fault(
-                    errors.Code.UPSTREAM_FAILED,
-                    errors.Step.SERVICE,
-                    self.address,
-                    errors.ExecutionStatus.MAY_HAVE_RUN,
-                    "the response has an unrequested content encoding",
+                responses.make_encoded_fault(
+                    self.address, errors.Step.SERVICE, response.details
                 )
             )
         is_failure = response.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
@@ -132,7 +127,7 @@
         if is_success and not responses.is_signed(response.headers):
             return expression.Error(
                 responses.make_unsigned_fault(
-                    self.address, errors.Step.SERVICE
+                    self.address, errors.Step.SERVICE, response.details
                 )
             )
         return expression.Ok(
@@ -142,5 +137,6 @@
                     response.headers, wire.END_TO_END_HEADERS
                 ),
                 response.body,
+                response.details.make_fields(),
             )
         )
--- a/mulberryway/router.py
+++ b/mulberryway/router.py
@@ -32,6 +32,7 @@
 from mulberryway.relay import watch
 from mulberryway.server import gateway
 from mulberryway.server import http_server
+from mulberryway.upstreams import call_details
 from mulberryway.upstreams import directory
 
 __all__ = ["Router"]
@@ -411,6 +412,7 @@
             self.scheduling.count_rejected_by_rank,
         )
         self.relay.guard.report(self.metrics)
+        call_details.FAILURES.report(self.metrics)
         for state in ("suspect", "quarantined"):
             self.metrics.register_gauge(
                 f"{state}_parts",
--- a/mulberryway/upstreams/base.py
+++ b/mulberryway/upstreams/base.py
@@ -415,16 +415,22 @@
     :param status: the HTTP status
     :param headers: header pairs without hop-by-hop headers
     :param body: the complete body
+    :param arrival: how it arrived, as fields of a log line
     """
 
-    __slots__ = ("status", "headers", "body")
+    __slots__ = ("status", "headers", "body", "arrival")
 
     def __init__(
-        self, status: int, headers: list[tuple[str, str]], body: bytes
+        self,
+        status: int,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        arrival: dict[str, int | float | str] | None = None,
     ) -> None:
         self.status = status
         self.headers = headers
         self.body = body
+        self.arrival = arrival or {}
 
 
 class UpstreamService(abc.ABC):
--- a/mulberryway/upstreams/bounded_socket.py
+++ b/mulberryway/upstreams/bounded_socket.py
@@ -76,6 +76,11 @@
         self._received = 0
         self._reserved = 0
 
+    @property
+    def received(self) -> int:
+        """The number of bytes of the current response."""
+        return self._received
+
     def begin_response(
         self,
         deadline_s: float,
--- a/mulberryway/upstreams/connections.py
+++ b/mulberryway/upstreams/connections.py
@@ -24,6 +24,7 @@
 from mulberryway import errors
 from mulberryway import response_heads
 from mulberryway.upstreams import bounded_socket
+from mulberryway.upstreams import call_details
 from mulberryway.upstreams import dialing
 
 __all__ = [
@@ -87,7 +88,7 @@
     :param body: the complete body
     """
 
-    __slots__ = ("status", "headers", "body")
+    __slots__ = ("status", "headers", "body", "details")
 
     def __init__(
         self, status: int, headers: list[tuple[str, str]], body: bytes
@@ -95,6 +96,7 @@
         self.status = status
         self.headers = headers
         self.body = body
+        self.details = call_details.CallDetails()
 
 
 def classify_failure(
@@ -266,13 +268,15 @@
 class _CurrentCall(threading.local):
     """Describes the call that runs on this thread.
 
-    ``socket`` and ``number`` are set when its request is sent.
+    ``socket``, ``number`` and ``details.use`` are set when its request is
+    sent.
     """
 
     canceller: CallCanceller | None = None
     deadline_s = 0.0
     socket: bounded_socket.BoundedSocket | None = None
     number = 0
+    details = call_details.CallDetails()
 
 
 _CURRENT_CALL = _CurrentCall()
@@ -318,6 +322,7 @@
             _CURRENT_CALL.deadline_s, canceller.extend if canceller else None
         )
         _CURRENT_CALL.socket = self.sock
+        _CURRENT_CALL.details.use = _CURRENT_CALL.number
         if canceller is not None:
             canceller.attach(self.sock)
         super().request(*arguments, **keywords)
@@ -391,8 +396,10 @@
         own_pool = self._create_pool() if needs_new_connection else None
         pool = own_pool or self._get_pool()
         response: urllib3.BaseHTTPResponse | None = None
+        details = call_details.CallDetails()
         _CURRENT_CALL.canceller = canceller
         _CURRENT_CALL.deadline_s = deadline_s
+        _CURRENT_CALL.details = details
         try:
             try:
                 response = _send(
@@ -406,11 +413,19 @@
                 response = _send(
                     own_pool, method, target, headers, body, timeout_ms
                 )
+            details.echo = response.headers.get(self._echo_header)
+            details.framing = _find_framing(method, response)
             complete = _read_response(response, is_rejection)
+            complete.details = details
             is_rejected = is_rejection(complete.status, complete.headers)
-            if not is_rejected and _ends_with_connection(method, response):
+            ends_with_connection = (
+                details.framing is call_details.Framing.CONNECTION
+            )
+            if not is_rejected and ends_with_connection:
                 self._check_alive()
+            details.received = _get_received()
         except CLIENT_ERRORS as error:
+            details.received = _get_received()
             self._close_response(response)
             is_cancelled = canceller is not None and canceller.is_cancelled
             return expression.Error(
@@ -457,7 +472,7 @@
             is_accepting_connections(self.address, self._dialer)
             or self._dialer.is_suspect(self.address)
         ):
-            raise ConnectionResetError("the upstream has ended")
+            raise call_details.UpstreamEndedError("the upstream has ended")
 
     def _check_echo(
         self,
@@ -476,20 +491,27 @@
         # and the call's own response is lost.
         self._close_response(response)
         self.reset_pool()
-        return expression.Error(
-            errors.Fault(
-                errors.Code.UPSTREAM_FAILED,
-                step,
-                self.address,
-                errors.ExecutionStatus.MAY_HAVE_RUN,
-                "response belongs to another request",
-            )
+        fault = errors.Fault(
+            errors.Code.UPSTREAM_FAILED,
+            step,
+            self.address,
+            errors.ExecutionStatus.MAY_HAVE_RUN,
+            "response belongs to another request",
         )
+        call_details.FAILURES.record(
+            fault, call_details.FailureReason.OTHER_REQUEST, complete.details
+        )
+        return expression.Error(fault)
 
     def _make_fault(
         self, error: Exception, step: errors.Step, is_cancelled: bool
     ) -> errors.Fault:
         fault = classify_failure(error, step, self.address)
+        call_details.FAILURES.record(
+            fault,
+            _find_reason(error, fault, is_cancelled),
+            _CURRENT_CALL.details,
+        )
         if is_cancelled:
             # The connection broke on this side.
             fault.has_died = False
@@ -575,15 +597,32 @@
     return Response(response.status, headers, body)
 
 
-def _ends_with_connection(
+def _get_received() -> int:
+    """Return how many bytes of a response this thread's call has received."""
+    sock = _CURRENT_CALL.socket
+    return 0 if sock is None else sock.received
+
+
+def _find_framing(
     method: str, response: urllib3.BaseHTTPResponse
-) -> bool:
-    """Return whether only the end of its connection ends a response."""
-    has_body = method != "HEAD" and response.status not in BODILESS_STATUSES
-    is_framed = "content-length" in response.headers or (
-        "transfer-encoding" in response.headers
-    )
-    return has_body and not is_framed
+) -> call_details.Framing:
+    if method == "HEAD" or response.status in BODILESS_STATUSES:
+        return call_details.Framing.NO_BODY
+    if "transfer-encoding" in response.headers:
+        return call_details.Framing.CHUNKS
+    if "content-length" in response.headers:
+        return call_details.Framing.LENGTH
+    return call_details.Framing.CONNECTION
+
+
+def _find_reason(
+    error: Exception, fault: errors.Fault, is_cancelled: bool
+) -> call_details.FailureReason:
+    if is_cancelled:
+        return call_details.FailureReason.CANCELLED
+    if fault.run is errors.ExecutionStatus.NOT_RUN:
+        return call_details.FailureReason.UNREACHABLE
+    return call_details.find_reason(error)
 
 
 def _read_body(response: urllib3.BaseHTTPResponse) -> bytes:
--- a/mulberryway/upstreams/decode_call.py
+++ b/mulberryway/upstreams/decode_call.py
@@ -13,6 +13,7 @@
 from mulberryway import response_heads
 from mulberryway.upstreams import base
 from mulberryway.upstreams import bounded_socket
+from mulberryway.upstreams import call_details
 from mulberryway.upstreams import connections
 from mulberryway.upstreams import dialing
 
@@ -108,6 +109,13 @@
         if isinstance(self.sock, bounded_socket.BoundedSocket):
             self.sock.end_response()
 
+    @property
+    def received(self) -> int:
+        """The number of bytes of the response so far."""
+        sock = self.sock
+        is_bounded = isinstance(sock, bounded_socket.BoundedSocket)
+        return sock.received if is_bounded else 0
+
     def is_reusable(self) -> bool:
         """Return whether neither the engine nor the path has ended it."""
         age_s = time.monotonic() - self.connected_s
@@ -156,14 +164,19 @@
     except OSError as failure:
         connection.close()
         LOG.debug("connecting to %s failed: %r", address, failure)
-        return expression.Error(
-            connections.classify_failure(
-                failure, errors.Step.DECODE, address, was_sent=False
-            )
-        )
+        return expression.Error(_make_unreachable_fault(failure, address))
     return expression.Ok(connection)
 
 
+def _make_unreachable_fault(failure: OSError, address: str) -> errors.Fault:
+    return call_details.FAILURES.record(
+        connections.classify_failure(
+            failure, errors.Step.DECODE, address, was_sent=False
+        ),
+        call_details.FailureReason.UNREACHABLE,
+    )
+
+
 def begin_decode(
     address: str,
     request: DecodeRequest,
@@ -203,11 +216,10 @@
     elif prepared_connection.is_closed_by_peer():
         prepared_connection.close()
         return expression.Error(
-            connections.classify_failure(
-                ConnectionResetError(), errors.Step.DECODE, address, False
-            )
+            _make_unreachable_fault(ConnectionResetError(), address)
         )
     prepared_connection.sock.settimeout(timeout_ms / MS_IN_S)
+    details = call_details.CallDetails()
     try:
         return _exchange(
             prepared_connection,
@@ -216,11 +228,15 @@
             timeout_ms,
             rejection_parser,
             canceller,
+            details,
         )
     except (OSError, http.client.HTTPException) as failure:
+        details.received = prepared_connection.received
         prepared_connection.close()
-        fault = connections.classify_failure(
-            failure, errors.Step.DECODE, address
+        fault = call_details.FAILURES.record(
+            connections.classify_failure(failure, errors.Step.DECODE, address),
+            call_details.find_reason(failure),
+            details,
         )
         connections.check_path(fault, address, dialer)
         return expression.Error(fault)
@@ -265,8 +281,11 @@
     if has_body or not (source.is_chunked or source.length):
         return expression.Ok(source)
     sock.close()
-    fault = connections.classify_failure(
-        ConnectionResetError(), errors.Step.DECODE, address
+    fault = call_details.FAILURES.record(
+        connections.classify_failure(
+            ConnectionResetError(), errors.Step.DECODE, address
+        ),
+        call_details.FailureReason.INCOMPLETE_BODY,
     )
     connections.check_path(fault, address, dialer)
     return expression.Error(fault)
@@ -279,6 +298,7 @@
     timeout_ms: int,
     rejection_parser: RejectionParser,
     canceller: connections.CallCanceller | None,
+    details: call_details.CallDetails,
 ) -> expression.Result[base.TokenStream, errors.Fault]:
     sock = connection.sock
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -286,10 +306,13 @@
         canceller.attach(sock)
     deadline_s = time.monotonic() + timeout_ms / MS_IN_S
     connection.begin_response(deadline_s)
+    details.use = 1
     connection.request(
         request.method, request.target, request.body, request.headers
     )
     response = connection.getresponse()
+    details.framing = _find_framing(response)
+    details.received = connection.received
     echoed = response.getheader(request.echo_header, "")
     is_echo_correct = echoed == request.headers[request.echo_header]
     if response.status != http.client.OK:
@@ -306,13 +329,16 @@
     if not is_echo_correct:
         response.close()
         connection.close()
+        fault = errors.Fault(
+            errors.Code.UPSTREAM_FAILED,
+            errors.Step.DECODE,
+            address,
+            errors.ExecutionStatus.MAY_HAVE_RUN,
+            "response belongs to another request",
+        )
         return expression.Error(
-            errors.Fault(
-                errors.Code.UPSTREAM_FAILED,
-                errors.Step.DECODE,
-                address,
-                errors.ExecutionStatus.MAY_HAVE_RUN,
-                "response belongs to another request",
+            call_details.FAILURES.record(
+                fault, call_details.FailureReason.OTHER_REQUEST, details
             )
         )
     # The relay bounds the body; bounded reads would wait for it.
@@ -320,6 +346,16 @@
     return expression.Ok(_detach_socket(sock, response, echoed))
 
 
+def _find_framing(
+    response: http.client.HTTPResponse,
+) -> call_details.Framing:
+    if response.chunked:
+        return call_details.Framing.CHUNKS
+    if response.length is None:
+        return call_details.Framing.CONNECTION
+    return call_details.Framing.LENGTH
+
+
 def _read_error_body(
     connection: DecodeConnection, response: http.client.HTTPResponse
 ) -> bytes | None:
--- a/mulberryway/upstreams/http_service.py
+++ b/mulberryway/upstreams/http_service.py
@@ -148,4 +148,6 @@
         for name, value in strip_hop_by_hop_headers(response.headers)
         if name.lower() not in ROUTER_HEADERS
     ]
-    return base.ServiceReply(response.status, headers, response.body)
+    return base.ServiceReply(
+        response.status, headers, response.body, response.details.make_fields()
+    )
