Take no answer for whole whose reset a write of the request has hidden

Cause: the kernel reports a reset once. The write of the request was told, urllib3 passes over a failed write to read an early answer, and the next read reports an ordinary end of the connection, which is a body's end if nothing else is.

A socket now remembers that a write has failed, and then takes the end of the connection for a reset. The decode call is not affected: http.client raises the write's error.

--- a/mulberryway/upstreams/bounded_socket.py
+++ b/mulberryway/upstreams/bounded_socket.py
@@ -75,6 +75,7 @@
         self._max_bytes = 0
         self._received = 0
         self._reserved = 0
+        self._has_write_failed = False
 
     @property
     def received(self) -> int:
@@ -145,7 +146,11 @@
         """
         if self._deadline_s is not None:
             self.settimeout(self._get_left_s())
-        super().sendall(*arguments)
+        try:
+            super().sendall(*arguments)
+        except OSError:
+            self._has_write_failed = True
+            raise
 
     def recv_into(self, *arguments: typing.Any) -> int:
         """Receive bytes within the bounds of the current response.
@@ -153,6 +158,7 @@
         :returns: the number of bytes
         :raises TimeoutError: if its time is over
         :raises ResponseSizeError: if it is too large
+        :raises ConnectionResetError: if the connection has failed
         """
         if self._deadline_s is None:
             return super().recv_into(*arguments)
@@ -170,7 +176,11 @@
 
     def _receive(self, *arguments: typing.Any) -> int:
         self.settimeout(self._get_left_s())
-        return super().recv_into(*arguments)
+        size = super().recv_into(*arguments)
+        if not size and self._has_write_failed:
+            # The kernel reports a reset once, and then an ordinary end.
+            raise ConnectionResetError("a write of the request has failed")
+        return size
 
     def _release(self) -> None:
         self._budget.release(self._reserved)
