Read no copy of an answer as the answer to another request

Callers: a server that answers twice, the second time late, has its copy read as the response to the next request on the connection. The echo of the request's id is the guard, and had two holes. A request with an id that the connection had carried already (a prefill that is tried again after a rejection) took the copy for its response, and so did every request without an id: load reports, reservations, cancellations and orders, which shared their connections with prefills. A copied rejection could stand for a run that had begun. An id spelled in another case was not compared at all. And one call after another failed at such a server.

Cause, class: a connection was reused although the next response on it could not be told from a copy of an earlier one. Now it carries each id once and no request without an id, is used again only after the request's own response was complete, and not if bytes have arrived beyond that response, in the reader's buffer or in the kernel's. http.client dropped the former unseen, for all clients with a pool: upstreams, both stores, administration. An upstream that has sent bytes which no request asked for gets a connection for each request for 10 s.

Price: a connection for each control call.

--- a/mulberryway/response_heads.py
+++ b/mulberryway/response_heads.py
@@ -1,15 +1,20 @@
-"""Reads the heads of HTTP responses strictly.
+"""Reads the heads of HTTP responses strictly, and nothing beyond their end.
 
 ``http.client`` takes the end of a connection, or the first line that is not a
 header, for the end of a head.  The headers after it, such as the length, are
 then missing, and what is left looks like a complete response.
+
+It also drops what it has received beyond a response's end.  The rest of that
+would be read as the next response on the same connection.
 """
 
 import collections.abc
 import http
 import http.client
 import io
+import logging
 import re
+import socket
 import typing
 
 import urllib3
@@ -17,6 +22,8 @@
 
 __all__ = ["HeadError", "StrictConnection", "StrictResponse", "make_pools"]
 
+LOG = logging.getLogger(__name__)
+
 MAX_LINE_BYTES = 65_536
 MAX_LINES = 102
 MAX_INTERIM_RESPONSES = 8
@@ -37,7 +44,22 @@
 
 
 class StrictResponse(http.client.HTTPResponse):
-    """A response whose head must be complete and unambiguous."""
+    """A response whose head must be complete and unambiguous.
+
+    ``has_surplus`` becomes true if bytes have arrived beyond its end.
+
+    :param sock: the connection's socket
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        *arguments: typing.Any,
+        **keywords: typing.Any,
+    ) -> None:
+        super().__init__(sock, *arguments, **keywords)
+        self.has_surplus = False
+        self._sock = sock
 
     def begin(self) -> None:
         """Read the head, after any interim responses.
@@ -55,11 +77,66 @@
         finally:
             self.fp = received
 
+    def _close_conn(self) -> None:
+        """Close the reader at the end of the response."""
+        try:
+            self.has_surplus = self._has_unread_bytes()
+        finally:
+            super()._close_conn()
+
+    def _has_unread_bytes(self) -> bool:
+        """Return whether more bytes have arrived than the response has."""
+        if self._sock.fileno() < 0:
+            return False
+        timeout_s = self._sock.gettimeout()
+        self._sock.settimeout(0)
+        try:
+            return bool(self.fp.peek(1))
+        except OSError as error:
+            LOG.debug("a connection failed after a response: %r", error)
+            return False
+        finally:
+            self._sock.settimeout(timeout_s)
+
 
 class StrictConnection(urllib3.connection.HTTPConnection):
-    """A connection of a pool that reads heads strictly."""
+    """A connection of a pool that reads heads strictly.
+
+    It is not used again once bytes have arrived that no request asked for.
+    """
 
-    response_class = StrictResponse
+    def __init__(self, *arguments: typing.Any, **keywords: typing.Any) -> None:
+        super().__init__(*arguments, **keywords)
+        self._last_response: StrictResponse | None = None
+
+    def response_class(
+        self, *arguments: typing.Any, **keywords: typing.Any
+    ) -> StrictResponse:
+        """Return a reader of the next response."""
+        self._last_response = StrictResponse(*arguments, **keywords)
+        return self._last_response
+
+    @property
+    def has_surplus(self) -> bool:
+        """Whether bytes had arrived at the end of the last response."""
+        last = self._last_response
+        return last is not None and last.has_surplus
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether it is open and nothing has arrived since it was used."""
+        return super().is_connected and not self.has_surplus
+
+    def request(self, *arguments: typing.Any, **keywords: typing.Any) -> None:
+        """Send a request, on a new connection if this one may not be used."""
+        if self._last_response is not None and not self.is_connected:
+            self.close()
+        super().request(*arguments, **keywords)
+
+    def close(self) -> None:
+        """Close the connection; the next request opens another one."""
+        self._last_response = None
+        super().close()
 
 
 class _StrictPool(urllib3.HTTPConnectionPool):
--- a/mulberryway/router.py
+++ b/mulberryway/router.py
@@ -413,6 +413,7 @@
         )
         self.relay.guard.report(self.metrics)
         call_details.FAILURES.report(self.metrics)
+        call_details.UNSOLICITED.report(self.metrics)
         for state in ("suspect", "quarantined"):
             self.metrics.register_gauge(
                 f"{state}_parts",
--- a/mulberryway/upstreams/bounded_socket.py
+++ b/mulberryway/upstreams/bounded_socket.py
@@ -160,7 +160,7 @@
         :raises ResponseSizeError: if it is too large
         :raises ConnectionResetError: if the connection has failed
         """
-        if self._deadline_s is None:
+        if self._deadline_s is None or self.gettimeout() == 0:
             return super().recv_into(*arguments)
         try:
             size = self._receive(*arguments)
--- a/mulberryway/upstreams/call_details.py
+++ b/mulberryway/upstreams/call_details.py
@@ -16,10 +16,12 @@
 
 __all__ = [
     "FAILURES",
+    "UNSOLICITED",
     "CallDetails",
     "FailureCounter",
     "FailureReason",
     "Framing",
+    "UnsolicitedCounter",
     "UpstreamEndedError",
     "find_reason",
 ]
@@ -165,8 +167,33 @@
             ]
 
 
+class UnsolicitedCounter:
+    """Counts when bytes arrive that no request has asked for."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._count = 0
+
+    def increment(self) -> None:
+        """Count one more."""
+        with self._lock:
+            self._count += 1
+
+    def report(self, metrics_: metrics.Metrics) -> None:
+        """Register the metric.
+
+        :param metrics_: the process's instruments
+        """
+        metrics_.register_counter(
+            "upstream.unsolicited",
+            "times that an upstream has sent bytes that no request asked for",
+            lambda: [({}, self._count)],
+        )
+
+
 # The calls of this process.
 FAILURES = FailureCounter()
+UNSOLICITED = UnsolicitedCounter()
 
 
 def find_reason(error: BaseException) -> FailureReason:
--- a/mulberryway/upstreams/connections.py
+++ b/mulberryway/upstreams/connections.py
@@ -22,7 +22,9 @@
 from mulberryway import addresses
 from mulberryway import clock
 from mulberryway import errors
+from mulberryway import logs
 from mulberryway import response_heads
+from mulberryway.policy import connection_reuse
 from mulberryway.upstreams import bounded_socket
 from mulberryway.upstreams import call_details
 from mulberryway.upstreams import dialing
@@ -268,13 +270,16 @@
 class _CurrentCall(threading.local):
     """Describes the call that runs on this thread.
 
-    ``socket``, ``number`` and ``details.use`` are set when its request is
-    sent.
+    ``request_id`` is the id that its response must echo; none if it echoes no
+    id.  ``socket``, ``history``, ``number`` and ``details.use`` are set when
+    its request is sent.
     """
 
     canceller: CallCanceller | None = None
     deadline_s = 0.0
+    request_id: str | None = None
     socket: bounded_socket.BoundedSocket | None = None
+    history = connection_reuse.ConnectionHistory()
     number = 0
     details = call_details.CallDetails()
 
@@ -285,8 +290,13 @@
 class _Connection(response_heads.StrictConnection):
     """Bounds the call that it carries, and attaches it to its canceller.
 
+    A call whose response could not be told from that of an earlier one is
+    sent on a new connection.
+
     :param address: ``host:port``
     :param dialer: opens the connection
+    :param on_unsolicited: called when bytes have arrived that no request has
+        asked for
     """
 
     def __init__(
@@ -294,13 +304,28 @@
         *arguments: typing.Any,
         address: str,
         dialer: dialing.Dialer,
+        on_unsolicited: collections.abc.Callable[[], None],
         **keywords: typing.Any,
     ) -> None:
         super().__init__(*arguments, **keywords)
         self._address = address
         self._dialer = dialer
+        self._on_unsolicited = on_unsolicited
+        self._history = connection_reuse.ConnectionHistory()
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether it is open and nothing has arrived since it was used."""
+        if super().is_connected:
+            return True
+        if self.sock is not None and (
+            self.has_surplus or _has_received(self.sock)
+        ):
+            self._on_unsolicited()
+        return False
 
     def _new_conn(self) -> socket.socket:
+        self._history = connection_reuse.ConnectionHistory()
         timeout_ms = int(float(self.timeout) * MS_IN_S)
         try:
             return bounded_socket.BoundedSocket(
@@ -314,9 +339,16 @@
 
     def request(self, *arguments: typing.Any, **keywords: typing.Any) -> None:
         """Send a request, after connecting if necessary."""
+        request_id = _CURRENT_CALL.request_id
+        if self.sock is not None and not (
+            self._history.may_carry(request_id) and self.is_connected
+        ):
+            self.close()
         if self.sock is None:
             self.connect()
         assert isinstance(self.sock, bounded_socket.BoundedSocket)
+        self._history.begin(request_id)
+        _CURRENT_CALL.history = self._history
         canceller = _CURRENT_CALL.canceller
         _CURRENT_CALL.number = self.sock.begin_response(
             _CURRENT_CALL.deadline_s, canceller.extend if canceller else None
@@ -336,6 +368,10 @@
     or received the response to another request: the other connections took
     the same network path, so they may be affected too.
 
+    A call whose response echoes no id has a connection of its own, as has any
+    call for a while after the upstream has sent bytes that no request has
+    asked for.
+
     A call whose pool is closed before the call has a connection was not sent.
     It is made on a new connection if the pool was replaced, and fails as not
     sent if the client was closed.
@@ -359,6 +395,7 @@
         self._dialer = dialer
         self._lock = threading.Lock()
         self._is_closed = False
+        self._reuse = connection_reuse.ReusePolicy()
         self._pool = self._create_pool()
         self._pool_created_ms = clock_.now_ms()
         self._pool_epoch = dialer.get_epoch(address)
@@ -393,12 +430,18 @@
         :returns: the reply, or a fault with the execution status
         """
         deadline_s = time.monotonic() + timeout_ms / MS_IN_S
-        own_pool = self._create_pool() if needs_new_connection else None
+        request_id = _find_header(headers, self._echo_header)
+        own_pool = (
+            self._create_pool()
+            if needs_new_connection or not self._may_reuse(request_id)
+            else None
+        )
         pool = own_pool or self._get_pool()
         response: urllib3.BaseHTTPResponse | None = None
         details = call_details.CallDetails()
         _CURRENT_CALL.canceller = canceller
         _CURRENT_CALL.deadline_s = deadline_s
+        _CURRENT_CALL.request_id = request_id
         _CURRENT_CALL.details = details
         try:
             try:
@@ -433,12 +476,15 @@
             )
         finally:
             _CURRENT_CALL.canceller = None
+            history = _CURRENT_CALL.history
             if _CURRENT_CALL.socket is not None:
                 _CURRENT_CALL.socket.end_response(_CURRENT_CALL.number)
                 _CURRENT_CALL.socket = None
             if canceller is not None:
                 canceller.detach()
-        result = self._check_echo(headers, complete, response, step)
+        result = self._check_echo(request_id, complete, response, step)
+        if result.is_ok():
+            history.settle()
         if own_pool is not None:
             own_pool.close()
         return result
@@ -476,14 +522,12 @@
 
     def _check_echo(
         self,
-        headers: dict[str, str],
+        request_id: str | None,
         complete: Response,
         response: urllib3.BaseHTTPResponse,
         step: errors.Step,
     ) -> expression.Result[Response, errors.Fault]:
-        sent = headers.get(self._echo_header)
-        echoed = response.headers.get(self._echo_header)
-        if sent is None or echoed == sent:
+        if request_id is None or complete.details.echo == request_id:
             response.release_conn()
             return expression.Ok(complete)
         # The response belongs to another request: it was left unread on the
@@ -491,6 +535,8 @@
         # and the call's own response is lost.
         self._close_response(response)
         self.reset_pool()
+        if complete.details.use > 1:
+            self._record_unsolicited()
         fault = errors.Fault(
             errors.Code.UPSTREAM_FAILED,
             step,
@@ -503,6 +549,24 @@
         )
         return expression.Error(fault)
 
+    def _may_reuse(self, request_id: str | None) -> bool:
+        return request_id is not None and self._reuse.may_reuse(
+            self._clock.now_ms()
+        )
+
+    def _record_unsolicited(self) -> None:
+        """Record that bytes have arrived that no request has asked for."""
+        call_details.UNSOLICITED.increment()
+        if self._reuse.record_unsolicited(self._clock.now_ms()):
+            LOG.warning(
+                "connections to an upstream are not reused for a while: it "
+                "has sent bytes that no request has asked for",
+                extra=logs.make_extra(
+                    peer=self.address,
+                    duration_ms=connection_reuse.NO_REUSE_MS,
+                ),
+            )
+
     def _make_fault(
         self, error: Exception, step: errors.Step, is_cancelled: bool
     ) -> errors.Fault:
@@ -542,11 +606,36 @@
             host, port, maxsize=MAX_IDLE_CONNECTIONS, retries=False
         )
         pool.ConnectionCls = functools.partial(
-            _Connection, address=self.address, dialer=self._dialer
+            _Connection,
+            address=self.address,
+            dialer=self._dialer,
+            on_unsolicited=self._record_unsolicited,
         )
         return pool
 
 
+def _find_header(headers: dict[str, str], name: str) -> str | None:
+    """Return a header's value, however its name is spelled."""
+    return next(
+        (
+            value
+            for key, value in headers.items()
+            if key.lower() == name.lower()
+        ),
+        None,
+    )
+
+
+def _has_received(connection: socket.socket) -> bool:
+    """Return whether a readable connection has bytes, not only its end."""
+    connection.settimeout(0)
+    try:
+        return bool(connection.recv(1, socket.MSG_PEEK))
+    except OSError as error:
+        LOG.debug("an idle connection has failed: %r", error)
+        return False
+
+
 def _send(
     pool: urllib3.HTTPConnectionPool,
     method: str,
