Take no torn size of a chunk for that of the last chunk

Callers: an answer with chunks that breaks off within the size of a chunk which is written with leading zeros becomes a complete success with a short or an empty body.

Cause: a reader of lines returns what it has at the end of the connection. http.client and urllib3 take '00' without a line's end for the size of the last chunk. It is the class of docs/incidents/torn-heads.md: the end of a connection is taken for the end of what was being read.

Lines of a response with chunks now count with their end only. An answer whose last chunk is whole and whose final empty line is missing is whole, as before (RFC 9112, section 8).

--- a/mulberryway/response_heads.py
+++ b/mulberryway/response_heads.py
@@ -43,6 +43,33 @@
     """The head of a response is incomplete, malformed or ambiguous."""
 
 
+class _WholeLineReader:
+    """Reads from a response and takes no part of a line for the line.
+
+    The size of a chunk may begin with zeros, and zero is the size of the last
+    one.
+
+    :param reader: reads the response
+    """
+
+    def __init__(self, reader: io.BufferedReader) -> None:
+        self._reader = reader
+
+    def __getattr__(self, name: str) -> typing.Any:
+        return getattr(self._reader, name)
+
+    def readline(self, size: int = -1) -> bytes:
+        """Return a line with its end; empty at the end of the connection.
+
+        :param size: the maximum number of bytes
+        :raises http.client.IncompleteRead: if the line has no end
+        """
+        line = self._reader.readline(size)
+        if line and not line.endswith(b"\n"):
+            raise http.client.IncompleteRead(line)
+        return line
+
+
 class StrictResponse(http.client.HTTPResponse):
     """A response whose head must be complete and unambiguous.
 
@@ -76,6 +103,8 @@
             super().begin()
         finally:
             self.fp = received
+        if self.chunked:
+            self.fp = _WholeLineReader(received)
 
     def _close_conn(self) -> None:
         """Close the reader at the end of the response."""
--- a/mulberryway/upstreams/call_details.py
+++ b/mulberryway/upstreams/call_details.py
@@ -79,6 +79,8 @@
     (BrokenPipeError, FailureReason.RESET),
     (TimeoutError, FailureReason.TIMEOUT),
     (urllib3.exceptions.TimeoutError, FailureReason.TIMEOUT),
+    # What is left of these are bodies whose chunks end early.
+    (urllib3.exceptions.ProtocolError, FailureReason.INCOMPLETE_BODY),
 )
 
 
--- a/mulberryway/upstreams/connections.py
+++ b/mulberryway/upstreams/connections.py
@@ -721,5 +721,5 @@
         chunks.append(chunk)
         total += len(chunk)
         if total > MAX_REPLY_BYTES:
-            raise urllib3.exceptions.ProtocolError("response is too large")
+            raise bounded_socket.ResponseSizeError("the response is too large")
     return b"".join(chunks)
