--- a/mulberryway/response_heads.py
+++ b/mulberryway/response_heads.py
@@ -118,8 +118,8 @@
         if self._sock.fileno() < 0:
             return False
         timeout_s = self._sock.gettimeout()
-        self._sock.settimeout(0)
         try:
+            self._sock.settimeout(0)
             return bool(self.fp.peek(1))
         except OSError as error:
             LOG.debug("a connection failed after a response: %r", error)
