Test a reset that the wait for an engine's body takes; fails

It fails as it is: recv with MSG_PEEK reports a reset once and clears it, so the reader of a response without a length and chunks finds its ordinary end.

--- a/tests/test_decode_call.py
+++ b/tests/test_decode_call.py
@@ -1,6 +1,7 @@
 """Tests of decode calls to engines that fail before they respond."""
 
 import socket
+import struct
 import threading
 import time
 import unittest
@@ -12,6 +13,7 @@
 
 HOST = "127.0.0.1"
 TIMEOUT_MS = 300
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class AwaitBodyTest(unittest.TestCase):
@@ -82,6 +84,24 @@
         self.peer.close()
         self.check_accepted(self.await_body())
 
+    def test_reset_where_the_end_ends_the_body(self):
+        """Guards against a reset that the wait takes from the connection, so
+        that its reader finds the end of a complete body.
+        """
+        listener = socket.create_server((HOST, 0))
+        self.addCleanup(listener.close)
+        self.source.connection.close()
+        sock = socket.create_connection(listener.getsockname())
+        self.addCleanup(sock.close)
+        peer, _ = listener.accept()
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        peer.close()
+        self.source = base.TokenStream(sock, b"", False, "r-1")
+        result = self.await_body()
+        if result.is_ok():
+            with self.assertRaises(ConnectionResetError):
+                self.source.connection.recv(9)
+
 
 class DecodeCallTest(unittest.TestCase):
     def call(self, port, timeout_ms=TIMEOUT_MS, prepared=None):
