--- /dev/null
+++ b/tests/test_review_reuse.py
@@ -0,0 +1,210 @@
+"""Tests of orders of events in which an answer could reach another call."""
+
+import socket
+import struct
+import threading
+import time
+import unittest
+
+from mulberryway import clock
+from mulberryway import errors
+from mulberryway.platform import wire
+from mulberryway.upstreams import connections
+from tests import copying_server
+
+HOST = "127.0.0.1"
+TIMEOUT_MS = 1_000
+SHORT_MS = 300
+# Longer than a call that keeps its timeout can take.
+MAX_TOOK_S = 1.0
+PAUSE_S = copying_server.PAUSE_S
+LENGTH = copying_server.Shape.LENGTH
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+STRAY = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+
+class ScriptedServer:
+    """Runs a script on each connection, with the connection's number.
+
+    :param script: called with the connection and its number, from 1
+    """
+
+    def __init__(self, script):
+        self.script = script
+        self.connections = []
+        self.listener = socket.create_server((HOST, 0))
+        self.address = f"{HOST}:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.connections.append(connection)
+            threading.Thread(
+                target=self._run,
+                args=(connection, len(self.connections)),
+                daemon=True,
+            ).start()
+
+    def _run(self, connection, number):
+        try:
+            self.script(connection, number)
+        except OSError:
+            return
+
+    def close(self):
+        self.listener.close()
+        for connection in self.connections:
+            connection.close()
+
+
+class StrayBytesCanceller(connections.CallCanceller):
+    """Lets bytes arrive between the checks of a connection and its use.
+
+    :param send: sends bytes that no request has asked for
+    """
+
+    __slots__ = ("_send",)
+
+    def __init__(self, send):
+        super().__init__()
+        self._send = send
+
+    def attach(self, connection):
+        super().attach(connection)
+        self._send()
+        # Until they have arrived.
+        time.sleep(PAUSE_S)
+
+
+def read(connection):
+    """Return a request; a probe of the port sends none."""
+    request = copying_server.read_request(connection)
+    if request is None:
+        raise ConnectionResetError
+    return request
+
+
+def answer(request, status=200):
+    return copying_server.make_answer(request, status, LENGTH)
+
+
+def call(client, target, attempt, timeout_ms=TIMEOUT_MS, **options):
+    return client.call(
+        "GET",
+        target,
+        {"Attempt-Id": attempt},
+        None,
+        timeout_ms,
+        errors.Step.SERVICE,
+        **options,
+    )
+
+
+class ReviewCase(unittest.TestCase):
+    def serve(self, script):
+        server = ScriptedServer(script)
+        self.addCleanup(server.close)
+        client = connections.UpstreamClient(
+            server.address, clock.SystemClock(), wire.ATTEMPT_ID
+        )
+        self.addCleanup(client.close)
+        return server, client
+
+
+class PoolRaceTest(ReviewCase):
+    """Another thread takes a connection before its call has ended.
+
+    A call's rejection test runs a second time when its connection is in the
+    pool again, before the echo is checked.
+    """
+
+    def play(self, first_echo, between):
+        """Run something while a connection is in the pool but not settled."""
+        uses = []
+
+        def script(connection, number):
+            while True:
+                target, attempt = read(connection)
+                uses.append(number)
+                if attempt == b"a":
+                    attempt = first_echo
+                connection.sendall(answer((target, attempt)))
+
+        _, client = self.serve(script)
+        # A connection that another call may use.
+        self.assertTrue(call(client, "/zero", "z").is_ok())
+        calls = []
+
+        def is_rejection(status, headers):
+            calls.append(status)
+            if len(calls) == 2:
+                between(client)
+            return False
+
+        result = call(
+            client,
+            "/first",
+            "a",
+            canceller=self.canceller,
+            is_rejection=is_rejection,
+        )
+        return client, result, uses
+
+    def run_elsewhere(self, function):
+        """Run a function on another thread to its end."""
+        results = []
+        thread = threading.Thread(target=lambda: results.append(function()))
+        thread.start()
+        thread.join(5)
+        return results[0]
+
+    def setUp(self):
+        self.canceller = connections.CallCanceller()
+
+    def test_wrong_answer(self):
+        """Guards against a connection that is used by another thread although
+        its last answer was that of another request.
+        """
+        seconds = []
+
+        def between(client):
+            seconds.append(
+                self.run_elsewhere(lambda: call(client, "/second", "b"))
+            )
+
+        _, first, uses = self.play(b"other", between)
+        self.assertTrue(first.is_error())
+        self.assertEqual(seconds[0].ok.body, b"/second")
+        self.assertEqual(uses, [1, 1, 2])
+
+    def test_cancel_after_the_next_call_has_begun(self):
+        """Guards against a late cancellation that ends the next call on the
+        same connection.
+        """
+        seconds = []
+
+        def between(client):
+            thread = threading.Thread(
+                target=lambda: seconds.append(call(client, "/second", "b"))
+            )
+            thread.start()
+            self.canceller.cancel()
+            thread.join(5)
+
+        client, first, _ = self.play(b"a", between)
+        self.assertEqual(first.ok.body, b"/first")
+        self.assertEqual(seconds[0].ok.body, b"/second")
+        self.assertEqual(call(client, "/third", "c").ok.body, b"/third")
+
+    def test_reset_pool_in_between(self):
+        """Guards against a connection that stays open, and a call that fails,
+        because the pool was replaced while its answer was read.
+        """
+        client, first, _ = self.play(b"a", lambda client: client.reset_pool())
+        self.assertEqual(first.ok.body, b"/first")
+        self.assertEqual(call(client, "/next", "b").ok.body, b"/next")
