Test bytes that arrive between the checks of a connection; fails

Four tests fail as they are. _Connection.request checks the connection, sets the call's bounds on its socket and attaches the canceller; then StrictConnection.request checks again, closes it if bytes have arrived meanwhile, and http.client connects anew by itself. The call then runs on a connection without its timeout, its size, its canceller, its history and the memory of failed writes. The order is forced in attach.

--- a/tests/test_review_reuse.py
+++ b/tests/test_review_reuse.py
@@ -116,6 +116,118 @@
         return server, client
 
 
+class LateStrayBytesTest(ReviewCase):
+    """Bytes that arrive after a connection was found fit for a request."""
+
+    def call_with_stray_bytes(self, second_script, timeout_ms):
+        """Return the first connection's server and a call on the second."""
+
+        def script(connection, number):
+            if number > 1:
+                second_script(connection)
+                return
+            connection.sendall(answer(read(connection)))
+
+        server, client = self.serve(script)
+        self.assertTrue(call(client, "/first", "a").is_ok())
+        canceller = StrayBytesCanceller(
+            lambda: server.connections[0].sendall(STRAY)
+        )
+        result = call(client, "/next", "b", timeout_ms, canceller=canceller)
+        return server, client, result
+
+    def test_timeout(self):
+        """Guards against calls without their timeout, on a connection that
+        replaces one on which bytes have just arrived.
+        """
+
+        def drip(connection):
+            request = read(connection)
+            for byte in answer(request):
+                connection.sendall(bytes([byte]))
+                time.sleep(PAUSE_S)
+
+        started_s = time.monotonic()
+        self.call_with_stray_bytes(drip, SHORT_MS)
+        self.assertLess(time.monotonic() - started_s, MAX_TOOK_S)
+
+    def test_cancel(self):
+        """Guards against calls that go on after their caller has left."""
+
+        def script(connection, number):
+            if number == 1:
+                request = read(connection)
+                connection.sendall(answer(request))
+            else:
+                read(connection)
+
+        server, client = self.serve(script)
+        self.assertTrue(call(client, "/first", "a").is_ok())
+        canceller = StrayBytesCanceller(
+            lambda: server.connections[0].sendall(STRAY)
+        )
+        timer = threading.Timer(SHORT_MS / 1_000, canceller.cancel)
+        timer.start()
+        self.addCleanup(timer.cancel)
+        started_s = time.monotonic()
+        call(client, "/next", "b", 5 * TIMEOUT_MS, canceller=canceller)
+        self.assertLess(time.monotonic() - started_s, MAX_TOOK_S)
+
+    def test_hidden_reset(self):
+        """Guards against half an answer without a length that counts as whole
+        because the connection that was replaced knows of the reset.
+        """
+
+        def script(connection, number):
+            if number == 1:
+                request = read(connection)
+                connection.sendall(answer(request))
+                return
+            connection.recv(100)
+            connection.sendall(
+                b"HTTP/1.1 200 OK\r\nAttempt-Id: b\r\nServer-Seal: s\r\n\r\n"
+                b"half"
+            )
+            time.sleep(PAUSE_S)
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+            connection.close()
+
+        server, client = self.serve(script)
+        self.assertTrue(call(client, "/first", "a").is_ok())
+        canceller = StrayBytesCanceller(
+            lambda: server.connections[0].sendall(STRAY)
+        )
+        result = client.call(
+            "PUT",
+            "/next",
+            {"Attempt-Id": "b"},
+            b"b" * 8_000_000,
+            TIMEOUT_MS,
+            errors.Step.SERVICE,
+            canceller=canceller,
+        )
+        self.assertTrue(result.is_error())
+
+    def test_copy_on_the_new_connection(self):
+        """Guards against the copy of a rejection that is taken for the
+        rejection of a second try, on a connection that was not recorded.
+        """
+
+        def answer_twice(connection):
+            request = read(connection)
+            connection.sendall(answer(request, 503))
+            read(connection)
+            # The run of the second try has begun.
+            connection.sendall(answer(request, 503))
+
+        _, client, first = self.call_with_stray_bytes(answer_twice, TIMEOUT_MS)
+        self.assertEqual(first.ok.status, 503)
+        second = call(client, "/next", "b")
+        self.assertTrue(second.is_error() or second.ok.status != 503)
+
+
 class PoolRaceTest(ReviewCase):
     """Another thread takes a connection before its call has ended.
 
