--- a/tests/test_review_reuse.py
+++ b/tests/test_review_reuse.py
@@ -228,6 +228,55 @@
         self.assertTrue(second.is_error() or second.ok.status != 503)
 
 
+class TornCopyTest(ReviewCase):
+    """A late copy that breaks off, and the answer right behind it."""
+
+    def play(self, torn, own_status):
+        """Return the call that finds a torn copy before its own answer."""
+
+        def script(connection, number):
+            first = read(connection)
+            connection.sendall(answer(first))
+            second = read(connection)
+            connection.sendall(torn + answer(second, own_status))
+
+        _, client = self.serve(script)
+        self.assertTrue(call(client, "/first", "a").is_ok())
+        return call(client, "/next", "b")
+
+    def check(self, copy, own_status):
+        head = copy.index(b"\r\n\r\n")
+        for end in range(head):
+            with self.subTest(copy[:end]):
+                result = self.play(copy[:end], own_status)
+                self.doCleanups()
+                if result.is_ok():
+                    self.assertEqual(result.ok.status, own_status)
+                    self.assertEqual(result.ok.body, b"/next")
+
+    def test_torn_success_before_a_failure(self):
+        """Guards against a success where the server has answered with a
+        failure: the status of a torn copy with the headers behind it.
+        """
+        self.check(answer((b"/first", b"a")), 500)
+
+    def test_torn_rejection_before_a_success(self):
+        """Guards against a promise that a request has not run, although its
+        own answer says that it has.
+        """
+        copy = answer((b"/first", b"a"), 503)
+        self.check(copy, 200)
+
+    def test_torn_header_of_a_success_before_a_failure(self):
+        """Guards against the same where a copy breaks off in a header before
+        the echo.
+        """
+        copy = answer((b"/first", b"a")).replace(
+            b"Attempt-Id", b"Content-Type: text/plain\r\nAttempt-Id"
+        )
+        self.check(copy, 500)
+
+
 class PoolRaceTest(ReviewCase):
     """Another thread takes a connection before its call has ended.
 
