Test a control call at a server without free connections; fails

It fails as it is, and passes on: a call without an id opens a connection although this client's own idle ones take all places of the server.

--- a/tests/test_review_reuse.py
+++ b/tests/test_review_reuse.py
@@ -369,3 +369,50 @@
         client, first, _ = self.play(b"a", lambda client: client.reset_pool())
         self.assertEqual(first.ok.body, b"/first")
         self.assertEqual(call(client, "/next", "b").ok.body, b"/next")
+
+
+class ControlCallTest(ReviewCase):
+    def test_server_without_a_place_for_another_connection(self):
+        """Guards against control calls that fail because this client's own
+        idle connections take the places of their server.
+        """
+        places = 2
+        open_now = []
+
+        def script(connection, number):
+            if len(open_now) >= places:
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                )
+                connection.close()
+                return
+            open_now.append(number)
+            try:
+                while True:
+                    connection.sendall(answer(read(connection)))
+            finally:
+                open_now.remove(number)
+
+        _, client = self.serve(script)
+        barrier = threading.Barrier(places)
+
+        def occupy(number):
+            call(
+                client,
+                "/first",
+                f"id-{number}",
+                is_rejection=lambda status, headers: barrier.wait() < 0,
+            )
+
+        threads = [
+            threading.Thread(target=occupy, args=(number,))
+            for number in range(places)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join(5)
+        result = client.call(
+            "GET", "/report", {}, None, TIMEOUT_MS, errors.Step.DECODE
+        )
+        self.assertTrue(result.is_ok())
