--- a/tests/test_review_reuse.py
+++ b/tests/test_review_reuse.py
@@ -11,6 +11,7 @@
 from mulberryway.platform import wire
 from mulberryway.upstreams import connections
 from tests import copying_server
+from tests import test_torn_heads
 
 HOST = "127.0.0.1"
 TIMEOUT_MS = 1_000
@@ -416,3 +417,35 @@
             "GET", "/report", {}, None, TIMEOUT_MS, errors.Step.DECODE
         )
         self.assertTrue(result.is_ok())
+
+
+class ChunkSizeTest(test_torn_heads.OneAnswerCase):
+    def test_negative_size(self):
+        """Guards against a call that ends with an exception of the HTTP
+        library because the size of a chunk is negative.
+        """
+        head = (
+            test_torn_heads.STATUS
+            + b"Attempt-Id: a\r\n"
+            + test_torn_heads.SEAL
+            + test_torn_heads.CHUNKED
+        )
+        result = self.call(
+            head + b"\r\n-5\r\nabcde\r\n0\r\n\r\n", test_torn_heads.call_plain
+        )
+        self.assertTrue(result.is_error())
+
+    def test_data_without_an_end(self):
+        """Guards against a body that ends within what another answer has
+        written over the end of its chunk.
+        """
+        head = (
+            test_torn_heads.STATUS
+            + b"Attempt-Id: a\r\n"
+            + test_torn_heads.SEAL
+            + test_torn_heads.CHUNKED
+        )
+        result = self.call(
+            head + b"\r\n5\r\nabcdeXX0\r\n\r\n", test_torn_heads.call_plain
+        )
+        self.assertTrue(result.is_error())
