--- a/tests/test_review_reuse.py
+++ b/tests/test_review_reuse.py
@@ -9,6 +9,8 @@
 from mulberryway import clock
 from mulberryway import errors
 from mulberryway.platform import wire
+from mulberryway.upstreams import bounded_pool
+from mulberryway.upstreams import bounded_socket
 from mulberryway.upstreams import connections
 from tests import copying_server
 from tests import test_torn_heads
@@ -449,3 +451,51 @@
             head + b"\r\n5\r\nabcdeXX0\r\n\r\n", test_torn_heads.call_plain
         )
         self.assertTrue(result.is_error())
+
+
+class SharedSocketTest(unittest.TestCase):
+    def test_time_of_the_next_call(self):
+        """Guards against the next call on a connection of the store that gets
+        the time which the bytes of the last response are worth.
+        """
+        listener = socket.create_server((HOST, 0))
+        self.addCleanup(listener.close)
+        body = b"b" * bounded_pool.READ_BYTES
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+
+        def serve():
+            connection, _ = listener.accept()
+            with connection:
+                read(connection)
+                connection.sendall(head + body)
+                connection.recv(65_536)
+                time.sleep(MAX_TOOK_S)
+
+        threading.Thread(target=serve, daemon=True).start()
+        pool = bounded_pool.BoundedPool(
+            f"{HOST}:{listener.getsockname()[1]}",
+            1,
+            bounded_socket.ReceiveBudget(2 * len(body)),
+        )
+        self.addCleanup(pool.close)
+        options = {"retries": False, "preload_content": False}
+        first = pool.request("GET", "/", timeout=5, **options)
+        bounded = first.connection.bounded
+        deadlines = []
+
+        class Response:
+            """Begins the next call when the connection is in the pool."""
+
+            connection = first.connection
+            release_conn = first.release_conn
+            close = first.close
+
+            @staticmethod
+            def stream(size):
+                for piece in first.stream(size):
+                    deadlines.append(time.monotonic() + SHORT_MS / 1_000)
+                    bounded.begin_response(deadlines[-1])
+                    yield piece
+
+        bounded_pool.read_body(Response, 2 * len(body))
+        self.assertEqual(bounded._deadline_s, deadlines[-1])
