--- a/mulberryway/upstreams/bounded_pool.py
+++ b/mulberryway/upstreams/bounded_pool.py
@@ -124,7 +124,7 @@
     bounded, number = response.connection.bounded, response.connection.number
     try:
         bounded.allow_body(max_bytes)
-        body = b"".join(_read_pieces(response, bounded))
+        body = b"".join(_read_pieces(response, bounded, number))
     except BaseException:
         response.close()
         raise
@@ -135,9 +135,12 @@
 
 
 def _read_pieces(
-    response: urllib3.BaseHTTPResponse, bounded: bounded_socket.BoundedSocket
+    response: urllib3.BaseHTTPResponse,
+    bounded: bounded_socket.BoundedSocket,
+    number: int,
 ) -> collections.abc.Iterator[bytes]:
     """Yield a body, whose time grows with the bytes that arrive."""
     for piece in response.stream(READ_BYTES):
-        bounded.extend_response(len(piece) / MIN_BYTES_PER_S)
+        # The connection of a complete response is in the pool again.
+        bounded.extend_response(len(piece) / MIN_BYTES_PER_S, number)
         yield piece
--- a/mulberryway/upstreams/bounded_socket.py
+++ b/mulberryway/upstreams/bounded_socket.py
@@ -111,13 +111,17 @@
         """
         self._max_bytes = max_bytes
 
-    def extend_response(self, duration_s: float) -> None:
+    def extend_response(
+        self, duration_s: float, call: int | None = None
+    ) -> None:
         """Allow more time for a response that arrives at a sound rate.
 
         :param duration_s: the additional time
+        :param call: see :meth:`end_response`
         """
-        if self._deadline_s is not None:
-            self._deadline_s += duration_s
+        with self._lock:
+            if self._deadline_s is not None and call in (None, self._calls):
+                self._deadline_s += duration_s
 
     def shorten_response(self, deadline_s: float) -> None:
         """Bound the rest of a response to a shorter time.
