Take no malformed chunks for a body

A chunk with a negative size ended the call with a ValueError of urllib3 that nobody caught, and what another answer had written over the end of a chunk was passed over: two bytes are read there, whatever they are.

The reader of a response checks sizes and ends now, for all clients with a pool. Such calls have the reason invalid_body.

--- a/mulberryway/response_heads.py
+++ b/mulberryway/response_heads.py
@@ -20,7 +20,13 @@
 import urllib3
 import urllib3.connection
 
-__all__ = ["HeadError", "StrictConnection", "StrictResponse", "make_pools"]
+__all__ = [
+    "BodyError",
+    "HeadError",
+    "StrictConnection",
+    "StrictResponse",
+    "make_pools",
+]
 
 LOG = logging.getLogger(__name__)
 
@@ -35,6 +41,9 @@
 HEADER = re.compile(
     rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([^\x00-\x08\n-\x1f\x7f]*?)[ \t]*"
 )
+CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;.*)?")
+# A head that breaks off may be followed by another one in the same line.
+STATUS_WITHIN_LINE = re.compile(rb"HTTP/1\.[01] [1-9][0-9]{2}[ \r\n]")
 CONTENT_LENGTH = b"content-length"
 TRANSFER_ENCODING = b"transfer-encoding"
 
@@ -43,32 +52,78 @@
     """The head of a response is incomplete, malformed or ambiguous."""
 
 
-class _WholeLineReader:
-    """Reads from a response and takes no part of a line for the line.
+class BodyError(http.client.HTTPException):
+    """The chunks of a response's body are malformed."""
+
+
+class _ChunkReader:
+    """Reads a body with chunks, and checks how they are framed.
 
     The size of a chunk may begin with zeros, and zero is the size of the last
-    one.
+    one, so a part of a line is not taken for the line.
 
     :param reader: reads the response
     """
 
     def __init__(self, reader: io.BufferedReader) -> None:
         self._reader = reader
+        self._data_left = 0
+        self._is_last = False
 
     def __getattr__(self, name: str) -> typing.Any:
         return getattr(self._reader, name)
 
     def readline(self, size: int = -1) -> bytes:
-        """Return a line with its end; empty at the end of the connection.
+        """Return the size of a chunk, or a line after the last one.
 
         :param size: the maximum number of bytes
+        :returns: a line with its end; empty at the end of the connection
         :raises http.client.IncompleteRead: if the line has no end
+        :raises BodyError: if it is no size of a chunk
         """
         line = self._reader.readline(size)
         if line and not line.endswith(b"\n"):
             raise http.client.IncompleteRead(line)
+        if line and not self._is_last:
+            match = CHUNK_SIZE.fullmatch(_strip_end(line))
+            if match is None:
+                raise BodyError("the size of a chunk is malformed")
+            self._data_left = int(match[1], 16)
+            self._is_last = not self._data_left
         return line
 
+    def read(self, size: int = -1) -> bytes:
+        """Return a part of a chunk, or its end.
+
+        :param size: the number of bytes
+        :raises BodyError: if a chunk does not end where its size says
+        """
+        return self._check(self._reader.read(size))
+
+    def read1(self, size: int = -1) -> bytes:
+        """Return what has arrived of a chunk.
+
+        :param size: the maximum number of bytes
+        """
+        return self._check(self._reader.read1(size))
+
+    def readinto(self, buffer: typing.Any) -> int:
+        """Read a part of a chunk.
+
+        :param buffer: what it is written to
+        :returns: the number of bytes
+        """
+        size = self._reader.readinto(buffer)
+        self._check(bytes(memoryview(buffer)[:size]))
+        return size
+
+    def _check(self, data: bytes) -> bytes:
+        if self._data_left:
+            self._data_left -= len(data)
+        elif data and data != b"\r\n":
+            raise BodyError("a chunk does not end where its size says")
+        return data
+
 
 class StrictResponse(http.client.HTTPResponse):
     """A response whose head must be complete and unambiguous.
@@ -104,7 +159,7 @@
         finally:
             self.fp = received
         if self.chunked:
-            self.fp = _WholeLineReader(received)
+            self.fp = _ChunkReader(received)
 
     def _close_conn(self) -> None:
         """Close the reader at the end of the response."""
--- a/mulberryway/upstreams/call_details.py
+++ b/mulberryway/upstreams/call_details.py
@@ -54,6 +54,8 @@
     INVALID_HEAD = "invalid_head"
     # The connection was closed before the announced end of the body.
     INCOMPLETE_BODY = "incomplete_body"
+    # The chunks of the body are malformed.
+    INVALID_BODY = "invalid_body"
     RESET = "reset"
     TIMEOUT = "timeout"
     TOO_LARGE = "too_large"
@@ -73,6 +75,7 @@
     (UpstreamEndedError, FailureReason.UPSTREAM_ENDED),
     (bounded_socket.ResponseSizeError, FailureReason.TOO_LARGE),
     (response_heads.HeadError, FailureReason.INVALID_HEAD),
+    (response_heads.BodyError, FailureReason.INVALID_BODY),
     (http.client.RemoteDisconnected, FailureReason.NO_RESPONSE),
     (http.client.IncompleteRead, FailureReason.INCOMPLETE_BODY),
     (ConnectionResetError, FailureReason.RESET),
