Take no torn copy with an answer behind it for one head

A server that answers twice may break off in the copy, and the next answer on the connection follows in the middle of a line: 'HTTP/1.1 200 OHTTP/1.1 500 Error'. That was one head: the copy's status with the echo, the signature and the body of the answer behind it. A caller could get a success where its server had answered with a failure (MIXED), or the promise that a request has not run although it has (REFUSED).

On a connection that has carried another response, a status line within a line of a head makes the head invalid; and an invalid head there counts as bytes that no request has asked for.

--- a/mulberryway/response_heads.py
+++ b/mulberryway/response_heads.py
@@ -131,17 +131,21 @@
     ``has_surplus`` becomes true if bytes have arrived beyond its end.
 
     :param sock: the connection's socket
+    :param follows_another: whether the connection has carried another
+        response, of which a torn copy may precede this one
     """
 
     def __init__(
         self,
         sock: socket.socket,
         *arguments: typing.Any,
+        follows_another: bool = False,
         **keywords: typing.Any,
     ) -> None:
         super().__init__(sock, *arguments, **keywords)
         self.has_surplus = False
         self._sock = sock
+        self._follows_another = follows_another
 
     def begin(self) -> None:
         """Read the head, after any interim responses.
@@ -153,7 +157,10 @@
         if self.headers is not None:
             return
         received = self.fp
-        self.fp = io.BufferedReader(io.BytesIO(_read_head(received)))
+        head = _read_head(received)
+        if self._follows_another:
+            _check_single_status(head)
+        self.fp = io.BufferedReader(io.BytesIO(head))
         try:
             super().begin()
         finally:
@@ -197,7 +204,11 @@
         self, *arguments: typing.Any, **keywords: typing.Any
     ) -> StrictResponse:
         """Return a reader of the next response."""
-        self._last_response = StrictResponse(*arguments, **keywords)
+        self._last_response = StrictResponse(
+            *arguments,
+            follows_another=self._last_response is not None,
+            **keywords,
+        )
         return self._last_response
 
     @property
@@ -290,6 +301,15 @@
         raise HeadError("the transfer coding is unknown")
 
 
+def _check_single_status(head: bytes) -> None:
+    """Check that a head is not the beginning of one and the rest of another.
+
+    :raises HeadError: if one of its lines has a status line within it
+    """
+    if STATUS_WITHIN_LINE.search(head, 1):
+        raise HeadError("a line of the head has another status line within it")
+
+
 def _is_length(value: bytes) -> bool:
     return value.isdigit() and len(value) <= MAX_LENGTH_DIGITS
 
--- a/mulberryway/upstreams/connections.py
+++ b/mulberryway/upstreams/connections.py
@@ -571,11 +571,12 @@
         self, error: Exception, step: errors.Step, is_cancelled: bool
     ) -> errors.Fault:
         fault = classify_failure(error, step, self.address)
-        call_details.FAILURES.record(
-            fault,
-            _find_reason(error, fault, is_cancelled),
-            _CURRENT_CALL.details,
-        )
+        details = _CURRENT_CALL.details
+        reason = _find_reason(error, fault, is_cancelled)
+        call_details.FAILURES.record(fault, reason, details)
+        is_invalid = reason is call_details.FailureReason.INVALID_HEAD
+        if is_invalid and details.use > 1:
+            self._record_unsolicited()
         if is_cancelled:
             # The connection broke on this side.
             fault.has_died = False
