Bound a call on the connection that carries it

A connection was checked twice before a request: once before the call's time, size and canceller were set on its socket, and once after. If bytes arrived in between it was closed, and http.client connected anew by itself: the call ran without its timeout and its bounds, could not be cancelled, and a reset that a write had hidden was not noticed.

The check is made once now. What arrives after it is found by the echo.

--- a/mulberryway/response_heads.py
+++ b/mulberryway/response_heads.py
@@ -224,9 +224,13 @@
 
     def request(self, *arguments: typing.Any, **keywords: typing.Any) -> None:
         """Send a request, on a new connection if this one may not be used."""
+        self.prepare()
+        super().request(*arguments, **keywords)
+
+    def prepare(self) -> None:
+        """Close the connection if it may not carry the next request."""
         if self._last_response is not None and not self.is_connected:
             self.close()
-        super().request(*arguments, **keywords)
 
     def close(self) -> None:
         """Close the connection; the next request opens another one."""
--- a/mulberryway/upstreams/connections.py
+++ b/mulberryway/upstreams/connections.py
@@ -337,8 +337,8 @@
                 self, f"failed to connect: {error!r}"
             ) from error
 
-    def request(self, *arguments: typing.Any, **keywords: typing.Any) -> None:
-        """Send a request, after connecting if necessary."""
+    def prepare(self) -> None:
+        """Connect if necessary, and bound the call that is sent next."""
         request_id = _CURRENT_CALL.request_id
         if self.sock is not None and not (
             self._history.may_carry(request_id) and self.is_connected
@@ -357,7 +357,6 @@
         _CURRENT_CALL.details.use = _CURRENT_CALL.number
         if canceller is not None:
             canceller.attach(self.sock)
-        super().request(*arguments, **keywords)
 
 
 class UpstreamClient:
