Send a call without an id in the place of an idle connection

Calls without an id had a pool of their own, beside the idle connections of their client. A server that accepts no more connections than those reset the call: a load report, a reservation, a cancellation.

Such a call closes an idle connection and opens a new one in its place, which the next calls with an id may use. The same holds for calls to an upstream whose connections are not reused for a while.

--- a/mulberryway/upstreams/connections.py
+++ b/mulberryway/upstreams/connections.py
@@ -271,13 +271,15 @@
     """Describes the call that runs on this thread.
 
     ``request_id`` is the id that its response must echo; none if it echoes no
-    id.  ``socket``, ``history``, ``number`` and ``details.use`` are set when
-    its request is sent.
+    id.  ``may_reuse`` tells whether it may share a connection.  ``socket``,
+    ``history``, ``number`` and ``details.use`` are set when its request is
+    sent.
     """
 
     canceller: CallCanceller | None = None
     deadline_s = 0.0
     request_id: str | None = None
+    may_reuse = True
     socket: bounded_socket.BoundedSocket | None = None
     history = connection_reuse.ConnectionHistory()
     number = 0
@@ -341,7 +343,9 @@
         """Connect if necessary, and bound the call that is sent next."""
         request_id = _CURRENT_CALL.request_id
         if self.sock is not None and not (
-            self._history.may_carry(request_id) and self.is_connected
+            _CURRENT_CALL.may_reuse
+            and self._history.may_carry(request_id)
+            and self.is_connected
         ):
             self.close()
         if self.sock is None:
@@ -367,9 +371,10 @@
     or received the response to another request: the other connections took
     the same network path, so they may be affected too.
 
-    A call whose response echoes no id has a connection of its own, as has any
+    A call whose response echoes no id is sent on a new connection, as is any
     call for a while after the upstream has sent bytes that no request has
-    asked for.
+    asked for.  An idle connection is closed for it, so that a client does not
+    need more connections than its upstream accepts.
 
     A call whose pool is closed before the call has a connection was not sent.
     It is made on a new connection if the pool was replaced, and fails as not
@@ -430,17 +435,14 @@
         """
         deadline_s = time.monotonic() + timeout_ms / MS_IN_S
         request_id = _find_header(headers, self._echo_header)
-        own_pool = (
-            self._create_pool()
-            if needs_new_connection or not self._may_reuse(request_id)
-            else None
-        )
+        own_pool = self._create_pool() if needs_new_connection else None
         pool = own_pool or self._get_pool()
         response: urllib3.BaseHTTPResponse | None = None
         details = call_details.CallDetails()
         _CURRENT_CALL.canceller = canceller
         _CURRENT_CALL.deadline_s = deadline_s
         _CURRENT_CALL.request_id = request_id
+        _CURRENT_CALL.may_reuse = self._reuse.may_reuse(self._clock.now_ms())
         _CURRENT_CALL.details = details
         try:
             try:
@@ -548,11 +550,6 @@
         )
         return expression.Error(fault)
 
-    def _may_reuse(self, request_id: str | None) -> bool:
-        return request_id is not None and self._reuse.may_reuse(
-            self._clock.now_ms()
-        )
-
     def _record_unsolicited(self) -> None:
         """Record that bytes have arrived that no request has asked for."""
         call_details.UNSOLICITED.increment()
