Let the server of a test read the end of a connection first

It now waits for that up to 300 ms; with no place freed it resets the connection as before, and the test fails on as it did.

--- a/tests/test_review_reuse.py
+++ b/tests/test_review_reuse.py
@@ -13,6 +13,7 @@
 from mulberryway.upstreams import bounded_socket
 from mulberryway.upstreams import connections
 from tests import copying_server
+from tests import processes
 from tests import test_torn_heads
 
 HOST = "127.0.0.1"
@@ -22,6 +23,7 @@
 MAX_TOOK_S = 1.0
 PAUSE_S = copying_server.PAUSE_S
 LENGTH = copying_server.Shape.LENGTH
+CLOSE_S = 0.3
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 STRAY = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
@@ -389,6 +391,8 @@
         open_now = []
 
         def script(connection, number):
+            # Another thread may still have to read the end of a connection.
+            processes.wait_until(lambda: len(open_now) < places, CLOSE_S)
             if len(open_now) >= places:
                 connection.setsockopt(
                     socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
