Stand-ins break off answers at any byte, and answer twice

The stand-ins broke off in heads in one place only, always with a FIN, and none answered twice.

Upstreams now break off a share of their answers at any byte of the head or the body, framed by a length, chunks or neither, and end by a FIN or a reset; half a body without framing always by a reset, as nothing else tells it from a whole one. Another share is sent a second time, mostly while the next request on the connection is worked on, whole or torn.

--- a/standins/hosted_upstreams.py
+++ b/standins/hosted_upstreams.py
@@ -32,6 +32,13 @@
 * ``pause_s``: reject requests and want none for so long
 * ``pause_every``: reject so each of this many requests; 0 for each one
 * ``pause_status``: status of these rejections
+* ``broken_part``: share of the answers that break off at any byte, framed by a
+  length, by chunks or by the connection, whose end is a FIN or a reset
+* ``copied_part``: share of the answers that are sent a second time, mostly
+  while the next request on the connection is worked on, whole or torn
+* ``copy_ms``: time until the other copies are sent
+* ``rejected_part``: share of the requests that are rejected, not executed
+* ``spoil_seed``: which answers these are, and how, by server and request
 """
 
 import asyncio
@@ -41,8 +48,6 @@
 import json
 import os
 import pathlib
-import socket
-import struct
 import time
 import typing
 
@@ -52,6 +57,7 @@
 
 from standins import recorder
 from standins import serving
+from standins import spoiled_answers
 
 __all__ = ["HostedUpstream", "run"]
 
@@ -151,20 +157,6 @@
     return [entry.partition(":")[0] for entry in entries[:-1]]
 
 
-def reset(request: web.Request) -> None:
-    """Reset a request's connection.
-
-    :param request: received request
-    """
-    transport = request.transport
-    assert transport is not None
-    linger = struct.pack("ii", 1, 0)
-    transport.get_extra_info("socket").setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, linger
-    )
-    transport.abort()
-
-
 class UnframedResponse(web.StreamResponse):
     """A response without length or chunks, ended by its connection.
 
@@ -273,7 +265,13 @@
             "pause_s": 0,
             "pause_every": 0,
             "pause_status": 503,
+            "broken_part": 0,
+            "copied_part": 0,
+            "copy_ms": 5,
+            "rejected_part": 0,
+            "spoil_seed": 1,
         }
+        self.spoiler = spoiled_answers.Spoiler(instance, self.faults)
         # Requests with the time of their arrival, and what their answers said.
         self.requests: collections.deque[dict[str, typing.Any]] = (
             collections.deque(maxlen=MAX_REQUESTS)
@@ -305,6 +303,11 @@
         return app
 
     async def _handle(self, request: web.Request) -> web.StreamResponse:
+        await self.spoiler.begin(request)
+        response = await self._answer(request)
+        return await self.spoiler.finish(request, response)
+
+    async def _answer(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
         self.recorder.note(request, body)
         expected = request.headers.get("Expect-Instance", self.instance)
@@ -316,7 +319,7 @@
             return self._make_response(
                 request, self.faults["fail_status"], b"failed"
             )
-        if self.faults["full"]:
+        if self.faults["full"] or self.spoiler.must_reject(request):
             return self._make_response(request, 503, b"", NOT_EXECUTED)
         if self._must_pause():
             return self._reject_for_a_pause(request)
@@ -444,23 +447,29 @@
         self._record_run(request)
         if self._spoil_head(request):
             return web.Response()
-        response = web.StreamResponse(headers=self._make_headers(request))
-        response.headers["Content-Type"] = "text/event-stream"
+        headers = self._make_headers(request)
+        headers["Content-Type"] = "text/event-stream"
+        response: web.StreamResponse = web.StreamResponse(headers=headers)
         if self.faults["unframed"]:
-            response = UnframedResponse(request, response.headers)
+            response = UnframedResponse(request, headers)
+        numbers = range(first_event, EVENTS + 1)
+        response = self.spoiler.spoil_stream(
+            request, response, list(map(self._make_event, numbers))
+        )
         await response.prepare(request)
         self.running += 1
         try:
-            for number in range(first_event, EVENTS + 1):
+            for number in numbers:
                 cut_after = self.faults["cut_after"]
                 if cut_after and number > cut_after:
-                    reset(request)
+                    spoiled_answers.reset(request)
                     break
                 close_after = self.faults["close_after"]
                 if close_after and number > max(close_after, 0):
                     break
-                event = f"id: {number}\ndata: t{number} {self.version}\n\n"
-                await response.write(event.encode())
+                await response.write(self._make_event(number))
+                if spoiled_answers.is_closed(request):
+                    break
                 if number == first_event:
                     self.crash.begin_answer(request, self.instance)
                 await self._wait_after_event(number)
@@ -468,6 +477,9 @@
             self.running -= 1
         return response
 
+    def _make_event(self, number: int) -> bytes:
+        return f"id: {number}\ndata: t{number} {self.version}\n\n".encode()
+
     async def _wait_while(self, fault: str, value: int) -> None:
         """Wait until a fault no longer has a value."""
         self.held += 1
