--- a/standins/hosted_upstreams.py
+++ b/standins/hosted_upstreams.py
@@ -33,7 +33,8 @@
 * ``pause_every``: reject so each of this many requests; 0 for each one
 * ``pause_status``: status of these rejections
 * ``broken_part``: share of the answers that break off at any byte, framed by a
-  length, by chunks or by the connection, whose end is a FIN or a reset
+  length, by chunks or by the connection, whose end is a FIN or a reset; those
+  to a long request before it was read
 * ``copied_part``: share of the answers that are sent a second time, mostly
   while the next request on the connection is worked on, whole or torn
 * ``copy_ms``: time until the other copies are sent
@@ -308,7 +309,8 @@
         return await self.spoiler.finish(request, response)
 
     async def _answer(self, request: web.Request) -> web.StreamResponse:
-        body = await request.read()
+        is_early = self.spoiler.is_early(request)
+        body = b"" if is_early else await request.read()
         self.recorder.note(request, body)
         expected = request.headers.get("Expect-Instance", self.instance)
         if expected != self.instance:
--- a/standins/spoiled_answers.py
+++ b/standins/spoiled_answers.py
@@ -18,9 +18,11 @@
 
 __all__ = ["Framing", "Spoiler", "is_closed", "reset"]
 
-# Keys of a request: what chooses its faults, and the copy of its stream.
+# Keys of what is chosen for a request, and of the copy of its stream.
 RNG = "rng"
 COPY = "copy"
+IS_BROKEN = "is_broken"
+IS_COPIED = "is_copied"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Time from the last bytes of an answer to its reset, and within a copy.
 PAUSES_S = (0.0, 0.005)
@@ -30,6 +32,8 @@
 TORN_COPY_PART = 0.4
 # Share of the answers that break off in their head.
 HEAD_PART = 0.5
+# An answer to a longer request may break off before the request was read.
+LONG_BODY_BYTES = 1_000_000
 END_OF_CHUNKS = b"0\r\n\r\n"
 
 
@@ -211,9 +215,6 @@
         self._copies: weakref.WeakKeyDictionary[
             asyncio.BaseTransport, list[bytes]
         ] = weakref.WeakKeyDictionary()
-        # Numbers of answers that were broken off and sent twice.
-        self.broken = 0
-        self.copied = 0
 
     async def begin(self, request: web.Request) -> None:
         """Send copies that are due while a request is worked on.
@@ -225,6 +226,9 @@
         key = f"{seed}/{self._instance}/{attempt}"
         self._counts[key] += 1
         request[RNG] = rng = random.Random(f"{key}/{self._counts[key]}")
+        sample = rng.random() - self._faults["broken_part"]
+        request[IS_BROKEN] = sample < 0
+        request[IS_COPIED] = 0 <= sample < self._faults["copied_part"]
         transport = request.transport
         copies = [] if transport is None else self._copies.pop(transport, [])
         for copy in copies:
@@ -233,6 +237,15 @@
             await asyncio.sleep(rng.choice(PAUSES_S))
             transport.write(copy[middle:])
 
+    def is_early(self, request: web.Request) -> bool:
+        """Return whether to answer a request before its body was read.
+
+        :param request: received request
+        """
+        return request[IS_BROKEN] and (
+            (request.content_length or 0) > LONG_BODY_BYTES
+        )
+
     def must_reject(self, request: web.Request) -> bool:
         """Return whether to reject a request without executing it.
 
@@ -257,10 +270,9 @@
                 self._add_copy(request, request[COPY])
             return response
         rng = request[RNG]
-        is_broken, is_copied = self._choose(rng)
         body = response.body
         assert isinstance(body, bytes)
-        if is_broken:
+        if request[IS_BROKEN]:
             framing = rng.choice(list(Framing))
             head = make_head(
                 rng, response.status, response.headers, framing, len(body)
@@ -270,7 +282,7 @@
             assert request.transport is not None
             request.transport.write(data[: break_.size])
             await break_.end(request)
-        elif is_copied:
+        elif request[IS_COPIED]:
             head = make_head(
                 rng,
                 response.status,
@@ -294,30 +306,19 @@
         :param events: all its events
         """
         rng = request[RNG]
-        is_broken, is_copied = self._choose(rng)
         framing = Framing.CHUNKS
-        if is_broken:
+        if request[IS_BROKEN]:
             framing = rng.choice([Framing.CHUNKS, Framing.CONNECTION])
-        elif not is_copied:
+        elif not request[IS_COPIED]:
             return response
         head = make_head(rng, http.HTTPStatus.OK, response.headers, framing, 0)
         data = head + frame(framing, events)
-        if is_broken:
+        if request[IS_BROKEN]:
             break_ = _Break(rng, framing, len(head), len(data))
             return _BrokenStream(request, head, framing, break_)
         request[COPY] = data
         return response
 
-    def _choose(self, rng: random.Random) -> tuple[bool, bool]:
-        """Return whether to break off an answer, and whether to copy it."""
-        sample = rng.random()
-        is_broken = sample < self._faults["broken_part"]
-        limit = self._faults["broken_part"] + self._faults["copied_part"]
-        is_copied = not is_broken and sample < limit
-        self.broken += is_broken
-        self.copied += is_copied
-        return is_broken, is_copied
-
     def _add_copy(self, request: web.Request, data: bytes) -> None:
         rng = request[RNG]
         if rng.random() < TORN_COPY_PART:
