Pass resets on through the fault-injecting proxy

A server's reset reached the VM as an ordinary end of the connection: asyncio's abort sends a FIN unless bytes are unread. What cut says, "resets them", holds now as well; refused connections end as before.

tests/test_standin_faultproxy.py: test_reset_of_the_target fails without it.

--- a/standins/proxy_pair.py
+++ b/standins/proxy_pair.py
@@ -1,6 +1,8 @@
 """One pair of listening port and target of the fault-injecting proxy."""
 
 import asyncio
+import socket
+import struct
 import typing
 
 from standins import proxy_faults
@@ -8,6 +10,7 @@
 __all__ = ["Proxy"]
 
 READ_BYTES = 65_536
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 UP = "up"
 DOWN = "down"
 
@@ -41,8 +44,8 @@
 
     def abort(self) -> None:
         """Reset the connections to the client and the target."""
-        self.client.transport.abort()
-        self.target.transport.abort()
+        _reset(self.client)
+        _reset(self.target)
 
 
 class Proxy:
@@ -178,6 +181,14 @@
             )
 
 
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection; without the option, ``abort`` sends a FIN."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and not writer.is_closing():
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    writer.transport.abort()
+
+
 def _close_for_writing(writer: asyncio.StreamWriter) -> None:
     if writer.can_write_eof() and not writer.is_closing():
         writer.write_eof()
--- a/tests/test_standin_faultproxy.py
+++ b/tests/test_standin_faultproxy.py
@@ -1,6 +1,8 @@
 """Tests of the fault-injecting proxy in front of the service stand-in."""
 
 import http.client
+import socket
+import struct
 import unittest
 
 from tests import processes
@@ -12,12 +14,16 @@
         group = processes.Group()
         cls.addClassCleanup(group.stop)
         _, cls.service_port = processes.start_standin(group, "service")
-        cls.control_port, cls.port = processes.pick_ports(2)
+        cls.control_port, cls.port, cls.raw_port = processes.pick_ports(3)
         host = processes.HOST
+        cls.raw_target = socket.create_server((host, 0))
+        cls.addClassCleanup(cls.raw_target.close)
+        raw_target_port = cls.raw_target.getsockname()[1]
         group.start(
             "standins.faultproxy",
             f"--port={cls.control_port}",
             f"--pair=s={host}:{cls.port}={host}:{cls.service_port}",
+            f"--pair=raw={host}:{cls.raw_port}={host}:{raw_target_port}",
             ports=[cls.control_port, cls.port],
         )
 
@@ -54,6 +60,21 @@
             self.submit_request(connection)
         self.submit_request(self.open())
 
+    def test_reset_of_the_target(self):
+        """Guards against half an answer without a length that looks whole,
+        since its server's reset arrives as an ordinary end.
+        """
+        connection = socket.create_connection((processes.HOST, self.raw_port))
+        self.addCleanup(connection.close)
+        target, _ = self.raw_target.accept()
+        target.sendall(b"half")
+        self.assertEqual(connection.recv(4), b"half")
+        linger = struct.pack("ii", 1, 0)
+        target.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        target.close()
+        with self.assertRaises(ConnectionResetError):
+            connection.recv(1)
+
     def test_refused_connections_never_reach_the_target(self):
         previous_count = self.count_bookings()
         self.fault(refuse=True)
