Soak: upstreams that break off answers anywhere, and answer twice

The checks now also refuse a success other than 200, a response of any status that names another request, bytes in a cut body that are not the upstream's, and bytes in a stream that are no event; tests/test_soak.py breaks each.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -28,6 +28,9 @@
 flags.DEFINE_integer(
     "unreadable", 0, "answers without a whole head, and unusable entries"
 )
+flags.DEFINE_integer(
+    "spoiled", 0, "upstreams whose answers break off or are sent twice"
+)
 flags.DEFINE_integer("losses", 0, "times that all VMs are killed at once")
 flags.DEFINE_integer("length_ms", 10_000, "duration of fault injection")
 flags.DEFINE_string("keep", "", "folder for the logs of failed seeds")
@@ -52,6 +55,7 @@
         returns=FLAGS.returns,
         unreadable=FLAGS.unreadable,
         losses=FLAGS.losses,
+        spoiled=FLAGS.spoiled,
     )
     log_folder = pathlib.Path(FLAGS.keep) if FLAGS.keep else None
     failed = 0
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,6 +6,7 @@
 import collections
 import collections.abc
 import itertools
+import re
 
 from soak import advisories
 from soak import history
@@ -33,6 +34,8 @@
 DEADLINE_MS = 4_000
 WINDOW_MS = 8_000
 STREAM_EVENTS = 20
+# What engines write as an event.
+EVENT = re.compile(rb"id: (\d+)\ndata: t\1 v\d+")
 REJECTION_STATUSES = (408, 421, 429, 503)
 # A partitioned VM violates its promise if it serves less than this fraction of
 # what others serve, and if more attempts fail there than a few of all.
@@ -121,14 +124,19 @@
 def check_answers(recorded: history.History) -> Violations:
     """Check that successful responses are complete and match the request.
 
-    A truncated response must be recognizable as truncated.
+    A truncated response must be recognizable as truncated, and no response may
+    be that of another request.
     """
     expected_seals = collections.defaultdict(set)
     for run in recorded.runs:
         expected_seals[run.attempt].add(run.seal)
     for attempt in recorded.attempts:
-        if attempt.status != 200:
+        if attempt.echoed_id not in ("", attempt.name):
+            yield f"{attempt.name} got a response to {attempt.echoed_id}"
+        if not 200 <= attempt.status < 300:
             continue
+        if attempt.status != 200:
+            yield f"{attempt.name} got status {attempt.status}"
         if (
             attempt.seal not in expected_seals[attempt.name]
             or attempt.echoed_id != attempt.name
@@ -136,10 +144,8 @@
             yield f"{attempt.name} got a response that is not its own"
         if attempt.kind.is_stream:
             yield from _check_stream(attempt)
-        elif not attempt.is_cut and attempt.body != _make_expected_body(
-            attempt
-        ):
-            yield f"{attempt.name} got {attempt.body[:60]!r}"
+        else:
+            yield from _check_body(attempt)
 
 
 def check_edit_propagation(recorded: history.History) -> Violations:
@@ -507,7 +513,19 @@
     return dict(sorted(counts.items()))
 
 
+def _check_body(attempt: history.Attempt) -> Violations:
+    expected = _make_expected_body(attempt)
+    if attempt.is_cut:
+        expected = expected[: len(attempt.body)]
+    if attempt.body != expected:
+        yield f"{attempt.name} got {attempt.body[:60]!r}"
+
+
 def _check_stream(attempt: history.Attempt) -> Violations:
+    *events, rest = attempt.body.split(b"\n\n")
+    if not all(map(EVENT.fullmatch, events)) or (rest and not attempt.is_cut):
+        yield f"{attempt.name} got {attempt.body[-60:]!r}"
+        return
     numbers = list_events(attempt.body)
     first = attempt.last_event + 1
     if numbers != list(range(first, first + len(numbers))):
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -25,6 +25,8 @@
 REWRITE_S = 0.4
 # An upstream wants a pause in each answer of this many.
 PAUSE_EVERY = 3
+# Shares of the answers and requests of an upstream that spoils them.
+SPOILED_PARTS = {"broken_part": 0.2, "copied_part": 0.1, "rejected_part": 0.03}
 UPSTREAM_FAULT_SETTINGS = {
     "up_limited": ("limit_per_s", plan.LIMIT_PER_S),
     "up_error": ("fail_status", 500),
@@ -105,6 +107,7 @@
             "up_leave": self._drain_upstream,
             "up_leaving": self._announce_leaving,
             "up_pausing": self._ask_for_pauses,
+            plan.SPOILED: self._spoil_answers,
             "edit_route": self._add_route,
             "edit_key": self._change_key,
             "edit_rate": self._change_rate,
@@ -268,6 +271,16 @@
         _wait_for_duration(step)
         self._cluster.set_upstream_fault(step.target, pause_s=0)
 
+    def _spoil_answers(self, step: plan.ScheduledFault) -> None:
+        """Let an upstream break off answers, and send some twice."""
+        self._cluster.set_upstream_fault(
+            step.target, spoil_seed=step.at_ms, **SPOILED_PARTS
+        )
+        _wait_for_duration(step)
+        self._cluster.set_upstream_fault(
+            step.target, **dict.fromkeys(SPOILED_PARTS, 0)
+        )
+
     def _evacuate_zone(self, step: plan.ScheduledFault) -> None:
         """Evacuate a zone; its servers are cold when it is used again."""
         zone = step.target
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -12,6 +12,7 @@
     "FOREIGN_ENTRIES",
     "LIMIT_PER_S",
     "RETURN",
+    "SPOILED",
     "SoakConfig",
     "ScheduledFault",
     "ZONES",
@@ -84,6 +85,9 @@
 FOREIGN_ENTRIES = "foreign_entries"
 UNREADABLE = ("up_torn", "up_malformed", FOREIGN_ENTRIES)
 MIN_UNREADABLE_MS = 2_000
+# Upstreams break off answers at any byte and send some twice.
+SPOILED = "up_spoiled"
+MIN_SPOILED_MS = 3_000
 ALL_KILL = "all_kill"
 PARTITIONS = ("path_silent", "path_reset", "path_refuse")
 # Relative frequency of each group of faults.
@@ -118,6 +122,8 @@
         chains
     :param unreadable: number of upstreams whose answers have no whole head, or
         of spells of unusable server entries, beside the chains
+    :param spoiled: number of upstreams that break off a share of their answers
+        anywhere and send another share twice, beside the chains
     :param losses: number of times that all VMs are killed at once, beside the
         chains
     """
@@ -137,6 +143,7 @@
         "slow_readers",
         "returns",
         "unreadable",
+        "spoiled",
         "losses",
     )
 
@@ -157,9 +164,11 @@
         returns: int = 0,
         unreadable: int = 0,
         losses: int = 0,
+        spoiled: int = 0,
     ) -> None:
         self.returns = returns
         self.unreadable = unreadable
+        self.spoiled = spoiled
         self.losses = losses
         self.slow_readers = slow_readers
         self.advisories = advisories
@@ -240,6 +249,7 @@
         ScheduledFault(rng.randrange(500, config.length_ms), ALL_KILL, "", 0)
         for _ in range(config.losses)
     ]
+    steps += [_make_spoiled(rng, config) for _ in range(config.spoiled)]
     return sorted(steps, key=lambda step: step.at_ms)
 
 
@@ -294,6 +304,16 @@
     )
 
 
+def _make_spoiled(rng: random.Random, config: SoakConfig) -> ScheduledFault:
+    at_ms = rng.randrange(500, config.length_ms - MIN_SPOILED_MS)
+    return ScheduledFault(
+        at_ms,
+        SPOILED,
+        rng.choice(config.list_upstream_names()),
+        rng.randint(MIN_SPOILED_MS, config.length_ms - at_ms),
+    )
+
+
 def _make_chain(
     rng: random.Random, config: SoakConfig
 ) -> collections.abc.Iterator[ScheduledFault]:
--- a/standins/spoiled_answers.py
+++ b/standins/spoiled_answers.py
@@ -231,6 +231,8 @@
         request[IS_COPIED] = 0 <= sample < self._faults["copied_part"]
         transport = request.transport
         copies = [] if transport is None else self._copies.pop(transport, [])
+        if not self._faults["copied_part"]:
+            return
         for copy in copies:
             middle = rng.randrange(len(copy) + 1)
             transport.write(copy[:middle])
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -34,7 +34,8 @@
 
 def make_stream(numbers, version="v0"):
     return b"".join(
-        f"id: {number}\ndata: x {version}\n\n".encode() for number in numbers
+        f"id: {number}\ndata: t{number} {version}\n\n".encode()
+        for number in numbers
     )
 
 
@@ -106,6 +107,39 @@
     def test_response_to_another_request(self):
         self.find("not its own", [make_attempt(echoed_id="b")], [make_run()])
 
+    def test_failure_of_another_request(self):
+        failed = make_attempt(status=502, echoed_id="b")
+        self.find("got a response to b", [failed], [make_run()])
+
+    def test_success_that_no_upstream_sent(self):
+        self.find("got status 206", [make_attempt(status=206)], [make_run()])
+        unsigned = make_attempt(status=206, seal="")
+        self.find("not its own", [unsigned], [make_run()])
+
+    def test_other_bytes_in_a_cut_body(self):
+        cut = make_attempt(body=b"POST /plain/b", is_cut=True)
+        self.find("got b'POST /plain/b'", [cut], [make_run()])
+        cut = make_attempt(body=b"POST /plain/a", is_cut=True)
+        broken = [history.FaultWindow("up_spoiled", "up-s0", 9_000, 11_000)]
+        self.assertEqual(self.check([cut], [make_run()], broken), [])
+
+    def test_other_bytes_in_a_stream(self):
+        body = make_stream([1]) + b"2\r\n" + make_stream(range(2, 21))
+        self.find(
+            "got b'",
+            [make_attempt(kind=RequestKind.SINGLE_RUN_STREAM, body=body)],
+            [make_run(instance="d0-life1")],
+        )
+
+    def test_half_an_event_in_a_complete_stream(self):
+        body = make_stream(range(1, 21)) + b"id: 2"
+        stream = make_attempt(kind=RequestKind.SINGLE_RUN_STREAM, body=body)
+        runs = [make_run(instance="d0-life1")]
+        self.find("got b'", [stream], runs)
+        stream.is_cut = True
+        broken = [history.FaultWindow("up_spoiled", "up-d0", 9_000, 11_000)]
+        self.assertEqual(self.check([stream], runs, broken), [])
+
     def test_truncated_stream_that_ends_as_complete(self):
         body = make_stream(range(1, 9))
         self.find(
@@ -438,6 +472,15 @@
             901, plan.SoakConfig(chains=1, versions=2, unreadable=4, losses=1)
         )
 
+    def test_answers_that_break_off_and_that_are_sent_twice(self):
+        """Guards against successes without a signature, parts of answers that
+        look whole and answers of other requests, beside other faults.
+        """
+        self.hold(
+            1101,
+            plan.SoakConfig(chains=1, length_ms=6_000, spoiled=4),
+        )
+
     def test_returns_of_the_store(self):
         """Guards against changes that are missed or taken back when the store
         returns from older copies, beside other faults.
