Leave out an object of the store that has no valid name or revision

One object whose metadata is missing or of another type, or whose name or revision is none, made the whole page or watch response malformed: the VM counted the store as away and followed no server any more, as long as the object was there. A name that no path can contain (half of a surrogate pair, or 70,000 characters) raised UnicodeEncodeError out of the listing if it was the last of a page.

The other objects are now read, one line tells each reason once, and a listing goes on after the last name that can be in a path. Revisions are numbers of 64 bits, as other VMs get them as such.

--- a/mulberryway/logs.py
+++ b/mulberryway/logs.py
@@ -10,7 +10,13 @@
 
 from mulberryway import errors
 
-__all__ = ["BoundedHandler", "JsonFormatter", "make_extra", "set_up"]
+__all__ = [
+    "BoundedHandler",
+    "JsonFormatter",
+    "ReportedKeys",
+    "make_extra",
+    "set_up",
+]
 
 FIELDS = "fields"
 # Writing to a full pipe blocks, and formatting lines costs CPU time.  So a
@@ -22,6 +28,8 @@
 MAX_QUEUED_RECORDS = 2_000
 FLUSH_S = 0.3
 DROP_REPORT_INTERVAL_S = 1.0
+# Bounds the memory of what was reported once already.
+MAX_REPORTED_KEYS = 256
 
 
 class JsonFormatter(logging.Formatter):
@@ -143,6 +151,37 @@
             self._dropped += 1
 
 
+class ReportedKeys:
+    """Remembers what was logged, so that it is not logged each time.
+
+    Thread-safe.  The oldest keys are forgotten, and are logged again if they
+    return.
+
+    :param max_keys: the maximum number of keys
+    """
+
+    __slots__ = ("_max_keys", "_keys", "_lock")
+
+    def __init__(self, max_keys: int = MAX_REPORTED_KEYS) -> None:
+        self._max_keys = max_keys
+        self._keys: dict[typing.Any, None] = {}
+        self._lock = threading.Lock()
+
+    def add(self, key: typing.Any) -> bool:
+        """Add a key.
+
+        :param key: what identifies the line
+        :returns: whether it is new, and has to be logged
+        """
+        with self._lock:
+            is_new = key not in self._keys
+            self._keys.pop(key, None)
+            self._keys[key] = None
+            if len(self._keys) > self._max_keys:
+                del self._keys[next(iter(self._keys))]
+        return is_new
+
+
 def make_extra(
     fault: errors.Fault | None = None, **fields: typing.Any
 ) -> dict[str, typing.Any]:
--- a/mulberryway/platform/store.py
+++ b/mulberryway/platform/store.py
@@ -37,6 +37,10 @@
 MAX_RESPONSE_BYTES = 5_242_880
 # All calls of a VM together, beyond what each response may have in any case.
 MAX_RECEIVED_BYTES = 2 * MAX_RESPONSE_BYTES
+# Longer ones may not fit into the path of a call.
+MAX_NAME_BYTES = 1_024
+# Other VMs get revisions as numbers of 64 bits.
+MAX_REVISION = 2**63 - 1
 VMS = "vms"
 FAULT_CODES = {
     404: errors.Code.NOT_FOUND,
@@ -77,6 +81,7 @@
         self._peer = url.removeprefix("http://")
         self.eras = eras.StoreEras()
         self._rejected_era = ""
+        self._reported = logs.ReportedKeys()
         self._lock = threading.Lock()
         self._pool = self._create_pool()
         self.eras.subscribe(self._abandon_pool)
@@ -132,19 +137,19 @@
                 target += "?" + urllib.parse.urlencode({"after": after})
             page = self._call("GET", target, purpose).bind(
                 lambda response: self._parse(
-                    lambda: _parse_page(kind, response)
+                    lambda: self._parse_page(kind, response)
                 )
             )
             if page.is_error():
                 return expression.Error(page.error)
-            listing, has_more = page.ok
+            listing, next_after = page.ok
             first = first or listing.position
             if listing.position.era != first.era:
                 return expression.Error(self._make_era_fault())
             objects += listing.objects
-            if not has_more or not listing.objects:
+            if not next_after:
                 return expression.Ok(base.Listing(objects, first))
-            after = listing.objects[-1].name
+            after = next_after
 
     def poll_changes(
         self, kind: str, revision: int, wait_ms: int, purpose: str
@@ -167,7 +172,7 @@
             timeout_ms=wait_ms + WATCH_GRACE_MS,
         ).bind(
             lambda response: self._parse(
-                lambda: _parse_changes(kind, response)
+                lambda: self._parse_changes(kind, response)
             )
         )
 
@@ -465,6 +470,56 @@
                 self._make_fault("PUT", True, f"malformed response: {error!r}")
             )
 
+    def _parse_page(
+        self, kind: str, response: "_Response"
+    ) -> tuple[base.Listing, str]:
+        """Return a page of a listing, and the name after which to go on."""
+        value = response.value
+        items = _get_list(value, "items")
+        objects = self._parse_objects(kind, items, response.era)
+        after = _find_last_name(items) if value.get("has_more") else ""
+        return base.Listing(objects, _parse_position(response)), after
+
+    def _parse_changes(
+        self, kind: str, response: "_Response"
+    ) -> base.ChangeBatch:
+        changes = _get_list(response.value, "events")
+        events = [
+            base.WatchEvent(
+                base.EventType.DELETED
+                if change.get("deleted")
+                else base.EventType.MODIFIED,
+                object_,
+            )
+            for change in changes
+            for object_ in self._parse_objects(
+                kind, [_get_object(change)], response.era
+            )
+        ]
+        return base.ChangeBatch(events, _parse_position(response))
+
+    def _parse_objects(
+        self, kind: str, items: list[typing.Any], era: int
+    ) -> list[base.StoredObject]:
+        """Return the objects that can be told from others."""
+        objects = []
+        for item in items:
+            try:
+                objects.append(_parse_object(kind, item, era))
+            except PARSE_ERRORS as error:
+                self._log_unreadable(kind, repr(error))
+        return objects
+
+    def _log_unreadable(self, kind: str, reason: str) -> None:
+        """Log that an object is left out, once for each reason."""
+        reason = reason[: wire.MAX_LOGGED_LENGTH]
+        if self._reported.add((kind, reason)):
+            LOG.warning(
+                "an object of the store is left out: it has no valid name "
+                "or revision",
+                extra=logs.make_extra(kind=kind, reason=reason),
+            )
+
     def _count(
         self, purpose: str, outcome: str, sent: bytes | None, received: bytes
     ) -> None:
@@ -508,6 +563,17 @@
     return _Received(response.status, content, response.headers.get(wire.ERA))
 
 
+def _get_list(value: dict[str, typing.Any], name: str) -> list[typing.Any]:
+    items = value[name]
+    if not isinstance(items, list):
+        raise ValueError(f"expected a list of {name}")
+    return items
+
+
+def _get_object(change: typing.Any) -> typing.Any:
+    return change.get("object") if isinstance(change, dict) else None
+
+
 def _path(kind: str, name: str = "") -> str:
     parts = [wire.OBJECTS, kind, urllib.parse.quote(name, safe="")]
     return "/".join(filter(None, parts))
@@ -518,38 +584,37 @@
     content = value.get("spec")
     return base.StoredObject(
         kind,
-        wire.parse_string(metadata["name"]),
-        wire.parse_integer(metadata["revision"]),
+        _parse_name(metadata["name"]),
+        wire.parse_integer(metadata["revision"], maximum=MAX_REVISION),
         content if isinstance(content, dict) else {},
         era,
     )
 
 
-def _parse_page(kind: str, response: _Response) -> tuple[base.Listing, bool]:
-    """Return a page of a listing, and whether there is another one."""
-    value = response.value
-    listing = base.Listing(
-        [_parse_object(kind, item, response.era) for item in value["items"]],
-        _parse_position(response),
-    )
-    return listing, bool(value.get("has_more"))
+def _parse_name(value: typing.Any) -> str:
+    """Return an object's name.
 
+    :raises ValueError: if no path can contain it
+    """
+    name = wire.parse_string(value)
+    if len(name.encode()) > MAX_NAME_BYTES:
+        raise ValueError("the name is too long")
+    return name
 
-def _parse_changes(kind: str, response: _Response) -> base.ChangeBatch:
-    return base.ChangeBatch(
-        [
-            base.WatchEvent(
-                base.EventType.DELETED
-                if event.get("deleted")
-                else base.EventType.MODIFIED,
-                _parse_object(kind, event["object"], response.era),
-            )
-            for event in response.value["events"]
-        ],
-        _parse_position(response),
-    )
+
+def _find_last_name(items: list[typing.Any]) -> str:
+    """Return the last name of a page; empty if it has none."""
+    for item in reversed(items):
+        try:
+            return _parse_name(item["metadata"]["name"])
+        except PARSE_ERRORS:
+            # Logged when the page was read.
+            continue
+    return ""
 
 
 def _parse_position(response: _Response) -> position.Position:
-    revision = wire.parse_integer(response.value["store_revision"])
+    revision = wire.parse_integer(
+        response.value["store_revision"], maximum=MAX_REVISION
+    )
     return position.Position(response.era, revision)
--- a/mulberryway/platform/wire.py
+++ b/mulberryway/platform/wire.py
@@ -137,19 +137,23 @@
 )
 
 
-def parse_integer(value: typing.Any, minimum: int = 0) -> int:
+def parse_integer(
+    value: typing.Any, minimum: int = 0, maximum: int | None = None
+) -> int:
     """Return a JSON value as an integer.
 
     :param value: the JSON value
     :param minimum: the smallest valid number
+    :param maximum: the largest valid number; None for no limit
     :returns: the number
-    :raises ValueError: if the value is not an integer or is below the
-        minimum
+    :raises ValueError: if the value is not an integer or is out of range
     """
     if type(value) is float and value.is_integer():
         value = int(value)
     if type(value) is not int or value < minimum:
         raise ValueError(f"expected an integer of at least {minimum}")
+    if maximum is not None and value > maximum:
+        raise ValueError(f"expected an integer of at most {maximum}")
     return value
 
 
--- a/tests/test_unreadable_objects.py
+++ b/tests/test_unreadable_objects.py
@@ -28,6 +28,50 @@
     "infinity": b"-Infinity",
 }
 
+# Objects that cannot be told from others.
+UNNAMED = {
+    "no object": b"3",
+    "null": b"null",
+    "a list": b"[]",
+    "no metadata": b'{"spec": {}}',
+    "metadata of another type": b'{"metadata": [], "spec": {}}',
+    "no name": b'{"metadata": {"revision": 3}}',
+    "a number as name": b'{"metadata": {"name": 3, "revision": 3}}',
+    "an empty name": b'{"metadata": {"name": "", "revision": 3}}',
+    "a surrogate": b'{"metadata": {"name": "\\ud800", "revision": 3}}',
+    "a long name": b'{"metadata": {"name": "%s", "revision": 3}}'
+    % (b"n" * 70_000),
+    "no revision": b'{"metadata": {"name": "odd"}}',
+    "a large revision": b'{"metadata": {"name": "odd", "revision": 1e300}}',
+    "an infinite revision": b'{"metadata": {"name": "o", "revision": 1e999}}',
+}
+
+
+class PagedStore(store.PlatformStore):
+    """A client that gets one response after another, the last one again."""
+
+    def __init__(self, *pages):
+        super().__init__(
+            "http://127.0.0.1:1",
+            1_000,
+            clock.SystemClock(),
+            call_metrics.InMemoryCallCounter(),
+        )
+        self.pages = list(pages)
+        self.targets = []
+
+    def _send(self, pool, method, target, data, read_timeout_ms):
+        self.targets.append(target)
+        page = self.pages.pop(0) if len(self.pages) > 1 else self.pages[0]
+        return store._Received(200, page, "1")
+
+
+def make_page(*items, more=True):
+    return b'{"items": [%s], "has_more": %s, "store_revision": 9}' % (
+        b", ".join(items),
+        b"true" if more else b"false",
+    )
+
 
 def make_item(name, value):
     revision = 7 if name == "s0" else 8
@@ -98,6 +142,41 @@
                 batch = self.read(body).poll_changes("servers", 3, 0, "test")
                 self.assertEqual(len(batch.ok.events), 2)
 
+    def test_objects_without_a_name(self):
+        """Guards against one object without a valid name or revision that
+        keeps all others from being read, by listing and watch.
+        """
+        sound = make_item("s0", ENTRY.encode())
+        for name, odd in UNNAMED.items():
+            with self.subTest(name), self.assertLogs(store.LOG) as lines:
+                body = b'{"items": [%s, %s], "store_revision": 9}'
+                client = PagedStore(body % (odd, sound))
+                for _ in range(3):
+                    listing = client.read_listing("servers", "test").ok
+                    self.assertEqual([x.name for x in listing.objects], ["s0"])
+                body = b'{"events": [{"object": %s}, {"object": %s}], '
+                body += b'"store_revision": 9}'
+                client = PagedStore(body % (odd, sound))
+                batch = client.poll_changes("servers", 3, 0, "test").ok
+                self.assertEqual([x.object.name for x in batch.events], ["s0"])
+                self.assertEqual(batch.position.revision, 9)
+                # One line of each client, however often it reads.
+                self.assertEqual(len(lines.output), 2)
+
+    def test_page_that_ends_with_an_unnamed_object(self):
+        """Guards against listings that fail, or that lack the next pages,
+        because no path can contain the last name of a page.
+        """
+        client = PagedStore(
+            make_page(make_item("s0", b"{}"), UNNAMED["a surrogate"], b"3"),
+            make_page(make_item("s1", b"{}"), more=False),
+        )
+        listing = client.read_listing("servers", "test").ok
+        self.assertEqual([x.name for x in listing.objects], ["s0", "s1"])
+        self.assertTrue(client.targets[1].endswith("after=s0"))
+        client = PagedStore(make_page(UNNAMED["a surrogate"]))
+        self.assertEqual(client.read_listing("servers", "x").ok.objects, [])
+
     def test_sound_text_is_unchanged(self):
         """Guards against brackets in strings that count as nesting."""
         deep = b"[" * 5_000 + b"]" * 5_000
