Bound how deep the store's values are and how long it takes to read them

A value that is nested up to some 960 levels deep was read as it was, and the limit of 64 applied only to what Python's decoder refused. How deep that is depends on the stack of the thread: a value could be read by the one that follows the store and be too deep for the one that encodes it for other VMs or compares it with the next one. Every value is now at most 64 levels deep.

--- a/mulberryway/platform/json_text.py
+++ b/mulberryway/platform/json_text.py
@@ -14,7 +14,11 @@
 MAX_INTEGER_DIGITS = 64
 # Far deeper than any object, and far below the decoder's limit.
 MAX_DEPTH = 64
-TOKEN = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
+CONTAINERS = (dict, list)
+# A string that does not end is one token too: else each of its quotes would
+# begin one, in quadratic time.  Brackets are taken together if possible,
+# because a text of brackets alone has most tokens.
+TOKEN = re.compile(r'"(?:[^"\\]++|\\.)*+(?:"|\\?\Z)|[\[{]+|[\]}]+', re.DOTALL)
 
 
 def decode(content: bytes) -> typing.Any:
@@ -29,9 +33,11 @@
     """
     text = content.decode(errors="replace")
     try:
-        return _decode(text)
+        value = _decode(text)
     except RecursionError:
         return _decode("".join(_flatten(text)))
+    _prune(value)
+    return value
 
 
 def _decode(text: str) -> typing.Any:
@@ -43,19 +49,57 @@
     return float(digits) if is_long else int(digits)
 
 
+def _prune(value: typing.Any) -> None:
+    """Replace what is nested too deeply in a value.
+
+    The decoder's own limit depends on its thread's stack.  Whoever compares
+    or encodes the value has another one left.
+    """
+    level = [value] if isinstance(value, CONTAINERS) else []
+    for _ in range(MAX_DEPTH - 1):
+        level = [
+            item
+            for container in level
+            for item in _list_items(container)
+            if isinstance(item, CONTAINERS)
+        ]
+        if not level:
+            return
+    for container in level:
+        pairs = (
+            list(container.items())
+            if isinstance(container, dict)
+            else list(enumerate(container))
+        )
+        for key, item in pairs:
+            if isinstance(item, CONTAINERS):
+                container[key] = None
+
+
+def _list_items(
+    container: dict[str, typing.Any] | list[typing.Any],
+) -> collections.abc.Iterable[typing.Any]:
+    return container.values() if isinstance(container, dict) else container
+
+
 def _flatten(text: str) -> collections.abc.Iterator[str]:
     """Yield the parts of a JSON text without what is nested too deeply."""
     depth = 0
     end = 0
     for match in TOKEN.finditer(text):
+        token = match[0]
         if depth <= MAX_DEPTH:
             yield text[end : match.start()]
         end = match.end()
-        depth += match[0] in ("[", "{")
-        if depth <= MAX_DEPTH:
-            yield match[0]
-        if match[0] in ("]", "}"):
-            depth -= 1
-            if depth == MAX_DEPTH:
+        if token[0] in "[{":
+            yield token[: max(MAX_DEPTH - depth, 0)]
+            depth += len(token)
+        elif token[0] in "]}":
+            hidden = max(depth - MAX_DEPTH, 0)
+            if 0 < hidden <= len(token):
                 yield "null"
+            yield token[hidden:]
+            depth -= len(token)
+        elif depth <= MAX_DEPTH:
+            yield token
     yield text[end:]
--- a/tests/test_unreadable_objects.py
+++ b/tests/test_unreadable_objects.py
@@ -1,6 +1,7 @@
 """Tests of objects in the store that cannot be read."""
 
 import json
+import time
 import unittest
 
 from mulberryway import clock
@@ -8,10 +9,13 @@
 from mulberryway.platform import json_text
 from mulberryway.platform import store
 from mulberryway.platform import tables as platform_tables
+from tests import odd_entries
 from tests import test_platform_adapter
 from tests import test_torn_heads
 
 HOST = "127.0.0.1"
+# Of processor time for a megabyte; up to 0.6 s were measured.
+MAX_TOOK_S = 3.0
 ENTRY = json.dumps(test_platform_adapter.ENTRY | {"sequence": 1})
 # The encoded value of one field of an entry, which its reader must survive.
 UNREADABLE = {
@@ -187,6 +191,50 @@
         self.assertEqual(value["a"], '[[{"}')
         self.assertEqual((value["b"], value["e"]), ([1, {"c": "]"}], 2))
 
+    def test_depth_does_not_depend_on_the_stack(self):
+        """Guards against values that were read, but that no one can compare
+        or encode whose stack is deeper than the reader's.
+        """
+        for depth in (63, 64, 65, 500, 960, 50_000):
+            for value in (
+                b"[" * depth + b"]" * depth,
+                b'{"a":' * depth + b"0" + b"}" * depth,
+                b'[{"a":[],"b":' * depth + b"[{}]" + b',"c":[]}]' * depth,
+            ):
+                text = b'{"x": [1, %s, 2], "y": 3}' % value
+                decoded = json_text.decode(text)
+                self.assertEqual(decoded["x"][::2], [1, 2])
+                self.assertEqual(decoded["y"], 3)
+                level, found = [decoded], 0
+                while level:
+                    found += 1
+                    level = [
+                        item
+                        for one in level
+                        for item in (
+                            one.values() if isinstance(one, dict) else one
+                        )
+                        if isinstance(item, (dict, list))
+                    ]
+                self.assertLessEqual(found, json_text.MAX_DEPTH)
+
+    def test_time_of_large_texts(self):
+        """Guards against an entry that occupies a VM for seconds each time
+        it is read, and against quadratic time in texts that are no JSON.
+        """
+        size = 1_000_000
+        texts = dict(odd_entries.list_worst_values())
+        texts["a string without an end"] = b"[" * 2_000 + b'"\\' * (size // 2)
+        texts["quotes"] = b"[" * 2_000 + b'"a\\' * (size // 4)
+        for name, text in texts.items():
+            with self.subTest(name):
+                started_s = time.process_time()
+                try:
+                    json_text.decode(text)
+                except ValueError:
+                    self.assertNotIn(name, odd_entries.list_worst_values())
+                self.assertLess(time.process_time() - started_s, MAX_TOOK_S)
+
     def test_malformed_text(self):
         for text in (b"", b"{", b"[" * 50_000, b"[1,]"):
             with self.subTest(text[:5]), self.assertRaises(ValueError):
