Send to no VM whose entry in the store has no address

An entry of another writer among those of the VMs was taken for a VM with any address: a port that is no number raised ValueError in the steps that probe VMs and that send them datagrams, a host name that no lookup accepts UnicodeError or TypeError, and what the same step had for the other VMs was not sent. Such an entry also counted as a VM that has a share of the limits, and its host name was looked up for each datagram.

Entries without an IPv4 address and port, or whose name or zone is none, name no VM; a line tells each once. Whoever connects to another VM uses the rule for addresses that servers' addresses have.

Both tests failed before, with ValueError, UnicodeError and TypeError.

--- a/mulberryway/peers/client.py
+++ b/mulberryway/peers/client.py
@@ -8,6 +8,7 @@
 import expression
 from thrift import Thrift
 
+from mulberryway import addresses
 from mulberryway import clock
 from mulberryway import errors
 from mulberryway.peers import channel
@@ -267,9 +268,14 @@
         self.is_rejected = False
 
     def parse_address(self) -> tuple[str, int]:
-        """Return the peer's host and port."""
-        host, _, port = self.peer.rpartition(":")
-        return host, int(port)
+        """Return the peer's host and port.
+
+        :raises ChannelError: if no connection to them can be opened
+        """
+        try:
+            return addresses.split(self.peer)
+        except ValueError as error:
+            raise channel.ChannelError(f"cannot connect: {error}") from error
 
     def run(
         self,
--- a/mulberryway/peers/datagrams.py
+++ b/mulberryway/peers/datagrams.py
@@ -16,6 +16,7 @@
 import socket
 import threading
 
+from mulberryway import addresses
 from mulberryway import clock
 from mulberryway.peers import traffic
 
@@ -95,14 +96,19 @@
         :param peer: ``host:port``
         :param payload: at most ``MAX_PAYLOAD_BYTES``
         :param kind: the kind under which it is counted
-        :returns: false if it is too long or the system rejected it
+        :returns: false if it is too long, if there is no such address, or if
+            the system rejected it
         """
         if len(payload) > MAX_PAYLOAD_BYTES:
             return False
-        host, _, port = peer.rpartition(":")
+        try:
+            host, port = addresses.split(peer)
+        except ValueError as error:
+            LOG.debug("no datagram sent to %.100r: %r", peer, error)
+            return False
         datagram = self._sign(peer, payload) + payload
         try:
-            self._socket.sendto(datagram, (host, int(port)))
+            self._socket.sendto(datagram, (host, port))
         except OSError:
             return False
         self.traffic.count(kind, True, len(datagram))
--- a/mulberryway/platform/store.py
+++ b/mulberryway/platform/store.py
@@ -11,6 +11,7 @@
 import urllib3
 import urllib3.exceptions
 
+from mulberryway import addresses
 from mulberryway import clock
 from mulberryway import errors
 from mulberryway import logs
@@ -264,20 +265,36 @@
         """Return the VMs that are registered in the store.
 
         :param purpose: the label under which the call is counted
-        :returns: the list, or a fault
+        :returns: the list without malformed entries, or a fault
         """
         return self.read_all(VMS, purpose).map(
             lambda objects: [
-                base.ListedVm(
-                    vm.name,
-                    str(vm.value.get("address", "")),
-                    str(vm.value.get("zone", "")),
-                    False,
-                )
-                for vm in objects
+                vm for entry in objects for vm in self._parse_vm(entry)
             ]
         )
 
+    def _parse_vm(self, entry: base.StoredObject) -> list[base.ListedVm]:
+        """Return the VM of an entry; none if the entry names no VM."""
+        try:
+            address = wire.parse_string(entry.value.get("address"))
+            addresses.split_ip(address)
+            name = wire.parse_id(entry.name)
+            zone = entry.value.get("zone")
+            if not isinstance(zone, str):
+                raise ValueError("expected the name of a zone")
+        except ValueError as error:
+            reason = repr(error)[: wire.MAX_LOGGED_LENGTH]
+            if self._reported.add((VMS, entry.name, reason)):
+                LOG.warning(
+                    "an entry names no VM and is ignored",
+                    extra=logs.make_extra(
+                        name=entry.name[: wire.MAX_LOGGED_LENGTH],
+                        reason=reason,
+                    ),
+                )
+            return []
+        return [base.ListedVm(name, address, zone, False)]
+
     def _write(
         self,
         method: str,
--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -5,6 +5,11 @@
 
 from mulberryway import addresses
 from mulberryway import clock
+from mulberryway import errors
+from mulberryway import peers
+from mulberryway.peers import datagrams
+from mulberryway.peers.gen.membership import Membership
+from mulberryway.peers.gen.tunnels import Tunnels
 from mulberryway.upstreams import connections
 from mulberryway.upstreams import decode_call
 from mulberryway.upstreams import dialing
@@ -65,6 +70,28 @@
                 with self.assertRaises(OSError):
                     dialing.connect_directly(address, 100)
 
+    def test_unreadable_addresses_of_vms(self):
+        """Guards against exceptions in whoever sends to another VM, which end
+        what it sends to all others.
+        """
+        clock_ = clock.SystemClock()
+        client = peers.PeerClient("s", clock_)
+        self.addCleanup(client.close)
+        transport = datagrams.DatagramTransport(
+            "127.0.0.1", 0, "s", lambda payload, sender: None, clock_
+        )
+        transport.start()
+        self.addCleanup(transport.stop)
+        for address in (*UNREADABLE, "\ud800:80", "a\0b:80", "h\u00f6st:80"):
+            with self.subTest(address):
+                self.assertFalse(transport.send(address, b"x"))
+                answer = client.call(address, Membership.Client, "list_all")
+                self.assertIs(answer.error.code, errors.Code.PEER_UNREACHABLE)
+                answer = client.call_detached(
+                    address, Tunnels.Client, "open", address, timeout_ms=100
+                )
+                self.assertIs(answer.error.code, errors.Code.PEER_UNREACHABLE)
+
     def test_accepted_addresses_have_clients(self):
         """Guards against accepted addresses whose client or whose connection
         cannot be created.
--- a/tests/test_unreadable_objects.py
+++ b/tests/test_unreadable_objects.py
@@ -10,6 +10,7 @@
 from mulberryway.platform import store
 from mulberryway.platform import tables as platform_tables
 from tests import odd_entries
+from tests import test_addresses
 from tests import test_platform_adapter
 from tests import test_torn_heads
 
@@ -181,6 +182,42 @@
         client = PagedStore(make_page(UNNAMED["a surrogate"]))
         self.assertEqual(client.read_listing("servers", "x").ok.objects, [])
 
+    def test_vms(self):
+        """Guards against an entry whose address is sent to and counts as a
+        VM, and against one that hides the other VMs.
+        """
+        sound = {"address": "10.0.0.9:7", "zone": "a"}
+        items = [
+            make_item("odd%d" % number, json.dumps(value).encode())
+            for number, value in enumerate(
+                (
+                    {},
+                    {"address": 3, "zone": "a"},
+                    {"address": sound["address"], "zone": [[]]},
+                    *(
+                        sound | {"address": address}
+                        for address in (
+                            *test_addresses.UNREADABLE,
+                            "host.example:80",
+                        )
+                    ),
+                )
+            )
+        ]
+        client = PagedStore(
+            make_page(
+                *items,
+                make_item("vm9", json.dumps(sound).encode()),
+                make_item("vm\u00b2", json.dumps(sound).encode()),
+                more=False,
+            )
+        )
+        with self.assertLogs(store.LOG) as lines:
+            for _ in range(3):
+                listed = client.list_vms("test").ok
+                self.assertEqual([vm.name for vm in listed], ["vm9"])
+        self.assertEqual(len(lines.output), len(items) + 1)
+
     def test_sound_text_is_unchanged(self):
         """Guards against brackets in strings that count as nesting."""
         deep = b"[" * 5_000 + b"]" * 5_000
