--- a/tests/test_unreadable_objects.py
+++ b/tests/test_unreadable_objects.py
@@ -1,6 +1,7 @@
 """Tests of objects in the store that cannot be read."""
 
 import json
+import time
 import unittest
 
 from mulberryway import clock
@@ -8,10 +9,14 @@
 from mulberryway.platform import json_text
 from mulberryway.platform import store
 from mulberryway.platform import tables as platform_tables
+from tests import odd_entries
+from tests import test_addresses
 from tests import test_platform_adapter
 from tests import test_torn_heads
 
 HOST = "127.0.0.1"
+# Of processor time for a megabyte; up to 0.6 s were measured.
+MAX_TOOK_S = 3.0
 ENTRY = json.dumps(test_platform_adapter.ENTRY | {"sequence": 1})
 # The encoded value of one field of an entry, which its reader must survive.
 UNREADABLE = {
@@ -28,6 +33,50 @@
     "infinity": b"-Infinity",
 }
 
+# Objects that cannot be told from others.
+UNNAMED = {
+    "no object": b"3",
+    "null": b"null",
+    "a list": b"[]",
+    "no metadata": b'{"spec": {}}',
+    "metadata of another type": b'{"metadata": [], "spec": {}}',
+    "no name": b'{"metadata": {"revision": 3}}',
+    "a number as name": b'{"metadata": {"name": 3, "revision": 3}}',
+    "an empty name": b'{"metadata": {"name": "", "revision": 3}}',
+    "a surrogate": b'{"metadata": {"name": "\\ud800", "revision": 3}}',
+    "a long name": b'{"metadata": {"name": "%s", "revision": 3}}'
+    % (b"n" * 70_000),
+    "no revision": b'{"metadata": {"name": "odd"}}',
+    "a large revision": b'{"metadata": {"name": "odd", "revision": 1e300}}',
+    "an infinite revision": b'{"metadata": {"name": "o", "revision": 1e999}}',
+}
+
+
+class PagedStore(store.PlatformStore):
+    """A client that gets one response after another, the last one again."""
+
+    def __init__(self, *pages):
+        super().__init__(
+            "http://127.0.0.1:1",
+            1_000,
+            clock.SystemClock(),
+            call_metrics.InMemoryCallCounter(),
+        )
+        self.pages = list(pages)
+        self.targets = []
+
+    def _send(self, pool, method, target, data, read_timeout_ms):
+        self.targets.append(target)
+        page = self.pages.pop(0) if len(self.pages) > 1 else self.pages[0]
+        return store._Received(200, page, "1")
+
+
+def make_page(*items, more=True):
+    return b'{"items": [%s], "has_more": %s, "store_revision": 9}' % (
+        b", ".join(items),
+        b"true" if more else b"false",
+    )
+
 
 def make_item(name, value):
     revision = 7 if name == "s0" else 8
@@ -98,6 +147,77 @@
                 batch = self.read(body).poll_changes("servers", 3, 0, "test")
                 self.assertEqual(len(batch.ok.events), 2)
 
+    def test_objects_without_a_name(self):
+        """Guards against one object without a valid name or revision that
+        keeps all others from being read, by listing and watch.
+        """
+        sound = make_item("s0", ENTRY.encode())
+        for name, odd in UNNAMED.items():
+            with self.subTest(name), self.assertLogs(store.LOG) as lines:
+                body = b'{"items": [%s, %s], "store_revision": 9}'
+                client = PagedStore(body % (odd, sound))
+                for _ in range(3):
+                    listing = client.read_listing("servers", "test").ok
+                    self.assertEqual([x.name for x in listing.objects], ["s0"])
+                body = b'{"events": [{"object": %s}, {"object": %s}], '
+                body += b'"store_revision": 9}'
+                client = PagedStore(body % (odd, sound))
+                batch = client.poll_changes("servers", 3, 0, "test").ok
+                self.assertEqual([x.object.name for x in batch.events], ["s0"])
+                self.assertEqual(batch.position.revision, 9)
+                # One line of each client, however often it reads.
+                self.assertEqual(len(lines.output), 2)
+
+    def test_page_that_ends_with_an_unnamed_object(self):
+        """Guards against listings that fail, or that lack the next pages,
+        because no path can contain the last name of a page.
+        """
+        client = PagedStore(
+            make_page(make_item("s0", b"{}"), UNNAMED["a surrogate"], b"3"),
+            make_page(make_item("s1", b"{}"), more=False),
+        )
+        listing = client.read_listing("servers", "test").ok
+        self.assertEqual([x.name for x in listing.objects], ["s0", "s1"])
+        self.assertTrue(client.targets[1].endswith("after=s0"))
+        client = PagedStore(make_page(UNNAMED["a surrogate"]))
+        self.assertEqual(client.read_listing("servers", "x").ok.objects, [])
+
+    def test_vms(self):
+        """Guards against an entry whose address is sent to and counts as a
+        VM, and against one that hides the other VMs.
+        """
+        sound = {"address": "10.0.0.9:7", "zone": "a"}
+        items = [
+            make_item("odd%d" % number, json.dumps(value).encode())
+            for number, value in enumerate(
+                (
+                    {},
+                    {"address": 3, "zone": "a"},
+                    {"address": sound["address"], "zone": [[]]},
+                    *(
+                        sound | {"address": address}
+                        for address in (
+                            *test_addresses.UNREADABLE,
+                            "host.example:80",
+                        )
+                    ),
+                )
+            )
+        ]
+        client = PagedStore(
+            make_page(
+                *items,
+                make_item("vm9", json.dumps(sound).encode()),
+                make_item("vm\u00b2", json.dumps(sound).encode()),
+                more=False,
+            )
+        )
+        with self.assertLogs(store.LOG) as lines:
+            for _ in range(3):
+                listed = client.list_vms("test").ok
+                self.assertEqual([vm.name for vm in listed], ["vm9"])
+        self.assertEqual(len(lines.output), len(items) + 1)
+
     def test_sound_text_is_unchanged(self):
         """Guards against brackets in strings that count as nesting."""
         deep = b"[" * 5_000 + b"]" * 5_000
@@ -108,6 +228,50 @@
         self.assertEqual(value["a"], '[[{"}')
         self.assertEqual((value["b"], value["e"]), ([1, {"c": "]"}], 2))
 
+    def test_depth_does_not_depend_on_the_stack(self):
+        """Guards against values that were read, but that no one can compare
+        or encode whose stack is deeper than the reader's.
+        """
+        for depth in (63, 64, 65, 500, 960, 50_000):
+            for value in (
+                b"[" * depth + b"]" * depth,
+                b'{"a":' * depth + b"0" + b"}" * depth,
+                b'[{"a":[],"b":' * depth + b"[{}]" + b',"c":[]}]' * depth,
+            ):
+                text = b'{"x": [1, %s, 2], "y": 3}' % value
+                decoded = json_text.decode(text)
+                self.assertEqual(decoded["x"][::2], [1, 2])
+                self.assertEqual(decoded["y"], 3)
+                level, found = [decoded], 0
+                while level:
+                    found += 1
+                    level = [
+                        item
+                        for one in level
+                        for item in (
+                            one.values() if isinstance(one, dict) else one
+                        )
+                        if isinstance(item, (dict, list))
+                    ]
+                self.assertLessEqual(found, json_text.MAX_DEPTH)
+
+    def test_time_of_large_texts(self):
+        """Guards against an entry that occupies a VM for seconds each time
+        it is read, and against quadratic time in texts that are no JSON.
+        """
+        size = 1_000_000
+        texts = dict(odd_entries.list_worst_values())
+        texts["a string without an end"] = b"[" * 2_000 + b'"\\' * (size // 2)
+        texts["quotes"] = b"[" * 2_000 + b'"a\\' * (size // 4)
+        for name, text in texts.items():
+            with self.subTest(name):
+                started_s = time.process_time()
+                try:
+                    json_text.decode(text)
+                except ValueError:
+                    self.assertNotIn(name, odd_entries.list_worst_values())
+                self.assertLess(time.process_time() - started_s, MAX_TOOK_S)
+
     def test_malformed_text(self):
         for text in (b"", b"{", b"[" * 50_000, b"[1,]"):
             with self.subTest(text[:5]), self.assertRaises(ValueError):
