Take no stream for complete whose reset a look at it has hidden

Callers: a stream that goes on at another engine could end as complete, although that engine had reset its connection before its first event.

Cause: a replacement engine's first event is waited for with MSG_PEEK. The kernel reports a reset once, and the look was told. For a response with neither a length nor chunks the stream was then handed to the relay as sound, which read an ordinary end: the body's end if an earlier engine has sent events. A connection that the kernel has given up (ETIMEDOUT) is a TimeoutError too and was taken for a wait without events; no socket to an upstream has such a limit now, so that is by reading.

--- a/mulberryway/upstreams/decode_call.py
+++ b/mulberryway/upstreams/decode_call.py
@@ -262,30 +262,65 @@
     :param timeout_ms: timeout in ms; the stream is returned after it too
     :param dialer: opens connections to the engine
     :returns: the same stream, or a fault if the engine has closed it before
-        a body that its head announced; the socket is closed then
+        a body that its head announced, or has reset it; the socket is closed
+        then
     """
     if source.buffered:
         return expression.Ok(source)
     sock = source.connection
-    sock.settimeout(timeout_ms / MS_IN_S)
     try:
-        has_body = bool(sock.recv(1, socket.MSG_PEEK))
-    except (TimeoutError, BlockingIOError):
-        return expression.Ok(source)
+        has_body = _has_body(sock, timeout_ms)
     except OSError as failure:
-        LOG.debug("%s closed a response without a body: %r", address, failure)
-        has_body = False
-    finally:
-        sock.setblocking(False)
+        if _is_wait_over(failure):
+            return expression.Ok(source)
+        # The kernel reports a reset once; the relay would read an ordinary
+        # end.
+        return _abandon(
+            sock, address, dialer, failure, call_details.find_reason(failure)
+        )
     # Without chunks and length, the end of the connection is a body's end.
     if has_body or not (source.is_chunked or source.length):
         return expression.Ok(source)
+    return _abandon(
+        sock,
+        address,
+        dialer,
+        ConnectionResetError(),
+        call_details.FailureReason.INCOMPLETE_BODY,
+    )
+
+
+def _has_body(sock: socket.socket, timeout_ms: int) -> bool:
+    """Wait for the first byte, or the end, of a connection."""
+    sock.settimeout(timeout_ms / MS_IN_S)
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    finally:
+        sock.setblocking(False)
+
+
+def _is_wait_over(failure: OSError) -> bool:
+    """Return whether nothing has arrived; the kernel's timeout has a number.
+
+    The latter has ended the connection, and is reported once.
+    """
+    return isinstance(failure, BlockingIOError) or (
+        isinstance(failure, TimeoutError) and failure.errno is None
+    )
+
+
+def _abandon(
+    sock: socket.socket,
+    address: str,
+    dialer: dialing.Dialer,
+    failure: OSError,
+    reason: call_details.FailureReason,
+) -> expression.Result[base.TokenStream, errors.Fault]:
+    """Close a stream that has failed before its body."""
     sock.close()
     fault = call_details.FAILURES.record(
-        connections.classify_failure(
-            ConnectionResetError(), errors.Step.DECODE, address
-        ),
-        call_details.FailureReason.INCOMPLETE_BODY,
+        connections.classify_failure(failure, errors.Step.DECODE, address),
+        reason,
     )
     connections.check_path(fault, address, dialer)
     return expression.Error(fault)
