Confirm the end of a stream also while another engine is sought for it

Cause: where only the end of the connection can end a stream, the relay asks whether the engine still runs before it counts as complete. It did not ask if the engine had been silent before and another one was being sought, which is just when an engine is in trouble: the end of a crashed engine's connection was taken for the end of the stream.

The question is now asked on a recovery thread in both cases. Until it is answered no other engine takes over, since the stream may be complete; after that a crash counts like one during the search or, if the search has ended meanwhile, like any other. An engine that could not be asked for counts as crashed. StreamOwner.confirm_end, which had to end the stream by itself, is now is_source_alive, and Relay.end is gone.

--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -157,16 +157,15 @@
         for open_attempt in open_attempts:
             open_attempt.free()
 
-    def confirm_end(self, stream: streams.Stream, fault: errors.Fault) -> None:
-        """End a stream if its engine still runs; otherwise resume it.
-
-        :param stream: a stream that the end of its connection has ended
-        :param fault: the fault if the engine has crashed
-        """
-        if self._is_engine_alive():
-            self._parts.relay.end(stream)
-        else:
-            self.recover(stream, fault)
+    def is_source_alive(self) -> bool:
+        """Return whether the engine accepts connections, or may do so."""
+        if self._attempt is None:
+            return True
+        address = self._attempt.decode.address
+        dialer = self._parts.directory.dialer
+        return connections.is_accepting_connections(
+            address, dialer
+        ) or dialer.is_suspect(address)
 
     def recover(self, stream: streams.Stream, fault: errors.Fault) -> None:
         """Resume a stream at another engine after a failure, or end it.
@@ -326,16 +325,6 @@
             fault, attempt.decode.address, self._parts.directory.dialer
         )
 
-    def _is_engine_alive(self) -> bool:
-        """Return whether the engine accepts connections, or may do so."""
-        if self._attempt is None:
-            return True
-        address = self._attempt.decode.address
-        dialer = self._parts.directory.dialer
-        return connections.is_accepting_connections(
-            address, dialer
-        ) or dialer.is_suspect(address)
-
     def _log_wait(self, fault: errors.Fault) -> None:
         LOG.info(
             "a silent engine is waited for",
--- a/mulberryway/relay/pump.py
+++ b/mulberryway/relay/pump.py
@@ -48,7 +48,7 @@
 class Relay:
     """Forwards the streams handed over to it until they end.
 
-    ``add_stream``, ``resume``, ``fail``, ``end``, ``try_hold_source``,
+    ``add_stream``, ``resume``, ``fail``, ``try_hold_source``,
     ``release_source``, ``try_close_source``, ``keep_source`` and ``cut`` may
     be called on any thread; everything else runs on the loop's thread.
 
@@ -107,13 +107,6 @@
         """
         self._loop.post(lambda: self._run(stream, self._abort, fault))
 
-    def end(self, stream: Stream) -> None:
-        """End a stream whose engine has ended its response.
-
-        :param stream: the stream that ``confirm_end`` was called for
-        """
-        self._loop.post(lambda: self._run(stream, self._end))
-
     def try_hold_source(self, stream: Stream, offset: int) -> bool:
         """Stop reading a stalled engine unless the stream progressed.
 
@@ -274,12 +267,40 @@
             self._give_up(stream)
         elif not stream.may_end_on_close():
             self._on_source_failure(stream, CLOSED_MESSAGE, has_died=True)
-        elif stream.is_replacing_source:
+        else:
+            self._confirm_end(stream)
+
+    def _confirm_end(self, stream: Stream) -> None:
+        """Find out whether an engine has ended its response or has crashed.
+
+        Until then no other engine takes over, as the stream may be complete.
+        """
+        self._close_source(stream)
+        fault = _make_source_fault(CLOSED_MESSAGE, has_died=True)
+        self._submit(self._check_source, stream, fault)
+        stream.is_end_unconfirmed = True
+
+    def _check_source(self, stream: Stream, fault: errors.Fault) -> None:
+        """Ask for an engine on a recovery thread."""
+        try:
+            is_alive = stream.owner.is_source_alive()
+        except Exception:
+            LOG.exception("an engine could not be asked for")
+            is_alive = False
+        self._loop.post(
+            lambda: self._run(stream, self._on_end_checked, is_alive, fault)
+        )
+
+    def _on_end_checked(
+        self, stream: Stream, is_alive: bool, fault: errors.Fault
+    ) -> None:
+        if stream.is_closed:
+            return
+        stream.is_end_unconfirmed = False
+        if is_alive:
             self._finish_source(stream, b"")
         else:
-            self._close_source(stream)
-            fault = _make_source_fault(CLOSED_MESSAGE, has_died=True)
-            self._submit(stream.owner.confirm_end, stream, fault)
+            self._handle_failure(stream, fault)
 
     def _compute_receive_bytes(self, stream: Stream) -> int:
         """Return how much to read, so that a reader's limit is kept."""
@@ -442,7 +463,10 @@
 
     def _may_replace(self, stream: Stream, offset: int) -> bool:
         return not (
-            stream.is_closed or stream.is_complete or stream.expected != offset
+            stream.is_closed
+            or stream.is_complete
+            or stream.is_end_unconfirmed
+            or stream.expected != offset
         )
 
     def _try_hold_source(self, stream: Stream, offset: int) -> bool:
@@ -481,6 +505,8 @@
         self._release_source(stream)
         source_fault, stream.source_fault = stream.source_fault, None
         stream.is_replacing_source = False
+        if stream.is_end_unconfirmed:
+            return
         if stream.source is not None:
             stream.token_deadline_ms = (
                 self._loop.now_ms + stream.token_timeout_ms
@@ -503,7 +529,11 @@
     ) -> None:
         self._close_source(stream)
         stream.is_paused = False
-        fault = _make_source_fault(message, has_died=has_died)
+        self._handle_failure(
+            stream, _make_source_fault(message, has_died=has_died)
+        )
+
+    def _handle_failure(self, stream: Stream, fault: errors.Fault) -> None:
         if stream.is_replacing_source:
             # A search for another engine is already in progress.
             stream.source_fault = fault
@@ -545,10 +575,6 @@
         stream.set_source(source)
         self._read_source(stream)
 
-    def _end(self, stream: Stream) -> None:
-        if not stream.is_closed:
-            self._finish_source(stream, b"")
-
     def _on_disconnect(self, stream: Stream) -> None:
         self._close(
             stream,
--- a/mulberryway/relay/stream.py
+++ b/mulberryway/relay/stream.py
@@ -55,17 +55,14 @@
         another engine for a caller that disconnected during the search.
         """
 
-    def confirm_end(self, stream: "Stream", fault: errors.Fault) -> None:
-        """Find out whether an engine has ended a response or has crashed.
+    def is_source_alive(self) -> bool:
+        """Return whether the engine still runs after its connection ended.
 
-        Called for a response that only the end of its connection can end, on a
-        recovery thread; may block.  Must end with ``Relay.end``, ``resume`` or
-        ``fail`` for the stream.
-
-        :param stream: the stream
-        :param fault: the fault if the engine has crashed
+        Asked for a response that only the end of its connection can end, on a
+        recovery thread; may block.  If it does not run, it has crashed and its
+        response may be incomplete.
         """
-        self.recover(stream, fault)
+        return False
 
     @abc.abstractmethod
     def recover(self, stream: "Stream", fault: errors.Fault) -> None:
@@ -156,6 +153,7 @@
         "is_closed",
         "is_replacing_source",
         "is_held",
+        "is_end_unconfirmed",
         "source_fault",
         "decoder",
         "_splitter",
@@ -205,6 +203,9 @@
         # Whether the stalled engine is not read because another one was asked
         # to resume the stream.
         self.is_held = False
+        # Whether it is being found out if the engine has ended its response
+        # or has crashed.
+        self.is_end_unconfirmed = False
         self.source_fault: errors.Fault | None = None
         self._first_id = b""
         self.set_source(source)
