End no stream with an engine that has written nothing of it

Cause: a response with neither a length nor chunks may end with its connection, unless it has no event. What was asked was whether the caller had been sent any event, also of an earlier engine. So another engine that had accepted the rest and closed its connection before its first event ended the whole stream. Now each engine must have written an event itself.

Price: where an engine is lost between the last event and the end, and the next one writes an empty rest without framing, the stream is cut although it is whole; nothing tells that from the fault.

tests/test_stream_ends.py: test_other_engine_without_an_event failed before (the last chunk followed).

--- a/mulberryway/relay/passthrough_stream.py
+++ b/mulberryway/relay/passthrough_stream.py
@@ -95,7 +95,7 @@
     of events if they have no ids; another engine resumes after it.
     """
 
-    __slots__ = ("_remaining", "_partial_event")
+    __slots__ = ("_remaining", "_partial_event", "_has_event")
 
     def set_source(self, source: upstreams.TokenStream) -> None:
         """Start to read from an engine.
@@ -105,14 +105,16 @@
         super().set_source(source)
         self._remaining = None if source.is_chunked else source.length
         self._partial_event = b""
+        # Whether this engine has written an event.
+        self._has_event = False
         self.writer.set_source(source)
 
     def may_end_on_close(self) -> bool:
         """Return whether closing the connection may end the response.
 
         A response with neither chunks nor a length can end only this way.  It
-        is truncated if an incomplete event is still buffered, or if there was
-        no event at all.
+        is truncated if an incomplete event is still buffered, or if this
+        engine has written no event at all.
         """
         source = self.source
         return (
@@ -120,7 +122,7 @@
             and not source.is_chunked
             and self._remaining is None
             and not self._partial_event
-            and self.writer.is_head_written
+            and self._has_event
         )
 
     def take(self, data: bytes) -> bytes:
@@ -143,6 +145,7 @@
         out = [complete + separator] if separator else []
         if separator:
             self._update_position(complete + separator)
+            self._has_event = True
         if self.is_complete and self._partial_event:
             out.append(self._partial_event)
             self._partial_event = b""
--- a/tests/test_stream_ends.py
+++ b/tests/test_stream_ends.py
@@ -188,3 +188,33 @@
             engine.close()
             self.assertEqual(self.read_end(), b"")
         self.assertEqual(len(self.owner.recovered), 1)
+
+    def test_other_engine_without_an_event(self):
+        """Guards against a cut stream that ends as complete because another
+        engine has accepted it and closed its connection before its first
+        event.
+        """
+        engine = self.start(is_chunked=True)
+        other, self.owner.resumed = self.make_engine()
+        self.owner.is_alive = True
+        self.owner.may_tell.set()
+        event = make_event(1)
+        engine.sendall(b"%x\r\n%b\r\n" % (len(event), event))
+        self.read(event)
+        engine.close()
+        other.close()
+        self.assertEqual(self.read_end(), b"")
+        self.assertEqual(len(self.owner.recovered), 2)
+
+    def test_other_engine_with_an_event(self):
+        engine = self.start(is_chunked=True)
+        other, self.owner.resumed = self.make_engine()
+        self.owner.is_alive = True
+        self.owner.may_tell.set()
+        event = make_event(1)
+        engine.sendall(b"%x\r\n%b\r\n" % (len(event), event))
+        self.read(event)
+        engine.close()
+        other.sendall(make_event(2))
+        other.close()
+        self.assertIn(make_event(2) + b"\r\n" + LAST_CHUNK, self.read_end())
