Forward no copy of an answer, and no repeated event, that comes in one read

Cause: of the events that one read brings, only the id of the first one was compared with what the caller has. A server that writes an answer without framing and a copy of it at once had both forwarded, with the copy's head; if the copy came later, its first id gave it away. A head with bare line feeds was an event without an id. And bytes that end a response and are invalid left the stream marked as complete: relay.fail then did nothing, and the next engine's first read, if without framing, ended the stream.

--- a/mulberryway/relay/passthrough_stream.py
+++ b/mulberryway/relay/passthrough_stream.py
@@ -1,5 +1,6 @@
 """Streams that are forwarded to the caller byte for byte."""
 
+import itertools
 import re
 
 from mulberryway import errors
@@ -13,6 +14,8 @@
 # The id line of an event; ids are integers that increase within a stream.
 EVENT_ID_PATTERN = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
 EVENT_END = b"\n\n"
+# A copy of an answer may follow an answer without framing.
+OTHER_HEAD = b"HTTP/1."
 LAST_CHUNK = b"0\r\n\r\n"
 # A VM may forward some 360 streams, and has 128 MB.
 MAX_PARTIAL_EVENT_BYTES = 65_536
@@ -146,6 +149,7 @@
         if separator:
             self._update_position(complete + separator)
             self._has_event = True
+        self.is_complete = self._has_reached_end()
         if self.is_complete and self._partial_event:
             out.append(self._partial_event)
             self._partial_event = b""
@@ -153,22 +157,32 @@
 
     def _decode_payload(self, data: bytes) -> bytes:
         if self.source is not None and self.source.is_chunked:
-            payload = self.decoder.feed(data)
-            self.is_complete = self.decoder.ended
-            return payload
+            return self.decoder.feed(data)
         if self._remaining is None:
             return data
         payload = data[: self._remaining]
         self._remaining -= len(payload)
-        self.is_complete = not self._remaining
         return payload
 
+    def _has_reached_end(self) -> bool:
+        """Return whether the response has the end that its head announced."""
+        if self.source is not None and self.source.is_chunked:
+            return self.decoder.ended
+        return self._remaining == 0
+
     def _update_position(self, complete: bytes) -> None:
+        if (
+            complete.startswith(OTHER_HEAD)
+            or EVENT_END + OTHER_HEAD in complete
+        ):
+            raise events.InvalidStream("event is the head of a response")
         ids = [int(id_) for id_ in EVENT_ID_PATTERN.findall(complete)]
         if not ids:
             # Without ids, progress is the number of events.
             self.expected += complete.count(EVENT_END)
             return
-        if ids[0] <= self.expected and self.writer.is_head_written:
+        if self.writer.is_head_written:
+            ids.insert(0, self.expected)
+        if any(later <= id_ for id_, later in itertools.pairwise(ids)):
             raise events.InvalidStream("event was already sent")
         self.expected = ids[-1]
--- a/tests/test_raw_stream.py
+++ b/tests/test_raw_stream.py
@@ -85,6 +85,69 @@
         with self.assertRaises(events.InvalidStream):
             stream.take(make_chunk(EVENTS[1]))
 
+    def check_invalid(self, stream, data):
+        """Check that bytes are rejected and none of them is forwarded."""
+        position = stream.expected
+        with self.assertRaises(events.InvalidStream):
+            stream.take(data)
+        self.assertEqual(stream.expected, position)
+        self.assertFalse(stream.is_complete)
+
+    def test_event_repeated_in_one_read(self):
+        """Guards against events that come twice, or in another order, if they
+        arrive together.
+        """
+        for numbers in ((0, 1, 1), (0, 2, 1), (1, 2, 0)):
+            with self.subTest(numbers):
+                data = b"".join(EVENTS[number] for number in numbers)
+                self.check_invalid(self.make(), make_chunk(data))
+
+    def test_copy_of_an_answer_in_one_read(self):
+        """Guards against the copy of an answer, with its head, in the body of
+        one that only the end of its connection ends.
+        """
+        head = b"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nServer-Seal: s\r\n\r\n"
+        body = b"".join(EVENTS)
+        for copy in (head + body, head + EVENTS[0]):
+            with self.subTest(copy):
+                self.check_invalid(self.make(is_chunked=False), body + copy)
+                stream = self.make(is_chunked=False)
+                stream.take(body)
+                self.check_invalid(stream, copy)
+
+    def test_head_of_a_copy(self):
+        """Guards against the head of another answer as an event."""
+        body = b"".join(EVENTS)
+        head = b"HTTP/1.1 200 OK\nAttempt-Id: a\n\n"
+        self.check_invalid(self.make(is_chunked=False), body + head)
+        stream = self.make(is_chunked=False)
+        stream.take(body)
+        stream.take(b"HTTP/1.1 200 OK\r\n\r\n")
+        self.assertFalse(stream.may_end_on_close())
+
+    def test_events_without_ids(self):
+        stream = self.make()
+        data = b"data: a\n\ndata: b\n\n"
+        out = stream.take(make_chunk(data) + b"0\r\n\r\n")
+        _, payload = self.read_payload(out + self.writer.end())
+        self.assertEqual(payload, data)
+        self.assertEqual(stream.expected, 2)
+
+    def test_end_together_with_an_invalid_event(self):
+        """Guards against a stream that ends as complete with the first event
+        of the next engine, or that never ends, because the invalid events of
+        the first one came with its end.
+        """
+        body = EVENTS[0] + EVENTS[1]
+        for is_chunked in (True, False):
+            data = body + EVENTS[1]
+            length = None if is_chunked else len(data)
+            with self.subTest(is_chunked):
+                stream = self.make(is_chunked, length)
+                if is_chunked:
+                    data = make_chunk(data) + b"0\r\n\r\n"
+                self.check_invalid(stream, data)
+
     def test_end_by_length(self):
         body = b"".join(EVENTS)
         stream = self.make(is_chunked=False, length=len(body))
