Read the size of a chunk strictly, in streams and in requests

Cause: int(x, 16) accepts signs, prefixes, underscores and blanks, so "-0" or "0_0" ended a stream and "0x10" was a size. Other programs on the way read these differently: the rest of a body becomes another request, and a place in a stream its end. No caller was seen to be hurt by it.

A last chunk without the empty line after it stays an end, as the RFC has it.

--- a/mulberryway/relay/events.py
+++ b/mulberryway/relay/events.py
@@ -4,11 +4,20 @@
 import re
 import typing
 
-__all__ = ["InvalidStream", "ChunkDecoder", "EventSplitter", "TokenEvent"]
+__all__ = [
+    "CHUNK_SIZE_PATTERN",
+    "ChunkDecoder",
+    "EventSplitter",
+    "InvalidStream",
+    "TokenEvent",
+]
 
 CRLF = b"\r\n"
 EVENT_END = b"\n\n"
 MAX_CHUNK_SIZE_LINE_BYTES = 1_024
+# RFC 9112, section 7.1, with blanks after the size; ``int`` alone accepts
+# signs, prefixes and underscores too.
+CHUNK_SIZE_PATTERN = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?")
 MAX_EVENT_BYTES = 1_048_576
 
 # Matches the usual start of an engine's event, which saves parsing its JSON.
@@ -79,16 +88,10 @@
                 raise InvalidStream("chunk size line is too long")
             return None
         self._needs_crlf = False
-        try:
-            self._chunk_remaining = int(
-                buffer[offset:end].partition(b";")[0], 16
-            )
-        except ValueError as error:
-            raise InvalidStream(
-                "chunk size is not a hexadecimal number"
-            ) from error
-        if self._chunk_remaining < 0:
-            raise InvalidStream("chunk size is negative")
+        match = CHUNK_SIZE_PATTERN.fullmatch(buffer, offset, end)
+        if match is None:
+            raise InvalidStream("chunk size is not a hexadecimal number")
+        self._chunk_remaining = int(match[1], 16)
         self.ended = not self._chunk_remaining
         return end + len(CRLF)
 
--- a/mulberryway/server/request.py
+++ b/mulberryway/server/request.py
@@ -14,6 +14,7 @@
 
 from mulberryway import errors
 from mulberryway import replies
+from mulberryway.relay import events
 from mulberryway.relay import writers
 
 __all__ = ["Connection", "HeaderReader", "NoRoomError", "Request"]
@@ -213,10 +214,12 @@
         rfile = self.conn.rfile
         while True:
             line = rfile.readline(READ_BYTES)
-            digits = line.partition(b";")[0].strip()
-            if not line.endswith(b"\r\n") or not digits.isalnum():
+            match = events.CHUNK_SIZE_PATTERN.fullmatch(
+                line.removesuffix(b"\r\n")
+            )
+            if not line.endswith(b"\r\n") or match is None:
                 raise ValueError("chunk size is not a hexadecimal number")
-            size = int(digits, 16)
+            size = int(match[1], 16)
             if not size:
                 break
             if size > self.server.max_request_body_size:
