Take no encoded body of an engine for its own

"A response that has a Content-Encoding is not the server's body." Plain calls were failed for it; streams, prefills, control calls and the failures of engines that callers get were not looked at. A stream with such a head was passed on with its server's signature (MIXED), as was a failure's body; a handle, a reservation or a load could be read from such a body.

All of them now fail with the reason "encoded". A rejection is one by its status and headers and stays one; its body was never used. tests/test_platform_responses.py: four tests failed before; sound responses and a rejection pass as before.

--- a/mulberryway/platform/engine.py
+++ b/mulberryway/platform/engine.py
@@ -254,7 +254,7 @@
             self._unregister_call(label)
         if result.is_ok():
             self._reader.read(http.HTTPStatus.OK, result.ok.headers, sent_ms)
-        result = result.bind(self._check_signature)
+        result = result.bind(self._check_headers)
         if result.is_ok() and transfer:
             # The handle is used up, so the prefill engine has nothing to
             # release.
@@ -347,15 +347,22 @@
             headers[wire.URGENCY] = str(label.urgency)
         return headers
 
-    def _check_signature(
+    def _check_headers(
         self, source: base.TokenStream
     ) -> expression.Result[base.TokenStream, errors.Fault]:
-        if responses.is_signed(list(source.headers)):
+        headers = list(source.headers)
+        if responses.is_encoded(headers):
+            fault = responses.make_encoded_fault(
+                self.address, errors.Step.DECODE
+            )
+        elif not responses.is_signed(headers):
+            fault = responses.make_unsigned_fault(
+                self.address, errors.Step.DECODE
+            )
+        else:
             return expression.Ok(source)
         source.connection.close()
-        return expression.Error(
-            responses.make_unsigned_fault(self.address, errors.Step.DECODE)
-        )
+        return expression.Error(fault)
 
     def _register_call(
         self, label: base.AttemptLabel
@@ -443,6 +450,12 @@
             )
             fault.answer = None
             return expression.Error(fault)
+        if responses.is_encoded(response.headers):
+            return expression.Error(
+                responses.make_encoded_fault(
+                    self.address, errors.Step.PREFILL, response.details
+                )
+            )
         try:
             value = json.loads(response.body)
             handle = _KvHandle(
@@ -489,16 +502,25 @@
     def _check_control_response(
         self, response: connections.Response
     ) -> expression.Result[connections.Response, errors.Fault]:
-        if response.status in (http.HTTPStatus.OK, http.HTTPStatus.ACCEPTED):
-            return expression.Ok(response)
-        return expression.Error(
-            errors.Fault(
-                errors.Code.UPSTREAM_REFUSED,
-                errors.Step.DECODE,
-                self.address,
-                message=f"engine responded with status {response.status}",
+        if response.status not in (
+            http.HTTPStatus.OK,
+            http.HTTPStatus.ACCEPTED,
+        ):
+            return expression.Error(
+                errors.Fault(
+                    errors.Code.UPSTREAM_REFUSED,
+                    errors.Step.DECODE,
+                    self.address,
+                    message=f"engine responded with status {response.status}",
+                )
             )
-        )
+        if responses.is_encoded(response.headers):
+            return expression.Error(
+                responses.make_encoded_fault(
+                    self.address, errors.Step.DECODE, response.details
+                )
+            )
+        return expression.Ok(response)
 
     def _parse_load(
         self, response: connections.Response
--- a/mulberryway/platform/responses.py
+++ b/mulberryway/platform/responses.py
@@ -9,6 +9,7 @@
 from mulberryway.upstreams import http_service
 
 __all__ = [
+    "is_encoded",
     "is_rejection",
     "is_signed",
     "make_encoded_fault",
@@ -84,6 +85,16 @@
     )
 
 
+def is_encoded(headers: list[tuple[str, str]]) -> bool:
+    """Return whether a response's body is not the server's own.
+
+    No content encoding is ever requested.
+
+    :param headers: name and value pairs of the response
+    """
+    return any(name.lower() == "content-encoding" for name, _ in headers)
+
+
 def make_unsigned_fault(
     address: str,
     step: errors.Step,
@@ -114,8 +125,6 @@
 ) -> errors.Fault:
     """Return the fault for a response whose body is not the server's own.
 
-    No content encoding is ever requested.
-
     :param address: the upstream's address
     :param step: the step of the request
     :param details: how the response arrived, if that is known
@@ -165,6 +174,8 @@
             errors.ExecutionStatus.MAY_HAVE_RUN,
             "response belongs to another request",
         )
+    if is_encoded(headers):
+        return make_encoded_fault(address, step)
     return errors.Fault(
         errors.Code.UPSTREAM_FAILED,
         step,
--- a/mulberryway/platform/service.py
+++ b/mulberryway/platform/service.py
@@ -103,7 +103,7 @@
         self, response: connections.Response
     ) -> expression.Result[base.ServiceReply, errors.Fault]:
         names = {name.lower() for name, _ in response.headers}
-        if "content-encoding" in names:
+        if responses.is_encoded(response.headers):
             return expression.Error(
                 responses.make_encoded_fault(
                     self.address, errors.Step.SERVICE, response.details
