Pass on no unsigned success in place of an engine's failure

Cause: a response that is not 200 to a stream, or that says Not-Executed with a success to a plain call, takes the way of failures, whose responses are passed on as they are. A 201, 202 or 206 went that way without a look at its signature. And a stream's response with another request's id lost its headers before it was classified: 421 is a rejection by its status alone.

The way of failures asks for the signature of a success, and the echo is compared before the status, as for plain calls. tests/test_platform_responses.py: three tests failed before, seven cases.

--- a/mulberryway/platform/responses.py
+++ b/mulberryway/platform/responses.py
@@ -176,6 +176,9 @@
         )
     if is_encoded(headers):
         return make_encoded_fault(address, step)
+    is_success = status < http.HTTPStatus.MULTIPLE_CHOICES
+    if is_success and not is_signed(headers):
+        return make_unsigned_fault(address, step)
     return errors.Fault(
         errors.Code.UPSTREAM_FAILED,
         step,
--- a/mulberryway/upstreams/decode_call.py
+++ b/mulberryway/upstreams/decode_call.py
@@ -350,17 +350,6 @@
     details.received = connection.received
     echoed = response.getheader(request.echo_header, "")
     is_echo_correct = echoed == request.headers[request.echo_header]
-    if response.status != http.client.OK:
-        body = _read_error_body(connection, response)
-        connection.close()
-        headers = response.getheaders() if is_echo_correct else []
-        fault = rejection_parser(
-            response.status, headers, body or b"", address
-        )
-        if body is None:
-            # Without its end it must not be passed on as a complete response.
-            fault.answer = None
-        return expression.Error(fault)
     if not is_echo_correct:
         response.close()
         connection.close()
@@ -376,6 +365,16 @@
                 fault, call_details.FailureReason.OTHER_REQUEST, details
             )
         )
+    if response.status != http.client.OK:
+        body = _read_error_body(connection, response)
+        connection.close()
+        fault = rejection_parser(
+            response.status, response.getheaders(), body or b"", address
+        )
+        if body is None:
+            # Without its end it must not be passed on as a complete response.
+            fault.answer = None
+        return expression.Error(fault)
     # The relay bounds the body; bounded reads would wait for it.
     connection.end_response()
     return expression.Ok(_detach_socket(sock, response, echoed))
--- a/tests/test_platform_responses.py
+++ b/tests/test_platform_responses.py
@@ -8,6 +8,7 @@
 from mulberryway import clock
 from mulberryway import errors
 from mulberryway.platform import engine
+from mulberryway.platform import service
 from mulberryway.upstreams import base
 from tests import tcp_pair
 
@@ -161,3 +162,46 @@
         made = self.make_engine(make_answer(200, body))
         made.prepare_decode(self.label, base.ReservationRequest(9, 1_000))
         self.assertEqual(made._pop_reservation(self.label).name, "h")
+
+    def test_rejection_of_another_request(self):
+        """Guards against a request that counts as not executed by the answer
+        to another one.
+        """
+        for status in (421, 503, 500):
+            with self.subTest(status):
+                answer = make_answer(
+                    status, b"", "Not-Executed: 1", attempt="b"
+                )
+                fault = self.decode(answer).error
+                self.assertIs(fault.run, errors.ExecutionStatus.MAY_HAVE_RUN)
+                self.assertIsNone(fault.answer)
+                self.assertEqual(fault.inputs["failure"], "other_request")
+
+    def test_success_with_another_status(self):
+        """Guards against a success without a signature that is passed on like
+        an engine's failure.
+        """
+        for status in (201, 202, 206):
+            with self.subTest(status):
+                fault = self.decode(make_answer(status, b"x")).error
+                self.assertIsNone(fault.answer)
+                self.assertEqual(fault.inputs["failure"], "unsigned")
+        answer = make_answer(206, b"x", "Server-Seal: s")
+        self.assertEqual(self.decode(answer).error.answer.status, 206)
+
+    def test_success_that_says_not_executed(self):
+        """Guards against a plain success without a signature that is passed
+        on because it contradicts itself.
+        """
+        answer = make_answer(200, b"x", "Not-Executed: 1")
+        server = RawEngine(answer)
+        self.addCleanup(server.close)
+        made = service.PlatformService(
+            "s", server.address, clock.SystemClock()
+        )
+        self.addCleanup(made.close)
+        result = made.call(
+            "r", "GET", "/plain/a", [("Attempt-Id", "a")], b"", TIMEOUT_MS
+        )
+        self.assertIsNone(result.error.answer)
+        self.assertEqual(result.error.inputs["failure"], "unsigned")
