Reset a cut answer that only the end of its connection ends

Cause: such a caller is sent neither a length nor chunks, so an ordinary end of the connection ends its answer. An answer that fails was closed with one. A given-up answer was to be reset, but cheroot shuts a connection down before it closes it, which sends an ordinary end first; the reset after it is not seen. The test of it closed the socket by itself.

The connection of such an answer now resets on close from its start until the answer is whole, as tunnels do, and is then not shut down first. An error reply before the first event has a length and ends as before. Answers in chunks are unchanged: their missing end shows that they are cut.

No caller of the users speaks HTTP/1.0 as far as is known.

--- a/mulberryway/relay/pump.py
+++ b/mulberryway/relay/pump.py
@@ -5,11 +5,11 @@
 import logging
 import select
 import socket
-import struct
 import typing
 
 from mulberryway import errors
 from mulberryway.relay import events
+from mulberryway.relay import linger
 from mulberryway.relay import loop
 from mulberryway.relay import memory
 from mulberryway.relay import stream as streams
@@ -25,8 +25,6 @@
 # A caller that accepts no bytes for this long counts as disconnected: it has
 # vanished without closing, or blocks a decode slot that other requests need.
 CALLER_WRITE_TIMEOUT_MS = 20_000
-# Closing resets the connection and drops what its peer has not read.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # An engine's last chunk usually arrives with its last event.  This limits how
 # long the connection is kept open to wait for it.
 LAST_CHUNK_TIMEOUT_MS = 1_000
@@ -206,13 +204,16 @@
             self._abort(stream, fault)
         finally:
             if not stream.is_closed:
-                _reset_on_close(stream.caller)
+                linger.reset_on_close(stream.caller)
                 stream.writer.head.keep = False
                 self._close(stream, fault)
 
     def _start_stream(self, stream: Stream) -> None:
         self._streams.add(stream)
         stream.caller.setblocking(False)
+        if not stream.writer.head.is_http_11:
+            # Only the end of the connection will end the answer.
+            linger.reset_on_close(stream.caller)
         self._loop.register(
             stream.caller.fileno(),
             HANGUP_EVENTS,
@@ -594,7 +595,7 @@
         """
         if stream.is_closed:
             return
-        _reset_on_close(stream.caller)
+        linger.reset_on_close(stream.caller)
         self._close(
             stream,
             errors.Fault(
@@ -629,6 +630,8 @@
             is_head_written = True
         if is_head_written:
             stream.writer.head.keep = False
+        else:
+            _end_on_close(stream)
         self._close(stream, fault)
 
     def _close(self, stream: Stream, fault: errors.Fault | None) -> None:
@@ -644,7 +647,9 @@
         )
         try:
             self._close_source(stream)
-            if fault is not None:
+            if fault is None:
+                _end_on_close(stream)
+            else:
                 stream.owner.cancel_source()
             stream.release(stream.writer.head.keep and not is_disconnected)
             stream.owner.on_longest_gap(stream.longest_gap_ms)
@@ -680,9 +685,10 @@
             connection.close()
 
 
-def _reset_on_close(connection: socket.socket) -> None:
-    """Let the close of a connection show that its answer is incomplete."""
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+def _end_on_close(stream: Stream) -> None:
+    """Let the close of a caller's connection end a whole answer."""
+    if not stream.writer.head.is_http_11:
+        linger.end_on_close(stream.caller)
 
 
 def _has_ended(source: upstreams.TokenStream | None) -> bool:
--- a/mulberryway/relay/tunnels.py
+++ b/mulberryway/relay/tunnels.py
@@ -11,7 +11,6 @@
 import os
 import select
 import socket
-import struct
 
 from thrift import Thrift
 from thrift.transport import TTransport
@@ -27,6 +26,7 @@
 from mulberryway.peers import server
 from mulberryway.peers.gen.tunnels import Tunnels
 from mulberryway.policy import forwarders
+from mulberryway.relay import linger
 from mulberryway.relay import loop
 
 __all__ = ["SERVICE", "TunnelServer", "compute_max_tunnels"]
@@ -52,9 +52,6 @@
 # A tunnel is in use this long after its last bytes, or until the upstream has
 # answered what was sent to it.
 BUSY_MS = 1_000
-# ``close`` resets the connection.  So a VM that is killed does not seem to
-# have ended a response whose length is not announced.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 def compute_max_tunnels(link_mbps: int) -> int:
@@ -313,7 +310,9 @@
     def _open(self, request: _Request) -> None:
         owner = request.peer.connection
         owner.setblocking(False)
-        owner.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        # A VM that is killed must not seem to have ended a response whose
+        # length is not announced.
+        linger.reset_on_close(owner)
         tunnel = _Tunnel(owner, request.upstream, self._loop.now_ms)
         self._tunnels.add(tunnel)
         for end in (tunnel.owner, tunnel.upstream):
--- a/mulberryway/server/request.py
+++ b/mulberryway/server/request.py
@@ -15,6 +15,7 @@
 from mulberryway import errors
 from mulberryway import replies
 from mulberryway.relay import events
+from mulberryway.relay import linger
 from mulberryway.relay import writers
 
 __all__ = ["Connection", "HeaderReader", "NoRoomError", "Request"]
@@ -312,6 +313,16 @@
             self._discard_input()
         super().close()
 
+    def _close_kernel_socket(self) -> None:
+        """Shut the connection down, unless its close is to reset it.
+
+        A shutdown would send an ordinary end before the reset.
+        """
+        if self.socket.fileno() < 0 or not linger.has_reset_on_close(
+            self.socket
+        ):
+            super()._close_kernel_socket()
+
     def _discard_input(self) -> None:
         deadline_s = time.monotonic() + LINGER_TIMEOUT_S
         try:
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -19,6 +19,7 @@
 from mulberryway.policy import forwarders
 from mulberryway.policy import jobs
 from mulberryway.policy import member
+from mulberryway.relay import linger
 from mulberryway.relay import loop
 from mulberryway.relay import tunnels
 from mulberryway.upstreams import base as upstreams
@@ -208,9 +209,7 @@
         near, far = self.connect()
         far.sendall(b"part")
         self.assertEqual(near.recv(100), b"part")
-        far.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, tunnels.RESET_ON_CLOSE
-        )
+        linger.reset_on_close(far)
         far.close()
         with self.assertRaises(ConnectionResetError):
             near.recv(100)
