Send callers no part of an answer whose start they did not get

Callers of native streams: an error event without a head, which is no answer (MIXED), when a callback fails between the making of the head and its sending; and a kept connection after an error reply of which the full socket took only a part, so that the next reply is read as its rest.

Cause: the relay writes what its writer gives and took "the head was made" for "the head was sent"; and it did not compare what a socket has accepted with what there was. A stream whose callback failed is now reset without a word once its head was made, and a connection is kept only after a whole reply.

--- a/mulberryway/relay/pump.py
+++ b/mulberryway/relay/pump.py
@@ -194,14 +194,19 @@
             self._end_failed(stream)
 
     def _end_failed(self, stream: Stream) -> None:
-        """End a stream whose state may be inconsistent."""
+        """End a stream whose state may be inconsistent.
+
+        Nothing is sent once there is a head, which may not have been sent
+        itself.
+        """
         fault = errors.Fault(
             errors.Code.INTERNAL,
             errors.Step.DECODE,
             run=errors.ExecutionStatus.MAY_HAVE_RUN,
         )
         try:
-            self._abort(stream, fault)
+            if not stream.writer.is_head_written:
+                self._abort(stream, fault)
         finally:
             if not stream.is_closed:
                 linger.reset_on_close(stream.caller)
@@ -618,20 +623,17 @@
         """Report a fault to the caller without blocking, and close."""
         if stream.is_closed or stream.is_complete:
             return
-        is_head_written = stream.writer.is_head_written
-        out = stream.writer.fail(fault)
+        is_whole = not stream.writer.is_head_written
+        out = bytes(stream.write_buffer) + stream.writer.fail(fault)
         try:
-            if stream.write_buffer:
-                stream.write_buffer += out
-                stream.caller.send(stream.write_buffer)
-            else:
-                stream.caller.send(out)
-        except OSError:
-            is_head_written = True
-        if is_head_written:
-            stream.writer.head.keep = False
-        else:
+            is_whole = stream.caller.send(out) == len(out) and is_whole
+        except OSError as failure:
+            LOG.debug("a caller was not told of a fault: %r", failure)
+            is_whole = False
+        if is_whole:
             _end_on_close(stream)
+        else:
+            stream.writer.head.keep = False
         self._close(stream, fault)
 
     def _close(self, stream: Stream, fault: errors.Fault | None) -> None:
--- a/tests/test_stream_ends.py
+++ b/tests/test_stream_ends.py
@@ -1,5 +1,6 @@
 """Tests of streams that may end with their connection, and how they end."""
 
+import queue
 import socket
 import threading
 import unittest
@@ -16,6 +17,7 @@
 WAIT_S = 20.0
 LONG_MS = 20_000
 STALL_MS = 50
+SHORT_BYTES = 100
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -77,7 +79,9 @@
         self.closed.set()
 
 
-class StreamEndTest(unittest.TestCase):
+class StreamCase(unittest.TestCase):
+    """Base class: a relay, and a caller and engines on socket pairs."""
+
     def setUp(self):
         self.loop = loop.EventLoop("test", clock.SystemClock())
         self.relay = pump.Relay(self.loop)
@@ -126,6 +130,10 @@
         """Read the answer's rest."""
         return b"".join(iter(lambda: self.caller.recv(65_536), b""))
 
+
+class StreamEndTest(StreamCase):
+    """Streams that the end of their engine's connection may end."""
+
     def begin_search(self):
         """Start a stream whose engine falls silent after an event."""
         engine = self.start(STALL_MS)
@@ -218,3 +226,63 @@
         other.sendall(make_event(2))
         other.close()
         self.assertIn(make_event(2) + b"\r\n" + LAST_CHUNK, self.read_end())
+
+
+class ShortSocket(socket.socket):
+    """A socket that accepts a few bytes of each write, as if it were full."""
+
+    def send(self, data, *flags):
+        return super().send(data[:SHORT_BYTES], *flags)
+
+
+class FailedStreamTest(StreamCase):
+    """Streams that end by a fault, and what their callers get."""
+
+    def start_failing(self, writer_type):
+        """Start a stream whose engine's events are parsed."""
+        engine, source = self.make_engine()
+        self.kept = queue.Queue()
+        self.stream = streams.Stream(
+            self.owner,
+            writer_type(writers.ReplyHead(True, True, [])),
+            source,
+            self.served,
+            self.release,
+            LONG_MS,
+            LONG_MS,
+        )
+        self.relay.add_stream(self.stream)
+        return engine
+
+    def release(self, keep):
+        self.kept.put(keep)
+        self.served.close()
+
+    def test_callback_that_fails_before_the_head_is_sent(self):
+        """Guards against bytes that are no answer: an error event for a
+        stream whose head was made but not sent.
+        """
+        self.owner.on_first_token = None
+        engine = self.start_failing(writers.EventWriter)
+        with self.assertLogs(pump.LOG, "ERROR"):
+            engine.sendall(b'data: {"id": "x", "index": 0}\n\n')
+            self.assertEqual(self.read_end(), b"")
+        self.assertFalse(self.kept.get(timeout=WAIT_S))
+        self.assertTrue(self.owner.closed.wait(WAIT_S))
+
+    def test_error_reply_that_is_sent_in_part(self):
+        """Guards against a connection that is kept after half a reply, so
+        that the next one is read as its rest.
+        """
+        self.served = ShortSocket(fileno=self.served.detach())
+        self.addCleanup(self.served.close)
+        engine = self.start_failing(writers.EventWriter)
+        engine.close()
+        self.assertFalse(self.kept.get(timeout=WAIT_S))
+        self.assertEqual(len(self.read_end()), SHORT_BYTES)
+
+    def test_error_reply_that_is_sent(self):
+        engine = self.start_failing(writers.EventWriter)
+        engine.close()
+        self.assertTrue(self.kept.get(timeout=WAIT_S))
+        self.assertIn(b"HTTP/1.1 502 ", self.read_end())
