Send no body after the answer to a HEAD request

An oversized or malformed HEAD request got a body too.

Cause: only the gateway's own way left the body out; the relay's writers and the parser's replies did not know the method. The head of a reply now knows whether a body may follow and frames all of it. 204 and 304 have neither a body nor a length.

tests/test_answer_ends.py reads raw connections with two requests sent at once and splits what arrives: four of its tests failed before. Its other five, of plain calls, a stream, refused streams and unknown routes, passed before.

--- a/mulberryway/relay/passthrough_stream.py
+++ b/mulberryway/relay/passthrough_stream.py
@@ -16,7 +16,6 @@
 EVENT_END = b"\n\n"
 # A copy of an answer may follow an answer without framing.
 OTHER_HEAD = b"HTTP/1."
-LAST_CHUNK = b"0\r\n\r\n"
 # A VM may forward some 360 streams, and has 128 MB.
 MAX_PARTIAL_EVENT_BYTES = 65_536
 # Headers about the engine's connection and transfer coding.
@@ -33,7 +32,6 @@
 
     def __init__(self, head: writers.ReplyHead) -> None:
         super().__init__(head)
-        self._is_chunked = False
         self._headers: list[tuple[str, str]] = []
 
     def set_source(self, source: upstreams.TokenStream) -> None:
@@ -48,9 +46,6 @@
             for name, value in source.headers
             if name.lower() not in FRAMING_HEADERS
         ]
-        # The reply is chunked even if the engine ends its response by closing
-        # the connection: the caller can then detect a truncated reply.
-        self._is_chunked = self.head.is_http_11
 
     def add(self, tokens: list[bytes]) -> bytes:
         """Return payload as one chunk, preceded by the head on the first call.
@@ -58,9 +53,7 @@
         :param tokens: pieces of payload in order
         :returns: the bytes to send
         """
-        body = b"".join(tokens)
-        if self._is_chunked and body:
-            body = b"%x\r\n%b\r\n" % (len(body), body)
+        body = self.head.frame(b"".join(tokens))
         if self.is_head_written:
             return body
         self.is_head_written = True
@@ -69,7 +62,7 @@
     def end(self) -> bytes:
         """Return the bytes that end a complete reply."""
         head = b"" if self.is_head_written else self.add([])
-        return head + LAST_CHUNK if self._is_chunked else head
+        return head + self.head.frame_end()
 
     def fail(self, fault: errors.Fault) -> bytes:
         """Return an error reply, or nothing once the head was written.
@@ -84,7 +77,9 @@
 
     def _write_head(self) -> bytes:
         headers = list(self._headers)
-        if self._is_chunked:
+        # The reply is chunked even if the engine ends its response by closing
+        # the connection: the caller can then detect a truncated reply.
+        if self.head.is_http_11:
             headers.append(("Transfer-Encoding", "chunked"))
         else:
             self.head.keep = False
--- a/mulberryway/relay/writers.py
+++ b/mulberryway/relay/writers.py
@@ -14,6 +14,8 @@
 EVENT_END = b"\n\n"
 DONE = b"data: [DONE]\n\n"
 LAST_CHUNK = b"0\r\n\r\n"
+# No body follows their heads, whatever these say.
+BODILESS_STATUSES = (204, 304)
 REASON_PHRASES = {
     200: "OK",
     400: "Bad Request",
@@ -42,9 +44,10 @@
     :param keep: whether the connection stays open after a complete reply
     :param headers: header pairs of every reply to this request
     :param fault_format: how faults are encoded
+    :param has_body: whether a body may follow; none answers HEAD
     """
 
-    __slots__ = ("is_http_11", "keep", "headers", "fault_format")
+    __slots__ = ("is_http_11", "keep", "headers", "fault_format", "has_body")
 
     def __init__(
         self,
@@ -52,7 +55,9 @@
         keep: bool,
         headers: list[tuple[str, str]],
         fault_format: replies.FaultFormat = replies.NATIVE_FORMAT,
+        has_body: bool = True,
     ) -> None:
+        self.has_body = has_body
         self.is_http_11 = is_http_11
         self.keep = keep
         self.headers = headers
@@ -81,9 +86,26 @@
         """
         if reply.close:
             self.keep = False
+        if reply.status in BODILESS_STATUSES:
+            return self.write(reply.status, reply.headers)
         length = ("Content-Length", str(len(reply.body)))
         head = self.write(reply.status, [*reply.headers, length])
-        return head + reply.body
+        return head + reply.body if self.has_body else head
+
+    def frame(self, body: bytes) -> bytes:
+        """Return a part of a body of unknown length, in its coding.
+
+        :param body: the part
+        """
+        if not (body and self.has_body):
+            return b""
+        if not self.is_http_11:
+            return body
+        return b"%x\r\n%b\r\n" % (len(body), body)
+
+    def frame_end(self) -> bytes:
+        """Return the end of a body of unknown length."""
+        return LAST_CHUNK if self.is_http_11 and self.has_body else b""
 
 
 class Writer(abc.ABC):
@@ -144,8 +166,7 @@
 
     def end(self) -> bytes:
         """Return the final event and, for HTTP/1.1, the last chunk."""
-        final = self._frame(DONE)
-        return final + LAST_CHUNK if self.head.is_http_11 else final
+        return self._frame(DONE) + self.head.frame_end()
 
     def fail(self, fault: errors.Fault) -> bytes:
         """Return an error reply, or an error event once the head was written.
@@ -162,12 +183,11 @@
         return self._frame(event)
 
     def _frame(self, body: bytes) -> bytes:
-        if self.head.is_http_11:
-            body = b"%x\r\n%b\r\n" % (len(body), body)
+        framed = self.head.frame(body)
         if self.is_head_written:
-            return body
+            return framed
         self.is_head_written = True
-        return self._write_head() + body
+        return self._write_head() + framed
 
     def _write_head(self) -> bytes:
         headers = [
--- a/mulberryway/server/gateway.py
+++ b/mulberryway/server/gateway.py
@@ -125,6 +125,7 @@
             can_keep and not request_.close_connection,
             [("X-Request-Id", self._id)],
             factory.fault_format,
+            request_.method != request.HEAD,
         )
 
     def respond(self) -> None:
@@ -241,10 +242,7 @@
 
     def _encode(self, reply: replies.Reply) -> bytes:
         self._request.sent_headers = True
-        data = self._head.write_reply(reply)
-        if self._request.method == b"HEAD":
-            data = data.removesuffix(reply.body)
-        return data
+        return self._head.write_reply(reply)
 
     def _make_exchange(self, body: bytes) -> base.Exchange:
         request_ = self._request
--- a/mulberryway/server/request.py
+++ b/mulberryway/server/request.py
@@ -18,10 +18,11 @@
 from mulberryway.relay import linger
 from mulberryway.relay import writers
 
-__all__ = ["Connection", "HeaderReader", "NoRoomError", "Request"]
+__all__ = ["HEAD", "Connection", "HeaderReader", "NoRoomError", "Request"]
 
 READ_BYTES = 65_536
 LINGER_TIMEOUT_S = 0.5
+HEAD = b"HEAD"
 CONTENT_LENGTH = b"Content-Length"
 TRANSFER_ENCODING = b"Transfer-Encoding"
 FOLDING = (b" ", b"\t")
@@ -143,6 +144,8 @@
     """One HTTP request; replies with JSON even before the filter chain."""
 
     header_reader = HeaderReader()
+    # Empty until the request line was read.
+    method = b""
 
     def read_request_line(self) -> bool:
         """Read the request line.
@@ -263,7 +266,8 @@
         )
         reply = replies.make_fault_reply(fault, close=True)
         reply.status = number
-        head = writers.ReplyHead(True, False, [])
+        has_body = self.method != HEAD
+        head = writers.ReplyHead(True, False, [], has_body=has_body)
         try:
             self.conn.wfile.write(head.write_reply(reply))
         except OSError as error:
--- a/tests/gated_engine.py
+++ b/tests/gated_engine.py
@@ -77,6 +77,8 @@
 
     do_GET = do_POST
     do_DELETE = do_POST
+    do_PUT = do_POST
+    do_HEAD = do_POST
 
     def log_message(self, *_):
         """Write no access log."""
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -1,8 +1,11 @@
 """Tests of what callers get on their connections when an answer fails."""
 
+import re
 import socket
 
+from mulberryway import replies
 from mulberryway.relay import linger
+from mulberryway.relay import writers
 from tests import gated_engine
 from tests import hosted_fleet
 from tests import order_fixture
@@ -97,3 +100,126 @@
         received = b"".join(iter(lambda: caller.recv(65_536), b""))
         self.assertIn(b" 502 ", received)
         self.assertIn(b'"code": "upstream_failed"', received)
+
+
+class Answers:
+    """Splits what a caller has received into answers.
+
+    :param received: all bytes of a connection
+    """
+
+    def __init__(self, received):
+        self.rest = received
+
+    def take(self, is_head=False):
+        """Return an answer's status and body; check its framing."""
+        head, end, self.rest = self.rest.partition(b"\r\n\r\n")
+        lines = head.split(b"\r\n")
+        match = re.fullmatch(rb"HTTP/1\.1 (\d{3}) [A-Za-z ]+", lines[0])
+        assert match and end, (head, self.rest)
+        headers = dict(line.lower().split(b": ", 1) for line in lines[1:])
+        status = int(match[1])
+        if is_head or status in (204, 304):
+            return status, b""
+        if headers.get(b"transfer-encoding") == b"chunked":
+            return status, self._take_chunks()
+        length = int(headers[b"content-length"])
+        body, self.rest = self.rest[:length], self.rest[length:]
+        assert len(body) == length, (head, body)
+        return status, body
+
+    def _take_chunks(self):
+        body = b""
+        while True:
+            size, end, self.rest = self.rest.partition(b"\r\n")
+            length = int(size, 16)
+            body += self.rest[:length]
+            assert end and self.rest[length : length + 2] == b"\r\n", size
+            self.rest = self.rest[length + 2 :]
+            if not length:
+                return body
+
+
+class OneAnswerTest(AnswerEndTest):
+    """Each request gets one answer, and the connection nothing else."""
+
+    def exchange(self, *requests):
+        """Send requests at once; return all that is received."""
+        caller = self.connect()
+        caller.sendall(b"".join(requests))
+        received = b"".join(iter(lambda: caller.recv(65_536), b""))
+        return Answers(received)
+
+    def make_last(self):
+        return make_request("GET", "/plain/a", "1.1", "Connection: close")
+
+    def check(self, request, status, is_head=False):
+        """Check that a request and the next one have one answer each."""
+        answers = self.exchange(request, self.make_last())
+        found, body = answers.take(is_head)
+        self.assertEqual(found, status, body)
+        self.assertEqual(answers.take()[0], 200)
+        self.assertEqual(answers.rest, b"")
+        return body
+
+    def test_plain_calls(self):
+        for method in ("GET", "POST", "PUT", "DELETE"):
+            with self.subTest(method):
+                self.check(make_request(method, "/plain/a", "1.1"), 200)
+
+    def test_stream(self):
+        request = make_request("POST", "/long/a", "1.1")
+        self.silent.allow(gated_engine.EVENT_COUNT)
+        self.assertTrue(self.check(request, 200).endswith(LAST_EVENT))
+
+    def test_refused_stream(self):
+        self.silent.actions.extend(["reset"] * test_replacement_order.OFTEN)
+        self.budget.left = 0
+        self.check(make_request("POST", "/long/a", "1.1"), 502)
+
+    def test_unknown_route(self):
+        for method in ("GET", "HEAD"):
+            with self.subTest(method):
+                self.check(
+                    make_request(method, "/x", "1.1"), 404, method == "HEAD"
+                )
+
+    def test_refused_stream_without_a_body(self):
+        """Guards against bytes after the answer to a HEAD request, which its
+        caller reads as the next answer.
+        """
+        self.budget.left = 0
+        request = make_request("HEAD", "/long/a", "1.1")
+        self.silent.actions.extend(["reset"] * test_replacement_order.OFTEN)
+        self.check(request, 502, is_head=True)
+
+    def test_stream_that_fails_without_a_body(self):
+        """Guards against the same after an engine has accepted it."""
+        self.budget.left = 0
+        self.silent.actions.append("head_close")
+        request = make_request("HEAD", "/long/a", "1.1")
+        self.check(request, 502, is_head=True)
+
+    def test_stream_for_a_request_without_a_body(self):
+        """Guards against events of an engine that answers HEAD like POST."""
+        self.silent.allow(gated_engine.EVENT_COUNT)
+        request = make_request("HEAD", "/long/a", "1.1")
+        self.check(request, 200, is_head=True)
+
+    def test_statuses_without_a_body(self):
+        """Guards against a length, or a body, where there can be none."""
+        for status in (204, 304):
+            with self.subTest(status):
+                head = writers.ReplyHead(True, True, [])
+                reply = replies.Reply(status, [("A", "b")], b"body")
+                written = head.write_reply(reply)
+                self.assertTrue(written.endswith(b"\r\n\r\n"))
+                self.assertNotIn(b"Content-Length", written)
+
+    def test_oversized_request_without_a_body_in_its_answer(self):
+        request = make_request(
+            "HEAD", "/plain/a", "1.1", "Content-Length: 999999999"
+        )
+        answers = self.exchange(request)
+        self.assertEqual(answers.take(is_head=True)[0], 413)
+        self.assertEqual(answers.rest, b"")
