Test that a failure after an answer brings no second one

Tests only, of the callers' side: an exception in the end of a request, in a completion callback or in the chain, a rejected body whose rest follows, an expected body, and a stream that is cut while the next request waits. Each request has one answer on the raw connection and nothing else follows.

--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -2,10 +2,15 @@
 
 import re
 import socket
+from unittest import mock
 
 from mulberryway import replies
+from mulberryway.filters import base
+from mulberryway.filters import chain
 from mulberryway.relay import linger
 from mulberryway.relay import writers
+from mulberryway.server import gateway
+from mulberryway.server import http_server
 from tests import gated_engine
 from tests import hosted_fleet
 from tests import order_fixture
@@ -223,3 +228,89 @@
         answers = self.exchange(request)
         self.assertEqual(answers.take(is_head=True)[0], 413)
         self.assertEqual(answers.rest, b"")
+
+    def check_one(self, request, status=200):
+        """Check that a connection brings one answer and then ends."""
+        answers = self.exchange(request, self.make_last())
+        self.assertEqual(answers.take()[0], status)
+        self.assertEqual(answers.rest, b"")
+
+    def test_failure_after_the_answer(self):
+        """Guards against a second answer for a failure after the first."""
+        for name in ("finish", "add_completion_callback"):
+            with self.subTest(name):
+                is_written = name == "finish"
+                patcher = mock.patch.object(
+                    base.Exchange, name, side_effect=ValueError("unexpected")
+                )
+                with patcher, self.assertLogs(http_server.LOG, "ERROR"):
+                    self.check_one(
+                        make_request("GET", "/plain/a", "1.1"),
+                        200 if is_written else 500,
+                    )
+
+    def test_failing_completion_callback(self):
+        """Guards against a connection that ends, or brings a second answer,
+        because what follows an answer fails.
+        """
+        with (
+            mock.patch.object(
+                gateway.GatewayFactory,
+                "decrement_running",
+                side_effect=ValueError("unexpected"),
+            ),
+            self.assertLogs(base.LOG, "ERROR"),
+        ):
+            self.check(make_request("GET", "/plain/a", "1.1"), 200)
+
+    def test_failing_handler(self):
+        with (
+            mock.patch.object(
+                chain.Chain, "handle", side_effect=ValueError("unexpected")
+            ),
+            self.assertLogs(http_server.LOG, "ERROR"),
+        ):
+            self.check_one(make_request("GET", "/plain/a", "1.1"), 500)
+
+    def test_rejected_body(self):
+        """Guards against the rest of a rejected request as the next one."""
+        lines = ("Transfer-Encoding: chunked",)
+        for body in (b"zz\r\n", b"5\r\nabcdefgh\r\n", b"fffffff\r\n"):
+            with self.subTest(body):
+                request = make_request("POST", "/plain/a", "1.1", *lines)
+                answers = self.exchange(request + body, self.make_last())
+                self.assertIn(answers.take()[0], (400, 413))
+                self.assertEqual(answers.rest, b"")
+
+    def test_expected_body(self):
+        """Guards against an interim answer that comes twice or too late."""
+        request = make_request(
+            "POST",
+            "/plain/a",
+            "1.1",
+            "Expect: 100-continue",
+            "Content-Length: 2",
+        )
+        answers = self.exchange(request + b"{}", self.make_last())
+        interim = b"HTTP/1.1 100 Continue\r\n\r\n"
+        self.assertTrue(answers.rest.startswith(interim))
+        answers.rest = answers.rest.removeprefix(interim)
+        self.assertEqual([answers.take()[0] for _ in range(2)], [200, 200])
+        self.assertEqual(answers.rest, b"")
+
+    def test_cut_stream_ends_its_connection(self):
+        """Guards against an answer to the next request after a cut one."""
+        self.budget.left = 0
+        caller = self.connect()
+        self.silent.allow(FIRST_EVENTS)
+        caller.sendall(
+            make_request("POST", "/long/a", "1.1") + self.make_last()
+        )
+        last = b"data: t%d\n\n\r\n" % FIRST_EVENTS
+        self.read_until(caller, last)
+        self.silent.stream.abort(False)
+        try:
+            self.assertEqual(caller.recv(65_536), b"")
+        except ConnectionResetError:
+            # The next request was not read.
+            return
