--- a/mulberryway/relay/passthrough_stream.py
+++ b/mulberryway/relay/passthrough_stream.py
@@ -1,5 +1,6 @@
 """Streams that are forwarded to the caller byte for byte."""
 
+import itertools
 import re
 
 from mulberryway import errors
@@ -13,7 +14,8 @@
 # The id line of an event; ids are integers that increase within a stream.
 EVENT_ID_PATTERN = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
 EVENT_END = b"\n\n"
-LAST_CHUNK = b"0\r\n\r\n"
+# A copy of an answer may follow an answer without framing.
+OTHER_HEAD = b"HTTP/1."
 # A VM may forward some 360 streams, and has 128 MB.
 MAX_PARTIAL_EVENT_BYTES = 65_536
 # Headers about the engine's connection and transfer coding.
@@ -30,7 +32,6 @@
 
     def __init__(self, head: writers.ReplyHead) -> None:
         super().__init__(head)
-        self._is_chunked = False
         self._headers: list[tuple[str, str]] = []
 
     def set_source(self, source: upstreams.TokenStream) -> None:
@@ -45,9 +46,6 @@
             for name, value in source.headers
             if name.lower() not in FRAMING_HEADERS
         ]
-        # The reply is chunked even if the engine ends its response by closing
-        # the connection: the caller can then detect a truncated reply.
-        self._is_chunked = self.head.is_http_11
 
     def add(self, tokens: list[bytes]) -> bytes:
         """Return payload as one chunk, preceded by the head on the first call.
@@ -55,9 +53,7 @@
         :param tokens: pieces of payload in order
         :returns: the bytes to send
         """
-        body = b"".join(tokens)
-        if self._is_chunked and body:
-            body = b"%x\r\n%b\r\n" % (len(body), body)
+        body = self.head.frame(b"".join(tokens))
         if self.is_head_written:
             return body
         self.is_head_written = True
@@ -66,7 +62,7 @@
     def end(self) -> bytes:
         """Return the bytes that end a complete reply."""
         head = b"" if self.is_head_written else self.add([])
-        return head + LAST_CHUNK if self._is_chunked else head
+        return head + self.head.frame_end()
 
     def fail(self, fault: errors.Fault) -> bytes:
         """Return an error reply, or nothing once the head was written.
@@ -81,7 +77,9 @@
 
     def _write_head(self) -> bytes:
         headers = list(self._headers)
-        if self._is_chunked:
+        # The reply is chunked even if the engine ends its response by closing
+        # the connection: the caller can then detect a truncated reply.
+        if self.head.is_http_11:
             headers.append(("Transfer-Encoding", "chunked"))
         else:
             self.head.keep = False
@@ -95,7 +93,7 @@
     of events if they have no ids; another engine resumes after it.
     """
 
-    __slots__ = ("_remaining", "_partial_event")
+    __slots__ = ("_remaining", "_partial_event", "_has_event")
 
     def set_source(self, source: upstreams.TokenStream) -> None:
         """Start to read from an engine.
@@ -105,14 +103,16 @@
         super().set_source(source)
         self._remaining = None if source.is_chunked else source.length
         self._partial_event = b""
+        # Whether this engine has written an event.
+        self._has_event = False
         self.writer.set_source(source)
 
     def may_end_on_close(self) -> bool:
         """Return whether closing the connection may end the response.
 
         A response with neither chunks nor a length can end only this way.  It
-        is truncated if an incomplete event is still buffered, or if there was
-        no event at all.
+        is truncated if an incomplete event is still buffered, or if this
+        engine has written no event at all.
         """
         source = self.source
         return (
@@ -120,7 +120,7 @@
             and not source.is_chunked
             and self._remaining is None
             and not self._partial_event
-            and self.writer.is_head_written
+            and self._has_event
         )
 
     def take(self, data: bytes) -> bytes:
@@ -143,6 +143,8 @@
         out = [complete + separator] if separator else []
         if separator:
             self._update_position(complete + separator)
+            self._has_event = True
+        self.is_complete = self._has_reached_end()
         if self.is_complete and self._partial_event:
             out.append(self._partial_event)
             self._partial_event = b""
@@ -150,22 +152,32 @@
 
     def _decode_payload(self, data: bytes) -> bytes:
         if self.source is not None and self.source.is_chunked:
-            payload = self.decoder.feed(data)
-            self.is_complete = self.decoder.ended
-            return payload
+            return self.decoder.feed(data)
         if self._remaining is None:
             return data
         payload = data[: self._remaining]
         self._remaining -= len(payload)
-        self.is_complete = not self._remaining
         return payload
 
+    def _has_reached_end(self) -> bool:
+        """Return whether the response has the end that its head announced."""
+        if self.source is not None and self.source.is_chunked:
+            return self.decoder.ended
+        return self._remaining == 0
+
     def _update_position(self, complete: bytes) -> None:
+        if (
+            complete.startswith(OTHER_HEAD)
+            or EVENT_END + OTHER_HEAD in complete
+        ):
+            raise events.InvalidStream("event is the head of a response")
         ids = [int(id_) for id_ in EVENT_ID_PATTERN.findall(complete)]
         if not ids:
             # Without ids, progress is the number of events.
             self.expected += complete.count(EVENT_END)
             return
-        if ids[0] <= self.expected and self.writer.is_head_written:
+        if self.writer.is_head_written:
+            ids.insert(0, self.expected)
+        if any(later <= id_ for id_, later in itertools.pairwise(ids)):
             raise events.InvalidStream("event was already sent")
         self.expected = ids[-1]
--- a/mulberryway/relay/pump.py
+++ b/mulberryway/relay/pump.py
@@ -5,11 +5,11 @@
 import logging
 import select
 import socket
-import struct
 import typing
 
 from mulberryway import errors
 from mulberryway.relay import events
+from mulberryway.relay import linger
 from mulberryway.relay import loop
 from mulberryway.relay import memory
 from mulberryway.relay import stream as streams
@@ -25,8 +25,6 @@
 # A caller that accepts no bytes for this long counts as disconnected: it has
 # vanished without closing, or blocks a decode slot that other requests need.
 CALLER_WRITE_TIMEOUT_MS = 20_000
-# Closing resets the connection and drops what its peer has not read.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # An engine's last chunk usually arrives with its last event.  This limits how
 # long the connection is kept open to wait for it.
 LAST_CHUNK_TIMEOUT_MS = 1_000
@@ -48,7 +46,7 @@
 class Relay:
     """Forwards the streams handed over to it until they end.
 
-    ``add_stream``, ``resume``, ``fail``, ``end``, ``try_hold_source``,
+    ``add_stream``, ``resume``, ``fail``, ``try_hold_source``,
     ``release_source``, ``try_close_source``, ``keep_source`` and ``cut`` may
     be called on any thread; everything else runs on the loop's thread.
 
@@ -107,13 +105,6 @@
         """
         self._loop.post(lambda: self._run(stream, self._abort, fault))
 
-    def end(self, stream: Stream) -> None:
-        """End a stream whose engine has ended its response.
-
-        :param stream: the stream that ``confirm_end`` was called for
-        """
-        self._loop.post(lambda: self._run(stream, self._end))
-
     def try_hold_source(self, stream: Stream, offset: int) -> bool:
         """Stop reading a stalled engine unless the stream progressed.
 
@@ -203,23 +194,31 @@
             self._end_failed(stream)
 
     def _end_failed(self, stream: Stream) -> None:
-        """End a stream whose state may be inconsistent."""
+        """End a stream whose state may be inconsistent.
+
+        Nothing is sent once there is a head, which may not have been sent
+        itself.
+        """
         fault = errors.Fault(
             errors.Code.INTERNAL,
             errors.Step.DECODE,
             run=errors.ExecutionStatus.MAY_HAVE_RUN,
         )
         try:
-            self._abort(stream, fault)
+            if not stream.writer.is_head_written:
+                self._abort(stream, fault)
         finally:
             if not stream.is_closed:
-                _reset_on_close(stream.caller)
+                linger.reset_on_close(stream.caller)
                 stream.writer.head.keep = False
                 self._close(stream, fault)
 
     def _start_stream(self, stream: Stream) -> None:
         self._streams.add(stream)
         stream.caller.setblocking(False)
+        if not stream.writer.head.is_http_11:
+            # Only the end of the connection will end the answer.
+            linger.reset_on_close(stream.caller)
         self._loop.register(
             stream.caller.fileno(),
             HANGUP_EVENTS,
@@ -274,12 +273,40 @@
             self._give_up(stream)
         elif not stream.may_end_on_close():
             self._on_source_failure(stream, CLOSED_MESSAGE, has_died=True)
-        elif stream.is_replacing_source:
+        else:
+            self._confirm_end(stream)
+
+    def _confirm_end(self, stream: Stream) -> None:
+        """Find out whether an engine has ended its response or has crashed.
+
+        Until then no other engine takes over, as the stream may be complete.
+        """
+        self._close_source(stream)
+        fault = _make_source_fault(CLOSED_MESSAGE, has_died=True)
+        self._submit(self._check_source, stream, fault)
+        stream.is_end_unconfirmed = True
+
+    def _check_source(self, stream: Stream, fault: errors.Fault) -> None:
+        """Ask for an engine on a recovery thread."""
+        try:
+            is_alive = stream.owner.is_source_alive()
+        except Exception:
+            LOG.exception("an engine could not be asked for")
+            is_alive = False
+        self._loop.post(
+            lambda: self._run(stream, self._on_end_checked, is_alive, fault)
+        )
+
+    def _on_end_checked(
+        self, stream: Stream, is_alive: bool, fault: errors.Fault
+    ) -> None:
+        if stream.is_closed:
+            return
+        stream.is_end_unconfirmed = False
+        if is_alive:
             self._finish_source(stream, b"")
         else:
-            self._close_source(stream)
-            fault = _make_source_fault(CLOSED_MESSAGE, has_died=True)
-            self._submit(stream.owner.confirm_end, stream, fault)
+            self._handle_failure(stream, fault)
 
     def _compute_receive_bytes(self, stream: Stream) -> int:
         """Return how much to read, so that a reader's limit is kept."""
@@ -442,7 +469,10 @@
 
     def _may_replace(self, stream: Stream, offset: int) -> bool:
         return not (
-            stream.is_closed or stream.is_complete or stream.expected != offset
+            stream.is_closed
+            or stream.is_complete
+            or stream.is_end_unconfirmed
+            or stream.expected != offset
         )
 
     def _try_hold_source(self, stream: Stream, offset: int) -> bool:
@@ -481,6 +511,8 @@
         self._release_source(stream)
         source_fault, stream.source_fault = stream.source_fault, None
         stream.is_replacing_source = False
+        if stream.is_end_unconfirmed:
+            return
         if stream.source is not None:
             stream.token_deadline_ms = (
                 self._loop.now_ms + stream.token_timeout_ms
@@ -503,7 +535,11 @@
     ) -> None:
         self._close_source(stream)
         stream.is_paused = False
-        fault = _make_source_fault(message, has_died=has_died)
+        self._handle_failure(
+            stream, _make_source_fault(message, has_died=has_died)
+        )
+
+    def _handle_failure(self, stream: Stream, fault: errors.Fault) -> None:
         if stream.is_replacing_source:
             # A search for another engine is already in progress.
             stream.source_fault = fault
@@ -545,10 +581,6 @@
         stream.set_source(source)
         self._read_source(stream)
 
-    def _end(self, stream: Stream) -> None:
-        if not stream.is_closed:
-            self._finish_source(stream, b"")
-
     def _on_disconnect(self, stream: Stream) -> None:
         self._close(
             stream,
@@ -568,7 +600,7 @@
         """
         if stream.is_closed:
             return
-        _reset_on_close(stream.caller)
+        linger.reset_on_close(stream.caller)
         self._close(
             stream,
             errors.Fault(
@@ -591,17 +623,16 @@
         """Report a fault to the caller without blocking, and close."""
         if stream.is_closed or stream.is_complete:
             return
-        is_head_written = stream.writer.is_head_written
-        out = stream.writer.fail(fault)
+        is_whole = not stream.writer.is_head_written
+        out = bytes(stream.write_buffer) + stream.writer.fail(fault)
         try:
-            if stream.write_buffer:
-                stream.write_buffer += out
-                stream.caller.send(stream.write_buffer)
-            else:
-                stream.caller.send(out)
-        except OSError:
-            is_head_written = True
-        if is_head_written:
+            is_whole = stream.caller.send(out) == len(out) and is_whole
+        except OSError as failure:
+            LOG.debug("a caller was not told of a fault: %r", failure)
+            is_whole = False
+        if is_whole:
+            _end_on_close(stream)
+        else:
             stream.writer.head.keep = False
         self._close(stream, fault)
 
@@ -618,7 +649,9 @@
         )
         try:
             self._close_source(stream)
-            if fault is not None:
+            if fault is None:
+                _end_on_close(stream)
+            else:
                 stream.owner.cancel_source()
             stream.release(stream.writer.head.keep and not is_disconnected)
             stream.owner.on_longest_gap(stream.longest_gap_ms)
@@ -654,9 +687,10 @@
             connection.close()
 
 
-def _reset_on_close(connection: socket.socket) -> None:
-    """Let the close of a connection show that its answer is incomplete."""
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+def _end_on_close(stream: Stream) -> None:
+    """Let the close of a caller's connection end a whole answer."""
+    if not stream.writer.head.is_http_11:
+        linger.end_on_close(stream.caller)
 
 
 def _has_ended(source: upstreams.TokenStream | None) -> bool:
--- a/mulberryway/server/request.py
+++ b/mulberryway/server/request.py
@@ -14,12 +14,15 @@
 
 from mulberryway import errors
 from mulberryway import replies
+from mulberryway.relay import events
+from mulberryway.relay import linger
 from mulberryway.relay import writers
 
-__all__ = ["Connection", "HeaderReader", "NoRoomError", "Request"]
+__all__ = ["HEAD", "Connection", "HeaderReader", "NoRoomError", "Request"]
 
 READ_BYTES = 65_536
 LINGER_TIMEOUT_S = 0.5
+HEAD = b"HEAD"
 CONTENT_LENGTH = b"Content-Length"
 TRANSFER_ENCODING = b"Transfer-Encoding"
 FOLDING = (b" ", b"\t")
@@ -141,6 +144,8 @@
     """One HTTP request; replies with JSON even before the filter chain."""
 
     header_reader = HeaderReader()
+    # Empty until the request line was read.
+    method = b""
 
     def read_request_line(self) -> bool:
         """Read the request line.
@@ -213,10 +218,12 @@
         rfile = self.conn.rfile
         while True:
             line = rfile.readline(READ_BYTES)
-            digits = line.partition(b";")[0].strip()
-            if not line.endswith(b"\r\n") or not digits.isalnum():
+            match = events.CHUNK_SIZE_PATTERN.fullmatch(
+                line.removesuffix(b"\r\n")
+            )
+            if not line.endswith(b"\r\n") or match is None:
                 raise ValueError("chunk size is not a hexadecimal number")
-            size = int(digits, 16)
+            size = int(match[1], 16)
             if not size:
                 break
             if size > self.server.max_request_body_size:
@@ -259,7 +266,8 @@
         )
         reply = replies.make_fault_reply(fault, close=True)
         reply.status = number
-        head = writers.ReplyHead(True, False, [])
+        has_body = self.method != HEAD
+        head = writers.ReplyHead(True, False, [], has_body=has_body)
         try:
             self.conn.wfile.write(head.write_reply(reply))
         except OSError as error:
@@ -309,6 +317,16 @@
             self._discard_input()
         super().close()
 
+    def _close_kernel_socket(self) -> None:
+        """Shut the connection down, unless its close is to reset it.
+
+        A shutdown would send an ordinary end before the reset.
+        """
+        if self.socket.fileno() < 0 or not linger.has_reset_on_close(
+            self.socket
+        ):
+            super()._close_kernel_socket()
+
     def _discard_input(self) -> None:
         deadline_s = time.monotonic() + LINGER_TIMEOUT_S
         try:
