Try an upstream before refusing it for a loss that is only inferred

Two of a service's three servers were down. A call that could not connect to either was refused with 503 though the third server was sound: the two failed connects made the VM take itself for cut off, so the path to the third one counted as lost without a connect, and the other VM, asked for a tunnel, had just concluded the same. A probe refuted it a millisecond later.

A path to which no connect has failed is now tried directly once no other VM has opened a tunnel. If that fails, its loss is observed, so a VM that is really cut off pays one connect of 150 ms for each upstream, and only where it refused before.

--- a/mulberryway/controllers/detours.py
+++ b/mulberryway/controllers/detours.py
@@ -30,7 +30,8 @@
 
     Only connecting is diverted: nothing of a request was sent yet.  A path
     that has failed is not used again before one of the monitor's probes has
-    succeeded.
+    succeeded.  A path whose loss is only inferred is tried once no other VM
+    has opened a tunnel.
 
     :param monitor: the paths of this VM and of the others
     :param client: calls other VMs
@@ -69,7 +70,12 @@
         chosen = self._monitor.choose_forwarders(address)
         if not chosen and self._monitor.is_unreachable_elsewhere(address):
             raise self._record_down(address, "other VMs")
-        return self._connect_through(chosen, address)
+        try:
+            return self._connect_through(chosen, address)
+        except dialing.PathError:
+            if self._monitor.has_failed(address):
+                raise
+        return self._connect_despite_others(address, timeout_ms)
 
     def is_suspect(self, address: str) -> bool:
         """Return whether a failure there may be a failure of the path.
@@ -109,6 +115,22 @@
         self._monitor.record_success(address)
         return connection
 
+    def _connect_despite_others(
+        self, address: str, timeout_ms: int
+    ) -> socket.socket:
+        """Connect to an upstream to which no connect has failed.
+
+        Its path is suspect only because those of others were lost, which may
+        be down on all VMs.
+        """
+        try:
+            return self._connect_directly(address, timeout_ms)
+        except OSError as failure:
+            self._monitor.record_failure(address, failure)
+            raise dialing.PathError(f"{address}: no VM has a path") from (
+                failure
+            )
+
     def _connect_through(
         self, chosen: list[member.Member], address: str
     ) -> socket.socket:
--- a/mulberryway/controllers/path_monitoring.py
+++ b/mulberryway/controllers/path_monitoring.py
@@ -98,6 +98,14 @@
         with self._lock:
             return self._table.is_suspect(address)
 
+    def has_failed(self, address: str) -> bool:
+        """Return whether a connect to an upstream has failed.
+
+        :param address: ``host:port``
+        """
+        with self._lock:
+            return self._table.has_failed(address)
+
     def get_epoch(self, address: str) -> int:
         """Return a number that changes when the path is lost or restored.
 
--- a/mulberryway/policy/paths.py
+++ b/mulberryway/policy/paths.py
@@ -120,6 +120,20 @@
         path = self._watched.get(address)
         return path is not None and path.lost_ms is not None
 
+    def has_failed(self, address: str) -> bool:
+        """Return whether a connect to an upstream has failed.
+
+        False if its path is suspect only because those of others were lost.
+
+        :param address: ``host:port``
+        """
+        path = self._watched.get(address)
+        return (
+            path is not None
+            and path.lost_ms is not None
+            and not path.is_inferred
+        )
+
     def get_epoch(self, address: str) -> int:
         """Return a number that changes when the path is lost or restored.
 
@@ -130,11 +144,7 @@
 
     def list_suspect(self) -> list[str]:
         """Return the upstreams to which connects have failed."""
-        return sorted(
-            address
-            for address, path in self._watched.items()
-            if path.lost_ms is not None and not path.is_inferred
-        )
+        return sorted(filter(self.has_failed, self._watched))
 
     def has_reached_since(self, since_ms: int) -> bool:
         """Return whether a connect to any upstream succeeded.
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -6,6 +6,7 @@
 import socket
 import threading
 import unittest
+from unittest import mock
 import uuid
 
 from mulberryway import clock
@@ -455,6 +456,48 @@
             ready.remove(connection)
             readable, _, _ = select.select(ready, [], [], TIMEOUT_S)
 
+    def test_sound_upstream_beside_two_that_are_down(self):
+        """Guards against refusing requests to an upstream to which no connect
+        has failed, because others are down on all VMs.
+        """
+        vm = self.add_vm()
+        for monitor in (self.monitor, vm.monitor):
+            self.lose_two_others(monitor)
+        self.connect()
+        self.assertFalse(self.monitor.is_suspect(self.upstream.address))
+
+    def test_inferred_loss_is_tried_once(self):
+        """Guards against a connect timeout in each request of a cut VM that
+        no other VM can help.
+        """
+        self.add_vm()
+        self.monitor.take_report(forwarders.PathReport("vm1", 1, 1, True, ()))
+        self.lose_two_others(self.monitor)
+        self.upstream.close()
+        connects = []
+        connect = dialing.connect_directly
+
+        def count_connects(*arguments):
+            connects.append(arguments)
+            return connect(*arguments)
+
+        with mock.patch.object(dialing, "connect_directly", count_connects):
+            for _ in range(3):
+                with self.assertRaises(dialing.PathError):
+                    self.dialer.connect(self.upstream.address, TIMEOUT_MS)
+        self.assertEqual(len(connects), 1)
+
+    def lose_two_others(self, monitor):
+        """Let a VM fail to connect to two upstreams of three or more."""
+        rows = [
+            router_fixture.make_upstream("service", port)
+            for port in (1, 2, self.upstream.port)
+        ]
+        self.source.change(router_fixture.make_tables(services=rows))
+        monitor.update_tables(self.source.get_tables())
+        for row in rows[:2]:
+            monitor.record_failure(row.address, ConnectionRefusedError())
+
     def test_duties_move_to_vms_that_reach_upstreams(self):
         """Guards against probes and orders of a VM that reaches nothing."""
         names = ("vm0", "vm1", "vm2")
