Test what the logs say about decodes; fails

Both new tests fail as they are: a decode whose response ends its connection logs 0 received bytes, as http.client has taken the socket from the connection; a failure with another id has no reason.

--- a/tests/test_call_details.py
+++ b/tests/test_call_details.py
@@ -72,6 +72,18 @@
                 self.assertEqual(fault.inputs["failure"], reason)
                 self.assertEqual(fault.inputs["framing"], framing)
 
+    def test_decode_that_ends_its_connection(self):
+        """Guards against a log line that says that nothing was received."""
+        answer = FAILURES["no id"][0]
+        fault = self.call(answer, test_torn_heads.decode).error
+        self.assertEqual(fault.inputs["received_bytes"], len(answer))
+
+    def test_decode_that_fails_for_another_request(self):
+        """Guards against a failed decode whose log line tells no reason."""
+        answer = FAILURES["another id"][0].replace(b"200 OK", b"500 Error")
+        fault = self.call(answer, test_torn_heads.decode).error
+        self.assertEqual(fault.inputs.get("failure"), "other_request")
+
     def test_success(self):
         for framing, answer in WHOLE.items():
             with self.subTest(framing):
