--- a/tests/test_review_reuse.py
+++ b/tests/test_review_reuse.py
@@ -280,6 +280,27 @@
         self.check(copy, 500)
 
 
+class OtherIdTest(ReviewCase):
+    def test_body_of_another_answer(self):
+        """Guards against calls that wait until their timeout for the body of
+        a copy that has broken off, although its head has another id.
+        """
+
+        def script(connection, number):
+            first = read(connection)
+            connection.sendall(answer(first))
+            second = read(connection)
+            copy = answer((b"/first" * 100, b"a"))
+            connection.sendall(copy[:-300] + answer(second))
+            connection.recv(1)
+
+        _, client = self.serve(script)
+        self.assertTrue(call(client, "/first", "a").is_ok())
+        started_s = time.monotonic()
+        self.assertTrue(call(client, "/next", "b", 5_000).is_error())
+        self.assertLess(time.monotonic() - started_s, MAX_TOOK_S)
+
+
 class PoolRaceTest(ReviewCase):
     """Another thread takes a connection before its call has ended.
 
@@ -374,52 +395,88 @@
         self.assertEqual(call(client, "/next", "b").ok.body, b"/next")
 
 
-class ControlCallTest(ReviewCase):
-    def test_server_without_a_place_for_another_connection(self):
-        """Guards against control calls that fail because this client's own
-        idle connections take the places of their server.
-        """
-        places = 2
-        open_now = []
+class LimitedServer:
+    """A script of a server that resets connections beyond its places.
 
-        def script(connection, number):
-            if len(open_now) >= places:
-                connection.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-                )
-                connection.close()
-                return
-            open_now.append(number)
-            try:
-                while True:
-                    connection.sendall(answer(read(connection)))
-            finally:
-                open_now.remove(number)
+    :param places: how many connections it accepts
+    """
 
-        _, client = self.serve(script)
-        barrier = threading.Barrier(places)
-
-        def occupy(number):
-            call(
-                client,
-                "/first",
-                f"id-{number}",
-                is_rejection=lambda status, headers: barrier.wait() < 0,
+    def __init__(self, places):
+        self.places = places
+        self.open = {}
+        # Another request has arrived when all threads have passed it.
+        self.barrier = threading.Barrier(places)
+
+    def __call__(self, connection, number):
+        if len(self.open) >= self.places:
+            # A connection may just have ended.
+            time.sleep(PAUSE_S)
+        if len(self.open) >= self.places:
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
             )
+            connection.close()
+            return
+        self.open[number] = connection
+        try:
+            while True:
+                connection.sendall(answer(read(connection)))
+        finally:
+            del self.open[number]
 
+    def take_places(self, client):
+        """Let a client open as many connections as there are places."""
         threads = [
-            threading.Thread(target=occupy, args=(number,))
-            for number in range(places)
+            threading.Thread(target=self._take_place, args=(client, number))
+            for number in range(self.places)
         ]
         for thread in threads:
             thread.start()
         for thread in threads:
             thread.join(5)
+
+    def _take_place(self, client, number):
+        call(
+            client,
+            "/first",
+            f"id-{number}",
+            is_rejection=lambda status, headers: self.barrier.wait() < 0,
+        )
+
+
+class PlacesTest(ReviewCase):
+    """This client's own idle connections take all places of a server."""
+
+    PLACES = 2
+
+    def test_control_call(self):
+        """Guards against load reports and cancellations that fail at a server
+        that has no place for another connection.
+        """
+        script = LimitedServer(self.PLACES)
+        _, client = self.serve(script)
+        script.take_places(client)
         result = client.call(
             "GET", "/report", {}, None, TIMEOUT_MS, errors.Step.DECODE
         )
         self.assertTrue(result.is_ok())
 
+    def test_calls_after_a_copy(self):
+        """Guards against calls that fail for a while after a server has sent
+        bytes that no request has asked for.
+        """
+        script = LimitedServer(self.PLACES)
+        _, client = self.serve(script)
+        script.take_places(client)
+        for connection in script.open.values():
+            connection.sendall(STRAY)
+        time.sleep(PAUSE_S)
+        for number in range(5):
+            result = call(client, "/next", f"next-{number}")
+            self.assertTrue(result.is_ok(), number)
+            # Until the server has noticed the end of a connection.
+            time.sleep(PAUSE_S)
+
 
 class ChunkSizeTest(test_torn_heads.OneAnswerCase):
     def test_negative_size(self):
