Test the copy on an unrecorded connection without the pause of reuse; fails

With NO_REUSE_MS of 0 it shows what it is named after. In service the order needs a second try 10 s later.

--- a/tests/test_review_reuse.py
+++ b/tests/test_review_reuse.py
@@ -5,10 +5,12 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 from mulberryway import clock
 from mulberryway import errors
 from mulberryway.platform import wire
+from mulberryway.policy import connection_reuse
 from mulberryway.upstreams import bounded_pool
 from mulberryway.upstreams import bounded_socket
 from mulberryway.upstreams import connections
@@ -213,6 +215,7 @@
         )
         self.assertTrue(result.is_error())
 
+    @mock.patch.object(connection_reuse, "NO_REUSE_MS", 0)
     def test_copy_on_the_new_connection(self):
         """Guards against the copy of a rejection that is taken for the
         rejection of a second try, on a connection that was not recorded.
