Say how many bytes of a decode's response were received

A decode whose response ends its connection logged 0 bytes: http.client has taken the socket from the connection by then.

--- a/mulberryway/upstreams/decode_call.py
+++ b/mulberryway/upstreams/decode_call.py
@@ -109,13 +109,6 @@
         if isinstance(self.sock, bounded_socket.BoundedSocket):
             self.sock.end_response()
 
-    @property
-    def received(self) -> int:
-        """The number of bytes of the response so far."""
-        sock = self.sock
-        is_bounded = isinstance(sock, bounded_socket.BoundedSocket)
-        return sock.received if is_bounded else 0
-
     def is_reusable(self) -> bool:
         """Return whether neither the engine nor the path has ended it."""
         age_s = time.monotonic() - self.connected_s
@@ -220,6 +213,8 @@
         )
     prepared_connection.sock.settimeout(timeout_ms / MS_IN_S)
     details = call_details.CallDetails()
+    # The connection gives it up if the response ends it.
+    sock = prepared_connection.sock
     try:
         return _exchange(
             prepared_connection,
@@ -231,7 +226,7 @@
             details,
         )
     except (OSError, http.client.HTTPException) as failure:
-        details.received = prepared_connection.received
+        details.received = _count_received(sock)
         prepared_connection.close()
         fault = call_details.FAILURES.record(
             connections.classify_failure(failure, errors.Step.DECODE, address),
@@ -347,7 +342,7 @@
     )
     response = connection.getresponse()
     details.framing = _find_framing(response)
-    details.received = connection.received
+    details.received = _count_received(sock)
     echoed = response.getheader(request.echo_header, "")
     is_echo_correct = echoed == request.headers[request.echo_header]
     if not is_echo_correct:
@@ -380,6 +375,12 @@
     return expression.Ok(_detach_socket(sock, response, echoed))
 
 
+def _count_received(sock: socket.socket) -> int:
+    """Return the number of bytes of a response so far."""
+    is_bounded = isinstance(sock, bounded_socket.BoundedSocket)
+    return sock.received if is_bounded else 0
+
+
 def _find_framing(
     response: http.client.HTTPResponse,
 ) -> call_details.Framing:
