Reject the answer to another request by its head

A call waited until its timeout for the body of a torn copy, although the id in its head was another one's. The id is compared when the head is there.

--- a/mulberryway/upstreams/connections.py
+++ b/mulberryway/upstreams/connections.py
@@ -459,6 +459,10 @@
                 )
             details.echo = response.headers.get(self._echo_header)
             details.framing = _find_framing(method, response)
+            if request_id not in (None, details.echo):
+                return expression.Error(
+                    self._reject_other(response, step, details)
+                )
             complete = _read_response(response, is_rejection)
             complete.details = details
             is_rejected = is_rejection(complete.status, complete.headers)
@@ -483,12 +487,11 @@
                 _CURRENT_CALL.socket = None
             if canceller is not None:
                 canceller.detach()
-        result = self._check_echo(request_id, complete, response, step)
-        if result.is_ok():
-            history.settle()
+        response.release_conn()
+        history.settle()
         if own_pool is not None:
             own_pool.close()
-        return result
+        return expression.Ok(complete)
 
     def close(self) -> None:
         """Close the pooled connections."""
@@ -521,22 +524,21 @@
         ):
             raise call_details.UpstreamEndedError("the upstream has ended")
 
-    def _check_echo(
+    def _reject_other(
         self,
-        request_id: str | None,
-        complete: Response,
         response: urllib3.BaseHTTPResponse,
         step: errors.Step,
-    ) -> expression.Result[Response, errors.Fault]:
-        if request_id is None or complete.details.echo == request_id:
-            response.release_conn()
-            return expression.Ok(complete)
-        # The response belongs to another request: it was left unread on the
-        # connection, or misdelivered.  It must not reach this caller,
-        # and the call's own response is lost.
+        details: call_details.CallDetails,
+    ) -> errors.Fault:
+        """Return the fault for a response that belongs to another request.
+
+        It was left unread on the connection, or misdelivered.  It must not
+        reach this caller, and the call's own response is lost.
+        """
+        details.received = _get_received()
         self._close_response(response)
         self.reset_pool()
-        if complete.details.use > 1:
+        if details.use > 1:
             self._record_unsolicited()
         fault = errors.Fault(
             errors.Code.UPSTREAM_FAILED,
@@ -545,10 +547,9 @@
             errors.ExecutionStatus.MAY_HAVE_RUN,
             "response belongs to another request",
         )
-        call_details.FAILURES.record(
-            fault, call_details.FailureReason.OTHER_REQUEST, complete.details
+        return call_details.FAILURES.record(
+            fault, call_details.FailureReason.OTHER_REQUEST, details
         )
-        return expression.Error(fault)
 
     def _record_unsolicited(self) -> None:
         """Record that bytes have arrived that no request has asked for."""
