--- a/tests/test_cancelled_calls.py
+++ b/tests/test_cancelled_calls.py
@@ -62,6 +62,36 @@
         self.assertEqual(reply.headers["Server-Seal"], f"seal-{other}")
 
 
+class BothAnswerTest(test_replacement_order.SearchTest):
+    """Two servers are called, and both answer."""
+
+    route_ms = 2_000
+
+    def test_late_answer_of_the_first_server(self):
+        """Guards against two answers to a request, the second of which its
+        caller reads as the answer to its next request.
+        """
+        gates = {
+            name: self.engines[name].place_gate("call") for name in SERVICES
+        }
+        kept = hosted_fleet.connect(self.router.port)
+        self.addCleanup(kept.close)
+        future = self.send("/plain/a", headers={}, kept=kept)
+        self.await_true(
+            lambda: any(gate.reached.is_set() for gate in gates.values())
+        )
+        name = next(n for n in SERVICES if gates[n].reached.is_set())
+        (other,) = set(SERVICES) - {name}
+        self.await_gate(gates[other])
+        gates[other].open()
+        self.assertEqual(future.result(WAIT_S).body, other.encode())
+        gates[name].open()
+        reply = self.send("/plain/b", headers={}, kept=kept).result(WAIT_S)
+        self.assertEqual(reply.status, 200, self.trace())
+        kept.sock.shutdown(socket.SHUT_WR)
+        self.assertEqual(kept.sock.recv(65_536), b"")
+
+
 class LeavingCallerTest(test_replacement_order.SearchTest):
     def test_caller_that_ends_its_side_only(self):
         """Guards against half an answer that looks whole to a caller that has
