Take no cut answer of a cancelled call for whole in any client

The client itself now fails such a call if nothing but its connection ends the response; one with a length or chunks that is whole stays whole. So the filter's check is not needed.

--- a/mulberryway/filters/service_forward.py
+++ b/mulberryway/filters/service_forward.py
@@ -25,7 +25,6 @@
 from mulberryway.policy import server_selection
 from mulberryway.relay import watch
 from mulberryway.upstreams import base as upstreams
-from mulberryway.upstreams import call_details
 from mulberryway.upstreams import connections
 from mulberryway.upstreams import directory
 from mulberryway.upstreams import http_service
@@ -448,12 +447,6 @@
                 route.is_idempotent(exchange),
                 canceller,
             )
-            if result.is_ok() and canceller.is_cancelled:
-                # Cancelling closes the connection, which may have cut off a
-                # response that only the end of its connection ends.
-                result = expression.Error(
-                    _make_cancelled_fault(choice.upstream)
-                )
             if result.is_error():
                 span.fail(result.error)
         # A second call that the first one has overtaken proves nothing, but a
@@ -618,19 +611,6 @@
     )
 
 
-def _make_cancelled_fault(upstream: tables.Upstream) -> errors.Fault:
-    return call_details.FAILURES.record(
-        errors.Fault(
-            errors.Code.UPSTREAM_FAILED,
-            errors.Step.SERVICE,
-            upstream.address,
-            errors.ExecutionStatus.MAY_HAVE_RUN,
-            "the call was cancelled",
-        ),
-        call_details.FailureReason.CANCELLED,
-    )
-
-
 def _make_quarantine_fault(exchange: base.Exchange) -> errors.Fault:
     return errors.Fault(
         errors.Code.QUARANTINED,
--- a/mulberryway/upstreams/connections.py
+++ b/mulberryway/upstreams/connections.py
@@ -470,6 +470,8 @@
                 details.framing is call_details.Framing.CONNECTION
             )
             if not is_rejected and ends_with_connection:
+                if canceller is not None and canceller.is_cancelled:
+                    raise ConnectionAbortedError("the call was cancelled")
                 self._check_alive()
             details.received = _get_received()
         except CLIENT_ERRORS as error:
--- a/tests/test_cancelled_calls.py
+++ b/tests/test_cancelled_calls.py
@@ -2,9 +2,13 @@
 
 import socket
 import threading
+import unittest
 
+from mulberryway.upstreams import connections
+from tests import copying_server
 from tests import hosted_fleet
 from tests import order_fixture
+from tests import test_copied_answers
 from tests import test_replacement_order
 
 HOST = "127.0.0.1"
@@ -31,6 +35,43 @@
         self.may_end.wait(WAIT_S)
 
 
+class CancelledCallTest(unittest.TestCase):
+    def test_answer_without_a_length(self):
+        """Guards against half an answer that counts as whole for any client
+        whose call is cancelled.
+        """
+        is_sent = threading.Event()
+        listener = socket.create_server((HOST, 0))
+        self.addCleanup(listener.close)
+
+        def serve():
+            connection, _ = listener.accept()
+            with connection:
+                copying_server.read_request(connection)
+                connection.sendall(
+                    b"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n\r\n" + HALF
+                )
+                is_sent.set()
+                connection.recv(1)
+
+        threading.Thread(target=serve, daemon=True).start()
+        client = test_copied_answers.make_client(
+            f"{HOST}:{listener.getsockname()[1]}"
+        )
+        self.addCleanup(client.close)
+        canceller = connections.CallCanceller()
+
+        def cancel():
+            is_sent.wait(WAIT_S)
+            canceller.cancel()
+
+        threading.Thread(target=cancel, daemon=True).start()
+        result = test_copied_answers.call(
+            client, "/", "a", canceller=canceller
+        )
+        self.assertEqual(result.error.inputs["failure"], "cancelled")
+
+
 class OvertakenAnswerTest(test_replacement_order.SearchTest):
     """Two servers are called, and the first one's answer is overtaken."""
 
