Follow the servers beside odd entries that hide them, and log each once

An entry of another writer with the address of a sound server and a later start hid that server, although the entry names none: its start was too large a number or of another type, or its service is not in the configuration. A zone of half a surrogate pair, with a line end or of 70,000 characters was used in metrics and logs. A malformed entry was told at debug level only, and each time the tables were built.

A configuration that raised AttributeError or OverflowError (1e400 as a bandwidth) let the exception out of the step that follows the store, and any malformed one kept the servers from being followed until the next version. The one before now stays with the servers of now, and one line tells it.

--- a/mulberryway/platform/tables.py
+++ b/mulberryway/platform/tables.py
@@ -34,6 +34,13 @@
 BITS_IN_BYTE = 8
 MS_IN_S = 1_000
 MAX_VERSION_LENGTH = 128
+# Of names that other VMs are sent.
+MAX_NAME_LENGTH = 128
+# The end of the year 9999; a later start is none.
+MAX_STARTED_MS = 253_402_300_799_999
+# Bounds the length of a log line.
+MAX_LOGGED_ENTRIES = 8
+MAX_SEQUENCE = 2**63 - 1
 MAX_SLOTS = 100_000
 MAX_COLD_MS = 600_000
 MAX_COLD_REQUESTS_PER_S = 1_000_000
@@ -45,7 +52,13 @@
     "prefill": tables.UpstreamRole.PREFILL,
     "decode": tables.UpstreamRole.DECODE,
 }
-PARSE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
+PARSE_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+)
 
 Value = dict[str, typing.Any]
 
@@ -62,6 +75,8 @@
         self._routes: tuple[tables.Route, ...] = ()
         self._pools: tuple[tables.Pool, ...] = ()
         self._accounts: tuple[tables.ClientAccount, ...] = ()
+        # What is wrong with server entries, by their names, as logged.
+        self._malformed: dict[str, str] = {}
 
     def read(
         self,
@@ -83,17 +98,19 @@
         if main is None:
             return None
         if main.content_position != self._position:
-            self._parse_configuration(main.value)
-            self._position = main.content_position
+            self._update_configuration(main)
         upstreams: dict[str, list[tables.Upstream]] = {}
         kinds = {pool.name: pool.kind for pool in self._pools}
         evacuated_zones = frozenset(entry.name for entry in evacuations)
-        parsed = [
-            server
-            for entry in servers
-            if (server := _parse_server(entry, kinds, evacuated_zones))
-            is not None
-        ]
+        parsed: list[_Server] = []
+        malformed: dict[str, str] = {}
+        for entry in servers:
+            try:
+                parsed.append(_parse_server(entry, kinds, evacuated_zones))
+            except PARSE_ERRORS as error:
+                reason = repr(error)[: wire.MAX_LOGGED_LENGTH]
+                malformed[entry.name] = reason
+        self._log_malformed(malformed)
         for server in _list_current(parsed):
             upstreams.setdefault(server.pool, []).append(server.row)
         return tables.Tables(
@@ -106,6 +123,47 @@
             self._accounts,
         )
 
+    def _update_configuration(self, main: base.StoredObject) -> None:
+        """Use a configuration; one that is malformed changes nothing.
+
+        :raises ValueError: if it is malformed and there is none before
+        """
+        try:
+            self._parse_configuration(main.value)
+        except PARSE_ERRORS as error:
+            if self._position == position.ORIGIN:
+                raise ValueError(repr(error)) from error
+            # A guess could route requests to upstreams that must not get
+            # them.  The servers are followed nevertheless.
+            LOG.error(
+                "a configuration cannot be read; the one before stays",
+                extra=logs.make_extra(
+                    reason=repr(error)[: wire.MAX_LOGGED_LENGTH],
+                    **main.position.describe(),
+                ),
+            )
+        self._position = main.content_position
+
+    def _log_malformed(self, malformed: dict[str, str]) -> None:
+        """Log which server entries are not used, each of them once."""
+        new = [
+            name
+            for name, reason in malformed.items()
+            if self._malformed.get(name) != reason
+        ]
+        self._malformed = malformed
+        if new:
+            LOG.warning(
+                "server entries name no server and are ignored",
+                extra=logs.make_extra(
+                    count=len(new),
+                    entries={
+                        name[:MAX_NAME_LENGTH]: malformed[name]
+                        for name in new[:MAX_LOGGED_ENTRIES]
+                    },
+                ),
+            )
+
     def _parse_configuration(self, value: Value) -> None:
         account_ranks = {row.name: row.priority for row in self._accounts}
         accounts = tuple(
@@ -151,8 +209,8 @@
     value = object_.value
     try:
         return (
-            wire.parse_integer(value.get("born") or 0),
-            wire.parse_integer(value.get("sequence")),
+            _parse_started_ms(value),
+            wire.parse_integer(value.get("sequence"), maximum=MAX_SEQUENCE),
         )
     except ValueError:
         return None
@@ -339,30 +397,43 @@
     ]
 
 
+def _parse_started_ms(value: Value) -> int:
+    """Return when a server's incarnation started, in ms; 0 if unknown."""
+    started_ms = value.get("born")
+    if started_ms is None:
+        return 0
+    return wire.parse_integer(started_ms, maximum=MAX_STARTED_MS)
+
+
 def _parse_server(
     entry: base.StoredObject,
     kinds: collections.abc.Mapping[str, tables.PoolKind],
     evacuated_zones: frozenset[str],
-) -> _Server | None:
-    """Parse a server entry; return None if it is malformed."""
-    try:
-        value = entry.value
-        pool = wire.parse_string(value["service"])
-        address = wire.parse_string(value["address"])
-        addresses.split_ip(address)
-        name = wire.parse_id(entry.name)
-        zone = wire.parse_string(value["zone"])
-        state = wire.parse_string(value["state"])
-        if state not in (READY_STATE, DRAINING_STATE):
-            raise ValueError("unknown state")
-        role = tables.UpstreamRole.SERVICE
-        if kinds.get(pool) is tables.PoolKind.MODEL:
-            role = ROLES[value["phase"]]
-        started_ms = wire.parse_integer(value.get("born") or 0)
-        version = _parse_version(value, entry.name, started_ms)
-    except PARSE_ERRORS as error:
-        LOG.debug("server entry %s is malformed: %r", entry.name, error)
-        return None
+) -> _Server:
+    """Parse a server entry.
+
+    :raises ValueError: if it names no server; other ``PARSE_ERRORS`` as well
+    """
+    value = entry.value
+    pool = wire.parse_string(value["service"])
+    if pool not in kinds:
+        raise ValueError("unknown service")
+    address = wire.parse_string(value["address"])
+    addresses.split_ip(address)
+    name = wire.parse_id(entry.name)
+    zone = wire.parse_string(value["zone"])
+    if len(name) > MAX_NAME_LENGTH or len(zone) > MAX_NAME_LENGTH:
+        raise ValueError("the name or the zone is too long")
+    if not zone.isprintable():
+        raise ValueError("expected a zone of printable characters")
+    state = wire.parse_string(value["state"])
+    if state not in (READY_STATE, DRAINING_STATE):
+        raise ValueError("unknown state")
+    role = tables.UpstreamRole.SERVICE
+    if kinds[pool] is tables.PoolKind.MODEL:
+        role = ROLES[value["phase"]]
+    started_ms = _parse_started_ms(value)
+    version = _parse_version(value, entry.name, started_ms)
     row = tables.Upstream(
         name,
         address,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -10,6 +10,7 @@
 from mulberryway import tables
 from mulberryway.objects import base
 from mulberryway.objects import eras
+from mulberryway.objects import position
 from mulberryway.platform import engine
 from mulberryway.platform import responses
 from mulberryway.platform import tables as platform_tables
@@ -166,6 +167,75 @@
             [(row.cordoned, row.leaving) for row in rows],
         )
 
+    def test_odd_entries_hide_no_server(self):
+        """Guards against a server that gets no requests because an entry of
+        another writer has its address and claims to be newer.
+        """
+        for odd in (
+            {"born": 1e300},
+            {"born": 10**60},
+            {"born": 9e15},
+            {"born": float("inf")},
+            {"born": 9_000, "service": "nosuch"},
+            {"born": 9_000, "zone": "\ud800"},
+            {"born": 9_000, "zone": "z" * 70_000},
+            {"born": 9_000, "zone": "a\r\nb"},
+            {"born": 9_000, "state": "none"},
+            {"born": [9_000]},
+            {"born": True},
+            {"born": []},
+        ):
+            with self.subTest(odd):
+                parsed = read(
+                    CONFIGURATION, ENTRY | {"born": 1_000}, ENTRY | odd
+                )
+                names = [row.name for row in parsed.pools["llm"].upstreams]
+                self.assertEqual(names, ["i-0"])
+
+    def test_malformed_entries_are_logged_once(self):
+        reader = platform_tables.TablesReader()
+        main = base.StoredObject("config", "main", 3, CONFIGURATION)
+        entries = [
+            base.StoredObject("servers", f"s{number}", 4, {})
+            for number in range(300)
+        ]
+        with self.assertLogs(platform_tables.LOG) as lines:
+            for number in range(5):
+                reader.read({"main": main}, entries, number)
+            entries[0] = base.StoredObject("servers", "s0", 9, {"service": 3})
+            reader.read({"main": main}, entries, 9)
+        self.assertEqual(len(lines.output), 2)
+
+    def test_servers_are_followed_beside_a_malformed_configuration(self):
+        """Guards against VMs that stop following the servers, because the
+        newest configuration cannot be read.
+        """
+        reader = platform_tables.TablesReader()
+        main = base.StoredObject("config", "main", 3, CONFIGURATION)
+        reader.read({"main": main}, (), 1)
+        entry = base.StoredObject("servers", "s0", 4, ENTRY)
+        engine_row = CONFIGURATION["services"][0]
+        engine_ = engine_row["engine"] | {"link_mbps": 1e400}
+        for odd in (
+            {"routes": 3},
+            {"routes": ["x"]},
+            {"services": [engine_row | {"engine": engine_}]},
+            {"services": [engine_row | {"engine": "x"}]},
+            {"tenants": [{"name": "t", "api_keys": ["\ud800"]}]},
+        ):
+            with self.subTest(odd), self.assertLogs(platform_tables.LOG) as x:
+                main = base.StoredObject(
+                    "config", "main", 9, CONFIGURATION | odd
+                )
+                reader._position = position.Position(0, 3)
+                for _ in range(3):
+                    parsed = reader.read({"main": main}, [entry], 2)
+                    rows = parsed.pools["llm"].upstreams
+                    self.assertEqual([row.name for row in rows], ["s0"])
+                self.assertEqual(len(x.output), 1)
+            with self.assertRaises(ValueError):
+                platform_tables.TablesReader().read({"main": main}, (), 1)
+
     def test_evacuation_entries_with_unknown_zones_and_contents(self):
         """Guards against tables that are not built, or servers that are
         cordoned, because of an evacuation's contents.
