List the servers again if their changes are too large for one response

Pages of a listing have about 1 MB, what has changed is not bounded: six entries of 1 MB that another writer leaves between two polls were more than the 5 MB that a response may have. The VM took the store for away and asked for the same changes again, for as long as the store's history had them. It now lists the objects again.

The test failed before: the fault was PLATFORM_UNAVAILABLE, after which the watch goes on from the same revision.

--- a/mulberryway/platform/store.py
+++ b/mulberryway/platform/store.py
@@ -330,6 +330,9 @@
             fault = self._make_fault(method, was_sent, type(error).__name__)
             if method == "GET" and self.eras.era != era:
                 fault = self._make_era_fault()
+            elif timeout_ms is not None and _is_too_large(error):
+                # Pages of a listing are bounded, changes are not.
+                fault = self._make_gone_fault("the changes are too large")
         else:
             result = self._check_response(method, received)
             if result.is_ok():
@@ -445,11 +448,16 @@
         pool.abort()
 
     def _make_era_fault(self) -> errors.Fault:
+        return self._make_gone_fault(
+            "the store's era has changed during the call"
+        )
+
+    def _make_gone_fault(self, message: str) -> errors.Fault:
         return errors.Fault(
             errors.Code.HISTORY_GONE,
             errors.Step.PLATFORM,
             self._peer,
-            message="the store's era has changed during the call",
+            message=message,
         )
 
     def _make_response_fault(self, method: str, status: int) -> errors.Fault:
@@ -591,6 +599,13 @@
     return change.get("object") if isinstance(change, dict) else None
 
 
+def _is_too_large(error: Exception) -> bool:
+    # The body's reader wraps what its socket raises.
+    return isinstance(error, bounded_socket.ResponseSizeError) or isinstance(
+        error.__cause__, bounded_socket.ResponseSizeError
+    )
+
+
 def _path(kind: str, name: str = "") -> str:
     parts = [wire.OBJECTS, kind, urllib.parse.quote(name, safe="")]
     return "/".join(filter(None, parts))
--- a/tests/test_unreadable_objects.py
+++ b/tests/test_unreadable_objects.py
@@ -5,6 +5,7 @@
 import unittest
 
 from mulberryway import clock
+from mulberryway import errors
 from mulberryway.objects import call_metrics
 from mulberryway.platform import json_text
 from mulberryway.platform import store
@@ -218,6 +219,19 @@
                 self.assertEqual([vm.name for vm in listed], ["vm9"])
         self.assertEqual(len(lines.output), len(items) + 1)
 
+    def test_changes_that_are_too_large(self):
+        """Guards against VMs that ask for the same changes again and again,
+        because together these are more than a response may have.
+        """
+        value = json.dumps({"x": "x" * 1_000_000}).encode()
+        events = b", ".join(
+            b'{"object": %s}' % make_item(f"odd{number}", value)
+            for number in range(6)
+        )
+        body = b'{"events": [%s], "store_revision": 9}' % events
+        fault = self.read(body).poll_changes("servers", 3, 0, "test").error
+        self.assertIs(fault.code, errors.Code.HISTORY_GONE)
+
     def test_sound_text_is_unchanged(self):
         """Guards against brackets in strings that count as nesting."""
         deep = b"[" * 5_000 + b"]" * 5_000
