Let each direction of a tunnel go on by itself

Callers whose VM reaches a server by way of another VM: an early answer to a long request waited until the server had read that request, and a connection full in both directions was reset though both ends were sound.

Cause: an end with bytes to write was not read, and when one end's bytes had been written both were read again, so bytes that waited in the other direction were taken for a failure. What an end is watched for now follows from the bytes that wait at both ends, and only an error counts as one.

tests/test_tunnel_ends.py: both tests of it failed before. Its seven others look for resets that arrive as an ordinary end, and passed before: a reset of the server while bytes wait, while the request is written and under the client's reader, a VM that ends while bytes wait, an owner that resets; an ordinary end comes after the last byte.

--- a/mulberryway/relay/tunnels.py
+++ b/mulberryway/relay/tunnels.py
@@ -36,6 +36,7 @@
 SERVICE = "Tunnels"
 READ = select.EPOLLIN
 WRITE = select.EPOLLOUT
+FAILED = select.EPOLLERR | select.EPOLLHUP
 # Bounds the bytes of one direction that a tunnel holds in memory.
 RECEIVE_BYTES = 32_768
 # Each tunnel takes two descriptors, and a share of the VM's link.
@@ -330,18 +331,19 @@
             if events & WRITE:
                 self._flush(tunnel, end)
             if events & ~WRITE:
-                self._read(tunnel, end)
+                self._read(tunnel, end, events)
         except BlockingIOError:
             LOG.debug("no bytes after an event of a tunnel")
         except OSError as failure:
             LOG.debug("a tunnel's connection failed: %r", failure)
             self._close(tunnel)
 
-    def _read(self, tunnel: _Tunnel, end: _End) -> None:
+    def _read(self, tunnel: _Tunnel, end: _End, events: int) -> None:
         other = tunnel.get_other(end)
         if other.pending:
-            # Only an error is reported while the end is not read.
-            self._close(tunnel)
+            # Bytes may be reported that had arrived before.
+            if events & FAILED:
+                self._close(tunnel)
             return
         data = end.connection.recv(RECEIVE_BYTES)
         if not data:
@@ -352,15 +354,24 @@
         self._bytes += len(data)
         other.pending = data[_send(other.connection, data) :]
         if other.pending:
-            self._loop.modify(other.fd, WRITE)
-            self._loop.modify(end.fd, 0)
+            self._watch(tunnel)
 
     def _flush(self, tunnel: _Tunnel, end: _End) -> None:
         """Write pending bytes; the other end is not read meanwhile."""
         end.pending = end.pending[_send(end.connection, end.pending) :]
         if not end.pending:
-            self._loop.modify(end.fd, READ)
-            self._loop.modify(tunnel.get_other(end).fd, READ)
+            self._watch(tunnel)
+
+    def _watch(self, tunnel: _Tunnel) -> None:
+        """Read each end whose bytes can be written to the other one."""
+        for end in (tunnel.owner, tunnel.upstream):
+            if end.is_upstream and tunnel.has_ended:
+                continue
+            is_blocked = bool(tunnel.get_other(end).pending)
+            self._loop.modify(
+                end.fd,
+                (0 if is_blocked else READ) | (WRITE if end.pending else 0),
+            )
 
     def _on_end(self, tunnel: _Tunnel, end: _End) -> None:
         """Handle a connection that was closed by its remote end.
