Take no stream for complete whose engine could not be asked for

Cause: let such a stream end if the path to its engine is suspect. But the refused connect to a crashed engine makes the path suspect itself, until other VMs confirm that it does not reach the engine; where they do not answer in time, have no tunnel left or take themselves for cut off, as in a spell of trouble, the crash was taken for the end. The end of the connection had arrived, so the path worked a moment before.

Now only an engine that accepts connections, directly or by way of another VM, has ended its response.

The same in UpstreamClient.call, for plain calls, is left to its owner.

--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -158,14 +158,14 @@
             open_attempt.free()
 
     def is_source_alive(self) -> bool:
-        """Return whether the engine accepts connections, or may do so."""
-        if self._attempt is None:
-            return True
-        address = self._attempt.decode.address
-        dialer = self._parts.directory.dialer
-        return connections.is_accepting_connections(
-            address, dialer
-        ) or dialer.is_suspect(address)
+        """Return whether the engine accepts connections.
+
+        If only the path to it may have failed, nothing shows that it has
+        ended its response itself.
+        """
+        return self._attempt is None or connections.is_accepting_connections(
+            self._attempt.decode.address, self._parts.directory.dialer
+        )
 
     def recover(self, stream: streams.Stream, fault: errors.Fault) -> None:
         """Resume a stream at another engine after a failure, or end it.
