Take an end without framing for sound only if a probe has shown it

After such an end the VM probes the engine. A failed probe counted as a live engine, too, whenever the path was suspect after it. It was, though the probe had shown that the engine was down, in two ways: - another thread's connect to the same engine had failed at that moment and had not asked the other VMs yet; - no other VM could tell, because with two engines down all took themselves for cut off. For the same reason such a crash was recorded as a fault of the path, so nothing was blamed for it.

The outcome of the call's own probe counts now. If no VM can find out whether the engine lives, the end is not taken for sound: the stream is resumed or cut, a plain call fails as may-have-run. That costs a complete answer where a VM loses all paths between an answer's end and the probe; an orderly end came over a path that worked, so a crash is likelier.

--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -23,6 +23,7 @@
 from mulberryway.relay import stream as streams
 from mulberryway.upstreams import base as upstreams
 from mulberryway.upstreams import connections
+from mulberryway.upstreams import dialing
 
 __all__ = ["ModelRequest"]
 
@@ -160,6 +161,9 @@
     def confirm_end(self, stream: streams.Stream, fault: errors.Fault) -> None:
         """End a stream if its engine still runs; otherwise resume it.
 
+        A stream whose engine cannot be reached is resumed as well, because an
+        incomplete answer must not look complete.
+
         :param stream: a stream that the end of its connection has ended
         :param fault: the fault if the engine has crashed
         """
@@ -327,14 +331,23 @@
         )
 
     def _is_engine_alive(self) -> bool:
-        """Return whether the engine accepts connections, or may do so."""
+        """Return whether the engine is known to accept connections."""
         if self._attempt is None:
             return True
-        address = self._attempt.decode.address
-        dialer = self._parts.directory.dialer
-        return connections.is_accepting_connections(
-            address, dialer
-        ) or dialer.is_suspect(address)
+        try:
+            return connections.is_accepting_connections(
+                self._attempt.decode.address, self._parts.directory.dialer
+            )
+        except dialing.PathError as failure:
+            LOG.info(
+                "whether an engine has crashed is unknown",
+                extra=logs.make_extra(
+                    request_id=self._exchange.request_id,
+                    decode=self._get_decode_name(),
+                    reason=str(failure),
+                ),
+            )
+            return False
 
     def _log_wait(self, fault: errors.Fault) -> None:
         LOG.info(
--- a/mulberryway/upstreams/connections.py
+++ b/mulberryway/upstreams/connections.py
@@ -165,11 +165,14 @@
     :param address: ``host:port``
     :param dialer: opens the connections
     :returns: whether both TCP connects succeed
+    :raises dialing.PathError: if only the path may have failed
     """
     for delay_s in PROBE_DELAYS_S:
         time.sleep(delay_s)
         try:
             dialer.connect(address, PROBE_TIMEOUT_MS).close()
+        except dialing.PathError:
+            raise
         except OSError:
             return False
     return True
@@ -190,7 +193,15 @@
         # The dialer has compared the path with those of other VMs.
         return
     if fault.has_died:
-        fault.has_died = not is_accepting_connections(address, dialer)
+        try:
+            fault.has_died = not is_accepting_connections(address, dialer)
+        except dialing.PathError as failure:
+            LOG.debug("whether an upstream has died is unknown: %r", failure)
+            fault.is_path_fault = True
+        if fault.has_died:
+            # Another thread's connect may make the path suspect meanwhile,
+            # which does not change the outcome of this one.
+            return
     else:
         dialer.record_doubt(address)
     if dialer.is_suspect(address):
@@ -512,12 +523,14 @@
 
         The connections of a process that is killed end like a response.
 
-        :raises ConnectionResetError: if the upstream has crashed
+        :raises ConnectionResetError: if the upstream has crashed, or cannot
+            be reached to find out
         """
-        if not (
-            is_accepting_connections(self.address, self._dialer)
-            or self._dialer.is_suspect(self.address)
-        ):
+        try:
+            is_alive = is_accepting_connections(self.address, self._dialer)
+        except dialing.PathError as failure:
+            raise call_details.UpstreamEndedError(str(failure)) from failure
+        if not is_alive:
             raise call_details.UpstreamEndedError("the upstream has ended")
 
     def _check_echo(
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -405,13 +405,59 @@
             )
         )
 
-    def test_pooled_connection_is_not_used_after_a_cut_began(self):
-        """Guards against requests lost on connections that died silently."""
-        self.add_vm()
+    def test_crash_that_another_stream_sees_as_well(self):
+        """Guards against a crash that is taken for a lost path, because
+        another stream's connect fails at the same moment.
+        """
+        self.end_upstream()
+        record_down = self.dialer._record_down
+
+        def record_down_and_fail_again(address, witness):
+            error = record_down(address, witness)
+            self.lose_path()
+            return error
+
+        self.dialer._record_down = record_down_and_fail_again
+        fault = self.make_broken_call()
+        connections.check_path(fault, self.upstream.address, self.dialer)
+        self.assertTrue(fault.has_died)
+        self.assertFalse(fault.is_path_fault)
+        with self.assertRaises(ConnectionResetError):
+            self.make_client()._check_alive()
+
+    def test_end_without_framing_that_no_vm_can_check(self):
+        """Guards against half an answer that looks complete, because its
+        server has ended while VMs take themselves for cut off.
+        """
+        self.end_upstream()
+        self.monitor.take_report(forwarders.PathReport("vm1", 1, 1, True, ()))
+        with self.assertRaises(ConnectionResetError):
+            self.make_client()._check_alive()
+        fault = self.make_broken_call()
+        connections.check_path(fault, self.upstream.address, self.dialer)
+        self.assertTrue(fault.is_path_fault)
+
+    def end_upstream(self):
+        vm = self.add_vm()
+        vm.monitor.record_success(self.other.address)
+        self.upstream.close()
+
+    def make_client(self):
         client = connections.UpstreamClient(
             self.upstream.address, self.clock, "X-Id", self.dialer
         )
         self.addCleanup(client.close)
+        return client
+
+    def make_broken_call(self):
+        return connections.classify_failure(
+            ConnectionResetError(), errors.Step.SERVICE, self.upstream.address
+        )
+
+    def test_pooled_connection_is_not_used_after_a_cut_began(self):
+        """Guards against requests lost on connections that died silently."""
+        self.add_vm()
+        client = self.make_client()
         self.assertEqual(self.call(client).body, b"0")
         self.assertEqual(self.call(client).body, b"0")
         self.lose_path()
--- a/tests/test_unframed_streams.py
+++ b/tests/test_unframed_streams.py
@@ -9,16 +9,19 @@
 EVENTS = list(range(1, 21))
 BROKEN_AT = 5
 ENGINES = ("e1", "e2")
+STREAMS = 32
 
 
 class UnframedStreamTest(unittest.TestCase):
     """Engines answer with neither a length nor chunks."""
 
     def setUp(self):
-        self.fleet = hosted_fleet.Fleet(phases=("prefill", "decode", "decode"))
+        self.fleet = hosted_fleet.Fleet(
+            vms=3, phases=("prefill", "decode", "decode")
+        )
         self.enterContext(self.fleet)
         self.set_faults(unframed=1)
-        self.pool = concurrent.futures.ThreadPoolExecutor(1)
+        self.pool = concurrent.futures.ThreadPoolExecutor(STREAMS)
         self.addCleanup(self.pool.shutdown)
 
     def set_faults(self, **faults):
@@ -61,6 +64,33 @@
         self.assertTrue(reply.is_cut, reply.body)
         self.assertEqual(hosted_fleet.list_ids(reply.body), EVENTS[:BROKEN_AT])
 
+    def test_engines_that_end_together(self):
+        """Guards against broken streams that look complete, because the VMs
+        take themselves for cut off.
+        """
+        self.set_faults(hold_at=BROKEN_AT)
+        futures = [
+            self.pool.submit(self.send, f"/talk/{number}")
+            for number in range(STREAMS)
+        ]
+        self.assertTrue(
+            processes.wait_until(
+                lambda: (
+                    sum(
+                        self.fleet.read_state(name)["held"] for name in ENGINES
+                    )
+                    > STREAMS // 2
+                )
+            )
+        )
+        for name in ENGINES:
+            self.fleet.kill_upstream(name)
+        replies = [future.result() for future in futures]
+        looks_complete = sum(
+            reply.status == 200 and not reply.is_cut for reply in replies
+        )
+        self.assertEqual(looks_complete, 0, self.fleet.read_logs())
+
     def test_stream_goes_on_at_another_engine(self):
         """Guards against losing a stream that may be resumed."""
         reply = self.break_off("/digest/x")
