Keep the VMs' logs and accepted connections when listed tests fail

Three entries of KNOWN-RED.txt could not be traced because nothing was kept: the tests of crashing requests (test_several_at_once, test_answers_without_framing) printed figures only, as their fleet ends in a cleanup that knows no error, and test_unsent_call_is_no_crash did not tell whether the second server had accepted a connection. A failed check of the former prints the VMs' logs now, and the trace of tests with gated engines says how many connections each has accepted and how many of them carry no request.

--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -311,6 +311,7 @@
             for sent in self.sent
             if sent.has_begun() and not sent.is_cut and sent.events < EVENTS
         ]
+        report += f"\n{self.fleet.read_logs()}"
         self.assertEqual(len(looks_complete), 0, report)
         self.assertTrue(all(crashes.values()), report)
         self.assertLessEqual(max(late.values()), MAX_LATE_REQUESTS, report)
--- a/tests/gated_engine.py
+++ b/tests/gated_engine.py
@@ -55,6 +55,7 @@
 
     def setup(self):
         super().setup()
+        self.server.engine.accepted += 1
         self.server.engine.idle.add(self)
 
     def finish(self):
@@ -122,6 +123,8 @@
         self.handles = handles
         self.gates = {}
         self.actions = collections.deque()
+        # The number of connections accepted, and those without a request.
+        self.accepted = 0
         self.idle = set()
         # The steps of the calls received, and the headers of the decodes.
         self.calls = []
--- a/tests/order_fixture.py
+++ b/tests/order_fixture.py
@@ -307,10 +307,14 @@
 
     def trace(self):
         """Return what the engines received and what the router logged."""
-        calls = {name: engine.calls for name, engine in self.engines.items()}
+        engines = self.engines.items()
+        calls = {name: engine.calls for name, engine in engines}
+        accepted = {name: engine.accepted for name, engine in engines}
+        idle = {name: len(engine.idle) for name, engine in engines}
         return "\n".join(
             [
                 f"calls: {calls}",
+                f"connections accepted: {accepted}, without request: {idle}",
                 f"silent engine left: {self.silent.is_left()}",
                 f"retries withdrawn: {self.budget.withdrawn}",
                 *self.log.lines,
