--- a/mulberryway/filters/model_run.py
+++ b/mulberryway/filters/model_run.py
@@ -23,6 +23,7 @@
 from mulberryway.relay import stream as streams
 from mulberryway.upstreams import base as upstreams
 from mulberryway.upstreams import connections
+from mulberryway.upstreams import dialing
 
 __all__ = ["ModelRequest"]
 
@@ -163,9 +164,22 @@
         If only the path to it may have failed, nothing shows that it has
         ended its response itself.
         """
-        return self._attempt is None or connections.is_accepting_connections(
-            self._attempt.decode.address, self._parts.directory.dialer
-        )
+        if self._attempt is None:
+            return True
+        try:
+            return connections.is_accepting_connections(
+                self._attempt.decode.address, self._parts.directory.dialer
+            )
+        except dialing.PathError as failure:
+            LOG.info(
+                "whether an engine has crashed is unknown",
+                extra=logs.make_extra(
+                    request_id=self._exchange.request_id,
+                    decode=self._get_decode_name(),
+                    reason=str(failure),
+                ),
+            )
+            return False
 
     def recover(self, stream: streams.Stream, fault: errors.Fault) -> None:
         """Resume a stream at another engine after a failure, or end it.
