--- a/tests/test_review_reuse.py
+++ b/tests/test_review_reuse.py
@@ -14,6 +14,7 @@
 from mulberryway.upstreams import bounded_pool
 from mulberryway.upstreams import bounded_socket
 from mulberryway.upstreams import connections
+from mulberryway.upstreams import dialing
 from tests import copying_server
 from tests import test_torn_heads
 
@@ -562,3 +563,23 @@
 
         bounded_pool.read_body(Response, 2 * len(body))
         self.assertEqual(bounded._deadline_s, deadlines[-1])
+
+
+class ResettingDialer(dialing.Dialer):
+    """Reaches a server that resets connections beyond its places."""
+
+    def connect(self, address, timeout_ms):
+        raise ConnectionResetError
+
+
+class ProbeTest(unittest.TestCase):
+    def test_server_that_resets_probes(self):
+        """Guards against whole answers without a length that fail, and crashes
+        that are counted, at a server that only has no place left: a port that
+        nobody listens at refuses connections.
+        """
+        self.assertTrue(
+            connections.is_accepting_connections(
+                f"{HOST}:1", ResettingDialer()
+            )
+        )
