Test a connect that takes all of a call's time; fails

It fails as it is: BoundedSocket.sendall raises before its first byte, and the call counts as may have run. Pre-existing.

--- a/tests/test_review_reuse.py
+++ b/tests/test_review_reuse.py
@@ -583,3 +583,34 @@
                 f"{HOST}:1", ResettingDialer()
             )
         )
+
+
+class SlowDialer(dialing.Dialer):
+    """Connects after the time of the call."""
+
+    def connect(self, address, timeout_ms):
+        connection = dialing.connect_directly(address, timeout_ms)
+        time.sleep((timeout_ms + SHORT_MS) / 1_000)
+        return connection
+
+
+class SlowConnectTest(unittest.TestCase):
+    def test_time_ends_before_the_request_is_sent(self):
+        """Guards against calls that count as run although nothing was sent,
+        because connecting took all of their time.
+        """
+        listener = socket.create_server((HOST, 0))
+        self.addCleanup(listener.close)
+        client = connections.UpstreamClient(
+            f"{HOST}:{listener.getsockname()[1]}",
+            clock.SystemClock(),
+            wire.ATTEMPT_ID,
+            SlowDialer(),
+        )
+        self.addCleanup(client.close)
+        result = call(client, "/", "a", SHORT_MS)
+        connection, _ = listener.accept()
+        with connection:
+            connection.settimeout(PAUSE_S)
+            self.assertEqual(connection.recv(1), b"")
+        self.assertIs(result.error.run, errors.ExecutionStatus.NOT_RUN)
