Let no connection of a pool connect by itself

http.client connects anew when it has no socket. A call that had been bounded ran without its bounds that way. prepare is now the only place that connects, for all clients with a pool.

--- a/mulberryway/response_heads.py
+++ b/mulberryway/response_heads.py
@@ -196,6 +196,9 @@
     It is not used again once bytes have arrived that no request asked for.
     """
 
+    # Only ``prepare`` connects, before the request is bounded.
+    auto_open = 0
+
     def __init__(self, *arguments: typing.Any, **keywords: typing.Any) -> None:
         super().__init__(*arguments, **keywords)
         self._last_response: StrictResponse | None = None
@@ -228,9 +231,11 @@
         super().request(*arguments, **keywords)
 
     def prepare(self) -> None:
-        """Close the connection if it may not carry the next request."""
+        """Connect, anew if the connection may not carry the next request."""
         if self._last_response is not None and not self.is_connected:
             self.close()
+        if self.sock is None:
+            self.connect()
 
     def close(self) -> None:
         """Close the connection; the next request opens another one."""
