Take an upstream that resets a probe for a living one

Whole answers without a length failed (502, or a try elsewhere), and crashes were counted, at a server that only had no place for another connection: the probe of whether it lives was reset. A port without a listener refuses connections; one that resets them has a listener.

Found by the review; ProbeTest failed before.

--- a/mulberryway/upstreams/connections.py
+++ b/mulberryway/upstreams/connections.py
@@ -173,6 +173,9 @@
             dialer.connect(address, PROBE_TIMEOUT_MS).close()
         except dialing.PathError:
             raise
+        except ConnectionResetError as error:
+            # Without a listener the connection would have been refused.
+            LOG.debug("%s accepts no more connections: %r", address, error)
         except OSError:
             return False
     return True
