Count a call as not sent whose connect took all of its time

The time of a call was found over by the first write, and a failed write may have been received. A call that may run once was not tried elsewhere, though nothing had been sent.

--- a/mulberryway/upstreams/connections.py
+++ b/mulberryway/upstreams/connections.py
@@ -353,6 +353,15 @@
                 self, f"failed to connect: {error!r}"
             ) from error
 
+    def _connect_in_time(self) -> None:
+        """Connect, and fail as not sent if no time is left after that."""
+        self.connect()
+        if time.monotonic() >= _CURRENT_CALL.deadline_s:
+            self.close()
+            raise urllib3.exceptions.ConnectTimeoutError(
+                self, "connecting took all of the time"
+            )
+
     def prepare(self) -> None:
         """Connect if necessary, and bound the call that is sent next."""
         request_id = _CURRENT_CALL.request_id
@@ -363,7 +372,7 @@
         ):
             self.close()
         if self.sock is None:
-            self.connect()
+            self._connect_in_time()
         assert isinstance(self.sock, bounded_socket.BoundedSocket)
         self._history.begin(request_id)
         _CURRENT_CALL.history = self._history
