--- a/mulberryway/relay/events.py
+++ b/mulberryway/relay/events.py
@@ -4,8 +4,9 @@
 import re
 import typing
 
+from mulberryway import chunk_sizes
+
 __all__ = [
-    "CHUNK_SIZE_PATTERN",
     "ChunkDecoder",
     "EventSplitter",
     "InvalidStream",
@@ -15,9 +16,6 @@
 CRLF = b"\r\n"
 EVENT_END = b"\n\n"
 MAX_CHUNK_SIZE_LINE_BYTES = 1_024
-# RFC 9112, section 7.1, with blanks after the size; ``int`` alone accepts
-# signs, prefixes and underscores too.
-CHUNK_SIZE_PATTERN = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?")
 MAX_EVENT_BYTES = 1_048_576
 
 # Matches the usual start of an engine's event, which saves parsing its JSON.
@@ -88,11 +86,11 @@
                 raise InvalidStream("chunk size line is too long")
             return None
         self._needs_crlf = False
-        match = CHUNK_SIZE_PATTERN.fullmatch(buffer, offset, end)
-        if match is None:
+        size = chunk_sizes.parse(buffer[offset:end])
+        if size is None:
             raise InvalidStream("chunk size is not a hexadecimal number")
-        self._chunk_remaining = int(match[1], 16)
-        self.ended = not self._chunk_remaining
+        self._chunk_remaining = size
+        self.ended = not size
         return end + len(CRLF)
 
 
--- a/mulberryway/response_heads.py
+++ b/mulberryway/response_heads.py
@@ -20,6 +20,8 @@
 import urllib3
 import urllib3.connection
 
+from mulberryway import chunk_sizes
+
 __all__ = [
     "BodyError",
     "HeadError",
@@ -41,7 +43,6 @@
 HEADER = re.compile(
     rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([^\x00-\x08\n-\x1f\x7f]*?)[ \t]*"
 )
-CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;.*)?")
 # A head that breaks off may be followed by another one in the same line.
 STATUS_WITHIN_LINE = re.compile(rb"HTTP/1\.[01] [1-9][0-9]{2}[ \r\n]")
 CONTENT_LENGTH = b"content-length"
@@ -85,11 +86,11 @@
         if line and not line.endswith(b"\n"):
             raise http.client.IncompleteRead(line)
         if line and not self._is_last:
-            match = CHUNK_SIZE.fullmatch(_strip_end(line))
-            if match is None:
+            chunk_size = chunk_sizes.parse(_strip_end(line))
+            if chunk_size is None:
                 raise BodyError("the size of a chunk is malformed")
-            self._data_left = int(match[1], 16)
-            self._is_last = not self._data_left
+            self._data_left = chunk_size
+            self._is_last = not chunk_size
         return line
 
     def read(self, size: int = -1) -> bytes:
--- a/mulberryway/server/request.py
+++ b/mulberryway/server/request.py
@@ -12,9 +12,9 @@
 from cheroot import makefile
 from cheroot import server
 
+from mulberryway import chunk_sizes
 from mulberryway import errors
 from mulberryway import replies
-from mulberryway.relay import events
 from mulberryway.relay import linger
 from mulberryway.relay import writers
 
@@ -218,12 +218,9 @@
         rfile = self.conn.rfile
         while True:
             line = rfile.readline(READ_BYTES)
-            match = events.CHUNK_SIZE_PATTERN.fullmatch(
-                line.removesuffix(b"\r\n")
-            )
-            if not line.endswith(b"\r\n") or match is None:
+            size = chunk_sizes.parse(line.removesuffix(b"\r\n"))
+            if not line.endswith(b"\r\n") or size is None:
                 raise ValueError("chunk size is not a hexadecimal number")
-            size = int(match[1], 16)
             if not size:
                 break
             if size > self.server.max_request_body_size:
