Stand-ins spoil the answers to control calls too

Engines broke off and repeated answers to prefills and decodes only, so reports, reservations, releases and orders always ended well. A middleware now spoils all answers but those to tests and to other engines.

--- a/standins/hosted_upstreams.py
+++ b/standins/hosted_upstreams.py
@@ -32,9 +32,9 @@
 * ``pause_s``: reject requests and want none for so long
 * ``pause_every``: reject so each of this many requests; 0 for each one
 * ``pause_status``: status of these rejections
-* ``broken_part``: share of the answers that break off at any byte, framed by a
-  length, by chunks or by the connection, whose end is a FIN or a reset; those
-  to a long request before it was read
+* ``broken_part``: share of the answers, to control calls too, that break off
+  at any byte, framed by a length, by chunks or by the connection, whose end is
+  a FIN or a reset; those to a long request before it was read
 * ``copied_part``: share of the answers that are sent a second time, mostly
   while the next request on the connection is worked on, whole or torn
 * ``copy_ms``: time until the other copies are sent
@@ -72,6 +72,8 @@
 MAX_REQUESTS = 50_000
 # An engine that does not serve the request's stage, or another incarnation.
 MISDIRECTED = 421
+# Calls of the tests and of other engines.
+UNSPOILED = ("/standin/", "/take/")
 MISDIRECTED_MARK = "X-Misdirected"
 
 flags.DEFINE_string("host", "127.0.0.1", "IP address to listen on")
@@ -286,6 +288,7 @@
     def make_app(self) -> web.Application:
         """Return the application to serve."""
         app = serving.make_app()
+        app.middlewares.append(self._spoil)
         self.recorder.add_routes(app)
         app.router.add_post("/standin/faults", self._set_faults)
         app.router.add_get("/standin/state", self._show_state)
@@ -303,12 +306,21 @@
         app.router.add_route("*", "/{path:.*}", self._handle)
         return app
 
-    async def _handle(self, request: web.Request) -> web.StreamResponse:
+    @web.middleware
+    async def _spoil(
+        self,
+        request: web.Request,
+        handler: typing.Callable[
+            [web.Request], typing.Awaitable[web.StreamResponse]
+        ],
+    ) -> web.StreamResponse:
+        if request.path.startswith(UNSPOILED):
+            return await handler(request)
         await self.spoiler.begin(request)
-        response = await self._answer(request)
+        response = await handler(request)
         return await self.spoiler.finish(request, response)
 
-    async def _answer(self, request: web.Request) -> web.StreamResponse:
+    async def _handle(self, request: web.Request) -> web.StreamResponse:
         is_early = self.spoiler.is_early(request)
         body = b"" if is_early else await request.read()
         self.recorder.note(request, body)
