Keep no object of the store that is far too large for its kind

Every VM held each object as it was decoded and sent it to others. Of an entry of 1 MB that consists of 333,000 empty lists a VM kept 22 MB, of such objects 24 MB; a VM has 128 MB. Five entries of 1 MB of random text made the copy for other VMs larger than a frame between VMs may be (2 MB), so that a VM that the store rejects got none.

The value of an object of another kind than the configuration and the streams' records counts as empty if it is heavier than 65,536 characters (64 for each value in it): it names no server, and one line tells it. A page whose last name is the one asked for ends a listing, which did not end before.

--- a/mulberryway/platform/json_text.py
+++ b/mulberryway/platform/json_text.py
@@ -9,11 +9,13 @@
 import re
 import typing
 
-__all__ = ["decode"]
+__all__ = ["decode", "is_heavier"]
 
 MAX_INTEGER_DIGITS = 64
 # Far deeper than any object, and far below the decoder's limit.
 MAX_DEPTH = 64
+# Bytes of an empty list.
+VALUE_WEIGHT = 64
 CONTAINERS = (dict, list)
 # A string that does not end is one token too: else each of its quotes would
 # begin one, in quadratic time.  Brackets are taken together if possible,
@@ -76,6 +78,30 @@
                 container[key] = None
 
 
+def is_heavier(value: typing.Any, limit: int) -> bool:
+    """Return whether a value takes more memory than some limit.
+
+    :param value: a decoded value
+    :param limit: in characters; each value that is part of it counts as
+        several
+    """
+    weight = 0
+    level = [value]
+    while level and weight <= limit:
+        weight += len(level) * VALUE_WEIGHT
+        weight += sum(len(item) for item in level if isinstance(item, str))
+        weight += sum(
+            sum(map(len, item)) for item in level if isinstance(item, dict)
+        )
+        level = [
+            item
+            for container in level
+            if isinstance(container, CONTAINERS)
+            for item in _list_items(container)
+        ]
+    return weight > limit
+
+
 def _list_items(
     container: dict[str, typing.Any] | list[typing.Any],
 ) -> collections.abc.Iterable[typing.Any]:
--- a/mulberryway/platform/store.py
+++ b/mulberryway/platform/store.py
@@ -38,6 +38,10 @@
 MAX_RESPONSE_BYTES = 5_242_880
 # All calls of a VM together, beyond what each response may have in any case.
 MAX_RECEIVED_BYTES = 2 * MAX_RESPONSE_BYTES
+# All VMs keep each object and send it to others, so that one of another writer
+# may not be as large as those of these kinds.
+LARGE_KINDS = frozenset(("config", "streams"))
+MAX_WEIGHT = 65_536
 # Longer ones may not fit into the path of a call.
 MAX_NAME_BYTES = 1_024
 # Other VMs get revisions as numbers of 64 bits.
@@ -148,7 +152,7 @@
             if listing.position.era != first.era:
                 return expression.Error(self._make_era_fault())
             objects += listing.objects
-            if not next_after:
+            if next_after in ("", after):
                 return expression.Ok(base.Listing(objects, first))
             after = next_after
 
@@ -530,11 +534,29 @@
         objects = []
         for item in items:
             try:
-                objects.append(_parse_object(kind, item, era))
+                object_ = _parse_object(kind, item, era)
             except PARSE_ERRORS as error:
                 self._log_unreadable(kind, repr(error))
+                continue
+            if kind not in LARGE_KINDS:
+                self._bound_value(object_)
+            objects.append(object_)
         return objects
 
+    def _bound_value(self, object_: base.StoredObject) -> None:
+        """Empty an object whose value is far too large for its kind."""
+        if not json_text.is_heavier(object_.value, MAX_WEIGHT):
+            return
+        object_.value = {}
+        if self._reported.add((object_.kind, object_.name)):
+            LOG.warning(
+                "an object of the store is too large and counts as empty",
+                extra=logs.make_extra(
+                    kind=object_.kind,
+                    name=object_.name[: wire.MAX_LOGGED_LENGTH],
+                ),
+            )
+
     def _log_unreadable(self, kind: str, reason: str) -> None:
         """Log that an object is left out, once for each reason."""
         reason = reason[: wire.MAX_LOGGED_LENGTH]
--- a/tests/test_unreadable_objects.py
+++ b/tests/test_unreadable_objects.py
@@ -1,15 +1,20 @@
 """Tests of objects in the store that cannot be read."""
 
 import json
+import random
 import time
+import tracemalloc
 import unittest
 
 from mulberryway import clock
 from mulberryway import errors
+from mulberryway.controllers import mirror_codec
 from mulberryway.objects import call_metrics
+from mulberryway.peers import channel
 from mulberryway.platform import json_text
 from mulberryway.platform import store
 from mulberryway.platform import tables as platform_tables
+from mulberryway.policy import mirrors
 from tests import odd_entries
 from tests import test_addresses
 from tests import test_platform_adapter
@@ -18,6 +23,8 @@
 HOST = "127.0.0.1"
 # Of processor time for a megabyte; up to 0.6 s were measured.
 MAX_TOOK_S = 3.0
+# Of two entries of 1 MB each; 40 to 50 MB were held before.
+MAX_HELD_BYTES = 2_000_000
 ENTRY = json.dumps(test_platform_adapter.ENTRY | {"sequence": 1})
 # The encoded value of one field of an entry, which its reader must survive.
 UNREADABLE = {
@@ -232,6 +239,49 @@
         fault = self.read(body).poll_changes("servers", 3, 0, "test").error
         self.assertIs(fault.code, errors.Code.HISTORY_GONE)
 
+    def test_large_objects(self):
+        """Guards against VMs that run out of memory, or whose copies are too
+        large for other VMs, because of what another writer has left.
+        """
+        sound = make_item("s0", ENTRY.encode())
+        for name, value in odd_entries.list_worst_values().items():
+            with self.subTest(name):
+                items = [
+                    make_item(f"odd{number}", replace_field("x", value))
+                    for number in range(2)
+                ]
+                pages = [make_page(item) for item in items]
+                client = PagedStore(*pages, make_page(sound, more=False))
+                tracemalloc.start()
+                listing = client.read_listing("servers", "test").ok
+                client.pages.clear()
+                held_bytes, _ = tracemalloc.get_traced_memory()
+                tracemalloc.stop()
+                self.assertEqual(len(listing.objects), 3)
+                self.assertLess(held_bytes, MAX_HELD_BYTES)
+                mirror = mirrors.Mirror("servers")
+                mirror.replace(listing.objects, listing.position, 0)
+                encoded = mirror_codec.encode_snapshot(mirror, 0)
+                self.assertLess(len(encoded), channel.MAX_FRAME_BYTES // 16)
+                self.assertEqual(listing.objects[2].value, json.loads(ENTRY))
+
+    def test_random_text_fits_into_a_copy(self):
+        """Guards against copies that other VMs cannot be sent."""
+        generator = random.Random(1)
+        value = json.dumps({"x": generator.randbytes(500_000).hex()})
+        items = [
+            make_item(f"odd{number}", value.encode()) for number in range(5)
+        ]
+        client = PagedStore(make_page(*items, more=False))
+        listing = client.read_listing("servers", "test").ok
+        mirror = mirrors.Mirror("servers")
+        mirror.replace(listing.objects, listing.position, 0)
+        encoded = mirror_codec.encode_snapshot(mirror, 0)
+        self.assertLess(len(encoded), channel.MAX_FRAME_BYTES // 16)
+        kept = PagedStore(make_page(make_item("main", value.encode())))
+        main = kept.read_listing("config", "test").ok.objects[0]
+        self.assertEqual(main.value, json.loads(value))
+
     def test_sound_text_is_unchanged(self):
         """Guards against brackets in strings that count as nesting."""
         deep = b"[" * 5_000 + b"]" * 5_000
