Read the answers of engines as strictly as the store's objects

An engine's load report, prefill result or reservation of 1,000 levels raised RecursionError, which is no ValueError, out of the call: a prefill ended its request with 500, a report the round of reports of all engines of the VM. A number beyond 32 bits could not be encoded for the other VMs (struct.error), one of 60 digits raised OverflowError in whoever divides it, and a handle or a reservation that no header can carry failed the decode that follows.

Answers are decoded as the store's are, numbers have 31 bits, and names are of printable ASCII.

--- a/mulberryway/platform/engine.py
+++ b/mulberryway/platform/engine.py
@@ -13,6 +13,7 @@
 from mulberryway import errors
 from mulberryway import logs
 from mulberryway.platform import advisories
+from mulberryway.platform import json_text
 from mulberryway.platform import responses
 from mulberryway.platform import wire
 from mulberryway.upstreams import base
@@ -24,6 +25,12 @@
 
 LOG = logging.getLogger(__name__)
 
+PARSE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
+# Other VMs get the numbers of a load report with 32 bits.
+MAX_NUMBER = 2**31 - 1
+# Of a load report, which has to fit into a datagram.
+MAX_MODELS = 32
+MAX_NAME_LENGTH = 128
 CONTROL_TIMEOUT_MS = 1_000
 BLOCK_TOKENS = 16
 # A response takes a few ms within a region, and the request waits for it.
@@ -402,8 +409,10 @@
             reserved.error.run = errors.ExecutionStatus.NOT_RUN
             return expression.Error(reserved.error)
         try:
-            name = wire.parse_string(json.loads(reserved.ok.body)["hold"])
-        except (ValueError, KeyError, TypeError):
+            value = json_text.decode(reserved.ok.body)
+            # It is sent in a header.
+            name = wire.parse_id(value["hold"])
+        except PARSE_ERRORS:
             LOG.warning(
                 "%s: the reservation response is malformed", self.address
             )
@@ -444,13 +453,13 @@
             fault.answer = None
             return expression.Error(fault)
         try:
-            value = json.loads(response.body)
+            value = json_text.decode(response.body)
             handle = _KvHandle(
-                wire.parse_string(value["cache_handle"]),
+                wire.parse_id(value["cache_handle"]),
                 lambda: self._remove_handle(label),
             )
-            tokens = wire.parse_integer(value["tokens"])
-        except (ValueError, KeyError, TypeError):
+            tokens = wire.parse_integer(value["tokens"], maximum=MAX_NUMBER)
+        except PARSE_ERRORS:
             return expression.Error(
                 _make_failure(self.address, "the prefill result is malformed")
             )
@@ -504,29 +513,48 @@
         self, response: connections.Response
     ) -> expression.Result[base.EngineLoad, errors.Fault]:
         try:
-            value = json.loads(response.body)
-            total = wire.parse_integer(value["kv_total"]) // BLOCK_TOKENS
-            used = wire.parse_integer(value["kv_used"]) // BLOCK_TOKENS
+            value = json_text.decode(response.body)
+            total, used, running, queued, orders = (
+                wire.parse_integer(value[name], maximum=MAX_NUMBER)
+                # On the platform "sequence" counts the orders that the engine
+                # has accepted.
+                for name in (
+                    "kv_total",
+                    "kv_used",
+                    "running",
+                    "queued",
+                    "sequence",
+                )
+            )
+            total, used = total // BLOCK_TOKENS, used // BLOCK_TOKENS
             load = base.EngineLoad(
-                wire.parse_integer(value["running"]),
-                wire.parse_integer(value["queued"]),
+                running,
+                queued,
                 0,
                 max(total - used, 0),
                 total,
-                tuple(model["name"] for model in value["models"]),
-                # On the platform "sequence" counts the orders that the engine
-                # has accepted.
-                wire.parse_integer(value["sequence"]),
+                _parse_models(value["models"]),
+                orders,
                 bool(value["busy"]),
                 wire.parse_string(value["phase"]),
             )
-        except (ValueError, KeyError, TypeError):
+        except PARSE_ERRORS:
             return expression.Error(
                 _make_failure(self.address, "the load report is malformed")
             )
         return expression.Ok(load)
 
 
+def _parse_models(models: list[dict[str, typing.Any]]) -> tuple[str, ...]:
+    """Return the names of the models that an engine serves."""
+    names = tuple(wire.parse_id(model["name"]) for model in models)
+    if len(names) > MAX_MODELS or any(
+        len(name) > MAX_NAME_LENGTH for name in names
+    ):
+        raise ValueError("too many models, or names that are too long")
+    return names
+
+
 def _make_failure(address: str, message: str) -> errors.Fault:
     return errors.Fault(
         errors.Code.UPSTREAM_FAILED,
--- a/mulberryway/platform/wire.py
+++ b/mulberryway/platform/wire.py
@@ -190,9 +190,10 @@
     :returns: the id
     :raises ValueError: if a header cannot carry it
     """
+    parse_string(text)
     if not (text.isascii() and text.isprintable() and text == text.strip()):
         raise ValueError("expected printable ASCII characters")
-    return parse_string(text)
+    return text
 
 
 def parse_string(value: typing.Any) -> str:
--- /dev/null
+++ b/tests/test_odd_answers.py
@@ -0,0 +1,102 @@
+"""Tests of engines whose answers to control calls hold odd values."""
+
+import unittest
+from unittest import mock
+
+import expression
+import hypothesis
+from hypothesis import strategies
+
+from mulberryway import errors
+from mulberryway.peers import gossip_messages
+from mulberryway.upstreams import base
+from mulberryway.upstreams import connections
+from tests import odd_entries
+from tests import test_torn_heads
+
+SETTINGS = hypothesis.settings(
+    deadline=None,
+    max_examples=400,
+    derandomize=True,
+    database=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+REPORT = {
+    "phase": "decode",
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+    "busy": False,
+    "sequence": 2,
+    "queued": 1,
+    "running": 12,
+    "kv_used": 41_000,
+    "kv_total": 90_000,
+}
+HANDLE = {"cache_handle": "3fa09c41b7d5", "tokens": 1460, "version": 1}
+
+
+def answer(body, status=200, headers=()):
+    """Return an engine that gets one answer, without a network."""
+    client = test_torn_heads.make_engine("127.0.0.1:1")
+    response = connections.Response(status, list(headers), body)
+    client._client.close()
+    client._client = mock.Mock()
+    client._client.call.return_value = expression.Ok(response)
+    return client
+
+
+def make_bodies(sound):
+    return strategies.one_of(
+        odd_entries.make_objects(sound), odd_entries.make_values()
+    )
+
+
+class OddAnswerTest(unittest.TestCase):
+    @SETTINGS
+    @hypothesis.given(make_bodies(REPORT))
+    def test_load_report(self, body):
+        """Guards against reports that raise in whoever reads them, on this VM
+        or on those that they are sent to.
+        """
+        result = answer(body).report_load()
+        if result.is_error():
+            self.assertIs(result.error.code, errors.Code.UPSTREAM_FAILED)
+            return
+        sent = gossip_messages.encode_report(
+            gossip_messages.EngineReport("llm", "e0", result.ok, [])
+        )
+        (received,) = gossip_messages.decode_datagram(sent).news
+        self.assertEqual(received.load.models, result.ok.models)
+        self.assertEqual(received.load.running, result.ok.running)
+        self.assertLess(len(sent), 8_000)
+        self.assertIsInstance(result.ok.free_blocks / 3, float)
+
+    @SETTINGS
+    @hypothesis.given(make_bodies(HANDLE))
+    def test_prefill(self, body):
+        """Guards against handles that the next request cannot carry."""
+        client = answer(body)
+        result = client.prefill(
+            test_torn_heads.make_label(), test_torn_heads.make_request(), 100
+        )
+        if result.is_error():
+            self.assertIs(result.error.run, errors.ExecutionStatus.NOT_RUN)
+            return
+        name = result.ok.transfer["handle"].name
+        self.assertTrue(name.isascii() and name.isprintable())
+
+    @SETTINGS
+    @hypothesis.given(make_bodies({"hold": "h-1"}))
+    def test_reservation(self, body):
+        client = answer(body)
+        label = test_torn_heads.make_label()
+        request = base.ReservationRequest(100, 1_000)
+        self.assertTrue(client._reserve(label, request).is_ok())
+        for kept in client._reservations.values():
+            self.assertTrue(kept.name.isascii() and kept.name.isprintable())
+
+    def test_deep_answers(self):
+        """Guards against RecursionError, which is no ValueError."""
+        for name, value in odd_entries.list_worst_values().items():
+            for depth in (value, b"[" * 2_000, b'{"a":' * 2_000):
+                with self.subTest(name):
+                    self.assertTrue(answer(depth).report_load().is_error())
