--- a/mulberryway/platform/advisories.py
+++ b/mulberryway/platform/advisories.py
@@ -146,8 +146,20 @@
     try:
         pause_ms = float(value) * MS_IN_S
     except ValueError:
-        date = email.utils.parsedate_to_datetime(value)
-        pause_ms = max(date.timestamp() * MS_IN_S - wall_ms, 0.0)
+        pause_ms = max(_parse_date_ms(value) - wall_ms, 0.0)
     if not pause_ms >= 0:
         raise ValueError("expected a number of at least 0")
     return int(min(pause_ms, MAX_PAUSE_MS))
+
+
+def _parse_date_ms(value: str) -> float:
+    """Return a date in ms of the wall clock.
+
+    :param value: the date
+    :raises ValueError: if it is none, or out of the range of dates
+    """
+    try:
+        date = email.utils.parsedate_to_datetime(value)
+        return date.timestamp() * MS_IN_S
+    except (OverflowError, OSError) as error:
+        raise ValueError("expected a date in range") from error
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -1,5 +1,7 @@
 """Tests of engines whose answers to control calls hold odd values."""
 
+import http
+import json
 import unittest
 from unittest import mock
 
@@ -7,8 +9,11 @@
 import hypothesis
 from hypothesis import strategies
 
+from mulberryway import clock
 from mulberryway import errors
 from mulberryway.peers import gossip_messages
+from mulberryway.platform import advisories
+from mulberryway.platform import wire
 from mulberryway.upstreams import base
 from mulberryway.upstreams import connections
 from tests import odd_entries
@@ -32,6 +37,30 @@
     "kv_total": 90_000,
 }
 HANDLE = {"cache_handle": "3fa09c41b7d5", "tokens": 1460, "version": 1}
+NOT_RUN = (wire.NOT_EXECUTED, "1")
+HEADERS = (
+    "nan",
+    "inf",
+    "-1",
+    "1e400",
+    "1e308",
+    "9" * 5_000,
+    "0x10",
+    "1_000",
+    "\xb2",
+    "\xff",
+    "",
+    " ",
+    ",",
+    "1,2",
+    "timeout=9e9",
+    "max=\xb9",
+    "Mon, 01 Jan 99999999999999999999 00:00:00 GMT",
+    "Mon, 01 Jan 0001 00:00:00 +9999",
+    "Mon, 31 Dec 9999 23:59:60 -9999",
+    "Mon, 01 Jan 2026 00:00:00 +99999999999",
+    "Feb +99999999999 13 24:61:61",
+)
 
 
 def answer(body, status=200, headers=()):
@@ -100,3 +129,52 @@
             for depth in (value, b"[" * 2_000, b'{"a":' * 2_000):
                 with self.subTest(name):
                     self.assertTrue(answer(depth).report_load().is_error())
+
+
+class OddHeaderTest(unittest.TestCase):
+    @SETTINGS
+    @hypothesis.given(
+        strategies.sampled_from((200, 404, 429, 500, 503)),
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(
+                    (
+                        wire.RATE_LIMIT,
+                        wire.RETRY_AFTER,
+                        wire.LEAVING,
+                        "Keep-Alive",
+                    )
+                ),
+                strategies.one_of(
+                    strategies.sampled_from(HEADERS),
+                    strategies.text(strategies.characters(max_codepoint=255)),
+                ),
+            ),
+            max_size=4,
+        ),
+    )
+    def test_advisories(self, status, headers):
+        """Guards against headers of a server that fail the request."""
+        said = []
+        reader = advisories.AdvisoryReader(
+            "s0", lambda name, said_: said.append(said_), clock.SystemClock()
+        )
+        reader.read(status, headers, 0)
+        self.assertEqual(len(said), 1)
+        self.assertLessEqual(0, said[0].pause_ms)
+        self.assertLessEqual(said[0].pause_ms, advisories.MAX_PAUSE_MS)
+        json.dumps(said[0].rate_per_s, allow_nan=False)
+
+    def test_dates_out_of_range(self):
+        """Guards against 500 for a call whose server names an odd date."""
+        for value in HEADERS:
+            with self.subTest(value):
+                said = []
+                advisories.AdvisoryReader(
+                    "s0", lambda *x, to=said: to.append(x), clock.SystemClock()
+                ).read(
+                    http.HTTPStatus.SERVICE_UNAVAILABLE,
+                    [NOT_RUN, (wire.RETRY_AFTER, value)],
+                    0,
+                )
+                self.assertEqual(len(said), 1)
