Take a stored lease over that cannot be read

A lease without its fields, or with null, NaN, infinity or 5,000 digits in one of them, raised in each step of the VMs that may send orders: no engine got an order any more, until the object was removed by hand. It now counts as held by somebody unknown, and is taken over once a lease that was written when it was first read would have expired; the fencing token is above each one known. Tokens beyond 64 bits are none.

--- a/mulberryway/controllers/orders.py
+++ b/mulberryway/controllers/orders.py
@@ -27,6 +27,8 @@
 # The lease is renewed between steps, and would expire during a step that takes
 # too long.
 MAX_ORDERS_PER_STEP = 50
+# Engines may read fencing tokens as numbers of 64 bits.
+MAX_NUMBER = 2**63 - 1
 
 EngineFinder = collections.abc.Callable[[str, str], upstreams.Engine | None]
 LoadReader = collections.abc.Callable[
@@ -256,9 +258,20 @@
 
 
 def _unpack(value: dict[str, typing.Any]) -> leader_lease.LeaseRecord:
-    return leader_lease.LeaseRecord(
-        str(value["holder"]),
-        int(value["incarnation"]),
-        int(value["fencing"]),
-        int(value["renewal"]),
-    )
+    """Return the record of a stored lease.
+
+    One that cannot be read is held by nobody who is known: it is taken over
+    once a lease that was written when it was first read would have expired.
+    """
+    holder = value.get("holder")
+    numbers = [
+        value.get(name) for name in ("incarnation", "fencing", "renewal")
+    ]
+    if not isinstance(holder, str) or not all(map(_is_number, numbers)):
+        LOG.warning("the stored lease is malformed", extra=logs.make_extra())
+        return leader_lease.LeaseRecord("", 0, 0, 0)
+    return leader_lease.LeaseRecord(holder, *numbers)
+
+
+def _is_number(value: typing.Any) -> bool:
+    return type(value) is int and 0 <= value <= MAX_NUMBER
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -10,6 +10,7 @@
 from mulberryway import errors
 from mulberryway import tables
 from mulberryway.controllers import orders as controllers
+from mulberryway.objects import base as platform
 from mulberryway.objects import position
 from mulberryway.policy import leader_lease
 from mulberryway.policy import orders
@@ -110,6 +111,53 @@
         self.assertEqual((lease.fencing, lease.version), (5, newer))
 
 
+class MalformedLeaseTest(unittest.TestCase):
+    def test_lease_is_taken_over(self):
+        """Guards against engines that get no order any more, because another
+        writer has left a lease that cannot be read.
+        """
+        sound = {"holder": "x", "incarnation": 1, "fencing": 3, "renewal": 1}
+        for odd in (
+            {},
+            sound | {"holder": [[]]},
+            sound | {"fencing": float("inf")},
+            sound | {"fencing": float("nan")},
+            sound | {"fencing": 2**63},
+            sound | {"fencing": "9" * 5_000},
+            sound | {"renewal": None},
+            sound | {"incarnation": -1},
+            sound | {"renewal": True},
+        ):
+            with self.subTest(odd):
+                clock_ = clock.ManualClock()
+                store = unittest.mock.Mock()
+                stored = platform.StoredObject("leases", "orders", 5, odd)
+                store.read.return_value = expression.Ok(stored)
+                store.update.return_value = expression.Ok(
+                    platform.StoredObject("leases", "orders", 6, {})
+                )
+                controller = controllers.OrdersController(
+                    "vm0",
+                    1,
+                    store,
+                    unittest.mock.Mock(),
+                    lambda pool, name: None,
+                    dict,
+                    lambda: True,
+                    clock_,
+                )
+                controller._maintain_lease()
+                clock_.advance_ms(leader_lease.TAKEOVER_WAIT_MS - 1)
+                controller._maintain_lease()
+                store.update.assert_not_called()
+                clock_.advance_ms(1)
+                controller._maintain_lease()
+                store.update.assert_called_once()
+                self.assertTrue(
+                    controller._lease.may_send(True, clock_.now_ms())
+                )
+
+
 class PartitionableStore:
     """The store as seen by one VM, which may be partitioned from it."""
 
