Keep the logs after a record that cannot be formatted

A record whose fields the encoder refuses (nested too deeply, a reference to itself, keys that are no strings) ended the thread that writes the logs, and the VM logged nothing any more. A line now tells where such a record was made.

The test failed before: no line was written after the first record.

--- a/mulberryway/logs.py
+++ b/mulberryway/logs.py
@@ -121,7 +121,7 @@
         reported_s = 0.0
         while True:
             record = self._queue.get()
-            self._write(self.format(record))
+            self._write(self._format_any(record))
             now_s = time.monotonic()
             if self._dropped and now_s - reported_s >= DROP_REPORT_INTERVAL_S:
                 reported_s = now_s
@@ -129,6 +129,27 @@
             if self._queue.empty():
                 self._is_idle.set()
 
+    def _format_any(self, record: logging.LogRecord) -> str:
+        """Format a record; one that cannot be is told by its place."""
+        try:
+            return self.format(record)
+        except Exception as error:
+            # An exception would end the thread, and with it all logs.
+            return self.format(
+                logging.makeLogRecord(
+                    {
+                        "name": record.name,
+                        "levelno": logging.ERROR,
+                        "levelname": "ERROR",
+                        "msg": "a log line could not be formatted",
+                        FIELDS: {
+                            "line": record.lineno,
+                            "reason": type(error).__name__,
+                        },
+                    }
+                )
+            )
+
     def _report_dropped(self) -> None:
         dropped, self._dropped = self._dropped, 0
         record = logging.makeLogRecord(
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -33,6 +33,32 @@
         line = json.loads(stream.getvalue())
         self.assertEqual((line["vm"], line["message"]), ("vm1", "hello"))
 
+    def test_records_that_cannot_be_formatted(self):
+        """Guards against a record that ends the thread which writes the logs,
+        so that a VM tells nothing any more.
+        """
+        deep = []
+        for _ in range(5_000):
+            deep = [deep]
+        circular = {}
+        circular["x"] = circular
+        for odd in (deep, circular, {("a", "b"): 1}):
+            stream = io.StringIO()
+            handler = self.make(stream)
+            record = make_record("odd")
+            setattr(record, logs.FIELDS, {"value": odd})
+            handler.emit(record)
+            handler.emit(make_record("%d of %d"))
+            record = make_record("%d of %d")
+            record.args = (1,)
+            handler.emit(record)
+            handler.emit(make_record("sound"))
+            handler.flush()
+            lines = list(map(json.loads, stream.getvalue().splitlines()))
+            self.assertEqual(len(lines), 4)
+            self.assertEqual(lines[-1]["message"], "sound")
+            self.assertIn("could not be formatted", lines[0]["message"])
+
     def test_rate_limit_leaves_room_for_warnings(self):
         """A burst produces more lines than the rate limit.  Writing them all
         would take CPU time from streams, but warnings must get through.
