Fail the administration's calls whose answer is no object

An answer of an administration API that is nested 50,000 levels deep ended the operator's command with RecursionError, and a list or a number counted as the answer. Both now count as a malformed response, after which the next API is called, and an edit may have run.

The 32 torn and malformed heads of tests/test_torn_heads.py are now tried on this client too, for reads and edits: each was a fault already.

--- a/mulberryway/admin/client.py
+++ b/mulberryway/admin/client.py
@@ -103,6 +103,8 @@
                 redirect=False,
             )
             decoded = json.loads(response.data)
+            if not isinstance(decoded, dict):
+                raise ValueError("expected an object")
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
@@ -110,7 +112,11 @@
             return _make_unreachable(
                 peer, error, errors.ExecutionStatus.NOT_RUN
             )
-        except (urllib3.exceptions.HTTPError, ValueError) as error:
+        except (
+            urllib3.exceptions.HTTPError,
+            ValueError,
+            RecursionError,
+        ) as error:
             return _make_unreachable(
                 peer, error, errors.ExecutionStatus.MAY_HAVE_RUN
             )
--- a/tests/test_torn_heads.py
+++ b/tests/test_torn_heads.py
@@ -8,6 +8,7 @@
 
 from mulberryway import clock
 from mulberryway import errors
+from mulberryway.admin import client
 from mulberryway.objects import call_metrics
 from mulberryway.objects import http as object_http
 from mulberryway.platform import engine
@@ -405,3 +406,42 @@
         stream = decode(address).ok
         stream.connection.close()
         self.assertEqual(stream.length, len(BODY))
+
+
+class AdministrationTest(OneAnswerCase):
+    def check(self, method, body):
+        cases = itertools.chain(TORN.items(), MALFORMED.items())
+        for name, answer in cases:
+            with self.subTest(name):
+                fault = self.call(
+                    answer,
+                    lambda address: client.AdminClient(
+                        (f"http://{address}",), "c"
+                    ).call(method, "/v1/tables", body),
+                ).error
+                self.assertIs(fault.code, errors.Code.PEER_UNREACHABLE)
+                self.assertIs(fault.run, errors.ExecutionStatus.MAY_HAVE_RUN)
+
+    def test_read(self):
+        """Guards against tables that operators see as empty or whole, though
+        the answer was torn.
+        """
+        self.check("GET", None)
+
+    def test_edit(self):
+        """Guards against edits that count as done or as not run."""
+        self.check("POST", {"edit_id": "a"})
+
+    def test_answers_that_are_no_object(self):
+        """Guards against exceptions in the operator's commands."""
+        for body in (b"[" * 50_000, b"9" * 5_000, b"\xff", b"", b"[]", b"3"):
+            for status in (STATUS, ABSENCE):
+                with self.subTest(body[:5], status=status):
+                    length = b"Content-Length: %d\r\n\r\n" % len(body)
+                    result = self.call(
+                        status + length + body,
+                        lambda address: client.AdminClient(
+                            (f"http://{address}",), "c"
+                        ).call("GET", "/v1/tables"),
+                    )
+                    self.assertTrue(result.is_error())
