Try torn and malformed heads by way of another VM

Plain calls, decodes and load reports get the 32 answers of tests/test_torn_heads.py through a tunnel of another VM.

--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -1,10 +1,12 @@
 """Tests of connections to upstreams that go through another VM."""
 
 import contextlib
+import itertools
 import random
 import select
 import socket
 import threading
+import time
 import unittest
 import uuid
 
@@ -16,6 +18,7 @@
 from mulberryway.filters import model_dependencies
 from mulberryway.peers.gen.tunnels import Tunnels
 from mulberryway.platform import engine
+from mulberryway.platform import service
 from mulberryway.policy import forwarders
 from mulberryway.policy import jobs
 from mulberryway.policy import member
@@ -27,6 +30,7 @@
 from mulberryway.upstreams import dialing
 from tests import processes
 from tests import router_fixture
+from tests import test_torn_heads
 
 HOST = "127.0.0.1"
 SECRET = "s"
@@ -309,6 +313,72 @@
         self.assertEqual(self.vm.tunnels.count_busy(), 1)
 
 
+class TornHeadTest(TunnelFixture):
+    def setUp(self):
+        super().setUp()
+        self.server = test_torn_heads.OneAnswerServer(b"")
+        self.addCleanup(self.server.close)
+        port = int(self.server.address.rpartition(":")[2])
+        row = router_fixture.make_upstream("service", port)
+        self.source.change(router_fixture.make_tables(services=[row]))
+        self.monitor.update_tables(self.source.get_tables())
+        self.vm = self.add_vm()
+
+    def check(self, make_call):
+        """Check that no torn or malformed answer counts as an answer."""
+        cases = itertools.chain(
+            test_torn_heads.TORN.items(), test_torn_heads.MALFORMED.items()
+        )
+        for name, answer in cases:
+            with self.subTest(name):
+                self.server.answer = answer
+                self.lose_path(self.server.address)
+                started_s = time.monotonic()
+                fault = make_call().error
+                took_s = time.monotonic() - started_s
+                self.assertTrue(self.monitor.is_suspect(self.server.address))
+                self.assertLess(took_s, test_torn_heads.MAX_TOOK_S)
+                self.assertIs(fault.code, errors.Code.UPSTREAM_FAILED)
+                self.assertIs(fault.run, errors.ExecutionStatus.MAY_HAVE_RUN)
+                self.assertIsNone(fault.answer)
+
+    def test_plain_call(self):
+        """Guards against torn answers that look whole by way of a VM."""
+
+        def call():
+            client = service.PlatformService(
+                "s0", self.server.address, self.clock, self.dialer
+            )
+            self.addCleanup(client.close)
+            return client.call(
+                "r", "GET", "/", [("Attempt-Id", "a")], b"", 2_000, True
+            )
+
+        self.check(call)
+
+    def make_engine(self):
+        client = engine.PlatformEngine(
+            "e0", self.server.address, self.clock, self.dialer
+        )
+        self.addCleanup(client.close)
+        return client
+
+    def test_decode(self):
+        """Guards against streams of torn heads by way of a VM."""
+        self.check(
+            lambda: self.make_engine().decode(
+                test_torn_heads.make_label(),
+                test_torn_heads.make_request(),
+                {},
+                0,
+                2_000,
+            )
+        )
+
+    def test_load_report(self):
+        self.check(lambda: self.make_engine().report_load())
+
+
 class DetourDialerTest(TunnelFixture):
     def test_direct_while_the_path_works(self):
         self.add_vm()
