Bound the body of a stream's rejection also if its connection closes

Callers: a stream that an engine rejects with "Connection: close", and whose rejection has no end, waited until its own time was over, where another engine could have been asked after 200 ms. A failure's log line said that nothing had been received.

Cause: http.client forgets the socket of a response that will close its connection, and the bounds of the decode call were set on what the connection remembers. It keeps its bounded socket now.

--- a/mulberryway/upstreams/decode_call.py
+++ b/mulberryway/upstreams/decode_call.py
@@ -82,13 +82,15 @@
         host, port = addresses.split(address)
         super().__init__(host, port, timeout=CONNECT_TIMEOUT_MS / MS_IN_S)
         self.connected_s = 0.0
+        # It stays known when the response takes over the socket.
+        self._bounded: bounded_socket.BoundedSocket | None = None
         self._address = address
         self._dialer = dialer
         self._epoch = 0
 
     def connect(self) -> None:
         """Connect within ``CONNECT_TIMEOUT_MS``."""
-        self.sock = bounded_socket.BoundedSocket(
+        self.sock = self._bounded = bounded_socket.BoundedSocket(
             self._dialer.connect(self._address, CONNECT_TIMEOUT_MS),
             connections.RECEIVE_BUDGET,
         )
@@ -101,20 +103,18 @@
         :param deadline_s: when its head must be complete, by
             ``time.monotonic``
         """
-        if isinstance(self.sock, bounded_socket.BoundedSocket):
-            self.sock.begin_response(deadline_s)
+        if self._bounded is not None:
+            self._bounded.begin_response(deadline_s)
 
     def end_response(self) -> None:
         """Remove the bounds of a response."""
-        if isinstance(self.sock, bounded_socket.BoundedSocket):
-            self.sock.end_response()
+        if self._bounded is not None:
+            self._bounded.end_response()
 
     @property
     def received(self) -> int:
         """The number of bytes of the response so far."""
-        sock = self.sock
-        is_bounded = isinstance(sock, bounded_socket.BoundedSocket)
-        return sock.received if is_bounded else 0
+        return 0 if self._bounded is None else self._bounded.received
 
     def is_reusable(self) -> bool:
         """Return whether neither the engine nor the path has ended it."""
--- a/tests/test_platform_responses.py
+++ b/tests/test_platform_responses.py
@@ -3,6 +3,7 @@
 import json
 import socket
 import threading
+import time
 import unittest
 
 from mulberryway import clock
@@ -18,10 +19,15 @@
 
 
 class RawEngine:
-    """A server that gives one answer, byte for byte, to each request."""
+    """A server that gives one answer, byte for byte, to each request.
 
-    def __init__(self, answer):
+    :param answer: the bytes
+    :param may_end: when its connections may be closed; at once by default
+    """
+
+    def __init__(self, answer, may_end=None):
         self.answer = answer
+        self.may_end = may_end
         self.listener = socket.create_server((tcp_pair.HOST, 0))
         port = self.listener.getsockname()[1]
         self.address = f"{tcp_pair.HOST}:{port}"
@@ -41,6 +47,8 @@
         with connection:
             if connection.recv(65_536):
                 connection.sendall(self.answer)
+                if self.may_end is not None:
+                    self.may_end.wait(tcp_pair.TIMEOUT_S)
 
     def close(self):
         self.listener.close()
@@ -58,8 +66,8 @@
 
 
 class EngineResponseTest(unittest.TestCase):
-    def make_engine(self, answer):
-        server = RawEngine(answer)
+    def make_engine(self, answer, may_end=None):
+        server = RawEngine(answer, may_end)
         self.addCleanup(server.close)
         self.clock = clock.SystemClock()
         made = engine.PlatformEngine("e", server.address, self.clock)
@@ -205,3 +213,21 @@
         )
         self.assertIsNone(result.error.answer)
         self.assertEqual(result.error.inputs["failure"], "unsigned")
+
+    def test_rejection_whose_body_never_ends(self):
+        """Guards against a request that waits for the body of a rejection
+        until its own time is over, if the engine will close the connection.
+        """
+        may_end = threading.Event()
+        self.addCleanup(may_end.set)
+        for line in ("Connection: close", "Keep-Alive: timeout=5"):
+            with self.subTest(line):
+                answer = make_answer(503, b"full", "Not-Executed: 1", line)
+                made = self.make_engine(answer[:-1], may_end)
+                started_s = time.monotonic()
+                result = made.decode(
+                    self.label, self.request, {}, 0, TIMEOUT_MS
+                )
+                took_s = time.monotonic() - started_s
+                self.assertIs(result.error.run, errors.ExecutionStatus.NOT_RUN)
+                self.assertLess(took_s, TIMEOUT_MS / 2_000)
