--- a/tests/test_tunnel_ends.py
+++ b/tests/test_tunnel_ends.py
@@ -1,13 +1,17 @@
 """Tests of how connections through another VM end."""
 
+import itertools
 import threading
 
 from mulberryway import errors
 from mulberryway.platform import wire
 from mulberryway.relay import linger
 from mulberryway.upstreams import connections
+from tests import copying_server
 from tests import processes
+from tests import router_fixture
 from tests import tcp_pair
+from tests import test_copied_answers
 from tests import test_tunnels
 
 TIMEOUT_MS = 5_000
@@ -215,3 +219,42 @@
         far.sendall(b"early")
         near.settimeout(test_tunnels.TIMEOUT_S)
         self.assertEqual(near.recv(10), b"early")
+
+
+class CopyTest(test_tunnels.TunnelFixture):
+    """Servers that answer twice, by way of another VM."""
+
+    def test_copies(self):
+        """Guards against the copy of an answer that is read as the next one
+        because it was still on its way when the next request was sent.
+        """
+        vm = self.add_vm()
+        for case in itertools.product(
+            copying_server.Moment, copying_server.Shape, (200, 503)
+        ):
+            for next_id in ("b", "a", None):
+                with self.subTest(f"{case} {next_id}"):
+                    self.play(vm, case, next_id)
+
+    def play(self, vm, case, next_id):
+        server = copying_server.CopyingServer(*case)
+        self.addCleanup(server.close)
+        port = int(server.address.rpartition(":")[2])
+        row = router_fixture.make_upstream("service", port)
+        self.source.change(router_fixture.make_tables(services=[row]))
+        for monitor in (self.monitor, vm.monitor):
+            monitor.update_tables(self.source.get_tables())
+        self.lose_path(server.address)
+        opened = vm.tunnels._outcomes["open"]
+        client = test_copied_answers.make_client(server.address)
+        client._dialer = self.dialer
+        client.reset_pool()
+        first = test_copied_answers.call(client, "/first", "a")
+        self.assertEqual(first.ok.body, b"/first")
+        second = test_copied_answers.call(client, "/next", next_id)
+        if second.is_ok():
+            self.assertEqual(
+                (second.ok.status, second.ok.body), (200, b"/next")
+            )
+        self.assertGreater(vm.tunnels._outcomes["open"], opened)
+        client.close()
