Send no interim answer to a caller of HTTP/1.0

A caller of HTTP/1.0 that sends "Expect: 100-continue" got "100 Continue", which that version does not know, so it is its answer and the real one is bytes beyond it. cheroot sends it without a look at the version; the header is not shown to it for such a request. tests/test_answer_ends.py: test_expected_body_of_an_old_caller failed before. No caller of the users is known to do so.

--- a/mulberryway/server/request.py
+++ b/mulberryway/server/request.py
@@ -24,6 +24,7 @@
 LINGER_TIMEOUT_S = 0.5
 HEAD = b"HEAD"
 CONTENT_LENGTH = b"Content-Length"
+EXPECT = b"Expect"
 TRANSFER_ENCODING = b"Transfer-Encoding"
 FOLDING = (b" ", b"\t")
 # RFC 9110, section 5.6.2.
@@ -108,6 +109,17 @@
         return headers
 
 
+class _OldHeaderReader(HeaderReader):
+    """Header reader of HTTP/1.0, which knows no interim replies."""
+
+    def __call__(
+        self, rfile: typing.Any, hdict: dict[bytes, bytes] | None = None
+    ) -> dict[bytes, bytes]:
+        headers = super().__call__(rfile, hdict)
+        headers.pop(EXPECT, None)
+        return headers
+
+
 class _StrictLineReader:
     """Reads header lines; rejects folded, malformed and duplicate ones."""
 
@@ -154,6 +166,8 @@
         """
         if not super().read_request_line():
             return False
+        if self.response_protocol != "HTTP/1.1":
+            self.header_reader = _OldHeaderReader()
         if TOKEN.fullmatch(self.method) is None:
             self.simple_response("400 Bad Request", "method is not a token")
             return False
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -298,6 +298,21 @@
         self.assertEqual([answers.take()[0] for _ in range(2)], [200, 200])
         self.assertEqual(answers.rest, b"")
 
+    def test_expected_body_of_an_old_caller(self):
+        """Guards against an interim answer that HTTP/1.0 does not know, which
+        its caller takes for the answer.
+        """
+        request = make_request(
+            "POST",
+            "/plain/a",
+            "1.0",
+            "Expect: 100-continue",
+            "Content-Length: 2",
+        )
+        answers = self.exchange(request + b"{}")
+        self.assertEqual(answers.take()[0], 200)
+        self.assertEqual(answers.rest, b"")
+
     def test_cut_stream_ends_its_connection(self):
         """Guards against an answer to the next request after a cut one."""
         self.budget.left = 0
