--- a/mulberryway/upstreams/decode_call.py
+++ b/mulberryway/upstreams/decode_call.py
@@ -82,13 +82,15 @@
         host, port = addresses.split(address)
         super().__init__(host, port, timeout=CONNECT_TIMEOUT_MS / MS_IN_S)
         self.connected_s = 0.0
+        # It stays known when the response takes over the socket.
+        self._bounded: bounded_socket.BoundedSocket | None = None
         self._address = address
         self._dialer = dialer
         self._epoch = 0
 
     def connect(self) -> None:
         """Connect within ``CONNECT_TIMEOUT_MS``."""
-        self.sock = bounded_socket.BoundedSocket(
+        self.sock = self._bounded = bounded_socket.BoundedSocket(
             self._dialer.connect(self._address, CONNECT_TIMEOUT_MS),
             connections.RECEIVE_BUDGET,
         )
@@ -101,13 +103,18 @@
         :param deadline_s: when its head must be complete, by
             ``time.monotonic``
         """
-        if isinstance(self.sock, bounded_socket.BoundedSocket):
-            self.sock.begin_response(deadline_s)
+        if self._bounded is not None:
+            self._bounded.begin_response(deadline_s)
 
     def end_response(self) -> None:
         """Remove the bounds of a response."""
-        if isinstance(self.sock, bounded_socket.BoundedSocket):
-            self.sock.end_response()
+        if self._bounded is not None:
+            self._bounded.end_response()
+
+    @property
+    def received(self) -> int:
+        """The number of bytes of the response so far."""
+        return 0 if self._bounded is None else self._bounded.received
 
     def is_reusable(self) -> bool:
         """Return whether neither the engine nor the path has ended it."""
@@ -213,8 +220,6 @@
         )
     prepared_connection.sock.settimeout(timeout_ms / MS_IN_S)
     details = call_details.CallDetails()
-    # The connection gives it up if the response ends it.
-    sock = prepared_connection.sock
     try:
         return _exchange(
             prepared_connection,
@@ -226,7 +231,7 @@
             details,
         )
     except (OSError, http.client.HTTPException) as failure:
-        details.received = _count_received(sock)
+        details.received = prepared_connection.received
         prepared_connection.close()
         fault = call_details.FAILURES.record(
             connections.classify_failure(failure, errors.Step.DECODE, address),
@@ -342,7 +347,7 @@
     )
     response = connection.getresponse()
     details.framing = _find_framing(response)
-    details.received = _count_received(sock)
+    details.received = connection.received
     echoed = response.getheader(request.echo_header, "")
     is_echo_correct = echoed == request.headers[request.echo_header]
     if not is_echo_correct:
@@ -375,12 +380,6 @@
     return expression.Ok(_detach_socket(sock, response, echoed))
 
 
-def _count_received(sock: socket.socket) -> int:
-    """Return the number of bytes of a response so far."""
-    is_bounded = isinstance(sock, bounded_socket.BoundedSocket)
-    return sock.received if is_bounded else 0
-
-
 def _find_framing(
     response: http.client.HTTPResponse,
 ) -> call_details.Framing:
