Probe an engine that ends without framing during a search, too

A stalled stream with neither length nor chunks reached its caller as complete (200, 5 of 20 events) if its engine crashed while another engine was sought for it: only ends outside of a search were confirmed by a probe.

The end now counts as the stalled engine's failure until the search is over. A search that finds another engine goes on there; one that does not, or that finds the stream advanced, is followed by the probe, so an answer that was whole ends as before, once the search has returned.

The 82 tests of replacement order, hosted order, streams, shutdown, backup and the pump passed, one run.

--- a/mulberryway/relay/pump.py
+++ b/mulberryway/relay/pump.py
@@ -275,7 +275,8 @@
         elif not stream.may_end_on_close():
             self._on_source_failure(stream, CLOSED_MESSAGE, has_died=True)
         elif stream.is_replacing_source:
-            self._finish_source(stream, b"")
+            stream.is_end_unconfirmed = True
+            self._on_source_failure(stream, CLOSED_MESSAGE, has_died=True)
         else:
             self._close_source(stream)
             fault = _make_source_fault(CLOSED_MESSAGE, has_died=True)
@@ -486,7 +487,14 @@
                 self._loop.now_ms + stream.token_timeout_ms
             )
         elif source_fault is not None:
-            self._submit(stream.owner.recover, stream, source_fault)
+            owner = stream.owner
+            self._submit(
+                owner.confirm_end
+                if stream.is_end_unconfirmed
+                else owner.recover,
+                stream,
+                source_fault,
+            )
         else:
             self._abort(stream, fault)
 
--- a/mulberryway/relay/stream.py
+++ b/mulberryway/relay/stream.py
@@ -157,6 +157,7 @@
         "is_replacing_source",
         "is_held",
         "source_fault",
+        "is_end_unconfirmed",
         "decoder",
         "_splitter",
         "_has_finish_reason",
@@ -217,6 +218,9 @@
         self.source: upstreams.TokenStream | None = source
         # Whether this engine has written a token.
         self.has_source_begun = False
+        # Whether this engine has closed a response without framing during the
+        # search for another engine, so that it may be complete.
+        self.is_end_unconfirmed = False
         self.longest_pause_ms = 0
         self.decoder = events.ChunkDecoder()
         self._splitter = events.EventSplitter()
--- a/tests/test_unframed_streams.py
+++ b/tests/test_unframed_streams.py
@@ -37,21 +37,30 @@
         """Kill a stream's engine between two events; return the reply."""
         self.set_faults(hold_at=BROKEN_AT)
         future = self.pool.submit(self.send, path)
+        ended = self.await_held(ENGINES)
+        self.set_faults_of_others(ended, hold_at=0)
+        self.fleet.kill_upstream(ended)
+        return future.result()
+
+    def await_held(self, names):
+        """Wait until one of some engines holds a call; return its name."""
         held = []
         processes.wait_until(
             lambda: (
                 held.extend(
                     name
-                    for name in ENGINES
+                    for name in names
                     if self.fleet.read_state(name)["held"]
                 )
                 or held
             )
         )
-        other = next(name for name in ENGINES if name != held[0])
-        self.fleet.set_fault(other, hold_at=0)
-        self.fleet.kill_upstream(held[0])
-        return future.result()
+        return held[0]
+
+    def set_faults_of_others(self, excluded, **faults):
+        for name in ENGINES:
+            if name != excluded:
+                self.fleet.set_fault(name, **faults)
 
     def test_whole_answer(self):
         reply = self.send("/talk/x")
@@ -91,6 +100,49 @@
         )
         self.assertEqual(looks_complete, 0, self.fleet.read_logs())
 
+    def test_engine_that_ends_during_a_search(self):
+        """Guards against a broken stream that looks complete, because its
+        engine ends while another one is sought for it.
+        """
+        self.set_faults(hold_at=BROKEN_AT)
+        future = self.pool.submit(self.send, "/digest/x")
+        silent = self.await_held(ENGINES)
+        self.fleet.set_fault("e0", hold_prompts=1)
+        self.await_held(("e0",))
+        self.fleet.kill_upstream(silent)
+        self.set_faults_of_others(silent, hold_at=0)
+        self.fleet.set_fault("e0", hold_prompts=0)
+        reply = future.result()
+        self.assertFalse(reply.is_cut)
+        self.assertEqual(hosted_fleet.list_ids(reply.body), EVENTS)
+
+    def test_whole_answer_during_a_search(self):
+        """Guards against a second run of a stream that has ended while another
+        engine was sought for it.
+        """
+        self.set_faults(hold_at=BROKEN_AT)
+        future = self.pool.submit(self.send, "/digest/x")
+        self.await_held(ENGINES)
+        self.fleet.set_fault("e0", hold_prompts=1)
+        self.await_held(("e0",))
+        self.set_faults(hold_at=0)
+        self.assertTrue(
+            processes.wait_until(
+                lambda: (
+                    not sum(
+                        self.fleet.read_state(name)["running"]
+                        for name in ENGINES
+                    )
+                )
+            )
+        )
+        self.fleet.set_fault("e0", hold_prompts=0)
+        reply = future.result()
+        self.assertFalse(reply.is_cut)
+        self.assertEqual(hosted_fleet.list_ids(reply.body), EVENTS)
+        runs = [run for name in ENGINES for run in self.fleet.list_runs(name)]
+        self.assertEqual(len(runs), 1)
+
     def test_stream_goes_on_at_another_engine(self):
         """Guards against losing a stream that may be resumed."""
         reply = self.break_off("/digest/x")
