Ignore entries of VMs whose zone cannot be encoded; a test with processes

A VM that started while an entry of the VMs had half of a surrogate pair as its zone failed in each step of its registration (UnicodeEncodeError where receivers are ranked), and took no listed VM over. Zones of VMs now have the rule that those of servers have.

The stand-in of the store writes texts that no encoder writes, and bounds its pages to 1 MB of them as the platform does.

--- a/mulberryway/platform/store.py
+++ b/mulberryway/platform/store.py
@@ -47,6 +47,7 @@
 # Other VMs get revisions as numbers of 64 bits.
 MAX_REVISION = 2**63 - 1
 VMS = "vms"
+MAX_VM_NAME_LENGTH = 128
 FAULT_CODES = {
     404: errors.Code.NOT_FOUND,
     409: errors.Code.CONFLICT,
@@ -283,9 +284,9 @@
             address = wire.parse_string(entry.value.get("address"))
             addresses.split_ip(address)
             name = wire.parse_id(entry.name)
-            zone = entry.value.get("zone")
-            if not isinstance(zone, str):
-                raise ValueError("expected the name of a zone")
+            if len(name) > MAX_VM_NAME_LENGTH:
+                raise ValueError("the name is too long")
+            zone = wire.parse_zone(entry.value.get("zone"))
         except ValueError as error:
             reason = repr(error)[: wire.MAX_LOGGED_LENGTH]
             if self._reported.add((VMS, entry.name, reason)):
--- a/mulberryway/platform/tables.py
+++ b/mulberryway/platform/tables.py
@@ -421,11 +421,9 @@
     address = wire.parse_string(value["address"])
     addresses.split_ip(address)
     name = wire.parse_id(entry.name)
-    zone = wire.parse_string(value["zone"])
-    if len(name) > MAX_NAME_LENGTH or len(zone) > MAX_NAME_LENGTH:
-        raise ValueError("the name or the zone is too long")
-    if not zone.isprintable():
-        raise ValueError("expected a zone of printable characters")
+    if len(name) > MAX_NAME_LENGTH:
+        raise ValueError("the name is too long")
+    zone = wire.parse_zone(wire.parse_string(value["zone"]))
     state = wire.parse_string(value["state"])
     if state not in (READY_STATE, DRAINING_STATE):
         raise ValueError("unknown state")
--- a/mulberryway/platform/wire.py
+++ b/mulberryway/platform/wire.py
@@ -42,6 +42,7 @@
     "parse_id",
     "parse_string",
     "parse_integer",
+    "parse_zone",
 ]
 
 PATH_PREFIX = "/mulberryway"
@@ -98,6 +99,8 @@
 SIGNATURE = "Server-Seal"
 # Response header of the store: its era; see ``objects.eras``.
 ERA = "Store-Era"
+# Of a zone's name, which other VMs are sent.
+MAX_ZONE_LENGTH = 128
 # Bounds the length of a received value in a log line.
 MAX_LOGGED_LENGTH = 100
 
@@ -206,3 +209,18 @@
     if not isinstance(value, str) or not value:
         raise ValueError("expected a non-empty string")
     return value
+
+
+def parse_zone(value: typing.Any) -> str:
+    """Return a JSON value as the name of an availability zone.
+
+    :param value: the JSON value
+    :returns: the name, which may be empty
+    :raises ValueError: if it cannot be the name of a zone
+    """
+    if not isinstance(value, str) or len(value) > MAX_ZONE_LENGTH:
+        raise ValueError("expected the name of a zone")
+    # Nor halves of surrogate pairs, which cannot be encoded.
+    if not value.isprintable():
+        raise ValueError("expected a zone of printable characters")
+    return value
--- a/standins/hosted_store.py
+++ b/standins/hosted_store.py
@@ -6,7 +6,8 @@
 ``POST /standin/compact`` discards the history of changes, and cuts waiting
 watches if ``cut`` is set.  ``POST
 /standin/copy`` makes a backup, and ``POST /standin/restore`` returns to it,
-which starts the next era.
+which starts the next era.  ``POST /standin/text/KIND/NAME`` writes an object
+whose content is any text.
 """
 
 import asyncio
@@ -25,6 +26,8 @@
 FLAGS = flags.FLAGS
 ROOT = "/mulberryway/objects"
 PAGE_SIZE = 500
+PAGE_BYTES = 1_048_576
+MARK = "standin-text"
 UNRESPONSIVE_S = 60.0
 MS_IN_S = 1_000
 ERA = "Store-Era"
@@ -77,6 +80,8 @@
         # How often waiting watches were cut.
         self._cuts = 0
         self._backup: Backup | None = None
+        # Contents that are no JSON values, by the marks that stand for them.
+        self._texts: dict[str, bytes] = {}
         # Replaces the header of the era; empty for no header at all.
         self._era_header: str | None = None
 
@@ -85,6 +90,7 @@
         app = serving.make_app()
         app.middlewares.append(self._add_era)
         app.middlewares.append(self._inject_fault)
+        app.middlewares.append(self._insert_texts)
         app.router.add_get(f"{ROOT}/{{kind}}", self._list)
         app.router.add_post(f"{ROOT}/{{kind}}", self._create)
         app.router.add_get(f"{ROOT}/{{kind}}/{{name}}", self._read)
@@ -96,6 +102,7 @@
         app.router.add_post("/standin/restore", self._restore)
         app.router.add_post("/standin/era", self._set_era_header)
         app.router.add_post("/standin/put/{kind}/{name}", self._put)
+        app.router.add_post("/standin/text/{kind}/{name}", self._put_text)
         app.router.add_post("/standin/drop/{kind}/{name}", self._drop)
         app.router.add_get("/standin/calls", self._show_calls)
         return app
@@ -112,6 +119,19 @@
             response.headers[ERA] = header
         return response
 
+    @web.middleware
+    async def _insert_texts(
+        self, request: web.Request, handler: typing.Any
+    ) -> web.StreamResponse:
+        """Put texts that no encoder writes in the place of their marks."""
+        response = await handler(request)
+        if self._texts and isinstance(response, web.Response):
+            body = typing.cast(bytes, response.body)
+            for mark, text in self._texts.items():
+                body = body.replace(f'"{mark}"'.encode(), text)
+            response.body = body
+        return response
+
     @web.middleware
     async def _inject_fault(
         self, request: web.Request, handler: typing.Any
@@ -138,16 +158,26 @@
         names = sorted(self.objects[kind])
         after = request.query.get("after", "")
         remaining = [name for name in names if name > after]
+        size = self._find_page_size(kind, remaining)
         return serving.answer(
             {
                 "items": [
-                    self.objects[kind][name] for name in remaining[:PAGE_SIZE]
+                    self.objects[kind][name] for name in remaining[:size]
                 ],
-                "has_more": len(remaining) > PAGE_SIZE,
+                "has_more": len(remaining) > size,
                 "store_revision": self.revision,
             }
         )
 
+    def _find_page_size(self, kind: str, names: list[str]) -> int:
+        """Return how many objects go on a page; one in any case."""
+        total = 0
+        for number, name in enumerate(names[:PAGE_SIZE]):
+            total += len(self._texts.get(f"{MARK}-{kind}-{name}", b""))
+            if number and total > PAGE_BYTES:
+                return number
+        return PAGE_SIZE
+
     async def _watch(self, kind: str, request: web.Request) -> web.Response:
         after_revision = int(request.query["watch"])
         wait_s = int(request.query.get("wait_ms", 0)) / MS_IN_S
@@ -277,6 +307,15 @@
         kind, name = request.match_info["kind"], request.match_info["name"]
         return serving.answer(await self.put(kind, name, body))
 
+    async def _put_text(self, request: web.Request) -> web.Response:
+        """Write an object whose content is any text, as Latin-1 here."""
+        body = await serving.read_json(request)
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        mark = f"{MARK}-{kind}-{name}"
+        self._texts[mark] = body["text"].encode("latin-1")
+        await self.put(kind, name, mark)
+        return serving.answer({})
+
     async def _drop(self, request: web.Request) -> web.Response:
         kind, name = request.match_info["kind"], request.match_info["name"]
         await self.delete(kind, name)
--- a/tests/hosted_fleet.py
+++ b/tests/hosted_fleet.py
@@ -142,6 +142,12 @@
         path = f"/standin/put/{kind}/{name}"
         processes.call(self.store_port, "POST", path, value)
 
+    def put_text(self, kind, name, text):
+        """Write an object whose content is any bytes."""
+        path = f"/standin/text/{kind}/{name}"
+        body = {"text": text.decode("latin-1")}
+        processes.call(self.store_port, "POST", path, body)
+
     def drop(self, kind, name):
         path = f"/standin/drop/{kind}/{name}"
         processes.call(self.store_port, "POST", path, {})
--- a/tests/test_unreadable_objects.py
+++ b/tests/test_unreadable_objects.py
@@ -202,6 +202,9 @@
                     {},
                     {"address": 3, "zone": "a"},
                     {"address": sound["address"], "zone": [[]]},
+                    sound | {"zone": "\ud800"},
+                    sound | {"zone": "z" * 1_000},
+                    sound | {"zone": "a\nb"},
                     *(
                         sound | {"address": address}
                         for address in (
