--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -11,12 +11,14 @@
 from mulberryway import clock
 from mulberryway.controllers import mirrored_tables
 from mulberryway.controllers import mirrors
+from mulberryway.controllers import stream_backup
 from mulberryway.objects import call_metrics
 from mulberryway.platform import store
 from mulberryway.platform import tables as platform_tables
 from mulberryway.policy import carried_objects
 from mulberryway.policy import mass_expiry
 from mulberryway.policy import store_reachability
+from mulberryway.policy import stream_versions
 from tests import odd_entries
 from tests import test_platform_adapter
 
@@ -295,3 +297,32 @@
         for vm in listed:
             _, _, port = vm.address.rpartition(":")
             self.assertTrue(0 < int(port) < 65_536)
+
+
+class OddRecordTest(LoggedCase):
+    @SETTINGS
+    @hypothesis.given(
+        strategies.one_of(
+            odd_entries.make_objects({"versions": [["llm", "v1"]]}),
+            odd_entries.make_objects(
+                stream_backup.encode(
+                    [stream_versions.StreamVersion(b"s" * 16, "llm", "v", 9)],
+                    2**64 - 20,
+                )
+            ),
+        )
+    )
+    def test_streams(self, text):
+        """Guards against a VM that stores no streams any more, because what
+        it has read back cannot be read or written again.
+        """
+        item = b'{"metadata": {"name": "vm0", "revision": 5}, "spec": %s}'
+        client = CannedStore({"streams": [item % text]})
+        stored = client.read("streams", "vm0", "test").ok
+        table = stream_versions.StreamVersionTable()
+        for record in stream_backup.decode(stored.value, 1_000):
+            table.record(record, 0)
+        records = table.list_records(0)
+        encoded = json.dumps(stream_backup.encode(records, 2_000))
+        again = stream_backup.decode(json.loads(encoded), 2_000)
+        self.assertEqual(len(again), len(records))
