Fail a read of the native store that raises RecursionError

A response of 50,000 levels raised RecursionError out of the client of the native store, and a version of 1e999 OverflowError; neither was a fault to its callers. One such object still spoils its whole response there: the native store's objects are not yet read one by one.

The test failed before in two of four cases.

--- a/mulberryway/objects/http.py
+++ b/mulberryway/objects/http.py
@@ -28,6 +28,15 @@
 WATCH_CONNECTIONS = 8
 MAX_RETRY_AFTER_S = 60
 
+# An object that is nested too deeply raises RecursionError.
+PARSE_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 CODES = {
     404: errors.Code.NOT_FOUND,
     409: errors.Code.CONFLICT,
@@ -291,7 +300,7 @@
         """Decode a response, or return a fault if it is malformed."""
         try:
             return expression.Ok(decode())
-        except (ValueError, KeyError, TypeError, AttributeError):
+        except PARSE_ERRORS:
             return self._make_error(verb, "the response is malformed")
 
     def _count_reply(
--- a/tests/test_torn_heads.py
+++ b/tests/test_torn_heads.py
@@ -330,6 +330,21 @@
         self.check(read_native_object, errors.Code.PLATFORM_UNAVAILABLE)
 
 
+class OddBodyTest(OneAnswerCase):
+    def test_read_of_the_native_store(self):
+        """Guards against exceptions that no reader of the store expects."""
+        for body in (
+            b"[" * 50_000,
+            b'{"metadata": {"resourceVersion": 1e999}}',
+            b'{"metadata": {"resourceVersion": %s}}' % (b"9" * 5_000),
+            b'{"metadata": [], "value": {}}',
+        ):
+            with self.subTest(body[:40]):
+                head = STATUS + b"Content-Length: %d\r\n\r\n" % len(body)
+                fault = self.call(head + body, read_native_object).error
+                self.assertIs(fault.code, errors.Code.PLATFORM_UNAVAILABLE)
+
+
 class WholeHeadTest(OneAnswerCase):
     def test_interim_responses_are_skipped(self):
         interim = b"HTTP/1.1 100 Continue\r\n\r\n"
