List the objects of a small kind again instead of reading large changes

Other writers that change several entries of up to 1 MB between two polls made a response of up to 5 MB.

The changes of kinds other than the configuration and the streams' records may have 1.5 MB; with more the objects are listed, page by page, as since with 5 MB. test_changes_that_take_too_much_memory failed before: the changes were decoded. Two tests' stores take the new argument.

--- a/mulberryway/platform/store.py
+++ b/mulberryway/platform/store.py
@@ -38,6 +38,9 @@
 MAX_RESPONSE_BYTES = 5_242_880
 # All calls of a VM together, beyond what each response may have in any case.
 MAX_RECEIVED_BYTES = 2 * MAX_RESPONSE_BYTES
+# A decoded text of empty values takes some 30 times its size.  Larger changes
+# are listed instead, page by page.
+MAX_CHANGES_BYTES = 1_572_864
 # All VMs keep each object and send it to others, so that one of another writer
 # may not be as large as those of these kinds.
 LARGE_KINDS = frozenset(("config", "streams"))
@@ -176,6 +179,11 @@
             f"{_path(kind)}?{query}",
             purpose,
             timeout_ms=wait_ms + WATCH_GRACE_MS,
+            max_bytes=(
+                MAX_RESPONSE_BYTES
+                if kind in LARGE_KINDS
+                else MAX_CHANGES_BYTES
+            ),
         ).bind(
             lambda response: self._parse(
                 lambda: self._parse_changes(kind, response)
@@ -321,6 +329,7 @@
         purpose: str,
         body: dict[str, typing.Any] | None = None,
         timeout_ms: int | None = None,
+        max_bytes: int = MAX_RESPONSE_BYTES,
     ) -> expression.Result["_Response", errors.Fault]:
         data = None if body is None else json.dumps(body).encode()
         read_timeout_ms = (
@@ -328,7 +337,9 @@
         )
         pool, era = self._pool, self.eras.era
         try:
-            received = self._send(pool, method, target, data, read_timeout_ms)
+            received = self._send(
+                pool, method, target, data, read_timeout_ms, max_bytes
+            )
         except TRANSPORT_ERRORS as error:
             self._replace_pool(pool)
             was_sent = not isinstance(error, CONNECT_ERRORS)
@@ -406,6 +417,7 @@
         target: str,
         data: bytes | None,
         read_timeout_ms: int,
+        max_bytes: int,
     ) -> "_Received":
         options = {
             "body": data,
@@ -419,12 +431,14 @@
             "preload_content": False,
         }
         try:
-            return _receive(pool.request(method, target, **options))
+            return _receive(pool.request(method, target, **options), max_bytes)
         except urllib3.exceptions.ClosedPoolError:
             # Another call has replaced the pool, and nothing was sent.  No
             # other call can close this one.
             with self._create_pool() as own_pool:
-                return _receive(own_pool.request(method, target, **options))
+                return _receive(
+                    own_pool.request(method, target, **options), max_bytes
+                )
 
     def _create_pool(self) -> bounded_pool.BoundedPool:
         return bounded_pool.BoundedPool(
@@ -614,8 +628,8 @@
         self.era = era
 
 
-def _receive(response: urllib3.BaseHTTPResponse) -> _Received:
-    content = bounded_pool.read_body(response, MAX_RESPONSE_BYTES)
+def _receive(response: urllib3.BaseHTTPResponse, max_bytes: int) -> _Received:
+    content = bounded_pool.read_body(response, max_bytes)
     return _Received(response.status, content, response.headers.get(wire.ERA))
 
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -51,7 +51,7 @@
         self.bodies = bodies
         self.targets = []
 
-    def _send(self, pool, method, target, data, read_timeout_ms):
+    def _send(self, pool, method, target, data, read_timeout_ms, max_bytes):
         self.targets.append(target)
         path = urllib.parse.urlsplit(target).path
         kind = path.removeprefix("/mulberryway/objects/").partition("/")[0]
--- a/tests/test_unreadable_objects.py
+++ b/tests/test_unreadable_objects.py
@@ -73,7 +73,7 @@
         self.pages = list(pages)
         self.targets = []
 
-    def _send(self, pool, method, target, data, read_timeout_ms):
+    def _send(self, pool, method, target, data, read_timeout_ms, max_bytes):
         self.targets.append(target)
         page = self.pages.pop(0) if len(self.pages) > 1 else self.pages[0]
         return store._Received(200, page, "1")
@@ -242,6 +242,26 @@
         fault = self.read(body).poll_changes("servers", 3, 0, "test").error
         self.assertIs(fault.code, errors.Code.HISTORY_GONE)
 
+    def test_changes_that_take_too_much_memory(self):
+        """Guards against VMs that run out of memory because other writers
+        change several large entries between two polls.
+        """
+        value = b"{" + b'"x": [%s]' % b",".join([b"[]"] * 330_000) + b"}"
+        events = b", ".join(
+            b'{"object": %s}' % make_item(f"odd{number}", value)
+            for number in range(4)
+        )
+        body = b'{"events": [%s], "store_revision": 9}' % events
+        client = self.read(body)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        fault = client.poll_changes("servers", 3, 0, "test").error
+        self.assertIs(fault.code, errors.Code.HISTORY_GONE)
+        # Half of what a VM of 128 MB has.
+        self.assertLess(tracemalloc.get_traced_memory()[1], 64_000_000)
+        # The configuration and the streams' records are larger.
+        self.assertTrue(client.poll_changes("config", 3, 0, "test").is_ok())
+
     def test_large_objects(self):
         """Guards against VMs that run out of memory, or whose copies are too
         large for other VMs, because of what another writer has left.
