--- a/mulberryway/platform/responses.py
+++ b/mulberryway/platform/responses.py
@@ -106,15 +106,12 @@
     :param step: the step of the request
     :param details: how the response arrived, if that is known
     """
-    fault = errors.Fault(
-        errors.Code.UPSTREAM_FAILED,
-        step,
+    return _record_failure(
         address,
-        errors.ExecutionStatus.MAY_HAVE_RUN,
+        step,
         "the response has no signature of its server",
-    )
-    return call_details.FAILURES.record(
-        fault, call_details.FailureReason.UNSIGNED, details
+        call_details.FailureReason.UNSIGNED,
+        details,
     )
 
 
@@ -129,16 +126,30 @@
     :param step: the step of the request
     :param details: how the response arrived, if that is known
     """
+    return _record_failure(
+        address,
+        step,
+        "the response has an unrequested content encoding",
+        call_details.FailureReason.ENCODED,
+        details,
+    )
+
+
+def _record_failure(
+    address: str,
+    step: errors.Step,
+    message: str,
+    reason: call_details.FailureReason,
+    details: call_details.CallDetails | None,
+) -> errors.Fault:
     fault = errors.Fault(
         errors.Code.UPSTREAM_FAILED,
         step,
         address,
         errors.ExecutionStatus.MAY_HAVE_RUN,
-        "the response has an unrequested content encoding",
-    )
-    return call_details.FAILURES.record(
-        fault, call_details.FailureReason.ENCODED, details
+        message,
     )
+    return call_details.FAILURES.record(fault, reason, details)
 
 
 def make_response_fault(
--- a/mulberryway/upstreams/connections.py
+++ b/mulberryway/upstreams/connections.py
@@ -10,10 +10,8 @@
 import http
 import http.client
 import logging
-import socket
 import threading
 import time
-import typing
 
 import expression
 import urllib3
@@ -26,6 +24,7 @@
 from mulberryway import response_heads
 from mulberryway.policy import connection_reuse
 from mulberryway.upstreams import bounded_socket
+from mulberryway.upstreams import call_connection
 from mulberryway.upstreams import call_details
 from mulberryway.upstreams import dialing
 
@@ -74,6 +73,8 @@
 )
 
 
+CallCanceller = call_connection.CallCanceller
+
 # Bounds what all calls of this process receive at a time.
 RECEIVE_BUDGET = bounded_socket.ReceiveBudget(MAX_REPLY_BYTES)
 
@@ -211,181 +212,6 @@
         fault.is_path_fault = True
 
 
-class CallCanceller:
-    """Cancels a call that runs on another thread.
-
-    Without it an upstream would continue to work for a caller that has
-    disconnected.
-
-    :param extension_ms: how much longer than its timeout the call may take
-    :param on_late: called on the call's thread at its timeout, if there is an
-        extension; must return quickly
-    """
-
-    __slots__ = (
-        "extension_ms",
-        "_on_late",
-        "_lock",
-        "_socket",
-        "_is_cancelled",
-    )
-
-    def __init__(
-        self,
-        extension_ms: int = 0,
-        on_late: collections.abc.Callable[[], None] = lambda: None,
-    ) -> None:
-        self.extension_ms = extension_ms
-        self._on_late = on_late
-        self._lock = threading.Lock()
-        self._socket: socket.socket | None = None
-        self._is_cancelled = False
-
-    @property
-    def is_cancelled(self) -> bool:
-        """Whether the call was cancelled."""
-        with self._lock:
-            return self._is_cancelled
-
-    def extend(self) -> float:
-        """Return the extension in seconds, at the call's timeout."""
-        if self.extension_ms:
-            self._on_late()
-        return self.extension_ms / MS_IN_S
-
-    def attach(self, connection: socket.socket) -> None:
-        """Set the socket that carries the call.
-
-        :param connection: the socket
-        """
-        with self._lock:
-            self._socket = connection
-            is_cancelled = self._is_cancelled
-        if is_cancelled:
-            self.cancel()
-
-    def detach(self) -> None:
-        """Release the socket after the end of the call."""
-        with self._lock:
-            self._socket = None
-
-    def cancel(self) -> None:
-        """Cancel the call now, or as soon as it starts."""
-        with self._lock:
-            self._is_cancelled = True
-            if self._socket is None:
-                return
-            try:
-                self._socket.shutdown(socket.SHUT_RDWR)
-            except OSError as error:
-                LOG.debug("cancelled call had ended already: %s", error)
-
-
-class _CurrentCall(threading.local):
-    """Describes the call that runs on this thread.
-
-    ``request_id`` is the id that its response must echo; none if it echoes no
-    id.  ``may_reuse`` tells whether it may share a connection.  ``socket``,
-    ``history``, ``number`` and ``details.use`` are set when its request is
-    sent.
-    """
-
-    canceller: CallCanceller | None = None
-    deadline_s = 0.0
-    request_id: str | None = None
-    may_reuse = True
-    socket: bounded_socket.BoundedSocket | None = None
-    history = connection_reuse.ConnectionHistory()
-    number = 0
-    details = call_details.CallDetails()
-
-
-_CURRENT_CALL = _CurrentCall()
-
-
-class _Connection(response_heads.StrictConnection):
-    """Bounds the call that it carries, and attaches it to its canceller.
-
-    A call whose response could not be told from that of an earlier one is
-    sent on a new connection.
-
-    :param address: ``host:port``
-    :param dialer: opens the connection
-    :param on_unsolicited: called when bytes have arrived that no request has
-        asked for
-    """
-
-    def __init__(
-        self,
-        *arguments: typing.Any,
-        address: str,
-        dialer: dialing.Dialer,
-        on_unsolicited: collections.abc.Callable[[], None],
-        **keywords: typing.Any,
-    ) -> None:
-        super().__init__(*arguments, **keywords)
-        self._address = address
-        self._dialer = dialer
-        self._on_unsolicited = on_unsolicited
-        self._history = connection_reuse.ConnectionHistory()
-
-    @property
-    def is_connected(self) -> bool:
-        """Whether it is open and nothing has arrived since it was used."""
-        if super().is_connected:
-            return True
-        if self.sock is not None and (
-            self.has_surplus or _has_received(self.sock)
-        ):
-            self._on_unsolicited()
-        return False
-
-    def _new_conn(self) -> socket.socket:
-        self._history = connection_reuse.ConnectionHistory()
-        timeout_ms = int(float(self.timeout) * MS_IN_S)
-        try:
-            return bounded_socket.BoundedSocket(
-                self._dialer.connect(self._address, timeout_ms),
-                RECEIVE_BUDGET,
-            )
-        except OSError as error:
-            raise urllib3.exceptions.NewConnectionError(
-                self, f"failed to connect: {error!r}"
-            ) from error
-
-    def _connect_in_time(self) -> None:
-        """Connect, and fail as not sent if no time is left after that."""
-        self.connect()
-        if time.monotonic() >= _CURRENT_CALL.deadline_s:
-            self.close()
-            raise urllib3.exceptions.ConnectTimeoutError(
-                self, "connecting took all of the time"
-            )
-
-    def prepare(self) -> None:
-        """Connect if necessary, and bound the call that is sent next."""
-        request_id = _CURRENT_CALL.request_id
-        if self.sock is not None and not (
-            _CURRENT_CALL.may_reuse
-            and self._history.may_carry(request_id)
-            and self.is_connected
-        ):
-            self.close()
-        if self.sock is None:
-            self._connect_in_time()
-        assert isinstance(self.sock, bounded_socket.BoundedSocket)
-        self._history.begin(request_id)
-        _CURRENT_CALL.history = self._history
-        canceller = _CURRENT_CALL.canceller
-        _CURRENT_CALL.number = self.sock.begin_response(
-            _CURRENT_CALL.deadline_s, canceller.extend if canceller else None
-        )
-        _CURRENT_CALL.socket = self.sock
-        _CURRENT_CALL.details.use = _CURRENT_CALL.number
-        if canceller is not None:
-            canceller.attach(self.sock)
-
-
 class UpstreamClient:
     """HTTP client of one upstream with a connection pool.
 
@@ -462,11 +288,13 @@
         pool = own_pool or self._get_pool()
         response: urllib3.BaseHTTPResponse | None = None
         details = call_details.CallDetails()
-        _CURRENT_CALL.canceller = canceller
-        _CURRENT_CALL.deadline_s = deadline_s
-        _CURRENT_CALL.request_id = request_id
-        _CURRENT_CALL.may_reuse = self._reuse.may_reuse(self._clock.now_ms())
-        _CURRENT_CALL.details = details
+        call_connection.CURRENT.canceller = canceller
+        call_connection.CURRENT.deadline_s = deadline_s
+        call_connection.CURRENT.request_id = request_id
+        call_connection.CURRENT.may_reuse = self._reuse.may_reuse(
+            self._clock.now_ms()
+        )
+        call_connection.CURRENT.details = details
         try:
             try:
                 response = _send(
@@ -505,11 +333,13 @@
                 self._make_fault(error, step, is_cancelled)
             )
         finally:
-            _CURRENT_CALL.canceller = None
-            history = _CURRENT_CALL.history
-            if _CURRENT_CALL.socket is not None:
-                _CURRENT_CALL.socket.end_response(_CURRENT_CALL.number)
-                _CURRENT_CALL.socket = None
+            call_connection.CURRENT.canceller = None
+            history = call_connection.CURRENT.history
+            if call_connection.CURRENT.socket is not None:
+                call_connection.CURRENT.socket.end_response(
+                    call_connection.CURRENT.number
+                )
+                call_connection.CURRENT.socket = None
             if canceller is not None:
                 canceller.detach()
         response.release_conn()
@@ -595,7 +425,7 @@
         self, error: Exception, step: errors.Step, is_cancelled: bool
     ) -> errors.Fault:
         fault = classify_failure(error, step, self.address)
-        details = _CURRENT_CALL.details
+        details = call_connection.CURRENT.details
         reason = _find_reason(error, fault, is_cancelled)
         call_details.FAILURES.record(fault, reason, details)
         is_invalid = reason is call_details.FailureReason.INVALID_HEAD
@@ -631,9 +461,10 @@
             host, port, maxsize=MAX_IDLE_CONNECTIONS, retries=False
         )
         pool.ConnectionCls = functools.partial(
-            _Connection,
+            call_connection.CallConnection,
             address=self.address,
             dialer=self._dialer,
+            budget=RECEIVE_BUDGET,
             on_unsolicited=self._record_unsolicited,
         )
         return pool
@@ -651,16 +482,6 @@
     )
 
 
-def _has_received(connection: socket.socket) -> bool:
-    """Return whether a readable connection has bytes, not only its end."""
-    connection.settimeout(0)
-    try:
-        return bool(connection.recv(1, socket.MSG_PEEK))
-    except OSError as error:
-        LOG.debug("an idle connection has failed: %r", error)
-        return False
-
-
 def _send(
     pool: urllib3.HTTPConnectionPool,
     method: str,
@@ -693,7 +514,7 @@
 def _read_response(
     response: urllib3.BaseHTTPResponse, is_rejection: RejectionTest
 ) -> Response:
-    sock = _CURRENT_CALL.socket
+    sock = call_connection.CURRENT.socket
     assert sock is not None
     sock.allow_body(MAX_RECEIVED_BYTES)
     headers = list(response.headers.items())
@@ -713,7 +534,7 @@
 
 def _get_received() -> int:
     """Return how many bytes of a response this thread's call has received."""
-    sock = _CURRENT_CALL.socket
+    sock = call_connection.CURRENT.socket
     return 0 if sock is None else sock.received
 
 
