Tests of callers that misbehave, failing on the code as it stands

What callers saw: crowds of large bodies, whole or one piece short, ended a process that ran out of memory; smaller ones left ordinary callers without an answer.

The tests start an entry VM, or a native router, with 96 MB, 4 workers and, where descriptors are counted, 256 of these. They check that the process lives, that resident memory plus what was received and not read stays under the 96 MB of the settings, and that an ordinary request is answered while the crowd stays; no times, no shares. Crowds and bounds are fixed with this commit. The module runs alone, after all others (tools/suite.py).

--- a/standins/hosted_upstreams.py
+++ b/standins/hosted_upstreams.py
@@ -39,6 +39,8 @@
   while the next request on the connection is worked on, whole or torn
 * ``copy_ms``: time until the other copies are sent
 * ``rejected_part``: share of the requests that are rejected, not executed
+* ``answer_bytes``: the size of a service's answers is increased by this
+* ``service_ms``: additional duration of a service's calls
 * ``spoil_seed``: which answers these are, and how, by server and request
 """
 
@@ -272,6 +274,8 @@
             "copied_part": 0,
             "copy_ms": 5,
             "rejected_part": 0,
+            "answer_bytes": 0,
+            "service_ms": 0,
             "spoil_seed": 1,
         }
         self.spoiler = spoiled_answers.Spoiler(instance, self.faults)
@@ -403,7 +407,7 @@
         self, request: web.Request, body: bytes
     ) -> web.Response:
         self._record_run(request)
-        await asyncio.sleep(SERVICE_TIME_S)
+        await asyncio.sleep(SERVICE_TIME_S + self.faults["service_ms"] / 1_000)
         if body == b"poison":
             # Simulates a request that crashes its server.
             os._exit(1)
@@ -413,6 +417,7 @@
         if self._spoil_head(request):
             return web.Response()
         content = f"{request.method} {request.path_qs} ".encode() + body
+        content += b"x" * int(self.faults["answer_bytes"])
         return self._make_response(request, 200, content)
 
     def _spoil_head(self, request: web.Request) -> bool:
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -25,9 +25,17 @@
     :param vms: number of VMs
     :param router: settings that override those of the ``router`` section
     :param engine_flags: additional flags of the engine stand-in
+    :param memory_mb: the memory of each VM; 0 for unknown
     """
 
-    def __init__(self, vms=3, router=None, engine_flags=("--token_ms=5",)):
+    def __init__(
+        self,
+        vms=3,
+        router=None,
+        engine_flags=("--token_ms=5",),
+        memory_mb=0,
+    ):
+        self.memory_mb = memory_mb
         self.group = processes.Group()
         self.folder = tempfile.TemporaryDirectory()
         self.platform, platform_port = processes.start_standin(
@@ -177,6 +185,7 @@
                 "name": f"vm{number}",
                 "zone": ZONES[number % 3],
                 "region": "lk-central",
+                "memory_mb": self.memory_mb,
             },
             "router": {
                 "port": self.ports[number],
--- a/tests/hosted_fleet.py
+++ b/tests/hosted_fleet.py
@@ -46,6 +46,8 @@
     :param cold_per_s: requests per second that a cold server tolerates; 0 if
         they are not limited
     :param servers: names of the plain service's servers
+    :param memory_mb: the memory of each VM
+    :param descriptors: limit of each VM's open descriptors; none by default
     """
 
     def __init__(
@@ -60,7 +62,11 @@
         zones=None,
         cold_per_s=0.0,
         servers=("s0", "s1"),
+        memory_mb=128,
+        descriptors=None,
     ):
+        self.memory_mb = memory_mb
+        self.descriptors = descriptors
         self.servers = servers
         self.kv_capacity_tokens = engine_tokens
         self.group = processes.Group()
@@ -308,6 +314,7 @@
             [f"--settings={file}"],
             self.ports[number],
             self.find_log(number),
+            self.descriptors,
         )
         self.group.processes.append(self.vms[number])
         return self.vms[number]
@@ -355,7 +362,7 @@
                 "address": HOST,
                 "zone": "kandy-a",
                 "region": "lk",
-                "memory_mb": 128,
+                "memory_mb": self.memory_mb,
             },
             "router": {
                 "address": f"{HOST}:{front}",
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import resource
 import signal
 import socket
 import subprocess
@@ -147,9 +148,12 @@
     :param arguments: command-line arguments
     :param ports: ports that it listens on once it is ready
     :param log: file to which its standard output is appended
+    :param descriptors: limit of its open descriptors; none to inherit it
     """
 
-    def __init__(self, module, arguments=(), ports=(), log=None):
+    def __init__(
+        self, module, arguments=(), ports=(), log=None, descriptors=None
+    ):
         self.is_standin = module.startswith("standins.")
         with open(log or os.devnull, "ab") as output:
             self.popen = subprocess.Popen(
@@ -158,6 +162,12 @@
                 stdin=subprocess.DEVNULL,
                 stdout=output,
             )
+        if descriptors is not None:
+            resource.prlimit(
+                self.popen.pid,
+                resource.RLIMIT_NOFILE,
+                (descriptors, descriptors),
+            )
         self.ports = list(ports)
 
     def wait_ready(self):
--- a/tools/suite.py
+++ b/tools/suite.py
@@ -1,12 +1,14 @@
 """Runs the test suite in several processes and sums up the results.
 
 ``python -m tools.suite`` runs each test module in its own process, the longest
-first, and prints the report of a module when it ends.  Tests that start
+first, and prints the report of a module when it ends.  Some modules run alone,
+after all others.  Tests that start
 processes take ports from the range of their worker, so the ranges of two
 running modules never overlap.
 """
 
 import concurrent.futures
+import itertools
 import os
 import pathlib
 import queue
@@ -27,6 +29,8 @@
 # A module that takes longer counts as hung; the complete suite takes four
 # minutes.
 MODULE_TIMEOUT_S = 420.0
+# They measure what a process holds, which depends on what else is running.
+ALONE = ("test_floods",)
 LONGEST_FIRST = (
     "test_crashing_parts",
     "test_crashing_requests",
@@ -76,8 +80,9 @@
 
 
 def list_modules() -> list[str]:
-    """Return the names of all test modules, the longest first."""
-    names = [path.stem for path in pathlib.Path("tests").glob("test_*.py")]
+    """Return the modules that run side by side, the longest first."""
+    paths = pathlib.Path("tests").glob("test_*.py")
+    names = [path.stem for path in paths if path.stem not in ALONE]
 
     def get_sort_key(name: str) -> tuple[int, str]:
         is_listed = name in LONGEST_FIRST
@@ -139,8 +144,12 @@
             pool.submit(run_module, module, workers)
             for module in list_modules()
         ]
-        for future in concurrent.futures.as_completed(running):
-            result = future.result()
+        completed = (
+            future.result()
+            for future in concurrent.futures.as_completed(running)
+        )
+        alone = (run_module(module, workers) for module in ALONE)
+        for result in itertools.chain(completed, alone):
             print(f"== {result.module}, {result.duration_s:.1f} s")
             print(result.text, flush=True)
             totals = [
