Give requests to workers only when they are complete

What callers saw: beside 24 callers that sent a part of a request and waited, ordinary ones got 503 or no answer, at the port for requests and at those for discovery, readiness and metrics; 256 silent connections took all descriptors of a process; bodies in pieces of two bytes took several times their size, and a whole one of 4 MiB got 408 from a caller that never paused.

Cause: a worker thread belonged to a connection from its first byte on, bodies were reserved by the announced length and held three to four times beside it, and nothing bounded the number of connections.

--- a/mulberryway/filters/base.py
+++ b/mulberryway/filters/base.py
@@ -15,6 +15,7 @@
 from mulberryway import tables
 from mulberryway import traces
 from mulberryway.policy import allowance
+from mulberryway.relay import memory
 from mulberryway.relay import stream as streams
 from mulberryway.relay import writers
 
@@ -182,9 +183,12 @@
     :param head: writes the reply's status line and headers
     :param release: returns the connection to the server after streaming
     :param arrived_ms: when the request arrived, in ms
+    :param memory_: the memory that is reserved for it; without a bound by
+        default
     """
 
     __slots__ = (
+        "memory",
         "request_id",
         "method",
         "path",
@@ -244,7 +248,9 @@
         head: writers.ReplyHead,
         release: collections.abc.Callable[[bool], None],
         arrived_ms: int,
+        memory_: memory.RequestMemory | None = None,
     ) -> None:
+        self.memory = memory_ or memory.UNBOUNDED
         self.request_id = request_id
         self.method = method
         self.path = path
@@ -398,6 +404,8 @@
                 self._completion_callbacks,
                 [],
             )
+            # They hold the request, and with it its body.
+            self._abort_callbacks = []
         for callback in reversed(callbacks):
             try:
                 callback(outcome)
--- a/mulberryway/filters/caller_api.py
+++ b/mulberryway/filters/caller_api.py
@@ -52,7 +52,13 @@
 
 
 class CallerApi(abc.ABC):
-    """Base class of the interfaces that a router can offer to callers."""
+    """Base class of the interfaces that a router can offer to callers.
+
+    ``deadline_header`` names the header in which a caller says how many ms it
+    will wait; it is empty if callers do not say it.
+    """
+
+    deadline_header = ""
 
     @abc.abstractmethod
     def make_filters(
--- a/mulberryway/platform/interface.py
+++ b/mulberryway/platform/interface.py
@@ -39,6 +39,8 @@
         stay there
     """
 
+    deadline_header = wire.DEADLINE
+
     def __init__(
         self,
         budget: repeats.SharedRetryBudget,
--- a/mulberryway/policy/memory_budget.py
+++ b/mulberryway/policy/memory_budget.py
@@ -26,6 +26,15 @@
 READER_DIVISOR = 8
 # Above this part the slowest readers are given up.
 HIGH_PART = (7, 8)
+# Requests together get this part at most, so that their answers find room,
+# and those that are not small a smaller one, so that others are accepted.
+REQUESTS_PART = (5, 8)
+LARGE_REQUESTS_PART = (1, 2)
+SMALL_REQUEST_BYTES = 65_536
+# Large requests and answers leave the rest of the budget free.  Small requests
+# are accepted beyond it: slow readers are given up only after a while.
+ANSWERS_PART = (7, 8)
+SMALL_REQUESTS_TOTAL_PART = (5, 4)
 # A reader that fell behind later may only have met a burst.
 MIN_BEHIND_MS = 1_000
 # An upstream cuts off a response that stays unread for some seconds.
@@ -66,11 +75,13 @@
     :param total_bytes: the maximum; 0 for none
     """
 
-    __slots__ = ("total_bytes", "used_bytes")
+    __slots__ = ("total_bytes", "used_bytes", "requests_bytes")
 
     def __init__(self, total_bytes: int) -> None:
         self.total_bytes = total_bytes
         self.used_bytes = 0
+        # What is held for requests, of all that is used.
+        self.requests_bytes = 0
 
     def add(self, size: int) -> None:
         """Count bytes that are held already.
@@ -89,6 +100,69 @@
         self.used_bytes += size
         return True
 
+    def try_reserve_request(self, size: int, held_bytes: int) -> bool:
+        """Count bytes of a request if there is room for them.
+
+        :param size: the number of bytes
+        :param held_bytes: what is counted for the request already
+        """
+        if self.total_bytes and not self._has_room(size, held_bytes):
+            return False
+        self.used_bytes += size
+        self.requests_bytes += size
+        return True
+
+    def release_request(self, size: int) -> None:
+        """Count bytes of a request as released.
+
+        :param size: the number of bytes
+        """
+        self.used_bytes -= size
+        self.requests_bytes -= size
+
+    def can_ever_hold_request(self, size: int) -> bool:
+        """Return whether a request fits if nothing else is held.
+
+        :param size: its size in bytes
+        """
+        return not self.total_bytes or size <= self._compute_part(
+            LARGE_REQUESTS_PART
+        )
+
+    def try_reserve_answer(self, size: int) -> bool:
+        """Count the bytes of an answer if there is room for them.
+
+        :param size: the number of bytes
+        """
+        if not self.can_ever_hold(size):
+            return False
+        limit_bytes = self._compute_part(ANSWERS_PART)
+        if self.total_bytes and self.used_bytes + size > limit_bytes:
+            return False
+        self.used_bytes += size
+        return True
+
+    def can_ever_hold(self, answer_bytes: int) -> bool:
+        """Return whether an answer fits if nothing else is held.
+
+        :param answer_bytes: its size
+        """
+        return not self.total_bytes or answer_bytes <= self._compute_part(
+            ANSWERS_PART
+        )
+
+    def _has_room(self, size: int, held_bytes: int) -> bool:
+        is_small = held_bytes + size <= SMALL_REQUEST_BYTES
+        requests_part = REQUESTS_PART if is_small else LARGE_REQUESTS_PART
+        total_part = SMALL_REQUESTS_TOTAL_PART if is_small else ANSWERS_PART
+        return self.requests_bytes + size <= self._compute_part(
+            requests_part
+        ) and self.used_bytes + size <= self._compute_part(total_part)
+
+    def _compute_part(self, fraction: tuple[int, int]) -> int:
+        part, whole = fraction
+        return self.total_bytes * part // whole
+
     def compute_limit_bytes(self) -> int:
         """Return how many unread bytes one reader may have now.
 
@@ -97,16 +171,18 @@
         """
         if not self.total_bytes:
             return DEFAULT_LIMIT_BYTES
-        part, whole = READERS_PART
-        free_bytes = self.total_bytes * part // whole - self.used_bytes
+        free_bytes = self._compute_part(READERS_PART) - self.used_bytes
         return max(free_bytes // READER_DIVISOR, MIN_LIMIT_BYTES)
 
-    def compute_excess_bytes(self) -> int:
-        """Return how many bytes must be freed; 0 if none."""
+    def compute_excess_bytes(self, wanted_bytes: int = 0) -> int:
+        """Return how many bytes must be freed; 0 if none.
+
+        :param wanted_bytes: bytes that an answer waits for
+        """
         if not self.total_bytes:
             return 0
-        part, whole = HIGH_PART
-        return max(self.used_bytes - self.total_bytes * part // whole, 0)
+        used_bytes = self.used_bytes + wanted_bytes
+        return max(used_bytes - self._compute_part(HIGH_PART), 0)
 
 
 def is_stalled(reader: Reader, now_ms: int) -> bool:
--- a/mulberryway/relay/memory.py
+++ b/mulberryway/relay/memory.py
@@ -1,20 +1,28 @@
 """Bounds the memory that the callers of this VM use."""
 
+import collections
 import collections.abc
 import logging
 import threading
+import time
 import typing
 
+from mulberryway import clock
 from mulberryway import logs
 from mulberryway import metrics
 from mulberryway.policy import memory_budget
 from mulberryway.relay import loop
+from mulberryway.upstreams import bounded_socket
 
-__all__ = ["MemoryGuard"]
+__all__ = ["UNBOUNDED", "AnswerRoom", "MemoryGuard", "RequestMemory"]
 
 LOG = logging.getLogger(__name__)
 
 LOG_INTERVAL_MS = 1_000
+# How often an answer that waits for room asks whether its call was cancelled.
+CANCEL_POLL_S = 0.1
+# An answer whose size is unknown grows by this, while there is much room.
+GROWTH_BYTES = 1_048_576
 
 GiveUp = collections.abc.Callable[[], None]
 
@@ -22,8 +30,8 @@
 class MemoryGuard:
     """Counts what is held for callers, and gives up the slowest in time.
 
-    ``try_reserve`` and ``release`` may be called on any thread; everything
-    else runs on the loop's thread.
+    ``update``, ``report`` and what they call run on the loop's thread;
+    everything else may be called on any thread.
 
     :param loop_: the event loop
     :param total_bytes: the budget in bytes; 0 for none
@@ -34,6 +42,9 @@
         self.refused = 0
         self._loop = loop_
         self._lock = threading.Lock()
+        self._has_changed = threading.Condition(self._lock)
+        # The sizes of answers that wait for room, the first one first.
+        self._waiting: collections.deque[list[int]] = collections.deque()
         self._budget = memory_budget.MemoryBudget(total_bytes)
         self._readers: dict[typing.Any, memory_budget.Reader] = {}
         self._callbacks: dict[typing.Any, GiveUp] = {}
@@ -41,6 +52,7 @@
         self._unlogged = 0
         self._last_refusal_ms = self._last_log_ms
         loop_.add_periodic(self._check, lambda: bool(self._readers))
+        self.waited = 0
 
     @property
     def is_bounded(self) -> bool:
@@ -52,14 +64,42 @@
         """The number of unread bytes that one caller may have now."""
         return self._budget.compute_limit_bytes()
 
-    def try_reserve(self, size: int) -> bool:
-        """Reserve memory for a body, if there is room.
+    @property
+    def clock(self) -> clock.Clock:
+        """The clock of the event loop."""
+        return self._loop.clock
+
+    def try_reserve_request(self, size: int, held_bytes: int = 0) -> bool:
+        """Reserve memory for a request, if there is room.
 
         :param size: the number of bytes
+        :param held_bytes: what is reserved for the request already
+        """
+        with self._lock:
+            return self._budget.try_reserve_request(size, held_bytes)
+
+    def can_ever_hold_request(self, size: int) -> bool:
+        """Return whether a request fits if nothing else is held.
+
+        :param size: the number of bytes
+        """
+        return self._budget.can_ever_hold_request(size)
+
+    def release_request(self, size: int) -> None:
+        """Release memory that was reserved for a request.
+
+        :param size: the number of bytes
+        """
+        with self._lock:
+            self._budget.release_request(size)
+            self._wake_waiting()
+
+    def report_refusal(self, size: int) -> None:
+        """Count and log a request for which there is no room.
+
+        :param size: the number of bytes that were missing
         """
         with self._lock:
-            if self._budget.try_reserve(size):
-                return True
             self.refused += 1
             now_ms = self._loop.clock.now_ms()
             is_due = now_ms - self._last_refusal_ms >= LOG_INTERVAL_MS
@@ -67,24 +107,77 @@
                 self._last_refusal_ms = now_ms
         if is_due:
             LOG.warning(
-                "a request is refused, there is no room for its body",
+                "a request is refused, there is no room for it",
                 extra=logs.make_extra(
-                    body_bytes=size,
+                    request_bytes=size,
                     held_bytes=self._budget.used_bytes,
+                    requests_bytes=self._budget.requests_bytes,
                     budget_bytes=self._budget.total_bytes,
                     slow_callers=len(self._readers),
                     refused=self.refused,
                 ),
             )
+
+    def reserve_answer(
+        self,
+        size: int,
+        duration_s: float,
+        is_cancelled: collections.abc.Callable[[], bool],
+    ) -> bool:
+        """Reserve memory for an answer; wait until there is room.
+
+        Answers are admitted in turn.  Each reserves all that it needs at
+        once, so those that have it are read to their ends.
+
+        :param size: the number of bytes
+        :param duration_s: the maximum wait in seconds
+        :param is_cancelled: returns whether the answer is not needed any more
+        :returns: whether the memory was reserved
+        """
+        with self._has_changed:
+            if not self._budget.can_ever_hold(size):
+                return False
+            if not self._waiting and self._budget.try_reserve_answer(size):
+                return True
+            self.waited += 1
+            ticket = [size]
+            self._waiting.append(ticket)
+            try:
+                return self._wait_for_room(
+                    ticket, time.monotonic() + duration_s, is_cancelled
+                )
+            finally:
+                self._waiting.remove(ticket)
+                self._has_changed.notify_all()
+
+    def _wait_for_room(
+        self,
+        ticket: list[int],
+        deadline_s: float,
+        is_cancelled: collections.abc.Callable[[], bool],
+    ) -> bool:
+        while not is_cancelled():
+            is_first = self._waiting[0] is ticket
+            if is_first and self._budget.try_reserve_answer(ticket[0]):
+                return True
+            left_s = deadline_s - time.monotonic()
+            if left_s <= 0:
+                return False
+            self._has_changed.wait(min(left_s, CANCEL_POLL_S))
         return False
 
-    def release(self, size: int) -> None:
-        """Release memory that was reserved.
+    def release_answer(self, size: int) -> None:
+        """Release memory that was reserved for an answer.
 
         :param size: the number of bytes
         """
         with self._lock:
             self._budget.add(-size)
+            self._wake_waiting()
+
+    def _wake_waiting(self) -> None:
+        if self._waiting:
+            self._has_changed.notify_all()
 
     def update(
         self,
@@ -109,6 +202,7 @@
             self._callbacks[key] = give_up
         with self._lock:
             self._budget.add(unread_bytes - reader.unread_bytes)
+            self._wake_waiting()
         reader.unread_bytes = unread_bytes
         if not is_paused:
             reader.paused_ms = None
@@ -144,9 +238,14 @@
         )
         metrics_.register_counter(
             "memory.refused",
-            "requests refused because there was no room for their bodies",
+            "requests refused because there was no room for them",
             lambda: [({}, self.refused)],
         )
+        metrics_.register_counter(
+            "memory.waited",
+            "answers of upstreams that waited for room",
+            lambda: [({}, self.waited)],
+        )
 
     def _check(self) -> None:
         if not self.is_bounded:
@@ -158,8 +257,11 @@
             if memory_budget.is_stalled(reader, now_ms)
         ]:
             self._give_up(reader)
+        with self._lock:
+            wanted_bytes = self._waiting[0][0] if self._waiting else 0
+        excess_bytes = self._budget.compute_excess_bytes(wanted_bytes)
         for reader in memory_budget.choose_slowest(
-            self._readers.values(), self._budget.compute_excess_bytes(), now_ms
+            self._readers.values(), excess_bytes, now_ms
         ):
             self._give_up(reader)
 
@@ -184,3 +286,179 @@
             )
             self._last_log_ms, self._unlogged = now_ms, 0
         give_up()
+
+
+class RequestMemory:
+    """What is reserved for one request and its answers, until it has ended.
+
+    May be used on any thread, by one at a time but for :meth:`make_room`.
+
+    :param guard: bounds the memory of callers
+    """
+
+    __slots__ = ("held_bytes", "_guard", "_rooms")
+
+    def __init__(self, guard: MemoryGuard) -> None:
+        self.held_bytes = 0
+        self._guard = guard
+        self._rooms: list[AnswerRoom] = []
+
+    def try_grow(self, size: int) -> bool:
+        """Reserve more, before it is held.
+
+        :param size: the number of bytes
+        :returns: whether there is room
+        """
+        if not self._guard.try_reserve_request(size, self.held_bytes):
+            return False
+        self.held_bytes += size
+        return True
+
+    def can_ever_hold(self, size: int) -> bool:
+        """Return whether it could grow so much if nothing else were held.
+
+        :param size: the number of bytes
+        """
+        return self._guard.can_ever_hold_request(self.held_bytes + size)
+
+    def shrink(self, size: int) -> None:
+        """Release a part of it.
+
+        :param size: the number of bytes
+        """
+        self._guard.release_request(size)
+        self.held_bytes -= size
+
+    def report_refusal(self, size: int) -> None:
+        """Report that the request is refused.
+
+        :param size: the number of bytes that were missing
+        """
+        self._guard.report_refusal(size)
+
+    def make_room(self) -> "AnswerRoom | None":
+        """Return the memory of the answer to one call for the request.
+
+        :returns: none if the memory of callers has no bound
+        """
+        if not self._guard.is_bounded:
+            return None
+        room = AnswerRoom(self._guard)
+        self._rooms.append(room)
+        return room
+
+    def release_answers(self) -> None:
+        """Release what is reserved for answers."""
+        for room in self._rooms:
+            room.release()
+
+    def release(self) -> None:
+        """Release all of it."""
+        self.shrink(self.held_bytes)
+        self.release_answers()
+
+
+class _UnboundedMemory(RequestMemory):
+    """The memory of a request that nobody bounds."""
+
+    __slots__ = ()
+
+    def __init__(self) -> None:
+        return None
+
+    def try_grow(self, size: int) -> bool:
+        return True
+
+    def can_ever_hold(self, size: int) -> bool:
+        return True
+
+    def report_refusal(self, size: int) -> None:
+        return None
+
+    def shrink(self, size: int) -> None:
+        return None
+
+    def make_room(self) -> "AnswerRoom | None":
+        return None
+
+    def release_answers(self) -> None:
+        return None
+
+    def release(self) -> None:
+        return None
+
+
+UNBOUNDED = _UnboundedMemory()
+
+
+class AnswerRoom(bounded_socket.AnswerRoom):
+    """The memory of one answer, within the budget of all callers.
+
+    :param guard: bounds the memory of callers
+    """
+
+    __slots__ = ("_guard", "_size", "_growth")
+
+    def __init__(self, guard: MemoryGuard) -> None:
+        self._guard = guard
+        self._size = 0
+        # The part of it that is counted for requests.
+        self._growth = 0
+
+    def reserve(
+        self,
+        size: int,
+        duration_s: float,
+        is_cancelled: collections.abc.Callable[[], bool],
+    ) -> bool:
+        """Reserve memory for an answer of a known size.
+
+        :param size: see :meth:`MemoryGuard.reserve_answer`
+        :param duration_s: see there
+        :param is_cancelled: see there
+        :returns: whether the memory was reserved
+        """
+        missing = size - self._size - self._growth
+        if missing <= 0:
+            return True
+        if not self._guard.reserve_answer(missing, duration_s, is_cancelled):
+            return False
+        self._size += missing
+        return True
+
+    def grow(
+        self,
+        size: int,
+        max_bytes: int,
+        duration_s: float,
+        is_cancelled: collections.abc.Callable[[], bool],
+    ) -> bool:
+        """Reserve memory for an answer of unknown size.
+
+        Steps are taken only as far as requests may fill the budget; beyond
+        that the largest answer is reserved, since answers that each hold a
+        part and wait for more would block one another.
+
+        :param size: the size that is needed now
+        :param max_bytes: the maximum size
+        :param duration_s: see :meth:`MemoryGuard.reserve_answer`
+        :param is_cancelled: see there
+        :returns: whether the memory was reserved
+        """
+        if size <= self._size + self._growth:
+            return True
+        if not self._size and self._guard.try_reserve_request(
+            GROWTH_BYTES, memory_budget.SMALL_REQUEST_BYTES
+        ):
+            self._growth += GROWTH_BYTES
+            return self.grow(size, max_bytes, duration_s, is_cancelled)
+        return self.reserve(max_bytes, duration_s, is_cancelled)
+
+    def release(self) -> None:
+        """Release all of it."""
+        size, self._size = self._size, 0
+        growth, self._growth = self._growth, 0
+        if size:
+            self._guard.release_answer(size)
+        if growth:
+            self._guard.release_request(growth)
--- a/mulberryway/relay/unsent.py
+++ b/mulberryway/relay/unsent.py
@@ -19,9 +19,10 @@
     """A reply of which a caller's socket has accepted a part.
 
     :param caller: the caller's socket
-    :param data: the whole reply, which is held until the end
+    :param parts: the whole reply, which is held until the end
     :param sent: the number of bytes that the socket has accepted
     :param on_end: called once, with whether all bytes were sent
+    :param on_start: called once, when the reply is counted as unread
     """
 
     __slots__ = (
@@ -29,6 +30,7 @@
         "size",
         "rest",
         "on_end",
+        "on_start",
         "last_write_ms",
         "is_closed",
     )
@@ -36,16 +38,29 @@
     def __init__(
         self,
         caller: socket.socket,
-        data: bytes,
+        parts: list[bytes],
         sent: int,
         on_end: collections.abc.Callable[[bool], None],
+        on_start: collections.abc.Callable[[], None] = lambda: None,
     ) -> None:
         self.caller = caller
-        self.size = len(data)
-        self.rest = memoryview(data)[sent:]
+        self.size = sum(map(len, parts))
+        self.rest = [memoryview(part) for part in parts]
         self.on_end = on_end
+        self.on_start = on_start
         self.last_write_ms = 0
         self.is_closed = False
+        self.skip(sent)
+
+    def skip(self, sent: int) -> None:
+        """Drop bytes that the socket has accepted.
+
+        :param sent: their number
+        """
+        while self.rest and sent >= len(self.rest[0]):
+            sent -= len(self.rest.pop(0))
+        if sent:
+            self.rest[0] = self.rest[0][sent:]
 
 
 class ReplySender:
@@ -83,6 +98,7 @@
             lambda events: self._on_caller(reply, events),
         )
         self._count(reply)
+        reply.on_start()
 
     def _on_caller(self, reply: UnsentReply, events: int) -> None:
         if reply.is_closed:
@@ -91,13 +107,13 @@
             self._end(reply, False)
             return
         try:
-            sent = reply.caller.send(reply.rest)
+            sent = reply.caller.sendmsg(reply.rest)
         except BlockingIOError:
             return
         except OSError:
             self._end(reply, False)
             return
-        reply.rest = reply.rest[sent:]
+        reply.skip(sent)
         reply.last_write_ms = self._loop.now_ms
         if not reply.rest:
             self._end(reply, True)
@@ -125,6 +141,6 @@
         reply.is_closed = True
         self._replies.discard(reply)
         self._loop.unregister(reply.caller.fileno())
-        reply.rest = memoryview(b"")
+        reply.rest.clear()
         self._count(reply)
         reply.on_end(is_complete)
--- a/mulberryway/relay/writers.py
+++ b/mulberryway/relay/writers.py
@@ -84,13 +84,21 @@
         :param reply: the reply
         :returns: head and body
         """
+        return b"".join(self.write_parts(reply))
+
+    def write_parts(self, reply: replies.Reply) -> list[bytes]:
+        """Return a complete reply without a copy of its body.
+
+        :param reply: the reply
+        :returns: the head, and the body if one follows
+        """
         if reply.close:
             self.keep = False
         if reply.status in BODILESS_STATUSES:
-            return self.write(reply.status, reply.headers)
+            return [self.write(reply.status, reply.headers)]
         length = ("Content-Length", str(len(reply.body)))
         head = self.write(reply.status, [*reply.headers, length])
-        return head + reply.body if self.has_body else head
+        return [head, reply.body] if self.has_body and reply.body else [head]
 
     def frame(self, body: bytes) -> bytes:
         """Return a part of a body of unknown length, in its coding.
--- a/mulberryway/router.py
+++ b/mulberryway/router.py
@@ -4,6 +4,7 @@
 import functools
 import gc
 import logging
+import resource
 import sys
 import threading
 
@@ -23,6 +24,7 @@
 from mulberryway.filters import status
 from mulberryway.policy import allowance
 from mulberryway.policy import base as policy
+from mulberryway.policy import connection_limits
 from mulberryway.policy import endpoints
 from mulberryway.policy import memory_budget
 from mulberryway.relay import loop
@@ -48,6 +50,8 @@
 # garbage collection pauses all streams.  So collections are rare, and objects
 # that live as long as the process are excluded.
 GC_THRESHOLDS = (20_000, 20, 50)
+# Where neither the kernel nor the settings limit descriptors.
+MAX_DESCRIPTORS = 65_536
 POLL_MS = 20
 READY_POLL_MS = 100
 MS_IN_S = 1_000
@@ -150,8 +154,13 @@
             fault_format,
             lambda: self._is_draining,
         )
+        max_connections = _compute_max_connections(settings_)
         self.server = http_server.HttpServer(
-            settings_, self.gateway, self.relay
+            settings_,
+            self.gateway,
+            self.relay,
+            max_connections=max_connections,
+            deadline_header=self._api.deadline_header,
         )
         auxiliary = gateway.GatewayFactory(
             chain.Chain(self._api.make_auxiliary_filters(context)),
@@ -165,6 +174,9 @@
                 self.relay,
                 settings.read_port(address),
                 AUXILIARY_THREADS,
+                connection_limits.compute_max_side_connections(
+                    max_connections
+                ),
             )
             for address in (
                 settings_.router_ready_address,
@@ -388,6 +400,16 @@
             ("waiting", "jobs queued", lambda: self.scheduling.waiting),
             ("started", "jobs on engines", lambda: self.scheduling.started),
             ("cancels_open", "cancels sent", lambda: self.cancelling.open),
+            (
+                "connections.open",
+                "connections of callers",
+                lambda: self.server.open_connections,
+            ),
+            (
+                "connections.max",
+                "the most connections of callers that may be open",
+                lambda: self.server.max_connections,
+            ),
         ):
             self.metrics.register_gauge(name, description, read)
         self.metrics.register_labeled_gauge(
@@ -400,6 +422,11 @@
             "jobs rejected before they ran, by pool and rank",
             self.scheduling.count_rejected_by_rank,
         )
+        self.metrics.register_counter(
+            "connections.closed",
+            "connections of callers that were closed for others",
+            lambda: [({}, self.server.closed_connections)],
+        )
         self.relay.guard.report(self.metrics)
         call_details.FAILURES.report(self.metrics)
         call_details.UNSOLICITED.report(self.metrics)
@@ -411,6 +438,20 @@
             )
 
 
+def _compute_max_connections(settings_: settings.Settings) -> int:
+    if settings_.router_connections:
+        return settings_.router_connections
+    limits = [resource.getrlimit(resource.RLIMIT_NOFILE)[0]]
+    if settings_.vm_descriptors:
+        limits.append(settings_.vm_descriptors)
+    known = [limit for limit in limits if limit != resource.RLIM_INFINITY]
+    return connection_limits.compute_max_connections(
+        min(known, default=MAX_DESCRIPTORS),
+        settings_.vm_memory_mb,
+        memory_budget.REST_BYTES,
+    )
+
+
 def _is_key_revoked(changed: tables.Tables, stream: streams.Stream) -> bool:
     account = changed.find_account(stream.key_digest)
     return account is None or account.name != stream.account
--- a/mulberryway/server/gateway.py
+++ b/mulberryway/server/gateway.py
@@ -5,15 +5,12 @@
 import logging
 import threading
 
-from cheroot import errors as cheroot_errors
-
 from mulberryway import clock
 from mulberryway import errors
 from mulberryway import replies
 from mulberryway.filters import base
 from mulberryway.filters import chain
 from mulberryway.filters import status
-from mulberryway.relay import memory
 from mulberryway.relay import unsent
 from mulberryway.relay import writers
 from mulberryway.server import request
@@ -91,35 +88,6 @@
         return Gateway(request_, self)
 
 
-class _Reservation:
-    """The memory of one request's body, until the request has ended.
-
-    :param guard: bounds the memory of callers
-    """
-
-    __slots__ = ("_guard", "_size")
-
-    def __init__(self, guard: memory.MemoryGuard) -> None:
-        self._guard = guard
-        self._size = 0
-
-    def try_grow(self, size: int) -> bool:
-        """Reserve memory before more of the body is read.
-
-        :param size: the number of bytes
-        :returns: whether there is room
-        """
-        if not self._guard.try_reserve(size):
-            return False
-        self._size += size
-        return True
-
-    def release(self) -> None:
-        """Release all of it."""
-        self._guard.release(self._size)
-        self._size = 0
-
-
 class Gateway:
     """Handles one request.
 
@@ -145,47 +113,24 @@
         )
 
     def respond(self) -> None:
-        """Read the body, run the chain, and write the reply.
+        """Run the chain, and write the reply.
 
         A streamed answer is handed over to the relay instead.
         """
-        reservation = _Reservation(self._request.server.memory)
-        body = None
-        try:
-            body = self._request.read_body(reservation.try_grow)
-        except request.NoRoomError:
-            self._reject(
-                _make_body_fault(
-                    errors.Code.OVERLOADED,
-                    "no room for the body",
-                    request.OVERLOAD_RETRY_AFTER_MS,
-                )
-            )
-        except cheroot_errors.MaxSizeExceeded:
-            self._reject(
-                _make_body_fault(
-                    errors.Code.BODY_TOO_LARGE, "body is too large"
-                )
-            )
-        except ValueError as error:
-            self._reject(
-                status.make_stopping_fault()
-                if self._request.conn.is_input_ended
-                else _make_body_fault(errors.Code.BAD_REQUEST, str(error))
-            )
-        finally:
-            if body is None:
-                reservation.release()
-        if body is not None:
-            exchange = self._make_exchange(body)
-            exchange.add_completion_callback(
-                lambda outcome: reservation.release()
-            )
-            self._handle(exchange)
+        exchange = self._make_exchange()
+        exchange.add_completion_callback(
+            lambda outcome: exchange.memory.release()
+        )
+        self._handle(exchange)
+
+    def reject(self, fault: errors.Fault) -> None:
+        """Reply to a request whose body is not read to its end.
 
-    def _reject(self, fault: errors.Fault) -> None:
-        self._request.conn.has_unread_input = True
-        self._write(replies.make_fault_reply(fault, close=True))
+        :param fault: why it is rejected
+        """
+        reply = replies.make_fault_reply(fault, close=True)
+        self._request.close_connection = True
+        self._request.conn.send_rejection(self._encode(reply))
 
     def _handle(self, exchange: base.Exchange) -> None:
         self._factory.increment_running(exchange)
@@ -212,18 +157,27 @@
         outcome = base.Outcome(fault, exchange.prefilled_tokens, 0)
         is_sent = True
         try:
-            is_sent = self._try_send(reply, lambda: exchange.finish(outcome))
+            is_sent = self._try_send(
+                reply,
+                lambda: exchange.finish(outcome),
+                exchange.memory.release_answers,
+            )
         finally:
             if is_sent:
                 exchange.finish(outcome)
 
     def _try_send(
-        self, reply: replies.Reply, on_end: collections.abc.Callable[[], None]
+        self,
+        reply: replies.Reply,
+        on_end: collections.abc.Callable[[], None],
+        on_start: collections.abc.Callable[[], None],
     ) -> bool:
         """Send a reply, or hand over what its caller does not read now.
 
         :param reply: the reply
         :param on_end: called at its end if it is handed over
+        :param on_start: called if it is handed over, once it is counted as
+            unread
         :returns: whether it was sent completely
         """
         connection = self._request.conn
@@ -231,13 +185,12 @@
             # Only the number of workers bounds what callers do not read.
             self._write(reply)
             return True
-        data = self._encode(reply)
-        connection.socket.setblocking(False)
+        parts = self._encode_parts(reply)
         try:
-            sent = connection.socket.send(data)
+            sent = connection.socket.sendmsg(parts)
         except BlockingIOError:
             sent = 0
-        if sent == len(data):
+        if sent == sum(map(len, parts)):
             self._request.close_connection = not self._head.keep
             return True
         release, keep = _make_release(connection), self._head.keep
@@ -247,7 +200,7 @@
             on_end()
 
         connection.unsent_reply = unsent.UnsentReply(
-            connection.socket, data, sent, end
+            connection.socket, parts, sent, end, on_start
         )
         self._request.close_connection = False
         return False
@@ -260,10 +213,13 @@
         request_.close_connection = not self._head.keep
 
     def _encode(self, reply: replies.Reply) -> bytes:
+        return b"".join(self._encode_parts(reply))
+
+    def _encode_parts(self, reply: replies.Reply) -> list[bytes]:
         self._request.sent_headers = True
-        return self._head.write_reply(reply)
+        return self._head.write_parts(reply)
 
-    def _make_exchange(self, body: bytes) -> base.Exchange:
+    def _make_exchange(self) -> base.Exchange:
         request_ = self._request
         connection = request_.conn
         return base.Exchange(
@@ -275,26 +231,15 @@
                 (name.decode("latin-1"), value.decode("latin-1"))
                 for name, value in request_.inheaders.items()
             ],
-            body,
+            request_.body,
             connection.socket,
             self._head,
             _make_release(connection),
-            self._factory.clock.now_ms(),
+            request_.received_ms,
+            request_.memory,
         )
 
 
-def _make_body_fault(
-    code: errors.Code, message: str, retry_after_ms: int | None = None
-) -> errors.Fault:
-    """Return the fault of a request whose body was not accepted."""
-    return errors.Fault(
-        code,
-        errors.Step.CALLER,
-        message=message,
-        retry_after_ms=retry_after_ms,
-    )
-
-
 def _choose_fault(
     exchange: base.Exchange, answer: base.Answer
 ) -> errors.Fault:
--- a/mulberryway/server/http_server.py
+++ b/mulberryway/server/http_server.py
@@ -11,6 +11,7 @@
 
 from mulberryway import settings
 from mulberryway.relay import pump
+from mulberryway.server import connections
 from mulberryway.server import request
 from mulberryway.server import workers
 
@@ -19,6 +20,7 @@
 LOG = logging.getLogger(__name__)
 
 MS_IN_S = 1_000
+DEFAULT_MAX_CONNECTIONS = 1_024
 # Value of TCP_USER_TIMEOUT: Linux closes a connection whose peer acknowledges
 # no data for this long.  Without it a caller whose host has vanished appears
 # connected for fifteen minutes.
@@ -31,8 +33,10 @@
 # What the kernel holds for a caller that does not read, in place of megabytes
 # that no budget counts; Linux doubles it.
 SEND_BUFFER_BYTES = 65_536
-REJECT_READ_BYTES = 262_144
+# What the kernel receives for a caller whose request nobody reads now.
+RECEIVE_BUFFER_BYTES = 16_384
 WAKE_TIMEOUT_S = 0.2
+MAX_DEADLINE_DIGITS = 7
 
 
 class HttpServer(server.HTTPServer):
@@ -43,6 +47,9 @@
     :param relay: forwards the streams that the gateway hands over
     :param port: overrides the port of the settings
     :param threads: overrides the number of worker threads of the settings
+    :param max_connections: the number of connections that may be open
+    :param deadline_header: the header in which a caller says how many ms it
+        will wait; empty if there is none
     """
 
     ConnectionClass = request.Connection
@@ -55,6 +62,8 @@
         relay: pump.Relay,
         port: int | None = None,
         threads: int | None = None,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
+        deadline_header: str = "",
     ) -> None:
         super().__init__(
             (
@@ -75,16 +84,40 @@
         self.max_request_header_size = settings_.router_header_bytes
         self.max_request_body_size = settings_.router_body_bytes
         self.memory = relay.guard
+        self.clock = relay.guard.clock
+        self.max_connections = max_connections
+        self._connections: connections.ConnectionManager | None = None
+        self._request_timeout_ms = settings_.router_body_ms
+        self._deadline_header = deadline_header.title().encode()
         self._relay = relay
         self._thread = threading.Thread(
             target=self.serve, name="accept", daemon=True
         )
 
+    @property
+    def open_connections(self) -> int:
+        """The number of open connections."""
+        manager = self._connections
+        return 0 if manager is None else manager.count
+
+    @property
+    def closed_connections(self) -> int:
+        """The number of connections that were closed for others."""
+        manager = self._connections
+        return 0 if manager is None else manager.closed
+
     def start(self) -> None:
         """Start to serve on the server's own threads."""
         self.prepare()
         self._thread.start()
 
+    def prepare(self) -> None:
+        """Bind the port, and hold its connections."""
+        super().prepare()
+        self.socket.setblocking(False)
+        self._connections._selector.close()
+        self._connections = connections.ConnectionManager(self)
+
     def serve(self) -> None:
         """Accept and dispatch connections until the server stops.
 
@@ -134,45 +167,52 @@
             bound.setsockopt(
                 socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
             )
+            bound.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            )
         return bound
 
-    def process_conn(self, conn: request.Connection) -> None:
-        """Dispatch a connection to a worker once it is readable.
+    def get_request_timeout_ms(self, conn: request.Connection) -> int:
+        """Return within which time a request must arrive, in ms.
 
-        cheroot dispatches a new connection at once, so callers that connect
-        and send nothing would occupy all worker threads.
+        A caller that says how long it waits may send for as long.
 
         :param conn: the connection
         """
-        if conn.last_used is None:
-            self._connections.put(conn)
-        else:
-            self._dispatch(conn)
+        deadline = conn.reader.find_header(self._deadline_header)
+        if not deadline.isdigit() or len(deadline) > MAX_DEADLINE_DIGITS:
+            return self._request_timeout_ms
+        return max(int(deadline), self._request_timeout_ms)
 
-    def _dispatch(self, conn: request.Connection) -> None:
+    def dispatch(self, conn: request.Connection) -> None:
+        """Let a worker handle a connection's complete request.
+
+        :param conn: the connection
+        """
         try:
             self.requests.put(conn)
         except queue.Full:
             self._reject(conn)
 
+    def forget(self, conn: request.Connection) -> None:
+        """Stop to count a connection that is being closed.
+
+        :param conn: the connection
+        """
+        self._connections.forget(conn)
+
     def _reject(self, conn: request.Connection) -> None:
         """Reply with 503 on the accepting thread if no worker is available.
 
         cheroot leaves the connection open until Python garbage-collects it,
-        so the caller would keep waiting.  The received part of the request is
-        read first, because closing a socket with unread input sends a reset,
-        which may arrive before the reply.
+        so the caller would keep waiting.
 
         :param conn: the connection
         """
-        conn.socket.setblocking(False)
-        try:
-            conn.socket.recv(REJECT_READ_BYTES)
-        except OSError:
-            LOG.debug("a rejected connection had no data to read")
-        request.Request(self, conn).simple_response("503 Service Unavailable")
-        conn.has_unread_input = False
-        conn.close()
+        rejected, conn.request = conn.request, None
+        rejected.simple_response("503 Service Unavailable")
+        rejected.memory.release()
+        self._connections.put(conn)
 
     def put_conn(self, conn: request.Connection) -> None:
         """Keep a connection alive, or hand its stream over to the relay.
@@ -187,7 +227,7 @@
         if reply is not None:
             self._relay.replies.add(reply)
             return
-        conn.socket.settimeout(self.timeout)
+        conn.socket.setblocking(False)
         super().put_conn(conn)
 
     def release(self, conn: request.Connection, keep: bool) -> None:
--- a/mulberryway/server/request.py
+++ b/mulberryway/server/request.py
@@ -1,28 +1,27 @@
 """Strict HTTP request parser that reports malformed requests as JSON."""
 
-import collections.abc
 import http
 import io
+import logging
 import re
 import socket
-import time
 import typing
 
-from cheroot import errors as cheroot_errors
-from cheroot import makefile
 from cheroot import server
 
-from mulberryway import chunk_sizes
 from mulberryway import errors
 from mulberryway import replies
 from mulberryway.filters import status as filter_status
+from mulberryway.policy import connection_limits
 from mulberryway.relay import linger
+from mulberryway.relay import memory
 from mulberryway.relay import writers
+from mulberryway.server import bodies
 
-__all__ = ["HEAD", "Connection", "HeaderReader", "NoRoomError", "Request"]
+__all__ = ["HEAD", "Connection", "HeaderReader", "Request"]
+
+LOG = logging.getLogger(__name__)
 
-READ_BYTES = 65_536
-LINGER_TIMEOUT_S = 0.5
 HEAD = b"HEAD"
 CONTENT_LENGTH = b"Content-Length"
 EXPECT = b"Expect"
@@ -41,40 +40,34 @@
 }
 OVERLOAD_RETRY_AFTER_MS = 1_000
 
-# Reserves memory for the given number of bytes; false if there is none.
-Reservation = collections.abc.Callable[[int], bool]
 
+class _Writer:
+    """Writes to a caller's socket without a buffer of its own.
 
-class NoRoomError(Exception):
-    """There is no memory for a body."""
+    :param connection: the socket
+    """
 
+    __slots__ = ("_connection",)
 
-class _DeadlineReader(socket.SocketIO):
-    """Raw socket reader with a deadline for the whole request.
+    def __init__(self, connection: socket.socket) -> None:
+        self._connection = connection
 
-    The socket's own timeout restarts with each byte, so a caller that sends
-    single bytes slowly could occupy a worker thread forever.
-    """
+    def write(self, data: bytes) -> None:
+        """Write bytes, within the socket's timeout.
 
-    def __init__(self, connection: socket.socket) -> None:
-        super().__init__(connection, "rb")
-        self.deadline_s = 0.0
+        :param data: the bytes
+        :raises OSError: if the caller does not read them in time
+        """
+        self._connection.sendall(data)
 
-    def readinto(self, buffer: typing.Any) -> int | None:
-        remaining_s = self.deadline_s - time.monotonic()
-        if remaining_s <= 0:
-            raise TimeoutError("timed out")
-        self._sock.settimeout(remaining_s)
-        return super().readinto(buffer)
 
+def _make_file(connection: socket.socket, mode: str, size: int) -> typing.Any:
+    """Return what cheroot reads from, or writes to.
 
-def _make_file(connection: socket.socket, mode: str, size: int) -> io.IOBase:
-    if "w" in mode:
-        return makefile.StreamWriter(connection, mode, size)
-    reader = makefile.StreamReader(connection, mode, size)
-    # The reader keeps its buffer; only the underlying raw reader is replaced.
-    reader._raw = _DeadlineReader(connection)
-    return reader
+    The bytes of a request are received elsewhere, and are there before it is
+    parsed.
+    """
+    return _Writer(connection) if "w" in mode else io.BytesIO()
 
 
 class HeaderReader(server.HeaderReader):
@@ -159,6 +152,11 @@
     header_reader = HeaderReader()
     # Empty until the request line was read.
     method = b""
+    # The complete body, the memory that is reserved for the request, and when
+    # its last byte was received, in ms.
+    body = b""
+    memory: memory.RequestMemory
+    received_ms = 0
 
     def read_request_line(self) -> bool:
         """Read the request line.
@@ -195,63 +193,17 @@
             return False
         return True
 
-    def read_body(self, try_reserve: Reservation = lambda size: True) -> bytes:
-        """Read the complete body.
+    def make_body(self, reserve: bodies.Reservation) -> bodies.Body | None:
+        """Return the decoder of the request's body; none if it has no body.
 
-        :param try_reserve: called before bytes are read, with their number
-        :returns: the body
-        :raises NoRoomError: if there is no memory for it
-        :raises MaxSizeExceeded: if it exceeds the limit
-        :raises ValueError: if its coding is malformed or it is truncated
+        :param reserve: reserves memory before it is used
         """
         if self.chunked_read:
-            return self._read_chunks(try_reserve)
+            return bodies.ChunkedBody(
+                reserve, self.server.max_request_body_size
+            )
         length = int(self.inheaders.get(CONTENT_LENGTH, 0))
-        if length and not try_reserve(length):
-            raise NoRoomError
-        body = self.conn.rfile.read(length) if length else b""
-        if len(body) < length:
-            raise ValueError("body is truncated")
-        return body
-
-    def _read_chunks(self, try_reserve: Reservation) -> bytes:
-        max_bytes = self.server.max_request_body_size
-        chunks = []
-        total = 0
-        for chunk in self._iterate_chunks(try_reserve):
-            total += len(chunk)
-            if total > max_bytes:
-                raise cheroot_errors.MaxSizeExceeded
-            chunks.append(chunk)
-        return b"".join(chunks)
-
-    def _iterate_chunks(
-        self, try_reserve: Reservation
-    ) -> collections.abc.Iterator[bytes]:
-        # cheroot's reader accepts lines of any length, trusts the chunk sizes
-        # and leaves trailers unread.
-        rfile = self.conn.rfile
-        while True:
-            line = rfile.readline(READ_BYTES)
-            size = chunk_sizes.parse(line.removesuffix(b"\r\n"))
-            if not line.endswith(b"\r\n") or size is None:
-                raise ValueError("chunk size is not a hexadecimal number")
-            if not size:
-                break
-            if size > self.server.max_request_body_size:
-                raise cheroot_errors.MaxSizeExceeded
-            if not try_reserve(size):
-                raise NoRoomError
-            yield rfile.read(size)
-            if rfile.read(2) != b"\r\n":
-                raise ValueError("chunk does not end with CRLF")
-        # Trailers are read and discarded, because none is supported.
-        while True:
-            line = rfile.readline(READ_BYTES)
-            if line == b"\r\n":
-                return
-            if not line.endswith(b"\r\n"):
-                raise ValueError("body is truncated")
+        return bodies.SizedBody(reserve, length) if length else None
 
     def respond(self) -> None:
         """Handle the request with the gateway."""
@@ -278,11 +230,7 @@
             reply = _make_error_reply(number, msg)
         has_body = self.method != HEAD
         head = writers.ReplyHead(True, False, [], has_body=has_body)
-        try:
-            self.conn.wfile.write(head.write_reply(reply))
-        except OSError as error:
-            if error.args[0] not in cheroot_errors.socket_errors_to_ignore:
-                raise
+        self.conn.send_rejection(head.write_reply(reply))
 
 
 def _make_error_reply(number: int, message: str) -> replies.Reply:
@@ -320,26 +268,54 @@
         self.has_unread_input = False
         # Whether the server stops before the request was read completely.
         self.is_input_ended = False
+        # The complete request, which a worker handles.
+        self.request: Request | None = None
+        # Set when the connection is accepted.
+        self.reader: typing.Any = None
+        self.state = connection_limits.ConnectionState(
+            self, connection_limits.Phase.IDLE, 0
+        )
 
     def communicate(self) -> bool:
-        """Read one request and reply to it.
+        """Reply to the complete request.
 
         :returns: whether the connection stays open
         """
-        deadline_s = time.monotonic() + self.server.request_timeout_s
-        self.rfile._raw.deadline_s = deadline_s
-        return super().communicate()
+        request, self.request = self.request, None
+        assert request is not None
+        try:
+            request.respond()
+        except OSError as error:
+            LOG.info("writing a reply failed: %r", error)
+            return False
+        except Exception:
+            LOG.exception("handling a request failed")
+            if not request.sent_headers:
+                request.simple_response("500 Internal Server Error")
+            return self.has_unread_input
+        return not request.close_connection or self.has_unread_input
 
-    def close(self) -> None:
-        """Close the connection, after a lingering close if input is unread.
+    def send_rejection(self, data: bytes) -> None:
+        """Send a short reply, as far as the caller accepts it now.
 
-        Closing a socket with unread input resets the connection, and the
-        reset may arrive before the reply: the caller of an oversized request
-        would see a connection error instead of the reason.
+        :param data: the reply, after which the connection is closed
         """
-        if self.has_unread_input:
-            self._discard_input()
+        self.has_unread_input = True
+        try:
+            self.socket.setblocking(False)
+            self.socket.send(data)
+        except OSError as error:
+            LOG.debug("a rejection was not sent: %r", error)
+
+    def close(self) -> None:
+        """Close the connection, and release what is held for it."""
+        self.server.forget(self)
         super().close()
+        # Reference cycles, which cheroot's caches are as well, would keep
+        # the connection until the garbage collector runs.
+        self.reader = self.request = None
+        self.state.key = None
+        self.get_peer_creds = self.resolve_peer_creds = None
 
     def _close_kernel_socket(self) -> None:
         """Shut the connection down, unless its close is to reset it.
@@ -350,14 +326,3 @@
             self.socket
         ):
             super()._close_kernel_socket()
-
-    def _discard_input(self) -> None:
-        deadline_s = time.monotonic() + LINGER_TIMEOUT_S
-        try:
-            self.socket.shutdown(socket.SHUT_WR)
-            while (remaining_s := deadline_s - time.monotonic()) > 0:
-                self.socket.settimeout(remaining_s)
-                if not self.socket.recv(READ_BYTES):
-                    return
-        except OSError:
-            return
--- a/mulberryway/settings.py
+++ b/mulberryway/settings.py
@@ -39,6 +39,9 @@
         # Its memory; 0 if unknown, and then what callers leave unread is
         # bounded for each stream alone.
         self.vm_memory_mb: int = 0
+        # How many descriptors its process may open; 0 for what the kernel
+        # allows.
+        self.vm_descriptors: int = 0
 
         # The server for callers.  The backlog absorbs bursts of new callers:
         # with cheroot's default of 5, a hundred simultaneous callers lose two
@@ -47,6 +50,9 @@
         self.router_threads: int = 160
         self.router_backlog: int = 1024
         self.router_keep_alive: int = 2048
+        # How many connections of callers may be open; 0 if the descriptors
+        # and the memory of the VM decide.
+        self.router_connections: int = 0
         self.router_idle_ms: int = 75_000
         self.router_header_bytes: int = 32_768
         self.router_body_bytes: int = 2_097_152
@@ -161,10 +167,12 @@
         options.is_flag,
     ),
     options.make_amount("vm.memory_mb", "vm_memory_mb", 100_000_000),
+    options.make_amount("vm.descriptors", "vm_descriptors", 1_000_000),
     options.make_port("router.port", "router_port"),
     options.make_number("router.threads", "router_threads", 4, 1024),
     options.make_number("router.backlog", "router_backlog", 16, 65_535),
     options.make_number("router.keep_alive", "router_keep_alive", 0, 65_535),
+    options.make_amount("router.connections", "router_connections", 1_000_000),
     options.make_number("router.idle_ms", "router_idle_ms", 100, HOUR_MS),
     options.make_number(
         "router.header_bytes", "router_header_bytes", 1_024, GIB
--- a/mulberryway/upstreams/bounded_socket.py
+++ b/mulberryway/upstreams/bounded_socket.py
@@ -1,12 +1,19 @@
 """Sockets that bound the time and the memory of one call."""
 
+import abc
 import collections.abc
 import socket
 import threading
 import time
 import typing
 
-__all__ = ["BoundedSocket", "ReceiveBudget", "ResponseSizeError"]
+__all__ = [
+    "GUARANTEED_BYTES",
+    "AnswerRoom",
+    "BoundedSocket",
+    "ReceiveBudget",
+    "ResponseSizeError",
+]
 
 # Each response may have this many bytes; more of it counts against the budget.
 GUARANTEED_BYTES = 65_536
@@ -16,6 +23,49 @@
     """A response needs more memory than it may have."""
 
 
+class AnswerRoom(abc.ABC):
+    """The memory of one response, counted beside what else a VM holds."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    def reserve(
+        self,
+        size: int,
+        duration_s: float,
+        is_cancelled: collections.abc.Callable[[], bool],
+    ) -> bool:
+        """Reserve memory for a response of a known size; wait for it.
+
+        :param size: the size in bytes
+        :param duration_s: the maximum wait in seconds
+        :param is_cancelled: returns whether the response is not needed any
+            more
+        :returns: whether the memory was reserved
+        """
+
+    @abc.abstractmethod
+    def grow(
+        self,
+        size: int,
+        max_bytes: int,
+        duration_s: float,
+        is_cancelled: collections.abc.Callable[[], bool],
+    ) -> bool:
+        """Reserve memory for a response of unknown size; wait for it.
+
+        :param size: the size that it has now, in bytes
+        :param max_bytes: the maximum size
+        :param duration_s: the maximum wait in seconds
+        :param is_cancelled: see :meth:`reserve`
+        :returns: whether the memory was reserved
+        """
+
+    @abc.abstractmethod
+    def release(self) -> None:
+        """Release the memory; the room may be used again."""
+
+
 class ReceiveBudget:
     """Bounds the bytes that all calls of a process receive at a time.
 
@@ -75,6 +125,8 @@
         self._max_bytes = 0
         self._received = 0
         self._reserved = 0
+        # Whether another budget counts the response.
+        self._is_counted = False
         self._has_write_failed = False
 
     @property
@@ -104,12 +156,14 @@
             self._max_bytes = GUARANTEED_BYTES
             return self._calls
 
-    def allow_body(self, max_bytes: int) -> None:
+    def allow_body(self, max_bytes: int, is_counted: bool = False) -> None:
         """Allow a larger response, after its head.
 
         :param max_bytes: the maximum size in bytes
+        :param is_counted: whether another budget counts its bytes
         """
         self._max_bytes = max_bytes
+        self._is_counted = is_counted
 
     def extend_response(
         self, duration_s: float, call: int | None = None
@@ -190,6 +244,7 @@
         self._budget.release(self._reserved)
         self._deadline_s = self._extend = None
         self._received = self._reserved = 0
+        self._is_counted = False
 
     def _get_left_s(self) -> float:
         assert self._deadline_s is not None
@@ -202,7 +257,7 @@
         if self._received > self._max_bytes:
             raise ResponseSizeError("the response is too large")
         missing = self._received - GUARANTEED_BYTES - self._reserved
-        if missing <= 0:
+        if missing <= 0 or self._is_counted:
             return
         if not self._budget.try_reserve(missing):
             raise ResponseSizeError("too many bytes of responses are held")
