Reserve an answer before its body is read

What callers saw: of calls whose answers of 4 MiB came at once, most got 502 though their servers had run them, and the process went over its memory.

Cause: answers had a budget of 16 MiB of their own that refused what came when it was used up; the pieces of an answer, their join and the encoded reply were held at the same time, and a digest copied the request's body.

Change: a call's answer above 64 KiB is reserved, whole, when its head was read, from the budget of all callers, and waits in turn when there is no room, its server unread; while one waits, slow readers are given up for it. One of unknown size grows in the requests' part and then reserves the most that it may become: answers that held a part and waited for more would block one another. Bodies are collected in a buffer that is handed over, and sent without a copy.

--- a/mulberryway/filters/service_forward.py
+++ b/mulberryway/filters/service_forward.py
@@ -236,11 +236,13 @@
             lambda: hedges.extend(
                 self._start_hedge(exchange, attempts, open_calls, canceller)
             ),
+            exchange.memory.make_room(),
         )
         open_calls.add(canceller)
         result = self._call_once(
             exchange, choice, number, timeout_ms, canceller
         )
+        canceller.detach()
         for hedge in hedges:
             if result.is_ok():
                 hedge.cancel()
@@ -288,7 +290,7 @@
         choice = self._choose(exchange, attempts.called)
         if choice is None:
             return []
-        canceller = connections.CallCanceller()
+        canceller = connections.CallCanceller(room=exchange.memory.make_room())
         open_calls.add(canceller)
         hedge = hedging.Hedge(
             choice.upstream,
@@ -496,6 +498,12 @@
             )
             if result.is_error():
                 span.fail(result.error)
+        if (
+            canceller.room is not None
+            and result.is_error()
+            and result.error.answer is None
+        ):
+            canceller.room.release()
         # A second call that the first one has overtaken proves nothing, but a
         # first call that was overtaken was late.
         is_void = is_hedge and canceller.is_cancelled
@@ -638,11 +646,11 @@
 
 def _digest(exchange: base.Exchange) -> str:
     """Return a digest by which any VM recognises a retry of the call."""
-    serialized_call = (
-        f"{exchange.method} {exchange.target}\0".encode() + exchange.body
-    )
     return poison.digest_request(
-        exchange.account.name, exchange.pool.name, serialized_call
+        exchange.account.name,
+        exchange.pool.name,
+        f"{exchange.method} {exchange.target}\0".encode(),
+        exchange.body,
     )
 
 
--- a/mulberryway/platform/callers.py
+++ b/mulberryway/platform/callers.py
@@ -161,7 +161,8 @@
             exchange.digest = poison.digest_request(
                 exchange.account.name,
                 exchange.model,
-                exchange.target.encode() + b"\0" + exchange.body,
+                exchange.target.encode() + b"\0",
+                exchange.body,
             )
             exchange.prompt_parts = parse_shared_parts(
                 exchange.find_header(wire.PREFIX.lower()) or ""
--- a/mulberryway/policy/poison.py
+++ b/mulberryway/policy/poison.py
@@ -40,18 +40,20 @@
 MAX_CRASHES_PER_REQUEST = 4
 
 
-def digest_request(account: str, model: str, body: bytes) -> str:
+def digest_request(account: str, model: str, *content: bytes) -> str:
     """Return the digest that identifies a request and its retries.
 
     :param account: the client account's name
     :param model: the model's name
-    :param body: the body as the caller sent it
+    :param content: the request as the caller sent it; parts are not joined,
+        since the last one may be large
     :returns: 32 hexadecimal digits
     """
     digest = hashlib.sha256()
     for part in (account.encode(), model.encode()):
         digest.update(len(part).to_bytes(4, "big") + part)
-    digest.update(body)
+    for part in content:
+        digest.update(part)
     return digest.hexdigest()[:32]
 
 
--- a/mulberryway/upstreams/call_connection.py
+++ b/mulberryway/upstreams/call_connection.py
@@ -24,7 +24,7 @@
 
 
 class CallCanceller:
-    """Cancels a call that runs on another thread.
+    """Cancels a call that runs on another thread, and bounds it.
 
     Without it an upstream would continue to work for a caller that has
     disconnected.
@@ -32,10 +32,13 @@
     :param extension_ms: how much longer than its timeout the call may take
     :param on_late: called on the call's thread at its timeout, if there is an
         extension; must return quickly
+    :param room: the memory of its response; none if the process as a whole
+        bounds what it receives
     """
 
     __slots__ = (
         "extension_ms",
+        "room",
         "_on_late",
         "_lock",
         "_socket",
@@ -46,8 +49,10 @@
         self,
         extension_ms: int = 0,
         on_late: collections.abc.Callable[[], None] = lambda: None,
+        room: bounded_socket.AnswerRoom | None = None,
     ) -> None:
         self.extension_ms = extension_ms
+        self.room = room
         self._on_late = on_late
         self._lock = threading.Lock()
         self._socket: socket.socket | None = None
@@ -77,9 +82,10 @@
             self.cancel()
 
     def detach(self) -> None:
-        """Release the socket after the end of the call."""
+        """Release the socket and the callback after the end of the call."""
         with self._lock:
             self._socket = None
+            self._on_late = _do_nothing
 
     def cancel(self) -> None:
         """Cancel the call now, or as soon as it starts."""
@@ -93,6 +99,10 @@
                 LOG.debug("cancelled call had ended already: %s", error)
 
 
+def _do_nothing() -> None:
+    return None
+
+
 class CurrentCall(threading.local):
     """Describes the call that runs on this thread.
 
--- a/mulberryway/upstreams/connections.py
+++ b/mulberryway/upstreams/connections.py
@@ -9,6 +9,7 @@
 import functools
 import http
 import http.client
+import io
 import logging
 import threading
 import time
@@ -50,11 +51,14 @@
 MAX_IDLE_CONNECTIONS = 32
 READ_BYTES = 65_536
 MAX_REPLY_BYTES = 16_777_216
+MAX_LENGTH_DIGITS = 18
 # With the framing of chunks.
 MAX_RECEIVED_BYTES = 2 * MAX_REPLY_BYTES
 # A rejection's body is not needed, so another upstream can be asked soon.
 REJECTION_BODY_TIMEOUT_MS = 200
 REQUEST_ID_HEADER = "X-Request-Id"
+TOO_LARGE_MESSAGE = "the response is too large"
+NO_ROOM_MESSAGE = "no room for the response"
 
 # A closed pool raises its error before a connection is taken from it.
 NOT_SENT_ERRORS = (
@@ -516,10 +520,10 @@
 ) -> Response:
     sock = call_connection.CURRENT.socket
     assert sock is not None
-    sock.allow_body(MAX_RECEIVED_BYTES)
     headers = list(response.headers.items())
     if not is_rejection(response.status, headers):
-        return Response(response.status, headers, _read_body(response))
+        return Response(response.status, headers, _read_counted(response))
+    sock.allow_body(MAX_RECEIVED_BYTES)
     sock.shorten_response(
         time.monotonic() + REJECTION_BODY_TIMEOUT_MS / MS_IN_S
     )
@@ -532,6 +536,53 @@
     return Response(response.status, headers, body)
 
 
+def _read_counted(response: urllib3.BaseHTTPResponse) -> bytes:
+    """Return a body whose memory is reserved before it is read.
+
+    :raises ResponseSizeError: if there is no room for it
+    """
+    current = call_connection.CURRENT
+    canceller = current.canceller
+    room = None if canceller is None else canceller.room
+    assert current.socket is not None
+    current.socket.allow_body(MAX_RECEIVED_BYTES, room is not None)
+    if canceller is None or room is None:
+        return _read_body(response)
+    left_s = current.deadline_s - time.monotonic()
+    max_wait_s = left_s + canceller.extension_ms / MS_IN_S
+
+    def reserve(total: int) -> None:
+        if total > bounded_socket.GUARANTEED_BYTES and not room.grow(
+            total,
+            MAX_REPLY_BYTES,
+            max_wait_s,
+            lambda: canceller.is_cancelled,
+        ):
+            raise bounded_socket.ResponseSizeError(NO_ROOM_MESSAGE)
+
+    if current.details.framing is not call_details.Framing.LENGTH:
+        return _read_body(response, reserve)
+    length = _find_length(response)
+    if length > MAX_REPLY_BYTES:
+        raise bounded_socket.ResponseSizeError(TOO_LARGE_MESSAGE)
+    if length > bounded_socket.GUARANTEED_BYTES and not room.reserve(
+        length, max_wait_s, lambda: canceller.is_cancelled
+    ):
+        raise bounded_socket.ResponseSizeError(NO_ROOM_MESSAGE)
+    return _read_body(response)
+
+
+def _find_length(response: urllib3.BaseHTTPResponse) -> int:
+    """Return the length that a response announces.
+
+    :raises ResponseSizeError: if it has too many digits
+    """
+    digits = response.headers["content-length"].strip()
+    if len(digits) > MAX_LENGTH_DIGITS:
+        raise bounded_socket.ResponseSizeError(TOO_LARGE_MESSAGE)
+    return int(digits)
+
+
 def _get_received() -> int:
     """Return how many bytes of a response this thread's call has received."""
     sock = call_connection.CURRENT.socket
@@ -560,12 +611,22 @@
     return call_details.find_reason(error)
 
 
-def _read_body(response: urllib3.BaseHTTPResponse) -> bytes:
-    chunks = []
+def _read_body(
+    response: urllib3.BaseHTTPResponse,
+    reserve: collections.abc.Callable[[int], object] = lambda total: None,
+) -> bytes:
+    """Return a complete body.
+
+    Pieces that are joined would take twice the memory.
+
+    :param reserve: called with the size before that much is kept
+    """
+    content = io.BytesIO()
     total = 0
     for chunk in response.stream(READ_BYTES, decode_content=False):
-        chunks.append(chunk)
         total += len(chunk)
         if total > MAX_REPLY_BYTES:
-            raise bounded_socket.ResponseSizeError("the response is too large")
-    return b"".join(chunks)
+            raise bounded_socket.ResponseSizeError(TOO_LARGE_MESSAGE)
+        reserve(total)
+        content.write(chunk)
+    return content.getvalue()
