Map large blocks by themselves

What callers saw: a process that had handled a few large requests stayed at several times of what it held, and the next crowd ended it.

Cause: the C library raises its threshold for mapped blocks to the largest one that was freed; later blocks come from heaps, one for each thread, which keep what is freed in them.

--- a/mulberryway/commands/process.py
+++ b/mulberryway/commands/process.py
@@ -12,6 +12,8 @@
 import types
 import typing
 
+from mulberryway import allocator
+
 __all__ = ["Service", "exit_at_once", "run_until_stopped"]
 
 LOG = logging.getLogger(__name__)
@@ -66,6 +68,7 @@
     def handle_stop_signal(number: int, frame: types.FrameType | None) -> None:
         stop_signals.put(number)
 
+    allocator.separate_large_blocks()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, handle_stop_signal)
     signal.signal(signal.SIGHUP, lambda number, frame: on_reload())
