--- a/mulberryway/server/http_server.py
+++ b/mulberryway/server/http_server.py
@@ -33,9 +33,11 @@
 # What the kernel holds for a caller that does not read, in place of megabytes
 # that no budget counts; Linux doubles it.
 SEND_BUFFER_BYTES = 65_536
-# What the kernel receives for a caller whose request nobody reads now.
+# What the kernel receives for a caller whose connection nobody reads now;
+# Linux doubles it.
 RECEIVE_BUFFER_BYTES = 16_384
 WAKE_TIMEOUT_S = 0.2
+# Of a caller's deadline in ms; a longer one is ignored.
 MAX_DEADLINE_DIGITS = 7
 
 
