Measure how fast a request arrives over the last second

What callers saw: beside stalled bodies of which all but the last piece had arrived, large bodies of others got 503 for up to a minute.

Cause: who gives way was decided by the average rate since the beginning, which stays high for long after a caller has stopped just short of the end.

Change: the rate is measured each second, and the lowest of the last second goes first.

--- a/mulberryway/policy/connection_limits.py
+++ b/mulberryway/policy/connection_limits.py
@@ -6,6 +6,7 @@
 
 import collections.abc
 import enum
+import math
 import typing
 
 __all__ = [
@@ -28,6 +29,8 @@
 MIN_CONNECTIONS = 16
 # A request that has begun later may only be on its way.
 MIN_AGE_MS = 1_000
+# The shortest time over which a rate is measured.
+MEASUREMENT_MS = 900
 # A request that arrives more slowly than this gives way to others.
 SLOW_BYTES_PER_MS = 64
 
@@ -48,10 +51,17 @@
     :param phase: what it does
     :param since_ms: when that began, in ms
     :param held_bytes: what is counted for its request
-    :param received_bytes: what has arrived of its request
     """
 
-    __slots__ = ("key", "phase", "since_ms", "held_bytes", "received_bytes")
+    __slots__ = (
+        "key",
+        "phase",
+        "since_ms",
+        "held_bytes",
+        "rate",
+        "_checked_ms",
+        "_checked_bytes",
+    )
 
     def __init__(
         self,
@@ -59,13 +69,41 @@
         phase: Phase,
         since_ms: int,
         held_bytes: int = 0,
-        received_bytes: int = 0,
     ) -> None:
         self.key = key
         self.phase = phase
         self.since_ms = since_ms
         self.held_bytes = held_bytes
-        self.received_bytes = received_bytes
+        # How fast its request arrives, in bytes per ms; none if unknown.
+        self.rate: float | None = None
+        self._checked_ms = since_ms
+        self._checked_bytes = 0
+
+    def enter(self, phase: Phase, now_ms: int) -> None:
+        """Begin another phase.
+
+        :param phase: the phase
+        :param now_ms: the current time in ms
+        """
+        self.phase = phase
+        self.since_ms = self._checked_ms = now_ms
+        self._checked_bytes = 0
+        self.rate = None
+
+    def measure(self, received_bytes: int, now_ms: int) -> None:
+        """Measure how fast the request arrives, since the last measurement.
+
+        The average since its beginning would hide for long that a caller has
+        stopped just short of the end.
+
+        :param received_bytes: what has arrived of the request
+        :param now_ms: the current time in ms
+        """
+        duration_ms = now_ms - self._checked_ms
+        if duration_ms >= MEASUREMENT_MS:
+            self.rate = (received_bytes - self._checked_bytes) / duration_ms
+            self._checked_ms = now_ms
+            self._checked_bytes = received_bytes
 
 
 def compute_max_connections(
@@ -116,19 +154,17 @@
     states: collections.abc.Iterable[ConnectionState],
     asking: ConnectionState,
     is_small: bool,
-    now_ms: int,
 ) -> ConnectionState | None:
     """Return the connection whose incomplete request makes room.
 
     The one that arrives at the lowest rate goes first.  A small request
     displaces any that began earlier.  A large one displaces only those that
-    arrive slowly: sound ones that arrive together would displace one another,
-    and none would become complete.
+    are known to arrive slowly: sound ones that arrive together would displace
+    one another, and none would become complete.
 
     :param states: the open connections
     :param asking: the connection whose request needs room
     :param is_small: whether that request is small
-    :param now_ms: the current time in ms
     :returns: none if no request may be given up for it
     """
     return min(
@@ -139,23 +175,15 @@
             and state is not asking
             and state.held_bytes
             and state.since_ms <= asking.since_ms
-            and (is_small or _is_slow(state, now_ms))
+            and (is_small or _get_rate(state) < SLOW_BYTES_PER_MS)
         ),
-        key=lambda state: (_compute_rate(state, now_ms), state.since_ms),
+        key=lambda state: (_get_rate(state), state.since_ms),
         default=None,
     )
 
 
-def _is_slow(state: ConnectionState, now_ms: int) -> bool:
-    return (
-        not _is_recent(state, now_ms)
-        and _compute_rate(state, now_ms) < SLOW_BYTES_PER_MS
-    )
-
-
-def _compute_rate(state: ConnectionState, now_ms: int) -> float:
-    """Return how fast a request arrives, in bytes per ms."""
-    return state.received_bytes / max(now_ms - state.since_ms, 1)
+def _get_rate(state: ConnectionState) -> float:
+    return math.inf if state.rate is None else state.rate
 
 
 def _is_recent(state: ConnectionState, now_ms: int) -> bool:
--- a/mulberryway/server/connections.py
+++ b/mulberryway/server/connections.py
@@ -198,7 +198,7 @@
     def _take(self, conn: typing.Any, data: bytes) -> None:
         state = conn.state
         if state.phase is Phase.IDLE:
-            state.phase, state.since_ms = Phase.RECEIVING, self._now_ms()
+            state.enter(Phase.RECEIVING, self._now_ms())
         progress = conn.reader.feed(data)
         if progress is receiving.Progress.INCOMPLETE:
             return
@@ -219,7 +219,7 @@
     def _watch(self, conn: typing.Any, phase: Phase) -> None:
         with self._lock:
             if not self._is_closed:
-                conn.state.phase, conn.state.since_ms = phase, self._now_ms()
+                conn.state.enter(phase, self._now_ms())
                 self._selector.register(
                     conn.socket.fileno(), selectors.EVENT_READ, conn
                 )
@@ -256,6 +256,7 @@
             state = conn.state
             age_ms = now_ms - state.since_ms
             if state.phase is Phase.RECEIVING:
+                state.measure(conn.reader.received_bytes, now_ms)
                 if age_ms >= self.server.get_request_timeout_ms(conn):
                     self._reject(conn, "408 Request Timeout")
             elif (
@@ -280,7 +281,6 @@
             self._list_states(),
             conn.state,
             held_bytes + size <= memory_budget.SMALL_REQUEST_BYTES,
-            self._now_ms(),
         )
         if victim is None:
             return False
@@ -309,7 +309,6 @@
         ]
         for conn in watched:
             conn.state.held_bytes = conn.reader.memory.held_bytes
-            conn.state.received_bytes = conn.reader.received_bytes
         return [conn.state for conn in watched]
 
     def _report_closed(
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -11,10 +11,19 @@
 Phase = connection_limits.Phase
 
 
-def make_state(key, phase, age_ms, held_bytes=1_000, received_bytes=0):
-    return connection_limits.ConnectionState(
-        key, phase, NOW_MS - age_ms, held_bytes, received_bytes
+def make_state(key, phase, age_ms, held_bytes=1_000, received=()):
+    """Return a connection's state.
+
+    :param received: what had arrived in all at the last seconds, the latest
+        one last
+    """
+    state = connection_limits.ConnectionState(
+        key, phase, NOW_MS - age_ms, held_bytes
     )
+    start_ms = NOW_MS - 1_000 * (len(received) - 1)
+    for number, received_bytes in enumerate(received):
+        state.measure(received_bytes, start_ms + 1_000 * number)
+    return state
 
 
 class LimitTest(unittest.TestCase):
@@ -91,21 +100,30 @@
 
     def choose(self, is_small, *states):
         chosen = connection_limits.choose_for_memory(
-            (self.asking, *states), self.asking, is_small, NOW_MS
+            (self.asking, *states), self.asking, is_small
         )
         return None if chosen is None else chosen.key
 
     def test_stalled_request_goes_first(self):
-        """Guards against a slow but steady upload that makes room for one
-        that has stopped.
+        """Guards against a steady upload that makes room for a caller that
+        has sent more, and then stopped.
         """
+        steady = make_state(
+            "steady", Phase.RECEIVING, 9_000, MB, (90_000, 120_000, 150_000)
+        )
+        stalled = make_state(
+            "stalled", Phase.RECEIVING, 3_000, MB, (4 * MB, 4 * MB)
+        )
+        self.assertEqual(self.choose(False, steady, stalled), "stalled")
+        self.assertEqual(self.choose(True, steady, stalled), "stalled")
+
+    def test_caller_that_never_sends_goes_first(self):
+        """Guards against memory that announced bodies keep."""
         self.assertEqual(
             self.choose(
-                False,
-                make_state("steady", Phase.RECEIVING, 9_000, MB, 200_000),
-                make_state("stalled", Phase.RECEIVING, 2_000, MB, 100),
+                False, make_state("none", Phase.RECEIVING, 1_500, MB, (0,))
             ),
-            "stalled",
+            "none",
         )
 
     def test_large_requests_do_not_displace_one_another(self):
@@ -113,17 +131,15 @@
         self.assertIsNone(
             self.choose(
                 False,
-                make_state("fast", Phase.RECEIVING, 2_000, MB, MB),
-                make_state("new", Phase.RECEIVING, 500, MB, 0),
+                make_state("fast", Phase.RECEIVING, 2_000, MB, (0, MB)),
+                make_state("new", Phase.RECEIVING, 500, MB),
             )
         )
 
     def test_small_request_displaces_any_older_one(self):
         """Guards against ordinary callers that wait for large bodies."""
         self.assertEqual(
-            self.choose(
-                True, make_state("new", Phase.RECEIVING, 5, MB, 65_536)
-            ),
+            self.choose(True, make_state("new", Phase.RECEIVING, 5, MB)),
             "new",
         )
 
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -107,6 +107,26 @@
             crowd.wait_sent()
             self.check(usage)
 
+    def test_large_body_beside_bodies_that_stop_short(self):
+        """Guards against memory that stalled bodies keep from sound ones."""
+        requests = [
+            floods.make_chunked(
+                "/large/a", f"short-{number}", BODY_BYTES, 65_536, False
+            )
+            for number in range(24)
+        ]
+        with (
+            self.measure() as usage,
+            floods.Crowd(self.front, requests) as crowd,
+        ):
+            crowd.wait_sent()
+            floods.settle(3.0)
+            sent = floods.make_sized("/large/a", "honest", BODY_BYTES)
+            with floods.Crowd(self.front, [sent]) as honest:
+                honest.wait_answered()
+                self.assertEqual(honest.count_statuses(), {200: 1})
+            self.check(usage)
+
     def test_body_in_tiny_pieces(self):
         """Guards against objects for each piece of a body."""
         request = floods.make_chunked("/large/a", "tiny", BODY_BYTES, 2)
