--- a/mulberryway/server/gateway.py
+++ b/mulberryway/server/gateway.py
@@ -117,11 +117,15 @@
 
         A streamed answer is handed over to the relay instead.
         """
-        exchange = self._make_exchange()
-        exchange.add_completion_callback(
-            lambda outcome: exchange.memory.release()
-        )
-        self._handle(exchange)
+        try:
+            exchange = self._make_exchange()
+            exchange.add_completion_callback(
+                lambda outcome: exchange.memory.release()
+            )
+            self._handle(exchange)
+        except Exception:
+            self._request.memory.release()
+            raise
 
     def reject(self, fault: errors.Fault) -> None:
         """Reply to a request whose body is not read to its end.
--- a/mulberryway/server/request.py
+++ b/mulberryway/server/request.py
@@ -288,8 +288,12 @@
         except OSError as error:
             LOG.info("writing a reply failed: %r", error)
             return False
-        except Exception:
-            LOG.exception("handling a request failed")
+        except Exception as error:
+            self.server.error_log(
+                f"handling a request failed: {error!r}",
+                logging.ERROR,
+                traceback=True,
+            )
             if not request.sent_headers:
                 request.simple_response("500 Internal Server Error")
             return self.has_unread_input
