Release the answer of a hedged call that outlives its request

What callers saw: nothing yet. An answer reserved after its request had ended was counted for ever, so a VM refused more and more.

Cause: of two calls for one request the second may go on when the first has answered, and reserve memory after everything was released.

Change: a request's end closes the memory of its answers. Also, a server without descriptors whose connections are all busy pauses before it accepts again, instead of spinning.

--- a/mulberryway/relay/memory.py
+++ b/mulberryway/relay/memory.py
@@ -355,7 +355,8 @@
     def release(self) -> None:
         """Release all of it."""
         self.shrink(self.held_bytes)
-        self.release_answers()
+        for room in self._rooms:
+            room.close()
 
 
 class _UnboundedMemory(RequestMemory):
@@ -397,13 +398,16 @@
     :param guard: bounds the memory of callers
     """
 
-    __slots__ = ("_guard", "_size", "_growth")
+    __slots__ = ("_guard", "_lock", "_size", "_growth", "_is_closed")
 
     def __init__(self, guard: MemoryGuard) -> None:
         self._guard = guard
+        # A hedged call may go on after its request has ended.
+        self._lock = threading.Lock()
         self._size = 0
         # The part of it that is counted for requests.
         self._growth = 0
+        self._is_closed = False
 
     def reserve(
         self,
@@ -423,8 +427,9 @@
             return True
         if not self._guard.reserve_answer(missing, duration_s, is_cancelled):
             return False
-        self._size += missing
-        return True
+        with self._lock:
+            self._size += missing
+        return self._is_kept()
 
     def grow(
         self,
@@ -450,15 +455,30 @@
         if not self._size and self._guard.try_reserve_request(
             GROWTH_BYTES, memory_budget.SMALL_REQUEST_BYTES
         ):
-            self._growth += GROWTH_BYTES
-            return self.grow(size, max_bytes, duration_s, is_cancelled)
+            with self._lock:
+                self._growth += GROWTH_BYTES
+            return self._is_kept() and self.grow(
+                size, max_bytes, duration_s, is_cancelled
+            )
         return self.reserve(max_bytes, duration_s, is_cancelled)
 
     def release(self) -> None:
-        """Release all of it."""
-        size, self._size = self._size, 0
-        growth, self._growth = self._growth, 0
+        """Release all of it; the room may be used again."""
+        with self._lock:
+            size, self._size = self._size, 0
+            growth, self._growth = self._growth, 0
         if size:
             self._guard.release_answer(size)
         if growth:
             self._guard.release_request(growth)
+
+    def close(self) -> None:
+        """Release all of it, and what is reserved later."""
+        self._is_closed = True
+        self.release()
+
+    def _is_kept(self) -> bool:
+        """Return whether what was reserved just now is needed."""
+        if self._is_closed:
+            self.release()
+        return not self._is_closed
--- a/mulberryway/server/connections.py
+++ b/mulberryway/server/connections.py
@@ -30,6 +30,7 @@
 MAX_LINGERING_READS = 2
 MS_IN_S = 1_000
 LOG_INTERVAL_MS = 1_000
+ACCEPT_PAUSE_MS = 10
 NO_DESCRIPTOR_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOMEM)
 
 Phase = connection_limits.Phase
@@ -153,8 +154,9 @@
             return
         except OSError as error:
             LOG.warning("accepting a connection failed: %r", error)
-            if error.errno in NO_DESCRIPTOR_ERRORS:
-                self._close_one()
+            if error.errno in NO_DESCRIPTOR_ERRORS and not self._close_one():
+                # The listening socket stays readable meanwhile.
+                self.server.clock.sleep_ms(ACCEPT_PAUSE_MS)
             return
         accepted.setblocking(False)
         conn = self.server.ConnectionClass(self.server, accepted)
@@ -288,17 +290,21 @@
         self._reject(victim.key, "503 Service Unavailable")
         return True
 
-    def _close_one(self) -> None:
-        """Close a connection for a new one, if one is not busy."""
+    def _close_one(self) -> bool:
+        """Close a connection for a new one.
+
+        :returns: false if all are busy
+        """
         victim = connection_limits.choose_for_connection(
             self._list_states(), self._now_ms()
         )
         if victim is None:
-            return
+            return False
         self._report_closed(victim)
         if victim.phase is Phase.RECEIVING:
             victim.key.reader.reject("503 Service Unavailable")
         self._drop(victim.key)
+        return True
 
     def _list_states(self) -> list[connection_limits.ConnectionState]:
         """Return the states of connections that are not busy."""
