--- a/mulberryway/filters/base.py
+++ b/mulberryway/filters/base.py
@@ -15,7 +15,7 @@
 from mulberryway import tables
 from mulberryway import traces
 from mulberryway.policy import allowance
-from mulberryway.relay import memory
+from mulberryway.relay import request_memory
 from mulberryway.relay import stream as streams
 from mulberryway.relay import writers
 
@@ -183,7 +183,7 @@
     :param head: writes the reply's status line and headers
     :param release: returns the connection to the server after streaming
     :param arrived_ms: when the request arrived, in ms
-    :param memory_: the memory that is reserved for it; without a bound by
+    :param memory: the memory that is reserved for it; without a bound by
         default
     """
 
@@ -248,9 +248,9 @@
         head: writers.ReplyHead,
         release: collections.abc.Callable[[bool], None],
         arrived_ms: int,
-        memory_: memory.RequestMemory | None = None,
+        memory: request_memory.RequestMemory | None = None,
     ) -> None:
-        self.memory = memory_ or memory.UNBOUNDED
+        self.memory = memory or request_memory.UNBOUNDED
         self.request_id = request_id
         self.method = method
         self.path = path
--- a/mulberryway/server/receiving.py
+++ b/mulberryway/server/receiving.py
@@ -9,7 +9,7 @@
 from cheroot import errors as cheroot_errors
 
 from mulberryway import errors
-from mulberryway.relay import memory
+from mulberryway.relay import request_memory
 from mulberryway.server import bodies
 from mulberryway.server import request
 
@@ -68,7 +68,7 @@
     )
 
     def __init__(self, connection: typing.Any, make_room: MakeRoom) -> None:
-        self.memory = memory.RequestMemory(connection.server.memory)
+        self.memory = request_memory.RequestMemory(connection.server.memory)
         # What has arrived behind the last complete request.
         self.surplus = b""
         self._connection = connection
@@ -193,7 +193,9 @@
         request_.memory = self.memory
         request_.received_ms = self._connection.server.clock.now_ms()
         self._connection.request = request_
-        self.memory = memory.RequestMemory(self._connection.server.memory)
+        self.memory = request_memory.RequestMemory(
+            self._connection.server.memory
+        )
         self.surplus = surplus
         self._request = self._body = None
 
--- a/mulberryway/server/request.py
+++ b/mulberryway/server/request.py
@@ -14,7 +14,7 @@
 from mulberryway.filters import status as filter_status
 from mulberryway.policy import connection_limits
 from mulberryway.relay import linger
-from mulberryway.relay import memory
+from mulberryway.relay import request_memory
 from mulberryway.relay import writers
 from mulberryway.server import bodies
 
@@ -155,7 +155,7 @@
     # The complete body, the memory that is reserved for the request, and when
     # its last byte was received, in ms.
     body = b""
-    memory: memory.RequestMemory
+    memory: request_memory.RequestMemory
     received_ms = 0
 
     def read_request_line(self) -> bool:
--- a/tests/test_answer_room.py
+++ b/tests/test_answer_room.py
@@ -7,6 +7,7 @@
 from mulberryway import clock
 from mulberryway.relay import loop
 from mulberryway.relay import memory
+from mulberryway.relay import request_memory
 from tests import processes
 
 MB = 1_000_000
@@ -29,7 +30,7 @@
         self.addCleanup(self.pool.shutdown)
 
     def make_request(self):
-        request = memory.RequestMemory(self.guard)
+        request = request_memory.RequestMemory(self.guard)
         return request, request.make_room()
 
     def reserve(self, room, size, is_cancelled=never):
@@ -110,7 +111,9 @@
 
     def test_answers_beside_full_requests(self):
         """Guards against requests that leave no room for their answers."""
-        requests = [memory.RequestMemory(self.guard) for _ in range(600)]
+        requests = [
+            request_memory.RequestMemory(self.guard) for _ in range(600)
+        ]
         while any(request.try_grow(50_000) for request in requests):
             continue
         _, room = self.make_request()
