Measure the rate of a request when memory is needed

What callers saw: a large body got 503 beside announced ones that had been stalled for more than a second, if the server had not looked for late requests since then, which it does once a second.

Cause: the rate by which a request gives way was measured only at that look. By reading, some 3 in 100 runs of test_floods' test_lengths_without_bodies could fail for it: a look in the moment in which the crowd arrives, and the next one after the sound body.

Ruled out: a longer wait in the test, which would hide it.

Evidence: test_announced_body_makes_room switches the look off; it failed before this change (503) and passed in three runs after it.

Also: two module docstrings say what they decide instead of telling a story.

--- a/mulberryway/policy/connection_limits.py
+++ b/mulberryway/policy/connection_limits.py
@@ -1,7 +1,7 @@
 """Decides how many connections a VM accepts, and which it closes for others.
 
-Load: more callers than a VM has descriptors or memory for, most of which send
-nothing, or only a part of a request.
+Callers that send nothing, or only a part of a request, give way to others when
+descriptors or memory are used up.
 """
 
 import collections.abc
--- a/mulberryway/policy/json_sizes.py
+++ b/mulberryway/policy/json_sizes.py
@@ -1,7 +1,6 @@
 """Estimates what a parsed JSON text takes.
 
-Load: bodies of many empty lists, objects or numbers, which take fifty times
-their own size once they are parsed.
+Many empty lists, objects or numbers take fifty times the size of their text.
 """
 
 import re
--- a/mulberryway/server/connections.py
+++ b/mulberryway/server/connections.py
@@ -314,6 +314,7 @@
             if conn.state.phase is not Phase.BUSY
         ]
         for conn in watched:
+            conn.state.measure(conn.reader.received_bytes, self._now_ms())
             conn.state.held_bytes = conn.reader.memory.held_bytes
         return [conn.state for conn in watched]
 
--- a/tests/test_receiving.py
+++ b/tests/test_receiving.py
@@ -5,6 +5,7 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 import expression
 
@@ -28,6 +29,8 @@
 HEAD = b"POST /a HTTP/1.1\r\nHost: x\r\n"
 # More than the interval at which the server looks for late requests.
 LATE_S = 1.5
+# Longer than any test waits.
+LONG_INTERVAL_S = 60.0
 
 
 class EchoFilter(base.Filter):
@@ -52,33 +55,39 @@
         self.loop.start()
         self.addCleanup(self.loop.stop)
         self.addCleanup(relay.stop)
+        self.relay = relay
+        self.echo = EchoFilter()
+        self.server = self.make_server()
+        self.connections = contextlib.ExitStack()
+        self.addCleanup(self.connections.close)
+
+    def make_server(self):
+        """Start a server; return it."""
         settings_ = router_fixture.make_settings()
         settings_.router_threads = 4
         settings_.router_body_ms = BODY_MS
-        self.echo = EchoFilter()
-        self.server = http_server.HttpServer(
+        server = http_server.HttpServer(
             settings_,
             gateway.GatewayFactory(
                 chain.Chain([self.echo]), clock.SystemClock(), "a1.1"
             ),
-            relay,
+            self.relay,
             max_connections=MAX_CONNECTIONS,
             deadline_header="Deadline-Ms",
         )
-        self.server.start()
-        self.addCleanup(self.server.stop)
-        self.connections = contextlib.ExitStack()
-        self.addCleanup(self.connections.close)
+        server.start()
+        self.addCleanup(server.stop)
+        return server
 
-    def connect(self):
-        address = (HOST, self.server.bind_addr[1])
+    def connect(self, port=None):
+        address = (HOST, port or self.server.bind_addr[1])
         return self.connections.enter_context(
             socket.create_connection(address, TIMEOUT_S)
         )
 
-    def send(self, *pieces):
+    def send(self, *pieces, port=None):
         """Send the pieces of a request on a new connection."""
-        connection = self.connect()
+        connection = self.connect(port)
         for piece in pieces:
             connection.sendall(piece)
         return connection
@@ -194,6 +203,23 @@
         self.assertIn(b"HTTP/1.1 503 ", answer)
         self.assertIn(b"stopping", answer)
 
+    def test_announced_body_makes_room(self):
+        """Guards against memory that an announced body keeps until the next
+        time at which the server looks for late requests.
+        """
+        size = BUDGET_BYTES // 3
+        head = HEAD + b"Connection: close\r\nContent-Length: %d\r\n\r\n" % size
+        with mock.patch.object(
+            http_server.HttpServer, "expiration_interval", LONG_INTERVAL_S
+        ):
+            server = self.make_server()
+            announced = self.send(head + b"x", port=server.bind_addr[1])
+            time.sleep(LATE_S)
+            sound = self.send(head, b"y" * size, port=server.bind_addr[1])
+            self.assertIn(b"200 OK", self.read(sound)[:20])
+            self.assertIn(b"HTTP/1.1 503 ", self.read(announced))
+        self.check_free()
+
     def test_head_of_many_lines(self):
         """Guards against headers whose objects nobody counts."""
         lines = b"".join(b"a%x:\r\n" % number for number in range(4_000))
