Test metrics beside callers that ask for them without reading, failing

What callers saw: the metrics port answers 503 to an ordinary request while 20 callers each have 200 whole requests there and read no answer.

Cause, by reading: the port has two workers and a queue of eight, and a connection with a further request behind its last one takes a place in the queue again at once.

Ruled out: memory (56 MB of 96 held) and descriptors (114 of those that the process may open); the other ports, at which the same crowd left an ordinary request answered (trial, one run each).

--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -224,6 +224,23 @@
         path = "/metrics"
         self.check_stalled(self.metrics, self.make_stalled(path), path)
 
+    def test_metrics_that_nobody_reads(self):
+        """Guards against metrics that a few callers ask for again and again,
+        without reading an answer.
+        """
+        request = b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"
+        with (
+            self.measure() as usage,
+            floods.Crowd(self.metrics, [[request * 200]] * 20) as crowd,
+        ):
+            crowd.is_reading.clear()
+            crowd.wait_sent()
+            floods.settle()
+            reply = processes.call(self.metrics, "GET", "/metrics")
+            self.assertEqual(reply.status, 200)
+            self.check(usage)
+            crowd.is_reading.set()
+
     @staticmethod
     def make_stalled(path):
         return floods.make_sized(path, "stalled", 60, 59)
