--- a/review/common-2/engine.py
+++ b/review/common-2/engine.py
@@ -8,6 +8,9 @@
 * ``keepalive=N``: fall silent for 800 ms after event N of a new run, and send
   a comment, as server-sent events allow, after 500 ms of it
 * ``silent=N``: the same silence without comments
+* ``stop=N``: the first of every N answers to new runs stops inside its event 5,
+  with a last chunk
+* ``build=VERSION``: write this software version into the events
 """
 
 import asyncio
@@ -25,6 +28,9 @@
 COMMENT_S = 0.5
 SWAP_S = 6.0
 NUMBERS = itertools.count(1)
+RUNS = itertools.count()
+STOPPED_EVENT = 5
+BUILD = f" {OPTIONS['build']}" if "build" in OPTIONS else ""
 
 
 class Engine:
@@ -118,7 +124,12 @@
     async def stream(self, request):
         attempt = request.get("Attempt-Id")
         first = int(request.get("Last-Event-Id", "0")) + 1
-        note(run=attempt, first=first)
+        stops = (
+            first == 1
+            and "stop" in OPTIONS
+            and next(RUNS) % int(OPTIONS["stop"]) == 0
+        )
+        note(run=attempt, first=first, stops=stops)
         headers = [
             *seal(request),
             ("Content-Type", "text/event-stream"),
@@ -131,7 +142,12 @@
         number = first - 1
         try:
             for number in range(first, int(EVENTS) + 1):
-                write_chunk(writer, f"id: {number}\ndata: t{number}\n\n")
+                if stops and number == STOPPED_EVENT:
+                    write_chunk(writer, f"id: {number}\nda")
+                    break
+                write_chunk(
+                    writer, f"id: {number}\ndata: t{number}{BUILD}\n\n"
+                )
                 await writer.drain()
                 await asyncio.sleep(int(EVENT_MS) / 1000)
                 if first == 1:
--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -108,6 +108,8 @@
         self.processes = []
         self.vms = {}
         self.servers = {}
+        self.entries = {}
+        self.store_process = None
         self.lock = threading.Lock()
         self.record_file = None
         self.stopping = threading.Event()
@@ -119,7 +121,9 @@
         self.record_file = open(
             self.case / "record.txt", "w", encoding="utf-8"
         )
-        self.start_standin(COMMON / "store.py", *map(str, self.store))
+        self.store_process = self.start_standin(
+            COMMON / "store.py", *map(str, self.store)
+        )
         wait_until(lambda: is_open(*self.store))
         return self
 
@@ -166,7 +170,7 @@
         return value["metadata"]["revision"]
 
     def call_store(self, method, path, body=None):
-        connection = http.client.HTTPConnection(*self.store, timeout=10)
+        connection = http.client.HTTPConnection(*self.store, timeout=1)
         data = None if body is None else json.dumps(body).encode()
         connection.request(method, path, data)
         reply = connection.getresponse()
@@ -182,10 +186,6 @@
         host, port = f"{self.block}.{100 + number}", 8080
         file = self.folder / f"{name}.jsonl"
         file.touch()
-        process = self.start_standin(
-            script, host, port, name, file, *arguments
-        )
-        wait_until(lambda: is_open(host, port))
         entry = {
             "service": service,
             "address": f"{host}:{port}",
@@ -194,23 +194,48 @@
             "slots": 48 if phase else 6,
             "state": "ready",
             "cold_left_ms": 0,
-            "sequence": 1,
-            "born": int(time.time() * 1000),
+            "sequence": 0,
+            "born": 0,
         }
         if phase:
             entry["phase"] = phase
             entry["models"] = [{"name": "m", "version": 1, "adapters": []}]
-        self.servers[name] = (process, host, port, file)
-        self.put("servers", name, entry)
-        beat = threading.Thread(target=self._beat, args=(name, entry))
+        self.servers[name] = (None, host, port, file)
+        self.entries[name] = (entry, script)
+        self.run_server(name, *arguments)
+        beat = threading.Thread(target=self._beat, args=(name,))
         beat.start()
         self.beats.append(beat)
 
-    def _beat(self, name, entry):
+    def run_server(self, name, *arguments, **changes):
+        """Start a server's process, again under its id if it has ended.
+
+        :param changes: what its entry says otherwise than before
+        """
+        _, host, port, file = self.servers[name]
+        entry, script = self.entries[name]
+        process = self.start_standin(
+            script, host, port, name, file, *arguments
+        )
+        wait_until(lambda: is_open(host, port))
+        entry = entry | changes
+        entry |= {"born": int(time.time() * 1000), "sequence": 1}
+        self.entries[name] = (entry, script)
+        self.servers[name] = (process, host, port, file)
+        self._register(name)
+
+    def _beat(self, name):
         while not self.stopping.wait(BEAT_MS / 1000):
             if self.servers[name][0].poll() is None:
-                entry["sequence"] += 1
-                self.put("servers", name, entry)
+                self.entries[name][0]["sequence"] += 1
+                self._register(name)
+
+    def _register(self, name):
+        """Write a server's entry, unless the store doesn't answer."""
+        try:
+            self.put("servers", name, self.entries[name][0])
+        except (OSError, http.client.HTTPException) as error:
+            self.note(f"server {name} could not register: {error!r}")
 
     def configure(self, routes, services, tenants=None):
         """Write a configuration as the operator does."""
@@ -409,18 +434,14 @@
         ]
 
 
-def read_stream(connection, path, attempt, deadline_ms=14000, **more):
+def read_stream(connection, path, attempt, deadline_ms=14000, key=KEY, **more):
     """Send a streaming request and read its answer to the end."""
-    headers = make_headers(
-        attempt,
-        deadline_ms,
-        **{
-            "Model": "m",
-            "Token-Counts": "300,40",
-            "Prompt-Prefix": "5c1e07a2:100,91bd3f06:200",
-        },
-        **more,
-    )
+    prompt = {
+        "Model": "m",
+        "Token-Counts": "300,40",
+        "Prompt-Prefix": "5c1e07a2:100,91bd3f06:200",
+    }
+    headers = make_headers(attempt, deadline_ms, key, **(prompt | more))
     result = StreamResult()
     try:
         connection.request("POST", path, b"{}", headers)
@@ -437,26 +458,29 @@
     return result
 
 
-def make_tenant(name, *keys):
-    """Return a client account of the configuration, without a limit."""
+def make_tenant(name, *keys, rate=0):
+    """Return a client account of the configuration.
+
+    :param rate: its rate and burst in tokens; 0 for no limit
+    """
     return {
         "name": name,
         "api_keys": list(keys),
         "priority": 1,
         "unit": "token_stream",
         "plain_tokens": 200,
-        "rate_per_s": 0,
-        "burst": 0,
+        "rate_per_s": rate,
+        "burst": rate,
     }
 
 
-def make_headers(attempt, deadline_ms=4000, **more):
+def make_headers(attempt, deadline_ms=4000, key=KEY, **more):
     """Return the headers of a client's request."""
     return {
         "Host": SITE,
         "Attempt-Id": attempt,
         "Deadline-Ms": str(deadline_ms),
-        "Authorization": f"Token {KEY}",
+        "Authorization": f"Token {key}",
     } | more
 
 
