--- a/review/8/run.py
+++ b/review/8/run.py
@@ -11,7 +11,7 @@
 import fleet  # noqa: E402
 import traffic  # noqa: E402
 
-TRAFFIC_S = 70.0
+TRAFFIC_S = 62.0
 WORK_MS = 300
 # Seconds between two requests of a kind, and the deadline in ms.
 KINDS = {"brief": (0.5, 14_000), "book": (0.05, 1_500), "view": (0.1, 1_500)}
