--- a/review/6/run.py
+++ b/review/6/run.py
@@ -17,9 +17,9 @@
 # The rule speaks of "more than a few" requests.
 FEW = 3
 TRAFFIC_S = 30.0
-INTERVAL_S = 0.15
-# A spoilt answer in 33 is the share x of garble, 0.03.
-SPOIL_EVERY = 34
+INTERVAL_S = 0.1
+# The share x of garble is 0.02.
+SPOIL_EVERY = 50
 
 
 def main(trouble):
--- a/review/8/run.py
+++ b/review/8/run.py
@@ -45,6 +45,9 @@
         clients.play(TRAFFIC_S)
         if trouble:
             crashing.join()
+        for name in run.servers:
+            for line in run.read_server(name):
+                run.note(f"server {line}")
         whole = clients.is_starved()
         return clients.is_starved(TRAFFIC_S / 2) and whole
 
--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -121,10 +121,14 @@
         self.record_file = open(
             self.case / "record.txt", "w", encoding="utf-8"
         )
-        self.store_process = self.start_standin(
-            COMMON / "store.py", *map(str, self.store)
-        )
-        wait_until(lambda: is_open(*self.store))
+        try:
+            self.store_process = self.start_standin(
+                COMMON / "store.py", *map(str, self.store)
+            )
+            wait_until(lambda: is_open(*self.store))
+        except BaseException:
+            self.__exit__()
+            raise
         return self
 
     def __exit__(self, *_):
@@ -524,6 +528,8 @@
 def run_case(main):
     """Run a case's ``main(trouble)`` and exit as issue 81 says."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # So that a case that is ended early ends its processes as well.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     try:
         is_broken = main(trouble)
     except Exception as error:
--- a/review/common-2/service.py
+++ b/review/common-2/service.py
@@ -7,7 +7,7 @@
 
 * ``fail=STATUS``: two of five requests that it has run are answered with this
   status, signed and without ``Not-Executed``
-* ``spoil=N``: the first of every N answers is spoilt: a line of its head holds
+* ``spoil=N``: the last of every N answers is spoilt: a line of its head holds
   a word, many blanks and another word
 """
 
@@ -60,7 +60,9 @@
         return True
     number = next(RUNS)
     is_failed = "fail" in OPTIONS and number % 5 < FAILED_OF_FIVE
-    is_spoilt = "spoil" in OPTIONS and number % int(OPTIONS["spoil"]) == 0
+    is_spoilt = (
+        "spoil" in OPTIONS and (number + 1) % int(OPTIONS["spoil"]) == 0
+    )
     status = int(OPTIONS["fail"]) if is_failed else 200
     note(
         attempt=attempt,
